--- a/plovercourse/decide.py
+++ b/cedarthread/decide.py
@@ -1,4 +1,4 @@
-"""All decisions of a gateway. Its types stand in plovercourse/interface.py: read that first.
+"""All decisions of a gateway. Its types stand in cedarthread/interface.py: read that first.
 
 One flow: eligible workers -> load-balanced distance -> admit (send, hold, refuse) -> on outcome: learn, then
 finish, move or fail. ``Router.handle(now, event)`` returns the actions; time and seed come from outside.
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from plovercourse import interface as i
+from cedarthread import interface as i
 
 # The design's own numbers.
 ALPHA = 0.03  # share by which a send moves warmth: up on the chosen worker, down on the others
--- a/plovercourse/simhost.py
+++ b/cedarthread/simhost.py
@@ -5,8 +5,8 @@
 import sys
 from typing import BinaryIO
 
-from plovercourse import wire
-from plovercourse.decide import Router
+from cedarthread import wire
+from cedarthread.decide import Router
 
 
 class Host:
@@ -66,7 +66,7 @@
             sink.write(host.reply(frame))
             sink.flush()
     except wire.WireError as error:
-        print(f"plovercourse: bad input: {error}", file=sys.stderr)
+        print(f"cedarthread: bad input: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/plovercourse/wire.py
+++ b/cedarthread/wire.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from plovercourse import interface as i
+from cedarthread import interface as i
 
 
 class WireError(Exception):
--- a/plovercourse/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""plovercourse: the decisions of a gateway for functions that workers load on demand."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 import dataclasses
 from typing import Any
 
-from plovercourse import interface as i
-from plovercourse.decide import Router
+from cedarthread import interface as i
+from cedarthread.decide import Router
 
 SAFE = i.RequestClass("a", 1000.0, 3000.0, 1.0, 0.2, i.Effect.SAFE, i.Group.ALL, 0.0, False, 0.0)
 UNSAFE = dataclasses.replace(SAFE, name="b", effect=i.Effect.UNSAFE)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from plovercourse import decide
-from plovercourse import interface as i
+from cedarthread import decide
+from cedarthread import interface as i
 from tests.helpers import CLASSES, LIMITS, PRICES, RULES, Drive, finals, sends, worker
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -11,8 +11,8 @@
 from hypothesis import settings as given_settings
 from hypothesis import strategies as st
 
-from plovercourse import interface as i
-from plovercourse.decide import Router
+from cedarthread import interface as i
+from cedarthread.decide import Router
 from tests.helpers import CLASSES, LIMITS, RULES, settings, worker
 
 NOT_RUN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.MOOT, i.Outcome.MISS)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from plovercourse import interface as i
-from plovercourse import wire
-from plovercourse.simhost import Host, main
+from cedarthread import interface as i
+from cedarthread import wire
+from cedarthread.simhost import Host, main
 
 INFO = {
     "balancers": 3,
@@ -163,7 +163,7 @@
 def test_bad_input_is_one_line_and_a_failing_exit(raw: bytes, capsys: pytest.CaptureFixture[str]) -> None:
     assert main(io.BytesIO(raw), io.BytesIO()) != 0
     err = capsys.readouterr().err
-    assert err.startswith("plovercourse: bad input: ") and err.count("\n") == 1
+    assert err.startswith("cedarthread: bad input: ") and err.count("\n") == 1
 
 
 def test_an_exception_in_the_module_is_reported() -> None:
