Add the invoke API: synchronous and deferred calls over mutual TLS with SPIFFE ids

Whole path on the same planner: POST a call, 202 and a place to collect it, deadlines and ends mapped to problems, idempotency keys, mTLS with X.509-SVIDs that are reloaded when renewed. Network parsers get random cuts and garbage from fixed seeds; the planner, the platform's path and the invoke API get loopback tests with stand-ins of our own.

--- a/cedarthread/cli.py
+++ b/cedarthread/cli.py
@@ -1,7 +1,7 @@
 """cedarthread, a function router.
 
 Usage:
-  cedarthread [serve] [--log LEVEL]
+  cedarthread [serve] [--invoke FILE] [--log LEVEL]
   cedarthread check-config
   cedarthread version
   cedarthread --help
@@ -12,7 +12,8 @@
   version       Print the version.
 
 Options:
-  --log LEVEL   Least level of the log lines: debug, info, warning or error [default: info].
+  --invoke FILE  Serve the invoke API too, as this file says (see deploy/invoke.toml); off by default.
+  --log LEVEL    Least level of the log lines: debug, info, warning or error [default: info].
 """
 
 from __future__ import annotations
@@ -20,12 +21,17 @@
 import asyncio
 import logging
 import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
 
 from docopt import docopt
 
 import cedarthread
 from cedarthread import config
 
+if TYPE_CHECKING:
+    from cedarthread.net.invoke_config import InvokeConfig
+
 
 def main(argv: list[str] | None = None) -> int:
     """Run one command; the exit code."""
@@ -41,7 +47,21 @@
     if options["check-config"]:
         print(describe(found))
         return 0
-    return serve(found, str(options["--log"]))
+    try:
+        invoke = read_invoke(options["--invoke"])
+    except (OSError, ValueError, KeyError, TypeError) as error:
+        print(f"cedarthread: {options['--invoke']}: {error}", file=sys.stderr)
+        return 2
+    return serve(found, invoke, str(options["--log"]))
+
+
+def read_invoke(path: str | None) -> InvokeConfig | None:
+    """The invoke API's file, where one is named."""
+    if path is None:
+        return None
+    from cedarthread.net import invoke_config
+
+    return invoke_config.read(Path(path))
 
 
 def describe(found: config.Config) -> str:
@@ -51,7 +71,7 @@
     return f"{found.name} on {found.host}:{found.port}; classes {classes}; {listed} runners at the start"
 
 
-def serve(found: config.Config, level: str) -> int:
+def serve(found: config.Config, invoke: InvokeConfig | None, level: str) -> int:
     """Serve until told to end."""
     from cedarthread.service import Service
 
@@ -63,11 +83,11 @@
     )
 
     async def run() -> None:
-        await Service(found).run()
+        await Service(found, invoke).run()
 
     try:
         asyncio.run(run())
-    except OSError as error:
+    except (OSError, ValueError) as error:
         print(f"cedarthread: {error}", file=sys.stderr)
         return 1
     return 0
--- a/cedarthread/core/calls.py
+++ b/cedarthread/core/calls.py
@@ -32,6 +32,7 @@
     """Final answer: not done, and trying again is harmless."""
 
     later: float | None  # ms to keep away
+    timed_out: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/cedarthread/core/planner.py
+++ b/cedarthread/core/planner.py
@@ -195,7 +195,7 @@
 
     def _refuse(self, action: i.Refuse) -> None:
         if (call := self.calls.get(action.request)) is not None:
-            self._settle(call, Refused(action.retry_after))
+            self._settle(call, Refused(action.retry_after, timed_out=self.clock() >= call.give_up))
 
     def _fail(self, action: i.Fail) -> None:
         if (call := self.calls.get(action.request)) is not None:
@@ -223,7 +223,7 @@
         ran = any(attempt.may_have_run() for attempt in call.attempts)
         safe = self.settings.classes[call.klass].effect is i.Effect.SAFE
         later = self.settings.limits.max_retry_after
-        self._settle(call, Failed(timed_out=True) if ran and not safe else Refused(later))
+        self._settle(call, Failed(timed_out=True) if ran and not safe else Refused(later, timed_out=True))
         self._post(i.ClientGone(call.number))
 
     def _settle(self, call: Call, answer: Answer) -> None:
--- /dev/null
+++ b/cedarthread/net/spiffe.py
@@ -0,0 +1,94 @@
+"""SPIFFE identities: their ids, who is let in, and the TLS contexts made from an X.509-SVID and a bundle."""
+
+from __future__ import annotations
+
+import re
+import ssl
+from dataclasses import dataclass
+from pathlib import Path
+
+from cryptography import x509
+from cryptography.x509.oid import ExtensionOID
+
+_DOMAIN = re.compile(r"[a-z0-9._-]{1,255}\Z")
+_SEGMENT = re.compile(r"[A-Za-z0-9._-]+\Z")
+LONGEST = 2048
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """A peer whose certificate has been checked."""
+
+    id: str
+    domain: str
+    until: float  # Unix seconds at which its certificate expires
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """A peer that is not let in, and why."""
+
+    why: str
+
+
+def trust_domain(spiffe_id: str) -> str | None:
+    """The trust domain of a workload's valid SPIFFE ID, None where it is not valid."""
+    scheme, _, rest = spiffe_id.partition("://")
+    domain, slash, path = rest.partition("/")
+    if scheme != "spiffe" or not slash or len(spiffe_id) > LONGEST or not _DOMAIN.match(domain):
+        return None
+    segments = path.split("/")
+    if any(not _SEGMENT.match(s) or s in (".", "..") for s in segments):
+        return None
+    return domain
+
+
+def identity(certificate: bytes) -> Identity | Rejected:
+    """Who a verified leaf certificate names, by the rules for X.509-SVIDs."""
+    try:
+        return _identity(x509.load_der_x509_certificate(certificate))
+    except (ValueError, x509.DuplicateExtension) as error:
+        return Rejected(f"certificate can't be read: {error}")
+
+
+def _identity(leaf: x509.Certificate) -> Identity | Rejected:
+    extensions = {e.oid: e.value for e in leaf.extensions}
+    names = extensions.get(ExtensionOID.SUBJECT_ALTERNATIVE_NAME)
+    uris: list[str] = []
+    if isinstance(names, x509.SubjectAlternativeName):
+        uris = names.get_values_for_type(x509.UniformResourceIdentifier)
+    if len(uris) != 1:
+        return Rejected(f"{len(uris)} URI names, where an SVID has exactly one")
+    constraints = extensions.get(ExtensionOID.BASIC_CONSTRAINTS)
+    if isinstance(constraints, x509.BasicConstraints) and constraints.ca:
+        return Rejected("a signing certificate, where a leaf is needed")
+    usage = extensions.get(ExtensionOID.KEY_USAGE)
+    if not isinstance(usage, x509.KeyUsage) or not usage.digital_signature:
+        return Rejected("no key usage for digital signatures")
+    if usage.key_cert_sign or usage.crl_sign:
+        return Rejected("a key usage for signing certificates")
+    domain = trust_domain(uris[0])
+    if domain is None:
+        return Rejected("no valid SPIFFE ID")
+    return Identity(uris[0], domain, leaf.not_valid_after_utc.timestamp())
+
+
+def allowed(identity: Identity, domain: str, patterns: tuple[str, ...]) -> bool:
+    """Is this peer let in? A pattern is an id, or one that ends in ``/*`` for all below it."""
+    if identity.domain != domain:
+        return False
+    return any(
+        identity.id.startswith(pattern[:-1]) if pattern.endswith("/*") else identity.id == pattern
+        for pattern in patterns
+    )
+
+
+def server_context(svid: Path, key: Path, bundle: Path) -> ssl.SSLContext:
+    """A context that shows our SVID and asks each client for one that the bundle vouches for."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.load_cert_chain(svid, key)
+    context.load_verify_locations(bundle)
+    context.set_alpn_protocols(["http/1.1"])
+    return context
--- a/cedarthread/net/stream.py
+++ b/cedarthread/net/stream.py
@@ -109,7 +109,11 @@
             return self.close()
         self.buffer.take(used)
         if self.buffer.full():
-            self.close()
+            self.overfull()
+
+    def overfull(self) -> None:
+        """The buffer is full and nothing in it can be taken."""
+        self.close()
 
     def eof_received(self) -> bool:
         """The peer writes no more."""
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import signal
+from typing import TYPE_CHECKING
 
 from cedarthread.config import Config
 from cedarthread.core.planner import Planner
@@ -14,6 +15,10 @@
 from cedarthread.net.roster import Listing, Roster
 from cedarthread.net.runners import Runners
 
+if TYPE_CHECKING:
+    from cedarthread.net.invoke import InvokeFront
+    from cedarthread.net.invoke_config import InvokeConfig
+
 log = logging.getLogger("cedarthread")
 
 GRACE = 0.75  # s after SIGTERM in which calls keep coming
@@ -27,16 +32,28 @@
 class Service:
     """One function router."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, invoke: InvokeConfig | None = None) -> None:
         self.config = config
         self.planner = Planner(config.settings, config.seed)
         clients = config.sockets // 3 + 16
-        self.runners = Runners(config.settings, self.planner, config.sockets - clients - RESERVED)
+        callers = invoke.connections if invoke is not None else 0
+        most = config.sockets - clients - callers - RESERVED
+        if most < 1:
+            raise ValueError(f"{config.sockets} descriptors leave none for runners")
+        self.runners = Runners(config.settings, self.planner, most)
         self.planner.workers = self.runners
         self.platform = PlatformFront(self.planner, clients)
+        self.invoke = self._front(invoke) if invoke is not None else None
         self.roster = Roster(config.settings)
         self.resolver = Resolver(lambda serial, told: self.news(serial, told, whole=True))
-        self._ending: asyncio.Event = asyncio.Event()
+        self.port = self.invoke_port = 0  # what is listened on, once started
+        self._ending = asyncio.Event()
+        self._reload: asyncio.Task[None] | None = None
+
+    def _front(self, invoke: InvokeConfig) -> InvokeFront:
+        from cedarthread.net.invoke import InvokeFront  # TLS and certificates: not loaded where it is off
+
+        return InvokeFront(self.planner, invoke)
 
     def news(self, serial: int, told: list[Listing], *, whole: bool) -> None:
         """Pass news of the runners on."""
@@ -55,20 +72,28 @@
         """Serve until SIGTERM, then settle all that was taken."""
         loop = asyncio.get_running_loop()
         for name in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(name, self._ending.set)
+            loop.add_signal_handler(name, self.end)
+        loop.add_signal_handler(signal.SIGHUP, self._renew)
         await self.start()
         await self._ending.wait()
         await self.finish()
 
+    def end(self) -> None:
+        """Begin to end."""
+        self._ending.set()
+
     async def start(self) -> None:
         """Take up the known list, listen, and follow the resolver."""
         for number, told in self.config.known:
             self.news(number, list(told), whole=self.roster.version < 0)
         self.resolver.serial = self.roster.version
-        port = await self.platform.listen(self.config.host, self.config.port)
+        self.port = await self.platform.listen(self.config.host, self.config.port)
+        if self.invoke is not None:
+            self.invoke_port = await self.invoke.listen()
+            log.info("invoke API on port %d", self.invoke_port)
         if self.config.resolver is not None:
             await self.resolver.start(*self.config.resolver)
-        log.info("serving as %s on port %d", self.config.name, port)
+        log.info("serving as %s on port %d", self.config.name, self.port)
         # What stands now stands till the end: without it in the collector's lists, its pauses stay short.
         gc.collect()
         gc.freeze()
@@ -82,20 +107,35 @@
         told = loop.time()
         log.info("told to end: %d calls open", len(self.planner.calls))
         self.platform.ready = False
+        if self.invoke is not None:
+            self.invoke.ready = False
         self.planner.stop_by(self.planner.clock() + SETTLED_BY * 1000.0)
         await asyncio.sleep(GRACE)
-        while (self.planner.calls or not self.platform.drained()) and loop.time() < told + LAST:
+        while not self._drained() and loop.time() < told + LAST:
             await asyncio.sleep(0.01)
         self.platform.stop_listening()
+        if self.invoke is not None:
+            self.invoke.stop_listening()
         self.resolver.stop()
         self._report()
         log.info("ended with %d calls open", len(self.planner.calls))
 
+    def _drained(self) -> bool:
+        fronts = self.platform.drained() and (self.invoke is None or self.invoke.drained())
+        return fronts and not self.planner.calls
+
+    def _renew(self) -> None:
+        if self.invoke is not None:
+            self._reload = asyncio.get_running_loop().create_task(self.invoke.reload_if_changed())
+
     def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
         now = loop.time()
         self.platform.sweep(now)
         self.runners.sweep(now)
+        if self.invoke is not None:
+            self.invoke.sweep(now)
+            self._renew()
         loop.call_later(SWEEP, self._sweep)
 
     def _report(self) -> None:
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,182 @@
+"""Small stand-ins for what the function router talks to, all on loopback and on ephemeral ports."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+from cedarthread import interface as i
+from cedarthread import wire
+from cedarthread.config import Config
+from cedarthread.net import msgpack
+from cedarthread.net.invoke_config import InvokeConfig
+from cedarthread.net.roster import Listing
+from cedarthread.service import Service
+
+SETTINGS = {
+    "balancers": 1,
+    "classes": [
+        {"name": "check", "goal-time": 1200, "deadline": 5000, "effect": "retryable", "value": 2},
+        {
+            "name": "revise",
+            "goal-time": 800,
+            "deadline": 5000,
+            "effect": "dedup",
+            "group": "zone",
+            "repeat-window": 3000,
+            "value": 5,
+        },
+        {"name": "confirm", "goal-time": 1500, "deadline": 5000, "effect": "fragile", "value": 5},
+    ],
+    "kinds": ["std"],
+    "limits": {
+        "cancel": True,
+        "connect-timeout": 250,
+        "conn-idle": 30000,
+        "send-cap": 4,
+        "most-held": 100,
+        "streams-per-conn": 32,
+        "retry-after": True,
+        "max-retry-after": 500,
+    },
+    "localities": ["room-a"],
+    "obligations": {"answer-slack": 8, "stop-sending-within": 500},
+    "report": {"columns": ["inflight", "x1"], "how": "answers"},
+    "specifics": {"keep-alive": 8700, "order-limit": 10000},
+}
+FUNCTION = "7f3a9c21e0b4d655"
+Behaviour = Callable[["Runner", dict[str, Any]], dict[str, Any] | None]
+
+
+def hit(_: Runner, message: dict[str, Any]) -> dict[str, Any]:
+    """Serve: the body comes back in capitals, so that an answer can be told from its question."""
+    body = base64.b64encode(base64.b64decode(message["body"]).upper()).decode()
+    return {"op": "HIT", "fields": {"remark": "hit", "report": "inflight:1;x1:0"}, "body": body}
+
+
+def says(word: str) -> Behaviour:
+    return lambda runner, message: {"op": word, "fields": {}}
+
+
+class Runner:
+    """A runner that answers each call by a rule; None leaves it unanswered."""
+
+    def __init__(self, behave: Behaviour = hit) -> None:
+        self.behave = behave
+        self.calls: list[dict[str, Any]] = []
+        self.cancelled: list[str] = []
+        self.came = asyncio.Event()  # a message came
+        self.writers: list[asyncio.StreamWriter] = []
+        self.port = 0
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        while line := await reader.readline():
+            message = json.loads(line)
+            if message["op"] == "CANCEL":
+                self.cancelled.append(message["id"])
+            else:
+                self.calls.append(message)
+                if (answer := self.behave(self, message)) is not None:
+                    self.answer(message, answer, writer)
+            self.came.set()
+        writer.close()
+
+    def answer(
+        self, message: dict[str, Any], answer: dict[str, Any], writer: asyncio.StreamWriter | None = None
+    ) -> None:
+        line = json.dumps(answer | {"id": message["id"]}).encode() + b"\n"
+        (writer or self.writers[-1]).write(line)
+
+    async def until(self, met: Callable[[], bool]) -> None:
+        async with asyncio.timeout(10):
+            while not met():
+                self.came.clear()
+                await self.came.wait()
+
+    def stop(self) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+def listing(runner: Runner, number: int, state: i.WorkerState = i.WorkerState.READY) -> Listing:
+    return Listing(f"s-{number:08x}", "127.0.0.1", runner.port, "room-a", "std", 0, state, 1.0, 0.0)
+
+
+@asynccontextmanager
+async def service(
+    *runners: Runner, invoke: InvokeConfig | None = None, **changes: Any
+) -> AsyncIterator[Service]:
+    """A whole function router, in this process."""
+    for runner in runners:
+        await runner.start()
+    known = ((1, tuple(listing(runner, n) for n, runner in enumerate(runners, 1))),)
+    settings = wire.settings_from(SETTINGS | changes)
+    running = Service(Config("n0", "127.0.0.1", 0, 7, 1024, None, settings, known), invoke)
+    await running.start()
+    try:
+        yield running
+    finally:
+        running.platform.stop_listening()
+        if running.invoke is not None:
+            running.invoke.stop_listening()
+        for pool in running.runners.pools.values():
+            for connection in list(pool.connections):
+                connection.abort()
+        for runner in runners:
+            runner.stop()
+        await asyncio.sleep(0)
+
+
+def pack_call(number: int, klass: str, body: bytes = b"", **fields: str) -> bytes:
+    told = {"txn": f"{number:016x}", "limit": "3000", "item": FUNCTION} | fields
+    params = b"\x92" + msgpack.pack_fields(told) + msgpack.pack_bin(body)
+    return b"\x94\x00" + msgpack.pack_uint(number) + msgpack.pack_str(klass) + params
+
+
+class Client:
+    """A client of the platform's protocol."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.held = b""
+
+    async def read(self) -> Any:
+        """The next message, its binary values as bytes; None at the end."""
+        async with asyncio.timeout(10):
+            while not isinstance(parsed := msgpack.parse(memoryview(self.held)), msgpack.Value):
+                more = await self.reader.read(65536)
+                if not more:
+                    return None
+                self.held += more
+        self.held = self.held[parsed.end :]
+        return plain(parsed.value)
+
+    async def call(self, number: int, klass: str, body: bytes = b"", **fields: str) -> Any:
+        self.writer.write(pack_call(number, klass, body, **fields))
+        return await self.read()
+
+
+def plain(value: Any) -> Any:
+    if isinstance(value, list):
+        return [plain(item) for item in value]
+    return bytes(value) if isinstance(value, memoryview) else value
+
+
+@asynccontextmanager
+async def client(running: Service) -> AsyncIterator[Client]:
+    reader, writer = await asyncio.open_connection("127.0.0.1", running.port)
+    try:
+        yield Client(reader, writer)
+    finally:
+        writer.transport.abort()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/test_invoke.py
@@ -0,0 +1,427 @@
+"""The invoke API on loopback: callers with SVIDs of a test authority, function router, runners."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import json
+import ssl
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+from cedarthread import interface as i
+from cedarthread.net import invoke_config, spiffe
+from cedarthread.service import Service
+from tests.standins import FUNCTION, Runner, client, hit, listing, says, service
+
+DESK, PORTAL = "spiffe://gaz.example/desk/1", "spiffe://gaz.example/portal"
+PATH = f"/v1/functions/{FUNCTION}/"
+ASYNC = {"Prefer": "respond-async"}
+
+
+class Authority:
+    """Signs SVIDs."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.key = ec.generate_private_key(ec.SECP256R1())
+        self.name = x509.Name([x509.NameAttribute(NameOID.ORGANIZATION_NAME, "test")])
+        self.certificate = self._sign("spiffe://gaz.example", key=self.key, ca=True)
+        (folder / "bundle.pem").write_bytes(self.certificate.public_bytes(serialization.Encoding.PEM))
+
+    def _sign(
+        self, *uris: str, key: ec.EllipticCurvePrivateKey, ca: bool = False, **usage: bool
+    ) -> x509.Certificate:
+        now = datetime.datetime.now(datetime.UTC)
+        told = dict.fromkeys(
+            ("content_commitment", "key_encipherment", "data_encipherment", "key_agreement"), False
+        )
+        signs = usage.get("signs", ca)
+        names = x509.SubjectAlternativeName([x509.UniformResourceIdentifier(uri) for uri in uris])
+        builder = (
+            x509.CertificateBuilder()
+            .subject_name(self.name if ca else x509.Name([]))
+            .issuer_name(self.name)
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - datetime.timedelta(minutes=1))
+            .not_valid_after(now + datetime.timedelta(hours=1))
+            .add_extension(x509.BasicConstraints(ca=ca, path_length=None), critical=True)
+            .add_extension(
+                x509.KeyUsage(
+                    digital_signature=not ca,
+                    key_cert_sign=signs,
+                    crl_sign=False,
+                    encipher_only=False,
+                    decipher_only=False,
+                    **told,
+                ),
+                critical=True,
+            )
+        )
+        if uris:
+            builder = builder.add_extension(names, critical=not ca)
+        return builder.sign(self.key, hashes.SHA256())
+
+    def svid(self, name: str, *uris: str, **usage: bool) -> tuple[Path, Path]:
+        key = ec.generate_private_key(ec.SECP256R1())
+        certificate, secret = self.folder / f"{name}.pem", self.folder / f"{name}.key"
+        certificate.write_bytes(self._sign(*uris, key=key, **usage).public_bytes(serialization.Encoding.PEM))
+        secret.write_bytes(
+            key.private_bytes(
+                serialization.Encoding.PEM,
+                serialization.PrivateFormat.PKCS8,
+                serialization.NoEncryption(),
+            )
+        )
+        return certificate, secret
+
+    def caller(self, *uris: str, **usage: bool) -> ssl.SSLContext:
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        context.check_hostname = False
+        context.load_verify_locations(self.folder / "bundle.pem")
+        context.load_cert_chain(*self.svid("caller", *uris, **usage))
+        return context
+
+
+@pytest.fixture
+def authority(tmp_path: Path) -> Authority:
+    made = Authority(tmp_path)
+    made.svid("svid", "spiffe://gaz.example/router")
+    (tmp_path / "invoke.toml").write_text(
+        '[invoke]\nlisten = "127.0.0.1:0"\ntrust_domain = "gaz.example"\nsvid = "svid.pem"\n'
+        f'key = "svid.key"\nbundle = "bundle.pem"\nallow = ["spiffe://gaz.example/desk/*", "{PORTAL}"]\n'
+    )
+    return made
+
+
+def config(authority: Authority) -> invoke_config.InvokeConfig:
+    return invoke_config.read(authority.folder / "invoke.toml")
+
+
+class Caller:
+    """One connection of a caller."""
+
+    def __init__(self, running: Service, context: ssl.SSLContext) -> None:
+        self.port, self.context = running.invoke_port, context
+
+    async def __aenter__(self) -> Caller:
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port, ssl=self.context)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.writer.transport.abort()
+        await asyncio.sleep(0)
+
+    def send(self, method: str, path: str, body: bytes = b"", **fields: str) -> None:
+        told = {"Host": "x", "Content-Length": str(len(body))} | fields
+        head = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in told.items())
+        self.writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
+
+    async def read(self) -> tuple[int, dict[str, str], bytes]:
+        async with asyncio.timeout(10):
+            head = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+            fields = {n.lower(): v for n, _, v in (line.partition(": ") for line in head[1:]) if n}
+            body = await self.reader.readexactly(int(fields.get("content-length", 0)))
+        return int(head[0].split()[1]), fields, body
+
+    async def ask(
+        self, method: str, path: str, body: bytes = b"", **fields: str
+    ) -> tuple[int, dict[str, str], bytes]:
+        self.send(method, path, body, **fields)
+        return await self.read()
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(test)
+
+
+def test_both_styles_go_the_whole_way(authority: Authority) -> None:
+    async def test() -> None:
+        runner = Runner()
+        async with service(runner, invoke=config(authority)) as running:
+            async with Caller(running, authority.caller(DESK)) as desk:
+                status, _, body = await desk.ask("POST", PATH + "check", b"abc", Call_Lanes="4")
+                assert (status, body) == (200, b"ABC")
+                status, fields, _ = await desk.ask("POST", PATH + "confirm", b"later", **ASYNC)
+                assert status == 202 and fields["preference-applied"] == "respond-async"
+                status, _, body = await desk.ask("GET", fields["location"], Prefer="wait=5")
+                assert (status, body) == (200, b"LATER")
+                assert (await desk.ask("DELETE", fields["location"]))[0] == 204
+                assert (await desk.ask("GET", fields["location"]))[0] == 404
+            assert len(runner.calls) == 2
+
+    run(test())
+
+
+def test_a_confirm_whose_collector_leaves_and_returns_runs_once(authority: Authority) -> None:
+    async def test() -> None:
+        runner = Runner(lambda runner, message: None)
+        async with service(runner, invoke=config(authority)) as running:
+            context = authority.caller(PORTAL)
+            told = ASYNC | {"Idempotency-Key": '"nomination-1"'}
+            async with Caller(running, context) as portal:
+                status, fields, _ = await portal.ask("POST", PATH + "confirm", b"x", **told)
+                assert status == 202
+                portal.send("GET", fields["location"], Prefer="wait=20")
+                await runner.until(lambda: len(runner.calls) == 1)
+            runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
+            async with Caller(running, context) as portal:
+                _, again, _ = await portal.ask(
+                    "POST", PATH + "confirm", b"x", **told | {"Prefer": "respond-async, wait=5"}
+                )
+                status, _, body = await portal.ask("GET", fields["location"], Prefer="wait=5")
+                assert (status, body) == (200, b"X")
+                assert again.get("location", fields["location"]) == fields["location"]
+                assert (await portal.ask("POST", PATH + "confirm", b"other", **told))[0] == 422
+            assert len(runner.calls) == 1 and not runner.cancelled
+
+    run(test())
+
+
+def test_a_deferred_call_outlives_the_drain_of_its_worker(authority: Authority) -> None:
+    async def test() -> None:
+        runner = Runner(lambda runner, message: None)
+        async with (
+            service(runner, invoke=config(authority)) as running,
+            Caller(running, authority.caller(PORTAL)) as portal,
+        ):
+            _, fields, _ = await portal.ask("POST", PATH + "confirm", b"x", **ASYNC)
+            await runner.until(lambda: len(runner.calls) == 1)
+            running.news(2, [listing(runner, 1, i.WorkerState.DRAINING)], whole=True)
+            refused = await portal.ask("POST", PATH + "confirm", b"y", Call_Timeout_Ms="200")
+            assert refused[0] in (503, 504)  # nothing new goes there
+            runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
+            status, _, body = await portal.ask("GET", fields["location"], Prefer="wait=5")
+            assert (status, body) == (200, b"X") and len(runner.calls) == 1
+
+    run(test())
+
+
+def test_a_synchronous_caller_that_leaves_ends_its_call(authority: Authority) -> None:
+    async def test() -> None:
+        runner = Runner(lambda runner, message: None)
+        async with service(runner, invoke=config(authority)) as running:
+            async with Caller(running, authority.caller(DESK)) as desk:
+                desk.send("POST", PATH + "check", b"x")
+                await runner.until(lambda: len(runner.calls) == 1)
+            await runner.until(lambda: len(runner.cancelled) == 1)
+            assert not running.planner.calls
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("behave", "expected", "repeat"),
+    [(says("FAULT"), 502, "unknown"), (says("SHED"), 503, "harmless"), (lambda r, m: None, 504, "unknown")],
+)
+def test_ends_are_mapped_to_problems(authority: Authority, behave: Any, expected: int, repeat: str) -> None:
+    async def test() -> None:
+        async with (
+            service(Runner(behave), invoke=config(authority)) as running,
+            Caller(running, authority.caller(DESK)) as desk,
+        ):
+            status, fields, body = await desk.ask("POST", PATH + "confirm", b"x", Call_Timeout_Ms="300")
+            assert status == expected and fields["content-type"] == "application/problem+json"
+            told = json.loads(body)
+            assert told["status"] == expected and told["repeat"] == repeat
+            assert ("retry-after" in fields) == (repeat == "harmless")
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "fields", "expected"),
+    [
+        ("POST", PATH + "revise", {}, 400),  # a keyed class without its key
+        ("POST", PATH + "check", {"Call-Timeout-Ms": "0"}, 400),
+        ("POST", PATH + "check", {"Call-Lanes": "many"}, 400),
+        ("POST", PATH + "check", {"Content-Length": "99999"}, 413),
+        ("POST", PATH + "check", {"Transfer-Encoding": "chunked"}, 400),
+        ("POST", PATH + "nosuch", {}, 404),
+        ("GET", PATH + "check", {}, 405),
+        ("GET", "/v1/calls/nosuch", {}, 404),
+        ("GET", "/v1/ready", {"Host": "a, b"}, 400),
+        ("GET", "/v1/ready", {}, 200),
+    ],
+)
+def test_bad_input_is_told_and_nothing_is_sent_on(
+    authority: Authority, method: str, path: str, fields: dict[str, str], expected: int
+) -> None:
+    async def test() -> None:
+        runner = Runner()
+        async with service(runner, invoke=config(authority)) as running:
+            async with Caller(running, authority.caller(DESK)) as desk:
+                assert (await desk.ask(method, path, b"", **fields))[0] == expected
+            assert not runner.calls
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("uris", "usage"),
+    [
+        (("spiffe://gaz.example/stranger",), {}),
+        (("spiffe://other.example/desk/1",), {}),
+        ((DESK, PORTAL), {}),
+        ((), {}),
+        (("https://gaz.example/desk/1",), {}),
+        (("spiffe://gaz.example/desk/../portal",), {}),
+        ((DESK,), {"signs": True}),
+    ],
+)
+def test_who_is_no_allowed_identity_gets_nothing(
+    authority: Authority, uris: tuple[str, ...], usage: dict[str, bool]
+) -> None:
+    async def test() -> None:
+        runner = Runner()
+        async with service(runner, invoke=config(authority)) as running:
+            async with Caller(running, authority.caller(*uris, **usage)) as stranger:
+                assert (await stranger.ask("POST", PATH + "check", b"x"))[0] == 403
+            assert not runner.calls
+
+    run(test())
+
+
+def test_another_identity_neither_collects_nor_meets_the_key(authority: Authority) -> None:
+    async def test() -> None:
+        runner = Runner()
+        async with service(runner, invoke=config(authority)) as running:
+            told = ASYNC | {"Idempotency-Key": "1"}
+            async with Caller(running, authority.caller(DESK)) as desk:
+                _, fields, _ = await desk.ask("POST", PATH + "revise", b"x", **told)
+            async with Caller(running, authority.caller(PORTAL)) as portal:
+                assert (await portal.ask("GET", fields["location"]))[0] == 404
+                assert (await portal.ask("DELETE", fields["location"]))[0] == 404
+                _, other, _ = await portal.ask("POST", PATH + "revise", b"x", **told)
+                assert other["location"] != fields["location"]
+                assert (await portal.ask("GET", other["location"], Prefer="wait=5"))[0] == 200
+            keys = {call["fields"]["replay"] for call in runner.calls}
+            assert len(keys) == len(runner.calls) == 2
+
+    run(test())
+
+
+def test_without_a_certificate_there_is_no_connection(authority: Authority) -> None:
+    async def test() -> None:
+        async with service(Runner(), invoke=config(authority)) as running:
+            bare = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+            bare.check_hostname = False
+            bare.load_verify_locations(authority.folder / "bundle.pem")
+            with pytest.raises((OSError, asyncio.IncompleteReadError)):
+                async with Caller(running, bare) as nobody:
+                    await nobody.ask("GET", "/v1/ready")
+
+    run(test())
+
+
+def test_a_renewed_bundle_and_allow_list_are_taken_up(authority: Authority) -> None:
+    async def test() -> None:
+        async with service(Runner(), invoke=config(authority)) as running:
+            assert running.invoke is not None
+            before = authority.caller(DESK)
+            async with Caller(running, before) as desk:
+                text = (authority.folder / "invoke.toml").read_text()
+                (authority.folder / "invoke.toml").write_text(text.replace("desk/*", "office/*"))
+                renewed = Authority(authority.folder)  # a new authority, and a new SVID of ours by it
+                renewed.svid("svid", "spiffe://gaz.example/router")
+                assert await running.invoke.reload()
+                assert (await desk.ask("GET", "/v1/ready"))[0] == 403  # on the old connection too
+            async with Caller(running, renewed.caller("spiffe://gaz.example/office/2")) as office:
+                assert (await office.ask("GET", "/v1/ready"))[0] == 200
+            with pytest.raises((OSError, asyncio.IncompleteReadError)):
+                async with Caller(running, before) as desk:
+                    await desk.ask("GET", "/v1/ready")
+            (authority.folder / "bundle.pem").write_text("no certificate")
+            assert not await running.invoke.reload()  # what can't be used changes nothing
+            assert running.invoke.config.allow[0] == "spiffe://gaz.example/office/*"
+
+    run(test())
+
+
+def test_sigterm_settles_both_styles(authority: Authority) -> None:
+    async def test() -> None:
+        runner = Runner(lambda runner, message: None)
+        async with service(runner, invoke=config(authority)) as running:
+            context = authority.caller(DESK)
+            async with Caller(running, context) as desk, Caller(running, context) as other:
+                _, fields, _ = await other.ask("POST", PATH + "confirm", b"b", **ASYNC)
+                desk.send("POST", PATH + "check", b"a")
+                await runner.until(lambda: len(runner.calls) == 2)
+                ending = asyncio.create_task(running.finish())
+                while running.platform.ready:
+                    await asyncio.sleep(0)
+                for call in runner.calls:
+                    runner.answer(call, hit(runner, call))
+                assert (await desk.read())[2] == b"A"
+                async with Caller(running, context) as late:
+                    assert (await late.ask("POST", PATH + "check", b"c", **ASYNC))[0] == 503
+                async with Caller(running, context) as late:
+                    assert (await late.ask("GET", fields["location"], Prefer="wait=3"))[2] == b"B"
+                await ending
+
+    run(test())
+
+
+def test_both_styles_score_the_same(authority: Authority) -> None:
+    """The same calls with the same fates at the worker: worth answered over worth asked, by style."""
+    worths = {"check": 2, "revise": 5, "confirm": 5}
+
+    async def play(running: Service, deferred: bool, mark: str) -> float:
+        asked = served = 0
+        async with Caller(running, authority.caller(DESK)) as desk:
+            for number in range(60):
+                klass = ("check", "revise", "confirm")[number % 3]
+                fields = {"Idempotency-Key": f"{mark}-{number}"} | (ASYNC if deferred else {})
+                status, told, _ = await desk.ask("POST", PATH + klass, b"%d" % number, **fields)
+                if deferred:
+                    status, _, _ = await desk.ask("GET", told["location"], Prefer="wait=5")
+                asked += worths[klass]
+                served += worths[klass] * (status == 200)
+        return served / asked
+
+    async def test() -> None:
+        def by_body(runner: Runner, message: dict[str, Any]) -> dict[str, Any]:
+            import base64
+
+            number = int(base64.b64decode(message["body"]))
+            return says("FAULT")(runner, message) or {} if number % 7 == 3 else hit(runner, message)
+
+        scores = []
+        for deferred in (False, True):
+            async with service(Runner(by_body), invoke=config(authority)) as running:
+                scores.append(await play(running, deferred, f"{deferred}"))
+        assert scores[0] == scores[1] and 0.5 < scores[0] < 1.0
+
+    run(test())
+
+
+def test_both_fronts_share_one_core(authority: Authority) -> None:
+    async def test() -> None:
+        async with service(Runner(), invoke=config(authority)) as running, client(running) as platform:
+            async with Caller(running, authority.caller(DESK)) as desk:
+                assert (await platform.call(1, "check", b"x"))[3] == [b"X", {}]
+                assert (await desk.ask("POST", PATH + "check", b"y"))[2] == b"Y"
+            assert running.planner.counts["served"] == 2
+
+    run(test())
+
+
+def test_ids_are_checked() -> None:
+    assert spiffe.trust_domain(DESK) == "gaz.example"
+    for bad in (
+        "spiffe://gaz.example",
+        "spiffe://gaz.example/",
+        "spiffe://Gaz/x",
+        "spiffe://a/b//c",
+        "x://a/b",
+    ):
+        assert spiffe.trust_domain(bad) is None
+    assert spiffe.trust_domain("spiffe://a/" + "x" * 2048) is None
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,187 @@
+"""Random cuts of valid messages and random garbage against every parser, from fixed seeds."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import struct
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cedarthread.net import dns, http, msgpack
+from cedarthread.net.resolver import listings
+from cedarthread.net.runners import read_ending
+from cedarthread.net.stream import ReadBuffer, Stream
+from tests.standins import pack_call
+
+fixed = settings(derandomize=True, deadline=None, max_examples=60)
+CALLS = [pack_call(n, "check", bytes(range(256)) * n, props="lanes:2") for n in range(1, 40)]
+POST = b"POST /v1/functions/7f3a9c21e0b4d655/check HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
+
+
+def name(text: str) -> bytes:
+    return b"".join(bytes((len(part),)) + part.encode() for part in text.split(".")) + b"\0"
+
+
+def record(owner: bytes, kind: int, data: bytes) -> bytes:
+    return owner + struct.pack(">HHIH", kind, 1, 5, len(data)) + data
+
+
+def reply(flags: int = 0x8400, serial: int = 9) -> bytes:
+    question = name("_back._tcp.pool.lan") + struct.pack(">2H", dns.SRV, 1)
+    host = name("s-00c41f7a.east.hosts")
+    service = record(b"\xc0\x0c", dns.SRV, struct.pack(">3H", 1, 40, 5050) + host)
+    soa = record(b"\xc0\x0c", dns.SOA, b"\0\0" + struct.pack(">5I", serial, 1, 1, 1, 1))
+    told = record(host, dns.TXT, b"\x08kind=std\x06cell=2\x0bstarted=120")
+    rest = soa + record(host, dns.A, bytes((10, 1, 0, 9))) + told
+    return struct.pack(">6H", 7, flags, 1, 1, 1, 2) + question + service + rest
+
+
+class Pieces(Stream):
+    """Takes MessagePack values or lines out of a stream."""
+
+    def __init__(self, lines: bool, limit: int) -> None:
+        super().__init__(limit)
+        self.lines, self.got, self.bad = lines, list[Any](), False
+
+    def close(self) -> None:
+        self.bad = True
+
+    def received(self, data: memoryview) -> int | None:
+        at = 0
+        while at < len(data):
+            if self.lines:
+                end = self.buffer.find(b"\n", at)
+                if end < 0:
+                    break
+                self.got.append(bytes(data[at:end]))
+                at = end + 1
+                continue
+            parsed = msgpack.parse(data, at)
+            if not isinstance(parsed, msgpack.Value):
+                return at if isinstance(parsed, msgpack.Short) else None
+            self.got.append(bytes(parsed.value[3][1]))
+            at = parsed.end
+        return at
+
+
+def feed(raw: bytes, cuts: list[int], lines: bool) -> Pieces:
+    async def run() -> Pieces:
+        stream, at = Pieces(lines, 64 * 1024), 0
+        for cut in [*cuts, len(raw)]:
+            while at < len(raw) and cut > 0 and not stream.bad:
+                room = stream.get_buffer(-1)
+                size = min(cut, len(room), len(raw) - at)
+                room[:size] = raw[at : at + size]
+                at, cut = at + size, cut - size
+                room.release()
+                stream.buffer_updated(size)
+        return stream
+
+    return asyncio.run(run())
+
+
+@fixed
+@given(st.lists(st.integers(1, 30_000), max_size=60))
+def test_messages_come_whole_however_they_are_cut(cuts: list[int]) -> None:
+    assert feed(b"".join(CALLS), cuts, False).got == [bytes(range(256)) * n for n in range(1, 40)]
+    lines = [json.dumps({"n": "x" * n}).encode() for n in range(0, 9000, 300)]
+    assert feed(b"\n".join(lines) + b"\n", cuts, True).got == lines
+
+
+@fixed
+@given(st.binary(max_size=300), st.integers(0, 200))
+def test_msgpack_ends_garbage_in_a_value(garbage: bytes, at: int) -> None:
+    whole = CALLS[0][:at] + garbage
+    parsed = msgpack.parse(memoryview(whole))
+    assert not isinstance(parsed, msgpack.Value) or parsed.end <= len(whole)
+
+
+@fixed
+@given(st.integers(0, len(CALLS[3]) - 1))
+def test_a_cut_message_is_short_and_never_bad(at: int) -> None:
+    assert isinstance(msgpack.parse(memoryview(CALLS[3])[:at]), msgpack.Short)
+
+
+def test_what_is_too_deep_or_too_long_is_bad() -> None:
+    assert isinstance(msgpack.parse(memoryview(b"\x91" * 50)), msgpack.Bad)
+    assert isinstance(msgpack.parse(memoryview(b"\xdd\xff\xff\xff\xff")), msgpack.Bad)
+    assert feed(b"\xc6\x00\xff\xff\xff" + b"x" * 70_000, [], False).bad
+
+
+@fixed
+@given(st.integers(0, 2**64 - 1), st.binary(max_size=300), st.text(max_size=60))
+def test_msgpack_reads_what_it_packs(number: int, raw: bytes, text: str) -> None:
+    packed = b"\x93" + msgpack.pack_uint(number) + msgpack.pack_bin(raw) + msgpack.pack_str(text)
+    parsed = msgpack.parse(memoryview(packed))
+    assert isinstance(parsed, msgpack.Value) and parsed.value == [number, raw, text]
+
+
+def test_a_reply_of_the_resolver_is_read() -> None:
+    parsed = dns.parse(reply())
+    assert isinstance(parsed, dns.Reply) and (parsed.number, parsed.serial) == (7, 9)
+    told = listings(parsed)
+    assert isinstance(told, list) and len(told) == 1
+    found = told[0]
+    assert (found.name, found.host, found.port, found.zone) == ("s-00c41f7a", "10.1.0.9", 5050, "east")
+    assert (found.state.value, found.weight, found.kind, found.cell, found.started) == (
+        *("draining", 4.0, "std", 2),
+        120.0,
+    )
+
+
+def test_a_truncated_reply_and_a_refusal_tell_nothing() -> None:
+    """Else what they lack would pass for gone."""
+    assert isinstance(dns.parse(reply(0x8600)), dns.Unusable)
+    assert isinstance(dns.parse(reply(0x8403)), dns.Unusable)
+
+
+def test_a_compression_loop_ends() -> None:
+    loop = struct.pack(">6H", 7, 0x8400, 1, 0, 0, 0) + b"\xc0\x0c\0\x21\0\x01"
+    assert isinstance(dns.parse(loop), dns.Unusable)
+
+
+@fixed
+@given(st.integers(0, len(reply())), st.binary(max_size=120))
+def test_dns_ends_garbage_in_a_value(at: int, garbage: bytes) -> None:
+    parsed = dns.parse(reply()[:at] + garbage)
+    assert isinstance(parsed, dns.Unusable) or listings(parsed) is not None
+
+
+@fixed
+@given(st.integers(0, len(POST) - 4))
+def test_a_cut_http_head_is_short(at: int) -> None:
+    parsed = http.parse(memoryview(POST)[:at], 16)
+    assert isinstance(parsed, http.Short if at < POST.find(b"abc") else http.Head)
+
+
+@fixed
+@given(st.binary(max_size=200), st.integers(0, len(POST)))
+def test_http_ends_garbage_in_a_value(garbage: bytes, at: int) -> None:
+    parsed = http.parse(memoryview(POST[:at] + garbage + b"\r\n\r\n"), 16)
+    assert not isinstance(parsed, http.Head) or parsed.size <= at + len(garbage) + 4
+
+
+@fixed
+@given(st.dictionaries(st.sampled_from(["op", "fields", "body", "id"]), st.from_type(type) | st.text()))
+def test_any_object_of_a_runner_ends_an_attempt(message: dict[str, Any]) -> None:
+    assert read_ending(message, ("inflight",)).outcome is not None
+
+
+def test_a_served_answer_needs_a_body_that_can_be_read() -> None:
+    """What can't be decoded must never reach the client as served."""
+    assert read_ending({"op": "HIT", "body": "%%%"}, ()).outcome.value == "error"
+    assert read_ending({"op": "HIT", "body": 7}, ()).outcome.value == "error"
+    good = read_ending({"op": "HIT", "body": "QQ==", "fields": {"depth": "3", "report": "x1:2"}}, ("x1",))
+    assert (good.body, good.crowd, good.report) == (b"A", 3, (2.0,))
+
+
+def test_the_read_buffer_reuses_its_room() -> None:
+    buffer = ReadBuffer(32 * 1024)
+    for _ in range(20):
+        room = len(buffer.space())
+        buffer.add(room)
+        buffer.take(room)
+    assert len(buffer.space()) == 8 * 1024
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,191 @@
+"""The platform's path on loopback: client, function router, runners."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+
+from cedarthread import interface as i
+from tests.standins import Runner, client, hit, listing, pack_call, says, service
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(test)
+
+
+def test_a_call_reaches_a_runner_unchanged_and_its_answer_comes_back() -> None:
+    async def test() -> None:
+        runner = Runner()
+        async with service(runner) as running, client(running) as caller:
+            answer = await caller.call(1, "revise", b"a\x00b", unique="5c0f", props="memory_mb:512;lanes:2")
+            assert answer == [1, 1, None, [b"A\x00B", {}]]
+            [call] = runner.calls
+            assert call["id"] == f"{1:016x}" and call["op"] == "CALL"
+            fields = call["fields"]
+            assert fields["profile"] == "revise" and fields["thing"] == "7f3a9c21e0b4d655"
+            assert fields["replay"] == "5c0f" and 0 < fields["max"] <= 3000
+
+    run(test())
+
+
+def test_a_class_named_like_the_health_check_is_told_from_it() -> None:
+    """Both use the method 'check'; only a call has a body."""
+
+    async def test() -> None:
+        async with service(Runner()) as running, client(running) as caller:
+            caller.writer.write(b"\x94\x00\x01\xa5check\x91\x80")
+            assert await caller.read() == [1, 1, None, [True, {}]]
+            assert await caller.call(2, "check", b"x") == [1, 2, None, [b"X", {}]]
+            running.platform.ready = False
+            caller.writer.write(b"\x94\x00\x03\xa5check\x91\x80")
+            assert await caller.read() == [1, 3, None, [False, {}]]
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("klass", "fields"),
+    [
+        ("nosuch", {}),
+        ("check", {"item": "7f3a"}),
+        ("check", {"txn": "zz"}),
+        ("check", {"limit": "-5"}),
+        ("check", {"limit": ""}),
+        ("revise", {}),  # a keyed class without its key
+    ],
+)
+def test_bad_fields_get_an_error_and_nothing_is_sent_on(klass: str, fields: dict[str, str]) -> None:
+    async def test() -> None:
+        runner = Runner()
+        async with service(runner) as running, client(running) as caller:
+            answer = await caller.call(1, klass, b"", **fields)
+            assert answer[:2] == [1, 1] and answer[2][0] == "BadRequest" and answer[3] is None
+            assert await caller.call(2, "check", b"y") == [1, 2, None, [b"Y", {}]]
+            assert len(runner.calls) == 1
+
+    run(test())
+
+
+def test_garbage_closes_its_connection_and_no_other() -> None:
+    async def test() -> None:
+        async with service(Runner()) as running, client(running) as bad, client(running) as good:
+            bad.writer.write(b"\xc1 no message")
+            assert await bad.read() is None
+            assert await good.call(1, "check", b"x") == [1, 1, None, [b"X", {}]]
+
+    run(test())
+
+
+def test_what_was_never_run_moves_and_what_may_have_run_does_not() -> None:
+    async def test() -> None:
+        def shed_once(runner: Runner, message: dict[str, Any]) -> dict[str, Any]:
+            return (
+                {"op": "SHED", "fields": {}} if len(first.calls + second.calls) == 1 else hit(runner, message)
+            )
+
+        first, second = Runner(shed_once), Runner(shed_once)
+        async with service(first, second) as running, client(running) as caller:
+            assert await caller.call(1, "confirm", b"x") == [1, 1, None, [b"X", {}]]
+            first.behave = second.behave = says("FAULT")
+            answer = await caller.call(2, "confirm", b"x")
+            assert answer[2][0] == "Lost"
+            assert len([c for c in first.calls + second.calls if c["id"] == f"{2:016x}"]) == 1
+
+    run(test())
+
+
+def test_a_connection_that_breaks_under_a_written_call_proves_nothing() -> None:
+    async def test() -> None:
+        def cut(runner: Runner, message: dict[str, Any]) -> None:
+            runner.writers[-1].transport.abort()
+
+        first, second = Runner(cut), Runner(cut)
+        async with service(first, second) as running, client(running) as caller:
+            answer = await caller.call(1, "confirm", b"x")
+            assert answer[2][0] == "Lost" and len(first.calls + second.calls) == 1
+            answer = await caller.call(2, "check", b"x")  # safe to repeat: it is tried elsewhere too
+            assert {c["id"] for c in first.calls} & {c["id"] for c in second.calls} == {f"{2:016x}"}
+
+    run(test())
+
+
+def test_a_refused_connection_proves_that_nothing_ran() -> None:
+    async def test() -> None:
+        dead, live = Runner(), Runner()
+        async with service(dead, live) as running, client(running) as caller:
+            dead.stop()
+            for number in range(1, 9):  # also where the dead one is chosen first
+                answer = await caller.call(number, "confirm", b"x", item=f"{number:016x}")
+                assert answer == [1, number, None, [b"X", {}]]
+
+    run(test())
+
+
+def test_the_answer_leaves_before_the_limit_and_the_attempt_is_cancelled() -> None:
+    async def test() -> None:
+        mute = Runner(lambda runner, message: None)
+        async with service(mute) as running, client(running) as caller:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            answer = await caller.call(1, "confirm", b"x", limit="300")
+            assert answer[2][0] == "Lost" and loop.time() - began < 0.3
+            await mute.until(lambda: mute.cancelled == [f"{1:016x}"])
+
+    run(test())
+
+
+def test_an_interrupt_ends_a_call_without_an_answer() -> None:
+    async def test() -> None:
+        mute = Runner(lambda runner, message: None)
+        async with service(mute) as running, client(running) as caller:
+            caller.writer.write(pack_call(1, "confirm"))
+            await mute.until(lambda: len(mute.calls) == 1)
+            caller.writer.write(b"\x93\x02\xa9interrupt\x91\x01")
+            await mute.until(lambda: mute.cancelled == [f"{1:016x}"])
+            mute.behave = hit
+            assert await caller.call(2, "check", b"x") == [1, 2, None, [b"X", {}]]
+            assert not running.planner.calls
+
+    run(test())
+
+
+def test_news_of_a_drain_takes_back_what_has_not_left() -> None:
+    """A call that waits for a slow runner's socket must not leave long after the drain was told."""
+
+    async def test() -> None:
+        slow, other = Runner(), Runner()
+        async with service(slow, other) as running, client(running) as caller:
+            await caller.call(1, "check", b"x")
+            pool = next(pool for pool in running.runners.pools.values() if pool.connections)
+            at = 1 if pool.listing.port == slow.port else 2
+            pool.connections[0].paused = True  # as after a write that the peer's window did not take
+            caller.writer.write(pack_call(2, "confirm", b"x"))
+            while not pool.connections[0].lines:
+                await asyncio.sleep(0)
+            told = [listing(slow, 1), listing(other, 2)]
+            told[at - 1] = listing((slow, other)[at - 1], at, i.WorkerState.DRAINING)
+            running.news(2, told, whole=True)
+            assert await caller.read() == [1, 2, None, [b"X", {}]]
+            assert [c["id"] for c in (slow, other)[2 - at].calls] == [f"{2:016x}"]
+
+    run(test())
+
+
+def test_end_answers_all_that_was_taken() -> None:
+    async def test() -> None:
+        mute = Runner(lambda runner, message: None)
+        async with service(mute) as running, client(running) as caller:
+            caller.writer.write(pack_call(1, "confirm", b"x"))
+            await mute.until(lambda: len(mute.calls) == 1)
+            ending = asyncio.create_task(running.finish())
+            await asyncio.sleep(0)
+            mute.answer(mute.calls[0], hit(mute, mute.calls[0]))
+            assert await caller.read() == [1, 1, None, [b"X", {}]]
+            mute.behave = hit
+            assert await caller.call(2, "check", b"y") == [1, 2, None, [b"Y", {}]]  # within the grace
+            await ending
+
+    run(test())
