--- a/tests/test_invoke.py
+++ b/tests/test_invoke.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import datetime
 import json
 import ssl
@@ -425,3 +426,57 @@
     ):
         assert spiffe.trust_domain(bad) is None
     assert spiffe.trust_domain("spiffe://a/" + "x" * 2048) is None
+
+
+def test_a_request_in_pieces_and_two_at_once(authority: Authority) -> None:
+    async def test() -> None:
+        async with (
+            service(Runner(), invoke=config(authority)) as running,
+            Caller(running, authority.caller(DESK)) as desk,
+        ):
+            desk.send("POST", PATH + "check", b"a")
+            desk.send("POST", PATH + "check", b"b")  # behind the first, on one connection
+            assert [(await desk.read())[2] for _ in range(2)] == [b"A", b"B"]
+            fields = "Host: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n"
+            head = f"POST {PATH}check HTTP/1.1\r\n{fields}\r\n"
+            for byte in head.encode():
+                desk.writer.write(bytes((byte,)))
+                await asyncio.sleep(0)
+            assert (await desk.reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+            desk.writer.write(b"cd")
+            assert (await desk.read())[2] == b"CD"
+            desk.writer.write(b"no request\r\n\r\n")
+            assert (await desk.read())[0] == 400
+            assert await desk.reader.read() == b""  # and the connection is closed
+
+    run(test())
+
+
+def test_what_arrives_too_slowly_is_ended(authority: Authority) -> None:
+    async def test() -> None:
+        async with service(Runner(), invoke=config(authority)) as running:
+            assert running.invoke is not None
+            async with Caller(running, authority.caller(DESK)) as desk:
+                desk.writer.write(b"POST /v1")
+                while not any(c.began is not None for c in running.invoke.connections):
+                    await asyncio.sleep(0)
+                running.invoke.sweep(asyncio.get_running_loop().time() + 11.0)
+                assert (await desk.read())[0] == 408
+
+    run(test())
+
+
+def test_an_expired_identity_is_out_on_an_open_connection(authority: Authority) -> None:
+    async def test() -> None:
+        async with (
+            service(Runner(), invoke=config(authority)) as running,
+            Caller(running, authority.caller(DESK)) as desk,
+        ):
+            assert (await desk.ask("GET", "/v1/ready"))[0] == 200
+            assert running.invoke is not None
+            for connection in running.invoke.connections:
+                assert isinstance(connection.peer, spiffe.Identity)
+                connection.peer = dataclasses.replace(connection.peer, until=1.0)
+            assert (await desk.ask("GET", "/v1/ready"))[0] == 403
+
+    run(test())
