Bound the answers that are kept for clients that read slowly

Reading the code for what could take the memory: 341 clients with 32 open calls and 16 KiB answers each come to about 180 MB if none of them reads, against a limit of 192. Beyond 32 MiB of such answers new calls are refused; a loopback test holds one client's answers back.

--- a/cedarthread/net/platform.py
+++ b/cedarthread/net/platform.py
@@ -19,6 +19,7 @@
 
 MESSAGE = 64 * 1024  # the longest message: a body of 16 KiB and its fields, with room to spare
 BODY = 16 * 1024
+QUEUED = 32 * 2**20  # bytes of answers kept for clients that read slowly, beyond which calls are refused
 HALF_OPEN = 120.0  # s without a byte or an open call after which a client is taken for gone
 _HEX = re.compile(r"[0-9a-fA-F]{16}\Z")
 
@@ -97,6 +98,7 @@
         self.front = front
         self.open: dict[int, Call] = {}
         self.ending = False
+        self.queued = 0  # bytes of answers that the client's slowness keeps here
 
     def opened(self) -> None:
         """Count it in."""
@@ -108,10 +110,15 @@
     def lost(self) -> None:
         """Its calls have nobody to answer to."""
         self.front.connections.discard(self)
+        self._unqueue()
         for call in self.open.values():
             self.front.planner.abandon(call)
         self.open.clear()
 
+    def _unqueue(self) -> None:
+        self.front.queued -= self.queued
+        self.queued = 0
+
     def eof_received(self) -> bool:
         """A client that only stopped writing still gets its answers."""
         self.ending = True
@@ -173,6 +180,9 @@
         if isinstance(call, str):
             self.write(pack_error(number, "BadRequest", {"why": call}))
             return True
+        if self.front.queued > QUEUED:  # guards the memory limit against many clients that read slowly
+            self.write(pack_answer(number, Refused(planner.settings.limits.max_retry_after)))
+            return True
         call.reply = partial(self._answer, number)
         self.open[number] = call
         planner.submit(call)
@@ -183,9 +193,17 @@
         if not self.closed:
             self.write(pack_answer(number, answer))
 
+    def write(self, data: bytes) -> None:
+        """Queue an answer."""
+        self.queued += len(data)
+        self.front.queued += len(data)
+        super().write(data)
+
     def flush(self) -> None:
         """Write the answers; after the last one to a client that has stopped writing, close."""
         super().flush()
+        if not self.out:
+            self._unqueue()
         if self.ending and not self.open and not self.out and self.transport is not None:
             self.transport.close()
 
@@ -198,6 +216,7 @@
         self.flusher = flusher
         self.most = most
         self.ready = True
+        self.queued = 0
         self.connections: set[PlatformConnection] = set()
         self.classes = {klass.name: n for n, klass in enumerate(planner.settings.classes)}
         self._server: asyncio.Server | None = None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,7 @@
 import pytest
 
 from cedarthread import interface as i
+from cedarthread.net import platform
 from tests.standins import Runner, client, hit, listing, pack_call, says, service
 
 
@@ -211,3 +212,29 @@
             assert (await caller.read())[2][0] == "Lost"  # it ran on a process that is no more
 
     run(test())
+
+
+def test_answers_that_nobody_reads_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Clients that ask and do not read their answers must not take the memory."""
+    monkeypatch.setattr(platform, "QUEUED", 20_000)
+
+    async def test() -> None:
+        async with service(Runner()) as running, client(running) as slow, client(running) as other:
+            await slow.call(1, "check", b"x")
+            mine = slow.writer.get_extra_info("sockname")
+            by_peer = {
+                c.transport.get_extra_info("peername"): c for c in running.platform.connections if c.transport
+            }
+            connection = by_peer[mine]
+            connection.paused = True  # as asyncio says once the peer's window is full
+            for number in (2, 3):
+                slow.writer.write(pack_call(number, "check", b"y" * 16_000))
+            while running.platform.queued <= 20_000:
+                await asyncio.sleep(0)
+            assert (await other.call(4, "check", b"x"))[2][0] == "Backoff"
+            connection.resume_writing()
+            assert {(await slow.read())[1] for _ in range(2)} == {2, 3}
+            assert running.platform.queued == 0
+            assert await other.call(5, "check", b"x") == [1, 5, None, [b"X", {}]]
+
+    run(test())
