--- /dev/null
+++ b/tests/test_runners.py
@@ -0,0 +1,202 @@
+"""How far an attempt had come, by what the socket took; and the resolver's replies out of order."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, cast
+
+import pytest
+
+from cedarthread import interface as i
+from cedarthread import wire
+from cedarthread.core.calls import Attempt, Call, Ending, Progress
+from cedarthread.core.planner import Planner
+from cedarthread.net.resolver import Resolver
+from cedarthread.net.roster import Listing, Roster
+from cedarthread.net.runners import Pool, RunnerConnection, Runners
+from cedarthread.net.stream import Flusher
+from tests.standins import SETTINGS
+from tests.test_parsers import reply
+
+
+class Socket:
+    """A transport that takes so many bytes and holds the rest."""
+
+    def __init__(self, takes: int) -> None:
+        self.takes, self.held, self.aborted, self.closing, self.wrote = takes, 0, False, False, b""
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        assert high == 0  # else 'not paused' would not mean that all has left
+
+    def write(self, data: bytes) -> None:
+        self.wrote += data
+        self.held += max(0, len(data) - self.takes)
+
+    def get_write_buffer_size(self) -> int:
+        return self.held
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    def abort(self) -> None:
+        self.aborted = self.closing = True
+
+
+class Ends(Planner):
+    """Keeps how attempts ended."""
+
+    def __init__(self) -> None:
+        super().__init__(wire.settings_from(SETTINGS), 1)
+        self.ends: dict[str, i.Outcome] = {}
+
+    def ended(self, attempt: Attempt, ending: Ending) -> None:
+        self.ends.setdefault(attempt.call.name, ending.outcome)
+
+
+class Bench:
+    def __init__(self, takes: int) -> None:
+        self.planner = Ends()
+        self.runners = Runners(self.planner.settings, self.planner, 10, Flusher())
+        listing = Listing("s-00000001", "127.0.0.1", 1, "room-a", "std", 0, i.WorkerState.READY, 1.0, 0.0)
+        self.pool = self.runners.pools[1] = Pool(self.runners, listing)
+        self.connection = RunnerConnection(self.pool)
+        self.pool.connections.append(self.connection)
+        self.socket = Socket(takes)
+        self.connection.connection_made(cast(Any, self.socket))
+
+    def send(self, name: str) -> Attempt:
+        call = Call(name, 2, 7, self.planner.clock() + 1000.0, b"x" * 60, lambda answer: None)
+        attempt = Attempt(call, 0, 1, self.planner.clock())
+        self.runners.send(attempt)
+        return attempt
+
+    def flush(self) -> None:
+        self.connection.flush()
+        if self.socket.held and not self.connection.paused:
+            self.connection.pause_writing()
+
+
+@pytest.mark.parametrize(
+    ("takes", "progress", "outcomes"),
+    [
+        (10_000, (3, 3), ("reset", "reset")),  # all of it left: both may have run
+        (250, (3, 2), ("reset", "connect_failed")),  # the second is not whole: it has never run
+        (10, (2, 2), ("reset", "connect_failed")),  # the first may have left since: no proof for it
+    ],
+)
+def test_what_broke_half_written_has_never_run(
+    takes: int, progress: tuple[int, int], outcomes: tuple[str, str]
+) -> None:
+    async def test() -> None:
+        bench = Bench(takes)
+        first, second = bench.send("a" * 16), bench.send("b" * 16)
+        bench.flush()
+        assert (first.progress, second.progress) == progress
+        third = bench.send("c" * 16) if bench.connection.paused else None
+        bench.flush()
+        bench.connection.connection_lost(ConnectionResetError())
+        assert tuple(o.value for o in list(bench.planner.ends.values())[:2]) == outcomes
+        if third is not None:  # it waited behind them: not a byte of it left
+            assert third.progress is Progress.UNWRITTEN
+            assert bench.planner.ends["c" * 16] is i.Outcome.CONNECT_FAILED
+
+    asyncio.run(test())
+
+
+def test_what_left_in_the_end_may_have_run() -> None:
+    async def test() -> None:
+        bench = Bench(10)
+        attempt = bench.send("a" * 16)
+        bench.flush()
+        assert attempt.progress is Progress.PARTLY_WRITTEN
+        bench.connection.resume_writing()
+        bench.connection.connection_lost(None)
+        assert bench.planner.ends == {"a" * 16: i.Outcome.RESET}
+
+    asyncio.run(test())
+
+
+def test_a_write_that_fails_at_once_has_sent_nothing() -> None:
+    async def test() -> None:
+        bench = Bench(10_000)
+        bench.send("a" * 16)
+        bench.socket.write = lambda data: bench.socket.abort()  # type: ignore[method-assign]
+        bench.flush()
+        bench.connection.connection_lost(BrokenPipeError())
+        assert bench.planner.ends == {"a" * 16: i.Outcome.CONNECT_FAILED}
+
+    asyncio.run(test())
+
+
+def test_a_given_up_attempt_is_cancelled_and_its_late_answer_is_nobodys() -> None:
+    """Answers are matched by attempt: the same call may be sent there again, on another connection alone."""
+
+    async def test() -> None:
+        bench = Bench(10_000)
+        attempt = bench.send("a" * 16)
+        bench.flush()
+        bench.runners.cancel(attempt)
+        bench.flush()
+        assert b'{"op":"CANCEL","id":"aaaaaaaaaaaaaaaa"}\n' in bench.socket.wrote
+        assert not bench.connection.takes("a" * 16) and bench.connection.takes("b" * 16)
+        late = b'{"op":"HIT","id":"aaaaaaaaaaaaaaaa","body":""}\n'
+        room = bench.connection.get_buffer(-1)
+        room[: len(late)] = late
+        room.release()
+        bench.connection.buffer_updated(len(late))
+        assert bench.planner.ends == {}  # till the runner must have read the CANCEL
+        while not bench.planner.ends:
+            await asyncio.sleep(0)
+        assert bench.planner.ends == {"a" * 16: i.Outcome.CANCELLED}
+
+    asyncio.run(test())
+
+
+def test_a_runner_that_reads_nothing_is_left_by_closing() -> None:
+    async def test() -> None:
+        bench = Bench(10)
+        attempt = bench.send("a" * 16)
+        bench.flush()
+        bench.runners.cancel(attempt)
+        assert bench.socket.aborted and bench.planner.ends == {"a" * 16: i.Outcome.CANCELLED}
+
+    asyncio.run(test())
+
+
+def test_a_line_that_is_no_answer_ends_its_connection() -> None:
+    async def test() -> None:
+        for line in (b"no json\n", b"[1]\n", b"\xff\n"):
+            bench = Bench(10_000)
+            assert bench.connection.received(memoryview(b"")) == 0
+            room = bench.connection.get_buffer(-1)
+            room[: len(line)] = line
+            room.release()
+            bench.connection.buffer.add(len(line))
+            with bench.connection.buffer.held() as data:
+                assert bench.connection.received(data) is None
+
+    asyncio.run(test())
+
+
+def test_only_asked_for_and_newer_lists_count() -> None:
+    """Replies get lost, overtake each other and come twice; one that is absent from a whole list is gone."""
+
+    async def test() -> None:
+        told: list[int] = []
+        resolver = Resolver(lambda serial, found: told.append(serial))
+        resolver.datagram_received(reply(serial=8), None)  # nobody asked with this number
+        resolver._asked.append(7)
+        for serial in (9, 8, 9, 10):
+            resolver.datagram_received(reply(serial=serial), None)
+        resolver.datagram_received(reply(0x8600, serial=11), None)
+        resolver.datagram_received(b"garbage", None)
+        assert told == [9, 10]
+        roster = Roster(wire.settings_from(SETTINGS))
+        entry = Listing("s-00000001", "127.0.0.1", 1, "room-a", "std", 0, i.WorkerState.READY, 1.0, 0.0)
+        first = roster.event(1, [entry], True)
+        assert first is not None and first.kind is i.ListKind.CACHED
+        gone = roster.event(2, [], True)
+        assert gone is not None and [w.state for w in gone.workers] == [i.WorkerState.GONE]
+        assert roster.event(2, [entry], True) is None
+
+    asyncio.run(test())
