--- a/tests/test_runners.py
+++ b/tests/test_runners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from typing import Any, cast
 
 import pytest
@@ -48,6 +49,10 @@
     def __init__(self) -> None:
         super().__init__(wire.settings_from(SETTINGS), 1)
         self.ends: dict[str, i.Outcome] = {}
+        self.orders: list[i.OrderEnded] = []
+
+    def order_ended(self, event: i.OrderEnded) -> None:
+        self.orders.append(event)
 
     def ended(self, attempt: Attempt, ending: Ending) -> None:
         self.ends.setdefault(attempt.call.name, ending.outcome)
@@ -200,3 +205,33 @@
         assert roster.event(2, [entry], True) is None
 
     asyncio.run(test())
+
+
+def test_orders_are_sent_and_answered_under_their_tag() -> None:
+    async def test() -> None:
+        bench = Bench(10_000)
+        bench.runners.order(1, 7, 2)
+        bench.runners.order(1, 8, 1)
+        bench.runners.order(2, 9, 1)  # no such runner
+        bench.runners.unload(1, 7)
+        bench.flush()
+        lines = bench.socket.wrote.splitlines()
+        assert json.loads(lines[0]) == {
+            "op": "LOAD",
+            "id": "load-1",
+            "fields": {"thing": f"{7:016x}", "pods": 2},
+        }
+        assert json.loads(lines[-1]) == {"op": "UNLOAD", "id": f"{7:016x}"}
+        answer = b'{"op":"HIT","id":"load-1","fields":{"pods":"2"}}\n'
+        room = bench.connection.get_buffer(-1)
+        room[: len(answer)] = answer
+        room.release()
+        bench.connection.buffer_updated(len(answer))
+        bench.connection.connection_lost(None)
+        assert [(e.function, e.outcome, e.copies) for e in bench.planner.orders] == [
+            (9, i.Outcome.CONNECT_FAILED, 0),
+            (7, i.Outcome.OK, 2),
+            (8, i.Outcome.RESET, 0),
+        ]
+
+    asyncio.run(test())
