--- a/cedarthread/net/msgpack.py
+++ b/cedarthread/net/msgpack.py
@@ -6,13 +6,16 @@
 from dataclasses import dataclass
 from typing import Any
 
-DEPTH = 6
-ITEMS = 256
+DEPTH = 4  # message, parameters, fields, a field
+ITEMS = 32
+LONGEST = 64 * 1024  # bytes of one string or binary value: more is refused unread
 
 
 @dataclass(frozen=True, slots=True)
 class Short:
-    """The bytes end before the value does."""
+    """The bytes end before the value does: it needs as many as this, or more."""
+
+    need: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,8 +45,8 @@
     """The value that begins there."""
     try:
         return Value(*_value(data, at, DEPTH))
-    except _ShortError:
-        return Short()
+    except _ShortError as error:
+        return Short(error.args[0] - at)
     except (_BadError, UnicodeDecodeError) as error:
         return Bad(str(error))
 
@@ -58,14 +61,16 @@
 
 
 def _slice(data: memoryview, at: int, count: int) -> memoryview:
+    if count > LONGEST:
+        raise _BadError("too long")
     if at + count > len(data):
-        raise _ShortError
+        raise _ShortError(at + count)
     return data[at : at + count]
 
 
 def _value(data: memoryview, at: int, depth: int) -> tuple[Any, int]:
     if at >= len(data):
-        raise _ShortError
+        raise _ShortError(at + 1)
     code = data[at]
     at += 1
     if code < 0x80:
@@ -121,6 +126,8 @@
         key, at = _short_text(data, at) or _value(data, at, depth - 1)
         if not isinstance(key, str):
             raise _BadError("a map's key is not a string")
+        if key in pairs:
+            raise _BadError("a map has a key twice")
         pairs[key], at = _short_text(data, at) or _value(data, at, depth - 1)
     return pairs, at
 
--- a/cedarthread/net/platform.py
+++ b/cedarthread/net/platform.py
@@ -4,21 +4,25 @@
 
 import asyncio
 import logging
+import math
 import re
 from functools import lru_cache, partial
 from typing import Any
 
 from cedarthread import interface as i
-from cedarthread.core.calls import Answer, Call, Refused, Served, answer_by
+from cedarthread.core.calls import Answer, Call, Failed, Refused, Served, answer_by
 from cedarthread.core.planner import Planner
 from cedarthread.net import msgpack
 from cedarthread.net.stream import Flusher, Stream
-from cedarthread.wire import positive
 
 log = logging.getLogger("cedarthread.platform")
 
 MESSAGE = 64 * 1024  # the longest message: a body of 16 KiB and its fields, with room to spare
 BODY = 16 * 1024
+OPEN = 32  # open requests that one connection may carry
+TURN = 32  # messages of one connection that are taken before others have their turn
+PROVE = 2.0  # s that a connection has for its first whole message, and each message for arriving
+CLIENT_PART = 0.5  # part of the descriptors that clients' connections may take
 QUEUED = 32 * 2**20  # bytes of answers kept for clients that read slowly, beyond which calls are refused
 HALF_OPEN = 120.0  # s without a byte or an open call after which a client is taken for gone
 _HEX = re.compile(r"[0-9a-fA-F]{16}\Z")
@@ -26,15 +30,15 @@
 
 @lru_cache(maxsize=4096)  # a function's are the same in each of its calls
 def props(text: str) -> tuple[float | None, float | None]:
-    """Lanes and memory out of ``memory_mb:512;lanes:2``; what is no positive number is passed over."""
-    found = {}
+    """Lanes and memory out of ``memory_mb:512;lanes:2``; ValueError where one is no positive number."""
+    found: dict[str, float] = {}
     for part in text.split(";"):
         name, _, figure = part.partition(":")
-        try:
-            found[name.strip()] = float(figure)
-        except ValueError:
-            continue
-    return positive(found.get("lanes")), positive(found.get("memory_mb"))
+        if name in ("lanes", "memory_mb"):
+            if name in found or not 0.0 < float(figure) < math.inf:
+                raise ValueError(part)
+            found[name] = float(figure)
+    return found.get("lanes"), found.get("memory_mb")
 
 
 def read_call(klass: int, settings: i.Settings, fields: Any, body: Any, now: float) -> Call | str:
@@ -53,7 +57,12 @@
     limit = fields.get("limit", "")
     if not (limit.isascii() and limit.isdigit() and len(limit) < 10):
         return "limit takes whole milliseconds"
-    lanes, memory = props(fields.get("props", ""))
+    if float(limit) <= 0.0 or fields.get("second", "1") != "1":
+        return "limit or second is out of range"
+    try:
+        lanes, memory = props(fields.get("props", ""))
+    except ValueError:
+        return "props takes positive figures"
     return Call(
         name,
         klass,
@@ -90,6 +99,10 @@
     return b"\x94\x01" + msgpack.pack_uint(number) + b"\xc0\x92" + (b"\xc3" if ready else b"\xc2") + b"\x80"
 
 
+def _is_number(value: int) -> bool:
+    return 0 <= value < 2**64 and not isinstance(value, bool)
+
+
 class PlatformConnection(Stream):
     """One client's connection."""
 
@@ -98,18 +111,21 @@
         self.front = front
         self.open: dict[int, Call] = {}
         self.ending = False
+        self.began: float | None = None  # when what is no whole message yet began to come
+        self.need = 0  # bytes without which the next message is not whole
+        self.waits = False  # messages that came whole wait for their turn
         self.queued = 0  # bytes of answers that the client's slowness keeps here
 
     def opened(self) -> None:
         """Count it in."""
-        if len(self.front.connections) >= self.front.most:
+        if not self.front.admit(self):
             log.warning("connection limit %d reached: a client was turned away", self.front.most)
             return self.abort()
-        self.front.connections.add(self)
+        self.began = self.last_read
 
     def lost(self) -> None:
         """Its calls have nobody to answer to."""
-        self.front.connections.discard(self)
+        self.front.forget(self)
         self._unqueue()
         for call in self.open.values():
             self.front.planner.abandon(call)
@@ -122,39 +138,77 @@
     def eof_received(self) -> bool:
         """A client that only stopped writing still gets its answers."""
         self.ending = True
-        return bool(self.open or self.out)
+        return self.dropping is None and bool(self.open or self.out or self.waits)
 
     def pause_writing(self) -> None:
         """A client that does not read its answers may not ask for more."""
         super().pause_writing()
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
+        self._listen()
 
     def resume_writing(self) -> None:
         """It reads again."""
         super().resume_writing()
-        if self.transport is not None and not self.transport.is_closing() and not self.paused:
+        self._listen()
+
+    def _listen(self) -> None:
+        """Read on, unless the client reads slowly or what it sent waits for its turn."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.dropping is None and (self.paused or self.waits):
+            self.transport.pause_reading()
+        else:
             self.transport.resume_reading()
 
     def received(self, data: memoryview) -> int | None:
-        """Take whole messages."""
-        at = 0
-        while at < len(data):
+        """Take whole messages, so many a turn: one client's flood must not keep the others waiting."""
+        at = taken = 0
+        while at < len(data) and taken < TURN and len(data) - at >= self.need:
             parsed = msgpack.parse(data, at)
             if isinstance(parsed, msgpack.Short):
+                self.need = parsed.need
                 break
             if isinstance(parsed, msgpack.Bad) or not self._message(parsed.value):
-                log.info("connection closed: bad message")
                 return None
-            at = parsed.end
+            at, taken, self.need = parsed.end, taken + 1, 0
+        if taken:
+            self.began = None
+            self.front.proved(self)
+        if at < len(data) and self.began is None:
+            self.began = self.last_read
+        if taken == TURN and at < len(data):
+            self.waits = True
+            self._listen()
+            self._loop.call_soon(self._again)
         return at
 
+    def _again(self) -> None:
+        """Take what waited for its turn."""
+        self.waits = False
+        if not self.closed and self.dropping is None:
+            self._take()
+            self._listen()
+            self.flush_soon()
+
+    def overfull(self) -> None:
+        """Longer than a message may be, unless whole messages wait here."""
+        if not self.waits:
+            self.bad_input()
+
+    def bad_input(self) -> None:
+        """Nothing more can be read here: each open call gets its one answer, and then it ends."""
+        log.info("connection closed: bad message")
+        calls, self.open = self.open, {}
+        for number, call in calls.items():
+            self.front.planner.abandon(call)
+            self.write(pack_answer(number, Failed()))
+        self.linger()
+
     def _message(self, message: Any) -> bool:
         """Act on one message; False where it makes no sense and names no request."""
         match message:
-            case [0, int(number), str(method), list(params)] if 0 <= number < 2**64:
+            case [0, int(number), str(method), list(params)] if _is_number(number):
                 return self._request(number, method, params)
-            case [2, "interrupt", [int(number)]]:
+            case [2, "interrupt", [int(number)]] if _is_number(number):
                 if (call := self.open.pop(number, None)) is not None:
                     self.front.planner.abandon(call)
                 return True
@@ -180,7 +234,8 @@
         if isinstance(call, str):
             self.write(pack_error(number, "BadRequest", {"why": call}))
             return True
-        if self.front.queued > QUEUED:  # guards the memory limit against many clients that read slowly
+        # Guards the memory limit against clients that read slowly, and other clients against one that floods.
+        if self.front.queued > QUEUED or len(self.open) >= OPEN:
             self.write(pack_answer(number, Refused(planner.settings.limits.max_retry_after)))
             return True
         call.reply = partial(self._answer, number)
@@ -204,7 +259,8 @@
         super().flush()
         if not self.out:
             self._unqueue()
-        if self.ending and not self.open and not self.out and self.transport is not None:
+        done = not (self.open or self.out or self.waits)
+        if self.ending and done and self.dropping is None and self.transport is not None:
             self.transport.close()
 
 
@@ -217,10 +273,36 @@
         self.most = most
         self.ready = True
         self.queued = 0
-        self.connections: set[PlatformConnection] = set()
+        # Both the least lately used first: those that have asked properly, and those that have not yet.
+        self.connections: dict[PlatformConnection, None] = {}
+        self.strangers: dict[PlatformConnection, None] = {}
         self.classes = {klass.name: n for n, klass in enumerate(planner.settings.classes)}
         self._server: asyncio.Server | None = None
 
+    def admit(self, connection: PlatformConnection) -> bool:
+        """Count a connection in. At the limit one that carries nothing makes room, strangers first."""
+        if len(self.connections) + len(self.strangers) >= self.most and not self._make_room():
+            return False
+        self.strangers[connection] = None
+        return True
+
+    def _make_room(self) -> bool:
+        idle = next((c for c in (*self.strangers, *self.connections) if not c.open and not c.waits), None)
+        if idle is not None:
+            self.forget(idle)
+            idle.abort() if idle.dropping is not None else idle.close()
+        return idle is not None
+
+    def proved(self, connection: PlatformConnection) -> None:
+        """It sent a whole message: it may stay as long as there is room."""
+        self.forget(connection)
+        self.connections[connection] = None
+
+    def forget(self, connection: PlatformConnection) -> None:
+        """Count a connection out."""
+        self.connections.pop(connection, None)
+        self.strangers.pop(connection, None)
+
     async def listen(self, host: str, port: int) -> int:
         """Accept clients; the port that it is."""
         loop = asyncio.get_running_loop()
@@ -233,13 +315,16 @@
             self._server.close()
 
     def sweep(self, now: float) -> None:
-        """Close what has been silent for long: its client may have vanished without a word."""
-        for connection in list(self.connections):
-            if not connection.open and now - connection.last_read > HALF_OPEN:
-                connection.close()
+        """Close what has said nothing proper in time, or has been silent so long that its client has gone."""
+        for connection in [*self.strangers, *self.connections]:
+            late = connection.began is not None and now - connection.began > PROVE
+            gone = not connection.open and now - connection.last_read > HALF_OPEN
+            if connection.dropping is None and not connection.waits and (late or gone):
+                connection.bad_input()
 
     def drained(self) -> bool:
         """All answers have left this process."""
-        transports = [c.transport for c in self.connections if not c.closed and c.transport is not None]
-        queued = any(c.out for c in self.connections)
+        every = (*self.strangers, *self.connections)
+        transports = [c.transport for c in every if not c.closed and c.transport is not None]
+        queued = any(c.out for c in every)
         return not queued and not any(t.get_write_buffer_size() for t in transports)
--- a/cedarthread/net/stream.py
+++ b/cedarthread/net/stream.py
@@ -9,6 +9,9 @@
 log = logging.getLogger("cedarthread.net")
 
 START = 8 * 1024
+LINGER = 1.0  # s after the last answer in which what a peer still sends is read and dropped
+LINGER_BYTES = 4 * 2**20  # bytes so dropped at most
+_DROPPED = bytearray(64 * 1024)  # where dropped bytes are read to, by all connections
 
 
 class ReadBuffer:
@@ -47,8 +50,11 @@
         return found - self._from if found >= 0 else -1
 
     def take(self, count: int) -> None:
-        """So many bytes are done with."""
+        """So many bytes are done with. Once all are, a buffer that has grown is given back."""
         self._from += count
+        if self._from == self._to and len(self._data) > START:
+            self._data = bytearray(START)
+            self._from = self._to = 0
 
     def full(self) -> bool:
         """No message of a legal size is longer than this."""
@@ -91,7 +97,9 @@
         self.paused = False
         self.closed = False
         self.last_read = 0.0
+        self.dropping: int | None = None  # bytes still read and dropped, once no more input is taken
         self._flush_due = False
+        self._linger: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
 
     # For the wires.
@@ -117,12 +125,17 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where asyncio reads to."""
-        return self.buffer.space()
+        return self.buffer.space() if self.dropping is None else memoryview(_DROPPED)
 
     def buffer_updated(self, nbytes: int) -> None:
         """Bytes came."""
         self.last_read = self._loop.time()
+        if self.dropping is not None:
+            return self._drop(nbytes)
         self.buffer.add(nbytes)
+        self._take()
+
+    def _take(self) -> None:
         try:
             with self.buffer.held() as data:
                 used = self.received(data)
@@ -130,14 +143,18 @@
             log.exception("connection dropped: its input made this program fail")
             used = None
         if used is None:
-            return self.close()
+            return self.bad_input()
         self.buffer.take(used)
         if self.buffer.full():
             self.overfull()
 
+    def bad_input(self) -> None:
+        """What came can't be read: nothing more on this connection can."""
+        self.close()
+
     def overfull(self) -> None:
         """The buffer is full and nothing in it can be taken."""
-        self.close()
+        self.bad_input()
 
     def eof_received(self) -> bool:
         """The peer writes no more."""
@@ -155,6 +172,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is down."""
         self.closed = True
+        if self._linger is not None:
+            self._linger.cancel()
         try:
             self.lost()
         except Exception:
@@ -186,6 +205,26 @@
             self.flush()
             self.transport.close()
 
+    def linger(self) -> None:
+        """Write what is queued, say that no more will come, drop what the peer still sends, then close.
+
+        Guards against a lost answer: closing while input stands unread resets the connection, and a reset
+        takes away what the peer has not read yet."""
+        if self.transport is None or self.closed or self.dropping is not None:
+            return
+        self.dropping = LINGER_BYTES
+        self.flush()
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.transport.resume_reading()
+        self._linger = self._loop.call_later(LINGER, self.abort)
+
+    def _drop(self, count: int) -> None:
+        assert self.dropping is not None
+        self.dropping -= count
+        if self.dropping <= 0:
+            self.abort()
+
     def abort(self) -> None:
         """Close at once."""
         if self.transport is not None:
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -10,7 +10,7 @@
 
 from cedarthread.config import Config
 from cedarthread.core.planner import Planner
-from cedarthread.net.platform import PlatformFront
+from cedarthread.net.platform import CLIENT_PART, PlatformFront
 from cedarthread.net.resolver import Resolver
 from cedarthread.net.roster import Listing, Roster
 from cedarthread.net.runners import Runners
@@ -25,7 +25,7 @@
 GRACE = 0.75  # s after SIGTERM in which calls keep coming
 SETTLED_BY = 3.2  # s after SIGTERM by which all is answered: half a second before the earliest SIGKILL
 LAST = 3.45  # s after SIGTERM at which the process ends whatever happens
-SWEEP = 1.0  # s between looks for what has been idle or silent
+SWEEP = 0.25  # s between looks for what has been idle or silent
 REPORT = 10.0  # s between log lines on the calls
 RESERVED = 48  # descriptors kept for the log, the loop, listeners and the resolver
 
@@ -36,7 +36,7 @@
     def __init__(self, config: Config, invoke: InvokeConfig | None = None) -> None:
         self.config = config
         self.planner = Planner(config.settings, config.seed)
-        clients = config.sockets // 3 + 16
+        clients = int(config.sockets * CLIENT_PART)
         callers = invoke.connections if invoke is not None else 0
         most = config.sockets - clients - callers - RESERVED
         if most < 1:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -238,3 +238,111 @@
             assert await other.call(5, "check", b"x") == [1, 5, None, [b"X", {}]]
 
     run(test())
+
+
+def test_at_the_limit_an_idle_connection_makes_room() -> None:
+    """Clients that asked once and stayed must not keep new ones out."""
+
+    async def test() -> None:
+        async with service(Runner()) as running:
+            running.platform.most = 2
+            async with client(running) as first, client(running) as second:
+                for number, caller in enumerate((first, second), 1):
+                    assert await caller.call(number, "check", b"x") == [1, number, None, [b"X", {}]]
+                assert await first.call(3, "check", b"x") == [1, 3, None, [b"X", {}]]
+                async with client(running) as third:
+                    assert await third.call(4, "check", b"x") == [1, 4, None, [b"X", {}]]
+                    assert await second.read() is None  # the least lately used
+                    assert await first.call(5, "check", b"x") == [1, 5, None, [b"X", {}]]
+
+    run(test())
+
+
+def test_a_bad_message_ends_each_open_call_and_no_answer_is_lost() -> None:
+    async def test() -> None:
+        mute = Runner(lambda runner, message: None)
+        async with service(mute) as running, client(running) as caller:
+            caller.writer.write(pack_call(1, "confirm"))
+            await mute.until(lambda: len(mute.calls) == 1)
+            caller.writer.write(b"\x91\x05" + b"\xff" * 500_000)  # far more than is read before the end
+            assert (await caller.read())[:3] == [1, 1, ["Lost", {}]]
+            assert await caller.read() is None  # an end, not a reset
+            await mute.until(lambda: mute.cancelled == [f"{1:016x}"])
+
+    run(test())
+
+
+def test_who_says_nothing_proper_is_closed_and_who_asked_once_is_kept() -> None:
+    async def test() -> None:
+        async with (
+            service(Runner()) as running,
+            client(running) as silent,
+            client(running) as half,
+            client(running) as asked,
+        ):
+            assert await asked.call(1, "check", b"x") == [1, 1, None, [b"X", {}]]
+            half.writer.write(pack_call(1, "check", b"x")[:40])
+            while not any(c.need for c in running.platform.strangers):
+                await asyncio.sleep(0)
+            running.platform.sweep(asyncio.get_running_loop().time() + 3.0)
+            assert await silent.read() is None and await half.read() is None
+            assert await asked.call(2, "check", b"x") == [1, 2, None, [b"X", {}]]
+
+    run(test())
+
+
+def test_one_connection_carries_so_many_open_calls_and_a_flood_waits_its_turn() -> None:
+    async def test() -> None:
+        mute = Runner(lambda runner, message: None)
+        async with service(mute) as running, client(running) as caller:
+            caller.writer.write(b"".join(pack_call(number, "check") for number in range(1, 101)))
+            refused = [await caller.read() for _ in range(100 - platform.OPEN)]
+            assert {answer[2][0] for answer in refused} == {"Backoff"}
+            await mute.until(lambda: len(mute.calls) == platform.OPEN)
+            assert len(running.planner.calls) == platform.OPEN
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"limit": "0"},
+        {"limit": "nan"},
+        {"limit": "-5"},
+        {"second": "yes"},
+        {"props": "lanes:nan"},
+        {"props": "lanes:-2"},
+        {"props": "memory_mb:1e999"},
+        {"props": "lanes:x"},
+        {"props": "lanes:2;lanes:3"},
+        {"txn": "12"},
+        {"item": ""},
+    ],
+)
+def test_figures_out_of_range_get_an_error(fields: dict[str, str]) -> None:
+    async def test() -> None:
+        async with service(Runner()) as running, client(running) as caller:
+            assert (await caller.call(1, "check", b"x", **fields))[2][0] == "BadRequest"
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x94\x00\x01\xa5check\xc6\x03\x93\x87\x00",  # 60 MB are said to follow
+        b"\x94\x00\x01\xa5check\xdd\xff\xff\xff\xff",
+        b"\x94\x00\x01\xa5check\x92\x82\xa1a\xa1b\xa1a\xa1c\xc4\x00",  # a field twice
+        b"\x91" * 2000,
+        b"\x94\x00\xc3\xa5check\x91\x80",  # true is no number
+    ],
+)
+def test_what_can_never_be_a_message_is_closed_unread(data: bytes) -> None:
+    async def test() -> None:
+        async with service(Runner()) as running, client(running) as caller:
+            caller.writer.write(data)
+            assert await caller.read() is None
+            assert all(len(c.buffer._data) <= 8192 for c in running.platform.strangers)
+
+    run(test())
