--- a/cedarthread/core/calls.py
+++ b/cedarthread/core/calls.py
@@ -101,11 +101,13 @@
     note: i.CopyNote = i.CopyNote.NONE
     crowd: int | None = None
     report: tuple[float | None, ...] = ()
+    unreached: bool = False  # no connection to the worker came up
 
 
-def broken(attempt: Attempt) -> Ending:
+def broken(attempt: Attempt, *, unreached: bool = False) -> Ending:
     """The end of an attempt whose connection failed: only what came whole to the worker may have run."""
-    return Ending(i.Outcome.RESET if attempt.may_have_run() else i.Outcome.CONNECT_FAILED)
+    outcome = i.Outcome.RESET if attempt.may_have_run() else i.Outcome.CONNECT_FAILED
+    return Ending(outcome, unreached=unreached)
 
 
 class Workers(Protocol):
--- a/cedarthread/core/planner.py
+++ b/cedarthread/core/planner.py
@@ -120,6 +120,7 @@
                 ending.note,
                 ending.crowd,
                 ending.report,
+                ending.unreached,
             )
         )
 
--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -53,6 +53,7 @@
 SHED_TIME = 3000.0  # ms in which what is known of answers' time fades
 CANNOT = 0.5  # part of its expected time under which a request's time left is not enough to begin
 TURNED_TIME = 3000.0  # ms in which it fades that a worker turned a class or tenant away
+HELD_PART = 0.5  # part of its time for which a request that has not been sent is held at most
 HOLD = 50.0  # ms between looks at what is held
 LEAST_LEFT = 20.0  # ms before the client's time is up by which a held request is answered
 LOADS_PER_WORKER = 0.5  # loads under way at most by all gateways, for each worker there is
@@ -102,6 +103,7 @@
     key: tuple[int, int | None]
     cold: bool
     trial: bool
+    known: bool  # its function has been answered before
     pending: bool = True
     may_have_run: bool = True
     overdue: bool = False
@@ -120,7 +122,8 @@
     open_time: float = OPEN_TIME
     trial_out: bool = False
     last_answer: float = -math.inf
-    down_at: float = -math.inf  # the last failed connect or reset: it may start anew untold
+    down_at: float = -math.inf  # when it was last found down: it may start anew untold
+    broke_at: float = -math.inf  # the last broken connection: what broke with it is one symptom
     seen: _Fading = field(default_factory=lambda: _Fading(SEEN_TIME))
     answers: _Fading = field(default_factory=lambda: _Fading(SEEN_TIME))
     turned: dict[tuple[int, int | None], _Fading] = field(default_factory=dict)
@@ -157,6 +160,7 @@
     klass: i.RequestClass
     function: _Function
     key: tuple[int, int | None]  # class and tenant
+    at: float
     attempts: list[_Attempt] = field(default_factory=list)
     streaming: bool = False
     called_back: int = -1
@@ -262,6 +266,7 @@
     def _forget(self, worker: int) -> None:
         for function in self.functions.values():
             function.warmth.pop(worker, None)
+            function.sent_at.pop(worker, None)
             function.proven.pop(worker, None)
             self.loads_out -= worker in function.loading
             function.loading.discard(worker)
@@ -270,10 +275,12 @@
 
     def _arrive(self, request: i.Request) -> None:
         now = self.now
-        if self.s.rules.load_window > 0:
+        if self.s.rules.load_window > 0 and self.s.orders:
             self.taken.append(now)
+            while self.taken[0] <= now - self.s.rules.load_window:
+                self.taken.popleft()
         key = (request.klass, request.tenant)
-        job = _Open(request, self.s.classes[request.klass], self._function(request), key)
+        job = _Open(request, self.s.classes[request.klass], self._function(request), key, now)
         self.open[request.request] = job
         over = 1.0
         if request.tenant is not None and request.tenant < len(self.tenants):
@@ -334,7 +341,9 @@
             return self._send(job, view)
         if any(a.pending for a in job.attempts):
             return
-        if job.request.give_up - self.now <= HOLD + LEAST_LEFT:
+        # What has not been sent by half of its time had better be told so: its client can still go elsewhere.
+        half = job.at + HELD_PART * (job.request.give_up - job.at)
+        if self.now + HOLD > (job.request.give_up - LEAST_LEFT if job.may_have_run() else half):
             return self._give_up(job)
         if self.look_at == math.inf:
             self.look_at = self.now + HOLD
@@ -436,7 +445,9 @@
         load = (self.loads.mean or request.load_time or job.klass.aim) if cold else 0.0
         expected = self._expected(job) + load
         view.trial_out = view.trial_out or view.broken
-        attempt = _Attempt(view.entry, self.now, expected, job.key, cold, view.broken)
+        attempt = _Attempt(
+            view.entry, self.now, expected, job.key, cold, view.broken, function.service.count > 0
+        )
         job.attempts.append(attempt)
         view.pending += 1
         function.warmth = {other: (1.0 - ALPHA) * warmth for other, warmth in function.warmth.items()}
@@ -520,7 +531,10 @@
             view.last_answer = now
         if now == self.stalled:
             return
-        if outcome in (i.Outcome.OK, i.Outcome.TIMEOUT) and not (attempt.cold or attempt.trial):
+        # Silence tells of the worker; only from one that answers others is a time-out a sign of load.
+        silent = outcome is i.Outcome.TIMEOUT and view.last_answer < attempt.at
+        timed = outcome in (i.Outcome.OK, i.Outcome.TIMEOUT) and not silent
+        if timed and not (attempt.cold or attempt.trial):
             least = 1.0 if outcome is i.Outcome.TIMEOUT else 0.0  # late, however little time the client had
             self.recent[attempt.key[0]].move(now, GAIN, max(event.took / aim, least))
         if outcome is i.Outcome.OK:
@@ -535,8 +549,14 @@
             short = attempt.overdue or event.took < LATE * attempt.expected
             if event.note is i.CopyNote.LOAD_FAILED or (outcome is i.Outcome.TIMEOUT and short):
                 return  # a load that failed, silence that counts already, or a client with little time
-            if outcome in (i.Outcome.CONNECT_FAILED, i.Outcome.RESET):
-                view.down_at = now
+            if outcome is i.Outcome.ERROR and not attempt.known:
+                return  # no worker may know such a function: that is the client's doing
+            if outcome is i.Outcome.CONNECT_FAILED and event.unreached:
+                view.down_at = now  # a connection that broke shows no more than itself: some break on any day
+            elif outcome in (i.Outcome.CONNECT_FAILED, i.Outcome.RESET):
+                if view.broke_at == now:
+                    return  # all that was open on one connection ends at once
+                view.broke_at = now
             self._symptom(view, 1.0)
             if attempt.trial and view.broken:
                 self._open_breaker(view)
@@ -555,7 +575,6 @@
         silent, age = view is None or view.last_answer < attempt.at, self.now - attempt.at
         if view is not None and silent and not attempt.overdue and age >= LATE * attempt.expected:
             attempt.overdue = True
-            self.recent[attempt.key[0]].move(self.now, GAIN, age / max(job.klass.aim, 1.0))
             self._symptom(view, 1.0)
         expected = self._expected(job)
         if job.request.give_up - self.now <= expected or job.klass.effect is i.Effect.UNSAFE:
--- a/cedarthread/interface.py
+++ b/cedarthread/interface.py
@@ -260,6 +260,7 @@
     note: CopyNote = CopyNote.NONE
     crowd: int | None = None  # requests of the function that the worker held then
     report: tuple[float | None, ...] = ()
+    unreached: bool = True  # where it failed to connect: none came up, so the worker may be down
 
 
 @dataclass(frozen=True, slots=True)
--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -127,6 +127,7 @@
         self.open: dict[str, Attempt | Order] = {}
         self.spent: set[str] = set()
         self.retired = False
+        self.unreached = False  # it never came up, for a reason that lies with the runner
         self.used = self._loop.time()
         self.born = pool.runners.planner.clock()
 
@@ -239,7 +240,7 @@
         self.pool.drop(self)
         carried, self.open = self.open, {}
         for one in carried.values():
-            self.pool.runners.broke(one)
+            self.pool.runners.broke(one, unreached=self.unreached)
 
     def abort(self) -> None:
         """Close at once, also one that is still being made."""
@@ -287,6 +288,7 @@
         except (OSError, TimeoutError) as error:
             if not connection.closed:
                 log.info("runner %s not reached: %s", self.listing.name, error or "no connection in time")
+                connection.unreached = True
                 connection.abort()
 
     def drop(self, connection: RunnerConnection) -> None:
@@ -411,11 +413,11 @@
 
     # What connections tell.
 
-    def broke(self, carried: Attempt | Order) -> None:
-        """The connection under it broke."""
+    def broke(self, carried: Attempt | Order, *, unreached: bool) -> None:
+        """The connection under it broke, or never came up."""
         if isinstance(carried, Attempt):
             self._carrying.pop(carried, None)
-            self.planner.ended(carried, broken(carried))
+            self.planner.ended(carried, broken(carried, unreached=unreached))
         else:
             self.order_done(carried, i.Outcome.RESET, 0)
 
