--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -50,6 +50,7 @@
 SHED_FROM, SHED_SPAN = 0.5, 0.5  # answers' time over the time there is at which refusing begins; span to all
 REPEAT = 3.0  # times that a client's marked repeat is refused as often: its first try has had its turn
 SHED_MOST = 0.95  # the rest always passes: it shows when the jam is over
+LATEST = 1.5  # time over aim that one answer counts for at most: later than late says no more of a jam
 SHED_TIME = 3000.0  # ms in which what is known of answers' time fades
 CANNOT = 0.5  # part of its expected time under which a request's time left is not enough to begin
 TURNED_TIME = 3000.0  # ms in which it fades that a worker turned a class or tenant away
@@ -536,7 +537,8 @@
         timed = outcome in (i.Outcome.OK, i.Outcome.TIMEOUT) and not silent
         if timed and not (attempt.cold or attempt.trial):
             least = 1.0 if outcome is i.Outcome.TIMEOUT else 0.0  # late, however little time the client had
-            self.recent[attempt.key[0]].move(now, GAIN, max(event.took / aim, least))
+            told = max(min(event.took / aim, LATEST), least)
+            self.recent[attempt.key[0]].move(now, GAIN, told)
         if outcome is i.Outcome.OK:
             if attempt.key in view.turned:
                 view.turned[attempt.key].move(now, 0.5, 0.0)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -547,3 +547,12 @@
     for _ in range(100):
         d.ask(after=1000.0)
     assert len(d.router.taken) <= 6
+
+
+def test_few_very_late_answers_do_not_shut_the_door() -> None:
+    """Calls that waited for a load in a burst once had nearly all calls refused for seconds after it."""
+    d = Drive(worker(1))
+    for late in (False,) * 10 + (True,) * 3:
+        d.ask(klass=1)
+        d.end(d.ids, 1, after=2900.0 if late else 50.0)
+    assert d.router.recent[1].read(d.now) < decide.SHED_FROM
