--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -24,6 +24,7 @@
 SPARE = 2  # workers after the homes that are looked at too
 SPREAD = 0.1  # distance by which a gateway prefers one home of such a function: no more than warmth lacks
 HOME_WARM = 0.9  # warmth that the homes of a function with several have at least: others' calls go there
+ABROAD = 6.5  # distance to another zone, for each whole point that crossing there costs: 0.3 at 0.046
 RANK_STEP = 0.25  # distance added for each place behind the homes: one request out, by FACTOR
 
 # Learning.
@@ -197,6 +198,7 @@
         self.value, self.loads = _Ewma(), _Ewma()
         self.budget, self.loads_out = RETRY_MOST, 0
         self.homes = HOMES / (1.0 + IDLE_WEIGHT * settings.prices.idle_memory)
+        self.abroad = ABROAD * settings.prices.cross_zone
         self.ordered, self.taken = deque[float](), deque[float]()
         self.agenda: list[tuple[float, int, int, int]] = []  # due, serial, request (-1: none), attempt
         self.timer, self.timer_at = 0, math.inf
@@ -438,6 +440,7 @@
         load = view.pending / function.lanes + view.load(self.now)
         turned = view.turned.get(key)
         guard = view.trouble + (turned.read(self.now) if turned else 0.0)
+        guard += self.abroad if view.entry.zone != self.s.zone else 0.0
         return 1.0 - function.warmth.get(view.entry.worker, 0.0) + load / FACTOR + guard
 
     def _send(self, job: _Open, view: _WorkerView) -> None:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -556,3 +556,17 @@
         d.ask(klass=1)
         d.end(d.ids, 1, after=2900.0 if late else 50.0)
     assert d.router.recent[1].read(d.now) < decide.SHED_FROM
+
+
+def test_of_two_warm_workers_the_one_nearby_is_taken_until_it_is_busy() -> None:
+    """Two thirds of all attempts once crossed zones, as chance has it, and each of them costs."""
+    d = Drive(worker(1, zone=1), worker(2), prices=dataclasses.replace(PRICES, cross_zone=0.05))
+    d.ask()
+    d.end(1, sends(d.actions)[0])
+    function = d.router.functions[7]
+    for at in (1, 2):
+        function.warmth[at], function.sent_at[at], function.proven[at] = 1.0, d.now, d.now
+    assert [sends(d.ask()) for _ in range(2)] == [[2], [2]]
+    assert 1 in [sends(d.ask())[0] for _ in range(4)]
+    del function.warmth[2], function.sent_at[2]
+    assert d.router.abroad < 1.0  # a warm worker abroad still beats a cold one here
