--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -40,6 +40,7 @@
 TROUBLE_GAIN = 0.3  # two failures in a row eject, one does not
 EJECT = 0.5  # score that opens the circuit breaker
 EJECT_CAP = 0.4  # share of the workers set aside at most; past it the cause is common to all
+SILENT_CAP = 0.8  # the same for silence: who answers nobody serves nobody, however many are so
 OPEN_TIME, OPEN_MOST = 1500.0, 12000.0  # ms until the half-open trial, doubled at each relapse up to the most
 LATE = 4.0  # times its expected time after which an attempt is overdue
 HEDGE = 2.5  # times its expected time after which a second copy is sent, where that is allowed
@@ -507,11 +508,11 @@
         """The circuit breaker: closed, or half-open with no trial out and a safe request."""
         return not view.broken or (self.now >= view.open_until and not view.trial_out and safe)
 
-    def _symptom(self, view: _WorkerView, weight: float) -> None:
+    def _symptom(self, view: _WorkerView, weight: float, cap: float = EJECT_CAP) -> None:
         """Feed one observation, 0 sound to 1 broken, and open or close the breaker by it."""
         view.trouble += TROUBLE_GAIN * (weight - view.trouble)
         if not view.broken and view.trouble > EJECT:
-            if 1 + sum(v.broken for v in self.workers.values()) <= max(1.0, EJECT_CAP * len(self.workers)):
+            if 1 + sum(v.broken for v in self.workers.values()) <= max(1.0, cap * len(self.workers)):
                 view.broken = True
                 self._open_breaker(view)
                 self._log("eject", f"worker {view.entry.worker} set aside")
@@ -580,7 +581,7 @@
         silent, age = view is None or view.last_answer < attempt.at, self.now - attempt.at
         if view is not None and silent and not attempt.overdue and age >= LATE * attempt.expected:
             attempt.overdue = True
-            self._symptom(view, 1.0)
+            self._symptom(view, 1.0, SILENT_CAP)
         expected = self._expected(job)
         if job.request.give_up - self.now <= expected or job.klass.effect is i.Effect.UNSAFE:
             return
--- a/cedarthread/net/invoke.py
+++ b/cedarthread/net/invoke.py
@@ -124,6 +124,7 @@
         self.busy = False
         self.keep_alive = True
         self.continued = False
+        self.unreadable = False  # more may follow what can't be read
         self.began: float | None = None  # when the first byte of a request that is not whole came
         self.call: Call | None = None  # a synchronous call that ends with the connection
         self.entry: Deferred | None = None
@@ -132,9 +133,11 @@
     def opened(self) -> None:
         """The handshake is done: who is it?"""
         assert self.transport is not None
-        if len(self.front.connections) >= self.front.config.connections:
+        if not self.front.admit(self):
+            log.warning(
+                "connection limit %d reached: a caller was turned away", self.front.config.connections
+            )
             return self.abort()
-        self.front.connections.add(self)
         tls = self.transport.get_extra_info("ssl_object")
         certificate = tls.getpeercert(binary_form=True) if tls is not None else None
         if certificate is not None:
@@ -142,7 +145,7 @@
 
     def lost(self) -> None:
         """A synchronous call has nobody to answer to; a stored one goes on."""
-        self.front.connections.discard(self)
+        self.front.connections.pop(self, None)
         self._stop_waiting()
         if self.call is not None:
             self.front.planner.abandon(self.call)
@@ -162,7 +165,7 @@
             if isinstance(head, http.Short):
                 break
             if isinstance(head, http.Bad):
-                self.keep_alive = False
+                self.keep_alive, self.unreadable = False, True
                 self.respond(problem(head.status, head.why))
                 return len(data)
             if len(data) - at < head.size + head.length:
@@ -183,6 +186,7 @@
 
     def _serve(self, head: http.Head, body: bytes) -> None:
         self.busy, self.began, self.continued = True, None, False
+        self.front.connections[self] = self.front.connections.pop(self, None)  # now the last in line
         self.keep_alive = head.keep_alive and self.front.ready
         if isinstance(self.peer, spiffe.Rejected) or not self.front.admits(self.peer):
             why = self.peer.why if isinstance(self.peer, spiffe.Rejected) else "identity not let in"
@@ -284,7 +288,7 @@
         self.write(response.pack(keep_alive=self.keep_alive))
         if not self.keep_alive:
             self.busy = True  # nothing more is taken
-            return self.close()
+            return self.linger() if self.unreadable else self.close()
         self.transport.resume_reading()
         self._loop.call_soon(self._next)
 
@@ -297,7 +301,7 @@
         if self.busy:
             return
         if self.began is not None and now - self.began > SLOW:
-            self.keep_alive = False
+            self.keep_alive, self.unreadable = False, True
             self.respond(problem(408, "the request took too long to arrive"))
         elif self.began is None and now - self.last_read > IDLE:
             self.close()
@@ -333,12 +337,23 @@
         self.flusher = flusher
         self.config = config
         self.ready = True
-        self.connections: set[InvokeConnection] = set()
+        self.connections: dict[InvokeConnection, None] = {}  # the least lately used first
         self.store = DeferredCalls(Bounds(), clock)
         self._listener: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._stamps = config.stamps()
 
+    def admit(self, connection: InvokeConnection) -> bool:
+        """Count a connection in. At the limit the one that has been idle longest makes room."""
+        if len(self.connections) >= self.config.connections:
+            idle = next((c for c in self.connections if not c.busy and c.began is None), None)
+            if idle is None:
+                return False
+            del self.connections[idle]
+            idle.close()
+        self.connections[connection] = None
+        return True
+
     def admits(self, peer: spiffe.Identity) -> bool:
         """Is the peer let in, now?"""
         if time.time() >= peer.until:
--- a/cedarthread/net/stream.py
+++ b/cedarthread/net/stream.py
@@ -217,7 +217,13 @@
         if self.transport.can_write_eof():
             self.transport.write_eof()
         self.transport.resume_reading()
-        self._linger = self._loop.call_later(LINGER, self.abort)
+        self._linger = self._loop.call_later(LINGER, self._leave)
+
+    def _leave(self) -> None:
+        if self.transport is not None and not self.transport.get_write_buffer_size():
+            self.transport.close()
+        else:
+            self.abort()
 
     def _drop(self, count: int) -> None:
         assert self.dropping is not None
--- a/tests/test_invoke.py
+++ b/tests/test_invoke.py
@@ -480,3 +480,40 @@
             assert (await desk.ask("GET", "/v1/ready"))[0] == 403
 
     run(test())
+
+
+def test_a_refused_head_is_answered_whatever_follows_it(authority: Authority) -> None:
+    """Closing with input unread resets the connection and takes the answer away."""
+
+    async def test() -> None:
+        async with (
+            service(Runner(), invoke=config(authority)) as running,
+            Caller(running, authority.caller(DESK)) as caller,
+        ):
+            head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n"
+            caller.writer.write(head + b"x" * 500_000)
+            assert (await caller.read())[0] == 413
+            async with asyncio.timeout(10):
+                assert await caller.reader.read() == b""
+
+    run(test())
+
+
+def test_an_idle_caller_makes_room_at_the_limit(authority: Authority) -> None:
+    async def test() -> None:
+        told = dataclasses.replace(config(authority), connections=2)
+        context = authority.caller(DESK)
+        async with (
+            service(Runner(), invoke=told) as running,
+            Caller(running, context) as first,
+            Caller(running, context) as second,
+        ):
+            for caller in (first, second, first):
+                assert (await caller.ask("GET", "/v1/ready"))[0] == 200
+            async with Caller(running, context) as third:
+                for caller in (third, first):
+                    assert (await caller.ask("GET", "/v1/ready"))[0] == 200
+                async with asyncio.timeout(10):
+                    assert await second.reader.read() == b""
+
+    run(test())
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -570,3 +570,20 @@
     assert 1 in [sends(d.ask())[0] for _ in range(4)]
     del function.warmth[2], function.sent_at[2]
     assert d.router.abroad < 1.0  # a warm worker abroad still beats a cold one here
+
+
+def test_all_silent_workers_but_some_are_set_aside() -> None:
+    """Past two in six, silent workers once went on drawing calls that nobody answered."""
+    d = Drive(*(worker(n) for n in range(1, 7)))
+    for number in range(1, 7):
+        d.ask(function=number, klass=1)
+        d.end(number, sends(d.actions)[-1])
+    view = d.router.workers
+    for number in range(1, 5):  # four of six fall silent
+        for _ in range(3):
+            d.router._symptom(view[number], 1.0, decide.SILENT_CAP)
+    assert sum(v.broken for v in view.values()) == 4
+    for number in (5, 6):  # but errors alone never set as many aside, nor silence all
+        for _ in range(3):
+            d.router._symptom(view[number], 1.0)
+    assert sum(v.broken for v in view.values()) == 4
