--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -42,6 +42,7 @@
 EJECT_CAP = 0.4  # share of the workers set aside at most; past it the cause is common to all
 SILENT_CAP = 0.8  # the same for silence: who answers nobody serves nobody, however many are so
 OPEN_TIME, OPEN_MOST = 1500.0, 12000.0  # ms until the half-open trial, doubled at each relapse up to the most
+TRIAL = 0.5  # distance by which a half-open trial is nearer than the worker would be, were it sound
 LATE = 4.0  # times its expected time after which an attempt is overdue
 HEDGE = 2.5  # times its expected time after which a second copy is sent, where that is allowed
 STALL = 100.0  # ms that a timer may come late before the gateway takes itself for stalled
@@ -385,6 +386,10 @@
                 if not (sick or self._sound(view, safe)) or not self._cold_fits(view, work):
                     continue
                 distance = self._distance(job.function, view, job.key) + far
+                if (
+                    view.broken and not sick
+                ):  # half-open: nobody would choose it, and it would stay out for good
+                    distance -= view.trouble + TRIAL
                 if distance < best - 1e-9:
                     best, ties, found = distance, 1, view
                 elif distance <= best + 1e-9:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -587,3 +587,24 @@
         for _ in range(3):
             d.router._symptom(view[number], 1.0)
     assert sum(v.broken for v in view.values()) == 4
+
+
+def test_a_worker_set_aside_gets_its_trial_though_others_are_nearer() -> None:
+    """Its trouble once kept every call away when its time had come, so that it stayed out though sound."""
+    d = Drive(worker(1), worker(2))
+    (home,) = sends(d.ask())
+    d.end(1, home)
+    view = d.router.workers[home]
+    for _ in range(3):
+        d.router._symptom(view, 1.0)
+    assert view.broken and sends(d.ask()) == [3 - home]
+    d.end(2, 3 - home)
+    trials = [sends(d.ask(after=view.open_until - d.now))[0]]
+    assert trials == [home] and view.trial_out
+    assert sends(d.ask()) == [3 - home]  # one at a time
+    d.end(3, home)
+    d.end(4, 3 - home)
+    for number in range(5, 8):
+        (at,) = sends(d.ask())
+        d.end(number, at)
+    assert not view.broken
