--- a/cedarthread/cli.py
+++ b/cedarthread/cli.py
@@ -4,12 +4,14 @@
   cedarthread [serve] [--invoke FILE] [--log LEVEL]
   cedarthread check-config
   cedarthread version
+  cedarthread fuzz [ARGUMENT...]
   cedarthread --help
 
 Commands:
   serve         Serve on sockets, as the environment's BALANCER_CONFIG says (the default).
   check-config  Read that configuration, print what it holds, and end.
   version       Print the version.
+  fuzz          Look for inputs that break the program (see `cedarthread fuzz --help`).
 
 Options:
   --invoke FILE  Serve the invoke API too, as this file says (see deploy/invoke.toml); off by default.
@@ -36,7 +38,10 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run one command; the exit code."""
-    options = docopt(__doc__, argv)
+    told = sys.argv[1:] if argv is None else argv
+    if told[:1] == ["fuzz"]:
+        return fuzz(told[1:])
+    options = docopt(__doc__, told)
     if options["version"]:
         print(cedarthread.__version__)
         return 0
@@ -56,6 +61,16 @@
     return serve(found, invoke, str(options["--log"]))
 
 
+def fuzz(argv: list[str]) -> int:
+    """The tools of development, where they are installed."""
+    try:
+        from cedarthread.fuzz import cli
+    except ImportError as error:
+        print(f"cedarthread fuzz: {error}; install requirements-tools.txt", file=sys.stderr)
+        return 2
+    return cli.main(argv)
+
+
 def read_invoke(path: str | None) -> InvokeConfig | None:
     """The invoke API's file, where one is named."""
     if path is None:
--- a/cedarthread/config.py
+++ b/cedarthread/config.py
@@ -11,7 +11,7 @@
 
 from cedarthread import interface as i
 from cedarthread import wire
-from cedarthread.net.roster import Listing, listing_from_json
+from cedarthread.net.roster import Listing, address, listing_from_json
 
 
 class ConfigError(Exception):
@@ -33,21 +33,31 @@
     known: tuple[tuple[int, tuple[Listing, ...]], ...]  # numbered news of the runners, the whole list first
 
 
-def address(text: str) -> tuple[str, int]:
-    """``10.0.0.4:5050`` as host and port."""
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
 def load(environ: Mapping[str, str] = os.environ) -> Config:
     """The configuration that the environment names."""
     path = environ.get("BALANCER_CONFIG")
     if not path:
         raise ConfigError("BALANCER_CONFIG is not set")
     try:
-        return parse(json.loads(Path(path).read_bytes()), environ)
-    except (OSError, ValueError, KeyError, TypeError, AttributeError, wire.WireError) as error:
-        raise ConfigError(f"{path}: {type(error).__name__}: {error}") from None
+        return read(Path(path).read_bytes(), environ)
+    except (OSError, ConfigError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def read(raw: bytes, environ: Mapping[str, str]) -> Config:
+    """The configuration from its bytes; ConfigError says what is wrong with them."""
+    try:
+        return parse(json.loads(raw), environ)
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        ArithmeticError,
+        RecursionError,
+        wire.WireError,
+    ) as error:
+        raise ConfigError(f"{type(error).__name__}: {error}") from None
 
 
 def parse(top: dict[str, Any], environ: Mapping[str, str]) -> Config:
@@ -63,8 +73,8 @@
         host,
         port,
         int(str(top.get("seed", "0")), 16),
-        int(top.get("limits", {}).get("sockets", 1024)),
-        int(float(top.get("limits", {}).get("memory_mb", 192)) * 2**20),
+        int(wire.figure(top.get("limits", {}).get("sockets", 1024), 1)),
+        int(wire.figure(top.get("limits", {}).get("memory_mb", 192), 1) * 2**20),
         address(top["dns"]) if top.get("dns") else None,
         wire.settings_from(top["settings"]),
         known,
--- a/cedarthread/core/calls.py
+++ b/cedarthread/core/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import IntEnum
@@ -85,6 +86,7 @@
     worker: int
     at: float
     progress: Progress = Progress.UNCONNECTED
+    leave_by: float = math.inf  # when its first byte must have left, else it may not run any more
     ended: bool = False
 
     def may_have_run(self) -> bool:
@@ -116,6 +118,12 @@
     def send(self, attempt: Attempt) -> None:
         """Start an attempt; its end comes later by ``Planner.ended``."""
 
+    def look(self, attempt: Attempt) -> None:
+        """Bring the attempt's progress up to date."""
+
+    def withdraw(self, attempt: Attempt) -> None:
+        """End an attempt of which nothing has left; any other goes on."""
+
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up; its end still comes by ``Planner.ended``."""
 
--- a/cedarthread/core/planner.py
+++ b/cedarthread/core/planner.py
@@ -217,6 +217,8 @@
             return
         now = self.clock()
         attempt = Attempt(call, len(call.attempts), action.worker, now)
+        if call.attempts:
+            self._bind(call, attempt)
         call.attempts.append(attempt)
         out = any(not a.ended for a in call.attempts[:-1])
         most = self.settings.limits.attempts
@@ -227,6 +229,13 @@
         else:
             self._ways().send(attempt)
 
+    def _bind(self, call: Call, attempt: Attempt) -> None:
+        """A keyed call's repeat must leave inside the window of the first attempt that may have run."""
+        klass = self.settings.classes[call.klass]
+        ran = [earlier.at for earlier in call.attempts if earlier.may_have_run()]
+        if klass.effect is i.Effect.KEYED and ran:
+            attempt.leave_by = ran[0] + klass.window
+
     def _cancel(self, action: i.Cancel) -> None:
         call = self.calls.get(action.request) or self._over.get(action.request)
         if call is not None and action.attempt < len(call.attempts):
@@ -254,6 +263,7 @@
         """The client's time is up: its attempts time out, and the router has a moment for the last word."""
         for attempt in call.attempts:
             if not attempt.ended:
+                self._ways().look(attempt)
                 outcome = i.Outcome.TIMEOUT if attempt.may_have_run() else i.Outcome.CONNECT_FAILED
                 self.ended(attempt, Ending(outcome))
                 self._ways().cancel(attempt)
@@ -287,3 +297,6 @@
         self.names.discard(call.name)
         del self.calls[call.number]
         self._over[call.number] = call
+        for attempt in call.attempts:  # nobody waits for it: what has not left need not run
+            if not attempt.ended:
+                self._ways().withdraw(attempt)
--- /dev/null
+++ b/cedarthread/fuzz/settings.py
@@ -0,0 +1,48 @@
+"""Settings that fuzzing plays with, in the form that the platform gives them."""
+
+from __future__ import annotations
+
+import copy
+from typing import Any
+
+CLASSES: list[dict[str, Any]] = [
+    {"name": "check", "goal-time": 1200, "deadline": 5000, "effect": "retryable", "value": 2},
+    {"name": "revise", "goal-time": 800, "deadline": 5000, "effect": "dedup", "group": "zone"},
+    {"name": "confirm", "goal-time": 1500, "deadline": 5000, "effect": "fragile", "value": 5},
+    {"name": "amend", "goal-time": 800, "deadline": 4000, "effect": "dedup", "group": "all"},
+    {"name": "settle", "goal-time": 800, "deadline": 4000, "effect": "dedup", "group": "cell"},
+]
+CLASSES[1] |= {"repeat-window": 1500, "value": 5}
+CLASSES[3] |= {"repeat-window": 1500, "value": 3}
+CLASSES[4] |= {"repeat-window": 1500, "value": 3}
+BASE: dict[str, Any] = {
+    "balancers": 1,
+    "classes": CLASSES,
+    "kinds": ["std"],
+    "limits": {
+        "cancel": True,
+        "connect-timeout": 250,
+        "conn-idle": 30000,
+        "send-cap": 4,
+        "most-held": 100,
+        "streams-per-conn": 8,
+        "retry-after": True,
+        "max-retry-after": 500,
+    },
+    "localities": ["room-a", "room-b"],
+    "obligations": {"answer-slack": 8, "stop-sending-within": 500, "cold-from": 0.25, "warm-after": 2000}
+    | {"overload-factor": 2.5, "fall": 2000},
+    "prices": {"cross-zone": 0.046},
+    "report": {"columns": ["inflight", "x1"], "how": "answers"},
+    "specifics": {"keep-alive": 8700, "order-limit": 10000, "says-warm": True},
+}
+RATION = {"loads-anyway": 2, "load-share": 0.2, "load-window": 5000}
+
+
+def settings(*, miss: bool = False, cancel: bool = True) -> dict[str, Any]:
+    """A copy; with ``miss`` workers answer NONE and loads are ordered, under a ration."""
+    top = copy.deepcopy(BASE)
+    top["limits"]["cancel"] = cancel
+    if miss:
+        top["specifics"] |= RATION | {"on-miss": "miss", "may-order": True}
+    return top
--- /dev/null
+++ b/cedarthread/fuzz/streams.py
@@ -0,0 +1,531 @@
+"""Targets that are connections and exchanges: bytes in any cut come to the same, and each thing ends once."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import itertools
+import json
+import math
+import random
+import struct
+from pathlib import Path
+from typing import Any, cast
+
+import msgpack as reference
+
+from cedarthread import interface as i
+from cedarthread import wire
+from cedarthread.core.calls import Attempt, Call, Ending, Progress
+from cedarthread.core.planner import Planner
+from cedarthread.fuzz import settings as drawn_settings
+from cedarthread.fuzz.caller import read_reply
+from cedarthread.fuzz.parsers import ODD_FIELDS, draw_reply, draw_request, draw_value, need, pack_reply
+from cedarthread.fuzz.target import ODD, Dice, Finding, Target, mutate_bytes
+from cedarthread.fuzz.virtual import MemoryTransport, VirtualLoop, play
+from cedarthread.net import platform
+from cedarthread.net.invoke import InvokeConnection, InvokeFront
+from cedarthread.net.invoke_config import InvokeConfig
+from cedarthread.net.platform import PlatformConnection, PlatformFront
+from cedarthread.net.resolver import Resolver
+from cedarthread.net.roster import Listing, Roster, worker_number
+from cedarthread.net.runners import Order, Pool, RunnerConnection, Runners
+from cedarthread.net.spiffe import Identity
+from cedarthread.net.stream import Flusher
+
+FUNCTION = "00000000000000a1"
+
+
+class Echo:
+    """A way to the workers that serves each call with its own body, in the next turn."""
+
+    def __init__(self, planner: Planner, loop: VirtualLoop) -> None:
+        self.planner, self.loop, self.sent = planner, loop, 0
+
+    def send(self, attempt: Attempt) -> None:
+        """Start an attempt."""
+        self.sent += 1
+        attempt.progress = Progress.WRITTEN
+        self.loop.call_soon(self.planner.ended, attempt, Ending(i.Outcome.OK, attempt.call.body))
+
+    def look(self, attempt: Attempt) -> None:
+        """Nothing to look at."""
+
+    def withdraw(self, attempt: Attempt) -> None:
+        """All has left."""
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give an attempt up."""
+        self.planner.ended(attempt, Ending(i.Outcome.CANCELLED))
+
+    def order(self, worker: int, function: int, copies: int) -> None:
+        """Not used here."""
+
+    def unload(self, worker: int, function: int) -> None:
+        """Not used here."""
+
+    def close_idle(self, worker: int) -> None:
+        """Not used here."""
+
+
+def planner_with_echo(loop: VirtualLoop) -> tuple[Planner, Flusher, Echo]:
+    """A planner whose calls are all served."""
+    planner = Planner(wire.settings_from(drawn_settings.settings()), 1, clock=loop.unix_ms)
+    flusher = Flusher()
+    planner.turn_done = flusher.run
+    echo = planner.workers = Echo(planner, loop)
+    listed = tuple(i.Worker(n, 0, 0, 0, i.WorkerState.READY, None, None) for n in (1, 2))
+    planner.membership(i.Membership(i.ListKind.CACHED, 1, listed))
+    return planner, flusher, echo
+
+
+def pieces(data: bytes, seed: int) -> list[bytes]:
+    """The data in cuts that follow from the seed; seed 0 leaves it whole."""
+    if seed == 0:
+        return [data]
+    rng, out, at = random.Random(seed), [], 0
+    while at < len(data):
+        size = rng.choice((1, 2, 7, 40, 1000))
+        out.append(data[at : at + size])
+        at += size
+    return out
+
+
+async def feed(transport: MemoryTransport, data: bytes, seed: int) -> None:
+    """Send it in pieces, the loop running between them."""
+    for piece in pieces(data, seed):
+        transport.send(piece)
+        await asyncio.sleep(0)
+    for _ in range(40):
+        await asyncio.sleep(0.01)
+
+
+class StreamTarget(Target):
+    """A connection. The input's first byte says how the rest is cut; whole or cut, the same comes out."""
+
+    work = (200_000, 3000)
+    memory = (4 * 2**20, 400)
+    runs = 150
+
+    async def serve(self, loop: VirtualLoop, data: bytes, seed: int) -> Any:
+        """What comes out, in a form that can be compared."""
+        raise NotImplementedError
+
+    def check(self, data: bytes) -> None:
+        """The same whole and cut."""
+        seen: list[Any] = []
+        for seed in (0, 1 + data[0] if data else 1):
+
+            async def work(loop: VirtualLoop, seed: int = seed) -> None:
+                seen.append(await self.serve(loop, data[1:], seed))
+
+            failures = play(work).failures
+            if failures:
+                raise Finding(failures[0])
+        need(seen[0] == seen[1], f"whole {str(seen[0])[:150]}, cut {str(seen[1])[:150]}")
+
+    def mutate(self, data: bytes, rng: random.Random) -> bytes:
+        """Mostly what stands in it; now and then the cut."""
+        if not data or rng.random() < 0.1:
+            return rng.randbytes(1) + data[1:]
+        return data[:1] + self.change(data[1:], rng)
+
+    def change(self, data: bytes, rng: random.Random) -> bytes:
+        """The stream, changed."""
+        return mutate_bytes(data, rng)
+
+
+def draw_message(rng: random.Random, number: int) -> Any:
+    """One message of the platform's protocol, good or odd."""
+    klass = rng.choice(("check", "revise", "confirm", "none"))
+    fields = {"txn": f"{number:016x}", "limit": "2000", "item": FUNCTION, "unique": f"u{number}"}
+    if rng.random() < 0.3:
+        name = rng.choice(("txn", "limit", "item", "props", "second", "unique", "extra"))
+        figures = (
+            "memory_mb:512;lanes:2",
+            "lanes:nan",
+            "lanes:1e309",
+            "lanes:-0",
+            "lanes:1;lanes:2",
+            "lanes:5e-324",
+        )
+        fields[name] = rng.choice((*ODD, *figures))[:60]
+    body: Any = rng.choice((b"", b"body", rng.randbytes(40), "text", b"z" * 17_000))
+    match rng.randrange(12):
+        case 0:
+            return [0, number, "check", [{}]]
+        case 1:
+            return [2, "interrupt", [rng.randrange(1, number + 1)]]
+        case 2:
+            return [2, "other", [1]]
+        case 3:
+            return [0, number, klass, [fields]]
+        case 4:
+            return [0, rng.choice((number, 0, -1, 2**64 - 1, True, 1.5)), klass, [fields, body]]
+        case 5:
+            return draw_value(rng, 3)
+    return [0, number, klass, [fields, body]]
+
+
+class Platform(StreamTarget):
+    """A platform client's whole connection."""
+
+    name = "platform"
+    modules = ("cedarthread.net.platform", "cedarthread.net.stream")
+
+    def draw(self, rng: random.Random) -> bytes:
+        """Some messages in a row, perhaps the last one cut off."""
+        messages = [draw_message(rng, n + 1) for n in range(rng.choice((1, 2, 4, 10, 40)))]
+        data = b"".join(self._pack(message) for message in messages)
+        return rng.randbytes(1) + (data if rng.random() < 0.8 else data[: rng.randrange(len(data) + 1)])
+
+    def _pack(self, message: Any) -> bytes:
+        try:
+            return bytes(reference.packb(message))
+        except (OverflowError, UnicodeEncodeError, ValueError):
+            return b"\xc0"
+
+    def change(self, data: bytes, rng: random.Random) -> bytes:
+        """Whole messages swapped, doubled or dropped, or bytes."""
+        if rng.random() < 0.5:
+            return mutate_bytes(data, rng)
+        unpacker = reference.Unpacker(raw=False, strict_map_key=False, read_size=1024, max_buffer_size=2**20)
+        unpacker.feed(data)
+        marks = [0]
+        try:
+            while True:
+                unpacker.skip()
+                marks.append(unpacker.tell())
+        except (reference.OutOfData, ValueError):
+            pass
+        parts = [data[a:b] for a, b in itertools.pairwise(marks)]
+        if not parts:
+            return mutate_bytes(data, rng)
+        at = rng.randrange(len(parts))
+        parts.insert(
+            rng.randrange(len(parts)), parts[at] if rng.random() < 0.7 else mutate_bytes(parts[at], rng)
+        )
+        if rng.random() < 0.4:
+            del parts[at]
+        return b"".join(parts) + data[marks[-1] :]
+
+    async def serve(self, loop: VirtualLoop, data: bytes, seed: int) -> Any:
+        """Per number, what was answered to it and how often; each number asked gets one answer."""
+        planner, flusher, _ = planner_with_echo(loop)
+        front = PlatformFront(planner, 8, flusher, 2**20)
+        transport, out = MemoryTransport(loop), bytearray()
+        transport.on_bytes = out.extend
+        connection = PlatformConnection(front)
+        transport.begin(connection)
+        await feed(transport, data, seed)
+        need(not planner.calls and not planner.names and planner.held_bytes == 0, "a call is left")
+        need(front.queued == 0, f"{front.queued} bytes of answers are left")
+        need(len(connection.buffer._data) <= platform.MESSAGE, "the buffer grew past its limit")
+        unpacker = reference.Unpacker(raw=False, strict_map_key=True, max_buffer_size=2**24)
+        unpacker.feed(bytes(out))
+        answers: dict[Any, int] = {}
+        for message in unpacker:
+            need(isinstance(message, list) and len(message) == 4 and message[0] == 1, f"sent {message!r}")
+            answers[message[1]] = answers.get(message[1], 0) + 1
+        need(unpacker.tell() == len(out), "bytes after the last answer")
+        asked = self._asked(data)
+        # Whether an interrupt or a number used twice meets an open call depends on the time between them.
+        timing = b"interrupt" in data or any(count > 1 for count in asked.values())
+        for number, count in answers.items():
+            need(
+                count <= asked.get(number, 0),
+                f"{count} answers to number {number}, asked {asked.get(number, 0)}",
+            )
+        # What a broken connection answers with depends on what had been served by then; that it answers, not.
+        return None if timing else transport.is_closing() or sorted(map(repr, answers))
+
+    def _asked(self, data: bytes) -> dict[Any, int]:
+        unpacker = reference.Unpacker(
+            raw=False, strict_map_key=False, object_pairs_hook=list, max_buffer_size=2**24
+        )
+        unpacker.feed(data)
+        asked: dict[Any, int] = {}
+        try:
+            for message in unpacker:
+                if isinstance(message, list) and len(message) == 4 and isinstance(message[1], int):
+                    asked[message[1]] = asked.get(message[1], 0) + 1
+        except (ValueError, reference.StackError, UnicodeDecodeError):
+            pass
+        return asked
+
+
+class _Ways:
+    """What a runner's connection tells its pool's owner, kept."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.settings = wire.settings_from(drawn_settings.settings())
+        self.flusher, self.planner = Flusher(), self
+        self.clock = loop.unix_ms
+        self.ends: list[tuple[str, str, bytes]] = []
+        self.wrong: list[str] = []  # figures that are none; raised later, for the connection catches all
+
+    def _figure(self, what: str, value: float, most: float) -> None:
+        if not abs(value) <= most:
+            self.wrong.append(f"{what} of {value}")
+
+    def answered(self, attempt: Attempt, ending: Ending) -> None:
+        """An answer."""
+        for value in ending.report:
+            self._figure("a report", value or 0.0, 1e308)
+        self._figure("a crowd", ending.crowd or 0, 2**31)
+        self.ends.append((attempt.call.name, ending.outcome.value, ending.body))
+
+    def broke(self, carried: Attempt | Order, *, unreached: bool) -> None:
+        """The connection went."""
+        name = carried.call.name if isinstance(carried, Attempt) else carried.tag
+        self.ends.append((name, "broke", b""))
+
+    def order_answered(self, order: Order, message: dict[str, Any]) -> None:
+        """An order's end."""
+        runners = Runners.__new__(Runners)
+        runners.planner = cast(Any, self)
+        runners.order_answered(order, message)
+        self.ends.append((order.tag, "order", b""))
+
+    def order_ended(self, event: i.OrderEnded) -> None:
+        """What the planner is told of it."""
+        self._figure("copies", event.copies, 2**31)
+
+
+class RunnerLines(StreamTarget):
+    """The lines that a runner sends, on a connection with three calls and an order open."""
+
+    name = "lines"
+    modules = ("cedarthread.net.runners",)
+    names = ("a1", "a2", "a3", "load-1")
+
+    def draw(self, rng: random.Random) -> bytes:
+        """Some lines: good answers, odd figures, foreign ids."""
+        lines = []
+        for _ in range(rng.choice((1, 2, 5))):
+            fields: Any = {
+                "remark": rng.choice(("hit", "spawn", 7, None)),
+                "depth": rng.choice((0, 3, *ODD, 1e308)),
+            }
+            report = (
+                "inflight:7;x1:0",
+                "inflight:nan",
+                "x1:1e309;inflight:-0",
+                "x1",
+                7,
+                "inflight:" + "9" * 400,
+            )
+            fields["report"], fields["pods"] = rng.choice(report), rng.choice((1, -1, 2**64, "x", 1e308))
+            op = rng.choice(("HIT", "HIT", "NONE", "SHED", "FAULT", "LATE", "PONG", "WHAT", ["HIT"], None))
+            message = {"op": op, "id": rng.choice((*self.names, "b", 1)), "fields": fields}
+            body = base64.b64encode(rng.randbytes(rng.choice((0, 5, 300)))).decode()
+            message["body"] = rng.choice((body, body, body, body + "=", body[:-1], "%%", 7, None))
+            for key in [k for k in message if rng.random() < 0.06]:
+                del message[key]
+            lines.append(json.dumps(message).encode())
+        if rng.random() < 0.15:
+            deep = b"[" * rng.choice((400, 700, 3000))
+            lines.append(rng.choice((deep, b'{"op":' + deep + b"]" * len(deep) + b',"id":"a1"}')))
+        return rng.randbytes(1) + b"\n".join(lines) + b"\n"
+
+    async def serve(self, loop: VirtualLoop, data: bytes, seed: int) -> Any:
+        """How each of the four ended: once, and with the body that its own line holds."""
+        ways = _Ways(loop)
+        listing = Listing("s-1", "h", 1, "room-a", "std", 0, i.WorkerState.READY, 1.0, 0.0)
+        connection = RunnerConnection(Pool(cast(Any, ways), listing))
+        transport = MemoryTransport(loop)
+        transport.begin(connection)
+        for name in self.names[:3]:
+            call = Call(name, 0, 7, 1e18, b"", lambda answer: None)
+            connection.put(name, b"{}\n", Attempt(call, 0, 1, 0.0, Progress.WRITTEN))
+        connection.put("load-1", b"{}\n", Order("load-1", 1, 7, 0.0))
+        await feed(transport, data, seed)
+        transport.hang_up()
+        await asyncio.sleep(0)
+        need(not ways.wrong, ways.wrong[0] if ways.wrong else "")
+        need(sorted(name for name, _, _ in ways.ends) == sorted(self.names), f"ended: {ways.ends}")
+        bodies = {base64.b64decode(text) for text in self._bodies(data)}
+        for name, outcome, body in ways.ends:
+            need(outcome != "ok" or body in bodies, f"{name} served with {body!r}, which no line holds")
+        return sorted(ways.ends)
+
+    def _bodies(self, data: bytes) -> list[str]:
+        found = []
+        for line in data.split(b"\n"):
+            try:
+                body = json.loads(line)["body"]
+                base64.b64decode(body, validate=True)
+            except (ValueError, TypeError, LookupError, RecursionError):
+                continue
+            found.append(body)
+        return found
+
+
+class Invoke(StreamTarget):
+    """A whole connection of the invoke API, its identity checked."""
+
+    name = "invoke"
+    modules = ("cedarthread.net.invoke", "cedarthread.net.http")
+
+    def draw(self, rng: random.Random) -> bytes:
+        """Some requests in a row."""
+        return rng.randbytes(1) + b"".join(draw_request(rng) for _ in range(rng.choice((1, 2, 5))))
+
+    def change(self, data: bytes, rng: random.Random) -> bytes:
+        """A field put in, a request doubled, or bytes."""
+        ends = [at for at in range(len(data)) if data.startswith(b"\r\n", at)]
+        if ends and rng.random() < 0.4:
+            at = rng.choice(ends)
+            return data[:at] + b"\r\n" + rng.choice(ODD_FIELDS) + data[at:]
+        return mutate_bytes(data, rng)
+
+    async def serve(self, loop: VirtualLoop, data: bytes, seed: int) -> Any:
+        """The responses' statuses in order."""
+        planner, flusher, _ = planner_with_echo(loop)
+        nowhere = Path("nowhere")
+        allow = ("spiffe://gaz.example/*",)
+        config = InvokeConfig(nowhere, "", 0, "gaz.example", nowhere, nowhere, nowhere, allow, 8)
+        front = InvokeFront(planner, config, flusher, loop.time)
+        connection = InvokeConnection(front)
+        connection.peer = Identity("spiffe://gaz.example/a", "gaz.example", math.inf)
+        transport, out = MemoryTransport(loop), bytearray()
+        transport.on_bytes = out.extend
+        transport.begin(connection)
+        await feed(transport, data, seed)
+        statuses, rest = [], bytes(out)
+        while (found := read_reply(rest)) is not None:
+            reply, end = found
+            need(100 <= reply.status < 600, f"status {reply.status}")
+            statuses.append(reply.status)
+            rest = rest[end:]
+        need(not rest, f"after the last response: {rest[:60]!r}")
+        need(not planner.calls, "a call is open")
+        transport.hang_up()
+        await asyncio.sleep(400)
+        front.sweep(loop.time())
+        need(front.store.bytes == 0 and len(front.store) == 0, "an answer is kept past its time")
+        return [status for status in statuses if status != 100]  # whether it is asked for depends on the cut
+
+
+class RosterNews(Target):
+    """The roster under news late, doubled, out of order and contradictory."""
+
+    name = "roster"
+    modules = ("cedarthread.net.roster",)
+
+    def draw(self, rng: random.Random) -> bytes:
+        """A script."""
+        return rng.randbytes(rng.choice((10, 40, 90)))
+
+    def check(self, data: bytes) -> None:
+        """Whoever applies the events one after another holds the list that was told last."""
+        dice, roster = Dice(data), Roster(wire.settings_from(drawn_settings.settings()))
+        known: dict[int, i.WorkerState] = {}
+        version, truth = -1, dict[str, Listing]()
+        while dice.more():
+            number, whole = dice.byte() % 20, bool(dice.byte() & 3)
+            told = [self._listing(dice) for _ in range(dice.byte() % 5)]
+            event = roster.event(number, told, whole)
+            need((event is None) == (number <= version), f"news {number} after {version}")
+            if event is None:
+                continue
+            version = number
+            if event.kind is not i.ListKind.DELTA:
+                known.clear()
+            for worker in event.workers:
+                known[worker.worker] = worker.state
+                if worker.state is i.WorkerState.GONE:
+                    del known[worker.worker]
+            truth = {} if whole else truth
+            for listing in told:
+                truth.pop(listing.name, None)
+                if listing.state is not i.WorkerState.GONE:
+                    truth[listing.name] = listing
+            held = {number: entry.state for number, entry in roster.by_number().items()}
+            need(known == held, f"by the events {known}, by the list {held}")
+            numbers = {worker_number(name) for name in truth}
+            need(set(held) == numbers, f"told {sorted(truth)}, held {sorted(roster.listings)}")
+
+    def _listing(self, dice: Dice) -> Listing:
+        name = dice.pick(("s-00000001", "s-00000002", "t-00000001", "other", "s-0000000a"))
+        state = dice.pick(tuple(i.WorkerState))
+        zone = dice.pick(("room-a", "room-b", "nowhere"))
+        return Listing(
+            name, "10.0.0.1", dice.byte(), zone, "std", dice.byte() % 3, state, 1.0, float(dice.byte())
+        )
+
+
+class _Datagrams(asyncio.DatagramTransport):
+    def __init__(self) -> None:
+        super().__init__()
+        self.sent: list[bytes] = []
+        self.closed = False
+
+    def sendto(self, data: Any, addr: Any = None) -> None:
+        self.sent.append(bytes(data))
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class Exchange(Target):
+    """The resolver's client, its replies lost, late, old, doubled, foreign and truncated."""
+
+    name = "resolver"
+    modules = ("cedarthread.net.resolver",)
+    work = (400_000, 8000)
+    memory = (4 * 2**20, 2000)
+
+    def draw(self, rng: random.Random) -> bytes:
+        """A script."""
+        return rng.randbytes(rng.choice((10, 40, 80)))
+
+    def check(self, data: bytes) -> None:
+        """Numbers told only go up, and each list told is one that was sent under a number asked for."""
+        told: list[tuple[int, list[Listing]]] = []
+
+        async def work(loop: VirtualLoop) -> None:
+            await self._play(loop, Dice(data), told)
+
+        failures = play(work).failures
+        need(not failures, failures[0] if failures else "")
+        numbers = [serial for serial, _ in told]
+        need(numbers == sorted(set(numbers)), f"told in the order {numbers}")
+
+    async def _play(self, loop: VirtualLoop, dice: Dice, told: list[tuple[int, list[Listing]]]) -> None:
+        resolver = Resolver(lambda serial, listed: told.append((serial, listed)))
+        resolver._random = cast(Any, random.Random(1))
+        transport = _Datagrams()
+        resolver.connection_made(transport)
+        serial, old = 0, list[bytes]()
+        while dice.more():
+            asked = [struct.unpack(">H", query[:2])[0] for query in transport.sent]
+            rng = random.Random(dice.wide())
+            reply = draw_reply(rng, rng.randrange(4))
+            serial += dice.byte() % 3
+            reply.number, reply.serial = rng.choice(asked[-3:]), serial
+            good = pack_reply(reply)
+            before = len(told)
+            match dice.byte() % 8:
+                case 0:
+                    resolver.datagram_received(good[: dice.byte()], None)
+                case 1:
+                    resolver.datagram_received(pack_reply(reply, flags=0x8600), None)
+                    need(len(told) == before, "a truncated reply was taken")
+                case 2:
+                    foreign = struct.pack(">H", (reply.number + 1 + dice.byte()) % 2**16)
+                    resolver.datagram_received(foreign + good[2:], None)
+                    recent = struct.unpack(">H", foreign)[0] in asked[-16:]
+                    need(recent or len(told) == before, "a reply to nothing that was asked was taken")
+                case 3 if old:
+                    resolver.datagram_received(dice.pick(old), None)
+                case 4:
+                    resolver.error_received(OSError(111, "refused"))
+                case 5:
+                    resolver.datagram_received(mutate_bytes(good, rng), None)
+                case _:
+                    resolver.datagram_received(good, None)
+                    old.append(good)
+            await asyncio.sleep(dice.byte() / 100)
+        resolver.stop()
+        need(transport.closed and loop.timers() == 0, "it asks on after its end")
--- /dev/null
+++ b/cedarthread/fuzz/virtual.py
@@ -0,0 +1,236 @@
+"""An event loop whose time moves only when nothing is left to do, and connections made of memory."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+START = 1_000_000.0  # s: loop time at the start, as a Unix time
+
+
+class StuckError(Exception):
+    """Nothing is ready, no timer is set, and the run is not over."""
+
+
+class VirtualLoop(asyncio.BaseEventLoop):
+    """Runs callbacks at once and timers in the order of their times, each late by ``jitter`` seconds."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._now = START
+        self._selector = self  # BaseEventLoop asks it for events, with the time till the next timer
+        self.jitter: Callable[[], float] = lambda: 0.0
+        self.failures: list[str] = []  # what the loop's exception handler was told
+        self.dial: Callable[[Any, str, int], MemoryTransport] | None = None
+        self.set_exception_handler(self._failed)
+
+    def _failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        self.failures.append(f"{context.get('message')}: {context.get('exception')!r}")
+
+    def time(self) -> float:
+        """Seconds."""
+        return self._now
+
+    def unix_ms(self) -> float:
+        """The same clock as the planner takes it."""
+        return self._now * 1000.0
+
+    def call_at(  # type: ignore[override]  # any callback
+        self, when: float, callback: Any, *args: Any, context: Any = None
+    ) -> asyncio.TimerHandle:
+        """As the real one, but the timer may be late."""
+        return super().call_at(when + self.jitter(), callback, *args, context=context)
+
+    def select(self, timeout: float | None) -> list[Any]:
+        """Let time pass."""
+        if timeout is None:
+            raise StuckError("nothing is left to do")
+        self._now += max(0.0, timeout)
+        return []
+
+    def _process_events(self, events: Any) -> None:
+        pass
+
+    def _write_to_self(self) -> None:
+        pass
+
+    def timers(self) -> int:
+        """Timers that are set and not cancelled."""
+        scheduled: list[asyncio.TimerHandle] = getattr(self, "_scheduled")  # noqa: B009
+        return sum(not handle.cancelled() for handle in scheduled)
+
+    async def create_connection(
+        self, protocol_factory: Any, host: Any = None, port: Any = None, **_: Any
+    ) -> Any:
+        """A connection in memory, as ``dial`` says; OSError where it refuses."""
+        assert self.dial is not None
+        transport = self.dial(protocol_factory, str(host), int(port))
+        while transport.hangs:  # nobody answers: the caller's own time limit ends this
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(0)
+        if transport.is_closing():
+            raise ConnectionResetError(104, "reset while it came up")
+        transport.begin(protocol_factory())
+        return transport, transport.protocol
+
+
+def play(work: Callable[[VirtualLoop], Coroutine[Any, Any, None]]) -> VirtualLoop:
+    """Run one coroutine to its end in virtual time; the loop, closed, for its figures."""
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(work(loop))
+        return loop
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+
+
+class MemoryTransport(asyncio.Transport):
+    """The program's end of a connection. The other end takes ``room`` bytes, None for any number.
+
+    What was taken reaches ``on_bytes`` at once; what was not stays in the write buffer, as with a real socket
+    whose peer has stopped reading. ``send`` and ``hang_up`` are what the peer does."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        super().__init__()
+        self.loop = loop
+        self.protocol: Any = None
+        self.room: int | None = None
+        self.hangs = False
+        self.on_bytes: Callable[[bytes], None] = lambda data: None
+        self.on_close: Callable[[], None] = lambda: None
+        self.sent_eof = False
+        self.most_held = 0
+        self._out = bytearray()
+        self._in: list[bytes] = []
+        self._high = 64 * 1024
+        self._paused_writing = self._reading_paused = self._closing = self._lost = False
+        self._eof = False
+
+    def begin(self, protocol: Any) -> None:
+        """The connection is up."""
+        self.protocol = protocol
+        protocol.connection_made(self)
+
+    # The peer's side.
+
+    def send(self, data: bytes) -> None:
+        """The peer sends bytes."""
+        if data and not self._closing:
+            self._in.append(data)
+            self._deliver()
+
+    def send_eof(self) -> None:
+        """The peer writes no more."""
+        self._eof = True
+        self._deliver()
+
+    def hang_up(self) -> None:
+        """The peer resets the connection: what it had not taken is lost."""
+        self._out.clear()
+        self._end(ConnectionResetError("reset by peer"))
+
+    def take(self, room: int | None) -> None:
+        """The peer takes so many more bytes, or all from now on."""
+        self.room = room if room is None or self.room is None else self.room + room
+        self._push()
+
+    def _deliver(self) -> None:
+        while self._in and not self._reading_paused and not self._closing:
+            data = self._in.pop(0)
+            buffer = self.protocol.get_buffer(-1)
+            if not len(buffer):
+                raise AssertionError("get_buffer() returned an empty buffer")
+            count = min(len(buffer), len(data))
+            buffer[:count] = data[:count]
+            if count < len(data):
+                self._in.insert(0, data[count:])
+            self.protocol.buffer_updated(count)
+        if self._eof and not self._in and not self._reading_paused and not self._closing:
+            self._eof = False
+            if not self.protocol.eof_received():
+                self.close()
+
+    # What protocols use.
+
+    def write(self, data: Any) -> None:
+        """Write; what the peer does not take is kept."""
+        if self._lost or self.sent_eof:
+            return
+        self._out += data
+        self._push()
+        self.most_held = max(self.most_held, len(self._out))
+        if len(self._out) > self._high and not self._paused_writing:
+            self._paused_writing = True
+            self.protocol.pause_writing()
+
+    def _push(self) -> None:
+        count = len(self._out) if self.room is None else min(self.room, len(self._out))
+        if self.room is not None:
+            self.room -= count
+        data = bytes(self._out[:count])
+        del self._out[:count]
+        if data:
+            self.on_bytes(data)
+        if len(self._out) <= self._high // 4 and self._paused_writing:
+            self._paused_writing = False
+            self.protocol.resume_writing()
+        if not self._out and self._closing and not self._lost:
+            self._end(None)
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """As asyncio's."""
+        self._high = 64 * 1024 if high is None else high
+
+    def get_write_buffer_size(self) -> int:
+        """Bytes not taken yet."""
+        return len(self._out)
+
+    def pause_reading(self) -> None:
+        """Take no more for now."""
+        self._reading_paused = True
+
+    def resume_reading(self) -> None:
+        """Take again."""
+        if self._reading_paused and not self._closing:
+            self._reading_paused = False
+            self.loop.call_soon(self._deliver)
+
+    def is_closing(self) -> bool:
+        """Is it closed, or about to be?"""
+        return self._closing
+
+    def can_write_eof(self) -> bool:
+        """Yes."""
+        return True
+
+    def write_eof(self) -> None:
+        """No more will be written."""
+        self.sent_eof = True
+
+    def close(self) -> None:
+        """Close once all is written."""
+        if not self._closing:
+            self._closing = True
+            if not self._out:
+                self._end(None)
+
+    def abort(self) -> None:
+        """Close at once."""
+        self._out.clear()
+        self._end(None)
+
+    def _end(self, error: Exception | None) -> None:
+        self._closing = True
+        if not self._lost:
+            self._lost = True
+            self.on_close()
+            if self.protocol is not None:
+                self.loop.call_soon(self.protocol.connection_lost, error)
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Nothing is known here."""
+        return default
--- a/cedarthread/net/dns.py
+++ b/cedarthread/net/dns.py
@@ -9,6 +9,8 @@
 _HEADER = struct.Struct(">6H")
 _RECORD = struct.Struct(">HHIH")
 _SRV = struct.Struct(">3H")
+LONGEST = 255  # bytes of a name, as RFC 1035 has it
+HOPS = 16  # pointers in one name: a chain of them, followed from each record, took seconds
 _TRUNCATED, _RESPONSE, _CODE = 0x0200, 0x8000, 0x000F
 
 
@@ -78,17 +80,19 @@
 def _name(data: bytes, at: int) -> tuple[str, int]:
     """A name and where it ends. A pointer must lead backwards, so that no loop can be."""
     labels: list[str] = []
-    end, least = -1, at
+    end, least, hops, length = -1, at, 0, 1
     while (size := data[at]) != 0:
         if size >= 0xC0:
             to = (size & 0x3F) << 8 | data[at + 1]
-            if to >= least:
-                raise _BadError("a pointer that leads forwards")
+            hops += 1
+            if to >= least or hops > HOPS:
+                raise _BadError("a pointer that leads forwards, or too many")
             end = at + 2 if end < 0 else end
             at = least = to
             continue
-        if size > 63 or len(labels) > 127:
-            raise _BadError("a bad label")
+        length += 1 + size
+        if size > 63 or length > LONGEST:
+            raise _BadError("a bad label, or too long a name")
         labels.append(data[at + 1 : at + 1 + size].decode("ascii").lower())
         at += 1 + size
     return ".".join(labels), at + 1 if end < 0 else end
--- a/cedarthread/net/invoke.py
+++ b/cedarthread/net/invoke.py
@@ -222,7 +222,7 @@
             return self.respond(wanted)
         preferences = head.preferences()
         deferred = "respond-async" in preferences
-        if deferred and not self.front.ready:
+        if deferred and not self.front.ready and not self.front.knows(owner, wanted):
             return self.respond(problem(503, DRAINING, {"Retry-After": "1"}, repeat="harmless"))
         if not deferred and wanted.key is None:
             self.call = self.front.call(owner, wanted, self._answered)
@@ -378,6 +378,11 @@
             repeat,
         )
 
+    def knows(self, owner: str, wanted: Wanted) -> bool:
+        """Is there a call under the request's key that may have run? A repeat is no new call then."""
+        known = self.store.known(owner, wanted.key) if wanted.key is not None else None
+        return known is not None and not isinstance(known.answer, Refused)
+
     def stored(self, owner: str, wanted: Wanted, *, deferred: bool) -> Deferred | Response:
         """The stored call that the request means: a known one by its key, else a new one."""
         bounds = self.store.bounds
--- a/cedarthread/net/invoke_config.py
+++ b/cedarthread/net/invoke_config.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from cedarthread.net import spiffe
+from cedarthread.net.roster import address
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,21 +41,38 @@
 
 def read(path: Path, host: str | None = None, port: int | None = None) -> InvokeConfig:
     """Read the file; paths in it are taken from its folder."""
-    top = tomllib.loads(path.read_text())["invoke"]
-    told_host, _, told_port = str(top["listen"]).rpartition(":")
+    return parse(path.read_bytes(), path, host, port)
+
+
+def parse(raw: bytes, path: Path, host: str | None = None, port: int | None = None) -> InvokeConfig:
+    """The file from its bytes; ValueError says what can't be used in it."""
+    try:
+        return _parse(raw, path, host, port)
+    except KeyError as error:
+        raise ValueError(f"{error} is missing") from None
+    except (TypeError, AttributeError, ArithmeticError, RecursionError) as error:
+        raise ValueError(f"{type(error).__name__}: {error}") from None
+
+
+def _parse(raw: bytes, path: Path, host: str | None, port: int | None) -> InvokeConfig:
+    top = tomllib.loads(raw.decode())["invoke"]
+    told_host, told_port = address(str(top["listen"]))
     allow = tuple(str(pattern) for pattern in top["allow"])
     domain = str(top["trust_domain"])
     for pattern in allow:
         if spiffe.trust_domain(pattern.removesuffix("/*")) != domain:
-            raise ValueError(f"allow: {pattern} is no SPIFFE ID of {domain}")
+            raise ValueError(f"allow: {pattern[:80]} is no SPIFFE ID of {domain}")
+    connections = int(top.get("connections", 128))
+    if not 0 < connections < 2**16:
+        raise ValueError(f"connections takes 1 to 65535, not {connections}")
     return InvokeConfig(
         path,
         host if host is not None else told_host,
-        port if port is not None else int(told_port),
+        port if port is not None else told_port,
         domain,
         path.parent / str(top["svid"]),
         path.parent / str(top["key"]),
         path.parent / str(top["bundle"]),
         allow,
-        int(top.get("connections", 128)),
+        connections,
     )
--- a/cedarthread/net/platform.py
+++ b/cedarthread/net/platform.py
@@ -136,11 +136,14 @@
         """It carries nothing: no open call, and no input that waits here or in the socket to be read."""
         if self.open or self.waits or self.transport is None:
             return False
-        if self.dropping is not None or self.transport.is_closing():
-            return True
-        unread = bytearray(4)
-        fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, unread)
-        return not any(unread)
+        return self.dropping is not None or self.transport.is_closing() or not self.unread()
+
+    def unread(self) -> bool:
+        """Does input wait in the socket?"""
+        assert self.transport is not None
+        count = bytearray(4)
+        fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
+        return any(count)
 
     def _unqueue(self) -> None:
         self.front.queued -= self.queued
--- a/cedarthread/net/resolver.py
+++ b/cedarthread/net/resolver.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections import deque
 from collections.abc import Callable
@@ -24,7 +25,7 @@
 
 def listings(reply: dns.Reply) -> list[Listing] | str:
     """The runners that a reply lists, or what it lacks."""
-    found = []
+    found: dict[str, Listing] = {}
     for service in reply.services:
         name, _, rest = service.target.partition(".")
         address, texts = reply.addresses.get(service.target), reply.texts.get(service.target)
@@ -34,12 +35,15 @@
             cell, started = int(texts.get("cell", "0")), float(texts.get("started", "0"))
         except ValueError:
             return f"odd text for {service.target}"
+        if not math.isfinite(started):  # NaN differs from itself: each reply would be news of a start
+            return f"odd text for {service.target}"
         state = i.WorkerState.READY if service.priority == 0 else i.WorkerState.DRAINING
         zone, kind = rest.partition(".")[0], texts.get("kind", "")
-        found.append(
-            Listing(name, address, service.port, zone, kind, cell, state, service.weight / 10, started)
-        )
-    return found
+        weight = service.weight / 10
+        listing = Listing(name, address, service.port, zone, kind, cell, state, weight, started)
+        if found.setdefault(name, listing) != listing:
+            return f"{name} is listed twice"
+    return list(found.values())
 
 
 class Resolver(asyncio.DatagramProtocol):
--- a/cedarthread/net/roster.py
+++ b/cedarthread/net/roster.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+import math
 import re
 import zlib
 from dataclasses import dataclass, replace
@@ -10,6 +12,8 @@
 from cedarthread import interface as i
 from cedarthread.wire import positive
 
+log = logging.getLogger("cedarthread.roster")
+
 _NUMBERED = re.compile(r"[a-z]+-([0-9a-f]{8})\Z")
 _STATES = {s.value: s for s in i.WorkerState}
 
@@ -35,6 +39,14 @@
     started: float
 
 
+def address(text: str) -> tuple[str, int]:
+    """``10.0.0.4:5050`` or ``[::1]:5050`` as host and port; ValueError where it is none."""
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) < 6 and int(port) < 65536):
+        raise ValueError(f"{text[:80]!r} is no host:port")
+    return host.removeprefix("[").removesuffix("]"), int(port)
+
+
 def _place(names: tuple[str, ...], name: str) -> int:
     return names.index(name) if name in names else len(names)
 
@@ -53,19 +65,33 @@
             return None  # a reply that was overtaken by a later one
         first = self.version < 0
         self.version = version
-        changed = [entry for entry in told if self.listings.get(entry.name) != entry]
+        before = self.by_number()
         if whole:
             names = {entry.name for entry in told}
-            gone = [entry for name, entry in self.listings.items() if name not in names]
-            changed += [replace(entry, state=i.WorkerState.GONE) for entry in gone]
-        for entry in changed:
+            self.listings = {name: entry for name, entry in self.listings.items() if name in names}
+        for entry in told:
             if entry.state is i.WorkerState.GONE:
                 self.listings.pop(entry.name, None)
             else:
                 self.listings[entry.name] = entry
+        after = self.by_number()
+        changed = [entry for number, entry in after.items() if before.get(number) != entry]
+        gone = [entry for number, entry in before.items() if number not in after]
+        changed += [replace(entry, state=i.WorkerState.GONE) for entry in gone]
         kind = i.ListKind.CACHED if first else i.ListKind.DELTA
         return i.Membership(kind, version, tuple(self._worker(entry) for entry in changed))
 
+    def by_number(self) -> dict[int, Listing]:
+        """The workers by number. Of two names under one number the first listed counts."""
+        found: dict[int, Listing] = {}
+        for entry in self.listings.values():
+            first = found.setdefault(worker_number(entry.name), entry)
+            if first is not entry:
+                log.warning(
+                    "runners %s and %s share a number: the second is left out", first.name, entry.name
+                )
+        return found
+
     def _worker(self, entry: Listing) -> i.Worker:
         return i.Worker(
             worker_number(entry.name),
@@ -79,16 +105,19 @@
 
 
 def listing_from_json(entry: dict[str, Any]) -> Listing:
-    """An entry of the configuration's list."""
-    host, _, port = str(entry["address"]).rpartition(":")
+    """An entry of the configuration's list; ValueError, KeyError or TypeError where it is none."""
+    host, port = address(str(entry["address"]))
+    weight, started = float(entry.get("weight", 1)), float(entry.get("since_ms", 0))
+    if not (math.isfinite(weight) and math.isfinite(started)):
+        raise ValueError(f"weight or since_ms of {entry['name']} is no number")
     return Listing(
         str(entry["name"]),
         host,
-        int(port),
+        port,
         str(entry["zone"]),
         str(entry["type"]),
         int(entry.get("group", 0)),
         _STATES[entry["status"]],
-        float(entry.get("weight", 1)),
-        float(entry.get("since_ms", 0)),
+        weight,
+        started,
     )
--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -18,7 +18,7 @@
 from cedarthread import interface as i
 from cedarthread.core.calls import Attempt, Call, Ending, Progress, broken
 from cedarthread.core.planner import Planner
-from cedarthread.net.roster import Listing, worker_number
+from cedarthread.net.roster import Listing
 from cedarthread.net.stream import Flusher, Stream
 
 log = logging.getLogger("cedarthread.runners")
@@ -27,6 +27,7 @@
 CANCEL_SETTLES = (
     0.010  # s from writing CANCEL till the attempt counts as given up: it must have arrived by then
 )
+ORDER_LEAVES = 0.5  # s in which an order to load must begin to leave
 SPENT = 512  # given-up ids after which a connection takes no more
 QUIET = 1.0  # s of silence after which giving an attempt up retires its connection
 IDLE_PART = 0.8  # part of the peer's idle time after which this end closes first
@@ -95,9 +96,11 @@
     for part in text.split(";"):
         name, _, figure = part.partition(":")
         try:
-            told[name] = float(figure)
+            value = float(figure)
         except ValueError:
             continue
+        if math.isfinite(value):
+            told[name] = value
     return tuple(told.get(column) for column in columns)
 
 
@@ -149,29 +152,34 @@
         self.lines.append(_Line(line, carries))
         self.flush_soon()
 
-    def say(self, line: bytes) -> None:
+    def say(self, data: bytes) -> _Line:
         """Queue a line that has no answer."""
         self.used = self._loop.time()
-        self.lines.append(_Line(line))
+        line = _Line(data)
+        self.lines.append(line)
         self.flush_soon()
+        return line
 
-    def withdraw(self, attempt: Attempt) -> bool:
-        """Take an attempt back whose first byte has not left; False where it is too late for that."""
+    def left(self, line: _Line) -> bool:
+        """Has the socket taken all of it?"""
+        return line not in self.lines and line not in self.leaving
+
+    def withdraw(self, carried: Attempt | Order) -> bool:
+        """Take back what no byte of has left; False where it is too late for that."""
         for line in self.lines:
-            if line.carries is attempt:
+            if line.carries is carried:
                 self.lines.remove(line)
-                self.open.pop(attempt.call.name, None)
+                self.open.pop(carried.call.name if isinstance(carried, Attempt) else carried.tag, None)
                 return True
         return False
 
-    def give_up(self, attempt: Attempt) -> bool:
-        """Have the runner drop an attempt; False where it can't be told."""
+    def give_up(self, attempt: Attempt) -> _Line | None:
+        """Have the runner drop an attempt: the line that tells it, None where it can't be told."""
         self.open.pop(attempt.call.name, None)
         self._spend(attempt.call.name)
         if self.paused or self.closed:
-            return False
-        self.say(order_line("CANCEL", attempt.call.name))
-        return True
+            return None
+        return self.say(order_line("CANCEL", attempt.call.name))
 
     def opened(self) -> None:
         """The connection is up: what waited for it leaves."""
@@ -179,8 +187,16 @@
             return super().abort()
         for line in self.lines:
             _mark(line, Progress.UNWRITTEN)
+        self._drop_overdue()
         self.flush_soon()
 
+    def _drop_overdue(self) -> None:
+        """What waited here past the time by which it must leave does not leave any more."""
+        now = self.pool.runners.planner.clock()
+        for carried in [line.carries for line in self.lines]:
+            if isinstance(carried, Attempt) and now > carried.leave_by and self.withdraw(carried):
+                self.pool.runners.broke(carried, unreached=False)
+
     def flush(self) -> None:
         """Hand the queue to the socket, and note how much of it the socket took."""
         self._flush_due = False
@@ -202,11 +218,20 @@
                 self.leaving.append(line)
             taken -= len(line.data)
 
+    def look(self) -> None:
+        """Note what the socket has taken since: a line may have left while others behind it have not."""
+        if self.transport is None or not self.leaving:
+            return
+        waiting = self.transport.get_write_buffer_size()
+        while self.leaving and sum(len(line.data) for line in self.leaving[1:]) >= waiting:
+            _mark(self.leaving.pop(0), Progress.WRITTEN)
+
     def resume_writing(self) -> None:
         """All that was handed over has left."""
         for line in self.leaving:
             _mark(line, Progress.WRITTEN)
         self.leaving.clear()
+        self._drop_overdue()
         super().resume_writing()
 
     def received(self, data: memoryview) -> int | None:
@@ -321,8 +346,8 @@
             connection.retired = True
             for carried in [line.carries for line in connection.lines]:
                 # Guards the rule on drains: what waits for a slow runner must not leave long after the news.
-                if isinstance(carried, Attempt) and connection.withdraw(carried):
-                    self.runners.planner.ended(carried, broken(carried))
+                if carried is not None and connection.withdraw(carried):
+                    self.runners.broke(carried, unreached=False)
             if now:
                 connection.abort()
             elif not connection.open:
@@ -351,9 +376,8 @@
         self._tags = 0
         self._loop = asyncio.get_running_loop()
 
-    def update(self, listings: dict[str, Listing]) -> None:
-        """Follow the roster: runners that are gone or have started anew lose their connections."""
-        told = {worker_number(name): listing for name, listing in listings.items()}
+    def update(self, told: dict[int, Listing]) -> None:
+        """Follow the roster, by number: runners that are gone or have started anew lose their connections."""
         for number, pool in list(self.pools.items()):
             new = told.get(number)
             if new is None:
@@ -392,6 +416,17 @@
         self._carrying[attempt] = connection
         connection.put(attempt.call.name, line, attempt)
 
+    def look(self, attempt: Attempt) -> None:
+        """Bring the attempt's progress up to date."""
+        if (connection := self._carrying.get(attempt)) is not None:
+            connection.look()
+
+    def withdraw(self, attempt: Attempt) -> None:
+        """End an attempt of which nothing has left; any other goes on."""
+        connection = self._carrying.get(attempt)
+        if connection is not None and connection.withdraw(attempt):
+            self.broke(attempt, unreached=False)
+
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up. Its end follows once it is sure not to run on unseen."""
         connection = self._carrying.pop(attempt, None)
@@ -401,11 +436,17 @@
             return self.planner.ended(attempt, broken(attempt))
         # Guards against a machine that has vanished: its connections stay open and silent; a new one tells.
         connection.retired = connection.retired or self._loop.time() - connection.last_read > QUIET
-        if connection.give_up(attempt):
-            self._loop.call_later(CANCEL_SETTLES, self.planner.ended, attempt, Ending(i.Outcome.CANCELLED))
+        told = connection.give_up(attempt)
+        if told is not None:
+            self._loop.call_later(CANCEL_SETTLES, self._given_up, attempt, connection, told)
         else:
-            connection.abort()  # the runner reads nothing: closing is the one way to give it up
-            self.planner.ended(attempt, Ending(i.Outcome.CANCELLED))
+            self._given_up(attempt, connection, None)
+
+    def _given_up(self, attempt: Attempt, connection: RunnerConnection, told: _Line | None) -> None:
+        """Where the runner reads nothing, it has not been told: closing is the one way to give it up."""
+        if told is None or not connection.left(told):
+            connection.abort()
+        self.planner.ended(attempt, Ending(i.Outcome.CANCELLED))
 
     def order(self, worker: int, function: int, copies: int) -> None:
         """Order a load."""
@@ -417,9 +458,15 @@
             return self.order_done(order, i.Outcome.CONNECT_FAILED, 0)
         fields = {"thing": f"{function:016x}", "pods": copies}
         connection.put(order.tag, order_line("LOAD", order.tag, fields), order)
+        self._loop.call_later(ORDER_LEAVES, self._order_stuck, order, connection)
         limit = self.settings.order_timeout / 1000.0
         self._loop.call_later(limit, self.order_done, order, i.Outcome.TIMEOUT, 0)
 
+    def _order_stuck(self, order: Order, connection: RunnerConnection) -> None:
+        """Guards the ration of orders: those that wait for a slow runner would reach it all at once."""
+        if connection.withdraw(order):
+            self.order_done(order, i.Outcome.CONNECT_FAILED, 0)
+
     def unload(self, worker: int, function: int) -> None:
         """Have idle copies unloaded."""
         pool = self.pools.get(worker)
--- a/cedarthread/net/spiffe.py
+++ b/cedarthread/net/spiffe.py
@@ -13,6 +13,7 @@
 _DOMAIN = re.compile(r"[a-z0-9._-]{1,255}\Z")
 _SEGMENT = re.compile(r"[A-Za-z0-9._-]+\Z")
 LONGEST = 2048
+_UNREADABLE = (x509.DuplicateExtension, x509.UnsupportedGeneralNameType, x509.InvalidVersion)
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +48,7 @@
     """Who a verified leaf certificate names, by the rules for X.509-SVIDs."""
     try:
         return _identity(x509.load_der_x509_certificate(certificate))
-    except (ValueError, x509.DuplicateExtension) as error:
+    except (ValueError, *_UNREADABLE) as error:
         return Rejected(f"certificate can't be read: {error}")
 
 
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -80,7 +80,7 @@
                 len(event.workers),
                 len(self.roster.listings),
             )
-            self.runners.update(self.roster.listings)
+            self.runners.update(self.roster.by_number())
             self.planner.membership(event)
 
     async def run(self) -> None:
--- a/cedarthread/wire.py
+++ b/cedarthread/wire.py
@@ -58,6 +58,19 @@
     return None
 
 
+def figure(value: Any, least: float = 0.0) -> float:
+    """A number from ``least`` to 10^15: a larger one, an infinite one or none is a slip, ValueError."""
+    number = float(value)
+    if not least <= number <= 1e15:
+        raise ValueError(f"{number} is not from {least:g} to 1e+15")
+    return number
+
+
+def _window(value: Any) -> float:
+    """A span of ms that is counted in; 0 for none. Under 1 ms is a slip: nothing would be in it."""
+    return figure(value, 1.0) if value else 0.0
+
+
 def _pick(table: dict[Any, Any], key: Any, what: str) -> Any:
     if key not in table:
         raise WireError(f"unknown {what} {key!r}")
@@ -207,7 +220,7 @@
     """Settings from the JSON text; keys that are not known are skipped."""
     try:
         top = json.loads(raw)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise WireError(f"settings: {type(error).__name__}: {error}") from None
     return settings_from(top)
 
@@ -216,7 +229,7 @@
     """Settings from the parsed object."""
     try:
         return _settings(top)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError, ArithmeticError) as error:
         raise WireError(f"settings: {type(error).__name__}: {error}") from None
 
 
@@ -226,74 +239,74 @@
     classes = tuple(
         i.RequestClass(
             name=str(c.get("name", "")),
-            aim=float(c["goal-time"]),
-            deadline=float(c["deadline"]),
-            worth=float(c.get("value", 1)),
-            late_worth=float(c.get("late-worth", 0)),
+            aim=figure(c["goal-time"]),
+            deadline=figure(c["deadline"], 1.0),
+            worth=figure(c.get("value", 1)),
+            late_worth=figure(c.get("late-worth", 0)),
             effect=_pick(_EFFECTS, c["effect"], "effect"),
             group=i.Group(c.get("group") or "all"),
-            window=float(c.get("repeat-window", 0)),
+            window=figure(c.get("repeat-window", 0)),
             stream=bool(c.get("stream", False)),
-            aim_stretch=float(c.get("aim-stretch") or 0),
+            aim_stretch=figure(c.get("aim-stretch") or 0),
         )
         for c in top["classes"]
     )
     tenants = tuple(
-        i.Tenant(str(t.get("name", "")), float(t.get("share", 0)), positive(t.get("quota-per-s")))
+        i.Tenant(str(t.get("name", "")), figure(t.get("share", 0)), positive(t.get("quota-per-s")))
         for t in top.get("tenants") or ()
     )
     return i.Settings(
         classes=classes,
         tenants=tenants,
         limits=i.Limits(
-            attempts=int(limits["send-cap"]),
-            open_requests=int(limits["most-held"]),
+            attempts=int(figure(limits["send-cap"])),
+            open_requests=int(figure(limits["most-held"])),
             cancel=bool(limits.get("cancel", False)),
             probes=bool(limits.get("probing", False)),
             peers=bool(limits.get("peers", False)),
             second_copies=bool(limits.get("second-copies", False)),
             retry_after=bool(limits.get("retry-after", False)),
-            max_retry_after=float(limits.get("max-retry-after", 0)),
-            streams=int(limits.get("streams-per-conn") or 32),
-            connect_timeout=float(limits.get("connect-timeout") or 250),
-            idle=float(limits.get("conn-idle") or 30000),
+            max_retry_after=figure(limits.get("max-retry-after", 0)),
+            streams=int(figure(limits.get("streams-per-conn") or 32)),
+            connect_timeout=figure(limits.get("connect-timeout") or 250),
+            idle=figure(limits.get("conn-idle") or 30000),
         ),
         rules=i.Rules(
-            answer_slack=float(rules.get("answer-slack", 0)),
-            drain_grace=float(rules.get("stop-sending-within", 0)),
-            cold_from=float(rules.get("cold-from", 1)),
-            cold_time=float(rules.get("warm-after", 0)),
-            fall_multiple=float(rules.get("overload-factor", 1)),
-            fall_time=float(rules.get("fall", 0)),
-            ask_within=float(rules.get("ask-every", 0)),
-            load_free=float(special.get("loads-anyway", 0)),
-            load_share=float(special.get("load-share", 0)),
-            load_window=float(special.get("load-window", 0)),
+            answer_slack=figure(rules.get("answer-slack", 0)),
+            drain_grace=figure(rules.get("stop-sending-within", 0)),
+            cold_from=figure(rules.get("cold-from", 1)),
+            cold_time=figure(rules.get("warm-after", 0)),
+            fall_multiple=figure(rules.get("overload-factor", 1)),
+            fall_time=figure(rules.get("fall", 0)),
+            ask_within=figure(rules.get("ask-every", 0)),
+            load_free=figure(special.get("loads-anyway", 0)),
+            load_share=figure(special.get("load-share", 0)),
+            load_window=_window(special.get("load-window", 0)),
         ),
         prices=i.Prices(
-            fetch=float(prices.get("origin", 0)),
-            probe=float(prices.get("probe", 0)),
-            peer=float(prices.get("peer", 0)),
-            cross_zone=float(prices.get("cross-zone", 0)),
-            waste=float(prices.get("waste", 0)),
-            late_fail=float(prices.get("late-fail", 0)),
-            idle_memory=float(special.get("idle-price", 0)),
+            fetch=figure(prices.get("origin", 0)),
+            probe=figure(prices.get("probe", 0)),
+            peer=figure(prices.get("peer", 0)),
+            cross_zone=figure(prices.get("cross-zone", 0)),
+            waste=figure(prices.get("waste", 0)),
+            late_fail=figure(prices.get("late-fail", 0)),
+            idle_memory=figure(special.get("idle-price", 0)),
         ),
-        gateways=int(top["balancers"]),
-        ordinal=int(top.get("ordinal", 0)),
-        zone=int(top.get("zone", 0)),
-        tick=float(top.get("quantum", 0)),
+        gateways=int(figure(top["balancers"])),
+        ordinal=int(figure(top.get("ordinal", 0))),
+        zone=int(figure(top.get("zone", 0))),
+        tick=figure(top.get("quantum", 0)),
         discovery=i.Discovery(top.get("membership-mode", "push")),
         on_miss=i.OnMiss(special.get("on-miss", "load")),
         orders=bool(special.get("may-order", False)),
-        keep_alive=float(special.get("keep-alive", 0)),
-        order_timeout=float(special.get("order-limit", 0)),
+        keep_alive=figure(special.get("keep-alive", 0)),
+        order_timeout=figure(special.get("order-limit", 0)),
         tells_warm=bool(special.get("says-warm", False)),
         tells_crowd=bool(special.get("notes-peers-in-hand", False)),
-        over_share_worth=float(top.get("over-share-worth", 1)),
+        over_share_worth=figure(top.get("over-share-worth", 1)),
         reports=i.Reports(report.get("how", "none")),
         report_columns=tuple(str(c) for c in report.get("columns", ())),
-        memory_by_kind=tuple(float(m) for m in special.get("memory-mb-by-kind", ())),
+        memory_by_kind=tuple(figure(m) for m in special.get("memory-mb-by-kind", ())),
         weights=i.Weights(top.get("weight-source", "none")),
         zones=tuple(str(z) for z in top.get("localities", ())),
         kinds=tuple(str(k) for k in top.get("kinds", ())),
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -39,6 +39,10 @@
         attempt.progress = Progress.WRITTEN
         self.sent.append(attempt)
 
+    def look(self, attempt: Attempt) -> None: ...
+
+    def withdraw(self, attempt: Attempt) -> None: ...
+
     def cancel(self, attempt: Attempt) -> None:
         self.cancelled.append(attempt)
         self.planner.ended(attempt, Ending(i.Outcome.CANCELLED))
--- a/tests/test_runners.py
+++ b/tests/test_runners.py
@@ -14,7 +14,7 @@
 from cedarthread.core.planner import Planner
 from cedarthread.net.resolver import Resolver
 from cedarthread.net.roster import Listing, Roster
-from cedarthread.net.runners import Pool, RunnerConnection, Runners
+from cedarthread.net.runners import Order, Pool, RunnerConnection, Runners
 from cedarthread.net.stream import Flusher
 from tests.standins import SETTINGS
 from tests.test_parsers import reply
@@ -325,3 +325,24 @@
         assert told == [9, 10]
 
     asyncio.run(test())
+
+
+def test_what_waits_for_a_slow_runner_past_its_time_does_not_leave() -> None:
+    """An order to load after half a second, and a keyed call's repeat after its window."""
+
+    async def test() -> None:
+        bench = Bench(10)
+        bench.send("a" * 16)
+        bench.flush()  # the runner reads no further: what comes now waits
+        late = bench.send("b" * 16)
+        late.leave_by = bench.planner.clock() - 1.0
+        bench.runners.order(1, 7, 1)
+        (order,) = [line.carries for line in bench.connection.lines if isinstance(line.carries, Order)]
+        bench.runners._order_stuck(order, bench.connection)
+        assert [event.outcome for event in bench.planner.orders] == [i.Outcome.CONNECT_FAILED]
+        wrote = bench.socket.wrote
+        bench.socket.held = 0
+        bench.connection.resume_writing()
+        assert bench.socket.wrote == wrote and bench.planner.ends["b" * 16] is i.Outcome.CONNECT_FAILED
+
+    asyncio.run(test())
