--- a/cedarthread/fuzz/streams.py
+++ b/cedarthread/fuzz/streams.py
@@ -139,8 +139,8 @@
     """One message of the platform's protocol, good or odd."""
     klass = rng.choice(("check", "revise", "confirm", "none"))
     fields = {"txn": f"{number:016x}", "limit": "2000", "item": FUNCTION, "unique": f"u{number}"}
-    if rng.random() < 0.3:
-        name = rng.choice(("txn", "limit", "item", "props", "second", "unique", "extra"))
+    if rng.random() < 0.5:
+        name = rng.choice(("txn", "limit", "item", "props", "props", "second", "unique", "extra"))
         figures = (
             "memory_mb:512;lanes:2",
             "lanes:nan",
@@ -149,7 +149,9 @@
             "lanes:1;lanes:2",
             "lanes:5e-324",
         )
-        fields[name] = rng.choice((*ODD, *figures))[:60]
+        fields[name] = rng.choice(figures if name == "props" else ODD)[:60]
+        if rng.random() < 0.3:
+            del fields[name]
     body: Any = rng.choice((b"", b"body", rng.randbytes(40), "text", b"z" * 17_000))
     match rng.randrange(12):
         case 0:
