--- a/cedarthread/wire.py
+++ b/cedarthread/wire.py
@@ -66,6 +66,13 @@
     return number
 
 
+def _span(ms: float) -> float:
+    """A time or a span. Past 10^15 ms adding to a clock may leave it as it is: timers never end."""
+    if not abs(ms) <= 1e15:
+        raise WireError(f"{ms} ms is no time")
+    return ms
+
+
 def _window(value: Any) -> float:
     """A span of ms that is counted in; 0 for none. Under 1 ms is a slip: nothing would be in it."""
     return figure(value, 1.0) if value else 0.0
@@ -127,6 +134,7 @@
         length, now, count = _HEADER.unpack_from(frame)
         if length != len(frame):
             raise WireError(f"batch says {length} bytes and has {len(frame)}")
+        _span(now)
         reader = _Reader(frame)
         reader.at = _HEADER.size
         return now, self._records(reader, count)
@@ -179,7 +187,7 @@
                 tid,
                 key,
                 klass,
-                give_up,
+                _span(give_up),
                 tenant if self.has_tenants.get(who) else None,
                 positive(lanes),
                 positive(memory),
@@ -189,14 +197,15 @@
                 bool(flags & 4),
             )
         if code == 4:
-            return i.StreamBegan(*r.take(_FIRST))
+            request, attempt, worker, took = r.take(_FIRST)
+            return i.StreamBegan(request, attempt, worker, _span(took))
         if code == 5:
             tid, host, lag, remark, attempt, verdict, settled = r.take(_DONE)
             outcome = _pick(_OUTCOMES, verdict, "verdict")
             low = remark & 7
             note = _NOTES[low] if low < len(_NOTES) else i.CopyNote.NONE
             return i.AttemptEnded(
-                tid, attempt, host, outcome, lag, bool(settled), note, (remark >> 3) & 31, r.report()
+                tid, attempt, host, outcome, _span(lag), bool(settled), note, (remark >> 3) & 31, r.report()
             )
         if code == 6:
             return i.ClientGone(*r.take(_U32))
@@ -204,7 +213,7 @@
             return i.TimerDue(*r.take(_U32))
         if code == 8:
             lag, host, verdict = r.take(_SAMPLED)
-            return i.ProbeEnded(host, _pick(_OUTCOMES, verdict, "verdict"), lag, r.report())
+            return i.ProbeEnded(host, _pick(_OUTCOMES, verdict, "verdict"), _span(lag), r.report())
         if code == 9:
             sender, count = r.take(_MEMO)
             return i.PeerMessage(sender, r.bytes(count))
@@ -212,7 +221,7 @@
             return Kill()
         if code == 11:
             copies, host, key, verdict, lag = r.take(_READY)
-            return i.OrderEnded(host, key, _pick(_OUTCOMES, verdict, "verdict"), copies, lag)
+            return i.OrderEnded(host, key, _pick(_OUTCOMES, verdict, "verdict"), copies, _span(lag))
         raise WireError(f"unknown event code {code}")
 
 
