Close a slow runner's connection if what it was handed has not left soon after a drain

Cause: a line handed to a socket that takes nothing can't be called back; at a drain it could begin to leave long after the news. A drawn script also showed the ledger at fault: where cancelling is not permitted, a call handed over before its final answer may still leave after it.

--- a/cedarthread/fuzz/peers.py
+++ b/cedarthread/fuzz/peers.py
@@ -37,6 +37,7 @@
     def __init__(self, worker: Worker, transport: MemoryTransport) -> None:
         self.worker, self.transport = worker, transport
         self.buffer = b""
+        self.taken = 0  # bytes of the lines that came whole
         self.began = 0.0  # when the first byte of the line that is coming left the router
         self.held: list[Held] = []
         self.up = True
@@ -51,7 +52,9 @@
         self.buffer += data
         *lines, self.buffer = self.buffer.split(b"\n")
         for line in lines:
-            self.worker.line(self, json.loads(line), self.began)
+            handed = max(when for at, when in self.transport.handed if at <= self.taken)
+            self.taken += len(line) + 1
+            self.worker.line(self, json.loads(line), self.began, handed)
             self.began = now
 
     def closed(self) -> None:
@@ -87,8 +90,8 @@
         self.links.append(Link(self, transport))
         return transport
 
-    def line(self, link: Link, message: dict[str, Any], began: float) -> None:
-        """A whole line of the router's."""
+    def line(self, link: Link, message: dict[str, Any], began: float, handed: float) -> None:
+        """A whole line of the router's: when its first byte left, and when it was handed to the socket."""
         now, op, name = self.loop.unix_ms(), message["op"], message["id"]
         if op == "CALL":
             key = base64.b64decode(message["body"]).decode()
@@ -96,7 +99,7 @@
                 raise Finding(f"function {message['fields']['thing']} was never asked for")
             if any(held.name == name for held in link.held):
                 raise Finding(f"two calls named {name} are open on one connection")
-            tried = self.ledger.out(now, key, self.number, began)
+            tried = self.ledger.out(now, key, self.number, began, handed)
             link.held.append(Held(name, key, link, tried, message["fields"]["thing"]))
         elif op == "CANCEL":
             for held in [h for h in link.held if h.name == name and h.tried is not None]:
--- a/cedarthread/fuzz/planted.py
+++ b/cedarthread/fuzz/planted.py
@@ -236,6 +236,7 @@
     Defect("cancel-not-told", "calls", 6000, ((runners.Runners, "_given_up", _cancel_unsure),)),
     Defect("half-written-unseen", "calls", 9000, ((runners.RunnerConnection, "look", _nothing),)),
     Defect("repeat-refused-at-end", "calls", 6000, ((invoke.InvokeFront, "knows", _never),)),
+    Defect("unsent-not-withdrawn", "calls", 9000, ((runners.Runners, "withdraw", _nothing),)),
     Defect("length-unchecked", "msgpack", 400, ((msgpack, "_slice", _no_limit),)),
     Defect("depth-unchecked", "msgpack", 400, ((msgpack, "_room", _nothing),)),
     Defect("dns-loop", "dns", 200, ((dns, "_name", FunctionType(_loose_name.__code__, vars(dns))),)),
--- a/cedarthread/fuzz/virtual.py
+++ b/cedarthread/fuzz/virtual.py
@@ -103,7 +103,8 @@
         self.on_bytes: Callable[[bytes], None] = lambda data: None
         self.on_close: Callable[[], None] = lambda: None
         self.sent_eof = False
-        self.most_held = 0
+        self.handed: list[tuple[int, float]] = [(0, 0.0)]  # from which byte on was handed over when (Unix ms)
+        self._count = 0
         self._out = bytearray()
         self._in: list[bytes] = []
         self._high = 64 * 1024
@@ -160,9 +161,10 @@
         """Write; what the peer does not take is kept."""
         if self._lost or self.sent_eof:
             return
+        self.handed.append((self._count, self.loop.unix_ms()))
+        self._count += len(data)
         self._out += data
         self._push()
-        self.most_held = max(self.most_held, len(self._out))
         if len(self._out) > self._high and not self._paused_writing:
             self._paused_writing = True
             self.protocol.pause_writing()
--- a/cedarthread/ledger/book.py
+++ b/cedarthread/ledger/book.py
@@ -143,8 +143,11 @@
 
     # What workers saw.
 
-    def out(self, at: float, call: str, worker: int, began: float | None = None) -> Tried:
-        """An attempt came whole to a worker; ``began``: when its first byte left, if that was earlier."""
+    def out(
+        self, at: float, call: str, worker: int, began: float | None = None, handed: float | None = None
+    ) -> Tried:
+        """An attempt came whole to a worker; ``began``: when its first byte left, if that was earlier;
+        ``handed``: when it was handed to a socket that took nothing more, from where none comes back."""
         self.attempt_count += 1
         listed = self._listed.get(worker)
         tried = Tried(worker, at, listed.zone if listed else -1, listed.cell if listed else -1)
@@ -154,7 +157,8 @@
         if entry is None:
             self._breach("attempts", at, f"an attempt of {call}, which nobody asked")
             return tried
-        if began > entry.answered_at or (began == at and entry.answers):
+        handed = began if handed is None else handed
+        if handed > entry.answered_at or (handed == at and entry.answers):
             self._breach("attempts", at, f"call {call} sent after its final answer")
         if not self.figures.second_copies and any(t.out for t in entry.tries):
             self._breach("attempts", at, f"call {call} has two attempts out")
--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -27,6 +27,7 @@
 CANCEL_SETTLES = (
     0.010  # s from writing CANCEL till the attempt counts as given up: it must have arrived by then
 )
+DRAIN_LEAVES = 0.4  # s after news of a drain in which what was handed to the socket must have left
 ORDER_LEAVES = 0.5  # s in which an order to load must begin to leave
 SPENT = 512  # given-up ids after which a connection takes no more
 QUIET = 1.0  # s of silence after which giving an attempt up retires its connection
@@ -137,6 +138,12 @@
         self.used = self._loop.time()
         self.born = pool.runners.planner.clock()
 
+    def stuck(self, lines: list[_Line]) -> None:
+        """Close if some of these lines have not left: nothing may begin to leave long after a drain."""
+        self.look()
+        if not self.closed and any(line in self.leaving for line in lines):
+            self.abort()
+
     def takes(self, name: str) -> bool:
         """May a further attempt of this name go here?"""
         if self.retired or self.closed or name in self.open or name in self.spent:
@@ -352,6 +359,8 @@
                 connection.abort()
             elif not connection.open:
                 connection.close()
+            elif connection.leaving:
+                self.runners._loop.call_later(DRAIN_LEAVES, connection.stuck, list(connection.leaving))
 
     def sweep(self, now: float, idle: float) -> None:
         """Close what has carried nothing for long, before the runner does and a call crosses its close."""
--- a/tests/test_runners.py
+++ b/tests/test_runners.py
@@ -346,3 +346,17 @@
         assert bench.socket.wrote == wrote and bench.planner.ends["b" * 16] is i.Outcome.CONNECT_FAILED
 
     asyncio.run(test())
+
+
+def test_after_news_of_a_drain_what_a_slow_runner_has_not_taken_goes_with_its_connection() -> None:
+    async def test() -> None:
+        bench = Bench(10)
+        bench.send("a" * 16)
+        bench.flush()
+        waiting = list(bench.connection.leaving)
+        bench.pool.retire(now=False)
+        assert not bench.socket.aborted
+        bench.connection.stuck(waiting)
+        assert bench.socket.aborted
+
+    asyncio.run(test())
