Call off unsent attempts and orders in one place; drop unused names

Need: withdrawing a line and ending what it carried stood three times in the runners' connections, and a few names of the ledger and the planted defects were used by nobody. Change: RunnerConnection.call_off serves drains, late repeats and settled calls; dead names are gone. Behaviour is the same.

--- a/cedarthread/fuzz/planted.py
+++ b/cedarthread/fuzz/planted.py
@@ -56,7 +56,6 @@
 _release = planner.Planner._release
 _send = planner.Planner._send
 _may_order = Router._may_order
-_slice = msgpack._slice
 _length = http._length
 _read_ending = runners.read_ending
 
@@ -280,6 +279,3 @@
         else:
             tell(f"{defect.name:24} {defect.target:12} run {found[0]:5} of {defect.runs:5}  {found[1][:60]}")
     return missed
-
-
-__all__ = ["DEFECTS", "Defect", "prove", "runs_until_found"]
--- a/cedarthread/ledger/book.py
+++ b/cedarthread/ledger/book.py
@@ -85,8 +85,6 @@
     def __init__(self, figures: Figures) -> None:
         self.figures = figures
         self.breaches: list[Breach] = []
-        self.taken_count = 0
-        self.attempt_count = 0
         self._calls: dict[str, _Entry] = {}
         self._listed: dict[int, _Listed] = {}
         self._taken: deque[float] = deque()
@@ -110,7 +108,6 @@
         if call in self._calls:
             return self._breach("harness", at, f"call {call} was recorded twice")
         self._calls[call] = _Entry(terms, deadline)
-        self.taken_count += 1
         self._taken.append(at)
 
     def left(self, at: float, call: str) -> None:
@@ -148,7 +145,6 @@
     ) -> Tried:
         """An attempt came whole to a worker; ``began``: when its first byte left, if that was earlier;
         ``handed``: when it was handed to a socket that took nothing more, from where none comes back."""
-        self.attempt_count += 1
         listed = self._listed.get(worker)
         tried = Tried(worker, at, listed.zone if listed else -1, listed.cell if listed else -1)
         began = at if began is None else began
--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -180,6 +180,11 @@
                 return True
         return False
 
+    def call_off(self, carried: Attempt | Order) -> None:
+        """Withdraw it, and end it as one that never ran; what has begun to leave goes on."""
+        if self.withdraw(carried):
+            self.pool.runners.broke(carried, unreached=False)
+
     def give_up(self, attempt: Attempt) -> _Line | None:
         """Have the runner drop an attempt: the line that tells it, None where it can't be told."""
         self.open.pop(attempt.call.name, None)
@@ -201,8 +206,8 @@
         """What waited here past the time by which it must leave does not leave any more."""
         now = self.pool.runners.planner.clock()
         for carried in [line.carries for line in self.lines]:
-            if isinstance(carried, Attempt) and now > carried.leave_by and self.withdraw(carried):
-                self.pool.runners.broke(carried, unreached=False)
+            if isinstance(carried, Attempt) and now > carried.leave_by:
+                self.call_off(carried)
 
     def flush(self) -> None:
         """Hand the queue to the socket, and note how much of it the socket took."""
@@ -353,8 +358,8 @@
             connection.retired = True
             for carried in [line.carries for line in connection.lines]:
                 # Guards the rule on drains: what waits for a slow runner must not leave long after the news.
-                if carried is not None and connection.withdraw(carried):
-                    self.runners.broke(carried, unreached=False)
+                if carried is not None:
+                    connection.call_off(carried)
             if now:
                 connection.abort()
             elif not connection.open:
@@ -432,9 +437,8 @@
 
     def withdraw(self, attempt: Attempt) -> None:
         """End an attempt of which nothing has left; any other goes on."""
-        connection = self._carrying.get(attempt)
-        if connection is not None and connection.withdraw(attempt):
-            self.broke(attempt, unreached=False)
+        if (connection := self._carrying.get(attempt)) is not None:
+            connection.call_off(attempt)
 
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up. Its end follows once it is sure not to run on unseen."""
