Keep fewer homes where each would get few calls; remember rare answers longer

`_near` gave a function 10 homes for each runner that it would fill, whatever a home gets within the time that a copy may lie idle; slow runners (5 to 6 times the usual time) still got two thirds of a sound one's calls, for each router hears a runner every 3 s and SEEN_TIME forgets within 4. Change: homes need 14 calls of the fleet each while a copy may lie idle, by own rate and the number of routers; the memory of what answers show follows the own rate, from 4 to 12 s.

--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -19,7 +19,8 @@
 # The design's own numbers.
 ALPHA = 0.03  # share by which a send moves warmth: up on the chosen worker, down on the others
 FACTOR = 4.0  # requests out, in lanes, that weigh as much as a whole step from warm to cold
-HOMES = 10.0  # homes of a function for each worker that its part of the calls would fill, at no price
+HOMES = 10.0  # homes of a function for each worker that its part of the calls would fill, at most
+HOME_CALLS = 14.0  # calls of the fleet that each home has to get while a copy may lie idle: loads are dear
 IDLE_WEIGHT = 10.0  # a price of idle memory makes them fewer, for each holds copies: by half at 0.1
 SPARE = 2  # workers after the homes that are looked at too
 SPREAD = 0.1  # distance by which a gateway prefers one home of such a function: no more than warmth lacks
@@ -32,7 +33,8 @@
 RATE_TIME = 5000.0  # ms, time constant of rates: some windows of rule 4, well under a warm-up
 FIRST_GUESS = 4.0  # before any answer, service is taken to need the aim divided by this
 FAINT = 0.01  # warmth under this is forgotten
-SEEN_TIME = 4000.0  # ms in which what answers show of a worker's load fades
+SEEN_TIME, SEEN_MOST = 4000.0, 12000.0  # ms in which what answers show of a worker fades, least and most
+SEEN_ANSWERS = 4.0  # between these, the time that so many own calls to one worker take
 SEEN_PRIOR = 0.5  # answers' worth of doubt: one answer alone counts for two thirds
 CROWD_PART = 0.25  # part of a request out that each request of others weighs: a worker has some cores
 
@@ -136,9 +138,10 @@
         """Requests out there beyond what its answers should have taken: a mean that fades by time."""
         return self.seen.read(now) / (self.answers.read(now) + SEEN_PRIOR)
 
-    def shows(self, now: float, load: float) -> None:
+    def shows(self, now: float, load: float, memory: float) -> None:
         self.seen.add(now, load)
         self.answers.add(now, 1.0)
+        self.seen.time = self.answers.time = memory
 
 
 @dataclass(slots=True)
@@ -196,6 +199,7 @@
         self.recent = [_Fading(SHED_TIME) for _ in settings.classes]  # time over aim, failures' too
         self.tenants = [_Fading(RATE_TIME) for _ in settings.tenants]
         self.calls = _Fading(RATE_TIME)
+        self.began = math.inf  # when the first call came
         self.demand = _Fading(RATE_TIME)  # work of first tries that were not refused
         self.value, self.loads = _Ewma(), _Ewma()
         self.budget, self.loads_out = RETRY_MOST, 0
@@ -315,6 +319,7 @@
         function.lanes = max(request.lanes or 1.0, 1.0)
         function.calls.add(now, 1.0)
         self.calls.add(now, 1.0)
+        self.began = min(self.began, now)
         return function
 
     def _refuses(self, job: _Open, over: float) -> bool:
@@ -406,12 +411,11 @@
         """Warm workers, then the function's homes, then the others, with what their place adds.
 
         Homes come by weighted rendezvous hashing: gateways that share nothing agree on them. Their number
-        follows the function's part of the calls, which every gateway's own traffic shows."""
+        follows the function's part of the calls, which every gateway's own traffic shows; in a fleet so large
+        that a home would get few of them, it follows what keeps a copy in use (``_homes``)."""
         if function.epoch != self.epoch:
             function.epoch, function.order = self.epoch, self._ranked(function)
-        calls = function.calls.read(self.now)
-        part = max(0.0, calls - math.sqrt(calls)) / self.calls.read(self.now)
-        homes = 1 + int(self.homes * part * len(self.workers))
+        homes = self._homes(function)
         for worker in list(function.warmth):
             if self._warmth(function, worker) > 0.0 and worker in self.workers:
                 yield self.workers[worker], 0.0
@@ -424,6 +428,22 @@
             shared = SPREAD * (view.ration - 1.0) - lent if homes > 1 else 0.0
             yield view, shared if place <= homes else min(place - homes, SPARE + 1) * RANK_STEP
 
+    def _homes(self, function: _Function) -> int:
+        calls = function.calls.read(self.now)
+        part = max(0.0, calls - math.sqrt(calls)) / self.calls.read(self.now)
+        kept = self._rate() * max(1, self.s.gateways) * self.s.keep_alive / HOME_CALLS
+        return 1 + int(part * min(self.homes * len(self.workers), kept))
+
+    def _rate(self) -> float:
+        """Own calls a ms; right after the start too, when few of those that fade have come."""
+        known = 1.0 - math.exp(-max(1.0, self.now - self.began) / RATE_TIME)
+        return self.calls.read(self.now) / RATE_TIME / known
+
+    def _memory(self) -> float:
+        """The fewer own calls a worker gets, the longer is remembered what they showed of it."""
+        wanted = SEEN_ANSWERS * len(self.workers) / max(self._rate(), 1e-9)
+        return min(max(wanted, SEEN_TIME), SEEN_MOST)
+
     def _ranked(self, function: _Function) -> list[_WorkerView]:
         sized = self.s.weights in (i.Weights.NOMINAL, i.Weights.ROUGH)
 
@@ -553,7 +573,7 @@
                 view.turned[attempt.key].move(now, 0.5, 0.0)
             if not attempt.cold:
                 others = CROWD_PART * max(0, (event.crowd or 0) - 1)
-                view.shows(now, max(event.took / max(attempt.expected, 1.0) - 1.0, others))
+                view.shows(now, max(event.took / max(attempt.expected, 1.0) - 1.0, others), self._memory())
             view.trouble = min(view.trouble, EJECT / 2) if attempt.trial else view.trouble
             self._symptom(view, 0.0)
         elif outcome in _FAILED:
@@ -573,7 +593,7 @@
                 self._open_breaker(view)
         elif outcome is i.Outcome.FULL:
             view.turned.setdefault(attempt.key, _Fading(TURNED_TIME)).move(now, 0.5, 2.0)
-            view.shows(now, max(view.load(now), aim / max(attempt.expected, 1.0)))
+            view.shows(now, max(view.load(now), aim / max(attempt.expected, 1.0)), self._memory())
 
     def _check(self, number: int, job: _Open) -> None:
         """An attempt that is out for long: silence is a symptom; safe requests get another try in time."""
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -608,3 +608,33 @@
         (at,) = sends(d.ask())
         d.end(number, at)
     assert not view.broken
+
+
+@pytest.mark.parametrize(("gateways", "workers", "every"), [(1, 4, 24.0), (3, 12, 24.0), (40, 40, 80.0)])
+def test_each_home_gets_enough_calls_of_the_fleet_to_stay_loaded(
+    gateways: int, workers: int, every: float
+) -> None:
+    """Copies multiplied with the fleet: at 40 routers a hot function had 28 homes, idle ones among them."""
+    entries = [worker(n) for n in range(1, workers + 1)]
+    d = Drive(*entries, gateways=gateways, keep_alive=4700.0)
+    for number in range(300):
+        d.ask(7 if number % 4 == 0 else 1000 + number % 50, after=every)
+        d.end(d.ids, sends(d.actions)[-1], after=0.0)
+    homes = d.router._homes(d.router.functions[7])
+    kept = gateways * 4700.0 / every / 4  # calls of the function by all gateways while a copy may lie idle
+    assert 1 < homes <= 1 + 2.5 * workers, "no more than the fleet's size ever asked for"
+    assert kept / homes > decide.HOME_CALLS / 2
+
+
+def test_a_rare_answer_is_remembered_longer_than_one_of_many() -> None:
+    """Of 40 workers each router hears every few seconds: what one showed had faded by then."""
+    left = {}
+    for workers, every in ((2, 50.0), (12, 24.0), (40, 85.0)):
+        d = Drive(*(worker(n) for n in range(1, workers + 1)), gateways=workers)
+        for _ in range(60):
+            d.ask(after=every)
+            d.end(d.ids, sends(d.actions)[-1], after=0.0)
+        view = decide._WorkerView(worker(99), 0, 0.0)
+        view.shows(d.now, 4.0, d.router._memory())
+        left[workers] = view.load(d.now + 8000.0) / view.load(d.now)
+    assert left[2] == left[12] < 0.35 < 0.7 < left[40]
