Count what workers report to hold for others as load

Cause: `_distance` knew a worker's load by own calls out and own answers alone, and `_learn` dropped the reports. Change: the held requests of a report, less own calls out, fade in a quarter of the memory of answers, are drawn to the usual by doubt, and count beyond the usual as 0.15 of a request out each. _Mean takes the place of two paired figures.

--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -36,6 +36,10 @@
 SEEN_TIME, SEEN_MOST = 4000.0, 12000.0  # ms in which what answers show of a worker fades, least and most
 SEEN_ANSWERS = 4.0  # between these, the time that so many own calls to one worker take
 SEEN_PRIOR = 0.5  # answers' worth of doubt: one answer alone counts for two thirds
+OTHERS_PART = (
+    0.15  # part of a request out that each one of others weighs that it says to hold beyond the usual
+)
+REPORT_PART = 0.25  # part of that time in which what it said to hold fades: that changes with every call
 CROWD_PART = 0.25  # part of a request out that each request of others weighs: a worker has some cores
 
 # Health: one score a worker, 0 sound to 1 broken, fed by failures and silence alike.
@@ -101,6 +105,26 @@
         self.value, self.at = old + gain * (to - old), now
 
 
+@dataclass(slots=True)
+class _Mean:
+    """A mean of values that fade by time, drawn to a prior by its doubt."""
+
+    total: _Fading
+    count: _Fading
+
+    @staticmethod
+    def over(time: float) -> _Mean:
+        return _Mean(_Fading(time), _Fading(time))
+
+    def read(self, now: float, doubt: float, prior: float = 0.0) -> float:
+        return (self.total.read(now) + doubt * prior) / (self.count.read(now) + doubt)
+
+    def add(self, now: float, value: float, time: float) -> None:
+        self.total.add(now, value)
+        self.count.add(now, 1.0)
+        self.total.time = self.count.time = time
+
+
 @dataclass(slots=True)
 class _Attempt:
     worker: i.Worker
@@ -130,18 +154,13 @@
     last_answer: float = -math.inf
     down_at: float = -math.inf  # when it was last found down: it may start anew untold
     broke_at: float = -math.inf  # the last broken connection: what broke with it is one symptom
-    seen: _Fading = field(default_factory=lambda: _Fading(SEEN_TIME))
-    answers: _Fading = field(default_factory=lambda: _Fading(SEEN_TIME))
+    seen: _Mean = field(default_factory=lambda: _Mean.over(SEEN_TIME))
+    holds: _Mean = field(default_factory=lambda: _Mean.over(SEEN_TIME))  # requests of others, by its reports
     turned: dict[tuple[int, int | None], _Fading] = field(default_factory=dict)
 
     def load(self, now: float) -> float:
         """Requests out there beyond what its answers should have taken: a mean that fades by time."""
-        return self.seen.read(now) / (self.answers.read(now) + SEEN_PRIOR)
-
-    def shows(self, now: float, load: float, memory: float) -> None:
-        self.seen.add(now, load)
-        self.answers.add(now, 1.0)
-        self.seen.time = self.answers.time = memory
+        return self.seen.read(now, SEEN_PRIOR)
 
 
 @dataclass(slots=True)
@@ -200,6 +219,10 @@
         self.tenants = [_Fading(RATE_TIME) for _ in settings.tenants]
         self.calls = _Fading(RATE_TIME)
         self.began = math.inf  # when the first call came
+        self.usual = _Mean.over(RATE_TIME)  # requests of others that a worker says to hold
+        self.inflight = (
+            settings.report_columns.index("inflight") if "inflight" in settings.report_columns else -1
+        )
         self.demand = _Fading(RATE_TIME)  # work of first tries that were not refused
         self.value, self.loads = _Ewma(), _Ewma()
         self.budget, self.loads_out = RETRY_MOST, 0
@@ -463,7 +486,7 @@
         return warmth
 
     def _distance(self, function: _Function, view: _WorkerView, key: tuple[int, int | None]) -> float:
-        load = view.pending / function.lanes + view.load(self.now)
+        load = view.pending / function.lanes + view.load(self.now) + self._crowded(view)
         turned = view.turned.get(key)
         guard = view.trouble + (turned.read(self.now) if turned else 0.0)
         guard += self.abroad if view.entry.zone != self.s.zone else 0.0
@@ -555,6 +578,7 @@
         if view is None:
             return
         now, outcome, aim = self.now, event.outcome, max(self.s.classes[attempt.key[0]].aim, 1.0)
+        self._reported(view, event.report)
         view.pending -= 1
         view.trial_out = view.trial_out and not attempt.trial
         if outcome in (i.Outcome.OK, i.Outcome.FULL):
@@ -573,7 +597,8 @@
                 view.turned[attempt.key].move(now, 0.5, 0.0)
             if not attempt.cold:
                 others = CROWD_PART * max(0, (event.crowd or 0) - 1)
-                view.shows(now, max(event.took / max(attempt.expected, 1.0) - 1.0, others), self._memory())
+                over = event.took / max(attempt.expected, 1.0) - 1.0
+                view.seen.add(now, max(over, others), self._memory())
             view.trouble = min(view.trouble, EJECT / 2) if attempt.trial else view.trouble
             self._symptom(view, 0.0)
         elif outcome in _FAILED:
@@ -593,7 +618,19 @@
                 self._open_breaker(view)
         elif outcome is i.Outcome.FULL:
             view.turned.setdefault(attempt.key, _Fading(TURNED_TIME)).move(now, 0.5, 2.0)
-            view.shows(now, max(view.load(now), aim / max(attempt.expected, 1.0)), self._memory())
+            view.seen.add(now, max(view.load(now), aim / max(attempt.expected, 1.0)), self._memory())
+
+    def _reported(self, view: _WorkerView, report: tuple[float | None, ...]) -> None:
+        """What others have out there: most of its load where gateways are many and each sends it little."""
+        if 0 <= self.inflight < len(report) and (held := report[self.inflight]) is not None:
+            others = max(0.0, held - view.pending)
+            view.holds.add(self.now, others, REPORT_PART * self._memory())
+            self.usual.add(self.now, others, RATE_TIME)
+
+    def _crowded(self, view: _WorkerView) -> float:
+        """Requests of others there beyond what workers hold usually: nothing where nothing is known."""
+        usual = self.usual.read(self.now, FAINT)
+        return OTHERS_PART * (view.holds.read(self.now, SEEN_PRIOR, usual) - usual)
 
     def _check(self, number: int, job: _Open) -> None:
         """An attempt that is out for long: silence is a symptom; safe requests get another try in time."""
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -635,6 +635,33 @@
             d.ask(after=every)
             d.end(d.ids, sends(d.actions)[-1], after=0.0)
         view = decide._WorkerView(worker(99), 0, 0.0)
-        view.shows(d.now, 4.0, d.router._memory())
+        view.seen.add(d.now, 4.0, d.router._memory())
         left[workers] = view.load(d.now + 8000.0) / view.load(d.now)
     assert left[2] == left[12] < 0.35 < 0.7 < left[40]
+
+
+@pytest.mark.parametrize(("gateways", "workers"), [(1, 3), (3, 12), (40, 40)])
+def test_a_worker_that_others_crowd_is_left_for_another(gateways: int, workers: int) -> None:
+    """With many gateways a worker's load is others' calls: only reports tell of them before it is late."""
+    entries = [worker(n) for n in range(1, workers + 1)]
+    d = Drive(*entries, gateways=gateways, report_columns=("inflight", "x1"))
+    home, at = sends(d.ask())[0], 0
+    d.end(1, home)
+    for number in range(300):
+        function = 7 if number % 5 == 0 else number
+        sent = sends(d.ask(function, after=20.0))[0]
+        at = sent if function == 7 else at
+        report = (30.0 if sent == home else 3.0, 1.0)
+        d.feed(i.AttemptEnded(d.ids, 0, sent, i.Outcome.OK, 1.0, True, i.CopyNote.FOUND, 0, report))
+    assert at != home
+    crowded = d.router._crowded(d.router.workers[home])
+    assert crowded > 1.0 > d.router._crowded(d.router.workers[at])
+    assert d.router._crowded(decide._WorkerView(worker(99), 0, 0.0)) == pytest.approx(0.0), "not known: usual"
+
+
+def test_own_calls_out_are_not_counted_twice_in_a_report() -> None:
+    d = Drive(worker(1), report_columns=("x1", "inflight"))
+    for _ in range(4):
+        d.ask()
+    d.feed(i.AttemptEnded(1, 0, 1, i.Outcome.OK, 100.0, True, i.CopyNote.FOUND, 0, (9.0, 4.0)))
+    assert d.router.usual.read(d.now, decide.FAINT) == 0.0
