Set a rarely called worker aside at one error; pace trials by own calls

`_symptom` needs two failures in a row in each of 40 routers; `_learn` passed over errors on functions that this router had not seen answered, most of them where a router sees 290 calls of 100 functions; OPEN_TIME sends 40 trials in each span of 1.5 s, and a trial that erred on such a function did not even open the breaker again. At the loss of 16 of 40 workers the cap of 0.4 left calls that ran through four refused connections. Change: where own calls to a worker are rare, one error or refused connection ejects; an error on an unknown function counts once another worker has served the call, and in a trial; the span to the next trial follows own calls; refused connections count under the cap of silence. The small world `two-calls` has more states: errors are told apart by what became of the call.

--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -36,14 +36,13 @@
 SEEN_TIME, SEEN_MOST = 4000.0, 12000.0  # ms in which what answers show of a worker fades, least and most
 SEEN_ANSWERS = 4.0  # between these, the time that so many own calls to one worker take
 SEEN_PRIOR = 0.5  # answers' worth of doubt: one answer alone counts for two thirds
-OTHERS_PART = (
-    0.15  # part of a request out that each one of others weighs that it says to hold beyond the usual
-)
+OTHERS_PART = 0.15  # part of a request out that each one of others weighs, beyond what is usual
 REPORT_PART = 0.25  # part of that time in which what it said to hold fades: that changes with every call
 CROWD_PART = 0.25  # part of a request out that each request of others weighs: a worker has some cores
 
 # Health: one score a worker, 0 sound to 1 broken, fed by failures and silence alike.
-TROUBLE_GAIN = 0.3  # two failures in a row eject, one does not
+TROUBLE_GAIN = 0.3  # two failures in a row eject, one does not, where a worker gets many own calls;
+TROUBLE_MOST = 0.6  # where it gets few, one does: the next is seconds away
 EJECT = 0.5  # score that opens the circuit breaker
 EJECT_CAP = 0.4  # share of the workers set aside at most; past it the cause is common to all
 SILENT_CAP = 0.8  # the same for silence: who answers nobody serves nobody, however many are so
@@ -137,6 +136,7 @@
     pending: bool = True
     may_have_run: bool = True
     overdue: bool = False
+    doubted: bool = False  # it ended in an error that may be the client's doing
 
 
 @dataclass(slots=True)
@@ -220,9 +220,8 @@
         self.calls = _Fading(RATE_TIME)
         self.began = math.inf  # when the first call came
         self.usual = _Mean.over(RATE_TIME)  # requests of others that a worker says to hold
-        self.inflight = (
-            settings.report_columns.index("inflight") if "inflight" in settings.report_columns else -1
-        )
+        told = settings.report_columns
+        self.inflight = told.index("inflight") if "inflight" in told else -1
         self.demand = _Fading(RATE_TIME)  # work of first tries that were not refused
         self.value, self.loads = _Ewma(), _Ewma()
         self.budget, self.loads_out = RETRY_MOST, 0
@@ -414,9 +413,7 @@
                 if not (sick or self._sound(view, safe)) or not self._cold_fits(view, work):
                     continue
                 distance = self._distance(job.function, view, job.key) + far
-                if (
-                    view.broken and not sick
-                ):  # half-open: nobody would choose it, and it would stay out for good
+                if view.broken and not sick:  # half-open: nobody would choose it, and it would stay out
                     distance -= view.trouble + TRIAL
                 if distance < best - 1e-9:
                     best, ties, found = distance, 1, view
@@ -433,9 +430,8 @@
     def _near(self, function: _Function) -> Iterator[tuple[_WorkerView, float]]:
         """Warm workers, then the function's homes, then the others, with what their place adds.
 
-        Homes come by weighted rendezvous hashing: gateways that share nothing agree on them. Their number
-        follows the function's part of the calls, which every gateway's own traffic shows; in a fleet so large
-        that a home would get few of them, it follows what keeps a copy in use (``_homes``)."""
+        Homes come by weighted rendezvous hashing: gateways that share nothing agree on them, and their number
+        follows the function's part of the calls, which every gateway's own traffic shows."""
         if function.epoch != self.epoch:
             function.epoch, function.order = self.epoch, self._ranked(function)
         homes = self._homes(function)
@@ -462,10 +458,10 @@
         known = 1.0 - math.exp(-max(1.0, self.now - self.began) / RATE_TIME)
         return self.calls.read(self.now) / RATE_TIME / known
 
-    def _memory(self) -> float:
-        """The fewer own calls a worker gets, the longer is remembered what they showed of it."""
+    def _scarce(self) -> float:
+        """How rare own calls to one worker are: 1 where there are many. What is rare is remembered longer."""
         wanted = SEEN_ANSWERS * len(self.workers) / max(self._rate(), 1e-9)
-        return min(max(wanted, SEEN_TIME), SEEN_MOST)
+        return min(max(wanted, SEEN_TIME), SEEN_MOST) / SEEN_TIME
 
     def _ranked(self, function: _Function) -> list[_WorkerView]:
         sized = self.s.weights in (i.Weights.NOMINAL, i.Weights.ROUGH)
@@ -556,9 +552,11 @@
         """The circuit breaker: closed, or half-open with no trial out and a safe request."""
         return not view.broken or (self.now >= view.open_until and not view.trial_out and safe)
 
-    def _symptom(self, view: _WorkerView, weight: float, cap: float = EJECT_CAP) -> None:
+    def _symptom(
+        self, view: _WorkerView, bad: float, cap: float = EJECT_CAP, gain: float = TROUBLE_GAIN
+    ) -> None:
         """Feed one observation, 0 sound to 1 broken, and open or close the breaker by it."""
-        view.trouble += TROUBLE_GAIN * (weight - view.trouble)
+        view.trouble += gain * (bad - view.trouble)
         if not view.broken and view.trouble > EJECT:
             if 1 + sum(v.broken for v in self.workers.values()) <= max(1.0, cap * len(self.workers)):
                 view.broken = True
@@ -569,7 +567,9 @@
             view.open_time = max(OPEN_TIME, view.open_time / 2)
 
     def _open_breaker(self, view: _WorkerView) -> None:
-        view.open_until = self.now + view.open_time * self.rng.uniform(0.75, 1.25)
+        # The fleet's trials of one sick worker would grow with its gateways: each tries as it would call.
+        span = min(view.open_time * self._scarce(), OPEN_MOST)
+        view.open_until = self.now + span * self.rng.uniform(0.75, 1.25)
         view.open_time = min(2 * view.open_time, OPEN_MOST)
 
     def _learn(self, event: i.AttemptEnded, attempt: _Attempt) -> None:
@@ -597,34 +597,40 @@
                 view.turned[attempt.key].move(now, 0.5, 0.0)
             if not attempt.cold:
                 others = CROWD_PART * max(0, (event.crowd or 0) - 1)
-                over = event.took / max(attempt.expected, 1.0) - 1.0
-                view.seen.add(now, max(over, others), self._memory())
+                over = max(event.took / max(attempt.expected, 1.0) - 1.0, others)
+                view.seen.add(now, over, SEEN_TIME * self._scarce())
             view.trouble = min(view.trouble, EJECT / 2) if attempt.trial else view.trouble
             self._symptom(view, 0.0)
         elif outcome in _FAILED:
             short = attempt.overdue or event.took < LATE * attempt.expected
             if event.note is i.CopyNote.LOAD_FAILED or (outcome is i.Outcome.TIMEOUT and short):
                 return  # a load that failed, silence that counts already, or a client with little time
-            if outcome is i.Outcome.ERROR and not attempt.known:
-                return  # no worker may know such a function: that is the client's doing
+            if outcome is i.Outcome.ERROR and not (attempt.known or attempt.trial):
+                attempt.doubted = True
+                return  # that may be the client's doing, unless another worker serves it
             if outcome is i.Outcome.CONNECT_FAILED and event.unreached:
                 view.down_at = now  # a connection that broke shows no more than itself: some break on any day
             elif outcome in (i.Outcome.CONNECT_FAILED, i.Outcome.RESET):
                 if view.broke_at == now:
                     return  # all that was open on one connection ends at once
                 view.broke_at = now
-            self._symptom(view, 1.0)
+            gain = TROUBLE_GAIN  # time-outs and resets have other causes too
+            if outcome is i.Outcome.ERROR or event.unreached:
+                gain = min(gain * self._scarce(), TROUBLE_MOST)
+            self._symptom(view, 1.0, SILENT_CAP if event.unreached else EJECT_CAP, gain)
             if attempt.trial and view.broken:
                 self._open_breaker(view)
         elif outcome is i.Outcome.FULL:
             view.turned.setdefault(attempt.key, _Fading(TURNED_TIME)).move(now, 0.5, 2.0)
-            view.seen.add(now, max(view.load(now), aim / max(attempt.expected, 1.0)), self._memory())
+            view.seen.add(
+                now, max(view.load(now), aim / max(attempt.expected, 1.0)), SEEN_TIME * self._scarce()
+            )
 
     def _reported(self, view: _WorkerView, report: tuple[float | None, ...]) -> None:
         """What others have out there: most of its load where gateways are many and each sends it little."""
         if 0 <= self.inflight < len(report) and (held := report[self.inflight]) is not None:
             others = max(0.0, held - view.pending)
-            view.holds.add(self.now, others, REPORT_PART * self._memory())
+            view.holds.add(self.now, others, REPORT_PART * SEEN_TIME * self._scarce())
             self.usual.add(self.now, others, RATE_TIME)
 
     def _crowded(self, view: _WorkerView) -> float:
@@ -684,6 +690,8 @@
         function = job.function
         if event.outcome is i.Outcome.OK:
             function.proven[event.worker] = self.now
+            for doubted in [a for a in job.attempts if a.doubted and a.worker.worker in self.workers]:
+                self._symptom(self.workers[doubted.worker.worker], 1.0, gain=TROUBLE_MOST)
             if event.note in (i.CopyNote.BEGAN, i.CopyNote.AWAITED):
                 self.loads.add(max(0.0, event.took - self._expected(job)))
             else:
--- a/cedarthread/fuzz/explore.py
+++ b/cedarthread/fuzz/explore.py
@@ -41,7 +41,7 @@
 
 
 SCENES = (
-    Scene("two-calls", (0, 2), 2, ("hit", "hit", "death", "fault", "late", "wait", "wait"), 3984),
+    Scene("two-calls", (0, 2), 2, ("hit", "hit", "death", "fault", "late", "wait", "wait"), 4244),
     Scene("confirm", (2, 2), 2, ("full", "fault", "hit", "reset", "late", "wait"), 512),
     Scene("keyed", (1,), 3, ("fault", "death", "hit", "wait", "drain"), 635),
     Scene("drain", (0, 2), 2, ("drain", "full", "hit", "ready", "wait"), 1725),
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -635,7 +635,7 @@
             d.ask(after=every)
             d.end(d.ids, sends(d.actions)[-1], after=0.0)
         view = decide._WorkerView(worker(99), 0, 0.0)
-        view.seen.add(d.now, 4.0, d.router._memory())
+        view.seen.add(d.now, 4.0, decide.SEEN_TIME * d.router._scarce())
         left[workers] = view.load(d.now + 8000.0) / view.load(d.now)
     assert left[2] == left[12] < 0.35 < 0.7 < left[40]
 
@@ -665,3 +665,51 @@
         d.ask()
     d.feed(i.AttemptEnded(1, 0, 1, i.Outcome.OK, 100.0, True, i.CopyNote.FOUND, 0, (9.0, 4.0)))
     assert d.router.usual.read(d.now, decide.FAINT) == 0.0
+
+
+def erring(gateways: int, workers: int, every: float) -> tuple[Drive, int]:
+    """A router whose worker 1 errs at once from the first second on, and the calls that it lost there."""
+    d = Drive(*(worker(n) for n in range(1, workers + 1)), gateways=gateways)
+    for number in range(400):
+        d.wait(d.now + every)
+        at = sends(d.ask(number % 90))[0]
+        if at != 1:
+            d.end(d.ids, at, after=0.0)
+            continue
+        again = d.end(d.ids, 1, i.Outcome.ERROR, after=0.0, note=i.CopyNote.NONE)
+        d.end(d.ids, sends(again)[0], attempt=1, after=0.0)
+    return d, sum(a.worker == 1 for a in d.actions if isinstance(a, i.Send))
+
+
+@pytest.mark.parametrize(("gateways", "workers", "every"), [(1, 4, 24.0), (3, 12, 24.0), (40, 40, 85.0)])
+def test_a_worker_that_errs_costs_each_router_little(gateways: int, workers: int, every: float) -> None:
+    """Each of 40 routers once lost two calls before it set it aside, and a trial every few seconds then."""
+    d, lost = erring(gateways, workers, every)
+    assert d.router.workers[1].broken
+    spent = d.now - 1000.0
+    assert lost <= 2 + spent / decide.OPEN_TIME / (3 if workers == 40 else 1) / 2
+
+
+def test_an_error_that_another_worker_disproves_is_a_symptom_though_the_function_is_new() -> None:
+    d = Drive(worker(1), worker(2))
+    first = sends(d.ask(99))[0]
+    again = d.end(1, first, i.Outcome.ERROR, note=i.CopyNote.NONE)
+    assert d.router.workers[first].trouble == 0.0, "it may be the client's doing"
+    d.end(1, sends(again)[0], attempt=1)
+    assert d.router.workers[first].trouble > decide.EJECT
+
+
+def test_refused_connections_set_aside_as_many_as_refuse() -> None:
+    """At the loss of a zone the bound on workers set aside left the rest of it in use, call after call."""
+    d = Drive(*(worker(n) for n in range(1, 11)))
+    for number in range(300):
+        at = sends(d.ask(number, after=10.0))[0]
+        for attempt in range(4):
+            if at > 6:
+                d.end(d.ids, at, attempt=attempt, after=0.0)
+                break
+            out = d.end(d.ids, at, i.Outcome.CONNECT_FAILED, attempt=attempt, after=0.0, note=i.CopyNote.NONE)
+            if not (sent := sends(out)):
+                break
+            at = sent[0]
+    assert sum(d.router.workers[n].broken for n in range(1, 7)) == 6
