Weigh reported load by how rare own calls to a worker are

Where three routers call each worker several times a second, own answers and own calls out tell its load, and a report of others' calls is noise beside them (`_crowded`, a fixed 0.15). Change: a reported request weighs 0.05 where own calls are many, up to 0.15 where they are rare; rate, rarity and the usual are worked out once a call (`_measure`), not for each worker looked at.

--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -36,7 +36,7 @@
 SEEN_TIME, SEEN_MOST = 4000.0, 12000.0  # ms in which what answers show of a worker fades, least and most
 SEEN_ANSWERS = 4.0  # between these, the time that so many own calls to one worker take
 SEEN_PRIOR = 0.5  # answers' worth of doubt: one answer alone counts for two thirds
-OTHERS_PART = 0.15  # part of a request out that each one of others weighs, beyond what is usual
+OTHERS_PART = 0.05  # part of a request out that each one of others weighs, three times it where own are rare
 REPORT_PART = 0.25  # part of that time in which what it said to hold fades: that changes with every call
 CROWD_PART = 0.25  # part of a request out that each request of others weighs: a worker has some cores
 
@@ -219,6 +219,11 @@
         self.tenants = [_Fading(RATE_TIME) for _ in settings.tenants]
         self.calls = _Fading(RATE_TIME)
         self.began = math.inf  # when the first call came
+        self.rate, self.scarce, self.normal = (
+            0.0,
+            1.0,
+            0.0,
+        )  # by ``_measure``; what is rare is remembered longer
         self.usual = _Mean.over(RATE_TIME)  # requests of others that a worker says to hold
         told = settings.report_columns
         self.inflight = told.index("inflight") if "inflight" in told else -1
@@ -342,6 +347,7 @@
         function.calls.add(now, 1.0)
         self.calls.add(now, 1.0)
         self.began = min(self.began, now)
+        self._measure()
         return function
 
     def _refuses(self, job: _Open, over: float) -> bool:
@@ -450,18 +456,16 @@
     def _homes(self, function: _Function) -> int:
         calls = function.calls.read(self.now)
         part = max(0.0, calls - math.sqrt(calls)) / self.calls.read(self.now)
-        kept = self._rate() * max(1, self.s.gateways) * self.s.keep_alive / HOME_CALLS
+        kept = self.rate * max(1, self.s.gateways) * self.s.keep_alive / HOME_CALLS
         return 1 + int(part * min(self.homes * len(self.workers), kept))
 
-    def _rate(self) -> float:
-        """Own calls a ms; right after the start too, when few of those that fade have come."""
+    def _measure(self) -> None:
+        """Once a call: own calls a ms, right after the start too, and how rare those to one worker are."""
         known = 1.0 - math.exp(-max(1.0, self.now - self.began) / RATE_TIME)
-        return self.calls.read(self.now) / RATE_TIME / known
-
-    def _scarce(self) -> float:
-        """How rare own calls to one worker are: 1 where there are many. What is rare is remembered longer."""
-        wanted = SEEN_ANSWERS * len(self.workers) / max(self._rate(), 1e-9)
-        return min(max(wanted, SEEN_TIME), SEEN_MOST) / SEEN_TIME
+        self.rate = self.calls.read(self.now) / RATE_TIME / known
+        wanted = SEEN_ANSWERS * len(self.workers) / self.rate
+        self.scarce = min(max(wanted, SEEN_TIME), SEEN_MOST) / SEEN_TIME
+        self.normal = self.usual.read(self.now, FAINT)
 
     def _ranked(self, function: _Function) -> list[_WorkerView]:
         sized = self.s.weights in (i.Weights.NOMINAL, i.Weights.ROUGH)
@@ -568,7 +572,7 @@
 
     def _open_breaker(self, view: _WorkerView) -> None:
         # The fleet's trials of one sick worker would grow with its gateways: each tries as it would call.
-        span = min(view.open_time * self._scarce(), OPEN_MOST)
+        span = min(view.open_time * self.scarce, OPEN_MOST)
         view.open_until = self.now + span * self.rng.uniform(0.75, 1.25)
         view.open_time = min(2 * view.open_time, OPEN_MOST)
 
@@ -598,7 +602,7 @@
             if not attempt.cold:
                 others = CROWD_PART * max(0, (event.crowd or 0) - 1)
                 over = max(event.took / max(attempt.expected, 1.0) - 1.0, others)
-                view.seen.add(now, over, SEEN_TIME * self._scarce())
+                view.seen.add(now, over, SEEN_TIME * self.scarce)
             view.trouble = min(view.trouble, EJECT / 2) if attempt.trial else view.trouble
             self._symptom(view, 0.0)
         elif outcome in _FAILED:
@@ -616,27 +620,25 @@
                 view.broke_at = now
             gain = TROUBLE_GAIN  # time-outs and resets have other causes too
             if outcome is i.Outcome.ERROR or event.unreached:
-                gain = min(gain * self._scarce(), TROUBLE_MOST)
+                gain = min(gain * self.scarce, TROUBLE_MOST)
             self._symptom(view, 1.0, SILENT_CAP if event.unreached else EJECT_CAP, gain)
             if attempt.trial and view.broken:
                 self._open_breaker(view)
         elif outcome is i.Outcome.FULL:
             view.turned.setdefault(attempt.key, _Fading(TURNED_TIME)).move(now, 0.5, 2.0)
-            view.seen.add(
-                now, max(view.load(now), aim / max(attempt.expected, 1.0)), SEEN_TIME * self._scarce()
-            )
+            view.seen.add(now, max(view.load(now), aim / max(attempt.expected, 1.0)), SEEN_TIME * self.scarce)
 
     def _reported(self, view: _WorkerView, report: tuple[float | None, ...]) -> None:
         """What others have out there: most of its load where gateways are many and each sends it little."""
         if 0 <= self.inflight < len(report) and (held := report[self.inflight]) is not None:
             others = max(0.0, held - view.pending)
-            view.holds.add(self.now, others, REPORT_PART * SEEN_TIME * self._scarce())
+            view.holds.add(self.now, others, REPORT_PART * SEEN_TIME * self.scarce)
             self.usual.add(self.now, others, RATE_TIME)
 
     def _crowded(self, view: _WorkerView) -> float:
         """Requests of others there beyond what workers hold usually: nothing where nothing is known."""
-        usual = self.usual.read(self.now, FAINT)
-        return OTHERS_PART * (view.holds.read(self.now, SEEN_PRIOR, usual) - usual)
+        beyond = view.holds.read(self.now, SEEN_PRIOR, self.normal) - self.normal
+        return OTHERS_PART * self.scarce * beyond
 
     def _check(self, number: int, job: _Open) -> None:
         """An attempt that is out for long: silence is a symptom; safe requests get another try in time."""
