Budget cold workers by the workers that are ready, not those that drain too

`_cold_fits` shares the demand among all listed workers; at a release up to 24 of 64 drain, so new ones were held to 0.6 of their part while the old ones jammed: 463 attempts turned away as full from 15 s to 20 s, 9 requests held at each worker. Change: the share is of the workers that are ready. The budget's safety (0.6 of the rule's multiple) stays.

--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -239,7 +239,7 @@
         self.asked, self.ask_wait, self.ask_at = False, 0.0, math.inf
         self.logged: dict[str, float] = {}
         self.out: list[i.Action] = []
-        self.now, self.serial, self.epoch = 0.0, 0, 0
+        self.now, self.serial, self.epoch, self.ready = 0.0, 0, 0, 0
         self.takes: dict[type, Callable[[Any], None]] = {
             i.AttemptEnded: self._ended,
             i.Request: self._arrive,
@@ -294,6 +294,7 @@
                 self._forget(worker)
                 del self.workers[worker]
                 self.epoch += 1
+        self.ready = sum(view.entry.state is i.WorkerState.READY for view in self.workers.values())
         if self.s.discovery is i.Discovery.ASK and not self.asked:
             self.ask_at = self.now
             self._due(self.now)
@@ -544,7 +545,7 @@
             return True
         while view.sent and view.sent[0][0] <= self.now - rules.fall_time:
             view.sent.popleft()
-        share = self.demand.read(self.now) / RATE_TIME / max(1, len(self.workers))
+        share = self.demand.read(self.now) / RATE_TIME / max(1, self.ready)
         budget = COLD_SAFETY * rules.fall_multiple * part * share * rules.fall_time
         if not view.sent and budget < work:
             return view.ration < budget / work
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -713,3 +713,20 @@
                 break
             at = sent[0]
     assert sum(d.router.workers[n].broken for n in range(1, 7)) == 6
+
+
+@pytest.mark.parametrize(("gateways", "workers"), [(1, 4), (3, 12), (40, 40)])
+def test_workers_that_drain_take_nothing_from_the_budget_of_cold_ones(gateways: int, workers: int) -> None:
+    """At a release up to 24 of 64 drained, and new workers were held to the part of a fleet of 64."""
+    ready = [worker(n) for n in range(1, workers)] + [worker(workers, started=1000.0)]
+    leaving = [worker(n, i.WorkerState.DRAINING) for n in range(100, 100 + workers)]
+    taken = []
+    for entries in (ready, ready + leaving):
+        d = Drive(*entries, gateways=gateways)
+        for number in range(40):
+            d.ask(number, after=20.0)
+        view = d.router.workers[workers]
+        view.ration = 0.5
+        view.sent.clear()
+        taken.append([d.router._cold_fits(view, float(work)) for work in range(1, 9000)])
+    assert taken[0] == taken[1] and True in taken[0] and False in taken[0]
