--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -219,11 +219,8 @@
         self.tenants = [_Fading(RATE_TIME) for _ in settings.tenants]
         self.calls = _Fading(RATE_TIME)
         self.began = math.inf  # when the first call came
-        self.rate, self.scarce, self.normal = (
-            0.0,
-            1.0,
-            0.0,
-        )  # by ``_measure``; what is rare is remembered longer
+        self.rate, self.scarce, self.normal = 0.0, 1.0, 0.0  # by ``_measure``, with the next
+        self.memory = SEEN_TIME  # ms in which what a worker showed fades
         self.usual = _Mean.over(RATE_TIME)  # requests of others that a worker says to hold
         told = settings.report_columns
         self.inflight = told.index("inflight") if "inflight" in told else -1
@@ -465,7 +462,8 @@
         known = 1.0 - math.exp(-max(1.0, self.now - self.began) / RATE_TIME)
         self.rate = self.calls.read(self.now) / RATE_TIME / known
         wanted = SEEN_ANSWERS * len(self.workers) / self.rate
-        self.scarce = min(max(wanted, SEEN_TIME), SEEN_MOST) / SEEN_TIME
+        self.memory = min(max(wanted, SEEN_TIME), SEEN_MOST)
+        self.scarce = self.memory / SEEN_TIME
         self.normal = self.usual.read(self.now, FAINT)
 
     def _ranked(self, function: _Function) -> list[_WorkerView]:
@@ -603,7 +601,7 @@
             if not attempt.cold:
                 others = CROWD_PART * max(0, (event.crowd or 0) - 1)
                 over = max(event.took / max(attempt.expected, 1.0) - 1.0, others)
-                view.seen.add(now, over, SEEN_TIME * self.scarce)
+                view.seen.add(now, over, self.memory)
             view.trouble = min(view.trouble, EJECT / 2) if attempt.trial else view.trouble
             self._symptom(view, 0.0)
         elif outcome in _FAILED:
@@ -627,13 +625,13 @@
                 self._open_breaker(view)
         elif outcome is i.Outcome.FULL:
             view.turned.setdefault(attempt.key, _Fading(TURNED_TIME)).move(now, 0.5, 2.0)
-            view.seen.add(now, max(view.load(now), aim / max(attempt.expected, 1.0)), SEEN_TIME * self.scarce)
+            view.seen.add(now, max(view.load(now), aim / max(attempt.expected, 1.0)), self.memory)
 
     def _reported(self, view: _WorkerView, report: tuple[float | None, ...]) -> None:
         """What others have out there: most of its load where gateways are many and each sends it little."""
         if 0 <= self.inflight < len(report) and (held := report[self.inflight]) is not None:
             others = max(0.0, held - view.pending)
-            view.holds.add(self.now, others, REPORT_PART * SEEN_TIME * self.scarce)
+            view.holds.add(self.now, others, REPORT_PART * self.memory)
             self.usual.add(self.now, others, RATE_TIME)
 
     def _crowded(self, view: _WorkerView) -> float:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -635,7 +635,7 @@
             d.ask(after=every)
             d.end(d.ids, sends(d.actions)[-1], after=0.0)
         view = decide._WorkerView(worker(99), 0, 0.0)
-        view.seen.add(d.now, 4.0, decide.SEEN_TIME * d.router.scarce)
+        view.seen.add(d.now, 4.0, d.router.memory)
         left[workers] = view.load(d.now + 8000.0) / view.load(d.now)
     assert left[2] == left[12] < 0.35 < 0.7 < left[40]
 
