--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -35,7 +35,7 @@
 def test_info_counts_as_a_ledger_of_the_client_sees() -> None:
     """Each answer the client got is counted once under its class, and each attempt written whole."""
 
-    def mixed(runner: Runner, message: dict[str, Any]) -> dict[str, Any]:
+    def mixed(runner: Runner, message: dict[str, Any]) -> dict[str, Any] | None:
         return hit(runner, message) if int(message["id"], 16) % 3 else says("ERROR")(runner, message)
 
     async def test() -> None:
