--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -19,7 +19,7 @@
     return json.dumps({"listen": "127.0.0.1:0", "settings": settings}).encode()
 
 
-def retuned() -> dict[str, Any]:
+def retuned() -> Any:
     told: Any = copy.deepcopy(SETTINGS)
     told["classes"] = [c for c in told["classes"] if c["name"] != "check"]
     told["classes"][1]["effect"] = "retryable"  # confirm
