Read runners' answer lines up to 384 KiB: long answers were taken for spoilt

Ruled out the pieces: a line cut into pieces waits in the buffer and is read whole.

Test: a 230,000-byte answer reaches the client whole on one runner connection (fails at 256 KiB, passes now).

--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -23,7 +23,7 @@
 
 log = logging.getLogger("cedarthread.runners")
 
-LINE = 256 * 1024
+LINE = 384 * 1024  # the longest answer: a body of 256 KiB in base64, 349,528 bytes, and its fields
 CANCEL_SETTLES = (
     0.010  # s from writing CANCEL till the attempt counts as given up: it must have arrived by then
 )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import dataclasses
 from collections.abc import Coroutine
 from typing import Any
@@ -10,6 +11,7 @@
 import pytest
 
 from cedarthread import interface as i
+from cedarthread.core.calls import Served
 from cedarthread.net import platform
 from tests.standins import Runner, client, hit, listing, pack_call, says, service
 
@@ -346,3 +348,24 @@
             assert all(len(c.buffer._data) <= 8192 for c in running.platform.strangers)
 
     run(test())
+
+
+def test_a_long_answer_comes_back_whole() -> None:
+    """DAYS.md: one answer in sixteen is long, up to 230,000 bytes; its base64 line is longer still."""
+
+    def long(runner: Runner, message: dict[str, Any]) -> dict[str, Any]:
+        return {"op": "HIT", "fields": {}, "body": base64.b64encode(b"L" * 230_000).decode()}
+
+    async def test() -> None:
+        runner = Runner(long)
+        async with service(runner) as running, client(running) as caller:
+            caller.writer.write(pack_call(1, "confirm", b"x"))
+            whole = platform.pack_answer(1, Served(b"L" * 230_000))  # longer than a client may send
+            async with asyncio.timeout(10):
+                got = await caller.reader.read(len(whole))
+                while len(got) < len(whole) and (more := await caller.reader.read(len(whole))):
+                    got += more
+            assert got == whole
+            assert len(runner.writers) == 1  # the connection to the runner was kept
+
+    run(test())
