After the grace at SIGTERM, close the listener and each client connection once idle

Ruled out a slow successor: ready after 0.3 s each time. PROTOCOL: new connections come 0.2 to 0.4 s after SIGTERM, requests on open ones 0.2 s more, so closing at GRACE (0.75 s) takes nothing from a restart.

Change: PlatformFront.wind_down at GRACE: the accept queue is taken and the listener closed; connections with nothing open linger out at once, others right after their last answer leaves. Not taken: closing at SIGTERM, which would turn back the connections PROTOCOL says still come. Test: an idle connection gets its end and a busy one its answer, then its end.

--- a/cedarthread/net/platform.py
+++ b/cedarthread/net/platform.py
@@ -282,6 +282,8 @@
         done = not (self.open or self.out or self.waits)
         if self.ending and done and self.dropping is None and self.transport is not None:
             self.transport.close()
+        elif self.front.winding and self.idle():
+            self.linger()
 
 
 class PlatformFront:
@@ -295,6 +297,7 @@
         self.flusher = flusher
         self.most = most
         self.ready = True
+        self.winding = False  # told to end: connections close once they carry nothing
         self.queued = 0
         # Both the least lately used first: those that have asked properly, and those that have not yet.
         self.connections: dict[PlatformConnection, None] = {}
@@ -355,6 +358,16 @@
         self._server.close()
         self._server = self._listener = None
 
+    def wind_down(self) -> None:
+        """Take no more connections, and close each as soon as it carries nothing: its client goes elsewhere.
+
+        Guards against calls that come to a process about to end, where they have less time than elsewhere."""
+        self.stop_listening()
+        self.winding = True
+        for connection in [*self.strangers, *self.connections]:
+            if connection.idle():
+                connection.linger()
+
     def sweep(self, now: float) -> None:
         """Close what has said nothing proper in time, or has been silent so long that its client has gone."""
         for connection in [*self.strangers, *self.connections]:
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -160,6 +160,7 @@
         longest = min(LONGEST, max(klass.deadline for klass in self.config.settings.classes) / 1000.0)
         self.planner.stop_by(self.planner.clock() + max(GRACE, longest + SETTLED) * 1000.0)
         await asyncio.sleep(GRACE)
+        self.platform.wind_down()
         while not self._drained() and loop.time() < told + longest + LAST:
             await asyncio.sleep(0.01)
         self.platform.stop_listening()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -369,3 +369,25 @@
             assert len(runner.writers) == 1  # the connection to the runner was kept
 
     run(test())
+
+
+def test_told_to_end_each_connection_closes_once_it_carries_nothing() -> None:
+    """After the grace, clients move to a successor: no new connection, and open ones close when idle."""
+
+    async def test() -> None:
+        mute = Runner(lambda runner, message: None)
+        async with service(mute) as running, client(running) as idle, client(running) as busy:
+            mute.behave = hit
+            assert (await idle.call(1, "check", b"x"))[2] is None
+            mute.behave = lambda runner, message: None
+            busy.writer.write(pack_call(2, "confirm", b"y"))
+            await mute.until(lambda: len(mute.calls) == 2)
+            ending = asyncio.create_task(running.finish())
+            assert await idle.read() is None  # closed, with nothing open
+            assert running.platform.winding and running.platform._server is None
+            mute.answer(mute.calls[1], hit(mute, mute.calls[1]))
+            assert await busy.read() == [1, 2, None, [b"Y", {}]]
+            assert await busy.read() is None  # closed once its last answer left
+            await ending
+
+    run(test())
