A turned-down settings file says where: the class by its place, or limits.send-cap

A deadline of -5 logged '-5.0 is not from 1 to 1e+15' with no hint of the class; a missing key only its name. Classes are read one by one, an error names classes[N]; send-cap names itself. Test: the bad-file cases check the place in the line.

--- a/cedarthread/wire.py
+++ b/cedarthread/wire.py
@@ -7,10 +7,12 @@
 import struct
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 from cedarthread import interface as i
 
+T = TypeVar("T")
+
 
 class WireError(Exception):
     """A frame that is not what the wire page describes."""
@@ -250,24 +252,35 @@
         raise WireError(f"settings: {type(error).__name__}: {error}") from None
 
 
+def _class(c: dict[str, Any]) -> i.RequestClass:
+    return i.RequestClass(
+        name=str(c.get("name", "")),
+        aim=figure(c["goal-time"]),
+        deadline=figure(c["deadline"], 1.0),
+        worth=figure(c.get("value", 1)),
+        late_worth=figure(c.get("late-worth", 0)),
+        effect=_pick(_EFFECTS, c["effect"], "effect"),
+        group=i.Group(c.get("group") or "all"),
+        window=figure(c.get("repeat-window", 0)),
+        stream=bool(c.get("stream", False)),
+        aim_stretch=figure(c.get("aim-stretch") or 0),
+    )
+
+
+def _where(where: str, read: Callable[[Any], T], part: Any) -> T:
+    """Read one part; an error says which part it was in."""
+    try:
+        return read(part)
+    except KeyError as error:
+        raise ValueError(f"{where}: {error} is missing") from None
+    except (ValueError, TypeError, AttributeError, ArithmeticError) as error:
+        raise ValueError(f"{where}: {error}") from None
+
+
 def _settings(top: dict[str, Any]) -> i.Settings:
     limits, rules, prices = top["limits"], top["obligations"], top.get("prices", {})
     special, report = top.get("specifics", {}), top.get("report", {})
-    classes = tuple(
-        i.RequestClass(
-            name=str(c.get("name", "")),
-            aim=figure(c["goal-time"]),
-            deadline=figure(c["deadline"], 1.0),
-            worth=figure(c.get("value", 1)),
-            late_worth=figure(c.get("late-worth", 0)),
-            effect=_pick(_EFFECTS, c["effect"], "effect"),
-            group=i.Group(c.get("group") or "all"),
-            window=figure(c.get("repeat-window", 0)),
-            stream=bool(c.get("stream", False)),
-            aim_stretch=figure(c.get("aim-stretch") or 0),
-        )
-        for c in top["classes"]
-    )
+    classes = tuple(_where(f"classes[{n}]", _class, c) for n, c in enumerate(top["classes"]))
     tenants = tuple(
         i.Tenant(str(t.get("name", "")), figure(t.get("share", 0)), positive(t.get("quota-per-s")))
         for t in top.get("tenants") or ()
@@ -276,7 +289,7 @@
         classes=classes,
         tenants=tenants,
         limits=i.Limits(
-            attempts=_attempts(limits["send-cap"]),
+            attempts=_where("limits.send-cap", _attempts, limits["send-cap"]),
             open_requests=int(figure(limits["most-held"])),
             cancel=bool(limits.get("cancel", False)),
             probes=bool(limits.get("probing", False)),
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -103,3 +103,6 @@
     asyncio.run(test())
     [line] = [r for r in caplog.records if "turned down whole" in r.getMessage()]
     assert line.levelname == "ERROR"
+    where = {"deadline 0": "classes[0]: ", "no deadline": "classes[2]: 'deadline' is missing"}
+    where |= {"attempts 0": "limits.send-cap: ", "attempts negative": "limits.send-cap: "}
+    assert where.get(change, "") in line.getMessage()
