Set TCP_NODELAY on every connection the program accepts: answers waited up to 40 ms

A probe on loopback: the accepted client socket had TCP_NODELAY 0 and proto 0 with the new code, 1 and 6 with the old. asyncio sets TCP_NODELAY only on sockets made with IPPROTO_TCP named; socket.create_server leaves proto 0, so Nagle's algorithm held a second write back until a delayed ACK. The invoke API's listener, made the same way before, had the same fault.

Change: Stream.connection_made sets TCP_NODELAY on TCP sockets, for every wire. Test: a client connection has TCP_NODELAY (fails without, passes).

--- a/cedarthread/net/stream.py
+++ b/cedarthread/net/stream.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
+import socket
 from typing import cast
 
 log = logging.getLogger("cedarthread.net")
@@ -84,6 +86,16 @@
             stream.flush()
 
 
+def no_delay(transport: asyncio.BaseTransport) -> None:
+    """Guards against answers held back by Nagle's algorithm until a delayed ACK, up to 40 ms.
+
+    asyncio sets it only where the socket was made with its protocol named, as accepted ones are not."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and sock.family in (socket.AF_INET, socket.AF_INET6):
+        with contextlib.suppress(OSError):  # closed already
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
 class Stream(asyncio.BufferedProtocol):
     """The part that all connections share. Whatever goes wrong on one of them ends that one alone."""
 
@@ -120,6 +132,7 @@
         """A connection came up."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=self.high_water)
+        no_delay(self.transport)
         self.last_read = self._loop.time()
         self.opened()
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import dataclasses
+import socket
 from collections.abc import Coroutine
 from typing import Any
 
@@ -391,3 +392,17 @@
             await ending
 
     run(test())
+
+
+def test_client_connections_send_without_delay() -> None:
+    """With Nagle's algorithm on, an answer written after another waited for a delayed ACK, up to 40 ms."""
+
+    async def test() -> None:
+        async with service(Runner()) as running, client(running) as caller:
+            await caller.call(1, "check", b"x")
+            [connection] = running.platform.connections
+            assert connection.transport is not None
+            sock = connection.transport.get_extra_info("socket")
+            assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    run(test())
