Test an upgrade of two real processes on loopback: same address, new control address

The second process binds the address the first serves, says YES to PING on its own control address, the first ends with 0 at SIGTERM, and calls on new connections are answered after it. Fails without SO_REUSEPORT on the clients' listener (the second cannot bind). No call to a runner is in flight here: the runner of the test's file is unreachable, so calls are refused at once.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -18,7 +18,8 @@
 
 from cedarthread import __version__
 from cedarthread.cli import main
-from tests.standins import SETTINGS
+from cedarthread.net import msgpack
+from tests.standins import SETTINGS, pack_call
 
 ROOT = Path(__file__).parent.parent
 
@@ -102,3 +103,68 @@
     assert main(["check-config"]) == 2
     monkeypatch.delenv("BALANCER_CONFIG")
     assert main([]) == 2
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def ask_control(port: int, line: bytes) -> str:
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as control:
+        control.sendall(line)
+        reply = b""
+        while more := control.recv(4096):
+            reply += more
+    return reply.decode()
+
+
+def ask_call(port: int, number: int) -> list[object]:
+    """One call on a new connection; the answer, as the client reads it."""
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as caller:
+        caller.sendall(pack_call(number, "check", b"x"))
+        held = b""
+        while not isinstance(parsed := msgpack.parse(memoryview(held)), msgpack.Value):
+            more = caller.recv(65536)
+            assert more, "the connection ended with no answer"
+            held += more
+        return list(parsed.value)
+
+
+def test_an_upgrade_hands_the_address_to_a_second_process(tmp_path: Path) -> None:
+    """DAYS.md: a second run on the same address with a new control address; SIGTERM to the old one."""
+    listen, first_control, second_control = free_port(), free_port(), free_port()
+    env = write_config(tmp_path) | {"BALANCER_LISTEN": f"127.0.0.1:{listen}"}
+
+    def start(control: int) -> subprocess.Popen[str]:
+        process = subprocess.Popen(
+            [sys.executable, "-m", "cedarthread"],
+            cwd=ROOT,
+            env=os.environ | env | {"BALANCER_CONTROL": f"127.0.0.1:{control}"},
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        assert process.stderr is not None
+        upto(process.stderr, r"serving as n3 on port \d+")
+        return process
+
+    old = start(first_control)
+    try:
+        assert ask_call(listen, 1)[:2] == [1, 1]  # answered: no runner is reached, so refused
+        new = start(second_control)  # the same address: without SO_REUSEPORT it ends with 1
+        try:
+            assert ask_control(second_control, b"PING\n") == "YES\n"
+            old.send_signal(signal.SIGTERM)
+            assert old.wait(10) == 0
+            for number in range(2, 6):
+                assert ask_call(listen, number)[:2] == [1, number]
+            assert ask_control(second_control, b"INFO\n").startswith("YES\n")
+        finally:
+            new.kill()
+            assert new.stderr is not None
+            new.stderr.close()
+    finally:
+        old.kill()
+        assert old.stderr is not None
+        old.stderr.close()
