--- a/tests/test_runners.py
+++ b/tests/test_runners.py
@@ -36,6 +36,9 @@
     def get_write_buffer_size(self) -> int:
         return self.held
 
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        return default  # no socket under it, as for a pipe
+
     def is_closing(self) -> bool:
         return self.closing
 
