Admit by Little's law on own calls out, instead of by answers' times that come late

Lines at fault: decide.py `_refuses` and `_learn`, which drew `recent` from how late answers had been: that tells of a jam when it has been there for a second, and goes on telling after it. `_give_up` told refused clients to keep away for 0.25 to 0.75 of the longest wait, so that a second try came after the wanted time and was late as well. Tests: a jam seen before any answer is late, worth, chance, silence; each fails on the old lines.

--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -57,11 +57,13 @@
 # Admission.
 RETRY_SHARE, RETRY_MOST = 0.15, 10.0  # retry budget: moves earned by each first try; most saved up
 COLD_SAFETY = 0.6  # part of a cold worker's budget that all gateways together may use
-SHED_FROM, SHED_SPAN = 0.5, 0.5  # answers' time over the time there is at which refusing begins; span to all
+SHED_FROM, SHED_SPAN = 0.4, 0.3  # own calls' least time over the wanted one at which refusing begins; span
 REPEAT = 3.0  # times that a client's marked repeat is refused as often: its first try has had its turn
 SHED_MOST = 0.95  # the rest always passes: it shows when the jam is over
-LATEST = 1.5  # time over aim that one answer counts for at most: later than late says no more of a jam
-SHED_TIME = 3000.0  # ms in which what is known of answers' time fades
+CHANCE = 1.0  # standard deviations by which the calls that are out may be more than usual by chance
+USUAL = 0.75  # part of the workers that a jam must show at: some are slow, silent or loading on any day
+COME_BACK = 0.05, 0.15  # parts of the longest wait that a refused client is told to keep away, least and most
+DONE_TIME = 2000.0  # ms in which own answers fade from their count
 CANNOT = 0.5  # part of its expected time under which a request's time left is not enough to begin
 TURNED_TIME = 3000.0  # ms in which it fades that a worker turned a class or tenant away
 HELD_PART = 0.5  # part of its time for which a request that has not been sent is held at most
@@ -176,11 +178,12 @@
         self.open: dict[int, _Open] = {}
         self.held: dict[int, _Open] = {}
         self.late: dict[tuple[int, int], _Attempt] = {}  # still out when their request was closed
+        self.aims = sum(klass.aim for klass in settings.classes) / max(1, len(settings.classes))
         self.by_class = [_Ewma() for _ in settings.classes]
         self.by_work = [_Ewma() for _ in settings.classes]  # time per hinted work
-        self.recent = [_Fading(SHED_TIME) for _ in settings.classes]  # time over aim, failures' too
         self.tenants = [_Fading(RATE_TIME) for _ in settings.tenants]
         self.calls = _Fading(RATE_TIME)
+        self.done, self.pending = _Fading(DONE_TIME), 0  # own answers, and own attempts that are out
         self.began = math.inf  # when the first call came
         self.rate, self.scarce, self.normal = 0.0, 1.0, 0.0  # by ``_measure``, with the next
         self.memory = SEEN_TIME  # ms in which what a worker showed fades
@@ -318,16 +321,33 @@
             return True
         value = max(job.klass.worth, 1e-6) / max(self._work(job), 1.0)
         self.value.add(value)
-        now, aim = self.now, min(left, job.klass.aim + job.klass.aim_stretch * expected)
-        own = self.recent[job.request.klass].read(now) * job.klass.aim / max(aim, 1.0)
-        worst = max(recent.read(now) for recent in self.recent)
-        late = (max(own, (own + worst) / 2) - SHED_FROM) / SHED_SPAN * (REPEAT if job.request.repeat else 1.0)
+        aim = min(left, job.klass.aim + job.klass.aim_stretch * expected)
+        # Between a class's own time and one time for all, later for those of more worth: what has little time
+        # is not refused first for that alone, nor is what has much of it never.
+        late = self._jam(math.sqrt(max(aim, 1.0) * self.aims * value / self.value.mean))
         if late <= 0.0:
             return False
+        late *= REPEAT if job.request.repeat else 1.0
         part = min(SHED_MOST, late * min(max(over, 0.5), 2.0) ** 2 * math.sqrt(self.value.mean / value))
         self._log("shed", f"refusing {part:.2f} of calls like one that could not be answered in time")
         return self.rng.random() < part
 
+    def _wait(self, out: float) -> float:
+        """The ms that own calls take, by Little's law: those out, less what chance may add, over those
+        answered a ms. It knows of a jam as it grows, where answers tell of it when it is there."""
+        unseen = math.exp(-max(0.0, self.now - self.began) / DONE_TIME)  # before the start all went well
+        rate = self.done.read(self.now) / DONE_TIME + unseen * self.rate
+        return max(0.0, out - CHANCE * math.sqrt(out)) / max(rate, 1e-6)
+
+    def _jam(self, aim: float) -> float:
+        """0 for no jam, 1 where all had better be refused. Some workers alone are no sign of one."""
+        if self._wait(self.pending) <= SHED_FROM * aim:
+            return 0.0
+        held = sorted(view.pending for view in self.workers.values() if not view.broken)
+        usual = held[: math.ceil(USUAL * len(held))]
+        out = sum(usual) * len(held) / max(1, len(usual))
+        return (self._wait(out) / aim - SHED_FROM) / SHED_SPAN
+
     def _place(self, job: _Open) -> None:
         """Send the request to the nearest eligible worker, or hold it, or end it."""
         self.held.pop(job.request.request, None)
@@ -465,6 +485,7 @@
         )
         job.attempts.append(attempt)
         view.pending += 1
+        self.pending += 1
         function.warmth = {other: (1.0 - ALPHA) * warmth for other, warmth in function.warmth.items()}
         function.warmth[worker] = function.warmth.get(worker, 0.0) + ALPHA
         function.sent_at[worker] = self.now
@@ -519,7 +540,6 @@
         added = range(len(self.s.classes), len(settings.classes))
         self.by_class += [_Ewma() for _ in added]
         self.by_work += [_Ewma() for _ in added]
-        self.recent += [_Fading(SHED_TIME) for _ in added]
         self.s = settings
 
     def skipped(self) -> int:
@@ -563,13 +583,6 @@
             view.last_answer = now
         if now == self.stalled:
             return
-        # Silence tells of the worker; only from one that answers others is a time-out a sign of load.
-        silent = outcome is i.Outcome.TIMEOUT and view.last_answer < attempt.at
-        timed = outcome in (i.Outcome.OK, i.Outcome.TIMEOUT) and not silent
-        if timed and not (attempt.cold or attempt.trial):
-            least = 1.0 if outcome is i.Outcome.TIMEOUT else 0.0  # late, however little time the client had
-            told = max(min(event.took / aim, LATEST), least)
-            self.recent[attempt.key[0]].move(now, GAIN, told)
         if outcome is i.Outcome.OK:
             if attempt.key in view.turned:
                 view.turned[attempt.key].move(now, 0.5, 0.0)
@@ -652,6 +665,9 @@
         if attempt is None or not attempt.pending:
             return
         attempt.pending = False
+        self.pending -= 1
+        if event.outcome is i.Outcome.OK:
+            self.done.add(self.now, 1.0)
         attempt.may_have_run = event.outcome not in _NEVER_RAN
         self._learn(event, attempt)
         if job is None:
@@ -694,7 +710,7 @@
         """The final answer: refused where that is harmless, else failed."""
         keyed_all = job.klass.effect is i.Effect.KEYED and job.klass.group is i.Group.ALL
         if job.klass.effect is i.Effect.SAFE or keyed_all or not job.may_have_run():
-            after = self.s.limits.max_retry_after * self.rng.uniform(0.25, 0.75)
+            after = self.s.limits.max_retry_after * self.rng.uniform(*COME_BACK)
             told = after if self.s.limits.retry_after and after > 0 else None
             self.out.append(i.Refuse(job.request.request, told))
         else:
@@ -724,8 +740,6 @@
 
     def _gone(self, event: i.ClientGone) -> None:
         if (job := self.open.get(event.request)) is not None:
-            if any(a.pending and self.now - a.at > a.expected for a in job.attempts):
-                self.recent[job.request.klass].move(self.now, GAIN, 1.0)
             self._close(job)
 
     # Orders to load, where a worker answers MISS.
