Routers tell each other what they have out and found warm, where the settings allow it

The events of peers were dropped (decide.py `takes`), `core/` and `net/` carried out neither Tell nor anything like it. Change: `spread/datagram.py` (the form), `spread/talk.py` (both sides: state by worker and function, lives and numbers, a bucket of bytes filled by own calls at 0.003 points each), `decisions.py` (router and talk, hosted alike by simhost and planner), `net/peers.py` (datagrams between the configured addresses). decide.py reads `elsewhere` for each worker and what stands of a function; a copy that others found is as warm as a home, and homes are guessed less the more of the others are heard.

--- a/cedarthread/config.py
+++ b/cedarthread/config.py
@@ -11,6 +11,7 @@
 
 from cedarthread import interface as i
 from cedarthread import wire
+from cedarthread.net.peers import PeerAddresses
 from cedarthread.net.roster import Listing, address, listing_from_json
 
 
@@ -32,6 +33,7 @@
     settings: i.Settings
     known: tuple[tuple[int, tuple[Listing, ...]], ...]  # numbered news of the runners, the whole list first
     control: tuple[str, int] | None = None  # the operators' address
+    peers: PeerAddresses | None = None  # the other routers, where the platform names them
 
 
 def load(environ: Mapping[str, str] = os.environ) -> Config:
@@ -80,9 +82,22 @@
         wire.settings_from(top["settings"]),
         known,
         _control(environ.get("BALANCER_CONTROL") or top.get("control")),
+        _peers(top),
     )
 
 
+def _peers(top: dict[str, Any]) -> PeerAddresses | None:
+    """Where the other routers are; None where nothing is said of them, or no way in."""
+    listen, peers = top.get("peer_listen"), top.get("peers")
+    if not listen or not peers:
+        return None
+    if not isinstance(peers, list):
+        raise ValueError(f"peers: {peers!r} is no list of addresses")
+    every = top.get("peers_all")
+    told = tuple(address(str(peer)) for peer in peers)
+    return PeerAddresses(address(str(listen)), told, address(str(every)) if every else None)
+
+
 def _control(text: Any) -> tuple[str, int] | None:
     if text in (None, ""):
         return None
--- a/cedarthread/core/planner.py
+++ b/cedarthread/core/planner.py
@@ -19,7 +19,7 @@
 
 from cedarthread import interface as i
 from cedarthread.core.calls import Answer, Attempt, Call, Ending, Failed, Refused, Served, Workers
-from cedarthread.decide import Router
+from cedarthread.decisions import Decisions
 
 log = logging.getLogger("cedarthread.planner")
 
@@ -46,9 +46,11 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
-        self.router = Router(settings, seed)
+        self.decisions = Decisions(settings, seed)
+        self.router = self.decisions.router
         self.workers: Workers | None = None
         self.turn_done: Callable[[], None] = lambda: None  # the forwarders write what the turn brought
+        self.tell: Callable[[bytes, int | None], None] = lambda data, peer: None  # to other routers
         self.calls: dict[int, Call] = {}
         self.names: set[str] = set()  # of the open calls
         self._over: dict[int, Call] = {}  # settled, with an attempt out or an event of theirs to be handled
@@ -75,6 +77,7 @@
             i.Order: self._order,
             i.Unload: lambda a: self._ways().unload(a.worker, a.function),
             i.CloseIdle: lambda a: self._ways().close_idle(a.worker),
+            i.Tell: lambda a: self.tell(a.data, a.peer),
             i.Log: lambda a: log.info("decisions: %s", a.text),
         }
 
@@ -126,7 +129,7 @@
                 at = len(classes) - 1
             current[klass.name] = at
         self.settings, self.current = replace(told, classes=tuple(classes)), current
-        self.router.retune(self.settings)
+        self.decisions.retune(self.settings)
         self._figures_for(told)
         return self.settings
 
@@ -175,6 +178,10 @@
         """The end of an order to load."""
         self._post(event)
 
+    def heard(self, sender: int, data: bytes) -> None:
+        """A datagram of another router."""
+        self._post(i.PeerMessage(sender, data))
+
     def membership(self, event: i.Membership) -> None:
         """News of the workers."""
         self._post(event)
@@ -204,7 +211,7 @@
         actions: list[i.Action] = []
         for event in inbox:
             try:
-                actions.extend(self.router.handle(now, event))
+                actions.extend(self.decisions.handle(now, event))
             except Exception:
                 log.exception("decisions failed on %s", type(event).__name__)
         for action in actions:
--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -15,8 +15,9 @@
 from typing import Any
 
 from cedarthread import interface as i
-from cedarthread.measures import Fading as _Fading
-from cedarthread.measures import Mean as _Mean
+from cedarthread.measures import Ewma, Fading, Mean
+from cedarthread.spread.rendezvous import mix, rank
+from cedarthread.spread.talk import Copy, Talk
 
 # The design's own numbers.
 ALPHA = 0.03  # share by which a send moves warmth: up on the chosen worker, down on the others
@@ -31,7 +32,6 @@
 RANK_STEP = 0.25  # distance added for each place behind the homes: one request out, by FACTOR
 
 # Learning.
-GAIN = 0.1  # EWMA gain of service and load times: about the last ten answers
 RATE_TIME = 5000.0  # ms, time constant of rates: some windows of rule 4, well under a warm-up
 FIRST_GUESS = 4.0  # before any answer, service is taken to need the aim divided by this
 FAINT = 0.01  # warmth under this is forgotten
@@ -40,6 +40,7 @@
 SEEN_PRIOR = 0.5  # answers' worth of doubt: one answer alone counts for two thirds
 OTHERS_PART = 0.05  # part of a request out that each one of others weighs, three times it where own are rare
 REPORT_PART = 0.25  # part of that time in which what it said to hold fades: that changes with every call
+ELSEWHERE = 0.3  # part of a request out that each one of others weighs, where they tell of them
 CROWD_PART = 0.25  # part of a request out that each request of others weighs: a worker has some cores
 
 # Health: one score a worker, 0 sound to 1 broken, fed by failures and silence alike.
@@ -72,23 +73,10 @@
 LOADS_PER_WORKER = 0.5  # loads under way at most by all gateways, for each worker there is
 LOG_EVERY = 5000.0  # ms between two log lines of one kind
 
-_MASK = 2**64 - 1
 _NEVER_RAN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.MOOT, i.Outcome.MISS)
 _FAILED = (i.Outcome.ERROR, i.Outcome.RESET, i.Outcome.CONNECT_FAILED, i.Outcome.TIMEOUT)
 
 
-@dataclass(slots=True)
-class _Ewma:
-    """An EWMA; the first values count in full."""
-
-    mean: float = 0.0
-    count: int = 0
-
-    def add(self, value: float) -> None:
-        self.count += 1
-        self.mean += max(GAIN, 1.0 / self.count) * (value - self.mean)
-
-
 @dataclass(slots=True)
 class _Attempt:
     worker: i.Worker
@@ -110,6 +98,7 @@
     salt: int
     ration: float  # this gateway's place among those that may use a small part of a cold worker's budget
     pending: int = 0
+    elsewhere: float = 0.0  # calls of other routers that are out there, as they tell
     sent: deque[tuple[float, float]] = field(default_factory=deque)
     trouble: float = 0.0
     broken: bool = False
@@ -119,9 +108,9 @@
     last_answer: float = -math.inf
     down_at: float = -math.inf  # when it was last found down: it may start anew untold
     broke_at: float = -math.inf  # the last broken connection: what broke with it is one symptom
-    seen: _Mean = field(default_factory=lambda: _Mean.over(SEEN_TIME))
-    holds: _Mean = field(default_factory=lambda: _Mean.over(SEEN_TIME))  # requests of others, by its reports
-    turned: dict[tuple[int, int | None], _Fading] = field(default_factory=dict)
+    seen: Mean = field(default_factory=lambda: Mean.over(SEEN_TIME))
+    holds: Mean = field(default_factory=lambda: Mean.over(SEEN_TIME))  # requests of others, by its reports
+    turned: dict[tuple[int, int | None], Fading] = field(default_factory=dict)
 
     def load(self, now: float) -> float:
         """Requests out there beyond what its answers should have taken: a mean that fades by time."""
@@ -133,13 +122,14 @@
     mix: int
     lanes: float = 1.0
     used: float = 0.0
-    calls: _Fading = field(default_factory=lambda: _Fading(RATE_TIME))
+    calls: Fading = field(default_factory=lambda: Fading(RATE_TIME))
     warmth: dict[int, float] = field(default_factory=dict)
     sent_at: dict[int, float] = field(default_factory=dict)
     proven: dict[int, float] = field(default_factory=dict)
-    service: _Ewma = field(default_factory=_Ewma)
+    service: Ewma = field(default_factory=Ewma)
     order: list[_WorkerView] = field(default_factory=list)  # all workers, homes first
     epoch: int = -1
+    told: dict[int, Copy] = field(default_factory=dict)  # what stands where, as other routers told
     loading: set[int] = field(default_factory=set)
     order_after: float = 0.0
     order_wait: float = 0.0
@@ -160,13 +150,6 @@
         return [a for a in self.attempts if a.pending or a.may_have_run]
 
 
-def _mix(x: int) -> int:
-    """A fixed 64-bit hash, the same at every gateway."""
-    x = ((x + 0x9E3779B97F4A7C15) * 0xBF58476D1CE4E5B9) & _MASK
-    x = ((x ^ (x >> 27)) * 0x94D049BB133111EB) & _MASK
-    return x ^ (x >> 31)
-
-
 class Router:
     """The decisions of one gateway."""
 
@@ -179,19 +162,19 @@
         self.held: dict[int, _Open] = {}
         self.late: dict[tuple[int, int], _Attempt] = {}  # still out when their request was closed
         self.aims = sum(klass.aim for klass in settings.classes) / max(1, len(settings.classes))
-        self.by_class = [_Ewma() for _ in settings.classes]
-        self.by_work = [_Ewma() for _ in settings.classes]  # time per hinted work
-        self.tenants = [_Fading(RATE_TIME) for _ in settings.tenants]
-        self.calls = _Fading(RATE_TIME)
-        self.done, self.pending = _Fading(DONE_TIME), 0  # own answers, and own attempts that are out
+        self.by_class = [Ewma() for _ in settings.classes]
+        self.by_work = [Ewma() for _ in settings.classes]  # time per hinted work
+        self.tenants = [Fading(RATE_TIME) for _ in settings.tenants]
+        self.calls = Fading(RATE_TIME)
+        self.done, self.pending = Fading(DONE_TIME), 0  # own answers, and own attempts that are out
         self.began = math.inf  # when the first call came
         self.rate, self.scarce, self.normal = 0.0, 1.0, 0.0  # by ``_measure``, with the next
         self.memory = SEEN_TIME  # ms in which what a worker showed fades
-        self.usual = _Mean.over(RATE_TIME)  # requests of others that a worker says to hold
+        self.usual = Mean.over(RATE_TIME)  # requests of others that a worker says to hold
         told = settings.report_columns
         self.inflight = told.index("inflight") if "inflight" in told else -1
-        self.demand = _Fading(RATE_TIME)  # work of first tries that were not refused
-        self.value, self.loads = _Ewma(), _Ewma()
+        self.demand = Fading(RATE_TIME)  # work of first tries that were not refused
+        self.value, self.loads = Ewma(), Ewma()
         self.budget, self.loads_out = RETRY_MOST, 0
         self.homes = HOMES / (1.0 + IDLE_WEIGHT * settings.prices.idle_memory)
         self.abroad = ABROAD * settings.prices.cross_zone
@@ -202,6 +185,7 @@
         self.asked, self.ask_wait, self.ask_at = False, 0.0, math.inf
         self.logged: dict[str, float] = {}
         self.out: list[i.Action] = []
+        self.talk: Talk | None = None
         self.now, self.serial, self.epoch, self.ready = 0.0, 0, 0, 0
         self.takes: dict[type, Callable[[Any], None]] = {
             i.AttemptEnded: self._ended,
@@ -222,7 +206,7 @@
             take(event)
         due = max(self.agenda[0][0], now + 1.0) if self.agenda else math.inf
         if due < self.timer_at:
-            self.timer, self.timer_at = (self.timer + 1) % 2**32, due
+            self.timer, self.timer_at = (self.timer + 1) % 2**31, due
             self.out.append(i.SetTimer(self.timer_at, self.timer))
         return self.out
 
@@ -242,7 +226,7 @@
         for entry in event.workers:
             old = self.workers.get(entry.worker)
             if old is None:
-                self.workers[entry.worker] = _WorkerView(entry, _mix(entry.worker), self.rng.random())
+                self.workers[entry.worker] = _WorkerView(entry, mix(entry.worker), self.rng.random())
                 self.epoch += 1
                 continue
             anew = entry.started is not None and entry.started != old.entry.started
@@ -299,7 +283,7 @@
         now, key = self.now, request.function
         function = self.functions.pop(key, None)
         if function is None:
-            function = _Function(_mix(key))
+            function = _Function(mix(key))
             while self.functions:
                 oldest = next(iter(self.functions))
                 if now - self.functions[oldest].used < 2 * max(self.s.keep_alive, RATE_TIME):
@@ -390,6 +374,8 @@
     def _choose(self, job: _Open) -> _WorkerView | None:
         """The eligible worker with the smallest load-balanced distance, ties at random."""
         tried = {a.worker.worker for a in job.attempts}
+        if self.talk is not None:
+            self._hear(job.function, self.talk.copies(self.now, job.request.function))
         safe, work = job.klass.effect is i.Effect.SAFE, self._work(job)
         for again, sick in ((False, False), (True, False), (True, True)):
             best, ties = math.inf, 0
@@ -414,6 +400,15 @@
                 return found
         return None
 
+    def _hear(self, function: _Function, told: dict[int, Copy]) -> None:
+        """A copy that another router found stands as a home does."""
+        function.told = told
+        for worker, copy in told.items():
+            found = -math.inf if copy.age is None else self.now - copy.age
+            if worker in self.workers and found > function.sent_at.get(worker, -math.inf):
+                function.warmth[worker] = max(function.warmth.get(worker, 0.0), HOME_WARM)
+                function.sent_at[worker] = found
+
     def _near(self, function: _Function) -> Iterator[tuple[_WorkerView, float]]:
         """Warm workers, then the function's homes, then the others, with what their place adds.
 
@@ -437,6 +432,8 @@
     def _homes(self, function: _Function) -> int:
         calls = function.calls.read(self.now)
         part = max(0.0, calls - math.sqrt(calls)) / self.calls.read(self.now)
+        if self.talk is not None:  # who knows where others found copies need not guess where they would
+            part *= 1.0 - self.talk.heard_from(self.now)
         kept = self.rate * max(1, self.s.gateways) * self.s.keep_alive / HOME_CALLS
         return 1 + int(part * min(self.homes * len(self.workers), kept))
 
@@ -452,13 +449,10 @@
     def _ranked(self, function: _Function) -> list[_WorkerView]:
         sized = self.s.weights in (i.Weights.NOMINAL, i.Weights.ROUGH)
 
-        def rank(view: _WorkerView) -> float:
-            x = ((function.mix ^ view.salt) * 0x94D049BB133111EB) & _MASK
-            x = ((x ^ (x >> 29)) * 0xBF58476D1CE4E5B9) & _MASK
-            size = view.entry.weight if sized and view.entry.weight else 1.0
-            return -math.log(((x >> 11) + 1) / 2**53) / size
+        def place(view: _WorkerView) -> float:
+            return rank(function.mix, view.salt, view.entry.weight if sized and view.entry.weight else 1.0)
 
-        return sorted(self.workers.values(), key=rank)
+        return sorted(self.workers.values(), key=place)
 
     def _warmth(self, function: _Function, worker: int) -> float:
         warmth = function.warmth.get(worker, 0.0)
@@ -468,7 +462,10 @@
         return warmth
 
     def _distance(self, function: _Function, view: _WorkerView, key: tuple[int, int | None]) -> float:
-        load = view.pending / function.lanes + view.load(self.now) + self._crowded(view)
+        out = view.pending + ELSEWHERE * view.elsewhere
+        if (copy := function.told.get(view.entry.worker)) is not None:
+            out += copy.out  # these take its very lanes
+        load = out / function.lanes + view.load(self.now) + self._crowded(view)
         turned = view.turned.get(key)
         guard = view.trouble + (turned.read(self.now) if turned else 0.0)
         guard += self.abroad if view.entry.zone != self.s.zone else 0.0
@@ -538,8 +535,8 @@
     def retune(self, settings: i.Settings) -> None:
         """New settings whose classes only add to the old ones: open requests keep theirs."""
         added = range(len(self.s.classes), len(settings.classes))
-        self.by_class += [_Ewma() for _ in added]
-        self.by_work += [_Ewma() for _ in added]
+        self.by_class += [Ewma() for _ in added]
+        self.by_work += [Ewma() for _ in added]
         self.s = settings
 
     def skipped(self) -> int:
@@ -612,7 +609,7 @@
             if attempt.trial and view.broken:
                 self._open_breaker(view)
         elif outcome is i.Outcome.FULL:
-            view.turned.setdefault(attempt.key, _Fading(TURNED_TIME)).move(now, 0.5, 2.0)
+            view.turned.setdefault(attempt.key, Fading(TURNED_TIME)).move(now, 0.5, 2.0)
             view.seen.add(now, max(view.load(now), aim / max(attempt.expected, 1.0)), self.memory)
 
     def _reported(self, view: _WorkerView, report: tuple[float | None, ...]) -> None:
--- a/cedarthread/measures.py
+++ b/cedarthread/measures.py
@@ -5,6 +5,21 @@
 import math
 from dataclasses import dataclass
 
+GAIN = 0.1  # of an EWMA: about the last ten values
+
+
+@dataclass(slots=True)
+class Ewma:
+    """An EWMA; the first values count in full."""
+
+    mean: float = 0.0
+    count: int = 0
+
+    def add(self, value: float) -> None:
+        """One value."""
+        self.count += 1
+        self.mean += max(GAIN, 1.0 / self.count) * (value - self.mean)
+
 
 @dataclass(slots=True)
 class Fading:
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -13,6 +13,7 @@
 from cedarthread.config import Config, ConfigError
 from cedarthread.core.planner import FIGURES, Planner
 from cedarthread.net.control import ControlFront
+from cedarthread.net.peers import Peers
 from cedarthread.net.platform import CLIENT_PART, PlatformFront
 from cedarthread.net.resolver import Resolver
 from cedarthread.net.roster import Listing, Roster
@@ -61,6 +62,7 @@
         self.planner.workers = self.runners
         self.platform = PlatformFront(self.planner, clients, self.flusher, int(QUEUED * room))
         self.invoke = self._front(invoke) if invoke is not None else None
+        self.peers: Peers | None = None
         self.roster = Roster(config.settings)
         self.resolver = Resolver(lambda serial, told: self.news(serial, told, whole=True))
         self.control = ControlFront({"PING": self._ping, "INFO": self._info}, self.flusher)
@@ -135,6 +137,7 @@
         if self.invoke is not None:
             self.invoke_port = await self.invoke.listen()
             log.info("invoke API on port %d", self.invoke_port)
+        await self._join()
         if self.config.resolver is not None:
             await self.resolver.start(*self.config.resolver)
         self.serving = True
@@ -149,6 +152,21 @@
         if self.invoke is not None:
             loop.call_later(RENEW, self._look)
 
+    async def _join(self) -> None:
+        """Talk to the other routers, where the settings allow it and it is told where they are."""
+        told = self.config.peers
+        if self.peers is not None or told is None or not self.config.settings.limits.peers:
+            return
+        self.peers = Peers(told, self.planner.heard)
+        try:
+            await self.peers.start()
+        except OSError as error:  # calls are served without it
+            log.error("no talk with other routers: %s:%d can't be listened on: %s", *told.listen, error)
+            self.peers = None
+            return
+        self.planner.tell = self.peers.send
+        log.info("talking to %d routers from %s:%d", len(told.peers), *told.listen)
+
     async def finish(self) -> None:
         """Answer ``check`` with no, but all that still comes in full; end when the last answer has left."""
         loop = asyncio.get_running_loop()
@@ -167,6 +185,8 @@
         if self.invoke is not None:
             self.invoke.stop_listening()
         self.resolver.stop()
+        if self.peers is not None:
+            self.peers.stop()
         self.control.stop_listening()
         self._report()
         log.info("ended with %d calls open", len(self.planner.calls))
@@ -192,6 +212,7 @@
         self.config = replace(
             self.config, settings=told.settings, resolver=told.resolver or self.config.resolver
         )
+        self._background(self._join())
         log.info("configuration reloaded: classes %s", ", ".join(k.name for k in told.settings.classes))
         if told.resolver is not None:
             log.info("resolver at %s:%d", *told.resolver)
--- a/cedarthread/simhost.py
+++ b/cedarthread/simhost.py
@@ -6,7 +6,7 @@
 from typing import BinaryIO
 
 from cedarthread import wire
-from cedarthread.decide import Router
+from cedarthread.decisions import Decisions
 
 
 class Host:
@@ -14,7 +14,7 @@
 
     def __init__(self) -> None:
         self.decoder = wire.Decoder()
-        self.routers: dict[int, Router] = {}
+        self.routers: dict[int, Decisions] = {}
 
     def reply(self, frame: bytes) -> bytes:
         """The reply frame to one batch frame."""
@@ -23,7 +23,7 @@
         last: int | None = None
         for who, event in events:
             if isinstance(event, wire.Start):
-                self.routers[who] = Router(event.settings, event.seed)
+                self.routers[who] = Decisions(event.settings, event.seed)
                 continue
             if isinstance(event, wire.Kill):
                 self.routers.pop(who, None)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -9,6 +9,7 @@
 
 from cedarthread import decide
 from cedarthread import interface as i
+from cedarthread.spread.rendezvous import mix
 from tests.helpers import CLASSES, LIMITS, PRICES, RULES, SAFE, Drive, finals, sends, worker
 
 
@@ -21,7 +22,7 @@
 
 def only_warm(d: Drive, warmth: dict[int, float], lanes: float = 1.0) -> decide._Function:
     """Function 7 with nothing but this warmth, as if sent just now."""
-    function = d.router.functions.setdefault(7, decide._Function(decide._mix(7), lanes))
+    function = d.router.functions.setdefault(7, decide._Function(mix(7), lanes))
     function.warmth.update(warmth)
     function.sent_at.update(dict.fromkeys(warmth, d.now))
     function.proven.update(dict.fromkeys(warmth, d.now))
--- /dev/null
+++ b/tests/test_talk.py
@@ -0,0 +1,236 @@
+"""What routers tell each other: the form, both sides of the talk, and what the decisions make of it."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+
+import pytest
+
+from cedarthread import interface as i
+from cedarthread.decisions import Decisions
+from cedarthread.net.peers import PeerAddresses, Peers
+from cedarthread.spread import datagram as form
+from cedarthread.spread import talk as talking
+from cedarthread.spread.talk import Talk
+from tests.helpers import LIMITS, PRICES, sends, settings, worker
+
+QUIET = dataclasses.replace(LIMITS, peers=False)
+
+
+def talk(me: int, gateways: int = 3, price: float = 0.01, seed: int = 5) -> Talk:
+    told = settings(gateways=gateways, ordinal=me, prices=dataclasses.replace(PRICES, peer=price))
+    return Talk(told, seed + me)
+
+
+def pass_on(a: Talk, b: Talk, now: float) -> None:
+    for tell in a.tell(now):
+        b.hear(now + 5.0, a.me, tell.data)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_datagram_reads_as_it_was_written_and_garbage_is_a_value(seed: int) -> None:
+    rng = random.Random(seed)
+    for _ in range(300):
+        workers = tuple(
+            form.WorkerNews(
+                rng.getrandbits(32),
+                rng.randrange(256),
+                tuple(
+                    form.CopyNews(
+                        rng.getrandbits(32),
+                        rng.randrange(256),
+                        rng.choice([None, 100.0 * rng.randrange(255)]),
+                    )
+                    for _ in range(rng.randrange(8))
+                ),
+            )
+            for _ in range(rng.randrange(4))
+        )
+        news = form.News(rng.getrandbits(32), rng.getrandbits(32), rng.random() < 0.5, workers)
+        data = form.encode(news)
+        assert form.decode(data) == news and len(data) <= form.MOST
+        cut = data[: rng.randrange(len(data))]
+        assert isinstance(form.decode(cut), (form.News, form.Unreadable))
+        form.decode(rng.randbytes(rng.randrange(300)))
+
+
+@pytest.mark.parametrize("data", [b"", b"\0" * 257, b"\0" * 10, bytes((form.FORM,)) + b"\0" * 11])
+def test_what_is_no_datagram_is_counted_and_changes_nothing(data: bytes) -> None:
+    one = talk(0)
+    assert one.hear(0.0, 1, data) == {} and one.unreadable == 1
+    assert one.hear(0.0, 7, b"") == {} and one.hear(0.0, 0, b"") == {} and one.strangers == 2
+
+
+def test_nothing_longer_than_may_be_sent_is_made() -> None:
+    copies = tuple(form.CopyNews(n, 1, None) for n in range(50))
+    with pytest.raises(ValueError):
+        form.encode(form.News(1, 1, False, (form.WorkerNews(1, 1, copies),)))
+    one = talk(0, price=0.0)
+    for number in range(2000):
+        one.sent(number % 40, number)
+    assert max(len(tell.data) for _ in range(50) for tell in one.tell(talking.GATHER * _)) <= form.MOST
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_lost_doubled_and_late_datagrams_do_no_harm(seed: int) -> None:
+    """Events told once would leave wrong counts for good."""
+    rng, a, b = random.Random(seed), talk(0, price=0.0), talk(1, price=0.0)
+    out: list[tuple[int, int]] = []
+    on_the_way: list[bytes] = []
+    now = 0.0
+    for _ in range(600):
+        now += 10.0
+        if rng.random() < 0.5 or not out:
+            out.append((rng.randrange(5), rng.randrange(20)))
+            a.sent(*out[-1])
+        else:
+            a.ended(now, *out.pop(rng.randrange(len(out))), rng.choice([True, None]))
+        for tell in a.tell(now):
+            on_the_way += [tell.data] * rng.choice([0, 0, 1, 1, 2])
+        rng.shuffle(on_the_way)
+        for _ in range(rng.randrange(3)):
+            if on_the_way:
+                b.hear(now, 0, on_the_way.pop())
+    for _ in range(60):  # from here on all arrives
+        now += 50.0
+        pass_on(a, b, now)
+    b.refreshed(now)
+    for at in range(5):
+        assert b.elsewhere(now, at) == sum(one == at for one, _ in out)
+        for function in range(20):
+            copy = b.copies(now, function).get(at)
+            assert (copy.out if copy else 0) == out.count((at, function))
+
+
+def test_a_peer_that_lies_is_believed_within_bounds() -> None:
+    one = talk(0)
+    lie = form.News(9, 1, False, (form.WorkerNews(4, 255, (form.CopyNews(form.fold(7), 255, 0.0),)),))
+    assert one.hear(1000.0, 1, form.encode(lie)) == {4: talking.BELIEVED}
+    assert one.copies(1000.0, 7)[4].age == 0.0
+    one.sent(4, 7)
+    one.ended(1100.0, 4, 7, False)  # it was not there
+    assert 4 not in one.copies(1100.0, 7)
+    assert one.elsewhere(1000.0 + talking.FORGET + 1.0, 4) == 0.0
+
+
+def test_a_life_that_is_past_does_not_speak_again() -> None:
+    one = talk(0)
+    old = form.encode(form.News(1, 50, False, (form.WorkerNews(4, 9),)))
+    assert one.hear(0.0, 1, old) == {4: 9.0}
+    assert one.hear(1.0, 1, form.encode(form.News(2, 1, True, ()))) == {}
+    assert one.elsewhere(1.0, 4) == 0.0, "what it had out went with it"
+    assert one.hear(2.0, 1, old) == {} and one.elsewhere(2.0, 4) == 0.0
+
+
+def test_a_router_that_starts_asks_and_is_told_what_stands_warm() -> None:
+    old, new = talk(0), talk(1)
+    for number in range(30):
+        old.sent(number % 4, number)
+        old.ended(1000.0, number % 4, number, True)
+    old.tell(1000.0)
+    old.tell(2000.0)
+    (ask,) = new.tell(3000.0)
+    old.hear(3005.0, 1, ask.data)
+    answer = old.tell(3010.0)
+    assert answer and all(tell.peer == 1 for tell in answer)
+    for tell in answer:
+        new.hear(3015.0, 0, tell.data)
+    assert all(new.copies(3015.0, number)[number % 4].age for number in range(30))
+    old.hear(3020.0, 1, ask.data)
+    assert old.tell(3100.0) == [], "asked twice, answered once"
+
+
+@pytest.mark.parametrize("gateways", [3, 50, 400])
+def test_what_telling_costs_does_not_grow_with_the_fleet(gateways: int) -> None:
+    one, spent, calls, now = talk(0, gateways, price=0.01), 0.0, 3000, 0.0
+    for number in range(calls):
+        now += 20.0
+        one.call()
+        one.sent(number % 50, number % 200)
+        one.ended(now, number % 50, number % 200, True)
+        for tell in one.tell(now):
+            spent += len(tell.data) * (min(gateways - 1, talking.FAN) if tell.peer is None else 1)
+    start = talking.SAVED * form.MOST * talking.FAN
+    budget = calls * talking.SPEND / 0.01 * form.MOST
+    assert 0.1 * budget < spent <= budget + start
+
+
+def drive(decisions: Decisions, function: int, request: int, now: float) -> list[i.Action]:
+    return decisions.handle(now, i.Request(request, function, 0, now + 3000.0))
+
+
+def pair(**changes: object) -> list[Decisions]:
+    both = [Decisions(settings(ordinal=n, **changes), seed=n + 1) for n in range(2)]
+    listed = i.Membership(i.ListKind.CACHED, 1, tuple(worker(n) for n in range(1, 9)))
+    for one in both:
+        one.handle(0.0, listed)
+    return both
+
+
+def test_a_copy_that_another_router_found_draws_the_calls() -> None:
+    a, b = pair()
+    assert a.talk is not None
+    for function in range(20):
+        now = 100.0 * (function + 1)
+        stands = 1 + function % 8  # where no router would guess it, but by chance
+        a.talk.sent(stands, function)
+        a.talk.ended(now, stands, function, True)
+        for tell in a.talk.tell(now):
+            b.handle(now + 5.0, i.PeerMessage(0, tell.data))
+        if function:  # the first datagram asks
+            assert sends(drive(b, function, function, now + 10.0)) == [stands]
+            b.handle(now + 60.0, i.AttemptEnded(function, 0, stands, i.Outcome.OK, 50.0, True))
+
+
+def test_where_talk_is_forbidden_nothing_is_told_or_heard() -> None:
+    (one, _) = pair(limits=QUIET)
+    actions = drive(one, 7, 1, 100.0)
+    actions += one.handle(
+        120.0, i.PeerMessage(1, form.encode(form.News(1, 1, True, (form.WorkerNews(1, 9),))))
+    )
+    actions += one.handle(200.0, i.AttemptEnded(1, 0, sends(actions)[0], i.Outcome.OK, 90.0, True))
+    assert one.talk is None and not any(isinstance(action, (i.Tell, i.Probe)) for action in actions)
+    assert all(view.elsewhere == 0.0 for view in one.router.workers.values())
+
+
+def test_settings_that_forbid_talk_end_it() -> None:
+    a, b = pair()
+    told = drive(a, 7, 1, 100.0) + a.handle(150.0, i.TimerDue(0))
+    for tell in [action for action in told if isinstance(action, i.Tell)]:
+        b.handle(155.0, i.PeerMessage(0, tell.data))
+    assert any(view.elsewhere for view in b.router.workers.values())
+    b.retune(settings(ordinal=1, limits=QUIET))
+    assert not any(view.elsewhere for view in b.router.workers.values())
+    assert not any(isinstance(action, i.Tell) for action in drive(b, 8, 2, 200.0))
+
+
+def test_datagrams_pass_between_sockets_and_strangers_are_dropped() -> None:
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        heard: asyncio.Queue[tuple[int, bytes]] = asyncio.Queue()
+        here = ("127.0.0.1", 0)
+        a, b = (
+            Peers(PeerAddresses(here, (), None), lambda n, data: heard.put_nowait((n, data))) for _ in "ab"
+        )
+        for one in (a, b):
+            await one.start()
+        at = [one._transport.get_extra_info("sockname") for one in (a, b)]  # type: ignore[union-attr]
+        for one in (a, b):
+            one.addresses = PeerAddresses(here, tuple(at), None)
+            one._numbers = {address: number for number, address in enumerate(at)}
+        stranger, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol, remote_addr=at[1])
+        stranger.sendto(b"x")
+        a.send(b"y" * 257, 1)
+        a.send(b"z", 5)
+        a.send(b"hello", 1)
+        assert await heard.get() == (0, b"hello") and a.unsent == 2
+        a.send(b"all", None)
+        assert {await heard.get(), await heard.get()} == {(0, b"all")}
+        assert b.strangers == 1
+        stranger.close()
+        a.stop()
+        b.stop()
+
+    asyncio.run(play())
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -144,7 +144,7 @@
     reply = host.reply(frame(at(3), start(), table(0, 4), update(0), arrival(9)))
     assert struct.pack("<BI", 72, 3) in reply and struct.pack("<BII", 71, 9, 4) in reply
     host.reply(frame(at(3), struct.pack("<B", 10), start(), table(0), update(0)))
-    assert host.routers[3].open == {} and host.routers[3].workers == {}
+    assert host.routers[3].router.open == {} and host.routers[3].router.workers == {}
 
 
 @pytest.mark.parametrize(
