Calls that wait for a load are no sign of a jam; the measure of it is a module, limits/jam.py

Its log: 11 to 17 attempts out at each new worker, every one of them cold, 5 to 9 answers a call out. Lines at fault: decide.py `_jam`, which counted attempts that wait for a load among those that are out. Refusing does not shorten a load, so it went on refusing. Test: calls to new workers, each loading, are not refused.

--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from cedarthread import interface as i
+from cedarthread.limits.jam import Jam
 from cedarthread.measures import Ewma, Fading, Mean
 from cedarthread.spread.rendezvous import mix, rank
 from cedarthread.spread.talk import Copy, Talk
@@ -58,13 +59,9 @@
 # Admission.
 RETRY_SHARE, RETRY_MOST = 0.15, 10.0  # retry budget: moves earned by each first try; most saved up
 COLD_SAFETY = 0.6  # part of a cold worker's budget that all gateways together may use
-SHED_FROM, SHED_SPAN = 0.4, 0.3  # own calls' least time over the wanted one at which refusing begins; span
 REPEAT = 3.0  # times that a client's marked repeat is refused as often: its first try has had its turn
 SHED_MOST = 0.95  # the rest always passes: it shows when the jam is over
-CHANCE = 1.0  # standard deviations by which the calls that are out may be more than usual by chance
-USUAL = 0.75  # part of the workers that a jam must show at: some are slow, silent or loading on any day
 COME_BACK = 0.05, 0.15  # parts of the longest wait that a refused client is told to keep away, least and most
-DONE_TIME = 2000.0  # ms in which own answers fade from their count
 CANNOT = 0.5  # part of its expected time under which a request's time left is not enough to begin
 TURNED_TIME = 3000.0  # ms in which it fades that a worker turned a class or tenant away
 HELD_PART = 0.5  # part of its time for which a request that has not been sent is held at most
@@ -166,7 +163,7 @@
         self.by_work = [Ewma() for _ in settings.classes]  # time per hinted work
         self.tenants = [Fading(RATE_TIME) for _ in settings.tenants]
         self.calls = Fading(RATE_TIME)
-        self.done, self.pending = Fading(DONE_TIME), 0  # own answers, and own attempts that are out
+        self.jam = Jam()
         self.began = math.inf  # when the first call came
         self.rate, self.scarce, self.normal = 0.0, 1.0, 0.0  # by ``_measure``, with the next
         self.memory = SEEN_TIME  # ms in which what a worker showed fades
@@ -294,6 +291,7 @@
         function.lanes = max(request.lanes or 1.0, 1.0)
         function.calls.add(now, 1.0)
         self.calls.add(now, 1.0)
+        self.jam.call(now)
         self.began = min(self.began, now)
         self._measure()
         return function
@@ -308,7 +306,9 @@
         aim = min(left, job.klass.aim + job.klass.aim_stretch * expected)
         # Between a class's own time and one time for all, later for those of more worth: what has little time
         # is not refused first for that alone, nor is what has much of it never.
-        late = self._jam(math.sqrt(max(aim, 1.0) * self.aims * value / self.value.mean))
+        aim = math.sqrt(max(aim, 1.0) * self.aims * value / self.value.mean)
+        sound = (worker for worker, view in self.workers.items() if not view.broken)
+        late = self.jam.strength(self.now, aim, sound)
         if late <= 0.0:
             return False
         late *= REPEAT if job.request.repeat else 1.0
@@ -316,22 +316,6 @@
         self._log("shed", f"refusing {part:.2f} of calls like one that could not be answered in time")
         return self.rng.random() < part
 
-    def _wait(self, out: float) -> float:
-        """The ms that own calls take, by Little's law: those out, less what chance may add, over those
-        answered a ms. It knows of a jam as it grows, where answers tell of it when it is there."""
-        unseen = math.exp(-max(0.0, self.now - self.began) / DONE_TIME)  # before the start all went well
-        rate = self.done.read(self.now) / DONE_TIME + unseen * self.rate
-        return max(0.0, out - CHANCE * math.sqrt(out)) / max(rate, 1e-6)
-
-    def _jam(self, aim: float) -> float:
-        """0 for no jam, 1 where all had better be refused. Some workers alone are no sign of one."""
-        if self._wait(self.pending) <= SHED_FROM * aim:
-            return 0.0
-        held = sorted(view.pending for view in self.workers.values() if not view.broken)
-        usual = held[: math.ceil(USUAL * len(held))]
-        out = sum(usual) * len(held) / max(1, len(usual))
-        return (self._wait(out) / aim - SHED_FROM) / SHED_SPAN
-
     def _place(self, job: _Open) -> None:
         """Send the request to the nearest eligible worker, or hold it, or end it."""
         self.held.pop(job.request.request, None)
@@ -482,7 +466,8 @@
         )
         job.attempts.append(attempt)
         view.pending += 1
-        self.pending += 1
+        if not cold:
+            self.jam.sent(worker)
         function.warmth = {other: (1.0 - ALPHA) * warmth for other, warmth in function.warmth.items()}
         function.warmth[worker] = function.warmth.get(worker, 0.0) + ALPHA
         function.sent_at[worker] = self.now
@@ -662,9 +647,8 @@
         if attempt is None or not attempt.pending:
             return
         attempt.pending = False
-        self.pending -= 1
-        if event.outcome is i.Outcome.OK:
-            self.done.add(self.now, 1.0)
+        if not attempt.cold:
+            self.jam.ended(self.now, event.worker, event.outcome is i.Outcome.OK)
         attempt.may_have_run = event.outcome not in _NEVER_RAN
         self._learn(event, attempt)
         if job is None:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -306,6 +306,14 @@
     assert first[1] < first[2] < first[0]
 
 
+def test_calls_that_wait_for_loads_are_no_jam() -> None:
+    """New workers load all they are asked for: a router once refused 95% of its calls in a release."""
+    d = Drive(*(worker(n) for n in range(1, 7)))
+    steady(d)
+    assert not any(finals(d.ask(function=100 + n, after=10.0)) for n in range(100))
+    assert not any(finals(d.ask(function=7, after=10.0)) for _ in range(5))
+
+
 def test_few_calls_that_come_together_are_no_jam() -> None:
     """One router of hundreds takes some calls a second: three at once say nothing."""
     d = Drive(worker(1), worker(2), worker(3))
@@ -564,11 +572,11 @@
     """One silent worker once made the gateway refuse the calls of all others."""
     d = Drive(*(worker(n) for n in range(1, 7)))
     steady(d)
-    d.router.workers[1].pending += 200
-    d.router.pending += 200
+    d.router.jam.out[1] = 200
+    d.router.jam.total += 200
     assert not any(finals(d.ask()) for _ in range(5)), "before it is set aside too"
     for number in range(2, 7):
-        d.router.workers[number].pending += 40
+        d.router.jam.out[number] = 40
     assert any(finals(d.ask()) for _ in range(20)), "with all as full it is a jam"
 
 
