--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -246,7 +246,17 @@
             self.invoke.sweep(now)
         loop.call_later(SWEEP, self._sweep)
 
+    def _dropped(self) -> tuple[int, int, int]:
+        """Datagrams from no peer, of no known form, and not sendable, since the start."""
+        peers, talk = self.peers, self.planner.decisions.talk
+        if peers is None or talk is None:
+            return 0, 0, 0
+        return peers.strangers + talk.strangers, talk.unreadable, peers.unsent
+
     def _report(self) -> None:
         counts = " ".join(f"{name}={count}" for name, count in self.planner.counts.items())
         log.info("calls: %s open=%d", counts, len(self.planner.calls))
+        dropped = self._dropped()
+        if any(dropped):
+            log.warning("other routers: strangers=%d unreadable=%d unsent=%d", *dropped)
         asyncio.get_running_loop().call_later(REPORT, self._report)
