Test that routers which all restart within seconds answer once and start warm

Three routers on a virtual clock, a tenth of the datagrams lost, killed one after the other 1.5 s apart: each call but those that a killed process held gets one answer, and more than half of the second one's calls soon after its start go by what the others told.

--- a/tests/test_talk.py
+++ b/tests/test_talk.py
@@ -184,6 +184,52 @@
             b.handle(now + 60.0, i.AttemptEnded(function, 0, stands, i.Outcome.OK, 50.0, True))
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_routers_that_all_restart_within_seconds_answer_each_call_once_and_start_warm(seed: int) -> None:
+    rng, now, number = random.Random(seed), 0.0, 0
+    listed = i.Membership(i.ListKind.CACHED, 1, tuple(worker(n) for n in range(1, 9)))
+
+    def start(me: int) -> Decisions:
+        one = Decisions(settings(ordinal=me, gateways=3), seed=rng.getrandbits(32))
+        one.handle(now, listed)
+        return one
+
+    fleet, answers, warm = [start(me) for me in range(3)], dict[int, int](), []
+    lost: set[int] = set()
+    timers: list[tuple[float, Decisions, int]] = []
+    for step in range(1000):
+        now += 10.0
+        if step in (400, 550, 700):  # one after the other, with nothing but its list
+            me = (step - 400) // 150
+            lost |= set(fleet[me].router.open)  # what a killed process had goes with it
+            fleet[me] = start(me)
+        events: list[tuple[int, i.Event]] = []
+        if step < 900:
+            number += 1
+            events += [(rng.randrange(3), i.Request(number, number % 12, 0, now + 3000.0, load_time=400.0))]
+        for at, one, token in [timer for timer in timers if timer[0] <= now]:
+            timers.remove((at, one, token))
+            events += [(fleet.index(one), i.TimerDue(token))] if one in fleet else []
+        while events:
+            me, event = events.pop(0)
+            for action in fleet[me].handle(now, event):
+                if isinstance(action, i.Tell):
+                    others = [n for n in range(3) if n != me and action.peer in (None, n)]
+                    events += [(n, i.PeerMessage(me, action.data)) for n in others if rng.random() < 0.9]
+                elif isinstance(action, i.Send):
+                    warm.append((step, fleet[me].talk.copies(now, action.request % 12).get(action.worker)))  # type: ignore[union-attr]
+                    done = i.AttemptEnded(action.request, 0, action.worker, i.Outcome.OK, 50.0, True)
+                    events.append((me, done))
+                    answers[action.request] = answers.get(action.request, 0) + 1
+                elif isinstance(action, (i.Refuse, i.Fail)):
+                    answers[action.request] = answers.get(action.request, 0) + 1
+                elif isinstance(action, i.SetTimer):
+                    timers.append((action.at, fleet[me], action.token))
+    assert answers == dict.fromkeys(set(range(1, number + 1)) - lost, 1) and len(lost) < 6
+    late = [copy is not None and copy.age is not None for step, copy in warm if step in range(560, 700)]
+    assert sum(late) > 0.5 * len(late), "the second went by what the others told, soon after its start"
+
+
 def test_where_talk_is_forbidden_nothing_is_told_or_heard() -> None:
     (one, _) = pair(limits=QUIET)
     actions = drive(one, 7, 1, 100.0)
