--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -202,7 +202,7 @@
         self.now, self.out = now, []
         if now > self.timer_at + STALL:
             self.stalled = now  # no turn when one was due: what comes now is old, judge nobody by it
-        if (take := self.takes.get(type(event))) is not None:  # probes and messages are not used
+        if (take := self.takes.get(type(event))) is not None:  # messages go to the talk; probes are not sent
             take(event)
         due = max(self.agenda[0][0], now + 1.0) if self.agenda else math.inf
         if due < self.timer_at:
--- a/cedarthread/decisions.py
+++ b/cedarthread/decisions.py
@@ -9,9 +9,7 @@
 from cedarthread.decide import Router
 from cedarthread.spread.talk import Talk
 
-BESIDE = (
-    2**32 - 1
-)  # the token of the timer of what stands beside the router; the router's own stay under 2^31
+BESIDE = 2**32 - 1  # the token of the timer beside the router, whose own stay under 2^31
 LOOK = 250.0  # ms between looks at what has become old
 
 _STANDS = {
@@ -23,15 +21,13 @@
 
 
 class Decisions:
-    """One router, its talk with others and its probes."""
+    """One router and its talk with others."""
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.seed = seed
         self.router = Router(settings, seed)
         self.talk: Talk | None = None
-        self.out: dict[
-            tuple[int, int], int
-        ] = {}  # request and worker: the function of an attempt that is out
+        self.out: dict[tuple[int, int], int] = {}  # attempts out: request and worker to function
         self.timed = False
         self.retune(settings)
 
--- a/cedarthread/limits/jam.py
+++ b/cedarthread/limits/jam.py
@@ -12,10 +12,7 @@
 
 from cedarthread.measures import Fading
 
-FROM, SPAN = (
-    0.25,
-    0.2,
-)  # own calls' least time over the wanted one at which there is a jam; from there to a full one
+FROM, SPAN = 0.25, 0.2  # calls' least time over the wanted one where a jam begins; on to a full one
 CHANCE = 1.0  # standard deviations by which the calls that are out may be more than usual by chance
 USUAL = 0.75  # part of the workers that a jam must show at: some are slow or silent on any day
 TIME = 2000.0  # ms in which calls and answers fade from their counts
--- a/cedarthread/net/peers.py
+++ b/cedarthread/net/peers.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 from typing import cast
 
-log = logging.getLogger("cedarthread.peers")
+from cedarthread.spread.datagram import MOST
 
-MOST = 256  # bytes of a datagram: one more voids the platform's run
+log = logging.getLogger("cedarthread.peers")
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from cedarthread import interface as i
 from cedarthread.decisions import Decisions
 from cedarthread.spread import datagram as form
@@ -38,8 +40,7 @@
 
 
 def heard(*, peers: bool = True) -> Decisions:
-    limits = LIMITS if peers else type(LIMITS)(4, 1000, True, True, False, False, True, 2000.0)
-    one = Decisions(settings(limits=limits), seed=3)
+    one = Decisions(settings(limits=dataclasses.replace(LIMITS, peers=peers)), seed=3)
     one.handle(0.0, i.Membership(i.ListKind.CACHED, 1, tuple(worker(n) for n in range(1, 9))))
     one.handle(1.0, i.PeerMessage(1, form.encode(form.News(5, 1, False, ()))))
     return one
