Talk forgets what stood at runners that start anew; SIGHUP reaches all that hangs on settings

Cause, found on a read-through: Decisions forgot a runner in the talk only where an entry said gone. One that started anew, or was missing from a whole list, went on standing there as a home of its copies for a keep-alive, and own calls were sent to it as to a warm one. And after SIGHUP the wanted times, the number of homes, the price of another zone, the column of the reports and all of the talk's price and keep-alive stayed those of the start.

Lines: Decisions._listed; Router.__init__ and Router.retune; Talk.__init__.

Change: Router._forget, which sees all three cases, tells the talk; Router._follow and Talk.retune hold what hangs on the settings alone, and run at the start and at each retune.

Ruled out: forgetting in _members for entries only (misses runners that a whole list lacks).

--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -154,14 +154,12 @@
     """The decisions of one gateway."""
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
-        self.s = settings
         self.rng = random.Random(seed)
         self.workers: dict[int, _WorkerView] = {}
         self.functions: dict[int, _Function] = {}  # the least lately used first
         self.open: dict[int, _Open] = {}
         self.held: dict[int, _Open] = {}
         self.late: dict[tuple[int, int], _Attempt] = {}  # still out when their request was closed
-        self.aims = sum(klass.aim for klass in settings.classes) / max(1, len(settings.classes))
         self.by_class = [Ewma() for _ in settings.classes]
         self.by_work = [Ewma() for _ in settings.classes]  # time per hinted work
         self.tenants = [Fading(RATE_TIME) for _ in settings.tenants]
@@ -171,13 +169,9 @@
         self.rate, self.scarce, self.normal = 0.0, 1.0, 0.0  # by ``_measure``, with the next
         self.memory = SEEN_TIME  # ms in which what a worker showed fades
         self.usual = Mean.over(RATE_TIME)  # requests of others that a worker says to hold
-        told = settings.report_columns
-        self.inflight = told.index("inflight") if "inflight" in told else -1
         self.demand = Fading(RATE_TIME)  # work of first tries that were not refused
         self.value, self.loads = Ewma(), Ewma()
         self.budget, self.loads_out = RETRY_MOST, 0
-        self.homes = HOMES / (1.0 + IDLE_WEIGHT * settings.prices.idle_memory)
-        self.abroad = ABROAD * settings.prices.cross_zone
         self.ordered, self.taken = deque[float](), deque[float]()
         self.agenda: list[tuple[float, int, int, int]] = []  # due, serial, request (-1: none), attempt
         self.timer, self.timer_at = 0, math.inf
@@ -186,6 +180,7 @@
         self.logged: dict[str, float] = {}
         self.out: list[i.Action] = []
         self.talk: Talk | None = None
+        self._follow(settings)
         self.now, self.serial, self.epoch, self.ready = 0.0, 0, 0, 0
         self.takes: dict[type, Callable[[Any], None]] = {
             i.AttemptEnded: self._ended,
@@ -248,6 +243,8 @@
         self._pump()
 
     def _forget(self, worker: int) -> None:
+        if self.talk is not None:
+            self.talk.forget(worker)
         for function in self.functions.values():
             function.warmth.pop(worker, None)
             function.sent_at.pop(worker, None)
@@ -529,7 +526,15 @@
         added = range(len(self.s.classes), len(settings.classes))
         self.by_class += [Ewma() for _ in added]
         self.by_work += [Ewma() for _ in added]
-        self.s = settings
+        self._follow(settings)
+
+    def _follow(self, settings: i.Settings) -> None:
+        """What hangs on the settings alone."""
+        self.s, told = settings, settings.report_columns
+        self.aims = sum(klass.aim for klass in settings.classes) / max(1, len(settings.classes))
+        self.homes = HOMES / (1.0 + IDLE_WEIGHT * settings.prices.idle_memory)
+        self.abroad = ABROAD * settings.prices.cross_zone
+        self.inflight = told.index("inflight") if "inflight" in told else -1
 
     def skipped(self) -> int:
         """Listed workers that calls now pass by: set aside, or not ready."""
--- a/cedarthread/decisions.py
+++ b/cedarthread/decisions.py
@@ -48,8 +48,6 @@
             actions = self.router.handle(now, event)
             if type(event) is i.Request and not event.repeat:
                 talk.call()
-            elif type(event) is i.Membership:
-                self._listed(talk, event)
             self._sent(talk, actions)
         actions.extend(talk.tell(now))
         if not self.timed:
@@ -63,6 +61,8 @@
         talks = settings.limits.peers and settings.gateways > 1
         if talks and self.talk is None:
             self.talk = Talk(settings, self.seed)
+        elif talks and self.talk is not None:
+            self.talk.retune(settings)
         elif not talks:
             self.talk, self.timed = None, False
             for view in self.router.workers.values():
@@ -76,11 +76,6 @@
             if (view := self.router.workers.get(worker)) is not None:
                 view.elsewhere = calls
 
-    def _listed(self, talk: Talk, event: i.Membership) -> None:
-        for entry in event.workers:
-            if entry.state is i.WorkerState.GONE:
-                talk.forget(entry.worker)
-
     def _sent(self, talk: Talk, actions: list[i.Action]) -> None:
         for action in actions:
             if type(action) is i.Send and (job := self.router.open.get(action.request)) is not None:
--- a/cedarthread/spread/talk.py
+++ b/cedarthread/spread/talk.py
@@ -68,15 +68,9 @@
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.rng = random.Random(seed ^ 0x7461_6C6B)
-        self.me, self.peers = settings.ordinal, [n for n in range(settings.gateways) if n != settings.ordinal]
-        self.keep = min(settings.keep_alive, form.AGE_MOST)
-        price = settings.prices.peer
-        self.earned = SPEND / price * form.MOST if price > 0 else 0.0  # bytes for each own call
-        self.free = 0.0 if price > 0 else FREE
+        self.retune(settings)
         self.filled = 0.0  # when what is free was last added
         self.life, self.number = self.rng.getrandbits(32), 0
-        self.fan = min(FAN, len(self.peers))
-        self.saved = SAVED * form.MOST * self.fan
         self.bucket = self.saved / 2
         self.next, self.again = 0.0, 0.0
         self.out: dict[int, int] = {}
@@ -88,6 +82,16 @@
         self.unreadable = self.strangers = 0
         self.began = False
 
+    def retune(self, settings: i.Settings) -> None:
+        """What hangs on the settings alone; what was heard stays."""
+        self.me, self.peers = settings.ordinal, [n for n in range(settings.gateways) if n != settings.ordinal]
+        self.keep = min(settings.keep_alive, form.AGE_MOST)
+        price = settings.prices.peer
+        self.earned = SPEND / price * form.MOST if price > 0 else 0.0  # bytes for each own call
+        self.free = 0.0 if price > 0 else FREE
+        self.fan = min(FAN, len(self.peers))
+        self.saved = SAVED * form.MOST * self.fan
+
     # Own calls.
 
     def call(self) -> None:
--- a/tests/test_talk.py
+++ b/tests/test_talk.py
@@ -252,6 +252,38 @@
     assert not any(isinstance(action, i.Tell) for action in drive(b, 8, 2, 200.0))
 
 
+@pytest.mark.parametrize("news", ["gone", "anew", "missing"])
+def test_what_stood_at_a_worker_that_went_or_started_anew_is_not_told(news: str) -> None:
+    one = Decisions(settings(), seed=1)
+    listed = tuple(worker(n, started=10.0) for n in (1, 2))
+    one.handle(0.0, i.Membership(i.ListKind.CACHED, 1, listed))
+    assert one.talk is not None
+    one.talk.sent(1, 7)
+    one.talk.ended(50.0, 1, 7, True)
+    told = form.News(9, 1, False, (form.WorkerNews(1, 0, (form.CopyNews(form.fold(7), 0, 0.0),)),))
+    one.handle(60.0, i.PeerMessage(1, form.encode(told)))
+    assert one.talk.copies(70.0, 7)[1].age is not None
+    changed = {
+        "gone": (worker(1, i.WorkerState.GONE),),
+        "anew": (worker(1, started=80.0),),
+        "missing": (listed[1],),
+    }
+    kind = i.ListKind.FULL if news == "missing" else i.ListKind.DELTA
+    one.handle(90.0, i.Membership(kind, 2, changed[news]))
+    assert not one.talk.copies(100.0, 7) and not any(place.found for place in one.talk.places.values())
+
+
+def test_new_settings_change_what_hangs_on_them() -> None:
+    one = Decisions(settings(), seed=1)
+    assert one.talk is not None
+    before = one.router.aims, one.router.homes, one.talk.earned
+    prices = dataclasses.replace(PRICES, peer=0.02, idle_memory=0.2)
+    classes = tuple(dataclasses.replace(klass, aim=2.0 * klass.aim) for klass in settings().classes)
+    one.retune(settings(prices=prices, classes=classes, keep_alive=3000.0))
+    assert one.router.aims == 2.0 * before[0] and one.router.homes < before[1]
+    assert one.talk.earned == 0.5 * before[2] and one.talk.keep == 3000.0
+
+
 def test_datagrams_pass_between_sockets_and_strangers_are_dropped() -> None:
     async def play() -> None:
         loop = asyncio.get_running_loop()
