Rig: many router processes, a network of faults, and measures of even load

Operators want proof by processes with faults between them; until now one process was tested.

Built: standins/ (runner model with cores, lanes, copies, memory and loads; store, resolver, client; what tests/standins.py had is standins/scripted.py), rig/ (scenario files, faults by a timeline, processes by the entry point of run, clocks that are off, replays of the same arrivals under four other choices, drill spread), spread/evenness.py (peak-to-mean, variation, idle while another queues, herds, loads, copies beyond need).

Found by it and mended here: the resolver's client read each reply whole, five a second, though most say what the last did; with 40 runners that took half of an idle router's CPU (net/resolver.datagram_received). A reply that equals the last taken one is now seen by its bytes.

Ruled out: network namespaces and traffic control (kernel), a proxy for each path (12,000 listeners).

--- a/cedarthread/cli.py
+++ b/cedarthread/cli.py
@@ -5,6 +5,7 @@
   cedarthread check-config
   cedarthread version
   cedarthread fuzz [ARGUMENT...]
+  cedarthread (rig | drill) [ARGUMENT...]
   cedarthread --help
 
 Commands:
@@ -12,6 +13,7 @@
   check-config  Read that configuration, print what it holds, and end.
   version       Print the version.
   fuzz          Look for inputs that break the program (see `cedarthread fuzz --help`).
+  rig, drill    Many processes of the program with faults between them (see `cedarthread rig --help`).
 
 Options:
   --invoke FILE  Serve the invoke API too, as this file says (see deploy/invoke.toml); off by default.
@@ -41,6 +43,10 @@
     told = sys.argv[1:] if argv is None else argv
     if told[:1] == ["fuzz"]:
         return fuzz(told[1:])
+    if told[:1] in (["rig"], ["drill"]):
+        from cedarthread.rig import cli as rig
+
+        return rig.main(told)
     options = docopt(__doc__, told)
     if options["version"]:
         print(cedarthread.__version__)
--- a/cedarthread/net/resolver.py
+++ b/cedarthread/net/resolver.py
@@ -54,6 +54,7 @@
         self.serial = -1
         self.usable = 0.0  # loop time of the last usable reply
         self._asked: deque[int] = deque(maxlen=ASKED)
+        self._taken = b""  # a reply of the serial that holds, without its number
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._random = random.SystemRandom()
@@ -79,6 +80,11 @@
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """A reply, perhaps late, perhaps twice."""
+        if data[2:] == self._taken:  # most replies say what the last did: reading each took half of an idle
+            number = int.from_bytes(data[:2], "big")  # router's CPU where workers are many
+            if number in self._asked:
+                self.usable = self._loop.time()
+            return
         reply = dns.parse(data)
         if isinstance(reply, dns.Unusable):
             log.info("reply of the resolver not used: %s", reply.why)
@@ -87,12 +93,13 @@
             return
         self.usable = self._loop.time()
         if reply.serial <= self.serial:
+            self._taken = data[2:] if reply.serial == self.serial else self._taken
             return
         found = listings(reply)
         if isinstance(found, str):
             log.info("reply of the resolver not used: %s", found)
             return
-        self.serial = reply.serial
+        self.serial, self._taken = reply.serial, data[2:]
         self.tell(reply.serial, found)
 
     def error_received(self, exc: Exception) -> None:
--- /dev/null
+++ b/cedarthread/rig/cli.py
@@ -0,0 +1,83 @@
+"""Many processes of cedarthread with faults between them.
+
+Usage:
+  cedarthread rig run FILE [--out DIR]
+  cedarthread rig report DIR
+  cedarthread drill spread [--full] [--routers N] [--seed S] [--no-talk] [--out DIR]
+
+Commands:
+  rig run       Play the scenario of FILE and print its table.
+  rig report    Draw what DIR holds: load by runner over time, the faults marked, as SVG.
+  drill spread  Is load spread evenly? Faults in turn; ends with 1 where something must not be.
+
+Options:
+  --full       The whole fleet, each fault by itself, instead of a short run with several at once.
+  --routers N  Router processes; 24, or 200 with --full, where nothing is said.
+  --seed S     The seed of arrivals and faults [default: 1].
+  --no-talk    The settings forbid that routers talk.
+  --out DIR    Where results go, as JSON and Markdown.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import tempfile
+from collections.abc import Iterable
+from pathlib import Path
+
+from docopt import docopt
+
+from cedarthread.rig import drill
+from cedarthread.rig.play import Result, Rig
+from cedarthread.rig.scenario import Scenario, ScenarioError, read
+
+
+def main(argv: list[str]) -> int:
+    """Run one command; the exit code."""
+    told = docopt(__doc__, argv)
+    try:
+        if told["report"]:
+            from cedarthread.rig.report import draw
+
+            return draw(Path(told["DIR"]))
+        if told["run"]:
+            play([read(Path(told["FILE"]))], told["--out"])
+            return 0
+        full, talk = told["--full"], not told["--no-talk"]
+        routers = int(told["--routers"] or (200 if full else 24))
+        seed = int(told["--seed"])
+        scenarios = drill.full(seed, routers, talk) if full else [drill.quick(seed, routers, talk)]
+    except (ScenarioError, ValueError) as error:
+        print(f"cedarthread: {error}", file=sys.stderr)
+        return 2
+    bad = False
+    for result in play(scenarios, told["--out"]):
+        for failing in drill.failings(result):
+            bad = True
+            print(f"{result.scenario}: {failing}")
+    print("FAILED" if bad else "held")
+    return int(bad)
+
+
+def play(scenarios: Iterable[Scenario], out: str | None) -> list[Result]:
+    """Play them in turn, with a line of the table for each as it ends."""
+    print(drill.HEAD, drill.RULE, sep="\n", flush=True)
+    results = []
+    for scenario in scenarios:
+        result = asyncio.run(one(scenario))
+        print(drill.row(result), flush=True)
+        results.append(result)
+        if out is not None:
+            folder = Path(out)
+            folder.mkdir(parents=True, exist_ok=True)
+            name = "".join(c if c.isalnum() else "-" for c in scenario.name)
+            (folder / f"{name}.json").write_text(json.dumps(result.table(), indent=1) + "\n")
+    return results
+
+
+async def one(scenario: Scenario) -> Result:
+    """One run, its files in a folder of its own."""
+    with tempfile.TemporaryDirectory(prefix="cedarthread-") as folder:
+        return await Rig(scenario, Path(folder)).play()
--- /dev/null
+++ b/cedarthread/rig/drill.py
@@ -0,0 +1,137 @@
+"""The drill of the spread: faults in turn, and what must hold in each."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterator
+
+from cedarthread.rig.play import Result
+from cedarthread.rig.scenario import Scenario, parse
+
+IDLE_MOST = 2000.0  # ms that a runner may be idle while another queues
+RATIO = 1.3  # of the all-seeing policy's peak-to-mean, at most
+SERVED = 0.9  # part of the calls that are served at least, in the quick form
+
+
+def quick(seed: int, routers: int = 24, talk: bool = True) -> Scenario:
+    """One short run with several faults at once, for CI."""
+    return parse(
+        {
+            "name": "quick",
+            "seed": seed,
+            "routers": routers,
+            "talk": talk,
+            "seconds": 10.0,
+            "fault": [
+                {"kind": "loss", "at": 0.0, "who": "router", "to": "router", "figure": 0.2},
+                {"kind": "double", "at": 0.0, "who": "router", "to": "router", "figure": 0.1},
+                {"kind": "reorder", "at": 0.0, "who": "router", "to": "router"},
+                {"kind": "die", "at": 5.0, "until": 7.0, "who": "runner:0"},
+                {"kind": "kill", "at": 6.0, "until": 8.0, "who": "router:0-3"},
+                {"kind": "stop", "at": 6.5, "until": 9.0, "who": "router:4"},
+            ],
+        }
+    )
+
+
+def full(seed: int, routers: int = 200, talk: bool = True) -> Iterator[Scenario]:
+    """No fault, then each of the hard cases: whole fleets."""
+    base = {
+        "seed": seed,
+        "routers": routers,
+        "talk": talk,
+        "runners": 40,
+        "functions": 200,
+        "rate": 800.0,
+        "warm_up": 6.0,
+        "seconds": 16.0,
+        "store_at_once": 40,
+        "store_most": 300,
+    }
+    last, half = routers - 1, routers // 2
+    cases: dict[str, list[dict[str, object]]] = {
+        "no fault": [],
+        "runners back empty": [{"kind": "die", "at": 9.0, "until": 13.0, "who": "runner:0-1"}],
+        "70% of the routers killed": [{"kind": "kill", "at": 10.0, "who": f"router:0-{int(0.7 * last)}"}],
+        "halves see different lists": [
+            {"kind": "hide", "at": 9.0, "until": 16.0, "who": "runner:0-3", "to": f"router:0-{half - 1}"}
+        ],
+        "runners slow, not dead": [
+            {"kind": "slow", "at": 9.0, "until": 17.0, "who": "runner:0-1", "figure": 4.0}
+        ],
+        "a function hot at one room's routers": [
+            {"kind": "hot", "at": 9.0, "who": f"router:0-{max(0, routers // 10 - 1)}", "figure": 0.8}
+        ],
+        "routers paused and back": [
+            {"kind": "stop", "at": 8.0, "until": 18.0, "who": f"router:0-{max(0, routers // 20)}"}
+        ],
+        "a lossy network, halves cut": [
+            {"kind": "loss", "at": 0.0, "who": "router", "to": "router", "figure": 0.3},
+            {"kind": "double", "at": 0.0, "who": "router", "to": "router", "figure": 0.2},
+            {"kind": "reorder", "at": 0.0, "who": "router", "to": "router"},
+            {
+                "kind": "cut",
+                "at": 9.0,
+                "until": 16.0,
+                "who": f"router:0-{half - 1}",
+                "to": f"router:{half}-{last}",
+            },
+        ],
+    }
+    for name, faults in cases.items():
+        yield parse(base | {"name": name, "fault": faults})
+
+
+def failings(result: Result, ratio: float = RATIO, served: float = SERVED) -> list[str]:
+    """What a run shows that must not be."""
+    even, limit = result.even, result.others["all"]
+    found = list(result.breaches)
+    if result.void:
+        found.append(f"void: the rig itself was {result.late:.0f} ms late")
+    found += [
+        f"a herd at {at / 1000:.1f} s: {n} calls to runner {w}, its share {s:.1f}"
+        for at, w, n, s in even.herds
+    ]
+    if even.idle > IDLE_MOST:
+        found.append(f"a runner idle for {even.idle:.0f} ms while another queued")
+    if even.peak_to_mean > ratio * limit.peak_to_mean:
+        found.append(f"peak-to-mean {even.peak_to_mean:.2f}, all-seeing {limit.peak_to_mean:.2f}")
+    part = result.answers.get("served", 0) / max(1, sum(result.answers.values()))
+    if part < served:
+        found.append(f"{part:.2f} of the calls served")
+    return found
+
+
+def row(result: Result) -> str:
+    """A run as a line of a Markdown table."""
+    even, limit = result.even, result.others["all"]
+    part = result.answers.get("served", 0) / max(1, sum(result.answers.values()))
+    cells = [
+        result.scenario,
+        f"{part:.3f}",
+        f"{even.peak_to_mean:.2f}",
+        f"{limit.peak_to_mean:.2f}",
+        f"{even.variation:.2f}",
+        f"{even.idle:.0f}",
+        f"{len(even.herds)}",
+        f"{even.loads:.0f}",
+        f"{limit.loads:.0f}",
+        f"{even.beyond}",
+        f"{len(result.breaches)}",
+        f"{result.cpu:.2f}",
+        f"{result.bytes_:.0f}",
+        f"{result.late:.0f}",
+    ]
+    return "| " + " | ".join(cells) + " |"
+
+
+HEAD = (
+    "| run | served | peak-to-mean | all-seeing | variation | idle ms | herds | loads/1000 | all-seeing "
+    "| beyond need | breaches | CPU ms/call | B/s a router | rig late ms |"
+)
+RULE = "|" + " --- |" * 14
+
+
+def smaller(scenario: Scenario, routers: int) -> Scenario:
+    """The same at another number of routers, with the faults that name none beyond."""
+    return dataclasses.replace(scenario, routers=routers, faults=())
--- /dev/null
+++ b/cedarthread/rig/fleet.py
@@ -0,0 +1,148 @@
+"""The router processes of one run: started by the entry point of ``run``, ended by id whatever happens."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+from cedarthread.rig.scenario import Scenario
+
+READY = 60.0  # s in which all processes must serve
+LOOK = 0.05  # s between looks
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def settings(scenario: Scenario, number: int) -> dict[str, Any]:
+    """The settings that one router is given."""
+    safe = {"name": "check", "goal-time": 1000, "deadline": 3000, "effect": "retryable", "value": 2}
+    unsafe = {"name": "confirm", "goal-time": 1000, "deadline": 3000, "effect": "fragile", "value": 3}
+    limits = {"cancel": True, "connect-timeout": 250, "conn-idle": 30000, "send-cap": 4, "most-held": 1000}
+    limits |= {"streams-per-conn": 32, "retry-after": True, "max-retry-after": 2000, "peers": scenario.talk}
+    columns = ["inflight", "x1"] if scenario.reports else ["x1"]
+    return {
+        "balancers": scenario.routers,
+        "ordinal": number,
+        "classes": [safe, unsafe],
+        "kinds": ["std"],
+        "localities": ["room-a"],
+        "limits": limits,
+        "obligations": {"answer-slack": 8, "stop-sending-within": 500},
+        "prices": {"peer": 0.01},
+        "report": {"columns": columns, "how": "answers"},
+        "specifics": {"keep-alive": 4000, "order-limit": 10000},
+    }
+
+
+class Fleet:
+    """Processes and their addresses. A socket of ours that takes nothing holds each port."""
+
+    def __init__(self, scenario: Scenario, folder: Path) -> None:
+        self.scenario, self.folder = scenario, folder
+        self.held = [_reserve() for _ in range(scenario.routers)]
+        self.ports = [int(one.getsockname()[1]) for one in self.held]
+        self.processes: dict[int, subprocess.Popen[bytes]] = {}
+        self.spent: dict[int, float] = {}  # CPU seconds of processes that have ended
+        clocks = {fault.who for fault in scenario.faults if fault.kind == "clock"}
+        self.clocked = {n for n in range(scenario.routers) if any(p.has("router", n) for p in clocks)}
+
+    def write(
+        self, number: int, known: list[dict[str, Any]], resolver: int, peers: list[str], at: str
+    ) -> None:
+        """The configuration of one router."""
+        config: dict[str, Any] = {
+            "name": f"n{number}",
+            "listen": f"127.0.0.1:{self.ports[number]}",
+            "seed": f"{self.scenario.seed * 1_000_003 + number:016x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"n": 1, "events": [{"n": 1, "members": {"endpoints": known}}]},
+            "dns": f"127.0.0.1:{resolver}",
+            "settings": settings(self.scenario, number),
+        }
+        if self.scenario.talk:
+            config |= {"peer_listen": at, "peers": peers}
+        (self.folder / f"n{number}.json").write_text(json.dumps(config))
+        self.clock(number, 0.0)
+
+    def clock(self, number: int, off: float) -> None:
+        """Put a router's clock off by so many ms: written in place, for the process maps the file."""
+        file = self.folder / f"n{number}.clock"
+        with open(file, "r+b" if file.exists() else "wb") as out:
+            out.write(struct.pack("<d", off))
+
+    def start(self, number: int) -> None:
+        """Start a router."""
+        clocked = [str(self.folder / f"n{number}.clock")] if number in self.clocked else []
+        module = "cedarthread.rig.entry" if clocked else "cedarthread"
+        with open(self.folder / f"n{number}.log", "ab") as out:
+            self.processes[number] = subprocess.Popen(
+                [sys.executable, "-m", module, *clocked, "serve", "--log", "warning"],
+                env=os.environ | {"BALANCER_CONFIG": str(self.folder / f"n{number}.json")},
+                stderr=out,
+                stdin=subprocess.DEVNULL,
+            )
+
+    async def ready(self, number: int) -> None:
+        """Till a router takes connections; OSError with its last words where it ends instead."""
+        async with asyncio.timeout(READY):
+            while True:
+                if self.processes[number].poll() is not None:
+                    raise OSError(f"router {number} ended: {self.log(number)[-300:]}")
+                with contextlib.suppress(OSError):
+                    _, writer = await asyncio.open_connection("127.0.0.1", self.ports[number])
+                    writer.transport.abort()
+                    return
+                await asyncio.sleep(LOOK)
+
+    def log(self, number: int) -> str:
+        """What a router logged, warnings and worse."""
+        return (self.folder / f"n{number}.log").read_text(errors="replace")
+
+    def signal(self, number: int, which: signal.Signals) -> None:
+        """Send a signal to a router that is ours and still there."""
+        if which is signal.SIGKILL:
+            self.spent[number] = self.cpu(number)
+        if self.processes[number].poll() is None:
+            self.processes[number].send_signal(which)
+        if which is signal.SIGKILL:
+            self.processes[number].wait()
+
+    def cpu(self, number: int) -> float:
+        """CPU seconds that a router has used, in all its lives."""
+        try:
+            fields = Path(f"/proc/{self.processes[number].pid}/stat").read_text().rpartition(")")[2].split()
+        except OSError:
+            return self.spent.get(number, 0.0)
+        return self.spent.get(number, 0.0) + (int(fields[11]) + int(fields[12])) / TICKS
+
+    def end(self) -> dict[int, int]:
+        """End all: the exit codes of those that were told to."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.send_signal(signal.SIGTERM)
+        codes: dict[int, int] = {}
+        for number, process in self.processes.items():
+            try:
+                codes[number] = process.wait(10)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                codes[number] = process.wait()
+        for one in self.held:
+            one.close()
+        return codes
+
+
+def _reserve() -> socket.socket:
+    one = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    one.bind(("127.0.0.1", 0))
+    return one
--- /dev/null
+++ b/cedarthread/rig/scenario.py
@@ -0,0 +1,152 @@
+"""Scenarios: fleet, traffic and a timeline of faults, from a checked TOML file. Times in s from the start."""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+import tomllib
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+PATHS = ("loss", "delay", "double", "reorder", "cut")  # between parties
+DEEDS = ("kill", "stop", "restart", "die", "slow", "silent", "hide", "clock", "hot")  # at one kind of party
+_PARTY = re.compile(r"(router|runner|client|resolver)(?::(\d+)(?:-(\d+))?)?\Z")
+
+
+class ScenarioError(Exception):
+    """A scenario that can't be played: where, and what is wrong."""
+
+
+@dataclass(frozen=True, slots=True)
+class Party:
+    """Some of one kind: ``router``, ``runner:3``, ``client:0-11``."""
+
+    kind: str
+    first: int
+    last: int
+
+    def has(self, kind: str, number: int) -> bool:
+        """Is this one of them?"""
+        return kind == self.kind and self.first <= number <= self.last
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault of the timeline.
+
+    Between ``who`` and ``to``: loss, double (``figure``: part of them), reorder, delay (ms), cut; all one way
+    where ``one_way``. At ``who``: kill, stop, restart; die, slow (times), silent; hide (from ``to``);
+    clock (ms that it is off); hot (``figure``: part of the calls there, of one rare function)."""
+
+    kind: str
+    at: float
+    until: float
+    who: Party
+    to: Party | None = None
+    figure: float = 0.0
+    one_way: bool = False
+
+    def holds(self, now: float) -> bool:
+        """Does it last now?"""
+        return self.at <= now < self.until
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """One run."""
+
+    name: str = "quick"
+    seed: int = 1
+    routers: int = 24
+    runners: int = 12
+    cores: int = 2
+    slots: int = 12  # copies that a runner has memory for
+    lanes: int = 4  # calls that a copy serves at once
+    functions: int = 60
+    skew: float = 0.8  # exponent of the functions' popularity (Zipf)
+    rate: float = 300.0  # calls a second, of all routers
+    need: float = 40.0  # ms of a core that a call takes on average
+    load: float = 400.0  # ms of a load
+    store_at_once: int = 16
+    store_most: int = 120
+    warm_up: float = 4.0
+    seconds: float = 12.0
+    unsafe: float = 0.2  # part of the calls that may never run twice
+    talk: bool = True
+    reports: bool = True
+    faults: tuple[Fault, ...] = field(default=())
+
+
+def read(path: Path) -> Scenario:
+    """A scenario from its file; ScenarioError says what is wrong."""
+    try:
+        return parse(tomllib.loads(path.read_text()))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, ScenarioError) as error:
+        raise ScenarioError(f"{path}: {error}") from None
+
+
+def parse(top: dict[str, Any]) -> Scenario:
+    """A scenario from its parsed text."""
+    known = {f.name: f.type for f in dataclasses.fields(Scenario) if f.name != "faults"}
+    told = {key: value for key, value in top.items() if key != "fault"}
+    for key, value in told.items():
+        if key not in known:
+            raise ScenarioError(f"{key}: no such key; there are {', '.join(known)} and [[fault]]")
+        wanted = {"int": int, "float": (int, float), "str": str, "bool": bool}[str(known[key])]
+        if not isinstance(value, wanted) or (isinstance(value, bool) and wanted is not bool):  # type: ignore[arg-type]
+            raise ScenarioError(f"{key}: {value!r} is no {known[key]}")
+        if not isinstance(value, str) and value < 0:
+            raise ScenarioError(f"{key}: {value!r} is below zero")
+    scenario = Scenario(**told)
+    for key in (
+        "routers",
+        "runners",
+        "cores",
+        "slots",
+        "lanes",
+        "functions",
+        "rate",
+        "need",
+        "load",
+        "seconds",
+    ):
+        if getattr(scenario, key) <= 0:
+            raise ScenarioError(f"{key}: must be above zero")
+    faults = tuple(_fault(n, fault, scenario) for n, fault in enumerate(top.get("fault", ())))
+    return dataclasses.replace(scenario, faults=faults)
+
+
+def _fault(place: int, told: dict[str, Any], scenario: Scenario) -> Fault:
+    where = f"fault {place + 1}"
+    unknown = set(told) - {"kind", "at", "until", "who", "to", "figure", "one_way"}
+    if unknown:
+        raise ScenarioError(f"{where}: no such key: {', '.join(sorted(unknown))}")
+    kind = told.get("kind")
+    if kind not in PATHS + DEEDS:
+        raise ScenarioError(f"{where}: kind {kind!r} is none of {', '.join(PATHS + DEEDS)}")
+    end = scenario.warm_up + scenario.seconds
+    at, until = told.get("at", 0.0), told.get("until", end)
+    if not all(isinstance(time, (int, float)) for time in (at, until)) or not 0 <= at < until:
+        raise ScenarioError(f"{where}: at {at!r} and until {until!r} are no times in order")
+    to = party(f"{where}: to", told["to"], scenario) if "to" in told else None
+    if (kind in PATHS or kind == "hide") and to is None:
+        raise ScenarioError(f"{where}: {kind} needs `to`")
+    who = party(f"{where}: who", told.get("who"), scenario)
+    return Fault(
+        kind, float(at), float(until), who, to, float(told.get("figure", 0.0)), bool(told.get("one_way"))
+    )
+
+
+def party(where: str, text: Any, scenario: Scenario) -> Party:
+    """Some of one kind, as the file names them."""
+    match = _PARTY.match(text) if isinstance(text, str) else None
+    if match is None:
+        raise ScenarioError(f"{where}: {text!r} is not like router, runner:3 or client:0-11")
+    kind, first, last = match.groups()
+    count = scenario.runners if kind == "runner" else scenario.routers
+    low = int(first) if first else 0
+    high = int(last) if last else low if first else count - 1
+    if not low <= high < count:
+        raise ScenarioError(f"{where}: {text!r} is outside 0 to {count - 1}")
+    return Party(kind, low, high)
--- /dev/null
+++ b/cedarthread/standins/client.py
@@ -0,0 +1,61 @@
+"""A client of the platform's protocol: calls on one connection, each answer told by its number."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from cedarthread.net import msgpack
+
+Told = Callable[[int, str, bytes], None]  # a call's number; served, refused or failed; the body
+
+
+def pack_call(number: int, klass: str, body: bytes, fields: dict[str, str]) -> bytes:
+    """The request of one call."""
+    params = b"\x92" + msgpack.pack_fields(fields) + msgpack.pack_bin(body)
+    return b"\x94\x00" + msgpack.pack_uint(number) + msgpack.pack_str(klass) + params
+
+
+def health() -> bytes:
+    """The request of a health check, under a number that no call has."""
+    return b"\x94\x00" + msgpack.pack_uint(2**32 - 1) + msgpack.pack_str("check") + b"\x90"
+
+
+class Client(asyncio.Protocol):
+    """One connection to one router; ``lost`` is told when it breaks."""
+
+    def __init__(self, told: Told, lost: Callable[[], None]) -> None:
+        self.told, self.lost = told, lost
+        self.transport: asyncio.Transport | None = None
+        self._held = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is there."""
+        self.transport = transport  # type: ignore[assignment]
+
+    def send(self, data: bytes) -> None:
+        """Write, where there is a connection."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def data_received(self, data: bytes) -> None:
+        """Answers, whole and in part."""
+        self._held += data
+        while isinstance(parsed := msgpack.parse(memoryview(self._held)), msgpack.Value):
+            _, number, error, result = plain(parsed.value)
+            self._held = self._held[parsed.end :]
+            kind = "served" if error is None else {"Backoff": "refused"}.get(error[0], "failed")
+            self.told(number, kind, result[0] if error is None else b"")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The router or its connection has ended."""
+        self.transport = None
+        self.lost()
+
+
+def plain(value: Any) -> Any:
+    """A parsed value on its own, without slices of the input."""
+    if isinstance(value, list):
+        return [plain(item) for item in value]
+    return bytes(value) if isinstance(value, memoryview) else value
--- a/tests/standins.py
+++ b/cedarthread/standins/scripted.py
@@ -1,4 +1,4 @@
-"""Small stand-ins for what the function router talks to, all on loopback and on ephemeral ports."""
+"""Stand-ins that do what a test says, for a router hosted in the test's own process."""
 
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
 from cedarthread.net.invoke_config import InvokeConfig
 from cedarthread.net.roster import Listing
 from cedarthread.service import Service
+from cedarthread.standins import client as client_side
 
 SETTINGS = {
     "balancers": 1,
@@ -59,6 +60,7 @@
 
 
 def says(word: str) -> Behaviour:
+    """Answer each call with this word."""
     return lambda runner, message: {"op": word, "fields": {}}
 
 
@@ -74,6 +76,7 @@
         self.port = 0
 
     async def start(self) -> None:
+        """Listen on loopback."""
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
@@ -93,22 +96,26 @@
     def answer(
         self, message: dict[str, Any], answer: dict[str, Any], writer: asyncio.StreamWriter | None = None
     ) -> None:
+        """Answer a call, by its id."""
         line = json.dumps(answer | {"id": message["id"]}).encode() + b"\n"
         (writer or self.writers[-1]).write(line)
 
     async def until(self, met: Callable[[], bool]) -> None:
+        """Wait till messages have made it so."""
         async with asyncio.timeout(10):
             while not met():
                 self.came.clear()
                 await self.came.wait()
 
     def stop(self) -> None:
+        """Stop listening and break what is open."""
         self.server.close()
         for writer in self.writers:
             writer.transport.abort()
 
 
 def listing(runner: Runner, number: int, state: i.WorkerState = i.WorkerState.READY) -> Listing:
+    """A runner as a list has it."""
     return Listing(f"s-{number:08x}", "127.0.0.1", runner.port, "room-a", "std", 0, state, 1.0, 0.0)
 
 
@@ -152,9 +159,9 @@
 
 
 def pack_call(number: int, klass: str, body: bytes = b"", **fields: str) -> bytes:
+    """A call with fields that will do, but for those that are named."""
     told = {"txn": f"{number:016x}", "limit": "3000", "item": FUNCTION} | fields
-    params = b"\x92" + msgpack.pack_fields(told) + msgpack.pack_bin(body)
-    return b"\x94\x00" + msgpack.pack_uint(number) + msgpack.pack_str(klass) + params
+    return client_side.pack_call(number, klass, body, told)
 
 
 class Client:
@@ -173,21 +180,17 @@
                     return None
                 self.held += more
         self.held = self.held[parsed.end :]
-        return plain(parsed.value)
+        return client_side.plain(parsed.value)
 
     async def call(self, number: int, klass: str, body: bytes = b"", **fields: str) -> Any:
+        """Call and read one message."""
         self.writer.write(pack_call(number, klass, body, **fields))
         return await self.read()
 
 
-def plain(value: Any) -> Any:
-    if isinstance(value, list):
-        return [plain(item) for item in value]
-    return bytes(value) if isinstance(value, memoryview) else value
-
-
 @asynccontextmanager
 async def client(running: Service) -> AsyncIterator[Client]:
+    """A client of a router."""
     reader, writer = await asyncio.open_connection("127.0.0.1", running.port)
     try:
         yield Client(reader, writer)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,7 +9,7 @@
 import pytest
 
 from cedarthread.net import control
-from tests.standins import Runner, ask, client, hit, pack_call, says, service
+from cedarthread.standins.scripted import Runner, ask, client, hit, pack_call, says, service
 
 
 def figures(lines: list[str]) -> dict[str, int]:
--- a/tests/test_invoke.py
+++ b/tests/test_invoke.py
@@ -20,7 +20,7 @@
 from cedarthread import interface as i
 from cedarthread.net import invoke_config, spiffe
 from cedarthread.service import Service
-from tests.standins import FUNCTION, Runner, client, hit, listing, says, service
+from cedarthread.standins.scripted import FUNCTION, Runner, client, hit, listing, says, service
 
 DESK, PORTAL = "spiffe://gaz.example/desk/1", "spiffe://gaz.example/portal"
 PATH = f"/v1/functions/{FUNCTION}/"
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -14,7 +14,7 @@
 from cedarthread.net.resolver import listings
 from cedarthread.net.runners import read_ending
 from cedarthread.net.stream import Flusher, ReadBuffer, Stream
-from tests.standins import pack_call
+from cedarthread.standins.scripted import pack_call
 
 fixed = settings(derandomize=True, deadline=None, max_examples=60)
 CALLS = [pack_call(n, "check", bytes(range(256)) * n, props="lanes:2") for n in range(1, 40)]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,7 +14,7 @@
 from cedarthread import interface as i
 from cedarthread.core.calls import Served
 from cedarthread.net import platform
-from tests.standins import Runner, client, hit, listing, pack_call, says, service
+from cedarthread.standins.scripted import Runner, client, hit, listing, pack_call, says, service
 
 
 def run(test: Coroutine[Any, Any, None]) -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -19,7 +19,7 @@
 from cedarthread import __version__
 from cedarthread.cli import main
 from cedarthread.net import msgpack
-from tests.standins import SETTINGS, pack_call
+from cedarthread.standins.scripted import SETTINGS, pack_call
 
 ROOT = Path(__file__).parent.parent
 
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -11,7 +11,7 @@
 
 from cedarthread import config
 from cedarthread import interface as i
-from tests.standins import SETTINGS, Runner, ask, client, pack_call, service
+from cedarthread.standins.scripted import SETTINGS, Runner, ask, client, pack_call, service
 from tests.test_control import figures
 
 
--- /dev/null
+++ b/tests/test_rig.py
@@ -0,0 +1,165 @@
+"""The rig: its scenarios and network by themselves, and many processes with faults between them."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from cedarthread.net import dns
+from cedarthread.net.resolver import NAME, Resolver, listings
+from cedarthread.rig import cli, drill
+from cedarthread.rig.network import LATE, Network
+from cedarthread.rig.play import Result
+from cedarthread.rig.replay import Play, schedule
+from cedarthread.rig.scenario import Scenario, ScenarioError, parse, read
+from cedarthread.spread.evenness import Evenness
+from cedarthread.standins.resolver import Listed, reply
+
+
+@pytest.mark.parametrize(
+    ("top", "says"),
+    [
+        ({"router": 3}, "router: no such key"),
+        ({"routers": "3"}, "routers: '3' is no int"),
+        ({"routers": True}, "routers: True is no int"),
+        ({"rate": -1.0}, "rate: -1.0 is below zero"),
+        ({"runners": 0}, "runners: must be above zero"),
+        ({"fault": [{"kind": "flood", "who": "router"}]}, "fault 1: kind 'flood'"),
+        ({"fault": [{"kind": "cut", "who": "router"}]}, "fault 1: cut needs `to`"),
+        ({"fault": [{"kind": "kill", "who": "router:99"}]}, "fault 1: who: 'router:99' is outside 0 to 23"),
+        ({"fault": [{"kind": "kill", "who": "all"}]}, "fault 1: who: 'all' is not like"),
+        ({"fault": [{"kind": "kill", "who": "router", "at": 5, "until": 5}]}, "fault 1: at 5 and until 5"),
+        ({"fault": [{"kind": "kill", "who": "router", "when": 5}]}, "fault 1: no such key: when"),
+    ],
+)
+def test_a_bad_scenario_is_told_where_and_what(top: dict[str, Any], says: str) -> None:
+    with pytest.raises(ScenarioError) as told:
+        parse(top)
+    assert says in str(told.value)
+
+
+def test_a_scenario_file_is_read_and_a_missing_or_spoilt_one_is_named(tmp_path: Path) -> None:
+    file = tmp_path / "one.toml"
+    file.write_text(
+        'name = "x"\nrate = 50\n[[fault]]\nkind = "stop"\nat = 1\nuntil = 2\nwho = "router:1-2"\n'
+    )
+    scenario = read(file)
+    assert scenario.rate == 50 and scenario.faults[0].who.has("router", 2)
+    file.write_text("name = ")
+    for bad in (file, tmp_path / "none.toml"):
+        with pytest.raises(ScenarioError, match=bad.name):
+            read(bad)
+        assert cli.main(["rig", "run", str(bad)]) == 2
+
+
+def test_the_network_does_what_the_timeline_says_and_the_same_again() -> None:
+    told = [
+        {"kind": "loss", "at": 1.0, "until": 2.0, "who": "router", "to": "router", "figure": 0.5},
+        {"kind": "double", "at": 2.0, "until": 3.0, "who": "router", "to": "router", "figure": 1.0},
+        {"kind": "reorder", "at": 3.0, "until": 4.0, "who": "router", "to": "router"},
+        {"kind": "cut", "at": 4.0, "until": 5.0, "who": "router:0", "to": "router:1", "one_way": True},
+        {"kind": "cut", "at": 4.0, "until": 5.0, "who": "router:2", "to": "runner"},
+    ]
+
+    def play() -> list[list[float]]:
+        network = Network(parse({"fault": told}).faults, 7)
+        return [network.datagram(10.0 * n, ("router", 0), ("router", 1)) for n in range(500)]
+
+    seen = play()
+    assert seen == play()
+    assert all(one == [0.0] for one in seen[:100]) and 20 < seen[100:200].count([]) < 80
+    assert all(one == [0.0, 0.0] for one in seen[200:300])
+    late = [one[0] for one in seen[300:400]]
+    assert len(set(late)) > 90 and max(late) <= LATE and all(one == [] for one in seen[400:500])
+    network = Network(parse({"fault": told}).faults, 7)
+    assert network.datagram(4500.0, ("router", 1), ("router", 0)) == [0.0], "it is cut one way only"
+    assert network.stream(4500.0, ("runner", 3), ("router", 2)) == 500.0, "bytes come once the cut is over"
+    assert network.stream(5000.0, ("router", 2), ("runner", 3)) == 0.0
+
+
+def test_the_resolver_says_what_the_router_reads() -> None:
+    told = (Listed("s-00000001", 4001), Listed("s-00000002", 4002, draining=True, started=7.0))
+    parsed = dns.parse(reply(dns.query(9, NAME), 5, told, "room-a"))
+    assert isinstance(parsed, dns.Reply) and (parsed.number, parsed.serial) == (9, 5)
+    found = listings(parsed)
+    assert not isinstance(found, str)
+    assert [(one.name, one.port, one.state.value, one.started) for one in found] == [
+        ("s-00000001", 4001, "ready", 0.0),
+        ("s-00000002", 4002, "draining", 7.0),
+    ]
+
+
+def test_a_reply_that_says_what_the_last_did_is_not_read_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Five a second come, and reading a long list each time took half of an idle router's CPU."""
+
+    async def play() -> None:
+        told: list[int] = []
+        resolver = Resolver(lambda serial, found: told.append(serial))
+        read_ = 0
+
+        def parse_(data: bytes) -> dns.Reply | dns.Unusable:
+            nonlocal read_
+            read_ += 1
+            return dns.parse(data)
+
+        monkeypatch.setattr(
+            "cedarthread.net.resolver.dns", SimpleNamespace(parse=parse_, Unusable=dns.Unusable)
+        )
+        runners = (Listed("s-00000001", 4001),)
+        resolver._asked.extend((1, 2, 3, 4))
+        for number, serial in ((1, 5), (2, 5), (3, 5), (9, 5), (4, 6)):
+            resolver.usable = 0.0
+            resolver.datagram_received(reply(dns.query(number, NAME), serial, runners, "room-a"), None)
+            assert bool(resolver.usable) is (number != 9), "an answer to what nobody asked counts for nothing"
+        assert told == [5, 6] and read_ == 2
+
+    asyncio.run(play())
+
+
+def test_replays_take_the_same_arrivals_and_who_sees_all_spreads_best() -> None:
+    scenario = Scenario(routers=50, seconds=8.0)
+    arrivals = schedule(scenario)
+    assert arrivals == schedule(scenario) and len({arrival.name for arrival in arrivals}) == len(arrivals)
+    loads = {
+        name: [v.note for v in Play(scenario, name).run(arrivals)].count("spawn")
+        for name in ("random", "all")
+    }
+    assert loads["all"] < 0.3 * loads["random"]
+
+
+def result(**changes: Any) -> Result:
+    good = Evenness(1.2, 0.2, 100.0, (), 5.0, 0, 1000)
+    told = Result("x", 1, good, {"all": good}, {"served": 1000}, [], 2.0, 1.0, 0.0, (0, 0))
+    return dataclasses.replace(told, **changes)
+
+
+def test_the_drill_tells_what_must_not_be() -> None:
+    assert drill.failings(result()) == []
+    even = result().even
+    bad = {
+        "void": result(late=100.0),
+        "herd": result(even=dataclasses.replace(even, herds=((1000.0, 3, 50, 9.0),))),
+        "idle for 2500": result(even=dataclasses.replace(even, idle=2500.0)),
+        "peak-to-mean 1.70": result(even=dataclasses.replace(even, peak_to_mean=1.7)),
+        "0.50 of the calls": result(answers={"served": 500, "refused": 500}),
+        "two attempts": result(breaches=["attempts: two attempts out"]),
+    }
+    for says, one in bad.items():
+        assert [says in failing for failing in drill.failings(one)] == [True]
+
+
+def test_many_processes_keep_the_rules_and_spread_load_while_parts_fail(tmp_path: Path) -> None:
+    """A runner dies and comes back empty, routers are killed and stopped, datagrams are lost and doubled."""
+    scenario = dataclasses.replace(drill.quick(3, routers=12), rate=150.0, runners=8, seconds=8.0)
+    told = asyncio.run(cli.one(scenario))
+    assert told.breaches == []
+    assert told.answers["served"] > 0.9 * sum(told.answers.values()) and not told.even.herds
+    assert told.datagrams[0] > 100 and told.datagrams[1] > 10, "routers talked, and some of it was lost"
+    (tmp_path / "x.json").write_text(json.dumps(told.table()))
+    assert cli.main(["rig", "report", str(tmp_path)]) == 0 and "<svg" in (tmp_path / "x.svg").read_text()
