--- a/cedarthread/spread/evenness.py
+++ b/cedarthread/spread/evenness.py
@@ -163,7 +163,7 @@
         ready = {n: w.cores for n, w in workers.items() if any(a < until and at < u for a, u in w.ready)}
         for number, count in counts.items():
             share = sum(counts.values()) * ready.get(number, 0) / max(1, sum(ready.values()))
-            if count > HERD * share and count > share + CHANCE * math.sqrt(share) and len(ready) > HERD:
+            if count > HERD * share and count > share + CHANCE * math.sqrt(share + 1.0) and len(ready) > HERD:
                 if at - last.get(number, -math.inf) > WINDOW:
                     yield at, number, count, share
                 last[number] = at
