Popularity is seen over as many own calls as it needs: few calls made rare functions hot

Router._homes guessed a function's part of all calls from the last 5 s; that is a dozen calls where routers are many, and two of one function passed for a sixth of them. Each such guess gave the function up to 20 homes, which pushed other copies out, for as long as the run lasted.

Lines: decide._homes, _Function.calls (5 s for all).

Ruled out, each measured at 100 routers: two or three standard deviations instead of one (no thrash, but hot functions stay on one worker: peak-to-mean 4.2 and 4.7, herds); a place of one's own among the homes by router number (golden ratio) and a doubled preference for it: peak-to-mean 3.1 to 3.4 against 3.0 to 3.2, twice the loads.

Change: spread/popularity.py: the view lasts as long as 80 own calls take, 5 to 30 s, and is taken to hold 40 calls at least. A router of many calls sees as before.

--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -18,6 +18,8 @@
 from cedarthread.limits import slow_start
 from cedarthread.limits.jam import Jam
 from cedarthread.measures import Ewma, Fading, Mean
+from cedarthread.spread.popularity import LEAST as POPULAR
+from cedarthread.spread.popularity import Popularity
 from cedarthread.spread.queue import Queue
 from cedarthread.spread.rendezvous import mix, rank
 from cedarthread.spread.talk import Copy, Talk
@@ -121,7 +123,7 @@
     mix: int
     lanes: float = 1.0
     used: float = 0.0
-    calls: Fading = field(default_factory=lambda: Fading(RATE_TIME))
+    calls: Fading = field(default_factory=lambda: Fading(POPULAR))
     warmth: dict[int, float] = field(default_factory=dict)
     sent_at: dict[int, float] = field(default_factory=dict)
     proven: dict[int, float] = field(default_factory=dict)
@@ -164,7 +166,7 @@
         self.by_work = [Ewma() for _ in settings.classes]  # time per hinted work
         self.tenants = [Fading(RATE_TIME) for _ in settings.tenants]
         self.calls = Fading(RATE_TIME)
-        self.jam = Jam()
+        self.jam, self.popular = Jam(), Popularity()
         self.began = math.inf  # when the first call came
         self.rate, self.scarce, self.normal = 0.0, 1.0, 0.0  # by ``_measure``, with the next
         self.memory = SEEN_TIME  # ms in which what a worker showed fades
@@ -284,13 +286,13 @@
             function = _Function(mix(key))
             while self.functions:
                 oldest = next(iter(self.functions))
-                if now - self.functions[oldest].used < 2 * max(self.s.keep_alive, RATE_TIME):
+                if now - self.functions[oldest].used < 2 * max(self.s.keep_alive, self.popular.time):
                     break
                 self.loads_out -= len(self.functions.pop(oldest).loading)
         self.functions[key] = function
         function.used = now
         function.lanes = max(request.lanes or 1.0, 1.0)
-        function.calls.add(now, 1.0)
+        self.popular.called(now, function.calls, self.rate)
         self.calls.add(now, 1.0)
         self.jam.call(now)
         self.began = min(self.began, now)
@@ -428,8 +430,7 @@
             yield view, shared if place <= homes else min(place - homes, SPARE + 1) * RANK_STEP
 
     def _homes(self, function: _Function) -> int:
-        calls = function.calls.read(self.now)
-        part = max(0.0, calls - math.sqrt(calls)) / self.calls.read(self.now)
+        part = self.popular.part(self.now, function.calls)
         if self.talk is not None:  # who knows where others found copies need not guess where they would
             part *= 1.0 - self.talk.heard_from(self.now)
         kept = self.rate * max(1, self.s.gateways) * self.s.keep_alive / HOME_CALLS
