Membership: who of the routers is there, with suspicion, indirect pings and incarnations

Until now a router knew the others' number from its settings only: with seven in ten killed, shares of what the fleet may do stayed those of the whole, and talk went to the dead.

Built: membership/form.py (256 bytes at most) and membership/members.py after SWIM, pure, on the clock and seed handed in; Decisions hosts it beside the talk. Any datagram is a sign of life, so that few routers that hear each other ping nobody. A router that stood still 2 s takes its view for old.

Ruled out: heartbeats from each to all (bytes grow with the fleet); a list from the resolver (it names runners only).

Measured: 24 tests on one virtual clock with loss, delay, doubling, cuts, deaths, pauses, restarts; planted: no pings through others, no new incarnation, no ping of the dead, news told without end: each fails a test.

--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -182,6 +182,7 @@
         self.logged: dict[str, float] = {}
         self.out: list[i.Action] = []
         self.talk: Talk | None = None
+        self.fleet = max(1, settings.gateways)  # gateways that are there, as far as that is known
         self._follow(settings)
         self.now, self.serial, self.epoch, self.ready = 0.0, 0, 0, 0
         self.takes: dict[type, Callable[[Any], None]] = {
@@ -433,7 +434,7 @@
         part = self.popular.part(self.now, function.calls)
         if self.talk is not None:  # who knows where others found copies need not guess where they would
             part *= 1.0 - self.talk.heard_from(self.now)
-        kept = self.rate * max(1, self.s.gateways) * self.s.keep_alive / HOME_CALLS
+        kept = self.rate * self.fleet * self.s.keep_alive / HOME_CALLS
         return 1 + int(part * min(self.homes * len(self.workers), kept))
 
     def _measure(self) -> None:
@@ -761,7 +762,7 @@
 
     def _may_order(self) -> bool:
         """Under this gateway's part of what the fleet may load at once, and inside the ration of rule 5."""
-        rules, share = self.s.rules, len(self.workers) / max(1, self.s.gateways)
+        rules, share = self.s.rules, len(self.workers) / self.fleet
         if self.loads_out >= max(1.0, LOADS_PER_WORKER * share):
             return False
         if rules.load_window <= 0:
--- a/cedarthread/decisions.py
+++ b/cedarthread/decisions.py
@@ -7,10 +7,14 @@
 
 from cedarthread import interface as i
 from cedarthread.decide import Router
+from cedarthread.membership import form as membership
+from cedarthread.membership.form import Status
+from cedarthread.membership.members import Members
 from cedarthread.spread.talk import Talk
 
 BESIDE = 2**32 - 1  # the token of the timer beside the router, whose own stay under 2^31
 LOOK = 250.0  # ms between looks at what has become old
+NAMED = 8  # members that one log line names
 
 _STANDS = {
     i.CopyNote.FOUND: True,
@@ -21,27 +25,33 @@
 
 
 class Decisions:
-    """One router and its talk with others."""
+    """One router, its talk with others, and who of them is there."""
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.seed = seed
         self.router = Router(settings, seed)
         self.talk: Talk | None = None
+        self.members: Members | None = None
         self.out: dict[tuple[int, int], int] = {}  # attempts out: request and worker to function
         self.timed = False
         self.retune(settings)
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
         """Take one event and return what is to be done, in order."""
-        talk = self.talk
-        if talk is None:
+        talk, members = self.talk, self.members
+        if talk is None or members is None:
             return self.router.handle(now, event)
+        actions: list[i.Action] = []
         if type(event) is i.PeerMessage:
-            self._changed(talk.hear(now, event.sender, event.data))
-            actions: list[i.Action] = []
+            members.heard(now, event.sender)
+            if event.data[:1] == membership.MARK:
+                actions += members.hear(now, event.sender, event.data)
+            else:
+                self._changed(talk.hear(now, event.sender, event.data))
         elif type(event) is i.TimerDue and event.token == BESIDE:
             self._changed(talk.refreshed(now))
-            self.timed, actions = False, []
+            actions += members.turn(now)
+            self.timed = False
         else:
             if type(event) is i.AttemptEnded:
                 self._ended(talk, now, event)
@@ -49,6 +59,8 @@
             if type(event) is i.Request and not event.repeat:
                 talk.call()
             self._sent(talk, actions)
+        if members.changes:
+            actions += self._fleet(talk, members)
         actions.extend(talk.tell(now))
         if not self.timed:
             self.timed = True
@@ -61,15 +73,31 @@
         talks = settings.limits.peers and settings.gateways > 1
         if talks and self.talk is None:
             self.talk = Talk(settings, self.seed)
+            self.members = Members(settings.ordinal, settings.gateways, self.seed)
         elif talks and self.talk is not None:
             self.talk.retune(settings)
+            if self.members is None or self.members.count != settings.gateways:
+                self.members = Members(settings.ordinal, settings.gateways, self.seed)
+            self.talk.present(self.members.others())
         elif not talks:
-            self.talk, self.timed = None, False
+            self.talk, self.members, self.timed = None, None, False
             for view in self.router.workers.values():
                 view.elsewhere = 0.0
             for function in self.router.functions.values():
                 function.told = {}
         self.router.talk = self.talk
+        self.router.fleet = self.members.present() if self.members is not None else max(1, settings.gateways)
+
+    def _fleet(self, talk: Talk, members: Members) -> list[i.Action]:
+        """Members are held otherwise than before."""
+        words = [
+            f"{c.member} {c.status.name.lower()}" for c in members.changes if c.status is not Status.SUSPECT
+        ]
+        members.changes.clear()
+        talk.present(members.others())
+        self.router.fleet = members.present()
+        text = f"members: {members.present()} of {members.count} routers there; {', '.join(words[:NAMED])}"
+        return [i.Log(text)] if words else []
 
     def _changed(self, elsewhere: dict[int, float]) -> None:
         for worker, calls in elsewhere.items():
--- a/cedarthread/rig/play.py
+++ b/cedarthread/rig/play.py
@@ -348,6 +348,8 @@
             if fault.kind == "kill":
                 self.fleet.start(number)
             elif fault.kind == "stop":
+                for name in self.open[number].values():  # what came to it meanwhile has been given up
+                    self.ledger.left(self.clock(), name)
                 self.fleet.signal(number, signal.SIGCONT)
             elif fault.kind == "die":
                 self.started[number] = 1000.0 + self.clock()
--- a/cedarthread/spread/talk.py
+++ b/cedarthread/spread/talk.py
@@ -84,6 +84,7 @@
 
     def retune(self, settings: i.Settings) -> None:
         """What hangs on the settings alone; what was heard stays."""
+        self.count = settings.gateways
         self.me, self.peers = settings.ordinal, [n for n in range(settings.gateways) if n != settings.ordinal]
         self.keep = min(settings.keep_alive, form.AGE_MOST)
         price = settings.prices.peer
@@ -92,6 +93,11 @@
         self.fan = min(FAN, len(self.peers))
         self.saved = SAVED * form.MOST * self.fan
 
+    def present(self, others: list[int]) -> None:
+        """The other routers that are there: only they are told, and counted."""
+        self.peers = others or self.peers
+        self.fan = min(FAN, len(self.peers))
+
     # Own calls.
 
     def call(self) -> None:
@@ -219,7 +225,7 @@
 
     def hear(self, now: float, sender: int, data: bytes) -> dict[int, float]:
         """Take a peer's datagram; the workers where others' calls have changed, with their number."""
-        if sender == self.me or not 0 <= sender <= len(self.peers):
+        if sender == self.me or not 0 <= sender < self.count:
             self.strangers += 1
             return {}
         news = form.decode(data)
