Drill: planted defects are found by many processes with faults between them

Built: a scenario's plant, given to the routers by rig/entry.py: chance (what came twice passes for popular), eager (all move at each report), twice (what may have run is sent again). tests/test_rig.py plays all three at once.

--- a/cedarthread/rig/fleet.py
+++ b/cedarthread/rig/fleet.py
@@ -80,7 +80,8 @@
 
     def start(self, number: int) -> None:
         """Start a router."""
-        clocked = [str(self.folder / f"n{number}.clock")] if number in self.clocked else []
+        own = number in self.clocked or self.scenario.plant
+        clocked = [str(self.folder / f"n{number}.clock"), self.scenario.plant] if own else []
         module = "cedarthread.rig.entry" if clocked else "cedarthread"
         with open(self.folder / f"n{number}.log", "ab") as out:
             self.processes[number] = subprocess.Popen(
--- a/cedarthread/rig/scenario.py
+++ b/cedarthread/rig/scenario.py
@@ -11,6 +11,7 @@
 
 PATHS = ("loss", "delay", "double", "reorder", "cut")  # between parties
 DEEDS = ("kill", "stop", "restart", "die", "slow", "silent", "hide", "clock", "hot")  # at one kind of party
+PLANTS = ("chance", "eager", "twice")  # defects, in rig/entry.py
 _PARTY = re.compile(r"(router|runner|client|resolver)(?::(\d+)(?:-(\d+))?)?\Z")
 
 
@@ -75,6 +76,7 @@
     unsafe: float = 0.2  # part of the calls that may never run twice
     talk: bool = True
     reports: bool = True
+    plant: str = ""  # a defect that the routers are given, to see that it is found
     faults: tuple[Fault, ...] = field(default=())
 
 
@@ -113,6 +115,8 @@
     ):
         if getattr(scenario, key) <= 0:
             raise ScenarioError(f"{key}: must be above zero")
+    if scenario.plant not in ("", *PLANTS):
+        raise ScenarioError(f"plant: {scenario.plant!r} is none of {', '.join(PLANTS)}")
     faults = tuple(_fault(n, fault, scenario) for n, fault in enumerate(top.get("fault", ())))
     return dataclasses.replace(scenario, faults=faults)
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -30,6 +30,7 @@
         ({"routers": True}, "routers: True is no int"),
         ({"rate": -1.0}, "rate: -1.0 is below zero"),
         ({"runners": 0}, "runners: must be above zero"),
+        ({"plant": "weeds"}, "plant: 'weeds' is none of chance"),
         ({"fault": [{"kind": "flood", "who": "router"}]}, "fault 1: kind 'flood'"),
         ({"fault": [{"kind": "cut", "who": "router"}]}, "fault 1: cut needs `to`"),
         ({"fault": [{"kind": "kill", "who": "router:99"}]}, "fault 1: who: 'router:99' is outside 0 to 23"),
@@ -154,6 +155,23 @@
         assert [says in failing for failing in drill.failings(one)] == [True]
 
 
+def test_planted_defects_are_found() -> None:
+    """Chance passes for popularity; all move at each report; what may have run is sent again."""
+    dies = [{"kind": "die", "at": 3.0 + n, "until": 5.0 + n, "who": f"runner:{n}"} for n in range(3)]
+    small = {"routers": 12, "runners": 6, "rate": 120.0, "warm_up": 2.0, "seconds": 6.0, "fault": dies}
+    quick = drill.quick(1, talk=False)
+    planted = [dataclasses.replace(quick, plant=plant) for plant in ("chance", "eager")]
+    planted.append(parse(small | {"plant": "twice"}))
+
+    async def play() -> list[Result]:
+        return await asyncio.gather(*(cli.one(scenario) for scenario in planted))
+
+    chance, eager, twice = asyncio.run(play())
+    for spread in (chance, eager):
+        assert any("of the calls served" in failing for failing in drill.failings(spread))
+    assert any("effects" in failing for failing in drill.failings(twice))
+
+
 def test_many_processes_keep_the_rules_and_spread_load_while_parts_fail(tmp_path: Path) -> None:
     """A runner dies and comes back empty, routers are killed and stopped, datagrams are lost and doubled."""
     scenario = dataclasses.replace(drill.quick(3, routers=12), rate=150.0, runners=8, seconds=8.0)
