Membership's news take bounded bytes: at 200 processes they fed on themselves

Cause, shown by the full drill (200 processes, no fault): 7,100 bytes a second for each router and 12.6 ms of CPU a call, the rig 14 s late. Routers that had started first suspected those not yet started; each datagram of a suspect, talk included, had its suspicion told anew for its whole number of tellings (Members.heard called _tell); late answers made more suspects.

Change: a member that is held otherwise is reminded once a second at most; all news share 0.5 bytes a ms; for 10 s after its own start a router suspects nobody that it has never heard.

Also: a rig that is told to stop (SIGINT, SIGTERM) ends all it started, wherever it is then; SIGTERM left the routers.

Ruled out: longer times to answer alone (the feedback stays).

--- a/cedarthread/membership/form.py
+++ b/cedarthread/membership/form.py
@@ -17,6 +17,7 @@
 MARK = bytes((FORM,))
 _HEAD = struct.Struct("<BBIHH")
 _ENTRY = struct.Struct("<HIB")
+ENTRY = _ENTRY.size
 ENTRIES = (MOST - _HEAD.size) // _ENTRY.size
 
 
--- a/cedarthread/membership/members.py
+++ b/cedarthread/membership/members.py
@@ -25,6 +25,9 @@
 SPREADS = 3.0  # times the binary logarithm of the members that each news is told
 FAN = 1  # members that news goes to at a turn
 DEAD_EVERY = 8  # pings of which one goes to a member that is held dead: cuts heal
+STARTS = 10_000.0  # ms after its own start for which a router suspects nobody that it has never heard
+BYTES, SAVED = 0.5, 1000.0  # bytes a ms that news may take, and most saved up: it must not feed on itself
+REMIND = 1000.0  # ms between two words to a member that it is held suspect or dead
 JUMP = 2**16  # incarnations by which one may have risen since it was last told: more is a lie
 
 
@@ -34,6 +37,7 @@
     status: Status = Status.ALIVE
     since: float = 0.0
     heard: float = -math.inf  # when anything last came from it itself
+    reminded: float = -math.inf  # when it was last told how it is held
 
 
 @dataclass(slots=True)
@@ -65,7 +69,9 @@
         self.ping: _Ping | None = None
         self.relayed: dict[int, tuple[int, int, float]] = {}  # own nonce: who asked, with which nonce, when
         self.nonce = self.pings = 0
-        self.turned, self.next = now, now + self.rng.uniform(0.0, PERIOD)
+        self.began = self.turned = self.filled = now
+        self.next = now + self.rng.uniform(0.0, PERIOD)
+        self.room = SAVED  # bytes that news may take now
         self.unreadable = self.lies = 0
         self.changes: list[Change] = []  # for the log; whoever reads them clears them
 
@@ -86,14 +92,12 @@
     # Hearing.
 
     def heard(self, now: float, sender: int) -> None:
-        """Something came from a member itself. Where it is held dead it learns so with the next news."""
+        """Something came from a member itself, whatever it was."""
         if (member := self.members.get(sender)) is None:
             return
         member.heard = now
         if self.ping is not None and self.ping.member == sender:
             self.ping = None
-        if member.status is not Status.ALIVE:
-            self._tell(sender)
 
     def hear(self, now: float, sender: int, data: bytes) -> list[i.Tell]:
         """Take a member's datagram; what is to be told in return."""
@@ -121,12 +125,16 @@
                 self.ping = None
         elif message.kind is not Kind.NEWS:
             self.lies += 1
-        if (
-            self.members[sender].status is not Status.ALIVE
-            or message.incarnation < self.members[sender].incarnation
-        ):
-            told.append(self._message(Kind.NEWS, sender, first=(sender,)))  # it can take it back at once
-        return told
+        return told + self._remind(now, sender, message.incarnation)
+
+    def _remind(self, now: float, sender: int, incarnation: int) -> list[i.Tell]:
+        """A member that is there but held otherwise, or of an earlier life, is told: it may take it back."""
+        member = self.members[sender]
+        same = member.status is Status.ALIVE and incarnation >= member.incarnation
+        if same or now - member.reminded < REMIND:
+            return []
+        member.reminded = now
+        return [self._message(Kind.NEWS, sender, first=(sender,))]
 
     def _learn(self, now: float, entry: Entry) -> None:
         if entry.member == self.me:
@@ -168,11 +176,15 @@
         if not self.members:
             return []
         self._turned(now)
+        self.room = min(self.room + BYTES * (now - self.filled), SAVED)
+        self.filled = now
         told: list[i.Tell] = []
         span = SUSPICION * PERIOD * max(1.0, math.log10(self.count))
         for number, member in self.members.items():
             if member.status is Status.SUSPECT and now - member.since >= span:
                 self._hold(now, number, Status.DEAD)
+            if member.status is not Status.ALIVE and now - member.heard < PERIOD:
+                told += self._remind(now, number, member.incarnation)
         for nonce in [n for n, (_, _, at) in self.relayed.items() if now - at > 4 * ANSWER]:
             del self.relayed[nonce]
         if self.ping is not None and now - self.ping.at >= ANSWER:
@@ -180,7 +192,7 @@
         if self.ping is None and now >= self.next:
             self.next = now + PERIOD * self.rng.uniform(0.8, 1.2)  # so that no two stay in step
             told += self._ping(now)
-        if self.news:
+        if self.news and self.room >= form.ENTRY * 8:
             some = self.rng.sample(self.others(), min(FAN, len(self.others())))
             told += [self._message(Kind.NEWS, number) for number in some if self.news]
         return told
@@ -223,7 +235,9 @@
             some = self.rng.sample(others, min(THROUGH, len(others)))
             return [self._message(Kind.ASK, number, ping.nonce, about=ping.member) for number in some]
         self.ping = None
-        if self.members[ping.member].status is Status.ALIVE:
+        member = self.members[ping.member]
+        unknown = member.heard == -math.inf and now - self.began < STARTS
+        if member.status is Status.ALIVE and not unknown:
             self._hold(now, ping.member, Status.SUSPECT)
         return []
 
@@ -234,7 +248,9 @@
         numbers = list(first)
         numbers += sorted((n for n in self.news if n not in numbers), key=lambda n: -self.news[n])
         entries = []
-        for number in numbers[: form.ENTRIES]:
+        fits = max(len(list(first)), min(form.ENTRIES, int(self.room // form.ENTRY)))
+        for number in numbers[:fits]:
+            self.room -= form.ENTRY
             if number == self.me:
                 entries.append(Entry(number, self.incarnation, Status.ALIVE))
             else:
--- a/cedarthread/rig/cli.py
+++ b/cedarthread/rig/cli.py
@@ -22,6 +22,7 @@
 
 import asyncio
 import json
+import signal
 import sys
 import tempfile
 from collections.abc import Iterable
@@ -49,11 +50,15 @@
         routers = int(told["--routers"] or (200 if full else 24))
         seed = int(told["--seed"])
         scenarios = drill.full(seed, routers, talk) if full else [drill.quick(seed, routers, talk)]
+        results = play(scenarios, told["--out"])
     except (ScenarioError, ValueError) as error:
         print(f"cedarthread: {error}", file=sys.stderr)
         return 2
+    except asyncio.CancelledError:
+        print("cedarthread: told to stop; all processes have been ended", file=sys.stderr)
+        return 130
     bad = False
-    for result in play(scenarios, told["--out"]):
+    for result in results:
         for failing in drill.failings(result):
             bad = True
             print(f"{result.scenario}: {failing}")
@@ -66,7 +71,7 @@
     print(drill.HEAD, drill.RULE, sep="\n", flush=True)
     results = []
     for scenario in scenarios:
-        result = asyncio.run(one(scenario))
+        result = asyncio.run(_interruptible(scenario))
         print(drill.row(result), flush=True)
         results.append(result)
         if out is not None:
@@ -77,6 +82,14 @@
     return results
 
 
+async def _interruptible(scenario: Scenario) -> Result:
+    """One run that ends all it started when it is told to stop, wherever it is then."""
+    loop, run = asyncio.get_running_loop(), asyncio.ensure_future(one(scenario))
+    for name in (signal.SIGINT, signal.SIGTERM):  # taken by the loop: a start is never cut in two
+        loop.add_signal_handler(name, run.cancel)
+    return await run
+
+
 async def one(scenario: Scenario) -> Result:
     """One run, its files in a folder of its own."""
     with tempfile.TemporaryDirectory(prefix="cedarthread-") as folder:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -252,3 +252,32 @@
         set(one.talk.peers) | {who} == {0, 1, 2} for who, one in enumerate(left) if one.talk is not None
     )
     assert any("3 of 6 routers there" in text for text in words)
+
+
+@pytest.mark.parametrize("count", [24, 96])
+def test_news_do_not_feed_on_themselves_while_halves_are_cut(count: int) -> None:
+    """Each datagram of a suspect once had its suspicion told anew: 7,000 bytes a second for each of 200."""
+    fleet = Fleet(count, 5, loss=0.1)
+    fleet.run(3_000.0)
+    fleet.cut = lambda a, b: (a < count // 2) != (b < count // 2)
+    fleet.bytes = 0
+    fleet.run(20_000.0)
+    assert fleet.bytes / count / 20.0 < 900.0
+    for view in fleet.views.values():
+        for other in range(count):
+            if other != view.me:
+                view.heard(fleet.now, other)  # talk that comes through all the same
+    fleet.bytes = 0
+    fleet.run(10_000.0)
+    assert fleet.bytes / count / 10.0 < 900.0
+
+
+def test_a_fleet_that_starts_one_after_the_other_suspects_nobody() -> None:
+    fleet = Fleet(40, 6)
+    fleet.gone = set(range(1, 40))
+    for number in range(1, 40):
+        fleet.run(200.0)
+        fleet.gone.discard(number)
+        fleet.views[number] = Members(number, 40, number, fleet.now)
+    fleet.run(3_000.0)
+    assert all(not view.changes for view in fleet.views.values())
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -5,6 +5,9 @@
 import asyncio
 import dataclasses
 import json
+import signal
+import subprocess
+import sys
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -181,3 +184,17 @@
     assert told.datagrams[0] > 100 and told.datagrams[1] > 10, "routers talked, and some of it was lost"
     (tmp_path / "x.json").write_text(json.dumps(told.table()))
     assert cli.main(["rig", "report", str(tmp_path)]) == 0 and "<svg" in (tmp_path / "x.svg").read_text()
+
+
+@pytest.mark.parametrize("which", [signal.SIGINT, signal.SIGTERM])
+def test_an_interrupted_rig_leaves_no_process(tmp_path: Path, which: signal.Signals) -> None:
+    command = [sys.executable, "-m", "cedarthread", "drill", "spread", "--routers", "6", "--seed", "2"]
+    rig = subprocess.Popen(
+        command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, cwd=Path(__file__).parent.parent
+    )
+    listing = Path(f"/proc/{rig.pid}/task/{rig.pid}/children")
+    while len(children := listing.read_text().split()) < 6:
+        assert rig.poll() is None
+    rig.send_signal(which)
+    rig.communicate(timeout=30)
+    assert [child for child in children if Path(f"/proc/{child}").exists()] == []
