--- a/cedarthread/standins/runner.py
+++ b/cedarthread/standins/runner.py
@@ -34,7 +34,7 @@
             self.server.line(self, line)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.server.connections.discard(self)
+        self.server.lost(self)
 
 
 class RunnerServer:
@@ -66,6 +66,12 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def lost(self, connection: _Connection) -> None:
+        """A router closed it: it waits for nothing there any more."""
+        self.connections.discard(connection)
+        for name in [name for name, at in self._connections.items() if at is connection]:
+            self.gave_up(name, self.model.number)
+
     def line(self, connection: _Connection, line: bytes) -> None:
         """A whole line came."""
         message = json.loads(line)
