Read-through: one base of settings, one bound of a datagram, simpler retune, dead code out

- Written twice: the platform's settings (stand-ins, rig, fuzzing: now standins/settings.py, equal to the digit by a comparison of all three), what an error of a response means (standins/client.answer_kind, which fuzzing calls too), 256 bytes and Unreadable (membership/form takes those of spread/datagram), the next nonce, the served part of a run.
- More than needed: Decisions.retune had a branch that could not be met; who is there is handed on in one place (_present).
Faults count their parties from their own bounds.
Dead: drill.smaller, parameters nobody gave, words of the replays' choices nobody read.
The help said that Markdown is written: the table is printed.

--- a/cedarthread/decisions.py
+++ b/cedarthread/decisions.py
@@ -70,23 +70,26 @@
     def retune(self, settings: i.Settings) -> None:
         """New settings whose classes only add to the old ones; what they now forbid ends."""
         self.router.retune(settings)
-        talks = settings.limits.peers and settings.gateways > 1
-        if talks and self.talk is None:
-            self.talk = Talk(settings, self.seed)
-            self.members = Members(settings.ordinal, settings.gateways, self.seed)
-        elif talks and self.talk is not None:
-            self.talk.retune(settings)
-            if self.members is None or self.members.count != settings.gateways:
-                self.members = Members(settings.ordinal, settings.gateways, self.seed)
-            self.talk.present(self.members.others())
-        elif not talks:
+        if not (settings.limits.peers and settings.gateways > 1):
             self.talk, self.members, self.timed = None, None, False
             for view in self.router.workers.values():
                 view.elsewhere = 0.0
             for function in self.router.functions.values():
                 function.told = {}
-        self.router.talk = self.talk
-        self.router.fleet = self.members.present() if self.members is not None else max(1, settings.gateways)
+            self.router.talk, self.router.fleet = None, max(1, settings.gateways)
+            return
+        if self.members is None or self.members.count != settings.gateways:
+            self.members = Members(settings.ordinal, settings.gateways, self.seed)
+        if self.talk is None:
+            self.talk = self.router.talk = Talk(settings, self.seed)
+        else:
+            self.talk.retune(settings)
+        self._present(self.talk, self.members)
+
+    def _present(self, talk: Talk, members: Members) -> None:
+        """Who is there: shares of the fleet's work, and whom the talk tells, go by it."""
+        talk.present(members.others())
+        self.router.fleet = members.present()
 
     def _fleet(self, talk: Talk, members: Members) -> list[i.Action]:
         """Members are held otherwise than before."""
@@ -94,8 +97,7 @@
             f"{c.member} {c.status.name.lower()}" for c in members.changes if c.status is not Status.SUSPECT
         ]
         members.changes.clear()
-        talk.present(members.others())
-        self.router.fleet = members.present()
+        self._present(talk, members)
         text = f"members: {members.present()} of {members.count} routers there; {', '.join(words[:NAMED])}"
         return [i.Log(text)] if words else []
 
--- a/cedarthread/fuzz/peers.py
+++ b/cedarthread/fuzz/peers.py
@@ -16,6 +16,7 @@
 from cedarthread.fuzz.target import Finding
 from cedarthread.fuzz.virtual import MemoryTransport, VirtualLoop
 from cedarthread.ledger.book import Ledger, Terms, Tried
+from cedarthread.standins.client import answer_kind
 
 PROVES_NOT_RUN = ("NONE", "SHED", "LATE")
 
@@ -142,11 +143,6 @@
             link.transport.take(None)
 
 
-def answer_kind(error: Any) -> str:
-    """What an error of the platform's protocol means."""
-    return "served" if error is None else "refused" if error[0] == "Backoff" else "failed"
-
-
 class Client:
     """A platform client on one connection."""
 
--- a/cedarthread/fuzz/settings.py
+++ b/cedarthread/fuzz/settings.py
@@ -5,6 +5,8 @@
 import copy
 from typing import Any
 
+from cedarthread.standins.settings import SETTINGS
+
 CLASSES: list[dict[str, Any]] = [
     {"name": "check", "goal-time": 1200, "deadline": 5000, "effect": "retryable", "value": 2},
     {"name": "revise", "goal-time": 800, "deadline": 5000, "effect": "dedup", "group": "zone"},
@@ -15,26 +17,14 @@
 CLASSES[1] |= {"repeat-window": 1500, "value": 5}
 CLASSES[3] |= {"repeat-window": 1500, "value": 3}
 CLASSES[4] |= {"repeat-window": 1500, "value": 3}
-BASE: dict[str, Any] = {
-    "balancers": 1,
+BASE: dict[str, Any] = SETTINGS | {
     "classes": CLASSES,
-    "kinds": ["std"],
-    "limits": {
-        "cancel": True,
-        "connect-timeout": 250,
-        "conn-idle": 30000,
-        "send-cap": 4,
-        "most-held": 100,
-        "streams-per-conn": 8,
-        "retry-after": True,
-        "max-retry-after": 500,
-    },
+    "limits": SETTINGS["limits"] | {"streams-per-conn": 8},
     "localities": ["room-a", "room-b"],
-    "obligations": {"answer-slack": 8, "stop-sending-within": 500, "cold-from": 0.25, "warm-after": 2000}
-    | {"overload-factor": 2.5, "fall": 2000},
+    "obligations": SETTINGS["obligations"]
+    | {"cold-from": 0.25, "warm-after": 2000, "overload-factor": 2.5, "fall": 2000},
     "prices": {"cross-zone": 0.046},
-    "report": {"columns": ["inflight", "x1"], "how": "answers"},
-    "specifics": {"keep-alive": 8700, "order-limit": 10000, "says-warm": True},
+    "specifics": SETTINGS["specifics"] | {"says-warm": True},
 }
 RATION = {"loads-anyway": 2, "load-share": 0.2, "load-window": 5000}
 
--- a/cedarthread/membership/form.py
+++ b/cedarthread/membership/form.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-MOST = 256  # bytes, by the platform's protocol
+from cedarthread.spread.datagram import MOST, Unreadable
+
 FORM = 0xC2
 MARK = bytes((FORM,))
 _HEAD = struct.Struct("<BBIHH")
@@ -58,13 +59,6 @@
     entries: tuple[Entry, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Unreadable:
-    """A datagram that is not of this form, and why."""
-
-    why: str
-
-
 def encode(message: Message) -> bytes:
     """The bytes of a datagram; ValueError for one that would be longer than may be sent."""
     if len(message.entries) > ENTRIES:
--- a/cedarthread/membership/members.py
+++ b/cedarthread/membership/members.py
@@ -10,12 +10,12 @@
 
 import math
 import random
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from cedarthread import interface as i
 from cedarthread.membership import form
 from cedarthread.membership.form import Entry, Kind, Message, Status
+from cedarthread.spread.datagram import Unreadable
 
 PERIOD = 500.0  # ms between pings
 ANSWER = 500.0  # ms in which an answer must come, and again one by way of others
@@ -102,7 +102,7 @@
     def hear(self, now: float, sender: int, data: bytes) -> list[i.Tell]:
         """Take a member's datagram; what is to be told in return."""
         message = form.decode(data)
-        if isinstance(message, form.Unreadable) or sender not in self.members:
+        if isinstance(message, Unreadable) or sender not in self.members:
             self.unreadable += 1
             return []
         self._turned(now)
@@ -114,9 +114,9 @@
         if message.kind is Kind.PING:
             told.append(self._message(Kind.ANSWER, sender, message.nonce))
         elif message.kind is Kind.ASK and message.about in self.members:
-            self.nonce = (self.nonce + 1) % 2**16
-            self.relayed[self.nonce] = (sender, message.nonce, now)
-            told.append(self._message(Kind.PING, message.about, self.nonce))
+            nonce = self._next_nonce()
+            self.relayed[nonce] = (sender, message.nonce, now)
+            told.append(self._message(Kind.PING, message.about, nonce))
         elif message.kind is Kind.ANSWER:
             asked = self.relayed.pop(message.nonce, None)
             if asked is not None:
@@ -166,6 +166,10 @@
         member.status = status
         self._tell(number)
 
+    def _next_nonce(self) -> int:
+        self.nonce = (self.nonce + 1) % 2**16
+        return self.nonce
+
     def _tell(self, number: int) -> None:
         self.news[number] = math.ceil(SPREADS * math.log2(self.count + 1))
 
@@ -193,7 +197,8 @@
             self.next = now + PERIOD * self.rng.uniform(0.8, 1.2)  # so that no two stay in step
             told += self._ping(now)
         if self.news and self.room >= form.ENTRY * 8:
-            some = self.rng.sample(self.others(), min(FAN, len(self.others())))
+            others = self.others()
+            some = self.rng.sample(others, min(FAN, len(others)))
             told += [self._message(Kind.NEWS, number) for number in some if self.news]
         return told
 
@@ -216,17 +221,15 @@
         self.pings += 1
         dead = [number for number, member in self.members.items() if member.status is Status.DEAD]
         if dead and self.pings % DEAD_EVERY == 0:
-            self.nonce = (self.nonce + 1) % 2**16
-            return [self._message(Kind.PING, self.rng.choice(dead), self.nonce)]
+            return [self._message(Kind.PING, self.rng.choice(dead), self._next_nonce())]
         for _ in range(len(self.members)):
             if not self.ring:
                 self.ring = self.rng.sample(sorted(self.members), len(self.members))
             number = self.ring.pop()
             member = self.members[number]
             if member.status is not Status.DEAD and now - member.heard > PERIOD:
-                self.nonce = (self.nonce + 1) % 2**16
-                self.ping = _Ping(number, self.nonce, now)
-                return [self._message(Kind.PING, number, self.nonce)]
+                self.ping = _Ping(number, self._next_nonce(), now)
+                return [self._message(Kind.PING, number, self.ping.nonce)]
         return []
 
     def _unanswered(self, now: float, ping: _Ping) -> list[i.Tell]:
@@ -242,14 +245,13 @@
         return []
 
     def _message(
-        self, kind: Kind, to: int, nonce: int = 0, about: int = 0, first: Iterable[int] = ()
+        self, kind: Kind, to: int, nonce: int = 0, about: int = 0, first: tuple[int, ...] = ()
     ) -> i.Tell:
         """A message with as much news as fits, the least told first."""
-        numbers = list(first)
-        numbers += sorted((n for n in self.news if n not in numbers), key=lambda n: -self.news[n])
+        rest = sorted((n for n in self.news if n not in first), key=lambda n: -self.news[n])
         entries = []
-        fits = max(len(list(first)), min(form.ENTRIES, int(self.room // form.ENTRY)))
-        for number in numbers[:fits]:
+        fits = max(len(first), min(form.ENTRIES, int(self.room // form.ENTRY)))
+        for number in (*first, *rest)[:fits]:
             self.room -= form.ENTRY
             if number == self.me:
                 entries.append(Entry(number, self.incarnation, Status.ALIVE))
--- a/cedarthread/rig/cli.py
+++ b/cedarthread/rig/cli.py
@@ -15,7 +15,7 @@
   --routers N  Router processes; 24, or 200 with --full, where nothing is said.
   --seed S     The seed of arrivals and faults [default: 1].
   --no-talk    The settings forbid that routers talk.
-  --out DIR    Where results go, as JSON and Markdown.
+  --out DIR    Where results go, as JSON; the table is printed.
 """
 
 from __future__ import annotations
--- a/cedarthread/rig/drill.py
+++ b/cedarthread/rig/drill.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Iterator
 
 from cedarthread.rig.play import Result
@@ -82,7 +81,7 @@
         yield parse(base | {"name": name, "fault": faults})
 
 
-def failings(result: Result, ratio: float = RATIO, served: float = SERVED) -> list[str]:
+def failings(result: Result) -> list[str]:
     """What a run shows that must not be."""
     even, limit = result.even, result.others["all"]
     found = list(result.breaches)
@@ -94,21 +93,19 @@
     ]
     if even.idle > IDLE_MOST:
         found.append(f"a runner idle for {even.idle:.0f} ms while another queued")
-    if even.peak_to_mean > ratio * limit.peak_to_mean:
+    if even.peak_to_mean > RATIO * limit.peak_to_mean:
         found.append(f"peak-to-mean {even.peak_to_mean:.2f}, all-seeing {limit.peak_to_mean:.2f}")
-    part = result.answers.get("served", 0) / max(1, sum(result.answers.values()))
-    if part < served:
-        found.append(f"{part:.2f} of the calls served")
+    if result.served < SERVED:
+        found.append(f"{result.served:.2f} of the calls served")
     return found
 
 
 def row(result: Result) -> str:
     """A run as a line of a Markdown table."""
     even, limit = result.even, result.others["all"]
-    part = result.answers.get("served", 0) / max(1, sum(result.answers.values()))
     cells = [
         result.scenario,
-        f"{part:.3f}",
+        f"{result.served:.3f}",
         f"{even.peak_to_mean:.2f}",
         f"{limit.peak_to_mean:.2f}",
         f"{even.variation:.2f}",
@@ -130,8 +127,3 @@
     "| beyond need | breaches | CPU ms/call | B/s a router | rig late ms |"
 )
 RULE = "|" + " --- |" * 14
-
-
-def smaller(scenario: Scenario, routers: int) -> Scenario:
-    """The same at another number of routers, with the faults that name none beyond."""
-    return dataclasses.replace(scenario, routers=routers, faults=())
--- a/cedarthread/rig/fleet.py
+++ b/cedarthread/rig/fleet.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from cedarthread.rig.scenario import Scenario
+from cedarthread.standins.settings import SETTINGS
 
 READY = 60.0  # s in which all processes must serve
 LOOK = 0.05  # s between looks
@@ -25,20 +26,16 @@
     """The settings that one router is given."""
     safe = {"name": "check", "goal-time": 1000, "deadline": 3000, "effect": "retryable", "value": 2}
     unsafe = {"name": "confirm", "goal-time": 1000, "deadline": 3000, "effect": "fragile", "value": 3}
-    limits = {"cancel": True, "connect-timeout": 250, "conn-idle": 30000, "send-cap": 4, "most-held": 1000}
-    limits |= {"streams-per-conn": 32, "retry-after": True, "max-retry-after": 2000, "peers": scenario.talk}
+    limits = {"most-held": 1000, "max-retry-after": 2000, "peers": scenario.talk}
     columns = ["inflight", "x1"] if scenario.reports else ["x1"]
-    return {
+    return SETTINGS | {
         "balancers": scenario.routers,
         "ordinal": number,
         "classes": [safe, unsafe],
-        "kinds": ["std"],
-        "localities": ["room-a"],
-        "limits": limits,
-        "obligations": {"answer-slack": 8, "stop-sending-within": 500},
+        "limits": SETTINGS["limits"] | limits,
         "prices": {"peer": 0.01},
         "report": {"columns": columns, "how": "answers"},
-        "specifics": {"keep-alive": 4000, "order-limit": 10000},
+        "specifics": SETTINGS["specifics"] | {"keep-alive": 4000},
     }
 
 
--- a/cedarthread/rig/play.py
+++ b/cedarthread/rig/play.py
@@ -50,6 +50,11 @@
         """Was it spoilt by the rig itself?"""
         return self.late > SPOILT
 
+    @property
+    def served(self) -> float:
+        """The part of the calls that were served, 0 to 1."""
+        return self.answers.get("served", 0) / max(1, sum(self.answers.values()))
+
     def table(self) -> dict[str, Any]:
         """As JSON has it."""
         return asdict(self) | {"void": self.void}
@@ -93,9 +98,8 @@
         self.lists: dict[tuple[int, frozenset[int]], tuple[Listed, ...]] = {}
         self.visits: list[Visit] = []
         self.tries: defaultdict[str, list[tuple[int, Tried]]] = defaultdict(list)
-        self.open: dict[int, dict[int, str]] = {
-            n: {} for n in range(scenario.routers)
-        }  # by client: number, name
+        # The calls that each client waits for: number and name.
+        self.open: dict[int, dict[int, str]] = {n: {} for n in range(scenario.routers)}
         self.answers: Counter[str] = Counter()
         self.sent: Counter[int] = Counter()  # bytes to other routers
         self.ports: list[int] = []  # of the relays, and of the routers at their own addresses
@@ -210,9 +214,8 @@
             router = ("router", int(name[:4], 16))
             a, b = (router, ("runner", runner)) if there else (("runner", runner), router)
             wait = self.network.stream(self.clock(), a, b)
-            self._after(
-                max(wait, WAY) if there else wait, then
-            )  # what gives a call up comes before its repeat
+            # What gives a call up comes before its repeat.
+            self._after(max(wait, WAY) if there else wait, then)
 
         return passes
 
@@ -319,11 +322,7 @@
     async def _fault(self, fault: Fault) -> None:
         end = self.scenario.warm_up + self.scenario.seconds
         await self._until(fault.at)
-        which = [
-            n
-            for n in range(max(self.scenario.routers, self.scenario.runners))
-            if fault.who.has(fault.who.kind, n)
-        ]
+        which = range(fault.who.first, fault.who.last + 1)
         await self._begin(fault, which)
         if fault.until < end:
             await self._until(fault.until)
@@ -332,7 +331,7 @@
     async def _until(self, at: float) -> None:
         await asyncio.sleep(max(0.0, at - self.clock() / 1000.0))
 
-    async def _begin(self, fault: Fault, which: list[int]) -> None:
+    async def _begin(self, fault: Fault, which: range) -> None:
         for number in which:
             if fault.kind in ("kill", "restart"):
                 self.fleet.signal(number, signal.SIGKILL)
@@ -352,7 +351,7 @@
         if fault.kind == "restart":
             await asyncio.gather(*(self._back(number) for number in which))
 
-    async def _over(self, fault: Fault, which: list[int]) -> None:
+    async def _over(self, fault: Fault, which: range) -> None:
         for number in which:
             if fault.kind == "kill":
                 self.fleet.start(number)
--- a/cedarthread/rig/replay.py
+++ b/cedarthread/rig/replay.py
@@ -147,9 +147,4 @@
         return queue + (0.0 if free else self.scenario.load / 2 if copies.loading else self.scenario.load)
 
 
-CHOICES = {
-    "random": "random choice",
-    "own": "own load only",
-    "two": "better of two by own load",
-    "all": "all-seeing least-loaded",
-}
+CHOICES = ("random", "own", "two", "all")  # by name: a choice is the method of that name
--- a/cedarthread/rig/scenario.py
+++ b/cedarthread/rig/scenario.py
@@ -5,7 +5,7 @@
 import dataclasses
 import re
 import tomllib
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -77,7 +77,7 @@
     talk: bool = True
     reports: bool = True
     plant: str = ""  # a defect that the routers are given, to see that it is found
-    faults: tuple[Fault, ...] = field(default=())
+    faults: tuple[Fault, ...] = ()
 
 
 def read(path: Path) -> Scenario:
--- a/cedarthread/spread/popularity.py
+++ b/cedarthread/spread/popularity.py
@@ -12,9 +12,7 @@
 
 CALLS = 80.0  # own calls that are to be in view
 LEAST, MOST = 5000.0, 30_000.0  # ms of the view, least and most
-PRIOR = (
-    40.0  # calls that a view is taken to hold at least, after a start: those unseen are of other functions
-)
+PRIOR = 40.0  # calls that a view is taken to hold at least: those unseen are of other functions
 
 
 class Popularity:
--- a/cedarthread/standins/client.py
+++ b/cedarthread/standins/client.py
@@ -22,6 +22,11 @@
     return b"\x94\x00" + msgpack.pack_uint(2**32 - 1) + msgpack.pack_str("check") + b"\x90"
 
 
+def answer_kind(error: Any) -> str:
+    """What the error of a response means: served where there is none, refused or failed."""
+    return "served" if error is None else "refused" if error[0] == "Backoff" else "failed"
+
+
 class Client(asyncio.Protocol):
     """One connection to one router; ``lost`` is told when it breaks."""
 
@@ -45,8 +50,7 @@
         while isinstance(parsed := msgpack.parse(memoryview(self._held)), msgpack.Value):
             _, number, error, result = plain(parsed.value)
             self._held = self._held[parsed.end :]
-            kind = "served" if error is None else {"Backoff": "refused"}.get(error[0], "failed")
-            self.told(number, kind, result[0] if error is None else b"")
+            self.told(number, answer_kind(error), result[0] if error is None else b"")
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The router or its connection has ended."""
--- a/cedarthread/standins/model.py
+++ b/cedarthread/standins/model.py
@@ -64,9 +64,8 @@
         self.lanes, self.keep = lanes, keep
         self.slow = 1.0
         self.copies: dict[int, _Copies] = {}
-        self.agenda: list[
-            tuple[float, int, int, Visit | None]
-        ] = []  # when, serial, function, visit or a load
+        # When, serial, function, visit or None for a load.
+        self.agenda: list[tuple[float, int, int, Visit | None]] = []
         self.queue: deque[Visit] = deque()  # with a lane, for a core
         self.running = self.held = self.serial = 0
         self.total = 0  # copies, loading ones too
--- a/cedarthread/standins/runner.py
+++ b/cedarthread/standins/runner.py
@@ -11,9 +11,7 @@
 
 from cedarthread.standins.model import Runner, Visit
 
-Passes = Callable[
-    [str, bool, Callable[[], None]], None
-]  # a call's name, towards the runner?, what then is done
+Passes = Callable[[str, bool, Callable[[], None]], None]  # a call's name, to the runner?, what is done then
 Seen = Callable[[Visit], None]
 GivenUp = Callable[[str, int], None]
 
--- a/cedarthread/standins/scripted.py
+++ b/cedarthread/standins/scripted.py
@@ -17,38 +17,8 @@
 from cedarthread.net.roster import Listing
 from cedarthread.service import Service
 from cedarthread.standins import client as client_side
+from cedarthread.standins.settings import SETTINGS
 
-SETTINGS = {
-    "balancers": 1,
-    "classes": [
-        {"name": "check", "goal-time": 1200, "deadline": 5000, "effect": "retryable", "value": 2},
-        {
-            "name": "revise",
-            "goal-time": 800,
-            "deadline": 5000,
-            "effect": "dedup",
-            "group": "zone",
-            "repeat-window": 3000,
-            "value": 5,
-        },
-        {"name": "confirm", "goal-time": 1500, "deadline": 5000, "effect": "fragile", "value": 5},
-    ],
-    "kinds": ["std"],
-    "limits": {
-        "cancel": True,
-        "connect-timeout": 250,
-        "conn-idle": 30000,
-        "send-cap": 4,
-        "most-held": 100,
-        "streams-per-conn": 32,
-        "retry-after": True,
-        "max-retry-after": 500,
-    },
-    "localities": ["room-a"],
-    "obligations": {"answer-slack": 8, "stop-sending-within": 500},
-    "report": {"columns": ["inflight", "x1"], "how": "answers"},
-    "specifics": {"keep-alive": 8700, "order-limit": 10000},
-}
 FUNCTION = "7f3a9c21e0b4d655"
 Behaviour = Callable[["Runner", dict[str, Any]], dict[str, Any] | None]
 
--- /dev/null
+++ b/cedarthread/standins/settings.py
@@ -0,0 +1,37 @@
+"""Settings in the form that the platform gives them: what stand-ins, the rig and fuzzing start from."""
+
+from __future__ import annotations
+
+from typing import Any
+
+SETTINGS: dict[str, Any] = {
+    "balancers": 1,
+    "classes": [
+        {"name": "check", "goal-time": 1200, "deadline": 5000, "effect": "retryable", "value": 2},
+        {
+            "name": "revise",
+            "goal-time": 800,
+            "deadline": 5000,
+            "effect": "dedup",
+            "group": "zone",
+            "repeat-window": 3000,
+            "value": 5,
+        },
+        {"name": "confirm", "goal-time": 1500, "deadline": 5000, "effect": "fragile", "value": 5},
+    ],
+    "kinds": ["std"],
+    "limits": {
+        "cancel": True,
+        "connect-timeout": 250,
+        "conn-idle": 30000,
+        "send-cap": 4,
+        "most-held": 100,
+        "streams-per-conn": 32,
+        "retry-after": True,
+        "max-retry-after": 500,
+    },
+    "localities": ["room-a"],
+    "obligations": {"answer-slack": 8, "stop-sending-within": 500},
+    "report": {"columns": ["inflight", "x1"], "how": "answers"},
+    "specifics": {"keep-alive": 8700, "order-limit": 10000},
+}
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -13,6 +13,7 @@
 from cedarthread.membership import form
 from cedarthread.membership.form import Entry, Kind, Message, Status
 from cedarthread.membership.members import JUMP, PAUSE, PERIOD, SUSPICION, Members
+from cedarthread.spread.datagram import MOST
 from tests.helpers import settings, worker
 
 TURN = 250.0  # ms between turns
@@ -78,7 +79,7 @@
     fleet.gone.add(7)
     fleet.run(25_000.0)
     assert len(fleet.held(7, Status.DEAD)) == 39
-    assert all(fleet.views[n].present() == 39 for n in range(40) if n != 7) and fleet.longest <= form.MOST
+    assert all(fleet.views[n].present() == 39 for n in range(40) if n != 7) and fleet.longest <= MOST
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -188,7 +189,7 @@
 def test_a_message_reads_as_it_was_written() -> None:
     entries = tuple(Entry(n, 3 * n, Status(n % 3)) for n in range(form.ENTRIES))
     message = Message(Kind.ASK, 9, 7, 4, entries)
-    assert form.decode(form.encode(message)) == message and len(form.encode(message)) <= form.MOST
+    assert form.decode(form.encode(message)) == message and len(form.encode(message)) <= MOST
     with pytest.raises(ValueError):
         form.encode(Message(Kind.NEWS, 0, 0, 0, (*entries, entries[0])))
 
@@ -225,7 +226,7 @@
             elif isinstance(action, i.Log):
                 words.append(action.text)
             elif isinstance(action, i.Tell):
-                assert len(action.data) <= form.MOST
+                assert len(action.data) <= MOST
                 for to in range(count) if action.peer is None else [action.peer]:
                     if to != who and to not in gone:
                         act(to, i.PeerMessage(who, action.data))
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -24,7 +24,7 @@
     broken,
 )
 from cedarthread.core.planner import Planner
-from cedarthread.standins.scripted import SETTINGS
+from cedarthread.standins.settings import SETTINGS
 
 
 class Ways:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -19,7 +19,8 @@
 from cedarthread import __version__
 from cedarthread.cli import main
 from cedarthread.net import msgpack
-from cedarthread.standins.scripted import SETTINGS, pack_call
+from cedarthread.standins.scripted import pack_call
+from cedarthread.standins.settings import SETTINGS
 
 ROOT = Path(__file__).parent.parent
 
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -11,7 +11,8 @@
 
 from cedarthread import config
 from cedarthread import interface as i
-from cedarthread.standins.scripted import SETTINGS, Runner, ask, client, pack_call, service
+from cedarthread.standins.scripted import Runner, ask, client, pack_call, service
+from cedarthread.standins.settings import SETTINGS
 from tests.test_control import figures
 
 
--- a/tests/test_runners.py
+++ b/tests/test_runners.py
@@ -16,7 +16,7 @@
 from cedarthread.net.roster import Listing, Roster
 from cedarthread.net.runners import Order, Pool, RunnerConnection, Runners
 from cedarthread.net.stream import Flusher
-from cedarthread.standins.scripted import SETTINGS
+from cedarthread.standins.settings import SETTINGS
 from tests.test_parsers import reply
 
 
