No attempt begins once its client has closed or cancelled, checked before bytes leave

Cause, by loopback tests that hold what the client did unread: (1) PlatformConnection.eof_received took a close for a half-close and went on sending for it; (2) a CANCEL or reset stood unread while answers of a runner were handled first, or while nothing was read from a client that reads slowly (pause_writing) or floods (waits); (3) within one turn of the loop asyncio knew of a reset (transport closing) before connection_lost told; (4) a call that waited for a connection to a runner left with its first write (RunnerConnection.flush). Ruled out: withdraw at settling, which held; a timer of 0.1 s, which can't see how long a close has stood unread.

Change: RunnerConnection.flush asks Planner.may_begin of each attempt just before the write; the front takes in what stands in its socket (Stream.read_now: one poll where nothing does). After the end of a client's writing nothing begins; what is out may still bring its answer, any other call is refused at once (Planner.closing). The invoke API asks the descriptor below TLS. The ledger judges it in the call machine (Ledger.gone), with a planted defect.

Two checks were changed: the stand-in for the planner under the 'lines' target got may_begin; the planted defect 'unsent-not-withdrawn' now takes out both guards, for the second one hides the loss of the first, and its kept finding fails so as before.

--- a/cedarthread/core/calls.py
+++ b/cedarthread/core/calls.py
@@ -21,6 +21,10 @@
     return now + limit - max(MARGIN * limit, min(LEAST_MARGIN, limit / 2))
 
 
+def _known() -> None:
+    """For a front that has nothing to bring up to date."""
+
+
 class Progress(IntEnum):
     """How far an attempt had come."""
 
@@ -72,11 +76,13 @@
     memory: float | None = None
     repeat: bool = False
     caller: str | None = None  # its identity, where the front knows it
+    look: Callable[[], None] = _known  # the front takes in what the client has said or done by now
     number: int = 0  # set by the planner, as is all that follows
     label: str = ""  # the name of its class when it was taken: what its figures count under
     taken: float = 0.0
     attempts: list[Attempt] = field(default_factory=list)
     settled: bool = False
+    closing: bool = False  # its client writes no more and may have gone: no attempt begins any more
     lapsed: bool = False  # its time is up, and the router has been told
 
 
--- a/cedarthread/core/planner.py
+++ b/cedarthread/core/planner.py
@@ -18,7 +18,17 @@
 from typing import TYPE_CHECKING, Any
 
 from cedarthread import interface as i
-from cedarthread.core.calls import Answer, Attempt, Call, Ending, Failed, Refused, Served, Workers
+from cedarthread.core.calls import (
+    Answer,
+    Attempt,
+    Call,
+    Ending,
+    Failed,
+    Progress,
+    Refused,
+    Served,
+    Workers,
+)
 from cedarthread.decisions import BESIDE, Decisions
 
 if TYPE_CHECKING:
@@ -165,6 +175,26 @@
             self._release(call)
             self._post(i.ClientGone(call.number))
 
+    def closing(self, call: Call) -> None:
+        """Its client writes no more. Whether it still reads can't be told: what is out may yet bring its
+        answer, and nothing begins; a call of which nothing is out has its answer now."""
+        if call.settled or call.closing:
+            return
+        call.closing = True
+        for attempt in call.attempts:
+            self._ways().look(attempt)
+        if not any(not a.ended and a.progress >= Progress.PARTLY_WRITTEN for a in call.attempts):
+            self._conclude(call, timed_out=False)
+
+    def may_begin(self, attempt: Attempt) -> bool:
+        """Asked at the last moment before its bytes leave: is its client still there?
+
+        Guards against an attempt that begins after its client has gone: a close or a CANCEL may stand
+        unread while this process is late, or reads nothing from a client that reads slowly."""
+        call = attempt.call
+        call.look()
+        return not (attempt.ended or call.settled or call.closing)
+
     def ended(self, attempt: Attempt, ending: Ending) -> None:
         """The one end of an attempt; an answer goes to the client at once."""
         if attempt.ended:
@@ -296,7 +326,8 @@
         most = self.settings.limits.attempts
         # Settled: the client left, or time ran out, earlier in this turn. The router counts the
         # attempt all the same.
-        if call.settled or out or len(call.attempts) > most or now >= call.give_up:
+        over = call.settled or call.closing or now >= call.give_up
+        if over or out or len(call.attempts) > most:
             self.ended(attempt, Ending(i.Outcome.MOOT))
         else:
             self._ways().send(attempt)
@@ -353,10 +384,15 @@
 
     def _overdue(self, call: Call) -> None:
         """Guards against a call that the router holds past its time, or lost by an exception of its own."""
+        self._conclude(call, timed_out=True)
+
+    def _conclude(self, call: Call, *, timed_out: bool) -> None:
+        """End a call without the router: refused where that is harmless, else failed."""
         ran = any(attempt.may_have_run() for attempt in call.attempts)
         safe = self.settings.classes[call.klass].effect is i.Effect.SAFE
         later = self.settings.limits.max_retry_after
-        self._settle(call, Failed(timed_out=True) if ran and not safe else Refused(later, timed_out=True))
+        failed = ran and not safe
+        self._settle(call, Failed(timed_out) if failed else Refused(later, timed_out))
         self._post(i.ClientGone(call.number))
 
     def _settle(self, call: Call, answer: Answer) -> None:
--- a/cedarthread/fuzz/machine.py
+++ b/cedarthread/fuzz/machine.py
@@ -84,6 +84,14 @@
         """Does input wait?"""
         return self.transport is not None and bool(getattr(self.transport, "_in"))  # noqa: B009
 
+    def read_now(self) -> bool:
+        """Take it, reading paused or not."""
+        if not super().read_now():
+            return False
+        if self.dropping is None and isinstance(self.transport, MemoryTransport):
+            self.transport.deliver(paused=True)
+        return True
+
 
 class World:
     """One router with all its peers."""
@@ -213,8 +221,7 @@
             case 0:
                 client.hang_up()
             case 1:
-                client.spent = True
-                client.transport.send_eof()
+                client.stop_writing()
             case 2:
                 client.slow = True
                 client.transport.room = 0
--- a/cedarthread/fuzz/peers.py
+++ b/cedarthread/fuzz/peers.py
@@ -180,6 +180,7 @@
     def interrupt(self, number: int) -> bytes:
         """Record that a call is not waited for, and return the bytes that say so."""
         self.ledger.left(self.loop.unix_ms(), self.open[number])
+        self.ledger.gone(self.loop.unix_ms(), self.open[number])
         return bytes(msgpack.packb([2, "interrupt", [number]]))
 
     def came(self, data: bytes) -> None:
@@ -196,8 +197,16 @@
                 raise Finding(f"an answer under the number {number}, which is not in use")
             self.ledger.answered(self.loop.unix_ms(), key, answer_kind(error), result[0] if result else b"")
 
+    def stop_writing(self) -> None:
+        """The client closes its end, and reads on: each call is still owed its answer, and begins no more."""
+        self.spent = True
+        for key in self.open.values():
+            self.ledger.gone(self.loop.unix_ms(), key)
+        self.transport.send_eof()
+
     def hang_up(self) -> None:
         """The client goes without a word."""
         for key in self.open.values():
             self.ledger.left(self.loop.unix_ms(), key)
+            self.ledger.gone(self.loop.unix_ms(), key)
         self.transport.hang_up()
--- a/cedarthread/fuzz/planted.py
+++ b/cedarthread/fuzz/planted.py
@@ -214,7 +214,11 @@
     return False
 
 
-def _dispatch(handler: str, by: Callable[..., None]) -> tuple[Any, str, Any]:
+def _begins(*_: Any) -> bool:
+    return True
+
+
+def _dispatch(handler: str, by: Callable[..., Any]) -> tuple[Any, str, Any]:
     return (planner.Planner, handler, by)
 
 
@@ -235,7 +239,19 @@
     Defect("cancel-not-told", "calls", 6000, ((runners.Runners, "_given_up", _cancel_unsure),)),
     Defect("half-written-unseen", "calls", 9000, ((runners.RunnerConnection, "look", _nothing),)),
     Defect("repeat-refused-at-end", "calls", 6000, ((invoke.InvokeFront, "knows", _never),)),
-    Defect("unsent-not-withdrawn", "calls", 9000, ((runners.Runners, "withdraw", _nothing),)),
+    # The look before bytes leave would hold back what is not withdrawn: both guards are out.
+    Defect(
+        "unsent-not-withdrawn",
+        "calls",
+        9000,
+        ((runners.Runners, "withdraw", _nothing), _dispatch("may_begin", _begins)),
+    ),
+    Defect(
+        "goes-on-without-client",
+        "calls",
+        1500,
+        (_dispatch("may_begin", _begins), _dispatch("closing", _nothing)),
+    ),
     Defect("length-unchecked", "msgpack", 400, ((msgpack, "_slice", _no_limit),)),
     Defect("depth-unchecked", "msgpack", 400, ((msgpack, "_room", _nothing),)),
     Defect("dns-loop", "dns", 200, ((dns, "_name", FunctionType(_loose_name.__code__, vars(dns))),)),
--- a/cedarthread/fuzz/streams.py
+++ b/cedarthread/fuzz/streams.py
@@ -270,6 +270,10 @@
         if not abs(value) <= most:
             self.wrong.append(f"{what} of {value}")
 
+    def may_begin(self, attempt: Attempt) -> bool:
+        """Its client is there."""
+        return True
+
     def answered(self, attempt: Attempt, ending: Ending) -> None:
         """An answer."""
         for value in ending.report:
--- a/cedarthread/fuzz/virtual.py
+++ b/cedarthread/fuzz/virtual.py
@@ -122,12 +122,12 @@
         """The peer sends bytes."""
         if data and not self._closing:
             self._in.append(data)
-            self._deliver()
+            self.deliver()
 
     def send_eof(self) -> None:
         """The peer writes no more."""
         self._eof = True
-        self._deliver()
+        self.deliver()
 
     def hang_up(self) -> None:
         """The peer resets the connection: what it had not taken is lost."""
@@ -139,10 +139,13 @@
         self.room = room if room is None or self.room is None else self.room + room
         self._push()
 
-    def _deliver(self) -> None:
-        while self._in and not self._reading_paused and not self._closing:
+    def deliver(self, *, paused: bool = False) -> None:
+        """What the peer has sent is read; ``paused``: also where the program reads nothing now."""
+        while self._in and (paused or not self._reading_paused) and not self._closing:
             data = self._in.pop(0)
             buffer = self.protocol.get_buffer(-1)
+            if not len(buffer) and paused:
+                return self._in.insert(0, data)
             if not len(buffer):
                 raise AssertionError("get_buffer() returned an empty buffer")
             count = min(len(buffer), len(data))
@@ -150,7 +153,7 @@
             if count < len(data):
                 self._in.insert(0, data[count:])
             self.protocol.buffer_updated(count)
-        if self._eof and not self._in and not self._reading_paused and not self._closing:
+        if self._eof and not self._in and (paused or not self._reading_paused) and not self._closing:
             self._eof = False
             if not self.protocol.eof_received():
                 self.close()
@@ -199,7 +202,7 @@
         """Take again."""
         if self._reading_paused and not self._closing:
             self._reading_paused = False
-            self.loop.call_soon(self._deliver)
+            self.loop.call_soon(self.deliver)
 
     def is_closing(self) -> bool:
         """Is it closed, or about to be?"""
--- a/cedarthread/ledger/book.py
+++ b/cedarthread/ledger/book.py
@@ -28,6 +28,7 @@
     second_copies: bool = False
     slack: float = 58.0  # after the deadline: the settings' figure and 50 ms for the sockets
     drain: float = 550.0  # after the news, likewise
+    gone: float = 100.0  # after a client closed its connection or took its request back
     order_window: float = 0.0  # 0: orders are not rationed
     order_free: float = 0.0
     order_share: float = 0.0
@@ -68,6 +69,7 @@
     answers: int = 0
     answered_at: float = math.inf
     left: bool = False
+    gone_at: float = math.inf
     made: list[bytes] = field(default_factory=list)
 
 
@@ -115,6 +117,11 @@
         if (entry := self._calls.get(call)) is not None:
             entry.left = True
 
+    def gone(self, at: float, call: str) -> None:
+        """Its client has closed the connection, or its own end of it, or has taken the request back."""
+        if (entry := self._calls.get(call)) is not None:
+            entry.gone_at = min(entry.gone_at, at)
+
     def answered(self, at: float, call: str, kind: str, body: bytes = b"") -> None:
         """A final answer came out: served, refused or failed."""
         entry = self._calls.get(call)
@@ -156,6 +163,9 @@
         handed = began if handed is None else handed
         if handed > entry.answered_at or (handed == at and entry.answers):
             self._breach("attempts", at, f"call {call} sent after its final answer")
+        if began > entry.gone_at + self.figures.gone:
+            late = began - entry.gone_at
+            self._breach("gone", at, f"an attempt of {call} began {late:.0f} ms after its client had gone")
         if not self.figures.second_copies and any(t.out for t in entry.tries):
             self._breach("attempts", at, f"call {call} has two attempts out")
         if len(entry.tries) >= self.figures.attempts:
--- a/cedarthread/net/invoke.py
+++ b/cedarthread/net/invoke.py
@@ -16,6 +16,7 @@
 import math
 import re
 import secrets
+import select
 import socket
 import ssl
 import time
@@ -115,6 +116,16 @@
     return hashlib.sha256(f"{owner}\n{key}".encode()).hexdigest()[:32]
 
 
+def _hung_up(transport: asyncio.Transport) -> bool:
+    """Has the peer ended the connection under the TLS layer, whatever of it has been read?"""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class InvokeConnection(Stream):
     """One caller's connection: one request at a time, those behind it wait in the buffer."""
 
@@ -148,8 +159,20 @@
         """A synchronous call has nobody to answer to; a stored one goes on."""
         self.front.connections.pop(self, None)
         self._stop_waiting()
-        if self.call is not None:
-            self.front.planner.abandon(self.call)
+        self._abandon()
+
+    def _abandon(self) -> None:
+        call, self.call = self.call, None
+        if call is not None:
+            self.front.planner.abandon(call)
+
+    def look(self) -> None:
+        """A caller that has closed its end is gone, however far the TLS layer has read."""
+        if self.closed or self.transport is None:
+            return
+        if self.transport.is_closing() or _hung_up(self.transport):
+            self._abandon()
+            self.abort()
 
     def overfull(self) -> None:
         """Requests behind the one at work fill the buffer: read no more till it is done."""
@@ -227,6 +250,7 @@
             return self.respond(problem(503, DRAINING, {"Retry-After": "1"}, repeat="harmless"))
         if not deferred and wanted.key is None:
             self.call = self.front.call(owner, wanted, self._answered)
+            self.call.look = self.look
             return self.front.planner.submit(self.call)
         entry = self.front.stored(owner, wanted, deferred=deferred)
         if isinstance(entry, Response):
--- a/cedarthread/net/platform.py
+++ b/cedarthread/net/platform.py
@@ -130,9 +130,20 @@
         """Its calls have nobody to answer to."""
         self.front.forget(self)
         self._unqueue()
-        for call in self.open.values():
+        self._abandon()
+
+    def _abandon(self) -> None:
+        calls, self.open = self.open, {}
+        for call in calls.values():
             self.front.planner.abandon(call)
-        self.open.clear()
+
+    def look(self) -> None:
+        """Take in what the client has said and done by now, however late this process reads it."""
+        while self.waits and not self.closed and self.dropping is None:
+            self._again()
+        if not self.read_now():
+            self._abandon()
+            self.abort()
 
     def idle(self) -> bool:
         """It carries nothing: no open call, and no input that waits here or in the socket to be read."""
@@ -152,8 +163,11 @@
         self.queued = 0
 
     def eof_received(self) -> bool:
-        """A client that only stopped writing still gets its answers."""
+        """The client has closed, or only stopped writing: what is out may still be answered, and what has
+        not begun is turned back at once."""
         self.ending = True
+        for call in list(self.open.values()):
+            self.front.planner.closing(call)
         return self.dropping is None and bool(self.open or self.out or self.waits)
 
     def pause_writing(self) -> None:
@@ -260,7 +274,10 @@
             planner.turn_away(call)
             return True
         self.open[number] = call
+        call.look = self.look
         planner.submit(call)
+        if self.ending:
+            planner.closing(call)
         return True
 
     def _answer(self, number: int, answer: Answer) -> None:
--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -219,6 +219,10 @@
             return
         if self.transport.is_closing():
             return
+        planner = self.pool.runners.planner
+        for carried in [line.carries for line in self.lines]:
+            if isinstance(carried, Attempt) and not planner.may_begin(carried):
+                self.call_off(carried)
         lines, self.lines = self.lines, []
         data = b"".join(line.data for line in lines)
         self.transport.write(data)
--- a/cedarthread/net/stream.py
+++ b/cedarthread/net/stream.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import select
 import socket
 from typing import cast
 
@@ -112,6 +113,7 @@
         self.dropping: int | None = None  # bytes still read and dropped, once no more input is taken
         self._flush_due = False
         self._linger: asyncio.TimerHandle | None = None
+        self._poll: select.poll | None = None  # made once it is needed
         self._loop = asyncio.get_running_loop()
 
     # For the wires.
@@ -148,6 +150,44 @@
         self.buffer.add(nbytes)
         self._take()
 
+    def read_now(self) -> bool:
+        """Take what stands in the socket now, reading paused or not; False where the connection is broken,
+        also where asyncio knows and has not told yet. The peer's end of writing is told by
+        ``eof_received``, again when asyncio finds it."""
+        if self.dropping is not None or self.transport is None:
+            return True
+        if self.closed or self.transport.is_closing():
+            return False
+        told = self.transport.get_extra_info("socket")
+        if told is None:
+            return True
+        if self._poll is None:
+            self._poll = select.poll()
+            self._poll.register(told.fileno(), select.POLLIN | select.POLLRDHUP)
+        if not self._poll.poll(0):  # mostly: one call of the system, a tenth of what the rest costs
+            return True
+        # asyncio's view of a socket can't read: a second view of the descriptor does, and lets go of it.
+        sock = socket.socket(told.family, told.type, fileno=told.fileno())
+        try:
+            return self._read_from(sock)
+        finally:
+            sock.detach()
+
+    def _read_from(self, sock: socket.socket) -> bool:
+        while not self.closed and self.dropping is None and len(room := self.buffer.space()):
+            try:
+                with room:
+                    count = sock.recv_into(room)
+            except (BlockingIOError, InterruptedError):
+                return True
+            except OSError:
+                return False
+            if not count:
+                self.eof_received()
+                return True
+            self.buffer_updated(count)
+        return True
+
     def _take(self) -> None:
         try:
             with self.buffer.held() as data:
--- a/tests/test_invoke.py
+++ b/tests/test_invoke.py
@@ -6,6 +6,8 @@
 import dataclasses
 import datetime
 import json
+import os
+import socket
 import ssl
 from collections.abc import Coroutine
 from pathlib import Path
@@ -206,6 +208,45 @@
     run(test())
 
 
+def test_no_further_attempt_once_a_synchronous_caller_has_gone(authority: Authority) -> None:
+    """The runner's refusal is read first: that the caller has closed stands unread under TLS."""
+
+    async def test() -> None:
+        held: list[tuple[Runner, dict[str, Any]]] = []
+
+        def hold(runner: Runner, message: dict[str, Any]) -> None:
+            held.append((runner, message))
+
+        first, second = Runner(hold), Runner(hold)
+        async with (
+            service(first, second, invoke=config(authority)) as running,
+            Caller(running, authority.caller(DESK)) as desk,
+            client(running) as other,
+        ):
+            desk.send("POST", PATH + "check", b"x")
+            while not held:
+                await asyncio.sleep(0)
+            assert running.invoke is not None
+            (connection,) = running.invoke.connections
+            assert connection.transport is not None
+            under: Any = connection.transport
+            under._ssl_protocol._transport.pause_reading()  # what the caller does next stands unread
+            runner, message = held[0]
+            runner.answer(message, {"op": "SHED", "fields": {}})
+            told = desk.writer.get_extra_info("socket")
+            with socket.socket(told.family, told.type, fileno=os.dup(told.fileno())) as sock:
+                sock.shutdown(socket.SHUT_RDWR)
+            while running.planner.calls:
+                await asyncio.sleep(0)
+            first.behave = second.behave = hit
+            for number in range(2, 10):
+                assert (await other.call(number, "check", b"x"))[2] is None
+            names = [one["id"] for one in first.calls + second.calls]
+            assert names.count(message["id"]) == 1
+
+    run(test())
+
+
 def test_a_synchronous_caller_that_leaves_ends_its_call(authority: Authority) -> None:
     async def test() -> None:
         runner = Runner(lambda runner, message: None)
