Loopback tests of what ends a call, a connection or the process, in both orders

A review of all paths that end something. Each crossing is forced by events: the stand-in holds the answer, the reply or the connection. ``settled`` looks at the end of each test that all debts are paid: calls, names, bytes, attempts of the router and of the runners' connections, pending counts, the reach's calls, orders, timers and figures. Bad input on each wire stands in test_endings_input.py. Existing tests are unchanged.

--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,577 @@
+"""What ends a call, a connection or the process, crossed with what may come at that instant, in both orders.
+
+The stand-ins hold or release the byte, the reply or the connection; nothing here sleeps and hopes. Each test
+ends by ``settled``: whatever was owed has been paid. The paths and debts stand in docs/design/endings.md.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import errno
+import json
+import socket
+import struct
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Any
+
+import pytest
+
+from cedarthread import config
+from cedarthread import interface as i
+from cedarthread.net.runners import IDLE_PART, RunnerConnection
+from cedarthread.service import Service
+from cedarthread.standins.scripted import Client, Runner, client, hit, listing, pack_call, says, service
+from cedarthread.standins.settings import SETTINGS
+from tests.test_retune import file_with
+
+INTERRUPT = b"\x93\x02\xa9interrupt\x91"
+LONG = "60000"  # ms of a limit that no test waits for
+Dial = Callable[..., Any]
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection by RST, where a mere close would send FIN."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+CLOSE: dict[str, Callable[[asyncio.StreamWriter], None]] = {"close": lambda w: w.close(), "reset": reset}
+
+
+def mute(runner: Runner, message: dict[str, Any]) -> None:
+    """No answer, till the test gives one."""
+
+
+async def until(met: Callable[[], Any], what: str) -> None:
+    """Turns of the loop till it is so; it is a matter of milliseconds, or it fails."""
+    try:
+        async with asyncio.timeout(5):
+            while not met():
+                await asyncio.sleep(0)
+    except TimeoutError:
+        pytest.fail(f"never: {what}")
+
+
+def debts(running: Service) -> dict[str, Any]:
+    """What is still owed, by name; nothing where all is paid."""
+    planner, runners, front = running.planner, running.runners, running.platform
+    router, counts = planner.router, planner.counts
+    mine = [c for pool in runners.pools.values() for c in pool.connections]
+    theirs = [*front.connections, *front.strangers]
+    ends = counts["served"] + counts["refused"] + counts["failed"]
+    figures = [sum(f[n] for n in ("passed", "dropped", "bad_gateway")) for f in planner.handled.values()]
+    timers = [h for h in asyncio.get_running_loop()._scheduled if not h.cancelled()]  # type: ignore[attr-defined]
+    names = [getattr(h._callback, "__qualname__", "") for h in timers]
+    owed = {
+        "calls": planner.calls,
+        "over": planner._over,
+        "names": planner.names,
+        "bytes": planner.held_bytes,
+        "inbox": planner._inbox,
+        "open": router.open,
+        "held": router.held,
+        "late": router.late,
+        "reach": router.reach.out,
+        "pending": [v.entry.worker for v in router.workers.values() if v.pending or v.trial_out],
+        "jam": router.jam.total,
+        "loads": router.loads_out or [f for f in router.functions.values() if f.loading],
+        "carrying": runners._carrying,
+        "streams": [name for c in mine for name in c.open],
+        "lines": [line for c in mine for line in (*c.lines, *c.leaving)],
+        "requests": [number for c in theirs for number in c.open],
+        "queued": front.queued,
+        "figures of all": counts["taken"] - ends - counts["left"],
+        "figures of classes": ends - sum(figures),
+        "timers": [n for n in names if n.startswith(("Runners.", "RunnerConnection.", "Pool."))],
+    }
+    return {name: debt for name, debt in owed.items() if debt}
+
+
+async def settled(running: Service) -> None:
+    """All debts are paid, now or as soon as what was given up has been told."""
+    try:
+        async with asyncio.timeout(2):
+            while debts(running):
+                await asyncio.sleep(0.001)
+    except TimeoutError:
+        assert debts(running) == {}
+
+
+class Held:
+    """Connections to runners that come up when the test says so, and not before."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.loop, self.ports = asyncio.get_running_loop(), set[int]()
+        self.waiting: list[asyncio.Event] = []
+        self._dial: Dial = self.loop.create_connection
+        monkeypatch.setattr(self.loop, "create_connection", self.dial)
+
+    async def dial(self, make: Any, host: Any = None, port: Any = None, **more: Any) -> Any:
+        if port in self.ports:
+            self.waiting.append(asyncio.Event())
+            await self.waiting[-1].wait()
+        return await self._dial(make, host, port, **more)
+
+
+def pooled(running: Service) -> list[RunnerConnection]:
+    return [c for pool in running.runners.pools.values() for c in pool.connections]
+
+
+def tell(running: Service, runners: list[Runner], *states: i.WorkerState, **changes: Any) -> None:
+    """News of the runners; one that is gone is not listed."""
+    told = [listing(r, n, s) for n, (r, s) in enumerate(zip(runners, states, strict=True), 1)]
+    told = [dataclasses.replace(e, **changes) for e in told if e.state is not i.WorkerState.GONE]
+    running.news(running.roster.version + 1, told, whole=True)
+
+
+def told(message: Any) -> str:
+    """Served, refused or failed."""
+    return {None: "served", "Backoff": "refused", "Lost": "failed"}[message[2] and message[2][0]]
+
+
+@asynccontextmanager
+async def routed(*runners: Runner, **changes: Any) -> AsyncIterator[tuple[Service, Client]]:
+    """A router and one client; at the end all debts must be paid."""
+    async with AsyncExitStack() as stack:
+        running = await stack.enter_async_context(service(*runners, **changes))
+        yield running, await stack.enter_async_context(client(running))
+        await settled(running)
+
+
+async def fence(caller: Client, number: int) -> None:
+    """A check on the same connection: all that the client sent before has been read by then."""
+    caller.writer.write(b"\x94\x00" + bytes((number,)) + b"\xa5check\x90")
+    assert (await caller.read())[:2] == [1, number]
+
+
+READY, DRAINING, GONE = i.WorkerState.READY, i.WorkerState.DRAINING, i.WorkerState.GONE
+
+
+# News of a runner.
+
+
+@pytest.mark.parametrize("first", ["news", "answer"])
+def test_news_of_a_drain_and_an_answer(first: str) -> None:
+    """What has left goes on, and its connection ends when it carries nothing."""
+
+    async def test() -> None:
+        runner = Runner(mute)
+        async with routed(runner) as (running, caller):
+            caller.writer.write(pack_call(1, "confirm", b"x"))
+            await runner.until(lambda: len(runner.calls) == 1)
+            if first == "news":
+                tell(running, [runner], DRAINING)
+            runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
+            assert await caller.read() == [1, 1, None, [b"X", {}]]
+            if first == "answer":
+                tell(running, [runner], DRAINING)
+            running.runners.sweep(running.resolver._loop.time())
+            await until(lambda: not pooled(running), "the connection to the draining runner is closed")
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("klass", ["check", "confirm"])
+@pytest.mark.parametrize("first", ["news", "answer"])
+def test_news_that_a_runner_is_gone_and_an_answer(first: str, klass: str) -> None:
+    """Its connections end at once. A call without its answer may have run: a safe one goes elsewhere."""
+
+    async def test() -> None:
+        runners = [Runner(mute), Runner(mute)]
+        async with routed(*runners) as (running, caller):
+            caller.writer.write(pack_call(1, klass, b"x"))
+            await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
+            at = 0 if runners[0].calls else 1
+            states = [GONE if n == at else READY for n in (0, 1)]
+            runners[1 - at].behave = hit
+            if first == "answer":
+                runners[at].answer(runners[at].calls[0], hit(runners[at], runners[at].calls[0]))
+                assert told(await caller.read()) == "served"
+                tell(running, runners, *states)
+            else:
+                tell(running, runners, *states)
+                runners[at].answer(runners[at].calls[0], hit(runners[at], runners[at].calls[0]))
+                assert told(await caller.read()) == ("served" if klass == "check" else "failed")
+            await fence(caller, 9)
+            assert len(runners[1 - at].calls) == (first == "news" and klass == "check")
+            assert running.planner.counts["taken"] == 1
+
+    asyncio.run(test())
+
+
+# A runner's connection ends.
+
+
+async def narrow(running: Service, runner: Runner, caller: Client) -> RunnerConnection:
+    """A connection whose sockets take less than one long call while the runner does not read, as now."""
+    runner.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)  # accepted ones inherit it
+    assert told(await caller.call(1, "check", b"x")) == "served"
+    [connection] = pooled(running)
+    assert connection.transport is not None
+    connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    runner.writers[0].transport.pause_reading()  # type: ignore[attr-defined]
+    return connection
+
+
+@pytest.mark.parametrize("where", ["same", "other"])
+def test_a_second_answer_is_nobodys(where: str) -> None:
+    """For an ended call, on its connection or on another one: passed over, and nothing else is touched."""
+
+    async def test() -> None:
+        runners = [Runner(mute), Runner(mute)]
+        async with routed(*runners) as (running, caller):
+            for number in (1, 2):
+                caller.writer.write(pack_call(number, "confirm", b"x", item=f"{number:016x}", limit=LONG))
+            await until(lambda: len(runners[0].calls + runners[1].calls) == 2, "both are out")
+            calls = {c["id"]: (r, c) for r in runners for c in r.calls}
+            runner, first = calls[f"{1:016x}"]
+            other = next(r for r in runners if r is not runner)
+            runner.answer(first, hit(runner, first))
+            assert await caller.read() == [1, 1, None, [b"X", {}]]
+            if where == "same":
+                runner.answer(first, says("FAULT")(runner, first) or {})
+                runner.answer(first, hit(runner, first))
+            elif other.writers:
+                other.answer(first, hit(runner, first))
+            second_at, second = calls[f"{2:016x}"]
+            second_at.answer(second, hit(second_at, second))
+            assert await caller.read() == [1, 2, None, [b"X", {}]]
+            await fence(caller, 9)
+            assert running.planner.counts["served"] == 2
+
+    asyncio.run(test())
+
+
+# A connection that comes up late, or never.
+
+
+def test_a_connection_comes_up_late_and_the_call_leaves_on_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        runner = Runner()
+        held = Held(monkeypatch)
+        async with routed(runner, limits=SETTINGS["limits"] | {"connect-timeout": 5000}) as (_, caller):
+            held.ports.add(runner.port)
+            caller.writer.write(pack_call(1, "confirm", b"x"))
+            await until(lambda: held.waiting, "a dial")
+            held.waiting[0].set()
+            assert await caller.read() == [1, 1, None, [b"X", {}]]
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("how", ["time", "interrupt", "reset"])
+def test_a_call_ends_before_its_connection_comes_up(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Out of time, given up, or the client is gone: it never leaves; the connection serves the next call."""
+
+    async def test() -> None:
+        runner = Runner()
+        held = Held(monkeypatch)
+        limits = SETTINGS["limits"] | {"connect-timeout": 5000}
+        async with routed(runner, limits=limits) as (running, caller), client(running) as leaver:
+            held.ports.add(runner.port)
+            leaver.writer.write(pack_call(1, "confirm", b"x", limit="400" if how == "time" else LONG))
+            await until(lambda: held.waiting, "a dial")
+            if how == "time":
+                assert told(await leaver.read()) == "refused"  # it has never run
+            elif how == "interrupt":
+                leaver.writer.write(INTERRUPT + b"\x01")
+            else:
+                reset(leaver.writer)
+            await until(lambda: not running.planner.calls, "the call has ended")
+            held.ports.clear()
+            held.waiting[0].set()
+            assert await caller.call(2, "confirm", b"y") == [1, 2, None, [b"Y", {}]]
+            assert [c["id"] for c in runner.calls] == [f"{2:016x}"]
+            assert len(runner.writers) == 1
+
+    asyncio.run(test())
+
+
+def test_a_connection_that_never_comes_up_has_carried_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The calls that wait for it go elsewhere, an unsafe one too."""
+
+    async def test() -> None:
+        runners = [Runner(), Runner()]
+        held = Held(monkeypatch)
+        limits = SETTINGS["limits"] | {"connect-timeout": 50}
+        async with routed(*runners, limits=limits) as (running, caller):
+            held.ports |= {runner.port for runner in runners}
+            caller.writer.write(pack_call(1, "confirm", b"x"))
+            await until(lambda: held.waiting, "a dial")
+            [at] = [n for n, p in running.runners.pools.items() if p.connections]
+            held.ports = {runners[at - 1].port}
+            assert await caller.read() == [1, 1, None, [b"X", {}]]
+            assert runners[at - 1].calls == [] and len(runners[2 - at].calls) == 1
+
+    asyncio.run(test())
+
+
+def test_without_a_descriptor_for_a_runner_the_call_is_refused_and_nobody_is_blamed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        runner = Runner()
+        async with routed(runner) as (running, caller):
+            loop = asyncio.get_running_loop()
+            dial: Dial = loop.create_connection
+
+            async def fail(*args: Any, **more: Any) -> Any:
+                raise OSError(errno.EMFILE, "too many open files")
+
+            monkeypatch.setattr(loop, "create_connection", fail)
+            assert told(await caller.call(1, "confirm", b"x", limit="400")) == "refused"
+            most, running.runners.most = running.runners.most, 0
+            assert told(await caller.call(2, "confirm", b"x", limit="400")) == "refused"
+            running.runners.most = most
+            monkeypatch.setattr(loop, "create_connection", dial)
+            assert running.planner.router.workers[1].down_at < 0.0, "that proves nothing of the runner"
+            assert await caller.call(3, "confirm", b"x") == [1, 3, None, [b"X", {}]]
+
+    asyncio.run(test())
+
+
+# Idle closes.
+
+
+@pytest.mark.parametrize("first", ["sweep", "call"])
+def test_our_idle_close_and_a_call(first: str) -> None:
+    async def test() -> None:
+        runner = Runner()
+        async with routed(runner) as (running, caller):
+            assert told(await caller.call(1, "confirm", b"x")) == "served"
+            late = asyncio.get_running_loop().time() + 30.0 * IDLE_PART + 0.01
+            if first == "sweep":
+                running.runners.sweep(late)
+                assert await caller.call(2, "confirm", b"x") == [1, 2, None, [b"X", {}]]
+            else:
+                runner.behave = mute
+                caller.writer.write(pack_call(2, "confirm", b"x"))
+                await runner.until(lambda: len(runner.calls) == 2)
+                running.runners.sweep(late)
+                runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
+                assert await caller.read() == [1, 2, None, [b"X", {}]]
+            assert len(runner.writers) == (2 if first == "sweep" else 1)
+
+    asyncio.run(test())
+
+
+def test_a_runners_idle_close_that_has_come_and_a_call() -> None:
+    async def test() -> None:
+        runner = Runner()
+        async with routed(runner) as (running, caller):
+            assert told(await caller.call(1, "confirm", b"x")) == "served"
+            runner.writers[0].close()
+            await until(lambda: not pooled(running), "the close is read")
+            assert await caller.call(2, "confirm", b"x") == [1, 2, None, [b"X", {}]]
+
+    asyncio.run(test())
+
+
+# Orders to load.
+
+
+# The client's end, and its time.
+
+
+@pytest.mark.parametrize("first", ["leaves", "answer"])
+@pytest.mark.parametrize("how", ["interrupt", *CLOSE])
+def test_a_client_leaves_and_an_answer_comes(how: str, first: str) -> None:
+    """No answer after an interrupt, and the runner is told; after the answer an interrupt is for nobody."""
+
+    async def test() -> None:
+        runner = Runner(mute)
+        async with routed(runner) as (running, caller), client(running) as leaver:
+            leaver.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
+            await runner.until(lambda: len(runner.calls) == 1)
+
+            async def leave() -> None:
+                if how == "interrupt":
+                    leaver.writer.write(INTERRUPT + b"\x01")
+                    await fence(leaver, 8)
+                else:
+                    CLOSE[how](leaver.writer)
+
+            if first == "leaves":
+                await leave()
+                if how != "close":
+                    await runner.until(lambda: runner.cancelled != [])
+                else:  # it may have stopped writing only: an answer that comes is still for it
+                    await until(lambda: any(c.ending for c in running.platform.connections), "EOF")
+                runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
+            else:
+                runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
+                assert told(await leaver.read()) == "served"
+                await leave()
+            runner.behave = hit
+            assert await caller.call(2, "confirm", b"y") == [1, 2, None, [b"Y", {}]]
+            await settled(running)
+            ends, gone = running.planner.counts, first == "leaves" and how != "close"
+            assert (ends["served"], ends["left"]) == ((1, 1) if gone else (2, 0))
+            assert runner.cancelled == ([f"{1:016x}"] if gone else [])
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("first", ["time", "answer"])
+def test_time_is_up_and_an_answer_comes(first: str) -> None:
+    async def test() -> None:
+        runner = Runner(mute)
+        async with routed(runner) as (running, caller):
+            caller.writer.write(pack_call(1, "confirm", b"x", limit="500" if first == "time" else LONG))
+            await runner.until(lambda: len(runner.calls) == 1)
+            if first == "time":
+                assert told(await caller.read()) == "failed"
+                await runner.until(lambda: runner.cancelled == [f"{1:016x}"])
+            runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
+            if first == "answer":
+                assert told(await caller.read()) == "served"
+                running.planner._wake()  # its time, had it come in this very turn
+            await fence(caller, 9)
+            assert len(runner.cancelled) == (first == "time")
+
+    asyncio.run(test())
+
+
+# The end of the process.
+
+
+def test_told_to_end_every_call_is_answered_by_then_and_its_runner_told() -> None:
+    """Of calls before and after SIGTERM, whose own time is longer, each gets its one answer in time."""
+    classes = [klass | {"deadline": 300, "goal-time": 100} for klass in SETTINGS["classes"]]
+
+    async def test() -> None:
+        runner = Runner(mute)
+        async with routed(runner, classes=classes) as (running, caller):
+            caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
+            await runner.until(lambda: len(runner.calls) == 1)
+            ending = asyncio.create_task(running.finish())
+            await until(lambda: running.planner.stop_at is not None, "it has been told")
+            caller.writer.write(pack_call(2, "confirm", b"x", limit=LONG))
+            await runner.until(lambda: len(runner.calls) == 2)
+            answers = [await caller.read(), await caller.read()]
+            assert {(a[1], told(a)) for a in answers} == {(1, "failed"), (2, "failed")}
+            assert await caller.read() is None
+            await ending
+            assert running.planner.clock() < (running.planner.stop_at or 0.0) + 250.0
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("first", ["close", "request"])
+def test_a_request_crosses_the_close_at_the_end(first: str) -> None:
+    """Read before the close: answered in full. Read after it: not taken, so its client sends it anew."""
+
+    async def test() -> None:
+        runner = Runner()
+        async with routed(runner) as (running, caller):
+            await fence(caller, 9)
+            if first == "close":
+                running.platform.wind_down()
+            caller.writer.write(pack_call(1, "confirm", b"x"))
+            if first == "request":
+                await until(lambda: running.planner.counts["taken"], "it is taken")
+                running.platform.wind_down()
+                assert await caller.read() == [1, 1, None, [b"X", {}]]
+            assert await caller.read() is None
+            assert running.planner.counts["taken"] == len(runner.calls) == (first == "request")
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("first", ["eviction", "request"])
+def test_a_request_crosses_its_connections_eviction(first: str) -> None:
+    async def test() -> None:
+        runner = Runner(mute)
+        async with routed(runner) as (running, caller):
+            running.platform.most = 1
+            await fence(caller, 9)
+            if first == "request":
+                caller.writer.write(pack_call(1, "confirm", b"x"))
+                await runner.until(lambda: len(runner.calls) == 1)
+            async with client(running) as second:
+                assert (await second.read() is None) if first == "request" else True
+                if first == "eviction":
+                    assert await caller.read() is None
+                    runner.behave = hit
+                    assert told(await second.call(1, "confirm", b"x")) == "served"
+                else:
+                    runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
+                    assert await caller.read() == [1, 1, None, [b"X", {}]]
+
+    asyncio.run(test())
+
+
+# New settings under open calls.
+
+
+def take(running: Service, change: Callable[[dict[str, Any]], None]) -> None:
+    """SIGHUP, with the file changed like this."""
+    changed = json.loads(json.dumps(SETTINGS))
+    change(changed)
+    running._reread = lambda: config.read(file_with(changed), {})
+    running.reload()
+
+
+def drop(told: dict[str, Any]) -> None:
+    told["classes"] = [c for c in told["classes"] if c["name"] != "check"]
+
+
+def effect(told: dict[str, Any]) -> None:
+    told["classes"][0]["effect"] = "fragile"
+
+
+@pytest.mark.parametrize("change", [drop, effect])
+@pytest.mark.parametrize("first", ["settings", "end"])
+def test_a_class_is_dropped_or_changed_under_an_open_call(
+    change: Callable[[dict[str, Any]], None], first: str
+) -> None:
+    """A call taken as safe goes on as such: it may have run, and is tried elsewhere."""
+
+    async def test() -> None:
+        runners = [Runner(mute), Runner(mute)]
+        async with routed(*runners) as (running, caller):
+            caller.writer.write(pack_call(1, "check", b"x"))
+            await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
+            at = 0 if runners[0].calls else 1
+            runners[1 - at].behave = hit
+            if first == "settings":
+                take(running, change)
+            runners[at].answer(runners[at].calls[0], says("FAULT")(runners[at], {}) or {})
+            assert await caller.read() == [1, 1, None, [b"X", {}]]
+            if first == "end":
+                take(running, change)
+            assert {c["fields"]["profile"] for r in runners for c in r.calls} == {"check"}
+            assert running.planner.handled["check"]["passed"] == 1
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("first", ["settings", "end"])
+def test_fewer_attempts_are_allowed_than_a_call_has_had(first: str) -> None:
+    async def test() -> None:
+        count = [0]
+
+        def shed(runner: Runner, message: dict[str, Any]) -> Any:
+            count[0] += 1
+            return None if count[0] == 2 else says("SHED")(runner, message)
+
+        runners = [Runner(shed), Runner(shed), Runner(shed)]
+        async with routed(*runners) as (running, caller):
+            caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
+            await until(lambda: count[0] == 2, "the second attempt is out")
+            [runner] = [r for r in runners if r.calls and r.calls[0] == r.calls[-1] and not r.cancelled][-1:]
+            out = [c for c in pooled(running) if c.open]
+            [at] = [n for n, p in running.runners.pools.items() if out[0] in p.connections]
+            runner = runners[at - 1]
+            if first == "settings":
+                take(running, lambda told: told["limits"].update({"send-cap": 1}))
+            runner.answer(runner.calls[0], says("SHED")(runner, {}) or {})
+            assert told(await caller.read()) == "refused"
+            if first == "end":
+                take(running, lambda told: told["limits"].update({"send-cap": 1}))
+            assert count[0] == (2 if first == "settings" else SETTINGS["limits"]["send-cap"])
+
+    asyncio.run(test())
--- /dev/null
+++ b/tests/test_endings_input.py
@@ -0,0 +1,222 @@
+"""Bad input on each wire: an error value, one log line; at most its connection ends, nothing else."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+
+import pytest
+
+from cedarthread.net.runners import LINE
+from cedarthread.service import Service
+from cedarthread.standins.resolver import Listed, ResolverServer, reply
+from cedarthread.standins.scripted import Runner, client, hit, pack_call
+from tests.test_endings import INTERRUPT, LONG, fence, mute, reset, routed, settled, told, until
+
+Spoils = Callable[[bytes], list[bytes]]  # the datagrams that come in place of a reply
+
+
+def whole(reply: bytes) -> list[bytes]:
+    return [reply]
+
+
+class Discovery:
+    """A resolver that plays a script, one entry a query; then it answers well."""
+
+    def __init__(self, running: Service, *runners: Runner) -> None:
+        self.running, self.script, self.asked = running, list[Spoils](), 0
+        self.listed = tuple(Listed(f"s-{n:08x}", runner.port) for n, runner in enumerate(runners, 1))
+        self.serial, self.late = 2, list[bytes]()
+        self.server = ResolverServer(lambda: (self.serial, self.listed), "room-a", self.passes)
+
+    def passes(self, make: Callable[[], bytes], give: Callable[[bytes], None]) -> None:
+        self.asked += 1
+        spoils = self.script.pop(0) if self.script else whole
+        for datagram in spoils(make()):
+            give(datagram)
+
+    async def play(self, *script: Spoils) -> None:
+        """Till all of it has been taken in: what came before a query is read before that is sent."""
+        self.script = list(script)
+        if self.server.port == 0:
+            await self.server.start()
+            await self.running.resolver.start("127.0.0.1", self.server.port)
+        await until(lambda: not self.script, "all has been played")
+        seen = self.asked
+        self.script = [lambda reply: []]
+        await until(lambda: self.asked > seen, "the next query")
+
+    def close(self) -> None:
+        self.running.resolver.stop()
+        self.server.stop()
+
+
+def nobody(whole: bytes) -> list[bytes]:
+    """A well-formed reply of the same query that lists no runner, twice."""
+    return 2 * [reply(whole[:12] + whole[12 : whole.index(b"\0\0!\0\x01") + 5], 9, (), "room-a")]
+
+
+SPOILT: dict[str, Spoils] = {
+    "refused": lambda whole: [whole[:3] + b"\x05" + whole[4:]],
+    "no such name": lambda whole: [whole[:3] + b"\x03" + whole[4:]],
+    "truncated": lambda whole: [whole[:2] + b"\x86\x00" + whole[4:]],
+    "another's": lambda whole: [bytes((whole[0] ^ 1,)) + whole[1:]],
+    "no reply": lambda whole: [whole[:2] + b"\x01\x00" + whole[4:]],
+    "lost": lambda whole: [],
+}
+
+
+@pytest.mark.parametrize("spoils", SPOILT.values(), ids=list(SPOILT))
+def test_a_spoilt_list_changes_nothing_and_the_next_good_one_counts(spoils: Spoils) -> None:
+    async def test() -> None:
+        runners = [Runner(), Runner()]
+        async with routed(*runners) as (running, caller):
+            discovery = Discovery(running, *runners)
+            await discovery.play(spoils)
+            assert running.roster.version == 1 and len(running.roster.listings) == 2
+            assert running.resolver.usable == 0.0 or spoils is nobody
+            assert told(await caller.call(1, "confirm", b"x")) == "served"
+            await discovery.play(whole)
+            assert running.roster.version == 2 and len(running.roster.listings) == 2
+            assert told(await caller.call(2, "confirm", b"x")) == "served"
+            discovery.close()
+
+    asyncio.run(test())
+
+
+def test_a_spoilt_list_is_told_in_a_line(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level("INFO", "cedarthread.resolver")
+
+    async def test() -> None:
+        runner = Runner()
+        async with routed(runner) as (running, _):
+            discovery = Discovery(running, runner)
+            await discovery.play(SPOILT["refused"])
+            discovery.close()
+
+    asyncio.run(test())
+    assert [r.getMessage() for r in caplog.records] == ["reply of the resolver not used: code 5"]
+
+
+def test_that_nobody_is_left_is_believed_of_a_second_query() -> None:
+    """An empty list can be true: then no call may go on to where nobody is, and it has to be known soon."""
+
+    async def test() -> None:
+        runner = Runner()
+        async with routed(runner) as (running, caller):
+            assert told(await caller.call(1, "confirm", b"x")) == "served"
+            discovery = Discovery(running, runner)
+            await discovery.play(nobody, nobody)
+            assert running.roster.version == 9 and running.roster.listings == {}
+            assert told(await caller.call(2, "confirm", b"x", limit="400")) == "refused"
+            assert len(runner.calls) == 1
+            discovery.close()
+
+    asyncio.run(test())
+
+
+def test_a_list_doubled_or_late_is_taken_once_and_never_back(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level("INFO", "cedarthread")
+
+    async def test() -> None:
+        runners = [Runner(), Runner()]
+        async with routed(*runners) as (running, _):
+            discovery = Discovery(running, *runners)
+
+            def hold(reply: bytes) -> list[bytes]:
+                discovery.late.append(reply)
+                discovery.serial, discovery.listed = 3, discovery.listed[:1]
+                return []
+
+            await discovery.play(hold, lambda reply: [reply, reply, *discovery.late, reply])
+            assert running.roster.version == 3 and list(running.roster.listings) == ["s-00000001"]
+            discovery.close()
+
+    asyncio.run(test())
+    news = [r.getMessage() for r in caplog.records if r.getMessage().startswith("runners: news")]
+    assert news == ["runners: news 1, 2 changed, 2 listed", "runners: news 3, 1 changed, 1 listed"]
+
+
+ANSWERS: dict[str, Callable[[str], bytes]] = {
+    "empty": lambda name: b"\n",
+    "no json": lambda name: b"no json\n",
+    "no object": lambda name: b"[]\n",
+    "no text": lambda name: b"\xff\xfe\n",
+    "no id": lambda name: b'{"op":"HIT","body":""}\n',
+    "no body": lambda name: json.dumps({"op": "HIT", "id": name}).encode() + b"\n",
+    "odd body": lambda name: json.dumps({"op": "HIT", "id": name, "body": "%"}).encode() + b"\n",
+    "odd word": lambda name: json.dumps({"op": "YES", "id": name, "body": ""}).encode() + b"\n",
+    "odd fields": lambda name: (
+        json.dumps({"op": "HIT", "id": name, "fields": 7, "body": ""}).encode() + b"\n"
+    ),
+    "too deep": lambda name: b"[" * 100_000 + b"\n",
+    "too long": lambda name: b"x" * (LINE + 1),
+}
+
+
+@pytest.mark.parametrize("spoilt", ANSWERS.values(), ids=list(ANSWERS))
+def test_an_answer_that_cannot_be_read_ends_its_connection_alone(
+    spoilt: Callable[[str], bytes], caplog: pytest.LogCaptureFixture
+) -> None:
+    """What is open there may have run. A call at another runner is not touched; the log says which it was."""
+
+    async def test() -> None:
+        runners = [Runner(mute), Runner(mute)]
+        async with routed(*runners) as (_, caller):
+            number = 0
+            while not (runners[0].calls and runners[1].calls):  # functions have homes here and there
+                number += 1
+                caller.writer.write(pack_call(number, "confirm", b"x", item=f"{number:016x}", limit=LONG))
+                await until(lambda: len(runners[0].calls + runners[1].calls) == number, "it is out")  # noqa: B023
+            bad, good = runners
+            bad.writers[0].write(spoilt(bad.calls[0]["id"]))
+            lost = {(await caller.read())[1] for _ in bad.calls}
+            assert lost == {int(call["id"], 16) for call in bad.calls}
+            for call in good.calls:
+                good.answer(call, hit(good, call))
+                assert told(await caller.read()) == "served"
+            bad.behave = good.behave = hit
+            assert told(await caller.call(90, "confirm", b"x")) == "served"
+
+    asyncio.run(test())
+    assert [r.getMessage() for r in caplog.records if r.name == "cedarthread.runners"] == [
+        "runner s-00000001 sent what is no answer"
+    ]
+
+
+@pytest.mark.parametrize("number", [b"\x63", b"\x01", b"\xcf" + b"\xff" * 8])
+def test_an_interrupt_of_an_unknown_or_ended_call_is_for_nobody(number: bytes) -> None:
+    async def test() -> None:
+        runner = Runner()
+        async with routed(runner) as (running, caller):
+            assert told(await caller.call(1, "confirm", b"x")) == "served"
+            runner.behave = mute
+            caller.writer.write(pack_call(2, "confirm", b"x"))
+            await runner.until(lambda: len(runner.calls) == 2)
+            caller.writer.write(2 * (INTERRUPT + number))
+            await fence(caller, 3)
+            runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
+            assert await caller.read() == [1, 2, None, [b"X", {}]]
+            assert runner.cancelled == [] and running.planner.counts["left"] == 0
+
+    asyncio.run(test())
+
+
+def test_a_client_that_ends_in_the_middle_of_a_message_takes_its_own_calls_alone() -> None:
+    async def test() -> None:
+        runner = Runner(mute)
+        async with routed(runner) as (running, caller), client(running) as cut:
+            for number, one in ((1, cut), (2, caller)):
+                one.writer.write(pack_call(number, "confirm", b"x", limit=LONG))
+                await runner.until(lambda: len(runner.calls) == number)  # noqa: B023
+            cut.writer.write(pack_call(3, "confirm", b"y" * 1000)[:500])
+            await until(lambda: any(c.need or c.began for c in running.platform.connections), "half of it")
+            reset(cut.writer)
+            await runner.until(lambda: runner.cancelled == [f"{1:016x}"])
+            runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
+            assert await caller.read() == [1, 2, None, [b"X", {}]]
+            await settled(running)
+            assert len(runner.calls) == 2
+
+    asyncio.run(test())
