A runner that is gone counts no more as skipped once its last attempt has ended

Cause: Router.skipped counts every view that is not READY, and a view that is gone stays while an attempt is pending there, till the next list. INFO said skipped_runners=1 beside known_runners=0. Ruled out: removal at the list's news (Router._members waits for the attempts by intent; their ends still tell of the worker). Change: what is gone is not counted.

--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -554,7 +554,8 @@
 
     def skipped(self) -> int:
         """Listed workers that calls now pass by: set aside, or not ready."""
-        return sum(v.broken or v.entry.state is not i.WorkerState.READY for v in self.workers.values())
+        listed = [v for v in self.workers.values() if v.entry.state is not i.WorkerState.GONE]
+        return sum(v.broken or v.entry.state is not i.WorkerState.READY for v in listed)
 
     def _symptom(
         self, view: WorkerView, bad: float, cap: float = EJECT_CAP, gain: float = TROUBLE_GAIN
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -202,6 +202,23 @@
     asyncio.run(test())
 
 
+def test_a_runner_that_is_gone_is_no_skipped_one() -> None:
+    """INFO: it is listed no more, also where an attempt of it ends only after the news."""
+
+    async def test() -> None:
+        runner = Runner(mute)
+        async with routed(runner) as (running, caller):
+            caller.writer.write(pack_call(1, "confirm", b"x"))
+            await runner.until(lambda: len(runner.calls) == 1)
+            tell(running, [runner], GONE)
+            assert told(await caller.read()) == "failed"
+            await settled(running)
+            figures = running.figures()
+            assert "router.known_runners=0" in figures and "router.skipped_runners=0" in figures
+
+    asyncio.run(test())
+
+
 # A runner's connection ends.
 
 
