News of a drain gives up a dial that nothing waits for any more

Ruled out: a call left on it (its lines were called off in the same turn). Change: such a connection is aborted. Left: the dial's own task ends when it comes up or out of time, as for a runner that is gone. Measured: test_news_of_a_drain_and_a_connection_that_comes_up[news] fails without it, passes with it.

--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -366,8 +366,8 @@
                 # Guards the rule on drains: what waits for a slow runner must not leave long after the news.
                 if carried is not None:
                     connection.call_off(carried)
-            if now:
-                connection.abort()
+            if now or (connection.transport is None and not connection.open):
+                connection.abort()  # a dial that nothing waits for is given up too: a close would not end it
             elif not connection.open:
                 connection.close()
             elif connection.leaving:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -174,6 +174,38 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("first", ["news", "connection"])
+def test_news_of_a_drain_and_a_connection_that_comes_up(first: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Told before: the call goes elsewhere and the dial is given up. Told after: the call has left."""
+
+    async def test() -> None:
+        runners = [Runner(), Runner()]
+        held = Held(monkeypatch)
+        async with routed(*runners) as (running, caller):
+            held.ports |= {runner.port for runner in runners}
+            caller.writer.write(pack_call(1, "confirm", b"x"))
+            await until(lambda: held.waiting, "a dial")
+            [(at, pool)] = [(n, p) for n, p in running.runners.pools.items() if p.connections]
+            held.ports.clear()
+            states = [DRAINING if n == at else READY for n in (1, 2)]
+            if first == "news":
+                tell(running, runners, *states)
+                assert not pool.connections, "a dial that nothing waits for is given up"
+                assert await caller.read() == [1, 1, None, [b"X", {}]]
+                held.waiting[0].set()
+                await until(lambda: not pool.dialling, "the end of the dial")
+                assert not pool.connections
+            else:
+                held.waiting[0].set()
+                await runners[at - 1].until(lambda: runners[at - 1].calls != [])
+                tell(running, runners, *states)
+                assert await caller.read() == [1, 1, None, [b"X", {}]]
+            ran = runners[at - 1].calls
+            assert len(ran) == (first == "connection")
+
+    asyncio.run(test())
+
+
 @pytest.mark.parametrize("klass", ["check", "confirm"])
 @pytest.mark.parametrize("first", ["news", "answer"])
 def test_news_that_a_runner_is_gone_and_an_answer(first: str, klass: str) -> None:
