One list that tells of a runner's start and of its drain takes back what has not left

Cause: in Runners.update the look at the state was an elif behind the look at the start: a runner listed as started anew and draining kept the connections begun since the start, and what waited on them for a slow socket could leave long after the news. Ruled out: the next list does not mend it before something else changes. Change: the two looks stand beside each other. Measured: the new test fails without it (the call waits on), passes with it.

--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -414,8 +414,8 @@
             elif new.started != pool.listing.started:
                 # The news of a start comes late: what was begun since then leads to the new process.
                 pool.retire(now=True, until=new.started)
-            elif new.state is not i.WorkerState.READY:
-                pool.retire(now=False)
+            if new is not None and new.state is not i.WorkerState.READY:
+                pool.retire(now=False)  # beside the others: one list may tell of a start and of its drain
         for number, listing in told.items():
             pool = self.pools.setdefault(number, Pool(self, listing))
             pool.listing = listing
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -251,6 +251,25 @@
     asyncio.run(test())
 
 
+def test_news_of_a_start_and_of_a_drain_at_once_take_back_what_has_not_left() -> None:
+    """The connection was begun since the start, so it stays; what waits on it must not leave any more."""
+
+    async def test() -> None:
+        runners = [Runner(), Runner()]
+        async with routed(*runners) as (running, caller):
+            assert told(await caller.call(1, "check", b"x")) == "served"
+            [(at, pool)] = [(n, p) for n, p in running.runners.pools.items() if p.connections]
+            pool.connections[0].paused = True  # as after a write that the peer's window did not take
+            caller.writer.write(pack_call(2, "confirm", b"x"))
+            await until(lambda: pool.connections[0].lines, "the call waits for the slow runner")
+            states = [DRAINING if n == at else READY for n in (1, 2)]
+            tell(running, runners, *states, started=pool.connections[0].born - 1.0)
+            assert await caller.read() == [1, 2, None, [b"X", {}]]
+            assert [c["id"] for c in runners[2 - at].calls] == [f"{2:016x}"]
+
+    asyncio.run(test())
+
+
 # A runner's connection ends.
 
 
