A runner's half-close ends its connection at once, also where it reads no more

Cause: RunnerConnection took Stream.eof_received, so asyncio closed the transport, which first waits till all that was handed over has left. A runner that writes no more and reads no more kept all calls there till their time was up, also those of which not a byte had left. Change: abort at EOF; each attempt ends by how far it came.

--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -262,6 +262,13 @@
             at = end + 1
         return at
 
+    def eof_received(self) -> bool:
+        """The runner writes no more: nothing that is open here can be answered.
+
+        Guards against a wait for a runner that reads no more either: a close lets what waits leave first."""
+        self.abort()
+        return False
+
     def _answer(self, message: dict[str, Any]) -> bool:
         """Act on an answer; False where it is spoilt. One under an id not open here is passed over."""
         name = message.get("id")
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -284,6 +284,26 @@
     return connection
 
 
+def test_a_runner_that_writes_no_more_can_answer_nothing() -> None:
+    """Its half-close ends what is open there at once, also where it does not read what waits for it."""
+
+    async def test() -> None:
+        runner = Runner()
+        async with routed(runner) as (running, caller):
+            connection = await narrow(running, runner, caller)
+            last = 9
+            for number in range(2, last + 1):
+                caller.writer.write(pack_call(number, "confirm", b"y" * 16_000, limit=LONG))
+            await until(lambda: len(running.planner.calls) == last - 1, "all are taken")
+            await until(lambda: connection.paused, "the runner's window is full")
+            runner.writers[0].write_eof()
+            ends = {(a := await caller.read())[1]: told(a) for _ in range(2, last + 1)}
+            assert set(ends) == set(range(2, last + 1))
+            assert ends[last] == "served"  # it had never run, and leaves on a new connection
+
+    asyncio.run(test())
+
+
 @pytest.mark.parametrize("where", ["same", "other"])
 def test_a_second_answer_is_nobodys(where: str) -> None:
     """For an ended call, on its connection or on another one: passed over, and nothing else is touched."""
