An answer that its runner cuts short is told in one log line, with runner and bytes

Cause: a connection that ended in the middle of an answer (FIN or RST) left no trace in the log but the failed call. Its calls ended rightly before: RESET, since they may have run. Change: RunnerConnection says it once, at EOF or when the connection is lost by an error; not when this process closes. Measured: test_a_runners_connection_ends_round_its_answer[middle-*] fails without it on the log line alone, passes with it.

--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -266,9 +266,21 @@
         """The runner writes no more: nothing that is open here can be answered.
 
         Guards against a wait for a runner that reads no more either: a close lets what waits leave first."""
+        self._cut()
         self.abort()
         return False
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is down."""
+        if exc is not None:
+            self._cut()
+        super().connection_lost(exc)
+
+    def _cut(self) -> None:
+        if held := len(self.buffer.held()):
+            text = "runner %s ended its connection in the middle of an answer, after %d bytes of it"
+            log.warning(text, self.pool.listing.name, held)
+
     def _answer(self, message: dict[str, Any]) -> bool:
         """Act on an answer; False where it is spoilt. One under an id not open here is passed over."""
         name = message.get("id")
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -273,6 +273,37 @@
 # A runner's connection ends.
 
 
+@pytest.mark.parametrize("how", list(CLOSE))
+@pytest.mark.parametrize("klass", ["check", "confirm"])
+@pytest.mark.parametrize("place", ["before", "middle", "after"])
+def test_a_runners_connection_ends_round_its_answer(
+    how: str, klass: str, place: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Before and in the middle: it may have run. After, in the same write: it is answered."""
+    caplog.set_level("INFO", "cedarthread.runners")
+
+    def end(runner: Runner, message: dict[str, Any]) -> None:
+        line = json.dumps(hit(runner, message) | {"id": message["id"]}).encode() + b"\n"
+        runner.writers[-1].write({"before": b"", "middle": line[:40], "after": line}[place])
+        CLOSE[how](runner.writers[-1])
+
+    async def test() -> None:
+        runners = [Runner(end), Runner(end)]
+        async with routed(*runners, limits=SETTINGS["limits"] | {"send-cap": 2}) as (running, caller):
+            answer = await caller.call(1, klass, b"x")
+            unsafe = klass == "confirm"
+            assert told(answer) == ("served" if place == "after" else "failed" if unsafe else "refused")
+            ran = len(runners[0].calls + runners[1].calls)
+            assert ran == (1 if place == "after" or unsafe else 2)
+            assert running.planner.handled[klass]["upstream_tries"] == ran
+            await until(lambda: not pooled(running), "all connections have ended")
+
+    asyncio.run(test())
+    cut = [r.getMessage() for r in caplog.records if "middle of an answer" in r.getMessage()]
+    assert len(cut) == (0 if place != "middle" else 1 if klass == "confirm" else 2)
+    assert all(line.startswith("runner s-0000000") for line in cut), "it says where"
+
+
 async def narrow(running: Service, runner: Runner, caller: Client) -> RunnerConnection:
     """A connection whose sockets take less than one long call while the runner does not read, as now."""
     runner.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)  # accepted ones inherit it
