No call is risked on a connection that stood idle past the time of our own close

Cause: this end closes idle connections first, by a look every 250 ms at 0.8 of the runner's time. A process that stood still over that look took such a connection for the next call, while the runner's close was on its way: RESET, it may have run, and an unsafe call fails. Ruled out: a FIN that has been read (takes() sees the transport closing). Change: takes() asks how long an empty connection has been idle, which costs one look at the clock where nothing is open. Measured: the new test fails without it (the old connection is used), passes with it.

--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -150,6 +150,9 @@
             return False
         if self.transport is not None and self.transport.is_closing():
             return False
+        # Guards against a stall past the sweep that was due: the runner's own idle close is on its way.
+        if not self.open and self._loop.time() - self.used > self.pool.runners.spare_after():
+            return False
         return len(self.open) < self.pool.runners.settings.limits.streams
 
     def put(self, name: str, line: bytes, carries: Attempt | Order) -> None:
@@ -439,6 +442,10 @@
             pool = self.pools.setdefault(number, Pool(self, listing))
             pool.listing = listing
 
+    def spare_after(self) -> float:
+        """Seconds without work after which a connection is closed, before the runner does."""
+        return self.settings.limits.idle / 1000.0 * IDLE_PART
+
     def may_dial(self) -> bool:
         """Is there a descriptor left for one more connection?"""
         if sum(len(pool.connections) for pool in self.pools.values()) < self.most:
@@ -554,7 +561,7 @@
     def sweep(self, now: float) -> None:
         """Close what has carried nothing for long."""
         for pool in self.pools.values():
-            pool.sweep(now, self.settings.limits.idle / 1000.0 * IDLE_PART)
+            pool.sweep(now, self.spare_after())
 
     def close(self) -> None:
         """Close everything."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -489,6 +489,21 @@
     asyncio.run(test())
 
 
+def test_after_a_stall_past_the_idle_time_no_call_is_risked_on_the_old_connection() -> None:
+    """The process stood still when its look at idle connections was due: the runner's close is under way."""
+
+    async def test() -> None:
+        runner = Runner()
+        async with routed(runner) as (running, caller):
+            assert told(await caller.call(1, "confirm", b"x")) == "served"
+            [old] = pooled(running)
+            old.used -= 30.0 * IDLE_PART + 0.01  # as after that time without a turn
+            assert await caller.call(2, "confirm", b"x") == [1, 2, None, [b"X", {}]]
+            assert len(runner.writers) == 2
+
+    asyncio.run(test())
+
+
 # Orders to load.
 
 
