An order to load that is lost gives its place back, and a done one its timers

The two timers of a done order (0.5 s and the order limit) stayed with order and connection till they fired. Change: _order_late takes it from the connection, a line that has not left too; order_done cancels the timers. Ruled out: a late answer under the tag is passed over, as under any id not open. Measured: test_an_order_ends_once_...[answer, time, connection] fail without it, pass with it.

--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -58,6 +58,7 @@
     function: int
     at: float
     done: bool = False
+    timers: list[asyncio.TimerHandle] = field(default_factory=list)  # till it is done
 
 
 @dataclass(eq=False, slots=True)
@@ -509,15 +510,23 @@
             return self.order_done(order, i.Outcome.CONNECT_FAILED, 0)
         fields = {"thing": f"{function:016x}", "pods": copies}
         connection.put(order.tag, order_line("LOAD", order.tag, fields), order)
-        self._loop.call_later(ORDER_LEAVES, self._order_stuck, order, connection)
         limit = self.settings.order_timeout / 1000.0
-        self._loop.call_later(limit, self.order_done, order, i.Outcome.TIMEOUT, 0)
+        order.timers += (
+            self._loop.call_later(ORDER_LEAVES, self._order_stuck, order, connection),
+            self._loop.call_later(limit, self._order_late, order, connection),
+        )
 
     def _order_stuck(self, order: Order, connection: RunnerConnection) -> None:
         """Guards the ration of orders: those that wait for a slow runner would reach it all at once."""
         if connection.withdraw(order):
             self.order_done(order, i.Outcome.CONNECT_FAILED, 0)
 
+    def _order_late(self, order: Order, connection: RunnerConnection) -> None:
+        """Guards against lost orders that hold their places for good: a lost one gets no answer."""
+        if not connection.withdraw(order):
+            connection.open.pop(order.tag, None)
+        self.order_done(order, i.Outcome.TIMEOUT, 0)
+
     def unload(self, worker: int, function: int) -> None:
         """Have idle copies unloaded."""
         pool = self.pools.get(worker)
@@ -555,6 +564,8 @@
         """The one end of an order."""
         if not order.done:
             order.done = True
+            for timer in order.timers:
+                timer.cancel()
             took = self.planner.clock() - order.at
             self.planner.order_ended(i.OrderEnded(order.worker, order.function, outcome, copies, took))
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -507,6 +507,38 @@
 # Orders to load.
 
 
+@pytest.mark.parametrize("first", ["answer", "time", "connection"])
+def test_an_order_ends_once_and_leaves_neither_slot_nor_timer(
+    first: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its answer, its time or the end of its connection: a lost order must not hold its place for good."""
+
+    async def test() -> None:
+        runner = Runner(mute)
+        specifics = SETTINGS["specifics"] | {"order-limit": 40 if first == "time" else 10_000}
+        async with routed(runner, specifics=specifics) as (running, caller):
+            ends: list[i.OrderEnded] = []
+            monkeypatch.setattr(running.planner, "order_ended", ends.append)
+            running.runners.order(1, 7, 1)
+            await runner.until(lambda: len(runner.calls) == 1)
+            done = {"op": "HIT", "fields": {"pods": 1}}
+            if first == "answer":
+                runner.answer(runner.calls[0], done)
+            elif first == "connection":
+                runner.writers[0].transport.abort()
+            await until(lambda: ends, "the order has ended")
+            if first == "time":
+                await settled(running)
+                runner.answer(runner.calls[0], done)  # late: for nobody
+                runner.behave = hit
+                assert told(await caller.call(1, "confirm", b"x")) == "served"
+            outcome = {"answer": i.Outcome.OK, "time": i.Outcome.TIMEOUT, "connection": i.Outcome.RESET}
+            await settled(running)
+            assert [end.outcome for end in ends] == [outcome[first]]
+
+    asyncio.run(test())
+
+
 # The client's end, and its time.
 
 
