A reply cut to its number no longer counts as usable before the first list

Cause: Resolver.datagram_received compares what follows the number with the last reply taken, which is empty before the first: a datagram of two bytes with a number that was asked set ``usable``. No list was changed by it. Change: compare only where a reply has been taken. Measured: test_a_spoilt_list_changes_nothing_and_the_next_good_one_counts[cut], which plays all prefixes of a reply, fails without it, passes with it.

--- a/cedarthread/net/resolver.py
+++ b/cedarthread/net/resolver.py
@@ -83,8 +83,10 @@
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """A reply, perhaps late, perhaps twice."""
-        if data[2:] == self._taken:  # most replies say what the last did: reading each took half of an idle
-            number = int.from_bytes(data[:2], "big")  # router's CPU where workers are many
+        # Most replies say what the last did: reading each took half of an idle router's CPU, workers being
+        # many.
+        if self._taken and data[2:] == self._taken:
+            number = int.from_bytes(data[:2], "big")
             if number in self._asked:
                 self.usable = self._loop.time()
             return
--- a/tests/test_endings_input.py
+++ b/tests/test_endings_input.py
@@ -58,6 +58,7 @@
 
 
 SPOILT: dict[str, Spoils] = {
+    "cut": lambda whole: [whole[:size] for size in range(len(whole))],
     "refused": lambda whole: [whole[:3] + b"\x05" + whole[4:]],
     "no such name": lambda whole: [whole[:3] + b"\x03" + whole[4:]],
     "truncated": lambda whole: [whole[:2] + b"\x86\x00" + whole[4:]],
