A list of nobody is believed only when a second query is told so too

Cause: a well-formed reply with a newer serial and no SRV record (as a spoilt one may be: SOA alone, NODATA) emptied the list at once, and Runners.update then broke every connection with what was open there. Cut replies were never taken: all their prefixes are played by the tests. Change: the first such reply is only logged; one to another query with none that names somebody in between is believed, some 200 ms later, within the 500 ms of the rule on drains. Roster.event is unchanged, as is its test.

--- a/cedarthread/net/resolver.py
+++ b/cedarthread/net/resolver.py
@@ -56,6 +56,7 @@
         self.serial = -1
         self.usable = 0.0  # loop time of the last usable reply
         self._asked: deque[int] = deque(maxlen=ASKED)
+        self._nobody: int | None = None  # the query whose reply, newer than the list that holds, named nobody
         self._taken = b""  # a reply of the serial that holds, without its number
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -88,7 +89,7 @@
         if self._taken and data[2:] == self._taken:
             number = int.from_bytes(data[:2], "big")
             if number in self._asked:
-                self.usable = self._loop.time()
+                self.usable, self._nobody = self._loop.time(), None
             return
         reply = dns.parse(data)
         if isinstance(reply, dns.Unusable):
@@ -99,11 +100,19 @@
         self.usable = self._loop.time()
         if reply.serial <= self.serial:
             self._taken = data[2:] if reply.serial == self.serial else self._taken
+            self._nobody = None
             return
         found = listings(reply)
         if isinstance(found, str):
             log.info("reply of the resolver not used: %s", found)
             return
+        if not found and self._nobody in (None, reply.number):
+            # Guards against a spoilt reply that takes every runner away: another query has to be told so too,
+            # which is a matter of ``PERIOD``, well within the rule on drains.
+            log.warning("reply of the resolver lists nobody under serial %d: asked once more", reply.serial)
+            self._nobody = reply.number
+            return
+        self._nobody = None
         self.serial, self._taken = reply.serial, data[2:]
         self.tell(reply.serial, found)
 
--- a/tests/test_endings_input.py
+++ b/tests/test_endings_input.py
@@ -59,6 +59,7 @@
 
 SPOILT: dict[str, Spoils] = {
     "cut": lambda whole: [whole[:size] for size in range(len(whole))],
+    "nobody": nobody,
     "refused": lambda whole: [whole[:3] + b"\x05" + whole[4:]],
     "no such name": lambda whole: [whole[:3] + b"\x03" + whole[4:]],
     "truncated": lambda whole: [whole[:2] + b"\x86\x00" + whole[4:]],
@@ -117,6 +118,22 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("between", [1, 2])
+def test_two_lists_of_nobody_with_a_good_one_between_are_not_believed(between: int) -> None:
+    """The good one is of the serial that holds, read once or known by its bytes, or a newer one."""
+
+    async def test() -> None:
+        runner = Runner()
+        async with routed(runner) as (running, _):
+            discovery = Discovery(running, runner)
+            discovery.serial = between
+            await discovery.play(whole, nobody, whole, nobody, whole, nobody)
+            assert running.roster.version == between and len(running.roster.listings) == 1
+            discovery.close()
+
+    asyncio.run(test())
+
+
 def test_a_list_doubled_or_late_is_taken_once_and_never_back(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level("INFO", "cedarthread")
 
