--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -270,6 +270,52 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("klass", ["check", "confirm"])
+@pytest.mark.parametrize("first", ["news", "answer"])
+def test_a_runner_moves_to_another_address_under_an_open_call(first: str, klass: str) -> None:
+    """What ran at the old address has ended with its connections; a safe call is sent to the new one."""
+
+    async def test() -> None:
+        old, new = Runner(mute), Runner()
+        await new.start()
+        async with routed(old) as (running, caller):
+            caller.writer.write(pack_call(1, klass, b"x"))
+            await old.until(lambda: len(old.calls) == 1)
+            if first == "answer":
+                old.answer(old.calls[0], hit(old, old.calls[0]))
+                assert told(await caller.read()) == "served"
+            tell(running, [new], READY)
+            if first == "news":
+                assert told(await caller.read()) == ("served" if klass == "check" else "failed")
+            assert told(await caller.call(2, klass, b"x")) == "served"
+            assert [c["id"] for c in old.calls] == [f"{1:016x}"]
+        new.stop()
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("first", ["news", "interrupt", "time"])
+def test_a_call_that_is_held_ends_or_leaves_once_a_runner_comes(first: str) -> None:
+    async def test() -> None:
+        runner = Runner()
+        async with routed(runner) as (running, caller):
+            tell(running, [runner], DRAINING)
+            caller.writer.write(pack_call(1, "confirm", b"x", limit="500" if first == "time" else LONG))
+            await until(lambda: running.planner.router.held, "no runner is ready: it is held")
+            if first == "interrupt":
+                caller.writer.write(INTERRUPT + b"\x01")
+                await fence(caller, 9)
+            elif first == "time":
+                assert told(await caller.read()) == "refused"
+            tell(running, [runner], READY)
+            if first == "news":
+                assert await caller.read() == [1, 1, None, [b"X", {}]]
+            assert told(await caller.call(2, "confirm", b"x")) == "served"
+            assert len(runner.calls) == (2 if first == "news" else 1)
+
+    asyncio.run(test())
+
+
 # A runner's connection ends.
 
 
@@ -581,6 +627,27 @@
     asyncio.run(test())
 
 
+def test_an_interrupt_and_an_answer_that_come_in_one_turn() -> None:
+    """Whichever is read first: one end for each call, and at most one answer."""
+
+    async def test() -> None:
+        runner = Runner(mute)
+        async with routed(runner) as (running, caller):
+            for number in range(1, 21):
+                caller.writer.write(pack_call(number, "confirm", b"x", limit=LONG))
+                await runner.until(lambda: len(runner.calls) == number)  # noqa: B023
+                runner.answer(runner.calls[-1], hit(runner, runner.calls[-1]))
+                caller.writer.write(INTERRUPT + bytes((number,)))
+                await until(lambda: not running.planner.calls, "it has ended")
+            caller.writer.write(b"\x94\x00\x63\xa5check\x90")
+            answered = []
+            while (message := await caller.read())[1] != 0x63:
+                answered.append(message[1])
+            assert len(answered) == len(set(answered)) == running.planner.counts["served"]
+
+    asyncio.run(test())
+
+
 @pytest.mark.parametrize("first", ["time", "answer"])
 def test_time_is_up_and_an_answer_comes(first: str) -> None:
     async def test() -> None:
@@ -647,6 +714,26 @@
     asyncio.run(test())
 
 
+def test_a_connection_that_waits_to_be_accepted_at_the_end_is_taken_and_served() -> None:
+    """A listener that closes would reset it unheard, with the request that it may hold."""
+
+    async def test() -> None:
+        runner = Runner()
+        async with routed(runner) as (running, _):
+            caller = socket.socket()
+            caller.setblocking(False)
+            with pytest.raises(BlockingIOError):  # the kernel takes it in; this process has had no turn yet
+                caller.connect(("127.0.0.1", running.port))
+            running.platform.stop_listening()
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(caller, pack_call(1, "confirm", b"x"))
+            async with asyncio.timeout(10):
+                assert (await loop.sock_recv(caller, 100))[:4] == b"\x94\x01\x01\xc0"
+            caller.close()
+
+    asyncio.run(test())
+
+
 @pytest.mark.parametrize("first", ["eviction", "request"])
 def test_a_request_crosses_its_connections_eviction(first: str) -> None:
     async def test() -> None:
--- a/tests/test_endings_input.py
+++ b/tests/test_endings_input.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import Callable
 
 import pytest
@@ -101,6 +102,34 @@
     assert [r.getMessage() for r in caplog.records] == ["reply of the resolver not used: code 5"]
 
 
+def test_a_resolver_that_dies_leaves_the_last_list_and_is_heard_again() -> None:
+    """Queries that are refused by its machine, as where the process is down, end nothing."""
+
+    async def test() -> None:
+        runners = [Runner(), Runner()]
+        async with routed(*runners) as (running, caller):
+            discovery = Discovery(running, *runners)
+            await discovery.play(whole)
+            port = discovery.server.port
+            discovery.server.stop()
+            await asyncio.sleep(0)
+            asked: list[bytes] = []
+            sendto = running.resolver._transport.sendto  # type: ignore[union-attr]
+            running.resolver._transport.sendto = lambda data: (asked.append(data), sendto(data))  # type: ignore
+            await until(lambda: len(asked) == 3, "it is asked on, in vain")
+            assert running.roster.version == 2
+            assert told(await caller.call(1, "confirm", b"x")) == "served"
+            discovery.serial = 5
+            again = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            again.bind(("127.0.0.1", port))
+            again.setblocking(False)
+            await discovery.server.start(again)
+            await until(lambda: running.roster.version == 5, "news again")
+            discovery.close()
+
+    asyncio.run(test())
+
+
 def test_that_nobody_is_left_is_believed_of_a_second_query() -> None:
     """An empty list can be true: then no call may go on to where nobody is, and it has to be known soon."""
 
