--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -58,6 +58,7 @@
     function: int
     at: float
     done: bool = False
+    timers: list[asyncio.TimerHandle] = field(default_factory=list)  # till it is done
 
 
 @dataclass(eq=False, slots=True)
@@ -150,6 +151,9 @@
             return False
         if self.transport is not None and self.transport.is_closing():
             return False
+        # Guards against a stall past the sweep that was due: the runner's own idle close is on its way.
+        if not self.open and self._loop.time() - self.used > self.pool.runners.spare_after():
+            return False
         return len(self.open) < self.pool.runners.settings.limits.streams
 
     def put(self, name: str, line: bytes, carries: Attempt | Order) -> None:
@@ -189,7 +193,7 @@
         """Have the runner drop an attempt: the line that tells it, None where it can't be told."""
         self.open.pop(attempt.call.name, None)
         self._spend(attempt.call.name)
-        if self.paused or self.closed:
+        if self.closed:
             return None
         return self.say(order_line("CANCEL", attempt.call.name))
 
@@ -266,6 +270,25 @@
             at = end + 1
         return at
 
+    def eof_received(self) -> bool:
+        """The runner writes no more: nothing that is open here can be answered.
+
+        Guards against a wait for a runner that reads no more either: a close lets what waits leave first."""
+        self._cut()
+        self.abort()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is down."""
+        if exc is not None:
+            self._cut()
+        super().connection_lost(exc)
+
+    def _cut(self) -> None:
+        if held := len(self.buffer.held()):
+            text = "runner %s ended its connection in the middle of an answer, after %d bytes of it"
+            log.warning(text, self.pool.listing.name, held)
+
     def _answer(self, message: dict[str, Any]) -> bool:
         """Act on an answer; False where it is spoilt. One under an id not open here is passed over."""
         name = message.get("id")
@@ -370,8 +393,8 @@
                 # Guards the rule on drains: what waits for a slow runner must not leave long after the news.
                 if carried is not None:
                     connection.call_off(carried)
-            if now:
-                connection.abort()
+            if now or (connection.transport is None and not connection.open):
+                connection.abort()  # a dial that nothing waits for is given up too: a close would not end it
             elif not connection.open:
                 connection.close()
             elif connection.leaving:
@@ -418,12 +441,16 @@
             elif new.started != pool.listing.started:
                 # The news of a start comes late: what was begun since then leads to the new process.
                 pool.retire(now=True, until=new.started)
-            elif new.state is not i.WorkerState.READY:
-                pool.retire(now=False)
+            if new is not None and new.state is not i.WorkerState.READY:
+                pool.retire(now=False)  # beside the others: one list may tell of a start and of its drain
         for number, listing in told.items():
             pool = self.pools.setdefault(number, Pool(self, listing))
             pool.listing = listing
 
+    def spare_after(self) -> float:
+        """Seconds without work after which a connection is closed, before the runner does."""
+        return self.settings.limits.idle / 1000.0 * IDLE_PART
+
     def may_dial(self) -> bool:
         """Is there a descriptor left for one more connection?"""
         if sum(len(pool.connections) for pool in self.pools.values()) < self.most:
@@ -487,15 +514,23 @@
             return self.order_done(order, i.Outcome.CONNECT_FAILED, 0)
         fields = {"thing": f"{function:016x}", "pods": copies}
         connection.put(order.tag, order_line("LOAD", order.tag, fields), order)
-        self._loop.call_later(ORDER_LEAVES, self._order_stuck, order, connection)
         limit = self.settings.order_timeout / 1000.0
-        self._loop.call_later(limit, self.order_done, order, i.Outcome.TIMEOUT, 0)
+        order.timers += (
+            self._loop.call_later(ORDER_LEAVES, self._order_stuck, order, connection),
+            self._loop.call_later(limit, self._order_late, order, connection),
+        )
 
     def _order_stuck(self, order: Order, connection: RunnerConnection) -> None:
         """Guards the ration of orders: those that wait for a slow runner would reach it all at once."""
         if connection.withdraw(order):
             self.order_done(order, i.Outcome.CONNECT_FAILED, 0)
 
+    def _order_late(self, order: Order, connection: RunnerConnection) -> None:
+        """Guards against lost orders that hold their places for good: a lost one gets no answer."""
+        if not connection.withdraw(order):
+            connection.open.pop(order.tag, None)
+        self.order_done(order, i.Outcome.TIMEOUT, 0)
+
     def unload(self, worker: int, function: int) -> None:
         """Have idle copies unloaded."""
         pool = self.pools.get(worker)
@@ -533,13 +568,15 @@
         """The one end of an order."""
         if not order.done:
             order.done = True
+            for timer in order.timers:
+                timer.cancel()
             took = self.planner.clock() - order.at
             self.planner.order_ended(i.OrderEnded(order.worker, order.function, outcome, copies, took))
 
     def sweep(self, now: float) -> None:
         """Close what has carried nothing for long."""
         for pool in self.pools.values():
-            pool.sweep(now, self.settings.limits.idle / 1000.0 * IDLE_PART)
+            pool.sweep(now, self.spare_after())
 
     def close(self) -> None:
         """Close everything."""
