One place answers and counts a call; a shed attempt is proof that nothing ran

Need: the review of what ends things (docs/design/endings.md) found debts that two places settled, or none. Cause and lines: PlatformConnection.end wrote Failed itself and abandoned the call, so INFO counted it as left; Planner.turn_away refused beside _settle and, from the front, never counted it as taken; Attempt.may_have_run went by progress alone, so after SHED a keyed repeat was bound by its window and _overdue would fail what may be refused; where settings forbid to cancel, the attempt of a call that was left stayed out for good, and _lapse wrote CANCEL; a client's bad message was told without where and what, a cut one not at all. Ruled out: that the figures of classes were right and only the counts wrong (both were off). Change: Planner._answer is the one place (submit, turn_away, fail, _settle go through it); Attempt.never_ran; at the call's time an attempt that may not be cancelled ends here alone; log lines with client and what.

--- a/cedarthread/core/calls.py
+++ b/cedarthread/core/calls.py
@@ -97,10 +97,11 @@
     progress: Progress = Progress.UNCONNECTED
     leave_by: float = math.inf  # when its first byte must have left, else it may not run any more
     ended: bool = False
+    never_ran: bool = False  # its worker has said so, or it never left
 
     def may_have_run(self) -> bool:
-        """What was not wholly written cannot have run."""
-        return self.progress >= Progress.WRITTEN
+        """What was not wholly written cannot have run, nor what its worker turned away."""
+        return self.progress >= Progress.WRITTEN and not self.never_ran
 
 
 @dataclass(frozen=True, slots=True)
--- a/cedarthread/core/planner.py
+++ b/cedarthread/core/planner.py
@@ -39,6 +39,7 @@
 OVERDUE = 5.0  # ms that the router has to answer a call whose attempts have just timed out
 HELD_BYTES = 48 * 2**20  # bodies of open calls, where nothing else is said
 FIGURES = ("passed", "dropped", "bad_gateway", "upstream_tries")  # of each class, as the operators name them
+_NEVER_RAN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.MOOT, i.Outcome.MISS)
 _FIGURE = {Served: "passed", Refused: "dropped", Failed: "bad_gateway"}
 
 
@@ -103,13 +104,9 @@
 
     def submit(self, call: Call) -> None:
         """Take a call: it gets exactly one answer from here on, unless it is abandoned."""
-        now = self.clock()
-        self._number += 1
-        call.number, call.taken = self._number, now
-        call.label = self.settings.classes[call.klass].name
-        self.counts["taken"] += 1
         if len(self.calls) >= self.settings.limits.open_requests or self.held_bytes >= self.most_held:
             return self.turn_away(call)
+        self._count_in(call)
         if self.stop_at is not None:
             call.give_up = min(call.give_up, self.stop_at)
         self.calls[call.number] = call
@@ -131,11 +128,20 @@
 
     def turn_away(self, call: Call) -> None:
         """Refuse a call at once, before anything is done for it: the front's limits, or the planner's."""
-        call.settled = True
-        call.label = call.label or self.settings.classes[call.klass].name
-        self.counts["refused"] += 1
-        self._figure(call, "dropped")
-        call.reply(Refused(self.settings.limits.max_retry_after))
+        self._count_in(call)
+        self._answer(call, Refused(self.settings.limits.max_retry_after))
+
+    def _count_in(self, call: Call) -> None:
+        self._number += 1
+        call.number, call.taken = self._number, self.clock()
+        call.label = self.settings.classes[call.klass].name
+        self.counts["taken"] += 1
+
+    def fail(self, call: Call) -> None:
+        """Its front can read no more of its client, but write to it: the call has its answer now."""
+        if not call.settled:
+            self._settle(call, Failed())
+            self._post(i.ClientGone(call.number))
 
     def retune(self, told: i.Settings) -> i.Settings:
         """New settings. Classes are only added to: a call keeps the place of its class, so open calls keep
@@ -200,6 +206,7 @@
         if attempt.ended:
             return
         attempt.ended = True
+        attempt.never_ran = ending.outcome in _NEVER_RAN
         call = attempt.call
         if ending.outcome is i.Outcome.OK:
             self._settle(call, Served(ending.body))
@@ -378,7 +385,7 @@
                 self._ways().look(attempt)
                 outcome = i.Outcome.TIMEOUT if attempt.may_have_run() else i.Outcome.CONNECT_FAILED
                 self.ended(attempt, Ending(outcome))
-                self._ways().cancel(attempt)
+                self._ways().cancel(attempt)  # which tells the runner where the settings allow that
         call.lapsed = True
         self._due(self.clock() + OVERDUE, call)
 
@@ -396,9 +403,13 @@
         self._post(i.ClientGone(call.number))
 
     def _settle(self, call: Call, answer: Answer) -> None:
-        if call.settled:
-            return
-        self._release(call)
+        if not call.settled:
+            self._release(call)
+            self._answer(call, answer)
+
+    def _answer(self, call: Call, answer: Answer) -> None:
+        """The one place where a call gets its answer and is counted."""
+        call.settled = True
         kind = (
             "served" if isinstance(answer, Served) else "refused" if isinstance(answer, Refused) else "failed"
         )
@@ -418,3 +429,12 @@
         for attempt in call.attempts:  # nobody waits for it: what has not left need not run
             if not attempt.ended:
                 self._ways().withdraw(attempt)
+        if not self.settings.limits.cancel and any(not attempt.ended for attempt in call.attempts):
+            self._at(call.give_up, self._expire, call)
+
+    def _expire(self, call: Call) -> None:
+        """Guards against a silent runner that keeps a stream and figures for good, where the settings forbid
+        to cancel what nobody waits for: its time ends it here too."""
+        for attempt in call.attempts:
+            if not attempt.ended:
+                self._ways().cancel(attempt)
--- a/cedarthread/net/platform.py
+++ b/cedarthread/net/platform.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from cedarthread import interface as i
-from cedarthread.core.calls import Answer, Call, Failed, Refused, Served, answer_by
+from cedarthread.core.calls import Answer, Call, Refused, Served, answer_by
 from cedarthread.core.planner import Planner
 from cedarthread.net import msgpack
 from cedarthread.net.stream import Flusher, Stream
@@ -118,6 +118,7 @@
         self.need = 0  # bytes without which the next message is not whole
         self.waits = False  # messages that came whole wait for their turn
         self.queued = 0  # bytes of answers that the client's slowness keeps here
+        self.wrong = ""  # what was wrong with a message that ends the connection
 
     def opened(self) -> None:
         """Count it in."""
@@ -128,6 +129,8 @@
 
     def lost(self) -> None:
         """Its calls have nobody to answer to."""
+        if self.dropping is None and (held := len(self.buffer.held())):
+            log.info("client %s ended in the middle of a message, after %d bytes of it", self._peer(), held)
         self.front.forget(self)
         self._unqueue()
         self._abandon()
@@ -198,6 +201,7 @@
                 self.need = parsed.need
                 break
             if isinstance(parsed, msgpack.Bad) or not self._message(parsed.value):
+                self.wrong = parsed.why if isinstance(parsed, msgpack.Bad) else "it makes no sense here"
                 return None
             at, taken, self.need = parsed.end, taken + 1, 0
         if taken:
@@ -226,15 +230,17 @@
 
     def bad_input(self) -> None:
         """Nothing more can be read here: each open call gets its one answer, and then it ends."""
-        log.info("connection closed: bad message")
+        log.info("connection closed: bad message of client %s: %s", self._peer(), self.wrong or "too long")
         self.end()
 
+    def _peer(self) -> str:
+        name = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return f"{name[0]}:{name[1]}" if name else "unknown"
+
     def end(self) -> None:
         """Answer what is open, and close."""
-        calls, self.open = self.open, {}
-        for number, call in calls.items():
-            self.front.planner.abandon(call)
-            self.write(pack_answer(number, Failed()))
+        for call in list(self.open.values()):
+            self.front.planner.fail(call)
         self.linger()
 
     def _message(self, message: Any) -> bool:
--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -189,10 +189,14 @@
         if self.withdraw(carried):
             self.pool.runners.broke(carried, unreached=False)
 
+    def forget(self, name: str) -> None:
+        """An attempt's answer is nobody's from now on, and its name is not used here again."""
+        self.open.pop(name, None)
+        self._spend(name)
+
     def give_up(self, attempt: Attempt) -> _Line | None:
         """Have the runner drop an attempt: the line that tells it, None where it can't be told."""
-        self.open.pop(attempt.call.name, None)
-        self._spend(attempt.call.name)
+        self.forget(attempt.call.name)
         if self.closed:
             return None
         return self.say(order_line("CANCEL", attempt.call.name))
@@ -492,6 +496,9 @@
             return self.planner.ended(attempt, broken(attempt))
         # Guards against a machine that has vanished: its connections stay open and silent; a new one tells.
         connection.retired = connection.retired or self._loop.time() - connection.last_read > QUIET
+        if not self.settings.limits.cancel:  # it ends here alone
+            connection.forget(attempt.call.name)
+            return self.planner.ended(attempt, Ending(i.Outcome.TIMEOUT))
         told = connection.give_up(attempt)
         if told is not None:
             self._loop.call_later(CANCEL_SETTLES, self._given_up, attempt, connection, told)
--- /dev/null
+++ b/tests/test_endings_debts.py
@@ -0,0 +1,94 @@
+"""Debts that two places settled, or none: counts, figures, log lines, streams, proofs that nothing ran."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from cedarthread.standins.scripted import Runner, client, hit, pack_call, says
+from cedarthread.standins.settings import SETTINGS
+from tests.test_endings import INTERRUPT, LONG, fence, mute, pooled, reset, routed, settled, told, until
+
+
+def test_a_call_that_the_front_turns_away_counts_as_taken() -> None:
+    async def test() -> None:
+        async with routed(Runner()) as (running, caller):
+            running.platform.most_queued = -1
+            assert told(await caller.call(1, "check", b"x")) == "refused"
+            assert running.planner.counts["taken"] == running.planner.counts["refused"] == 1
+
+    asyncio.run(test())
+
+
+def test_the_answer_lost_after_a_bad_message_counts_as_failed() -> None:
+    """The client has its one answer, so its class's figures must hold it."""
+
+    async def test() -> None:
+        runner = Runner(mute)
+        async with routed(runner) as (running, caller):
+            caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
+            await runner.until(lambda: len(runner.calls) == 1)
+            caller.writer.write(b"\x91\x05")
+            assert told(await caller.read()) == "failed"
+            assert running.planner.handled["confirm"]["bad_gateway"] == 1
+            assert running.planner.counts["failed"] == 1 and running.planner.counts["left"] == 0
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("spoilt", [b"\xc1", pack_call(1, "confirm", b"y" * 1000)[:500]])
+def test_a_clients_bad_message_is_told_with_where_and_what(
+    spoilt: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level("INFO", "cedarthread.platform")
+    where: list[str] = []
+
+    async def test() -> None:
+        async with routed(Runner()) as (running, caller), client(running) as bad:
+            where.append("{}:{}".format(*bad.writer.get_extra_info("sockname")))
+            await fence(bad, 8)
+            bad.writer.write(spoilt)
+            await until(lambda: bad.writer.transport.get_write_buffer_size() == 0, "it has left")
+            await fence(caller, 9)
+            reset(bad.writer)
+            await until(lambda: len(running.platform.connections) == 1, "its end")
+
+    asyncio.run(test())
+    assert [where[0] in r.getMessage() for r in caplog.records] == [True]
+
+
+def test_an_attempt_of_a_call_that_was_left_ends_with_its_time_where_no_cancel_is_allowed() -> None:
+    """Where the settings forbid to cancel, a silent runner must not keep stream and figures for good."""
+
+    async def test() -> None:
+        runner = Runner(mute)
+        async with routed(runner, limits=SETTINGS["limits"] | {"cancel": False}) as (running, caller):
+            caller.writer.write(pack_call(1, "confirm", b"x", limit="500"))
+            await runner.until(lambda: len(runner.calls) == 1)
+            caller.writer.write(INTERRUPT + b"\x01")
+            await fence(caller, 9)
+            await settled(running)
+
+    asyncio.run(test())
+
+
+def test_a_keyed_call_that_was_shed_is_not_bound_by_its_window(monkeypatch: pytest.MonkeyPatch) -> None:
+    """SHED proves that it never ran: there is nothing that its repeat could come too late for."""
+    classes = [klass | {"repeat-window": 300} for klass in SETTINGS["classes"]]
+
+    async def test() -> None:
+        runners = [Runner(mute), Runner(mute)]
+        limits = SETTINGS["limits"] | {"send-cap": 2}
+        async with routed(*runners, classes=classes, limits=limits) as (running, caller):
+            caller.writer.write(pack_call(1, "revise", b"x", unique="5c0f", limit=LONG))
+            await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
+            at = 0 if runners[0].calls else 1
+            runners[1 - at].behave = hit
+            clock = running.planner.clock
+            monkeypatch.setattr(running.planner, "clock", lambda: clock() + 400.0)  # its window is over
+            runners[at].answer(runners[at].calls[0], says("SHED")(runners[at], {}) or {})
+            assert told(await caller.read()) == "served"
+            assert len(pooled(running)) == 2
+
+    asyncio.run(test())
