A dial that fails for want of a descriptor here no longer blames the runner

Seen: two calls in a row whose dial met EMFILE opened the runner's circuit breaker (trouble 0.997 after four), though nothing was learned of the runner.

Lines at fault: net/runners.py Pool._dial only cleared `unreached`; limits/health.py blame() takes any CONNECT_FAILED with `unreached` false for a broken connection and gives it 0.3. The same for may_dial() at the bound of connections, where idle connections to other runners were kept and the call failed. And a dial whose call was taken back (RunnerConnection.abort without a transport) went on till the connect timeout with a descriptor that no count held. Ruled out: decide._move, which goes on to the next worker as it should.

Change: an ending says `local` where the cause lies in this process, and blame() passes over it. A dial without a descriptor has what carries nothing give one back and dials again, within its time. At the bound the connection idle for longest gives way.

--- a/cedarthread/core/calls.py
+++ b/cedarthread/core/calls.py
@@ -107,6 +107,7 @@
     crowd: int | None = None
     report: tuple[float | None, ...] = ()
     unreached: bool = False  # no connection to the worker came up
+    local: bool = False  # for want of a descriptor or port in this process: it says nothing of the worker
 
 
 def broken(attempt: Attempt, *, unreached: bool = False) -> Ending:
@@ -115,6 +116,11 @@
     return Ending(outcome, unreached=unreached)
 
 
+def starved() -> Ending:
+    """The end of an attempt for which this process had no descriptor or port: nothing was sent."""
+    return Ending(i.Outcome.CONNECT_FAILED, local=True)
+
+
 class Workers(Protocol):
     """The way to the workers, as the planner sees it."""
 
--- a/cedarthread/core/planner.py
+++ b/cedarthread/core/planner.py
@@ -185,6 +185,7 @@
                 ending.crowd,
                 ending.report,
                 ending.unreached,
+                ending.local,
             )
         )
 
--- a/cedarthread/limits/health.py
+++ b/cedarthread/limits/health.py
@@ -63,7 +63,7 @@
 
     Marks what else the end shows: a connection that broke, a worker that is down, an error in doubt."""
     outcome = event.outcome
-    if outcome not in _FAILED:
+    if outcome not in _FAILED or event.local:
         return None
     short = attempt.overdue or event.took < LATE * attempt.expected
     if event.note is i.CopyNote.LOAD_FAILED or (outcome is i.Outcome.TIMEOUT and short):
--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -12,12 +12,14 @@
 import json
 import logging
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from cedarthread import interface as i
-from cedarthread.core.calls import Attempt, Call, Ending, Progress, broken
+from cedarthread.core.calls import Attempt, Call, Ending, Progress, broken, starved
 from cedarthread.core.planner import Planner
+from cedarthread.net.descriptors import SCARCE
 from cedarthread.net.roster import Listing
 from cedarthread.net.stream import Flusher, Stream
 
@@ -33,7 +35,7 @@
 QUIET = 1.0  # s of silence after which giving an attempt up retires its connection
 IDLE_PART = 0.8  # part of the peer's idle time after which this end closes first
 CROWD = 30  # the most calls of one function that an answer tells of
-_OWN_FAULT = {errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.ENOBUFS}  # a dial that proves nothing
+_LOCAL = SCARCE | {errno.EADDRNOTAVAIL}  # a dial that failed for want of something here proves nothing
 _OUTCOMES = {
     "HIT": i.Outcome.OK,
     "NONE": i.Outcome.MISS,
@@ -135,6 +137,7 @@
         self.spent: set[str] = set()
         self.retired = False
         self.unreached = False  # it never came up, for a reason that lies with the runner
+        self.starved = False  # it never came up, for want of a descriptor or port here
         self.used = self._loop.time()
         self.born = pool.runners.planner.clock()
 
@@ -152,6 +155,10 @@
             return False
         return len(self.open) < self.pool.runners.settings.limits.streams
 
+    def carries_nothing(self) -> bool:
+        """It is up, nothing is open on it, and nothing waits to leave."""
+        return self.transport is not None and not (self.open or self.lines or self.leaving or self.paused)
+
     def put(self, name: str, line: bytes, carries: Attempt | Order) -> None:
         """Queue an attempt or an order."""
         self.used = self._loop.time()
@@ -299,7 +306,10 @@
         self.pool.drop(self)
         carried, self.open = self.open, {}
         for one in carried.values():
-            self.pool.runners.broke(one, unreached=self.unreached)
+            if self.starved:
+                self.pool.runners.starved(one)
+            else:
+                self.pool.runners.broke(one, unreached=self.unreached)
 
     def abort(self) -> None:
         """Close at once, also one that is still being made."""
@@ -326,7 +336,7 @@
     runners: Runners
     listing: Listing
     connections: list[RunnerConnection] = field(default_factory=list)
-    dialling: set[asyncio.Task[None]] = field(default_factory=set)
+    dialling: dict[RunnerConnection, asyncio.Task[None]] = field(default_factory=dict)
 
     def connection(self, name: str) -> RunnerConnection | None:
         """One with room, a new one if need be; None at the process's bound."""
@@ -338,25 +348,45 @@
         connection = RunnerConnection(self)
         self.connections.append(connection)
         task = asyncio.get_running_loop().create_task(self._dial(connection))
-        self.dialling.add(task)
-        task.add_done_callback(self.dialling.discard)
+        self.dialling[connection] = task
+        task.add_done_callback(lambda _: self.dialling.pop(connection, None))
         return connection
 
     async def _dial(self, connection: RunnerConnection) -> None:
-        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self.runners.settings.limits.connect_timeout / 1000.0):
-                await loop.create_connection(lambda: connection, self.listing.host, self.listing.port)
+                await self._connect(connection)
         except (OSError, TimeoutError) as error:
             if not connection.closed:
                 log.info("runner %s not reached: %s", self.listing.name, error or "no connection in time")
-                connection.unreached = getattr(error, "errno", None) not in _OWN_FAULT
+                connection.starved = error.errno in _LOCAL
+                connection.unreached = not connection.starved
                 connection.abort()
 
+    async def _connect(self, connection: RunnerConnection) -> None:
+        """Dial. Where no descriptor is left, what carries nothing gives one back: a call comes before it."""
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                await loop.create_connection(lambda: connection, self.listing.host, self.listing.port)
+                return
+            except OSError as error:
+                if error.errno not in SCARCE or not self.runners.give_back():
+                    raise
+            await asyncio.sleep(0)  # it is closed in the next turn
+
     def drop(self, connection: RunnerConnection) -> None:
-        """A connection is down."""
+        """A connection is down. Guards the count: a dial that nobody waits for would hold its descriptor."""
         if connection in self.connections:
             self.connections.remove(connection)
+        task = self.dialling.get(connection)
+        if task is not None and task is not asyncio.current_task():
+            task.cancel()
+
+    def spare(self) -> RunnerConnection | None:
+        """The one that has carried nothing for longest, of those that close at once."""
+        idle = [c for c in self.connections if c.carries_nothing()]
+        return min(idle, key=lambda c: c.used, default=None)
 
     def retire(self, *, now: bool, until: float = math.inf) -> None:
         """Put no more on the connections begun until then; close them, at once or when they are empty."""
@@ -390,6 +420,7 @@
         self.settings = settings
         self.planner = planner
         self.most = most
+        self.room: Callable[[], bool] = lambda: False  # has others give a descriptor back, where they can
         self.pools: dict[int, Pool] = {}
         self.names: list[str] = []
         self.retune(settings)
@@ -421,20 +452,35 @@
             pool.listing = listing
 
     def may_dial(self) -> bool:
-        """Is there a descriptor left for one more connection?"""
-        if sum(len(pool.connections) for pool in self.pools.values()) < self.most:
+        """Is there a descriptor left for one more connection? At the bound, one that is idle gives way."""
+        if sum(len(pool.connections) for pool in self.pools.values()) < self.most or self._close_spare():
             return True
         log.warning("bound of %d runner connections reached", self.most)
         return False
 
+    def give_back(self) -> bool:
+        """Have a connection that carries nothing closed, a client's or a runner's: its descriptor is free in
+        the next turn. False where there is none."""
+        return self.room() or self._close_spare()
+
+    def _close_spare(self) -> bool:
+        spares = [spare for pool in self.pools.values() if (spare := pool.spare()) is not None]
+        spare = min(spares, key=lambda c: c.used, default=None)
+        if spare is not None:
+            spare.pool.drop(spare)
+            spare.abort()
+        return spare is not None
+
     # What the planner asks for.
 
     def send(self, attempt: Attempt) -> None:
         """Start an attempt."""
         pool = self.pools.get(attempt.worker)
-        connection = pool.connection(attempt.call.name) if pool is not None else None
-        if connection is None:
+        if pool is None:
             return self.planner.ended(attempt, broken(attempt))
+        connection = pool.connection(attempt.call.name)
+        if connection is None:
+            return self.planner.ended(attempt, starved())
         wait = attempt.call.give_up - attempt.at
         line = call_line(attempt.call, self.names[attempt.call.klass], wait)
         if connection.transport is not None:
@@ -513,6 +559,14 @@
         else:
             self.order_done(carried, i.Outcome.RESET, 0)
 
+    def starved(self, carried: Attempt | Order) -> None:
+        """There was no descriptor or port for its connection."""
+        if isinstance(carried, Attempt):
+            self._carrying.pop(carried, None)
+            self.planner.ended(carried, starved())
+        else:
+            self.order_done(carried, i.Outcome.CONNECT_FAILED, 0)
+
     def answered(self, attempt: Attempt, ending: Ending) -> None:
         """The runner's answer to an attempt."""
         self._carrying.pop(attempt, None)
