Each connection is counted as it is accepted, under the system's limit and the file's

Seen, with RLIMIT_NOFILE 128 in the child and 300 idle connections made while it was stopped: EMFILE at accept, asyncio's "out of system resource", then a second of deafness on all listeners, the operators' too; PING was not answered within 10 s, whether `limits.sockets` said 1024 or 128.

Lines at fault: service.py took `limits.sockets` alone, never RLIMIT_NOFILE nor what the process was started with; PlatformFront.listen and ControlFront.listen left accepting to asyncio, which takes up to the backlog (512, 64) in one turn and counts nobody; InvokeFront.admit counted from the end of the TLS handshake on, so that strangers without one held what they liked for 5 s; _make_room counted out a client whose unread answers kept its descriptor open. PlatformFront.drained could say yes while connections still waited to be accepted. Ruled out: linger (counted till lost), the log, the loop (both in what is held at the start), upgrades (the limit is each process's own).

Change: net/descriptors.py shares out the smaller limit; net/acceptor.py takes at most so many a turn, counted before they are brought up, the next batch once these are up, and where no descriptor is left has an idle client give its own and looks again after 50 ms. An operator's address and the invoke API go the same way. Under small limits the parts kept back shrink by one formula, so that 48 descriptors are enough to start (the old reserve wanted over 96). A client that has not read its answers keeps its place and is not closed.

Tests, tests/test_descriptors.py: real descriptors of the process are counted against the book.

--- a/cedarthread/net/control.py
+++ b/cedarthread/net/control.py
@@ -8,13 +8,15 @@
 import logging
 from collections.abc import Callable, Mapping
 
+from cedarthread.net.acceptor import Acceptor, listener
+from cedarthread.net.descriptors import OPERATORS, SMALL_TURN
 from cedarthread.net.stream import Flusher, Stream
 
 log = logging.getLogger("cedarthread.control")
 
 LINE = 256  # bytes of the longest line, its end included
 PROVE = 1.0  # s that a connection has to bring its whole line
-MOST = 16  # connections at once; beyond, the oldest gives way
+MOST = OPERATORS  # connections at once; beyond, the oldest gives way
 BACKLOG = 64
 
 Reply = Callable[[], tuple[bool, list[str]]]  # yes or no, and the lines after the first
@@ -31,7 +33,8 @@
 
     def opened(self) -> None:
         """Count it in, and give it its time."""
-        self.front.admit(self)
+        if not self.front.admit(self):
+            return self.abort()
         self._timer = self._loop.call_later(PROVE, self.refuse, "no whole line in time")
 
     def lost(self) -> None:
@@ -86,29 +89,48 @@
 class ControlFront:
     """The listener at the control address and its few connections."""
 
-    def __init__(self, replies: Mapping[str, Reply], flusher: Flusher) -> None:
+    def __init__(
+        self,
+        replies: Mapping[str, Reply],
+        flusher: Flusher,
+        most: int = MOST,
+        scarce: Callable[[], bool] = lambda: False,
+    ) -> None:
         self.replies = replies
         self.flusher = flusher
+        self.most = most
+        self.scarce = scarce  # has a descriptor given back, where none is left
         self.connections: dict[ControlConnection, None] = {}  # the oldest first
-        self._server: asyncio.Server | None = None
+        self._server: Acceptor[ControlConnection] | None = None
 
-    def admit(self, connection: ControlConnection) -> None:
+    def admit(self, connection: ControlConnection) -> bool:
         """Guards the descriptors: a flood of idle connections costs only its own oldest."""
-        if len(self.connections) >= MOST:
-            oldest = next(iter(self.connections))
-            self.connections.pop(oldest)
+        if connection in self.connections:
+            return True
+        if len(self.connections) >= self.most:
+            oldest = next((c for c in self.connections if c.transport is not None), None)
+            if oldest is None:  # none can be closed yet
+                return False
+            del self.connections[oldest]
             oldest.abort()
         self.connections[connection] = None
+        return True
+
+    def listen(self, host: str, port: int) -> int:
+        """Accept operators; the port that it is. OSError where that can't be."""
+        sock = listener(host, port, BACKLOG)
+        self._server = Acceptor("operators", sock, SMALL_TURN, self._welcome, self._failed, self.scarce)
+        return self._server.port
+
+    def _welcome(self) -> ControlConnection | None:
+        connection = ControlConnection(self)
+        return connection if self.admit(connection) else None
 
-    async def listen(self, host: str, port: int) -> int:
-        """Accept operators; the port that it is."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: ControlConnection(self), host, port, backlog=BACKLOG, reuse_address=True
-        )
-        return int(self._server.sockets[0].getsockname()[1])
+    def _failed(self, connection: ControlConnection) -> None:
+        self.connections.pop(connection, None)
 
     def stop_listening(self) -> None:
         """Accept no more."""
         if self._server is not None:
             self._server.close()
+            self._server = None
--- a/cedarthread/net/invoke.py
+++ b/cedarthread/net/invoke.py
@@ -16,8 +16,6 @@
 import math
 import re
 import secrets
-import socket
-import ssl
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -28,6 +26,8 @@
 from cedarthread.core.deferred import Bounds, Deferred, DeferredCalls
 from cedarthread.core.planner import Planner
 from cedarthread.net import http, spiffe
+from cedarthread.net.acceptor import Acceptor, listener
+from cedarthread.net.descriptors import SMALL_TURN
 from cedarthread.net.http import Response, problem
 from cedarthread.net.invoke_config import InvokeConfig
 from cedarthread.net.stream import Flusher, Stream
@@ -36,6 +36,7 @@
 log = logging.getLogger("cedarthread.invoke")
 
 BODY = 16 * 1024
+BACKLOG = 128
 LONGEST_WAIT = 30.0  # s that a request may ask to be held for
 IDLE = 30.0  # s without a request after which a connection is closed
 SLOW = 10.0  # s that a request may take to arrive
@@ -135,9 +136,7 @@
         """The handshake is done: who is it?"""
         assert self.transport is not None
         if not self.front.admit(self):
-            log.warning(
-                "connection limit %d reached: a caller was turned away", self.front.config.connections
-            )
+            log.warning("connection limit %d reached: a caller was turned away", self.front.most)
             return self.abort()
         tls = self.transport.get_extra_info("ssl_object")
         certificate = tls.getpeercert(binary_form=True) if tls is not None else None
@@ -151,6 +150,12 @@
         if self.call is not None:
             self.front.planner.abandon(self.call)
 
+    def idle(self) -> bool:
+        """It carries nothing: no request, whole or in part, and no response that has not left."""
+        if self.busy or self.began is not None or self.out:
+            return False
+        return self.transport is None or not self.transport.get_write_buffer_size()
+
     def overfull(self) -> None:
         """Requests behind the one at work fill the buffer: read no more till it is done."""
         if self.busy and self.transport is not None:
@@ -338,23 +343,34 @@
         self.flusher = flusher
         self.config = config
         self.ready = True
+        self.most = config.connections  # the budget of descriptors may allow fewer
+        self.scarce: Callable[[], bool] = lambda: False  # has a descriptor given back, where none is left
         self.connections: dict[InvokeConnection, None] = {}  # the least lately used first
         self.store = DeferredCalls(Bounds(), clock)
-        self._listener: socket.socket | None = None
-        self._server: asyncio.Server | None = None
+        self._server: Acceptor[InvokeConnection] | None = None
         self._stamps = config.stamps()
 
     def admit(self, connection: InvokeConnection) -> bool:
-        """Count a connection in. At the limit the one that has been idle longest makes room."""
-        if len(self.connections) >= self.config.connections:
-            idle = next((c for c in self.connections if not c.busy and c.began is None), None)
-            if idle is None:
-                return False
-            del self.connections[idle]
-            idle.close()
+        """Count a connection in, once. At the limit one makes room: one in its handshake, else an idle one,
+        each the oldest."""
+        if connection in self.connections:
+            return True
+        if len(self.connections) >= self.most and not self._make_room():
+            return False
         self.connections[connection] = None
         return True
 
+    def _make_room(self) -> bool:
+        idle = [c for c in self.connections if c.idle()]
+        oldest = min(idle, key=lambda c: c.transport is not None, default=None)
+        if oldest is None:
+            return False
+        del self.connections[oldest]
+        if oldest.transport is None and self._server is not None:
+            self._server.give_up(oldest)
+        oldest.abort()  # a close would wait for the caller's, up to a second, with its descriptor uncounted
+        return True
+
     def admits(self, peer: spiffe.Identity) -> bool:
         """Is the peer let in, now?"""
         if time.time() >= peer.until:
@@ -418,25 +434,20 @@
 
     async def listen(self) -> int:
         """Accept callers; the port that it is."""
-        listener = socket.create_server((self.config.host, self.config.port), backlog=128, reuse_port=True)
-        listener.setblocking(False)
-        self._listener = listener
-        await self._accept(self.config.context())
-        return int(listener.getsockname()[1])
-
-    async def _accept(self, context: ssl.SSLContext) -> None:
-        assert self._listener is not None
-        loop = asyncio.get_running_loop()
-        old = self._server
-        self._server = await loop.create_server(
-            lambda: InvokeConnection(self),
-            sock=self._listener.dup(),
-            ssl=context,
-            ssl_handshake_timeout=5.0,
-            ssl_shutdown_timeout=1.0,
+        sock = listener(self.config.host, self.config.port, BACKLOG, shared=True)
+        context = self.config.context()
+        self._server = Acceptor(
+            "callers", sock, SMALL_TURN, self._welcome, self._failed, self.scarce, tls=context
         )
-        if old is not None:
-            old.close()  # its own copy of the listening socket; connections live on
+        return self._server.port
+
+    def _welcome(self) -> InvokeConnection | None:
+        """One more caller, counted in before its handshake: who never makes one holds a descriptor too."""
+        connection = InvokeConnection(self)
+        return connection if self.admit(connection) else None
+
+    def _failed(self, connection: InvokeConnection) -> None:
+        self.connections.pop(connection, None)
 
     async def reload(self) -> bool:
         """Take up a renewed SVID, bundle or allow-list; the old ones serve on where the new can't be used."""
@@ -447,7 +458,8 @@
             log.error("identities not reloaded, the old ones serve on: %s", error)
             return False
         self.config, self._stamps = config, config.stamps()
-        await self._accept(context)
+        if self._server is not None:
+            self._server.tls = context  # connections live on
         log.info("identities reloaded")
         return True
 
@@ -462,8 +474,7 @@
         """Accept no more."""
         if self._server is not None:
             self._server.close()
-        if self._listener is not None:
-            self._listener.close()
+            self._server = None
 
     def sweep(self, now: float) -> None:
         """End what is idle or slow, and drop answers whose time is up."""
--- a/cedarthread/net/platform.py
+++ b/cedarthread/net/platform.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import fcntl
 import logging
 import math
 import re
-import socket
 import termios
 from functools import lru_cache, partial
 from typing import Any
@@ -16,6 +14,8 @@
 from cedarthread.core.calls import Answer, Call, Failed, Refused, Served, answer_by
 from cedarthread.core.planner import Planner
 from cedarthread.net import msgpack
+from cedarthread.net.acceptor import Acceptor, listener
+from cedarthread.net.descriptors import TURN as ACCEPTED
 from cedarthread.net.stream import Flusher, Stream
 
 log = logging.getLogger("cedarthread.platform")
@@ -25,7 +25,6 @@
 OPEN = 32  # open requests that one connection may carry
 TURN = 32  # messages of one connection that are taken before others have their turn
 PROVE = 2.0  # s that a connection has for its first whole message, and each message for arriving
-CLIENT_PART = 0.5  # part of the descriptors that clients' connections may take
 BACKLOG = 512
 HALF_OPEN = 120.0  # s without a byte or an open call after which a client is taken for gone
 _HEX = re.compile(r"[0-9a-fA-F]{16}\Z")
@@ -286,11 +285,28 @@
             self.linger()
 
 
+def _gives_way(connection: PlatformConnection) -> bool:
+    """It carries nothing and closes at once. Guards the count: one whose answers a slow client has not taken
+    would hold its descriptor uncounted till they have left."""
+    if not connection.idle() or connection.transport is None:
+        return False
+    unsent = connection.out or connection.transport.get_write_buffer_size()
+    return connection.dropping is not None or not unsent
+
+
 class PlatformFront:
     """The listener and its connections."""
 
-    def __init__(self, planner: Planner, most: int, flusher: Flusher, most_queued: int = 32 * 2**20) -> None:
+    def __init__(
+        self,
+        planner: Planner,
+        most: int,
+        flusher: Flusher,
+        most_queued: int = 32 * 2**20,
+        turn: int = ACCEPTED,
+    ) -> None:
         self.planner = planner
+        self.turn = turn  # connections accepted in one turn of the loop at most
         self.most_queued = (
             most_queued  # bytes of answers that slow clients leave here, before calls are refused
         )
@@ -302,23 +318,26 @@
         # Both the least lately used first: those that have asked properly, and those that have not yet.
         self.connections: dict[PlatformConnection, None] = {}
         self.strangers: dict[PlatformConnection, None] = {}
-        self._server: asyncio.Server | None = None
-        self._listener: socket.socket | None = None
-        self._taking: set[asyncio.Task[Any]] = set()  # connections taken from the queue at the end
+        self._server: Acceptor[PlatformConnection] | None = None
+        self._last: Acceptor[PlatformConnection] | None = None  # told to end, it takes what still waits
 
     def admit(self, connection: PlatformConnection) -> bool:
-        """Count a connection in. At the limit one that carries nothing makes room, strangers first."""
-        if len(self.connections) + len(self.strangers) >= self.most and not self._make_room():
+        """Count a connection in, once. At the limit one that carries nothing makes room, strangers first."""
+        if connection in self.strangers or connection in self.connections:
+            return True
+        if len(self.connections) + len(self.strangers) >= self.most and not self.make_room():
             return False
         self.strangers[connection] = None
         return True
 
-    def _make_room(self) -> bool:
-        idle = next((c for c in (*self.strangers, *self.connections) if c.idle()), None)
-        if idle is not None:
-            self.forget(idle)
-            idle.abort() if idle.dropping is not None else idle.close()
-        return idle is not None
+    def make_room(self) -> bool:
+        """Close a connection that carries nothing: its descriptor is free in the next turn. False: all do."""
+        for connection in (*self.strangers, *self.connections):
+            if _gives_way(connection):
+                self.forget(connection)
+                connection.abort() if connection.dropping is not None else connection.close()
+                return True
+        return False
 
     def proved(self, connection: PlatformConnection) -> None:
         """It sent a whole message: it may stay as long as there is room."""
@@ -332,31 +351,20 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Accept clients; the port that it is. A successor may listen on the same address meanwhile."""
-        listener = socket.create_server((host, port), backlog=BACKLOG, reuse_port=True)
-        listener.setblocking(False)
-        self._listener = listener
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._connection, sock=listener, backlog=BACKLOG)
-        return int(listener.getsockname()[1])
+        sock = listener(host, port, BACKLOG, shared=True)
+        self._server = Acceptor("clients", sock, self.turn, self._welcome, self.forget, self.make_room)
+        return self._server.port
 
-    def _connection(self) -> PlatformConnection:
-        return PlatformConnection(self)
+    def _welcome(self) -> PlatformConnection | None:
+        """One more client, counted in before its connection is up: a flood must not outrun the count."""
+        connection = PlatformConnection(self)
+        return connection if self.admit(connection) else None
 
     def stop_listening(self) -> None:
-        """Accept no more. Guards against connections reset unheard: those that wait to be taken are taken."""
-        if self._server is None or self._listener is None:
-            return
-        loop = asyncio.get_running_loop()
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:  # none waits, or no descriptor is left for it
-                break
-            task = loop.create_task(loop.connect_accepted_socket(self._connection, connection))
-            self._taking.add(task)
-            task.add_done_callback(self._taking.discard)
-        self._server.close()
-        self._server = self._listener = None
+        """Accept no more."""
+        if self._server is not None:
+            self._server.end()
+            self._last, self._server = self._server, None
 
     def wind_down(self) -> None:
         """Take no more connections, and close each as soon as it carries nothing: its client goes elsewhere.
@@ -373,12 +381,15 @@
         for connection in [*self.strangers, *self.connections]:
             late = connection.began is not None and now - connection.began > PROVE
             gone = not connection.open and now - connection.last_read > HALF_OPEN
-            if connection.dropping is None and not connection.waits and (late or gone):
+            up = connection.transport is not None and connection.dropping is None
+            if up and not connection.waits and (late or gone):
                 log.info("connection closed: nothing whole came in time")
                 connection.end()
 
     def drained(self) -> bool:
-        """All answers have left this process."""
+        """All answers have left this process, and all that waited to be accepted has been."""
+        if self._last is not None and not self._last.done():
+            return False
         every = (*self.strangers, *self.connections)
         transports = [c.transport for c in every if not c.closed and c.transport is not None]
         queued = any(c.out for c in every)
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -14,9 +14,10 @@
 
 from cedarthread.config import Config, ConfigError
 from cedarthread.core.planner import FIGURES, Planner
+from cedarthread.net import descriptors
 from cedarthread.net.control import ControlFront
 from cedarthread.net.peers import Peers
-from cedarthread.net.platform import CLIENT_PART, PlatformFront
+from cedarthread.net.platform import PlatformFront
 from cedarthread.net.resolver import Resolver
 from cedarthread.net.roster import Listing, Roster
 from cedarthread.net.runners import Runners
@@ -40,7 +41,6 @@
 EARLY = 0.1  # s by which a look may come early, where the process is awake to ask the resolver
 REJOIN = 0.5  # s between tries to listen for other routers
 REPORT = 10.0  # s between log lines on the calls
-RESERVED = 48  # descriptors kept for the log, the loop, listeners and the resolver
 
 
 class Service:
@@ -61,21 +61,26 @@
         room = max(config.memory - BASE, config.memory // 4)
         life = secrets.randbits(64)  # the configured seed may be the same at each start
         self.planner = Planner(config.settings, config.seed, held=int(BODIES * room), life=life)
-        clients = int(config.sockets * CLIENT_PART)
-        callers = invoke.connections if invoke is not None else 0
-        most = config.sockets - clients - callers - RESERVED
-        if most < 1:
-            raise ValueError(f"{config.sockets} descriptors leave none for runners")
+        self.budget = budget = descriptors.share_out(
+            config.sockets,
+            invoke.connections if invoke is not None else 0,
+            descriptors.real_limit(),
+            descriptors.open_now(),
+        )
         self.flusher = Flusher()
         self.planner.turn_done = self.flusher.run
-        self.runners = Runners(config.settings, self.planner, most, self.flusher)
+        self.runners = Runners(config.settings, self.planner, budget.runners, self.flusher)
         self.planner.workers = self.runners
-        self.platform = PlatformFront(self.planner, clients, self.flusher, int(QUEUED * room))
+        queued = int(QUEUED * room)
+        self.platform = PlatformFront(self.planner, budget.clients, self.flusher, queued, budget.turn)
         self.invoke = self._front(invoke) if invoke is not None else None
         self.peers: Peers | None = None
         self.roster = Roster(config.settings)
         self.resolver = Resolver(lambda serial, told: self.news(serial, told, whole=True), self._beat)
-        self.control = ControlFront({"PING": self._ping, "INFO": self._info}, self.flusher)
+        replies = {"PING": self._ping, "INFO": self._info}
+        room_made = self.platform.make_room
+        self.control = ControlFront(replies, self.flusher, budget.operators, room_made)
+        self.runners.room = room_made
         self.serving = False  # the known list is taken up and the clients' port listens
         self.loads = self.load_errors = 0  # settings files taken and turned down at SIGHUP
         self.port = self.invoke_port = self.control_port = 0  # what is listened on, once started
@@ -87,7 +92,9 @@
     def _front(self, invoke: InvokeConfig) -> InvokeFront:
         from cedarthread.net.invoke import InvokeFront  # TLS and certificates: not loaded where it is off
 
-        return InvokeFront(self.planner, invoke, self.flusher)
+        front = InvokeFront(self.planner, invoke, self.flusher)
+        front.most, front.scarce = self.budget.callers, self.platform.make_room
+        return front
 
     def news(self, serial: int, told: list[Listing], *, whole: bool) -> None:
         """Pass news of the runners on."""
@@ -146,7 +153,7 @@
     async def start(self) -> None:
         """Take up the known list, listen, and follow the resolver."""
         if self.config.control is not None:
-            self.control_port = await self.control.listen(*self.config.control)
+            self.control_port = self.control.listen(*self.config.control)
         for number, told in self.config.known:
             self.news(number, list(told), whole=self.roster.version < 0)
         self.resolver.serial = self.roster.version
@@ -160,6 +167,7 @@
             await self.resolver.start(*self.config.resolver)
         self.serving = True
         log.info("serving as %s on port %d", self.config.name, self.port)
+        self._tell_budget()
         # What stands now stands till the end: without it in the collector's lists, its pauses stay short.
         gc.collect()
         gc.freeze()
@@ -170,6 +178,15 @@
         if self.invoke is not None:
             loop.call_later(RENEW, self._look)
 
+    def _tell_budget(self) -> None:
+        parts, told = self.budget, self.config.sockets
+        if parts.limit < told:
+            log.warning("descriptors: the system allows %d, the configuration says %d", parts.limit, told)
+        log.info(
+            "descriptors: %d, of them clients %d, callers %d, runners %d, kept back %d",
+            *(parts.limit, parts.clients, parts.callers, parts.runners, parts.kept),
+        )
+
     async def _join(self) -> None:
         """Talk to the other routers, where the settings allow it and it is told where they are."""
         told = self.config.peers
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -3,15 +3,219 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import errno
+import json
 import os
+import re
+import resource
+import signal
 import socket
-from collections.abc import Awaitable, Callable
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from contextlib import asynccontextmanager
+from pathlib import Path
 from typing import Any
 
-from cedarthread.standins.scripted import Runner, client, service
+import pytest
+
+from cedarthread.core.calls import Served
+from cedarthread.net import descriptors
+from cedarthread.net.platform import pack_answer
+from cedarthread.standins.resolver import Listed, ResolverServer
+from cedarthread.standins.scripted import Client, Runner, ask, client, hit, pack_call, service
 from cedarthread.standins.settings import SETTINGS
+from tests.test_invoke import DESK, PATH, Authority, Caller, authority, config
+from tests.test_process import ROOT, write_config
+
+__all__ = ["authority"]  # a fixture
+CHECK = b"\x94\x00\x01\xa5check\x91\x80"  # a health check: a whole message that leaves nothing open
+FEW = 128  # descriptors of the processes here
+
+
+# The budget.
+
+
+@pytest.mark.parametrize("limit", [48, 64, 96, 128, 200, 256, 512, 1024, 4096, 65536])
+@pytest.mark.parametrize("callers", [0, 128])
+def test_the_parts_never_come_to_more_than_the_smaller_limit(limit: int, callers: int) -> None:
+    for configured, real in ((limit, 2**31), (2**31, limit)):
+        one = descriptors.share_out(configured, callers if limit >= 96 else 0, real, held=6)
+        assert one.limit == limit and one.clients + one.callers + one.runners + one.kept == limit
+        assert one.clients >= limit // 3, "clients may hold a third of the limit"
+        assert min(one.runners, one.operators, one.turn) >= 1
+        crossing = one.turn + one.operators
+        assert one.kept >= 6 + crossing + descriptors.RESOLVER + descriptors.PEERS + descriptors.FILES
+
+
+def test_what_the_process_was_started_with_is_not_given_out_twice() -> None:
+    less = descriptors.share_out(1024, 0, 1024, held=106).runners
+    assert descriptors.share_out(1024, 0, 1024, held=6).runners - less == 100
+    with pytest.raises(ValueError, match="40 descriptors leave none for runners"):
+        descriptors.share_out(1024, 0, 40, held=6)
+
+
+def test_the_real_limit_is_read_and_not_changed() -> None:
+    before = resource.getrlimit(resource.RLIMIT_NOFILE)
+    assert descriptors.real_limit() == before[0] and resource.getrlimit(resource.RLIMIT_NOFILE) == before
+    with socket.socket():
+        assert descriptors.open_now() == len(os.listdir("/proc/self/fd")) - 1
+
+
+# Processes, each with a limit of its own.
+
+
+class Discovery:
+    """A resolver that holds its replies till it is let go."""
+
+    def __init__(self, *runners: Listed) -> None:
+        self.runners, self.told, self.asked = runners, False, asyncio.Event()
+        self.server = ResolverServer(self._tells, "room-a")
+
+    def _tells(self) -> tuple[int, tuple[Listed, ...]] | None:
+        self.asked.set()
+        return (2, self.runners) if self.told else None
+
+    async def next(self) -> None:
+        """Till it is asked once more."""
+        self.asked.clear()
+        async with asyncio.timeout(10):
+            await self.asked.wait()
+
+
+class Router:
+    """A process of the program, with what it logs."""
+
+    def __init__(self, process: asyncio.subprocess.Process, folder: Path) -> None:
+        self.process, self.folder, self.lines = process, folder, list[str]()
+        self.more, self.port = asyncio.Event(), 0
+        self._reading = asyncio.create_task(self._read())
+
+    async def _read(self) -> None:
+        assert self.process.stderr is not None
+        while line := await self.process.stderr.readline():
+            self.lines.append(line.decode())
+            self.more.set()
+        self.lines.append("(ended)")
+        self.more.set()
+
+    async def says(self, pattern: str, seconds: float = 30.0) -> re.Match[str]:
+        """A line of its log, past or to come."""
+        at = 0
+        async with asyncio.timeout(seconds):
+            while True:
+                for line in self.lines[at:]:
+                    if (found := re.search(pattern, line)) is not None:
+                        return found
+                    assert line != "(ended)", "".join(self.lines)
+                at = len(self.lines)
+                self.more.clear()
+                await self.more.wait()
+
+    def open(self) -> set[int]:
+        """Its descriptors, as the system counts them."""
+        return set(map(int, os.listdir(f"/proc/{self.process.pid}/fd")))
+
+    async def holds(self, count: int) -> None:
+        """Till so many are open: the book and the system agree to the last one."""
+        async with asyncio.timeout(10):
+            while len(self.open()) != count:
+                await asyncio.sleep(0.01)
+
+    def control(self) -> int:
+        return int(json.loads((self.folder / "config.json").read_text())["control"].rpartition(":")[2])
+
+    async def control_says(self, line: bytes) -> list[str]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.control())
+        writer.write(line)
+        async with asyncio.timeout(10):
+            told = (await reader.read()).decode().splitlines()
+        writer.transport.abort()
+        return told
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    def log(self) -> str:
+        return "".join(self.lines)
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def configure(folder: Path, **changes: Any) -> None:
+    folder.mkdir(exist_ok=True)
+    write_config(folder)
+    told = json.loads((folder / "config.json").read_text())
+    told |= {"control": f"127.0.0.1:{free_port()}", "known": {"n": 0, "events": []}} | changes
+    (folder / "config.json").write_text(json.dumps(told))
+
+
+async def start(folder: Path, few: int | None = None, inherited: Sequence[int] = ()) -> Router:
+    def lower() -> None:  # in the child alone
+        if few is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (few, resource.getrlimit(resource.RLIMIT_NOFILE)[1]))
+
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "cedarthread",
+        cwd=ROOT,
+        env=os.environ | {"BALANCER_CONFIG": str(folder / "config.json"), "BALANCER_NAME": "n3"},
+        stderr=asyncio.subprocess.PIPE,
+        preexec_fn=lower,
+        pass_fds=inherited,
+    )
+    return Router(process, folder)
+
+
+@asynccontextmanager
+async def router(
+    folder: Path, few: int | None = None, inherited: Sequence[int] = (), **changes: Any
+) -> AsyncIterator[Router]:
+    configure(folder, **changes)
+    running = await start(folder, few, inherited)
+    try:
+        running.port = int((await running.says(r"serving as n3 on port (\d+)"))[1])
+        yield running
+    finally:
+        await end(running)
+
+
+async def end(running: Router) -> None:
+    with contextlib.suppress(ProcessLookupError):
+        running.process.send_signal(signal.SIGCONT)
+        running.process.kill()
+    await running.process.wait()
+    await running._reading
+
+
+async def flood(running: Router, count: int, data: bytes = CHECK) -> list[socket.socket]:
+    """So many connections that all wait when the process next looks: it stands still while they are made."""
+    running.process.send_signal(signal.SIGSTOP)
+    while "T" not in Path(f"/proc/{running.process.pid}/stat").read_text().rpartition(")")[2].split()[0]:
+        await asyncio.sleep(0)
+    made = []
+    for _ in range(count):
+        one = socket.create_connection(("127.0.0.1", running.port))
+        one.sendall(data)
+        one.setblocking(False)
+        made.append(one)
+    running.process.send_signal(signal.SIGCONT)
+    return made
+
+
+async def settled(made: list[socket.socket]) -> None:
+    """Till each of them has an answer or its end."""
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(20):
+        for one in made:
+            with contextlib.suppress(ConnectionError):
+                await loop.sock_recv(one, 1)
 
 
 def close(made: list[socket.socket]) -> None:
@@ -27,6 +231,129 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize(("configured", "real"), [(1024, FEW), (FEW, FEW)])
+def test_idle_clients_to_the_limit_leave_the_resolver_the_runners_and_the_operators(
+    tmp_path: Path, configured: int, real: int
+) -> None:
+    """The budget went by the configured figure alone, and a burst was accepted before anybody counted it."""
+
+    async def test() -> None:
+        runner, moved = Runner(), Runner()
+        await runner.start()
+        await moved.start()
+        old, new = (Discovery(Listed(f"s-{n:08x}", one.port)) for n, one in ((1, runner), (2, moved)))
+        await old.server.start()
+        await new.server.start()
+        limits = {"cores": 1.0, "memory_mb": 192, "sockets": configured}
+        dns = f"127.0.0.1:{old.server.port}"
+        async with router(tmp_path, real, limits=limits, dns=dns) as running:
+            await old.next()
+            quiet = len(running.open())
+            held = await flood(running, 300)
+            assert await running.control_says(b"PING\n") == ["YES"]
+            await old.next()
+            await settled(held)
+            await running.holds(quiet + FEW // 2)  # clients hold what is theirs and no more
+            assert await running.control_says(b"PING\n") == ["YES"]
+
+            # Discovery comes back: the list is taken, and a new client's call runs over a new connection.
+            old.told = True
+            await running.says("news 2, 1 changed")
+            caller = await running.client()
+            assert await caller.call(1, "confirm", b"x") == [1, 1, None, [b"X", {}]]
+            assert len(runner.calls) == 1
+            await running.holds(quiet + FEW // 2 + 1)  # one of the idle has made room for the caller
+            assert await running.control_says(b"PING\n") == ["YES"]
+
+            # A second flood, and while all is full discovery moves.
+            old.told, new.told = False, True
+            held += await flood(running, 300)
+            file = tmp_path / "config.json"
+            file.write_text(
+                json.dumps(json.loads(file.read_text()) | {"dns": f"127.0.0.1:{new.server.port}"})
+            )
+            running.process.send_signal(signal.SIGHUP)
+            await new.next()
+            assert await running.control_says(b"PING\n") == ["YES"]
+            assert len(running.open()) < FEW
+            assert "out of system resource" not in running.log() and "no descriptor left" not in running.log()
+            close(held)
+        for one in (runner, moved):
+            one.stop()
+        old.server.stop()
+        new.server.stop()
+
+    run(test)
+
+
+def test_where_the_system_has_no_descriptor_left_idle_clients_give_theirs(tmp_path: Path) -> None:
+    """The book may be wrong, as where the limit is lowered under it: calls and PING come before idle ones."""
+
+    async def test() -> None:
+        runner = Runner()
+        await runner.start()
+        found = Discovery(Listed("s-00000001", runner.port))
+        found.told = True
+        await found.server.start()
+        async with router(tmp_path, FEW, dns=f"127.0.0.1:{found.server.port}") as running:
+            await running.says("news 2, 1 changed")
+            held = await flood(running, 40)
+            await settled(held)
+            top = max(running.open()) + 1
+            assert top == len(running.open()), "numbered without a gap: not one more can be had"
+            _, hard = resource.prlimit(running.process.pid, resource.RLIMIT_NOFILE)
+            resource.prlimit(running.process.pid, resource.RLIMIT_NOFILE, (top, hard))
+            caller = await running.client()
+            assert await caller.call(1, "confirm", b"x") == [1, 1, None, [b"X", {}]]
+            assert await running.control_says(b"PING\n") == ["YES"]
+            told = await running.control_says(b"INFO\n")
+            assert "router.skipped_runners=0" in told and "router.handled.confirm.upstream_tries=1" in told
+            assert len(running.open()) <= top
+            close(held)
+        runner.stop()
+        found.server.stop()
+
+    run(test)
+
+
+def test_what_the_process_inherits_is_in_its_book(tmp_path: Path) -> None:
+    async def test() -> None:
+        told = r"descriptors: 128, of them clients 64, callers 0, runners (\d+), kept back (\d+)"
+        async with router(tmp_path, FEW) as running:
+            alone = await running.says(told)
+            assert len(running.open()) < int(alone[2])
+        extra = [socket.socket() for _ in range(10)]
+        async with router(tmp_path, FEW, [one.fileno() for one in extra]) as running:
+            more = await running.says(told)
+            assert int(more[2]) == int(alone[2]) + 10 and int(more[1]) == int(alone[1]) - 10
+        close(extra)
+
+    run(test)
+
+
+def test_a_flood_at_the_operators_address_leaves_their_questions_answered() -> None:
+    """All wait when the loop next looks; a batch that is not up yet can't make room for the next."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with service(Runner()) as running:
+            running.control.most = descriptors.SMALL_TURN
+            before = len(os.listdir("/proc/self/fd"))
+            made = [socket.create_connection(("127.0.0.1", running.control_port)) for _ in range(61)]
+            made[-1].sendall(b"PING\n")
+            made[-1].setblocking(False)
+            async with asyncio.timeout(10):
+                assert await loop.sock_recv(made[-1], 64) == b"YES\n"
+            most = running.control.most + descriptors.SMALL_TURN
+            assert len(os.listdir("/proc/self/fd")) - before - len(made) <= most
+            close(made)
+
+    run(test)
+
+
+# Parts of it, in this process.
+
+
 def test_a_dial_without_a_descriptor_blames_no_runner() -> None:
     """Two in a row opened the runner's circuit breaker."""
 
@@ -51,6 +378,31 @@
     run(test)
 
 
+def test_a_dial_without_a_descriptor_takes_that_of_an_idle_client() -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        runner, failed = Runner(), 0
+        async with service(runner) as running, client(running) as idle, client(running) as caller:
+            idle.writer.write(CHECK)
+            assert (await idle.read())[3][0] is True
+            dial = loop.create_connection
+
+            async def once(*told: Any, **more: Any) -> Any:
+                nonlocal failed
+                if not failed:
+                    failed += 1
+                    raise OSError(errno.EMFILE, "too many")
+                return await dial(*told, **more)
+
+            loop.create_connection = once  # type: ignore[method-assign]
+            assert await caller.call(1, "confirm", b"x") == [1, 1, None, [b"X", {}]]
+            assert failed == 1 and await idle.read() is None, "it made room"
+            told = await ask(running, b"INFO\n")
+            assert "router.upstream_tries=1" in told
+
+    run(test)
+
+
 def test_at_the_bound_an_idle_connection_to_a_runner_gives_way() -> None:
     async def test() -> None:
         runners = [Runner(), Runner(), Runner()]
@@ -94,3 +446,71 @@
             close(fill)
 
     run(test)
+
+
+def test_one_that_has_not_read_its_answers_is_not_closed_uncounted() -> None:
+    """Its descriptor stayed till it had read them, beyond the limit: it holds its place instead."""
+
+    def long(runner: Runner, message: dict[str, Any]) -> dict[str, Any] | None:
+        return hit(runner, message) | {"body": "QUJD" * 65536}
+
+    async def test() -> None:
+        async with service(Runner(long)) as running, client(running) as slow:
+            platform = running.platform
+            platform.most = 1
+            for number in range(1, 33):
+                slow.writer.write(pack_call(number, "check", b"x"))
+            slow.reader._transport.pause_reading()  # type: ignore[attr-defined]
+            while not [c for c in platform.connections if not c.open and c.paused and not c.waits]:
+                await asyncio.sleep(0)
+            async with client(running) as other:
+                assert await other.read() is None, "turned away"
+            assert len(platform.connections) == 1
+            slow.reader._transport.resume_reading()  # type: ignore[attr-defined]
+            whole = sum(len(pack_answer(n, Served(b"ABC" * 65536))) for n in range(1, 33))
+            async with asyncio.timeout(10):
+                assert len(await slow.reader.readexactly(whole)) == whole, "and every answer comes"
+
+    run(test)
+
+
+def test_callers_that_never_make_a_handshake_hold_no_more_than_is_theirs(authority: Authority) -> None:
+    """They were counted from the end of the handshake on, so that these took every descriptor there was."""
+
+    async def test() -> None:
+        told = dataclasses.replace(config(authority), connections=4)
+        async with service(Runner(), invoke=told) as running:
+            assert running.invoke is not None
+            before = len(os.listdir("/proc/self/fd"))
+            silent = [socket.create_connection(("127.0.0.1", running.invoke_port)) for _ in range(40)]
+            async with Caller(running, authority.caller(DESK)) as desk:
+                assert (await desk.ask("POST", PATH + "check", b"a"))[2] == b"A"
+                most = before + len(silent) + 4 + 2  # and the caller's own, and the runner's two ends
+                assert len(os.listdir("/proc/self/fd")) <= most + 1
+                assert len(running.invoke.connections) <= 4
+            close(silent)
+
+    run(test)
+
+
+def test_what_waits_to_be_accepted_at_the_end_is_taken_over_as_many_turns_as_it_needs() -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with service(Runner()) as running:
+            made = [
+                socket.create_connection(("127.0.0.1", running.port)) for _ in range(3 * descriptors.TURN)
+            ]
+            for one in made:
+                one.sendall(CHECK)
+                one.setblocking(False)
+            running.platform.stop_listening()
+            assert not running.platform.drained(), "the process may not end yet"
+            async with asyncio.timeout(10):
+                assert all([await loop.sock_recv(one, 64) for one in made]), "each was answered"
+                while not running.platform.drained():
+                    await asyncio.sleep(0)
+            with pytest.raises(ConnectionRefusedError):
+                socket.create_connection(("127.0.0.1", running.port))
+            close(made)
+
+    run(test)
