A start waits for no resolver, and a move to a new one is tried till it can be made

Seen: a `dns` address to which no socket can be connected (EACCES) ended the start with 1; so did an operators' address still held by the old process. A SIGHUP that moved discovery while no descriptor was left was forgotten after one log line, and the old address was asked for good.

Lines at fault: Service.start awaited Resolver.start, whose OSError ended the program (and whose look-up of a host name it would have waited for); Service._follow tried once; ControlFront.listen's error went up; Resolver._ask set its timer after sending, and had no connection_lost, so that one failing socket ended discovery without a word. Ruled out: a resolver that is silent (the start never waited for a reply; the ten processes of the readiness test pass on the code before too), an empty known list, the peers' port (_join tries again), the clients' port (shared by SO_REUSEPORT with the old process).

Change: Resolver.follow tries each polling period until there is a socket, and has idle ones give theirs where none is left; the old address is asked meanwhile. The operators' address is tried twice a second.

Tests, tests/test_descriptors.py: the two on the start were run on the code before, and the two on the resolver's socket on this code without the mend: they fail.

--- a/cedarthread/net/resolver.py
+++ b/cedarthread/net/resolver.py
@@ -12,6 +12,7 @@
 
 from cedarthread import interface as i
 from cedarthread.net import dns
+from cedarthread.net.descriptors import SCARCE
 from cedarthread.net.roster import Listing
 
 log = logging.getLogger("cedarthread.resolver")
@@ -50,9 +51,15 @@
     """Polls, and tells the serial and the list of each usable reply."""
 
     def __init__(
-        self, tell: Callable[[int, list[Listing]], None], beat: Callable[[], None] = lambda: None
+        self,
+        tell: Callable[[int, list[Listing]], None],
+        beat: Callable[[], None] = lambda: None,
+        scarce: Callable[[], bool] = lambda: False,
     ) -> None:
         self.tell, self.beat = tell, beat  # ``beat`` is told of each query: the process is awake then
+        self.scarce = scarce  # has a descriptor given back, where none is left
+        self._address: tuple[str, int] | None = None  # what is followed
+        self._following: asyncio.Task[None] | None = None
         self.serial = -1
         self.usable = 0.0  # loop time of the last usable reply
         self._asked: deque[int] = deque(maxlen=ASKED)
@@ -66,19 +73,44 @@
         """Begin to ask, or go on asking at another address: numbers go on, and the last good list holds."""
         await self._loop.create_datagram_endpoint(lambda: self, remote_addr=(host, port))
 
+    def follow(self, host: str, port: int) -> None:
+        """Ask there as soon as that can be, and try till then; an older address is asked meanwhile.
+
+        Guards the start and a reload: neither waits for the resolver, nor fails by it."""
+        self._leave()
+        self._address = (host, port)
+        self._following = self._loop.create_task(self._reach(host, port))
+
+    async def _reach(self, host: str, port: int) -> None:
+        told = False
+        while True:
+            try:
+                return await self.start(host, port)
+            except OSError as error:
+                if not told:
+                    log.error("resolver at %s:%d can't be asked yet: %s", host, port, error)
+                told = True
+                made = error.errno in SCARCE and self.scarce()
+            await asyncio.sleep(0.0 if made else PERIOD)
+
+    def _leave(self) -> None:
+        if self._following is not None:
+            self._following.cancel()
+            self._following = None
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The socket is there: it takes the place of an older one, whose replies count no more."""
-        self.stop()
+        self._silence()
         self._asked.clear()
         self._transport = cast(asyncio.DatagramTransport, transport)
         self._ask()
 
     def _ask(self) -> None:
         assert self._transport is not None
+        self._timer = self._loop.call_later(PERIOD, self._ask)  # first: whatever fails here, it asks again
         number = self._random.randrange(1 << 16)
         self._asked.append(number)
         self._transport.sendto(dns.query(number, NAME))
-        self._timer = self._loop.call_later(PERIOD, self._ask)
         self.beat()
 
     def datagram_received(self, data: bytes, addr: object) -> None:
@@ -109,8 +141,20 @@
         """Nobody there: the next query tries again."""
         log.debug("resolver not reached: %s", exc)
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The socket is gone: with an error, it was not closed here, and there has to be another."""
+        if exc is not None and self._address is not None:
+            log.warning("resolver's socket lost: %s", exc)
+            self._silence()
+            self.follow(*self._address)
+
     def stop(self) -> None:
         """Ask no more."""
+        self._leave()
+        self._address = None
+        self._silence()
+
+    def _silence(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
         if self._transport is not None:
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -7,6 +7,7 @@
 import logging
 import secrets
 import signal
+import socket
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from pathlib import Path
@@ -39,7 +40,7 @@
 BODIES, QUEUED = 0.3, 0.2  # parts of the rest for the bodies of open calls, and for answers not yet read
 SWEEP = 0.25  # s between looks for what has been idle or silent
 EARLY = 0.1  # s by which a look may come early, where the process is awake to ask the resolver
-REJOIN = 0.5  # s between tries to listen for other routers
+RETRY = 0.5  # s between tries to listen for other routers, and for operators
 REPORT = 10.0  # s between log lines on the calls
 
 
@@ -76,7 +77,9 @@
         self.invoke = self._front(invoke) if invoke is not None else None
         self.peers: Peers | None = None
         self.roster = Roster(config.settings)
-        self.resolver = Resolver(lambda serial, told: self.news(serial, told, whole=True), self._beat)
+        self.resolver = Resolver(
+            lambda serial, told: self.news(serial, told, whole=True), self._beat, self.runners.give_back
+        )
         replies = {"PING": self._ping, "INFO": self._info}
         room_made = self.platform.make_room
         self.control = ControlFront(replies, self.flusher, budget.operators, room_made)
@@ -152,8 +155,7 @@
 
     async def start(self) -> None:
         """Take up the known list, listen, and follow the resolver."""
-        if self.config.control is not None:
-            self.control_port = self.control.listen(*self.config.control)
+        self._operate()
         for number, told in self.config.known:
             self.news(number, list(told), whole=self.roster.version < 0)
         self.resolver.serial = self.roster.version
@@ -164,7 +166,7 @@
         self._declare()
         await self._join()
         if self.config.resolver is not None:
-            await self.resolver.start(*self.config.resolver)
+            self.resolver.follow(*self.config.resolver)
         self.serving = True
         log.info("serving as %s on port %d", self.config.name, self.port)
         self._tell_budget()
@@ -187,6 +189,20 @@
             *(parts.limit, parts.clients, parts.callers, parts.runners, parts.kept),
         )
 
+    def _operate(self, *, told: bool = False) -> None:
+        """Listen for operators. Where that can't be, calls are served without, and it is tried again."""
+        if self.config.control is None or self._ending.is_set():
+            return
+        try:
+            self.control_port = self.control.listen(*self.config.control)
+        except socket.gaierror:  # a name that is none: it would be looked up, and waited for, at each try
+            raise
+        except OSError as error:
+            if not told:
+                host, port = self.config.control
+                log.error("no operators' address: %s:%d can't be listened on yet: %s", host, port, error)
+            asyncio.get_running_loop().call_later(RETRY, lambda: self._operate(told=True))
+
     async def _join(self) -> None:
         """Talk to the other routers, where the settings allow it and it is told where they are."""
         told = self.config.peers
@@ -201,7 +217,7 @@
                 log.error("no talk with other routers: %s:%d can't be listened on: %s", *told.listen, error)
             self.peers, self._unjoined = None, True
             loop = asyncio.get_running_loop()
-            loop.call_later(REJOIN, lambda: self._background(self._join()))
+            loop.call_later(RETRY, lambda: self._background(self._join()))
             return
         self._unjoined = False
         self.planner.tell = self.peers.send
@@ -259,7 +275,7 @@
         log.info("configuration reloaded: classes %s", ", ".join(k.name for k in told.settings.classes))
         if told.resolver is not None:
             log.info("resolver at %s:%d", *told.resolver)
-            self._background(self._follow(told.resolver))
+            self.resolver.follow(*told.resolver)
 
     def _declare(self) -> None:
         """Read the fleet's file, whole: what is new in it is declared here and told to all."""
@@ -282,12 +298,6 @@
             self.disk = Disk(told.disk, keeping, self.planner.clock, self.config.seed)
         log.info("fleet file read: %d contracts, %d windows", len(told.contract), len(told.freeze))
 
-    async def _follow(self, address: tuple[str, int]) -> None:
-        try:
-            await self.resolver.start(*address)
-        except OSError as error:
-            log.error("resolver at %s:%d can't be asked: %s", *address, error)
-
     def _background(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -23,6 +24,7 @@
 from cedarthread.core.calls import Served
 from cedarthread.net import descriptors
 from cedarthread.net.platform import pack_answer
+from cedarthread.net.resolver import PERIOD, Resolver
 from cedarthread.standins.resolver import Listed, ResolverServer
 from cedarthread.standins.scripted import Client, Runner, ask, client, hit, pack_call, service
 from cedarthread.standins.settings import SETTINGS
@@ -351,6 +353,86 @@
     run(test)
 
 
+# A start that waits for nobody.
+
+
+def test_processes_are_ready_while_the_resolver_says_nothing(tmp_path: Path) -> None:
+    """All at once, all again after a kill, one in ten: each serves before the resolver has said a word."""
+
+    async def test() -> None:
+        silent = Discovery()
+        await silent.server.start()
+        folders = [tmp_path / f"n{n}" for n in range(10)]
+        for folder in folders:
+            configure(folder, dns=f"127.0.0.1:{silent.server.port}")
+        running: dict[int, Router] = {}
+
+        async def ready(number: int) -> float:
+            began = time.monotonic()
+            running[number] = one = await start(folders[number])
+            one.port = int((await one.says(r"serving as n3 on port (\d+)"))[1])
+            served = time.monotonic() - began
+            assert await one.control_says(b"PING\n") == ["YES"]
+            caller = await one.client()
+            caller.writer.write(CHECK)
+            assert await caller.read() == [1, 1, None, [True, {}]]
+            caller.writer.transport.abort()
+            return served
+
+        try:
+            for wave in (range(10), range(10), range(1)):
+                for number in wave:
+                    if number in running:
+                        await end(running[number])
+                took = sorted(await asyncio.gather(*(ready(number) for number in wave)))
+                print(f"{len(took)} started at once: ready after", *(f"{t:.2f}" for t in took), "s")
+                assert took[max(0, len(took) * 9 // 10 - 1)] < 10.0
+        finally:
+            for one in running.values():
+                await end(one)
+        silent.server.stop()
+
+    run(test)
+
+
+def test_a_resolver_that_cannot_be_asked_at_all_does_not_end_the_start(tmp_path: Path) -> None:
+    async def test() -> None:
+        later = Discovery()
+        await later.server.start()
+        # No socket can be connected there, and nothing leaves the machine.
+        async with router(tmp_path, dns="255.255.255.255:53") as running:
+            await running.says("resolver at 255.255.255.255:53 can't be asked yet")
+            file = tmp_path / "config.json"
+            file.write_text(
+                json.dumps(json.loads(file.read_text()) | {"dns": f"127.0.0.1:{later.server.port}"})
+            )
+            running.process.send_signal(signal.SIGHUP)
+            await later.next()
+        later.server.stop()
+
+    run(test)
+
+
+def test_an_operators_address_in_use_is_taken_once_it_is_free(tmp_path: Path) -> None:
+    """The old process may hold it for a while: calls are served all the same."""
+
+    async def test() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as old:
+            async with router(tmp_path, control=f"127.0.0.1:{old.getsockname()[1]}") as running:
+                caller = await running.client()
+                caller.writer.write(CHECK)
+                assert await caller.read() == [1, 1, None, [True, {}]]
+                await running.says("no operators' address: 127.0.0.1:[0-9]+ can't be listened on yet")
+                old.close()
+                while True:
+                    with contextlib.suppress(ConnectionRefusedError):
+                        assert await running.control_says(b"PING\n") == ["YES"]
+                        return
+                    await asyncio.sleep(0.01)
+
+    run(test)
+
+
 # Parts of it, in this process.
 
 
@@ -493,6 +575,64 @@
     run(test)
 
 
+def test_the_resolver_is_asked_once_a_socket_can_be_had() -> None:
+    """A move at which there was none was forgotten: the old address was asked for good."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        endpoint, tries, room = loop.create_datagram_endpoint, 0, 0
+
+        async def scarce(*told: Any, **more: Any) -> Any:
+            nonlocal tries
+            tries += 1
+            if tries == 1:
+                raise OSError(errno.EMFILE, "too many")
+            if tries == 2:
+                raise OSError(errno.ENETUNREACH, "no way there")
+            return await endpoint(*told, **more)
+
+        def give_back() -> bool:
+            nonlocal room
+            room += 1
+            return True
+
+        old, new = Discovery(), Discovery()
+        await old.server.start()
+        await new.server.start()
+        resolver = Resolver(lambda serial, found: None, scarce=give_back)
+        await resolver.start("127.0.0.1", old.server.port)
+        await old.next()
+        loop.create_datagram_endpoint = scarce  # type: ignore[method-assign]
+        began = loop.time()
+        resolver.follow("127.0.0.1", new.server.port)
+        await new.next()
+        assert tries == 3 and room == 1 and loop.time() - began > 0.9 * PERIOD
+        resolver.stop()
+        old.server.stop()
+        new.server.stop()
+
+    run(test)
+
+
+def test_a_socket_to_the_resolver_that_fails_is_replaced() -> None:
+    async def test() -> None:
+        there = Discovery()
+        await there.server.start()
+        resolver = Resolver(lambda serial, found: None)
+        resolver.follow("127.0.0.1", there.server.port)
+        await there.next()
+        assert resolver._transport is not None
+        first = resolver._transport
+        first._fatal_error(RuntimeError("broken"))  # type: ignore[attr-defined]
+        while resolver._transport is first:
+            await asyncio.sleep(0)
+        await there.next()
+        resolver.stop()
+        there.server.stop()
+
+    run(test)
+
+
 def test_what_waits_to_be_accepted_at_the_end_is_taken_over_as_many_turns_as_it_needs() -> None:
     async def test() -> None:
         loop = asyncio.get_running_loop()
