--- a/cedarthread/core/planner.py
+++ b/cedarthread/core/planner.py
@@ -222,6 +222,7 @@
                 ending.crowd,
                 ending.report,
                 ending.unreached,
+                ending.local,
             )
         )
 
--- a/tests/test_endings_debts.py
+++ b/tests/test_endings_debts.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import pytest
 
+from cedarthread.standins.resolver import Listed, ResolverServer
 from cedarthread.standins.scripted import Runner, client, hit, pack_call, says
 from cedarthread.standins.settings import SETTINGS
 from tests.test_endings import INTERRUPT, LONG, fence, mute, pooled, reset, routed, settled, told, until
@@ -92,3 +94,75 @@
             assert len(pooled(running)) == 2
 
     asyncio.run(test())
+
+
+def test_an_idle_client_that_has_not_read_its_answers_makes_no_room() -> None:
+    """Its close waits for it, uncounted: such clients could take every descriptor."""
+
+    async def test() -> None:
+        def long(runner: Runner, message: dict[str, Any]) -> dict[str, Any]:
+            return hit(runner, message) | {"body": "QUFB" * 60_000}
+
+        async with routed(Runner(long)) as (running, caller), client(running) as slow:
+            await fence(slow, 8)
+            [connection] = running.platform.connections
+            slow.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            number = 1
+            while not connection.paused:  # more answers than the sockets take
+                slow.writer.write(pack_call(number, "check", b"x"))
+                await until(lambda: running.planner.counts["served"] == number, "it is served")  # noqa: B023
+                await asyncio.sleep(0)
+                number += 1
+            await fence(caller, 9)  # so the slow one is the least lately used
+            running.platform.most = 2
+            async with client(running) as new:
+                await until(lambda: running.platform.strangers or new.reader.at_eof(), "let in, or not")
+                every = [*running.platform.connections, *running.platform.strangers]
+                assert connection in every or connection.closed, "open, and counted no more"
+
+    asyncio.run(test())
+
+
+def test_of_two_moves_of_the_resolver_the_last_counts(monkeypatch: pytest.MonkeyPatch) -> None:
+    """SIGHUP twice; the first address is slow to look up and comes up last."""
+
+    async def test() -> None:
+        asked: list[str] = []
+
+        def server(name: str) -> ResolverServer:
+            def tells() -> tuple[int, tuple[Listed, ...]] | None:
+                asked.append(name)
+                return None
+
+            return ResolverServer(tells, "room-a")
+
+        first, last = server("first"), server("last")
+        await first.start()
+        await last.start()
+        loop = asyncio.get_running_loop()
+        gate = {first.port: asyncio.Event(), last.port: asyncio.Event()}
+        open_, done = loop.create_datagram_endpoint, list[int]()
+
+        async def held(make: Any, remote_addr: Any = None, **more: Any) -> Any:
+            await gate[remote_addr[1]].wait()
+            made = await open_(make, remote_addr=remote_addr, **more)
+            done.append(remote_addr[1])
+            return made
+
+        async with routed(Runner()) as (running, _):
+            monkeypatch.setattr(loop, "create_datagram_endpoint", held)
+            for port in (first.port, last.port):
+                running.resolver.follow("127.0.0.1", port)
+            gate[last.port].set()
+            await until(lambda: done == [last.port], "the last is there")
+            gate[first.port].set()
+            await asyncio.sleep(0)
+            assert done == [last.port], "the first move was given up"
+            asked.clear()
+            await until(lambda: asked, "the next query")
+            assert set(asked) == {"last"}
+            running.resolver.stop()
+        first.stop()
+        last.stop()
+
+    asyncio.run(test())
