A connection that comes up in the turn that ends its time keeps its call

Cause: Pool._dial held the time to come up until its own task ran, a turn after RunnerConnection.opened had let the waiting call leave; where the time ended between, abort() broke the connection under a call that had just been written, so a confirm failed. Ruled out: longer times (the crossing stays). Change: opened() takes the time off. Measured: the new test of tests/test_endings_debts.py fails without that line, passes with it.

--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -137,6 +137,7 @@
         self.open: dict[str, Attempt | Order] = {}
         self.spent: set[str] = set()
         self.retired = False
+        self.dial: asyncio.Timeout | None = None  # till when it has to come up
         self.unreached = False  # it never came up, for a reason that lies with the runner
         self.starved = False  # it never came up, for want of a descriptor or port here
         self.used = self._loop.time()
@@ -212,6 +213,9 @@
         """The connection is up: what waited for it leaves."""
         if self.closed:  # given up while it was being made
             return super().abort()
+        if self.dial is not None and not self.dial.expired():
+            # Guards a call that is about to be written: the time may be up later in this turn of the loop.
+            self.dial.reschedule(None)
         for line in self.lines:
             self._mark(line, Progress.UNWRITTEN)
         self._drop_overdue()
@@ -385,7 +389,8 @@
 
     async def _dial(self, connection: RunnerConnection) -> None:
         try:
-            async with asyncio.timeout(self.runners.settings.limits.connect_timeout / 1000.0):
+            limit = self.runners.settings.limits.connect_timeout / 1000.0
+            async with asyncio.timeout(limit) as connection.dial:
                 await self._connect(connection)
         except (OSError, TimeoutError) as error:
             if not connection.closed:
--- a/tests/test_endings_debts.py
+++ b/tests/test_endings_debts.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cedarthread.net.runners import RunnerConnection
 from cedarthread.standins.resolver import Listed, ResolverServer
 from cedarthread.standins.scripted import Runner, client, hit, pack_call, says
 from cedarthread.standins.settings import SETTINGS
@@ -166,3 +167,25 @@
         last.stop()
 
     asyncio.run(test())
+
+
+def test_a_connection_that_comes_up_in_the_turn_that_ends_its_time_carries_its_call(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The time to come up ends right after the connection is there, before asyncio has told its dial so."""
+
+    async def test() -> None:
+        opened = RunnerConnection.opened
+
+        def late(connection: RunnerConnection) -> None:
+            opened(connection)
+            assert connection.dial is not None
+            if (when := connection.dial.when()) is not None:  # its time is up now
+                connection.dial.reschedule(when - 3600.0)
+
+        monkeypatch.setattr(RunnerConnection, "opened", late)
+        async with routed(Runner()) as (running, caller):
+            assert told(await caller.call(1, "confirm", b"x")) == "served"
+            assert len(pooled(running)) == 1 and not pooled(running)[0].closed
+
+    asyncio.run(test())
