A send that never left costs no retry budget and blames no runner

Cause: RunnerConnection.call_off ended what was taken back as CONNECT_FAILED, which health.blame counts as a broken connection: two clients that left while a connection came up had its runner set aside. A move whose client left in the same turn (Planner._send, MOOT), or that was taken back, had spent a retry of the budget of all (Router._move). Change: AttemptEnded.local, known from descriptors, says that nothing left; such an end is no symptom and pays back what the move cost.

--- a/cedarthread/core/calls.py
+++ b/cedarthread/core/calls.py
@@ -114,7 +114,7 @@
     crowd: int | None = None
     report: tuple[float | None, ...] = ()
     unreached: bool = False  # no connection to the worker came up
-    local: bool = False  # for want of a descriptor or port in this process: it says nothing of the worker
+    local: bool = False  # nothing left, for a cause in this process: it says nothing of the worker
 
 
 def broken(attempt: Attempt, *, unreached: bool = False) -> Ending:
@@ -123,8 +123,9 @@
     return Ending(outcome, unreached=unreached)
 
 
-def starved() -> Ending:
-    """The end of an attempt for which this process had no descriptor or port: nothing was sent."""
+def unsent() -> Ending:
+    """The end of an attempt that was taken back before any of it left, or for which this process had no
+    descriptor or port: it says nothing of the worker."""
     return Ending(i.Outcome.CONNECT_FAILED, local=True)
 
 
--- a/cedarthread/core/planner.py
+++ b/cedarthread/core/planner.py
@@ -336,7 +336,7 @@
         # attempt all the same.
         over = call.settled or call.closing or now >= call.give_up
         if over or out or len(call.attempts) > most:
-            self.ended(attempt, Ending(i.Outcome.MOOT))
+            self.ended(attempt, Ending(i.Outcome.MOOT, local=True))
         else:
             self._ways().send(attempt)
 
--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -480,6 +480,7 @@
         attempt = Attempt(
             view.entry, self.now, expected, job.key, cold, view.broken, function.service.count > 0
         )
+        attempt.cost, job.cost = job.cost, 0.0
         job.attempts.append(attempt)
         view.pending += 1
         if not cold:
@@ -648,6 +649,8 @@
         if not attempt.cold:
             self.jam.ended(self.now, event.worker, event.outcome is i.Outcome.OK)
         attempt.may_have_run = event.outcome not in _NEVER_RAN
+        if event.local:  # nobody has had it
+            self.budget = min(self.budget + attempt.cost, RETRY_MOST)
         this, dial = (event.request, event.attempt), event.outcome is i.Outcome.CONNECT_FAILED
         answers = event.outcome in _ANSWERS
         if self.reach.ended(self.now, this, answers, event.took, dial and event.unreached):
@@ -692,6 +695,7 @@
         if over or self.budget < cost:
             return self._give_up(job)
         self.budget -= cost
+        job.cost = cost
         self._place(job)
 
     def _give_up(self, job: Open) -> None:
--- a/cedarthread/interface.py
+++ b/cedarthread/interface.py
@@ -262,7 +262,7 @@
     crowd: int | None = None  # requests of the function that the worker held then
     report: tuple[float | None, ...] = ()
     unreached: bool = True  # where it failed to connect: none came up, so the worker may be down
-    local: bool = False  # the cause lies in this gateway: it says nothing of the worker
+    local: bool = False  # nothing left, for a cause in this gateway: it says nothing of the worker
 
 
 @dataclass(frozen=True, slots=True)
--- a/cedarthread/limits/state.py
+++ b/cedarthread/limits/state.py
@@ -38,6 +38,7 @@
     may_have_run: bool = True
     overdue: bool = False
     doubted: bool = False  # it ended in an error that may be the client's doing
+    cost: float = 0.0  # retry budget that it has spent
 
 
 @dataclass(slots=True)
@@ -106,6 +107,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     streaming: bool = False
     called_back: int = -1
+    cost: float = 0.0  # retry budget spent on the next attempt
     rank: Rank | None = None  # by its tenant's contract
     reason: str = ""  # why it gave way to another, for its client
 
--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from cedarthread import interface as i
-from cedarthread.core.calls import Attempt, Call, Ending, Progress, broken, starved
+from cedarthread.core.calls import Attempt, Call, Ending, Progress, broken, unsent
 from cedarthread.core.planner import Planner
 from cedarthread.net.descriptors import SCARCE
 from cedarthread.net.roster import Listing
@@ -195,7 +195,7 @@
     def call_off(self, carried: Attempt | Order) -> None:
         """Withdraw it, and end it as one that never ran; what has begun to leave goes on."""
         if self.withdraw(carried):
-            self.pool.runners.broke(carried, unreached=False)
+            self.pool.runners.unsent(carried)
 
     def forget(self, name: str) -> None:
         """An attempt's answer is nobody's from now on, and its name is not used here again."""
@@ -342,7 +342,7 @@
         carried, self.open = self.open, {}
         for one in carried.values():
             if self.starved:
-                self.pool.runners.starved(one)
+                self.pool.runners.unsent(one)
             else:
                 self.pool.runners.broke(one, unreached=self.unreached)
 
@@ -520,7 +520,7 @@
             return self.planner.ended(attempt, broken(attempt))
         connection = pool.connection(attempt.call.name)
         if connection is None:
-            return self.planner.ended(attempt, starved())
+            return self.planner.ended(attempt, unsent())
         wait = attempt.call.give_up - attempt.at
         line = call_line(attempt.call, self.names[attempt.call.klass], wait)
         if connection.transport is not None:
@@ -610,11 +610,11 @@
         else:
             self.order_done(carried, i.Outcome.RESET, 0)
 
-    def starved(self, carried: Attempt | Order) -> None:
-        """There was no descriptor or port for its connection."""
+    def unsent(self, carried: Attempt | Order) -> None:
+        """None of it has left: it was taken back, or there was no descriptor or port for its connection."""
         if isinstance(carried, Attempt):
             self._carrying.pop(carried, None)
-            self.planner.ended(carried, starved())
+            self.planner.ended(carried, unsent())
         else:
             self.order_done(carried, i.Outcome.CONNECT_FAILED, 0)
 
--- a/tests/test_endings_debts.py
+++ b/tests/test_endings_debts.py
@@ -11,7 +11,7 @@
 from cedarthread.standins.resolver import Listed, ResolverServer
 from cedarthread.standins.scripted import Runner, client, hit, pack_call, says
 from cedarthread.standins.settings import SETTINGS
-from tests.test_endings import INTERRUPT, LONG, fence, mute, pooled, reset, routed, settled, told, until
+from tests.test_endings import INTERRUPT, LONG, Held, fence, mute, pooled, reset, routed, settled, told, until
 
 
 def test_a_call_that_the_front_turns_away_counts_as_taken() -> None:
@@ -189,3 +189,47 @@
             assert len(pooled(running)) == 1 and not pooled(running)[0].closed
 
     asyncio.run(test())
+
+
+def test_a_send_that_never_left_costs_no_budget(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A runner is full, and the client leaves while the move waits for a connection to the other one."""
+
+    async def test() -> None:
+        runners = [Runner(mute), Runner(mute)]
+        async with routed(*runners) as (running, caller):
+            caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
+            await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
+            router, full = running.planner.router, runners[0] if runners[0].calls else runners[1]
+            before, slow = router.budget, Held(monkeypatch)
+            slow.ports.update(one.port for one in runners if one is not full)
+            full.answer(full.calls[0], says("SHED")(full, {}) or {})
+            await until(lambda: slow.waiting, "the move waits for its connection")
+            assert router.budget == before - 1.0
+            caller.writer.write(INTERRUPT + b"\x01")
+            await fence(caller, 9)
+            await until(lambda: not router.late, "its end")
+            assert router.budget == before and len(runners[0].calls + runners[1].calls) == 1
+            slow.waiting[0].set()
+
+    asyncio.run(test())
+
+
+def test_clients_that_leave_while_a_connection_comes_up_speak_not_against_its_runner(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        runner = Runner()
+        async with routed(runner) as (running, caller):
+            slow = Held(monkeypatch)
+            slow.ports.add(runner.port)
+            for number in range(1, 6):
+                caller.writer.write(pack_call(number, "check", b"x", limit=LONG))
+                await until(lambda: running.planner.calls, "it waits")
+                caller.writer.write(INTERRUPT + bytes((number,)))
+                await until(lambda: not running.planner.calls and not running.planner._over, "it has left")
+            [view] = running.planner.router.workers.values()
+            assert view.trouble == 0.0 and not view.broken
+            for one in slow.waiting:
+                one.set()
+
+    asyncio.run(test())
