--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -193,7 +193,7 @@
         """Have the runner drop an attempt: the line that tells it, None where it can't be told."""
         self.open.pop(attempt.call.name, None)
         self._spend(attempt.call.name)
-        if self.closed:
+        if self.paused or self.closed:
             return None
         return self.say(order_line("CANCEL", attempt.call.name))
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -20,7 +20,6 @@
 
 from cedarthread import config
 from cedarthread import interface as i
-from cedarthread.net import runners as net_runners
 from cedarthread.net.runners import IDLE_PART, RunnerConnection
 from cedarthread.service import Service
 from cedarthread.standins.scripted import Client, Runner, client, hit, listing, pack_call, says, service
@@ -669,40 +668,6 @@
     asyncio.run(test())
 
 
-@pytest.mark.parametrize("first", ["reads", "time"])
-def test_what_a_client_gives_up_on_a_slow_connection_takes_others_with_it_at_last(
-    first: str, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Its runner reads nothing at the moment: the others there go on, if it takes the CANCEL in time."""
-
-    async def test() -> None:
-        runner = Runner()
-        async with routed(runner) as (running, caller):
-            connection = await narrow(running, runner, caller)
-            runner.writers[0].transport.resume_reading()  # type: ignore[attr-defined]
-            runner.behave = mute
-            caller.writer.write(pack_call(2, "confirm", b"x", limit=LONG))
-            await runner.until(lambda: len(runner.calls) == 2)
-            runner.writers[0].transport.pause_reading()  # type: ignore[attr-defined]
-            caller.writer.write(pack_call(3, "check", b"y" * 16_000, limit=LONG))
-            await until(lambda: connection.paused, "the runner's window is full")
-            monkeypatch.setattr(net_runners, "CANCEL_SETTLES", 10.0 if first == "reads" else 0.0)
-            caller.writer.write(INTERRUPT + b"\x03")
-            if first == "time":
-                assert told(await caller.read()) == "failed"  # it has not been told but by closing
-                return
-            await fence(caller, 9)
-            runner.writers[0].transport.resume_reading()  # type: ignore[attr-defined]
-            await runner.until(lambda: runner.cancelled == [f"{3:016x}"])
-            runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
-            assert told(await caller.read()) == "served"
-            [timer] = [h for h in running.planner._loop._scheduled if "_given_up" in repr(h)]  # type: ignore
-            timer._run()  # its time has come: the call counts as given up
-            timer.cancel()
-
-    asyncio.run(test())
-
-
 # The end of the process.
 
 
--- a/tests/test_runners.py
+++ b/tests/test_runners.py
@@ -173,9 +173,6 @@
         attempt = bench.send("a" * 16)
         bench.flush()
         bench.runners.cancel(attempt)
-        assert bench.planner.ends == {}  # till it has had the time to read on, and with it the CANCEL
-        while not bench.planner.ends:
-            await asyncio.sleep(0)
         assert bench.socket.aborted and bench.planner.ends == {"a" * 16: i.Outcome.CANCELLED}
 
     asyncio.run(test())
