--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -346,6 +346,11 @@
             else:
                 self.pool.runners.broke(one, unreached=self.unreached)
 
+    def leave(self) -> None:
+        """Close, carrying nothing. A close would not end a dial that nothing waits for any more, nor one that
+        takes no bytes: it waits till what is to be written has left."""
+        self.abort() if self.transport is None or self.paused else self.close()
+
     def abort(self) -> None:
         """Close at once, also one that is still being made."""
         self.retired = True
@@ -432,10 +437,10 @@
                 # Guards the rule on drains: what waits for a slow runner must not leave long after the news.
                 if carried is not None:
                     connection.call_off(carried)
-            if now or (connection.transport is None and not connection.open):
-                connection.abort()  # a dial that nothing waits for is given up too: a close would not end it
+            if now:
+                connection.abort()
             elif not connection.open:
-                connection.close()
+                connection.leave()
             elif connection.leaving:
                 self.runners._loop.call_later(DRAIN_LEAVES, connection.stuck, list(connection.leaving))
 
@@ -444,8 +449,7 @@
         for connection in list(self.connections):
             spare = connection.retired or now - connection.used > idle
             if spare and connection.transport is not None and not connection.open:
-                # One that takes nothing more would never end by a close that waits for what is to be written.
-                connection.abort() if connection.paused else connection.close()
+                connection.leave()
 
 
 class Runners:
