Cold workers' budget follows workers that were ready lately, and calls by their work now

Cause 1: `_cold_fits` took a cold worker's capacity for demand over the workers that are ready now. A zone taken for cut off shrank the count alike. Cause 2: `demand` added work at the time of the call. Before its first answer a router takes a call for a quarter of its aim, which may be several times its work; after it, the cheap calls had that sum to spend.

At fault: decide.py `_cold_fits` (max(1, self.ready)) and `_arrive` (demand.add of work). Ruled out: the roster's size is not used by the budget (named or not, the same); uneven traffic and the draws of many routers, since parts follow own demand; news that comes late; untold starts; restarts alone.

Change: demand is counted in calls by class and weighed when it is read; its divisor is the most workers that were ready lately, a peak that fades over the warm-up (`measures.Peak`).

--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -20,7 +20,7 @@
 from cedarthread.limits.jam import Jam
 from cedarthread.limits.reach import Reach
 from cedarthread.limits.state import SEEN_PRIOR, SEEN_TIME, Attempt, Function, Open, WorkerView
-from cedarthread.measures import Ewma, Fading, Mean
+from cedarthread.measures import Ewma, Fading, Mean, Peak
 from cedarthread.spread.popularity import Popularity
 from cedarthread.spread.rendezvous import mix, rank
 from cedarthread.spread.talk import Copy, Talk
@@ -92,7 +92,7 @@
         self.rate, self.scarce, self.normal = 0.0, 1.0, 0.0  # by ``_measure``, with the next
         self.memory = SEEN_TIME  # ms in which what a worker showed fades
         self.usual = Mean.over(RATE_TIME)  # requests of others that a worker says to hold
-        self.demand = Fading(RATE_TIME)  # work of first tries that were not refused
+        self.demand = [Fading(RATE_TIME) for _ in settings.classes]  # first tries that were not refused
         self.value, self.loads = Ewma(), Ewma()
         self.budget, self.loads_out = RETRY_MOST, 0
         self.ordered, self.taken = deque[float](), deque[float]()
@@ -105,6 +105,7 @@
         self.talk: Talk | None = None
         self.advice: Advice | None = None  # of what the fleet shares: contracts, freezes, returns
         self.fleet = max(1, settings.gateways)  # gateways that are there, as far as that is known
+        self.most = Peak()  # workers that were ready lately
         self._follow(settings)
         self.now, self.serial, self.epoch, self.ready, self.blind = 0.0, 0, 0, 0, True
         self.takes: dict[type, Callable[[Any], None]] = {
@@ -170,6 +171,7 @@
 
     def _count(self) -> None:
         """Workers that this router can send to: those of a zone cut off from it take none of its calls."""
+        self.most.raise_to(self.now, self.ready)
         ready = [v for v in self.workers.values() if v.entry.state is i.WorkerState.READY]
         reached = sum(v.entry.zone not in self.reach.gates for v in ready)
         self.ready, self.blind = reached or len(ready), not reached
@@ -200,7 +202,7 @@
             return self._give_up(job)
         if not request.repeat:  # a client's repeats earn nothing: they could drain what others need
             self.budget = min(self.budget + RETRY_SHARE, RETRY_MOST)
-            self.demand.add(now, self._work(job))
+            self.demand[request.klass].add(now, 1.0)
         self._place(job)
 
     def _function(self, request: i.Request) -> Function:
@@ -229,7 +231,7 @@
         left, expected = job.request.give_up - self.now, self._expected(job)
         if left < CANNOT * expected:
             return True
-        value = max(job.klass.worth, 1e-6) / max(self._work(job), 1.0)
+        value = max(job.klass.worth, 1e-6) / max(self._work(job.request.klass), 1.0)
         self.value.add(value)
         aim = min(left, job.klass.aim + job.klass.aim_stretch * expected)
         # Between a class's own time and one time for all, later for those of more worth: what has little time
@@ -341,7 +343,7 @@
     def _choose(self, job: Open) -> WorkerView | None:
         """The eligible worker with the smallest load-balanced distance, ties at random."""
         tried = {a.worker.worker for a in job.attempts}
-        safe, work = job.klass.effect is i.Effect.SAFE, self._work(job)
+        safe, work = job.klass.effect is i.Effect.SAFE, self._work(job.request.klass)
         told = self.talk.copies(self.now, job.request.function) if self.talk is not None else {}
         advice = self.advice if self.advice is not None and self.advice.holds else None
         if advice is not None:
@@ -488,7 +490,7 @@
         function.warmth[worker] = function.warmth.get(worker, 0.0) + ALPHA
         function.sent_at[worker] = self.now
         if self._part(view) < 1.0:
-            view.sent.append((self.now, self._work(job)))
+            view.sent.append((self.now, self._work(request.klass)))
         function.queue.leave(request.request)
         this = (request.request, len(job.attempts) - 1)
         self.reach.sent(self.now, this, worker, view.entry.zone, self._expected(job))
@@ -504,12 +506,11 @@
             return job.request.work * self.by_work[job.request.klass].mean
         if job.function.service.count:
             return job.function.service.mean
-        return self._work(job)
+        return self._work(job.request.klass)
 
-    def _work(self, job: Open) -> float:
+    def _work(self, klass: int) -> float:
         """Rule 4 counts the mean work of a class; its usual service time stands for it."""
-        known = self.by_class[job.request.klass]
-        return known.mean if known.count else job.klass.aim / FIRST_GUESS
+        return self.by_class[klass].mean or self.s.classes[klass].aim / FIRST_GUESS
 
     def _part(self, view: WorkerView) -> float:
         """The part of its capacity that a worker has at least, by its told start or what looked like one."""
@@ -520,7 +521,10 @@
         """Slow start: whether this router may send a worker that started lately one more call."""
         if (part := self._part(view)) >= 1.0:
             return True
-        share = part * self.demand.read(self.now) / RATE_TIME / max(1, self.ready)
+        # Counted anew by what calls need now: what the first guess made of them may be several times that.
+        demand = sum(d.read(self.now) * self._work(klass) for klass, d in enumerate(self.demand))
+        # Where others have left, the demand for each that is ready is more than one can carry.
+        share = part * demand / RATE_TIME / max(1.0, self.ready, self.most.read(self.now))
         return slow_start.fits(self.s.rules, self.now, view.sent, view.ration, share, work)
 
     # Health.
@@ -530,11 +534,13 @@
         added = range(len(self.s.classes), len(settings.classes))
         self.by_class += [Ewma() for _ in added]
         self.by_work += [Ewma() for _ in added]
+        self.demand += [Fading(RATE_TIME) for _ in added]
         self._follow(settings)
 
     def _follow(self, settings: i.Settings) -> None:
         """What hangs on the settings alone."""
         self.s, told = settings, settings.report_columns
+        self.most.time = max(1.0, settings.rules.cold_time)
         self.aims = sum(klass.aim for klass in settings.classes) / max(1, len(settings.classes))
         self.homes = HOMES / (1.0 + IDLE_WEIGHT * settings.prices.idle_memory)
         self.abroad = ABROAD * settings.prices.cross_zone
--- a/cedarthread/measures.py
+++ b/cedarthread/measures.py
@@ -43,6 +43,23 @@
         self.value, self.at = old + gain * (to - old), now
 
 
+@dataclass(slots=True)
+class Peak:
+    """The highest of a quantity's values; one that it has fallen from fades by time."""
+
+    time: float = 1.0
+    value: float = 0.0
+    at: float = 0.0
+
+    def read(self, now: float) -> float:
+        """The highest, faded since the quantity fell from it."""
+        return self.value * math.exp((self.at - now) / self.time) if self.value else 0.0
+
+    def raise_to(self, now: float, value: float) -> None:
+        """The quantity was at this value until now."""
+        self.value, self.at = max(value, self.read(now)), now
+
+
 @dataclass(slots=True)
 class Mean:
     """A mean of values that fade by time, drawn to a prior by its doubt."""
