A call that waits for an ordered load goes to a warm copy only inside a cold worker's budget

Cause: where workers answer MISS, `_order` sends a call whose chosen worker lacks the function to the nearest warm copy, and asked rules 2 and 3 and the breaker there, not rule 4. A copy on a worker that started lately took all of the function's calls: 60 of 60 sends were beyond the budget in the new test. At fault: decide.py `_order`, the filter of `warm`. Ruled out: `_choose` asks `_cold_fits` in all three of its rounds; `_displace`, `_begins` and the queue choose no worker. Measured: the test fails without the change (60 of 60) and passes with it; test_cold_fleet, test_path and test_rules pass, no existing test changed.

--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -756,7 +756,8 @@
             self.out.append(i.Order(worker, job.request.function, 1))
         near = [self.workers[w] for w in list(function.warmth) if w in self.workers]
         warm = [v for v in near if self._allowed(job, v) and health.sound(v, self.now, True)]
-        warm = [v for v in warm if self._warmth(function, v.entry.worker) > 0]
+        work = self._work(job.request.klass)
+        warm = [v for v in warm if self._warmth(function, v.entry.worker) > 0 and self._cold_fits(v, work)]
         return min(warm, key=lambda v: self._distance(function, v, job.key)) if warm else None
 
     def _may_order(self) -> bool:
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cedarthread import interface as i
+from cedarthread.limits.state import Open, WorkerView
 from cedarthread.measures import Peak
 from tests.cold_world import CASES, Case, World
 from tests.helpers import CLASSES, Drive, sends, settings, worker
@@ -87,6 +88,29 @@
     assert fits(d) / (guess / 3.0) == pytest.approx(unanswered, rel=0.01)
 
 
+def test_where_only_orders_load_a_warm_copy_on_a_cold_worker_takes_no_more_than_its_budget(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The call that was to wait for a load elsewhere went to the copy that stands, whatever came there."""
+    d = Drive(worker(1), on_miss=i.OnMiss.MISS, gateways=1)
+    d.ask(function=7)
+    d.feed(i.OrderEnded(1, 7, i.Outcome.OK, 1, 100.0), after=100.0)
+    d.feed(i.Membership(i.ListKind.DELTA, 2, (worker(2, started=d.now),)))
+    function, send, fitted = d.router.functions[7], d.router._send, list[bool]()
+    function.forget(1)  # what stood at the warm worker has been unloaded
+    function.warmth[2], function.sent_at[2] = 1.0, d.now
+
+    def seen(job: Open, view: WorkerView) -> None:
+        if view.entry.worker == 2:
+            fitted.append(d.router._cold_fits(view, d.router._work(job.request.klass)))
+        send(job, view)
+
+    monkeypatch.setattr(d.router, "_send", seen)
+    for _ in range(60):
+        d.ask(function=7, after=30.0)
+    assert fitted and all(fitted), f"{fitted.count(False)} of {len(fitted)} sends beyond the budget"
+
+
 def test_a_site_without_a_warm_up_is_served() -> None:
     rules = dataclasses.replace(settings().rules, cold_time=0.0)
     d = Drive(worker(1, started=1000.0), rules=rules)
