An acceptor without TLS needs no callback when a connection is up

The callback that closes a socket whose handshake was given up is now added only where there is TLS, and each connection is counted out where it has come up.

--- a/cedarthread/net/acceptor.py
+++ b/cedarthread/net/acceptor.py
@@ -22,6 +22,8 @@
 LAST_TURNS = 256  # turns at the end in which what still waits is taken
 HANDSHAKE = 5.0  # s that TLS has to come up
 SHUTDOWN = 1.0  # s that TLS has to end
+_LIMITS = {"ssl_handshake_timeout": HANDSHAKE, "ssl_shutdown_timeout": SHUTDOWN}
+_NO_LIMITS: dict[str, float] = {}  # asyncio wants none without TLS
 
 Protocol = TypeVar("Protocol", bound=asyncio.BaseProtocol)
 
@@ -109,22 +111,23 @@
         connection.setblocking(False)
         task = self._loop.create_task(self._rise(connection, protocol))
         self._rising[protocol] = task
-        task.add_done_callback(partial(self._risen, protocol, connection))
+        if self.tls is not None:
+            task.add_done_callback(partial(self._given_up, protocol, connection))
 
-    def _risen(self, protocol: Protocol, connection: socket.socket, task: asyncio.Task[None]) -> None:
-        self._rising.pop(protocol, None)
+    def _given_up(self, protocol: Protocol, connection: socket.socket, task: asyncio.Task[None]) -> None:
         if task.cancelled():  # perhaps before its first step: nobody else closes it then
+            self._rising.pop(protocol, None)
             connection.close()
 
     async def _rise(self, connection: socket.socket, protocol: Protocol) -> None:
-        limits = (
-            {} if self.tls is None else {"ssl_handshake_timeout": HANDSHAKE, "ssl_shutdown_timeout": SHUTDOWN}
-        )
+        limits = _NO_LIMITS if self.tls is None else _LIMITS
         try:
             await self._loop.connect_accepted_socket(lambda: protocol, connection, ssl=self.tls, **limits)
         except Exception as error:  # whatever a stranger does in the handshake ends that connection alone
             log.debug("%s: a connection did not come up: %s", self.name, error)
             self.failed(protocol)
+        finally:
+            self._rising.pop(protocol, None)
 
     def done(self) -> bool:
         """It has ended, and all that it took is up or closed."""
