--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -580,6 +580,7 @@
         now, outcome, aim = self.now, event.outcome, max(self.s.classes[attempt.key[0]].aim, 1.0)
         self._reported(view, event.report)
         view.pending -= 1
+        slow_start.ended(view.sent, attempt.at, left=not event.local)
         view.trial_out = view.trial_out and not attempt.trial
         if outcome in (i.Outcome.OK, i.Outcome.FULL):
             view.last_answer = now
--- a/cedarthread/limits/slow_start.py
+++ b/cedarthread/limits/slow_start.py
@@ -30,3 +30,11 @@
     if not sent and budget < work:
         return ration < budget / work
     return sum(w for _, w in sent) + work <= budget
+
+
+def ended(sent: deque[tuple[float, float]], at: float, *, left: bool) -> None:
+    """What was booked as sent at that time has ended; what never ``left`` takes no part of the budget."""
+    for entry in () if left else sent:
+        if entry[0] == at:
+            sent.remove(entry)
+            return
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -128,3 +128,14 @@
     assert peak.read(51000.0) == pytest.approx(6.0 / 2.718281828)
     peak.raise_to(60000.0, 1.0)
     assert peak.read(60000.0) == 1.0
+
+
+def test_what_never_left_takes_no_part_of_a_cold_workers_budget() -> None:
+    drive = Drive(worker(1, started=900.0), now=1000.0, gateways=1)
+    view = drive.router.workers[1]
+    view.ration = 0.0
+    assert sends(drive.ask()) == [1] and len(view.sent) == 1
+    ended = i.AttemptEnded(1, 0, 1, i.Outcome.MOOT, 0.0, True, unreached=False, local=True)
+    drive.feed(ended)
+    assert not view.sent
+    assert sends(drive.ask()) == [1]  # the place is free for another
