--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -174,8 +174,7 @@
         ready = [v for v in self.workers.values() if v.entry.state is i.WorkerState.READY]
         reached = sum(v.entry.zone not in self.reach.gates for v in ready)
         before, self.ready, self.blind = self.ready, reached or len(ready), not reached
-        if self.ready < before:
-            self.most.raise_to(self.now, before)
+        self.most.went(self.now, before, self.ready)
 
     def _forget(self, worker: int) -> None:
         if self.talk is not None:
