One place ends an attempt that its connection lost or that never left

Cause: Runners.broke and Runners.unsent each took an attempt out of _carrying and ended it; the kept finding carried-kept, whose attempt is now taken back, no longer met its planted defect in broke alone. Change: both go through Runners._lost, where the defect is planted now; the finding fails so as before.

--- a/cedarthread/fuzz/planted.py
+++ b/cedarthread/fuzz/planted.py
@@ -19,7 +19,7 @@
 from cedarthread import interface as i
 from cedarthread import wire
 from cedarthread.core import deferred, planner
-from cedarthread.core.calls import Answer, Attempt, Call, Ending, Failed, broken
+from cedarthread.core.calls import Answer, Attempt, Call, Ending, Failed
 from cedarthread.decide import Router
 from cedarthread.fuzz import targets
 from cedarthread.fuzz.target import Target, verdict
@@ -195,11 +195,11 @@
     self.stop_at = None
 
 
-def _kept_in_carrying(self: runners.Runners, carried: Any, *, unreached: bool) -> None:
+def _kept_in_carrying(self: runners.Runners, carried: Any, ending: Any, outcome: i.Outcome) -> None:
     if isinstance(carried, Attempt):
-        self.planner.ended(carried, broken(carried, unreached=unreached))
+        self.planner.ended(carried, ending(carried))
     else:
-        self.order_done(carried, i.Outcome.RESET, 0)
+        self.order_done(carried, outcome, 0)
 
 
 def _cancel_unsure(self: runners.Runners, attempt: Attempt, connection: Any, told: Any) -> None:
@@ -235,7 +235,7 @@
     Defect("order-budget-off", "calls", 1000, ((Router, "_may_order", _one_more_order),)),
     Defect("answers-swallowed", "calls", 400, ((platform.PlatformConnection, "end", _swallow),)),
     Defect("stop-forgotten", "calls", 3000, (_dispatch("_lapse", _nothing), _dispatch("_overdue", _nothing))),
-    Defect("carried-kept", "calls", 1500, ((runners.Runners, "broke", _kept_in_carrying),)),
+    Defect("carried-kept", "calls", 1500, ((runners.Runners, "_lost", _kept_in_carrying),)),
     Defect("cancel-not-told", "calls", 6000, ((runners.Runners, "_given_up", _cancel_unsure),)),
     Defect("half-written-unseen", "calls", 9000, ((runners.RunnerConnection, "look", _nothing),)),
     Defect("repeat-refused-at-end", "calls", 6000, ((invoke.InvokeFront, "knows", _never),)),
--- a/cedarthread/net/runners.py
+++ b/cedarthread/net/runners.py
@@ -14,6 +14,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from cedarthread import interface as i
@@ -608,19 +609,20 @@
 
     def broke(self, carried: Attempt | Order, *, unreached: bool) -> None:
         """The connection under it broke, or never came up."""
-        if isinstance(carried, Attempt):
-            self._carrying.pop(carried, None)
-            self.planner.ended(carried, broken(carried, unreached=unreached))
-        else:
-            self.order_done(carried, i.Outcome.RESET, 0)
+        self._lost(carried, partial(broken, unreached=unreached), i.Outcome.RESET)
 
     def unsent(self, carried: Attempt | Order) -> None:
         """None of it has left: it was taken back, or there was no descriptor or port for its connection."""
+        self._lost(carried, lambda _: unsent(), i.Outcome.CONNECT_FAILED)
+
+    def _lost(
+        self, carried: Attempt | Order, ending: Callable[[Attempt], Ending], outcome: i.Outcome
+    ) -> None:
         if isinstance(carried, Attempt):
             self._carrying.pop(carried, None)
-            self.planner.ended(carried, unsent())
+            self.planner.ended(carried, ending(carried))
         else:
-            self.order_done(carried, i.Outcome.CONNECT_FAILED, 0)
+            self.order_done(carried, outcome, 0)
 
     def answered(self, attempt: Attempt, ending: Ending) -> None:
         """The runner's answer to an attempt."""
