A CANCEL behind a flood that stands unread is seen before an attempt begins

Cause: PlatformConnection.look took what waited for its turn, read the socket, and judged by the first 32 messages of what it had read; a CANCEL behind more of them let the first attempt of that write begin. Ruled out: the further ones, whose look took the rest. Change: what is read is taken whole (the read buffer bounds it).

--- a/cedarthread/net/platform.py
+++ b/cedarthread/net/platform.py
@@ -141,11 +141,16 @@
 
     def look(self) -> None:
         """Take in what the client has said and done by now, however late this process reads it."""
-        while self.waits and not self.closed and self.dropping is None:
-            self._again()
+        self._catch_up()
         if not self.read_now():
             self._abandon()
             self.abort()
+        self._catch_up()
+
+    def _catch_up(self) -> None:
+        """Take what has been read and waits for its turn: a CANCEL may stand behind a flood."""
+        while self.waits and not self.closed and self.dropping is None:
+            self._again()
 
     def idle(self) -> bool:
         """It carries nothing: no open call, and no input that waits here or in the socket to be read."""
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -221,6 +221,35 @@
     run(test())
 
 
+def test_a_cancel_behind_a_flood_that_stands_unread_is_seen() -> None:
+    """More messages than a turn takes stand in the socket before it."""
+
+    async def test() -> None:
+        held: list[tuple[Runner, dict[str, Any]]] = []
+
+        def hold(runner: Runner, message: dict[str, Any]) -> None:
+            held.append((runner, message))
+
+        first, second = Runner(hold), Runner(hold)
+        async with service(first, second) as running:
+            peer, fence = Peer(running), Peer(running)
+            peer.call(1)
+            await until(lambda: len(held) == 1)
+            at_router(running, peer).pause_writing()  # its answers wait: nothing is read from it
+            runner, message = held[0]
+            runner.answer(message, {"op": "SHED", "fields": {}})
+            peer.sock.sendall(b"\x93\x02\xa4noop\x90" * 40)
+            peer.cancel(1)
+            await until(lambda: not running.planner.calls)
+            first.behave = second.behave = hit
+            for number in range(2, 10):
+                fence.call(number)
+                assert (await fence.read())[1:3] == [number, None]
+            assert [one["id"] for one in first.calls + second.calls].count(f"{1:016x}") == 1
+
+    run(test())
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_under_load_no_attempt_is_written_after_its_client_went(
     seed: int, monkeypatch: pytest.MonkeyPatch
