--- a/cedarthread/core/planner.py
+++ b/cedarthread/core/planner.py
@@ -39,7 +39,6 @@
 OVERDUE = 5.0  # ms that the router has to answer a call whose attempts have just timed out
 HELD_BYTES = 48 * 2**20  # bodies of open calls, where nothing else is said
 FIGURES = ("passed", "dropped", "bad_gateway", "upstream_tries")  # of each class, as the operators name them
-_NEVER_RAN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.MOOT, i.Outcome.MISS)
 _FIGURE = {Served: "passed", Refused: "dropped", Failed: "bad_gateway"}
 
 
@@ -206,7 +205,7 @@
         if attempt.ended:
             return
         attempt.ended = True
-        attempt.never_ran = ending.outcome in _NEVER_RAN
+        attempt.never_ran = ending.outcome in i.NEVER_RAN
         call = attempt.call
         if ending.outcome is i.Outcome.OK:
             self._settle(call, Served(ending.body))
--- a/cedarthread/decide.py
+++ b/cedarthread/decide.py
@@ -70,7 +70,6 @@
 LOG_EVERY = 5000.0  # ms between two log lines of one kind
 
 _ANSWERS = (i.Outcome.OK, i.Outcome.FULL, i.Outcome.ERROR, i.Outcome.MISS)
-_NEVER_RAN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.MOOT, i.Outcome.MISS)
 
 
 class Router:
@@ -655,7 +654,7 @@
         attempt.pending = False
         if not attempt.cold:
             self.jam.ended(self.now, event.worker, event.outcome is i.Outcome.OK)
-        attempt.may_have_run = event.outcome not in _NEVER_RAN
+        attempt.may_have_run = event.outcome not in i.NEVER_RAN
         if event.local:  # nobody has had it
             self.budget = min(self.budget + attempt.cost, RETRY_MOST)
         this, dial = (event.request, event.attempt), event.outcome is i.Outcome.CONNECT_FAILED
--- a/cedarthread/interface.py
+++ b/cedarthread/interface.py
@@ -88,6 +88,9 @@
     MISS = "miss"  # never ran: no copy there, or the awaited load failed
 
 
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS)  # ends that prove it
+
+
 class CopyNote(Enum):
     """What an answer tells of the copy it ran on."""
 
