Golden files of wires and stored data, with tests that compare byte for byte

Why: the code is to be renamed and split throughout, and wire and stored data have to stay as they are. The files were written by the code before that.

Covered: datagrams of gossip, membership, register, entries, grants, recovery and pressure, each also as three whole routers make them; the values of a store and its folder in each mode, also as a killed process leaves it; lines of runners, platform and discovery; the simulator's frames, actions and replies; heads, problems and answers of the invoke API, pure and on loopback; replies of the control address, of INFO the names. Each sample is made again, read from the kept bytes, and written again where there is an encoder. What is read is kept as plain values, so that classes, fields and members may be renamed.

--- /dev/null
+++ b/tests/golden_samples.py
@@ -0,0 +1,1241 @@
+"""Samples of all that goes over a wire or onto a disk, each made by a deterministic builder.
+
+``python -m tests.golden_samples --write`` keeps them in ``tests/golden``; ``tests/test_golden.py`` compares.
+What is read is kept as plain values: no name of a class, field or member stands in a file.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import base64
+import dataclasses
+import hashlib
+import json
+import math
+import re
+import struct
+import sys
+import tempfile
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import Enum, StrEnum
+from pathlib import Path
+
+import msgspec
+
+from cedarthread import interface as i
+from cedarthread import parts, simhost, wire
+from cedarthread.config import Config
+from cedarthread.core import calls
+from cedarthread.decisions import Decisions
+from cedarthread.freeze import window
+from cedarthread.membership import form as members_form
+from cedarthread.net import dns, http, invoke, msgpack, platform, resolver, runners
+from cedarthread.recovery import form as return_form
+from cedarthread.recovery.knowledge import Told
+from cedarthread.recovery.recovery import Recovery
+from cedarthread.register import declared, grants_form
+from cedarthread.register import entry as entries
+from cedarthread.register import form as register_form
+from cedarthread.register.grants import Grants
+from cedarthread.service import Service
+from cedarthread.spread import datagram
+from cedarthread.spread.talk import Talk
+from cedarthread.standins import client as client_side
+from cedarthread.standins import resolver as resolver_side
+from cedarthread.standins.scripted import Runner, ask, listing, service
+from cedarthread.standins.settings import SETTINGS as STANDIN_SETTINGS
+from cedarthread.store import held
+from cedarthread.store.contract import Loaded, Sync
+from cedarthread.store.file import FileStore
+from cedarthread.tiers import contract
+from cedarthread.tiers import form as pressure_form
+from tests.helpers import settings as some_settings
+from tests.helpers import worker
+from tests.test_invoke import DESK, Authority, Caller, config
+
+FOLDER = Path(__file__).parent / "golden"
+FUNCTION = 0x7F3A9C21E0B4D655
+
+Json = None | bool | int | float | str | list["Json"] | dict[str, "Json"]
+Reads = Callable[[bytes], Json]
+Again = Callable[[bytes], bytes]
+
+
+@dataclass(frozen=True)
+class Sample:
+    """Bytes, what is read of them in plain values, and how they are read and written again."""
+
+    name: str
+    data: bytes
+    reads: Reads | None = None
+    again: Again | None = None
+
+
+def plain(value: object) -> Json:
+    """A value without the names of its class, fields and members: they may be renamed."""
+    if isinstance(value, StrEnum):  # stands as it is in stored data
+        return str(value.value)
+    if isinstance(value, Enum) and not isinstance(value, int):
+        return [one is value for one in type(value)].index(True)
+    if isinstance(value, float):
+        return value if math.isfinite(value) else str(value)
+    if isinstance(value, (bytes, bytearray, memoryview)):
+        return bytes(value).hex()
+    if isinstance(value, bool) or value is None or isinstance(value, str):
+        return value
+    if isinstance(value, int):
+        return int(value)
+    if isinstance(value, msgspec.Struct):
+        return plain(msgspec.structs.astuple(value))
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return plain(dataclasses.astuple(value))
+    if isinstance(value, dict):
+        return {str(plain(key)): plain(one) for key, one in value.items()}
+    if isinstance(value, (list, tuple)):
+        return [plain(one) for one in value]
+    raise TypeError(f"no plain value: {type(value)}")
+
+
+def readable(message: object) -> object:
+    """What was decoded, which must not be the word for what can't be."""
+    if isinstance(message, datagram.Unreadable):
+        raise ValueError(message.why)
+    return message
+
+
+# Datagrams between routers.
+
+
+def _gossip_again(data: bytes) -> bytes:
+    news = datagram.decode(data)
+    if isinstance(news, datagram.Unreadable):
+        raise ValueError(news.why)
+    return datagram.encode(news)
+
+
+def _gossip(name: str, data: bytes) -> Sample:
+    return Sample(name, data, lambda raw: plain(readable(datagram.decode(raw))), _gossip_again)
+
+
+def talk_exchange() -> list[tuple[str, bytes]]:
+    """Two routers that tell each other of their calls."""
+    one = Talk(some_settings(gateways=3, ordinal=0), 11, 0x01020304)
+    two = Talk(some_settings(gateways=3, ordinal=1), 12, 0xF1F2F3F4)
+    said: list[tuple[str, bytes]] = []
+    now: float = 0.0
+    for step in range(12):
+        for number, talk in enumerate((one, two)):
+            for call in range(1 + step % 3):
+                talk.call()
+                talk.sent(1 + (step + call) % 4, FUNCTION + 977 * call)
+            if step > 2:
+                talk.ended(now, 1 + step % 4, FUNCTION, (True, False, None)[step % 3])
+            for tell in talk.tell(now):
+                said.append((f"exchange {step} of {number} for {tell.peer}", tell.data))
+                other = two if talk is one else one
+                other.hear(now, number, tell.data)
+        now += 400.0
+    return said
+
+
+def gossip() -> list[Sample]:
+    copies = (datagram.CopyNews(datagram.fold(FUNCTION), 3, 1250.0), datagram.CopyNews(1, 300, None))
+    workers = (datagram.WorkerNews(7, 12, copies), datagram.WorkerNews(2**32 - 1, 999))
+    full = tuple(datagram.WorkerNews(n, n, (datagram.CopyNews(n, 1, 100.0 * n),)) for n in range(20))
+    news: dict[str, datagram.News] = {
+        "asks": datagram.News(0xDEADBEEF, 1, True, ()),
+        "workers and copies": datagram.News(0xDEADBEEF, 77, False, workers),
+        "filled up": datagram.News(1, 2**32 - 1, False, full),
+        "oldest find": datagram.News(
+            5, 6, True, (datagram.WorkerNews(1, 0, (datagram.CopyNews(2, 0, 1e9),)),)
+        ),
+    }
+    made = [_gossip(name, datagram.encode(one)) for name, one in news.items()]
+    return made + [_gossip(name, data) for name, data in talk_exchange()]
+
+
+def _members_again(data: bytes) -> bytes:
+    message = members_form.decode(data)
+    if isinstance(message, datagram.Unreadable):
+        raise ValueError(message.why)
+    return members_form.encode(message)
+
+
+def membership() -> list[Sample]:
+    status = members_form.Status
+    some = tuple(members_form.Entry(n, 1000 + n, status(n % 3)) for n in range(5))
+    full = tuple(members_form.Entry(n, n, status(n % 3)) for n in range(members_form.ENTRIES))
+    messages: dict[str, members_form.Message] = {
+        "ping": members_form.Message(members_form.Kind.PING, 3, 17),
+        "answer": members_form.Message(members_form.Kind.ANSWER, 4, 17, 0, some),
+        "ask for another": members_form.Message(members_form.Kind.ASK, 2**32 - 1, 65535, 9, some[:1]),
+        "news filled up": members_form.Message(members_form.Kind.NEWS, 5, 0, 0, full),
+    }
+    return [
+        Sample(
+            name,
+            members_form.encode(one),
+            lambda raw: plain(readable(members_form.decode(raw))),
+            _members_again,
+        )
+        for name, one in messages.items()
+    ]
+
+
+def _register_again(data: bytes) -> bytes:
+    message = register_form.decode(data)
+    if isinstance(message, datagram.Unreadable):
+        raise ValueError(message.why)
+    return register_form.encode(message)
+
+
+def register() -> list[Sample]:
+    body = bytes(range(256)) * 3
+    first, *_, last = register_form.pieces(body, 0x1122334455667788)
+    messages: dict[str, register_form.Message] = {
+        "pull": register_form.Pull(1, 2**63 + 5, 3, 208, 9),
+        "reply": register_form.Reply(1, 2, 3, True, 40, 0, bytes((0, 63, 64, 128, 255)), 8, 1.75e12),
+        "reply without wall clock": register_form.Reply(1, 2, 3, False, 1, 208, b""),
+        "ask": register_form.Ask(5, tuple(n * 0x0102030405 for n in range(register_form.BUCKETS))),
+        "summary": register_form.Summary(5, 6, 7, 0b110, 0, 1, ((1, 2), (2, 2**32 - 1), (33, 0))),
+        "summary in parts": register_form.Summary(5, 6, 7, 0b10, 1, 3, ((1, 2), (33, 4))),
+        "want": register_form.Want(((1, 2, register_form.ALL), (2**32 - 1, 0, 5))),
+        "first piece": first,
+        "last piece": last,
+    }
+    return [
+        Sample(
+            name,
+            register_form.encode(one),
+            lambda raw: plain(readable(register_form.decode(raw))),
+            _register_again,
+        )
+        for name, one in messages.items()
+    ]
+
+
+FLEET = b"""
+[sharing]
+period = 200
+clock-error = 250
+[disk]
+folder = "kept"
+sync = "each"
+[overload]
+onset = 1.2
+end = 0.8
+dwell = 2.0
+preempts = 35.5
+[[tier]]
+name = "gold"
+[[tier]]
+name = "best-effort"
+[[contract]]
+tenant = "shop"
+tier = "gold"
+rate = 12.5
+floor = 0.25
+[[contract]]
+tenant = "m\xc3\xbcller"
+tier = "best-effort"
+rate = 3
+[[freeze]]
+id = "fair"
+start = 2026-03-01T08:00:00Z
+end = 2026-03-01T14:30:00+01:00
+author = "ops"
+reason = "spring fair"
+rooms = ["room-b", "room-a"]
+functions = ["7f3a9c21e0b4d655", "0000000000000001"]
+tenants = ["shop"]
+frozen = ["unload", "first-copy"]
+allowance = 12
+[[freeze]]
+id = "all"
+start = 2026-03-02T00:00:00Z
+end = 2026-03-02T01:00:00Z
+author = "ops"
+reason = ""
+[[revoke]]
+freeze = "all"
+author = "lead"
+reason = "not needed"
+[[break-glass]]
+freeze = "fair"
+author = "lead"
+reason = "outage"
+end = 2026-03-01T09:00:00Z
+"""
+
+
+def declared_entries() -> list[parts.Entry]:
+    """The entries of the operators' file, each with a version."""
+    fleet: declared.Fleet = declared.parse(FLEET)
+    bodies: list[tuple[parts.Kind, str, bytes]] = [*contract.entries(fleet), *window.bodies(fleet)]
+    return [
+        parts.Entry(kind, name, parts.Version(number + 1, number % 3, 2**63 + number), body, number * 2**60)
+        for number, (kind, name, body) in enumerate(bodies)
+    ]
+
+
+def _entry_of(data: bytes) -> parts.Entry:
+    entry = entries.decode(data)
+    if isinstance(entry, entries.Refused):
+        raise ValueError(entry.what)
+    return entry
+
+
+def _entry_reads(data: bytes) -> Json:
+    entry = _entry_of(data)
+    sums: list[int] = [entries.digest(entry), entries.key_id(entry.kind, entry.name)]
+    if entry.kind in (parts.Kind.TIERS, parts.Kind.CONTRACT):
+        said: object = contract.order(entry) if entry.kind is parts.Kind.TIERS else contract.terms(entry)
+    else:
+        said = window.decode(entry.kind, entry.name, entry.body)
+    return [plain(entry), plain(sums), plain(readable(said))]
+
+
+def register_entries() -> list[Sample]:
+    return [
+        Sample(
+            f"{entry.kind.value} {entry.name}",
+            entries.encode(entry),
+            _entry_reads,
+            lambda raw: entries.encode(_entry_of(raw)),
+        )
+        for entry in declared_entries()
+    ]
+
+
+def _grants_again(data: bytes) -> bytes:
+    message = grants_form.decode(data)
+    if isinstance(message, datagram.Unreadable):
+        raise ValueError(message.why)
+    return grants_form.encode(message)
+
+
+def grants() -> list[Sample]:
+    pool: int = grants_form.key("tenant/shop")
+    messages: dict[str, grants_form.Ask | grants_form.Answer] = {
+        "ask": grants_form.Ask(pool, 2**64 - 1, 7, 12),
+        "ask for most": grants_form.Ask(pool, 1, 2**32 - 1, 2**40),
+        "answer": grants_form.Answer(pool, 1, 2, 3, 4, 5, 4000, 1000, 60, 2),
+        "answer none": grants_form.Answer(pool, 1, 3, 3, 4, 0, 0, 2**40, 0),
+    }
+    return [
+        Sample(
+            name, grants_form.encode(one), lambda raw: plain(readable(grants_form.decode(raw))), _grants_again
+        )
+        for name, one in messages.items()
+    ]
+
+
+def _return_again(data: bytes) -> bytes:
+    message = return_form.decode(data)
+    if isinstance(message, datagram.Unreadable):
+        raise ValueError(message.why)
+    return return_form.encode(message)
+
+
+def recovery() -> list[Sample]:
+    places = [Told(n % 3, 50 + n % 3, 1000 + n, 49.0 * n, n % 4 > 0, n % 16) for n in range(60)]
+    groups: list[list[Told]] = return_form.grouped(places)
+    messages: dict[str, return_form.Message] = {
+        "ask": return_form.Ask(2**32 - 1, 3, 4),
+        "busy": return_form.Busy(9, 750.0, 12),
+        "busy naming nobody": return_form.Busy(9, 1e9),
+        "tell nothing": return_form.Tell(9, 0, 1, None, 0.0),
+        "tell rates": return_form.Tell(9, 0, 1, 0.5, 12300.0, tuple(places[:3]), (1.25, 0.5)),
+    }
+    for number, group in enumerate(groups):
+        messages[f"part {number}"] = return_form.Tell(9, number, len(groups), 1.0, 1e9, tuple(group))
+    return [
+        Sample(
+            name, return_form.encode(one), lambda raw: plain(readable(return_form.decode(raw))), _return_again
+        )
+        for name, one in messages.items()
+    ]
+
+
+def _pressure_again(data: bytes) -> bytes:
+    told = pressure_form.decode(data)
+    if isinstance(told, datagram.Unreadable):
+        raise ValueError(told.why)
+    return pressure_form.encode(list(told))
+
+
+def pressure() -> list[Sample]:
+    full = [
+        pressure_form.Told(n, n / 10, 1.7**n if n < 20 else 1e6, 333.0 * n)
+        for n in range(pressure_form.ENTRIES)
+    ]
+    told: dict[str, list[pressure_form.Told]] = {
+        "own": [pressure_form.Told(0, 1.0, 250.0, 0.0)],
+        "filled up": full,
+    }
+    return [
+        Sample(
+            name,
+            pressure_form.encode(one),
+            lambda raw: plain(readable(pressure_form.decode(raw))),
+            _pressure_again,
+        )
+        for name, one in told.items()
+    ]
+
+
+# A whole fleet in one process, and all that its routers tell each other.
+
+WALL = 1_772_352_000_000.0  # 2026-03-01T08:00:00Z
+
+
+class Routers:
+    """Some routers under one clock; datagrams arrive at the next step."""
+
+    def __init__(self, count: int) -> None:
+        self.now: float = 1000.0
+        self.told: list[bytes] = []
+        self.records: list[bytes] = []
+        self.post: list[tuple[int, int, bytes]] = []
+        self.timers: list[tuple[float, int, int]] = []
+        limits: i.Limits = dataclasses.replace(some_settings().limits, peers=True)
+        tenants = (i.Tenant("shop", 0.5, None), i.Tenant("m\u00fcller", 0.5, None))
+        self.all: list[Decisions] = [
+            Decisions(
+                some_settings(gateways=count, ordinal=n, limits=limits, tenants=tenants), 70 + n, 500 + n
+            )
+            for n in range(count)
+        ]
+        fleet: declared.Fleet = declared.parse(
+            FLEET.replace(b'[disk]\nfolder = "kept"\nsync = "each"\n', b"")
+        )
+        ready = tuple(worker(n, started=100.0 * n) for n in range(1, 7))
+        for who in range(count):
+            self.feed(who, i.Membership(i.ListKind.CACHED, 1, ready))
+            self.act(who, self.all[who].declare(self.now, fleet, lambda: WALL + self.now))
+
+    def feed(self, who: int, event: i.Event) -> None:
+        self.act(who, self.all[who].handle(self.now, event))
+
+    def act(self, who: int, actions: Sequence[i.Action]) -> None:
+        for action in actions:
+            self.records.append(wire.encode_instance(who) + wire.encode_action(action))
+            if isinstance(action, i.Tell):
+                self.told.append(action.data)
+                others = [n for n in range(len(self.all)) if n != who]
+                self.post += [(who, to, action.data) for to in others if action.peer in (None, to)]
+            elif isinstance(action, i.SetTimer):
+                self.timers.append((action.at, who, action.token))
+
+    def run(self, steps: int) -> None:
+        for step in range(steps):
+            self.now += 50.0
+            post, self.post = self.post, []
+            for sender, to, data in post:
+                self.feed(to, i.PeerMessage(sender, data))
+            due = sorted(one for one in self.timers if one[0] <= self.now)
+            self.timers = [one for one in self.timers if one[0] > self.now]
+            for _, who, token in due:
+                self.feed(who, i.TimerDue(token))
+            if step % 2 == 0:
+                self.call(step)
+
+    def call(self, step: int) -> None:
+        who = step // 2 % len(self.all)
+        function = FUNCTION + step % 10
+        request = i.Request(step + 1, function, 0, self.now + 1000.0, step // 2 % 2, 1.0, 128.0, 300.0, 20.0)
+        before: int = len(self.records)
+        self.feed(who, request)
+        for record in self.records[before:]:
+            if record[5] == 71:  # an attempt: it ends at once, and well
+                number, at = struct.unpack_from("<II", record, 6)
+                note = i.CopyNote.BEGAN if step < 20 else i.CopyNote.FOUND
+                self.feed(who, i.AttemptEnded(number, 0, at, i.Outcome.OK, 20.0, True, note, 0))
+
+
+def fleet() -> list[Sample]:
+    """Datagrams as whole routers make them: the first ones of each kind, and the sum of all in order."""
+    routers = Routers(3)
+    routers.run(160)
+    seen: dict[bytes, int] = {}
+    samples: list[Sample] = []
+    again: dict[int, Again] = {
+        0xC1: _gossip_again,
+        0xC2: _members_again,
+        0xC3: _register_again,
+        0xC4: _grants_again,
+        0xC5: _return_again,
+        0xC6: _pressure_again,
+    }
+    for data in routers.told:
+        kind: bytes = data[:1] if data[0] in (0xC1, 0xC6) else data[:2]
+        seen[kind] = seen.get(kind, 0) + 1
+        if seen[kind] <= 4:
+            samples.append(Sample(f"{kind.hex()} {seen[kind]}", data, None, again[data[0]]))
+    samples += [Sample(f"{kind.hex()} count", b"%d" % count) for kind, count in sorted(seen.items())]
+    for name, parts_of in (("all datagrams", routers.told), ("all actions", routers.records)):
+        samples.append(Sample(f"{name} sha256", hashlib.sha256(b"".join(parts_of)).digest()))
+    for who, router in enumerate(routers.all):
+        samples.append(text(f"state {who}", json.dumps(router.state(routers.now), indent=0, sort_keys=True)))
+    return samples
+
+
+def text(name: str, content: str) -> Sample:
+    return Sample(name, content.encode())
+
+
+# The workers' wire.
+
+
+def runner_lines() -> list[Sample]:
+    def call(body: bytes, key: str | None) -> calls.Call:
+        return calls.Call("00000000000000a1", 0, FUNCTION, 0.0, body, lambda answer: None, key)
+
+    columns: tuple[str, ...] = ("inflight", "x1", "util")
+    fields: dict[str, object] = {"remark": "spawn", "depth": 4, "report": "inflight:7;util:0.61;odd:x"}
+    answers: dict[str, dict[str, object]] = {
+        "hit": {"op": "HIT", "id": "a1", "fields": fields, "body": "AAEC"},
+        "hit awaited": {"op": "HIT", "id": "a1", "fields": {"remark": "pending", "depth": 99}, "body": ""},
+        "miss": {"op": "NONE", "id": "a1", "fields": {"remark": "spawn_failed"}},
+        "full": {"op": "SHED", "id": "a1", "fields": {"report": "x1:3"}},
+        "failed": {"op": "FAULT", "id": "a1"},
+        "moot": {"op": "LATE", "id": "a1", "fields": {"remark": "hit"}},
+        "unknown": {"op": "OTHER", "id": "a1"},
+        "spoilt body": {"op": "HIT", "id": "a1", "fields": {}, "body": "?"},
+    }
+
+    def reads(raw: bytes) -> Json:
+        return plain(runners.read_ending(json.loads(raw), columns))
+
+    tag: str = "load-1"
+    return [
+        Sample("call", runners.call_line(call(b"body \x00\xff", None), '"check"', 1234.9)),
+        Sample("keyed call", runners.call_line(call(b"", 'k"\u00e9'), json.dumps("rev\u00fc"), 0.2)),
+        Sample("load", runners.order_line("LOAD", tag, {"thing": f"{FUNCTION:016x}", "pods": 2})),
+        Sample("cancel", runners.order_line("CANCEL", "00000000000000a1")),
+        Sample("unload", runners.order_line("UNLOAD", f"{FUNCTION:016x}")),
+        *(Sample(f"answer {name}", json.dumps(one).encode(), reads) for name, one in answers.items()),
+    ]
+
+
+# The platform's wire.
+
+
+def platform_wire() -> list[Sample]:
+    some: i.Settings = some_settings()
+
+    def message(raw: bytes) -> Json:
+        got = msgpack.parse(memoryview(raw))
+        if not isinstance(got, msgpack.Value):
+            raise ValueError("no whole value")
+        return [plain(got.value), got.end]
+
+    def request(raw: bytes) -> Json:
+        got = msgpack.parse(memoryview(raw))
+        if not isinstance(got, msgpack.Value):
+            raise ValueError("no whole value")
+        fields, body = got.value[3]
+        klass: int = {"a": 0, "c": 2}[got.value[2]]
+        call = platform.read_call(klass, some, fields, body, 1000.0)
+        if isinstance(call, str):
+            return call
+        own = (call.name, call.klass, call.function, call.give_up, call.body, call.key)
+        return plain((*own, call.lanes, call.memory, call.repeat))
+
+    asked: dict[str, str] = {"txn": "00000000000000a1", "limit": "3000", "item": "7f3a9c21e0b4d655"}
+    changes: dict[str, tuple[str, dict[str, str]]] = {
+        "call": ("a", {}),
+        "keyed call": ("c", {"unique": "5c0f", "props": "memory_mb:512;lanes:2", "second": "1"}),
+        "keyed call without key": ("c", {}),
+        "bad function": ("a", {"item": "7f3a"}),
+        "bad limit": ("a", {"limit": "-5"}),
+        "limit out of range": ("a", {"limit": "0"}),
+        "bad figures": ("a", {"props": "lanes:-1"}),
+    }
+    answers: dict[str, calls.Answer] = {
+        "served": calls.Served(b"body \x00\xff"),
+        "served long": calls.Served(bytes(range(256)) * 2),
+        "refused": calls.Refused(250.4),
+        "refused with reason": calls.Refused(0.2, False, "frozen"),
+        "refused without time": calls.Refused(None, True),
+        "failed": calls.Failed(),
+        "failed late": calls.Failed(True),
+    }
+    numbers: list[int] = [0, 127, 128, 255, 256, 65535, 65536, 2**32 - 1, 2**32, 2**64 - 1]
+    return [
+        *(
+            Sample(f"request {name}", client_side.pack_call(7, klass, b"in\x00", asked | extra), request)
+            for name, (klass, extra) in changes.items()
+        ),
+        Sample("request health", client_side.health(), message),
+        *(
+            Sample(f"response {name}", platform.pack_answer(70_000, one), message)
+            for name, one in answers.items()
+        ),
+        Sample("response no", platform.pack_error(3, "BadRequest", {"reason": "x" * 40}), message),
+        Sample("response ready", platform.pack_health(3, True), message),
+        Sample("response not ready", platform.pack_health(2**32, False), message),
+        *(Sample(f"number {number}", msgpack.pack_uint(number), message) for number in numbers),
+        Sample("text", msgpack.pack_str("\u00e9" * 30), message),
+        Sample("bytes", msgpack.pack_bin(bytes(300)), message),
+        Sample("long bytes sha256", hashlib.sha256(msgpack.pack_bin(bytes(70_000))).digest()),
+        Sample("fields", msgpack.pack_fields({"a": "b", "later": "5"}), message),
+    ]
+
+
+# The discovery's wire.
+
+
+def discovery() -> list[Sample]:
+    query: bytes = dns.query(0xBEEF, resolver.NAME)
+    listed = (
+        resolver_side.Listed("s-00000001", 9001, False, 0.0),
+        resolver_side.Listed("s-00000002", 9002, True, 1234.0),
+    )
+
+    def reads(raw: bytes) -> Json:
+        reply = dns.parse(raw)
+        if isinstance(reply, dns.Unusable):
+            return reply.why
+        return [plain(reply), plain(resolver.listings(reply))]
+
+    whole: bytes = resolver_side.reply(query, 41, listed, "room-a")
+    return [
+        Sample("query", query),
+        Sample("reply", whole, reads),
+        Sample("reply that lists nobody", resolver_side.reply(query, 42, (), "room-a"), reads),
+        Sample("reply cut short", whole[:-3], reads),
+        Sample("reply truncated", whole[:2] + b"\x86" + whole[3:], reads),
+        Sample("reply that says no", whole[:3] + b"\x03" + whole[4:], reads),
+        Sample("query for a reply", query, reads),
+    ]
+
+
+# The simulator's wire.
+
+SETTINGS: dict[str, object] = {
+    "balancers": 3,
+    "ordinal": 1,
+    "zone": 1,
+    "quantum": 1.0,
+    "membership-mode": "ask",
+    "over-share-worth": 0.25,
+    "classes": [
+        {"name": "x", "goal-time": 500.0, "deadline": 2000.0, "effect": "retryable", "value": 2.0},
+        {"name": "y", "goal-time": 500, "deadline": 2000, "effect": "dedup", "group": "zone"},
+        {
+            "name": "w",
+            "goal-time": 50,
+            "deadline": 900,
+            "effect": "fragile",
+            "stream": True,
+            "late-worth": 0.5,
+        },
+        {
+            "name": "z",
+            "goal-time": 500,
+            "deadline": 2000,
+            "effect": "dedup",
+            "group": "cell",
+            "repeat-window": 3000,
+            "aim-stretch": 1.5,
+        },
+    ],
+    "tenants": [{"name": "t", "share": 0.5, "quota-per-s": 20}, {"name": "u"}],
+    "limits": {
+        "send-cap": 3,
+        "most-held": 100,
+        "cancel": True,
+        "probing": True,
+        "peers": True,
+        "second-copies": True,
+        "retry-after": True,
+        "max-retry-after": 500,
+        "streams-per-conn": 8,
+        "connect-timeout": 100,
+        "conn-idle": 5000,
+    },
+    "obligations": {
+        "answer-slack": 8,
+        "stop-sending-within": 500,
+        "cold-from": 0.2,
+        "warm-after": 9000.0,
+        "fall": 1000.0,
+        "overload-factor": 2.0,
+        "ask-every": 700,
+    },
+    "prices": {
+        "origin": 0.1,
+        "probe": 0.01,
+        "peer": 0.02,
+        "cross-zone": 0.03,
+        "waste": 0.04,
+        "late-fail": 0.05,
+    },
+    "specifics": {
+        "on-miss": "miss",
+        "may-order": True,
+        "keep-alive": 8700,
+        "order-limit": 10000,
+        "says-warm": True,
+        "notes-peers-in-hand": True,
+        "idle-price": 0.06,
+        "memory-mb-by-kind": [1024, 2048],
+        "loads-anyway": 5,
+        "load-share": 0.5,
+        "load-window": 1000,
+    },
+    "report": {"how": "probe", "columns": ["inflight", "x1"]},
+    "weight-source": "live",
+    "localities": ["room-a", "room-b"],
+    "kinds": ["std", "big"],
+    "a-key-of-tomorrow": 1,
+}
+LEAST: dict[str, object] = {
+    "balancers": 1,
+    "classes": [{"goal-time": 500.0, "deadline": 2000.0, "effect": "retryable"}],
+    "limits": {"send-cap": 3, "most-held": 100},
+    "obligations": {},
+}
+
+
+def frame(*records: bytes, now: float = 250.0) -> bytes:
+    body: bytes = b"".join(records)
+    return struct.pack("<IdI", 16 + len(body), now, len(records)) + body
+
+
+def at(who: int) -> bytes:
+    return struct.pack("<BI", 13, who)
+
+
+def start(told: dict[str, object]) -> bytes:
+    raw: bytes = json.dumps(told).encode()
+    return struct.pack("<BQI", 1, 99, len(raw)) + raw
+
+
+def table(number: int, *hosts: int) -> bytes:
+    rows = b"".join(struct.pack("<IBHHBfd", h, h % 2, h % 2, h % 3, 2, 1.0, 10.0 * h) for h in hosts)
+    return struct.pack("<BII", 12, number, len(hosts)) + rows
+
+
+def update(number: int, scope: int = 1, version: int = 1) -> bytes:
+    return struct.pack("<BBQI", 2, scope, version, number)
+
+
+def arrival(tid: int, give_up: float, klass: int = 0, flags: int = 1, key: int = 77) -> bytes:
+    return struct.pack("<BIfdQHffdHH", 3, tid, 2.0, give_up, key, klass, 384.0, 900.0, 12.0, 1, flags)
+
+
+def ended(tid: int, host: int, verdict: int = 200, remark: int = 8 * 6 + 1, settled: int = 1) -> bytes:
+    head = struct.pack("<BIIdIHHBB", 5, tid, host, 26.0, remark, 0, verdict, settled, 2)
+    return head + struct.pack("<2f", 0.5, -1.0)
+
+
+_EVENTS: tuple[tuple[type[object], str], ...] = (
+    (i.Membership, "list"),
+    (i.Request, "request"),
+    (i.StreamBegan, "stream began"),
+    (i.AttemptEnded, "attempt ended"),
+    (i.ClientGone, "client gone"),
+    (i.TimerDue, "timer"),
+    (i.ProbeEnded, "probe ended"),
+    (i.PeerMessage, "peer message"),
+    (i.OrderEnded, "order ended"),
+    (wire.Start, "start"),
+    (wire.Kill, "kill"),
+)
+
+
+def _batch(raw: bytes) -> Json:
+    now, events = wire.Decoder().batch(raw)
+    told: list[Json] = [plain(now)]
+    for who, event in events:
+        named: list[str] = [name for kind, name in _EVENTS if isinstance(event, kind)]
+        told.append([who, *named, plain(event)])
+    return told
+
+
+def simulator_events() -> list[Sample]:
+    verdicts: tuple[int, ...] = (200, 502, 429, 408, 521, 520, 444, 409, 204)
+    odd = struct.pack("<BIfdQHffdHH", 3, 9, math.nan, 1.0, 77, 0, -1.0, math.inf, 12.0, 3, 0xFFF2)
+    listed = [table(0, 4, 5), *(update(0, scope, 7) for scope in (1, 3, 4)), update(0, 2, 8)]
+    states = struct.pack("<BII", 12, 1, 3) + b"".join(
+        struct.pack("<IBHHBfd", n, 0, 1, 2, n, -1.0, math.nan) for n in range(3)
+    )
+    ends = [ended(n, 4, verdict, 8 * n + n % 6, n % 2) for n, verdict in enumerate(verdicts)]
+    probes = [struct.pack("<BdIHB", 8, 2.5, 4, verdict, 0) for verdict in verdicts]
+    batches: dict[str, tuple[bytes, ...]] = {
+        "nothing": (),
+        "start": (at(5), start(SETTINGS)),
+        "start with least settings": (at(5), start(LEAST)),
+        "lists": (at(5), *listed, states, update(1, 3, 9)),
+        "requests": (at(5), arrival(9, 2250.0), arrival(10, 99.5, 1, 7), odd),
+        "requests with tenants": (at(5), start(SETTINGS), arrival(9, 2250.0, 1, 2)),
+        "attempts end": (at(5), *ends),
+        "probes end": (at(5), *probes),
+        "others": (
+            at(5),
+            struct.pack("<BIHId", 4, 9, 1, 4, 2.5),
+            struct.pack("<BI", 6, 9),
+            struct.pack("<BI", 7, 77),
+            struct.pack("<BIH", 9, 2, 2) + b"hi",
+            struct.pack("<BBIQHd", 11, 2, 4, 77, 429, 5.0),
+            at(6),
+            struct.pack("<B", 10),
+        ),
+    }
+    return [Sample(name, frame(*records), _batch) for name, records in batches.items()]
+
+
+def simulator_actions() -> list[Sample]:
+    actions: dict[str, i.Action] = {
+        "send": i.Send(9, 4, 80.0),
+        "send without patience": i.Send(9, 4),
+        "refuse": i.Refuse(9, 50.0, "told in words"),
+        "refuse without time": i.Refuse(9),
+        "fail": i.Fail(9),
+        "cancel": i.Cancel(9, 1),
+        "order": i.Order(4, FUNCTION, 3),
+        "unload": i.Unload(4, FUNCTION),
+        "probe": i.Probe(4),
+        "tell all": i.Tell(b"hi"),
+        "tell one": i.Tell(b"hi", 2),
+        "subscribe": i.Subscribe(),
+        "subscribe no more": i.Subscribe(False),
+        "fetch": i.FetchList(),
+        "close idle": i.CloseIdle(4),
+        "timer": i.SetTimer(8400.25, 77),
+        "log": i.Log("\u00e9 ok"),
+    }
+    made = [Sample(name, wire.encode_action(one)) for name, one in actions.items()]
+    made.append(Sample("instance", wire.encode_instance(5)))
+    made.append(Sample("broken", wire.encode_broken("IndexError: x")))
+    made.append(Sample("reply", wire.encode_reply([wire.encode_instance(5), b"\x49"])))
+    return made
+
+
+def simulator_host() -> list[Sample]:
+    """Frames to one process with two instances, and its replies, in order."""
+    host = simhost.Host()
+    frames: list[bytes] = []
+    for who in (0, 1):
+        told = SETTINGS | {"ordinal": who, "balancers": 2, "membership-mode": "push"}
+        begin = (at(who), start(told), table(who, 4, 5, 6), update(who))
+        frames.append(frame(*begin, now=0.0))
+    for step in range(30):
+        now: float = 10.0 + 100.0 * step
+        request = arrival(step + 1, now + 2000.0, step % 4, key=77 + step % 3)
+        frames.append(frame(at(step % 2), request, now=now))
+        due = [struct.pack("<BI", 7, token) for token in (2**32 - 1, step)]
+        note: int = 8 * (step % 5) + step % 4
+        frames.append(frame(at(step % 2), ended(step + 1, 4 + step % 3, 200, note), *due, now=now + 50.0))
+    samples: list[Sample] = []
+    for number, raw in enumerate(frames):
+        reply: bytes = host.reply(raw)
+        samples += [Sample(f"{number} in", raw), Sample(f"{number} out", reply)]
+    return samples
+
+
+# The invoke API.
+
+
+def _head_reads(raw: bytes) -> Json:
+    head = http.parse(memoryview(raw), 1000)
+    if isinstance(head, http.Short):
+        return "short"
+    if isinstance(head, http.Bad):
+        return [head.status, head.why]
+    own = (head.method, head.target, head.fields, head.length, head.size, head.keep_alive)
+    return plain((*own, head.preferences()))
+
+
+def _wanted_reads(raw: bytes) -> Json:
+    head = http.parse(memoryview(raw), 1000)
+    if not isinstance(head, http.Head):
+        raise ValueError("no head")
+    some: i.Settings = some_settings()
+    current: dict[str, int] = {klass.name: number for number, klass in enumerate(some.classes)}
+    wanted = invoke.read_wanted(some, current, head, raw[head.size :])
+    if isinstance(wanted, http.Response):
+        return wanted.pack(keep_alive=True).decode("latin-1")
+    own = (wanted.klass, wanted.function, wanted.key, wanted.body, wanted.limit, wanted.lanes, wanted.memory)
+    return [plain(own), plain(wanted.same())]
+
+
+def invoke_api() -> list[Sample]:
+    path: str = "/v1/functions/7f3a9c21e0b4d655/"
+
+    def asked(target: str, *fields: str, body: str = "in") -> bytes:
+        lines: list[str] = [f"POST {target} HTTP/1.1", "Host: r", *fields, f"Content-Length: {len(body)}"]
+        return ("\r\n".join(lines) + "\r\n\r\n" + body).encode("latin-1")
+
+    figures: tuple[str, ...] = ("Call-Timeout-Ms: 700", "Call-Lanes: 2", "Call-Memory-Mb: 512")
+    wanted: dict[str, bytes] = {
+        "call": asked(path + "a"),
+        "keyed call": asked(path + "c", 'Idempotency-Key: "k1"', *figures),
+        "no such class": asked(path + "nosuch"),
+        "bad key": asked(path + "c", "Idempotency-Key: a b"),
+        "no key": asked(path + "c"),
+        "bad limit": asked(path + "a", "Call-Timeout-Ms: -1"),
+        "bad figure": asked(path + "a", "Call-Lanes: two"),
+    }
+    heads: dict[str, bytes] = {
+        "deferred": asked(path + "a", "Prefer: respond-async, wait=10", "X: a", "X: b"),
+        "old version": b"GET /v1/ready HTTP/1.0\r\n\r\n",
+        "closing": b"GET /v1/ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n",
+        "not whole": b"GET /v1/ready HTTP/1.1\r\nHost",
+        "malformed line": b"GET\r\n\r\n",
+        "malformed version": b"GET / HTTQ/1\r\n\r\n",
+        "other version": b"GET / HTTP/2.0\r\n\r\n",
+        "no host": b"GET / HTTP/1.1\r\n\r\n",
+        "malformed field": b"GET / HTTP/1.1\r\nHost : r\r\n\r\n",
+        "expectation": b"GET / HTTP/1.1\r\nHost: r\r\nExpect: x\r\n\r\n",
+        "chunked": b"POST / HTTP/1.1\r\nHost: r\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "malformed length": b"POST / HTTP/1.1\r\nHost: r\r\nContent-Length: x\r\n\r\n",
+        "too large": b"POST / HTTP/1.1\r\nHost: r\r\nContent-Length: 1001\r\n\r\n",
+    }
+    answers: dict[str, calls.Answer] = {
+        "served": calls.Served(b"body"),
+        "refused": calls.Refused(250.4),
+        "refused in time": calls.Refused(1500.0, True, "frozen"),
+        "refused without time": calls.Refused(None),
+        "failed": calls.Failed(),
+        "failed late": calls.Failed(True),
+    }
+    samples = [Sample(f"request {name}", raw, _wanted_reads) for name, raw in wanted.items()]
+    samples += [Sample(f"head {name}", raw, _head_reads) for name, raw in heads.items()]
+    for name, one in answers.items():
+        samples.append(Sample(f"answer {name}", invoke.render(one).pack(keep_alive=True)))
+    for status in sorted(http.REASONS):
+        packed: bytes = http.problem(status, "why", {"Retry-After": "1"}, repeat="harmless").pack(
+            keep_alive=status % 2 == 0
+        )
+        samples.append(Sample(f"problem {status}", packed))
+    samples.append(text("key at the worker", invoke.worker_key("spiffe://a/b", "k1")))
+    return samples
+
+
+# The fronts on loopback; what differs from run to run is masked by name.
+
+_NAMED = re.compile(rb"/v1/calls/[A-Za-z0-9_-]+")
+INVOKE_FILE = """[invoke]
+listen = "127.0.0.1:0"
+trust_domain = "gaz.example"
+svid = "svid.pem"
+key = "svid.key"
+bundle = "bundle.pem"
+allow = ["spiffe://gaz.example/desk/*"]
+"""
+
+
+async def _response(reader: asyncio.StreamReader) -> bytes:
+    async with asyncio.timeout(10):
+        head: bytes = await reader.readuntil(b"\r\n\r\n")
+        length = re.search(rb"Content-Length: ([0-9]+)", head)
+        return head + (await reader.readexactly(int(length[1])) if length is not None else b"")
+
+
+async def _invoke_front(folder: Path) -> list[Sample]:
+    made = Authority(folder)
+    made.svid("svid", "spiffe://gaz.example/router")
+    (folder / "invoke.toml").write_text(INVOKE_FILE)
+    path: str = "/v1/functions/7f3a9c21e0b4d655/"
+    collected: str = ""
+    samples: list[Sample] = []
+    asked: tuple[tuple[str, str, str, dict[str, str]], ...] = (
+        ("ready", "GET", "/v1/ready", {}),
+        ("call", "POST", path + "check", {}),
+        ("deferred call", "POST", path + "confirm", {"Prefer": "respond-async", "Idempotency-Key": "k"}),
+        ("collected", "GET", "", {"Prefer": "wait=5"}),
+        ("key of another call", "POST", path + "check", {"Prefer": "respond-async", "Idempotency-Key": "k"}),
+        ("forgotten", "DELETE", "", {}),
+        ("no such call", "GET", "", {}),
+        ("no such method", "PUT", path + "check", {}),
+        ("no such method of a call", "POST", "/v1/calls/x", {}),
+        ("nothing there", "GET", "/", {}),
+        ("expectation", "GET", "/v1/ready", {"Expect": "other"}),
+    )
+    async with service(Runner(), invoke=config(made)) as running:
+        async with Caller(running, made.caller(DESK)) as desk:
+            for name, method, target, fields in asked:
+                desk.send(method, target or collected, b"body", **fields)
+                reply: bytes = await _response(desk.reader)
+                if (found := _NAMED.search(reply)) is not None:
+                    collected = found[0].decode()
+                samples.append(Sample(f"invoke {name}", _NAMED.sub(b"/v1/calls/MASKED", reply)))
+        async with Caller(running, made.caller("spiffe://gaz.example/other")) as other:
+            other.send("GET", "/v1/ready")
+            samples.append(Sample("invoke not let in", await _response(other.reader)))
+        async with Caller(running, made.caller(DESK)) as desk:
+            if running.invoke is not None:
+                running.invoke.ready = False
+            desk.send("GET", "/v1/ready")
+            samples.append(Sample("invoke draining", await _response(desk.reader)))
+    return samples
+
+
+async def _control_front(folder: Path) -> list[Sample]:
+    """Replies to operators; of ``INFO`` the names alone, since figures vary."""
+    samples: list[Sample] = []
+    file = folder / "fleet.toml"
+    file.write_bytes(FLEET)
+    (folder / "kept").mkdir()
+    runner = Runner()
+    await runner.start()
+    known = ((1, (listing(runner, 1),)),)
+    settings: i.Settings = wire.settings_from(STANDIN_SETTINGS)
+    told = Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, known, ("127.0.0.1", 0))
+    for name, running in (
+        ("alone", Service(told)),
+        ("with a fleet", Service(told, None, None, file, str(folder / "kept"))),
+    ):
+        await running.start()
+        for line in (b"PING\n", b"OTHER\n", b"INFO\n"):
+            reply: list[str] = await ask(running, line)
+            names: str = "\n".join(one.partition("=")[0] for one in reply) + "\n"
+            samples.append(Sample(f"{name}: {line.decode().strip()}", names.encode()))
+        running.platform.stop_listening()
+        running.control.stop_listening()
+        if running.disk is not None:
+            running.disk.close()
+        for pool in running.runners.pools.values():
+            for connection in list(pool.connections):
+                connection.abort()
+    runner.stop()
+    await asyncio.sleep(0)
+    return samples
+
+
+def fronts() -> list[Sample]:
+    async def both(folder: Path) -> list[Sample]:
+        return await _invoke_front(folder) + await _control_front(folder)
+
+    with tempfile.TemporaryDirectory() as name:
+        return asyncio.run(both(Path(name)))
+
+
+# The store.
+
+
+def grants_image() -> bytes:
+    """What the grants of a router of one have written of a count."""
+    made = Grants(0, 1, 9, 9, clock_rate=0.001, remembered=True, stored=True)
+    made.pool("freeze/fair", 40, spent=True, until=None)
+    made.want(0.0, "freeze/fair", 3)
+    image: bytes | None = made.to_write(0.0)
+    if image is None:
+        raise ValueError("nothing to write")
+    return image
+
+
+def _later_grants(image: bytes) -> Grants:
+    made = Grants(0, 1, 10, 10, clock_rate=0.001, remembered=True, stored=True)
+    if not made.restore(image):
+        raise ValueError("not read")
+    return made
+
+
+def grants_again(image: bytes) -> bytes:
+    """The image as a later life holds it, before it uses anything."""
+    return _later_grants(image).snapshot()
+
+
+def grants_reads(image: bytes) -> Json:
+    """What a later life may use of it: at once, and once the disk has more as gone."""
+    made = _later_grants(image)
+    made.pool("freeze/fair", 40, spent=True, until=None)
+    before: int = made.may(0.0, "freeze/fair")
+    made.want(0.0, "freeze/fair", 3)
+    written: bytes = made.to_write(0.0) or b""
+    made.written(0.0)
+    return [before, written.hex(), made.may(0.0, "freeze/fair")]
+
+
+def _recovery(now: float) -> Recovery:
+    made = Recovery(some_settings(gateways=1), 5, now)
+    ready = tuple(worker(n, started=100.0 * n) for n in range(1, 4))
+    made.changed(now, i.Membership(i.ListKind.FULL, 1, ready))
+    made.changed(now, parts.Wall(WALL + now))
+    return made
+
+
+def warm_image() -> bytes:
+    """What stands warm, as a router keeps it."""
+    made = _recovery(0.0)
+    for number in range(5):
+        made.knows.saw(100.0 * number, 1 + number % 3, FUNCTION + number, number != 3)
+    image: bytes | None = made.snapshot(900.0)
+    if image is None:
+        raise ValueError("no wall clock")
+    return image
+
+
+def warm_reads(image: bytes) -> Json:
+    """What a later life reads of it: how many count, and which."""
+    made = _recovery(2000.0)
+    count: int = made.restore(2000.0, image)
+    return [
+        count,
+        plain(made.knows.digest(2000.0)),
+        plain(made.remembered),
+        plain(msgspec.msgpack.decode(image)),
+    ]
+
+
+def store_values() -> dict[str, bytes]:
+    """Key and value of all that a router keeps."""
+    values: dict[str, bytes] = dict(held.entry(entry) for entry in declared_entries())
+    key, value = held.life(held.Life(2, 2**64 - 1, 7, True))
+    return values | {key: value, "warm": warm_image(), "grants": grants_image()}
+
+
+def values_again(values: dict[str, bytes]) -> dict[str, bytes]:
+    """Read, and written again."""
+    kept: held.Kept = held.read(values)
+    if kept.bad or kept.life is None or kept.warm is None or kept.grants is None:
+        raise ValueError(f"{kept.bad} left out")
+    key, value = held.life(kept.life)
+    written: dict[str, bytes] = dict(held.entry(entry) for entry in kept.entries)
+    return written | {key: value, "warm": kept.warm, "grants": kept.grants}
+
+
+def stored_values() -> list[Sample]:
+    reads: dict[str, Reads] = {"warm": warm_reads, "grants": grants_reads}
+    again: dict[str, Again] = {"grants": grants_again}
+
+    def same(key: str) -> Again:
+        return lambda raw: values_again(store_values() | {key: raw})[key]
+
+    return [
+        Sample(key, value, reads.get(key), again.get(key, same(key)))
+        for key, value in sorted(store_values().items())
+    ]
+
+
+MODES: dict[str, Sync] = {"each": "each", "group": "group", "none": "none", "each, left open": "each"}
+
+
+def write_folder(folder: Path, sync: Sync, *, leave_open: bool) -> dict[str, bytes]:
+    """A store with all that a router keeps, some of it written twice and some dropped; its files' bytes."""
+    store = FileStore(folder, sync)
+    store.open()
+    values: list[tuple[str, bytes]] = sorted(store_values().items())
+    puts: list[list[tuple[str, bytes | None]]] = [
+        [("warm", b"earlier"), ("entry/contract/gone", b"x" * 5000)],
+        [(key, value) for key, value in values],
+        [("entry/contract/gone", None)],
+    ]
+    for some in puts:
+        if store.commit(some) is not None:
+            raise OSError("not written")
+    if leave_open:  # as a process that was killed leaves it
+        files = {path.name: path.read_bytes() for path in sorted(folder.iterdir())}
+        store.close()
+        return files
+    store.close()
+    return {path.name: path.read_bytes() for path in sorted(folder.iterdir())}
+
+
+def read_folder(folder: Path, sync: Sync) -> tuple[dict[str, bytes], int, bool]:
+    """Values, generation, and whether nothing was wrong."""
+    store = FileStore(folder, sync)
+    loaded: Loaded = store.open()
+    store.close()
+    return dict(loaded.values), loaded.generation, loaded.trouble is None
+
+
+def folders() -> dict[str, Json]:
+    """The store's folder by mode: its files in base64, and what it holds."""
+    made: dict[str, Json] = {}
+    for mode, sync in MODES.items():
+        with tempfile.TemporaryDirectory() as name:
+            files = write_folder(Path(name), sync, leave_open="open" in mode)
+            values, generation, whole = read_folder(Path(name), sync)
+        made[mode] = {
+            "files": {file: base64.b64encode(raw).decode() for file, raw in files.items()},
+            "values": {key: value.hex() for key, value in sorted(values.items())},
+            "generation": generation,
+            "whole": whole,
+        }
+    return made
+
+
+BUILDERS: dict[str, Callable[[], list[Sample]]] = {
+    "gossip": gossip,
+    "membership": membership,
+    "register": register,
+    "register-entries": register_entries,
+    "grants": grants,
+    "recovery": recovery,
+    "pressure": pressure,
+    "fleet": fleet,
+    "stored-values": stored_values,
+    "runner-lines": runner_lines,
+    "platform": platform_wire,
+    "discovery": discovery,
+    "simulator-events": simulator_events,
+    "simulator-actions": simulator_actions,
+    "simulator-host": simulator_host,
+    "invoke": invoke_api,
+    "fronts": fronts,
+}
+FOLDERS = "store-folders"
+
+
+def shown(sample: Sample) -> dict[str, Json]:
+    """A sample as its file has it: text that is plain as text, else hex."""
+    told: dict[str, Json] = {}
+    if sample.data.isascii() and all(byte >= 32 or byte in b"\r\n" for byte in sample.data):
+        told["text"] = sample.data.decode("ascii")
+    else:
+        told["hex"] = sample.data.hex()
+    if sample.reads is not None:
+        told["read"] = sample.reads(sample.data)
+    return told
+
+
+def kept(told: dict[str, Json]) -> bytes:
+    """The bytes of a sample in a file."""
+    written, raw = told.get("text"), told.get("hex")
+    if isinstance(written, str):
+        return written.encode("ascii")
+    if isinstance(raw, str):
+        return bytes.fromhex(raw)
+    raise ValueError("neither text nor hex")
+
+
+def dump(content: dict[str, Json]) -> str:
+    """The text of a file."""
+    return json.dumps(content, indent=1) + "\n"
+
+
+def file_text(name: str) -> str:
+    """The whole text of one file, made now."""
+    samples: list[Sample] = BUILDERS[name]()
+    if len({sample.name for sample in samples}) < len(samples):
+        raise ValueError(f"{name}: a name is there twice")
+    return dump({sample.name: shown(sample) for sample in samples})
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Write the files; none that is there is written over without ``--force``."""
+    parser = argparse.ArgumentParser(prog="tests.golden_samples")
+    parser.add_argument("--write", action="store_true", required=True)
+    parser.add_argument("--force", action="store_true")
+    told: argparse.Namespace = parser.parse_args(arguments)
+    force: bool = told.force
+    there: list[str] = [n for n in (*BUILDERS, FOLDERS) if (FOLDER / f"{n}.json").exists()]
+    if there and not force:
+        print(f"there already, not written over without --force: {', '.join(there)}", file=sys.stderr)
+        return 1
+    FOLDER.mkdir(exist_ok=True)
+    for name in BUILDERS:
+        (FOLDER / f"{name}.json").write_text(file_text(name))
+    (FOLDER / f"{FOLDERS}.json").write_text(dump(folders()))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
