--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -14,25 +14,33 @@
 import json
 import math
 import re
+import sqlite3
 import struct
 import sys
 import tempfile
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from datetime import datetime
 from enum import Enum, StrEnum
 from pathlib import Path
+from typing import Literal
 
 import msgspec
 
 from cedarthread import interface as i
 from cedarthread import parts, simhost, wire
 from cedarthread.config import Config
+from cedarthread.config import read as read_config
 from cedarthread.core import calls
 from cedarthread.decisions import Decisions
 from cedarthread.freeze import window
 from cedarthread.membership import form as members_form
 from cedarthread.net import dns, http, invoke, msgpack, platform, resolver, runners
+from cedarthread.net.invoke_config import InvokeConfig
+from cedarthread.net.invoke_config import parse as parse_invoke
+from cedarthread.net.roster import Listing, Roster
 from cedarthread.recovery import form as return_form
+from cedarthread.recovery import pace
 from cedarthread.recovery.knowledge import Told
 from cedarthread.recovery.recovery import Recovery
 from cedarthread.register import declared, grants_form
@@ -75,6 +83,8 @@
 
 def plain(value: object) -> Json:
     """A value without the names of its class, fields and members: they may be renamed."""
+    if isinstance(value, datetime):
+        return value.isoformat()
     if isinstance(value, StrEnum):  # stands as it is in stored data
         return str(value.value)
     if isinstance(value, Enum) and not isinstance(value, int):
@@ -164,9 +174,13 @@
 
 
 def membership() -> list[Sample]:
-    status = members_form.Status
-    some = tuple(members_form.Entry(n, 1000 + n, status(n % 3)) for n in range(5))
-    full = tuple(members_form.Entry(n, n, status(n % 3)) for n in range(members_form.ENTRIES))
+    status: tuple[members_form.Status, ...] = (
+        members_form.Status.ALIVE,
+        members_form.Status.SUSPECT,
+        members_form.Status.DEAD,
+    )
+    some = tuple(members_form.Entry(n, 1000 + n, status[n % 3]) for n in range(5))
+    full = tuple(members_form.Entry(n, n, status[n % 3]) for n in range(members_form.ENTRIES))
     messages: dict[str, members_form.Message] = {
         "ping": members_form.Message(members_form.Kind.PING, 3, 17),
         "answer": members_form.Message(members_form.Kind.ANSWER, 4, 17, 0, some),
@@ -748,6 +762,24 @@
 )
 
 
+def _settings_of(name: str, value: str) -> dict[str, object]:
+    """The least settings with one more key, perhaps of a part."""
+    top, _, key = name.partition(".")
+    if top == "classes":
+        return LEAST | {top: [{"goal-time": 500.0, "deadline": 2000.0, "effect": "dedup", key: value}]}
+    return LEAST | {top: {key: value} if key else value}
+
+
+WORDS: dict[str, tuple[str, ...]] = {
+    "classes.effect": ("retryable", "dedup", "fragile"),
+    "classes.group": ("all", "zone", "cell"),
+    "membership-mode": ("push", "ask"),
+    "specifics.on-miss": ("load", "miss"),
+    "report.how": ("none", "answers", "probe"),
+    "weight-source": ("none", "nominal", "rough", "live"),
+}
+
+
 def _batch(raw: bytes) -> Json:
     now, events = wire.Decoder().batch(raw)
     told: list[Json] = [plain(now)]
@@ -786,6 +818,9 @@
             struct.pack("<B", 10),
         ),
     }
+    for name, values in WORDS.items():
+        for value in values:
+            batches[f"{name} {value}"] = (at(5), start(_settings_of(name, value)))
     return [Sample(name, frame(*records), _batch) for name, records in batches.items()]
 
 
@@ -1008,14 +1043,175 @@
     return samples
 
 
+class RawRunner:
+    """A runner that keeps each line as it came, and answers by what the line holds."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+        self.ended = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while line := await reader.readline():
+            self.lines.append(line)
+            told: dict[str, Json] = json.loads(line)
+            body: Json = told.get("body")
+            if told["op"] == "LOAD":
+                answer: dict[str, Json] = {"op": "HIT", "fields": {"pods": 2}}
+            elif told["op"] == "CALL" and body != base64.b64encode(b"hold").decode():
+                fault = body == base64.b64encode(b"lost").decode()
+                answer = (
+                    {"op": "FAULT"} if fault else {"op": "HIT", "fields": {"remark": "hit"}, "body": body}
+                )
+            else:
+                continue
+            writer.write(json.dumps(answer | {"id": told["id"]}).encode() + b"\n")
+        writer.close()
+        self.ended.set()
+
+    async def until(self, count: int) -> None:
+        async with asyncio.timeout(10):
+            while len(self.lines) < count:
+                await asyncio.sleep(0.005)
+
+
+async def _message(reader: asyncio.StreamReader) -> bytes:
+    """The bytes of the next message of the platform."""
+    raw: bytes = b""
+    async with asyncio.timeout(10):
+        while not isinstance(msgpack.parse(memoryview(raw)), msgpack.Value):
+            raw += await reader.readexactly(1)
+    return raw
+
+
+async def _call_fronts() -> list[Sample]:
+    """A client's messages through a whole router: its answers, and the lines that a runner is sent."""
+    runner = RawRunner()
+    server = await asyncio.start_server(runner.serve, "127.0.0.1", 0)
+    port: int = server.sockets[0].getsockname()[1]
+    here = Listing("s-00000001", "127.0.0.1", port, "room-a", "std", 0, i.WorkerState.READY, 1.0, 0.0)
+    settings: i.Settings = wire.settings_from(STANDIN_SETTINGS)
+    known = ((1, (here,)),)
+    running = Service(
+        Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, known, ("127.0.0.1", 0))
+    )
+    await running.start()
+    reader, writer = await asyncio.open_connection("127.0.0.1", running.port)
+    own: dict[str, str] = {"limit": "3000", "item": "7f3a9c21e0b4d655"}
+    asked: tuple[tuple[str, str, bytes, dict[str, str]], ...] = (
+        ("call", "check", b"body", {}),
+        ("keyed call", "revise", b"", {"unique": "5c0f", "props": "lanes:2;memory_mb:512"}),
+        ("call that fails", "confirm", b"lost", {}),
+        ("keyed call without key", "revise", b"", {}),
+        ("no such class", "nosuch", b"", {}),
+    )
+    samples: list[Sample] = []
+    writer.write(client_side.health())
+    samples.append(Sample("platform health", await _message(reader)))
+    for number, (name, klass, body, fields) in enumerate(asked, 1):
+        writer.write(client_side.pack_call(number, klass, body, own | {"txn": f"{number:016x}"} | fields))
+        samples.append(Sample(f"platform {name}", await _message(reader)))
+    writer.write(client_side.pack_call(9, "check", b"hold", own | {"txn": f"{9:016x}"}))
+    await runner.until(4)
+    writer.write(b"\x93\x02\xa9interrupt\x91\x09")
+    await runner.until(5)
+    running.runners.order(1, FUNCTION, 2)
+    await runner.until(6)
+    running.runners.unload(1, FUNCTION)
+    await runner.until(7)
+    for place, line in enumerate(runner.lines):
+        masked: bytes = re.sub(rb'"max":[0-9]+', b'"max":0', line)
+        samples.append(Sample(f"runner line {place}", masked))
+    writer.transport.abort()
+    running.platform.stop_listening()
+    running.control.stop_listening()
+    for pool in running.runners.pools.values():
+        for connection in list(pool.connections):
+            connection.abort()
+    server.close()
+    async with asyncio.timeout(10):
+        await runner.ended.wait()
+    return samples
+
+
 def fronts() -> list[Sample]:
     async def both(folder: Path) -> list[Sample]:
-        return await _invoke_front(folder) + await _control_front(folder)
+        return await _invoke_front(folder) + await _control_front(folder) + await _call_fronts()
 
     with tempfile.TemporaryDirectory() as name:
         return asyncio.run(both(Path(name)))
 
 
+# Files that operators and the platform write.
+
+PLATFORM_FILE: dict[str, object] = {
+    "listen": "127.0.0.1:5050",
+    "name": "n3",
+    "seed": "ff07",
+    "limits": {"sockets": 512, "memory_mb": 96},
+    "dns": "127.0.0.1:5353",
+    "control": "127.0.0.1:5051",
+    "peer_listen": "[::1]:5052",
+    "peers": ["127.0.0.1:5052", "127.0.0.1:5054"],
+    "peers_all": "127.0.0.1:5053",
+    "known": {
+        "events": [
+            {
+                "n": 4,
+                "members": {
+                    "endpoints": [
+                        {
+                            "name": f"s-0000000{place}",
+                            "address": f"127.0.0.1:900{place}",
+                            "zone": "room-a",
+                            "type": "std",
+                            "group": place,
+                            "status": status,
+                            "weight": 0.5,
+                            "since_ms": 1200,
+                        }
+                        for place, status in enumerate(("ready", "draining", "gone"))
+                    ]
+                },
+            }
+        ]
+    },
+}
+
+
+def _platform_file_reads(raw: bytes) -> Json:
+    found: Config = read_config(raw, {})
+    news: list[Json] = []
+    roster = Roster(found.settings)
+    for number, told in found.known:
+        news.append(plain(roster.event(number, list(told), True)))
+    return [plain(found), news]
+
+
+def _fleet_file_reads(raw: bytes) -> Json:
+    return plain(declared.parse(raw))
+
+
+def _invoke_file_reads(raw: bytes) -> Json:
+    found: InvokeConfig = parse_invoke(raw, Path("folder/invoke.toml"))
+    paths: list[Json] = [path.as_posix() for path in (found.path, found.svid, found.key, found.bundle)]
+    return [*paths, plain((found.host, found.port, found.trust_domain, found.allow, found.connections))]
+
+
+def files() -> list[Sample]:
+    sharing = FLEET.replace(b"clock-error", b"fresh = 9000\nclock-rate = 0.002\nclock-error")
+    whole = sharing.replace(b'sync = "each"', b'sync = "none"\ngroup = 7.5')
+    platform_file: bytes = json.dumps(PLATFORM_FILE | {"settings": SETTINGS}).encode()
+    least: bytes = json.dumps({"listen": "127.0.0.1:0", "settings": LEAST}).encode()
+    return [
+        Sample("platform", platform_file, _platform_file_reads),
+        Sample("platform with least", least, _platform_file_reads),
+        Sample("fleet", whole, _fleet_file_reads),
+        Sample("fleet with nothing", b"", _fleet_file_reads),
+        Sample("invoke", INVOKE_FILE.encode(), _invoke_file_reads),
+        Sample("invoke with all", INVOKE_FILE.encode() + b"connections = 9\n", _invoke_file_reads),
+    ]
+
+
 # The store.
 
 
@@ -1072,6 +1268,36 @@
     return image
 
 
+KINDS: tuple[pace.Kind, ...] = (
+    pace.Kind.LOAD,
+    pace.Kind.CONNECT,
+    pace.Kind.RESOLVE,
+    pace.Kind.ASK,
+    pace.Kind.RELEASE,
+)
+
+
+def usual_image() -> bytes:
+    """What stands warm, of a router that has been in service for long enough to know what is usual."""
+    made = _recovery(0.0)
+    made.pace.in_service(0.0)
+    for number, kind in enumerate(KINDS):
+        for step in range(number + 1):
+            made.pace.noted(1000.0 * step, kind)
+    made.knows.saw(29_000.0, 2, FUNCTION, True)
+    image: bytes | None = made.snapshot(30_000.0)
+    if image is None:
+        raise ValueError("no wall clock")
+    return image
+
+
+def usual_reads(image: bytes) -> Json:
+    """The rates that a later life takes for usual, kind by kind."""
+    made = _recovery(31_000.0)
+    count: int = made.restore(31_000.0, image)
+    return [count, *(plain(made.pace.known(kind)) for kind in KINDS)]
+
+
 def warm_reads(image: bytes) -> Json:
     """What a later life reads of it: how many count, and which."""
     made = _recovery(2000.0)
@@ -1108,18 +1334,54 @@
     def same(key: str) -> Again:
         return lambda raw: values_again(store_values() | {key: raw})[key]
 
-    return [
+    samples = [
         Sample(key, value, reads.get(key), again.get(key, same(key)))
         for key, value in sorted(store_values().items())
     ]
+    return [*samples, Sample("warm with usual rates", usual_image(), usual_reads)]
 
 
-MODES: dict[str, Sync] = {"each": "each", "group": "group", "none": "none", "each, left open": "each"}
+@dataclass(frozen=True)
+class Mode:
+    """How a folder is written, and how it is left: closed, as of a killed process, or in mid-commit."""
 
+    sync: Sync
+    left: Literal["closed", "open", "torn"] = "closed"
+
+
+MODES: dict[str, Mode] = {
+    "each": Mode("each"),
+    "group": Mode("group"),
+    "none": Mode("none"),
+    "each, left open": Mode("each", "open"),
+    "group, torn": Mode("group", "torn"),
+}
 
-def write_folder(folder: Path, sync: Sync, *, leave_open: bool) -> dict[str, bytes]:
+
+def _files(folder: Path) -> dict[str, bytes]:
+    return {path.name: path.read_bytes() for path in sorted(folder.iterdir())}
+
+
+def _torn(folder: Path) -> dict[str, bytes]:
+    """The files as a power cut leaves them in mid-commit: the journal has what is to be played back."""
+    connection = sqlite3.connect(folder / "state-1.db", isolation_level=None)
+    try:
+        connection.execute("PRAGMA journal_mode=PERSIST")
+        connection.execute("PRAGMA cache_size=1")
+        connection.execute("BEGIN IMMEDIATE")
+        connection.execute("UPDATE rows SET value = x'00'")
+        connection.execute("CREATE TABLE more(value BLOB)")
+        for _ in range(50):  # so much that the changed rows leave the cache for the file
+            connection.execute("INSERT INTO more VALUES(?)", (b"x" * 3000,))
+        return _files(folder)
+    finally:
+        connection.execute("ROLLBACK")
+        connection.close()
+
+
+def write_folder(folder: Path, mode: Mode) -> dict[str, bytes]:
     """A store with all that a router keeps, some of it written twice and some dropped; its files' bytes."""
-    store = FileStore(folder, sync)
+    store = FileStore(folder, mode.sync)
     store.open()
     values: list[tuple[str, bytes]] = sorted(store_values().items())
     puts: list[list[tuple[str, bytes | None]]] = [
@@ -1130,12 +1392,12 @@
     for some in puts:
         if store.commit(some) is not None:
             raise OSError("not written")
-    if leave_open:  # as a process that was killed leaves it
-        files = {path.name: path.read_bytes() for path in sorted(folder.iterdir())}
+    if mode.left == "open":
+        files: dict[str, bytes] = _files(folder)
         store.close()
         return files
     store.close()
-    return {path.name: path.read_bytes() for path in sorted(folder.iterdir())}
+    return _torn(folder) if mode.left == "torn" else _files(folder)
 
 
 def read_folder(folder: Path, sync: Sync) -> tuple[dict[str, bytes], int, bool]:
@@ -1149,11 +1411,11 @@
 def folders() -> dict[str, Json]:
     """The store's folder by mode: its files in base64, and what it holds."""
     made: dict[str, Json] = {}
-    for mode, sync in MODES.items():
-        with tempfile.TemporaryDirectory() as name:
-            files = write_folder(Path(name), sync, leave_open="open" in mode)
-            values, generation, whole = read_folder(Path(name), sync)
-        made[mode] = {
+    for name, mode in MODES.items():
+        with tempfile.TemporaryDirectory() as folder:
+            files = write_folder(Path(folder), mode)
+            values, generation, whole = read_folder(Path(folder), mode.sync)
+        made[name] = {
             "files": {file: base64.b64encode(raw).decode() for file, raw in files.items()},
             "values": {key: value.hex() for key, value in sorted(values.items())},
             "generation": generation,
@@ -1180,6 +1442,7 @@
     "simulator-host": simulator_host,
     "invoke": invoke_api,
     "fronts": fronts,
+    "files": files,
 }
 FOLDERS = "store-folders"
 
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -118,7 +118,7 @@
 
 @pytest.mark.parametrize("mode", golden.MODES)
 def test_a_kept_folder_is_read_and_goes_on(mode: str, tmp_path: Path) -> None:
-    folder, sync, told = unpacked(mode, tmp_path), golden.MODES[mode], content(golden.FOLDERS)[mode]
+    folder, sync, told = unpacked(mode, tmp_path), golden.MODES[mode].sync, content(golden.FOLDERS)[mode]
     assert part(told, "whole") is True
     for _ in range(2):
         values, generation, whole = golden.read_folder(folder, sync)
@@ -137,7 +137,7 @@
 def test_a_new_folder_has_the_rows_of_the_kept_one(mode: str, tmp_path: Path) -> None:
     (old := tmp_path / "old").mkdir()
     (new := tmp_path / "new").mkdir()
-    files = golden.write_folder(new, golden.MODES[mode], leave_open="open" in mode)
+    files = golden.write_folder(new, golden.MODES[mode])
     assert sorted(files) == sorted(path.name for path in unpacked(mode, old).iterdir())
     assert rows(new) == rows(old)
 
@@ -147,7 +147,7 @@
     woken, found = threading.Event(), list[Loaded]()
     store: Worker = open_store(
         unpacked(mode, tmp_path),
-        golden.MODES[mode],
+        golden.MODES[mode].sync,
         clock=lambda: 0.0,
         wake=woken.set,
         opened=found.append,
@@ -159,6 +159,15 @@
     assert [dict(one.values) for one in found] == [values_of(mode)] and found[0].trouble is None
 
 
+def test_the_torn_folder_lacks_its_content_until_its_journal_is_played_back(tmp_path: Path) -> None:
+    folder = unpacked("group, torn", tmp_path)
+    (folder / "state-1.db-journal").unlink()
+    store = FileStore(folder, "group")
+    loaded = store.open()
+    store.close()
+    assert loaded.trouble is Trouble.DAMAGED and dict(loaded.values) != values_of("group, torn")
+
+
 def test_a_damaged_byte_in_a_kept_folder_shows(tmp_path: Path) -> None:
     folder = unpacked("each", tmp_path)
     raw = bytearray((folder / "state-1.db").read_bytes())
