Golden files: the call that a client cancels can end in no other way

Why: in a trial that broke the cancel message, the router ended the held call by its own patience, and only an extra line told of it. The call is now one that may not run twice, with 100 s to go: without the client's message the sample fails.

--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -1110,7 +1110,9 @@
     for number, (name, klass, body, fields) in enumerate(asked, 1):
         writer.write(client_side.pack_call(number, klass, body, own | {"txn": f"{number:016x}"} | fields))
         samples.append(Sample(f"platform {name}", await _message(reader)))
-    writer.write(client_side.pack_call(9, "check", b"hold", own | {"txn": f"{9:016x}"}))
+    # A call that may not run twice, with time for far longer than is waited here: only the client ends it.
+    held_back: dict[str, str] = own | {"txn": f"{9:016x}", "limit": "100000"}
+    writer.write(client_side.pack_call(9, "confirm", b"hold", held_back))
     await runner.until(4)
     writer.write(b"\x93\x02\xa9interrupt\x91\x09")
     await runner.until(5)
