--- a/cedarthread/cli.py
+++ b/cedarthread/cli.py
@@ -37,16 +37,16 @@
 from cedarthread import config
 
 if TYPE_CHECKING:
-    from cedarthread.net.invoke_config import InvokeConfig
+    from cedarthread.protocols.invoke_config import InvokeConfig
 
 
 def main(argv: list[str] | None = None) -> int:
     """Run one command; the exit code."""
     told = sys.argv[1:] if argv is None else argv
     if told[:1] == ["fuzz"]:
-        return fuzz(told[1:])
+        return run_fuzz(told[1:])
     if told[:1] in (["rig"], ["drill"]):
-        from cedarthread.rig import cli as rig
+        from cedarthread.testing.cluster import cli as rig
 
         return rig.main(told)
     options = docopt(__doc__, told)
@@ -54,68 +54,69 @@
         print(cedarthread.__version__)
         return 0
     try:
-        found = config.load()
+        loaded_config = config.load()
     except config.ConfigError as error:
         print(f"cedarthread: {error}", file=sys.stderr)
         return 2
     if options["check-config"]:
-        print(describe(found))
+        print(describe(loaded_config))
         return 0
     try:
-        invoke = read_invoke(options["--invoke"])
+        invoke = read_invoke_config(options["--invoke"])
     except (OSError, ValueError, KeyError, TypeError) as error:
         print(f"cedarthread: {options['--invoke']}: {error}", file=sys.stderr)
         return 2
     fleet = Path(options["--fleet"]) if options["--fleet"] else None
-    if fleet is not None and (wrong := check_fleet(fleet)) is not None:
+    if fleet is not None and (wrong := check_fleet_config(fleet)) is not None:
         print(f"cedarthread: {wrong}", file=sys.stderr)
         return 2
-    return serve(found, invoke, str(options["--log"]), fleet, options["--store"])
+    return serve(loaded_config, invoke, str(options["--log"]), fleet, options["--store"])
 
 
-def fuzz(argv: list[str]) -> int:
+def run_fuzz(argv: list[str]) -> int:
     """The tools of development, where they are installed."""
     try:
-        from cedarthread.fuzz import cli
+        from cedarthread.testing.fuzzing import cli
     except ImportError as error:
         print(f"cedarthread fuzz: {error}; install requirements-tools.txt", file=sys.stderr)
         return 2
     return cli.main(argv)
 
 
-def read_invoke(path: str | None) -> InvokeConfig | None:
+def read_invoke_config(path: str | None) -> InvokeConfig | None:
     """The invoke API's file, where one is named."""
     if path is None:
         return None
-    from cedarthread.net import invoke_config
+    from cedarthread.protocols import invoke_config
 
     return invoke_config.read(Path(path))
 
 
-def check_fleet(path: Path) -> str | None:
+def check_fleet_config(path: Path) -> str | None:
     """What is wrong with the fleet's file; None: nothing."""
-    from cedarthread.register import declared
+    from cedarthread import fleet_config
 
     try:
-        declared.read(path)
-    except declared.FleetError as error:
+        fleet_config.load_fleet_config(path)
+    except fleet_config.FleetConfigError as error:
         return str(error)
     return None
 
 
-def describe(found: config.Config) -> str:
+def describe(loaded_config: config.Config) -> str:
     """A configuration in words."""
-    classes = ", ".join(f"{c.name} ({c.effect.value})" for c in found.settings.classes)
-    listed = len(found.known[0][1]) if found.known else 0
-    return f"{found.name} on {found.host}:{found.port}; classes {classes}; {listed} runners at the start"
+    classes = ", ".join(f"{c.name} ({c.idempotency.value})" for c in loaded_config.settings.classes)
+    listed = len(loaded_config.initial_endpoints[0][1]) if loaded_config.initial_endpoints else 0
+    address = f"{loaded_config.host}:{loaded_config.port}"
+    return f"{loaded_config.router_name} on {address}; classes {classes}; {listed} runners at the start"
 
 
 def serve(
-    found: config.Config,
-    invoke: InvokeConfig | None,
+    loaded_config: config.Config,
+    invoke_config: InvokeConfig | None,
     level: str,
-    fleet: Path | None = None,
-    store: str | None = None,
+    fleet_file: Path | None = None,
+    store_folder: str | None = None,
 ) -> int:
     """Serve until told to end."""
     from cedarthread.service import Service
@@ -132,7 +133,7 @@
     )  # one that comes before the loop runs must not end the process
 
     async def run() -> None:
-        await Service(found, invoke, config.load, fleet, store).run()
+        await Service(loaded_config, invoke_config, config.load, fleet_file, store_folder).run()
 
     try:
         asyncio.run(run())
--- /dev/null
+++ b/cedarthread/components/__init__.py
@@ -0,0 +1,1 @@
+"""The components beside the router: their interface, the node that hosts them, routing constraints."""
--- a/cedarthread/parts.py
+++ b/cedarthread/components/interface.py
@@ -11,18 +11,21 @@
 from enum import IntEnum, StrEnum
 from typing import Protocol
 
-from cedarthread import interface as i
+from cedarthread.model.actions import LogMessage, SendToPeer
+from cedarthread.model.endpoints import EndpointUpdate
+from cedarthread.model.outcomes import Outcome
+from cedarthread.model.settings import RouterSettings
 
 
-class Form(IntEnum):
+class MessageType(IntEnum):
     """The first byte of each kind of datagram between routers."""
 
-    TALK = 0xC1
-    MEMBERS = 0xC2
-    REGISTER = 0xC3
-    GRANTS = 0xC4
-    RETURN = 0xC5  # what stands warm, asked for by routers that come back
-    PRESSURE = 0xC6  # how jammed a router is, and what tenants used
+    GOSSIP = 0xC1
+    MEMBERSHIP = 0xC2
+    REPLICATION = 0xC3
+    ESCROW = 0xC4
+    RECOVERY = 0xC5  # what stands warm, asked for by routers that come back
+    LOAD_PRESSURE = 0xC6  # how jammed a router is, and what tenants used
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -31,106 +34,108 @@
 
     counter: int
     author: int
-    life: int
+    incarnation: int
 
 
-class Kind(StrEnum):
+class EntryKind(StrEnum):
     """What an entry is about."""
 
     TIERS = "tiers"  # order of the tiers and the figures of overload
     CONTRACT = "contract"  # one tenant's tier, rate and floor
     FREEZE = "freeze"  # one window
     REVOKE = "revoke"  # ends a window early: it relaxes
-    BREAK = "break"  # break-glass in a window: it relaxes
+    BREAK_GLASS = "break"  # break-glass in a window: it relaxes
 
 
 @dataclass(frozen=True, slots=True)
 class Entry:
     """One entry. ``over``: digest of the entry that its author knew it to replace, 0 for none."""
 
-    kind: Kind
+    kind: EntryKind
     name: str
     version: Version
     body: bytes
-    over: int = 0
+    replaces_digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class Held:
+class ReplicatedEntry:
     """An entry as one router holds it now, times on its own steady clock."""
 
     entry: Entry
-    heard: float  # when it first came here
-    settled: float | None  # when a majority was first known to hold it; None: not known to
+    received_at_ms: float  # when it first came here
+    replicated_at_ms: float | None  # when a majority was first known to hold it; None: not known to
 
 
 @dataclass(frozen=True, slots=True)
-class Present:
+class PeersChanged:
     """The other routers that are there, of how many in all, and how long each has been in this life."""
 
-    others: tuple[int, ...]
-    count: int
-    since: Mapping[int, float]  # ms
+    alive_peers: tuple[int, ...]
+    router_count: int
+    alive_for_ms: Mapping[int, float]  # ms
 
 
 @dataclass(frozen=True, slots=True)
-class Retuned:
+class SettingsChanged:
     """New settings are in force."""
 
-    settings: i.Settings
+    settings: RouterSettings
 
 
 @dataclass(frozen=True, slots=True)
-class Wall:
+class WallClockRead:
     """The wall clock now, Unix ms."""
 
-    at: float
+    unix_ms: float
 
 
 @dataclass(frozen=True, slots=True)
-class Declared:
+class EntriesChanged:
     """Entries of the register that came or changed here."""
 
-    held: tuple[Held, ...]
+    entries: tuple[ReplicatedEntry, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class Ended:
+class AttemptCompleted:
     """A call's attempt ended, for those who count: tenant, work in ms, and whether a copy stood there."""
 
-    worker: int
-    function: int
-    tenant: int | None
-    work: float
-    outcome: i.Outcome
-    warm: bool | None
+    worker_id: int
+    function_id: int
+    tenant_index: int | None
+    work_ms: float
+    outcome: Outcome
+    was_warm: bool | None
 
 
-Fact = Present | Retuned | Wall | Declared | Ended | i.Membership
-Word = i.Tell | i.Log
+Notification = (
+    PeersChanged | SettingsChanged | WallClockRead | EntriesChanged | AttemptCompleted | EndpointUpdate
+)
+OutboundMessage = SendToPeer | LogMessage
 
 
-class Part(Protocol):
+class Component(Protocol):
     """One part beside the router: pure, on the clock and the seed that are handed in."""
 
     @property
-    def forms(self) -> frozenset[int]:
+    def message_types(self) -> frozenset[int]:
         """The datagrams that are its own, by their first byte."""
 
-    def hear(self, now: float, sender: int, data: bytes) -> Sequence[Word]:
+    def on_message(self, now: float, sender: int, data: bytes) -> Sequence[OutboundMessage]:
         """Take a datagram of one of its forms; whatever it holds, no error is raised."""
 
-    def turn(self, now: float) -> Sequence[Word]:
+    def on_tick(self, now: float) -> Sequence[OutboundMessage]:
         """Some times a second: what is to be told now."""
 
-    def changed(self, now: float, fact: Fact) -> Sequence[Word]:
+    def on_notification(self, now: float, fact: Notification) -> Sequence[OutboundMessage]:
         """Something that parts share has changed."""
 
-    def state(self, now: float) -> Mapping[str, str]:
+    def status(self, now: float) -> Mapping[str, str]:
         """What operators read at ``INFO``: a figure a name."""
 
 
-class Shared(Protocol):
+class ReplicatedState(Protocol):
     """What the parts read of the register (``register/register.py``).
 
     Theorem of its design page: an entry known to be settled at time t is known from t + ``bound`` on to every
@@ -138,34 +143,34 @@
     ``bound`` on; who is not fresh acts under the cautious meet."""
 
     @property
-    def bound(self) -> float:
+    def staleness_bound_ms(self) -> float:
         """B of the design page, ms."""
 
-    def held(self, kind: Kind) -> tuple[Held, ...]:
+    def entries(self, kind: EntryKind) -> tuple[ReplicatedEntry, ...]:
         """All entries of a kind, by name."""
 
-    def fresh(self, now: float) -> bool:
+    def is_fresh(self, now: float) -> bool:
         """Has a majority of the configured routers confirmed lately that this one lacks nothing of theirs?"""
 
     def fresh_since(self, now: float) -> float | None:
         """Since when it is fresh without a break; None: it is not."""
 
 
-class Allowance(Protocol):
+class QuotaEscrow(Protocol):
     """What the parts ask of the grants (``register/grants.py``): parts of a total that the fleet shares.
 
     Amounts are whole numbers of a unit that the pool's user chooses. The sum of what all routers may use
     never passes the total of a pool, whatever is lost, doubled, late, cut off or restarted (design page)."""
 
-    def pool(self, name: str, total: int, *, spent: bool, until: float | None) -> None:
+    def open_pool(self, name: str, total: int, *, is_consumable: bool, ends_at_ms: float | None) -> None:
         """Open or change a pool. ``spent``: what is used is gone (a count); else it is a rate, given back.
         ``until``: when the pool ends, ms on the steady clock; None: it does not."""
 
-    def may(self, now: float, name: str) -> int:
+    def available(self, now: float, name: str) -> int:
         """How much of it this router may use now; 0 for a pool that is unknown or over."""
 
-    def use(self, now: float, name: str, amount: int = 1) -> bool:
+    def consume(self, now: float, name: str, amount: int = 1) -> bool:
         """Use so much of a pool that is spent; False, and nothing used, where this router may not."""
 
-    def want(self, now: float, name: str, amount: int) -> None:
+    def request(self, now: float, name: str, amount: int) -> None:
         """This router could use so much in all: others are asked for what it lacks."""
--- a/cedarthread/core/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The planner: it owns requests, attempts, outcomes and time, and knows no wire."""
--- a/cedarthread/membership/__init__.py
+++ b/cedarthread/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Which of the configured routers are there: pure, on a clock and a seed that are handed in."""
+"""Which of the configured routers are alive (SWIM). Pure: time and seed are passed in."""
--- a/cedarthread/net/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The forwarders: thin code between sockets and the planner."""
--- a/cedarthread/store/memory.py
+++ b/cedarthread/persistence/memory_store.py
@@ -4,26 +4,28 @@
 
 from collections.abc import Sequence
 
-from cedarthread.store.contract import Loaded, Put, Trouble
+from cedarthread.persistence.store import KeyValueWrite, LoadResult, StoreFault
 
 
-class Memory:
+class MemoryBackend:
     """Lasts as long as the object does."""
 
     def __init__(self) -> None:
         self.generation = 0
         self._values: dict[str, bytes] = {}
 
-    def open(self) -> Loaded:
+    def open(self) -> LoadResult:
         """What it holds."""
-        return Loaded(dict(self._values), self.generation)
+        return LoadResult(dict(self._values), self.generation)
 
-    def commit(self, puts: Sequence[Put], above: int | None = None) -> Trouble | None:
+    def commit(
+        self, writes: Sequence[KeyValueWrite], above_generation: int | None = None
+    ) -> StoreFault | None:
         """Take them; no trouble ever comes of it."""
-        if above is not None:
+        if above_generation is not None:
             self._values.clear()
-            self.generation = max(self.generation, above)
-        for key, value in puts:
+            self.generation = max(self.generation, above_generation)
+        for key, value in writes:
             if value is None:
                 self._values.pop(key, None)
             else:
--- a/cedarthread/store/contract.py
+++ b/cedarthread/persistence/store.py
@@ -8,36 +8,38 @@
 from typing import Literal, Protocol
 
 
-class Trouble(Enum):
+class StoreFault(Enum):
     """What is wrong with a disk."""
 
-    FULL = "no space left"
-    IO = "input or output failed"  # after a failed sync nothing that was not acknowledged before is believed
+    DISK_FULL = "no space left"
+    IO_ERROR = (
+        "input or output failed"  # after a failed sync nothing that was not acknowledged before is believed
+    )
     READ_ONLY = "read-only"
-    GONE = "the folder is gone"
-    DAMAGED = "damaged content was left out"
-    OLD = "the content is older than what others remember"
+    FOLDER_MISSING = "the folder is gone"
+    CORRUPTED = "damaged content was left out"
+    STALE = "the content is older than what others remember"
     LOCKED = "another process writes here"
-    SLOW = "no answer of the disk within its time"
+    UNRESPONSIVE = "no answer of the disk within its time"
 
 
 @dataclass(frozen=True, slots=True)
-class Loaded:
+class LoadResult:
     """What stood in a store at its opening. Nothing was put into one of generation 0 or 1."""
 
     values: Mapping[str, bytes]
     generation: int  # grows with each acknowledged write, across all lives
-    trouble: Trouble | None = None
+    fault: StoreFault | None = None
 
     @property
-    def usable(self) -> bool:
+    def is_writable(self) -> bool:
         """May be written to: damage was left out and mended, all other troubles still stand."""
-        return self.trouble in (None, Trouble.DAMAGED)
+        return self.fault in (None, StoreFault.CORRUPTED)
 
 
-Sync = Literal["each", "group", "none"]  # none: acknowledged when written, so a power cut may lose it
-Put = tuple[str, bytes | None]
-Done = Callable[[Trouble | None], None]  # None: durable
+SyncMode = Literal["each", "group", "none"]  # none: acknowledged when written, so a power cut may lose it
+KeyValueWrite = tuple[str, bytes | None]
+WriteCallback = Callable[[StoreFault | None], None]  # None: durable
 
 
 class Store(Protocol):
@@ -52,83 +54,87 @@
     """
 
     @property
-    def trouble(self) -> Trouble | None:
+    def fault(self) -> StoreFault | None:
         """What is wrong now."""
 
     @property
     def generation(self) -> int:
         """The last acknowledged."""
 
-    def load(self) -> Loaded:
+    def load(self) -> LoadResult:
         """What stood there when it was opened."""
 
-    def put(self, key: str, value: bytes | None, done: Done | None = None) -> None:
+    def put(self, key: str, value: bytes | None, callback: WriteCallback | None = None) -> None:
         """Write a value, or drop the key with None."""
 
-    def reset(self, above: int, done: Done | None = None) -> None:
+    def reset(self, above_generation: int, callback: WriteCallback | None = None) -> None:
         """Drop all content, since it is older than what others remember; the generation goes above theirs."""
 
-    def pump(self) -> None:
+    def run_callbacks(self) -> None:
         """Tell the ends of puts that have come since; the host calls it when ``wake`` asked for it."""
 
     def close(self) -> None:
         """Write what waits, within a bound of time, then end."""
 
 
-class Backing(Protocol):
+class StorageBackend(Protocol):
     """What a store stands on: it may wait for a disk as long as that takes, and raises nothing."""
 
     generation: int
 
-    def open(self) -> Loaded:
+    def open(self) -> LoadResult:
         """First: what stands there. Later: whatever was acknowledged is written anew, and nothing else."""
 
-    def commit(self, puts: Sequence[Put], above: int | None = None) -> Trouble | None:
+    def commit(
+        self, writes: Sequence[KeyValueWrite], above_generation: int | None = None
+    ) -> StoreFault | None:
         """All of them durable, or the trouble. With ``above``: first everything is dropped (``reset``)."""
 
     def close(self) -> None:
         """Let go of the folder."""
 
 
-class Direct:
+class SynchronousStore:
     """A store on the caller's own thread: for tools and tests, which may wait for a disk."""
 
-    def __init__(self, backing: Backing) -> None:
-        self.backing = backing
-        self._loaded = backing.open()
-        self.trouble = None if self._loaded.usable else self._loaded.trouble
+    def __init__(self, backend: StorageBackend) -> None:
+        self.backend = backend
+        self._load_result = backend.open()
+        self.fault = None if self._load_result.is_writable else self._load_result.fault
 
     @property
     def generation(self) -> int:
         """The last acknowledged."""
-        return self.backing.generation
+        return self.backend.generation
 
-    def load(self) -> Loaded:
+    def load(self) -> LoadResult:
         """What stood there when it was opened."""
-        return self._loaded
+        return self._load_result
 
     def reopen(self) -> None:
         """Try again after trouble."""
-        again = self.backing.open()
-        self.trouble = None if again.usable else again.trouble
+        again = self.backend.open()
+        self.fault = None if again.is_writable else again.fault
 
-    def put(self, key: str, value: bytes | None, done: Done | None = None) -> None:
+    def put(self, key: str, value: bytes | None, callback: WriteCallback | None = None) -> None:
         """Write a value now."""
-        self._commit([(key, value)], None, done)
+        self._commit([(key, value)], None, callback)
 
-    def reset(self, above: int, done: Done | None = None) -> None:
+    def reset(self, above_generation: int, callback: WriteCallback | None = None) -> None:
         """Drop all content now."""
-        self._commit([], above, done)
+        self._commit([], above_generation, callback)
 
-    def _commit(self, puts: Sequence[Put], above: int | None, done: Done | None) -> None:
-        if self.trouble is None:
-            self.trouble = self.backing.commit(puts, above)
-        if done is not None:
-            done(self.trouble)
+    def _commit(
+        self, writes: Sequence[KeyValueWrite], above_generation: int | None, callback: WriteCallback | None
+    ) -> None:
+        if self.fault is None:
+            self.fault = self.backend.commit(writes, above_generation)
+        if callback is not None:
+            callback(self.fault)
 
-    def pump(self) -> None:
+    def run_callbacks(self) -> None:
         """Nothing waits here."""
 
     def close(self) -> None:
         """Let go of the folder."""
-        self.backing.close()
+        self.backend.close()
--- a/cedarthread/tiers/rank.py
+++ b/cedarthread/priority/call_priority.py
@@ -14,44 +14,50 @@
 
 from dataclasses import dataclass
 
-from cedarthread.tiers.contract import MOST_TIERS, Effective
+from cedarthread.priority.contracts import MAX_TIERS, EffectiveContract
 
-BEYOND = MOST_TIERS + 1  # added beyond contract
-LAST = BEYOND + MOST_TIERS
+OVER_QUOTA_OFFSET = MAX_TIERS + 1  # added beyond contract
+LOWEST_PRIORITY = OVER_QUOTA_OFFSET + MAX_TIERS
 
 
 @dataclass(frozen=True, slots=True)
-class Rank:
+class CallPriority:
     """The place of one call. ``most`` counts where it displaces, ``least`` where it may be displaced,
     ``place`` where it may be refused: the worst that the known bodies give."""
 
-    least: int
-    most: int
-    place: int = LAST
-    tenant: str | None = None
-    within: bool = False
+    best_position: int
+    worst_position: int
+    position: int = LOWEST_PRIORITY
+    tenant_name: str | None = None
+    is_within_quota: bool = False
 
-    def over(self, other: Rank) -> bool:
+    def outranks(self, other: CallPriority) -> bool:
         """Does it go before the other by every body that may act at a router?"""
-        return self.most < other.least
+        return self.worst_position < other.best_position
 
-    def first(self) -> bool:
+    def is_highest(self) -> bool:
         """Is it of the first tier, within contract, by all that is known?"""
-        return self.place == 0
+        return self.position == 0
 
 
-FLAT = Rank(0, LAST)  # of a call while no tiers act: it displaces nobody and nobody displaces it
+NO_PRIORITY = CallPriority(
+    0, LOWEST_PRIORITY
+)  # of a call while no tiers act: it displaces nobody and nobody displaces it
 
 
-def rank(tenant: str | None, acting: Effective, within: bool) -> Rank:
+def assign_priority(
+    tenant_name: str | None, contract: EffectiveContract, is_within_quota: bool
+) -> CallPriority:
     """The rank of a call of this tenant. One whose contract is not sure may be either side of the table."""
-    place = acting.place + (0 if within else BEYOND)
-    if not acting.sure:
-        return Rank(0, LAST, place, tenant, within)
-    return Rank(place, place, place, tenant, within)
+    position = contract.tier_index + (0 if is_within_quota else OVER_QUOTA_OFFSET)
+    if not contract.is_certain:
+        return CallPriority(0, LOWEST_PRIORITY, position, tenant_name, is_within_quota)
+    return CallPriority(position, position, position, tenant_name, is_within_quota)
 
 
-def order(rank: Rank, worth: float, taken: float, number: int) -> tuple[float, ...]:
+def preemption_key(
+    priority: CallPriority, priority_weight: float, arrived_at_ms: float, request_id: int
+) -> tuple[float, ...]:
     """Who is displaced first: the least key. Of one rank that of least worth, then the youngest, which has
     waited and cost least; the number makes the order total."""
-    return (-rank.least, worth, -taken, number)
+    return (-priority.best_position, priority_weight, -arrived_at_ms, request_id)
--- /dev/null
+++ b/cedarthread/protocols/__init__.py
@@ -0,0 +1,1 @@
+"""The protocols spoken on sockets: platform, workers, invoke API, discovery, control, peers."""
--- a/cedarthread/net/resolver.py
+++ b/cedarthread/protocols/discovery.py
@@ -10,24 +10,24 @@
 from collections.abc import Callable
 from typing import cast
 
-from cedarthread import interface as i
-from cedarthread.net import dns
-from cedarthread.net.descriptors import SCARCE
-from cedarthread.net.roster import Listing
+from cedarthread.model.endpoints import EndpointState
+from cedarthread.protocols import dns
+from cedarthread.protocols.endpoint_list import EndpointRecord
+from cedarthread.transport.descriptor_budget import EXHAUSTION_ERRNOS
 
 log = logging.getLogger("cedarthread.resolver")
 
-NAME = "_back._tcp.pool.lan"
-PERIOD = (
+SERVICE_NAME = "_back._tcp.pool.lan"
+POLL_INTERVAL_S = (
     0.2  # s between queries: a lost reply or two still leaves time within the 500 ms of the rule on drains
 )
-ASKED = 16  # queries whose replies are still taken
+MAX_OUTSTANDING_QUERIES = 16  # queries whose replies are still taken
 
 
-def listings(reply: dns.Reply) -> list[Listing] | str:
+def endpoints_from_reply(reply: dns.Reply) -> list[EndpointRecord] | str:
     """The runners that a reply lists, or what it lacks."""
-    found: dict[str, Listing] = {}
-    for service in reply.services:
+    found: dict[str, EndpointRecord] = {}
+    for service in reply.srv_records:
         name, _, rest = service.target.partition(".")
         address, texts = reply.addresses.get(service.target), reply.texts.get(service.target)
         if address is None or texts is None:
@@ -38,115 +38,122 @@
             return f"odd text for {service.target}"
         if not math.isfinite(started):  # NaN differs from itself: each reply would be news of a start
             return f"odd text for {service.target}"
-        state = i.WorkerState.READY if service.priority == 0 else i.WorkerState.DRAINING
+        state = EndpointState.READY if service.priority == 0 else EndpointState.DRAINING
         zone, kind = rest.partition(".")[0], texts.get("kind", "")
         weight = service.weight / 10
-        listing = Listing(name, address, service.port, zone, kind, cell, state, weight, started)
+        listing = EndpointRecord(name, address, service.port, zone, kind, cell, state, weight, started)
         if found.setdefault(name, listing) != listing:
             return f"{name} is listed twice"
     return list(found.values())
 
 
-class Resolver(asyncio.DatagramProtocol):
+class DiscoveryClient(asyncio.DatagramProtocol):
     """Polls, and tells the serial and the list of each usable reply."""
 
     def __init__(
         self,
-        tell: Callable[[int, list[Listing]], None],
-        beat: Callable[[], None] = lambda: None,
-        scarce: Callable[[], bool] = lambda: False,
+        on_update: Callable[[int, list[EndpointRecord]], None],
+        on_poll: Callable[[], None] = lambda: None,
+        release_descriptor: Callable[[], bool] = lambda: False,
     ) -> None:
-        self.tell, self.beat = tell, beat  # ``beat`` is told of each query: the process is awake then
-        self.scarce = scarce  # has a descriptor given back, where none is left
+        self.on_update, self.on_poll = (
+            on_update,
+            on_poll,
+        )  # ``beat`` is told of each query: the process is awake then
+        self.release_descriptor = release_descriptor  # has a descriptor given back, where none is left
         self._address: tuple[str, int] | None = None  # what is followed
-        self._following: asyncio.Task[None] | None = None
-        self.serial = -1
-        self.usable = 0.0  # loop time of the last usable reply
-        self._asked: deque[int] = deque(maxlen=ASKED)
-        self._nobody: int | None = None  # the query whose reply, newer than the list that holds, named nobody
-        self._taken = b""  # a reply of the serial that holds, without its number
+        self._connect_task: asyncio.Task[None] | None = None
+        self.last_serial = -1
+        self.last_usable_reply_at = 0.0  # loop time of the last usable reply
+        self._outstanding_ids: deque[int] = deque(maxlen=MAX_OUTSTANDING_QUERIES)
+        self._empty_reply_id: int | None = (
+            None  # the query whose reply, newer than the list that holds, named nobody
+        )
+        self._last_payload = b""  # a reply of the serial that holds, without its number
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._random = random.SystemRandom()
         self._loop = asyncio.get_running_loop()
 
-    async def start(self, host: str, port: int) -> None:
+    async def connect(self, host: str, port: int) -> None:
         """Begin to ask, or go on asking at another address: numbers go on, and the last good list holds."""
         await self._loop.create_datagram_endpoint(lambda: self, remote_addr=(host, port))
 
-    def follow(self, host: str, port: int) -> None:
+    def start_polling(self, host: str, port: int) -> None:
         """Ask there as soon as that can be, and try till then; an older address is asked meanwhile.
 
         Guards the start and a reload: neither waits for the resolver, nor fails by it."""
-        self._leave()
+        self._cancel_connecting()
         self._address = (host, port)
-        self._following = self._loop.create_task(self._reach(host, port))
+        self._connect_task = self._loop.create_task(self._connect_until_up(host, port))
 
-    async def _reach(self, host: str, port: int) -> None:
+    async def _connect_until_up(self, host: str, port: int) -> None:
         told = False
         while True:
             try:
-                return await self.start(host, port)
+                return await self.connect(host, port)
             except OSError as error:
                 if not told:
                     log.error("resolver at %s:%d can't be asked yet: %s", host, port, error)
                 told = True
-                made = error.errno in SCARCE and self.scarce()
-            await asyncio.sleep(0.0 if made else PERIOD)
+                made = error.errno in EXHAUSTION_ERRNOS and self.release_descriptor()
+            await asyncio.sleep(0.0 if made else POLL_INTERVAL_S)
 
-    def _leave(self) -> None:
-        if self._following is not None:
-            self._following.cancel()
-            self._following = None
+    def _cancel_connecting(self) -> None:
+        if self._connect_task is not None:
+            self._connect_task.cancel()
+            self._connect_task = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The socket is there: it takes the place of an older one, whose replies count no more."""
-        self._silence()
-        self._asked.clear()
+        self._close_socket()
+        self._outstanding_ids.clear()
         self._transport = cast(asyncio.DatagramTransport, transport)
-        self._ask()
+        self._poll()
 
-    def _ask(self) -> None:
+    def _poll(self) -> None:
         assert self._transport is not None
-        self._timer = self._loop.call_later(PERIOD, self._ask)  # first: whatever fails here, it asks again
+        self._timer = self._loop.call_later(
+            POLL_INTERVAL_S, self._poll
+        )  # first: whatever fails here, it asks again
         number = self._random.randrange(1 << 16)
-        self._asked.append(number)
-        self._transport.sendto(dns.query(number, NAME))
-        self.beat()
+        self._outstanding_ids.append(number)
+        self._transport.sendto(dns.encode_query(number, SERVICE_NAME))
+        self.on_poll()
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """A reply, perhaps late, perhaps twice."""
         # Most replies say what the last did: reading each took half of an idle router's CPU, workers being
         # many.
-        if self._taken and data[2:] == self._taken:
+        if self._last_payload and data[2:] == self._last_payload:
             number = int.from_bytes(data[:2], "big")
-            if number in self._asked:
-                self.usable, self._nobody = self._loop.time(), None
+            if number in self._outstanding_ids:
+                self.last_usable_reply_at, self._empty_reply_id = self._loop.time(), None
             return
         reply = dns.parse(data)
-        if isinstance(reply, dns.Unusable):
-            log.info("reply of the resolver not used: %s", reply.why)
+        if isinstance(reply, dns.UnusableReply):
+            log.info("reply of the resolver not used: %s", reply.reason)
             return
-        if reply.number not in self._asked or reply.serial is None:
+        if reply.query_id not in self._outstanding_ids or reply.serial is None:
             return
-        self.usable = self._loop.time()
-        if reply.serial <= self.serial:
-            self._taken = data[2:] if reply.serial == self.serial else self._taken
-            self._nobody = None
+        self.last_usable_reply_at = self._loop.time()
+        if reply.serial <= self.last_serial:
+            self._last_payload = data[2:] if reply.serial == self.last_serial else self._last_payload
+            self._empty_reply_id = None
             return
-        found = listings(reply)
+        found = endpoints_from_reply(reply)
         if isinstance(found, str):
             log.info("reply of the resolver not used: %s", found)
             return
-        if not found and self._nobody in (None, reply.number):
+        if not found and self._empty_reply_id in (None, reply.query_id):
             # Guards against a spoilt reply that takes every runner away: another query has to be told so too,
             # which is a matter of ``PERIOD``, well within the rule on drains.
             log.warning("reply of the resolver lists nobody under serial %d: asked once more", reply.serial)
-            self._nobody = reply.number
+            self._empty_reply_id = reply.query_id
             return
-        self._nobody = None
-        self.serial, self._taken = reply.serial, data[2:]
-        self.tell(reply.serial, found)
+        self._empty_reply_id = None
+        self.last_serial, self._last_payload = reply.serial, data[2:]
+        self.on_update(reply.serial, found)
 
     def error_received(self, exc: Exception) -> None:
         """Nobody there: the next query tries again."""
@@ -156,16 +163,16 @@
         """The socket is gone: with an error, it was not closed here, and there has to be another."""
         if exc is not None and self._address is not None:
             log.warning("resolver's socket lost: %s", exc)
-            self._silence()
-            self.follow(*self._address)
+            self._close_socket()
+            self.start_polling(*self._address)
 
     def stop(self) -> None:
         """Ask no more."""
-        self._leave()
+        self._cancel_connecting()
         self._address = None
-        self._silence()
+        self._close_socket()
 
-    def _silence(self) -> None:
+    def _close_socket(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
         if self._transport is not None:
--- a/cedarthread/net/roster.py
+++ b/cedarthread/protocols/endpoint_list.py
@@ -9,23 +9,24 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from cedarthread import interface as i
-from cedarthread.wire import positive
+from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.settings import RouterSettings
+from cedarthread.simulator.codec import positive_or_none
 
 log = logging.getLogger("cedarthread.roster")
 
 _NUMBERED = re.compile(r"[a-z]+-([0-9a-f]{8})\Z")
-_STATES = {s.value: s for s in i.WorkerState}
+_STATES = {s.value: s for s in EndpointState}
 
 
-def worker_number(name: str) -> int:
+def worker_id_from_name(name: str) -> int:
     """A worker's number: the same at every router, since all agree on a function's homes by it."""
     match = _NUMBERED.match(name)
     return int(match[1], 16) if match else zlib.crc32(name.encode())
 
 
 @dataclass(frozen=True, slots=True)
-class Listing:
+class EndpointRecord:
     """One worker, as it was told."""
 
     name: str
@@ -34,12 +35,12 @@
     zone: str
     kind: str
     cell: int
-    state: i.WorkerState
+    state: EndpointState
     weight: float
-    started: float
+    started_at_ms: float
 
 
-def address(text: str) -> tuple[str, int]:
+def parse_address(text: str) -> tuple[str, int]:
     """``10.0.0.4:5050`` or ``[::1]:5050`` as host and port; ValueError where it is none."""
     host, _, port = text.rpartition(":")
     if not (port.isascii() and port.isdigit() and len(port) < 6 and int(port) < 65536):
@@ -47,70 +48,72 @@
     return host.removeprefix("[").removesuffix("]"), int(port)
 
 
-def _place(names: tuple[str, ...], name: str) -> int:
+def _index_of(names: tuple[str, ...], name: str) -> int:
     return names.index(name) if name in names else len(names)
 
 
-class Roster:
+class EndpointList:
     """What is known of the workers now."""
 
-    def __init__(self, settings: i.Settings) -> None:
+    def __init__(self, settings: RouterSettings) -> None:
         self.settings = settings
         self.version = -1
-        self.listings: dict[str, Listing] = {}
+        self.records: dict[str, EndpointRecord] = {}
 
-    def event(self, version: int, told: list[Listing], whole: bool) -> i.Membership | None:
+    def apply_update(
+        self, version: int, records: list[EndpointRecord], is_snapshot: bool
+    ) -> EndpointUpdate | None:
         """Take news in; the event for the planner, or None where nothing is new."""
         if version <= self.version:
             return None  # a reply that was overtaken by a later one
         first = self.version < 0
         self.version = version
-        before = self.by_number()
-        if whole:
-            names = {entry.name for entry in told}
-            self.listings = {name: entry for name, entry in self.listings.items() if name in names}
-        for entry in told:
-            if entry.state is i.WorkerState.GONE:
-                self.listings.pop(entry.name, None)
+        before = self.by_worker_id()
+        if is_snapshot:
+            names = {entry.name for entry in records}
+            self.records = {name: entry for name, entry in self.records.items() if name in names}
+        for entry in records:
+            if entry.state is EndpointState.REMOVED:
+                self.records.pop(entry.name, None)
             else:
-                self.listings[entry.name] = entry
-        after = self.by_number()
+                self.records[entry.name] = entry
+        after = self.by_worker_id()
         changed = [entry for number, entry in after.items() if before.get(number) != entry]
         gone = [entry for number, entry in before.items() if number not in after]
-        changed += [replace(entry, state=i.WorkerState.GONE) for entry in gone]
-        kind = i.ListKind.CACHED if first else i.ListKind.DELTA
-        return i.Membership(kind, version, tuple(self._worker(entry) for entry in changed))
+        changed += [replace(entry, state=EndpointState.REMOVED) for entry in gone]
+        kind = EndpointUpdateKind.CACHED if first else EndpointUpdateKind.DELTA
+        return EndpointUpdate(kind, version, tuple(self._to_endpoint(entry) for entry in changed))
 
-    def by_number(self) -> dict[int, Listing]:
+    def by_worker_id(self) -> dict[int, EndpointRecord]:
         """The workers by number. Of two names under one number the first listed counts."""
-        found: dict[int, Listing] = {}
-        for entry in self.listings.values():
-            first = found.setdefault(worker_number(entry.name), entry)
+        found: dict[int, EndpointRecord] = {}
+        for entry in self.records.values():
+            first = found.setdefault(worker_id_from_name(entry.name), entry)
             if first is not entry:
                 log.warning(
                     "runners %s and %s share a number: the second is left out", first.name, entry.name
                 )
         return found
 
-    def _worker(self, entry: Listing) -> i.Worker:
-        return i.Worker(
-            worker_number(entry.name),
-            _place(self.settings.zones, entry.zone),
-            _place(self.settings.kinds, entry.kind),
+    def _to_endpoint(self, entry: EndpointRecord) -> Endpoint:
+        return Endpoint(
+            worker_id_from_name(entry.name),
+            _index_of(self.settings.zones, entry.zone),
+            _index_of(self.settings.worker_kinds, entry.kind),
             entry.cell,
             entry.state,
-            positive(entry.weight),
-            positive(entry.started),
+            positive_or_none(entry.weight),
+            positive_or_none(entry.started_at_ms),
         )
 
 
-def listing_from_json(entry: dict[str, Any]) -> Listing:
+def endpoint_from_json(entry: dict[str, Any]) -> EndpointRecord:
     """An entry of the configuration's list; ValueError, KeyError or TypeError where it is none."""
-    host, port = address(str(entry["address"]))
+    host, port = parse_address(str(entry["address"]))
     weight, started = float(entry.get("weight", 1)), float(entry.get("since_ms", 0))
     if not (math.isfinite(weight) and math.isfinite(started)):
         raise ValueError(f"weight or since_ms of {entry['name']} is no number")
-    return Listing(
+    return EndpointRecord(
         str(entry["name"]),
         host,
         port,
--- a/cedarthread/net/invoke_config.py
+++ b/cedarthread/protocols/invoke_config.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from cedarthread.net import spiffe
-from cedarthread.net.roster import address
+from cedarthread.protocols import spiffe
+from cedarthread.protocols.endpoint_list import parse_address
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,19 +19,19 @@
     host: str
     port: int
     trust_domain: str
-    svid: Path
-    key: Path
-    bundle: Path
-    allow: tuple[str, ...]
-    connections: int
+    svid_path: Path
+    key_path: Path
+    bundle_path: Path
+    allowed_patterns: tuple[str, ...]
+    max_connections: int
 
-    def context(self) -> ssl.SSLContext:
+    def create_tls_context(self) -> ssl.SSLContext:
         """The TLS context of its files as they are now."""
-        return spiffe.server_context(self.svid, self.key, self.bundle)
+        return spiffe.create_server_context(self.svid_path, self.key_path, self.bundle_path)
 
-    def stamps(self) -> tuple[float, ...]:
+    def file_times(self) -> tuple[float, ...]:
         """When its files were last written; 0 for one that is not there just now."""
-        files = (self.path, self.svid, self.key, self.bundle)
+        files = (self.path, self.svid_path, self.key_path, self.bundle_path)
         return tuple(f.stat().st_mtime if f.exists() else 0.0 for f in files)
 
     def reread(self) -> InvokeConfig:
@@ -56,19 +56,19 @@
 
 def _parse(raw: bytes, path: Path, host: str | None, port: int | None) -> InvokeConfig:
     top = tomllib.loads(raw.decode())["invoke"]
-    told_host, told_port = address(str(top["listen"]))
+    listen_host, listen_port = parse_address(str(top["listen"]))
     allow = tuple(str(pattern) for pattern in top["allow"])
     domain = str(top["trust_domain"])
     for pattern in allow:
-        if spiffe.trust_domain(pattern.removesuffix("/*")) != domain:
+        if spiffe.parse_trust_domain(pattern.removesuffix("/*")) != domain:
             raise ValueError(f"allow: {pattern[:80]} is no SPIFFE ID of {domain}")
     connections = int(top.get("connections", 128))
     if not 0 < connections < 2**16:
         raise ValueError(f"connections takes 1 to 65535, not {connections}")
     return InvokeConfig(
         path,
-        host if host is not None else told_host,
-        port if port is not None else told_port,
+        host if host is not None else listen_host,
+        port if port is not None else listen_port,
         domain,
         path.parent / str(top["svid"]),
         path.parent / str(top["key"]),
--- a/cedarthread/net/spiffe.py
+++ b/cedarthread/protocols/spiffe.py
@@ -12,31 +12,31 @@
 
 _DOMAIN = re.compile(r"[a-z0-9._-]{1,255}\Z")
 _SEGMENT = re.compile(r"[A-Za-z0-9._-]+\Z")
-LONGEST = 2048
-_UNREADABLE = (x509.DuplicateExtension, x509.UnsupportedGeneralNameType, x509.InvalidVersion)
+MAX_ID_LENGTH = 2048
+_UNREADABLE_ERRORS = (x509.DuplicateExtension, x509.UnsupportedGeneralNameType, x509.InvalidVersion)
 
 
 @dataclass(frozen=True, slots=True)
 class Identity:
     """A peer whose certificate has been checked."""
 
-    id: str
-    domain: str
-    until: float  # Unix seconds at which its certificate expires
+    spiffe_id: str
+    trust_domain: str
+    expires_at_unix: float  # Unix seconds at which its certificate expires
 
 
 @dataclass(frozen=True, slots=True)
 class Rejected:
     """A peer that is not let in, and why."""
 
-    why: str
+    reason: str
 
 
-def trust_domain(spiffe_id: str) -> str | None:
+def parse_trust_domain(spiffe_id: str) -> str | None:
     """The trust domain of a workload's valid SPIFFE ID, None where it is not valid."""
     scheme, _, rest = spiffe_id.partition("://")
     domain, slash, path = rest.partition("/")
-    if scheme != "spiffe" or not slash or len(spiffe_id) > LONGEST or not _DOMAIN.match(domain):
+    if scheme != "spiffe" or not slash or len(spiffe_id) > MAX_ID_LENGTH or not _DOMAIN.match(domain):
         return None
     segments = path.split("/")
     if any(not _SEGMENT.match(s) or s in (".", "..") for s in segments):
@@ -44,15 +44,15 @@
     return domain
 
 
-def identity(certificate: bytes) -> Identity | Rejected:
+def parse_identity(certificate: bytes) -> Identity | Rejected:
     """Who a verified leaf certificate names, by the rules for X.509-SVIDs."""
     try:
-        return _identity(x509.load_der_x509_certificate(certificate))
-    except (ValueError, *_UNREADABLE) as error:
+        return _parse_identity(x509.load_der_x509_certificate(certificate))
+    except (ValueError, *_UNREADABLE_ERRORS) as error:
         return Rejected(f"certificate can't be read: {error}")
 
 
-def _identity(leaf: x509.Certificate) -> Identity | Rejected:
+def _parse_identity(leaf: x509.Certificate) -> Identity | Rejected:
     extensions = {e.oid: e.value for e in leaf.extensions}
     names = extensions.get(ExtensionOID.SUBJECT_ALTERNATIVE_NAME)
     uris: list[str] = []
@@ -68,28 +68,30 @@
         return Rejected("no key usage for digital signatures")
     if usage.key_cert_sign or usage.crl_sign:
         return Rejected("a key usage for signing certificates")
-    domain = trust_domain(uris[0])
+    domain = parse_trust_domain(uris[0])
     if domain is None:
         return Rejected("no valid SPIFFE ID")
     return Identity(uris[0], domain, leaf.not_valid_after_utc.timestamp())
 
 
-def allowed(identity: Identity, domain: str, patterns: tuple[str, ...]) -> bool:
+def is_allowed(identity: Identity, trust_domain: str, patterns: tuple[str, ...]) -> bool:
     """Is this peer let in? A pattern is an id, or one that ends in ``/*`` for all below it."""
-    if identity.domain != domain:
+    if identity.trust_domain != trust_domain:
         return False
     return any(
-        identity.id.startswith(pattern[:-1]) if pattern.endswith("/*") else identity.id == pattern
+        identity.spiffe_id.startswith(pattern[:-1])
+        if pattern.endswith("/*")
+        else identity.spiffe_id == pattern
         for pattern in patterns
     )
 
 
-def server_context(svid: Path, key: Path, bundle: Path) -> ssl.SSLContext:
+def create_server_context(svid_path: Path, key_path: Path, bundle_path: Path) -> ssl.SSLContext:
     """A context that shows our SVID and asks each client for one that the bundle vouches for."""
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
     context.verify_mode = ssl.CERT_REQUIRED
-    context.load_cert_chain(svid, key)
-    context.load_verify_locations(bundle)
+    context.load_cert_chain(svid_path, key_path)
+    context.load_verify_locations(bundle_path)
     context.set_alpn_protocols(["http/1.1"])
     return context
--- a/cedarthread/recovery/__init__.py
+++ b/cedarthread/recovery/__init__.py
@@ -1,1 +1,1 @@
-"""Coming back: phases, bounds on what a return may ask of others, and what old knowledge is worth. Pure."""
+"""Restart recovery: what a router that restarted asks, believes and holds back. Pure: time is passed in."""
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -14,34 +14,39 @@
 from typing import TYPE_CHECKING, Any
 
 from cedarthread.config import Config, ConfigError
-from cedarthread.core.planner import FIGURES, Planner
-from cedarthread.net import descriptors
-from cedarthread.net.control import ControlFront
-from cedarthread.net.peers import Peers
-from cedarthread.net.platform import PlatformFront
-from cedarthread.net.resolver import Resolver
-from cedarthread.net.roster import Listing, Roster
-from cedarthread.net.runners import Runners
-from cedarthread.net.stream import Flusher
+from cedarthread.dispatch.dispatcher import CLASS_FIGURES, Dispatcher
+from cedarthread.protocols.control import ControlServer
+from cedarthread.protocols.discovery import DiscoveryClient
+from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
+from cedarthread.protocols.peers import PeerTransport
+from cedarthread.protocols.platform import PlatformServer
+from cedarthread.protocols.workers import WorkerConnections
+from cedarthread.transport import descriptor_budget
+from cedarthread.transport.stream import Flusher
 
 if TYPE_CHECKING:
-    from cedarthread.net.disk import Disk
-    from cedarthread.net.invoke import InvokeFront
-    from cedarthread.net.invoke_config import InvokeConfig
+    from cedarthread.persistence.event_loop_store import EventLoopStore
+    from cedarthread.protocols.invoke import InvokeServer
+    from cedarthread.protocols.invoke_config import InvokeConfig
 
 log = logging.getLogger("cedarthread")
 
-GRACE = 0.75  # s after SIGTERM in which calls keep coming
-LONGEST = 3.0  # s of the longest deadline that count, at most, towards the earliest SIGKILL
-SETTLED = 0.2  # s past that after SIGTERM by which all is answered: half a second before SIGKILL
-LAST = 0.45  # s past it at which the process ends whatever happens
-RENEW = 1.0  # s between looks at the invoke API's files
-BASE = 20 * 2**20  # bytes that the program itself takes
-BODIES, QUEUED = 0.3, 0.2  # parts of the rest for the bodies of open calls, and for answers not yet read
-SWEEP = 0.25  # s between looks for what has been idle or silent
-EARLY = 0.1  # s by which a look may come early, where the process is awake to ask the resolver
-RETRY = 0.5  # s between tries to listen for other routers, and for operators
-REPORT = 10.0  # s between log lines on the calls
+SHUTDOWN_GRACE_S = 0.75  # s after SIGTERM in which calls keep coming
+MAX_SHUTDOWN_DEADLINE_S = 3.0  # s of the longest deadline that count, at most, towards the earliest SIGKILL
+SHUTDOWN_COMPLETION_SLACK_S = (
+    0.2  # s past that after SIGTERM by which all is answered: half a second before SIGKILL
+)
+SHUTDOWN_EXIT_SLACK_S = 0.45  # s past it at which the process ends whatever happens
+INVOKE_FILES_PERIOD_S = 1.0  # s between looks at the invoke API's files
+BASE_MEMORY_BYTES = 20 * 2**20  # bytes that the program itself takes
+BODY_MEMORY_FRACTION, OUTPUT_MEMORY_FRACTION = (
+    0.3,
+    0.2,
+)  # parts of the rest for the bodies of open calls, and for answers not yet read
+SWEEP_PERIOD_S = 0.25  # s between looks for what has been idle or silent
+EARLY_WAKEUP_S = 0.1  # s by which a look may come early, where the process is awake to ask the resolver
+LISTEN_RETRY_S = 0.5  # s between tries to listen for other routers, and for operators
+REPORT_PERIOD_S = 10.0  # s between log lines on the calls
 
 
 class Service:
@@ -51,295 +56,339 @@
         self,
         config: Config,
         invoke: InvokeConfig | None = None,
-        reread: Callable[[], Config] | None = None,
-        fleet: Path | None = None,
-        store: str | None = None,
+        load_config: Callable[[], Config] | None = None,
+        fleet_file: Path | None = None,
+        store_folder: str | None = None,
     ) -> None:
         self.config = config
-        self._reread = reread
-        self.fleet, self.store = fleet, store  # the operators' file for the whole fleet, this router's folder
-        self.disk: Disk | None = None
-        room = max(config.memory - BASE, config.memory // 4)
-        life = secrets.randbits(64)  # the configured seed may be the same at each start
-        self.planner = Planner(config.settings, config.seed, held=int(BODIES * room), life=life)
-        self.budget = budget = descriptors.share_out(
-            config.sockets,
-            invoke.connections if invoke is not None else 0,
-            descriptors.real_limit(),
-            descriptors.open_now(),
+        self._load_config = load_config
+        self.fleet_file, self.store_folder = (
+            fleet_file,
+            store_folder,
+        )  # the operators' file for the whole fleet, this router's folder
+        self.event_loop_store: EventLoopStore | None = None
+        available_bytes = max(config.memory_bytes - BASE_MEMORY_BYTES, config.memory_bytes // 4)
+        incarnation = secrets.randbits(64)  # the configured seed may be the same at each start
+        self.dispatcher = Dispatcher(
+            config.settings,
+            config.seed,
+            max_pending_body_bytes=int(BODY_MEMORY_FRACTION * available_bytes),
+            incarnation=incarnation,
+        )
+        self.descriptor_budget = budget = descriptor_budget.compute_budget(
+            config.max_sockets,
+            invoke.max_connections if invoke is not None else 0,
+            descriptor_budget.soft_limit(),
+            descriptor_budget.count_open_descriptors(),
         )
         self.flusher = Flusher()
-        self.planner.turn_done = self.flusher.run
-        self.runners = Runners(config.settings, self.planner, budget.runners, self.flusher)
-        self.planner.workers = self.runners
-        queued = int(QUEUED * room)
-        self.platform = PlatformFront(self.planner, budget.clients, self.flusher, queued, budget.turn)
-        self.invoke = self._front(invoke) if invoke is not None else None
-        self.peers: Peers | None = None
-        self.roster = Roster(config.settings)
-        self.resolver = Resolver(
-            lambda serial, told: self.news(serial, told, whole=True), self._beat, self.runners.give_back
+        self.dispatcher.flush_output = self.flusher.flush_all
+        self.workers = WorkerConnections(
+            config.settings, self.dispatcher, budget.worker_connections, self.flusher
+        )
+        self.dispatcher.worker_transport = self.workers
+        queued = int(OUTPUT_MEMORY_FRACTION * available_bytes)
+        self.platform = PlatformServer(
+            self.dispatcher, budget.client_connections, self.flusher, queued, budget.accepts_per_pass
+        )
+        self.invoke = self._create_invoke_front(invoke) if invoke is not None else None
+        self.peers: PeerTransport | None = None
+        self.endpoint_list = EndpointList(config.settings)
+        self.discovery = DiscoveryClient(
+            lambda serial, told: self.update_endpoints(serial, told, is_complete=True),
+            self._on_discovery_poll,
+            self.workers.release_descriptor,
         )
-        replies = {"PING": self._ping, "INFO": self._info}
-        room_made = self.platform.make_room
-        self.control = ControlFront(replies, self.flusher, budget.operators, room_made)
-        self.runners.room = room_made
-        self.serving = False  # the known list is taken up and the clients' port listens
-        self.loads = self.load_errors = 0  # settings files taken and turned down at SIGHUP
+        replies = {"PING": self._ping_reply, "INFO": self._info_reply}
+        make_room = self.platform.evict_idle
+        self.control = ControlServer(replies, self.flusher, budget.operator_connections, make_room)
+        self.workers.release_client_descriptor = make_room
+        self.is_serving = False  # the known list is taken up and the clients' port listens
+        self.reloads = self.reload_errors = 0  # settings files taken and turned down at SIGHUP
         self.port = self.invoke_port = self.control_port = 0  # what is listened on, once started
-        self._sweeper: asyncio.TimerHandle | None = None
-        self._ending = asyncio.Event()
-        self._unjoined = False  # the peers' address could not be listened on, and that has been said
+        self._sweep_timer: asyncio.TimerHandle | None = None
+        self._shutdown_requested = asyncio.Event()
+        self._peer_listen_failed = (
+            False  # the peers' address could not be listened on, and that has been said
+        )
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def _front(self, invoke: InvokeConfig) -> InvokeFront:
-        from cedarthread.net.invoke import InvokeFront  # TLS and certificates: not loaded where it is off
+    def _create_invoke_front(self, invoke: InvokeConfig) -> InvokeServer:
+        from cedarthread.protocols.invoke import InvokeServer
 
-        front = InvokeFront(self.planner, invoke, self.flusher)
-        front.most, front.scarce = self.budget.callers, self.platform.make_room
+        front = InvokeServer(self.dispatcher, invoke, self.flusher)
+        front.max_connections, front.release_descriptor = (
+            self.descriptor_budget.invoke_connections,
+            self.platform.evict_idle,
+        )
         return front
 
-    def news(self, serial: int, told: list[Listing], *, whole: bool) -> None:
+    def update_endpoints(self, serial: int, listings: list[EndpointRecord], *, is_complete: bool) -> None:
         """Pass news of the runners on."""
-        event = self.roster.event(serial, told, whole)
+        event = self.endpoint_list.apply_update(serial, listings, is_complete)
         if event is not None:
             log.info(
                 "runners: news %d, %d changed, %d listed",
                 serial,
-                len(event.workers),
-                len(self.roster.listings),
+                len(event.endpoints),
+                len(self.endpoint_list.records),
             )
-            self.runners.update(self.roster.by_number())
-            self.planner.membership(event)
+            self.workers.update_endpoints(self.endpoint_list.by_worker_id())
+            self.dispatcher.endpoints_changed(event)
 
     async def run(self) -> None:
         """Serve until SIGTERM, then settle all that was taken."""
         loop = asyncio.get_running_loop()
         for name in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(name, self.end)
+            loop.add_signal_handler(name, self.request_shutdown)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
-        await self._ending.wait()
-        await self.finish()
+        await self._shutdown_requested.wait()
+        await self.shut_down()
 
-    def end(self) -> None:
+    def request_shutdown(self) -> None:
         """Begin to end."""
-        self._ending.set()
+        self._shutdown_requested.set()
 
-    def _ping(self) -> tuple[bool, list[str]]:
-        return self.serving and not self._ending.is_set(), []
+    def _ping_reply(self) -> tuple[bool, list[str]]:
+        return self.is_serving and not self._shutdown_requested.is_set(), []
 
-    def _info(self) -> tuple[bool, list[str]]:
-        return True, [*self.figures(), "END"]
+    def _info_reply(self) -> tuple[bool, list[str]]:
+        return True, [*self.status_lines(), "END"]
 
-    def figures(self) -> list[str]:
+    def status_lines(self) -> list[str]:
         """What the operators read at INFO, a ``name=value`` a line."""
         lines, tries = [], 0
-        for name, counts in self.planner.handled.items():
-            lines += [f"router.handled.{name}.{figure}={counts[figure]}" for figure in FIGURES]
+        for name, counts in self.dispatcher.class_figures.items():
+            lines += [f"router.handled.{name}.{figure}={counts[figure]}" for figure in CLASS_FIGURES]
             tries += counts["upstream_tries"]
         told = {
             "upstream_tries": tries,
-            "in_progress": len(self.planner.calls),
-            "known_runners": len(self.roster.listings),
-            "skipped_runners": self.planner.router.skipped(),
-            "loads": self.loads,
-            "load_errors": self.load_errors,
+            "in_progress": len(self.dispatcher.pending_calls),
+            "known_runners": len(self.endpoint_list.records),
+            "skipped_runners": self.dispatcher.router.skipped_worker_count(),
+            "loads": self.reloads,
+            "load_errors": self.reload_errors,
         }
         lines += [f"router.{name}={value}" for name, value in told.items()]
-        if self.fleet is not None:
-            state = self.planner.decisions.state(self.planner.clock())
-            state |= self.disk.figures() if self.disk is not None else {}
+        if self.fleet_file is not None:
+            state = self.dispatcher.node.status(self.dispatcher.clock())
+            state |= self.event_loop_store.figures() if self.event_loop_store is not None else {}
             lines += [f"fleet.{name}={value}" for name, value in state.items()]
         return lines
 
     async def start(self) -> None:
         """Take up the known list, listen, and follow the resolver."""
-        self._operate()
-        for number, told in self.config.known:
-            self.news(number, list(told), whole=self.roster.version < 0)
-        self.resolver.serial = self.roster.version
+        self._listen_for_control()
+        for number, told in self.config.initial_endpoints:
+            self.update_endpoints(number, list(told), is_complete=self.endpoint_list.version < 0)
+        self.discovery.last_serial = self.endpoint_list.version
         self.port = await self.platform.listen(self.config.host, self.config.port)
         if self.invoke is not None:
             self.invoke_port = await self.invoke.listen()
             log.info("invoke API on port %d", self.invoke_port)
-        self._declare()
-        await self._join()
-        if self.config.resolver is not None:
-            self.resolver.follow(*self.config.resolver)
-        self.serving = True
-        log.info("serving as %s on port %d", self.config.name, self.port)
-        self._tell_budget()
+        self._load_fleet_config()
+        await self._join_peers()
+        if self.config.discovery_address is not None:
+            self.discovery.start_polling(*self.config.discovery_address)
+        self.is_serving = True
+        log.info("serving as %s on port %d", self.config.router_name, self.port)
+        self._log_descriptor_budget()
         # What stands now stands till the end: without it in the collector's lists, its pauses stay short.
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 20, 50)
         loop = asyncio.get_running_loop()
-        self._sweeper = loop.call_later(SWEEP, self._sweep)
-        loop.call_later(REPORT, self._report)
+        self._sweep_timer = loop.call_later(SWEEP_PERIOD_S, self._sweep)
+        loop.call_later(REPORT_PERIOD_S, self._log_counts)
         if self.invoke is not None:
-            loop.call_later(RENEW, self._look)
+            loop.call_later(INVOKE_FILES_PERIOD_S, self._check_invoke_files)
 
-    def _tell_budget(self) -> None:
-        parts, told = self.budget, self.config.sockets
+    def _log_descriptor_budget(self) -> None:
+        parts, told = self.descriptor_budget, self.config.max_sockets
         if parts.limit < told:
             log.warning("descriptors: the system allows %d, the configuration says %d", parts.limit, told)
         log.info(
             "descriptors: %d, of them clients %d, callers %d, runners %d, kept back %d",
-            *(parts.limit, parts.clients, parts.callers, parts.runners, parts.kept),
+            *(
+                parts.limit,
+                parts.client_connections,
+                parts.invoke_connections,
+                parts.worker_connections,
+                parts.reserved,
+            ),
         )
 
-    def _operate(self, *, told: bool = False) -> None:
+    def _listen_for_control(self, *, is_retry: bool = False) -> None:
         """Listen for operators. Where that can't be, calls are served without, and it is tried again."""
-        if self.config.control is None or self._ending.is_set():
+        if self.config.control_address is None or self._shutdown_requested.is_set():
             return
         try:
-            self.control_port = self.control.listen(*self.config.control)
+            self.control_port = self.control.listen(*self.config.control_address)
         except socket.gaierror:  # a name that is none: it would be looked up, and waited for, at each try
             raise
         except OSError as error:
-            if not told:
-                host, port = self.config.control
+            if not is_retry:
+                host, port = self.config.control_address
                 log.error("no operators' address: %s:%d can't be listened on yet: %s", host, port, error)
-            asyncio.get_running_loop().call_later(RETRY, lambda: self._operate(told=True))
+            asyncio.get_running_loop().call_later(
+                LISTEN_RETRY_S, lambda: self._listen_for_control(is_retry=True)
+            )
 
-    async def _join(self) -> None:
+    async def _join_peers(self) -> None:
         """Talk to the other routers, where the settings allow it and it is told where they are."""
-        told = self.config.peers
-        allowed = self.config.settings.limits.peers and not self._ending.is_set()
+        told = self.config.peer_addresses
+        allowed = self.config.settings.limits.allows_gossip and not self._shutdown_requested.is_set()
         if self.peers is not None or told is None or not allowed:
             return
-        self.peers = Peers(told, self.planner.heard)
+        self.peers = PeerTransport(told, self.dispatcher.peer_message_received)
         try:
             await self.peers.start()
         except OSError as error:  # calls are served without it; at an upgrade the old process still listens
-            if not self._unjoined:
-                log.error("no talk with other routers: %s:%d can't be listened on: %s", *told.listen, error)
-            self.peers, self._unjoined = None, True
+            if not self._peer_listen_failed:
+                log.error(
+                    "no talk with other routers: %s:%d can't be listened on: %s", *told.listen_address, error
+                )
+            self.peers, self._peer_listen_failed = None, True
             loop = asyncio.get_running_loop()
-            loop.call_later(RETRY, lambda: self._background(self._join()))
+            loop.call_later(LISTEN_RETRY_S, lambda: self._start_task(self._join_peers()))
             return
-        self._unjoined = False
-        self.planner.tell = self.peers.send
-        log.info("talking to %d routers from %s:%d", len(told.peers), *told.listen)
+        self._peer_listen_failed = False
+        self.dispatcher.send_to_peer = self.peers.send
+        log.info("talking to %d routers from %s:%d", len(told.peer_addresses), *told.listen_address)
 
-    async def finish(self) -> None:
+    async def shut_down(self) -> None:
         """Answer ``check`` with no, but all that still comes in full; end when the last answer has left."""
         loop = asyncio.get_running_loop()
-        told = loop.time()
-        log.info("told to end: %d calls open", len(self.planner.calls))
-        self.platform.ready = False
+        requested_at_s = loop.time()
+        log.info("told to end: %d calls open", len(self.dispatcher.pending_calls))
+        self.platform.is_ready = False
         if self.invoke is not None:
-            self.invoke.ready = False
-        longest = min(LONGEST, max(klass.deadline for klass in self.config.settings.classes) / 1000.0)
-        self.planner.stop_by(self.planner.clock() + max(GRACE, longest + SETTLED) * 1000.0)
-        await asyncio.sleep(GRACE)
-        self.platform.wind_down()
-        while not self._drained() and loop.time() < told + longest + LAST:
+            self.invoke.is_ready = False
+        longest_deadline_s = min(
+            MAX_SHUTDOWN_DEADLINE_S, max(klass.deadline_ms for klass in self.config.settings.classes) / 1000.0
+        )
+        self.dispatcher.complete_all_by(
+            self.dispatcher.clock()
+            + max(SHUTDOWN_GRACE_S, longest_deadline_s + SHUTDOWN_COMPLETION_SLACK_S) * 1000.0
+        )
+        await asyncio.sleep(SHUTDOWN_GRACE_S)
+        self.platform.drain()
+        while (
+            not self._is_drained()
+            and loop.time() < requested_at_s + longest_deadline_s + SHUTDOWN_EXIT_SLACK_S
+        ):
             await asyncio.sleep(0.01)
         self.platform.stop_listening()
         if self.invoke is not None:
             self.invoke.stop_listening()
-        self.resolver.stop()
+        self.discovery.stop()
         if self.peers is not None:
             self.peers.stop()
         self.control.stop_listening()
-        if self.disk is not None:
-            self.disk.close()
-        self._report()
-        log.info("ended with %d calls open", len(self.planner.calls))
+        if self.event_loop_store is not None:
+            self.event_loop_store.close()
+        self._log_counts()
+        log.info("ended with %d calls open", len(self.dispatcher.pending_calls))
 
-    def _drained(self) -> bool:
-        fronts = self.platform.drained() and (self.invoke is None or self.invoke.drained())
-        return fronts and not self.planner.calls
+    def _is_drained(self) -> bool:
+        fronts = self.platform.is_drained() and (self.invoke is None or self.invoke.is_drained())
+        return fronts and not self.dispatcher.pending_calls
 
     def reload(self) -> None:
         """SIGHUP: take the file's settings and resolver whole, or keep all that was; calls stay."""
-        self._renew()
-        self._declare()
-        if self._reread is None:
+        self._reload_invoke_files()
+        self._load_fleet_config()
+        if self._load_config is None:
             return
         try:
-            told = self._reread()
+            told = self._load_config()
         except ConfigError as error:
-            self.load_errors += 1
+            self.reload_errors += 1
             log.error("configuration turned down whole, the old one stays: %s", error)
             return
-        self.loads += 1
-        settings = self.planner.retune(told.settings)
-        self.runners.retune(settings)
+        self.reloads += 1
+        settings = self.dispatcher.update_settings(told.settings)
+        self.workers.apply_settings(settings)
         self.config = replace(
-            self.config, settings=told.settings, resolver=told.resolver or self.config.resolver
+            self.config,
+            settings=told.settings,
+            discovery_address=told.discovery_address or self.config.discovery_address,
         )
-        self._background(self._join())
+        self._start_task(self._join_peers())
         log.info("configuration reloaded: classes %s", ", ".join(k.name for k in told.settings.classes))
-        if told.resolver is not None:
-            log.info("resolver at %s:%d", *told.resolver)
-            self.resolver.follow(*told.resolver)
+        if told.discovery_address is not None:
+            log.info("resolver at %s:%d", *told.discovery_address)
+            self.discovery.start_polling(*told.discovery_address)
 
-    def _declare(self) -> None:
+    def _load_fleet_config(self) -> None:
         """Read the fleet's file, whole: what is new in it is declared here and told to all."""
-        if self.fleet is None:
+        if self.fleet_file is None:
             return
-        from cedarthread.register import declared
+        from cedarthread import fleet_config
 
         try:
-            told = declared.read(self.fleet, self.store)
-        except declared.FleetError as error:
-            self.load_errors += 1
+            told = fleet_config.load_fleet_config(self.fleet_file, self.store_folder)
+        except fleet_config.FleetConfigError as error:
+            self.reload_errors += 1
             log.error("fleet file turned down whole, what was declared stays: %s", error)
             return
-        self.planner.declare(told)
-        sharing = self.planner.decisions.sharing
-        keeping = sharing.keeping if sharing is not None else None
-        if self.disk is None and told.disk is not None and keeping is not None:
-            from cedarthread.net.disk import Disk
-
-            self.disk = Disk(told.disk, keeping, self.planner.clock, self.config.seed)
+        self.dispatcher.apply_fleet_config(told)
+        sharing = self.dispatcher.node.fleet_components
+        keeping = sharing.persister if sharing is not None else None
+        if self.event_loop_store is None and told.disk is not None and keeping is not None:
+            from cedarthread.persistence.event_loop_store import EventLoopStore
+
+            self.event_loop_store = EventLoopStore(
+                told.disk, keeping, self.dispatcher.clock, self.config.seed
+            )
         log.info("fleet file read: %d contracts, %d windows", len(told.contract), len(told.freeze))
 
-    def _background(self, work: Coroutine[Any, Any, None]) -> None:
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _renew(self) -> None:
+    def _reload_invoke_files(self) -> None:
         if self.invoke is not None:
-            self._background(self.invoke.reload_if_changed())
+            self._start_task(self.invoke.reload_if_changed())
 
-    def _look(self) -> None:
-        self._renew()
-        asyncio.get_running_loop().call_later(RENEW, self._look)
+    def _check_invoke_files(self) -> None:
+        self._reload_invoke_files()
+        asyncio.get_running_loop().call_later(INVOKE_FILES_PERIOD_S, self._check_invoke_files)
 
     def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
         now = loop.time()
         self.platform.sweep(now)
-        self.runners.sweep(now)
-        if self.disk is not None:
-            self.disk.turn()
+        self.workers.sweep(now)
+        if self.event_loop_store is not None:
+            self.event_loop_store.on_tick()
         if self.invoke is not None:
             self.invoke.sweep(now)
-        self._sweeper = loop.call_later(SWEEP, self._sweep)
+        self._sweep_timer = loop.call_later(SWEEP_PERIOD_S, self._sweep)
 
-    def _beat(self) -> None:
+    def _on_discovery_poll(self) -> None:
         """The resolver is asked: what would wake the process a little later is done now, in one waking."""
-        self.planner.early(EARLY * 1000.0)
-        if self._sweeper is not None and self._sweeper.when() <= asyncio.get_running_loop().time() + EARLY:
-            self._sweeper.cancel()
+        self.dispatcher.tick_early(EARLY_WAKEUP_S * 1000.0)
+        if (
+            self._sweep_timer is not None
+            and self._sweep_timer.when() <= asyncio.get_running_loop().time() + EARLY_WAKEUP_S
+        ):
+            self._sweep_timer.cancel()
             self._sweep()
 
-    def _dropped(self) -> tuple[int, int, int]:
+    def _dropped_datagrams(self) -> tuple[int, int, int]:
         """Datagrams from no peer, of no known form, and not sendable, since the start."""
-        peers, talk = self.peers, self.planner.decisions.talk
+        peers, talk = self.peers, self.dispatcher.node.load_gossip
         if peers is None or talk is None:
             return 0, 0, 0
-        return peers.strangers + talk.strangers, talk.unreadable, peers.unsent
+        return peers.unknown_sender_count + talk.unknown_senders, talk.malformed_datagrams, peers.unsent_count
 
-    def _report(self) -> None:
-        counts = " ".join(f"{name}={count}" for name, count in self.planner.counts.items())
-        log.info("calls: %s open=%d", counts, len(self.planner.calls))
-        dropped = self._dropped()
+    def _log_counts(self) -> None:
+        counts = " ".join(f"{name}={count}" for name, count in self.dispatcher.result_counts.items())
+        log.info("calls: %s open=%d", counts, len(self.dispatcher.pending_calls))
+        dropped = self._dropped_datagrams()
         if any(dropped):
             log.warning("other routers: strangers=%d unreadable=%d unsent=%d", *dropped)
-        asyncio.get_running_loop().call_later(REPORT, self._report)
+        asyncio.get_running_loop().call_later(REPORT_PERIOD_S, self._log_counts)
--- /dev/null
+++ b/cedarthread/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter that hosts many routers on the operators' simulator, and its codec."""
--- a/cedarthread/simhost.py
+++ b/cedarthread/simulator/host.py
@@ -5,41 +5,41 @@
 import sys
 from typing import BinaryIO
 
-from cedarthread import wire
-from cedarthread.decisions import Decisions
+from cedarthread.components.node import RoutingNode
+from cedarthread.simulator import codec
 
 
-class Host:
+class SimulatorHost:
     """The instances of one process; they share nothing but the numbered worker lists of the wire."""
 
     def __init__(self) -> None:
-        self.decoder = wire.Decoder()
-        self.routers: dict[int, Decisions] = {}
+        self.decoder = codec.Decoder()
+        self.nodes: dict[int, RoutingNode] = {}
 
-    def reply(self, frame: bytes) -> bytes:
+    def handle_frame(self, frame: bytes) -> bytes:
         """The reply frame to one batch frame."""
-        now, events = self.decoder.batch(frame)
+        now, events = self.decoder.decode_batch(frame)
         records: list[bytes] = []
         last: int | None = None
         for who, event in events:
-            if isinstance(event, wire.Start):
-                self.routers[who] = Decisions(event.settings, event.seed, event.seed ^ int(now))
+            if isinstance(event, codec.InstanceStarted):
+                self.nodes[who] = RoutingNode(event.settings, event.seed, event.seed ^ int(now))
                 continue
-            if isinstance(event, wire.Kill):
-                self.routers.pop(who, None)
+            if isinstance(event, codec.InstanceKilled):
+                self.nodes.pop(who, None)
                 continue
-            router = self.routers.get(who)
+            router = self.nodes.get(who)
             if router is None:
                 continue
             try:
-                out = [wire.encode_action(action) for action in router.handle(now, event)]
+                out = [codec.encode_action(action) for action in router.handle(now, event)]
             except Exception as error:  # whatever the module raised is reported, never swallowed
-                out = [wire.encode_broken(f"{type(error).__name__}: {error} on {type(event).__name__}")]
+                out = [codec.encode_failure(f"{type(error).__name__}: {error} on {type(event).__name__}")]
             if out and who != last:
-                records.append(wire.encode_instance(who))
+                records.append(codec.encode_instance(who))
                 last = who
             records.extend(out)
-        return wire.encode_reply(records)
+        return codec.encode_reply(records)
 
 
 def read_frame(source: BinaryIO) -> bytes | None:
@@ -48,24 +48,24 @@
     if not head:
         return None
     if len(head) < 4:
-        raise wire.WireError(f"frame length cut short: {len(head)} of 4 bytes")
+        raise codec.SimulatorProtocolError(f"frame length cut short: {len(head)} of 4 bytes")
     length = int.from_bytes(head, "little")
     if length < 16:
-        raise wire.WireError(f"frame length {length} is under the header's 16 bytes")
+        raise codec.SimulatorProtocolError(f"frame length {length} is under the header's 16 bytes")
     body = source.read(length - 4)
     if len(body) < length - 4:
-        raise wire.WireError(f"frame cut short: {4 + len(body)} of {length} bytes")
+        raise codec.SimulatorProtocolError(f"frame cut short: {4 + len(body)} of {length} bytes")
     return head + body
 
 
 def main(source: BinaryIO, sink: BinaryIO) -> int:
     """Answer frames until the input ends."""
-    host = Host()
+    host = SimulatorHost()
     try:
         while (frame := read_frame(source)) is not None:
-            sink.write(host.reply(frame))
+            sink.write(host.handle_frame(frame))
             sink.flush()
-    except wire.WireError as error:
+    except codec.SimulatorProtocolError as error:
         print(f"cedarthread: bad input: {error}", file=sys.stderr)
         return 2
     return 0
--- /dev/null
+++ b/cedarthread/statistics.py
@@ -0,0 +1,113 @@
+"""Quantities that fade by time, for the decisions: pure, with the time passed in."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+EWMA_GAIN = 0.1  # of an EWMA: about the last ten values
+
+
+@dataclass(slots=True)
+class Ewma:
+    """An EWMA; the first values count in full."""
+
+    mean: float = 0.0
+    count: int = 0
+
+    def add(self, value: float) -> None:
+        """One value."""
+        self.count += 1
+        self.mean += max(EWMA_GAIN, 1.0 / self.count) * (value - self.mean)
+
+
+@dataclass(slots=True)
+class DecayingCounter:
+    """A value that fades by itself; as a sum of events it is a rate times the time constant."""
+
+    time_constant_ms: float
+    value: float = 0.0
+    updated_at_ms: float = 0.0
+
+    def read(self, now: float) -> float:
+        """The value now."""
+        return (
+            self.value * math.exp((self.updated_at_ms - now) / self.time_constant_ms) if self.value else 0.0
+        )
+
+    def add(self, now: float, amount: float) -> None:
+        """An event of so much."""
+        self.value, self.updated_at_ms = self.read(now) + amount, now
+
+    def move_towards(self, now: float, gain: float, target: float) -> None:
+        """Draw the value towards another by a part of the way."""
+        old = self.read(now)
+        self.value, self.updated_at_ms = old + gain * (target - old), now
+
+
+@dataclass(slots=True)
+class WindowedMaximum:
+    """The highest of a quantity's values; one that it has fallen from fades by time."""
+
+    time_constant_ms: float = 1.0
+    value: float = 0.0
+    updated_at_ms: float = 0.0
+
+    def read(self, now: float) -> float:
+        """The highest, faded since the quantity fell from it."""
+        return (
+            self.value * math.exp((self.updated_at_ms - now) / self.time_constant_ms) if self.value else 0.0
+        )
+
+    def on_change(self, now: float, value: float, new_value: float) -> None:
+        """The quantity was at this value until now, and has gone to another: only a fall is kept."""
+        if new_value < value and value > self.read(now):
+            self.value, self.updated_at_ms = value, now
+
+
+@dataclass(slots=True)
+class DecayingMean:
+    """A mean of values that fade by time, drawn to a prior by its doubt."""
+
+    total: DecayingCounter
+    count: DecayingCounter
+
+    @staticmethod
+    def with_time_constant(time_constant_ms: float) -> DecayingMean:
+        """A mean whose values fade with this time constant."""
+        return DecayingMean(DecayingCounter(time_constant_ms), DecayingCounter(time_constant_ms))
+
+    def read(self, now: float, prior_count: float, prior: float = 0.0) -> float:
+        """The mean now; with few values, near the prior."""
+        return (self.total.read(now) + prior_count * prior) / (self.count.read(now) + prior_count)
+
+    def add(self, now: float, value: float, time_constant_ms: float) -> None:
+        """One value, from now on fading with this time constant."""
+        self.total.add(now, value)
+        self.count.add(now, 1.0)
+        self.total.time_constant_ms = self.count.time_constant_ms = time_constant_ms
+
+
+@dataclass(slots=True)
+class TokenBucket:
+    """Tokens that come at a rate a second, and are saved up to a bound."""
+
+    rate_per_second: float
+    capacity: float
+    tokens: float
+    updated_at_ms: float
+
+    def refill(self, now: float) -> float:
+        """What is there now."""
+        self.tokens = min(
+            self.capacity, self.tokens + self.rate_per_second * max(0.0, now - self.updated_at_ms) / 1000.0
+        )
+        self.updated_at_ms = max(self.updated_at_ms, now)
+        return self.tokens
+
+    def take(self, now: float, amount: float = 1.0) -> bool:
+        """Take so much, or nothing where there is less."""
+        if self.refill(now) < amount:
+            return False
+        self.tokens -= amount
+        return True
--- a/cedarthread/store/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""State that outlives the process, on a disk that may lie."""
--- a/cedarthread/rig/cli.py
+++ b/cedarthread/testing/cluster/cli.py
@@ -31,10 +31,10 @@
 
 from docopt import docopt
 
-from cedarthread.rig.drills import Drill, drill
-from cedarthread.rig.judge import Result
-from cedarthread.rig.play import Rig
-from cedarthread.rig.scenario import Scenario, ScenarioError, read
+from cedarthread.testing.cluster.drills import Drill, drill
+from cedarthread.testing.cluster.evaluation import Result
+from cedarthread.testing.cluster.run import Rig
+from cedarthread.testing.cluster.scenario import Scenario, ScenarioError, read
 
 
 def main(argv: list[str]) -> int:
@@ -42,7 +42,7 @@
     told = docopt(__doc__, argv)
     try:
         if told["report"]:
-            from cedarthread.rig.report import draw
+            from cedarthread.testing.cluster.report import draw
 
             return draw(Path(told["DIR"]))
         if told["run"]:
--- a/cedarthread/rig/drills/__init__.py
+++ b/cedarthread/testing/cluster/drills/__init__.py
@@ -6,13 +6,13 @@
 from importlib import import_module
 from typing import Protocol, cast
 
-from cedarthread.rig.judge import Result
-from cedarthread.rig.scenario import Scenario
+from cedarthread.testing.cluster.evaluation import Result
+from cedarthread.testing.cluster.scenario import Scenario
 
 DRILLS = {
-    "freeze": "cedarthread.rig.drills.freeze",
-    "spread": "cedarthread.rig.drills.spread",
-    "return": "cedarthread.rig.drills.return_",
+    "freeze": "cedarthread.testing.cluster.drills.change_freeze",
+    "spread": "cedarthread.testing.cluster.drills.load_spread",
+    "return": "cedarthread.testing.cluster.drills.mass_restart",
 }
 
 
--- a/cedarthread/rig/drills/freeze.py
+++ b/cedarthread/testing/cluster/drills/change_freeze.py
@@ -8,11 +8,11 @@
 from dataclasses import dataclass
 from statistics import fmean
 
-from cedarthread.register import declared
-from cedarthread.register.register import Register
-from cedarthread.rig.fleet import stamped
-from cedarthread.rig.judge import Result
-from cedarthread.rig.scenario import Scenario, parse
+from cedarthread import fleet_config
+from cedarthread.replication.store import ReplicatedStore
+from cedarthread.testing.cluster.evaluation import Result
+from cedarthread.testing.cluster.router_processes import stamped
+from cedarthread.testing.cluster.scenario import Scenario, parse
 
 SHARING = "[sharing]\nperiod = 200\nclock-error = 100\n"
 # Served at least, quick form. Lost in 24 s may be: an eighth of calls, to a hot function without a new home,
@@ -125,18 +125,18 @@
 
 def bound(scenario: Scenario) -> float:
     """B in ms, by the formula of the register's design page."""
-    told = declared.parse(stamped(scenario.fleet, 0.0).encode()).sharing
-    one = Register(
-        0, scenario.routers, 1, 1, period=told.period, fresh=told.fresh, clock_rate=told.clock_rate
+    told = fleet_config.parse_fleet_config(stamped(scenario.fleet, 0.0).encode()).sharing
+    one = ReplicatedStore(
+        0, scenario.routers, 1, 1, period_ms=told.period, window_ms=told.fresh, clock_rate=told.clock_rate
     )
-    return one.bound
+    return one.staleness_bound_ms
 
 
 def binds(scenario: Scenario) -> Bound | None:
     """The window of a run, as it must hold at all; None where none was declared."""
     wait, found = bound(scenario), None
     for fault in sorted((f for f in scenario.faults if f.kind == "declare"), key=lambda f: f.at):
-        file, at = declared.parse(stamped(fault.what, 0.0).encode()), 1000.0 * fault.at
+        file, at = fleet_config.parse_fleet_config(stamped(fault.what, 0.0).encode()), 1000.0 * fault.at
         for one in file.freeze:
             begin, end = (1000.0 * time.timestamp() for time in (one.start, one.end))
             if found is None:
--- a/cedarthread/rig/drills/spread.py
+++ b/cedarthread/testing/cluster/drills/load_spread.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterator, Sequence
 
-from cedarthread.rig.judge import Result
-from cedarthread.rig.scenario import Scenario, parse
+from cedarthread.testing.cluster.evaluation import Result
+from cedarthread.testing.cluster.scenario import Scenario, parse
 
 IDLE_MOST = 2000.0  # ms that a runner may be idle while another queues
 RATIO = 1.3  # of the all-seeing policy's peak-to-mean, at most
--- a/cedarthread/rig/drills/return_.py
+++ b/cedarthread/testing/cluster/drills/mass_restart.py
@@ -8,10 +8,10 @@
 from itertools import chain
 from statistics import fmean
 
-from cedarthread.parts import Form
-from cedarthread.rig.books import peak, time_to_full_service
-from cedarthread.rig.judge import WORTH, Result
-from cedarthread.rig.scenario import Scenario, parse
+from cedarthread.components.interface import MessageType
+from cedarthread.testing.cluster.evaluation import WORTH, Result
+from cedarthread.testing.cluster.recordings import peak, time_to_full_service
+from cedarthread.testing.cluster.scenario import Scenario, parse
 
 SHARING = "[sharing]\nperiod = 100\n"
 CALM = "undisturbed"
@@ -138,7 +138,7 @@
         "loads": told.get("loads", 0),
         "connections at a runner": max(at_runner, default=0),
         "questions": told.get("questions", 0),
-        "datagrams of a return": told.get(f"peers:{Form.RETURN:02x}", 0),
+        "datagrams of a return": told.get(f"peers:{MessageType.RECOVERY:02x}", 0),
     }
 
 
--- a/cedarthread/rig/judge.py
+++ b/cedarthread/testing/cluster/evaluation.py
@@ -10,13 +10,13 @@
 
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 
-from cedarthread.ledger.book import Figures, Ledger, Terms, Tried
-from cedarthread.rig.books import Book, Fact, joined, peak, worths
-from cedarthread.rig.network import Network
-from cedarthread.rig.replay import CHOICES, Play, schedule
-from cedarthread.rig.scenario import Scenario
-from cedarthread.spread import evenness
-from cedarthread.standins.runner import made
+from cedarthread.testing import load_balance
+from cedarthread.testing.cluster.network import Network
+from cedarthread.testing.cluster.policy_replay import CHOICES, Play, schedule
+from cedarthread.testing.cluster.recordings import Book, Fact, joined, peak, worths
+from cedarthread.testing.cluster.scenario import Scenario
+from cedarthread.testing.fakes.worker_server import made
+from cedarthread.testing.invariants import Figures, Ledger, Terms, Tried
 
 SPOILT = 60.0  # ms by which one call in a hundred may leave late at most: past it the run is void
 BEHIND = 25.0  # ms by which a runner's process may read what was sent before an answer that another read
@@ -31,8 +31,8 @@
 
     scenario: str
     seed: int
-    even: evenness.Evenness
-    others: dict[str, evenness.Evenness]
+    even: load_balance.LoadBalanceMetrics
+    others: dict[str, load_balance.LoadBalanceMetrics]
     answers: dict[str, int]
     breaches: list[str]
     late: float  # ms that the rig itself was late, the 99th percentile
@@ -148,13 +148,13 @@
     lates = [_late(one.late) for one in books]
     series, visits = book.series(), sorted(book.visits, key=lambda visit: visit.at)
     others = {
-        name: evenness.measure(Play(scenario, name).run(arrivals), workers, begin, end, scenario.lanes)
+        name: load_balance.measure(Play(scenario, name).run(arrivals), workers, begin, end, scenario.lanes)
         for name in CHOICES
     }
     return Result(
         scenario.name,
         scenario.seed,
-        evenness.measure(visits, workers, begin, end, scenario.lanes),
+        load_balance.measure(visits, workers, begin, end, scenario.lanes),
         others,
         dict(judge.answers),
         [str(breach) for breach in judge.ledger.breaches]
@@ -163,7 +163,7 @@
         1000.0 * cpu / max(1, sum(arrival.at >= begin for arrival in arrivals)),
         sum(length for at, *_, length in book.peers if at >= begin) / scenario.routers / scenario.seconds,
         (book.datagrams["passed"], book.datagrams["dropped"]),
-        evenness.by_second(visits, workers, end),
+        load_balance.work_per_core_by_second(visits, workers, end),
         [(fault.kind, fault.at, fault.until) for fault in scenario.faults],
         {f"p{p:g}": judge.latency.get_value_at_percentile(p) / 1000.0 for p in (50, 90, 99, 99.9)},
         worths(judge.served, end),
@@ -181,7 +181,7 @@
     return sorted(late)[int(0.99 * (len(late) - 1))] if late else 0.0
 
 
-def _workers(scenario: Scenario) -> dict[int, evenness.Worker]:
+def _workers(scenario: Scenario) -> dict[int, load_balance.WorkerAvailability]:
     end = 1000.0 * (scenario.warm_up + scenario.seconds)
     found = {}
     for number in range(scenario.runners):
@@ -190,5 +190,5 @@
         for fault in sorted(out, key=lambda one: one.at):
             spans.append((at, 1000.0 * fault.at))
             at = 1000.0 * fault.until
-        found[number] = evenness.Worker(scenario.cores, (*spans, (at, end)))
+        found[number] = load_balance.WorkerAvailability(scenario.cores, (*spans, (at, end)))
     return found
--- a/cedarthread/rig/worker.py
+++ b/cedarthread/testing/cluster/fake_process.py
@@ -1,6 +1,6 @@
 """A process of stand-ins: all runners and their store, or clients, relays and resolvers of some routers.
 
-    python -m cedarthread.rig.worker FOLDER NUMBER
+    python -m cedarthread.testing.cluster.fake_process FOLDER NUMBER
 
 FOLDER holds the plan. Number 0 stands for the runners, each other one for a part of the routers. Orders come
 as lines of JSON, and each is answered by one; the book of what was seen is written at the end. Facts carry
@@ -20,14 +20,14 @@
 from pathlib import Path
 from typing import Any, cast
 
-from cedarthread.rig.books import Book, Plan
-from cedarthread.rig.network import Network
-from cedarthread.rig.replay import Arrival, runners, schedule
-from cedarthread.rig.scenario import Fault, Scenario
-from cedarthread.standins.client import Client, health, pack_call
-from cedarthread.standins.model import Visit
-from cedarthread.standins.resolver import Listed, ResolverServer
-from cedarthread.standins.runner import RunnerServer
+from cedarthread.testing.cluster.network import Network
+from cedarthread.testing.cluster.policy_replay import Arrival, runners, schedule
+from cedarthread.testing.cluster.recordings import Book, Plan
+from cedarthread.testing.cluster.scenario import Fault, Scenario
+from cedarthread.testing.fakes.client import Client, health, pack_call
+from cedarthread.testing.fakes.discovery_server import Listed, ResolverServer
+from cedarthread.testing.fakes.worker_model import Visit
+from cedarthread.testing.fakes.worker_server import RunnerServer
 
 DEADLINE = 3000.0  # ms
 BEFORE = 1e6  # s
--- a/cedarthread/rig/network.py
+++ b/cedarthread/testing/cluster/network.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Iterator, Sequence
 
-from cedarthread.rig.scenario import PATHS, Fault
+from cedarthread.testing.cluster.scenario import PATHS, Fault
 
 LATE = 40.0  # ms by which a reordered datagram is late at most
 
--- a/cedarthread/rig/replay.py
+++ b/cedarthread/testing/cluster/policy_replay.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from cedarthread.rig.scenario import Fault, Scenario, shares
-from cedarthread.standins.model import Runner, Store, Visit
+from cedarthread.testing.cluster.scenario import Fault, Scenario, shares
+from cedarthread.testing.fakes.worker_model import Runner, Store, Visit
 
 
 @dataclass(frozen=True, slots=True)
--- a/cedarthread/rig/books.py
+++ b/cedarthread/testing/cluster/recordings.py
@@ -9,8 +9,8 @@
 from statistics import fmean
 from typing import Any
 
-from cedarthread.rig.scenario import Scenario
-from cedarthread.standins.model import Visit
+from cedarthread.testing.cluster.scenario import Scenario
+from cedarthread.testing.fakes.worker_model import Visit
 
 Fact = tuple[Any, ...]  # when in ms, its kind, and what it is about
 
--- a/cedarthread/rig/entry.py
+++ b/cedarthread/testing/cluster/router_entry.py
@@ -1,6 +1,6 @@
 """The program with a clock that is off, and with a defect where a drill plants one.
 
-    python -m cedarthread.rig.entry CLOCK DISK PLANT ARGUMENT...
+    python -m cedarthread.testing.cluster.router_entry CLOCK DISK PLANT ARGUMENT...
 
 CLOCK and DISK: files as ``fleet.py`` lays them out, DISK may be empty. PLANT: a name of ``plants.py``, or
 nothing.
@@ -18,8 +18,8 @@
 from pathlib import Path
 from types import SimpleNamespace
 
-from cedarthread.core import planner
-from cedarthread.rig.plants import plant
+from cedarthread.dispatch import dispatcher
+from cedarthread.testing.cluster.injected_defects import plant
 
 Clock = Callable[[], float]  # s
 CLOCK = struct.Struct("<ddd")  # ms that it is off; how many times as fast it runs; since when, monotonic s
@@ -43,9 +43,9 @@
     with open(sys.argv.pop(1), "rb") as file:
         told = mmap.mmap(file.fileno(), CLOCK.size, access=mmap.ACCESS_READ)
     if disk := sys.argv.pop(1):
-        import_module("cedarthread.store.lying").install(Path(disk))
+        import_module("cedarthread.persistence.faulty_disk").install(Path(disk))
     plant(sys.argv.pop(1))
-    planner.time = clocks(told, time.time, time.monotonic)  # type: ignore[attr-defined, assignment]
+    dispatcher.time = clocks(told, time.time, time.monotonic)  # type: ignore[attr-defined, assignment]
     runpy.run_module("cedarthread", run_name="__main__")
 
 
--- a/cedarthread/rig/fleet.py
+++ b/cedarthread/testing/cluster/router_processes.py
@@ -17,9 +17,9 @@
 from pathlib import Path
 from typing import Any
 
-from cedarthread.rig.entry import CLOCK
-from cedarthread.rig.scenario import LIES, Scenario, party, shares
-from cedarthread.standins.settings import SETTINGS
+from cedarthread.testing.cluster.router_entry import CLOCK
+from cedarthread.testing.cluster.scenario import LIES, Scenario, party, shares
+from cedarthread.testing.fakes.settings import SETTINGS
 
 READY = 60.0  # s in which all processes must serve
 LOOK = 0.05  # s between looks
@@ -127,7 +127,7 @@
         disk = str(self.folder / f"n{number}.disk") if self.scenario.store and own else ""
         clocked = [str(self.folder / f"n{number}.clock"), disk, self.scenario.plant] if own else []
         options = ["--fleet", str(fleet)] if (fleet := self.folder / f"n{number}.fleet.toml").exists() else []
-        module = "cedarthread.rig.entry" if clocked else "cedarthread"
+        module = "cedarthread.testing.cluster.router_entry" if clocked else "cedarthread"
         with open(self.folder / f"n{number}.log", "ab") as out:
             self.processes[number] = subprocess.Popen(
                 [sys.executable, "-m", module, *clocked, "serve", "--log", "warning", *options],
--- a/cedarthread/rig/play.py
+++ b/cedarthread/testing/cluster/run.py
@@ -13,11 +13,11 @@
 from pathlib import Path
 from typing import Any, cast
 
-from cedarthread.rig.books import Book, Plan
-from cedarthread.rig.fleet import Fleet, reserve
-from cedarthread.rig.judge import Result, judged
-from cedarthread.rig.scenario import AT, Fault, Scenario
-from cedarthread.rig.worker import DEADLINE, Lists, home
+from cedarthread.testing.cluster.evaluation import Result, judged
+from cedarthread.testing.cluster.fake_process import DEADLINE, Lists, home
+from cedarthread.testing.cluster.recordings import Book, Plan
+from cedarthread.testing.cluster.router_processes import Fleet, reserve
+from cedarthread.testing.cluster.scenario import AT, Fault, Scenario
 
 A_PART = 50  # routers that one process of stand-ins bears
 LEAD = 0.2  # s from the word to go until traffic begins, so that all processes have heard it
@@ -34,7 +34,13 @@
     async def start(self) -> None:
         """Till its sockets listen."""
         self.process = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "cedarthread.rig.worker", str(self.folder), str(self.number)),
+            *(
+                sys.executable,
+                "-m",
+                "cedarthread.testing.cluster.fake_process",
+                str(self.folder),
+                str(self.number),
+            ),
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
             pass_fds=self.descriptors,
--- a/cedarthread/rig/scenario.py
+++ b/cedarthread/testing/cluster/scenario.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from cedarthread.rig.plants import PLANTS
+from cedarthread.testing.cluster.injected_defects import PLANTS
 
 PATHS = ("loss", "delay", "double", "reorder", "cut", "stall")  # between parties
 AT = {  # deeds, and the one kind of party that each is done at
--- a/cedarthread/standins/client.py
+++ b/cedarthread/testing/fakes/client.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from cedarthread.net import msgpack
+from cedarthread.protocols import msgpack
 
 Told = Callable[[int, str, bytes], None]  # a call's number; served, refused or failed; the body
 
@@ -47,7 +47,7 @@
     def data_received(self, data: bytes) -> None:
         """Answers, whole and in part."""
         self._held += data
-        while isinstance(parsed := msgpack.parse(memoryview(self._held)), msgpack.Value):
+        while isinstance(parsed := msgpack.parse(memoryview(self._held)), msgpack.ParsedValue):
             _, number, error, result = plain(parsed.value)
             self._held = self._held[parsed.end :]
             self.told(number, answer_kind(error), result[0] if error is None else b"")
--- a/cedarthread/standins/resolver.py
+++ b/cedarthread/testing/fakes/discovery_server.py
@@ -10,8 +10,8 @@
 from functools import lru_cache
 from typing import cast
 
-from cedarthread.net import dns
-from cedarthread.net.resolver import NAME
+from cedarthread.protocols import dns
+from cedarthread.protocols.discovery import SERVICE_NAME
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,11 +45,13 @@
         target = _name(f"{runner.name}.{zone}.pool.lan")
         texts = ("cell=0", "kind=std", f"started={runner.started:.0f}")
         srv = struct.pack(">3H", 10 if runner.draining else 0, 10, runner.port)
-        records.append(_record(_name(NAME), dns.SRV, srv + target))
-        records.append(_record(target, dns.A, bytes((127, 0, 0, 1))))
-        records.append(_record(target, dns.TXT, b"".join(bytes((len(t),)) + t.encode() for t in texts)))
+        records.append(_record(_name(SERVICE_NAME), dns.TYPE_SRV, srv + target))
+        records.append(_record(target, dns.TYPE_A, bytes((127, 0, 0, 1))))
+        records.append(_record(target, dns.TYPE_TXT, b"".join(bytes((len(t),)) + t.encode() for t in texts)))
     root = _name("ns.lan")
-    records.append(_record(_name("pool.lan"), dns.SOA, root + root + struct.pack(">5I", serial, 1, 1, 1, 1)))
+    records.append(
+        _record(_name("pool.lan"), dns.TYPE_SOA, root + root + struct.pack(">5I", serial, 1, 1, 1, 1))
+    )
     return len(records), b"".join(records)
 
 
--- a/cedarthread/standins/paths.py
+++ b/cedarthread/testing/fakes/peer_transport.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from cedarthread.spread.datagram import MOST
+from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES
 
 Tell = Callable[[int, bytes], None]  # the number of the router that sent it, and its bytes
 Delays = Callable[[float, int, int], list[float]]  # now, from, to: ms till it comes, once for each time
@@ -25,8 +25,8 @@
     8. None as the number means all the others; a sender may hear itself.
     """
 
-    strangers: int
-    unsent: int
+    unknown_sender_count: int
+    unsent_count: int
 
     def send(self, data: bytes, peer: int | None) -> None:
         """Send to one, or to all."""
@@ -58,7 +58,7 @@
             if (end := self.ends.get(to)) is not None and sender in self.known:
                 end.tell(sender, data)
             elif end is not None:
-                end.strangers += 1
+                end.unknown_sender_count += 1
 
 
 class MemoryPath:
@@ -66,17 +66,17 @@
 
     def __init__(self, air: Air, number: int, tell: Tell) -> None:
         self.air, self.number, self.tell = air, number, tell
-        self.strangers = self.unsent = 0
+        self.unknown_sender_count = self.unsent_count = 0
         air.ends[number] = self
 
     def send(self, data: bytes, peer: int | None) -> None:
         """Send to one, or to all."""
         to = [n for n in self.air.known if (n != self.number if peer is None else n == peer)]
-        if self.number in self.air.ends and to and len(data) <= MOST:
+        if self.number in self.air.ends and to and len(data) <= MAX_DATAGRAM_BYTES:
             for each in to:
                 self.air.put(self.number, each, bytes(data))
         elif self.number in self.air.ends:
-            self.unsent += 1
+            self.unsent_count += 1
 
     def stop(self) -> None:
         """Neither tell nor hear any more."""
--- a/cedarthread/standins/scripted.py
+++ b/cedarthread/testing/fakes/scripted.py
@@ -9,15 +9,15 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
-from cedarthread import interface as i
-from cedarthread import wire
 from cedarthread.config import Config
-from cedarthread.net import msgpack
-from cedarthread.net.invoke_config import InvokeConfig
-from cedarthread.net.roster import Listing
+from cedarthread.model.endpoints import EndpointState
+from cedarthread.protocols import msgpack
+from cedarthread.protocols.endpoint_list import EndpointRecord
+from cedarthread.protocols.invoke_config import InvokeConfig
 from cedarthread.service import Service
-from cedarthread.standins import client as client_side
-from cedarthread.standins.settings import SETTINGS
+from cedarthread.simulator import codec
+from cedarthread.testing.fakes import client as client_side
+from cedarthread.testing.fakes.settings import SETTINGS
 
 FUNCTION = "7f3a9c21e0b4d655"
 Behaviour = Callable[["Runner", dict[str, Any]], dict[str, Any] | None]
@@ -84,9 +84,9 @@
             writer.transport.abort()
 
 
-def listing(runner: Runner, number: int, state: i.WorkerState = i.WorkerState.READY) -> Listing:
+def listing(runner: Runner, number: int, state: EndpointState = EndpointState.READY) -> EndpointRecord:
     """A runner as a list has it."""
-    return Listing(f"s-{number:08x}", "127.0.0.1", runner.port, "room-a", "std", 0, state, 1.0, 0.0)
+    return EndpointRecord(f"s-{number:08x}", "127.0.0.1", runner.port, "room-a", "std", 0, state, 1.0, 0.0)
 
 
 @asynccontextmanager
@@ -97,7 +97,7 @@
     for runner in runners:
         await runner.start()
     known = ((1, tuple(listing(runner, n) for n, runner in enumerate(runners, 1))),)
-    settings = wire.settings_from(SETTINGS | changes)
+    settings = codec.settings_from_object(SETTINGS | changes)
     running = Service(
         Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, known, ("127.0.0.1", 0)), invoke
     )
@@ -109,7 +109,7 @@
         running.control.stop_listening()
         if running.invoke is not None:
             running.invoke.stop_listening()
-        for pool in running.runners.pools.values():
+        for pool in running.workers.pools.values():
             for connection in list(pool.connections):
                 connection.abort()
         for runner in runners:
@@ -144,7 +144,7 @@
     async def read(self) -> Any:
         """The next message, its binary values as bytes; None at the end."""
         async with asyncio.timeout(10):
-            while not isinstance(parsed := msgpack.parse(memoryview(self.held)), msgpack.Value):
+            while not isinstance(parsed := msgpack.parse(memoryview(self.held)), msgpack.ParsedValue):
                 more = await self.reader.read(65536)
                 if not more:
                     return None
--- a/cedarthread/standins/runner.py
+++ b/cedarthread/testing/fakes/worker_server.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from cedarthread.standins.model import Runner, Visit
+from cedarthread.testing.fakes.worker_model import Runner, Visit
 
 Passes = Callable[[str, bool, Callable[[], None]], None]  # a call's name, to the runner?, what is done then
 Seen = Callable[[Visit], None]
--- /dev/null
+++ b/cedarthread/testing/fuzzing/__init__.py
@@ -0,0 +1,1 @@
+"""Fuzzing: targets, the call machine on virtual time, model checking, injected defects."""
--- a/cedarthread/fuzz/machine.py
+++ b/cedarthread/testing/fuzzing/call_machine.py
@@ -13,22 +13,22 @@
 from pathlib import Path
 from typing import Any
 
-from cedarthread import interface as i
-from cedarthread import wire
-from cedarthread.core.planner import Planner
-from cedarthread.fuzz import settings as drawn_settings
-from cedarthread.fuzz.caller import Caller
-from cedarthread.fuzz.peers import Client, Held, Worker
-from cedarthread.fuzz.target import Dice, Finding, Target
-from cedarthread.fuzz.virtual import MemoryTransport, VirtualLoop, play
-from cedarthread.ledger.book import Figures, Ledger, Terms
-from cedarthread.net.invoke import InvokeConnection, InvokeFront
-from cedarthread.net.invoke_config import InvokeConfig
-from cedarthread.net.platform import PlatformConnection, PlatformFront
-from cedarthread.net.roster import Listing, Roster
-from cedarthread.net.runners import Runners
-from cedarthread.net.spiffe import Identity
-from cedarthread.net.stream import Flusher
+from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.model.endpoints import EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
+from cedarthread.protocols.invoke import InvokeConnection, InvokeServer
+from cedarthread.protocols.invoke_config import InvokeConfig
+from cedarthread.protocols.platform import PlatformConnection, PlatformServer
+from cedarthread.protocols.spiffe import Identity
+from cedarthread.protocols.workers import WorkerConnections
+from cedarthread.simulator import codec
+from cedarthread.testing.fuzzing import settings as drawn_settings
+from cedarthread.testing.fuzzing.invoke_caller import Caller
+from cedarthread.testing.fuzzing.memory_peers import Client, Held, Worker
+from cedarthread.testing.fuzzing.target import Dice, Finding, Target
+from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop, play
+from cedarthread.testing.invariants import Figures, Ledger, Terms
+from cedarthread.transport.stream import Flusher
 
 OWNERS = ("spiffe://gaz.example/desk/a", "spiffe://gaz.example/desk/b")
 FUNCTIONS = ("00000000000000a1", "00000000000000b2", "00000000000000c3")
@@ -80,15 +80,15 @@
 class _Connection(PlatformConnection):
     """What waits in the socket waits in the transport here."""
 
-    def unread(self) -> bool:
+    def has_unread_input(self) -> bool:
         """Does input wait?"""
         return self.transport is not None and bool(getattr(self.transport, "_in"))  # noqa: B009
 
-    def read_now(self) -> bool:
+    def read_available(self) -> bool:
         """Take it, reading paused or not."""
-        if not super().read_now():
+        if not super().read_available():
             return False
-        if self.dropping is None and isinstance(self.transport, MemoryTransport):
+        if self.discard_budget is None and isinstance(self.transport, MemoryTransport):
             self.transport.deliver(paused=True)
         return True
 
@@ -103,25 +103,25 @@
         stall = float(dice.byte() % 4) * 100.0 * bool(mode & 4)
         self.stall, self.now = stall, loop.unix_ms
         self.ledger = Ledger(figures(self.top, stall))
-        settings = wire.settings_from(self.top)
-        self.planner = Planner(settings, mode, clock=loop.unix_ms)
+        settings = codec.settings_from_object(self.top)
+        self.planner = Dispatcher(settings, mode, clock=loop.unix_ms)
         self.flusher = Flusher()
-        self.planner.turn_done = self.flusher.run
-        self.runners = Runners(settings, self.planner, 6 if mode & 8 else 40, self.flusher)
-        self.planner.workers = self.runners
-        self.platform = PlatformFront(self.planner, 8, self.flusher, 2**16)
+        self.planner.flush_output = self.flusher.flush_all
+        self.runners = WorkerConnections(settings, self.planner, 6 if mode & 8 else 40, self.flusher)
+        self.planner.worker_transport = self.runners
+        self.platform = PlatformServer(self.planner, 8, self.flusher, 2**16)
         nowhere = Path("nowhere")
         allow = ("spiffe://gaz.example/desk/*",)
         config = InvokeConfig(nowhere, "", 0, "gaz.example", nowhere, nowhere, nowhere, allow, 8)
-        self.invoke = InvokeFront(self.planner, config, self.flusher, loop.time)
-        self.roster = Roster(settings)
+        self.invoke = InvokeServer(self.planner, config, self.flusher, loop.time)
+        self.roster = EndpointList(settings)
         self.asked: set[str] = set()
         self.workers = [Worker(n, loop, self.ledger, self.asked) for n in range(1, WORKERS + 1)]
         self.clients: list[Client] = []  # all there ever were
         self.current: dict[int, Client] = {}
         self.callers: list[Caller] = []
-        self.listed: dict[int, Listing] = {}
-        self.old_news: list[list[Listing]] = []
+        self.listed: dict[int, EndpointRecord] = {}
+        self.old_news: list[list[EndpointRecord]] = []
         self.serial = self.count = 0
         self.ending = False
         loop.dial = self._dial
@@ -129,7 +129,7 @@
             shaky = random.Random(mode)
             loop.jitter = lambda: shaky.random() * 0.015
         for worker in self.workers:
-            self._list(worker, i.WorkerState.READY)
+            self._list(worker, EndpointState.READY)
         self._tell()
 
     def _dial(self, factory: Any, host: str, port: int) -> MemoryTransport:
@@ -137,10 +137,10 @@
 
     # The news.
 
-    def _list(self, worker: Worker, state: i.WorkerState) -> None:
+    def _list(self, worker: Worker, state: EndpointState) -> None:
         room, cell = f"room-{'ab'[worker.number % 2]}", worker.number // 2
         weight = 1.0
-        self.listed[worker.number] = Listing(
+        self.listed[worker.number] = EndpointRecord(
             worker.name, "10.0.0.1", worker.number, room, "std", cell, state, weight, worker.started
         )
 
@@ -151,7 +151,7 @@
         self.old_news.append(told)
         self._news(self.serial, told)
 
-    def _news(self, serial: int, told: list[Listing]) -> None:
+    def _news(self, serial: int, told: list[EndpointRecord]) -> None:
         if serial > self.roster.version:
             named = {listing.name for listing in told}
             for listing in told:
@@ -160,10 +160,10 @@
             for worker in self.workers:
                 if worker.name not in named:
                     self.ledger.told(self.now(), worker.number, "gone")
-        event = self.roster.event(serial, told, True)
+        event = self.roster.apply_update(serial, told, True)
         if event is not None:
-            self.runners.update(self.roster.by_number())
-            self.planner.membership(event)
+            self.runners.update_endpoints(self.roster.by_worker_id())
+            self.planner.endpoints_changed(event)
 
     # Steps of the script.
 
@@ -307,23 +307,23 @@
         worker = self.dice.pick(self.workers)
         match self.dice.byte() % 6:
             case 0:
-                self._list(worker, i.WorkerState.DRAINING)
+                self._list(worker, EndpointState.DRAINING)
             case 1:
                 self.listed.pop(worker.number, None)
             case 2:
                 worker.started = self.now()
                 worker.reset()
                 worker.refuses = worker.hangs = False
-                self._list(worker, i.WorkerState.READY)
+                self._list(worker, EndpointState.READY)
             case 3:
                 back = self.dice.byte() % len(self.old_news)
                 return self._news(
                     self.serial - back, self.old_news[-1 - back]
                 )  # overtaken: counts for nothing
             case 4:
-                return self.planner.membership(i.Membership(i.ListKind.FAILED, self.serial))
+                return self.planner.endpoints_changed(EndpointUpdate(EndpointUpdateKind.FAILED, self.serial))
             case _:
-                self._list(worker, i.WorkerState.READY)
+                self._list(worker, EndpointState.READY)
         if self.dice.byte() & 1:
             self._tell()
 
@@ -346,8 +346,8 @@
         """SIGTERM, once, late in the script."""
         if not self.ending and self.dice.at > len(self.dice.data) // 2:
             self.ending = True
-            self.platform.ready = self.invoke.ready = False
-            self.planner.stop_by(self.now() + LONGEST + 200.0)
+            self.platform.is_ready = self.invoke.is_ready = False
+            self.planner.complete_all_by(self.now() + LONGEST + 200.0)
 
     def step_caller(self) -> None:
         """A caller of the invoke API acts."""
@@ -385,7 +385,7 @@
             client.transport.take(None)
         await self.wait(LONGEST + 500.0)
         for _ in range(4):  # requests behind each other on a connection have their time one after another
-            if self.planner.calls or any(caller.up and caller.waiting for caller in self.callers):
+            if self.planner.pending_calls or any(caller.up and caller.waiting for caller in self.callers):
                 await self.wait(3000.0)
         for _ in range(400):  # once told to end, the front closes after each response
             if not any(caller.names or caller.waiting for caller in self.callers):
@@ -408,24 +408,24 @@
     def rests(self) -> None:
         """What a run took and must have given back."""
         planner, router, now = self.planner, self.planner.router, self.now()
-        queued, carrying = self.platform.queued, self.runners._carrying
+        queued, carrying = self.platform.queued_bytes, self.runners._connection_by_attempt
         for what, figure in (
-            ("open calls", len(planner.calls)),
-            ("names", len(planner.names)),
-            ("bytes of bodies", abs(planner.held_bytes)),
-            ("settled calls", len(planner._over)),
+            ("open calls", len(planner.pending_calls)),
+            ("names", len(planner.pending_call_ids)),
+            ("bytes of bodies", abs(planner.pending_body_bytes)),
+            ("settled calls", len(planner._completing)),
             ("attempts carried", len(carrying)),
             ("bytes of answers", abs(queued)),
-            ("calls open in the decisions", len(router.open) + len(router.held)),
-            ("attempts out in the decisions", len(router.late)),
-            ("worker loads in the decisions", sum(abs(v.pending) for v in router.workers.values())),
-            ("bytes of kept answers", abs(self.invoke.store.bytes)),
-            ("kept answers", len(self.invoke.store)),
-            ("client connections", len(self.platform.connections) + len(self.platform.strangers)),
+            ("calls open in the decisions", len(router.pending_requests) + len(router.queued_requests)),
+            ("attempts out in the decisions", len(router.orphaned_attempts)),
+            ("worker loads in the decisions", sum(abs(v.in_flight) for v in router.workers.values())),
+            ("bytes of kept answers", abs(self.invoke.deferred_calls.reserved_bytes)),
+            ("kept answers", len(self.invoke.deferred_calls)),
+            ("client connections", len(self.platform.connections) + len(self.platform.unproven_connections)),
         ):
             self.ledger.rest(now, what, figure)
         self.ledger.rest(now, "timers", self.loop.timers(), 2)  # the decisions' one, and this run's own
-        counts = planner.counts
+        counts = planner.result_counts
         ends = counts["served"] + counts["refused"] + counts["failed"] + counts["left"]
         self.ledger.rest(now, "calls counted without an end", counts["taken"] - ends)
 
@@ -460,10 +460,10 @@
 
     name = "calls"
     modules = (
-        "cedarthread.core",
-        "cedarthread.decide",
-        "cedarthread.net.platform",
-        "cedarthread.net.runners",
+        "cedarthread.dispatch",
+        "cedarthread.routing.router",
+        "cedarthread.protocols.platform",
+        "cedarthread.protocols.workers",
     )
     work = (400_000, 12_000)
     memory = (4 * 2**20, 20_000)
--- a/cedarthread/fuzz/cli.py
+++ b/cedarthread/testing/fuzzing/cli.py
@@ -40,8 +40,8 @@
 
 from docopt import docopt
 
-from cedarthread.fuzz import corpus, explore, planted, targets
-from cedarthread.fuzz.target import Target, verdict
+from cedarthread.testing.fuzzing import corpus, injected_defects, model_checking, targets
+from cedarthread.testing.fuzzing.target import Target, verdict
 
 FOUND = 77  # the guided run's exit code for a finding
 
@@ -75,9 +75,9 @@
         kept, found = len(corpus.inputs(name, folder)), len(corpus.findings(name, folder))
         about = (type(target).__doc__ or "").splitlines()[0]
         print(f"target  {name:14} {kept:4} inputs, {found:2} of them findings  {about}")
-    for scene in explore.SCENES:
+    for scene in model_checking.SCENES:
         print(f"world   {scene.name:14} {scene.states} states")
-    for defect in planted.DEFECTS:
+    for defect in injected_defects.DEFECTS:
         print(f"defect  {defect.name:24} to be found by {defect.target} in {defect.runs} runs")
     return 0
 
@@ -91,7 +91,14 @@
     (folder / name).mkdir(parents=True, exist_ok=True)
     with tempfile.TemporaryDirectory() as scratch:
         kept = Path(scratch) / "finding"
-        command = [sys.executable, "-m", "cedarthread.fuzz.guided", name, str(folder / name), f"-runs={runs}"]
+        command = [
+            sys.executable,
+            "-m",
+            "cedarthread.testing.fuzzing.guided",
+            name,
+            str(folder / name),
+            f"-runs={runs}",
+        ]
         command += [f"-max_total_time={int(seconds)}", f"-seed={seed}", "-max_len=100000", "-timeout=60"]
         command += ["-reduce_inputs=1", f"-artifact_prefix={scratch}/"]
         ended = subprocess.run(command, env=os.environ | {"CEDARTHREAD_FINDING": str(kept)})
@@ -172,14 +179,14 @@
 
 
 def _explore(options: dict[str, Any]) -> int:
-    scenes = list(explore.named(options["WORLD"]))
+    scenes = list(model_checking.named(options["WORLD"]))
     if not scenes:
         raise KeyError(
-            f"no world {options['WORLD']!r}; there are {', '.join(s.name for s in explore.SCENES)}"
+            f"no world {options['WORLD']!r}; there are {', '.join(s.name for s in model_checking.SCENES)}"
         )
     failed = 0
     for scene in scenes:
-        found = explore.explore(scene, tell=lambda states: print(f"{states} states", file=sys.stderr))
+        found = model_checking.explore(scene, tell=lambda states: print(f"{states} states", file=sys.stderr))
         wrong = found.verdict()
         failed += wrong is not None
         print(f"{scene.name:12} {found.states:6} states, {found.paths:6} let run out: {wrong or 'ok'}")
@@ -189,9 +196,9 @@
 
 def _planted(options: dict[str, Any]) -> int:
     chosen = {options["DEFECT"]} if options["DEFECT"] else None
-    seed = planted.SEED if options["--seed"] == "1" else int(options["--seed"])
-    missed = planted.prove(print, chosen, seed)
-    count = len([d for d in planted.DEFECTS if chosen is None or d.name in chosen])
+    seed = injected_defects.SEED if options["--seed"] == "1" else int(options["--seed"])
+    missed = injected_defects.prove(print, chosen, seed)
+    count = len([d for d in injected_defects.DEFECTS if chosen is None or d.name in chosen])
     if not count:
         raise KeyError(f"no defect {options['DEFECT']!r}")
     print(
@@ -203,7 +210,15 @@
 def _coverage(options: dict[str, Any]) -> int:
     print(f"{'target':14} {'lines':>7} {'branches':>9}  module: lines not reached", flush=True)
     for name in _chosen(options):
-        command = [sys.executable, "-W", "ignore", "-m", "cedarthread.fuzz.cover", name, options["--corpus"]]
+        command = [
+            sys.executable,
+            "-W",
+            "ignore",
+            "-m",
+            "cedarthread.testing.fuzzing.coverage_report",
+            name,
+            options["--corpus"],
+        ]
         if (ended := subprocess.run(command).returncode) != 0:
             print(f"fuzz coverage: FAILED, {name} ended with {ended}")
             return 1
--- a/cedarthread/fuzz/cover.py
+++ b/cedarthread/testing/fuzzing/coverage_report.py
@@ -1,6 +1,6 @@
 """Coverage of one target by its corpus and drawn runs. A process of its own: measuring begins before imports.
 
-python -m cedarthread.fuzz.cover TARGET CORPUS
+python -m cedarthread.testing.fuzzing.coverage_report TARGET CORPUS
 """
 
 from __future__ import annotations
@@ -17,8 +17,8 @@
     """Print a line for each module of the target."""
     measured = coverage.Coverage(branch=True, data_file=None, include=["*/cedarthread/*"], messages=False)
     measured.start()
-    from cedarthread.fuzz import corpus, targets
-    from cedarthread.fuzz.target import verdict
+    from cedarthread.testing.fuzzing import corpus, targets
+    from cedarthread.testing.fuzzing.target import verdict
 
     target = targets.named()[name]
     kept, rng = [data for _, data in corpus.inputs(name, Path(folder))], random.Random(1)
--- a/cedarthread/fuzz/kept.py
+++ b/cedarthread/testing/fuzzing/deferred_target.py
@@ -5,18 +5,20 @@
 import random
 from dataclasses import dataclass
 
-from cedarthread.core.calls import Answer, Failed, Refused, Served
-from cedarthread.core.deferred import Bounds, Deferred, DeferredCalls
-from cedarthread.fuzz.parsers import need
-from cedarthread.fuzz.target import Dice, Target
+from cedarthread.dispatch.calls import CallFailed, CallRejected, CallResult, CallSucceeded
+from cedarthread.dispatch.deferred import DeferredCall, DeferredCalls, DeferredLimits
+from cedarthread.testing.fuzzing.parser_targets import need
+from cedarthread.testing.fuzzing.target import Dice, Target
 
 OWNERS = ("a", "b")
-BOUNDS = Bounds(calls=6, bytes=4000, seconds=60.0, repeats=5.0, reserve=500)
+BOUNDS = DeferredLimits(
+    max_calls=6, max_bytes=4000, retention_s=60.0, retry_retention_s=5.0, reserve_bytes=500
+)
 
 
 @dataclass(slots=True)
 class _Known:
-    entry: Deferred
+    entry: DeferredCall
     owner: str
     key: str | None
     keep: float
@@ -29,7 +31,7 @@
     """Adds, settles, collections, removals and time, in any order."""
 
     name = "deferred"
-    modules = ("cedarthread.core.deferred",)
+    modules = ("cedarthread.dispatch.deferred",)
     work = (60_000, 3000)
 
     def draw(self, rng: random.Random) -> bytes:
@@ -42,24 +44,29 @@
         store = DeferredCalls(BOUNDS, lambda: now[0])
         while dice.more():
             self._step(dice, store, now, known)
-            store.sweep()
+            store.evict_expired()
             known = [k for k in known if k.answered is None or now[0] - k.answered <= k.keep]
-            held = sum(BOUNDS.reserve if k.answered is None else k.size for k in known)
-            need(store.bytes == held, f"{store.bytes} bytes counted, {held} held")
-            need(len(store) == len(known) <= BOUNDS.calls, f"{len(store)} calls, {len(known)} by the model")
-            need(store.bytes <= BOUNDS.bytes + 3000, "more bytes than the bound and one answer")
+            held = sum(BOUNDS.reserve_bytes if k.answered is None else k.size for k in known)
+            need(store.reserved_bytes == held, f"{store.reserved_bytes} bytes counted, {held} held")
+            need(
+                len(store) == len(known) <= BOUNDS.max_calls, f"{len(store)} calls, {len(known)} by the model"
+            )
+            need(store.reserved_bytes <= BOUNDS.max_bytes + 3000, "more bytes than the bound and one answer")
             for one in known:
                 for owner in OWNERS:
-                    found = store.find(owner, one.entry.name)
+                    found = store.find(owner, one.entry.call_id)
                     need((found is one.entry) == (owner == one.owner), f"{owner} finds a call of {one.owner}")
                 need(one.woken <= 1, "woken twice")
         now[0] += 1000.0
         for one in known:
             if one.answered is None:
-                store.settle(one.entry, Failed())
+                store.complete(one.entry, CallFailed())
         now[0] += 1000.0
-        store.sweep()
-        need(store.bytes == 0 and len(store) == 0 and not store._keys, "something is left at the end")
+        store.evict_expired()
+        need(
+            store.reserved_bytes == 0 and len(store) == 0 and not store._id_by_key,
+            "something is left at the end",
+        )
 
     def _step(self, dice: Dice, store: DeferredCalls, now: list[float], known: list[_Known]) -> None:
         owner = dice.pick(OWNERS)
@@ -70,11 +77,11 @@
                 one = dice.pick(known)
                 if one.answered is None:
                     body = b"x" * (dice.wide() % 2500)
-                    answers: tuple[Answer, ...] = (Served(body), Refused(1.0), Failed())
+                    answers: tuple[CallResult, ...] = (CallSucceeded(body), CallRejected(1.0), CallFailed())
                     answer = dice.pick(answers)
-                    one.answered, one.size = now[0], len(body) if isinstance(answer, Served) else 0
-                    store.settle(one.entry, answer)
-                    need(one.entry.answer is answer and not one.entry.waiting, "the answer is not there")
+                    one.answered, one.size = now[0], len(body) if isinstance(answer, CallSucceeded) else 0
+                    store.complete(one.entry, answer)
+                    need(one.entry.result is answer and not one.entry.waiters, "the answer is not there")
             case 3 if known:
                 one = dice.pick(known)
                 known.remove(one)
@@ -85,19 +92,23 @@
             case _:
                 key = f"k{dice.byte() % 3}"
                 mine = [k for k in known if k.owner == owner and k.key == key]
-                found = store.known(owner, key)
+                found = store.find_by_key(owner, key)
                 need(
-                    found is None or (found.owner, found.key) == (owner, key), "a key leads to another's call"
+                    found is None or (found.owner, found.idempotency_key) == (owner, key),
+                    "a key leads to another's call",
                 )
                 need(found is not None or not mine, "a key is forgotten before its call")
 
     def _add(self, dice: Dice, store: DeferredCalls, owner: str, known: list[_Known]) -> None:
         key = dice.pick((None, "k0", "k1", "k2"))
-        if key is not None and store.known(owner, key) is not None:
+        if key is not None and store.find_by_key(owner, key) is not None:
             return  # the front asks first
-        keep = dice.pick((BOUNDS.seconds, BOUNDS.repeats))
+        keep = dice.pick((BOUNDS.retention_s, BOUNDS.retry_retention_s))
         entry = store.add(owner, key, ("0", "f", b""), keep)
-        room = len(known) < BOUNDS.calls and store.bytes + BOUNDS.reserve <= BOUNDS.bytes + BOUNDS.reserve
+        room = (
+            len(known) < BOUNDS.max_calls
+            and store.reserved_bytes + BOUNDS.reserve_bytes <= BOUNDS.max_bytes + BOUNDS.reserve_bytes
+        )
         need(entry is None or room, "taken past the bounds")
         if entry is not None:
             one = _Known(entry, owner, key, keep)
@@ -106,4 +117,4 @@
             def wake() -> None:
                 one.woken += 1
 
-            entry.waiting.append(wake)
+            entry.waiters.append(wake)
--- a/cedarthread/fuzz/guided.py
+++ b/cedarthread/testing/fuzzing/guided.py
@@ -1,6 +1,6 @@
 """A coverage-guided run of one target, by atheris. It is a process of its own: the library ends it.
 
-    python -m cedarthread.fuzz.guided TARGET FOLDER [libFuzzer options]
+    python -m cedarthread.testing.fuzzing.guided TARGET FOLDER [libFuzzer options]
 
 Inputs that reach new code are written into the folder; one that shows a finding ends the run with exit
 code 77.
@@ -15,8 +15,8 @@
 import atheris
 
 with atheris.instrument_imports(include=["cedarthread"], enable_loader_override=False):
-    from cedarthread.fuzz import targets
-    from cedarthread.fuzz.target import verdict
+    from cedarthread.testing.fuzzing import targets
+    from cedarthread.testing.fuzzing.target import verdict
 
 
 def main(name: str, options: list[str]) -> None:
--- a/cedarthread/fuzz/identities.py
+++ b/cedarthread/testing/fuzzing/identity_targets.py
@@ -11,9 +11,9 @@
 from cryptography.hazmat.primitives.asymmetric import ed25519
 from cryptography.x509.oid import NameOID
 
-from cedarthread.fuzz.parsers import need
-from cedarthread.fuzz.target import Target, mutate_bytes
-from cedarthread.net import spiffe
+from cedarthread.protocols import spiffe
+from cedarthread.testing.fuzzing.parser_targets import need
+from cedarthread.testing.fuzzing.target import Target, mutate_bytes
 
 KEY = ed25519.Ed25519PrivateKey.from_private_bytes(b"fuzz" * 8)  # signs the same bytes the same way each time
 START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
@@ -63,7 +63,7 @@
     """SPIFFE IDs, and who is let in by one."""
 
     name = "spiffe"
-    modules = ("cedarthread.net.spiffe",)
+    modules = ("cedarthread.protocols.spiffe",)
 
     def draw(self, rng: random.Random) -> bytes:
         """An ID, right or nearly."""
@@ -72,7 +72,7 @@
     def check(self, data: bytes) -> None:
         """Valid exactly where the second reading says so; a pattern lets in nothing outside it."""
         text = data.decode("utf-8", "replace")
-        domain = spiffe.trust_domain(text)
+        domain = spiffe.parse_trust_domain(text)
         need((domain is not None) == valid(text), f"{text[:80]!r} is taken for {domain}")
         if domain is None:
             return
@@ -80,15 +80,15 @@
         peer = spiffe.Identity(text, domain, 0.0)
         for pattern in ("spiffe://gaz.example/desk/*", "spiffe://gaz.example/desk"):
             inside = text.startswith(pattern[:-1]) if pattern.endswith("*") else text == pattern
-            need(spiffe.allowed(peer, "gaz.example", (pattern,)) == inside, f"{text[:80]!r} by {pattern}")
-        need(not spiffe.allowed(peer, "other.example", (text,)), "let in from another domain")
+            need(spiffe.is_allowed(peer, "gaz.example", (pattern,)) == inside, f"{text[:80]!r} by {pattern}")
+        need(not spiffe.is_allowed(peer, "other.example", (text,)), "let in from another domain")
 
 
 class Certificate(Target):
     """Leaf certificates whose chain has been checked already."""
 
     name = "certificate"
-    modules = ("cedarthread.net.spiffe",)
+    modules = ("cedarthread.protocols.spiffe",)
     runs = 150
 
     def draw(self, rng: random.Random) -> bytes:
@@ -133,11 +133,11 @@
 
     def check(self, data: bytes) -> None:
         """An identity only for a leaf with one valid SPIFFE ID, fit for signatures alone."""
-        found = spiffe.identity(data)
+        found = spiffe.parse_identity(data)
         if isinstance(found, spiffe.Rejected):
-            return need(bool(found.why), "rejected without words")
-        need(valid(found.id), f"{found.id[:80]!r} is let through")
-        need(found.id.encode() in data, "an ID that the certificate does not hold")
+            return need(bool(found.reason), "rejected without words")
+        need(valid(found.spiffe_id), f"{found.spiffe_id[:80]!r} is let through")
+        need(found.spiffe_id.encode() in data, "an ID that the certificate does not hold")
         leaf = x509.load_der_x509_certificate(data)
         usage = leaf.extensions.get_extension_for_class(x509.KeyUsage).value
         need(
--- a/cedarthread/fuzz/planted.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -16,14 +16,27 @@
 
 from cryptography import x509
 
-from cedarthread import interface as i
-from cedarthread import wire
-from cedarthread.core import deferred, planner
-from cedarthread.core.calls import Answer, Attempt, Call, Ending, Failed
-from cedarthread.decide import Router
-from cedarthread.fuzz import targets
-from cedarthread.fuzz.target import Target, verdict
-from cedarthread.net import dns, http, invoke, msgpack, platform, resolver, roster, runners, spiffe
+from cedarthread.dispatch import deferred, dispatcher
+from cedarthread.dispatch.calls import Attempt, AttemptResult, Call, CallFailed, CallResult
+from cedarthread.model.actions import StartAttempt
+from cedarthread.model.endpoints import EndpointState
+from cedarthread.model.outcomes import Outcome
+from cedarthread.model.settings import Idempotency, RouterSettings
+from cedarthread.protocols import (
+    discovery,
+    dns,
+    endpoint_list,
+    http,
+    invoke,
+    msgpack,
+    platform,
+    spiffe,
+    workers,
+)
+from cedarthread.routing.router import Router
+from cedarthread.simulator import codec
+from cedarthread.testing.fuzzing import targets
+from cedarthread.testing.fuzzing.target import Target, verdict
 
 SEED = 20261201
 
@@ -52,45 +65,45 @@
 
 # What the defective program does instead.
 
-_answer = platform.PlatformConnection._answer
-_release = planner.Planner._release
-_send = planner.Planner._send
-_may_order = Router._may_order
-_length = http._length
-_read_ending = runners.read_ending
+_answer = platform.PlatformConnection._send_answer
+_release = dispatcher.Dispatcher._release
+_send = dispatcher.Dispatcher._start_attempt
+_may_order = Router._may_preload
+_length = http._parse_content_length
+_read_ending = workers.parse_call_response
 
 
-def _answer_twice(self: platform.PlatformConnection, number: int, answer: Answer) -> None:
+def _answer_twice(self: platform.PlatformConnection, number: int, answer: CallResult) -> None:
     _answer(self, number, answer)
-    if isinstance(answer, Failed):
+    if isinstance(answer, CallFailed):
         _answer(self, number, answer)
 
 
-def _no_names(self: planner.Planner, call: Call) -> None:
+def _no_names(self: dispatcher.Dispatcher, call: Call) -> None:
     _release(self, call)
-    self.names.add(call.name)
+    self.pending_call_ids.add(call.call_id)
 
 
-def _bytes_kept(self: planner.Planner, call: Call) -> None:
+def _bytes_kept(self: dispatcher.Dispatcher, call: Call) -> None:
     _release(self, call)
-    self.held_bytes += len(call.body)
+    self.pending_body_bytes += len(call.body)
 
 
-def _two_out(self: planner.Planner, action: i.Send) -> None:
+def _two_out(self: dispatcher.Dispatcher, action: StartAttempt) -> None:
     _send(self, action)
-    call = self.calls.get(action.request)
-    if call is not None and len(call.attempts) == 2 and not call.attempts[1].ended:
-        self._ways().send(Attempt(call, 1, action.worker, self.clock()))
+    call = self.pending_calls.get(action.request_id)
+    if call is not None and len(call.attempts) == 2 and not call.attempts[1].is_ended:
+        self._transport().send(Attempt(call, 1, action.worker_id, self.clock()))
 
 
-def _timer_breeds(self: planner.Planner, at: float) -> None:
-    self._wake_at, self._waker = at, self._at(at, self._wake)
-    self._at(at + 1e9, self._wake)
+def _timer_breeds(self: dispatcher.Dispatcher, at: float) -> None:
+    self._wakeup_at_ms, self._wakeup_timer = at, self._call_at(at, self._on_timer)
+    self._call_at(at + 1e9, self._on_timer)
 
 
 def _no_limit(data: memoryview, at: int, count: int) -> memoryview:
     if at + count > len(data):
-        raise msgpack._ShortError(at + count)
+        raise msgpack._IncompleteError(at + count)
     return data[at : at + count]
 
 
@@ -99,18 +112,18 @@
 
 
 def _one_more_order(self: Router) -> bool:
-    self.ordered.append(self.now) if not self.ordered else None
-    free = self.s.rules
-    with mock.patch.object(self, "s", _with_ration(self.s, free.load_free * 4 + 4)):
+    self.preload_times.append(self.now_ms) if not self.preload_times else None
+    free = self.settings.rules
+    with mock.patch.object(self, "settings", _with_ration(self.settings, free.preload_allowance * 4 + 4)):
         return _may_order(self)
 
 
-def _with_ration(settings: i.Settings, free: float) -> i.Settings:
-    return replace(settings, rules=replace(settings.rules, load_free=free))
+def _with_ration(settings: RouterSettings, free: float) -> RouterSettings:
+    return replace(settings, rules=replace(settings.rules, preload_allowance=free))
 
 
 def _group_forgotten(self: Router, job: Any, view: Any) -> bool:
-    return view.entry.state is i.WorkerState.READY
+    return view.entry.state is EndpointState.READY
 
 
 def _always(self: Router, job: Any) -> bool:
@@ -118,10 +131,10 @@
 
 
 def _window_forgotten(self: Router, job: Any) -> bool:
-    return not job.may_have_run() or job.klass.effect is not i.Effect.UNSAFE
+    return not job.may_have_run() or job.klass.effect is not Idempotency.NOT_IDEMPOTENT
 
 
-def _lenient_length(fields: dict[str, str], most: int) -> int | http.Bad:
+def _lenient_length(fields: dict[str, str], most: int) -> int | http.InvalidRequest:
     fields = {name: value for name, value in fields.items() if name != "transfer-encoding"}
     return _length(fields, most)
 
@@ -139,22 +152,27 @@
     return ".".join(labels), at + 1 if end < 0 else end
 
 
-def _stale_news(self: roster.Roster, version: int, told: list[roster.Listing], whole: bool) -> Any:
+def _stale_news(
+    self: endpoint_list.EndpointList, version: int, told: list[endpoint_list.EndpointRecord], whole: bool
+) -> Any:
     self.version = min(self.version, version - 1)
     return _event(self, version, told, whole)
 
 
-_event = roster.Roster.event
+_event = endpoint_list.EndpointList.apply_update
 
 
 def _anyones(self: deferred.DeferredCalls, owner: str, name: str) -> Any:
-    return self._calls.get(name)
+    return self._calls_by_id.get(name)
 
 
-def _size_kept(self: deferred.DeferredCalls, entry: deferred.Deferred) -> None:
-    self._calls.pop(entry.name, None)
-    if entry.key is not None and self._keys.get((entry.owner, entry.key)) == entry.name:
-        del self._keys[(entry.owner, entry.key)]
+def _size_kept(self: deferred.DeferredCalls, entry: deferred.DeferredCall) -> None:
+    self._calls_by_id.pop(entry.call_id, None)
+    if (
+        entry.idempotency_key is not None
+        and self._id_by_key.get((entry.owner, entry.idempotency_key)) == entry.call_id
+    ):
+        del self._id_by_key[(entry.owner, entry.idempotency_key)]
 
 
 def _any_segment(text: str) -> str | None:
@@ -165,19 +183,19 @@
 def _first_uri(leaf: Any) -> Any:
     names = leaf.extensions.get_extension_for_class(x509.SubjectAlternativeName).value
     uri = names.get_values_for_type(x509.UniformResourceIdentifier)[0]
-    return spiffe.Identity(uri, spiffe.trust_domain(uri) or "", 0.0)
+    return spiffe.Identity(uri, spiffe.parse_trust_domain(uri) or "", 0.0)
 
 
-def _any_reply(self: resolver.Resolver, data: bytes, addr: object) -> None:
+def _any_reply(self: discovery.DiscoveryClient, data: bytes, addr: object) -> None:
     reply = dns.parse(data)
     if isinstance(reply, dns.Reply) and reply.serial is not None:
-        found = resolver.listings(reply)
+        found = discovery.endpoints_from_reply(reply)
         if not isinstance(found, str):
-            self.tell(reply.serial, found)
+            self.on_update(reply.serial, found)
 
 
-def _spoilt_passes(message: dict[str, Any], columns: tuple[str, ...]) -> Ending | None:
-    return _read_ending(message, columns) or Ending(i.Outcome.OK, b"spoilt")
+def _spoilt_passes(message: dict[str, Any], columns: tuple[str, ...]) -> AttemptResult | None:
+    return _read_ending(message, columns) or AttemptResult(Outcome.OK, b"spoilt")
 
 
 def _figure_unchecked(value: Any, least: float = 0.0) -> float:
@@ -185,25 +203,25 @@
 
 
 def _swallow(self: platform.PlatformConnection) -> None:
-    calls, self.open = self.open, {}
+    calls, self.open_calls = self.open_calls, {}
     for call in calls.values():
-        self.front.planner.abandon(call)
-    self.linger()
+        self.server.dispatcher.abandon_call(call)
+    self.lingering_close()
 
 
-def _later_calls_forgotten(self: planner.Planner, at: float) -> None:
-    self.stop_at = None
+def _later_calls_forgotten(self: dispatcher.Dispatcher, at: float) -> None:
+    self.shutdown_deadline_ms = None
 
 
-def _kept_in_carrying(self: runners.Runners, carried: Any, ending: Any, outcome: i.Outcome) -> None:
+def _kept_in_carrying(self: workers.WorkerConnections, carried: Any, ending: Any, outcome: Outcome) -> None:
     if isinstance(carried, Attempt):
-        self.planner.ended(carried, ending(carried))
+        self.dispatcher.attempt_ended(carried, ending(carried))
     else:
-        self.order_done(carried, outcome, 0)
+        self.finish_preload(carried, outcome, 0)
 
 
-def _cancel_unsure(self: runners.Runners, attempt: Attempt, connection: Any, told: Any) -> None:
-    self.planner.ended(attempt, Ending(i.Outcome.CANCELLED))
+def _cancel_unsure(self: workers.WorkerConnections, attempt: Attempt, connection: Any, told: Any) -> None:
+    self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
 
 
 def _nothing(*_: Any) -> None:
@@ -219,7 +237,7 @@
 
 
 def _dispatch(handler: str, by: Callable[..., Any]) -> tuple[Any, str, Any]:
-    return (planner.Planner, handler, by)
+    return (dispatcher.Dispatcher, handler, by)
 
 
 DEFECTS = (
@@ -235,16 +253,16 @@
     Defect("order-budget-off", "calls", 1000, ((Router, "_may_order", _one_more_order),)),
     Defect("answers-swallowed", "calls", 400, ((platform.PlatformConnection, "end", _swallow),)),
     Defect("stop-forgotten", "calls", 3000, (_dispatch("_lapse", _nothing), _dispatch("_overdue", _nothing))),
-    Defect("carried-kept", "calls", 1500, ((runners.Runners, "_lost", _kept_in_carrying),)),
-    Defect("cancel-not-told", "calls", 6000, ((runners.Runners, "_given_up", _cancel_unsure),)),
-    Defect("half-written-unseen", "calls", 9000, ((runners.RunnerConnection, "look", _nothing),)),
-    Defect("repeat-refused-at-end", "calls", 6000, ((invoke.InvokeFront, "knows", _never),)),
+    Defect("carried-kept", "calls", 1500, ((workers.WorkerConnections, "_lost", _kept_in_carrying),)),
+    Defect("cancel-not-told", "calls", 6000, ((workers.WorkerConnections, "_given_up", _cancel_unsure),)),
+    Defect("half-written-unseen", "calls", 9000, ((workers.WorkerConnection, "look", _nothing),)),
+    Defect("repeat-refused-at-end", "calls", 6000, ((invoke.InvokeServer, "knows", _never),)),
     # The look before bytes leave would hold back what is not withdrawn: both guards are out.
     Defect(
         "unsent-not-withdrawn",
         "calls",
         9000,
-        ((runners.Runners, "withdraw", _nothing), _dispatch("may_begin", _begins)),
+        ((workers.WorkerConnections, "withdraw", _nothing), _dispatch("may_begin", _begins)),
     ),
     Defect(
         "goes-on-without-client",
@@ -256,13 +274,18 @@
     Defect("depth-unchecked", "msgpack", 400, ((msgpack, "_room", _nothing),)),
     Defect("dns-loop", "dns", 200, ((dns, "_name", FunctionType(_loose_name.__code__, vars(dns))),)),
     Defect("dns-hops-unbounded", "dns", 400, ((dns, "HOPS", 10**6),)),
-    Defect("reply-not-asked-for", "resolver", 200, ((resolver.Resolver, "datagram_received", _any_reply),)),
-    Defect("stale-news-taken", "roster", 50, ((roster.Roster, "event", _stale_news),)),
+    Defect(
+        "reply-not-asked-for",
+        "resolver",
+        200,
+        ((discovery.DiscoveryClient, "datagram_received", _any_reply),),
+    ),
+    Defect("stale-news-taken", "roster", 50, ((endpoint_list.EndpointList, "event", _stale_news),)),
     Defect("two-lengths-taken", "http", 400, ((http, "_length", _lenient_length),)),
-    Defect("spoilt-answer-passed", "lines", 100, ((runners, "read_ending", _spoilt_passes),)),
+    Defect("spoilt-answer-passed", "lines", 100, ((workers, "read_ending", _spoilt_passes),)),
     Defect("dots-in-ids", "spiffe", 200, ((spiffe, "trust_domain", _any_segment),)),
     Defect("first-name-counts", "certificate", 200, ((spiffe, "_identity", _first_uri),)),
-    Defect("figures-unchecked", "config", 400, ((wire, "figure", _figure_unchecked),)),
+    Defect("figures-unchecked", "config", 400, ((codec, "figure", _figure_unchecked),)),
     Defect("foreign-call-collected", "deferred", 50, ((deferred.DeferredCalls, "find", _anyones),)),
     Defect("kept-bytes-leak", "deferred", 50, ((deferred.DeferredCalls, "remove", _size_kept),)),
 )
--- a/cedarthread/fuzz/caller.py
+++ b/cedarthread/testing/fuzzing/invoke_caller.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from cedarthread.core.calls import Refused
-from cedarthread.fuzz.target import Dice, Finding
-from cedarthread.fuzz.virtual import MemoryTransport
+from cedarthread.dispatch.calls import CallRejected
+from cedarthread.testing.fuzzing.target import Dice, Finding
+from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport
 
 if TYPE_CHECKING:
-    from cedarthread.fuzz.machine import World
+    from cedarthread.testing.fuzzing.call_machine import World
 
 _HEAD = re.compile(rb"HTTP/1\.1 (\d{3}) [^\r]*\r\n")
 KINDS = {200: "served", 503: "refused", 502: "failed", 504: "failed"}
@@ -99,7 +99,7 @@
         world, klass = self.world, dice.byte() % 5
         if world.top["classes"][klass]["effect"] == "dedup" and key is None:
             key = f"k{len(self.keys)}"
-        from cedarthread.fuzz.machine import FUNCTIONS, terms  # the world's own figures
+        from cedarthread.testing.fuzzing.call_machine import FUNCTIONS, terms
 
         call, function = world._key(), dice.pick(FUNCTIONS)
         world.asked.add(function)
@@ -123,8 +123,8 @@
         if not self.keys or self.waiting:  # behind another it would be taken up only after that one
             return
         key = dice.pick(list(self.keys))
-        known = self.world.invoke.store.known(self.owner, key)
-        if known is None or isinstance(known.answer, Refused):
+        known = self.world.invoke.deferred_calls.find_by_key(self.owner, key)
+        if known is None or isinstance(known.result, CallRejected):
             return  # a new call under an old key: nobody could tell its attempts from the first one's
         call, function, klass = self.keys[key]
         self._send(call, function, klass, key, deferred=bool(dice.byte() & 1))
--- a/cedarthread/fuzz/peers.py
+++ b/cedarthread/testing/fuzzing/memory_peers.py
@@ -13,10 +13,10 @@
 
 import msgpack
 
-from cedarthread.fuzz.target import Finding
-from cedarthread.fuzz.virtual import MemoryTransport, VirtualLoop
-from cedarthread.ledger.book import Ledger, Terms, Tried
-from cedarthread.standins.client import answer_kind
+from cedarthread.testing.fakes.client import answer_kind
+from cedarthread.testing.fuzzing.target import Finding
+from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop
+from cedarthread.testing.invariants import Ledger, Terms, Tried
 
 PROVES_NOT_RUN = ("NONE", "SHED", "LATE")
 
--- a/cedarthread/fuzz/explore.py
+++ b/cedarthread/testing/fuzzing/model_checking.py
@@ -17,14 +17,25 @@
 from enum import Enum
 from typing import Any
 
-from cedarthread import interface as i
-from cedarthread import wire
-from cedarthread.core.calls import Answer, Attempt, Call, Ending, Progress, Refused, Served, broken
-from cedarthread.core.planner import Planner
-from cedarthread.fuzz import settings as drawn_settings
-from cedarthread.fuzz.machine import figures, terms
-from cedarthread.fuzz.virtual import VirtualLoop, play
-from cedarthread.ledger.book import Ledger, Tried
+from cedarthread.dispatch.calls import (
+    Attempt,
+    AttemptResult,
+    Call,
+    CallRejected,
+    CallResult,
+    CallSucceeded,
+    Progress,
+    connection_lost_result,
+)
+from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.events import PreloadEnded
+from cedarthread.model.outcomes import Outcome
+from cedarthread.simulator import codec
+from cedarthread.testing.fuzzing import settings as drawn_settings
+from cedarthread.testing.fuzzing.call_machine import figures, terms
+from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop, play
+from cedarthread.testing.invariants import Ledger, Tried
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +64,7 @@
 class _Ways:
     """The way to the workers: an attempt arrives whole at once and stays until the path ends it."""
 
-    def __init__(self, planner: Planner, ledger: Ledger, loop: VirtualLoop) -> None:
+    def __init__(self, planner: Dispatcher, ledger: Ledger, loop: VirtualLoop) -> None:
         self.planner, self.ledger, self.now = planner, ledger, loop.unix_ms
         self.out: dict[Attempt, Tried] = {}
         self.given_up: list[Attempt] = []
@@ -62,15 +73,15 @@
 
     def send(self, attempt: Attempt) -> None:
         """Start an attempt."""
-        if attempt.worker in self.dead:
-            return self.planner.ended(attempt, broken(attempt, unreached=True))
+        if attempt.worker_id in self.dead:
+            return self.planner.attempt_ended(attempt, connection_lost_result(attempt, is_unreachable=True))
         attempt.progress = Progress.WRITTEN
-        self.out[attempt] = self.ledger.out(self.now(), attempt.call.name, attempt.worker)
+        self.out[attempt] = self.ledger.out(self.now(), attempt.call.call_id, attempt.worker_id)
 
-    def look(self, attempt: Attempt) -> None:
+    def refresh_progress(self, attempt: Attempt) -> None:
         """Nothing to look at."""
 
-    def withdraw(self, attempt: Attempt) -> None:
+    def withdraw_unsent(self, attempt: Attempt) -> None:
         """All has left."""
 
     def cancel(self, attempt: Attempt) -> None:
@@ -78,23 +89,23 @@
         if (tried := self.out.pop(attempt, None)) is not None:
             self.ledger.ended(tried, True)
             self.given_up.append(attempt)
-        self.planner.ended(attempt, Ending(i.Outcome.CANCELLED))
+        self.planner.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
 
-    def end(self, attempt: Attempt, outcome: i.Outcome, body: bytes = b"") -> None:
+    def end(self, attempt: Attempt, outcome: Outcome, body: bytes = b"") -> None:
         """A worker's answer, or the end of its connection."""
-        proves = outcome in (i.Outcome.FULL, i.Outcome.MISS)
+        proves = outcome in (Outcome.OVERLOADED, Outcome.NOT_LOADED)
         self.ledger.ended(self.out.pop(attempt), not proves)
-        self.planner.ended(attempt, Ending(outcome, body))
+        self.planner.attempt_ended(attempt, AttemptResult(outcome, body))
 
-    def order(self, worker: int, function: int, copies: int) -> None:
+    def preload(self, worker_id: int, function_id: int, instances: int) -> None:
         """An order to load."""
-        self.ledger.ordered(self.now(), worker, copies)
-        self.orders.append((worker, function))
+        self.ledger.ordered(self.now(), worker_id, instances)
+        self.orders.append((worker_id, function_id))
 
-    def unload(self, worker: int, function: int) -> None:
+    def unload(self, worker_id: int, function_id: int) -> None:
         """Nothing here holds copies."""
 
-    def close_idle(self, worker: int) -> None:
+    def close_idle_connections(self, worker_id: int) -> None:
         """Nothing here is idle."""
 
 
@@ -105,22 +116,22 @@
         self.scene, self.loop = scene, loop
         self.top = drawn_settings.settings(miss=scene.miss)
         self.ledger = Ledger(figures(self.top, 0.0))
-        self.planner = Planner(wire.settings_from(self.top), 3, clock=loop.unix_ms)
+        self.planner = Dispatcher(codec.settings_from_object(self.top), 3, clock=loop.unix_ms)
         self.ways = _Ways(self.planner, self.ledger, loop)
-        self.planner.workers = self.ways
+        self.planner.worker_transport = self.ways
         self.left = list(scene.events)
         self.calls: list[Call] = []
         self.version = 0
-        self.state = {n: i.WorkerState.READY for n in range(1, scene.workers + 1)}
+        self.state = {n: EndpointState.READY for n in range(1, scene.workers + 1)}
         self._tell(*self.state)
 
     def _tell(self, *workers: int) -> None:
         self.version += 1
-        told = tuple(i.Worker(n, n % 2, 0, n, self.state[n], None, None) for n in workers)
+        told = tuple(Endpoint(n, n % 2, 0, n, self.state[n], None, None) for n in workers)
         for n in workers:
             self.ledger.told(self.loop.unix_ms(), n, self.state[n].value, n % 2, n)
-        kind = i.ListKind.CACHED if self.version == 1 else i.ListKind.DELTA
-        self.planner.membership(i.Membership(kind, self.version, told))
+        kind = EndpointUpdateKind.CACHED if self.version == 1 else EndpointUpdateKind.DELTA
+        self.planner.endpoints_changed(EndpointUpdate(kind, self.version, told))
 
     def may(self) -> list[tuple[str, int]]:
         """What can happen next: an event, and which call, attempt or worker it is about."""
@@ -140,7 +151,7 @@
             case "loaded" | "unloaded":
                 return min(1, len(self.ways.orders))
             case "leave":
-                return sum(not call.settled for call in self.calls)
+                return sum(not call.is_complete for call in self.calls)
             case "death" | "drain":
                 return len(self.state)
         return 1
@@ -159,16 +170,16 @@
         klass, name, now = self.scene.calls[number], f"c{number}", self.loop.unix_ms()
         self.ledger.taken(now, name, terms(self.top, klass), now + self.scene.limit)
 
-        def reply(answer: Answer) -> None:
+        def reply(answer: CallResult) -> None:
             kind = (
                 "served"
-                if isinstance(answer, Served)
+                if isinstance(answer, CallSucceeded)
                 else "refused"
-                if isinstance(answer, Refused)
+                if isinstance(answer, CallRejected)
                 else "failed"
             )
             self.ledger.answered(
-                self.loop.unix_ms(), name, kind, answer.body if isinstance(answer, Served) else b""
+                self.loop.unix_ms(), name, kind, answer.body if isinstance(answer, CallSucceeded) else b""
             )
 
         key = name if self.top["classes"][klass]["effect"] == "dedup" else None
@@ -179,40 +190,40 @@
     async def _event(self, event: str, which: int) -> None:
         ways, planner = self.ways, self.planner
         outcomes = {
-            "full": i.Outcome.FULL,
-            "fault": i.Outcome.ERROR,
-            "reset": i.Outcome.RESET,
-            "miss": i.Outcome.MISS,
+            "full": Outcome.OVERLOADED,
+            "fault": Outcome.ERROR,
+            "reset": Outcome.RESET,
+            "miss": Outcome.NOT_LOADED,
         }
         match event:
             case "hit":
                 attempt = list(ways.out)[which]
-                body = f"{attempt.call.name}@{attempt.worker}".encode()
-                self.ledger.made(attempt.call.name, body)
-                ways.end(attempt, i.Outcome.OK, body)
+                body = f"{attempt.call.call_id}@{attempt.worker_id}".encode()
+                self.ledger.made(attempt.call.call_id, body)
+                ways.end(attempt, Outcome.OK, body)
             case "full" | "fault" | "reset" | "miss":
                 ways.end(list(ways.out)[which], outcomes[event])
             case "late":  # an answer to what was given up: it must count for nothing
-                planner.ended(ways.given_up[which], Ending(i.Outcome.OK, b"late"))
+                planner.attempt_ended(ways.given_up[which], AttemptResult(Outcome.OK, b"late"))
             case "loaded" | "unloaded":
                 worker, function = ways.orders.pop(0)
-                done = i.Outcome.OK if event == "loaded" else i.Outcome.FULL
-                planner.order_ended(i.OrderEnded(worker, function, done, int(event == "loaded"), 50.0))
+                done = Outcome.OK if event == "loaded" else Outcome.OVERLOADED
+                planner.preload_ended(PreloadEnded(worker, function, done, int(event == "loaded"), 50.0))
             case "death":
                 worker = list(self.state)[which]
                 ways.dead.add(worker)
-                for attempt in [a for a in ways.out if a.worker == worker]:
-                    ways.end(attempt, i.Outcome.RESET)
+                for attempt in [a for a in ways.out if a.worker_id == worker]:
+                    ways.end(attempt, Outcome.RESET)
             case "drain" | "ready":
                 worker = list(self.state)[which]
-                self.state[worker] = i.WorkerState.DRAINING if event == "drain" else i.WorkerState.READY
+                self.state[worker] = EndpointState.DRAINING if event == "drain" else EndpointState.READY
                 self._tell(worker)
             case "leave":
-                call = [c for c in self.calls if not c.settled][which]
-                self.ledger.left(self.loop.unix_ms(), call.name)
-                planner.abandon(call)
+                call = [c for c in self.calls if not c.is_complete][which]
+                self.ledger.left(self.loop.unix_ms(), call.call_id)
+                planner.abandon_call(call)
             case "end":
-                planner.stop_by(self.loop.unix_ms() + 700.0)
+                planner.complete_all_by(self.loop.unix_ms() + 700.0)
             case "wait":
                 await asyncio.sleep(0.6)
 
@@ -221,19 +232,25 @@
         await asyncio.sleep(self.scene.limit / 1000.0 + 0.2)
         self.ledger.close(self.loop.unix_ms())
         for attempt in list(self.ways.out):
-            self.ways.end(attempt, i.Outcome.RESET)
+            self.ways.end(attempt, Outcome.RESET)
         for worker, function in self.ways.orders:
-            self.planner.order_ended(i.OrderEnded(worker, function, i.Outcome.TIMEOUT, 0, 1.0))
+            self.planner.preload_ended(PreloadEnded(worker, function, Outcome.TIMEOUT, 0, 1.0))
         await asyncio.sleep(1.0)
         planner, now = self.planner, self.loop.unix_ms()
         router = planner.router
         for what, figure in (
-            ("open calls", len(planner.calls) + len(planner.names) + len(planner._over)),
-            ("bytes of bodies", abs(planner.held_bytes)),
-            ("calls open in the decisions", len(router.open) + len(router.held) + len(router.late)),
+            (
+                "open calls",
+                len(planner.pending_calls) + len(planner.pending_call_ids) + len(planner._completing),
+            ),
+            ("bytes of bodies", abs(planner.pending_body_bytes)),
+            (
+                "calls open in the decisions",
+                len(router.pending_requests) + len(router.queued_requests) + len(router.orphaned_attempts),
+            ),
             (
                 "loads in the decisions",
-                abs(router.loads_out) + sum(abs(v.pending) for v in router.workers.values()),
+                abs(router.preloads_in_flight) + sum(abs(v.in_flight) for v in router.workers.values()),
             ),
         ):
             self.ledger.rest(now, what, figure)
@@ -241,10 +258,16 @@
     def digest(self) -> bytes:
         """The state: planner, decisions, what is out and what may still happen."""
         ways = self.ways
-        parts = (self.planner.router, self.planner.calls, sorted(self.left), sorted(ways.dead), ways.orders)
-        told = (self.planner.stop_at, self.loop.unix_ms(), [c.settled for c in self.calls])
-        out = [(a.call.name, a.number, a.worker) for a in ways.out]
-        given = [(a.call.name, a.number) for a in ways.given_up]
+        parts = (
+            self.planner.router,
+            self.planner.pending_calls,
+            sorted(self.left),
+            sorted(ways.dead),
+            ways.orders,
+        )
+        told = (self.planner.shutdown_deadline_ms, self.loop.unix_ms(), [c.is_complete for c in self.calls])
+        out = [(a.call.call_id, a.index, a.worker_id) for a in ways.out]
+        given = [(a.call.call_id, a.index) for a in ways.given_up]
         return hashlib.blake2b(
             repr((list(map(plain, parts)), told, out, given)).encode(), digest_size=12
         ).digest()
--- a/cedarthread/fuzz/parsers.py
+++ b/cedarthread/testing/fuzzing/parser_targets.py
@@ -13,12 +13,18 @@
 
 import msgpack as reference
 
-from cedarthread import config, simhost, wire
-from cedarthread import interface as i
-from cedarthread.decide import Router
-from cedarthread.fuzz import settings as drawn_settings
-from cedarthread.fuzz.target import NUMBERS, ODD, Finding, Target, mutate_bytes, mutate_tree
-from cedarthread.net import dns, http, invoke_config, msgpack, resolver
+from cedarthread import config
+from cedarthread.model.actions import SetTimer, StartAttempt
+from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.events import AttemptEnded, RequestArrived
+from cedarthread.model.outcomes import Outcome
+from cedarthread.model.settings import RouterSettings
+from cedarthread.protocols import discovery, dns, http, invoke_config, msgpack
+from cedarthread.routing.router import Router
+from cedarthread.simulator import codec
+from cedarthread.simulator import host as simulator_host
+from cedarthread.testing.fuzzing import settings as drawn_settings
+from cedarthread.testing.fuzzing.target import NUMBERS, ODD, Finding, Target, mutate_bytes, mutate_tree
 
 NAN, INFINITY = float("nan"), float("inf")
 FIGURES = [NAN, INFINITY, -INFINITY, 1e308, -0.0, 5e-324, 0.5]
@@ -103,7 +109,7 @@
     """MessagePack values, against the reference library."""
 
     name = "msgpack"
-    modules = ("cedarthread.net.msgpack",)
+    modules = ("cedarthread.protocols.msgpack",)
     memory = (2**20, 400)
 
     def draw(self, rng: random.Random) -> bytes:
@@ -137,29 +143,30 @@
         try:
             truth, end = _tree(unpacker.unpack()), unpacker.tell()
         except (ValueError, TypeError, RecursionError, reference.OutOfData, reference.StackError):
-            return need(not isinstance(parsed, msgpack.Value), "took what is no value")
-        if isinstance(parsed, msgpack.Value):
-            need(_longest(truth) <= msgpack.LONGEST, "a string past the limit is taken")
+            return need(not isinstance(parsed, msgpack.ParsedValue), "took what is no value")
+        if isinstance(parsed, msgpack.ParsedValue):
+            need(_longest(truth) <= msgpack.MAX_CONTENT_BYTES, "a string past the limit is taken")
             need(repr(_plain(parsed.value)) == repr(truth) and parsed.end == end, "another value than it is")
             return self._cuts(data[:end])
-        need(not isinstance(parsed, msgpack.Short), "a whole value is said to be short")
-        long = end > msgpack.LONGEST
-        small = _depth(truth) <= msgpack.DEPTH and _widest(truth) <= msgpack.ITEMS
+        need(not isinstance(parsed, msgpack.Incomplete), "a whole value is said to be short")
+        long = end > msgpack.MAX_CONTENT_BYTES
+        small = _depth(truth) <= msgpack.MAX_DEPTH and _widest(truth) <= msgpack.MAX_ITEMS
         need(not small or long, f"a value within the limits is refused: {parsed}")
 
     def _cuts(self, data: bytes) -> None:
         for at in some(random.Random(len(data)), data):
             short = msgpack.parse(memoryview(data)[:at])
-            need(isinstance(short, msgpack.Short), f"cut at {at} it is not short: {short}")
-            if isinstance(short, msgpack.Short):
+            need(isinstance(short, msgpack.Incomplete), f"cut at {at} it is not short: {short}")
+            if isinstance(short, msgpack.Incomplete):
                 need(
-                    at < short.need <= len(data), f"cut at {at} it says it needs {short.need} of {len(data)}"
+                    at < short.needed_bytes <= len(data),
+                    f"cut at {at} it says it needs {short.needed_bytes} of {len(data)}",
                 )
 
 
 def pack_reply(reply: dns.Reply, names: Sequence[str] = (), *, flags: int = 0x8400) -> bytes:
     """A reply as a server writes it, names compressed where they stood before."""
-    out = bytearray(struct.pack(">6H", reply.number, flags, 0, 0, 0, 0))
+    out = bytearray(struct.pack(">6H", reply.query_id, flags, 0, 0, 0, 0))
     seen: dict[str, int] = {}
 
     def name(text: str) -> None:
@@ -182,22 +189,22 @@
             name(target)
         struct.pack_into(">H", out, start - 2, len(out) - start)
 
-    for service in reply.services:
+    for service in reply.srv_records:
         record(
-            resolver.NAME,
-            dns.SRV,
+            discovery.SERVICE_NAME,
+            dns.TYPE_SRV,
             struct.pack(">3H", service.priority, service.weight, service.port),
             service.target,
         )
     for owner, address in reply.addresses.items():
-        record(owner, dns.A, bytes(int(part) for part in address.split(".")))
+        record(owner, dns.TYPE_A, bytes(int(part) for part in address.split(".")))
     for owner, pairs in reply.texts.items():
         texts = [f"{key}={value}".encode()[:255] for key, value in pairs.items()]
-        record(owner, dns.TXT, b"".join(bytes((len(text),)) + text for text in texts))
-    records = len(reply.services) + len(reply.addresses) + len(reply.texts)
+        record(owner, dns.TYPE_TXT, b"".join(bytes((len(text),)) + text for text in texts))
+    records = len(reply.srv_records) + len(reply.addresses) + len(reply.texts)
     if reply.serial is not None:
         data = b"\x01n\0\x01m\0" + struct.pack(">5I", reply.serial, 1, 1, 1, 1)
-        record("lan", dns.SOA, data)
+        record("lan", dns.TYPE_SOA, data)
     struct.pack_into(">3H", out, 6, records, int(reply.serial is not None), 0)
     return bytes(out)
 
@@ -207,8 +214,8 @@
     reply = dns.Reply(rng.randrange(2**16), rng.choice((0, 1, 7, 2**31, 2**32 - 1)))
     for n in range(workers):
         target = f"s-{rng.choice((n, n, 1)):08x}.room-{rng.choice('ab')}.hosts"
-        reply.services.append(
-            dns.Service(rng.randrange(3), rng.choice((0, 10, 65535)), rng.choice((0, 5050)), target)
+        reply.srv_records.append(
+            dns.SrvRecord(rng.randrange(3), rng.choice((0, 10, 65535)), rng.choice((0, 5050)), target)
         )
         reply.addresses[target] = f"10.0.0.{n % 256}"
         odd = rng.random() < 0.2
@@ -221,7 +228,7 @@
     """DNS answers."""
 
     name = "dns"
-    modules = ("cedarthread.net.dns",)
+    modules = ("cedarthread.protocols.dns",)
     work = (20_000, 120)
 
     def draw(self, rng: random.Random) -> bytes:
@@ -243,27 +250,27 @@
     def check(self, data: bytes) -> None:
         """What it reads it reads again the same, and every name is one that DNS allows."""
         reply = dns.parse(data)
-        if isinstance(reply, dns.Unusable):
+        if isinstance(reply, dns.UnusableReply):
             return
-        found = resolver.listings(reply)
+        found = discovery.endpoints_from_reply(reply)
         if not isinstance(found, str):
             for listing in found:
-                need(math.isfinite(listing.started), f"a start at {listing.started}")
+                need(math.isfinite(listing.started_at_ms), f"a start at {listing.started_at_ms}")
             need(len({listing.name for listing in found}) == len(found), "a worker is listed twice")
-        names = [*(service.target for service in reply.services), *reply.addresses, *reply.texts]
+        names = [*(service.target for service in reply.srv_records), *reply.addresses, *reply.texts]
         for name in names:
             need(len(name) <= 253, f"a name of {len(name)} characters")
         if all(name.split(".") == [label for label in name.split(".") if label] for name in names):
             again = dns.parse(pack_reply(reply))
             if isinstance(again, dns.Reply) and len(pack_reply(reply)) < 0x4000:
-                need(again.services == reply.services, "read another list from what it had read")
+                need(again.srv_records == reply.srv_records, "read another list from what it had read")
 
 
 class HttpHead(Target):
     """Heads of HTTP requests."""
 
     name = "http"
-    modules = ("cedarthread.net.http",)
+    modules = ("cedarthread.protocols.http",)
     work = (20_000, 800)
 
     def draw(self, rng: random.Random) -> bytes:
@@ -290,10 +297,10 @@
 
     def check(self, data: bytes) -> None:
         """Nothing that two readers could take in two ways passes."""
-        parsed = http.parse(memoryview(data), 16 * 1024)
-        if not isinstance(parsed, http.Head):
+        parsed = http.parse_head(memoryview(data), 16 * 1024)
+        if not isinstance(parsed, http.RequestHead):
             return
-        head = data[: parsed.size]
+        head = data[: parsed.head_bytes]
         need(head.endswith(b"\r\n\r\n") and head.count(b"\r\n\r\n") == 1, "the head ends elsewhere")
         bare = head.replace(b"\r\n", b"")
         need(not any(mark in bare for mark in (b"\r", b"\n", b"\0")), "a bare line end or NUL passed")
@@ -301,10 +308,10 @@
         need(b"transfer-encoding" not in names, "Transfer-Encoding passed")
         need(names.count(b"content-length") <= 1, "two lengths passed")
         need(not any(name != name.strip() for name in names), "white space round a field's name passed")
-        need(0 <= parsed.length <= 16 * 1024, f"a body of {parsed.length} bytes passed")
+        need(0 <= parsed.content_length <= 16 * 1024, f"a body of {parsed.content_length} bytes passed")
         for at in some(random.Random(len(head)), head):
             need(
-                not isinstance(http.parse(memoryview(head)[:at], 16 * 1024), http.Head),
+                not isinstance(http.parse_head(memoryview(head)[:at], 16 * 1024), http.RequestHead),
                 f"cut at {at} it is whole",
             )
         parsed.preferences()
@@ -349,18 +356,18 @@
     return b"\r\n".join((start, *fields, b"", b"")) + body
 
 
-def run_settings(settings: i.Settings) -> None:
+def run_settings(settings: RouterSettings) -> None:
     """Settings that were taken must serve: one call of each class, and timers at times that are times."""
     router = Router(settings, 1)
-    workers = tuple(i.Worker(n, 0, 0, 0, i.WorkerState.READY, None, None) for n in (1, 2))
-    actions = router.handle(1000.0, i.Membership(i.ListKind.CACHED, 1, workers))
+    workers = tuple(Endpoint(n, 0, 0, 0, EndpointState.READY, None, None) for n in (1, 2))
+    actions = router.handle(1000.0, EndpointUpdate(EndpointUpdateKind.CACHED, 1, workers))
     for klass, told in enumerate(settings.classes[:8]):
-        need(math.isfinite(told.deadline) and told.deadline > 0, f"a deadline of {told.deadline}")
-        actions = actions + router.handle(1001.0, i.Request(klass, 7, klass, 1001.0 + told.deadline))
-        for send in [a for a in actions if isinstance(a, i.Send) and a.request == klass]:
-            router.handle(1002.0, i.AttemptEnded(klass, 0, send.worker, i.Outcome.ERROR, 1.0, False))
-    for timer in [a for a in actions if isinstance(a, i.SetTimer)]:
-        need(math.isfinite(timer.at), f"a timer at {timer.at}")
+        need(math.isfinite(told.deadline_ms) and told.deadline_ms > 0, f"a deadline of {told.deadline_ms}")
+        actions = actions + router.handle(1001.0, RequestArrived(klass, 7, klass, 1001.0 + told.deadline_ms))
+        for send in [a for a in actions if isinstance(a, StartAttempt) and a.request_id == klass]:
+            router.handle(1002.0, AttemptEnded(klass, 0, send.worker_id, Outcome.ERROR, 1.0, False))
+    for timer in [a for a in actions if isinstance(a, SetTimer)]:
+        need(math.isfinite(timer.at_ms), f"a timer at {timer.at_ms}")
 
 
 class JsonTarget(Target):
@@ -441,16 +448,17 @@
     def check(self, data: bytes) -> None:
         """Taken or refused with its one error; what is taken can be served."""
         try:
-            found = config.read(data, {})
+            found = config.decode(data, {})
         except config.ConfigError as error:
             return need(bool(str(error)), "an error without words")
-        for host, port in ((found.host, found.port), found.resolver or ("", 1)):
+        for host, port in ((found.host, found.port), found.discovery_address or ("", 1)):
             need(isinstance(host, str) and 0 <= port < 65536, f"port {port}")
-        for _, listings in found.known:
+        for _, listings in found.initial_endpoints:
             for listing in listings:
                 need(0 <= listing.port < 65536, f"a runner at port {listing.port}")
                 need(
-                    math.isfinite(listing.started) and math.isfinite(listing.weight), "a figure that is none"
+                    math.isfinite(listing.started_at_ms) and math.isfinite(listing.weight),
+                    "a figure that is none",
                 )
         run_settings(found.settings)
 
@@ -459,7 +467,7 @@
     """The invoke API's TOML file."""
 
     name = "invoke-file"
-    modules = ("cedarthread.net.invoke_config",)
+    modules = ("cedarthread.protocols.invoke_config",)
     work = (60_000, 800)
 
     def draw(self, rng: random.Random) -> bytes:
@@ -486,14 +494,14 @@
         except ValueError as error:
             return need(bool(str(error)), "an error without words")
         need(0 <= found.port < 65536, f"port {found.port}")
-        need(0 < found.connections < 2**31, f"{found.connections} connections")
+        need(0 < found.max_connections < 2**31, f"{found.max_connections} connections")
 
 
 class SimulatorWire(Target):
     """The simulator's frames, answered by the host of many instances."""
 
     name = "wire"
-    modules = ("cedarthread.wire", "cedarthread.simhost")
+    modules = ("cedarthread.simulator.codec", "cedarthread.simulator.host")
     work = (80_000, 800)
     memory = (4 * 2**20, 400)
 
@@ -541,10 +549,10 @@
 
     def check(self, data: bytes) -> None:
         """Answered with a whole frame, or refused by WireError."""
-        host, source = simhost.Host(), io.BytesIO(data)
+        host, source = simulator_host.SimulatorHost(), io.BytesIO(data)
         try:
-            while (frame := simhost.read_frame(source)) is not None:
-                reply = host.reply(frame)
+            while (frame := simulator_host.read_frame(source)) is not None:
+                reply = host.handle_frame(frame)
                 need(struct.unpack_from("<I", reply)[0] == len(reply), "a reply that says another length")
-        except wire.WireError as error:
+        except codec.SimulatorProtocolError as error:
             need(bool(str(error)), "an error without words")
--- a/cedarthread/fuzz/settings.py
+++ b/cedarthread/testing/fuzzing/settings.py
@@ -5,7 +5,7 @@
 import copy
 from typing import Any
 
-from cedarthread.standins.settings import SETTINGS
+from cedarthread.testing.fakes.settings import SETTINGS
 
 CLASSES: list[dict[str, Any]] = [
     {"name": "check", "goal-time": 1200, "deadline": 5000, "effect": "retryable", "value": 2},
