--- a/cedarthread/fuzz/streams.py
+++ b/cedarthread/testing/fuzzing/stream_targets.py
@@ -14,24 +14,38 @@
 
 import msgpack as reference
 
-from cedarthread import interface as i
-from cedarthread import wire
-from cedarthread.core.calls import Attempt, Call, Ending, Progress
-from cedarthread.core.planner import Planner
-from cedarthread.fuzz import settings as drawn_settings
-from cedarthread.fuzz.caller import read_reply
-from cedarthread.fuzz.parsers import ODD_FIELDS, draw_reply, draw_request, draw_value, need, pack_reply
-from cedarthread.fuzz.target import ODD, Dice, Finding, Target, mutate_bytes
-from cedarthread.fuzz.virtual import MemoryTransport, VirtualLoop, play
-from cedarthread.net import platform
-from cedarthread.net.invoke import InvokeConnection, InvokeFront
-from cedarthread.net.invoke_config import InvokeConfig
-from cedarthread.net.platform import PlatformConnection, PlatformFront
-from cedarthread.net.resolver import Resolver
-from cedarthread.net.roster import Listing, Roster, worker_number
-from cedarthread.net.runners import Order, Pool, RunnerConnection, Runners
-from cedarthread.net.spiffe import Identity
-from cedarthread.net.stream import Flusher
+from cedarthread.dispatch.calls import Attempt, AttemptResult, Call, Progress
+from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.events import PreloadEnded
+from cedarthread.model.outcomes import Outcome
+from cedarthread.protocols import platform
+from cedarthread.protocols.discovery import DiscoveryClient
+from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord, worker_id_from_name
+from cedarthread.protocols.invoke import InvokeConnection, InvokeServer
+from cedarthread.protocols.invoke_config import InvokeConfig
+from cedarthread.protocols.platform import PlatformConnection, PlatformServer
+from cedarthread.protocols.spiffe import Identity
+from cedarthread.protocols.workers import (
+    PendingPreload,
+    WorkerConnection,
+    WorkerConnectionPool,
+    WorkerConnections,
+)
+from cedarthread.simulator import codec
+from cedarthread.testing.fuzzing import settings as drawn_settings
+from cedarthread.testing.fuzzing.invoke_caller import read_reply
+from cedarthread.testing.fuzzing.parser_targets import (
+    ODD_FIELDS,
+    draw_reply,
+    draw_request,
+    draw_value,
+    need,
+    pack_reply,
+)
+from cedarthread.testing.fuzzing.target import ODD, Dice, Finding, Target, mutate_bytes
+from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop, play
+from cedarthread.transport.stream import Flusher
 
 FUNCTION = "00000000000000a1"
 
@@ -39,43 +53,43 @@
 class Echo:
     """A way to the workers that serves each call with its own body, in the next turn."""
 
-    def __init__(self, planner: Planner, loop: VirtualLoop) -> None:
+    def __init__(self, planner: Dispatcher, loop: VirtualLoop) -> None:
         self.planner, self.loop, self.sent = planner, loop, 0
 
     def send(self, attempt: Attempt) -> None:
         """Start an attempt."""
         self.sent += 1
         attempt.progress = Progress.WRITTEN
-        self.loop.call_soon(self.planner.ended, attempt, Ending(i.Outcome.OK, attempt.call.body))
+        self.loop.call_soon(self.planner.attempt_ended, attempt, AttemptResult(Outcome.OK, attempt.call.body))
 
-    def look(self, attempt: Attempt) -> None:
+    def refresh_progress(self, attempt: Attempt) -> None:
         """Nothing to look at."""
 
-    def withdraw(self, attempt: Attempt) -> None:
+    def withdraw_unsent(self, attempt: Attempt) -> None:
         """All has left."""
 
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up."""
-        self.planner.ended(attempt, Ending(i.Outcome.CANCELLED))
+        self.planner.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
 
-    def order(self, worker: int, function: int, copies: int) -> None:
+    def preload(self, worker_id: int, function_id: int, instances: int) -> None:
         """Not used here."""
 
-    def unload(self, worker: int, function: int) -> None:
+    def unload(self, worker_id: int, function_id: int) -> None:
         """Not used here."""
 
-    def close_idle(self, worker: int) -> None:
+    def close_idle_connections(self, worker_id: int) -> None:
         """Not used here."""
 
 
-def planner_with_echo(loop: VirtualLoop) -> tuple[Planner, Flusher, Echo]:
+def planner_with_echo(loop: VirtualLoop) -> tuple[Dispatcher, Flusher, Echo]:
     """A planner whose calls are all served."""
-    planner = Planner(wire.settings_from(drawn_settings.settings()), 1, clock=loop.unix_ms)
+    planner = Dispatcher(codec.settings_from_object(drawn_settings.settings()), 1, clock=loop.unix_ms)
     flusher = Flusher()
-    planner.turn_done = flusher.run
-    echo = planner.workers = Echo(planner, loop)
-    listed = tuple(i.Worker(n, 0, 0, 0, i.WorkerState.READY, None, None) for n in (1, 2))
-    planner.membership(i.Membership(i.ListKind.CACHED, 1, listed))
+    planner.flush_output = flusher.flush_all
+    echo = planner.worker_transport = Echo(planner, loop)
+    listed = tuple(Endpoint(n, 0, 0, 0, EndpointState.READY, None, None) for n in (1, 2))
+    planner.endpoints_changed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
     return planner, flusher, echo
 
 
@@ -173,7 +187,7 @@
     """A platform client's whole connection."""
 
     name = "platform"
-    modules = ("cedarthread.net.platform", "cedarthread.net.stream")
+    modules = ("cedarthread.protocols.platform", "cedarthread.transport.stream")
 
     def draw(self, rng: random.Random) -> bytes:
         """Some messages in a row, perhaps the last one cut off."""
@@ -214,15 +228,18 @@
     async def serve(self, loop: VirtualLoop, data: bytes, seed: int) -> Any:
         """Per number, what was answered to it and how often; each number asked gets one answer."""
         planner, flusher, _ = planner_with_echo(loop)
-        front = PlatformFront(planner, 8, flusher, 2**20)
+        front = PlatformServer(planner, 8, flusher, 2**20)
         transport, out = MemoryTransport(loop), bytearray()
         transport.on_bytes = out.extend
         connection = PlatformConnection(front)
         transport.begin(connection)
         await feed(transport, data, seed)
-        need(not planner.calls and not planner.names and planner.held_bytes == 0, "a call is left")
-        need(front.queued == 0, f"{front.queued} bytes of answers are left")
-        need(len(connection.buffer._data) <= platform.MESSAGE, "the buffer grew past its limit")
+        need(
+            not planner.pending_calls and not planner.pending_call_ids and planner.pending_body_bytes == 0,
+            "a call is left",
+        )
+        need(front.queued_bytes == 0, f"{front.queued_bytes} bytes of answers are left")
+        need(len(connection.buffer._data) <= platform.MAX_MESSAGE_BYTES, "the buffer grew past its limit")
         unpacker = reference.Unpacker(raw=False, strict_map_key=True, max_buffer_size=2**24)
         unpacker.feed(bytes(out))
         answers: dict[Any, int] = {}
@@ -260,8 +277,8 @@
     """What a runner's connection tells its pool's owner, kept."""
 
     def __init__(self, loop: VirtualLoop) -> None:
-        self.settings = wire.settings_from(drawn_settings.settings())
-        self.flusher, self.planner = Flusher(), self
+        self.settings = codec.settings_from_object(drawn_settings.settings())
+        self.flusher, self.dispatcher = Flusher(), self
         self.clock = loop.unix_ms
         self.ends: list[tuple[str, str, bytes]] = []
         self.wrong: list[str] = []  # figures that are none; raised later, for the connection catches all
@@ -270,39 +287,39 @@
         if not abs(value) <= most:
             self.wrong.append(f"{what} of {value}")
 
-    def may_begin(self, attempt: Attempt) -> bool:
+    def may_start_attempt(self, attempt: Attempt) -> bool:
         """Its client is there."""
         return True
 
-    def answered(self, attempt: Attempt, ending: Ending) -> None:
+    def on_call_response(self, attempt: Attempt, ending: AttemptResult) -> None:
         """An answer."""
-        for value in ending.report:
+        for value in ending.load_report:
             self._figure("a report", value or 0.0, 1e308)
-        self._figure("a crowd", ending.crowd or 0, 2**31)
-        self.ends.append((attempt.call.name, ending.outcome.value, ending.body))
+        self._figure("a crowd", ending.reported_concurrency or 0, 2**31)
+        self.ends.append((attempt.call.call_id, ending.outcome.value, ending.body))
 
-    def broke(self, carried: Attempt | Order, *, unreached: bool) -> None:
+    def on_connection_broken(self, request: Attempt | PendingPreload, *, is_unreachable: bool) -> None:
         """The connection went."""
-        name = carried.call.name if isinstance(carried, Attempt) else carried.tag
+        name = request.call.call_id if isinstance(request, Attempt) else request.message_id
         self.ends.append((name, "broke", b""))
 
-    def order_answered(self, order: Order, message: dict[str, Any]) -> None:
+    def on_preload_response(self, preload: PendingPreload, message: dict[str, Any]) -> None:
         """An order's end."""
-        runners = Runners.__new__(Runners)
-        runners.planner = cast(Any, self)
-        runners.order_answered(order, message)
-        self.ends.append((order.tag, "order", b""))
+        runners = WorkerConnections.__new__(WorkerConnections)
+        runners.dispatcher = cast(Any, self)
+        runners.on_preload_response(preload, message)
+        self.ends.append((preload.message_id, "order", b""))
 
-    def order_ended(self, event: i.OrderEnded) -> None:
+    def preload_ended(self, event: PreloadEnded) -> None:
         """What the planner is told of it."""
-        self._figure("copies", event.copies, 2**31)
+        self._figure("copies", event.instances, 2**31)
 
 
 class RunnerLines(StreamTarget):
     """The lines that a runner sends, on a connection with three calls and an order open."""
 
     name = "lines"
-    modules = ("cedarthread.net.runners",)
+    modules = ("cedarthread.protocols.workers",)
     names = ("a1", "a2", "a3", "load-1")
 
     def draw(self, rng: random.Random) -> bytes:
@@ -337,14 +354,14 @@
     async def serve(self, loop: VirtualLoop, data: bytes, seed: int) -> Any:
         """How each of the four ended: once, and with the body that its own line holds."""
         ways = _Ways(loop)
-        listing = Listing("s-1", "h", 1, "room-a", "std", 0, i.WorkerState.READY, 1.0, 0.0)
-        connection = RunnerConnection(Pool(cast(Any, ways), listing))
+        listing = EndpointRecord("s-1", "h", 1, "room-a", "std", 0, EndpointState.READY, 1.0, 0.0)
+        connection = WorkerConnection(WorkerConnectionPool(cast(Any, ways), listing))
         transport = MemoryTransport(loop)
         transport.begin(connection)
         for name in self.names[:3]:
             call = Call(name, 0, 7, 1e18, b"", lambda answer: None)
-            connection.put(name, b"{}\n", Attempt(call, 0, 1, 0.0, Progress.WRITTEN))
-        connection.put("load-1", b"{}\n", Order("load-1", 1, 7, 0.0))
+            connection.send_request(name, b"{}\n", Attempt(call, 0, 1, 0.0, Progress.WRITTEN))
+        connection.send_request("load-1", b"{}\n", PendingPreload("load-1", 1, 7, 0.0))
         await feed(transport, data, seed)
         transport.hang_up()
         await asyncio.sleep(0)
@@ -371,7 +388,7 @@
     """A whole connection of the invoke API, its identity checked."""
 
     name = "invoke"
-    modules = ("cedarthread.net.invoke", "cedarthread.net.http")
+    modules = ("cedarthread.protocols.invoke", "cedarthread.protocols.http")
 
     def draw(self, rng: random.Random) -> bytes:
         """Some requests in a row."""
@@ -391,7 +408,7 @@
         nowhere = Path("nowhere")
         allow = ("spiffe://gaz.example/*",)
         config = InvokeConfig(nowhere, "", 0, "gaz.example", nowhere, nowhere, nowhere, allow, 8)
-        front = InvokeFront(planner, config, flusher, loop.time)
+        front = InvokeServer(planner, config, flusher, loop.time)
         connection = InvokeConnection(front)
         connection.peer = Identity("spiffe://gaz.example/a", "gaz.example", math.inf)
         transport, out = MemoryTransport(loop), bytearray()
@@ -405,11 +422,14 @@
             statuses.append(reply.status)
             rest = rest[end:]
         need(not rest, f"after the last response: {rest[:60]!r}")
-        need(not planner.calls, "a call is open")
+        need(not planner.pending_calls, "a call is open")
         transport.hang_up()
         await asyncio.sleep(400)
         front.sweep(loop.time())
-        need(front.store.bytes == 0 and len(front.store) == 0, "an answer is kept past its time")
+        need(
+            front.deferred_calls.reserved_bytes == 0 and len(front.deferred_calls) == 0,
+            "an answer is kept past its time",
+        )
         return [status for status in statuses if status != 100]  # whether it is asked for depends on the cut
 
 
@@ -417,7 +437,7 @@
     """The roster under news late, doubled, out of order and contradictory."""
 
     name = "roster"
-    modules = ("cedarthread.net.roster",)
+    modules = ("cedarthread.protocols.endpoint_list",)
 
     def draw(self, rng: random.Random) -> bytes:
         """A script."""
@@ -425,38 +445,38 @@
 
     def check(self, data: bytes) -> None:
         """Whoever applies the events one after another holds the list that was told last."""
-        dice, roster = Dice(data), Roster(wire.settings_from(drawn_settings.settings()))
-        known: dict[int, i.WorkerState] = {}
-        version, truth = -1, dict[str, Listing]()
+        dice, roster = Dice(data), EndpointList(codec.settings_from_object(drawn_settings.settings()))
+        known: dict[int, EndpointState] = {}
+        version, truth = -1, dict[str, EndpointRecord]()
         while dice.more():
             number, whole = dice.byte() % 20, bool(dice.byte() & 3)
             told = [self._listing(dice) for _ in range(dice.byte() % 5)]
-            event = roster.event(number, told, whole)
+            event = roster.apply_update(number, told, whole)
             need((event is None) == (number <= version), f"news {number} after {version}")
             if event is None:
                 continue
             version = number
-            if event.kind is not i.ListKind.DELTA:
+            if event.kind is not EndpointUpdateKind.DELTA:
                 known.clear()
-            for worker in event.workers:
-                known[worker.worker] = worker.state
-                if worker.state is i.WorkerState.GONE:
-                    del known[worker.worker]
+            for worker in event.endpoints:
+                known[worker.worker_id] = worker.state
+                if worker.state is EndpointState.REMOVED:
+                    del known[worker.worker_id]
             truth = {} if whole else truth
             for listing in told:
                 truth.pop(listing.name, None)
-                if listing.state is not i.WorkerState.GONE:
+                if listing.state is not EndpointState.REMOVED:
                     truth[listing.name] = listing
-            held = {number: entry.state for number, entry in roster.by_number().items()}
+            held = {number: entry.state for number, entry in roster.by_worker_id().items()}
             need(known == held, f"by the events {known}, by the list {held}")
-            numbers = {worker_number(name) for name in truth}
-            need(set(held) == numbers, f"told {sorted(truth)}, held {sorted(roster.listings)}")
+            numbers = {worker_id_from_name(name) for name in truth}
+            need(set(held) == numbers, f"told {sorted(truth)}, held {sorted(roster.records)}")
 
-    def _listing(self, dice: Dice) -> Listing:
+    def _listing(self, dice: Dice) -> EndpointRecord:
         name = dice.pick(("s-00000001", "s-00000002", "t-00000001", "other", "s-0000000a"))
-        state = dice.pick(tuple(i.WorkerState))
+        state = dice.pick(tuple(EndpointState))
         zone = dice.pick(("room-a", "room-b", "nowhere"))
-        return Listing(
+        return EndpointRecord(
             name, "10.0.0.1", dice.byte(), zone, "std", dice.byte() % 3, state, 1.0, float(dice.byte())
         )
 
@@ -478,7 +498,7 @@
     """The resolver's client, its replies lost, late, old, doubled, foreign and truncated."""
 
     name = "resolver"
-    modules = ("cedarthread.net.resolver",)
+    modules = ("cedarthread.protocols.discovery",)
     work = (400_000, 8000)
     memory = (4 * 2**20, 2000)
 
@@ -488,7 +508,7 @@
 
     def check(self, data: bytes) -> None:
         """Numbers told only go up, and each list told is one that was sent under a number asked for."""
-        told: list[tuple[int, list[Listing]]] = []
+        told: list[tuple[int, list[EndpointRecord]]] = []
 
         async def work(loop: VirtualLoop) -> None:
             await self._play(loop, Dice(data), told)
@@ -498,8 +518,10 @@
         numbers = [serial for serial, _ in told]
         need(numbers == sorted(set(numbers)), f"told in the order {numbers}")
 
-    async def _play(self, loop: VirtualLoop, dice: Dice, told: list[tuple[int, list[Listing]]]) -> None:
-        resolver = Resolver(lambda serial, listed: told.append((serial, listed)))
+    async def _play(
+        self, loop: VirtualLoop, dice: Dice, told: list[tuple[int, list[EndpointRecord]]]
+    ) -> None:
+        resolver = DiscoveryClient(lambda serial, listed: told.append((serial, listed)))
         resolver._random = cast(Any, random.Random(1))
         transport = _Datagrams()
         resolver.connection_made(transport)
@@ -509,7 +531,7 @@
             rng = random.Random(dice.wide())
             reply = draw_reply(rng, rng.randrange(4))
             serial += dice.byte() % 3
-            reply.number, reply.serial = rng.choice(asked[-3:]), serial
+            reply.query_id, reply.serial = rng.choice(asked[-3:]), serial
             good = pack_reply(reply)
             before = len(told)
             match dice.byte() % 8:
@@ -519,7 +541,7 @@
                     resolver.datagram_received(pack_reply(reply, flags=0x8600), None)
                     need(len(told) == before, "a truncated reply was taken")
                 case 2:
-                    foreign = struct.pack(">H", (reply.number + 1 + dice.byte()) % 2**16)
+                    foreign = struct.pack(">H", (reply.query_id + 1 + dice.byte()) % 2**16)
                     resolver.datagram_received(foreign + good[2:], None)
                     recent = struct.unpack(">H", foreign)[0] in asked[-16:]
                     need(recent or len(told) == before, "a reply to nothing that was asked was taken")
--- a/cedarthread/spread/evenness.py
+++ b/cedarthread/testing/load_balance.py
@@ -12,11 +12,14 @@
 from statistics import fmean, pstdev
 from typing import Protocol
 
-WINDOW = 1000.0  # ms
-HERD, CHANCE = 3.0, 4.0  # times its share, and standard deviations past it, at which a worker gets a herd
+WINDOW_MS = 1000.0  # ms
+HOTSPOT_RATIO, HOTSPOT_DEVIATIONS = (
+    3.0,
+    4.0,
+)  # times its share, and standard deviations past it, at which a worker gets a herd
 
 
-class Stay(Protocol):
+class CallRecord(Protocol):
     """One call at one worker."""
 
     runner: int
@@ -29,19 +32,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Worker:
+class WorkerAvailability:
     """A worker: its cores, and from when to when it was ready."""
 
     cores: int
-    ready: tuple[tuple[float, float], ...]
+    ready_intervals: tuple[tuple[float, float], ...]
 
-    def whole(self, begin: float, end: float) -> bool:
+    def is_ready_throughout(self, begin: float, end: float) -> bool:
         """Was it ready all the time between?"""
-        return any(at <= begin and end <= until for at, until in self.ready)
+        return any(at <= begin and end <= until for at, until in self.ready_intervals)
 
 
 @dataclass(frozen=True, slots=True)
-class Evenness:
+class LoadBalanceMetrics:
     """The figures of one run."""
 
     peak_to_mean: float  # of held work a core, by windows
@@ -54,64 +57,82 @@
 
 
 def measure(
-    stays: Iterable[Stay], workers: Mapping[int, Worker], begin: float, end: float, lanes: int
-) -> Evenness:
+    stays: Iterable[CallRecord],
+    workers: Mapping[int, WorkerAvailability],
+    begin: float,
+    end: float,
+    concurrency: int,
+) -> LoadBalanceMetrics:
     """The figures of what came between ``begin`` and ``end``; ``lanes``: calls that a copy serves at once."""
     inside = sorted((s for s in stays if s.at < end and s.ended > begin), key=lambda s: s.at)
     came = [s for s in inside if begin <= s.at]
     ratios, spreads = [], []
-    for window in _windows(begin, end, WINDOW):
-        held = _held(inside, workers, *window)
+    for window in _windows(begin, end, WINDOW_MS):
+        held = _work_per_core(inside, workers, *window)
         if len(held) > 1 and (mean := fmean(held.values())) > 0.0:
             ratios.append(max(held.values()) / mean)
             spreads.append(pstdev(held.values()) / mean)
     loads = sum(s.note == "spawn" for s in came)
-    return Evenness(
+    return LoadBalanceMetrics(
         fmean(ratios) if ratios else 1.0,
         fmean(spreads) if spreads else 0.0,
-        max((_idle(number, worker, inside, begin, end) for number, worker in workers.items()), default=0.0),
-        tuple(_herds(came, workers, begin, end)),
+        max(
+            (_longest_idle_ms(number, worker, inside, begin, end) for number, worker in workers.items()),
+            default=0.0,
+        ),
+        tuple(_hotspots(came, workers, begin, end)),
         1000.0 * loads / max(1, len(came)),
-        max(0, loads - _needed(came, lanes)),
+        max(0, loads - _instances_needed(came, concurrency)),
         len(came),
     )
 
 
-def by_second(stays: Iterable[Stay], workers: Mapping[int, Worker], end: float) -> list[list[float]]:
+def work_per_core_by_second(
+    stays: Iterable[CallRecord], workers: Mapping[int, WorkerAvailability], end: float
+) -> list[list[float]]:
     """Held work a core of each worker, by the second from 0 on."""
-    held = {number: [0.0] * math.ceil(end / WINDOW) for number in workers}
+    held = {number: [0.0] * math.ceil(end / WINDOW_MS) for number in workers}
     for stay in stays:
-        for second in range(int(stay.at / WINDOW), min(int(min(stay.ended, end) / WINDOW) + 1, len(held[0]))):
-            inside = min(stay.ended, (second + 1) * WINDOW) - max(stay.at, second * WINDOW)
-            held[stay.runner][second] += max(0.0, inside) / WINDOW / workers[stay.runner].cores
+        for second in range(
+            int(stay.at / WINDOW_MS), min(int(min(stay.ended, end) / WINDOW_MS) + 1, len(held[0]))
+        ):
+            inside = min(stay.ended, (second + 1) * WINDOW_MS) - max(stay.at, second * WINDOW_MS)
+            held[stay.runner][second] += max(0.0, inside) / WINDOW_MS / workers[stay.runner].cores
     return [held[number] for number in sorted(held)]
 
 
 def _windows(begin: float, end: float, step: float) -> list[tuple[float, float]]:
     return [
-        (begin + n * step, begin + n * step + WINDOW) for n in range(int((end - begin - WINDOW) / step) + 1)
+        (begin + n * step, begin + n * step + WINDOW_MS)
+        for n in range(int((end - begin - WINDOW_MS) / step) + 1)
     ]
 
 
-def _held(stays: Iterable[Stay], workers: Mapping[int, Worker], begin: float, end: float) -> dict[int, float]:
+def _work_per_core(
+    stays: Iterable[CallRecord], workers: Mapping[int, WorkerAvailability], begin: float, end: float
+) -> dict[int, float]:
     """Mean held work a core, of each worker that was ready all the time."""
-    held = {number: 0.0 for number, worker in workers.items() if worker.whole(begin, end)}
+    held = {number: 0.0 for number, worker in workers.items() if worker.is_ready_throughout(begin, end)}
     for stay in stays:
         if stay.runner in held and stay.at < end and stay.ended > begin:
             held[stay.runner] += min(stay.ended, end) - max(stay.at, begin)
     return {number: sum_ / (end - begin) / workers[number].cores for number, sum_ in held.items()}
 
 
-def _idle(number: int, worker: Worker, stays: list[Stay], begin: float, end: float) -> float:
+def _longest_idle_ms(
+    number: int, worker: WorkerAvailability, stays: list[CallRecord], begin: float, end: float
+) -> float:
     """The longest time in which this one held nothing while, all the time, some call waited elsewhere."""
-    own = _union((s.at, s.ended) for s in stays if s.runner == number)
-    waits = _union((s.waits, s.began) for s in stays if s.runner != number and s.waits < s.began < math.inf)
-    ready = [(max(at, begin), min(until, end)) for at, until in worker.ready]
-    free = _without(ready, own)
-    return max((until - at for at, until in _both(free, waits)), default=0.0)
+    own = _merge_intervals((s.at, s.ended) for s in stays if s.runner == number)
+    waits = _merge_intervals(
+        (s.waits, s.began) for s in stays if s.runner != number and s.waits < s.began < math.inf
+    )
+    ready = [(max(at, begin), min(until, end)) for at, until in worker.ready_intervals]
+    free = _subtract_intervals(ready, own)
+    return max((until - at for at, until in _intersect_intervals(free, waits)), default=0.0)
 
 
-def _union(spans: Iterable[tuple[float, float]]) -> list[tuple[float, float]]:
+def _merge_intervals(spans: Iterable[tuple[float, float]]) -> list[tuple[float, float]]:
     whole: list[tuple[float, float]] = []
     for at, until in sorted(span for span in spans if span[0] < span[1]):
         if whole and at <= whole[-1][1]:
@@ -121,7 +142,9 @@
     return whole
 
 
-def _without(spans: list[tuple[float, float]], taken: list[tuple[float, float]]) -> list[tuple[float, float]]:
+def _subtract_intervals(
+    spans: list[tuple[float, float]], taken: list[tuple[float, float]]
+) -> list[tuple[float, float]]:
     """What is in ``spans`` and not in ``taken``."""
     left: list[tuple[float, float]] = []
     for at, until in spans:
@@ -136,7 +159,9 @@
     return left
 
 
-def _both(one: list[tuple[float, float]], other: list[tuple[float, float]]) -> list[tuple[float, float]]:
+def _intersect_intervals(
+    one: list[tuple[float, float]], other: list[tuple[float, float]]
+) -> list[tuple[float, float]]:
     """What is in both, by one pass over the two."""
     found, a, b = [], 0, 0
     while a < len(one) and b < len(other):
@@ -150,26 +175,32 @@
     return found
 
 
-def _herds(
-    came: list[Stay], workers: Mapping[int, Worker], begin: float, end: float
+def _hotspots(
+    came: list[CallRecord], workers: Mapping[int, WorkerAvailability], begin: float, end: float
 ) -> Iterable[tuple[float, int, int, float]]:
     """Herds, in windows that overlap by half: one that straddles a bound is seen too."""
     last: dict[int, float] = {}
-    for at, until in _windows(begin, end, WINDOW / 2):
+    for at, until in _windows(begin, end, WINDOW_MS / 2):
         counts: defaultdict[int, int] = defaultdict(int)
         for stay in came:
             if at <= stay.at < until:
                 counts[stay.runner] += 1
-        ready = {n: w.cores for n, w in workers.items() if any(a < until and at < u for a, u in w.ready)}
+        ready = {
+            n: w.cores for n, w in workers.items() if any(a < until and at < u for a, u in w.ready_intervals)
+        }
         for number, count in counts.items():
             share = sum(counts.values()) * ready.get(number, 0) / max(1, sum(ready.values()))
-            if count > HERD * share and count > share + CHANCE * math.sqrt(share + 1.0) and len(ready) > HERD:
-                if at - last.get(number, -math.inf) > WINDOW:
+            if (
+                count > HOTSPOT_RATIO * share
+                and count > share + HOTSPOT_DEVIATIONS * math.sqrt(share + 1.0)
+                and len(ready) > HOTSPOT_RATIO
+            ):
+                if at - last.get(number, -math.inf) > WINDOW_MS:
                     yield at, number, count, share
                 last[number] = at
 
 
-def _needed(came: list[Stay], lanes: int) -> int:
+def _instances_needed(came: list[CallRecord], concurrency: int) -> int:
     """Copies that the functions' calls took at once at most, by the fewest."""
     needed = 0
     by_function: defaultdict[int, list[tuple[float, int]]] = defaultdict(list)
@@ -181,5 +212,5 @@
         for _, step in sorted(steps):
             out += step
             most = max(most, out)
-        needed += math.ceil(most / lanes)
+        needed += math.ceil(most / concurrency)
     return needed
--- /dev/null
+++ b/cedarthread/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections: accepting, buffering, flushing, and the budget of file descriptors."""
--- a/tests/contracts/test_fronts.py
+++ b/tests/contracts/test_fronts.py
@@ -16,13 +16,13 @@
 
 import pytest
 
-from cedarthread import interface as i
-from cedarthread.simhost import Host
-from cedarthread.standins.scripted import Runner, client, hit, listing, pack_call, says, service
-from cedarthread.standins.settings import SETTINGS
-from tests import test_invoke
-from tests.test_invoke import DESK, PATH, Authority, Caller, config
-from tests.test_wire import at, frame, start, table
+from cedarthread.model.endpoints import EndpointState
+from cedarthread.simulator.host import SimulatorHost
+from cedarthread.testing.fakes.scripted import Runner, client, hit, listing, pack_call, says, service
+from cedarthread.testing.fakes.settings import SETTINGS
+from tests.integration import test_invoke
+from tests.integration.test_invoke import DESK, PATH, Authority, Caller, config
+from tests.unit.test_simulator_codec import at, frame, start, table
 
 Answer = tuple[str, float]  # served, refused or failed; ms till it may come back, 0.0 where none are told
 Visit = tuple[int, int, Any]  # a call, the worker that it came to, and the front's own handle on the attempt
@@ -71,14 +71,14 @@
     """The simulator's frames, on a clock of its own; it hands a worker's answer on to who still waits."""
 
     async def open(self, stack: AsyncExitStack, authority: Authority) -> None:
-        self.host, self.now, self.version = Host(), 1000.0, 0
+        self.host, self.now, self.version = SimulatorHost(), 1000.0, 0
         self.due: list[tuple[float, bytes]] = []
         self.states, self.waiting = {1: 2, 2: 1}, dict[int, float]()
         self._feed(start(SETTINGS))
         self.drain(2, 2)
 
     def _feed(self, *records: bytes) -> None:
-        reply, place = self.host.reply(frame(at(3), *records, now=self.now)), 4
+        reply, place = self.host.handle_frame(frame(at(3), *records, now=self.now)), 4
         while place < len(reply):
             if (code := reply[place]) == 75:  # a line of the log
                 place += 3 + int.from_bytes(reply[place + 1 : place + 3], "little")
@@ -136,7 +136,7 @@
     """Over loopback: a whole service and two runners; the body of a call is its number."""
 
     async def open(self, stack: AsyncExitStack, authority: Authority) -> None:
-        self.came, self.states = asyncio.Event(), [i.WorkerState.READY] * 2
+        self.came, self.states = asyncio.Event(), [EndpointState.READY] * 2
         self.runners = [Runner(self._behave) for _ in range(2)]
         for runner in self.runners:
             runner.came = self.came
@@ -155,9 +155,9 @@
         runner.answer(visit[2], (hit if what == HIT else says(what))(runner, visit[2]) or {})
 
     def drain(self, worker: int) -> None:
-        self.states[worker - 1] = i.WorkerState.DRAINING
+        self.states[worker - 1] = EndpointState.DRAINING
         told = [listing(each, n, self.states[n - 1]) for n, each in enumerate(self.runners, 1)]
-        self.running.news(self.running.roster.version + 1, told, whole=True)
+        self.running.update_endpoints(self.running.endpoint_list.version + 1, told, is_complete=True)
 
     async def until(self, met: Callable[[], bool]) -> None:
         async with asyncio.timeout(10):
--- a/tests/test_golden.py
+++ b/tests/contracts/test_golden.py
@@ -12,15 +12,16 @@
 
 import pytest
 
-from cedarthread import interface as i
-from cedarthread import parts
-from cedarthread.decisions import Decisions
-from cedarthread.register import declared
-from cedarthread.register import entry as entries
-from cedarthread.store import held
-from cedarthread.store.contract import Loaded, Trouble
-from cedarthread.store.file import FileStore
-from cedarthread.store.worker import Worker, open_store
+from cedarthread import fleet_config
+from cedarthread.components import interface
+from cedarthread.components.node import RoutingNode
+from cedarthread.model.endpoints import EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.settings import Limits
+from cedarthread.persistence import recovered_image
+from cedarthread.persistence.sqlite_store import SqliteBackend
+from cedarthread.persistence.store import LoadResult, StoreFault
+from cedarthread.persistence.store_thread import StoreThread, open_store
+from cedarthread.replication import entry as entries
 from tests import golden_samples as golden
 from tests.golden_samples import Json, Sample
 from tests.helpers import settings, worker
@@ -124,7 +125,7 @@
         values, generation, whole = golden.read_folder(folder, sync)
         assert values == values_of(mode) and generation == part(told, "generation") and whole
     assert golden.values_again(values) == values
-    store = FileStore(folder, sync)
+    store = SqliteBackend(folder, sync)
     store.open()
     assert store.commit([("warm", b"new"), ("life", None)]) is None
     store.close()
@@ -144,28 +145,28 @@
 
 @pytest.mark.parametrize("mode", golden.MODES)
 def test_a_kept_folder_is_read_on_the_stores_thread(mode: str, tmp_path: Path) -> None:
-    woken, found = threading.Event(), list[Loaded]()
-    store: Worker = open_store(
+    woken, found = threading.Event(), list[LoadResult]()
+    store: StoreThread = open_store(
         unpacked(mode, tmp_path),
         golden.MODES[mode].sync,
         clock=lambda: 0.0,
         wake=woken.set,
-        opened=found.append,
+        on_opened=found.append,
         log=lambda line: None,
     )
     assert woken.wait(LONG)
-    store.pump()
+    store.run_callbacks()
     store.close()
-    assert [dict(one.values) for one in found] == [values_of(mode)] and found[0].trouble is None
+    assert [dict(one.values) for one in found] == [values_of(mode)] and found[0].fault is None
 
 
 def test_the_torn_folder_lacks_its_content_until_its_journal_is_played_back(tmp_path: Path) -> None:
     folder = unpacked("group, torn", tmp_path)
     (folder / "state-1.db-journal").unlink()
-    store = FileStore(folder, "group")
+    store = SqliteBackend(folder, "group")
     loaded = store.open()
     store.close()
-    assert loaded.trouble is Trouble.DAMAGED and dict(loaded.values) != values_of("group, torn")
+    assert loaded.fault is StoreFault.CORRUPTED and dict(loaded.values) != values_of("group, torn")
 
 
 def test_a_damaged_byte_in_a_kept_folder_shows(tmp_path: Path) -> None:
@@ -173,37 +174,37 @@
     raw = bytearray((folder / "state-1.db").read_bytes())
     raw[raw.index(b"best-effort")] ^= 1
     (folder / "state-1.db").write_bytes(raw)
-    store = FileStore(folder, "each")
+    store = SqliteBackend(folder, "each")
     loaded = store.open()
     store.close()
-    assert loaded.trouble is Trouble.DAMAGED and 0 < len(loaded.values) < len(values_of("each"))
+    assert loaded.fault is StoreFault.CORRUPTED and 0 < len(loaded.values) < len(values_of("each"))
     assert dict(loaded.values).items() <= values_of("each").items()
 
 
 def test_a_router_believes_a_kept_folder_and_puts_the_same_again(tmp_path: Path) -> None:
     """Old data in the hands of a whole router: entries, seat, counts and what stands warm."""
-    store = FileStore(unpacked("each", tmp_path), "each")
+    store = SqliteBackend(unpacked("each", tmp_path), "each")
     loaded = store.open()
     store.close()
-    alone: i.Limits = dataclasses.replace(settings().limits, peers=False)
-    router = Decisions(settings(gateways=1, limits=alone), 3, 4)
+    alone: Limits = dataclasses.replace(settings().limits, allows_gossip=False)
+    router = RoutingNode(settings(router_count=1, limits=alone), 3, 4)
     ready = tuple(worker(n, started=100.0 * n) for n in range(1, 4))
-    router.handle(0.0, i.Membership(i.ListKind.CACHED, 1, ready))
-    file: declared.Fleet = declared.parse(b'[disk]\nfolder = "kept"\n')
-    router.declare(0.0, file, lambda: golden.WALL + 2000.0)
-    sharing = router.sharing
-    assert sharing is not None and sharing.keeping is not None
-    sharing.keeping.loaded(10.0, loaded, held.read(loaded.values))
-    assert sharing.register.generation == part(content(golden.FOLDERS)["each"], "generation")
-    own: dict[str, bytes] = dict(held.entry(entry) for entry in sharing.register.snapshot())
+    router.handle(0.0, EndpointUpdate(EndpointUpdateKind.CACHED, 1, ready))
+    file: fleet_config.FleetConfig = fleet_config.parse_fleet_config(b'[disk]\nfolder = "kept"\n')
+    router.apply_fleet_config(0.0, file, lambda: golden.WALL + 2000.0)
+    sharing = router.fleet_components
+    assert sharing is not None and sharing.persister is not None
+    sharing.persister.on_store_opened(10.0, loaded, recovered_image.decode_image(loaded.values))
+    assert sharing.store.store_generation == part(content(golden.FOLDERS)["each"], "generation")
+    own: dict[str, bytes] = dict(recovered_image.encode_entry(entry) for entry in sharing.store.snapshot())
     kept = {key: raw for key, raw in values_of("each").items() if key.startswith("entry/")}
     assert own == kept
-    for kind in parts.Kind:
-        for one in sharing.register.held(kind):
-            assert held.entry(one.entry)[1] == kept[f"entry/{kind.value}/{one.entry.name}"]
+    for kind in interface.EntryKind:
+        for one in sharing.store.entries(kind):
+            assert recovered_image.encode_entry(one.entry)[1] == kept[f"entry/{kind.value}/{one.entry.name}"]
             assert entries.decode(entries.encode(one.entry)) == one.entry
-    assert sharing.grants.snapshot() == values_of("each")["grants"]
-    assert len(sharing.recovery.knows.digest(10.0)) == 5
+    assert sharing.escrow.snapshot() == values_of("each")["grants"]
+    assert len(sharing.recovery.warm_state.digest(10.0)) == 5
 
 
 def test_what_is_kept_is_not_written_over(capsys: pytest.CaptureFixture[str]) -> None:
--- a/tests/contracts/test_paths.py
+++ b/tests/contracts/test_paths.py
@@ -14,10 +14,10 @@
 
 import pytest
 
-from cedarthread.net.peers import PeerAddresses, Peers
-from cedarthread.rig.network import Network
-from cedarthread.rig.scenario import parse
-from cedarthread.standins.paths import Air, MemoryPath, Path
+from cedarthread.protocols.peers import PeerAddresses, PeerTransport
+from cedarthread.testing.cluster.network import Network
+from cedarthread.testing.cluster.scenario import parse
+from cedarthread.testing.fakes.peer_transport import Air, MemoryPath, Path
 
 MARK = b"all before this has been heard"
 Heard = list[tuple[int, bytes]]
@@ -51,7 +51,7 @@
         for each in sockets:
             each.bind(("127.0.0.1", 0))
         at = tuple(each.getsockname() for each in sockets)
-        every = [Peers(PeerAddresses(at[n], at[:4], None), partial(self.tell, n)) for n in range(5)]
+        every = [PeerTransport(PeerAddresses(at[n], at[:4], None), partial(self.tell, n)) for n in range(5)]
         for end, each in zip(every, sockets, strict=True):
             await asyncio.get_running_loop().create_datagram_endpoint(partial(lambda e: e, end), sock=each)
         self.ends, self.others = [*every[:3]], [every[4], every[3]]
@@ -106,7 +106,9 @@
         world.ends[sender].send(data, 2)
     await world.settle()
     judge(kind, sent, world.heard[2])
-    assert world.heard[:2] == [[], []] and not any(end.unsent + end.strangers for end in world.ends)
+    assert world.heard[:2] == [[], []] and not any(
+        end.unsent_count + end.unknown_sender_count for end in world.ends
+    )
 
 
 async def to_all(kind: Kind, world: World) -> None:
@@ -123,8 +125,8 @@
         world.ends[0].send(data, peer)
         world.others[0].send(b"x", 1)
     await world.settle()
-    assert world.heard[:3] == [[], [], []] and world.ends[0].unsent == 40
-    assert (40 if kind.sure else 1) <= world.ends[1].strangers <= 40 * kind.times
+    assert world.heard[:3] == [[], [], []] and world.ends[0].unsent_count == 40
+    assert (40 if kind.sure else 1) <= world.ends[1].unknown_sender_count <= 40 * kind.times
 
 
 async def stopped(kind: Kind, world: World) -> None:
@@ -136,7 +138,7 @@
         for sender, to in ((0, 2), (1, 0), (1, 2)):
             world.ends[sender].send(data, to)
         await world.settle()
-    assert world.heard[0] == [] and world.ends[1].unsent == 0
+    assert world.heard[0] == [] and world.ends[1].unsent_count == 0
     judge(kind, sent, world.heard[2])
 
 
--- a/tests/contracts/test_stores.py
+++ b/tests/contracts/test_stores.py
@@ -22,13 +22,20 @@
 
 import pytest
 
-from cedarthread.store import file, held, lying
-from cedarthread.store.contract import Backing, Direct, Loaded, Put, Store, Trouble
-from cedarthread.store.file import FileStore
-from cedarthread.store.lying import Disk, Fault, Hand
-from cedarthread.store.memory import Memory
-from cedarthread.store.policy import AWHILE
-from cedarthread.store.worker import SLOW, Worker
+from cedarthread.persistence import faulty_disk, recovered_image, sqlite_store
+from cedarthread.persistence.faulty_disk import FaultyDisk, InjectedFault, ManualSwitch
+from cedarthread.persistence.memory_store import MemoryBackend
+from cedarthread.persistence.reopen_policy import GIVEN_UP_PAUSE_MS
+from cedarthread.persistence.sqlite_store import SqliteBackend
+from cedarthread.persistence.store import (
+    KeyValueWrite,
+    LoadResult,
+    StorageBackend,
+    Store,
+    StoreFault,
+    SynchronousStore,
+)
+from cedarthread.persistence.store_thread import RESPONSE_TIMEOUT_MS, StoreThread
 
 NAME = "state-1.db"  # of a store that never was in trouble
 LONG = 30.0  # s after which a test that waits for a thread has failed
@@ -41,14 +48,14 @@
     def __init__(self, tmp: Path, backing: str, host: str) -> None:
         self.tmp, self.folder = tmp, tmp / f"disk{next(_names)}"
         self.folder.mkdir()
-        self.hand, self.vfs = Hand(), f"lying{next(_names)}"
+        self.hand, self.vfs = ManualSwitch(), f"lying{next(_names)}"
         self.hang, self.hung = threading.Event(), threading.Event()
-        self.disk = Disk(self.vfs, self.hand, 7, self._wait, record=True)
+        self.disk = FaultyDisk(self.vfs, self.hand, 7, self._wait, record=True)
         self.make, self.host = BACKINGS[backing], HOSTS[host]
-        self.kept: Backing | None = None
-        self.puts: list[Put] = []  # all that were begun, in order
-        self.told: dict[int, Trouble | None] = {}  # by their place there
-        self.finds: dict[tuple[tuple[str, bytes], ...], Loaded] = {}
+        self.kept: StorageBackend | None = None
+        self.puts: list[KeyValueWrite] = []  # all that were begun, in order
+        self.told: dict[int, StoreFault | None] = {}  # by their place there
+        self.finds: dict[tuple[tuple[str, bytes], ...], LoadResult] = {}
         self.store = self.open()
 
     def _wait(self, ms: float) -> None:
@@ -59,7 +66,7 @@
         self.store = self.host(self)
         return self.store
 
-    def again(self) -> Loaded:
+    def again(self) -> LoadResult:
         """Another life of the router."""
         self.store.close()
         return self.open().load()
@@ -67,26 +74,26 @@
     def begin(self, key: str, value: bytes | None) -> int:
         place = len(self.puts)
         self.puts.append((key, value))
-        self.disk.note(("begun", place))
+        self.disk.add_mark(("begun", place))
 
-        def done(trouble: Trouble | None) -> None:
+        def done(trouble: StoreFault | None) -> None:
             assert place not in self.told, "an end is told once"
             self.told[place] = trouble
             if trouble is None:
-                self.disk.note(("told", place))
+                self.disk.add_mark(("told", place))
 
         self.store.put(key, value, done)
         return place
 
-    def put(self, key: str, value: bytes | None) -> Trouble | None:
+    def put(self, key: str, value: bytes | None) -> StoreFault | None:
         place = self.begin(key, value)
         until(self.store, lambda: place in self.told)
         return self.told[place]
 
     def book(self) -> list[object]:
-        return [step.mark for step in self.disk.steps if step.mark is not None]
+        return [step.mark for step in self.disk.operations if step.mark is not None]
 
-    def found(self, images: dict[str, bytes]) -> Loaded:
+    def found(self, images: dict[str, bytes]) -> LoadResult:
         """What another life finds after a power cut: by a plain file store on another folder, asked once what
         it finds in the same bytes."""
         if (same := tuple(sorted(images.items()))) in self.finds:
@@ -95,7 +102,7 @@
         folder.mkdir()
         for path, content in images.items():
             (folder / Path(path).name).write_bytes(content)
-        backing = FileStore(folder)
+        backing = SqliteBackend(folder)
         loaded = self.finds[same] = backing.open()
         backing.close()
         shutil.rmtree(folder)
@@ -104,10 +111,10 @@
 
 def until(store: Store, reached: Callable[[], bool]) -> None:
     """Pump until something has come about."""
-    store.pump()
+    store.run_callbacks()
     while not reached():
         WAKES[id(store)].get(timeout=LONG)
-        store.pump()
+        store.run_callbacks()
 
 
 WAKES: dict[int, queue.Queue[None]] = {}
@@ -117,21 +124,21 @@
 class Clock:
     now: float = 0.0
     lines: list[str] = field(default_factory=list)
-    opened: list[Loaded] = field(default_factory=list)
+    opened: list[LoadResult] = field(default_factory=list)
 
 
 CLOCKS: dict[int, Clock] = {}
 
 
-def work(backing: Backing, kind: type[Worker] = Worker, **more: Any) -> Worker:
+def work(backing: StorageBackend, kind: type[StoreThread] = StoreThread, **more: Any) -> StoreThread:
     """A worker that is hosted by a test."""
     wakes, clock = queue.Queue[None](), Clock()
     worker = kind(
         backing,
-        group=0.0,
+        group_commit_ms=0.0,
         clock=lambda: clock.now,
         wake=lambda: wakes.put(None),
-        opened=clock.opened.append,
+        on_opened=clock.opened.append,
         log=clock.lines.append,
         **more,
     )
@@ -139,30 +146,30 @@
     return worker
 
 
-def opened(worker: Worker) -> Worker:
+def opened(worker: StoreThread) -> StoreThread:
     until(worker, lambda: bool(CLOCKS[id(worker)].opened))
     return worker
 
 
-def in_memory(bench: Bench) -> Backing:
-    bench.kept = bench.kept or Memory()
+def in_memory(bench: Bench) -> StorageBackend:
+    bench.kept = bench.kept or MemoryBackend()
     return bench.kept
 
 
-BACKINGS: dict[str, Callable[[Bench], Backing]] = {
+BACKINGS: dict[str, Callable[[Bench], StorageBackend]] = {
     "memory": in_memory,
-    "file": lambda bench: FileStore(bench.folder),
-    "file on a lying disk": lambda bench: FileStore(bench.folder, vfs=bench.vfs),
+    "file": lambda bench: SqliteBackend(bench.folder),
+    "file on a lying disk": lambda bench: SqliteBackend(bench.folder, vfs=bench.vfs),
 }
 HOSTS: dict[str, Callable[[Bench], Store]] = {
-    "direct": lambda bench: Direct(bench.make(bench)),
+    "direct": lambda bench: SynchronousStore(bench.make(bench)),
     "worker": lambda bench: opened(work(bench.make(bench))),
-    "worker, each": lambda bench: opened(work(bench.make(bench), sync="each")),
+    "worker, each": lambda bench: opened(work(bench.make(bench), sync_mode="each")),
 }
 LYING = "file on a lying disk"
 
 
-def allowed(puts: list[Put], marks: list[object]) -> dict[str, set[bytes | None]]:
+def allowed(puts: list[KeyValueWrite], marks: list[object]) -> dict[str, set[bytes | None]]:
     """For each key what may stand there: what was last told durable, or what was put later."""
     may: dict[str, set[bytes | None]] = {key: {None} for key, _ in puts}
     for mark in marks:
@@ -172,7 +179,7 @@
     return may
 
 
-def fits(puts: list[Put], marks: list[object], loaded: Loaded) -> None:
+def fits(puts: list[KeyValueWrite], marks: list[object], loaded: LoadResult) -> None:
     may = allowed(puts, marks)
     assert set(loaded.values) <= set(may), "a key that was never put"
     for key, values in may.items():
@@ -182,16 +189,25 @@
 def after_a_cut(bench: Bench, since: int = 0) -> int:
     """Play a power cut after each operation, in several ways; how many were played."""
     played = 0
-    for pick in (lying.lost, lying.kept, *(lying.torn(random.Random(seed)) for seed in range(5))):
+    for pick in (
+        faulty_disk.lose_unsynced,
+        faulty_disk.keep_unsynced,
+        *(faulty_disk.tear_unsynced(random.Random(seed)) for seed in range(5)),
+    ):
         highest = 0
-        for place, (marks, images) in enumerate(lying.images(bench.disk.steps, pick)):
+        for place, (marks, images) in enumerate(faulty_disk.power_cut_images(bench.disk.operations, pick)):
             if place >= since:
                 loaded = bench.found(images)
-                assert loaded.trouble is None, "an honest disk, and no operator is to be woken"
+                assert loaded.fault is None, "an honest disk, and no operator is to be woken"
                 fits(bench.puts, marks, loaded)
                 told = sum(mark[0] == "told" for mark in marks if isinstance(mark, tuple))
                 assert loaded.generation >= max(told, highest), "it only grows"
-                highest, played = loaded.generation if pick in (lying.lost, lying.kept) else 0, played + 1
+                highest, played = (
+                    loaded.generation
+                    if pick in (faulty_disk.lose_unsynced, faulty_disk.keep_unsynced)
+                    else 0,
+                    played + 1,
+                )
     return played
 
 
@@ -215,7 +231,7 @@
             generation = bench.store.generation
         assert bench.put("key 0", None) is None
         loaded = bench.again()
-        assert loaded.trouble is None and "key 0" not in loaded.values and len(loaded.values) == 4
+        assert loaded.fault is None and "key 0" not in loaded.values and len(loaded.values) == 4
         assert loaded.generation == bench.store.generation > generation
         fits(bench.puts, bench.book(), loaded)
 
@@ -230,7 +246,7 @@
 
 def rule_reset(bench: Bench) -> None:
     workload(bench, 5)
-    ends: list[Trouble | None] = []
+    ends: list[StoreFault | None] = []
     bench.store.reset(1000, ends.append)
     bench.store.put("later", b"kept", ends.append)
     until(bench.store, lambda: len(ends) == 2)
@@ -248,25 +264,25 @@
     """The fault is over: what a router does then."""
     bench.hand.kind = 0
     store = bench.store
-    if isinstance(store, Direct):
+    if isinstance(store, SynchronousStore):
         store.reopen()
     else:
         clock = CLOCKS[id(store)]
-        clock.now += AWHILE
+        clock.now += GIVEN_UP_PAUSE_MS
         count = len(clock.opened)
         until(store, lambda: len(clock.opened) > count)
 
 
 FAULTS = [
-    (Fault.FULL, 0.0, Trouble.FULL),
-    (Fault.EIO_WRITE, 0.0, Trouble.IO),
-    (Fault.READ_ONLY, 0.0, Trouble.READ_ONLY),
-    (Fault.GONE, 0.0, Trouble.IO),
-    *((Fault.EIO_SYNC, float(passed), Trouble.IO) for passed in range(4)),
+    (InjectedFault.DISK_FULL, 0.0, StoreFault.DISK_FULL),
+    (InjectedFault.EIO_WRITE, 0.0, StoreFault.IO_ERROR),
+    (InjectedFault.READ_ONLY, 0.0, StoreFault.READ_ONLY),
+    (InjectedFault.FOLDER_MISSING, 0.0, StoreFault.IO_ERROR),
+    *((InjectedFault.EIO_SYNC, float(passed), StoreFault.IO_ERROR) for passed in range(4)),
 ]
 
 
-def rule_trouble(bench: Bench, fault: tuple[Fault, float, Trouble]) -> None:
+def rule_trouble(bench: Bench, fault: tuple[InjectedFault, float, StoreFault]) -> None:
     kind, figure, trouble = fault
     for number in range(3):
         assert bench.put(f"key {number}", bytes([number]) * 3000) is None
@@ -276,10 +292,10 @@
     bench.hand.kind = 0
     generation = bench.store.generation
     assert bench.put("key 2", b"not believed yet") is trouble, "only an opening ends a trouble"
-    assert bench.store.trouble is trouble and bench.store.generation == generation
-    since = len(bench.disk.steps)
+    assert bench.store.fault is trouble and bench.store.generation == generation
+    since = len(bench.disk.operations)
     mended(bench)
-    assert bench.store.trouble is None
+    assert bench.store.fault is None
     assert bench.put("key 0", b"after") is None
     after_a_cut(bench, since)
     loaded = bench.again()
@@ -290,10 +306,10 @@
 def rule_gone(bench: Bench) -> None:
     workload(bench, 6)
     shutil.rmtree(bench.folder)
-    assert bench.put("key 1", b"to nowhere") in (Trouble.GONE, Trouble.IO)
-    if isinstance(bench.store, Direct):
+    assert bench.put("key 1", b"to nowhere") in (StoreFault.FOLDER_MISSING, StoreFault.IO_ERROR)
+    if isinstance(bench.store, SynchronousStore):
         bench.store.reopen()
-        assert bench.store.trouble is Trouble.GONE
+        assert bench.store.fault is StoreFault.FOLDER_MISSING
     assert not bench.folder.exists(), "a mount that is missing is not filled in"
     bench.folder.mkdir()
     mended(bench)
@@ -304,8 +320,8 @@
 def rule_locked(bench: Bench) -> None:
     workload(bench, 3)
     first = bench.store
-    second = Direct(bench.make(bench))
-    assert second.trouble is Trouble.LOCKED and not second.load().values
+    second = SynchronousStore(bench.make(bench))
+    assert second.fault is StoreFault.LOCKED and not second.load().values
     second.close()
     bench.store = first
     assert bench.put("key 1", b"still mine") is None
@@ -318,14 +334,14 @@
     whole = path.read_bytes()
     journal = path.with_name(f"{NAME}-journal").read_bytes()
     for _ in range(flips):
-        content = lying.flipped(whole, rng.randrange(8 * len(whole)))
+        content = faulty_disk.flip_bit(whole, rng.randrange(8 * len(whole)))
         loaded = bench.found({NAME: content, f"{NAME}-journal": journal})
-        said += loaded.trouble is Trouble.DAMAGED
-        if loaded.trouble is None:
+        said += loaded.fault is StoreFault.CORRUPTED
+        if loaded.fault is None:
             fits(bench.puts, bench.book(), loaded)
         for key, value in loaded.values.items():
             assert (key, value) in bench.puts, "never a value that was not put"
-        assert loaded.usable, "the rest of it can be used"
+        assert loaded.is_writable, "the rest of it can be used"
     assert said > flips // 4
 
 
@@ -337,53 +353,58 @@
     content = path.read_bytes()
     last = {key: value for key, value in bench.puts if value is not None}
     target = max((value for value in last.values() if value in content), key=len)
-    path.write_bytes(content.replace(target, lying.flipped(target, 8)))
+    path.write_bytes(content.replace(target, faulty_disk.flip_bit(target, 8)))
     loaded = bench.open().load()
-    assert loaded.trouble is Trouble.DAMAGED and target not in loaded.values.values()
-    assert path.with_name(file.ASIDE).exists()
+    assert loaded.fault is StoreFault.CORRUPTED and target not in loaded.values.values()
+    assert path.with_name(sqlite_store.QUARANTINE_FILE).exists()
     assert bench.put("new", b"value") is None
     again = bench.again()
-    assert again.trouble is None and again.values == {**loaded.values, "new": b"value"}
+    assert again.fault is None and again.values == {**loaded.values, "new": b"value"}
     assert again.generation > loaded.generation
 
 
-def rule_older(bench: Bench, kind: Fault) -> None:
+def rule_older(bench: Bench, kind: InjectedFault) -> None:
     """What peers remember shows it; then all is dropped, and the generation goes above theirs."""
     workload(bench, 4)
     bench.again()
-    if kind is Fault.UNSYNCED:
+    if kind is InjectedFault.UNSYNCED:
         bench.hand.kind = kind
     workload(bench, 4, seed=8)
     remembered = bench.store.generation
     bench.store.close()
-    if kind is Fault.UNSYNCED:
-        bench.disk.images.clear()  # the power cut: what the page cache held is gone
-    bench.hand.kind = Fault.OLDER if kind is Fault.OLDER else 0
+    if kind is InjectedFault.UNSYNCED:
+        bench.disk.cached_files.clear()  # the power cut: what the page cache held is gone
+    bench.hand.kind = InjectedFault.STALE_CONTENT if kind is InjectedFault.STALE_CONTENT else 0
     loaded = bench.open().load()
     bench.hand.kind = 0
-    assert loaded.trouble is None and loaded.values, "the disk alone can't be told from one that is right"
-    assert held.judge(loaded, [3, remembered]) is held.Verdict.DROP
-    ends: list[Trouble | None] = []
+    assert loaded.fault is None and loaded.values, "the disk alone can't be told from one that is right"
+    assert recovered_image.assess_content(loaded, [3, remembered]) is recovered_image.ContentVerdict.REJECTED
+    ends: list[StoreFault | None] = []
     bench.store.reset(remembered, ends.append)
     until(bench.store, lambda: bool(ends))
     loaded = bench.again()
-    assert not loaded.values and held.judge(loaded, [remembered]) is held.Verdict.KEEP
+    assert (
+        not loaded.values
+        and recovered_image.assess_content(loaded, [remembered]) is recovered_image.ContentVerdict.TRUSTED
+    )
 
 
-def rule_hung(bench: Bench, kind: type[Worker] = Worker) -> None:
+def rule_hung(bench: Bench, kind: type[StoreThread] = StoreThread) -> None:
     """A sync that never ends: nothing is acknowledged, the host is told in time, and can close."""
     bench.store.close()
-    worker = bench.store = opened(work(FileStore(bench.folder, vfs=bench.vfs), kind, closing=20.0))
+    worker = bench.store = opened(
+        work(SqliteBackend(bench.folder, vfs=bench.vfs), kind, close_timeout_ms=20.0)
+    )
     clock = CLOCKS[id(worker)]
-    bench.hand.kind = Fault.SLOW_SYNC
+    bench.hand.kind = InjectedFault.SLOW_SYNC
     bench.begin("key 1", b"hangs")
     assert bench.hung.wait(LONG)
-    worker.pump()
+    worker.run_callbacks()
     assert not bench.told, "not before the commit"
-    clock.now += SLOW
-    worker.pump()
-    assert bench.told == {0: Trouble.SLOW} and worker.trouble is Trouble.SLOW
-    assert bench.put("key 2", b"waits for the disk") is Trouble.SLOW
+    clock.now += RESPONSE_TIMEOUT_MS
+    worker.run_callbacks()
+    assert bench.told == {0: StoreFault.UNRESPONSIVE} and worker.fault is StoreFault.UNRESPONSIVE
+    assert bench.put("key 2", b"waits for the disk") is StoreFault.UNRESPONSIVE
     worker.close()
     assert worker._thread.is_alive(), "closing did not wait for the disk"
     assert sum("no answer" in line for line in clock.lines) == 1
@@ -404,7 +425,10 @@
     *((rule, FILES, TWO) for rule in (rule_gone, rule_locked, rule_mended)),
     (rule_power_cut, [LYING], TWO),
     *((partial(rule_trouble, fault=fault), [LYING], TWO) for fault in FAULTS),
-    *((partial(rule_older, kind=kind), [LYING], TWO) for kind in (Fault.OLDER, Fault.UNSYNCED)),
+    *(
+        (partial(rule_older, kind=kind), [LYING], TWO)
+        for kind in (InjectedFault.STALE_CONTENT, InjectedFault.UNSYNCED)
+    ),
     (rule_flipped, ["file"], ["direct"]),
     (rule_hung, [LYING], ["direct"]),
 ]
@@ -423,59 +447,67 @@
 
 
 Patch = tuple[object, str, object]
-INIT, RENEW, RUN, WRITE = FileStore.__init__, FileStore._renew, FileStore._run, Worker._do_write
-COMMIT = FileStore.commit
+INIT, RENEW, RUN, WRITE = (
+    SqliteBackend.__init__,
+    SqliteBackend._rewrite,
+    SqliteBackend._execute,
+    StoreThread._commit_batch,
+)
+COMMIT = SqliteBackend.commit
 UNSUMMED: tuple[Patch, ...] = (
-    (file, "row_sum", lambda *_: bytes(16)),
-    (file, "head_sum", lambda *_: bytes(16)),
+    (sqlite_store, "row_sum", lambda *_: bytes(16)),
+    (sqlite_store, "head_sum", lambda *_: bytes(16)),
 )
 
 
-def _unsynced(self: FileStore, folder: Path, vfs: str | None = None) -> None:
+def _unsynced(self: SqliteBackend, folder: Path, vfs: str | None = None) -> None:
     INIT(self, folder, "none", vfs)
 
 
-def _believing(self: FileStore, values: Any, generation: int) -> None:
-    if self._known is None or self._first().trouble is not None:
+def _believing(self: SqliteBackend, values: Any, generation: int) -> None:
+    if self._acknowledged is None or self._recover().fault is not None:
         RENEW(self, values, generation)
 
 
-def _stubborn(self: FileStore, puts: Any, above: int | None = None) -> None:
+def _stubborn(self: SqliteBackend, puts: Any, above: int | None = None) -> None:
     if self._connection is None:
-        self._first()
+        self._recover()
     COMMIT(self, puts, above)
 
 
 def _instead(old: str, new: str) -> Patch:
     """SQL in which one word is another."""
-    return FileStore, "_run", lambda self, text, bindings=(): RUN(self, text.replace(old, new), bindings)
+    return SqliteBackend, "_run", lambda self, text, bindings=(): RUN(self, text.replace(old, new), bindings)
 
 
-def _eager(self: Worker, batch: Any) -> Any:
+def _eager(self: StoreThread, batch: Any) -> Any:
     dones, batch.dones = batch.dones, []
-    self._ends.append(lambda: self._tell(dones, None))
+    self._completions.append(lambda: self._call_back(dones, None))
     return WRITE(self, batch)
 
 
 PLANTED: dict[str, tuple[Rule, tuple[Patch, ...]]] = {
-    "acknowledges before the sync": (rule_power_cut, ((FileStore, "__init__", _unsynced),)),
+    "acknowledges before the sync": (rule_power_cut, ((SqliteBackend, "__init__", _unsynced),)),
     "after a failed sync takes what the system says of the file for what is on the disk": (
-        partial(rule_trouble, fault=(Fault.EIO_SYNC, 3.0, Trouble.IO)),
-        ((FileStore, "_renew", _believing),),
+        partial(rule_trouble, fault=(InjectedFault.EIO_SYNC, 3.0, StoreFault.IO_ERROR)),
+        ((SqliteBackend, "_renew", _believing),),
     ),
     "goes on writing after a failed sync as if nothing had been": (
-        partial(rule_trouble, fault=(Fault.EIO_SYNC, 2.0, Trouble.IO)),
-        ((FileStore, "commit", _stubborn),),
+        partial(rule_trouble, fault=(InjectedFault.EIO_SYNC, 2.0, StoreFault.IO_ERROR)),
+        ((SqliteBackend, "commit", _stubborn),),
     ),
     "has no sums": (rule_flipped, UNSUMMED),
     "takes a value of which a half was written": (
         rule_power_cut,
         (_instead("journal_mode=PERSIST", "journal_mode=OFF"), *UNSUMMED),
     ),
-    "writes rows and head apart": (rule_power_cut, ((FileStore, "_transaction", lambda _: nullcontext()),)),
+    "writes rows and head apart": (
+        rule_power_cut,
+        ((SqliteBackend, "_transaction", lambda _: nullcontext()),),
+    ),
     "believes an older generation": (
-        partial(rule_older, kind=Fault.OLDER),
-        ((held, "judge", lambda *_: held.Verdict.KEEP),),
+        partial(rule_older, kind=InjectedFault.STALE_CONTENT),
+        ((recovered_image, "judge", lambda *_: recovered_image.ContentVerdict.TRUSTED),),
     ),
     "no lock against a second writer": (
         rule_locked,
@@ -483,9 +515,9 @@
     ),
     "does not look whether its file is still in its folder": (
         rule_gone,
-        ((file, "_inode", lambda _: (0, 0)),),
+        ((sqlite_store, "_inode", lambda _: (0, 0)),),
     ),
-    "tells the ends of a batch before it is committed": (rule_hung, ((Worker, "_do_write", _eager),)),
+    "tells the ends of a batch before it is committed": (rule_hung, ((StoreThread, "_do_write", _eager),)),
 }
 
 
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -1,6 +1,7 @@
 """Samples of all that goes over a wire or onto a disk, each made by a deterministic builder.
 
-``python -m tests.golden_samples --write`` keeps them in ``tests/golden``; ``tests/test_golden.py`` compares.
+``python -m tests.golden_samples --write`` keeps them in ``tests/golden``.
+``tests/contracts/test_golden.py`` compares.
 What is read is kept as plain values: no name of a class, field or member stands in a file.
 """
 
@@ -27,41 +28,75 @@
 
 import msgspec
 
-from cedarthread import interface as i
-from cedarthread import parts, simhost, wire
+from cedarthread import fleet_config
+from cedarthread.change_freeze import window
+from cedarthread.components import interface
+from cedarthread.components.node import RoutingNode
 from cedarthread.config import Config
-from cedarthread.config import read as read_config
-from cedarthread.core import calls
-from cedarthread.decisions import Decisions
-from cedarthread.freeze import window
-from cedarthread.membership import form as members_form
-from cedarthread.net import dns, http, invoke, msgpack, platform, resolver, runners
-from cedarthread.net.invoke_config import InvokeConfig
-from cedarthread.net.invoke_config import parse as parse_invoke
-from cedarthread.net.roster import Listing, Roster
-from cedarthread.recovery import form as return_form
-from cedarthread.recovery import pace
-from cedarthread.recovery.knowledge import Told
-from cedarthread.recovery.recovery import Recovery
-from cedarthread.register import declared, grants_form
-from cedarthread.register import entry as entries
-from cedarthread.register import form as register_form
-from cedarthread.register.grants import Grants
+from cedarthread.config import decode as read_config
+from cedarthread.dispatch import calls
+from cedarthread.escrow import codec as escrow_codec
+from cedarthread.escrow.escrow import Escrow
+from cedarthread.gossip import codec as gossip_codec
+from cedarthread.gossip.load_gossip import LoadGossip
+from cedarthread.membership import codec as members_form
+from cedarthread.model.actions import (
+    Action,
+    CancelAttempt,
+    CheckHealth,
+    CloseIdleConnections,
+    FailRequest,
+    FetchEndpoints,
+    LogMessage,
+    PreloadFunction,
+    RejectRequest,
+    SendToPeer,
+    SetTimer,
+    StartAttempt,
+    SubscribeEndpoints,
+    UnloadFunction,
+)
+from cedarthread.model.endpoints import EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    Event,
+    HealthCheckEnded,
+    PeerMessageReceived,
+    PreloadEnded,
+    RequestArrived,
+    StreamStarted,
+    TimerFired,
+)
+from cedarthread.model.outcomes import Outcome, StartKind
+from cedarthread.model.settings import Limits, RouterSettings, Tenant
+from cedarthread.persistence import recovered_image
+from cedarthread.persistence.sqlite_store import SqliteBackend
+from cedarthread.persistence.store import LoadResult, SyncMode
+from cedarthread.priority import codec as pressure_form
+from cedarthread.priority import contracts
+from cedarthread.protocols import discovery as protocols_discovery
+from cedarthread.protocols import dns, http, invoke, msgpack, platform
+from cedarthread.protocols import workers as protocols_workers
+from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
+from cedarthread.protocols.invoke_config import InvokeConfig
+from cedarthread.protocols.invoke_config import parse as parse_invoke
+from cedarthread.recovery import codec as return_form
+from cedarthread.recovery import pacing
+from cedarthread.recovery.component import RecoveryComponent
+from cedarthread.recovery.warm_state import AgedObservation
+from cedarthread.replication import codec as register_form
+from cedarthread.replication import entry as entries
 from cedarthread.service import Service
-from cedarthread.spread import datagram
-from cedarthread.spread.talk import Talk
-from cedarthread.standins import client as client_side
-from cedarthread.standins import resolver as resolver_side
-from cedarthread.standins.scripted import Runner, ask, listing, service
-from cedarthread.standins.settings import SETTINGS as STANDIN_SETTINGS
-from cedarthread.store import held
-from cedarthread.store.contract import Loaded, Sync
-from cedarthread.store.file import FileStore
-from cedarthread.tiers import contract
-from cedarthread.tiers import form as pressure_form
+from cedarthread.simulator import codec
+from cedarthread.simulator import host as simulator_host
+from cedarthread.testing.fakes import client as client_side
+from cedarthread.testing.fakes import discovery_server as resolver_side
+from cedarthread.testing.fakes.scripted import Runner, ask, listing, service
+from cedarthread.testing.fakes.settings import SETTINGS as STANDIN_SETTINGS
 from tests.helpers import settings as some_settings
 from tests.helpers import worker
-from tests.test_invoke import DESK, Authority, Caller, config
+from tests.integration.test_invoke import DESK, Authority, Caller, config
 
 FOLDER = Path(__file__).parent / "golden"
 FUNCTION = 0x7F3A9C21E0B4D655
@@ -110,8 +145,8 @@
 
 def readable(message: object) -> object:
     """What was decoded, which must not be the word for what can't be."""
-    if isinstance(message, datagram.Unreadable):
-        raise ValueError(message.why)
+    if isinstance(message, gossip_codec.MalformedDatagram):
+        raise ValueError(message.reason)
     return message
 
 
@@ -119,73 +154,80 @@
 
 
 def _gossip_again(data: bytes) -> bytes:
-    news = datagram.decode(data)
-    if isinstance(news, datagram.Unreadable):
-        raise ValueError(news.why)
-    return datagram.encode(news)
+    news = gossip_codec.decode(data)
+    if isinstance(news, gossip_codec.MalformedDatagram):
+        raise ValueError(news.reason)
+    return gossip_codec.encode(news)
 
 
 def _gossip(name: str, data: bytes) -> Sample:
-    return Sample(name, data, lambda raw: plain(readable(datagram.decode(raw))), _gossip_again)
+    return Sample(name, data, lambda raw: plain(readable(gossip_codec.decode(raw))), _gossip_again)
 
 
 def talk_exchange() -> list[tuple[str, bytes]]:
     """Two routers that tell each other of their calls."""
-    one = Talk(some_settings(gateways=3, ordinal=0), 11, 0x01020304)
-    two = Talk(some_settings(gateways=3, ordinal=1), 12, 0xF1F2F3F4)
+    one = LoadGossip(some_settings(router_count=3, router_index=0), 11, 0x01020304)
+    two = LoadGossip(some_settings(router_count=3, router_index=1), 12, 0xF1F2F3F4)
     said: list[tuple[str, bytes]] = []
     now: float = 0.0
     for step in range(12):
         for number, talk in enumerate((one, two)):
             for call in range(1 + step % 3):
-                talk.call()
-                talk.sent(1 + (step + call) % 4, FUNCTION + 977 * call)
+                talk.on_first_attempt()
+                talk.on_attempt_sent(1 + (step + call) % 4, FUNCTION + 977 * call)
             if step > 2:
-                talk.ended(now, 1 + step % 4, FUNCTION, (True, False, None)[step % 3])
-            for tell in talk.tell(now):
-                said.append((f"exchange {step} of {number} for {tell.peer}", tell.data))
+                talk.on_attempt_ended(now, 1 + step % 4, FUNCTION, (True, False, None)[step % 3])
+            for tell in talk.collect_due_datagrams(now):
+                said.append((f"exchange {step} of {number} for {tell.peer_index}", tell.data))
                 other = two if talk is one else one
-                other.hear(now, number, tell.data)
+                other.on_message(now, number, tell.data)
         now += 400.0
     return said
 
 
 def gossip() -> list[Sample]:
-    copies = (datagram.CopyNews(datagram.fold(FUNCTION), 3, 1250.0), datagram.CopyNews(1, 300, None))
-    workers = (datagram.WorkerNews(7, 12, copies), datagram.WorkerNews(2**32 - 1, 999))
-    full = tuple(datagram.WorkerNews(n, n, (datagram.CopyNews(n, 1, 100.0 * n),)) for n in range(20))
-    news: dict[str, datagram.News] = {
-        "asks": datagram.News(0xDEADBEEF, 1, True, ()),
-        "workers and copies": datagram.News(0xDEADBEEF, 77, False, workers),
-        "filled up": datagram.News(1, 2**32 - 1, False, full),
-        "oldest find": datagram.News(
-            5, 6, True, (datagram.WorkerNews(1, 0, (datagram.CopyNews(2, 0, 1e9),)),)
+    copies = (
+        gossip_codec.InstanceUpdate(gossip_codec.fold_function_id(FUNCTION), 3, 1250.0),
+        gossip_codec.InstanceUpdate(1, 300, None),
+    )
+    workers = (gossip_codec.WorkerUpdate(7, 12, copies), gossip_codec.WorkerUpdate(2**32 - 1, 999))
+    full = tuple(
+        gossip_codec.WorkerUpdate(n, n, (gossip_codec.InstanceUpdate(n, 1, 100.0 * n),)) for n in range(20)
+    )
+    news: dict[str, gossip_codec.LoadUpdate] = {
+        "asks": gossip_codec.LoadUpdate(0xDEADBEEF, 1, True, ()),
+        "workers and copies": gossip_codec.LoadUpdate(0xDEADBEEF, 77, False, workers),
+        "filled up": gossip_codec.LoadUpdate(1, 2**32 - 1, False, full),
+        "oldest find": gossip_codec.LoadUpdate(
+            5, 6, True, (gossip_codec.WorkerUpdate(1, 0, (gossip_codec.InstanceUpdate(2, 0, 1e9),)),)
         ),
     }
-    made = [_gossip(name, datagram.encode(one)) for name, one in news.items()]
+    made = [_gossip(name, gossip_codec.encode(one)) for name, one in news.items()]
     return made + [_gossip(name, data) for name, data in talk_exchange()]
 
 
 def _members_again(data: bytes) -> bytes:
     message = members_form.decode(data)
-    if isinstance(message, datagram.Unreadable):
-        raise ValueError(message.why)
+    if isinstance(message, gossip_codec.MalformedDatagram):
+        raise ValueError(message.reason)
     return members_form.encode(message)
 
 
 def membership() -> list[Sample]:
-    status: tuple[members_form.Status, ...] = (
-        members_form.Status.ALIVE,
-        members_form.Status.SUSPECT,
-        members_form.Status.DEAD,
+    status: tuple[members_form.MemberStatus, ...] = (
+        members_form.MemberStatus.ALIVE,
+        members_form.MemberStatus.SUSPECT,
+        members_form.MemberStatus.DEAD,
     )
-    some = tuple(members_form.Entry(n, 1000 + n, status[n % 3]) for n in range(5))
-    full = tuple(members_form.Entry(n, n, status[n % 3]) for n in range(members_form.ENTRIES))
-    messages: dict[str, members_form.Message] = {
-        "ping": members_form.Message(members_form.Kind.PING, 3, 17),
-        "answer": members_form.Message(members_form.Kind.ANSWER, 4, 17, 0, some),
-        "ask for another": members_form.Message(members_form.Kind.ASK, 2**32 - 1, 65535, 9, some[:1]),
-        "news filled up": members_form.Message(members_form.Kind.NEWS, 5, 0, 0, full),
+    some = tuple(members_form.MemberUpdate(n, 1000 + n, status[n % 3]) for n in range(5))
+    full = tuple(members_form.MemberUpdate(n, n, status[n % 3]) for n in range(members_form.MAX_UPDATES))
+    messages: dict[str, members_form.SwimMessage] = {
+        "ping": members_form.SwimMessage(members_form.MessageKind.PING, 3, 17),
+        "answer": members_form.SwimMessage(members_form.MessageKind.ACK, 4, 17, 0, some),
+        "ask for another": members_form.SwimMessage(
+            members_form.MessageKind.PING_REQUEST, 2**32 - 1, 65535, 9, some[:1]
+        ),
+        "news filled up": members_form.SwimMessage(members_form.MessageKind.UPDATE, 5, 0, 0, full),
     }
     return [
         Sample(
@@ -200,22 +242,24 @@
 
 def _register_again(data: bytes) -> bytes:
     message = register_form.decode(data)
-    if isinstance(message, datagram.Unreadable):
-        raise ValueError(message.why)
+    if isinstance(message, gossip_codec.MalformedDatagram):
+        raise ValueError(message.reason)
     return register_form.encode(message)
 
 
 def register() -> list[Sample]:
     body = bytes(range(256)) * 3
-    first, *_, last = register_form.pieces(body, 0x1122334455667788)
+    first, *_, last = register_form.split_into_fragments(body, 0x1122334455667788)
     messages: dict[str, register_form.Message] = {
-        "pull": register_form.Pull(1, 2**63 + 5, 3, 208, 9),
-        "reply": register_form.Reply(1, 2, 3, True, 40, 0, bytes((0, 63, 64, 128, 255)), 8, 1.75e12),
-        "reply without wall clock": register_form.Reply(1, 2, 3, False, 1, 208, b""),
-        "ask": register_form.Ask(5, tuple(n * 0x0102030405 for n in range(register_form.BUCKETS))),
+        "pull": register_form.SyncRequest(1, 2**63 + 5, 3, 208, 9),
+        "reply": register_form.SyncResponse(1, 2, 3, True, 40, 0, bytes((0, 63, 64, 128, 255)), 8, 1.75e12),
+        "reply without wall clock": register_form.SyncResponse(1, 2, 3, False, 1, 208, b""),
+        "ask": register_form.SummaryRequest(
+            5, tuple(n * 0x0102030405 for n in range(register_form.BUCKET_COUNT))
+        ),
         "summary": register_form.Summary(5, 6, 7, 0b110, 0, 1, ((1, 2), (2, 2**32 - 1), (33, 0))),
         "summary in parts": register_form.Summary(5, 6, 7, 0b10, 1, 3, ((1, 2), (33, 4))),
-        "want": register_form.Want(((1, 2, register_form.ALL), (2**32 - 1, 0, 5))),
+        "want": register_form.FetchRequest(((1, 2, register_form.ALL_FRAGMENTS), (2**32 - 1, 0, 5))),
         "first piece": first,
         "last piece": last,
     }
@@ -284,28 +328,37 @@
 """
 
 
-def declared_entries() -> list[parts.Entry]:
+def declared_entries() -> list[interface.Entry]:
     """The entries of the operators' file, each with a version."""
-    fleet: declared.Fleet = declared.parse(FLEET)
-    bodies: list[tuple[parts.Kind, str, bytes]] = [*contract.entries(fleet), *window.bodies(fleet)]
+    fleet: fleet_config.FleetConfig = fleet_config.parse_fleet_config(FLEET)
+    bodies: list[tuple[interface.EntryKind, str, bytes]] = [
+        *contracts.entries_from_config(fleet),
+        *window.entries_from_config(fleet),
+    ]
     return [
-        parts.Entry(kind, name, parts.Version(number + 1, number % 3, 2**63 + number), body, number * 2**60)
+        interface.Entry(
+            kind, name, interface.Version(number + 1, number % 3, 2**63 + number), body, number * 2**60
+        )
         for number, (kind, name, body) in enumerate(bodies)
     ]
 
 
-def _entry_of(data: bytes) -> parts.Entry:
+def _entry_of(data: bytes) -> interface.Entry:
     entry = entries.decode(data)
-    if isinstance(entry, entries.Refused):
-        raise ValueError(entry.what)
+    if isinstance(entry, entries.RejectedEntry):
+        raise ValueError(entry.problem)
     return entry
 
 
 def _entry_reads(data: bytes) -> Json:
     entry = _entry_of(data)
-    sums: list[int] = [entries.digest(entry), entries.key_id(entry.kind, entry.name)]
-    if entry.kind in (parts.Kind.TIERS, parts.Kind.CONTRACT):
-        said: object = contract.order(entry) if entry.kind is parts.Kind.TIERS else contract.terms(entry)
+    sums: list[int] = [entries.entry_digest(entry), entries.key_hash(entry.kind, entry.name)]
+    if entry.kind in (interface.EntryKind.TIERS, interface.EntryKind.CONTRACT):
+        said: object = (
+            contracts.decode_tier_order(entry)
+            if entry.kind is interface.EntryKind.TIERS
+            else contracts.decode_contract(entry)
+        )
     else:
         said = window.decode(entry.kind, entry.name, entry.body)
     return [plain(entry), plain(sums), plain(readable(said))]
@@ -324,23 +377,26 @@
 
 
 def _grants_again(data: bytes) -> bytes:
-    message = grants_form.decode(data)
-    if isinstance(message, datagram.Unreadable):
-        raise ValueError(message.why)
-    return grants_form.encode(message)
+    message = escrow_codec.decode(data)
+    if isinstance(message, gossip_codec.MalformedDatagram):
+        raise ValueError(message.reason)
+    return escrow_codec.encode(message)
 
 
 def grants() -> list[Sample]:
-    pool: int = grants_form.key("tenant/shop")
-    messages: dict[str, grants_form.Ask | grants_form.Answer] = {
-        "ask": grants_form.Ask(pool, 2**64 - 1, 7, 12),
-        "ask for most": grants_form.Ask(pool, 1, 2**32 - 1, 2**40),
-        "answer": grants_form.Answer(pool, 1, 2, 3, 4, 5, 4000, 1000, 60, 2),
-        "answer none": grants_form.Answer(pool, 1, 3, 3, 4, 0, 0, 2**40, 0),
+    pool: int = escrow_codec.pool_key("tenant/shop")
+    messages: dict[str, escrow_codec.EscrowRequest | escrow_codec.EscrowResponse] = {
+        "ask": escrow_codec.EscrowRequest(pool, 2**64 - 1, 7, 12),
+        "ask for most": escrow_codec.EscrowRequest(pool, 1, 2**32 - 1, 2**40),
+        "answer": escrow_codec.EscrowResponse(pool, 1, 2, 3, 4, 5, 4000, 1000, 60, 2),
+        "answer none": escrow_codec.EscrowResponse(pool, 1, 3, 3, 4, 0, 0, 2**40, 0),
     }
     return [
         Sample(
-            name, grants_form.encode(one), lambda raw: plain(readable(grants_form.decode(raw))), _grants_again
+            name,
+            escrow_codec.encode(one),
+            lambda raw: plain(readable(escrow_codec.decode(raw))),
+            _grants_again,
         )
         for name, one in messages.items()
     ]
@@ -348,23 +404,23 @@
 
 def _return_again(data: bytes) -> bytes:
     message = return_form.decode(data)
-    if isinstance(message, datagram.Unreadable):
-        raise ValueError(message.why)
+    if isinstance(message, gossip_codec.MalformedDatagram):
+        raise ValueError(message.reason)
     return return_form.encode(message)
 
 
 def recovery() -> list[Sample]:
-    places = [Told(n % 3, 50 + n % 3, 1000 + n, 49.0 * n, n % 4 > 0, n % 16) for n in range(60)]
-    groups: list[list[Told]] = return_form.grouped(places)
+    places = [AgedObservation(n % 3, 50 + n % 3, 1000 + n, 49.0 * n, n % 4 > 0, n % 16) for n in range(60)]
+    groups: list[list[AgedObservation]] = return_form.split_into_datagrams(places)
     messages: dict[str, return_form.Message] = {
-        "ask": return_form.Ask(2**32 - 1, 3, 4),
+        "ask": return_form.Query(2**32 - 1, 3, 4),
         "busy": return_form.Busy(9, 750.0, 12),
         "busy naming nobody": return_form.Busy(9, 1e9),
-        "tell nothing": return_form.Tell(9, 0, 1, None, 0.0),
-        "tell rates": return_form.Tell(9, 0, 1, 0.5, 12300.0, tuple(places[:3]), (1.25, 0.5)),
+        "tell nothing": return_form.Response(9, 0, 1, None, 0.0),
+        "tell rates": return_form.Response(9, 0, 1, 0.5, 12300.0, tuple(places[:3]), (1.25, 0.5)),
     }
     for number, group in enumerate(groups):
-        messages[f"part {number}"] = return_form.Tell(9, number, len(groups), 1.0, 1e9, tuple(group))
+        messages[f"part {number}"] = return_form.Response(9, number, len(groups), 1.0, 1e9, tuple(group))
     return [
         Sample(
             name, return_form.encode(one), lambda raw: plain(readable(return_form.decode(raw))), _return_again
@@ -375,18 +431,18 @@
 
 def _pressure_again(data: bytes) -> bytes:
     told = pressure_form.decode(data)
-    if isinstance(told, datagram.Unreadable):
-        raise ValueError(told.why)
+    if isinstance(told, gossip_codec.MalformedDatagram):
+        raise ValueError(told.reason)
     return pressure_form.encode(list(told))
 
 
 def pressure() -> list[Sample]:
     full = [
-        pressure_form.Told(n, n / 10, 1.7**n if n < 20 else 1e6, 333.0 * n)
-        for n in range(pressure_form.ENTRIES)
+        pressure_form.RouterPressure(n, n / 10, 1.7**n if n < 20 else 1e6, 333.0 * n)
+        for n in range(pressure_form.MAX_ENTRIES)
     ]
-    told: dict[str, list[pressure_form.Told]] = {
-        "own": [pressure_form.Told(0, 1.0, 250.0, 0.0)],
+    told: dict[str, list[pressure_form.RouterPressure]] = {
+        "own": [pressure_form.RouterPressure(0, 1.0, 250.0, 0.0)],
         "filled up": full,
     }
     return [
@@ -414,59 +470,63 @@
         self.records: list[bytes] = []
         self.post: list[tuple[int, int, bytes]] = []
         self.timers: list[tuple[float, int, int]] = []
-        limits: i.Limits = dataclasses.replace(some_settings().limits, peers=True)
-        tenants = (i.Tenant("shop", 0.5, None), i.Tenant("m\u00fcller", 0.5, None))
-        self.all: list[Decisions] = [
-            Decisions(
-                some_settings(gateways=count, ordinal=n, limits=limits, tenants=tenants), 70 + n, 500 + n
+        limits: Limits = dataclasses.replace(some_settings().limits, allows_gossip=True)
+        tenants = (Tenant("shop", 0.5, None), Tenant("m\u00fcller", 0.5, None))
+        self.all: list[RoutingNode] = [
+            RoutingNode(
+                some_settings(router_count=count, router_index=n, limits=limits, tenants=tenants),
+                70 + n,
+                500 + n,
             )
             for n in range(count)
         ]
-        fleet: declared.Fleet = declared.parse(
+        fleet: fleet_config.FleetConfig = fleet_config.parse_fleet_config(
             FLEET.replace(b'[disk]\nfolder = "kept"\nsync = "each"\n', b"")
         )
         ready = tuple(worker(n, started=100.0 * n) for n in range(1, 7))
         for who in range(count):
-            self.feed(who, i.Membership(i.ListKind.CACHED, 1, ready))
-            self.act(who, self.all[who].declare(self.now, fleet, lambda: WALL + self.now))
+            self.feed(who, EndpointUpdate(EndpointUpdateKind.CACHED, 1, ready))
+            self.act(who, self.all[who].apply_fleet_config(self.now, fleet, lambda: WALL + self.now))
 
-    def feed(self, who: int, event: i.Event) -> None:
+    def feed(self, who: int, event: Event) -> None:
         self.act(who, self.all[who].handle(self.now, event))
 
-    def act(self, who: int, actions: Sequence[i.Action]) -> None:
+    def act(self, who: int, actions: Sequence[Action]) -> None:
         for action in actions:
-            self.records.append(wire.encode_instance(who) + wire.encode_action(action))
-            if isinstance(action, i.Tell):
+            self.records.append(codec.encode_instance(who) + codec.encode_action(action))
+            if isinstance(action, SendToPeer):
                 self.told.append(action.data)
                 others = [n for n in range(len(self.all)) if n != who]
-                self.post += [(who, to, action.data) for to in others if action.peer in (None, to)]
-            elif isinstance(action, i.SetTimer):
-                self.timers.append((action.at, who, action.token))
+                self.post += [(who, to, action.data) for to in others if action.peer_index in (None, to)]
+            elif isinstance(action, SetTimer):
+                self.timers.append((action.at_ms, who, action.token))
 
     def run(self, steps: int) -> None:
         for step in range(steps):
             self.now += 50.0
             post, self.post = self.post, []
             for sender, to, data in post:
-                self.feed(to, i.PeerMessage(sender, data))
+                self.feed(to, PeerMessageReceived(sender, data))
             due = sorted(one for one in self.timers if one[0] <= self.now)
             self.timers = [one for one in self.timers if one[0] > self.now]
             for _, who, token in due:
-                self.feed(who, i.TimerDue(token))
+                self.feed(who, TimerFired(token))
             if step % 2 == 0:
                 self.call(step)
 
     def call(self, step: int) -> None:
         who = step // 2 % len(self.all)
         function = FUNCTION + step % 10
-        request = i.Request(step + 1, function, 0, self.now + 1000.0, step // 2 % 2, 1.0, 128.0, 300.0, 20.0)
+        request = RequestArrived(
+            step + 1, function, 0, self.now + 1000.0, step // 2 % 2, 1.0, 128.0, 300.0, 20.0
+        )
         before: int = len(self.records)
         self.feed(who, request)
         for record in self.records[before:]:
             if record[5] == 71:  # an attempt: it ends at once, and well
                 number, at = struct.unpack_from("<II", record, 6)
-                note = i.CopyNote.BEGAN if step < 20 else i.CopyNote.FOUND
-                self.feed(who, i.AttemptEnded(number, 0, at, i.Outcome.OK, 20.0, True, note, 0))
+                note = StartKind.COLD if step < 20 else StartKind.WARM
+                self.feed(who, AttemptEnded(number, 0, at, Outcome.OK, 20.0, True, note, 0))
 
 
 def fleet() -> list[Sample]:
@@ -492,7 +552,7 @@
     for name, parts_of in (("all datagrams", routers.told), ("all actions", routers.records)):
         samples.append(Sample(f"{name} sha256", hashlib.sha256(b"".join(parts_of)).digest()))
     for who, router in enumerate(routers.all):
-        samples.append(text(f"state {who}", json.dumps(router.state(routers.now), indent=0, sort_keys=True)))
+        samples.append(text(f"state {who}", json.dumps(router.status(routers.now), indent=0, sort_keys=True)))
     return samples
 
 
@@ -521,15 +581,19 @@
     }
 
     def reads(raw: bytes) -> Json:
-        return plain(runners.read_ending(json.loads(raw), columns))
+        return plain(protocols_workers.parse_call_response(json.loads(raw), columns))
 
     tag: str = "load-1"
     return [
-        Sample("call", runners.call_line(call(b"body \x00\xff", None), '"check"', 1234.9)),
-        Sample("keyed call", runners.call_line(call(b"", 'k"\u00e9'), json.dumps("rev\u00fc"), 0.2)),
-        Sample("load", runners.order_line("LOAD", tag, {"thing": f"{FUNCTION:016x}", "pods": 2})),
-        Sample("cancel", runners.order_line("CANCEL", "00000000000000a1")),
-        Sample("unload", runners.order_line("UNLOAD", f"{FUNCTION:016x}")),
+        Sample("call", protocols_workers.encode_call(call(b"body \x00\xff", None), '"check"', 1234.9)),
+        Sample(
+            "keyed call", protocols_workers.encode_call(call(b"", 'k"\u00e9'), json.dumps("rev\u00fc"), 0.2)
+        ),
+        Sample(
+            "load", protocols_workers.encode_message("LOAD", tag, {"thing": f"{FUNCTION:016x}", "pods": 2})
+        ),
+        Sample("cancel", protocols_workers.encode_message("CANCEL", "00000000000000a1")),
+        Sample("unload", protocols_workers.encode_message("UNLOAD", f"{FUNCTION:016x}")),
         *(Sample(f"answer {name}", json.dumps(one).encode(), reads) for name, one in answers.items()),
     ]
 
@@ -538,25 +602,32 @@
 
 
 def platform_wire() -> list[Sample]:
-    some: i.Settings = some_settings()
+    some: RouterSettings = some_settings()
 
     def message(raw: bytes) -> Json:
         got = msgpack.parse(memoryview(raw))
-        if not isinstance(got, msgpack.Value):
+        if not isinstance(got, msgpack.ParsedValue):
             raise ValueError("no whole value")
         return [plain(got.value), got.end]
 
     def request(raw: bytes) -> Json:
         got = msgpack.parse(memoryview(raw))
-        if not isinstance(got, msgpack.Value):
+        if not isinstance(got, msgpack.ParsedValue):
             raise ValueError("no whole value")
         fields, body = got.value[3]
         klass: int = {"a": 0, "c": 2}[got.value[2]]
-        call = platform.read_call(klass, some, fields, body, 1000.0)
+        call = platform.parse_call(klass, some, fields, body, 1000.0)
         if isinstance(call, str):
             return call
-        own = (call.name, call.klass, call.function, call.give_up, call.body, call.key)
-        return plain((*own, call.lanes, call.memory, call.repeat))
+        own = (
+            call.call_id,
+            call.class_index,
+            call.function_id,
+            call.deadline_ms,
+            call.body,
+            call.idempotency_key,
+        )
+        return plain((*own, call.concurrency, call.memory, call.is_client_retry))
 
     asked: dict[str, str] = {"txn": "00000000000000a1", "limit": "3000", "item": "7f3a9c21e0b4d655"}
     changes: dict[str, tuple[str, dict[str, str]]] = {
@@ -568,14 +639,14 @@
         "limit out of range": ("a", {"limit": "0"}),
         "bad figures": ("a", {"props": "lanes:-1"}),
     }
-    answers: dict[str, calls.Answer] = {
-        "served": calls.Served(b"body \x00\xff"),
-        "served long": calls.Served(bytes(range(256)) * 2),
-        "refused": calls.Refused(250.4),
-        "refused with reason": calls.Refused(0.2, False, "frozen"),
-        "refused without time": calls.Refused(None, True),
-        "failed": calls.Failed(),
-        "failed late": calls.Failed(True),
+    answers: dict[str, calls.CallResult] = {
+        "served": calls.CallSucceeded(b"body \x00\xff"),
+        "served long": calls.CallSucceeded(bytes(range(256)) * 2),
+        "refused": calls.CallRejected(250.4),
+        "refused with reason": calls.CallRejected(0.2, False, "frozen"),
+        "refused without time": calls.CallRejected(None, True),
+        "failed": calls.CallFailed(),
+        "failed late": calls.CallFailed(True),
     }
     numbers: list[int] = [0, 127, 128, 255, 256, 65535, 65536, 2**32 - 1, 2**32, 2**64 - 1]
     return [
@@ -585,12 +656,12 @@
         ),
         Sample("request health", client_side.health(), message),
         *(
-            Sample(f"response {name}", platform.pack_answer(70_000, one), message)
+            Sample(f"response {name}", platform.encode_answer(70_000, one), message)
             for name, one in answers.items()
         ),
-        Sample("response no", platform.pack_error(3, "BadRequest", {"reason": "x" * 40}), message),
-        Sample("response ready", platform.pack_health(3, True), message),
-        Sample("response not ready", platform.pack_health(2**32, False), message),
+        Sample("response no", platform.encode_error(3, "BadRequest", {"reason": "x" * 40}), message),
+        Sample("response ready", platform.encode_health(3, True), message),
+        Sample("response not ready", platform.encode_health(2**32, False), message),
         *(Sample(f"number {number}", msgpack.pack_uint(number), message) for number in numbers),
         Sample("text", msgpack.pack_str("\u00e9" * 30), message),
         Sample("bytes", msgpack.pack_bin(bytes(300)), message),
@@ -603,7 +674,7 @@
 
 
 def discovery() -> list[Sample]:
-    query: bytes = dns.query(0xBEEF, resolver.NAME)
+    query: bytes = dns.encode_query(0xBEEF, protocols_discovery.SERVICE_NAME)
     listed = (
         resolver_side.Listed("s-00000001", 9001, False, 0.0),
         resolver_side.Listed("s-00000002", 9002, True, 1234.0),
@@ -611,9 +682,9 @@
 
     def reads(raw: bytes) -> Json:
         reply = dns.parse(raw)
-        if isinstance(reply, dns.Unusable):
-            return reply.why
-        return [plain(reply), plain(resolver.listings(reply))]
+        if isinstance(reply, dns.UnusableReply):
+            return reply.reason
+        return [plain(reply), plain(protocols_discovery.endpoints_from_reply(reply))]
 
     whole: bytes = resolver_side.reply(query, 41, listed, "room-a")
     return [
@@ -748,17 +819,17 @@
 
 
 _EVENTS: tuple[tuple[type[object], str], ...] = (
-    (i.Membership, "list"),
-    (i.Request, "request"),
-    (i.StreamBegan, "stream began"),
-    (i.AttemptEnded, "attempt ended"),
-    (i.ClientGone, "client gone"),
-    (i.TimerDue, "timer"),
-    (i.ProbeEnded, "probe ended"),
-    (i.PeerMessage, "peer message"),
-    (i.OrderEnded, "order ended"),
-    (wire.Start, "start"),
-    (wire.Kill, "kill"),
+    (EndpointUpdate, "list"),
+    (RequestArrived, "request"),
+    (StreamStarted, "stream began"),
+    (AttemptEnded, "attempt ended"),
+    (ClientDisconnected, "client gone"),
+    (TimerFired, "timer"),
+    (HealthCheckEnded, "probe ended"),
+    (PeerMessageReceived, "peer message"),
+    (PreloadEnded, "order ended"),
+    (codec.InstanceStarted, "start"),
+    (codec.InstanceKilled, "kill"),
 )
 
 
@@ -781,7 +852,7 @@
 
 
 def _batch(raw: bytes) -> Json:
-    now, events = wire.Decoder().batch(raw)
+    now, events = codec.Decoder().decode_batch(raw)
     told: list[Json] = [plain(now)]
     for who, event in events:
         named: list[str] = [name for kind, name in _EVENTS if isinstance(event, kind)]
@@ -825,35 +896,35 @@
 
 
 def simulator_actions() -> list[Sample]:
-    actions: dict[str, i.Action] = {
-        "send": i.Send(9, 4, 80.0),
-        "send without patience": i.Send(9, 4),
-        "refuse": i.Refuse(9, 50.0, "told in words"),
-        "refuse without time": i.Refuse(9),
-        "fail": i.Fail(9),
-        "cancel": i.Cancel(9, 1),
-        "order": i.Order(4, FUNCTION, 3),
-        "unload": i.Unload(4, FUNCTION),
-        "probe": i.Probe(4),
-        "tell all": i.Tell(b"hi"),
-        "tell one": i.Tell(b"hi", 2),
-        "subscribe": i.Subscribe(),
-        "subscribe no more": i.Subscribe(False),
-        "fetch": i.FetchList(),
-        "close idle": i.CloseIdle(4),
-        "timer": i.SetTimer(8400.25, 77),
-        "log": i.Log("\u00e9 ok"),
+    actions: dict[str, Action] = {
+        "send": StartAttempt(9, 4, 80.0),
+        "send without patience": StartAttempt(9, 4),
+        "refuse": RejectRequest(9, 50.0, "told in words"),
+        "refuse without time": RejectRequest(9),
+        "fail": FailRequest(9),
+        "cancel": CancelAttempt(9, 1),
+        "order": PreloadFunction(4, FUNCTION, 3),
+        "unload": UnloadFunction(4, FUNCTION),
+        "probe": CheckHealth(4),
+        "tell all": SendToPeer(b"hi"),
+        "tell one": SendToPeer(b"hi", 2),
+        "subscribe": SubscribeEndpoints(),
+        "subscribe no more": SubscribeEndpoints(False),
+        "fetch": FetchEndpoints(),
+        "close idle": CloseIdleConnections(4),
+        "timer": SetTimer(8400.25, 77),
+        "log": LogMessage("\u00e9 ok"),
     }
-    made = [Sample(name, wire.encode_action(one)) for name, one in actions.items()]
-    made.append(Sample("instance", wire.encode_instance(5)))
-    made.append(Sample("broken", wire.encode_broken("IndexError: x")))
-    made.append(Sample("reply", wire.encode_reply([wire.encode_instance(5), b"\x49"])))
+    made = [Sample(name, codec.encode_action(one)) for name, one in actions.items()]
+    made.append(Sample("instance", codec.encode_instance(5)))
+    made.append(Sample("broken", codec.encode_failure("IndexError: x")))
+    made.append(Sample("reply", codec.encode_reply([codec.encode_instance(5), b"\x49"])))
     return made
 
 
-def simulator_host() -> list[Sample]:
+def simulator_exchange() -> list[Sample]:
     """Frames to one process with two instances, and its replies, in order."""
-    host = simhost.Host()
+    host = simulator_host.SimulatorHost()
     frames: list[bytes] = []
     for who in (0, 1):
         told = SETTINGS | {"ordinal": who, "balancers": 2, "membership-mode": "push"}
@@ -868,7 +939,7 @@
         frames.append(frame(at(step % 2), ended(step + 1, 4 + step % 3, 200, note), *due, now=now + 50.0))
     samples: list[Sample] = []
     for number, raw in enumerate(frames):
-        reply: bytes = host.reply(raw)
+        reply: bytes = host.handle_frame(raw)
         samples += [Sample(f"{number} in", raw), Sample(f"{number} out", reply)]
     return samples
 
@@ -877,26 +948,34 @@
 
 
 def _head_reads(raw: bytes) -> Json:
-    head = http.parse(memoryview(raw), 1000)
-    if isinstance(head, http.Short):
+    head = http.parse_head(memoryview(raw), 1000)
+    if isinstance(head, http.IncompleteHead):
         return "short"
-    if isinstance(head, http.Bad):
-        return [head.status, head.why]
-    own = (head.method, head.target, head.fields, head.length, head.size, head.keep_alive)
+    if isinstance(head, http.InvalidRequest):
+        return [head.status, head.reason]
+    own = (head.method, head.target, head.headers, head.content_length, head.head_bytes, head.keep_alive)
     return plain((*own, head.preferences()))
 
 
 def _wanted_reads(raw: bytes) -> Json:
-    head = http.parse(memoryview(raw), 1000)
-    if not isinstance(head, http.Head):
+    head = http.parse_head(memoryview(raw), 1000)
+    if not isinstance(head, http.RequestHead):
         raise ValueError("no head")
-    some: i.Settings = some_settings()
+    some: RouterSettings = some_settings()
     current: dict[str, int] = {klass.name: number for number, klass in enumerate(some.classes)}
-    wanted = invoke.read_wanted(some, current, head, raw[head.size :])
+    wanted = invoke.parse_call_request(some, current, head, raw[head.head_bytes :])
     if isinstance(wanted, http.Response):
-        return wanted.pack(keep_alive=True).decode("latin-1")
-    own = (wanted.klass, wanted.function, wanted.key, wanted.body, wanted.limit, wanted.lanes, wanted.memory)
-    return [plain(own), plain(wanted.same())]
+        return wanted.encode(keep_alive=True).decode("latin-1")
+    own = (
+        wanted.class_index,
+        wanted.function_hex,
+        wanted.idempotency_key,
+        wanted.body,
+        wanted.timeout_ms,
+        wanted.concurrency,
+        wanted.memory_mb,
+    )
+    return [plain(own), plain(wanted.fingerprint())]
 
 
 def invoke_api() -> list[Sample]:
@@ -931,24 +1010,24 @@
         "malformed length": b"POST / HTTP/1.1\r\nHost: r\r\nContent-Length: x\r\n\r\n",
         "too large": b"POST / HTTP/1.1\r\nHost: r\r\nContent-Length: 1001\r\n\r\n",
     }
-    answers: dict[str, calls.Answer] = {
-        "served": calls.Served(b"body"),
-        "refused": calls.Refused(250.4),
-        "refused in time": calls.Refused(1500.0, True, "frozen"),
-        "refused without time": calls.Refused(None),
-        "failed": calls.Failed(),
-        "failed late": calls.Failed(True),
+    answers: dict[str, calls.CallResult] = {
+        "served": calls.CallSucceeded(b"body"),
+        "refused": calls.CallRejected(250.4),
+        "refused in time": calls.CallRejected(1500.0, True, "frozen"),
+        "refused without time": calls.CallRejected(None),
+        "failed": calls.CallFailed(),
+        "failed late": calls.CallFailed(True),
     }
     samples = [Sample(f"request {name}", raw, _wanted_reads) for name, raw in wanted.items()]
     samples += [Sample(f"head {name}", raw, _head_reads) for name, raw in heads.items()]
     for name, one in answers.items():
-        samples.append(Sample(f"answer {name}", invoke.render(one).pack(keep_alive=True)))
-    for status in sorted(http.REASONS):
-        packed: bytes = http.problem(status, "why", {"Retry-After": "1"}, repeat="harmless").pack(
+        samples.append(Sample(f"answer {name}", invoke.render_answer(one).encode(keep_alive=True)))
+    for status in sorted(http.REASON_PHRASES):
+        packed: bytes = http.problem_response(status, "why", {"Retry-After": "1"}, repeat="harmless").encode(
             keep_alive=status % 2 == 0
         )
         samples.append(Sample(f"problem {status}", packed))
-    samples.append(text("key at the worker", invoke.worker_key("spiffe://a/b", "k1")))
+    samples.append(text("key at the worker", invoke.worker_idempotency_key("spiffe://a/b", "k1")))
     return samples
 
 
@@ -1005,7 +1084,7 @@
             samples.append(Sample("invoke not let in", await _response(other.reader)))
         async with Caller(running, made.caller(DESK)) as desk:
             if running.invoke is not None:
-                running.invoke.ready = False
+                running.invoke.is_ready = False
             desk.send("GET", "/v1/ready")
             samples.append(Sample("invoke draining", await _response(desk.reader)))
     return samples
@@ -1020,7 +1099,7 @@
     runner = Runner()
     await runner.start()
     known = ((1, (listing(runner, 1),)),)
-    settings: i.Settings = wire.settings_from(STANDIN_SETTINGS)
+    settings: RouterSettings = codec.settings_from_object(STANDIN_SETTINGS)
     told = Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, known, ("127.0.0.1", 0))
     for name, running in (
         ("alone", Service(told)),
@@ -1033,9 +1112,9 @@
             samples.append(Sample(f"{name}: {line.decode().strip()}", names.encode()))
         running.platform.stop_listening()
         running.control.stop_listening()
-        if running.disk is not None:
-            running.disk.close()
-        for pool in running.runners.pools.values():
+        if running.event_loop_store is not None:
+            running.event_loop_store.close()
+        for pool in running.workers.pools.values():
             for connection in list(pool.connections):
                 connection.abort()
     runner.stop()
@@ -1078,7 +1157,7 @@
     """The bytes of the next message of the platform."""
     raw: bytes = b""
     async with asyncio.timeout(10):
-        while not isinstance(msgpack.parse(memoryview(raw)), msgpack.Value):
+        while not isinstance(msgpack.parse(memoryview(raw)), msgpack.ParsedValue):
             raw += await reader.readexactly(1)
     return raw
 
@@ -1088,8 +1167,8 @@
     runner = RawRunner()
     server = await asyncio.start_server(runner.serve, "127.0.0.1", 0)
     port: int = server.sockets[0].getsockname()[1]
-    here = Listing("s-00000001", "127.0.0.1", port, "room-a", "std", 0, i.WorkerState.READY, 1.0, 0.0)
-    settings: i.Settings = wire.settings_from(STANDIN_SETTINGS)
+    here = EndpointRecord("s-00000001", "127.0.0.1", port, "room-a", "std", 0, EndpointState.READY, 1.0, 0.0)
+    settings: RouterSettings = codec.settings_from_object(STANDIN_SETTINGS)
     known = ((1, (here,)),)
     running = Service(
         Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, known, ("127.0.0.1", 0))
@@ -1116,9 +1195,9 @@
     await runner.until(4)
     writer.write(b"\x93\x02\xa9interrupt\x91\x09")
     await runner.until(5)
-    running.runners.order(1, FUNCTION, 2)
+    running.workers.preload(1, FUNCTION, 2)
     await runner.until(6)
-    running.runners.unload(1, FUNCTION)
+    running.workers.unload(1, FUNCTION)
     await runner.until(7)
     for place, line in enumerate(runner.lines):
         masked: bytes = re.sub(rb'"max":[0-9]+', b'"max":0', line)
@@ -1126,7 +1205,7 @@
     writer.transport.abort()
     running.platform.stop_listening()
     running.control.stop_listening()
-    for pool in running.runners.pools.values():
+    for pool in running.workers.pools.values():
         for connection in list(pool.connections):
             connection.abort()
     server.close()
@@ -1183,20 +1262,25 @@
 def _platform_file_reads(raw: bytes) -> Json:
     found: Config = read_config(raw, {})
     news: list[Json] = []
-    roster = Roster(found.settings)
-    for number, told in found.known:
-        news.append(plain(roster.event(number, list(told), True)))
+    roster = EndpointList(found.settings)
+    for number, told in found.initial_endpoints:
+        news.append(plain(roster.apply_update(number, list(told), True)))
     return [plain(found), news]
 
 
 def _fleet_file_reads(raw: bytes) -> Json:
-    return plain(declared.parse(raw))
+    return plain(fleet_config.parse_fleet_config(raw))
 
 
 def _invoke_file_reads(raw: bytes) -> Json:
     found: InvokeConfig = parse_invoke(raw, Path("folder/invoke.toml"))
-    paths: list[Json] = [path.as_posix() for path in (found.path, found.svid, found.key, found.bundle)]
-    return [*paths, plain((found.host, found.port, found.trust_domain, found.allow, found.connections))]
+    paths: list[Json] = [
+        path.as_posix() for path in (found.path, found.svid_path, found.key_path, found.bundle_path)
+    ]
+    return [
+        *paths,
+        plain((found.host, found.port, found.trust_domain, found.allowed_patterns, found.max_connections)),
+    ]
 
 
 def files() -> list[Sample]:
@@ -1219,17 +1303,17 @@
 
 def grants_image() -> bytes:
     """What the grants of a router of one have written of a count."""
-    made = Grants(0, 1, 9, 9, clock_rate=0.001, remembered=True, stored=True)
-    made.pool("freeze/fair", 40, spent=True, until=None)
-    made.want(0.0, "freeze/fair", 3)
-    image: bytes | None = made.to_write(0.0)
+    made = Escrow(0, 1, 9, 9, clock_rate=0.001, has_memory=True, is_durable=True)
+    made.open_pool("freeze/fair", 40, is_consumable=True, ends_at_ms=None)
+    made.request(0.0, "freeze/fair", 3)
+    image: bytes | None = made.image_to_write(0.0)
     if image is None:
         raise ValueError("nothing to write")
     return image
 
 
-def _later_grants(image: bytes) -> Grants:
-    made = Grants(0, 1, 10, 10, clock_rate=0.001, remembered=True, stored=True)
+def _later_grants(image: bytes) -> Escrow:
+    made = Escrow(0, 1, 10, 10, clock_rate=0.001, has_memory=True, is_durable=True)
     if not made.restore(image):
         raise ValueError("not read")
     return made
@@ -1243,19 +1327,19 @@
 def grants_reads(image: bytes) -> Json:
     """What a later life may use of it: at once, and once the disk has more as gone."""
     made = _later_grants(image)
-    made.pool("freeze/fair", 40, spent=True, until=None)
-    before: int = made.may(0.0, "freeze/fair")
-    made.want(0.0, "freeze/fair", 3)
-    written: bytes = made.to_write(0.0) or b""
-    made.written(0.0)
-    return [before, written.hex(), made.may(0.0, "freeze/fair")]
+    made.open_pool("freeze/fair", 40, is_consumable=True, ends_at_ms=None)
+    before: int = made.available(0.0, "freeze/fair")
+    made.request(0.0, "freeze/fair", 3)
+    written: bytes = made.image_to_write(0.0) or b""
+    made.mark_written(0.0)
+    return [before, written.hex(), made.available(0.0, "freeze/fair")]
 
 
-def _recovery(now: float) -> Recovery:
-    made = Recovery(some_settings(gateways=1), 5, now)
+def _recovery(now: float) -> RecoveryComponent:
+    made = RecoveryComponent(some_settings(router_count=1), 5, now)
     ready = tuple(worker(n, started=100.0 * n) for n in range(1, 4))
-    made.changed(now, i.Membership(i.ListKind.FULL, 1, ready))
-    made.changed(now, parts.Wall(WALL + now))
+    made.on_notification(now, EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, ready))
+    made.on_notification(now, interface.WallClockRead(WALL + now))
     return made
 
 
@@ -1263,30 +1347,30 @@
     """What stands warm, as a router keeps it."""
     made = _recovery(0.0)
     for number in range(5):
-        made.knows.saw(100.0 * number, 1 + number % 3, FUNCTION + number, number != 3)
+        made.warm_state.record_local(100.0 * number, 1 + number % 3, FUNCTION + number, number != 3)
     image: bytes | None = made.snapshot(900.0)
     if image is None:
         raise ValueError("no wall clock")
     return image
 
 
-KINDS: tuple[pace.Kind, ...] = (
-    pace.Kind.LOAD,
-    pace.Kind.CONNECT,
-    pace.Kind.RESOLVE,
-    pace.Kind.ASK,
-    pace.Kind.RELEASE,
+KINDS: tuple[pacing.PacedAction, ...] = (
+    pacing.PacedAction.LOAD,
+    pacing.PacedAction.CONNECT,
+    pacing.PacedAction.RESOLVE,
+    pacing.PacedAction.ASK,
+    pacing.PacedAction.RELEASE,
 )
 
 
 def usual_image() -> bytes:
     """What stands warm, of a router that has been in service for long enough to know what is usual."""
     made = _recovery(0.0)
-    made.pace.in_service(0.0)
+    made.pacer.enter_service(0.0)
     for number, kind in enumerate(KINDS):
         for step in range(number + 1):
-            made.pace.noted(1000.0 * step, kind)
-    made.knows.saw(29_000.0, 2, FUNCTION, True)
+            made.pacer.record_unpaced(1000.0 * step, kind)
+    made.warm_state.record_local(29_000.0, 2, FUNCTION, True)
     image: bytes | None = made.snapshot(30_000.0)
     if image is None:
         raise ValueError("no wall clock")
@@ -1297,7 +1381,7 @@
     """The rates that a later life takes for usual, kind by kind."""
     made = _recovery(31_000.0)
     count: int = made.restore(31_000.0, image)
-    return [count, *(plain(made.pace.known(kind)) for kind in KINDS)]
+    return [count, *(plain(made.pacer.baseline(kind)) for kind in KINDS)]
 
 
 def warm_reads(image: bytes) -> Json:
@@ -1306,27 +1390,27 @@
     count: int = made.restore(2000.0, image)
     return [
         count,
-        plain(made.knows.digest(2000.0)),
-        plain(made.remembered),
+        plain(made.warm_state.digest(2000.0)),
+        plain(made.remembered_warm_fraction),
         plain(msgspec.msgpack.decode(image)),
     ]
 
 
 def store_values() -> dict[str, bytes]:
     """Key and value of all that a router keeps."""
-    values: dict[str, bytes] = dict(held.entry(entry) for entry in declared_entries())
-    key, value = held.life(held.Life(2, 2**64 - 1, 7, True))
+    values: dict[str, bytes] = dict(recovered_image.encode_entry(entry) for entry in declared_entries())
+    key, value = recovered_image.encode_incarnation(recovered_image.RouterIncarnation(2, 2**64 - 1, 7, True))
     return values | {key: value, "warm": warm_image(), "grants": grants_image()}
 
 
 def values_again(values: dict[str, bytes]) -> dict[str, bytes]:
     """Read, and written again."""
-    kept: held.Kept = held.read(values)
-    if kept.bad or kept.life is None or kept.warm is None or kept.grants is None:
-        raise ValueError(f"{kept.bad} left out")
-    key, value = held.life(kept.life)
-    written: dict[str, bytes] = dict(held.entry(entry) for entry in kept.entries)
-    return written | {key: value, "warm": kept.warm, "grants": kept.grants}
+    kept: recovered_image.RecoveredImage = recovered_image.decode_image(values)
+    if kept.rejected_count or kept.incarnation is None or kept.warm_state is None or kept.escrow is None:
+        raise ValueError(f"{kept.rejected_count} left out")
+    key, value = recovered_image.encode_incarnation(kept.incarnation)
+    written: dict[str, bytes] = dict(recovered_image.encode_entry(entry) for entry in kept.entries)
+    return written | {key: value, "warm": kept.warm_state, "grants": kept.escrow}
 
 
 def stored_values() -> list[Sample]:
@@ -1347,7 +1431,7 @@
 class Mode:
     """How a folder is written, and how it is left: closed, as of a killed process, or in mid-commit."""
 
-    sync: Sync
+    sync: SyncMode
     left: Literal["closed", "open", "torn"] = "closed"
 
 
@@ -1383,7 +1467,7 @@
 
 def write_folder(folder: Path, mode: Mode) -> dict[str, bytes]:
     """A store with all that a router keeps, some of it written twice and some dropped; its files' bytes."""
-    store = FileStore(folder, mode.sync)
+    store = SqliteBackend(folder, mode.sync)
     store.open()
     values: list[tuple[str, bytes]] = sorted(store_values().items())
     puts: list[list[tuple[str, bytes | None]]] = [
@@ -1402,12 +1486,12 @@
     return _torn(folder) if mode.left == "torn" else _files(folder)
 
 
-def read_folder(folder: Path, sync: Sync) -> tuple[dict[str, bytes], int, bool]:
+def read_folder(folder: Path, sync: SyncMode) -> tuple[dict[str, bytes], int, bool]:
     """Values, generation, and whether nothing was wrong."""
-    store = FileStore(folder, sync)
-    loaded: Loaded = store.open()
+    store = SqliteBackend(folder, sync)
+    loaded: LoadResult = store.open()
     store.close()
-    return dict(loaded.values), loaded.generation, loaded.trouble is None
+    return dict(loaded.values), loaded.generation, loaded.fault is None
 
 
 def folders() -> dict[str, Json]:
@@ -1441,7 +1525,7 @@
     "discovery": discovery,
     "simulator-events": simulator_events,
     "simulator-actions": simulator_actions,
-    "simulator-host": simulator_host,
+    "simulator-host": simulator_exchange,
     "invoke": invoke_api,
     "fronts": fronts,
     "files": files,
--- a/tests/test_client_gone.py
+++ b/tests/integration/test_client_gone.py
@@ -15,14 +15,14 @@
 
 import pytest
 
-from cedarthread.core.calls import Attempt
-from cedarthread.core.planner import Planner
-from cedarthread.net import msgpack
-from cedarthread.net.platform import PlatformConnection
-from cedarthread.net.runners import Pool, RunnerConnection
+from cedarthread.dispatch.calls import Attempt
+from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.protocols import msgpack
+from cedarthread.protocols.platform import PlatformConnection
+from cedarthread.protocols.workers import WorkerConnection, WorkerConnectionPool
 from cedarthread.service import Service
-from cedarthread.standins.client import plain
-from cedarthread.standins.scripted import Runner, hit, pack_call, service
+from cedarthread.testing.fakes.client import plain
+from cedarthread.testing.fakes.scripted import Runner, hit, pack_call, service
 
 
 def run(test: Coroutine[Any, Any, None]) -> None:
@@ -65,7 +65,7 @@
         """The next answer; None at the end."""
         loop = asyncio.get_running_loop()
         self.sock.setblocking(False)
-        while not isinstance(parsed := msgpack.parse(memoryview(self.held)), msgpack.Value):
+        while not isinstance(parsed := msgpack.parse(memoryview(self.held)), msgpack.ParsedValue):
             more = await loop.sock_recv(self.sock, 65536)
             if not more:
                 return None
@@ -75,7 +75,7 @@
 
 
 def at_router(running: Service, peer: Peer) -> PlatformConnection:
-    every = [*running.platform.strangers, *running.platform.connections]
+    every = [*running.platform.unproven_connections, *running.platform.connections]
     return next(c for c in every if c.transport and c.transport.get_extra_info("peername") == peer.name)
 
 
@@ -114,7 +114,7 @@
             runner, message = held[0]
             runner.answer(message, {"op": "SHED", "fields": {}})
             GOING[going](peer)
-            await until(lambda: not running.planner.calls)
+            await until(lambda: not running.dispatcher.pending_calls)
             fence = Peer(running)
             first.behave = second.behave = hit
             for number in range(2, 10):  # enough that both runners have heard all that was sent before
@@ -133,27 +133,27 @@
     going: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def test() -> None:
-        released, dial = asyncio.Event(), Pool._dial
+        released, dial = asyncio.Event(), WorkerConnectionPool._connect_within_timeout
 
-        async def late(pool: Pool, connection: RunnerConnection) -> None:
+        async def late(pool: WorkerConnectionPool, connection: WorkerConnection) -> None:
             await released.wait()
             await dial(pool, connection)
 
-        monkeypatch.setattr(Pool, "_dial", late)
+        monkeypatch.setattr(WorkerConnectionPool, "_connect_within_timeout", late)
         runner = Runner()
         async with service(runner) as running:
             peer, other = Peer(running), Peer(running)
             peer.call(1)
-            await until(lambda: len(running.planner.calls) == 1)
+            await until(lambda: len(running.dispatcher.pending_calls) == 1)
             released.set()
-            opened = RunnerConnection.opened
+            opened = WorkerConnection.on_connected
 
-            def gone_first(connection: RunnerConnection) -> None:
+            def gone_first(connection: WorkerConnection) -> None:
                 GOING[going](peer)  # the last thing before what waited there leaves
                 opened(connection)
 
-            monkeypatch.setattr(RunnerConnection, "opened", gone_first)
-            await until(lambda: not running.planner.calls)
+            monkeypatch.setattr(WorkerConnection, "on_connected", gone_first)
+            await until(lambda: not running.dispatcher.pending_calls)
             other.call(2)
             assert (await other.read())[1:3] == [2, None]
             assert [one["id"] for one in runner.calls] == [f"{2:016x}"]
@@ -175,11 +175,11 @@
             assert (await warm.read())[1:3] == [2, None]  # a connection to the runner stands: nothing waits
             peer.call(1, body=b"y" * 16_000 if going == "cancel" else b"x")  # longer than one read takes
             GOING[going](peer)
-            taken = running.planner.counts["taken"]
-            await until(lambda: going == "reset" or running.planner.counts["taken"] > taken)
+            taken = running.dispatcher.result_counts["taken"]
+            await until(lambda: going == "reset" or running.dispatcher.result_counts["taken"] > taken)
             warm.call(3)
             assert (await warm.read())[1:3] == [3, None]
-            assert not running.planner.calls
+            assert not running.dispatcher.pending_calls
             assert [one["id"] for one in runner.calls] == [f"{2:016x}", f"{3:016x}"]
 
     run(test())
@@ -193,7 +193,7 @@
             peer.call(1)
             await mute.until(lambda: len(mute.calls) == 1)
             peer.half_close()
-            await until(lambda: at_router(running, peer).ending)
+            await until(lambda: at_router(running, peer).is_half_closed)
             mute.answer(mute.calls[0], hit(mute, mute.calls[0]))
             assert await peer.read() == [1, 1, None, [b"X", {}]] and await peer.read() is None
             assert mute.cancelled == []
@@ -213,10 +213,10 @@
             numbers = range(100, 130)
             peer.sock.sendall(b"".join(pack_call(n, "check", b"z") for n in numbers))
             peer.cancel(*numbers)
-            await until(lambda: running.planner.counts["left"] == len(numbers))
+            await until(lambda: running.dispatcher.result_counts["left"] == len(numbers))
             warm.call(2)
             assert (await warm.read())[1:3] == [2, None]
-            assert len(runner.calls) == 2 and not running.planner.calls
+            assert len(runner.calls) == 2 and not running.dispatcher.pending_calls
 
     run(test())
 
@@ -240,7 +240,7 @@
             runner.answer(message, {"op": "SHED", "fields": {}})
             peer.sock.sendall(b"\x93\x02\xa4noop\x90" * 40)
             peer.cancel(1)
-            await until(lambda: not running.planner.calls)
+            await until(lambda: not running.dispatcher.pending_calls)
             first.behave = second.behave = hit
             for number in range(2, 10):
                 fence.call(number)
@@ -260,14 +260,14 @@
 
     async def test() -> None:
         rng, gone, late = random.Random(seed), set[str](), list[str]()
-        tried = Planner.tried
+        tried = Dispatcher.count_attempt_written
 
-        def wrote(planner: Planner, attempt: Attempt) -> None:
-            if attempt.call.name in gone:
-                late.append(attempt.call.name)
+        def wrote(planner: Dispatcher, attempt: Attempt) -> None:
+            if attempt.call.call_id in gone:
+                late.append(attempt.call.call_id)
             tried(planner, attempt)
 
-        monkeypatch.setattr(Planner, "tried", wrote)
+        monkeypatch.setattr(Dispatcher, "count_attempt_written", wrote)
 
         def behave(runner: Runner, message: dict[str, Any]) -> dict[str, Any] | None:
             what = rng.random()
@@ -303,8 +303,11 @@
                         gone.update(f"{one:016x}" for one in asked[peer])
                 for peer in peers:
                     peer.close()
-                await until(lambda: not running.planner.calls)
+                await until(lambda: not running.dispatcher.pending_calls)
             assert late == []
-            assert running.planner.counts["served"] and sum(len(runner.calls) for runner in runners) > 100
+            assert (
+                running.dispatcher.result_counts["served"]
+                and sum(len(runner.calls) for runner in runners) > 100
+            )
 
     run(test())
--- a/tests/test_client_gone_process.py
+++ b/tests/integration/test_client_gone_process.py
@@ -17,10 +17,10 @@
 
 import pytest
 
-from cedarthread.standins.scripted import Runner, pack_call
-from cedarthread.standins.settings import SETTINGS
-from tests.test_client_gone import GOING, cancel
-from tests.test_descriptors import Router, router
+from cedarthread.testing.fakes.scripted import Runner, pack_call
+from cedarthread.testing.fakes.settings import SETTINGS
+from tests.integration.test_client_gone import GOING, cancel
+from tests.integration.test_descriptor_budget import Router, router
 
 LATE = 0.11  # s
 CLIENTS = 48
--- a/tests/test_rig.py
+++ b/tests/integration/test_cluster.py
@@ -16,30 +16,31 @@
 
 import pytest
 
-from cedarthread import interface as i
-from cedarthread import wire
+from cedarthread.components.node import COMPONENT_TIMER_TOKEN
 from cedarthread.config import Config
-from cedarthread.core.planner import Planner
-from cedarthread.decisions import BESIDE
-from cedarthread.fuzz.virtual import VirtualLoop, play
-from cedarthread.net import dns
-from cedarthread.net.resolver import NAME, Resolver, listings
-from cedarthread.rig import cli
-from cedarthread.rig.books import Book, Plan, peak, time_to_full_service, worths
-from cedarthread.rig.drills import DRILLS, drill, return_, spread
-from cedarthread.rig.entry import CLOCK, clocks
-from cedarthread.rig.fleet import DISK, Fleet
-from cedarthread.rig.judge import Result, judged
-from cedarthread.rig.network import LATE, Network
-from cedarthread.rig.plants import PLANTS
-from cedarthread.rig.replay import Play, schedule
-from cedarthread.rig.scenario import Scenario, ScenarioError, parse, read
-from cedarthread.rig.worker import Lists, RunnersPart, spoilt
+from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.model.actions import SetTimer
+from cedarthread.model.events import Event, TimerFired
+from cedarthread.protocols import dns
+from cedarthread.protocols.discovery import SERVICE_NAME, DiscoveryClient, endpoints_from_reply
 from cedarthread.service import Service
-from cedarthread.spread.evenness import Evenness
-from cedarthread.standins.resolver import Listed, reply
-from cedarthread.standins.runner import made
-from cedarthread.standins.settings import SETTINGS
+from cedarthread.simulator import codec
+from cedarthread.testing.cluster import cli
+from cedarthread.testing.cluster.drills import DRILLS, drill, load_spread, mass_restart
+from cedarthread.testing.cluster.evaluation import Result, judged
+from cedarthread.testing.cluster.fake_process import Lists, RunnersPart, spoilt
+from cedarthread.testing.cluster.injected_defects import PLANTS
+from cedarthread.testing.cluster.network import LATE, Network
+from cedarthread.testing.cluster.policy_replay import Play, schedule
+from cedarthread.testing.cluster.recordings import Book, Plan, peak, time_to_full_service, worths
+from cedarthread.testing.cluster.router_entry import CLOCK, clocks
+from cedarthread.testing.cluster.router_processes import DISK, Fleet
+from cedarthread.testing.cluster.scenario import Scenario, ScenarioError, parse, read
+from cedarthread.testing.fakes.discovery_server import Listed, reply
+from cedarthread.testing.fakes.settings import SETTINGS
+from cedarthread.testing.fakes.worker_server import made
+from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop, play
+from cedarthread.testing.load_balance import LoadBalanceMetrics
 
 
 @pytest.mark.parametrize(
@@ -151,11 +152,14 @@
 
 
 def test_a_spoilt_reply_is_not_what_it_was_and_raises_nothing() -> None:
-    whole, rng = reply(dns.query(9, NAME), 5, (Listed("s-00000001", 4001),), "room-a"), random.Random(1)
+    whole, rng = (
+        reply(dns.encode_query(9, SERVICE_NAME), 5, (Listed("s-00000001", 4001),), "room-a"),
+        random.Random(1),
+    )
     for _ in range(300):
         bad = spoilt(whole, rng)
         assert bad != whole
-        assert isinstance(dns.parse(bad), (dns.Reply, dns.Unusable))
+        assert isinstance(dns.parse(bad), (dns.Reply, dns.UnusableReply))
 
 
 def test_books_give_peaks_worths_and_the_time_to_full_service() -> None:
@@ -221,18 +225,18 @@
 
 def test_a_new_timer_ends_the_one_before_it() -> None:
     """Each that is left to fire wakes the process for a token that is past."""
-    seen: list[i.Event] = []
+    seen: list[Event] = []
 
     async def run(loop: VirtualLoop) -> None:
-        planner = Planner(wire.settings_from(SETTINGS), 3, loop.unix_ms)
-        planner.decisions.handle = lambda now, event: seen.append(event) or []  # type: ignore[func-returns-value, method-assign]
-        for token, after in ((1, 50.0), (2, 20.0), (BESIDE, 30.0)):
-            planner._set_timer(i.SetTimer(loop.unix_ms() + after, token))
+        planner = Dispatcher(codec.settings_from_object(SETTINGS), 3, loop.unix_ms)
+        planner.node.handle = lambda now, event: seen.append(event) or []  # type: ignore[func-returns-value, method-assign]
+        for token, after in ((1, 50.0), (2, 20.0), (COMPONENT_TIMER_TOKEN, 30.0)):
+            planner._set_timer(SetTimer(loop.unix_ms() + after, token))
         assert loop.timers() == 2
         await asyncio.sleep(1.0)
 
     play(run)
-    assert seen == [i.TimerDue(2), i.TimerDue(BESIDE)]
+    assert seen == [TimerFired(2), TimerFired(COMPONENT_TIMER_TOKEN)]
 
 
 def test_a_drill_or_defect_joins_by_one_line() -> None:
@@ -246,11 +250,11 @@
 
 def test_the_resolver_says_what_the_router_reads() -> None:
     told = (Listed("s-00000001", 4001), Listed("s-00000002", 4002, draining=True, started=7.0))
-    parsed = dns.parse(reply(dns.query(9, NAME), 5, told, "room-a"))
-    assert isinstance(parsed, dns.Reply) and (parsed.number, parsed.serial) == (9, 5)
-    found = listings(parsed)
+    parsed = dns.parse(reply(dns.encode_query(9, SERVICE_NAME), 5, told, "room-a"))
+    assert isinstance(parsed, dns.Reply) and (parsed.query_id, parsed.serial) == (9, 5)
+    found = endpoints_from_reply(parsed)
     assert not isinstance(found, str)
-    assert [(one.name, one.port, one.state.value, one.started) for one in found] == [
+    assert [(one.name, one.port, one.state.value, one.started_at_ms) for one in found] == [
         ("s-00000001", 4001, "ready", 0.0),
         ("s-00000002", 4002, "draining", 7.0),
     ]
@@ -261,23 +265,27 @@
 
     async def play() -> None:
         told: list[int] = []
-        resolver = Resolver(lambda serial, found: told.append(serial))
+        resolver = DiscoveryClient(lambda serial, found: told.append(serial))
         read_ = 0
 
-        def parse_(data: bytes) -> dns.Reply | dns.Unusable:
+        def parse_(data: bytes) -> dns.Reply | dns.UnusableReply:
             nonlocal read_
             read_ += 1
             return dns.parse(data)
 
         monkeypatch.setattr(
-            "cedarthread.net.resolver.dns", SimpleNamespace(parse=parse_, Unusable=dns.Unusable)
+            "cedarthread.protocols.discovery.dns", SimpleNamespace(parse=parse_, Unusable=dns.UnusableReply)
         )
         runners = (Listed("s-00000001", 4001),)
-        resolver._asked.extend((1, 2, 3, 4))
+        resolver._outstanding_ids.extend((1, 2, 3, 4))
         for number, serial in ((1, 5), (2, 5), (3, 5), (9, 5), (4, 6)):
-            resolver.usable = 0.0
-            resolver.datagram_received(reply(dns.query(number, NAME), serial, runners, "room-a"), None)
-            assert bool(resolver.usable) is (number != 9), "an answer to what nobody asked counts for nothing"
+            resolver.last_usable_reply_at = 0.0
+            resolver.datagram_received(
+                reply(dns.encode_query(number, SERVICE_NAME), serial, runners, "room-a"), None
+            )
+            assert bool(resolver.last_usable_reply_at) is (number != 9), (
+                "an answer to what nobody asked counts for nothing"
+            )
         assert told == [5, 6] and read_ == 2
 
     asyncio.run(play())
@@ -289,17 +297,17 @@
 
     async def idle(loop: VirtualLoop) -> None:
         limits = SETTINGS["limits"] | {"peers": True}
-        told = wire.settings_from(SETTINGS | {"balancers": 24, "limits": limits})
+        told = codec.settings_from_object(SETTINGS | {"balancers": 24, "limits": limits})
         service = Service(Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, told, ()))
-        service.planner.heard(3, b"\xc2")
-        service.resolver.connection_made(SimpleNamespace(sendto=lambda data: None, close=lambda: None))  # type: ignore[arg-type]
+        service.dispatcher.peer_message_received(3, b"\xc2")
+        service.discovery.connection_made(SimpleNamespace(sendto=lambda data: None, close=lambda: None))  # type: ignore[arg-type]
         await asyncio.sleep(0.07)
         service._sweep()
         select, looks = loop.select, list[float]()
-        turn = service.planner.decisions.members.turn  # type: ignore[union-attr]
+        turn = service.dispatcher.node.membership.on_tick  # type: ignore[union-attr]
         monkeypatch.setattr(
-            service.planner.decisions.members,
-            "turn",
+            service.dispatcher.node.membership,
+            "on_tick",
             lambda now: (looks.append(now), turn(now))[1],  # type: ignore[func-returns-value]
         )
         monkeypatch.setattr(
@@ -309,7 +317,7 @@
         )
         await asyncio.sleep(5.0)
         assert len(looks) >= 20, "members and talk are looked at four times a second at least"
-        assert service._sweeper is not None and service._sweeper.when() > loop.time() - 0.01
+        assert service._sweep_timer is not None and service._sweep_timer.when() > loop.time() - 0.01
 
     play(idle)
     assert 24 <= sum(timeout > 0.001 for timeout in wakings) <= 28
@@ -327,13 +335,13 @@
 
 
 def result(**changes: Any) -> Result:
-    good = Evenness(1.2, 0.2, 100.0, (), 5.0, 0, 1000)
+    good = LoadBalanceMetrics(1.2, 0.2, 100.0, (), 5.0, 0, 1000)
     told = Result("x", 1, good, {"all": good}, {"served": 1000}, [], 2.0, 1.0, 0.0, (0, 0))
     return dataclasses.replace(told, **changes)
 
 
 def test_the_drill_tells_what_must_not_be() -> None:
-    assert spread.failings(result()) == []
+    assert load_spread.failings(result()) == []
     even = result().even
     bad = {
         "void": result(late=100.0),
@@ -344,7 +352,7 @@
         "two attempts": result(breaches=["attempts: two attempts out"]),
     }
     for says, one in bad.items():
-        assert [says in failing for failing in spread.failings(one)] == [True]
+        assert [says in failing for failing in load_spread.failings(one)] == [True]
 
 
 def test_the_return_is_judged_by_the_books() -> None:
@@ -360,9 +368,9 @@
         facts.append((at, "no router", name) if out else (at, "taken", name, "check", 3000.0, ""))
         facts += [] if out else [(at + 1, "handed", name, 0, at), (at + 9, "answered", name, "served", b"")]
     good = result(scenario="quick", facts=facts, played=played, faults=[("kill", 5.0, 6.0)])
-    calm = result(scenario=return_.CALM)
-    assert return_.till_full(good) == 3.0
-    assert return_.failings(good, [calm]) == []
+    calm = result(scenario=mass_restart.CALM)
+    assert mass_restart.till_full(good) == 3.0
+    assert mass_restart.failings(good, [calm]) == []
     late = (9000.0, "handed", "0000x", 1, 8000.0)
     bad = {
         "loads in": dataclasses.replace(good, times={"loads": [6000.0] * 11}),
@@ -372,14 +380,14 @@
         "two attempts": dataclasses.replace(good, breaches=["attempts: two attempts out"]),
     }
     for says, one in bad.items():
-        assert [says in failing for failing in return_.failings(one, [calm])] == [True]
+        assert [says in failing for failing in mass_restart.failings(one, [calm])] == [True]
 
 
 def test_planted_defects_are_found() -> None:
     """Chance passes for popularity; all move at each report; what may have run is sent again."""
     dies = [{"kind": "die", "at": 3.0 + n, "until": 5.0 + n, "who": f"runner:{n}"} for n in range(3)]
     small = {"routers": 12, "runners": 6, "rate": 120.0, "warm_up": 2.0, "seconds": 6.0, "fault": dies}
-    (quick,) = spread.quick(1)
+    (quick,) = load_spread.quick(1)
     quick = dataclasses.replace(quick, talk=False)
     planted = [dataclasses.replace(quick, plant=plant) for plant in ("chance", "eager")]
     planted.append(parse(small | {"plant": "twice"}))
@@ -389,13 +397,13 @@
 
     chance, eager, twice = asyncio.run(play())
     for even in (chance, eager):
-        assert any("of the calls served" in failing for failing in spread.failings(even))
-    assert any("effects" in failing for failing in spread.failings(twice))
+        assert any("of the calls served" in failing for failing in load_spread.failings(even))
+    assert any("effects" in failing for failing in load_spread.failings(twice))
 
 
 def test_many_processes_keep_the_rules_and_spread_load_while_parts_fail(tmp_path: Path) -> None:
     """A runner dies and comes back empty, routers are killed and stopped, datagrams are lost and doubled."""
-    (quick,) = spread.quick(3, routers=12)
+    (quick,) = load_spread.quick(3, routers=12)
     spoil = [
         {"kind": "stall", "at": 6.0, "until": 8.0, "who": "router:5", "to": "runner:1-2"},
         {"kind": "spoilt", "at": 5.0, "until": 9.0, "who": "resolver:6", "figure": 0.7},
@@ -426,7 +434,7 @@
 def test_an_interrupted_rig_leaves_no_process(tmp_path: Path, which: signal.Signals) -> None:
     command = [sys.executable, "-m", "cedarthread", "drill", "spread", "--routers", "6", "--seed", "2"]
     rig = subprocess.Popen(
-        command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, cwd=Path(__file__).parent.parent
+        command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, cwd=Path(__file__).parents[2]
     )
     listing = Path(f"/proc/{rig.pid}/task/{rig.pid}/children")
     while len(children := listing.read_text().split()) < 6:
--- a/tests/test_control.py
+++ b/tests/integration/test_control.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from cedarthread.net import control
-from cedarthread.standins.scripted import Runner, ask, client, hit, pack_call, says, service
+from cedarthread.protocols import control
+from cedarthread.testing.fakes.scripted import Runner, ask, client, hit, pack_call, says, service
 
 
 def figures(lines: list[str]) -> dict[str, int]:
@@ -23,10 +23,10 @@
     async def test() -> None:
         async with service(Runner()) as running:
             assert await ask(running, b"PING\n") == ["YES"]
-            running.serving = False
+            running.is_serving = False
             assert await ask(running, b"PING\r\n") == ["NO"]
-            running.serving = True
-            running.end()
+            running.is_serving = True
+            running.request_shutdown()
             assert await ask(running, b"PING\n") == ["NO"]
 
     asyncio.run(test())
@@ -100,11 +100,11 @@
                 _, writer = await asyncio.open_connection("127.0.0.1", running.port)
                 writer.write(pack_call(number + 1, "check", b"x")[: number % 7])
                 held.append(writer)
-            for _ in range(2 * control.MOST):  # idle control connections, more than may stay
+            for _ in range(2 * control.MAX_CONNECTIONS):  # idle control connections, more than may stay
                 _, writer = await asyncio.open_connection("127.0.0.1", running.control_port)
                 held.append(writer)
             assert await ask(running, b"PING\n") == ["YES"]
-            assert len(running.control.connections) <= control.MOST
+            assert len(running.control.connections) <= control.MAX_CONNECTIONS
             for writer in held:
                 writer.transport.abort()
 
--- a/tests/test_descriptors.py
+++ b/tests/integration/test_descriptor_budget.py
@@ -21,15 +21,15 @@
 
 import pytest
 
-from cedarthread.core.calls import Served
-from cedarthread.net import descriptors
-from cedarthread.net.platform import pack_answer
-from cedarthread.net.resolver import PERIOD, Resolver
-from cedarthread.standins.resolver import Listed, ResolverServer
-from cedarthread.standins.scripted import Client, Runner, ask, client, hit, pack_call, service
-from cedarthread.standins.settings import SETTINGS
-from tests.test_invoke import DESK, PATH, Authority, Caller, authority, config
-from tests.test_process import ROOT, write_config
+from cedarthread.dispatch.calls import CallSucceeded
+from cedarthread.protocols.discovery import POLL_INTERVAL_S, DiscoveryClient
+from cedarthread.protocols.platform import encode_answer
+from cedarthread.testing.fakes.discovery_server import Listed, ResolverServer
+from cedarthread.testing.fakes.scripted import Client, Runner, ask, client, hit, pack_call, service
+from cedarthread.testing.fakes.settings import SETTINGS
+from cedarthread.transport import descriptor_budget
+from tests.integration.test_invoke import DESK, PATH, Authority, Caller, authority, config
+from tests.integration.test_process import ROOT, write_config
 
 __all__ = ["authority"]  # a fixture
 CHECK = b"\x94\x00\x01\xa5check\x91\x80"  # a health check: a whole message that leaves nothing open
@@ -43,26 +43,41 @@
 @pytest.mark.parametrize("callers", [0, 128])
 def test_the_parts_never_come_to_more_than_the_smaller_limit(limit: int, callers: int) -> None:
     for configured, real in ((limit, 2**31), (2**31, limit)):
-        one = descriptors.share_out(configured, callers if limit >= 96 else 0, real, held=6)
-        assert one.limit == limit and one.clients + one.callers + one.runners + one.kept == limit
-        assert one.clients >= limit // 3, "clients may hold a third of the limit"
-        assert min(one.runners, one.operators, one.turn) >= 1
-        crossing = one.turn + one.operators
-        assert one.kept >= 6 + crossing + descriptors.RESOLVER + descriptors.PEERS + descriptors.FILES
+        one = descriptor_budget.compute_budget(
+            configured, callers if limit >= 96 else 0, real, already_open=6
+        )
+        assert (
+            one.limit == limit
+            and one.client_connections + one.invoke_connections + one.worker_connections + one.reserved
+            == limit
+        )
+        assert one.client_connections >= limit // 3, "clients may hold a third of the limit"
+        assert min(one.worker_connections, one.operator_connections, one.accepts_per_pass) >= 1
+        crossing = one.accepts_per_pass + one.operator_connections
+        assert (
+            one.reserved
+            >= 6
+            + crossing
+            + descriptor_budget.DISCOVERY_SOCKETS
+            + descriptor_budget.PEER_SOCKETS
+            + descriptor_budget.OPEN_FILES
+        )
 
 
 def test_what_the_process_was_started_with_is_not_given_out_twice() -> None:
-    less = descriptors.share_out(1024, 0, 1024, held=106).runners
-    assert descriptors.share_out(1024, 0, 1024, held=6).runners - less == 100
+    less = descriptor_budget.compute_budget(1024, 0, 1024, already_open=106).worker_connections
+    assert descriptor_budget.compute_budget(1024, 0, 1024, already_open=6).worker_connections - less == 100
     with pytest.raises(ValueError, match="40 descriptors leave none for runners"):
-        descriptors.share_out(1024, 0, 40, held=6)
+        descriptor_budget.compute_budget(1024, 0, 40, already_open=6)
 
 
 def test_the_real_limit_is_read_and_not_changed() -> None:
     before = resource.getrlimit(resource.RLIMIT_NOFILE)
-    assert descriptors.real_limit() == before[0] and resource.getrlimit(resource.RLIMIT_NOFILE) == before
+    assert (
+        descriptor_budget.soft_limit() == before[0] and resource.getrlimit(resource.RLIMIT_NOFILE) == before
+    )
     with socket.socket():
-        assert descriptors.open_now() == len(os.listdir("/proc/self/fd")) - 1
+        assert descriptor_budget.count_open_descriptors() == len(os.listdir("/proc/self/fd")) - 1
 
 
 # Processes, each with a limit of its own.
@@ -339,14 +354,14 @@
     async def test() -> None:
         loop = asyncio.get_running_loop()
         async with service(Runner()) as running:
-            running.control.most = descriptors.SMALL_TURN
+            running.control.max_connections = descriptor_budget.SMALL_ACCEPTS_PER_PASS
             before = len(os.listdir("/proc/self/fd"))
             made = [socket.create_connection(("127.0.0.1", running.control_port)) for _ in range(61)]
             made[-1].sendall(b"PING\n")
             made[-1].setblocking(False)
             async with asyncio.timeout(10):
                 assert await loop.sock_recv(made[-1], 64) == b"YES\n"
-            most = running.control.most + descriptors.SMALL_TURN
+            most = running.control.max_connections + descriptor_budget.SMALL_ACCEPTS_PER_PASS
             assert len(os.listdir("/proc/self/fd")) - before - len(made) <= most
             close(made)
 
@@ -452,8 +467,8 @@
             for number in range(1, 5):
                 answer = await caller.call(number, "confirm", b"x")
                 assert answer[2][0] == "Backoff", "it never ran"
-            [view] = running.planner.router.workers.values()
-            assert view.trouble == 0.0 and not view.broken and not runner.calls
+            [view] = running.dispatcher.router.workers.values()
+            assert view.outlier_score == 0.0 and not view.is_ejected and not runner.calls
             loop.create_connection = dial  # type: ignore[method-assign]
             assert await caller.call(9, "confirm", b"x") == [1, 9, None, [b"X", {}]]
 
@@ -489,13 +504,13 @@
     async def test() -> None:
         runners = [Runner(), Runner(), Runner()]
         async with service(*runners) as running, client(running) as caller:
-            running.runners.most = 1
+            running.workers.max_connections = 1
             for number in range(1, 20):
                 answer = await caller.call(number, "confirm", b"x", item=f"{number * 7919:016x}")
                 assert answer == [1, number, None, [b"X", {}]]
-                assert sum(len(pool.connections) for pool in running.runners.pools.values()) == 1
+                assert sum(len(pool.connections) for pool in running.workers.pools.values()) == 1
             assert sum(bool(runner.calls) for runner in runners) > 1
-            assert not any(view.trouble for view in running.planner.router.workers.values())
+            assert not any(view.outlier_score for view in running.dispatcher.router.workers.values())
 
     run(test)
 
@@ -514,17 +529,17 @@
             far = Runner()
             limits = SETTINGS["limits"] | {"connect-timeout": 60_000}
             async with service(far, limits=limits) as running:
-                [pool] = running.runners.pools.values()
-                pool.listing = dataclasses.replace(pool.listing, port=full.getsockname()[1])
+                [pool] = running.workers.pools.values()
+                pool.endpoint = dataclasses.replace(pool.endpoint, port=full.getsockname()[1])
                 before = set(os.listdir("/proc/self/fd"))
-                connection = pool.connection("a")
+                connection = pool.acquire("a")
                 assert connection is not None
                 while len(os.listdir("/proc/self/fd")) <= len(before):
                     await asyncio.sleep(0)
                 connection.abort()
                 for _ in range(10):
                     await asyncio.sleep(0)
-                assert not pool.dialling and set(os.listdir("/proc/self/fd")) == before
+                assert not pool.connecting and set(os.listdir("/proc/self/fd")) == before
             close(fill)
 
     run(test)
@@ -539,17 +554,21 @@
     async def test() -> None:
         async with service(Runner(long)) as running, client(running) as slow:
             platform = running.platform
-            platform.most = 1
+            platform.max_connections = 1
             for number in range(1, 33):
                 slow.writer.write(pack_call(number, "check", b"x"))
             slow.reader._transport.pause_reading()  # type: ignore[attr-defined]
-            while not [c for c in platform.connections if not c.open and c.paused and not c.waits]:
+            while not [
+                c
+                for c in platform.connections
+                if not c.open_calls and c.is_write_paused and not c.has_unprocessed_messages
+            ]:
                 await asyncio.sleep(0)
             async with client(running) as other:
                 assert await other.read() is None, "turned away"
             assert len(platform.connections) == 1
             slow.reader._transport.resume_reading()  # type: ignore[attr-defined]
-            whole = sum(len(pack_answer(n, Served(b"ABC" * 65536))) for n in range(1, 33))
+            whole = sum(len(encode_answer(n, CallSucceeded(b"ABC" * 65536))) for n in range(1, 33))
             async with asyncio.timeout(10):
                 assert len(await slow.reader.readexactly(whole)) == whole, "and every answer comes"
 
@@ -560,7 +579,7 @@
     """They were counted from the end of the handshake on, so that these took every descriptor there was."""
 
     async def test() -> None:
-        told = dataclasses.replace(config(authority), connections=4)
+        told = dataclasses.replace(config(authority), max_connections=4)
         async with service(Runner(), invoke=told) as running:
             assert running.invoke is not None
             before = len(os.listdir("/proc/self/fd"))
@@ -599,14 +618,14 @@
         old, new = Discovery(), Discovery()
         await old.server.start()
         await new.server.start()
-        resolver = Resolver(lambda serial, found: None, scarce=give_back)
-        await resolver.start("127.0.0.1", old.server.port)
+        resolver = DiscoveryClient(lambda serial, found: None, release_descriptor=give_back)
+        await resolver.connect("127.0.0.1", old.server.port)
         await old.next()
         loop.create_datagram_endpoint = scarce  # type: ignore[method-assign]
         began = loop.time()
-        resolver.follow("127.0.0.1", new.server.port)
+        resolver.start_polling("127.0.0.1", new.server.port)
         await new.next()
-        assert tries == 3 and room == 1 and loop.time() - began > 0.9 * PERIOD
+        assert tries == 3 and room == 1 and loop.time() - began > 0.9 * POLL_INTERVAL_S
         resolver.stop()
         old.server.stop()
         new.server.stop()
@@ -618,8 +637,8 @@
     async def test() -> None:
         there = Discovery()
         await there.server.start()
-        resolver = Resolver(lambda serial, found: None)
-        resolver.follow("127.0.0.1", there.server.port)
+        resolver = DiscoveryClient(lambda serial, found: None)
+        resolver.start_polling("127.0.0.1", there.server.port)
         await there.next()
         assert resolver._transport is not None
         first = resolver._transport
@@ -638,16 +657,17 @@
         loop = asyncio.get_running_loop()
         async with service(Runner()) as running:
             made = [
-                socket.create_connection(("127.0.0.1", running.port)) for _ in range(3 * descriptors.TURN)
+                socket.create_connection(("127.0.0.1", running.port))
+                for _ in range(3 * descriptor_budget.CLIENT_ACCEPTS_PER_PASS)
             ]
             for one in made:
                 one.sendall(CHECK)
                 one.setblocking(False)
             running.platform.stop_listening()
-            assert not running.platform.drained(), "the process may not end yet"
+            assert not running.platform.is_drained(), "the process may not end yet"
             async with asyncio.timeout(10):
                 assert all([await loop.sock_recv(one, 64) for one in made]), "each was answered"
-                while not running.platform.drained():
+                while not running.platform.is_drained():
                     await asyncio.sleep(0)
             with pytest.raises(ConnectionRefusedError):
                 socket.create_connection(("127.0.0.1", running.port))
--- a/tests/test_endings.py
+++ b/tests/integration/test_endings.py
@@ -19,13 +19,15 @@
 import pytest
 
 from cedarthread import config
-from cedarthread import interface as i
-from cedarthread.net import runners as net_runners
-from cedarthread.net.runners import IDLE_PART, RunnerConnection
+from cedarthread.model.endpoints import EndpointState
+from cedarthread.model.events import PreloadEnded
+from cedarthread.model.outcomes import Outcome
+from cedarthread.protocols import workers as net_runners
+from cedarthread.protocols.workers import IDLE_CLOSE_FRACTION, WorkerConnection
 from cedarthread.service import Service
-from cedarthread.standins.scripted import Client, Runner, client, hit, listing, pack_call, says, service
-from cedarthread.standins.settings import SETTINGS
-from tests.test_retune import file_with
+from cedarthread.testing.fakes.scripted import Client, Runner, client, hit, listing, pack_call, says, service
+from cedarthread.testing.fakes.settings import SETTINGS
+from tests.unit.test_settings_reload import file_with
 
 INTERRUPT = b"\x93\x02\xa9interrupt\x91"
 LONG = "60000"  # ms of a limit that no test waits for
@@ -58,32 +60,36 @@
 
 def debts(running: Service) -> dict[str, Any]:
     """What is still owed, by name; nothing where all is paid."""
-    planner, runners, front = running.planner, running.runners, running.platform
-    router, counts = planner.router, planner.counts
+    planner, runners, front = running.dispatcher, running.workers, running.platform
+    router, counts = planner.router, planner.result_counts
     mine = [c for pool in runners.pools.values() for c in pool.connections]
-    theirs = [*front.connections, *front.strangers]
+    theirs = [*front.connections, *front.unproven_connections]
     ends = counts["served"] + counts["refused"] + counts["failed"]
-    figures = [sum(f[n] for n in ("passed", "dropped", "bad_gateway")) for f in planner.handled.values()]
+    figures = [
+        sum(f[n] for n in ("passed", "dropped", "bad_gateway")) for f in planner.class_figures.values()
+    ]
     timers = [h for h in asyncio.get_running_loop()._scheduled if not h.cancelled()]  # type: ignore[attr-defined]
     names = [getattr(h._callback, "__qualname__", "") for h in timers]
     owed = {
-        "calls": planner.calls,
-        "over": planner._over,
-        "names": planner.names,
-        "bytes": planner.held_bytes,
-        "inbox": planner._inbox,
-        "open": router.open,
-        "held": router.held,
-        "late": router.late,
-        "reach": router.reach.out,
-        "pending": [v.entry.worker for v in router.workers.values() if v.pending or v.trial_out],
-        "jam": router.jam.total,
-        "loads": router.loads_out or [f for f in router.functions.values() if f.loading],
-        "carrying": runners._carrying,
-        "streams": [name for c in mine for name in c.open],
-        "lines": [line for c in mine for line in (*c.lines, *c.leaving)],
-        "requests": [number for c in theirs for number in c.open],
-        "queued": front.queued,
+        "calls": planner.pending_calls,
+        "over": planner._completing,
+        "names": planner.pending_call_ids,
+        "bytes": planner.pending_body_bytes,
+        "inbox": planner._event_queue,
+        "open": router.pending_requests,
+        "held": router.queued_requests,
+        "late": router.orphaned_attempts,
+        "reach": router.zone_reachability.in_flight,
+        "pending": [
+            v.endpoint.worker_id for v in router.workers.values() if v.in_flight or v.has_trial_in_flight
+        ],
+        "jam": router.overload.total_in_flight,
+        "loads": router.preloads_in_flight or [f for f in router.functions.values() if f.preloading_workers],
+        "carrying": runners._connection_by_attempt,
+        "streams": [name for c in mine for name in c.in_flight],
+        "lines": [line for c in mine for line in (*c.queued_lines, *c.buffered_lines)],
+        "requests": [number for c in theirs for number in c.open_calls],
+        "queued": front.queued_bytes,
         "figures of all": counts["taken"] - ends - counts["left"],
         "figures of classes": ends - sum(figures),
         "timers": [n for n in names if n.startswith(("Runners.", "RunnerConnection.", "Pool."))],
@@ -117,15 +123,15 @@
         return await self._dial(make, host, port, **more)
 
 
-def pooled(running: Service) -> list[RunnerConnection]:
-    return [c for pool in running.runners.pools.values() for c in pool.connections]
+def pooled(running: Service) -> list[WorkerConnection]:
+    return [c for pool in running.workers.pools.values() for c in pool.connections]
 
 
-def tell(running: Service, runners: list[Runner], *states: i.WorkerState, **changes: Any) -> None:
+def tell(running: Service, runners: list[Runner], *states: EndpointState, **changes: Any) -> None:
     """News of the runners; one that is gone is not listed."""
     told = [listing(r, n, s) for n, (r, s) in enumerate(zip(runners, states, strict=True), 1)]
-    told = [dataclasses.replace(e, **changes) for e in told if e.state is not i.WorkerState.GONE]
-    running.news(running.roster.version + 1, told, whole=True)
+    told = [dataclasses.replace(e, **changes) for e in told if e.state is not EndpointState.REMOVED]
+    running.update_endpoints(running.endpoint_list.version + 1, told, is_complete=True)
 
 
 def told(message: Any) -> str:
@@ -148,7 +154,7 @@
     assert (await caller.read())[:2] == [1, number]
 
 
-READY, DRAINING, GONE = i.WorkerState.READY, i.WorkerState.DRAINING, i.WorkerState.GONE
+READY, DRAINING, GONE = EndpointState.READY, EndpointState.DRAINING, EndpointState.REMOVED
 
 
 # News of a runner.
@@ -169,7 +175,7 @@
             assert await caller.read() == [1, 1, None, [b"X", {}]]
             if first == "answer":
                 tell(running, [runner], DRAINING)
-            running.runners.sweep(running.resolver._loop.time())
+            running.workers.sweep(running.discovery._loop.time())
             await until(lambda: not pooled(running), "the connection to the draining runner is closed")
 
     asyncio.run(test())
@@ -186,7 +192,7 @@
             held.ports |= {runner.port for runner in runners}
             caller.writer.write(pack_call(1, "confirm", b"x"))
             await until(lambda: held.waiting, "a dial")
-            [(at, pool)] = [(n, p) for n, p in running.runners.pools.items() if p.connections]
+            [(at, pool)] = [(n, p) for n, p in running.workers.pools.items() if p.connections]
             held.ports.clear()
             states = [DRAINING if n == at else READY for n in (1, 2)]
             if first == "news":
@@ -194,7 +200,7 @@
                 assert not pool.connections, "a dial that nothing waits for is given up"
                 assert await caller.read() == [1, 1, None, [b"X", {}]]
                 held.waiting[0].set()
-                await until(lambda: not pool.dialling, "the end of the dial")
+                await until(lambda: not pool.connecting, "the end of the dial")
                 assert not pool.connections
             else:
                 held.waiting[0].set()
@@ -230,7 +236,7 @@
                 assert told(await caller.read()) == ("served" if klass == "check" else "failed")
             await fence(caller, 9)
             assert len(runners[1 - at].calls) == (first == "news" and klass == "check")
-            assert running.planner.counts["taken"] == 1
+            assert running.dispatcher.result_counts["taken"] == 1
 
     asyncio.run(test())
 
@@ -246,7 +252,7 @@
             tell(running, [runner], GONE)
             assert told(await caller.read()) == "failed"
             await settled(running)
-            figures = running.figures()
+            figures = running.status_lines()
             assert "router.known_runners=0" in figures and "router.skipped_runners=0" in figures
 
     asyncio.run(test())
@@ -259,12 +265,12 @@
         runners = [Runner(), Runner()]
         async with routed(*runners) as (running, caller):
             assert told(await caller.call(1, "check", b"x")) == "served"
-            [(at, pool)] = [(n, p) for n, p in running.runners.pools.items() if p.connections]
-            pool.connections[0].paused = True  # as after a write that the peer's window did not take
+            [(at, pool)] = [(n, p) for n, p in running.workers.pools.items() if p.connections]
+            pool.connections[0].is_write_paused = True  # as after a write that the peer's window did not take
             caller.writer.write(pack_call(2, "confirm", b"x"))
-            await until(lambda: pool.connections[0].lines, "the call waits for the slow runner")
+            await until(lambda: pool.connections[0].queued_lines, "the call waits for the slow runner")
             states = [DRAINING if n == at else READY for n in (1, 2)]
-            tell(running, runners, *states, started=pool.connections[0].born - 1.0)
+            tell(running, runners, *states, started_at_ms=pool.connections[0].created_at_ms - 1.0)
             assert await caller.read() == [1, 2, None, [b"X", {}]]
             assert [c["id"] for c in runners[2 - at].calls] == [f"{2:016x}"]
 
@@ -302,7 +308,7 @@
         async with routed(runner) as (running, caller):
             tell(running, [runner], DRAINING)
             caller.writer.write(pack_call(1, "confirm", b"x", limit="500" if first == "time" else LONG))
-            await until(lambda: running.planner.router.held, "no runner is ready: it is held")
+            await until(lambda: running.dispatcher.router.queued_requests, "no runner is ready: it is held")
             if first == "interrupt":
                 caller.writer.write(INTERRUPT + b"\x01")
                 await fence(caller, 9)
@@ -342,7 +348,7 @@
             assert told(answer) == ("served" if place == "after" else "failed" if unsafe else "refused")
             ran = len(runners[0].calls + runners[1].calls)
             assert ran == (1 if place == "after" or unsafe else 2)
-            assert running.planner.handled[klass]["upstream_tries"] == ran
+            assert running.dispatcher.class_figures[klass]["upstream_tries"] == ran
             await until(lambda: not pooled(running), "all connections have ended")
 
     asyncio.run(test())
@@ -351,7 +357,7 @@
     assert all(line.startswith("runner s-0000000") for line in cut), "it says where"
 
 
-async def narrow(running: Service, runner: Runner, caller: Client) -> RunnerConnection:
+async def narrow(running: Service, runner: Runner, caller: Client) -> WorkerConnection:
     """A connection whose sockets take less than one long call while the runner does not read, as now."""
     runner.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)  # accepted ones inherit it
     assert told(await caller.call(1, "check", b"x")) == "served"
@@ -372,8 +378,8 @@
             last = 9
             for number in range(2, last + 1):
                 caller.writer.write(pack_call(number, "confirm", b"y" * 16_000, limit=LONG))
-            await until(lambda: len(running.planner.calls) == last - 1, "all are taken")
-            await until(lambda: connection.paused, "the runner's window is full")
+            await until(lambda: len(running.dispatcher.pending_calls) == last - 1, "all are taken")
+            await until(lambda: connection.is_write_paused, "the runner's window is full")
             runner.writers[0].write_eof()
             ends = {(a := await caller.read())[1]: told(a) for _ in range(2, last + 1)}
             assert set(ends) == set(range(2, last + 1))
@@ -406,7 +412,7 @@
             second_at.answer(second, hit(second_at, second))
             assert await caller.read() == [1, 2, None, [b"X", {}]]
             await fence(caller, 9)
-            assert running.planner.counts["served"] == 2
+            assert running.dispatcher.result_counts["served"] == 2
 
     asyncio.run(test())
 
@@ -446,7 +452,7 @@
                 leaver.writer.write(INTERRUPT + b"\x01")
             else:
                 reset(leaver.writer)
-            await until(lambda: not running.planner.calls, "the call has ended")
+            await until(lambda: not running.dispatcher.pending_calls, "the call has ended")
             held.ports.clear()
             held.waiting[0].set()
             assert await caller.call(2, "confirm", b"y") == [1, 2, None, [b"Y", {}]]
@@ -467,7 +473,7 @@
             held.ports |= {runner.port for runner in runners}
             caller.writer.write(pack_call(1, "confirm", b"x"))
             await until(lambda: held.waiting, "a dial")
-            [at] = [n for n, p in running.runners.pools.items() if p.connections]
+            [at] = [n for n, p in running.workers.pools.items() if p.connections]
             held.ports = {runners[at - 1].port}
             assert await caller.read() == [1, 1, None, [b"X", {}]]
             assert runners[at - 1].calls == [] and len(runners[2 - at].calls) == 1
@@ -489,11 +495,13 @@
 
             monkeypatch.setattr(loop, "create_connection", fail)
             assert told(await caller.call(1, "confirm", b"x", limit="400")) == "refused"
-            most, running.runners.most = running.runners.most, 0
+            most, running.workers.max_connections = running.workers.max_connections, 0
             assert told(await caller.call(2, "confirm", b"x", limit="400")) == "refused"
-            running.runners.most = most
+            running.workers.max_connections = most
             monkeypatch.setattr(loop, "create_connection", dial)
-            assert running.planner.router.workers[1].down_at < 0.0, "that proves nothing of the runner"
+            assert running.dispatcher.router.workers[1].unreachable_at_ms < 0.0, (
+                "that proves nothing of the runner"
+            )
             assert await caller.call(3, "confirm", b"x") == [1, 3, None, [b"X", {}]]
 
     asyncio.run(test())
@@ -508,15 +516,15 @@
         runner = Runner()
         async with routed(runner) as (running, caller):
             assert told(await caller.call(1, "confirm", b"x")) == "served"
-            late = asyncio.get_running_loop().time() + 30.0 * IDLE_PART + 0.01
+            late = asyncio.get_running_loop().time() + 30.0 * IDLE_CLOSE_FRACTION + 0.01
             if first == "sweep":
-                running.runners.sweep(late)
+                running.workers.sweep(late)
                 assert await caller.call(2, "confirm", b"x") == [1, 2, None, [b"X", {}]]
             else:
                 runner.behave = mute
                 caller.writer.write(pack_call(2, "confirm", b"x"))
                 await runner.until(lambda: len(runner.calls) == 2)
-                running.runners.sweep(late)
+                running.workers.sweep(late)
                 runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
                 assert await caller.read() == [1, 2, None, [b"X", {}]]
             assert len(runner.writers) == (2 if first == "sweep" else 1)
@@ -544,7 +552,7 @@
         async with routed(runner) as (running, caller):
             assert told(await caller.call(1, "confirm", b"x")) == "served"
             [old] = pooled(running)
-            old.used -= 30.0 * IDLE_PART + 0.01  # as after that time without a turn
+            old.last_used_at -= 30.0 * IDLE_CLOSE_FRACTION + 0.01  # as after that time without a turn
             assert await caller.call(2, "confirm", b"x") == [1, 2, None, [b"X", {}]]
             assert len(runner.writers) == 2
 
@@ -564,9 +572,9 @@
         runner = Runner(mute)
         specifics = SETTINGS["specifics"] | {"order-limit": 40 if first == "time" else 10_000}
         async with routed(runner, specifics=specifics) as (running, caller):
-            ends: list[i.OrderEnded] = []
-            monkeypatch.setattr(running.planner, "order_ended", ends.append)
-            running.runners.order(1, 7, 1)
+            ends: list[PreloadEnded] = []
+            monkeypatch.setattr(running.dispatcher, "preload_ended", ends.append)
+            running.workers.preload(1, 7, 1)
             await runner.until(lambda: len(runner.calls) == 1)
             done = {"op": "HIT", "fields": {"pods": 1}}
             if first == "answer":
@@ -579,7 +587,7 @@
                 runner.answer(runner.calls[0], done)  # late: for nobody
                 runner.behave = hit
                 assert told(await caller.call(1, "confirm", b"x")) == "served"
-            outcome = {"answer": i.Outcome.OK, "time": i.Outcome.TIMEOUT, "connection": i.Outcome.RESET}
+            outcome = {"answer": Outcome.OK, "time": Outcome.TIMEOUT, "connection": Outcome.RESET}
             await settled(running)
             assert [end.outcome for end in ends] == [outcome[first]]
 
@@ -612,7 +620,7 @@
                 if how != "close":
                     await runner.until(lambda: runner.cancelled != [])
                 else:  # it may have stopped writing only: an answer that comes is still for it
-                    await until(lambda: any(c.ending for c in running.platform.connections), "EOF")
+                    await until(lambda: any(c.is_half_closed for c in running.platform.connections), "EOF")
                 runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
             else:
                 runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
@@ -621,7 +629,7 @@
             runner.behave = hit
             assert await caller.call(2, "confirm", b"y") == [1, 2, None, [b"Y", {}]]
             await settled(running)
-            ends, gone = running.planner.counts, first == "leaves" and how != "close"
+            ends, gone = running.dispatcher.result_counts, first == "leaves" and how != "close"
             assert (ends["served"], ends["left"]) == ((1, 1) if gone else (2, 0))
             assert runner.cancelled == ([f"{1:016x}"] if gone else [])
 
@@ -639,12 +647,12 @@
                 await runner.until(lambda: len(runner.calls) == number)  # noqa: B023
                 runner.answer(runner.calls[-1], hit(runner, runner.calls[-1]))
                 caller.writer.write(INTERRUPT + bytes((number,)))
-                await until(lambda: not running.planner.calls, "it has ended")
+                await until(lambda: not running.dispatcher.pending_calls, "it has ended")
             caller.writer.write(b"\x94\x00\x63\xa5check\x90")
             answered = []
             while (message := await caller.read())[1] != 0x63:
                 answered.append(message[1])
-            assert len(answered) == len(set(answered)) == running.planner.counts["served"]
+            assert len(answered) == len(set(answered)) == running.dispatcher.result_counts["served"]
 
     asyncio.run(test())
 
@@ -662,7 +670,7 @@
             runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
             if first == "answer":
                 assert told(await caller.read()) == "served"
-                running.planner._wake()  # its time, had it come in this very turn
+                running.dispatcher._on_timer()  # its time, had it come in this very turn
             await fence(caller, 9)
             assert len(runner.cancelled) == (first == "time")
 
@@ -685,8 +693,8 @@
             await runner.until(lambda: len(runner.calls) == 2)
             runner.writers[0].transport.pause_reading()  # type: ignore[attr-defined]
             caller.writer.write(pack_call(3, "check", b"y" * 16_000, limit=LONG))
-            await until(lambda: connection.paused, "the runner's window is full")
-            monkeypatch.setattr(net_runners, "CANCEL_SETTLES", 10.0 if first == "reads" else 0.0)
+            await until(lambda: connection.is_write_paused, "the runner's window is full")
+            monkeypatch.setattr(net_runners, "CANCEL_SETTLE_S", 10.0 if first == "reads" else 0.0)
             caller.writer.write(INTERRUPT + b"\x03")
             if first == "time":
                 assert told(await caller.read()) == "failed"  # it has not been told but by closing
@@ -696,7 +704,7 @@
             await runner.until(lambda: runner.cancelled == [f"{3:016x}"])
             runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
             assert told(await caller.read()) == "served"
-            [timer] = [h for h in running.planner._loop._scheduled if "_given_up" in repr(h)]  # type: ignore
+            [timer] = [h for h in running.dispatcher._loop._scheduled if "_given_up" in repr(h)]  # type: ignore
             timer._run()  # its time has come: the call counts as given up
             timer.cancel()
 
@@ -715,15 +723,15 @@
         async with routed(runner, classes=classes) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
             await runner.until(lambda: len(runner.calls) == 1)
-            ending = asyncio.create_task(running.finish())
-            await until(lambda: running.planner.stop_at is not None, "it has been told")
+            ending = asyncio.create_task(running.shut_down())
+            await until(lambda: running.dispatcher.shutdown_deadline_ms is not None, "it has been told")
             caller.writer.write(pack_call(2, "confirm", b"x", limit=LONG))
             await runner.until(lambda: len(runner.calls) == 2)
             answers = [await caller.read(), await caller.read()]
             assert {(a[1], told(a)) for a in answers} == {(1, "failed"), (2, "failed")}
             assert await caller.read() is None
             await ending
-            assert running.planner.clock() < (running.planner.stop_at or 0.0) + 250.0
+            assert running.dispatcher.clock() < (running.dispatcher.shutdown_deadline_ms or 0.0) + 250.0
 
     asyncio.run(test())
 
@@ -737,14 +745,14 @@
         async with routed(runner) as (running, caller):
             await fence(caller, 9)
             if first == "close":
-                running.platform.wind_down()
+                running.platform.drain()
             caller.writer.write(pack_call(1, "confirm", b"x"))
             if first == "request":
-                await until(lambda: running.planner.counts["taken"], "it is taken")
-                running.platform.wind_down()
+                await until(lambda: running.dispatcher.result_counts["taken"], "it is taken")
+                running.platform.drain()
                 assert await caller.read() == [1, 1, None, [b"X", {}]]
             assert await caller.read() is None
-            assert running.planner.counts["taken"] == len(runner.calls) == (first == "request")
+            assert running.dispatcher.result_counts["taken"] == len(runner.calls) == (first == "request")
 
     asyncio.run(test())
 
@@ -774,7 +782,7 @@
     async def test() -> None:
         runner = Runner(mute)
         async with routed(runner) as (running, caller):
-            running.platform.most = 1
+            running.platform.max_connections = 1
             await fence(caller, 9)
             if first == "request":
                 caller.writer.write(pack_call(1, "confirm", b"x"))
@@ -799,7 +807,7 @@
     """SIGHUP, with the file changed like this."""
     changed = json.loads(json.dumps(SETTINGS))
     change(changed)
-    running._reread = lambda: config.read(file_with(changed), {})
+    running._load_config = lambda: config.decode(file_with(changed), {})
     running.reload()
 
 
@@ -832,7 +840,7 @@
             if first == "end":
                 take(running, change)
             assert {c["fields"]["profile"] for r in runners for c in r.calls} == {"check"}
-            assert running.planner.handled["check"]["passed"] == 1
+            assert running.dispatcher.class_figures["check"]["passed"] == 1
 
     asyncio.run(test())
 
@@ -851,8 +859,8 @@
             caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
             await until(lambda: count[0] == 2, "the second attempt is out")
             [runner] = [r for r in runners if r.calls and r.calls[0] == r.calls[-1] and not r.cancelled][-1:]
-            out = [c for c in pooled(running) if c.open]
-            [at] = [n for n, p in running.runners.pools.items() if out[0] in p.connections]
+            out = [c for c in pooled(running) if c.in_flight]
+            [at] = [n for n, p in running.workers.pools.items() if out[0] in p.connections]
             runner = runners[at - 1]
             if first == "settings":
                 take(running, lambda told: told["limits"].update({"send-cap": 1}))
--- a/tests/test_endings_debts.py
+++ b/tests/integration/test_endings_accounting.py
@@ -7,19 +7,33 @@
 
 import pytest
 
-from cedarthread.net.runners import RunnerConnection
-from cedarthread.standins.resolver import Listed, ResolverServer
-from cedarthread.standins.scripted import Runner, client, hit, pack_call, says
-from cedarthread.standins.settings import SETTINGS
-from tests.test_endings import INTERRUPT, LONG, Held, fence, mute, pooled, reset, routed, settled, told, until
+from cedarthread.protocols.workers import WorkerConnection
+from cedarthread.testing.fakes.discovery_server import Listed, ResolverServer
+from cedarthread.testing.fakes.scripted import Runner, client, hit, pack_call, says
+from cedarthread.testing.fakes.settings import SETTINGS
+from tests.integration.test_endings import (
+    INTERRUPT,
+    LONG,
+    Held,
+    fence,
+    mute,
+    pooled,
+    reset,
+    routed,
+    settled,
+    told,
+    until,
+)
 
 
 def test_a_call_that_the_front_turns_away_counts_as_taken() -> None:
     async def test() -> None:
         async with routed(Runner()) as (running, caller):
-            running.platform.most_queued = -1
+            running.platform.max_queued_bytes = -1
             assert told(await caller.call(1, "check", b"x")) == "refused"
-            assert running.planner.counts["taken"] == running.planner.counts["refused"] == 1
+            assert (
+                running.dispatcher.result_counts["taken"] == running.dispatcher.result_counts["refused"] == 1
+            )
 
     asyncio.run(test())
 
@@ -34,8 +48,11 @@
             await runner.until(lambda: len(runner.calls) == 1)
             caller.writer.write(b"\x91\x05")
             assert told(await caller.read()) == "failed"
-            assert running.planner.handled["confirm"]["bad_gateway"] == 1
-            assert running.planner.counts["failed"] == 1 and running.planner.counts["left"] == 0
+            assert running.dispatcher.class_figures["confirm"]["bad_gateway"] == 1
+            assert (
+                running.dispatcher.result_counts["failed"] == 1
+                and running.dispatcher.result_counts["left"] == 0
+            )
 
     asyncio.run(test())
 
@@ -88,8 +105,8 @@
             await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
             at = 0 if runners[0].calls else 1
             runners[1 - at].behave = hit
-            clock = running.planner.clock
-            monkeypatch.setattr(running.planner, "clock", lambda: clock() + 400.0)  # its window is over
+            clock = running.dispatcher.clock
+            monkeypatch.setattr(running.dispatcher, "clock", lambda: clock() + 400.0)  # its window is over
             runners[at].answer(runners[at].calls[0], says("SHED")(runners[at], {}) or {})
             assert told(await caller.read()) == "served"
             assert len(pooled(running)) == 2
@@ -109,17 +126,19 @@
             [connection] = running.platform.connections
             slow.writer.transport.pause_reading()  # type: ignore[attr-defined]
             number = 1
-            while not connection.paused:  # more answers than the sockets take
+            while not connection.is_write_paused:  # more answers than the sockets take
                 slow.writer.write(pack_call(number, "check", b"x"))
-                await until(lambda: running.planner.counts["served"] == number, "it is served")  # noqa: B023
+                await until(lambda: running.dispatcher.result_counts["served"] == number, "it is served")  # noqa: B023
                 await asyncio.sleep(0)
                 number += 1
             await fence(caller, 9)  # so the slow one is the least lately used
-            running.platform.most = 2
+            running.platform.max_connections = 2
             async with client(running) as new:
-                await until(lambda: running.platform.strangers or new.reader.at_eof(), "let in, or not")
-                every = [*running.platform.connections, *running.platform.strangers]
-                assert connection in every or connection.closed, "open, and counted no more"
+                await until(
+                    lambda: running.platform.unproven_connections or new.reader.at_eof(), "let in, or not"
+                )
+                every = [*running.platform.connections, *running.platform.unproven_connections]
+                assert connection in every or connection.is_closed, "open, and counted no more"
 
     asyncio.run(test())
 
@@ -153,7 +172,7 @@
         async with routed(Runner()) as (running, _):
             monkeypatch.setattr(loop, "create_datagram_endpoint", held)
             for port in (first.port, last.port):
-                running.resolver.follow("127.0.0.1", port)
+                running.discovery.start_polling("127.0.0.1", port)
             gate[last.port].set()
             await until(lambda: done == [last.port], "the last is there")
             gate[first.port].set()
@@ -162,7 +181,7 @@
             asked.clear()
             await until(lambda: asked, "the next query")
             assert set(asked) == {"last"}
-            running.resolver.stop()
+            running.discovery.stop()
         first.stop()
         last.stop()
 
@@ -175,18 +194,18 @@
     """The time to come up ends right after the connection is there, before asyncio has told its dial so."""
 
     async def test() -> None:
-        opened = RunnerConnection.opened
+        opened = WorkerConnection.on_connected
 
-        def late(connection: RunnerConnection) -> None:
+        def late(connection: WorkerConnection) -> None:
             opened(connection)
-            assert connection.dial is not None
-            if (when := connection.dial.when()) is not None:  # its time is up now
-                connection.dial.reschedule(when - 3600.0)
+            assert connection.connect_timeout is not None
+            if (when := connection.connect_timeout.when()) is not None:  # its time is up now
+                connection.connect_timeout.reschedule(when - 3600.0)
 
-        monkeypatch.setattr(RunnerConnection, "opened", late)
+        monkeypatch.setattr(WorkerConnection, "on_connected", late)
         async with routed(Runner()) as (running, caller):
             assert told(await caller.call(1, "confirm", b"x")) == "served"
-            assert len(pooled(running)) == 1 and not pooled(running)[0].closed
+            assert len(pooled(running)) == 1 and not pooled(running)[0].is_closed
 
     asyncio.run(test())
 
@@ -199,16 +218,16 @@
         async with routed(*runners) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
             await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
-            router, full = running.planner.router, runners[0] if runners[0].calls else runners[1]
-            before, slow = router.budget, Held(monkeypatch)
+            router, full = running.dispatcher.router, runners[0] if runners[0].calls else runners[1]
+            before, slow = router.retry_budget, Held(monkeypatch)
             slow.ports.update(one.port for one in runners if one is not full)
             full.answer(full.calls[0], says("SHED")(full, {}) or {})
             await until(lambda: slow.waiting, "the move waits for its connection")
-            assert router.budget == before - 1.0
+            assert router.retry_budget == before - 1.0
             caller.writer.write(INTERRUPT + b"\x01")
             await fence(caller, 9)
-            await until(lambda: not router.late, "its end")
-            assert router.budget == before and len(runners[0].calls + runners[1].calls) == 1
+            await until(lambda: not router.orphaned_attempts, "its end")
+            assert router.retry_budget == before and len(runners[0].calls + runners[1].calls) == 1
             slow.waiting[0].set()
 
     asyncio.run(test())
@@ -224,11 +243,14 @@
             slow.ports.add(runner.port)
             for number in range(1, 6):
                 caller.writer.write(pack_call(number, "check", b"x", limit=LONG))
-                await until(lambda: running.planner.calls, "it waits")
+                await until(lambda: running.dispatcher.pending_calls, "it waits")
                 caller.writer.write(INTERRUPT + bytes((number,)))
-                await until(lambda: not running.planner.calls and not running.planner._over, "it has left")
-            [view] = running.planner.router.workers.values()
-            assert view.trouble == 0.0 and not view.broken
+                await until(
+                    lambda: not running.dispatcher.pending_calls and not running.dispatcher._completing,
+                    "it has left",
+                )
+            [view] = running.dispatcher.router.workers.values()
+            assert view.outlier_score == 0.0 and not view.is_ejected
             for one in slow.waiting:
                 one.set()
 
--- a/tests/test_endings_input.py
+++ b/tests/integration/test_endings_bad_input.py
@@ -9,11 +9,11 @@
 
 import pytest
 
-from cedarthread.net.runners import LINE
+from cedarthread.protocols.workers import MAX_LINE_BYTES
 from cedarthread.service import Service
-from cedarthread.standins.resolver import Listed, ResolverServer, reply
-from cedarthread.standins.scripted import Runner, client, hit, pack_call
-from tests.test_endings import INTERRUPT, LONG, fence, mute, reset, routed, settled, told, until
+from cedarthread.testing.fakes.discovery_server import Listed, ResolverServer, reply
+from cedarthread.testing.fakes.scripted import Runner, client, hit, pack_call
+from tests.integration.test_endings import INTERRUPT, LONG, fence, mute, reset, routed, settled, told, until
 
 Spoils = Callable[[bytes], list[bytes]]  # the datagrams that come in place of a reply
 
@@ -42,14 +42,14 @@
         self.script = list(script)
         if self.server.port == 0:
             await self.server.start()
-            await self.running.resolver.start("127.0.0.1", self.server.port)
+            await self.running.discovery.connect("127.0.0.1", self.server.port)
         await until(lambda: not self.script, "all has been played")
         seen = self.asked
         self.script = [lambda reply: []]
         await until(lambda: self.asked > seen, "the next query")
 
     def close(self) -> None:
-        self.running.resolver.stop()
+        self.running.discovery.stop()
         self.server.stop()
 
 
@@ -77,11 +77,11 @@
         async with routed(*runners) as (running, caller):
             discovery = Discovery(running, *runners)
             await discovery.play(spoils)
-            assert running.roster.version == 1 and len(running.roster.listings) == 2
-            assert running.resolver.usable == 0.0 or spoils is nobody
+            assert running.endpoint_list.version == 1 and len(running.endpoint_list.records) == 2
+            assert running.discovery.last_usable_reply_at == 0.0 or spoils is nobody
             assert told(await caller.call(1, "confirm", b"x")) == "served"
             await discovery.play(whole)
-            assert running.roster.version == 2 and len(running.roster.listings) == 2
+            assert running.endpoint_list.version == 2 and len(running.endpoint_list.records) == 2
             assert told(await caller.call(2, "confirm", b"x")) == "served"
             discovery.close()
 
@@ -114,17 +114,17 @@
             discovery.server.stop()
             await asyncio.sleep(0)
             asked: list[bytes] = []
-            sendto = running.resolver._transport.sendto  # type: ignore[union-attr]
-            running.resolver._transport.sendto = lambda data: (asked.append(data), sendto(data))  # type: ignore
+            sendto = running.discovery._transport.sendto  # type: ignore[union-attr]
+            running.discovery._transport.sendto = lambda data: (asked.append(data), sendto(data))  # type: ignore
             await until(lambda: len(asked) == 3, "it is asked on, in vain")
-            assert running.roster.version == 2
+            assert running.endpoint_list.version == 2
             assert told(await caller.call(1, "confirm", b"x")) == "served"
             discovery.serial = 5
             again = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             again.bind(("127.0.0.1", port))
             again.setblocking(False)
             await discovery.server.start(again)
-            await until(lambda: running.roster.version == 5, "news again")
+            await until(lambda: running.endpoint_list.version == 5, "news again")
             discovery.close()
 
     asyncio.run(test())
@@ -139,7 +139,7 @@
             assert told(await caller.call(1, "confirm", b"x")) == "served"
             discovery = Discovery(running, runner)
             await discovery.play(nobody, nobody)
-            assert running.roster.version == 9 and running.roster.listings == {}
+            assert running.endpoint_list.version == 9 and running.endpoint_list.records == {}
             assert told(await caller.call(2, "confirm", b"x", limit="400")) == "refused"
             assert len(runner.calls) == 1
             discovery.close()
@@ -157,7 +157,7 @@
             discovery = Discovery(running, runner)
             discovery.serial = between
             await discovery.play(whole, nobody, whole, nobody, whole, nobody)
-            assert running.roster.version == between and len(running.roster.listings) == 1
+            assert running.endpoint_list.version == between and len(running.endpoint_list.records) == 1
             discovery.close()
 
     asyncio.run(test())
@@ -177,7 +177,9 @@
                 return []
 
             await discovery.play(hold, lambda reply: [reply, reply, *discovery.late, reply])
-            assert running.roster.version == 3 and list(running.roster.listings) == ["s-00000001"]
+            assert running.endpoint_list.version == 3 and list(running.endpoint_list.records) == [
+                "s-00000001"
+            ]
             discovery.close()
 
     asyncio.run(test())
@@ -198,7 +200,7 @@
         json.dumps({"op": "HIT", "id": name, "fields": 7, "body": ""}).encode() + b"\n"
     ),
     "too deep": lambda name: b"[" * 100_000 + b"\n",
-    "too long": lambda name: b"x" * (LINE + 1),
+    "too long": lambda name: b"x" * (MAX_LINE_BYTES + 1),
 }
 
 
@@ -245,7 +247,7 @@
             await fence(caller, 3)
             runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
             assert await caller.read() == [1, 2, None, [b"X", {}]]
-            assert runner.cancelled == [] and running.planner.counts["left"] == 0
+            assert runner.cancelled == [] and running.dispatcher.result_counts["left"] == 0
 
     asyncio.run(test())
 
@@ -258,7 +260,10 @@
                 one.writer.write(pack_call(number, "confirm", b"x", limit=LONG))
                 await runner.until(lambda: len(runner.calls) == number)  # noqa: B023
             cut.writer.write(pack_call(3, "confirm", b"y" * 1000)[:500])
-            await until(lambda: any(c.need or c.began for c in running.platform.connections), "half of it")
+            await until(
+                lambda: any(c.needed_bytes or c.message_started_at for c in running.platform.connections),
+                "half of it",
+            )
             reset(cut.writer)
             await runner.until(lambda: runner.cancelled == [f"{1:016x}"])
             runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
--- a/tests/test_fleet_processes.py
+++ b/tests/integration/test_fleet_processes.py
@@ -13,8 +13,8 @@
 
 import pytest
 
-from cedarthread.standins.settings import SETTINGS
-from tests.test_process import ROOT, ask_control, free_port, upto
+from cedarthread.testing.fakes.settings import SETTINGS
+from tests.integration.test_process import ROOT, ask_control, free_port, upto
 
 COUNT = 3
 LIMITS = SETTINGS["limits"] | {"peers": True}
@@ -129,7 +129,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
     from cedarthread.cli import main
-    from tests.test_process import write_config
+    from tests.integration.test_process import write_config
 
     for name, value in write_config(tmp_path).items():
         monkeypatch.setenv(name, value)
--- a/tests/test_invoke.py
+++ b/tests/integration/test_invoke.py
@@ -19,10 +19,10 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
-from cedarthread import interface as i
-from cedarthread.net import invoke_config, spiffe
+from cedarthread.model.endpoints import EndpointState
+from cedarthread.protocols import invoke_config, spiffe
 from cedarthread.service import Service
-from cedarthread.standins.scripted import FUNCTION, Runner, client, hit, listing, says, service
+from cedarthread.testing.fakes.scripted import FUNCTION, Runner, client, hit, listing, says, service
 
 DESK, PORTAL = "spiffe://gaz.example/desk/1", "spiffe://gaz.example/portal"
 PATH = f"/v1/functions/{FUNCTION}/"
@@ -198,7 +198,7 @@
         ):
             _, fields, _ = await portal.ask("POST", PATH + "confirm", b"x", **ASYNC)
             await runner.until(lambda: len(runner.calls) == 1)
-            running.news(2, [listing(runner, 1, i.WorkerState.DRAINING)], whole=True)
+            running.update_endpoints(2, [listing(runner, 1, EndpointState.DRAINING)], is_complete=True)
             refused = await portal.ask("POST", PATH + "confirm", b"y", Call_Timeout_Ms="200")
             assert refused[0] in (503, 504)  # nothing new goes there
             runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
@@ -236,7 +236,7 @@
             told = desk.writer.get_extra_info("socket")
             with socket.socket(told.family, told.type, fileno=os.dup(told.fileno())) as sock:
                 sock.shutdown(socket.SHUT_RDWR)
-            while running.planner.calls:
+            while running.dispatcher.pending_calls:
                 await asyncio.sleep(0)
             first.behave = second.behave = hit
             for number in range(2, 10):
@@ -255,7 +255,7 @@
                 desk.send("POST", PATH + "check", b"x")
                 await runner.until(lambda: len(runner.calls) == 1)
             await runner.until(lambda: len(runner.cancelled) == 1)
-            assert not running.planner.calls
+            assert not running.dispatcher.pending_calls
 
     run(test())
 
@@ -383,7 +383,7 @@
                     await desk.ask("GET", "/v1/ready")
             (authority.folder / "bundle.pem").write_text("no certificate")
             assert not await running.invoke.reload()  # what can't be used changes nothing
-            assert running.invoke.config.allow[0] == "spiffe://gaz.example/office/*"
+            assert running.invoke.config.allowed_patterns[0] == "spiffe://gaz.example/office/*"
 
     run(test())
 
@@ -397,8 +397,8 @@
                 _, fields, _ = await other.ask("POST", PATH + "confirm", b"b", **ASYNC)
                 desk.send("POST", PATH + "check", b"a")
                 await runner.until(lambda: len(runner.calls) == 2)
-                ending = asyncio.create_task(running.finish())
-                while running.platform.ready:
+                ending = asyncio.create_task(running.shut_down())
+                while running.platform.is_ready:
                     await asyncio.sleep(0)
                 for call in runner.calls:
                     runner.answer(call, hit(runner, call))
@@ -451,13 +451,13 @@
             async with Caller(running, authority.caller(DESK)) as desk:
                 assert (await platform.call(1, "check", b"x"))[3] == [b"X", {}]
                 assert (await desk.ask("POST", PATH + "check", b"y"))[2] == b"Y"
-            assert running.planner.counts["served"] == 2
+            assert running.dispatcher.result_counts["served"] == 2
 
     run(test())
 
 
 def test_ids_are_checked() -> None:
-    assert spiffe.trust_domain(DESK) == "gaz.example"
+    assert spiffe.parse_trust_domain(DESK) == "gaz.example"
     for bad in (
         "spiffe://gaz.example",
         "spiffe://gaz.example/",
@@ -465,8 +465,8 @@
         "spiffe://a/b//c",
         "x://a/b",
     ):
-        assert spiffe.trust_domain(bad) is None
-    assert spiffe.trust_domain("spiffe://a/" + "x" * 2048) is None
+        assert spiffe.parse_trust_domain(bad) is None
+    assert spiffe.parse_trust_domain("spiffe://a/" + "x" * 2048) is None
 
 
 def test_a_request_in_pieces_and_two_at_once(authority: Authority) -> None:
@@ -499,7 +499,7 @@
             assert running.invoke is not None
             async with Caller(running, authority.caller(DESK)) as desk:
                 desk.writer.write(b"POST /v1")
-                while not any(c.began is not None for c in running.invoke.connections):
+                while not any(c.request_started_at is not None for c in running.invoke.connections):
                     await asyncio.sleep(0)
                 running.invoke.sweep(asyncio.get_running_loop().time() + 11.0)
                 assert (await desk.read())[0] == 408
@@ -517,7 +517,7 @@
             assert running.invoke is not None
             for connection in running.invoke.connections:
                 assert isinstance(connection.peer, spiffe.Identity)
-                connection.peer = dataclasses.replace(connection.peer, until=1.0)
+                connection.peer = dataclasses.replace(connection.peer, expires_at_unix=1.0)
             assert (await desk.ask("GET", "/v1/ready"))[0] == 403
 
     run(test())
@@ -542,7 +542,7 @@
 
 def test_an_idle_caller_makes_room_at_the_limit(authority: Authority) -> None:
     async def test() -> None:
-        told = dataclasses.replace(config(authority), connections=2)
+        told = dataclasses.replace(config(authority), max_connections=2)
         context = authority.caller(DESK)
         async with (
             service(Runner(), invoke=told) as running,
