--- a/tests/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -11,10 +11,10 @@
 
 import pytest
 
-from cedarthread import interface as i
-from cedarthread.core.calls import Served
-from cedarthread.net import platform
-from cedarthread.standins.scripted import Runner, client, hit, listing, pack_call, says, service
+from cedarthread.dispatch.calls import CallSucceeded
+from cedarthread.model.endpoints import EndpointState
+from cedarthread.protocols import platform
+from cedarthread.testing.fakes.scripted import Runner, client, hit, listing, pack_call, says, service
 
 
 def run(test: Coroutine[Any, Any, None]) -> None:
@@ -44,7 +44,7 @@
             caller.writer.write(b"\x94\x00\x01\xa5check\x91\x80")
             assert await caller.read() == [1, 1, None, [True, {}]]
             assert await caller.call(2, "check", b"x") == [1, 2, None, [b"X", {}]]
-            running.platform.ready = False
+            running.platform.is_ready = False
             caller.writer.write(b"\x94\x00\x03\xa5check\x91\x80")
             assert await caller.read() == [1, 3, None, [False, {}]]
 
@@ -152,7 +152,7 @@
             await mute.until(lambda: mute.cancelled == [f"{1:016x}"])
             mute.behave = hit
             assert await caller.call(2, "check", b"x") == [1, 2, None, [b"X", {}]]
-            assert not running.planner.calls
+            assert not running.dispatcher.pending_calls
 
     run(test())
 
@@ -164,15 +164,15 @@
         slow, other = Runner(), Runner()
         async with service(slow, other) as running, client(running) as caller:
             await caller.call(1, "check", b"x")
-            pool = next(pool for pool in running.runners.pools.values() if pool.connections)
-            at = 1 if pool.listing.port == slow.port else 2
-            pool.connections[0].paused = True  # as after a write that the peer's window did not take
+            pool = next(pool for pool in running.workers.pools.values() if pool.connections)
+            at = 1 if pool.endpoint.port == slow.port else 2
+            pool.connections[0].is_write_paused = True  # as after a write that the peer's window did not take
             caller.writer.write(pack_call(2, "confirm", b"x"))
-            while not pool.connections[0].lines:
+            while not pool.connections[0].queued_lines:
                 await asyncio.sleep(0)
             told = [listing(slow, 1), listing(other, 2)]
-            told[at - 1] = listing((slow, other)[at - 1], at, i.WorkerState.DRAINING)
-            running.news(2, told, whole=True)
+            told[at - 1] = listing((slow, other)[at - 1], at, EndpointState.DRAINING)
+            running.update_endpoints(2, told, is_complete=True)
             assert await caller.read() == [1, 2, None, [b"X", {}]]
             assert [c["id"] for c in (slow, other)[2 - at].calls] == [f"{2:016x}"]
 
@@ -185,7 +185,7 @@
         async with service(mute) as running, client(running) as caller:
             caller.writer.write(pack_call(1, "confirm", b"x"))
             await mute.until(lambda: len(mute.calls) == 1)
-            ending = asyncio.create_task(running.finish())
+            ending = asyncio.create_task(running.shut_down())
             await asyncio.sleep(0)
             mute.answer(mute.calls[0], hit(mute, mute.calls[0]))
             assert await caller.read() == [1, 1, None, [b"X", {}]]
@@ -204,14 +204,16 @@
         async with service(mute) as running, client(running) as caller:
             caller.writer.write(pack_call(1, "confirm", b"x"))
             await mute.until(lambda: len(mute.calls) == 1)
-            begun = running.runners.pools[1].connections[0].born
-            anew = dataclasses.replace(listing(mute, 1), started=begun - 1.0)
-            running.news(2, [anew], whole=True)
+            begun = running.workers.pools[1].connections[0].created_at_ms
+            anew = dataclasses.replace(listing(mute, 1), started_at_ms=begun - 1.0)
+            running.update_endpoints(2, [anew], is_complete=True)
             mute.answer(mute.calls[0], hit(mute, mute.calls[0]))
             assert await caller.read() == [1, 1, None, [b"X", {}]]
             caller.writer.write(pack_call(2, "confirm", b"x"))
             await mute.until(lambda: len(mute.calls) == 2)
-            running.news(3, [dataclasses.replace(anew, started=begun + 60_000.0)], whole=True)
+            running.update_endpoints(
+                3, [dataclasses.replace(anew, started_at_ms=begun + 60_000.0)], is_complete=True
+            )
             assert (await caller.read())[2][0] == "Lost"  # it ran on a process that is no more
 
     run(test())
@@ -222,22 +224,22 @@
 
     async def test() -> None:
         async with service(Runner()) as running, client(running) as slow, client(running) as other:
-            running.platform.most_queued = 20_000
+            running.platform.max_queued_bytes = 20_000
             await slow.call(1, "check", b"x")
             mine = slow.writer.get_extra_info("sockname")
             by_peer = {
                 c.transport.get_extra_info("peername"): c for c in running.platform.connections if c.transport
             }
             connection = by_peer[mine]
-            connection.paused = True  # as asyncio says once the peer's window is full
+            connection.is_write_paused = True  # as asyncio says once the peer's window is full
             for number in (2, 3):
                 slow.writer.write(pack_call(number, "check", b"y" * 16_000))
-            while running.platform.queued <= 20_000:
+            while running.platform.queued_bytes <= 20_000:
                 await asyncio.sleep(0)
             assert (await other.call(4, "check", b"x"))[2][0] == "Backoff"
             connection.resume_writing()
             assert {(await slow.read())[1] for _ in range(2)} == {2, 3}
-            assert running.platform.queued == 0
+            assert running.platform.queued_bytes == 0
             assert await other.call(5, "check", b"x") == [1, 5, None, [b"X", {}]]
 
     run(test())
@@ -248,7 +250,7 @@
 
     async def test() -> None:
         async with service(Runner()) as running:
-            running.platform.most = 2
+            running.platform.max_connections = 2
             async with client(running) as first, client(running) as second:
                 for number, caller in enumerate((first, second), 1):
                     assert await caller.call(number, "check", b"x") == [1, number, None, [b"X", {}]]
@@ -285,7 +287,7 @@
         ):
             assert await asked.call(1, "check", b"x") == [1, 1, None, [b"X", {}]]
             half.writer.write(pack_call(1, "check", b"x")[:40])
-            while not any(c.need for c in running.platform.strangers):
+            while not any(c.needed_bytes for c in running.platform.unproven_connections):
                 await asyncio.sleep(0)
             running.platform.sweep(asyncio.get_running_loop().time() + 3.0)
             assert await silent.read() is None and await half.read() is None
@@ -299,10 +301,10 @@
         mute = Runner(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
             caller.writer.write(b"".join(pack_call(number, "check") for number in range(1, 101)))
-            refused = [await caller.read() for _ in range(100 - platform.OPEN)]
+            refused = [await caller.read() for _ in range(100 - platform.MAX_OPEN_CALLS)]
             assert {answer[2][0] for answer in refused} == {"Backoff"}
-            await mute.until(lambda: len(mute.calls) == platform.OPEN)
-            assert len(running.planner.calls) == platform.OPEN
+            await mute.until(lambda: len(mute.calls) == platform.MAX_OPEN_CALLS)
+            assert len(running.dispatcher.pending_calls) == platform.MAX_OPEN_CALLS
 
     run(test())
 
@@ -346,7 +348,7 @@
         async with service(Runner()) as running, client(running) as caller:
             caller.writer.write(data)
             assert await caller.read() is None
-            assert all(len(c.buffer._data) <= 8192 for c in running.platform.strangers)
+            assert all(len(c.buffer._data) <= 8192 for c in running.platform.unproven_connections)
 
     run(test())
 
@@ -361,7 +363,7 @@
         runner = Runner(long)
         async with service(runner) as running, client(running) as caller:
             caller.writer.write(pack_call(1, "confirm", b"x"))
-            whole = platform.pack_answer(1, Served(b"L" * 230_000))  # longer than a client may send
+            whole = platform.encode_answer(1, CallSucceeded(b"L" * 230_000))  # longer than a client may send
             async with asyncio.timeout(10):
                 got = await caller.reader.read(len(whole))
                 while len(got) < len(whole) and (more := await caller.reader.read(len(whole))):
@@ -383,9 +385,9 @@
             mute.behave = lambda runner, message: None
             busy.writer.write(pack_call(2, "confirm", b"y"))
             await mute.until(lambda: len(mute.calls) == 2)
-            ending = asyncio.create_task(running.finish())
+            ending = asyncio.create_task(running.shut_down())
             assert await idle.read() is None  # closed, with nothing open
-            assert running.platform.winding and running.platform._server is None
+            assert running.platform.is_draining and running.platform._acceptor is None
             mute.answer(mute.calls[1], hit(mute, mute.calls[1]))
             assert await busy.read() == [1, 2, None, [b"Y", {}]]
             assert await busy.read() is None  # closed once its last answer left
--- a/tests/test_process.py
+++ b/tests/integration/test_process.py
@@ -18,11 +18,11 @@
 
 from cedarthread import __version__
 from cedarthread.cli import main
-from cedarthread.net import msgpack
-from cedarthread.standins.scripted import pack_call
-from cedarthread.standins.settings import SETTINGS
+from cedarthread.protocols import msgpack
+from cedarthread.testing.fakes.scripted import pack_call
+from cedarthread.testing.fakes.settings import SETTINGS
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 
 
 def write_config(folder: Path) -> dict[str, str]:
@@ -126,7 +126,7 @@
     with socket.create_connection(("127.0.0.1", port), timeout=10) as caller:
         caller.sendall(pack_call(number, "check", b"x"))
         held = b""
-        while not isinstance(parsed := msgpack.parse(memoryview(held)), msgpack.Value):
+        while not isinstance(parsed := msgpack.parse(memoryview(held)), msgpack.ParsedValue):
             more = caller.recv(65536)
             assert more, "the connection ended with no answer"
             held += more
--- a/tests/test_runners.py
+++ b/tests/integration/test_worker_connections.py
@@ -8,16 +8,23 @@
 
 import pytest
 
-from cedarthread import interface as i
-from cedarthread import wire
-from cedarthread.core.calls import Attempt, Call, Ending, Progress
-from cedarthread.core.planner import Planner
-from cedarthread.net.resolver import Resolver
-from cedarthread.net.roster import Listing, Roster
-from cedarthread.net.runners import Order, Pool, RunnerConnection, Runners
-from cedarthread.net.stream import Flusher
-from cedarthread.standins.settings import SETTINGS
-from tests.test_parsers import reply
+from cedarthread.dispatch.calls import Attempt, AttemptResult, Call, Progress
+from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.model.endpoints import EndpointState, EndpointUpdateKind
+from cedarthread.model.events import PreloadEnded
+from cedarthread.model.outcomes import Outcome
+from cedarthread.protocols.discovery import DiscoveryClient
+from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
+from cedarthread.protocols.workers import (
+    PendingPreload,
+    WorkerConnection,
+    WorkerConnectionPool,
+    WorkerConnections,
+)
+from cedarthread.simulator import codec
+from cedarthread.testing.fakes.settings import SETTINGS
+from cedarthread.transport.stream import Flusher
+from tests.unit.test_parsers import reply
 
 
 class Socket:
@@ -46,28 +53,30 @@
         self.aborted = self.closing = True
 
 
-class Ends(Planner):
+class Ends(Dispatcher):
     """Keeps how attempts ended."""
 
     def __init__(self) -> None:
-        super().__init__(wire.settings_from(SETTINGS), 1)
-        self.ends: dict[str, i.Outcome] = {}
-        self.orders: list[i.OrderEnded] = []
+        super().__init__(codec.settings_from_object(SETTINGS), 1)
+        self.ends: dict[str, Outcome] = {}
+        self.orders: list[PreloadEnded] = []
 
-    def order_ended(self, event: i.OrderEnded) -> None:
+    def preload_ended(self, event: PreloadEnded) -> None:
         self.orders.append(event)
 
-    def ended(self, attempt: Attempt, ending: Ending) -> None:
-        self.ends.setdefault(attempt.call.name, ending.outcome)
+    def attempt_ended(self, attempt: Attempt, result: AttemptResult) -> None:
+        self.ends.setdefault(attempt.call.call_id, result.outcome)
 
 
 class Bench:
     def __init__(self, takes: int) -> None:
         self.planner = Ends()
-        self.runners = Runners(self.planner.settings, self.planner, 10, Flusher())
-        listing = Listing("s-00000001", "127.0.0.1", 1, "room-a", "std", 0, i.WorkerState.READY, 1.0, 0.0)
-        self.pool = self.runners.pools[1] = Pool(self.runners, listing)
-        self.connection = RunnerConnection(self.pool)
+        self.runners = WorkerConnections(self.planner.settings, self.planner, 10, Flusher())
+        listing = EndpointRecord(
+            "s-00000001", "127.0.0.1", 1, "room-a", "std", 0, EndpointState.READY, 1.0, 0.0
+        )
+        self.pool = self.runners.pools[1] = WorkerConnectionPool(self.runners, listing)
+        self.connection = WorkerConnection(self.pool)
         self.pool.connections.append(self.connection)
         self.socket = Socket(takes)
         self.connection.connection_made(cast(Any, self.socket))
@@ -87,7 +96,7 @@
 
     def flush(self) -> None:
         self.connection.flush()
-        if self.socket.held and not self.connection.paused:
+        if self.socket.held and not self.connection.is_write_paused:
             self.connection.pause_writing()
 
 
@@ -107,13 +116,13 @@
         first, second = bench.send("a" * 16), bench.send("b" * 16)
         bench.flush()
         assert (first.progress, second.progress) == progress
-        third = bench.send("c" * 16) if bench.connection.paused else None
+        third = bench.send("c" * 16) if bench.connection.is_write_paused else None
         bench.flush()
         bench.connection.connection_lost(ConnectionResetError())
         assert tuple(o.value for o in list(bench.planner.ends.values())[:2]) == outcomes
         if third is not None:  # it waited behind them: not a byte of it left
             assert third.progress is Progress.UNWRITTEN
-            assert bench.planner.ends["c" * 16] is i.Outcome.CONNECT_FAILED
+            assert bench.planner.ends["c" * 16] is Outcome.CONNECT_FAILED
 
     asyncio.run(test())
 
@@ -126,7 +135,7 @@
         assert attempt.progress is Progress.PARTLY_WRITTEN
         bench.connection.resume_writing()
         bench.connection.connection_lost(None)
-        assert bench.planner.ends == {"a" * 16: i.Outcome.RESET}
+        assert bench.planner.ends == {"a" * 16: Outcome.RESET}
 
     asyncio.run(test())
 
@@ -138,7 +147,7 @@
         bench.socket.write = lambda data: bench.socket.abort()  # type: ignore[method-assign]
         bench.flush()
         bench.connection.connection_lost(BrokenPipeError())
-        assert bench.planner.ends == {"a" * 16: i.Outcome.CONNECT_FAILED}
+        assert bench.planner.ends == {"a" * 16: Outcome.CONNECT_FAILED}
 
     asyncio.run(test())
 
@@ -153,7 +162,7 @@
         bench.runners.cancel(attempt)
         bench.flush()
         assert b'{"op":"CANCEL","id":"aaaaaaaaaaaaaaaa"}\n' in bench.socket.wrote
-        assert not bench.connection.takes("a" * 16) and bench.connection.takes("b" * 16)
+        assert not bench.connection.can_accept("a" * 16) and bench.connection.can_accept("b" * 16)
         late = b'{"op":"HIT","id":"aaaaaaaaaaaaaaaa","body":""}\n'
         room = bench.connection.get_buffer(-1)
         room[: len(late)] = late
@@ -162,7 +171,7 @@
         assert bench.planner.ends == {}  # till the runner must have read the CANCEL
         while not bench.planner.ends:
             await asyncio.sleep(0)
-        assert bench.planner.ends == {"a" * 16: i.Outcome.CANCELLED}
+        assert bench.planner.ends == {"a" * 16: Outcome.CANCELLED}
 
     asyncio.run(test())
 
@@ -176,7 +185,7 @@
         assert bench.planner.ends == {}  # till it has had the time to read on, and with it the CANCEL
         while not bench.planner.ends:
             await asyncio.sleep(0)
-        assert bench.socket.aborted and bench.planner.ends == {"a" * 16: i.Outcome.CANCELLED}
+        assert bench.socket.aborted and bench.planner.ends == {"a" * 16: Outcome.CANCELLED}
 
     asyncio.run(test())
 
@@ -185,13 +194,13 @@
     async def test() -> None:
         for line in (b"no json\n", b"[1]\n", b"\xff\n"):
             bench = Bench(10_000)
-            assert bench.connection.received(memoryview(b"")) == 0
+            assert bench.connection.on_data(memoryview(b"")) == 0
             room = bench.connection.get_buffer(-1)
             room[: len(line)] = line
             room.release()
-            bench.connection.buffer.add(len(line))
-            with bench.connection.buffer.held() as data:
-                assert bench.connection.received(data) is None
+            bench.connection.buffer.advance(len(line))
+            with bench.connection.buffer.peek() as data:
+                assert bench.connection.on_data(data) is None
 
     asyncio.run(test())
 
@@ -201,21 +210,23 @@
 
     async def test() -> None:
         told: list[int] = []
-        resolver = Resolver(lambda serial, found: told.append(serial))
+        resolver = DiscoveryClient(lambda serial, found: told.append(serial))
         resolver.datagram_received(reply(serial=8), None)  # nobody asked with this number
-        resolver._asked.append(7)
+        resolver._outstanding_ids.append(7)
         for serial in (9, 8, 9, 10):
             resolver.datagram_received(reply(serial=serial), None)
         resolver.datagram_received(reply(0x8600, serial=11), None)
         resolver.datagram_received(b"garbage", None)
         assert told == [9, 10]
-        roster = Roster(wire.settings_from(SETTINGS))
-        entry = Listing("s-00000001", "127.0.0.1", 1, "room-a", "std", 0, i.WorkerState.READY, 1.0, 0.0)
-        first = roster.event(1, [entry], True)
-        assert first is not None and first.kind is i.ListKind.CACHED
-        gone = roster.event(2, [], True)
-        assert gone is not None and [w.state for w in gone.workers] == [i.WorkerState.GONE]
-        assert roster.event(2, [entry], True) is None
+        roster = EndpointList(codec.settings_from_object(SETTINGS))
+        entry = EndpointRecord(
+            "s-00000001", "127.0.0.1", 1, "room-a", "std", 0, EndpointState.READY, 1.0, 0.0
+        )
+        first = roster.apply_update(1, [entry], True)
+        assert first is not None and first.kind is EndpointUpdateKind.CACHED
+        gone = roster.apply_update(2, [], True)
+        assert gone is not None and [w.state for w in gone.endpoints] == [EndpointState.REMOVED]
+        assert roster.apply_update(2, [entry], True) is None
 
     asyncio.run(test())
 
@@ -223,9 +234,9 @@
 def test_orders_are_sent_and_answered_under_their_tag() -> None:
     async def test() -> None:
         bench = Bench(10_000)
-        bench.runners.order(1, 7, 2)
-        bench.runners.order(1, 8, 1)
-        bench.runners.order(2, 9, 1)  # no such runner
+        bench.runners.preload(1, 7, 2)
+        bench.runners.preload(1, 8, 1)
+        bench.runners.preload(2, 9, 1)  # no such runner
         bench.runners.unload(1, 7)
         bench.flush()
         lines = bench.socket.wrote.splitlines()
@@ -241,10 +252,10 @@
         room.release()
         bench.connection.buffer_updated(len(answer))
         bench.connection.connection_lost(None)
-        assert [(e.function, e.outcome, e.copies) for e in bench.planner.orders] == [
-            (9, i.Outcome.CONNECT_FAILED, 0),
-            (7, i.Outcome.OK, 2),
-            (8, i.Outcome.RESET, 0),
+        assert [(e.function_id, e.outcome, e.instances) for e in bench.planner.orders] == [
+            (9, Outcome.CONNECT_FAILED, 0),
+            (7, Outcome.OK, 2),
+            (8, Outcome.RESET, 0),
         ]
 
     asyncio.run(test())
@@ -268,7 +279,7 @@
         bench.hear(line)
         assert bench.socket.aborted
         bench.connection.connection_lost(None)
-        assert bench.planner.ends == {"a" * 16: i.Outcome.RESET, "b" * 16: i.Outcome.CONNECT_FAILED}
+        assert bench.planner.ends == {"a" * 16: Outcome.RESET, "b" * 16: Outcome.CONNECT_FAILED}
 
     asyncio.run(test())
 
@@ -280,9 +291,9 @@
         bench.flush()
         full = b'{"op":"SHED","id":"aaaaaaaaaaaaaaaa"}\n'
         bench.hear(b'{"op":"HIT","id":"0000000000000000","body":""}\n' + full + full)
-        assert bench.planner.ends == {"a" * 16: i.Outcome.FULL} and not bench.socket.aborted
+        assert bench.planner.ends == {"a" * 16: Outcome.OVERLOADED} and not bench.socket.aborted
         # A copy that comes late must not end a second attempt of the call.
-        assert not bench.connection.takes("a" * 16) and bench.connection.takes("b" * 16)
+        assert not bench.connection.can_accept("a" * 16) and bench.connection.can_accept("b" * 16)
 
     asyncio.run(test())
 
@@ -317,13 +328,15 @@
                 self.transport.sendto(data[:2] + reply(serial=self.serial)[2:], addr)
 
         servers = [Server(serial) for serial in (9, 8, 10)]
-        resolver = Resolver(lambda serial, found: told.append(serial))
+        resolver = DiscoveryClient(lambda serial, found: told.append(serial))
         for server in servers:
             await loop.create_datagram_endpoint(lambda s=server: s, local_addr=("127.0.0.1", 0))  # type: ignore[misc]
-            await resolver.start(*server.transport.get_extra_info("sockname"))
+            await resolver.connect(*server.transport.get_extra_info("sockname"))
             async with asyncio.timeout(10):
                 await server.asked.wait()
-                while resolver.usable == 0.0 or (server.serial > 8 and server.serial not in told):
+                while resolver.last_usable_reply_at == 0.0 or (
+                    server.serial > 8 and server.serial not in told
+                ):
                     await asyncio.sleep(0)
         resolver.stop()
         for server in servers:
@@ -341,15 +354,17 @@
         bench.send("a" * 16)
         bench.flush()  # the runner reads no further: what comes now waits
         late = bench.send("b" * 16)
-        late.leave_by = bench.planner.clock() - 1.0
-        bench.runners.order(1, 7, 1)
-        (order,) = [line.carries for line in bench.connection.lines if isinstance(line.carries, Order)]
-        bench.runners._order_stuck(order, bench.connection)
-        assert [event.outcome for event in bench.planner.orders] == [i.Outcome.CONNECT_FAILED]
+        late.write_deadline_ms = bench.planner.clock() - 1.0
+        bench.runners.preload(1, 7, 1)
+        (order,) = [
+            line.request for line in bench.connection.queued_lines if isinstance(line.request, PendingPreload)
+        ]
+        bench.runners._on_preload_unsent(order, bench.connection)
+        assert [event.outcome for event in bench.planner.orders] == [Outcome.CONNECT_FAILED]
         wrote = bench.socket.wrote
         bench.socket.held = 0
         bench.connection.resume_writing()
-        assert bench.socket.wrote == wrote and bench.planner.ends["b" * 16] is i.Outcome.CONNECT_FAILED
+        assert bench.socket.wrote == wrote and bench.planner.ends["b" * 16] is Outcome.CONNECT_FAILED
 
     asyncio.run(test())
 
@@ -359,10 +374,10 @@
         bench = Bench(10)
         bench.send("a" * 16)
         bench.flush()
-        waiting = list(bench.connection.leaving)
-        bench.pool.retire(now=False)
+        waiting = list(bench.connection.buffered_lines)
+        bench.pool.retire(close_now=False)
         assert not bench.socket.aborted
-        bench.connection.stuck(waiting)
+        bench.connection.abort_if_unsent(waiting)
         assert bench.socket.aborted
 
     asyncio.run(test())
--- a/tests/cold_world.py
+++ b/tests/simulation/slow_start_fleet.py
@@ -1,7 +1,8 @@
 """A fleet of routers that don't talk, on one virtual clock, and runners that count what comes to them.
 
 Each runner keeps its own book: what routers that know of its start have sent it within any window of rule 4,
-each call as the mean work of its class, against what the rule allows it then. ``python -m tests.cold_world``
+each call as the mean work of its class, against what the rule allows it then.
+``python -m tests.simulation.slow_start_fleet``
 prints the table of all crossings. Times are ms, rates are calls a second."""
 
 from __future__ import annotations
@@ -16,15 +17,27 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from cedarthread import interface as i
-from cedarthread.decide import Router
-from cedarthread.spread.rendezvous import mix, rank
+from cedarthread.model.actions import FailRequest, RejectRequest, SetTimer, StartAttempt
+from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.events import AttemptEnded, Event, RequestArrived, TimerFired
+from cedarthread.model.outcomes import Outcome, StartKind
+from cedarthread.model.settings import Idempotency, RuleParameters
+from cedarthread.routing.rendezvous import hash64, rendezvous_score
+from cedarthread.routing.router import Router
 from tests.helpers import SAFE, settings
 
-RULES = i.Rules(8.0, 500.0, 0.25, 17000.0, 2.5, 2000.0, 10000.0, 0.0, 0.0, 0.0)
-CHECK = dataclasses.replace(SAFE, name="check", aim=1200.0, deadline=5000.0)
-REVISE = dataclasses.replace(SAFE, name="revise", aim=800.0, deadline=5000.0, worth=5.0)
-CONFIRM = dataclasses.replace(SAFE, name="confirm", aim=1500.0, deadline=5000.0, effect=i.Effect.UNSAFE)
+RULES = RuleParameters(8.0, 500.0, 0.25, 17000.0, 2.5, 2000.0, 10000.0, 0.0, 0.0, 0.0)
+CHECK = dataclasses.replace(SAFE, name="check", latency_objective_ms=1200.0, deadline_ms=5000.0)
+REVISE = dataclasses.replace(
+    SAFE, name="revise", latency_objective_ms=800.0, deadline_ms=5000.0, priority_weight=5.0
+)
+CONFIRM = dataclasses.replace(
+    SAFE,
+    name="confirm",
+    latency_objective_ms=1500.0,
+    deadline_ms=5000.0,
+    idempotency=Idempotency.NOT_IDEMPOTENT,
+)
 CLASSES = (CHECK, REVISE, CONFIRM)
 PARTS = (0.43, 0.40, 0.17)  # of the calls, by class
 WORKS = (100.0, 170.0, 170.0)  # ms, mean of each class
@@ -35,7 +48,7 @@
 NEW = 1000  # first number of those that start late
 START = 9000.0  # when the crossing begins
 ZONES = 3
-ORDER = list(i.WorkerState)  # in which a worker's states follow each other
+ORDER = list(EndpointState)  # in which a worker's states follow each other
 
 
 @dataclass
@@ -57,15 +70,18 @@
     def part(self, now: float) -> float:
         """Of its capacity, evenly from the cold share: rule 4's least."""
         age = now - self.started
-        return min(1.0, RULES.cold_from + (1.0 - RULES.cold_from) * age / RULES.cold_time)
+        return min(
+            1.0,
+            RULES.slow_start_min_capacity + (1.0 - RULES.slow_start_min_capacity) * age / RULES.slow_start_ms,
+        )
 
     def budget(self, now: float) -> float:
         """N: calls of mean work that it may get within a window that ends now."""
-        return RULES.fall_multiple * self.part(now) * len(self.free) / MEAN * RULES.fall_time
+        return RULES.collapse_multiple * self.part(now) * len(self.free) / MEAN * RULES.collapse_window_ms
 
     def count(self, now: float, weight: float) -> None:
         """One more call of a router that knows of the start."""
-        while self.book and self.book[0][0] <= now - RULES.fall_time:
+        while self.book and self.book[0][0] <= now - RULES.collapse_window_ms:
             self.weight -= self.book.popleft()[1]
         self.book.append((now, weight))
         self.weight += weight
@@ -73,21 +89,21 @@
         may = self.budget(now)
         self.worst = max(self.worst, (self.weight / bound(may), self.weight, may))
 
-    def take(self, now: float, function: int, work: float) -> tuple[float, i.Outcome, i.CopyNote]:
+    def take(self, now: float, function: int, work: float) -> tuple[float, Outcome, StartKind]:
         """When the call ends, and how."""
         if not self.up:
-            return now + 5.0, i.Outcome.CONNECT_FAILED, i.CopyNote.NONE
+            return now + 5.0, Outcome.CONNECT_FAILED, StartKind.UNKNOWN
         if min(self.free) > now + QUEUE * MEAN / CORES:
-            return now + 1.0, i.Outcome.FULL, i.CopyNote.NONE
-        note = i.CopyNote.FOUND
+            return now + 1.0, Outcome.OVERLOADED, StartKind.UNKNOWN
+        note = StartKind.WARM
         if function not in self.copies:
-            self.copies[function], note = now + LOADING, i.CopyNote.BEGAN
+            self.copies[function], note = now + LOADING, StartKind.COLD
         elif self.copies[function] > now:
-            note = i.CopyNote.AWAITED
+            note = StartKind.PENDING
         core = min(range(len(self.free)), key=self.free.__getitem__)
         begins = max(now, self.free[core])
         self.free[core] = begins + work / self.part(now)
-        return max(self.free[core], self.copies[function]), i.Outcome.OK, note
+        return max(self.free[core], self.copies[function]), Outcome.OK, note
 
 
 def bound(budget: float) -> float:
@@ -126,13 +142,16 @@
     def __init__(self, case: Case) -> None:
         self.case, self.dice = case, random.Random(case.seed)
         self.s = settings(
-            classes=CLASSES, gateways=case.routers if case.named else 1, rules=RULES, keep_alive=8700.0,
-            limits=dataclasses.replace(settings().limits, second_copies=False, peers=False),
+            classes=CLASSES,
+            router_count=case.routers if case.named else 1,
+            rules=RULES,
+            keep_alive_ms=8700.0,
+            limits=dataclasses.replace(settings().limits, allows_hedging=False, allows_gossip=False),
         )  # fmt: skip
         self.runners = {n: Runner(n, n % ZONES, free=[0.0] * case.cores) for n in range(1, case.runners + 1)}
-        self.entries: dict[int, i.Worker] = {n: self.entry(n) for n in self.runners}
+        self.entries: dict[int, Endpoint] = {n: self.entry(n) for n in self.runners}
         self.routers = [self.router(n) for n in range(case.routers)]
-        self.knows: list[dict[int, i.Worker]] = [dict(self.entries) for _ in self.routers]
+        self.knows: list[dict[int, Endpoint]] = [dict(self.entries) for _ in self.routers]
         self.weights = [self.dice.choice((0.5, 0.7, 1.0, 1.3, 4.0)) for _ in self.routers]
         self.serial = itertools.count()
         self.agenda: list[tuple[float, int, Callable[[float], None]]] = []
@@ -143,13 +162,13 @@
         self.lives = [0] * case.routers
         self.hot = 0
 
-    def entry(self, number: int, state: i.WorkerState = i.WorkerState.READY) -> i.Worker:
+    def entry(self, number: int, state: EndpointState = EndpointState.READY) -> Endpoint:
         runner = self.runners[number]
         started = None if runner.started == -math.inf else runner.started
-        return i.Worker(number, runner.zone, 0, 0, state, None, started)
+        return Endpoint(number, runner.zone, 0, 0, state, None, started)
 
     def router(self, number: int, life: int = 0) -> Router:
-        zone = dataclasses.replace(self.s, ordinal=number, zone=number % ZONES)
+        zone = dataclasses.replace(self.s, router_index=number, zone=number % ZONES)
         return Router(zone, self.case.seed * 1000003 + number * 101 + life)
 
     def at(self, when: float, what: Callable[[float], None]) -> None:
@@ -157,28 +176,28 @@
 
     # What happens.
 
-    def listed(self, number: int, state: i.WorkerState, now: float) -> None:
+    def listed(self, number: int, state: EndpointState, now: float) -> None:
         """The list changes; each router hears of it in its own time."""
         entry = self.entries[number] = self.entry(number, state)
         for who in range(len(self.routers)):
             self.at(now + self.dice.uniform(0.0, self.case.news), lambda at, w=who: self.hear(w, entry, at))  # type: ignore[misc]
 
-    def hear(self, who: int, entry: i.Worker, now: float) -> None:
-        held = self.knows[who].get(entry.worker)
-        if held is not None and (held.started or 0.0) > (entry.started or 0.0):
+    def hear(self, who: int, entry: Endpoint, now: float) -> None:
+        held = self.knows[who].get(entry.worker_id)
+        if held is not None and (held.started_at_ms or 0.0) > (entry.started_at_ms or 0.0):
             return
         if (
             held is not None
-            and held.started == entry.started
+            and held.started_at_ms == entry.started_at_ms
             and ORDER.index(held.state) > ORDER.index(entry.state)
         ):
             return  # the later news came first
-        self.knows[who][entry.worker] = entry
-        self.do(who, i.Membership(i.ListKind.DELTA, 2, (entry,)), now)
+        self.knows[who][entry.worker_id] = entry
+        self.do(who, EndpointUpdate(EndpointUpdateKind.DELTA, 2, (entry,)), now)
 
     def starts(self, number: int, now: float) -> None:
         self.runners[number] = Runner(number, number % ZONES, started=now, free=[now] * self.case.cores)
-        self.listed(number, i.WorkerState.READY, now)
+        self.listed(number, EndpointState.READY, now)
 
     def restart(self, who: int, now: float) -> None:
         self.lives[who] += 1
@@ -186,7 +205,7 @@
             del self.calls[request]
         self.routers[who] = self.router(who, self.lives[who])
         self.knows[who] = dict(self.entries)
-        self.do(who, i.Membership(i.ListKind.CACHED, 1, tuple(self.entries.values())), now)
+        self.do(who, EndpointUpdate(EndpointUpdateKind.CACHED, 1, tuple(self.entries.values())), now)
 
     def cross(self) -> None:
         """The crossing of the case, put on the agenda."""
@@ -205,7 +224,7 @@
             gone = round(0.6 * case.runners)
             for k in range(gone):
                 when = late + 7000.0 * k / gone
-                self.at(when - 700.0, lambda now, n=k + 1: self.listed(n, i.WorkerState.DRAINING, now))  # type: ignore[misc]
+                self.at(when - 700.0, lambda now, n=k + 1: self.listed(n, EndpointState.DRAINING, now))  # type: ignore[misc]
                 self.at(when, lambda now, n=NEW + k: self.starts(n, now))  # type: ignore[misc]
         elif case.crossing == "alone":  # all others refuse connections, and the list still has them ready
             self.at(late, lambda now: self.starts(NEW, now))
@@ -215,14 +234,14 @@
             self.at(late, lambda now: self.starts(NEW, now))
             for n in list(self.runners)[: round(case.drained * case.runners)]:
                 when = late + case.lost_at
-                self.at(when, lambda now, n=n: self.listed(n, i.WorkerState.DRAINING, now))  # type: ignore[misc]
+                self.at(when, lambda now, n=n: self.listed(n, EndpointState.DRAINING, now))  # type: ignore[misc]
         for who in range(round(case.restart * case.routers)):
             self.at(late + case.restart_at + who * 0.5, lambda now, w=who: self.restart(w, now))  # type: ignore[misc]
 
     def dies(self, number: int, now: float, told: bool) -> None:
         self.runners[number].up = False
         if told:
-            self.listed(number, i.WorkerState.GONE, now)
+            self.listed(number, EndpointState.REMOVED, now)
 
     def home_of(self, target: int) -> int:
         """A function whose first home is that runner, in the fleet after the crossing."""
@@ -232,7 +251,7 @@
         )
         numbers = [*self.runners, *there]
         for function in range(5000, 9000):
-            if min(numbers, key=lambda n: rank(mix(function), mix(n), 1.0)) == target:
+            if min(numbers, key=lambda n: rendezvous_score(hash64(function), hash64(n), 1.0)) == target:
                 return function
         raise AssertionError("no such function")
 
@@ -253,28 +272,32 @@
         self.ask(now, who, function, klass, 0)
 
     def ask(self, now: float, who: int, function: int, klass: int, repeats: int) -> None:
-        number, give_up = next(self.number), now + CLASSES[klass].deadline
+        number, give_up = next(self.number), now + CLASSES[klass].deadline_ms
         self.calls[number] = who, function, klass, give_up, repeats
         if now >= START:
             self.asked += repeats == 0
-        self.do(who, i.Request(number, function, klass, give_up, repeat=repeats > 0, lanes=4.0), now)
+        self.do(
+            who,
+            RequestArrived(number, function, klass, give_up, is_client_retry=repeats > 0, concurrency=4.0),
+            now,
+        )
 
-    def do(self, who: int, event: i.Event, now: float) -> None:
+    def do(self, who: int, event: Event, now: float) -> None:
         router, life = self.routers[who], self.lives[who]
         for action in router.handle(now, event):
-            if isinstance(action, i.Send):
+            if isinstance(action, StartAttempt):
                 self.send(who, action, now)
-            elif isinstance(action, (i.Refuse, i.Fail)):
+            elif isinstance(action, (RejectRequest, FailRequest)):
                 self.end(who, action, now)
-            elif isinstance(action, i.SetTimer):
-                self.at(action.at, lambda at, t=action.token: self.timer(who, life, t, at))  # type: ignore[misc]
+            elif isinstance(action, SetTimer):
+                self.at(action.at_ms, lambda at, t=action.token: self.timer(who, life, t, at))  # type: ignore[misc]
 
     def timer(self, who: int, life: int, token: int, now: float) -> None:
         if self.lives[who] == life:
-            self.do(who, i.TimerDue(token), now)
+            self.do(who, TimerFired(token), now)
 
-    def end(self, who: int, action: i.Refuse | i.Fail, now: float) -> None:
-        call = self.calls.pop(action.request, None)
+    def end(self, who: int, action: RejectRequest | FailRequest, now: float) -> None:
+        call = self.calls.pop(action.request_id, None)
         if call is None:
             return
         _, function, klass, _, repeats = call
@@ -282,34 +305,34 @@
         if repeats < self.case.repeats:
             self.at(now + 200.0, lambda at: self.ask(at, who, function, klass, repeats + 1))
 
-    def send(self, who: int, action: i.Send, now: float) -> None:
-        call = self.calls[action.request]
-        runner, life = self.runners[action.worker], self.lives[who]
-        told = self.knows[who][action.worker].started
+    def send(self, who: int, action: StartAttempt, now: float) -> None:
+        call = self.calls[action.request_id]
+        runner, life = self.runners[action.worker_id], self.lives[who]
+        told = self.knows[who][action.worker_id].started_at_ms
         if runner.started > 0.0 and runner.up and told == runner.started and runner.part(now) < 1.0:
             runner.count(now, WORKS[call[2]] / MEAN)
             self.cold_calls += 1
         work = self.dice.expovariate(1.0 / WORKS[call[2]]) * (self.case.slow if now < START else 1.0)
         at, outcome, note = runner.take(now, call[1], work)
         if at > call[3]:
-            at, outcome = call[3], i.Outcome.TIMEOUT
-        attempt = len(self.routers[who].open[action.request].attempts) - 1
-        ends = i.AttemptEnded(
-            action.request, attempt, action.worker, outcome, at - now, outcome is i.Outcome.OK, note, 0
+            at, outcome = call[3], Outcome.TIMEOUT
+        attempt = len(self.routers[who].pending_requests[action.request_id].attempts) - 1
+        ends = AttemptEnded(
+            action.request_id, attempt, action.worker_id, outcome, at - now, outcome is Outcome.OK, note, 0
         )
         self.at(at, lambda now: self.ended(who, life, ends, now))
 
-    def ended(self, who: int, life: int, ends: i.AttemptEnded, now: float) -> None:
+    def ended(self, who: int, life: int, ends: AttemptEnded, now: float) -> None:
         if self.lives[who] != life:
             return
-        if ends.final:
-            self.calls.pop(ends.request, None)
+        if ends.is_final:
+            self.calls.pop(ends.request_id, None)
         self.do(who, ends, now)
 
     def play(self) -> Result:
         """The whole day, from full copies at the start."""
         for who in range(len(self.routers)):
-            self.do(who, i.Membership(i.ListKind.CACHED, 1, tuple(self.entries.values())), 0.0)
+            self.do(who, EndpointUpdate(EndpointUpdateKind.CACHED, 1, tuple(self.entries.values())), 0.0)
         for runner in self.runners.values():
             runner.copies = dict.fromkeys(range(1, 61), 0.0)
         if self.case.popular:
@@ -328,7 +351,9 @@
         for runner in cold:
             steps = int((ends - runner.started) / step)
             may += (
-                sum(runner.budget(runner.started + k * step) for k in range(steps)) * step / RULES.fall_time
+                sum(runner.budget(runner.started + k * step) for k in range(steps))
+                * step
+                / RULES.collapse_window_ms
             )
         worst = max((r.worst for r in cold), default=(0.0, 0.0, 0.0))
         return Result(
@@ -380,7 +405,9 @@
 
 
 def main() -> None:
-    """``python -m tests.cold_world [SEEDS [ROUTERS... [WORDS...]]]``; words: of the crossings' names."""
+    """``python -m tests.simulation.slow_start_fleet [SEEDS [ROUTERS... [WORDS...]]]``.
+
+    WORDS: of the crossings' names."""
     seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 3
     fleets = [int(n) for n in sys.argv[2:] if n.isdigit()] or [3, 20, 30, 200]
     words = [word for word in sys.argv[2:] if not word.isdigit()] or [""]
--- a/tests/test_freeze.py
+++ b/tests/simulation/test_change_freeze.py
@@ -15,14 +15,38 @@
 import msgspec
 import pytest
 
-from cedarthread import interface as i
-from cedarthread.freeze import freeze, window
-from cedarthread.freeze.clocks import WallClock
-from cedarthread.freeze.freeze import Freeze
-from cedarthread.freeze.gate import Answer, Candidate, Change, Gate, Verdict, Way
-from cedarthread.freeze.window import ALL, Body, Glass, Revocation, Terms, encode
-from cedarthread.parts import Ended, Entry, Held, Kind, Version, Wall
-from cedarthread.register.declared import Sharing
+from cedarthread.change_freeze import component, window
+from cedarthread.change_freeze.admission_gate import (
+    AdmissionAnswer,
+    AdmissionDecision,
+    AdmissionGate,
+    PlacementCandidate,
+    PlacementChange,
+    RoutingVerdict,
+)
+from cedarthread.change_freeze.component import ChangeFreezeComponent
+from cedarthread.change_freeze.wall_clock import WallClock
+from cedarthread.change_freeze.window import (
+    ALL_CHANGE_KINDS,
+    BreakGlass,
+    Revocation,
+    WindowBody,
+    WindowTerms,
+    encode,
+)
+from cedarthread.components.interface import (
+    AttemptCompleted,
+    Entry,
+    EntryKind,
+    ReplicatedEntry,
+    Version,
+    WallClockRead,
+)
+from cedarthread.fleet_config import SharingConfig
+from cedarthread.model.actions import LogMessage
+from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.outcomes import Outcome
+from cedarthread.model.settings import RouterSettings
 from tests.helpers import settings
 
 T0 = 1_800_000_000_000.0  # true Unix ms at virtual time 0
@@ -40,9 +64,9 @@
     draining: bool = False
     stood: set[int] = field(default_factory=set)
 
-    def entry(self) -> i.Worker:
-        state = i.WorkerState.DRAINING if self.draining else i.WorkerState.READY
-        return i.Worker(self.number, self.number % 2, 0, 0, state, 1.0, float(self.life))
+    def entry(self) -> Endpoint:
+        state = EndpointState.DRAINING if self.draining else EndpointState.READY
+        return Endpoint(self.number, self.number % 2, 0, 0, state, 1.0, float(self.life))
 
 
 class Grants:
@@ -55,53 +79,55 @@
         self.totals: dict[str, int] = {}
         self.spent: dict[str, int] = {}
 
-    def pool(self, name: str, total: int, *, spent: bool, until: float | None) -> None:
+    def open_pool(self, name: str, total: int, *, is_consumable: bool, ends_at_ms: float | None) -> None:
         self.totals[name] = total
 
-    def may(self, now: float, name: str) -> int:
+    def available(self, now: float, name: str) -> int:
         total = self.totals.get(name, 0)
         part = total // ROUTERS + (self.number < total % ROUTERS)
         if self.empty:
             part = 0
         return (total if self.per_router else part) - self.spent.get(name, 0)
 
-    def use(self, now: float, name: str, amount: int = 1) -> bool:
-        if self.may(now, name) < amount:
+    def consume(self, now: float, name: str, amount: int = 1) -> bool:
+        if self.available(now, name) < amount:
             return False
         self.spent[name] = self.spent.get(name, 0) + amount
         return True
 
-    def want(self, now: float, name: str, amount: int) -> None:
+    def request(self, now: float, name: str, amount: int) -> None:
         pass
 
 
 class Register:
     """What one router holds: entries that come after a while, settled when most hold them."""
 
-    bound = BOUND
+    staleness_bound_ms = BOUND
 
     def __init__(self, fleet: Fleet, router: Router) -> None:
         self.fleet, self.router = fleet, router
-        self.had: dict[Kind, list[tuple[float, Entry, float]]] = {kind: [] for kind in Kind}
+        self.had: dict[EntryKind, list[tuple[float, Entry, float]]] = {kind: [] for kind in EntryKind}
 
-    def held(self, kind: Kind) -> tuple[Held, ...]:
+    def entries(self, kind: EntryKind) -> tuple[ReplicatedEntry, ...]:
         now, local = self.fleet.now, self.router.steady
-        newest: dict[str, Held] = {}
+        newest: dict[str, ReplicatedEntry] = {}
         for at, entry, most in self.had[kind]:
             old = newest.get(entry.name)
             if at <= now and (old is None or old.entry.version < entry.version):
                 settled = max(at, most)
-                newest[entry.name] = Held(entry, local(at), local(settled) if settled <= now else None)
+                newest[entry.name] = ReplicatedEntry(
+                    entry, local(at), local(settled) if settled <= now else None
+                )
         return tuple(newest.values())
 
-    def fresh(self, now: float) -> bool:
+    def is_fresh(self, now: float) -> bool:
         since, until = self.router.cut
         late = (max(self.router.born, until) if since <= self.router.born else self.router.born) + SPREAD
         late *= self.router.born > 0.0
         return self.fleet.now >= late and not since + V <= self.fleet.now < until + SPREAD
 
     def fresh_since(self, now: float) -> float | None:
-        return now if self.fresh(now) else None
+        return now if self.is_fresh(now) else None
 
 
 class Router:
@@ -111,15 +137,17 @@
         self.wall_error = ERROR * ((number % 3) - 1)
         self.step = 0.0
         self.cut = (float("inf"), 0.0)
-        self.settings = settings(gateways=ROUTERS, ordinal=number, zones=("north", "south"))
+        self.settings = settings(router_count=ROUTERS, router_index=number, zones=("north", "south"))
         self.register, self.grants = Register(fleet, self), fleet.grants(number, born > 0)
-        sharing = Sharing(clock_rate=RATE, clock_error=2 * ERROR)
-        self.part = Freeze(self.settings, sharing, self.register, self.grants, self.steady(fleet.now))
+        sharing = SharingConfig(clock_rate=RATE, clock_error=2 * ERROR)
+        self.part = ChangeFreezeComponent(
+            self.settings, sharing, self.register, self.grants, self.steady(fleet.now)
+        )
         self.out: dict[int, int] = {}
         self.log: list[str] = []
         self.turn()
         workers = tuple(runner.entry() for runner in fleet.runners)
-        self.part.changed(self.local, i.Membership(i.ListKind.FULL, 1, workers))
+        self.part.on_notification(self.local, EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, workers))
 
     def steady(self, at: float) -> float:
         return 7000.0 * self.number + at * (1.0 + self.drift)
@@ -130,36 +158,43 @@
 
     def turn(self) -> None:
         now, true = self.local, T0 + self.fleet.now
-        words = [*self.part.changed(now, Wall(true + self.wall_error + self.step)), *self.part.turn(now)]
-        self.log += [word.text for word in words if isinstance(word, i.Log)]
-        for wish in self.part.released(now):
-            if wish.what == "retune" and self.part.gate.settings is not None:
-                self.retune(self.part.gate.settings)
-            elif wish.worker is not None and wish.function is not None and wish.what != "unload":
-                self.fleet.load(wish.worker, wish.function)
+        words = [
+            *self.part.on_notification(now, WallClockRead(true + self.wall_error + self.step)),
+            *self.part.on_tick(now),
+        ]
+        self.log += [word.message for word in words if isinstance(word, LogMessage)]
+        for wish in self.part.release_deferred_changes(now):
+            if wish.kind == "retune" and self.part.gate.deferred_settings is not None:
+                self.retune(self.part.gate.deferred_settings)
+            elif wish.worker_id is not None and wish.function_id is not None and wish.kind != "unload":
+                self.fleet.load(wish.worker_id, wish.function_id)
         for other in self.fleet.routers:  # one question and its answer a turn, where none is cut off
             if other is not self and not self.fleet.cut_off(self) and not self.fleet.cut_off(other):
-                told = other.part.clock.at(other.local)
-                self.part.clock.heard(now, other.number, told, now - 2.0)
+                told = other.part.wall_clock.unix_ms(other.local)
+                self.part.wall_clock.add_sample(now, other.number, told, now - 2.0)
 
     def call(self, function: int, tries: int = 10) -> None:
         now, fleet, gate = self.local, self.fleet, self.part.gate
         ready = [r for r in fleet.runners if not r.gone]
         order = sorted(ready, key=lambda r: fleet.liking(r.number, function, fleet.now // ROTATES))
-        ranked, homes = gate.homes(now, function, [r.number for r in order if not r.draining], 2)
+        ranked, homes = gate.home_workers(now, function, [r.number for r in order if not r.draining], 2)
         candidates = []
         for runner in order:
             stands = self.fleet.now > self.born + 500.0 and function in runner.stood
             at = ranked.index(runner.number) if runner.number in ranked else 99
             free = self.out.get(runner.number, 0) < 3
-            one = Candidate(runner.number, not runner.draining, stands, free, float(at >= homes) * 10.0 + at)
+            one = PlacementCandidate(
+                runner.number, not runner.draining, stands, free, float(at >= homes) * 10.0 + at
+            )
             if stands:
-                gate.standing.seen(now, function, runner.number)
+                gate.placements.record(now, function, runner.number)
             candidates.append((one, runner.number % 2))
-        way, worker = gate.place(now, function, None, candidates)
-        if worker is not None and way in (Way.SEND, Way.PLACE):
-            change = Change("first-copy", worker, function, worker % 2, None, way is Way.PLACE)
-            if gate.may(now, change).yes:
+        way, worker = gate.route_call(now, function, None, candidates)
+        if worker is not None and way in (RoutingVerdict.SEND, RoutingVerdict.LOAD):
+            change = PlacementChange(
+                "first-copy", worker, function, worker % 2, None, way is RoutingVerdict.LOAD
+            )
+            if gate.admit(now, change).is_permitted:
                 return fleet.send(self, worker, function)
         if tries:
             return fleet.at(fleet.now + 100.0, lambda: self.call(function, tries - 1))
@@ -171,19 +206,29 @@
         self.out[worker] -= 1
         runner = self.fleet.runners[worker]
         if runner.life == life and not runner.gone:
-            self.part.changed(self.local, Ended(worker, function, None, 30.0, i.Outcome.OK, True))
+            self.part.on_notification(
+                self.local, AttemptCompleted(worker, function, None, 30.0, Outcome.OK, True)
+            )
 
     def order(self, function: int) -> None:
         """A wish to have the function where it does not stand; and one to unload it."""
         wanted = [r for r in self.fleet.runners if function not in r.stood and not (r.gone or r.draining)]
-        if wanted and self.part.gate.may(self.local, Change("order", wanted[0].number, function)).yes:
+        if (
+            wanted
+            and self.part.gate.admit(
+                self.local, PlacementChange("order", wanted[0].number, function)
+            ).is_permitted
+        ):
             self.fleet.load(wanted[0].number, function)
-        unload = Change("unload", wanted[-1].number if wanted else 0, function)
-        self.fleet.unloads += [self.fleet.now] * self.part.gate.may(self.local, unload).yes
+        unload = PlacementChange("unload", wanted[-1].number if wanted else 0, function)
+        self.fleet.unloads += [self.fleet.now] * self.part.gate.admit(self.local, unload).is_permitted
 
-    def retune(self, new: i.Settings) -> None:
+    def retune(self, new: RouterSettings) -> None:
         """New settings that move homes: what they move is loaded at once."""
-        before, self.settings = self.settings, self.part.gate.retuned(self.local, self.settings, new)
+        before, self.settings = (
+            self.settings,
+            self.part.gate.admitted_settings(self.local, self.settings, new),
+        )
         if self.settings.prices != before.prices:
             for function in range(5):
                 for worker in range(WORKERS):
@@ -235,9 +280,9 @@
     def cut_off(self, router: Router) -> bool:
         return router.cut[0] <= self.now < router.cut[1]
 
-    def declare(self, kind: Kind, body: Body, over: int = 0) -> None:
+    def declare(self, kind: EntryKind, body: WindowBody, over: int = 0) -> None:
         self.version += 1
-        entry = Entry(kind, body.id, Version(self.version, 0, 1), encode(body), over)
+        entry = Entry(kind, body.window_id, Version(self.version, 0, 1), encode(body), over)
         times = {r.number: self.now + self.rng.uniform(0.0, SPREAD) * (r.number > 0) for r in self.routers}
         for router in self.routers:
             if self.cut_off(router):
@@ -267,10 +312,12 @@
         entry = runner.entry()
         for router in self.routers:
             if runner.gone:
-                told = i.Membership(i.ListKind.FULL, 1, tuple(r.entry() for r in self.runners if not r.gone))
+                told = EndpointUpdate(
+                    EndpointUpdateKind.SNAPSHOT, 1, tuple(r.entry() for r in self.runners if not r.gone)
+                )
             else:
-                told = i.Membership(i.ListKind.DELTA, 1, (entry,))
-            router.part.changed(router.local, told)
+                told = EndpointUpdate(EndpointUpdateKind.DELTA, 1, (entry,))
+            router.part.on_notification(router.local, told)
 
     def restart(self, number: int, keeps: bool) -> None:
         """``keeps``: its store gives back what it held; else it holds nothing until it is fresh."""
@@ -296,8 +343,8 @@
 UNTIL = 80_000.0
 
 
-def terms(start: float = START, end: float = END, **changes: Any) -> Terms:
-    base = Terms("w", int(T0 + start), int(T0 + end), (), (), (), ALL, 0, "ops", "cycle")
+def terms(start: float = START, end: float = END, **changes: Any) -> WindowTerms:
+    base = WindowTerms("w", int(T0 + start), int(T0 + end), (), (), (), ALL_CHANGE_KINDS, 0, "ops", "cycle")
     return msgspec.structs.replace(base, **changes)
 
 
@@ -315,7 +362,7 @@
 
 
 def calm(fleet: Fleet) -> Judged:
-    fleet.declare(Kind.FREEZE, terms())
+    fleet.declare(EntryKind.FREEZE, terms())
     fleet.run(UNTIL)
     bad = over(fleet, START, END) + ["unloaded"] * any(START <= at < END for at in fleet.unloads)
     bad += ["nothing was wanted, or nothing came back"] * (fleet.changes(END, UNTIL) == 0)
@@ -323,14 +370,14 @@
 
 
 def late(fleet: Fleet) -> Judged:
-    fleet.run(15_000.0).declare(Kind.FREEZE, terms(15_100.0))
+    fleet.run(15_000.0).declare(EntryKind.FREEZE, terms(15_100.0))
     fleet.run(END)
     said = all("too late" in "".join(router.log) for router in fleet.routers)
     return over(fleet, 15_000.0 + BOUND, END) + ["it did not say that it is late"] * (not said)
 
 
 def deaths(fleet: Fleet) -> Judged:
-    fleet.declare(Kind.FREEZE, terms(allowance=7))
+    fleet.declare(EntryKind.FREEZE, terms(exception_budget=7))
     fleet.run(25_000.0)
     for worker in range(6):
         fleet.die(worker, back=worker % 2 == 0, drain=worker == 5)
@@ -341,16 +388,16 @@
 
 
 def revoked(fleet: Fleet) -> Judged:
-    fleet.declare(Kind.FREEZE, terms())
-    fleet.run(30_000.0).declare(Kind.REVOKE, revoke())
+    fleet.declare(EntryKind.FREEZE, terms())
+    fleet.run(30_000.0).declare(EntryKind.REVOKE, revoke())
     fleet.run(END - 5_000.0)
     bad = over(fleet, START, 30_000.0 + BOUND)
     return bad + ["it was not revoked"] * (fleet.changes(30_000.0 + BOUND + SPREAD, END - 5_000.0) == 0)
 
 
 def glass(fleet: Fleet) -> Judged:
-    fleet.declare(Kind.FREEZE, terms())
-    fleet.run(25_000.0).declare(Kind.BREAK, Glass("w", int(T0 + 45_000.0), "ops", "fire"))
+    fleet.declare(EntryKind.FREEZE, terms())
+    fleet.run(25_000.0).declare(EntryKind.BREAK_GLASS, BreakGlass("w", int(T0 + 45_000.0), "ops", "fire"))
     fleet.run(END)
     bad = over(fleet, START, 25_000.0 + BOUND) + over(fleet, 45_000.0, END)
     return bad + ["it was not broken open"] * (fleet.changes(31_000.0, 44_000.0) == 0)
@@ -358,10 +405,10 @@
 
 def edits(fleet: Fleet) -> Judged:
     """It is extended, and one overlaps it; then it is cut short: only that waits until all know."""
-    fleet.declare(Kind.FREEZE, terms(end=40_000.0))
-    fleet.declare(Kind.FREEZE, terms(35_000.0, 50_000.0, id="x", functions=(1, 2)))
-    fleet.run(39_900.0 - BOUND).declare(Kind.FREEZE, terms(), over=1)
-    fleet.run(45_000.0).declare(Kind.FREEZE, terms(end=46_000.0), over=2)
+    fleet.declare(EntryKind.FREEZE, terms(end_unix_ms=40_000.0))
+    fleet.declare(EntryKind.FREEZE, terms(35_000.0, 50_000.0, window_id="x", function_ids=(1, 2)))
+    fleet.run(39_900.0 - BOUND).declare(EntryKind.FREEZE, terms(), over=1)
+    fleet.run(45_000.0).declare(EntryKind.FREEZE, terms(end_unix_ms=46_000.0), over=2)
     fleet.run(UNTIL)
     freed = [p for p in fleet.placed if 45_000.0 + BOUND + SPREAD + 3000.0 <= p[0] < END]
     early = [p for p in fleet.placed if p[0] < 50_000.0 and p[2] in (1, 2) and p[0] >= START]
@@ -371,7 +418,7 @@
 
 def steps(fleet: Fleet) -> Judged:
     """Clocks of two step by hours, and one alone by half a second; then all at once from one bad source."""
-    fleet.declare(Kind.FREEZE, terms())
+    fleet.declare(EntryKind.FREEZE, terms())
     fleet.run(25_000.0)
     for number, step in ((1, 7_200_000.0), (2, -7_200_000.0), (3, 80_000.0)):
         fleet.routers[number].step = step
@@ -386,7 +433,7 @@
     """A router whose clock is hours slow from its start: the window begins for it by the others' clocks."""
     fleet.routers[3].step = -7_200_000.0
     fleet.restart(3, keeps=False)
-    fleet.run(16_000.0).declare(Kind.FREEZE, terms(21_000.0))
+    fleet.run(16_000.0).declare(EntryKind.FREEZE, terms(21_000.0))
     fleet.run(END)
     said = "behind most others" in "".join(fleet.routers[3].log)
     return over(fleet, 21_000.0, END) + ["it did not say that its clock is off"] * (not said)
@@ -394,7 +441,7 @@
 
 def restarts(fleet: Fleet) -> Judged:
     """Routers lose all that they knew in the window, some of them cut off as well."""
-    fleet.declare(Kind.FREEZE, terms(allowance=3))
+    fleet.declare(EntryKind.FREEZE, terms(exception_budget=3))
     fleet.run(28_000.0)
     fleet.routers[4].cut = (28_000.0, 45_000.0)
     for number in (1, 2, 4):
@@ -404,7 +451,7 @@
 
 def unheard(fleet: Fleet) -> Judged:
     """Nobody hears anybody from long before the end: it ends at its end."""
-    fleet.declare(Kind.FREEZE, terms(end=100_000.0))
+    fleet.declare(EntryKind.FREEZE, terms(end_unix_ms=100_000.0))
     fleet.run(25_000.0)
     for router in fleet.routers:
         router.cut = (25_000.0, 1e9)
@@ -415,12 +462,12 @@
 def cut_off(fleet: Fleet) -> Judged:
     """One that is cut off cannot know of a window that is declared meanwhile: it holds still on its own."""
     fleet.routers[2].cut = (12_000.0, 50_000.0)
-    fleet.run(16_000.0).declare(Kind.FREEZE, terms(21_000.0))
+    fleet.run(16_000.0).declare(EntryKind.FREEZE, terms(21_000.0))
     return over(fleet.run(END), 21_000.0, END)
 
 
 def retunes(fleet: Fleet) -> Judged:
-    fleet.declare(Kind.FREEZE, terms())
+    fleet.declare(EntryKind.FREEZE, terms())
     fleet.run(30_000.0)
     for router in fleet.routers:
         prices = dataclasses.replace(router.settings.prices, idle_memory=0.5)
@@ -432,7 +479,7 @@
 
 def ends_gently(fleet: Fleet) -> Judged:
     """What was wanted meanwhile is not all done at once: no peak over that of the same fleet unfrozen."""
-    fleet.declare(Kind.FREEZE, terms())
+    fleet.declare(EntryKind.FREEZE, terms())
     peak = fleet.run(UNTIL).peak(END, UNTIL)
     most = 1.5 * Fleet().start().run(END).peak(10_000.0, END)
     return [f"{peak} changes in 250 ms, {most} at most"] * (peak > most)
@@ -453,25 +500,25 @@
     per_router = True
 
 
-def ungated(gate: Gate, now: float, change: Change) -> Verdict:
-    return Verdict(Answer.YES) if change.what == "order" else MAY(gate, now, change)
+def ungated(gate: AdmissionGate, now: float, change: PlacementChange) -> AdmissionDecision:
+    return AdmissionDecision(AdmissionAnswer.PERMITTED) if change.kind == "order" else MAY(gate, now, change)
 
 
-MAY, TOLD = Gate.may, WallClock.told
+MAY, TOLD = AdmissionGate.admit, WallClock.on_host_reading
 # Planted: a name, what it is put in place of, and the scenario whose judge must find it.
 PLANTED: tuple[tuple[str, object, str, object, Callable[[Fleet], Judged]], ...] = (
-    ("retune goes around", Gate, "retuned", lambda gate, now, old, new: new, retunes),
-    ("orders go around", Gate, "may", ungated, calm),
+    ("retune goes around", AdmissionGate, "retuned", lambda gate, now, old, new: new, retunes),
+    ("orders go around", AdmissionGate, "may", ungated, calm),
     ("allowance per router", Fleet, "grants", PerRouter, deaths),
-    ("relaxes at once: revocation", window._Edit, "acts", lambda edit, at: True, revoked),
-    ("relaxes at once: break-glass", window._Edit, "acts", lambda edit, at: True, glass),
-    ("relaxes at once: cut short", window._Edit, "acts", lambda edit, at: True, edits),
+    ("relaxes at once: revocation", window._HeldVersion, "acts", lambda edit, at: True, revoked),
+    ("relaxes at once: break-glass", window._HeldVersion, "acts", lambda edit, at: True, glass),
+    ("relaxes at once: cut short", window._HeldVersion, "acts", lambda edit, at: True, edits),
     ("follows steps", WallClock, "told", lambda clock, now, wall, held: TOLD(clock, now, wall, False), steps),
     ("trusts a clock that is off", WallClock, "off", lambda clock, now: 0.0, slow_start),
-    ("restart forgets the window", Freeze, "_unsure", lambda part, now: None, restarts),
-    ("cut off, it moves on", freeze, "LOST", 0.0, cut_off),
-    ("all wishes at once", freeze.TokenBucket, "__call__", lambda bucket, now: 1, ends_gently),
-    ("ends only when heard", freeze, "LOST", math.inf, unheard),
+    ("restart forgets the window", ChangeFreezeComponent, "_unsure", lambda part, now: None, restarts),
+    ("cut off, it moves on", component, "LOST", 0.0, cut_off),
+    ("all wishes at once", component.ReleaseRateLimiter, "__call__", lambda bucket, now: 1, ends_gently),
+    ("ends only when heard", component, "LOST", math.inf, unheard),
 )
 
 
--- a/tests/test_grants_world.py
+++ b/tests/simulation/test_escrow_fleet.py
@@ -6,18 +6,28 @@
 
 import pytest
 
-from cedarthread.register import grants_book as book
-from cedarthread.register import grants_form as form
-from cedarthread.register.grants import Grants
-from cedarthread.rig.grants_world import LOOK, Small, World, explore, obtained, served, stampede
-from cedarthread.spread.datagram import MOST
+from cedarthread.escrow import accounts as book
+from cedarthread.escrow import codec as form
+from cedarthread.escrow.escrow import Escrow
+from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES
+from cedarthread.testing.escrow_simulation import (
+    CHECK_INTERVAL_MS,
+    EscrowSimulation,
+    SmallEscrowModel,
+    explore_states,
+    measure_count_acquisition,
+    measure_rate_service,
+    measure_stampede,
+)
 from tests.helpers import copier
 
 
-def day(make: type[Grants], seed: int, *, stored: bool = False, calm: bool = False) -> World:
+def day(make: type[Escrow], seed: int, *, stored: bool = False, calm: bool = False) -> EscrowSimulation:
     loss = 0.0 if calm else 0.1
-    world = World(6, seed, {"rate": 600, "count": 40}, make=make, stored=stored, loss=loss, calm=calm)
-    world.at(book.TERM * 1.1, world.trouble)
+    world = EscrowSimulation(
+        6, seed, {"rate": 600, "count": 40}, escrow_type=make, is_durable=stored, loss_rate=loss, is_calm=calm
+    )
+    world.schedule(book.LEASE_TERM_MS * 1.1, world.inject_fault)
     world.run(40_000.0)
     return world
 
@@ -25,110 +35,114 @@
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.parametrize("stored", [False, True])
 def test_the_sum_never_passes_the_total_on_a_day_with_everything(seed: int, stored: bool) -> None:
-    world = day(Grants, seed, stored=stored)
-    assert not world.breaches and world.longest <= MOST
-    assert sum(node.used for node in world.nodes) > 20
-    assert world.moved * LOOK > 4000.0, "a world in which nothing moves"
+    world = day(Escrow, seed, stored=stored)
+    assert not world.violations and world.longest_datagram_bytes <= MAX_DATAGRAM_BYTES
+    assert sum(node.consumed for node in world.routers) > 20
+    assert world.transfer_checks * CHECK_INTERVAL_MS > 4000.0, "a world in which nothing moves"
 
 
-class Twice(Grants):
+class Twice(Escrow):
     """A doubled answer is counted again."""
 
-    def _answer(self, now: float, sender: int, pool: book.Pool, answer: form.Answer) -> None:
-        asked = self.asked.get(answer.nonce)
-        super()._answer(now, sender, pool, answer)
-        if asked is not None:
-            self.asked[answer.nonce] = asked
+    def _on_response(
+        self, now: float, sender: int, pool: book.QuotaPool, response: form.EscrowResponse
+    ) -> None:
+        request = self.outstanding.get(response.nonce)
+        super()._on_response(now, sender, pool, response)
+        if request is not None:
+            self.outstanding[response.nonce] = request
 
 
-class FromReception(Grants):
+class FromReception(Escrow):
     """The taker counts the end from when the answer came."""
 
-    def _answer(self, now: float, sender: int, pool: book.Pool, answer: form.Answer) -> None:
-        if (asked := self.asked.get(answer.nonce)) is not None:
-            asked.at = now
-        super()._answer(now, sender, pool, answer)
+    def _on_response(
+        self, now: float, sender: int, pool: book.QuotaPool, response: form.EscrowResponse
+    ) -> None:
+        if (request := self.outstanding.get(response.nonce)) is not None:
+            request.sent_at_ms = now
+        super()._on_response(now, sender, pool, response)
 
 
-class NoMargin(Grants):
+class NoMargin(Escrow):
     """The giver takes back at its own end, with no margin for the clocks."""
 
     def __init__(self, *args: Any, **named: Any) -> None:
         super().__init__(*args, **named)
-        self.stretch = 1.0
+        self.clock_drift_factor = 1.0
 
 
-class Forgetful(Grants):
+class Forgetful(Escrow):
     """A restart without memory keeps its part."""
 
     def __init__(self, *args: Any, **named: Any) -> None:
         super().__init__(*args, **(named | {"remembered": True}))
-        self.ready = 0.0
+        self.ready_at_ms = 0.0
 
 
-class AtTurns(Grants):
+class AtTurns(Escrow):
     """Ends are looked at in turns only, not at use: who stood still uses what ended."""
 
     turned = 0.0
 
-    def turn(self, now: float) -> Any:
+    def on_tick(self, now: float) -> Any:
         self.turned = now
-        return super().turn(now)
+        return super().on_tick(now)
 
-    def may(self, now: float, name: str) -> int:
-        return super().may(self.turned, name)
+    def available(self, now: float, name: str) -> int:
+        return super().available(self.turned, name)
 
 
-class BeforeDisk(Grants):
+class BeforeDisk(Escrow):
     """Units are used before the disk has them as gone."""
 
-    def to_write(self, now: float) -> bytes | None:
+    def image_to_write(self, now: float) -> bytes | None:
         for pool in self.pools.values():
-            if isinstance(pool, book.Count):
-                pool.free = pool.have
-        return super().to_write(now)
+            if isinstance(pool, book.CountPool):
+                pool.free = pool.balance
+        return super().image_to_write(now)
 
 
-class PerRouter(Grants):
+class PerRouter(Escrow):
     """The allowance is each router's, not the fleet's."""
 
-    def pool(self, name: str, total: int, **named: Any) -> None:
-        super().pool(name, total * self.count, **named)
+    def open_pool(self, name: str, total: int, **named: Any) -> None:
+        super().open_pool(name, total * self.router_count, **named)
 
 
-class SendsFirst(Grants):
+class SendsFirst(Escrow):
     """The giver lowers its own at its next turn, after it has said so."""
 
     def __init__(self, *args: Any, **named: Any) -> None:
         super().__init__(*args, **named)
         self.later: list[Any] = []
 
-    def _ask(self, now: float, sender: int, pool: book.Pool, ask: form.Ask) -> Any:
-        if not isinstance(pool, book.Rate):
-            return super()._ask(now, sender, pool, ask)
-        told = super()._ask(now, sender, pool, ask)
-        self.later.append((pool, pool.loans.pop((sender, ask.life), None)))
+    def _on_request(self, now: float, sender: int, pool: book.QuotaPool, request: form.EscrowRequest) -> Any:
+        if not isinstance(pool, book.RatePool):
+            return super()._on_request(now, sender, pool, request)
+        told = super()._on_request(now, sender, pool, request)
+        self.later.append((pool, pool.leases_given.pop((sender, request.incarnation), None)))
         return told
 
-    def turn(self, now: float) -> Any:
-        told = super().turn(now)
+    def on_tick(self, now: float) -> Any:
+        messages = super().on_tick(now)
         for pool, loan in self.later:
             pool.loans |= {} if loan is None else {(0, loan.nonce): loan}
         self.later = []
-        return told
+        return messages
 
 
 DEFECTS = [Twice, FromReception, NoMargin, Forgetful, AtTurns, BeforeDisk, PerRouter, SendsFirst]
 
 
 @pytest.mark.parametrize("defect", DEFECTS)
-def test_the_judge_finds_planted_defects(defect: type[Grants]) -> None:
+def test_the_judge_finds_planted_defects(defect: type[Escrow]) -> None:
     stored, calm = (
         defect is BeforeDisk,
         defect is NoMargin,
     )  # what is lost elsewhere would hide a small overlap
-    assert any(day(defect, seed, stored=stored, calm=calm).breaches for seed in range(4))
-    assert not day(Grants, 0, stored=stored, calm=calm).breaches
+    assert any(day(defect, seed, stored=stored, calm=calm).violations for seed in range(4))
+    assert not day(Escrow, 0, stored=stored, calm=calm).violations
 
 
 def limits(ask: int, double: int, step: int, restart: int, learn: int) -> dict[str, int]:
@@ -144,7 +158,7 @@
 }
 
 
-class Quick(Small):
+class Quick(SmallEscrowModel):
     """A small world of which copies are made sooner."""
 
     def __deepcopy__(self, memo: dict[int, Any]) -> Any:
@@ -156,20 +170,22 @@
 @pytest.mark.parametrize("name", WORLDS)
 def test_no_order_of_events_in_a_small_world_passes_the_total(name: str) -> None:
     kind, count, total, most, floor = WORLDS[name]
-    states, way = explore(Quick(Grants, kind, count, total, most))
+    states, way = explore_states(Quick(Escrow, kind, count, total, most))
     print(f"{name}: {states} states")
     assert way is None and states >= floor
 
 
-class OwnShare(Grants):
+class OwnShare(Escrow):
     """Of a lowered count each router gives up its own share of the difference."""
 
-    def pool(self, name: str, total: int, **named: Any) -> None:
-        pool = self._named(name)
-        if isinstance(pool, book.Count) and total < pool.total:
-            pool.have -= min(pool.have, pool.part() - book.part(total, pool.count, pool.place))
+    def open_pool(self, name: str, total: int, **named: Any) -> None:
+        pool = self._pool_named(name)
+        if isinstance(pool, book.CountPool) and total < pool.total:
+            pool.balance -= min(
+                pool.balance, pool.own_allotment() - book.allotment(total, pool.router_count, pool.place)
+            )
             pool.total = total
-        super().pool(name, total, **named)
+        super().open_pool(name, total, **named)
 
 
 @pytest.mark.parametrize(
@@ -183,20 +199,20 @@
         (OwnShare, "a count, lowered"),
     ],
 )
-def test_a_small_world_finds_planted_defects(defect: type[Grants], name: str) -> None:
+def test_a_small_world_finds_planted_defects(defect: type[Escrow], name: str) -> None:
     kind, count, total, most, _ = WORLDS[name]
-    states, way = explore(Quick(defect, kind, count, total, most))
+    states, way = explore_states(Quick(defect, kind, count, total, most))
     print(f"{defect.__name__}: {states} states, {way and len(way)} events")
     assert way is not None
 
 
 def test_skewed_demand_is_served_and_one_of_an_allowance_is_found() -> None:
     """Floors below the table of the design page; the figures are those of a fixed seed on virtual time."""
-    parts = served(60, 1, 1.0, 0.1)
+    parts = measure_rate_service(60, 1, 1.0, 0.1)
     assert parts[0] < 0.6 and parts[1] > 0.8 and min(parts[2:6]) > 0.88, parts
-    assert max(obtained(200, seed, 3, 1, 0.1)[0] for seed in range(8)) < 2500.0
+    assert max(measure_count_acquisition(200, seed, 3, 1, 0.1)[0] for seed in range(8)) < 2500.0
 
 
 def test_where_all_want_what_is_not_there_the_asks_fade_out() -> None:
-    told = stampede(100, 1, 10)
+    told = measure_stampede(100, 1, 10)
     assert all(mean < 6.0 and most <= 150 for mean, most in told) and told[-1][0] < 2.0, told
--- a/tests/test_sharing.py
+++ b/tests/simulation/test_fleet_components.py
@@ -12,10 +12,21 @@
 
 import pytest
 
-from cedarthread import interface as i
-from cedarthread.decisions import Decisions
-from cedarthread.parts import Kind
-from cedarthread.register.declared import parse
+from cedarthread.components.interface import EntryKind
+from cedarthread.components.node import RoutingNode
+from cedarthread.fleet_config import parse_fleet_config
+from cedarthread.model.actions import (
+    Action,
+    FailRequest,
+    LogMessage,
+    RejectRequest,
+    SendToPeer,
+    SetTimer,
+    StartAttempt,
+)
+from cedarthread.model.endpoints import EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.events import AttemptEnded, Event, PeerMessageReceived, RequestArrived, TimerFired
+from cedarthread.model.outcomes import Outcome, StartKind
 from tests.helpers import LIMITS, settings, worker
 
 START = 1_800_000_000_000.0  # Unix ms at the first moment of the virtual clock
@@ -37,9 +48,9 @@
     """Hosted routers; workers that load at a first call and keep their own book of it."""
 
     def __init__(self, count: int, seed: int, loss: float = 0.1, peers: bool = True) -> None:
-        limits = dataclasses.replace(LIMITS, peers=peers)
-        self.told = [settings(gateways=count, ordinal=n, limits=limits) for n in range(count)]
-        self.routers = [Decisions(one, seed * 100 + n, n + 1) for n, one in enumerate(self.told)]
+        limits = dataclasses.replace(LIMITS, allows_gossip=peers)
+        self.told = [settings(router_count=count, router_index=n, limits=limits) for n in range(count)]
+        self.routers = [RoutingNode(one, seed * 100 + n, n + 1) for n, one in enumerate(self.told)]
         self.rng, self.loss = random.Random(seed), loss
         self.now, self.serial = 0.0, 0
         self.due: list[tuple[float, int, Callable[[], None]]] = []
@@ -48,52 +59,57 @@
         self.ends: dict[int, list[str]] = {}
         self.words: list[str] = []
         for who in range(count):
-            self.act(who, i.Membership(i.ListKind.CACHED, 1, tuple(worker(n) for n in range(1, 7))))
+            self.act(who, EndpointUpdate(EndpointUpdateKind.CACHED, 1, tuple(worker(n) for n in range(1, 7))))
             self.declare(who, NOTHING)
 
     def declare(self, who: int, text: bytes) -> None:
-        self.take(who, self.routers[who].declare(self.now, parse(text), lambda: START + self.now))
+        self.take(
+            who,
+            self.routers[who].apply_fleet_config(
+                self.now, parse_fleet_config(text), lambda: START + self.now
+            ),
+        )
 
     def after(self, ms: float, what: Callable[[], None]) -> None:
         self.serial += 1
         heapq.heappush(self.due, (self.now + ms, self.serial, what))
 
-    def act(self, who: int, event: i.Event) -> None:
+    def act(self, who: int, event: Event) -> None:
         self.take(who, self.routers[who].handle(self.now, event))
 
-    def take(self, who: int, actions: list[i.Action]) -> None:
+    def take(self, who: int, actions: list[Action]) -> None:
         for action in actions:
-            if isinstance(action, i.SetTimer):
-                self.after(action.at - self.now, partial(self.act, who, i.TimerDue(action.token)))
-            elif isinstance(action, i.Tell):
+            if isinstance(action, SetTimer):
+                self.after(action.at_ms - self.now, partial(self.act, who, TimerFired(action.token)))
+            elif isinstance(action, SendToPeer):
                 assert len(action.data) <= 256
-                for to in range(len(self.routers)) if action.peer is None else [action.peer]:
+                for to in range(len(self.routers)) if action.peer_index is None else [action.peer_index]:
                     if to != who and self.rng.random() >= self.loss:
-                        heard = partial(self.act, to, i.PeerMessage(who, action.data))
+                        heard = partial(self.act, to, PeerMessageReceived(who, action.data))
                         self.after(self.rng.uniform(1.0, 40.0), heard)
-            elif isinstance(action, i.Log):
-                self.words.append(action.text)
-            elif isinstance(action, (i.Refuse, i.Fail)):
-                self.ends[action.request].append(type(action).__name__)
-            elif isinstance(action, i.Send):
+            elif isinstance(action, LogMessage):
+                self.words.append(action.message)
+            elif isinstance(action, (RejectRequest, FailRequest)):
+                self.ends[action.request_id].append(type(action).__name__)
+            elif isinstance(action, StartAttempt):
                 self.sent(who, action)
 
-    def sent(self, who: int, action: i.Send) -> None:
-        function, at = action.request % 1000, action.worker
-        note, took = i.CopyNote.FOUND, 40.0
+    def sent(self, who: int, action: StartAttempt) -> None:
+        function, at = action.request_id % 1000, action.worker_id
+        note, took = StartKind.WARM, 40.0
         if (at, function) not in self.stand:
             self.stand.add((at, function))
             self.loads.append((self.now, at, function))
-            note, took = i.CopyNote.BEGAN, 400.0
-        ended = i.AttemptEnded(action.request, 0, at, i.Outcome.OK, took, True, note)
-        self.ends[action.request].append("ok")
+            note, took = StartKind.COLD, 400.0
+        ended = AttemptEnded(action.request_id, 0, at, Outcome.OK, took, True, note)
+        self.ends[action.request_id].append("ok")
         self.after(took, lambda: self.act(who, ended))
 
     def ask(self, who: int, function: int) -> int:
         self.serial += 1
         number = self.serial * 1000 + function
         self.ends[number] = []
-        self.act(who, i.Request(number, function, 0, self.now + 3000.0))
+        self.act(who, RequestArrived(number, function, 0, self.now + 3000.0))
         return number
 
     def ask_all(self, rounds: int, functions: int) -> list[int]:
@@ -121,7 +137,10 @@
     for function in range(3):
         fleet.ask(function, function)
     fleet.run(3_000.0)
-    assert all(one.sharing is not None and one.sharing.register.fresh(fleet.now) for one in fleet.routers)
+    assert all(
+        one.fleet_components is not None and one.fleet_components.store.is_fresh(fleet.now)
+        for one in fleet.routers
+    )
     assert len(fleet.loads) == 3
     fleet.declare(4, window(50.0, 90.0))
     fleet.ask_all(8, 3)  # the copies stay in use
@@ -131,7 +150,7 @@
     assert len(fleet.loads) == placed
     for number in numbers:  # who finds a copy is served, who can't is refused once, and before its time
         assert fleet.ends[number] == (["ok"] if number % 1000 < 3 else ["Refuse"])
-    assert all(one.state(fleet.now)["freeze_window_cycle"] == "in force" for one in fleet.routers)
+    assert all(one.status(fleet.now)["freeze_window_cycle"] == "in force" for one in fleet.routers)
     fleet.run(40_000.0)
     late = [fleet.ask(who, 4) for who in range(7)]
     fleet.run(4_000.0)
@@ -155,10 +174,10 @@
     fleet.declare(0, window(30.0, 60.0))
     fleet.run(35_000.0)
     one = fleet.routers[1]
-    one.retune(dataclasses.replace(fleet.told[1], keep_alive=99_000.0), fleet.now)
-    assert one.router.s.keep_alive == fleet.told[1].keep_alive
+    one.update_settings(dataclasses.replace(fleet.told[1], keep_alive_ms=99_000.0), fleet.now)
+    assert one.router.settings.keep_alive_ms == fleet.told[1].keep_alive_ms
     fleet.run(40_000.0)
-    assert one.router.s.keep_alive == 99_000.0
+    assert one.router.settings.keep_alive_ms == 99_000.0
 
 
 def test_where_routers_may_not_talk_each_acts_by_its_own_file_and_tells_nothing() -> None:
@@ -168,12 +187,14 @@
     both = [fleet.ask(who, 3) for who in range(2)]
     fleet.run(4_000.0)
     assert [fleet.ends[number] for number in both] == [["Refuse"], ["ok"]]
-    assert fleet.routers[1].sharing is not None and not fleet.routers[1].sharing.register.held(Kind.FREEZE)
+    assert fleet.routers[1].fleet_components is not None and not fleet.routers[
+        1
+    ].fleet_components.store.entries(EntryKind.FREEZE)
 
 
 def test_run_loads_nothing_of_it_where_no_file_is_named() -> None:
     text = (
-        "import sys, cedarthread.service, cedarthread.cli, cedarthread.simhost\n"
+        "import sys, cedarthread.service, cedarthread.cli, cedarthread.simulator.host\n"
         "print([m for m in sys.modules if m.split('.')[0] in ('msgspec', 'apsw', 'structlog') or"
         " m.split('.')[1:2] in (['sharing'], ['advice'], ['tiers'], ['freeze'], ['store'], ['recovery'],"
         " ['register'])])"
@@ -198,17 +219,17 @@
     fleet.run(30_000.0)
     fleet.ask(0, 5)
     fleet.run(1_000.0)
-    sharing = fleet.routers[0].sharing
+    sharing = fleet.routers[0].fleet_components
     assert sharing is not None
     fleet.declare(0, window(50.0, 90.0))
     fleet.run(5_000.0)
     number = fleet.ask(0, 5)
     (_, at, _), *_ = fleet.loads
-    standing = sharing.freeze.gate.standing
-    assert standing.stands(5, at)
-    lost = i.AttemptEnded(number, 0, at, i.Outcome.CONNECT_FAILED, 5.0, False, unreached=True)
+    standing = sharing.change_freeze.gate.placements
+    assert standing.has_placement(5, at)
+    lost = AttemptEnded(number, 0, at, Outcome.CONNECT_FAILED, 5.0, False, is_unreachable=True)
     fleet.act(0, lost)
-    assert not standing.stands(5, at)
+    assert not standing.has_placement(5, at)
 
 
 def test_a_callers_contract_declared_elsewhere_ranks_its_calls_once_all_know_it() -> None:
@@ -225,29 +246,29 @@
             fleet.serial += 1
             number = fleet.serial * 1000
             fleet.ends[number] = []
-            fleet.act(who, i.Request(number, 0, 0, fleet.now + 3000.0, caller=name))
-            opened = fleet.routers[who].router.open[number].rank
+            fleet.act(who, RequestArrived(number, 0, 0, fleet.now + 3000.0, caller=name))
+            opened = fleet.routers[who].router.pending_requests[number].call_priority
             assert opened is not None
-            ranks.append((opened.first(), opened.within))
+            ranks.append((opened.is_highest(), opened.is_within_quota))
     assert ranks[0][0] is False and ranks[2] == (True, True) and ranks[3] == (False, False)
 
 
 def test_a_start_of_all_is_not_frozen_for_long_and_what_one_remembers_is_not_lost() -> None:
     fleet = Fleet(9, 9)
     fleet.run(1_600.0)
-    sharings = [one.sharing for one in fleet.routers if one.sharing is not None]
-    assert not any(one.register.fresh(fleet.now) or one.freeze.gate.unsure for one in sharings)
+    sharings = [one.fleet_components for one in fleet.routers if one.fleet_components is not None]
+    assert not any(one.store.is_fresh(fleet.now) or one.change_freeze.gate.is_uncertain for one in sharings)
     fleet.run(27_000.0)
     fleet.declare(0, window(50.0, 600.0))
     fleet.run(40_000.0)
     for who in range(1, 9):  # all but one forget
-        fleet.routers[who] = Decisions(fleet.told[who], who, 1000 + who)
-        fleet.act(who, i.Membership(i.ListKind.CACHED, 1, tuple(worker(n) for n in range(1, 7))))
+        fleet.routers[who] = RoutingNode(fleet.told[who], who, 1000 + who)
+        fleet.act(who, EndpointUpdate(EndpointUpdateKind.CACHED, 1, tuple(worker(n) for n in range(1, 7))))
         fleet.declare(who, NOTHING)
     for turn in range(10):
         for who in range(9):
             fleet.ask(who, 10 * turn + who)
         fleet.run(400.0)
     assert not fleet.loads
-    now = [one.sharing for one in fleet.routers[1:] if one.sharing is not None]
-    assert all(one.register.held(Kind.FREEZE) for one in now)
+    now = [one.fleet_components for one in fleet.routers[1:] if one.fleet_components is not None]
+    assert all(one.store.entries(EntryKind.FREEZE) for one in now)
--- a/tests/test_fuzz.py
+++ b/tests/simulation/test_fuzzing.py
@@ -10,17 +10,17 @@
 
 import pytest
 
-from cedarthread.fuzz import corpus, explore, planted, targets
-from cedarthread.fuzz.cli import replay
-from cedarthread.fuzz.parsers import Dns, draw_reply, pack_reply
-from cedarthread.fuzz.target import Dice, Finding, Target, verdict
-from cedarthread.fuzz.virtual import MemoryTransport, StuckError, VirtualLoop, play
-from cedarthread.ledger.book import Figures, Ledger, Terms
-from cedarthread.net import dns
-
-CORPUS = Path(__file__).parent.parent / "corpus"
+from cedarthread.protocols import dns
+from cedarthread.testing.fuzzing import corpus, injected_defects, model_checking, targets
+from cedarthread.testing.fuzzing.cli import replay
+from cedarthread.testing.fuzzing.parser_targets import Dns, draw_reply, pack_reply
+from cedarthread.testing.fuzzing.target import Dice, Finding, Target, verdict
+from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, StuckError, VirtualLoop, play
+from cedarthread.testing.invariants import Figures, Ledger, Terms
+
+CORPUS = Path(__file__).parents[2] / "corpus"
 TARGETS = targets.named()
-QUICK = [d for d in planted.DEFECTS if d.runs <= 400 and d.target != "dns"]
+QUICK = [d for d in injected_defects.DEFECTS if d.runs <= 400 and d.target != "dns"]
 
 
 @pytest.mark.parametrize("name", TARGETS)
@@ -36,13 +36,13 @@
 
 
 @pytest.mark.parametrize("defect", QUICK, ids=lambda d: d.name)
-def test_a_planted_defect_is_found(defect: planted.Defect) -> None:
-    assert planted.runs_until_found(defect, TARGETS[defect.target]) is not None
+def test_a_planted_defect_is_found(defect: injected_defects.Defect) -> None:
+    assert injected_defects.runs_until_found(defect, TARGETS[defect.target]) is not None
 
 
 def test_findings_show_when_their_defect_is_back() -> None:
     """Each finding of the call machine fails with the repaired defect planted again, and holds without."""
-    defects = {defect.name: defect for defect in planted.DEFECTS}
+    defects = {defect.name: defect for defect in injected_defects.DEFECTS}
     kept = [(Path(name).name, data) for name, data in corpus.findings("calls", CORPUS)]
     assert kept
     for name, data in kept:
@@ -50,17 +50,17 @@
             assert verdict(TARGETS["calls"], data) is not None, name
 
 
-@pytest.mark.parametrize("scene", [s for s in explore.SCENES if s.states < 700], ids=lambda s: s.name)
-def test_a_small_world_holds_in_every_order(scene: explore.Scene) -> None:
-    assert explore.explore(scene).verdict() is None
+@pytest.mark.parametrize("scene", [s for s in model_checking.SCENES if s.states < 700], ids=lambda s: s.name)
+def test_a_small_world_holds_in_every_order(scene: model_checking.Scene) -> None:
+    assert model_checking.explore(scene).verdict() is None
 
 
 def test_a_small_world_shows_a_broken_rule_and_a_state_that_is_missing() -> None:
-    confirm = next(explore.named("confirm"))
-    unsafe = next(d for d in planted.DEFECTS if d.name == "unsafe-sent-again")
+    confirm = next(model_checking.named("confirm"))
+    unsafe = next(d for d in injected_defects.DEFECTS if d.name == "unsafe-sent-again")
     with unsafe.planted():
-        assert "fragile call" in (explore.explore(confirm).verdict() or "")
-    found = explore.Explored(confirm, states=confirm.states - 1)
+        assert "fragile call" in (model_checking.explore(confirm).verdict() or "")
+    found = model_checking.Explored(confirm, states=confirm.states - 1)
     assert "states" in (found.verdict() or "")
 
 
--- a/tests/test_keeping.py
+++ b/tests/simulation/test_persistence_restarts.py
@@ -4,15 +4,16 @@
 
 import pytest
 
-from cedarthread import interface as i
-from cedarthread.decisions import Decisions
-from cedarthread.register.declared import parse
-from cedarthread.store import held
-from cedarthread.store.contract import Loaded, Trouble
-from cedarthread.store.keeping import Put
-from cedarthread.store.memory import Memory
+from cedarthread.components.node import RoutingNode
+from cedarthread.fleet_config import parse_fleet_config
+from cedarthread.model.actions import LogMessage
+from cedarthread.model.endpoints import EndpointUpdate, EndpointUpdateKind
+from cedarthread.persistence import recovered_image
+from cedarthread.persistence.memory_store import MemoryBackend
+from cedarthread.persistence.state_persister import PendingWrite
+from cedarthread.persistence.store import LoadResult, StoreFault
 from tests.helpers import worker
-from tests.test_sharing import START, Fleet, window
+from tests.simulation.test_fleet_components import START, Fleet, window
 
 DISK = b'[disk]\nfolder = "kept"\n'
 
@@ -22,48 +23,56 @@
 
     def __init__(self, count: int, seed: int) -> None:
         super().__init__(count, seed)
-        self.disks = [Memory() for _ in range(count)]
+        self.disks = [MemoryBackend() for _ in range(count)]
         self.broken: set[int] = set()
         for who in range(count):
             self.start(who)
 
-    def start(self, who: int, read: Loaded | None = None, late: float = 0.0) -> None:
+    def start(self, who: int, read: LoadResult | None = None, late: float = 0.0) -> None:
         """A new life on the disk as it is."""
         self.serial += 1
-        self.routers[who] = Decisions(self.told[who], who, self.serial)
-        self.act(who, i.Membership(i.ListKind.CACHED, 1, tuple(worker(n) for n in range(1, 7))))
+        self.routers[who] = RoutingNode(self.told[who], who, self.serial)
+        self.act(who, EndpointUpdate(EndpointUpdateKind.CACHED, 1, tuple(worker(n) for n in range(1, 7))))
         self.declare(who, b"[sharing]\nperiod = 200\n" + DISK)
         told = read or self.disks[who].open()
         keeping = self.keeping(who)
-        self.after(late, lambda: keeping.loaded(self.now, told, held.read(told.values)))
+        self.after(late, lambda: keeping.loaded(self.now, told, recovered_image.decode_image(told.values)))
         life = self.routers[who]
         self.after(100.0, lambda: self.turn(who, life))
 
     def keeping(self, who: int):  # type: ignore[no-untyped-def]
-        sharing = self.routers[who].sharing
-        assert sharing is not None and sharing.keeping is not None
-        return sharing.keeping
+        sharing = self.routers[who].fleet_components
+        assert sharing is not None and sharing.persister is not None
+        return sharing.persister
 
-    def turn(self, who: int, life: Decisions) -> None:
+    def turn(self, who: int, life: RoutingNode) -> None:
         if self.routers[who] is not life:
             return
         keeping, disk = self.keeping(who), self.disks[who]
         puts = keeping.turn(self.now)
         if keeping.reset is not None and who not in self.broken:
             disk.commit([], keeping.reset)
-            keeping.ended(self.now, Put("", b"", "reset"), None, disk.generation)
+            keeping.ended(self.now, PendingWrite("", b"", "reset"), None, disk.generation)
             keeping.reset = None
         for put in puts:
-            trouble = Trouble.IO if who in self.broken else disk.commit([(put.key, put.value)])
+            trouble = StoreFault.IO_ERROR if who in self.broken else disk.commit([(put.key, put.value)])
             keeping.ended(self.now, put, trouble, disk.generation)
-        self.words += [word.text for word in keeping.said() if isinstance(word, i.Log)]
+        self.words += [word.message for word in keeping.said() if isinstance(word, LogMessage)]
         self.after(250.0, lambda: self.turn(who, life))
 
     def seated(self) -> list[bool]:
-        return [one.sharing.register.evidence.seated for one in self.routers if one.sharing is not None]
+        return [
+            one.fleet_components.store.freshness.is_voter
+            for one in self.routers
+            if one.fleet_components is not None
+        ]
 
     def entries(self) -> list[int]:
-        return [len(one.sharing.register.snapshot()) for one in self.routers if one.sharing is not None]
+        return [
+            len(one.fleet_components.store.snapshot())
+            for one in self.routers
+            if one.fleet_components is not None
+        ]
 
 
 def fleet() -> Kept:
@@ -88,7 +97,7 @@
     old = dict(one.disks[3].open().values), 1
     one.run(3_000.0)
     was = one.disks[3].generation
-    one.disks[3] = Memory()
+    one.disks[3] = MemoryBackend()
     one.disks[3].commit(list(old[0].items()))
     assert one.disks[3].generation < was
     one.start(3)
@@ -122,7 +131,7 @@
     assert len(one.loads) == 1
     for who in range(5):
         read = one.disks[who].open()
-        read = read if whole else Loaded(read.values, read.generation, Trouble.DAMAGED)
+        read = read if whole else LoadResult(read.values, read.generation, StoreFault.CORRUPTED)
         one.start(who, read, late)
     one.run(20_000.0)
     for turn in range(6):
@@ -133,5 +142,5 @@
 
 
 def test_the_start_of_the_clock_is_what_windows_are_written_in() -> None:
-    made = parse(window(600.0, 700.0))
+    made = parse_fleet_config(window(600.0, 700.0))
     assert made.freeze[0].start.timestamp() * 1000.0 == START + 600_000.0
--- a/tests/test_tiers_world.py
+++ b/tests/simulation/test_priority_fleet.py
@@ -18,20 +18,44 @@
 import msgspec
 import pytest
 
-from cedarthread import interface as i
-from cedarthread.limits.jam import FROM, Jam
-from cedarthread.parts import Ended, Entry, Held, Kind, Present, Version
-from cedarthread.register.declared import parse
-from cedarthread.tiers import contract, preempt, pressure, tiers, usage
-from cedarthread.tiers.preempt import Claim, Stage, View
-from cedarthread.tiers.rank import FLAT, Rank, rank
+from cedarthread.components.interface import (
+    AttemptCompleted,
+    Entry,
+    EntryKind,
+    PeersChanged,
+    ReplicatedEntry,
+    Version,
+)
+from cedarthread.fleet_config import parse_fleet_config
+from cedarthread.model.actions import SendToPeer
+from cedarthread.model.outcomes import Outcome
+from cedarthread.model.settings import DeduplicationScope, Idempotency, RequestClass, Tenant
+from cedarthread.priority import component, contracts, load_pressure, preemption, usage
+from cedarthread.priority.call_priority import NO_PRIORITY, CallPriority, assign_priority
+from cedarthread.priority.preemption import CallStage, PreemptionCandidate, PreemptionClaim
+from cedarthread.routing.overload import OVERLOAD_START, OverloadEstimator
 from tests.helpers import settings
 
 BOUND = 4000.0  # ms, B
 CLASSES = (
-    i.RequestClass("price", 500.0, 3000.0, 2.0, 0.2, i.Effect.SAFE, i.Group.ALL, 0.0, False, 0.0),
-    i.RequestClass("confirm", 1500.0, 5000.0, 1.0, 0.2, i.Effect.UNSAFE, i.Group.ALL, 0.0, False, 0.0),
-    i.RequestClass("nominate", 900.0, 4000.0, 1.5, 0.2, i.Effect.KEYED, i.Group.ALL, 5000.0, False, 0.0),
+    RequestClass(
+        "price", 500.0, 3000.0, 2.0, 0.2, Idempotency.IDEMPOTENT, DeduplicationScope.ALL, 0.0, False, 0.0
+    ),
+    RequestClass(
+        "confirm",
+        1500.0,
+        5000.0,
+        1.0,
+        0.2,
+        Idempotency.NOT_IDEMPOTENT,
+        DeduplicationScope.ALL,
+        0.0,
+        False,
+        0.0,
+    ),
+    RequestClass(
+        "nominate", 900.0, 4000.0, 1.5, 0.2, Idempotency.WITH_KEY, DeduplicationScope.ALL, 5000.0, False, 0.0
+    ),
 )
 WORK = (100.0, 300.0, 200.0)  # ms, mean
 ROUTERS, WORKERS, LANES = 6, 8, 4
@@ -69,15 +93,15 @@
 class Board:
     """A register as one router sees it: what it holds; it is fresh."""
 
-    bound = BOUND
+    staleness_bound_ms = BOUND
 
     def __init__(self) -> None:
-        self.entries = dict[tuple[Kind, str], Held]()
+        self.entry_by_name = dict[tuple[EntryKind, str], ReplicatedEntry]()
 
-    def held(self, kind: Kind) -> tuple[Held, ...]:
-        return tuple(held for (one, _), held in sorted(self.entries.items()) if one is kind)
+    def entries(self, kind: EntryKind) -> tuple[ReplicatedEntry, ...]:
+        return tuple(held for (one, _), held in sorted(self.entry_by_name.items()) if one is kind)
 
-    def fresh(self, now: float) -> bool:
+    def is_fresh(self, now: float) -> bool:
         return True
 
     def fresh_since(self, now: float) -> float | None:
@@ -90,17 +114,17 @@
     def __init__(self, me: int, wants: dict[str, dict[int, int]], totals: dict[str, int]) -> None:
         self.me, self.wants, self.totals = me, wants, totals
 
-    def pool(self, name: str, total: int, *, spent: bool, until: float | None) -> None:
+    def open_pool(self, name: str, total: int, *, is_consumable: bool, ends_at_ms: float | None) -> None:
         self.totals[name] = total
 
-    def may(self, now: float, name: str) -> int:
+    def available(self, now: float, name: str) -> int:
         wants = self.wants[name]
         return self.totals.get(name, 0) * wants.get(self.me, 0) // max(1, sum(wants.values()))
 
-    def use(self, now: float, name: str, amount: int = 1) -> bool:
+    def consume(self, now: float, name: str, amount: int = 1) -> bool:
         raise AssertionError("rates are not spent")
 
-    def want(self, now: float, name: str, amount: int) -> None:
+    def request(self, now: float, name: str, amount: int) -> None:
         self.wants[name][self.me] = amount + 1
 
 
@@ -114,7 +138,7 @@
     work: float
     identity: int
     repeat: bool = False
-    rank: Rank = FLAT
+    rank: CallPriority = NO_PRIORITY
     worker: int | None = None
     began: float | None = None
     ended: float | None = None
@@ -124,33 +148,35 @@
 class Router:
     def __init__(self, world: World, me: int) -> None:
         self.world, self.me, self.board = world, me, Board()
-        self.rng, self.jam = random.Random(world.seed * 100 + me), Jam()
-        for kind, name, body in contract.entries(parse(world.file)):
+        self.rng, self.jam = random.Random(world.seed * 100 + me), OverloadEstimator()
+        for kind, name, body in contracts.entries_from_config(parse_fleet_config(world.file)):
             entry = Entry(kind, name, Version(1, 0, 0), body)
-            self.board.entries[kind, name] = Held(entry, -2 * BOUND, -BOUND - 1)
-        tenants = tuple(i.Tenant(n, 0.3, None) for n in TENANTS)
-        s = settings(classes=CLASSES, tenants=tenants, gateways=ROUTERS, ordinal=me)
-        self.part = tiers.Tiers(self.board, Grants(me, world.wants, world.totals), s, world.seed + me)
-        self.part.changed(0.0, Present(tuple(n for n in range(ROUTERS) if n != me), ROUTERS, {}))
+            self.board.entry_by_name[kind, name] = ReplicatedEntry(entry, -2 * BOUND, -BOUND - 1)
+        tenants = tuple(Tenant(n, 0.3, None) for n in TENANTS)
+        s = settings(classes=CLASSES, tenants=tenants, router_count=ROUTERS, router_index=me)
+        self.part = component.PriorityComponent(
+            self.board, Grants(me, world.wants, world.totals), s, world.seed + me
+        )
+        self.part.on_notification(0.0, PeersChanged(tuple(n for n in range(ROUTERS) if n != me), ROUTERS, {}))
         self.out: dict[int, list[Call]] = {w: [] for w in range(WORKERS)}
         self.held: deque[Call] = deque()
         self.levels: list[tuple[float, int]] = []
 
     def arrive(self, now: float, call: Call) -> None:
-        klass, value = CLASSES[call.klass], CLASSES[call.klass].worth / WORK[call.klass]
-        mean = sum(k.worth / w for k, w in zip(CLASSES, WORK, strict=True)) / 3
-        aims = sum(k.aim for k in CLASSES) / 3
-        self.jam.call(now)
-        aim = math.sqrt(klass.aim * aims * value / mean)
-        fill = self.jam.wait(now, self.jam.total) / (FROM * aims)
-        call.rank = self.part.arrived(now, call.tenant, value, fill, call.repeat)
-        late = self.world.jammed.get(self.me, 0.0) or self.jam.strength(now, aim, range(WORKERS))
-        common = self.world.jammed.get(self.me, 0.0) or self.jam.strength(now, TIGHT, range(WORKERS))
-        part = self.part.refuses(now, call.rank, common, value) if self.world.tiers else None
+        klass, value = CLASSES[call.klass], CLASSES[call.klass].priority_weight / WORK[call.klass]
+        mean = sum(k.priority_weight / w for k, w in zip(CLASSES, WORK, strict=True)) / 3
+        aims = sum(k.latency_objective_ms for k in CLASSES) / 3
+        self.jam.on_call(now)
+        aim = math.sqrt(klass.latency_objective_ms * aims * value / mean)
+        fill = self.jam.queueing_ms(now, self.jam.total_in_flight) / (OVERLOAD_START * aims)
+        call.rank = self.part.on_arrival(now, call.tenant, value, fill, call.repeat)
+        late = self.world.jammed.get(self.me, 0.0) or self.jam.shed_probability(now, aim, range(WORKERS))
+        common = self.world.jammed.get(self.me, 0.0) or self.jam.shed_probability(now, TIGHT, range(WORKERS))
+        part = self.part.shed_probability(now, call.rank, common, value) if self.world.tiers else None
         if part is None:
             part = min(0.95, late * math.sqrt(mean / value))
         if self.rng.random() < part and not self.world.patient:
-            return self.part.refused(now, call.rank, call.repeat)
+            return self.part.record_rejected(now, call.rank, call.repeat)
         worker = min(self.out, key=lambda w: (len(self.out[w]), self.rng.random()))
         if self.world.tiers:
             worker = self.displace(now, call, worker)
@@ -168,8 +194,8 @@
         need = WORK[call.klass]
         queue = len(self.held) * 1000.0 * ROUTERS / CAPACITY
         wait, workers = queue + self.ahead(worker, 0), {w: self.ahead(w, 1) for w in self.out}
-        claim = Claim(call.rank, need, CLASSES[call.klass].aim, wait, workers)
-        number = self.part.victim(now, claim, self.views(worker))
+        claim = PreemptionClaim(call.rank, need, CLASSES[call.klass].latency_objective_ms, wait, workers)
+        number = self.part.choose_victim(now, claim, self.views(worker))
         if number is None:
             return worker
         victim = self.world.calls[number]
@@ -180,41 +206,52 @@
             return worker
         freed = victim.worker
         self.out[freed].remove(victim)
-        self.jam.ended(now, freed, False)
+        self.jam.on_attempt_ended(now, freed, False)
         self.world.cancel(now, victim)
         return freed
 
-    def views(self, worker: int) -> Iterator[View]:
+    def views(self, worker: int) -> Iterator[PreemptionCandidate]:
         place = None if self.world.blind else worker  # blind: whose lane they get next is not known
-        waiting = [(call, Stage.WAITING, place, 30.0 * n, 0.0) for n, call in enumerate(self.held)]
+        waiting = [(call, CallStage.QUEUED, place, 30.0 * n, 0.0) for n, call in enumerate(self.held)]
         for call, stage, w, left, spent in itertools.chain(waiting, self.written()):
             of = CLASSES[call.klass]
-            told = (call.number, call.identity, call.rank, stage, of.effect, i.Group.ALL, of.worth, call.at)
-            yield View(*told, w, left, of.window, spent, call.repeat)
-
-    def written(self) -> Iterator[tuple[Call, Stage, int, float, float]]:
+            told = (
+                call.number,
+                call.identity,
+                call.rank,
+                stage,
+                of.idempotency,
+                DeduplicationScope.ALL,
+                of.priority_weight,
+                call.at,
+            )
+            yield PreemptionCandidate(*told, w, left, of.deduplication_window_ms, spent, call.repeat)
+
+    def written(self) -> Iterator[tuple[Call, CallStage, int, float, float]]:
         for w, calls in self.out.items():
             for call in calls:
-                yield call, Stage.WRITTEN, w, WORK[call.klass] * 0.7, WORK[call.klass] * 0.3
+                yield call, CallStage.WRITTEN, w, WORK[call.klass] * 0.7, WORK[call.klass] * 0.3
 
     def take(self, sender: int, data: bytes, now: float) -> None:
-        self.part.hear(now, sender, data)
+        self.part.on_message(now, sender, data)
 
     def send(self, now: float, call: Call, worker: int) -> None:
         call.worker = worker
         self.out[worker].append(call)
-        self.jam.sent(worker)
+        self.jam.on_attempt_started(worker)
         self.world.enqueue(now, call)
 
     def ended(self, now: float, call: Call) -> None:
         assert call.worker is not None
         self.out[call.worker].remove(call)
-        self.jam.ended(now, call.worker, True)
+        self.jam.on_attempt_ended(now, call.worker, True)
         call.answered = now
-        self.part.changed(now, Ended(call.worker, 0, call.tenant, call.work, i.Outcome.OK, True))
+        self.part.on_notification(
+            now, AttemptCompleted(call.worker, 0, call.tenant, call.work, Outcome.OK, True)
+        )
         while self.held and len(self.out[call.worker]) < self.world.most:
             first = self.held.popleft()
-            if now - first.at < CLASSES[first.klass].deadline / 2:
+            if now - first.at < CLASSES[first.klass].deadline_ms / 2:
                 self.send(now, first, call.worker)
 
 
@@ -283,13 +320,13 @@
         self.routers[call.router].arrive(now, call)
 
     def turn(self, router: Router, now: float) -> None:
-        for word in router.part.turn(now):
-            if isinstance(word, i.Tell):
-                assert len(word.data) <= 256 and word.peer is not None
-                if self.rng.random() < 0.9 and router.me not in self.cut and word.peer not in self.cut:
-                    hear = functools.partial(self.routers[word.peer].take, router.me, word.data)
+        for word in router.part.on_tick(now):
+            if isinstance(word, SendToPeer):
+                assert len(word.data) <= 256 and word.peer_index is not None
+                if self.rng.random() < 0.9 and router.me not in self.cut and word.peer_index not in self.cut:
+                    hear = functools.partial(self.routers[word.peer_index].take, router.me, word.data)
                     self.later(now + self.rng.uniform(2, 60), hear)
-        router.levels.append((now, router.part.overloaded(now)))
+        router.levels.append((now, router.part.overload_level(now)))
         self.later(now + 250.0, functools.partial(self.turn, router))
 
     # Workers.
@@ -333,8 +370,8 @@
         for call in self.calls.values():
             if begin <= call.at < end and tenant in (None, call.tenant) and call.answered is not None:
                 klass, took = CLASSES[call.klass], call.answered - call.at
-                late = klass.late_worth if took <= klass.deadline else 0.0
-                sum_ += klass.worth if took <= klass.aim else late
+                late = klass.late_priority_weight if took <= klass.deadline_ms else 0.0
+                sum_ += klass.priority_weight if took <= klass.latency_objective_ms else late
         return sum_
 
     def highest(self) -> int:
@@ -372,9 +409,9 @@
     """One router jammed by itself, all cut off from one: no overload of the cluster."""
     world = World(seed, lambda now: (20.0, 20.0, 20.0))
     world.jammed[2] = 0.8
-    world.routers[2].part.gauge.read = lambda now: 3.0  # type: ignore[method-assign]
+    world.routers[2].part.pressure_estimator.pressure = lambda now: 3.0  # type: ignore[method-assign]
     world.cut.add(4)
-    world.routers[4].part.gauge.read = lambda now: 3.0  # type: ignore[method-assign]
+    world.routers[4].part.pressure_estimator.pressure = lambda now: 3.0  # type: ignore[method-assign]
     return "overload where there is none" if world.run(30_000.0).highest() else None
 
 
@@ -398,7 +435,9 @@
     gone = world.run(40_000.0).displaced
     if len(gone) < 60 or sum(one == written for _, _, one in gone) < 30:
         return f"too few are displaced to show anything: {len(gone)}"
-    if any(written and CLASSES[call.klass].effect is i.Effect.UNSAFE for _, call, written in gone):
+    if any(
+        written and CLASSES[call.klass].idempotency is Idempotency.NOT_IDEMPOTENT for _, call, written in gone
+    ):
         return "a written call that must not run twice was displaced"
     if max(Counter(call.identity for _, call, _ in gone).values()) > 1:
         return "one call was displaced twice"
@@ -434,12 +473,12 @@
 
 def _flaps(seed: int) -> str | None:
     """Pressure that goes slowly up and down about the onset, then fast and far: the level must not follow."""
-    machine, rng, changes = pressure.Overload(), random.Random(seed), 0
-    figures = contract.Figures(1.1, 0.9, 2000.0, 6000)
+    machine, rng, changes = load_pressure.OverloadStateMachine(), random.Random(seed), 0
+    figures = contracts.OverloadParameters(1.1, 0.9, 2000.0, 6000)
     for step in range(2000):
         now, before = step * 250.0, machine.level
         slow = 1.1 + 0.15 * math.sin(now / 3000.0)
-        machine.step(now, slow if step < 1000 else rng.uniform(0.7, 1.5), figures)
+        machine.update(now, slow if step < 1000 else rng.uniform(0.7, 1.5), figures)
         changes += machine.level != before
     return f"{changes} changes of level" if changes != 1 else None
 
@@ -458,23 +497,23 @@
         self.confirmed = [max(pair) for pair in zip(self.confirmed, other.confirmed, strict=True)]
         for entry, holders in other.holders.items():
             self.holders[entry] |= holders
-        for held in other.entries.values():
+        for held in other.entry_by_name.values():
             self.take(now, held.entry)
             self.holders[held.entry] |= {self.me, other.me}
         self.settle(now)
 
     def take(self, now: float, entry: Entry) -> None:
-        old = self.entries.get((entry.kind, entry.name))
+        old = self.entry_by_name.get((entry.kind, entry.name))
         if old is None or old.entry.version < entry.version:
-            self.entries[entry.kind, entry.name] = Held(entry, now, None)
+            self.entry_by_name[entry.kind, entry.name] = ReplicatedEntry(entry, now, None)
             self.holders[entry].add(self.me)
 
     def settle(self, now: float) -> None:
-        for key, held in self.entries.items():
-            if held.settled is None and 2 * len(self.holders[held.entry]) > self.count:
-                self.entries[key] = dataclasses.replace(held, settled=now)
+        for key, held in self.entry_by_name.items():
+            if held.replicated_at_ms is None and 2 * len(self.holders[held.entry]) > self.count:
+                self.entry_by_name[key] = dataclasses.replace(held, replicated_at_ms=now)
 
-    def fresh(self, now: float) -> bool:
+    def is_fresh(self, now: float) -> bool:
         lately = sum(at > now - (BOUND - 500.0) or n == self.me for n, at in enumerate(self.confirmed))
         return 2 * lately > self.count
 
@@ -484,9 +523,12 @@
     one go before the other here, and the other before the one there, for longer than B?"""
     count, rng = 5, random.Random(seed)
     boards = [Pulling(n, count) for n in range(count)]
-    parts = [contract.Contracts(board) for board in boards]
+    parts = [contracts.EffectiveContracts(board) for board in boards]
     names, tiers_ = ("mill", "town"), ("firm", "standard", "interruptible")
-    first = [Entry(k, n, Version(0, 0, 0), body) for k, n, body in contract.entries(parse(FILE))]
+    first = [
+        Entry(k, n, Version(0, 0, 0), body)
+        for k, n, body in contracts.entries_from_config(parse_fleet_config(FILE))
+    ]
     for board in boards:
         for entry in first:
             board.take(0.0, entry)
@@ -500,15 +542,15 @@
                 boards[me].pull(now, boards[other])
         if step % 40 == 20 and step > 200:
             author = rng.choice([*mute, rng.randrange(count)])
-            name, body = rng.choice(names), contract.Terms(rng.choice(tiers_), 60_000, 0)
-            number = boards[author].entries[Kind.CONTRACT, name].entry.version.counter + 1
+            name, body = rng.choice(names), contracts.ContractTerms(rng.choice(tiers_), 60_000, 0)
+            number = boards[author].entry_by_name[EntryKind.CONTRACT, name].entry.version.counter + 1
             version = Version(number, author, 0)
-            boards[author].take(now, Entry(Kind.CONTRACT, name, version, msgspec.msgpack.encode(body)))
+            boards[author].take(now, Entry(EntryKind.CONTRACT, name, version, msgspec.msgpack.encode(body)))
         before: list[int] = []
         for part in parts:
-            part.read(now)
-            a, b = (rank(name, part.of(name), True) for name in names)
-            before.append(a.over(b) - b.over(a))
+            part.refresh(now)
+            a, b = (assign_priority(name, part.for_tenant(name), True) for name in names)
+            before.append(a.outranks(b) - b.outranks(a))
         acts += sum(map(abs, before))
         for pair in ((x, y) for x in range(count) for y in range(count)):
             if before[pair[0]] * before[pair[1]] < 0:
@@ -530,56 +572,71 @@
     assert judge(3) is None
 
 
-def _forgetful(self: tiers.Tiers, now: float, view: View) -> bool:
-    return self.usage.may_lose(now, view.rank.tenant, self.contracts.of(view.rank.tenant).floor)
+def _forgetful(self: component.PriorityComponent, now: float, view: PreemptionCandidate) -> bool:
+    return self.usage.can_reject(
+        now, view.priority.tenant_name, self.contracts.for_tenant(view.priority.tenant_name).floor_permille
+    )
 
 
-def _unmarked(claim: Claim, views: list[View], bounds: preempt.Bounds) -> View | None:
-    return preempt.choose(claim, [dataclasses.replace(view, repeat=False) for view in views], bounds)
+def _unmarked(
+    claim: PreemptionClaim, views: list[PreemptionCandidate], bounds: preemption.PreemptionLimits
+) -> PreemptionCandidate | None:
+    return preemption.choose_victim(
+        claim, [dataclasses.replace(view, is_client_retry=False) for view in views], bounds
+    )
 
 
-def _own(self: pressure.Rumours, now: float) -> float | None:
-    return self.known[self.me].pressure if self.me in self.known else None
+def _own(self: load_pressure.PressureGossip, now: float) -> float | None:
+    return self.reports[self.router_index].pressure if self.router_index in self.reports else None
 
 
 def _greatest(weighed: list[tuple[float, float]]) -> float:
     return max(value for value, _ in weighed)
 
 
-def _sudden(self: pressure.Overload, value: float, figures: contract.Figures) -> int:
+def _sudden(
+    self: load_pressure.OverloadStateMachine, value: float, figures: contracts.OverloadParameters
+) -> int:
     return (
         1 if value >= figures.onset and not self.level else -1 if value < figures.onset and self.level else 0
     )
 
 
-def _hasty(self: pressure.Overload, now: float, value: float, figures: contract.Figures) -> int:
-    self.level += self._asks(value, figures)
+def _hasty(
+    self: load_pressure.OverloadStateMachine, now: float, value: float, figures: contracts.OverloadParameters
+) -> int:
+    self.level += self._requested_step(value, figures)
     return self.level
 
 
-def _newest(self: contract.History[contract.Terms], now: float, bound: float) -> tuple[contract.Terms, ...]:
-    return (self.pending[-1].value,) if self.pending else (self.sure,) if self.sure else ()
+def _newest(
+    self: contracts.BodyHistory[contracts.ContractTerms], now: float, bound: float
+) -> tuple[contracts.ContractTerms, ...]:
+    return (self.pending[-1].value,) if self.pending else (self.certain_body,) if self.certain_body else ()
 
 
-def _spendthrift(self: tiers.Tiers, now: float) -> None:
-    self.bucket.tokens = 9.0
+def _spendthrift(self: component.PriorityComponent, now: float) -> None:
+    self.preemption_bucket.tokens = 9.0
 
 
 DEFECTS: dict[str, tuple[str, list[tuple[object, str, object]]]] = {
-    "floor ignored": ("_floor", [(usage.Usage, "may_lose", lambda *_: True)]),
-    "written confirm preempted": ("_running", [(preempt, "harmless", lambda *_: True)]),
+    "floor ignored": ("_floor", [(usage.TenantUsage, "may_lose", lambda *_: True)]),
+    "written confirm preempted": ("_running", [(preemption, "harmless", lambda *_: True)]),
     "rate per router": ("_flood", [(Grants, "may", lambda self, now, name: self.totals.get(name, 0))]),
-    "use beyond contract not told apart": ("_flood", [(usage.Bucket, "take", lambda self: True)]),
+    "use beyond contract not told apart": ("_flood", [(usage.QuotaBucket, "take", lambda self: True)]),
     "acted at once": (
         "_orders",
-        [(contract.History, "known", _newest), (contract.History, "whole", lambda self: True)],
+        [(contracts.BodyHistory, "known", _newest), (contracts.BodyHistory, "whole", lambda self: True)],
+    ),
+    "own view alone": ("_lone", [(load_pressure.PressureGossip, "joined", _own)]),
+    "the greatest pressure told": ("_lone", [(load_pressure, "_more_than_half", _greatest)]),
+    "same call twice": (
+        "_waiting",
+        [(component.PriorityComponent, "_may", _forgetful), (component, "choose", _unmarked)],
     ),
-    "own view alone": ("_lone", [(pressure.Rumours, "joined", _own)]),
-    "the greatest pressure told": ("_lone", [(pressure, "_more_than_half", _greatest)]),
-    "same call twice": ("_waiting", [(tiers.Tiers, "_may", _forgetful), (tiers, "choose", _unmarked)]),
-    "no hysteresis": ("_flaps", [(pressure.Overload, "_asks", _sudden)]),
-    "no dwell": ("_flaps", [(pressure.Overload, "step", _hasty)]),
-    "no budget": ("_running", [(tiers.Tiers, "_fill", _spendthrift)]),
+    "no hysteresis": ("_flaps", [(load_pressure.OverloadStateMachine, "_asks", _sudden)]),
+    "no dwell": ("_flaps", [(load_pressure.OverloadStateMachine, "step", _hasty)]),
+    "no budget": ("_running", [(component.PriorityComponent, "_fill", _spendthrift)]),
 }
 
 
--- a/tests/test_recovery_world.py
+++ b/tests/simulation/test_recovery_fleet.py
@@ -12,14 +12,16 @@
 
 import pytest
 
-from cedarthread import interface as i
-from cedarthread import measures
-from cedarthread.parts import Ended, Present, Wall
-from cedarthread.recovery import asking, form
-from cedarthread.recovery.knowledge import Knowledge, Place, Source, Told, start_tag
-from cedarthread.recovery.pace import RUNNER_BEARS, Pace
-from cedarthread.recovery.phases import Phase, Phases
-from cedarthread.recovery.recovery import Recovery
+from cedarthread import statistics
+from cedarthread.components.interface import AttemptCompleted, PeersChanged, WallClockRead
+from cedarthread.model.actions import SendToPeer
+from cedarthread.model.endpoints import EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.outcomes import Outcome
+from cedarthread.recovery import codec, peer_query
+from cedarthread.recovery.component import RecoveryComponent
+from cedarthread.recovery.pacing import MIN_WORKER_CONNECTIONS_PER_WINDOW, Pacer
+from cedarthread.recovery.state_machine import RecoveryPhase, RecoveryStateMachine
+from cedarthread.recovery.warm_state import AgedObservation, Observation, Source, WarmState, start_tag
 from tests.helpers import LIMITS, copier, settings, worker
 
 KEEP, LOAD, SERVICE, AIM, GIVE_UP = 9000.0, 900.0, 40.0, 700.0, 3000.0
@@ -36,7 +38,7 @@
         self.rng, self.now, self.serial = random.Random(seed), 0.0, 0
         self.n, self.runners, self.rate = routers, list(range(runners)), rate
         self.weights = list(itertools.accumulate((k + 1) ** -0.9 for k in range(functions)))
-        self.limits = dataclasses.replace(LIMITS, peers=talks)
+        self.limits = dataclasses.replace(LIMITS, allows_gossip=talks)
         self.agenda: list[tuple[float, int, str, tuple[object, ...]]] = []
         self.starts = dict.fromkeys(self.runners, 1000.0)
         self.copies: dict[int, dict[int, float]] = {w: {} for w in self.runners}  # last use
@@ -54,26 +56,26 @@
         self.down: set[int] = set()
         self.born = [-1e6] * routers
         self.bounded, self.bounded_links, self.knowing = True, True, False
-        self.routers: list[Recovery] = []
+        self.routers: list[RecoveryComponent] = []
         for me in range(routers):
             self.routers.append(self.fresh(me))
             self.at(me * 7.0, "turn", me)
             self.at(self.rng.uniform(0, 100.0), "arrive", me)
         self.linked: list[set[int]] = [set() for _ in range(routers)]
 
-    def fresh(self, me: int) -> Recovery:
-        told = settings(gateways=self.n, ordinal=me, keep_alive=KEEP, limits=self.limits)
-        one = Recovery(told, self.rng.getrandbits(30), self.now)
-        one.changed(self.now, Wall(EPOCH + self.now))
-        one.changed(self.now, self.listing())
+    def fresh(self, me: int) -> RecoveryComponent:
+        told = settings(router_count=self.n, router_index=me, keep_alive_ms=KEEP, limits=self.limits)
+        one = RecoveryComponent(told, self.rng.getrandbits(30), self.now)
+        one.on_notification(self.now, WallClockRead(EPOCH + self.now))
+        one.on_notification(self.now, self.listing())
         return one
 
-    def listing(self) -> i.Membership:
-        state = {w: i.WorkerState.DRAINING for w in self.draining}
+    def listing(self) -> EndpointUpdate:
+        state = {w: EndpointState.DRAINING for w in self.draining}
         entries = tuple(
-            worker(w, state.get(w, i.WorkerState.READY), started=self.starts[w]) for w in self.runners
+            worker(w, state.get(w, EndpointState.READY), started=self.starts[w]) for w in self.runners
         )
-        return i.Membership(i.ListKind.FULL, 1, entries)
+        return EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, entries)
 
     def at(self, when: float, name: str, *told: object) -> None:
         self.serial += 1
@@ -95,21 +97,23 @@
         others = tuple(n for n in range(self.n) if n != me and n not in self.down)
         since = {n: self.now - self.born[n] for n in others}
         one = self.routers[me]
-        one.changed(self.now, Present(others, self.n, since))
-        self.say(me, one.turn(self.now))
+        one.on_notification(self.now, PeersChanged(others, self.n, since))
+        self.say(me, one.on_tick(self.now))
         if (raw := one.snapshot(self.now)) is not None and self.rng.random() < 0.125:
             self.disk[me] = raw
 
     def say(self, me: int, words: object) -> None:
         for word in words:  # type: ignore[attr-defined]
-            if isinstance(word, i.Tell) and word.peer is not None:
+            if isinstance(word, SendToPeer) and word.peer_index is not None:
                 self.told[me].append((self.now, word.data[1]))
                 if self.rng.random() > 0.1:
-                    self.at(self.now + self.rng.uniform(1.0, 20.0), "datagram", word.peer, me, word.data)
+                    self.at(
+                        self.now + self.rng.uniform(1.0, 20.0), "datagram", word.peer_index, me, word.data
+                    )
 
     def datagram(self, to: int, sender: int, data: bytes) -> None:
         if to not in self.down:
-            self.say(to, self.routers[to].hear(self.now, sender, data))
+            self.say(to, self.routers[to].on_message(self.now, sender, data))
 
     def die(self, me: int, back: float, store: bool, peers: bool) -> None:
         self.down.add(me)
@@ -122,13 +126,13 @@
         one = self.routers[me] = self.fresh(me)
         if store:
             one.restore(self.now, self.disk[me])
-        one.talks = one.talks and peers
+        one.can_query_peers = one.can_query_peers and peers
         if self.knowing:
-            one.phases.phase = Phase.IN_SERVICE
+            one.state_machine.phase = RecoveryPhase.IN_SERVICE
             for w, had in self.copies.items():
                 for f, used in had.items():
-                    told = Told(w, start_tag(self.starts[w]), f, self.now - used, True)
-                    one.knows.told(self.now, self.now, told, Source.STORE)
+                    told = AgedObservation(w, start_tag(self.starts[w]), f, self.now - used, True)
+                    one.warm_state.merge_remote(self.now, self.now, told, Source.STORE)
 
     # Calls.
 
@@ -144,7 +148,7 @@
         if me in self.down or self.now - came > GIVE_UP:
             self.worth[tenth].append(0.0)
             return
-        warm = sorted(one.copies(self.now, function), key=lambda w: (w not in self.linked[me], w))
+        warm = sorted(one.warm_instances(self.now, function), key=lambda w: (w not in self.linked[me], w))
         for w in warm:
             if w in self.linked[me] or self.link(me, w):
                 self.stale += w in self.draining or (
@@ -156,17 +160,17 @@
         while w in self.draining:
             w = (w + 1) % len(self.runners)
         may = not warm and (w in self.linked[me] or self.link(me, w))
-        if may and (not self.bounded or one.may_load(self.now, function, w)):
+        if may and (not self.bounded or one.try_acquire_load(self.now, function, w)):
             return self.send(me, came, function, w)
         self.at(self.now + 50.0, "call", me, came, function)
 
     def link(self, me: int, w: int) -> bool:
         one = self.routers[me]
-        if self.bounded_links and not one.may_connect(self.now, w):
+        if self.bounded_links and not one.try_acquire_connection(self.now, w):
             return False
         self.connects[w].append(self.now)
         self.linked[me].add(w)
-        one.connected(self.now, True)
+        one.on_connection_result(self.now, True)
         return True
 
     def send(self, me: int, came: float, function: int, w: int) -> None:
@@ -190,7 +194,9 @@
         self.worth[int(came / 100.0)].append(0.0 if lost else 1.0 if took <= AIM else 0.2)
         if not lost:
             self.seen[w, f] = self.now
-            self.routers[me].changed(self.now, Ended(w, f, None, self.now - sent, i.Outcome.OK, found))
+            self.routers[me].on_notification(
+                self.now, AttemptCompleted(w, f, None, self.now - sent, Outcome.OK, found)
+            )
 
     # Faults.
 
@@ -208,7 +214,7 @@
             self.starts[w], self.copies[w] = EPOCH + self.now, {}
         for me in range(self.n):
             if me not in self.down:
-                self.routers[me].changed(self.now, self.listing())
+                self.routers[me].on_notification(self.now, self.listing())
 
     def served(self, since: float, until: float) -> float:
         """The mean worth of the calls that came then."""
@@ -245,7 +251,7 @@
 def calm() -> World:
     """A world that nothing disturbed for so long that all is in service."""
     world = World(routers=16, runners=10, functions=60, rate=12.0, seed=11).run(T)
-    assert all(one.in_service(T) and not one.bounded for one in world.routers)
+    assert all(one.in_service(T) and not one.is_paced for one in world.routers)
     return world
 
 
@@ -279,7 +285,9 @@
         if variant != "knowing":
             assert peak(world.loads, T) <= max(3, 1.5 * usual), variant
             most = max(peak(times, T) for times in world.connects.values())
-            assert most <= (2.0 if variant in ("nothing", "peers") else 1.5) * RUNNER_BEARS, variant
+            assert (
+                most <= (2.0 if variant in ("nothing", "peers") else 1.5) * MIN_WORKER_CONNECTIONS_PER_WINDOW
+            ), variant
             assert world.stale == 0 and not younger(world)
             assert all(one.in_service(world.now) for one in world.routers)
     assert full["both"] <= 1.5 * full["knowing"] and full["both"] <= 0.5 * full["nothing"]
@@ -289,11 +297,12 @@
 def younger(world: World) -> list[str]:
     """Places that some router holds for more lately observed than anybody ever observed them."""
     return [
-        f"router {me} holds {function} at {w} for {found.age:.0f} ms old"
+        f"router {me} holds {function} at {w} for {found.warm_age_ms:.0f} ms old"
         for me, one in enumerate(world.routers)
         for function in range(len(world.weights))
-        for w, found in one.copies(world.now, function).items()
-        if found.age is not None and world.now - found.age > world.seen.get((w, function), -1.0) + 0.001
+        for w, found in one.warm_instances(world.now, function).items()
+        if found.warm_age_ms is not None
+        and world.now - found.warm_age_ms > world.seen.get((w, function), -1.0) + 0.001
     ]
 
 
@@ -311,15 +320,21 @@
 
 def storm() -> int:
     """TELL datagrams that one survivor sends within a second while 100 routers ask it again and again."""
-    knows = settings(gateways=102, ordinal=0)
-    one = Recovery(knows, 1, 0.0)
-    one.changed(0.0, i.Membership(i.ListKind.FULL, 1, tuple(worker(w) for w in range(30))))
+    knows = settings(router_count=102, router_index=0)
+    one = RecoveryComponent(knows, 1, 0.0)
+    one.on_notification(
+        0.0, EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, tuple(worker(w) for w in range(30)))
+    )
     for function in range(600):
-        one.changed(1.0, Ended(function % 30, function, None, 1.0, i.Outcome.OK, True))
+        one.on_notification(1.0, AttemptCompleted(function % 30, function, None, 1.0, Outcome.OK, True))
     tells = 0
     for nonce in range(2000):
-        words = one.hear(1.0 + nonce / 2, 1 + nonce % 100, form.encode(form.Ask(nonce, nonce % 4, 4)))
-        tells += sum(isinstance(word, i.Tell) and word.data[1] == form.Kind.TELL for word in words)
+        words = one.on_message(
+            1.0 + nonce / 2, 1 + nonce % 100, codec.encode(codec.Query(nonce, nonce % 4, 4))
+        )
+        tells += sum(
+            isinstance(word, SendToPeer) and word.data[1] == codec.DatagramKind.RESPONSE for word in words
+        )
     return tells
 
 
@@ -349,38 +364,50 @@
 
 
 def of_survivors(calm: World, usual: int) -> set[str]:
-    return {"survivor drowns"} if storm() > asking.TELLS + asking.TELLS_SAVED else set()
+    return (
+        {"survivor drowns"}
+        if storm() > peer_query.RESPONSES_PER_SECOND + peer_query.RESPONSE_BURST
+        else set()
+    )
 
 
-def believes(ready: bool, start: bool) -> Callable[[Knowledge, float, int, int, Place], bool]:
+def believes(ready: bool, start: bool) -> Callable[[WarmState, float, int, int, Observation], bool]:
     """``Knowledge.counts`` without one of its rules."""
 
-    def counts(knows: Knowledge, now: float, w: int, tag: int, place: Place) -> bool:
-        runner = knows.runners.get(w)
-        fits = runner is not None and (ready or runner.ready) and (start or runner.start == tag)
-        return fits and place.stands and now - place.observed <= knows.keep
+    def counts(knows: WarmState, now: float, w: int, tag: int, place: Observation) -> bool:
+        runner = knows.workers.get(w)
+        fits = runner is not None and (ready or runner.is_ready) and (start or runner.start_tag == tag)
+        return fits and place.is_warm and now - place.observed_at_ms <= knows.keep_alive_ms
 
     return counts
 
 
-def from_telling(knows: Knowledge, now: float, at: float, told: Told, source: Source) -> bool:
-    return TOLD(knows, now, now, dataclasses.replace(told, age=0.0), source)
+def from_telling(knows: WarmState, now: float, at: float, told: AgedObservation, source: Source) -> bool:
+    return TOLD(knows, now, now, dataclasses.replace(told, age_ms=0.0), source)
 
 
-def undated(one: Recovery, now: float, away: float, row: tuple[int, int, int, float, bool, int]) -> bool:
+def undated(
+    one: RecoveryComponent, now: float, away: float, row: tuple[int, int, int, float, bool, int]
+) -> bool:
     return STORED(one, now, 0.0, row)
 
 
-TOLD, STORED = Knowledge.told, Recovery._stored
+TOLD, STORED = WarmState.merge_remote, RecoveryComponent._restore_observation
 Judge = Callable[[World, int], set[str]]
 DEFECTS: dict[str, tuple[object, str, object, Judge, str]] = {
-    "ramp left out": (Pace, "may_load", lambda pace, now: 1.0, of_stores, "stampede at the store"),
-    "stale start believed": (Knowledge, "counts", believes(False, True), of_stores, "stale decisions"),
-    "drained runner believed": (Knowledge, "counts", believes(True, False), of_stores, "stale decisions"),
-    "age counted from the telling": (Knowledge, "told", from_telling, of_peers, "made younger"),
-    "answers unbounded": (measures.Bucket, "take", lambda *_: True, of_survivors, "survivor drowns"),
-    "phases ended by time alone": (Phases, "_shown", lambda phases, seen: False, of_peers, "late"),
-    "store's ages not grown": (Recovery, "_stored", undated, of_stores, "made younger"),
+    "ramp left out": (Pacer, "may_load", lambda pace, now: 1.0, of_stores, "stampede at the store"),
+    "stale start believed": (WarmState, "counts", believes(False, True), of_stores, "stale decisions"),
+    "drained runner believed": (WarmState, "counts", believes(True, False), of_stores, "stale decisions"),
+    "age counted from the telling": (WarmState, "told", from_telling, of_peers, "made younger"),
+    "answers unbounded": (statistics.TokenBucket, "take", lambda *_: True, of_survivors, "survivor drowns"),
+    "phases ended by time alone": (
+        RecoveryStateMachine,
+        "_shown",
+        lambda phases, seen: False,
+        of_peers,
+        "late",
+    ),
+    "store's ages not grown": (RecoveryComponent, "_stored", undated, of_stores, "made younger"),
 }
 
 
@@ -401,7 +428,11 @@
 # A small world explored whole: every order of turns, datagrams come or lost, restarts without memory.
 
 
-SETTINGS = {(n, me): settings(gateways=n, ordinal=me, keep_alive=1200.0) for n in (2, 3) for me in range(n)}
+SETTINGS = {
+    (n, me): settings(router_count=n, router_index=me, keep_alive_ms=1200.0)
+    for n in (2, 3)
+    for me in range(n)
+}
 
 
 class Small:
@@ -412,12 +443,14 @@
         self.born = [-90_000.0] + [self.now] * (routers - 1)
         self.way: list[tuple[int, int, bytes]] = []
         self.routers = [self.fresh(me, routers) for me in range(routers)]
-        self.routers[0].changed(self.now, Ended(1, 7, None, 1.0, i.Outcome.OK, True))
+        self.routers[0].on_notification(self.now, AttemptCompleted(1, 7, None, 1.0, Outcome.OK, True))
         self.seen = self.now
 
-    def fresh(self, me: int, routers: int) -> Recovery:
-        one = Recovery(SETTINGS[routers, me], me, self.now)
-        one.changed(self.now, i.Membership(i.ListKind.FULL, 1, (worker(1, started=5.0 + self.stale),)))
+    def fresh(self, me: int, routers: int) -> RecoveryComponent:
+        one = RecoveryComponent(SETTINGS[routers, me], me, self.now)
+        one.on_notification(
+            self.now, EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, (worker(1, started=5.0 + self.stale),))
+        )
         return one
 
     def events(self) -> list[tuple[str, int]]:
@@ -434,47 +467,60 @@
             for me, one in enumerate(self.routers):
                 others = tuple(k for k in range(len(self.routers)) if k != me)
                 since = {k: self.now - self.born[k] for k in others}
-                one.changed(self.now, Present(others, len(self.routers), since))
-                self.say(me, one.turn(self.now))
+                one.on_notification(self.now, PeersChanged(others, len(self.routers), since))
+                self.say(me, one.on_tick(self.now))
         elif name in ("come", "lose", "twice"):
             to, sender, data = self.way[n] if name == "twice" else self.way.pop(n)
             if name != "lose":
-                self.say(to, self.routers[to].hear(self.now, sender, data))
+                self.say(to, self.routers[to].on_message(self.now, sender, data))
         elif name == "restart":
             self.restarts, self.born[n] = 0, self.now
             self.routers[n] = self.fresh(n, len(self.routers))
         else:
             self.stale = True
             for one in self.routers:
-                one.changed(self.now, i.Membership(i.ListKind.DELTA, 2, (worker(1, started=6.0),)))
+                one.on_notification(
+                    self.now, EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(1, started=6.0),))
+                )
 
     def say(self, me: int, words: object) -> None:
-        told = [w for w in words if isinstance(w, i.Tell) and w.peer is not None]  # type: ignore[attr-defined]
-        self.way += [(word.peer, me, word.data) for word in told if word.peer is not None]
+        told = [w for w in words if isinstance(w, SendToPeer) and w.peer_index is not None]  # type: ignore[attr-defined]
+        self.way += [(word.peer_index, me, word.data) for word in told if word.peer_index is not None]
         del self.way[2:]  # the rest is lost
 
     def check(self) -> None:
         """The rules, in any state."""
         for one in self.routers:
-            for found in one.copies(self.now, 7).values():
-                assert not self.stale and found.age is not None
-                assert self.now - found.age <= self.seen and found.age <= 1200.0
-            assert len(one.asker.out) <= asking.AT_ONCE
-            asks = one.phases.phase is Phase.ASKING and one.phases.by.name == "EVIDENCE"
-            assert not asks or 2 * (1 + len(one.fleet.lives(self.now))) > len(self.routers)
-            if one.phases.phase is Phase.IN_SERVICE:  # no call came: by its longest times alone
-                assert self.now - one.back >= one.phases.longest.warming
+            for found in one.warm_instances(self.now, 7).values():
+                assert not self.stale and found.warm_age_ms is not None
+                assert self.now - found.warm_age_ms <= self.seen and found.warm_age_ms <= 1200.0
+            assert len(one.query_client.pending) <= peer_query.MAX_PENDING_QUERIES
+            asks = (
+                one.state_machine.phase is RecoveryPhase.ASKING and one.state_machine.cause.name == "EVIDENCE"
+            )
+            assert not asks or 2 * (1 + len(one.fleet_view.peer_uptimes_ms(self.now))) > len(self.routers)
+            if (
+                one.state_machine.phase is RecoveryPhase.IN_SERVICE
+            ):  # no call came: by its longest times alone
+                assert self.now - one.restarted_at_ms >= one.state_machine.timeouts.warming_ms
 
     def key(self) -> object:
         """What tells two states apart; ages in whole tenths of a second, nonces left out."""
         routers = tuple(
             (
-                one.phases.phase,
-                round(self.now - one.phases.since),
-                round(self.now - one.back),
-                tuple((s.answers, s.known, tuple(sorted(s.by))) for s in one.asker.segments),
-                tuple(sorted((o.peer, o.segment, o.at) for o in one.asker.out.values())),
-                tuple((k, round(p.observed)) for at in one.knows.places.values() for k, p in at.items()),
+                one.state_machine.phase,
+                round(self.now - one.state_machine.entered_at_ms),
+                round(self.now - one.restarted_at_ms),
+                tuple(
+                    (s.responses, s.is_complete, tuple(sorted(s.responders)))
+                    for s in one.query_client.segments
+                ),
+                tuple(sorted((o.peer, o.segment, o.sent_at_ms) for o in one.query_client.pending.values())),
+                tuple(
+                    (k, round(p.observed_at_ms))
+                    for at in one.warm_state.observations.values()
+                    for k, p in at.items()
+                ),
             )
             for one in self.routers
         )
--- a/tests/test_register_world.py
+++ b/tests/simulation/test_replication_fleet.py
@@ -14,15 +14,15 @@
 
 import pytest
 
-from cedarthread import interface as i
-from cedarthread.parts import Entry, Kind, Present, Version, Word
-from cedarthread.register import entry as entries
-from cedarthread.register import form
-from cedarthread.register.content import Content
-from cedarthread.register.evidence import Evidence
-from cedarthread.register.form import NEVER, Pair
-from cedarthread.register.register import TURN, Register, _Sync
-from cedarthread.spread.datagram import MOST
+from cedarthread.components.interface import Entry, EntryKind, OutboundMessage, PeersChanged, Version
+from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES
+from cedarthread.model.actions import LogMessage, SendToPeer
+from cedarthread.replication import codec
+from cedarthread.replication import entry as entries
+from cedarthread.replication.codec import AGE_UNKNOWN, EntryRef
+from cedarthread.replication.freshness import FreshnessTracker
+from cedarthread.replication.state import ReplicaState
+from cedarthread.replication.store import MAX_TICK_INTERVAL_MS, ReplicatedStore, SyncSession
 
 Orders = dict[entries.Key, tuple[Version, int]]
 LIVES = itertools.count(1)
@@ -41,17 +41,17 @@
         self.born: dict[int, float] = {}  # when each last started
         self.found: list[str] = []
 
-    def holds(self, now: float, n: int, register: Register) -> None:
+    def holds(self, now: float, n: int, register: ReplicatedStore) -> None:
         """Note what a router holds, read from its content alone."""
         slots = register.snapshot()
-        held: Orders = {(e.kind, e.name): entries.order(e, entries.digest(e)) for e in slots}
+        held: Orders = {(e.kind, e.name): entries.order_key(e, entries.entry_digest(e)) for e in slots}
         before = self.history[n][-1][1]
-        if register.life == self.lives.get(n):
+        if register.incarnation == self.lives.get(n):
             for key, order in before.items():
                 if key not in held or held[key] < order:
                     self.found.append(f"{n} went back in {key}")
         else:
-            self.lives[n], self.born[n] = register.life, now
+            self.lives[n], self.born[n] = register.incarnation, now
         self.history[n].append((now, held))
         for key, order in held.items():
             self.holders.setdefault((key, order), {})[n] = now
@@ -87,7 +87,12 @@
     """Registers that turn in their own time by their own clocks, over a network that does what it likes."""
 
     def __init__(
-        self, count: int, seed: int, make: type[Register] = Register, seated: bool = True, **how: float
+        self,
+        count: int,
+        seed: int,
+        make: type[ReplicatedStore] = ReplicatedStore,
+        seated: bool = True,
+        **how: float,
     ) -> None:
         self.rng, self.count, self.make, self.how = random.Random(seed), count, make, how
         self.lives = itertools.count(1)
@@ -101,10 +106,10 @@
         self.logs: list[str] = []
         self.settled: dict[int, dict[entries.Key, float]] = {n: {} for n in range(count)}
         self.share = [0, 0]  # of turns: fresh, all
-        self.routers: dict[int, Register] = {}
+        self.routers: dict[int, ReplicatedStore] = {}
         for n in range(count):
             self.start(n, seated)
-            self.step(self.rng.uniform(0, TURN), n, -1, None)
+            self.step(self.rng.uniform(0, MAX_TICK_INTERVAL_MS), n, -1, None)
 
     def local(self, n: int, at: float) -> float:
         return 1e6 * n + at * self.rate[n]
@@ -129,56 +134,56 @@
         while self.steps and self.steps[0][0] <= begin + ms and not until():
             self.now, _, n, sender, data = heapq.heappop(self.steps)
             if data is None:
-                self.step(self.now + self.rng.uniform(0.8, 1.0) * TURN, n, -1, None)
+                self.step(self.now + self.rng.uniform(0.8, 1.0) * MAX_TICK_INTERVAL_MS, n, -1, None)
             if n in self.stood:
                 self.stood[n] += [(sender, data)] if data is not None else []
                 continue
             register, now = self.routers[n], self.local(n, self.now)
-            self.after(n, register.turn(now) if data is None else register.hear(now, sender, data))
+            self.after(n, register.on_tick(now) if data is None else register.on_message(now, sender, data))
             if data is None:
-                self.share[0] += register.fresh(now)
+                self.share[0] += register.is_fresh(now)
                 self.share[1] += 1
                 self.look(n, register)
         self.now = self.now if until() else begin + ms
         return self.now - begin
 
-    def look(self, n: int, register: Register) -> None:
-        for k, at in enumerate(register.evidence.read_seated):
+    def look(self, n: int, register: ReplicatedStore) -> None:
+        for k, at in enumerate(register.freshness.read_as_voter_at_ms):
             if at > -1e300 and k != n:
                 self.judge.read(self.now, n, k, self.true(n, at))
 
     def after(self, n: int, words: object) -> None:
         """What a router did is seen: its content by the judge, its words by the network."""
         register, now = self.routers[n], self.local(n, self.now)
-        taken = register.taken()
+        taken = register.take_changes()
         if taken:
             self.judge.holds(self.now, n, register)
         for held in taken:
             key = held.entry.kind, held.entry.name
-            if held.settled is not None:
-                act = self.now + (register.bound - TURN) / self.rate[n]
-                order = entries.order(held.entry, entries.digest(held.entry))
+            if held.replicated_at_ms is not None:
+                act = self.now + (register.staleness_bound_ms - MAX_TICK_INTERVAL_MS) / self.rate[n]
+                order = entries.order_key(held.entry, entries.entry_digest(held.entry))
                 self.judge.settled(self.now, n, key, order, act)
                 self.settled[n].setdefault(key, self.now)
-        if register.fresh(now):
+        if register.is_fresh(now):
             self.judge.fresh(self.now, n)
         for word in words:  # type: ignore[attr-defined]
-            if isinstance(word, i.Log):
-                self.logs.append(f"{n}: {word.text}")
+            if isinstance(word, LogMessage):
+                self.logs.append(f"{n}: {word.message}")
             else:
                 self.send(n, word)
 
-    def send(self, n: int, tell: i.Tell) -> None:
-        assert tell.peer is not None and tell.peer != n
+    def send(self, n: int, tell: SendToPeer) -> None:
+        assert tell.peer_index is not None and tell.peer_index != n
         self.bytes += len(tell.data)
         self.longest = max(self.longest, len(tell.data))
         for _ in range(2 if self.rng.random() < self.doubled else 1):
             late = self.rng.random() < self.late
             delay = self.rng.uniform(50, 4000) if late else self.rng.uniform(0.5, 30)
-            if (n, tell.peer) not in self.cut and self.rng.random() >= self.loss:
-                self.step(self.now + delay, tell.peer, n, tell.data)
+            if (n, tell.peer_index) not in self.cut and self.rng.random() >= self.loss:
+                self.step(self.now + delay, tell.peer_index, n, tell.data)
 
-    def propose(self, n: int, name: str, body: bytes, kind: Kind = Kind.CONTRACT) -> Entry:
+    def propose(self, n: int, name: str, body: bytes, kind: EntryKind = EntryKind.CONTRACT) -> Entry:
         entry = self.routers[n].propose(self.local(n, self.now), kind, name, body)
         assert isinstance(entry, Entry)
         self.after(n, [])
@@ -189,12 +194,12 @@
             self.step(self.now, n, sender, data)
 
     def alike(self) -> bool:
-        return len({register.content.root for register in self.routers.values()}) == 1
+        return len({register.replica.root_digest for register in self.routers.values()}) == 1
 
 
-def chaos(make: type[Register], seed: int, count: int = 5, rounds: int = 40) -> World:
+def chaos(make: type[ReplicatedStore], seed: int, count: int = 5, rounds: int = 40) -> World:
     """Everything at once, at the clocks' limits; at most one router has no memory of its seat at a time."""
-    world = World(count, seed, make, period=100.0, fresh=2000.0, clock_rate=0.05)
+    world = World(count, seed, make, period_ms=100.0, window_ms=2000.0, clock_rate=0.05)
     world.loss, world.late, world.doubled = 0.1, 0.15, 0.3
     dice = random.Random(seed)
     for number in range(rounds):
@@ -209,7 +214,7 @@
             world.cut = {(a, b) for a, b in pairs if (a in side) != (b in side) and (both or a in side)}
         elif what == "heal":
             world.cut.clear()
-        elif what == "start" and all(r.evidence.seated for r in world.routers.values()):
+        elif what == "start" and all(r.freshness.is_voter for r in world.routers.values()):
             world.start(n)
         elif what == "stand" and not world.stood:
             world.stood[n] = []
@@ -226,12 +231,14 @@
         (world.cut.discard if any({a, b} <= group for group in groups) else world.cut.add)((a, b))
     for n, register in world.routers.items():
         near = {m for group in groups if n in group for m in group if m != n}
-        register.changed(world.local(n, world.now), Present(tuple(sorted(near)), world.count, {}))
+        register.on_notification(
+            world.local(n, world.now), PeersChanged(tuple(sorted(near)), world.count, {})
+        )
 
 
 def forgets() -> World:
     """One that held an entry forgets it and reads those who never knew it; it settles by what was held."""
-    world = World(5, 1, period=100.0, fresh=4000.0)
+    world = World(5, 1, period_ms=100.0, window_ms=4000.0)
     only(world, {0, 2}, {1, 3, 4})
     world.propose(0, "x", b"settled")
     world.run(1500.0)
@@ -245,12 +252,12 @@
 
 def reborn() -> World:
     """One restarts just after it has replied, and lists in its new life what it holds: nothing."""
-    world = World(3, 2, period=100.0, fresh=4000.0)
+    world = World(3, 2, period_ms=100.0, window_ms=4000.0)
     only(world, {0, 1})
     world.propose(0, "x", b"settled")
     world.run(5000.0)  # longer than the newest entry is told unasked
     only(world, {1, 2})
-    world.run(3000.0, lambda: bool(world.routers[2].syncs))
+    world.run(3000.0, lambda: bool(world.routers[2].sessions))
     world.start(1)
     world.run(12_000.0)
     return world
@@ -260,60 +267,79 @@
     """All worlds that the judge sees."""
     yield forgets()
     yield reborn()
-    yield from (chaos(Register, seed) for seed in range(12))
+    yield from (chaos(ReplicatedStore, seed) for seed in range(12))
 
 
 def test_who_forgot_what_it_held_counts_for_nobody() -> None:
     world = forgets()
     assert world.settled[0], "settled by what it held before"
-    assert not world.judge.found and not world.routers[4].fresh(world.local(4, world.now))
+    assert not world.judge.found and not world.routers[4].is_fresh(world.local(4, world.now))
     world = reborn()
     assert world.settled[1] and not world.judge.found and not world.alike()
 
 
 @pytest.mark.parametrize("seed", range(8))
 def test_whoever_is_fresh_holds_what_was_settled_a_bound_ago(seed: int) -> None:
-    world = chaos(Register, seed)
+    world = chaos(ReplicatedStore, seed)
     assert not world.judge.found
     for m in list(world.stood):
         world.resume(m)
     world.cut.clear()
     world.run(30_000.0)
-    assert world.alike() and not world.judge.found and world.longest <= MOST
-    assert all(r.fresh(world.local(n, world.now)) for n, r in world.routers.items())
+    assert world.alike() and not world.judge.found and world.longest <= MAX_DATAGRAM_BYTES
+    assert all(r.is_fresh(world.local(n, world.now)) for n, r in world.routers.items())
     assert sum(len(s) for s in world.settled.values()) > 3
 
 
 def _defects() -> dict[str, tuple[type, str, Callable[..., object]]]:
     """Each breaks one rule: class, method, what stands in its place."""
-    confirm, read, holders = Evidence.confirm, Evidence._read, Evidence._holders
+    confirm, read, holders = (
+        FreshnessTracker.record_response,
+        FreshnessTracker._record_read,
+        FreshnessTracker._count_holders,
+    )
 
-    def floor(self: Evidence, age: float, scale: float) -> int:
-        return min(NEVER, int(age * scale / 1.2))
+    def floor(self: FreshnessTracker, age: float, scale: float) -> int:
+        return min(AGE_UNKNOWN, int(age * scale / 1.2))
 
-    def seat(self: Evidence, now: float) -> bool:
-        return sum(at >= self.began for at in self.read_seated) > self.count - self.majority
+    def seat(self: FreshnessTracker, now: float) -> bool:
+        return (
+            sum(at >= self.started_at_ms for at in self.read_as_voter_at_ms)
+            > self.router_count - self.majority
+        )
 
     return {
-        "ages from reception": (Evidence, "confirm", lambda s, now, k, _, r: confirm(s, now, k, now, r)),
-        "fresh by a minority": (Evidence, "_fresh_until", lambda s: sorted(s.read_seated)[-1] + s.window),
-        "unseated count": (Evidence, "_read", lambda s, k, at, _, h: read(s, k, at, True, h)),
-        "settles by a minority": (Evidence, "_holders", lambda s, now, c: holders(s, now, c) + 1),
-        "the last holds": (Content, "surpasses", lambda *_: True),
-        "nonces come again": (Register, "_nonce", lambda s: s.rng.getrandbits(2)),
-        "ages too young": (Evidence, "_steps", floor),
-        "a reply counts before its content is held": (Register, "_proven", _unproven),
-        "a seat at once": (Evidence, "may_sit", lambda *_: True),
-        "a seat by what was read before V after the start": (Evidence, "may_sit", seat),
-        "what was held counts for ever": (Evidence, "_holders", lambda s, _, c: holders(s, -math.inf, c)),
-        "a later life's summary counts": (Register, "_same_life", lambda *_: True),
+        "ages from reception": (
+            FreshnessTracker,
+            "confirm",
+            lambda s, now, k, _, r: confirm(s, now, k, now, r),
+        ),
+        "fresh by a minority": (
+            FreshnessTracker,
+            "_fresh_until",
+            lambda s: sorted(s.read_seated)[-1] + s.window,
+        ),
+        "unseated count": (FreshnessTracker, "_read", lambda s, k, at, _, h: read(s, k, at, True, h)),
+        "settles by a minority": (FreshnessTracker, "_holders", lambda s, now, c: holders(s, now, c) + 1),
+        "the last holds": (ReplicaState, "surpasses", lambda *_: True),
+        "nonces come again": (ReplicatedStore, "_nonce", lambda s: s.rng.getrandbits(2)),
+        "ages too young": (FreshnessTracker, "_steps", floor),
+        "a reply counts before its content is held": (ReplicatedStore, "_proven", _unproven),
+        "a seat at once": (FreshnessTracker, "may_sit", lambda *_: True),
+        "a seat by what was read before V after the start": (FreshnessTracker, "may_sit", seat),
+        "what was held counts for ever": (
+            FreshnessTracker,
+            "_holders",
+            lambda s, _, c: holders(s, -math.inf, c),
+        ),
+        "a later life's summary counts": (ReplicatedStore, "_same_life", lambda *_: True),
     }
 
 
-def _unproven(self: Register, now: float, sync: _Sync) -> bool:
-    self.evidence.confirm(now, sync.peer, sync.sent, sync.reply)
-    self._look(now)
-    return sync.root in self.content.within
+def _unproven(self: ReplicatedStore, now: float, sync: SyncSession) -> bool:
+    self.freshness.record_response(now, sync.peer, sync.sent_at_ms, sync.response)
+    self._update_freshness(now)
+    return sync.root_digest in self.replica.covered_roots
 
 
 @pytest.mark.parametrize("name", _defects())
@@ -331,22 +357,22 @@
     def randrange(self, end: int) -> int:
         return 0
 
-    def sample(self, among: list[Pair], number: int) -> list[Pair]:
+    def sample(self, among: list[EntryRef], number: int) -> list[EntryRef]:
         return among[:number]
 
 
-class Small(Register):
+class Small(ReplicatedStore):
     """A register that does by itself what it is asked for, and draws nothing."""
 
-    def __init__(self, me: int, count: int, now: float) -> None:
-        super().__init__(me, count, next(LIVES), 0, fresh=V, clock_rate=0.0, now=now)
+    def __init__(self, router_index: int, router_count: int, now: float) -> None:
+        super().__init__(router_index, router_count, next(LIVES), 0, window_ms=V, clock_rate=0.0, now=now)
         self.rng = Plain()  # type: ignore[assignment]
-        self.back = math.inf
+        self.next_reverse_request_at_ms = math.inf
 
-    def _nonce(self) -> int:
+    def _new_nonce(self) -> int:
         return next(LIVES)
 
-    def _news(self, now: float, sender: int) -> list[Word]:
+    def _newest_entry(self, now: float, sender: int) -> list[OutboundMessage]:
         return []
 
 
@@ -367,18 +393,27 @@
     def mark(self) -> object:
         """What of it matters for what may come: times from now on back, no nonces, no lives."""
         marks: list[object] = [self.ticks, self.restarts, max(self.act - self.now, -1.0)]
-        some = any(not register.evidence.seated for register in self.routers) or self.restarts == 0
+        some = any(not register.freshness.is_voter for register in self.routers) or self.restarts == 0
         for register in self.routers:
-            e = register.evidence
-            times = [*(e.read if some else ()), *e.read_seated, *e.cohorts[-1].held, e.since_start]
-            marks += [register.content.root, e.seated, tuple(min(self.now - at, 2 * V) for at in times)]
+            e = register.freshness
+            times = [
+                *(e.read_at_ms if some else ()),
+                *e.read_as_voter_at_ms,
+                *e.cohorts[-1].held_at_ms,
+                e.earlier_incarnation_expires_at_ms,
+            ]
+            marks += [
+                register.replica.root_digest,
+                e.is_voter,
+                tuple(min(self.now - at, 2 * V) for at in times),
+            ]
         if self.late is not None:
             to, of, data = self.late
-            reply = form.decode(data)
-            assert isinstance(reply, form.Reply)
-            sent = self.now - self.routers[to].asked[reply.nonce][1]
-            same = self.routers[of].life == reply.life
-            marks += [to, of, min(sent, 2 * V), reply.root, reply.seated, reply.ages, same]
+            reply = codec.decode(data)
+            assert isinstance(reply, codec.SyncResponse)
+            sent = self.now - self.routers[to].open_requests[reply.nonce][1]
+            same = self.routers[of].incarnation == reply.incarnation
+            marks += [to, of, min(sent, 2 * V), reply.root_digest, reply.is_voter, reply.ages, same]
         return tuple(marks)
 
 
@@ -398,9 +433,11 @@
             if peer != n:
                 asker = _copy(state.routers[n])
                 if state.late is None:
-                    asker.asked.clear()
-                (reply,) = _copy(state.routers[peer]).hear(state.now, n, asker._pull(state.now, peer).data)
-                assert isinstance(reply, i.Tell)
+                    asker.open_requests.clear()
+                (reply,) = _copy(state.routers[peer]).on_message(
+                    state.now, n, asker._sync_request(state.now, peer).data
+                )
+                assert isinstance(reply, SendToPeer)
                 asked = _with(state, n, asker)
                 yield _arrives(asked, n, peer, reply.data)
                 if state.late is None:
@@ -412,7 +449,7 @@
 
 def _copy(register: Small) -> Small:
     copied: Small = pickle.loads(_pickled(register))
-    copied.turned = math.inf  # time goes in large steps here
+    copied.last_active_at_ms = math.inf  # time goes in large steps here
     return copied
 
 
@@ -423,12 +460,16 @@
 def _arrives(state: State, n: int, peer: int, data: bytes) -> State:
     """A reply comes, and what is asked after it is answered at once, by whatever life of the other."""
     register, other = _copy(state.routers[n]), _copy(state.routers[peer])
-    words = list(register.hear(state.now, peer, data))
+    words = list(register.on_message(state.now, peer, data))
     while words:
-        if isinstance(word := words.pop(0), i.Tell):
-            for answer in other.hear(state.now, n, word.data):
-                words += register.hear(state.now, peer, answer.data) if isinstance(answer, i.Tell) else []
-    settled = any(held.settled is not None for held in register.taken())
+        if isinstance(word := words.pop(0), SendToPeer):
+            for answer in other.on_message(state.now, n, word.data):
+                words += (
+                    register.on_message(state.now, peer, answer.data)
+                    if isinstance(answer, SendToPeer)
+                    else []
+                )
+    settled = any(held.replicated_at_ms is not None for held in register.take_changes())
     return replace(_with(state, n, register), act=min(state.act, state.now + V if settled else math.inf))
 
 
@@ -436,8 +477,8 @@
     """States that are reached, breadth first, and those in which a fresh router lacks what others act by."""
     start = State(0.0, tuple(Small(n, count, 0.0) for n in range(count)))
     for register in start.routers:
-        register.restore((), seated=True)
-    assert isinstance(start.routers[0].propose(0.0, Kind.FREEZE, "x", b""), Entry)
+        register.restore((), is_voter=True)
+    assert isinstance(start.routers[0].propose(0.0, EntryKind.FREEZE, "x", b""), Entry)
     seen, queue = {start.mark()}, deque([start])
     wrong: list[State] = []
     while queue and len(seen) < most and not wrong:
@@ -445,7 +486,7 @@
             if (mark := state.mark()) not in seen:
                 seen.add(mark)
                 queue.append(state)
-                lacks = [r for r in state.routers if not r.content.slots and r.fresh(state.now)]
+                lacks = [r for r in state.routers if not r.replica.records and r.is_fresh(state.now)]
                 wrong += [state] if lacks and state.now > state.act else []
     return len(seen), wrong
 
--- a/tests/test_cold_fleet.py
+++ b/tests/simulation/test_slow_start_fleet.py
@@ -6,11 +6,14 @@
 
 import pytest
 
-from cedarthread import interface as i
-from cedarthread.limits.state import Open, WorkerView
-from cedarthread.measures import Peak
-from tests.cold_world import CASES, Case, World
+from cedarthread.model.endpoints import EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.events import AttemptEnded, PreloadEnded
+from cedarthread.model.outcomes import Outcome
+from cedarthread.model.settings import NotLoadedBehavior
+from cedarthread.routing.state import PendingRequest, WorkerRecord
+from cedarthread.statistics import WindowedMaximum
 from tests.helpers import CLASSES, Drive, sends, settings, worker
+from tests.simulation.slow_start_fleet import CASES, Case, World
 
 DAYS = [
     ("all others leave", 3, True),
@@ -46,7 +49,7 @@
 
 def busy(*, calls: int = 40, took: float = 100.0) -> Drive:
     """A router with some traffic that knows six warm workers and a cold one."""
-    d = Drive(*(worker(n) for n in range(1, 7)), worker(7, started=1000.0), gateways=20)
+    d = Drive(*(worker(n) for n in range(1, 7)), worker(7, started=1000.0), router_count=20)
     for number in range(calls):
         d.ask(number, after=20.0)
         d.end(d.ids, sends(d.actions)[-1], after=0.0 if took == 0.0 else took)
@@ -56,12 +59,12 @@
 def fits(d: Drive) -> float:
     """The most work, ms, that one more call to the cold worker may be of."""
     view = d.router.workers[7]
-    view.ration = 0.999999
-    view.sent.clear()
+    view.jitter = 0.999999
+    view.slow_start_sends.clear()
     low, high = 0.0, 20000.0
     while high - low > 0.01:
         half = (low + high) / 2
-        low, high = (half, high) if d.router._cold_fits(view, half) else (low, half)
+        low, high = (half, high) if d.router._fits_slow_start(view, half) else (low, half)
     return low
 
 
@@ -70,21 +73,25 @@
     d = busy()
     before = fits(d)
     assert before > 0.0
-    leaving = tuple(worker(n, i.WorkerState.DRAINING) for n in range(1, 7))
-    d.feed(i.Membership(i.ListKind.DELTA, 2, leaving))
+    leaving = tuple(worker(n, EndpointState.DRAINING) for n in range(1, 7))
+    d.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, leaving))
     assert fits(d) == pytest.approx(before, rel=0.01)
-    d.feed(i.Membership(i.ListKind.DELTA, 3, tuple(worker(n, i.WorkerState.GONE) for n in range(1, 7))))
+    d.feed(
+        EndpointUpdate(
+            EndpointUpdateKind.DELTA, 3, tuple(worker(n, EndpointState.REMOVED) for n in range(1, 7))
+        )
+    )
     assert fits(d) == pytest.approx(before, rel=0.01)
 
 
 def test_what_a_first_guess_made_of_calls_is_no_budget_for_cheaper_ones() -> None:
     """Before its first answer a router took calls for three times their work, and kept to that sum."""
-    d = Drive(*(worker(n) for n in range(1, 7)), worker(7, started=1000.0), gateways=20)
+    d = Drive(*(worker(n) for n in range(1, 7)), worker(7, started=1000.0), router_count=20)
     for number in range(20):
         d.ask(number, after=1.0)
-    guess = CLASSES[0].aim / 4.0
+    guess = CLASSES[0].latency_objective_ms / 4.0
     unanswered = fits(d) / guess
-    d.router.by_class[0].add(guess / 3.0)
+    d.router.class_service_ms[0].add(guess / 3.0)
     assert fits(d) / (guess / 3.0) == pytest.approx(unanswered, rel=0.01)
 
 
@@ -92,50 +99,50 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The call that was to wait for a load elsewhere went to the copy that stands, whatever came there."""
-    d = Drive(worker(1), on_miss=i.OnMiss.MISS, gateways=1)
-    d.ask(function=7)
-    d.feed(i.OrderEnded(1, 7, i.Outcome.OK, 1, 100.0), after=100.0)
-    d.feed(i.Membership(i.ListKind.DELTA, 2, (worker(2, started=d.now),)))
-    function, send, fitted = d.router.functions[7], d.router._send, list[bool]()
-    function.forget(1)  # what stood at the warm worker has been unloaded
-    function.warmth[2], function.sent_at[2] = 1.0, d.now
-
-    def seen(job: Open, view: WorkerView) -> None:
-        if view.entry.worker == 2:
-            fitted.append(d.router._cold_fits(view, d.router._work(job.request.klass)))
+    d = Drive(worker(1), when_not_loaded=NotLoadedBehavior.REJECT, router_count=1)
+    d.ask(function_id=7)
+    d.feed(PreloadEnded(1, 7, Outcome.OK, 1, 100.0), after=100.0)
+    d.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(2, started=d.now),)))
+    function, send, fitted = d.router.functions[7], d.router._start_attempt, list[bool]()
+    function.forget_worker(1)  # what stood at the warm worker has been unloaded
+    function.affinity[2], function.last_sent_at_ms[2] = 1.0, d.now
+
+    def seen(job: PendingRequest, view: WorkerRecord) -> None:
+        if view.endpoint.worker_id == 2:
+            fitted.append(d.router._fits_slow_start(view, d.router._class_work_ms(job.request.class_index)))
         send(job, view)
 
-    monkeypatch.setattr(d.router, "_send", seen)
+    monkeypatch.setattr(d.router, "_start_attempt", seen)
     for _ in range(60):
-        d.ask(function=7, after=30.0)
+        d.ask(function_id=7, after=30.0)
     assert fitted and all(fitted), f"{fitted.count(False)} of {len(fitted)} sends beyond the budget"
 
 
 def test_a_site_without_a_warm_up_is_served() -> None:
-    rules = dataclasses.replace(settings().rules, cold_time=0.0)
+    rules = dataclasses.replace(settings().rules, slow_start_ms=0.0)
     d = Drive(worker(1, started=1000.0), rules=rules)
-    d.feed(i.Membership(i.ListKind.DELTA, 2, (worker(1, i.WorkerState.DRAINING),)), after=100.0)
-    d.feed(i.Membership(i.ListKind.DELTA, 3, (worker(1),)), after=100.0)
+    d.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(1, EndpointState.DRAINING),)), after=100.0)
+    d.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 3, (worker(1),)), after=100.0)
     assert sends(d.ask()) == [1]
 
 
 def test_a_peak_holds_while_its_quantity_does_and_fades_once_it_has_fallen() -> None:
-    peak = Peak(1000.0)
-    peak.went(0.0, 6.0, 0.0)
-    peak.went(50000.0, 6.0, 0.0)
+    peak = WindowedMaximum(1000.0)
+    peak.on_change(0.0, 6.0, 0.0)
+    peak.on_change(50000.0, 6.0, 0.0)
     assert peak.read(50000.0) == 6.0
-    peak.went(51000.0, 1.0, 0.0)
+    peak.on_change(51000.0, 1.0, 0.0)
     assert peak.read(51000.0) == pytest.approx(6.0 / 2.718281828)
-    peak.went(60000.0, 1.0, 0.0)
+    peak.on_change(60000.0, 1.0, 0.0)
     assert peak.read(60000.0) == 1.0
 
 
 def test_what_never_left_takes_no_part_of_a_cold_workers_budget() -> None:
-    drive = Drive(worker(1, started=900.0), now=1000.0, gateways=1)
+    drive = Drive(worker(1, started=900.0), now=1000.0, router_count=1)
     view = drive.router.workers[1]
-    view.ration = 0.0
-    assert sends(drive.ask()) == [1] and len(view.sent) == 1
-    ended = i.AttemptEnded(1, 0, 1, i.Outcome.MOOT, 0.0, True, unreached=False, local=True)
+    view.jitter = 0.0
+    assert sends(drive.ask()) == [1] and len(view.slow_start_sends) == 1
+    ended = AttemptEnded(1, 0, 1, Outcome.NOT_SENT, 0.0, True, is_unreachable=False, is_local=True)
     drive.feed(ended)
-    assert not view.sent
+    assert not view.slow_start_sends
     assert sends(drive.ask()) == [1]  # the place is free for another
--- a/tests/test_deferred.py
+++ b/tests/unit/test_deferred.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from cedarthread.core.calls import Refused, Served
-from cedarthread.core.deferred import Bounds, DeferredCalls
+from cedarthread.dispatch.calls import CallRejected, CallSucceeded
+from cedarthread.dispatch.deferred import DeferredCalls, DeferredLimits
 
 REQUEST = ("0", "f", b"digest")
 
@@ -17,7 +17,7 @@
 
 def make(**bounds: int) -> tuple[DeferredCalls, Clock]:
     clock = Clock()
-    return DeferredCalls(Bounds(**bounds), clock), clock
+    return DeferredCalls(DeferredLimits(**bounds), clock), clock
 
 
 def test_an_answer_goes_when_its_time_is_up_and_a_pending_call_does_not() -> None:
@@ -25,29 +25,29 @@
     pending = store.add("a", "k", REQUEST, 120.0)
     done = store.add("a", None, REQUEST, 120.0)
     assert pending is not None and done is not None
-    store.settle(done, Served(b"x"))
+    store.complete(done, CallSucceeded(b"x"))
     clock.now = 119.0
-    assert store.find("a", done.name) is done and store.find("b", done.name) is None
+    assert store.find("a", done.call_id) is done and store.find("b", done.call_id) is None
     clock.now = 1000.0
-    assert store.find("a", done.name) is None and store.known("a", "k") is pending
-    store.settle(pending, Refused(None))
+    assert store.find("a", done.call_id) is None and store.find_by_key("a", "k") is pending
+    store.complete(pending, CallRejected(None))
     clock.now = 1121.0
-    assert store.known("a", "k") is None and len(store) == 0 and store.bytes == 0
+    assert store.find_by_key("a", "k") is None and len(store) == 0 and store.reserved_bytes == 0
 
 
 def test_number_and_bytes_are_bounded() -> None:
-    store, _ = make(calls=2, bytes=100, reserve=40)
+    store, _ = make(max_calls=2, max_bytes=100, reserve_bytes=40)
     first, second = store.add("a", None, REQUEST, 1.0), store.add("a", None, REQUEST, 1.0)
     assert first is not None and second is not None and store.add("a", None, REQUEST, 1.0) is None
     store.remove(first)
-    store.settle(second, Served(b"x" * 70))
+    store.complete(second, CallSucceeded(b"x" * 70))
     assert store.add("a", None, REQUEST, 1.0) is None  # 70 and 40 bytes are more than 100
     store.remove(second)
     store.remove(second)
-    assert store.bytes == 0 and not store.uncollected()
+    assert store.reserved_bytes == 0 and not store.has_uncollected()
 
 
 def test_a_keys_owner_is_part_of_it() -> None:
     store, _ = make()
     entry = store.add("a", "k", REQUEST, 1.0)
-    assert store.known("a", "k") is entry and store.known("b", "k") is None
+    assert store.find_by_key("a", "k") is entry and store.find_by_key("b", "k") is None
--- a/tests/test_planner.py
+++ b/tests/unit/test_dispatcher.py
@@ -11,29 +11,31 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cedarthread import interface as i
-from cedarthread import wire
-from cedarthread.core import planner as planning
-from cedarthread.core.calls import (
-    Answer,
+from cedarthread.dispatch import dispatcher as planning
+from cedarthread.dispatch.calls import (
     Attempt,
+    AttemptResult,
     Call,
-    Ending,
-    Failed,
+    CallFailed,
+    CallRejected,
+    CallResult,
+    CallSucceeded,
     Progress,
-    Refused,
-    Served,
-    answer_by,
-    broken,
+    call_deadline_ms,
+    connection_lost_result,
 )
-from cedarthread.core.planner import Planner
-from cedarthread.standins.settings import SETTINGS
+from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.model.actions import Action
+from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.outcomes import Outcome
+from cedarthread.simulator import codec
+from cedarthread.testing.fakes.settings import SETTINGS
 
 
 class Ways:
     """Keeps what is sent."""
 
-    def __init__(self, planner: Planner) -> None:
+    def __init__(self, planner: Dispatcher) -> None:
         self.planner = planner
         self.sent: list[Attempt] = []
         self.cancelled: list[Attempt] = []
@@ -42,30 +44,30 @@
         attempt.progress = Progress.WRITTEN
         self.sent.append(attempt)
 
-    def look(self, attempt: Attempt) -> None: ...
+    def refresh_progress(self, attempt: Attempt) -> None: ...
 
-    def withdraw(self, attempt: Attempt) -> None: ...
+    def withdraw_unsent(self, attempt: Attempt) -> None: ...
 
     def cancel(self, attempt: Attempt) -> None:
         self.cancelled.append(attempt)
-        self.planner.ended(attempt, Ending(i.Outcome.CANCELLED))
+        self.planner.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
 
-    def order(self, worker: int, function: int, copies: int) -> None: ...
+    def preload(self, worker_id: int, function_id: int, instances: int) -> None: ...
 
-    def unload(self, worker: int, function: int) -> None: ...
+    def unload(self, worker_id: int, function_id: int) -> None: ...
 
-    def close_idle(self, worker: int) -> None: ...
+    def close_idle_connections(self, worker_id: int) -> None: ...
 
 
-def make(workers: int = 2) -> tuple[Planner, Ways]:
-    planner = Planner(wire.settings_from(SETTINGS), 3)
-    ways = planner.workers = Ways(planner)
-    listed = tuple(i.Worker(n, 0, 0, 0, i.WorkerState.READY, None, None) for n in range(1, workers + 1))
-    planner.membership(i.Membership(i.ListKind.CACHED, 1, listed))
+def make(workers: int = 2) -> tuple[Dispatcher, Ways]:
+    planner = Dispatcher(codec.settings_from_object(SETTINGS), 3)
+    ways = planner.worker_transport = Ways(planner)
+    listed = tuple(Endpoint(n, 0, 0, 0, EndpointState.READY, None, None) for n in range(1, workers + 1))
+    planner.endpoints_changed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
     return planner, ways
 
 
-def call(planner: Planner, answers: list[Answer], klass: int = 0, left: float = 2000.0) -> Call:
+def call(planner: Dispatcher, answers: list[CallResult], klass: int = 0, left: float = 2000.0) -> Call:
     made = Call("a" * 16, klass, 7, planner.clock() + left, b"x", answers.append)
     planner.submit(made)
     return made
@@ -76,34 +78,40 @@
         await asyncio.sleep(0)
 
 
-OUTCOMES = [o for o in i.Outcome if o not in (i.Outcome.OK, i.Outcome.MOOT)]
+OUTCOMES = [o for o in Outcome if o not in (Outcome.OK, Outcome.NOT_SENT)]
 
 
 @settings(derandomize=True, deadline=None, max_examples=80)
-@given(st.lists(st.tuples(st.sampled_from([*OUTCOMES, i.Outcome.OK]), st.integers(0, 2)), max_size=12))
-def test_every_call_gets_one_answer_and_one_attempt_at_a_time(fates: list[tuple[i.Outcome, int]]) -> None:
+@given(st.lists(st.tuples(st.sampled_from([*OUTCOMES, Outcome.OK]), st.integers(0, 2)), max_size=12))
+def test_every_call_gets_one_answer_and_one_attempt_at_a_time(fates: list[tuple[Outcome, int]]) -> None:
     async def test() -> None:
         planner, _ways = make()
-        answers: list[list[Answer]] = [[] for _ in range(3)]
+        answers: list[list[CallResult]] = [[] for _ in range(3)]
         calls = [call(planner, answers[klass], klass) for klass in range(3)]
         for outcome, klass in fates:
             await turns()
-            out = [a for a in calls[klass].attempts if not a.ended]
+            out = [a for a in calls[klass].attempts if not a.is_ended]
             assert len(out) <= 1
             for attempt in out:
-                planner.ended(attempt, Ending(outcome, b"y"))
-                planner.ended(attempt, Ending(i.Outcome.OK, b"z"))  # a second end counts for nothing
+                planner.attempt_ended(attempt, AttemptResult(outcome, b"y"))
+                planner.attempt_ended(
+                    attempt, AttemptResult(Outcome.OK, b"z")
+                )  # a second end counts for nothing
         await turns()
-        planner.stop_by(planner.clock())
-        while planner.calls:
+        planner.complete_all_by(planner.clock())
+        while planner.pending_calls:
             await asyncio.sleep(0)
         await turns()
         assert [len(got) for got in answers] == [1, 1, 1]
-        ran = [a for a in calls[2].attempts if a.may_have_run()]
-        assert planner.held_bytes == 0 and not planner.router.open and not planner.router.late
+        ran = [a for a in calls[2].attempts if a.may_have_executed()]
+        assert (
+            planner.pending_body_bytes == 0
+            and not planner.router.pending_requests
+            and not planner.router.orphaned_attempts
+        )
         for attempt in ran[:-1]:  # an unsafe call goes on only after what proves that it never ran
-            assert attempt.ended
-        assert all(not isinstance(got[0], Served) or got[0].body == b"y" for got in answers)
+            assert attempt.is_ended
+        assert all(not isinstance(got[0], CallSucceeded) or got[0].body == b"y" for got in answers)
 
     asyncio.run(test())
 
@@ -113,23 +121,23 @@
     for progress in Progress:
         attempt = Attempt(blank, 0, 1, 0.0, progress)
         ran = progress >= Progress.WRITTEN
-        assert broken(attempt).outcome is (i.Outcome.RESET if ran else i.Outcome.CONNECT_FAILED)
+        assert connection_lost_result(attempt).outcome is (Outcome.RESET if ran else Outcome.CONNECT_FAILED)
 
 
 def test_decisions_that_raise_leave_no_call_unanswered() -> None:
     async def test() -> None:
         planner, _ = make()
 
-        def fail(now: float, event: Any) -> list[i.Action]:
+        def fail(now: float, event: Any) -> list[Action]:
             raise RuntimeError("a fault of the module")
 
-        handle: Callable[..., list[i.Action]] = fail
+        handle: Callable[..., list[Action]] = fail
         planner.router.handle = handle  # type: ignore[method-assign]
-        answers: list[Answer] = []
+        answers: list[CallResult] = []
         call(planner, answers, left=20.0)
         while not answers:
             await asyncio.sleep(0)
-        assert isinstance(answers[0], Refused) and answers[0].timed_out
+        assert isinstance(answers[0], CallRejected) and answers[0].timed_out
 
     asyncio.run(test())
 
@@ -137,11 +145,11 @@
 def test_time_up_cancels_the_attempt_and_fails_what_may_have_run() -> None:
     async def test() -> None:
         planner, ways = make()
-        answers: list[Answer] = []
+        answers: list[CallResult] = []
         call(planner, answers, klass=2, left=250.0)
         while not answers:
             await asyncio.sleep(0)
-        assert answers == [Failed(timed_out=True)] and ways.cancelled == ways.sent
+        assert answers == [CallFailed(timed_out=True)] and ways.cancelled == ways.sent
 
     asyncio.run(test())
 
@@ -149,10 +157,10 @@
 def test_bodies_beyond_the_bound_are_refused_at_once() -> None:
     async def test() -> None:
         planner, ways = make()
-        planner.held_bytes = 2**40
-        answers: list[Answer] = []
+        planner.pending_body_bytes = 2**40
+        answers: list[CallResult] = []
         call(planner, answers)
-        assert len(answers) == 1 and isinstance(answers[0], Refused) and not ways.sent
+        assert len(answers) == 1 and isinstance(answers[0], CallRejected) and not ways.sent
 
     asyncio.run(test())
 
@@ -162,13 +170,17 @@
 
     async def test() -> None:
         planner, _ = make(workers=1)
-        answers: list[Answer] = []
+        answers: list[CallResult] = []
         made = call(planner, answers)
         await turns()
-        planner.router.budget = 0.0
-        planner.ended(made.attempts[0], Ending(i.Outcome.FULL))
+        planner.router.retry_budget = 0.0
+        planner.attempt_ended(made.attempts[0], AttemptResult(Outcome.OVERLOADED))
         await turns()
-        assert len(answers) == 1 and isinstance(answers[0], Refused) and (answers[0].later or 0) > 0
+        assert (
+            len(answers) == 1
+            and isinstance(answers[0], CallRejected)
+            and (answers[0].retry_after_ms or 0) > 0
+        )
 
     asyncio.run(test())
 
@@ -179,14 +191,14 @@
     async def test() -> None:
         planner, _ = make()
         handles: list[asyncio.TimerHandle] = []
-        at = planner._at
+        at = planner._call_at
 
-        def kept(when: float, what: Callable[..., None], *args: Any) -> asyncio.TimerHandle:
-            handles.append(at(when, what, *args))
+        def kept(at_ms: float, callback: Callable[..., None], *args: Any) -> asyncio.TimerHandle:
+            handles.append(at(at_ms, callback, *args))
             return handles[-1]
 
-        planner._at = kept  # type: ignore[method-assign]
-        answers: list[Answer] = []
+        planner._call_at = kept  # type: ignore[method-assign]
+        answers: list[CallResult] = []
         for number in range(50):
             call(planner, answers, left=5000.0 - number)
         assert sum(not handle.cancelled() for handle in handles) == 1
@@ -195,9 +207,9 @@
 
 
 def test_a_tenth_of_the_limit_is_kept_for_the_way_back() -> None:
-    assert answer_by(1000.0, 2000.0) == 2800.0
-    assert answer_by(1000.0, 100.0) == 1060.0  # but never less than 40 ms, where there are so many
-    assert answer_by(1000.0, 20.0) == 1010.0
+    assert call_deadline_ms(1000.0, 2000.0) == 2800.0
+    assert call_deadline_ms(1000.0, 100.0) == 1060.0  # but never less than 40 ms, where there are so many
+    assert call_deadline_ms(1000.0, 20.0) == 1010.0
 
 
 def test_a_late_turn_answers_what_is_overdue_before_anything_else() -> None:
@@ -207,15 +219,15 @@
         planner, _ = make()
         now = planner.clock()
         planner.clock = lambda: now
-        answers: list[Answer] = []
+        answers: list[CallResult] = []
         call(planner, answers, klass=2, left=1000.0)
         await turns()
         written: list[int] = []
-        planner.turn_done = lambda: written.append(len(answers))
+        planner.flush_output = lambda: written.append(len(answers))
         planner.clock = lambda: now + 1001.0  # no timer has fired, since no time has passed for the loop
-        planner.membership(i.Membership(i.ListKind.DELTA, 2))
+        planner.endpoints_changed(EndpointUpdate(EndpointUpdateKind.DELTA, 2))
         await asyncio.sleep(0)
-        assert answers == [Failed(timed_out=True)] and written == [1]
+        assert answers == [CallFailed(timed_out=True)] and written == [1]
 
     asyncio.run(test())
 
@@ -224,7 +236,7 @@
     wall, since = [1_760_000_000.0], [50.0]
     told = SimpleNamespace(time=lambda: wall[0], monotonic=lambda: since[0])
     monkeypatch.setattr(planning, "time", told)
-    clock = planning.steady()
+    clock = planning.steady_unix_clock_ms()
     assert clock() == 1_760_000_000_000.0
     since[0] += 2.0
     for step in (-3600.0, 7200.0):
--- a/tests/test_declared.py
+++ b/tests/unit/test_fleet_config.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cedarthread.register.declared import FleetError, parse, read
+from cedarthread.fleet_config import FleetConfigError, load_fleet_config, parse_fleet_config
 
 WINDOW = """
 [[freeze]]
@@ -21,13 +21,15 @@
 
 
 def test_the_file_that_ships_is_good() -> None:
-    fleet = read(Path(__file__).parents[1] / "deploy" / "fleet.toml")
+    fleet = load_fleet_config(Path(__file__).parents[2] / "deploy" / "fleet.toml")
     assert [tier.name for tier in fleet.tier] == ["firm", "standard", "interruptible"]
     assert fleet.disk is None and not fleet.freeze
 
 
 def test_a_whole_file() -> None:
-    fleet = parse((CONTRACT + "floor = 0.5\n" + WINDOW + 'frozen = ["order", "unload"]\n').encode())
+    fleet = parse_fleet_config(
+        (CONTRACT + "floor = 0.5\n" + WINDOW + 'frozen = ["order", "unload"]\n').encode()
+    )
     assert fleet.contract[0].floor == 0.5
     assert fleet.freeze[0].frozen == ("order", "unload")
     assert (fleet.freeze[0].end - fleet.freeze[0].start).total_seconds() == 6 * 3600
@@ -63,13 +65,13 @@
     ],
 )
 def test_what_is_wrong_is_named(text: str, where: str) -> None:
-    with pytest.raises(FleetError) as told:
-        parse(text.encode())
+    with pytest.raises(FleetConfigError) as told:
+        parse_fleet_config(text.encode())
     assert where in str(told.value)
 
 
 def test_bytes_that_are_no_text_and_a_file_that_is_not_there(tmp_path: Path) -> None:
-    with pytest.raises(FleetError):
-        parse(b"\xff\xfe")
-    with pytest.raises(FleetError, match=r"nowhere\.toml"):
-        read(tmp_path / "nowhere.toml")
+    with pytest.raises(FleetConfigError):
+        parse_fleet_config(b"\xff\xfe")
+    with pytest.raises(FleetConfigError, match=r"nowhere\.toml"):
+        load_fleet_config(tmp_path / "nowhere.toml")
--- a/tests/test_known_red.py
+++ b/tests/unit/test_known_red.py
@@ -11,7 +11,7 @@
 
 from tests.known_red import KnownRed, KnownRedError, read
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 LINE = "tests/test_it.py::test_red | the list is late | issue 33\n"
 
 
--- a/tests/test_evenness.py
+++ b/tests/unit/test_load_balance.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from cedarthread.spread.evenness import Worker, measure
-from cedarthread.standins.model import Runner, Store, Visit
+from cedarthread.testing.fakes.worker_model import Runner, Store, Visit
+from cedarthread.testing.load_balance import WorkerAvailability, measure
 
 ALWAYS = ((0.0, 10_000.0),)
-TWO = {0: Worker(1, ALWAYS), 1: Worker(1, ALWAYS)}
+TWO = {0: WorkerAvailability(1, ALWAYS), 1: WorkerAvailability(1, ALWAYS)}
 
 
 def visit(runner: int, at: float, began: float, ended: float, function: int = 1, note: str = "hit") -> Visit:
@@ -22,7 +22,7 @@
     assert even.peak_to_mean == 1.0 and even.variation == 0.0
     lop = measure([visit(0, 0.0, 0.0, 4000.0)], TWO, 0.0, 4000.0, 1)
     assert lop.peak_to_mean == 2.0 and lop.variation == 1.0
-    cores = {0: Worker(3, ALWAYS), 1: Worker(1, ALWAYS)}
+    cores = {0: WorkerAvailability(3, ALWAYS), 1: WorkerAvailability(1, ALWAYS)}
     three = [visit(0, 0.0, 0.0, 4000.0), visit(0, 1.0, 1.0, 4000.0), visit(0, 2.0, 2.0, 4000.0)]
     assert measure([*three, visit(1, 0.0, 0.0, 4000.0)], cores, 0.0, 4000.0, 1).peak_to_mean < 1.01
 
@@ -32,14 +32,14 @@
     assert measure(waits, TWO, 0.0, 4000.0, 1).idle == 2500.0
     busy = [*waits, visit(1, 0.0, 0.0, 2800.0)]
     assert measure(busy, TWO, 0.0, 4000.0, 1).idle == pytest.approx(200.0)
-    dead = {0: TWO[0], 1: Worker(1, ((0.0, 600.0),))}
+    dead = {0: TWO[0], 1: WorkerAvailability(1, ((0.0, 600.0),))}
     assert measure(waits, dead, 0.0, 4000.0, 1).idle == 100.0
     loads = [visit(0, 0.0, 3000.0, 4000.0, note="spawn")]
     assert measure(loads, TWO, 0.0, 4000.0, 1).idle == 0.0, "it waited for a load, not for a core"
 
 
 def test_a_herd_is_more_than_three_shares_and_more_than_chance() -> None:
-    workers = {n: Worker(1, ALWAYS) for n in range(10)}
+    workers = {n: WorkerAvailability(1, ALWAYS) for n in range(10)}
     fair = [visit(n % 10, 20.0 * n, 20.0 * n, 20.0 * n + 5.0) for n in range(200)]
     assert not measure(fair, workers, 0.0, 4000.0, 1).herds
     rush = [visit(3, 2000.0 + 10.0 * n, 2000.0, 2100.0) for n in range(60)]
