--- a/tests/test_parsers.py
+++ b/tests/unit/test_parsers.py
@@ -10,11 +10,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cedarthread.net import dns, http, msgpack
-from cedarthread.net.resolver import listings
-from cedarthread.net.runners import read_ending
-from cedarthread.net.stream import Flusher, ReadBuffer, Stream
-from cedarthread.standins.scripted import pack_call
+from cedarthread.protocols import dns, http, msgpack
+from cedarthread.protocols.discovery import endpoints_from_reply
+from cedarthread.protocols.workers import parse_call_response
+from cedarthread.testing.fakes.scripted import pack_call
+from cedarthread.transport.stream import BufferedConnection, Flusher, ReadBuffer
 
 fixed = settings(derandomize=True, deadline=None, max_examples=60)
 CALLS = [pack_call(n, "check", bytes(range(256)) * n, props="lanes:2") for n in range(1, 40)]
@@ -30,26 +30,26 @@
 
 
 def reply(flags: int = 0x8400, serial: int = 9) -> bytes:
-    question = name("_back._tcp.pool.lan") + struct.pack(">2H", dns.SRV, 1)
+    question = name("_back._tcp.pool.lan") + struct.pack(">2H", dns.TYPE_SRV, 1)
     host = name("s-00c41f7a.east.hosts")
-    service = record(b"\xc0\x0c", dns.SRV, struct.pack(">3H", 1, 40, 5050) + host)
-    soa = record(b"\xc0\x0c", dns.SOA, b"\0\0" + struct.pack(">5I", serial, 1, 1, 1, 1))
-    told = record(host, dns.TXT, b"\x08kind=std\x06cell=2\x0bstarted=120")
-    rest = soa + record(host, dns.A, bytes((10, 1, 0, 9))) + told
+    service = record(b"\xc0\x0c", dns.TYPE_SRV, struct.pack(">3H", 1, 40, 5050) + host)
+    soa = record(b"\xc0\x0c", dns.TYPE_SOA, b"\0\0" + struct.pack(">5I", serial, 1, 1, 1, 1))
+    told = record(host, dns.TYPE_TXT, b"\x08kind=std\x06cell=2\x0bstarted=120")
+    rest = soa + record(host, dns.TYPE_A, bytes((10, 1, 0, 9))) + told
     return struct.pack(">6H", 7, flags, 1, 1, 1, 2) + question + service + rest
 
 
-class Pieces(Stream):
+class Pieces(BufferedConnection):
     """Takes MessagePack values or lines out of a stream."""
 
-    def __init__(self, lines: bool, limit: int) -> None:
-        super().__init__(limit, Flusher())
+    def __init__(self, lines: bool, max_buffer_bytes: int) -> None:
+        super().__init__(max_buffer_bytes, Flusher())
         self.lines, self.got, self.bad = lines, list[Any](), False
 
     def close(self) -> None:
         self.bad = True
 
-    def received(self, data: memoryview) -> int | None:
+    def on_data(self, data: memoryview) -> int | None:
         at = 0
         while at < len(data):
             if self.lines:
@@ -60,8 +60,8 @@
                 at = end + 1
                 continue
             parsed = msgpack.parse(data, at)
-            if not isinstance(parsed, msgpack.Value):
-                return at if isinstance(parsed, msgpack.Short) else None
+            if not isinstance(parsed, msgpack.ParsedValue):
+                return at if isinstance(parsed, msgpack.Incomplete) else None
             self.got.append(bytes(parsed.value[3][1]))
             at = parsed.end
         return at
@@ -96,18 +96,18 @@
 def test_msgpack_ends_garbage_in_a_value(garbage: bytes, at: int) -> None:
     whole = CALLS[0][:at] + garbage
     parsed = msgpack.parse(memoryview(whole))
-    assert not isinstance(parsed, msgpack.Value) or parsed.end <= len(whole)
+    assert not isinstance(parsed, msgpack.ParsedValue) or parsed.end <= len(whole)
 
 
 @fixed
 @given(st.integers(0, len(CALLS[3]) - 1))
 def test_a_cut_message_is_short_and_never_bad(at: int) -> None:
-    assert isinstance(msgpack.parse(memoryview(CALLS[3])[:at]), msgpack.Short)
+    assert isinstance(msgpack.parse(memoryview(CALLS[3])[:at]), msgpack.Incomplete)
 
 
 def test_what_is_too_deep_or_too_long_is_bad() -> None:
-    assert isinstance(msgpack.parse(memoryview(b"\x91" * 50)), msgpack.Bad)
-    assert isinstance(msgpack.parse(memoryview(b"\xdd\xff\xff\xff\xff")), msgpack.Bad)
+    assert isinstance(msgpack.parse(memoryview(b"\x91" * 50)), msgpack.Malformed)
+    assert isinstance(msgpack.parse(memoryview(b"\xdd\xff\xff\xff\xff")), msgpack.Malformed)
     assert feed(b"\xc6\x00\xff\xff\xff" + b"x" * 70_000, [], False).bad
 
 
@@ -116,17 +116,17 @@
 def test_msgpack_reads_what_it_packs(number: int, raw: bytes, text: str) -> None:
     packed = b"\x93" + msgpack.pack_uint(number) + msgpack.pack_bin(raw) + msgpack.pack_str(text)
     parsed = msgpack.parse(memoryview(packed))
-    assert isinstance(parsed, msgpack.Value) and parsed.value == [number, raw, text]
+    assert isinstance(parsed, msgpack.ParsedValue) and parsed.value == [number, raw, text]
 
 
 def test_a_reply_of_the_resolver_is_read() -> None:
     parsed = dns.parse(reply())
-    assert isinstance(parsed, dns.Reply) and (parsed.number, parsed.serial) == (7, 9)
-    told = listings(parsed)
+    assert isinstance(parsed, dns.Reply) and (parsed.query_id, parsed.serial) == (7, 9)
+    told = endpoints_from_reply(parsed)
     assert isinstance(told, list) and len(told) == 1
     found = told[0]
     assert (found.name, found.host, found.port, found.zone) == ("s-00c41f7a", "10.1.0.9", 5050, "east")
-    assert (found.state.value, found.weight, found.kind, found.cell, found.started) == (
+    assert (found.state.value, found.weight, found.kind, found.cell, found.started_at_ms) == (
         *("draining", 4.0, "std", 2),
         120.0,
     )
@@ -134,56 +134,58 @@
 
 def test_a_truncated_reply_and_a_refusal_tell_nothing() -> None:
     """Else what they lack would pass for gone."""
-    assert isinstance(dns.parse(reply(0x8600)), dns.Unusable)
-    assert isinstance(dns.parse(reply(0x8403)), dns.Unusable)
+    assert isinstance(dns.parse(reply(0x8600)), dns.UnusableReply)
+    assert isinstance(dns.parse(reply(0x8403)), dns.UnusableReply)
 
 
 def test_a_compression_loop_ends() -> None:
     loop = struct.pack(">6H", 7, 0x8400, 1, 0, 0, 0) + b"\xc0\x0c\0\x21\0\x01"
-    assert isinstance(dns.parse(loop), dns.Unusable)
+    assert isinstance(dns.parse(loop), dns.UnusableReply)
 
 
 @fixed
 @given(st.integers(0, len(reply())), st.binary(max_size=120))
 def test_dns_ends_garbage_in_a_value(at: int, garbage: bytes) -> None:
     parsed = dns.parse(reply()[:at] + garbage)
-    assert isinstance(parsed, dns.Unusable) or listings(parsed) is not None
+    assert isinstance(parsed, dns.UnusableReply) or endpoints_from_reply(parsed) is not None
 
 
 @fixed
 @given(st.integers(0, len(POST) - 4))
 def test_a_cut_http_head_is_short(at: int) -> None:
-    parsed = http.parse(memoryview(POST)[:at], 16)
-    assert isinstance(parsed, http.Short if at < POST.find(b"abc") else http.Head)
+    parsed = http.parse_head(memoryview(POST)[:at], 16)
+    assert isinstance(parsed, http.IncompleteHead if at < POST.find(b"abc") else http.RequestHead)
 
 
 @fixed
 @given(st.binary(max_size=200), st.integers(0, len(POST)))
 def test_http_ends_garbage_in_a_value(garbage: bytes, at: int) -> None:
-    parsed = http.parse(memoryview(POST[:at] + garbage + b"\r\n\r\n"), 16)
-    assert not isinstance(parsed, http.Head) or parsed.size <= at + len(garbage) + 4
+    parsed = http.parse_head(memoryview(POST[:at] + garbage + b"\r\n\r\n"), 16)
+    assert not isinstance(parsed, http.RequestHead) or parsed.head_bytes <= at + len(garbage) + 4
 
 
 @fixed
 @given(st.dictionaries(st.sampled_from(["op", "fields", "body", "id"]), st.from_type(type) | st.text()))
 def test_any_object_of_a_runner_ends_an_attempt(message: dict[str, Any]) -> None:
-    ending = read_ending(message, ("inflight",))
+    ending = parse_call_response(message, ("inflight",))
     assert ending is None or ending.outcome is not None
 
 
 def test_a_served_answer_needs_a_body_that_can_be_read() -> None:
     """What can't be decoded must never reach the client as served."""
     for spoilt in ({"op": "HIT", "body": "%%%"}, {"op": "HIT", "body": 7}, {"op": "HIT"}, {"op": "OK"}, {}):
-        assert read_ending(spoilt, ()) is None
-    good = read_ending({"op": "HIT", "body": "QQ==", "fields": {"depth": "3", "report": "x1:2"}}, ("x1",))
+        assert parse_call_response(spoilt, ()) is None
+    good = parse_call_response(
+        {"op": "HIT", "body": "QQ==", "fields": {"depth": "3", "report": "x1:2"}}, ("x1",)
+    )
     assert good is not None
-    assert (good.body, good.crowd, good.report) == (b"A", 3, (2.0,))
+    assert (good.body, good.reported_concurrency, good.load_report) == (b"A", 3, (2.0,))
 
 
 def test_the_read_buffer_reuses_its_room() -> None:
     buffer = ReadBuffer(32 * 1024)
     for _ in range(20):
-        room = len(buffer.space())
-        buffer.add(room)
-        buffer.take(room)
-    assert len(buffer.space()) == 8 * 1024
+        room = len(buffer.writable_space())
+        buffer.advance(room)
+        buffer.consume(room)
+    assert len(buffer.writable_space()) == 8 * 1024
--- a/tests/test_module.py
+++ b/tests/unit/test_policy_size.py
@@ -4,7 +4,7 @@
 
 from pathlib import Path
 
-POLICY = Path(__file__).parent.parent / "cedarthread" / "decide.py"
+POLICY = Path(__file__).parents[2] / "cedarthread" / "routing" / "router.py"
 
 
 def test_the_policy_file_keeps_its_size() -> None:
@@ -14,4 +14,4 @@
 
 
 def test_the_docstring_names_the_interface_first() -> None:
-    assert "cedarthread/interface.py" in POLICY.read_text().split('"""')[1]
+    assert "cedarthread/model.py" in POLICY.read_text().split('"""')[1]
--- a/tests/test_popularity.py
+++ b/tests/unit/test_popularity.py
@@ -6,21 +6,21 @@
 
 import pytest
 
-from cedarthread.measures import Fading
-from cedarthread.spread import popularity
-from cedarthread.spread.popularity import Popularity
+from cedarthread.routing import popularity
+from cedarthread.routing.popularity import Popularity
+from cedarthread.statistics import DecayingCounter
 from tests.helpers import Drive, worker
 
 
 def parts(rate: float, shares: list[float], seconds: float, seed: int) -> list[float]:
     """What a router of so many calls a second makes of functions with these shares."""
     rng, seen, now = random.Random(seed), Popularity(), 0.0
-    counts = [Fading(popularity.LEAST) for _ in shares]
+    counts = [DecayingCounter(popularity.MIN_WINDOW_MS) for _ in shares]
     while now < 1000.0 * seconds:
         now += rng.expovariate(rate / 1000.0)
         (one,) = rng.choices(range(len(shares)), shares)
-        seen.called(now, counts[one], rate / 1000.0)
-    return [seen.part(now, count) for count in counts]
+        seen.on_call(now, counts[one], rate / 1000.0)
+    return [seen.call_fraction(now, count) for count in counts]
 
 
 @pytest.mark.parametrize("seed", range(5))
@@ -33,27 +33,35 @@
 
 
 def test_a_router_that_has_just_started_takes_nothing_for_popular() -> None:
-    seen, count = Popularity(), Fading(popularity.LEAST)
+    seen, count = Popularity(), DecayingCounter(popularity.MIN_WINDOW_MS)
     for now in (100.0, 300.0, 500.0):
-        seen.called(now, count, 0.005)
-    assert seen.part(500.0, count) < 0.05
+        seen.on_call(now, count, 0.005)
+    assert seen.call_fraction(500.0, count) < 0.05
 
 
 def test_the_view_is_as_long_as_calls_are_rare_within_bounds() -> None:
-    seen, count = Popularity(), Fading(popularity.LEAST)
-    for rate, view in ((1.0, popularity.LEAST), (0.004, 20_000.0), (0.0001, popularity.MOST)):
-        seen.called(0.0, count, rate)
-        assert seen.time == count.time == view
+    seen, count = Popularity(), DecayingCounter(popularity.MIN_WINDOW_MS)
+    for rate, view in (
+        (1.0, popularity.MIN_WINDOW_MS),
+        (0.004, 20_000.0),
+        (0.0001, popularity.MAX_WINDOW_MS),
+    ):
+        seen.on_call(0.0, count, rate)
+        assert seen.window_ms == count.time_constant_ms == view
 
 
 def test_hundreds_of_routers_that_see_few_calls_give_rare_functions_few_homes() -> None:
     """Each once took what chance had sent it twice for popular: the fleet loaded what no call needed."""
     homes: list[int] = []
     for seed in range(12):
-        drive, rng = Drive(*(worker(n) for n in range(40)), seed=seed, gateways=200), random.Random(seed)
+        drive, rng = Drive(*(worker(n) for n in range(40)), seed=seed, router_count=200), random.Random(seed)
         for number in range(1, 120):
             drive.wait(drive.now + rng.expovariate(0.004))
             drive.ask(rng.randrange(100))
-            drive.end(number, drive.router.open[number].attempts[0].worker.worker, after=20.0)
-            homes.append(max(drive.router._homes(function) for function in drive.router.functions.values()))
+            drive.end(
+                number, drive.router.pending_requests[number].attempts[0].endpoint.worker_id, after=20.0
+            )
+            homes.append(
+                max(drive.router._home_count(function) for function in drive.router.functions.values())
+            )
     assert sum(most >= 12 for most in homes) < 0.01 * len(homes)
--- /dev/null
+++ b/tests/unit/test_priority.py
@@ -0,0 +1,360 @@
+"""Contract tiers, each part by itself."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterator
+from dataclasses import replace
+
+import msgspec
+import pytest
+
+from cedarthread.components.interface import Entry, EntryKind, ReplicatedEntry, Version
+from cedarthread.fleet_config import parse_fleet_config
+from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES, MalformedDatagram
+from cedarthread.model.settings import DeduplicationScope, Idempotency
+from cedarthread.priority import codec
+from cedarthread.priority import contracts as priority_contracts
+from cedarthread.priority.call_priority import CallPriority, assign_priority
+from cedarthread.priority.codec import RouterPressure
+from cedarthread.priority.load_pressure import LEVEL_MULTIPLES, OverloadStateMachine, PressureGossip
+from cedarthread.priority.preemption import (
+    CallStage,
+    PreemptionCandidate,
+    PreemptionClaim,
+    PreemptionLimits,
+    choose_victim,
+)
+from cedarthread.priority.usage import QuotaBucket
+
+FLEET = """
+[overload]
+onset = 1.1
+[[tier]]
+name = "firm"
+[[tier]]
+name = "standard"
+[[contract]]
+tenant = "mill"
+tier = "firm"
+rate = 12.5
+floor = 0.25
+"""
+
+
+def test_a_file_reads_back_from_its_entries_and_bad_bodies_are_values() -> None:
+    found = priority_contracts.entries_from_config(parse_fleet_config(FLEET.encode()))
+    tiers, mill = (Entry(kind, name, Version(1, 0, 0), body) for kind, name, body in found)
+    assert priority_contracts.decode_tier_order(tiers) == priority_contracts.TierOrder(
+        ("firm", "standard"), 1100, 900, 3000, 20000
+    )
+    assert priority_contracts.decode_contract(mill) == priority_contracts.ContractTerms("firm", 12500, 250)
+    assert priority_contracts.entries_from_config(parse_fleet_config(b"")) == []
+    rng = random.Random(1)
+    for _ in range(3000):
+        body = bytearray(rng.choice([tiers.body, mill.body, rng.randbytes(20)]))
+        body[rng.randrange(len(body))] = rng.randrange(256)
+        for read in (priority_contracts.decode_tier_order, priority_contracts.decode_contract):
+            value = read(Entry(EntryKind.TIERS, "order", Version(1, 0, 0), bytes(body)))
+            assert isinstance(value, MalformedDatagram) or msgspec.msgpack.encode(value) == bytes(body)
+    spelt = mill.body.replace(b"\xcc\xfa", b"\xcd\x00\xfa")  # 250 in two ways
+    assert spelt != mill.body and isinstance(
+        priority_contracts.decode_contract(Entry(mill.kind, "mill", mill.version, spelt)), MalformedDatagram
+    )
+
+
+def test_a_datagram_reads_as_it_was_written_and_ages_only_grow() -> None:
+    told = [RouterPressure(n, n / 32.0, 1.05**n, 50.0 * n) for n in range(codec.MAX_ENTRIES)]
+    data = codec.encode(told)
+    assert codec.decode(data) == tuple(told) and len(data) <= MAX_DATAGRAM_BYTES
+    again = codec.decode(codec.encode([RouterPressure(1, 1.0, 9.0, 101.0)]))
+    assert not isinstance(again, MalformedDatagram) and again[0].age_ms == 150.0
+    with pytest.raises(ValueError):
+        codec.encode([*told, told[0]])
+
+
+def test_in_a_large_fleet_each_hears_of_more_than_half_in_bounded_bytes() -> None:
+    count, rng, sent = 200, random.Random(1), 0
+    fleet = [PressureGossip(me, count, me) for me in range(count)]
+    for one in fleet:
+        one.alive_peers = tuple(n for n in range(count) if n != one.router_index)
+    for step in range(60):
+        for one in fleet:
+            one.record_own(step * 250.0, one.router_index % 2, 50.0)
+            for to, data in one.messages_due(step * 250.0):
+                assert len(data) <= MAX_DATAGRAM_BYTES
+                sent += len(data)
+                if rng.random() > 0.2:
+                    fleet[to].on_message(step * 250.0 + 60.0, one.router_index, data)
+    assert sent / count / 15.0 < 1024.0 and all(one.fleet_pressure(15_000.0) is not None for one in fleet)
+    fleet[0].alive_peers = tuple(range(1, 100))
+    assert fleet[0].fleet_pressure(15_000.0) is None, "half of the configured routers are no majority"
+
+
+def test_hostile_datagrams_are_counted_and_change_nothing() -> None:
+    rng, one = random.Random(2), PressureGossip(0, 3, 1)
+    for _ in range(2000):
+        data = rng.randbytes(rng.randrange(300))
+        one.on_message(0.0, 1, rng.choice([data, bytes((0xC6,)) + data]))
+    one.on_message(
+        0.0,
+        1,
+        codec.encode(
+            [
+                RouterPressure(1, 1.0, 1.0, 0.0),
+                RouterPressure(0, 7.9, 1.0, 0.0),
+                RouterPressure(2, 1.0, 1.0, 9e9),
+            ]
+        ),
+    )
+    assert one.unreadable_count + one.invalid_count == 2000 and set(one.reports) == {1}, (
+        "own pressure is never taken from others"
+    )
+    one.on_message(0.0, 1, codec.encode([RouterPressure(1, 1.0, 1.0, 0.0), RouterPressure(3, 1.0, 1.0, 0.0)]))
+    assert one.invalid_count and 3 not in one.reports
+
+
+def test_tokens_of_a_part_never_pass_it_by_more_than_stated() -> None:
+    rng, bucket, passed = random.Random(3), QuotaBucket(), 0
+    area = now = 0.0
+    rate = 5000
+    for _ in range(5000):
+        step, new = rng.uniform(0.0, 400.0), rng.choice([0, 500, 5000, 50_000])
+        area += min(rate, new) / 1000.0 * step / 1000.0
+        now, rate = now + step, new
+        bucket.refill(now, rate)
+        while bucket.try_take():
+            passed += 1
+        assert passed <= area + 50.0
+    assert passed > 1000
+
+
+def _view(number: int, **changes: object) -> PreemptionCandidate:
+    low = CallPriority(66, 66, 66, "bulk")
+    view = PreemptionCandidate(
+        number,
+        number,
+        low,
+        CallStage.WRITTEN,
+        Idempotency.IDEMPOTENT,
+        DeduplicationScope.ALL,
+        1.0,
+        float(number),
+        1,
+        80.0,
+        0.0,
+        20.0,
+    )
+    return replace(view, **changes)  # type: ignore[arg-type]
+
+
+CLAIM = PreemptionClaim(CallPriority(0, 0, 0, "mill", True), 100.0, 300.0, 500.0, {1: 0.0, 2: 250.0})
+BOUNDS = PreemptionLimits(True, 50.0, 2000.0, lambda view: True)
+KEYED = {"effect": Idempotency.WITH_KEY, "window": 2500.0}
+
+
+@pytest.mark.parametrize(
+    ("changes", "chosen"),
+    [
+        ({}, True),
+        ({"effect": Idempotency.NOT_IDEMPOTENT}, False),
+        ({"effect": Idempotency.NOT_IDEMPOTENT, "stage": CallStage.UNWRITTEN}, True),
+        ({"effect": Idempotency.NOT_IDEMPOTENT, "stage": CallStage.QUEUED}, True),
+        (KEYED, True),
+        (KEYED | {"window": 1900.0}, False),
+        (KEYED | {"group": DeduplicationScope.ZONE}, False),
+        ({"stage": CallStage.STREAMING}, False),
+        ({"rank": CallPriority(0, 0, 0, "other", True)}, False),
+        ({"rank": CallPriority(0, 127, 66, "edited")}, False),
+        ({"repeat": True}, False),
+        ({"attempts": 2}, False),
+        ({"worker": None}, False),
+        ({"worker": 2}, False),
+        ({"worker": 3}, False),
+        ({"spent": 90.0}, False),
+        ({"spent": 51.0, "left": 99.0}, False),
+        ({"stage": CallStage.QUEUED, "left": 250.0}, False),
+    ],
+)
+def test_only_what_may_be_given_up_and_serves_is_displaced(changes: dict[str, object], chosen: bool) -> None:
+    assert (choose_victim(CLAIM, [_view(1, **changes)], BOUNDS) is not None) is chosen
+
+
+def test_of_several_the_lowest_rank_then_the_least_worth_then_the_youngest() -> None:
+    views = [
+        _view(1, priority=CallPriority(64, 64, 64)),
+        _view(2, priority_weight=2.0),
+        _view(3),
+        _view(4),
+        _view(5, arrived_at_ms=0.0),
+    ]
+    gone = []
+    while (found := choose_victim(CLAIM, views, BOUNDS)) is not None:
+        gone.append(found.request_id)
+        views.remove(found)
+    assert gone == [4, 3, 5, 2, 1]
+    assert choose_victim(replace(CLAIM, expected_wait_ms=200.0), [_view(1)], BOUNDS) is None, (
+        "it is served in time anyway"
+    )
+    assert choose_victim(CLAIM, [_view(1)], replace(BOUNDS, is_allowed=lambda view: False)) is None
+    assert choose_victim(CLAIM, [_view(1)], replace(BOUNDS, allows_running=False)) is None
+
+
+# Small worlds, explored whole.
+
+B, HORIZON = 2.0, 4  # ticks: the bound of the small world, and its end
+
+
+class Fixed:
+    """A register as the small world has it: one contract that is edited, one that is not."""
+
+    staleness_bound_ms = B
+
+    def __init__(self, bodies: ReplicatedEntry, fresh: bool) -> None:
+        self.bodies, self.hears_majority = bodies, fresh
+
+    def entries(self, kind: EntryKind) -> tuple[ReplicatedEntry, ...]:
+        return (TIERS,) if kind is EntryKind.TIERS else (self.bodies, TOWN)
+
+    def is_fresh(self, now: float) -> bool:
+        return self.hears_majority
+
+    def fresh_since(self, now: float) -> float | None:
+        return None
+
+
+def _held(
+    kind: EntryKind, name: str, value: object, number: int, heard: float, settled: float | None
+) -> ReplicatedEntry:
+    return ReplicatedEntry(
+        Entry(kind, name, Version(number, 0, 0), msgspec.msgpack.encode(value)), heard, settled
+    )
+
+
+TIERS = _held(
+    EntryKind.TIERS, "order", priority_contracts.TierOrder(("a", "b", "c"), 1100, 900, 0, 0), 0, -99.0, -99.0
+)
+TOWN = _held(EntryKind.CONTRACT, "town", priority_contracts.ContractTerms("b", 0, 0), 0, -99.0, -99.0)
+Known = tuple[
+    tuple[int, float, float | None], ...
+]  # of one router: edit, when heard, when known to be settled
+State = tuple[int, int, tuple[float | None, ...], tuple[Known, Known], int]
+
+
+def _acts(known: Known, now: float, settled: tuple[float | None, ...], first: str) -> int:
+    """1: the mill goes before the town here; -1: after it; 0: neither."""
+    fresh = all(at is None or at + B > now or known[-1][0] >= edit for edit, at in enumerate(settled))
+    tiers = (first, "c" if first == "a" else "a", first)
+    board = Fixed(TOWN, fresh)
+    contracts = priority_contracts.EffectiveContracts(board)
+    for edit, heard, told in known:
+        for settle in (None, told):
+            board.bodies = _held(
+                EntryKind.CONTRACT,
+                "mill",
+                priority_contracts.ContractTerms(tiers[edit], 0, 0),
+                edit,
+                heard,
+                settle,
+            )
+            contracts.refresh(heard if edit else -99.0)
+    contracts.refresh(now)
+    mill, town = (assign_priority(name, contracts.for_tenant(name), True) for name in ("mill", "town"))
+    return mill.outranks(town) - town.outranks(mill)
+
+
+def _next(state: State) -> Iterator[State]:
+    now, last, settled, routers, streak = state
+    for me in (0, 1):
+        mine, other = routers[me], routers[1 - me]
+
+        def put(known: Known, me: int = me) -> tuple[Known, Known]:
+            return (known, routers[1]) if me == 0 else (routers[0], known)
+
+        if last < me + 1:  # the first edit by the first, for they are alike
+            yield now, last + 1, settled, put((*mine, (last + 1, float(now), None))), streak
+        if other[-1][0] > mine[-1][0]:
+            yield now, last, settled, put((*mine, (other[-1][0], float(now), None))), streak
+        edit, heard, told = mine[-1]
+        if told is None and settled[edit] is not None:
+            yield now, last, settled, put((*mine[:-1], (edit, heard, float(now)))), streak
+        if settled[edit] is None:  # the majority that holds it includes this one
+            yield now, last, (*settled[:edit], float(now), *settled[edit + 1 :]), routers, streak
+
+
+def _explored(first: str, most: float = math.inf) -> tuple[int, int, int]:
+    """States of all runs of two routers and two edits, acts in them, ticks of the longest contradiction; it
+    ends with the first that is longer than ``most``."""
+    start: Known = ((0, -99.0, -99.0),)
+    todo: list[State] = [(0, 0, (-99.0, None, None), (start, start), 0)]
+    seen, acts, longest = set(todo), 0, 0
+    memo: dict[tuple[Known, int, tuple[float | None, ...]], int] = {}
+    while todo and longest <= most:
+        state = todo.pop()
+        now, last, settled, routers, streak = state
+        new = list(_next(state))
+        for known in routers:
+            if (known, now, settled) not in memo:
+                memo[known, now, settled] = _acts(known, float(now), settled, first)
+        one, other = (memo[known, now, settled] for known in routers)
+        acts += one != 0
+        streak = streak + 1 if one * other < 0 else 0
+        longest = max(longest, streak)
+        if now < HORIZON:
+            new.append((now + 1, last, settled, routers, streak))
+        for following in new:
+            if following not in seen:
+                seen.add(following)
+                todo.append(following)
+    return len(seen), acts, longest
+
+
+def test_no_two_routers_contradict_each_other_for_longer_than_b() -> None:
+    states, acts, longest = _explored("a")
+    print(f"{states} states, {acts} acts, {longest} ticks")
+    assert states > 10_000 and acts > 1000 and longest == 0
+
+
+def _early(self: priority_contracts.BodyHistory[priority_contracts.ContractTerms]) -> bool:
+    return self.certain_body is not None
+
+
+def test_the_small_world_finds_what_acts_too_early(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(priority_contracts.BodyHistory, "is_certain", _early)
+    assert _explored("a", B)[2] > B
+
+
+FIGURES = priority_contracts.OverloadParameters(1.0, 0.8, 2.0, 0)
+
+
+def test_the_level_goes_one_step_after_a_whole_dwell_and_to_none_at_once() -> None:
+    """All runs of pressures: a level changes only where each of the last three looks asked for it."""
+    looks = (None, 0.7, 0.9, 1.1, 1.3, 1.5)
+    seen = set[tuple[int, int, float | None, tuple[float | None, ...]]]()
+    todo: list[tuple[int, int, float | None, tuple[float | None, ...]]] = [(0, 0, None, (None,) * 3)]
+    while todo:
+        level, asks, age, before = todo.pop()
+        for look in looks:
+            machine = OverloadStateMachine()
+            machine.level, machine.requested_step, machine.requested_since_ms = (
+                level,
+                asks,
+                None if age is None else 10.0 - age,
+            )
+            after = machine.update(11.0, look, FIGURES)
+            last = [-1.0 if one is None else one for one in (*before[1:], look)]
+            if look is None:
+                assert after == 0
+            elif after > level:
+                assert after == level + 1 and min(last) >= LEVEL_MULTIPLES[level]
+            elif after < level:
+                assert after == level - 1 and max(last) < LEVEL_MULTIPLES[level - 1] * 0.8
+            age_now = (
+                None if machine.requested_since_ms is None else min(3.0, 11.0 - machine.requested_since_ms)
+            )
+            state = after, machine.requested_step, age_now, (*before[1:], look)
+            if state not in seen:
+                seen.add(state)
+                todo.append(state)
+    assert len(seen) > 300 and {level for level, *_ in seen} == {0, 1, 2, 3}
--- a/tests/test_path.py
+++ b/tests/unit/test_router.py
@@ -7,10 +7,28 @@
 
 import pytest
 
-from cedarthread import decide
-from cedarthread import interface as i
-from cedarthread.limits import health, orders, state
-from cedarthread.spread.rendezvous import mix
+from cedarthread.model.actions import (
+    CancelAttempt,
+    PreloadFunction,
+    RejectRequest,
+    SetTimer,
+    StartAttempt,
+    SubscribeEndpoints,
+)
+from cedarthread.model.endpoints import EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    HealthCheckEnded,
+    PeerMessageReceived,
+    PreloadEnded,
+    StreamStarted,
+    TimerFired,
+)
+from cedarthread.model.outcomes import Outcome, StartKind
+from cedarthread.model.settings import DiscoveryMode, NotLoadedBehavior, Tenant, WeightMeaning
+from cedarthread.routing import outlier_detection, preload_budget, router, state
+from cedarthread.routing.rendezvous import hash64
 from tests.helpers import CLASSES, LIMITS, PRICES, RULES, SAFE, Drive, finals, sends, worker
 
 
@@ -21,12 +39,12 @@
         d.end(d.ids, at, after=1.0)
 
 
-def only_warm(d: Drive, warmth: dict[int, float], lanes: float = 1.0) -> state.Function:
+def only_warm(d: Drive, warmth: dict[int, float], lanes: float = 1.0) -> state.FunctionRecord:
     """Function 7 with nothing but this warmth, as if sent just now."""
-    function = d.router.functions.setdefault(7, state.Function(mix(7), lanes))
-    function.warmth.update(warmth)
-    function.sent_at.update(dict.fromkeys(warmth, d.now))
-    function.proven.update(dict.fromkeys(warmth, d.now))
+    function = d.router.functions.setdefault(7, state.FunctionRecord(hash64(7), lanes))
+    function.affinity.update(warmth)
+    function.last_sent_at_ms.update(dict.fromkeys(warmth, d.now))
+    function.instance_seen_at_ms.update(dict.fromkeys(warmth, d.now))
     return function
 
 
@@ -50,21 +68,23 @@
     background(d)
     function = only_warm(d, {1: 1.0, 2: 0.8})
     assert sends(d.ask()) == [1]
-    assert function.warmth[2] == pytest.approx(0.8 * (1 - decide.ALPHA))
+    assert function.affinity[2] == pytest.approx(0.8 * (1 - router.AFFINITY_GAIN))
     d.end(1, 1)
-    assert function.warmth[1] == 1.0
+    assert function.affinity[1] == 1.0
 
 
 def test_distance_by_hand_and_spill_once_lanes_fill() -> None:
     d = Drive(worker(1), worker(2))
     function = only_warm(d, {1: 0.75}, lanes=2.0)
     one, two = d.router.workers[1], d.router.workers[2]
-    assert d.router._distance(function, one, (0, None)) == pytest.approx(0.25)
-    assert d.router._distance(function, two, (0, None)) == pytest.approx(1.0)
-    one.pending = 3
-    assert d.router._distance(function, one, (0, None)) == pytest.approx(0.25 + 3 / 2.0 / decide.FACTOR)
-    one.pending = 0
-    sent = [sends(d.ask(lanes=2.0))[0] for _ in range(60)]
+    assert d.router._placement_cost(function, one, (0, None)) == pytest.approx(0.25)
+    assert d.router._placement_cost(function, two, (0, None)) == pytest.approx(1.0)
+    one.in_flight = 3
+    assert d.router._placement_cost(function, one, (0, None)) == pytest.approx(
+        0.25 + 3 / 2.0 / router.LOAD_PER_AFFINITY
+    )
+    one.in_flight = 0
+    sent = [sends(d.ask(concurrency=2.0))[0] for _ in range(60)]
     assert sent[0] == 1 and 2 in sent
 
 
@@ -82,9 +102,9 @@
     (home,) = sends(d.ask())
     d.end(1, home)
     function = d.router.functions[7]
-    assert d.router._warmth(function, home) == 1.0
-    d.router.now += 10001.0
-    assert d.router._warmth(function, home) == 0.0
+    assert d.router._affinity(function, home) == 1.0
+    d.router.now_ms += 10001.0
+    assert d.router._affinity(function, home) == 0.0
 
 
 @pytest.mark.parametrize("gone", [False, True])
@@ -92,16 +112,16 @@
     d = Drive(worker(1), worker(2))
     (home,) = sends(d.ask())
     d.end(1, home)
-    state = i.WorkerState.GONE if gone else i.WorkerState.READY
-    d.feed(i.Membership(i.ListKind.DELTA, 2, (worker(home, state, started=d.now),)))
-    assert home not in d.router.functions[7].warmth
+    state = EndpointState.REMOVED if gone else EndpointState.READY
+    d.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(home, state, started=d.now),)))
+    assert home not in d.router.functions[7].affinity
 
 
 @pytest.mark.parametrize("klass", [0, 1, 2])
-@pytest.mark.parametrize("outcome", [i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.MISS])
-def test_a_proven_not_run_answer_moves_on(klass: int, outcome: i.Outcome) -> None:
+@pytest.mark.parametrize("outcome", [Outcome.OVERLOADED, Outcome.CONNECT_FAILED, Outcome.NOT_LOADED])
+def test_a_proven_not_run_answer_moves_on(klass: int, outcome: Outcome) -> None:
     d = Drive(worker(1), worker(2))
-    (home,) = sends(d.ask(klass=klass))
+    (home,) = sends(d.ask(class_index=klass))
     assert sends(d.end(1, home, outcome)) == [3 - home]
 
 
@@ -109,23 +129,23 @@
     """A due time rounded to microseconds once stopped the clock of the module for good."""
     d = Drive()
     d.ask()
-    timer = next(a for a in d.actions if isinstance(a, i.SetTimer))
-    d.now = timer.at - 0.0004
-    out = d.feed(i.TimerDue(timer.token))
-    assert any(isinstance(a, i.SetTimer) for a in out)
+    timer = next(a for a in d.actions if isinstance(a, SetTimer))
+    d.now = timer.at_ms - 0.0004
+    out = d.feed(TimerFired(timer.token))
+    assert any(isinstance(a, SetTimer) for a in out)
 
 
 def test_held_with_no_worker_is_answered_in_time() -> None:
     d = Drive()
     assert sends(d.ask()) == []
     out = d.wait(4000.0)
-    assert len(finals(out)) == 1 and d.router.open == {}
+    assert len(finals(out)) == 1 and d.router.pending_requests == {}
 
 
 def test_held_is_sent_when_a_worker_comes() -> None:
     d = Drive()
     d.ask()
-    assert sends(d.feed(i.Membership(i.ListKind.FULL, 2, (worker(5),)), after=50.0)) == [5]
+    assert sends(d.feed(EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 2, (worker(5),)), after=50.0)) == [5]
 
 
 def test_a_silent_worker_is_ejected_and_safe_calls_come_back() -> None:
@@ -136,8 +156,8 @@
     for _ in range(9):
         d.ask(after=1.0)
     out = d.wait(d.now + 2500.0)
-    assert max(v.trouble for v in d.router.workers.values()) > health.EJECT
-    assert [a for a in out if isinstance(a, i.Cancel)]
+    assert max(v.outlier_score for v in d.router.workers.values()) > outlier_detection.EJECTION_THRESHOLD
+    assert [a for a in out if isinstance(a, CancelAttempt)]
 
 
 def test_fast_failures_outweigh_an_empty_queue() -> None:
@@ -148,13 +168,13 @@
     d.actions.clear()
     d.ask()
     for number in range(2, 5):
-        if not d.router.workers[home].broken:
-            d.end(number, home, i.Outcome.ERROR, after=1.0, note=i.CopyNote.NONE)
+        if not d.router.workers[home].is_ejected:
+            d.end(number, home, Outcome.ERROR, after=1.0, note=StartKind.UNKNOWN)
             d.now += 1.0
-            d.router.functions[7].warmth[home] = 1.0
-            d.router.functions[7].sent_at[home] = d.now
+            d.router.functions[7].affinity[home] = 1.0
+            d.router.functions[7].last_sent_at_ms[home] = d.now
             d.ask()
-    assert d.router.workers[home].broken
+    assert d.router.workers[home].is_ejected
     assert home not in sends(d.ask())
 
 
@@ -162,24 +182,24 @@
     d = Drive(worker(1), worker(2), worker(3))
     background(d)
     view = d.router.workers[1]
-    view.broken, view.trouble, view.open_until = True, 0.9, d.now + 100.0
+    view.is_ejected, view.outlier_score, view.ejected_until_ms = True, 0.9, d.now + 100.0
     only_warm(d, {1: 1.0})
     assert sends(d.ask()) != [1]
     d.now += 200.0
-    assert sends(d.ask(klass=1)) != [1], "an unsafe request is no trial"
+    assert sends(d.ask(class_index=1)) != [1], "an unsafe request is no trial"
     assert sends(d.ask()) == [1]
     trial = d.ids
     assert sends(d.ask()) != [1], "one trial at a time"
     d.end(trial, 1)
-    assert not view.broken
+    assert not view.is_ejected
 
 
 def test_own_orders_under_way_are_bounded() -> None:
-    d = Drive(*(worker(n) for n in range(1, 9)), on_miss=i.OnMiss.MISS, gateways=2)
+    d = Drive(*(worker(n) for n in range(1, 9)), when_not_loaded=NotLoadedBehavior.REJECT, router_count=2)
     for function in range(20):
         d.ask(function)
-    bound = orders.LOADS_PER_WORKER * 8 / 2
-    assert sum(isinstance(a, i.Order) for a in d.actions) == bound
+    bound = preload_budget.PRELOADS_PER_WORKER * 8 / 2
+    assert sum(isinstance(a, PreloadFunction) for a in d.actions) == bound
 
 
 def test_a_busy_warm_copy_spills() -> None:
@@ -187,7 +207,7 @@
     background(d)
     only_warm(d, {2: 1.0})
     assert sends(d.ask()) == [2]
-    d.router.workers[2].pending = 5
+    d.router.workers[2].in_flight = 5
     assert sends(d.ask()) != [2]
 
 
@@ -196,88 +216,88 @@
     for number in range(1, 12):
         d.ask(work=10.0 * number)
         d.end(number, 1, after=20.0 * number)
-    assert d.router.workers[1].load(d.now) == pytest.approx(0.0, abs=0.5)
+    assert d.router.workers[1].read_excess_load(d.now) == pytest.approx(0.0, abs=0.5)
 
 
 def test_miss_workers_get_an_order_and_the_call_follows() -> None:
-    d = Drive(worker(1), worker(2), on_miss=i.OnMiss.MISS)
+    d = Drive(worker(1), worker(2), when_not_loaded=NotLoadedBehavior.REJECT)
     out = d.ask()
-    (order,) = [a for a in out if isinstance(a, i.Order)]
-    assert sends(out) == [] and order.copies == 1
-    assert sends(d.ask()) == [] and sum(isinstance(a, i.Order) for a in d.actions) == 1
-    out = d.feed(i.OrderEnded(order.worker, 7, i.Outcome.OK, 1, 300.0), after=300.0)
-    assert sends(out) == [order.worker, order.worker]
+    (order,) = [a for a in out if isinstance(a, PreloadFunction)]
+    assert sends(out) == [] and order.instances == 1
+    assert sends(d.ask()) == [] and sum(isinstance(a, PreloadFunction) for a in d.actions) == 1
+    out = d.feed(PreloadEnded(order.worker_id, 7, Outcome.OK, 1, 300.0), after=300.0)
+    assert sends(out) == [order.worker_id, order.worker_id]
 
 
 def test_a_failed_order_is_not_repeated_at_once() -> None:
-    d = Drive(worker(1), worker(2), on_miss=i.OnMiss.MISS)
-    (order,) = [a for a in d.ask() if isinstance(a, i.Order)]
-    out = d.feed(i.OrderEnded(order.worker, 7, i.Outcome.FULL, 0, 5.0), after=5.0)
-    assert not [a for a in out if isinstance(a, i.Order)]
-    assert [a for a in d.wait(d.now + 500.0) if isinstance(a, i.Order)]
+    d = Drive(worker(1), worker(2), when_not_loaded=NotLoadedBehavior.REJECT)
+    (order,) = [a for a in d.ask() if isinstance(a, PreloadFunction)]
+    out = d.feed(PreloadEnded(order.worker_id, 7, Outcome.OVERLOADED, 0, 5.0), after=5.0)
+    assert not [a for a in out if isinstance(a, PreloadFunction)]
+    assert [a for a in d.wait(d.now + 500.0) if isinstance(a, PreloadFunction)]
 
 
 def test_orders_are_rationed() -> None:
-    rules = dataclasses.replace(RULES, load_window=5000.0, load_free=1.0, load_share=0.1)
-    d = Drive(*(worker(n) for n in range(1, 30)), on_miss=i.OnMiss.MISS, rules=rules)
+    rules = dataclasses.replace(RULES, preload_window_ms=5000.0, preload_allowance=1.0, preload_share=0.1)
+    d = Drive(*(worker(n) for n in range(1, 30)), when_not_loaded=NotLoadedBehavior.REJECT, rules=rules)
     for function in range(15):
         d.ask(function)
-    assert sum(isinstance(a, i.Order) for a in d.actions) <= 1 + 0.1 * 15
+    assert sum(isinstance(a, PreloadFunction) for a in d.actions) <= 1 + 0.1 * 15
 
 
 def test_ask_membership_subscribes_and_backs_off() -> None:
-    d = Drive(worker(1), discovery=i.Discovery.ASK)
+    d = Drive(worker(1), discovery_mode=DiscoveryMode.POLL)
     out = d.wait(1100.0)
-    assert i.Subscribe(True) in out
-    d.feed(i.Membership(i.ListKind.FAILED, 1))
-    assert i.Subscribe(True) not in d.wait(d.now + 200.0)
-    assert i.Subscribe(True) in d.wait(d.now + 2000.0)
+    assert SubscribeEndpoints(True) in out
+    d.feed(EndpointUpdate(EndpointUpdateKind.FAILED, 1))
+    assert SubscribeEndpoints(True) not in d.wait(d.now + 200.0)
+    assert SubscribeEndpoints(True) in d.wait(d.now + 2000.0)
 
 
 def test_a_stream_is_left_alone() -> None:
     d = Drive(worker(1), worker(2))
-    (home,) = sends(d.ask(klass=5))
-    d.feed(i.StreamBegan(1, 0, home, 50.0), after=50.0)
+    (home,) = sends(d.ask(class_index=5))
+    d.feed(StreamStarted(1, 0, home, 50.0), after=50.0)
     out = d.wait(20000.0)
-    assert not [a for a in out if not isinstance(a, i.SetTimer)]
+    assert not [a for a in out if not isinstance(a, SetTimer)]
 
 
 def test_what_is_not_known_any_more_is_ignored() -> None:
     d = Drive(worker(1))
     before = len(d.actions)
     for event in (
-        i.AttemptEnded(99, 0, 1, i.Outcome.OK, 5.0, True),
-        i.AttemptEnded(99, 0, 77, i.Outcome.ERROR, 5.0, False),
-        i.StreamBegan(99, 0, 77, 5.0),
-        i.ClientGone(99),
-        i.TimerDue(12345),
-        i.ProbeEnded(77, i.Outcome.OK, 5.0),
-        i.PeerMessage(3, b"\xff\x00garbled"),
-        i.OrderEnded(77, 5, i.Outcome.OK, 3, 5.0),
+        AttemptEnded(99, 0, 1, Outcome.OK, 5.0, True),
+        AttemptEnded(99, 0, 77, Outcome.ERROR, 5.0, False),
+        StreamStarted(99, 0, 77, 5.0),
+        ClientDisconnected(99),
+        TimerFired(12345),
+        HealthCheckEnded(77, Outcome.OK, 5.0),
+        PeerMessageReceived(3, b"\xff\x00garbled"),
+        PreloadEnded(77, 5, Outcome.OK, 3, 5.0),
     ):
         d.feed(event)
     assert len(d.actions) == before
 
 
 def test_attempts_are_capped() -> None:
-    d = Drive(*(worker(n) for n in range(1, 9)), limits=dataclasses.replace(LIMITS, attempts=2))
+    d = Drive(*(worker(n) for n in range(1, 9)), limits=dataclasses.replace(LIMITS, max_attempts=2))
     (first,) = sends(d.ask())
-    (second,) = sends(d.end(1, first, i.Outcome.FULL))
-    out = d.end(1, second, i.Outcome.FULL, attempt=1)
+    (second,) = sends(d.end(1, first, Outcome.OVERLOADED))
+    out = d.end(1, second, Outcome.OVERLOADED, attempt=1)
     (answer,) = finals(out)
-    assert isinstance(answer, i.Refuse) and answer.request == 1 and sends(out) == []
+    assert isinstance(answer, RejectRequest) and answer.request_id == 1 and sends(out) == []
 
 
 def steady(d: Drive, calls: int = 200, classes: int = 1, **extra: int) -> None:
     """Some calls a while, each answered 50 ms later."""
     for number in range(calls):
-        d.ask(klass=number % classes, **extra)
+        d.ask(class_index=number % classes, **extra)
         d.end(d.ids, sends(d.actions)[-1], after=20.0)
 
 
 def sends_of(d: Drive, request: int) -> int:
     """The worker that a request was sent to last."""
-    return [a.worker for a in d.actions if isinstance(a, i.Send) and a.request == request][-1]
+    return [a.worker_id for a in d.actions if isinstance(a, StartAttempt) and a.request_id == request][-1]
 
 
 def test_what_cannot_be_answered_in_time_is_refused_and_time_ends_it() -> None:
@@ -287,7 +307,7 @@
     out = [finals(d.ask(after=1.0)) for _ in range(200)]  # nothing is answered late, for nothing is answered
     began = next(number for number, one in enumerate(out) if one)
     assert 20 < began < 100 and 20 < sum(map(bool, out[began:])) < len(out) - began
-    assert all(isinstance(action, i.Refuse) and action.retry_after for one in out for action in one)
+    assert all(isinstance(action, RejectRequest) and action.retry_after_ms for one in out for action in one)
     taken = d.ids
     for number, one in enumerate(out, taken - 199):
         if not one:
@@ -297,10 +317,14 @@
 
 def test_calls_of_more_worth_are_refused_later_and_less() -> None:
     """0.38 of the calls of high worth were once refused against 0.60 of the others."""
-    classes = (dataclasses.replace(SAFE, worth=3.0), SAFE, dataclasses.replace(SAFE, aim=2000.0))
+    classes = (
+        dataclasses.replace(SAFE, priority_weight=3.0),
+        SAFE,
+        dataclasses.replace(SAFE, latency_objective_ms=2000.0),
+    )
     d = Drive(worker(1), worker(2), worker(3), classes=classes)
     steady(d, classes=3)
-    out = [(number % 3, finals(d.ask(klass=number % 3, after=1.0))) for number in range(300)]
+    out = [(number % 3, finals(d.ask(class_index=number % 3, after=1.0))) for number in range(300)]
     dear, plain, patient = (sum(bool(one) for klass, one in out if klass == n) for n in range(3))
     assert dear < 0.8 * plain and dear < 0.8 * patient
     first = [next(at for at, (klass, one) in enumerate(out) if one and klass == n) for n in range(3)]
@@ -311,8 +335,8 @@
     """New workers load all they are asked for: a router once refused 95% of its calls in a release."""
     d = Drive(*(worker(n) for n in range(1, 7)))
     steady(d)
-    assert not any(finals(d.ask(function=100 + n, after=10.0)) for n in range(100))
-    assert not any(finals(d.ask(function=7, after=10.0)) for _ in range(5))
+    assert not any(finals(d.ask(function_id=100 + n, after=10.0)) for n in range(100))
+    assert not any(finals(d.ask(function_id=7, after=10.0)) for _ in range(5))
 
 
 def test_few_calls_that_come_together_are_no_jam() -> None:
@@ -330,39 +354,39 @@
         d.ask()
         d.end(d.ids, 1)
     (answer,) = finals(d.ask(left=30.0))
-    assert isinstance(answer, i.Refuse)
+    assert isinstance(answer, RejectRequest)
 
 
 def test_a_class_turned_away_goes_elsewhere_and_others_stay() -> None:
     """A worker that says full to one class at a rate is no sick worker."""
     d = Drive(worker(1), worker(2), worker(3))
-    (home,) = sends(d.ask(klass=1))
-    d.end(1, home, i.Outcome.FULL, after=200.0)
+    (home,) = sends(d.ask(class_index=1))
+    d.end(1, home, Outcome.OVERLOADED, after=200.0)
     view = d.router.workers[home]
-    assert view.turned[(1, None)].read(d.now) == pytest.approx(1.0) and (0, None) not in view.turned
-    assert view.trouble == 0.0
-    d.now += 10 * decide.TURNED_TIME
-    assert view.turned[(1, None)].read(d.now) < 0.01
+    assert view.rejections[(1, None)].read(d.now) == pytest.approx(1.0) and (0, None) not in view.rejections
+    assert view.outlier_score == 0.0
+    d.now += 10 * router.REJECTION_MEMORY_MS
+    assert view.rejections[(1, None)].read(d.now) < 0.01
 
 
 def test_tenants_past_their_share_are_shed_first() -> None:
-    tenants = (i.Tenant("x", 0.5, None), i.Tenant("y", 0.5, None))
+    tenants = (Tenant("x", 0.5, None), Tenant("y", 0.5, None))
     d = Drive(worker(1), worker(2), tenants=tenants)
-    steady(d, tenant=0)
+    steady(d, tenant_index=0)
     refused = [0, 0]
     for number in range(400):
         tenant = int(number % 10 == 0)
-        refused[tenant] += bool(finals(d.ask(tenant=tenant, after=1.0)))
+        refused[tenant] += bool(finals(d.ask(tenant_index=tenant, after=1.0)))
     assert refused[0] / 360 > refused[1] / 40
 
 
 def test_a_marked_repeat_earns_no_retry_budget() -> None:
     d = Drive(worker(1), worker(2))
-    d.router.budget = 0.0
-    d.ask(repeat=True)
-    assert d.router.budget == 0.0
+    d.router.retry_budget = 0.0
+    d.ask(is_client_retry=True)
+    assert d.router.retry_budget == 0.0
     d.ask()
-    assert d.router.budget == pytest.approx(decide.RETRY_SHARE)
+    assert d.router.retry_budget == pytest.approx(router.RETRY_BUDGET_PER_REQUEST)
 
 
 def test_functions_wanted_once_are_forgotten() -> None:
@@ -372,7 +396,9 @@
         d.end(d.ids, at, after=10.0)
         d.wait(d.now)
     assert len(d.router.functions) <= 2 * 10000.0 / 100.0 + 1
-    assert not d.router.open and not d.router.late and len(d.router.agenda) < 100
+    assert (
+        not d.router.pending_requests and not d.router.orphaned_attempts and len(d.router.timer_queue) < 100
+    )
 
 
 def test_no_timer_with_nothing_due() -> None:
@@ -382,7 +408,7 @@
     d.end(1, at)
     d.wait(60000.0)
     d.actions.clear()
-    d.feed(i.Membership(i.ListKind.DELTA, 2, (worker(3),)))
+    d.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(3),)))
     assert d.actions == []
 
 
@@ -391,13 +417,13 @@
     d = Drive()
     for _ in range(5):
         d.ask()
-    timers = [a for a in d.wait(d.now + 1000.0) if isinstance(a, i.SetTimer)]
-    assert len(timers) <= 1000.0 / decide.HOLD + 2
+    timers = [a for a in d.wait(d.now + 1000.0) if isinstance(a, SetTimer)]
+    assert len(timers) <= 1000.0 / router.QUEUE_CHECK_MS + 2
 
 
 def test_a_function_that_turns_hot_at_all_gateways_at_once_is_no_herd_for_long() -> None:
     """Every gateway once stayed on the first home, however crowded it was."""
-    fleet = [Drive(*(worker(n) for n in range(1, 21)), seed=seed, gateways=40) for seed in range(40)]
+    fleet = [Drive(*(worker(n) for n in range(1, 21)), seed=seed, router_count=40) for seed in range(40)]
     most = []
     for _ in range(20):
         for d in fleet:
@@ -405,9 +431,7 @@
         at = [sends(d.ask())[0] for d in fleet]
         for d, where in zip(fleet, at, strict=True):
             d.wait(d.now + 100.0)
-            done = i.AttemptEnded(
-                d.ids, 0, where, i.Outcome.OK, 100.0, True, i.CopyNote.FOUND, at.count(where)
-            )
+            done = AttemptEnded(d.ids, 0, where, Outcome.OK, 100.0, True, StartKind.WARM, at.count(where))
             d.feed(done)
         most.append(max(at.count(where) for where in at))
     assert most[0] == 40 and max(most[12:]) <= 10
@@ -417,15 +441,15 @@
     d = Drive(worker(1), worker(2))
     (at,) = sends(d.ask())
     d.now += 2000.0
-    timer = [a for a in d.actions if isinstance(a, i.SetTimer)][-1]
-    d.feed(i.TimerDue(timer.token))
-    assert d.router.workers[at].trouble == 0.0
+    timer = [a for a in d.actions if isinstance(a, SetTimer)][-1]
+    d.feed(TimerFired(timer.token))
+    assert d.router.workers[at].outlier_score == 0.0
     d.end(1, at, after=0.0)
-    assert d.router.workers[at].load(d.now) == 0.0
+    assert d.router.workers[at].read_excess_load(d.now) == 0.0
 
 
 def test_a_second_copy_goes_out_where_that_is_allowed() -> None:
-    d = Drive(worker(1), worker(2), limits=dataclasses.replace(LIMITS, second_copies=True))
+    d = Drive(worker(1), worker(2), limits=dataclasses.replace(LIMITS, allows_hedging=True))
     (first,) = sends(d.ask())
     d.end(1, first)
     (first,) = sends(d.ask(after=1.0))
@@ -436,26 +460,26 @@
     """Twelve workers came back untold and fell over under what 85 gateways sent (ic6be0e)."""
     d = Drive(worker(1), worker(2))
     view = d.router.workers[1]
-    assert d.router._part(view) == 1.0
+    assert d.router._available_capacity(view) == 1.0
     d.ask()
     (at,) = sends(d.actions)
-    d.end(1, at, i.Outcome.CONNECT_FAILED, after=250.0)
-    assert d.router._part(d.router.workers[at]) == pytest.approx(RULES.cold_from)
-    d.now += RULES.cold_time
-    d.router.now = d.now
-    assert d.router._part(d.router.workers[at]) == 1.0
+    d.end(1, at, Outcome.CONNECT_FAILED, after=250.0)
+    assert d.router._available_capacity(d.router.workers[at]) == pytest.approx(RULES.slow_start_min_capacity)
+    d.now += RULES.slow_start_ms
+    d.router.now_ms = d.now
+    assert d.router._available_capacity(d.router.workers[at]) == 1.0
 
 
 def test_a_few_of_two_workers_can_still_be_ejected() -> None:
     d = Drive(worker(1), worker(2))
-    d.router._symptom(d.router.workers[1], 2.0)
-    d.router._symptom(d.router.workers[2], 2.0)
-    assert [v.broken for v in d.router.workers.values()] == [True, False]
+    d.router._observe_health(d.router.workers[1], 2.0)
+    d.router._observe_health(d.router.workers[2], 2.0)
+    assert [v.is_ejected for v in d.router.workers.values()] == [True, False]
 
 
 @pytest.mark.parametrize("gateways", [0, 1, 4, 40, 200])
 def test_warm_and_not_busy_comes_before_cold_at_any_count(gateways: int) -> None:
-    d = Drive(*(worker(n) for n in range(1, 41)), gateways=gateways)
+    d = Drive(*(worker(n) for n in range(1, 41)), router_count=gateways)
     background(d)
     only_warm(d, {17: 1.0})
     for _ in range(3):
@@ -468,13 +492,13 @@
     d = Drive(*(worker(n) for n in range(1, 501)))
     background(d)
     looked = []
-    plain = decide.Router._distance
+    plain = router.Router._placement_cost
 
     def counted(*args: Any) -> float:
         looked.append(args)
         return plain(*args)
 
-    monkeypatch.setattr(decide.Router, "_distance", counted)
+    monkeypatch.setattr(router.Router, "_placement_cost", counted)
     d.ask(7777)
     assert 0 < len(looked) < 10
 
@@ -485,25 +509,25 @@
     for seed in range(20):
         d = Drive(*entries, seed=seed)
         d.ask()
-        orders.add(tuple(v.entry.worker for v in d.router.functions[7].order))
+        orders.add(tuple(v.endpoint.worker_id for v in d.router.functions[7].placement_order))
     assert len(orders) == 1
 
 
 def test_larger_workers_are_home_to_more_where_sizes_are_told() -> None:
     entries = [dataclasses.replace(worker(n), weight=3.0 if n <= 5 else 1.0) for n in range(1, 11)]
-    for weights, least, most in ((i.Weights.NOMINAL, 0.65, 0.85), (i.Weights.LIVE, 0.4, 0.6)):
-        d = Drive(*entries, weights=weights)
+    for weights, least, most in ((WeightMeaning.NOMINAL, 0.65, 0.85), (WeightMeaning.LIVE, 0.4, 0.6)):
+        d = Drive(*entries, weight_meaning=weights)
         homes = []
         for number in range(400):
             d.ask(number)
-            homes.append(d.router.functions[number].order[0].entry.worker <= 5)
+            homes.append(d.router.functions[number].placement_order[0].endpoint.worker_id <= 5)
         assert least < sum(homes) / len(homes) < most
 
 
 @pytest.mark.parametrize("klass", range(6))
 def test_a_deadline_already_past_gets_one_answer(klass: int) -> None:
     d = Drive(worker(1))
-    out = d.ask(klass=klass, left=-5.0)
+    out = d.ask(class_index=klass, left=-5.0)
     assert len(finals(out)) == 1 and sends(out) == []
 
 
@@ -513,90 +537,94 @@
         d.ask()
         d.end(d.ids, 1)
     d.ask(left=150.0)
-    d.end(d.ids, 1, i.Outcome.TIMEOUT, after=150.0, note=i.CopyNote.NONE)
-    assert d.router.workers[1].trouble == 0.0
+    d.end(d.ids, 1, Outcome.TIMEOUT, after=150.0, note=StartKind.UNKNOWN)
+    assert d.router.workers[1].outlier_score == 0.0
 
 
 def test_homes_are_fewer_at_a_price_of_idle_memory() -> None:
     dear = Drive(worker(1), prices=dataclasses.replace(PRICES, idle_memory=0.15))
     free = Drive(worker(1), prices=dataclasses.replace(PRICES, idle_memory=0.0))
-    assert dear.router.homes < free.router.homes / 2
+    assert dear.router.homes_per_worker < free.router.homes_per_worker / 2
 
 
 def test_a_worthless_class_and_answers_in_no_time_never_raise() -> None:
-    idle = dataclasses.replace(CLASSES[0], worth=0.0, aim=0.0)
+    idle = dataclasses.replace(CLASSES[0], priority_weight=0.0, latency_objective_ms=0.0)
     d = Drive(worker(1), worker(2), classes=(idle, *CLASSES[1:]))
-    for outcome in (i.Outcome.OK, i.Outcome.OK, i.Outcome.FULL, i.Outcome.TIMEOUT):
+    for outcome in (Outcome.OK, Outcome.OK, Outcome.OVERLOADED, Outcome.TIMEOUT):
         (at,) = sends(d.ask())
         d.end(d.ids, at, outcome, after=0.0)
     assert len(finals(d.ask(left=-1.0))) == 1
 
 
-def broke(d: Drive, request: int, at: int, outcome: i.Outcome, unreached: bool, after: float = 10.0) -> None:
+def broke(d: Drive, request: int, at: int, outcome: Outcome, unreached: bool, after: float = 10.0) -> None:
     d.feed(
-        i.AttemptEnded(request, 0, at, outcome, after, False, i.CopyNote.NONE, 0, unreached=unreached), after
+        AttemptEnded(request, 0, at, outcome, after, False, StartKind.UNKNOWN, 0, is_unreachable=unreached),
+        after,
     )
 
 
 def test_a_broken_connection_is_no_sign_of_a_new_start() -> None:
     """Each reset once made its worker count as cold, till all were and every call was held to its end."""
     d = Drive(worker(1))
-    for outcome in (i.Outcome.RESET, i.Outcome.CONNECT_FAILED):
-        (at,) = sends(d.ask(klass=1))
+    for outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
+        (at,) = sends(d.ask(class_index=1))
         broke(d, d.ids, at, outcome, unreached=False)
-        assert d.router._part(d.router.workers[1]) == 1.0
-    (at,) = sends(d.ask(klass=1))
-    broke(d, d.ids, at, i.Outcome.CONNECT_FAILED, unreached=True)
-    assert d.router._part(d.router.workers[1]) < 1.0
+        assert d.router._available_capacity(d.router.workers[1]) == 1.0
+    (at,) = sends(d.ask(class_index=1))
+    broke(d, d.ids, at, Outcome.CONNECT_FAILED, unreached=True)
+    assert d.router._available_capacity(d.router.workers[1]) < 1.0
 
 
 def test_all_that_broke_with_one_connection_is_one_symptom() -> None:
     d = Drive(worker(1))
-    at = [sends(d.ask(klass=1))[0] for _ in range(5)]
+    at = [sends(d.ask(class_index=1))[0] for _ in range(5)]
     for number, one in enumerate(at, 1):
-        broke(d, number, one, i.Outcome.RESET, unreached=False, after=0.0)
-    assert d.router.workers[1].trouble == health.TROUBLE_GAIN and not d.router.workers[1].broken
+        broke(d, number, one, Outcome.RESET, unreached=False, after=0.0)
+    assert (
+        d.router.workers[1].outlier_score == outlier_detection.FAILURE_GAIN
+        and not d.router.workers[1].is_ejected
+    )
 
 
 def test_an_error_on_a_function_never_answered_says_nothing_against_the_worker() -> None:
     d = Drive(worker(1))
     for _ in range(4):
-        (at, *_) = sends(d.ask(klass=1, function=99))
-        d.end(d.ids, at, i.Outcome.ERROR)
-    assert d.router.workers[1].trouble == 0.0
-    d.ask(klass=1, function=7)
+        (at, *_) = sends(d.ask(class_index=1, function_id=99))
+        d.end(d.ids, at, Outcome.ERROR)
+    assert d.router.workers[1].outlier_score == 0.0
+    d.ask(class_index=1, function_id=7)
     d.end(d.ids, 1)
-    d.ask(klass=1, function=7)
-    d.end(d.ids, 1, i.Outcome.ERROR)
-    assert d.router.workers[1].trouble > 0.0
+    d.ask(class_index=1, function_id=7)
+    d.end(d.ids, 1, Outcome.ERROR)
+    assert d.router.workers[1].outlier_score > 0.0
 
 
 def test_silence_is_no_sign_of_load() -> None:
     """One silent worker once made the gateway refuse the calls of all others."""
     d = Drive(*(worker(n) for n in range(1, 7)))
     steady(d)
-    d.router.jam.out[1] = 200
-    d.router.jam.total += 200
+    d.router.overload.in_flight[1] = 200
+    d.router.overload.total_in_flight += 200
     assert not any(finals(d.ask()) for _ in range(5)), "before it is set aside too"
     for number in range(2, 7):
-        d.router.jam.out[number] = 40
+        d.router.overload.in_flight[number] = 40
     assert any(finals(d.ask()) for _ in range(20)), "with all as full it is a jam"
 
 
 def test_a_request_never_sent_is_told_so_by_half_of_its_time() -> None:
-    d = Drive(worker(1, i.WorkerState.DRAINING))
+    d = Drive(worker(1, EndpointState.DRAINING))
     d.ask(left=2000.0)
     began = d.now
     (end,) = finals(d.wait(began + 1000.0))
-    assert isinstance(end, i.Refuse)
+    assert isinstance(end, RejectRequest)
 
 
 def test_the_count_of_calls_taken_does_not_grow_with_the_day() -> None:
-    rules = dataclasses.replace(RULES, load_window=5000.0)
+    rules = dataclasses.replace(RULES, preload_window_ms=5000.0)
     d = Drive(worker(1), rules=rules)
     for _ in range(100):
         d.ask(after=1000.0)
-    assert len(d.router.taken) <= 6
+    assert len(d.router.request_times) <= 6
 
 
 def test_of_two_warm_workers_the_one_nearby_is_taken_until_it_is_busy() -> None:
@@ -606,28 +634,32 @@
     d.end(1, sends(d.actions)[0])
     function = d.router.functions[7]
     for at in (1, 2):
-        function.warmth[at], function.sent_at[at], function.proven[at] = 1.0, d.now, d.now
+        function.affinity[at], function.last_sent_at_ms[at], function.instance_seen_at_ms[at] = (
+            1.0,
+            d.now,
+            d.now,
+        )
     assert [sends(d.ask()) for _ in range(2)] == [[2], [2]]
     assert 1 in [sends(d.ask())[0] for _ in range(4)]
-    del function.warmth[2], function.sent_at[2]
-    assert d.router.abroad < 1.0  # a warm worker abroad still beats a cold one here
+    del function.affinity[2], function.last_sent_at_ms[2]
+    assert d.router.cross_zone_penalty < 1.0  # a warm worker abroad still beats a cold one here
 
 
 def test_all_silent_workers_but_some_are_set_aside() -> None:
     """Past two in six, silent workers once went on drawing calls that nobody answered."""
     d = Drive(*(worker(n) for n in range(1, 7)))
     for number in range(1, 7):
-        d.ask(function=number, klass=1)
+        d.ask(function_id=number, class_index=1)
         d.end(number, sends(d.actions)[-1])
     view = d.router.workers
     for number in range(1, 5):  # four of six fall silent
         for _ in range(3):
-            d.router._symptom(view[number], 1.0, health.SILENT_CAP)
-    assert sum(v.broken for v in view.values()) == 4
+            d.router._observe_health(view[number], 1.0, outlier_detection.MAX_SILENT_EJECTED_FRACTION)
+    assert sum(v.is_ejected for v in view.values()) == 4
     for number in (5, 6):  # but errors alone never set as many aside, nor silence all
         for _ in range(3):
-            d.router._symptom(view[number], 1.0)
-    assert sum(v.broken for v in view.values()) == 4
+            d.router._observe_health(view[number], 1.0)
+    assert sum(v.is_ejected for v in view.values()) == 4
 
 
 def test_a_worker_set_aside_gets_its_trial_though_others_are_nearer() -> None:
@@ -637,18 +669,18 @@
     d.end(1, home)
     view = d.router.workers[home]
     for _ in range(3):
-        d.router._symptom(view, 1.0)
-    assert view.broken and sends(d.ask()) == [3 - home]
+        d.router._observe_health(view, 1.0)
+    assert view.is_ejected and sends(d.ask()) == [3 - home]
     d.end(2, 3 - home)
-    trials = [sends(d.ask(after=view.open_until - d.now))[0]]
-    assert trials == [home] and view.trial_out
+    trials = [sends(d.ask(after=view.ejected_until_ms - d.now))[0]]
+    assert trials == [home] and view.has_trial_in_flight
     assert sends(d.ask()) == [3 - home]  # one at a time
     d.end(3, home)
     d.end(4, 3 - home)
     for number in range(5, 8):
         (at,) = sends(d.ask())
         d.end(number, at)
-    assert not view.broken
+    assert not view.is_ejected
 
 
 @pytest.mark.parametrize(("gateways", "workers", "every"), [(1, 4, 24.0), (3, 12, 24.0), (40, 40, 80.0)])
@@ -657,27 +689,27 @@
 ) -> None:
     """Copies multiplied with the fleet: at 40 routers a hot function had 28 homes, idle ones among them."""
     entries = [worker(n) for n in range(1, workers + 1)]
-    d = Drive(*entries, gateways=gateways, keep_alive=4700.0)
+    d = Drive(*entries, router_count=gateways, keep_alive_ms=4700.0)
     for number in range(300):
         d.ask(7 if number % 4 == 0 else 1000 + number % 50, after=every)
         d.end(d.ids, sends(d.actions)[-1], after=0.0)
-    homes = d.router._homes(d.router.functions[7])
+    homes = d.router._home_count(d.router.functions[7])
     kept = gateways * 4700.0 / every / 4  # calls of the function by all gateways while a copy may lie idle
     assert 1 < homes <= 1 + 2.5 * workers, "no more than the fleet's size ever asked for"
-    assert kept / homes > decide.HOME_CALLS / 2
+    assert kept / homes > router.MIN_CALLS_PER_HOME / 2
 
 
 def test_a_rare_answer_is_remembered_longer_than_one_of_many() -> None:
     """Of 40 workers each router hears every few seconds: what one showed had faded by then."""
     left = {}
     for workers, every in ((2, 50.0), (12, 24.0), (40, 85.0)):
-        d = Drive(*(worker(n) for n in range(1, workers + 1)), gateways=workers)
+        d = Drive(*(worker(n) for n in range(1, workers + 1)), router_count=workers)
         for _ in range(60):
             d.ask(after=every)
             d.end(d.ids, sends(d.actions)[-1], after=0.0)
-        view = state.WorkerView(worker(99), 0, 0.0)
-        view.seen.add(d.now, 4.0, d.router.memory)
-        left[workers] = view.load(d.now + 8000.0) / view.load(d.now)
+        view = state.WorkerRecord(worker(99), 0, 0.0)
+        view.excess_load.add(d.now, 4.0, d.router.load_memory_ms)
+        left[workers] = view.read_excess_load(d.now + 8000.0) / view.read_excess_load(d.now)
     assert left[2] == left[12] < 0.35 < 0.7 < left[40]
 
 
@@ -685,7 +717,7 @@
 def test_a_worker_that_others_crowd_is_left_for_another(gateways: int, workers: int) -> None:
     """With many gateways a worker's load is others' calls: only reports tell of them before it is late."""
     entries = [worker(n) for n in range(1, workers + 1)]
-    d = Drive(*entries, gateways=gateways, report_columns=("inflight", "x1"))
+    d = Drive(*entries, router_count=gateways, load_report_columns=("inflight", "x1"))
     home, at = sends(d.ask())[0], 0
     d.end(1, home)
     for number in range(300):
@@ -693,51 +725,53 @@
         sent = sends(d.ask(function, after=20.0))[0]
         at = sent if function == 7 else at
         report = (30.0 if sent == home else 3.0, 1.0)
-        d.feed(i.AttemptEnded(d.ids, 0, sent, i.Outcome.OK, 1.0, True, i.CopyNote.FOUND, 0, report))
+        d.feed(AttemptEnded(d.ids, 0, sent, Outcome.OK, 1.0, True, StartKind.WARM, 0, report))
     assert at != home
-    crowded = d.router._crowded(d.router.workers[home])
-    assert crowded > 0.3 > 0.0 > d.router._crowded(d.router.workers[at])
-    assert d.router._crowded(state.WorkerView(worker(99), 0, 0.0)) == pytest.approx(0.0), "not known: usual"
+    crowded = d.router._reported_excess(d.router.workers[home])
+    assert crowded > 0.3 > 0.0 > d.router._reported_excess(d.router.workers[at])
+    assert d.router._reported_excess(state.WorkerRecord(worker(99), 0, 0.0)) == pytest.approx(0.0), (
+        "not known: usual"
+    )
 
 
 def test_own_calls_out_are_not_counted_twice_in_a_report() -> None:
-    d = Drive(worker(1), report_columns=("x1", "inflight"))
+    d = Drive(worker(1), load_report_columns=("x1", "inflight"))
     for _ in range(4):
         d.ask()
-    d.feed(i.AttemptEnded(1, 0, 1, i.Outcome.OK, 100.0, True, i.CopyNote.FOUND, 0, (9.0, 4.0)))
-    assert d.router.usual.read(d.now, decide.FAINT) == 0.0
+    d.feed(AttemptEnded(1, 0, 1, Outcome.OK, 100.0, True, StartKind.WARM, 0, (9.0, 4.0)))
+    assert d.router.reported_in_flight.read(d.now, router.MIN_AFFINITY) == 0.0
 
 
 def erring(gateways: int, workers: int, every: float) -> tuple[Drive, int]:
     """A router whose worker 1 errs at once from the first second on, and the calls that it lost there."""
-    d = Drive(*(worker(n) for n in range(1, workers + 1)), gateways=gateways)
+    d = Drive(*(worker(n) for n in range(1, workers + 1)), router_count=gateways)
     for number in range(400):
         d.wait(d.now + every)
         at = sends(d.ask(number % 90))[0]
         if at != 1:
             d.end(d.ids, at, after=0.0)
             continue
-        again = d.end(d.ids, 1, i.Outcome.ERROR, after=0.0, note=i.CopyNote.NONE)
+        again = d.end(d.ids, 1, Outcome.ERROR, after=0.0, note=StartKind.UNKNOWN)
         d.end(d.ids, sends(again)[0], attempt=1, after=0.0)
-    return d, sum(a.worker == 1 for a in d.actions if isinstance(a, i.Send))
+    return d, sum(a.worker_id == 1 for a in d.actions if isinstance(a, StartAttempt))
 
 
 @pytest.mark.parametrize(("gateways", "workers", "every"), [(1, 4, 24.0), (3, 12, 24.0), (40, 40, 85.0)])
 def test_a_worker_that_errs_costs_each_router_little(gateways: int, workers: int, every: float) -> None:
     """Each of 40 routers once lost two calls before it set it aside, and a trial every few seconds then."""
     d, lost = erring(gateways, workers, every)
-    assert d.router.workers[1].broken
+    assert d.router.workers[1].is_ejected
     spent = d.now - 1000.0
-    assert lost <= 2 + spent / state.OPEN_TIME / (3 if workers == 40 else 1) / 2
+    assert lost <= 2 + spent / state.BASE_EJECTION_MS / (3 if workers == 40 else 1) / 2
 
 
 def test_an_error_that_another_worker_disproves_is_a_symptom_though_the_function_is_new() -> None:
     d = Drive(worker(1), worker(2))
     first = sends(d.ask(99))[0]
-    again = d.end(1, first, i.Outcome.ERROR, note=i.CopyNote.NONE)
-    assert d.router.workers[first].trouble == 0.0, "it may be the client's doing"
+    again = d.end(1, first, Outcome.ERROR, note=StartKind.UNKNOWN)
+    assert d.router.workers[first].outlier_score == 0.0, "it may be the client's doing"
     d.end(1, sends(again)[0], attempt=1)
-    assert d.router.workers[first].trouble > health.EJECT
+    assert d.router.workers[first].outlier_score > outlier_detection.EJECTION_THRESHOLD
 
 
 def test_refused_connections_set_aside_as_many_as_refuse() -> None:
@@ -749,26 +783,26 @@
             if at > 6:
                 d.end(d.ids, at, attempt=attempt, after=0.0)
                 break
-            out = d.end(d.ids, at, i.Outcome.CONNECT_FAILED, attempt=attempt, after=0.0, note=i.CopyNote.NONE)
+            out = d.end(d.ids, at, Outcome.CONNECT_FAILED, attempt=attempt, after=0.0, note=StartKind.UNKNOWN)
             if not (sent := sends(out)):
                 break
             at = sent[0]
-    assert sum(d.router.workers[n].broken for n in range(1, 7)) == 6
+    assert sum(d.router.workers[n].is_ejected for n in range(1, 7)) == 6
 
 
 @pytest.mark.parametrize(("gateways", "workers"), [(1, 4), (3, 12), (40, 40)])
 def test_workers_that_drain_take_nothing_from_the_budget_of_cold_ones(gateways: int, workers: int) -> None:
     """At a release up to 24 of 64 drained, and new workers were held to the part of a fleet of 64."""
     ready = [worker(n) for n in range(1, workers)] + [worker(workers, started=1000.0)]
-    leaving = [worker(n, i.WorkerState.DRAINING) for n in range(100, 100 + workers)]
+    leaving = [worker(n, EndpointState.DRAINING) for n in range(100, 100 + workers)]
     taken = []
     for entries in (ready, ready + leaving):
-        d = Drive(*entries, gateways=gateways)
+        d = Drive(*entries, router_count=gateways)
         for number in range(40):
             d.ask(number, after=20.0)
             d.end(d.ids, sends(d.actions)[-1], after=0.0)
         view = d.router.workers[workers]
-        view.ration = 0.5
-        view.sent.clear()
-        taken.append([d.router._cold_fits(view, float(work)) for work in range(1, 9000)])
+        view.jitter = 0.5
+        view.slow_start_sends.clear()
+        taken.append([d.router._fits_slow_start(view, float(work)) for work in range(1, 9000)])
     assert taken[0] == taken[1] and True in taken[0] and False in taken[0]
--- a/tests/test_retune.py
+++ b/tests/unit/test_settings_reload.py
@@ -10,10 +10,10 @@
 import pytest
 
 from cedarthread import config
-from cedarthread import interface as i
-from cedarthread.standins.scripted import Runner, ask, client, pack_call, service
-from cedarthread.standins.settings import SETTINGS
-from tests.test_control import figures
+from cedarthread.model.settings import Idempotency
+from cedarthread.testing.fakes.scripted import Runner, ask, client, pack_call, service
+from cedarthread.testing.fakes.settings import SETTINGS
+from tests.integration.test_control import figures
 
 
 def file_with(settings: dict[str, Any]) -> bytes:
@@ -35,16 +35,21 @@
         async with service(mute) as running, client(running) as caller:
             caller.writer.write(pack_call(1, "confirm", b"x"))
             await mute.until(lambda: len(mute.calls) == 1)
-            [open_call] = running.planner.calls.values()
+            [open_call] = running.dispatcher.pending_calls.values()
             raw = file_with(retuned())
-            running._reread = lambda: config.read(raw, {})
+            running._load_config = lambda: config.decode(raw, {})
             running.reload()
-            classes = running.planner.settings.classes
-            assert classes[open_call.klass].effect is i.Effect.UNSAFE  # as when it was taken
-            assert classes[running.planner.current["confirm"]].effect is i.Effect.SAFE
-            assert set(running.planner.current) == {"revise", "confirm", "audit"}
-            assert running.planner.settings.limits.attempts == 2
-            assert running.planner.router.s is running.planner.settings
+            classes = running.dispatcher.settings.classes
+            assert (
+                classes[open_call.class_index].idempotency is Idempotency.NOT_IDEMPOTENT
+            )  # as when it was taken
+            assert (
+                classes[running.dispatcher.current_class_index["confirm"]].idempotency
+                is Idempotency.IDEMPOTENT
+            )
+            assert set(running.dispatcher.current_class_index) == {"revise", "confirm", "audit"}
+            assert running.dispatcher.settings.limits.max_attempts == 2
+            assert running.dispatcher.router.settings is running.dispatcher.settings
             mute.behave = lambda runner, message: {"op": "HIT", "fields": {}, "body": ""}
             assert (await caller.call(2, "audit", b"y"))[2] is None
             assert (await caller.call(3, "check", b"y"))[2] == ["BadRequest", {"why": "no such method"}]
@@ -92,11 +97,13 @@
 def test_a_bad_file_is_turned_down_whole(change: str, caplog: pytest.LogCaptureFixture) -> None:
     async def test() -> None:
         async with service(Runner()) as running, client(running) as caller:
-            before = running.planner.settings
+            before = running.dispatcher.settings
             raw = _spoilt(change)
-            running._reread = lambda: config.read(raw, {})
+            running._load_config = lambda: config.decode(raw, {})
             running.reload()
-            assert running.planner.settings is before and running.planner.current["check"] == 0
+            assert (
+                running.dispatcher.settings is before and running.dispatcher.current_class_index["check"] == 0
+            )
             told = figures(await ask(running, b"INFO\n"))
             assert told["router.load_errors"] == 1 and told["router.loads"] == 0
             assert (await caller.call(1, "check", b"x"))[2] is None
--- /dev/null
+++ b/tests/unit/test_simulator_codec.py
@@ -0,0 +1,208 @@
+"""The codec against byte layouts put together by hand, and round trips through the adapter."""
+
+from __future__ import annotations
+
+import io
+import json
+import struct
+
+import pytest
+
+from cedarthread.model.actions import (
+    Action,
+    CancelAttempt,
+    CheckHealth,
+    CloseIdleConnections,
+    FailRequest,
+    FetchEndpoints,
+    LogMessage,
+    PreloadFunction,
+    RejectRequest,
+    SendToPeer,
+    SetTimer,
+    StartAttempt,
+    SubscribeEndpoints,
+    UnloadFunction,
+)
+from cedarthread.model.endpoints import EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    HealthCheckEnded,
+    PeerMessageReceived,
+    PreloadEnded,
+    RequestArrived,
+    StreamStarted,
+    TimerFired,
+)
+from cedarthread.model.outcomes import Outcome, StartKind
+from cedarthread.model.settings import DeduplicationScope, Idempotency
+from cedarthread.simulator import codec
+from cedarthread.simulator.host import SimulatorHost, main
+
+INFO = {
+    "balancers": 3,
+    "classes": [
+        {"name": "x", "goal-time": 500.0, "deadline": 2000.0, "effect": "retryable", "value": 2.0},
+        {"name": "y", "goal-time": 500.0, "deadline": 2000.0, "effect": "dedup", "group": "zone"},
+    ],
+    "limits": {"send-cap": 3, "most-held": 100, "cancel": True},
+    "obligations": {"cold-from": 0.2, "warm-after": 9000.0, "fall": 1000.0, "overload-factor": 2.0},
+    "a-key-of-tomorrow": 1,
+}
+
+
+def frame(*records: bytes, now: float = 250.0) -> bytes:
+    body = b"".join(records)
+    return struct.pack("<IdI", 16 + len(body), now, len(records)) + body
+
+
+def at(who: int) -> bytes:
+    return struct.pack("<BI", 13, who)
+
+
+def start(info: object = INFO) -> bytes:
+    text = json.dumps(info).encode()
+    return struct.pack("<BQI", 1, 99, len(text)) + text
+
+
+def table(number: int, *hosts: int, state: int = 2) -> bytes:
+    entries = b"".join(struct.pack("<IBHHBfd", h, 0, 0, 0, state, 1.0, 0.0) for h in hosts)
+    return struct.pack("<BII", 12, number, len(hosts)) + entries
+
+
+def update(number: int, scope: int = 1) -> bytes:
+    return struct.pack("<BBQI", 2, scope, 1, number)
+
+
+def arrival(tid: int, give_up: float = 2250.0) -> bytes:
+    return struct.pack("<BIfdQHffdHH", 3, tid, 2.0, give_up, 77, 0, 384.0, 900.0, 12.0, 0, 1)
+
+
+def one(record: bytes) -> codec.HostEvent:
+    _, events = codec.Decoder().decode_batch(frame(at(5), record))
+    ((who, event),) = list(events)
+    assert who == 5
+    return event
+
+
+def test_header_and_empty_batch() -> None:
+    raw = bytes.fromhex("10000000" + "00000000206ec040" + "00000000")
+    now, events = codec.Decoder().decode_batch(raw)
+    assert now == 8412.25 and list(events) == []
+    assert codec.encode_reply([]) == bytes.fromhex("04000000")
+
+
+def test_arrival_layout() -> None:
+    event = one(arrival(9))
+    assert event == RequestArrived(9, 77, 0, 2250.0, None, 2.0, 384.0, 900.0, 12.0, False, False)
+    assert len(arrival(9)) == 47
+
+
+def test_absent_and_odd_numbers_count_as_absent() -> None:
+    raw = struct.pack("<BIfdQHffdHH", 3, 9, float("nan"), 1.0, 77, 0, -1.0, float("inf"), 12.0, 3, 0xFFF2)
+    event = one(raw)
+    assert isinstance(event, RequestArrived)
+    assert (event.concurrency, event.memory, event.load_time_ms, event.work) == (None, None, None, None)
+    assert event.is_client_retry and not event.is_write and event.tenant_index is None
+
+
+def test_outcome_layout_with_note_crowd_and_report() -> None:
+    raw = struct.pack("<BIIdIHHBB", 5, 9, 4, 26.0, 8 * 6 + 3, 1, 200, 1, 2) + struct.pack("<2f", 0.5, -1.0)
+    event = one(raw)
+    assert event == AttemptEnded(9, 1, 4, Outcome.OK, 26.0, True, StartKind.PENDING, 6, (0.5, None))
+
+
+@pytest.mark.parametrize(
+    ("raw", "event"),
+    [
+        (struct.pack("<BIHId", 4, 9, 1, 4, 2.5), StreamStarted(9, 1, 4, 2.5)),
+        (struct.pack("<BI", 6, 9), ClientDisconnected(9)),
+        (struct.pack("<BI", 7, 77), TimerFired(77)),
+        (struct.pack("<BdIHB", 8, 2.5, 4, 408, 0), HealthCheckEnded(4, Outcome.TIMEOUT, 2.5, ())),
+        (struct.pack("<BIH", 9, 2, 2) + b"hi", PeerMessageReceived(2, b"hi")),
+        (struct.pack("<B", 10), codec.InstanceKilled()),
+        (struct.pack("<BBIQHd", 11, 2, 4, 77, 429, 5.0), PreloadEnded(4, 77, Outcome.OVERLOADED, 2, 5.0)),
+        (struct.pack("<BBQI", 2, 2, 7, 0), EndpointUpdate(EndpointUpdateKind.FAILED, 7, ())),
+    ],
+)
+def test_event_layouts(raw: bytes, event: codec.HostEvent) -> None:
+    assert one(raw) == event
+
+
+@pytest.mark.parametrize(
+    ("action", "raw"),
+    [
+        (StartAttempt(9, 4, 80.0), struct.pack("<BIId", 71, 9, 4, 80.0)),
+        (StartAttempt(9, 4), struct.pack("<BIId", 71, 9, 4, 0.0)),
+        (FetchEndpoints(), b"\x49"),
+        (RejectRequest(9, 50.0), struct.pack("<BId", 68, 9, 50.0)),
+        (FailRequest(9), struct.pack("<BI", 77, 9)),
+        (PreloadFunction(4, 77, 3), struct.pack("<BIQB", 65, 4, 77, 3)),
+        (UnloadFunction(4, 77), struct.pack("<BQI", 76, 77, 4)),
+        (SendToPeer(b"hi"), bytes.fromhex("46ffff02006869")),
+        (SendToPeer(b"hi", 2), bytes.fromhex("46020002006869")),
+        (CloseIdleConnections(4), struct.pack("<BI", 66, 4)),
+        (SetTimer(8400.25, 77), struct.pack("<BdI", 67, 8400.25, 77)),
+        (CheckHealth(4), struct.pack("<BI", 78, 4)),
+        (SubscribeEndpoints(True), b"\x4a\x01"),
+        (CancelAttempt(9, 1), struct.pack("<BIH", 79, 9, 1)),
+        (LogMessage("ok"), b"\x4b\x02\x00ok"),
+    ],
+)
+def test_action_layouts(action: Action, raw: bytes) -> None:
+    assert codec.encode_action(action) == raw
+
+
+def test_table_numbers_resolve_in_event_order() -> None:
+    decoder = codec.Decoder()
+    _, events = decoder.decode_batch(frame(at(1), table(0, 4), update(0), table(0, 5, 6), update(0, 3)))
+    lists = [e for _, e in events]
+    assert [[w.worker_id for w in e.endpoints] for e in lists if isinstance(e, EndpointUpdate)] == [
+        [4],
+        [5, 6],
+    ]
+
+
+def test_settings_and_unknown_keys() -> None:
+    got = codec.parse_settings(json.dumps(INFO).encode())
+    assert [c.idempotency for c in got.classes] == [Idempotency.IDEMPOTENT, Idempotency.WITH_KEY]
+    assert (
+        got.classes[1].deduplication_scope is DeduplicationScope.ZONE
+        and got.rules.collapse_window_ms == 1000.0
+        and got.limits.max_attempts == 3
+    )
+
+
+def test_host_serves_a_request_and_restarts_from_nothing() -> None:
+    host = SimulatorHost()
+    reply = host.handle_frame(frame(at(3), start(), table(0, 4), update(0), arrival(9)))
+    assert struct.pack("<BI", 72, 3) in reply and struct.pack("<BII", 71, 9, 4) in reply
+    host.handle_frame(frame(at(3), struct.pack("<B", 10), start(), table(0), update(0)))
+    assert host.nodes[3].router.pending_requests == {} and host.nodes[3].router.workers == {}
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\x05\x00",
+        frame(at(3), b"\xee"),
+        frame(at(3), arrival(9)[:-3]),
+        frame(arrival(9)),
+        frame(at(3), start({"classes": 3})),
+        frame(at(3), update(7)),
+        struct.pack("<IdI", 15, 0.0, 0),
+        frame() + b"\x40",
+    ],
+)
+def test_bad_input_is_one_line_and_a_failing_exit(raw: bytes, capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(io.BytesIO(raw), io.BytesIO()) != 0
+    err = capsys.readouterr().err
+    assert err.startswith("cedarthread: bad input: ") and err.count("\n") == 1
+
+
+def test_an_exception_in_the_module_is_reported() -> None:
+    host = SimulatorHost()
+    bad = struct.pack("<BIfdQHffdHH", 3, 9, 2.0, 2250.0, 77, 12, 1.0, 1.0, 1.0, 0, 0)
+    reply = host.handle_frame(frame(at(3), start(), table(0, 4), update(0), bad))
+    assert reply[9] == 69 and b"IndexError" in reply
--- /dev/null
+++ b/tests/unit/test_zone_reachability.py
@@ -0,0 +1,115 @@
+"""Which zones can be reached: by itself, and in the decisions of a router."""
+
+from __future__ import annotations
+
+import pytest
+
+from cedarthread.model.actions import CancelAttempt
+from cedarthread.routing.zone_reachability import (
+    BASE_TRIAL_DELAY_MS,
+    CONNECT_FAILURE_SURPRISE,
+    MAX_TRIAL_DELAY_MS,
+    MAX_WORKER_SURPRISE,
+    MIN_RESPONSES,
+    UNREACHABLE_SURPRISE,
+    ZoneReachability,
+)
+from tests.helpers import Drive, sends, worker
+
+USUAL = 200.0
+
+
+def known(zones: int = 3) -> ZoneReachability:
+    reach = ZoneReachability(0)
+    for number in range(MIN_RESPONSES * zones):
+        reach.on_attempt_started(0.0, (number, 0), number, number % zones, USUAL)
+        assert not reach.on_attempt_ended(0.0, (number, 0), True, USUAL, False)
+    return reach
+
+
+@pytest.mark.parametrize("workers", [1, 2, 5])
+def test_a_zone_is_cut_off_by_the_silence_of_several_workers_alone(workers: int) -> None:
+    reach = known()
+    for number in range(5):
+        reach.on_attempt_started(1000.0, (100 + number, 0), number % workers, 1, USUAL)
+    assert reach.find_unreachable(1000.0 + USUAL / 2) == []
+    assert reach.find_unreachable(1000.0 + 50 * USUAL) == (
+        [] if workers * MAX_WORKER_SURPRISE < UNREACHABLE_SURPRISE else [1]
+    )
+    assert reach.may_send(9000.0, 2, False) and reach.may_send(9000.0, 1, False) == (
+        workers * MAX_WORKER_SURPRISE < UNREACHABLE_SURPRISE
+    )
+
+
+def test_one_answer_from_there_ends_the_doubt() -> None:
+    reach = known()
+    for number in range(4):
+        reach.on_attempt_started(1000.0, (100 + number, 0), number, 1, USUAL)
+    assert reach.find_unreachable(1000.0 + 50 * USUAL) == [1]
+    assert reach.on_attempt_ended(1000.0 + 51 * USUAL, (100, 0), True, USUAL, False)
+    assert reach.may_send(1000.0 + 51 * USUAL, 1, False) and reach.find_unreachable(1000.0 + 51 * USUAL) == []
+
+
+def test_all_zones_but_the_own_one_fall_silent_together() -> None:
+    """One call to each says too little of either."""
+    reach = known()
+    for number in range(2):
+        reach.on_attempt_started(1000.0, (100 + number, 0), number, 1 + number, USUAL)
+    assert reach.find_unreachable(1000.0 + 50 * USUAL) == [1, 2]
+
+
+def test_connections_that_do_not_come_up_tell_sooner() -> None:
+    reach = known()
+    for number in range(2):
+        reach.on_attempt_started(1000.0, (100 + number, 0), number, 1, USUAL)
+        reach.on_attempt_ended(1250.0, (100 + number, 0), False, 250.0, True)
+    assert 2 * CONNECT_FAILURE_SURPRISE >= UNREACHABLE_SURPRISE and reach.find_unreachable(1300.0) == [1]
+
+
+def test_answers_in_no_time_do_not_make_a_short_pause_a_silence() -> None:
+    reach = ZoneReachability(0)
+    for number in range(MIN_RESPONSES):
+        reach.on_attempt_started(0.0, (number, 0), number, 1, 1.0)
+        reach.on_attempt_ended(0.0, (number, 0), True, 0.0, False)
+    for number in range(4):
+        reach.on_attempt_started(1000.0, (100 + number, 0), number, 1, 1.0)
+    assert reach.find_unreachable(1090.0) == [] and reach.find_unreachable(1000.0 + 300.0) == [1]
+
+
+def test_one_safe_call_tries_a_silent_zone_and_a_silent_trial_shuts_it_for_longer() -> None:
+    reach = known()
+    for number in range(4):
+        reach.on_attempt_started(1000.0, (100 + number, 0), number, 1, USUAL)
+    now = 1000.0 + 50 * USUAL
+    assert reach.find_unreachable(now) == [1]
+    assert not reach.may_send(now + BASE_TRIAL_DELAY_MS - 1.0, 1, True) and not reach.may_send(
+        now + BASE_TRIAL_DELAY_MS, 1, False
+    )
+    assert reach.may_send(now + BASE_TRIAL_DELAY_MS, 1, True) and reach.may_send(
+        now + BASE_TRIAL_DELAY_MS + MAX_TRIAL_DELAY_MS, 1, False
+    )
+    reach.on_attempt_started(now + BASE_TRIAL_DELAY_MS, (200, 0), 7, 1, USUAL)
+    assert not reach.may_send(now + BASE_TRIAL_DELAY_MS, 1, True)
+    late = now + BASE_TRIAL_DELAY_MS + 10 * USUAL
+    assert reach.find_unreachable(late) == [1] and not reach.may_send(
+        late + 2 * BASE_TRIAL_DELAY_MS - 1.0, 1, True
+    )
+    reach.on_worker_restarted(1)
+    assert reach.may_send(late, 1, False)
+
+
+def test_a_silent_zone_gives_its_safe_calls_back_and_gets_no_more() -> None:
+    """At 200 routers a zone that was cut off took calls all that time: no worker was called twice."""
+    d = Drive(*(worker(n, zone=n % 3) for n in range(1, 31)), router_count=200)
+    for function in range(60):
+        d.end(d.ids + 1, sends(d.ask(function))[0])
+    lost: list[int] = []
+    for function in range(100, 140):
+        d.wait(d.now + 250.0)
+        for at in sends(d.ask(function, class_index=function % 2)):
+            if at % 3 == d.router.settings.zone:
+                d.end(d.ids, at, after=0.0)
+            else:
+                lost.append(d.ids)
+    assert 0 < len(lost) < 12
+    assert any(isinstance(action, CancelAttempt) for action in d.actions)
