One root class for the exceptions of cedarthread

Each package raises classes of its own without a common base, so a caller could not catch them together. CedarthreadError is that base; ConfigError derives from it.

--- a/cedarthread/config.py
+++ b/cedarthread/config.py
@@ -9,13 +9,14 @@
 from pathlib import Path
 from typing import Any
 
+from cedarthread.errors import CedarthreadError
 from cedarthread.model.settings import RouterSettings
 from cedarthread.protocols.endpoint_list import EndpointRecord, endpoint_from_json, parse_address
 from cedarthread.protocols.peers import PeerAddresses
 from cedarthread.simulator import codec
 
 
-class ConfigError(Exception):
+class ConfigError(CedarthreadError):
     """The configuration can't be used."""
 
 
