Dispatcher: one module each for calls, deadlines, completion, actions, timers and figures

One class of 388 lines owned the call table, the timer queue, the ends of calls, the execution of actions, the node's timers and the counters. Each is a class of its own now; Dispatcher is the surface that the servers and the worker transport call, and the event queue. Order of events, actions, timers and log lines is the same.

The injected defects patch the same behaviour at its new place; the cluster harness replaces both clocks at dispatch/clock.py.

--- /dev/null
+++ b/cedarthread/dispatch/actions.py
@@ -0,0 +1,126 @@
+"""Carries out the actions that the routing node decides on."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from cedarthread.dispatch.call_table import CallTable
+from cedarthread.dispatch.calls import Attempt, AttemptResult, Call, CallFailed, CallRejected
+from cedarthread.dispatch.completion import CallCompletion
+from cedarthread.dispatch.context import DispatchContext
+from cedarthread.dispatch.node_timers import NodeTimers
+from cedarthread.model.actions import (
+    Action,
+    CancelAttempt,
+    CloseIdleConnections,
+    FailRequest,
+    LogMessage,
+    PreloadFunction,
+    RejectRequest,
+    SendToPeer,
+    SetTimer,
+    StartAttempt,
+    UnloadFunction,
+)
+from cedarthread.model.outcomes import Outcome
+from cedarthread.model.settings import Idempotency
+
+log = logging.getLogger("cedarthread.planner")
+
+
+class ActionExecutor:
+    """Executes actions in order. One for a call that is no longer known does nothing."""
+
+    def __init__(
+        self,
+        context: DispatchContext,
+        calls: CallTable,
+        completion: CallCompletion,
+        node_timers: NodeTimers,
+    ) -> None:
+        self._context = context
+        self._calls = calls
+        self._completion = completion
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            StartAttempt: self._start_attempt,
+            CancelAttempt: self._cancel_attempt,
+            RejectRequest: self._reject_request,
+            FailRequest: self._fail_request,
+            SetTimer: node_timers.set,
+            PreloadFunction: self._preload_function,
+            UnloadFunction: self._unload_function,
+            CloseIdleConnections: self._close_idle_connections,
+            SendToPeer: self._send_to_peer,
+            LogMessage: self._log_message,
+        }
+
+    def execute(self, actions: Iterable[Action]) -> None:
+        """Execute actions in order."""
+        for action in actions:
+            handler = self._handlers.get(type(action))
+            if handler is None:
+                log.debug("action without a use here: %s", action)
+            else:
+                handler(action)
+
+    def _start_attempt(self, action: StartAttempt) -> None:
+        call = self._calls.find(action.request_id)
+        if call is None:
+            return
+        now_ms = self._context.clock()
+        attempt = Attempt(call, len(call.attempts), action.worker_id, now_ms)
+        if call.attempts:
+            self._set_write_deadline(call, attempt)
+        call.attempts.append(attempt)
+        has_other_in_flight = any(not earlier.is_ended for earlier in call.attempts[:-1])
+        max_attempts = self._context.settings.limits.max_attempts
+        # Over: the client left, or time ran out, earlier in this batch of events. The router counts the
+        # attempt all the same.
+        is_over = call.is_complete or call.is_client_closing or now_ms >= call.deadline_ms
+        if is_over or has_other_in_flight or len(call.attempts) > max_attempts:
+            self._completion.end_attempt(attempt, AttemptResult(Outcome.NOT_SENT, is_local=True))
+        else:
+            self._context.workers().send(attempt)
+
+    def _set_write_deadline(self, call: Call, attempt: Attempt) -> None:
+        """A retry under an idempotency key must leave inside the deduplication window of the first attempt
+        that may have been executed."""
+        request_class = self._context.settings.classes[call.class_index]
+        executed_at_ms = [earlier.started_at_ms for earlier in call.attempts if earlier.may_have_executed()]
+        if request_class.idempotency is Idempotency.WITH_KEY and executed_at_ms:
+            attempt.write_deadline_ms = executed_at_ms[0] + request_class.deduplication_window_ms
+
+    def _cancel_attempt(self, action: CancelAttempt) -> None:
+        call = self._calls.find(action.request_id)
+        if call is not None and action.attempt_index < len(call.attempts):
+            attempt = call.attempts[action.attempt_index]
+            if not attempt.is_ended:
+                self._context.workers().cancel(attempt)
+
+    def _reject_request(self, action: RejectRequest) -> None:
+        if (call := self._calls.pending.get(action.request_id)) is not None:
+            timed_out = self._context.clock() >= call.deadline_ms
+            result = CallRejected(action.retry_after_ms, timed_out, action.reason)
+            self._completion.complete(call, result)
+
+    def _fail_request(self, action: FailRequest) -> None:
+        if (call := self._calls.pending.get(action.request_id)) is not None:
+            timed_out = self._context.clock() >= call.deadline_ms
+            self._completion.complete(call, CallFailed(timed_out))
+
+    def _preload_function(self, action: PreloadFunction) -> None:
+        self._context.workers().preload(action.worker_id, action.function_id, action.instances)
+
+    def _unload_function(self, action: UnloadFunction) -> None:
+        self._context.workers().unload(action.worker_id, action.function_id)
+
+    def _close_idle_connections(self, action: CloseIdleConnections) -> None:
+        self._context.workers().close_idle_connections(action.worker_id)
+
+    def _send_to_peer(self, action: SendToPeer) -> None:
+        self._context.send_to_peer(action.data, action.peer_index)
+
+    def _log_message(self, action: LogMessage) -> None:
+        log.info("decisions: %s", action.message)
--- /dev/null
+++ b/cedarthread/dispatch/node_timers.py
@@ -0,0 +1,51 @@
+"""The timers that the routing node sets for its router and for its components."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+
+from cedarthread.components.node import COMPONENT_TIMER_TOKEN
+from cedarthread.dispatch.context import DispatchContext
+from cedarthread.model.actions import SetTimer
+from cedarthread.model.events import Event, TimerFired
+
+
+class TimerOwner(Enum):
+    """Who in the node set a timer."""
+
+    ROUTER = 0
+    COMPONENTS = 1
+
+
+def _owner(token: int) -> TimerOwner:
+    return TimerOwner.COMPONENTS if token == COMPONENT_TIMER_TOKEN else TimerOwner.ROUTER
+
+
+class NodeTimers:
+    """At most one timer for each owner; when it fires, the event goes to the node."""
+
+    def __init__(self, context: DispatchContext, enqueue_event: Callable[[Event], None]) -> None:
+        self._context = context
+        self._enqueue_event = enqueue_event
+        self._timers: dict[TimerOwner, asyncio.TimerHandle] = {}
+
+    def set(self, action: SetTimer) -> None:
+        """Set a timer in place of its owner's last one, whose token is past: it would wake the process for
+        nothing."""
+        owner = _owner(action.token)
+        if (old := self._timers.get(owner)) is not None:
+            old.cancel()
+        self._timers[owner] = self._context.call_at(action.at_ms, self._on_timer, TimerFired(action.token))
+
+    def fire_component_timer_within(self, within_ms: float) -> None:
+        """Fire the components' timer now if it is due within that time."""
+        timer = self._timers.get(TimerOwner.COMPONENTS)
+        if timer is not None and timer.when() <= self._context.loop.time() + within_ms / 1000.0:
+            timer.cancel()
+            self._on_timer(TimerFired(COMPONENT_TIMER_TOKEN))
+
+    def _on_timer(self, event: TimerFired) -> None:
+        del self._timers[_owner(event.token)]
+        self._enqueue_event(event)
--- a/cedarthread/protocols/platform.py
+++ b/cedarthread/protocols/platform.py
@@ -293,7 +293,7 @@
             return True
         planner = self.server.dispatcher
         call = parse_call(klass, planner.settings, params[0], params[1], planner.clock())
-        if isinstance(call, Call) and call.call_id in planner.pending_call_ids:
+        if isinstance(call, Call) and call.call_id in planner.calls.pending_ids:
             call = "a call of this txn is open"  # two at a worker could not be told apart
         if isinstance(call, str):
             self.write(encode_error(message_id, "BadRequest", {"why": call}))
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -14,7 +14,8 @@
 from typing import TYPE_CHECKING, Any
 
 from cedarthread.config import Config, ConfigError
-from cedarthread.dispatch.dispatcher import CLASS_FIGURES, Dispatcher
+from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.dispatch.figures import CLASS_FIGURES
 from cedarthread.protocols.control import ControlServer
 from cedarthread.protocols.discovery import DiscoveryClient
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
@@ -86,7 +87,7 @@
         self.workers = WorkerConnections(
             config.settings, self.dispatcher, budget.worker_connections, self.flusher
         )
-        self.dispatcher.worker_transport = self.workers
+        self.dispatcher.connect_workers(self.workers)
         queued = int(OUTPUT_MEMORY_FRACTION * available_bytes)
         self.platform = PlatformServer(
             self.dispatcher, budget.client_connections, self.flusher, queued, budget.accepts_per_pass
@@ -254,7 +255,7 @@
             loop.call_later(LISTEN_RETRY_S, lambda: self._start_task(self._join_peers()))
             return
         self._peer_listen_failed = False
-        self.dispatcher.send_to_peer = self.peers.send
+        self.dispatcher.connect_peers(self.peers.send)
         log.info("talking to %d routers from %s:%d", len(told.peer_addresses), *told.listen_address)
 
     async def shut_down(self) -> None:
--- a/cedarthread/testing/cluster/router_entry.py
+++ b/cedarthread/testing/cluster/router_entry.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 
-from cedarthread.dispatch import dispatcher
+from cedarthread.dispatch import clock
 from cedarthread.testing.cluster.injected_defects import plant
 
 Clock = Callable[[], float]  # s
@@ -45,7 +45,7 @@
     if disk := sys.argv.pop(1):
         import_module("cedarthread.persistence.faulty_disk").install(Path(disk))
     plant(sys.argv.pop(1))
-    dispatcher.time = clocks(told, time.time, time.monotonic)  # type: ignore[attr-defined, assignment]
+    clock.time = clocks(told, time.time, time.monotonic)  # type: ignore[attr-defined, assignment]
     runpy.run_module("cedarthread", run_name="__main__")
 
 
--- a/cedarthread/testing/fuzzing/call_machine.py
+++ b/cedarthread/testing/fuzzing/call_machine.py
@@ -108,7 +108,7 @@
         self.flusher = Flusher()
         self.planner.flush_output = self.flusher.flush_all
         self.runners = WorkerConnections(settings, self.planner, 6 if mode & 8 else 40, self.flusher)
-        self.planner.worker_transport = self.runners
+        self.planner.connect_workers(self.runners)
         self.platform = PlatformServer(self.planner, 8, self.flusher, 2**16)
         nowhere = Path("nowhere")
         allow = ("spiffe://gaz.example/desk/*",)
@@ -411,9 +411,9 @@
         queued, carrying = self.platform.queued_bytes, self.runners._connection_by_attempt
         for what, figure in (
             ("open calls", len(planner.pending_calls)),
-            ("names", len(planner.pending_call_ids)),
-            ("bytes of bodies", abs(planner.pending_body_bytes)),
-            ("settled calls", len(planner._completing)),
+            ("names", len(planner.calls.pending_ids)),
+            ("bytes of bodies", abs(planner.calls.pending_body_bytes)),
+            ("settled calls", len(planner.calls.completing)),
             ("attempts carried", len(carrying)),
             ("bytes of answers", abs(queued)),
             ("calls open in the decisions", len(router.pending_requests) + len(router.queued_requests)),
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -16,8 +16,13 @@
 
 from cryptography import x509
 
-from cedarthread.dispatch import deferred, dispatcher
+from cedarthread.dispatch import deferred
+from cedarthread.dispatch.actions import ActionExecutor
+from cedarthread.dispatch.call_table import CallTable
 from cedarthread.dispatch.calls import Attempt, AttemptResult, Call, CallFailed, CallResult
+from cedarthread.dispatch.completion import CallCompletion
+from cedarthread.dispatch.deadlines import CallDeadlines
+from cedarthread.dispatch.dispatcher import Dispatcher
 from cedarthread.model.actions import StartAttempt
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.model.outcomes import Outcome
@@ -67,8 +72,8 @@
 # What the defective program does instead.
 
 _answer = platform.PlatformConnection._send_answer
-_release = dispatcher.Dispatcher._release
-_send = dispatcher.Dispatcher._start_attempt
+_release = CallTable.release
+_send = ActionExecutor._start_attempt
 _may_order = Router._may_preload
 _length = http._parse_content_length
 _read_ending = workers.parse_call_response
@@ -80,26 +85,26 @@
         _answer(self, number, answer)
 
 
-def _no_names(self: dispatcher.Dispatcher, call: Call) -> None:
+def _no_names(self: CallTable, call: Call) -> None:
     _release(self, call)
-    self.pending_call_ids.add(call.call_id)
+    self.pending_ids.add(call.call_id)
 
 
-def _bytes_kept(self: dispatcher.Dispatcher, call: Call) -> None:
+def _bytes_kept(self: CallTable, call: Call) -> None:
     _release(self, call)
     self.pending_body_bytes += len(call.body)
 
 
-def _two_out(self: dispatcher.Dispatcher, action: StartAttempt) -> None:
+def _two_out(self: ActionExecutor, action: StartAttempt) -> None:
     _send(self, action)
-    call = self.pending_calls.get(action.request_id)
+    call = self._calls.pending.get(action.request_id)
     if call is not None and len(call.attempts) == 2 and not call.attempts[1].is_ended:
-        self._transport().send(Attempt(call, 1, action.worker_id, self.clock()))
+        self._context.workers().send(Attempt(call, 1, action.worker_id, self._context.clock()))
 
 
-def _timer_breeds(self: dispatcher.Dispatcher, at: float) -> None:
-    self._wakeup_at_ms, self._wakeup_timer = at, self._call_at(at, self._on_timer)
-    self._call_at(at + 1e9, self._on_timer)
+def _timer_breeds(self: CallDeadlines, at: float) -> None:
+    self._wakeup_at_ms, self._wakeup_timer = at, self._context.call_at(at, self.on_timer)
+    self._context.call_at(at + 1e9, self.on_timer)
 
 
 def _no_limit(data: memoryview, at: int, count: int) -> memoryview:
@@ -212,7 +217,7 @@
     self.lingering_close()
 
 
-def _later_calls_forgotten(self: dispatcher.Dispatcher, at: float) -> None:
+def _later_calls_forgotten(self: Dispatcher, at: float) -> None:
     self.shutdown_deadline_ms = None
 
 
@@ -240,15 +245,15 @@
 
 
 def _dispatch(handler: str, by: Callable[..., Any]) -> tuple[Any, str, Any]:
-    return (dispatcher.Dispatcher, handler, by)
+    return (Dispatcher, handler, by)
 
 
 DEFECTS = (
     Defect("second-answer", "calls", 300, ((platform.PlatformConnection, "_send_answer", _answer_twice),)),
-    Defect("two-attempts-out", "calls", 300, (_dispatch("_start_attempt", _two_out),)),
-    Defect("body-bytes-kept", "calls", 20, (_dispatch("_release", _bytes_kept),)),
-    Defect("names-kept", "calls", 20, (_dispatch("_release", _no_names),)),
-    Defect("timer-leak", "calls", 20, (_dispatch("_set_wakeup", _timer_breeds),)),
+    Defect("two-attempts-out", "calls", 300, ((ActionExecutor, "_start_attempt", _two_out),)),
+    Defect("body-bytes-kept", "calls", 20, ((CallTable, "release", _bytes_kept),)),
+    Defect("names-kept", "calls", 20, ((CallTable, "release", _no_names),)),
+    Defect("timer-leak", "calls", 20, ((CallDeadlines, "_set_wakeup", _timer_breeds),)),
     Defect("unsafe-sent-again", "calls", 300, ((Router, "_may_retry", _always),)),
     Defect("window-forgotten", "calls", 3000, ((Router, "_may_retry", _window_forgotten),)),
     Defect("group-forgotten", "calls", 2000, ((Router, "_is_eligible", _group_forgotten),)),
@@ -261,7 +266,7 @@
         "stop-forgotten",
         "calls",
         3000,
-        (_dispatch("_expire_call", _nothing), _dispatch("_complete_overdue", _nothing)),
+        ((CallCompletion, "expire", _nothing), (CallCompletion, "complete_overdue", _nothing)),
     ),
     Defect("carried-kept", "calls", 1500, ((workers.WorkerConnections, "_end_request", _kept_in_carrying),)),
     Defect(
--- a/cedarthread/testing/fuzzing/model_checking.py
+++ b/cedarthread/testing/fuzzing/model_checking.py
@@ -118,7 +118,7 @@
         self.ledger = Ledger(figures(self.top, 0.0))
         self.planner = Dispatcher(codec.settings_from_object(self.top), 3, clock=loop.unix_ms)
         self.ways = _Ways(self.planner, self.ledger, loop)
-        self.planner.worker_transport = self.ways
+        self.planner.connect_workers(self.ways)
         self.left = list(scene.events)
         self.calls: list[Call] = []
         self.version = 0
@@ -241,9 +241,9 @@
         for what, figure in (
             (
                 "open calls",
-                len(planner.pending_calls) + len(planner.pending_call_ids) + len(planner._completing),
+                len(planner.pending_calls) + len(planner.calls.pending_ids) + len(planner.calls.completing),
             ),
-            ("bytes of bodies", abs(planner.pending_body_bytes)),
+            ("bytes of bodies", abs(planner.calls.pending_body_bytes)),
             (
                 "calls open in the decisions",
                 len(router.pending_requests) + len(router.queued_requests) + len(router.orphaned_attempts),
--- a/cedarthread/testing/fuzzing/stream_targets.py
+++ b/cedarthread/testing/fuzzing/stream_targets.py
@@ -87,7 +87,8 @@
     planner = Dispatcher(codec.settings_from_object(drawn_settings.settings()), 1, clock=loop.unix_ms)
     flusher = Flusher()
     planner.flush_output = flusher.flush_all
-    echo = planner.worker_transport = Echo(planner, loop)
+    echo = Echo(planner, loop)
+    planner.connect_workers(echo)
     listed = tuple(Endpoint(n, 0, 0, 0, EndpointState.READY, None, None) for n in (1, 2))
     planner.endpoints_changed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
     return planner, flusher, echo
@@ -235,7 +236,9 @@
         transport.begin(connection)
         await feed(transport, data, seed)
         need(
-            not planner.pending_calls and not planner.pending_call_ids and planner.pending_body_bytes == 0,
+            not planner.pending_calls
+            and not planner.calls.pending_ids
+            and planner.calls.pending_body_bytes == 0,
             "a call is left",
         )
         need(front.queued_bytes == 0, f"{front.queued_bytes} bytes of answers are left")
--- a/tests/integration/test_cluster.py
+++ b/tests/integration/test_cluster.py
@@ -231,7 +231,7 @@
         planner = Dispatcher(codec.settings_from_object(SETTINGS), 3, loop.unix_ms)
         planner.node.handle = lambda now, event: seen.append(event) or []  # type: ignore[func-returns-value, method-assign]
         for token, after in ((1, 50.0), (2, 20.0), (COMPONENT_TIMER_TOKEN, 30.0)):
-            planner._set_timer(SetTimer(loop.unix_ms() + after, token))
+            planner.node_timers.set(SetTimer(loop.unix_ms() + after, token))
         assert loop.timers() == 2
         await asyncio.sleep(1.0)
 
--- a/tests/integration/test_endings.py
+++ b/tests/integration/test_endings.py
@@ -72,9 +72,9 @@
     names = [getattr(h._callback, "__qualname__", "") for h in timers]
     owed = {
         "calls": planner.pending_calls,
-        "over": planner._completing,
-        "names": planner.pending_call_ids,
-        "bytes": planner.pending_body_bytes,
+        "over": planner.calls.completing,
+        "names": planner.calls.pending_ids,
+        "bytes": planner.calls.pending_body_bytes,
         "inbox": planner._event_queue,
         "open": router.pending_requests,
         "held": router.queued_requests,
@@ -670,7 +670,7 @@
             runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
             if first == "answer":
                 assert told(await caller.read()) == "served"
-                running.dispatcher._on_timer()  # its time, had it come in this very turn
+                running.dispatcher.deadlines.on_timer()  # its time, had it come in this very turn
             await fence(caller, 9)
             assert len(runner.cancelled) == (first == "time")
 
@@ -704,7 +704,7 @@
             await runner.until(lambda: runner.cancelled == [f"{3:016x}"])
             runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
             assert told(await caller.read()) == "served"
-            [timer] = [h for h in running.dispatcher._loop._scheduled if "_given_up" in repr(h)]  # type: ignore
+            [timer] = [h for h in running.dispatcher.context.loop._scheduled if "_given_up" in repr(h)]  # type: ignore
             timer._run()  # its time has come: the call counts as given up
             timer.cancel()
 
--- a/tests/integration/test_endings_accounting.py
+++ b/tests/integration/test_endings_accounting.py
@@ -106,7 +106,9 @@
             at = 0 if runners[0].calls else 1
             runners[1 - at].behave = hit
             clock = running.dispatcher.clock
-            monkeypatch.setattr(running.dispatcher, "clock", lambda: clock() + 400.0)  # its window is over
+            monkeypatch.setattr(
+                running.dispatcher.context, "clock", lambda: clock() + 400.0
+            )  # its window is over
             runners[at].answer(runners[at].calls[0], says("SHED")(runners[at], {}) or {})
             assert told(await caller.read()) == "served"
             assert len(pooled(running)) == 2
@@ -246,7 +248,7 @@
                 await until(lambda: running.dispatcher.pending_calls, "it waits")
                 caller.writer.write(INTERRUPT + bytes((number,)))
                 await until(
-                    lambda: not running.dispatcher.pending_calls and not running.dispatcher._completing,
+                    lambda: not running.dispatcher.pending_calls and not running.dispatcher.calls.completing,
                     "it has left",
                 )
             [view] = running.dispatcher.router.workers.values()
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cedarthread.dispatch import dispatcher as planning
+from cedarthread.dispatch import clock as clock_module
 from cedarthread.dispatch.calls import (
     Attempt,
     AttemptResult,
@@ -61,7 +61,8 @@
 
 def make(workers: int = 2) -> tuple[Dispatcher, Ways]:
     planner = Dispatcher(codec.settings_from_object(SETTINGS), 3)
-    ways = planner.worker_transport = Ways(planner)
+    ways = Ways(planner)
+    planner.connect_workers(ways)
     listed = tuple(Endpoint(n, 0, 0, 0, EndpointState.READY, None, None) for n in range(1, workers + 1))
     planner.endpoints_changed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
     return planner, ways
@@ -105,7 +106,7 @@
         assert [len(got) for got in answers] == [1, 1, 1]
         ran = [a for a in calls[2].attempts if a.may_have_executed()]
         assert (
-            planner.pending_body_bytes == 0
+            planner.calls.pending_body_bytes == 0
             and not planner.router.pending_requests
             and not planner.router.orphaned_attempts
         )
@@ -157,7 +158,7 @@
 def test_bodies_beyond_the_bound_are_refused_at_once() -> None:
     async def test() -> None:
         planner, ways = make()
-        planner.pending_body_bytes = 2**40
+        planner.calls.pending_body_bytes = 2**40
         answers: list[CallResult] = []
         call(planner, answers)
         assert len(answers) == 1 and isinstance(answers[0], CallRejected) and not ways.sent
@@ -191,13 +192,13 @@
     async def test() -> None:
         planner, _ = make()
         handles: list[asyncio.TimerHandle] = []
-        at = planner._call_at
+        at = planner.context.call_at
 
         def kept(at_ms: float, callback: Callable[..., None], *args: Any) -> asyncio.TimerHandle:
             handles.append(at(at_ms, callback, *args))
             return handles[-1]
 
-        planner._call_at = kept  # type: ignore[method-assign]
+        planner.context.call_at = kept  # type: ignore[method-assign]
         answers: list[CallResult] = []
         for number in range(50):
             call(planner, answers, left=5000.0 - number)
@@ -218,13 +219,15 @@
     async def test() -> None:
         planner, _ = make()
         now = planner.clock()
-        planner.clock = lambda: now
+        planner.context.clock = lambda: now
         answers: list[CallResult] = []
         call(planner, answers, klass=2, left=1000.0)
         await turns()
         written: list[int] = []
         planner.flush_output = lambda: written.append(len(answers))
-        planner.clock = lambda: now + 1001.0  # no timer has fired, since no time has passed for the loop
+        planner.context.clock = lambda: (
+            now + 1001.0
+        )  # no timer has fired, since no time has passed for the loop
         planner.endpoints_changed(EndpointUpdate(EndpointUpdateKind.DELTA, 2))
         await asyncio.sleep(0)
         assert answers == [CallFailed(timed_out=True)] and written == [1]
@@ -235,8 +238,8 @@
 def test_a_step_of_the_wall_clock_moves_no_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
     wall, since = [1_760_000_000.0], [50.0]
     told = SimpleNamespace(time=lambda: wall[0], monotonic=lambda: since[0])
-    monkeypatch.setattr(planning, "time", told)
-    clock = planning.steady_unix_clock_ms()
+    monkeypatch.setattr(clock_module, "time", told)
+    clock = clock_module.steady_unix_clock_ms()
     assert clock() == 1_760_000_000_000.0
     since[0] += 2.0
     for step in (-3600.0, 7200.0):
