--- a/cedarthread/dispatch/calls.py
+++ b/cedarthread/dispatch/calls.py
@@ -1,4 +1,6 @@
-"""What passes between the forwarders and the planner: calls, attempts, their ends and their answers."""
+"""Calls, attempts and their results, and the interface of the worker transport.
+
+Times are Unix ms of the dispatcher's clock unless a name says otherwise."""
 
 from __future__ import annotations
 
@@ -10,27 +12,26 @@
 
 from cedarthread.model.outcomes import Outcome, StartKind
 
-# Part of a client's limit, and least ms of it, kept for the way here and back and for late turns. Guards
-# against answers that miss the limit while the CPU is short: of 121,000 calls 30 ms lost 285, and of 90,000
-# a part of 0.06 lost one.
-DEADLINE_MARGIN_FRACTION, MIN_DEADLINE_MARGIN_MS = 0.1, 40.0
+# Part of a client's time limit that is kept back, since the result must reach the client inside the limit:
+# transmission both ways, and event loop iterations that come late while the CPU is short. Measured under CPU
+# shortage: a margin of 30 ms missed the limit of 285 out of 121,000 calls, a fraction of 0.06 that of 1 out
+# of 90,000.
+DEADLINE_MARGIN_FRACTION = 0.1
+MIN_DEADLINE_MARGIN_MS = 40.0  # at least that much, but at most half of the limit
 
 
 def call_deadline_ms(now_ms: float, limit_ms: float) -> float:
-    """When a call that came just now, with so many ms to go, is given up."""
-    return (
-        now_ms
-        + limit_ms
-        - max(DEADLINE_MARGIN_FRACTION * limit_ms, min(MIN_DEADLINE_MARGIN_MS, limit_ms / 2))
-    )
+    """The deadline of a call that came now and whose client waits ``limit_ms``."""
+    margin_ms = max(DEADLINE_MARGIN_FRACTION * limit_ms, min(MIN_DEADLINE_MARGIN_MS, limit_ms / 2))
+    return now_ms + limit_ms - margin_ms
 
 
 def _nothing_to_refresh() -> None:
-    """For a front that has nothing to bring up to date."""
+    """For a server that always knows the state of its clients."""
 
 
 class Progress(IntEnum):
-    """How far an attempt had come."""
+    """How far an attempt has come at its worker."""
 
     UNCONNECTED = 0
     UNWRITTEN = 1
@@ -41,23 +42,23 @@
 
 @dataclass(frozen=True, slots=True)
 class CallSucceeded:
-    """Final answer: the body that a worker gave."""
+    """A worker executed the call; its response body."""
 
     body: bytes
 
 
 @dataclass(frozen=True, slots=True)
 class CallRejected:
-    """Final answer: not done, and trying again is harmless."""
+    """The call was not executed, or is idempotent: a retry is harmless."""
 
-    retry_after_ms: float | None  # ms to keep away
+    retry_after_ms: float | None  # how long the client should wait before a retry; None: no advice
     timed_out: bool = False
-    reason: str = ""  # in words, where it is not the usual one
+    reason: str = ""  # in words, where it is not lack of capacity
 
 
 @dataclass(frozen=True, slots=True)
 class CallFailed:
-    """Final answer: failed, nothing promised about the effect."""
+    """The call failed, and may or may not have been executed."""
 
     timed_out: bool = False
 
@@ -67,94 +68,95 @@
 
 @dataclass(eq=False, slots=True)
 class Call:
-    """One request of a client, as a front hands it in."""
+    """One request of a client, as a protocol server submits it."""
 
-    call_id: str  # the client's id of it, the same at the worker
-    class_index: int
+    call_id: str  # the client's id of the call, also sent to the worker
+    class_index: int  # index into the classes of the settings in force
     function_id: int
-    deadline_ms: float  # Unix ms by which the client must have its answer
+    deadline_ms: float  # when the client must have its result
     body: bytes
-    on_result: Callable[[CallResult], None]
-    idempotency_key: str | None = None  # the idempotency key
-    concurrency: float | None = None
-    memory: float | None = None
+    on_result: Callable[[CallResult], None]  # called exactly once, unless the call is abandoned
+    idempotency_key: str | None = None
+    concurrency: float | None = None  # calls that one instance of the function executes at once
+    memory: float | None = None  # of one instance, MB
     is_client_retry: bool = False
-    caller_identity: str | None = None  # its identity, where the front knows it
-    refresh_client_state: Callable[[], None] = (
-        _nothing_to_refresh  # the front takes in what the client has said or done by now
-    )
-    request_id: int = 0  # set by the planner, as is all that follows
-    class_name: str = ""  # the name of its class when it was taken: what its figures count under
+    caller_identity: str | None = None  # for example a SPIFFE ID, where the server knows it
+    # Processes what the client has sent or closed, so that ``is_client_closing`` and ``is_complete`` are
+    # up to date.
+    refresh_client_state: Callable[[], None] = _nothing_to_refresh
+    # What follows is set by the dispatcher.
+    request_id: int = 0
+    class_name: str = ""  # at the time it was accepted; its figures are counted under this name
     accepted_at_ms: float = 0.0
     attempts: list[Attempt] = field(default_factory=list)
     is_complete: bool = False
-    is_client_closing: bool = False  # its client writes no more and may have gone: no attempt begins any more
-    is_expired: bool = False  # its time is up, and the router has been told
+    is_client_closing: bool = False  # the client has closed its writing half: no attempt starts any more
+    is_expired: bool = False  # its deadline has passed, and the router knows
 
 
 @dataclass(eq=False, slots=True)
 class Attempt:
-    """One try of a call at one worker."""
+    """One attempt of a call at one worker."""
 
     call: Call
-    index: int
+    index: int  # of the call's attempts, from 0
     worker_id: int
     started_at_ms: float
     progress: Progress = Progress.UNCONNECTED
-    write_deadline_ms: float = math.inf  # when its first byte must have left, else it may not run any more
+    write_deadline_ms: float = math.inf  # its first byte must leave before, else it must not be sent at all
     is_ended: bool = False
-    is_not_executed: bool = False  # its worker has said so, or it never left
+    is_not_executed: bool = False  # the outcome proves it: the worker said so, or nothing was sent
 
     def may_have_executed(self) -> bool:
-        """What was not wholly written cannot have run, nor what its worker turned away."""
+        """False if it was not written completely, or the worker rejected it: then it cannot have run."""
         return self.progress >= Progress.WRITTEN and not self.is_not_executed
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
-    """How an attempt ended, as its forwarder saw it."""
+    """How an attempt ended, as the worker transport saw it."""
 
     outcome: Outcome
     body: bytes = b""
     start_kind: StartKind = StartKind.UNKNOWN
     reported_concurrency: int | None = None
     load_report: tuple[float | None, ...] = ()
-    is_unreachable: bool = False  # no connection to the worker came up
-    is_local: bool = False  # nothing left, for a cause in this process: it says nothing of the worker
+    is_unreachable: bool = False  # no connection to the worker could be established
+    is_local: bool = False  # nothing was sent, for a cause in this process that says nothing of the worker
 
 
 def connection_lost_result(attempt: Attempt, *, is_unreachable: bool = False) -> AttemptResult:
-    """The end of an attempt whose connection failed: only what came whole to the worker may have run."""
+    """The result of an attempt whose connection failed: RESET if it may have been executed."""
     outcome = Outcome.RESET if attempt.may_have_executed() else Outcome.CONNECT_FAILED
     return AttemptResult(outcome, is_unreachable=is_unreachable)
 
 
 def not_sent_result() -> AttemptResult:
-    """The end of an attempt that was taken back before any of it left, or for which this process had no
-    descriptor or port: it says nothing of the worker."""
+    """The result of an attempt that was withdrawn before any of it was sent, or for which this process had no
+    file descriptor or port. It says nothing of the worker."""
     return AttemptResult(Outcome.CONNECT_FAILED, is_local=True)
 
 
 class WorkerTransport(Protocol):
-    """The way to the workers, as the planner sees it."""
+    """The connections to the workers, as the dispatcher uses them."""
 
     def send(self, attempt: Attempt) -> None:
-        """Start an attempt; its end comes later by ``Planner.ended``."""
+        """Send an attempt; it ends by ``Dispatcher.attempt_ended``."""
 
     def refresh_progress(self, attempt: Attempt) -> None:
-        """Bring the attempt's progress up to date."""
+        """Bring ``attempt.progress`` up to date."""
 
     def withdraw_unsent(self, attempt: Attempt) -> None:
-        """End an attempt of which nothing has left; any other goes on."""
+        """End an attempt if nothing of it has been sent; otherwise do nothing."""
 
     def cancel(self, attempt: Attempt) -> None:
-        """Give an attempt up; its end still comes by ``Planner.ended``."""
+        """Cancel an attempt; it still ends by ``Dispatcher.attempt_ended``."""
 
     def preload(self, worker_id: int, function_id: int, instances: int) -> None:
-        """Order a load; its end comes by ``Planner.order_ended``."""
+        """Ask a worker to load instances; the request ends by ``Dispatcher.preload_ended``."""
 
     def unload(self, worker_id: int, function_id: int) -> None:
-        """Have idle copies unloaded."""
+        """Ask a worker to unload idle instances of a function."""
 
     def close_idle_connections(self, worker_id: int) -> None:
-        """Close the connections there that carry nothing."""
+        """Close the connections to a worker that carry no attempt."""
--- a/cedarthread/dispatch/deferred.py
+++ b/cedarthread/dispatch/deferred.py
@@ -1,4 +1,4 @@
-"""Deferred calls: their answers are kept here until their owner has collected them, within firm bounds."""
+"""Deferred calls: results are kept until their owners have collected them, within firm limits."""
 
 from __future__ import annotations
 
@@ -8,42 +8,46 @@
 
 from cedarthread.dispatch.calls import Call, CallResult, CallSucceeded
 
+# What a client asked for: class, function and digest of the body. A retry under the same idempotency key must
+# ask for the same.
+RequestFingerprint = tuple[str, str, bytes]
+
 
 @dataclass(frozen=True, slots=True)
 class DeferredLimits:
-    """How much is kept, and for how long."""
+    """How many calls and bytes are kept, and for how long."""
 
     max_calls: int = 2000
     max_bytes: int = 16 * 2**20
-    retention_s: float = 120.0  # a deferred call's answer, from when it came
-    retry_retention_s: float = 10.0  # a synchronous call's answer, for repeats under its idempotency key
-    reserve_bytes: int = 16 * 1024  # bytes set aside for an answer that has not come
+    retention_s: float = 120.0  # of a deferred call's result, from when it came
+    retry_retention_s: float = 10.0  # of a synchronous call's result, for retries under its idempotency key
+    reserve_bytes: int = 16 * 1024  # set aside for a result that has not come yet
 
 
 @dataclass(eq=False, slots=True)
 class DeferredCall:
-    """One deferred call and, in time, its answer."""
+    """One deferred call and, once it is complete, its result."""
 
-    call_id: str
-    owner: str
-    idempotency_key: str | None  # the client's idempotency key
-    fingerprint: tuple[str, str, bytes]  # class, function, digest of the body
-    call: Call | None = None
+    call_id: str  # random, under which the owner collects the result
+    owner: str  # identity of the client
+    idempotency_key: str | None  # chosen by the client
+    fingerprint: RequestFingerprint
+    call: Call | None = None  # None before it is submitted and once it is complete
     result: CallResult | None = None
     completed_at_s: float = 0.0
-    size_bytes: int = 0
+    size_bytes: int = 0  # reserved for the result, then its size
     is_collected: bool = False
-    retention_s: float = 0.0  # seconds from the answer on
-    waiters: list[Callable[[], None]] = field(default_factory=list)
+    retention_s: float = 0.0  # how long the result is kept
+    waiters: list[Callable[[], None]] = field(default_factory=list)  # called once, on completion
 
 
 class DeferredCalls:
-    """All deferred calls of the process. Answered ones go when their time is up, pending ones never."""
+    """All deferred calls of the process. Results are evicted after their retention, pending calls never."""
 
     def __init__(self, limits: DeferredLimits, clock_s: Callable[[], float]) -> None:
         self.limits = limits
-        self.clock_s = clock_s  # seconds
-        self.reserved_bytes = 0
+        self.clock_s = clock_s  # monotonic
+        self.reserved_bytes = 0  # by results and by calls that wait for one
         self._calls_by_id: dict[str, DeferredCall] = {}
         self._id_by_key: dict[tuple[str, str], str] = {}
 
@@ -51,14 +55,16 @@
         return len(self._calls_by_id)
 
     def add(
-        self, owner: str, idempotency_key: str | None, fingerprint: tuple[str, str, bytes], retention_s: float
+        self,
+        owner: str,
+        idempotency_key: str | None,
+        fingerprint: RequestFingerprint,
+        retention_s: float,
     ) -> DeferredCall | None:
-        """Room for one more call, or None at a bound."""
+        """Add a call; None where that would exceed a limit."""
         self.evict_expired()
-        if (
-            len(self._calls_by_id) >= self.limits.max_calls
-            or self.reserved_bytes + self.limits.reserve_bytes > self.limits.max_bytes
-        ):
+        exceeds_bytes = self.reserved_bytes + self.limits.reserve_bytes > self.limits.max_bytes
+        if len(self._calls_by_id) >= self.limits.max_calls or exceeds_bytes:
             return None
         entry = DeferredCall(
             secrets.token_urlsafe(18),
@@ -66,8 +72,8 @@
             idempotency_key,
             fingerprint,
             size_bytes=self.limits.reserve_bytes,
+            retention_s=retention_s,
         )
-        entry.retention_s = retention_s
         self.reserved_bytes += entry.size_bytes
         self._calls_by_id[entry.call_id] = entry
         if idempotency_key is not None:
@@ -75,44 +81,44 @@
         return entry
 
     def find(self, owner: str, call_id: str) -> DeferredCall | None:
-        """The call of that name, for its owner alone."""
+        """The call of that id; None where there is none, or it has another owner."""
         self.evict_expired()
         entry = self._calls_by_id.get(call_id)
         return entry if entry is not None and entry.owner == owner else None
 
     def find_by_key(self, owner: str, idempotency_key: str) -> DeferredCall | None:
-        """The call that this owner gave that idempotency key."""
+        """The call of that owner under that idempotency key; None where there is none."""
         self.evict_expired()
         return self._calls_by_id.get(self._id_by_key.get((owner, idempotency_key), ""))
 
     def complete(self, entry: DeferredCall, result: CallResult) -> None:
-        """The answer has come: keep it, and wake who waits for it."""
+        """Keep the result of a call and notify its waiters."""
         entry.result, entry.completed_at_s, entry.call = result, self.clock_s(), None
-        size = len(result.body) if isinstance(result, CallSucceeded) else 0
+        size_bytes = len(result.body) if isinstance(result, CallSucceeded) else 0
         if entry.call_id in self._calls_by_id:
-            self.reserved_bytes += size - entry.size_bytes
-            entry.size_bytes = size
-        waiting, entry.waiters = entry.waiters, []
-        for wake in waiting:
-            wake()
+            self.reserved_bytes += size_bytes - entry.size_bytes
+            entry.size_bytes = size_bytes
+        waiters, entry.waiters = entry.waiters, []
+        for notify in waiters:
+            notify()
 
     def remove(self, entry: DeferredCall) -> None:
-        """Forget a call."""
+        """Forget a call, if it is still known."""
         if self._calls_by_id.pop(entry.call_id, None) is not None:
             self.reserved_bytes -= entry.size_bytes
-            if (
-                entry.idempotency_key is not None
-                and self._id_by_key.get((entry.owner, entry.idempotency_key)) == entry.call_id
-            ):
-                del self._id_by_key[(entry.owner, entry.idempotency_key)]
+            if entry.idempotency_key is None:
+                return
+            owner_and_key = (entry.owner, entry.idempotency_key)
+            if self._id_by_key.get(owner_and_key) == entry.call_id:
+                del self._id_by_key[owner_and_key]
 
     def evict_expired(self) -> None:
-        """Drop answers whose time is up."""
-        now = self.clock_s()
-        for entry in [e for e in self._calls_by_id.values() if e.result is not None]:
-            if now - entry.completed_at_s > entry.retention_s:
+        """Forget the calls whose result was kept long enough."""
+        now_s = self.clock_s()
+        for entry in [entry for entry in self._calls_by_id.values() if entry.result is not None]:
+            if now_s - entry.completed_at_s > entry.retention_s:
                 self.remove(entry)
 
     def has_uncollected(self) -> bool:
-        """Is there one that its owner has not fetched the answer of?"""
+        """Is there a call whose owner has not collected its result?"""
         return any(not entry.is_collected for entry in self._calls_by_id.values())
