Names in strings of the replication and escrow tests follow the renames

Cause: injected defects, dict keys and untyped values are not seen by the rename tool. Change: names only, in the tests and the escrow simulation.

--- a/cedarthread/testing/escrow_simulation.py
+++ b/cedarthread/testing/escrow_simulation.py
@@ -347,32 +347,32 @@
             self.routers[event[1]] = self.start_router(event[1], False)
         elif action == "learn":
             self.totals[event[1]] = self.total - 2
-            self.routers[event[1]].pool(
-                self.pool_name, self.total - 2, spent=self.pool_name == "count", until=None
+            self.routers[event[1]].open_pool(
+                self.pool_name, self.total - 2, is_consumable=self.pool_name == "count", ends_at_ms=None
             )
             if self.total not in self.totals:
                 self.consumed_when_all_knew = self.consumed
         elif action == "use":
-            self.consumed += self.routers[event[1]].use(self.clock_ms(event[1]), self.pool_name, 1)
+            self.consumed += self.routers[event[1]].consume(self.clock_ms(event[1]), self.pool_name, 1)
         elif action == "ask":
             _, n, to = event
             escrow, now = self.routers[n], self.clock_ms(n)
-            escrow.changed(now, PeersChanged((to,), 2, {}))
+            escrow.on_notification(now, PeersChanged((to,), 2, {}))
             for pool in escrow.pools.values():
-                pool.next, pool.round, pool.seen = now, False, {}
-            escrow.asks.left = 1.0
-            escrow.want(now, self.pool_name, self.total)
-            self.add_in_flight(n, escrow.turn(now))
-            escrow.want(now, self.pool_name, 0)
+                pool.next_round_at_ms, pool.is_round_open, pool.peer_available = now, False, {}
+            escrow.request_budget.tokens = 1.0
+            escrow.request(now, self.pool_name, self.total)
+            self.add_in_flight(n, escrow.on_tick(now))
+            escrow.request(now, self.pool_name, 0)
         else:
             sender, to, data = event[1]
             if action == "hear":
                 self.in_flight -= {event[1]}
-            self.add_in_flight(to, self.routers[to].hear(self.clock_ms(to), sender, data))
+            self.add_in_flight(to, self.routers[to].on_message(self.clock_ms(to), sender, data))
 
     def add_in_flight(self, sender: int, messages: Any) -> None:
         """What a router tells is on its way."""
-        self.in_flight |= {(sender, tell.peer, tell.data) for tell in messages}
+        self.in_flight |= {(sender, tell.peer_index, tell.data) for tell in messages}
 
     def is_total_exceeded(self) -> bool:
         """Is more used than there is?"""
--- a/tests/simulation/test_escrow_fleet.py
+++ b/tests/simulation/test_escrow_fleet.py
@@ -76,7 +76,7 @@
     """A restart without memory keeps its part."""
 
     def __init__(self, *args: Any, **named: Any) -> None:
-        super().__init__(*args, **(named | {"remembered": True}))
+        super().__init__(*args, **(named | {"has_memory": True}))
         self.ready_at_ms = 0.0
 
 
@@ -127,7 +127,7 @@
     def on_tick(self, now: float) -> Any:
         messages = super().on_tick(now)
         for pool, loan in self.later:
-            pool.loans |= {} if loan is None else {(0, loan.nonce): loan}
+            pool.leases_given |= {} if loan is None else {(0, loan.nonce): loan}
         self.later = []
         return messages
 
--- a/tests/simulation/test_replication_fleet.py
+++ b/tests/simulation/test_replication_fleet.py
@@ -311,28 +311,32 @@
     return {
         "ages from reception": (
             FreshnessTracker,
-            "confirm",
+            "record_response",
             lambda s, now, k, _, r: confirm(s, now, k, now, r),
         ),
         "fresh by a minority": (
             FreshnessTracker,
-            "_fresh_until",
-            lambda s: sorted(s.read_seated)[-1] + s.window,
+            "_compute_fresh_until",
+            lambda s: sorted(s.read_as_voter_at_ms)[-1] + s.window_ms,
         ),
-        "unseated count": (FreshnessTracker, "_read", lambda s, k, at, _, h: read(s, k, at, True, h)),
-        "settles by a minority": (FreshnessTracker, "_holders", lambda s, now, c: holders(s, now, c) + 1),
-        "the last holds": (ReplicaState, "surpasses", lambda *_: True),
-        "nonces come again": (ReplicatedStore, "_nonce", lambda s: s.rng.getrandbits(2)),
-        "ages too young": (FreshnessTracker, "_steps", floor),
-        "a reply counts before its content is held": (ReplicatedStore, "_proven", _unproven),
-        "a seat at once": (FreshnessTracker, "may_sit", lambda *_: True),
-        "a seat by what was read before V after the start": (FreshnessTracker, "may_sit", seat),
+        "unseated count": (FreshnessTracker, "_record_read", lambda s, k, at, _, h: read(s, k, at, True, h)),
+        "settles by a minority": (
+            FreshnessTracker,
+            "_count_holders",
+            lambda s, now, c: holders(s, now, c) + 1,
+        ),
+        "the last holds": (ReplicaState, "supersedes", lambda *_: True),
+        "nonces come again": (ReplicatedStore, "_new_nonce", lambda s: s.rng.getrandbits(2)),
+        "ages too young": (FreshnessTracker, "_age_in_steps", floor),
+        "a reply counts before its content is held": (ReplicatedStore, "_confirm_if_covered", _unproven),
+        "a seat at once": (FreshnessTracker, "can_become_voter", lambda *_: True),
+        "a seat by what was read before V after the start": (FreshnessTracker, "can_become_voter", seat),
         "what was held counts for ever": (
             FreshnessTracker,
-            "_holders",
+            "_count_holders",
             lambda s, _, c: holders(s, -math.inf, c),
         ),
-        "a later life's summary counts": (ReplicatedStore, "_same_life", lambda *_: True),
+        "a later life's summary counts": (ReplicatedStore, "_is_same_incarnation", lambda *_: True),
     }
 
 
--- a/tests/unit/test_escrow.py
+++ b/tests/unit/test_escrow.py
@@ -122,9 +122,20 @@
     giver, taker = pair(100, True)
     told = form.decode(answer(giver, WARM + 300.0, 1, asks(taker, WARM, 60)))
     assert isinstance(told, EscrowResponse) and told.amount == 10
-    names = ("pool", "life", "serial", "asker", "nonce", "amount", "term", "total", "room", "hint")
+    names = (
+        "pool_key",
+        "incarnation",
+        "serial",
+        "requester_incarnation",
+        "nonce",
+        "amount",
+        "term_ms",
+        "total",
+        "available",
+        "hinted_peer",
+    )
     fields = {name: getattr(told, name) for name in names}
-    for wrong in ({"asker": 7}, {"nonce": 7}, {"amount": 11}, {"term": 9}):
+    for wrong in ({"requester_incarnation": 7}, {"nonce": 7}, {"amount": 11}, {"term_ms": 9}):
         taker.on_message(WARM + 400.0, 0, form.encode(EscrowResponse(**(fields | wrong))))
         assert taker.available(WARM + 400.0, "p") == 50, wrong
     taker.on_message(WARM + 400.0, 0, form.encode(told))
