--- a/cedarthread/gossip/__init__.py
+++ b/cedarthread/gossip/__init__.py
@@ -1,1 +1,1 @@
-"""What routers send each other about their load. Pure: time and seed are passed in."""
+"""Load gossip: routers send each other their in-flight calls and the instances that they found warm."""
--- a/cedarthread/gossip/codec.py
+++ b/cedarthread/gossip/codec.py
@@ -1,9 +1,13 @@
-"""The form of a datagram between routers: how things stand at its sender, in 256 bytes at most.
+"""Wire format of load gossip: one router's in-flight calls and warm instances, at most 256 bytes a datagram.
 
-    form u8, life u32, number u32, flags u8; then, for each worker: worker u32, calls out u8, copies u8;
-    then, for each of these copies: function u32 (folded), calls out u8, age of the last find u8 (in 0.1 s)
+All integers are little-endian and unsigned:
 
-All little-endian. A life is a random number drawn when a router starts; numbers rise within it.
+    header     message type u8, incarnation u32, sequence number u32, flags u8
+    worker     worker id u32, in-flight calls u8, number of instances u8            repeated to the end
+    instance   function hash u32, in-flight calls u8, age of the last warm start u8  follow their worker
+
+An age is in units of 0.1 s. The incarnation is a random number that a router draws when it starts; sequence
+numbers rise within it. Flag 1 requests the receiver's full state.
 """
 
 from __future__ import annotations
@@ -11,36 +15,46 @@
 import struct
 from dataclasses import dataclass
 
+from cedarthread.components.datagram_fields import (
+    MAX_DATAGRAM_BYTES as MAX_DATAGRAM_BYTES,  # other codecs still import these two from here
+)
+from cedarthread.components.datagram_fields import (
+    MalformedDatagram as MalformedDatagram,
+)
+from cedarthread.components.datagram_fields import (
+    join_datagram,
+    read_record_groups,
+)
 from cedarthread.components.interface import MessageType
 
-MAX_DATAGRAM_BYTES = 256  # bytes, by the platform's protocol: a longer one voids a run
 MESSAGE_TYPE = MessageType.GOSSIP
-FLAG_REQUEST_FULL_STATE = 1  # flag: the sender knows nothing yet and asks to be told
-AGE_UNIT_MS = 100.0  # ms that a unit of an age stands for
-AGE_UNKNOWN = 255  # the age of a copy that the sender has not found
+FLAG_REQUEST_FULL_STATE = 1  # the sender has just started and knows nothing of the others
+AGE_UNIT_MS = 100.0
+AGE_UNKNOWN = 255  # the sender has not found the instance warm, or too long ago
+MAX_AGE_MS = (AGE_UNKNOWN - 1) * AGE_UNIT_MS
+MAX_COUNT = 255  # a larger number of in-flight calls is sent as this one
 
 _HEADER = struct.Struct("<BIIB")
 _WORKER_RECORD = struct.Struct("<IBB")
 _INSTANCE_RECORD = struct.Struct("<IBB")
 HEADER_BYTES, WORKER_BYTES, INSTANCE_BYTES = _HEADER.size, _WORKER_RECORD.size, _INSTANCE_RECORD.size
-MAX_AGE_MS = (AGE_UNKNOWN - 1) * AGE_UNIT_MS
 
 
 @dataclass(frozen=True, slots=True)
 class InstanceUpdate:
-    """What stands at a worker of one function."""
+    """The sender's view of one function at one worker."""
 
-    function_hash: int  # folded to 32 bits
-    in_flight: int  # the sender's calls of it that are out there
-    warm_age_ms: float | None  # ms since the sender found a copy there; None: not lately
+    function_hash: int  # see `fold_function_id`
+    in_flight: int  # the sender's own calls of the function there
+    warm_age_ms: float | None  # since the sender last found a warm instance there; None: not lately
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerUpdate:
-    """What the sender has at one worker."""
+    """The sender's view of one worker."""
 
     worker_id: int
-    in_flight: int  # all of the sender's calls that are out there
+    in_flight: int  # all of the sender's own calls there, also of functions that are not listed
     instances: tuple[InstanceUpdate, ...] = ()
 
 
@@ -54,20 +68,13 @@
     workers: tuple[WorkerUpdate, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class MalformedDatagram:
-    """A datagram that is not of this form, and why."""
-
-    reason: str
-
-
 def fold_function_id(function_id: int) -> int:
-    """A function's number in 32 bits: two that fold alike cost a needless load, no more."""
+    """Fold a 64-bit function id to the 32 bits of the wire; a collision costs a needless load, no more."""
     return (function_id ^ (function_id >> 32)) & 0xFFFFFFFF
 
 
 def encoded_size(workers: int, instances: int) -> int:
-    """The bytes of a datagram with so many workers and copies in all."""
+    """The bytes of a datagram with this many workers, and instances in all."""
     return HEADER_BYTES + workers * WORKER_BYTES + instances * INSTANCE_BYTES
 
 
@@ -75,48 +82,42 @@
     return AGE_UNKNOWN if age_ms is None or age_ms > MAX_AGE_MS else int(max(0.0, age_ms) / AGE_UNIT_MS)
 
 
+def _decode_age(age: int) -> float | None:
+    return None if age == AGE_UNKNOWN else age * AGE_UNIT_MS
+
+
 def encode(update: LoadUpdate) -> bytes:
-    """The bytes of a datagram; ValueError for one that would be longer than may be sent."""
-    parts = [
-        _HEADER.pack(
-            MESSAGE_TYPE,
-            update.incarnation,
-            update.sequence_number,
-            FLAG_REQUEST_FULL_STATE if update.requests_full_state else 0,
-        )
-    ]
-    for told in update.workers:
-        parts.append(_WORKER_RECORD.pack(told.worker_id, min(told.in_flight, 255), len(told.instances)))
-        parts += [
-            _INSTANCE_RECORD.pack(copy.function_hash, min(copy.in_flight, 255), _encode_age(copy.warm_age_ms))
-            for copy in told.instances
+    """The bytes of a datagram; `ValueError` if it would be longer than may be sent."""
+    flags = FLAG_REQUEST_FULL_STATE if update.requests_full_state else 0
+    fields = [_HEADER.pack(MESSAGE_TYPE, update.incarnation, update.sequence_number, flags)]
+    for worker in update.workers:
+        in_flight = min(worker.in_flight, MAX_COUNT)
+        fields.append(_WORKER_RECORD.pack(worker.worker_id, in_flight, len(worker.instances)))
+        fields += [
+            _INSTANCE_RECORD.pack(
+                instance.function_hash, min(instance.in_flight, MAX_COUNT), _encode_age(instance.warm_age_ms)
+            )
+            for instance in worker.instances
         ]
-    data = b"".join(parts)
-    if len(data) > MAX_DATAGRAM_BYTES:
-        raise ValueError(f"a datagram of {len(data)} bytes may not be sent")
-    return data
+    return join_datagram(fields)
 
 
 def decode(data: bytes) -> LoadUpdate | MalformedDatagram:
-    """What a datagram says. Whatever it holds, no error is raised."""
+    """Read a datagram; bytes that are none give a value, never an exception."""
     if not HEADER_BYTES <= len(data) <= MAX_DATAGRAM_BYTES:
         return MalformedDatagram(f"{len(data)} bytes")
-    form, life, number, flags = _HEADER.unpack_from(data)
-    if form != MESSAGE_TYPE:
-        return MalformedDatagram(f"form {form}")
-    at, workers = HEADER_BYTES, []
-    while at < len(data):
-        if at + WORKER_BYTES > len(data):
-            return MalformedDatagram(f"cut short at byte {at} of {len(data)}")
-        worker, out, count = _WORKER_RECORD.unpack_from(data, at)
-        at += WORKER_BYTES
-        end = at + count * INSTANCE_BYTES
-        if end > len(data):
-            return MalformedDatagram(f"cut short at byte {at} of {len(data)}")
-        copies = tuple(
-            InstanceUpdate(function, held, None if age == AGE_UNKNOWN else age * AGE_UNIT_MS)
-            for function, held, age in _INSTANCE_RECORD.iter_unpack(data[at:end])
+    message_type, incarnation, sequence_number, flags = _HEADER.unpack_from(data)
+    if message_type != MESSAGE_TYPE:
+        return MalformedDatagram(f"form {message_type}")
+    groups = read_record_groups(data, HEADER_BYTES, _WORKER_RECORD, _INSTANCE_RECORD)
+    if isinstance(groups, MalformedDatagram):
+        return groups
+    workers = tuple(
+        WorkerUpdate(
+            worker_id,
+            in_flight,
+            tuple(InstanceUpdate(function, calls, _decode_age(age)) for function, calls, age in records),
         )
-        workers.append(WorkerUpdate(worker, out, copies))
-        at = end
-    return LoadUpdate(life, number, bool(flags & FLAG_REQUEST_FULL_STATE), tuple(workers))
+        for (worker_id, in_flight, _), records in groups
+    )
+    return LoadUpdate(incarnation, sequence_number, bool(flags & FLAG_REQUEST_FULL_STATE), workers)
