--- a/cedarthread/membership/__init__.py
+++ b/cedarthread/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Which of the configured routers are alive (SWIM). Pure: time and seed are passed in."""
+"""Which of the configured routers are alive, by SWIM: on a clock and a seed that are passed in."""
--- a/cedarthread/membership/codec.py
+++ b/cedarthread/membership/codec.py
@@ -1,9 +1,12 @@
-"""The form of membership's datagrams, 256 bytes at most.
+"""Wire format of membership messages (SWIM), at most 256 bytes a datagram.
 
-    form u8, kind u8, incarnation u32 of the sender, nonce u16, about u16; then entries: member u16,
-    incarnation u32, status u8
+All integers are little-endian and unsigned:
 
-All little-endian. ``about`` is the member that is to be asked in another's place.
+    header    message type u8, kind u8, sender's incarnation u32, nonce u16, target u16
+    update    member u16, incarnation u32, status u8                             repeated to the end
+
+The target is the member that a ping request wants probed, and that an acknowledgement relayed in answer to it
+comes from.
 """
 
 from __future__ import annotations
@@ -12,27 +15,32 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from cedarthread.components.datagram_fields import (
+    MalformedDatagram,
+    check_record_count,
+    max_records,
+    read_records,
+)
 from cedarthread.components.interface import MessageType
-from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES, MalformedDatagram
 
 MESSAGE_TYPE = MessageType.MEMBERSHIP
 _HEADER = struct.Struct("<BBIHH")
 _UPDATE_RECORD = struct.Struct("<HIB")
 UPDATE_BYTES = _UPDATE_RECORD.size
-MAX_UPDATES = (MAX_DATAGRAM_BYTES - _HEADER.size) // _UPDATE_RECORD.size
+MAX_UPDATES = max_records(_HEADER.size, _UPDATE_RECORD)
 
 
 class MessageKind(IntEnum):
-    """What a message wants."""
+    """What a message wants of its receiver."""
 
-    PING = 1  # an answer
-    ACK = 2
-    PING_REQUEST = 3  # that another is pinged, and its answer passed on
-    UPDATE = 4  # nothing
+    PING = 1  # an acknowledgement
+    ACK = 2  # nothing: it answers a ping
+    PING_REQUEST = 3  # to ping another member, and to pass on its acknowledgement
+    UPDATE = 4  # nothing: it only carries updates
 
 
 class MemberStatus(IntEnum):
-    """How a member is held; of two at one incarnation the greater holds."""
+    """The state of a member; of two at one incarnation the greater overrides the other."""
 
     ALIVE = 0
     SUSPECT = 1
@@ -41,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberUpdate:
-    """What the sender holds of one member."""
+    """The sender's view of one member."""
 
     member_index: int
     incarnation: int
@@ -54,34 +62,34 @@
 
     kind: MessageKind
     incarnation: int
-    nonce: int = 0
+    nonce: int = 0  # returned in the acknowledgement
     target_index: int = 0
     updates: tuple[MemberUpdate, ...] = ()
 
 
 def encode(message: SwimMessage) -> bytes:
-    """The bytes of a datagram; ValueError for one that would be longer than may be sent."""
-    if len(message.updates) > MAX_UPDATES:
-        raise ValueError(f"{len(message.updates)} entries, {MAX_UPDATES} at most")
-    head = _HEADER.pack(MESSAGE_TYPE, message.kind, message.incarnation, message.nonce, message.target_index)
-    return head + b"".join(
-        _UPDATE_RECORD.pack(e.member_index, e.incarnation, e.status) for e in message.updates
+    """The bytes of a datagram; `ValueError` if it would be longer than may be sent."""
+    check_record_count(message.updates, MAX_UPDATES)
+    header = _HEADER.pack(
+        MESSAGE_TYPE, message.kind, message.incarnation, message.nonce, message.target_index
+    )
+    return header + b"".join(
+        _UPDATE_RECORD.pack(update.member_index, update.incarnation, update.status)
+        for update in message.updates
     )
 
 
 def decode(data: bytes) -> SwimMessage | MalformedDatagram:
-    """What a datagram says. Whatever it holds, no error is raised."""
-    if (
-        not _HEADER.size <= len(data) <= MAX_DATAGRAM_BYTES
-        or (len(data) - _HEADER.size) % _UPDATE_RECORD.size
-    ):
-        return MalformedDatagram(f"{len(data)} bytes")
-    form, kind, incarnation, nonce, about = _HEADER.unpack_from(data)
-    if form != MESSAGE_TYPE or kind not in MessageKind.__members__.values():
-        return MalformedDatagram(f"form {form}, kind {kind}")
-    entries: list[MemberUpdate] = []
-    for member, told, status in _UPDATE_RECORD.iter_unpack(data[_HEADER.size :]):
+    """Read a datagram; bytes that are none give a value, never an exception."""
+    records = read_records(data, _HEADER.size, _UPDATE_RECORD)
+    if isinstance(records, MalformedDatagram):
+        return records
+    message_type, kind, incarnation, nonce, target_index = _HEADER.unpack_from(data)
+    if message_type != MESSAGE_TYPE or kind not in MessageKind.__members__.values():
+        return MalformedDatagram(f"form {message_type}, kind {kind}")
+    updates: list[MemberUpdate] = []
+    for member_index, member_incarnation, status in records:
         if status not in MemberStatus.__members__.values():
             return MalformedDatagram(f"status {status}")
-        entries.append(MemberUpdate(member, told, MemberStatus(status)))
-    return SwimMessage(MessageKind(kind), incarnation, nonce, about, tuple(entries))
+        updates.append(MemberUpdate(member_index, member_incarnation, MemberStatus(status)))
+    return SwimMessage(MessageKind(kind), incarnation, nonce, target_index, tuple(updates))
