Load balance metrics: whole names, a record for a hotspot, intervals in a module of their own

Result files keep the names of their figures: LoadBalanceMetrics.as_json maps them at one place, tested.

--- a/cedarthread/testing/cluster/drills/load_spread.py
+++ b/cedarthread/testing/cluster/drills/load_spread.py
@@ -86,11 +86,12 @@
     if result.void:
         found.append(f"void: the rig itself was {result.late:.0f} ms late")
     found += [
-        f"a herd at {at / 1000:.1f} s: {n} calls to runner {w}, its share {s:.1f}"
-        for at, w, n, s in even.herds
+        f"a herd at {hotspot.begin_ms / 1000:.1f} s: {hotspot.arrivals} calls to runner {hotspot.worker_id}, "
+        f"its share {hotspot.fair_share:.1f}"
+        for hotspot in even.hotspots
     ]
-    if even.idle > IDLE_MOST:
-        found.append(f"a runner idle for {even.idle:.0f} ms while another queued")
+    if even.longest_idle_ms > IDLE_MOST:
+        found.append(f"a runner idle for {even.longest_idle_ms:.0f} ms while another queued")
     if even.peak_to_mean > RATIO * limit.peak_to_mean:
         found.append(f"peak-to-mean {even.peak_to_mean:.2f}, all-seeing {limit.peak_to_mean:.2f}")
     if result.served < SERVED:
@@ -106,12 +107,12 @@
         f"{result.served:.3f}",
         f"{even.peak_to_mean:.2f}",
         f"{limit.peak_to_mean:.2f}",
-        f"{even.variation:.2f}",
-        f"{even.idle:.0f}",
-        f"{len(even.herds)}",
-        f"{even.loads:.0f}",
-        f"{limit.loads:.0f}",
-        f"{even.beyond}",
+        f"{even.coefficient_of_variation:.2f}",
+        f"{even.longest_idle_ms:.0f}",
+        f"{len(even.hotspots)}",
+        f"{even.loads_per_1000_calls:.0f}",
+        f"{limit.loads_per_1000_calls:.0f}",
+        f"{even.excess_loads}",
         f"{len(result.breaches)}",
         f"{result.cpu:.2f}",
         f"{result.bytes_:.0f}",
--- a/cedarthread/testing/cluster/evaluation.py
+++ b/cedarthread/testing/cluster/evaluation.py
@@ -64,7 +64,8 @@
     def table(self) -> dict[str, Any]:
         """As JSON has it."""
         told = {k: v for k, v in asdict(self).items() if k not in ("times", "facts", "played")}
-        return told | {"void": self.void}
+        others = {name: metrics.as_json() for name, metrics in self.others.items()}
+        return told | {"even": self.even.as_json(), "others": others, "void": self.void}
 
 
 class Judge:
--- a/cedarthread/testing/load_balance.py
+++ b/cedarthread/testing/load_balance.py
@@ -1,22 +1,28 @@
-"""How evenly load lies on the workers, from their own books. The terms stand in docs/design/spread.md.
+"""Load balance metrics: how evenly load lies on the workers, from the workers' own call records.
 
-Times in ms. What is measured here is never read by a decision: it is the figure that decisions are judged by.
+The terms are defined in docs/design/spread.md. Times are ms. No decision reads these figures: they are what
+the decisions are judged by.
 """
 
 from __future__ import annotations
 
 import math
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from statistics import fmean, pstdev
-from typing import Protocol
+from typing import Any, NamedTuple, Protocol
 
-WINDOW_MS = 1000.0  # ms
-HOTSPOT_RATIO, HOTSPOT_DEVIATIONS = (
-    3.0,
-    4.0,
-)  # times its share, and standard deviations past it, at which a worker gets a herd
+from cedarthread.testing.intervals import (
+    Interval,
+    intersect_intervals,
+    merge_intervals,
+    subtract_intervals,
+)
+
+WINDOW_MS = 1000.0  # over which work and arrivals are averaged
+HOTSPOT_RATIO = 3.0  # times its fair share of the arrivals that makes a worker a hotspot
+HOTSPOT_DEVIATIONS = 4.0  # and standard deviations of a Poisson count beyond it, so that chance is none
 
 
 class CallRecord(Protocol):
@@ -24,193 +30,192 @@
 
     runner: int
     function: int
-    at: float  # when it came
-    waits: float  # since when it waited for a lane or a core, and not for a load
-    began: float  # when it began to run
-    ended: float  # when it left
-    note: str  # "spawn": a copy was loaded for it; "shed", "spawn_failed": not taken in
+    at: float  # arrival
+    waits: float  # since when it waited for a free slot or core, and not for a load
+    began: float  # of its execution
+    ended: float  # when it left the worker
+    note: str  # "spawn": an instance was loaded for it; "shed", "spawn_failed": not accepted
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerAvailability:
-    """A worker: its cores, and from when to when it was ready."""
+    """A worker's cores, and the intervals in which it was ready."""
 
     cores: int
-    ready_intervals: tuple[tuple[float, float], ...]
+    ready_intervals: tuple[Interval, ...]
 
     def is_ready_throughout(self, begin: float, end: float) -> bool:
-        """Was it ready all the time between?"""
-        return any(at <= begin and end <= until for at, until in self.ready_intervals)
+        """Whether it was ready all the time between."""
+        return any(
+            ready_begin <= begin and end <= ready_end for ready_begin, ready_end in self.ready_intervals
+        )
+
+    def is_ready_within(self, begin: float, end: float) -> bool:
+        """Whether it was ready at any time between."""
+        return any(ready_begin < end and begin < ready_end for ready_begin, ready_end in self.ready_intervals)
+
+
+class Hotspot(NamedTuple):
+    """A window in which one worker got far more than its share of the arrivals."""
+
+    begin_ms: float
+    worker_id: int
+    arrivals: int
+    fair_share: float  # of all arrivals, by its cores
 
 
 @dataclass(frozen=True, slots=True)
 class LoadBalanceMetrics:
     """The figures of one run."""
 
-    peak_to_mean: float  # of held work a core, by windows
-    variation: float  # standard deviation of it over its mean, by windows
-    idle: float  # ms that a ready worker held nothing while a call waited elsewhere, the longest
-    herds: tuple[tuple[float, int, int, float], ...]  # when, worker, calls that came, its share
-    loads: float  # for 1,000 calls
-    beyond: int  # loads beyond what the functions' calls needed at once
-    calls: int
+    peak_to_mean: float  # of the work per core, as the mean over windows
+    coefficient_of_variation: float  # of the work per core, as the mean over windows
+    longest_idle_ms: float  # that a ready worker was empty while a call waited elsewhere
+    hotspots: tuple[Hotspot, ...]
+    loads_per_1000_calls: float
+    excess_loads: int  # beyond what the functions' calls needed at the same time
+    call_count: int
+
+    def as_json(self) -> dict[str, Any]:
+        """The figures under the names that result files have."""
+        return {
+            "peak_to_mean": self.peak_to_mean,
+            "variation": self.coefficient_of_variation,
+            "idle": self.longest_idle_ms,
+            "herds": self.hotspots,
+            "loads": self.loads_per_1000_calls,
+            "beyond": self.excess_loads,
+            "calls": self.call_count,
+        }
 
 
 def measure(
-    stays: Iterable[CallRecord],
+    records: Iterable[CallRecord],
     workers: Mapping[int, WorkerAvailability],
     begin: float,
     end: float,
     concurrency: int,
 ) -> LoadBalanceMetrics:
-    """The figures of what came between ``begin`` and ``end``; ``lanes``: calls that a copy serves at once."""
-    inside = sorted((s for s in stays if s.at < end and s.ended > begin), key=lambda s: s.at)
-    came = [s for s in inside if begin <= s.at]
-    ratios, spreads = [], []
+    """The figures of the time between; `concurrency`: calls that one instance executes at the same time."""
+    present = sorted(
+        (record for record in records if record.at < end and record.ended > begin),
+        key=lambda record: record.at,
+    )
+    arrived = [record for record in present if begin <= record.at]
+    ratios: list[float] = []
+    variations: list[float] = []
     for window in _windows(begin, end, WINDOW_MS):
-        held = _work_per_core(inside, workers, *window)
-        if len(held) > 1 and (mean := fmean(held.values())) > 0.0:
-            ratios.append(max(held.values()) / mean)
-            spreads.append(pstdev(held.values()) / mean)
-    loads = sum(s.note == "spawn" for s in came)
+        work = _work_per_core(present, workers, *window)
+        if len(work) > 1 and (mean := fmean(work.values())) > 0.0:
+            ratios.append(max(work.values()) / mean)
+            variations.append(pstdev(work.values()) / mean)
+    loads = sum(record.note == "spawn" for record in arrived)
+    idle_times_ms = (
+        _longest_idle_ms(worker_id, worker, present, begin, end) for worker_id, worker in workers.items()
+    )
     return LoadBalanceMetrics(
         fmean(ratios) if ratios else 1.0,
-        fmean(spreads) if spreads else 0.0,
-        max(
-            (_longest_idle_ms(number, worker, inside, begin, end) for number, worker in workers.items()),
-            default=0.0,
-        ),
-        tuple(_hotspots(came, workers, begin, end)),
-        1000.0 * loads / max(1, len(came)),
-        max(0, loads - _instances_needed(came, concurrency)),
-        len(came),
+        fmean(variations) if variations else 0.0,
+        max(idle_times_ms, default=0.0),
+        tuple(_hotspots(arrived, workers, begin, end)),
+        1000.0 * loads / max(1, len(arrived)),
+        max(0, loads - _instances_needed(arrived, concurrency)),
+        len(arrived),
     )
 
 
 def work_per_core_by_second(
-    stays: Iterable[CallRecord], workers: Mapping[int, WorkerAvailability], end: float
+    records: Iterable[CallRecord], workers: Mapping[int, WorkerAvailability], end: float
 ) -> list[list[float]]:
-    """Held work a core of each worker, by the second from 0 on."""
-    held = {number: [0.0] * math.ceil(end / WINDOW_MS) for number in workers}
-    for stay in stays:
-        for second in range(
-            int(stay.at / WINDOW_MS), min(int(min(stay.ended, end) / WINDOW_MS) + 1, len(held[0]))
-        ):
-            inside = min(stay.ended, (second + 1) * WINDOW_MS) - max(stay.at, second * WINDOW_MS)
-            held[stay.runner][second] += max(0.0, inside) / WINDOW_MS / workers[stay.runner].cores
-    return [held[number] for number in sorted(held)]
+    """Mean calls per core at each worker, by the second from 0 on; workers in the order of their ids."""
+    seconds = math.ceil(end / WINDOW_MS)
+    work = {worker_id: [0.0] * seconds for worker_id in workers}
+    for record in records:
+        last_second = int(min(record.ended, end) / WINDOW_MS)
+        for second in range(int(record.at / WINDOW_MS), min(last_second + 1, seconds)):
+            inside_ms = min(record.ended, (second + 1) * WINDOW_MS) - max(record.at, second * WINDOW_MS)
+            cores = workers[record.runner].cores
+            work[record.runner][second] += max(0.0, inside_ms) / WINDOW_MS / cores
+    return [work[worker_id] for worker_id in sorted(work)]
 
 
-def _windows(begin: float, end: float, step: float) -> list[tuple[float, float]]:
-    return [
-        (begin + n * step, begin + n * step + WINDOW_MS)
-        for n in range(int((end - begin - WINDOW_MS) / step) + 1)
-    ]
+def _windows(begin: float, end: float, step_ms: float) -> list[Interval]:
+    """Windows of `WINDOW_MS` that begin every `step_ms`."""
+    count = int((end - begin - WINDOW_MS) / step_ms) + 1
+    return [(begin + index * step_ms, begin + index * step_ms + WINDOW_MS) for index in range(count)]
 
 
 def _work_per_core(
-    stays: Iterable[CallRecord], workers: Mapping[int, WorkerAvailability], begin: float, end: float
+    records: Iterable[CallRecord], workers: Mapping[int, WorkerAvailability], begin: float, end: float
 ) -> dict[int, float]:
-    """Mean held work a core, of each worker that was ready all the time."""
-    held = {number: 0.0 for number, worker in workers.items() if worker.is_ready_throughout(begin, end)}
-    for stay in stays:
-        if stay.runner in held and stay.at < end and stay.ended > begin:
-            held[stay.runner] += min(stay.ended, end) - max(stay.at, begin)
-    return {number: sum_ / (end - begin) / workers[number].cores for number, sum_ in held.items()}
+    """Mean calls per core, loads and queues included, of each worker that was ready all the time."""
+    busy_ms = {
+        worker_id: 0.0 for worker_id, worker in workers.items() if worker.is_ready_throughout(begin, end)
+    }
+    for record in records:
+        if record.runner in busy_ms and record.at < end and record.ended > begin:
+            busy_ms[record.runner] += min(record.ended, end) - max(record.at, begin)
+    return {worker_id: ms / (end - begin) / workers[worker_id].cores for worker_id, ms in busy_ms.items()}
 
 
 def _longest_idle_ms(
-    number: int, worker: WorkerAvailability, stays: list[CallRecord], begin: float, end: float
+    worker_id: int, worker: WorkerAvailability, records: list[CallRecord], begin: float, end: float
 ) -> float:
-    """The longest time in which this one held nothing while, all the time, some call waited elsewhere."""
-    own = _merge_intervals((s.at, s.ended) for s in stays if s.runner == number)
-    waits = _merge_intervals(
-        (s.waits, s.began) for s in stays if s.runner != number and s.waits < s.began < math.inf
+    """The longest time in which this worker was empty while, all the time, some call waited elsewhere."""
+    occupied = merge_intervals((record.at, record.ended) for record in records if record.runner == worker_id)
+    waiting_elsewhere = merge_intervals(
+        (record.waits, record.began)
+        for record in records
+        if record.runner != worker_id and record.waits < record.began < math.inf
     )
     ready = [(max(at, begin), min(until, end)) for at, until in worker.ready_intervals]
-    free = _subtract_intervals(ready, own)
-    return max((until - at for at, until in _intersect_intervals(free, waits)), default=0.0)
-
-
-def _merge_intervals(spans: Iterable[tuple[float, float]]) -> list[tuple[float, float]]:
-    whole: list[tuple[float, float]] = []
-    for at, until in sorted(span for span in spans if span[0] < span[1]):
-        if whole and at <= whole[-1][1]:
-            whole[-1] = (whole[-1][0], max(whole[-1][1], until))
-        else:
-            whole.append((at, until))
-    return whole
-
-
-def _subtract_intervals(
-    spans: list[tuple[float, float]], taken: list[tuple[float, float]]
-) -> list[tuple[float, float]]:
-    """What is in ``spans`` and not in ``taken``."""
-    left: list[tuple[float, float]] = []
-    for at, until in spans:
-        for begin, end in taken:
-            if end <= at or begin >= until:
-                continue
-            if begin > at:
-                left.append((at, begin))
-            at = end
-        if at < until:
-            left.append((at, until))
-    return left
-
-
-def _intersect_intervals(
-    one: list[tuple[float, float]], other: list[tuple[float, float]]
-) -> list[tuple[float, float]]:
-    """What is in both, by one pass over the two."""
-    found, a, b = [], 0, 0
-    while a < len(one) and b < len(other):
-        at, until = max(one[a][0], other[b][0]), min(one[a][1], other[b][1])
-        if at < until:
-            found.append((at, until))
-        if one[a][1] < other[b][1]:
-            a += 1
-        else:
-            b += 1
-    return found
+    empty = subtract_intervals(ready, occupied)
+    idle = intersect_intervals(empty, waiting_elsewhere)
+    return max((until - at for at, until in idle), default=0.0)
 
 
 def _hotspots(
-    came: list[CallRecord], workers: Mapping[int, WorkerAvailability], begin: float, end: float
-) -> Iterable[tuple[float, int, int, float]]:
-    """Herds, in windows that overlap by half: one that straddles a bound is seen too."""
-    last: dict[int, float] = {}
-    for at, until in _windows(begin, end, WINDOW_MS / 2):
-        counts: defaultdict[int, int] = defaultdict(int)
-        for stay in came:
-            if at <= stay.at < until:
-                counts[stay.runner] += 1
-        ready = {
-            n: w.cores for n, w in workers.items() if any(a < until and at < u for a, u in w.ready_intervals)
+    arrived: list[CallRecord], workers: Mapping[int, WorkerAvailability], begin: float, end: float
+) -> Iterator[Hotspot]:
+    """Hotspots, in windows that overlap by half: one that straddles a bound is seen too, and given once."""
+    last_seen_ms: dict[int, float] = {}
+    for window_begin, window_end in _windows(begin, end, WINDOW_MS / 2):
+        arrivals: defaultdict[int, int] = defaultdict(int)
+        for record in arrived:
+            if window_begin <= record.at < window_end:
+                arrivals[record.runner] += 1
+        cores = {
+            worker_id: worker.cores
+            for worker_id, worker in workers.items()
+            if worker.is_ready_within(window_begin, window_end)
         }
-        for number, count in counts.items():
-            share = sum(counts.values()) * ready.get(number, 0) / max(1, sum(ready.values()))
-            if (
-                count > HOTSPOT_RATIO * share
-                and count > share + HOTSPOT_DEVIATIONS * math.sqrt(share + 1.0)
-                and len(ready) > HOTSPOT_RATIO
-            ):
-                if at - last.get(number, -math.inf) > WINDOW_MS:
-                    yield at, number, count, share
-                last[number] = at
-
-
-def _instances_needed(came: list[CallRecord], concurrency: int) -> int:
-    """Copies that the functions' calls took at once at most, by the fewest."""
+        for worker_id, count in arrivals.items():
+            share = sum(arrivals.values()) * cores.get(worker_id, 0) / max(1, sum(cores.values()))
+            if len(cores) > HOTSPOT_RATIO and _is_hotspot(count, share):
+                if window_begin - last_seen_ms.get(worker_id, -math.inf) > WINDOW_MS:
+                    yield Hotspot(window_begin, worker_id, count, share)
+                last_seen_ms[worker_id] = window_begin
+
+
+def _is_hotspot(count: int, share: float) -> bool:
+    """Far above the share, and more than chance explains.
+
+    One is added to the variance: where next to no calls arrive, four at one worker are chance.
+    """
+    return count > HOTSPOT_RATIO * share and count > share + HOTSPOT_DEVIATIONS * math.sqrt(share + 1.0)
+
+
+def _instances_needed(arrived: list[CallRecord], concurrency: int) -> int:
+    """The fewest instances that suffice for the most calls that each function had running at once."""
     needed = 0
-    by_function: defaultdict[int, list[tuple[float, int]]] = defaultdict(list)
-    for stay in came:
-        if stay.began < stay.ended:
-            by_function[stay.function] += [(stay.began, 1), (stay.ended, -1)]
-    for steps in by_function.values():
-        out = most = 0
+    steps_by_function: defaultdict[int, list[tuple[float, int]]] = defaultdict(list)
+    for record in arrived:
+        if record.began < record.ended:
+            steps_by_function[record.function] += [(record.began, 1), (record.ended, -1)]
+    for steps in steps_by_function.values():
+        running = peak = 0
         for _, step in sorted(steps):
-            out += step
-            most = max(most, out)
-        needed += math.ceil(most / concurrency)
+            running += step
+            peak = max(peak, running)
+        needed += math.ceil(peak / concurrency)
     return needed
--- a/tests/integration/test_cluster.py
+++ b/tests/integration/test_cluster.py
@@ -40,7 +40,7 @@
 from cedarthread.testing.fakes.settings import SETTINGS
 from cedarthread.testing.fakes.worker_server import made
 from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop, play
-from cedarthread.testing.load_balance import LoadBalanceMetrics
+from cedarthread.testing.load_balance import Hotspot, LoadBalanceMetrics
 
 
 @pytest.mark.parametrize(
@@ -345,8 +345,8 @@
     even = result().even
     bad = {
         "void": result(late=100.0),
-        "herd": result(even=dataclasses.replace(even, herds=((1000.0, 3, 50, 9.0),))),
-        "idle for 2500": result(even=dataclasses.replace(even, idle=2500.0)),
+        "herd": result(even=dataclasses.replace(even, hotspots=(Hotspot(1000.0, 3, 50, 9.0),))),
+        "idle for 2500": result(even=dataclasses.replace(even, longest_idle_ms=2500.0)),
         "peak-to-mean 1.70": result(even=dataclasses.replace(even, peak_to_mean=1.7)),
         "0.50 of the calls": result(answers={"served": 500, "refused": 500}),
         "two attempts": result(breaches=["attempts: two attempts out"]),
@@ -424,7 +424,7 @@
     ]
     assert 50 <= asked[0] <= 65 and told.peaks["loads"] > 3 and min(told.worths[16:20]) > 200.0
     assert told.breaches == []
-    assert told.answers["served"] > 0.9 * sum(told.answers.values()) and not told.even.herds
+    assert told.answers["served"] > 0.9 * sum(told.answers.values()) and not told.even.hotspots
     assert told.datagrams[0] > 100 and told.datagrams[1] > 10, "routers talked, and some of it was lost"
     (tmp_path / "x.json").write_text(json.dumps(told.table()))
     assert cli.main(["rig", "report", str(tmp_path)]) == 0 and "<svg" in (tmp_path / "x.svg").read_text()
