Settings parser apart from the simulator's codec; decoder and encoder with named codes

Cause: one module held the simulator's frames, both ways, and the parser of the settings, which the real router uses too; record codes and flags were bare numbers. The injected defect figures-unchecked patches the parser and the configuration, as the one name did before.

--- a/cedarthread/config.py
+++ b/cedarthread/config.py
@@ -10,9 +10,10 @@
 from typing import Any
 
 from cedarthread.model.settings import RouterSettings
+from cedarthread.number_checks import bounded_number
 from cedarthread.protocols.endpoint_list import EndpointRecord, endpoint_from_json, parse_address
 from cedarthread.protocols.peers import PeerAddresses
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import SettingsError, settings_from_object
 
 
 class ConfigError(Exception):
@@ -60,7 +61,7 @@
         AttributeError,
         ArithmeticError,
         RecursionError,
-        codec.SimulatorProtocolError,
+        SettingsError,
     ) as error:
         raise ConfigError(f"{type(error).__name__}: {error}") from None
 
@@ -78,10 +79,10 @@
         host,
         port,
         int(str(document.get("seed", "0")), 16),
-        int(codec.bounded_number(document.get("limits", {}).get("sockets", 1024), 1)),
-        int(codec.bounded_number(document.get("limits", {}).get("memory_mb", 192), 1) * 2**20),
+        int(bounded_number(document.get("limits", {}).get("sockets", 1024), 1)),
+        int(bounded_number(document.get("limits", {}).get("memory_mb", 192), 1) * 2**20),
         parse_address(document["dns"]) if document.get("dns") else None,
-        codec.settings_from_object(document["settings"]),
+        settings_from_object(document["settings"]),
         known,
         _parse_control_address(environ.get("BALANCER_CONTROL") or document.get("control")),
         _parse_peer_addresses(document),
--- a/cedarthread/protocols/endpoint_list.py
+++ b/cedarthread/protocols/endpoint_list.py
@@ -1,4 +1,4 @@
-"""The roster: the workers by name, with what the resolver or the configuration told of each."""
+"""The endpoint list: the workers by name, as discovery or the configuration last reported each."""
 
 from __future__ import annotations
 
@@ -11,23 +11,20 @@
 
 from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.model.settings import RouterSettings
-from cedarthread.simulator.codec import positive_or_none
+from cedarthread.number_checks import positive_or_none
 
 log = logging.getLogger("cedarthread.roster")
 
-_NUMBERED = re.compile(r"[a-z]+-([0-9a-f]{8})\Z")
-_STATES = {s.value: s for s in EndpointState}
-
-
-def worker_id_from_name(name: str) -> int:
-    """A worker's number: the same at every router, since all agree on a function's homes by it."""
-    match = _NUMBERED.match(name)
-    return int(match[1], 16) if match else zlib.crc32(name.encode())
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+MAX_ECHOED_CHARACTERS = 80  # of an invalid address, in the error that says so
+_NUMBERED_NAME = re.compile(r"[a-z]+-([0-9a-f]{8})\Z")
+_STATE_BY_NAME = {state.value: state for state in EndpointState}
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointRecord:
-    """One worker, as it was told."""
+    """One worker, as it was reported."""
 
     name: str
     host: str
@@ -40,16 +37,37 @@
     started_at_ms: float
 
 
+def worker_id_from_name(name: str) -> int:
+    """A worker's id: the same at every router, since all place functions by it."""
+    match = _NUMBERED_NAME.match(name)
+    return int(match[1], 16) if match else zlib.crc32(name.encode())
+
+
 def parse_address(text: str) -> tuple[str, int]:
-    """``10.0.0.4:5050`` or ``[::1]:5050`` as host and port; ValueError where it is none."""
+    """Host and port of ``10.0.0.4:5050`` or ``[::1]:5050``; ValueError if it is no address."""
     host, _, port = text.rpartition(":")
-    if not (port.isascii() and port.isdigit() and len(port) < 6 and int(port) < 65536):
-        raise ValueError(f"{text[:80]!r} is no host:port")
+    if not (port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS and int(port) <= MAX_PORT):
+        raise ValueError(f"{text[:MAX_ECHOED_CHARACTERS]!r} is no host:port")
     return host.removeprefix("[").removesuffix("]"), int(port)
 
 
-def _index_of(names: tuple[str, ...], name: str) -> int:
-    return names.index(name) if name in names else len(names)
+def endpoint_from_json(entry: dict[str, Any]) -> EndpointRecord:
+    """An entry of the configuration's endpoint list; ValueError, KeyError or TypeError if it is invalid."""
+    host, port = parse_address(str(entry["address"]))
+    weight, started_at_ms = float(entry.get("weight", 1)), float(entry.get("since_ms", 0))
+    if not (math.isfinite(weight) and math.isfinite(started_at_ms)):
+        raise ValueError(f"weight or since_ms of {entry['name']} is no number")
+    return EndpointRecord(
+        str(entry["name"]),
+        host,
+        port,
+        str(entry["zone"]),
+        str(entry["type"]),
+        int(entry.get("group", 0)),
+        _STATE_BY_NAME[entry["status"]],
+        weight,
+        started_at_ms,
+    )
 
 
 class EndpointList:
@@ -58,69 +76,56 @@
     def __init__(self, settings: RouterSettings) -> None:
         self.settings = settings
         self.version = -1
-        self.records: dict[str, EndpointRecord] = {}
+        self.records: dict[str, EndpointRecord] = {}  # by name
 
     def apply_update(
         self, version: int, records: list[EndpointRecord], is_snapshot: bool
     ) -> EndpointUpdate | None:
-        """Take news in; the event for the planner, or None where nothing is new."""
+        """Apply a reported list, of all workers or of those that changed.
+
+        Returns the event for the dispatcher, None if the version is not newer."""
         if version <= self.version:
-            return None  # a reply that was overtaken by a later one
-        first = self.version < 0
+            return None  # the reply was overtaken by a later one
+        is_first = self.version < 0
         self.version = version
         before = self.by_worker_id()
         if is_snapshot:
-            names = {entry.name for entry in records}
-            self.records = {name: entry for name, entry in self.records.items() if name in names}
-        for entry in records:
-            if entry.state is EndpointState.REMOVED:
-                self.records.pop(entry.name, None)
+            names = {record.name for record in records}
+            self.records = {name: record for name, record in self.records.items() if name in names}
+        for record in records:
+            if record.state is EndpointState.REMOVED:
+                self.records.pop(record.name, None)
             else:
-                self.records[entry.name] = entry
+                self.records[record.name] = record
         after = self.by_worker_id()
-        changed = [entry for number, entry in after.items() if before.get(number) != entry]
-        gone = [entry for number, entry in before.items() if number not in after]
-        changed += [replace(entry, state=EndpointState.REMOVED) for entry in gone]
-        kind = EndpointUpdateKind.CACHED if first else EndpointUpdateKind.DELTA
-        return EndpointUpdate(kind, version, tuple(self._to_endpoint(entry) for entry in changed))
+        changed = [record for worker_id, record in after.items() if before.get(worker_id) != record]
+        removed = [record for worker_id, record in before.items() if worker_id not in after]
+        changed += [replace(record, state=EndpointState.REMOVED) for record in removed]
+        kind = EndpointUpdateKind.CACHED if is_first else EndpointUpdateKind.DELTA
+        return EndpointUpdate(kind, version, tuple(self._to_endpoint(record) for record in changed))
 
     def by_worker_id(self) -> dict[int, EndpointRecord]:
-        """The workers by number. Of two names under one number the first listed counts."""
-        found: dict[int, EndpointRecord] = {}
-        for entry in self.records.values():
-            first = found.setdefault(worker_id_from_name(entry.name), entry)
-            if first is not entry:
-                log.warning(
-                    "runners %s and %s share a number: the second is left out", first.name, entry.name
-                )
-        return found
-
-    def _to_endpoint(self, entry: EndpointRecord) -> Endpoint:
+        """The workers by id. Of two names with one id the first listed counts."""
+        records: dict[int, EndpointRecord] = {}
+        for record in self.records.values():
+            first = records.setdefault(worker_id_from_name(record.name), record)
+            if first is not record:
+                text = "runners %s and %s share a number: the second is left out"
+                log.warning(text, first.name, record.name)
+        return records
+
+    def _to_endpoint(self, record: EndpointRecord) -> Endpoint:
         return Endpoint(
-            worker_id_from_name(entry.name),
-            _index_of(self.settings.zones, entry.zone),
-            _index_of(self.settings.worker_kinds, entry.kind),
-            entry.cell,
-            entry.state,
-            positive_or_none(entry.weight),
-            positive_or_none(entry.started_at_ms),
+            worker_id_from_name(record.name),
+            _index_of(self.settings.zones, record.zone),
+            _index_of(self.settings.worker_kinds, record.kind),
+            record.cell,
+            record.state,
+            positive_or_none(record.weight),
+            positive_or_none(record.started_at_ms),
         )
 
 
-def endpoint_from_json(entry: dict[str, Any]) -> EndpointRecord:
-    """An entry of the configuration's list; ValueError, KeyError or TypeError where it is none."""
-    host, port = parse_address(str(entry["address"]))
-    weight, started = float(entry.get("weight", 1)), float(entry.get("since_ms", 0))
-    if not (math.isfinite(weight) and math.isfinite(started)):
-        raise ValueError(f"weight or since_ms of {entry['name']} is no number")
-    return EndpointRecord(
-        str(entry["name"]),
-        host,
-        port,
-        str(entry["zone"]),
-        str(entry["type"]),
-        int(entry.get("group", 0)),
-        _STATES[entry["status"]],
-        weight,
-        started,
-    )
+def _index_of(names: tuple[str, ...], name: str) -> int:
+    """The name's index; an unknown name has the first index after the known ones."""
+    return names.index(name) if name in names else len(names)
--- a/cedarthread/protocols/invoke.py
+++ b/cedarthread/protocols/invoke.py
@@ -26,10 +26,10 @@
 from cedarthread.dispatch.deferred import DeferredCall, DeferredCalls, DeferredLimits
 from cedarthread.dispatch.dispatcher import Dispatcher
 from cedarthread.model.settings import Idempotency, RouterSettings
+from cedarthread.number_checks import positive_or_none
 from cedarthread.protocols import http, spiffe
 from cedarthread.protocols.http import Response, problem_response
 from cedarthread.protocols.invoke_config import InvokeConfig
-from cedarthread.simulator.codec import positive_or_none
 from cedarthread.transport.acceptor import Acceptor, create_listener
 from cedarthread.transport.descriptor_budget import SMALL_ACCEPTS_PER_PASS
 from cedarthread.transport.stream import BufferedConnection, Flusher
--- a/cedarthread/simulator/host.py
+++ b/cedarthread/simulator/host.py
@@ -1,4 +1,4 @@
-"""Hosts many instances of the decision module on the bench's wire, on standard input and output."""
+"""Hosts router instances for the operators' simulator: frames on standard input, replies on its output."""
 
 from __future__ import annotations
 
@@ -6,66 +6,81 @@
 from typing import BinaryIO
 
 from cedarthread.components.node import RoutingNode
-from cedarthread.simulator import codec
+from cedarthread.model.events import Event
+from cedarthread.simulator.decoder import (
+    Decoder,
+    InstanceKilled,
+    InstanceStarted,
+    SimulatorProtocolError,
+)
+from cedarthread.simulator.encoder import encode_action, encode_failure, encode_instance, encode_reply
+
+LENGTH_BYTES = 4  # of a frame's length, which counts itself
+MIN_FRAME_BYTES = 16  # a batch's header
 
 
 class SimulatorHost:
-    """The instances of one process; they share nothing but the numbered worker lists of the wire."""
+    """The instances of one process; they share nothing but the simulator's numbered endpoint lists."""
 
     def __init__(self) -> None:
-        self.decoder = codec.Decoder()
-        self.nodes: dict[int, RoutingNode] = {}
+        self.decoder = Decoder()
+        self.nodes: dict[int, RoutingNode] = {}  # by instance id
 
     def handle_frame(self, frame: bytes) -> bytes:
-        """The reply frame to one batch frame."""
-        now, events = self.decoder.decode_batch(frame)
+        """The reply frame to one batch frame; SimulatorProtocolError if the frame is malformed."""
+        now_ms, events = self.decoder.decode_batch(frame)
         records: list[bytes] = []
-        last: int | None = None
-        for who, event in events:
-            if isinstance(event, codec.InstanceStarted):
-                self.nodes[who] = RoutingNode(event.settings, event.seed, event.seed ^ int(now))
+        selected_instance: int | None = None
+        for instance_id, event in events:
+            if isinstance(event, InstanceStarted):
+                incarnation = event.seed ^ int(now_ms)
+                self.nodes[instance_id] = RoutingNode(event.settings, event.seed, incarnation)
                 continue
-            if isinstance(event, codec.InstanceKilled):
-                self.nodes.pop(who, None)
+            if isinstance(event, InstanceKilled):
+                self.nodes.pop(instance_id, None)
                 continue
-            router = self.nodes.get(who)
-            if router is None:
+            node = self.nodes.get(instance_id)
+            if node is None:
                 continue
-            try:
-                out = [codec.encode_action(action) for action in router.handle(now, event)]
-            except Exception as error:  # whatever the module raised is reported, never swallowed
-                out = [codec.encode_failure(f"{type(error).__name__}: {error} on {type(event).__name__}")]
-            if out and who != last:
-                records.append(codec.encode_instance(who))
-                last = who
-            records.extend(out)
-        return codec.encode_reply(records)
+            event_records = _handle_event(node, now_ms, event)
+            if event_records and instance_id != selected_instance:
+                records.append(encode_instance(instance_id))
+                selected_instance = instance_id
+            records.extend(event_records)
+        return encode_reply(records)
+
+
+def _handle_event(node: RoutingNode, now_ms: float, event: Event) -> list[bytes]:
+    try:
+        return [encode_action(action) for action in node.handle(now_ms, event)]
+    except Exception as error:  # whatever the decision code raises is reported, never swallowed
+        return [encode_failure(f"{type(error).__name__}: {error} on {type(event).__name__}")]
 
 
 def read_frame(source: BinaryIO) -> bytes | None:
-    """The next frame, or None at the end of input."""
-    head = source.read(4)
+    """The next frame, None at the end of input; SimulatorProtocolError if it is cut short."""
+    head = source.read(LENGTH_BYTES)
     if not head:
         return None
-    if len(head) < 4:
-        raise codec.SimulatorProtocolError(f"frame length cut short: {len(head)} of 4 bytes")
+    if len(head) < LENGTH_BYTES:
+        raise SimulatorProtocolError(f"frame length cut short: {len(head)} of 4 bytes")
     length = int.from_bytes(head, "little")
-    if length < 16:
-        raise codec.SimulatorProtocolError(f"frame length {length} is under the header's 16 bytes")
-    body = source.read(length - 4)
-    if len(body) < length - 4:
-        raise codec.SimulatorProtocolError(f"frame cut short: {4 + len(body)} of {length} bytes")
+    if length < MIN_FRAME_BYTES:
+        raise SimulatorProtocolError(f"frame length {length} is under the header's 16 bytes")
+    body = source.read(length - LENGTH_BYTES)
+    if len(body) < length - LENGTH_BYTES:
+        raise SimulatorProtocolError(f"frame cut short: {LENGTH_BYTES + len(body)} of {length} bytes")
     return head + body
 
 
 def main(source: BinaryIO, sink: BinaryIO) -> int:
-    """Answer frames until the input ends."""
+    """Answer frames until the input ends; returns the exit code, 2 after malformed input."""
     host = SimulatorHost()
     try:
         while (frame := read_frame(source)) is not None:
             sink.write(host.handle_frame(frame))
             sink.flush()
-    except codec.SimulatorProtocolError as error:
+    except SimulatorProtocolError as error:
         print(f"cedarthread: bad input: {error}", file=sys.stderr)
         return 2
     return 0
--- a/cedarthread/testing/fakes/scripted.py
+++ b/cedarthread/testing/fakes/scripted.py
@@ -15,7 +15,7 @@
 from cedarthread.protocols.endpoint_list import EndpointRecord
 from cedarthread.protocols.invoke_config import InvokeConfig
 from cedarthread.service import Service
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fakes import client as client_side
 from cedarthread.testing.fakes.settings import SETTINGS
 
@@ -97,7 +97,7 @@
     for runner in runners:
         await runner.start()
     known = ((1, tuple(listing(runner, n) for n, runner in enumerate(runners, 1))),)
-    settings = codec.settings_from_object(SETTINGS | changes)
+    settings = settings_from_object(SETTINGS | changes)
     running = Service(
         Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, known, ("127.0.0.1", 0)), invoke
     )
--- a/cedarthread/testing/fuzzing/call_machine.py
+++ b/cedarthread/testing/fuzzing/call_machine.py
@@ -21,7 +21,7 @@
 from cedarthread.protocols.platform import PlatformConnection, PlatformServer
 from cedarthread.protocols.spiffe import Identity
 from cedarthread.protocols.workers import WorkerConnections
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fuzzing import settings as drawn_settings
 from cedarthread.testing.fuzzing.invoke_caller import Caller
 from cedarthread.testing.fuzzing.memory_peers import Client, Held, Worker
@@ -103,7 +103,7 @@
         stall = float(dice.byte() % 4) * 100.0 * bool(mode & 4)
         self.stall, self.now = stall, loop.unix_ms
         self.ledger = Ledger(figures(self.top, stall))
-        settings = codec.settings_from_object(self.top)
+        settings = settings_from_object(self.top)
         self.planner = Dispatcher(settings, mode, clock=loop.unix_ms)
         self.flusher = Flusher()
         self.planner.flush_output = self.flusher.flush_all
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -16,6 +16,7 @@
 
 from cryptography import x509
 
+from cedarthread import config, settings_parser
 from cedarthread.dispatch import deferred, dispatcher
 from cedarthread.dispatch.calls import Attempt, AttemptResult, Call, CallFailed, CallResult
 from cedarthread.model.actions import StartAttempt
@@ -35,7 +36,6 @@
 )
 from cedarthread.routing.router import Router
 from cedarthread.routing.state import PendingRequest, WorkerRecord
-from cedarthread.simulator import codec
 from cedarthread.testing.fuzzing import targets
 from cedarthread.testing.fuzzing.target import Target, verdict
 
@@ -297,7 +297,15 @@
     Defect("spoilt-answer-passed", "lines", 100, ((workers, "parse_call_response", _spoilt_passes),)),
     Defect("dots-in-ids", "spiffe", 200, ((spiffe, "parse_trust_domain", _any_segment),)),
     Defect("first-name-counts", "certificate", 200, ((spiffe, "_parse_identity", _first_uri),)),
-    Defect("figures-unchecked", "config", 400, ((codec, "bounded_number", _figure_unchecked),)),
+    Defect(
+        "figures-unchecked",
+        "config",
+        400,
+        (
+            (settings_parser, "bounded_number", _figure_unchecked),
+            (config, "bounded_number", _figure_unchecked),
+        ),
+    ),
     Defect("foreign-call-collected", "deferred", 50, ((deferred.DeferredCalls, "find", _anyones),)),
     Defect("kept-bytes-leak", "deferred", 50, ((deferred.DeferredCalls, "remove", _size_kept),)),
 )
--- a/cedarthread/testing/fuzzing/model_checking.py
+++ b/cedarthread/testing/fuzzing/model_checking.py
@@ -31,7 +31,7 @@
 from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.model.events import PreloadEnded
 from cedarthread.model.outcomes import Outcome
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fuzzing import settings as drawn_settings
 from cedarthread.testing.fuzzing.call_machine import figures, terms
 from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop, play
@@ -116,7 +116,7 @@
         self.scene, self.loop = scene, loop
         self.top = drawn_settings.settings(miss=scene.miss)
         self.ledger = Ledger(figures(self.top, 0.0))
-        self.planner = Dispatcher(codec.settings_from_object(self.top), 3, clock=loop.unix_ms)
+        self.planner = Dispatcher(settings_from_object(self.top), 3, clock=loop.unix_ms)
         self.ways = _Ways(self.planner, self.ledger, loop)
         self.planner.worker_transport = self.ways
         self.left = list(scene.events)
--- a/cedarthread/testing/fuzzing/parser_targets.py
+++ b/cedarthread/testing/fuzzing/parser_targets.py
@@ -21,8 +21,8 @@
 from cedarthread.model.settings import RouterSettings
 from cedarthread.protocols import discovery, dns, http, invoke_config, msgpack
 from cedarthread.routing.router import Router
-from cedarthread.simulator import codec
 from cedarthread.simulator import host as simulator_host
+from cedarthread.simulator.decoder import SimulatorProtocolError
 from cedarthread.testing.fuzzing import settings as drawn_settings
 from cedarthread.testing.fuzzing.target import NUMBERS, ODD, Finding, Target, mutate_bytes, mutate_tree
 
@@ -501,7 +501,12 @@
     """The simulator's frames, answered by the host of many instances."""
 
     name = "wire"
-    modules = ("cedarthread.simulator.codec", "cedarthread.simulator.host")
+    modules = (
+        "cedarthread.settings_parser",
+        "cedarthread.simulator.decoder",
+        "cedarthread.simulator.encoder",
+        "cedarthread.simulator.host",
+    )
     work = (80_000, 800)
     memory = (4 * 2**20, 400)
 
@@ -554,5 +559,5 @@
             while (frame := simulator_host.read_frame(source)) is not None:
                 reply = host.handle_frame(frame)
                 need(struct.unpack_from("<I", reply)[0] == len(reply), "a reply that says another length")
-        except codec.SimulatorProtocolError as error:
+        except SimulatorProtocolError as error:
             need(bool(str(error)), "an error without words")
--- a/cedarthread/testing/fuzzing/stream_targets.py
+++ b/cedarthread/testing/fuzzing/stream_targets.py
@@ -32,7 +32,7 @@
     WorkerConnectionPool,
     WorkerConnections,
 )
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fuzzing import settings as drawn_settings
 from cedarthread.testing.fuzzing.invoke_caller import read_reply
 from cedarthread.testing.fuzzing.parser_targets import (
@@ -84,7 +84,7 @@
 
 def planner_with_echo(loop: VirtualLoop) -> tuple[Dispatcher, Flusher, Echo]:
     """A planner whose calls are all served."""
-    planner = Dispatcher(codec.settings_from_object(drawn_settings.settings()), 1, clock=loop.unix_ms)
+    planner = Dispatcher(settings_from_object(drawn_settings.settings()), 1, clock=loop.unix_ms)
     flusher = Flusher()
     planner.flush_output = flusher.flush_all
     echo = planner.worker_transport = Echo(planner, loop)
@@ -277,7 +277,7 @@
     """What a runner's connection tells its pool's owner, kept."""
 
     def __init__(self, loop: VirtualLoop) -> None:
-        self.settings = codec.settings_from_object(drawn_settings.settings())
+        self.settings = settings_from_object(drawn_settings.settings())
         self.flusher, self.dispatcher = Flusher(), self
         self.clock = loop.unix_ms
         self.ends: list[tuple[str, str, bytes]] = []
@@ -445,7 +445,7 @@
 
     def check(self, data: bytes) -> None:
         """Whoever applies the events one after another holds the list that was told last."""
-        dice, roster = Dice(data), EndpointList(codec.settings_from_object(drawn_settings.settings()))
+        dice, roster = Dice(data), EndpointList(settings_from_object(drawn_settings.settings()))
         known: dict[int, EndpointState] = {}
         version, truth = -1, dict[str, EndpointRecord]()
         while dice.more():
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -88,8 +88,10 @@
 from cedarthread.replication import codec as register_form
 from cedarthread.replication import entry as entries
 from cedarthread.service import Service
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import settings_from_object
 from cedarthread.simulator import host as simulator_host
+from cedarthread.simulator.decoder import Decoder, InstanceKilled, InstanceStarted
+from cedarthread.simulator.encoder import encode_action, encode_failure, encode_instance, encode_reply
 from cedarthread.testing.fakes import client as client_side
 from cedarthread.testing.fakes import discovery_server as resolver_side
 from cedarthread.testing.fakes.scripted import Runner, ask, listing, service
@@ -493,7 +495,7 @@
 
     def act(self, who: int, actions: Sequence[Action]) -> None:
         for action in actions:
-            self.records.append(codec.encode_instance(who) + codec.encode_action(action))
+            self.records.append(encode_instance(who) + encode_action(action))
             if isinstance(action, SendToPeer):
                 self.told.append(action.data)
                 others = [n for n in range(len(self.all)) if n != who]
@@ -828,8 +830,8 @@
     (HealthCheckEnded, "probe ended"),
     (PeerMessageReceived, "peer message"),
     (PreloadEnded, "order ended"),
-    (codec.InstanceStarted, "start"),
-    (codec.InstanceKilled, "kill"),
+    (InstanceStarted, "start"),
+    (InstanceKilled, "kill"),
 )
 
 
@@ -852,7 +854,7 @@
 
 
 def _batch(raw: bytes) -> Json:
-    now, events = codec.Decoder().decode_batch(raw)
+    now, events = Decoder().decode_batch(raw)
     told: list[Json] = [plain(now)]
     for who, event in events:
         named: list[str] = [name for kind, name in _EVENTS if isinstance(event, kind)]
@@ -915,10 +917,10 @@
         "timer": SetTimer(8400.25, 77),
         "log": LogMessage("\u00e9 ok"),
     }
-    made = [Sample(name, codec.encode_action(one)) for name, one in actions.items()]
-    made.append(Sample("instance", codec.encode_instance(5)))
-    made.append(Sample("broken", codec.encode_failure("IndexError: x")))
-    made.append(Sample("reply", codec.encode_reply([codec.encode_instance(5), b"\x49"])))
+    made = [Sample(name, encode_action(one)) for name, one in actions.items()]
+    made.append(Sample("instance", encode_instance(5)))
+    made.append(Sample("broken", encode_failure("IndexError: x")))
+    made.append(Sample("reply", encode_reply([encode_instance(5), b"\x49"])))
     return made
 
 
@@ -1099,7 +1101,7 @@
     runner = Runner()
     await runner.start()
     known = ((1, (listing(runner, 1),)),)
-    settings: RouterSettings = codec.settings_from_object(STANDIN_SETTINGS)
+    settings: RouterSettings = settings_from_object(STANDIN_SETTINGS)
     told = Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, known, ("127.0.0.1", 0))
     for name, running in (
         ("alone", Service(told)),
@@ -1168,7 +1170,7 @@
     server = await asyncio.start_server(runner.serve, "127.0.0.1", 0)
     port: int = server.sockets[0].getsockname()[1]
     here = EndpointRecord("s-00000001", "127.0.0.1", port, "room-a", "std", 0, EndpointState.READY, 1.0, 0.0)
-    settings: RouterSettings = codec.settings_from_object(STANDIN_SETTINGS)
+    settings: RouterSettings = settings_from_object(STANDIN_SETTINGS)
     known = ((1, (here,)),)
     running = Service(
         Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, known, ("127.0.0.1", 0))
--- a/tests/integration/test_cluster.py
+++ b/tests/integration/test_cluster.py
@@ -24,7 +24,7 @@
 from cedarthread.protocols import dns
 from cedarthread.protocols.discovery import SERVICE_NAME, DiscoveryClient, endpoints_from_reply
 from cedarthread.service import Service
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.cluster import cli
 from cedarthread.testing.cluster.drills import DRILLS, drill, load_spread, mass_restart
 from cedarthread.testing.cluster.evaluation import Result, judged
@@ -228,7 +228,7 @@
     seen: list[Event] = []
 
     async def run(loop: VirtualLoop) -> None:
-        planner = Dispatcher(codec.settings_from_object(SETTINGS), 3, loop.unix_ms)
+        planner = Dispatcher(settings_from_object(SETTINGS), 3, loop.unix_ms)
         planner.node.handle = lambda now, event: seen.append(event) or []  # type: ignore[func-returns-value, method-assign]
         for token, after in ((1, 50.0), (2, 20.0), (COMPONENT_TIMER_TOKEN, 30.0)):
             planner._set_timer(SetTimer(loop.unix_ms() + after, token))
@@ -297,7 +297,7 @@
 
     async def idle(loop: VirtualLoop) -> None:
         limits = SETTINGS["limits"] | {"peers": True}
-        told = codec.settings_from_object(SETTINGS | {"balancers": 24, "limits": limits})
+        told = settings_from_object(SETTINGS | {"balancers": 24, "limits": limits})
         service = Service(Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, told, ()))
         service.dispatcher.peer_message_received(3, b"\xc2")
         service.discovery.connection_made(SimpleNamespace(sendto=lambda data: None, close=lambda: None))  # type: ignore[arg-type]
--- a/tests/integration/test_worker_connections.py
+++ b/tests/integration/test_worker_connections.py
@@ -21,7 +21,7 @@
     WorkerConnectionPool,
     WorkerConnections,
 )
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fakes.settings import SETTINGS
 from cedarthread.transport.stream import Flusher
 from tests.unit.test_parsers import reply
@@ -57,7 +57,7 @@
     """Keeps how attempts ended."""
 
     def __init__(self) -> None:
-        super().__init__(codec.settings_from_object(SETTINGS), 1)
+        super().__init__(settings_from_object(SETTINGS), 1)
         self.ends: dict[str, Outcome] = {}
         self.orders: list[PreloadEnded] = []
 
@@ -218,7 +218,7 @@
         resolver.datagram_received(reply(0x8600, serial=11), None)
         resolver.datagram_received(b"garbage", None)
         assert told == [9, 10]
-        roster = EndpointList(codec.settings_from_object(SETTINGS))
+        roster = EndpointList(settings_from_object(SETTINGS))
         entry = EndpointRecord(
             "s-00000001", "127.0.0.1", 1, "room-a", "std", 0, EndpointState.READY, 1.0, 0.0
         )
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -28,7 +28,7 @@
 from cedarthread.model.actions import Action
 from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.model.outcomes import Outcome
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fakes.settings import SETTINGS
 
 
@@ -60,7 +60,7 @@
 
 
 def make(workers: int = 2) -> tuple[Dispatcher, Ways]:
-    planner = Dispatcher(codec.settings_from_object(SETTINGS), 3)
+    planner = Dispatcher(settings_from_object(SETTINGS), 3)
     ways = planner.worker_transport = Ways(planner)
     listed = tuple(Endpoint(n, 0, 0, 0, EndpointState.READY, None, None) for n in range(1, workers + 1))
     planner.endpoints_changed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
--- a/tests/unit/test_simulator_codec.py
+++ b/tests/unit/test_simulator_codec.py
@@ -37,7 +37,9 @@
 )
 from cedarthread.model.outcomes import Outcome, StartKind
 from cedarthread.model.settings import DeduplicationScope, Idempotency
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import parse_settings
+from cedarthread.simulator.decoder import Decoder, HostEvent, InstanceKilled
+from cedarthread.simulator.encoder import encode_action, encode_reply
 from cedarthread.simulator.host import SimulatorHost, main
 
 INFO = {
@@ -79,8 +81,8 @@
     return struct.pack("<BIfdQHffdHH", 3, tid, 2.0, give_up, 77, 0, 384.0, 900.0, 12.0, 0, 1)
 
 
-def one(record: bytes) -> codec.HostEvent:
-    _, events = codec.Decoder().decode_batch(frame(at(5), record))
+def one(record: bytes) -> HostEvent:
+    _, events = Decoder().decode_batch(frame(at(5), record))
     ((who, event),) = list(events)
     assert who == 5
     return event
@@ -88,9 +90,9 @@
 
 def test_header_and_empty_batch() -> None:
     raw = bytes.fromhex("10000000" + "00000000206ec040" + "00000000")
-    now, events = codec.Decoder().decode_batch(raw)
+    now, events = Decoder().decode_batch(raw)
     assert now == 8412.25 and list(events) == []
-    assert codec.encode_reply([]) == bytes.fromhex("04000000")
+    assert encode_reply([]) == bytes.fromhex("04000000")
 
 
 def test_arrival_layout() -> None:
@@ -121,12 +123,12 @@
         (struct.pack("<BI", 7, 77), TimerFired(77)),
         (struct.pack("<BdIHB", 8, 2.5, 4, 408, 0), HealthCheckEnded(4, Outcome.TIMEOUT, 2.5, ())),
         (struct.pack("<BIH", 9, 2, 2) + b"hi", PeerMessageReceived(2, b"hi")),
-        (struct.pack("<B", 10), codec.InstanceKilled()),
+        (struct.pack("<B", 10), InstanceKilled()),
         (struct.pack("<BBIQHd", 11, 2, 4, 77, 429, 5.0), PreloadEnded(4, 77, Outcome.OVERLOADED, 2, 5.0)),
         (struct.pack("<BBQI", 2, 2, 7, 0), EndpointUpdate(EndpointUpdateKind.FAILED, 7, ())),
     ],
 )
-def test_event_layouts(raw: bytes, event: codec.HostEvent) -> None:
+def test_event_layouts(raw: bytes, event: HostEvent) -> None:
     assert one(raw) == event
 
 
@@ -151,11 +153,11 @@
     ],
 )
 def test_action_layouts(action: Action, raw: bytes) -> None:
-    assert codec.encode_action(action) == raw
+    assert encode_action(action) == raw
 
 
 def test_table_numbers_resolve_in_event_order() -> None:
-    decoder = codec.Decoder()
+    decoder = Decoder()
     _, events = decoder.decode_batch(frame(at(1), table(0, 4), update(0), table(0, 5, 6), update(0, 3)))
     lists = [e for _, e in events]
     assert [[w.worker_id for w in e.endpoints] for e in lists if isinstance(e, EndpointUpdate)] == [
@@ -165,7 +167,7 @@
 
 
 def test_settings_and_unknown_keys() -> None:
-    got = codec.parse_settings(json.dumps(INFO).encode())
+    got = parse_settings(json.dumps(INFO).encode())
     assert [c.idempotency for c in got.classes] == [Idempotency.IDEMPOTENT, Idempotency.WITH_KEY]
     assert (
         got.classes[1].deduplication_scope is DeduplicationScope.ZONE
