--- a/cedarthread/components/node.py
+++ b/cedarthread/components/node.py
@@ -100,10 +100,10 @@
             self.fleet_components = FleetComponents(
                 fleet_config, self.settings, self.seed, life, now, wall_clock_ms
             )
-            self.router.constraints = self.fleet_components.constraints
+            self.router.state.constraints = self.fleet_components.constraints
             self._update_components(self.settings)
             self._notify_peers_changed(now)
-            self.fleet_components.notify(now, self.router.endpoint_snapshot())
+            self.fleet_components.notify(now, self.router.state.workers.snapshot())
             self._on_tick(now)
         actions: list[Action] = [*self.fleet_components.apply_fleet_config(now, fleet_config)]
         if not self.is_timer_set:
@@ -132,7 +132,7 @@
             )
         self.settings = settings
         self.router.update_settings(settings)
-        self.router.live_router_count = max(1, settings.router_count)
+        self.router.state.live_router_count = max(1, settings.router_count)
         self._update_components(settings)
         if self.load_gossip is None:
             self.is_timer_set = self.is_timer_set and bool(self.components)
@@ -140,7 +140,7 @@
                 view.peers_in_flight = 0.0
             for function in self.router.functions.values():
                 function.gossiped_instances = {}
-        self.router.gossip = self.load_gossip
+        self.router.state.gossip = self.load_gossip
         self._notify_components(now, SettingsChanged(settings))
         self._notify_peers_changed(now)
 
@@ -186,7 +186,7 @@
         """Who is there: shares of the fleet's work, and whom the parts tell, go by it."""
         if self.membership is None:
             return []
-        self.router.live_router_count = self.membership.alive_count()
+        self.router.state.live_router_count = self.membership.alive_count()
         return self._notify_components(now, self.membership.peers_changed(now))
 
     def _on_membership_changes(self, now: float, membership: SwimMembership) -> list[Action]:
@@ -234,6 +234,6 @@
             self.fleet_components.on_attempt_ended(
                 now, event, function, tenant, _WAS_WARM.get(event.start_kind)
             )
-            held = self.router.reported_load(event)
+            held = self.router.feedback.reported_load(event)
             if held is not None:
                 self.fleet_components.recovery.on_load_report(*held)
--- /dev/null
+++ b/cedarthread/routing/feedback.py
@@ -0,0 +1,192 @@
+"""What the outcome of an attempt tells of its worker and its function: it feeds records and estimators.
+
+All times are ms of the clock that is handed in.
+"""
+
+from __future__ import annotations
+
+from cedarthread.model.events import AttemptEnded, PreloadEnded
+from cedarthread.model.outcomes import Outcome, StartKind
+from cedarthread.model.settings import RouterSettings
+from cedarthread.routing import outlier_detection, slow_start
+from cedarthread.routing.outlier_detection import (
+    FAILURE_GAIN,
+    MAX_EJECTED_FRACTION,
+    MAX_FAILURE_GAIN,
+    MAX_SILENT_EJECTED_FRACTION,
+    OVERDUE_MULTIPLE,
+    RECOVERY_THRESHOLD,
+)
+from cedarthread.routing.router_state import RouterState
+from cedarthread.routing.state import Attempt, PendingRequest, WorkerRecord
+from cedarthread.statistics import DecayingCounter
+
+REPORT_MEMORY_FRACTION = 0.25  # of the load memory, in which a load report fades: it changes with every call
+CONCURRENCY_WEIGHT = 0.25  # part of a request out that each request of others weighs: a worker has some cores
+REJECTION_MEMORY_MS = 3000.0  # ms in which it fades that a worker rejected a class or tenant
+REJECTION_GAIN = 0.5  # part of the way that one answer moves the rejections of a class or tenant...
+REJECTION_PENALTY = 2.0  # ...towards this, where it was a rejection, in units of placement cost; else to 0
+
+MIN_PRELOAD_BACKOFF_MS = 1.0  # ms after a preload that failed, where nothing is known of how long loads take
+PRELOAD_BACKOFF_JITTER = 0.5, 1.0  # parts of the backoff between which the delay is drawn
+
+
+class OutcomeFeedback:
+    """Learns from attempts that have ended, and ejects workers that fail."""
+
+    def __init__(self, state: RouterState) -> None:
+        self.state = state
+        self.in_flight_column = -1  # of a load report: requests in flight; -1: not reported
+        self.update_settings(state.settings)
+
+    def update_settings(self, settings: RouterSettings) -> None:
+        """What follows from the settings alone."""
+        columns = settings.load_report_columns
+        self.in_flight_column = columns.index("inflight") if "inflight" in columns else -1
+
+    def observe_health(
+        self,
+        now: float,
+        worker: WorkerRecord,
+        failure: float,
+        max_ejected_fraction: float = MAX_EJECTED_FRACTION,
+        gain: float = FAILURE_GAIN,
+    ) -> None:
+        """One observation of a worker, 0 healthy to 1 failed, that may eject it or end its ejection."""
+        workers = self.state.workers.by_id.values()
+        if outlier_detection.observe(worker, workers, failure, max_ejected_fraction, gain):
+            outlier_detection.eject(worker, now, self.state.traffic.call_rarity, self.state.rng)
+            self.state.log(now, "eject", f"worker {worker.endpoint.worker_id} set aside")
+
+    def observe_silence(self, now: float, attempt: Attempt) -> bool:
+        """Whether nothing came from the worker since the attempt began; overdue, that is a symptom."""
+        worker = self.state.workers.by_id.get(attempt.endpoint.worker_id)
+        if worker is None:
+            return True
+        is_silent = worker.last_response_at_ms < attempt.started_at_ms
+        is_overdue = now - attempt.started_at_ms >= OVERDUE_MULTIPLE * attempt.expected_ms
+        if is_silent and is_overdue and not attempt.is_overdue:
+            attempt.is_overdue = True
+            self.observe_health(now, worker, 1.0, MAX_SILENT_EJECTED_FRACTION)
+        return is_silent
+
+    def learn_worker(self, now: float, event: AttemptEnded, attempt: Attempt) -> None:
+        """What one outcome tells of its worker."""
+        worker = self.state.workers.by_id.get(event.worker_id)
+        if worker is None:
+            return
+        self._learn_load_report(now, worker, event.load_report)
+        worker.in_flight -= 1
+        slow_start.on_attempt_ended(
+            worker.slow_start_sends, attempt.started_at_ms, was_sent=not event.is_local
+        )
+        worker.has_trial_in_flight = worker.has_trial_in_flight and not attempt.is_trial
+        if event.outcome in (Outcome.OK, Outcome.OVERLOADED):
+            worker.last_response_at_ms = now
+        if now == self.state.stalled_at_ms:
+            return
+        if event.outcome is Outcome.OK:
+            self._learn_success(now, worker, event, attempt)
+        elif event.outcome is Outcome.OVERLOADED:
+            self._learn_overloaded(now, worker, attempt)
+        else:
+            self._learn_failure(now, worker, event, attempt)
+
+    def _learn_success(self, now: float, worker: WorkerRecord, event: AttemptEnded, attempt: Attempt) -> None:
+        if (rejections := worker.rejections.get(attempt.class_and_tenant)) is not None:
+            rejections.move_towards(now, REJECTION_GAIN, 0.0)
+        if not attempt.is_cold:
+            others = CONCURRENCY_WEIGHT * max(0, (event.reported_concurrency or 0) - 1)
+            excess = max(event.latency_ms / max(attempt.expected_ms, 1.0) - 1.0, others)
+            worker.excess_load.add(now, excess, self.state.traffic.load_memory_ms)
+        if attempt.is_trial:
+            worker.outlier_score = min(worker.outlier_score, RECOVERY_THRESHOLD)
+        self.observe_health(now, worker, 0.0)
+
+    def _learn_overloaded(self, now: float, worker: WorkerRecord, attempt: Attempt) -> None:
+        rejections = worker.rejections.setdefault(
+            attempt.class_and_tenant, DecayingCounter(REJECTION_MEMORY_MS)
+        )
+        rejections.move_towards(now, REJECTION_GAIN, REJECTION_PENALTY)
+        request_class = self.state.settings.classes[attempt.class_and_tenant[0]]
+        objective = max(request_class.latency_objective_ms, 1.0) / max(attempt.expected_ms, 1.0)
+        excess = max(worker.read_excess_load(now), objective)
+        worker.excess_load.add(now, excess, self.state.traffic.load_memory_ms)
+
+    def _learn_failure(self, now: float, worker: WorkerRecord, event: AttemptEnded, attempt: Attempt) -> None:
+        call_rarity = self.state.traffic.call_rarity
+        weight = outlier_detection.failure_weight(worker, now, event, attempt, call_rarity)
+        if weight is None:
+            return
+        self.observe_health(now, worker, 1.0, *weight)
+        if attempt.is_trial and worker.is_ejected:
+            outlier_detection.eject(worker, now, call_rarity, self.state.rng)
+
+    def _learn_load_report(
+        self, now: float, worker: WorkerRecord, load_report: tuple[float | None, ...]
+    ) -> None:
+        """Requests of others there: most of its load where routers are many and each sends it little."""
+        reported = self._reported_in_flight(load_report)
+        if reported is not None:
+            others = max(0.0, reported - worker.in_flight)
+            traffic = self.state.traffic
+            worker.reported_in_flight.add(now, others, REPORT_MEMORY_FRACTION * traffic.load_memory_ms)
+            traffic.on_load_report(now, others)
+
+    def _reported_in_flight(self, load_report: tuple[float | None, ...]) -> float | None:
+        if 0 <= self.in_flight_column < len(load_report):
+            return load_report[self.in_flight_column]
+        return None
+
+    def reported_load(self, event: AttemptEnded) -> tuple[float, float] | None:
+        """The calls that a worker reports in flight, and how many of them are this router's."""
+        worker = self.state.workers.by_id.get(event.worker_id)
+        reported = self._reported_in_flight(event.load_report)
+        return None if worker is None or reported is None else (reported, float(worker.in_flight))
+
+    def learn_function(
+        self, now: float, event: AttemptEnded, attempt: Attempt, pending: PendingRequest
+    ) -> None:
+        """What one outcome tells of the function: where its instances run, and how long it takes."""
+        function, worker_id = pending.function, event.worker_id
+        if event.outcome is not Outcome.OK:
+            if event.outcome is Outcome.NOT_LOADED or event.start_kind is StartKind.LOAD_FAILED:
+                function.forget_instance(worker_id)
+            return
+        function.instance_seen_at_ms[worker_id] = now
+        function.instance_queue.on_response(worker_id, event.start_kind is StartKind.COLD)
+        self._confirm_suspect_errors(now, pending)
+        if event.start_kind in (StartKind.COLD, StartKind.PENDING):
+            self.state.service_times.on_cold_response(pending, event.latency_ms)
+            return
+        self.state.service_times.on_warm_response(pending, event.latency_ms)
+        function.affinity[worker_id] = 1.0
+        function.last_sent_at_ms.setdefault(worker_id, attempt.started_at_ms)
+
+    def _confirm_suspect_errors(self, now: float, pending: PendingRequest) -> None:
+        """Another worker has served the request: the errors before were their workers', not the client's."""
+        for attempt in pending.attempts:
+            worker = self.state.workers.by_id.get(attempt.endpoint.worker_id)
+            if attempt.has_suspect_error and worker is not None:
+                self.observe_health(now, worker, 1.0, gain=MAX_FAILURE_GAIN)
+
+    def learn_preload(self, now: float, event: PreloadEnded) -> bool:
+        """How a preload ended; false for one that nothing is known of."""
+        state, worker_id = self.state, event.worker_id
+        function = state.functions.by_id.get(event.function_id)
+        if function is None or worker_id not in function.preloading_workers:
+            return False
+        state.functions.end_preload(function, worker_id)
+        cold_start_ms = state.service_times.cold_start_ms
+        if event.outcome is Outcome.OK and event.instances > 0:
+            function.affinity[worker_id] = 1.0
+            function.last_sent_at_ms[worker_id] = now
+            function.preload_backoff_ms = 0.0
+            cold_start_ms.add(event.latency_ms)
+        else:
+            shortest_ms = max(cold_start_ms.mean, MIN_PRELOAD_BACKOFF_MS)
+            backoff_ms = max(2 * function.preload_backoff_ms, shortest_ms)
+            function.preload_backoff_ms = min(backoff_ms, state.settings.keep_alive_ms)
+            jitter = state.rng.uniform(*PRELOAD_BACKOFF_JITTER)
+            function.preload_not_before_ms = now + function.preload_backoff_ms * jitter
+        return True
--- /dev/null
+++ b/cedarthread/routing/function_table.py
@@ -0,0 +1,48 @@
+"""The functions that one router was called for lately, and the preloads it has under way for them."""
+
+from __future__ import annotations
+
+from cedarthread.routing.rendezvous import hash64
+from cedarthread.routing.state import FunctionRecord
+
+
+class FunctionTable:
+    """Records by function id, the least recently called first."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[int, FunctionRecord] = {}
+        self.preloads_in_flight = 0
+
+    def on_call(self, now: float, function_id: int, concurrency: float, expiry_ms: float) -> FunctionRecord:
+        """The record of a function that is called; a new one replaces those not called for ``expiry_ms``."""
+        function = self.by_id.pop(function_id, None)
+        if function is None:
+            function = FunctionRecord(hash64(function_id))
+            self._drop_expired(now, expiry_ms)
+        self.by_id[function_id] = function
+        function.last_used_at_ms = now
+        function.concurrency = concurrency
+        return function
+
+    def _drop_expired(self, now: float, expiry_ms: float) -> None:
+        while self.by_id:
+            oldest_id = next(iter(self.by_id))
+            if now - self.by_id[oldest_id].last_used_at_ms < expiry_ms:
+                break
+            self.preloads_in_flight -= len(self.by_id.pop(oldest_id).preloading_workers)
+
+    def forget_worker(self, worker_id: int) -> None:
+        """The worker restarted or left: no instance runs there and no preload comes back from it."""
+        for function in self.by_id.values():
+            function.forget_worker(worker_id)
+            self.end_preload(function, worker_id)
+
+    def start_preload(self, function: FunctionRecord, worker_id: int) -> None:
+        """A preload of the function was sent to the worker."""
+        function.preloading_workers.add(worker_id)
+        self.preloads_in_flight += 1
+
+    def end_preload(self, function: FunctionRecord, worker_id: int) -> None:
+        """It has ended, if there was one."""
+        self.preloads_in_flight -= worker_id in function.preloading_workers
+        function.preloading_workers.discard(worker_id)
--- a/cedarthread/routing/overload.py
+++ b/cedarthread/routing/overload.py
@@ -1,8 +1,8 @@
-"""How jammed the workers are, from own calls alone, by Little's law.
+"""How overloaded the workers are, from own calls alone, by Little's law (Little, 1961).
 
-What own calls take is what is out over what is answered a ms. That tells of a jam as it grows; the times of
-answers tell of it a second late, and for a second after it. Calls that wait for a load say nothing of a jam:
-they take no core, and where workers are new all of them wait.
+What own calls take is what is in flight over what is answered a ms. That tells of an overload as it grows;
+the times of answers tell of it a second late, and for a second after it. Calls that wait for a cold start say
+nothing of an overload: they take no core, and where workers are new all of them wait.
 """
 
 from __future__ import annotations
@@ -12,26 +12,22 @@
 
 from cedarthread.statistics import DecayingCounter
 
-OVERLOAD_START, OVERLOAD_SPAN = (
-    0.25,
-    0.2,
-)  # calls' least time over the wanted one where a jam begins; on to a full one
-CHANCE_DEVIATIONS = (
-    1.0  # standard deviations by which the calls that are out may be more than usual by chance
-)
-TYPICAL_WORKER_FRACTION = (
-    0.75  # part of the workers that a jam must show at: some are slow or silent on any day
-)
+OVERLOAD_START = 0.25  # calls' least time over the latency objective where an overload begins...
+OVERLOAD_SPAN = 0.2  # ...and how much more it takes until all calls had better be shed
+CHANCE_DEVIATIONS = 1.0  # standard deviations by which calls in flight may be more than usual by chance
+TYPICAL_WORKER_FRACTION = 0.75  # of the workers must show it: some are slow or silent on any day
 RATE_WINDOW_MS = 2000.0  # ms in which calls and answers fade from their counts
+MIN_RATE_PER_MS = 1e-6  # of answers: where none came, what is in flight takes very long
 
 
 class OverloadEstimator:
-    """The calls of one router that are out and wait for no load, and their answers."""
+    """The calls of one router that are in flight and wait for no cold start, and their answers."""
 
     def __init__(self) -> None:
-        self.arrivals, self.completions = DecayingCounter(RATE_WINDOW_MS), DecayingCounter(RATE_WINDOW_MS)
-        self.first_call_at_ms = math.inf  # when the first call came
-        self.in_flight: dict[int, int] = {}  # by worker
+        self.arrivals = DecayingCounter(RATE_WINDOW_MS)
+        self.completions = DecayingCounter(RATE_WINDOW_MS)
+        self.first_call_at_ms = math.inf
+        self.in_flight: dict[int, int] = {}  # by worker id
         self.total_in_flight = 0
 
     def on_call(self, now: float) -> None:
@@ -40,7 +36,7 @@
         self.arrivals.add(now, 1.0)
 
     def on_attempt_started(self, worker_id: int) -> None:
-        """An attempt was sent that waits for no load."""
+        """An attempt was sent that waits for no cold start."""
         self.in_flight[worker_id] = self.in_flight.get(worker_id, 0) + 1
         self.total_in_flight += 1
 
@@ -54,24 +50,27 @@
             self.completions.add(now, 1.0)
 
     def queueing_ms(self, now: float, in_flight: float) -> float:
-        """The ms that so many calls out would take, less what chance may add to their number."""
-        unseen = math.exp(
-            min(0.0, self.first_call_at_ms - now) / RATE_WINDOW_MS
-        )  # before the start, all that came was answered
-        came = self.arrivals.read(now) / RATE_WINDOW_MS / max(1.0 - unseen, 1.0 / RATE_WINDOW_MS)
-        rate = self.completions.read(now) / RATE_WINDOW_MS + unseen * came
-        return max(0.0, in_flight - CHANCE_DEVIATIONS * math.sqrt(in_flight)) / max(rate, 1e-6)
+        """The ms that so many calls in flight would take, less what chance may add to their number."""
+        # Before the start, all that came counts as answered.
+        unseen_fraction = math.exp(min(0.0, self.first_call_at_ms - now) / RATE_WINDOW_MS)
+        seen_fraction = max(1.0 - unseen_fraction, 1.0 / RATE_WINDOW_MS)
+        arrivals_per_ms = self.arrivals.read(now) / RATE_WINDOW_MS / seen_fraction
+        completions_per_ms = self.completions.read(now) / RATE_WINDOW_MS + unseen_fraction * arrivals_per_ms
+        beyond_chance = max(0.0, in_flight - CHANCE_DEVIATIONS * math.sqrt(in_flight))
+        return beyond_chance / max(completions_per_ms, MIN_RATE_PER_MS)
 
     def utilization(self, now: float, objective_ms: float) -> float:
-        """What calls must wait over what begins a jam of calls that want an answer within ``aim`` ms."""
+        """What calls must wait over what begins an overload of calls with this latency objective."""
         return self.queueing_ms(now, self.total_in_flight) / (OVERLOAD_START * objective_ms)
 
     def shed_probability(self, now: float, objective_ms: float, worker_ids: Iterable[int]) -> float:
-        """0 where calls that want an answer within ``aim`` ms are in no jam, 1 where all had better be
-        refused. ``workers``: those that are not set aside; read only where there may be a jam."""
+        """0 where calls with this latency objective meet no overload, 1 and up where all had better be shed.
+
+        ``worker_ids``: workers that are not ejected; read only where there may be an overload."""
         if self.queueing_ms(now, self.total_in_flight) <= OVERLOAD_START * objective_ms:
             return 0.0
-        held = sorted(self.in_flight.get(worker, 0) for worker in worker_ids)
-        usual = held[: math.ceil(TYPICAL_WORKER_FRACTION * len(held))]
-        out = sum(usual) * len(held) / max(1, len(usual))
-        return max(0.0, (self.queueing_ms(now, out) / objective_ms - OVERLOAD_START) / OVERLOAD_SPAN)
+        in_flight = sorted(self.in_flight.get(worker_id, 0) for worker_id in worker_ids)
+        typical = in_flight[: math.ceil(TYPICAL_WORKER_FRACTION * len(in_flight))]
+        typical_total = sum(typical) * len(in_flight) / max(1, len(typical))
+        queueing_ms = self.queueing_ms(now, typical_total)
+        return max(0.0, (queueing_ms / objective_ms - OVERLOAD_START) / OVERLOAD_SPAN)
--- a/cedarthread/routing/preload_budget.py
+++ b/cedarthread/routing/preload_budget.py
@@ -1,4 +1,7 @@
-"""How many loads one router may order: its part of what the fleet may load at once, and rule 5's ration."""
+"""How many preloads one router may request: its part of what the fleet may load at once, and rule 5's ration.
+
+Pure; all times are ms of the clock that is handed in.
+"""
 
 from __future__ import annotations
 
@@ -6,13 +9,13 @@
 
 from cedarthread.model.settings import RuleParameters
 
-PRELOADS_PER_WORKER = 0.5  # loads under way at most by all gateways, for each worker there is
+PRELOADS_PER_WORKER = 0.5  # preloads in flight at most by all routers, for each worker there is
 
 
-def record_request(rules: RuleParameters, times: deque[float], now: float) -> None:
-    """A request came: it earns orders while the window of rule 5 lasts."""
-    times.append(now)
-    _drop_expired(rules, times, now)
+def record_request(rules: RuleParameters, request_times: deque[float], now: float) -> None:
+    """A request came: it earns preloads while the window of rule 5 lasts."""
+    request_times.append(now)
+    _drop_expired(rules, request_times, now)
 
 
 def may_preload(
@@ -23,10 +26,10 @@
     preload_times: deque[float],
     request_times: deque[float],
 ) -> bool:
-    """Whether one more load may be ordered now.
+    """Whether one more preload may be requested now.
 
-    ``out``: own loads under way; ``workers``: workers for each gateway; then when loads were ordered, and
-    requests taken, which are dropped here as they leave the window."""
+    ``in_flight``: own preloads under way. From ``preload_times``, when preloads were requested, and
+    ``request_times``, when requests came, what has left the window is dropped here."""
     if in_flight >= max(1.0, PRELOADS_PER_WORKER * workers_per_router):
         return False
     if rules.preload_window_ms <= 0:
--- a/cedarthread/routing/rendezvous.py
+++ b/cedarthread/routing/rendezvous.py
@@ -3,20 +3,39 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cedarthread.routing.state import WorkerRecord
 
 _MASK = 2**64 - 1
+_GOLDEN_GAMMA = 0x9E3779B97F4A7C15  # with the two multipliers: the constants of SplitMix64
+_MULTIPLIER_1, _MULTIPLIER_2 = 0xBF58476D1CE4E5B9, 0x94D049BB133111EB
+_FLOAT_BITS = 53  # of a double's mantissa: the hash's upper ones make a number above 0, up to 1
 
 
-def hash64(x: int) -> int:
-    """A fixed 64-bit hash, the same at every router."""
-    x = ((x + 0x9E3779B97F4A7C15) * 0xBF58476D1CE4E5B9) & _MASK
-    x = ((x ^ (x >> 27)) * 0x94D049BB133111EB) & _MASK
-    return x ^ (x >> 31)
+def hash64(value: int) -> int:
+    """A fixed 64-bit hash, the same at every router, after SplitMix64 (Steele, Lea and Flood, 2014)."""
+    mixed = ((value + _GOLDEN_GAMMA) * _MULTIPLIER_1) & _MASK
+    mixed = ((mixed ^ (mixed >> 27)) * _MULTIPLIER_2) & _MASK
+    return mixed ^ (mixed >> 31)
 
 
 def rendezvous_score(function_hash: int, worker_hash: int, weight: float) -> float:
-    """Where a worker stands in a function's order, least first, by the hashes of both; twice the size, twice
-    as often the first."""
-    x = ((function_hash ^ worker_hash) * 0x94D049BB133111EB) & _MASK
-    x = ((x ^ (x >> 29)) * 0xBF58476D1CE4E5B9) & _MASK
-    return -math.log(((x >> 11) + 1) / 2**53) / weight
+    """Where a worker stands in a function's order, least first: twice the weight, twice as often first."""
+    mixed = ((function_hash ^ worker_hash) * _MULTIPLIER_2) & _MASK
+    mixed = ((mixed ^ (mixed >> 29)) * _MULTIPLIER_1) & _MASK
+    return -math.log(((mixed >> (64 - _FLOAT_BITS)) + 1) / 2**_FLOAT_BITS) / weight
+
+
+def placement_order(
+    function_hash: int, workers: Iterable[WorkerRecord], is_weighted: bool
+) -> list[WorkerRecord]:
+    """All workers in the function's order. ``is_weighted``: by the weights that the endpoint list gives."""
+
+    def score(worker: WorkerRecord) -> float:
+        weight = worker.endpoint.weight if is_weighted and worker.endpoint.weight else 1.0
+        return rendezvous_score(function_hash, worker.hash, weight)
+
+    return sorted(workers, key=score)
--- /dev/null
+++ b/cedarthread/routing/router_state.py
@@ -0,0 +1,106 @@
+"""The state of one router, shared by its policies: each table and estimator is a class of its own.
+
+Policies (``selection``, ``admission``, ``retries``, ``preloading``) read it, and write it by the methods of
+the tables. The components beside the router set ``gossip``, ``constraints`` and ``live_router_count``.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cedarthread.gossip.load_gossip import LoadGossip
+from cedarthread.model.actions import Action
+from cedarthread.model.events import RequestArrived
+from cedarthread.model.settings import RouterSettings
+from cedarthread.routing.discovery_polling import DiscoveryPolling
+from cedarthread.routing.estimators import ServiceTimeEstimator, TrafficEstimator
+from cedarthread.routing.function_table import FunctionTable
+from cedarthread.routing.log_throttle import LogThrottle
+from cedarthread.routing.overload import OverloadEstimator
+from cedarthread.routing.request_table import RequestTable
+from cedarthread.routing.retry_budget import RetryBudget
+from cedarthread.routing.state import PendingRequest
+from cedarthread.routing.timers import TimerSchedule
+from cedarthread.routing.worker_table import WorkerTable
+from cedarthread.routing.zone_reachability import ZoneReachability
+
+if TYPE_CHECKING:
+    from cedarthread.components.constraints import RoutingConstraints
+
+
+@dataclass(slots=True)
+class RouterState:
+    """Everything that one router knows. ``stalled_at_ms``: when its timer last came too late to judge by."""
+
+    settings: RouterSettings
+    rng: random.Random
+    workers: WorkerTable
+    service_times: ServiceTimeEstimator
+    traffic: TrafficEstimator
+    overload: OverloadEstimator
+    zones: ZoneReachability
+    live_router_count: int  # routers of the fleet that are alive, as far as that is known
+    functions: FunctionTable = field(default_factory=FunctionTable)
+    requests: RequestTable = field(default_factory=RequestTable)
+    timers: TimerSchedule = field(default_factory=TimerSchedule)
+    polling: DiscoveryPolling = field(default_factory=DiscoveryPolling)
+    retry_budget: RetryBudget = field(default_factory=RetryBudget)
+    logs: LogThrottle = field(default_factory=LogThrottle)
+    preload_times: deque[float] = field(default_factory=deque)  # of preloads, in the window of rule 5
+    request_times: deque[float] = field(default_factory=deque)  # of requests, in the same window
+    gossip: LoadGossip | None = None
+    constraints: RoutingConstraints | None = None  # of contracts, change freezes and restarts of the fleet
+    stalled_at_ms: float = -math.inf
+    actions: list[Action] = field(default_factory=list)  # of the event that is being handled
+
+    @staticmethod
+    def create(settings: RouterSettings, seed: int) -> RouterState:
+        """The state of a router that has just started."""
+        rng = random.Random(seed)
+        zones = ZoneReachability(settings.zone)
+        return RouterState(
+            settings=settings,
+            rng=rng,
+            workers=WorkerTable(settings, zones, rng),
+            service_times=ServiceTimeEstimator(settings),
+            traffic=TrafficEstimator(settings),
+            overload=OverloadEstimator(),
+            zones=zones,
+            live_router_count=max(1, settings.router_count),
+        )
+
+    def update_settings(self, settings: RouterSettings) -> None:
+        """New settings, whose classes only add to the old ones."""
+        self.settings = settings
+        self.workers.update_settings(settings)
+        self.service_times.update_settings(settings)
+        self.traffic.update_settings(settings)
+
+    def record_request(self, now: float, request: RequestArrived) -> PendingRequest:
+        """A request came: it is pending, its function known, and the rates count it."""
+        settings = self.settings
+        expiry_ms = 2 * max(settings.keep_alive_ms, self.traffic.popularity.window_ms)
+        concurrency = max(request.concurrency or 1.0, 1.0)
+        function = self.functions.on_call(now, request.function_id, concurrency, expiry_ms)
+        self.traffic.on_call(now, function, len(self.workers.by_id))
+        self.overload.on_call(now)
+        class_and_tenant = (request.class_index, request.tenant_index)
+        request_class = settings.classes[request.class_index]
+        pending = PendingRequest(request, request_class, function, class_and_tenant, now)
+        self.requests.pending[request.request_id] = pending
+        return pending
+
+    def log(self, now: float, kind: str, text: str) -> None:
+        """A log line, unless one of its kind came a short time ago."""
+        if (line := self.logs.line(now, kind, text)) is not None:
+            self.actions.append(line)
+
+    def forget_instances(self, worker_id: int) -> None:
+        """The worker restarted or left: no instance of any function runs there."""
+        if self.gossip is not None:
+            self.gossip.forget_worker(worker_id)
+        self.functions.forget_worker(worker_id)
--- a/cedarthread/routing/state.py
+++ b/cedarthread/routing/state.py
@@ -1,20 +1,23 @@
-"""What a router keeps of workers, functions and requests: plain records, with no decision in them.
+"""Records of one router: workers, functions, pending requests and their attempts. None of them decides.
 
-All times are ms of the clock that is handed in."""
+All times are ms of the clock that is handed in.
+"""
 
 from __future__ import annotations
 
 import math
 from collections import deque
+from collections.abc import Container
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from cedarthread.gossip.load_gossip import InstanceLoad
 from cedarthread.model.endpoints import Endpoint
 from cedarthread.model.events import RequestArrived
-from cedarthread.model.settings import RequestClass
+from cedarthread.model.settings import RequestClass, RuleParameters
+from cedarthread.routing import slow_start
 from cedarthread.routing.instance_queue import InstanceQueue
-from cedarthread.routing.popularity import MIN_WINDOW_MS as POPULAR
+from cedarthread.routing.popularity import MIN_WINDOW_MS
 from cedarthread.statistics import DecayingCounter, DecayingMean, Ewma
 
 if TYPE_CHECKING:
@@ -22,20 +25,23 @@
 
 MIN_LOAD_MEMORY_MS = 4000.0  # ms in which what answers show of a worker fades, at least
 EXCESS_LOAD_PRIOR_COUNT = 0.5  # answers' worth of doubt: one answer alone counts for two thirds
-BASE_EJECTION_MS = 1500.0  # ms until the half-open trial
+BASE_EJECTION_MS = 1500.0  # ms until the first half-open trial of an ejected worker
+MIN_AFFINITY = 0.01  # affinity under this is forgotten
+
+ClassAndTenant = tuple[int, int | None]  # indexes in the settings; None: of no tenant
 
 
 @dataclass(slots=True)
 class Attempt:
-    """One send of a request, and what was expected of it."""
+    """One attempt of a request, and what was expected of it."""
 
     endpoint: Endpoint
     started_at_ms: float
     expected_ms: float
-    class_and_tenant: tuple[int, int | None]
-    is_cold: bool
-    is_trial: bool
-    is_function_known: bool  # its function has been answered before
+    class_and_tenant: ClassAndTenant
+    is_cold: bool  # no instance was known at the worker
+    is_trial: bool  # half-open: the worker was ejected
+    is_function_known: bool  # the function has been answered before
     is_in_flight: bool = True
     may_have_executed: bool = True
     is_overdue: bool = False
@@ -45,64 +51,106 @@
 
 @dataclass(slots=True)
 class WorkerRecord:
-    """What own calls and the list show of a worker."""
+    """What own calls and the endpoint list show of a worker."""
 
     endpoint: Endpoint
     hash: int
-    jitter: float  # this gateway's place among those that may use a small part of a cold worker's budget
+    jitter: float  # this router's place, 0 to 1, among those that may use a small part of a cold worker
     in_flight: int = 0
-    peers_in_flight: float = 0.0  # calls of other routers that are out there, as they tell
-    slow_start_sends: deque[tuple[float, float]] = field(default_factory=deque)
-    outlier_score: float = 0.0
+    peers_in_flight: float = 0.0  # attempts of other routers in flight there, by gossip
+    slow_start_sends: deque[tuple[float, float]] = field(default_factory=deque)  # time and work, ms
+    outlier_score: float = 0.0  # 0 healthy to 1 failed
     is_ejected: bool = False
-    ejected_until_ms: float = 0.0
-    ejection_ms: float = BASE_EJECTION_MS
+    ejected_until_ms: float = 0.0  # when a half-open trial may go there
+    ejection_ms: float = BASE_EJECTION_MS  # how long the next ejection lasts
     has_trial_in_flight: bool = False
     last_response_at_ms: float = -math.inf
     unreachable_at_ms: float = -math.inf  # when it was last found down: it may start anew untold
-    connection_broken_at_ms: float = (
-        -math.inf
-    )  # the last broken connection: what broke with it is one symptom
+    connection_broken_at_ms: float = -math.inf  # what broke with one connection is one symptom
     excess_load: DecayingMean = field(
         default_factory=lambda: DecayingMean.with_time_constant(MIN_LOAD_MEMORY_MS)
     )
-    reported_in_flight: DecayingMean = field(
+    reported_in_flight: DecayingMean = field(  # of others, by its load reports
         default_factory=lambda: DecayingMean.with_time_constant(MIN_LOAD_MEMORY_MS)
-    )  # requests of others, by its reports
-    rejections: dict[tuple[int, int | None], DecayingCounter] = field(default_factory=dict)
+    )
+    rejections: dict[ClassAndTenant, DecayingCounter] = field(default_factory=dict)
 
     def read_excess_load(self, now: float) -> float:
-        """Requests out there beyond what its answers should have taken: a mean that fades by time."""
+        """Requests in flight there beyond what its answers should have taken: a mean that fades by time."""
         return self.excess_load.read(now, EXCESS_LOAD_PRIOR_COUNT)
 
+    def available_capacity(self, now: float, rules: RuleParameters) -> float:
+        """The part of its capacity that it has at least, by its told start or what looked like one."""
+        started_at_ms = max(self.endpoint.started_at_ms or -math.inf, self.unreachable_at_ms)
+        return slow_start.available_capacity(rules, now - started_at_ms)
+
 
 @dataclass(slots=True)
 class FunctionRecord:
-    """What own calls and other routers show of a function."""
+    """What own calls and other routers show of a function; dicts are by worker id."""
 
     hash: int
-    concurrency: float = 1.0
+    concurrency: float = 1.0  # requests that one instance takes at a time
     last_used_at_ms: float = 0.0
-    recent_calls: DecayingCounter = field(default_factory=lambda: DecayingCounter(POPULAR))
-    affinity: dict[int, float] = field(default_factory=dict)
+    recent_calls: DecayingCounter = field(default_factory=lambda: DecayingCounter(MIN_WINDOW_MS))
+    affinity: dict[int, float] = field(default_factory=dict)  # 0 cold to 1 warm
     last_sent_at_ms: dict[int, float] = field(default_factory=dict)
-    instance_seen_at_ms: dict[int, float] = field(default_factory=dict)
+    instance_seen_at_ms: dict[int, float] = field(default_factory=dict)  # by own calls' answers
     service_ms: Ewma = field(default_factory=Ewma)
     placement_order: list[WorkerRecord] = field(default_factory=list)  # all workers, homes first
-    placement_epoch: int = -1
-    gossiped_instances: dict[int, InstanceLoad] = field(
-        default_factory=dict
-    )  # what stands where, as other routers told
+    placement_epoch: int = -1  # of the worker table when they were ordered
+    gossiped_instances: dict[int, InstanceLoad] = field(default_factory=dict)
     instance_queue: InstanceQueue = field(default_factory=InstanceQueue)
     preloading_workers: set[int] = field(default_factory=set)
     preload_not_before_ms: float = 0.0
     preload_backoff_ms: float = 0.0
 
-    def forget_worker(self, worker: int) -> None:
-        """No copy stands there any more, as far as is known."""
-        for kept in (self.affinity, self.last_sent_at_ms, self.instance_seen_at_ms):
-            kept.pop(worker, None)
-        self.instance_queue.instances.pop(worker, None)
+    def forget_worker(self, worker_id: int) -> None:
+        """No instance runs there any more, as far as is known."""
+        self.forget_instance(worker_id)
+        self.last_sent_at_ms.pop(worker_id, None)
+
+    def forget_instance(self, worker_id: int) -> None:
+        """An answer showed that no instance runs there."""
+        self.affinity.pop(worker_id, None)
+        self.instance_seen_at_ms.pop(worker_id, None)
+        self.instance_queue.instances.pop(worker_id, None)
+
+    def read_affinity(self, now: float, worker_id: int, keep_alive_ms: float) -> float:
+        """The affinity to a worker; it is dropped once its instance must have been unloaded."""
+        affinity = self.affinity.get(worker_id, 0.0)
+        if affinity and (affinity < MIN_AFFINITY or now - self.last_sent_at_ms[worker_id] > keep_alive_ms):
+            del self.affinity[worker_id], self.last_sent_at_ms[worker_id]
+            return 0.0
+        return affinity
+
+    def on_sent(self, now: float, worker_id: int, gain: float) -> None:
+        """An attempt goes to the worker: affinity moves there, away from all others."""
+        self.affinity = {other: (1.0 - gain) * affinity for other, affinity in self.affinity.items()}
+        self.affinity[worker_id] = self.affinity.get(worker_id, 0.0) + gain
+        self.last_sent_at_ms[worker_id] = now
+
+    def on_gossip(
+        self, now: float, instances: dict[int, InstanceLoad], workers: Container[int], affinity: float
+    ) -> None:
+        """Others told of instances: where one ran after the last own attempt, affinity is at least so."""
+        self.gossiped_instances = instances
+        for worker_id, instance in instances.items():
+            warm_at_ms = -math.inf if instance.warm_age_ms is None else now - instance.warm_age_ms
+            if worker_id in workers and warm_at_ms > self.last_sent_at_ms.get(worker_id, -math.inf):
+                self.affinity[worker_id] = max(self.affinity.get(worker_id, 0.0), affinity)
+                self.last_sent_at_ms[worker_id] = warm_at_ms
+
+    def has_seen_instance(self, now: float, worker_id: int, keep_alive_ms: float) -> bool:
+        """Is an instance known to run there by own calls?"""
+        return now - self.instance_seen_at_ms.get(worker_id, -math.inf) <= keep_alive_ms
+
+    def has_instance(self, now: float, worker_id: int, keep_alive_ms: float) -> bool:
+        """Is an instance known to run there: by own calls, or told by other routers?"""
+        gossiped = self.gossiped_instances.get(worker_id)
+        return self.has_seen_instance(now, worker_id, keep_alive_ms) or (
+            gossiped is not None and gossiped.warm_age_ms is not None
+        )
 
 
 @dataclass(slots=True)
@@ -112,11 +160,11 @@
     request: RequestArrived
     request_class: RequestClass
     function: FunctionRecord
-    class_and_tenant: tuple[int, int | None]  # class and tenant
+    class_and_tenant: ClassAndTenant
     arrived_at_ms: float
     attempts: list[Attempt] = field(default_factory=list)
     is_streaming: bool = False
-    last_cancelled_attempt: int = -1
+    last_cancelled_attempt: int = -1  # index; the last one that another was to take the place of
     next_attempt_cost: float = 0.0  # retry budget spent on the next attempt
     call_priority: CallPriority | None = None  # by its tenant's contract
     preemption_reason: str = ""  # why it gave way to another, for its client
@@ -124,3 +172,7 @@
     def possibly_executed(self) -> list[Attempt]:
         """The attempts that may have taken effect."""
         return [a for a in self.attempts if a.is_in_flight or a.may_have_executed]
+
+    def has_attempt_in_flight(self) -> bool:
+        """Whether the outcome of an attempt is still to come."""
+        return any(attempt.is_in_flight for attempt in self.attempts)
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -166,7 +166,7 @@
             "upstream_tries": tries,
             "in_progress": len(self.dispatcher.pending_calls),
             "known_runners": len(self.endpoint_list.records),
-            "skipped_runners": self.dispatcher.router.skipped_worker_count(),
+            "skipped_runners": self.dispatcher.router.state.workers.skipped_count(),
             "loads": self.reloads,
             "load_errors": self.reload_errors,
         }
--- a/cedarthread/statistics.py
+++ b/cedarthread/statistics.py
@@ -1,16 +1,20 @@
-"""Quantities that fade by time, for the decisions: pure, with the time passed in."""
+"""Quantities that fade by time: averages, counters, maxima, and a token bucket.
+
+Pure, with the time passed in: ms of any clock that does not go back. A time constant is the ms in which a
+value fades to 1/e.
+"""
 
 from __future__ import annotations
 
 import math
 from dataclasses import dataclass
 
-EWMA_GAIN = 0.1  # of an EWMA: about the last ten values
+EWMA_GAIN = 0.1  # weight of a new value: the mean is of about the last ten
 
 
 @dataclass(slots=True)
 class Ewma:
-    """An EWMA; the first values count in full."""
+    """An exponentially weighted moving average, by count of values; the first ones weigh alike."""
 
     mean: float = 0.0
     count: int = 0
@@ -31,18 +35,18 @@
 
     def read(self, now: float) -> float:
         """The value now."""
-        return (
-            self.value * math.exp((self.updated_at_ms - now) / self.time_constant_ms) if self.value else 0.0
-        )
+        if not self.value:
+            return 0.0
+        return self.value * math.exp((self.updated_at_ms - now) / self.time_constant_ms)
 
     def add(self, now: float, amount: float) -> None:
         """An event of so much."""
         self.value, self.updated_at_ms = self.read(now) + amount, now
 
     def move_towards(self, now: float, gain: float, target: float) -> None:
-        """Draw the value towards another by a part of the way."""
-        old = self.read(now)
-        self.value, self.updated_at_ms = old + gain * (target - old), now
+        """Move the value by this part (0 to 1) of the way to another."""
+        before = self.read(now)
+        self.value, self.updated_at_ms = before + gain * (target - before), now
 
 
 @dataclass(slots=True)
@@ -55,19 +59,19 @@
 
     def read(self, now: float) -> float:
         """The highest, faded since the quantity fell from it."""
-        return (
-            self.value * math.exp((self.updated_at_ms - now) / self.time_constant_ms) if self.value else 0.0
-        )
+        if not self.value:
+            return 0.0
+        return self.value * math.exp((self.updated_at_ms - now) / self.time_constant_ms)
 
     def on_change(self, now: float, value: float, new_value: float) -> None:
-        """The quantity was at this value until now, and has gone to another: only a fall is kept."""
+        """The quantity was at ``value`` until now, and is at another: only a fall is remembered."""
         if new_value < value and value > self.read(now):
             self.value, self.updated_at_ms = value, now
 
 
 @dataclass(slots=True)
 class DecayingMean:
-    """A mean of values that fade by time, drawn to a prior by its doubt."""
+    """A mean of values that fade by time, drawn to a prior by its weight."""
 
     total: DecayingCounter
     count: DecayingCounter
@@ -78,11 +82,11 @@
         return DecayingMean(DecayingCounter(time_constant_ms), DecayingCounter(time_constant_ms))
 
     def read(self, now: float, prior_count: float, prior: float = 0.0) -> float:
-        """The mean now; with few values, near the prior."""
+        """The mean now; with few values, near the prior, which weighs as much as ``prior_count`` values."""
         return (self.total.read(now) + prior_count * prior) / (self.count.read(now) + prior_count)
 
     def add(self, now: float, value: float, time_constant_ms: float) -> None:
-        """One value, from now on fading with this time constant."""
+        """One value; from now on all of them fade with this time constant."""
         self.total.add(now, value)
         self.count.add(now, 1.0)
         self.total.time_constant_ms = self.count.time_constant_ms = time_constant_ms
@@ -90,7 +94,7 @@
 
 @dataclass(slots=True)
 class TokenBucket:
-    """Tokens that come at a rate a second, and are saved up to a bound."""
+    """Tokens that come at a rate, and are saved up to a capacity."""
 
     rate_per_second: float
     capacity: float
@@ -98,15 +102,14 @@
     updated_at_ms: float
 
     def refill(self, now: float) -> float:
-        """What is there now."""
-        self.tokens = min(
-            self.capacity, self.tokens + self.rate_per_second * max(0.0, now - self.updated_at_ms) / 1000.0
-        )
+        """The tokens there are now."""
+        earned = self.rate_per_second * max(0.0, now - self.updated_at_ms) / 1000.0
+        self.tokens = min(self.capacity, self.tokens + earned)
         self.updated_at_ms = max(self.updated_at_ms, now)
         return self.tokens
 
     def take(self, now: float, amount: float = 1.0) -> bool:
-        """Take so much, or nothing where there is less."""
+        """Take so many, or none where there are less."""
         if self.refill(now) < amount:
             return False
         self.tokens -= amount
--- a/cedarthread/testing/cluster/injected_defects.py
+++ b/cedarthread/testing/cluster/injected_defects.py
@@ -42,16 +42,16 @@
 
 def eager() -> None:
     """All move at once at each report."""
-    from cedarthread.routing import router
+    from cedarthread.routing import estimators
 
-    router.REPORTED_LOAD_WEIGHT = 2.0
+    estimators.REPORTED_LOAD_WEIGHT = 2.0
 
 
 def twice() -> None:
     """What may have run is sent again, whatever its class."""
-    from cedarthread.routing import router
+    from cedarthread.routing import retries
 
-    router.Router._may_retry = lambda self, job: True  # type: ignore[method-assign]
+    retries.RetryPolicy.may_attempt = lambda self, now, pending: True  # type: ignore[method-assign]
 
 
 def bypassed() -> None:
@@ -118,10 +118,10 @@
 
     members = router.Router._on_endpoint_update
 
-    def keeps(self: router.Router, event: EndpointUpdate) -> None:
-        told = {entry.worker_id for entry in event.endpoints}
+    def keeps(self: router.Router, now: float, update: EndpointUpdate) -> None:
+        told = {entry.worker_id for entry in update.endpoints}
         kept = [view.endpoint for worker, view in self.workers.items() if worker not in told]
-        members(self, replace(event, endpoints=(*event.endpoints, *kept)))
+        members(self, now, replace(update, endpoints=(*update.endpoints, *kept)))
 
     router.Router._on_endpoint_update = keeps  # type: ignore[method-assign]
 
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -33,7 +33,9 @@
     spiffe,
     workers,
 )
-from cedarthread.routing.router import Router
+from cedarthread.routing.preloading import PreloadPolicy
+from cedarthread.routing.retries import RetryPolicy
+from cedarthread.routing.selection import WorkerSelector
 from cedarthread.routing.state import PendingRequest, WorkerRecord
 from cedarthread.simulator import codec
 from cedarthread.testing.fuzzing import targets
@@ -69,7 +71,7 @@
 _answer = platform.PlatformConnection._send_answer
 _release = dispatcher.Dispatcher._release
 _send = dispatcher.Dispatcher._start_attempt
-_may_order = Router._may_preload
+_may_preload = PreloadPolicy.may_preload
 _length = http._parse_content_length
 _read_ending = workers.parse_call_response
 
@@ -108,30 +110,31 @@
     return data[at : at + count]
 
 
-def _any_state(self: Router, request: PendingRequest, worker: WorkerRecord) -> bool:
+def _any_state(self: WorkerSelector, request: PendingRequest, worker: WorkerRecord) -> bool:
     return True
 
 
-def _one_more_order(self: Router) -> bool:
-    self.preload_times.append(self.now_ms) if not self.preload_times else None
-    free = self.settings.rules
-    with mock.patch.object(self, "settings", _with_ration(self.settings, free.preload_allowance * 4 + 4)):
-        return _may_order(self)
+def _one_more_order(self: PreloadPolicy, now: float) -> bool:
+    state = self.state
+    state.preload_times.append(now) if not state.preload_times else None
+    free = state.settings.rules
+    with mock.patch.object(state, "settings", _with_ration(state.settings, free.preload_allowance * 4 + 4)):
+        return _may_preload(self, now)
 
 
 def _with_ration(settings: RouterSettings, free: float) -> RouterSettings:
     return replace(settings, rules=replace(settings.rules, preload_allowance=free))
 
 
-def _group_forgotten(self: Router, request: PendingRequest, worker: WorkerRecord) -> bool:
+def _group_forgotten(self: WorkerSelector, request: PendingRequest, worker: WorkerRecord) -> bool:
     return worker.endpoint.state is EndpointState.READY
 
 
-def _always(self: Router, request: PendingRequest) -> bool:
+def _always(self: RetryPolicy, now: float, request: PendingRequest) -> bool:
     return True
 
 
-def _window_forgotten(self: Router, request: PendingRequest) -> bool:
+def _window_forgotten(self: RetryPolicy, now: float, request: PendingRequest) -> bool:
     return (
         not request.possibly_executed() or request.request_class.idempotency is not Idempotency.NOT_IDEMPOTENT
     )
@@ -249,11 +252,11 @@
     Defect("body-bytes-kept", "calls", 20, (_dispatch("_release", _bytes_kept),)),
     Defect("names-kept", "calls", 20, (_dispatch("_release", _no_names),)),
     Defect("timer-leak", "calls", 20, (_dispatch("_set_wakeup", _timer_breeds),)),
-    Defect("unsafe-sent-again", "calls", 300, ((Router, "_may_retry", _always),)),
-    Defect("window-forgotten", "calls", 3000, ((Router, "_may_retry", _window_forgotten),)),
-    Defect("group-forgotten", "calls", 2000, ((Router, "_is_eligible", _group_forgotten),)),
-    Defect("drain-ignored", "calls", 400, ((Router, "_is_eligible", _any_state),)),
-    Defect("order-budget-off", "calls", 1000, ((Router, "_may_preload", _one_more_order),)),
+    Defect("unsafe-sent-again", "calls", 300, ((RetryPolicy, "may_attempt", _always),)),
+    Defect("window-forgotten", "calls", 3000, ((RetryPolicy, "may_attempt", _window_forgotten),)),
+    Defect("group-forgotten", "calls", 2000, ((WorkerSelector, "is_eligible", _group_forgotten),)),
+    Defect("drain-ignored", "calls", 400, ((WorkerSelector, "is_eligible", _any_state),)),
+    Defect("order-budget-off", "calls", 1000, ((PreloadPolicy, "may_preload", _one_more_order),)),
     Defect(
         "answers-swallowed", "calls", 400, ((platform.PlatformConnection, "fail_calls_and_close", _swallow),)
     ),
--- a/cedarthread/testing/fuzzing/model_checking.py
+++ b/cedarthread/testing/fuzzing/model_checking.py
@@ -250,7 +250,8 @@
             ),
             (
                 "loads in the decisions",
-                abs(router.preloads_in_flight) + sum(abs(v.in_flight) for v in router.workers.values()),
+                abs(router.state.functions.preloads_in_flight)
+                + sum(abs(v.in_flight) for v in router.workers.values()),
             ),
         ):
             self.ledger.rest(now, what, figure)
@@ -259,7 +260,7 @@
         """The state: planner, decisions, what is out and what may still happen."""
         ways = self.ways
         parts = (
-            self.planner.router,
+            self.planner.router.state,
             self.planner.pending_calls,
             sorted(self.left),
             sorted(ways.dead),
@@ -274,12 +275,11 @@
 
 
 _SKIP = {
-    "timer_token",
-    "timer_serial",
-    "handlers",
+    "token",
+    "serial",
     "actions",
     "settings",
-    "logged_at_ms",
+    "logs",
     "call",
     "on_result",
     "in_flight",
--- a/tests/integration/test_endings.py
+++ b/tests/integration/test_endings.py
@@ -79,12 +79,13 @@
         "open": router.pending_requests,
         "held": router.queued_requests,
         "late": router.orphaned_attempts,
-        "reach": router.zone_reachability.in_flight,
+        "reach": router.state.zones.in_flight,
         "pending": [
             v.endpoint.worker_id for v in router.workers.values() if v.in_flight or v.has_trial_in_flight
         ],
-        "jam": router.overload.total_in_flight,
-        "loads": router.preloads_in_flight or [f for f in router.functions.values() if f.preloading_workers],
+        "jam": router.state.overload.total_in_flight,
+        "loads": router.state.functions.preloads_in_flight
+        or [f for f in router.functions.values() if f.preloading_workers],
         "carrying": runners._connection_by_attempt,
         "streams": [name for c in mine for name in c.in_flight],
         "lines": [line for c in mine for line in (*c.queued_lines, *c.buffered_lines)],
--- a/tests/integration/test_endings_accounting.py
+++ b/tests/integration/test_endings_accounting.py
@@ -219,15 +219,17 @@
             caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
             await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
             router, full = running.dispatcher.router, runners[0] if runners[0].calls else runners[1]
-            before, slow = router.retry_budget, Held(monkeypatch)
+            before, slow = router.state.retry_budget.tokens, Held(monkeypatch)
             slow.ports.update(one.port for one in runners if one is not full)
             full.answer(full.calls[0], says("SHED")(full, {}) or {})
             await until(lambda: slow.waiting, "the move waits for its connection")
-            assert router.retry_budget == before - 1.0
+            assert router.state.retry_budget.tokens == before - 1.0
             caller.writer.write(INTERRUPT + b"\x01")
             await fence(caller, 9)
             await until(lambda: not router.orphaned_attempts, "its end")
-            assert router.retry_budget == before and len(runners[0].calls + runners[1].calls) == 1
+            assert (
+                router.state.retry_budget.tokens == before and len(runners[0].calls + runners[1].calls) == 1
+            )
             slow.waiting[0].set()
 
     asyncio.run(test())
--- a/tests/simulation/test_fleet_components.py
+++ b/tests/simulation/test_fleet_components.py
@@ -175,9 +175,9 @@
     fleet.run(35_000.0)
     one = fleet.routers[1]
     one.update_settings(dataclasses.replace(fleet.told[1], keep_alive_ms=99_000.0), fleet.now)
-    assert one.router.settings.keep_alive_ms == fleet.told[1].keep_alive_ms
+    assert one.router.state.settings.keep_alive_ms == fleet.told[1].keep_alive_ms
     fleet.run(40_000.0)
-    assert one.router.settings.keep_alive_ms == 99_000.0
+    assert one.router.state.settings.keep_alive_ms == 99_000.0
 
 
 def test_where_routers_may_not_talk_each_acts_by_its_own_file_and_tells_nothing() -> None:
--- a/tests/simulation/test_membership.py
+++ b/tests/simulation/test_membership.py
@@ -293,9 +293,9 @@
         if (who := number % count) not in gone:
             act(who, RequestArrived(number, number % 9, 0, now + 3000.0))
         if step == 199:
-            assert all(one.router.live_router_count == count for one in fleet.values()) and not words
+            assert all(one.router.state.live_router_count == count for one in fleet.values()) and not words
     left = [one for who, one in fleet.items() if who not in gone]
-    assert [one.router.live_router_count for one in left] == [3, 3, 3]
+    assert [one.router.state.live_router_count for one in left] == [3, 3, 3]
     assert all(
         set(one.load_gossip.peers) | {who} == {0, 1, 2}
         for who, one in enumerate(left)
--- a/tests/simulation/test_slow_start_fleet.py
+++ b/tests/simulation/test_slow_start_fleet.py
@@ -64,7 +64,7 @@
     low, high = 0.0, 20000.0
     while high - low > 0.01:
         half = (low + high) / 2
-        low, high = (half, high) if d.router._fits_slow_start(view, half) else (low, half)
+        low, high = (half, high) if d.router.selector.fits_slow_start(d.now, view, half) else (low, half)
     return low
 
 
@@ -91,7 +91,7 @@
         d.ask(number, after=1.0)
     guess = CLASSES[0].latency_objective_ms / 4.0
     unanswered = fits(d) / guess
-    d.router.class_service_ms[0].add(guess / 3.0)
+    d.router.state.service_times.by_class[0].add(guess / 3.0)
     assert fits(d) / (guess / 3.0) == pytest.approx(unanswered, rel=0.01)
 
 
@@ -107,10 +107,14 @@
     function.forget_worker(1)  # what stood at the warm worker has been unloaded
     function.affinity[2], function.last_sent_at_ms[2] = 1.0, d.now
 
-    def seen(job: PendingRequest, view: WorkerRecord) -> None:
+    def seen(now: float, job: PendingRequest, view: WorkerRecord) -> None:
         if view.endpoint.worker_id == 2:
-            fitted.append(d.router._fits_slow_start(view, d.router._class_work_ms(job.request.class_index)))
-        send(job, view)
+            fitted.append(
+                d.router.selector.fits_slow_start(
+                    now, view, d.router.state.service_times.class_ms(job.request.class_index)
+                )
+            )
+        send(now, job, view)
 
     monkeypatch.setattr(d.router, "_start_attempt", seen)
     for _ in range(60):
--- a/tests/unit/test_components.py
+++ b/tests/unit/test_components.py
@@ -72,7 +72,9 @@
     told = dataclasses.replace(TOLD, limits=dataclasses.replace(LIMITS, allows_gossip=peers))
     decisions.update_settings(told)
     assert [type(part).__name__ for part in decisions.components] == (["Talk", "Members"] if peers else [])
-    assert (decisions.router.gossip is decisions.load_gossip) and (decisions.load_gossip is not None) is peers
+    assert (decisions.router.state.gossip is decisions.load_gossip) and (
+        decisions.load_gossip is not None
+    ) is peers
     decisions, noted = hosted()
     decisions._notify_components(0.0, SettingsChanged(told))
     assert noted.seen == ["Retuned"]
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -173,7 +173,7 @@
         answers: list[CallResult] = []
         made = call(planner, answers)
         await turns()
-        planner.router.retry_budget = 0.0
+        planner.router.state.retry_budget.tokens = 0.0
         planner.attempt_ended(made.attempts[0], AttemptResult(Outcome.OVERLOADED))
         await turns()
         assert (
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -322,14 +322,15 @@
 def test_new_settings_change_what_hangs_on_them() -> None:
     one = RoutingNode(settings(), seed=1)
     assert one.load_gossip is not None
-    before = one.router.mean_objective_ms, one.router.homes_per_worker, one.load_gossip.bytes_per_call
+    admission, selector = one.router.admission, one.router.selector
+    before = admission.mean_objective_ms, selector.homes_per_worker, one.load_gossip.bytes_per_call
     prices = dataclasses.replace(PRICES, peer_message=0.02, idle_memory=0.2)
     classes = tuple(
         dataclasses.replace(klass, latency_objective_ms=2.0 * klass.latency_objective_ms)
         for klass in settings().classes
     )
     one.update_settings(settings(prices=prices, classes=classes, keep_alive_ms=3000.0))
-    assert one.router.mean_objective_ms == 2.0 * before[0] and one.router.homes_per_worker < before[1]
+    assert admission.mean_objective_ms == 2.0 * before[0] and selector.homes_per_worker < before[1]
     assert one.load_gossip.bytes_per_call == 0.5 * before[2] and one.load_gossip.keep_alive_ms == 3000.0
 
 
--- a/tests/unit/test_instance_queue.py
+++ b/tests/unit/test_instance_queue.py
@@ -15,10 +15,11 @@
     MAX_BUSY_WAIT_FRACTION,
     MAX_LOADING_WAIT_FRACTION,
     InstanceQueue,
+    WaitTimes,
 )
 from tests.helpers import LIMITS, finals, sends, settings, worker
 
-NOW = (0.0, 50.0, 1000.0)  # has waited, a call takes, a load takes
+NOW = WaitTimes(0.0, 50.0, 1000.0)
 
 
 def test_a_call_waits_for_a_taken_lane_but_not_for_long_nor_behind_many() -> None:
@@ -29,7 +30,9 @@
     assert queue.should_wait(1, 4, True, taken, 1.0, NOW)
     assert not queue.should_wait(2, 4, True, taken, 2.0, NOW), "a second lane is free"
     assert (
-        not queue.should_wait(1, 4, True, taken, 1.0, (MAX_BUSY_WAIT_FRACTION * 1000.0, 50.0, 1000.0))
+        not queue.should_wait(
+            1, 4, True, taken, 1.0, WaitTimes(MAX_BUSY_WAIT_FRACTION * 1000.0, 50.0, 1000.0)
+        )
         and not queue.waiting_requests
     )
     places = [queue.should_wait(n, 4, True, taken, 1.0, NOW) for n in range(20)]
@@ -42,9 +45,11 @@
     """Each call that came while the store was slow once began a load at one more worker."""
     queue = InstanceQueue()
     loading = {9: InstanceLoad(1, None)}
-    assert queue.should_wait(1, 4, False, loading, 1.0, (MAX_BUSY_WAIT_FRACTION * 1500.0, 50.0, 1000.0))
+    assert queue.should_wait(
+        1, 4, False, loading, 1.0, WaitTimes(MAX_BUSY_WAIT_FRACTION * 1500.0, 50.0, 1000.0)
+    )
     assert not queue.should_wait(
-        1, 4, False, loading, 1.0, (MAX_LOADING_WAIT_FRACTION * 1000.0, 50.0, 1000.0)
+        1, 4, False, loading, 1.0, WaitTimes(MAX_LOADING_WAIT_FRACTION * 1000.0, 50.0, 1000.0)
     )
     assert not queue.should_wait(1, 4, False, {}, 1.0, NOW) and not queue.should_wait(
         1, 4, False, {9: InstanceLoad(0, 1.0)}, 1.0, NOW
@@ -90,7 +95,7 @@
     while now < 1600.0:
         now += 50.0
         one.handle(now, PeerMessageReceived(1, form.encode(form.LoadUpdate(5, 1 + int(now), False, ()))))
-        timer = TimerFired(one.router.timer_token)
+        timer = TimerFired(one.router.state.timers.token)
         actions += one.handle(now, timer)
     (end,) = finals(actions)
     assert isinstance(end, RejectRequest) and end.request_id == 2 and end.retry_after_ms and at
--- a/tests/unit/test_popularity.py
+++ b/tests/unit/test_popularity.py
@@ -62,6 +62,9 @@
                 number, drive.router.pending_requests[number].attempts[0].endpoint.worker_id, after=20.0
             )
             homes.append(
-                max(drive.router._home_count(function) for function in drive.router.functions.values())
+                max(
+                    drive.router.selector.home_count(drive.now, function)
+                    for function in drive.router.functions.values()
+                )
             )
     assert sum(most >= 12 for most in homes) < 0.01 * len(homes)
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -27,7 +27,17 @@
 )
 from cedarthread.model.outcomes import Outcome, StartKind
 from cedarthread.model.settings import DiscoveryMode, NotLoadedBehavior, Tenant, WeightMeaning
-from cedarthread.routing import outlier_detection, preload_budget, router, state
+from cedarthread.routing import (
+    attempt_tracker,
+    estimators,
+    feedback,
+    outlier_detection,
+    preload_budget,
+    request_table,
+    retry_budget,
+    selection,
+    state,
+)
 from cedarthread.routing.rendezvous import hash64
 from tests.helpers import CLASSES, LIMITS, PRICES, RULES, SAFE, Drive, finals, sends, worker
 
@@ -68,7 +78,7 @@
     background(d)
     function = only_warm(d, {1: 1.0, 2: 0.8})
     assert sends(d.ask()) == [1]
-    assert function.affinity[2] == pytest.approx(0.8 * (1 - router.AFFINITY_GAIN))
+    assert function.affinity[2] == pytest.approx(0.8 * (1 - attempt_tracker.AFFINITY_GAIN))
     d.end(1, 1)
     assert function.affinity[1] == 1.0
 
@@ -77,11 +87,11 @@
     d = Drive(worker(1), worker(2))
     function = only_warm(d, {1: 0.75}, lanes=2.0)
     one, two = d.router.workers[1], d.router.workers[2]
-    assert d.router._placement_cost(function, one, (0, None)) == pytest.approx(0.25)
-    assert d.router._placement_cost(function, two, (0, None)) == pytest.approx(1.0)
+    assert d.router.selector.cost(d.now, function, one, (0, None)) == pytest.approx(0.25)
+    assert d.router.selector.cost(d.now, function, two, (0, None)) == pytest.approx(1.0)
     one.in_flight = 3
-    assert d.router._placement_cost(function, one, (0, None)) == pytest.approx(
-        0.25 + 3 / 2.0 / router.LOAD_PER_AFFINITY
+    assert d.router.selector.cost(d.now, function, one, (0, None)) == pytest.approx(
+        0.25 + 3 / 2.0 / selection.LOAD_PER_AFFINITY
     )
     one.in_flight = 0
     sent = [sends(d.ask(concurrency=2.0))[0] for _ in range(60)]
@@ -102,9 +112,9 @@
     (home,) = sends(d.ask())
     d.end(1, home)
     function = d.router.functions[7]
-    assert d.router._affinity(function, home) == 1.0
-    d.router.now_ms += 10001.0
-    assert d.router._affinity(function, home) == 0.0
+    keep_alive_ms = d.router.state.settings.keep_alive_ms
+    assert function.read_affinity(d.now, home, keep_alive_ms) == 1.0
+    assert function.read_affinity(d.now + 10001.0, home, keep_alive_ms) == 0.0
 
 
 @pytest.mark.parametrize("gone", [False, True])
@@ -365,7 +375,7 @@
     view = d.router.workers[home]
     assert view.rejections[(1, None)].read(d.now) == pytest.approx(1.0) and (0, None) not in view.rejections
     assert view.outlier_score == 0.0
-    d.now += 10 * router.REJECTION_MEMORY_MS
+    d.now += 10 * feedback.REJECTION_MEMORY_MS
     assert view.rejections[(1, None)].read(d.now) < 0.01
 
 
@@ -382,11 +392,11 @@
 
 def test_a_marked_repeat_earns_no_retry_budget() -> None:
     d = Drive(worker(1), worker(2))
-    d.router.retry_budget = 0.0
+    d.router.state.retry_budget.tokens = 0.0
     d.ask(is_client_retry=True)
-    assert d.router.retry_budget == 0.0
+    assert d.router.state.retry_budget.tokens == 0.0
     d.ask()
-    assert d.router.retry_budget == pytest.approx(router.RETRY_BUDGET_PER_REQUEST)
+    assert d.router.state.retry_budget.tokens == pytest.approx(retry_budget.RETRY_BUDGET_PER_REQUEST)
 
 
 def test_functions_wanted_once_are_forgotten() -> None:
@@ -397,7 +407,9 @@
         d.wait(d.now)
     assert len(d.router.functions) <= 2 * 10000.0 / 100.0 + 1
     assert (
-        not d.router.pending_requests and not d.router.orphaned_attempts and len(d.router.timer_queue) < 100
+        not d.router.pending_requests
+        and not d.router.orphaned_attempts
+        and len(d.router.state.timers.entries) < 100
     )
 
 
@@ -418,7 +430,7 @@
     for _ in range(5):
         d.ask()
     timers = [a for a in d.wait(d.now + 1000.0) if isinstance(a, SetTimer)]
-    assert len(timers) <= 1000.0 / router.QUEUE_CHECK_MS + 2
+    assert len(timers) <= 1000.0 / request_table.QUEUE_CHECK_MS + 2
 
 
 def test_a_function_that_turns_hot_at_all_gateways_at_once_is_no_herd_for_long() -> None:
@@ -460,20 +472,21 @@
     """Twelve workers came back untold and fell over under what 85 gateways sent (ic6be0e)."""
     d = Drive(worker(1), worker(2))
     view = d.router.workers[1]
-    assert d.router._available_capacity(view) == 1.0
+    assert view.available_capacity(d.now, RULES) == 1.0
     d.ask()
     (at,) = sends(d.actions)
     d.end(1, at, Outcome.CONNECT_FAILED, after=250.0)
-    assert d.router._available_capacity(d.router.workers[at]) == pytest.approx(RULES.slow_start_min_capacity)
+    assert d.router.workers[at].available_capacity(d.now, RULES) == pytest.approx(
+        RULES.slow_start_min_capacity
+    )
     d.now += RULES.slow_start_ms
-    d.router.now_ms = d.now
-    assert d.router._available_capacity(d.router.workers[at]) == 1.0
+    assert d.router.workers[at].available_capacity(d.now, RULES) == 1.0
 
 
 def test_a_few_of_two_workers_can_still_be_ejected() -> None:
     d = Drive(worker(1), worker(2))
-    d.router._observe_health(d.router.workers[1], 2.0)
-    d.router._observe_health(d.router.workers[2], 2.0)
+    d.router.feedback.observe_health(d.now, d.router.workers[1], 2.0)
+    d.router.feedback.observe_health(d.now, d.router.workers[2], 2.0)
     assert [v.is_ejected for v in d.router.workers.values()] == [True, False]
 
 
@@ -492,13 +505,13 @@
     d = Drive(*(worker(n) for n in range(1, 501)))
     background(d)
     looked = []
-    plain = router.Router._placement_cost
+    plain = selection.WorkerSelector.cost
 
     def counted(*args: Any) -> float:
         looked.append(args)
         return plain(*args)
 
-    monkeypatch.setattr(router.Router, "_placement_cost", counted)
+    monkeypatch.setattr(selection.WorkerSelector, "cost", counted)
     d.ask(7777)
     assert 0 < len(looked) < 10
 
@@ -544,7 +557,7 @@
 def test_homes_are_fewer_at_a_price_of_idle_memory() -> None:
     dear = Drive(worker(1), prices=dataclasses.replace(PRICES, idle_memory=0.15))
     free = Drive(worker(1), prices=dataclasses.replace(PRICES, idle_memory=0.0))
-    assert dear.router.homes_per_worker < free.router.homes_per_worker / 2
+    assert dear.router.selector.homes_per_worker < free.router.selector.homes_per_worker / 2
 
 
 def test_a_worthless_class_and_answers_in_no_time_never_raise() -> None:
@@ -569,10 +582,10 @@
     for outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
         (at,) = sends(d.ask(class_index=1))
         broke(d, d.ids, at, outcome, unreached=False)
-        assert d.router._available_capacity(d.router.workers[1]) == 1.0
+        assert d.router.workers[1].available_capacity(d.now, RULES) == 1.0
     (at,) = sends(d.ask(class_index=1))
     broke(d, d.ids, at, Outcome.CONNECT_FAILED, unreached=True)
-    assert d.router._available_capacity(d.router.workers[1]) < 1.0
+    assert d.router.workers[1].available_capacity(d.now, RULES) < 1.0
 
 
 def test_all_that_broke_with_one_connection_is_one_symptom() -> None:
@@ -603,11 +616,11 @@
     """One silent worker once made the gateway refuse the calls of all others."""
     d = Drive(*(worker(n) for n in range(1, 7)))
     steady(d)
-    d.router.overload.in_flight[1] = 200
-    d.router.overload.total_in_flight += 200
+    d.router.state.overload.in_flight[1] = 200
+    d.router.state.overload.total_in_flight += 200
     assert not any(finals(d.ask()) for _ in range(5)), "before it is set aside too"
     for number in range(2, 7):
-        d.router.overload.in_flight[number] = 40
+        d.router.state.overload.in_flight[number] = 40
     assert any(finals(d.ask()) for _ in range(20)), "with all as full it is a jam"
 
 
@@ -624,7 +637,7 @@
     d = Drive(worker(1), rules=rules)
     for _ in range(100):
         d.ask(after=1000.0)
-    assert len(d.router.request_times) <= 6
+    assert len(d.router.state.request_times) <= 6
 
 
 def test_of_two_warm_workers_the_one_nearby_is_taken_until_it_is_busy() -> None:
@@ -642,7 +655,7 @@
     assert [sends(d.ask()) for _ in range(2)] == [[2], [2]]
     assert 1 in [sends(d.ask())[0] for _ in range(4)]
     del function.affinity[2], function.last_sent_at_ms[2]
-    assert d.router.cross_zone_penalty < 1.0  # a warm worker abroad still beats a cold one here
+    assert d.router.selector.cross_zone_penalty < 1.0  # a warm worker abroad still beats a cold one here
 
 
 def test_all_silent_workers_but_some_are_set_aside() -> None:
@@ -654,11 +667,13 @@
     view = d.router.workers
     for number in range(1, 5):  # four of six fall silent
         for _ in range(3):
-            d.router._observe_health(view[number], 1.0, outlier_detection.MAX_SILENT_EJECTED_FRACTION)
+            d.router.feedback.observe_health(
+                d.now, view[number], 1.0, outlier_detection.MAX_SILENT_EJECTED_FRACTION
+            )
     assert sum(v.is_ejected for v in view.values()) == 4
     for number in (5, 6):  # but errors alone never set as many aside, nor silence all
         for _ in range(3):
-            d.router._observe_health(view[number], 1.0)
+            d.router.feedback.observe_health(d.now, view[number], 1.0)
     assert sum(v.is_ejected for v in view.values()) == 4
 
 
@@ -669,7 +684,7 @@
     d.end(1, home)
     view = d.router.workers[home]
     for _ in range(3):
-        d.router._observe_health(view, 1.0)
+        d.router.feedback.observe_health(d.now, view, 1.0)
     assert view.is_ejected and sends(d.ask()) == [3 - home]
     d.end(2, 3 - home)
     trials = [sends(d.ask(after=view.ejected_until_ms - d.now))[0]]
@@ -693,10 +708,10 @@
     for number in range(300):
         d.ask(7 if number % 4 == 0 else 1000 + number % 50, after=every)
         d.end(d.ids, sends(d.actions)[-1], after=0.0)
-    homes = d.router._home_count(d.router.functions[7])
+    homes = d.router.selector.home_count(d.now, d.router.functions[7])
     kept = gateways * 4700.0 / every / 4  # calls of the function by all gateways while a copy may lie idle
     assert 1 < homes <= 1 + 2.5 * workers, "no more than the fleet's size ever asked for"
-    assert kept / homes > router.MIN_CALLS_PER_HOME / 2
+    assert kept / homes > selection.MIN_CALLS_PER_HOME / 2
 
 
 def test_a_rare_answer_is_remembered_longer_than_one_of_many() -> None:
@@ -708,7 +723,7 @@
             d.ask(after=every)
             d.end(d.ids, sends(d.actions)[-1], after=0.0)
         view = state.WorkerRecord(worker(99), 0, 0.0)
-        view.excess_load.add(d.now, 4.0, d.router.load_memory_ms)
+        view.excess_load.add(d.now, 4.0, d.router.state.traffic.load_memory_ms)
         left[workers] = view.read_excess_load(d.now + 8000.0) / view.read_excess_load(d.now)
     assert left[2] == left[12] < 0.35 < 0.7 < left[40]
 
@@ -727,11 +742,11 @@
         report = (30.0 if sent == home else 3.0, 1.0)
         d.feed(AttemptEnded(d.ids, 0, sent, Outcome.OK, 1.0, True, StartKind.WARM, 0, report))
     assert at != home
-    crowded = d.router._reported_excess(d.router.workers[home])
-    assert crowded > 0.3 > 0.0 > d.router._reported_excess(d.router.workers[at])
-    assert d.router._reported_excess(state.WorkerRecord(worker(99), 0, 0.0)) == pytest.approx(0.0), (
-        "not known: usual"
-    )
+    crowded = d.router.state.traffic.reported_excess(d.now, d.router.workers[home])
+    assert crowded > 0.3 > 0.0 > d.router.state.traffic.reported_excess(d.now, d.router.workers[at])
+    assert d.router.state.traffic.reported_excess(
+        d.now, state.WorkerRecord(worker(99), 0, 0.0)
+    ) == pytest.approx(0.0), "not known: usual"
 
 
 def test_own_calls_out_are_not_counted_twice_in_a_report() -> None:
@@ -739,7 +754,7 @@
     for _ in range(4):
         d.ask()
     d.feed(AttemptEnded(1, 0, 1, Outcome.OK, 100.0, True, StartKind.WARM, 0, (9.0, 4.0)))
-    assert d.router.reported_in_flight.read(d.now, router.MIN_AFFINITY) == 0.0
+    assert d.router.state.traffic.reported_in_flight.read(d.now, estimators.REPORT_PRIOR_COUNT) == 0.0
 
 
 def erring(gateways: int, workers: int, every: float) -> tuple[Drive, int]:
@@ -804,5 +819,5 @@
         view = d.router.workers[workers]
         view.jitter = 0.5
         view.slow_start_sends.clear()
-        taken.append([d.router._fits_slow_start(view, float(work)) for work in range(1, 9000)])
+        taken.append([d.router.selector.fits_slow_start(d.now, view, float(work)) for work in range(1, 9000)])
     assert taken[0] == taken[1] and True in taken[0] and False in taken[0]
--- a/tests/unit/test_routing_records.py
+++ b/tests/unit/test_routing_records.py
@@ -87,7 +87,7 @@
     one, attempt = view(), Attempt(worker(1), 0.0, 10.0, (0, None), False, False, known)
     note = StartKind.WARM
     event = AttemptEnded(1, 0, 1, outcome, took, True, note, 0, (), is_unreachable=unreached)
-    blamed = outlier_detection.ejection_weight(one, 5.0, event, attempt, 3.0)
+    blamed = outlier_detection.failure_weight(one, 5.0, event, attempt, 3.0)
     assert (blamed and blamed[0]) == cap
     assert attempt.has_suspect_error == (outcome is Outcome.ERROR and not known)
     assert (one.unreachable_at_ms == 5.0) == unreached
--- a/tests/unit/test_settings_reload.py
+++ b/tests/unit/test_settings_reload.py
@@ -49,7 +49,7 @@
             )
             assert set(running.dispatcher.current_class_index) == {"revise", "confirm", "audit"}
             assert running.dispatcher.settings.limits.max_attempts == 2
-            assert running.dispatcher.router.settings is running.dispatcher.settings
+            assert running.dispatcher.router.state.settings is running.dispatcher.settings
             mute.behave = lambda runner, message: {"op": "HIT", "fields": {}, "body": ""}
             assert (await caller.call(2, "audit", b"y"))[2] is None
             assert (await caller.call(3, "check", b"y"))[2] == ["BadRequest", {"why": "no such method"}]
--- a/tests/unit/test_zone_reachability.py
+++ b/tests/unit/test_zone_reachability.py
@@ -107,7 +107,7 @@
     for function in range(100, 140):
         d.wait(d.now + 250.0)
         for at in sends(d.ask(function, class_index=function % 2)):
-            if at % 3 == d.router.settings.zone:
+            if at % 3 == d.router.state.settings.zone:
                 d.end(d.ids, at, after=0.0)
             else:
                 lost.append(d.ids)
