--- /dev/null
+++ b/cedarthread/recovery/admission.py
@@ -0,0 +1,129 @@
+"""Which loads, connections and queries a router may begin while it recovers; in service all are granted."""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from dataclasses import dataclass
+
+from cedarthread.recovery.pacing import Pacer
+from cedarthread.recovery.pacing_limits import PacedAction
+
+DEFAULT_LOAD_TIME_MS = 1000.0
+"""Time that a load is taken to last; nothing reports the real one."""
+PENDING_LOAD_TIMEOUT_MS = 4.0 * DEFAULT_LOAD_TIME_MS
+"""Time after which a load that did not end no longer holds back another of its function."""
+LONG_DEFERRAL_MS = 500.0
+"""Once nothing has been deferred for so long, pacing ends."""
+
+
+class DeferralTracker:
+    """How long what is still wanted has been deferred."""
+
+    def __init__(self) -> None:
+        self._first_and_last_ms: dict[Hashable, tuple[float, float]] = {}
+
+    def __contains__(self, wanted: Hashable) -> bool:
+        return wanted in self._first_and_last_ms
+
+    def record(self, now: float, wanted: Hashable, was_granted: bool) -> None:
+        """Something was asked for, and granted or deferred."""
+        if was_granted:
+            self._first_and_last_ms.pop(wanted, None)
+            return
+        first_ms, _ = self._first_and_last_ms.get(wanted, (now, now))
+        self._first_and_last_ms[wanted] = (first_ms, now)
+
+    def has_long_deferral(self, now: float) -> bool:
+        """Whether anything has been deferred for long. What was not asked for again lately is dropped."""
+        self._first_and_last_ms = {
+            wanted: (first_ms, last_ms)
+            for wanted, (first_ms, last_ms) in self._first_and_last_ms.items()
+            if now - last_ms <= LONG_DEFERRAL_MS
+        }
+        return any(now - first_ms > LONG_DEFERRAL_MS for first_ms, _ in self._first_and_last_ms.values())
+
+    def clear(self) -> None:
+        """Nothing is wanted any more."""
+        self._first_and_last_ms.clear()
+
+
+@dataclass(frozen=True, slots=True)
+class PendingLoad:
+    """A call that was sent to a worker not known to be warm."""
+
+    sent_at_ms: float
+    tokens_taken: float
+
+
+class RecoveryAdmission:
+    """Grants or defers, by the pacer's tokens, until the recovery is over and nothing waits any more."""
+
+    def __init__(self, pacer: Pacer) -> None:
+        self.pacer = pacer
+        self.is_paced = True
+        self.pending_loads: dict[int, PendingLoad] = {}
+        """By function; one at a time, since its instance will serve all calls that wait."""
+        self.deferrals = DeferralTracker()
+
+    def restart(self, now: float) -> None:
+        """A recovery begins after a pause."""
+        self.pacer.restart(now)
+        self.pending_loads.clear()
+        self.deferrals.clear()
+        self.is_paced = True
+
+    def on_tick(self, now: float, is_in_service: bool) -> None:
+        """After the state machine: raise the load rate while something waits, else end the pacing."""
+        if self.is_paced and self.deferrals.has_long_deferral(now):
+            self.pacer.grow_load_rate(now)
+        elif is_in_service:
+            self.is_paced = False
+
+    def try_acquire_load(self, now: float, function_id: int, awaits_peers: bool) -> bool:
+        """Whether a load of a function may be begun now; a yes takes its tokens.
+
+        ``awaits_peers``: peers are about to say where it is warm, which takes less time than a load."""
+        if not self.is_paced:
+            return True
+        pending = self.pending_loads.get(function_id)
+        if pending is not None and now - pending.sent_at_ms < PENDING_LOAD_TIMEOUT_MS:
+            return False
+        tokens_taken = 0.0 if awaits_peers else self.pacer.try_acquire_load(now)
+        was_granted = tokens_taken > 0
+        self.deferrals.record(now, (PacedAction.LOAD, function_id), was_granted)
+        if was_granted:
+            self.pending_loads[function_id] = PendingLoad(now, tokens_taken)
+        return was_granted
+
+    def settle_load(self, now: float, function_id: int, was_warm: bool, succeeded: bool) -> None:
+        """A call of a function ended; if it was the one that might begin a load, its tokens are settled."""
+        pending = self.pending_loads.pop(function_id, None)
+        if pending is not None:
+            self.pacer.settle_load(now, pending.tokens_taken, was_warm)
+            self.pacer.record_result(PacedAction.LOAD, succeeded)
+
+    def try_acquire_connection(self, now: float, worker_id: int) -> bool:
+        """Whether one more connection to a worker may be begun now; a yes takes its token."""
+        if not self.is_paced:
+            self.pacer.record_unpaced(now, PacedAction.CONNECT)
+            return True
+        wanted = (PacedAction.CONNECT, worker_id)
+        if wanted not in self.deferrals:
+            self.pacer.record_call(worker_id)
+        was_granted = self.pacer.try_acquire_connection(now, worker_id)
+        self.deferrals.record(now, wanted, was_granted)
+        return was_granted
+
+    def try_acquire_discovery_query(self, now: float) -> bool:
+        """Whether a discovery query may be sent now; a yes takes its token."""
+        if not self.is_paced:
+            self.pacer.record_unpaced(now, PacedAction.DISCOVERY_QUERY)
+            return True
+        return self.pacer.try_acquire(now, PacedAction.DISCOVERY_QUERY)
+
+    def try_acquire_release(self, now: float) -> bool:
+        """Whether one change that a freeze had deferred may be carried out now; a yes takes its token."""
+        was_granted = self.pacer.try_acquire(now, PacedAction.RELEASE)
+        if was_granted:
+            self.pacer.record_result(PacedAction.RELEASE, True)
+        return was_granted
--- a/cedarthread/recovery/codec.py
+++ b/cedarthread/recovery/codec.py
@@ -1,13 +1,15 @@
-"""The form of the datagrams of a return, 256 bytes at most. All little-endian.
-
-    ask:  form u8, kind u8, nonce u32, segment u8, of u8
-    tell: form u8, kind u8, nonce u32, part u8, parts u8, warm u8, life u16 (in 0.1 s), loads u16,
-          connections u16 (in 0.01 a second); then, for each start of a runner: worker u32, start u32,
-          copies u8; then, for each of these: function u32 (folded), age u16 (in 50 ms, rounded up),
-          flags u8 (1: it stood; from 2 on: hops)
-    busy: form u8, kind u8, nonce u32, later u16 (ms), other u16
-
-A segment of function space holds the functions whose folded number modulo ``of`` is the segment's.
+"""The datagrams of the peer query, 256 bytes at most, all little-endian.
+
+    query:    message type u8, kind u8, nonce u32, segment u8, segment count u8
+    response: message type u8, kind u8, nonce u32, part u8, part count u8,
+              warm fraction u8 (in 1/254; 255: unknown), uptime u16 (in 0.1 s),
+              baseline loads u16, baseline connections u16 (in 0.01 a second; 65535: unknown);
+              then, for each start of a worker: worker u32, start tag u32, observation count u8;
+              then, for each of these: function hash u32, age u16 (in 50 ms, rounded up),
+              flags u8 (bit 0: was warm; from bit 1 on: hops)
+    busy:     message type u8, kind u8, nonce u32, retry after u16 (ms), suggested peer u16 (65535: none)
+
+A segment of the function space holds the functions whose hash modulo the segment count is its number.
 """
 
 from __future__ import annotations
@@ -22,20 +24,25 @@
 from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES, MalformedDatagram
 from cedarthread.recovery.warm_state import MAX_HOPS, AgedObservation
 
-AGE_UNIT_MS = (
-    50.0  # ms that a unit of an age stands for: rounded up, that covers clocks of different rate too
-)
+AGE_UNIT_MS = 50.0
+"""Ages are rounded up to it, which also covers clocks that run at slightly different rates."""
 MAX_AGE_UNITS = 65535
+"""Stands for any age from here on; such an observation is left out when read."""
 UPTIME_UNIT_MS = 100.0
-MAX_PARTS = 6  # datagrams that one answer takes at most
-NO_PEER = 0xFFFF
-UNKNOWN_FRACTION, UNKNOWN_RATE = 255, 65535
+MAX_UPTIME_UNITS = 65535
 RATE_UNIT_PER_SECOND = 0.01
+UNKNOWN_RATE = 65535
+FRACTION_UNITS = 254
+UNKNOWN_FRACTION = 255
+MAX_RETRY_AFTER_MS = 65535
+NO_PEER = 0xFFFF
+MAX_PARTS = 6
+"""Datagrams that one response takes at most."""
 
 _QUERY = struct.Struct("<BBIBB")
 _RESPONSE = struct.Struct("<BBIBBBHHH")
 _WORKER = struct.Struct("<IIB")
-_INSTANCE = struct.Struct("<IHB")
+_OBSERVATION = struct.Struct("<IHB")
 _BUSY = struct.Struct("<BBIHH")
 
 
@@ -49,7 +56,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Query:
-    """What stands warm in one segment?"""
+    """Asks which instances are warm in one segment."""
 
     nonce: int
     segment: int
@@ -58,46 +65,47 @@
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """One part of an answer."""
+    """One part of a response."""
 
     nonce: int
     part: int
     part_count: int
-    warm_fraction: float | None  # share of the sender's calls that find a copy, once it is in service
-    uptime_ms: float  # ms that the sender has been there
+    warm_fraction: float | None  # of the sender's calls that find a warm instance, once it is in service
+    uptime_ms: float  # of the sender
     observations: tuple[AgedObservation, ...] = ()
-    baseline_rates: tuple[float, float] | None = (
-        None  # loads and connections a second that are usual for one router
-    )
+    baseline_rates: tuple[float, float] | None = None  # loads and connections per second usual at the sender
 
 
 @dataclass(frozen=True, slots=True)
 class Busy:
-    """No answer now: come back later, or ask another that may know."""
+    """No response now: ask again later, or ask another peer that may know."""
 
     nonce: int
-    retry_after_ms: float  # ms
+    retry_after_ms: float
     suggested_peer: int | None = None
 
 
 Message = Query | Response | Busy
 
 
-def split_into_datagrams(places: Sequence[AgedObservation]) -> list[list[AgedObservation]]:
-    """Places in as many lists as datagrams are needed, runner by runner; ``PARTS`` at most."""
-    lists: list[list[AgedObservation]] = [[]]
-    room, last = MAX_DATAGRAM_BYTES - _RESPONSE.size, None
-    for told in sorted(places, key=lambda one: (one.worker_id, one.start_tag)):
-        runner = (told.worker_id, told.start_tag)
-        need = _INSTANCE.size + (_WORKER.size if runner != last else 0)
-        if need > room:
-            if len(lists) == MAX_PARTS:
+def split_into_datagrams(observations: Sequence[AgedObservation]) -> list[list[AgedObservation]]:
+    """Observations by worker, in one list a datagram; what would need more than ``MAX_PARTS`` is left out."""
+    parts: list[list[AgedObservation]] = [[]]
+    free_bytes = MAX_DATAGRAM_BYTES - _RESPONSE.size
+    last_worker: tuple[int, int] | None = None
+    for aged in sorted(observations, key=lambda one: (one.worker_id, one.start_tag)):
+        worker = (aged.worker_id, aged.start_tag)
+        size = _OBSERVATION.size + (_WORKER.size if worker != last_worker else 0)
+        if size > free_bytes:
+            if len(parts) == MAX_PARTS:
                 break
-            lists.append([])
-            room, need = MAX_DATAGRAM_BYTES - _RESPONSE.size, _INSTANCE.size + _WORKER.size
-        lists[-1].append(told)
-        room, last = room - need, runner
-    return lists
+            parts.append([])
+            free_bytes = MAX_DATAGRAM_BYTES - _RESPONSE.size
+            size = _OBSERVATION.size + _WORKER.size
+        parts[-1].append(aged)
+        free_bytes -= size
+        last_worker = worker
+    return parts
 
 
 def encode(message: Message) -> bytes:
@@ -107,87 +115,113 @@
             MessageType.RECOVERY, DatagramKind.QUERY, message.nonce, message.segment, message.segment_count
         )
     if isinstance(message, Busy):
-        other = NO_PEER if message.suggested_peer is None else message.suggested_peer
         return _BUSY.pack(
             MessageType.RECOVERY,
             DatagramKind.BUSY,
             message.nonce,
-            int(min(message.retry_after_ms, 65535)),
-            other,
+            int(min(message.retry_after_ms, MAX_RETRY_AFTER_MS)),
+            NO_PEER if message.suggested_peer is None else message.suggested_peer,
         )
-    warm = (
-        UNKNOWN_FRACTION
-        if message.warm_fraction is None
-        else int(254 * min(max(message.warm_fraction, 0.0), 1.0))
-    )
-    life = int(min(message.uptime_ms / UPTIME_UNIT_MS, 65535))
+    return _encode_response(message)
+
+
+def _encode_response(response: Response) -> bytes:
+    warm_fraction = UNKNOWN_FRACTION
+    if response.warm_fraction is not None:
+        warm_fraction = int(FRACTION_UNITS * min(max(response.warm_fraction, 0.0), 1.0))
     rates = [UNKNOWN_RATE, UNKNOWN_RATE]
-    if message.baseline_rates is not None:
+    if response.baseline_rates is not None:
         rates = [
             int(min(max(rate, 0.0) / RATE_UNIT_PER_SECOND, UNKNOWN_RATE - 1))
-            for rate in message.baseline_rates
+            for rate in response.baseline_rates
         ]
-    nonce, part, parts = message.nonce, message.part, message.part_count
-    head = _RESPONSE.pack(MessageType.RECOVERY, DatagramKind.RESPONSE, nonce, part, parts, warm, life, *rates)
-    data = head + b"".join(_encode_workers(message.observations))
+    header = _RESPONSE.pack(
+        MessageType.RECOVERY,
+        DatagramKind.RESPONSE,
+        response.nonce,
+        response.part,
+        response.part_count,
+        warm_fraction,
+        int(min(response.uptime_ms / UPTIME_UNIT_MS, MAX_UPTIME_UNITS)),
+        *rates,
+    )
+    data = header + _encode_observations(response.observations)
     if len(data) > MAX_DATAGRAM_BYTES:
-        raise ValueError(f"a datagram of {len(data)} bytes may not be sent")
+        raise ValueError(f"recovery: a datagram of {len(data)} bytes is over {MAX_DATAGRAM_BYTES}")
     return data
 
 
-def _encode_workers(places: tuple[AgedObservation, ...]) -> list[bytes]:
-    by: dict[tuple[int, int], list[AgedObservation]] = {}
-    for told in places:
-        by.setdefault((told.worker_id, told.start_tag), []).append(told)
-    parts = []
-    for (worker, start), copies in by.items():
-        parts.append(_WORKER.pack(worker, start, len(copies)))
-        for copy in copies:
-            age = min(math.ceil(copy.age_ms / AGE_UNIT_MS), MAX_AGE_UNITS)
-            flags = min(copy.hops, MAX_HOPS) << 1 | copy.is_warm
-            parts.append(_INSTANCE.pack(copy.function_hash, age, flags))
-    return parts
+def _encode_observations(observations: Sequence[AgedObservation]) -> bytes:
+    by_worker: dict[tuple[int, int], list[AgedObservation]] = {}
+    for aged in observations:
+        by_worker.setdefault((aged.worker_id, aged.start_tag), []).append(aged)
+    encoded = []
+    for (worker_id, start_tag), of_worker in by_worker.items():
+        encoded.append(_WORKER.pack(worker_id, start_tag, len(of_worker)))
+        for aged in of_worker:
+            age_units = min(math.ceil(aged.age_ms / AGE_UNIT_MS), MAX_AGE_UNITS)
+            flags = min(aged.hops, MAX_HOPS) << 1 | aged.is_warm
+            encoded.append(_OBSERVATION.pack(aged.function_hash, age_units, flags))
+    return b"".join(encoded)
 
 
 def decode(data: bytes) -> Message | MalformedDatagram:
     """What a datagram says. Whatever it holds, no error is raised."""
     if not 2 <= len(data) <= MAX_DATAGRAM_BYTES or data[0] != MessageType.RECOVERY:
         return MalformedDatagram(f"{len(data)} bytes")
-    if data[1] == DatagramKind.QUERY and len(data) == _QUERY.size:
-        _, _, nonce, segment, of = _QUERY.unpack(data)
-        return Query(nonce, segment, of) if segment < of else MalformedDatagram(f"segment {segment} of {of}")
-    if data[1] == DatagramKind.BUSY and len(data) == _BUSY.size:
-        _, _, nonce, later, other = _BUSY.unpack(data)
-        return Busy(nonce, float(later), None if other == NO_PEER else other)
-    if data[1] == DatagramKind.RESPONSE and len(data) >= _RESPONSE.size:
+    kind = data[1]
+    if kind == DatagramKind.QUERY and len(data) == _QUERY.size:
+        _, _, nonce, segment, segment_count = _QUERY.unpack(data)
+        if segment >= segment_count:
+            return MalformedDatagram(f"segment {segment} of {segment_count}")
+        return Query(nonce, segment, segment_count)
+    if kind == DatagramKind.BUSY and len(data) == _BUSY.size:
+        _, _, nonce, retry_after_ms, suggested_peer = _BUSY.unpack(data)
+        return Busy(nonce, float(retry_after_ms), None if suggested_peer == NO_PEER else suggested_peer)
+    if kind == DatagramKind.RESPONSE and len(data) >= _RESPONSE.size:
         return _decode_response(data)
-    return MalformedDatagram(f"kind {data[1]}, {len(data)} bytes")
+    return MalformedDatagram(f"kind {kind}, {len(data)} bytes")
 
 
 def _decode_response(data: bytes) -> Response | MalformedDatagram:
-    _, _, nonce, part, parts, warm, life, loads, connects = _RESPONSE.unpack_from(data)
-    if not part < parts <= MAX_PARTS:
-        return MalformedDatagram(f"part {part} of {parts}")
-    at, places = _RESPONSE.size, list[AgedObservation]()
-    while at < len(data):
-        if at + _WORKER.size > len(data):
-            return MalformedDatagram(f"cut short at byte {at} of {len(data)}")
-        worker, start, count = _WORKER.unpack_from(data, at)
-        at += _WORKER.size
-        end = at + count * _INSTANCE.size
+    _, _, nonce, part, part_count, fraction, uptime, loads, connections = _RESPONSE.unpack_from(data)
+    if not part < part_count <= MAX_PARTS:
+        return MalformedDatagram(f"part {part} of {part_count}")
+    observations = _decode_observations(data)
+    if isinstance(observations, MalformedDatagram):
+        return observations
+    baseline_rates = None
+    if UNKNOWN_RATE not in (loads, connections):
+        baseline_rates = (loads * RATE_UNIT_PER_SECOND, connections * RATE_UNIT_PER_SECOND)
+    return Response(
+        nonce,
+        part,
+        part_count,
+        warm_fraction=None if fraction == UNKNOWN_FRACTION else fraction / FRACTION_UNITS,
+        uptime_ms=uptime * UPTIME_UNIT_MS,
+        observations=observations,
+        baseline_rates=baseline_rates,
+    )
+
+
+def _decode_observations(data: bytes) -> tuple[AgedObservation, ...] | MalformedDatagram:
+    """What follows the header of a response."""
+    offset = _RESPONSE.size
+    observations: list[AgedObservation] = []
+    while offset < len(data):
+        if offset + _WORKER.size > len(data):
+            return MalformedDatagram(f"cut short at byte {offset} of {len(data)}")
+        worker_id, start_tag, count = _WORKER.unpack_from(data, offset)
+        offset += _WORKER.size
+        end = offset + count * _OBSERVATION.size
         if end > len(data):
-            return MalformedDatagram(f"cut short at byte {at} of {len(data)}")
-        for function, age, flags in _INSTANCE.iter_unpack(data[at:end]):
-            if age < MAX_AGE_UNITS:  # the greatest stands for anything older
+            return MalformedDatagram(f"cut short at byte {offset} of {len(data)}")
+        for function_hash, age_units, flags in _OBSERVATION.iter_unpack(data[offset:end]):
+            if age_units < MAX_AGE_UNITS:
                 hops = min(flags >> 1, MAX_HOPS)
-                places.append(
-                    AgedObservation(worker, start, function, age * AGE_UNIT_MS, bool(flags & 1), hops)
+                age_ms = age_units * AGE_UNIT_MS
+                observations.append(
+                    AgedObservation(worker_id, start_tag, function_hash, age_ms, bool(flags & 1), hops)
                 )
-        at = end
-    share = None if warm == UNKNOWN_FRACTION else warm / 254
-    rates = (
-        None
-        if UNKNOWN_RATE in (loads, connects)
-        else (loads * RATE_UNIT_PER_SECOND, connects * RATE_UNIT_PER_SECOND)
-    )
-    return Response(nonce, part, parts, share, life * UPTIME_UNIT_MS, tuple(places), rates)
+        offset = end
+    return tuple(observations)
--- a/cedarthread/recovery/peer_query.py
+++ b/cedarthread/recovery/peer_query.py
@@ -1,8 +1,8 @@
-"""Both sides of asking what stands warm: who comes back asks few, and who is asked answers a bounded number.
+"""Both sides of the peer query: a router that recovers asks a few peers which instances are warm.
 
-A segment is asked for until one more answer would bring little. How much is estimated in the manner of Good
-(The population frequencies of species, 1953): the part of the last answer that was news is about the part of
-what is still out there that this router has not heard.
+The function space is divided into segments. A segment is asked for until one more response would bring little
+that is new. How much is estimated in the manner of Good (The population frequencies of species, 1953): the
+part of the last response that was new is about the part of what peers know that this router has not heard.
 """
 
 from __future__ import annotations
@@ -19,205 +19,248 @@
 from cedarthread.statistics import TokenBucket
 
 SEGMENT_COUNT = 4
-MAX_PENDING_QUERIES = 3  # questions out
-RESPONSE_TIMEOUT_MS = 400.0  # ms in which an answer must be whole
-INITIAL_SPREAD_MS = 150.0  # ms over which first questions are spread
-INITIAL_BACKOFF_MS, MAX_BACKOFF_MS = (
-    250.0,
-    2000.0,
-)  # ms that a peer which did not answer is left alone, doubled up to the most
+MAX_PENDING_QUERIES = 3
+RESPONSE_TIMEOUT_MS = 400.0
+"""Time in which all parts of a response must have come."""
+INITIAL_SPREAD_MS = 150.0
+"""Time over which the first queries of routers that start at one moment are spread."""
+INITIAL_BACKOFF_MS = 250.0
+"""Time that a peer which did not respond is left alone; doubles up to the maximum."""
+MAX_BACKOFF_MS = 2000.0
 BACKOFF_JITTER = 0.5, 1.5
-NEW_FRACTION_THRESHOLD = 0.1  # part of an answer that is news under which a segment counts as known
-MIN_RESPONSES = 2  # answers that a segment takes at least, where there are so many to ask
-MAX_NONEMPTY_RESPONSES = 5  # and at most of those that told a place
-FULL_WEIGHT_UPTIME_MS = 20_000.0  # ms in one life after which a peer is as good as any
-NEW_PEER_WEIGHT = 0.05  # weight of a peer that has just started itself
-RESPONSES_PER_SECOND, RESPONSE_BURST = (
-    60.0,
-    24.0,
-)  # datagrams a second in answer to all who ask, and most saved up
-BUSY_REPLIES_PER_SECOND, BUSY_REPLY_BURST = 40.0, 20.0  # the same for words that there is no answer now
-MAX_RETRY_AFTER_MS = 3000.0  # ms that one who asks is put off at most
-RECENT_RECIPIENTS = 8  # routers that were answered lately and may be named to others
+"""Range of the factor by which each backoff is varied."""
+NEW_FRACTION_THRESHOLD = 0.1
+"""Part of a response that is new up to which its segment counts as known."""
+MIN_RESPONSES = 2
+"""Responses that a segment takes at least, where there are so many peers to ask."""
+MAX_NONEMPTY_RESPONSES = 5
+"""Responses with any observation that a segment takes at most."""
+FULL_WEIGHT_UPTIME_MS = 20_000.0
+"""Uptime from which on a peer is as likely to be chosen as any."""
+NEW_PEER_WEIGHT = 0.05
+"""Weight of a peer that has just started itself, against 1 for full uptime."""
+SUGGESTED_PEER_WEIGHT = 0.5
+"""Added to the weight of a peer that another named."""
+RESPONSES_PER_SECOND = 60.0
+"""Datagrams of responses that a router sends at most, to all peers together."""
+RESPONSE_BURST = 24.0
+BUSY_REPLIES_PER_SECOND = 40.0
+BUSY_REPLY_BURST = 20.0
+MAX_RETRY_AFTER_MS = 3000.0
+"""Time by which a peer is put off at most."""
+RECENT_RECIPIENTS = 8
+"""Peers that were answered lately and may be named to others."""
+MAX_RESPONSE_OBSERVATIONS = 256
+"""More than fit into one response's datagrams."""
+RNG_SALT = 0x6173_6B21
+"""Keeps the draws of the client apart from others of the same seed."""
 
 
 class PeerQueryServer:
-    """The side that is asked: bounded datagrams a second, however many ask."""
+    """The side that is asked: a bounded number of datagrams a second, however many peers ask."""
 
     def __init__(self, now: float) -> None:
         self.response_tokens = TokenBucket(RESPONSES_PER_SECOND, RESPONSE_BURST, RESPONSE_BURST, now)
         self.busy_tokens = TokenBucket(BUSY_REPLIES_PER_SECOND, BUSY_REPLY_BURST, BUSY_REPLY_BURST, now)
         self.recent_recipients: deque[int] = deque(maxlen=RECENT_RECIPIENTS)
-        self.answered = self.deferred = self.dropped = 0
-        self.backlog_ms = 0.0  # ms by which those put off are spread
+        self.answered = 0
+        self.deferred = 0
+        self.dropped = 0
+        self.backlog_ms = 0.0
+        """Time over which the peers that were put off are spread."""
 
     def on_query(
         self, now: float, sender: int, query: codec.Query, warm_state: WarmState, template: codec.Response
     ) -> list[SendToPeer]:
-        """The answer to one question: what is known, that another may know it, or nothing.
+        """Answer a query: with observations, with a busy reply, or, past the limit of those, not at all.
 
-        ``about``: what each part of an answer says of this router itself."""
-        lists = codec.split_into_datagrams(warm_state.digest(now, query.segment, query.segment_count, 256))
-        if not self.response_tokens.take(now, len(lists)):
+        ``template``: a response with what it says of this router itself."""
+        digest = warm_state.digest(now, query.segment, query.segment_count, MAX_RESPONSE_OBSERVATIONS)
+        parts = codec.split_into_datagrams(digest)
+        if not self.response_tokens.take(now, len(parts)):
             return self._reply_busy(now, sender, query)
         self.backlog_ms = max(0.0, self.backlog_ms - RESPONSE_TIMEOUT_MS / 2)
         self.answered += 1
         if sender not in self.recent_recipients:
             self.recent_recipients.append(sender)
-        return [
-            SendToPeer(
-                codec.encode(
-                    replace(
-                        template,
-                        nonce=query.nonce,
-                        part=part,
-                        part_count=len(lists),
-                        observations=tuple(places),
-                    )
-                ),
-                sender,
+        responses = (
+            replace(
+                template,
+                nonce=query.nonce,
+                part=part,
+                part_count=len(parts),
+                observations=tuple(observations),
             )
-            for part, places in enumerate(lists)
-        ]
+            for part, observations in enumerate(parts)
+        )
+        return [SendToPeer(codec.encode(response), sender) for response in responses]
 
     def _reply_busy(self, now: float, sender: int, query: codec.Query) -> list[SendToPeer]:
         if not self.busy_tokens.take(now):
             self.dropped += 1
             return []
         self.deferred += 1
-        self.backlog_ms = min(
-            self.backlog_ms + 1000.0 * codec.MAX_PARTS / RESPONSES_PER_SECOND, MAX_RETRY_AFTER_MS
-        )
-        others = [one for one in self.recent_recipients if one != sender]
-        other = others[self.deferred % len(others)] if others else None
-        return [
-            SendToPeer(
-                codec.encode(codec.Busy(query.nonce, INITIAL_BACKOFF_MS + self.backlog_ms, other)), sender
-            )
-        ]
+        response_ms = 1000.0 * codec.MAX_PARTS / RESPONSES_PER_SECOND
+        self.backlog_ms = min(self.backlog_ms + response_ms, MAX_RETRY_AFTER_MS)
+        others = [peer for peer in self.recent_recipients if peer != sender]
+        suggested_peer = others[self.deferred % len(others)] if others else None
+        busy = codec.Busy(query.nonce, INITIAL_BACKOFF_MS + self.backlog_ms, suggested_peer)
+        return [SendToPeer(codec.encode(busy), sender)]
 
 
 @dataclass(slots=True)
 class _PendingQuery:
-    """One question that is out."""
+    """A query that has not been answered in full."""
 
     peer: int
     segment: int
     sent_at_ms: float
     received_parts: set[int] = field(default_factory=set)
-    received_count: int = 0
-    new_count: int = 0
+    received_count: int = 0  # observations
+    new_count: int = 0  # observations that were news
 
 
 @dataclass(slots=True)
 class _SegmentProgress:
+    """What has come for one segment of the function space."""
+
     responses: int = 0
-    nonempty_responses: int = 0  # of these that told a place
-    responders: set[int] = field(default_factory=set)  # who answered
+    nonempty_responses: int = 0
+    responders: set[int] = field(default_factory=set)
     is_complete: bool = False
 
 
 @dataclass(slots=True)
 class _PeerBackoff:
-    not_before_ms: float = -math.inf  # it is asked no sooner
-    backoff_ms: float = INITIAL_BACKOFF_MS
+    """When a peer may be asked again."""
+
+    not_before_ms: float = -math.inf
+    next_backoff_ms: float = INITIAL_BACKOFF_MS
 
 
 class PeerQueryClient:
-    """The side that comes back."""
+    """The side that recovers."""
 
     def __init__(self, seed: int, now: float) -> None:
-        self.rng = random.Random(seed ^ 0x6173_6B21)
+        self.rng = random.Random(seed ^ RNG_SALT)
         self.restart(now)
 
     def restart(self, now: float) -> None:
-        """Ask anew, for nothing is known: after a start, or after a pause."""
+        """Begin the query anew: after a start, or after a pause of the process."""
         self.segments = [_SegmentProgress() for _ in range(SEGMENT_COUNT)]
         self.pending: dict[int, _PendingQuery] = {}
+        """By nonce."""
         self.backoffs: dict[int, _PeerBackoff] = {}
-        self.suggested_peers: set[int] = set()  # named by others as ones that may know
-        self.reported_warm_fractions: list[float] = []  # what those in service say of their calls
-        self.reported_baselines: list[
-            tuple[float, float]
-        ] = []  # what is usual for a router, by those who know
+        self.suggested_peers: set[int] = set()
+        self.reported_warm_fractions: list[float] = []
+        self.reported_baselines: list[tuple[float, float]] = []
+        """Loads and connections per second that are usual at one router, each as one peer has it."""
         self.first_query_at_ms = now + self.rng.uniform(0.0, INITIAL_SPREAD_MS)
-        self.sent_count = self.unexpected_count = 0
+        self.sent_count = 0
+        self.unexpected_count = 0
 
     def is_complete(self) -> bool:
-        """Whether asking on would bring little."""
+        """Whether more queries would bring little."""
         return all(segment.is_complete for segment in self.segments)
 
     def median_warm_fraction(self) -> float | None:
-        """The share of calls that find a copy, by the median of those who say it."""
-        return (
-            sorted(self.reported_warm_fractions)[len(self.reported_warm_fractions) // 2]
-            if self.reported_warm_fractions
-            else None
-        )
+        """The fraction of calls that find a warm instance, by the median of the peers that report one."""
+        if not self.reported_warm_fractions:
+            return None
+        return sorted(self.reported_warm_fractions)[len(self.reported_warm_fractions) // 2]
+
+    def median_baseline(self) -> tuple[float, float] | None:
+        """Loads and connections per second that are usual at one router, by the median of the peers."""
+        if not self.reported_baselines:
+            return None
+        return sorted(self.reported_baselines)[len(self.reported_baselines) // 2]
 
     def on_tick(
         self, now: float, peer_uptimes_ms: Mapping[int, float], try_acquire: Callable[[], bool]
     ) -> list[SendToPeer]:
-        """What to ask now; ``lives``: ms that each router that is there was there; ``may`` takes a token."""
-        for nonce, out in list(self.pending.items()):
-            if now - out.sent_at_ms >= RESPONSE_TIMEOUT_MS or out.peer not in peer_uptimes_ms:
-                del self.pending[nonce]
-                self._back_off(now, out.peer)
-        told: list[SendToPeer] = []
-        while now >= self.first_query_at_ms and len(self.pending) < min(
-            MAX_PENDING_QUERIES, len(peer_uptimes_ms)
-        ):
-            question = self._next_query(now, peer_uptimes_ms, try_acquire)
-            if question is None:
+        """The queries to send now.
+
+        ``peer_uptimes_ms``: the peers that are alive; ``try_acquire``: takes the token of one query."""
+        self._expire_queries(now, peer_uptimes_ms)
+        queries: list[SendToPeer] = []
+        if now < self.first_query_at_ms:
+            return queries
+        while len(self.pending) < min(MAX_PENDING_QUERIES, len(peer_uptimes_ms)):
+            query = self._next_query(now, peer_uptimes_ms, try_acquire)
+            if query is None:
                 break
-            told.append(question)
-        return told
+            queries.append(query)
+        return queries
+
+    def _expire_queries(self, now: float, peer_uptimes_ms: Mapping[int, float]) -> None:
+        for nonce, query in list(self.pending.items()):
+            if now - query.sent_at_ms >= RESPONSE_TIMEOUT_MS or query.peer not in peer_uptimes_ms:
+                del self.pending[nonce]
+                self._back_off(now, query.peer)
 
     def _next_query(
         self, now: float, peer_uptimes_ms: Mapping[int, float], try_acquire: Callable[[], bool]
     ) -> SendToPeer | None:
-        busy = {out.peer for out in self.pending.values()}
-        open_ = [n for n, segment in enumerate(self.segments) if not segment.is_complete]
-        open_.sort(
-            key=lambda n: (sum(o.segment == n for o in self.pending.values()), self.segments[n].responses)
-        )
-        for number in open_:
-            free = [
-                peer
-                for peer in peer_uptimes_ms
-                if peer not in busy
-                and peer not in self.segments[number].responders
-                and now >= self.backoffs.setdefault(peer, _PeerBackoff()).not_before_ms
-            ]
-            if free:
+        """The next query: for the segment with the fewest pending queries and responses, of a free peer."""
+        for number in self._incomplete_segments():
+            segment = self.segments[number]
+            free_peers = self._free_peers(now, segment, peer_uptimes_ms)
+            if free_peers:
                 if not try_acquire():
                     return None
-                peer = self.rng.choices(free, [self._weight(peer, peer_uptimes_ms[peer]) for peer in free])[0]
-                nonce = self.rng.getrandbits(32)
-                self.pending[nonce] = _PendingQuery(peer, number, now)
-                self.suggested_peers.discard(peer)
-                self.sent_count += 1
-                return SendToPeer(codec.encode(codec.Query(nonce, number, SEGMENT_COUNT)), peer)
-            if not [peer for peer in peer_uptimes_ms if peer not in self.segments[number].responders]:
-                self.segments[number].is_complete = True  # all that are there have answered
+                weights = [self._weight(peer, peer_uptimes_ms[peer]) for peer in free_peers]
+                peer = self.rng.choices(free_peers, weights)[0]
+                return self._start_query(now, peer, number)
+            if all(peer in segment.responders for peer in peer_uptimes_ms):
+                segment.is_complete = True  # all peers that are alive have answered
         return None
 
+    def _incomplete_segments(self) -> list[int]:
+        def pending_and_responses(number: int) -> tuple[int, int]:
+            pending_count = sum(query.segment == number for query in self.pending.values())
+            return pending_count, self.segments[number].responses
+
+        incomplete = [number for number, segment in enumerate(self.segments) if not segment.is_complete]
+        return sorted(incomplete, key=pending_and_responses)
+
+    def _free_peers(
+        self, now: float, segment: _SegmentProgress, peer_uptimes_ms: Mapping[int, float]
+    ) -> list[int]:
+        """The peers that may be asked for a segment now: one pending query a peer, and none twice."""
+        busy_peers = {query.peer for query in self.pending.values()}
+        return [
+            peer
+            for peer in peer_uptimes_ms
+            if peer not in busy_peers
+            and peer not in segment.responders
+            and now >= self.backoffs.setdefault(peer, _PeerBackoff()).not_before_ms
+        ]
+
     def _weight(self, peer: int, uptime_ms: float) -> float:
         return (
             NEW_PEER_WEIGHT
             + min(uptime_ms, FULL_WEIGHT_UPTIME_MS) / FULL_WEIGHT_UPTIME_MS
-            + (0.5 if peer in self.suggested_peers else 0.0)
+            + (SUGGESTED_PEER_WEIGHT if peer in self.suggested_peers else 0.0)
         )
 
-    def _back_off(self, now: float, peer: int, wait: float | None = None) -> None:
-        at = self.backoffs.setdefault(peer, _PeerBackoff())
-        at.not_before_ms = now + (at.backoff_ms if wait is None else wait) * self.rng.uniform(*BACKOFF_JITTER)
-        at.backoff_ms = min(2 * at.backoff_ms, MAX_BACKOFF_MS)
+    def _start_query(self, now: float, peer: int, segment: int) -> SendToPeer:
+        nonce = self.rng.getrandbits(32)
+        self.pending[nonce] = _PendingQuery(peer, segment, now)
+        self.suggested_peers.discard(peer)
+        self.sent_count += 1
+        return SendToPeer(codec.encode(codec.Query(nonce, segment, SEGMENT_COUNT)), peer)
+
+    def _back_off(self, now: float, peer: int, retry_after_ms: float | None = None) -> None:
+        """Leave a peer alone: for the time that it asked for, else for its backoff, which doubles."""
+        backoff = self.backoffs.setdefault(peer, _PeerBackoff())
+        wait_ms = backoff.next_backoff_ms if retry_after_ms is None else retry_after_ms
+        backoff.not_before_ms = now + wait_ms * self.rng.uniform(*BACKOFF_JITTER)
+        backoff.next_backoff_ms = min(2 * backoff.next_backoff_ms, MAX_BACKOFF_MS)
 
     def on_busy(self, now: float, sender: int, busy: codec.Busy) -> None:
-        """A peer has no answer now."""
-        out = self.pending.get(busy.nonce)
-        if out is None or out.peer != sender:
+        """A peer has no response now."""
+        query = self.pending.get(busy.nonce)
+        if query is None or query.peer != sender:
             self.unexpected_count += 1
             return
         del self.pending[busy.nonce]
@@ -228,38 +271,39 @@
     def on_response(
         self, now: float, sender: int, response: codec.Response, warm_state: WarmState, has_older_peers: bool
     ) -> None:
-        """A part of an answer: taken in at once, with ages counted from when it was asked for.
+        """Take one part of a response at once, with ages counted from when the query was sent.
 
-        ``old``: routers are there that did not restart with this one: then an empty answer says little."""
-        out = self.pending.get(response.nonce)
-        if out is None or out.peer != sender or response.part in out.received_parts:
+        ``has_older_peers``: whether there are peers that did not restart with this router; then an empty
+        response says little."""
+        query = self.pending.get(response.nonce)
+        if query is None or query.peer != sender or response.part in query.received_parts:
             self.unexpected_count += 1
             return
-        out.received_parts.add(response.part)
-        out.received_count += len(response.observations)
-        for place in response.observations:
-            if place.function_hash % SEGMENT_COUNT == out.segment and place.hops < MAX_HOPS:
-                out.new_count += warm_state.merge_remote(now, out.sent_at_ms, place, Source.PEER)
-        if len(out.received_parts) < response.part_count:
+        query.received_parts.add(response.part)
+        query.received_count += len(response.observations)
+        for aged in response.observations:
+            if aged.function_hash % SEGMENT_COUNT == query.segment and aged.hops < MAX_HOPS:
+                query.new_count += warm_state.merge_remote(now, query.sent_at_ms, aged, Source.PEER)
+        if len(query.received_parts) < response.part_count:
             return
         del self.pending[response.nonce]
         if response.warm_fraction is not None:
             self.reported_warm_fractions.append(response.warm_fraction)
         if response.baseline_rates is not None:
             self.reported_baselines.append(response.baseline_rates)
-        self._finish(out, has_older_peers)
+        self._finish(query, has_older_peers)
 
     def _finish(self, query: _PendingQuery, has_older_peers: bool) -> None:
+        """All parts of a response have come: whether its segment is known by now."""
         segment = self.segments[query.segment]
         segment.responses += 1
         segment.responders.add(query.peer)
         segment.nonempty_responses += query.received_count > 0
-        little = (
-            query.new_count <= NEW_FRACTION_THRESHOLD * query.received_count
-            if query.received_count
-            else not has_older_peers
-        )
-        enough = segment.responses >= MIN_RESPONSES and little
-        segment.is_complete = (
-            segment.is_complete or enough or segment.nonempty_responses >= MAX_NONEMPTY_RESPONSES
-        )
+        if query.received_count:
+            has_little_new = query.new_count <= NEW_FRACTION_THRESHOLD * query.received_count
+        else:
+            has_little_new = not has_older_peers
+        if segment.responses >= MIN_RESPONSES and has_little_new:
+            segment.is_complete = True
+        if segment.nonempty_responses >= MAX_NONEMPTY_RESPONSES:
+            segment.is_complete = True
--- /dev/null
+++ b/cedarthread/recovery/status.py
@@ -0,0 +1,66 @@
+"""The recovery's figures at ``INFO`` and its log lines, under the names that the platform's operators read.
+
+The log lines are actions, so recorded traces of decisions hold their text byte for byte: it stays as it is.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from cedarthread.recovery.pacing_limits import PacedAction
+from cedarthread.recovery.state_machine import RecoveryPhase, TransitionCause
+
+if TYPE_CHECKING:
+    from cedarthread.recovery.component import RecoveryComponent
+
+_PHASE_FIGURES = {
+    RecoveryPhase.STARTING: "starting",
+    RecoveryPhase.PEER_QUERY: "asking",
+    RecoveryPhase.WARMING: "warming",
+    RecoveryPhase.IN_SERVICE: "in_service",
+}
+_CAUSE_FIGURES = {
+    TransitionCause.START: "start",
+    TransitionCause.EVIDENCE: "evidence",
+    TransitionCause.TIMEOUT: "time",
+    TransitionCause.PAUSE: "pause",
+}
+
+PAUSE_LOG_LINE = "return: this process stood still: it comes back as if restarted"
+
+
+def phase_log_line(recovery: RecoveryComponent, now: float) -> str:
+    """What the log says when the recovery enters a phase."""
+    machine = recovery.state_machine
+    phase, cause = _PHASE_FIGURES[machine.phase].replace("_", " "), _CAUSE_FIGURES[machine.cause]
+    return (
+        f"return: {phase}, by {cause}, {now - recovery.restarted_at_ms:.0f} ms after it came back;"
+        f" {recovery.warm_state.observation_count} places known,"
+        f" {recovery.warm_fraction.recent(now):.2f} of calls found a copy"
+    )
+
+
+def recovery_status(recovery: RecoveryComponent, now: float) -> Mapping[str, str]:
+    """The figures of one router's recovery."""
+    machine, server, deferred = recovery.state_machine, recovery.query_server, recovery.pacer.deferred_counts
+    baseline = recovery.baseline_warm_fraction()
+    unreadable = (
+        recovery.malformed_count + recovery.unknown_sender_count + recovery.query_client.unexpected_count
+    )
+    return {
+        "return_phase": _PHASE_FIGURES[machine.phase],
+        "return_phase_by": _CAUSE_FIGURES[machine.cause],
+        "return_phase_ms": f"{now - machine.entered_at_ms:.0f}",
+        "return_bounded": str(int(recovery.admission.is_paced)),
+        "return_mass": str(int(recovery.is_mass_restart(now))),
+        "return_places": str(recovery.warm_state.observation_count),
+        "return_warm": f"{recovery.warm_fraction.recent(now):.2f}",
+        "return_warm_usual": "unknown" if baseline is None else f"{baseline:.2f}",
+        "return_asked": str(recovery.query_client.sent_count),
+        "return_answered": str(server.answered),
+        "return_put_off_peers": str(server.deferred + server.dropped),
+        "return_put_off_loads": str(deferred[PacedAction.LOAD]),
+        "return_put_off_connections": str(deferred[PacedAction.CONNECT]),
+        "return_unreadable": str(unreadable),
+    }
--- a/cedarthread/recovery/warm_state.py
+++ b/cedarthread/recovery/warm_state.py
@@ -1,7 +1,7 @@
-"""What stood warm where: each piece with when it was observed, and at which start of the runner.
+"""Which functions were seen warm on which workers, and when: the knowledge that a restart loses.
 
-Observations join by the freshest one, so their order, loss and doubling do not matter. An age that is told is
-that of the observation itself, whoever passes it on: being told makes nothing younger.
+Observations merge by the freshest one, so their order, loss and duplication do not matter. The age that is
+sent is that of the observation itself, whoever passes it on: forwarding makes nothing younger.
 """
 
 from __future__ import annotations
@@ -16,13 +16,16 @@
 from cedarthread.gossip.load_gossip import InstanceLoad
 from cedarthread.model.endpoints import EndpointState, EndpointUpdate, EndpointUpdateKind
 
-MAX_OBSERVATIONS = 4096  # observations that are kept; past a tenth more the least recently observed go
-MAX_HOPS = 15  # routers that an observation may come by way of
-UNKNOWN_START = 0  # the tag of a runner that started a long time back
+MAX_OBSERVATIONS = 4096
+"""Observations that are kept; at a tenth more the least recently observed are evicted."""
+MAX_HOPS = 15
+"""Routers by way of which an observation may have come: four bits of a datagram's flags."""
+UNKNOWN_START = 0
+"""Start tag of a worker whose start time is not known."""
 
 
 class Source(IntEnum):
-    """Where an observation came from to this process."""
+    """Where an observation came to this process from."""
 
     LOCAL = 0
     STORE = 1
@@ -31,15 +34,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Observation:
-    """One observation of a function at one start of a runner."""
+    """One observation of a function on one start of a worker."""
 
-    observed_at_ms: float  # ms on this process's steady clock
-    is_warm: bool  # a copy was found there, or found missing
+    observed_at_ms: float  # on this process's steady clock
+    is_warm: bool  # a warm instance was found, or found missing
     source: Source
     hops: int  # routers that it came by way of
 
     def supersedes(self, other: Observation) -> bool:
-        """Whether it replaces another: the later one; of two at one time the one that found nothing."""
+        """Whether it replaces another: the later one does; of two at one time the one that found nothing."""
         return (self.observed_at_ms, not self.is_warm, -self.hops) > (
             other.observed_at_ms,
             not other.is_warm,
@@ -49,165 +52,173 @@
 
 @dataclass(frozen=True, slots=True)
 class AgedObservation:
-    """One observation as it is told or stored: with its age, for clocks are each process's own."""
+    """One observation as it is sent or stored: with its age, since each process has a clock of its own."""
 
     worker_id: int
     start_tag: int
-    function_hash: int  # folded to 32 bits
-    age_ms: float  # ms since the observation
+    function_hash: int  # the function id folded to 32 bits
+    age_ms: float  # since the observation
     is_warm: bool
     hops: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class _ListedWorker:
-    """A runner in the present list."""
+    """A worker in the present endpoint list."""
 
     start_tag: int
     is_ready: bool
     first_listed_at_ms: float  # when this start of it was first listed here
 
 
-def start_tag(started: float | None) -> int:
-    """A runner's start in 32 bits: the figure of the list, which is the same at each router."""
-    if started is None or not math.isfinite(started):
+def start_tag(started_at_ms: float | None) -> int:
+    """A worker's start time in 32 bits, from the endpoint list, so that all routers have the same tag."""
+    if started_at_ms is None or not math.isfinite(started_at_ms):
         return UNKNOWN_START
-    return int(started) & 0xFFFFFFFF
+    return int(started_at_ms) & 0xFFFFFFFF
 
 
 class WarmState:
-    """All observations of one process, and the present list of runners that says which still count."""
+    """All observations of one process, and the endpoint list that says which of them are still usable."""
 
     def __init__(self, keep_alive_ms: float, max_observations: int = MAX_OBSERVATIONS) -> None:
-        self.keep_alive_ms, self.max_observations = keep_alive_ms, max_observations
-        self.suspended_until_ms = -math.inf  # until then nothing decides: the list may be from before a pause
+        self.keep_alive_ms = keep_alive_ms
+        self.max_observations = max_observations
+        self.suspended_until_ms = -math.inf
+        """No observation is usable before: after a pause the endpoint list may be from before it."""
         self.workers: dict[int, _ListedWorker] = {}
-        self.observations: dict[int, dict[tuple[int, int], Observation]] = {}  # function: worker and start
+        self.observations: dict[int, dict[tuple[int, int], Observation]] = {}
+        """By function hash, then by worker and start tag."""
         self.observation_count = 0
 
-    # The present list.
-
-    def on_endpoint_update(self, now: float, event: EndpointUpdate) -> None:
-        """News of the list; what it no longer names decides nothing from now on."""
-        if event.kind is EndpointUpdateKind.FAILED:
+    def on_endpoint_update(self, now: float, update: EndpointUpdate) -> None:
+        """Follow the endpoint list; observations of what it no longer names are not usable from now on."""
+        if update.kind is EndpointUpdateKind.FAILED:
             return
-        if event.kind is not EndpointUpdateKind.DELTA:
-            told = {entry.worker_id for entry in event.endpoints}
-            self.workers = {w: entry for w, entry in self.workers.items() if w in told}
-        first = not self.workers
-        for entry in event.endpoints:
-            if entry.state is EndpointState.REMOVED:
-                self.workers.pop(entry.worker_id, None)
+        if update.kind is not EndpointUpdateKind.DELTA:
+            listed_ids = {endpoint.worker_id for endpoint in update.endpoints}
+            self.workers = {
+                worker_id: listed for worker_id, listed in self.workers.items() if worker_id in listed_ids
+            }
+        # What the first list names may have started at any time; what joins it later, no sooner than now.
+        listed_since_ms = now if self.workers else -math.inf
+        for endpoint in update.endpoints:
+            if endpoint.state is EndpointState.REMOVED:
+                self.workers.pop(endpoint.worker_id, None)
                 continue
-            start, old = start_tag(entry.started_at_ms), self.workers.get(entry.worker_id)
-            at = -math.inf if first else now
-            if old is not None and old.start_tag == start:
-                at = old.first_listed_at_ms
-            self.workers[entry.worker_id] = _ListedWorker(start, entry.state is EndpointState.READY, at)
-
-    def is_usable(self, now: float, worker: int, start: int, place: Observation) -> bool:
-        """Whether an observation may decide: of a ready runner's present start, within the keep-alive."""
-        runner = self.workers.get(worker)
-        if (
-            runner is None
-            or not runner.is_ready
-            or runner.start_tag != start
-            or now < self.suspended_until_ms
-        ):
+            tag = start_tag(endpoint.started_at_ms)
+            first_listed_at_ms = listed_since_ms
+            previous = self.workers.get(endpoint.worker_id)
+            if previous is not None and previous.start_tag == tag:
+                first_listed_at_ms = previous.first_listed_at_ms
+            is_ready = endpoint.state is EndpointState.READY
+            self.workers[endpoint.worker_id] = _ListedWorker(tag, is_ready, first_listed_at_ms)
+
+    def is_usable(self, now: float, worker_id: int, start: int, observation: Observation) -> bool:
+        """Whether it may decide: of the present start of a ready worker, warm, and within the keep-alive.
+
+        ``start`` is a start tag."""
+        listed = self.workers.get(worker_id)
+        if listed is None or not listed.is_ready or listed.start_tag != start:
             return False
-        return place.is_warm and now - place.observed_at_ms <= self.keep_alive_ms
-
-    # Observations.
+        if now < self.suspended_until_ms:
+            return False
+        return observation.is_warm and now - observation.observed_at_ms <= self.keep_alive_ms
 
     def record_local(
-        self, now: float, worker: int, function: int, is_warm: bool, latency_ms: float = 0.0
+        self, now: float, worker_id: int, function_id: int, is_warm: bool, latency_ms: float = 0.0
     ) -> None:
-        """An own observation. What was sent before the runner's new start was listed tells of no start."""
-        runner = self.workers.get(worker)
-        if runner is not None and now - latency_ms >= runner.first_listed_at_ms:
-            self._merge(
-                worker,
-                runner.start_tag,
-                fold_function_id(function),
-                Observation(now, is_warm, Source.LOCAL, 0),
-            )
+        """Take an observation of this router's own.
+
+        An attempt that was sent before the worker's present start was listed says nothing of any start."""
+        listed = self.workers.get(worker_id)
+        if listed is not None and now - latency_ms >= listed.first_listed_at_ms:
+            observation = Observation(now, is_warm, Source.LOCAL, 0)
+            self._merge(worker_id, listed.start_tag, fold_function_id(function_id), observation)
 
     def merge_remote(self, now: float, asked_at_ms: float, aged: AgedObservation, source: Source) -> bool:
-        """Take what was told with an age; True where that was news.
+        """Take an observation that came with an age; whether it was news.
 
-        ``at``: a time on this clock that is no later than the telling, such as when the question was sent:
-        counted from there, delays on the way make an observation older, never younger."""
+        ``asked_at_ms``: a time on this clock no later than the age was read, such as when the query was sent.
+        The age is counted from there, so delays on the way make an observation older, never younger."""
         if not (math.isfinite(aged.age_ms) and aged.age_ms >= 0 and aged.hops < MAX_HOPS):
             return False
-        observed = min(asked_at_ms, now) - aged.age_ms
-        if now - observed > self.keep_alive_ms:
+        observed_at_ms = min(asked_at_ms, now) - aged.age_ms
+        if now - observed_at_ms > self.keep_alive_ms:
             return False
-        return self._merge(
-            aged.worker_id,
-            aged.start_tag,
-            aged.function_hash,
-            Observation(observed, aged.is_warm, source, aged.hops + 1),
-        )
-
-    def _merge(self, worker: int, start: int, short: int, place: Observation) -> bool:
-        """Join one observation; True where there was none of it that still counts the same."""
-        at = self.observations.setdefault(short, {})
-        old = at.get((worker, start))
-        if old is not None and not place.supersedes(old):
+        observation = Observation(observed_at_ms, aged.is_warm, source, aged.hops + 1)
+        return self._merge(aged.worker_id, aged.start_tag, aged.function_hash, observation)
+
+    def _merge(self, worker_id: int, start: int, function_hash: int, observation: Observation) -> bool:
+        """Join one observation; whether there was none that says the same."""
+        by_start = self.observations.setdefault(function_hash, {})
+        previous = by_start.get((worker_id, start))
+        if previous is not None and not observation.supersedes(previous):
             return False
-        at[worker, start] = place
-        if old is None:
+        by_start[worker_id, start] = observation
+        if previous is None:
             self.observation_count += 1
             if self.observation_count > self.max_observations + self.max_observations // 10:
                 self._evict_oldest()
-        return old is None or old.is_warm is not place.is_warm
+        return previous is None or previous.is_warm is not observation.is_warm
 
     def _evict_oldest(self) -> None:
-        """Bounded memory, whatever peers tell."""
-        every = [
-            (p.observed_at_ms, short, key) for short, at in self.observations.items() for key, p in at.items()
+        """Bound the memory, whatever peers send."""
+        candidates = [
+            (observation.observed_at_ms, function_hash, key)
+            for function_hash, by_start in self.observations.items()
+            for key, observation in by_start.items()
         ]
-        for _, short, key in heapq.nsmallest(self.observation_count - self.max_observations, every):
-            del self.observations[short][key]
-            if not self.observations[short]:
-                del self.observations[short]
-        self.observation_count = sum(len(at) for at in self.observations.values())
+        excess = self.observation_count - self.max_observations
+        for _, function_hash, key in heapq.nsmallest(excess, candidates):
+            del self.observations[function_hash][key]
+            if not self.observations[function_hash]:
+                del self.observations[function_hash]
+        self.observation_count = sum(len(by_start) for by_start in self.observations.values())
 
     def drop_expired(self, now: float) -> None:
-        """Once in a while: what is older than the keep-alive can decide nothing any more."""
-        for short, at in list(self.observations.items()):
-            for key in [key for key, place in at.items() if now - place.observed_at_ms > self.keep_alive_ms]:
-                del at[key]
+        """Drop observations that are older than the keep-alive; none of them is ever usable again."""
+        for function_hash, by_start in list(self.observations.items()):
+            expired = [
+                key
+                for key, observation in by_start.items()
+                if now - observation.observed_at_ms > self.keep_alive_ms
+            ]
+            for key in expired:
+                del by_start[key]
                 self.observation_count -= 1
-            if not at:
-                del self.observations[short]
+            if not by_start:
+                del self.observations[function_hash]
 
-    # What is read.
+    def warm_instances(self, now: float, function_id: int) -> dict[int, InstanceLoad]:
+        """The workers that have a warm instance of a function by a usable observation, with its age.
 
-    def warm_instances(self, now: float, function: int) -> dict[int, InstanceLoad]:
-        """What stands of a function, by worker, in the form of ``Talk.copies``: only what may decide."""
-        at = self.observations.get(fold_function_id(function), {})
+        In the form of ``LoadGossip.instances``; no load is known."""
+        by_start = self.observations.get(fold_function_id(function_id), {})
         return {
-            worker: InstanceLoad(0, max(0.0, now - place.observed_at_ms))
-            for (worker, start), place in at.items()
-            if self.is_usable(now, worker, start, place)
+            worker_id: InstanceLoad(0, max(0.0, now - observation.observed_at_ms))
+            for (worker_id, start), observation in by_start.items()
+            if self.is_usable(now, worker_id, start, observation)
         }
 
     def digest(
         self, now: float, segment: int = 0, segment_count: int = 1, limit: int = MAX_OBSERVATIONS
     ) -> list[AgedObservation]:
-        """What others or the store are to be told, the freshest first; what found nothing is told too."""
-        return heapq.nsmallest(
-            limit, self._unexpired(now, segment, segment_count), key=lambda told: told.age_ms
-        )
+        """What peers or the store are to be sent, the freshest first, cold observations included.
+
+        ``segment``: only functions whose hash modulo ``segment_count`` is this."""
+        unexpired = self._unexpired(now, segment, segment_count)
+        return heapq.nsmallest(limit, unexpired, key=lambda aged: aged.age_ms)
 
     def _unexpired(self, now: float, segment: int, segment_count: int) -> Iterator[AgedObservation]:
-        for short, at in self.observations.items():
-            if short % segment_count != segment:
+        for function_hash, by_start in self.observations.items():
+            if function_hash % segment_count != segment:
                 continue
-            for (worker, start), place in at.items():
-                age = max(0.0, now - place.observed_at_ms)
-                runner = self.workers.get(worker)
-                past = runner is not None and runner.start_tag != start
-                if age <= self.keep_alive_ms and not past:
-                    yield AgedObservation(worker, start, short, age, place.is_warm, place.hops)
+            for (worker_id, start), observation in by_start.items():
+                age_ms = max(0.0, now - observation.observed_at_ms)
+                listed = self.workers.get(worker_id)
+                is_past_start = listed is not None and listed.start_tag != start
+                if age_ms <= self.keep_alive_ms and not is_past_start:
+                    yield AgedObservation(
+                        worker_id, start, function_hash, age_ms, observation.is_warm, observation.hops
+                    )
--- a/cedarthread/testing/cluster/injected_defects.py
+++ b/cedarthread/testing/cluster/injected_defects.py
@@ -128,10 +128,10 @@
 
 def drown() -> None:
     """Who comes back asks all at once, again and again, and who is asked answers all."""
-    from cedarthread.recovery import pacing, peer_query
+    from cedarthread.recovery import pacing_limits, peer_query
     from cedarthread.statistics import TokenBucket
 
-    pacing.PacingLimits.peer_queries = 1e4  # type: ignore[misc]
+    pacing_limits.PacingLimits.peer_queries = 1e4  # type: ignore[misc]
     (
         peer_query.MAX_PENDING_QUERIES,
         peer_query.RESPONSE_TIMEOUT_MS,
@@ -153,4 +153,4 @@
     """What stood at an earlier start of a runner passes for standing."""
     from cedarthread.recovery import warm_state
 
-    warm_state.start_tag = lambda started: 0
+    warm_state.start_tag = lambda started_at_ms: 0
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -82,8 +82,8 @@
 from cedarthread.protocols.invoke_config import InvokeConfig
 from cedarthread.protocols.invoke_config import parse as parse_invoke
 from cedarthread.recovery import codec as return_form
-from cedarthread.recovery import pacing
 from cedarthread.recovery.component import RecoveryComponent
+from cedarthread.recovery.pacing_limits import PacedAction
 from cedarthread.recovery.warm_state import AgedObservation
 from cedarthread.replication import codec as register_form
 from cedarthread.replication import entry as entries
@@ -1354,12 +1354,12 @@
     return image
 
 
-KINDS: tuple[pacing.PacedAction, ...] = (
-    pacing.PacedAction.LOAD,
-    pacing.PacedAction.CONNECT,
-    pacing.PacedAction.RESOLVE,
-    pacing.PacedAction.ASK,
-    pacing.PacedAction.RELEASE,
+KINDS: tuple[PacedAction, ...] = (
+    PacedAction.LOAD,
+    PacedAction.CONNECT,
+    PacedAction.DISCOVERY_QUERY,
+    PacedAction.PEER_QUERY,
+    PacedAction.RELEASE,
 )
 
 
@@ -1381,7 +1381,7 @@
     """The rates that a later life takes for usual, kind by kind."""
     made = _recovery(31_000.0)
     count: int = made.restore(31_000.0, image)
-    return [count, *(plain(made.pacer.baseline(kind)) for kind in KINDS)]
+    return [count, *(plain(made.pacer.baseline.per_second(kind)) for kind in KINDS)]
 
 
 def warm_reads(image: bytes) -> Json:
@@ -1391,7 +1391,7 @@
     return [
         count,
         plain(made.warm_state.digest(2000.0)),
-        plain(made.remembered_warm_fraction),
+        plain(made.warm_fraction.remembered_baseline),
         plain(msgspec.msgpack.decode(image)),
     ]
 
--- a/tests/simulation/test_recovery_fleet.py
+++ b/tests/simulation/test_recovery_fleet.py
@@ -17,10 +17,11 @@
 from cedarthread.model.actions import SendToPeer
 from cedarthread.model.endpoints import EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.model.outcomes import Outcome
-from cedarthread.recovery import codec, peer_query
+from cedarthread.recovery import codec, peer_query, snapshot
 from cedarthread.recovery.component import RecoveryComponent
-from cedarthread.recovery.pacing import MIN_WORKER_CONNECTIONS_PER_WINDOW, Pacer
-from cedarthread.recovery.state_machine import RecoveryPhase, RecoveryStateMachine
+from cedarthread.recovery.pacing import Pacer
+from cedarthread.recovery.pacing_limits import MIN_WORKER_CONNECTIONS_PER_WINDOW
+from cedarthread.recovery.state_machine import RecoveryPhase, RecoveryStateMachine, TransitionCause
 from cedarthread.recovery.warm_state import AgedObservation, Observation, Source, WarmState, start_tag
 from tests.helpers import LIMITS, copier, settings, worker
 
@@ -251,7 +252,7 @@
 def calm() -> World:
     """A world that nothing disturbed for so long that all is in service."""
     world = World(routers=16, runners=10, functions=60, rate=12.0, seed=11).run(T)
-    assert all(one.in_service(T) and not one.is_paced for one in world.routers)
+    assert all(one.in_service(T) and not one.admission.is_paced for one in world.routers)
     return world
 
 
@@ -386,28 +387,26 @@
     return TOLD(knows, now, now, dataclasses.replace(told, age_ms=0.0), source)
 
 
-def undated(
-    one: RecoveryComponent, now: float, away: float, row: tuple[int, int, int, float, bool, int]
-) -> bool:
-    return STORED(one, now, 0.0, row)
+def undated(known: WarmState, now: float, age_growth_ms: float, row: snapshot.ObservationRow) -> bool:
+    return STORED(known, now, 0.0, row)
 
 
-TOLD, STORED = WarmState.merge_remote, RecoveryComponent._restore_observation
+TOLD, STORED = WarmState.merge_remote, snapshot.restore_observation
 Judge = Callable[[World, int], set[str]]
 DEFECTS: dict[str, tuple[object, str, object, Judge, str]] = {
-    "ramp left out": (Pacer, "may_load", lambda pace, now: 1.0, of_stores, "stampede at the store"),
-    "stale start believed": (WarmState, "counts", believes(False, True), of_stores, "stale decisions"),
-    "drained runner believed": (WarmState, "counts", believes(True, False), of_stores, "stale decisions"),
-    "age counted from the telling": (WarmState, "told", from_telling, of_peers, "made younger"),
+    "ramp left out": (Pacer, "try_acquire_load", lambda pace, now: 1.0, of_stores, "stampede at the store"),
+    "stale start believed": (WarmState, "is_usable", believes(False, True), of_stores, "stale decisions"),
+    "drained runner believed": (WarmState, "is_usable", believes(True, False), of_stores, "stale decisions"),
+    "age counted from the telling": (WarmState, "merge_remote", from_telling, of_peers, "made younger"),
     "answers unbounded": (statistics.TokenBucket, "take", lambda *_: True, of_survivors, "survivor drowns"),
     "phases ended by time alone": (
         RecoveryStateMachine,
-        "_shown",
+        "_is_goal_reached",
         lambda phases, seen: False,
         of_peers,
         "late",
     ),
-    "store's ages not grown": (RecoveryComponent, "_stored", undated, of_stores, "made younger"),
+    "store's ages not grown": (snapshot, "restore_observation", undated, of_stores, "made younger"),
 }
 
 
@@ -495,9 +494,8 @@
                 assert not self.stale and found.warm_age_ms is not None
                 assert self.now - found.warm_age_ms <= self.seen and found.warm_age_ms <= 1200.0
             assert len(one.query_client.pending) <= peer_query.MAX_PENDING_QUERIES
-            asks = (
-                one.state_machine.phase is RecoveryPhase.ASKING and one.state_machine.cause.name == "EVIDENCE"
-            )
+            machine = one.state_machine
+            asks = machine.phase is RecoveryPhase.PEER_QUERY and machine.cause is TransitionCause.EVIDENCE
             assert not asks or 2 * (1 + len(one.fleet_view.peer_uptimes_ms(self.now))) > len(self.routers)
             if (
                 one.state_machine.phase is RecoveryPhase.IN_SERVICE
--- a/tests/unit/test_recovery.py
+++ b/tests/unit/test_recovery.py
@@ -20,7 +20,9 @@
     SUSPENSION_AFTER_PAUSE_MS,
     RecoveryComponent,
 )
-from cedarthread.recovery.pacing import PacedAction, Pacer, PacingLimits
+from cedarthread.recovery.fleet_view import WorkerReportView
+from cedarthread.recovery.pacing import Pacer
+from cedarthread.recovery.pacing_limits import PacedAction, PacingLimits
 from cedarthread.recovery.peer_query import PeerQueryClient, PeerQueryServer
 from cedarthread.recovery.state_machine import (
     PhaseTimeouts,
@@ -28,7 +30,6 @@
     RecoveryPhase,
     RecoveryStateMachine,
     TransitionCause,
-    WorkerReportView,
 )
 from cedarthread.recovery.warm_state import AgedObservation, Source, WarmState, start_tag
 from tests.helpers import LIMITS, settings, worker
@@ -244,12 +245,12 @@
 def test_each_phase_ends_by_its_own_evidence_else_at_its_longest_time() -> None:
     longest = PhaseTimeouts.from_settings(settings())
     lacks: list[tuple[RecoveryPhase, dict[str, object]]] = [
-        (RecoveryPhase.STARTING, {"listed": False}),
-        (RecoveryPhase.STARTING, {"majority": False}),
-        (RecoveryPhase.ASKING, {"known": False}),
-        (RecoveryPhase.WARMING, {"calls": 3.0}),
-        (RecoveryPhase.WARMING, {"warm": 0.8}),
-        (RecoveryPhase.WARMING, {"put_off": True}),
+        (RecoveryPhase.STARTING, {"has_endpoint_list": False}),
+        (RecoveryPhase.STARTING, {"has_majority": False}),
+        (RecoveryPhase.PEER_QUERY, {"is_peer_query_complete": False}),
+        (RecoveryPhase.WARMING, {"recent_calls": 3.0}),
+        (RecoveryPhase.WARMING, {"warm_fraction": 0.8}),
+        (RecoveryPhase.WARMING, {"has_deferred_loads": True}),
     ]
     for phase, lack in lacks:
         machine = RecoveryStateMachine(longest, 0.0)
@@ -259,7 +260,7 @@
         over = machine.entered_at_ms + longest.for_phase(phase)
         assert not machine.advance(over - 1.0, dataclasses.replace(ALL, **lack))  # type: ignore[arg-type]
         assert machine.advance(over, dataclasses.replace(ALL, **lack))  # type: ignore[arg-type]
-        assert machine.cause is TransitionCause.TIME
+        assert machine.cause is TransitionCause.TIMEOUT
     machine = RecoveryStateMachine(longest, 0.0)
     while machine.advance(1.0, ALL):
         pass
@@ -284,9 +285,10 @@
     before, after = 40_900.0, 40_900.0 + 3000.0
     assert one.warm_instances(before, 7)
     one.on_notification(after, served(1, 8))  # its answer lay in a buffer all that while
-    assert not one.in_service(after) and not one.warm_instances(after, 7) and one.is_paced
+    assert not one.in_service(after) and not one.warm_instances(after, 7) and one.admission.is_paced
     assert any("stood still" in word.message for word in one.on_tick(after) if isinstance(word, LogMessage))
-    assert one.state_machine.cause is TransitionCause.PAUSE or one.state_machine.phase is RecoveryPhase.ASKING
+    machine = one.state_machine
+    assert machine.cause is TransitionCause.PAUSE or machine.phase is RecoveryPhase.PEER_QUERY
     later = after + SUSPENSION_AFTER_PAUSE_MS
     assert one.warm_instances(later, 7) and not one.warm_instances(later, 8)  # 3 s are within the keep-alive
     one = returned()
@@ -331,21 +333,21 @@
 
 def test_tokens_come_evenly_from_a_random_place_and_double_by_what_went_well() -> None:
     many = [Pacer(n, 0.0, PacingLimits(loads=1.0, discovery_queries=1.0), 40) for n in range(40)]
-    first = sum(one.try_acquire(0.0, PacedAction.RESOLVE) for one in many)
+    first = sum(one.try_acquire(0.0, PacedAction.DISCOVERY_QUERY) for one in many)
     counts = []
     for window in range(8):
         counts.append(0)
         for at in range(0, 250, 10):
             for one in many:
-                if one.try_acquire(window * 250.0 + at, PacedAction.RESOLVE):
+                if one.try_acquire(window * 250.0 + at, PacedAction.DISCOVERY_QUERY):
                     counts[-1] += 1
-                    one.record_result(PacedAction.RESOLVE, True)
+                    one.record_result(PacedAction.DISCOVERY_QUERY, True)
                 one.on_tick(window * 250.0 + at)
     assert first == 0 and counts[0] <= 0.5 * 40 and max(counts) <= 1.25 * 40 and counts[-1] >= 0.9 * 40
     for n in range(10):
-        many[0].record_result(PacedAction.RESOLVE, False)
+        many[0].record_result(PacedAction.DISCOVERY_QUERY, False)
         many[0].on_tick(9000.0 + 250.0 * n)
-    assert many[0].ramp_level[PacedAction.RESOLVE] == pacing.MIN_RAMP_LEVEL
+    assert many[0].ramp_levels[PacedAction.DISCOVERY_QUERY] == pacing.MIN_RAMP_LEVEL
 
 
 def test_a_call_to_an_unknown_place_takes_the_chance_of_a_load_and_gets_the_rest_back() -> None:
@@ -370,11 +372,11 @@
         times: list[int] = []
         for at in range(0, 5000, 50):
             for one in many:
-                one.worker_count, one.ramp_level = 50, dict.fromkeys(PacedAction, 1.0)
+                one.worker_count, one.ramp_levels = 50, dict.fromkeys(PacedAction, 1.0)
                 one.record_call(3)
                 for other in range(others):
                     one.record_call(100 + other)
-                if 3 not in one.worker_turns and one.try_acquire_connection(float(at), 3):
+                if not one.connection_turns.has_connected(3) and one.try_acquire_connection(float(at), 3):
                     times.append(at)
         peak = max(sum(start <= at < start + 250 for at in times) for start in range(0, 5000, 50))
         assert peak <= most and len(times) == 50 and (others or times[-1] >= 2000)
@@ -387,10 +389,10 @@
         one.record_unpaced(float(at), PacedAction.LOAD)
     one.update_baseline(40_000.0)
     one.restart(40_000.0)
-    one.ramp_level[PacedAction.LOAD] = 1.0
-    assert one.baseline_per_second[PacedAction.LOAD] == pytest.approx(2.0, rel=0.15)
+    one.ramp_levels[PacedAction.LOAD] = 1.0
+    assert one.baseline.own_per_second[PacedAction.LOAD] == pytest.approx(2.0, rel=0.15)
     mean, most = (
-        one.baseline_per_second[PacedAction.LOAD] * 10 / 4,
+        one.baseline.own_per_second[PacedAction.LOAD] * 10 / 4,
         one.rate_per_second(PacedAction.LOAD) * 10 / 4,
     )
     assert most + most**0.5 == pytest.approx(1.5 * (mean + 3 * mean**0.5 + 1.0))
@@ -410,7 +412,7 @@
             times.append(at)
     assert len(times) in (2, 3) and times[0] >= 250 and times[1] - times[0] >= 4000
     one.on_notification(9000.0, served(1, 7, warm=False))
-    assert 7 not in one.pending_loads and one.warm_instances(9000.0, 7)
+    assert 7 not in one.admission.pending_loads and one.warm_instances(9000.0, 7)
 
 
 def test_what_a_freeze_held_back_is_released_at_each_routers_own_moments() -> None:
@@ -444,7 +446,7 @@
         assert len(ages) == want and all(
             age is not None and age >= 42_000.0 - 40_900.0 + 2500.0 for age in ages
         )
-        assert two.remembered_warm_fraction == pytest.approx(1.0)
+        assert two.warm_fraction.remembered_baseline == pytest.approx(1.0)
     rng = random.Random(1)
     for _ in range(200):
         bad = bytearray(raw)
