Tests of priority and change freeze follow the renames in strings

Change: the strings; the check of placement paths now reads all modules of routing/ and components/ by dotted name, compares module, function and act of each site, and asserts that each planted change of the source applies; a call by module attribute is a case of its own.

--- a/cedarthread/change_freeze/placement_paths.py
+++ b/cedarthread/change_freeze/placement_paths.py
@@ -1,8 +1,9 @@
-"""The written list of all paths by which placement can change, and a check of source text against it.
+"""The list of all paths by which placements can change, and a check of source text against it.
 
-A path is a function of the decisions that makes an ``Order``, an ``Unload`` or a ``Send``, or that sets how
-many homes there are or in which order workers become them. The check reads the syntax tree: a new path that
-is not on the list, or one on it that does not ask the gate, is found by name.
+A path is a function of the decisions that makes a ``PreloadFunction``, an ``UnloadFunction`` or a
+``StartAttempt``, or that sets how many home workers there are or in which order workers become them. The
+check reads the syntax tree: it finds by name a path that is not on the list,
+and one on it that does not ask the gate.
 """
 
 from __future__ import annotations
@@ -10,16 +11,25 @@
 import ast
 from dataclasses import dataclass
 
-PLACEMENT_CALLS = ("Order", "Unload", "_send")  # what can bring a copy, or take one away
-PLACEMENT_ATTRIBUTES = ("order",)  # attributes that say where functions are wanted
-GATE_NAME = "gate"  # the name that a path which is not listed must ask by
+# Names of the product's code. A rename there must be followed here; the test of this list fails otherwise.
+PLACEMENT_CALLS = (
+    "PreloadFunction",
+    "UnloadFunction",
+    "_start_attempt",
+)  # what can bring an instance, or remove one
+PLACEMENT_ATTRIBUTES = ("placement_order",)  # attributes that say where functions are wanted
+SETTINGS_CALL = (
+    "router",
+    "update_settings",
+)  # owner and method by which settings that move homes are followed
+GATE_NAME = "gate"  # the name by which a path that is not listed must ask
 
 
 @dataclass(frozen=True, slots=True)
 class PlacementPath:
-    """A function of a module that changes placement, by which act, and what it asks the gate for it."""
+    """A function of a module that changes placements, by which act, and what it asks the gate for it."""
 
-    module: str
+    module: str  # below the package, dotted
     function: str
     act: str
     asks_by: str  # the name in it by which it asks the gate
@@ -27,24 +37,40 @@
 
 
 PLACEMENT_PATHS = (
-    PlacementPath("decide", "_place", "_send", "_begins", "so may(first-copy), before; a no holds the call"),
-    PlacementPath("decide", "_order", "Order", "_begins", "may(order) before the worker is taken to load"),
     PlacementPath(
-        "decide",
-        "_near",
-        "order",
-        "advice",
-        "homes(...) over what rank and membership give, before they are used",
+        "routing.router",
+        "_dispatch",
+        "_start_attempt",
+        "_may_start_instance",
+        "admit(first-copy) before; a denial keeps the call queued",
     ),
     PlacementPath(
-        "decisions", "retune", "retune", "gate", "retuned(...) over the settings, before they are followed"
+        "routing.router",
+        "_preload",
+        "PreloadFunction",
+        "_may_start_instance",
+        "admit(order) before the worker loads",
+    ),
+    PlacementPath(
+        "routing.router",
+        "_candidates",
+        "placement_order",
+        "constraints",
+        "home_workers(...) over what rank and membership give, before they are used",
+    ),
+    PlacementPath(
+        "components.node",
+        "update_settings",
+        "update_settings",
+        "gate",
+        "admitted_settings(...) over the settings, before they are followed",
     ),
 )
 
 
 @dataclass(frozen=True, slots=True)
 class ChangeSite:
-    """A function in a source text that changes placement, and whether it asks the gate."""
+    """A function in a source text that changes placements, and whether it asks the gate."""
 
     function: str
     act: str
@@ -52,35 +78,41 @@
 
 
 def find_change_sites(source: str) -> list[ChangeSite]:
-    """All such functions of a source text, in order. SyntaxError for text that is no Python."""
-    out: list[ChangeSite] = []
+    """All such functions of a source text, in order. SyntaxError: the text is no Python."""
+    gate_names = {(path.function, path.act): path.asks_by for path in PLACEMENT_PATHS}
+    sites: list[ChangeSite] = []
     for node in ast.walk(ast.parse(source)):
         if isinstance(node, ast.FunctionDef):
-            names = {getattr(n, kind, "") for n in ast.walk(node) for kind in ("attr", "id", "arg")}
-            by = {(path.function, path.act): path.asks_by for path in PLACEMENT_PATHS}
+            names = {getattr(inner, field, "") for inner in ast.walk(node) for field in ("attr", "id", "arg")}
             acts = dict.fromkeys(act for inner in ast.walk(node) for act in _acts_of(inner))
-            out += [ChangeSite(node.name, act, by.get((node.name, act), GATE_NAME) in names) for act in acts]
-    return out
+            sites += [
+                ChangeSite(node.name, act, gate_names.get((node.name, act), GATE_NAME) in names)
+                for act in acts
+            ]
+    return sites
 
 
 def _acts_of(node: ast.AST) -> list[str]:
+    """The acts of one node of the tree that change placements, by name."""
     if isinstance(node, ast.Call):
         name = getattr(node.func, "attr", getattr(node.func, "id", ""))
-        of = getattr(getattr(node.func, "value", None), "attr", "")
-        return [name] if name in PLACEMENT_CALLS or (of, name) == ("router", "retune") else []
+        owner = getattr(getattr(node.func, "value", None), "attr", "")
+        return [name] if name in PLACEMENT_CALLS or (owner, name) == SETTINGS_CALL else []
     if isinstance(node, ast.Assign | ast.AugAssign | ast.AnnAssign):
         targets = node.targets if isinstance(node, ast.Assign) else [node.target]
-        names = [n.attr for t in targets for n in ast.walk(t) if isinstance(n, ast.Attribute)]
+        names = [
+            inner.attr for target in targets for inner in ast.walk(target) if isinstance(inner, ast.Attribute)
+        ]
         return [name for name in names if name in PLACEMENT_ATTRIBUTES]
     return []
 
 
 def find_unlisted_sites(module: str, source: str) -> list[ChangeSite]:
-    """What changes placement in a module and is not on the list."""
+    """What changes placements in a module and is not on the list."""
     listed = {(path.function, path.act) for path in PLACEMENT_PATHS if path.module == module}
-    return [one for one in find_change_sites(source) if (one.function, one.act) not in listed]
+    return [site for site in find_change_sites(source) if (site.function, site.act) not in listed]
 
 
-def find_sites_bypassing_gate(module: str, source: str) -> list[ChangeSite]:
-    """What goes around the gate: it changes placement without asking."""
-    return [one for one in find_change_sites(source) if not one.asks_gate]
+def find_sites_bypassing_gate(source: str) -> list[ChangeSite]:
+    """What changes placements without asking the gate."""
+    return [site for site in find_change_sites(source) if not site.asks_gate]
--- a/tests/simulation/test_change_freeze.py
+++ b/tests/simulation/test_change_freeze.py
@@ -405,10 +405,10 @@
 
 def edits(fleet: Fleet) -> Judged:
     """It is extended, and one overlaps it; then it is cut short: only that waits until all know."""
-    fleet.declare(EntryKind.FREEZE, terms(end_unix_ms=40_000.0))
+    fleet.declare(EntryKind.FREEZE, terms(end=40_000.0))
     fleet.declare(EntryKind.FREEZE, terms(35_000.0, 50_000.0, window_id="x", function_ids=(1, 2)))
     fleet.run(39_900.0 - BOUND).declare(EntryKind.FREEZE, terms(), over=1)
-    fleet.run(45_000.0).declare(EntryKind.FREEZE, terms(end_unix_ms=46_000.0), over=2)
+    fleet.run(45_000.0).declare(EntryKind.FREEZE, terms(end=46_000.0), over=2)
     fleet.run(UNTIL)
     freed = [p for p in fleet.placed if 45_000.0 + BOUND + SPREAD + 3000.0 <= p[0] < END]
     early = [p for p in fleet.placed if p[0] < 50_000.0 and p[2] in (1, 2) and p[0] >= START]
@@ -451,7 +451,7 @@
 
 def unheard(fleet: Fleet) -> Judged:
     """Nobody hears anybody from long before the end: it ends at its end."""
-    fleet.declare(EntryKind.FREEZE, terms(end_unix_ms=100_000.0))
+    fleet.declare(EntryKind.FREEZE, terms(end=100_000.0))
     fleet.run(25_000.0)
     for router in fleet.routers:
         router.cut = (25_000.0, 1e9)
@@ -507,18 +507,42 @@
 MAY, TOLD = AdmissionGate.admit, WallClock.on_host_reading
 # Planted: a name, what it is put in place of, and the scenario whose judge must find it.
 PLANTED: tuple[tuple[str, object, str, object, Callable[[Fleet], Judged]], ...] = (
-    ("retune goes around", AdmissionGate, "retuned", lambda gate, now, old, new: new, retunes),
-    ("orders go around", AdmissionGate, "may", ungated, calm),
+    ("retune goes around", AdmissionGate, "admitted_settings", lambda gate, now, old, new: new, retunes),
+    ("orders go around", AdmissionGate, "admit", ungated, calm),
     ("allowance per router", Fleet, "grants", PerRouter, deaths),
-    ("relaxes at once: revocation", window._HeldVersion, "acts", lambda edit, at: True, revoked),
-    ("relaxes at once: break-glass", window._HeldVersion, "acts", lambda edit, at: True, glass),
-    ("relaxes at once: cut short", window._HeldVersion, "acts", lambda edit, at: True, edits),
-    ("follows steps", WallClock, "told", lambda clock, now, wall, held: TOLD(clock, now, wall, False), steps),
-    ("trusts a clock that is off", WallClock, "off", lambda clock, now: 0.0, slow_start),
-    ("restart forgets the window", ChangeFreezeComponent, "_unsure", lambda part, now: None, restarts),
-    ("cut off, it moves on", component, "LOST", 0.0, cut_off),
+    (
+        "relaxes at once: revocation",
+        window._HeldVersion,
+        "is_effective",
+        lambda version, reading: True,
+        revoked,
+    ),
+    (
+        "relaxes at once: break-glass",
+        window._HeldVersion,
+        "is_effective",
+        lambda version, reading: True,
+        glass,
+    ),
+    ("relaxes at once: cut short", window._HeldVersion, "is_effective", lambda version, reading: True, edits),
+    (
+        "follows steps",
+        WallClock,
+        "on_host_reading",
+        lambda clock, now, unix_ms, has_window: TOLD(clock, now, unix_ms, False),
+        steps,
+    ),
+    ("trusts a clock that is off", WallClock, "deviation_ms", lambda clock, now: 0.0, slow_start),
+    (
+        "restart forgets the window",
+        ChangeFreezeComponent,
+        "_update_uncertainty",
+        lambda part, now: None,
+        restarts,
+    ),
+    ("cut off, it moves on", component, "STALE_HOLD_MS", 0.0, cut_off),
     ("all wishes at once", component.ReleaseRateLimiter, "__call__", lambda bucket, now: 1, ends_gently),
-    ("ends only when heard", component, "LOST", math.inf, unheard),
+    ("ends only when heard", component, "STALE_HOLD_MS", math.inf, unheard),
 )
 
 
--- a/tests/simulation/test_change_freeze_exploration.py
+++ b/tests/simulation/test_change_freeze_exploration.py
@@ -268,14 +268,14 @@
 
 
 BAD = (
-    {"end": int(T0)},
-    {"end": int(T0 + 13 * 3_600_000)},
-    {"allowance": -1},
-    {"rooms": ("b", "a")},
-    {"functions": (2**64 - 1, 0)},
-    {"frozen": ("unload", "order")},
-    {"id": "v"},
-    {"tenants": ("",)},
+    {"end_unix_ms": int(T0)},
+    {"end_unix_ms": int(T0 + 13 * 3_600_000)},
+    {"exception_budget": -1},
+    {"zone_names": ("b", "a")},
+    {"function_ids": (2**64 - 1, 0)},
+    {"frozen_kinds": ("unload", "order")},
+    {"window_id": "v"},
+    {"tenant_names": ("",)},
     {"reason": "x" * 513},
 )
 
@@ -359,36 +359,49 @@
     assert not standing.has_placement(7, 1)
 
 
+def _decision_modules() -> dict[str, str]:
+    """Source by dotted name below the package, of all modules that decide where functions are placed."""
+    package = Path(placement_paths.__file__).parents[1]
+    return {
+        f"{folder}.{file.stem}": file.read_text()
+        for folder in ("routing", "components")
+        for file in sorted((package / folder).glob("*.py"))
+    }
+
+
 def test_every_path_of_placement_is_on_the_list_and_asks_the_gate() -> None:
-    modules = {p.stem: p.read_text() for p in Path(placement_paths.__file__).parents[1].glob("dec*.py")}
-    assert [
-        one for name, text in modules.items() for one in placement_paths.find_unlisted_sites(name, text)
-    ] == []
-    assert [
-        one for name, text in modules.items() for one in placement_paths.find_sites_bypassing_gate(name, text)
-    ] == []
+    modules = _decision_modules()
+    for module, source in modules.items():
+        assert placement_paths.find_unlisted_sites(module, source) == []
+        assert placement_paths.find_sites_bypassing_gate(source) == []
     assert {
-        one.function for name, text in modules.items() for one in placement_paths.find_change_sites(text)
-    } == {path.function for path in placement_paths.PLACEMENT_PATHS}
-    for asks in ("self._begins(job, view)", "self.advice", "self.sharing.freeze.gate.retuned"):
-        without = {name: text.replace(asks, "self.free") for name, text in modules.items()}
+        (module, site.function, site.act)
+        for module, source in modules.items()
+        for site in placement_paths.find_change_sites(source)
+    } == {(path.module, path.function, path.act) for path in placement_paths.PLACEMENT_PATHS}
+    for question in (
+        "self._may_start_instance(job, view)",
+        "self.constraints",
+        "self.fleet_components.change_freeze.gate.admitted_settings",
+    ):
+        assert any(question in source for source in modules.values())
+        changed = {module: source.replace(question, "self.free") for module, source in modules.items()}
         assert any(
-            placement_paths.find_unlisted_sites(name, text)
-            or placement_paths.find_sites_bypassing_gate(name, text)
-            for name, text in without.items()
-        )
-    added = "def _prefetch(self):\n    self.out.append(i.Order(1, 2, 1))\n"
-    assert (
-        [one.function for one in placement_paths.find_unlisted_sites("decide", added)]
-        == ["_prefetch"]
-        == [one.function for one in placement_paths.find_sites_bypassing_gate("decide", added)]
-    )
-    assert (
-        placement_paths.find_sites_bypassing_gate(
-            "decide", added.replace("self.out", "if self.gate.may(self.now, 1).yes: self.out")
+            placement_paths.find_unlisted_sites(module, source)
+            or placement_paths.find_sites_bypassing_gate(source)
+            for module, source in changed.items()
         )
-        == []
-    )
+
+
+def test_a_new_path_of_placement_is_found_and_must_ask_the_gate() -> None:
+    added = "def _prefetch(self):\n    self.actions.append(PreloadFunction(1, 2, 1))\n"
+    by_module = added.replace("PreloadFunction", "actions.PreloadFunction")
+    for source in (added, by_module):
+        unlisted = placement_paths.find_unlisted_sites("routing.router", source)
+        assert [site.function for site in unlisted] == ["_prefetch"]
+        assert placement_paths.find_sites_bypassing_gate(source) == unlisted
+    asking = added.replace("self.actions", "if self.gate.admit(self.now, 1).is_permitted: self.actions")
+    assert placement_paths.find_sites_bypassing_gate(asking) == []
 
 
 def test_homes_stay_and_the_stricter_of_two_windows_holds() -> None:
--- a/tests/simulation/test_priority_fleet.py
+++ b/tests/simulation/test_priority_fleet.py
@@ -620,23 +620,26 @@
 
 
 DEFECTS: dict[str, tuple[str, list[tuple[object, str, object]]]] = {
-    "floor ignored": ("_floor", [(usage.TenantUsage, "may_lose", lambda *_: True)]),
-    "written confirm preempted": ("_running", [(preemption, "harmless", lambda *_: True)]),
-    "rate per router": ("_flood", [(Grants, "may", lambda self, now, name: self.totals.get(name, 0))]),
-    "use beyond contract not told apart": ("_flood", [(usage.QuotaBucket, "take", lambda self: True)]),
+    "floor ignored": ("_floor", [(usage.TenantUsage, "can_reject", lambda *_: True)]),
+    "written confirm preempted": ("_running", [(preemption, "is_safe_to_reject", lambda *_: True)]),
+    "rate per router": ("_flood", [(Grants, "available", lambda self, now, name: self.totals.get(name, 0))]),
+    "use beyond contract not told apart": ("_flood", [(usage.QuotaBucket, "try_take", lambda self: True)]),
     "acted at once": (
         "_orders",
-        [(contracts.BodyHistory, "known", _newest), (contracts.BodyHistory, "whole", lambda self: True)],
+        [
+            (contracts.BodyHistory, "effective_bodies", _newest),
+            (contracts.BodyHistory, "is_certain", lambda self: True),
+        ],
     ),
-    "own view alone": ("_lone", [(load_pressure.PressureGossip, "joined", _own)]),
-    "the greatest pressure told": ("_lone", [(load_pressure, "_more_than_half", _greatest)]),
+    "own view alone": ("_lone", [(load_pressure.PressureGossip, "fleet_pressure", _own)]),
+    "the greatest pressure told": ("_lone", [(load_pressure, "_lower_weighted_median", _greatest)]),
     "same call twice": (
         "_waiting",
-        [(component.PriorityComponent, "_may", _forgetful), (component, "choose", _unmarked)],
+        [(component.PriorityComponent, "_can_preempt", _forgetful), (component, "choose_victim", _unmarked)],
     ),
-    "no hysteresis": ("_flaps", [(load_pressure.OverloadStateMachine, "_asks", _sudden)]),
-    "no dwell": ("_flaps", [(load_pressure.OverloadStateMachine, "step", _hasty)]),
-    "no budget": ("_running", [(component.PriorityComponent, "_fill", _spendthrift)]),
+    "no hysteresis": ("_flaps", [(load_pressure.OverloadStateMachine, "_requested_step", _sudden)]),
+    "no dwell": ("_flaps", [(load_pressure.OverloadStateMachine, "update", _hasty)]),
+    "no budget": ("_running", [(component.PriorityComponent, "_refill_preemption_bucket", _spendthrift)]),
 }
 
 
--- a/tests/unit/test_priority.py
+++ b/tests/unit/test_priority.py
@@ -151,30 +151,30 @@
 
 CLAIM = PreemptionClaim(CallPriority(0, 0, 0, "mill", True), 100.0, 300.0, 500.0, {1: 0.0, 2: 250.0})
 BOUNDS = PreemptionLimits(True, 50.0, 2000.0, lambda view: True)
-KEYED = {"effect": Idempotency.WITH_KEY, "window": 2500.0}
+KEYED = {"idempotency": Idempotency.WITH_KEY, "deduplication_left_ms": 2500.0}
 
 
 @pytest.mark.parametrize(
     ("changes", "chosen"),
     [
         ({}, True),
-        ({"effect": Idempotency.NOT_IDEMPOTENT}, False),
-        ({"effect": Idempotency.NOT_IDEMPOTENT, "stage": CallStage.UNWRITTEN}, True),
-        ({"effect": Idempotency.NOT_IDEMPOTENT, "stage": CallStage.QUEUED}, True),
+        ({"idempotency": Idempotency.NOT_IDEMPOTENT}, False),
+        ({"idempotency": Idempotency.NOT_IDEMPOTENT, "stage": CallStage.UNWRITTEN}, True),
+        ({"idempotency": Idempotency.NOT_IDEMPOTENT, "stage": CallStage.QUEUED}, True),
         (KEYED, True),
-        (KEYED | {"window": 1900.0}, False),
-        (KEYED | {"group": DeduplicationScope.ZONE}, False),
+        (KEYED | {"deduplication_left_ms": 1900.0}, False),
+        (KEYED | {"deduplication_scope": DeduplicationScope.ZONE}, False),
         ({"stage": CallStage.STREAMING}, False),
-        ({"rank": CallPriority(0, 0, 0, "other", True)}, False),
-        ({"rank": CallPriority(0, 127, 66, "edited")}, False),
-        ({"repeat": True}, False),
-        ({"attempts": 2}, False),
-        ({"worker": None}, False),
-        ({"worker": 2}, False),
-        ({"worker": 3}, False),
-        ({"spent": 90.0}, False),
-        ({"spent": 51.0, "left": 99.0}, False),
-        ({"stage": CallStage.QUEUED, "left": 250.0}, False),
+        ({"priority": CallPriority(0, 0, 0, "other", True)}, False),
+        ({"priority": CallPriority(0, 127, 66, "edited")}, False),
+        ({"is_client_retry": True}, False),
+        ({"attempts_in_flight": 2}, False),
+        ({"worker_id": None}, False),
+        ({"worker_id": 2}, False),
+        ({"worker_id": 3}, False),
+        ({"spent_work_ms": 90.0}, False),
+        ({"spent_work_ms": 51.0, "time_to_free_ms": 99.0}, False),
+        ({"stage": CallStage.QUEUED, "time_to_free_ms": 250.0}, False),
     ],
 )
 def test_only_what_may_be_given_up_and_serves_is_displaced(changes: dict[str, object], chosen: bool) -> None:
