--- a/cedarthread/components/interface.py
+++ b/cedarthread/components/interface.py
@@ -1,7 +1,8 @@
-"""What stands beside the router: one small interface for all parts, and the facts that pass between them.
+"""The interface of the components beside the router, and the notifications that pass between them.
 
-``decisions.py`` lists the parts in one place, asks each in turn and passes facts on; no part knows another
-but by the protocols here. Times are ms on a steady clock that only moves forward; wall time comes as a fact.
+``RoutingNode`` (``node.py``) hosts the components: it passes each its own datagrams, ticks and notifications.
+Components know each other only by the protocols of this module. They do no I/O. Times are ms on a steady
+clock that is passed in; the wall clock comes as a notification.
 """
 
 from __future__ import annotations
@@ -24,13 +25,16 @@
     MEMBERSHIP = 0xC2
     REPLICATION = 0xC3
     ESCROW = 0xC4
-    RECOVERY = 0xC5  # what stands warm, asked for by routers that come back
-    LOAD_PRESSURE = 0xC6  # how jammed a router is, and what tenants used
+    RECOVERY = 0xC5  # warm instances, queried by routers that restarted
+    LOAD_PRESSURE = 0xC6  # how overloaded a router is, and what tenants have used
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class Version:
-    """Which of two edits of one entry holds: the greater. ``counter`` is Lamport's, ``life`` its author's."""
+    """The version of an entry; the greater one wins.
+
+    ``counter`` is a Lamport clock, ``incarnation`` that of the author's process.
+    """
 
     counter: int
     author: int
@@ -38,18 +42,21 @@
 
 
 class EntryKind(StrEnum):
-    """What an entry is about."""
+    """What an entry declares. The values are stored and sent: they stay."""
 
-    TIERS = "tiers"  # order of the tiers and the figures of overload
-    CONTRACT = "contract"  # one tenant's tier, rate and floor
-    FREEZE = "freeze"  # one window
-    REVOKE = "revoke"  # ends a window early: it relaxes
-    BREAK_GLASS = "break"  # break-glass in a window: it relaxes
+    TIERS = "tiers"  # the order of priority tiers, and the overload thresholds
+    CONTRACT = "contract"  # the tier, rate and floor of one tenant
+    FREEZE = "freeze"  # one change freeze window
+    REVOKE = "revoke"  # ends a window early: it relaxes the restriction
+    BREAK_GLASS = "break"  # break-glass exception in a window: it relaxes the restriction
 
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """One entry. ``over``: digest of the entry that its author knew it to replace, 0 for none."""
+    """One entry of the replicated store.
+
+    ``replaces_digest``: digest of the entry that its author saw it replace; 0 for none.
+    """
 
     kind: EntryKind
     name: str
@@ -60,20 +67,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicatedEntry:
-    """An entry as one router holds it now, times on its own steady clock."""
+    """An entry as stored at one router; times on that router's steady clock."""
 
     entry: Entry
-    received_at_ms: float  # when it first came here
-    replicated_at_ms: float | None  # when a majority was first known to hold it; None: not known to
+    received_at_ms: float  # when this router first received it
+    replicated_at_ms: float | None  # when a majority was first known to have it; None: not yet
 
 
 @dataclass(frozen=True, slots=True)
 class PeersChanged:
-    """The other routers that are there, of how many in all, and how long each has been in this life."""
+    """Which other routers are alive, of how many, and for how long in their current incarnation."""
 
     alive_peers: tuple[int, ...]
     router_count: int
-    alive_for_ms: Mapping[int, float]  # ms
+    alive_for_ms: Mapping[int, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,21 +92,21 @@
 
 @dataclass(frozen=True, slots=True)
 class WallClockRead:
-    """The wall clock now, Unix ms."""
+    """The wall clock was read: Unix time in ms."""
 
     unix_ms: float
 
 
 @dataclass(frozen=True, slots=True)
 class EntriesChanged:
-    """Entries of the register that came or changed here."""
+    """Entries were received here, or became known to be replicated to a majority."""
 
     entries: tuple[ReplicatedEntry, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptCompleted:
-    """A call's attempt ended, for those who count: tenant, work in ms, and whether a copy stood there."""
+    """An attempt ended. ``was_warm``: whether an instance was loaded at the worker; None: not reported."""
 
     worker_id: int
     function_id: int
@@ -116,61 +123,68 @@
 
 
 class Component(Protocol):
-    """One part beside the router: pure, on the clock and the seed that are handed in."""
+    """A component beside the router: without I/O, on the clock and the seed that are passed in."""
 
     @property
     def message_types(self) -> frozenset[int]:
-        """The datagrams that are its own, by their first byte."""
+        """The types (first bytes) of the datagrams that this component handles."""
 
     def on_message(self, now: float, sender: int, data: bytes) -> Sequence[OutboundMessage]:
-        """Take a datagram of one of its forms; whatever it holds, no error is raised."""
+        """Handle a datagram of one of its types; malformed ones are counted, never raised on."""
 
     def on_tick(self, now: float) -> Sequence[OutboundMessage]:
-        """Some times a second: what is to be told now."""
+        """Called several times a second: returns what is to be sent now."""
 
-    def on_notification(self, now: float, fact: Notification) -> Sequence[OutboundMessage]:
-        """Something that parts share has changed."""
+    def on_notification(self, now: float, notification: Notification) -> Sequence[OutboundMessage]:
+        """Handle a change that components share."""
 
     def status(self, now: float) -> Mapping[str, str]:
-        """What operators read at ``INFO``: a figure a name."""
+        """The component's figures for operators (``INFO``): text by name."""
 
 
 class ReplicatedState(Protocol):
-    """What the parts read of the register (``register/register.py``).
+    """What components read of the replicated store (``replication/store.py``).
 
-    Theorem of its design page: an entry known to be settled at time t is known from t + ``bound`` on to every
-    router that is fresh. So: what restricts acts as soon as it is held; what relaxes acts from ``settled`` +
-    ``bound`` on; who is not fresh acts under the cautious meet."""
+    Guarantee (proof in docs/design/register.md): an entry known at time t to be on a majority is known to
+    every fresh router from t + ``staleness_bound_ms`` on. Hence a restriction takes effect when it is
+    received, a relaxation from ``replicated_at_ms`` + ``staleness_bound_ms`` on, and a router that is not
+    fresh acts under the strictest combination (greatest lower bound) of what may be in force.
+    """
 
     @property
     def staleness_bound_ms(self) -> float:
-        """B of the design page, ms."""
+        """The staleness bound in ms (``B`` in docs/design/register.md)."""
 
     def entries(self, kind: EntryKind) -> tuple[ReplicatedEntry, ...]:
-        """All entries of a kind, by name."""
+        """All entries of a kind, in the order of their names."""
 
     def is_fresh(self, now: float) -> bool:
-        """Has a majority of the configured routers confirmed lately that this one lacks nothing of theirs?"""
+        """Whether a majority of routers confirmed lately that this one lacks none of their entries."""
 
     def fresh_since(self, now: float) -> float | None:
-        """Since when it is fresh without a break; None: it is not."""
+        """Since when it has been fresh without interruption; None: it is not fresh."""
 
 
 class QuotaEscrow(Protocol):
-    """What the parts ask of the grants (``register/grants.py``): parts of a total that the fleet shares.
+    """What components ask of the quota escrow (``escrow/escrow.py``): reserved amounts of fleet-wide totals.
 
     Amounts are whole numbers of a unit that the pool's user chooses. The sum of what all routers may use
-    never passes the total of a pool, whatever is lost, doubled, late, cut off or restarted (design page)."""
+    never exceeds the total of a pool, whatever is lost, duplicated, delayed, partitioned or restarted (proof
+    in docs/design/grants.md).
+    """
 
     def open_pool(self, name: str, total: int, *, is_consumable: bool, ends_at_ms: float | None) -> None:
-        """Open or change a pool. ``spent``: what is used is gone (a count); else it is a rate, given back.
-        ``until``: when the pool ends, ms on the steady clock; None: it does not."""
+        """Open or change a pool.
+
+        ``is_consumable``: what is used is gone (a count); otherwise the amount is a rate, which is returned.
+        ``ends_at_ms``: when the pool ends, on the steady clock; None: never.
+        """
 
     def available(self, now: float, name: str) -> int:
-        """How much of it this router may use now; 0 for a pool that is unknown or over."""
+        """How much of a pool this router may use now; 0 for one that is unknown or has ended."""
 
     def consume(self, now: float, name: str, amount: int = 1) -> bool:
-        """Use so much of a pool that is spent; False, and nothing used, where this router may not."""
+        """Use an amount of a consumable pool; False, and nothing used, if this router may not."""
 
     def request(self, now: float, name: str, amount: int) -> None:
-        """This router could use so much in all: others are asked for what it lacks."""
+        """This router could use this amount in all; what it lacks is requested from its peers."""
--- a/cedarthread/model/actions.py
+++ b/cedarthread/model/actions.py
@@ -1,13 +1,16 @@
-"""The actions that a router returns, to be carried out in order by its host."""
+"""The actions that a router returns. Its host carries them out in order.
+
+Times are milliseconds on the steady clock that was passed in with the event.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
 
-@dataclass(slots=True)  # one or more a call: frozen ones take three times as long to make
+@dataclass(slots=True)  # not frozen: made once or more per call, and frozen ones take three times as long
 class StartAttempt:
-    """Start an attempt; ``patience`` None: till the client gives up."""
+    """Start an attempt at a worker. ``timeout_ms`` None: until the request's deadline."""
 
     request_id: int
     worker_id: int
@@ -16,23 +19,23 @@
 
 @dataclass(frozen=True, slots=True)
 class RejectRequest:
-    """Final answer: not done, and trying again is harmless."""
+    """Final answer: rejected; the request was not executed or may be repeated safely."""
 
     request_id: int
     retry_after_ms: float | None = None
-    reason: str = ""  # in words, for the client; "" for the usual one
+    reason: str = ""  # for the client, as text; "" for the default text
 
 
 @dataclass(frozen=True, slots=True)
 class FailRequest:
-    """Final answer: failed, nothing promised."""
+    """Final answer: failed; the request may have been executed."""
 
     request_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Stop waiting for one attempt."""
+    """Cancel one attempt."""
 
     request_id: int
     attempt_index: int
@@ -40,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PreloadFunction:
-    """Have a worker hold at least so many copies; 0 only asks."""
+    """Have a worker load at least so many instances of a function; 0 only asks how many it has."""
 
     worker_id: int
     function_id: int
@@ -49,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UnloadFunction:
-    """Have a worker unload its idle copies of a function."""
+    """Have a worker unload its idle instances of a function."""
 
     worker_id: int
     function_id: int
@@ -57,14 +60,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CheckHealth:
-    """Probe a worker."""
+    """Check the health of a worker."""
 
     worker_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class SendToPeer:
-    """Send bytes to another gateway, or to all of them."""
+    """Send a datagram to one other router, or to all of them (``peer_index`` None)."""
 
     data: bytes
     peer_index: int | None = None
@@ -72,26 +75,26 @@
 
 @dataclass(frozen=True, slots=True)
 class SubscribeEndpoints:
-    """Ask for changes of the list from now on, or no more."""
+    """Subscribe to updates of the endpoint list, or unsubscribe."""
 
     is_enabled: bool = True
 
 
 @dataclass(frozen=True, slots=True)
 class FetchEndpoints:
-    """Ask for the whole list once."""
+    """Fetch the complete endpoint list once."""
 
 
 @dataclass(frozen=True, slots=True)
 class CloseIdleConnections:
-    """Close idle connections to a worker."""
+    """Close the idle connections to a worker."""
 
     worker_id: int
 
 
-@dataclass(slots=True)  # one or more a call: frozen ones take three times as long to make
+@dataclass(slots=True)  # not frozen: made once or more per call, and frozen ones take three times as long
 class SetTimer:
-    """Ask for a ``TimerDue``."""
+    """Request a ``TimerFired`` with this token at this time."""
 
     at_ms: float
     token: int
@@ -99,7 +102,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LogMessage:
-    """A line for the people on call."""
+    """Write a log line for the on-call engineers (see ``cedarthread/logs.py`` for its form)."""
 
     message: str = field(default="")
 
--- a/cedarthread/model/endpoints.py
+++ b/cedarthread/model/endpoints.py
@@ -7,7 +7,7 @@
 
 
 class EndpointState(Enum):
-    """What the list says of a worker."""
+    """The state of a worker according to the endpoint list."""
 
     READY = "ready"
     DRAINING = "draining"
@@ -15,17 +15,20 @@
 
 
 class EndpointUpdateKind(Enum):
-    """What a message of the list holds."""
+    """What an update of the endpoint list contains."""
 
     DELTA = "delta"  # changed entries only
-    SNAPSHOT = "full"  # all workers; one that is absent is gone
-    CACHED = "cached"  # all workers as last held here, perhaps stale
-    FAILED = "failed"  # asking failed or the subscription broke; no entries
+    SNAPSHOT = "full"  # all workers; one that is absent has been removed
+    CACHED = "cached"  # all workers as last known to this process, perhaps stale
+    FAILED = "failed"  # polling failed or the subscription broke; no endpoints
 
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
-    """One entry of the list of workers."""
+    """One worker on the endpoint list.
+
+    Workers of one ``cell`` may drop each other's repeats (see ``DeduplicationScope``).
+    """
 
     worker_id: int
     zone: int
@@ -33,12 +36,12 @@
     cell: int
     state: EndpointState
     weight: float | None
-    started_at_ms: float | None  # None: a long time back
+    started_at_ms: float | None  # on the router's clock; None: long ago
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointUpdate:
-    """News of the list of workers."""
+    """An update of the endpoint list; ``version`` only grows."""
 
     kind: EndpointUpdateKind
     version: int
--- a/cedarthread/model/events.py
+++ b/cedarthread/model/events.py
@@ -1,4 +1,7 @@
-"""The events that a router takes. Times are milliseconds on the clock that is passed in with each event."""
+"""The events that a router takes.
+
+Times are milliseconds on the steady clock that is passed in with each event.
+"""
 
 from __future__ import annotations
 
@@ -8,9 +11,12 @@
 from cedarthread.model.outcomes import Outcome, StartKind
 
 
-@dataclass(slots=True)  # one or more a call: frozen ones take three times as long to make
+@dataclass(slots=True)  # not frozen: made once or more per call, and frozen ones take three times as long
 class RequestArrived:
-    """A client's request; one final answer is owed from here on."""
+    """A client sent a request. From here on exactly one final answer is owed.
+
+    ``concurrency``, ``memory``, ``load_time_ms`` and ``work`` are hints of the platform about the function.
+    """
 
     request_id: int
     function_id: int
@@ -23,12 +29,12 @@
     work: float | None = None
     is_client_retry: bool = False
     is_write: bool = False
-    caller: str | None = None  # whose it is by its identity, where the front knows that
+    caller: str | None = None  # the authenticated identity, where the front end knows it
 
 
 @dataclass(frozen=True, slots=True)
 class StreamStarted:
-    """The answer to an attempt has begun to stream; the request has no deadline any more."""
+    """The response to an attempt has begun to stream; the request has no deadline any more."""
 
     request_id: int
     attempt_index: int
@@ -36,7 +42,7 @@
     latency_ms: float
 
 
-@dataclass(slots=True)  # one or more a call: frozen ones take three times as long to make
+@dataclass(slots=True)  # not frozen: made once or more per call, and frozen ones take three times as long
 class AttemptEnded:
     """How one attempt ended."""
 
@@ -45,31 +51,33 @@
     worker_id: int
     outcome: Outcome
     latency_ms: float
-    is_final: bool  # the client has its answer
+    is_final: bool  # the client has its response
     start_kind: StartKind = StartKind.UNKNOWN
-    reported_concurrency: int | None = None  # requests of the function that the worker held then
+    reported_concurrency: int | None = None  # requests of the function in flight at the worker then
     load_report: tuple[float | None, ...] = ()
-    is_unreachable: bool = True  # where it failed to connect: none came up, so the worker may be down
-    is_local: bool = False  # nothing left, for a cause in this gateway: it says nothing of the worker
+    is_unreachable: bool = (
+        True  # if it failed to connect: no connection was established, the worker may be down
+    )
+    is_local: bool = False  # not sent for a cause in this process: it says nothing about the worker
 
 
 @dataclass(frozen=True, slots=True)
 class ClientDisconnected:
-    """The client has given up; nothing is owed any more."""
+    """The client gave up; no answer is owed any more."""
 
     request_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class TimerFired:
-    """A timer set before."""
+    """A timer that was requested by ``SetTimer`` fired."""
 
     token: int
 
 
 @dataclass(frozen=True, slots=True)
 class HealthCheckEnded:
-    """The result of a probe."""
+    """The result of a health check."""
 
     worker_id: int
     outcome: Outcome
@@ -79,7 +87,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerMessageReceived:
-    """Bytes that another gateway sent."""
+    """A datagram from another router."""
 
     sender_index: int
     data: bytes
@@ -87,7 +95,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PreloadEnded:
-    """The answer to one order to load (or to count)."""
+    """How a ``PreloadFunction`` ended; ``instances`` are loaded at the worker now."""
 
     worker_id: int
     function_id: int
--- a/cedarthread/model/outcomes.py
+++ b/cedarthread/model/outcomes.py
@@ -6,32 +6,28 @@
 
 
 class Outcome(Enum):
-    """How an attempt, a probe or an order ended."""
+    """How an attempt, a health check or a preload ended, and whether the request may have been executed."""
 
     OK = "ok"
-    ERROR = "error"  # may have run
-    OVERLOADED = "full"  # never ran
-    TIMEOUT = "timeout"  # may have run
-    CONNECT_FAILED = "connect_failed"  # never ran
-    RESET = "reset"  # may have run
-    CANCELLED = "cancelled"  # may have run
-    NOT_SENT = "moot"  # never sent
-    NOT_LOADED = "miss"  # never ran: no copy there, or the awaited load failed
+    ERROR = "error"  # may have been executed
+    OVERLOADED = "full"  # not executed: the worker shed it
+    TIMEOUT = "timeout"  # may have been executed
+    CONNECT_FAILED = "connect_failed"  # not executed: no byte reached the worker
+    RESET = "reset"  # may have been executed
+    CANCELLED = "cancelled"  # may have been executed
+    NOT_SENT = "moot"  # not executed: the router did not send it
+    NOT_LOADED = "miss"  # not executed: no instance there, or the load that it waited for failed
 
 
-NOT_EXECUTED = (
-    Outcome.OVERLOADED,
-    Outcome.CONNECT_FAILED,
-    Outcome.NOT_SENT,
-    Outcome.NOT_LOADED,
-)  # ends that prove it
+# Outcomes that prove that the request was not executed, so that any class may be sent again.
+NOT_EXECUTED = (Outcome.OVERLOADED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT, Outcome.NOT_LOADED)
 
 
 class StartKind(Enum):
-    """What an answer tells of the copy it ran on."""
+    """What a response says of the function instance that it ran on."""
 
     UNKNOWN = "none"
-    WARM = "found"  # a copy stood loaded
-    COLD = "began"  # this request began the load
-    PENDING = "awaited"  # it waited for a load begun before
+    WARM = "found"  # the instance was loaded already
+    COLD = "began"  # this request started the load
+    PENDING = "awaited"  # it waited for a load that was started before
     LOAD_FAILED = "load_failed"
--- a/cedarthread/model/settings.py
+++ b/cedarthread/model/settings.py
@@ -1,6 +1,8 @@
-"""What a router is configured with: request classes, limits, rule parameters and prices.
+"""What a router is configured with: request classes, tenants, limits, rule parameters and prices.
 
-Times are milliseconds. ``None`` stands for a value that was not configured. No logic here."""
+Plain records without logic. All times are milliseconds; ``None`` stands for a value that was not configured.
+``cedarthread/settings_parser.py`` maps the operators' key names to these fields.
+"""
 
 from __future__ import annotations
 
@@ -9,15 +11,15 @@
 
 
 class Idempotency(Enum):
-    """What a repeat of a request does."""
+    """Whether a request may be executed more than once."""
 
-    IDEMPOTENT = "safe"  # may run any number of times
-    WITH_KEY = "keyed"  # a group of workers drops repeats, for a while
-    NOT_IDEMPOTENT = "unsafe"  # must never run twice
+    IDEMPOTENT = "safe"  # may be executed any number of times
+    WITH_KEY = "keyed"  # workers drop repeats of one idempotency key, within a scope and a window
+    NOT_IDEMPOTENT = "unsafe"  # must never be executed twice
 
 
 class DeduplicationScope(Enum):
-    """The workers that drop each other's repeats of a keyed request."""
+    """The workers among which repeats of one idempotency key are dropped."""
 
     ALL = "all"
     ZONE = "zone"
@@ -25,21 +27,21 @@
 
 
 class NotLoadedBehavior(Enum):
-    """What a worker does with a request whose function it lacks."""
+    """What a worker does with a request for a function that it has not loaded."""
 
-    LOAD = "load"  # it loads the function while the request waits
-    REJECT = "miss"  # it answers MISS; only an order brings the function
+    LOAD = "load"  # load the function while the request waits
+    REJECT = "miss"  # answer NOT_LOADED; only a preload brings the function
 
 
 class DiscoveryMode(Enum):
-    """How the list of workers comes."""
+    """How the endpoint list reaches the router."""
 
     PUSH = "push"
     POLL = "ask"
 
 
 class LoadReportSource(Enum):
-    """Where workers tell their load."""
+    """Where workers report their load."""
 
     NONE = "none"
     RESPONSES = "answers"
@@ -47,17 +49,20 @@
 
 
 class WeightMeaning(Enum):
-    """What the weight of a listed worker means."""
+    """What the weight of an endpoint means."""
 
     NONE = "none"  # nothing
-    NOMINAL = "nominal"  # its registered size
-    APPROXIMATE = "rough"  # its size, roughly
-    LIVE = "live"  # its size over what it holds, sampled earlier
+    NOMINAL = "nominal"  # its registered capacity
+    APPROXIMATE = "rough"  # its capacity, approximately
+    LIVE = "live"  # its capacity over its requests in flight, sampled earlier
 
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
-    """One class of requests."""
+    """Requests that share an objective, a deadline and the rules for repeating them.
+
+    Priority weights are the points that an answer earns: in time, and after the objective.
+    """
 
     name: str
     latency_objective_ms: float
@@ -66,14 +71,14 @@
     late_priority_weight: float
     idempotency: Idempotency
     deduplication_scope: DeduplicationScope
-    deduplication_window_ms: float  # how long a keyed repeat is remembered
+    deduplication_window_ms: float  # how long workers remember an idempotency key
     is_streaming: bool
-    latency_objective_work_factor: float  # the aim grows by this many times the request's own work
+    latency_objective_work_factor: float  # the objective grows by this many times the request's work
 
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
-    """One of those who share the service."""
+    """A tenant and its quota of the service."""
 
     name: str
     quota_fraction: float
@@ -82,7 +87,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """What the deployment permits."""
+    """What the deployment permits: bounds, and mechanisms that are switched on or off."""
 
     max_attempts: int
     max_pending_requests: int
@@ -92,30 +97,30 @@
     allows_hedging: bool
     sends_retry_after: bool
     max_retry_after_ms: float
-    max_attempts_per_connection: int = 32  # attempts that one connection to a worker carries at a time
+    max_attempts_per_connection: int = 32  # concurrent attempts on one connection to a worker
     connect_timeout_ms: float = 250.0
-    idle_timeout_ms: float = 30000.0  # a connection without work is closed after this time
+    idle_timeout_ms: float = 30000.0  # a connection that carries nothing is closed after this time
 
 
 @dataclass(frozen=True, slots=True)
 class RuleParameters:
-    """The figures of the rules."""
+    """The parameters of the operators' five rules (repeats, draining, cold workers, polling, preloads)."""
 
     answer_slack_ms: float
     drain_grace_ms: float
-    slow_start_min_capacity: float  # share of its capacity that a started worker has at least
-    slow_start_ms: float  # by then it has all of it
-    collapse_multiple: float
-    collapse_window_ms: float
+    slow_start_min_capacity: float  # fraction of its capacity that a started worker has at least
+    slow_start_ms: float  # after this time it has its full capacity
+    collapse_multiple: float  # a cold worker collapses above this multiple of what it can carry
+    collapse_window_ms: float  # the window over which its load is counted
     max_poll_delay_ms: float
     preload_allowance: float
     preload_share: float
-    preload_window_ms: float  # 0: orders are not rationed
+    preload_window_ms: float  # 0: preloads are not limited
 
 
 @dataclass(frozen=True, slots=True)
 class Prices:
-    """Points taken off the service, by cause."""
+    """Points deducted from the score of the service, by cause."""
 
     fetch: float
     health_check: float
@@ -128,7 +133,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RouterSettings:
-    """All that a gateway is told at its start."""
+    """All settings of one router."""
 
     classes: tuple[RequestClass, ...]
     tenants: tuple[Tenant, ...]
