--- a/cedarthread/persistence/state_persister.py
+++ b/cedarthread/persistence/state_persister.py
@@ -56,7 +56,7 @@
         self.seated = False
         self.reset_above_generation: int | None = None  # the host is to reset the store above this generation
         self.log_messages: list[OutboundMessage] = []
-        replicated_store.is_durable = True
+        replicated_store.set_durable(True)
 
     # The start.
 
@@ -124,8 +124,8 @@
         if not self.has_started:
             self._start_when_assessable(now)
         if self.has_started and not self.is_degraded:
-            if self.replicated_store.freshness.is_voter is not self.seated:
-                self.seated = self.replicated_store.freshness.is_voter
+            if self.replicated_store.is_voter is not self.seated:
+                self.seated = self.replicated_store.is_voter
                 key, value = recovered_image.encode_incarnation(
                     recovered_image.RouterIncarnation(
                         self.replicated_store.router_index, self.replicated_store.incarnation, 0, self.seated
@@ -170,7 +170,7 @@
 
         So peers are told a generation that the disk does not reach."""
         self.is_degraded = True
-        self.replicated_store.is_durable = False
+        self.replicated_store.set_durable(False)
         self.replicated_store.store_generation += 1
         self.replicated_store.mark_persisted(now, self.replicated_store.revision)
 
--- a/cedarthread/replication/codec.py
+++ b/cedarthread/replication/codec.py
@@ -1,32 +1,40 @@
-"""The form of the register's datagrams, 256 bytes at most, all little-endian.
-
-    PULL     nonce u64, root u64, life u64, first u16, generation u64 of the asker's store
-    REPLY    nonce u64, root u64, life u64, flags u8 (1 seated), step u16 ms, first u16, remembered u64 (the
-             asker's generation that the replier was last told), wall f64 (Unix ms); then a byte a router
-             from ``first`` on: 6 bits of age in steps (63: never), 64 seated, 128 holds this very root
-    ASK      nonce u64; then the sum of each of 32 buckets, 48 bits
-    SUMMARY  nonce u64, root u64, life u64, buckets u32 (a bit each), part u8, parts u8; then pairs of id u32
-             and mark u32 (the low bits of the entry's digest)
-    WANT     triples of id u32, mark u32, pieces u16 (a bit each)
-    PIECE    digest u64, size u16 of the whole, number u8; then bytes
-
-Each begins with the form u8 and the kind u8. A bucket is the low 5 bits of an id.
+"""Wire format of replication datagrams: 256 bytes at most, all numbers little-endian.
+
+    SYNC_REQUEST     nonce u64, root digest u64, incarnation u64, first router u16, store generation u64
+    SYNC_RESPONSE    nonce u64, root digest u64, incarnation u64, flags u8 (1: voter), age step u16 ms,
+                     first router u16, remembered generation u64 (the greatest store generation that the
+                     requester had reported to the responder), unix_ms f64; then a byte a router from the
+                     first on: 6 bits of age in steps (63: unknown), 64: read as a voter, 128: holds this root
+    SUMMARY_REQUEST  nonce u64; then the sum of each of 32 buckets, 48 bits
+    SUMMARY          nonce u64, root digest u64, incarnation u64, buckets u32 (a bit each), part u8,
+                     parts u8; then refs of key hash u32 and the low 32 bits of the entry's digest
+    FETCH_REQUEST    items of key hash u32, digest low bits u32, fragments u16 (a bit each)
+    FRAGMENT         digest u64, bytes of the entry u16, fragment number u8; then data
+
+Each datagram begins with the message type u8 and the kind u8. An entry's bucket is the low 5 bits of its key
+hash.
 """
 
 from __future__ import annotations
 
 import math
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from cedarthread.components.interface import MessageType
 from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES, MalformedDatagram
-from cedarthread.replication import entry as entries
+from cedarthread.model.actions import SendToPeer
+from cedarthread.replication.entry import MAX_ENTRY_BYTES
 
-AGES_PER_RESPONSE = 208  # that one reply speaks of
+AGES_PER_RESPONSE = 208  # routers that one response gives ages for: what fits one datagram
 BUCKET_COUNT = 32
-AGE_UNKNOWN = 63  # steps of age
-VOTER_FLAG, HOLDS_ROOT_FLAG = 64, 128
+BUCKET_SUM_BYTES = 6
+BUCKET_SUM_MODULUS = 2**48  # bucket sums are truncated to this on the wire
+DIGEST_LOW_MODULUS = 2**32  # a ref carries these low bits of a digest
+AGE_UNKNOWN = 63  # in place of an age in steps
+VOTER_FLAG, HOLDS_ROOT_FLAG = 64, 128  # beside the age
 SYNC_REQUEST, SYNC_RESPONSE, SUMMARY_REQUEST, SUMMARY, FETCH_REQUEST, FRAGMENT = range(1, 7)
 _SYNC_REQUEST = struct.Struct("<BBQQQHQ")
 _SYNC_RESPONSE = struct.Struct("<BBQQQBHHQd")
@@ -35,17 +43,37 @@
 _ENTRY_REF = struct.Struct("<II")
 _FETCH_ITEM = struct.Struct("<IIH")
 _FRAGMENT = struct.Struct("<BBQHB")
+_FETCH_HEADER_BYTES = 2
 MAX_REFS_PER_SUMMARY = (MAX_DATAGRAM_BYTES - _SUMMARY.size) // _ENTRY_REF.size
-MAX_ITEMS_PER_FETCH = (MAX_DATAGRAM_BYTES - 2) // _FETCH_ITEM.size
-FRAGMENT_BYTES = MAX_DATAGRAM_BYTES - _FRAGMENT.size  # bytes of an entry in one piece
-ALL_FRAGMENTS = 0xFFFF  # all pieces of an entry
+MAX_ITEMS_PER_FETCH = (MAX_DATAGRAM_BYTES - _FETCH_HEADER_BYTES) // _FETCH_ITEM.size
+FRAGMENT_BYTES = MAX_DATAGRAM_BYTES - _FRAGMENT.size  # of an entry's data in one fragment
+ALL_FRAGMENTS = 0xFFFF
 
-EntryRef = tuple[int, int]
+
+class EntryRef(NamedTuple):
+    """A short name of one version of an entry."""
+
+    key_hash: int
+    digest_low: int
+
+    @property
+    def bucket(self) -> int:
+        """Which bucket the entry is summed in."""
+        return self.key_hash % BUCKET_COUNT
+
+
+class FetchItem(NamedTuple):
+    """Fragments that are wanted of one entry, a bit for each."""
+
+    key_hash: int
+    digest_low: int
+    fragment_bits: int
 
 
 @dataclass(frozen=True, slots=True)
 class SyncRequest:
-    """What do you hold, and whom have you read? ``first``: the routers that are asked about."""
+    """Asks a peer for its root digest and for how recently it has read each router from ``first_router``
+    on."""
 
     nonce: int
     root_digest: int
@@ -56,22 +84,22 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncResponse:
-    """What the replier holds, and whom it has read how long ago."""
+    """The responder's root digest, and a byte of age and flags for each router from ``first_router`` on."""
 
     nonce: int
     root_digest: int
     incarnation: int
     is_voter: bool
-    age_step_ms: int  # ms
+    age_step_ms: int
     first_router: int
     ages: bytes
     remembered_generation: int = 0
-    unix_ms: float = math.nan
+    unix_ms: float = math.nan  # the responder's wall clock; NaN: not known
 
 
 @dataclass(frozen=True, slots=True)
 class SummaryRequest:
-    """The sums of the buckets that the asker knows to hold; those that differ are asked for."""
+    """Bucket sums that the requester has reached so far; the peer lists the buckets in which it differs."""
 
     nonce: int
     bucket_sums: tuple[int, ...]  # 48 bits each
@@ -79,7 +107,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Summary:
-    """All entries of some whole buckets, or one part of a bucket that fills more than one datagram."""
+    """Refs of all entries in some buckets, or one part of a bucket that does not fit one datagram."""
 
     nonce: int
     root_digest: int
@@ -92,14 +120,14 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchRequest:
-    """Entries, by id and mark, and which pieces of each."""
+    """Asks a peer for fragments of entries."""
 
-    items: tuple[tuple[int, int, int], ...]
+    items: tuple[FetchItem, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class EntryFragment:
-    """One piece of an entry's canonical bytes."""
+    """One fragment of an entry's canonical bytes."""
 
     digest: int
     entry_bytes: int
@@ -112,45 +140,82 @@
 
 def encode(message: Message) -> bytes:
     """The bytes of a datagram."""
-    m, form = message, MessageType.REPLICATION
-    if isinstance(m, SyncRequest):
-        return _SYNC_REQUEST.pack(
-            form, SYNC_REQUEST, m.nonce, m.root_digest, m.incarnation, m.first_router, m.store_generation
-        )
-    if isinstance(m, SyncResponse):
-        ids = (
-            m.nonce,
-            m.root_digest,
-            m.incarnation,
-            m.is_voter,
-            m.age_step_ms,
-            m.first_router,
-            m.remembered_generation,
-            m.unix_ms,
-        )
-        return _SYNC_RESPONSE.pack(form, SYNC_RESPONSE, *ids) + m.ages
-    if isinstance(m, SummaryRequest):
-        return _SUMMARY_REQUEST.pack(form, SUMMARY_REQUEST, m.nonce) + b"".join(
-            s.to_bytes(6, "little") for s in m.bucket_sums
-        )
-    if isinstance(m, Summary):
-        head = _SUMMARY.pack(
-            form, SUMMARY, m.nonce, m.root_digest, m.incarnation, m.bucket_bits, m.part_index, m.part_count
-        )
-        return head + b"".join(_ENTRY_REF.pack(*pair) for pair in m.refs)
-    if isinstance(m, FetchRequest):
-        return bytes((form, FETCH_REQUEST)) + b"".join(_FETCH_ITEM.pack(*item) for item in m.items)
-    return _FRAGMENT.pack(form, FRAGMENT, m.digest, m.entry_bytes, m.fragment_index) + m.data
+    if isinstance(message, SyncRequest):
+        return _encode_sync_request(message)
+    if isinstance(message, SyncResponse):
+        return _encode_sync_response(message)
+    if isinstance(message, SummaryRequest):
+        header = _SUMMARY_REQUEST.pack(MessageType.REPLICATION, SUMMARY_REQUEST, message.nonce)
+        sums = (bucket_sum.to_bytes(BUCKET_SUM_BYTES, "little") for bucket_sum in message.bucket_sums)
+        return header + b"".join(sums)
+    if isinstance(message, Summary):
+        return _encode_summary(message)
+    if isinstance(message, FetchRequest):
+        header = bytes((MessageType.REPLICATION, FETCH_REQUEST))
+        return header + b"".join(_FETCH_ITEM.pack(*item) for item in message.items)
+    kinds = MessageType.REPLICATION, FRAGMENT
+    return _FRAGMENT.pack(*kinds, message.digest, message.entry_bytes, message.fragment_index) + message.data
+
+
+def _encode_sync_request(request: SyncRequest) -> bytes:
+    return _SYNC_REQUEST.pack(
+        MessageType.REPLICATION,
+        SYNC_REQUEST,
+        request.nonce,
+        request.root_digest,
+        request.incarnation,
+        request.first_router,
+        request.store_generation,
+    )
+
+
+def _encode_sync_response(response: SyncResponse) -> bytes:
+    header = _SYNC_RESPONSE.pack(
+        MessageType.REPLICATION,
+        SYNC_RESPONSE,
+        response.nonce,
+        response.root_digest,
+        response.incarnation,
+        response.is_voter,
+        response.age_step_ms,
+        response.first_router,
+        response.remembered_generation,
+        response.unix_ms,
+    )
+    return header + response.ages
+
+
+def _encode_summary(summary: Summary) -> bytes:
+    header = _SUMMARY.pack(
+        MessageType.REPLICATION,
+        SUMMARY,
+        summary.nonce,
+        summary.root_digest,
+        summary.incarnation,
+        summary.bucket_bits,
+        summary.part_index,
+        summary.part_count,
+    )
+    return header + b"".join(_ENTRY_REF.pack(*ref) for ref in summary.refs)
+
+
+def encode_to(message: Message, peer_index: int) -> SendToPeer:
+    """A datagram for one peer."""
+    return SendToPeer(encode(message), peer_index)
 
 
 def split_into_fragments(data: bytes, digest: int, wanted_bits: int = ALL_FRAGMENTS) -> list[EntryFragment]:
-    """An entry's bytes cut up; of them those that are asked for."""
-    cut = [data[at : at + FRAGMENT_BYTES] for at in range(0, len(data), FRAGMENT_BYTES)]
-    return [EntryFragment(digest, len(data), n, part) for n, part in enumerate(cut) if wanted_bits >> n & 1]
+    """Those fragments of an entry's canonical bytes whose bits are set."""
+    chunks = [data[offset : offset + FRAGMENT_BYTES] for offset in range(0, len(data), FRAGMENT_BYTES)]
+    return [
+        EntryFragment(digest, len(data), index, chunk)
+        for index, chunk in enumerate(chunks)
+        if wanted_bits >> index & 1
+    ]
 
 
 def decode(data: bytes) -> Message | MalformedDatagram:
-    """What a datagram says. Whatever it holds, no error is raised."""
+    """The message in a datagram. Never raises, whatever the bytes are."""
     if (
         not 2 <= len(data) <= MAX_DATAGRAM_BYTES
         or data[0] != MessageType.REPLICATION
@@ -167,55 +232,68 @@
 def _decode_sync_response(data: bytes) -> SyncResponse | None:
     if not _SYNC_RESPONSE.size <= len(data) <= _SYNC_RESPONSE.size + AGES_PER_RESPONSE:
         return None
-    nonce, root, life, flags, step, first, remembered, wall = _SYNC_RESPONSE.unpack_from(data)[2:]
-    if flags > 1 or not step:
+    fields = _SYNC_RESPONSE.unpack_from(data)[2:]
+    nonce, root_digest, incarnation, flags, age_step_ms, first_router, remembered_generation, unix_ms = fields
+    if flags > 1 or not age_step_ms:
         return None
     return SyncResponse(
-        nonce, root, life, bool(flags), step, first, data[_SYNC_RESPONSE.size :], remembered, wall
+        nonce,
+        root_digest,
+        incarnation,
+        bool(flags),
+        age_step_ms,
+        first_router,
+        data[_SYNC_RESPONSE.size :],
+        remembered_generation,
+        unix_ms,
     )
 
 
 def _decode_summary_request(data: bytes) -> SummaryRequest | None:
-    if len(data) != _SUMMARY_REQUEST.size + 6 * BUCKET_COUNT:
+    if len(data) != _SUMMARY_REQUEST.size + BUCKET_SUM_BYTES * BUCKET_COUNT:
         return None
-    at = range(_SUMMARY_REQUEST.size, len(data), 6)
-    return SummaryRequest(
-        _SUMMARY_REQUEST.unpack_from(data)[2], tuple(int.from_bytes(data[a : a + 6], "little") for a in at)
-    )
+    offsets = range(_SUMMARY_REQUEST.size, len(data), BUCKET_SUM_BYTES)
+    sums = (int.from_bytes(data[offset : offset + BUCKET_SUM_BYTES], "little") for offset in offsets)
+    return SummaryRequest(_SUMMARY_REQUEST.unpack_from(data)[2], tuple(sums))
 
 
 def _decode_summary(data: bytes) -> Summary | None:
     if len(data) < _SUMMARY.size or (len(data) - _SUMMARY.size) % _ENTRY_REF.size:
         return None
-    nonce, root, life, buckets, part, parts = _SUMMARY.unpack_from(data)[2:]
-    pairs = tuple(_ENTRY_REF.iter_unpack(data[_SUMMARY.size :]))
-    single = buckets.bit_count() == 1
-    right = (
-        part < parts and (parts == 1 or single) and all(buckets >> (n % BUCKET_COUNT) & 1 for n, _ in pairs)
+    nonce, root_digest, incarnation, bucket_bits, part_index, part_count = _SUMMARY.unpack_from(data)[2:]
+    refs = tuple(map(EntryRef._make, _ENTRY_REF.iter_unpack(data[_SUMMARY.size :])))
+    has_one_bucket = bucket_bits.bit_count() == 1
+    is_valid = (
+        part_index < part_count
+        and (part_count == 1 or has_one_bucket)
+        and all(bucket_bits >> ref.bucket & 1 for ref in refs)
     )
-    return Summary(nonce, root, life, buckets, part, parts, pairs) if right else None
+    if not is_valid:
+        return None
+    return Summary(nonce, root_digest, incarnation, bucket_bits, part_index, part_count, refs)
 
 
 def _decode_fetch_request(data: bytes) -> FetchRequest | None:
-    return (
-        None if (len(data) - 2) % _FETCH_ITEM.size else FetchRequest(tuple(_FETCH_ITEM.iter_unpack(data[2:])))
-    )
+    if (len(data) - _FETCH_HEADER_BYTES) % _FETCH_ITEM.size:
+        return None
+    return FetchRequest(tuple(map(FetchItem._make, _FETCH_ITEM.iter_unpack(data[_FETCH_HEADER_BYTES:]))))
 
 
 def _decode_fragment(data: bytes) -> EntryFragment | None:
     if len(data) <= _FRAGMENT.size:
         return None
-    mark, size, number = _FRAGMENT.unpack_from(data)[2:]
-    part = data[_FRAGMENT.size :]
-    right = (
-        size <= entries.MAX_ENTRY_BYTES
-        and number * FRAGMENT_BYTES < size
-        and len(part) == min(FRAGMENT_BYTES, size - number * FRAGMENT_BYTES)
+    digest, entry_bytes, fragment_index = _FRAGMENT.unpack_from(data)[2:]
+    chunk = data[_FRAGMENT.size :]
+    offset = fragment_index * FRAGMENT_BYTES
+    is_valid = (
+        entry_bytes <= MAX_ENTRY_BYTES
+        and offset < entry_bytes
+        and len(chunk) == min(FRAGMENT_BYTES, entry_bytes - offset)
     )
-    return EntryFragment(mark, size, number, part) if right else None
+    return EntryFragment(digest, entry_bytes, fragment_index, chunk) if is_valid else None
 
 
-_DECODERS = {
+_DECODERS: dict[int, Callable[[bytes], Message | None]] = {
     SYNC_REQUEST: _decode_sync_request,
     SYNC_RESPONSE: _decode_sync_response,
     SUMMARY_REQUEST: _decode_summary_request,
--- a/cedarthread/replication/entry.py
+++ b/cedarthread/replication/entry.py
@@ -1,7 +1,8 @@
-"""Entries: what they may be, their digests, and which of two holds. Values only, no state.
+"""Replicated entries: size bounds, canonical encoding, digests, and the order that decides between two edits.
 
-The join of two contents is the maximum by name in the total order (version, digest), as in state-based
-replicated types (Shapiro and others, 2011): commutative, associative, idempotent.
+Values only, no state. Joining two sets of entries takes, for each kind and name, the maximum in the total
+order (version, digest). The join is commutative, associative and idempotent, as in state-based replicated
+data types (Shapiro, Preguiça, Baquero, Zawirski: "Conflict-free replicated data types", 2011).
 """
 
 from __future__ import annotations
@@ -9,33 +10,55 @@
 import struct
 from dataclasses import dataclass
 from hashlib import blake2b
+from typing import NamedTuple
 
 from cedarthread.components.interface import Entry, EntryKind, Version
 
-MAX_PROPOSED_ENTRIES = 512  # that may be proposed
-MAX_ENTRIES = 1024  # that are taken from others: proposals at many routers may pass the first bound together
-MAX_BODY_BYTES = 2048  # bytes
-MAX_NAME_BYTES = 64  # bytes of UTF-8
-VERSION_COUNTER_LIMIT = 2**48  # versions stay under it
-_HEAD = struct.Struct("<BBQHQQ")
-MAX_ENTRY_BYTES = _HEAD.size + MAX_NAME_BYTES + MAX_BODY_BYTES  # bytes of the longest entry
+MAX_PROPOSED_ENTRIES = 512  # a router declares no entry beyond this many
+MAX_ENTRIES = (
+    1024  # accepted from peers: routers that propose at the same time may pass the first bound together
+)
+MAX_BODY_BYTES = 2048
+MAX_NAME_BYTES = 64  # of UTF-8
+VERSION_COUNTER_LIMIT = 2**48  # exclusive
+_HEADER = struct.Struct("<BBQHQQ")  # kind, bytes of the name, counter, author, incarnation, replaced digest
+MAX_ENTRY_BYTES = _HEADER.size + MAX_NAME_BYTES + MAX_BODY_BYTES
 ENTRY_KINDS = tuple(EntryKind)
 
-Key = tuple[EntryKind, str]
+EntryKey = tuple[EntryKind, str]
 
 
 @dataclass(frozen=True, slots=True)
 class RejectedEntry:
-    """A proposal that is not taken: where, and what is wrong with it."""
+    """A proposal or an encoding that is not accepted: where, and what is wrong with it."""
 
     location: str
     problem: str
 
 
+class EncodedEntry(NamedTuple):
+    """An entry with its canonical bytes and their digest."""
+
+    entry: Entry
+    digest: int
+    data: bytes
+
+    @classmethod
+    def of(cls, entry: Entry) -> EncodedEntry:
+        """Encode an entry."""
+        data = encode(entry)
+        return cls(entry, digest_of_bytes(data), data)
+
+    @property
+    def key(self) -> EntryKey:
+        """What identifies the entry across its versions."""
+        return self.entry.kind, self.entry.name
+
+
 def encode(entry: Entry) -> bytes:
-    """The canonical bytes of an entry, from which its digest is made and which pass between routers."""
+    """The canonical bytes of an entry: what its digest covers and what routers send each other."""
     name, version = entry.name.encode(), entry.version
-    head = (
+    header = _HEADER.pack(
         ENTRY_KINDS.index(entry.kind),
         len(name),
         version.counter,
@@ -43,68 +66,68 @@
         version.incarnation,
         entry.replaces_digest,
     )
-    return _HEAD.pack(*head) + name + entry.body
+    return header + name + entry.body
 
 
 def decode(data: bytes) -> Entry | RejectedEntry:
-    """The entry of such bytes. Whatever they hold, no error is raised."""
-    if not _HEAD.size < len(data) <= MAX_ENTRY_BYTES:
+    """The entry that these bytes encode. Never raises."""
+    if not _HEADER.size < len(data) <= MAX_ENTRY_BYTES:
         return RejectedEntry("entry", f"{len(data)} bytes")
-    kind, length, counter, author, life, over = _HEAD.unpack_from(data)
+    kind, name_bytes, counter, author, incarnation, replaces_digest = _HEADER.unpack_from(data)
     if kind >= len(ENTRY_KINDS) or counter >= VERSION_COUNTER_LIMIT:
         return RejectedEntry("entry", f"kind {kind}, counter {counter}")
     try:
-        name = data[_HEAD.size : _HEAD.size + length].decode()
+        name = data[_HEADER.size : _HEADER.size + name_bytes].decode()
     except UnicodeDecodeError:
         return RejectedEntry("entry: name", "no UTF-8")
-    body = data[_HEAD.size + length :]
-    if len(name.encode()) != length:  # the name was cut short
-        return RejectedEntry("entry: name", f"{length} bytes")
-    wrong = check_bounds(ENTRY_KINDS[kind], name, body)
-    return wrong or Entry(ENTRY_KINDS[kind], name, Version(counter, author, life), body, over)
+    body = data[_HEADER.size + name_bytes :]
+    if len(name.encode()) != name_bytes:  # the name was cut short
+        return RejectedEntry("entry: name", f"{name_bytes} bytes")
+    rejected = check_bounds(ENTRY_KINDS[kind], name, body)
+    version = Version(counter, author, incarnation)
+    return rejected or Entry(ENTRY_KINDS[kind], name, version, body, replaces_digest)
 
 
 def check_bounds(kind: EntryKind, name: str, body: bytes) -> RejectedEntry | None:
-    """What is wrong with the size of an entry, if anything is."""
+    """What is wrong with the size or encoding of an entry's name or body; None if nothing is."""
     try:
-        length = len(name.encode())
+        name_bytes = len(name.encode())
     except UnicodeEncodeError:
         return RejectedEntry(f"{kind}: name", "no UTF-8")
-    if not 1 <= length <= MAX_NAME_BYTES:
-        return RejectedEntry(
-            f"{kind} {name[:MAX_NAME_BYTES]!r}: name", f"{length} bytes, 1 to {MAX_NAME_BYTES} may be"
-        )
+    if not 1 <= name_bytes <= MAX_NAME_BYTES:
+        location = f"{kind} {name[:MAX_NAME_BYTES]!r}: name"
+        return RejectedEntry(location, f"{name_bytes} bytes, 1 to {MAX_NAME_BYTES} may be")
     if len(body) > MAX_BODY_BYTES:
         return RejectedEntry(f"{kind} {name!r}: body", f"{len(body)} bytes, {MAX_BODY_BYTES} at most")
     return None
 
 
 def entry_digest(entry: Entry) -> int:
-    """64 bits over kind, name, version, what it replaces, and body."""
+    """64 bits over kind, name, version, replaced digest and body; never 0."""
     return digest_of_bytes(encode(entry))
 
 
 def digest_of_bytes(data: bytes) -> int:
-    """The digest of an entry's canonical bytes; never 0, which stands for none."""
+    """The digest of an entry's canonical bytes. Never 0, which means "no entry" in ``replaces_digest``."""
     return int.from_bytes(blake2b(data, digest_size=8).digest(), "little") or 1
 
 
 def key_hash(kind: EntryKind, name: str) -> int:
-    """32 bits for kind and name."""
+    """32 bits for a kind and name."""
     data = bytes((ENTRY_KINDS.index(kind),)) + name.encode()
     return int.from_bytes(blake2b(data, digest_size=4, person=b"name").digest(), "little")
 
 
 def order_key(entry: Entry, digest: int) -> tuple[Version, int]:
-    """The place of an entry, with its digest, in the total order of those of its name."""
+    """Position in the total order of all entries with the same kind and name."""
     return entry.version, digest
 
 
 def join(one: Entry, other: Entry) -> Entry:
-    """Which of two entries of one kind and name holds."""
+    """Which of two entries of the same kind and name wins."""
     return max(one, other, key=lambda entry: order_key(entry, entry_digest(entry)))
 
 
 def is_concurrent(winner: Entry, loser_digest: int) -> bool:
-    """Did the winner's author not know the loser, given by its digest?"""
+    """Whether the winner's author did not know the loser when it wrote the winner."""
     return winner.replaces_digest != loser_digest
--- a/cedarthread/replication/freshness.py
+++ b/cedarthread/replication/freshness.py
@@ -1,15 +1,17 @@
-"""Who has confirmed what to this router, and what follows: a seat, freshness, what is settled.
+"""Whether this router's state is fresh: a majority has confirmed lately that it lacks nothing of theirs.
 
-All times are on this router's own clock and err to the past: evidence counts from when its question was sent.
-For each router k two things are known. *Read at c*: what k held at c is within what this router holds.
-*Held at h*: what this router held when it last changed was held by k at h. Steps 3 to 10 of the design page.
+All times are in ms on this router's steady clock and err to the past: a confirmation counts from when its
+request was sent. For each router k two times are known. *Read at c*: this router holds all that k held at c.
+*Held at h*: k held at h all that this router held after its last change.
+
+A router that started without memory is not a *voter*: it may have forgotten what it confirmed, so it does not
+count for majorities until it has read enough of the others. Steps 3 to 10 of docs/design/register.md.
 """
 
 from __future__ import annotations
 
 import math
 
-from cedarthread.replication import entry as entries
 from cedarthread.replication.codec import (
     AGE_UNKNOWN,
     AGES_PER_RESPONSE,
@@ -17,23 +19,17 @@
     VOTER_FLAG,
     SyncResponse,
 )
+from cedarthread.replication.entry import EntryKey
+from cedarthread.replication.majority import NEVER_MS, MajorityTracker
 
-AGE_STEPS_PER_WINDOW = 48  # of V, in which ages are told
-MAX_COHORTS = 8  # changes of the content that are watched apart until each is settled
-NEVER_MS = -math.inf
-
-
-class _ChangeCohort:
-    """What changed at once: it is settled when a majority is known to have held the root after it."""
-
-    def __init__(self, root: int, count: int) -> None:
-        self.root_digest = root
-        self.held_at_ms = [NEVER_MS] * count
-        self.pending_digests: dict[entries.Key, int] = {}  # digests of what is not settled yet
+AGE_STEPS_PER_WINDOW = 48  # resolution in which responses give ages
 
 
 class FreshnessTracker:
-    """One router's knowledge of who has read and held what. ``window`` is V, ms."""
+    """What this router knows of who has read and held what.
+
+    ``window_ms``: V of the design page, how long a confirmation counts. ``clock_rate``: the fraction by which
+    a router's clock may run fast or slow."""
 
     def __init__(
         self,
@@ -45,133 +41,118 @@
         root_digest: int = 0,
     ) -> None:
         self.router_index, self.router_count, self.window_ms = router_index, router_count, window_ms
-        self.majority = router_count // 2 + 1
+        self.quorum = router_count // 2 + 1
         self.clock_drift_factor = (1.0 + clock_rate) / (1.0 - clock_rate)
         self.age_step_ms = max(1, math.ceil(window_ms / AGE_STEPS_PER_WINDOW))
         self.started_at_ms = now
-        self.earlier_incarnation_expires_at_ms = (
-            now + window_ms * self.clock_drift_factor
-        )  # before it old words of this router's past may count
+        # Until then peers may still count what this router held in an earlier incarnation.
+        self.earlier_incarnation_expires_at_ms = now + window_ms * self.clock_drift_factor
         self.is_voter = router_count == 1
-        self.read_at_ms = [NEVER_MS] * router_count  # when last, any
-        self.read_as_voter_at_ms = [NEVER_MS] * router_count  # when last with a seat
-        self.cohorts = [_ChangeCohort(root_digest, router_count)]
-        self.fresh_until_ms = (
-            math.inf if router_count == 1 else NEVER_MS
-        )  # fresh until then, if nothing more comes
+        self.read_at_ms = [NEVER_MS] * router_count  # by router: last time, as a voter or not
+        self.read_as_voter_at_ms = [NEVER_MS] * router_count  # by router: last time that it was a voter
+        self.majority = MajorityTracker(router_count, window_ms, root_digest)
+        self.fresh_until_ms = math.inf if router_count == 1 else NEVER_MS  # if nothing more is read
         self.fresh_since_ms: float | None = now if router_count == 1 else None
-        self.newly_replicated: dict[entries.Key, int] = {}  # settled and not yet handed on
 
-    # What comes.
+    # Recording.
 
-    def on_state_changed(self, root_digest: int, key: entries.Key, digest: int) -> None:
-        """The content of this router has changed: nobody is known to hold it."""
-        cohort = _ChangeCohort(root_digest, self.router_count)
-        cohort.pending_digests[key] = digest
-        self.cohorts = [c for c in self.cohorts if c.pending_digests]
-        if len(self.cohorts) >= MAX_COHORTS:  # who held a later root held the earlier: the later errs to less
-            oldest = self.cohorts.pop(0)
-            self.cohorts[0].pending_digests = oldest.pending_digests | self.cohorts[0].pending_digests
-        self.cohorts.append(cohort)
+    def on_state_changed(self, root_digest: int, key: EntryKey, digest: int) -> None:
+        """An entry of this router's state has changed."""
+        self.majority.on_state_changed(root_digest, key, digest)
 
     def record_response(self, now: float, peer: int, sent_at_ms: float, response: SyncResponse) -> None:
-        """A reply whose content is within this router's own, and when it was asked for."""
-        upto = next((n for n, c in enumerate(self.cohorts) if c.root_digest == response.root_digest), -1)
-        holds = [c.held_at_ms for c in self.cohorts[: upto + 1]]
-        self._record_read(peer, sent_at_ms, response.is_voter, holds)
-        for number, byte in enumerate(
-            response.ages[: max(0, self.router_count - response.first_router)], response.first_router
-        ):
+        """A response whose state is within this router's own. ``sent_at_ms``: when it was asked for."""
+        held_by_peer = self.majority.holder_times(response.root_digest)
+        self._record_read(peer, sent_at_ms, response.is_voter, held_by_peer)
+        ages = response.ages[: max(0, self.router_count - response.first_router)]
+        for router, byte in enumerate(ages, response.first_router):
             age = byte & AGE_UNKNOWN
-            if age != AGE_UNKNOWN and number != peer and number != self.router_index:
-                at = self._reported_read_time(sent_at_ms, age, response.age_step_ms)
-                self._record_read(
-                    number, at, bool(byte & VOTER_FLAG), holds if byte & HOLDS_ROOT_FLAG else []
-                )
+            if age != AGE_UNKNOWN and router != peer and router != self.router_index:
+                read_at_ms = self._reported_read_time(sent_at_ms, age, response.age_step_ms)
+                held = held_by_peer if byte & HOLDS_ROOT_FLAG else []
+                self._record_read(router, read_at_ms, bool(byte & VOTER_FLAG), held)
 
-    def _reported_read_time(self, sent: float, age: int, step: int) -> float:
-        return sent - age * step
+    def _reported_read_time(self, sent_at_ms: float, age: int, step_ms: int) -> float:
+        return sent_at_ms - age * step_ms
 
-    def _record_read(self, number: int, at: float, seated: bool, holds: list[list[float]]) -> None:
-        self.read_at_ms[number] = max(self.read_at_ms[number], at)
-        if seated:
-            self.read_as_voter_at_ms[number] = max(self.read_as_voter_at_ms[number], at)
-        for held in holds:
-            held[number] = max(held[number], at)
+    def _record_read(
+        self, router: int, read_at_ms: float, is_voter: bool, holder_times: list[list[float]]
+    ) -> None:
+        self.read_at_ms[router] = max(self.read_at_ms[router], read_at_ms)
+        if is_voter:
+            self.read_as_voter_at_ms[router] = max(self.read_as_voter_at_ms[router], read_at_ms)
+        for held_at_ms in holder_times:
+            held_at_ms[router] = max(held_at_ms[router], read_at_ms)
 
-    # What follows.
+    # Conclusions.
 
     def update(self, now: float, is_persisted: bool) -> bool:
-        """Draw the conclusions. ``written``: what this router holds would outlive it, or its seat would not.
-        True if it took its seat just now."""
-        took = not self.is_voter and self.can_become_voter(now)
-        self.is_voter = self.is_voter or took
+        """Recompute freshness and what is replicated to a majority; true if this router has just become a
+        voter.
+
+        ``is_persisted``: what this router holds would survive its restart, or its vote would not."""
+        has_become_voter = not self.is_voter and self.can_become_voter(now)
+        self.is_voter = self.is_voter or has_become_voter
         if self.router_count > 1:
-            was = self.is_fresh(now)
+            was_fresh = self.is_fresh(now)
             self.fresh_until_ms = self._compute_fresh_until()
-            if not was:
+            if not was_fresh:
                 self.fresh_since_ms = now
-        self._collect_replicated(now, is_persisted)
-        return took
+        self.majority.update(now, is_persisted)
+        return has_become_voter
 
     def _compute_fresh_until(self) -> float:
-        """A majority has been read up to then: the earliest of its latest times, and V."""
-        others = self.majority - self.is_voter
-        return sorted(self.read_as_voter_at_ms)[-others] + self.window_ms
+        """The window after the earliest among the most recent reads that make up a majority."""
+        needed_peers = self.quorum - self.is_voter
+        return sorted(self.read_as_voter_at_ms)[-needed_peers] + self.window_ms
 
     def is_fresh(self, now: float) -> bool:
-        """Has a majority with seats been read within V?"""
+        """Whether a majority of voters has been read within the window."""
         return now <= self.fresh_until_ms
 
     def fresh_since(self, now: float) -> float | None:
-        """Since when without a break."""
+        """Since when the state has been fresh without a break; None: it is not."""
         return self.fresh_since_ms if self.is_fresh(now) else None
 
     def can_become_voter(self, now: float) -> bool:
-        """May a router without a seat take one?
-
-        What it held in an earlier life may count as held for V after its start: only what was read later
-        counts. Enough seated ones meet every majority; or a majority lacks a seat too."""
-        floor = max(self.earlier_incarnation_expires_at_ms, now - self.window_ms)
-        seated = [
-            k for k, at in enumerate(self.read_as_voter_at_ms) if at >= self.earlier_incarnation_expires_at_ms
-        ]
-        unseated = 1 + sum(
-            at >= floor and self.read_as_voter_at_ms[k] < self.earlier_incarnation_expires_at_ms
-            for k, at in enumerate(self.read_at_ms)
+        """Whether a router that started without memory has read enough to vote.
+
+        Only what it read after its earlier incarnation expired counts. Either it has read so many voters that
+        they meet every majority, or a majority has no vote either, so that no vote can contradict its own."""
+        expired_at_ms = self.earlier_incarnation_expires_at_ms
+        oldest_ms = max(expired_at_ms, now - self.window_ms)
+        voters = sum(read_at_ms >= expired_at_ms for read_at_ms in self.read_as_voter_at_ms)
+        non_voters = 1 + sum(
+            read_at_ms >= oldest_ms and self.read_as_voter_at_ms[router] < expired_at_ms
+            for router, read_at_ms in enumerate(self.read_at_ms)
         )
-        meets = len(seated) > self.router_count - self.majority
-        return meets or unseated >= self.majority
-
-    def _collect_replicated(self, now: float, written: bool) -> None:
-        for cohort in self.cohorts:
-            if cohort.pending_digests and self._count_holders(now, cohort) + written >= self.majority:
-                self.newly_replicated |= cohort.pending_digests
-                cohort.pending_digests = {}
+        meets_every_majority = voters > self.router_count - self.quorum
+        return meets_every_majority or non_voters >= self.quorum
 
-    def _count_holders(self, now: float, cohort: _ChangeCohort) -> int:
-        return sum(at >= now - self.window_ms for at in cohort.held_at_ms)
+    def count_recently_read(self, now: float) -> int:
+        """Routers read within the window, this one included."""
+        return 1 + sum(read_at_ms >= now - self.window_ms for read_at_ms in self.read_at_ms)
 
-    # What is told.
+    # Reporting to peers.
 
     def encode_ages(self, now: float, first_router: int) -> bytes:
-        """A byte a router from ``first`` on."""
-        held, told = self.cohorts[-1].held_at_ms, bytearray()
-        scale, since = self.clock_drift_factor / self.age_step_ms, now - self.window_ms
-        oldest = now - (AGE_UNKNOWN - 1) / scale
-        for number in range(first_router, min(first_router + AGES_PER_RESPONSE, self.router_count)):
-            at, flags, hold = self.read_as_voter_at_ms[number], VOTER_FLAG, held[number]
-            if at < oldest:
-                at, flags = self.read_at_ms[number], 0
-            if hold >= since:
-                at, flags = min(at, hold), flags | HOLDS_ROOT_FLAG
-            told.append(self._age_in_steps(now - at, scale) | flags if at >= oldest else AGE_UNKNOWN)
-        return bytes(told)
-
-    def _age_in_steps(self, age: float, scale: float) -> int:
-        """An age as it may be by any router's clock, in steps, rounded up."""
-        return min(AGE_UNKNOWN, math.ceil(age * scale))
-
-    def count_recently_read(self, now: float) -> int:
-        """Routers that were read within V, this one too."""
-        return 1 + sum(at >= now - self.window_ms for at in self.read_at_ms)
+        """A byte for each router from ``first_router`` on: how long ago it was read, and flags."""
+        held_at_ms, encoded = self.majority.latest_holder_times(), bytearray()
+        steps_per_ms = self.clock_drift_factor / self.age_step_ms
+        window_start_ms = now - self.window_ms
+        oldest_ms = now - (AGE_UNKNOWN - 1) / steps_per_ms
+        for router in range(first_router, min(first_router + AGES_PER_RESPONSE, self.router_count)):
+            read_at_ms, flags = self.read_as_voter_at_ms[router], VOTER_FLAG
+            if read_at_ms < oldest_ms:
+                read_at_ms, flags = self.read_at_ms[router], 0
+            if held_at_ms[router] >= window_start_ms:
+                read_at_ms, flags = min(read_at_ms, held_at_ms[router]), flags | HOLDS_ROOT_FLAG
+            is_known = read_at_ms >= oldest_ms
+            encoded.append(
+                self._age_in_steps(now - read_at_ms, steps_per_ms) | flags if is_known else AGE_UNKNOWN
+            )
+        return bytes(encoded)
+
+    def _age_in_steps(self, age_ms: float, steps_per_ms: float) -> int:
+        """An age as the fastest clock may measure it, rounded up to steps."""
+        return min(AGE_UNKNOWN, math.ceil(age_ms * steps_per_ms))
--- /dev/null
+++ b/cedarthread/replication/local_replica.py
@@ -0,0 +1,118 @@
+"""The replicated state on this router: its entries, their durability here and their replication elsewhere.
+
+No networking: ``store.py`` joins it to the anti-entropy protocol.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from cedarthread.components.interface import Entry, EntryKind, OutboundMessage, ReplicatedEntry
+from cedarthread.model.actions import LogMessage
+from cedarthread.replication.entry import (
+    MAX_PROPOSED_ENTRIES,
+    VERSION_COUNTER_LIMIT,
+    EncodedEntry,
+    EntryKey,
+    RejectedEntry,
+    check_bounds,
+    is_concurrent,
+)
+from cedarthread.replication.freshness import FreshnessTracker
+from cedarthread.replication.state import EntryRecord, ReplicaState
+
+
+class LocalReplica:
+    """One router's entries and what it may conclude from them.
+
+    ``is_durable``: the host persists changes and reports them by ``mark_persisted``; until then this router
+    does not tell peers that it holds them."""
+
+    def __init__(
+        self, router_index: int, incarnation: int, freshness: FreshnessTracker, is_durable: bool
+    ) -> None:
+        self.router_index, self.incarnation = router_index, incarnation
+        self.state = ReplicaState()
+        self.freshness = freshness
+        self.is_durable = is_durable
+        self.revision = self.persisted_revision = 0  # counts changes of the state
+        self._changed_keys: dict[EntryKey, None] = {}
+        self._pending_logs: list[OutboundMessage] = []
+
+    def prepare(
+        self,
+        kind: EntryKind,
+        name: str,
+        body: bytes,
+        canonical_body: Callable[[bytes], bytes] | None = None,
+    ) -> EncodedEntry | Entry | RejectedEntry:
+        """A new version of an entry, to be merged; or the entry that is held, if its meaning is the same."""
+        if (rejected := check_bounds(kind, name, body)) is not None:
+            return rejected
+        if self.state.is_full((kind, name), MAX_PROPOSED_ENTRIES):
+            return RejectedEntry(
+                f"{kind} {name!r}", f"{MAX_PROPOSED_ENTRIES} entries are held, no more may be"
+            )
+        old, meaning = self.state.records.get((kind, name)), canonical_body or bytes
+        if old is not None and meaning(old.entry.body) == meaning(body):
+            return old.entry
+        version = self.state.next_version(self.router_index, self.incarnation)
+        if version.counter >= VERSION_COUNTER_LIMIT:
+            return RejectedEntry(f"{kind} {name!r}: version", "the counter has come to its end")
+        return EncodedEntry.of(Entry(kind, name, version, body, old.digest if old else 0))
+
+    def merge(self, now: float, encoded: EncodedEntry) -> None:
+        """Join an entry into the state."""
+        result = self.state.merge(now, encoded)
+        if not result.is_changed:
+            return
+        self.revision += 1
+        self._changed_keys[encoded.key] = None
+        self.freshness.on_state_changed(self.state.root_digest, encoded.key, encoded.digest)
+        if result.replaced is not None:
+            self._log_lost_edit(encoded.entry, result.replaced)
+
+    def _log_lost_edit(self, winner: Entry, loser: EntryRecord) -> None:
+        """Tell operators that an edit made here was replaced by one whose author did not know it."""
+        version = loser.entry.version
+        is_own = version.author == self.router_index and version.incarnation == self.incarnation
+        if is_own and is_concurrent(winner, loser.digest):
+            self._log(
+                f"{winner.kind} {winner.name!r} as declared here lost to an edit made at router "
+                f"{winner.version.author} at about the same time"
+            )
+
+    def is_persisted(self) -> bool:
+        """Whether all that is held would survive a restart, as far as this router has promised it."""
+        return not self.is_durable or self.persisted_revision >= self.revision
+
+    def mark_persisted(self, now: float, revision: int) -> None:
+        """The state of this revision is on the disk."""
+        self.persisted_revision = max(self.persisted_revision, revision)
+        self.update_freshness(now)
+
+    def update_freshness(self, now: float) -> None:
+        """Draw conclusions from what was read, merged or persisted since the last call."""
+        if self.freshness.update(now, self.is_persisted()):
+            self._log("seat taken, this router lacks nothing that others settled")
+        newly_replicated = self.freshness.majority.newly_replicated
+        for key, digest in newly_replicated.items():
+            record = self.state.records[key]
+            if record.digest == digest:
+                record.replicated_at_ms = now
+                self.state.invalidate_kind(record.entry.kind)
+                self._changed_keys[key] = None
+        newly_replicated.clear()
+
+    def take_changes(self) -> tuple[ReplicatedEntry, ...]:
+        """Entries that came, changed or became replicated to a majority since the last call."""
+        keys, self._changed_keys = self._changed_keys, {}
+        return tuple(self.state.records[key].to_replicated_entry() for key in keys)
+
+    def _log(self, text: str) -> None:
+        self._pending_logs.append(LogMessage(f"register: {text}"))
+
+    def take_logs(self) -> list[OutboundMessage]:
+        """Log lines since the last call."""
+        logs, self._pending_logs = self._pending_logs, []
+        return logs
--- a/cedarthread/replication/state.py
+++ b/cedarthread/replication/state.py
@@ -1,128 +1,134 @@
-"""What one router holds: of each name the greatest entry, with sums by which two contents are compared.
+"""The entries that one router holds, with digest sums by which two routers' states are compared.
 
-The root of a content is the sum, modulo 2^64, of its entries' digests, and so is each bucket's: sums of
-parts give the whole. So a router that knows all of another's entries by digest, held or surpassed here, can
-prove by the sum alone that it lacks nothing of theirs.
+The root digest is the sum of all entries' digests modulo 2^64, and each bucket's sum that of its entries; the
+bucket sums add up to the root digest. A router that recognises every entry of another, held here or
+superseded here, can therefore prove by the sums alone that it lacks nothing of the other's state.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from cedarthread.components.interface import Entry, EntryKind, ReplicatedEntry, Version
-from cedarthread.replication import entry as entries
-from cedarthread.replication.codec import BUCKET_COUNT, EntryRef
+from cedarthread.replication.codec import BUCKET_COUNT, DIGEST_LOW_MODULUS, EntryRef
+from cedarthread.replication.entry import EncodedEntry, EntryKey, key_hash, order_key
 
 DIGEST_MODULUS = 2**64
-MAX_SUPERSEDED_DIGESTS = 4096  # surpassed digests that are remembered
-MAX_COVERED_ROOTS = 256  # roots that are remembered to be within this content
+MAX_SUPERSEDED_DIGESTS = 4096  # remembered; the oldest are forgotten first
+MAX_COVERED_ROOTS = 256  # remembered; the least recently confirmed are forgotten first
 
 
 @dataclass(slots=True)
 class EntryRecord:
-    """One name's entry."""
+    """The entry that is held for one kind and name. Times in ms on this router's steady clock."""
 
     entry: Entry
     digest: int
     data: bytes  # canonical
     received_at_ms: float
-    replicated_at_ms: float | None = None
+    replicated_at_ms: float | None = None  # when it was first known to be held by a majority
 
     def to_replicated_entry(self) -> ReplicatedEntry:
-        """As others read it."""
+        """The record as other components read it."""
         return ReplicatedEntry(self.entry, self.received_at_ms, self.replicated_at_ms)
 
 
+class MergeResult(NamedTuple):
+    """What joining one entry did."""
+
+    is_changed: bool
+    replaced: EntryRecord | None = None  # the record that was held before, if one was replaced
+
+
 def entry_ref(entry: Entry, digest: int) -> EntryRef:
-    """How summaries name an entry."""
-    return entries.key_hash(entry.kind, entry.name), digest % 2**32
+    """How summaries and fetch requests name this version of an entry."""
+    return EntryRef(key_hash(entry.kind, entry.name), digest % DIGEST_LOW_MODULUS)
 
 
 class ReplicaState:
-    """Entries by name; it only grows, in the order of the join."""
+    """Entries by kind and name. The state only grows in the order of the join; nothing is deleted."""
 
     def __init__(self) -> None:
-        self.records: dict[entries.Key, EntryRecord] = {}
-        self.keys_by_ref: dict[EntryRef, entries.Key] = {}  # of what is held
-        self.superseded_digests: dict[EntryRef, int] = {}  # surpassed here: digests by pair, the oldest first
-        self.known_digests: set[int] = set()  # of both
+        self.records: dict[EntryKey, EntryRecord] = {}  # the most recently received last
+        self.keys_by_ref: dict[EntryRef, EntryKey] = {}  # of the entries held
+        self.superseded_digests: dict[EntryRef, int] = {}  # the oldest first
+        self.known_digests: set[int] = set()  # held or superseded
         self.bucket_sums = [0] * BUCKET_COUNT
         self.root_digest = 0
-        self.covered_roots: dict[int, None] = {0: None}  # roots of contents known to be within this one
-        self.highest_counter = 0  # the greatest seen in a version
-        self._entries_by_kind: dict[EntryKind, tuple[ReplicatedEntry, ...]] = {}
-
-    def merge(self, now: float, entry: Entry, digest: int, data: bytes) -> EntryRecord | None:
-        """Join one entry; the slot it surpassed, itself if that surpasses it, None where there was none.
-
-        The caller keeps the bound on their number (``full``)."""
-        key, pair = (entry.kind, entry.name), entry_ref(entry, digest)
+        self.covered_roots: dict[int, None] = {0: None}  # root digests of states known to be within this one
+        self.highest_counter = 0  # of all versions seen
+        self._entries_by_kind: dict[EntryKind, tuple[ReplicatedEntry, ...]] = {}  # cache
+
+    def merge(self, now: float, encoded: EncodedEntry) -> MergeResult:
+        """Join one entry into the state. The caller enforces the bound on their number (``is_full``)."""
+        entry, digest, key = encoded.entry, encoded.digest, encoded.key
+        ref = entry_ref(entry, digest)
         old = self.records.get(key)
         self.highest_counter = max(self.highest_counter, entry.version.counter)
         if old is not None and old.digest == digest:
-            return old
+            return MergeResult(False)
         self.known_digests.add(digest)
         if old is not None and not self.supersedes(entry, digest, old):
-            self._remember_superseded(pair, digest)
-            return EntryRecord(entry, digest, data, now)
+            self._remember_superseded(ref, digest)
+            return MergeResult(False)
         if old is not None:
-            before = entry_ref(old.entry, old.digest)
-            del self.keys_by_ref[before]
-            self._remember_superseded(before, old.digest)
-            self._add_to_sums(before[0], -old.digest)
-        self.records.pop(key, None)  # the newest stands last
-        self.records[key] = EntryRecord(entry, digest, data, now)
-        self.keys_by_ref[pair] = key
-        self.superseded_digests.pop(pair, None)
-        self._add_to_sums(pair[0], digest)
+            old_ref = entry_ref(old.entry, old.digest)
+            del self.keys_by_ref[old_ref]
+            self._remember_superseded(old_ref, old.digest)
+            self._add_to_sums(old_ref.bucket, -old.digest)
+        self.records.pop(key, None)  # so that the newest record is the last
+        self.records[key] = EntryRecord(entry, digest, encoded.data, now)
+        self.keys_by_ref[ref] = key
+        self.superseded_digests.pop(ref, None)
+        self._add_to_sums(ref.bucket, digest)
         self.mark_covered(self.root_digest)
         self.invalidate_kind(entry.kind)
-        return old
+        return MergeResult(True, old)
 
     def supersedes(self, entry: Entry, digest: int, old: EntryRecord) -> bool:
-        """Is it greater than what is held?"""
-        return entries.order_key(entry, digest) > entries.order_key(old.entry, old.digest)
+        """Whether an entry wins over the one that is held."""
+        return order_key(entry, digest) > order_key(old.entry, old.digest)
 
-    def _add_to_sums(self, number: int, digest: int) -> None:
-        bucket = number % BUCKET_COUNT
+    def _add_to_sums(self, bucket: int, digest: int) -> None:
         self.bucket_sums[bucket] = (self.bucket_sums[bucket] + digest) % DIGEST_MODULUS
         self.root_digest = (self.root_digest + digest) % DIGEST_MODULUS
 
-    def _remember_superseded(self, pair: EntryRef, digest: int) -> None:
-        self.superseded_digests[pair] = digest
+    def _remember_superseded(self, ref: EntryRef, digest: int) -> None:
+        self.superseded_digests[ref] = digest
         if len(self.superseded_digests) > MAX_SUPERSEDED_DIGESTS:
             self.known_digests.discard(self.superseded_digests.pop(next(iter(self.superseded_digests))))
 
-    def known_digest(self, pair: EntryRef) -> int | None:
-        """The digest of an entry that is held or surpassed here; None: it is not known to be."""
-        if (key := self.keys_by_ref.get(pair)) is not None:
+    def known_digest(self, ref: EntryRef) -> int | None:
+        """The full digest of an entry that is held or superseded here; None if the ref is not recognised."""
+        if (key := self.keys_by_ref.get(ref)) is not None:
             return self.records[key].digest
-        return self.superseded_digests.get(pair)
+        return self.superseded_digests.get(ref)
 
-    def is_full(self, key: entries.Key, max_entries: int) -> bool:
-        """Is there no room for that name?"""
+    def is_full(self, key: EntryKey, max_entries: int) -> bool:
+        """Whether an entry of this key would exceed the bound."""
         return key not in self.records and len(self.records) >= max_entries
 
     def mark_covered(self, root_digest: int) -> None:
-        """That root's content is within this one from now on, for this one only grows."""
+        """Remember that the state with this root digest is within this one; it stays so, for this one only
+        grows."""
         self.covered_roots.pop(root_digest, None)
         self.covered_roots[root_digest] = None
         if len(self.covered_roots) > MAX_COVERED_ROOTS:
             del self.covered_roots[next(iter(self.covered_roots))]
 
     def invalidate_kind(self, kind: EntryKind) -> None:
-        """What is read of a kind is to be made anew."""
+        """Drop the cached result of ``entries`` for a kind."""
         self._entries_by_kind.pop(kind, None)
 
     def entries(self, kind: EntryKind) -> tuple[ReplicatedEntry, ...]:
-        """All entries of a kind, by name."""
-        if (held := self._entries_by_kind.get(kind)) is None:
-            names = sorted(name for k, name in self.records if k is kind)
-            held = self._entries_by_kind[kind] = tuple(
-                self.records[kind, name].to_replicated_entry() for name in names
-            )
-        return held
+        """All entries of a kind, sorted by name."""
+        if (cached := self._entries_by_kind.get(kind)) is None:
+            names = sorted(name for record_kind, name in self.records if record_kind is kind)
+            cached = tuple(self.records[kind, name].to_replicated_entry() for name in names)
+            self._entries_by_kind[kind] = cached
+        return cached
 
     def next_version(self, author: int, incarnation: int) -> Version:
-        """A version greater than all seen here."""
+        """A version greater than all that were seen here."""
         return Version(self.highest_counter + 1, author, incarnation)
--- /dev/null
+++ b/cedarthread/replication/sync_session.py
@@ -0,0 +1,212 @@
+"""Fetching what a peer holds and this router lacks, after the peer's sync response.
+
+A session compares bucket sums with the peer, asks for summaries of the buckets that differ, fetches the
+entries that are not recognised, and ends when the sums prove that the peer's state is within this router's.
+Only then does the peer's response count as a confirmation.
+"""
+
+from __future__ import annotations
+
+import random
+
+from cedarthread.model.actions import SendToPeer
+from cedarthread.replication.codec import (
+    ALL_FRAGMENTS,
+    BUCKET_COUNT,
+    BUCKET_SUM_MODULUS,
+    MAX_ITEMS_PER_FETCH,
+    EntryFragment,
+    EntryRef,
+    FetchItem,
+    FetchRequest,
+    Summary,
+    SummaryRequest,
+    SyncResponse,
+    encode_to,
+)
+from cedarthread.replication.entry import EncodedEntry
+from cedarthread.replication.fragments import FragmentAssembler
+from cedarthread.replication.local_replica import LocalReplica
+from cedarthread.replication.state import DIGEST_MODULUS
+
+RETRY_INTERVAL_MS = 300.0  # after which what did not arrive is asked for again
+MAX_RETRIES = 8  # without an entry arriving; then the session is given up
+RETRIES_PER_SUMMARY_REQUEST = 4  # one retry in so many asks for the summaries again too
+MAX_PENDING_FETCHES = 8  # with more entries under way no further session is started
+MAX_SESSIONS = 4  # the oldest are dropped first
+
+
+class SyncSession:
+    """What is known of one peer's state since its sync response."""
+
+    def __init__(
+        self, now: float, peer: int, sent_at_ms: float, response: SyncResponse, bucket_sums: list[int]
+    ) -> None:
+        self.peer, self.sent_at_ms, self.response = peer, sent_at_ms, response
+        self.root_digest = response.root_digest  # of the state that the summaries describe
+        self.bucket_sums = list(
+            bucket_sums
+        )  # of the peer's entries that are recognised here, or this router's own
+        self.refs_by_bucket: dict[
+            int, dict[int, tuple[EntryRef, ...]]
+        ] = {}  # bucket, part: the peer's entries
+        self.part_counts: dict[int, int] = {}  # by bucket
+        self.progress_at_ms, self.retries = now, 0
+
+    def add_summary(self, summary: Summary) -> None:
+        """Take what the peer lists."""
+        if self.root_digest != summary.root_digest:
+            # The peer's state has grown since. What it lists now includes what it held when it responded.
+            self.root_digest, self.refs_by_bucket, self.part_counts = summary.root_digest, {}, {}
+        for bucket in range(BUCKET_COUNT):
+            if summary.bucket_bits >> bucket & 1:
+                if self.part_counts.setdefault(bucket, summary.part_count) != summary.part_count:
+                    self.refs_by_bucket[bucket], self.part_counts[bucket] = {}, summary.part_count
+                refs = tuple(ref for ref in summary.refs if ref.bucket == bucket)
+                self.refs_by_bucket.setdefault(bucket, {})[summary.part_index] = refs
+
+    def complete_buckets(self) -> list[tuple[int, list[EntryRef]]]:
+        """Buckets of which all parts have arrived, with the refs in them."""
+        complete = [
+            bucket for bucket, parts in self.refs_by_bucket.items() if len(parts) == self.part_counts[bucket]
+        ]
+        return [
+            (bucket, [ref for part in self.refs_by_bucket[bucket].values() for ref in part])
+            for bucket in complete
+        ]
+
+    def all_refs(self) -> list[EntryRef]:
+        """All refs that have arrived."""
+        return [ref for parts in self.refs_by_bucket.values() for part in parts.values() for ref in part]
+
+    def summary_request(self) -> SendToPeer:
+        """Asks the peer for the buckets in which it differs."""
+        sums = tuple(bucket_sum % BUCKET_SUM_MODULUS for bucket_sum in self.bucket_sums)
+        return encode_to(SummaryRequest(self.response.nonce, sums), self.peer)
+
+
+class SyncSessions:
+    """All sync sessions of one router, and the entries that are being fetched in them."""
+
+    def __init__(self, replica: LocalReplica, rng: random.Random) -> None:
+        self.replica, self.rng = replica, rng
+        self.sessions: dict[int, SyncSession] = {}  # by nonce
+        self.pending_fetches: dict[EntryRef, float] = {}  # when last asked for, ms
+        self.fragments = FragmentAssembler(replica.state)
+        self.fully_read_peers: set[int] = set()  # peers whose whole state was once within this router's
+
+    def clear_sessions(self) -> None:
+        """Give up all sessions."""
+        self.sessions.clear()
+
+    def start(self, now: float, peer: int, sent_at_ms: float, response: SyncResponse) -> list[SendToPeer]:
+        """Begin a session after a peer's response to the request of ``sent_at_ms``, if there is anything to
+        fetch."""
+        session = SyncSession(now, peer, sent_at_ms, response, self.replica.state.bucket_sums)
+        if self._confirm_if_covered(now, session):
+            return []
+        if self.sessions and len(self._awaited_refs(now)) > MAX_PENDING_FETCHES:
+            return []  # more summaries would only take bandwidth from the entries under way
+        while len(self.sessions) >= MAX_SESSIONS:
+            del self.sessions[next(iter(self.sessions))]
+        self.sessions[response.nonce] = session
+        return [session.summary_request()]
+
+    def on_summary(self, now: float, sender: int, summary: Summary) -> list[SendToPeer]:
+        """Take a summary of an open session and fetch what is missing.
+
+        A summary of another incarnation than the response's does not count: a later one may hold less."""
+        session = self.sessions.get(summary.nonce)
+        if session is None or session.peer != sender or not self._is_same_incarnation(session, summary):
+            return []
+        session.add_summary(summary)
+        if self._advance(now, summary.nonce):
+            return []
+        session.progress_at_ms = now
+        return self._fetch_missing(now, session)
+
+    def _is_same_incarnation(self, session: SyncSession, summary: Summary) -> bool:
+        return session.response.incarnation == summary.incarnation
+
+    def on_fragment(self, fragment: EntryFragment) -> EncodedEntry | None:
+        """Take a fragment; the entry that it completes, which the caller merges."""
+        return self.fragments.add(fragment)
+
+    def drop_fetch(self, ref: EntryRef) -> None:
+        """An entry has arrived and is not awaited any more."""
+        self.pending_fetches.pop(ref, None)
+
+    def advance_all(self, now: float) -> None:
+        """Sessions that a newly merged entry has completed end; the others may retry anew."""
+        for nonce in list(self.sessions):
+            self.sessions[nonce].retries = 0
+            self._advance(now, nonce)
+
+    def on_tick(self, now: float) -> list[SendToPeer]:
+        """Ask again for what did not arrive."""
+        messages: list[SendToPeer] = []
+        for nonce in list(self.sessions):
+            messages += self._retry(now, nonce)
+        if self.pending_fetches and not self.sessions:
+            self.pending_fetches.clear()
+        return messages
+
+    def _retry(self, now: float, nonce: int) -> list[SendToPeer]:
+        session = self.sessions[nonce]
+        if self._advance(now, nonce) or now - session.progress_at_ms < RETRY_INTERVAL_MS:
+            return []
+        session.progress_at_ms, session.retries = now, session.retries + 1
+        if session.retries > MAX_RETRIES:
+            del self.sessions[nonce]
+            return []
+        messages = self._fetch_missing(now, session)
+        if not messages or session.retries % RETRIES_PER_SUMMARY_REQUEST == 0:
+            messages.append(session.summary_request())
+        return messages
+
+    def _advance(self, now: float, nonce: int) -> bool:
+        """Sum up which of the peer's entries are recognised here; true if they are all of them and the
+        session ends."""
+        session = self.sessions[nonce]
+        for bucket, refs in session.complete_buckets():
+            digests = [self.replica.state.known_digest(ref) for ref in refs]
+            if None not in digests:
+                session.bucket_sums[bucket] = sum(digest for digest in digests if digest) % DIGEST_MODULUS
+        if not self._confirm_if_covered(now, session):
+            return False
+        del self.sessions[nonce]
+        return True
+
+    def _confirm_if_covered(self, now: float, session: SyncSession) -> bool:
+        """Count the peer's response if the sums prove that the peer's state is within this router's."""
+        state = self.replica.state
+        if session.root_digest not in state.covered_roots:
+            if sum(session.bucket_sums) % DIGEST_MODULUS != session.root_digest:
+                return False
+            state.mark_covered(session.root_digest)
+        state.mark_covered(session.response.root_digest)
+        self.replica.freshness.record_response(now, session.peer, session.sent_at_ms, session.response)
+        self.fully_read_peers.add(session.peer)
+        self.replica.update_freshness(now)
+        return True
+
+    def _fetch_missing(self, now: float, session: SyncSession) -> list[SendToPeer]:
+        """Ask the peer for entries that are unknown here and not awaited, those in part first.
+
+        No more at a time than the peers' budgets carry: partial entries must not push each other out."""
+        missing = [ref for ref in session.all_refs() if self.replica.state.known_digest(ref) is None]
+        awaited = self._awaited_refs(now)
+        missing_bits = self.fragments.missing_bits_by_digest_low()
+        refs = [ref for ref in missing if ref not in awaited]
+        refs = self.rng.sample(refs, len(refs))
+        refs.sort(key=lambda ref: ref.digest_low not in missing_bits)
+        refs = refs[: max(0, MAX_ITEMS_PER_FETCH - len(awaited))]
+        self.pending_fetches.update((ref, now) for ref in refs)
+        items = tuple(FetchItem(*ref, missing_bits.get(ref.digest_low, ALL_FRAGMENTS)) for ref in refs)
+        return [encode_to(FetchRequest(items), session.peer)] if items else []
+
+    def _awaited_refs(self, now: float) -> set[EntryRef]:
+        """What was asked for within the retry interval and has not arrived."""
+        return {
+            ref for ref, asked_at_ms in self.pending_fetches.items() if now - asked_at_ms < RETRY_INTERVAL_MS
+        }
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -257,9 +257,24 @@
         "ask": register_form.SummaryRequest(
             5, tuple(n * 0x0102030405 for n in range(register_form.BUCKET_COUNT))
         ),
-        "summary": register_form.Summary(5, 6, 7, 0b110, 0, 1, ((1, 2), (2, 2**32 - 1), (33, 0))),
-        "summary in parts": register_form.Summary(5, 6, 7, 0b10, 1, 3, ((1, 2), (33, 4))),
-        "want": register_form.FetchRequest(((1, 2, register_form.ALL_FRAGMENTS), (2**32 - 1, 0, 5))),
+        "summary": register_form.Summary(
+            5,
+            6,
+            7,
+            0b110,
+            0,
+            1,
+            tuple(register_form.EntryRef(*ref) for ref in ((1, 2), (2, 2**32 - 1), (33, 0))),
+        ),
+        "summary in parts": register_form.Summary(
+            5, 6, 7, 0b10, 1, 3, tuple(register_form.EntryRef(*ref) for ref in ((1, 2), (33, 4)))
+        ),
+        "want": register_form.FetchRequest(
+            tuple(
+                register_form.FetchItem(*item)
+                for item in ((1, 2, register_form.ALL_FRAGMENTS), (2**32 - 1, 0, 5))
+            )
+        ),
         "first piece": first,
         "last piece": last,
     }
--- a/tests/simulation/test_persistence_restarts.py
+++ b/tests/simulation/test_persistence_restarts.py
@@ -62,9 +62,7 @@
 
     def seated(self) -> list[bool]:
         return [
-            one.fleet_components.store.freshness.is_voter
-            for one in self.routers
-            if one.fleet_components is not None
+            one.fleet_components.store.is_voter for one in self.routers if one.fleet_components is not None
         ]
 
     def entries(self) -> list[int]:
--- a/tests/simulation/test_replication_fleet.py
+++ b/tests/simulation/test_replication_fleet.py
@@ -14,17 +14,21 @@
 
 import pytest
 
-from cedarthread.components.interface import Entry, EntryKind, OutboundMessage, PeersChanged, Version
+from cedarthread.components.interface import Entry, EntryKind, PeersChanged, Version
 from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES
 from cedarthread.model.actions import LogMessage, SendToPeer
 from cedarthread.replication import codec
 from cedarthread.replication import entry as entries
 from cedarthread.replication.codec import AGE_UNKNOWN, EntryRef
 from cedarthread.replication.freshness import FreshnessTracker
+from cedarthread.replication.majority import MajorityTracker
 from cedarthread.replication.state import ReplicaState
-from cedarthread.replication.store import MAX_TICK_INTERVAL_MS, ReplicatedStore, SyncSession
+from cedarthread.replication.store import MAX_TICK_INTERVAL_MS, ReplicatedStore
+from cedarthread.replication.sync_requests import SyncRequests
+from cedarthread.replication.sync_server import SyncServer
+from cedarthread.replication.sync_session import SyncSession, SyncSessions
 
-Orders = dict[entries.Key, tuple[Version, int]]
+Orders = dict[entries.EntryKey, tuple[Version, int]]
 LIVES = itertools.count(1)
 
 
@@ -34,9 +38,11 @@
     def __init__(self, count: int) -> None:
         self.count, self.serial = count, itertools.count()
         self.history: dict[int, list[tuple[float, Orders]]] = {n: [(-1e9, {})] for n in range(count)}
-        self.holders: dict[tuple[entries.Key, tuple[Version, int]], dict[int, float]] = {}
-        self.acts: list[tuple[float, int, entries.Key, tuple[Version, int]]] = []  # a heap: relaxed from then
-        self.acted: dict[entries.Key, tuple[tuple[Version, int], float]] = {}  # the most of it that is
+        self.holders: dict[tuple[entries.EntryKey, tuple[Version, int]], dict[int, float]] = {}
+        self.acts: list[
+            tuple[float, int, entries.EntryKey, tuple[Version, int]]
+        ] = []  # a heap: relaxed from then
+        self.acted: dict[entries.EntryKey, tuple[tuple[Version, int], float]] = {}  # the most of it that is
         self.lives: dict[int, int] = {}
         self.born: dict[int, float] = {}  # when each last started
         self.found: list[str] = []
@@ -56,7 +62,9 @@
         for key, order in held.items():
             self.holders.setdefault((key, order), {})[n] = now
 
-    def settled(self, now: float, n: int, key: entries.Key, order: tuple[Version, int], act: float) -> None:
+    def settled(
+        self, now: float, n: int, key: entries.EntryKey, order: tuple[Version, int], act: float
+    ) -> None:
         """A router says that a majority has held an entry, and acts by it from ``act`` on."""
         if len(self.holders.get((key, order), {})) <= self.count // 2:
             self.found.append(f"{n} settles {key} by a minority")
@@ -104,7 +112,7 @@
         self.steps: list[tuple[float, int, int, int, bytes | None]] = []
         self.stood: dict[int, list[tuple[int, bytes]]] = {}
         self.logs: list[str] = []
-        self.settled: dict[int, dict[entries.Key, float]] = {n: {} for n in range(count)}
+        self.settled: dict[int, dict[entries.EntryKey, float]] = {n: {} for n in range(count)}
         self.share = [0, 0]  # of turns: fresh, all
         self.routers: dict[int, ReplicatedStore] = {}
         for n in range(count):
@@ -148,7 +156,7 @@
         return self.now - begin
 
     def look(self, n: int, register: ReplicatedStore) -> None:
-        for k, at in enumerate(register.freshness.read_as_voter_at_ms):
+        for k, at in enumerate(register.replica.freshness.read_as_voter_at_ms):
             if at > -1e300 and k != n:
                 self.judge.read(self.now, n, k, self.true(n, at))
 
@@ -194,7 +202,7 @@
             self.step(self.now, n, sender, data)
 
     def alike(self) -> bool:
-        return len({register.replica.root_digest for register in self.routers.values()}) == 1
+        return len({register.replica.state.root_digest for register in self.routers.values()}) == 1
 
 
 def chaos(make: type[ReplicatedStore], seed: int, count: int = 5, rounds: int = 40) -> World:
@@ -214,7 +222,7 @@
             world.cut = {(a, b) for a, b in pairs if (a in side) != (b in side) and (both or a in side)}
         elif what == "heal":
             world.cut.clear()
-        elif what == "start" and all(r.freshness.is_voter for r in world.routers.values()):
+        elif what == "start" and all(r.is_voter for r in world.routers.values()):
             world.start(n)
         elif what == "stand" and not world.stood:
             world.stood[n] = []
@@ -257,7 +265,7 @@
     world.propose(0, "x", b"settled")
     world.run(5000.0)  # longer than the newest entry is told unasked
     only(world, {1, 2})
-    world.run(3000.0, lambda: bool(world.routers[2].sessions))
+    world.run(3000.0, lambda: bool(world.routers[2].sessions.sessions))
     world.start(1)
     world.run(12_000.0)
     return world
@@ -296,7 +304,7 @@
     confirm, read, holders = (
         FreshnessTracker.record_response,
         FreshnessTracker._record_read,
-        FreshnessTracker._count_holders,
+        MajorityTracker._count_holders,
     )
 
     def floor(self: FreshnessTracker, age: float, scale: float) -> int:
@@ -304,8 +312,7 @@
 
     def seat(self: FreshnessTracker, now: float) -> bool:
         return (
-            sum(at >= self.started_at_ms for at in self.read_as_voter_at_ms)
-            > self.router_count - self.majority
+            sum(at >= self.started_at_ms for at in self.read_as_voter_at_ms) > self.router_count - self.quorum
         )
 
     return {
@@ -321,29 +328,29 @@
         ),
         "unseated count": (FreshnessTracker, "_record_read", lambda s, k, at, _, h: read(s, k, at, True, h)),
         "settles by a minority": (
-            FreshnessTracker,
+            MajorityTracker,
             "_count_holders",
             lambda s, now, c: holders(s, now, c) + 1,
         ),
         "the last holds": (ReplicaState, "supersedes", lambda *_: True),
-        "nonces come again": (ReplicatedStore, "_new_nonce", lambda s: s.rng.getrandbits(2)),
+        "nonces come again": (SyncRequests, "_new_nonce", lambda s: s.rng.getrandbits(2)),
         "ages too young": (FreshnessTracker, "_age_in_steps", floor),
-        "a reply counts before its content is held": (ReplicatedStore, "_confirm_if_covered", _unproven),
+        "a reply counts before its content is held": (SyncSessions, "_confirm_if_covered", _unproven),
         "a seat at once": (FreshnessTracker, "can_become_voter", lambda *_: True),
         "a seat by what was read before V after the start": (FreshnessTracker, "can_become_voter", seat),
         "what was held counts for ever": (
-            FreshnessTracker,
+            MajorityTracker,
             "_count_holders",
             lambda s, _, c: holders(s, -math.inf, c),
         ),
-        "a later life's summary counts": (ReplicatedStore, "_is_same_incarnation", lambda *_: True),
+        "a later life's summary counts": (SyncSessions, "_is_same_incarnation", lambda *_: True),
     }
 
 
-def _unproven(self: ReplicatedStore, now: float, sync: SyncSession) -> bool:
-    self.freshness.record_response(now, sync.peer, sync.sent_at_ms, sync.response)
-    self._update_freshness(now)
-    return sync.root_digest in self.replica.covered_roots
+def _unproven(self: SyncSessions, now: float, session: SyncSession) -> bool:
+    self.replica.freshness.record_response(now, session.peer, session.sent_at_ms, session.response)
+    self.replica.update_freshness(now)
+    return session.root_digest in self.replica.state.covered_roots
 
 
 @pytest.mark.parametrize("name", _defects())
@@ -365,21 +372,32 @@
         return among[:number]
 
 
-class Small(ReplicatedStore):
-    """A register that does by itself what it is asked for, and draws nothing."""
-
-    def __init__(self, router_index: int, router_count: int, now: float) -> None:
-        super().__init__(router_index, router_count, next(LIVES), 0, window_ms=V, clock_rate=0.0, now=now)
-        self.rng = Plain()  # type: ignore[assignment]
-        self.next_reverse_request_at_ms = math.inf
+class CountedRequests(SyncRequests):
+    """Sync requests whose nonces are counted, not drawn."""
 
     def _new_nonce(self) -> int:
         return next(LIVES)
 
-    def _newest_entry(self, now: float, sender: int) -> list[OutboundMessage]:
+
+class QuietServer(SyncServer):
+    """Sends nothing but what it is asked for."""
+
+    def newest_entry(self, now: float, sender: int) -> list[SendToPeer]:
         return []
 
 
+class Small(ReplicatedStore):
+    """A store that does nothing of its own accord and draws nothing."""
+
+    requests_type = CountedRequests
+    server_type = QuietServer
+
+    def __init__(self, router_index: int, router_count: int, now: float) -> None:
+        super().__init__(router_index, router_count, next(LIVES), 0, window_ms=V, clock_rate=0.0, now=now)
+        self.requests.rng = self.sessions.rng = self.server.rng = Plain()  # type: ignore[assignment]
+        self.requests.next_reverse_request_at_ms = math.inf
+
+
 V = 1000.0
 
 
@@ -397,17 +415,17 @@
     def mark(self) -> object:
         """What of it matters for what may come: times from now on back, no nonces, no lives."""
         marks: list[object] = [self.ticks, self.restarts, max(self.act - self.now, -1.0)]
-        some = any(not register.freshness.is_voter for register in self.routers) or self.restarts == 0
+        some = any(not register.is_voter for register in self.routers) or self.restarts == 0
         for register in self.routers:
-            e = register.freshness
+            e = register.replica.freshness
             times = [
                 *(e.read_at_ms if some else ()),
                 *e.read_as_voter_at_ms,
-                *e.cohorts[-1].held_at_ms,
+                *e.majority.latest_holder_times(),
                 e.earlier_incarnation_expires_at_ms,
             ]
             marks += [
-                register.replica.root_digest,
+                register.replica.state.root_digest,
                 e.is_voter,
                 tuple(min(self.now - at, 2 * V) for at in times),
             ]
@@ -415,7 +433,7 @@
             to, of, data = self.late
             reply = codec.decode(data)
             assert isinstance(reply, codec.SyncResponse)
-            sent = self.now - self.routers[to].open_requests[reply.nonce][1]
+            sent = self.now - self.routers[to].requests.open_requests[reply.nonce].sent_at_ms
             same = self.routers[of].incarnation == reply.incarnation
             marks += [to, of, min(sent, 2 * V), reply.root_digest, reply.is_voter, reply.ages, same]
         return tuple(marks)
@@ -437,9 +455,9 @@
             if peer != n:
                 asker = _copy(state.routers[n])
                 if state.late is None:
-                    asker.open_requests.clear()
+                    asker.requests.clear()
                 (reply,) = _copy(state.routers[peer]).on_message(
-                    state.now, n, asker._sync_request(state.now, peer).data
+                    state.now, n, asker._request_sync(state.now, peer).data
                 )
                 assert isinstance(reply, SendToPeer)
                 asked = _with(state, n, asker)
@@ -490,7 +508,7 @@
             if (mark := state.mark()) not in seen:
                 seen.add(mark)
                 queue.append(state)
-                lacks = [r for r in state.routers if not r.replica.records and r.is_fresh(state.now)]
+                lacks = [r for r in state.routers if not r.replica.state.records and r.is_fresh(state.now)]
                 wrong += [state] if lacks and state.now > state.act else []
     return len(seen), wrong
 
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -15,9 +15,10 @@
 from cedarthread.replication import codec, conflicts
 from cedarthread.replication import entry as entries
 from cedarthread.replication.conflicts import Act
-from cedarthread.replication.entry import RejectedEntry
+from cedarthread.replication.entry import EncodedEntry, RejectedEntry
 from cedarthread.replication.state import ReplicaState
-from cedarthread.replication.store import MAX_TICK_GAP_MS, RESPONSE_BURST, ReplicatedStore
+from cedarthread.replication.store import MAX_TICK_GAP_MS, ReplicatedStore
+from cedarthread.replication.sync_server import RESPONSE_BURST
 from tests.simulation.test_replication_fleet import World
 
 VERSIONS = st.builds(Version, st.integers(0, 3), st.integers(0, 2), st.integers(0, 2))
@@ -34,7 +35,7 @@
     for order in ((a, b, c), (c, b, a), (b, a, b, c, a)):
         content = ReplicaState()
         for entry in order:
-            content.merge(0.0, entry, entries.entry_digest(entry), entries.encode(entry))
+            content.merge(0.0, EncodedEntry.of(entry))
         roots.add(content.root_digest)
         assert (
             content.root_digest
@@ -113,7 +114,8 @@
             break  # all is there, and told of to the end
     assert world.alike() and world.longest <= MAX_DATAGRAM_BYTES and most < 3 * 26_000
     assert all(
-        not r.invalid_count and len(r.entries(EntryKind.CONTRACT)) == 512 for r in world.routers.values()
+        not r.sessions.fragments.invalid_count and len(r.entries(EntryKind.CONTRACT)) == 512
+        for r in world.routers.values()
     )
 
 
@@ -126,12 +128,12 @@
     assert isinstance(entry, Entry)
     first, _ = codec.split_into_fragments(entries.encode(entry), entries.entry_digest(entry))
     register.on_message(0.0, 1, codec.encode(first))
-    assert not register.partial_entries, "what is known waits for nothing"
+    assert not register.sessions.fragments.partial_entries, "what is known waits for nothing"
     assert not register.on_message(9999.0, 3, pull) and not register.on_message(9999.0, 0, pull)
 
 
 def _asked(register: ReplicatedStore, now: float) -> tuple[SendToPeer, codec.SyncRequest]:
-    register.fully_read_peers.update(register.all_peers)  # no start any more
+    register.sessions.fully_read_peers.update(register.all_peers)  # no start any more
     (tell,) = (word for word in register.on_tick(now) if isinstance(word, SendToPeer))
     pull = codec.decode(tell.data)
     assert isinstance(pull, codec.SyncRequest)
@@ -182,9 +184,7 @@
     world.loss = 0.1
     world.propose(3, "x", b"")
     world.run(1900.0)
-    assert not any(
-        r.freshness.is_voter or r.is_fresh(world.local(n, world.now)) for n, r in world.routers.items()
-    )
+    assert not any(r.is_voter or r.is_fresh(world.local(n, world.now)) for n, r in world.routers.items())
     world.run(6000.0)
     assert all(r.is_fresh(world.local(n, world.now)) for n, r in world.routers.items())
 
@@ -198,7 +198,7 @@
 
 
 def test_ages_are_told_as_the_fastest_clock_would_have_them() -> None:
-    evidence = ReplicatedStore(0, 3, 1, 1, window_ms=4800.0, clock_rate=0.05).freshness
+    evidence = ReplicatedStore(0, 3, 1, 1, window_ms=4800.0, clock_rate=0.05).replica.freshness
     evidence.read_as_voter_at_ms[1] = evidence.read_at_ms[1] = 0.0
     assert [age & codec.AGE_UNKNOWN for age in evidence.encode_ages(2000.0, 0)] == [
         codec.AGE_UNKNOWN,
@@ -209,7 +209,7 @@
 
 
 def test_a_fleet_of_more_than_one_reply_speaks_of_is_told_in_segments() -> None:
-    evidence = ReplicatedStore(0, 300, 1, 1).freshness
+    evidence = ReplicatedStore(0, 300, 1, 1).replica.freshness
     assert len(evidence.encode_ages(0.0, 0)) == 208 and len(evidence.encode_ages(0.0, 208)) == 92
     register = ReplicatedStore(0, 300, 1, 1)
     asked = {_asked(register, at * 1000.0)[1].first_router for at in range(1, 5)}
