Split the quota escrow by concern: pools, requester, grantor, persisted image

Change: Escrow (the component and its public calls), EscrowRequester, EscrowGrantor, EscrowImage; accounts.py becomes allotment, quota_pool, rate_pool, count_pool. Records in place of bare tuples: CountBalance, Borrower, LeaseGrant, UnmetRequest, PeerAvailability, RequestRounds, RequestId, Grant. Injected defects in tests replace the requester or the grantor where they replaced a method of the escrow.

--- a/cedarthread/escrow/codec.py
+++ b/cedarthread/escrow/codec.py
@@ -1,10 +1,11 @@
-"""The form of the grants' datagrams, all of fixed size and far below 256 bytes.
+"""Wire format of escrow datagrams: of fixed size, far below 256 bytes, all numbers little-endian.
 
-    ask:    form u8, kind u8, pool u64, life u64, nonce u32, wanted u32
-    answer: form u8, kind u8, pool u64, life u64, serial u32, asker's life u64, nonce u32, amount u32,
-            term u32 in ms, total u32 as the giver knows it, room u32 left there, hint u16
+    request   type u8, kind u8, pool key u64, incarnation u64, nonce u32, requested u32
+    response  type u8, kind u8, pool key u64, incarnation u64, serial u32, requester's incarnation u64,
+              nonce u32, amount u32, term u32 ms, total u32 as the giver knows it, units available there u32,
+              hinted peer u16
 
-All little-endian. A pool's name is hashed to 64 bits. An answer of amount 0 says that its sender has none.
+A pool's key is a hash of its name. A response of amount 0 is a denial.
 """
 
 from __future__ import annotations
@@ -16,8 +17,8 @@
 from cedarthread.components.interface import MessageType
 from cedarthread.gossip.codec import MalformedDatagram
 
-NO_HINT = 0xFFFF  # a hint that names nobody
-MAX_AMOUNT = 2**32 - 1  # of any amount on the wire
+NO_HINT = 0xFFFF  # in place of a peer's number
+MAX_AMOUNT = 2**32 - 1  # of any number of units on the wire
 _REQUEST_KIND, _RESPONSE_KIND = 1, 2
 _REQUEST = struct.Struct("<BBQQII")
 _RESPONSE = struct.Struct("<BBQQIQIIIIIH")
@@ -25,7 +26,8 @@
 
 @dataclass(frozen=True, slots=True)
 class EscrowRequest:
-    """``wanted``: of a rate all that the asker would have of the asked one; of a count so much more."""
+    """Asks a peer for units: of a rate for all that the sender would have of it, of a count for so many
+    more."""
 
     pool_key: int
     incarnation: int
@@ -35,50 +37,54 @@
 
 @dataclass(frozen=True, slots=True)
 class EscrowResponse:
-    """A grant, or that there is none. Its id is the sender, ``life`` and ``serial``."""
+    """A grant or a denial. A grant is identified by its sender, ``incarnation`` and ``serial``."""
 
     pool_key: int
     incarnation: int
     serial: int
-    requester_incarnation: int  # the asker's life, and the nonce of its ask
-    nonce: int
+    requester_incarnation: int
+    nonce: int  # of the request
     amount: int
-    term_ms: int  # ms from when the ask was sent; 0: for good
+    term_ms: int  # from when the request was sent; 0: for good
     total: int
     available: int
     hinted_peer: int = NO_HINT
 
 
 def pool_key(name: str) -> int:
-    """A pool's name in 64 bits."""
+    """The 64-bit key of a pool's name."""
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "little")
 
 
 def encode(message: EscrowRequest | EscrowResponse) -> bytes:
     """The bytes of a datagram."""
-    m = message
-    if isinstance(m, EscrowRequest):
+    if isinstance(message, EscrowRequest):
         return _REQUEST.pack(
             MessageType.ESCROW,
             _REQUEST_KIND,
-            m.pool_key,
-            m.incarnation,
-            m.nonce,
-            min(m.requested, MAX_AMOUNT),
+            message.pool_key,
+            message.incarnation,
+            message.nonce,
+            min(message.requested, MAX_AMOUNT),
         )
-    ids = (m.pool_key, m.incarnation, m.serial, m.requester_incarnation, m.nonce, m.amount, m.term_ms)
     return _RESPONSE.pack(
         MessageType.ESCROW,
         _RESPONSE_KIND,
-        *ids,
-        min(m.total, MAX_AMOUNT),
-        min(m.available, MAX_AMOUNT),
-        m.hinted_peer,
+        message.pool_key,
+        message.incarnation,
+        message.serial,
+        message.requester_incarnation,
+        message.nonce,
+        message.amount,
+        message.term_ms,
+        min(message.total, MAX_AMOUNT),
+        min(message.available, MAX_AMOUNT),
+        message.hinted_peer,
     )
 
 
 def decode(data: bytes) -> EscrowRequest | EscrowResponse | MalformedDatagram:
-    """What a datagram says. Whatever it holds, no error is raised."""
+    """The message in a datagram. Never raises, whatever the bytes are."""
     if data[:1] != bytes((MessageType.ESCROW,)):
         return MalformedDatagram("not of this form")
     if len(data) == _REQUEST.size and data[1] == _REQUEST_KIND:
--- a/cedarthread/testing/escrow_simulation.py
+++ b/cedarthread/testing/escrow_simulation.py
@@ -20,8 +20,9 @@
 from typing import Any
 
 from cedarthread.components.interface import PeersChanged
-from cedarthread.escrow import accounts as book
+from cedarthread.escrow.count_pool import CountPool
 from cedarthread.escrow.escrow import Escrow
+from cedarthread.escrow.rate_pool import LEASE_TERM_MS, RatePool
 from cedarthread.model.actions import SendToPeer
 
 CLOCK_RATE_ERROR = 0.03  # clock error in the worlds, far more than real ones have: faults show sooner
@@ -298,16 +299,16 @@
         for grants in self.routers:
             pool = next(iter(grants.pools.values()))
             asked = sorted(
-                (n, a.peer_index, a.requested, a.sent_at_ms, a.was_denied)
-                for n, a in grants.outstanding.items()
+                (n, a.peer, a.requested, a.sent_at_ms, a.was_denied)
+                for n, a in grants.requester.outstanding.items()
             )
             own: Any = None
-            if isinstance(pool, book.RatePool):
+            if isinstance(pool, RatePool):
                 sides = (pool.leases_given, pool.leases_taken)
                 own = [sorted((str(k), v.nonce, sorted(v.grants)) for k, v in s.items()) for s in sides]
-            elif isinstance(pool, book.CountPool):
-                own = (pool.balance, pool.highest_total, pool.is_lost, sorted(grants.sent_grants))
-            books.append((grants.incarnation, grants.last_nonce, pool.total, asked, own))
+            elif isinstance(pool, CountPool):
+                own = (pool.balance, pool.highest_total, pool.is_lost, sorted(grants.grantor.sent_grants))
+            books.append((grants.incarnation, grants.requester.last_nonce, pool.total, asked, own))
         world = (
             self.now,
             self.consumed,
@@ -359,8 +360,8 @@
             escrow, now = self.routers[n], self.clock_ms(n)
             escrow.on_notification(now, PeersChanged((to,), 2, {}))
             for pool in escrow.pools.values():
-                pool.next_round_at_ms, pool.is_round_open, pool.peer_available = now, False, {}
-            escrow.request_budget.tokens = 1.0
+                pool.rounds.next_at_ms, pool.rounds.is_open, pool.peer_available = now, False, {}
+            escrow.requester.request_budget.tokens = 1.0
             escrow.request(now, self.pool_name, self.total)
             self.add_in_flight(n, escrow.on_tick(now))
             escrow.request(now, self.pool_name, 0)
@@ -438,7 +439,7 @@
         clock_rate_error=0.001,
     )
     demand = zipf_demand(count, int(total * load), exponent, random.Random(seed))
-    world.run(book.LEASE_TERM_MS * 1.05)
+    world.run(LEASE_TERM_MS * 1.05)
 
     def use(ms: float) -> float:
         for _ in range(int(ms / TICK_INTERVAL_MS)):
--- a/tests/simulation/test_escrow_fleet.py
+++ b/tests/simulation/test_escrow_fleet.py
@@ -6,9 +6,14 @@
 
 import pytest
 
-from cedarthread.escrow import accounts as book
 from cedarthread.escrow import codec as form
+from cedarthread.escrow.allotment import allotment
+from cedarthread.escrow.count_pool import CountPool
 from cedarthread.escrow.escrow import Escrow
+from cedarthread.escrow.grantor import EscrowGrantor
+from cedarthread.escrow.quota_pool import QuotaPool
+from cedarthread.escrow.rate_pool import LEASE_TERM_MS, Borrower, RatePool
+from cedarthread.escrow.requester import EscrowRequester
 from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES
 from cedarthread.testing.escrow_simulation import (
     CHECK_INTERVAL_MS,
@@ -27,7 +32,7 @@
     world = EscrowSimulation(
         6, seed, {"rate": 600, "count": 40}, escrow_type=make, is_durable=stored, loss_rate=loss, is_calm=calm
     )
-    world.schedule(book.LEASE_TERM_MS * 1.1, world.inject_fault)
+    world.schedule(LEASE_TERM_MS * 1.1, world.inject_fault)
     world.run(40_000.0)
     return world
 
@@ -41,27 +46,35 @@
     assert world.transfer_checks * CHECK_INTERVAL_MS > 4000.0, "a world in which nothing moves"
 
 
-class Twice(Escrow):
-    """A doubled answer is counted again."""
+class DoubleCounting(EscrowRequester):
+    """A request stays outstanding after its response."""
 
-    def _on_response(
-        self, now: float, sender: int, pool: book.QuotaPool, response: form.EscrowResponse
-    ) -> None:
+    def on_response(self, now: float, sender: int, pool: QuotaPool, response: form.EscrowResponse) -> None:
         request = self.outstanding.get(response.nonce)
-        super()._on_response(now, sender, pool, response)
+        super().on_response(now, sender, pool, response)
         if request is not None:
             self.outstanding[response.nonce] = request
 
 
-class FromReception(Escrow):
-    """The taker counts the end from when the answer came."""
+class Twice(Escrow):
+    """A duplicated response is counted again."""
+
+    requester_type = DoubleCounting
+
 
-    def _on_response(
-        self, now: float, sender: int, pool: book.QuotaPool, response: form.EscrowResponse
-    ) -> None:
+class TermFromResponse(EscrowRequester):
+    """A lease counts from when the response arrived."""
+
+    def on_response(self, now: float, sender: int, pool: QuotaPool, response: form.EscrowResponse) -> None:
         if (request := self.outstanding.get(response.nonce)) is not None:
             request.sent_at_ms = now
-        super()._on_response(now, sender, pool, response)
+        super().on_response(now, sender, pool, response)
+
+
+class FromReception(Escrow):
+    """The taker counts the end from when the response came."""
+
+    requester_type = TermFromResponse
 
 
 class NoMargin(Escrow):
@@ -98,7 +111,7 @@
 
     def image_to_write(self, now: float) -> bytes | None:
         for pool in self.pools.values():
-            if isinstance(pool, book.CountPool):
+            if isinstance(pool, CountPool):
                 pool.free = pool.balance
         return super().image_to_write(now)
 
@@ -110,25 +123,32 @@
         super().open_pool(name, total * self.router_count, **named)
 
 
-class SendsFirst(Escrow):
-    """The giver lowers its own at its next turn, after it has said so."""
+class LateDeduction(EscrowGrantor):
+    """Takes out the leases that it gives, to be put back at the next tick."""
 
     def __init__(self, *args: Any, **named: Any) -> None:
         super().__init__(*args, **named)
         self.later: list[Any] = []
 
-    def _on_request(self, now: float, sender: int, pool: book.QuotaPool, request: form.EscrowRequest) -> Any:
-        if not isinstance(pool, book.RatePool):
-            return super()._on_request(now, sender, pool, request)
-        told = super()._on_request(now, sender, pool, request)
-        self.later.append((pool, pool.leases_given.pop((sender, request.incarnation), None)))
-        return told
+    def on_request(self, now: float, sender: int, pool: QuotaPool, request: form.EscrowRequest) -> Any:
+        if not isinstance(pool, RatePool):
+            return super().on_request(now, sender, pool, request)
+        messages = super().on_request(now, sender, pool, request)
+        self.later.append((pool, pool.leases_given.pop(Borrower(sender, request.incarnation), None)))
+        return messages
+
+
+class SendsFirst(Escrow):
+    """The giver lowers its own at its next turn, after it has said so."""
+
+    grantor_type = LateDeduction
 
     def on_tick(self, now: float) -> Any:
         messages = super().on_tick(now)
-        for pool, loan in self.later:
-            pool.leases_given |= {} if loan is None else {(0, loan.nonce): loan}
-        self.later = []
+        assert isinstance(self.grantor, LateDeduction)
+        for pool, lease in self.grantor.later:
+            pool.leases_given |= {} if lease is None else {Borrower(0, lease.nonce): lease}
+        self.grantor.later = []
         return messages
 
 
@@ -179,10 +199,10 @@
     """Of a lowered count each router gives up its own share of the difference."""
 
     def open_pool(self, name: str, total: int, **named: Any) -> None:
-        pool = self._pool_named(name)
-        if isinstance(pool, book.CountPool) and total < pool.total:
+        pool = self.pool_named(name)
+        if isinstance(pool, CountPool) and total < pool.total:
             pool.balance -= min(
-                pool.balance, pool.own_allotment() - book.allotment(total, pool.router_count, pool.place)
+                pool.balance, pool.own_allotment() - allotment(total, pool.router_count, pool.place)
             )
             pool.total = total
         super().open_pool(name, total, **named)
--- a/tests/unit/test_escrow.py
+++ b/tests/unit/test_escrow.py
@@ -10,10 +10,13 @@
 from hypothesis import strategies as st
 
 from cedarthread.components.interface import Component, MessageType, PeersChanged, QuotaEscrow
-from cedarthread.escrow import accounts as book
 from cedarthread.escrow import codec as form
+from cedarthread.escrow.allotment import allotment, allotment_order
 from cedarthread.escrow.codec import EscrowRequest, EscrowResponse
-from cedarthread.escrow.escrow import REQUEST_BURST, RESPONSE_BURST, Escrow
+from cedarthread.escrow.escrow import Escrow
+from cedarthread.escrow.grantor import RESPONSE_BURST
+from cedarthread.escrow.rate_pool import LEASE_TERM_MS, RESERVE_DIVISOR, Borrower, RatePool
+from cedarthread.escrow.requester import REQUEST_BURST
 from cedarthread.model.actions import SendToPeer
 
 WARM = 5000.0  # ms by which a router's own rates are its own
@@ -45,9 +48,9 @@
     totals: list[int], count: int, name: str
 ) -> None:
     less, more = sorted(totals)
-    places = book.allotment_order(form.pool_key(name), count)
+    places = allotment_order(form.pool_key(name), count)
     assert sorted(places) == list(range(count))
-    parts = [[book.allotment(total, count, place) for place in range(count)] for total in (less, more)]
+    parts = [[allotment(total, count, place) for place in range(count)] for total in (less, more)]
     assert [sum(part) for part in parts] == [less, more]
     assert all(a <= b for a, b in zip(*parts, strict=True))
 
@@ -98,9 +101,9 @@
         taker.on_message(sent + 400.0, 0, told)
     assert taker.available(sent + 400.0, "p") == 80
     assert not giver.on_message(sent + 500.0, 1, ask), "a doubled ask"
-    assert taker.available(sent + book.LEASE_TERM_MS, "p") == 50, "the end counts from when it asked"
-    assert giver.available(sent + 200.0 + book.LEASE_TERM_MS * 1.0019, "p") == 20
-    assert giver.available(sent + 200.0 + book.LEASE_TERM_MS * 1.0021, "p") == 50
+    assert taker.available(sent + LEASE_TERM_MS, "p") == 50, "the end counts from when it asked"
+    assert giver.available(sent + 200.0 + LEASE_TERM_MS * 1.0019, "p") == 20
+    assert giver.available(sent + 200.0 + LEASE_TERM_MS * 1.0021, "p") == 50
 
 
 def test_a_loan_that_is_wanted_goes_on_and_one_that_is_not_ends() -> None:
@@ -115,7 +118,7 @@
         if now == WARM + 10_000:
             taker.request(float(now), "p", 10)
             break
-    assert giver.available(WARM + 10_000 + 1.01 * book.LEASE_TERM_MS, "p") == 50
+    assert giver.available(WARM + 10_000 + 1.01 * LEASE_TERM_MS, "p") == 50
 
 
 def test_answers_of_another_life_or_to_no_ask_or_too_great_add_nothing() -> None:
@@ -202,15 +205,18 @@
     for now, grants in zip((WARM + 1000.0, WARM + 2000.0), order, strict=True):
         grants.open_pool("p", 30, is_consumable=False, ends_at_ms=None)
         assert sum(g.available(now, "p") for g in (giver, taker)) <= 100
-    end = WARM + 2000.0 + book.LEASE_TERM_MS * 1.003
+    end = WARM + 2000.0 + LEASE_TERM_MS * 1.003
     assert giver.available(end, "p") == taker.available(end, "p") == 15
 
 
 def test_who_comes_fresh_gets_an_even_share_at_the_next_renewal() -> None:
-    rate = book.RatePool("p", 1, 0, 4, 1.0, 0.0)
+    rate = RatePool("p", 1, 0, 4, 1.0, 0.0)
     rate.total = 400
-    assert rate.lend(0.0, (1, 1), 1, 500) == rate.lendable(0.0) and rate.lend(1900.0, (2, 1), 1, 60) == 0
-    assert rate.lend(2400.0, (1, 1), 2, 500) == rate.lendable(0.0) // 2
+    assert (
+        rate.lend(0.0, Borrower(1, 1), 1, 500) == rate.lendable(0.0)
+        and rate.lend(1900.0, Borrower(2, 1), 1, 60) == 0
+    )
+    assert rate.lend(2400.0, Borrower(1, 1), 2, 500) == rate.lendable(0.0) // 2
 
 
 def test_asks_and_answers_are_bounded_and_only_the_present_are_asked() -> None:
@@ -254,7 +260,7 @@
 
 
 def test_a_giver_keeps_what_it_wants_and_a_little_for_its_next_calls() -> None:
-    for want, left in ((0, 50 // book.RATE_RESERVE_DIVISOR), (30, 30)):
+    for want, left in ((0, 50 // RESERVE_DIVISOR), (30, 30)):
         giver, taker = pair(100, False)
         giver.request(WARM, "p", want)
         answer(giver, WARM + 300.0, 1, asks(taker, WARM, 100))
