--- a/cedarthread/testing/fuzzing/call_machine.py
+++ b/cedarthread/testing/fuzzing/call_machine.py
@@ -21,7 +21,7 @@
 from cedarthread.protocols.platform import PlatformConnection, PlatformServer
 from cedarthread.protocols.spiffe import Identity
 from cedarthread.protocols.workers import WorkerConnections
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fuzzing import settings as drawn_settings
 from cedarthread.testing.fuzzing.invoke_caller import Caller
 from cedarthread.testing.fuzzing.memory_peers import Client, Held, Worker
@@ -103,12 +103,12 @@
         stall = float(dice.byte() % 4) * 100.0 * bool(mode & 4)
         self.stall, self.now = stall, loop.unix_ms
         self.ledger = Ledger(figures(self.top, stall))
-        settings = codec.settings_from_object(self.top)
+        settings = settings_from_object(self.top)
         self.planner = Dispatcher(settings, mode, clock=loop.unix_ms)
         self.flusher = Flusher()
         self.planner.flush_output = self.flusher.flush_all
         self.runners = WorkerConnections(settings, self.planner, 6 if mode & 8 else 40, self.flusher)
-        self.planner.worker_transport = self.runners
+        self.planner.connect_workers(self.runners)
         self.platform = PlatformServer(self.planner, 8, self.flusher, 2**16)
         nowhere = Path("nowhere")
         allow = ("spiffe://gaz.example/desk/*",)
@@ -411,9 +411,9 @@
         queued, carrying = self.platform.queued_bytes, self.runners._connection_by_attempt
         for what, figure in (
             ("open calls", len(planner.pending_calls)),
-            ("names", len(planner.pending_call_ids)),
-            ("bytes of bodies", abs(planner.pending_body_bytes)),
-            ("settled calls", len(planner._completing)),
+            ("names", len(planner.calls.pending_ids)),
+            ("bytes of bodies", abs(planner.calls.pending_body_bytes)),
+            ("settled calls", len(planner.calls.completing)),
             ("attempts carried", len(carrying)),
             ("bytes of answers", abs(queued)),
             ("calls open in the decisions", len(router.pending_requests) + len(router.queued_requests)),
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -16,8 +16,14 @@
 
 from cryptography import x509
 
-from cedarthread.dispatch import deferred, dispatcher
+from cedarthread import config, settings_parser
+from cedarthread.dispatch import deferred
+from cedarthread.dispatch.actions import ActionExecutor
+from cedarthread.dispatch.call_table import CallTable
 from cedarthread.dispatch.calls import Attempt, AttemptResult, Call, CallFailed, CallResult
+from cedarthread.dispatch.completion import CallCompletion
+from cedarthread.dispatch.deadlines import CallDeadlines
+from cedarthread.dispatch.dispatcher import Dispatcher
 from cedarthread.model.actions import StartAttempt
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.model.outcomes import Outcome
@@ -33,9 +39,10 @@
     spiffe,
     workers,
 )
-from cedarthread.routing.router import Router
+from cedarthread.routing.preloading import PreloadPolicy
+from cedarthread.routing.retries import RetryPolicy
+from cedarthread.routing.selection import WorkerSelector
 from cedarthread.routing.state import PendingRequest, WorkerRecord
-from cedarthread.simulator import codec
 from cedarthread.testing.fuzzing import targets
 from cedarthread.testing.fuzzing.target import Target, verdict
 
@@ -67,9 +74,9 @@
 # What the defective program does instead.
 
 _answer = platform.PlatformConnection._send_answer
-_release = dispatcher.Dispatcher._release
-_send = dispatcher.Dispatcher._start_attempt
-_may_order = Router._may_preload
+_release = CallTable.release
+_send = ActionExecutor._start_attempt
+_may_preload = PreloadPolicy.may_preload
 _length = http._parse_content_length
 _read_ending = workers.parse_call_response
 
@@ -80,26 +87,26 @@
         _answer(self, number, answer)
 
 
-def _no_names(self: dispatcher.Dispatcher, call: Call) -> None:
+def _no_names(self: CallTable, call: Call) -> None:
     _release(self, call)
-    self.pending_call_ids.add(call.call_id)
+    self.pending_ids.add(call.call_id)
 
 
-def _bytes_kept(self: dispatcher.Dispatcher, call: Call) -> None:
+def _bytes_kept(self: CallTable, call: Call) -> None:
     _release(self, call)
     self.pending_body_bytes += len(call.body)
 
 
-def _two_out(self: dispatcher.Dispatcher, action: StartAttempt) -> None:
+def _two_out(self: ActionExecutor, action: StartAttempt) -> None:
     _send(self, action)
-    call = self.pending_calls.get(action.request_id)
+    call = self._calls.pending.get(action.request_id)
     if call is not None and len(call.attempts) == 2 and not call.attempts[1].is_ended:
-        self._transport().send(Attempt(call, 1, action.worker_id, self.clock()))
+        self._context.workers().send(Attempt(call, 1, action.worker_id, self._context.clock()))
 
 
-def _timer_breeds(self: dispatcher.Dispatcher, at: float) -> None:
-    self._wakeup_at_ms, self._wakeup_timer = at, self._call_at(at, self._on_timer)
-    self._call_at(at + 1e9, self._on_timer)
+def _timer_breeds(self: CallDeadlines, at: float) -> None:
+    self._wakeup_at_ms, self._wakeup_timer = at, self._context.call_at(at, self.on_timer)
+    self._context.call_at(at + 1e9, self.on_timer)
 
 
 def _no_limit(data: memoryview, at: int, count: int) -> memoryview:
@@ -108,30 +115,31 @@
     return data[at : at + count]
 
 
-def _any_state(self: Router, request: PendingRequest, worker: WorkerRecord) -> bool:
+def _any_state(self: WorkerSelector, request: PendingRequest, worker: WorkerRecord) -> bool:
     return True
 
 
-def _one_more_order(self: Router) -> bool:
-    self.preload_times.append(self.now_ms) if not self.preload_times else None
-    free = self.settings.rules
-    with mock.patch.object(self, "settings", _with_ration(self.settings, free.preload_allowance * 4 + 4)):
-        return _may_order(self)
+def _one_more_order(self: PreloadPolicy, now: float) -> bool:
+    state = self.state
+    state.preload_times.append(now) if not state.preload_times else None
+    free = state.settings.rules
+    with mock.patch.object(state, "settings", _with_ration(state.settings, free.preload_allowance * 4 + 4)):
+        return _may_preload(self, now)
 
 
 def _with_ration(settings: RouterSettings, free: float) -> RouterSettings:
     return replace(settings, rules=replace(settings.rules, preload_allowance=free))
 
 
-def _group_forgotten(self: Router, request: PendingRequest, worker: WorkerRecord) -> bool:
+def _group_forgotten(self: WorkerSelector, request: PendingRequest, worker: WorkerRecord) -> bool:
     return worker.endpoint.state is EndpointState.READY
 
 
-def _always(self: Router, request: PendingRequest) -> bool:
+def _always(self: RetryPolicy, now: float, request: PendingRequest) -> bool:
     return True
 
 
-def _window_forgotten(self: Router, request: PendingRequest) -> bool:
+def _window_forgotten(self: RetryPolicy, now: float, request: PendingRequest) -> bool:
     return (
         not request.possibly_executed() or request.request_class.idempotency is not Idempotency.NOT_IDEMPOTENT
     )
@@ -212,7 +220,7 @@
     self.lingering_close()
 
 
-def _later_calls_forgotten(self: dispatcher.Dispatcher, at: float) -> None:
+def _later_calls_forgotten(self: Dispatcher, at: float) -> None:
     self.shutdown_deadline_ms = None
 
 
@@ -240,20 +248,20 @@
 
 
 def _dispatch(handler: str, by: Callable[..., Any]) -> tuple[Any, str, Any]:
-    return (dispatcher.Dispatcher, handler, by)
+    return (Dispatcher, handler, by)
 
 
 DEFECTS = (
     Defect("second-answer", "calls", 300, ((platform.PlatformConnection, "_send_answer", _answer_twice),)),
-    Defect("two-attempts-out", "calls", 300, (_dispatch("_start_attempt", _two_out),)),
-    Defect("body-bytes-kept", "calls", 20, (_dispatch("_release", _bytes_kept),)),
-    Defect("names-kept", "calls", 20, (_dispatch("_release", _no_names),)),
-    Defect("timer-leak", "calls", 20, (_dispatch("_set_wakeup", _timer_breeds),)),
-    Defect("unsafe-sent-again", "calls", 300, ((Router, "_may_retry", _always),)),
-    Defect("window-forgotten", "calls", 3000, ((Router, "_may_retry", _window_forgotten),)),
-    Defect("group-forgotten", "calls", 2000, ((Router, "_is_eligible", _group_forgotten),)),
-    Defect("drain-ignored", "calls", 400, ((Router, "_is_eligible", _any_state),)),
-    Defect("order-budget-off", "calls", 1000, ((Router, "_may_preload", _one_more_order),)),
+    Defect("two-attempts-out", "calls", 300, ((ActionExecutor, "_start_attempt", _two_out),)),
+    Defect("body-bytes-kept", "calls", 20, ((CallTable, "release", _bytes_kept),)),
+    Defect("names-kept", "calls", 20, ((CallTable, "release", _no_names),)),
+    Defect("timer-leak", "calls", 20, ((CallDeadlines, "_set_wakeup", _timer_breeds),)),
+    Defect("unsafe-sent-again", "calls", 300, ((RetryPolicy, "may_attempt", _always),)),
+    Defect("window-forgotten", "calls", 3000, ((RetryPolicy, "may_attempt", _window_forgotten),)),
+    Defect("group-forgotten", "calls", 2000, ((WorkerSelector, "is_eligible", _group_forgotten),)),
+    Defect("drain-ignored", "calls", 400, ((WorkerSelector, "is_eligible", _any_state),)),
+    Defect("order-budget-off", "calls", 1000, ((PreloadPolicy, "may_preload", _one_more_order),)),
     Defect(
         "answers-swallowed", "calls", 400, ((platform.PlatformConnection, "fail_calls_and_close", _swallow),)
     ),
@@ -261,7 +269,7 @@
         "stop-forgotten",
         "calls",
         3000,
-        (_dispatch("_expire_call", _nothing), _dispatch("_complete_overdue", _nothing)),
+        ((CallCompletion, "expire", _nothing), (CallCompletion, "complete_overdue", _nothing)),
     ),
     Defect("carried-kept", "calls", 1500, ((workers.WorkerConnections, "_end_request", _kept_in_carrying),)),
     Defect(
@@ -297,7 +305,15 @@
     Defect("spoilt-answer-passed", "lines", 100, ((workers, "parse_call_response", _spoilt_passes),)),
     Defect("dots-in-ids", "spiffe", 200, ((spiffe, "parse_trust_domain", _any_segment),)),
     Defect("first-name-counts", "certificate", 200, ((spiffe, "_parse_identity", _first_uri),)),
-    Defect("figures-unchecked", "config", 400, ((codec, "bounded_number", _figure_unchecked),)),
+    Defect(
+        "figures-unchecked",
+        "config",
+        400,
+        (
+            (settings_parser, "bounded_number", _figure_unchecked),
+            (config, "bounded_number", _figure_unchecked),
+        ),
+    ),
     Defect("foreign-call-collected", "deferred", 50, ((deferred.DeferredCalls, "find", _anyones),)),
     Defect("kept-bytes-leak", "deferred", 50, ((deferred.DeferredCalls, "remove", _size_kept),)),
 )
--- a/cedarthread/testing/fuzzing/model_checking.py
+++ b/cedarthread/testing/fuzzing/model_checking.py
@@ -31,7 +31,7 @@
 from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.model.events import PreloadEnded
 from cedarthread.model.outcomes import Outcome
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fuzzing import settings as drawn_settings
 from cedarthread.testing.fuzzing.call_machine import figures, terms
 from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop, play
@@ -116,9 +116,9 @@
         self.scene, self.loop = scene, loop
         self.top = drawn_settings.settings(miss=scene.miss)
         self.ledger = Ledger(figures(self.top, 0.0))
-        self.planner = Dispatcher(codec.settings_from_object(self.top), 3, clock=loop.unix_ms)
+        self.planner = Dispatcher(settings_from_object(self.top), 3, clock=loop.unix_ms)
         self.ways = _Ways(self.planner, self.ledger, loop)
-        self.planner.worker_transport = self.ways
+        self.planner.connect_workers(self.ways)
         self.left = list(scene.events)
         self.calls: list[Call] = []
         self.version = 0
@@ -241,16 +241,17 @@
         for what, figure in (
             (
                 "open calls",
-                len(planner.pending_calls) + len(planner.pending_call_ids) + len(planner._completing),
+                len(planner.pending_calls) + len(planner.calls.pending_ids) + len(planner.calls.completing),
             ),
-            ("bytes of bodies", abs(planner.pending_body_bytes)),
+            ("bytes of bodies", abs(planner.calls.pending_body_bytes)),
             (
                 "calls open in the decisions",
                 len(router.pending_requests) + len(router.queued_requests) + len(router.orphaned_attempts),
             ),
             (
                 "loads in the decisions",
-                abs(router.preloads_in_flight) + sum(abs(v.in_flight) for v in router.workers.values()),
+                abs(router.state.functions.preloads_in_flight)
+                + sum(abs(v.in_flight) for v in router.workers.values()),
             ),
         ):
             self.ledger.rest(now, what, figure)
@@ -259,7 +260,7 @@
         """The state: planner, decisions, what is out and what may still happen."""
         ways = self.ways
         parts = (
-            self.planner.router,
+            self.planner.router.state,
             self.planner.pending_calls,
             sorted(self.left),
             sorted(ways.dead),
@@ -274,12 +275,11 @@
 
 
 _SKIP = {
-    "timer_token",
-    "timer_serial",
-    "handlers",
+    "token",
+    "serial",
     "actions",
     "settings",
-    "logged_at_ms",
+    "logs",
     "call",
     "on_result",
     "in_flight",
--- a/tests/integration/test_endings.py
+++ b/tests/integration/test_endings.py
@@ -72,19 +72,20 @@
     names = [getattr(h._callback, "__qualname__", "") for h in timers]
     owed = {
         "calls": planner.pending_calls,
-        "over": planner._completing,
-        "names": planner.pending_call_ids,
-        "bytes": planner.pending_body_bytes,
+        "over": planner.calls.completing,
+        "names": planner.calls.pending_ids,
+        "bytes": planner.calls.pending_body_bytes,
         "inbox": planner._event_queue,
         "open": router.pending_requests,
         "held": router.queued_requests,
         "late": router.orphaned_attempts,
-        "reach": router.zone_reachability.in_flight,
+        "reach": router.state.zones.in_flight,
         "pending": [
             v.endpoint.worker_id for v in router.workers.values() if v.in_flight or v.has_trial_in_flight
         ],
-        "jam": router.overload.total_in_flight,
-        "loads": router.preloads_in_flight or [f for f in router.functions.values() if f.preloading_workers],
+        "jam": router.state.overload.total_in_flight,
+        "loads": router.state.functions.preloads_in_flight
+        or [f for f in router.functions.values() if f.preloading_workers],
         "carrying": runners._connection_by_attempt,
         "streams": [name for c in mine for name in c.in_flight],
         "lines": [line for c in mine for line in (*c.queued_lines, *c.buffered_lines)],
@@ -670,7 +671,7 @@
             runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
             if first == "answer":
                 assert told(await caller.read()) == "served"
-                running.dispatcher._on_timer()  # its time, had it come in this very turn
+                running.dispatcher.deadlines.on_timer()  # its time, had it come in this very turn
             await fence(caller, 9)
             assert len(runner.cancelled) == (first == "time")
 
@@ -704,7 +705,7 @@
             await runner.until(lambda: runner.cancelled == [f"{3:016x}"])
             runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
             assert told(await caller.read()) == "served"
-            [timer] = [h for h in running.dispatcher._loop._scheduled if "_given_up" in repr(h)]  # type: ignore
+            [timer] = [h for h in running.dispatcher.context.loop._scheduled if "_given_up" in repr(h)]  # type: ignore
             timer._run()  # its time has come: the call counts as given up
             timer.cancel()
 
