Fleet config and act rules in standard terms; checks of the file by section

Cause: check functions of 14 branches, invented words for acts and fields. Change: FleetConfigError derives from CedarthreadError; checks of windows, revocations and overload apart; the texts of acts (which only tests read) say what is done. Error texts and keys of the file stay. Measured: replication and fleet config tests, golden files, readme test: 968 passed.

--- a/cedarthread/fleet_config.py
+++ b/cedarthread/fleet_config.py
@@ -1,59 +1,69 @@
-"""What operators declare for a fleet in one file, ``fleet.toml``: read whole or turned down whole."""
+"""The operators' fleet file ``fleet.toml``: a file is accepted as a whole or rejected as a whole.
+
+Field names are the keys of the file, in kebab case there. What is not checked by type is checked in
+``parse_fleet_config``; an error says where in the file it is, and what is wrong.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from datetime import datetime
 from pathlib import Path
 from typing import Literal
 
 import msgspec
 
+from cedarthread.errors import CedarthreadError
+
 FrozenAction = Literal["first-copy", "order", "unload", "homes", "retune"]
-MAX_WINDOW_SECONDS = 12 * 3600.0  # s that a window lasts at most
+MAX_WINDOW_SECONDS = 12 * 3600.0  # of a freeze window: longer is taken for a mistake in a date
+MAX_NAME_BYTES = 64  # what a replicated entry's name may have
+FUNCTION_ID_DIGITS = 16  # hexadecimal
 
 
-class FleetConfigError(Exception):
-    """The file can't be used: where, and what is wrong."""
+class FleetConfigError(CedarthreadError):
+    """The file cannot be used: where, and what is wrong."""
 
 
 class _StrictSection(msgspec.Struct, forbid_unknown_fields=True, rename="kebab", frozen=True):
-    """Unknown names are mistakes: a misspelt floor must not be no floor."""
+    """Rejects unknown keys: a misspelt floor must not mean that there is none."""
 
 
 class SharingConfig(_StrictSection, frozen=True):
-    """How the register keeps all alike. Times in ms."""
+    """The replicated store. Times in ms."""
 
-    period: float = 400.0
-    fresh: float = 0.0  # 0: by the formula of the design page
-    clock_rate: float = 0.001  # part by which a clock may run fast or slow
+    period: float = 400.0  # between two sync requests of a router
+    fresh: float = 0.0  # freshness window; 0: by the formula of the design page
+    clock_rate: float = 0.001  # fraction by which a steady clock may run fast or slow
     clock_error: float = 500.0  # by which wall clocks may differ
 
 
 class DiskConfig(_StrictSection, frozen=True):
-    """Where state is kept, and when it is on the disk."""
+    """Where state is persisted, and when a write counts as done."""
 
     folder: str
     sync: Literal["each", "group", "none"] = "group"
-    group: float = 5.0  # ms that puts are gathered for
+    group: float = 5.0  # ms for which writes are gathered into one commit
 
 
 class TierConfig(_StrictSection, frozen=True):
-    """One tier; those named first are preempted last."""
+    """One priority tier; the first in the file is preempted last."""
 
     name: str
 
 
 class OverloadConfig(_StrictSection, frozen=True):
-    """When the fleet counts as overloaded: parts of capacity, and s that each must last."""
+    """When the fleet counts as overloaded: fractions of its capacity, and seconds that each must last."""
 
     onset: float = 1.1
     end: float = 0.9
     dwell: float = 3.0
-    preempts: float = 20.0  # calls a second that the fleet preempts at most
+    preempts: float = 20.0  # calls a second that the whole fleet preempts at most
 
 
 class ContractConfig(_StrictSection, frozen=True):
-    """What one tenant has: ``rate`` calls a second, ``floor`` the part of them that is never preempted."""
+    """One tenant's contract: ``rate`` calls a second, ``floor`` the fraction of them that is never
+    preempted."""
 
     tenant: str
     tier: str
@@ -62,7 +72,7 @@
 
 
 class FreezeWindowConfig(_StrictSection, frozen=True):
-    """One window. No room, function or tenant named: all of them."""
+    """One freeze window. An empty list of rooms, functions or tenants means all of them."""
 
     id: str
     start: datetime
@@ -70,14 +80,14 @@
     author: str
     reason: str
     rooms: tuple[str, ...] = ()
-    functions: tuple[str, ...] = ()  # 16 hex digits each
+    functions: tuple[str, ...] = ()  # ids of 16 hexadecimal digits
     tenants: tuple[str, ...] = ()
     frozen: tuple[FrozenAction, ...] = ("first-copy", "order", "unload", "homes", "retune")
-    allowance: int = 0  # placement changes that the whole fleet may make in an emergency
+    allowance: int = 0  # placement changes that the whole fleet may make as exceptions
 
 
 class RevocationConfig(_StrictSection, frozen=True):
-    """Ends a window early."""
+    """Ends a freeze window early."""
 
     freeze: str
     author: str
@@ -85,7 +95,7 @@
 
 
 class BreakGlassConfig(_StrictSection, frozen=True):
-    """Lifts a window for a while, by name."""
+    """Lifts a freeze window for a while; the log names the author and reason."""
 
     freeze: str
     author: str
@@ -107,7 +117,8 @@
 
 
 def load_fleet_config(path: Path, store: str | None = None) -> FleetConfig:
-    """The file's content, or FleetError: where it is wrong. ``store``: takes the place of its folder."""
+    """Read and check the file; raises FleetConfigError with its path. ``store`` replaces the folder of
+    [disk]."""
     try:
         fleet = parse_fleet_config(path.read_bytes())
         if store is None:
@@ -119,28 +130,30 @@
 
 
 def parse_fleet_config(raw: bytes) -> FleetConfig:
-    """The content of a file's bytes, checked whole."""
+    """Decode and check the file's bytes; raises FleetConfigError."""
     try:
         fleet = msgspec.toml.decode(raw, type=FleetConfig)
     except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as error:
         raise FleetConfigError(str(error)) from None
     _check_sharing(fleet)
     _check_contracts(fleet)
+    _check_overload(fleet.overload)
     _check_windows(fleet)
+    _check_window_changes(fleet)
     return fleet
 
 
-def _check_range(where: str, figure: float, low: float, high: float) -> None:
-    if not low <= figure <= high:  # NaN too is outside
-        raise FleetConfigError(f"{where}: {figure!r} is outside {low:g} to {high:g}")
+def _check_range(location: str, value: float, low: float, high: float) -> None:
+    if not low <= value <= high:  # true for NaN too
+        raise FleetConfigError(f"{location}: {value!r} is outside {low:g} to {high:g}")
 
 
-def _check_unique_names(where: str, names: list[str]) -> None:
-    for place, name in enumerate(names):
-        if not name or len(name.encode()) > 64:
-            raise FleetConfigError(f"{where}[{place}]: {name!r} is no name of 1 to 64 bytes")
-        if name in names[:place]:
-            raise FleetConfigError(f"{where}[{place}]: {name!r} is there twice")
+def _check_unique_names(location: str, names: Sequence[str]) -> None:
+    for index, name in enumerate(names):
+        if not name or len(name.encode()) > MAX_NAME_BYTES:
+            raise FleetConfigError(f"{location}[{index}]: {name!r} is no name of 1 to {MAX_NAME_BYTES} bytes")
+        if name in names[:index]:
+            raise FleetConfigError(f"{location}[{index}]: {name!r} is there twice")
 
 
 def _check_sharing(fleet: FleetConfig) -> None:
@@ -155,14 +168,17 @@
 def _check_contracts(fleet: FleetConfig) -> None:
     _check_unique_names("tier", [tier.name for tier in fleet.tier])
     _check_unique_names("contract", [contract.tenant for contract in fleet.contract])
-    known = [tier.name for tier in fleet.tier]
-    for place, contract in enumerate(fleet.contract):
-        where = f"contract[{place}] ({contract.tenant})"
-        if contract.tier not in known:
-            raise FleetConfigError(f"{where}: tier {contract.tier!r} is none of {', '.join(known) or 'none'}")
-        _check_range(f"{where}: rate", contract.rate, 0.0, 1e6)
-        _check_range(f"{where}: floor", contract.floor, 0.0, 1.0)
-    overload = fleet.overload
+    tier_names = [tier.name for tier in fleet.tier]
+    for index, contract in enumerate(fleet.contract):
+        location = f"contract[{index}] ({contract.tenant})"
+        if contract.tier not in tier_names:
+            known = ", ".join(tier_names) or "none"
+            raise FleetConfigError(f"{location}: tier {contract.tier!r} is none of {known}")
+        _check_range(f"{location}: rate", contract.rate, 0.0, 1e6)
+        _check_range(f"{location}: floor", contract.floor, 0.0, 1.0)
+
+
+def _check_overload(overload: OverloadConfig) -> None:
     _check_range("overload.onset", overload.onset, 0.5, 10.0)
     _check_range("overload.end", overload.end, 0.1, overload.onset)
     _check_range("overload.dwell", overload.dwell, 0.0, 600.0)
@@ -171,29 +187,42 @@
 
 def _check_windows(fleet: FleetConfig) -> None:
     _check_unique_names("freeze", [window.id for window in fleet.freeze])
-    known = {window.id for window in fleet.freeze}
-    for place, window in enumerate(fleet.freeze):
-        where = f"freeze[{place}] ({window.id})"
-        _check_has_offset(f"{where}: start", window.start)
-        _check_has_offset(f"{where}: end", window.end)
-        _check_range(
-            f"{where}: seconds", (window.end - window.start).total_seconds(), 1.0, MAX_WINDOW_SECONDS
-        )
-        _check_range(f"{where}: allowance", window.allowance, 0, 10_000)
-        for name in window.functions:
-            if len(name) != 16 or any(digit not in "0123456789abcdef" for digit in name):
-                raise FleetConfigError(f"{where}: functions: {name!r} is not 16 hex digits")
-    _check_unique_names("revoke", [revoke.freeze for revoke in fleet.revoke])
-    _check_unique_names("break-glass", [broken.freeze for broken in fleet.break_glass])
-    for revoke in fleet.revoke:
-        if revoke.freeze not in known:
-            raise FleetConfigError(f"revoke: no window {revoke.freeze!r} in this file")
-    for broken in fleet.break_glass:
-        if broken.freeze not in known:
-            raise FleetConfigError(f"break-glass: no window {broken.freeze!r} in this file")
-        _check_has_offset(f"break-glass ({broken.freeze}): end", broken.end)
-
-
-def _check_has_offset(where: str, time: datetime) -> None:
+    for index, window in enumerate(fleet.freeze):
+        location = f"freeze[{index}] ({window.id})"
+        _check_has_offset(f"{location}: start", window.start)
+        _check_has_offset(f"{location}: end", window.end)
+        duration_s = (window.end - window.start).total_seconds()
+        _check_range(f"{location}: seconds", duration_s, 1.0, MAX_WINDOW_SECONDS)
+        _check_range(f"{location}: allowance", window.allowance, 0, 10_000)
+        for function_id in window.functions:
+            if not _is_function_id(function_id):
+                problem = f"{function_id!r} is not {FUNCTION_ID_DIGITS} hex digits"
+                raise FleetConfigError(f"{location}: functions: {problem}")
+
+
+def _is_function_id(text: str) -> bool:
+    return len(text) == FUNCTION_ID_DIGITS and all(digit in "0123456789abcdef" for digit in text)
+
+
+def _check_window_changes(fleet: FleetConfig) -> None:
+    """Check the sections that revoke or lift a window."""
+    _check_unique_names("revoke", [revocation.freeze for revocation in fleet.revoke])
+    _check_unique_names("break-glass", [break_glass.freeze for break_glass in fleet.break_glass])
+    window_ids = {window.id for window in fleet.freeze}
+    for revocation in fleet.revoke:
+        _check_window_exists("revoke", revocation.freeze, window_ids)
+    for break_glass in fleet.break_glass:
+        _check_window_exists("break-glass", break_glass.freeze, window_ids)
+        _check_has_offset(f"break-glass ({break_glass.freeze}): end", break_glass.end)
+
+
+def _check_window_exists(location: str, window_id: str, window_ids: set[str]) -> None:
+    if window_id not in window_ids:
+        raise FleetConfigError(f"{location}: no window {window_id!r} in this file")
+
+
+def _check_has_offset(location: str, time: datetime) -> None:
     if time.tzinfo is None:
-        raise FleetConfigError(f"{where}: {time.isoformat()} has no offset from UTC (RFC 3339 asks for one)")
+        raise FleetConfigError(
+            f"{location}: {time.isoformat()} has no offset from UTC (RFC 3339 asks for one)"
+        )
--- a/cedarthread/replication/conflicts.py
+++ b/cedarthread/replication/conflicts.py
@@ -1,8 +1,10 @@
-"""Which two acts of two routers contradict each other, and how one acts that may have missed something.
+"""Which acts of two routers contradict each other, and what a router does instead while its state is not
+fresh.
 
-Two acts *contradict* when no single content of the register allows both. Routers that are fresh act by what
-is known to all that are fresh, so theirs do not contradict for longer than the bound; one that is not fresh
-does the *cautious* act in its place, which contradicts nothing. Step 13 of docs/design/register.md.
+Two acts *contradict* when no single state of the replicated store allows both. Routers whose states are fresh
+act on all that fresh routers know, so they do not contradict each other for longer than the staleness bound.
+A router whose state is not fresh does the *fallback* of an act, which contradicts nothing. Step 13 of
+docs/design/register.md.
 """
 
 from __future__ import annotations
@@ -14,43 +16,44 @@
 
 
 class Act(StrEnum):
-    """What a router may do that goes by the register."""
+    """What a router may do on the strength of replicated entries."""
 
-    CHANGE_PLACEMENT = "change where functions stand"
-    USE_EXCEPTION_BUDGET = "change it by a grant of a window's allowance"
-    KEEP_PLACEMENT = "leave them where they stand"
-    TREAT_WINDOW_AS_ENDED = "act as if a window had ended"
-    CONFIRM_WINDOW_IN_FORCE = "say that a window is in force at all routers"
-    PREEMPT = "end a call of one tier for a call of another"
-    SHED = "refuse a call by its tier"
-    SERVE = "serve calls as they come, whatever their tier"
+    CHANGE_PLACEMENT = "load, unload or migrate instances"
+    USE_EXCEPTION_BUDGET = "change placement by a unit of a freeze window's exception budget"
+    KEEP_PLACEMENT = "leave instances where they are"
+    TREAT_WINDOW_AS_ENDED = "act as if a freeze window had ended"
+    CONFIRM_WINDOW_IN_FORCE = "report that a freeze window is in force at all routers"
+    PREEMPT = "preempt a call of one priority tier for a call of another"
+    SHED = "reject a call by its priority tier"
+    SERVE = "serve calls in order of arrival, whatever their tier"
 
 
 @dataclass(frozen=True, slots=True)
 class ActRule:
-    """One act: those it contradicts when done by another router, and what is done in its place."""
+    """One act: those it contradicts when another router does them, and what is done instead while not
+    fresh."""
 
     contradicts: frozenset[Act]
     fallback: Act
     reason: str
 
 
-def _rule(cautious: Act, why: str, *contradicts: Act) -> ActRule:
-    return ActRule(frozenset(contradicts), cautious, why)
+def _rule(fallback: Act, reason: str, *contradicts: Act) -> ActRule:
+    return ActRule(frozenset(contradicts), fallback, reason)
 
 
 ACT_RULES: Mapping[Act, ActRule] = MappingProxyType(
     {
         Act.CHANGE_PLACEMENT: _rule(
-            Act.KEEP_PLACEMENT, "a window may be in force that was missed", Act.CONFIRM_WINDOW_IN_FORCE
+            Act.KEEP_PLACEMENT, "a window that was missed may be in force", Act.CONFIRM_WINDOW_IN_FORCE
         ),
         Act.USE_EXCEPTION_BUDGET: _rule(
-            Act.USE_EXCEPTION_BUDGET, "grants sum up to the allowance, whoever is fresh"
+            Act.USE_EXCEPTION_BUDGET, "the units of all routers add up to the budget, fresh or not"
         ),
-        Act.KEEP_PLACEMENT: _rule(Act.KEEP_PLACEMENT, "no content asks for a change"),
+        Act.KEEP_PLACEMENT: _rule(Act.KEEP_PLACEMENT, "no state requires a change"),
         Act.TREAT_WINDOW_AS_ENDED: _rule(
             Act.KEEP_PLACEMENT,
-            "the end may be taken back, the window be another's",
+            "the end may have been revoked, or the window replaced",
             Act.CONFIRM_WINDOW_IN_FORCE,
         ),
         Act.CONFIRM_WINDOW_IN_FORCE: _rule(
@@ -59,18 +62,18 @@
             Act.CHANGE_PLACEMENT,
             Act.TREAT_WINDOW_AS_ENDED,
         ),
-        Act.PREEMPT: _rule(Act.SERVE, "the order of the tiers may be another by now", Act.PREEMPT, Act.SHED),
-        Act.SHED: _rule(Act.SERVE, "the tier may be another by now", Act.PREEMPT, Act.SHED),
-        Act.SERVE: _rule(Act.SERVE, "every content allows to serve"),
+        Act.PREEMPT: _rule(Act.SERVE, "the order of the tiers may have changed", Act.PREEMPT, Act.SHED),
+        Act.SHED: _rule(Act.SERVE, "the tier may have changed", Act.PREEMPT, Act.SHED),
+        Act.SERVE: _rule(Act.SERVE, "every state allows to serve"),
     }
 )
 
 
 def are_contradictory(one: Act, other: Act) -> bool:
-    """Can these acts of two routers that hold different contents be right together under no single one?"""
+    """Whether no single state allows these acts of two routers."""
     return other in ACT_RULES[one].contradicts
 
 
-def act_or_fallback(wanted: Act, is_fresh: bool) -> Act:
-    """What a router does that wants this: the cautious act in its place unless it is fresh."""
-    return wanted if is_fresh else ACT_RULES[wanted].fallback
+def act_or_fallback(act: Act, is_fresh: bool) -> Act:
+    """The act itself while the router's state is fresh, else its fallback."""
+    return act if is_fresh else ACT_RULES[act].fallback
