--- a/cedarthread/gossip/load_gossip.py
+++ b/cedarthread/gossip/load_gossip.py
@@ -56,7 +56,8 @@
         self.rng = random.Random(seed ^ _RNG_SALT)
         # A router whose seed survives a restart would seem to send what is older than its last datagrams.
         drawn = self.rng.getrandbits(32)
-        self.incarnation, self.sequence_number = drawn if incarnation is None else incarnation & 0xFFFFFFFF, 0
+        self.incarnation = drawn if incarnation is None else incarnation & 0xFFFFFFFF  # 32 bits on the wire
+        self.sequence_number = 0
         self._use_settings(settings)
         self.budget = SendBudget(settings.prices.peer_message, self.fanout)
         self.local, self.peer_views = LocalLoadTable(), PeerViews()
--- /dev/null
+++ b/tests/unit/test_send_budget.py
@@ -0,0 +1,54 @@
+"""The token bucket that paces gossip."""
+
+from __future__ import annotations
+
+import pytest
+
+from cedarthread.components.datagram_fields import MAX_DATAGRAM_BYTES
+from cedarthread.gossip.send_budget import (
+    BURST_DATAGRAMS,
+    FREE_BYTES_PER_MS,
+    GOSSIP_COST_PER_CALL,
+    SendBudget,
+)
+
+
+def test_a_priced_budget_fills_by_calls_alone() -> None:
+    budget = SendBudget(price=0.01, fanout=2)
+    before = budget.available_bytes
+    budget.refill(1000.0)
+    assert budget.available_bytes == before
+    budget.earn_call()
+    assert budget.available_bytes == pytest.approx(before + GOSSIP_COST_PER_CALL / 0.01 * MAX_DATAGRAM_BYTES)
+
+
+def test_a_free_budget_fills_by_time_alone() -> None:
+    budget = SendBudget(price=0.0, fanout=2)
+    budget.spend(int(budget.available_bytes))
+    budget.earn_call()
+    assert budget.available_bytes == 0.0
+    budget.refill(10.0)
+    assert budget.available_bytes == 10.0 * FREE_BYTES_PER_MS
+    budget.refill(15.0)
+    assert budget.available_bytes == 15.0 * FREE_BYTES_PER_MS, "each ms counts once"
+
+
+def test_no_more_than_the_burst_is_saved_up() -> None:
+    budget = SendBudget(price=0.0, fanout=3)
+    budget.refill(1e9)
+    assert budget.available_bytes == BURST_DATAGRAMS * MAX_DATAGRAM_BYTES * 3
+
+
+def test_a_debt_is_paid_back_first() -> None:
+    budget = SendBudget(price=0.0, fanout=1)
+    budget.spend(int(budget.available_bytes) + 100)
+    budget.refill(5.0)
+    assert budget.available_bytes == 5.0 * FREE_BYTES_PER_MS - 100.0
+
+
+def test_new_settings_keep_what_was_saved() -> None:
+    budget = SendBudget(price=0.01, fanout=2)
+    before = budget.available_bytes
+    budget.configure(price=0.02, fanout=4)
+    assert budget.available_bytes == before
+    assert budget.bytes_per_call == GOSSIP_COST_PER_CALL / 0.02 * MAX_DATAGRAM_BYTES
