--- a/tests/contracts/test_stores.py
+++ b/tests/contracts/test_stores.py
@@ -299,7 +299,7 @@
     assert bench.put("key 0", b"after") is None
     after_a_cut(bench, since)
     loaded = bench.again()
-    assert loaded.trouble is None and {loaded.values["key 2"]} == before["key 2"]
+    assert loaded.fault is None and {loaded.values["key 2"]} == before["key 2"]
     fits(bench.puts, bench.book(), loaded)
 
 
@@ -455,8 +455,8 @@
 )
 COMMIT = SqliteBackend.commit
 UNSUMMED: tuple[Patch, ...] = (
-    (sqlite_store, "row_sum", lambda *_: bytes(16)),
-    (sqlite_store, "head_sum", lambda *_: bytes(16)),
+    (sqlite_store, "row_checksum", lambda *_: bytes(16)),
+    (sqlite_store, "head_checksum", lambda *_: bytes(16)),
 )
 
 
@@ -477,11 +477,15 @@
 
 def _instead(old: str, new: str) -> Patch:
     """SQL in which one word is another."""
-    return SqliteBackend, "_run", lambda self, text, bindings=(): RUN(self, text.replace(old, new), bindings)
+    return (
+        SqliteBackend,
+        "_execute",
+        lambda self, statement, bindings=(): RUN(self, statement.replace(old, new), bindings),
+    )
 
 
 def _eager(self: StoreThread, batch: Any) -> Any:
-    dones, batch.dones = batch.dones, []
+    dones, batch.callbacks = batch.callbacks, []
     self._completions.append(lambda: self._call_back(dones, None))
     return WRITE(self, batch)
 
@@ -490,7 +494,7 @@
     "acknowledges before the sync": (rule_power_cut, ((SqliteBackend, "__init__", _unsynced),)),
     "after a failed sync takes what the system says of the file for what is on the disk": (
         partial(rule_trouble, fault=(InjectedFault.EIO_SYNC, 3.0, StoreFault.IO_ERROR)),
-        ((SqliteBackend, "_renew", _believing),),
+        ((SqliteBackend, "_rewrite", _believing),),
     ),
     "goes on writing after a failed sync as if nothing had been": (
         partial(rule_trouble, fault=(InjectedFault.EIO_SYNC, 2.0, StoreFault.IO_ERROR)),
@@ -507,7 +511,7 @@
     ),
     "believes an older generation": (
         partial(rule_older, kind=InjectedFault.STALE_CONTENT),
-        ((recovered_image, "judge", lambda *_: recovered_image.ContentVerdict.TRUSTED),),
+        ((recovered_image, "assess_content", lambda *_: recovered_image.ContentVerdict.TRUSTED),),
     ),
     "no lock against a second writer": (
         rule_locked,
@@ -515,9 +519,12 @@
     ),
     "does not look whether its file is still in its folder": (
         rule_gone,
-        ((sqlite_store, "_inode", lambda _: (0, 0)),),
+        ((sqlite_store, "_device_and_inode", lambda _: (0, 0)),),
+    ),
+    "tells the ends of a batch before it is committed": (
+        rule_hung,
+        ((StoreThread, "_commit_batch", _eager),),
     ),
-    "tells the ends of a batch before it is committed": (rule_hung, ((StoreThread, "_do_write", _eager),)),
 }
 
 
--- a/tests/simulation/test_persistence_restarts.py
+++ b/tests/simulation/test_persistence_restarts.py
@@ -10,7 +10,7 @@
 from cedarthread.model.endpoints import EndpointUpdate, EndpointUpdateKind
 from cedarthread.persistence import recovered_image
 from cedarthread.persistence.memory_store import MemoryBackend
-from cedarthread.persistence.state_persister import PendingWrite
+from cedarthread.persistence.state_persister import PendingWrite, StatePersister
 from cedarthread.persistence.store import LoadResult, StoreFault
 from tests.helpers import worker
 from tests.simulation.test_fleet_components import START, Fleet, window
@@ -36,11 +36,13 @@
         self.declare(who, b"[sharing]\nperiod = 200\n" + DISK)
         told = read or self.disks[who].open()
         keeping = self.keeping(who)
-        self.after(late, lambda: keeping.loaded(self.now, told, recovered_image.decode_image(told.values)))
+        self.after(
+            late, lambda: keeping.on_store_opened(self.now, told, recovered_image.decode_image(told.values))
+        )
         life = self.routers[who]
         self.after(100.0, lambda: self.turn(who, life))
 
-    def keeping(self, who: int):  # type: ignore[no-untyped-def]
+    def keeping(self, who: int) -> StatePersister:
         sharing = self.routers[who].fleet_components
         assert sharing is not None and sharing.persister is not None
         return sharing.persister
@@ -49,15 +51,15 @@
         if self.routers[who] is not life:
             return
         keeping, disk = self.keeping(who), self.disks[who]
-        puts = keeping.turn(self.now)
-        if keeping.reset is not None and who not in self.broken:
-            disk.commit([], keeping.reset)
-            keeping.ended(self.now, PendingWrite("", b"", "reset"), None, disk.generation)
-            keeping.reset = None
+        puts = keeping.on_tick(self.now)
+        if keeping.reset_above_generation is not None and who not in self.broken:
+            disk.commit([], keeping.reset_above_generation)
+            keeping.on_write_completed(self.now, PendingWrite("", b"", "reset"), None, disk.generation)
+            keeping.reset_above_generation = None
         for put in puts:
             trouble = StoreFault.IO_ERROR if who in self.broken else disk.commit([(put.key, put.value)])
-            keeping.ended(self.now, put, trouble, disk.generation)
-        self.words += [word.message for word in keeping.said() if isinstance(word, LogMessage)]
+            keeping.on_write_completed(self.now, put, trouble, disk.generation)
+        self.words += [word.message for word in keeping.take_log_messages() if isinstance(word, LogMessage)]
         self.after(250.0, lambda: self.turn(who, life))
 
     def seated(self) -> list[bool]:
--- a/tests/unit/test_persistence.py
+++ b/tests/unit/test_persistence.py
@@ -375,14 +375,14 @@
 CHILD = """
 import os, sys
 from pathlib import Path
-from cedarthread.persistence import lying
-from cedarthread.persistence.store import Direct
-from cedarthread.persistence.sqlite_store import FileStore, row_sum
-lying.install(Path(sys.argv[1]), seed=1)
-store = Direct(FileStore(Path(sys.argv[2])))
+from cedarthread.persistence import faulty_disk
+from cedarthread.persistence.sqlite_store import SqliteBackend
+from cedarthread.persistence.store import SynchronousStore
+faulty_disk.install(Path(sys.argv[1]), seed=1)
+store = SynchronousStore(SqliteBackend(Path(sys.argv[2])))
 print(store.load().generation, len(store.load().values), flush=True)
 for line in sys.stdin:
-    store.put(line.strip(), b"value", lambda trouble: print(trouble and trouble.name, flush=True))
+    store.put(line.strip(), b"value", lambda fault: print(fault and fault.name, flush=True))
 os._exit(9)
 """
 
@@ -412,7 +412,7 @@
     assert child(control, folder, (InjectedFault.NONE, 0.0), (InjectedFault.DISK_FULL, 0.0)) == [
         "1 0",
         "None",
-        "FULL",
+        "DISK_FULL",
     ]
     faulty_disk.set_fault(control, InjectedFault.NONE)
     lies = child(
