--- a/tests/simulation/test_membership.py
+++ b/tests/simulation/test_membership.py
@@ -285,9 +285,9 @@
         if (index := request_id % count) not in stopped:
             handle(index, RequestArrived(request_id, request_id % 9, 0, now + 3000.0))
         if step == 199:
-            assert all(node.router.live_router_count == count for node in nodes.values()) and not log
+            assert all(node.router.state.live_router_count == count for node in nodes.values()) and not log
     running = [node for index, node in nodes.items() if index not in stopped]
-    assert [node.router.live_router_count for node in running] == [3, 3, 3]
+    assert [node.router.state.live_router_count for node in running] == [3, 3, 3]
     assert all(
         set(node.load_gossip.peers) | {index} == {0, 1, 2}
         for index, node in enumerate(running)
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -325,16 +325,17 @@
     node = RoutingNode(settings(), seed=1)
     gossip = node.load_gossip
     assert gossip is not None
-    objective_before = node.router.mean_objective_ms
-    homes_before, bytes_before = node.router.homes_per_worker, gossip.budget.bytes_per_call
+    admission, selector = node.router.admission, node.router.selector
+    objective_before = admission.mean_objective_ms
+    homes_before, bytes_before = selector.homes_per_worker, gossip.budget.bytes_per_call
     prices = dataclasses.replace(PRICES, peer_message=0.02, idle_memory=0.2)
     classes = tuple(
         dataclasses.replace(request_class, latency_objective_ms=2.0 * request_class.latency_objective_ms)
         for request_class in settings().classes
     )
     node.update_settings(settings(prices=prices, classes=classes, keep_alive_ms=3000.0))
-    assert node.router.mean_objective_ms == 2.0 * objective_before
-    assert node.router.homes_per_worker < homes_before
+    assert admission.mean_objective_ms == 2.0 * objective_before
+    assert selector.homes_per_worker < homes_before
     assert node.load_gossip is gossip
     assert gossip.budget.bytes_per_call == 0.5 * bytes_before and gossip.keep_alive_ms == 3000.0
 
