priority: one module a job, typed records, plain docstrings

Cause: contracts.py held records, decoding, version histories and what is in effect; load_pressure.py held the estimator, the gossip and the state machine; the component held the preemption budget as well. Change: contract_entries (records, codec), body_history, contracts (what is in effect); load_pressure, pressure_gossip, overload_level; preemption_budget. Order of random draws and of float operations as before.

--- a/cedarthread/components/fleet.py
+++ b/cedarthread/components/fleet.py
@@ -24,7 +24,7 @@
 from cedarthread.model.outcomes import Outcome
 from cedarthread.model.settings import RouterSettings
 from cedarthread.persistence.state_persister import StatePersister
-from cedarthread.priority import contracts
+from cedarthread.priority import contract_entries
 from cedarthread.priority.component import PriorityComponent
 from cedarthread.recovery.component import RecoveryComponent
 from cedarthread.replication.entry import RejectedEntry
@@ -143,7 +143,7 @@
         """What the file says, at this router: what others hold already is no news."""
         messages: list[OutboundMessage] = []
         for kind, name, body in (
-            *contracts.entries_from_config(fleet_config),
+            *contract_entries.entries_from_config(fleet_config),
             *window.entries_from_config(fleet_config),
         ):
             made = self.store.propose(now, kind, name, body)
--- /dev/null
+++ b/cedarthread/priority/body_history.py
@@ -0,0 +1,92 @@
+"""The versions of an entry's body that may be in effect at some router while an edit spreads.
+
+A router cannot know which version another acts on while an edit is being replicated. So each keeps, for
+each entry, the *certain* body (known to be replicated to a majority for the staleness bound) and the
+*pending* ones after it: docs/design/tiers.md, steps 3 and 4.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Generic
+
+from cedarthread.components.interface import Entry, EntryKind, ReplicatedEntry, ReplicatedState
+from cedarthread.gossip.codec import MalformedDatagram
+from cedarthread.priority.contract_entries import BodyT
+
+MAX_PENDING_BODIES = 8  # versions of one entry that may be in effect at once; with more it counts as unknown
+
+
+@dataclass(slots=True)
+class _PendingBody(Generic[BodyT]):
+    """A version whose predecessors may still be in effect elsewhere. Times: ms on the steady clock."""
+
+    entry: Entry
+    value: BodyT
+    received_at_ms: float
+    replicated_at_ms: float | None  # when a majority was first known to hold it; None: not known to
+
+
+@dataclass(slots=True)
+class BodyHistory(Generic[BodyT]):
+    """The versions of one entry that may be in effect at some router, the oldest first."""
+
+    certain_body: BodyT | None = None  # None: what was in effect before is not known here
+    pending: list[_PendingBody[BodyT]] = field(default_factory=list)
+
+    def add(self, replicated: ReplicatedEntry, value: BodyT) -> None:
+        """Take the version that the replicated store holds now, or what is newly known of its replication."""
+        if self.pending and self.pending[-1].entry == replicated.entry:
+            if self.pending[-1].replicated_at_ms is None:
+                self.pending[-1].replicated_at_ms = replicated.replicated_at_ms
+            return
+        self.pending.append(
+            _PendingBody(replicated.entry, value, replicated.received_at_ms, replicated.replicated_at_ms)
+        )
+        if len(self.pending) > MAX_PENDING_BODIES:
+            self.certain_body = None
+            del self.pending[0]
+
+    def effective_bodies(self, now: float, staleness_bound_ms: float) -> tuple[BodyT, ...]:
+        """The versions that may be in effect, as far as they are known here, the oldest first."""
+        for index in reversed(range(len(self.pending))):
+            body = self.pending[index]
+            if body.replicated_at_ms is not None and now >= body.replicated_at_ms + staleness_bound_ms:
+                self.certain_body = body.value  # from here on no fresh router acts on an earlier one
+                del self.pending[: index + 1]
+                break
+        certain = () if self.certain_body is None else (self.certain_body,)
+        return certain + tuple(body.value for body in self.pending)
+
+    def is_certain(self) -> bool:
+        """Whether the certain body is the only one that may be in effect; ask after ``effective_bodies``.
+
+        Not while anything is pending: the pending version may have replaced one that other routers act on, of
+        which its author need not have known (docs/design/tiers.md, step 5)."""
+        return self.certain_body is not None and not self.pending
+
+
+class HistoriesByName(Generic[BodyT]):
+    """The histories of all entries of one kind."""
+
+    def __init__(self, entry_kind: EntryKind, decode: Callable[[Entry], BodyT | MalformedDatagram]) -> None:
+        self.entry_kind = entry_kind
+        self.decode: Callable[[Entry], BodyT | MalformedDatagram] = decode
+        self.histories: dict[str, BodyHistory[BodyT]] = {}
+        self.last_entries: dict[str, Entry] = {}  # by name, readable or not
+        self.unreadable_count = 0
+
+    def refresh(self, replicated_state: ReplicatedState) -> None:
+        """Take what the replicated store holds now; a body that cannot be read is counted and ignored."""
+        for replicated in replicated_state.entries(self.entry_kind):
+            name = replicated.entry.name
+            is_new = self.last_entries.get(name) != replicated.entry
+            if not is_new and (name not in self.histories or not self.histories[name].pending):
+                continue
+            value = self.decode(replicated.entry)
+            self.last_entries[name] = replicated.entry
+            if isinstance(value, MalformedDatagram):
+                self.unreadable_count += is_new
+            else:
+                self.histories.setdefault(name, BodyHistory()).add(replicated, value)
--- a/cedarthread/priority/component.py
+++ b/cedarthread/priority/component.py
@@ -1,14 +1,15 @@
-"""Contract tiers beside one router: it wires the parts together and decides nothing that they do not.
+"""The priority component: call priorities, load shedding and preemption under cluster overload.
 
-``decide.py`` asks ``arrived`` for a call's rank, ``refuses`` how the refusals fall, ``victim`` whom a call
-displaces, and tells what became of them. Pure: clock and seed are handed in.
+The router asks ``on_arrival`` for a call's priority, ``shed_probability`` how load shedding falls on it and
+``choose_victim`` which call it preempts, and reports what became of the calls. Pure: the clock (ms, steady)
+and the seed are handed in. Design: docs/design/tiers.md.
 """
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Iterable, Mapping, Sequence
+from enum import StrEnum
 
 from cedarthread.components.interface import (
     AttemptCompleted,
@@ -20,16 +21,15 @@
     QuotaEscrow,
     ReplicatedState,
     SettingsChanged,
-    WallClockRead,
 )
 from cedarthread.model.actions import LogMessage, SendToPeer
 from cedarthread.model.outcomes import Outcome
 from cedarthread.model.settings import RouterSettings
-from cedarthread.priority import call_priority as ranks
-from cedarthread.priority import load_shedding
-from cedarthread.priority.call_priority import NO_PRIORITY, CallPriority
+from cedarthread.priority.call_priority import NO_PRIORITY, CallPriority, assign_priority
 from cedarthread.priority.contracts import EffectiveContracts
-from cedarthread.priority.load_pressure import LoadPressureEstimator, OverloadStateMachine, PressureGossip
+from cedarthread.priority.load_pressure import LoadPressureEstimator
+from cedarthread.priority.load_shedding import SheddingOrder, SheddingScore, shedding_score
+from cedarthread.priority.overload_level import OverloadStateMachine
 from cedarthread.priority.preemption import (
     CallStage,
     PreemptionCandidate,
@@ -37,112 +37,107 @@
     PreemptionLimits,
     choose_victim,
 )
-from cedarthread.priority.usage import QuotaBucket, TenantUsage
+from cedarthread.priority.preemption_budget import BUDGET_WINDOW_MS, PreemptionBudget
+from cedarthread.priority.pressure_gossip import PressureGossip
+from cedarthread.priority.usage import TenantUsage
 from cedarthread.statistics import DecayingCounter
 
-PREEMPTION_POOL = "preempts"  # the pool of the preemptions that the fleet may make a second
-PREEMPT_QUEUED_LEVEL, PREEMPT_RUNNING_LEVEL = (
-    2,
-    3,
-)  # levels from which those that wait, and those that run, are displaced
-MAX_WASTED_SHARE = 0.02  # part of the work served that preempting may throw away
-BUDGET_WINDOW_MS = 10_000.0  # ms over which that part holds
-PREEMPTED_RETENTION_MS, MAX_REMEMBERED_PREEMPTIONS = (
-    120_000.0,
-    8192,
-)  # ms for which a displaced call is remembered; how many: then none any more
+SHEDDING_LEVEL = 1  # overload level from which load shedding is weighted by priority
+PREEMPT_QUEUED_LEVEL = 2  # from which queued calls are preempted
+PREEMPT_RUNNING_LEVEL = 3  # from which running calls are preempted too
+PREEMPTED_RETENTION_MS = (
+    120_000.0  # for which a preempted call is remembered: its client has come back by then
+)
+MAX_REMEMBERED_PREEMPTIONS = 8192  # past which no call is preempted: it might be one that was before
+MIN_DIVISOR = 1e-9  # in place of a mean of nothing
+SEED_SALT = 0x7469_6572  # keeps these draws apart from those of other users of the router's seed
+
+
+class PreemptionEvent(StrEnum):
+    """What is counted; the values are the names of the figures that operators read."""
+
+    QUEUED_PREEMPTED = "waiting"
+    RUNNING_PREEMPTED = "running"
+    PROTECTED_BY_FLOOR = "floor"
+    ALREADY_PREEMPTED = "again"
+    BUDGET_EXHAUSTED = "budget"
 
 
 class PriorityComponent:
-    """Who is preempted under cluster overload, at one router."""
+    """Which calls are rejected or preempted under cluster overload, at one router."""
 
     message_types = frozenset({int(MessageType.LOAD_PRESSURE)})
 
     def __init__(
         self, replicated_state: ReplicatedState, escrow: QuotaEscrow, settings: RouterSettings, seed: int
     ) -> None:
-        self.replicated_state, self.escrow = replicated_state, escrow
-        self.rng = random.Random(seed ^ 0x7469_6572)
+        self.replicated_state, self.settings = replicated_state, settings
         self.contracts = EffectiveContracts(replicated_state)
-        self.usage, self.pressure_estimator, self.shedding_order = (
-            TenantUsage(escrow),
-            LoadPressureEstimator(),
-            load_shedding.SheddingOrder(),
-        )
+        self.usage = TenantUsage(escrow)
+        self.pressure_estimator = LoadPressureEstimator()
         self.pressure_gossip = PressureGossip(settings.router_index, max(1, settings.router_count), seed)
-        self.overload, self.recent_value = OverloadStateMachine(), DecayingCounter(BUDGET_WINDOW_MS)
+        self.overload = OverloadStateMachine()
+        self.shedding_order = SheddingOrder()
+        self.recent_value = DecayingCounter(BUDGET_WINDOW_MS)  # sum of the values of recent calls
         self.recent_calls = DecayingCounter(BUDGET_WINDOW_MS)
-        self.preemption_bucket, self.preemptions_milli_per_second, self.preemption_attempts = (
-            QuotaBucket(self.rng.random()),
-            -1,
-            DecayingCounter(BUDGET_WINDOW_MS),
-        )
-        self.completed_work, self.wasted_work = (
-            DecayingCounter(BUDGET_WINDOW_MS),
-            DecayingCounter(BUDGET_WINDOW_MS),
-        )  # ms of work
-        self.preempted_at: dict[int, float] = {}  # by identity: when
-        self.counters = {"waiting": 0, "running": 0, "floor": 0, "again": 0, "budget": 0}
-        self.settings = settings
+        self.preemption_budget = PreemptionBudget(escrow, random.Random(seed ^ SEED_SALT))
+        self.preempted_at: dict[int, float] = {}  # ms, by the call's retry identity
+        self.counters = dict.fromkeys(PreemptionEvent, 0)
 
-    # The part.
+    # The component interface.
 
     def on_message(self, now: float, sender: int, data: bytes) -> Sequence[OutboundMessage]:
-        """Take a datagram of pressure."""
+        """Take a datagram of load pressure."""
         self.pressure_gossip.on_message(now, sender, data)
         return ()
 
     def on_tick(self, now: float) -> Sequence[OutboundMessage]:
-        """Some times a second: read what acts, count pressure anew, tell it on."""
+        """Follow the contracts, measure load pressure, gossip it and update the overload level."""
         self.contracts.refresh(now)
         self.usage.on_tick(now, self.contracts.effective)
-        self._request_preemption_budget(now)
-        for identity in [one for one, at in self.preempted_at.items() if now - at > PREEMPTED_RETENTION_MS]:
-            del self.preempted_at[identity]
-        self.pressure_gossip.record_own(
-            now, self.pressure_estimator.pressure(now), self.pressure_estimator.calls_per_second(now)
-        )
+        self.preemption_budget.on_tick(now, self.contracts.overload_parameters, self._may_preempt())
+        for retry_identity in [
+            identity for identity, at in self.preempted_at.items() if now - at > PREEMPTED_RETENTION_MS
+        ]:
+            del self.preempted_at[retry_identity]
+        estimator = self.pressure_estimator
+        self.pressure_gossip.record_own(now, estimator.pressure(now), estimator.calls_per_second(now))
         messages: list[OutboundMessage] = [
-            SendToPeer(data, peer) for peer, data in self.pressure_gossip.messages_due(now)
+            SendToPeer(data, peer_index) for peer_index, data in self.pressure_gossip.messages_due(now)
         ]
         return messages + self._update_overload_level(now)
 
     def on_notification(self, now: float, notification: Notification) -> Sequence[OutboundMessage]:
-        """Something that parts share has changed."""
+        """Follow new entries, peers and settings, and count what is served."""
         if isinstance(notification, EntriesChanged):
             self.contracts.refresh(now)
             self.usage.on_tick(now, self.contracts.effective)
         elif isinstance(notification, PeersChanged):
-            self.pressure_gossip.alive_peers, self.pressure_gossip.router_count = (
-                notification.alive_peers,
-                notification.router_count,
-            )
+            self.pressure_gossip.alive_peers = notification.alive_peers
+            self.pressure_gossip.router_count = notification.router_count
         elif isinstance(notification, SettingsChanged):
             self.settings = notification.settings
         elif isinstance(notification, AttemptCompleted) and notification.outcome is Outcome.OK:
             self.pressure_estimator.record_completion(now)
-            self.completed_work.add(now, notification.work_ms)
-        elif isinstance(notification, WallClockRead):
-            pass  # nothing here goes by wall time
-        return ()
+            self.preemption_budget.record_completed_work(now, notification.work_ms)
+        return ()  # other notifications, as the wall clock's, concern nothing here
 
     def status(self, now: float) -> Mapping[str, str]:
-        """What operators read."""
+        """The figures that operators read; their names are part of the operators' interface."""
         pressure = self.pressure_gossip.fleet_pressure(now)
+        gossip = self.pressure_gossip
+        unreadable = self.contracts.unreadable_count + gossip.unreadable_count + gossip.invalid_count
+        contracts = self.contracts.effective
         figures = {
             "tiers_level": str(self.overload_level(now)),
             "tiers_pressure": "unknown" if pressure is None else f"{pressure:.2f}",
-            "tiers_contracts": str(len(self.contracts.effective)),
-            "tiers_not_sure": str(sum(not one.is_certain for one in self.contracts.effective.values())),
-            "tiers_unreadable": str(
-                self.contracts.unreadable_count
-                + self.pressure_gossip.unreadable_count
-                + self.pressure_gossip.invalid_count
-            ),
+            "tiers_contracts": str(len(contracts)),
+            "tiers_not_sure": str(sum(not contract.is_certain for contract in contracts.values())),
+            "tiers_unreadable": str(unreadable),
         }
-        return figures | {f"tiers_{name}": str(count) for name, count in self.counters.items()}
+        return figures | {f"tiers_{event.value}": str(count) for event, count in self.counters.items()}
 
-    # What the decisions ask.
+    # What the router asks.
 
     def on_arrival(
         self,
@@ -152,9 +147,11 @@
         utilization: float = 0.0,
         is_client_retry: bool = False,
     ) -> CallPriority:
-        """A call came: its rank. ``tenant`` by its number in the settings or by its caller's name; ``value``:
-        its worth for its time; ``fill``: ms that calls must wait over those at which a jam begins."""
-        if not is_client_retry:  # those refused come again: they would make the pressure grow by itself
+        """A call came: its priority.
+
+        ``tenant``: its index in the settings or its caller's name; ``value``: of the call for its time;
+        ``utilization``: the wait that calls must expect over the one at which overload begins."""
+        if not is_client_retry:  # rejected calls come again: they would make the pressure grow by itself
             self.pressure_estimator.record_arrival(now, utilization)
         if self.contracts.overload_parameters is None:
             return NO_PRIORITY
@@ -165,139 +162,102 @@
             and tenant_name in self.contracts.effective
             and self.usage.record_call(now, tenant_name, contract, is_client_retry)
         )
-        priority = ranks.assign_priority(tenant_name, contract, is_within_quota)
+        priority = assign_priority(tenant_name, contract, is_within_quota)
         self.recent_value.add(now, value)
         self.recent_calls.add(now, 1.0)
         self.shedding_order.record_arrival(self._shedding_score(now, priority, value))
         return priority
 
     def overload_level(self, now: float) -> int:
-        """The level of cluster overload; 0 for who is not fresh: it might preempt whom it should not."""
-        return (
-            self.overload.level
-            if self.contracts.overload_parameters is not None and self.replicated_state.is_fresh(now)
-            else 0
-        )
+        """The level of cluster overload; 0 at a router that is not fresh: it could preempt wrong calls."""
+        acts = self.contracts.overload_parameters is not None and self.replicated_state.is_fresh(now)
+        return self.overload.level if acts else 0
 
     def shed_probability(
         self, now: float, priority: CallPriority, shed_probability: float, value: float = 1.0
     ) -> float | None:
-        """The part of calls like this to refuse where ``late`` of all must be; None: as without tiers.
+        """The probability to reject a call like this where ``shed_probability`` of all must be rejected.
 
-        ``late``: the strength of the jam for the least aim of a class, whatever this call's own is; also 0
-        is told. Worth and rank are weighed here, and a short queue costs nothing while calls are enough."""
+        None: priorities don't matter now. ``shed_probability`` is the overload estimator's for the
+        strictest latency objective, whatever this call's own is, and is also to be told when it is 0. Value
+        and priority are weighed here."""
         shed_probability = self.shedding_order.smooth(now, shed_probability)
-        if self.overload_level(now) < 1:
+        if self.overload_level(now) < SHEDDING_LEVEL:
             return None
         return self.shedding_order.shed_probability(
             shed_probability, self._shedding_score(now, priority, value)
         )
 
     def record_rejected(self, now: float, priority: CallPriority, is_client_retry: bool = False) -> None:
-        """A call was refused: its tenant's floor knows."""
+        """A call was rejected: it counts against its tenant's floor."""
         if not is_client_retry:
             self.usage.record_rejected(now, priority.tenant_name)
 
     def choose_victim(
         self, now: float, claim: PreemptionClaim, candidates: Iterable[PreemptionCandidate]
     ) -> int | None:
-        """The number of the call that the claim displaces, which is then counted as displaced; None: none."""
+        """The request id of the call that the claim preempts, which then counts as preempted; None: none."""
         level = self.overload_level(now)
-        if (
-            level < PREEMPT_QUEUED_LEVEL
-            or len(self.preempted_at) >= MAX_REMEMBERED_PREEMPTIONS
-            or claim.expected_wait_ms + claim.service_time_ms <= claim.time_left_ms
-        ):
+        is_in_time = claim.expected_wait_ms + claim.service_time_ms <= claim.time_left_ms
+        if level < PREEMPT_QUEUED_LEVEL or len(self.preempted_at) >= MAX_REMEMBERED_PREEMPTIONS or is_in_time:
             return None
-        self.preemption_attempts.add(now, 1.0)
-        self._refill_preemption_bucket(now)
-        if self.preemption_bucket.tokens < 1.0:
-            self.counters["budget"] += 1
+        if not self.preemption_budget.has_token(now, self._may_preempt()):
+            self.counters[PreemptionEvent.BUDGET_EXHAUSTED] += 1
             return None
-        waste_budget_ms = MAX_WASTED_SHARE * self.completed_work.read(now) - self.wasted_work.read(now)
-        max_retry_after_ms = self.settings.limits.max_retry_after_ms
-        victim = choose_victim(
-            claim,
-            candidates,
-            PreemptionLimits(
-                level >= PREEMPT_RUNNING_LEVEL,
-                waste_budget_ms,
-                max_retry_after_ms,
-                lambda view: self._can_preempt(now, view),
-            ),
+        limits = PreemptionLimits(
+            allows_running=level >= PREEMPT_RUNNING_LEVEL,
+            waste_budget_ms=self.preemption_budget.waste_budget_ms(now),
+            max_retry_after_ms=self.settings.limits.max_retry_after_ms,
+            is_allowed=lambda candidate: self._can_preempt(now, candidate),
         )
+        victim = choose_victim(claim, candidates, limits)
         if victim is None:
             return None
-        self.preemption_bucket.try_take()
-        self.preempted_at[victim.retry_identity] = now
-        self.usage.record_rejected(now, victim.priority.tenant_name)
-        if victim.stage is CallStage.WRITTEN:
-            self.wasted_work.add(now, victim.spent_work_ms)
-        self.counters["running" if victim.stage is CallStage.WRITTEN else "waiting"] += 1
+        self._record_preempted(now, victim)
         return victim.request_id
 
     def rejection_reason(self, priority: CallPriority) -> str:
-        """What the displaced client is told: of its own contract, and of nobody else's."""
+        """What the preempted call's client is told: about its own contract and nobody else's."""
         tier_name = self.contracts.for_tenant(priority.tenant_name).tier_name
         side = "within" if priority.is_within_quota else "beyond"
         return f"preempted under cluster overload: tier {tier_name}, {side} contract; try again later"
 
     # Inside.
 
+    def _may_preempt(self) -> bool:
+        return self.overload.level >= PREEMPT_QUEUED_LEVEL
+
+    def _record_preempted(self, now: float, victim: PreemptionCandidate) -> None:
+        is_running = victim.stage is CallStage.WRITTEN
+        self.preemption_budget.spend(now, victim.spent_work_ms if is_running else None)
+        self.preempted_at[victim.retry_identity] = now
+        self.usage.record_rejected(now, victim.priority.tenant_name)
+        event = PreemptionEvent.RUNNING_PREEMPTED if is_running else PreemptionEvent.QUEUED_PREEMPTED
+        self.counters[event] += 1
+
     def _tenant_name(self, tenant: int | str | None) -> str | None:
         if isinstance(tenant, int):
-            known = self.settings.tenants
-            return known[tenant].name if 0 <= tenant < len(known) else None
+            tenants = self.settings.tenants
+            return tenants[tenant].name if 0 <= tenant < len(tenants) else None
         return tenant
 
-    def _shedding_score(
-        self, now: float, priority: CallPriority, value: float
-    ) -> load_shedding.SheddingScore:
-        mean_value = self.recent_value.read(now) / max(self.recent_calls.read(now), 1e-9)
-        is_at_floor = not self.usage.can_reject(
-            now, priority.tenant_name, self.contracts.for_tenant(priority.tenant_name).floor_permille
-        )
-        return load_shedding.shedding_score(priority, value / max(mean_value, 1e-9), is_at_floor)
+    def _shedding_score(self, now: float, priority: CallPriority, value: float) -> SheddingScore:
+        mean_value = self.recent_value.read(now) / max(self.recent_calls.read(now), MIN_DIVISOR)
+        floor_permille = self.contracts.for_tenant(priority.tenant_name).floor_permille
+        is_at_floor = not self.usage.can_reject(now, priority.tenant_name, floor_permille)
+        return shedding_score(priority, value / max(mean_value, MIN_DIVISOR), is_at_floor)
 
     def _can_preempt(self, now: float, candidate: PreemptionCandidate) -> bool:
-        """Floors hold, and nobody is displaced twice."""
+        """Whether floors hold without this call; no call is preempted twice."""
         if candidate.retry_identity in self.preempted_at:
-            self.counters["again"] += 1
+            self.counters[PreemptionEvent.ALREADY_PREEMPTED] += 1
             return False
-        if not self.usage.can_reject(
-            now,
-            candidate.priority.tenant_name,
-            self.contracts.for_tenant(candidate.priority.tenant_name).floor_permille,
-        ):
-            self.counters["floor"] += 1
+        tenant_name = candidate.priority.tenant_name
+        if not self.usage.can_reject(now, tenant_name, self.contracts.for_tenant(tenant_name).floor_permille):
+            self.counters[PreemptionEvent.PROTECTED_BY_FLOOR] += 1
             return False
         return True
 
-    def _request_preemption_budget(self, now: float) -> None:
-        parameters = self.contracts.overload_parameters
-        if parameters is None:
-            return
-        if parameters.preemptions_milli_per_second != self.preemptions_milli_per_second:
-            self.preemptions_milli_per_second = parameters.preemptions_milli_per_second
-            self.escrow.open_pool(
-                PREEMPTION_POOL, parameters.preemptions_milli_per_second, is_consumable=False, ends_at_ms=None
-            )
-        requested_milli_per_second = math.ceil(
-            1000.0 * self.preemption_attempts.read(now) / BUDGET_WINDOW_MS * 1000.0
-        )
-        self.escrow.request(
-            now, PREEMPTION_POOL, min(requested_milli_per_second, parameters.preemptions_milli_per_second)
-        )
-        self._refill_preemption_bucket(now)
-
-    def _refill_preemption_bucket(self, now: float) -> None:
-        """Nothing is saved up while there is no overload: all routers would spend it at once."""
-        if self.overload.level < PREEMPT_QUEUED_LEVEL:
-            self.preemption_bucket = QuotaBucket(self.rng.random(), filled_at_ms=now)
-        self.preemption_bucket.refill(
-            now, min(self.escrow.available(now, PREEMPTION_POOL), max(0, self.preemptions_milli_per_second))
-        )
-
     def _update_overload_level(self, now: float) -> list[OutboundMessage]:
         previous_level = self.overload.level
         level = self.overload.update(
--- /dev/null
+++ b/cedarthread/priority/contract_entries.py
@@ -0,0 +1,121 @@
+"""Entries of the replicated store that declare priority tiers and tenants' contracts: records and codec.
+
+An entry's body is a MessagePack array in canonical form: one meaning has exactly one encoding, so equal
+declarations have equal digests. Figures are fixed-point integers (``FIXED_POINT_SCALE``), which compare alike
+on all routers. Why these records: docs/design/tiers.md, step 1.
+"""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from cedarthread.components.interface import Entry, EntryKind
+from cedarthread.fleet_config import FleetConfig
+from cedarthread.gossip.codec import MalformedDatagram
+
+MAX_TIERS = 63  # a tier index and its over-quota offset fit in 7 bits (``call_priority``)
+TIER_ORDER_NAME = "order"  # the name of the one entry of EntryKind.TIERS
+FIXED_POINT_SCALE = 1000  # units to one: 1/1000 call per second, 1/1000 of capacity, ms to a second
+MAX_RATE_MILLI_PER_SECOND = 10**9  # a million calls per second: more than any fleet serves
+MAX_NAME_BYTES = 64  # as in the operators' file (``fleet_config``)
+MAX_ERROR_CHARACTERS = 80  # of a decoder's message that are kept: it may quote hostile input
+
+# What an order of tiers may say, in fixed point: the ranges that the operators' file is checked against.
+ONSET_PERMILLE_RANGE = (500, 10_000)
+MIN_RELEASE_PERMILLE = 100
+MAX_DWELL_MS = 600_000
+
+
+class ContractTerms(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """One tenant's contract. ``floor_permille``: the part of its calls within quota that is always served."""
+
+    tier_name: str
+    rate_milli_per_second: int
+    floor_permille: int
+
+
+class TierOrder(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """The tiers, preempted last first, and the figures of cluster overload (parts of capacity in 1/1000)."""
+
+    tier_names: tuple[str, ...]
+    onset_permille: int
+    release_permille: int
+    dwell_ms: int
+    preemptions_milli_per_second: int
+
+
+BodyT = TypeVar("BodyT", ContractTerms, TierOrder)
+
+
+def entries_from_config(fleet: FleetConfig) -> list[tuple[EntryKind, str, bytes]]:
+    """Kind, name and body of each entry that a checked file declares.
+
+    A file without tiers declares nothing about them: it does not end anybody's contract."""
+    if not fleet.tier:
+        return []
+    overload = fleet.overload
+    tier_order = TierOrder(
+        tuple(tier.name for tier in fleet.tier),
+        _to_fixed_point(overload.onset),
+        _to_fixed_point(overload.end),
+        _to_fixed_point(overload.dwell),  # seconds to ms
+        _to_fixed_point(overload.preempts),
+    )
+    entries = [(EntryKind.TIERS, TIER_ORDER_NAME, msgspec.msgpack.encode(tier_order))]
+    for contract in fleet.contract:
+        terms = ContractTerms(contract.tier, _to_fixed_point(contract.rate), _to_fixed_point(contract.floor))
+        entries.append((EntryKind.CONTRACT, contract.tenant, msgspec.msgpack.encode(terms)))
+    return entries
+
+
+def _to_fixed_point(value: float) -> int:
+    return round(value * FIXED_POINT_SCALE)
+
+
+def decode_contract(entry: Entry) -> ContractTerms | MalformedDatagram:
+    """The contract that an entry declares, or why it cannot be read. Raises nothing, whatever the body."""
+    terms = _decode(entry.body, ContractTerms)
+    if isinstance(terms, MalformedDatagram):
+        return terms
+    if not _is_valid_name(terms.tier_name) or not _is_valid_name(entry.name):
+        return MalformedDatagram("no name of 1 to 64 bytes")
+    rate, floor = terms.rate_milli_per_second, terms.floor_permille
+    if not (0 <= rate <= MAX_RATE_MILLI_PER_SECOND and 0 <= floor <= FIXED_POINT_SCALE):
+        return MalformedDatagram(f"rate {rate}, floor {floor}")
+    return terms
+
+
+def decode_tier_order(entry: Entry) -> TierOrder | MalformedDatagram:
+    """The tiers that an entry declares, or why it cannot be read. Raises nothing, whatever the body."""
+    order = _decode(entry.body, TierOrder)
+    if isinstance(order, MalformedDatagram):
+        return order
+    names = order.tier_names
+    if entry.name != TIER_ORDER_NAME or not 1 <= len(names) <= MAX_TIERS or len(set(names)) < len(names):
+        return MalformedDatagram(f"{len(names)} tiers under {entry.name!r}")
+    if not all(map(_is_valid_name, names)):
+        return MalformedDatagram("no name of 1 to 64 bytes")
+    min_onset, max_onset = ONSET_PERMILLE_RANGE
+    onset, release = order.onset_permille, order.release_permille
+    if not (min_onset <= onset <= max_onset and MIN_RELEASE_PERMILLE <= release <= onset):
+        return MalformedDatagram(f"onset {onset}, end {release}")
+    dwell_ms, preemptions = order.dwell_ms, order.preemptions_milli_per_second
+    if not (0 <= dwell_ms <= MAX_DWELL_MS and 0 <= preemptions <= MAX_RATE_MILLI_PER_SECOND):
+        return MalformedDatagram(f"dwell {dwell_ms}, preempts {preemptions}")
+    return order
+
+
+def _is_valid_name(name: str) -> bool:
+    return 1 <= len(name.encode()) <= MAX_NAME_BYTES
+
+
+def _decode(body: bytes, body_type: type[BodyT]) -> BodyT | MalformedDatagram:
+    try:
+        value = msgspec.msgpack.decode(body, type=body_type)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return MalformedDatagram(str(error)[:MAX_ERROR_CHARACTERS])
+    if msgspec.msgpack.encode(value) != body:  # two encodings of one meaning would have two digests
+        return MalformedDatagram("not the canonical encoding")
+    return value
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -74,7 +74,7 @@
 from cedarthread.persistence.sqlite_store import SqliteBackend
 from cedarthread.persistence.store import LoadResult, SyncMode
 from cedarthread.priority import codec as pressure_form
-from cedarthread.priority import contracts
+from cedarthread.priority import contract_entries
 from cedarthread.protocols import discovery as protocols_discovery
 from cedarthread.protocols import dns, http, invoke, msgpack, platform
 from cedarthread.protocols import workers as protocols_workers
@@ -332,7 +332,7 @@
     """The entries of the operators' file, each with a version."""
     fleet: fleet_config.FleetConfig = fleet_config.parse_fleet_config(FLEET)
     bodies: list[tuple[interface.EntryKind, str, bytes]] = [
-        *contracts.entries_from_config(fleet),
+        *contract_entries.entries_from_config(fleet),
         *window.entries_from_config(fleet),
     ]
     return [
@@ -355,9 +355,9 @@
     sums: list[int] = [entries.entry_digest(entry), entries.key_hash(entry.kind, entry.name)]
     if entry.kind in (interface.EntryKind.TIERS, interface.EntryKind.CONTRACT):
         said: object = (
-            contracts.decode_tier_order(entry)
+            contract_entries.decode_tier_order(entry)
             if entry.kind is interface.EntryKind.TIERS
-            else contracts.decode_contract(entry)
+            else contract_entries.decode_contract(entry)
         )
     else:
         said = window.decode(entry.kind, entry.name, entry.body)
--- a/tests/simulation/test_priority_fleet.py
+++ b/tests/simulation/test_priority_fleet.py
@@ -30,8 +30,18 @@
 from cedarthread.model.actions import SendToPeer
 from cedarthread.model.outcomes import Outcome
 from cedarthread.model.settings import DeduplicationScope, Idempotency, RequestClass, Tenant
-from cedarthread.priority import component, contracts, load_pressure, preemption, usage
+from cedarthread.priority import (
+    component,
+    contract_entries,
+    preemption,
+    preemption_budget,
+    pressure_gossip,
+    usage,
+)
+from cedarthread.priority.body_history import BodyHistory
 from cedarthread.priority.call_priority import NO_PRIORITY, CallPriority, assign_priority
+from cedarthread.priority.contracts import EffectiveContracts, OverloadParameters
+from cedarthread.priority.overload_level import OverloadStateMachine
 from cedarthread.priority.preemption import CallStage, PreemptionCandidate, PreemptionClaim
 from cedarthread.routing.overload import OVERLOAD_START, OverloadEstimator
 from tests.helpers import settings
@@ -149,7 +159,7 @@
     def __init__(self, world: World, me: int) -> None:
         self.world, self.me, self.board = world, me, Board()
         self.rng, self.jam = random.Random(world.seed * 100 + me), OverloadEstimator()
-        for kind, name, body in contracts.entries_from_config(parse_fleet_config(world.file)):
+        for kind, name, body in contract_entries.entries_from_config(parse_fleet_config(world.file)):
             entry = Entry(kind, name, Version(1, 0, 0), body)
             self.board.entry_by_name[kind, name] = ReplicatedEntry(entry, -2 * BOUND, -BOUND - 1)
         tenants = tuple(Tenant(n, 0.3, None) for n in TENANTS)
@@ -473,8 +483,8 @@
 
 def _flaps(seed: int) -> str | None:
     """Pressure that goes slowly up and down about the onset, then fast and far: the level must not follow."""
-    machine, rng, changes = load_pressure.OverloadStateMachine(), random.Random(seed), 0
-    figures = contracts.OverloadParameters(1.1, 0.9, 2000.0, 6000)
+    machine, rng, changes = OverloadStateMachine(), random.Random(seed), 0
+    figures = OverloadParameters(1.1, 0.9, 2000.0, 6000)
     for step in range(2000):
         now, before = step * 250.0, machine.level
         slow = 1.1 + 0.15 * math.sin(now / 3000.0)
@@ -523,11 +533,11 @@
     one go before the other here, and the other before the one there, for longer than B?"""
     count, rng = 5, random.Random(seed)
     boards = [Pulling(n, count) for n in range(count)]
-    parts = [contracts.EffectiveContracts(board) for board in boards]
+    parts = [EffectiveContracts(board) for board in boards]
     names, tiers_ = ("mill", "town"), ("firm", "standard", "interruptible")
     first = [
         Entry(k, n, Version(0, 0, 0), body)
-        for k, n, body in contracts.entries_from_config(parse_fleet_config(FILE))
+        for k, n, body in contract_entries.entries_from_config(parse_fleet_config(FILE))
     ]
     for board in boards:
         for entry in first:
@@ -542,7 +552,7 @@
                 boards[me].pull(now, boards[other])
         if step % 40 == 20 and step > 200:
             author = rng.choice([*mute, rng.randrange(count)])
-            name, body = rng.choice(names), contracts.ContractTerms(rng.choice(tiers_), 60_000, 0)
+            name, body = rng.choice(names), contract_entries.ContractTerms(rng.choice(tiers_), 60_000, 0)
             number = boards[author].entry_by_name[EntryKind.CONTRACT, name].entry.version.counter + 1
             version = Version(number, author, 0)
             boards[author].take(now, Entry(EntryKind.CONTRACT, name, version, msgspec.msgpack.encode(body)))
@@ -586,7 +596,7 @@
     )
 
 
-def _own(self: load_pressure.PressureGossip, now: float) -> float | None:
+def _own(self: pressure_gossip.PressureGossip, now: float) -> float | None:
     return self.reports[self.router_index].pressure if self.router_index in self.reports else None
 
 
@@ -594,29 +604,25 @@
     return max(value for value, _ in weighed)
 
 
-def _sudden(
-    self: load_pressure.OverloadStateMachine, value: float, figures: contracts.OverloadParameters
-) -> int:
+def _sudden(self: OverloadStateMachine, value: float, figures: OverloadParameters) -> int:
     return (
         1 if value >= figures.onset and not self.level else -1 if value < figures.onset and self.level else 0
     )
 
 
-def _hasty(
-    self: load_pressure.OverloadStateMachine, now: float, value: float, figures: contracts.OverloadParameters
-) -> int:
+def _hasty(self: OverloadStateMachine, now: float, value: float, figures: OverloadParameters) -> int:
     self.level += self._requested_step(value, figures)
     return self.level
 
 
 def _newest(
-    self: contracts.BodyHistory[contracts.ContractTerms], now: float, bound: float
-) -> tuple[contracts.ContractTerms, ...]:
+    self: BodyHistory[contract_entries.ContractTerms], now: float, bound: float
+) -> tuple[contract_entries.ContractTerms, ...]:
     return (self.pending[-1].value,) if self.pending else (self.certain_body,) if self.certain_body else ()
 
 
-def _spendthrift(self: component.PriorityComponent, now: float) -> None:
-    self.preemption_bucket.tokens = 9.0
+def _spendthrift(self: preemption_budget.PreemptionBudget, now: float, may_preempt: bool) -> None:
+    self.bucket.tokens = 9.0
 
 
 DEFECTS: dict[str, tuple[str, list[tuple[object, str, object]]]] = {
@@ -627,19 +633,19 @@
     "acted at once": (
         "_orders",
         [
-            (contracts.BodyHistory, "effective_bodies", _newest),
-            (contracts.BodyHistory, "is_certain", lambda self: True),
+            (BodyHistory, "effective_bodies", _newest),
+            (BodyHistory, "is_certain", lambda self: True),
         ],
     ),
-    "own view alone": ("_lone", [(load_pressure.PressureGossip, "fleet_pressure", _own)]),
-    "the greatest pressure told": ("_lone", [(load_pressure, "_lower_weighted_median", _greatest)]),
+    "own view alone": ("_lone", [(pressure_gossip.PressureGossip, "fleet_pressure", _own)]),
+    "the greatest pressure told": ("_lone", [(pressure_gossip, "_lower_weighted_median", _greatest)]),
     "same call twice": (
         "_waiting",
         [(component.PriorityComponent, "_can_preempt", _forgetful), (component, "choose_victim", _unmarked)],
     ),
-    "no hysteresis": ("_flaps", [(load_pressure.OverloadStateMachine, "_requested_step", _sudden)]),
-    "no dwell": ("_flaps", [(load_pressure.OverloadStateMachine, "update", _hasty)]),
-    "no budget": ("_running", [(component.PriorityComponent, "_refill_preemption_bucket", _spendthrift)]),
+    "no hysteresis": ("_flaps", [(OverloadStateMachine, "_requested_step", _sudden)]),
+    "no dwell": ("_flaps", [(OverloadStateMachine, "update", _hasty)]),
+    "no budget": ("_running", [(preemption_budget.PreemptionBudget, "_refill", _spendthrift)]),
 }
 
 
--- a/tests/unit/test_priority.py
+++ b/tests/unit/test_priority.py
@@ -14,11 +14,12 @@
 from cedarthread.fleet_config import parse_fleet_config
 from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES, MalformedDatagram
 from cedarthread.model.settings import DeduplicationScope, Idempotency
-from cedarthread.priority import codec
-from cedarthread.priority import contracts as priority_contracts
+from cedarthread.priority import codec, contract_entries
+from cedarthread.priority.body_history import BodyHistory
 from cedarthread.priority.call_priority import CallPriority, assign_priority
 from cedarthread.priority.codec import RouterPressure
-from cedarthread.priority.load_pressure import LEVEL_MULTIPLES, OverloadStateMachine, PressureGossip
+from cedarthread.priority.contracts import EffectiveContracts, OverloadParameters
+from cedarthread.priority.overload_level import LEVEL_MULTIPLES, OverloadStateMachine
 from cedarthread.priority.preemption import (
     CallStage,
     PreemptionCandidate,
@@ -26,6 +27,7 @@
     PreemptionLimits,
     choose_victim,
 )
+from cedarthread.priority.pressure_gossip import PressureGossip
 from cedarthread.priority.usage import QuotaBucket
 
 FLEET = """
@@ -44,23 +46,23 @@
 
 
 def test_a_file_reads_back_from_its_entries_and_bad_bodies_are_values() -> None:
-    found = priority_contracts.entries_from_config(parse_fleet_config(FLEET.encode()))
+    found = contract_entries.entries_from_config(parse_fleet_config(FLEET.encode()))
     tiers, mill = (Entry(kind, name, Version(1, 0, 0), body) for kind, name, body in found)
-    assert priority_contracts.decode_tier_order(tiers) == priority_contracts.TierOrder(
+    assert contract_entries.decode_tier_order(tiers) == contract_entries.TierOrder(
         ("firm", "standard"), 1100, 900, 3000, 20000
     )
-    assert priority_contracts.decode_contract(mill) == priority_contracts.ContractTerms("firm", 12500, 250)
-    assert priority_contracts.entries_from_config(parse_fleet_config(b"")) == []
+    assert contract_entries.decode_contract(mill) == contract_entries.ContractTerms("firm", 12500, 250)
+    assert contract_entries.entries_from_config(parse_fleet_config(b"")) == []
     rng = random.Random(1)
     for _ in range(3000):
         body = bytearray(rng.choice([tiers.body, mill.body, rng.randbytes(20)]))
         body[rng.randrange(len(body))] = rng.randrange(256)
-        for read in (priority_contracts.decode_tier_order, priority_contracts.decode_contract):
+        for read in (contract_entries.decode_tier_order, contract_entries.decode_contract):
             value = read(Entry(EntryKind.TIERS, "order", Version(1, 0, 0), bytes(body)))
             assert isinstance(value, MalformedDatagram) or msgspec.msgpack.encode(value) == bytes(body)
     spelt = mill.body.replace(b"\xcc\xfa", b"\xcd\x00\xfa")  # 250 in two ways
     assert spelt != mill.body and isinstance(
-        priority_contracts.decode_contract(Entry(mill.kind, "mill", mill.version, spelt)), MalformedDatagram
+        contract_entries.decode_contract(Entry(mill.kind, "mill", mill.version, spelt)), MalformedDatagram
     )
 
 
@@ -233,9 +235,9 @@
 
 
 TIERS = _held(
-    EntryKind.TIERS, "order", priority_contracts.TierOrder(("a", "b", "c"), 1100, 900, 0, 0), 0, -99.0, -99.0
+    EntryKind.TIERS, "order", contract_entries.TierOrder(("a", "b", "c"), 1100, 900, 0, 0), 0, -99.0, -99.0
 )
-TOWN = _held(EntryKind.CONTRACT, "town", priority_contracts.ContractTerms("b", 0, 0), 0, -99.0, -99.0)
+TOWN = _held(EntryKind.CONTRACT, "town", contract_entries.ContractTerms("b", 0, 0), 0, -99.0, -99.0)
 Known = tuple[
     tuple[int, float, float | None], ...
 ]  # of one router: edit, when heard, when known to be settled
@@ -247,13 +249,13 @@
     fresh = all(at is None or at + B > now or known[-1][0] >= edit for edit, at in enumerate(settled))
     tiers = (first, "c" if first == "a" else "a", first)
     board = Fixed(TOWN, fresh)
-    contracts = priority_contracts.EffectiveContracts(board)
+    contracts = EffectiveContracts(board)
     for edit, heard, told in known:
         for settle in (None, told):
             board.bodies = _held(
                 EntryKind.CONTRACT,
                 "mill",
-                priority_contracts.ContractTerms(tiers[edit], 0, 0),
+                contract_entries.ContractTerms(tiers[edit], 0, 0),
                 edit,
                 heard,
                 settle,
@@ -316,16 +318,16 @@
     assert states > 10_000 and acts > 1000 and longest == 0
 
 
-def _early(self: priority_contracts.BodyHistory[priority_contracts.ContractTerms]) -> bool:
+def _early(self: BodyHistory[contract_entries.ContractTerms]) -> bool:
     return self.certain_body is not None
 
 
 def test_the_small_world_finds_what_acts_too_early(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(priority_contracts.BodyHistory, "is_certain", _early)
+    monkeypatch.setattr(BodyHistory, "is_certain", _early)
     assert _explored("a", B)[2] > B
 
 
-FIGURES = priority_contracts.OverloadParameters(1.0, 0.8, 2.0, 0)
+FIGURES = OverloadParameters(1.0, 0.8, 2.0, 0)
 
 
 def test_the_level_goes_one_step_after_a_whole_dwell_and_to_none_at_once() -> None:
