Transport: read buffer, flusher, direct socket reads and the connection in modules of their own

Cause: one module held four things, in house words; figures had no unit or reason. The debts check of the endings named the timers' classes by their old names in a string and so looked at none: it names the new ones; the cancel's timer likewise.

--- a/cedarthread/protocols/control.py
+++ b/cedarthread/protocols/control.py
@@ -9,8 +9,9 @@
 from collections.abc import Callable, Mapping
 
 from cedarthread.transport.acceptor import Acceptor, create_listener
+from cedarthread.transport.connection import BufferedConnection
 from cedarthread.transport.descriptor_budget import MAX_OPERATOR_CONNECTIONS, SMALL_ACCEPTS_PER_PASS
-from cedarthread.transport.stream import BufferedConnection, Flusher
+from cedarthread.transport.flusher import Flusher
 
 log = logging.getLogger("cedarthread.control")
 
--- a/cedarthread/protocols/invoke.py
+++ b/cedarthread/protocols/invoke.py
@@ -31,8 +31,9 @@
 from cedarthread.protocols.http import Response, problem_response
 from cedarthread.protocols.invoke_config import InvokeConfig
 from cedarthread.transport.acceptor import Acceptor, create_listener
+from cedarthread.transport.connection import BufferedConnection
 from cedarthread.transport.descriptor_budget import SMALL_ACCEPTS_PER_PASS
-from cedarthread.transport.stream import BufferedConnection, Flusher
+from cedarthread.transport.flusher import Flusher
 
 log = logging.getLogger("cedarthread.invoke")
 
--- a/cedarthread/protocols/platform.py
+++ b/cedarthread/protocols/platform.py
@@ -15,8 +15,9 @@
 from cedarthread.model.settings import Idempotency, RouterSettings
 from cedarthread.protocols import msgpack
 from cedarthread.transport.acceptor import Acceptor, create_listener
+from cedarthread.transport.connection import BufferedConnection
 from cedarthread.transport.descriptor_budget import CLIENT_ACCEPTS_PER_PASS as ACCEPTED
-from cedarthread.transport.stream import BufferedConnection, Flusher
+from cedarthread.transport.flusher import Flusher
 
 log = logging.getLogger("cedarthread.platform")
 
--- a/cedarthread/protocols/workers.py
+++ b/cedarthread/protocols/workers.py
@@ -31,8 +31,9 @@
 from cedarthread.model.outcomes import Outcome, StartKind
 from cedarthread.model.settings import RouterSettings
 from cedarthread.protocols.endpoint_list import EndpointRecord
+from cedarthread.transport.connection import BufferedConnection
 from cedarthread.transport.descriptor_budget import EXHAUSTION_ERRNOS
-from cedarthread.transport.stream import BufferedConnection, Flusher
+from cedarthread.transport.flusher import Flusher
 
 log = logging.getLogger("cedarthread.runners")
 
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -22,7 +22,7 @@
 from cedarthread.protocols.platform import PlatformServer
 from cedarthread.protocols.workers import WorkerConnections
 from cedarthread.transport import descriptor_budget
-from cedarthread.transport.stream import Flusher
+from cedarthread.transport.flusher import Flusher
 
 if TYPE_CHECKING:
     from cedarthread.persistence.event_loop_store import EventLoopStore
--- a/cedarthread/testing/fuzzing/call_machine.py
+++ b/cedarthread/testing/fuzzing/call_machine.py
@@ -28,7 +28,7 @@
 from cedarthread.testing.fuzzing.target import Dice, Finding, Target
 from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop, play
 from cedarthread.testing.invariants import Figures, Ledger, Terms
-from cedarthread.transport.stream import Flusher
+from cedarthread.transport.flusher import Flusher
 
 OWNERS = ("spiffe://gaz.example/desk/a", "spiffe://gaz.example/desk/b")
 FUNCTIONS = ("00000000000000a1", "00000000000000b2", "00000000000000c3")
--- a/cedarthread/testing/fuzzing/stream_targets.py
+++ b/cedarthread/testing/fuzzing/stream_targets.py
@@ -45,7 +45,7 @@
 )
 from cedarthread.testing.fuzzing.target import ODD, Dice, Finding, Target, mutate_bytes
 from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop, play
-from cedarthread.transport.stream import Flusher
+from cedarthread.transport.flusher import Flusher
 
 FUNCTION = "00000000000000a1"
 
@@ -187,7 +187,11 @@
     """A platform client's whole connection."""
 
     name = "platform"
-    modules = ("cedarthread.protocols.platform", "cedarthread.transport.stream")
+    modules = (
+        "cedarthread.protocols.platform",
+        "cedarthread.transport.connection",
+        "cedarthread.transport.read_buffer",
+    )
 
     def draw(self, rng: random.Random) -> bytes:
         """Some messages in a row, perhaps the last one cut off."""
--- a/cedarthread/transport/acceptor.py
+++ b/cedarthread/transport/acceptor.py
@@ -1,7 +1,7 @@
-"""Takes connections from a listening socket: so many a turn, each counted before it is brought up.
+"""Accepts connections from a listening socket: a few in each loop pass, each counted before it is set up.
 
-asyncio's own server takes as many as its backlog in one turn and asks nobody; where no descriptor is left it
-hears nobody for a whole second."""
+asyncio's own server accepts up to its whole backlog in one pass, without asking whether there is room, and
+stops accepting for a whole second once no descriptor is left."""
 
 from __future__ import annotations
 
@@ -18,41 +18,45 @@
 
 log = logging.getLogger("cedarthread.acceptor")
 
-ACCEPT_PAUSE_S = 0.05  # s without accepting where no descriptor is left
-MAX_DRAIN_PASSES = 256  # turns at the end in which what still waits is taken
-TLS_HANDSHAKE_TIMEOUT_S = 5.0  # s that TLS has to come up
-TLS_SHUTDOWN_TIMEOUT_S = 1.0  # s that TLS has to end
+ACCEPT_PAUSE_S = 0.05  # without accepting, once no descriptor is left
+MAX_DRAIN_PASSES = 256  # loop passes at the end in which connections that still wait are accepted
+TLS_HANDSHAKE_TIMEOUT_S = 5.0
+TLS_SHUTDOWN_TIMEOUT_S = 1.0
 _TLS_TIMEOUTS = {
     "ssl_handshake_timeout": TLS_HANDSHAKE_TIMEOUT_S,
     "ssl_shutdown_timeout": TLS_SHUTDOWN_TIMEOUT_S,
 }
-_NO_TIMEOUTS: dict[str, float] = {}  # asyncio wants none without TLS
+_NO_TIMEOUTS: dict[str, float] = {}  # asyncio refuses TLS timeouts without TLS
 
 ProtocolT = TypeVar("ProtocolT", bound=asyncio.BaseProtocol)
 
 
 class BacklogState(Enum):
-    """What a turn of accepting left behind."""
+    """What a pass of accepting left in the socket's backlog."""
 
     EMPTY = "empty"
-    MAY_HAVE_MORE = "more"  # more may wait
-    OUT_OF_DESCRIPTORS = "short"  # no descriptor was left
+    MAY_HAVE_MORE = "more"
+    OUT_OF_DESCRIPTORS = "short"
 
 
 def create_listener(host: str, port: int, backlog: int, *, reuse_port: bool = False) -> socket.socket:
-    """A listening socket; OSError where there can be none. ``shared``: a successor may listen there too."""
+    """A non-blocking listening socket; OSError if there can be none.
+
+    With ``reuse_port`` another process may listen on the same address, as a successor does."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    made = socket.create_server((host, port), family=family, backlog=backlog, reuse_port=reuse_port)
-    made.setblocking(False)
-    return made
+    listening_socket = socket.create_server(
+        (host, port), family=family, backlog=backlog, reuse_port=reuse_port
+    )
+    listening_socket.setblocking(False)
+    return listening_socket
 
 
 class Acceptor(Generic[ProtocolT]):
-    """One listening socket.
+    """Accepts the connections of one listening socket.
 
-    ``welcome`` counts one more connection in and gives its protocol, or None where there is no room: that
-    one is closed at once. ``failed`` is told of one that never came up; ``scarce`` that no descriptor is
-    left, and says whether one is given back."""
+    ``create_protocol`` counts one more connection in and returns its protocol, or None where there is no
+    room: that connection is closed at once. ``on_setup_failed`` is told of one that never came up.
+    ``release_descriptor`` is called when no descriptor is left, and says whether it has freed one."""
 
     def __init__(
         self,
@@ -64,17 +68,13 @@
         release_descriptor: Callable[[], bool] = lambda: False,
         tls_context: ssl.SSLContext | None = None,
     ) -> None:
-        self.name, self.listening_socket, self.max_accepts_per_pass, self.tls_context = (
-            name,
-            listening_socket,
-            max_accepts_per_pass,
-            tls_context,
-        )
-        self.create_protocol, self.on_setup_failed, self.release_descriptor = (
-            create_protocol,
-            on_setup_failed,
-            release_descriptor,
-        )
+        self.name = name  # of the peers, for the log
+        self.listening_socket = listening_socket
+        self.max_accepts_per_pass = max_accepts_per_pass
+        self.tls_context = tls_context
+        self.create_protocol = create_protocol
+        self.on_setup_failed = on_setup_failed
+        self.release_descriptor = release_descriptor
         self._setup_tasks: dict[ProtocolT, asyncio.Task[None]] = {}
         self._resume_timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
@@ -82,86 +82,79 @@
 
     @property
     def port(self) -> int:
-        """Where it listens."""
+        """The port that it listens on."""
         return int(self.listening_socket.getsockname()[1])
 
     def _on_readable(self) -> None:
         if self._accept_batch() is BacklogState.OUT_OF_DESCRIPTORS:
-            self._loop.remove_reader(self.listening_socket.fileno())
+            descriptor = self.listening_socket.fileno()
+            self._loop.remove_reader(descriptor)
             self._resume_timer = self._loop.call_later(
-                ACCEPT_PAUSE_S, self._loop.add_reader, self.listening_socket.fileno(), self._on_readable
+                ACCEPT_PAUSE_S, self._loop.add_reader, descriptor, self._on_readable
             )
 
     def _accept_batch(self) -> BacklogState:
-        """Accept what a turn allows. What was taken is up before more is: only what is up can make room."""
-        turned, left = 0, BacklogState.MAY_HAVE_MORE
-        if self._setup_tasks and self.tls_context is None:  # it takes two turns; a handshake may take seconds
-            return left
+        """Accept what one pass allows."""
+        # Only connections that are up can be evicted, so those accepted before must be up first. That takes
+        # two passes; a TLS handshake may take seconds, and is not waited for.
+        if self._setup_tasks and self.tls_context is None:
+            return BacklogState.MAY_HAVE_MORE
+        rejected_count, backlog = 0, BacklogState.MAY_HAVE_MORE
         for _ in range(self.max_accepts_per_pass):
             try:
                 connection, _ = self.listening_socket.accept()
             except (ConnectionAbortedError, InterruptedError):  # one that waited has gone
                 continue
             except OSError as error:
-                left = (
-                    BacklogState.OUT_OF_DESCRIPTORS
-                    if error.errno in EXHAUSTION_ERRNOS
-                    else BacklogState.EMPTY
-                )
+                is_exhausted = error.errno in EXHAUSTION_ERRNOS
+                backlog = BacklogState.OUT_OF_DESCRIPTORS if is_exhausted else BacklogState.EMPTY
                 break
             protocol = self.create_protocol()
             if protocol is None:
                 connection.close()
-                turned += 1
+                rejected_count += 1
             else:
                 self._start_setup(connection, protocol)
-        if turned:
-            log.warning("%s: connection limit reached: %d turned away", self.name, turned)
-        if left is BacklogState.OUT_OF_DESCRIPTORS:
-            log.warning(
-                "%s: no descriptor left, %s",
-                self.name,
-                "room made" if self.release_descriptor() else "none to be had",
-            )
-        return left
+        if rejected_count:
+            log.warning("%s: connection limit reached: %d turned away", self.name, rejected_count)
+        if backlog is BacklogState.OUT_OF_DESCRIPTORS:
+            relief = "room made" if self.release_descriptor() else "none to be had"
+            log.warning("%s: no descriptor left, %s", self.name, relief)
+        return backlog
 
     def _start_setup(self, connection: socket.socket, protocol: ProtocolT) -> None:
         connection.setblocking(False)
         task = self._loop.create_task(self._set_up(connection, protocol))
         self._setup_tasks[protocol] = task
         if self.tls_context is not None:
-            task.add_done_callback(partial(self._on_setup_cancelled, protocol, connection))
+            task.add_done_callback(partial(self._on_setup_done, protocol, connection))
 
-    def _on_setup_cancelled(
+    def _on_setup_done(
         self, protocol: ProtocolT, connection: socket.socket, task: asyncio.Task[None]
     ) -> None:
-        if task.cancelled():  # perhaps before its first step: nobody else closes it then
+        if task.cancelled():  # perhaps before its first step: nobody else closes the socket then
             self._setup_tasks.pop(protocol, None)
             connection.close()
 
     async def _set_up(self, connection: socket.socket, protocol: ProtocolT) -> None:
-        limits = _NO_TIMEOUTS if self.tls_context is None else _TLS_TIMEOUTS
+        timeouts = _NO_TIMEOUTS if self.tls_context is None else _TLS_TIMEOUTS
         try:
             await self._loop.connect_accepted_socket(
-                lambda: protocol, connection, ssl=self.tls_context, **limits
+                lambda: protocol, connection, ssl=self.tls_context, **timeouts
             )
-        except Exception as error:  # whatever a stranger does in the handshake ends that connection alone
+        except Exception as error:  # whatever a peer does in the handshake ends its connection alone
             log.debug("%s: a connection did not come up: %s", self.name, error)
             self.on_setup_failed(protocol)
         finally:
             self._setup_tasks.pop(protocol, None)
 
-    def is_finished(self) -> bool:
-        """It has ended, and all that it took is up or closed."""
-        return self.listening_socket.fileno() < 0 and not self._setup_tasks
-
     def cancel_setup(self, protocol: ProtocolT) -> None:
-        """Close one that is in its handshake, and has been counted out."""
+        """Close a connection that is in its handshake, and has been counted out."""
         if (task := self._setup_tasks.get(protocol)) is not None:
             task.cancel()
 
     def drain_and_close(self) -> None:
-        """Accept no more. Guards against connections reset unheard: those that wait to be taken are taken."""
+        """Stop listening once the backlog is empty: closing at once would reset the connections in it."""
         self._stop_accepting()
         self._accept_remaining(MAX_DRAIN_PASSES)
 
@@ -171,8 +164,12 @@
         else:
             self.listening_socket.close()
 
+    def is_finished(self) -> bool:
+        """It has stopped listening, and all that it accepted is up or closed."""
+        return self.listening_socket.fileno() < 0 and not self._setup_tasks
+
     def close(self) -> None:
-        """Accept no more, at once."""
+        """Stop listening at once."""
         self._stop_accepting()
         self.listening_socket.close()
 
--- /dev/null
+++ b/cedarthread/transport/connection.py
@@ -0,0 +1,200 @@
+"""The base class of all stream connections: buffered reading, coalesced writing, lingering close."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import cast
+
+from cedarthread.transport.flusher import Flusher
+from cedarthread.transport.read_buffer import ReadBuffer
+from cedarthread.transport.socket_reader import ReadStop, SocketReader, disable_nagle
+
+log = logging.getLogger("cedarthread.net")
+
+LINGER_S = 1.0  # how long input is still read and discarded after the last response
+LINGER_MAX_BYTES = 4 * 2**20  # how much input is so discarded at most
+_DISCARD_BUFFER = bytearray(64 * 1024)  # where discarded input is read to, shared by all connections
+
+
+class BufferedConnection(asyncio.BufferedProtocol):
+    """One connection of any protocol. Whatever fails on it ends this connection alone.
+
+    A subclass implements ``on_data`` and, as it needs, ``on_connected``, ``on_disconnected``,
+    ``on_invalid_input`` and ``on_buffer_full``."""
+
+    high_water = 64 * 1024  # bytes in the transport's write buffer above which writing pauses
+
+    def __init__(self, max_buffer_bytes: int, flusher: Flusher) -> None:
+        self.buffer = ReadBuffer(max_buffer_bytes)
+        self.flusher = flusher
+        self.transport: asyncio.Transport | None = None
+        self.write_queue: list[bytes] = []
+        self.is_write_paused = False
+        self.is_closed = False
+        self.last_read_at = 0.0  # loop time in seconds
+        self.discard_budget: int | None = None  # bytes still discarded, once no more input is taken
+        self._is_flush_scheduled = False
+        self._linger_timer: asyncio.TimerHandle | None = None
+        self._socket_reader: SocketReader | None = None  # made on first use
+        self._loop = asyncio.get_running_loop()
+
+    def on_connected(self) -> None:
+        """The connection is up."""
+
+    def on_data(self, data: memoryview) -> int | None:
+        """Process the complete messages at the start of the data.
+
+        Returns how many bytes they had, or None if the input is invalid."""
+        raise NotImplementedError
+
+    def on_invalid_input(self) -> None:
+        """The input cannot be parsed, and so nothing that follows it can."""
+        self.close()
+
+    def on_buffer_full(self) -> None:
+        """The buffer is full and holds no complete message."""
+        self.on_invalid_input()
+
+    def on_disconnected(self) -> None:
+        """The connection is down."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection came up (asyncio)."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=self.high_water)
+        disable_nagle(self.transport)
+        self.last_read_at = self._loop.time()
+        self.on_connected()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is down (asyncio)."""
+        self.is_closed = True
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
+        try:
+            self.on_disconnected()
+        except Exception:
+            log.exception("cleaning up after a connection failed")
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where to read to (asyncio)."""
+        return self.buffer.writable_space() if self.discard_budget is None else memoryview(_DISCARD_BUFFER)
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Bytes were read (asyncio)."""
+        self.last_read_at = self._loop.time()
+        if self.discard_budget is not None:
+            return self._discard(nbytes)
+        self.buffer.advance(nbytes)
+        self._process_buffer()
+
+    def eof_received(self) -> bool:
+        """The peer has closed its sending side (asyncio). True keeps this side open."""
+        return False
+
+    def read_available(self) -> bool:
+        """Read and process what is in the socket now, also while reading is paused.
+
+        Returns False if the connection is broken, which asyncio may not have reported yet. An end of input
+        is reported by ``eof_received``, and once more when asyncio sees it."""
+        if self.discard_budget is not None or self.transport is None:
+            return True
+        if self.is_closed or self.transport.is_closing():
+            return False
+        if self._socket_reader is None:
+            transport_socket = self.transport.get_extra_info("socket")
+            if transport_socket is None:
+                return True
+            self._socket_reader = SocketReader(transport_socket)
+        if not self._socket_reader.has_input():
+            return True
+        stop = self._socket_reader.read(self._space_for_direct_read, self.buffer_updated)
+        if stop is ReadStop.END_OF_INPUT:
+            self.eof_received()
+        return stop is not ReadStop.BROKEN
+
+    def _space_for_direct_read(self) -> memoryview | None:
+        return None if self.is_closed or self.discard_budget is not None else self.buffer.writable_space()
+
+    def _process_buffer(self) -> None:
+        try:
+            with self.buffer.peek() as data:
+                consumed = self.on_data(data)
+        except Exception:
+            log.exception("connection dropped: its input made this program fail")
+            consumed = None
+        if consumed is None:
+            return self.on_invalid_input()
+        self.buffer.consume(consumed)
+        if self.buffer.is_full():
+            self.on_buffer_full()
+
+    def pause_writing(self) -> None:
+        """The peer reads slowly (asyncio)."""
+        self.is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """The peer has caught up (asyncio)."""
+        self.is_write_paused = False
+        self.flush()
+
+    def write(self, data: bytes) -> None:
+        """Queue bytes; they are flushed by the end of this loop pass."""
+        self.write_queue.append(data)
+        self.schedule_flush()
+
+    def schedule_flush(self) -> None:
+        """Have the queue flushed together with those of other connections."""
+        if not self._is_flush_scheduled and not self.is_closed:
+            self._is_flush_scheduled = True
+            self.flusher.schedule(self)
+
+    def flush(self) -> None:
+        """Hand the queue to the transport, unless the peer reads slowly."""
+        self._is_flush_scheduled = False
+        if (
+            self.write_queue
+            and not self.is_write_paused
+            and self.transport is not None
+            and not self.is_closed
+        ):
+            queued, self.write_queue = self.write_queue, []
+            self.transport.write(b"".join(queued))
+
+    def close(self) -> None:
+        """Close gracefully: what is queued is sent first."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.flush()
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def lingering_close(self) -> None:
+        """Flush, close the sending side, discard what the peer still sends, then close.
+
+        Closing while input stands unread would reset the connection, and a reset takes away the response that
+        the peer has not read yet (RFC 9112, section 9.6)."""
+        if self.transport is None or self.is_closed or self.discard_budget is not None:
+            return
+        self.discard_budget = LINGER_MAX_BYTES
+        self.flush()
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.transport.resume_reading()
+        self._linger_timer = self._loop.call_later(LINGER_S, self._finish_lingering)
+
+    def _finish_lingering(self) -> None:
+        if self.transport is not None and not self.transport.get_write_buffer_size():
+            self.transport.close()
+        else:
+            self.abort()
+
+    def _discard(self, count: int) -> None:
+        assert self.discard_budget is not None
+        self.discard_budget -= count
+        if self.discard_budget <= 0:
+            self.abort()
--- /dev/null
+++ b/cedarthread/transport/flusher.py
@@ -0,0 +1,36 @@
+"""Coalesces the writes of all connections into one flush for each pass of the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+
+class Flushable(Protocol):
+    """A connection with queued output."""
+
+    def flush(self) -> None:
+        """Hand the queued output to the transport."""
+
+
+class Flusher:
+    """Flushes the connections that have queued output: once a loop pass, or earlier when told to.
+
+    The dispatcher flushes as soon as it has processed its events. If the writes were left to a later pass of
+    the loop, responses would wait behind all the reading of that pass whenever the CPU is short."""
+
+    def __init__(self) -> None:
+        self._scheduled: list[Flushable] = []
+        self._loop = asyncio.get_running_loop()
+
+    def schedule(self, connection: Flushable) -> None:
+        """Flush this connection in the next loop pass at the latest."""
+        if not self._scheduled:
+            self._loop.call_soon(self.flush_all)
+        self._scheduled.append(connection)
+
+    def flush_all(self) -> None:
+        """Flush every scheduled connection now."""
+        scheduled, self._scheduled = self._scheduled, []
+        for connection in scheduled:
+            connection.flush()
--- a/tests/integration/test_endings.py
+++ b/tests/integration/test_endings.py
@@ -29,6 +29,8 @@
 from cedarthread.testing.fakes.settings import SETTINGS
 from tests.unit.test_settings_reload import file_with
 
+# The classes of the workers' side: methods of theirs are what its timers call.
+TIMER_OWNERS = ("WorkerConnections.", "WorkerConnection.", "WorkerConnectionPool.")
 INTERRUPT = b"\x93\x02\xa9interrupt\x91"
 LONG = "60000"  # ms of a limit that no test waits for
 Dial = Callable[..., Any]
@@ -92,7 +94,7 @@
         "queued": front.queued_bytes,
         "figures of all": counts["taken"] - ends - counts["left"],
         "figures of classes": ends - sum(figures),
-        "timers": [n for n in names if n.startswith(("Runners.", "RunnerConnection.", "Pool."))],
+        "timers": [n for n in names if n.startswith(TIMER_OWNERS)],
     }
     return {name: debt for name, debt in owed.items() if debt}
 
@@ -704,7 +706,7 @@
             await runner.until(lambda: runner.cancelled == [f"{3:016x}"])
             runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
             assert told(await caller.read()) == "served"
-            [timer] = [h for h in running.dispatcher._loop._scheduled if "_given_up" in repr(h)]  # type: ignore
+            [timer] = [h for h in running.dispatcher._loop._scheduled if "_finish_cancel" in repr(h)]  # type: ignore
             timer._run()  # its time has come: the call counts as given up
             timer.cancel()
 
--- a/tests/integration/test_worker_connections.py
+++ b/tests/integration/test_worker_connections.py
@@ -23,7 +23,7 @@
 )
 from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fakes.settings import SETTINGS
-from cedarthread.transport.stream import Flusher
+from cedarthread.transport.flusher import Flusher
 from tests.unit.test_parsers import reply
 
 
--- a/tests/unit/test_parsers.py
+++ b/tests/unit/test_parsers.py
@@ -14,7 +14,9 @@
 from cedarthread.protocols.discovery import endpoints_from_reply
 from cedarthread.protocols.workers import parse_call_response
 from cedarthread.testing.fakes.scripted import pack_call
-from cedarthread.transport.stream import BufferedConnection, Flusher, ReadBuffer
+from cedarthread.transport.connection import BufferedConnection
+from cedarthread.transport.flusher import Flusher
+from cedarthread.transport.read_buffer import ReadBuffer
 
 fixed = settings(derandomize=True, deadline=None, max_examples=60)
 CALLS = [pack_call(n, "check", bytes(range(256)) * n, props="lanes:2") for n in range(1, 40)]
