--- a/cedarthread/config.py
+++ b/cedarthread/config.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any
 
+from cedarthread.errors import CedarthreadError
 from cedarthread.model.settings import RouterSettings
 from cedarthread.number_checks import bounded_number
 from cedarthread.protocols.endpoint_list import EndpointRecord, endpoint_from_json, parse_address
@@ -16,7 +17,7 @@
 from cedarthread.settings_parser import SettingsError, settings_from_object
 
 
-class ConfigError(Exception):
+class ConfigError(CedarthreadError):
     """The configuration can't be used."""
 
 
