Workers: codec, line queue, connection, pool, preloads and transport in six modules

Change: worker_codec (the wire's words alone), worker_requests (records), worker_line_queue (progress of lines, without I/O), worker_connection, worker_pool, worker_preloads, workers. Injected defects patch the same functions where they stand now; the fuzzing's stand-in of the dispatcher counts written attempts too; the debts check looks at preload timers. Ruled out: a protocol class between connection and pool; it would name every member twice.

--- /dev/null
+++ b/cedarthread/protocols/worker_preloads.py
@@ -0,0 +1,75 @@
+"""Preload requests to workers: each ends exactly once, by a response, a timeout or a failed connection."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.model.events import PreloadEnded
+from cedarthread.model.outcomes import Outcome
+from cedarthread.protocols.worker_codec import PreloadResponse, encode_preload
+from cedarthread.protocols.worker_requests import PendingPreload
+
+if TYPE_CHECKING:
+    from cedarthread.protocols.worker_connection import WorkerConnection
+    from cedarthread.protocols.worker_pool import WorkerConnectionPool
+
+PRELOAD_FLUSH_S = 0.5  # how long a preload request may wait here until its first byte is written
+
+
+class PreloadRequests:
+    """Sends preload requests and reports the end of each to the dispatcher."""
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self._dispatcher = dispatcher
+        self._count = 0
+        self._loop = asyncio.get_running_loop()
+
+    def send(
+        self,
+        pool: WorkerConnectionPool | None,
+        worker_id: int,
+        function_id: int,
+        instances: int,
+        timeout_ms: float,
+    ) -> None:
+        """Ask a worker to load instances of a function; without a connection this fails at once."""
+        self._count += 1
+        preload = PendingPreload(f"load-{self._count}", worker_id, function_id, self._dispatcher.clock())
+        connection = pool.acquire(preload.message_id) if pool is not None else None
+        if connection is None:
+            return self.finish(preload, Outcome.CONNECT_FAILED)
+        connection.send_request(encode_preload(preload.message_id, function_id, instances), preload)
+        preload.timers += (
+            self._loop.call_later(PRELOAD_FLUSH_S, self._on_unsent, preload, connection),
+            self._loop.call_later(timeout_ms / 1000.0, self._on_timeout, preload, connection),
+        )
+
+    def _on_unsent(self, preload: PendingPreload, connection: WorkerConnection) -> None:
+        """Withdraw a preload that could not be written yet.
+
+        Those that wait for a worker that reads slowly would else reach it all at once, past the budget."""
+        if connection.withdraw(preload):
+            self.finish(preload, Outcome.CONNECT_FAILED)
+
+    def _on_timeout(self, preload: PendingPreload, connection: WorkerConnection) -> None:
+        """Give up a preload without a response: it would hold its place in the budget for good."""
+        if not connection.withdraw(preload):
+            connection.in_flight.pop(preload.message_id, None)
+        self.finish(preload, Outcome.TIMEOUT)
+
+    def on_response(self, preload: PendingPreload, response: PreloadResponse) -> None:
+        """The worker has responded."""
+        self.finish(preload, response.outcome, response.instances)
+
+    def finish(self, preload: PendingPreload, outcome: Outcome, instances: int = 0) -> None:
+        """Report the end of a preload; any later end of it is ignored."""
+        if not preload.is_finished:
+            preload.is_finished = True
+            for timer in preload.timers:
+                timer.cancel()
+            latency_ms = self._dispatcher.clock() - preload.sent_at_ms
+            self._dispatcher.preload_ended(
+                PreloadEnded(preload.worker_id, preload.function_id, outcome, instances, latency_ms)
+            )
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -310,7 +310,7 @@
             return
         self.reloads += 1
         settings = self.dispatcher.update_settings(told.settings)
-        self.workers.apply_settings(settings)
+        self.workers.update_settings(settings)
         self.config = replace(
             self.config,
             settings=told.settings,
--- a/cedarthread/testing/fuzzing/call_machine.py
+++ b/cedarthread/testing/fuzzing/call_machine.py
@@ -463,6 +463,11 @@
         "cedarthread.dispatch",
         "cedarthread.routing.router",
         "cedarthread.protocols.platform",
+        "cedarthread.protocols.worker_codec",
+        "cedarthread.protocols.worker_connection",
+        "cedarthread.protocols.worker_line_queue",
+        "cedarthread.protocols.worker_pool",
+        "cedarthread.protocols.worker_preloads",
         "cedarthread.protocols.workers",
     )
     work = (400_000, 12_000)
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -37,8 +37,11 @@
     msgpack,
     platform,
     spiffe,
-    workers,
+    worker_connection,
 )
+from cedarthread.protocols.worker_codec import parse_call_response
+from cedarthread.protocols.worker_connection import WorkerConnection
+from cedarthread.protocols.workers import WorkerConnections
 from cedarthread.routing.router import Router
 from cedarthread.routing.state import PendingRequest, WorkerRecord
 from cedarthread.testing.fuzzing import targets
@@ -76,7 +79,7 @@
 _send = ActionExecutor._start_attempt
 _may_order = Router._may_preload
 _length = http._parse_content_length
-_read_ending = workers.parse_call_response
+_read_ending = parse_call_response
 
 
 def _answer_twice(self: platform.PlatformConnection, number: int, answer: CallResult) -> None:
@@ -221,14 +224,14 @@
     self.shutdown_deadline_ms = None
 
 
-def _kept_in_carrying(self: workers.WorkerConnections, carried: Any, ending: Any, outcome: Outcome) -> None:
+def _kept_in_carrying(self: WorkerConnections, carried: Any, ending: Any, outcome: Outcome) -> None:
     if isinstance(carried, Attempt):
         self.dispatcher.attempt_ended(carried, ending(carried))
     else:
-        self.finish_preload(carried, outcome, 0)
+        self.preloads.finish(carried, outcome)
 
 
-def _cancel_unsure(self: workers.WorkerConnections, attempt: Attempt, connection: Any, told: Any) -> None:
+def _cancel_unsure(self: WorkerConnections, attempt: Attempt, connection: Any, told: Any) -> None:
     self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
 
 
@@ -268,18 +271,16 @@
         3000,
         ((CallCompletion, "expire", _nothing), (CallCompletion, "complete_overdue", _nothing)),
     ),
-    Defect("carried-kept", "calls", 1500, ((workers.WorkerConnections, "_end_request", _kept_in_carrying),)),
-    Defect(
-        "cancel-not-told", "calls", 6000, ((workers.WorkerConnections, "_finish_cancel", _cancel_unsure),)
-    ),
-    Defect("half-written-unseen", "calls", 9000, ((workers.WorkerConnection, "refresh_progress", _nothing),)),
+    Defect("carried-kept", "calls", 1500, ((WorkerConnections, "_end_request", _kept_in_carrying),)),
+    Defect("cancel-not-told", "calls", 6000, ((WorkerConnections, "_finish_cancel", _cancel_unsure),)),
+    Defect("half-written-unseen", "calls", 9000, ((WorkerConnection, "refresh_progress", _nothing),)),
     Defect("repeat-refused-at-end", "calls", 6000, ((invoke.InvokeServer, "has_executed_call", _never),)),
     # The look before bytes leave would hold back what is not withdrawn: both guards are out.
     Defect(
         "unsent-not-withdrawn",
         "calls",
         9000,
-        ((workers.WorkerConnections, "withdraw_unsent", _nothing), _dispatch("may_start_attempt", _begins)),
+        ((WorkerConnections, "withdraw_unsent", _nothing), _dispatch("may_start_attempt", _begins)),
     ),
     Defect(
         "goes-on-without-client",
@@ -299,7 +300,9 @@
     ),
     Defect("stale-news-taken", "roster", 50, ((endpoint_list.EndpointList, "apply_update", _stale_news),)),
     Defect("two-lengths-taken", "http", 400, ((http, "_parse_content_length", _lenient_length),)),
-    Defect("spoilt-answer-passed", "lines", 100, ((workers, "parse_call_response", _spoilt_passes),)),
+    Defect(
+        "spoilt-answer-passed", "lines", 100, ((worker_connection, "parse_call_response", _spoilt_passes),)
+    ),
     Defect("dots-in-ids", "spiffe", 200, ((spiffe, "parse_trust_domain", _any_segment),)),
     Defect("first-name-counts", "certificate", 200, ((spiffe, "_parse_identity", _first_uri),)),
     Defect(
--- a/cedarthread/testing/fuzzing/stream_targets.py
+++ b/cedarthread/testing/fuzzing/stream_targets.py
@@ -26,12 +26,11 @@
 from cedarthread.protocols.invoke_config import InvokeConfig
 from cedarthread.protocols.platform import PlatformConnection, PlatformServer
 from cedarthread.protocols.spiffe import Identity
-from cedarthread.protocols.workers import (
-    PendingPreload,
-    WorkerConnection,
-    WorkerConnectionPool,
-    WorkerConnections,
-)
+from cedarthread.protocols.worker_codec import parse_preload_response
+from cedarthread.protocols.worker_connection import WorkerConnection
+from cedarthread.protocols.worker_pool import WorkerConnectionPool
+from cedarthread.protocols.worker_preloads import PreloadRequests
+from cedarthread.protocols.worker_requests import PendingPreload
 from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fuzzing import settings as drawn_settings
 from cedarthread.testing.fuzzing.invoke_caller import read_reply
@@ -298,6 +297,9 @@
         """Its client is there."""
         return True
 
+    def count_attempt_written(self, attempt: Attempt) -> None:
+        """Its line is written."""
+
     def on_call_response(self, attempt: Attempt, ending: AttemptResult) -> None:
         """An answer."""
         for value in ending.load_report:
@@ -312,9 +314,7 @@
 
     def on_preload_response(self, preload: PendingPreload, message: dict[str, Any]) -> None:
         """An order's end."""
-        runners = WorkerConnections.__new__(WorkerConnections)
-        runners.dispatcher = cast(Any, self)
-        runners.on_preload_response(preload, message)
+        PreloadRequests(cast(Any, self)).on_response(preload, parse_preload_response(message))
         self.ends.append((preload.message_id, "order", b""))
 
     def preload_ended(self, event: PreloadEnded) -> None:
@@ -326,7 +326,14 @@
     """The lines that a runner sends, on a connection with three calls and an order open."""
 
     name = "lines"
-    modules = ("cedarthread.protocols.workers",)
+    modules = (
+        "cedarthread.protocols.worker_codec",
+        "cedarthread.protocols.worker_connection",
+        "cedarthread.protocols.worker_line_queue",
+        "cedarthread.protocols.worker_pool",
+        "cedarthread.protocols.worker_preloads",
+        "cedarthread.protocols.workers",
+    )
     names = ("a1", "a2", "a3", "load-1")
 
     def draw(self, rng: random.Random) -> bytes:
@@ -367,8 +374,8 @@
         transport.begin(connection)
         for name in self.names[:3]:
             call = Call(name, 0, 7, 1e18, b"", lambda answer: None)
-            connection.send_request(name, b"{}\n", Attempt(call, 0, 1, 0.0, Progress.WRITTEN))
-        connection.send_request("load-1", b"{}\n", PendingPreload("load-1", 1, 7, 0.0))
+            connection.send_request(b"{}\n", Attempt(call, 0, 1, 0.0, Progress.WRITTEN))
+        connection.send_request(b"{}\n", PendingPreload("load-1", 1, 7, 0.0))
         await feed(transport, data, seed)
         transport.hang_up()
         await asyncio.sleep(0)
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -77,10 +77,10 @@
 from cedarthread.priority import contracts
 from cedarthread.protocols import discovery as protocols_discovery
 from cedarthread.protocols import dns, http, invoke, msgpack, platform
-from cedarthread.protocols import workers as protocols_workers
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
 from cedarthread.protocols.invoke_config import InvokeConfig
 from cedarthread.protocols.invoke_config import parse as parse_invoke
+from cedarthread.protocols.worker_codec import encode_call, encode_message, parse_call_response
 from cedarthread.recovery import codec as return_form
 from cedarthread.recovery import pacing
 from cedarthread.recovery.component import RecoveryComponent
@@ -583,19 +583,15 @@
     }
 
     def reads(raw: bytes) -> Json:
-        return plain(protocols_workers.parse_call_response(json.loads(raw), columns))
+        return plain(parse_call_response(json.loads(raw), columns))
 
     tag: str = "load-1"
     return [
-        Sample("call", protocols_workers.encode_call(call(b"body \x00\xff", None), '"check"', 1234.9)),
-        Sample(
-            "keyed call", protocols_workers.encode_call(call(b"", 'k"\u00e9'), json.dumps("rev\u00fc"), 0.2)
-        ),
-        Sample(
-            "load", protocols_workers.encode_message("LOAD", tag, {"thing": f"{FUNCTION:016x}", "pods": 2})
-        ),
-        Sample("cancel", protocols_workers.encode_message("CANCEL", "00000000000000a1")),
-        Sample("unload", protocols_workers.encode_message("UNLOAD", f"{FUNCTION:016x}")),
+        Sample("call", encode_call(call(b"body \x00\xff", None), '"check"', 1234.9)),
+        Sample("keyed call", encode_call(call(b"", 'k"\u00e9'), json.dumps("rev\u00fc"), 0.2)),
+        Sample("load", encode_message("LOAD", tag, {"thing": f"{FUNCTION:016x}", "pods": 2})),
+        Sample("cancel", encode_message("CANCEL", "00000000000000a1")),
+        Sample("unload", encode_message("UNLOAD", f"{FUNCTION:016x}")),
         *(Sample(f"answer {name}", json.dumps(one).encode(), reads) for name, one in answers.items()),
     ]
 
--- a/tests/integration/test_client_gone.py
+++ b/tests/integration/test_client_gone.py
@@ -19,7 +19,8 @@
 from cedarthread.dispatch.dispatcher import Dispatcher
 from cedarthread.protocols import msgpack
 from cedarthread.protocols.platform import PlatformConnection
-from cedarthread.protocols.workers import WorkerConnection, WorkerConnectionPool
+from cedarthread.protocols.worker_connection import WorkerConnection
+from cedarthread.protocols.worker_pool import WorkerConnectionPool
 from cedarthread.service import Service
 from cedarthread.testing.fakes.client import plain
 from cedarthread.testing.fakes.scripted import Runner, hit, pack_call, service
--- a/tests/integration/test_endings.py
+++ b/tests/integration/test_endings.py
@@ -22,15 +22,16 @@
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.model.events import PreloadEnded
 from cedarthread.model.outcomes import Outcome
-from cedarthread.protocols import workers as net_runners
-from cedarthread.protocols.workers import IDLE_CLOSE_FRACTION, WorkerConnection
+from cedarthread.protocols import workers
+from cedarthread.protocols.worker_connection import WorkerConnection
+from cedarthread.protocols.workers import IDLE_CLOSE_FRACTION
 from cedarthread.service import Service
 from cedarthread.testing.fakes.scripted import Client, Runner, client, hit, listing, pack_call, says, service
 from cedarthread.testing.fakes.settings import SETTINGS
 from tests.unit.test_settings_reload import file_with
 
 # The classes of the workers' side: methods of theirs are what its timers call.
-TIMER_OWNERS = ("WorkerConnections.", "WorkerConnection.", "WorkerConnectionPool.")
+TIMER_OWNERS = ("WorkerConnections.", "WorkerConnection.", "WorkerConnectionPool.", "PreloadRequests.")
 INTERRUPT = b"\x93\x02\xa9interrupt\x91"
 LONG = "60000"  # ms of a limit that no test waits for
 Dial = Callable[..., Any]
@@ -89,7 +90,7 @@
         "loads": router.preloads_in_flight or [f for f in router.functions.values() if f.preloading_workers],
         "carrying": runners._connection_by_attempt,
         "streams": [name for c in mine for name in c.in_flight],
-        "lines": [line for c in mine for line in (*c.queued_lines, *c.buffered_lines)],
+        "lines": [line for c in mine for line in (*c.lines.queued, *c.lines.buffered)],
         "requests": [number for c in theirs for number in c.open_calls],
         "queued": front.queued_bytes,
         "figures of all": counts["taken"] - ends - counts["left"],
@@ -270,7 +271,7 @@
             [(at, pool)] = [(n, p) for n, p in running.workers.pools.items() if p.connections]
             pool.connections[0].is_write_paused = True  # as after a write that the peer's window did not take
             caller.writer.write(pack_call(2, "confirm", b"x"))
-            await until(lambda: pool.connections[0].queued_lines, "the call waits for the slow runner")
+            await until(lambda: pool.connections[0].lines.queued, "the call waits for the slow runner")
             states = [DRAINING if n == at else READY for n in (1, 2)]
             tell(running, runners, *states, started_at_ms=pool.connections[0].created_at_ms - 1.0)
             assert await caller.read() == [1, 2, None, [b"X", {}]]
@@ -696,7 +697,7 @@
             runner.writers[0].transport.pause_reading()  # type: ignore[attr-defined]
             caller.writer.write(pack_call(3, "check", b"y" * 16_000, limit=LONG))
             await until(lambda: connection.is_write_paused, "the runner's window is full")
-            monkeypatch.setattr(net_runners, "CANCEL_SETTLE_S", 10.0 if first == "reads" else 0.0)
+            monkeypatch.setattr(workers, "CANCEL_SETTLE_S", 10.0 if first == "reads" else 0.0)
             caller.writer.write(INTERRUPT + b"\x03")
             if first == "time":
                 assert told(await caller.read()) == "failed"  # it has not been told but by closing
--- a/tests/integration/test_endings_accounting.py
+++ b/tests/integration/test_endings_accounting.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cedarthread.protocols.workers import WorkerConnection
+from cedarthread.protocols.worker_connection import WorkerConnection
 from cedarthread.testing.fakes.discovery_server import Listed, ResolverServer
 from cedarthread.testing.fakes.scripted import Runner, client, hit, pack_call, says
 from cedarthread.testing.fakes.settings import SETTINGS
--- a/tests/integration/test_endings_bad_input.py
+++ b/tests/integration/test_endings_bad_input.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from cedarthread.protocols.workers import MAX_LINE_BYTES
+from cedarthread.protocols.worker_codec import MAX_LINE_BYTES
 from cedarthread.service import Service
 from cedarthread.testing.fakes.discovery_server import Listed, ResolverServer, reply
 from cedarthread.testing.fakes.scripted import Runner, client, hit, pack_call
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -168,7 +168,7 @@
             at = 1 if pool.endpoint.port == slow.port else 2
             pool.connections[0].is_write_paused = True  # as after a write that the peer's window did not take
             caller.writer.write(pack_call(2, "confirm", b"x"))
-            while not pool.connections[0].queued_lines:
+            while not pool.connections[0].lines.queued:
                 await asyncio.sleep(0)
             told = [listing(slow, 1), listing(other, 2)]
             told[at - 1] = listing((slow, other)[at - 1], at, EndpointState.DRAINING)
--- a/tests/integration/test_worker_connections.py
+++ b/tests/integration/test_worker_connections.py
@@ -15,12 +15,10 @@
 from cedarthread.model.outcomes import Outcome
 from cedarthread.protocols.discovery import DiscoveryClient
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
-from cedarthread.protocols.workers import (
-    PendingPreload,
-    WorkerConnection,
-    WorkerConnectionPool,
-    WorkerConnections,
-)
+from cedarthread.protocols.worker_connection import WorkerConnection
+from cedarthread.protocols.worker_pool import WorkerConnectionPool
+from cedarthread.protocols.worker_requests import PendingPreload
+from cedarthread.protocols.workers import WorkerConnections
 from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fakes.settings import SETTINGS
 from cedarthread.transport.flusher import Flusher
@@ -357,9 +355,9 @@
         late.write_deadline_ms = bench.planner.clock() - 1.0
         bench.runners.preload(1, 7, 1)
         (order,) = [
-            line.request for line in bench.connection.queued_lines if isinstance(line.request, PendingPreload)
+            line.request for line in bench.connection.lines.queued if isinstance(line.request, PendingPreload)
         ]
-        bench.runners._on_preload_unsent(order, bench.connection)
+        bench.runners.preloads._on_unsent(order, bench.connection)
         assert [event.outcome for event in bench.planner.orders] == [Outcome.CONNECT_FAILED]
         wrote = bench.socket.wrote
         bench.socket.held = 0
@@ -374,10 +372,10 @@
         bench = Bench(10)
         bench.send("a" * 16)
         bench.flush()
-        waiting = list(bench.connection.buffered_lines)
+        waiting = list(bench.connection.lines.buffered)
         bench.pool.retire(close_now=False)
         assert not bench.socket.aborted
-        bench.connection.abort_if_unsent(waiting)
+        bench.connection.abort_if_unwritten(waiting)
         assert bench.socket.aborted
 
     asyncio.run(test())
