--- a/cedarthread/logs.py
+++ b/cedarthread/logs.py
@@ -1,9 +1,9 @@
 """Log lines for people and for programs that read them: a stable event name, then ``key=value`` fields.
 
-The form is logfmt: values with spaces, quotes or equals signs, and empty ones, stand in double quotes with JSON's
-escapes. Pure components return their lines as :class:`~cedarthread.model.actions.LogMessage`; modules with I/O
-hand them to :mod:`logging`. A logging library of the same form was measured first: its import alone cost half as
-much processor time as starting the program does.
+The form is logfmt: values with spaces, quotes or equals signs, and empty ones, stand in double quotes with
+JSON's escapes. Pure components return their lines as :class:`~cedarthread.model.actions.LogMessage`; modules
+with I/O hand them to :mod:`logging`. A logging library of the same form was measured first: its import alone
+cost half as much processor time as starting the program does.
 """
 
 from __future__ import annotations
