Platform: codec, connection and server in three modules

Change: platform_codec maps the wire's words (txn, item, unique, later, ...) alone, platform_connection, platform_server; MessagePack's type codes are named by its specification.

--- a/cedarthread/protocols/msgpack.py
+++ b/cedarthread/protocols/msgpack.py
@@ -1,4 +1,6 @@
-"""MessagePack, what the platform's protocol needs of it. A parse ends in a value, never an exception."""
+"""MessagePack, as far as the platform's protocol uses it. A parse ends in a value, never an exception.
+
+Source: the MessagePack specification, https://github.com/msgpack/msgpack/blob/master/spec.md."""
 
 from __future__ import annotations
 
@@ -7,13 +9,13 @@
 from typing import Any
 
 MAX_DEPTH = 4  # message, parameters, fields, a field
-MAX_ITEMS = 32
-MAX_CONTENT_BYTES = 64 * 1024  # bytes of one string or binary value: more is refused unread
+MAX_ITEMS = 32  # of one array or map
+MAX_CONTENT_BYTES = 64 * 1024  # of one string or binary value: a longer one is refused unread
 
 
 @dataclass(frozen=True, slots=True)
 class Incomplete:
-    """The bytes end before the value does: it needs as many as this, or more."""
+    """The bytes end before the value does: it has at least ``needed_bytes``."""
 
     needed_bytes: int = 0
 
@@ -27,14 +29,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ParsedValue:
-    """A whole value, and where it ends. Binary values are slices of the input."""
+    """A complete value, and the offset at which it ends. Binary values are slices of the input."""
 
     value: Any
     end: int
 
 
 class _IncompleteError(Exception):
-    pass
+    """The value needs bytes up to the offset that is its argument."""
 
 
 class _MalformedError(Exception):
@@ -42,7 +44,7 @@
 
 
 def parse(data: memoryview, offset: int = 0) -> ParsedValue | Incomplete | Malformed:
-    """The value that begins there."""
+    """The value that begins at the offset."""
     try:
         return ParsedValue(*_parse_value(data, offset, MAX_DEPTH))
     except _IncompleteError as error:
@@ -51,14 +53,31 @@
         return Malformed(str(error))
 
 
-# For the codes from 0xc4 on: the width of the length, and the bytes that stand between it and the content.
-_LENGTH_PREFIXED = {0xC4: "bin1", 0xC5: "bin2", 0xC6: "bin4", 0xD9: "str1", 0xDA: "str2", 0xDB: "str4"}
-_LENGTH_PREFIXED |= {0xDC: "arr2", 0xDD: "arr4", 0xDE: "map2", 0xDF: "map4"}
+# The first byte of a value says its type; for a small value its low bits hold the number or length too.
+_FIXMAP, _FIXARRAY, _FIXSTR = 0x80, 0x90, 0xA0
+_SMALL_VALUES_END = 0xC0
+_NEGATIVE_FIXINT = 0xE0
+_BIN8, _BIN16, _BIN32 = 0xC4, 0xC5, 0xC6
+_UINT8, _UINT16, _UINT32, _UINT64 = 0xCC, 0xCD, 0xCE, 0xCF
+_STR8 = 0xD9
+# Types whose length follows the first byte: their kind, and the bytes that the length takes.
+_LENGTH_PREFIXED = {
+    _BIN8: ("bin", 1),
+    _BIN16: ("bin", 2),
+    _BIN32: ("bin", 4),
+    _STR8: ("str", 1),
+    0xDA: ("str", 2),
+    0xDB: ("str", 4),
+    0xDC: ("arr", 2),
+    0xDD: ("arr", 4),
+    0xDE: ("map", 2),
+    0xDF: ("map", 4),
+}
 _INTEGER_FORMATS = {
-    0xCC: ">B",
-    0xCD: ">H",
-    0xCE: ">I",
-    0xCF: ">Q",
+    _UINT8: ">B",
+    _UINT16: ">H",
+    _UINT32: ">I",
+    _UINT64: ">Q",
     0xD0: ">b",
     0xD1: ">h",
     0xD2: ">i",
@@ -82,24 +101,24 @@
         raise _IncompleteError(offset + 1)
     code = data[offset]
     offset += 1
-    if code < 0x80:
+    if code < _FIXMAP:
         return code, offset
-    if code >= 0xE0:
+    if code >= _NEGATIVE_FIXINT:
         return code - 256, offset
-    if code < 0x90:
+    if code < _FIXARRAY:
         return _parse_map(data, offset, code & 15, depth)
-    if code < 0xA0:
+    if code < _FIXSTR:
         return _parse_array(data, offset, code & 15, depth)
-    if code < 0xC0:
+    if code < _SMALL_VALUES_END:
         return _parse_content("str", data, offset, code & 31, depth)
     if code in _CONSTANTS:
         return _CONSTANTS[code], offset
     if (layout := _NUMBER_LAYOUTS.get(code)) is not None:
         return layout.unpack(_take_slice(data, offset, layout.size))[0], offset + layout.size
-    if (sized := _LENGTH_PREFIXED.get(code)) is not None:
-        width = int(sized[3])
-        count = int.from_bytes(_take_slice(data, offset, width), "big")
-        return _parse_content(sized[:3], data, offset + width, count, depth)
+    if (length_prefixed := _LENGTH_PREFIXED.get(code)) is not None:
+        kind, length_bytes = length_prefixed
+        count = int.from_bytes(_take_slice(data, offset, length_bytes), "big")
+        return _parse_content(kind, data, offset + length_bytes, count, depth)
     raise _MalformedError(f"code {code:#x} is not used here")
 
 
@@ -142,8 +161,8 @@
 
 
 def _parse_short_string(data: memoryview, offset: int) -> tuple[str, int] | None:
-    """A whole string of under 32 bytes, as nearly all are, without the way through ``_value``."""
-    if offset < len(data) and 0xA0 <= (code := data[offset]) < 0xC0:
+    """A complete string of under 32 bytes, as nearly all are, without the way through ``_parse_value``."""
+    if offset < len(data) and _FIXSTR <= (code := data[offset]) < _SMALL_VALUES_END:
         end = offset + 1 + (code & 31)
         if end <= len(data):
             return str(data[offset + 1 : end], "utf-8"), end
@@ -152,29 +171,31 @@
 
 def pack_uint(number: int) -> bytes:
     """A number from 0 to 2^64 - 1."""
-    if number < 0x80:
+    if number < _FIXMAP:
         return bytes((number,))
-    for code, form in ((0xCC, ">B"), (0xCD, ">H"), (0xCE, ">I")):
-        if number < 1 << 8 * struct.calcsize(form):
-            return bytes((code,)) + struct.pack(form, number)
-    return b"\xcf" + struct.pack(">Q", number)
+    for code in (_UINT8, _UINT16, _UINT32):
+        layout = _NUMBER_LAYOUTS[code]
+        if number < 1 << 8 * layout.size:
+            return bytes((code,)) + layout.pack(number)
+    return bytes((_UINT64,)) + _NUMBER_LAYOUTS[_UINT64].pack(number)
 
 
 def pack_str(text: str) -> bytes:
     """A string of at most 255 bytes."""
     raw = text.encode()
-    return (bytes((0xA0 | len(raw),)) if len(raw) < 32 else bytes((0xD9, len(raw)))) + raw
+    return (bytes((_FIXSTR | len(raw),)) if len(raw) < 32 else bytes((_STR8, len(raw)))) + raw
 
 
 def pack_bin(raw: bytes) -> bytes:
-    """Bytes."""
+    """A binary value."""
     if len(raw) < 1 << 8:
-        return bytes((0xC4, len(raw))) + raw
+        return bytes((_BIN8, len(raw))) + raw
     if len(raw) < 1 << 16:
-        return struct.pack(">BH", 0xC5, len(raw)) + raw
-    return struct.pack(">BI", 0xC6, len(raw)) + raw
+        return struct.pack(">BH", _BIN16, len(raw)) + raw
+    return struct.pack(">BI", _BIN32, len(raw)) + raw
 
 
 def pack_fields(fields: dict[str, str]) -> bytes:
-    """A map of at most 15 short strings to strings."""
-    return bytes((0x80 | len(fields),)) + b"".join(pack_str(k) + pack_str(v) for k, v in fields.items())
+    """A map of at most 15 strings to strings."""
+    pairs = b"".join(pack_str(key) + pack_str(value) for key, value in fields.items())
+    return bytes((_FIXMAP | len(fields),)) + pairs
--- /dev/null
+++ b/cedarthread/protocols/platform_codec.py
@@ -0,0 +1,114 @@
+"""The platform's wire: MessagePack-RPC requests to calls, call results to responses.
+
+The words of the wire (``txn``, ``item``, ``unique``, ``limit``, ``second``, ``props``; ``Backoff``, ``Lost``,
+``BadRequest``) are mapped to ours here and nowhere else."""
+
+from __future__ import annotations
+
+import math
+import re
+from functools import lru_cache
+from typing import Any, NamedTuple
+
+from cedarthread.dispatch.calls import Call, CallRejected, CallResult, CallSucceeded, call_deadline_ms
+from cedarthread.model.settings import Idempotency, RouterSettings
+from cedarthread.protocols import msgpack
+
+MAX_BODY_BYTES = 16 * 1024
+MAX_LIMIT_DIGITS = 9  # of a time limit in ms: 11 days
+_HEX_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
+_RESPONSE_START = b"\x94\x01"  # an array of four items, the first of them 1; then come id, error and result
+_RESULT_START = b"\xc0\x92"  # no error (nil); the result is an array of two
+_ERROR_START = b"\x92"  # the error is an array of two
+_NO_RESULT = b"\xc0"  # nil
+_EMPTY_MAP = b"\x80"
+_TRUE, _FALSE = b"\xc3", b"\xc2"
+
+
+class FunctionProperties(NamedTuple):
+    """What a request says of its function; None where it says nothing."""
+
+    concurrency: float | None
+    memory_mb: float | None
+
+
+@lru_cache(maxsize=4096)  # a function has the same in each of its calls
+def parse_props(text: str) -> FunctionProperties:
+    """The properties in ``memory_mb:512;lanes:2``; ValueError if one is no positive number or comes twice."""
+    values: dict[str, float] = {}
+    for pair in text.split(";"):
+        name, _, digits = pair.partition(":")
+        if name in ("lanes", "memory_mb"):
+            if name in values or not 0.0 < float(digits) < math.inf:
+                raise ValueError(pair)
+            values[name] = float(digits)
+    return FunctionProperties(values.get("lanes"), values.get("memory_mb"))
+
+
+def parse_call(
+    class_index: int, settings: RouterSettings, fields: Any, body: Any, now_ms: float
+) -> Call | str:
+    """The call that a request asks for, or the reason why it is invalid, as the client is told it."""
+    if not isinstance(fields, dict) or set(map(type, fields.values())) - {str}:
+        return "the fields are no map of strings"
+    raw_body = body.encode() if isinstance(body, str) else body
+    if not isinstance(raw_body, (bytes, memoryview)) or len(raw_body) > MAX_BODY_BYTES:
+        return "the body is not bytes of at most 16 KiB"
+    call_id, function_hex, key = fields.get("txn", ""), fields.get("item", ""), fields.get("unique")
+    if not _HEX_ID.match(call_id) or not _HEX_ID.match(function_hex):
+        return "txn and item take 16 hex digits"
+    if settings.classes[class_index].idempotency is Idempotency.WITH_KEY and not key:
+        return "a keyed class needs unique"
+    limit = fields.get("limit", "")
+    if not (limit.isascii() and limit.isdigit() and len(limit) <= MAX_LIMIT_DIGITS):
+        return "limit takes whole milliseconds"
+    if float(limit) <= 0.0 or fields.get("second", "1") != "1":
+        return "limit or second is out of range"
+    try:
+        properties = parse_props(fields.get("props", ""))
+    except ValueError:
+        return "props takes positive figures"
+    return Call(
+        call_id,
+        class_index,
+        int(function_hex, 16),
+        call_deadline_ms(now_ms, float(limit)),
+        bytes(raw_body),
+        lambda result: None,
+        key,
+        properties.concurrency,
+        properties.memory_mb,
+        is_client_retry=fields.get("second") == "1",
+    )
+
+
+def encode_answer(message_id: int, result: CallResult) -> bytes:
+    """The response with a call's result."""
+    if isinstance(result, CallSucceeded):
+        head = _RESPONSE_START + msgpack.pack_uint(message_id) + _RESULT_START
+        return head + msgpack.pack_bin(result.body) + _EMPTY_MAP
+    if isinstance(result, CallRejected):
+        fields: dict[str, str] = {}
+        if result.retry_after_ms is not None:
+            fields["later"] = str(max(1, round(result.retry_after_ms)))
+        if result.reason:
+            fields["reason"] = result.reason
+        return encode_error(message_id, "Backoff", fields)
+    return encode_error(message_id, "Lost", {})
+
+
+def encode_error(message_id: int, error_name: str, fields: dict[str, str]) -> bytes:
+    """An error response."""
+    head = _RESPONSE_START + msgpack.pack_uint(message_id) + _ERROR_START + msgpack.pack_str(error_name)
+    return head + msgpack.pack_fields(fields) + _NO_RESULT
+
+
+def encode_bad_request(message_id: int, reason: str) -> bytes:
+    """The error response to a request that is invalid."""
+    return encode_error(message_id, "BadRequest", {"why": reason})
+
+
+def encode_health(message_id: int, is_ready: bool) -> bytes:
+    """The response to a health check."""
+    head = _RESPONSE_START + msgpack.pack_uint(message_id) + _RESULT_START
+    return head + (_TRUE if is_ready else _FALSE) + _EMPTY_MAP
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -20,7 +20,7 @@
 from cedarthread.protocols.discovery import DiscoveryClient
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
 from cedarthread.protocols.peers import PeerTransport
-from cedarthread.protocols.platform import PlatformServer
+from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.workers import WorkerConnections
 from cedarthread.transport import descriptor_budget
 from cedarthread.transport.flusher import Flusher
--- a/cedarthread/testing/fuzzing/call_machine.py
+++ b/cedarthread/testing/fuzzing/call_machine.py
@@ -18,7 +18,8 @@
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
 from cedarthread.protocols.invoke import InvokeConnection, InvokeServer
 from cedarthread.protocols.invoke_config import InvokeConfig
-from cedarthread.protocols.platform import PlatformConnection, PlatformServer
+from cedarthread.protocols.platform_connection import PlatformConnection
+from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.spiffe import Identity
 from cedarthread.protocols.workers import WorkerConnections
 from cedarthread.settings_parser import settings_from_object
@@ -462,7 +463,9 @@
     modules = (
         "cedarthread.dispatch",
         "cedarthread.routing.router",
-        "cedarthread.protocols.platform",
+        "cedarthread.protocols.platform_codec",
+        "cedarthread.protocols.platform_connection",
+        "cedarthread.protocols.platform_server",
         "cedarthread.protocols.worker_codec",
         "cedarthread.protocols.worker_connection",
         "cedarthread.protocols.worker_line_queue",
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -35,10 +35,10 @@
     http,
     invoke,
     msgpack,
-    platform,
     spiffe,
     worker_connection,
 )
+from cedarthread.protocols.platform_connection import PlatformConnection
 from cedarthread.protocols.worker_codec import parse_call_response
 from cedarthread.protocols.worker_connection import WorkerConnection
 from cedarthread.protocols.workers import WorkerConnections
@@ -76,7 +76,7 @@
 
 # What the defective program does instead.
 
-_answer = platform.PlatformConnection._send_answer
+_answer = PlatformConnection._send_answer
 _release = CallTable.release
 _send = ActionExecutor._start_attempt
 _may_preload = PreloadPolicy.may_preload
@@ -84,7 +84,7 @@
 _read_ending = parse_call_response
 
 
-def _answer_twice(self: platform.PlatformConnection, number: int, answer: CallResult) -> None:
+def _answer_twice(self: PlatformConnection, number: int, answer: CallResult) -> None:
     _answer(self, number, answer)
     if isinstance(answer, CallFailed):
         _answer(self, number, answer)
@@ -216,7 +216,7 @@
     return float(value)
 
 
-def _swallow(self: platform.PlatformConnection) -> None:
+def _swallow(self: PlatformConnection) -> None:
     calls, self.open_calls = self.open_calls, {}
     for call in calls.values():
         self.server.dispatcher.abandon_call(call)
@@ -255,7 +255,7 @@
 
 
 DEFECTS = (
-    Defect("second-answer", "calls", 300, ((platform.PlatformConnection, "_send_answer", _answer_twice),)),
+    Defect("second-answer", "calls", 300, ((PlatformConnection, "_send_answer", _answer_twice),)),
     Defect("two-attempts-out", "calls", 300, ((ActionExecutor, "_start_attempt", _two_out),)),
     Defect("body-bytes-kept", "calls", 20, ((CallTable, "release", _bytes_kept),)),
     Defect("names-kept", "calls", 20, ((CallTable, "release", _no_names),)),
@@ -265,9 +265,7 @@
     Defect("group-forgotten", "calls", 2000, ((WorkerSelector, "is_eligible", _group_forgotten),)),
     Defect("drain-ignored", "calls", 400, ((WorkerSelector, "is_eligible", _any_state),)),
     Defect("order-budget-off", "calls", 1000, ((PreloadPolicy, "may_preload", _one_more_order),)),
-    Defect(
-        "answers-swallowed", "calls", 400, ((platform.PlatformConnection, "fail_calls_and_close", _swallow),)
-    ),
+    Defect("answers-swallowed", "calls", 400, ((PlatformConnection, "fail_calls_and_close", _swallow),)),
     Defect(
         "stop-forgotten",
         "calls",
--- a/cedarthread/testing/fuzzing/stream_targets.py
+++ b/cedarthread/testing/fuzzing/stream_targets.py
@@ -19,12 +19,12 @@
 from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.model.events import PreloadEnded
 from cedarthread.model.outcomes import Outcome
-from cedarthread.protocols import platform
 from cedarthread.protocols.discovery import DiscoveryClient
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord, worker_id_from_name
 from cedarthread.protocols.invoke import InvokeConnection, InvokeServer
 from cedarthread.protocols.invoke_config import InvokeConfig
-from cedarthread.protocols.platform import PlatformConnection, PlatformServer
+from cedarthread.protocols.platform_connection import MAX_MESSAGE_BYTES, PlatformConnection
+from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.spiffe import Identity
 from cedarthread.protocols.worker_codec import parse_preload_response
 from cedarthread.protocols.worker_connection import WorkerConnection
@@ -188,7 +188,9 @@
 
     name = "platform"
     modules = (
-        "cedarthread.protocols.platform",
+        "cedarthread.protocols.platform_codec",
+        "cedarthread.protocols.platform_connection",
+        "cedarthread.protocols.platform_server",
         "cedarthread.transport.connection",
         "cedarthread.transport.read_buffer",
     )
@@ -245,7 +247,7 @@
             "a call is left",
         )
         need(front.queued_bytes == 0, f"{front.queued_bytes} bytes of answers are left")
-        need(len(connection.buffer._data) <= platform.MAX_MESSAGE_BYTES, "the buffer grew past its limit")
+        need(len(connection.buffer._data) <= MAX_MESSAGE_BYTES, "the buffer grew past its limit")
         unpacker = reference.Unpacker(raw=False, strict_map_key=True, max_buffer_size=2**24)
         unpacker.feed(bytes(out))
         answers: dict[Any, int] = {}
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -76,10 +76,11 @@
 from cedarthread.priority import codec as pressure_form
 from cedarthread.priority import contracts
 from cedarthread.protocols import discovery as protocols_discovery
-from cedarthread.protocols import dns, http, invoke, msgpack, platform
+from cedarthread.protocols import dns, http, invoke, msgpack
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
 from cedarthread.protocols.invoke_config import InvokeConfig
 from cedarthread.protocols.invoke_config import parse as parse_invoke
+from cedarthread.protocols.platform_codec import encode_answer, encode_error, encode_health, parse_call
 from cedarthread.protocols.worker_codec import encode_call, encode_message, parse_call_response
 from cedarthread.recovery import codec as return_form
 from cedarthread.recovery.component import RecoveryComponent
@@ -614,7 +615,7 @@
             raise ValueError("no whole value")
         fields, body = got.value[3]
         klass: int = {"a": 0, "c": 2}[got.value[2]]
-        call = platform.parse_call(klass, some, fields, body, 1000.0)
+        call = parse_call(klass, some, fields, body, 1000.0)
         if isinstance(call, str):
             return call
         own = (
@@ -653,13 +654,10 @@
             for name, (klass, extra) in changes.items()
         ),
         Sample("request health", client_side.health(), message),
-        *(
-            Sample(f"response {name}", platform.encode_answer(70_000, one), message)
-            for name, one in answers.items()
-        ),
-        Sample("response no", platform.encode_error(3, "BadRequest", {"reason": "x" * 40}), message),
-        Sample("response ready", platform.encode_health(3, True), message),
-        Sample("response not ready", platform.encode_health(2**32, False), message),
+        *(Sample(f"response {name}", encode_answer(70_000, one), message) for name, one in answers.items()),
+        Sample("response no", encode_error(3, "BadRequest", {"reason": "x" * 40}), message),
+        Sample("response ready", encode_health(3, True), message),
+        Sample("response not ready", encode_health(2**32, False), message),
         *(Sample(f"number {number}", msgpack.pack_uint(number), message) for number in numbers),
         Sample("text", msgpack.pack_str("\u00e9" * 30), message),
         Sample("bytes", msgpack.pack_bin(bytes(300)), message),
--- a/tests/integration/test_client_gone.py
+++ b/tests/integration/test_client_gone.py
@@ -18,7 +18,7 @@
 from cedarthread.dispatch.calls import Attempt
 from cedarthread.dispatch.dispatcher import Dispatcher
 from cedarthread.protocols import msgpack
-from cedarthread.protocols.platform import PlatformConnection
+from cedarthread.protocols.platform_connection import PlatformConnection
 from cedarthread.protocols.worker_connection import WorkerConnection
 from cedarthread.protocols.worker_pool import WorkerConnectionPool
 from cedarthread.service import Service
--- a/tests/integration/test_descriptor_budget.py
+++ b/tests/integration/test_descriptor_budget.py
@@ -23,7 +23,7 @@
 
 from cedarthread.dispatch.calls import CallSucceeded
 from cedarthread.protocols.discovery import POLL_INTERVAL_S, DiscoveryClient
-from cedarthread.protocols.platform import encode_answer
+from cedarthread.protocols.platform_codec import encode_answer
 from cedarthread.testing.fakes.discovery_server import Listed, ResolverServer
 from cedarthread.testing.fakes.scripted import Client, Runner, ask, client, hit, pack_call, service
 from cedarthread.testing.fakes.settings import SETTINGS
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -13,7 +13,8 @@
 
 from cedarthread.dispatch.calls import CallSucceeded
 from cedarthread.model.endpoints import EndpointState
-from cedarthread.protocols import platform
+from cedarthread.protocols.platform_codec import encode_answer
+from cedarthread.protocols.platform_connection import MAX_OPEN_CALLS
 from cedarthread.testing.fakes.scripted import Runner, client, hit, listing, pack_call, says, service
 
 
@@ -301,10 +302,10 @@
         mute = Runner(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
             caller.writer.write(b"".join(pack_call(number, "check") for number in range(1, 101)))
-            refused = [await caller.read() for _ in range(100 - platform.MAX_OPEN_CALLS)]
+            refused = [await caller.read() for _ in range(100 - MAX_OPEN_CALLS)]
             assert {answer[2][0] for answer in refused} == {"Backoff"}
-            await mute.until(lambda: len(mute.calls) == platform.MAX_OPEN_CALLS)
-            assert len(running.dispatcher.pending_calls) == platform.MAX_OPEN_CALLS
+            await mute.until(lambda: len(mute.calls) == MAX_OPEN_CALLS)
+            assert len(running.dispatcher.pending_calls) == MAX_OPEN_CALLS
 
     run(test())
 
@@ -363,7 +364,7 @@
         runner = Runner(long)
         async with service(runner) as running, client(running) as caller:
             caller.writer.write(pack_call(1, "confirm", b"x"))
-            whole = platform.encode_answer(1, CallSucceeded(b"L" * 230_000))  # longer than a client may send
+            whole = encode_answer(1, CallSucceeded(b"L" * 230_000))  # longer than a client may send
             async with asyncio.timeout(10):
                 got = await caller.reader.read(len(whole))
                 while len(got) < len(whole) and (more := await caller.reader.read(len(whole))):
