--- a/cedarthread/lifecycle/maintenance.py
+++ b/cedarthread/lifecycle/maintenance.py
@@ -9,7 +9,7 @@
 
 from cedarthread.dispatch.dispatcher import Dispatcher
 from cedarthread.lifecycle.state import ServiceState
-from cedarthread.protocols.platform import PlatformServer
+from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.workers import WorkerConnections
 
 if TYPE_CHECKING:
--- a/cedarthread/lifecycle/state.py
+++ b/cedarthread/lifecycle/state.py
@@ -12,7 +12,7 @@
 from cedarthread.protocols.control import ControlServer
 from cedarthread.protocols.discovery import DiscoveryClient
 from cedarthread.protocols.peers import PeerTransport
-from cedarthread.protocols.platform import PlatformServer
+from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.workers import WorkerConnections
 
 if TYPE_CHECKING:
--- a/cedarthread/testing/fuzzing/call_machine.py
+++ b/cedarthread/testing/fuzzing/call_machine.py
@@ -18,7 +18,8 @@
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
 from cedarthread.protocols.invoke import InvokeConnection, InvokeServer
 from cedarthread.protocols.invoke_config import InvokeConfig
-from cedarthread.protocols.platform import PlatformConnection, PlatformServer
+from cedarthread.protocols.platform_connection import PlatformConnection
+from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.spiffe import Identity
 from cedarthread.protocols.workers import WorkerConnections
 from cedarthread.settings_parser import settings_from_object
@@ -28,7 +29,7 @@
 from cedarthread.testing.fuzzing.target import Dice, Finding, Target
 from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop, play
 from cedarthread.testing.invariants import Figures, Ledger, Terms
-from cedarthread.transport.stream import Flusher
+from cedarthread.transport.flusher import Flusher
 
 OWNERS = ("spiffe://gaz.example/desk/a", "spiffe://gaz.example/desk/b")
 FUNCTIONS = ("00000000000000a1", "00000000000000b2", "00000000000000c3")
@@ -462,7 +463,14 @@
     modules = (
         "cedarthread.dispatch",
         "cedarthread.routing.router",
-        "cedarthread.protocols.platform",
+        "cedarthread.protocols.platform_codec",
+        "cedarthread.protocols.platform_connection",
+        "cedarthread.protocols.platform_server",
+        "cedarthread.protocols.worker_codec",
+        "cedarthread.protocols.worker_connection",
+        "cedarthread.protocols.worker_line_queue",
+        "cedarthread.protocols.worker_pool",
+        "cedarthread.protocols.worker_preloads",
         "cedarthread.protocols.workers",
     )
     work = (400_000, 12_000)
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -76,11 +76,12 @@
 from cedarthread.priority import codec as pressure_form
 from cedarthread.priority import contract_entries
 from cedarthread.protocols import discovery as protocols_discovery
-from cedarthread.protocols import dns, http, invoke, msgpack, platform
-from cedarthread.protocols import workers as protocols_workers
+from cedarthread.protocols import dns, http, invoke, msgpack
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
 from cedarthread.protocols.invoke_config import InvokeConfig
 from cedarthread.protocols.invoke_config import parse as parse_invoke
+from cedarthread.protocols.platform_codec import encode_answer, encode_error, encode_health, parse_call
+from cedarthread.protocols.worker_codec import encode_call, encode_message, parse_call_response
 from cedarthread.recovery import codec as return_form
 from cedarthread.recovery.component import RecoveryComponent
 from cedarthread.recovery.pacing_limits import PacedAction
@@ -598,19 +599,15 @@
     }
 
     def reads(raw: bytes) -> Json:
-        return plain(protocols_workers.parse_call_response(json.loads(raw), columns))
+        return plain(parse_call_response(json.loads(raw), columns))
 
     tag: str = "load-1"
     return [
-        Sample("call", protocols_workers.encode_call(call(b"body \x00\xff", None), '"check"', 1234.9)),
-        Sample(
-            "keyed call", protocols_workers.encode_call(call(b"", 'k"\u00e9'), json.dumps("rev\u00fc"), 0.2)
-        ),
-        Sample(
-            "load", protocols_workers.encode_message("LOAD", tag, {"thing": f"{FUNCTION:016x}", "pods": 2})
-        ),
-        Sample("cancel", protocols_workers.encode_message("CANCEL", "00000000000000a1")),
-        Sample("unload", protocols_workers.encode_message("UNLOAD", f"{FUNCTION:016x}")),
+        Sample("call", encode_call(call(b"body \x00\xff", None), '"check"', 1234.9)),
+        Sample("keyed call", encode_call(call(b"", 'k"\u00e9'), json.dumps("rev\u00fc"), 0.2)),
+        Sample("load", encode_message("LOAD", tag, {"thing": f"{FUNCTION:016x}", "pods": 2})),
+        Sample("cancel", encode_message("CANCEL", "00000000000000a1")),
+        Sample("unload", encode_message("UNLOAD", f"{FUNCTION:016x}")),
         *(Sample(f"answer {name}", json.dumps(one).encode(), reads) for name, one in answers.items()),
     ]
 
@@ -633,7 +630,7 @@
             raise ValueError("no whole value")
         fields, body = got.value[3]
         klass: int = {"a": 0, "c": 2}[got.value[2]]
-        call = platform.parse_call(klass, some, fields, body, 1000.0)
+        call = parse_call(klass, some, fields, body, 1000.0)
         if isinstance(call, str):
             return call
         own = (
@@ -672,13 +669,10 @@
             for name, (klass, extra) in changes.items()
         ),
         Sample("request health", client_side.health(), message),
-        *(
-            Sample(f"response {name}", platform.encode_answer(70_000, one), message)
-            for name, one in answers.items()
-        ),
-        Sample("response no", platform.encode_error(3, "BadRequest", {"reason": "x" * 40}), message),
-        Sample("response ready", platform.encode_health(3, True), message),
-        Sample("response not ready", platform.encode_health(2**32, False), message),
+        *(Sample(f"response {name}", encode_answer(70_000, one), message) for name, one in answers.items()),
+        Sample("response no", encode_error(3, "BadRequest", {"reason": "x" * 40}), message),
+        Sample("response ready", encode_health(3, True), message),
+        Sample("response not ready", encode_health(2**32, False), message),
         *(Sample(f"number {number}", msgpack.pack_uint(number), message) for number in numbers),
         Sample("text", msgpack.pack_str("\u00e9" * 30), message),
         Sample("bytes", msgpack.pack_bin(bytes(300)), message),
