Routing tables and estimators are tested alone; records have a module of their own name

Cause: the records of workers, functions and requests were called state, as the router's whole state is now. Change: routing/state.py is routing/records.py; new tests for timers, log throttle, retry budget, worker, function and request tables, discovery polling, estimators and the records' affinity. RouterState remembers when the last event came, which the digests of model checking told states apart by.

--- a/cedarthread/components/constraints.py
+++ b/cedarthread/components/constraints.py
@@ -13,7 +13,7 @@
 from cedarthread.priority.component import PriorityComponent
 from cedarthread.priority.preemption import CallStage, PreemptionCandidate, PreemptionClaim
 from cedarthread.recovery.component import RecoveryComponent
-from cedarthread.routing.state import Attempt, PendingRequest, WorkerRecord
+from cedarthread.routing.records import Attempt, PendingRequest, WorkerRecord
 
 MAX_PREEMPTION_CANDIDATES = 256  # open calls that are looked at for one to give way, the youngest
 QUEUED_EXPECTED_MS = 50.0  # ms till a call that waits in the router is looked at again
--- a/cedarthread/routing/admission.py
+++ b/cedarthread/routing/admission.py
@@ -10,11 +10,11 @@
 from cedarthread.model.actions import FailRequest, RejectRequest
 from cedarthread.model.settings import DeduplicationScope, Idempotency, RouterSettings
 from cedarthread.routing.instance_queue import WaitTimes
+from cedarthread.routing.records import PendingRequest, WorkerRecord
 from cedarthread.routing.request_table import QUEUE_CHECK_MS
 from cedarthread.routing.retries import MIN_TIME_LEFT_MS
 from cedarthread.routing.router_state import RouterState
 from cedarthread.routing.selection import WorkerSelector
-from cedarthread.routing.state import PendingRequest, WorkerRecord
 
 CLIENT_RETRY_SHED_FACTOR = 3.0  # times that a client's retry is shed as often: its first attempt had its turn
 MAX_SHED_PROBABILITY = 0.95  # the rest always passes: it shows when the overload is over
@@ -50,8 +50,8 @@
             return True
         class_ms = state.service_times.class_ms(pending.request.class_index)
         value = max(request_class.priority_weight, MIN_VALUE) / max(class_ms, 1.0)
-        self.state.traffic.value.add(value)
-        mean_value = state.traffic.value.mean
+        state.traffic.request_value.add(value)
+        mean_value = state.traffic.request_value.mean
         stretched_ms = request_class.latency_objective_work_factor * expected_ms
         objective_ms = min(time_left_ms, request_class.latency_objective_ms + stretched_ms)
         # Between a class's own time and one time for all, later for those of more value: what has little time
--- a/cedarthread/routing/attempt_tracker.py
+++ b/cedarthread/routing/attempt_tracker.py
@@ -9,8 +9,8 @@
 from cedarthread.model.events import AttemptEnded, StreamStarted
 from cedarthread.model.outcomes import NOT_EXECUTED, Outcome
 from cedarthread.routing.feedback import OutcomeFeedback
+from cedarthread.routing.records import Attempt, PendingRequest, WorkerRecord
 from cedarthread.routing.router_state import RouterState
-from cedarthread.routing.state import Attempt, PendingRequest, WorkerRecord
 
 AFFINITY_GAIN = 0.03  # share by which an attempt moves affinity: up on its worker, down on the others
 # The worker has answered, and with it its zone.
--- a/cedarthread/routing/estimators.py
+++ b/cedarthread/routing/estimators.py
@@ -11,7 +11,7 @@
 from cedarthread.model.events import RequestArrived
 from cedarthread.model.settings import RequestClass, RouterSettings
 from cedarthread.routing.popularity import Popularity
-from cedarthread.routing.state import (
+from cedarthread.routing.records import (
     EXCESS_LOAD_PRIOR_COUNT,
     MIN_LOAD_MEMORY_MS,
     FunctionRecord,
@@ -88,7 +88,7 @@
         self.recent_calls = DecayingCounter(RATE_WINDOW_MS)
         self.popularity = Popularity()
         self.first_call_at_ms = math.inf
-        self.value = Ewma()  # priority weight of requests for each ms of their work
+        self.request_value = Ewma()  # priority weight of requests for each ms of their work
         self.calls_per_ms = 0.0
         self.load_memory_ms = MIN_LOAD_MEMORY_MS  # ms in which what a worker showed fades
         self.call_rarity = 1.0  # how many times longer that is than with calls enough, 1 and up
--- a/cedarthread/routing/feedback.py
+++ b/cedarthread/routing/feedback.py
@@ -17,8 +17,8 @@
     OVERDUE_MULTIPLE,
     RECOVERY_THRESHOLD,
 )
+from cedarthread.routing.records import Attempt, PendingRequest, WorkerRecord
 from cedarthread.routing.router_state import RouterState
-from cedarthread.routing.state import Attempt, PendingRequest, WorkerRecord
 from cedarthread.statistics import DecayingCounter
 
 REPORT_MEMORY_FRACTION = 0.25  # of the load memory, in which a load report fades: it changes with every call
--- a/cedarthread/routing/function_table.py
+++ b/cedarthread/routing/function_table.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from cedarthread.routing.records import FunctionRecord
 from cedarthread.routing.rendezvous import hash64
-from cedarthread.routing.state import FunctionRecord
 
 
 class FunctionTable:
--- a/cedarthread/routing/outlier_detection.py
+++ b/cedarthread/routing/outlier_detection.py
@@ -12,7 +12,7 @@
 
 from cedarthread.model.events import AttemptEnded
 from cedarthread.model.outcomes import Outcome, StartKind
-from cedarthread.routing.state import BASE_EJECTION_MS, Attempt, WorkerRecord
+from cedarthread.routing.records import BASE_EJECTION_MS, Attempt, WorkerRecord
 
 FAILURE_GAIN = 0.3  # two failures in a row eject, one does not, where a worker gets many own calls;
 MAX_FAILURE_GAIN = 0.6  # where it gets few, one does: the next is seconds away
--- a/cedarthread/routing/preloading.py
+++ b/cedarthread/routing/preloading.py
@@ -9,9 +9,9 @@
 from cedarthread.model.settings import NotLoadedBehavior
 from cedarthread.routing import preload_budget
 from cedarthread.routing.admission import AdmissionPolicy
+from cedarthread.routing.records import PendingRequest, WorkerRecord
 from cedarthread.routing.router_state import RouterState
 from cedarthread.routing.selection import WorkerSelector
-from cedarthread.routing.state import PendingRequest, WorkerRecord
 
 
 class PreloadPolicy:
--- a/cedarthread/routing/rendezvous.py
+++ b/cedarthread/routing/rendezvous.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from cedarthread.routing.state import WorkerRecord
+    from cedarthread.routing.records import WorkerRecord
 
 _MASK = 2**64 - 1
 _GOLDEN_GAMMA = 0x9E3779B97F4A7C15  # with the two multipliers: the constants of SplitMix64
--- a/cedarthread/routing/request_table.py
+++ b/cedarthread/routing/request_table.py
@@ -5,7 +5,7 @@
 import math
 
 from cedarthread.model.events import AttemptEnded
-from cedarthread.routing.state import Attempt, PendingRequest
+from cedarthread.routing.records import Attempt, PendingRequest
 from cedarthread.routing.timers import ROUNDING_MS, TimerSchedule
 
 QUEUE_CHECK_MS = 50.0  # ms between two looks at the queue
--- a/cedarthread/routing/retries.py
+++ b/cedarthread/routing/retries.py
@@ -11,8 +11,8 @@
 from cedarthread.model.settings import DeduplicationScope, Idempotency
 from cedarthread.routing.feedback import OutcomeFeedback
 from cedarthread.routing.outlier_detection import OVERDUE_MULTIPLE
+from cedarthread.routing.records import Attempt, PendingRequest
 from cedarthread.routing.router_state import RouterState
-from cedarthread.routing.state import Attempt, PendingRequest
 
 HEDGE_AFTER_MULTIPLE = 2.5  # times its expected time after which a hedged request is sent, where allowed
 STALL_THRESHOLD_MS = 100.0  # ms that a timer may come late before the router takes itself for stalled
@@ -25,6 +25,10 @@
     def __init__(self, state: RouterState, feedback: OutcomeFeedback) -> None:
         self.state, self.feedback = state, feedback
 
+    def has_attempts_left(self, pending: PendingRequest) -> bool:
+        """Whether the deployment's limit permits one more attempt."""
+        return len(pending.attempts) < self.state.settings.limits.max_attempts
+
     def may_attempt(self, now: float, pending: PendingRequest) -> bool:
         """Rule 2: may the request be sent at all, after what it went through."""
         executed = pending.possibly_executed()
@@ -80,7 +84,7 @@
         """Whether another attempt may take the place of this one, which no other has taken before."""
         return (
             self.state.retry_budget.tokens >= 1.0
-            and len(pending.attempts) < self.state.settings.limits.max_attempts
+            and self.has_attempts_left(pending)
             and pending.last_cancelled_attempt < attempt_index
         )
 
--- a/cedarthread/routing/router.py
+++ b/cedarthread/routing/router.py
@@ -28,10 +28,10 @@
 from cedarthread.routing.attempt_tracker import AttemptTracker
 from cedarthread.routing.feedback import OutcomeFeedback
 from cedarthread.routing.preloading import PreloadPolicy
+from cedarthread.routing.records import PendingRequest, WorkerRecord
 from cedarthread.routing.retries import STALL_THRESHOLD_MS, RetryPolicy
 from cedarthread.routing.router_state import RouterState
 from cedarthread.routing.selection import WorkerSelector
-from cedarthread.routing.state import PendingRequest, WorkerRecord
 
 DEQUEUED_PER_RESPONSE = 2  # an instance is free: two leave for it, or it would idle until the next call there
 
@@ -69,13 +69,11 @@
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event and return what is to be done, in order."""
         state = self.state
-        state.actions = []
+        state.event_at_ms, state.actions = now, []
         if now > state.timers.armed_at_ms + STALL_THRESHOLD_MS:
             state.stalled_at_ms = now  # no turn when one was due: what comes now is old, judge nobody by it
-        handler = self.handlers.get(
-            type(event)
-        )  # peers' messages go to the components, health checks nowhere
-        if handler is not None:
+        # Messages of peers go to the components beside the router; health checks are not asked for.
+        if (handler := self.handlers.get(type(event))) is not None:
             handler(now, event)
         if (timer := state.timers.rearm(now)) is not None:
             state.actions.append(timer)
@@ -163,9 +161,7 @@
         """Send the request to the worker that is chosen, or queue it, or end it."""
         state = self.state
         self.queued_requests.pop(pending.request.request_id, None)
-        if len(pending.attempts) >= state.settings.limits.max_attempts or not self.retries.may_attempt(
-            now, pending
-        ):
+        if not (self.retries.has_attempts_left(pending) and self.retries.may_attempt(now, pending)):
             return self._reject_or_fail(now, pending)
         worker = self.selector.select(now, pending)
         if worker is not None:
--- a/cedarthread/routing/router_state.py
+++ b/cedarthread/routing/router_state.py
@@ -21,9 +21,9 @@
 from cedarthread.routing.function_table import FunctionTable
 from cedarthread.routing.log_throttle import LogThrottle
 from cedarthread.routing.overload import OverloadEstimator
+from cedarthread.routing.records import PendingRequest
 from cedarthread.routing.request_table import RequestTable
 from cedarthread.routing.retry_budget import RetryBudget
-from cedarthread.routing.state import PendingRequest
 from cedarthread.routing.timers import TimerSchedule
 from cedarthread.routing.worker_table import WorkerTable
 from cedarthread.routing.zone_reachability import ZoneReachability
@@ -54,6 +54,7 @@
     request_times: deque[float] = field(default_factory=deque)  # of requests, in the same window
     gossip: LoadGossip | None = None
     constraints: RoutingConstraints | None = None  # of contracts, change freezes and restarts of the fleet
+    event_at_ms: float = 0.0  # when the last event came
     stalled_at_ms: float = -math.inf
     actions: list[Action] = field(default_factory=list)  # of the event that is being handled
 
--- a/cedarthread/routing/selection.py
+++ b/cedarthread/routing/selection.py
@@ -17,10 +17,10 @@
 from cedarthread.model.settings import DeduplicationScope, Idempotency, RouterSettings, WeightMeaning
 from cedarthread.routing import slow_start
 from cedarthread.routing.outlier_detection import is_available
+from cedarthread.routing.records import ClassAndTenant, FunctionRecord, PendingRequest, WorkerRecord
 from cedarthread.routing.rendezvous import placement_order
 from cedarthread.routing.retries import RetryPolicy
 from cedarthread.routing.router_state import RouterState
-from cedarthread.routing.state import ClassAndTenant, FunctionRecord, PendingRequest, WorkerRecord
 
 if TYPE_CHECKING:
     from cedarthread.components.constraints import RoutingConstraints
--- a/cedarthread/routing/worker_table.py
+++ b/cedarthread/routing/worker_table.py
@@ -13,8 +13,8 @@
 from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.model.settings import RouterSettings
 from cedarthread.routing import outlier_detection
+from cedarthread.routing.records import WorkerRecord
 from cedarthread.routing.rendezvous import hash64
-from cedarthread.routing.state import WorkerRecord
 from cedarthread.routing.zone_reachability import ZoneReachability
 from cedarthread.statistics import WindowedMaximum
 
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -34,9 +34,9 @@
     workers,
 )
 from cedarthread.routing.preloading import PreloadPolicy
+from cedarthread.routing.records import PendingRequest, WorkerRecord
 from cedarthread.routing.retries import RetryPolicy
 from cedarthread.routing.selection import WorkerSelector
-from cedarthread.routing.state import PendingRequest, WorkerRecord
 from cedarthread.simulator import codec
 from cedarthread.testing.fuzzing import targets
 from cedarthread.testing.fuzzing.target import Target, verdict
--- a/tests/simulation/test_slow_start_fleet.py
+++ b/tests/simulation/test_slow_start_fleet.py
@@ -10,7 +10,7 @@
 from cedarthread.model.events import AttemptEnded, PreloadEnded
 from cedarthread.model.outcomes import Outcome
 from cedarthread.model.settings import NotLoadedBehavior
-from cedarthread.routing.state import PendingRequest, WorkerRecord
+from cedarthread.routing.records import PendingRequest, WorkerRecord
 from cedarthread.statistics import WindowedMaximum
 from tests.helpers import CLASSES, Drive, sends, settings, worker
 from tests.simulation.slow_start_fleet import CASES, Case, World
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -33,10 +33,10 @@
     feedback,
     outlier_detection,
     preload_budget,
+    records,
     request_table,
     retry_budget,
     selection,
-    state,
 )
 from cedarthread.routing.rendezvous import hash64
 from tests.helpers import CLASSES, LIMITS, PRICES, RULES, SAFE, Drive, finals, sends, worker
@@ -49,9 +49,9 @@
         d.end(d.ids, at, after=1.0)
 
 
-def only_warm(d: Drive, warmth: dict[int, float], lanes: float = 1.0) -> state.FunctionRecord:
+def only_warm(d: Drive, warmth: dict[int, float], lanes: float = 1.0) -> records.FunctionRecord:
     """Function 7 with nothing but this warmth, as if sent just now."""
-    function = d.router.functions.setdefault(7, state.FunctionRecord(hash64(7), lanes))
+    function = d.router.functions.setdefault(7, records.FunctionRecord(hash64(7), lanes))
     function.affinity.update(warmth)
     function.last_sent_at_ms.update(dict.fromkeys(warmth, d.now))
     function.instance_seen_at_ms.update(dict.fromkeys(warmth, d.now))
@@ -722,7 +722,7 @@
         for _ in range(60):
             d.ask(after=every)
             d.end(d.ids, sends(d.actions)[-1], after=0.0)
-        view = state.WorkerRecord(worker(99), 0, 0.0)
+        view = records.WorkerRecord(worker(99), 0, 0.0)
         view.excess_load.add(d.now, 4.0, d.router.state.traffic.load_memory_ms)
         left[workers] = view.read_excess_load(d.now + 8000.0) / view.read_excess_load(d.now)
     assert left[2] == left[12] < 0.35 < 0.7 < left[40]
@@ -745,7 +745,7 @@
     crowded = d.router.state.traffic.reported_excess(d.now, d.router.workers[home])
     assert crowded > 0.3 > 0.0 > d.router.state.traffic.reported_excess(d.now, d.router.workers[at])
     assert d.router.state.traffic.reported_excess(
-        d.now, state.WorkerRecord(worker(99), 0, 0.0)
+        d.now, records.WorkerRecord(worker(99), 0, 0.0)
     ) == pytest.approx(0.0), "not known: usual"
 
 
@@ -777,7 +777,7 @@
     d, lost = erring(gateways, workers, every)
     assert d.router.workers[1].is_ejected
     spent = d.now - 1000.0
-    assert lost <= 2 + spent / state.BASE_EJECTION_MS / (3 if workers == 40 else 1) / 2
+    assert lost <= 2 + spent / records.BASE_EJECTION_MS / (3 if workers == 40 else 1) / 2
 
 
 def test_an_error_that_another_worker_disproves_is_a_symptom_though_the_function_is_new() -> None:
--- a/tests/unit/test_routing_records.py
+++ b/tests/unit/test_routing_records.py
@@ -11,7 +11,7 @@
 from cedarthread.model.events import AttemptEnded
 from cedarthread.model.outcomes import Outcome, StartKind
 from cedarthread.routing import outlier_detection, preload_budget
-from cedarthread.routing.state import BASE_EJECTION_MS, Attempt, FunctionRecord, WorkerRecord
+from cedarthread.routing.records import BASE_EJECTION_MS, Attempt, FunctionRecord, WorkerRecord
 from tests.helpers import RULES, worker
 
 
--- /dev/null
+++ b/tests/unit/test_routing_tables.py
@@ -0,0 +1,254 @@
+"""The tables, schedules and estimators of a router, each alone."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from cedarthread.gossip.load_gossip import InstanceLoad
+from cedarthread.model.actions import LogMessage, SetTimer
+from cedarthread.model.endpoints import EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.events import AttemptEnded, RequestArrived
+from cedarthread.model.outcomes import Outcome
+from cedarthread.model.settings import DiscoveryMode, Tenant
+from cedarthread.routing import estimators, request_table, retry_budget, timers
+from cedarthread.routing.discovery_polling import DiscoveryPolling
+from cedarthread.routing.function_table import FunctionTable
+from cedarthread.routing.log_throttle import LOG_INTERVAL_MS, LogThrottle
+from cedarthread.routing.records import Attempt, FunctionRecord, PendingRequest
+from cedarthread.routing.rendezvous import placement_order
+from cedarthread.routing.request_table import RequestTable
+from cedarthread.routing.retry_budget import RetryBudget
+from cedarthread.routing.timers import TimerSchedule
+from cedarthread.routing.worker_table import WorkerTable
+from cedarthread.routing.zone_reachability import ZoneReachability, _UnreachableZone
+from tests.helpers import CLASSES, settings, worker
+
+KEEP_ALIVE_MS = 10_000.0
+
+
+def pending_request(request_id: int = 1, now: float = 0.0, **extra: float) -> PendingRequest:
+    request = RequestArrived(request_id, 7, 0, now + 3000.0, **extra)  # type: ignore[arg-type]
+    return PendingRequest(request, CLASSES[0], FunctionRecord(7), (0, None), now)
+
+
+def attempt_at(worker_id: int, now: float = 0.0) -> Attempt:
+    return Attempt(worker(worker_id), now, 50.0, (0, None), False, False, True)
+
+
+def test_one_timer_is_armed_for_the_first_due_time_and_an_obsolete_one_is_ignored() -> None:
+    schedule = TimerSchedule()
+    assert schedule.rearm(0.0) is None
+    schedule.schedule(100.0, request_id=1, attempt_index=2)
+    first = schedule.rearm(0.0)
+    assert first == SetTimer(100.0, schedule.token) and schedule.rearm(0.0) is None, "it is armed already"
+    schedule.schedule(50.0)
+    second = schedule.rearm(0.0)
+    assert second is not None and first is not None and second.at_ms == 50.0
+    assert not schedule.on_fired(first.token) and schedule.on_fired(second.token)
+    assert [due.request_id for due in schedule.pop_due(99.0)] == [timers.NO_REQUEST]
+    rounded = list(schedule.pop_due(100.0 - timers.ROUNDING_MS))
+    assert [(due.request_id, due.attempt_index) for due in rounded] == [(1, 2)] and not schedule.entries
+
+
+def test_what_is_overdue_is_armed_a_little_later_and_what_comes_meanwhile_is_popped_too() -> None:
+    schedule = TimerSchedule()
+    schedule.schedule(10.0, request_id=1)
+    assert schedule.rearm(500.0) == SetTimer(500.0 + timers.MIN_DELAY_MS, schedule.token)
+    popped = []
+    for due in schedule.pop_due(500.0):
+        popped.append(due.request_id)
+        if due.request_id < 3:
+            schedule.schedule(500.0, request_id=due.request_id + 1)
+    assert popped == [1, 2, 3]
+
+
+def test_a_kind_of_log_line_comes_once_in_an_interval() -> None:
+    logs = LogThrottle()
+    assert logs.line(0.0, "shed", "some") == LogMessage("shed: some")
+    assert logs.line(LOG_INTERVAL_MS - 1.0, "shed", "more") is None
+    assert logs.line(1.0, "eject", "one") is not None and logs.line(LOG_INTERVAL_MS, "shed", "x") is not None
+
+
+def test_the_retry_budget_is_earned_up_to_a_bound_and_never_overdrawn() -> None:
+    budget = RetryBudget()
+    assert all(budget.spend(1.0) for _ in range(int(retry_budget.MAX_RETRY_BUDGET)))
+    assert not budget.spend(1.0) and budget.spend(0.0) and budget.tokens == 0.0
+    for _ in range(1000):
+        budget.earn()
+    assert budget.tokens == retry_budget.MAX_RETRY_BUDGET
+
+
+def table(*workers: int) -> WorkerTable:
+    one = WorkerTable(settings(), ZoneReachability(0), random.Random(1))
+    listed = tuple(worker(worker_id) for worker_id in workers)
+    assert one.apply(0.0, EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed)) == []
+    return one
+
+
+def test_a_snapshot_removes_what_it_does_not_list_once_nothing_is_in_flight_there() -> None:
+    workers = table(1, 2)
+    workers.by_id[2].in_flight = 1
+    snapshot = EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 2, (worker(1),))
+    assert workers.apply(1.0, snapshot) == []
+    assert workers.by_id[2].endpoint.state is EndpointState.REMOVED and workers.ready_count == 1
+    epoch, workers.by_id[2].in_flight = workers.placement_epoch, 0
+    assert workers.apply(2.0, EndpointUpdate(EndpointUpdateKind.DELTA, 3)) == [2]
+    assert list(workers.by_id) == [1] and workers.placement_epoch == epoch + 1
+    assert [endpoint.worker_id for endpoint in workers.snapshot().endpoints] == [1]
+
+
+def test_a_restarted_worker_loses_its_instances_and_its_outlier_score() -> None:
+    workers = table(1, 2)
+    one = workers.by_id[1]
+    one.outlier_score, one.is_ejected, jitter = 0.9, True, one.jitter
+    assert workers.skipped_count() == 1 and list(workers.not_ejected_ids()) == [2]
+    restarted = EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(1, started=5.0),))
+    assert workers.apply(5.0, restarted) == [1]
+    assert not one.is_ejected and one.outlier_score == 0.0 and one.jitter != jitter
+    assert workers.skipped_count() == 0
+
+
+def test_workers_of_unreachable_zones_are_not_ready_unless_all_are() -> None:
+    workers = WorkerTable(settings(), ZoneReachability(0), random.Random(1))
+    listed = tuple(worker(worker_id, zone=worker_id % 2) for worker_id in range(4))
+    workers.apply(0.0, EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
+    workers.zones.unreachable[1] = _UnreachableZone(1000.0)
+    workers.count_ready(1.0)
+    assert workers.ready_count == 2 and not workers.is_every_zone_unreachable
+    workers.zones.unreachable[0] = workers.zones.unreachable[1]
+    workers.count_ready(2.0)
+    assert workers.ready_count == 4 and workers.is_every_zone_unreachable
+
+
+def test_functions_are_kept_in_the_order_of_their_last_calls_until_they_expire() -> None:
+    functions = FunctionTable()
+    first = functions.on_call(0.0, 1, 2.0, 100.0)
+    functions.on_call(10.0, 2, 1.0, 100.0)
+    assert functions.on_call(20.0, 1, 4.0, 100.0) is first and first.concurrency == 4.0
+    functions.start_preload(functions.by_id[2], 5)
+    functions.on_call(115.0, 3, 1.0, 100.0)
+    assert list(functions.by_id) == [1, 3] and functions.preloads_in_flight == 0, "with its preload"
+
+
+def test_a_worker_that_is_forgotten_owes_no_preload() -> None:
+    functions = FunctionTable()
+    function = functions.on_call(0.0, 1, 1.0, 100.0)
+    functions.start_preload(function, 5)
+    for _ in range(2):
+        functions.forget_worker(5)
+        assert functions.preloads_in_flight == 0 and not function.preloading_workers
+
+
+def test_an_attempt_outlives_its_request_and_ends_once() -> None:
+    requests, pending = RequestTable(), pending_request()
+    requests.pending[1] = pending
+    pending.attempts += [attempt_at(4), attempt_at(5)]
+    first = AttemptEnded(1, 0, 4, Outcome.ERROR, 10.0, False)
+    assert requests.end_attempt(first) == (pending, pending.attempts[0])
+    assert requests.end_attempt(first) == (pending, None), "it has ended already"
+    assert requests.end_attempt(AttemptEnded(1, 2, 4, Outcome.OK, 1.0, True)) == (pending, None)
+    requests.close(pending)
+    assert not requests.pending and list(requests.orphaned) == [(1, 1)]
+    second = AttemptEnded(1, 1, 5, Outcome.OK, 20.0, True)
+    assert requests.end_attempt(second) == (None, pending.attempts[1]) and not requests.orphaned
+    assert requests.end_attempt(second) == (None, None)
+
+
+def test_the_queue_is_looked_at_once_for_all_that_wait() -> None:
+    requests, schedule = RequestTable(), TimerSchedule()
+    for request_id in (1, 2):
+        requests.enqueue(0.0, pending_request(request_id), schedule)
+    assert len(schedule.entries) == 1 and list(requests.queued) == [1, 2]
+    assert not requests.is_queue_check_due(request_table.QUEUE_CHECK_MS / 2)
+    assert requests.is_queue_check_due(request_table.QUEUE_CHECK_MS)
+    assert not requests.is_queue_check_due(1e12), "what waits then has it looked at again"
+
+
+def test_polls_back_off_and_one_subscription_is_sent() -> None:
+    polling, rng = DiscoveryPolling(), random.Random(1)
+    delays = [polling.on_failure(0.0, 1600.0, rng) for _ in range(6)]
+    for delay_ms, backoff_ms in zip(delays, (100.0, 200.0, 400.0, 800.0, 1600.0, 1600.0), strict=True):
+        assert backoff_ms / 2 <= delay_ms <= backoff_ms
+    polling.on_update()
+    assert polling.on_failure(0.0, 1600.0, rng) <= 100.0
+    assert not polling.should_subscribe(0.0, DiscoveryMode.PUSH)
+    assert (
+        polling.should_subscribe(5.0, DiscoveryMode.POLL) and not polling.is_due(4.0) and polling.is_due(5.0)
+    )
+    assert not polling.is_due(6.0) and not polling.should_subscribe(7.0, DiscoveryMode.POLL)
+
+
+def test_a_service_time_is_known_by_hint_then_function_then_class_then_objective() -> None:
+    times = estimators.ServiceTimeEstimator(settings())
+    pending, hinted = pending_request(), pending_request(work=10.0)
+    objective_ms = CLASSES[0].latency_objective_ms
+    assert times.expected_ms(pending) == objective_ms / estimators.INITIAL_SERVICE_DIVISOR
+    times.by_class[0].add(40.0)
+    assert times.expected_ms(pending) == times.expected_ms(hinted) == 40.0
+    times.on_warm_response(hinted, 60.0)
+    assert times.expected_ms(hinted) == 60.0 and times.expected_ms(pending) == times.class_ms(0) == 50.0
+    times.on_warm_response(pending, 70.0)
+    assert times.expected_ms(pending) == 70.0
+    assert times.expected_cold_start_ms(pending) == objective_ms
+    times.on_cold_response(pending, 370.0)
+    assert times.expected_cold_start_ms(pending) == pytest.approx(300.0)
+
+
+def test_new_classes_leave_what_was_learned() -> None:
+    times = estimators.ServiceTimeEstimator(settings(classes=CLASSES[:1]))
+    times.by_class[0].add(40.0)
+    times.update_settings(settings())
+    assert times.class_ms(0) == 40.0 and len(times.by_class) == len(times.per_work) == len(CLASSES)
+
+
+def test_calls_are_rare_where_one_worker_gets_few_of_them() -> None:
+    often, seldom = (estimators.TrafficEstimator(settings()) for _ in range(2))
+    for number in range(400):
+        often.on_call(10.0 * number, FunctionRecord(1), 1)
+        seldom.on_call(10.0 * number, FunctionRecord(1), 500)
+    assert often.calls_per_ms == seldom.calls_per_ms == pytest.approx(0.1, rel=0.1)
+    assert often.call_rarity == 1.0
+    assert seldom.load_memory_ms == estimators.MAX_LOAD_MEMORY_MS and seldom.call_rarity == 3.0
+
+
+def test_use_over_quota_is_the_part_of_calls_over_the_quota() -> None:
+    told = settings(tenants=(Tenant("a", 0.25, None), Tenant("b", 0.75, None)))
+    traffic = estimators.TrafficEstimator(told)
+    requests = [RequestArrived(n, 7, 0, 1.0, n % 2) for n in range(100)]
+    over = [traffic.on_tenant_call(0.0, request, told) for request in requests]
+    assert over[-2:] == [pytest.approx(2.0, rel=0.05), pytest.approx(0.5 / 0.75, rel=0.05)]
+    assert traffic.on_tenant_call(0.0, RequestArrived(1, 7, 0, 1.0), told) == 1.0
+
+
+def test_affinity_moves_to_the_worker_that_is_sent_to_and_expires() -> None:
+    function = FunctionRecord(1)
+    function.affinity, function.last_sent_at_ms = {1: 1.0, 2: 0.5}, {1: 0.0, 2: 0.0}
+    function.on_sent(100.0, 2, 0.1)
+    assert function.affinity == {1: pytest.approx(0.9), 2: pytest.approx(0.55)}
+    assert function.read_affinity(KEEP_ALIVE_MS + 50.0, 2, KEEP_ALIVE_MS) == pytest.approx(0.55)
+    assert function.read_affinity(KEEP_ALIVE_MS + 50.0, 1, KEEP_ALIVE_MS) == 0.0
+    assert list(function.affinity) == list(function.last_sent_at_ms) == [2]
+
+
+def test_gossip_of_an_instance_counts_where_it_is_newer_than_the_last_own_attempt() -> None:
+    function = FunctionRecord(1)
+    function.last_sent_at_ms[1], function.last_sent_at_ms[2] = 500.0, 100.0
+    told = {
+        1: InstanceLoad(0, 600.0),
+        2: InstanceLoad(0, 600.0),
+        3: InstanceLoad(2, None),
+        4: InstanceLoad(0, 1.0),
+    }
+    function.on_gossip(1000.0, told, {1, 2, 3}, 0.9)
+    assert function.affinity == {2: 0.9} and function.last_sent_at_ms[2] == 400.0
+    known = [function.has_instance(1000.0, worker_id, KEEP_ALIVE_MS) for worker_id in (1, 3, 9)]
+    assert known == [True, False, False] and not function.has_seen_instance(1000.0, 1, KEEP_ALIVE_MS)
+
+
+def test_placement_orders_agree_and_follow_weights_only_where_they_are_known() -> None:
+    workers = list(table(*range(40)).by_id.values())
+    order = placement_order(77, workers, False)
+    assert order == placement_order(77, reversed(workers), False) != placement_order(78, workers, False)
+    assert order == placement_order(77, workers, True), "all of weight 1"
