Service: start, status, reload, maintenance and shutdown in a package of their own

One class of 299 lines built the parts, listened, reported, reloaded, swept and shut down. cedarthread/lifecycle/ holds one module for each; what changes while the service runs is in ServiceState, the fixed parts in ServiceParts. The order of timers, log lines and closes is the same.

--- /dev/null
+++ b/cedarthread/lifecycle/reload.py
@@ -0,0 +1,108 @@
+"""Reload at SIGHUP: each file is taken as a whole, or rejected as a whole with a log line."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from cedarthread.config import Config, ConfigError
+from cedarthread.lifecycle.listeners import PeerListener
+from cedarthread.lifecycle.state import ServiceParts, ServiceState
+
+if TYPE_CHECKING:
+    from cedarthread.fleet_config import FleetConfig
+
+log = logging.getLogger("cedarthread")
+
+
+@dataclass(frozen=True, slots=True)
+class FleetFiles:
+    """Where the operators' declarations for the whole fleet are, and where this router keeps its state."""
+
+    fleet_file: Path | None  # None: nothing is declared, and the parts for it are not loaded
+    store_folder: str | None  # takes the place of the folder that the fleet file names
+
+
+class Reloader:
+    """Loads the settings file and the fleet file again. Pending calls keep the settings they began under."""
+
+    def __init__(
+        self,
+        parts: ServiceParts,
+        state: ServiceState,
+        peer_listener: PeerListener,
+        fleet_files: FleetFiles,
+        load_config: Callable[[], Config] | None,
+    ) -> None:
+        self.load_config = load_config  # None: the settings are never loaded again
+        self._parts = parts
+        self._state = state
+        self._peer_listener = peer_listener
+        self._fleet_files = fleet_files
+
+    def reload(self) -> None:
+        """Load certificates, fleet file and settings again, and follow what changed."""
+        self.reload_invoke_files()
+        self.load_fleet_config()
+        if self.load_config is None:
+            return
+        try:
+            loaded = self.load_config()
+        except ConfigError as error:
+            self._state.reload_errors += 1
+            log.error("configuration turned down whole, the old one stays: %s", error)
+            return
+        self._state.reloads += 1
+        self._apply_config(loaded)
+
+    def _apply_config(self, loaded: Config) -> None:
+        """Follow new settings and a new discovery address; the other addresses stay as they were."""
+        state = self._state
+        self._parts.workers.apply_settings(self._parts.dispatcher.update_settings(loaded.settings))
+        state.config = replace(
+            state.config,
+            settings=loaded.settings,
+            discovery_address=loaded.discovery_address or state.config.discovery_address,
+        )
+        state.start_task(self._peer_listener.listen())
+        class_names = ", ".join(request_class.name for request_class in loaded.settings.classes)
+        log.info("configuration reloaded: classes %s", class_names)
+        if loaded.discovery_address is not None:
+            log.info("resolver at %s:%d", *loaded.discovery_address)
+            self._parts.discovery.start_polling(*loaded.discovery_address)
+
+    def reload_invoke_files(self) -> None:
+        """Load the invoke API's certificates again if they changed."""
+        if self._parts.invoke is not None:
+            self._state.start_task(self._parts.invoke.reload_if_changed())
+
+    def load_fleet_config(self) -> None:
+        """Load the fleet file: what is new in it is declared at this router and told to all."""
+        fleet_file = self._fleet_files.fleet_file
+        if fleet_file is None:
+            return
+        from cedarthread import fleet_config  # with its libraries: not loaded where no fleet file is named
+
+        try:
+            loaded = fleet_config.load_fleet_config(fleet_file, self._fleet_files.store_folder)
+        except fleet_config.FleetConfigError as error:
+            self._state.reload_errors += 1
+            log.error("fleet file turned down whole, what was declared stays: %s", error)
+            return
+        self._parts.dispatcher.apply_fleet_config(loaded)
+        self._open_store(loaded)
+        log.info("fleet file read: %d contracts, %d windows", len(loaded.contract), len(loaded.freeze))
+
+    def _open_store(self, loaded: FleetConfig) -> None:
+        """Open the store that the fleet file names, once."""
+        dispatcher, state = self._parts.dispatcher, self._state
+        fleet_components = dispatcher.node.fleet_components
+        persister = fleet_components.persister if fleet_components is not None else None
+        if state.event_loop_store is None and loaded.disk is not None and persister is not None:
+            from cedarthread.persistence.event_loop_store import EventLoopStore
+
+            seed = state.config.seed
+            state.event_loop_store = EventLoopStore(loaded.disk, persister, dispatcher.clock, seed)
--- a/tests/integration/test_cluster.py
+++ b/tests/integration/test_cluster.py
@@ -302,7 +302,7 @@
         service.dispatcher.peer_message_received(3, b"\xc2")
         service.discovery.connection_made(SimpleNamespace(sendto=lambda data: None, close=lambda: None))  # type: ignore[arg-type]
         await asyncio.sleep(0.07)
-        service._sweep()
+        service.maintenance.sweep()
         select, looks = loop.select, list[float]()
         turn = service.dispatcher.node.membership.on_tick  # type: ignore[union-attr]
         monkeypatch.setattr(
@@ -317,7 +317,10 @@
         )
         await asyncio.sleep(5.0)
         assert len(looks) >= 20, "members and talk are looked at four times a second at least"
-        assert service._sweep_timer is not None and service._sweep_timer.when() > loop.time() - 0.01
+        assert (
+            service.maintenance.sweep_timer is not None
+            and service.maintenance.sweep_timer.when() > loop.time() - 0.01
+        )
 
     play(idle)
     assert 24 <= sum(timeout > 0.001 for timeout in wakings) <= 28
--- a/tests/integration/test_control.py
+++ b/tests/integration/test_control.py
@@ -23,9 +23,9 @@
     async def test() -> None:
         async with service(Runner()) as running:
             assert await ask(running, b"PING\n") == ["YES"]
-            running.is_serving = False
+            running.state.is_serving = False
             assert await ask(running, b"PING\r\n") == ["NO"]
-            running.is_serving = True
+            running.state.is_serving = True
             running.request_shutdown()
             assert await ask(running, b"PING\n") == ["NO"]
 
--- a/tests/integration/test_endings.py
+++ b/tests/integration/test_endings.py
@@ -252,7 +252,7 @@
             tell(running, [runner], GONE)
             assert told(await caller.read()) == "failed"
             await settled(running)
-            figures = running.status_lines()
+            figures = running.status.lines()
             assert "router.known_runners=0" in figures and "router.skipped_runners=0" in figures
 
     asyncio.run(test())
@@ -807,7 +807,7 @@
     """SIGHUP, with the file changed like this."""
     changed = json.loads(json.dumps(SETTINGS))
     change(changed)
-    running._load_config = lambda: config.decode(file_with(changed), {})
+    running.reloader.load_config = lambda: config.decode(file_with(changed), {})
     running.reload()
 
 
--- a/tests/unit/test_settings_reload.py
+++ b/tests/unit/test_settings_reload.py
@@ -37,7 +37,7 @@
             await mute.until(lambda: len(mute.calls) == 1)
             [open_call] = running.dispatcher.pending_calls.values()
             raw = file_with(retuned())
-            running._load_config = lambda: config.decode(raw, {})
+            running.reloader.load_config = lambda: config.decode(raw, {})
             running.reload()
             classes = running.dispatcher.settings.classes
             assert (
@@ -99,7 +99,7 @@
         async with service(Runner()) as running, client(running) as caller:
             before = running.dispatcher.settings
             raw = _spoilt(change)
-            running._load_config = lambda: config.decode(raw, {})
+            running.reloader.load_config = lambda: config.decode(raw, {})
             running.reload()
             assert (
                 running.dispatcher.settings is before and running.dispatcher.current_class_index["check"] == 0
