Routing node: the set of components and the tracking of attempts are modules of their own

RoutingNode made the components, passed messages and notifications to them, remembered the attempts in flight and routed events. ComponentSet and AttemptTracker take the first three; the node keeps events, settings and ticks. The order of components, ticks, notifications and actions is the same.

Expectations in test_components and test_fleet_components name the renamed classes (they compare type names).

--- /dev/null
+++ b/cedarthread/components/attempt_tracker.py
@@ -0,0 +1,74 @@
+"""Tells the components of attempts as the router starts them and as they end."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from cedarthread.components.component_set import ComponentSet
+from cedarthread.model.actions import Action, StartAttempt
+from cedarthread.model.events import AttemptEnded
+from cedarthread.model.outcomes import Outcome, StartKind
+from cedarthread.routing.router import Router
+
+# What a start kind says of the worker after the attempt: is an instance of the function loaded there?
+_IS_LOADED_AFTER = {
+    StartKind.WARM: True,
+    StartKind.COLD: True,
+    StartKind.PENDING: True,
+    StartKind.LOAD_FAILED: False,
+}
+# What it says of the worker before the attempt: was an instance loaded there?
+_WAS_WARM = {StartKind.WARM: True, StartKind.COLD: False, StartKind.PENDING: False}
+
+
+class _InFlightAttempt(NamedTuple):
+    function_id: int
+    tenant_index: int | None
+
+
+class AttemptTracker:
+    """Remembers function and tenant of the attempts in flight, which their end does not name."""
+
+    def __init__(self, router: Router, components: ComponentSet) -> None:
+        self._router = router
+        self._components = components
+        self._in_flight: dict[tuple[int, int], _InFlightAttempt] = {}  # by request id and worker id
+
+    def record_started(self, actions: list[Action]) -> None:
+        """Record the attempts that the router's actions start."""
+        for action in actions:
+            if type(action) is not StartAttempt:
+                continue
+            pending = self._router.pending_requests.get(action.request_id)
+            if pending is None:
+                continue
+            request = pending.request
+            key = action.request_id, action.worker_id
+            self._in_flight[key] = _InFlightAttempt(request.function_id, request.tenant_index)
+            if self._components.load_gossip is not None:
+                self._components.load_gossip.on_attempt_sent(action.worker_id, request.function_id)
+
+    def record_ended(self, now: float, event: AttemptEnded) -> None:
+        """Record the end of an attempt; one that was not recorded as started is ignored."""
+        attempt = self._in_flight.pop((event.request_id, event.worker_id), None)
+        if attempt is None:
+            return
+        components = self._components
+        if components.load_gossip is not None:
+            is_loaded = _is_loaded_after(event)
+            components.load_gossip.on_attempt_ended(now, event.worker_id, attempt.function_id, is_loaded)
+        if components.fleet is not None:
+            was_warm = _WAS_WARM.get(event.start_kind)
+            components.fleet.on_attempt_ended(now, event, attempt.function_id, attempt.tenant_index, was_warm)
+            reported_load = self._router.reported_load(event)
+            if reported_load is not None:
+                components.fleet.recovery.on_load_report(*reported_load)
+
+
+def _is_loaded_after(event: AttemptEnded) -> bool | None:
+    """Is an instance of the function loaded at the worker now? None: unknown."""
+    if event.outcome is Outcome.OK:
+        return True
+    if event.outcome is Outcome.NOT_LOADED:
+        return False
+    return _IS_LOADED_AFTER.get(event.start_kind)
--- /dev/null
+++ b/cedarthread/components/component_set.py
@@ -0,0 +1,70 @@
+"""The components of one router: which there are, and how messages and notifications reach them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cedarthread.components.interface import Component, Notification
+from cedarthread.gossip.load_gossip import LoadGossip
+from cedarthread.membership.swim import SwimMembership
+from cedarthread.model.actions import Action
+from cedarthread.model.events import PeerMessageReceived
+from cedarthread.model.settings import RouterSettings
+
+if TYPE_CHECKING:
+    from cedarthread.components.fleet import FleetComponents
+
+
+class ComponentSet:
+    """The components, in the order of their ticks. One that the settings forbid does not exist."""
+
+    def __init__(self, seed: int, incarnation: int | None) -> None:
+        self.load_gossip: LoadGossip | None = None
+        self.membership: SwimMembership | None = None
+        self.fleet: FleetComponents | None = None  # None where no fleet file is named
+        self.active: list[Component] = []
+        self.by_message_type: dict[int, Component] = {}
+        self._seed = seed
+        self._incarnation = incarnation
+
+    def update(self, settings: RouterSettings) -> None:
+        """Make the components that the settings allow, and keep those that exist already."""
+        if settings.limits.allows_gossip and settings.router_count > 1:
+            if self.membership is None or self.membership.router_count != settings.router_count:
+                self.membership = SwimMembership(settings.router_index, settings.router_count, self._seed)
+            self.load_gossip = self.load_gossip or LoadGossip(settings, self._seed, self._incarnation)
+        else:
+            self.load_gossip = self.membership = None
+        fleet_components = self.fleet.components if self.fleet is not None else ()
+        candidates: tuple[Component | None, ...] = (self.load_gossip, self.membership, *fleet_components)
+        self.active = [component for component in candidates if component is not None]
+        self.by_message_type = {
+            message_type: component for component in self.active for message_type in component.message_types
+        }
+
+    def on_tick(self, now: float) -> list[Action]:
+        """Tick each component."""
+        return [action for component in self.active for action in component.on_tick(now)]
+
+    def notify(self, now: float, notification: Notification) -> list[Action]:
+        """Pass a notification to each component."""
+        return [
+            action for component in self.active for action in component.on_notification(now, notification)
+        ]
+
+    def on_peer_message(self, now: float, event: PeerMessageReceived) -> list[Action]:
+        """Pass a datagram to the component of its type; gossip counts those of no known type."""
+        if self.membership is not None:
+            self.membership.record_activity(now, event.sender_index)
+        message_type = event.data[0] if event.data else 0
+        component = self.by_message_type.get(message_type, self.load_gossip)
+        return (
+            list(component.on_message(now, event.sender_index, event.data)) if component is not None else []
+        )
+
+    def status(self, now: float) -> dict[str, str]:
+        """The figures of all components, by name."""
+        figures = dict(self.fleet.status(now)) if self.fleet is not None else {}
+        for component in self.active:
+            figures.update(component.status(now))
+        return figures
--- a/tests/simulation/test_fleet_components.py
+++ b/tests/simulation/test_fleet_components.py
@@ -149,7 +149,7 @@
     fleet.run(3_000.0)
     assert len(fleet.loads) == placed
     for number in numbers:  # who finds a copy is served, who can't is refused once, and before its time
-        assert fleet.ends[number] == (["ok"] if number % 1000 < 3 else ["Refuse"])
+        assert fleet.ends[number] == (["ok"] if number % 1000 < 3 else ["RejectRequest"])
     assert all(one.status(fleet.now)["freeze_window_cycle"] == "in force" for one in fleet.routers)
     fleet.run(40_000.0)
     late = [fleet.ask(who, 4) for who in range(7)]
@@ -186,7 +186,7 @@
     fleet.run(15_000.0)
     both = [fleet.ask(who, 3) for who in range(2)]
     fleet.run(4_000.0)
-    assert [fleet.ends[number] for number in both] == [["Refuse"], ["ok"]]
+    assert [fleet.ends[number] for number in both] == [["RejectRequest"], ["ok"]]
     assert fleet.routers[1].fleet_components is not None and not fleet.routers[
         1
     ].fleet_components.store.entries(EntryKind.FREEZE)
--- a/tests/unit/test_components.py
+++ b/tests/unit/test_components.py
@@ -41,8 +41,8 @@
 
 def hosted() -> tuple[RoutingNode, Noted]:
     decisions, noted = RoutingNode(TOLD, 1), Noted()
-    decisions.components.append(noted)
-    decisions.component_by_message_type[MessageType.LOAD_PRESSURE] = noted
+    decisions.components.active.append(noted)
+    decisions.components.by_message_type[MessageType.LOAD_PRESSURE] = noted
     return decisions, noted
 
 
@@ -71,8 +71,10 @@
     decisions = RoutingNode(TOLD, 1)
     told = dataclasses.replace(TOLD, limits=dataclasses.replace(LIMITS, allows_gossip=peers))
     decisions.update_settings(told)
-    assert [type(part).__name__ for part in decisions.components] == (["Talk", "Members"] if peers else [])
+    assert [type(part).__name__ for part in decisions.components.active] == (
+        ["LoadGossip", "SwimMembership"] if peers else []
+    )
     assert (decisions.router.gossip is decisions.load_gossip) and (decisions.load_gossip is not None) is peers
     decisions, noted = hosted()
-    decisions._notify_components(0.0, SettingsChanged(told))
-    assert noted.seen == ["Retuned"]
+    decisions.components.notify(0.0, SettingsChanged(told))
+    assert noted.seen == ["SettingsChanged"]
