Escrow: request rounds apart from the requester

Cause: one class decided when a round starts, whom it asks, and what a response brings, with section comments. Change: RoundPlanner and set_demand in request_rounds.py; taking units and checking a response are functions of their own.

--- a/cedarthread/escrow/escrow.py
+++ b/cedarthread/escrow/escrow.py
@@ -17,6 +17,7 @@
 from cedarthread.escrow.image import EscrowImage
 from cedarthread.escrow.quota_pool import QuotaPool
 from cedarthread.escrow.rate_pool import LEASE_TERM_MS, RatePool
+from cedarthread.escrow.request_rounds import set_demand
 from cedarthread.escrow.requester import EscrowRequester
 from cedarthread.gossip.codec import MalformedDatagram
 
@@ -119,7 +120,7 @@
 
         Of a rate its present demand; of a count what it would have ready, which each use lowers."""
         if (pool := self.pool_named(name)) is not None:
-            self.requester.set_demand(now, pool, amount)
+            set_demand(now, pool, amount)
 
     # The disk.
 
--- a/cedarthread/escrow/rate_pool.py
+++ b/cedarthread/escrow/rate_pool.py
@@ -14,9 +14,7 @@
 from cedarthread.escrow.quota_pool import QuotaPool
 
 LEASE_TERM_MS = 4000.0  # a rate is lent for this long; also the longest term that any grant may have
-UNMET_REQUEST_MEMORY_MS = (
-    1000.0  # how long a giver takes into account that a peer did not get all it requested
-)
+UNMET_REQUEST_MEMORY_MS = 1000.0  # how long a giver considers what a peer requested and did not get
 RESERVE_DIVISOR = 16  # a router keeps one in so many units of its own rate for its next calls
 NONCE_MODULUS = 2**32
 
--- a/cedarthread/escrow/requester.py
+++ b/cedarthread/escrow/requester.py
@@ -16,25 +16,14 @@
 from cedarthread.escrow.count_pool import CountPool
 from cedarthread.escrow.quota_pool import NEVER_SEEN, PeerAvailability, QuotaPool
 from cedarthread.escrow.rate_pool import LEASE_TERM_MS, RatePool
+from cedarthread.escrow.request_rounds import RESPONSE_TIMEOUT_MS, RETRY_JITTER, RoundPlanner
 from cedarthread.model.actions import SendToPeer
 from cedarthread.statistics import TokenBucket
 
 REQUESTS_PER_SECOND = 40.0
 REQUEST_BURST = 20.0
-MAX_PARALLEL_REQUESTS = (
-    8  # peers that are asked at once for one rate; halved with each failed round, three times
-)
-RESPONSE_TIMEOUT_MS = 500.0
-RETRY_JITTER = 0.5, 1.0  # factors on waits
 MAX_ATTEMPTS = 4  # of a request for a count, whose response may carry units that would be lost for good
 LATE_RESPONSE_LIMIT_MS = 30_000.0  # how long a response to a request for a count is still accepted
-BACKOFF_BASE_MS = 250.0  # after a round that brought nothing; doubled with each further one
-RATE_BACKOFF_MAX_MS = 2000.0
-COUNT_BACKOFF_MAX_MS = 4000.0
-MAX_FAILED_ROUNDS = 16  # that are counted
-MAX_FAILED_ROUNDS_WHEN_WOKEN = 3  # that still count after growing demand cut a backoff short
-WAKE_INTERVAL_MS = 5000.0  # at least, between two wakings: fluctuating demand must not cancel every backoff
-MAX_HINTS_FOLLOWED = 2  # rounds in a row that start at once on a hint
 RENEW_AFTER_FRACTION = 0.6  # of the term, after which a lease is asked for again
 NONCE_MODULUS = 2**32
 
@@ -71,6 +60,7 @@
         )
         self.outstanding: dict[int, OutstandingRequest] = {}  # by nonce
         self.last_nonce = rng.randrange(NONCE_MODULUS)
+        self.planner = RoundPlanner(rng)
         self.request_budget = TokenBucket(REQUESTS_PER_SECOND, REQUEST_BURST, REQUEST_BURST, now)
 
     def set_alive(self, peers: Sequence[int]) -> None:
@@ -79,42 +69,21 @@
             peer for peer in peers if peer != self.router_index and 0 <= peer < self.router_count
         )
 
-    def set_demand(self, now: float, pool: QuotaPool, amount: int) -> None:
-        """What this router could use of a pool; growing demand may cut a backoff short."""
-        rounds = pool.rounds
-        if amount > pool.demand and now - rounds.woken_at_ms >= WAKE_INTERVAL_MS:
-            rounds.woken_at_ms = now
-            rounds.next_at_ms = min(rounds.next_at_ms, now + BACKOFF_BASE_MS)
-            rounds.failed = min(rounds.failed, MAX_FAILED_ROUNDS_WHEN_WOKEN)
-        pool.demand = max(0, amount)
-
-    # Responses.
-
     def on_response(self, now: float, sender: int, pool: QuotaPool, response: EscrowResponse) -> None:
         """Take a response if its request is outstanding."""
         request = self.outstanding.get(response.nonce)
         if request is None or not self._is_answered_by(request, sender, pool, response):
             self.counters["late"] += 1
             return
-        if (
-            response.amount > request.requested
-            or response.term_ms > LEASE_TERM_MS
-            or bool(response.term_ms) is pool.is_consumable
-        ):
+        if not _is_consistent(request, response):
             self.counters["lies"] += 1
             return
         self._note_availability(now, sender, pool, response)
-        if isinstance(pool, CountPool) and not response.amount:
+        if pool.is_consumable and not response.amount:
             request.was_denied, request.timeout_at_ms = True, now
             return  # the grant to an earlier attempt may still be on its way
         del self.outstanding[response.nonce]
-        has_gained = False
-        if isinstance(pool, RatePool):
-            has_gained = pool.borrow(now, sender, response.amount, request.sent_at_ms, response.term_ms)
-        elif isinstance(pool, CountPool) and response.total <= pool.total:
-            # A greater total would be from before this router learnt that it was lowered.
-            pool.receive(response.amount)
-            has_gained = True
+        has_gained = self._take_units(now, request, response)
         pool.rounds.has_gained |= has_gained
         self.counters["taken"] += has_gained
 
@@ -124,6 +93,16 @@
         is_own = response.requester_incarnation == self.incarnation
         return is_own and request.peer == sender and request.pool is pool
 
+    def _take_units(self, now: float, request: OutstandingRequest, response: EscrowResponse) -> bool:
+        """Add what a response grants to the pool; whether there is more than before."""
+        pool = request.pool
+        if isinstance(pool, RatePool):
+            return pool.borrow(now, request.peer, response.amount, request.sent_at_ms, response.term_ms)
+        if isinstance(pool, CountPool) and response.total <= pool.total:
+            pool.receive(response.amount)
+            return True
+        return False  # a greater total: granted before this router learnt that the total was lowered
+
     def _note_availability(self, now: float, sender: int, pool: QuotaPool, response: EscrowResponse) -> None:
         pool.peer_available[sender] = PeerAvailability(response.available, now)
         hinted_peer = response.hinted_peer
@@ -132,8 +111,6 @@
             if known.units or now - known.seen_at_ms > 2 * RESPONSE_TIMEOUT_MS:
                 pool.peer_available[hinted_peer] = PeerAvailability(max(1, known.units), now)
 
-    # Requests.
-
     def expire(self, now: float) -> None:
         """Forget requests whose response would not be accepted any more."""
         for nonce, request in list(self.outstanding.items()):
@@ -210,77 +187,26 @@
         return messages
 
     def _start_round(self, now: float, pool: QuotaPool) -> list[SendToPeer]:
-        """Ask some peers for the shortfall.
-
-        A round that brought nothing makes the next one later and smaller, with jitter: where everybody wants
-        units that are not there, the requests die down."""
-        rounds = pool.rounds
+        """Ask some peers for the shortfall, if a round may start."""
         shortfall = pool.shortfall(now)
-        awaited = self._awaited_peers(now, pool)
-        if (
-            shortfall <= 0
-            or now < rounds.next_at_ms
-            or (awaited and not rounds.has_gained and rounds.is_open)
-        ):
+        if shortfall <= 0:
             return []
-        if rounds.is_open and not self._finish_round(now, pool):
+        peers = self.planner.next_round(now, pool, self.alive_peers, self._awaited_peers(now, pool))
+        if peers is None:
             return []
-        peers = self._choose_peers(now, pool, self._round_size(pool, shortfall), awaited)
         messages: list[SendToPeer] = []
         for peer in peers:
             borrowed = pool.amount_borrowed_from(peer, now) if isinstance(pool, RatePool) else 0
             messages += self._send(now, pool, peer, math.ceil(shortfall / len(peers)) + borrowed)
-        rounds.is_open = bool(messages)
+        pool.rounds.is_open = bool(messages)
         return messages
 
-    def _round_size(self, pool: QuotaPool, shortfall: int) -> int:
-        """How many peers to ask: one for a count; for a rate so many that each may give half an allotment."""
-        if pool.is_consumable:
-            return 1
-        half_allotment = max(1, pool.own_allotment() // 2)
-        limit = MAX_PARALLEL_REQUESTS >> min(pool.rounds.failed, 3)
-        return min(limit, math.ceil(shortfall / half_allotment))
-
-    def _finish_round(self, now: float, pool: QuotaPool) -> bool:
-        """The last round is over; whether the next may start at once."""
-        rounds = pool.rounds
-        rounds.is_open = False
-        if rounds.has_gained:
-            rounds.has_gained, rounds.failed = False, 0
-            return True
-        has_recent_hint = any(
-            units and now - seen_at_ms < RESPONSE_TIMEOUT_MS
-            for units, seen_at_ms in pool.peer_available.values()
-        )
-        if rounds.hints_followed < MAX_HINTS_FOLLOWED and has_recent_hint:
-            rounds.hints_followed += 1
-            return True
-        rounds.hints_followed, rounds.failed = 0, min(rounds.failed + 1, MAX_FAILED_ROUNDS)
-        max_ms = COUNT_BACKOFF_MAX_MS if pool.is_consumable else RATE_BACKOFF_MAX_MS
-        backoff_ms = min(BACKOFF_BASE_MS * 2.0**rounds.failed, max_ms)
-        rounds.next_at_ms = now + backoff_ms * self.rng.uniform(*RETRY_JITTER)
-        return False
-
-    def _choose_peers(self, now: float, pool: QuotaPool, max_peers: int, awaited: set[int]) -> list[int]:
-        """Peers to ask, best first: last known to have units; had units at the start; not known to have none.
 
-        Only where there is no such peer, those that are known to have none."""
-        with_units: list[int] = []
-        with_allotment: list[int] = []
-        unknown: list[int] = []
-        without_units: list[int] = []
-        for peer in self.alive_peers:
-            known = pool.peer_available.get(peer, NEVER_SEEN)
-            if peer in awaited:
-                continue
-            if now - known.seen_at_ms < LEASE_TERM_MS:
-                (with_units if known.units else without_units).append(peer)
-            else:
-                has_allotment = pool.is_consumable and pool.place_by_router[peer] < pool.total
-                (with_allotment if has_allotment else unknown).append(peer)
-        chosen: list[int] = []
-        for group in (with_units, with_allotment, unknown):
-            chosen += self.rng.sample(group, min(max_peers - len(chosen), len(group)))
-        if not chosen:
-            chosen = self.rng.sample(without_units, min(max_peers, len(without_units)))
-        return chosen
+def _is_consistent(request: OutstandingRequest, response: EscrowResponse) -> bool:
+    """Whether a response grants no more than requested, for a term that fits the kind of pool."""
+    has_term = bool(response.term_ms)
+    return (
+        response.amount <= request.requested
+        and response.term_ms <= LEASE_TERM_MS
+        and has_term is not request.pool.is_consumable
+    )
--- a/cedarthread/fleet_config.py
+++ b/cedarthread/fleet_config.py
@@ -16,7 +16,7 @@
 from cedarthread.errors import CedarthreadError
 
 FrozenAction = Literal["first-copy", "order", "unload", "homes", "retune"]
-MAX_WINDOW_SECONDS = 12 * 3600.0  # of a freeze window: longer is taken for a mistake in a date
+MAX_WINDOW_SECONDS = 12 * 3600.0  # of a freeze window; also how far a deviating wall clock may widen one
 MAX_NAME_BYTES = 64  # what a replicated entry's name may have
 FUNCTION_ID_DIGITS = 16  # hexadecimal
 
--- a/cedarthread/replication/entry.py
+++ b/cedarthread/replication/entry.py
@@ -15,9 +15,8 @@
 from cedarthread.components.interface import Entry, EntryKind, Version
 
 MAX_PROPOSED_ENTRIES = 512  # a router declares no entry beyond this many
-MAX_ENTRIES = (
-    1024  # accepted from peers: routers that propose at the same time may pass the first bound together
-)
+# More are accepted from peers: routers that propose at the same time may pass the first bound together.
+MAX_ENTRIES = 1024
 MAX_BODY_BYTES = 2048
 MAX_NAME_BYTES = 64  # of UTF-8
 VERSION_COUNTER_LIMIT = 2**48  # exclusive
--- a/cedarthread/replication/sync_session.py
+++ b/cedarthread/replication/sync_session.py
@@ -44,9 +44,8 @@
     ) -> None:
         self.peer, self.sent_at_ms, self.response = peer, sent_at_ms, response
         self.root_digest = response.root_digest  # of the state that the summaries describe
-        self.bucket_sums = list(
-            bucket_sums
-        )  # of the peer's entries that are recognised here, or this router's own
+        # Of the entries in each bucket: this router's, or the peer's once all of those are recognised here.
+        self.bucket_sums = list(bucket_sums)
         self.refs_by_bucket: dict[
             int, dict[int, tuple[EntryRef, ...]]
         ] = {}  # bucket, part: the peer's entries
