Escrow simulation, model and measurements are modules of their own

Cause: one module of 480 lines simulated fleets, explored small models and measured the table of the design page.

--- /dev/null
+++ b/cedarthread/testing/escrow_measurements.py
@@ -0,0 +1,123 @@
+"""Measures the table of docs/design/grants.md: ``python -m cedarthread.testing.escrow_measurements``."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import random
+from typing import Any
+
+from cedarthread.escrow.rate_pool import LEASE_TERM_MS
+from cedarthread.testing.escrow_simulation import TICK_INTERVAL_MS, EscrowSimulation
+
+MEASURED_NETWORK: dict[str, Any] = {
+    "duplication_rate": 0.02,
+    "tail_latency_factor": 1,  # latencies of 1 to 60 ms
+    "clock_rate_error": 0.001,
+}
+
+
+def zipf_demand(router_count: int, total: int, exponent: float, rng: random.Random) -> list[int]:
+    """Demand by router: the k-th greatest is proportional to 1 / k^exponent; which router has it is
+    random."""
+    weights = [rank**-exponent for rank in range(1, router_count + 1)]
+    rng.shuffle(weights)
+    return [int(total * weight / sum(weights)) for weight in weights]
+
+
+def measure_rate_service(
+    router_count: int, seed: int, load: float, loss_rate: float, exponent: float = 1.0
+) -> list[float]:
+    """How well a rate follows skewed demand that comes up at once.
+
+    Returns the fraction of the rate in use at once and after 2, 5, 10 and 20 s, the least fraction in the 10
+    s from then, and the bytes a second that a router sends in them, mean and maximum."""
+    total = 1_000_000
+    network = {**MEASURED_NETWORK, "loss_rate": loss_rate, "check_interval_ms": 1e9}
+    simulation = EscrowSimulation(router_count, seed, {"rate": total}, **network)
+    demand = zipf_demand(router_count, int(total * load), exponent, random.Random(seed))
+    simulation.run(LEASE_TERM_MS * 1.05)
+
+    def fraction_in_use_after(duration_ms: float) -> float:
+        for _ in range(int(duration_ms / TICK_INTERVAL_MS)):
+            for router in simulation.routers:
+                router.escrow.request(router.clock_ms(), "rate", demand[router.router_index])
+            simulation.run(TICK_INTERVAL_MS)
+        uses = (
+            min(demand[router.router_index], router.escrow.available(router.clock_ms(), "rate"))
+            for router in simulation.routers
+        )
+        return sum(uses) / total
+
+    figures = [fraction_in_use_after(ms) for ms in (0.0, 2000.0, 3000.0, 5000.0, 10_000.0)]
+    sent_before = dict(simulation.bytes_sent)
+    figures.append(min(fraction_in_use_after(TICK_INTERVAL_MS) for _ in range(40)))
+    bytes_per_second = [
+        (simulation.bytes_sent[index] - sent_before.get(index, 0)) / 10.0 for index in range(router_count)
+    ]
+    return [*figures, sum(bytes_per_second) / router_count, max(bytes_per_second)]
+
+
+def measure_count_acquisition(
+    router_count: int, seed: int, total: int, requesters: int, loss_rate: float
+) -> list[float]:
+    """ms until routers without an allotment each had consumed a unit of a count; inf: not within 30 s."""
+    network = {**MEASURED_NETWORK, "loss_rate": loss_rate}
+    simulation = EscrowSimulation(router_count, seed, {"count": total}, **network)
+    simulation.run(1000.0)
+    without_units = [
+        router for router in simulation.routers if not router.escrow.available(router.clock_ms(), "count")
+    ]
+    waiting = random.Random(seed).sample(without_units, requesters)
+    for router in waiting:
+        router.escrow.request(router.clock_ms(), "count", 1)
+    started_at_ms = simulation.now
+    times_ms: list[float] = []
+    while waiting and len(times_ms) < total and simulation.now < started_at_ms + 30_000.0:
+        simulation.run(10.0)
+        for router in [router for router in waiting if simulation.consume(router, 1)]:
+            times_ms.append(simulation.now - started_at_ms)
+            waiting.remove(router)
+    return times_ms + [math.inf] * (min(requesters, total) - len(times_ms))
+
+
+def measure_stampede(router_count: int, seed: int, seconds: int) -> list[tuple[float, int]]:
+    """All routers want a unit of a count of three that their holders keep.
+
+    Returns the datagrams sent in each second, by the mean and by the busiest router."""
+    network = {**MEASURED_NETWORK, "loss_rate": 0.1}
+    simulation = EscrowSimulation(router_count, seed, {"count": 3}, **network)
+    for router in simulation.routers:
+        router.escrow.request(router.clock_ms(), "count", 1)
+    datagrams: list[tuple[float, int]] = []
+    for _ in range(seconds):
+        simulation.datagrams_sent.clear()
+        simulation.run(1000.0)
+        busiest = max(simulation.datagrams_sent.values(), default=0)
+        datagrams.append((simulation.datagrams_sent.total() / router_count, busiest))
+    return datagrams
+
+
+def main() -> None:
+    """Print the figures."""
+    for router_count, load, loss_rate in itertools.product((24, 200), (0.8, 1.0, 1.5), (0.0, 0.1)):
+        rows = [measure_rate_service(router_count, seed, load, loss_rate) for seed in range(3)]
+        *fractions, mean_bytes, max_bytes = (sum(column) / len(rows) for column in zip(*rows, strict=True))
+        served = " ".join(f"{fraction / min(load, 1.0):.3f}" for fraction in fractions)
+        setting = f"{router_count} routers, demand {load}, loss {loss_rate}"
+        print(f"{setting}: {served}; {mean_bytes:.0f} and {max_bytes:.0f} B/s")
+    for router_count, requesters in itertools.product((24, 200), (1, 3)):
+        times_ms: list[float] = []
+        for seed in range(40):
+            times_ms += measure_count_acquisition(router_count, seed, 3, requesters, 0.1)
+        times_ms.sort()
+        median, late = times_ms[len(times_ms) // 2], times_ms[int(len(times_ms) * 0.95)]
+        figures = f"median {median}, 95% {late}, most {times_ms[-1]}"
+        print(f"{router_count} routers, {requesters} ask for one of 3: {figures}")
+    for router_count in (24, 200):
+        seconds = ", ".join(f"{mean:.1f} {most}" for mean, most in measure_stampede(router_count, 1, 10))
+        print(f"{router_count} routers, all want: {seconds}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/cedarthread/testing/escrow_model.py
@@ -0,0 +1,213 @@
+"""Exhaustive exploration of two or three escrow routers.
+
+Every order of requests, deliveries, duplicates, uses, passing time, restarts and lowered totals is tried, up
+to given numbers of each. Time moves in steps that fall between a taker's end of a lease and the giver's. A
+datagram that is never delivered is lost, one that is delivered after steps is late. The clocks run at their
+limits, one fast, the others slow.
+"""
+
+from __future__ import annotations
+
+import copy
+from collections import deque
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from cedarthread.components.interface import OutboundMessage, PeersChanged
+from cedarthread.escrow.count_pool import CountPool
+from cedarthread.escrow.escrow import Escrow
+from cedarthread.escrow.rate_pool import Lease, RatePool
+from cedarthread.model.actions import SendToPeer
+
+CLOCK_RATE_ERROR = 0.25
+STEP_MS = 1300.0  # no multiple of it is the end of a lease, at the taker or at the giver
+LOWERED_BY = 2  # units by which a count's total is lowered
+
+Event = tuple[Any, ...]  # its name, then the routers or the datagram that it concerns
+
+
+class SmallEscrowModel:
+    """One state of two or three routers with one pool, and the events that may follow.
+
+    ``limits``: how often each kind of event may still happen."""
+
+    def __init__(
+        self,
+        escrow_type: type[Escrow],
+        pool_name: str,
+        router_count: int,
+        total: int,
+        limits: Mapping[str, int],
+    ) -> None:
+        self.escrow_type, self.pool_name = escrow_type, pool_name
+        self.router_count, self.total = router_count, total
+        self.remaining_events = dict(limits)
+        self.now, self.last_incarnation, self.consumed = 0.0, 0, 0
+        self.consumed_when_all_knew = -1  # when all routers had learnt of the lowered total; -1: not yet
+        self.in_flight: frozenset[tuple[int, int, bytes]] = frozenset()  # sender, receiver, data
+        self.totals = [total] * router_count  # as each router knows it
+        self.routers = [self.start_router(index, True) for index in range(router_count)]
+        self.now = 6 * STEP_MS  # long enough for the routers' own rates to be theirs
+
+    @property
+    def is_count(self) -> bool:
+        """Whether the pool is a count."""
+        return self.pool_name == "count"
+
+    def clock_ms(self, router_index: int) -> float:
+        """The steady clock of a router."""
+        return self.now * (1 + CLOCK_RATE_ERROR if router_index == 0 else 1 - CLOCK_RATE_ERROR)
+
+    def start_router(self, router_index: int, is_first: bool) -> Escrow:
+        """An incarnation of a router begins."""
+        self.last_incarnation += 1
+        escrow = self.escrow_type(
+            router_index,
+            self.router_count,
+            self.last_incarnation,
+            1,
+            clock_rate=CLOCK_RATE_ERROR,
+            now=self.clock_ms(router_index),
+            has_memory=is_first,
+        )
+        self._open_pool(escrow, self.totals[router_index])
+        return escrow
+
+    def _open_pool(self, escrow: Escrow, total: int) -> None:
+        escrow.open_pool(self.pool_name, total, is_consumable=self.is_count, ends_at_ms=None)
+
+    def state_key(self) -> str:
+        """The state in a form that is equal where the same can follow."""
+        world = (
+            self.now,
+            self.consumed,
+            self.consumed_when_all_knew,
+            sorted(self.in_flight),
+            sorted(self.remaining_events.items()),
+        )
+        return repr(([_router_key(escrow) for escrow in self.routers], world))
+
+    def possible_events(self) -> list[Event]:
+        """What may happen next."""
+        remaining, indices = self.remaining_events, range(self.router_count)
+        events: list[Event] = []
+        if remaining["ask"]:
+            events += [("ask", sender, peer) for sender in indices for peer in indices if sender != peer]
+        for datagram in sorted(self.in_flight):
+            events.append(("hear", datagram))
+            if remaining["double"] > 0:
+                events.append(("double", datagram))
+        if remaining["step"] > 0:
+            events.append(("step",))
+        if remaining["restart"]:
+            events += [("restart", index) for index in indices]
+        if remaining["learn"]:
+            events += [("learn", index) for index in indices if self.totals[index] == self.total]
+        if self.is_count:
+            events += [("use", index) for index in indices if self._available(index)]
+        return events
+
+    def _available(self, router_index: int) -> int:
+        return self.routers[router_index].available(self.clock_ms(router_index), self.pool_name)
+
+    def apply(self, event: Event) -> None:
+        """Let one thing happen."""
+        action, *arguments = event
+        if action in self.remaining_events:
+            self.remaining_events[action] -= 1
+        if action == "step":
+            self.now += STEP_MS
+        elif action == "restart":
+            (index,) = arguments
+            self.routers[index] = self.start_router(index, False)
+        elif action == "learn":
+            self._learn_lowered_total(*arguments)
+        elif action == "use":
+            (index,) = arguments
+            self.consumed += self.routers[index].consume(self.clock_ms(index), self.pool_name, 1)
+        elif action == "ask":
+            self._ask(*arguments)
+        else:
+            self._deliver(arguments[0], is_duplicate=action == "double")
+
+    def _learn_lowered_total(self, router_index: int) -> None:
+        self.totals[router_index] = self.total - LOWERED_BY
+        self._open_pool(self.routers[router_index], self.total - LOWERED_BY)
+        if self.total not in self.totals:
+            self.consumed_when_all_knew = self.consumed
+
+    def _ask(self, sender: int, peer: int) -> None:
+        """One router requests units from one peer, whatever its backoff and budget say."""
+        escrow, now = self.routers[sender], self.clock_ms(sender)
+        escrow.on_notification(now, PeersChanged((peer,), 2, {}))
+        for pool in escrow.pools.values():
+            pool.rounds.next_at_ms, pool.rounds.is_open, pool.peer_available = now, False, {}
+        escrow.requester.request_budget.tokens = 1.0
+        escrow.request(now, self.pool_name, self.total)
+        self._add_in_flight(sender, escrow.on_tick(now))
+        escrow.request(now, self.pool_name, 0)
+
+    def _deliver(self, datagram: tuple[int, int, bytes], is_duplicate: bool) -> None:
+        sender, receiver, data = datagram
+        if not is_duplicate:
+            self.in_flight -= {datagram}
+        answers = self.routers[receiver].on_message(self.clock_ms(receiver), sender, data)
+        self._add_in_flight(receiver, answers)
+
+    def _add_in_flight(self, sender: int, messages: Iterable[OutboundMessage]) -> None:
+        for message in messages:
+            assert isinstance(message, SendToPeer) and message.peer_index is not None
+            self.in_flight |= {(sender, message.peer_index, message.data)}
+
+    def is_total_exceeded(self) -> bool:
+        """Whether more is used than there is."""
+        if self.is_count:
+            lowered = max(self.consumed_when_all_knew, self.total - LOWERED_BY)
+            is_over_lowered = self.consumed_when_all_knew >= 0 and self.consumed > lowered
+            return self.consumed > self.total or is_over_lowered
+        return sum(map(self._available, range(self.router_count))) > self.total
+
+
+def _router_key(escrow: Escrow) -> Any:
+    pool = next(iter(escrow.pools.values()))
+    outstanding = sorted(
+        (nonce, request.peer, request.requested, request.sent_at_ms, request.was_denied)
+        for nonce, request in escrow.requester.outstanding.items()
+    )
+    accounts: Any = None
+    if isinstance(pool, RatePool):
+        accounts = _lease_keys(pool.leases_given), _lease_keys(pool.leases_taken)
+    elif isinstance(pool, CountPool):
+        accounts = pool.balance, pool.highest_total, pool.is_lost, sorted(escrow.grantor.sent_grants)
+    return escrow.incarnation, escrow.requester.last_nonce, pool.total, outstanding, accounts
+
+
+def _lease_keys(leases: Mapping[Any, Lease]) -> list[Any]:
+    return sorted((str(holder), lease.nonce, sorted(lease.grants)) for holder, lease in leases.items())
+
+
+def explore_states(start: SmallEscrowModel, max_states: int = 10**6) -> tuple[int, list[Event] | None]:
+    """Breadth first: the number of states seen, and the shortest events to an exceeded total, if there are
+    any."""
+    seen = {start.state_key()}
+    queue: deque[tuple[SmallEscrowModel, tuple[Event, ...]]] = deque([(start, ())])
+    while queue and len(seen) < max_states:
+        model, events = queue.popleft()
+        for event in model.possible_events():
+            successor = copy.deepcopy(model, {id(shared): shared for shared in _shared_objects(model)})
+            successor.apply(event)
+            if successor.is_total_exceeded():
+                return len(seen), [*events, event]
+            if (key := successor.state_key()) not in seen:
+                seen.add(key)
+                queue.append((successor, (*events, event)))
+    return len(seen), None
+
+
+def _shared_objects(model: SmallEscrowModel) -> list[object]:
+    """What the copies of a state may share: it does not change what can follow."""
+    shared: list[object] = []
+    for escrow in model.routers:
+        places = (pool.place_by_router for pool in escrow.pools.values())
+        shared += [escrow.rng, *places, escrow.counters]
+    return shared
--- a/tests/simulation/test_escrow_fleet.py
+++ b/tests/simulation/test_escrow_fleet.py
@@ -15,15 +15,13 @@
 from cedarthread.escrow.rate_pool import LEASE_TERM_MS, Borrower, RatePool
 from cedarthread.escrow.requester import EscrowRequester
 from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES
-from cedarthread.testing.escrow_simulation import (
-    CHECK_INTERVAL_MS,
-    EscrowSimulation,
-    SmallEscrowModel,
-    explore_states,
+from cedarthread.testing.escrow_measurements import (
     measure_count_acquisition,
     measure_rate_service,
     measure_stampede,
 )
+from cedarthread.testing.escrow_model import SmallEscrowModel, explore_states
+from cedarthread.testing.escrow_simulation import CHECK_INTERVAL_MS, EscrowSimulation
 from tests.helpers import copier
 
 
