--- a/cedarthread/persistence/__init__.py
+++ b/cedarthread/persistence/__init__.py
@@ -1,1 +1,4 @@
-"""State that outlives the process, on a disk that may fail or return wrong data."""
+"""Persistence: what a router keeps on disk for its next incarnation, and what of it a restart may believe.
+
+Nothing here lets the event loop wait for a disk, and nothing trusts one: see docs/design/store.md.
+"""
--- a/cedarthread/persistence/faulty_disk.py
+++ b/cedarthread/persistence/faulty_disk.py
@@ -1,110 +1,36 @@
-"""A disk that lies, beneath SQLite, as a layer of apsw: for tests and drills only, never loaded when serving.
+"""A faulty disk beneath SQLite, as a VFS of apsw: for tests and drills only, never loaded when serving.
 
-The real files are what is *on the disk*. What was written and not synced stands in memory, where reads find
-it as they would in a page cache, so a killed process is a power cut: it loses what was not synced. Faults are
-switched while it runs (``Fault``), from a file that is mapped where another process switches them.
-
-``images`` gives what a power cut leaves after each single operation of a recorded run.
+The real files are what is *on the disk*. What was written and not synced is in memory, where reads find it as
+they would in a page cache; so killing the process is a power cut, which loses what was not synced. Faults are
+switched while it runs (``fault_switch.py``).
 """
 
 from __future__ import annotations
 
-import mmap
 import random
-import struct
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import IntEnum
 from pathlib import Path
-from typing import Any, Protocol, cast
+from typing import Any, cast
 
 import apsw
 
-VFS_NAME, BASE_VFS = "lying", "unix"  # this layer, and the one beneath
-CONTROL_FILE_BYTES = (
-    64  # bytes of the control file: the fault's kind in one, seven of padding, its figure as a float
-)
-_CONTROL_FORMAT = struct.Struct("<B7xd")
-SECTOR_BYTES = 512  # bytes that a disk writes whole
-EARLIER_CONTENT_SUFFIX = ".then"  # after a name: the file as it was at an earlier opening
-WAIT_POLL_S = 0.25  # s after which a thread that waits looks whether it still has to
-
-
-class InjectedFault(IntEnum):
-    """What the disk does; the figure is given after the colon."""
-
-    NONE = 0
-    UNSYNCED = 1  # says that it has synced and has not
-    TORN_WRITE = 2  # says that it has synced, and the last write lacks its second half
-    BIT_FLIP = 3  # one bit of a write flips on its way to the disk: the chance of it, for each write
-    STALE_CONTENT = 4  # gives back at the next opening what stood there at an earlier one
-    DISK_FULL = 5  # no space
-    EIO_WRITE = 6  # writes fail
-    EIO_SYNC = 7  # after so many that go well, syncs fail; what they were to write is never tried again
-    SLOW_SYNC = 8  # syncs take so long: ms
-    READ_ONLY = 9  # nothing may be written
-    FOLDER_MISSING = 10  # the folder can't be reached
-
-
-class FaultSwitch(Protocol):
-    """Where the fault in force is read."""
+from cedarthread.persistence.fault_switch import FaultSwitch, FileSwitch, InjectedFault
+from cedarthread.persistence.power_cut import SECTOR_BYTES, DiskOperation, apply_operation
 
-    def read(self) -> tuple[int, float]:
-        """Kind and figure."""
-
-
-@dataclass(slots=True)
-class ManualSwitch:
-    """Switched in this process, by hand."""
-
-    kind: int = 0
-    figure: float = 0.0
-
-    def read(self) -> tuple[int, float]:
-        """Kind and figure."""
-        return self.kind, self.figure
-
-
-class FileSwitch:
-    """Switched by a file of 64 bytes that others write."""
-
-    def __init__(self, path: Path) -> None:
-        with path.open("a+b") as file:
-            file.truncate(CONTROL_FILE_BYTES)
-            self._map = mmap.mmap(file.fileno(), CONTROL_FILE_BYTES, access=mmap.ACCESS_READ)
-
-    def read(self) -> tuple[int, float]:
-        """Kind and figure."""
-        return _CONTROL_FORMAT.unpack_from(self._map)
-
-
-def set_fault(path: Path, kind: InjectedFault, figure: float = 0.0) -> None:
-    """Put a fault in force for all processes that have mapped this file; the figure goes in first."""
-    with path.open("r+b") as file:
-        laid = _CONTROL_FORMAT.pack(kind, figure)
-        file.seek(1)
-        file.write(laid[1:])
-        file.flush()
-        file.seek(0)
-        file.write(laid[:1])
-
-
-@dataclass(frozen=True, slots=True)
-class DiskOperation:
-    """One operation on one file: ``data`` is written at ``at``; None: the file is cut to that length."""
-
-    path: str
-    offset: int = 0
-    data: bytes | None = None
-    sync: bool = False
-    failed: bool = False  # the sync: what it was to write may be on the disk or not, and is never tried again
-    mark: object = None  # of a test: what had been acknowledged by then
+VFS_NAME = "lying"
+BASE_VFS = "unix"
+"""The layer beneath."""
+EARLIER_CONTENT_SUFFIX = ".then"
+"""Added to a file's name: its content at an earlier opening."""
+WAIT_POLL_S = 0.25
+"""Time after which a slow sync looks whether the fault is still in force."""
 
 
 @dataclass(slots=True)
 class _CachedFile:
-    """One file as its writers see it, and what of it is not on the disk yet."""
+    """One file as its writers see it, and the operations that are not on the disk yet."""
 
     inode: int
     content: bytearray
@@ -112,18 +38,8 @@
     open_count: int = 0
 
 
-def apply_operation(content: bytearray, step: DiskOperation) -> None:
-    """Play one operation into a file's content."""
-    if step.data is None:
-        del content[step.offset :]
-        return
-    if len(content) < step.offset:
-        content.extend(bytes(step.offset - len(content)))
-    content[step.offset : step.offset + len(step.data)] = step.data
-
-
 class FaultyDisk(apsw.VFS):
-    """The layer; ``wait`` is how a slow sync waits for so many ms."""
+    """The VFS. Its method names are SQLite's."""
 
     def __init__(
         self,
@@ -135,22 +51,40 @@
         record: bool = False,
         default: bool = False,
     ) -> None:
+        """Register the VFS with SQLite.
+
+        Args:
+            name: under which databases ask for it.
+            switch: says which fault is in force.
+            seed: of the bits that flip.
+            wait: how a slow sync waits for so many ms.
+            record: whether to keep all operations in ``operations``.
+            default: whether databases that name no VFS get it.
+        """
         super().__init__(name, BASE_VFS, makedefault=default)
-        self.switch, self.rng, self.wait, self.record = switch, random.Random(seed), wait, record
+        self.switch = switch
+        self.rng = random.Random(seed)
+        self.wait = wait
+        self.record = record
         self.cached_files: dict[str, _CachedFile] = {}
         self.operations: list[DiskOperation] = []
-        self.failing_sync_count = 0  # syncs since they began to fail
+        self.failing_sync_count = 0  # syncs since EIO_SYNC came into force
+
+    def is_fault_active(self, *faults: InjectedFault) -> bool:
+        """Whether one of these is in force."""
+        return self.switch.read().fault in faults
 
-    def is_fault_active(self, *kinds: InjectedFault) -> bool:
-        """Is one of these in force?"""
-        return self.switch.read()[0] in kinds
+    def add_operation(self, operation: DiskOperation) -> None:
+        """Record an operation, if operations are recorded."""
+        if self.record:
+            self.operations.append(operation)
 
     def add_mark(self, mark: object) -> None:
-        """A test's mark among the operations."""
+        """Record a test's note between the operations."""
         self.operations.append(DiskOperation("", mark=mark))
 
     def xOpen(self, name: str | apsw.URIFilename | None, flags: list[int]) -> apsw.VFSFile:
-        """Open a file; its content stands in memory from now on."""
+        """Open a file; its content is in memory from now on."""
         if self.is_fault_active(InjectedFault.FOLDER_MISSING):
             raise apsw.CantOpenError("the folder can't be reached")
         path = str(name.filename() if isinstance(name, apsw.URIFilename) else name)
@@ -159,22 +93,24 @@
         return _FaultyFile(self, name, path, flags)
 
     def _swap_earlier_content(self, path: Path) -> None:
-        """Keep what stands there now, or give back what was kept."""
-        kept = path.with_name(path.name + EARLIER_CONTENT_SUFFIX)
+        """Keep a file's present content for later, or return to what was kept."""
+        earlier = path.with_name(path.name + EARLIER_CONTENT_SUFFIX)
         if not self.is_fault_active(InjectedFault.STALE_CONTENT):
             if path.exists():
-                kept.write_bytes(path.read_bytes())
-        elif kept.exists():
-            path.write_bytes(kept.read_bytes())
+                earlier.write_bytes(path.read_bytes())
+        elif earlier.exists():
+            path.write_bytes(earlier.read_bytes())
             path.with_name(path.name + "-journal").unlink(missing_ok=True)
 
     def xDelete(self, name: str, sync: bool) -> None:
-        """Files go at once: the store's protocol deletes none that matters."""
+        """Delete a file at once, durably: the store deletes none that matters."""
         self.cached_files.pop(name, None)
         super().xDelete(name, sync)
 
 
 class _FaultyFile(apsw.VFSFile):
+    """One open file."""
+
     def __init__(self, disk: FaultyDisk, name: Any, path: str, flags: list[int]) -> None:
         super().__init__(BASE_VFS, name, flags)
         self.disk, self.path = disk, path
@@ -185,7 +121,7 @@
         self.cached.open_count += 1
 
     def xClose(self) -> None:
-        """What was not synced is still in the page cache, for as long as the process lives."""
+        """Close; what was not synced stays in the page cache for as long as the process lives."""
         self.cached.open_count -= 1
         if not self.cached.open_count and not self.cached.unsynced and self._is_synced():
             self.disk.cached_files.pop(self.path, None)
@@ -195,160 +131,113 @@
         try:
             return bytes(self.cached.content) == Path(self.path).read_bytes()
         except OSError:
-            return True  # its folder went: so did its pages
+            return True  # its folder is gone, and its pages with it
 
     def xRead(self, amount: int, offset: int) -> bytes:
-        """As the page cache has it."""
+        """Read from the page cache."""
         return bytes(self.cached.content[offset : offset + amount])
 
     def xFileSize(self) -> int:
-        """As the page cache has it."""
+        """The size in the page cache."""
         return len(self.cached.content)
 
     def xWrite(self, data: bytes, offset: int) -> None:
-        """Into the page cache."""
-        self._may_write()
+        """Write into the page cache."""
+        self._check_writable()
         if self.disk.is_fault_active(InjectedFault.DISK_FULL):
             raise apsw.FullError("no space left")
         if self.disk.is_fault_active(InjectedFault.EIO_WRITE):
             raise _io_error(apsw.SQLITE_IOERR_WRITE)
-        self._record(DiskOperation(self.path, offset, bytes(data)))
+        self._apply(DiskOperation(self.path, offset, bytes(data)))
 
     def xTruncate(self, newsize: int) -> None:
-        """Cut the file."""
-        self._may_write()
-        self._record(DiskOperation(self.path, newsize))
+        """Truncate in the page cache."""
+        self._check_writable()
+        self._apply(DiskOperation(self.path, newsize))
 
-    def _may_write(self) -> None:
+    def _check_writable(self) -> None:
         if self.disk.is_fault_active(InjectedFault.READ_ONLY):
             raise apsw.ReadOnlyError("read-only")
         if self.disk.is_fault_active(InjectedFault.FOLDER_MISSING):
             raise _io_error(apsw.SQLITE_IOERR)
 
-    def _record(self, step: DiskOperation) -> None:
-        apply_operation(self.cached.content, step)
-        self.cached.unsynced.append(step)
-        if self.disk.record:
-            self.disk.operations.append(step)
+    def _apply(self, operation: DiskOperation) -> None:
+        apply_operation(self.cached.content, operation)
+        self.cached.unsynced.append(operation)
+        self.disk.add_operation(operation)
 
     def xSync(self, flags: int) -> None:
-        """What waits goes to the disk, or to where the fault in force has it go."""
-        kind, figure = self.disk.switch.read()
-        if kind == InjectedFault.SLOW_SYNC:
-            self.disk.wait(figure)
-        waiting, self.cached.unsynced = self.cached.unsynced, []
-        self.disk.failing_sync_count = (
-            self.disk.failing_sync_count + 1 if kind == InjectedFault.EIO_SYNC else 0
-        )
-        if kind == InjectedFault.FOLDER_MISSING or self.disk.failing_sync_count > figure:
-            if self.disk.record:
-                self.disk.operations.append(DiskOperation(self.path, sync=True, failed=True))
+        """Write the page cache to the disk, as far as the fault in force lets it."""
+        fault, parameter = self.disk.switch.read()
+        if fault == InjectedFault.SLOW_SYNC:
+            self.disk.wait(parameter)
+        unsynced, self.cached.unsynced = self.cached.unsynced, []
+        if fault == InjectedFault.EIO_SYNC:
+            self.disk.failing_sync_count += 1
+        else:
+            self.disk.failing_sync_count = 0
+        if fault == InjectedFault.FOLDER_MISSING or self.disk.failing_sync_count > parameter:
+            self.disk.add_operation(DiskOperation(self.path, sync=True, failed=True))
             raise _io_error(
                 apsw.SQLITE_IOERR_FSYNC
             )  # the pages count as clean now: no later sync writes them
-        if kind == InjectedFault.UNSYNCED:
+        if fault == InjectedFault.UNSYNCED:
             return
-        for place, step in enumerate(waiting):
-            data = step.data
-            if data and kind == InjectedFault.TORN_WRITE and place == len(waiting) - 1:
+        self._write_to_disk(unsynced, fault, parameter)
+        self.disk.add_operation(DiskOperation(self.path, sync=True))
+        super().xSync(flags)
+
+    def _write_to_disk(self, unsynced: list[DiskOperation], fault: int, parameter: float) -> None:
+        for number, operation in enumerate(unsynced, start=1):
+            data = operation.data
+            if data and fault == InjectedFault.TORN_WRITE and number == len(unsynced):
                 data = data[: len(data) // 2]
-            if data and kind == InjectedFault.BIT_FLIP and self.disk.rng.random() < figure:
+            if data and fault == InjectedFault.BIT_FLIP and self.disk.rng.random() < parameter:
                 data = flip_bit(data, self.disk.rng.randrange(8 * len(data)))
             if data is None:
-                super().xTruncate(step.offset)
+                super().xTruncate(operation.offset)
             else:
-                super().xWrite(data, step.offset)
-        if self.disk.record:
-            self.disk.operations.append(DiskOperation(self.path, sync=True))
-        super().xSync(flags)
+                super().xWrite(data, operation.offset)
 
     def xSectorSize(self) -> int:
-        """Of the disk."""
+        """The disk's sector size."""
         return SECTOR_BYTES
 
     def xDeviceCharacteristics(self) -> int:
-        """It promises nothing."""
+        """The disk promises nothing."""
         return 0
 
 
-def _io_error(extended: int) -> apsw.IOError:
+def _io_error(extended_result: int) -> apsw.IOError:
     error: Any = apsw.IOError("input or output failed")
-    error.extendedresult = extended
+    error.extendedresult = extended_result
     return cast(apsw.IOError, error)
 
 
 def flip_bit(data: bytes, bit: int) -> bytes:
-    """With one bit otherwise."""
+    """The data with one bit changed."""
     changed = bytearray(data)
     changed[bit // 8] ^= 1 << bit % 8
     return bytes(changed)
 
 
-PowerCutModel = Callable[[DiskOperation], Iterator[DiskOperation]]
-
-
-def lose_unsynced(step: DiskOperation) -> Iterator[DiskOperation]:
-    """A power cut loses all that was not synced."""
-    return iter(())
-
-
-def keep_unsynced(step: DiskOperation) -> Iterator[DiskOperation]:
-    """A power cut finds all of it written."""
-    return iter((step,))
-
-
-def tear_unsynced(rng: random.Random) -> PowerCutModel:
-    """Some of it is written, some is not, and some by sectors."""
-
-    def pick(step: DiskOperation) -> Iterator[DiskOperation]:
-        chance = rng.randrange(4)
-        if chance == 0 and step.data:
-            for at in range(0, len(step.data), SECTOR_BYTES):
-                if rng.random() < 0.5:
-                    yield DiskOperation(step.path, step.offset + at, step.data[at : at + SECTOR_BYTES])
-        elif chance != 1:
-            yield step
-
-    return pick
-
-
-def power_cut_images(
-    steps: list[DiskOperation], pick: PowerCutModel
-) -> Iterator[tuple[list[object], dict[str, bytes]]]:
-    """For a power cut after each operation: the marks by then, and what is on the disk, a content a path."""
-    synced: dict[str, bytearray] = {}
-    waiting: dict[str, list[DiskOperation]] = {}
-    marks: list[object] = []
-    for step in steps:
-        if step.mark is not None:
-            marks.append(step.mark)
-        elif step.sync:
-            for one in waiting.pop(step.path, []):
-                for part in pick(one) if step.failed else (one,):
-                    apply_operation(synced.setdefault(step.path, bytearray()), part)
-        else:
-            waiting.setdefault(step.path, []).append(step)
-        found = {path: bytearray(content) for path, content in synced.items()}
-        for path, some in waiting.items():
-            for one in some:
-                for part in pick(one):
-                    apply_operation(found.setdefault(path, bytearray()), part)
-        yield list(marks), {path: bytes(content) for path, content in found.items()}
-
-
-_installed: list[FaultyDisk] = []  # a layer lives as long as its process
+_installed: list[FaultyDisk] = []
+"""Keeps each VFS for as long as its process lives, as SQLite wants it."""
 
 
 def install(control: Path, seed: int = 0) -> str:
-    """Put the lying disk beneath every database of this process, switched by a file; the layer's name.
+    """Put a faulty disk beneath every database of this process; the name of the VFS.
 
-    The file is made where there is none. See ``switch`` for how another process puts a fault in force."""
-    reader = FileSwitch(control)
+    ``control``: the control file, which is made where there is none; see ``fault_switch.set_fault``."""
+    switch = FileSwitch(control)
 
     def wait(ms: float) -> None:
-        until = time.monotonic() + ms / 1000.0
-        while reader.read()[0] == InjectedFault.SLOW_SYNC and (left := until - time.monotonic()) > 0:
-            time.sleep(min(left, WAIT_POLL_S))
-
-    _installed.append(FaultyDisk(VFS_NAME, reader, seed, wait, default=True))
+        until_s = time.monotonic() + ms / 1000.0
+        while switch.read().fault == InjectedFault.SLOW_SYNC:
+            left_s = until_s - time.monotonic()
+            if left_s <= 0:
+                return
+            time.sleep(min(left_s, WAIT_POLL_S))
+
+    _installed.append(FaultyDisk(VFS_NAME, switch, seed, wait, default=True))
     return VFS_NAME
--- a/cedarthread/persistence/memory_store.py
+++ b/cedarthread/persistence/memory_store.py
@@ -1,4 +1,4 @@
-"""A store in memory: what a router without a disk has, and what tests compare others with."""
+"""A storage backend in memory: for tests, and as what others are compared with."""
 
 from __future__ import annotations
 
@@ -8,20 +8,20 @@
 
 
 class MemoryBackend:
-    """Lasts as long as the object does."""
+    """Keeps its content for as long as the object lives, and has no faults."""
 
     def __init__(self) -> None:
         self.generation = 0
         self._values: dict[str, bytes] = {}
 
     def open(self) -> LoadResult:
-        """What it holds."""
+        """The present content."""
         return LoadResult(dict(self._values), self.generation)
 
     def commit(
         self, writes: Sequence[KeyValueWrite], above_generation: int | None = None
     ) -> StoreFault | None:
-        """Take them; no trouble ever comes of it."""
+        """Take the writes; with ``above_generation`` all content is dropped first."""
         if above_generation is not None:
             self._values.clear()
             self.generation = max(self.generation, above_generation)
@@ -34,4 +34,4 @@
         return None
 
     def close(self) -> None:
-        """Nothing is held but memory."""
+        """There is nothing to release."""
--- a/cedarthread/persistence/reopen_policy.py
+++ b/cedarthread/persistence/reopen_policy.py
@@ -1,11 +1,12 @@
-"""When a store in trouble is opened anew, and what the log says of it: one line a change.
+"""When a store with a fault is opened again, and what the log says of it: one line a change.
 
-A state machine without I/O; times are ms on a steady clock.
+A state machine without I/O; times are milliseconds on a steady clock.
 
-    HEALTHY --failed--> TROUBLED --due--> RETRY --failed--> TROUBLED ... --the TRIES-th failed--> GIVEN_UP
-    RETRY --opened--> HEALTHY;  GIVEN_UP --due, AWHILE later--> RETRY;  HEALTHY <--late / came--> SLOW
+    HEALTHY --failure--> FAULTED --due--> REOPENING --failure--> FAULTED ... --the MAX_ATTEMPTS-th--> GIVEN_UP
+    REOPENING --opened--> HEALTHY;  GIVEN_UP --due, after its pause--> REOPENING
+    HEALTHY <--timeout / write succeeded--> SLOW
 
-Waits double from FIRST to MOST, each drawn from its upper half: routers on one disk don't come at once.
+The backoff doubles, and each wait is drawn from its upper half: routers on one disk do not come back at once.
 """
 
 from __future__ import annotations
@@ -13,79 +14,95 @@
 import random
 from enum import Enum
 
+from cedarthread.logs import format_event
 from cedarthread.persistence.store import StoreFault
 
-INITIAL_BACKOFF_MS, MAX_BACKOFF_MS = 500.0, 30_000.0  # ms before the first retry, and the longest between two
-MAX_ATTEMPTS = 8  # retries that fail before it is given up for a while
-GIVEN_UP_PAUSE_MS = 600_000.0  # ms that it is left alone then
+INITIAL_BACKOFF_MS = 500.0
+MAX_BACKOFF_MS = 30_000.0
+BACKOFF_JITTER = 0.5, 1.0
+"""Range of the factor by which each backoff is varied."""
+MAX_ATTEMPTS = 8
+"""Reopenings that fail in a row before the store is given up for a while."""
+GIVEN_UP_PAUSE_MS = 600_000.0
+"""Time that a store is left alone after that."""
+RNG_SALT = 0x5354_4F52
+"""Keeps these draws apart from others of the same seed."""
 
 
 class StoreState(Enum):
-    """How the store stands."""
+    """The state of the store."""
 
     HEALTHY = "healthy"
     SLOW = "slow"
-    FAULTED = "troubled"
-    REOPENING = "retry"
+    FAULTED = "faulted"
+    REOPENING = "reopening"
     GIVEN_UP = "given up for a while"
 
 
 class ReopenPolicy:
-    """One store's. Its methods return the line to log, or None where nothing changed for whoever reads it."""
+    """The policy of one store.
+
+    Its event methods return the line to log, or None where nothing changed for whoever reads the log."""
 
     def __init__(self, seed: int) -> None:
-        self.rng = random.Random(seed ^ 0x5354_4F52)
+        self.rng = random.Random(seed ^ RNG_SALT)
         self.state = StoreState.REOPENING  # the first opening
         self.fault: StoreFault | None = None
-        self.faulted_since_ms = self.next_attempt_at_ms = 0.0  # ms: in trouble since then, next try then
-        self.failed_attempts = 0  # that failed in a row
+        self.faulted_since_ms = 0.0
+        self.next_attempt_at_ms = 0.0
+        self.failed_attempts = 0  # in a row
 
     def take_due_attempt(self, now: float) -> bool:
-        """Is it to be opened anew now? Says so once."""
+        """Whether the store is to be opened again now; says so once for each attempt."""
         if self.state not in (StoreState.FAULTED, StoreState.GIVEN_UP) or now < self.next_attempt_at_ms:
             return False
         self.state = StoreState.REOPENING
         return True
 
     def on_failure(self, now: float, fault: StoreFault) -> str | None:
-        """A write or an opening ended in trouble."""
+        """A write or an opening ended with a fault."""
         if self.fault is None:
             self.faulted_since_ms = now
-        self.failed_attempts += self.state is StoreState.REOPENING
-        other, self.fault = fault is not self.fault, fault
+        if self.state is StoreState.REOPENING:
+            self.failed_attempts += 1
+        is_another_fault = fault is not self.fault
+        self.fault = fault
         if self.failed_attempts >= MAX_ATTEMPTS:
-            self.state, self.next_attempt_at_ms, self.failed_attempts = (
-                StoreState.GIVEN_UP,
-                now + GIVEN_UP_PAUSE_MS,
-                0,
+            self.state = StoreState.GIVEN_UP
+            self.next_attempt_at_ms = now + GIVEN_UP_PAUSE_MS
+            self.failed_attempts = 0
+            return format_event(
+                "store_given_up",
+                fault=fault.value,
+                failed_attempts=MAX_ATTEMPTS,
+                retry_in_s=f"{GIVEN_UP_PAUSE_MS / 1000:.0f}",
             )
-            rest = f"the next in {GIVEN_UP_PAUSE_MS / 1000:.0f} s; serving on without"
-            return f"store: {fault.value}: {MAX_ATTEMPTS} tries failed, {rest}"
-        wait = min(INITIAL_BACKOFF_MS * 2.0**self.failed_attempts, MAX_BACKOFF_MS) * self.rng.uniform(
-            0.5, 1.0
-        )
-        self.state, self.next_attempt_at_ms = StoreState.FAULTED, now + wait
-        return f"store: {fault.value}: nothing is kept; serving on without, trying again" if other else None
+        backoff_ms = min(INITIAL_BACKOFF_MS * 2.0**self.failed_attempts, MAX_BACKOFF_MS)
+        self.state = StoreState.FAULTED
+        self.next_attempt_at_ms = now + backoff_ms * self.rng.uniform(*BACKOFF_JITTER)
+        return format_event("store_fault", fault=fault.value) if is_another_fault else None
 
     def on_timeout(self, now: float) -> str | None:
-        """The disk has not answered within its time; it is not asked anything else until it does."""
-        if self.state is not StoreState.HEALTHY and (
-            self.state is not StoreState.REOPENING or self.fault is not None
-        ):
+        """The disk has not answered in time; it is asked nothing else until it does."""
+        is_first_opening = self.state is StoreState.REOPENING and self.fault is None
+        if self.state is not StoreState.HEALTHY and not is_first_opening:
             return None
-        self.state, self.faulted_since_ms, self.fault = StoreState.SLOW, now, StoreFault.UNRESPONSIVE
-        return f"store: {StoreFault.UNRESPONSIVE.value}: serving on without, it may still come"
+        self.state = StoreState.SLOW
+        self.faulted_since_ms = now
+        self.fault = StoreFault.UNRESPONSIVE
+        return format_event("store_fault", fault=self.fault.value)
 
     def on_opened(self, now: float, fault: StoreFault | None = None) -> str | None:
-        """An opening ended well; DAMAGED where something was left out."""
-        return self._enter_healthy(now, f"store: {fault.value}; the rest is kept" if fault else None)
+        """An opening succeeded; CORRUPTED where some content was left out."""
+        line = format_event("store_content_lost", fault=fault.value) if fault else None
+        return self._enter_healthy(now, line)
 
     def on_write_succeeded(self, now: float) -> str | None:
-        """A write ended well."""
+        """A write was acknowledged."""
         return self._enter_healthy(now, None)
 
     def _enter_healthy(self, now: float, line: str | None) -> str | None:
         if line is None and self.fault is not None:
-            line = f"store: writes again after {(now - self.faulted_since_ms) / 1000:.1f} s"
+            line = format_event("store_recovered", after_s=f"{(now - self.faulted_since_ms) / 1000:.1f}")
         self.state, self.fault, self.failed_attempts = StoreState.HEALTHY, None, 0
         return line
--- /dev/null
+++ b/cedarthread/persistence/sqlite_database.py
@@ -0,0 +1,163 @@
+"""One open database file of a store: its pragmas, its tables, and how they are read, verified and written.
+
+The journal is a rollback journal rather than a write-ahead log: a flipped bit in a log cuts off all later
+commits unnoticed, whereas here content stays in its place, and each damage shows (docs/design/store.md).
+There is one table of rows and one head.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import apsw
+
+from cedarthread.errors import CedarthreadError
+from cedarthread.logs import format_event
+from cedarthread.persistence import checksums, database_folder
+from cedarthread.persistence.store import KeyValueWrite, SyncMode
+
+log = logging.getLogger("cedarthread.persistence")
+
+_SCHEMA = """
+CREATE TABLE IF NOT EXISTS rows(key BLOB PRIMARY KEY, generation INTEGER, value BLOB, sum BLOB) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS head(id INTEGER PRIMARY KEY, generation INTEGER, total BLOB, sum BLOB);
+"""
+_SELECT_ROWS = "SELECT key, generation, value, sum FROM rows"
+_SELECT_HEAD = "SELECT generation, total, sum FROM head"
+
+
+class DatabaseCorruptedError(CedarthreadError):
+    """What was read from a database file cannot be what was written there."""
+
+
+@dataclass(slots=True)
+class StoreContents:
+    """The rows of a store with their checksums. Generation 0: nothing complete was ever written."""
+
+    values: dict[str, bytes] = field(default_factory=dict)
+    row_checksums: dict[str, bytes] = field(default_factory=dict)
+    generation: int = 0
+
+
+class SqliteDatabase:
+    """A connection to one database file. Its methods raise errors of apsw and of the operating system."""
+
+    def __init__(self, path: Path, vfs: str | None) -> None:
+        """Open the file, or make it. ``vfs``: name of the SQLite layer beneath, None: the default one."""
+        self.path = path
+        self._connection = apsw.Connection(str(path), vfs=vfs)
+        self._device_and_inode = (0, 0)
+
+    def configure(self, sync_mode: SyncMode) -> None:
+        """Set the pragmas; first thing after opening."""
+        self.execute("PRAGMA locking_mode=EXCLUSIVE; PRAGMA journal_mode=PERSIST; PRAGMA trusted_schema=OFF")
+        self.execute("PRAGMA temp_store=MEMORY")
+        self.execute(f"PRAGMA synchronous={'OFF' if sync_mode == 'none' else 'EXTRA'}")
+        self._device_and_inode = database_folder.device_and_inode(self.path)
+
+    def execute(self, statement: str, bindings: Sequence[Any] = ()) -> list[tuple[Any, ...]]:
+        """Run statements; all rows that they give."""
+        return list(self._connection.execute(statement, bindings))
+
+    def is_in_place(self) -> bool:
+        """Whether the open file still is the one in its folder. If not, what is written to it is lost."""
+        return database_folder.device_and_inode(self.path) == self._device_and_inode
+
+    def roll_back_unfinished(self) -> bool:
+        """Play back what a power cut left half done; False where the file is read-only."""
+        try:
+            self.execute("BEGIN IMMEDIATE; COMMIT")
+        except apsw.ReadOnlyError:
+            return False
+        return True
+
+    def read_verified(self) -> StoreContents:
+        """All content. DatabaseCorruptedError: not exactly what the last commit wrote."""
+        if not self.execute("SELECT name FROM sqlite_schema"):
+            return StoreContents()
+        heads = self.execute(_SELECT_HEAD)
+        rows = checksums.verify_rows(self.execute(_SELECT_ROWS))
+        if rows.rejected_count:
+            raise DatabaseCorruptedError(f"{self.path}: {rows.rejected_count} rows have wrong checksums")
+        if len(heads) != 1:
+            raise DatabaseCorruptedError(f"{self.path}: {len(heads)} heads")
+        generation, total, checksum = heads[0]
+        if not checksums.is_valid_head(generation, total, checksum):
+            raise DatabaseCorruptedError(f"{self.path}: the head has a wrong checksum")
+        if total != checksums.total_checksum(rows.row_checksums.values()):
+            raise DatabaseCorruptedError(f"{self.path}: rows are missing or of an earlier commit")
+        if generation < rows.max_generation:
+            raise DatabaseCorruptedError(f"{self.path}: a row is newer than the head")
+        return StoreContents(rows.values, rows.row_checksums, generation)
+
+    def salvage(self) -> tuple[Mapping[str, bytes], int]:
+        """The rows that can be read and verified, and the highest generation of them or the head."""
+        rows: list[tuple[Any, ...]] = []
+        generation = 0
+        try:
+            for row in self._connection.execute(_SELECT_ROWS):
+                rows.append(row)  # one by one: those before an error count
+        except (apsw.Error, OSError) as error:
+            log.debug(format_event("store_salvage_incomplete", table="rows", read=len(rows), error=error))
+        try:
+            for head in self.execute(_SELECT_HEAD):
+                if checksums.is_valid_head(*head):
+                    generation = max(generation, head[0])
+        except (apsw.Error, OSError) as error:
+            log.debug(format_event("store_salvage_incomplete", table="head", error=error))
+        verified = checksums.verify_rows(rows)
+        return verified.values, max(generation, verified.max_generation)
+
+    def write(self, contents: StoreContents, writes: Sequence[KeyValueWrite], *, clear: bool) -> None:
+        """Apply writes to ``contents`` and, in one transaction, to the file.
+
+        ``contents``: those of the file, with the generation that is to be written; with ``clear``, the file's
+        rows are all deleted first, and ``contents`` is empty."""
+        with self.transaction():
+            self.execute(_SCHEMA)
+            if clear:
+                self.execute("DELETE FROM rows")
+            for key, value in writes:
+                self._write_row(contents, key, value)
+            total = checksums.total_checksum(contents.row_checksums.values())
+            checksum = checksums.head_checksum(contents.generation, total)
+            self.execute("REPLACE INTO head VALUES(0, ?, ?, ?)", (contents.generation, total, checksum))
+
+    def _write_row(self, contents: StoreContents, key: str, value: bytes | None) -> None:
+        if value is None:
+            self.execute("DELETE FROM rows WHERE key = ?", (key.encode(),))
+            contents.values.pop(key, None)
+            contents.row_checksums.pop(key, None)
+            return
+        checksum = checksums.row_checksum(key, contents.generation, value)
+        contents.values[key] = value
+        contents.row_checksums[key] = checksum
+        self.execute(
+            "REPLACE INTO rows VALUES(?, ?, ?, ?)", (key.encode(), contents.generation, value, checksum)
+        )
+
+    @contextmanager
+    def transaction(self) -> Iterator[None]:
+        """Commit what is written within, or nothing of it."""
+        self.execute("BEGIN IMMEDIATE")
+        try:
+            yield
+            self.execute("COMMIT")
+        except BaseException:
+            try:
+                self.execute("ROLLBACK")
+            except apsw.Error as error:
+                log.debug(format_event("store_rollback_failed", file=self.path.name, error=error))
+            raise
+
+    def close(self) -> None:
+        """Close the file, whatever state it is in."""
+        try:
+            self._connection.close(True)
+        except (apsw.Error, OSError) as error:
+            log.debug(format_event("store_close_failed", file=self.path.name, error=error))
--- a/cedarthread/persistence/state_persister.py
+++ b/cedarthread/persistence/state_persister.py
@@ -1,43 +1,60 @@
-"""What a router puts into its store and when, and what it believes of it at a start. Pure: no disk here.
+"""What a router writes to its store and when, and what it believes of it after a restart. Pure: no disk here.
 
-At the start nothing is believed before some peers have said which generation of this router's store they
-remember: an older one shows a disk that lies, and its content is dropped. Until then, and without a disk, the
-router is one that has forgotten all: unseated, without a part of any count.
+After a restart nothing is believed before some peers have said which generation of this router's store they
+remember: a lower one on the disk is stale, and the content is dropped. Until then, and without a disk, the
+router is one that has forgotten everything: no voter of the replicated store, and without escrow.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
-from cedarthread.components.interface import OutboundMessage, ReplicatedEntry
+from cedarthread.components.interface import Entry, OutboundMessage, ReplicatedEntry
 from cedarthread.escrow.escrow import Escrow
+from cedarthread.logs import format_event
 from cedarthread.model.actions import LogMessage
 from cedarthread.persistence import recovered_image
-from cedarthread.persistence.recovered_image import ContentVerdict, RecoveredImage
+from cedarthread.persistence.recovered_image import ContentVerdict, RecoveredImage, RouterIncarnation
 from cedarthread.persistence.store import LoadResult, StoreFault
 from cedarthread.recovery.component import RecoveryComponent
 from cedarthread.replication.store import ReplicatedStore
 
-MIN_PEER_REPORTS = 3  # peers that say what they remember before the store is believed
-SNAPSHOT_INTERVAL_MS = 2000.0  # ms between two snapshots of what stands warm
-OPEN_TIMEOUT_MS = 2500.0  # ms that the store may take to open; then the router goes on without
+MIN_PEER_REPORTS = 3
+"""Peers that say what they remember before the store is believed."""
+SNAPSHOT_INTERVAL_MS = 2000.0
+"""Time between two warm-state snapshots."""
+OPEN_TIMEOUT_MS = 2500.0
+"""Time that the store may take to open; then the router goes on without it."""
+
+
+class WriteKind(Enum):
+    """What a write holds, and so whom its end concerns."""
+
+    ENTRY = "entry"
+    ESCROW = "escrow"
+    WARM_STATE = "warm state"
+    INCARNATION = "incarnation"
+    RESET = "reset"
 
 
 @dataclass(frozen=True, slots=True)
 class PendingWrite:
-    """One write that the host is to make, and what its end is to be told as."""
+    """One write that the host is to make; handed back when it has ended."""
 
     key: str
     value: bytes
-    kind: str  # "entry", "grants", "warm", "life"
-    revision: int = 0
+    kind: WriteKind
+    revision: int = 0  # of the replicated store, for entries
 
 
-class StatePersister:
-    """One router's store as its parts use it.
+RESET_WRITE = PendingWrite("", b"", WriteKind.RESET)
+"""Stands for a reset of the store."""
 
-    ``begin``: called once with whether what was remembered holds; it makes the grants, which need that."""
+
+class StatePersister:
+    """Decides what one router writes to its store, and takes over what it reads there."""
 
     def __init__(
         self,
@@ -46,144 +63,172 @@
         start_escrow: Callable[[float, bytes | None], None],
         now: float,
     ) -> None:
-        self.replicated_store, self.recovery, self.start_escrow = replicated_store, recovery, start_escrow
+        """``start_escrow``: called once, with what the store remembers of the escrow, if that is believed."""
+        self.replicated_store = replicated_store
+        self.recovery = recovery
+        self.start_escrow = start_escrow
         self.escrow: Escrow | None = None
-        self.started_at_ms, self.has_started = now, False
+        self.started_at_ms = now
+        self.has_started = False  # what is believed of the store is decided
+        self.is_degraded = False  # the disk has a fault: what is confirmed from now on may be forgotten
         self.load_result: LoadResult | None = None
-        self.is_degraded = False  # the disk is in trouble: what is confirmed from now on may be forgotten
+        self.image = RecoveredImage()
         self.queued_writes: list[PendingWrite] = []
         self.last_snapshot_at_ms = now
-        self.seated = False
+        self.was_voter = False  # as last written
         self.reset_above_generation: int | None = None  # the host is to reset the store above this generation
         self.log_messages: list[OutboundMessage] = []
         replicated_store.is_durable = True
 
-    # The start.
-
     def on_store_opened(self, now: float, load_result: LoadResult, image: RecoveredImage) -> None:
-        """The store has opened, at the start or after trouble."""
+        """The store has been opened, after a restart or a fault."""
         if self.has_started:
-            return self._on_store_reopened(now, load_result)
+            self._on_store_reopened(load_result)
+            return
         self.load_result, self.image = load_result, image
         self.replicated_store.store_generation = load_result.generation
         self._start_when_assessable(now)
 
     def _start_when_assessable(self, now: float) -> None:
-        """Believe the store once peers have said what they remember, or nobody says anything."""
-        told, others = self.replicated_store.generation_known_to_peer, len(self.replicated_store.all_peers)
+        """Start once enough peers have said what they remember, or it is too late for them to."""
         if self.load_result is None:
             if now - self.started_at_ms >= OPEN_TIMEOUT_MS:
-                self._log("no answer of the disk: this router goes on without what it remembered")
-                self._start(now, None, None)
+                self._log(format_event("store_open_timeout", timeout_ms=f"{OPEN_TIMEOUT_MS:.0f}"))
+                self._start_without_store(now)
             return
-        if (
-            len(told) < min(MIN_PEER_REPORTS, others)
-            and now - self.started_at_ms < self.replicated_store.window_ms
-        ):
+        peer_generations = self.replicated_store.generation_known_to_peer
+        min_reports = min(MIN_PEER_REPORTS, len(self.replicated_store.all_peers))
+        is_too_early = now - self.started_at_ms < self.replicated_store.window_ms
+        if len(peer_generations) < min_reports and is_too_early:
             return
-        verdict = recovered_image.assess_content(self.load_result, told.values())
-        self._start(now, verdict, self.image)
+        verdict = recovered_image.assess_content(self.load_result, peer_generations.values())
         if verdict is ContentVerdict.REJECTED:
-            self._log(
-                f"generation {self.load_result.generation} is older than {max(told.values())}: "
-                "content dropped"
-            )
-            self.reset_above_generation = max(told.values())
-        elif self.image.rejected_count:
-            self._log(f"{self.image.rejected_count} values were left out")
-
-    def _start(self, now: float, verdict: ContentVerdict | None, image: RecoveredImage | None) -> None:
+            self._start(now, None)
+            newest = max(peer_generations.values())
+            generation = self.load_result.generation
+            self._log(format_event("store_content_dropped", generation=generation, remembered=newest))
+            self.reset_above_generation = newest
+            return
+        self._start_from_image(now, self.image, is_trusted=verdict is ContentVerdict.TRUSTED)
+        if self.image.rejected_count:
+            self._log(format_event("store_values_rejected", count=self.image.rejected_count))
+
+    def _start_without_store(self, now: float) -> None:
         self.has_started = True
-        grants = None
-        if image is not None and verdict in (ContentVerdict.TRUSTED, ContentVerdict.PARTIAL):
-            whole = (
-                verdict is ContentVerdict.TRUSTED
-                and image.incarnation is not None
-                and image.incarnation.seated
-                and not image.rejected_count
-            )
-            self.replicated_store.restore(image.entries, whole, now)
-            if image.warm_state is not None:
-                self.recovery.restore(now, image.warm_state)
-            grants = image.escrow if whole else None
-        elif verdict is None:
-            self._enter_degraded_mode(now)
-        self.start_escrow(now, grants)
+        self._enter_degraded_mode(now)
+        self.start_escrow(now, None)
+
+    def _start_from_image(self, now: float, image: RecoveredImage, *, is_trusted: bool) -> None:
+        """Take over what the store remembers; a vote and the escrow only if nothing can be missing."""
+        is_complete = (
+            is_trusted
+            and image.incarnation is not None
+            and image.incarnation.is_voter
+            and not image.rejected_count
+        )
+        self.has_started = True
+        self.replicated_store.restore(image.entries, is_complete, now)
+        if image.warm_state is not None:
+            self.recovery.restore(now, image.warm_state)
+        self.start_escrow(now, image.escrow if is_complete else None)
 
-    # Day to day.
+    def _start(self, now: float, escrow: bytes | None) -> None:
+        self.has_started = True
+        self.start_escrow(now, escrow)
 
     def on_entries_changed(self, now: float, changes: tuple[ReplicatedEntry, ...]) -> None:
-        """Entries came or changed."""
-        stamp = self.replicated_store.revision
-        for one in changes:
-            key, value = recovered_image.encode_entry(one.entry)
-            self.queued_writes.append(PendingWrite(key, value, "entry", stamp))
+        """Entries of the replicated store were added or replaced."""
+        for changed in changes:
+            self._queue_entry(changed.entry)
+
+    def _queue_entry(self, entry: Entry) -> None:
+        key, value = recovered_image.encode_entry(entry)
+        revision = self.replicated_store.revision
+        self.queued_writes.append(PendingWrite(key, value, WriteKind.ENTRY, revision))
 
     def on_tick(self, now: float) -> list[PendingWrite]:
-        """Some times a second: what is to be put."""
+        """Some times a second: what is to be written now."""
         if not self.has_started:
             self._start_when_assessable(now)
-        if self.has_started and not self.is_degraded:
-            if self.replicated_store.freshness.is_voter is not self.seated:
-                self.seated = self.replicated_store.freshness.is_voter
-                key, value = recovered_image.encode_incarnation(
-                    recovered_image.RouterIncarnation(
-                        self.replicated_store.router_index, self.replicated_store.incarnation, 0, self.seated
-                    )
-                )
-                self.queued_writes.append(PendingWrite(key, value, "life"))
-            if self.escrow is not None and (image := self.escrow.image_to_write(now)) is not None:
-                self.queued_writes.append(PendingWrite("grants", image, "grants"))
-            if (
-                now - self.last_snapshot_at_ms >= SNAPSHOT_INTERVAL_MS
-                and (warm := self.recovery.snapshot(now)) is not None
-            ):
-                self.last_snapshot_at_ms = now
-                self.queued_writes.append(PendingWrite("warm", warm, "warm"))
-        puts, self.queued_writes = self.queued_writes, []
-        return puts if self.has_started and not self.is_degraded else []
+        is_writing = self.has_started and not self.is_degraded
+        if is_writing:
+            self._queue_incarnation()
+            self._queue_escrow(now)
+            self._queue_warm_state(now)
+        writes, self.queued_writes = self.queued_writes, []
+        return writes if is_writing else []
+
+    def _queue_incarnation(self) -> None:
+        is_voter = self.replicated_store.freshness.is_voter
+        if is_voter is self.was_voter:
+            return
+        self.was_voter = is_voter
+        incarnation = RouterIncarnation(
+            router_index=self.replicated_store.router_index,
+            process_incarnation=self.replicated_store.incarnation,
+            membership_incarnation=0,
+            is_voter=is_voter,
+        )
+        key, value = recovered_image.encode_incarnation(incarnation)
+        self.queued_writes.append(PendingWrite(key, value, WriteKind.INCARNATION))
+
+    def _queue_escrow(self, now: float) -> None:
+        if self.escrow is not None and (value := self.escrow.image_to_write(now)) is not None:
+            self.queued_writes.append(PendingWrite(recovered_image.ESCROW_KEY, value, WriteKind.ESCROW))
+
+    def _queue_warm_state(self, now: float) -> None:
+        if now - self.last_snapshot_at_ms < SNAPSHOT_INTERVAL_MS:
+            return
+        value = self.recovery.snapshot(now)
+        if value is not None:
+            self.last_snapshot_at_ms = now
+            write = PendingWrite(recovered_image.WARM_STATE_KEY, value, WriteKind.WARM_STATE)
+            self.queued_writes.append(write)
 
     def take_log_messages(self) -> list[OutboundMessage]:
-        """Lines for the log since it was last asked."""
-        words, self.log_messages = self.log_messages, []
-        return words
+        """The lines for the log since the last call."""
+        log_messages, self.log_messages = self.log_messages, []
+        return log_messages
 
     def on_write_completed(
         self, now: float, write: PendingWrite, fault: StoreFault | None, generation: int
     ) -> None:
-        """A put ended."""
+        """A write has ended; ``generation``: that of the store by then."""
         if fault is None:
-            self.replicated_store.store_generation = max(self.replicated_store.store_generation, generation)
-            if write.kind == "entry":
-                self.replicated_store.mark_persisted(now, write.revision)
-            elif write.kind == "grants" and self.escrow is not None:
-                self.escrow.mark_written(now)
+            self._on_write_succeeded(now, write, generation)
             return
-        if write.kind == "grants" and self.escrow is not None:
+        if write.kind is WriteKind.ESCROW and self.escrow is not None:
             self.escrow.mark_write_failed()
         if not self.is_degraded:
-            self._log(f"{fault.value}: calls are served on, what changes from now on is not kept")
+            self._log(format_event("store_degraded", fault=fault.value, effect="changes are not kept"))
             self._enter_degraded_mode(now)
 
+    def _on_write_succeeded(self, now: float, write: PendingWrite, generation: int) -> None:
+        self.replicated_store.store_generation = max(self.replicated_store.store_generation, generation)
+        if write.kind is WriteKind.ENTRY:
+            self.replicated_store.mark_persisted(now, write.revision)
+        elif write.kind is WriteKind.ESCROW and self.escrow is not None:
+            self.escrow.mark_written(now)
+
     def _enter_degraded_mode(self, now: float) -> None:
-        """What is confirmed from here on the disk will not have: at the next start it must be known for old.
+        """Go on without the disk. The next restart must find its content stale, for it lacks what comes now.
 
-        So peers are told a generation that the disk does not reach."""
+        So peers are told a generation that the disk has not reached."""
         self.is_degraded = True
         self.replicated_store.is_durable = False
         self.replicated_store.store_generation += 1
         self.replicated_store.mark_persisted(now, self.replicated_store.revision)
 
-    def _on_store_reopened(self, now: float, load_result: LoadResult) -> None:
-        """The disk is back: all is put anew, above the generation that peers were told."""
+    def _on_store_reopened(self, load_result: LoadResult) -> None:
+        """The fault is over: write everything anew, above the generation that peers were told."""
         if not (self.is_degraded and load_result.is_writable):
             return
-        self.is_degraded, self.seated = False, False
+        self.is_degraded = False
+        self.was_voter = False
         self.reset_above_generation = self.replicated_store.store_generation
-        self._log("the disk is back: all that is held is written anew")
+        self._log(format_event("store_rewritten", above_generation=self.reset_above_generation))
         for entry in self.replicated_store.snapshot():
-            key, value = recovered_image.encode_entry(entry)
-            self.queued_writes.append(PendingWrite(key, value, "entry", self.replicated_store.revision))
+            self._queue_entry(entry)
 
-    def _log(self, text: str) -> None:
-        self.log_messages.append(LogMessage(f"store: {text}"))
+    def _log(self, line: str) -> None:
+        self.log_messages.append(LogMessage(line))
--- /dev/null
+++ b/cedarthread/persistence/synchronous_store.py
@@ -0,0 +1,63 @@
+"""A store on the caller's own thread, for tools and tests, which may wait for a disk."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from cedarthread.persistence.store import (
+    KeyValueWrite,
+    LoadResult,
+    StorageBackend,
+    StoreFault,
+    WriteCallback,
+)
+
+
+class SynchronousStore:
+    """A :class:`~cedarthread.persistence.store.Store` whose callbacks come before its methods return."""
+
+    def __init__(self, backend: StorageBackend) -> None:
+        self.backend = backend
+        self.fault: StoreFault | None = None
+        self._load_result = self._open()
+
+    def _open(self) -> LoadResult:
+        load_result = self.backend.open()
+        self.fault = None if load_result.is_writable else load_result.fault
+        return load_result
+
+    @property
+    def generation(self) -> int:
+        """The generation of the last acknowledged write."""
+        return self.backend.generation
+
+    def load(self) -> LoadResult:
+        """The content when the store was first opened."""
+        return self._load_result
+
+    def reopen(self) -> None:
+        """Try again after a fault."""
+        self._open()
+
+    def put(self, key: str, value: bytes | None, callback: WriteCallback | None = None) -> None:
+        """Write a value now, or delete the key with None."""
+        self._commit([(key, value)], None, callback)
+
+    def reset(self, above_generation: int, callback: WriteCallback | None = None) -> None:
+        """Drop all content now."""
+        self._commit([], above_generation, callback)
+
+    def _commit(
+        self, writes: Sequence[KeyValueWrite], above_generation: int | None, callback: WriteCallback | None
+    ) -> None:
+        if self.fault is None:
+            self.fault = self.backend.commit(writes, above_generation)
+        if callback is not None:
+            callback(self.fault)
+
+    def run_callbacks(self) -> None:
+        """Nothing is ever pending here."""
+
+    def close(self) -> None:
+        """Release the folder."""
+        self.backend.close()
--- a/tests/contracts/test_stores.py
+++ b/tests/contracts/test_stores.py
@@ -22,10 +22,12 @@
 
 import pytest
 
-from cedarthread.persistence import faulty_disk, recovered_image, sqlite_store
-from cedarthread.persistence.faulty_disk import FaultyDisk, InjectedFault, ManualSwitch
+from cedarthread.persistence import checksums, database_folder, faulty_disk, power_cut, recovered_image
+from cedarthread.persistence.fault_switch import InjectedFault, ManualSwitch
+from cedarthread.persistence.faulty_disk import FaultyDisk
 from cedarthread.persistence.memory_store import MemoryBackend
 from cedarthread.persistence.reopen_policy import GIVEN_UP_PAUSE_MS
+from cedarthread.persistence.sqlite_database import SqliteDatabase
 from cedarthread.persistence.sqlite_store import SqliteBackend
 from cedarthread.persistence.store import (
     KeyValueWrite,
@@ -33,9 +35,9 @@
     StorageBackend,
     Store,
     StoreFault,
-    SynchronousStore,
 )
-from cedarthread.persistence.store_thread import RESPONSE_TIMEOUT_MS, StoreThread
+from cedarthread.persistence.store_thread import RESPONSE_TIMEOUT_MS, StoreThread, _call_back
+from cedarthread.persistence.synchronous_store import SynchronousStore
 
 NAME = "state-1.db"  # of a store that never was in trouble
 LONG = 30.0  # s after which a test that waits for a thread has failed
@@ -190,12 +192,12 @@
     """Play a power cut after each operation, in several ways; how many were played."""
     played = 0
     for pick in (
-        faulty_disk.lose_unsynced,
-        faulty_disk.keep_unsynced,
-        *(faulty_disk.tear_unsynced(random.Random(seed)) for seed in range(5)),
+        power_cut.lose_unsynced,
+        power_cut.keep_unsynced,
+        *(power_cut.tear_unsynced(random.Random(seed)) for seed in range(5)),
     ):
         highest = 0
-        for place, (marks, images) in enumerate(faulty_disk.power_cut_images(bench.disk.operations, pick)):
+        for place, (marks, images) in enumerate(power_cut.power_cut_images(bench.disk.operations, pick)):
             if place >= since:
                 loaded = bench.found(images)
                 assert loaded.fault is None, "an honest disk, and no operator is to be woken"
@@ -203,9 +205,7 @@
                 told = sum(mark[0] == "told" for mark in marks if isinstance(mark, tuple))
                 assert loaded.generation >= max(told, highest), "it only grows"
                 highest, played = (
-                    loaded.generation
-                    if pick in (faulty_disk.lose_unsynced, faulty_disk.keep_unsynced)
-                    else 0,
+                    loaded.generation if pick in (power_cut.lose_unsynced, power_cut.keep_unsynced) else 0,
                     played + 1,
                 )
     return played
@@ -262,7 +262,7 @@
 
 def mended(bench: Bench) -> None:
     """The fault is over: what a router does then."""
-    bench.hand.kind = 0
+    bench.hand.fault = 0
     store = bench.store
     if isinstance(store, SynchronousStore):
         store.reopen()
@@ -287,9 +287,9 @@
     for number in range(3):
         assert bench.put(f"key {number}", bytes([number]) * 3000) is None
     before = dict(allowed(bench.puts, bench.book()))
-    bench.hand.kind, bench.hand.figure = kind, figure
+    bench.hand.fault, bench.hand.parameter = kind, figure
     assert bench.put("key 1", b"in trouble" * 500) is trouble
-    bench.hand.kind = 0
+    bench.hand.fault = 0
     generation = bench.store.generation
     assert bench.put("key 2", b"not believed yet") is trouble, "only an opening ends a trouble"
     assert bench.store.fault is trouble and bench.store.generation == generation
@@ -356,7 +356,7 @@
     path.write_bytes(content.replace(target, faulty_disk.flip_bit(target, 8)))
     loaded = bench.open().load()
     assert loaded.fault is StoreFault.CORRUPTED and target not in loaded.values.values()
-    assert path.with_name(sqlite_store.QUARANTINE_FILE).exists()
+    assert path.with_name(database_folder.QUARANTINE_FILE).exists()
     assert bench.put("new", b"value") is None
     again = bench.again()
     assert again.fault is None and again.values == {**loaded.values, "new": b"value"}
@@ -368,15 +368,15 @@
     workload(bench, 4)
     bench.again()
     if kind is InjectedFault.UNSYNCED:
-        bench.hand.kind = kind
+        bench.hand.fault = kind
     workload(bench, 4, seed=8)
     remembered = bench.store.generation
     bench.store.close()
     if kind is InjectedFault.UNSYNCED:
         bench.disk.cached_files.clear()  # the power cut: what the page cache held is gone
-    bench.hand.kind = InjectedFault.STALE_CONTENT if kind is InjectedFault.STALE_CONTENT else 0
+    bench.hand.fault = InjectedFault.STALE_CONTENT if kind is InjectedFault.STALE_CONTENT else 0
     loaded = bench.open().load()
-    bench.hand.kind = 0
+    bench.hand.fault = 0
     assert loaded.fault is None and loaded.values, "the disk alone can't be told from one that is right"
     assert recovered_image.assess_content(loaded, [3, remembered]) is recovered_image.ContentVerdict.REJECTED
     ends: list[StoreFault | None] = []
@@ -396,7 +396,7 @@
         work(SqliteBackend(bench.folder, vfs=bench.vfs), kind, close_timeout_ms=20.0)
     )
     clock = CLOCKS[id(worker)]
-    bench.hand.kind = InjectedFault.SLOW_SYNC
+    bench.hand.fault = InjectedFault.SLOW_SYNC
     bench.begin("key 1", b"hangs")
     assert bench.hung.wait(LONG)
     worker.run_callbacks()
@@ -450,13 +450,13 @@
 INIT, RENEW, RUN, WRITE = (
     SqliteBackend.__init__,
     SqliteBackend._rewrite,
-    SqliteBackend._execute,
+    SqliteDatabase.execute,
     StoreThread._commit_batch,
 )
 COMMIT = SqliteBackend.commit
 UNSUMMED: tuple[Patch, ...] = (
-    (sqlite_store, "row_checksum", lambda *_: bytes(16)),
-    (sqlite_store, "head_checksum", lambda *_: bytes(16)),
+    (checksums, "row_checksum", lambda *_: bytes(16)),
+    (checksums, "head_checksum", lambda *_: bytes(16)),
 )
 
 
@@ -470,7 +470,7 @@
 
 
 def _stubborn(self: SqliteBackend, puts: Any, above: int | None = None) -> None:
-    if self._connection is None:
+    if self._database is None:
         self._recover()
     COMMIT(self, puts, above)
 
@@ -478,15 +478,15 @@
 def _instead(old: str, new: str) -> Patch:
     """SQL in which one word is another."""
     return (
-        SqliteBackend,
-        "_execute",
+        SqliteDatabase,
+        "execute",
         lambda self, statement, bindings=(): RUN(self, statement.replace(old, new), bindings),
     )
 
 
 def _eager(self: StoreThread, batch: Any) -> Any:
     dones, batch.callbacks = batch.callbacks, []
-    self._completions.append(lambda: self._call_back(dones, None))
+    self._completions.append(partial(_call_back, dones, None))
     return WRITE(self, batch)
 
 
@@ -507,7 +507,7 @@
     ),
     "writes rows and head apart": (
         rule_power_cut,
-        ((SqliteBackend, "_transaction", lambda _: nullcontext()),),
+        ((SqliteDatabase, "transaction", lambda _: nullcontext()),),
     ),
     "believes an older generation": (
         partial(rule_older, kind=InjectedFault.STALE_CONTENT),
@@ -519,7 +519,7 @@
     ),
     "does not look whether its file is still in its folder": (
         rule_gone,
-        ((sqlite_store, "_device_and_inode", lambda _: (0, 0)),),
+        ((database_folder, "device_and_inode", lambda _: (0, 0)),),
     ),
     "tells the ends of a batch before it is committed": (
         rule_hung,
--- a/tests/simulation/test_persistence_restarts.py
+++ b/tests/simulation/test_persistence_restarts.py
@@ -10,7 +10,7 @@
 from cedarthread.model.endpoints import EndpointUpdate, EndpointUpdateKind
 from cedarthread.persistence import recovered_image
 from cedarthread.persistence.memory_store import MemoryBackend
-from cedarthread.persistence.state_persister import PendingWrite, StatePersister
+from cedarthread.persistence.state_persister import RESET_WRITE, StatePersister
 from cedarthread.persistence.store import LoadResult, StoreFault
 from tests.helpers import worker
 from tests.simulation.test_fleet_components import START, Fleet, window
@@ -54,7 +54,7 @@
         puts = keeping.on_tick(self.now)
         if keeping.reset_above_generation is not None and who not in self.broken:
             disk.commit([], keeping.reset_above_generation)
-            keeping.on_write_completed(self.now, PendingWrite("", b"", "reset"), None, disk.generation)
+            keeping.on_write_completed(self.now, RESET_WRITE, None, disk.generation)
             keeping.reset_above_generation = None
         for put in puts:
             trouble = StoreFault.IO_ERROR if who in self.broken else disk.commit([(put.key, put.value)])
@@ -104,7 +104,7 @@
     assert one.disks[3].generation < was
     one.start(3)
     one.run(3_000.0)
-    assert any("content dropped" in word for word in one.words)
+    assert any(word.startswith("store_content_dropped ") for word in one.words)
     one.run(10_000.0)
     assert one.disks[3].generation > was and one.seated()[3] and one.entries()[3] == 1
 
@@ -114,12 +114,12 @@
     one.broken.add(3)
     one.declare(1, window(600.0, 690.0, allowance=1) + DISK)
     one.run(8_000.0)
-    assert any("calls are served on" in word for word in one.words)
+    assert any(word.startswith("store_degraded ") for word in one.words)
     assert one.seated()[3], "it has forgotten nothing yet"
     one.broken.clear()
     one.start(3)
     one.run(3_000.0)
-    assert any("content dropped" in word for word in one.words)
+    assert any(word.startswith("store_content_dropped ") for word in one.words)
 
 
 @pytest.mark.parametrize(("whole", "late"), [(True, 0.0), (False, 0.0), (False, 2400.0)])
--- a/tests/unit/test_persistence.py
+++ b/tests/unit/test_persistence.py
@@ -16,8 +16,9 @@
 from hypothesis import strategies as st
 
 from cedarthread.components import interface
-from cedarthread.persistence import faulty_disk, recovered_image, store_thread
-from cedarthread.persistence.faulty_disk import InjectedFault
+from cedarthread.persistence import fault_switch, faulty_disk, recovered_image, write_queue
+from cedarthread.persistence.checksums import row_checksum
+from cedarthread.persistence.fault_switch import InjectedFault
 from cedarthread.persistence.memory_store import MemoryBackend
 from cedarthread.persistence.reopen_policy import (
     GIVEN_UP_PAUSE_MS,
@@ -27,7 +28,7 @@
     ReopenPolicy,
     StoreState,
 )
-from cedarthread.persistence.sqlite_store import SqliteBackend, row_checksum
+from cedarthread.persistence.sqlite_store import SqliteBackend
 from cedarthread.persistence.store import KeyValueWrite, LoadResult, StoreFault
 from cedarthread.persistence.store_thread import RESPONSE_TIMEOUT_MS
 from tests.contracts.test_stores import CLOCKS, LONG, opened, until, work
@@ -52,7 +53,7 @@
     line = policy.on_failure(0.0, StoreFault.IO_ERROR)
     assert line is not None and StoreFault.IO_ERROR.value in line
     tried, said = play(policy, GIVEN_UP_PAUSE_MS, StoreFault.IO_ERROR)
-    assert len(tried) == MAX_ATTEMPTS and len(said) == 1 and "tries failed" in said[0]
+    assert len(tried) == MAX_ATTEMPTS and len(said) == 1 and said[0].startswith("store_given_up ")
     waits = [b - a for a, b in zip([0.0, *tried], tried, strict=False)]
     for number, wait in enumerate(waits):
         longest = min(INITIAL_BACKOFF_MS * 2**number, MAX_BACKOFF_MS)
@@ -62,7 +63,7 @@
         policy.next_attempt_at_ms
     )
     healed = policy.on_opened(policy.next_attempt_at_ms)
-    assert healed is not None and "writes again" in healed and policy.fault is None
+    assert healed is not None and healed.startswith("store_recovered ") and policy.fault is None
 
 
 def test_routers_on_one_disk_do_not_come_back_at_once() -> None:
@@ -79,7 +80,7 @@
         policy.on_timeout(0.0) and policy.on_timeout(1.0) is None and policy.fault is StoreFault.UNRESPONSIVE
     )
     assert not policy.take_due_attempt(1e9), "it is not asked again before it has answered"
-    assert policy.on_write_succeeded(2000.0) == "store: writes again after 2.0 s"
+    assert policy.on_write_succeeded(2000.0) == "store_recovered after_s=2.0"
     assert (
         policy.on_failure(3000.0, StoreFault.DISK_FULL)
         and policy.on_failure(3001.0, StoreFault.DISK_FULL) is None
@@ -150,8 +151,8 @@
 
 
 def test_a_full_queue_says_so_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(store_thread, "MAX_PENDING_WRITES", 3)
-    monkeypatch.setattr(store_thread, "MAX_PENDING_BYTES", 100)
+    monkeypatch.setattr(write_queue, "MAX_PENDING_WRITES", 3)
+    monkeypatch.setattr(write_queue, "MAX_PENDING_BYTES", 100)
     gate, ends = Gate(shut="open"), list[StoreFault | None]()
     store = work(gate)
     store.put("large", bytes(200), ends.append)
@@ -352,18 +353,18 @@
 
 
 def test_tries_that_fail_lose_nothing(tmp_path: Path) -> None:
-    hand, name = faulty_disk.ManualSwitch(), "tries"
+    hand, name = fault_switch.ManualSwitch(), "tries"
     disk = faulty_disk.FaultyDisk(name, hand, 5, lambda ms: None)
     store = SqliteBackend(tmp_path, vfs=name)
     store.open()
     store.commit([("a", b"1")])
-    hand.kind = InjectedFault.DISK_FULL
+    hand.fault = InjectedFault.DISK_FULL
     assert store.commit([("b", b"2")]) is StoreFault.DISK_FULL
-    hand.kind = 0
+    hand.fault = 0
     assert store.commit([("b", b"2")]) is not None, "not before it was opened anew"
-    hand.kind = InjectedFault.DISK_FULL
+    hand.fault = InjectedFault.DISK_FULL
     assert [store.open().fault for _ in range(3)] == [StoreFault.DISK_FULL] * 3
-    hand.kind = 0
+    hand.fault = 0
     found = store.open()
     assert found.values == {"a": b"1"} and found.is_writable and found.generation == store.generation > 2
     store.close()
@@ -377,7 +378,7 @@
 from pathlib import Path
 from cedarthread.persistence import faulty_disk
 from cedarthread.persistence.sqlite_store import SqliteBackend
-from cedarthread.persistence.store import SynchronousStore
+from cedarthread.persistence.synchronous_store import SynchronousStore
 faulty_disk.install(Path(sys.argv[1]), seed=1)
 store = SynchronousStore(SqliteBackend(Path(sys.argv[2])))
 print(store.load().generation, len(store.load().values), flush=True)
@@ -398,7 +399,7 @@
         assert process.stdin is not None and process.stdout is not None
         said = [process.stdout.readline().strip()]
         for number, (kind, figure) in enumerate(faults):
-            faulty_disk.set_fault(control, kind, figure)
+            fault_switch.set_fault(control, kind, figure)
             process.stdin.write(f"key {number}\n")
             process.stdin.flush()
             said.append(process.stdout.readline().strip())
@@ -414,7 +415,7 @@
         "None",
         "DISK_FULL",
     ]
-    faulty_disk.set_fault(control, InjectedFault.NONE)
+    fault_switch.set_fault(control, InjectedFault.NONE)
     lies = child(
         control,
         folder,
@@ -426,7 +427,7 @@
     store = SqliteBackend(folder)
     assert store.open() == LoadResult({"key 0": b"value"}, 3), "and a power cut shows that it has not"
     store.close()
-    faulty_disk.set_fault(control, InjectedFault.STALE_CONTENT)
+    fault_switch.set_fault(control, InjectedFault.STALE_CONTENT)
     assert child(control, folder) == ["2 1"], "as at the opening before the last writes"
 
 
@@ -434,13 +435,13 @@
 def test_a_lie_of_the_disk_is_seen_at_the_next_start(
     tmp_path: Path, kind: InjectedFault, figure: float
 ) -> None:
-    hand, rng = faulty_disk.ManualSwitch(), random.Random(2)
+    hand, rng = fault_switch.ManualSwitch(), random.Random(2)
     name = f"part{kind}"
     disk = faulty_disk.FaultyDisk(name, hand, 5, lambda ms: None)
     store = SqliteBackend(tmp_path, vfs=name)
     store.open()
     assert store.commit([(f"key {number}", rng.randbytes(2000)) for number in range(9)]) is None
-    hand.kind, hand.figure = kind, figure
+    hand.fault, hand.parameter = kind, figure
     assert store.commit([(f"key {number}", rng.randbytes(2000)) for number in range(9)]) is None
     store.close()
     del disk
