--- a/cedarthread/persistence/state_persister.py
+++ b/cedarthread/persistence/state_persister.py
@@ -78,7 +78,7 @@
         self.was_voter = False  # as last written
         self.reset_above_generation: int | None = None  # the host is to reset the store above this generation
         self.log_messages: list[OutboundMessage] = []
-        replicated_store.is_durable = True
+        replicated_store.set_durable(True)
 
     def on_store_opened(self, now: float, load_result: LoadResult, image: RecoveredImage) -> None:
         """The store has been opened, after a restart or a fault."""
@@ -159,7 +159,7 @@
         return writes if is_writing else []
 
     def _queue_incarnation(self) -> None:
-        is_voter = self.replicated_store.freshness.is_voter
+        is_voter = self.replicated_store.is_voter
         if is_voter is self.was_voter:
             return
         self.was_voter = is_voter
@@ -215,7 +215,7 @@
 
         So peers are told a generation that the disk has not reached."""
         self.is_degraded = True
-        self.replicated_store.is_durable = False
+        self.replicated_store.set_durable(False)
         self.replicated_store.store_generation += 1
         self.replicated_store.mark_persisted(now, self.replicated_store.revision)
 
--- a/cedarthread/testing/fuzzing/stream_targets.py
+++ b/cedarthread/testing/fuzzing/stream_targets.py
@@ -19,19 +19,18 @@
 from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.model.events import PreloadEnded
 from cedarthread.model.outcomes import Outcome
-from cedarthread.protocols import platform
 from cedarthread.protocols.discovery import DiscoveryClient
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord, worker_id_from_name
 from cedarthread.protocols.invoke import InvokeConnection, InvokeServer
 from cedarthread.protocols.invoke_config import InvokeConfig
-from cedarthread.protocols.platform import PlatformConnection, PlatformServer
+from cedarthread.protocols.platform_connection import MAX_MESSAGE_BYTES, PlatformConnection
+from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.spiffe import Identity
-from cedarthread.protocols.workers import (
-    PendingPreload,
-    WorkerConnection,
-    WorkerConnectionPool,
-    WorkerConnections,
-)
+from cedarthread.protocols.worker_codec import parse_preload_response
+from cedarthread.protocols.worker_connection import WorkerConnection
+from cedarthread.protocols.worker_pool import WorkerConnectionPool
+from cedarthread.protocols.worker_preloads import PreloadRequests
+from cedarthread.protocols.worker_requests import PendingPreload
 from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fuzzing import settings as drawn_settings
 from cedarthread.testing.fuzzing.invoke_caller import read_reply
@@ -45,7 +44,7 @@
 )
 from cedarthread.testing.fuzzing.target import ODD, Dice, Finding, Target, mutate_bytes
 from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop, play
-from cedarthread.transport.stream import Flusher
+from cedarthread.transport.flusher import Flusher
 
 FUNCTION = "00000000000000a1"
 
@@ -188,7 +187,13 @@
     """A platform client's whole connection."""
 
     name = "platform"
-    modules = ("cedarthread.protocols.platform", "cedarthread.transport.stream")
+    modules = (
+        "cedarthread.protocols.platform_codec",
+        "cedarthread.protocols.platform_connection",
+        "cedarthread.protocols.platform_server",
+        "cedarthread.transport.connection",
+        "cedarthread.transport.read_buffer",
+    )
 
     def draw(self, rng: random.Random) -> bytes:
         """Some messages in a row, perhaps the last one cut off."""
@@ -242,7 +247,7 @@
             "a call is left",
         )
         need(front.queued_bytes == 0, f"{front.queued_bytes} bytes of answers are left")
-        need(len(connection.buffer._data) <= platform.MAX_MESSAGE_BYTES, "the buffer grew past its limit")
+        need(len(connection.buffer._data) <= MAX_MESSAGE_BYTES, "the buffer grew past its limit")
         unpacker = reference.Unpacker(raw=False, strict_map_key=True, max_buffer_size=2**24)
         unpacker.feed(bytes(out))
         answers: dict[Any, int] = {}
@@ -294,6 +299,9 @@
         """Its client is there."""
         return True
 
+    def count_attempt_written(self, attempt: Attempt) -> None:
+        """Its line is written."""
+
     def on_call_response(self, attempt: Attempt, ending: AttemptResult) -> None:
         """An answer."""
         for value in ending.load_report:
@@ -308,9 +316,7 @@
 
     def on_preload_response(self, preload: PendingPreload, message: dict[str, Any]) -> None:
         """An order's end."""
-        runners = WorkerConnections.__new__(WorkerConnections)
-        runners.dispatcher = cast(Any, self)
-        runners.on_preload_response(preload, message)
+        PreloadRequests(cast(Any, self)).on_response(preload, parse_preload_response(message))
         self.ends.append((preload.message_id, "order", b""))
 
     def preload_ended(self, event: PreloadEnded) -> None:
@@ -322,7 +328,14 @@
     """The lines that a runner sends, on a connection with three calls and an order open."""
 
     name = "lines"
-    modules = ("cedarthread.protocols.workers",)
+    modules = (
+        "cedarthread.protocols.worker_codec",
+        "cedarthread.protocols.worker_connection",
+        "cedarthread.protocols.worker_line_queue",
+        "cedarthread.protocols.worker_pool",
+        "cedarthread.protocols.worker_preloads",
+        "cedarthread.protocols.workers",
+    )
     names = ("a1", "a2", "a3", "load-1")
 
     def draw(self, rng: random.Random) -> bytes:
@@ -363,8 +376,8 @@
         transport.begin(connection)
         for name in self.names[:3]:
             call = Call(name, 0, 7, 1e18, b"", lambda answer: None)
-            connection.send_request(name, b"{}\n", Attempt(call, 0, 1, 0.0, Progress.WRITTEN))
-        connection.send_request("load-1", b"{}\n", PendingPreload("load-1", 1, 7, 0.0))
+            connection.send_request(b"{}\n", Attempt(call, 0, 1, 0.0, Progress.WRITTEN))
+        connection.send_request(b"{}\n", PendingPreload("load-1", 1, 7, 0.0))
         await feed(transport, data, seed)
         transport.hang_up()
         await asyncio.sleep(0)
