change_freeze: the gate, the component and windows split by concern

Change: placement_changes (records, rules), call_routing, placement_table, deferred_changes with its rate limiter, admission_gate; window_entries (records, validation, codec), window (state machine), window_registry, stale_hold, component. A change is asked about as one record instead of four parameters, can_send takes keywords, offset bounds are a NamedTuple. Ruled out: other words in the two log lines of a router that is not fresh: the golden file of whole routers pins all actions, log lines too.

--- /dev/null
+++ b/cedarthread/change_freeze/placement_table.py
@@ -0,0 +1,133 @@
+"""Where functions are placed, as far as this router knows from its own calls and other routers' gossip."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
+
+# Before a window, how long after an instance was last known the function still counts as placed on its
+# worker.
+PLACEMENT_MEMORY_MS = 1_800_000.0
+MAX_PLACEMENTS = 20_000  # pairs of function and worker that are remembered
+MAX_REMOVED_WORKERS = 4096  # workers off the endpoint list whose placements are remembered
+
+
+@dataclass(slots=True)
+class _RemovedWorker:
+    """A worker that left the endpoint list, and what was placed on it: by function, when it was last seen."""
+
+    started_at_ms: float | None
+    placements: dict[int, float]
+
+
+@dataclass(slots=True)
+class PlacementTable:
+    """The functions that are placed on each worker: a part of the truth, never more.
+
+    In a window no placement expires: an instance that became idle may be loaded again where it was. Times:
+    ms on the steady clock."""
+
+    last_seen_by_function: dict[int, dict[int, float]] = field(default_factory=dict)  # function, worker
+    endpoints: dict[int, Endpoint] = field(default_factory=dict)
+    removed_workers: dict[int, _RemovedWorker] = field(default_factory=dict)
+    lost_placements: dict[int, int] = field(default_factory=dict)  # by function, since the window began
+    placement_count: int = 0
+    is_frozen: bool = False  # a window is in force
+
+    def record(self, now: float, function_id: int, worker_id: int) -> None:
+        """An instance of the function is on the worker now."""
+        last_seen = self.last_seen_by_function.pop(function_id, None)
+        if last_seen is None:
+            last_seen = {}
+        self.last_seen_by_function[function_id] = last_seen  # in the order of use, the least recent first
+        self.placement_count += worker_id not in last_seen
+        last_seen[worker_id] = now
+        while self.placement_count > MAX_PLACEMENTS:
+            least_recent = next(iter(self.last_seen_by_function))
+            self.placement_count -= len(self.last_seen_by_function.pop(least_recent))
+
+    def has_placement(self, function_id: int, worker_id: int) -> bool:
+        """Whether the function is placed on the worker."""
+        return worker_id in self.last_seen_by_function.get(function_id, ())
+
+    def has_lost_most(self, function_id: int) -> bool:
+        """Whether more placements were lost than are left, which will be overloaded."""
+        return self.lost_placements.get(function_id, 0) > len(self.last_seen_by_function.get(function_id, ()))
+
+    def expire(self, now: float) -> None:
+        """Outside windows, forget placements of which nothing was known for long."""
+        if self.is_frozen:
+            return
+        self.lost_placements.clear()
+        for function_id in list(self.last_seen_by_function):
+            last_seen = self.last_seen_by_function[function_id]
+            for worker_id in [
+                worker_id for worker_id, seen_at in last_seen.items() if now - seen_at > PLACEMENT_MEMORY_MS
+            ]:
+                del last_seen[worker_id]
+                self.placement_count -= 1
+            if not last_seen:
+                del self.last_seen_by_function[function_id]
+
+    # Changes of the endpoint list.
+
+    def on_endpoint_update(self, event: EndpointUpdate) -> None:
+        """Workers that left the list, drain or restarted have lost their placements."""
+        if event.kind is EndpointUpdateKind.FAILED:
+            return
+        if event.kind is not EndpointUpdateKind.DELTA:
+            listed_ids = {entry.worker_id for entry in event.endpoints}
+            for entry in [known for known in self.endpoints.values() if known.worker_id not in listed_ids]:
+                self._remove_endpoint(entry)
+        for entry in event.endpoints:
+            self._update_endpoint(entry)
+
+    def on_worker_down(self, worker_id: int) -> None:
+        """The host found the worker's process gone, for no connection comes up: its placements are lost."""
+        self._remove_placements(worker_id)
+
+    def _update_endpoint(self, entry: Endpoint) -> None:
+        known = self.endpoints.get(entry.worker_id)
+        if entry.state is EndpointState.REMOVED:
+            return self._remove_endpoint(known or entry)
+        self.endpoints[entry.worker_id] = entry
+        if known is not None and known.started_at_ms != entry.started_at_ms:
+            self._remove_placements(entry.worker_id)
+        removed = self.removed_workers.pop(entry.worker_id, None) if known is None else None
+        # A corrupted list may leave out a worker that is there: the same start means that nothing was lost.
+        if (
+            removed is not None
+            and removed.started_at_ms is not None
+            and removed.started_at_ms == entry.started_at_ms
+        ):
+            self._restore_placements(entry.worker_id, removed)
+        if entry.state is EndpointState.DRAINING and (known is None or known.state is EndpointState.READY):
+            for function_id, last_seen in self.last_seen_by_function.items():
+                if entry.worker_id in last_seen:
+                    self.lost_placements[function_id] = self.lost_placements.get(function_id, 0) + 1
+
+    def _remove_endpoint(self, entry: Endpoint) -> None:
+        self.endpoints.pop(entry.worker_id, None)
+        if placements := self._remove_placements(entry.worker_id):
+            self.removed_workers[entry.worker_id] = _RemovedWorker(entry.started_at_ms, placements)
+            while len(self.removed_workers) > MAX_REMOVED_WORKERS:
+                del self.removed_workers[next(iter(self.removed_workers))]
+
+    def _remove_placements(self, worker_id: int) -> dict[int, float]:
+        """Remove a worker's placements and count them as lost; by function, when each was last seen."""
+        removed: dict[int, float] = {}
+        for function_id, last_seen in self.last_seen_by_function.items():
+            if (seen_at := last_seen.pop(worker_id, None)) is not None:
+                removed[function_id] = seen_at
+                self.lost_placements[function_id] = self.lost_placements.get(function_id, 0) + 1
+                self.placement_count -= 1
+        for function_id in removed:
+            if not self.last_seen_by_function[function_id]:
+                del self.last_seen_by_function[function_id]
+        return removed
+
+    def _restore_placements(self, worker_id: int, removed: _RemovedWorker) -> None:
+        for function_id, seen_at in removed.placements.items():
+            self.record(seen_at, function_id, worker_id)
+            self.lost_placements[function_id] = max(0, self.lost_placements.get(function_id, 0) - 1)
--- a/cedarthread/change_freeze/wall_clock.py
+++ b/cedarthread/change_freeze/wall_clock.py
@@ -1,51 +1,65 @@
-"""The wall clock as far as it can be trusted: followed slowly, compared with others, never by its jumps.
+"""The wall clock as far as it can be trusted: slewed, and compared with other routers' clocks.
 
-Windows are wall-clock. The clock here runs on the steady one and moves toward the host's wall clock by no
-more than the rate error that both may have, so that a step shows as a gap and opens nothing. Offsets from
-others come from a question and its answer, as in NTP (Mills, RFC 5905); their median tells who is off.
+Freeze windows are declared in wall time. The clock here runs on the steady clock and slews toward the
+host's wall clock by no more than the drift that both may have, so a step of the host's clock shows as a gap
+and opens no window. Offsets to other routers come from a request and its response, as in NTP (Mills, RFC
+5905); their median tells whose clock deviates. Design: docs/design/freeze.md, steps 17 to 19.
 """
 
 from __future__ import annotations
 
 import math
 from dataclasses import dataclass
+from typing import NamedTuple
 
-from cedarthread.change_freeze.window import MAX_WINDOW_MS
+from cedarthread.change_freeze.window_entries import MAX_WINDOW_MS
 
-STEP_THRESHOLD_MS = (
-    100.0  # ms of a gap under which it is no step: the two clocks are read one after the other
-)
-SAMPLE_LIFETIME_MS = 120_000.0  # ms for which a comparison with another is used: its clock drifts meanwhile
-MAX_QUORUM = 9  # routers, this one too, whose clocks are enough for a median; a majority where that is fewer
-MAX_ROUND_TRIP_MS = 60_000.0  # ms between question and answer beyond which a comparison says nothing
+STEP_THRESHOLD_MS = 100.0  # a smaller gap is no step: the two clocks are read one after the other
+SAMPLE_LIFETIME_MS = 120_000.0  # for which a comparison is used: the other clock drifts meanwhile
+MAX_QUORUM = 9  # clocks, the own one too, that are enough for a median; a majority where that is fewer
+MAX_ROUND_TRIP_MS = 60_000.0  # over which a comparison says nothing
+
+
+class OffsetBounds(NamedTuple):
+    """A clock offset in ms, as the range that it may be in."""
+
+    lower_ms: float
+    upper_ms: float
+
+
+NO_OFFSET = OffsetBounds(0.0, 0.0)
 
 
 @dataclass(frozen=True, slots=True)
 class _OffsetSample:
-    offset_ms: float  # their wall clock less this one's steady clock, ms
-    uncertainty_ms: float  # ms by which that may be wrong either way
+    """One comparison with another router's clock."""
+
+    offset_ms: float  # its wall clock less this router's steady clock
+    uncertainty_ms: float  # by which that may be wrong either way
     received_at_ms: float
 
 
 class WallClock:
-    """Wall time on the steady clock. Unix ms and steady ms; nothing raises.
+    """Wall time (Unix ms) on the steady clock (ms). Raises nothing.
 
-    ``error``: ms by which wall clocks may differ. ``rate``: part by which a clock runs fast or slow."""
+    ``max_error_ms``: by which wall clocks may differ. ``max_drift_rate``: part by which a clock may run
+    fast or slow."""
 
     def __init__(self, router_count: int, max_error_ms: float, max_drift_rate: float) -> None:
         self.router_count, self.max_error_ms, self.max_drift_rate = router_count, max_error_ms, max_drift_rate
-        self.followed_offset_ms: float | None = None  # followed wall less steady
-        self.read_at_ms = 0.0  # steady, when it was last told
+        self.followed_offset_ms: float | None = None  # wall less steady clock; None: no reading came yet
+        self.read_at_ms = 0.0  # of the host's last reading
         self.unfollowed_offset_ms: float | None = (
-            None  # host's wall less steady, where that is a step that is not followed
+            None  # the host's, where it stepped and that is not followed
         )
         self.stepped_at_ms = 0.0  # when that was first seen
-        self.samples: dict[int, _OffsetSample] = {}
+        self.samples: dict[int, _OffsetSample] = {}  # by router
         self.step_count = self.invalid_sample_count = 0
 
     def on_host_reading(self, now: float, unix_ms: float, has_window: bool) -> str | None:
-        """The host's wall clock. ``held``: a window is known, so that no step is followed that others do not
-        confirm. A line to log where a step came, was confirmed or went back."""
+        """Take a reading of the host's wall clock; a line to log where it stepped or went back.
+
+        ``has_window``: a window is known, so a step is followed only if other routers confirm it."""
         if not math.isfinite(unix_ms):
             return None
         offset_ms = unix_ms - now
@@ -66,96 +80,110 @@
         if is_new_step:
             self.stepped_at_ms, self.step_count = now, self.step_count + 1
         self.unfollowed_offset_ms = offset_ms
+        step = f"the wall clock stepped by {gap_ms / 1000.0:+.1f} s"
         if not has_window or self._is_step_confirmed(now, offset_ms):
             self.followed_offset_ms, self.unfollowed_offset_ms = offset_ms, None
-            return f"the wall clock stepped by {gap_ms / 1000.0:+.1f} s, followed"
-        return f"the wall clock stepped by {gap_ms / 1000.0:+.1f} s, not followed" if is_new_step else None
+            return f"{step}, followed"
+        return f"{step}, not followed" if is_new_step else None
 
     def unix_ms(self, now: float) -> float:
-        """The wall time that is followed; what others are told. NaN before any was told."""
+        """The wall time that is followed, which other routers are told too. NaN before any reading."""
         return now + self.followed_offset_ms if self.followed_offset_ms is not None else math.nan
 
-    # Comparing.
+    # Comparison with other routers.
 
     def add_sample(self, now: float, sender: int, unix_ms: float, sent_at_ms: float) -> None:
-        """Another router's answer: ``wall`` is the time that it follows, ``sent`` when it was asked (steady
-        ms). The answer was made between then and now, so half of that is what the offset may be wrong by."""
+        """Take another router's response: the wall time that it follows, as requested at ``sent_at_ms``.
+
+        The response was made between the request and now, so the offset may be wrong by half of that time."""
         round_trip_ms = now - sent_at_ms
-        if not (
-            0 <= sender < self.router_count
-            and math.isfinite(unix_ms)
-            and 0.0 <= round_trip_ms <= MAX_ROUND_TRIP_MS
-        ):
+        is_known_router = 0 <= sender < self.router_count
+        if not (is_known_router and math.isfinite(unix_ms) and 0.0 <= round_trip_ms <= MAX_ROUND_TRIP_MS):
             self.invalid_sample_count += 1
             return
-        self.samples[sender] = _OffsetSample(unix_ms - (sent_at_ms + now) / 2.0, round_trip_ms / 2.0, now)
+        midpoint_ms = (sent_at_ms + now) / 2.0
+        self.samples[sender] = _OffsetSample(unix_ms - midpoint_ms, round_trip_ms / 2.0, now)
 
-    def peer_offset_bounds_ms(self, now: float) -> tuple[float, float]:
-        """How far others are ahead of this one, ms: least and greatest as the median may be; 0, 0 where too
-        few were heard. With one other nobody can tell who of both is off: both may be."""
+    def peer_offset_bounds_ms(self, now: float) -> OffsetBounds:
+        """How far the median of all clocks is ahead of this one; no offset where there are too few samples.
+
+        With one other router nobody can tell whose clock deviates: both may."""
         if self.followed_offset_ms is None:
-            return 0.0, 0.0
+            return NO_OFFSET
         return self._median_offset_bounds_ms(now, self.followed_offset_ms)
 
-    def _median_offset_bounds_ms(self, now: float, own_offset_ms: float) -> tuple[float, float]:
-        for sender in [
-            s for s, sample in self.samples.items() if now - sample.received_at_ms > SAMPLE_LIFETIME_MS
-        ]:
-            del self.samples[sender]
-        if len(self.samples) + 1 < min(MAX_QUORUM, self.router_count // 2 + 1):
-            return 0.0, 0.0
+    def _median_offset_bounds_ms(self, now: float, own_offset_ms: float) -> OffsetBounds:
+        self._drop_old_samples(now)
+        if not self._has_quorum():
+            return NO_OFFSET
+        samples = self.samples.values()
         lower_offsets = sorted(
             [
                 0.0,
-                *(s.offset_ms - own_offset_ms - self._uncertainty_ms(now, s) for s in self.samples.values()),
+                *(sample.offset_ms - own_offset_ms - self._uncertainty_ms(now, sample) for sample in samples),
             ]
         )
         upper_offsets = sorted(
             [
                 0.0,
-                *(s.offset_ms - own_offset_ms + self._uncertainty_ms(now, s) for s in self.samples.values()),
+                *(sample.offset_ms - own_offset_ms + self._uncertainty_ms(now, sample) for sample in samples),
             ]
         )
-        return lower_offsets[(len(lower_offsets) - 1) // 2], upper_offsets[len(upper_offsets) // 2]
+        return OffsetBounds(
+            lower_offsets[(len(lower_offsets) - 1) // 2], upper_offsets[len(upper_offsets) // 2]
+        )
+
+    def _drop_old_samples(self, now: float) -> None:
+        for sender in [
+            sender
+            for sender, sample in self.samples.items()
+            if now - sample.received_at_ms > SAMPLE_LIFETIME_MS
+        ]:
+            del self.samples[sender]
+
+    def _has_quorum(self) -> bool:
+        return len(self.samples) + 1 >= min(MAX_QUORUM, self.router_count // 2 + 1)
 
     def _uncertainty_ms(self, now: float, sample: _OffsetSample) -> float:
         return sample.uncertainty_ms + 2.0 * self.max_drift_rate * (now - sample.received_at_ms)
 
     def _is_step_confirmed(self, now: float, offset_ms: float) -> bool:
-        """Most others tell the time that this one stepped to. They tell what they follow: a step that came
-        to all at once, from one bad source, is confirmed by nobody."""
+        """Whether most other routers follow the time that this clock stepped to.
+
+        They tell what they follow: a step that came to all at once, from one bad source, is confirmed by
+        none."""
         agreeing = sum(
-            abs(s.offset_ms - offset_ms) <= self.max_error_ms + self._uncertainty_ms(now, s)
-            for s in self.samples.values()
-        )
-        self._median_offset_bounds_ms(now, offset_ms)  # drops what is old
-        return len(self.samples) + 1 >= min(MAX_QUORUM, self.router_count // 2 + 1) and 2 * agreeing > len(
-            self.samples
+            abs(sample.offset_ms - offset_ms) <= self.max_error_ms + self._uncertainty_ms(now, sample)
+            for sample in self.samples.values()
         )
+        self._drop_old_samples(now)
+        return self._has_quorum() and 2 * agreeing > len(self.samples)
 
-    # What windows go by.
+    # What windows are decided by.
 
     def deviation_ms(self, now: float) -> float:
-        """ms by which this router's clock is off from most others beyond the stated error; 0: it is not."""
-        lower, upper = self.peer_offset_bounds_ms(now)
-        worst = lower if abs(lower) > abs(upper) else upper
-        return worst if lower > self.max_error_ms or upper < -self.max_error_ms else 0.0
+        """How far most other clocks are ahead of this one, where that is over the stated error; else 0."""
+        bounds = self.peer_offset_bounds_ms(now)
+        worst_ms = bounds.lower_ms if abs(bounds.lower_ms) > abs(bounds.upper_ms) else bounds.upper_ms
+        is_over_error = bounds.lower_ms > self.max_error_ms or bounds.upper_ms < -self.max_error_ms
+        return worst_ms if is_over_error else 0.0
 
     def unix_ms_bounds(self, now: float) -> tuple[float, float]:
-        """Wall time as it may be, Unix ms, least and most: a window begins by the most and ends by the least.
+        """The range that the wall time is in: a window begins by the latest and ends by the earliest.
 
-        The stated error widens both ways. A clock that is off by more widens by how far it is off; past the
-        longest window it is no evidence, and the others' alone counts. A step that is not followed may make
-        a window begin earlier, never end later: what is in force ends at its end by the steady clock."""
+        The stated error widens the range both ways. A clock that deviates by more widens it by its
+        deviation; past the longest window it is no evidence, and the others' alone count. A step that is
+        not followed may make a window begin earlier, never end later: what is in force ends at its end by
+        the steady clock."""
         if self.followed_offset_ms is None:
             return -math.inf, math.inf
         unix_ms, error_ms = self.unix_ms(now), self.max_error_ms
         earliest = latest = unix_ms
         if self.deviation_ms(now) != 0.0:
-            low, high = self.peer_offset_bounds_ms(now)
-            is_far_off = max(abs(low), abs(high)) > MAX_WINDOW_MS
-            earliest = unix_ms + low if is_far_off else unix_ms + min(0.0, low)
-            latest = unix_ms + high if is_far_off else unix_ms + max(0.0, high)
+            lower_ms, upper_ms = self.peer_offset_bounds_ms(now)
+            is_far_off = max(abs(lower_ms), abs(upper_ms)) > MAX_WINDOW_MS
+            earliest = unix_ms + lower_ms if is_far_off else unix_ms + min(0.0, lower_ms)
+            latest = unix_ms + upper_ms if is_far_off else unix_ms + max(0.0, upper_ms)
         if self.unfollowed_offset_ms is not None:
             error_ms += 2.0 * self.max_drift_rate * (now - self.stepped_at_ms)
             latest = max(latest, min(self.unfollowed_offset_ms + now, unix_ms + MAX_WINDOW_MS))
--- /dev/null
+++ b/cedarthread/change_freeze/window_entries.py
@@ -0,0 +1,193 @@
+"""Entries of the replicated store that declare freeze windows: records, validation and codec.
+
+An entry's body is a MessagePack array in canonical form: one meaning has exactly one encoding, so equal
+declarations have equal digests, and no edit is seen where there is none. Times are Unix ms.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from datetime import datetime
+from typing import get_args
+
+import msgspec
+
+from cedarthread import fleet_config
+from cedarthread.components.interface import EntryKind
+from cedarthread.fleet_config import MAX_WINDOW_SECONDS, FleetConfigError, FrozenAction
+from cedarthread.gossip.codec import MalformedDatagram
+
+MAX_WINDOW_MS = MAX_WINDOW_SECONDS * 1000.0
+MAX_NAMES = 256  # of a kind (zones, functions, tenants) in one body
+MAX_TEXT_BYTES = 512  # of a reason or an author
+MAX_NAME_BYTES = 64
+MAX_EXCEPTION_BUDGET = 10_000  # placement changes that one window may permit
+MAX_UNIX_MS = 2**53  # over it a time is no whole number as a float
+ALL_CHANGE_KINDS: tuple[FrozenAction, ...] = get_args(FrozenAction)
+
+
+class _EntryBody(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """A body is an array of values in a fixed order: field names are not on the wire."""
+
+
+class WindowTerms(_EntryBody, frozen=True):
+    """What one version of a window says. An empty tuple of names means all of that kind."""
+
+    window_id: str
+    start_unix_ms: int
+    end_unix_ms: int
+    zone_names: tuple[str, ...]
+    function_ids: tuple[int, ...]
+    tenant_names: tuple[str, ...]
+    frozen_kinds: tuple[FrozenAction, ...]
+    exception_budget: int
+    author: str
+    reason: str
+
+
+class Revocation(_EntryBody, frozen=True):
+    """Ends a window early and for good: a window that is wanted after all takes another id."""
+
+    window_id: str
+    author: str
+    reason: str
+
+
+class BreakGlass(_EntryBody, frozen=True):
+    """Lifts a window until ``end_unix_ms``."""
+
+    window_id: str
+    end_unix_ms: int
+    author: str
+    reason: str
+
+
+WindowBody = WindowTerms | Revocation | BreakGlass
+_BODY_TYPES: dict[EntryKind, type[WindowTerms] | type[Revocation] | type[BreakGlass]] = {
+    EntryKind.FREEZE: WindowTerms,
+    EntryKind.REVOKE: Revocation,
+    EntryKind.BREAK_GLASS: BreakGlass,
+}
+
+
+def entries_from_config(fleet: fleet_config.FleetConfig) -> list[tuple[EntryKind, str, bytes]]:
+    """Kind, name and body of each entry of a file. FleetConfigError: one that no router would accept."""
+    bodies: list[tuple[EntryKind, WindowBody]] = []
+    bodies += [(EntryKind.FREEZE, _window_terms(window)) for window in fleet.freeze]
+    bodies += [
+        (EntryKind.REVOKE, Revocation(revoked.freeze, revoked.author, revoked.reason))
+        for revoked in fleet.revoke
+    ]
+    bodies += [
+        (
+            EntryKind.BREAK_GLASS,
+            BreakGlass(lifted.freeze, _to_unix_ms(lifted.end), lifted.author, lifted.reason),
+        )
+        for lifted in fleet.break_glass
+    ]
+    for kind, body in bodies:
+        if (problem := _error_in(body)) is not None:
+            raise FleetConfigError(f"{kind} ({body.window_id}): {problem}")
+    return [(kind, body.window_id, encode(body)) for kind, body in bodies]
+
+
+def encode(body: WindowBody) -> bytes:
+    """The canonical encoding of a body."""
+    return msgspec.msgpack.encode(body)
+
+
+def decode(kind: EntryKind, name: str, raw: bytes) -> WindowBody | MalformedDatagram:
+    """The body of an entry, or why it cannot be read. Raises nothing, whatever the bytes are."""
+    if (body_type := _BODY_TYPES.get(kind)) is None:
+        return MalformedDatagram(f"{kind} is not about windows")
+    try:
+        body = msgspec.msgpack.decode(raw, type=body_type)
+    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError, RecursionError) as error:
+        return MalformedDatagram(str(error))
+    if body.window_id != name:
+        return MalformedDatagram("the body is of another window than its name")
+    if (problem := _error_in(body)) is not None:
+        return MalformedDatagram(problem)
+    # Two encodings of one meaning would have two digests, and look like an edit each.
+    return body if encode(body) == raw else MalformedDatagram("not the canonical encoding")
+
+
+def _window_terms(window: fleet_config.FreezeWindowConfig) -> WindowTerms:
+    return WindowTerms(
+        window.id,
+        _to_unix_ms(window.start),
+        _to_unix_ms(window.end),
+        _sorted_unique(window.rooms),
+        tuple(sorted({int(name, 16) for name in window.functions})),
+        _sorted_unique(window.tenants),
+        tuple(kind for kind in ALL_CHANGE_KINDS if kind in window.frozen),
+        window.allowance,
+        window.author,
+        window.reason,
+    )
+
+
+def _to_unix_ms(time: datetime) -> int:
+    return round(time.timestamp() * 1000.0)
+
+
+def _sorted_unique(names: Sequence[str]) -> tuple[str, ...]:
+    return tuple(sorted(set(names)))
+
+
+def _error_in(body: WindowBody) -> str | None:
+    """What is invalid in a body, None for nothing: entries come over the network, from any author."""
+    if not 1 <= len(body.window_id.encode()) <= MAX_NAME_BYTES:
+        return "no name of 1 to 64 bytes"
+    if max(len(body.author.encode()), len(body.reason.encode())) > MAX_TEXT_BYTES:
+        return f"author or reason is over {MAX_TEXT_BYTES} bytes"
+    if isinstance(body, Revocation):
+        return None
+    if not 0 <= body.end_unix_ms < MAX_UNIX_MS:
+        return "the end is no time"
+    if isinstance(body, BreakGlass):
+        return None
+    duration_ms = body.end_unix_ms - body.start_unix_ms
+    if not 0 <= body.start_unix_ms < body.end_unix_ms or duration_ms > MAX_WINDOW_MS:
+        return f"a window lasts up to {MAX_WINDOW_SECONDS / 3600:g} hours"
+    if not 0 <= body.exception_budget <= MAX_EXCEPTION_BUDGET:
+        return f"the allowance is not 0 to {MAX_EXCEPTION_BUDGET}"
+    return _error_in_names(body)
+
+
+def _error_in_names(terms: WindowTerms) -> str | None:
+    for names in (terms.zone_names, terms.tenant_names, terms.function_ids):
+        if len(names) > MAX_NAMES or len(set(names)) < len(names) or list(names) != sorted(names):
+            return f"names are not up to {MAX_NAMES}, in order, each once"
+    if any(
+        not 1 <= len(name.encode()) <= MAX_NAME_BYTES for name in (*terms.zone_names, *terms.tenant_names)
+    ):
+        return "no name of 1 to 64 bytes"
+    if any(not 0 <= function_id < 2**64 for function_id in terms.function_ids):
+        return "no function of 64 bits"
+    if tuple(kind for kind in ALL_CHANGE_KINDS if kind in terms.frozen_kinds) != terms.frozen_kinds:
+        return "what is frozen is not in order, each once"
+    return None
+
+
+def strictest_union(first: WindowTerms, second: WindowTerms) -> WindowTerms:
+    """Terms at least as strict as both together at any time: wider than needed, never narrower."""
+
+    def union(names: tuple[str, ...], other_names: tuple[str, ...]) -> tuple[str, ...]:
+        return _sorted_unique((*names, *other_names)) if names and other_names else ()
+
+    function_ids: tuple[int, ...] = ()
+    if first.function_ids and second.function_ids:
+        function_ids = (*first.function_ids, *second.function_ids)
+    return WindowTerms(
+        first.window_id,
+        min(first.start_unix_ms, second.start_unix_ms),
+        max(first.end_unix_ms, second.end_unix_ms),
+        union(first.zone_names, second.zone_names),
+        tuple(sorted(set(function_ids))),
+        union(first.tenant_names, second.tenant_names),
+        tuple(kind for kind in ALL_CHANGE_KINDS if kind in first.frozen_kinds or kind in second.frozen_kinds),
+        min(first.exception_budget, second.exception_budget),
+        second.author,
+        second.reason,
+    )
--- /dev/null
+++ b/cedarthread/change_freeze/window_registry.py
@@ -0,0 +1,100 @@
+"""All freeze windows that a router holds, read from the entries of the replicated store."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from cedarthread.change_freeze.window import FINAL_STATES, FreezeWindow, WindowState
+from cedarthread.change_freeze.window_entries import WindowTerms, decode
+from cedarthread.components.interface import Entry, EntryKind, ReplicatedEntry, ReplicatedState
+from cedarthread.gossip.codec import MalformedDatagram
+
+MAX_UNREADABLE_ENTRIES = 256  # that are remembered, so that each is logged once
+WINDOW_ENTRY_KINDS = (EntryKind.FREEZE, EntryKind.REVOKE, EntryKind.BREAK_GLASS)
+
+
+class NewVersion(NamedTuple):
+    """A version of a window's terms that was not held before."""
+
+    window: FreezeWindow
+    terms: WindowTerms
+
+
+class UnreadableEntry(NamedTuple):
+    """An entry whose body cannot be read, and why."""
+
+    entry: Entry
+    reason: str
+
+
+class WindowRegistry:
+    """Windows by id."""
+
+    def __init__(self) -> None:
+        self.windows: dict[str, FreezeWindow] = {}
+        self.last_entries: dict[tuple[EntryKind, str], ReplicatedEntry] = {}
+        self.unreadable: dict[Entry, str] = {}  # why
+
+    @property
+    def holds_entries(self) -> bool:
+        """Whether any entry about windows is held, readable or not."""
+        return bool(self.windows or self.unreadable)
+
+    def add(self, entries: Iterable[ReplicatedEntry]) -> list[NewVersion | UnreadableEntry]:
+        """Take entries of any kind; what came of them that is to be logged, in their order."""
+        findings: list[NewVersion | UnreadableEntry] = []
+        for replicated in entries:
+            entry = replicated.entry
+            key = (entry.kind, entry.name)
+            is_known = replicated == self.last_entries.get(key) or entry in self.unreadable
+            if entry.kind not in WINDOW_ENTRY_KINDS or is_known:
+                continue
+            self.last_entries[key] = replicated
+            body = decode(entry.kind, entry.name, entry.body)
+            if isinstance(body, MalformedDatagram):
+                self.unreadable[entry] = body.reason
+                while len(self.unreadable) > MAX_UNREADABLE_ENTRIES:
+                    del self.unreadable[next(iter(self.unreadable))]
+                findings.append(UnreadableEntry(entry, body.reason))
+                continue
+            window = self.windows.setdefault(body.window_id, FreezeWindow(body.window_id))
+            if window.add(replicated, body) and isinstance(body, WindowTerms):
+                findings.append(NewVersion(window, body))
+        return findings
+
+    def forget_removed(self, replicated_state: ReplicatedState) -> list[str]:
+        """Forget windows that the replicated store has forgotten, long after their end; their ids."""
+        names = {
+            replicated.entry.name
+            for kind in WINDOW_ENTRY_KINDS
+            for replicated in replicated_state.entries(kind)
+        }
+        removed = [
+            window_id
+            for window_id, window in self.windows.items()
+            if window_id not in names and window.state in FINAL_STATES
+        ]
+        for window_id in removed:
+            del self.windows[window_id]
+        for key in [key for key in self.last_entries if key[1] not in names]:
+            del self.last_entries[key]
+        return removed
+
+    def has_step_sensitive_window(
+        self, unix_ms: float, max_error_ms: float, staleness_bound_ms: float
+    ) -> bool:
+        """Whether a step of the wall clock to this time could open, skip or bring back a window.
+
+        Not a window that begins later by both times: a clock that is set right before it is followed."""
+        for window in self.windows.values():
+            if window.state is WindowState.ENDED and window.latest_end_unix_ms() <= unix_ms - max_error_ms:
+                continue
+            if (
+                window.state is WindowState.DECLARED
+                and window.earliest_start_unix_ms() > unix_ms + staleness_bound_ms
+            ):
+                continue
+            if window.state is not WindowState.REVOKED:
+                return True
+        return False
--- a/cedarthread/components/constraints.py
+++ b/cedarthread/components/constraints.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Iterator, Mapping, Sequence
 
-from cedarthread.change_freeze.admission_gate import AdmissionGate, PlacementChange
+from cedarthread.change_freeze.admission_gate import AdmissionGate
+from cedarthread.change_freeze.placement_changes import PlacementChange
 from cedarthread.gossip.load_gossip import InstanceLoad
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.priority.component import PriorityComponent
@@ -47,12 +48,12 @@
         request, entry = pending.request, view.endpoint
         return self.gate.can_send(
             now,
-            request.function_id,
-            entry.worker_id,
-            entry.zone,
-            request.tenant_index,
-            is_loaded,
-            has_alternative,
+            function_id=request.function_id,
+            worker_id=entry.worker_id,
+            zone_index=entry.zone,
+            tenant_index=request.tenant_index,
+            is_placed=is_loaded,
+            has_alternatives=has_alternative,
         )
 
     def may_load(self, now: float, job: PendingRequest, view: WorkerRecord, has_alternative: bool) -> bool:
--- a/cedarthread/components/fleet.py
+++ b/cedarthread/components/fleet.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 
-from cedarthread.change_freeze import window
+from cedarthread.change_freeze import window_entries
 from cedarthread.change_freeze.component import ChangeFreezeComponent
 from cedarthread.components.constraints import RoutingConstraints
 from cedarthread.components.interface import (
@@ -144,7 +144,7 @@
         messages: list[OutboundMessage] = []
         for kind, name, body in (
             *contract_entries.entries_from_config(fleet_config),
-            *window.entries_from_config(fleet_config),
+            *window_entries.entries_from_config(fleet_config),
         ):
             made = self.store.propose(now, kind, name, body)
             if isinstance(made, RejectedEntry):
--- a/cedarthread/testing/cluster/injected_defects.py
+++ b/cedarthread/testing/cluster/injected_defects.py
@@ -65,15 +65,10 @@
 def each() -> None:
     """Every router may use the whole of a window's allowance."""
     from cedarthread.change_freeze import admission_gate
+    from cedarthread.change_freeze.placement_changes import PlacementChange
 
-    def permits(
-        self: admission_gate.AdmissionGate, now: float, change: admission_gate.PlacementChange
-    ) -> bool:
-        rules = [
-            r
-            for r in self.rules
-            if r.covers(change.kind, change.zone_index, change.function_id, change.tenant_index)
-        ]
+    def permits(self: admission_gate.AdmissionGate, now: float, change: PlacementChange) -> bool:
+        rules = [rule for rule in self.rules if rule.covers(change)]
         return bool(rules) and all(self.exceptions_used < rule.exception_budget for rule in rules)
 
     admission_gate.AdmissionGate._has_exception = permits  # type: ignore[method-assign]
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -29,7 +29,7 @@
 import msgspec
 
 from cedarthread import fleet_config
-from cedarthread.change_freeze import window
+from cedarthread.change_freeze import window_entries
 from cedarthread.components import interface
 from cedarthread.components.node import RoutingNode
 from cedarthread.config import Config
@@ -333,7 +333,7 @@
     fleet: fleet_config.FleetConfig = fleet_config.parse_fleet_config(FLEET)
     bodies: list[tuple[interface.EntryKind, str, bytes]] = [
         *contract_entries.entries_from_config(fleet),
-        *window.entries_from_config(fleet),
+        *window_entries.entries_from_config(fleet),
     ]
     return [
         interface.Entry(
@@ -360,7 +360,7 @@
             else contract_entries.decode_contract(entry)
         )
     else:
-        said = window.decode(entry.kind, entry.name, entry.body)
+        said = window_entries.decode(entry.kind, entry.name, entry.body)
     return [plain(entry), plain(sums), plain(readable(said))]
 
 
--- a/tests/simulation/test_change_freeze.py
+++ b/tests/simulation/test_change_freeze.py
@@ -15,18 +15,14 @@
 import msgspec
 import pytest
 
-from cedarthread.change_freeze import component, window
-from cedarthread.change_freeze.admission_gate import (
-    AdmissionAnswer,
-    AdmissionDecision,
-    AdmissionGate,
-    PlacementCandidate,
-    PlacementChange,
-    RoutingVerdict,
-)
+from cedarthread.change_freeze import stale_hold, window
+from cedarthread.change_freeze.admission_gate import AdmissionGate
+from cedarthread.change_freeze.call_routing import PlacementCandidate, RoutingVerdict
 from cedarthread.change_freeze.component import ChangeFreezeComponent
+from cedarthread.change_freeze.deferred_changes import ReleaseRateLimiter
+from cedarthread.change_freeze.placement_changes import AdmissionAnswer, AdmissionDecision, PlacementChange
 from cedarthread.change_freeze.wall_clock import WallClock
-from cedarthread.change_freeze.window import (
+from cedarthread.change_freeze.window_entries import (
     ALL_CHANGE_KINDS,
     BreakGlass,
     Revocation,
@@ -540,9 +536,9 @@
         lambda part, now: None,
         restarts,
     ),
-    ("cut off, it moves on", component, "STALE_HOLD_MS", 0.0, cut_off),
-    ("all wishes at once", component.ReleaseRateLimiter, "__call__", lambda bucket, now: 1, ends_gently),
-    ("ends only when heard", component, "STALE_HOLD_MS", math.inf, unheard),
+    ("cut off, it moves on", stale_hold, "STALE_HOLD_MS", 0.0, cut_off),
+    ("all wishes at once", ReleaseRateLimiter, "__call__", lambda limiter, now: 1, ends_gently),
+    ("ends only when heard", stale_hold, "STALE_HOLD_MS", math.inf, unheard),
 )
 
 
--- a/tests/simulation/test_change_freeze_exploration.py
+++ b/tests/simulation/test_change_freeze_exploration.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import pytest
@@ -14,19 +15,13 @@
 
 from cedarthread import fleet_config
 from cedarthread.change_freeze import placement_paths
-from cedarthread.change_freeze.admission_gate import (
-    AdmissionAnswer,
-    AdmissionGate,
-    FreezeRule,
-    PlacementCandidate,
-    PlacementChange,
-    PlacementTable,
-    RoutingVerdict,
-    route_call,
-)
+from cedarthread.change_freeze.admission_gate import AdmissionGate
+from cedarthread.change_freeze.call_routing import PlacementCandidate, RoutingVerdict, route_call
 from cedarthread.change_freeze.component import ChangeFreezeComponent
+from cedarthread.change_freeze.placement_changes import AdmissionAnswer, FreezeRule, PlacementChange
+from cedarthread.change_freeze.placement_table import PlacementTable
 from cedarthread.change_freeze.wall_clock import WallClock
-from cedarthread.change_freeze.window import (
+from cedarthread.change_freeze.window_entries import (
     ALL_CHANGE_KINDS,
     BreakGlass,
     Revocation,
@@ -121,7 +116,7 @@
 
     def key(self) -> tuple[object, ...]:
         assert self.part is not None
-        w = self.part.windows.get("w")
+        w = self.part.registry.windows.get("w")
         versions = (
             tuple((e.body.end_unix_ms, self._age(e.replicated.replicated_at_ms)) for e in w.versions)
             if w is not None
@@ -131,7 +126,7 @@
         gate = (
             self.part.gate.rules,
             self.part.gate.is_uncertain,
-            self.part.last_fresh_at_ms is None,
+            self.part.stale_hold.last_fresh_at_ms is None,
             w.state if w else "",
         )
         clock = (
@@ -190,7 +185,7 @@
     def wrong(self) -> str | None:
         """What the rules hold against this state, by the surroundings' truth alone."""
         assert self.part is not None
-        yes = not self.part.gate.is_frozen(self.t * UNIT, "first-copy", None, 1, None)
+        yes = not self.part.gate.is_frozen(PlacementChange("first-copy", None, 1))
         relaxed = min((s + B for n, s in self.settled.items() if n > 0), default=99)
         claimed = 0 in self.settled and max(STARTS, self.settled[0] + V) < self.t < min(ENDS, relaxed)
         if claimed and yes and self.restarted and not self.hears_majority:
@@ -422,8 +417,9 @@
         AdmissionAnswer.DENIED,
     ]  # the same place is paid for once
     gate.rules, gate.take_release = (), lambda now: 0
-    assert not gate.can_send(3.0, 7, 5, 0, None, False, True)  # held back still
-    assert gate.can_send(3.0, 7, 5, 0, None, False, False)  # but service comes first
+    call: Any = {"function_id": 7, "worker_id": 5, "zone_index": 0, "tenant_index": None, "is_placed": False}
+    assert not gate.can_send(3.0, **call, has_alternatives=True)  # held back still
+    assert gate.can_send(3.0, **call, has_alternatives=False)  # but service comes first
     gate.take_release = lambda now: 1
     assert {w.kind for w in gate.release(4.0)} == {"homes", "first-copy"} and not gate.deferred_changes
     assert gate.home_workers(5.0, 7, (3, 2, 1), 3) == ((3, 2, 1), 3)
