--- a/cedarthread/testing/fuzzing/call_machine.py
+++ b/cedarthread/testing/fuzzing/call_machine.py
@@ -18,17 +18,18 @@
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
 from cedarthread.protocols.invoke import InvokeConnection, InvokeServer
 from cedarthread.protocols.invoke_config import InvokeConfig
-from cedarthread.protocols.platform import PlatformConnection, PlatformServer
+from cedarthread.protocols.platform_connection import PlatformConnection
+from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.spiffe import Identity
 from cedarthread.protocols.workers import WorkerConnections
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fuzzing import settings as drawn_settings
 from cedarthread.testing.fuzzing.invoke_caller import Caller
 from cedarthread.testing.fuzzing.memory_peers import Client, Held, Worker
 from cedarthread.testing.fuzzing.target import Dice, Finding, Target
 from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop, play
 from cedarthread.testing.invariants import Figures, Ledger, Terms
-from cedarthread.transport.stream import Flusher
+from cedarthread.transport.flusher import Flusher
 
 OWNERS = ("spiffe://gaz.example/desk/a", "spiffe://gaz.example/desk/b")
 FUNCTIONS = ("00000000000000a1", "00000000000000b2", "00000000000000c3")
@@ -103,7 +104,7 @@
         stall = float(dice.byte() % 4) * 100.0 * bool(mode & 4)
         self.stall, self.now = stall, loop.unix_ms
         self.ledger = Ledger(figures(self.top, stall))
-        settings = codec.settings_from_object(self.top)
+        settings = settings_from_object(self.top)
         self.planner = Dispatcher(settings, mode, clock=loop.unix_ms)
         self.flusher = Flusher()
         self.planner.flush_output = self.flusher.flush_all
@@ -462,7 +463,14 @@
     modules = (
         "cedarthread.dispatch",
         "cedarthread.routing.router",
-        "cedarthread.protocols.platform",
+        "cedarthread.protocols.platform_codec",
+        "cedarthread.protocols.platform_connection",
+        "cedarthread.protocols.platform_server",
+        "cedarthread.protocols.worker_codec",
+        "cedarthread.protocols.worker_connection",
+        "cedarthread.protocols.worker_line_queue",
+        "cedarthread.protocols.worker_pool",
+        "cedarthread.protocols.worker_preloads",
         "cedarthread.protocols.workers",
     )
     work = (400_000, 12_000)
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -28,7 +28,7 @@
 from cedarthread.model.actions import Action
 from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.model.outcomes import Outcome
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fakes.settings import SETTINGS
 
 
@@ -60,7 +60,7 @@
 
 
 def make(workers: int = 2) -> tuple[Dispatcher, Ways]:
-    planner = Dispatcher(codec.settings_from_object(SETTINGS), 3)
+    planner = Dispatcher(settings_from_object(SETTINGS), 3)
     ways = Ways(planner)
     planner.connect_workers(ways)
     listed = tuple(Endpoint(n, 0, 0, 0, EndpointState.READY, None, None) for n in range(1, workers + 1))
@@ -174,7 +174,7 @@
         answers: list[CallResult] = []
         made = call(planner, answers)
         await turns()
-        planner.router.retry_budget = 0.0
+        planner.router.state.retry_budget.tokens = 0.0
         planner.attempt_ended(made.attempts[0], AttemptResult(Outcome.OVERLOADED))
         await turns()
         assert (
