Invoke API: requests, responses, calls, handler, connection and server in six modules

Change: invoke_requests (paths, header fields, preferences), invoke_responses, invoke_calls (the dispatcher's calls and the stored ones), invoke_handler (the request at work), invoke_connection (HTTP alone), invoke_server (listener, identities, bounds); HTTP heads are parsed in two steps. The injected defect repeat-refused-at-end patches invoke_calls.

--- a/cedarthread/protocols/http.py
+++ b/cedarthread/protocols/http.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 
 MAX_HEAD_BYTES = 8 * 1024
+MAX_LENGTH_DIGITS = 12  # of Content-Length: a longer number is too large whatever it says
+_HEAD_END = b"\r\n\r\n"
 _TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 _TARGET = re.compile(rb"[\x21-\x7e]+\Z")
 _VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*\Z")
@@ -40,28 +42,28 @@
 
     method: str
     target: str
-    headers: dict[str, str]  # names in lower case; repeated ones joined by commas
-    content_length: int  # of the body
+    headers: dict[str, str]  # names in lower case; the values of a repeated one joined by commas
+    content_length: int  # bytes of the body
     head_bytes: int  # of the head itself
     keep_alive: bool
 
     def preferences(self) -> dict[str, str]:
-        """What ``Prefer`` asks for (RFC 7240)."""
-        found: dict[str, str] = {}
-        for part in self.headers.get("prefer", "").split(","):
-            name, _, value = part.split(";")[0].partition("=")
-            found.setdefault(name.strip().lower(), value.strip().strip('"'))
-        return found
+        """The preferences that ``Prefer`` states (RFC 7240), the first of each name."""
+        preferences: dict[str, str] = {}
+        for preference in self.headers.get("prefer", "").split(","):
+            name, _, value = preference.split(";")[0].partition("=")
+            preferences.setdefault(name.strip().lower(), value.strip().strip('"'))
+        return preferences
 
 
 @dataclass(frozen=True, slots=True)
 class IncompleteHead:
-    """The head is not whole yet."""
+    """The head does not end in these bytes."""
 
 
 @dataclass(frozen=True, slots=True)
 class InvalidRequest:
-    """No request that can be served; the connection ends with this answer."""
+    """No request that can be served; the connection ends with this response."""
 
     status: int
     reason: str
@@ -70,45 +72,53 @@
 def parse_head(data: memoryview, max_body_bytes: int) -> RequestHead | IncompleteHead | InvalidRequest:
     """The head at the start of the data."""
     raw = bytes(data[:MAX_HEAD_BYTES])
-    end = raw.find(b"\r\n\r\n")
+    end = raw.find(_HEAD_END)
     if end < 0:
-        return (
-            InvalidRequest(431, "the head is too long") if len(data) >= MAX_HEAD_BYTES else IncompleteHead()
-        )
+        if len(data) >= MAX_HEAD_BYTES:
+            return InvalidRequest(431, "the head is too long")
+        return IncompleteHead()
     lines = raw[:end].split(b"\r\n")
-    start = lines[0].split(b" ")
-    if len(start) != 3 or not _TOKEN.match(start[0]) or not _TARGET.match(start[1]):
+    request_line = lines[0].split(b" ")
+    if (problem := _check_request_line(request_line)) is not None:
+        return problem
+    method, target, version = request_line
+    headers = _parse_headers(lines[1:])
+    if isinstance(headers, InvalidRequest):
+        return headers
+    content_length = _parse_content_length(headers, max_body_bytes)
+    if isinstance(content_length, InvalidRequest):
+        return content_length
+    is_http_1_1 = version == b"HTTP/1.1"
+    if is_http_1_1 and (not headers.get("host") or "," in headers["host"]):
+        return InvalidRequest(400, "one Host field is needed")
+    if headers.get("expect", "100-continue").lower() != "100-continue":
+        return InvalidRequest(417, "no such expectation is met here")
+    options = [option.strip().lower() for option in headers.get("connection", "").split(",")]
+    keep_alive = is_http_1_1 and "close" not in options
+    head_bytes = end + len(_HEAD_END)
+    return RequestHead(method.decode(), target.decode(), headers, content_length, head_bytes, keep_alive)
+
+
+def _check_request_line(request_line: list[bytes]) -> InvalidRequest | None:
+    if len(request_line) != 3 or not _TOKEN.match(request_line[0]) or not _TARGET.match(request_line[1]):
         return InvalidRequest(400, "the request line is malformed")
-    if not _VERSION.match(start[2]):
+    if not _VERSION.match(request_line[2]):
         return InvalidRequest(400, "the version is malformed")
-    if start[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
+    if request_line[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
         return InvalidRequest(505, "HTTP/1.1 is spoken here")
-    fields = _parse_headers(lines[1:])
-    if isinstance(fields, InvalidRequest):
-        return fields
-    length = _parse_content_length(fields, max_body_bytes)
-    if isinstance(length, InvalidRequest):
-        return length
-    latest = start[2] == b"HTTP/1.1"
-    if latest and (not fields.get("host") or "," in fields["host"]):
-        return InvalidRequest(400, "one Host field is needed")
-    if fields.get("expect", "100-continue").lower() != "100-continue":
-        return InvalidRequest(417, "no such expectation is met here")
-    options = [option.strip().lower() for option in fields.get("connection", "").split(",")]
-    keep = latest and "close" not in options
-    return RequestHead(start[0].decode(), start[1].decode(), fields, length, end + 4, keep)
+    return None
 
 
 def _parse_headers(lines: list[bytes]) -> dict[str, str] | InvalidRequest:
-    fields: dict[str, str] = {}
+    headers: dict[str, str] = {}
     for line in lines:
-        name, colon, value = line.partition(b":")
-        value = value.strip(b" \t")
-        if not colon or not _TOKEN.match(name) or not _VALUE.match(value):
+        raw_name, colon, raw_value = line.partition(b":")
+        raw_value = raw_value.strip(b" \t")
+        if not colon or not _TOKEN.match(raw_name) or not _VALUE.match(raw_value):
             return InvalidRequest(400, "a header field is malformed")
-        key, text = name.decode().lower(), value.decode("latin-1")
-        fields[key] = f"{fields[key]}, {text}" if key in fields else text
-    return fields
+        name, value = raw_name.decode().lower(), raw_value.decode("latin-1")
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    return headers
 
 
 def _parse_content_length(headers: dict[str, str], max_body_bytes: int) -> int | InvalidRequest:
@@ -119,7 +129,7 @@
     text = headers.get("content-length", "0")
     if not (text.isascii() and text.isdigit()):
         return InvalidRequest(400, "Content-Length is malformed")
-    if len(text) > 12 or int(text) > max_body_bytes:
+    if len(text) > MAX_LENGTH_DIGITS or int(text) > max_body_bytes:
         return InvalidRequest(413, f"a body has at most {max_body_bytes} bytes")
     return int(text)
 
@@ -140,13 +150,18 @@
             lines.append(f"Content-Length: {len(self.body)}")
         if not keep_alive:
             lines.append("Connection: close")
-        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + self.body
+        return "\r\n".join(lines).encode("latin-1") + _HEAD_END + self.body
 
 
 def problem_response(
-    status: int, detail: str, headers: dict[str, str] | None = None, **more: object
+    status: int, detail: str, headers: dict[str, str] | None = None, **extensions: object
 ) -> Response:
-    """A problem in the form of RFC 9457; its type is the status alone."""
-    told = {"type": "about:blank", "title": REASON_PHRASES[status], "status": status, "detail": detail} | more
-    head = {"Content-Type": "application/problem+json", "Cache-Control": "no-store"}
-    return Response(status, head | (headers or {}), json.dumps(told).encode())
+    """A problem (RFC 9457) whose type is the status alone; ``extensions`` are further members of it."""
+    members = {
+        "type": "about:blank",
+        "title": REASON_PHRASES[status],
+        "status": status,
+        "detail": detail,
+    } | extensions
+    problem_headers = {"Content-Type": "application/problem+json", "Cache-Control": "no-store"}
+    return Response(status, problem_headers | (headers or {}), json.dumps(members).encode())
--- /dev/null
+++ b/cedarthread/protocols/invoke_calls.py
@@ -0,0 +1,90 @@
+"""The calls behind the invoke API: synchronous ones, and those whose results are stored for their owner."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+from functools import partial
+
+from cedarthread.dispatch.calls import Call, CallRejected, CallResult, call_deadline_ms
+from cedarthread.dispatch.deferred import DeferredCall, DeferredCalls, DeferredLimits
+from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.model.settings import Idempotency
+from cedarthread.protocols.http import Response, problem_response
+from cedarthread.protocols.invoke_requests import CallRequest, worker_idempotency_key
+
+
+class InvokeCalls:
+    """Turns requests into the dispatcher's calls, and keeps the stored ones.
+
+    Stored are deferred calls, and synchronous ones with an idempotency key, for a repeat under it."""
+
+    def __init__(self, dispatcher: Dispatcher, clock_s: Callable[[], float]) -> None:
+        self.dispatcher = dispatcher
+        self.deferred_calls = DeferredCalls(DeferredLimits(), clock_s)
+
+    def build_call(
+        self,
+        owner: str,
+        request: CallRequest,
+        on_result: Callable[[CallResult], None],
+        *,
+        is_client_retry: bool = False,
+    ) -> Call:
+        """The dispatcher's call for a request of this owner."""
+        request_class = self.dispatcher.settings.classes[request.class_index]
+        key = request.idempotency_key
+        has_worker_key = request_class.idempotency is Idempotency.WITH_KEY and key is not None
+        return Call(
+            secrets.token_hex(8),
+            request.class_index,
+            int(request.function_hex, 16),
+            call_deadline_ms(self.dispatcher.clock(), request.timeout_ms),
+            request.body,
+            on_result,
+            worker_idempotency_key(owner, key) if has_worker_key and key is not None else None,
+            request.concurrency,
+            request.memory_mb,
+            is_client_retry,
+            caller_identity=owner,
+        )
+
+    def has_executed_call(self, owner: str, request: CallRequest) -> bool:
+        """Is there a call under the request's key that may have been executed? A repeat joins it then."""
+        key = request.idempotency_key
+        known = self.deferred_calls.find_by_key(owner, key) if key is not None else None
+        return known is not None and not isinstance(known.result, CallRejected)
+
+    def find_or_start_stored(
+        self, owner: str, request: CallRequest, *, is_deferred: bool
+    ) -> DeferredCall | Response:
+        """The stored call that a request means: a known one by its key, else a new one.
+
+        A known call that was rejected has not been executed: it is started anew, as the client's retry."""
+        limits = self.deferred_calls.limits
+        retention_s = limits.retention_s if is_deferred else limits.retry_retention_s
+        key = request.idempotency_key
+        known = self.deferred_calls.find_by_key(owner, key) if key is not None else None
+        if known is not None and known.fingerprint != request.fingerprint():
+            return problem_response(422, "this Idempotency-Key belongs to another call")
+        if known is not None and not isinstance(known.result, CallRejected):
+            known.retention_s = max(known.retention_s, retention_s)
+            return known
+        if known is not None:
+            self.deferred_calls.remove(known)
+        stored = self.deferred_calls.add(owner, key, request.fingerprint(), retention_s)
+        if stored is None:
+            return problem_response(503, "too many calls are kept", {"Retry-After": "5"}, repeat="harmless")
+        on_result = partial(self.deferred_calls.complete, stored)
+        call = stored.call = self.build_call(owner, request, on_result, is_client_retry=known is not None)
+        self.dispatcher.submit(call)
+        return stored
+
+    def cancel_stored(self, stored: DeferredCall) -> None:
+        """The owner does not want the call, or its result, any more."""
+        if stored.call is not None:
+            self.dispatcher.abandon_call(stored.call)
+        self.deferred_calls.remove(stored)
+        waiters, stored.waiters = stored.waiters, []
+        for wake in waiters:
+            wake()
--- a/cedarthread/protocols/invoke_config.py
+++ b/cedarthread/protocols/invoke_config.py
@@ -1,4 +1,4 @@
-"""The file that says where the invoke API listens, with which identity, and who is let in."""
+"""The configuration file of the invoke API: where it listens, with which identity, and who may call."""
 
 from __future__ import annotations
 
@@ -10,10 +10,14 @@
 from cedarthread.protocols import spiffe
 from cedarthread.protocols.endpoint_list import parse_address
 
+DEFAULT_MAX_CONNECTIONS = 128
+MAX_CONNECTIONS = 65535
+MAX_ECHOED_CHARACTERS = 80  # of an invalid pattern, in the error that says so
+
 
 @dataclass(frozen=True, slots=True)
 class InvokeConfig:
-    """The whole file."""
+    """The file's content, its paths made absolute to its folder."""
 
     path: Path
     host: str
@@ -26,26 +30,26 @@
     max_connections: int
 
     def create_tls_context(self) -> ssl.SSLContext:
-        """The TLS context of its files as they are now."""
+        """A TLS context from the files as they are now."""
         return spiffe.create_server_context(self.svid_path, self.key_path, self.bundle_path)
 
     def file_times(self) -> tuple[float, ...]:
-        """When its files were last written; 0 for one that is not there just now."""
+        """When each file was last written, in Unix seconds; 0 for one that does not exist just now."""
         files = (self.path, self.svid_path, self.key_path, self.bundle_path)
-        return tuple(f.stat().st_mtime if f.exists() else 0.0 for f in files)
+        return tuple(file.stat().st_mtime if file.exists() else 0.0 for file in files)
 
     def reread(self) -> InvokeConfig:
-        """The file as it is now; where it listens stays."""
+        """The file as it is now; the address stays."""
         return read(self.path, self.host, self.port)
 
 
 def read(path: Path, host: str | None = None, port: int | None = None) -> InvokeConfig:
-    """Read the file; paths in it are taken from its folder."""
+    """Read the file; host and port, where given, replace its own. ValueError if it is invalid."""
     return parse(path.read_bytes(), path, host, port)
 
 
 def parse(raw: bytes, path: Path, host: str | None = None, port: int | None = None) -> InvokeConfig:
-    """The file from its bytes; ValueError says what can't be used in it."""
+    """Parse the file's bytes; ValueError says what is invalid in them."""
     try:
         return _parse(raw, path, host, port)
     except KeyError as error:
@@ -55,24 +59,24 @@
 
 
 def _parse(raw: bytes, path: Path, host: str | None, port: int | None) -> InvokeConfig:
-    top = tomllib.loads(raw.decode())["invoke"]
-    listen_host, listen_port = parse_address(str(top["listen"]))
-    allow = tuple(str(pattern) for pattern in top["allow"])
-    domain = str(top["trust_domain"])
-    for pattern in allow:
-        if spiffe.parse_trust_domain(pattern.removesuffix("/*")) != domain:
-            raise ValueError(f"allow: {pattern[:80]} is no SPIFFE ID of {domain}")
-    connections = int(top.get("connections", 128))
-    if not 0 < connections < 2**16:
-        raise ValueError(f"connections takes 1 to 65535, not {connections}")
+    table = tomllib.loads(raw.decode())["invoke"]
+    listen_host, listen_port = parse_address(str(table["listen"]))
+    allowed_patterns = tuple(str(pattern) for pattern in table["allow"])
+    trust_domain = str(table["trust_domain"])
+    for pattern in allowed_patterns:
+        if spiffe.parse_trust_domain(pattern.removesuffix("/*")) != trust_domain:
+            raise ValueError(f"allow: {pattern[:MAX_ECHOED_CHARACTERS]} is no SPIFFE ID of {trust_domain}")
+    max_connections = int(table.get("connections", DEFAULT_MAX_CONNECTIONS))
+    if not 0 < max_connections <= MAX_CONNECTIONS:
+        raise ValueError(f"connections takes 1 to 65535, not {max_connections}")
     return InvokeConfig(
         path,
         host if host is not None else listen_host,
         port if port is not None else listen_port,
-        domain,
-        path.parent / str(top["svid"]),
-        path.parent / str(top["key"]),
-        path.parent / str(top["bundle"]),
-        allow,
-        connections,
+        trust_domain,
+        path.parent / str(table["svid"]),
+        path.parent / str(table["key"]),
+        path.parent / str(table["bundle"]),
+        allowed_patterns,
+        max_connections,
     )
--- /dev/null
+++ b/cedarthread/protocols/invoke_connection.py
@@ -0,0 +1,154 @@
+"""One caller's HTTP connection to the invoke API: its identity, requests in, responses out."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import select
+from typing import TYPE_CHECKING
+
+from cedarthread.protocols import http, spiffe
+from cedarthread.protocols.http import Response, problem_response
+from cedarthread.protocols.invoke_handler import InvokeHandler
+from cedarthread.protocols.invoke_requests import MAX_BODY_BYTES
+from cedarthread.transport.connection import BufferedConnection
+
+if TYPE_CHECKING:
+    from cedarthread.protocols.invoke_server import InvokeServer
+
+log = logging.getLogger("cedarthread.invoke")
+
+IDLE_TIMEOUT_S = 30.0  # without a request, after which a connection is closed
+REQUEST_TIMEOUT_S = 10.0  # that a request may take to arrive
+
+
+def _is_disconnected(transport: asyncio.Transport) -> bool:
+    """Has the peer ended the connection under the TLS layer, whatever of it has been read?"""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
+class InvokeConnection(BufferedConnection):
+    """One caller's connection: one request at a time, those behind it wait in the buffer."""
+
+    def __init__(self, server: InvokeServer) -> None:
+        super().__init__(http.MAX_HEAD_BYTES + MAX_BODY_BYTES, server.flusher)
+        self.server = server
+        self.handler = InvokeHandler(server, self.respond, self.refresh_client_state)
+        self.peer: spiffe.Identity | spiffe.Rejected = spiffe.Rejected("no certificate")
+        self.is_busy = False  # a request is at work, or nothing more is taken
+        self.keep_alive = True
+        self.has_sent_continue = False
+        self.has_unparsed_input = False  # more may follow what could not be parsed
+        self.request_started_at: float | None = None  # loop time of an incomplete request's first byte
+
+    def on_connected(self) -> None:
+        """The handshake is done: identify the caller."""
+        assert self.transport is not None
+        if not self.server.register(self):
+            log.warning("connection limit %d reached: a caller was turned away", self.server.max_connections)
+            return self.abort()
+        tls = self.transport.get_extra_info("ssl_object")
+        certificate = tls.getpeercert(binary_form=True) if tls is not None else None
+        if certificate is not None:
+            self.peer = spiffe.parse_identity(certificate)
+
+    def on_disconnected(self) -> None:
+        """Unregister, and abandon what has nobody to answer to."""
+        self.server.connections.pop(self, None)
+        self.handler.abandon()
+
+    def refresh_client_state(self) -> None:
+        """A caller that has closed its end is gone, however far the TLS layer has read."""
+        if self.is_closed or self.transport is None:
+            return
+        if self.transport.is_closing() or _is_disconnected(self.transport):
+            self.handler.abandon_call()
+            self.abort()
+
+    def is_idle(self) -> bool:
+        """No request, complete or not, and no response that has not left."""
+        if self.is_busy or self.request_started_at is not None or self.write_queue:
+            return False
+        return self.transport is None or not self.transport.get_write_buffer_size()
+
+    def on_buffer_full(self) -> None:
+        """Requests behind the one at work fill the buffer: read no more until it is done."""
+        if self.is_busy and self.transport is not None:
+            self.transport.pause_reading()
+        elif not self.is_busy:
+            self.close()
+
+    def on_data(self, data: memoryview) -> int | None:
+        """Process the next request, if none is at work."""
+        offset = 0
+        while not self.is_busy and offset < len(data):
+            head = http.parse_head(data[offset:], MAX_BODY_BYTES)
+            if isinstance(head, http.IncompleteHead):
+                break
+            if isinstance(head, http.InvalidRequest):
+                self.keep_alive, self.has_unparsed_input = False, True
+                self.respond(problem_response(head.status, head.reason))
+                return len(data)
+            end = offset + head.head_bytes + head.content_length
+            if len(data) < end:
+                self._send_continue(head)
+                break
+            body = data[offset + head.head_bytes : end]
+            offset = end
+            self._serve_request(head, bytes(body))
+        if offset < len(data) and not self.is_busy and self.request_started_at is None:
+            self.request_started_at = self._loop.time()
+        return offset
+
+    def _send_continue(self, head: http.RequestHead) -> None:
+        if "expect" in head.headers and not self.has_sent_continue:
+            self.has_sent_continue = True
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _serve_request(self, head: http.RequestHead, body: bytes) -> None:
+        self.is_busy, self.request_started_at, self.has_sent_continue = True, None, False
+        self.server.mark_used(self)
+        self.keep_alive = head.keep_alive and self.server.is_ready
+        if isinstance(self.peer, spiffe.Rejected) or not self.server.is_authorized(self.peer):
+            reason = self.peer.reason if isinstance(self.peer, spiffe.Rejected) else "identity not let in"
+            log.warning("caller turned away: %s", reason)
+            self.keep_alive = False
+            return self.respond(problem_response(403, reason))
+        try:
+            self.handler.handle(self.peer.spiffe_id, head, body)
+        except Exception:
+            log.exception("a request made this program fail")
+            self.abort()
+
+    def respond(self, response: Response) -> None:
+        """Write the response to the request at work, and go on with what stands in the buffer."""
+        self.is_busy = False
+        if self.is_closed or self.transport is None:
+            return
+        self.write(response.encode(keep_alive=self.keep_alive))
+        if not self.keep_alive:
+            self.is_busy = True  # nothing more is taken
+            return self.lingering_close() if self.has_unparsed_input else self.close()
+        self.transport.resume_reading()
+        self._loop.call_soon(self._process_next)
+
+    def _process_next(self) -> None:
+        if not self.is_closed and not self.is_busy and len(self.buffer.peek()):
+            self.buffer_updated(0)
+
+    def sweep(self, now: float) -> None:
+        """End a request that arrives too slowly, close a connection that has been idle for long.
+
+        ``now`` is loop time in seconds."""
+        if self.is_busy:
+            return
+        if self.request_started_at is not None and now - self.request_started_at > REQUEST_TIMEOUT_S:
+            self.keep_alive, self.has_unparsed_input = False, True
+            self.respond(problem_response(408, "the request took too long to arrive"))
+        elif self.request_started_at is None and now - self.last_read_at > IDLE_TIMEOUT_S:
+            self.close()
--- /dev/null
+++ b/cedarthread/protocols/invoke_handler.py
@@ -0,0 +1,141 @@
+"""Serves the requests of one invoke connection: routes them, starts calls, waits for results."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from cedarthread.dispatch.calls import Call, CallResult
+from cedarthread.dispatch.deferred import DeferredCall
+from cedarthread.protocols import http
+from cedarthread.protocols.http import Response, problem_response
+from cedarthread.protocols.invoke_requests import (
+    READY_PATH,
+    deferred_call_id,
+    is_call_path,
+    parse_call_request,
+    wait_preference_s,
+)
+from cedarthread.protocols.invoke_responses import (
+    DRAINING_DETAIL,
+    pending_response,
+    ready_response,
+    render_answer,
+)
+
+if TYPE_CHECKING:
+    from cedarthread.protocols.invoke_server import InvokeServer
+
+
+class InvokeHandler:
+    """The request at work on one connection; ``respond`` gets its one response."""
+
+    def __init__(
+        self,
+        server: InvokeServer,
+        respond: Callable[[Response], None],
+        refresh_client_state: Callable[[], None],
+    ) -> None:
+        self.server = server
+        self.respond = respond
+        self.refresh_client_state = refresh_client_state
+        self.call: Call | None = None  # a synchronous call that ends with the connection
+        self.deferred_call: DeferredCall | None = None  # whose result the request waits for
+        self._wait_timer: asyncio.TimerHandle | None = None
+        self._loop = asyncio.get_running_loop()
+
+    def handle(self, owner: str, head: http.RequestHead, body: bytes) -> None:
+        """Serve a request of this owner."""
+        call_id = deferred_call_id(head.target)
+        if head.target == READY_PATH and head.method == "GET":
+            self.respond(ready_response(is_ready=self.server.is_ready))
+        elif call_id is not None and head.method in ("GET", "DELETE"):
+            self._serve_deferred_call(owner, head, call_id)
+        elif is_call_path(head.target) and head.method == "POST":
+            self._start_call(owner, head, body)
+        elif call_id is not None or head.target == READY_PATH or is_call_path(head.target):
+            allowed = "GET, DELETE" if call_id is not None else "GET" if head.target == READY_PATH else "POST"
+            self.respond(problem_response(405, "no such method here", {"Allow": allowed}))
+        else:
+            self.respond(problem_response(404, "nothing here"))
+
+    def abandon(self) -> None:
+        """The connection is gone: a synchronous call has nobody to answer to; a stored one goes on."""
+        self._stop_waiting()
+        self.abandon_call()
+
+    def abandon_call(self) -> None:
+        """Abandon the synchronous call, if there is one."""
+        call, self.call = self.call, None
+        if call is not None:
+            self.server.dispatcher.abandon_call(call)
+
+    def _start_call(self, owner: str, head: http.RequestHead, body: bytes) -> None:
+        dispatcher, calls = self.server.dispatcher, self.server.calls
+        request = parse_call_request(dispatcher.settings, dispatcher.current_class_index, head, body)
+        if isinstance(request, Response):
+            return self.respond(request)
+        preferences = head.preferences()
+        is_deferred = "respond-async" in preferences
+        if is_deferred and not self.server.is_ready and not calls.has_executed_call(owner, request):
+            response = problem_response(503, DRAINING_DETAIL, {"Retry-After": "1"}, repeat="harmless")
+            return self.respond(response)
+        if not is_deferred and request.idempotency_key is None:
+            self.call = calls.build_call(owner, request, self._on_result)
+            self.call.refresh_client_state = self.refresh_client_state
+            return dispatcher.submit(self.call)
+        stored = calls.find_or_start_stored(owner, request, is_deferred=is_deferred)
+        if isinstance(stored, Response):
+            return self.respond(stored)
+        wait_s = wait_preference_s(preferences) if is_deferred else math.inf
+        self._wait_for_result(stored, wait_s, is_deferred=is_deferred)
+
+    def _on_result(self, result: CallResult) -> None:
+        self.call = None
+        self.respond(render_answer(result))
+
+    def _serve_deferred_call(self, owner: str, head: http.RequestHead, call_id: str) -> None:
+        deferred_call = self.server.calls.deferred_calls.find(owner, call_id)
+        if deferred_call is None:
+            return self.respond(problem_response(404, "no such call of yours"))
+        if head.method == "DELETE":
+            self.server.calls.cancel_stored(deferred_call)
+            return self.respond(Response(204, {}))
+        self._wait_for_result(deferred_call, wait_preference_s(head.preferences()), is_deferred=True)
+
+    def _wait_for_result(self, deferred_call: DeferredCall, wait_s: float, *, is_deferred: bool) -> None:
+        """Respond with the result, or after ``wait_s`` seconds that there is none yet."""
+        if deferred_call.result is not None:
+            return self._respond_with_result(deferred_call)
+        if wait_s <= 0:
+            return self.respond(pending_response(deferred_call))
+        self.deferred_call = deferred_call
+        deferred_call.waiters.append(self._on_deferred_result)
+        if is_deferred:
+            self._wait_timer = self._loop.call_later(wait_s, self._on_wait_expired)
+
+    def _on_deferred_result(self) -> None:
+        if (deferred_call := self.deferred_call) is not None:
+            self._stop_waiting()
+            self._respond_with_result(deferred_call)
+
+    def _on_wait_expired(self) -> None:
+        if (deferred_call := self.deferred_call) is not None:
+            self._stop_waiting()
+            self.respond(pending_response(deferred_call))
+
+    def _respond_with_result(self, deferred_call: DeferredCall) -> None:
+        if deferred_call.result is None:  # it was cancelled while this request waited
+            return self.respond(problem_response(404, "the call was given up"))
+        deferred_call.is_collected = True
+        self.respond(render_answer(deferred_call.result))
+
+    def _stop_waiting(self) -> None:
+        if self._wait_timer is not None:
+            self._wait_timer.cancel()
+            self._wait_timer = None
+        if self.deferred_call is not None and self._on_deferred_result in self.deferred_call.waiters:
+            self.deferred_call.waiters.remove(self._on_deferred_result)
+        self.deferred_call = None
--- /dev/null
+++ b/cedarthread/protocols/invoke_requests.py
@@ -0,0 +1,102 @@
+"""What a request to the invoke API asks for: paths, header fields and preferences, parsed and validated."""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from cedarthread.model.settings import Idempotency, RouterSettings
+from cedarthread.number_checks import positive_or_none
+from cedarthread.protocols import http
+from cedarthread.protocols.http import Response, problem_response
+
+MAX_BODY_BYTES = 16 * 1024
+MAX_WAIT_S = 30.0  # that a request may ask to be held for
+MAX_TIMEOUT_DIGITS = 9  # of Call-Timeout-Ms: 11 days
+MAX_WAIT_DIGITS = 5  # of the wait preference, in seconds; all above MAX_WAIT_S count as that
+READY_PATH = "/v1/ready"
+_CALL_PATH = re.compile(r"/v1/functions/([0-9a-f]{16})/([^/]+)\Z")
+_DEFERRED_CALL_PATH = re.compile(r"/v1/calls/([A-Za-z0-9_-]+)\Z")
+_IDEMPOTENCY_KEY = re.compile(r'"?([\x21\x23-\x7e]{1,128})"?\Z')
+
+
+@dataclass(frozen=True, slots=True)
+class CallRequest:
+    """A valid request for a call."""
+
+    class_index: int
+    function_hex: str  # the function's id, 16 hex digits
+    idempotency_key: str | None
+    body: bytes
+    timeout_ms: float
+    concurrency: float | None
+    memory_mb: float | None
+
+    def fingerprint(self) -> tuple[str, str, bytes]:
+        """What a repeat under the same idempotency key must agree in."""
+        return str(self.class_index), self.function_hex, hashlib.sha256(self.body).digest()
+
+
+def is_call_path(path: str) -> bool:
+    """Is this the path of a function's calls?"""
+    return _CALL_PATH.match(path) is not None
+
+
+def deferred_call_id(path: str) -> str | None:
+    """The id in the path of a deferred call, None if it is another path."""
+    match = _DEFERRED_CALL_PATH.match(path)
+    return match[1] if match is not None else None
+
+
+def parse_call_request(
+    settings: RouterSettings, class_indexes: Mapping[str, int], head: http.RequestHead, body: bytes
+) -> CallRequest | Response:
+    """The call that a POST asks for, or the response that says what is invalid.
+
+    ``class_indexes`` gives the index of each class by its name."""
+    match = _CALL_PATH.match(head.target)
+    if match is None or match[2] not in class_indexes:
+        return problem_response(404, "no such function path or class")
+    class_index = class_indexes[match[2]]
+    request_class = settings.classes[class_index]
+    key = _parse_idempotency_key(head, is_required=request_class.idempotency is Idempotency.WITH_KEY)
+    if isinstance(key, Response):
+        return key
+    timeout = head.headers.get("call-timeout-ms", str(int(request_class.deadline_ms)))
+    if not (timeout.isascii() and timeout.isdigit() and 0 < len(timeout) <= MAX_TIMEOUT_DIGITS):
+        return problem_response(400, "Call-Timeout-Ms takes a positive whole number")
+    if int(timeout) <= 0:
+        return problem_response(400, "Call-Timeout-Ms takes a positive whole number")
+    numbers: list[float | None] = []
+    for name in ("call-lanes", "call-memory-mb"):
+        try:
+            numbers.append(positive_or_none(float(head.headers[name])) if name in head.headers else None)
+        except ValueError:
+            return problem_response(400, f"{name} takes a number")
+    concurrency, memory_mb = numbers
+    timeout_ms = min(float(timeout), request_class.deadline_ms)
+    return CallRequest(class_index, match[1], key, body, timeout_ms, concurrency, memory_mb)
+
+
+def _parse_idempotency_key(head: http.RequestHead, *, is_required: bool) -> str | Response | None:
+    text = head.headers.get("idempotency-key")
+    if text is None:
+        return problem_response(400, "this class needs an Idempotency-Key") if is_required else None
+    match = _IDEMPOTENCY_KEY.match(text)
+    if match is None:
+        return problem_response(400, "Idempotency-Key takes 1 to 128 visible characters")
+    return match[1]
+
+
+def worker_idempotency_key(owner: str, key: str) -> str:
+    """The key that workers see: a digest with its owner, so that no two owners' keys can collide."""
+    return hashlib.sha256(f"{owner}\n{key}".encode()).hexdigest()[:32]
+
+
+def wait_preference_s(preferences: Mapping[str, str]) -> float:
+    """Seconds that a request prefers to be held for (``Prefer: wait``, RFC 7240); 0 where it says none."""
+    text = preferences.get("wait", "")
+    is_valid = text.isascii() and text.isdigit() and len(text) <= MAX_WAIT_DIGITS
+    return min(float(text), MAX_WAIT_S) if is_valid else 0.0
--- /dev/null
+++ b/cedarthread/protocols/invoke_responses.py
@@ -0,0 +1,49 @@
+"""The responses of the invoke API."""
+
+from __future__ import annotations
+
+import math
+
+from cedarthread.dispatch.calls import CallRejected, CallResult, CallSucceeded
+from cedarthread.dispatch.deferred import DeferredCall
+from cedarthread.protocols.http import Response, problem_response
+
+DRAINING_DETAIL = "this process is about to end"
+
+
+def render_answer(result: CallResult) -> Response:
+    """A call's result. A problem's ``repeat`` says whether the client may safely send the call again."""
+    if isinstance(result, CallSucceeded):
+        return Response(200, {"Content-Type": "application/octet-stream"}, result.body)
+    if isinstance(result, CallRejected):
+        retry_after_s = max(1, math.ceil((result.retry_after_ms or 0.0) / 1000.0))
+        detail = f"not done; trying again is harmless{'; ' if result.reason else ''}{result.reason}"
+        return problem_response(
+            504 if result.timed_out else 503,
+            detail,
+            {"Retry-After": str(retry_after_s)},
+            repeat="harmless",
+            retry_after_ms=round(result.retry_after_ms or 0.0),
+        )
+    if result.timed_out:
+        return problem_response(504, "no answer in time; it may have run", repeat="unknown")
+    return problem_response(502, "the worker failed; it may have run", repeat="unknown")
+
+
+def pending_response(deferred_call: DeferredCall) -> Response:
+    """A deferred call has no result yet: where to collect it."""
+    headers = {
+        "Location": f"/v1/calls/{deferred_call.call_id}",
+        "Preference-Applied": "respond-async",
+        "Retry-After": "1",
+        "Content-Type": "application/json",
+        "Cache-Control": "no-store",
+    }
+    return Response(202, headers, b'{"state": "pending"}')
+
+
+def ready_response(*, is_ready: bool) -> Response:
+    """Whether this process takes calls."""
+    if is_ready:
+        return Response(200, {"Content-Type": "text/plain"}, b"ready\n")
+    return problem_response(503, DRAINING_DETAIL, {"Retry-After": "1"})
--- /dev/null
+++ b/cedarthread/protocols/invoke_server.py
@@ -0,0 +1,150 @@
+"""The invoke API: function calls over HTTP/1.1 with mutual TLS, synchronous or deferred.
+
+    POST   /v1/functions/FUNCTION/CLASS   a call; with ``Prefer: respond-async`` 202 and where to collect
+    GET    /v1/calls/NAME                 a deferred call's result; 202 while there is none
+    DELETE /v1/calls/NAME                 cancel a deferred call, or forget its result
+    GET    /v1/ready                      200, or 503 once the process has been told to end
+
+All calls go through the dispatcher, as the platform's do: same decisions, same rules."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+
+from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.protocols import spiffe
+from cedarthread.protocols.invoke_calls import InvokeCalls
+from cedarthread.protocols.invoke_config import InvokeConfig
+from cedarthread.protocols.invoke_connection import InvokeConnection
+from cedarthread.transport.acceptor import Acceptor, create_listener
+from cedarthread.transport.descriptor_budget import SMALL_ACCEPTS_PER_PASS
+from cedarthread.transport.flusher import Flusher
+
+log = logging.getLogger("cedarthread.invoke")
+
+LISTEN_BACKLOG = 128
+
+
+class InvokeServer:
+    """The listening socket, its connections and its calls."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        config: InvokeConfig,
+        flusher: Flusher,
+        clock_s: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.flusher = flusher
+        self.config = config
+        self.calls = InvokeCalls(dispatcher, clock_s)
+        self.is_ready = True
+        self.max_connections = config.max_connections  # the descriptor budget may allow fewer
+        # Set by the service: frees a descriptor where none is left, False if it cannot.
+        self.release_descriptor: Callable[[], bool] = lambda: False
+        self.connections: dict[InvokeConnection, None] = {}  # the least recently used first
+        self._acceptor: Acceptor[InvokeConnection] | None = None
+        self._file_times = config.file_times()
+
+    def register(self, connection: InvokeConnection) -> bool:
+        """Count a connection in, once. At the bound the oldest in its handshake is evicted for it, else the
+        least recently used idle one; False if there is none."""
+        if connection in self.connections:
+            return True
+        if len(self.connections) >= self.max_connections and not self._evict_idle():
+            return False
+        self.connections[connection] = None
+        return True
+
+    def _evict_idle(self) -> bool:
+        idle = [connection for connection in self.connections if connection.is_idle()]
+        oldest = min(idle, key=lambda connection: connection.transport is not None, default=None)
+        if oldest is None:
+            return False
+        del self.connections[oldest]
+        if oldest.transport is None and self._acceptor is not None:
+            self._acceptor.cancel_setup(oldest)
+        # A close would wait for the caller's, up to a second, and hold the descriptor uncounted.
+        oldest.abort()
+        return True
+
+    def mark_used(self, connection: InvokeConnection) -> None:
+        """It has sent a request: it is now the most recently used."""
+        self.connections[connection] = self.connections.pop(connection, None)
+
+    def is_authorized(self, peer: spiffe.Identity) -> bool:
+        """May this peer call, now? A connection may outlive the certificate that opened it."""
+        if time.time() >= peer.expires_at_unix:
+            return False
+        return spiffe.is_allowed(peer, self.config.trust_domain, self.config.allowed_patterns)
+
+    async def listen(self) -> int:
+        """Accept callers; returns the port."""
+        listening_socket = create_listener(
+            self.config.host, self.config.port, LISTEN_BACKLOG, reuse_port=True
+        )
+        self._acceptor = Acceptor(
+            "callers",
+            listening_socket,
+            SMALL_ACCEPTS_PER_PASS,
+            self._create_connection,
+            self._on_setup_failed,
+            self.release_descriptor,
+            tls_context=self.config.create_tls_context(),
+        )
+        return self._acceptor.port
+
+    def _create_connection(self) -> InvokeConnection | None:
+        """One more caller, counted in before its handshake: one that never ends holds a descriptor too."""
+        connection = InvokeConnection(self)
+        return connection if self.register(connection) else None
+
+    def _on_setup_failed(self, connection: InvokeConnection) -> None:
+        self.connections.pop(connection, None)
+
+    async def reload(self) -> bool:
+        """Use a renewed certificate, trust bundle or allow-list; False if they cannot be used: the old ones
+        serve on."""
+        try:
+            config = self.config.reread()
+            tls_context = config.create_tls_context()
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            log.error("identities not reloaded, the old ones serve on: %s", error)
+            return False
+        self.config, self._file_times = config, config.file_times()
+        if self._acceptor is not None:
+            self._acceptor.tls_context = tls_context  # open connections live on
+        log.info("identities reloaded")
+        return True
+
+    async def reload_if_changed(self) -> None:
+        """Reload when one of the files has been written."""
+        file_times = self.config.file_times()
+        if file_times != self._file_times:
+            self._file_times = file_times
+            await self.reload()
+
+    def stop_listening(self) -> None:
+        """Accept no more."""
+        if self._acceptor is not None:
+            self._acceptor.close()
+            self._acceptor = None
+
+    def sweep(self, now: float) -> None:
+        """End what is idle or slow, and drop expired results; ``now`` is loop time in seconds."""
+        self.calls.deferred_calls.evict_expired()
+        for connection in list(self.connections):
+            connection.sweep(now)
+
+    def is_drained(self) -> bool:
+        """All responses have left, and every deferred one has been collected by its owner."""
+        transports = [one.transport for one in self.connections if one.transport is not None]
+        has_open_request = any(one.is_busy and one.keep_alive for one in self.connections)
+        return (
+            not has_open_request
+            and not any(transport.get_write_buffer_size() for transport in transports)
+            and not self.calls.deferred_calls.has_uncollected()
+        )
--- a/cedarthread/protocols/spiffe.py
+++ b/cedarthread/protocols/spiffe.py
@@ -1,4 +1,6 @@
-"""SPIFFE identities: their ids, who is let in, and the TLS contexts made from an X.509-SVID and a bundle."""
+"""SPIFFE identities: ids, who is authorized, and TLS contexts made from an X.509-SVID and a trust bundle.
+
+Sources: the SPIFFE-ID and X.509-SVID standards, https://github.com/spiffe/spiffe/tree/main/standards."""
 
 from __future__ import annotations
 
@@ -10,15 +12,15 @@
 from cryptography import x509
 from cryptography.x509.oid import ExtensionOID
 
+MAX_ID_LENGTH = 2048  # SPIFFE-ID, section 2.3
 _DOMAIN = re.compile(r"[a-z0-9._-]{1,255}\Z")
 _SEGMENT = re.compile(r"[A-Za-z0-9._-]+\Z")
-MAX_ID_LENGTH = 2048
 _UNREADABLE_ERRORS = (x509.DuplicateExtension, x509.UnsupportedGeneralNameType, x509.InvalidVersion)
 
 
 @dataclass(frozen=True, slots=True)
 class Identity:
-    """A peer whose certificate has been checked."""
+    """A peer whose certificate has been verified."""
 
     spiffe_id: str
     trust_domain: str
@@ -27,25 +29,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Rejected:
-    """A peer that is not let in, and why."""
+    """A peer without a valid identity, and why."""
 
     reason: str
 
 
 def parse_trust_domain(spiffe_id: str) -> str | None:
-    """The trust domain of a workload's valid SPIFFE ID, None where it is not valid."""
+    """The trust domain of a workload's SPIFFE ID, None if the id is not valid."""
     scheme, _, rest = spiffe_id.partition("://")
     domain, slash, path = rest.partition("/")
     if scheme != "spiffe" or not slash or len(spiffe_id) > MAX_ID_LENGTH or not _DOMAIN.match(domain):
         return None
     segments = path.split("/")
-    if any(not _SEGMENT.match(s) or s in (".", "..") for s in segments):
+    if any(not _SEGMENT.match(segment) or segment in (".", "..") for segment in segments):
         return None
     return domain
 
 
 def parse_identity(certificate: bytes) -> Identity | Rejected:
-    """Who a verified leaf certificate names, by the rules for X.509-SVIDs."""
+    """The identity in a verified leaf certificate (DER), by the rules for X.509-SVIDs."""
     try:
         return _parse_identity(x509.load_der_x509_certificate(certificate))
     except (ValueError, *_UNREADABLE_ERRORS) as error:
@@ -53,7 +55,7 @@
 
 
 def _parse_identity(leaf: x509.Certificate) -> Identity | Rejected:
-    extensions = {e.oid: e.value for e in leaf.extensions}
+    extensions = {extension.oid: extension.value for extension in leaf.extensions}
     names = extensions.get(ExtensionOID.SUBJECT_ALTERNATIVE_NAME)
     uris: list[str] = []
     if isinstance(names, x509.SubjectAlternativeName):
@@ -75,7 +77,7 @@
 
 
 def is_allowed(identity: Identity, trust_domain: str, patterns: tuple[str, ...]) -> bool:
-    """Is this peer let in? A pattern is an id, or one that ends in ``/*`` for all below it."""
+    """Does a pattern allow this peer? A pattern is an id, or ends in ``/*`` for all ids below it."""
     if identity.trust_domain != trust_domain:
         return False
     return any(
@@ -87,7 +89,7 @@
 
 
 def create_server_context(svid_path: Path, key_path: Path, bundle_path: Path) -> ssl.SSLContext:
-    """A context that shows our SVID and asks each client for one that the bundle vouches for."""
+    """A TLS context that presents our SVID and requires one of each client, signed by the trust bundle."""
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
     context.verify_mode = ssl.CERT_REQUIRED
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -27,8 +27,8 @@
 
 if TYPE_CHECKING:
     from cedarthread.persistence.event_loop_store import EventLoopStore
-    from cedarthread.protocols.invoke import InvokeServer
     from cedarthread.protocols.invoke_config import InvokeConfig
+    from cedarthread.protocols.invoke_server import InvokeServer
 
 log = logging.getLogger("cedarthread")
 
@@ -115,7 +115,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def _create_invoke_front(self, invoke: InvokeConfig) -> InvokeServer:
-        from cedarthread.protocols.invoke import InvokeServer
+        from cedarthread.protocols.invoke_server import InvokeServer
 
         front = InvokeServer(self.dispatcher, invoke, self.flusher)
         front.max_connections, front.release_descriptor = (
--- a/cedarthread/testing/fuzzing/call_machine.py
+++ b/cedarthread/testing/fuzzing/call_machine.py
@@ -16,8 +16,9 @@
 from cedarthread.dispatch.dispatcher import Dispatcher
 from cedarthread.model.endpoints import EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
-from cedarthread.protocols.invoke import InvokeConnection, InvokeServer
 from cedarthread.protocols.invoke_config import InvokeConfig
+from cedarthread.protocols.invoke_connection import InvokeConnection
+from cedarthread.protocols.invoke_server import InvokeServer
 from cedarthread.protocols.platform_connection import PlatformConnection
 from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.spiffe import Identity
@@ -420,8 +421,8 @@
             ("calls open in the decisions", len(router.pending_requests) + len(router.queued_requests)),
             ("attempts out in the decisions", len(router.orphaned_attempts)),
             ("worker loads in the decisions", sum(abs(v.in_flight) for v in router.workers.values())),
-            ("bytes of kept answers", abs(self.invoke.deferred_calls.reserved_bytes)),
-            ("kept answers", len(self.invoke.deferred_calls)),
+            ("bytes of kept answers", abs(self.invoke.calls.deferred_calls.reserved_bytes)),
+            ("kept answers", len(self.invoke.calls.deferred_calls)),
             ("client connections", len(self.platform.connections) + len(self.platform.unproven_connections)),
         ):
             self.ledger.rest(now, what, figure)
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -28,16 +28,8 @@
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.model.outcomes import Outcome
 from cedarthread.model.settings import Idempotency, RouterSettings
-from cedarthread.protocols import (
-    discovery,
-    dns,
-    endpoint_list,
-    http,
-    invoke,
-    msgpack,
-    spiffe,
-    worker_connection,
-)
+from cedarthread.protocols import discovery, dns, endpoint_list, http, msgpack, spiffe, worker_connection
+from cedarthread.protocols.invoke_calls import InvokeCalls
 from cedarthread.protocols.platform_connection import PlatformConnection
 from cedarthread.protocols.worker_codec import parse_call_response
 from cedarthread.protocols.worker_connection import WorkerConnection
@@ -275,7 +267,7 @@
     Defect("carried-kept", "calls", 1500, ((WorkerConnections, "_end_request", _kept_in_carrying),)),
     Defect("cancel-not-told", "calls", 6000, ((WorkerConnections, "_finish_cancel", _cancel_unsure),)),
     Defect("half-written-unseen", "calls", 9000, ((WorkerConnection, "refresh_progress", _nothing),)),
-    Defect("repeat-refused-at-end", "calls", 6000, ((invoke.InvokeServer, "has_executed_call", _never),)),
+    Defect("repeat-refused-at-end", "calls", 6000, ((InvokeCalls, "has_executed_call", _never),)),
     # The look before bytes leave would hold back what is not withdrawn: both guards are out.
     Defect(
         "unsent-not-withdrawn",
--- a/cedarthread/testing/fuzzing/invoke_caller.py
+++ b/cedarthread/testing/fuzzing/invoke_caller.py
@@ -123,7 +123,7 @@
         if not self.keys or self.waiting:  # behind another it would be taken up only after that one
             return
         key = dice.pick(list(self.keys))
-        known = self.world.invoke.deferred_calls.find_by_key(self.owner, key)
+        known = self.world.invoke.calls.deferred_calls.find_by_key(self.owner, key)
         if known is None or isinstance(known.result, CallRejected):
             return  # a new call under an old key: nobody could tell its attempts from the first one's
         call, function, klass = self.keys[key]
--- a/cedarthread/testing/fuzzing/stream_targets.py
+++ b/cedarthread/testing/fuzzing/stream_targets.py
@@ -21,8 +21,9 @@
 from cedarthread.model.outcomes import Outcome
 from cedarthread.protocols.discovery import DiscoveryClient
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord, worker_id_from_name
-from cedarthread.protocols.invoke import InvokeConnection, InvokeServer
 from cedarthread.protocols.invoke_config import InvokeConfig
+from cedarthread.protocols.invoke_connection import InvokeConnection
+from cedarthread.protocols.invoke_server import InvokeServer
 from cedarthread.protocols.platform_connection import MAX_MESSAGE_BYTES, PlatformConnection
 from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.spiffe import Identity
@@ -404,7 +405,15 @@
     """A whole connection of the invoke API, its identity checked."""
 
     name = "invoke"
-    modules = ("cedarthread.protocols.invoke", "cedarthread.protocols.http")
+    modules = (
+        "cedarthread.protocols.invoke_calls",
+        "cedarthread.protocols.invoke_connection",
+        "cedarthread.protocols.invoke_handler",
+        "cedarthread.protocols.invoke_requests",
+        "cedarthread.protocols.invoke_responses",
+        "cedarthread.protocols.invoke_server",
+        "cedarthread.protocols.http",
+    )
 
     def draw(self, rng: random.Random) -> bytes:
         """Some requests in a row."""
@@ -443,7 +452,7 @@
         await asyncio.sleep(400)
         front.sweep(loop.time())
         need(
-            front.deferred_calls.reserved_bytes == 0 and len(front.deferred_calls) == 0,
+            front.calls.deferred_calls.reserved_bytes == 0 and len(front.calls.deferred_calls) == 0,
             "an answer is kept past its time",
         )
         return [status for status in statuses if status != 100]  # whether it is asked for depends on the cut
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -76,10 +76,12 @@
 from cedarthread.priority import codec as pressure_form
 from cedarthread.priority import contracts
 from cedarthread.protocols import discovery as protocols_discovery
-from cedarthread.protocols import dns, http, invoke, msgpack
+from cedarthread.protocols import dns, http, msgpack
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
 from cedarthread.protocols.invoke_config import InvokeConfig
 from cedarthread.protocols.invoke_config import parse as parse_invoke
+from cedarthread.protocols.invoke_requests import parse_call_request, worker_idempotency_key
+from cedarthread.protocols.invoke_responses import render_answer
 from cedarthread.protocols.platform_codec import encode_answer, encode_error, encode_health, parse_call
 from cedarthread.protocols.worker_codec import encode_call, encode_message, parse_call_response
 from cedarthread.recovery import codec as return_form
@@ -959,7 +961,7 @@
         raise ValueError("no head")
     some: RouterSettings = some_settings()
     current: dict[str, int] = {klass.name: number for number, klass in enumerate(some.classes)}
-    wanted = invoke.parse_call_request(some, current, head, raw[head.head_bytes :])
+    wanted = parse_call_request(some, current, head, raw[head.head_bytes :])
     if isinstance(wanted, http.Response):
         return wanted.encode(keep_alive=True).decode("latin-1")
     own = (
@@ -1017,13 +1019,13 @@
     samples = [Sample(f"request {name}", raw, _wanted_reads) for name, raw in wanted.items()]
     samples += [Sample(f"head {name}", raw, _head_reads) for name, raw in heads.items()]
     for name, one in answers.items():
-        samples.append(Sample(f"answer {name}", invoke.render_answer(one).encode(keep_alive=True)))
+        samples.append(Sample(f"answer {name}", render_answer(one).encode(keep_alive=True)))
     for status in sorted(http.REASON_PHRASES):
         packed: bytes = http.problem_response(status, "why", {"Retry-After": "1"}, repeat="harmless").encode(
             keep_alive=status % 2 == 0
         )
         samples.append(Sample(f"problem {status}", packed))
-    samples.append(text("key at the worker", invoke.worker_idempotency_key("spiffe://a/b", "k1")))
+    samples.append(text("key at the worker", worker_idempotency_key("spiffe://a/b", "k1")))
     return samples
 
 
