--- a/cedarthread/protocols/control.py
+++ b/cedarthread/protocols/control.py
@@ -1,12 +1,13 @@
-"""The operators' address: one line a connection, one reply line that begins with YES or NO.
+"""The operators' address: one command line a connection, one reply whose first line begins with YES or NO.
 
-It reports; what the figures are and whether the process can serve is told to it by the service."""
+It reports only; the service passes in the commands and what answers them."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
+from typing import TypeAlias
 
 from cedarthread.transport.acceptor import Acceptor, create_listener
 from cedarthread.transport.connection import BufferedConnection
@@ -15,16 +16,17 @@
 
 log = logging.getLogger("cedarthread.control")
 
-MAX_LINE_BYTES = 256  # bytes of the longest line, its end included
-LINE_TIMEOUT_S = 1.0  # s that a connection has to bring its whole line
-MAX_CONNECTIONS = MAX_OPERATOR_CONNECTIONS  # connections at once; beyond, the oldest gives way
+MAX_LINE_BYTES = 256  # the end of the line included
+LINE_TIMEOUT_S = 1.0  # that a connection has to send its complete line
+MAX_CONNECTIONS = MAX_OPERATOR_CONNECTIONS  # beyond, the oldest is closed
 LISTEN_BACKLOG = 64
+MAX_ECHOED_CHARACTERS = 32  # of an unknown command, in the reply that says so
 
-CommandHandler = Callable[[], tuple[bool, list[str]]]  # yes or no, and the lines after the first
+CommandHandler: TypeAlias = Callable[[], tuple[bool, list[str]]]  # YES or NO, and the lines after the first
 
 
 class ControlConnection(BufferedConnection):
-    """One operator's question."""
+    """One operator's command."""
 
     def __init__(self, server: ControlServer) -> None:
         super().__init__(MAX_LINE_BYTES, server.flusher)
@@ -33,19 +35,19 @@
         self._line_timer: asyncio.TimerHandle | None = None
 
     def on_connected(self) -> None:
-        """Count it in, and give it its time."""
+        """Register, and start the time limit."""
         if not self.server.register(self):
             return self.abort()
         self._line_timer = self._loop.call_later(LINE_TIMEOUT_S, self.reply_no, "no whole line in time")
 
     def on_disconnected(self) -> None:
-        """Count it out."""
+        """Unregister."""
         self.server.connections.pop(self, None)
         if self._line_timer is not None:
             self._line_timer.cancel()
 
     def on_data(self, data: memoryview) -> int | None:
-        """Answer the first whole line; all else is read and dropped."""
+        """Handle the first complete line; all else is discarded."""
         if self.has_replied:
             return len(data)
         end = self.buffer.find(b"\n", 0)
@@ -55,29 +57,29 @@
         return len(data)
 
     def on_buffer_full(self) -> None:
-        """A line longer than any question."""
+        """The line is longer than any command."""
         self.reply_no(f"line over {MAX_LINE_BYTES - 1} bytes")
 
     def eof_received(self) -> bool:
-        """The line was cut short: no end came."""
+        """The line was cut short (asyncio)."""
         self.reply_no("line cut short")
         return True
 
     def handle_line(self, line: bytes) -> None:
-        """The reply to a whole line."""
-        word = line.decode("ascii", "replace").strip()
-        reply = self.server.commands.get(word.upper())
-        if reply is None:
-            return self.reply_no(f"unknown command {word[:32]!r}")
-        yes, lines = reply()
-        self.reply(("YES" if yes else "NO") + "\n" + "".join(f"{each}\n" for each in lines))
+        """Reply to a complete line."""
+        command = line.decode("ascii", "replace").strip()
+        handler = self.server.commands.get(command.upper())
+        if handler is None:
+            return self.reply_no(f"unknown command {command[:MAX_ECHOED_CHARACTERS]!r}")
+        is_yes, lines = handler()
+        self.reply(("YES" if is_yes else "NO") + "\n" + "".join(f"{line}\n" for line in lines))
 
     def reply_no(self, reason: str) -> None:
-        """Say no and why."""
+        """Reply NO, and why."""
         self.reply(f"NO {reason}\n")
 
     def reply(self, text: str) -> None:
-        """The one reply, then the end of the connection."""
+        """Send the one reply, then close."""
         if self.has_replied:
             return
         self.has_replied = True
@@ -88,7 +90,7 @@
 
 
 class ControlServer:
-    """The listener at the control address and its few connections."""
+    """The listening socket at the operators' address and its few connections."""
 
     def __init__(
         self,
@@ -97,20 +99,21 @@
         max_connections: int = MAX_CONNECTIONS,
         release_descriptor: Callable[[], bool] = lambda: False,
     ) -> None:
-        self.commands = commands
+        self.commands = commands  # by name, in upper case
         self.flusher = flusher
         self.max_connections = max_connections
-        self.release_descriptor = release_descriptor  # has a descriptor given back, where none is left
+        self.release_descriptor = release_descriptor  # frees one where none is left, False if it cannot
         self.connections: dict[ControlConnection, None] = {}  # the oldest first
         self._acceptor: Acceptor[ControlConnection] | None = None
 
     def register(self, connection: ControlConnection) -> bool:
-        """Guards the descriptors: a flood of idle connections costs only its own oldest."""
+        """Count a connection in, once. At the bound the oldest is closed for it: a flood of idle connections
+        costs only its own."""
         if connection in self.connections:
             return True
         if len(self.connections) >= self.max_connections:
-            oldest = next((c for c in self.connections if c.transport is not None), None)
-            if oldest is None:  # none can be closed yet
+            oldest = next((one for one in self.connections if one.transport is not None), None)
+            if oldest is None:  # none is up yet, so none can be closed
                 return False
             del self.connections[oldest]
             oldest.abort()
@@ -118,11 +121,10 @@
         return True
 
     def listen(self, host: str, port: int) -> int:
-        """Accept operators; the port that it is. OSError where that can't be."""
-        sock = create_listener(host, port, LISTEN_BACKLOG)
+        """Accept operators; returns the port. OSError if the address cannot be used."""
         self._acceptor = Acceptor(
             "operators",
-            sock,
+            create_listener(host, port, LISTEN_BACKLOG),
             SMALL_ACCEPTS_PER_PASS,
             self._create_connection,
             self._on_setup_failed,
--- a/cedarthread/protocols/dns.py
+++ b/cedarthread/protocols/dns.py
@@ -1,4 +1,6 @@
-"""DNS messages (RFC 1035, RFC 2782), what the roster needs. A parse ends in a value, never an exception."""
+"""DNS messages (RFC 1035, RFC 2782), as far as discovery uses them.
+
+A parse ends in a value, never an exception."""
 
 from __future__ import annotations
 
@@ -6,12 +8,17 @@
 from dataclasses import dataclass, field
 
 TYPE_A, TYPE_SOA, TYPE_TXT, TYPE_SRV = 1, 6, 16, 33
+CLASS_IN = 1
+MAX_NAME_BYTES = 255  # RFC 1035, section 2.3.4
+MAX_LABEL_BYTES = 63  # RFC 1035, section 2.3.4
+MAX_POINTERS = 16  # in one name: a long chain, followed from each of many records, took seconds
+_POINTER = 0xC0  # the two high bits of a length byte: the name goes on elsewhere in the message
+_POINTER_HIGH_BITS = 0x3F
 _HEADER = struct.Struct(">6H")
 _RECORD_HEADER = struct.Struct(">HHIH")
 _SRV_DATA = struct.Struct(">3H")
-MAX_NAME_BYTES = 255  # bytes of a name, as RFC 1035 has it
-MAX_POINTERS = 16  # pointers in one name: a chain of them, followed from each record, took seconds
-_FLAG_TRUNCATED, _FLAG_RESPONSE, _RESPONSE_CODE_MASK = 0x0200, 0x8000, 0x000F
+_QUESTION_TAIL_BYTES = 4  # type and class, after the name
+_FLAG_RECURSION_DESIRED, _FLAG_TRUNCATED, _FLAG_RESPONSE, _RESPONSE_CODE_MASK = 0x0100, 0x0200, 0x8000, 0x000F
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,18 +33,20 @@
 
 @dataclass(slots=True)
 class Reply:
-    """What a reply holds."""
+    """The records of a reply; names are in lower case."""
 
     query_id: int
-    serial: int | None = None
+    serial: int | None = None  # of the zone, from its SOA record
     srv_records: list[SrvRecord] = field(default_factory=list)
-    addresses: dict[str, str] = field(default_factory=dict)
-    texts: dict[str, dict[str, str]] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)  # by host name, from A records
+    texts: dict[str, dict[str, str]] = field(
+        default_factory=dict
+    )  # key=value strings by name, from TXT records
 
 
 @dataclass(frozen=True, slots=True)
 class UnusableReply:
-    """A reply that tells nothing."""
+    """A reply that tells nothing, and why."""
 
     reason: str
 
@@ -49,11 +58,12 @@
 def encode_query(query_id: int, name: str) -> bytes:
     """A query for the SRV records of a name."""
     labels = b"".join(bytes((len(label),)) + label.encode() for label in name.split("."))
-    return _HEADER.pack(query_id, 0x0100, 1, 0, 0, 0) + labels + b"\0" + struct.pack(">2H", TYPE_SRV, 1)
+    header = _HEADER.pack(query_id, _FLAG_RECURSION_DESIRED, 1, 0, 0, 0)
+    return header + labels + b"\0" + struct.pack(">2H", TYPE_SRV, CLASS_IN)
 
 
 def parse(data: bytes) -> Reply | UnusableReply:
-    """The reply, if it is whole and says yes."""
+    """The reply, if it is complete and not an error."""
     try:
         return _parse_reply(data)
     except (_MalformedError, struct.error, IndexError, UnicodeDecodeError) as error:
@@ -61,69 +71,71 @@
 
 
 def _parse_reply(data: bytes) -> Reply | UnusableReply:
-    number, flags, questions, *counts = _HEADER.unpack_from(data)
+    query_id, flags, question_count, *record_counts = _HEADER.unpack_from(data)
     if not flags & _FLAG_RESPONSE:
         return UnusableReply("no response")
     if flags & _FLAG_TRUNCATED:
-        return UnusableReply("truncated")  # what it lacks is not gone
+        return UnusableReply("truncated")  # workers that it lacks are not removed
     if flags & _RESPONSE_CODE_MASK:
         return UnusableReply(f"code {flags & _RESPONSE_CODE_MASK}")
-    reply, at = Reply(number), _HEADER.size
-    for _ in range(questions):
-        _, at = _parse_name(data, at)
-        at += 4
-    for _ in range(sum(counts)):
-        at = _parse_record(data, at, reply)
+    reply, offset = Reply(query_id), _HEADER.size
+    for _ in range(question_count):
+        _, offset = _parse_name(data, offset)
+        offset += _QUESTION_TAIL_BYTES
+    for _ in range(sum(record_counts)):
+        offset = _parse_record(data, offset, reply)
     return reply
 
 
-def _parse_name(data: bytes, at: int) -> tuple[str, int]:
-    """A name and where it ends. A pointer must lead backwards, so that no loop can be."""
+def _parse_name(data: bytes, offset: int) -> tuple[str, int]:
+    """A name, and the offset at which it ends. Pointers must lead backwards, so that there can be no loop."""
     labels: list[str] = []
-    end, least, hops, length = -1, at, 0, 1
-    while (size := data[at]) != 0:
-        if size >= 0xC0:
-            to = (size & 0x3F) << 8 | data[at + 1]
-            hops += 1
-            if to >= least or hops > MAX_POINTERS:
+    end, lowest, pointer_count, name_bytes = -1, offset, 0, 1
+    while (size := data[offset]) != 0:
+        if size >= _POINTER:
+            target = (size & _POINTER_HIGH_BITS) << 8 | data[offset + 1]
+            pointer_count += 1
+            if target >= lowest or pointer_count > MAX_POINTERS:
                 raise _MalformedError("a pointer that leads forwards, or too many")
-            end = at + 2 if end < 0 else end
-            at = least = to
+            end = offset + 2 if end < 0 else end
+            offset = lowest = target
             continue
-        length += 1 + size
-        if size > 63 or length > MAX_NAME_BYTES:
+        name_bytes += 1 + size
+        if size > MAX_LABEL_BYTES or name_bytes > MAX_NAME_BYTES:
             raise _MalformedError("a bad label, or too long a name")
-        labels.append(data[at + 1 : at + 1 + size].decode("ascii").lower())
-        at += 1 + size
-    return ".".join(labels), at + 1 if end < 0 else end
+        labels.append(data[offset + 1 : offset + 1 + size].decode("ascii").lower())
+        offset += 1 + size
+    return ".".join(labels), offset + 1 if end < 0 else end
 
 
-def _parse_record(data: bytes, at: int, reply: Reply) -> int:
-    name, at = _parse_name(data, at)
-    kind, _, _, size = _RECORD_HEADER.unpack_from(data, at)
-    at += _RECORD_HEADER.size
-    end = at + size
+def _parse_record(data: bytes, offset: int, reply: Reply) -> int:
+    """Put one record into the reply; returns the offset at which it ends."""
+    name, offset = _parse_name(data, offset)
+    record_type, _, _, data_bytes = _RECORD_HEADER.unpack_from(data, offset)
+    offset += _RECORD_HEADER.size
+    end = offset + data_bytes
     if end > len(data):
         raise _MalformedError("a record cut short")
-    if kind == TYPE_SRV:
-        priority, weight, port = _SRV_DATA.unpack_from(data, at)
-        reply.srv_records.append(SrvRecord(priority, weight, port, _parse_name(data, at + _SRV_DATA.size)[0]))
-    elif kind == TYPE_A and size == 4:
-        reply.addresses[name] = ".".join(str(part) for part in data[at:end])
-    elif kind == TYPE_TXT:
-        reply.texts[name] = _parse_texts(data[at:end])
-    elif kind == TYPE_SOA:
-        _, at = _parse_name(data, at)
-        _, at = _parse_name(data, at)
-        (reply.serial,) = struct.unpack_from(">I", data, at)
+    if record_type == TYPE_SRV:
+        priority, weight, port = _SRV_DATA.unpack_from(data, offset)
+        target, _ = _parse_name(data, offset + _SRV_DATA.size)
+        reply.srv_records.append(SrvRecord(priority, weight, port, target))
+    elif record_type == TYPE_A and data_bytes == 4:
+        reply.addresses[name] = ".".join(str(octet) for octet in data[offset:end])
+    elif record_type == TYPE_TXT:
+        reply.texts[name] = _parse_texts(data[offset:end])
+    elif record_type == TYPE_SOA:
+        _, offset = _parse_name(data, offset)
+        _, offset = _parse_name(data, offset)
+        (reply.serial,) = struct.unpack_from(">I", data, offset)
     return int(end)
 
 
 def _parse_texts(data: bytes) -> dict[str, str]:
-    pairs, at = {}, 0
-    while at < len(data):
-        size = data[at]
-        key, _, value = data[at + 1 : at + 1 + size].decode("utf-8").partition("=")
+    pairs, offset = {}, 0
+    while offset < len(data):
+        size = data[offset]
+        key, _, value = data[offset + 1 : offset + 1 + size].decode("utf-8").partition("=")
         pairs[key] = value
-        at += 1 + size
+        offset += 1 + size
     return pairs
