--- a/cedarthread/lifecycle/maintenance.py
+++ b/cedarthread/lifecycle/maintenance.py
@@ -13,7 +13,7 @@
 from cedarthread.protocols.workers import WorkerConnections
 
 if TYPE_CHECKING:
-    from cedarthread.protocols.invoke import InvokeServer
+    from cedarthread.protocols.invoke_server import InvokeServer
 
 log = logging.getLogger("cedarthread")
 
