--- a/cedarthread/testing/cluster/cli.py
+++ b/cedarthread/testing/cluster/cli.py
@@ -31,10 +31,10 @@
 
 from docopt import docopt
 
-from cedarthread.testing.cluster.drills import Drill, drill
+from cedarthread.testing.cluster.drills import ScenarioSet, load_scenario_set
 from cedarthread.testing.cluster.evaluation import Result
-from cedarthread.testing.cluster.run import Rig
-from cedarthread.testing.cluster.scenario import Scenario, ScenarioError, read
+from cedarthread.testing.cluster.run import ClusterRun
+from cedarthread.testing.cluster.scenario import Scenario, ScenarioError, load_scenario
 
 
 def main(argv: list[str]) -> int:
@@ -42,16 +42,16 @@
     told = docopt(__doc__, argv)
     try:
         if told["report"]:
-            from cedarthread.testing.cluster.report import draw
+            from cedarthread.testing.cluster.report import write_charts
 
-            return draw(Path(told["DIR"]))
+            return write_charts(Path(told["DIR"]))
         if told["run"]:
-            play(drill("spread"), [read(Path(told["FILE"]))], told["--out"])
+            run_scenarios(load_scenario_set("spread"), [load_scenario(Path(told["FILE"]))], told["--out"])
             return 0
-        one, full, talk = drill(told["NAME"]), told["--full"], not told["--no-talk"]
+        one, full, talk = load_scenario_set(told["NAME"]), told["--full"], not told["--no-talk"]
         routers = int(told["--routers"] or (200 if full else 24))
         scenarios = (one.full if full else one.quick)(int(told["--seed"]), routers)
-        results = play(
+        results = run_scenarios(
             one, (replace(scenario, talk=scenario.talk and talk) for scenario in scenarios), told["--out"]
         )
     except (ScenarioError, ValueError) as error:
@@ -64,12 +64,12 @@
     for place, result in enumerate(results):
         for failing in one.failings(result, results[:place]):
             bad = True
-            print(f"{result.scenario}: {failing}")
+            print(f"{result.scenario_name}: {failing}")
     print("FAILED" if bad else "held")
     return int(bad)
 
 
-def play(drill: Drill, scenarios: Iterable[Scenario], out: str | None) -> list[Result]:
+def run_scenarios(drill: ScenarioSet, scenarios: Iterable[Scenario], out: str | None) -> list[Result]:
     """Play them in turn, with a line of the table for each as it ends."""
     print(drill.HEAD, drill.RULE, sep="\n", flush=True)
     results = []
@@ -81,19 +81,19 @@
             folder = Path(out)
             folder.mkdir(parents=True, exist_ok=True)
             name = "".join(c if c.isalnum() else "-" for c in scenario.name)
-            (folder / f"{name}.json").write_text(json.dumps(result.table(), indent=1) + "\n")
+            (folder / f"{name}.json").write_text(json.dumps(result.to_json(), indent=1) + "\n")
     return results
 
 
 async def _interruptible(scenario: Scenario) -> Result:
     """One run that ends all it started when it is told to stop, wherever it is then."""
-    loop, task = asyncio.get_running_loop(), asyncio.ensure_future(run(scenario))
+    loop, task = asyncio.get_running_loop(), asyncio.ensure_future(run_scenario(scenario))
     for name in (signal.SIGINT, signal.SIGTERM):  # taken by the loop: a start is never cut in two
         loop.add_signal_handler(name, task.cancel)
     return await task
 
 
-async def run(scenario: Scenario) -> Result:
+async def run_scenario(scenario: Scenario) -> Result:
     """One run, its files in a folder of its own."""
     with tempfile.TemporaryDirectory(prefix="cedarthread-") as folder:
-        return await Rig(scenario, Path(folder)).play()
+        return await ClusterRun(scenario, Path(folder)).run()
--- a/cedarthread/testing/cluster/drills/__init__.py
+++ b/cedarthread/testing/cluster/drills/__init__.py
@@ -9,14 +9,14 @@
 from cedarthread.testing.cluster.evaluation import Result
 from cedarthread.testing.cluster.scenario import Scenario
 
-DRILLS = {
+SCENARIO_MODULES = {
     "freeze": "cedarthread.testing.cluster.drills.change_freeze",
     "spread": "cedarthread.testing.cluster.drills.load_spread",
     "return": "cedarthread.testing.cluster.drills.mass_restart",
 }
 
 
-class Drill(Protocol):
+class ScenarioSet(Protocol):
     """What the module of a drill has."""
 
     HEAD: str  # of its table, and the rule below it
@@ -35,8 +35,8 @@
         """A run as a line of the table."""
 
 
-def drill(name: str) -> Drill:
+def load_scenario_set(name: str) -> ScenarioSet:
     """A drill by its name; ValueError where there is none."""
-    if name not in DRILLS:
-        raise ValueError(f"{name}: no such drill; there are {', '.join(DRILLS)}")
-    return cast(Drill, import_module(DRILLS[name]))
+    if name not in SCENARIO_MODULES:
+        raise ValueError(f"{name}: no such drill; there are {', '.join(SCENARIO_MODULES)}")
+    return cast(ScenarioSet, import_module(SCENARIO_MODULES[name]))
--- a/cedarthread/testing/cluster/drills/load_spread.py
+++ b/cedarthread/testing/cluster/drills/load_spread.py
@@ -5,16 +5,16 @@
 from collections.abc import Iterator, Sequence
 
 from cedarthread.testing.cluster.evaluation import Result
-from cedarthread.testing.cluster.scenario import Scenario, parse
+from cedarthread.testing.cluster.scenario import Scenario, parse_scenario
 
-IDLE_MOST = 2000.0  # ms that a runner may be idle while another queues
-RATIO = 1.3  # of the all-seeing policy's peak-to-mean, at most
-SERVED = 0.9  # part of the calls that are served at least, in the quick form
+MAX_IDLE_MS = 2000.0  # ms that a runner may be idle while another queues
+MAX_PEAK_TO_MEAN_RATIO = 1.3  # of the all-seeing policy's peak-to-mean, at most
+MIN_SERVED_FRACTION = 0.9  # part of the calls that are served at least, in the quick form
 
 
 def quick(seed: int, routers: int = 24) -> Iterator[Scenario]:
     """One short run with several faults at once, for CI."""
-    yield parse(
+    yield parse_scenario(
         {
             "name": "quick",
             "seed": seed,
@@ -76,35 +76,35 @@
         ],
     }
     for name, faults in cases.items():
-        yield parse(base | {"name": name, "fault": faults})
+        yield parse_scenario(base | {"name": name, "fault": faults})
 
 
 def failings(result: Result, earlier: Sequence[Result] = ()) -> list[str]:
     """What a run shows that must not be."""
-    even, limit = result.even, result.others["all"]
-    found = list(result.breaches)
-    if result.void:
-        found.append(f"void: the rig itself was {result.late:.0f} ms late")
+    even, limit = result.load_balance, result.replayed["all"]
+    found = list(result.violations)
+    if result.is_void:
+        found.append(f"void: the rig itself was {result.lag_ms:.0f} ms late")
     found += [
         f"a herd at {hotspot.begin_ms / 1000:.1f} s: {hotspot.arrivals} calls to runner {hotspot.worker_id}, "
         f"its share {hotspot.fair_share:.1f}"
         for hotspot in even.hotspots
     ]
-    if even.longest_idle_ms > IDLE_MOST:
+    if even.longest_idle_ms > MAX_IDLE_MS:
         found.append(f"a runner idle for {even.longest_idle_ms:.0f} ms while another queued")
-    if even.peak_to_mean > RATIO * limit.peak_to_mean:
+    if even.peak_to_mean > MAX_PEAK_TO_MEAN_RATIO * limit.peak_to_mean:
         found.append(f"peak-to-mean {even.peak_to_mean:.2f}, all-seeing {limit.peak_to_mean:.2f}")
-    if result.served < SERVED:
-        found.append(f"{result.served:.2f} of the calls served")
+    if result.served_fraction < MIN_SERVED_FRACTION:
+        found.append(f"{result.served_fraction:.2f} of the calls served")
     return found
 
 
 def row(result: Result) -> str:
     """A run as a line of a Markdown table."""
-    even, limit = result.even, result.others["all"]
+    even, limit = result.load_balance, result.replayed["all"]
     cells = [
-        result.scenario,
-        f"{result.served:.3f}",
+        result.scenario_name,
+        f"{result.served_fraction:.3f}",
         f"{even.peak_to_mean:.2f}",
         f"{limit.peak_to_mean:.2f}",
         f"{even.coefficient_of_variation:.2f}",
@@ -113,10 +113,10 @@
         f"{even.loads_per_1000_calls:.0f}",
         f"{limit.loads_per_1000_calls:.0f}",
         f"{even.excess_loads}",
-        f"{len(result.breaches)}",
-        f"{result.cpu:.2f}",
-        f"{result.bytes_:.0f}",
-        f"{result.late:.0f}",
+        f"{len(result.violations)}",
+        f"{result.cpu_ms_per_call:.2f}",
+        f"{result.peer_bytes_per_second:.0f}",
+        f"{result.lag_ms:.0f}",
     ]
     return "| " + " | ".join(cells) + " |"
 
--- a/cedarthread/testing/cluster/injected_defects.py
+++ b/cedarthread/testing/cluster/injected_defects.py
@@ -10,7 +10,7 @@
 
 from cedarthread.model.endpoints import EndpointUpdate
 
-PLANTS = {
+DEFECTS = {
     "chance": "cedarthread.testing.cluster.injected_defects:chance",
     "eager": "cedarthread.testing.cluster.injected_defects:eager",
     "twice": "cedarthread.testing.cluster.injected_defects:twice",
@@ -26,10 +26,10 @@
 }
 
 
-def plant(name: str) -> None:
+def inject(name: str) -> None:
     """Put one in this process; no name: nothing."""
     if name:
-        module, _, function = PLANTS[name].partition(":")
+        module, _, function = DEFECTS[name].partition(":")
         getattr(import_module(module), function)()
 
 
--- a/cedarthread/testing/cluster/network.py
+++ b/cedarthread/testing/cluster/network.py
@@ -5,9 +5,9 @@
 import random
 from collections.abc import Iterator, Sequence
 
-from cedarthread.testing.cluster.scenario import PATHS, Fault
+from cedarthread.testing.cluster.scenario import NETWORK_FAULTS, Fault
 
-LATE = 40.0  # ms by which a reordered datagram is late at most
+MAX_REORDER_DELAY_MS = 40.0  # ms by which a reordered datagram is late at most
 
 
 class Network:
@@ -15,44 +15,56 @@
 
     def __init__(self, faults: Sequence[Fault], seed: int) -> None:
         self.rng = random.Random(seed)
-        self.faults = [fault for fault in faults if fault.kind in PATHS]
+        self.faults = [fault for fault in faults if fault.kind in NETWORK_FAULTS]
 
-    def _between(self, now: float, a: tuple[str, int], b: tuple[str, int]) -> Iterator[Fault]:
+    def _active_faults(
+        self, now: float, source: tuple[str, int], destination: tuple[str, int]
+    ) -> Iterator[Fault]:
         for fault in self.faults:
-            if not fault.holds(now / 1000.0) or fault.to is None:
+            if not fault.is_active(now / 1000.0) or fault.peers is None:
                 continue
-            there = fault.who.has(*a) and fault.to.has(*b)
-            back = not fault.one_way and fault.who.has(*b) and fault.to.has(*a)
+            there = fault.subjects.includes(*source) and fault.peers.includes(*destination)
+            back = (
+                not fault.is_one_way
+                and fault.subjects.includes(*destination)
+                and fault.peers.includes(*source)
+            )
             if there or back:
                 yield fault
 
-    def disturbed(self, now: float, a: tuple[str, int], b: tuple[str, int]) -> bool:
+    def is_disturbed(self, now: float, source: tuple[str, int], destination: tuple[str, int]) -> bool:
         """May bytes of a stream between the two come late now? Draws nothing: who judges changes no run."""
-        kinds = {fault.kind for way in ((a, b), (b, a)) for fault in self._between(now, *way)}
+        kinds = {
+            fault.kind
+            for way in ((source, destination), (destination, source))
+            for fault in self._active_faults(now, *way)
+        }
         return bool(kinds & {"delay", "cut", "stall", "loss"})
 
-    def datagram(self, now: float, a: tuple[str, int], b: tuple[str, int]) -> list[float]:
+    def datagram_delays_ms(
+        self, now: float, source: tuple[str, int], destination: tuple[str, int]
+    ) -> list[float]:
         """After how many ms a datagram arrives, once for each time: never, once, or twice."""
         delays = [0.0]
-        for fault in self._between(now, a, b):
-            if fault.kind in ("cut", "stall") or (fault.kind == "loss" and self.rng.random() < fault.figure):
+        for fault in self._active_faults(now, source, destination):
+            if fault.kind in ("cut", "stall") or (fault.kind == "loss" and self.rng.random() < fault.amount):
                 delays = []
             elif fault.kind == "delay":
-                delays = [delay + fault.figure for delay in delays]
-            elif fault.kind == "double" and self.rng.random() < fault.figure:
+                delays = [delay + fault.amount for delay in delays]
+            elif fault.kind == "double" and self.rng.random() < fault.amount:
                 delays = delays * 2
             elif fault.kind == "reorder":
-                delays = [delay + self.rng.uniform(0.0, LATE) for delay in delays]
+                delays = [delay + self.rng.uniform(0.0, MAX_REORDER_DELAY_MS) for delay in delays]
         return delays
 
-    def stream(self, now: float, a: tuple[str, int], b: tuple[str, int]) -> float:
+    def stream_delay_ms(self, now: float, source: tuple[str, int], destination: tuple[str, int]) -> float:
         """After how many ms bytes of a stream arrive: once a cut or stall is over: they are sent again."""
         wait = 0.0
-        for fault in self._between(now, a, b):
+        for fault in self._active_faults(now, source, destination):
             if fault.kind == "delay":
-                wait += fault.figure
+                wait += fault.amount
             elif fault.kind in ("cut", "stall"):
-                wait = max(wait, 1000.0 * fault.until - now)
-            elif fault.kind == "loss" and self.rng.random() < fault.figure:
+                wait = max(wait, 1000.0 * fault.end_s - now)
+            elif fault.kind == "loss" and self.rng.random() < fault.amount:
                 wait += 200.0  # the least time after which Linux sends a lost segment again
         return wait
--- a/cedarthread/testing/cluster/report.py
+++ b/cedarthread/testing/cluster/report.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 
-def draw(folder: Path) -> int:
+def write_charts(folder: Path) -> int:
     """Draw every result in a folder; the exit code."""
     try:
         from matplotlib.figure import Figure
--- a/cedarthread/testing/cluster/router_entry.py
+++ b/cedarthread/testing/cluster/router_entry.py
@@ -19,21 +19,23 @@
 from types import SimpleNamespace
 
 from cedarthread.dispatch import clock
-from cedarthread.testing.cluster.injected_defects import plant
+from cedarthread.testing.cluster.injected_defects import inject
 
 Clock = Callable[[], float]  # s
-CLOCK = struct.Struct("<ddd")  # ms that it is off; how many times as fast it runs; since when, monotonic s
+CLOCK_CONTROL = struct.Struct(
+    "<ddd"
+)  # ms that it is off; how many times as fast it runs; since when, monotonic s
 
 
-def clocks(told: mmap.mmap | bytearray, wall: Clock, steady: Clock) -> SimpleNamespace:
+def faulty_clocks(told: mmap.mmap | bytearray, wall: Clock, steady: Clock) -> SimpleNamespace:
     """Both clocks as the file has them: a step moves the wall clock; a rate the steady one too."""
 
     def gained() -> float:
-        _, rate, since = CLOCK.unpack(told[:])
+        _, rate, since = CLOCK_CONTROL.unpack(told[:])
         return float((rate - 1.0) * (steady() - since))
 
     return SimpleNamespace(
-        time=lambda: wall() + float(CLOCK.unpack(told[:])[0]) / 1000.0 + gained(),
+        time=lambda: wall() + float(CLOCK_CONTROL.unpack(told[:])[0]) / 1000.0 + gained(),
         monotonic=lambda: steady() + gained(),
     )
 
@@ -41,11 +43,11 @@
 def main() -> None:
     """Take the clock's file and the defect off the arguments, then do what the program does."""
     with open(sys.argv.pop(1), "rb") as file:
-        told = mmap.mmap(file.fileno(), CLOCK.size, access=mmap.ACCESS_READ)
+        told = mmap.mmap(file.fileno(), CLOCK_CONTROL.size, access=mmap.ACCESS_READ)
     if disk := sys.argv.pop(1):
         import_module("cedarthread.persistence.faulty_disk").install(Path(disk))
-    plant(sys.argv.pop(1))
-    clock.time = clocks(told, time.time, time.monotonic)  # type: ignore[attr-defined, assignment]
+    inject(sys.argv.pop(1))
+    clock.time = faulty_clocks(told, time.time, time.monotonic)  # type: ignore[attr-defined, assignment]
     runpy.run_module("cedarthread", run_name="__main__")
 
 
--- a/cedarthread/testing/cluster/scenario.py
+++ b/cedarthread/testing/cluster/scenario.py
@@ -9,10 +9,10 @@
 from pathlib import Path
 from typing import Any
 
-from cedarthread.testing.cluster.injected_defects import PLANTS
+from cedarthread.testing.cluster.injected_defects import DEFECTS
 
-PATHS = ("loss", "delay", "double", "reorder", "cut", "stall")  # between parties
-AT = {  # deeds, and the one kind of party that each is done at
+NETWORK_FAULTS = ("loss", "delay", "double", "reorder", "cut", "stall")  # between parties
+FAULT_SUBJECTS = {  # deeds, and the one kind of party that each is done at
     **dict.fromkeys(
         ("kill", "stop", "restart", "clock", "rate", "disk", "declare", "retune", "hot", "burst"), "router"
     ),
@@ -21,7 +21,7 @@
 }
 # What a disk does, by the number in its control file: as store/lying.py has them.
 _LIES = "none unsynced torn flipped older full eio_write eio_sync slow_sync read_only gone"
-LIES = tuple(_LIES.split())
+DISK_FAULTS = tuple(_LIES.split())
 _PARTY = re.compile(r"(router|runner|client|resolver)(?::(\d+)(?:-(\d+))?)?\Z")
 
 
@@ -30,14 +30,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Party:
+class Subjects:
     """Some of one kind: ``router``, ``runner:3``, ``client:0-11``."""
 
     kind: str
     first: int
     last: int
 
-    def has(self, kind: str, number: int) -> bool:
+    def includes(self, kind: str, number: int) -> bool:
         """Is this one of them?"""
         return kind == self.kind and self.first <= number <= self.last
 
@@ -55,17 +55,17 @@
     (times the calls)."""
 
     kind: str
-    at: float
-    until: float
-    who: Party
-    to: Party | None = None
-    figure: float = 0.0
-    one_way: bool = False
-    what: str = ""
-
-    def holds(self, now: float) -> bool:
+    start_s: float
+    end_s: float
+    subjects: Subjects
+    peers: Subjects | None = None
+    amount: float = 0.0
+    is_one_way: bool = False
+    text: str = ""
+
+    def is_active(self, now: float) -> bool:
         """Does it last now?"""
-        return self.at <= now < self.until
+        return self.start_s <= now < self.end_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,15 +100,15 @@
     faults: tuple[Fault, ...] = ()
 
 
-def read(path: Path) -> Scenario:
+def load_scenario(path: Path) -> Scenario:
     """A scenario from its file; ScenarioError says what is wrong."""
     try:
-        return parse(tomllib.loads(path.read_text()))
+        return parse_scenario(tomllib.loads(path.read_text()))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, ScenarioError) as error:
         raise ScenarioError(f"{path}: {error}") from None
 
 
-def parse(top: dict[str, Any]) -> Scenario:
+def parse_scenario(top: dict[str, Any]) -> Scenario:
     """A scenario from its parsed text."""
     known = {f.name: f.type for f in dataclasses.fields(Scenario) if f.name != "faults"}
     told = {key: value for key, value in top.items() if key != "fault"}
@@ -135,15 +135,15 @@
     ):
         if getattr(scenario, key) <= 0:
             raise ScenarioError(f"{key}: must be above zero")
-    if scenario.plant not in ("", *PLANTS):
-        raise ScenarioError(f"plant: {scenario.plant!r} is none of {', '.join(PLANTS)}")
-    shares(scenario)
-    party("declares", scenario.declares, scenario)
+    if scenario.plant not in ("", *DEFECTS):
+        raise ScenarioError(f"plant: {scenario.plant!r} is none of {', '.join(DEFECTS)}")
+    tenant_shares(scenario)
+    parse_subjects("declares", scenario.declares, scenario)
     faults = tuple(_fault(n, fault, scenario) for n, fault in enumerate(top.get("fault", ())))
     return dataclasses.replace(scenario, faults=faults)
 
 
-def shares(scenario: Scenario) -> dict[str, float]:
+def tenant_shares(scenario: Scenario) -> dict[str, float]:
     """The tenants' parts of the calls."""
     try:
         told = dict(
@@ -162,28 +162,30 @@
     if unknown:
         raise ScenarioError(f"{where}: no such key: {', '.join(sorted(unknown))}")
     kind = told.get("kind")
-    if kind not in (*PATHS, *AT):
-        raise ScenarioError(f"{where}: kind {kind!r} is none of {', '.join((*PATHS, *AT))}")
+    if kind not in (*NETWORK_FAULTS, *FAULT_SUBJECTS):
+        raise ScenarioError(
+            f"{where}: kind {kind!r} is none of {', '.join((*NETWORK_FAULTS, *FAULT_SUBJECTS))}"
+        )
     end = scenario.warm_up + scenario.seconds
     at, until = told.get("at", 0.0), told.get("until", end)
     if not all(isinstance(time, (int, float)) for time in (at, until)) or not 0 <= at < until:
         raise ScenarioError(f"{where}: at {at!r} and until {until!r} are no times in order")
-    to = party(f"{where}: to", told["to"], scenario) if "to" in told else None
-    if (kind in PATHS or kind == "hide") and to is None:
+    to = parse_subjects(f"{where}: to", told["to"], scenario) if "to" in told else None
+    if (kind in NETWORK_FAULTS or kind == "hide") and to is None:
         raise ScenarioError(f"{where}: {kind} needs `to`")
-    who = party(f"{where}: who", told.get("who"), scenario)
-    if kind in AT and who.kind != AT[kind]:
-        raise ScenarioError(f"{where}: {kind} is done at a {AT[kind]}, not at a {who.kind}")
+    who = parse_subjects(f"{where}: who", told.get("who"), scenario)
+    if kind in FAULT_SUBJECTS and who.kind != FAULT_SUBJECTS[kind]:
+        raise ScenarioError(f"{where}: {kind} is done at a {FAULT_SUBJECTS[kind]}, not at a {who.kind}")
     what, figure = str(told.get("what", "")), float(told.get("figure", 0.0))
-    if kind == "disk" and what not in LIES:
-        raise ScenarioError(f"{where}: what {what!r} is none of {', '.join(LIES)}")
-    given = party("declares", scenario.declares, scenario)
+    if kind == "disk" and what not in DISK_FAULTS:
+        raise ScenarioError(f"{where}: what {what!r} is none of {', '.join(DISK_FAULTS)}")
+    given = parse_subjects("declares", scenario.declares, scenario)
     if kind == "declare" and not (scenario.fleet and given.first <= who.first <= who.last <= given.last):
         raise ScenarioError(f"{where}: {told.get('who')} has no file of the operators to begin with")
     return Fault(kind, float(at), float(until), who, to, figure, bool(told.get("one_way")), what)
 
 
-def party(where: str, text: Any, scenario: Scenario) -> Party:
+def parse_subjects(where: str, text: Any, scenario: Scenario) -> Subjects:
     """Some of one kind, as the file names them."""
     match = _PARTY.match(text) if isinstance(text, str) else None
     if match is None:
@@ -194,4 +196,4 @@
     high = int(last) if last else low if first else count - 1
     if not low <= high < count:
         raise ScenarioError(f"{where}: {text!r} is outside 0 to {count - 1}")
-    return Party(kind, low, high)
+    return Subjects(kind, low, high)
--- a/cedarthread/testing/fakes/client.py
+++ b/cedarthread/testing/fakes/client.py
@@ -8,7 +8,7 @@
 
 from cedarthread.protocols import msgpack
 
-Told = Callable[[int, str, bytes], None]  # a call's number; served, refused or failed; the body
+OnAnswer = Callable[[int, str, bytes], None]  # a call's number; served, refused or failed; the body
 
 
 def pack_call(number: int, klass: str, body: bytes, fields: dict[str, str]) -> bytes:
@@ -17,7 +17,7 @@
     return b"\x94\x00" + msgpack.pack_uint(number) + msgpack.pack_str(klass) + params
 
 
-def health() -> bytes:
+def pack_health_check() -> bytes:
     """The request of a health check, under a number that no call has."""
     return b"\x94\x00" + msgpack.pack_uint(2**32 - 1) + msgpack.pack_str("check") + b"\x90"
 
@@ -27,13 +27,13 @@
     return "served" if error is None else "refused" if error[0] == "Backoff" else "failed"
 
 
-class Client(asyncio.Protocol):
+class FakeClient(asyncio.Protocol):
     """One connection to one router; ``lost`` is told when it breaks."""
 
-    def __init__(self, told: Told, lost: Callable[[], None]) -> None:
-        self.told, self.lost = told, lost
+    def __init__(self, told: OnAnswer, lost: Callable[[], None]) -> None:
+        self.on_answer, self.on_lost = told, lost
         self.transport: asyncio.Transport | None = None
-        self._held = b""
+        self._buffer = b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The connection is there."""
@@ -46,20 +46,20 @@
 
     def data_received(self, data: bytes) -> None:
         """Answers, whole and in part."""
-        self._held += data
-        while isinstance(parsed := msgpack.parse(memoryview(self._held)), msgpack.ParsedValue):
-            _, number, error, result = plain(parsed.value)
-            self._held = self._held[parsed.end :]
-            self.told(number, answer_kind(error), result[0] if error is None else b"")
+        self._buffer += data
+        while isinstance(parsed := msgpack.parse(memoryview(self._buffer)), msgpack.ParsedValue):
+            _, number, error, result = without_views(parsed.value)
+            self._buffer = self._buffer[parsed.end :]
+            self.on_answer(number, answer_kind(error), result[0] if error is None else b"")
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The router or its connection has ended."""
         self.transport = None
-        self.lost()
+        self.on_lost()
 
 
-def plain(value: Any) -> Any:
+def without_views(value: Any) -> Any:
     """A parsed value on its own, without slices of the input."""
     if isinstance(value, list):
-        return [plain(item) for item in value]
+        return [without_views(item) for item in value]
     return bytes(value) if isinstance(value, memoryview) else value
--- a/cedarthread/testing/fakes/discovery_server.py
+++ b/cedarthread/testing/fakes/discovery_server.py
@@ -15,13 +15,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Listed:
+class ListedWorker:
     """One runner in the list."""
 
     name: str
     port: int
-    draining: bool = False
-    started: float = 0.0
+    is_draining: bool = False
+    started_at_ms: float = 0.0
 
 
 def _name(text: str) -> bytes:
@@ -32,19 +32,19 @@
     return name + struct.pack(">HHIH", kind, 1, 1, len(data)) + data
 
 
-def reply(query: bytes, serial: int, runners: tuple[Listed, ...], zone: str) -> bytes:
+def encode_reply(query: bytes, serial: int, runners: tuple[ListedWorker, ...], zone: str) -> bytes:
     """The whole list, under a serial, in answer to a query."""
     count, records = _records(serial, runners, zone)
     return query[:2] + struct.pack(">5H", 0x8400, 1, count, 0, 0) + query[12:] + records
 
 
 @lru_cache(maxsize=64)  # routers ask for the same list again and again
-def _records(serial: int, runners: tuple[Listed, ...], zone: str) -> tuple[int, bytes]:
+def _records(serial: int, runners: tuple[ListedWorker, ...], zone: str) -> tuple[int, bytes]:
     records: list[bytes] = []
     for runner in runners:
         target = _name(f"{runner.name}.{zone}.pool.lan")
-        texts = ("cell=0", "kind=std", f"started={runner.started:.0f}")
-        srv = struct.pack(">3H", 10 if runner.draining else 0, 10, runner.port)
+        texts = ("cell=0", "kind=std", f"started={runner.started_at_ms:.0f}")
+        srv = struct.pack(">3H", 10 if runner.is_draining else 0, 10, runner.port)
         records.append(_record(_name(SERVICE_NAME), dns.TYPE_SRV, srv + target))
         records.append(_record(target, dns.TYPE_A, bytes((127, 0, 0, 1))))
         records.append(_record(target, dns.TYPE_TXT, b"".join(bytes((len(t),)) + t.encode() for t in texts)))
@@ -55,19 +55,19 @@
     return len(records), b"".join(records)
 
 
-class ResolverServer(asyncio.DatagramProtocol):
+class FakeDiscoveryServer(asyncio.DatagramProtocol):
     """One router's resolver. ``tells`` gives what it is to see now; None for no reply. ``passes`` gets each
     question, and what is to be done with the reply where that passes, which may be late, spoilt, or never."""
 
     def __init__(
         self,
-        tells: Callable[[], tuple[int, tuple[Listed, ...]] | None],
+        tells: Callable[[], tuple[int, tuple[ListedWorker, ...]] | None],
         zone: str,
         passes: Callable[[Callable[[], bytes], Callable[[bytes], None]], None] = lambda make, give: give(
             make()
         ),
     ) -> None:
-        self.tells, self.zone, self.passes = tells, zone, passes
+        self.current_list, self.zone, self.deliver = tells, zone, passes
         self.port = 0
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -83,9 +83,9 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """A query."""
-        told = self.tells()
+        told = self.current_list()
         if told is not None and len(data) > 12:
-            self.passes(lambda: reply(data, *told, self.zone), lambda whole: self._send(whole, addr))
+            self.deliver(lambda: encode_reply(data, *told, self.zone), lambda whole: self._send(whole, addr))
 
     def _send(self, data: bytes, addr: tuple[str, int]) -> None:
         if self._transport is not None and not self._transport.is_closing():
--- a/cedarthread/testing/fakes/scripted.py
+++ b/cedarthread/testing/fakes/scripted.py
@@ -20,28 +20,28 @@
 from cedarthread.testing.fakes.settings import SETTINGS
 
 FUNCTION = "7f3a9c21e0b4d655"
-Behaviour = Callable[["Runner", dict[str, Any]], dict[str, Any] | None]
+Behavior = Callable[["ScriptedWorker", dict[str, Any]], dict[str, Any] | None]
 
 
-def hit(_: Runner, message: dict[str, Any]) -> dict[str, Any]:
+def serve_uppercase(_: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any]:
     """Serve: the body comes back in capitals, so that an answer can be told from its question."""
     body = base64.b64encode(base64.b64decode(message["body"]).upper()).decode()
     return {"op": "HIT", "fields": {"remark": "hit", "report": "inflight:1;x1:0"}, "body": body}
 
 
-def says(word: str) -> Behaviour:
+def answer_with(word: str) -> Behavior:
     """Answer each call with this word."""
     return lambda runner, message: {"op": word, "fields": {}}
 
 
-class Runner:
+class ScriptedWorker:
     """A runner that answers each call by a rule; None leaves it unanswered."""
 
-    def __init__(self, behave: Behaviour = hit) -> None:
-        self.behave = behave
+    def __init__(self, behave: Behavior = serve_uppercase) -> None:
+        self.behavior = behave
         self.calls: list[dict[str, Any]] = []
-        self.cancelled: list[str] = []
-        self.came = asyncio.Event()  # a message came
+        self.cancelled_ids: list[str] = []
+        self.message_received = asyncio.Event()  # a message came
         self.writers: list[asyncio.StreamWriter] = []
         self.port = 0
 
@@ -55,12 +55,12 @@
         while line := await reader.readline():
             message = json.loads(line)
             if message["op"] == "CANCEL":
-                self.cancelled.append(message["id"])
+                self.cancelled_ids.append(message["id"])
             else:
                 self.calls.append(message)
-                if (answer := self.behave(self, message)) is not None:
+                if (answer := self.behavior(self, message)) is not None:
                     self.answer(message, answer, writer)
-            self.came.set()
+            self.message_received.set()
         writer.close()
 
     def answer(
@@ -70,12 +70,12 @@
         line = json.dumps(answer | {"id": message["id"]}).encode() + b"\n"
         (writer or self.writers[-1]).write(line)
 
-    async def until(self, met: Callable[[], bool]) -> None:
+    async def wait_until(self, met: Callable[[], bool]) -> None:
         """Wait till messages have made it so."""
         async with asyncio.timeout(10):
             while not met():
-                self.came.clear()
-                await self.came.wait()
+                self.message_received.clear()
+                await self.message_received.wait()
 
     def stop(self) -> None:
         """Stop listening and break what is open."""
@@ -84,19 +84,21 @@
             writer.transport.abort()
 
 
-def listing(runner: Runner, number: int, state: EndpointState = EndpointState.READY) -> EndpointRecord:
+def endpoint_record(
+    runner: ScriptedWorker, number: int, state: EndpointState = EndpointState.READY
+) -> EndpointRecord:
     """A runner as a list has it."""
     return EndpointRecord(f"s-{number:08x}", "127.0.0.1", runner.port, "room-a", "std", 0, state, 1.0, 0.0)
 
 
 @asynccontextmanager
 async def service(
-    *runners: Runner, invoke: InvokeConfig | None = None, **changes: Any
+    *runners: ScriptedWorker, invoke: InvokeConfig | None = None, **changes: Any
 ) -> AsyncIterator[Service]:
     """A whole function router, in this process."""
     for runner in runners:
         await runner.start()
-    known = ((1, tuple(listing(runner, n) for n, runner in enumerate(runners, 1))),)
+    known = ((1, tuple(endpoint_record(runner, n) for n, runner in enumerate(runners, 1))),)
     settings = settings_from_object(SETTINGS | changes)
     running = Service(
         Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, known, ("127.0.0.1", 0)), invoke
@@ -117,7 +119,7 @@
         await asyncio.sleep(0)
 
 
-async def ask(running: Service, line: bytes) -> list[str]:
+async def ask_control(running: Service, line: bytes) -> list[str]:
     """One line to the control address; the lines of the reply."""
     reader, writer = await asyncio.open_connection("127.0.0.1", running.control_port)
     try:
@@ -134,23 +136,23 @@
     return client_side.pack_call(number, klass, body, told)
 
 
-class Client:
+class ScriptedClient:
     """A client of the platform's protocol."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
-        self.held = b""
+        self.buffer = b""
 
     async def read(self) -> Any:
         """The next message, its binary values as bytes; None at the end."""
         async with asyncio.timeout(10):
-            while not isinstance(parsed := msgpack.parse(memoryview(self.held)), msgpack.ParsedValue):
+            while not isinstance(parsed := msgpack.parse(memoryview(self.buffer)), msgpack.ParsedValue):
                 more = await self.reader.read(65536)
                 if not more:
                     return None
-                self.held += more
-        self.held = self.held[parsed.end :]
-        return client_side.plain(parsed.value)
+                self.buffer += more
+        self.buffer = self.buffer[parsed.end :]
+        return client_side.without_views(parsed.value)
 
     async def call(self, number: int, klass: str, body: bytes = b"", **fields: str) -> Any:
         """Call and read one message."""
@@ -159,11 +161,11 @@
 
 
 @asynccontextmanager
-async def client(running: Service) -> AsyncIterator[Client]:
+async def client(running: Service) -> AsyncIterator[ScriptedClient]:
     """A client of a router."""
     reader, writer = await asyncio.open_connection("127.0.0.1", running.port)
     try:
-        yield Client(reader, writer)
+        yield ScriptedClient(reader, writer)
     finally:
         writer.transport.abort()
         await asyncio.sleep(0)
--- a/cedarthread/testing/fakes/worker_model.py
+++ b/cedarthread/testing/fakes/worker_model.py
@@ -10,164 +10,173 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-HELD_MOST = 16  # calls for each core that a runner takes in; more it turns away
+MAX_IN_FLIGHT_PER_CORE = 16  # calls for each core that a runner takes in; more it turns away
 
 
 @dataclass(eq=False, slots=True)
-class Visit:
+class WorkerCall:
     """One call at one runner, as the runner books it."""
 
-    name: str
-    runner: int
+    call_id: str
+    worker: int
     function: int
-    at: float
-    need: float  # ms of a core
-    waits: float = math.inf  # since when it waited for a lane or a core, and not for a load
-    began: float = math.inf  # when it had a copy, a lane and a core
-    ended: float = math.inf
-    note: str = "hit"  # hit, spawn, pending or spawn_failed, or shed
+    arrived_at_ms: float
+    service_ms: float  # ms of a core
+    queued_at_ms: float = math.inf  # since when it waited for a lane or a core, and not for a load
+    started_at_ms: float = math.inf  # when it had a copy, a lane and a core
+    ended_at_ms: float = math.inf
+    remark: str = "hit"  # hit, spawn, pending or spawn_failed, or shed
 
 
 @dataclass(slots=True)
-class Store:
+class PackageStore:
     """The pack store: slower the more loads draw on it, and past a number it refuses."""
 
-    load: float  # ms of a load that is alone
-    at_once: int  # loads that it serves at full speed
-    most: int  # loads under way past which it refuses
-    out: int = 0
+    load_ms: float  # ms of a load that is alone
+    full_speed_loads: int  # loads that it serves at full speed
+    max_loads: int  # loads under way past which it refuses
+    loads_in_flight: int = 0
 
-    def begin(self) -> float | None:
+    def start_load(self) -> float | None:
         """The ms that a load begun now takes; None where it is refused."""
-        if self.out >= self.most:
+        if self.loads_in_flight >= self.max_loads:
             return None
-        self.out += 1
-        return self.load * max(1.0, self.out / self.at_once)
+        self.loads_in_flight += 1
+        return self.load_ms * max(1.0, self.loads_in_flight / self.full_speed_loads)
 
 
 @dataclass(slots=True)
-class _Copies:
+class _FunctionInstances:
     ready: int = 0
     loading: int = 0
-    busy: int = 0  # lanes
-    used: float = 0.0
-    waiting: deque[Visit] = field(default_factory=deque)
+    busy_slots: int = 0  # lanes
+    last_used_at_ms: float = 0.0
+    waiting_calls: deque[WorkerCall] = field(default_factory=deque)
 
 
-class Runner:
+class WorkerModel:
     """One runner."""
 
     def __init__(
-        self, number: int, cores: int, slots: int, store: Store, lanes: int = 2, keep: float = 4000.0
+        self, number: int, cores: int, slots: int, store: PackageStore, lanes: int = 2, keep: float = 4000.0
     ) -> None:
-        self.number, self.cores, self.slots, self.store = number, cores, slots, store
-        self.lanes, self.keep = lanes, keep
-        self.slow = 1.0
-        self.copies: dict[int, _Copies] = {}
+        self.number, self.cores, self.max_instances, self.store = number, cores, slots, store
+        self.concurrency, self.keep_alive_ms = lanes, keep
+        self.slowdown = 1.0
+        self.instances_by_function: dict[int, _FunctionInstances] = {}
         # When, serial, function, visit or None for a load.
-        self.agenda: list[tuple[float, int, int, Visit | None]] = []
-        self.queue: deque[Visit] = deque()  # with a lane, for a core
-        self.running = self.held = self.serial = 0
-        self.total = 0  # copies, loading ones too
-        self.placed: list[tuple[float, int]] = []  # when which function's first copy began to load
+        self.timer_queue: list[tuple[float, int, int, WorkerCall | None]] = []
+        self.core_queue: deque[WorkerCall] = deque()  # with a lane, for a core
+        self.running_count = self.in_flight = self.timer_serial = 0
+        self.instance_count = 0  # copies, loading ones too
+        self.placements: list[tuple[float, int]] = []  # when which function's first copy began to load
 
-    def due(self) -> float:
+    def next_event_at_ms(self) -> float:
         """When something ends next."""
-        return self.agenda[0][0] if self.agenda else math.inf
+        return self.timer_queue[0][0] if self.timer_queue else math.inf
 
-    def arrive(self, now: float, visit: Visit) -> bool:
+    def on_call(self, now: float, visit: WorkerCall) -> bool:
         """A call comes; False where it is turned away or its load refused, as its note then says."""
-        copies = self.copies.setdefault(visit.function, _Copies())
-        if copies.ready and not copies.busy and now - copies.used > self.keep:
-            self.total -= copies.ready
+        copies = self.instances_by_function.setdefault(visit.function, _FunctionInstances())
+        if copies.ready and not copies.busy_slots and now - copies.last_used_at_ms > self.keep_alive_ms:
+            self.instance_count -= copies.ready
             copies.ready = 0
-        visit.note = (
-            "shed" if self.held >= HELD_MOST * self.cores else self._admit(now, visit.function, copies)
+        visit.remark = (
+            "shed"
+            if self.in_flight >= MAX_IN_FLIGHT_PER_CORE * self.cores
+            else self._admit(now, visit.function, copies)
         )
-        if visit.note in ("shed", "spawn_failed"):
-            visit.ended = now
+        if visit.remark in ("shed", "spawn_failed"):
+            visit.ended_at_ms = now
             return False
-        self.held += 1
-        visit.waits = now if visit.note == "hit" else math.inf
-        copies.waiting.append(visit)
-        self._run(now, copies)
+        self.in_flight += 1
+        visit.queued_at_ms = now if visit.remark == "hit" else math.inf
+        copies.waiting_calls.append(visit)
+        self._start_ready_calls(now, copies)
         return True
 
-    def _admit(self, now: float, function: int, copies: _Copies) -> str:
-        out = copies.busy + len(copies.waiting)
-        if out < copies.ready * self.lanes:
+    def _admit(self, now: float, function: int, copies: _FunctionInstances) -> str:
+        out = copies.busy_slots + len(copies.waiting_calls)
+        if out < copies.ready * self.concurrency:
             return "hit"
-        if out < (copies.ready + copies.loading) * self.lanes:
+        if out < (copies.ready + copies.loading) * self.concurrency:
             return "pending"
-        took = self.store.begin() if self._room(now) else None
+        took = self.store.start_load() if self._make_room(now) else None
         if took is None:
             return "pending" if copies.ready + copies.loading else "spawn_failed"
         if not copies.ready + copies.loading:
-            self.placed.append((now, function))
+            self.placements.append((now, function))
         copies.loading += 1
-        self.total += 1
-        self._push(now + took * self.slow, function, None)
+        self.instance_count += 1
+        self._schedule(now + took * self.slowdown, function, None)
         return "spawn"
 
-    def _room(self, now: float) -> bool:
+    def _make_room(self, now: float) -> bool:
         """Room for one more copy, made by unloading what was used least lately where need be."""
-        if self.total < self.slots:
+        if self.instance_count < self.max_instances:
             return True
-        idle = [one for one in self.copies.values() if one.ready and not one.busy and not one.waiting]
+        idle = [
+            one
+            for one in self.instances_by_function.values()
+            if one.ready and not one.busy_slots and not one.waiting_calls
+        ]
         if not idle:
             return False
-        min(idle, key=lambda one: one.used).ready -= 1
-        self.total -= 1
+        min(idle, key=lambda one: one.last_used_at_ms).ready -= 1
+        self.instance_count -= 1
         return True
 
-    def _push(self, at: float, function: int, visit: Visit | None) -> None:
-        self.serial += 1
-        heapq.heappush(self.agenda, (at, self.serial, function, visit))
+    def _schedule(self, at: float, function: int, visit: WorkerCall | None) -> None:
+        self.timer_serial += 1
+        heapq.heappush(self.timer_queue, (at, self.timer_serial, function, visit))
 
-    def _run(self, now: float, copies: _Copies) -> None:
+    def _start_ready_calls(self, now: float, copies: _FunctionInstances) -> None:
         """Give out the lanes of one function that have become free, then the cores."""
-        while copies.waiting and copies.busy < copies.ready * self.lanes:
-            copies.busy += 1
-            copies.used = now
-            visit = copies.waiting.popleft()
-            visit.waits = min(visit.waits, now)
-            self.queue.append(visit)
-        while self.queue and self.running < self.cores:
-            visit = self.queue.popleft()
-            visit.began = now
-            self.running += 1
-            self._push(now + visit.need * self.slow, visit.function, visit)
-
-    def advance(self, now: float) -> list[Visit]:
+        while copies.waiting_calls and copies.busy_slots < copies.ready * self.concurrency:
+            copies.busy_slots += 1
+            copies.last_used_at_ms = now
+            visit = copies.waiting_calls.popleft()
+            visit.queued_at_ms = min(visit.queued_at_ms, now)
+            self.core_queue.append(visit)
+        while self.core_queue and self.running_count < self.cores:
+            visit = self.core_queue.popleft()
+            visit.started_at_ms = now
+            self.running_count += 1
+            self._schedule(now + visit.service_ms * self.slowdown, visit.function, visit)
+
+    def advance(self, now: float) -> list[WorkerCall]:
         """What has ended by now, in order."""
-        done: list[Visit] = []
-        while self.agenda and self.agenda[0][0] <= now:
-            at, _, function, visit = heapq.heappop(self.agenda)
-            copies = self.copies[function]
+        done: list[WorkerCall] = []
+        while self.timer_queue and self.timer_queue[0][0] <= now:
+            at, _, function, visit = heapq.heappop(self.timer_queue)
+            copies = self.instances_by_function[function]
             if visit is None:
                 copies.loading -= 1
                 copies.ready += 1
-                copies.used = at
-                self.store.out -= 1
+                copies.last_used_at_ms = at
+                self.store.loads_in_flight -= 1
             else:
-                copies.busy -= 1
-                copies.used = at
-                self.running -= 1
-                self.held -= 1
-                visit.ended = at
+                copies.busy_slots -= 1
+                copies.last_used_at_ms = at
+                self.running_count -= 1
+                self.in_flight -= 1
+                visit.ended_at_ms = at
                 done.append(visit)
-            self._run(at, copies)
+            self._start_ready_calls(at, copies)
         return done
 
-    def die(self, now: float) -> list[Visit]:
+    def crash(self, now: float) -> list[WorkerCall]:
         """It ends with all it holds, and is empty: the visits that never ended."""
-        lost = [visit for *_, visit in self.agenda if visit is not None]
-        lost += [*self.queue, *(visit for one in self.copies.values() for visit in one.waiting)]
-        self.store.out -= sum(one.loading for one in self.copies.values())
+        lost = [visit for *_, visit in self.timer_queue if visit is not None]
+        lost += [
+            *self.core_queue,
+            *(visit for one in self.instances_by_function.values() for visit in one.waiting_calls),
+        ]
+        self.store.loads_in_flight -= sum(one.loading for one in self.instances_by_function.values())
         for visit in lost:
-            visit.ended = now
-        self.copies.clear()
-        self.agenda.clear()
-        self.queue.clear()
-        self.running = self.held = self.total = 0
+            visit.ended_at_ms = now
+        self.instances_by_function.clear()
+        self.timer_queue.clear()
+        self.core_queue.clear()
+        self.running_count = self.in_flight = self.instance_count = 0
         return lost
--- a/cedarthread/testing/fakes/worker_server.py
+++ b/cedarthread/testing/fakes/worker_server.py
@@ -9,56 +9,56 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from cedarthread.testing.fakes.worker_model import Runner, Visit
+from cedarthread.testing.fakes.worker_model import WorkerCall, WorkerModel
 
-Passes = Callable[[str, bool, Callable[[], None]], None]  # a call's name, to the runner?, what is done then
-Seen = Callable[[Visit], None]
-GivenUp = Callable[[str, int], None]
+Deliver = Callable[[str, bool, Callable[[], None]], None]  # a call's name, to the runner?, what is done then
+OnWorkerCall = Callable[[WorkerCall], None]
+OnCallId = Callable[[str, int], None]
 
 
 class _Connection(asyncio.Protocol):
     """One router's connection."""
 
-    def __init__(self, server: RunnerServer) -> None:
-        self.server, self.held = server, b""
+    def __init__(self, server: FakeWorkerServer) -> None:
+        self.server, self.buffer = server, b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.server.connections.add(self)
-        self.server.accepted.append(self.server.clock())
+        self.server.accepted_at_ms.append(self.server.clock())
 
     def data_received(self, data: bytes) -> None:
-        *lines, self.held = (self.held + data).split(b"\n")
+        *lines, self.buffer = (self.buffer + data).split(b"\n")
         for line in lines:
-            self.server.line(self, line)
+            self.server.on_line(self, line)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.server.lost(self)
+        self.server.connection_lost(self)
 
 
-class RunnerServer:
+class FakeWorkerServer:
     """Serves one runner. ``passes`` is the network; ``handed`` tells of each call that a router let go of,
     which the network may still hold, ``came`` and ``went`` of each visit."""
 
     def __init__(
         self,
-        model: Runner,
+        model: WorkerModel,
         clock: Callable[[], float],
-        passes: Passes,
-        handed: GivenUp,
-        came: Seen,
-        went: Seen,
-        gave_up: GivenUp,
+        passes: Deliver,
+        handed: OnCallId,
+        came: OnWorkerCall,
+        went: OnWorkerCall,
+        gave_up: OnCallId,
     ) -> None:
-        self.model, self.clock, self.passes = model, clock, passes
-        self.handed, self.came, self.went, self.gave_up = handed, came, went, gave_up
+        self.model, self.clock, self.deliver = model, clock, passes
+        self.on_sent, self.on_arrived, self.on_ended, self.on_cancelled = handed, came, went, gave_up
         self.port = 0
-        self.silent = False
+        self.is_silent = False
         self._server: asyncio.Server | None = None
-        self._connections: dict[str, _Connection] = {}  # by call
+        self._connection_by_call: dict[str, _Connection] = {}  # by call
         self.connections: set[_Connection] = set()
-        self.accepted: list[float] = []  # when connections came
-        self.late: list[float] = []  # ms by which it looked late at what was due
+        self.accepted_at_ms: list[float] = []  # when connections came
+        self.timer_lags_ms: list[float] = []  # ms by which it looked late at what was due
         self._timer: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
@@ -69,60 +69,62 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def lost(self, connection: _Connection) -> None:
+    def connection_lost(self, connection: _Connection) -> None:
         """A router closed it: it waits for nothing there any more."""
         self.connections.discard(connection)
-        for name in [name for name, at in self._connections.items() if at is connection]:
-            self.gave_up(name, self.model.number)
+        for name in [name for name, at in self._connection_by_call.items() if at is connection]:
+            self.on_cancelled(name, self.model.number)
 
-    def line(self, connection: _Connection, line: bytes) -> None:
+    def on_line(self, connection: _Connection, line: bytes) -> None:
         """A whole line came."""
         message = json.loads(line)
         if message["op"] == "CANCEL":
-            self.gave_up(message["id"], self.model.number)
-        elif message["op"] == "CALL" and not self.silent:
-            self._connections[message["id"]] = connection
-            self.handed(message["id"], self.model.number)
-            self.passes(message["id"], True, lambda: self._call(message, connection))
+            self.on_cancelled(message["id"], self.model.number)
+        elif message["op"] == "CALL" and not self.is_silent:
+            self._connection_by_call[message["id"]] = connection
+            self.on_sent(message["id"], self.model.number)
+            self.deliver(message["id"], True, lambda: self._on_call(message, connection))
 
-    def _call(self, message: dict[str, Any], connection: _Connection) -> None:
+    def _on_call(self, message: dict[str, Any], connection: _Connection) -> None:
         if connection not in self.connections:
             return
         now, body = self.clock(), base64.b64decode(message["body"])
-        self._ended(self.model.advance(now))
-        visit = Visit(message["id"], self.model.number, int(message["fields"]["thing"], 16), now, float(body))
-        self.came(visit)
-        if not self.model.arrive(now, visit):
-            self._ended([visit])
-        self._look()
-
-    def _look(self) -> None:
+        self._answer_all(self.model.advance(now))
+        visit = WorkerCall(
+            message["id"], self.model.number, int(message["fields"]["thing"], 16), now, float(body)
+        )
+        self.on_arrived(visit)
+        if not self.model.on_call(now, visit):
+            self._answer_all([visit])
+        self._set_timer()
+
+    def _set_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if (due := self.model.due()) < math.inf:
+        if (due := self.model.next_event_at_ms()) < math.inf:
             wait = max(0.0, due - self.clock()) / 1000.0
-            self._timer = asyncio.get_running_loop().call_later(wait, self._due)
+            self._timer = asyncio.get_running_loop().call_later(wait, self._on_timer)
 
-    def _due(self) -> None:
+    def _on_timer(self) -> None:
         self._timer = None
-        self.late.append(self.clock() - self.model.due())
-        self._ended(self.model.advance(self.clock()))
-        self._look()
+        self.timer_lags_ms.append(self.clock() - self.model.next_event_at_ms())
+        self._answer_all(self.model.advance(self.clock()))
+        self._set_timer()
 
-    def _ended(self, visits: list[Visit]) -> None:
+    def _answer_all(self, visits: list[WorkerCall]) -> None:
         for visit in visits:
-            connection = self._connections.pop(visit.name, None)
-            self.went(visit)
-            if connection is not None and not self.silent:
-                answer = _answer(visit, self.model.held)
-                self.passes(visit.name, False, lambda w=connection, a=answer: self._write(w, a))  # type: ignore[misc]
+            connection = self._connection_by_call.pop(visit.call_id, None)
+            self.on_ended(visit)
+            if connection is not None and not self.is_silent:
+                answer = _answer(visit, self.model.in_flight)
+                self.deliver(visit.call_id, False, lambda w=connection, a=answer: self._write(w, a))  # type: ignore[misc]
 
     def _write(self, connection: _Connection, answer: bytes) -> None:
         if connection in self.connections:
             connection.transport.write(answer)
 
-    def die(self) -> None:
+    def crash(self) -> None:
         """End at once: connections break, all that it held is lost."""
         if self._server is not None:
             self._server.close()
@@ -130,20 +132,20 @@
         for connection in list(self.connections):
             connection.transport.abort()
         self.connections.clear()
-        for visit in self.model.die(self.clock()):
-            visit.note = "lost"
-            self._connections.pop(visit.name, None)
-            self.went(visit)
-        self._look()
+        for visit in self.model.crash(self.clock()):
+            visit.remark = "lost"
+            self._connection_by_call.pop(visit.call_id, None)
+            self.on_ended(visit)
+        self._set_timer()
 
 
-def _answer(visit: Visit, held: int) -> bytes:
-    op = {"shed": "SHED", "spawn_failed": "FAULT"}.get(visit.note, "HIT")
-    fields = {"remark": visit.note, "report": f"inflight:{held};x1:0"}
-    body = base64.b64encode(made(visit.name)).decode() if op == "HIT" else ""
-    return json.dumps({"op": op, "id": visit.name, "fields": fields, "body": body}).encode() + b"\n"
+def _answer(visit: WorkerCall, held: int) -> bytes:
+    op = {"shed": "SHED", "spawn_failed": "FAULT"}.get(visit.remark, "HIT")
+    fields = {"remark": visit.remark, "report": f"inflight:{held};x1:0"}
+    body = base64.b64encode(response_body(visit.call_id)).decode() if op == "HIT" else ""
+    return json.dumps({"op": op, "id": visit.call_id, "fields": fields, "body": body}).encode() + b"\n"
 
 
-def made(name: str) -> bytes:
+def response_body(name: str) -> bytes:
     """The body that a runner makes for a call."""
     return b"made for " + name.encode()
--- a/cedarthread/testing/fuzzing/call_machine.py
+++ b/cedarthread/testing/fuzzing/call_machine.py
@@ -24,18 +24,18 @@
 from cedarthread.protocols.workers import WorkerConnections
 from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fuzzing import settings as drawn_settings
-from cedarthread.testing.fuzzing.invoke_caller import Caller
-from cedarthread.testing.fuzzing.memory_peers import Client, Held, Worker
-from cedarthread.testing.fuzzing.target import Dice, Finding, Target
-from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop, play
-from cedarthread.testing.invariants import Figures, Ledger, Terms
+from cedarthread.testing.fuzzing.invoke_caller import InvokeCaller
+from cedarthread.testing.fuzzing.memory_peers import HeldRequest, MemoryClient, MemoryWorker
+from cedarthread.testing.fuzzing.target import Finding, FuzzedDataProvider, Target
+from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop, run_virtual
+from cedarthread.testing.invariants import CallGuarantees, InvariantChecker, InvariantLimits
 from cedarthread.transport.flusher import Flusher
 
-OWNERS = ("spiffe://gaz.example/desk/a", "spiffe://gaz.example/desk/b")
+CALLER_IDENTITIES = ("spiffe://gaz.example/desk/a", "spiffe://gaz.example/desk/b")
 FUNCTIONS = ("00000000000000a1", "00000000000000b2", "00000000000000c3")
-WORKERS, CLIENTS = 4, 3
-PAUSES = (0.0, 1.0, 5.0, 12.0, 40.0, 60.0, 250.0, 600.0, 1500.0, 3000.0)
-LONGEST = 5000.0
+WORKER_COUNT, CLIENT_COUNT = 4, 3
+PAUSES_MS = (0.0, 1.0, 5.0, 12.0, 40.0, 60.0, 250.0, 600.0, 1500.0, 3000.0)
+MAX_DEADLINE_MS = 5000.0
 STEPS: tuple[str, ...] = (
     *("call",) * 6,
     *("answer",) * 5,
@@ -45,36 +45,47 @@
 )
 STEPS += (*("news",) * 2, *("caller",) * 3, "burst", "answer_all", "interrupt", "client_goes", "spoilt")
 STEPS += ("stall", "end")
-READS = {"call": 6, "answer": 5, "caller": 4, "news": 3, "end": 0}  # bytes that a step reads, one if not here
+STEP_INPUT_BYTES = {
+    "call": 6,
+    "answer": 5,
+    "caller": 4,
+    "news": 3,
+    "end": 0,
+}  # bytes that a step reads, one if not here
 # What a drawn script is mostly about; a step's further bytes are drawn but for those that stand here.
 THEMES: tuple[tuple[tuple[str, bytes], ...], ...] = (
-    (*(("trouble", bytes((w, case))) for w in range(WORKERS) for case in (3, 4)), *(("burst", b""),) * 5),
+    (
+        *(("trouble", bytes((w, case))) for w in range(WORKER_COUNT) for case in (3, 4)),
+        *(("burst", b""),) * 5,
+    ),
     (("caller", b""), ("caller", b""), ("pause", b""), ("answer", b""), ("end", b""), ("call", b"")),
     (("news", b""), ("call", b""), ("answer", b""), ("pause", b""), ("trouble", b"")),
     (
-        *(("trouble", bytes((w, 3))) for w in range(WORKERS)),
+        *(("trouble", bytes((w, 3))) for w in range(WORKER_COUNT)),
         *(("burst", b""), ("pause", b"")) * 4,
         ("call", b""),
     ),
 )
 
 
-def terms(top: dict[str, Any], klass: int) -> Terms:
+def call_guarantees(top: dict[str, Any], klass: int) -> CallGuarantees:
     """A class's promises, from the settings as the operators write them."""
     told = top["classes"][klass]
-    return Terms(told["effect"], told.get("group", "all"), float(told.get("repeat-window", 0)) + 50.0)
+    return CallGuarantees(
+        told["effect"], told.get("group", "all"), float(told.get("repeat-window", 0)) + 50.0
+    )
 
 
-def figures(top: dict[str, Any], stall: float) -> Figures:
+def invariant_limits(top: dict[str, Any], stall: float) -> InvariantLimits:
     """The ledger's figures; a stall of the whole process excuses so many ms."""
     special, rules = top["specifics"], top["obligations"]
-    return Figures(
-        attempts=top["limits"]["send-cap"],
-        slack=rules["answer-slack"] + 50.0 + stall,
-        drain=rules["stop-sending-within"] + 50.0 + stall,
-        order_window=special.get("load-window", 0),
-        order_free=special.get("loads-anyway", 0),
-        order_share=special.get("load-share", 0),
+    return InvariantLimits(
+        max_attempts=top["limits"]["send-cap"],
+        answer_slack_ms=rules["answer-slack"] + 50.0 + stall,
+        drain_slack_ms=rules["stop-sending-within"] + 50.0 + stall,
+        preload_window_ms=special.get("load-window", 0),
+        preload_allowance=special.get("loads-anyway", 0),
+        preload_share=special.get("load-share", 0),
     )
 
 
@@ -94,177 +105,194 @@
         return True
 
 
-class World:
+class RouterWorld:
     """One router with all its peers."""
 
-    def __init__(self, loop: VirtualLoop, dice: Dice) -> None:
-        self.loop, self.dice = loop, dice
-        mode = dice.byte()
-        self.top = drawn_settings.settings(miss=bool(mode & 1), cancel=not mode & 2)
-        stall = float(dice.byte() % 4) * 100.0 * bool(mode & 4)
-        self.stall, self.now = stall, loop.unix_ms
-        self.ledger = Ledger(figures(self.top, stall))
-        settings = settings_from_object(self.top)
-        self.planner = Dispatcher(settings, mode, clock=loop.unix_ms)
+    def __init__(self, loop: VirtualLoop, dice: FuzzedDataProvider) -> None:
+        self.loop, self.choices = loop, dice
+        mode = dice.consume_byte()
+        self.raw_settings = drawn_settings.settings(
+            preloads_on_miss=bool(mode & 1), supports_cancel=not mode & 2
+        )
+        stall = float(dice.consume_byte() % 4) * 100.0 * bool(mode & 4)
+        self.stall_ms, self.now_ms = stall, loop.unix_ms
+        self.checker = InvariantChecker(invariant_limits(self.raw_settings, stall))
+        settings = settings_from_object(self.raw_settings)
+        self.dispatcher = Dispatcher(settings, mode, clock=loop.unix_ms)
         self.flusher = Flusher()
-        self.planner.flush_output = self.flusher.flush_all
-        self.runners = WorkerConnections(settings, self.planner, 6 if mode & 8 else 40, self.flusher)
-        self.planner.connect_workers(self.runners)
-        self.platform = PlatformServer(self.planner, 8, self.flusher, 2**16)
+        self.dispatcher.flush_output = self.flusher.flush_all
+        self.worker_connections = WorkerConnections(
+            settings, self.dispatcher, 6 if mode & 8 else 40, self.flusher
+        )
+        self.dispatcher.connect_workers(self.worker_connections)
+        self.platform = PlatformServer(self.dispatcher, 8, self.flusher, 2**16)
         nowhere = Path("nowhere")
         allow = ("spiffe://gaz.example/desk/*",)
         config = InvokeConfig(nowhere, "", 0, "gaz.example", nowhere, nowhere, nowhere, allow, 8)
-        self.invoke = InvokeServer(self.planner, config, self.flusher, loop.time)
-        self.roster = EndpointList(settings)
-        self.asked: set[str] = set()
-        self.workers = [Worker(n, loop, self.ledger, self.asked) for n in range(1, WORKERS + 1)]
-        self.clients: list[Client] = []  # all there ever were
-        self.current: dict[int, Client] = {}
-        self.callers: list[Caller] = []
-        self.listed: dict[int, EndpointRecord] = {}
-        self.old_news: list[list[EndpointRecord]] = []
-        self.serial = self.count = 0
-        self.ending = False
+        self.invoke = InvokeServer(self.dispatcher, config, self.flusher, loop.time)
+        self.endpoint_list = EndpointList(settings)
+        self.called_functions: set[str] = set()
+        self.workers = [
+            MemoryWorker(n, loop, self.checker, self.called_functions) for n in range(1, WORKER_COUNT + 1)
+        ]
+        self.clients: list[MemoryClient] = []  # all there ever were
+        self.current: dict[int, MemoryClient] = {}
+        self.invoke_callers: list[InvokeCaller] = []
+        self.listed_workers: dict[int, EndpointRecord] = {}
+        self.published_lists: list[list[EndpointRecord]] = []
+        self.list_version = self.call_count = 0
+        self.is_shutting_down = False
         loop.dial = self._dial
         if mode & 16:
             shaky = random.Random(mode)
             loop.jitter = lambda: shaky.random() * 0.015
         for worker in self.workers:
-            self._list(worker, EndpointState.READY)
-        self._tell()
+            self._set_listing(worker, EndpointState.READY)
+        self._publish_list()
 
     def _dial(self, factory: Any, host: str, port: int) -> MemoryTransport:
         return self.workers[port - 1].connect()
 
     # The news.
 
-    def _list(self, worker: Worker, state: EndpointState) -> None:
+    def _set_listing(self, worker: MemoryWorker, state: EndpointState) -> None:
         room, cell = f"room-{'ab'[worker.number % 2]}", worker.number // 2
         weight = 1.0
-        self.listed[worker.number] = EndpointRecord(
-            worker.name, "10.0.0.1", worker.number, room, "std", cell, state, weight, worker.started
+        self.listed_workers[worker.number] = EndpointRecord(
+            worker.name, "10.0.0.1", worker.number, room, "std", cell, state, weight, worker.started_at_ms
         )
 
-    def _tell(self) -> None:
+    def _publish_list(self) -> None:
         """The whole list, as it is now."""
-        self.serial += 1
-        told = list(self.listed.values())
-        self.old_news.append(told)
-        self._news(self.serial, told)
+        self.list_version += 1
+        told = list(self.listed_workers.values())
+        self.published_lists.append(told)
+        self._deliver_list(self.list_version, told)
 
-    def _news(self, serial: int, told: list[EndpointRecord]) -> None:
-        if serial > self.roster.version:
+    def _deliver_list(self, serial: int, told: list[EndpointRecord]) -> None:
+        if serial > self.endpoint_list.version:
             named = {listing.name for listing in told}
             for listing in told:
-                zone = self.top["localities"].index(listing.zone)
-                self.ledger.told(self.now(), listing.port, listing.state.value, zone, listing.cell)
+                zone = self.raw_settings["localities"].index(listing.zone)
+                self.checker.on_worker_state(
+                    self.now_ms(), listing.port, listing.state.value, zone, listing.cell
+                )
             for worker in self.workers:
                 if worker.name not in named:
-                    self.ledger.told(self.now(), worker.number, "gone")
-        event = self.roster.apply_update(serial, told, True)
+                    self.checker.on_worker_state(self.now_ms(), worker.number, "gone")
+        event = self.endpoint_list.apply_update(serial, told, True)
         if event is not None:
-            self.runners.update_endpoints(self.roster.by_worker_id())
-            self.planner.endpoints_changed(event)
+            self.worker_connections.update_endpoints(self.endpoint_list.by_worker_id())
+            self.dispatcher.endpoints_changed(event)
 
     # Steps of the script.
 
-    def client(self) -> Client:
+    def client(self) -> MemoryClient:
         """One of the clients, connected."""
-        at = self.dice.byte() % CLIENTS
+        at = self.choices.consume_byte() % CLIENT_COUNT
         client = self.current.get(at)
-        if client is None or not client.up or client.spent or client.transport.sent_eof:
-            client = self.current[at] = Client(self.loop, self.ledger, _Connection(self.platform))
+        if client is None or not client.is_open or client.is_write_closed or client.transport.sent_eof:
+            client = self.current[at] = MemoryClient(self.loop, self.checker, _Connection(self.platform))
             self.clients.append(client)
         return client
 
-    def _key(self) -> str:
-        self.count += 1
-        return f"c{self.count}"
+    def next_call_key(self) -> str:
+        """A key that no other call of the run has."""
+        self.call_count += 1
+        return f"c{self.call_count}"
 
     def step_call(self) -> None:
         """A client calls, perhaps with the message cut in two."""
-        client, klass = self.client(), self.dice.byte() % len(self.top["classes"])
-        limit = self.dice.pick((5000, 2000, 400, 150, 60))
-        function = self.dice.pick(FUNCTIONS)
-        self.asked.add(function)
-        key, more = self._key(), {}
-        if self.top["classes"][klass]["effect"] == "dedup":
+        client, klass = self.client(), self.choices.consume_byte() % len(self.raw_settings["classes"])
+        limit = self.choices.pick((5000, 2000, 400, 150, 60))
+        function = self.choices.pick(FUNCTIONS)
+        self.called_functions.add(function)
+        key, more = self.next_call_key(), {}
+        if self.raw_settings["classes"][klass]["effect"] == "dedup":
             more["unique"] = f"u{key}"
-        if self.dice.byte() & 1:
+        if self.choices.consume_byte() & 1:
             more["second"] = "1"
-        name = self.top["classes"][klass]["name"]
-        data = client.call(key, name, function, limit, terms(self.top, klass), **more)
-        cut = self.dice.byte() % 8
+        name = self.raw_settings["classes"][klass]["name"]
+        data = client.encode_call(
+            key, name, function, limit, call_guarantees(self.raw_settings, klass), **more
+        )
+        cut = self.choices.consume_byte() % 8
         for part in (data[: 7 * cut], data[7 * cut :]):
-            client.transport.send(part)
+            client.transport.peer_send(part)
 
     def step_burst(self) -> None:
         """Many calls at once."""
-        for _ in range(2 + self.dice.byte() % 12):
+        for _ in range(2 + self.choices.consume_byte() % 12):
             client = self.client()
-            klass = self.dice.pick((0, 0, 2, 1))
-            key, function = self._key(), self.dice.pick(FUNCTIONS)
-            self.asked.add(function)
+            klass = self.choices.pick((0, 0, 2, 1))
+            key, function = self.next_call_key(), self.choices.pick(FUNCTIONS)
+            self.called_functions.add(function)
             more = {"unique": key} if klass == 1 else {}
-            name = self.top["classes"][klass]["name"]
-            client.transport.send(client.call(key, name, function, 3000, terms(self.top, klass), **more))
+            name = self.raw_settings["classes"][klass]["name"]
+            client.transport.peer_send(
+                client.encode_call(
+                    key, name, function, 3000, call_guarantees(self.raw_settings, klass), **more
+                )
+            )
 
     def step_interrupt(self) -> None:
         """A client stops waiting, perhaps for a call that has its answer."""
         client = self.client()
-        if client.open:
-            client.transport.send(client.interrupt(self.dice.pick(list(client.open))))
+        if client.pending_calls:
+            client.transport.peer_send(client.encode_interrupt(self.choices.pick(list(client.pending_calls))))
 
     def step_client_goes(self) -> None:
         """A client hangs up, stops writing, reads no more or sends what makes no sense."""
         client = self.client()
-        match self.dice.byte() % 5:
+        match self.choices.consume_byte() % 5:
             case 0:
-                client.hang_up()
+                client.disconnect()
             case 1:
                 client.stop_writing()
             case 2:
-                client.slow = True
-                client.transport.room = 0
-                for key in client.open.values():
-                    self.ledger.left(self.now(), key)
+                client.is_reading_paused = True
+                client.transport.peer_window_bytes = 0
+                for key in client.pending_calls.values():
+                    self.checker.on_call_abandoned(self.now_ms(), key)
             case 3:
-                client.transport.take(None)
+                client.transport.peer_accept(None)
             case _:
-                client.spent = True
-                client.transport.send(self.dice.pick((b"\xc1", b"\x94\x00\xff", b"\x91" * 40, b"\x00" * 90)))
+                client.is_write_closed = True
+                client.transport.peer_send(
+                    self.choices.pick((b"\xc1", b"\x94\x00\xff", b"\x91" * 40, b"\x00" * 90))
+                )
 
-    def _held(self) -> tuple[Worker, Held] | None:
-        every = [(worker, held) for worker in self.workers for held in worker.held()]
-        return self.dice.pick(every) if every else None
+    def _pick_held_request(self) -> tuple[MemoryWorker, HeldRequest] | None:
+        every = [(worker, held) for worker in self.workers for held in worker.held_requests()]
+        return self.choices.pick(every) if every else None
 
     def step_answer(self) -> None:
         """A worker answers what it holds, once or twice."""
-        if (found := self._held()) is None:
+        if (found := self._pick_held_request()) is None:
             return
         worker, held = found
-        op = self.dice.pick(("HIT", "HIT", "HIT", "NONE", "SHED", "FAULT", "LATE"))
-        if held.tried is None:
+        op = self.choices.pick(("HIT", "HIT", "HIT", "NONE", "SHED", "FAULT", "LATE"))
+        if held.attempt is None:
             op = {"NONE": "FAULT", "LATE": "SHED"}.get(op, op)
             fields: dict[str, Any] = {"pods": 1 if op == "HIT" else 0}
         else:
-            remark = self.dice.pick(("hit", "spawn", "pending", "spawn_failed", "odd"))
-            fields = {"remark": remark, "depth": self.dice.byte() % 9, "report": "inflight:1;x1:0"}
-        worker.answer(held, op, fields, twice=self.dice.byte() % 4 == 3)
+            remark = self.choices.pick(("hit", "spawn", "pending", "spawn_failed", "odd"))
+            fields = {"remark": remark, "depth": self.choices.consume_byte() % 9, "report": "inflight:1;x1:0"}
+        worker.answer(held, op, fields, twice=self.choices.consume_byte() % 4 == 3)
 
     def step_answer_all(self) -> None:
         """The workers answer all that they hold."""
         for worker in self.workers:
-            for held in worker.held():
-                fields = {"pods": 1} if held.tried is None else {"remark": "hit"}
-                if held.link.up:
+            for held in worker.held_requests():
+                fields = {"pods": 1} if held.attempt is None else {"remark": "hit"}
+                if held.link.is_open:
                     worker.answer(held, "HIT", fields)
 
     def step_spoilt(self) -> None:
         """A worker says what is no answer, or half of one."""
-        if (found := self._held()) is not None:
+        if (found := self._pick_held_request()) is not None:
             _, held = found
-            name = held.name
+            name = held.message_id
             lines = (
                 b'{"op":"HIT","id":"%s","fields":{},"body":"%%%%"}\n' % name.encode(),
                 b'{"op":"HIT","id":"%s"}\n' % name.encode(),
@@ -275,62 +303,64 @@
                 b'{"op":["HIT"],"id":"%s","fields":[]}\n' % name.encode(),
                 b'{"id":7}\n',
             )
-            held.link.transport.send(self.dice.pick(lines))
+            held.link.transport.peer_send(self.choices.pick(lines))
 
     def step_trouble(self) -> None:
         """A worker breaks, dies, hangs, reads slowly, or is well again."""
-        worker = self.dice.pick(self.workers)
-        match self.dice.byte() % 8:
+        worker = self.choices.pick(self.workers)
+        match self.choices.consume_byte() % 8:
             case 0:
-                worker.reset()
+                worker.reset_connections()
             case 1:
-                worker.refuses = True
-                worker.reset()
+                worker.refuses_connections = True
+                worker.reset_connections()
             case 2:
-                worker.hangs = True
+                worker.hangs_connections = True
             case 3:
-                worker.room = self.dice.byte() * 2
+                worker.window_bytes = self.choices.consume_byte() * 2
                 for link in worker.links:  # the line at which it stops is taken in part
-                    link.transport.room = worker.room
+                    link.transport.peer_window_bytes = worker.window_bytes
             case 4:
-                more = self.dice.byte()
+                more = self.choices.consume_byte()
                 for link in worker.links:
-                    link.transport.take(more)
+                    link.transport.peer_accept(more)
             case 5 if worker.links:
-                link = self.dice.pick(worker.links)
-                link.transport.hang_up()
+                link = self.choices.pick(worker.links)
+                link.transport.peer_reset()
             case _:
-                worker.refuses = worker.hangs = False
-                worker.flow()
+                worker.refuses_connections = worker.hangs_connections = False
+                worker.resume_reading()
 
     def step_news(self) -> None:
         """The list changes, and is told now, late, twice or out of order."""
-        worker = self.dice.pick(self.workers)
-        match self.dice.byte() % 6:
+        worker = self.choices.pick(self.workers)
+        match self.choices.consume_byte() % 6:
             case 0:
-                self._list(worker, EndpointState.DRAINING)
+                self._set_listing(worker, EndpointState.DRAINING)
             case 1:
-                self.listed.pop(worker.number, None)
+                self.listed_workers.pop(worker.number, None)
             case 2:
-                worker.started = self.now()
-                worker.reset()
-                worker.refuses = worker.hangs = False
-                self._list(worker, EndpointState.READY)
+                worker.started_at_ms = self.now_ms()
+                worker.reset_connections()
+                worker.refuses_connections = worker.hangs_connections = False
+                self._set_listing(worker, EndpointState.READY)
             case 3:
-                back = self.dice.byte() % len(self.old_news)
-                return self._news(
-                    self.serial - back, self.old_news[-1 - back]
+                back = self.choices.consume_byte() % len(self.published_lists)
+                return self._deliver_list(
+                    self.list_version - back, self.published_lists[-1 - back]
                 )  # overtaken: counts for nothing
             case 4:
-                return self.planner.endpoints_changed(EndpointUpdate(EndpointUpdateKind.FAILED, self.serial))
+                return self.dispatcher.endpoints_changed(
+                    EndpointUpdate(EndpointUpdateKind.FAILED, self.list_version)
+                )
             case _:
-                self._list(worker, EndpointState.READY)
-        if self.dice.byte() & 1:
-            self._tell()
+                self._set_listing(worker, EndpointState.READY)
+        if self.choices.consume_byte() & 1:
+            self._publish_list()
 
     async def step_pause(self) -> None:
         """Time passes."""
-        await self.wait(self.dice.pick(PAUSES))
+        await self.advance(self.choices.pick(PAUSES_MS))
 
     async def step_breathe(self) -> None:
         """All that is ready runs."""
@@ -339,23 +369,23 @@
 
     def step_stall(self) -> None:
         """The whole process stands still."""
-        if self.stall:
-            self.loop._now += self.stall / 1000.0
-            self.stall = 0.0
+        if self.stall_ms:
+            self.loop._now += self.stall_ms / 1000.0
+            self.stall_ms = 0.0
 
     def step_end(self) -> None:
         """SIGTERM, once, late in the script."""
-        if not self.ending and self.dice.at > len(self.dice.data) // 2:
-            self.ending = True
+        if not self.is_shutting_down and self.choices.position > len(self.choices.data) // 2:
+            self.is_shutting_down = True
             self.platform.is_ready = self.invoke.is_ready = False
-            self.planner.complete_all_by(self.now() + LONGEST + 200.0)
+            self.dispatcher.complete_all_by(self.now_ms() + MAX_DEADLINE_MS + 200.0)
 
     def step_caller(self) -> None:
         """A caller of the invoke API acts."""
-        at = self.dice.byte() % len(OWNERS)
-        while len(self.callers) <= at:
-            self.callers.append(Caller(self, OWNERS[len(self.callers)]))
-        self.callers[at].act(self.dice)
+        at = self.choices.consume_byte() % len(CALLER_IDENTITIES)
+        while len(self.invoke_callers) <= at:
+            self.invoke_callers.append(InvokeCaller(self, CALLER_IDENTITIES[len(self.invoke_callers)]))
+        self.invoke_callers[at].act(self.choices)
 
     def invoke_connection(self, owner: str) -> InvokeConnection:
         """A new connection of a caller whose certificate has been checked."""
@@ -368,10 +398,10 @@
     def sweep(self) -> None:
         """What the service does four times a second."""
         self.platform.sweep(self.loop.time())
-        self.runners.sweep(self.loop.time())
+        self.worker_connections.sweep(self.loop.time())
         self.invoke.sweep(self.loop.time())
 
-    async def wait(self, ms: float) -> None:
+    async def advance(self, ms: float) -> None:
         """Let so much time pass."""
         while ms > 0:
             part = min(ms, 250.0)
@@ -383,33 +413,35 @@
     async def finish(self) -> None:
         """Let every deadline pass, and look at what is left."""
         for client in self.clients:
-            client.transport.take(None)
-        await self.wait(LONGEST + 500.0)
+            client.transport.peer_accept(None)
+        await self.advance(MAX_DEADLINE_MS + 500.0)
         for _ in range(4):  # requests behind each other on a connection have their time one after another
-            if self.planner.pending_calls or any(caller.up and caller.waiting for caller in self.callers):
-                await self.wait(3000.0)
+            if self.dispatcher.pending_calls or any(
+                caller.is_connected and caller.pending_requests for caller in self.invoke_callers
+            ):
+                await self.advance(3000.0)
         for _ in range(400):  # once told to end, the front closes after each response
-            if not any(caller.names or caller.waiting for caller in self.callers):
+            if not any(caller.deferred_calls or caller.pending_requests for caller in self.invoke_callers):
                 break
-            for caller in self.callers:
+            for caller in self.invoke_callers:
                 caller.collect()
-            await self.wait(50.0)
-        self.ledger.close(self.now())
+            await self.advance(50.0)
+        self.checker.check_all_answered(self.now_ms())
         for worker in self.workers:
-            worker.reset()
+            worker.reset_connections()
         for client in self.clients:
-            if client.up:
-                client.hang_up()
-        await self.wait(1000.0)
+            if client.is_open:
+                client.disconnect()
+        await self.advance(1000.0)
         await asyncio.sleep(125.0)  # the longest that an answer is kept
         self.sweep()
         await asyncio.sleep(20.0)
-        self.rests()
+        self.check_nothing_remains()
 
-    def rests(self) -> None:
+    def check_nothing_remains(self) -> None:
         """What a run took and must have given back."""
-        planner, router, now = self.planner, self.planner.router, self.now()
-        queued, carrying = self.platform.queued_bytes, self.runners._connection_by_attempt
+        planner, router, now = self.dispatcher, self.dispatcher.router, self.now_ms()
+        queued, carrying = self.platform.queued_bytes, self.worker_connections._connection_by_attempt
         for what, figure in (
             ("open calls", len(planner.pending_calls)),
             ("names", len(planner.calls.pending_ids)),
@@ -424,39 +456,43 @@
             ("kept answers", len(self.invoke.deferred_calls)),
             ("client connections", len(self.platform.connections) + len(self.platform.unproven_connections)),
         ):
-            self.ledger.rest(now, what, figure)
-        self.ledger.rest(now, "timers", self.loop.timers(), 2)  # the decisions' one, and this run's own
+            self.checker.check_remaining(now, what, figure)
+        self.checker.check_remaining(
+            now, "timers", self.loop.timer_count(), 2
+        )  # the decisions' one, and this run's own
         counts = planner.result_counts
         ends = counts["served"] + counts["refused"] + counts["failed"] + counts["left"]
-        self.ledger.rest(now, "calls counted without an end", counts["taken"] - ends)
+        self.checker.check_remaining(now, "calls counted without an end", counts["taken"] - ends)
 
     async def run(self) -> None:
         """The script, then the end."""
-        while self.dice.more() and not self.ledger.breaches:
-            done = getattr(self, f"step_{self.dice.pick(STEPS)}")()
+        while self.choices.has_more() and not self.checker.violations:
+            done = getattr(self, f"step_{self.choices.pick(STEPS)}")()
             if done is not None:
                 await done
-        if not self.ledger.breaches:
+        if not self.checker.violations:
             await self.finish()
 
 
-def run_world(data: bytes, make: Callable[[VirtualLoop, Dice], World] = World) -> World:
+def run_script(
+    data: bytes, make: Callable[[VirtualLoop, FuzzedDataProvider], RouterWorld] = RouterWorld
+) -> RouterWorld:
     """Play a script; the world as it is at the end. A breach, or a callback that failed, is a finding."""
-    kept: list[World] = []
+    kept: list[RouterWorld] = []
 
     async def work(loop: VirtualLoop) -> None:
-        kept.append(make(loop, Dice(data)))
+        kept.append(make(loop, FuzzedDataProvider(data)))
         await kept[0].run()
 
-    loop = play(work)
-    if kept[0].ledger.breaches:
-        raise Finding(str(kept[0].ledger.breaches[0]))
+    loop = run_virtual(work)
+    if kept[0].checker.violations:
+        raise Finding(str(kept[0].checker.violations[0]))
     if loop.failures:
         raise Finding(loop.failures[0])
     return kept[0]
 
 
-class CallMachine(Target):
+class CallMachineTarget(Target):
     """The whole router under scripts."""
 
     name = "calls"
@@ -473,18 +509,18 @@
         "cedarthread.protocols.worker_preloads",
         "cedarthread.protocols.workers",
     )
-    work = (400_000, 12_000)
-    memory = (4 * 2**20, 20_000)
-    runs = 150
+    line_budget = (400_000, 12_000)
+    byte_budget = (4 * 2**20, 20_000)
+    test_runs = 150
 
-    def draw(self, rng: random.Random) -> bytes:
+    def generate(self, rng: random.Random) -> bytes:
         """A script of up to 120 bytes, of all steps alike or on one theme."""
         if rng.random() < 0.35:
             return rng.randbytes(rng.choice((20, 60, 120)))
         theme, script = rng.choice(THEMES), rng.randbytes(2)
         for _ in range(rng.choice((4, 10, 20))):
             step, told = rng.choice(theme)
-            more = rng.randbytes(READS.get(step, 1))
+            more = rng.randbytes(STEP_INPUT_BYTES.get(step, 1))
             if step == "burst":
                 more = rng.randbytes(1)
                 more += rng.randbytes(3 * (2 + more[0] % 12))
@@ -493,4 +529,4 @@
 
     def check(self, data: bytes) -> None:
         """Play it."""
-        run_world(data[:400])
+        run_script(data[:400])
--- a/cedarthread/testing/fuzzing/cli.py
+++ b/cedarthread/testing/fuzzing/cli.py
@@ -43,7 +43,7 @@
 from cedarthread.testing.fuzzing import corpus, injected_defects, model_checking, targets
 from cedarthread.testing.fuzzing.target import Target, verdict
 
-FOUND = 77  # the guided run's exit code for a finding
+FINDING_EXIT_CODE = 77  # the guided run's exit code for a finding
 
 
 def main(argv: list[str]) -> int:
@@ -60,7 +60,7 @@
 
 
 def _chosen(options: dict[str, Any]) -> dict[str, Target]:
-    known = targets.named()
+    known = targets.targets_by_name()
     name = options["TARGET"]
     if name is None:
         return known
@@ -71,12 +71,12 @@
 
 def _list(options: dict[str, Any]) -> int:
     folder = Path(options["--corpus"])
-    for name, target in targets.named().items():
+    for name, target in targets.targets_by_name().items():
         kept, found = len(corpus.inputs(name, folder)), len(corpus.findings(name, folder))
         about = (type(target).__doc__ or "").splitlines()[0]
         print(f"target  {name:14} {kept:4} inputs, {found:2} of them findings  {about}")
-    for scene in model_checking.SCENES:
-        print(f"world   {scene.name:14} {scene.states} states")
+    for scene in model_checking.MODELS:
+        print(f"world   {scene.name:14} {scene.expected_states} states")
     for defect in injected_defects.DEFECTS:
         print(f"defect  {defect.name:24} to be found by {defect.target} in {defect.runs} runs")
     return 0
@@ -114,7 +114,7 @@
 
 def _found(name: str, target: Target, data: bytes, folder: Path) -> int:
     wrong = verdict(target, data, metered=True)
-    path = corpus.keep(f"{name}/findings", data, folder)
+    path = corpus.save_input(f"{name}/findings", data, folder)
     print(f"fuzz run {name}: FAILED, {path}: {wrong or 'not seen again'}")
     return 1
 
@@ -123,7 +123,7 @@
     rng, kept = random.Random(seed), [data for _, data in corpus.inputs(name, folder)]
     began, done = time.monotonic(), 0
     while done < runs and time.monotonic() - began < seconds:
-        data = target.next(rng, kept)
+        data = target.next_input(rng, kept)
         done += 1
         if verdict(target, data) is not None:
             return _found(name, target, data, folder)
@@ -146,12 +146,12 @@
                 wrongs += 1
                 tell(f"{path}: {wrong}")
         rng = random.Random(1)
-        for number in range(target.runs if draw else 0):
+        for number in range(target.test_runs if draw else 0):
             drawn += 1
-            if (wrong := verdict(target, target.next(rng, [data for _, data in kept]))) is not None:
+            if (wrong := verdict(target, target.next_input(rng, [data for _, data in kept]))) is not None:
                 wrongs += 1
                 tell(f"{name}, drawn run {number}: {wrong}")
-        tell(f"{name}: {len(kept)} inputs" + (f", {target.runs} drawn runs" if draw else ""))
+        tell(f"{name}: {len(kept)} inputs" + (f", {target.test_runs} drawn runs" if draw else ""))
     return played, drawn, wrongs
 
 
@@ -179,17 +179,21 @@
 
 
 def _explore(options: dict[str, Any]) -> int:
-    scenes = list(model_checking.named(options["WORLD"]))
+    scenes = list(model_checking.models_named(options["WORLD"]))
     if not scenes:
         raise KeyError(
-            f"no world {options['WORLD']!r}; there are {', '.join(s.name for s in model_checking.SCENES)}"
+            f"no world {options['WORLD']!r}; there are {', '.join(s.name for s in model_checking.MODELS)}"
         )
     failed = 0
     for scene in scenes:
-        found = model_checking.explore(scene, tell=lambda states: print(f"{states} states", file=sys.stderr))
+        found = model_checking.explore(
+            scene, on_progress=lambda states: print(f"{states} states", file=sys.stderr)
+        )
         wrong = found.verdict()
         failed += wrong is not None
-        print(f"{scene.name:12} {found.states:6} states, {found.paths:6} let run out: {wrong or 'ok'}")
+        print(
+            f"{scene.name:12} {found.state_count:6} states, {found.path_count:6} let run out: {wrong or 'ok'}"
+        )
     print(f"fuzz explore: {'FAILED' if failed else 'ok'}, {len(scenes)} worlds")
     return 1 if failed else 0
 
--- a/cedarthread/testing/fuzzing/coverage_report.py
+++ b/cedarthread/testing/fuzzing/coverage_report.py
@@ -20,12 +20,12 @@
     from cedarthread.testing.fuzzing import corpus, targets
     from cedarthread.testing.fuzzing.target import verdict
 
-    target = targets.named()[name]
+    target = targets.targets_by_name()[name]
     kept, rng = [data for _, data in corpus.inputs(name, Path(folder))], random.Random(1)
     for data in kept:
         verdict(target, data)
-    for _ in range(4 * target.runs):
-        verdict(target, target.next(rng, kept))
+    for _ in range(4 * target.test_runs):
+        verdict(target, target.next_input(rng, kept))
     measured.stop()
     for module in target.modules:
         figures: Any = measured._analyze(sys.modules[module].__file__ or "")
--- a/cedarthread/testing/fuzzing/guided.py
+++ b/cedarthread/testing/fuzzing/guided.py
@@ -21,7 +21,7 @@
 
 def main(name: str, options: list[str]) -> None:
     """Fuzz until the options say that it is enough."""
-    target = targets.named()[name]
+    target = targets.targets_by_name()[name]
 
     def one(data: bytes) -> None:
         if (wrong := verdict(target, data)) is not None:
@@ -36,7 +36,7 @@
         rng = random.Random(seed)
         if rng.random() < 0.4:
             return bytes(atheris.Mutate(data, most))[:most]
-        return (target.draw(rng) if rng.random() < 0.1 else target.mutate(data, rng))[:most]
+        return (target.generate(rng) if rng.random() < 0.1 else target.mutate(data, rng))[:most]
 
     atheris.Setup([sys.argv[0], *options], one, custom_mutator=mutator)
     atheris.Fuzz()
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -326,7 +326,7 @@
     metered = defect.target == "dns"  # a loop shows by its work
     with defect.planted():
         for number in range(1, defect.runs + 1):
-            data = target.next(rng, corpus)
+            data = target.next_input(rng, corpus)
             if (wrong := verdict(target, data, metered=metered)) is not None:
                 return number, wrong
             if rng.random() < 0.1:
@@ -336,7 +336,7 @@
 
 def prove(tell: Callable[[str], None], names: set[str] | None = None, seed: int = SEED) -> list[str]:
     """Plant each defect in turn; the names of those that were not found."""
-    missed, known = [], targets.named()
+    missed, known = [], targets.targets_by_name()
     for defect in DEFECTS:
         if names is not None and defect.name not in names:
             continue
--- a/cedarthread/testing/fuzzing/memory_peers.py
+++ b/cedarthread/testing/fuzzing/memory_peers.py
@@ -16,197 +16,201 @@
 from cedarthread.testing.fakes.client import answer_kind
 from cedarthread.testing.fuzzing.target import Finding
 from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop
-from cedarthread.testing.invariants import Ledger, Terms, Tried
+from cedarthread.testing.invariants import AttemptRecord, CallGuarantees, InvariantChecker
 
-PROVES_NOT_RUN = ("NONE", "SHED", "LATE")
+NOT_EXECUTED_ANSWERS = ("NONE", "SHED", "LATE")
 
 
 @dataclass(eq=False, slots=True)
-class Held:
+class HeldRequest:
     """A call, or an order to load, that a worker holds."""
 
-    name: str
-    key: str
-    link: Link
-    tried: Tried | None = None  # None: an order
+    message_id: str
+    call_key: str
+    link: WorkerLink
+    attempt: AttemptRecord | None = None  # None: an order
     function: str = ""
 
 
-class Link:
+class WorkerLink:
     """One connection to a worker, at the worker's end."""
 
-    def __init__(self, worker: Worker, transport: MemoryTransport) -> None:
+    def __init__(self, worker: MemoryWorker, transport: MemoryTransport) -> None:
         self.worker, self.transport = worker, transport
         self.buffer = b""
-        self.taken = 0  # bytes of the lines that came whole
-        self.began = 0.0  # when the first byte of the line that is coming left the router
-        self.held: list[Held] = []
-        self.up = True
-        transport.on_bytes = self.came
-        transport.on_close = self.closed
-
-    def came(self, data: bytes) -> None:
+        self.line_start_byte = 0  # bytes of the lines that came whole
+        self.first_byte_at_ms = 0.0  # when the first byte of the line that is coming left the router
+        self.held_requests: list[HeldRequest] = []
+        self.is_open = True
+        transport.on_bytes = self.on_bytes
+        transport.on_close = self.on_close
+
+    def on_bytes(self, data: bytes) -> None:
         """Bytes of the router's."""
         now = self.worker.loop.unix_ms()
         if not self.buffer:
-            self.began = now
+            self.first_byte_at_ms = now
         self.buffer += data
         *lines, self.buffer = self.buffer.split(b"\n")
         for line in lines:
-            handed = max(when for at, when in self.transport.handed if at <= self.taken)
-            self.taken += len(line) + 1
-            self.worker.line(self, json.loads(line), self.began, handed)
-            self.began = now
+            handed = max(when for at, when in self.transport.writes if at <= self.line_start_byte)
+            self.line_start_byte += len(line) + 1
+            self.worker.on_line(self, json.loads(line), self.first_byte_at_ms, handed)
+            self.first_byte_at_ms = now
 
-    def closed(self) -> None:
+    def on_close(self) -> None:
         """Down, by whichever end: all that is open here is given up."""
-        self.up = False
-        for held in self.held:
-            if held.tried is not None:
-                self.worker.ledger.ended(held.tried, True)
-        self.held.clear()
+        self.is_open = False
+        for held in self.held_requests:
+            if held.attempt is not None:
+                self.worker.checker.on_attempt_ended(held.attempt, True)
+        self.held_requests.clear()
         self.worker.links.remove(self)
 
 
-class Worker:
+class MemoryWorker:
     """One worker: it holds what comes until the script has it answered."""
 
-    def __init__(self, number: int, loop: VirtualLoop, ledger: Ledger, called: set[str]) -> None:
-        self.number, self.loop, self.ledger, self.called = number, loop, ledger, called
+    def __init__(self, number: int, loop: VirtualLoop, ledger: InvariantChecker, called: set[str]) -> None:
+        self.number, self.loop, self.checker, self.called_functions = number, loop, ledger, called
         self.name = f"s-{number:08x}"
-        self.refuses = self.hangs = False
-        self.room: int | None = None  # bytes that it takes on a new connection; None: all
-        self.started = 0.0
-        self.links: list[Link] = []
+        self.refuses_connections = self.hangs_connections = False
+        self.window_bytes: int | None = None  # bytes that it takes on a new connection; None: all
+        self.started_at_ms = 0.0
+        self.links: list[WorkerLink] = []
 
     def connect(self) -> MemoryTransport:
         """A router dials."""
-        if self.refuses:
+        if self.refuses_connections:
             raise ConnectionRefusedError(111, "refused")
         transport = MemoryTransport(self.loop)
-        if self.hangs:
-            transport.hangs = True
+        if self.hangs_connections:
+            transport.never_connects = True
             return transport
-        transport.room = self.room
-        self.links.append(Link(self, transport))
+        transport.peer_window_bytes = self.window_bytes
+        self.links.append(WorkerLink(self, transport))
         return transport
 
-    def line(self, link: Link, message: dict[str, Any], began: float, handed: float) -> None:
+    def on_line(self, link: WorkerLink, message: dict[str, Any], began: float, handed: float) -> None:
         """A whole line of the router's: when its first byte left, and when it was handed to the socket."""
         now, op, name = self.loop.unix_ms(), message["op"], message["id"]
         if op == "CALL":
             key = base64.b64decode(message["body"]).decode()
-            if message["fields"]["thing"] not in self.called:
+            if message["fields"]["thing"] not in self.called_functions:
                 raise Finding(f"function {message['fields']['thing']} was never asked for")
-            if any(held.name == name for held in link.held):
+            if any(held.message_id == name for held in link.held_requests):
                 raise Finding(f"two calls named {name} are open on one connection")
-            tried = self.ledger.out(now, key, self.number, began, handed)
-            link.held.append(Held(name, key, link, tried, message["fields"]["thing"]))
+            tried = self.checker.on_attempt_started(now, key, self.number, began, handed)
+            link.held_requests.append(HeldRequest(name, key, link, tried, message["fields"]["thing"]))
         elif op == "CANCEL":
-            for held in [h for h in link.held if h.name == name and h.tried is not None]:
-                link.held.remove(held)
-                assert held.tried is not None
-                self.ledger.ended(held.tried, True)
+            for held in [h for h in link.held_requests if h.message_id == name and h.attempt is not None]:
+                link.held_requests.remove(held)
+                assert held.attempt is not None
+                self.checker.on_attempt_ended(held.attempt, True)
         elif op == "LOAD":
-            self.ledger.ordered(now, self.number, message["fields"]["pods"], began)
-            link.held.append(Held(name, "", link, None, message["fields"]["thing"]))
+            self.checker.on_preload(now, self.number, message["fields"]["pods"], began)
+            link.held_requests.append(HeldRequest(name, "", link, None, message["fields"]["thing"]))
         elif op not in ("UNLOAD", "PING"):
             raise Finding(f"a worker was sent {op}")
 
-    def held(self) -> list[Held]:
+    def held_requests(self) -> list[HeldRequest]:
         """All that it holds, the oldest first."""
-        return [held for link in self.links for held in link.held]
+        return [held for link in self.links for held in link.held_requests]
 
-    def answer(self, held: Held, op: str, fields: dict[str, Any], *, twice: bool = False) -> None:
+    def answer(self, held: HeldRequest, op: str, fields: dict[str, Any], *, twice: bool = False) -> None:
         """The end of a call or an order, as one whole line."""
-        message: dict[str, Any] = {"op": op, "id": held.name, "fields": fields}
-        if op == "HIT" and held.tried is not None:
-            body = f"{held.key}@{self.number}".encode()
-            self.ledger.made(held.key, body)
+        message: dict[str, Any] = {"op": op, "id": held.message_id, "fields": fields}
+        if op == "HIT" and held.attempt is not None:
+            body = f"{held.call_key}@{self.number}".encode()
+            self.checker.on_body_produced(held.call_key, body)
             message["body"] = base64.b64encode(body).decode()
-        held.link.held.remove(held)
-        if held.tried is not None:
-            self.ledger.ended(held.tried, op not in PROVES_NOT_RUN)
-        held.link.transport.send(json.dumps(message).encode() + b"\n")
+        held.link.held_requests.remove(held)
+        if held.attempt is not None:
+            self.checker.on_attempt_ended(held.attempt, op not in NOT_EXECUTED_ANSWERS)
+        held.link.transport.peer_send(json.dumps(message).encode() + b"\n")
         if twice:
-            held.link.transport.send(json.dumps(message).encode() + b"\n")
+            held.link.transport.peer_send(json.dumps(message).encode() + b"\n")
 
-    def reset(self) -> None:
+    def reset_connections(self) -> None:
         """All its connections break."""
         for link in list(self.links):
-            link.transport.hang_up()
+            link.transport.peer_reset()
 
-    def flow(self) -> None:
+    def resume_reading(self) -> None:
         """It reads again, if it did not."""
-        self.room = None
+        self.window_bytes = None
         for link in list(self.links):
-            link.transport.take(None)
+            link.transport.peer_accept(None)
 
 
-class Client:
+class MemoryClient:
     """A platform client on one connection."""
 
-    def __init__(self, loop: VirtualLoop, ledger: Ledger, protocol: Any) -> None:
-        self.loop, self.ledger = loop, ledger
+    def __init__(self, loop: VirtualLoop, ledger: InvariantChecker, protocol: Any) -> None:
+        self.loop, self.checker = loop, ledger
         self.transport = MemoryTransport(loop)
-        self.transport.on_bytes = self.came
-        self.transport.on_close = self.closed
-        self.open: dict[int, str] = {}
-        self.number = 0
-        self.up = True
-        self.slow = False
-        self.spent = False  # it has said that no more comes, or what ends the connection
-        self._answers = msgpack.Unpacker(raw=False, strict_map_key=True)
-        self.transport.begin(protocol)
-
-    def closed(self) -> None:
+        self.transport.on_bytes = self.on_bytes
+        self.transport.on_close = self.on_close
+        self.pending_calls: dict[int, str] = {}
+        self.last_number = 0
+        self.is_open = True
+        self.is_reading_paused = False
+        self.is_write_closed = False  # it has said that no more comes, or what ends the connection
+        self._unpacker = msgpack.Unpacker(raw=False, strict_map_key=True)
+        self.transport.connect(protocol)
+
+    def on_close(self) -> None:
         """The connection has ended, by whichever end. Whoever does not read may lose what was written."""
-        self.up = False
-        if self.slow:
-            for key in self.open.values():
-                self.ledger.left(self.loop.unix_ms(), key)
-
-    def call(self, key: str, klass: str, function: str, limit: int, terms: Terms, **fields: str) -> bytes:
+        self.is_open = False
+        if self.is_reading_paused:
+            for key in self.pending_calls.values():
+                self.checker.on_call_abandoned(self.loop.unix_ms(), key)
+
+    def encode_call(
+        self, key: str, klass: str, function: str, limit: int, terms: CallGuarantees, **fields: str
+    ) -> bytes:
         """Record a call and return its bytes."""
-        self.number += 1
+        self.last_number += 1
         now = self.loop.unix_ms()
-        self.open[self.number] = key
-        self.ledger.taken(now, key, terms, now + limit)
-        if self.slow or not self.up:  # turned away at the limit: nobody has read the request
-            self.ledger.left(now, key)
+        self.pending_calls[self.last_number] = key
+        self.checker.on_call_submitted(now, key, terms, now + limit)
+        if (
+            self.is_reading_paused or not self.is_open
+        ):  # turned away at the limit: nobody has read the request
+            self.checker.on_call_abandoned(now, key)
         told = {"txn": f"{int(key[1:]):016x}", "limit": str(limit), "item": function} | fields
-        return bytes(msgpack.packb([0, self.number, klass, [told, key.encode()]]))
+        return bytes(msgpack.packb([0, self.last_number, klass, [told, key.encode()]]))
 
-    def interrupt(self, number: int) -> bytes:
+    def encode_interrupt(self, number: int) -> bytes:
         """Record that a call is not waited for, and return the bytes that say so."""
-        self.ledger.left(self.loop.unix_ms(), self.open[number])
-        self.ledger.gone(self.loop.unix_ms(), self.open[number])
+        self.checker.on_call_abandoned(self.loop.unix_ms(), self.pending_calls[number])
+        self.checker.on_client_gone(self.loop.unix_ms(), self.pending_calls[number])
         return bytes(msgpack.packb([2, "interrupt", [number]]))
 
-    def came(self, data: bytes) -> None:
+    def on_bytes(self, data: bytes) -> None:
         """Answers."""
-        self._answers.feed(data)
-        for message in self._answers:
+        self._unpacker.feed(data)
+        for message in self._unpacker:
             if not isinstance(message, list) or len(message) != 4 or message[0] != 1:
                 raise Finding(f"a client was sent {message!r}")
             _, number, error, result = message
-            key = self.open.get(number)
+            key = self.pending_calls.get(number)
             if error is not None and error[0] == "BadRequest":
                 raise Finding(f"a good request was answered {error!r}")
             if key is None:
                 raise Finding(f"an answer under the number {number}, which is not in use")
-            self.ledger.answered(self.loop.unix_ms(), key, answer_kind(error), result[0] if result else b"")
+            self.checker.on_answer(self.loop.unix_ms(), key, answer_kind(error), result[0] if result else b"")
 
     def stop_writing(self) -> None:
         """The client closes its end, and reads on: each call is still owed its answer, and begins no more."""
-        self.spent = True
-        for key in self.open.values():
-            self.ledger.gone(self.loop.unix_ms(), key)
-        self.transport.send_eof()
+        self.is_write_closed = True
+        for key in self.pending_calls.values():
+            self.checker.on_client_gone(self.loop.unix_ms(), key)
+        self.transport.peer_send_eof()
 
-    def hang_up(self) -> None:
+    def disconnect(self) -> None:
         """The client goes without a word."""
-        for key in self.open.values():
-            self.ledger.left(self.loop.unix_ms(), key)
-            self.ledger.gone(self.loop.unix_ms(), key)
-        self.transport.hang_up()
+        for key in self.pending_calls.values():
+            self.checker.on_call_abandoned(self.loop.unix_ms(), key)
+            self.checker.on_client_gone(self.loop.unix_ms(), key)
+        self.transport.peer_reset()
--- a/cedarthread/testing/fuzzing/model_checking.py
+++ b/cedarthread/testing/fuzzing/model_checking.py
@@ -33,50 +33,56 @@
 from cedarthread.model.outcomes import Outcome
 from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fuzzing import settings as drawn_settings
-from cedarthread.testing.fuzzing.call_machine import figures, terms
-from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop, play
-from cedarthread.testing.invariants import Ledger, Tried
+from cedarthread.testing.fuzzing.call_machine import call_guarantees, invariant_limits
+from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop, run_virtual
+from cedarthread.testing.invariants import AttemptRecord, InvariantChecker
 
 
 @dataclass(frozen=True, slots=True)
-class Scene:
+class SmallModel:
     """A small world: its calls by class, its workers, and what may happen, each so many times."""
 
     name: str
     calls: tuple[int, ...]
     workers: int
     events: tuple[str, ...]  # may stand in it more than once
-    states: int  # that it has; another number is a finding
-    miss: bool = False
-    limit: float = 2000.0
-
-
-SCENES = (
-    Scene("two-calls", (0, 2), 2, ("hit", "hit", "death", "fault", "late", "wait", "wait"), 4299),
-    Scene("confirm", (2, 2), 2, ("full", "fault", "hit", "reset", "late", "wait"), 547),
-    Scene("keyed", (1,), 3, ("fault", "death", "hit", "wait", "drain"), 769),
-    Scene("drain", (0, 2), 2, ("drain", "full", "hit", "ready", "wait"), 2457),
-    Scene("end", (0, 1), 2, ("end", "hit", "fault", "leave", "wait"), 904),
-    Scene("orders", (0, 0, 0), 2, ("loaded", "unloaded", "miss", "wait", "death"), 954, miss=True),
+    expected_states: int  # that it has; another number is a finding
+    preloads_on_miss: bool = False
+    call_timeout_ms: float = 2000.0
+
+
+MODELS = (
+    SmallModel("two-calls", (0, 2), 2, ("hit", "hit", "death", "fault", "late", "wait", "wait"), 4299),
+    SmallModel("confirm", (2, 2), 2, ("full", "fault", "hit", "reset", "late", "wait"), 547),
+    SmallModel("keyed", (1,), 3, ("fault", "death", "hit", "wait", "drain"), 769),
+    SmallModel("drain", (0, 2), 2, ("drain", "full", "hit", "ready", "wait"), 2457),
+    SmallModel("end", (0, 1), 2, ("end", "hit", "fault", "leave", "wait"), 904),
+    SmallModel(
+        "orders", (0, 0, 0), 2, ("loaded", "unloaded", "miss", "wait", "death"), 954, preloads_on_miss=True
+    ),
 )
 
 
-class _Ways:
+class _ScriptedTransport:
     """The way to the workers: an attempt arrives whole at once and stays until the path ends it."""
 
-    def __init__(self, planner: Dispatcher, ledger: Ledger, loop: VirtualLoop) -> None:
-        self.planner, self.ledger, self.now = planner, ledger, loop.unix_ms
-        self.out: dict[Attempt, Tried] = {}
-        self.given_up: list[Attempt] = []
-        self.orders: list[tuple[int, int]] = []
-        self.dead: set[int] = set()
+    def __init__(self, planner: Dispatcher, ledger: InvariantChecker, loop: VirtualLoop) -> None:
+        self.dispatcher, self.checker, self.now_ms = planner, ledger, loop.unix_ms
+        self.in_flight: dict[Attempt, AttemptRecord] = {}
+        self.cancelled: list[Attempt] = []
+        self.preloads: list[tuple[int, int]] = []
+        self.dead_workers: set[int] = set()
 
     def send(self, attempt: Attempt) -> None:
         """Start an attempt."""
-        if attempt.worker_id in self.dead:
-            return self.planner.attempt_ended(attempt, connection_lost_result(attempt, is_unreachable=True))
+        if attempt.worker_id in self.dead_workers:
+            return self.dispatcher.attempt_ended(
+                attempt, connection_lost_result(attempt, is_unreachable=True)
+            )
         attempt.progress = Progress.WRITTEN
-        self.out[attempt] = self.ledger.out(self.now(), attempt.call.call_id, attempt.worker_id)
+        self.in_flight[attempt] = self.checker.on_attempt_started(
+            self.now_ms(), attempt.call.call_id, attempt.worker_id
+        )
 
     def refresh_progress(self, attempt: Attempt) -> None:
         """Nothing to look at."""
@@ -86,21 +92,21 @@
 
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up."""
-        if (tried := self.out.pop(attempt, None)) is not None:
-            self.ledger.ended(tried, True)
-            self.given_up.append(attempt)
-        self.planner.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
+        if (tried := self.in_flight.pop(attempt, None)) is not None:
+            self.checker.on_attempt_ended(tried, True)
+            self.cancelled.append(attempt)
+        self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
 
     def end(self, attempt: Attempt, outcome: Outcome, body: bytes = b"") -> None:
         """A worker's answer, or the end of its connection."""
         proves = outcome in (Outcome.OVERLOADED, Outcome.NOT_LOADED)
-        self.ledger.ended(self.out.pop(attempt), not proves)
-        self.planner.attempt_ended(attempt, AttemptResult(outcome, body))
+        self.checker.on_attempt_ended(self.in_flight.pop(attempt), not proves)
+        self.dispatcher.attempt_ended(attempt, AttemptResult(outcome, body))
 
     def preload(self, worker_id: int, function_id: int, instances: int) -> None:
         """An order to load."""
-        self.ledger.ordered(self.now(), worker_id, instances)
-        self.orders.append((worker_id, function_id))
+        self.checker.on_preload(self.now_ms(), worker_id, instances)
+        self.preloads.append((worker_id, function_id))
 
     def unload(self, worker_id: int, function_id: int) -> None:
         """Nothing here holds copies."""
@@ -109,66 +115,68 @@
         """Nothing here is idle."""
 
 
-class _Stage:
+class _ModelRun:
     """One world at the end of one path."""
 
-    def __init__(self, scene: Scene, loop: VirtualLoop) -> None:
-        self.scene, self.loop = scene, loop
-        self.top = drawn_settings.settings(miss=scene.miss)
-        self.ledger = Ledger(figures(self.top, 0.0))
-        self.planner = Dispatcher(settings_from_object(self.top), 3, clock=loop.unix_ms)
-        self.ways = _Ways(self.planner, self.ledger, loop)
-        self.planner.connect_workers(self.ways)
-        self.left = list(scene.events)
+    def __init__(self, scene: SmallModel, loop: VirtualLoop) -> None:
+        self.model, self.loop = scene, loop
+        self.raw_settings = drawn_settings.settings(preloads_on_miss=scene.preloads_on_miss)
+        self.checker = InvariantChecker(invariant_limits(self.raw_settings, 0.0))
+        self.dispatcher = Dispatcher(settings_from_object(self.raw_settings), 3, clock=loop.unix_ms)
+        self.transport = _ScriptedTransport(self.dispatcher, self.checker, loop)
+        self.dispatcher.connect_workers(self.transport)
+        self.remaining_events = list(scene.events)
         self.calls: list[Call] = []
-        self.version = 0
-        self.state = {n: EndpointState.READY for n in range(1, scene.workers + 1)}
-        self._tell(*self.state)
+        self.list_version = 0
+        self.worker_states = {n: EndpointState.READY for n in range(1, scene.workers + 1)}
+        self._publish_workers(*self.worker_states)
 
-    def _tell(self, *workers: int) -> None:
-        self.version += 1
-        told = tuple(Endpoint(n, n % 2, 0, n, self.state[n], None, None) for n in workers)
+    def _publish_workers(self, *workers: int) -> None:
+        self.list_version += 1
+        told = tuple(Endpoint(n, n % 2, 0, n, self.worker_states[n], None, None) for n in workers)
         for n in workers:
-            self.ledger.told(self.loop.unix_ms(), n, self.state[n].value, n % 2, n)
-        kind = EndpointUpdateKind.CACHED if self.version == 1 else EndpointUpdateKind.DELTA
-        self.planner.endpoints_changed(EndpointUpdate(kind, self.version, told))
+            self.checker.on_worker_state(self.loop.unix_ms(), n, self.worker_states[n].value, n % 2, n)
+        kind = EndpointUpdateKind.CACHED if self.list_version == 1 else EndpointUpdateKind.DELTA
+        self.dispatcher.endpoints_changed(EndpointUpdate(kind, self.list_version, told))
 
-    def may(self) -> list[tuple[str, int]]:
+    def enabled_events(self) -> list[tuple[str, int]]:
         """What can happen next: an event, and which call, attempt or worker it is about."""
         found: list[tuple[str, int]] = []
-        if len(self.calls) < len(self.scene.calls):
+        if len(self.calls) < len(self.model.calls):
             found.append(("call", len(self.calls)))
-        for event in dict.fromkeys(self.left):
-            found += [(event, n) for n in range(self._choices(event))]
+        for event in dict.fromkeys(self.remaining_events):
+            found += [(event, n) for n in range(self._subject_count(event))]
         return found
 
-    def _choices(self, event: str) -> int:
+    def _subject_count(self, event: str) -> int:
         match event:
             case "hit" | "full" | "fault" | "reset" | "miss":
-                return len(self.ways.out)
+                return len(self.transport.in_flight)
             case "late":
-                return len(self.ways.given_up)
+                return len(self.transport.cancelled)
             case "loaded" | "unloaded":
-                return min(1, len(self.ways.orders))
+                return min(1, len(self.transport.preloads))
             case "leave":
                 return sum(not call.is_complete for call in self.calls)
             case "death" | "drain":
-                return len(self.state)
+                return len(self.worker_states)
         return 1
 
-    async def happen(self, event: str, which: int) -> None:
+    async def apply(self, event: str, which: int) -> None:
         """One event, and all that follows from it at once."""
         if event == "call":
-            self._call(which)
+            self._submit_call(which)
         else:
-            self.left.remove(event)
-            await self._event(event, which)
+            self.remaining_events.remove(event)
+            await self._apply_event(event, which)
         for _ in range(4):
             await asyncio.sleep(0)
 
-    def _call(self, number: int) -> None:
-        klass, name, now = self.scene.calls[number], f"c{number}", self.loop.unix_ms()
-        self.ledger.taken(now, name, terms(self.top, klass), now + self.scene.limit)
+    def _submit_call(self, number: int) -> None:
+        klass, name, now = self.model.calls[number], f"c{number}", self.loop.unix_ms()
+        self.checker.on_call_submitted(
+            now, name, call_guarantees(self.raw_settings, klass), now + self.model.call_timeout_ms
+        )
 
         def reply(answer: CallResult) -> None:
             kind = (
@@ -178,17 +186,17 @@
                 if isinstance(answer, CallRejected)
                 else "failed"
             )
-            self.ledger.answered(
+            self.checker.on_answer(
                 self.loop.unix_ms(), name, kind, answer.body if isinstance(answer, CallSucceeded) else b""
             )
 
-        key = name if self.top["classes"][klass]["effect"] == "dedup" else None
-        call = Call(name, klass, 7, now + 0.9 * self.scene.limit, b"", reply, key)
+        key = name if self.raw_settings["classes"][klass]["effect"] == "dedup" else None
+        call = Call(name, klass, 7, now + 0.9 * self.model.call_timeout_ms, b"", reply, key)
         self.calls.append(call)
-        self.planner.submit(call)
+        self.dispatcher.submit(call)
 
-    async def _event(self, event: str, which: int) -> None:
-        ways, planner = self.ways, self.planner
+    async def _apply_event(self, event: str, which: int) -> None:
+        ways, planner = self.transport, self.dispatcher
         outcomes = {
             "full": Outcome.OVERLOADED,
             "fault": Outcome.ERROR,
@@ -197,46 +205,48 @@
         }
         match event:
             case "hit":
-                attempt = list(ways.out)[which]
+                attempt = list(ways.in_flight)[which]
                 body = f"{attempt.call.call_id}@{attempt.worker_id}".encode()
-                self.ledger.made(attempt.call.call_id, body)
+                self.checker.on_body_produced(attempt.call.call_id, body)
                 ways.end(attempt, Outcome.OK, body)
             case "full" | "fault" | "reset" | "miss":
-                ways.end(list(ways.out)[which], outcomes[event])
+                ways.end(list(ways.in_flight)[which], outcomes[event])
             case "late":  # an answer to what was given up: it must count for nothing
-                planner.attempt_ended(ways.given_up[which], AttemptResult(Outcome.OK, b"late"))
+                planner.attempt_ended(ways.cancelled[which], AttemptResult(Outcome.OK, b"late"))
             case "loaded" | "unloaded":
-                worker, function = ways.orders.pop(0)
+                worker, function = ways.preloads.pop(0)
                 done = Outcome.OK if event == "loaded" else Outcome.OVERLOADED
                 planner.preload_ended(PreloadEnded(worker, function, done, int(event == "loaded"), 50.0))
             case "death":
-                worker = list(self.state)[which]
-                ways.dead.add(worker)
-                for attempt in [a for a in ways.out if a.worker_id == worker]:
+                worker = list(self.worker_states)[which]
+                ways.dead_workers.add(worker)
+                for attempt in [a for a in ways.in_flight if a.worker_id == worker]:
                     ways.end(attempt, Outcome.RESET)
             case "drain" | "ready":
-                worker = list(self.state)[which]
-                self.state[worker] = EndpointState.DRAINING if event == "drain" else EndpointState.READY
-                self._tell(worker)
+                worker = list(self.worker_states)[which]
+                self.worker_states[worker] = (
+                    EndpointState.DRAINING if event == "drain" else EndpointState.READY
+                )
+                self._publish_workers(worker)
             case "leave":
                 call = [c for c in self.calls if not c.is_complete][which]
-                self.ledger.left(self.loop.unix_ms(), call.call_id)
+                self.checker.on_call_abandoned(self.loop.unix_ms(), call.call_id)
                 planner.abandon_call(call)
             case "end":
                 planner.complete_all_by(self.loop.unix_ms() + 700.0)
             case "wait":
                 await asyncio.sleep(0.6)
 
-    async def close(self) -> None:
+    async def run_to_end(self) -> None:
         """Let all time pass: what is left must be nothing."""
-        await asyncio.sleep(self.scene.limit / 1000.0 + 0.2)
-        self.ledger.close(self.loop.unix_ms())
-        for attempt in list(self.ways.out):
-            self.ways.end(attempt, Outcome.RESET)
-        for worker, function in self.ways.orders:
-            self.planner.preload_ended(PreloadEnded(worker, function, Outcome.TIMEOUT, 0, 1.0))
+        await asyncio.sleep(self.model.call_timeout_ms / 1000.0 + 0.2)
+        self.checker.check_all_answered(self.loop.unix_ms())
+        for attempt in list(self.transport.in_flight):
+            self.transport.end(attempt, Outcome.RESET)
+        for worker, function in self.transport.preloads:
+            self.dispatcher.preload_ended(PreloadEnded(worker, function, Outcome.TIMEOUT, 0, 1.0))
         await asyncio.sleep(1.0)
-        planner, now = self.planner, self.loop.unix_ms()
+        planner, now = self.dispatcher, self.loop.unix_ms()
         router = planner.router
         for what, figure in (
             (
@@ -254,27 +264,31 @@
                 + sum(abs(v.in_flight) for v in router.workers.values()),
             ),
         ):
-            self.ledger.rest(now, what, figure)
+            self.checker.check_remaining(now, what, figure)
 
     def digest(self) -> bytes:
         """The state: planner, decisions, what is out and what may still happen."""
-        ways = self.ways
+        ways = self.transport
         parts = (
-            self.planner.router.state,
-            self.planner.pending_calls,
-            sorted(self.left),
-            sorted(ways.dead),
-            ways.orders,
+            self.dispatcher.router.state,
+            self.dispatcher.pending_calls,
+            sorted(self.remaining_events),
+            sorted(ways.dead_workers),
+            ways.preloads,
+        )
+        told = (
+            self.dispatcher.shutdown_deadline_ms,
+            self.loop.unix_ms(),
+            [c.is_complete for c in self.calls],
         )
-        told = (self.planner.shutdown_deadline_ms, self.loop.unix_ms(), [c.is_complete for c in self.calls])
-        out = [(a.call.call_id, a.index, a.worker_id) for a in ways.out]
-        given = [(a.call.call_id, a.index) for a in ways.given_up]
+        out = [(a.call.call_id, a.index, a.worker_id) for a in ways.in_flight]
+        given = [(a.call.call_id, a.index) for a in ways.cancelled]
         return hashlib.blake2b(
-            repr((list(map(plain, parts)), told, out, given)).encode(), digest_size=12
+            repr((list(map(canonical, parts)), told, out, given)).encode(), digest_size=12
         ).digest()
 
 
-_SKIP = {
+_SKIPPED_FIELDS = {
     "token",
     "serial",
     "actions",
@@ -286,7 +300,7 @@
 }
 
 
-def plain(value: Any, depth: int = 0) -> Any:
+def canonical(value: Any, depth: int = 0) -> Any:
     """A value as nested tuples, alike for like states: object identities and counters are left out."""
     if depth > 12:
         return "deep"
@@ -297,74 +311,80 @@
     if isinstance(value, Enum):
         return value.value
     if isinstance(value, dict):
-        return tuple((plain(k, depth + 1), plain(v, depth + 1)) for k, v in value.items())
+        return tuple((canonical(k, depth + 1), canonical(v, depth + 1)) for k, v in value.items())
     if isinstance(value, (set, frozenset)):
         return tuple(sorted(map(repr, value)))
     if isinstance(value, (list, tuple, deque)):
-        return tuple(plain(item, depth + 1) for item in value)
+        return tuple(canonical(item, depth + 1) for item in value)
     names = [f.name for f in fields(value)] if is_dataclass(value) else list(getattr(value, "__dict__", {}))
-    return tuple((name, plain(getattr(value, name), depth + 1)) for name in names if name not in _SKIP)
+    return tuple(
+        (name, canonical(getattr(value, name), depth + 1)) for name in names if name not in _SKIPPED_FIELDS
+    )
 
 
 @dataclass(slots=True)
-class Explored:
+class Exploration:
     """What exploring one scene came to."""
 
-    scene: Scene
-    states: int = 0
-    paths: int = 0  # ends reached, each let run out
-    wrong: tuple[str, tuple[tuple[str, int], ...]] | None = None
+    model: SmallModel
+    state_count: int = 0
+    path_count: int = 0  # ends reached, each let run out
+    counterexample: tuple[str, tuple[tuple[str, int], ...]] | None = None
 
     def verdict(self) -> str | None:
         """What is wrong; None where nothing is."""
-        if self.wrong is not None:
-            return f"{self.wrong[0]} after {self.wrong[1]}"
-        if self.scene.states and self.states != self.scene.states:
-            return f"{self.states} states, where {self.scene.states} stood before"
+        if self.counterexample is not None:
+            return f"{self.counterexample[0]} after {self.counterexample[1]}"
+        if self.model.expected_states and self.state_count != self.model.expected_states:
+            return f"{self.state_count} states, where {self.model.expected_states} stood before"
         return None
 
 
 Path = tuple[tuple[str, int], ...]
 
 
-def step(scene: Scene, path: Path, *, close: bool = False) -> tuple[bytes, list[tuple[str, int]], str | None]:
+def run_path(
+    model: SmallModel, path: Path, *, runs_to_end: bool = False
+) -> tuple[bytes, list[tuple[str, int]], str | None]:
     """Play a path: the state's digest, what may happen there, and the first breach."""
-    kept: list[_Stage] = []
+    kept: list[_ModelRun] = []
 
     async def work(loop: VirtualLoop) -> None:
-        kept.append(_Stage(scene, loop))
+        kept.append(_ModelRun(model, loop))
         for event, which in path:
-            await kept[0].happen(event, which)
-        if close:
-            await kept[0].close()
+            await kept[0].apply(event, which)
+        if runs_to_end:
+            await kept[0].run_to_end()
 
-    loop = play(work)
+    loop = run_virtual(work)
     stage = kept[0]
-    breaches = [str(breach) for breach in stage.ledger.breaches] + loop.failures
-    return stage.digest(), stage.may(), breaches[0] if breaches else None
+    breaches = [str(breach) for breach in stage.checker.violations] + loop.failures
+    return stage.digest(), stage.enabled_events(), breaches[0] if breaches else None
 
 
-def explore(scene: Scene, most: int = 100_000, tell: Callable[[int], None] = lambda states: None) -> Explored:
+def explore(
+    model: SmallModel, max_states: int = 100_000, on_progress: Callable[[int], None] = lambda states: None
+) -> Exploration:
     """Every state that the events of a scene can bring about, the nearest first."""
-    found, seen, queue = Explored(scene), set[bytes](), deque[Path]([()])
-    while queue and found.states < most and found.wrong is None:
+    found, seen, queue = Exploration(model), set[bytes](), deque[Path]([()])
+    while queue and found.state_count < max_states and found.counterexample is None:
         path = queue.popleft()
-        digest, may, wrong = step(scene, path)
+        digest, may, wrong = run_path(model, path)
         if digest in seen and wrong is None:
             continue
         seen.add(digest)
-        found.states += 1
+        found.state_count += 1
         if wrong is None and (not may or len(path) % 3 == 0):  # let run out from every end, and on the way
-            found.paths += 1
-            wrong = step(scene, path, close=True)[2]
+            found.path_count += 1
+            wrong = run_path(model, path, runs_to_end=True)[2]
         if wrong is not None:
-            found.wrong = (wrong, path)
+            found.counterexample = (wrong, path)
         queue.extend((*path, event) for event in may)
-        if found.states % 500 == 0:
-            tell(found.states)
+        if found.state_count % 500 == 0:
+            on_progress(found.state_count)
     return found
 
 
-def named(name: str | None) -> Iterator[Scene]:
+def models_named(name: str | None) -> Iterator[SmallModel]:
     """The scenes of that name, or all."""
-    return (scene for scene in SCENES if name in (None, scene.name))
+    return (scene for scene in MODELS if name in (None, scene.name))
--- a/cedarthread/testing/fuzzing/parser_targets.py
+++ b/cedarthread/testing/fuzzing/parser_targets.py
@@ -24,33 +24,40 @@
 from cedarthread.simulator import host as simulator_host
 from cedarthread.simulator.decoder import SimulatorProtocolError
 from cedarthread.testing.fuzzing import settings as drawn_settings
-from cedarthread.testing.fuzzing.target import NUMBERS, ODD, Finding, Target, mutate_bytes, mutate_tree
-
-NAN, INFINITY = float("nan"), float("inf")
-FIGURES = [NAN, INFINITY, -INFINITY, 1e308, -0.0, 5e-324, 0.5]
-NESTED: Any = []
+from cedarthread.testing.fuzzing.target import (
+    EDGE_NUMBERS,
+    EDGE_STRINGS,
+    Finding,
+    Target,
+    mutate_bytes,
+    mutate_tree,
+)
+
+NOT_A_NUMBER, INFINITY = float("nan"), float("inf")
+EDGE_FLOATS = [NOT_A_NUMBER, INFINITY, -INFINITY, 1e308, -0.0, 5e-324, 0.5]
+DEEP_LIST: Any = []
 for _ in range(40):
-    NESTED = [NESTED]
+    DEEP_LIST = [DEEP_LIST]
 
 
-def need(holds: bool, what: str) -> None:
+def require(holds: bool, what: str) -> None:
     """A finding unless it holds."""
     if not holds:
         raise Finding(what)
 
 
-def some(rng: random.Random, data: bytes, most: int = 12) -> list[int]:
+def sample_cuts(rng: random.Random, data: bytes, most: int = 12) -> list[int]:
     """Places to cut at: all of a short input, some of a long one."""
     return list(range(len(data))) if len(data) <= most else sorted(rng.sample(range(len(data)), most))
 
 
-class _Pairs(list[Any]):
+class _MapItems(list[Any]):
     """A map as the reference reads it, keys that come twice and all."""
 
 
 def _tree(value: Any) -> Any:
     """A value as this program's parser would give it, or what it would not take: a string that says why."""
-    if isinstance(value, _Pairs):
+    if isinstance(value, _MapItems):
         keys = [key for key, _ in value]
         if not all(isinstance(key, str) for key in keys) or len(set(keys)) < len(keys):
             raise ValueError("keys")
@@ -89,34 +96,40 @@
     return bytes(value) if isinstance(value, memoryview) else value
 
 
-def draw_value(rng: random.Random, depth: int) -> Any:
+def generate_value(rng: random.Random, depth: int) -> Any:
     """A value of a few levels."""
     kind = rng.randrange(10 if depth else 7)
     if kind == 9:
         return {
-            rng.choice(("a", "limit", "txn", "x" * 31, "y" * 32)): draw_value(rng, depth - 1)
+            rng.choice(("a", "limit", "txn", "x" * 31, "y" * 32)): generate_value(rng, depth - 1)
             for _ in range(3)
         }
     if kind >= 7:
-        return [draw_value(rng, depth - 1) for _ in range(rng.choice((0, 1, 2, 15, 16, 33)))]
-    plain = (None, rng.random() < 0.5, rng.choice(NUMBERS[:-2]), rng.choice(FIGURES), rng.choice(ODD))
+        return [generate_value(rng, depth - 1) for _ in range(rng.choice((0, 1, 2, 15, 16, 33)))]
+    plain = (
+        None,
+        rng.random() < 0.5,
+        rng.choice(EDGE_NUMBERS[:-2]),
+        rng.choice(EDGE_FLOATS),
+        rng.choice(EDGE_STRINGS),
+    )
     return (*plain, rng.randbytes(rng.choice((0, 1, 255, 256, 70_000))), "t" * rng.choice((31, 32, 300)))[
         kind
     ]
 
 
-class MessagePack(Target):
+class MessagePackTarget(Target):
     """MessagePack values, against the reference library."""
 
     name = "msgpack"
     modules = ("cedarthread.protocols.msgpack",)
-    memory = (2**20, 400)
+    byte_budget = (2**20, 400)
 
-    def draw(self, rng: random.Random) -> bytes:
+    def generate(self, rng: random.Random) -> bytes:
         """A value, whole or with a code that is not used."""
         if rng.random() < 0.1:
             return bytes((rng.choice((0x81, 0x91, 0xDC, 0xDE, 0xC7, 0xC1)),)) * rng.choice((5, 300, 3000))
-        value = draw_value(rng, rng.randint(0, 5))
+        value = generate_value(rng, rng.randint(0, 5))
         try:
             return bytes(reference.packb(value, use_single_float=rng.random() < 0.3))
         except (OverflowError, UnicodeEncodeError):
@@ -127,7 +140,11 @@
         if rng.random() < 0.6:
             try:
                 tree = reference.unpackb(data, raw=False, strict_map_key=False)
-                return bytes(reference.packb(mutate_tree(tree, rng, [*NUMBERS[:-2], *ODD, b"", NESTED, {}])))
+                return bytes(
+                    reference.packb(
+                        mutate_tree(tree, rng, [*EDGE_NUMBERS[:-2], *EDGE_STRINGS, b"", DEEP_LIST, {}])
+                    )
+                )
             except (ValueError, TypeError, OverflowError, RecursionError):
                 pass
         return mutate_bytes(data, rng)
@@ -137,28 +154,30 @@
         parsed = msgpack.parse(memoryview(data))
         room = max(1024, len(data))
         unpacker = reference.Unpacker(
-            raw=False, strict_map_key=False, object_pairs_hook=_Pairs, read_size=1024, max_buffer_size=room
+            raw=False, strict_map_key=False, object_pairs_hook=_MapItems, read_size=1024, max_buffer_size=room
         )
         unpacker.feed(data)
         try:
             truth, end = _tree(unpacker.unpack()), unpacker.tell()
         except (ValueError, TypeError, RecursionError, reference.OutOfData, reference.StackError):
-            return need(not isinstance(parsed, msgpack.ParsedValue), "took what is no value")
+            return require(not isinstance(parsed, msgpack.ParsedValue), "took what is no value")
         if isinstance(parsed, msgpack.ParsedValue):
-            need(_longest(truth) <= msgpack.MAX_CONTENT_BYTES, "a string past the limit is taken")
-            need(repr(_plain(parsed.value)) == repr(truth) and parsed.end == end, "another value than it is")
+            require(_longest(truth) <= msgpack.MAX_CONTENT_BYTES, "a string past the limit is taken")
+            require(
+                repr(_plain(parsed.value)) == repr(truth) and parsed.end == end, "another value than it is"
+            )
             return self._cuts(data[:end])
-        need(not isinstance(parsed, msgpack.Incomplete), "a whole value is said to be short")
+        require(not isinstance(parsed, msgpack.Incomplete), "a whole value is said to be short")
         long = end > msgpack.MAX_CONTENT_BYTES
         small = _depth(truth) <= msgpack.MAX_DEPTH and _widest(truth) <= msgpack.MAX_ITEMS
-        need(not small or long, f"a value within the limits is refused: {parsed}")
+        require(not small or long, f"a value within the limits is refused: {parsed}")
 
     def _cuts(self, data: bytes) -> None:
-        for at in some(random.Random(len(data)), data):
+        for at in sample_cuts(random.Random(len(data)), data):
             short = msgpack.parse(memoryview(data)[:at])
-            need(isinstance(short, msgpack.Incomplete), f"cut at {at} it is not short: {short}")
+            require(isinstance(short, msgpack.Incomplete), f"cut at {at} it is not short: {short}")
             if isinstance(short, msgpack.Incomplete):
-                need(
+                require(
                     at < short.needed_bytes <= len(data),
                     f"cut at {at} it says it needs {short.needed_bytes} of {len(data)}",
                 )
@@ -209,7 +228,7 @@
     return bytes(out)
 
 
-def draw_reply(rng: random.Random, workers: int) -> dns.Reply:
+def generate_reply(rng: random.Random, workers: int) -> dns.Reply:
     """A reply with so many workers, figures odd here and there."""
     reply = dns.Reply(rng.randrange(2**16), rng.choice((0, 1, 7, 2**31, 2**32 - 1)))
     for n in range(workers):
@@ -219,19 +238,21 @@
         )
         reply.addresses[target] = f"10.0.0.{n % 256}"
         odd = rng.random() < 0.2
-        reply.texts[target] = {"kind": "std", "cell": rng.choice(ODD)[:80] if odd else "2"}
-        reply.texts[target]["started"] = rng.choice(ODD)[:80] if odd else str(rng.choice((0, 1764600000000)))
+        reply.texts[target] = {"kind": "std", "cell": rng.choice(EDGE_STRINGS)[:80] if odd else "2"}
+        reply.texts[target]["started"] = (
+            rng.choice(EDGE_STRINGS)[:80] if odd else str(rng.choice((0, 1764600000000)))
+        )
     return reply
 
 
-class Dns(Target):
+class DnsTarget(Target):
     """DNS answers."""
 
     name = "dns"
     modules = ("cedarthread.protocols.dns",)
-    work = (20_000, 120)
+    line_budget = (20_000, 120)
 
-    def draw(self, rng: random.Random) -> bytes:
+    def generate(self, rng: random.Random) -> bytes:
         """An answer of some workers, or one made of pointers."""
         if rng.random() < 0.15:
             hops = rng.choice((3, 300, 2000))
@@ -240,7 +261,7 @@
             records = (last + struct.pack(">HHIH", 99, 1, 1, 0)) * rng.choice((1, 400))
             head = struct.pack(">6H", 1, 0x8400, 0, 1 + len(records) // 12, 0, 0)
             return head + b"\0" + struct.pack(">HHIH", 99, 1, 1, len(chain)) + chain + records
-        data = bytearray(pack_reply(draw_reply(rng, rng.choice((0, 1, 3, 60)))))
+        data = bytearray(pack_reply(generate_reply(rng, rng.choice((0, 1, 3, 60)))))
         pointers = [at for at in range(12, len(data) - 1) if data[at] >= 0xC0]
         if pointers and rng.random() < 0.2:  # one leads to itself, or to what comes after it
             at = rng.choice(pointers)
@@ -255,27 +276,27 @@
         found = discovery.endpoints_from_reply(reply)
         if not isinstance(found, str):
             for listing in found:
-                need(math.isfinite(listing.started_at_ms), f"a start at {listing.started_at_ms}")
-            need(len({listing.name for listing in found}) == len(found), "a worker is listed twice")
+                require(math.isfinite(listing.started_at_ms), f"a start at {listing.started_at_ms}")
+            require(len({listing.name for listing in found}) == len(found), "a worker is listed twice")
         names = [*(service.target for service in reply.srv_records), *reply.addresses, *reply.texts]
         for name in names:
-            need(len(name) <= 253, f"a name of {len(name)} characters")
+            require(len(name) <= 253, f"a name of {len(name)} characters")
         if all(name.split(".") == [label for label in name.split(".") if label] for name in names):
             again = dns.parse(pack_reply(reply))
             if isinstance(again, dns.Reply) and len(pack_reply(reply)) < 0x4000:
-                need(again.srv_records == reply.srv_records, "read another list from what it had read")
+                require(again.srv_records == reply.srv_records, "read another list from what it had read")
 
 
-class HttpHead(Target):
+class HttpHeadTarget(Target):
     """Heads of HTTP requests."""
 
     name = "http"
     modules = ("cedarthread.protocols.http",)
-    work = (20_000, 800)
+    line_budget = (20_000, 800)
 
-    def draw(self, rng: random.Random) -> bytes:
+    def generate(self, rng: random.Random) -> bytes:
         """A request, its body a little longer or shorter than it says."""
-        return draw_request(rng)
+        return generate_request(rng)
 
     def mutate(self, data: bytes, rng: random.Random) -> bytes:
         """Lines swapped, doubled or changed; mostly the blank line stays."""
@@ -290,7 +311,7 @@
             case 1 if len(lines) > 1:
                 del lines[at]
             case 2:
-                lines.insert(max(1, at), rng.choice(ODD_FIELDS))
+                lines.insert(max(1, at), rng.choice(EDGE_HEADERS))
             case _:
                 lines[at] = mutate_bytes(lines[at], rng)
         return b"\r\n".join(lines) + blank + body
@@ -301,46 +322,46 @@
         if not isinstance(parsed, http.RequestHead):
             return
         head = data[: parsed.head_bytes]
-        need(head.endswith(b"\r\n\r\n") and head.count(b"\r\n\r\n") == 1, "the head ends elsewhere")
+        require(head.endswith(b"\r\n\r\n") and head.count(b"\r\n\r\n") == 1, "the head ends elsewhere")
         bare = head.replace(b"\r\n", b"")
-        need(not any(mark in bare for mark in (b"\r", b"\n", b"\0")), "a bare line end or NUL passed")
+        require(not any(mark in bare for mark in (b"\r", b"\n", b"\0")), "a bare line end or NUL passed")
         names = [line.partition(b":")[0].lower() for line in head.split(b"\r\n")[1:-2]]
-        need(b"transfer-encoding" not in names, "Transfer-Encoding passed")
-        need(names.count(b"content-length") <= 1, "two lengths passed")
-        need(not any(name != name.strip() for name in names), "white space round a field's name passed")
-        need(0 <= parsed.content_length <= 16 * 1024, f"a body of {parsed.content_length} bytes passed")
-        for at in some(random.Random(len(head)), head):
-            need(
+        require(b"transfer-encoding" not in names, "Transfer-Encoding passed")
+        require(names.count(b"content-length") <= 1, "two lengths passed")
+        require(not any(name != name.strip() for name in names), "white space round a field's name passed")
+        require(0 <= parsed.content_length <= 16 * 1024, f"a body of {parsed.content_length} bytes passed")
+        for at in sample_cuts(random.Random(len(head)), head):
+            require(
                 not isinstance(http.parse_head(memoryview(head)[:at], 16 * 1024), http.RequestHead),
                 f"cut at {at} it is whole",
             )
         parsed.preferences()
 
 
-ODD_FIELDS = [b"Content-Length: 1", b"content-length:1", b"Content-Length: +1", b"Content-Length: 1_0"]
-ODD_FIELDS += [
+EDGE_HEADERS = [b"Content-Length: 1", b"content-length:1", b"Content-Length: +1", b"Content-Length: 1_0"]
+EDGE_HEADERS += [
     b"Content-Length: \xd9\xa3",
     b"Transfer-Encoding: chunked",
     b"Transfer-Encoding : chunked",
     b" folded: x",
 ]
-ODD_FIELDS += [
+EDGE_HEADERS += [
     b"Connection: close",
     b"Expect: 100-continue",
     b"Prefer: respond-async, wait=5",
     b"Host: b",
     b": x",
 ]
-ODD_FIELDS += [
+EDGE_HEADERS += [
     b"Idempotency-Key: k1",
     b"Call-Lanes: nan",
     b"Call-Lanes: 1e999",
     b"Call-Timeout-Ms: 99999999999",
 ]
-ODD_FIELDS += [b"Content-Length: " + b"9" * 5000, b"X: " + b"y" * 9000, b"Call-Memory-Mb: -0"]
+EDGE_HEADERS += [b"Content-Length: " + b"9" * 5000, b"X: " + b"y" * 9000, b"Call-Memory-Mb: -0"]
 
 
-def draw_request(rng: random.Random) -> bytes:
+def generate_request(rng: random.Random) -> bytes:
     """One request of the invoke API."""
     body = rng.randbytes(rng.choice((0, 0, 3, 300)))
     klass = rng.choice(("check", "revise", "confirm", "none", "a%2e"))
@@ -349,39 +370,41 @@
     )
     method = rng.choice(("POST", "POST", "GET", "DELETE", "PUT"))
     fields = [b"Host: a", b"Content-Length: %d" % (len(body) + rng.choice((0, 0, 0, 0, 1)))]
-    fields += rng.sample(ODD_FIELDS, rng.choice((0, 0, 1, 2)))
+    fields += rng.sample(EDGE_HEADERS, rng.choice((0, 0, 1, 2)))
     rng.shuffle(fields)
     version = rng.choice((b"HTTP/1.1", b"HTTP/1.1", b"HTTP/1.1", b"HTTP/1.0", b"HTTP/2.0"))
     start = f"{method} {target} ".encode() + version
     return b"\r\n".join((start, *fields, b"", b"")) + body
 
 
-def run_settings(settings: RouterSettings) -> None:
+def exercise_settings(settings: RouterSettings) -> None:
     """Settings that were taken must serve: one call of each class, and timers at times that are times."""
     router = Router(settings, 1)
     workers = tuple(Endpoint(n, 0, 0, 0, EndpointState.READY, None, None) for n in (1, 2))
     actions = router.handle(1000.0, EndpointUpdate(EndpointUpdateKind.CACHED, 1, workers))
     for klass, told in enumerate(settings.classes[:8]):
-        need(math.isfinite(told.deadline_ms) and told.deadline_ms > 0, f"a deadline of {told.deadline_ms}")
+        require(math.isfinite(told.deadline_ms) and told.deadline_ms > 0, f"a deadline of {told.deadline_ms}")
         actions = actions + router.handle(1001.0, RequestArrived(klass, 7, klass, 1001.0 + told.deadline_ms))
         for send in [a for a in actions if isinstance(a, StartAttempt) and a.request_id == klass]:
             router.handle(1002.0, AttemptEnded(klass, 0, send.worker_id, Outcome.ERROR, 1.0, False))
     for timer in [a for a in actions if isinstance(a, SetTimer)]:
-        need(math.isfinite(timer.at_ms), f"a timer at {timer.at_ms}")
+        require(math.isfinite(timer.at_ms), f"a timer at {timer.at_ms}")
 
 
 class JsonTarget(Target):
     """Inputs that are one JSON text."""
 
-    def top(self, rng: random.Random) -> Any:
+    def base_document(self, rng: random.Random) -> Any:
         """The parsed text that drawing starts from."""
         raise NotImplementedError
 
-    def draw(self, rng: random.Random) -> bytes:
+    def generate(self, rng: random.Random) -> bytes:
         """The usual text, with no change or a few."""
-        tree = self.top(rng)
+        tree = self.base_document(rng)
         for _ in range(rng.choice((0, 1, 1, 2))):
-            tree = mutate_tree(tree, rng, [*NUMBERS, *ODD, *FIGURES, None, True, NESTED, {}])
+            tree = mutate_tree(
+                tree, rng, [*EDGE_NUMBERS, *EDGE_STRINGS, *EDGE_FLOATS, None, True, DEEP_LIST, {}]
+            )
         return json.dumps(tree).encode()
 
     def mutate(self, data: bytes, rng: random.Random) -> bytes:
@@ -392,22 +415,22 @@
             try:
                 tree = json.loads(data)
                 return json.dumps(
-                    mutate_tree(tree, rng, [*NUMBERS, *ODD, *FIGURES, None, NESTED, {}])
+                    mutate_tree(tree, rng, [*EDGE_NUMBERS, *EDGE_STRINGS, *EDGE_FLOATS, None, DEEP_LIST, {}])
                 ).encode()
             except (ValueError, RecursionError):
                 pass
         return mutate_bytes(data, rng)
 
 
-class ConfigFile(JsonTarget):
+class ConfigFileTarget(JsonTarget):
     """The configuration that the platform writes."""
 
     name = "config"
     modules = ("cedarthread.config",)
-    work = (60_000, 400)
-    memory = (4 * 2**20, 400)
+    line_budget = (60_000, 400)
+    byte_budget = (4 * 2**20, 400)
 
-    def top(self, rng: random.Random) -> Any:
+    def base_document(self, rng: random.Random) -> Any:
         """A whole configuration."""
         entry = {
             "name": "s-00000001",
@@ -426,23 +449,25 @@
                 "n": 1,
                 "events": [{"n": 1, "members": {"endpoints": [entry | {"group": 1, "since_ms": 0}]}}],
             },
-            "settings": drawn_settings.settings(miss=rng.random() < 0.5),
+            "settings": drawn_settings.settings(preloads_on_miss=rng.random() < 0.5),
         }
 
-    def draw(self, rng: random.Random) -> bytes:
+    def generate(self, rng: random.Random) -> bytes:
         """Mostly the settings changed: most figures stand there."""
         if rng.random() < 0.4:
-            return super().draw(rng)
-        tree = self.top(rng)
+            return super().generate(rng)
+        tree = self.base_document(rng)
         settings = tree["settings"]
         if rng.random() < 0.5:
             place = rng.choice((*settings["classes"], settings["limits"], settings["obligations"]))
             place[rng.choice([key for key, value in place.items() if not isinstance(value, str)])] = (
-                rng.choice(FIGURES)
+                rng.choice(EDGE_FLOATS)
             )
             return json.dumps(tree).encode()
         part = rng.choice(("classes", "limits", "obligations", "specifics", "report", "prices"))
-        settings[part] = mutate_tree(settings[part], rng, [*NUMBERS, *ODD, *FIGURES, None, True, {}])
+        settings[part] = mutate_tree(
+            settings[part], rng, [*EDGE_NUMBERS, *EDGE_STRINGS, *EDGE_FLOATS, None, True, {}]
+        )
         return json.dumps(tree).encode()
 
     def check(self, data: bytes) -> None:
@@ -450,27 +475,27 @@
         try:
             found = config.decode(data, {})
         except config.ConfigError as error:
-            return need(bool(str(error)), "an error without words")
+            return require(bool(str(error)), "an error without words")
         for host, port in ((found.host, found.port), found.discovery_address or ("", 1)):
-            need(isinstance(host, str) and 0 <= port < 65536, f"port {port}")
+            require(isinstance(host, str) and 0 <= port < 65536, f"port {port}")
         for _, listings in found.initial_endpoints:
             for listing in listings:
-                need(0 <= listing.port < 65536, f"a runner at port {listing.port}")
-                need(
+                require(0 <= listing.port < 65536, f"a runner at port {listing.port}")
+                require(
                     math.isfinite(listing.started_at_ms) and math.isfinite(listing.weight),
                     "a figure that is none",
                 )
-        run_settings(found.settings)
+        exercise_settings(found.settings)
 
 
-class InvokeFile(Target):
+class InvokeConfigTarget(Target):
     """The invoke API's TOML file."""
 
     name = "invoke-file"
     modules = ("cedarthread.protocols.invoke_config",)
-    work = (60_000, 800)
+    line_budget = (60_000, 800)
 
-    def draw(self, rng: random.Random) -> bytes:
+    def generate(self, rng: random.Random) -> bytes:
         """The file as it is shipped, its figures and ids now and then odd."""
         figure = rng.choice(("128", "1", "0", "-1", "inf", "nan", "1e308", "9" * 30, '"x"', "[]", "true"))
         allow = rng.choice(
@@ -492,12 +517,12 @@
         try:
             found = invoke_config.parse(data, Path("deploy/invoke.toml"))
         except ValueError as error:
-            return need(bool(str(error)), "an error without words")
-        need(0 <= found.port < 65536, f"port {found.port}")
-        need(0 < found.max_connections < 2**31, f"{found.max_connections} connections")
+            return require(bool(str(error)), "an error without words")
+        require(0 <= found.port < 65536, f"port {found.port}")
+        require(0 < found.max_connections < 2**31, f"{found.max_connections} connections")
 
 
-class SimulatorWire(Target):
+class SimulatorTarget(Target):
     """The simulator's frames, answered by the host of many instances."""
 
     name = "wire"
@@ -507,12 +532,12 @@
         "cedarthread.simulator.encoder",
         "cedarthread.simulator.host",
     )
-    work = (80_000, 800)
-    memory = (4 * 2**20, 400)
+    line_budget = (80_000, 800)
+    byte_budget = (4 * 2**20, 400)
 
-    def draw(self, rng: random.Random) -> bytes:
+    def generate(self, rng: random.Random) -> bytes:
         """A start, a list of workers, and events of all kinds."""
-        info = json.dumps(drawn_settings.settings(miss=rng.random() < 0.3)).encode()
+        info = json.dumps(drawn_settings.settings(preloads_on_miss=rng.random() < 0.3)).encode()
         records = [b"\x0d" + struct.pack("<I", 3), b"\x01" + struct.pack("<QI", 7, len(info)) + info]
         hosts = [struct.pack("<IBHHBfd", n, 0, 0, 0, rng.choice((0, 1, 2, 2)), 1.0, 0.0) for n in range(3)]
         records.append(b"\x0c" + struct.pack("<II", 1, len(hosts)) + b"".join(hosts))
@@ -522,10 +547,10 @@
         return self.frame(rng.choice((0.0, 1000.0, 1e308)), len(records), b"".join(records))
 
     def _event(self, rng: random.Random) -> bytes:
-        number, figure = rng.choice((0, 1, 2, 2**32 - 1)), rng.choice((*FIGURES, 100.0, 1e6))
+        number, figure = rng.choice((0, 1, 2, 2**32 - 1)), rng.choice((*EDGE_FLOATS, 100.0, 1e6))
         klass, key = rng.choice((0, 1, 2, 9)), rng.choice((5, 2**40 - 1, 2**64 - 1))
         verdict = rng.choice((200, 502, 429, 408, 521, 520, 444, 409, 204, 7))
-        small = rng.choice((0.0, 1.0, NAN, INFINITY))
+        small = rng.choice((0.0, 1.0, NOT_A_NUMBER, INFINITY))
         return rng.choice(
             (
                 b"\x03"
@@ -558,6 +583,6 @@
         try:
             while (frame := simulator_host.read_frame(source)) is not None:
                 reply = host.handle_frame(frame)
-                need(struct.unpack_from("<I", reply)[0] == len(reply), "a reply that says another length")
+                require(struct.unpack_from("<I", reply)[0] == len(reply), "a reply that says another length")
         except SimulatorProtocolError as error:
-            need(bool(str(error)), "an error without words")
+            require(bool(str(error)), "an error without words")
--- a/cedarthread/testing/fuzzing/settings.py
+++ b/cedarthread/testing/fuzzing/settings.py
@@ -26,13 +26,13 @@
     "prices": {"cross-zone": 0.046},
     "specifics": SETTINGS["specifics"] | {"says-warm": True},
 }
-RATION = {"loads-anyway": 2, "load-share": 0.2, "load-window": 5000}
+PRELOAD_LIMITS = {"loads-anyway": 2, "load-share": 0.2, "load-window": 5000}
 
 
-def settings(*, miss: bool = False, cancel: bool = True) -> dict[str, Any]:
+def settings(*, preloads_on_miss: bool = False, supports_cancel: bool = True) -> dict[str, Any]:
     """A copy; with ``miss`` workers answer NONE and loads are ordered, under a ration."""
     top = copy.deepcopy(BASE)
-    top["limits"]["cancel"] = cancel
-    if miss:
-        top["specifics"] |= RATION | {"on-miss": "miss", "may-order": True}
+    top["limits"]["cancel"] = supports_cancel
+    if preloads_on_miss:
+        top["specifics"] |= PRELOAD_LIMITS | {"on-miss": "miss", "may-order": True}
     return top
--- a/cedarthread/testing/fuzzing/stream_targets.py
+++ b/cedarthread/testing/fuzzing/stream_targets.py
@@ -35,31 +35,33 @@
 from cedarthread.testing.fuzzing import settings as drawn_settings
 from cedarthread.testing.fuzzing.invoke_caller import read_reply
 from cedarthread.testing.fuzzing.parser_targets import (
-    ODD_FIELDS,
-    draw_reply,
-    draw_request,
-    draw_value,
-    need,
+    EDGE_HEADERS,
+    generate_reply,
+    generate_request,
+    generate_value,
     pack_reply,
+    require,
 )
-from cedarthread.testing.fuzzing.target import ODD, Dice, Finding, Target, mutate_bytes
-from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop, play
+from cedarthread.testing.fuzzing.target import EDGE_STRINGS, Finding, FuzzedDataProvider, Target, mutate_bytes
+from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop, run_virtual
 from cedarthread.transport.flusher import Flusher
 
 FUNCTION = "00000000000000a1"
 
 
-class Echo:
+class EchoTransport:
     """A way to the workers that serves each call with its own body, in the next turn."""
 
     def __init__(self, planner: Dispatcher, loop: VirtualLoop) -> None:
-        self.planner, self.loop, self.sent = planner, loop, 0
+        self.dispatcher, self.loop, self.sent_count = planner, loop, 0
 
     def send(self, attempt: Attempt) -> None:
         """Start an attempt."""
-        self.sent += 1
+        self.sent_count += 1
         attempt.progress = Progress.WRITTEN
-        self.loop.call_soon(self.planner.attempt_ended, attempt, AttemptResult(Outcome.OK, attempt.call.body))
+        self.loop.call_soon(
+            self.dispatcher.attempt_ended, attempt, AttemptResult(Outcome.OK, attempt.call.body)
+        )
 
     def refresh_progress(self, attempt: Attempt) -> None:
         """Nothing to look at."""
@@ -69,7 +71,7 @@
 
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up."""
-        self.planner.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
+        self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
 
     def preload(self, worker_id: int, function_id: int, instances: int) -> None:
         """Not used here."""
@@ -81,19 +83,19 @@
         """Not used here."""
 
 
-def planner_with_echo(loop: VirtualLoop) -> tuple[Dispatcher, Flusher, Echo]:
+def dispatcher_with_echo(loop: VirtualLoop) -> tuple[Dispatcher, Flusher, EchoTransport]:
     """A planner whose calls are all served."""
     planner = Dispatcher(settings_from_object(drawn_settings.settings()), 1, clock=loop.unix_ms)
     flusher = Flusher()
     planner.flush_output = flusher.flush_all
-    echo = Echo(planner, loop)
+    echo = EchoTransport(planner, loop)
     planner.connect_workers(echo)
     listed = tuple(Endpoint(n, 0, 0, 0, EndpointState.READY, None, None) for n in (1, 2))
     planner.endpoints_changed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
     return planner, flusher, echo
 
 
-def pieces(data: bytes, seed: int) -> list[bytes]:
+def cut_into_pieces(data: bytes, seed: int) -> list[bytes]:
     """The data in cuts that follow from the seed; seed 0 leaves it whole."""
     if seed == 0:
         return [data]
@@ -107,8 +109,8 @@
 
 async def feed(transport: MemoryTransport, data: bytes, seed: int) -> None:
     """Send it in pieces, the loop running between them."""
-    for piece in pieces(data, seed):
-        transport.send(piece)
+    for piece in cut_into_pieces(data, seed):
+        transport.peer_send(piece)
         await asyncio.sleep(0)
     for _ in range(40):
         await asyncio.sleep(0.01)
@@ -117,9 +119,9 @@
 class StreamTarget(Target):
     """A connection. The input's first byte says how the rest is cut; whole or cut, the same comes out."""
 
-    work = (200_000, 3000)
-    memory = (4 * 2**20, 400)
-    runs = 150
+    line_budget = (200_000, 3000)
+    byte_budget = (4 * 2**20, 400)
+    test_runs = 150
 
     async def serve(self, loop: VirtualLoop, data: bytes, seed: int) -> Any:
         """What comes out, in a form that can be compared."""
@@ -133,23 +135,23 @@
             async def work(loop: VirtualLoop, seed: int = seed) -> None:
                 seen.append(await self.serve(loop, data[1:], seed))
 
-            failures = play(work).failures
+            failures = run_virtual(work).failures
             if failures:
                 raise Finding(failures[0])
-        need(seen[0] == seen[1], f"whole {str(seen[0])[:150]}, cut {str(seen[1])[:150]}")
+        require(seen[0] == seen[1], f"whole {str(seen[0])[:150]}, cut {str(seen[1])[:150]}")
 
     def mutate(self, data: bytes, rng: random.Random) -> bytes:
         """Mostly what stands in it; now and then the cut."""
         if not data or rng.random() < 0.1:
             return rng.randbytes(1) + data[1:]
-        return data[:1] + self.change(data[1:], rng)
+        return data[:1] + self.mutate_stream(data[1:], rng)
 
-    def change(self, data: bytes, rng: random.Random) -> bytes:
+    def mutate_stream(self, data: bytes, rng: random.Random) -> bytes:
         """The stream, changed."""
         return mutate_bytes(data, rng)
 
 
-def draw_message(rng: random.Random, number: int) -> Any:
+def generate_message(rng: random.Random, number: int) -> Any:
     """One message of the platform's protocol, good or odd."""
     klass = rng.choice(("check", "revise", "confirm", "none"))
     fields = {"txn": f"{number:016x}", "limit": "2000", "item": FUNCTION, "unique": f"u{number}"}
@@ -163,7 +165,7 @@
             "lanes:1;lanes:2",
             "lanes:5e-324",
         )
-        fields[name] = rng.choice(figures if name == "props" else ODD)[:60]
+        fields[name] = rng.choice(figures if name == "props" else EDGE_STRINGS)[:60]
         if rng.random() < 0.3:
             del fields[name]
     body: Any = rng.choice((b"", b"body", rng.randbytes(40), "text", b"z" * 17_000))
@@ -179,11 +181,11 @@
         case 4:
             return [0, rng.choice((number, 0, -1, 2**64 - 1, True, 1.5)), klass, [fields, body]]
         case 5:
-            return draw_value(rng, 3)
+            return generate_value(rng, 3)
     return [0, number, klass, [fields, body]]
 
 
-class Platform(StreamTarget):
+class PlatformTarget(StreamTarget):
     """A platform client's whole connection."""
 
     name = "platform"
@@ -195,9 +197,9 @@
         "cedarthread.transport.read_buffer",
     )
 
-    def draw(self, rng: random.Random) -> bytes:
+    def generate(self, rng: random.Random) -> bytes:
         """Some messages in a row, perhaps the last one cut off."""
-        messages = [draw_message(rng, n + 1) for n in range(rng.choice((1, 2, 4, 10, 40)))]
+        messages = [generate_message(rng, n + 1) for n in range(rng.choice((1, 2, 4, 10, 40)))]
         data = b"".join(self._pack(message) for message in messages)
         return rng.randbytes(1) + (data if rng.random() < 0.8 else data[: rng.randrange(len(data) + 1)])
 
@@ -207,7 +209,7 @@
         except (OverflowError, UnicodeEncodeError, ValueError):
             return b"\xc0"
 
-    def change(self, data: bytes, rng: random.Random) -> bytes:
+    def mutate_stream(self, data: bytes, rng: random.Random) -> bytes:
         """Whole messages swapped, doubled or dropped, or bytes."""
         if rng.random() < 0.5:
             return mutate_bytes(data, rng)
@@ -233,33 +235,33 @@
 
     async def serve(self, loop: VirtualLoop, data: bytes, seed: int) -> Any:
         """Per number, what was answered to it and how often; each number asked gets one answer."""
-        planner, flusher, _ = planner_with_echo(loop)
+        planner, flusher, _ = dispatcher_with_echo(loop)
         front = PlatformServer(planner, 8, flusher, 2**20)
         transport, out = MemoryTransport(loop), bytearray()
         transport.on_bytes = out.extend
         connection = PlatformConnection(front)
-        transport.begin(connection)
+        transport.connect(connection)
         await feed(transport, data, seed)
-        need(
+        require(
             not planner.pending_calls
             and not planner.calls.pending_ids
             and planner.calls.pending_body_bytes == 0,
             "a call is left",
         )
-        need(front.queued_bytes == 0, f"{front.queued_bytes} bytes of answers are left")
-        need(len(connection.buffer._data) <= MAX_MESSAGE_BYTES, "the buffer grew past its limit")
+        require(front.queued_bytes == 0, f"{front.queued_bytes} bytes of answers are left")
+        require(len(connection.buffer._data) <= MAX_MESSAGE_BYTES, "the buffer grew past its limit")
         unpacker = reference.Unpacker(raw=False, strict_map_key=True, max_buffer_size=2**24)
         unpacker.feed(bytes(out))
         answers: dict[Any, int] = {}
         for message in unpacker:
-            need(isinstance(message, list) and len(message) == 4 and message[0] == 1, f"sent {message!r}")
+            require(isinstance(message, list) and len(message) == 4 and message[0] == 1, f"sent {message!r}")
             answers[message[1]] = answers.get(message[1], 0) + 1
-        need(unpacker.tell() == len(out), "bytes after the last answer")
+        require(unpacker.tell() == len(out), "bytes after the last answer")
         asked = self._asked(data)
         # Whether an interrupt or a number used twice meets an open call depends on the time between them.
         timing = b"interrupt" in data or any(count > 1 for count in asked.values())
         for number, count in answers.items():
-            need(
+            require(
                 count <= asked.get(number, 0),
                 f"{count} answers to number {number}, asked {asked.get(number, 0)}",
             )
@@ -281,19 +283,21 @@
         return asked
 
 
-class _Ways:
+class _RecordingTransport:
     """What a runner's connection tells its pool's owner, kept."""
 
     def __init__(self, loop: VirtualLoop) -> None:
         self.settings = settings_from_object(drawn_settings.settings())
         self.flusher, self.dispatcher = Flusher(), self
         self.clock = loop.unix_ms
-        self.ends: list[tuple[str, str, bytes]] = []
-        self.wrong: list[str] = []  # figures that are none; raised later, for the connection catches all
+        self.endings: list[tuple[str, str, bytes]] = []
+        self.bad_numbers: list[
+            str
+        ] = []  # figures that are none; raised later, for the connection catches all
 
-    def _figure(self, what: str, value: float, most: float) -> None:
+    def _check_number(self, what: str, value: float, most: float) -> None:
         if not abs(value) <= most:
-            self.wrong.append(f"{what} of {value}")
+            self.bad_numbers.append(f"{what} of {value}")
 
     def may_start_attempt(self, attempt: Attempt) -> bool:
         """Its client is there."""
@@ -305,26 +309,26 @@
     def on_call_response(self, attempt: Attempt, ending: AttemptResult) -> None:
         """An answer."""
         for value in ending.load_report:
-            self._figure("a report", value or 0.0, 1e308)
-        self._figure("a crowd", ending.reported_concurrency or 0, 2**31)
-        self.ends.append((attempt.call.call_id, ending.outcome.value, ending.body))
+            self._check_number("a report", value or 0.0, 1e308)
+        self._check_number("a crowd", ending.reported_concurrency or 0, 2**31)
+        self.endings.append((attempt.call.call_id, ending.outcome.value, ending.body))
 
     def on_connection_broken(self, request: Attempt | PendingPreload, *, is_unreachable: bool) -> None:
         """The connection went."""
         name = request.call.call_id if isinstance(request, Attempt) else request.message_id
-        self.ends.append((name, "broke", b""))
+        self.endings.append((name, "broke", b""))
 
     def on_preload_response(self, preload: PendingPreload, message: dict[str, Any]) -> None:
         """An order's end."""
         PreloadRequests(cast(Any, self)).on_response(preload, parse_preload_response(message))
-        self.ends.append((preload.message_id, "order", b""))
+        self.endings.append((preload.message_id, "order", b""))
 
     def preload_ended(self, event: PreloadEnded) -> None:
         """What the planner is told of it."""
-        self._figure("copies", event.instances, 2**31)
+        self._check_number("copies", event.instances, 2**31)
 
 
-class RunnerLines(StreamTarget):
+class WorkerLinesTarget(StreamTarget):
     """The lines that a runner sends, on a connection with three calls and an order open."""
 
     name = "lines"
@@ -336,15 +340,15 @@
         "cedarthread.protocols.worker_preloads",
         "cedarthread.protocols.workers",
     )
-    names = ("a1", "a2", "a3", "load-1")
+    message_ids = ("a1", "a2", "a3", "load-1")
 
-    def draw(self, rng: random.Random) -> bytes:
+    def generate(self, rng: random.Random) -> bytes:
         """Some lines: good answers, odd figures, foreign ids."""
         lines = []
         for _ in range(rng.choice((1, 2, 5))):
             fields: Any = {
                 "remark": rng.choice(("hit", "spawn", 7, None)),
-                "depth": rng.choice((0, 3, *ODD, 1e308)),
+                "depth": rng.choice((0, 3, *EDGE_STRINGS, 1e308)),
             }
             report = (
                 "inflight:7;x1:0",
@@ -356,7 +360,7 @@
             )
             fields["report"], fields["pods"] = rng.choice(report), rng.choice((1, -1, 2**64, "x", 1e308))
             op = rng.choice(("HIT", "HIT", "NONE", "SHED", "FAULT", "LATE", "PONG", "WHAT", ["HIT"], None))
-            message = {"op": op, "id": rng.choice((*self.names, "b", 1)), "fields": fields}
+            message = {"op": op, "id": rng.choice((*self.message_ids, "b", 1)), "fields": fields}
             body = base64.b64encode(rng.randbytes(rng.choice((0, 5, 300)))).decode()
             message["body"] = rng.choice((body, body, body, body + "=", body[:-1], "%%", 7, None))
             for key in [k for k in message if rng.random() < 0.06]:
@@ -369,24 +373,26 @@
 
     async def serve(self, loop: VirtualLoop, data: bytes, seed: int) -> Any:
         """How each of the four ended: once, and with the body that its own line holds."""
-        ways = _Ways(loop)
+        ways = _RecordingTransport(loop)
         listing = EndpointRecord("s-1", "h", 1, "room-a", "std", 0, EndpointState.READY, 1.0, 0.0)
         connection = WorkerConnection(WorkerConnectionPool(cast(Any, ways), listing))
         transport = MemoryTransport(loop)
-        transport.begin(connection)
-        for name in self.names[:3]:
+        transport.connect(connection)
+        for name in self.message_ids[:3]:
             call = Call(name, 0, 7, 1e18, b"", lambda answer: None)
             connection.send_request(b"{}\n", Attempt(call, 0, 1, 0.0, Progress.WRITTEN))
         connection.send_request(b"{}\n", PendingPreload("load-1", 1, 7, 0.0))
         await feed(transport, data, seed)
-        transport.hang_up()
+        transport.peer_reset()
         await asyncio.sleep(0)
-        need(not ways.wrong, ways.wrong[0] if ways.wrong else "")
-        need(sorted(name for name, _, _ in ways.ends) == sorted(self.names), f"ended: {ways.ends}")
+        require(not ways.bad_numbers, ways.bad_numbers[0] if ways.bad_numbers else "")
+        require(
+            sorted(name for name, _, _ in ways.endings) == sorted(self.message_ids), f"ended: {ways.endings}"
+        )
         bodies = {base64.b64decode(text) for text in self._bodies(data)}
-        for name, outcome, body in ways.ends:
-            need(outcome != "ok" or body in bodies, f"{name} served with {body!r}, which no line holds")
-        return sorted(ways.ends)
+        for name, outcome, body in ways.endings:
+            require(outcome != "ok" or body in bodies, f"{name} served with {body!r}, which no line holds")
+        return sorted(ways.endings)
 
     def _bodies(self, data: bytes) -> list[str]:
         found = []
@@ -400,27 +406,27 @@
         return found
 
 
-class Invoke(StreamTarget):
+class InvokeTarget(StreamTarget):
     """A whole connection of the invoke API, its identity checked."""
 
     name = "invoke"
     modules = ("cedarthread.protocols.invoke", "cedarthread.protocols.http")
 
-    def draw(self, rng: random.Random) -> bytes:
+    def generate(self, rng: random.Random) -> bytes:
         """Some requests in a row."""
-        return rng.randbytes(1) + b"".join(draw_request(rng) for _ in range(rng.choice((1, 2, 5))))
+        return rng.randbytes(1) + b"".join(generate_request(rng) for _ in range(rng.choice((1, 2, 5))))
 
-    def change(self, data: bytes, rng: random.Random) -> bytes:
+    def mutate_stream(self, data: bytes, rng: random.Random) -> bytes:
         """A field put in, a request doubled, or bytes."""
         ends = [at for at in range(len(data)) if data.startswith(b"\r\n", at)]
         if ends and rng.random() < 0.4:
             at = rng.choice(ends)
-            return data[:at] + b"\r\n" + rng.choice(ODD_FIELDS) + data[at:]
+            return data[:at] + b"\r\n" + rng.choice(EDGE_HEADERS) + data[at:]
         return mutate_bytes(data, rng)
 
     async def serve(self, loop: VirtualLoop, data: bytes, seed: int) -> Any:
         """The responses' statuses in order."""
-        planner, flusher, _ = planner_with_echo(loop)
+        planner, flusher, _ = dispatcher_with_echo(loop)
         nowhere = Path("nowhere")
         allow = ("spiffe://gaz.example/*",)
         config = InvokeConfig(nowhere, "", 0, "gaz.example", nowhere, nowhere, nowhere, allow, 8)
@@ -429,46 +435,46 @@
         connection.peer = Identity("spiffe://gaz.example/a", "gaz.example", math.inf)
         transport, out = MemoryTransport(loop), bytearray()
         transport.on_bytes = out.extend
-        transport.begin(connection)
+        transport.connect(connection)
         await feed(transport, data, seed)
         statuses, rest = [], bytes(out)
         while (found := read_reply(rest)) is not None:
             reply, end = found
-            need(100 <= reply.status < 600, f"status {reply.status}")
+            require(100 <= reply.status < 600, f"status {reply.status}")
             statuses.append(reply.status)
             rest = rest[end:]
-        need(not rest, f"after the last response: {rest[:60]!r}")
-        need(not planner.pending_calls, "a call is open")
-        transport.hang_up()
+        require(not rest, f"after the last response: {rest[:60]!r}")
+        require(not planner.pending_calls, "a call is open")
+        transport.peer_reset()
         await asyncio.sleep(400)
         front.sweep(loop.time())
-        need(
+        require(
             front.deferred_calls.reserved_bytes == 0 and len(front.deferred_calls) == 0,
             "an answer is kept past its time",
         )
         return [status for status in statuses if status != 100]  # whether it is asked for depends on the cut
 
 
-class RosterNews(Target):
+class EndpointListTarget(Target):
     """The roster under news late, doubled, out of order and contradictory."""
 
     name = "roster"
     modules = ("cedarthread.protocols.endpoint_list",)
 
-    def draw(self, rng: random.Random) -> bytes:
+    def generate(self, rng: random.Random) -> bytes:
         """A script."""
         return rng.randbytes(rng.choice((10, 40, 90)))
 
     def check(self, data: bytes) -> None:
         """Whoever applies the events one after another holds the list that was told last."""
-        dice, roster = Dice(data), EndpointList(settings_from_object(drawn_settings.settings()))
+        dice, roster = FuzzedDataProvider(data), EndpointList(settings_from_object(drawn_settings.settings()))
         known: dict[int, EndpointState] = {}
         version, truth = -1, dict[str, EndpointRecord]()
-        while dice.more():
-            number, whole = dice.byte() % 20, bool(dice.byte() & 3)
-            told = [self._listing(dice) for _ in range(dice.byte() % 5)]
+        while dice.has_more():
+            number, whole = dice.consume_byte() % 20, bool(dice.consume_byte() & 3)
+            told = [self._listing(dice) for _ in range(dice.consume_byte() % 5)]
             event = roster.apply_update(number, told, whole)
-            need((event is None) == (number <= version), f"news {number} after {version}")
+            require((event is None) == (number <= version), f"news {number} after {version}")
             if event is None:
                 continue
             version = number
@@ -484,41 +490,49 @@
                 if listing.state is not EndpointState.REMOVED:
                     truth[listing.name] = listing
             held = {number: entry.state for number, entry in roster.by_worker_id().items()}
-            need(known == held, f"by the events {known}, by the list {held}")
+            require(known == held, f"by the events {known}, by the list {held}")
             numbers = {worker_id_from_name(name) for name in truth}
-            need(set(held) == numbers, f"told {sorted(truth)}, held {sorted(roster.records)}")
+            require(set(held) == numbers, f"told {sorted(truth)}, held {sorted(roster.records)}")
 
-    def _listing(self, dice: Dice) -> EndpointRecord:
+    def _listing(self, dice: FuzzedDataProvider) -> EndpointRecord:
         name = dice.pick(("s-00000001", "s-00000002", "t-00000001", "other", "s-0000000a"))
         state = dice.pick(tuple(EndpointState))
         zone = dice.pick(("room-a", "room-b", "nowhere"))
         return EndpointRecord(
-            name, "10.0.0.1", dice.byte(), zone, "std", dice.byte() % 3, state, 1.0, float(dice.byte())
+            name,
+            "10.0.0.1",
+            dice.consume_byte(),
+            zone,
+            "std",
+            dice.consume_byte() % 3,
+            state,
+            1.0,
+            float(dice.consume_byte()),
         )
 
 
-class _Datagrams(asyncio.DatagramTransport):
+class _RecordingDatagramTransport(asyncio.DatagramTransport):
     def __init__(self) -> None:
         super().__init__()
         self.sent: list[bytes] = []
-        self.closed = False
+        self.is_closed = False
 
     def sendto(self, data: Any, addr: Any = None) -> None:
         self.sent.append(bytes(data))
 
     def close(self) -> None:
-        self.closed = True
+        self.is_closed = True
 
 
-class Exchange(Target):
+class DiscoveryTarget(Target):
     """The resolver's client, its replies lost, late, old, doubled, foreign and truncated."""
 
     name = "resolver"
     modules = ("cedarthread.protocols.discovery",)
-    work = (400_000, 8000)
-    memory = (4 * 2**20, 2000)
+    line_budget = (400_000, 8000)
+    byte_budget = (4 * 2**20, 2000)
 
-    def draw(self, rng: random.Random) -> bytes:
+    def generate(self, rng: random.Random) -> bytes:
         """A script."""
         return rng.randbytes(rng.choice((10, 40, 80)))
 
@@ -527,40 +541,40 @@
         told: list[tuple[int, list[EndpointRecord]]] = []
 
         async def work(loop: VirtualLoop) -> None:
-            await self._play(loop, Dice(data), told)
+            await self._play(loop, FuzzedDataProvider(data), told)
 
-        failures = play(work).failures
-        need(not failures, failures[0] if failures else "")
+        failures = run_virtual(work).failures
+        require(not failures, failures[0] if failures else "")
         numbers = [serial for serial, _ in told]
-        need(numbers == sorted(set(numbers)), f"told in the order {numbers}")
+        require(numbers == sorted(set(numbers)), f"told in the order {numbers}")
 
     async def _play(
-        self, loop: VirtualLoop, dice: Dice, told: list[tuple[int, list[EndpointRecord]]]
+        self, loop: VirtualLoop, dice: FuzzedDataProvider, told: list[tuple[int, list[EndpointRecord]]]
     ) -> None:
         resolver = DiscoveryClient(lambda serial, listed: told.append((serial, listed)))
         resolver._random = cast(Any, random.Random(1))
-        transport = _Datagrams()
+        transport = _RecordingDatagramTransport()
         resolver.connection_made(transport)
         serial, old = 0, list[bytes]()
-        while dice.more():
+        while dice.has_more():
             asked = [struct.unpack(">H", query[:2])[0] for query in transport.sent]
-            rng = random.Random(dice.wide())
-            reply = draw_reply(rng, rng.randrange(4))
-            serial += dice.byte() % 3
+            rng = random.Random(dice.consume_uint16())
+            reply = generate_reply(rng, rng.randrange(4))
+            serial += dice.consume_byte() % 3
             reply.query_id, reply.serial = rng.choice(asked[-3:]), serial
             good = pack_reply(reply)
             before = len(told)
-            match dice.byte() % 8:
+            match dice.consume_byte() % 8:
                 case 0:
-                    resolver.datagram_received(good[: dice.byte()], None)
+                    resolver.datagram_received(good[: dice.consume_byte()], None)
                 case 1:
                     resolver.datagram_received(pack_reply(reply, flags=0x8600), None)
-                    need(len(told) == before, "a truncated reply was taken")
+                    require(len(told) == before, "a truncated reply was taken")
                 case 2:
-                    foreign = struct.pack(">H", (reply.query_id + 1 + dice.byte()) % 2**16)
+                    foreign = struct.pack(">H", (reply.query_id + 1 + dice.consume_byte()) % 2**16)
                     resolver.datagram_received(foreign + good[2:], None)
                     recent = struct.unpack(">H", foreign)[0] in asked[-16:]
-                    need(recent or len(told) == before, "a reply to nothing that was asked was taken")
+                    require(recent or len(told) == before, "a reply to nothing that was asked was taken")
                 case 3 if old:
                     resolver.datagram_received(dice.pick(old), None)
                 case 4:
@@ -570,6 +584,6 @@
                 case _:
                     resolver.datagram_received(good, None)
                     old.append(good)
-            await asyncio.sleep(dice.byte() / 100)
+            await asyncio.sleep(dice.consume_byte() / 100)
         resolver.stop()
-        need(transport.closed and loop.timers() == 0, "it asks on after its end")
+        require(transport.is_closed and loop.timer_count() == 0, "it asks on after its end")
--- a/cedarthread/testing/fuzzing/target.py
+++ b/cedarthread/testing/fuzzing/target.py
@@ -16,10 +16,41 @@
 T = TypeVar("T")
 
 # Figures at the edges of every width that is read anywhere, and some that float() takes and nobody means.
-NUMBERS = [0, 1, -1, 31, 32, 127, 128, 255, 256, 2**15, 2**16 - 1, 2**16, 2**31 - 1, 2**31, 2**32 - 1, 2**32]
-NUMBERS += [2**53, 2**63 - 1, 2**63, 2**64 - 1, 2**64, -(2**63)]
-ODD = ["", "0", "-0", "-1", "1e308", "1e309", "-1e309", "nan", "inf", "0x10", "1_0", "9" * 20, "9" * 5000]
-ODD += ["٣", " 7", "+7", "1.5", "5e-324", "\x00", "é", "%2e", ".."]
+EDGE_NUMBERS = [
+    0,
+    1,
+    -1,
+    31,
+    32,
+    127,
+    128,
+    255,
+    256,
+    2**15,
+    2**16 - 1,
+    2**16,
+    2**31 - 1,
+    2**31,
+    2**32 - 1,
+    2**32,
+]
+EDGE_NUMBERS += [2**53, 2**63 - 1, 2**63, 2**64 - 1, 2**64, -(2**63)]
+EDGE_STRINGS = [
+    "",
+    "0",
+    "-0",
+    "-1",
+    "1e308",
+    "1e309",
+    "-1e309",
+    "nan",
+    "inf",
+    "0x10",
+    "1_0",
+    "9" * 20,
+    "9" * 5000,
+]
+EDGE_STRINGS += ["٣", " 7", "+7", "1.5", "5e-324", "\x00", "é", "%2e", ".."]
 PACKAGE = "cedarthread"
 
 
@@ -27,29 +58,29 @@
     """The program did on an input what it must not do."""
 
 
-class Dice:
+class FuzzedDataProvider:
     """Choices read from an input's bytes; past the end every choice is the first."""
 
     def __init__(self, data: bytes) -> None:
         self.data = data
-        self.at = 0
+        self.position = 0
 
-    def more(self) -> bool:
+    def has_more(self) -> bool:
         """Is a byte left?"""
-        return self.at < len(self.data)
+        return self.position < len(self.data)
 
-    def byte(self) -> int:
+    def consume_byte(self) -> int:
         """The next byte, 0 past the end."""
-        self.at += 1
-        return self.data[self.at - 1] if self.at <= len(self.data) else 0
+        self.position += 1
+        return self.data[self.position - 1] if self.position <= len(self.data) else 0
 
     def pick(self, among: Sequence[T]) -> T:
         """One of them."""
-        return among[self.byte() % len(among)]
+        return among[self.consume_byte() % len(among)]
 
-    def wide(self) -> int:
+    def consume_uint16(self) -> int:
         """Two bytes' worth."""
-        return self.byte() << 8 | self.byte()
+        return self.consume_byte() << 8 | self.consume_byte()
 
 
 class Target:
@@ -57,11 +88,11 @@
 
     name = ""
     modules: tuple[str, ...] = ()  # whose coverage counts
-    work = (20_000, 400)  # lines of the program that one input may take: so many, and so many a byte
-    memory = (2**20, 200)  # bytes that one input may take at its peak: likewise
-    runs = 400  # drawn runs in the tests
+    line_budget = (20_000, 400)  # lines of the program that one input may take: so many, and so many a byte
+    byte_budget = (2**20, 200)  # bytes that one input may take at its peak: likewise
+    test_runs = 400  # drawn runs in the tests
 
-    def draw(self, rng: random.Random) -> bytes:
+    def generate(self, rng: random.Random) -> bytes:
         """An input that the grammar allows, or nearly."""
         raise NotImplementedError
 
@@ -73,10 +104,10 @@
         """The input, changed."""
         return mutate_bytes(data, rng)
 
-    def next(self, rng: random.Random, corpus: Sequence[bytes]) -> bytes:
+    def next_input(self, rng: random.Random, corpus: Sequence[bytes]) -> bytes:
         """The next input of a drawn run: a new one, or a changed one."""
         if not corpus or rng.random() < 0.5:
-            data = self.draw(rng)
+            data = self.generate(rng)
             return data if rng.random() < 0.6 else self.mutate(data, rng)
         data = rng.choice(corpus)
         for _ in range(rng.randint(1, 3)):
@@ -99,11 +130,11 @@
         case 3 if at < len(raw):
             raw[at] = rng.choice((0, 0xFF, 0x7F, 0x80, raw[at] ^ 1 << rng.randrange(8)))
         case 4:
-            number = rng.choice(NUMBERS) % 2**64
+            number = rng.choice(EDGE_NUMBERS) % 2**64
             width = rng.choice((1, 2, 4, 8))
             raw[at : at + width] = (number % 256**width).to_bytes(width, rng.choice(("big", "little")))
         case 5:
-            raw[at:end] = rng.choice(ODD).encode()[:300]
+            raw[at:end] = rng.choice(EDGE_STRINGS).encode()[:300]
         case _:
             other = rng.randrange(len(raw) + 1)
             raw[at:at] = raw[other : other + rng.randint(1, 30)]
@@ -119,7 +150,7 @@
             case 0:
                 del changed[key]
             case 1:
-                changed[str(rng.choice(ODD))[:40]] = value[key]
+                changed[str(rng.choice(EDGE_STRINGS))[:40]] = value[key]
             case _:
                 changed[key] = mutate_tree(value[key], rng, edges)
         return changed
@@ -135,25 +166,25 @@
     return rng.choice(edges)
 
 
-class Meter:
+class ResourceMeter:
     """Counts the lines of this program that run, and what memory they took at the peak.
 
     Lines are the same on every run and machine, so that a bound on them can stand in a test."""
 
     def __init__(self, target: Target, size: int) -> None:
-        self.most_lines = target.work[0] + target.work[1] * size
-        self.most_bytes = target.memory[0] + target.memory[1] * size
-        self.lines = 0
-        self.peak = 0
+        self.max_lines = target.line_budget[0] + target.line_budget[1] * size
+        self.max_bytes = target.byte_budget[0] + target.byte_budget[1] * size
+        self.line_count = 0
+        self.peak_bytes = 0
 
     def _trace(self, frame: FrameType, event: str, arg: Any) -> Callable[..., Any] | None:
         module = str(frame.f_globals.get("__name__", ""))
         return self._line if module.startswith(PACKAGE) and ".fuzz" not in module else None
 
     def _line(self, frame: FrameType, event: str, arg: Any) -> Callable[..., Any]:
-        self.lines += event == "line"
-        if self.lines > self.most_lines:
-            raise Finding(f"more than {self.most_lines} lines of work for one input")
+        self.line_count += event == "line"
+        if self.line_count > self.max_lines:
+            raise Finding(f"more than {self.max_lines} lines of work for one input")
         return self._line
 
     def measure(self, check: Callable[[bytes], None], data: bytes) -> None:
@@ -165,13 +196,13 @@
             check(data)
         finally:
             sys.settrace(old)
-            self.peak = tracemalloc.get_traced_memory()[1]
+            self.peak_bytes = tracemalloc.get_traced_memory()[1]
             tracemalloc.stop()
-        if self.peak > self.most_bytes:
-            raise Finding(f"{self.peak} bytes held for one input, at most {self.most_bytes} allowed")
+        if self.peak_bytes > self.max_bytes:
+            raise Finding(f"{self.peak_bytes} bytes held for one input, at most {self.max_bytes} allowed")
 
 
-class _Failures(logging.Handler):
+class _LoggedFailures(logging.Handler):
     """Keeps what the program logged as a failure of its own."""
 
     def __init__(self) -> None:
@@ -185,14 +216,14 @@
 
 def verdict(target: Target, data: bytes, *, metered: bool = False) -> str | None:
     """What is wrong with the program on this input; None where it did as it must."""
-    failures, logger = _Failures(), logging.getLogger(PACKAGE)
+    failures, logger = _LoggedFailures(), logging.getLogger(PACKAGE)
     level, passes = logger.level, logger.propagate
     logger.addHandler(failures)
     logger.setLevel(logging.ERROR)
     logger.propagate = False
     try:
         if metered:
-            Meter(target, len(data)).measure(target.check, data)
+            ResourceMeter(target, len(data)).measure(target.check, data)
         else:
             target.check(data)
     except Finding as finding:
--- a/cedarthread/testing/fuzzing/targets.py
+++ b/cedarthread/testing/fuzzing/targets.py
@@ -11,25 +11,25 @@
 )
 from cedarthread.testing.fuzzing.target import Target
 
-ALL: tuple[type[Target], ...] = (
-    parser_targets.MessagePack,
-    stream_targets.Platform,
-    stream_targets.RunnerLines,
-    parser_targets.Dns,
-    stream_targets.RosterNews,
-    stream_targets.Exchange,
-    parser_targets.HttpHead,
-    stream_targets.Invoke,
-    identity_targets.SpiffeId,
-    identity_targets.Certificate,
-    parser_targets.ConfigFile,
-    parser_targets.InvokeFile,
-    parser_targets.SimulatorWire,
-    deferred_target.DeferredStore,
-    call_machine.CallMachine,
+ALL_TARGETS: tuple[type[Target], ...] = (
+    parser_targets.MessagePackTarget,
+    stream_targets.PlatformTarget,
+    stream_targets.WorkerLinesTarget,
+    parser_targets.DnsTarget,
+    stream_targets.EndpointListTarget,
+    stream_targets.DiscoveryTarget,
+    parser_targets.HttpHeadTarget,
+    stream_targets.InvokeTarget,
+    identity_targets.SpiffeIdTarget,
+    identity_targets.CertificateTarget,
+    parser_targets.ConfigFileTarget,
+    parser_targets.InvokeConfigTarget,
+    parser_targets.SimulatorTarget,
+    deferred_target.DeferredCallsTarget,
+    call_machine.CallMachineTarget,
 )
 
 
-def named() -> dict[str, Target]:
+def targets_by_name() -> dict[str, Target]:
     """A target of each kind, by its name."""
-    return {target.name: target() for target in ALL}
+    return {target.name: target() for target in ALL_TARGETS}
