--- a/cedarthread/testing/fuzzing/virtual_loop.py
+++ b/cedarthread/testing/fuzzing/virtual_loop.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-START = 1_000_000.0  # s: loop time at the start, as a Unix time
+START_TIME_S = 1_000_000.0  # s: loop time at the start, as a Unix time
 
 
 class StuckError(Exception):
@@ -18,14 +18,14 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._now = START
+        self._now = START_TIME_S
         self._selector = self  # BaseEventLoop asks it for events, with the time till the next timer
         self.jitter: Callable[[], float] = lambda: 0.0
         self.failures: list[str] = []  # what the loop's exception handler was told
         self.dial: Callable[[Any, str, int], MemoryTransport] | None = None
-        self.set_exception_handler(self._failed)
+        self.set_exception_handler(self._on_failure)
 
-    def _failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    def _on_failure(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         self.failures.append(f"{context.get('message')}: {context.get('exception')!r}")
 
     def time(self) -> float:
@@ -55,7 +55,7 @@
     def _write_to_self(self) -> None:
         pass
 
-    def timers(self) -> int:
+    def timer_count(self) -> int:
         """Timers that are set and not cancelled."""
         scheduled: list[asyncio.TimerHandle] = getattr(self, "_scheduled")  # noqa: B009
         return sum(not handle.cancelled() for handle in scheduled)
@@ -66,16 +66,16 @@
         """A connection in memory, as ``dial`` says; OSError where it refuses."""
         assert self.dial is not None
         transport = self.dial(protocol_factory, str(host), int(port))
-        while transport.hangs:  # nobody answers: the caller's own time limit ends this
+        while transport.never_connects:  # nobody answers: the caller's own time limit ends this
             await asyncio.sleep(1.0)
         await asyncio.sleep(0)
         if transport.is_closing():
             raise ConnectionResetError(104, "reset while it came up")
-        transport.begin(protocol_factory())
+        transport.connect(protocol_factory())
         return transport, transport.protocol
 
 
-def play(work: Callable[[VirtualLoop], Coroutine[Any, Any, None]]) -> VirtualLoop:
+def run_virtual(work: Callable[[VirtualLoop], Coroutine[Any, Any, None]]) -> VirtualLoop:
     """Run one coroutine to its end in virtual time; the loop, closed, for its figures."""
     loop = VirtualLoop()
     try:
@@ -98,50 +98,52 @@
         super().__init__()
         self.loop = loop
         self.protocol: Any = None
-        self.room: int | None = None
-        self.hangs = False
+        self.peer_window_bytes: int | None = None
+        self.never_connects = False
         self.on_bytes: Callable[[bytes], None] = lambda data: None
         self.on_close: Callable[[], None] = lambda: None
         self.sent_eof = False
-        self.handed: list[tuple[int, float]] = [(0, 0.0)]  # from which byte on was handed over when (Unix ms)
-        self._count = 0
-        self._out = bytearray()
+        self.writes: list[tuple[int, float]] = [(0, 0.0)]  # from which byte on was handed over when (Unix ms)
+        self._written_bytes = 0
+        self._write_buffer = bytearray()
         self._in: list[bytes] = []
-        self._high = 64 * 1024
-        self._paused_writing = self._reading_paused = self._closing = self._lost = False
-        self._eof = False
+        self._high_water_bytes = 64 * 1024
+        self._is_writing_paused = self._is_reading_paused = self._is_closing = self._is_lost = False
+        self._is_peer_eof = False
 
-    def begin(self, protocol: Any) -> None:
+    def connect(self, protocol: Any) -> None:
         """The connection is up."""
         self.protocol = protocol
         protocol.connection_made(self)
 
     # The peer's side.
 
-    def send(self, data: bytes) -> None:
+    def peer_send(self, data: bytes) -> None:
         """The peer sends bytes."""
-        if data and not self._closing:
+        if data and not self._is_closing:
             self._in.append(data)
             self.deliver()
 
-    def send_eof(self) -> None:
+    def peer_send_eof(self) -> None:
         """The peer writes no more."""
-        self._eof = True
+        self._is_peer_eof = True
         self.deliver()
 
-    def hang_up(self) -> None:
+    def peer_reset(self) -> None:
         """The peer resets the connection: what it had not taken is lost."""
-        self._out.clear()
+        self._write_buffer.clear()
         self._end(ConnectionResetError("reset by peer"))
 
-    def take(self, room: int | None) -> None:
+    def peer_accept(self, room: int | None) -> None:
         """The peer takes so many more bytes, or all from now on."""
-        self.room = room if room is None or self.room is None else self.room + room
-        self._push()
+        self.peer_window_bytes = (
+            room if room is None or self.peer_window_bytes is None else self.peer_window_bytes + room
+        )
+        self._flush()
 
     def deliver(self, *, paused: bool = False) -> None:
         """What the peer has sent is read; ``paused``: also where the program reads nothing now."""
-        while self._in and (paused or not self._reading_paused) and not self._closing:
+        while self._in and (paused or not self._is_reading_paused) and not self._is_closing:
             data = self._in.pop(0)
             buffer = self.protocol.get_buffer(-1)
             if not len(buffer) and paused:
@@ -153,8 +155,13 @@
             if count < len(data):
                 self._in.insert(0, data[count:])
             self.protocol.buffer_updated(count)
-        if self._eof and not self._in and (paused or not self._reading_paused) and not self._closing:
-            self._eof = False
+        if (
+            self._is_peer_eof
+            and not self._in
+            and (paused or not self._is_reading_paused)
+            and not self._is_closing
+        ):
+            self._is_peer_eof = False
             if not self.protocol.eof_received():
                 self.close()
 
@@ -162,51 +169,55 @@
 
     def write(self, data: Any) -> None:
         """Write; what the peer does not take is kept."""
-        if self._lost or self.sent_eof:
+        if self._is_lost or self.sent_eof:
             return
-        self.handed.append((self._count, self.loop.unix_ms()))
-        self._count += len(data)
-        self._out += data
-        self._push()
-        if len(self._out) > self._high and not self._paused_writing:
-            self._paused_writing = True
+        self.writes.append((self._written_bytes, self.loop.unix_ms()))
+        self._written_bytes += len(data)
+        self._write_buffer += data
+        self._flush()
+        if len(self._write_buffer) > self._high_water_bytes and not self._is_writing_paused:
+            self._is_writing_paused = True
             self.protocol.pause_writing()
 
-    def _push(self) -> None:
-        count = len(self._out) if self.room is None else min(self.room, len(self._out))
-        if self.room is not None:
-            self.room -= count
-        data = bytes(self._out[:count])
-        del self._out[:count]
+    def _flush(self) -> None:
+        count = (
+            len(self._write_buffer)
+            if self.peer_window_bytes is None
+            else min(self.peer_window_bytes, len(self._write_buffer))
+        )
+        if self.peer_window_bytes is not None:
+            self.peer_window_bytes -= count
+        data = bytes(self._write_buffer[:count])
+        del self._write_buffer[:count]
         if data:
             self.on_bytes(data)
-        if len(self._out) <= self._high // 4 and self._paused_writing:
-            self._paused_writing = False
+        if len(self._write_buffer) <= self._high_water_bytes // 4 and self._is_writing_paused:
+            self._is_writing_paused = False
             self.protocol.resume_writing()
-        if not self._out and self._closing and not self._lost:
+        if not self._write_buffer and self._is_closing and not self._is_lost:
             self._end(None)
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         """As asyncio's."""
-        self._high = 64 * 1024 if high is None else high
+        self._high_water_bytes = 64 * 1024 if high is None else high
 
     def get_write_buffer_size(self) -> int:
         """Bytes not taken yet."""
-        return len(self._out)
+        return len(self._write_buffer)
 
     def pause_reading(self) -> None:
         """Take no more for now."""
-        self._reading_paused = True
+        self._is_reading_paused = True
 
     def resume_reading(self) -> None:
         """Take again."""
-        if self._reading_paused and not self._closing:
-            self._reading_paused = False
+        if self._is_reading_paused and not self._is_closing:
+            self._is_reading_paused = False
             self.loop.call_soon(self.deliver)
 
     def is_closing(self) -> bool:
         """Is it closed, or about to be?"""
-        return self._closing
+        return self._is_closing
 
     def can_write_eof(self) -> bool:
         """Yes."""
@@ -218,20 +229,20 @@
 
     def close(self) -> None:
         """Close once all is written."""
-        if not self._closing:
-            self._closing = True
-            if not self._out:
+        if not self._is_closing:
+            self._is_closing = True
+            if not self._write_buffer:
                 self._end(None)
 
     def abort(self) -> None:
         """Close at once."""
-        self._out.clear()
+        self._write_buffer.clear()
         self._end(None)
 
     def _end(self, error: Exception | None) -> None:
-        self._closing = True
-        if not self._lost:
-            self._lost = True
+        self._is_closing = True
+        if not self._is_lost:
+            self._is_lost = True
             self.on_close()
             if self.protocol is not None:
                 self.loop.call_soon(self.protocol.connection_lost, error)
--- a/cedarthread/testing/load_balance.py
+++ b/cedarthread/testing/load_balance.py
@@ -13,12 +13,7 @@
 from statistics import fmean, pstdev
 from typing import Any, NamedTuple, Protocol
 
-from cedarthread.testing.intervals import (
-    Interval,
-    intersect_intervals,
-    merge_intervals,
-    subtract_intervals,
-)
+from cedarthread.testing.intervals import Interval, intersect_intervals, merge_intervals, subtract_intervals
 
 WINDOW_MS = 1000.0  # over which work and arrivals are averaged
 HOTSPOT_RATIO = 3.0  # times its fair share of the arrivals that makes a worker a hotspot
@@ -28,13 +23,13 @@
 class CallRecord(Protocol):
     """One call at one worker."""
 
-    runner: int
+    worker: int
     function: int
-    at: float  # arrival
-    waits: float  # since when it waited for a free slot or core, and not for a load
-    began: float  # of its execution
-    ended: float  # when it left the worker
-    note: str  # "spawn": an instance was loaded for it; "shed", "spawn_failed": not accepted
+    arrived_at_ms: float  # arrival
+    queued_at_ms: float  # since when it waited for a free slot or core, and not for a load
+    started_at_ms: float  # of its execution
+    ended_at_ms: float  # when it left the worker
+    remark: str  # "spawn": an instance was loaded for it; "shed", "spawn_failed": not accepted
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,10 +93,10 @@
 ) -> LoadBalanceMetrics:
     """The figures of the time between; `concurrency`: calls that one instance executes at the same time."""
     present = sorted(
-        (record for record in records if record.at < end and record.ended > begin),
-        key=lambda record: record.at,
+        (record for record in records if record.arrived_at_ms < end and record.ended_at_ms > begin),
+        key=lambda record: record.arrived_at_ms,
     )
-    arrived = [record for record in present if begin <= record.at]
+    arrived = [record for record in present if begin <= record.arrived_at_ms]
     ratios: list[float] = []
     variations: list[float] = []
     for window in _windows(begin, end, WINDOW_MS):
@@ -109,7 +104,7 @@
         if len(work) > 1 and (mean := fmean(work.values())) > 0.0:
             ratios.append(max(work.values()) / mean)
             variations.append(pstdev(work.values()) / mean)
-    loads = sum(record.note == "spawn" for record in arrived)
+    loads = sum(record.remark == "spawn" for record in arrived)
     idle_times_ms = (
         _longest_idle_ms(worker_id, worker, present, begin, end) for worker_id, worker in workers.items()
     )
@@ -131,11 +126,13 @@
     seconds = math.ceil(end / WINDOW_MS)
     work = {worker_id: [0.0] * seconds for worker_id in workers}
     for record in records:
-        last_second = int(min(record.ended, end) / WINDOW_MS)
-        for second in range(int(record.at / WINDOW_MS), min(last_second + 1, seconds)):
-            inside_ms = min(record.ended, (second + 1) * WINDOW_MS) - max(record.at, second * WINDOW_MS)
-            cores = workers[record.runner].cores
-            work[record.runner][second] += max(0.0, inside_ms) / WINDOW_MS / cores
+        last_second = int(min(record.ended_at_ms, end) / WINDOW_MS)
+        for second in range(int(record.arrived_at_ms / WINDOW_MS), min(last_second + 1, seconds)):
+            inside_ms = min(record.ended_at_ms, (second + 1) * WINDOW_MS) - max(
+                record.arrived_at_ms, second * WINDOW_MS
+            )
+            cores = workers[record.worker].cores
+            work[record.worker][second] += max(0.0, inside_ms) / WINDOW_MS / cores
     return [work[worker_id] for worker_id in sorted(work)]
 
 
@@ -153,8 +150,8 @@
         worker_id: 0.0 for worker_id, worker in workers.items() if worker.is_ready_throughout(begin, end)
     }
     for record in records:
-        if record.runner in busy_ms and record.at < end and record.ended > begin:
-            busy_ms[record.runner] += min(record.ended, end) - max(record.at, begin)
+        if record.worker in busy_ms and record.arrived_at_ms < end and record.ended_at_ms > begin:
+            busy_ms[record.worker] += min(record.ended_at_ms, end) - max(record.arrived_at_ms, begin)
     return {worker_id: ms / (end - begin) / workers[worker_id].cores for worker_id, ms in busy_ms.items()}
 
 
@@ -162,11 +159,13 @@
     worker_id: int, worker: WorkerAvailability, records: list[CallRecord], begin: float, end: float
 ) -> float:
     """The longest time in which this worker was empty while, all the time, some call waited elsewhere."""
-    occupied = merge_intervals((record.at, record.ended) for record in records if record.runner == worker_id)
+    occupied = merge_intervals(
+        (record.arrived_at_ms, record.ended_at_ms) for record in records if record.worker == worker_id
+    )
     waiting_elsewhere = merge_intervals(
-        (record.waits, record.began)
+        (record.queued_at_ms, record.started_at_ms)
         for record in records
-        if record.runner != worker_id and record.waits < record.began < math.inf
+        if record.worker != worker_id and record.queued_at_ms < record.started_at_ms < math.inf
     )
     ready = [(max(at, begin), min(until, end)) for at, until in worker.ready_intervals]
     empty = subtract_intervals(ready, occupied)
@@ -182,8 +181,8 @@
     for window_begin, window_end in _windows(begin, end, WINDOW_MS / 2):
         arrivals: defaultdict[int, int] = defaultdict(int)
         for record in arrived:
-            if window_begin <= record.at < window_end:
-                arrivals[record.runner] += 1
+            if window_begin <= record.arrived_at_ms < window_end:
+                arrivals[record.worker] += 1
         cores = {
             worker_id: worker.cores
             for worker_id, worker in workers.items()
@@ -210,8 +209,8 @@
     needed = 0
     steps_by_function: defaultdict[int, list[tuple[float, int]]] = defaultdict(list)
     for record in arrived:
-        if record.began < record.ended:
-            steps_by_function[record.function] += [(record.began, 1), (record.ended, -1)]
+        if record.started_at_ms < record.ended_at_ms:
+            steps_by_function[record.function] += [(record.started_at_ms, 1), (record.ended_at_ms, -1)]
     for steps in steps_by_function.values():
         running = peak = 0
         for _, step in sorted(steps):
--- a/tests/contracts/test_fronts.py
+++ b/tests/contracts/test_fronts.py
@@ -18,7 +18,15 @@
 
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.simulator.host import SimulatorHost
-from cedarthread.testing.fakes.scripted import Runner, client, hit, listing, pack_call, says, service
+from cedarthread.testing.fakes.scripted import (
+    ScriptedWorker,
+    answer_with,
+    client,
+    endpoint_record,
+    pack_call,
+    serve_uppercase,
+    service,
+)
 from cedarthread.testing.fakes.settings import SETTINGS
 from tests.integration import test_invoke
 from tests.integration.test_invoke import DESK, PATH, Authority, Caller, config
@@ -137,26 +145,28 @@
 
     async def open(self, stack: AsyncExitStack, authority: Authority) -> None:
         self.came, self.states = asyncio.Event(), [EndpointState.READY] * 2
-        self.runners = [Runner(self._behave) for _ in range(2)]
+        self.runners = [ScriptedWorker(self._behave) for _ in range(2)]
         for runner in self.runners:
-            runner.came = self.came
+            runner.message_received = self.came
         told = service(*self.runners, invoke=config(authority))
         self.running = await stack.enter_async_context(told)
 
-    def _behave(self, runner: Runner, message: dict[str, Any]) -> dict[str, Any] | None:
+    def _behave(self, runner: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any] | None:
         number = int(base64.b64decode(message["body"]))
         self.visits.append((number, self.runners.index(runner) + 1, message))
-        return says(FULL)(runner, message) if self.refusing else None
+        return answer_with(FULL)(runner, message) if self.refusing else None
 
     def act(self, visit: Visit, what: str) -> None:
         runner = self.runners[visit[1] - 1]
         if what == BROKEN:
             return runner.writers[-1].transport.abort()
-        runner.answer(visit[2], (hit if what == HIT else says(what))(runner, visit[2]) or {})
+        runner.answer(
+            visit[2], (serve_uppercase if what == HIT else answer_with(what))(runner, visit[2]) or {}
+        )
 
     def drain(self, worker: int) -> None:
         self.states[worker - 1] = EndpointState.DRAINING
-        told = [listing(each, n, self.states[n - 1]) for n, each in enumerate(self.runners, 1)]
+        told = [endpoint_record(each, n, self.states[n - 1]) for n, each in enumerate(self.runners, 1)]
         self.running.update_endpoints(self.running.endpoint_list.version + 1, told, is_complete=True)
 
     async def until(self, met: Callable[[], bool]) -> None:
@@ -164,7 +174,7 @@
             while not met():
                 self.came.clear()
                 await self.came.wait()
-                ids = {id_ for runner in self.runners for id_ in runner.cancelled}
+                ids = {id_ for runner in self.runners for id_ in runner.cancelled_ids}
                 self.cancelled |= {call for call, _, message in self.visits if message["id"] in ids}
 
     def _came(self, number: int, kind: str, later: float) -> None:
--- a/tests/contracts/test_paths.py
+++ b/tests/contracts/test_paths.py
@@ -16,8 +16,8 @@
 
 from cedarthread.protocols.peers import PeerAddresses, PeerTransport
 from cedarthread.testing.cluster.network import Network
-from cedarthread.testing.cluster.scenario import parse
-from cedarthread.testing.fakes.peer_transport import Air, MemoryPath, Path
+from cedarthread.testing.cluster.scenario import parse_scenario
+from cedarthread.testing.fakes.peer_transport import MemoryNetwork, MemoryPath, PeerPath
 
 MARK = b"all before this has been heard"
 Heard = list[tuple[int, bytes]]
@@ -29,18 +29,20 @@
     def __init__(self, *kinds: str) -> None:
         self.heard: list[Heard] = [[] for _ in range(5)]
         told = [{"kind": kind, "who": "router", "to": "router", "figure": 0.3} for kind in kinds]
-        net = Network(parse({"fault": told}).faults, 7)
-        self.air = Air(3, lambda now, a, b: net.datagram(now, ("router", a), ("router", b)))
+        net = Network(parse_scenario({"fault": told}).faults, 7)
+        self.air = MemoryNetwork(
+            3, lambda now, a, b: net.datagram_delays_ms(now, ("router", a), ("router", b))
+        )
 
     async def begin(self) -> None:
-        self.ends: list[Path] = [MemoryPath(self.air, n, partial(self.tell, n)) for n in range(4)]
+        self.ends: list[PeerPath] = [MemoryPath(self.air, n, partial(self.tell, n)) for n in range(4)]
         self.others = [self.ends.pop()]  # the stranger first
 
     def tell(self, number: int, sender: int, data: bytes) -> None:
         self.heard[number].append((sender, data))
 
     async def settle(self) -> None:
-        self.air.run()
+        self.air.deliver_all()
 
 
 class Udp(World):
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -95,7 +95,7 @@
 from cedarthread.simulator.encoder import encode_action, encode_failure, encode_instance, encode_reply
 from cedarthread.testing.fakes import client as client_side
 from cedarthread.testing.fakes import discovery_server as resolver_side
-from cedarthread.testing.fakes.scripted import Runner, ask, listing, service
+from cedarthread.testing.fakes.scripted import ScriptedWorker, ask_control, endpoint_record, service
 from cedarthread.testing.fakes.settings import SETTINGS as STANDIN_SETTINGS
 from tests.helpers import settings as some_settings
 from tests.helpers import worker
@@ -668,7 +668,7 @@
             Sample(f"request {name}", client_side.pack_call(7, klass, b"in\x00", asked | extra), request)
             for name, (klass, extra) in changes.items()
         ),
-        Sample("request health", client_side.health(), message),
+        Sample("request health", client_side.pack_health_check(), message),
         *(Sample(f"response {name}", encode_answer(70_000, one), message) for name, one in answers.items()),
         Sample("response no", encode_error(3, "BadRequest", {"reason": "x" * 40}), message),
         Sample("response ready", encode_health(3, True), message),
@@ -687,8 +687,8 @@
 def discovery() -> list[Sample]:
     query: bytes = dns.encode_query(0xBEEF, protocols_discovery.SERVICE_NAME)
     listed = (
-        resolver_side.Listed("s-00000001", 9001, False, 0.0),
-        resolver_side.Listed("s-00000002", 9002, True, 1234.0),
+        resolver_side.ListedWorker("s-00000001", 9001, False, 0.0),
+        resolver_side.ListedWorker("s-00000002", 9002, True, 1234.0),
     )
 
     def reads(raw: bytes) -> Json:
@@ -697,11 +697,11 @@
             return reply.reason
         return [plain(reply), plain(protocols_discovery.endpoints_from_reply(reply))]
 
-    whole: bytes = resolver_side.reply(query, 41, listed, "room-a")
+    whole: bytes = resolver_side.encode_reply(query, 41, listed, "room-a")
     return [
         Sample("query", query),
         Sample("reply", whole, reads),
-        Sample("reply that lists nobody", resolver_side.reply(query, 42, (), "room-a"), reads),
+        Sample("reply that lists nobody", resolver_side.encode_reply(query, 42, (), "room-a"), reads),
         Sample("reply cut short", whole[:-3], reads),
         Sample("reply truncated", whole[:2] + b"\x86" + whole[3:], reads),
         Sample("reply that says no", whole[:3] + b"\x03" + whole[4:], reads),
@@ -1082,7 +1082,7 @@
         ("nothing there", "GET", "/", {}),
         ("expectation", "GET", "/v1/ready", {"Expect": "other"}),
     )
-    async with service(Runner(), invoke=config(made)) as running:
+    async with service(ScriptedWorker(), invoke=config(made)) as running:
         async with Caller(running, made.caller(DESK)) as desk:
             for name, method, target, fields in asked:
                 desk.send(method, target or collected, b"body", **fields)
@@ -1107,9 +1107,9 @@
     file = folder / "fleet.toml"
     file.write_bytes(FLEET)
     (folder / "kept").mkdir()
-    runner = Runner()
+    runner = ScriptedWorker()
     await runner.start()
-    known = ((1, (listing(runner, 1),)),)
+    known = ((1, (endpoint_record(runner, 1),)),)
     settings: RouterSettings = settings_from_object(STANDIN_SETTINGS)
     told = Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, known, ("127.0.0.1", 0))
     for name, running in (
@@ -1118,7 +1118,7 @@
     ):
         await running.start()
         for line in (b"PING\n", b"OTHER\n", b"INFO\n"):
-            reply: list[str] = await ask(running, line)
+            reply: list[str] = await ask_control(running, line)
             names: str = "\n".join(one.partition("=")[0] for one in reply) + "\n"
             samples.append(Sample(f"{name}: {line.decode().strip()}", names.encode()))
         running.platform.stop_listening()
@@ -1195,7 +1195,7 @@
         ("no such class", "nosuch", b"", {}),
     )
     samples: list[Sample] = []
-    writer.write(client_side.health())
+    writer.write(client_side.pack_health_check())
     samples.append(Sample("platform health", await _message(reader)))
     for number, (name, klass, body, fields) in enumerate(asked, 1):
         writer.write(client_side.pack_call(number, klass, body, own | {"txn": f"{number:016x}"} | fields))
--- a/tests/integration/test_client_gone.py
+++ b/tests/integration/test_client_gone.py
@@ -22,8 +22,8 @@
 from cedarthread.protocols.worker_connection import WorkerConnection
 from cedarthread.protocols.worker_pool import WorkerConnectionPool
 from cedarthread.service import Service
-from cedarthread.testing.fakes.client import plain
-from cedarthread.testing.fakes.scripted import Runner, hit, pack_call, service
+from cedarthread.testing.fakes.client import without_views
+from cedarthread.testing.fakes.scripted import ScriptedWorker, pack_call, serve_uppercase, service
 
 
 def run(test: Coroutine[Any, Any, None]) -> None:
@@ -72,7 +72,7 @@
                 return None
             self.held += more
         self.held = self.held[parsed.end :]
-        return plain(parsed.value)
+        return without_views(parsed.value)
 
 
 def at_router(running: Service, peer: Peer) -> PlatformConnection:
@@ -100,12 +100,12 @@
     not read from that client at all, as its answers wait."""
 
     async def test() -> None:
-        held: list[tuple[Runner, dict[str, Any]]] = []
+        held: list[tuple[ScriptedWorker, dict[str, Any]]] = []
 
-        def hold(runner: Runner, message: dict[str, Any]) -> None:
+        def hold(runner: ScriptedWorker, message: dict[str, Any]) -> None:
             held.append((runner, message))
 
-        first, second = Runner(hold), Runner(hold)
+        first, second = ScriptedWorker(hold), ScriptedWorker(hold)
         async with service(first, second) as running:
             peer = Peer(running)
             peer.call(1)
@@ -117,7 +117,7 @@
             GOING[going](peer)
             await until(lambda: not running.dispatcher.pending_calls)
             fence = Peer(running)
-            first.behave = second.behave = hit
+            first.behavior = second.behavior = serve_uppercase
             for number in range(2, 10):  # enough that both runners have heard all that was sent before
                 fence.call(number)
                 assert (await fence.read())[1:3] == [number, None]
@@ -141,7 +141,7 @@
             await dial(pool, connection)
 
         monkeypatch.setattr(WorkerConnectionPool, "_connect_within_timeout", late)
-        runner = Runner()
+        runner = ScriptedWorker()
         async with service(runner) as running:
             peer, other = Peer(running), Peer(running)
             peer.call(1)
@@ -169,7 +169,7 @@
     """The process was late: the request and its end stand in the socket together when it first reads."""
 
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with service(runner) as running:
             warm, peer = Peer(running), Peer(running)
             warm.call(2)
@@ -188,16 +188,16 @@
 
 def test_half_closed_the_attempt_that_is_out_still_brings_its_answer() -> None:
     async def test() -> None:
-        mute = Runner(lambda runner, message: None)
+        mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running:
             peer = Peer(running)
             peer.call(1)
-            await mute.until(lambda: len(mute.calls) == 1)
+            await mute.wait_until(lambda: len(mute.calls) == 1)
             peer.half_close()
             await until(lambda: at_router(running, peer).is_half_closed)
-            mute.answer(mute.calls[0], hit(mute, mute.calls[0]))
+            mute.answer(mute.calls[0], serve_uppercase(mute, mute.calls[0]))
             assert await peer.read() == [1, 1, None, [b"X", {}]] and await peer.read() is None
-            assert mute.cancelled == []
+            assert mute.cancelled_ids == []
 
     run(test())
 
@@ -206,7 +206,7 @@
     """Calls and their CANCELs in one piece: none of them runs."""
 
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with service(runner) as running:
             warm, peer = Peer(running), Peer(running)
             warm.call(1)
@@ -226,12 +226,12 @@
     """More messages than a turn takes stand in the socket before it."""
 
     async def test() -> None:
-        held: list[tuple[Runner, dict[str, Any]]] = []
+        held: list[tuple[ScriptedWorker, dict[str, Any]]] = []
 
-        def hold(runner: Runner, message: dict[str, Any]) -> None:
+        def hold(runner: ScriptedWorker, message: dict[str, Any]) -> None:
             held.append((runner, message))
 
-        first, second = Runner(hold), Runner(hold)
+        first, second = ScriptedWorker(hold), ScriptedWorker(hold)
         async with service(first, second) as running:
             peer, fence = Peer(running), Peer(running)
             peer.call(1)
@@ -242,7 +242,7 @@
             peer.sock.sendall(b"\x93\x02\xa4noop\x90" * 40)
             peer.cancel(1)
             await until(lambda: not running.dispatcher.pending_calls)
-            first.behave = second.behave = hit
+            first.behavior = second.behavior = serve_uppercase
             for number in range(2, 10):
                 fence.call(number)
                 assert (await fence.read())[1:3] == [number, None]
@@ -270,7 +270,7 @@
 
         monkeypatch.setattr(Dispatcher, "count_attempt_written", wrote)
 
-        def behave(runner: Runner, message: dict[str, Any]) -> dict[str, Any] | None:
+        def behave(runner: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any] | None:
             what = rng.random()
             if what < 0.1:
                 for writer in runner.writers:
@@ -278,9 +278,9 @@
                 runner.writers.clear()
             if what < 0.25:
                 return None
-            return {"op": "SHED", "fields": {}} if what < 0.6 else hit(runner, message)
+            return {"op": "SHED", "fields": {}} if what < 0.6 else serve_uppercase(runner, message)
 
-        runners = [Runner(behave) for _ in range(3)]
+        runners = [ScriptedWorker(behave) for _ in range(3)]
         async with service(*runners) as running:
             number = 0
             for _ in range(12):
--- a/tests/integration/test_client_gone_process.py
+++ b/tests/integration/test_client_gone_process.py
@@ -17,7 +17,7 @@
 
 import pytest
 
-from cedarthread.testing.fakes.scripted import Runner, pack_call
+from cedarthread.testing.fakes.scripted import ScriptedWorker, pack_call
 from cedarthread.testing.fakes.settings import SETTINGS
 from tests.integration.test_client_gone import GOING, cancel
 from tests.integration.test_descriptor_budget import Router, router
@@ -73,12 +73,12 @@
     ``connected``: connections to the runners stand; else the first calls wait for theirs to come up."""
 
     async def test() -> None:
-        refused: list[tuple[Runner, dict[str, Any], asyncio.StreamWriter]] = []
+        refused: list[tuple[ScriptedWorker, dict[str, Any], asyncio.StreamWriter]] = []
 
-        def hold(runner: Runner, message: dict[str, Any]) -> None:
+        def hold(runner: ScriptedWorker, message: dict[str, Any]) -> None:
             refused.append((runner, message, runner.writers[-1]))
 
-        runners = [Runner(hold) for _ in range(4)]
+        runners = [ScriptedWorker(hold) for _ in range(4)]
         for one in runners:
             await one.start()
         known = [
--- a/tests/integration/test_cluster.py
+++ b/tests/integration/test_cluster.py
@@ -26,20 +26,26 @@
 from cedarthread.service import Service
 from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.cluster import cli
-from cedarthread.testing.cluster.drills import DRILLS, drill, load_spread, mass_restart
-from cedarthread.testing.cluster.evaluation import Result, judged
-from cedarthread.testing.cluster.fake_process import Lists, RunnersPart, spoilt
-from cedarthread.testing.cluster.injected_defects import PLANTS
-from cedarthread.testing.cluster.network import LATE, Network
-from cedarthread.testing.cluster.policy_replay import Play, schedule
-from cedarthread.testing.cluster.recordings import Book, Plan, peak, time_to_full_service, worths
-from cedarthread.testing.cluster.router_entry import CLOCK, clocks
-from cedarthread.testing.cluster.router_processes import DISK, Fleet
-from cedarthread.testing.cluster.scenario import Scenario, ScenarioError, parse, read
-from cedarthread.testing.fakes.discovery_server import Listed, reply
+from cedarthread.testing.cluster.drills import SCENARIO_MODULES, load_scenario_set, load_spread, mass_restart
+from cedarthread.testing.cluster.evaluation import Result, evaluate
+from cedarthread.testing.cluster.fake_process import EndpointListTimeline, FakeWorkerProcess, corrupt
+from cedarthread.testing.cluster.injected_defects import DEFECTS
+from cedarthread.testing.cluster.network import MAX_REORDER_DELAY_MS, Network
+from cedarthread.testing.cluster.policy_replay import PolicyReplay, generate_arrivals
+from cedarthread.testing.cluster.recordings import (
+    ClusterPlan,
+    Recording,
+    peak_count,
+    time_to_full_service,
+    value_rates,
+)
+from cedarthread.testing.cluster.router_entry import CLOCK_CONTROL, faulty_clocks
+from cedarthread.testing.cluster.router_processes import DISK_CONTROL, RouterProcesses
+from cedarthread.testing.cluster.scenario import Scenario, ScenarioError, load_scenario, parse_scenario
+from cedarthread.testing.fakes.discovery_server import ListedWorker, encode_reply
 from cedarthread.testing.fakes.settings import SETTINGS
-from cedarthread.testing.fakes.worker_server import made
-from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop, play
+from cedarthread.testing.fakes.worker_server import response_body
+from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop, run_virtual
 from cedarthread.testing.load_balance import Hotspot, LoadBalanceMetrics
 
 
@@ -66,7 +72,7 @@
 )
 def test_a_bad_scenario_is_told_where_and_what(top: dict[str, Any], says: str) -> None:
     with pytest.raises(ScenarioError) as told:
-        parse(top)
+        parse_scenario(top)
     assert says in str(told.value)
 
 
@@ -75,12 +81,12 @@
     file.write_text(
         'name = "x"\nrate = 50\n[[fault]]\nkind = "stop"\nat = 1\nuntil = 2\nwho = "router:1-2"\n'
     )
-    scenario = read(file)
-    assert scenario.rate == 50 and scenario.faults[0].who.has("router", 2)
+    scenario = load_scenario(file)
+    assert scenario.rate == 50 and scenario.faults[0].subjects.includes("router", 2)
     file.write_text("name = ")
     for bad in (file, tmp_path / "none.toml"):
         with pytest.raises(ScenarioError, match=bad.name):
-            read(bad)
+            load_scenario(bad)
         assert cli.main(["rig", "run", str(bad)]) == 2
 
 
@@ -94,19 +100,23 @@
     ]
 
     def play() -> list[list[float]]:
-        network = Network(parse({"fault": told}).faults, 7)
-        return [network.datagram(10.0 * n, ("router", 0), ("router", 1)) for n in range(500)]
+        network = Network(parse_scenario({"fault": told}).faults, 7)
+        return [network.datagram_delays_ms(10.0 * n, ("router", 0), ("router", 1)) for n in range(500)]
 
     seen = play()
     assert seen == play()
     assert all(one == [0.0] for one in seen[:100]) and 20 < seen[100:200].count([]) < 80
     assert all(one == [0.0, 0.0] for one in seen[200:300])
     late = [one[0] for one in seen[300:400]]
-    assert len(set(late)) > 90 and max(late) <= LATE and all(one == [] for one in seen[400:500])
-    network = Network(parse({"fault": told}).faults, 7)
-    assert network.datagram(4500.0, ("router", 1), ("router", 0)) == [0.0], "it is cut one way only"
-    assert network.stream(4500.0, ("runner", 3), ("router", 2)) == 500.0, "bytes come once the cut is over"
-    assert network.stream(5000.0, ("router", 2), ("runner", 3)) == 0.0
+    assert (
+        len(set(late)) > 90 and max(late) <= MAX_REORDER_DELAY_MS and all(one == [] for one in seen[400:500])
+    )
+    network = Network(parse_scenario({"fault": told}).faults, 7)
+    assert network.datagram_delays_ms(4500.0, ("router", 1), ("router", 0)) == [0.0], "it is cut one way only"
+    assert network.stream_delay_ms(4500.0, ("runner", 3), ("router", 2)) == 500.0, (
+        "bytes come once the cut is over"
+    )
+    assert network.stream_delay_ms(5000.0, ("router", 2), ("runner", 3)) == 0.0
 
 
 def test_a_stall_holds_all_bytes_and_who_judges_draws_no_number() -> None:
@@ -114,28 +124,28 @@
         {"kind": "stall", "at": 1.0, "until": 2.0, "who": "router:1", "to": "runner:2"},
         {"kind": "loss", "at": 1.0, "until": 2.0, "who": "router:3", "to": "runner", "figure": 0.5},
     ]
-    network = Network(parse({"fault": told}).faults, 7)
-    assert network.stream(1250.0, ("runner", 2), ("router", 1)) == 750.0
-    assert network.datagram(1250.0, ("router", 1), ("runner", 2)) == []
+    network = Network(parse_scenario({"fault": told}).faults, 7)
+    assert network.stream_delay_ms(1250.0, ("runner", 2), ("router", 1)) == 750.0
+    assert network.datagram_delays_ms(1250.0, ("router", 1), ("runner", 2)) == []
     before = network.rng.getstate()
-    assert network.disturbed(1250.0, ("router", 3), ("runner", 0)) and before == network.rng.getstate()
-    assert not network.disturbed(1250.0, ("router", 4), ("runner", 2))
+    assert network.is_disturbed(1250.0, ("router", 3), ("runner", 0)) and before == network.rng.getstate()
+    assert not network.is_disturbed(1250.0, ("router", 4), ("runner", 2))
 
 
 def test_clocks_step_and_run_fast_and_disks_are_told_what_to_do(tmp_path: Path) -> None:
     now = [100.0]
-    told = bytearray(CLOCK.pack(0.0, 1.5, 90.0))
-    off = clocks(told, lambda: now[0], lambda: now[0])
+    told = bytearray(CLOCK_CONTROL.pack(0.0, 1.5, 90.0))
+    off = faulty_clocks(told, lambda: now[0], lambda: now[0])
     assert (off.time(), off.monotonic()) == (105.0, 105.0)
-    told[:] = CLOCK.pack(-2000.0, 1.0, 90.0)
+    told[:] = CLOCK_CONTROL.pack(-2000.0, 1.0, 90.0)
     assert (off.time(), off.monotonic()) == (98.0, 100.0), "a step leaves the steady clock alone"
-    fleet = Fleet(parse({"routers": 1}), tmp_path)
-    fleet.clock(0, rate=2.0)
-    fleet.disk(0, "slow_sync", 5000.0)
-    assert CLOCK.unpack((tmp_path / "n0.clock").read_bytes())[:2] == (0.0, 2.0)
+    fleet = RouterProcesses(parse_scenario({"routers": 1}), tmp_path)
+    fleet.set_clock(0, rate=2.0)
+    fleet.set_disk_fault(0, "slow_sync", 5000.0)
+    assert CLOCK_CONTROL.unpack((tmp_path / "n0.clock").read_bytes())[:2] == (0.0, 2.0)
     disk = (tmp_path / "n0.disk").read_bytes()
-    assert (len(disk), DISK.unpack(disk[:16])) == (64, (8, 5000.0))
-    fleet.end()
+    assert (len(disk), DISK_CONTROL.unpack(disk[:16])) == (64, (8, 5000.0))
+    fleet.stop_all()
 
 
 def test_lists_follow_the_timeline_and_a_serial_never_goes_back() -> None:
@@ -143,39 +153,41 @@
         {"kind": "hide", "at": 2.0, "until": 4.0, "who": "runner:0", "to": "router:1"},
         {"kind": "die", "at": 1.0, "until": 3.0, "who": "runner:1"},
     ]
-    lists = Lists(parse({"runners": 2, "fault": told}), [4001, 4002])
-    seen = [lists.at(1000.0 * at, 1) for at in (-1e6, 1.5, 2.5, 3.5, 4.5)]
+    lists = EndpointListTimeline(parse_scenario({"runners": 2, "fault": told}), [4001, 4002])
+    seen = [lists.list_at(1000.0 * at, 1) for at in (-1e6, 1.5, 2.5, 3.5, 4.5)]
     assert [serial for serial, _ in seen] == [1, 1, 2, 3, 4]
     assert [[one.port for one in listed] for _, listed in seen[1:4]] == [[4001, 4002], [4002], [4002]]
-    assert [listed[-1].started for _, listed in seen] == [0.0, 0.0, 0.0, 4000.0, 4000.0]
-    assert len(lists.at(2500.0, 0)[1]) == 2, "it is hidden from one router alone"
+    assert [listed[-1].started_at_ms for _, listed in seen] == [0.0, 0.0, 0.0, 4000.0, 4000.0]
+    assert len(lists.list_at(2500.0, 0)[1]) == 2, "it is hidden from one router alone"
 
 
 def test_a_spoilt_reply_is_not_what_it_was_and_raises_nothing() -> None:
     whole, rng = (
-        reply(dns.encode_query(9, SERVICE_NAME), 5, (Listed("s-00000001", 4001),), "room-a"),
+        encode_reply(dns.encode_query(9, SERVICE_NAME), 5, (ListedWorker("s-00000001", 4001),), "room-a"),
         random.Random(1),
     )
     for _ in range(300):
-        bad = spoilt(whole, rng)
+        bad = corrupt(whole, rng)
         assert bad != whole
         assert isinstance(dns.parse(bad), (dns.Reply, dns.UnusableReply))
 
 
 def test_books_give_peaks_worths_and_the_time_to_full_service() -> None:
-    assert peak([0.0, 100.0, 200.0, 249.0, 260.0, 900.0]) == 4 and peak([]) == 0
+    assert peak_count([0.0, 100.0, 200.0, 249.0, 260.0, 900.0]) == 4 and peak_count([]) == 0
     served = [(100.0 * n, 2.0) for n in range(200) if not 50 <= n < 80]
-    told = worths(served, 20_000.0)
+    told = value_rates(served, 20_000.0)
     assert (told[0], told[20], len(told)) == (20.0, 0.0, 77)
     # Served again from 8 s on: the first whole window ends at 9 s, 3.5 s after the last death.
-    assert time_to_full_service(told, 5.5, before=20.0) == 3.5
-    assert time_to_full_service(told, 5.5, before=22.0) is None
-    assert time_to_full_service(told[:60], 5.5, before=20.0, stays=9.0) is None, "it must stay so"
+    assert time_to_full_service(told, 5.5, undisturbed_rate=20.0) == 3.5
+    assert time_to_full_service(told, 5.5, undisturbed_rate=22.0) is None
+    assert time_to_full_service(told[:60], 5.5, undisturbed_rate=20.0, stable_s=9.0) is None, (
+        "it must stay so"
+    )
 
 
 ASKED = [(0.0, "taken", "0001a", "confirm", 3000.0, ""), (2.0, "handed", "0001a", 0, 0.0)]
 SAFE = (0.0, "taken", "0001a", "check", 3000.0, "")
-RAN = [(50.0, "went", "0001a", 0, "hit"), (50.0, "answered", "0001a", "served", made("0001a"))]
+RAN = [(50.0, "went", "0001a", 0, "hit"), (50.0, "answered", "0001a", "served", response_body("0001a"))]
 
 
 @pytest.mark.parametrize(
@@ -196,8 +208,8 @@
     ],
 )
 def test_the_judge_finds_each_rule_broken_in_the_books(facts: list[Any], says: str) -> None:
-    books = [Book(facts=facts[::2]), Book(facts=facts[1::2], peers=[(1.0, 0, 0xC1, 257)])]
-    told = judged(parse({"routers": 2, "runners": 2}), books, 0.0, {}).breaches
+    books = [Recording(facts=facts[::2]), Recording(facts=facts[1::2], peer_datagrams=[(1.0, 0, 0xC1, 257)])]
+    told = evaluate(parse_scenario({"routers": 2, "runners": 2}), books, 0.0, {}).violations
     assert "257 left" in told[0] and any(says in one for one in told[1:]) == bool(says)
     assert says or len(told) == 1
 
@@ -206,21 +218,21 @@
     """Else a call given up on one connection looks as if it was out twice, as soon as the machine is busy."""
 
     async def late(loop: VirtualLoop) -> None:
-        part = RunnersPart(Plan(parse({"runners": 2}), 1, [], [], [], []), 0)
+        part = FakeWorkerProcess(ClusterPlan(parse_scenario({"runners": 2}), 1, [], [], [], []), 0)
         times = iter((100.0, 900.0, 901.0))
-        part.clock = lambda: next(times)  # type: ignore[method-assign]
-        part.handed("0001a", 1)
-        part.gave_up("0001a", 0)
+        part.now_ms = lambda: next(times)  # type: ignore[method-assign]
+        part.on_call_sent("0001a", 1)
+        part.on_call_cancelled("0001a", 0)
         await asyncio.sleep(0.1)
-        part.gave_up("0001a", 1)
-        told = sorted(part.book.facts)
+        part.on_call_cancelled("0001a", 1)
+        told = sorted(part.recording.facts)
         assert [(at, kind) for at, kind, *_ in told] == [
             (100.0, "gave_up"),
             (102.0, "handed"),
             (900.0, "gave_up"),
         ]
 
-    play(late)
+    run_virtual(late)
 
 
 def test_a_new_timer_ends_the_one_before_it() -> None:
@@ -232,25 +244,28 @@
         planner.node.handle = lambda now, event: seen.append(event) or []  # type: ignore[func-returns-value, method-assign]
         for token, after in ((1, 50.0), (2, 20.0), (COMPONENT_TIMER_TOKEN, 30.0)):
             planner.node_timers.set(SetTimer(loop.unix_ms() + after, token))
-        assert loop.timers() == 2
+        assert loop.timer_count() == 2
         await asyncio.sleep(1.0)
 
-    play(run)
+    run_virtual(run)
     assert seen == [TimerFired(2), TimerFired(COMPONENT_TIMER_TOKEN)]
 
 
 def test_a_drill_or_defect_joins_by_one_line() -> None:
-    for name in DRILLS:
-        one = drill(name)
+    for name in SCENARIO_MODULES:
+        one = load_scenario_set(name)
         assert all(list(make(1, 24)) for make in (one.quick, one.full)) and one.HEAD
-    for place in PLANTS.values():
+    for place in DEFECTS.values():
         module, _, function = place.partition(":")
         assert callable(getattr(import_module(module), function))
 
 
 def test_the_resolver_says_what_the_router_reads() -> None:
-    told = (Listed("s-00000001", 4001), Listed("s-00000002", 4002, draining=True, started=7.0))
-    parsed = dns.parse(reply(dns.encode_query(9, SERVICE_NAME), 5, told, "room-a"))
+    told = (
+        ListedWorker("s-00000001", 4001),
+        ListedWorker("s-00000002", 4002, is_draining=True, started_at_ms=7.0),
+    )
+    parsed = dns.parse(encode_reply(dns.encode_query(9, SERVICE_NAME), 5, told, "room-a"))
     assert isinstance(parsed, dns.Reply) and (parsed.query_id, parsed.serial) == (9, 5)
     found = endpoints_from_reply(parsed)
     assert not isinstance(found, str)
@@ -274,14 +289,15 @@
             return dns.parse(data)
 
         monkeypatch.setattr(
-            "cedarthread.protocols.discovery.dns", SimpleNamespace(parse=parse_, Unusable=dns.UnusableReply)
+            "cedarthread.protocols.discovery.dns",
+            SimpleNamespace(parse=parse_, UnusableReply=dns.UnusableReply),
         )
-        runners = (Listed("s-00000001", 4001),)
+        runners = (ListedWorker("s-00000001", 4001),)
         resolver._outstanding_ids.extend((1, 2, 3, 4))
         for number, serial in ((1, 5), (2, 5), (3, 5), (9, 5), (4, 6)):
             resolver.last_usable_reply_at = 0.0
             resolver.datagram_received(
-                reply(dns.encode_query(number, SERVICE_NAME), serial, runners, "room-a"), None
+                encode_reply(dns.encode_query(number, SERVICE_NAME), serial, runners, "room-a"), None
             )
             assert bool(resolver.last_usable_reply_at) is (number != 9), (
                 "an answer to what nobody asked counts for nothing"
@@ -322,16 +338,18 @@
             and service.maintenance.sweep_timer.when() > loop.time() - 0.01
         )
 
-    play(idle)
+    run_virtual(idle)
     assert 24 <= sum(timeout > 0.001 for timeout in wakings) <= 28
 
 
 def test_replays_take_the_same_arrivals_and_who_sees_all_spreads_best() -> None:
     scenario = Scenario(routers=50, seconds=8.0)
-    arrivals = schedule(scenario)
-    assert arrivals == schedule(scenario) and len({arrival.name for arrival in arrivals}) == len(arrivals)
+    arrivals = generate_arrivals(scenario)
+    assert arrivals == generate_arrivals(scenario) and len({arrival.call_id for arrival in arrivals}) == len(
+        arrivals
+    )
     loads = {
-        name: [v.note for v in Play(scenario, name).run(arrivals)].count("spawn")
+        name: [v.remark for v in PolicyReplay(scenario, name).run(arrivals)].count("spawn")
         for name in ("random", "all")
     }
     assert loads["all"] < 0.3 * loads["random"]
@@ -345,14 +363,14 @@
 
 def test_the_drill_tells_what_must_not_be() -> None:
     assert load_spread.failings(result()) == []
-    even = result().even
+    even = result().load_balance
     bad = {
-        "void": result(late=100.0),
-        "herd": result(even=dataclasses.replace(even, hotspots=(Hotspot(1000.0, 3, 50, 9.0),))),
-        "idle for 2500": result(even=dataclasses.replace(even, longest_idle_ms=2500.0)),
-        "peak-to-mean 1.70": result(even=dataclasses.replace(even, peak_to_mean=1.7)),
+        "void": result(lag_ms=100.0),
+        "herd": result(load_balance=dataclasses.replace(even, hotspots=(Hotspot(1000.0, 3, 50, 9.0),))),
+        "idle for 2500": result(load_balance=dataclasses.replace(even, longest_idle_ms=2500.0)),
+        "peak-to-mean 1.70": result(load_balance=dataclasses.replace(even, peak_to_mean=1.7)),
         "0.50 of the calls": result(answers={"served": 500, "refused": 500}),
-        "two attempts": result(breaches=["attempts: two attempts out"]),
+        "two attempts": result(violations=["attempts: two attempts out"]),
     }
     for says, one in bad.items():
         assert [says in failing for failing in load_spread.failings(one)] == [True]
@@ -364,23 +382,23 @@
         {"kind": "kill", "at": 5.0, "until": 6.0, "who": "router"},
         {"kind": "hide", "at": 5.0, "who": "runner:1", "to": "router"},
     ]
-    played = parse({"name": "quick", "routers": 1, "runners": 2, "fault": fault})
+    played = parse_scenario({"name": "quick", "routers": 1, "runners": 2, "fault": fault})
     facts: list[Any] = []
     for n in range(800):
         at, name, out = 20.0 * n, f"0000{n:x}", 250 <= n < 350
         facts.append((at, "no router", name) if out else (at, "taken", name, "check", 3000.0, ""))
         facts += [] if out else [(at + 1, "handed", name, 0, at), (at + 9, "answered", name, "served", b"")]
-    good = result(scenario="quick", facts=facts, played=played, faults=[("kill", 5.0, 6.0)])
-    calm = result(scenario=mass_restart.CALM)
-    assert mass_restart.till_full(good) == 3.0
+    good = result(scenario_name="quick", facts=facts, scenario=played, faults=[("kill", 5.0, 6.0)])
+    calm = result(scenario_name=mass_restart.UNDISTURBED)
+    assert mass_restart.time_to_recover_s(good) == 3.0
     assert mass_restart.failings(good, [calm]) == []
     late = (9000.0, "handed", "0000x", 1, 8000.0)
     bad = {
-        "loads in": dataclasses.replace(good, times={"loads": [6000.0] * 11}),
-        "connections": dataclasses.replace(good, times={"connections:1": [6000.0] * 25}),
+        "loads in": dataclasses.replace(good, time_series={"loads": [6000.0] * 11}),
+        "connections": dataclasses.replace(good, time_series={"connections:1": [6000.0] * 25}),
         "stale: 1": dataclasses.replace(good, facts=[*facts, late]),
         "not reached": dataclasses.replace(good, facts=[one for one in facts if one[0] < 10_000.0]),
-        "two attempts": dataclasses.replace(good, breaches=["attempts: two attempts out"]),
+        "two attempts": dataclasses.replace(good, violations=["attempts: two attempts out"]),
     }
     for says, one in bad.items():
         assert [says in failing for failing in mass_restart.failings(one, [calm])] == [True]
@@ -393,10 +411,10 @@
     (quick,) = load_spread.quick(1)
     quick = dataclasses.replace(quick, talk=False)
     planted = [dataclasses.replace(quick, plant=plant) for plant in ("chance", "eager")]
-    planted.append(parse(small | {"plant": "twice"}))
+    planted.append(parse_scenario(small | {"plant": "twice"}))
 
     async def play() -> list[Result]:
-        return await asyncio.gather(*(cli.run(scenario) for scenario in planted))
+        return await asyncio.gather(*(cli.run_scenario(scenario) for scenario in planted))
 
     chance, eager, twice = asyncio.run(play())
     for even in (chance, eager):
@@ -415,21 +433,21 @@
         {"kind": "clock", "at": 6.0, "until": 8.0, "who": "router:9", "figure": 400.0},
         {"kind": "burst", "at": 7.0, "until": 8.0, "who": "router", "figure": 2.0},
     ]
-    more = parse({"routers": 12, "runners": 8, "fault": spoil}).faults
+    more = parse_scenario({"routers": 12, "runners": 8, "fault": spoil}).faults
     scenario = dataclasses.replace(
         quick, rate=150.0, runners=8, seconds=8.0, tenants="hydro 0.5", faults=quick.faults + more
     )
-    told = asyncio.run(cli.run(scenario))
-    assert not told.void and told.tenants["hydro"]["served"] > 300
+    told = asyncio.run(cli.run_scenario(scenario))
+    assert not told.is_void and told.answers_by_tenant["hydro"]["served"] > 300
     asked = [
-        len([at for at in told.times["questions"] if begin <= at < begin + 1000.0])
+        len([at for at in told.time_series["questions"] if begin <= at < begin + 1000.0])
         for begin in (2000.0, 5500.0)
     ]
-    assert 50 <= asked[0] <= 65 and told.peaks["loads"] > 3 and min(told.worths[16:20]) > 200.0
-    assert told.breaches == []
-    assert told.answers["served"] > 0.9 * sum(told.answers.values()) and not told.even.hotspots
+    assert 50 <= asked[0] <= 65 and told.peak_counts["loads"] > 3 and min(told.value_rates[16:20]) > 200.0
+    assert told.violations == []
+    assert told.answers["served"] > 0.9 * sum(told.answers.values()) and not told.load_balance.hotspots
     assert told.datagrams[0] > 100 and told.datagrams[1] > 10, "routers talked, and some of it was lost"
-    (tmp_path / "x.json").write_text(json.dumps(told.table()))
+    (tmp_path / "x.json").write_text(json.dumps(told.to_json()))
     assert cli.main(["rig", "report", str(tmp_path)]) == 0 and "<svg" in (tmp_path / "x.svg").read_text()
 
 
--- a/tests/integration/test_control.py
+++ b/tests/integration/test_control.py
@@ -9,7 +9,15 @@
 import pytest
 
 from cedarthread.protocols import control
-from cedarthread.testing.fakes.scripted import Runner, ask, client, hit, pack_call, says, service
+from cedarthread.testing.fakes.scripted import (
+    ScriptedWorker,
+    answer_with,
+    ask_control,
+    client,
+    pack_call,
+    serve_uppercase,
+    service,
+)
 
 
 def figures(lines: list[str]) -> dict[str, int]:
@@ -21,13 +29,13 @@
 
 def test_ping_says_yes_once_serving_and_no_when_told_to_end() -> None:
     async def test() -> None:
-        async with service(Runner()) as running:
-            assert await ask(running, b"PING\n") == ["YES"]
+        async with service(ScriptedWorker()) as running:
+            assert await ask_control(running, b"PING\n") == ["YES"]
             running.state.is_serving = False
-            assert await ask(running, b"PING\r\n") == ["NO"]
+            assert await ask_control(running, b"PING\r\n") == ["NO"]
             running.state.is_serving = True
             running.request_shutdown()
-            assert await ask(running, b"PING\n") == ["NO"]
+            assert await ask_control(running, b"PING\n") == ["NO"]
 
     asyncio.run(test())
 
@@ -35,18 +43,22 @@
 def test_info_counts_as_a_ledger_of_the_client_sees() -> None:
     """Each answer the client got is counted once under its class, and each attempt written whole."""
 
-    def mixed(runner: Runner, message: dict[str, Any]) -> dict[str, Any] | None:
-        return hit(runner, message) if int(message["id"], 16) % 3 else says("ERROR")(runner, message)
+    def mixed(runner: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any] | None:
+        return (
+            serve_uppercase(runner, message)
+            if int(message["id"], 16) % 3
+            else answer_with("ERROR")(runner, message)
+        )
 
     async def test() -> None:
-        runner = Runner(mixed)
+        runner = ScriptedWorker(mixed)
         async with service(runner) as running, client(running) as caller:
             seen = {"passed": 0, "bad_gateway": 0, "dropped": 0}
             for number in range(1, 13):
                 answer = await caller.call(number, "confirm", b"x")
                 kind = "passed" if answer[2] is None else {"Lost": "bad_gateway"}.get(answer[2][0], "dropped")
                 seen[kind] += 1
-            told = figures(await ask(running, b"INFO\n"))
+            told = figures(await ask_control(running, b"INFO\n"))
             assert {k: told[f"router.handled.confirm.{k}"] for k in seen} == seen
             assert told["router.handled.confirm.upstream_tries"] == len(runner.calls) == 12
             assert told["router.upstream_tries"] == 12 and told["router.in_progress"] == 0
@@ -58,11 +70,14 @@
 
 def test_a_call_refused_by_the_front_counts_as_dropped() -> None:
     async def test() -> None:
-        async with service(Runner(lambda runner, message: None)) as running, client(running) as caller:
+        async with (
+            service(ScriptedWorker(lambda runner, message: None)) as running,
+            client(running) as caller,
+        ):
             for number in range(1, 34):  # one more than a connection may hold open
                 caller.writer.write(pack_call(number, "check", b"x"))
             assert (await caller.read())[1:3] == [33, ["Backoff", {"later": "500"}]]
-            told = figures(await ask(running, b"INFO\n"))
+            told = figures(await ask_control(running, b"INFO\n"))
             assert told["router.handled.check.dropped"] == 1 and told["router.in_progress"] == 32
 
     asyncio.run(test())
@@ -78,7 +93,7 @@
 )
 def test_a_bad_line_gets_no_and_its_reason(line: bytes, why: str) -> None:
     async def test() -> None:
-        async with service(Runner()) as running:
+        async with service(ScriptedWorker()) as running:
             reader, writer = await asyncio.open_connection("127.0.0.1", running.control_port)
             writer.write(line)
             if why == "line cut short":
@@ -87,14 +102,14 @@
                 reply = (await reader.read()).decode()
             writer.transport.abort()
             assert reply.startswith(f"NO {why}") and reply.endswith("\n") and reply.count("\n") == 1
-            assert await ask(running, b"PING\n") == ["YES"]  # nothing else was touched
+            assert await ask_control(running, b"PING\n") == ["YES"]  # nothing else was touched
 
     asyncio.run(test())
 
 
 def test_control_answers_beside_a_flood_of_idle_and_half_written_connections() -> None:
     async def test() -> None:
-        async with service(Runner()) as running:
+        async with service(ScriptedWorker()) as running:
             held = []
             for number in range(300):
                 _, writer = await asyncio.open_connection("127.0.0.1", running.port)
@@ -103,7 +118,7 @@
             for _ in range(2 * control.MAX_CONNECTIONS):  # idle control connections, more than may stay
                 _, writer = await asyncio.open_connection("127.0.0.1", running.control_port)
                 held.append(writer)
-            assert await ask(running, b"PING\n") == ["YES"]
+            assert await ask_control(running, b"PING\n") == ["YES"]
             assert len(running.control.connections) <= control.MAX_CONNECTIONS
             for writer in held:
                 writer.transport.abort()
--- a/tests/integration/test_descriptor_budget.py
+++ b/tests/integration/test_descriptor_budget.py
@@ -24,8 +24,16 @@
 from cedarthread.dispatch.calls import CallSucceeded
 from cedarthread.protocols.discovery import POLL_INTERVAL_S, DiscoveryClient
 from cedarthread.protocols.platform_codec import encode_answer
-from cedarthread.testing.fakes.discovery_server import Listed, ResolverServer
-from cedarthread.testing.fakes.scripted import Client, Runner, ask, client, hit, pack_call, service
+from cedarthread.testing.fakes.discovery_server import FakeDiscoveryServer, ListedWorker
+from cedarthread.testing.fakes.scripted import (
+    ScriptedClient,
+    ScriptedWorker,
+    ask_control,
+    client,
+    pack_call,
+    serve_uppercase,
+    service,
+)
 from cedarthread.testing.fakes.settings import SETTINGS
 from cedarthread.transport import descriptor_budget
 from tests.integration.test_invoke import DESK, PATH, Authority, Caller, authority, config
@@ -86,11 +94,11 @@
 class Discovery:
     """A resolver that holds its replies till it is let go."""
 
-    def __init__(self, *runners: Listed) -> None:
+    def __init__(self, *runners: ListedWorker) -> None:
         self.runners, self.told, self.asked = runners, False, asyncio.Event()
-        self.server = ResolverServer(self._tells, "room-a")
+        self.server = FakeDiscoveryServer(self._tells, "room-a")
 
-    def _tells(self) -> tuple[int, tuple[Listed, ...]] | None:
+    def _tells(self) -> tuple[int, tuple[ListedWorker, ...]] | None:
         self.asked.set()
         return (2, self.runners) if self.told else None
 
@@ -151,8 +159,8 @@
         writer.transport.abort()
         return told
 
-    async def client(self) -> Client:
-        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+    async def client(self) -> ScriptedClient:
+        return ScriptedClient(*await asyncio.open_connection("127.0.0.1", self.port))
 
     def log(self) -> str:
         return "".join(self.lines)
@@ -255,10 +263,10 @@
     """The budget went by the configured figure alone, and a burst was accepted before anybody counted it."""
 
     async def test() -> None:
-        runner, moved = Runner(), Runner()
+        runner, moved = ScriptedWorker(), ScriptedWorker()
         await runner.start()
         await moved.start()
-        old, new = (Discovery(Listed(f"s-{n:08x}", one.port)) for n, one in ((1, runner), (2, moved)))
+        old, new = (Discovery(ListedWorker(f"s-{n:08x}", one.port)) for n, one in ((1, runner), (2, moved)))
         await old.server.start()
         await new.server.start()
         limits = {"cores": 1.0, "memory_mb": 192, "sockets": configured}
@@ -307,9 +315,9 @@
     """The book may be wrong, as where the limit is lowered under it: calls and PING come before idle ones."""
 
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         await runner.start()
-        found = Discovery(Listed("s-00000001", runner.port))
+        found = Discovery(ListedWorker("s-00000001", runner.port))
         found.told = True
         await found.server.start()
         async with router(tmp_path, FEW, dns=f"127.0.0.1:{found.server.port}") as running:
@@ -353,7 +361,7 @@
 
     async def test() -> None:
         loop = asyncio.get_running_loop()
-        async with service(Runner()) as running:
+        async with service(ScriptedWorker()) as running:
             running.control.max_connections = descriptor_budget.SMALL_ACCEPTS_PER_PASS
             before = len(os.listdir("/proc/self/fd"))
             made = [socket.create_connection(("127.0.0.1", running.control_port)) for _ in range(61)]
@@ -456,7 +464,7 @@
 
     async def test() -> None:
         loop = asyncio.get_running_loop()
-        runner = Runner()
+        runner = ScriptedWorker()
         async with service(runner) as running, client(running) as caller:
             dial = loop.create_connection
 
@@ -478,7 +486,7 @@
 def test_a_dial_without_a_descriptor_takes_that_of_an_idle_client() -> None:
     async def test() -> None:
         loop = asyncio.get_running_loop()
-        runner, failed = Runner(), 0
+        runner, failed = ScriptedWorker(), 0
         async with service(runner) as running, client(running) as idle, client(running) as caller:
             idle.writer.write(CHECK)
             assert (await idle.read())[3][0] is True
@@ -494,7 +502,7 @@
             loop.create_connection = once  # type: ignore[method-assign]
             assert await caller.call(1, "confirm", b"x") == [1, 1, None, [b"X", {}]]
             assert failed == 1 and await idle.read() is None, "it made room"
-            told = await ask(running, b"INFO\n")
+            told = await ask_control(running, b"INFO\n")
             assert "router.upstream_tries=1" in told
 
     run(test)
@@ -502,7 +510,7 @@
 
 def test_at_the_bound_an_idle_connection_to_a_runner_gives_way() -> None:
     async def test() -> None:
-        runners = [Runner(), Runner(), Runner()]
+        runners = [ScriptedWorker(), ScriptedWorker(), ScriptedWorker()]
         async with service(*runners) as running, client(running) as caller:
             running.workers.max_connections = 1
             for number in range(1, 20):
@@ -526,7 +534,7 @@
             for one in fill:
                 one.setblocking(False)
                 one.connect_ex(full.getsockname())
-            far = Runner()
+            far = ScriptedWorker()
             limits = SETTINGS["limits"] | {"connect-timeout": 60_000}
             async with service(far, limits=limits) as running:
                 [pool] = running.workers.pools.values()
@@ -548,11 +556,11 @@
 def test_one_that_has_not_read_its_answers_is_not_closed_uncounted() -> None:
     """Its descriptor stayed till it had read them, beyond the limit: it holds its place instead."""
 
-    def long(runner: Runner, message: dict[str, Any]) -> dict[str, Any] | None:
-        return hit(runner, message) | {"body": "QUJD" * 65536}
+    def long(runner: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any] | None:
+        return serve_uppercase(runner, message) | {"body": "QUJD" * 65536}
 
     async def test() -> None:
-        async with service(Runner(long)) as running, client(running) as slow:
+        async with service(ScriptedWorker(long)) as running, client(running) as slow:
             platform = running.platform
             platform.max_connections = 1
             for number in range(1, 33):
@@ -580,7 +588,7 @@
 
     async def test() -> None:
         told = dataclasses.replace(config(authority), max_connections=4)
-        async with service(Runner(), invoke=told) as running:
+        async with service(ScriptedWorker(), invoke=told) as running:
             assert running.invoke is not None
             before = len(os.listdir("/proc/self/fd"))
             silent = [socket.create_connection(("127.0.0.1", running.invoke_port)) for _ in range(40)]
@@ -655,7 +663,7 @@
 def test_what_waits_to_be_accepted_at_the_end_is_taken_over_as_many_turns_as_it_needs() -> None:
     async def test() -> None:
         loop = asyncio.get_running_loop()
-        async with service(Runner()) as running:
+        async with service(ScriptedWorker()) as running:
             made = [
                 socket.create_connection(("127.0.0.1", running.port))
                 for _ in range(3 * descriptor_budget.CLIENT_ACCEPTS_PER_PASS)
--- a/tests/integration/test_endings.py
+++ b/tests/integration/test_endings.py
@@ -26,7 +26,16 @@
 from cedarthread.protocols.worker_connection import WorkerConnection
 from cedarthread.protocols.workers import IDLE_CLOSE_FRACTION
 from cedarthread.service import Service
-from cedarthread.testing.fakes.scripted import Client, Runner, client, hit, listing, pack_call, says, service
+from cedarthread.testing.fakes.scripted import (
+    ScriptedClient,
+    ScriptedWorker,
+    answer_with,
+    client,
+    endpoint_record,
+    pack_call,
+    serve_uppercase,
+    service,
+)
 from cedarthread.testing.fakes.settings import SETTINGS
 from tests.unit.test_settings_reload import file_with
 
@@ -47,7 +56,7 @@
 CLOSE: dict[str, Callable[[asyncio.StreamWriter], None]] = {"close": lambda w: w.close(), "reset": reset}
 
 
-def mute(runner: Runner, message: dict[str, Any]) -> None:
+def mute(runner: ScriptedWorker, message: dict[str, Any]) -> None:
     """No answer, till the test gives one."""
 
 
@@ -131,9 +140,9 @@
     return [c for pool in running.workers.pools.values() for c in pool.connections]
 
 
-def tell(running: Service, runners: list[Runner], *states: EndpointState, **changes: Any) -> None:
+def tell(running: Service, runners: list[ScriptedWorker], *states: EndpointState, **changes: Any) -> None:
     """News of the runners; one that is gone is not listed."""
-    told = [listing(r, n, s) for n, (r, s) in enumerate(zip(runners, states, strict=True), 1)]
+    told = [endpoint_record(r, n, s) for n, (r, s) in enumerate(zip(runners, states, strict=True), 1)]
     told = [dataclasses.replace(e, **changes) for e in told if e.state is not EndpointState.REMOVED]
     running.update_endpoints(running.endpoint_list.version + 1, told, is_complete=True)
 
@@ -144,7 +153,7 @@
 
 
 @asynccontextmanager
-async def routed(*runners: Runner, **changes: Any) -> AsyncIterator[tuple[Service, Client]]:
+async def routed(*runners: ScriptedWorker, **changes: Any) -> AsyncIterator[tuple[Service, ScriptedClient]]:
     """A router and one client; at the end all debts must be paid."""
     async with AsyncExitStack() as stack:
         running = await stack.enter_async_context(service(*runners, **changes))
@@ -152,7 +161,7 @@
         await settled(running)
 
 
-async def fence(caller: Client, number: int) -> None:
+async def fence(caller: ScriptedClient, number: int) -> None:
     """A check on the same connection: all that the client sent before has been read by then."""
     caller.writer.write(b"\x94\x00" + bytes((number,)) + b"\xa5check\x90")
     assert (await caller.read())[:2] == [1, number]
@@ -169,13 +178,13 @@
     """What has left goes on, and its connection ends when it carries nothing."""
 
     async def test() -> None:
-        runner = Runner(mute)
+        runner = ScriptedWorker(mute)
         async with routed(runner) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x"))
-            await runner.until(lambda: len(runner.calls) == 1)
+            await runner.wait_until(lambda: len(runner.calls) == 1)
             if first == "news":
                 tell(running, [runner], DRAINING)
-            runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
+            runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
             assert await caller.read() == [1, 1, None, [b"X", {}]]
             if first == "answer":
                 tell(running, [runner], DRAINING)
@@ -190,7 +199,7 @@
     """Told before: the call goes elsewhere and the dial is given up. Told after: the call has left."""
 
     async def test() -> None:
-        runners = [Runner(), Runner()]
+        runners = [ScriptedWorker(), ScriptedWorker()]
         held = Held(monkeypatch)
         async with routed(*runners) as (running, caller):
             held.ports |= {runner.port for runner in runners}
@@ -208,7 +217,7 @@
                 assert not pool.connections
             else:
                 held.waiting[0].set()
-                await runners[at - 1].until(lambda: runners[at - 1].calls != [])
+                await runners[at - 1].wait_until(lambda: runners[at - 1].calls != [])
                 tell(running, runners, *states)
                 assert await caller.read() == [1, 1, None, [b"X", {}]]
             ran = runners[at - 1].calls
@@ -223,20 +232,20 @@
     """Its connections end at once. A call without its answer may have run: a safe one goes elsewhere."""
 
     async def test() -> None:
-        runners = [Runner(mute), Runner(mute)]
+        runners = [ScriptedWorker(mute), ScriptedWorker(mute)]
         async with routed(*runners) as (running, caller):
             caller.writer.write(pack_call(1, klass, b"x"))
             await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
             at = 0 if runners[0].calls else 1
             states = [GONE if n == at else READY for n in (0, 1)]
-            runners[1 - at].behave = hit
+            runners[1 - at].behavior = serve_uppercase
             if first == "answer":
-                runners[at].answer(runners[at].calls[0], hit(runners[at], runners[at].calls[0]))
+                runners[at].answer(runners[at].calls[0], serve_uppercase(runners[at], runners[at].calls[0]))
                 assert told(await caller.read()) == "served"
                 tell(running, runners, *states)
             else:
                 tell(running, runners, *states)
-                runners[at].answer(runners[at].calls[0], hit(runners[at], runners[at].calls[0]))
+                runners[at].answer(runners[at].calls[0], serve_uppercase(runners[at], runners[at].calls[0]))
                 assert told(await caller.read()) == ("served" if klass == "check" else "failed")
             await fence(caller, 9)
             assert len(runners[1 - at].calls) == (first == "news" and klass == "check")
@@ -249,10 +258,10 @@
     """INFO: it is listed no more, also where an attempt of it ends only after the news."""
 
     async def test() -> None:
-        runner = Runner(mute)
+        runner = ScriptedWorker(mute)
         async with routed(runner) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x"))
-            await runner.until(lambda: len(runner.calls) == 1)
+            await runner.wait_until(lambda: len(runner.calls) == 1)
             tell(running, [runner], GONE)
             assert told(await caller.read()) == "failed"
             await settled(running)
@@ -266,7 +275,7 @@
     """The connection was begun since the start, so it stays; what waits on it must not leave any more."""
 
     async def test() -> None:
-        runners = [Runner(), Runner()]
+        runners = [ScriptedWorker(), ScriptedWorker()]
         async with routed(*runners) as (running, caller):
             assert told(await caller.call(1, "check", b"x")) == "served"
             [(at, pool)] = [(n, p) for n, p in running.workers.pools.items() if p.connections]
@@ -287,13 +296,13 @@
     """What ran at the old address has ended with its connections; a safe call is sent to the new one."""
 
     async def test() -> None:
-        old, new = Runner(mute), Runner()
+        old, new = ScriptedWorker(mute), ScriptedWorker()
         await new.start()
         async with routed(old) as (running, caller):
             caller.writer.write(pack_call(1, klass, b"x"))
-            await old.until(lambda: len(old.calls) == 1)
+            await old.wait_until(lambda: len(old.calls) == 1)
             if first == "answer":
-                old.answer(old.calls[0], hit(old, old.calls[0]))
+                old.answer(old.calls[0], serve_uppercase(old, old.calls[0]))
                 assert told(await caller.read()) == "served"
             tell(running, [new], READY)
             if first == "news":
@@ -308,7 +317,7 @@
 @pytest.mark.parametrize("first", ["news", "interrupt", "time"])
 def test_a_call_that_is_held_ends_or_leaves_once_a_runner_comes(first: str) -> None:
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with routed(runner) as (running, caller):
             tell(running, [runner], DRAINING)
             caller.writer.write(pack_call(1, "confirm", b"x", limit="500" if first == "time" else LONG))
@@ -339,13 +348,13 @@
     """Before and in the middle: it may have run. After, in the same write: it is answered."""
     caplog.set_level("INFO", "cedarthread.runners")
 
-    def end(runner: Runner, message: dict[str, Any]) -> None:
-        line = json.dumps(hit(runner, message) | {"id": message["id"]}).encode() + b"\n"
+    def end(runner: ScriptedWorker, message: dict[str, Any]) -> None:
+        line = json.dumps(serve_uppercase(runner, message) | {"id": message["id"]}).encode() + b"\n"
         runner.writers[-1].write({"before": b"", "middle": line[:40], "after": line}[place])
         CLOSE[how](runner.writers[-1])
 
     async def test() -> None:
-        runners = [Runner(end), Runner(end)]
+        runners = [ScriptedWorker(end), ScriptedWorker(end)]
         async with routed(*runners, limits=SETTINGS["limits"] | {"send-cap": 2}) as (running, caller):
             answer = await caller.call(1, klass, b"x")
             unsafe = klass == "confirm"
@@ -361,7 +370,7 @@
     assert all(line.startswith("runner s-0000000") for line in cut), "it says where"
 
 
-async def narrow(running: Service, runner: Runner, caller: Client) -> WorkerConnection:
+async def narrow(running: Service, runner: ScriptedWorker, caller: ScriptedClient) -> WorkerConnection:
     """A connection whose sockets take less than one long call while the runner does not read, as now."""
     runner.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)  # accepted ones inherit it
     assert told(await caller.call(1, "check", b"x")) == "served"
@@ -376,7 +385,7 @@
     """Its half-close ends what is open there at once, also where it does not read what waits for it."""
 
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with routed(runner) as (running, caller):
             connection = await narrow(running, runner, caller)
             last = 9
@@ -397,7 +406,7 @@
     """For an ended call, on its connection or on another one: passed over, and nothing else is touched."""
 
     async def test() -> None:
-        runners = [Runner(mute), Runner(mute)]
+        runners = [ScriptedWorker(mute), ScriptedWorker(mute)]
         async with routed(*runners) as (running, caller):
             for number in (1, 2):
                 caller.writer.write(pack_call(number, "confirm", b"x", item=f"{number:016x}", limit=LONG))
@@ -405,15 +414,15 @@
             calls = {c["id"]: (r, c) for r in runners for c in r.calls}
             runner, first = calls[f"{1:016x}"]
             other = next(r for r in runners if r is not runner)
-            runner.answer(first, hit(runner, first))
+            runner.answer(first, serve_uppercase(runner, first))
             assert await caller.read() == [1, 1, None, [b"X", {}]]
             if where == "same":
-                runner.answer(first, says("FAULT")(runner, first) or {})
-                runner.answer(first, hit(runner, first))
+                runner.answer(first, answer_with("FAULT")(runner, first) or {})
+                runner.answer(first, serve_uppercase(runner, first))
             elif other.writers:
-                other.answer(first, hit(runner, first))
+                other.answer(first, serve_uppercase(runner, first))
             second_at, second = calls[f"{2:016x}"]
-            second_at.answer(second, hit(second_at, second))
+            second_at.answer(second, serve_uppercase(second_at, second))
             assert await caller.read() == [1, 2, None, [b"X", {}]]
             await fence(caller, 9)
             assert running.dispatcher.result_counts["served"] == 2
@@ -426,7 +435,7 @@
 
 def test_a_connection_comes_up_late_and_the_call_leaves_on_it(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         held = Held(monkeypatch)
         async with routed(runner, limits=SETTINGS["limits"] | {"connect-timeout": 5000}) as (_, caller):
             held.ports.add(runner.port)
@@ -443,7 +452,7 @@
     """Out of time, given up, or the client is gone: it never leaves; the connection serves the next call."""
 
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         held = Held(monkeypatch)
         limits = SETTINGS["limits"] | {"connect-timeout": 5000}
         async with routed(runner, limits=limits) as (running, caller), client(running) as leaver:
@@ -470,7 +479,7 @@
     """The calls that wait for it go elsewhere, an unsafe one too."""
 
     async def test() -> None:
-        runners = [Runner(), Runner()]
+        runners = [ScriptedWorker(), ScriptedWorker()]
         held = Held(monkeypatch)
         limits = SETTINGS["limits"] | {"connect-timeout": 50}
         async with routed(*runners, limits=limits) as (running, caller):
@@ -489,7 +498,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with routed(runner) as (running, caller):
             loop = asyncio.get_running_loop()
             dial: Dial = loop.create_connection
@@ -517,7 +526,7 @@
 @pytest.mark.parametrize("first", ["sweep", "call"])
 def test_our_idle_close_and_a_call(first: str) -> None:
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with routed(runner) as (running, caller):
             assert told(await caller.call(1, "confirm", b"x")) == "served"
             late = asyncio.get_running_loop().time() + 30.0 * IDLE_CLOSE_FRACTION + 0.01
@@ -525,11 +534,11 @@
                 running.workers.sweep(late)
                 assert await caller.call(2, "confirm", b"x") == [1, 2, None, [b"X", {}]]
             else:
-                runner.behave = mute
+                runner.behavior = mute
                 caller.writer.write(pack_call(2, "confirm", b"x"))
-                await runner.until(lambda: len(runner.calls) == 2)
+                await runner.wait_until(lambda: len(runner.calls) == 2)
                 running.workers.sweep(late)
-                runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
+                runner.answer(runner.calls[1], serve_uppercase(runner, runner.calls[1]))
                 assert await caller.read() == [1, 2, None, [b"X", {}]]
             assert len(runner.writers) == (2 if first == "sweep" else 1)
 
@@ -538,7 +547,7 @@
 
 def test_a_runners_idle_close_that_has_come_and_a_call() -> None:
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with routed(runner) as (running, caller):
             assert told(await caller.call(1, "confirm", b"x")) == "served"
             runner.writers[0].close()
@@ -552,7 +561,7 @@
     """The process stood still when its look at idle connections was due: the runner's close is under way."""
 
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with routed(runner) as (running, caller):
             assert told(await caller.call(1, "confirm", b"x")) == "served"
             [old] = pooled(running)
@@ -573,13 +582,13 @@
     """Its answer, its time or the end of its connection: a lost order must not hold its place for good."""
 
     async def test() -> None:
-        runner = Runner(mute)
+        runner = ScriptedWorker(mute)
         specifics = SETTINGS["specifics"] | {"order-limit": 40 if first == "time" else 10_000}
         async with routed(runner, specifics=specifics) as (running, caller):
             ends: list[PreloadEnded] = []
             monkeypatch.setattr(running.dispatcher, "preload_ended", ends.append)
             running.workers.preload(1, 7, 1)
-            await runner.until(lambda: len(runner.calls) == 1)
+            await runner.wait_until(lambda: len(runner.calls) == 1)
             done = {"op": "HIT", "fields": {"pods": 1}}
             if first == "answer":
                 runner.answer(runner.calls[0], done)
@@ -589,7 +598,7 @@
             if first == "time":
                 await settled(running)
                 runner.answer(runner.calls[0], done)  # late: for nobody
-                runner.behave = hit
+                runner.behavior = serve_uppercase
                 assert told(await caller.call(1, "confirm", b"x")) == "served"
             outcome = {"answer": Outcome.OK, "time": Outcome.TIMEOUT, "connection": Outcome.RESET}
             await settled(running)
@@ -607,10 +616,10 @@
     """No answer after an interrupt, and the runner is told; after the answer an interrupt is for nobody."""
 
     async def test() -> None:
-        runner = Runner(mute)
+        runner = ScriptedWorker(mute)
         async with routed(runner) as (running, caller), client(running) as leaver:
             leaver.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
-            await runner.until(lambda: len(runner.calls) == 1)
+            await runner.wait_until(lambda: len(runner.calls) == 1)
 
             async def leave() -> None:
                 if how == "interrupt":
@@ -622,20 +631,20 @@
             if first == "leaves":
                 await leave()
                 if how != "close":
-                    await runner.until(lambda: runner.cancelled != [])
+                    await runner.wait_until(lambda: runner.cancelled_ids != [])
                 else:  # it may have stopped writing only: an answer that comes is still for it
                     await until(lambda: any(c.is_half_closed for c in running.platform.connections), "EOF")
-                runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
+                runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
             else:
-                runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
+                runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
                 assert told(await leaver.read()) == "served"
                 await leave()
-            runner.behave = hit
+            runner.behavior = serve_uppercase
             assert await caller.call(2, "confirm", b"y") == [1, 2, None, [b"Y", {}]]
             await settled(running)
             ends, gone = running.dispatcher.result_counts, first == "leaves" and how != "close"
             assert (ends["served"], ends["left"]) == ((1, 1) if gone else (2, 0))
-            assert runner.cancelled == ([f"{1:016x}"] if gone else [])
+            assert runner.cancelled_ids == ([f"{1:016x}"] if gone else [])
 
     asyncio.run(test())
 
@@ -644,12 +653,12 @@
     """Whichever is read first: one end for each call, and at most one answer."""
 
     async def test() -> None:
-        runner = Runner(mute)
+        runner = ScriptedWorker(mute)
         async with routed(runner) as (running, caller):
             for number in range(1, 21):
                 caller.writer.write(pack_call(number, "confirm", b"x", limit=LONG))
-                await runner.until(lambda: len(runner.calls) == number)  # noqa: B023
-                runner.answer(runner.calls[-1], hit(runner, runner.calls[-1]))
+                await runner.wait_until(lambda: len(runner.calls) == number)  # noqa: B023
+                runner.answer(runner.calls[-1], serve_uppercase(runner, runner.calls[-1]))
                 caller.writer.write(INTERRUPT + bytes((number,)))
                 await until(lambda: not running.dispatcher.pending_calls, "it has ended")
             caller.writer.write(b"\x94\x00\x63\xa5check\x90")
@@ -664,19 +673,19 @@
 @pytest.mark.parametrize("first", ["time", "answer"])
 def test_time_is_up_and_an_answer_comes(first: str) -> None:
     async def test() -> None:
-        runner = Runner(mute)
+        runner = ScriptedWorker(mute)
         async with routed(runner) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x", limit="500" if first == "time" else LONG))
-            await runner.until(lambda: len(runner.calls) == 1)
+            await runner.wait_until(lambda: len(runner.calls) == 1)
             if first == "time":
                 assert told(await caller.read()) == "failed"
-                await runner.until(lambda: runner.cancelled == [f"{1:016x}"])
-            runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
+                await runner.wait_until(lambda: runner.cancelled_ids == [f"{1:016x}"])
+            runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
             if first == "answer":
                 assert told(await caller.read()) == "served"
                 running.dispatcher.deadlines.on_timer()  # its time, had it come in this very turn
             await fence(caller, 9)
-            assert len(runner.cancelled) == (first == "time")
+            assert len(runner.cancelled_ids) == (first == "time")
 
     asyncio.run(test())
 
@@ -688,13 +697,13 @@
     """Its runner reads nothing at the moment: the others there go on, if it takes the CANCEL in time."""
 
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with routed(runner) as (running, caller):
             connection = await narrow(running, runner, caller)
             runner.writers[0].transport.resume_reading()  # type: ignore[attr-defined]
-            runner.behave = mute
+            runner.behavior = mute
             caller.writer.write(pack_call(2, "confirm", b"x", limit=LONG))
-            await runner.until(lambda: len(runner.calls) == 2)
+            await runner.wait_until(lambda: len(runner.calls) == 2)
             runner.writers[0].transport.pause_reading()  # type: ignore[attr-defined]
             caller.writer.write(pack_call(3, "check", b"y" * 16_000, limit=LONG))
             await until(lambda: connection.is_write_paused, "the runner's window is full")
@@ -705,8 +714,8 @@
                 return
             await fence(caller, 9)
             runner.writers[0].transport.resume_reading()  # type: ignore[attr-defined]
-            await runner.until(lambda: runner.cancelled == [f"{3:016x}"])
-            runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
+            await runner.wait_until(lambda: runner.cancelled_ids == [f"{3:016x}"])
+            runner.answer(runner.calls[1], serve_uppercase(runner, runner.calls[1]))
             assert told(await caller.read()) == "served"
             [timer] = [h for h in running.dispatcher.context.loop._scheduled if "_finish_cancel" in repr(h)]  # type: ignore
             timer._run()  # its time has come: the call counts as given up
@@ -723,14 +732,14 @@
     classes = [klass | {"deadline": 300, "goal-time": 100} for klass in SETTINGS["classes"]]
 
     async def test() -> None:
-        runner = Runner(mute)
+        runner = ScriptedWorker(mute)
         async with routed(runner, classes=classes) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
-            await runner.until(lambda: len(runner.calls) == 1)
+            await runner.wait_until(lambda: len(runner.calls) == 1)
             ending = asyncio.create_task(running.shut_down())
             await until(lambda: running.dispatcher.shutdown_deadline_ms is not None, "it has been told")
             caller.writer.write(pack_call(2, "confirm", b"x", limit=LONG))
-            await runner.until(lambda: len(runner.calls) == 2)
+            await runner.wait_until(lambda: len(runner.calls) == 2)
             answers = [await caller.read(), await caller.read()]
             assert {(a[1], told(a)) for a in answers} == {(1, "failed"), (2, "failed")}
             assert await caller.read() is None
@@ -745,7 +754,7 @@
     """Read before the close: answered in full. Read after it: not taken, so its client sends it anew."""
 
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with routed(runner) as (running, caller):
             await fence(caller, 9)
             if first == "close":
@@ -765,7 +774,7 @@
     """A listener that closes would reset it unheard, with the request that it may hold."""
 
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with routed(runner) as (running, _):
             caller = socket.socket()
             caller.setblocking(False)
@@ -784,21 +793,21 @@
 @pytest.mark.parametrize("first", ["eviction", "request"])
 def test_a_request_crosses_its_connections_eviction(first: str) -> None:
     async def test() -> None:
-        runner = Runner(mute)
+        runner = ScriptedWorker(mute)
         async with routed(runner) as (running, caller):
             running.platform.max_connections = 1
             await fence(caller, 9)
             if first == "request":
                 caller.writer.write(pack_call(1, "confirm", b"x"))
-                await runner.until(lambda: len(runner.calls) == 1)
+                await runner.wait_until(lambda: len(runner.calls) == 1)
             async with client(running) as second:
                 assert (await second.read() is None) if first == "request" else True
                 if first == "eviction":
                     assert await caller.read() is None
-                    runner.behave = hit
+                    runner.behavior = serve_uppercase
                     assert told(await second.call(1, "confirm", b"x")) == "served"
                 else:
-                    runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
+                    runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
                     assert await caller.read() == [1, 1, None, [b"X", {}]]
 
     asyncio.run(test())
@@ -831,15 +840,15 @@
     """A call taken as safe goes on as such: it may have run, and is tried elsewhere."""
 
     async def test() -> None:
-        runners = [Runner(mute), Runner(mute)]
+        runners = [ScriptedWorker(mute), ScriptedWorker(mute)]
         async with routed(*runners) as (running, caller):
             caller.writer.write(pack_call(1, "check", b"x"))
             await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
             at = 0 if runners[0].calls else 1
-            runners[1 - at].behave = hit
+            runners[1 - at].behavior = serve_uppercase
             if first == "settings":
                 take(running, change)
-            runners[at].answer(runners[at].calls[0], says("FAULT")(runners[at], {}) or {})
+            runners[at].answer(runners[at].calls[0], answer_with("FAULT")(runners[at], {}) or {})
             assert await caller.read() == [1, 1, None, [b"X", {}]]
             if first == "end":
                 take(running, change)
@@ -854,21 +863,23 @@
     async def test() -> None:
         count = [0]
 
-        def shed(runner: Runner, message: dict[str, Any]) -> Any:
+        def shed(runner: ScriptedWorker, message: dict[str, Any]) -> Any:
             count[0] += 1
-            return None if count[0] == 2 else says("SHED")(runner, message)
+            return None if count[0] == 2 else answer_with("SHED")(runner, message)
 
-        runners = [Runner(shed), Runner(shed), Runner(shed)]
+        runners = [ScriptedWorker(shed), ScriptedWorker(shed), ScriptedWorker(shed)]
         async with routed(*runners) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
             await until(lambda: count[0] == 2, "the second attempt is out")
-            [runner] = [r for r in runners if r.calls and r.calls[0] == r.calls[-1] and not r.cancelled][-1:]
+            [runner] = [r for r in runners if r.calls and r.calls[0] == r.calls[-1] and not r.cancelled_ids][
+                -1:
+            ]
             out = [c for c in pooled(running) if c.in_flight]
             [at] = [n for n, p in running.workers.pools.items() if out[0] in p.connections]
             runner = runners[at - 1]
             if first == "settings":
                 take(running, lambda told: told["limits"].update({"send-cap": 1}))
-            runner.answer(runner.calls[0], says("SHED")(runner, {}) or {})
+            runner.answer(runner.calls[0], answer_with("SHED")(runner, {}) or {})
             assert told(await caller.read()) == "refused"
             if first == "end":
                 take(running, lambda told: told["limits"].update({"send-cap": 1}))
--- a/tests/integration/test_endings_accounting.py
+++ b/tests/integration/test_endings_accounting.py
@@ -8,8 +8,8 @@
 import pytest
 
 from cedarthread.protocols.worker_connection import WorkerConnection
-from cedarthread.testing.fakes.discovery_server import Listed, ResolverServer
-from cedarthread.testing.fakes.scripted import Runner, client, hit, pack_call, says
+from cedarthread.testing.fakes.discovery_server import FakeDiscoveryServer, ListedWorker
+from cedarthread.testing.fakes.scripted import ScriptedWorker, answer_with, client, pack_call, serve_uppercase
 from cedarthread.testing.fakes.settings import SETTINGS
 from tests.integration.test_endings import (
     INTERRUPT,
@@ -28,7 +28,7 @@
 
 def test_a_call_that_the_front_turns_away_counts_as_taken() -> None:
     async def test() -> None:
-        async with routed(Runner()) as (running, caller):
+        async with routed(ScriptedWorker()) as (running, caller):
             running.platform.max_queued_bytes = -1
             assert told(await caller.call(1, "check", b"x")) == "refused"
             assert (
@@ -42,10 +42,10 @@
     """The client has its one answer, so its class's figures must hold it."""
 
     async def test() -> None:
-        runner = Runner(mute)
+        runner = ScriptedWorker(mute)
         async with routed(runner) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
-            await runner.until(lambda: len(runner.calls) == 1)
+            await runner.wait_until(lambda: len(runner.calls) == 1)
             caller.writer.write(b"\x91\x05")
             assert told(await caller.read()) == "failed"
             assert running.dispatcher.class_figures["confirm"]["bad_gateway"] == 1
@@ -65,7 +65,7 @@
     where: list[str] = []
 
     async def test() -> None:
-        async with routed(Runner()) as (running, caller), client(running) as bad:
+        async with routed(ScriptedWorker()) as (running, caller), client(running) as bad:
             where.append("{}:{}".format(*bad.writer.get_extra_info("sockname")))
             await fence(bad, 8)
             bad.writer.write(spoilt)
@@ -82,10 +82,10 @@
     """Where the settings forbid to cancel, a silent runner must not keep stream and figures for good."""
 
     async def test() -> None:
-        runner = Runner(mute)
+        runner = ScriptedWorker(mute)
         async with routed(runner, limits=SETTINGS["limits"] | {"cancel": False}) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x", limit="500"))
-            await runner.until(lambda: len(runner.calls) == 1)
+            await runner.wait_until(lambda: len(runner.calls) == 1)
             caller.writer.write(INTERRUPT + b"\x01")
             await fence(caller, 9)
             await settled(running)
@@ -98,18 +98,18 @@
     classes = [klass | {"repeat-window": 300} for klass in SETTINGS["classes"]]
 
     async def test() -> None:
-        runners = [Runner(mute), Runner(mute)]
+        runners = [ScriptedWorker(mute), ScriptedWorker(mute)]
         limits = SETTINGS["limits"] | {"send-cap": 2}
         async with routed(*runners, classes=classes, limits=limits) as (running, caller):
             caller.writer.write(pack_call(1, "revise", b"x", unique="5c0f", limit=LONG))
             await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
             at = 0 if runners[0].calls else 1
-            runners[1 - at].behave = hit
+            runners[1 - at].behavior = serve_uppercase
             clock = running.dispatcher.clock
             monkeypatch.setattr(
                 running.dispatcher.context, "clock", lambda: clock() + 400.0
             )  # its window is over
-            runners[at].answer(runners[at].calls[0], says("SHED")(runners[at], {}) or {})
+            runners[at].answer(runners[at].calls[0], answer_with("SHED")(runners[at], {}) or {})
             assert told(await caller.read()) == "served"
             assert len(pooled(running)) == 2
 
@@ -120,10 +120,10 @@
     """Its close waits for it, uncounted: such clients could take every descriptor."""
 
     async def test() -> None:
-        def long(runner: Runner, message: dict[str, Any]) -> dict[str, Any]:
-            return hit(runner, message) | {"body": "QUFB" * 60_000}
+        def long(runner: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any]:
+            return serve_uppercase(runner, message) | {"body": "QUFB" * 60_000}
 
-        async with routed(Runner(long)) as (running, caller), client(running) as slow:
+        async with routed(ScriptedWorker(long)) as (running, caller), client(running) as slow:
             await fence(slow, 8)
             [connection] = running.platform.connections
             slow.writer.transport.pause_reading()  # type: ignore[attr-defined]
@@ -151,12 +151,12 @@
     async def test() -> None:
         asked: list[str] = []
 
-        def server(name: str) -> ResolverServer:
-            def tells() -> tuple[int, tuple[Listed, ...]] | None:
+        def server(name: str) -> FakeDiscoveryServer:
+            def tells() -> tuple[int, tuple[ListedWorker, ...]] | None:
                 asked.append(name)
                 return None
 
-            return ResolverServer(tells, "room-a")
+            return FakeDiscoveryServer(tells, "room-a")
 
         first, last = server("first"), server("last")
         await first.start()
@@ -171,7 +171,7 @@
             done.append(remote_addr[1])
             return made
 
-        async with routed(Runner()) as (running, _):
+        async with routed(ScriptedWorker()) as (running, _):
             monkeypatch.setattr(loop, "create_datagram_endpoint", held)
             for port in (first.port, last.port):
                 running.discovery.start_polling("127.0.0.1", port)
@@ -205,7 +205,7 @@
                 connection.connect_timeout.reschedule(when - 3600.0)
 
         monkeypatch.setattr(WorkerConnection, "on_connected", late)
-        async with routed(Runner()) as (running, caller):
+        async with routed(ScriptedWorker()) as (running, caller):
             assert told(await caller.call(1, "confirm", b"x")) == "served"
             assert len(pooled(running)) == 1 and not pooled(running)[0].is_closed
 
@@ -216,14 +216,14 @@
     """A runner is full, and the client leaves while the move waits for a connection to the other one."""
 
     async def test() -> None:
-        runners = [Runner(mute), Runner(mute)]
+        runners = [ScriptedWorker(mute), ScriptedWorker(mute)]
         async with routed(*runners) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
             await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
             router, full = running.dispatcher.router, runners[0] if runners[0].calls else runners[1]
             before, slow = router.state.retry_budget.tokens, Held(monkeypatch)
             slow.ports.update(one.port for one in runners if one is not full)
-            full.answer(full.calls[0], says("SHED")(full, {}) or {})
+            full.answer(full.calls[0], answer_with("SHED")(full, {}) or {})
             await until(lambda: slow.waiting, "the move waits for its connection")
             assert router.state.retry_budget.tokens == before - 1.0
             caller.writer.write(INTERRUPT + b"\x01")
@@ -241,7 +241,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with routed(runner) as (running, caller):
             slow = Held(monkeypatch)
             slow.ports.add(runner.port)
--- a/tests/integration/test_endings_bad_input.py
+++ b/tests/integration/test_endings_bad_input.py
@@ -11,8 +11,8 @@
 
 from cedarthread.protocols.worker_codec import MAX_LINE_BYTES
 from cedarthread.service import Service
-from cedarthread.testing.fakes.discovery_server import Listed, ResolverServer, reply
-from cedarthread.testing.fakes.scripted import Runner, client, hit, pack_call
+from cedarthread.testing.fakes.discovery_server import FakeDiscoveryServer, ListedWorker, encode_reply
+from cedarthread.testing.fakes.scripted import ScriptedWorker, client, pack_call, serve_uppercase
 from tests.integration.test_endings import INTERRUPT, LONG, fence, mute, reset, routed, settled, told, until
 
 Spoils = Callable[[bytes], list[bytes]]  # the datagrams that come in place of a reply
@@ -25,11 +25,11 @@
 class Discovery:
     """A resolver that plays a script, one entry a query; then it answers well."""
 
-    def __init__(self, running: Service, *runners: Runner) -> None:
+    def __init__(self, running: Service, *runners: ScriptedWorker) -> None:
         self.running, self.script, self.asked = running, list[Spoils](), 0
-        self.listed = tuple(Listed(f"s-{n:08x}", runner.port) for n, runner in enumerate(runners, 1))
+        self.listed = tuple(ListedWorker(f"s-{n:08x}", runner.port) for n, runner in enumerate(runners, 1))
         self.serial, self.late = 2, list[bytes]()
-        self.server = ResolverServer(lambda: (self.serial, self.listed), "room-a", self.passes)
+        self.server = FakeDiscoveryServer(lambda: (self.serial, self.listed), "room-a", self.passes)
 
     def passes(self, make: Callable[[], bytes], give: Callable[[bytes], None]) -> None:
         self.asked += 1
@@ -55,7 +55,7 @@
 
 def nobody(whole: bytes) -> list[bytes]:
     """A well-formed reply of the same query that lists no runner, twice."""
-    return 2 * [reply(whole[:12] + whole[12 : whole.index(b"\0\0!\0\x01") + 5], 9, (), "room-a")]
+    return 2 * [encode_reply(whole[:12] + whole[12 : whole.index(b"\0\0!\0\x01") + 5], 9, (), "room-a")]
 
 
 SPOILT: dict[str, Spoils] = {
@@ -73,7 +73,7 @@
 @pytest.mark.parametrize("spoils", SPOILT.values(), ids=list(SPOILT))
 def test_a_spoilt_list_changes_nothing_and_the_next_good_one_counts(spoils: Spoils) -> None:
     async def test() -> None:
-        runners = [Runner(), Runner()]
+        runners = [ScriptedWorker(), ScriptedWorker()]
         async with routed(*runners) as (running, caller):
             discovery = Discovery(running, *runners)
             await discovery.play(spoils)
@@ -92,7 +92,7 @@
     caplog.set_level("INFO", "cedarthread.resolver")
 
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with routed(runner) as (running, _):
             discovery = Discovery(running, runner)
             await discovery.play(SPOILT["refused"])
@@ -106,7 +106,7 @@
     """Queries that are refused by its machine, as where the process is down, end nothing."""
 
     async def test() -> None:
-        runners = [Runner(), Runner()]
+        runners = [ScriptedWorker(), ScriptedWorker()]
         async with routed(*runners) as (running, caller):
             discovery = Discovery(running, *runners)
             await discovery.play(whole)
@@ -134,7 +134,7 @@
     """An empty list can be true: then no call may go on to where nobody is, and it has to be known soon."""
 
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with routed(runner) as (running, caller):
             assert told(await caller.call(1, "confirm", b"x")) == "served"
             discovery = Discovery(running, runner)
@@ -152,7 +152,7 @@
     """The good one is of the serial that holds, read once or known by its bytes, or a newer one."""
 
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with routed(runner) as (running, _):
             discovery = Discovery(running, runner)
             discovery.serial = between
@@ -167,7 +167,7 @@
     caplog.set_level("INFO", "cedarthread")
 
     async def test() -> None:
-        runners = [Runner(), Runner()]
+        runners = [ScriptedWorker(), ScriptedWorker()]
         async with routed(*runners) as (running, _):
             discovery = Discovery(running, *runners)
 
@@ -211,7 +211,7 @@
     """What is open there may have run. A call at another runner is not touched; the log says which it was."""
 
     async def test() -> None:
-        runners = [Runner(mute), Runner(mute)]
+        runners = [ScriptedWorker(mute), ScriptedWorker(mute)]
         async with routed(*runners) as (_, caller):
             number = 0
             while not (runners[0].calls and runners[1].calls):  # functions have homes here and there
@@ -223,9 +223,9 @@
             lost = {(await caller.read())[1] for _ in bad.calls}
             assert lost == {int(call["id"], 16) for call in bad.calls}
             for call in good.calls:
-                good.answer(call, hit(good, call))
+                good.answer(call, serve_uppercase(good, call))
                 assert told(await caller.read()) == "served"
-            bad.behave = good.behave = hit
+            bad.behavior = good.behavior = serve_uppercase
             assert told(await caller.call(90, "confirm", b"x")) == "served"
 
     asyncio.run(test())
@@ -237,36 +237,36 @@
 @pytest.mark.parametrize("number", [b"\x63", b"\x01", b"\xcf" + b"\xff" * 8])
 def test_an_interrupt_of_an_unknown_or_ended_call_is_for_nobody(number: bytes) -> None:
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with routed(runner) as (running, caller):
             assert told(await caller.call(1, "confirm", b"x")) == "served"
-            runner.behave = mute
+            runner.behavior = mute
             caller.writer.write(pack_call(2, "confirm", b"x"))
-            await runner.until(lambda: len(runner.calls) == 2)
+            await runner.wait_until(lambda: len(runner.calls) == 2)
             caller.writer.write(2 * (INTERRUPT + number))
             await fence(caller, 3)
-            runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
+            runner.answer(runner.calls[1], serve_uppercase(runner, runner.calls[1]))
             assert await caller.read() == [1, 2, None, [b"X", {}]]
-            assert runner.cancelled == [] and running.dispatcher.result_counts["left"] == 0
+            assert runner.cancelled_ids == [] and running.dispatcher.result_counts["left"] == 0
 
     asyncio.run(test())
 
 
 def test_a_client_that_ends_in_the_middle_of_a_message_takes_its_own_calls_alone() -> None:
     async def test() -> None:
-        runner = Runner(mute)
+        runner = ScriptedWorker(mute)
         async with routed(runner) as (running, caller), client(running) as cut:
             for number, one in ((1, cut), (2, caller)):
                 one.writer.write(pack_call(number, "confirm", b"x", limit=LONG))
-                await runner.until(lambda: len(runner.calls) == number)  # noqa: B023
+                await runner.wait_until(lambda: len(runner.calls) == number)  # noqa: B023
             cut.writer.write(pack_call(3, "confirm", b"y" * 1000)[:500])
             await until(
                 lambda: any(c.needed_bytes or c.message_started_at for c in running.platform.connections),
                 "half of it",
             )
             reset(cut.writer)
-            await runner.until(lambda: runner.cancelled == [f"{1:016x}"])
-            runner.answer(runner.calls[1], hit(runner, runner.calls[1]))
+            await runner.wait_until(lambda: runner.cancelled_ids == [f"{1:016x}"])
+            runner.answer(runner.calls[1], serve_uppercase(runner, runner.calls[1]))
             assert await caller.read() == [1, 2, None, [b"X", {}]]
             await settled(running)
             assert len(runner.calls) == 2
--- a/tests/integration/test_invoke.py
+++ b/tests/integration/test_invoke.py
@@ -22,7 +22,15 @@
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.protocols import invoke_config, spiffe
 from cedarthread.service import Service
-from cedarthread.testing.fakes.scripted import FUNCTION, Runner, client, hit, listing, says, service
+from cedarthread.testing.fakes.scripted import (
+    FUNCTION,
+    ScriptedWorker,
+    answer_with,
+    client,
+    endpoint_record,
+    serve_uppercase,
+    service,
+)
 
 DESK, PORTAL = "spiffe://gaz.example/desk/1", "spiffe://gaz.example/portal"
 PATH = f"/v1/functions/{FUNCTION}/"
@@ -148,7 +156,7 @@
 
 def test_both_styles_go_the_whole_way(authority: Authority) -> None:
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with service(runner, invoke=config(authority)) as running:
             async with Caller(running, authority.caller(DESK)) as desk:
                 status, _, body = await desk.ask("POST", PATH + "check", b"abc", Call_Lanes="4")
@@ -166,7 +174,7 @@
 
 def test_a_confirm_whose_collector_leaves_and_returns_runs_once(authority: Authority) -> None:
     async def test() -> None:
-        runner = Runner(lambda runner, message: None)
+        runner = ScriptedWorker(lambda runner, message: None)
         async with service(runner, invoke=config(authority)) as running:
             context = authority.caller(PORTAL)
             told = ASYNC | {"Idempotency-Key": '"nomination-1"'}
@@ -174,8 +182,8 @@
                 status, fields, _ = await portal.ask("POST", PATH + "confirm", b"x", **told)
                 assert status == 202
                 portal.send("GET", fields["location"], Prefer="wait=20")
-                await runner.until(lambda: len(runner.calls) == 1)
-            runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
+                await runner.wait_until(lambda: len(runner.calls) == 1)
+            runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
             async with Caller(running, context) as portal:
                 _, again, _ = await portal.ask(
                     "POST", PATH + "confirm", b"x", **told | {"Prefer": "respond-async, wait=5"}
@@ -184,24 +192,26 @@
                 assert (status, body) == (200, b"X")
                 assert again.get("location", fields["location"]) == fields["location"]
                 assert (await portal.ask("POST", PATH + "confirm", b"other", **told))[0] == 422
-            assert len(runner.calls) == 1 and not runner.cancelled
+            assert len(runner.calls) == 1 and not runner.cancelled_ids
 
     run(test())
 
 
 def test_a_deferred_call_outlives_the_drain_of_its_worker(authority: Authority) -> None:
     async def test() -> None:
-        runner = Runner(lambda runner, message: None)
+        runner = ScriptedWorker(lambda runner, message: None)
         async with (
             service(runner, invoke=config(authority)) as running,
             Caller(running, authority.caller(PORTAL)) as portal,
         ):
             _, fields, _ = await portal.ask("POST", PATH + "confirm", b"x", **ASYNC)
-            await runner.until(lambda: len(runner.calls) == 1)
-            running.update_endpoints(2, [listing(runner, 1, EndpointState.DRAINING)], is_complete=True)
+            await runner.wait_until(lambda: len(runner.calls) == 1)
+            running.update_endpoints(
+                2, [endpoint_record(runner, 1, EndpointState.DRAINING)], is_complete=True
+            )
             refused = await portal.ask("POST", PATH + "confirm", b"y", Call_Timeout_Ms="200")
             assert refused[0] in (503, 504)  # nothing new goes there
-            runner.answer(runner.calls[0], hit(runner, runner.calls[0]))
+            runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
             status, _, body = await portal.ask("GET", fields["location"], Prefer="wait=5")
             assert (status, body) == (200, b"X") and len(runner.calls) == 1
 
@@ -212,12 +222,12 @@
     """The runner's refusal is read first: that the caller has closed stands unread under TLS."""
 
     async def test() -> None:
-        held: list[tuple[Runner, dict[str, Any]]] = []
+        held: list[tuple[ScriptedWorker, dict[str, Any]]] = []
 
-        def hold(runner: Runner, message: dict[str, Any]) -> None:
+        def hold(runner: ScriptedWorker, message: dict[str, Any]) -> None:
             held.append((runner, message))
 
-        first, second = Runner(hold), Runner(hold)
+        first, second = ScriptedWorker(hold), ScriptedWorker(hold)
         async with (
             service(first, second, invoke=config(authority)) as running,
             Caller(running, authority.caller(DESK)) as desk,
@@ -238,7 +248,7 @@
                 sock.shutdown(socket.SHUT_RDWR)
             while running.dispatcher.pending_calls:
                 await asyncio.sleep(0)
-            first.behave = second.behave = hit
+            first.behavior = second.behavior = serve_uppercase
             for number in range(2, 10):
                 assert (await other.call(number, "check", b"x"))[2] is None
             names = [one["id"] for one in first.calls + second.calls]
@@ -249,12 +259,12 @@
 
 def test_a_synchronous_caller_that_leaves_ends_its_call(authority: Authority) -> None:
     async def test() -> None:
-        runner = Runner(lambda runner, message: None)
+        runner = ScriptedWorker(lambda runner, message: None)
         async with service(runner, invoke=config(authority)) as running:
             async with Caller(running, authority.caller(DESK)) as desk:
                 desk.send("POST", PATH + "check", b"x")
-                await runner.until(lambda: len(runner.calls) == 1)
-            await runner.until(lambda: len(runner.cancelled) == 1)
+                await runner.wait_until(lambda: len(runner.calls) == 1)
+            await runner.wait_until(lambda: len(runner.cancelled_ids) == 1)
             assert not running.dispatcher.pending_calls
 
     run(test())
@@ -262,12 +272,16 @@
 
 @pytest.mark.parametrize(
     ("behave", "expected", "repeat"),
-    [(says("FAULT"), 502, "unknown"), (says("SHED"), 503, "harmless"), (lambda r, m: None, 504, "unknown")],
+    [
+        (answer_with("FAULT"), 502, "unknown"),
+        (answer_with("SHED"), 503, "harmless"),
+        (lambda r, m: None, 504, "unknown"),
+    ],
 )
 def test_ends_are_mapped_to_problems(authority: Authority, behave: Any, expected: int, repeat: str) -> None:
     async def test() -> None:
         async with (
-            service(Runner(behave), invoke=config(authority)) as running,
+            service(ScriptedWorker(behave), invoke=config(authority)) as running,
             Caller(running, authority.caller(DESK)) as desk,
         ):
             status, fields, body = await desk.ask("POST", PATH + "confirm", b"x", Call_Timeout_Ms="300")
@@ -298,7 +312,7 @@
     authority: Authority, method: str, path: str, fields: dict[str, str], expected: int
 ) -> None:
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with service(runner, invoke=config(authority)) as running:
             async with Caller(running, authority.caller(DESK)) as desk:
                 assert (await desk.ask(method, path, b"", **fields))[0] == expected
@@ -323,7 +337,7 @@
     authority: Authority, uris: tuple[str, ...], usage: dict[str, bool]
 ) -> None:
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with service(runner, invoke=config(authority)) as running:
             async with Caller(running, authority.caller(*uris, **usage)) as stranger:
                 assert (await stranger.ask("POST", PATH + "check", b"x"))[0] == 403
@@ -334,7 +348,7 @@
 
 def test_another_identity_neither_collects_nor_meets_the_key(authority: Authority) -> None:
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with service(runner, invoke=config(authority)) as running:
             told = ASYNC | {"Idempotency-Key": "1"}
             async with Caller(running, authority.caller(DESK)) as desk:
@@ -353,7 +367,7 @@
 
 def test_without_a_certificate_there_is_no_connection(authority: Authority) -> None:
     async def test() -> None:
-        async with service(Runner(), invoke=config(authority)) as running:
+        async with service(ScriptedWorker(), invoke=config(authority)) as running:
             bare = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
             bare.check_hostname = False
             bare.load_verify_locations(authority.folder / "bundle.pem")
@@ -366,7 +380,7 @@
 
 def test_a_renewed_bundle_and_allow_list_are_taken_up(authority: Authority) -> None:
     async def test() -> None:
-        async with service(Runner(), invoke=config(authority)) as running:
+        async with service(ScriptedWorker(), invoke=config(authority)) as running:
             assert running.invoke is not None
             before = authority.caller(DESK)
             async with Caller(running, before) as desk:
@@ -390,18 +404,18 @@
 
 def test_sigterm_settles_both_styles(authority: Authority) -> None:
     async def test() -> None:
-        runner = Runner(lambda runner, message: None)
+        runner = ScriptedWorker(lambda runner, message: None)
         async with service(runner, invoke=config(authority)) as running:
             context = authority.caller(DESK)
             async with Caller(running, context) as desk, Caller(running, context) as other:
                 _, fields, _ = await other.ask("POST", PATH + "confirm", b"b", **ASYNC)
                 desk.send("POST", PATH + "check", b"a")
-                await runner.until(lambda: len(runner.calls) == 2)
+                await runner.wait_until(lambda: len(runner.calls) == 2)
                 ending = asyncio.create_task(running.shut_down())
                 while running.platform.is_ready:
                     await asyncio.sleep(0)
                 for call in runner.calls:
-                    runner.answer(call, hit(runner, call))
+                    runner.answer(call, serve_uppercase(runner, call))
                 assert (await desk.read())[2] == b"A"
                 async with Caller(running, context) as late:
                     assert (await late.ask("POST", PATH + "check", b"c", **ASYNC))[0] == 503
@@ -430,15 +444,19 @@
         return served / asked
 
     async def test() -> None:
-        def by_body(runner: Runner, message: dict[str, Any]) -> dict[str, Any]:
+        def by_body(runner: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any]:
             import base64
 
             number = int(base64.b64decode(message["body"]))
-            return says("FAULT")(runner, message) or {} if number % 7 == 3 else hit(runner, message)
+            return (
+                answer_with("FAULT")(runner, message) or {}
+                if number % 7 == 3
+                else serve_uppercase(runner, message)
+            )
 
         scores = []
         for deferred in (False, True):
-            async with service(Runner(by_body), invoke=config(authority)) as running:
+            async with service(ScriptedWorker(by_body), invoke=config(authority)) as running:
                 scores.append(await play(running, deferred, f"{deferred}"))
         assert scores[0] == scores[1] and 0.5 < scores[0] < 1.0
 
@@ -447,7 +465,10 @@
 
 def test_both_fronts_share_one_core(authority: Authority) -> None:
     async def test() -> None:
-        async with service(Runner(), invoke=config(authority)) as running, client(running) as platform:
+        async with (
+            service(ScriptedWorker(), invoke=config(authority)) as running,
+            client(running) as platform,
+        ):
             async with Caller(running, authority.caller(DESK)) as desk:
                 assert (await platform.call(1, "check", b"x"))[3] == [b"X", {}]
                 assert (await desk.ask("POST", PATH + "check", b"y"))[2] == b"Y"
@@ -472,7 +493,7 @@
 def test_a_request_in_pieces_and_two_at_once(authority: Authority) -> None:
     async def test() -> None:
         async with (
-            service(Runner(), invoke=config(authority)) as running,
+            service(ScriptedWorker(), invoke=config(authority)) as running,
             Caller(running, authority.caller(DESK)) as desk,
         ):
             desk.send("POST", PATH + "check", b"a")
@@ -495,7 +516,7 @@
 
 def test_what_arrives_too_slowly_is_ended(authority: Authority) -> None:
     async def test() -> None:
-        async with service(Runner(), invoke=config(authority)) as running:
+        async with service(ScriptedWorker(), invoke=config(authority)) as running:
             assert running.invoke is not None
             async with Caller(running, authority.caller(DESK)) as desk:
                 desk.writer.write(b"POST /v1")
@@ -510,7 +531,7 @@
 def test_an_expired_identity_is_out_on_an_open_connection(authority: Authority) -> None:
     async def test() -> None:
         async with (
-            service(Runner(), invoke=config(authority)) as running,
+            service(ScriptedWorker(), invoke=config(authority)) as running,
             Caller(running, authority.caller(DESK)) as desk,
         ):
             assert (await desk.ask("GET", "/v1/ready"))[0] == 200
@@ -528,7 +549,7 @@
 
     async def test() -> None:
         async with (
-            service(Runner(), invoke=config(authority)) as running,
+            service(ScriptedWorker(), invoke=config(authority)) as running,
             Caller(running, authority.caller(DESK)) as caller,
         ):
             head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n"
@@ -545,7 +566,7 @@
         told = dataclasses.replace(config(authority), max_connections=2)
         context = authority.caller(DESK)
         async with (
-            service(Runner(), invoke=told) as running,
+            service(ScriptedWorker(), invoke=told) as running,
             Caller(running, context) as first,
             Caller(running, context) as second,
         ):
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -15,7 +15,15 @@
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.protocols.platform_codec import encode_answer
 from cedarthread.protocols.platform_connection import MAX_OPEN_CALLS
-from cedarthread.testing.fakes.scripted import Runner, client, hit, listing, pack_call, says, service
+from cedarthread.testing.fakes.scripted import (
+    ScriptedWorker,
+    answer_with,
+    client,
+    endpoint_record,
+    pack_call,
+    serve_uppercase,
+    service,
+)
 
 
 def run(test: Coroutine[Any, Any, None]) -> None:
@@ -24,7 +32,7 @@
 
 def test_a_call_reaches_a_runner_unchanged_and_its_answer_comes_back() -> None:
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with service(runner) as running, client(running) as caller:
             answer = await caller.call(1, "revise", b"a\x00b", unique="5c0f", props="memory_mb:512;lanes:2")
             assert answer == [1, 1, None, [b"A\x00B", {}]]
@@ -41,7 +49,7 @@
     """Both use the method 'check'; only a call has a body."""
 
     async def test() -> None:
-        async with service(Runner()) as running, client(running) as caller:
+        async with service(ScriptedWorker()) as running, client(running) as caller:
             caller.writer.write(b"\x94\x00\x01\xa5check\x91\x80")
             assert await caller.read() == [1, 1, None, [True, {}]]
             assert await caller.call(2, "check", b"x") == [1, 2, None, [b"X", {}]]
@@ -65,7 +73,7 @@
 )
 def test_bad_fields_get_an_error_and_nothing_is_sent_on(klass: str, fields: dict[str, str]) -> None:
     async def test() -> None:
-        runner = Runner()
+        runner = ScriptedWorker()
         async with service(runner) as running, client(running) as caller:
             answer = await caller.call(1, klass, b"", **fields)
             assert answer[:2] == [1, 1] and answer[2][0] == "BadRequest" and answer[3] is None
@@ -77,7 +85,7 @@
 
 def test_garbage_closes_its_connection_and_no_other() -> None:
     async def test() -> None:
-        async with service(Runner()) as running, client(running) as bad, client(running) as good:
+        async with service(ScriptedWorker()) as running, client(running) as bad, client(running) as good:
             bad.writer.write(b"\xc1 no message")
             assert await bad.read() is None
             assert await good.call(1, "check", b"x") == [1, 1, None, [b"X", {}]]
@@ -87,15 +95,17 @@
 
 def test_what_was_never_run_moves_and_what_may_have_run_does_not() -> None:
     async def test() -> None:
-        def shed_once(runner: Runner, message: dict[str, Any]) -> dict[str, Any]:
+        def shed_once(runner: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any]:
             return (
-                {"op": "SHED", "fields": {}} if len(first.calls + second.calls) == 1 else hit(runner, message)
+                {"op": "SHED", "fields": {}}
+                if len(first.calls + second.calls) == 1
+                else serve_uppercase(runner, message)
             )
 
-        first, second = Runner(shed_once), Runner(shed_once)
+        first, second = ScriptedWorker(shed_once), ScriptedWorker(shed_once)
         async with service(first, second) as running, client(running) as caller:
             assert await caller.call(1, "confirm", b"x") == [1, 1, None, [b"X", {}]]
-            first.behave = second.behave = says("FAULT")
+            first.behavior = second.behavior = answer_with("FAULT")
             answer = await caller.call(2, "confirm", b"x")
             assert answer[2][0] == "Lost"
             assert len([c for c in first.calls + second.calls if c["id"] == f"{2:016x}"]) == 1
@@ -105,10 +115,10 @@
 
 def test_a_connection_that_breaks_under_a_written_call_proves_nothing() -> None:
     async def test() -> None:
-        def cut(runner: Runner, message: dict[str, Any]) -> None:
+        def cut(runner: ScriptedWorker, message: dict[str, Any]) -> None:
             runner.writers[-1].transport.abort()
 
-        first, second = Runner(cut), Runner(cut)
+        first, second = ScriptedWorker(cut), ScriptedWorker(cut)
         async with service(first, second) as running, client(running) as caller:
             answer = await caller.call(1, "confirm", b"x")
             assert answer[2][0] == "Lost" and len(first.calls + second.calls) == 1
@@ -120,7 +130,7 @@
 
 def test_a_refused_connection_proves_that_nothing_ran() -> None:
     async def test() -> None:
-        dead, live = Runner(), Runner()
+        dead, live = ScriptedWorker(), ScriptedWorker()
         async with service(dead, live) as running, client(running) as caller:
             dead.stop()
             for number in range(1, 9):  # also where the dead one is chosen first
@@ -132,26 +142,26 @@
 
 def test_the_answer_leaves_before_the_limit_and_the_attempt_is_cancelled() -> None:
     async def test() -> None:
-        mute = Runner(lambda runner, message: None)
+        mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
             loop = asyncio.get_running_loop()
             began = loop.time()
             answer = await caller.call(1, "confirm", b"x", limit="300")
             assert answer[2][0] == "Lost" and loop.time() - began < 0.3
-            await mute.until(lambda: mute.cancelled == [f"{1:016x}"])
+            await mute.wait_until(lambda: mute.cancelled_ids == [f"{1:016x}"])
 
     run(test())
 
 
 def test_an_interrupt_ends_a_call_without_an_answer() -> None:
     async def test() -> None:
-        mute = Runner(lambda runner, message: None)
+        mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
             caller.writer.write(pack_call(1, "confirm"))
-            await mute.until(lambda: len(mute.calls) == 1)
+            await mute.wait_until(lambda: len(mute.calls) == 1)
             caller.writer.write(b"\x93\x02\xa9interrupt\x91\x01")
-            await mute.until(lambda: mute.cancelled == [f"{1:016x}"])
-            mute.behave = hit
+            await mute.wait_until(lambda: mute.cancelled_ids == [f"{1:016x}"])
+            mute.behavior = serve_uppercase
             assert await caller.call(2, "check", b"x") == [1, 2, None, [b"X", {}]]
             assert not running.dispatcher.pending_calls
 
@@ -162,7 +172,7 @@
     """A call that waits for a slow runner's socket must not leave long after the drain was told."""
 
     async def test() -> None:
-        slow, other = Runner(), Runner()
+        slow, other = ScriptedWorker(), ScriptedWorker()
         async with service(slow, other) as running, client(running) as caller:
             await caller.call(1, "check", b"x")
             pool = next(pool for pool in running.workers.pools.values() if pool.connections)
@@ -171,8 +181,8 @@
             caller.writer.write(pack_call(2, "confirm", b"x"))
             while not pool.connections[0].lines.queued:
                 await asyncio.sleep(0)
-            told = [listing(slow, 1), listing(other, 2)]
-            told[at - 1] = listing((slow, other)[at - 1], at, EndpointState.DRAINING)
+            told = [endpoint_record(slow, 1), endpoint_record(other, 2)]
+            told[at - 1] = endpoint_record((slow, other)[at - 1], at, EndpointState.DRAINING)
             running.update_endpoints(2, told, is_complete=True)
             assert await caller.read() == [1, 2, None, [b"X", {}]]
             assert [c["id"] for c in (slow, other)[2 - at].calls] == [f"{2:016x}"]
@@ -182,15 +192,15 @@
 
 def test_end_answers_all_that_was_taken() -> None:
     async def test() -> None:
-        mute = Runner(lambda runner, message: None)
+        mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
             caller.writer.write(pack_call(1, "confirm", b"x"))
-            await mute.until(lambda: len(mute.calls) == 1)
+            await mute.wait_until(lambda: len(mute.calls) == 1)
             ending = asyncio.create_task(running.shut_down())
             await asyncio.sleep(0)
-            mute.answer(mute.calls[0], hit(mute, mute.calls[0]))
+            mute.answer(mute.calls[0], serve_uppercase(mute, mute.calls[0]))
             assert await caller.read() == [1, 1, None, [b"X", {}]]
-            mute.behave = hit
+            mute.behavior = serve_uppercase
             assert await caller.call(2, "check", b"y") == [1, 2, None, [b"Y", {}]]  # within the grace
             await ending
 
@@ -201,17 +211,17 @@
     """The news that a runner has started anew comes seconds late; calls already run on the new process."""
 
     async def test() -> None:
-        mute = Runner(lambda runner, message: None)
+        mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
             caller.writer.write(pack_call(1, "confirm", b"x"))
-            await mute.until(lambda: len(mute.calls) == 1)
+            await mute.wait_until(lambda: len(mute.calls) == 1)
             begun = running.workers.pools[1].connections[0].created_at_ms
-            anew = dataclasses.replace(listing(mute, 1), started_at_ms=begun - 1.0)
+            anew = dataclasses.replace(endpoint_record(mute, 1), started_at_ms=begun - 1.0)
             running.update_endpoints(2, [anew], is_complete=True)
-            mute.answer(mute.calls[0], hit(mute, mute.calls[0]))
+            mute.answer(mute.calls[0], serve_uppercase(mute, mute.calls[0]))
             assert await caller.read() == [1, 1, None, [b"X", {}]]
             caller.writer.write(pack_call(2, "confirm", b"x"))
-            await mute.until(lambda: len(mute.calls) == 2)
+            await mute.wait_until(lambda: len(mute.calls) == 2)
             running.update_endpoints(
                 3, [dataclasses.replace(anew, started_at_ms=begun + 60_000.0)], is_complete=True
             )
@@ -224,7 +234,7 @@
     """Clients that ask and do not read their answers must not take the memory."""
 
     async def test() -> None:
-        async with service(Runner()) as running, client(running) as slow, client(running) as other:
+        async with service(ScriptedWorker()) as running, client(running) as slow, client(running) as other:
             running.platform.max_queued_bytes = 20_000
             await slow.call(1, "check", b"x")
             mine = slow.writer.get_extra_info("sockname")
@@ -250,7 +260,7 @@
     """Clients that asked once and stayed must not keep new ones out."""
 
     async def test() -> None:
-        async with service(Runner()) as running:
+        async with service(ScriptedWorker()) as running:
             running.platform.max_connections = 2
             async with client(running) as first, client(running) as second:
                 for number, caller in enumerate((first, second), 1):
@@ -266,14 +276,14 @@
 
 def test_a_bad_message_ends_each_open_call_and_no_answer_is_lost() -> None:
     async def test() -> None:
-        mute = Runner(lambda runner, message: None)
+        mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
             caller.writer.write(pack_call(1, "confirm"))
-            await mute.until(lambda: len(mute.calls) == 1)
+            await mute.wait_until(lambda: len(mute.calls) == 1)
             caller.writer.write(b"\x91\x05" + b"\xff" * 500_000)  # far more than is read before the end
             assert (await caller.read())[:3] == [1, 1, ["Lost", {}]]
             assert await caller.read() is None  # an end, not a reset
-            await mute.until(lambda: mute.cancelled == [f"{1:016x}"])
+            await mute.wait_until(lambda: mute.cancelled_ids == [f"{1:016x}"])
 
     run(test())
 
@@ -281,7 +291,7 @@
 def test_who_says_nothing_proper_is_closed_and_who_asked_once_is_kept() -> None:
     async def test() -> None:
         async with (
-            service(Runner()) as running,
+            service(ScriptedWorker()) as running,
             client(running) as silent,
             client(running) as half,
             client(running) as asked,
@@ -299,12 +309,12 @@
 
 def test_one_connection_carries_so_many_open_calls_and_a_flood_waits_its_turn() -> None:
     async def test() -> None:
-        mute = Runner(lambda runner, message: None)
+        mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
             caller.writer.write(b"".join(pack_call(number, "check") for number in range(1, 101)))
             refused = [await caller.read() for _ in range(100 - MAX_OPEN_CALLS)]
             assert {answer[2][0] for answer in refused} == {"Backoff"}
-            await mute.until(lambda: len(mute.calls) == MAX_OPEN_CALLS)
+            await mute.wait_until(lambda: len(mute.calls) == MAX_OPEN_CALLS)
             assert len(running.dispatcher.pending_calls) == MAX_OPEN_CALLS
 
     run(test())
@@ -328,7 +338,7 @@
 )
 def test_figures_out_of_range_get_an_error(fields: dict[str, str]) -> None:
     async def test() -> None:
-        async with service(Runner()) as running, client(running) as caller:
+        async with service(ScriptedWorker()) as running, client(running) as caller:
             assert (await caller.call(1, "check", b"x", **fields))[2][0] == "BadRequest"
 
     run(test())
@@ -346,7 +356,7 @@
 )
 def test_what_can_never_be_a_message_is_closed_unread(data: bytes) -> None:
     async def test() -> None:
-        async with service(Runner()) as running, client(running) as caller:
+        async with service(ScriptedWorker()) as running, client(running) as caller:
             caller.writer.write(data)
             assert await caller.read() is None
             assert all(len(c.buffer._data) <= 8192 for c in running.platform.unproven_connections)
@@ -357,11 +367,11 @@
 def test_a_long_answer_comes_back_whole() -> None:
     """DAYS.md: one answer in sixteen is long, up to 230,000 bytes; its base64 line is longer still."""
 
-    def long(runner: Runner, message: dict[str, Any]) -> dict[str, Any]:
+    def long(runner: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any]:
         return {"op": "HIT", "fields": {}, "body": base64.b64encode(b"L" * 230_000).decode()}
 
     async def test() -> None:
-        runner = Runner(long)
+        runner = ScriptedWorker(long)
         async with service(runner) as running, client(running) as caller:
             caller.writer.write(pack_call(1, "confirm", b"x"))
             whole = encode_answer(1, CallSucceeded(b"L" * 230_000))  # longer than a client may send
@@ -379,17 +389,17 @@
     """After the grace, clients move to a successor: no new connection, and open ones close when idle."""
 
     async def test() -> None:
-        mute = Runner(lambda runner, message: None)
+        mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running, client(running) as idle, client(running) as busy:
-            mute.behave = hit
+            mute.behavior = serve_uppercase
             assert (await idle.call(1, "check", b"x"))[2] is None
-            mute.behave = lambda runner, message: None
+            mute.behavior = lambda runner, message: None
             busy.writer.write(pack_call(2, "confirm", b"y"))
-            await mute.until(lambda: len(mute.calls) == 2)
+            await mute.wait_until(lambda: len(mute.calls) == 2)
             ending = asyncio.create_task(running.shut_down())
             assert await idle.read() is None  # closed, with nothing open
             assert running.platform.is_draining and running.platform._acceptor is None
-            mute.answer(mute.calls[1], hit(mute, mute.calls[1]))
+            mute.answer(mute.calls[1], serve_uppercase(mute, mute.calls[1]))
             assert await busy.read() == [1, 2, None, [b"Y", {}]]
             assert await busy.read() is None  # closed once its last answer left
             await ending
@@ -401,7 +411,7 @@
     """With Nagle's algorithm on, an answer written after another waited for a delayed ACK, up to 40 ms."""
 
     async def test() -> None:
-        async with service(Runner()) as running, client(running) as caller:
+        async with service(ScriptedWorker()) as running, client(running) as caller:
             await caller.call(1, "check", b"x")
             [connection] = running.platform.connections
             assert connection.transport is not None
--- a/tests/unit/test_load_balance.py
+++ b/tests/unit/test_load_balance.py
@@ -6,15 +6,17 @@
 
 import pytest
 
-from cedarthread.testing.fakes.worker_model import Runner, Store, Visit
+from cedarthread.testing.fakes.worker_model import PackageStore, WorkerCall, WorkerModel
 from cedarthread.testing.load_balance import Hotspot, LoadBalanceMetrics, WorkerAvailability, measure
 
 ALWAYS = ((0.0, 10_000.0),)
 TWO = {0: WorkerAvailability(1, ALWAYS), 1: WorkerAvailability(1, ALWAYS)}
 
 
-def visit(runner: int, at: float, began: float, ended: float, function: int = 1, note: str = "hit") -> Visit:
-    return Visit(
+def visit(
+    runner: int, at: float, began: float, ended: float, function: int = 1, note: str = "hit"
+) -> WorkerCall:
+    return WorkerCall(
         f"{at}", runner, function, at, ended - began, at if note == "hit" else began, began, ended, note
     )
 
@@ -68,14 +70,22 @@
 
 
 def test_the_worker_model_loads_queues_evicts_and_rejects() -> None:
-    store = Store(400.0, 1, 2)
-    runner = Runner(0, cores=1, slots=1, store=store, lanes=2)
-    first, second, third = (Visit(str(n), 0, n // 2, 0.0, 50.0) for n in range(3))
-    assert runner.arrive(0.0, first) and runner.arrive(0.0, second)
-    assert not runner.arrive(0.0, third) and third.note == "spawn_failed", "no room: the one copy is loading"
-    assert [v.name for v in runner.advance(1000.0)] == ["0", "1"]
-    assert (first.note, first.began, first.ended) == ("spawn", 400.0, 450.0)
-    assert (second.note, second.began, second.ended) == ("pending", 450.0, 500.0)
-    again = Visit("3", 0, 1, 1000.0, 50.0)
-    assert runner.arrive(1000.0, again) and again.note == "spawn" and runner.total == 1, "the idle copy went"
-    assert runner.die(1100.0) == [again] and store.out == 0 and runner.due() == float("inf")
+    store = PackageStore(400.0, 1, 2)
+    runner = WorkerModel(0, cores=1, slots=1, store=store, lanes=2)
+    first, second, third = (WorkerCall(str(n), 0, n // 2, 0.0, 50.0) for n in range(3))
+    assert runner.on_call(0.0, first) and runner.on_call(0.0, second)
+    assert not runner.on_call(0.0, third) and third.remark == "spawn_failed", (
+        "no room: the one copy is loading"
+    )
+    assert [v.call_id for v in runner.advance(1000.0)] == ["0", "1"]
+    assert (first.remark, first.started_at_ms, first.ended_at_ms) == ("spawn", 400.0, 450.0)
+    assert (second.remark, second.started_at_ms, second.ended_at_ms) == ("pending", 450.0, 500.0)
+    again = WorkerCall("3", 0, 1, 1000.0, 50.0)
+    assert runner.on_call(1000.0, again) and again.remark == "spawn" and runner.instance_count == 1, (
+        "the idle copy went"
+    )
+    assert (
+        runner.crash(1100.0) == [again]
+        and store.loads_in_flight == 0
+        and runner.next_event_at_ms() == float("inf")
+    )
--- a/tests/unit/test_settings_reload.py
+++ b/tests/unit/test_settings_reload.py
@@ -11,7 +11,7 @@
 
 from cedarthread import config
 from cedarthread.model.settings import Idempotency
-from cedarthread.testing.fakes.scripted import Runner, ask, client, pack_call, service
+from cedarthread.testing.fakes.scripted import ScriptedWorker, ask_control, client, pack_call, service
 from cedarthread.testing.fakes.settings import SETTINGS
 from tests.integration.test_control import figures
 
@@ -31,10 +31,10 @@
 
 def test_new_classes_bind_new_calls_and_open_ones_keep_their_own() -> None:
     async def test() -> None:
-        mute = Runner(lambda runner, message: None)
+        mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
             caller.writer.write(pack_call(1, "confirm", b"x"))
-            await mute.until(lambda: len(mute.calls) == 1)
+            await mute.wait_until(lambda: len(mute.calls) == 1)
             [open_call] = running.dispatcher.pending_calls.values()
             raw = file_with(retuned())
             running.reloader.load_config = lambda: config.decode(raw, {})
@@ -50,12 +50,12 @@
             assert set(running.dispatcher.current_class_index) == {"revise", "confirm", "audit"}
             assert running.dispatcher.settings.limits.max_attempts == 2
             assert running.dispatcher.router.state.settings is running.dispatcher.settings
-            mute.behave = lambda runner, message: {"op": "HIT", "fields": {}, "body": ""}
+            mute.behavior = lambda runner, message: {"op": "HIT", "fields": {}, "body": ""}
             assert (await caller.call(2, "audit", b"y"))[2] is None
             assert (await caller.call(3, "check", b"y"))[2] == ["BadRequest", {"why": "no such method"}]
             mute.answer(mute.calls[0], {"op": "HIT", "fields": {}, "body": ""})
             assert (await caller.read())[1:3] == [1, None]
-            told = figures(await ask(running, b"INFO\n"))
+            told = figures(await ask_control(running, b"INFO\n"))
             assert told["router.loads"] == 1 and told["router.load_errors"] == 0
             assert told["router.handled.audit.passed"] == 1 and told["router.handled.confirm.passed"] == 1
             assert told["router.handled.check.passed"] == 0  # a dropped class keeps what it counted
@@ -96,7 +96,7 @@
 )
 def test_a_bad_file_is_turned_down_whole(change: str, caplog: pytest.LogCaptureFixture) -> None:
     async def test() -> None:
-        async with service(Runner()) as running, client(running) as caller:
+        async with service(ScriptedWorker()) as running, client(running) as caller:
             before = running.dispatcher.settings
             raw = _spoilt(change)
             running.reloader.load_config = lambda: config.decode(raw, {})
@@ -104,7 +104,7 @@
             assert (
                 running.dispatcher.settings is before and running.dispatcher.current_class_index["check"] == 0
             )
-            told = figures(await ask(running, b"INFO\n"))
+            told = figures(await ask_control(running, b"INFO\n"))
             assert told["router.load_errors"] == 1 and told["router.loads"] == 0
             assert (await caller.call(1, "check", b"x"))[2] is None
 
