Fuzzing: the call machine's world split by concern; no circle between caller and machine

Cause: one class of 344 lines held router, peers, discovery, script and end; it and the invoke caller imported each other. Ruled out: a changed order of choices read from an input.

--- /dev/null
+++ b/cedarthread/testing/fuzzing/endpoint_publisher.py
@@ -0,0 +1,71 @@
+"""The discovery side of the call machine: which workers are listed, and the updates that the router gets."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from cedarthread.model.endpoints import EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.protocols.endpoint_list import EndpointRecord
+from cedarthread.testing.fuzzing.memory_peers import MemoryWorker
+from cedarthread.testing.fuzzing.router_under_test import RouterUnderTest
+
+
+class EndpointPublisher:
+    """Publishes the list of workers, and tells the checker what a router that reads it must know."""
+
+    def __init__(self, router: RouterUnderTest, workers: Sequence[MemoryWorker]) -> None:
+        self.router, self.workers = router, workers
+        self.listed: dict[int, EndpointRecord] = {}
+        self.published: list[list[EndpointRecord]] = []  # by version, from 1
+        for worker in workers:
+            self.list_worker(worker, EndpointState.READY)
+        self.publish()
+
+    @property
+    def version(self) -> int:
+        """The version of the list that was published last."""
+        return len(self.published)
+
+    def list_worker(self, worker: MemoryWorker, state: EndpointState) -> None:
+        """List a worker from the next version on."""
+        zone, cell = f"room-{'ab'[worker.number % 2]}", worker.number // 2
+        weight = 1.0
+        self.listed[worker.number] = EndpointRecord(
+            worker.name, "10.0.0.1", worker.number, zone, "std", cell, state, weight, worker.started_at_ms
+        )
+
+    def unlist_worker(self, worker: MemoryWorker) -> None:
+        """Leave a worker out from the next version on."""
+        self.listed.pop(worker.number, None)
+
+    def publish(self) -> None:
+        """Publish the list as it is now, and deliver it."""
+        self.published.append(list(self.listed.values()))
+        self._deliver(self.version, self.published[-1])
+
+    def redeliver(self, versions_back: int) -> None:
+        """Deliver an earlier version again, which must count for nothing."""
+        self._deliver(self.version - versions_back, self.published[-1 - versions_back])
+
+    def fail(self) -> None:
+        """Tell the router that discovery failed."""
+        self.router.dispatcher.endpoints_changed(EndpointUpdate(EndpointUpdateKind.FAILED, self.version))
+
+    def _deliver(self, version: int, records: list[EndpointRecord]) -> None:
+        router = self.router
+        if version > router.endpoint_list.version:
+            self._tell_checker(records)
+        event = router.endpoint_list.apply_update(version, records, True)
+        if event is not None:
+            router.worker_connections.update_endpoints(router.endpoint_list.by_worker_id())
+            router.dispatcher.endpoints_changed(event)
+
+    def _tell_checker(self, records: list[EndpointRecord]) -> None:
+        checker, now = self.router.checker, self.router.now_ms()
+        for record in records:
+            zone = self.router.raw_settings["localities"].index(record.zone)
+            checker.on_worker_state(now, record.port, record.state.value, zone, record.cell)
+        names = {record.name for record in records}
+        for worker in self.workers:
+            if worker.name not in names:
+                checker.on_worker_state(now, worker.number, "gone")
--- /dev/null
+++ b/cedarthread/testing/fuzzing/http_reply.py
@@ -0,0 +1,41 @@
+"""HTTP/1.1 responses as a caller of the invoke API reads them."""
+
+from __future__ import annotations
+
+import re
+from typing import NamedTuple
+
+from cedarthread.testing.fuzzing.target import Finding
+
+_STATUS_LINE = re.compile(rb"HTTP/1\.1 (\d{3}) [^\r]*\r\n")
+
+
+class Reply(NamedTuple):
+    """A response; names of its fields in lower case."""
+
+    status: int
+    fields: dict[str, str]
+    body: bytes
+
+
+class ParsedReply(NamedTuple):
+    """A response, and the number of bytes that it took."""
+
+    reply: Reply
+    end: int
+
+
+def read_reply(data: bytes) -> ParsedReply | None:
+    """The response at the start of the data; None while it is not complete, ``Finding`` where it is none."""
+    if b"\r\n\r\n" not in data:
+        return None
+    head, _, rest = data.partition(b"\r\n\r\n")
+    status_line = _STATUS_LINE.match(head + b"\r\n")
+    if status_line is None:
+        raise Finding(f"a response begins with {head[:40]!r}")
+    pairs = [line.partition(": ") for line in head.decode("latin-1").split("\r\n")[1:]]
+    fields = {name.lower(): value for name, _, value in pairs}
+    status, length = int(status_line[1]), int(fields.get("content-length", "0"))
+    if len(rest) < length:
+        return None
+    return ParsedReply(Reply(status, fields, rest[:length]), len(head) + 4 + length)
--- a/cedarthread/testing/fuzzing/memory_peers.py
+++ b/cedarthread/testing/fuzzing/memory_peers.py
@@ -1,7 +1,7 @@
 """The peers of a router in memory: platform clients, callers of the invoke API and workers.
 
-Each writes what it sees into the ledger. A call's key there is its body, which passes unchanged to the worker
-whatever name the front gives the call.
+Each reports what it sees to the invariant checker. A call's key there is its body, which passes unchanged to
+the worker whatever id the server gives the call.
 """
 
 from __future__ import annotations
@@ -23,12 +23,12 @@
 
 @dataclass(eq=False, slots=True)
 class HeldRequest:
-    """A call, or an order to load, that a worker holds."""
+    """A call, or a preload request, that a worker has and has not answered."""
 
     message_id: str
     call_key: str
     link: WorkerLink
-    attempt: AttemptRecord | None = None  # None: an order
+    attempt: AttemptRecord | None = None  # None: a preload request
     function: str = ""
 
 
@@ -38,7 +38,7 @@
     def __init__(self, worker: MemoryWorker, transport: MemoryTransport) -> None:
         self.worker, self.transport = worker, transport
         self.buffer = b""
-        self.line_start_byte = 0  # bytes of the lines that came whole
+        self.line_start_byte = 0  # bytes of the lines that are complete
         self.first_byte_at_ms = 0.0  # when the first byte of the line that is coming left the router
         self.held_requests: list[HeldRequest] = []
         self.is_open = True
@@ -46,20 +46,22 @@
         transport.on_close = self.on_close
 
     def on_bytes(self, data: bytes) -> None:
-        """Bytes of the router's."""
+        """Bytes from the router."""
         now = self.worker.loop.unix_ms()
         if not self.buffer:
             self.first_byte_at_ms = now
         self.buffer += data
         *lines, self.buffer = self.buffer.split(b"\n")
         for line in lines:
-            handed = max(when for at, when in self.transport.writes if at <= self.line_start_byte)
+            handed_over_at_ms = max(
+                write.at_ms for write in self.transport.writes if write.first_byte <= self.line_start_byte
+            )
             self.line_start_byte += len(line) + 1
-            self.worker.on_line(self, json.loads(line), self.first_byte_at_ms, handed)
+            self.worker.on_line(self, json.loads(line), self.first_byte_at_ms, handed_over_at_ms)
             self.first_byte_at_ms = now
 
     def on_close(self) -> None:
-        """Down, by whichever end: all that is open here is given up."""
+        """The connection went, by whichever end: all that is held here is cancelled."""
         self.is_open = False
         for held in self.held_requests:
             if held.attempt is not None:
@@ -69,18 +71,20 @@
 
 
 class MemoryWorker:
-    """One worker: it holds what comes until the script has it answered."""
+    """One worker: it holds each request until the script has it answered."""
 
-    def __init__(self, number: int, loop: VirtualLoop, ledger: InvariantChecker, called: set[str]) -> None:
-        self.number, self.loop, self.checker, self.called_functions = number, loop, ledger, called
+    def __init__(
+        self, number: int, loop: VirtualLoop, checker: InvariantChecker, called_functions: set[str]
+    ) -> None:
+        self.number, self.loop, self.checker, self.called_functions = number, loop, checker, called_functions
         self.name = f"s-{number:08x}"
         self.refuses_connections = self.hangs_connections = False
-        self.window_bytes: int | None = None  # bytes that it takes on a new connection; None: all
+        self.window_bytes: int | None = None  # that it reads on a new connection; None: all
         self.started_at_ms = 0.0
         self.links: list[WorkerLink] = []
 
     def connect(self) -> MemoryTransport:
-        """A router dials."""
+        """A router connects; ``ConnectionRefusedError`` where it is refused."""
         if self.refuses_connections:
             raise ConnectionRefusedError(111, "refused")
         transport = MemoryTransport(self.loop)
@@ -91,25 +95,29 @@
         self.links.append(WorkerLink(self, transport))
         return transport
 
-    def on_line(self, link: WorkerLink, message: dict[str, Any], began: float, handed: float) -> None:
-        """A whole line of the router's: when its first byte left, and when it was handed to the socket."""
-        now, op, name = self.loop.unix_ms(), message["op"], message["id"]
+    def on_line(
+        self, link: WorkerLink, message: dict[str, Any], first_byte_at_ms: float, handed_over_at_ms: float
+    ) -> None:
+        """A complete line: when its first byte left, and when it was handed to the socket."""
+        now, op, message_id = self.loop.unix_ms(), message["op"], message["id"]
         if op == "CALL":
             key = base64.b64decode(message["body"]).decode()
             if message["fields"]["thing"] not in self.called_functions:
                 raise Finding(f"function {message['fields']['thing']} was never asked for")
-            if any(held.message_id == name for held in link.held_requests):
-                raise Finding(f"two calls named {name} are open on one connection")
-            tried = self.checker.on_attempt_started(now, key, self.number, began, handed)
-            link.held_requests.append(HeldRequest(name, key, link, tried, message["fields"]["thing"]))
+            if any(held.message_id == message_id for held in link.held_requests):
+                raise Finding(f"two calls named {message_id} are open on one connection")
+            attempt = self.checker.on_attempt_started(
+                now, key, self.number, first_byte_at_ms, handed_over_at_ms
+            )
+            link.held_requests.append(HeldRequest(message_id, key, link, attempt, message["fields"]["thing"]))
         elif op == "CANCEL":
-            for held in [h for h in link.held_requests if h.message_id == name and h.attempt is not None]:
-                link.held_requests.remove(held)
-                assert held.attempt is not None
-                self.checker.on_attempt_ended(held.attempt, True)
+            for held in list(link.held_requests):
+                if held.message_id == message_id and held.attempt is not None:
+                    link.held_requests.remove(held)
+                    self.checker.on_attempt_ended(held.attempt, True)
         elif op == "LOAD":
-            self.checker.on_preload(now, self.number, message["fields"]["pods"], began)
-            link.held_requests.append(HeldRequest(name, "", link, None, message["fields"]["thing"]))
+            self.checker.on_preload(now, self.number, message["fields"]["pods"], first_byte_at_ms)
+            link.held_requests.append(HeldRequest(message_id, "", link, None, message["fields"]["thing"]))
         elif op not in ("UNLOAD", "PING"):
             raise Finding(f"a worker was sent {op}")
 
@@ -118,7 +126,7 @@
         return [held for link in self.links for held in link.held_requests]
 
     def answer(self, held: HeldRequest, op: str, fields: dict[str, Any], *, twice: bool = False) -> None:
-        """The end of a call or an order, as one whole line."""
+        """Send the answer to a call or a preload request, as one line."""
         message: dict[str, Any] = {"op": op, "id": held.message_id, "fields": fields}
         if op == "HIT" and held.attempt is not None:
             body = f"{held.call_key}@{self.number}".encode()
@@ -132,12 +140,18 @@
             held.link.transport.peer_send(json.dumps(message).encode() + b"\n")
 
     def reset_connections(self) -> None:
-        """All its connections break."""
+        """Break all its connections."""
         for link in list(self.links):
             link.transport.peer_reset()
 
+    def restart(self) -> None:
+        """Start anew: connections break, and new ones are accepted."""
+        self.started_at_ms = self.loop.unix_ms()
+        self.reset_connections()
+        self.refuses_connections = self.hangs_connections = False
+
     def resume_reading(self) -> None:
-        """It reads again, if it did not."""
+        """Read again, where it did not."""
         self.window_bytes = None
         for link in list(self.links):
             link.transport.peer_accept(None)
@@ -146,49 +160,53 @@
 class MemoryClient:
     """A platform client on one connection."""
 
-    def __init__(self, loop: VirtualLoop, ledger: InvariantChecker, protocol: Any) -> None:
-        self.loop, self.checker = loop, ledger
+    def __init__(self, loop: VirtualLoop, checker: InvariantChecker, protocol: Any) -> None:
+        self.loop, self.checker = loop, checker
         self.transport = MemoryTransport(loop)
         self.transport.on_bytes = self.on_bytes
         self.transport.on_close = self.on_close
-        self.pending_calls: dict[int, str] = {}
+        self.pending_calls: dict[int, str] = {}  # by number on the connection: the call's key
         self.last_number = 0
         self.is_open = True
         self.is_reading_paused = False
-        self.is_write_closed = False  # it has said that no more comes, or what ends the connection
+        self.is_write_closed = False  # it has closed its end, or sent what ends the connection
         self._unpacker = msgpack.Unpacker(raw=False, strict_map_key=True)
         self.transport.connect(protocol)
 
     def on_close(self) -> None:
-        """The connection has ended, by whichever end. Whoever does not read may lose what was written."""
+        """The connection went, by whichever end. A client that does not read may lose what was written."""
         self.is_open = False
         if self.is_reading_paused:
             for key in self.pending_calls.values():
                 self.checker.on_call_abandoned(self.loop.unix_ms(), key)
 
     def encode_call(
-        self, key: str, klass: str, function: str, limit: int, terms: CallGuarantees, **fields: str
+        self,
+        key: str,
+        class_name: str,
+        function: str,
+        timeout_ms: int,
+        guarantees: CallGuarantees,
+        **fields: str,
     ) -> bytes:
         """Record a call and return its bytes."""
         self.last_number += 1
         now = self.loop.unix_ms()
         self.pending_calls[self.last_number] = key
-        self.checker.on_call_submitted(now, key, terms, now + limit)
-        if (
-            self.is_reading_paused or not self.is_open
-        ):  # turned away at the limit: nobody has read the request
+        self.checker.on_call_submitted(now, key, guarantees, now + timeout_ms)
+        if self.is_reading_paused or not self.is_open:  # not open: rejected at the connection limit
             self.checker.on_call_abandoned(now, key)
-        told = {"txn": f"{int(key[1:]):016x}", "limit": str(limit), "item": function} | fields
-        return bytes(msgpack.packb([0, self.last_number, klass, [told, key.encode()]]))
+        every = {"txn": f"{int(key[1:]):016x}", "limit": str(timeout_ms), "item": function} | fields
+        return bytes(msgpack.packb([0, self.last_number, class_name, [every, key.encode()]]))
 
     def encode_interrupt(self, number: int) -> bytes:
-        """Record that a call is not waited for, and return the bytes that say so."""
+        """Record that the client waits for a call no more, and return the bytes that say so."""
         self.checker.on_call_abandoned(self.loop.unix_ms(), self.pending_calls[number])
         self.checker.on_client_gone(self.loop.unix_ms(), self.pending_calls[number])
         return bytes(msgpack.packb([2, "interrupt", [number]]))
 
     def on_bytes(self, data: bytes) -> None:
-        """Answers."""
+        """Read answers."""
         self._unpacker.feed(data)
         for message in self._unpacker:
             if not isinstance(message, list) or len(message) != 4 or message[0] != 1:
@@ -201,15 +219,26 @@
                 raise Finding(f"an answer under the number {number}, which is not in use")
             self.checker.on_answer(self.loop.unix_ms(), key, answer_kind(error), result[0] if result else b"")
 
+    def can_send(self) -> bool:
+        """Whether the connection takes further requests."""
+        return self.is_open and not self.is_write_closed and not self.transport.sent_eof
+
+    def pause_reading(self) -> None:
+        """Read nothing more; the answers to pending calls are abandoned."""
+        self.is_reading_paused = True
+        self.transport.peer_window_bytes = 0
+        for key in self.pending_calls.values():
+            self.checker.on_call_abandoned(self.loop.unix_ms(), key)
+
     def stop_writing(self) -> None:
-        """The client closes its end, and reads on: each call is still owed its answer, and begins no more."""
+        """Close the client's end and read on: each call still gets its answer, and no attempt begins."""
         self.is_write_closed = True
         for key in self.pending_calls.values():
             self.checker.on_client_gone(self.loop.unix_ms(), key)
         self.transport.peer_send_eof()
 
     def disconnect(self) -> None:
-        """The client goes without a word."""
+        """Reset the connection."""
         for key in self.pending_calls.values():
             self.checker.on_call_abandoned(self.loop.unix_ms(), key)
             self.checker.on_client_gone(self.loop.unix_ms(), key)
--- a/cedarthread/testing/fuzzing/model_checking.py
+++ b/cedarthread/testing/fuzzing/model_checking.py
@@ -33,7 +33,7 @@
 from cedarthread.model.outcomes import Outcome
 from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fuzzing import settings as drawn_settings
-from cedarthread.testing.fuzzing.call_machine import call_guarantees, invariant_limits
+from cedarthread.testing.fuzzing.router_under_test import call_guarantees, invariant_limits
 from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop, run_virtual
 from cedarthread.testing.invariants import AttemptRecord, InvariantChecker
 
--- /dev/null
+++ b/cedarthread/testing/fuzzing/router_under_test.py
@@ -0,0 +1,187 @@
+"""A complete router on a virtual clock, with the checker that its peers report to.
+
+Dispatcher, router, platform and invoke servers and worker connections are the real ones. A byte of the input
+sets the mode: how loads are requested, whether workers can cancel, late timers and a small descriptor budget.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from enum import IntFlag
+from pathlib import Path
+from typing import Any
+
+from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.protocols.endpoint_list import EndpointList
+from cedarthread.protocols.invoke import InvokeConnection, InvokeServer
+from cedarthread.protocols.invoke_config import InvokeConfig
+from cedarthread.protocols.platform_connection import PlatformConnection
+from cedarthread.protocols.platform_server import PlatformServer
+from cedarthread.protocols.spiffe import Identity
+from cedarthread.protocols.workers import WorkerConnections
+from cedarthread.settings_parser import settings_from_object
+from cedarthread.testing.fuzzing import settings as drawn_settings
+from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop
+from cedarthread.testing.invariants import CallGuarantees, InvariantChecker, InvariantLimits
+from cedarthread.transport.flusher import Flusher
+
+FUNCTIONS = ("00000000000000a1", "00000000000000b2", "00000000000000c3")
+MAX_DEADLINE_MS = 5000.0  # the longest deadline of any class that is drawn
+CLOCK_TOLERANCE_MS = 50.0  # beyond a rule's own time, for what waits in a socket
+SWEEP_PERIOD_MS = 250.0  # as in the service
+MAX_TIMER_DELAY_S = 0.015  # by which a timer is late in the mode of late timers
+TRUST_DOMAIN = "gaz.example"
+
+
+class Mode(IntFlag):
+    """Bits of the input's first byte."""
+
+    PRELOADS_ON_MISS = 1
+    NO_CANCEL = 2
+    STALLS = 4
+    FEW_DESCRIPTORS = 8
+    LATE_TIMERS = 16
+
+
+def call_guarantees(raw_settings: dict[str, Any], class_index: int) -> CallGuarantees:
+    """What a request class promises, from the settings as operators write them."""
+    request_class = raw_settings["classes"][class_index]
+    return CallGuarantees(
+        request_class["effect"],
+        request_class.get("group", "all"),
+        float(request_class.get("repeat-window", 0)) + CLOCK_TOLERANCE_MS,
+    )
+
+
+def invariant_limits(raw_settings: dict[str, Any], stall_ms: float) -> InvariantLimits:
+    """The checker's limits; a stall of the whole process excuses ``stall_ms``."""
+    specifics, obligations = raw_settings["specifics"], raw_settings["obligations"]
+    return InvariantLimits(
+        max_attempts=raw_settings["limits"]["send-cap"],
+        answer_slack_ms=obligations["answer-slack"] + CLOCK_TOLERANCE_MS + stall_ms,
+        drain_slack_ms=obligations["stop-sending-within"] + CLOCK_TOLERANCE_MS + stall_ms,
+        preload_window_ms=specifics.get("load-window", 0),
+        preload_allowance=specifics.get("loads-anyway", 0),
+        preload_share=specifics.get("load-share", 0),
+    )
+
+
+class MemoryPlatformConnection(PlatformConnection):
+    """A platform connection whose unread input waits in the memory transport instead of a socket."""
+
+    def has_unread_input(self) -> bool:
+        """Whether input waits."""
+        return self.transport is not None and bool(getattr(self.transport, "_in"))  # noqa: B009
+
+    def read_available(self) -> bool:
+        """Read the waiting input, also while reading is paused."""
+        if not super().read_available():
+            return False
+        if self.discard_budget is None and isinstance(self.transport, MemoryTransport):
+            self.transport.deliver(paused=True)
+        return True
+
+
+class RouterUnderTest:
+    """The router's components, joined as in the service."""
+
+    def __init__(self, loop: VirtualLoop, mode: int, stall_ms: float) -> None:
+        self.loop, self.now_ms = loop, loop.unix_ms
+        self.raw_settings = drawn_settings.settings(
+            preloads_on_miss=bool(mode & Mode.PRELOADS_ON_MISS), supports_cancel=not mode & Mode.NO_CANCEL
+        )
+        self.checker = InvariantChecker(invariant_limits(self.raw_settings, stall_ms))
+        settings = settings_from_object(self.raw_settings)
+        self.dispatcher = Dispatcher(settings, mode, clock=loop.unix_ms)
+        self.flusher = Flusher()
+        self.dispatcher.flush_output = self.flusher.flush_all
+        descriptors = 6 if mode & Mode.FEW_DESCRIPTORS else 40
+        self.worker_connections = WorkerConnections(settings, self.dispatcher, descriptors, self.flusher)
+        self.dispatcher.connect_workers(self.worker_connections)
+        self.platform = PlatformServer(self.dispatcher, 8, self.flusher, 2**16)
+        self.invoke = InvokeServer(self.dispatcher, _invoke_config(), self.flusher, loop.time)
+        self.endpoint_list = EndpointList(settings)
+        self.called_functions: set[str] = set()
+        self._call_count = 0
+        if mode & Mode.LATE_TIMERS:
+            delays = random.Random(mode)
+            loop.jitter = lambda: delays.random() * MAX_TIMER_DELAY_S
+
+    def next_call_key(self) -> str:
+        """A key that no other call of the run has."""
+        self._call_count += 1
+        return f"c{self._call_count}"
+
+    def class_name(self, class_index: int) -> str:
+        """A request class's name."""
+        return str(self.raw_settings["classes"][class_index]["name"])
+
+    def class_needs_key(self, class_index: int) -> bool:
+        """Whether calls of the class carry an idempotency key."""
+        return bool(self.raw_settings["classes"][class_index]["effect"] == "dedup")
+
+    def guarantees(self, class_index: int) -> CallGuarantees:
+        """What a request class promises."""
+        return call_guarantees(self.raw_settings, class_index)
+
+    def connect_invoke(self, identity: str) -> InvokeConnection:
+        """A new connection of a caller whose certificate has been checked."""
+        connection = InvokeConnection(self.invoke)
+        connection.peer = Identity(identity, TRUST_DOMAIN, math.inf)
+        return connection
+
+    def begin_shutdown(self) -> None:
+        """What the service does on SIGTERM."""
+        self.platform.is_ready = self.invoke.is_ready = False
+        self.dispatcher.complete_all_by(self.now_ms() + MAX_DEADLINE_MS + 200.0)
+
+    def sweep(self) -> None:
+        """What the service does four times a second."""
+        self.platform.sweep(self.loop.time())
+        self.worker_connections.sweep(self.loop.time())
+        self.invoke.sweep(self.loop.time())
+
+    async def advance(self, duration_ms: float) -> None:
+        """Let time pass, with sweeps."""
+        while duration_ms > 0:
+            step_ms = min(duration_ms, SWEEP_PERIOD_MS)
+            await asyncio.sleep(step_ms / 1000.0)
+            self.sweep()
+            duration_ms -= step_ms
+        await asyncio.sleep(0)
+
+    def check_nothing_remains(self) -> None:
+        """Report to the checker all that the run took and has not given back."""
+        dispatcher, router, now = self.dispatcher, self.dispatcher.router, self.now_ms()
+        calls, connections = dispatcher.calls, self.platform.connections
+        for what, remaining in (
+            ("open calls", len(dispatcher.pending_calls)),
+            ("names", len(calls.pending_ids)),
+            ("bytes of bodies", abs(calls.pending_body_bytes)),
+            ("settled calls", len(calls.completing)),
+            ("attempts carried", len(self.worker_connections._connection_by_attempt)),
+            ("bytes of answers", abs(self.platform.queued_bytes)),
+            ("calls open in the decisions", len(router.pending_requests) + len(router.queued_requests)),
+            ("attempts out in the decisions", len(router.orphaned_attempts)),
+            (
+                "worker loads in the decisions",
+                sum(abs(worker.in_flight) for worker in router.workers.values()),
+            ),
+            ("bytes of kept answers", abs(self.invoke.deferred_calls.reserved_bytes)),
+            ("kept answers", len(self.invoke.deferred_calls)),
+            ("client connections", len(connections) + len(self.platform.unproven_connections)),
+        ):
+            self.checker.check_remaining(now, what, remaining)
+        # Two timers are expected: the dispatcher's, and the one that this run itself sleeps on.
+        self.checker.check_remaining(now, "timers", self.loop.timer_count(), 2)
+        counts = dispatcher.result_counts
+        ends = counts["served"] + counts["refused"] + counts["failed"] + counts["left"]
+        self.checker.check_remaining(now, "calls counted without an end", counts["taken"] - ends)
+
+
+def _invoke_config() -> InvokeConfig:
+    unused = Path("nowhere")
+    allowed = (f"spiffe://{TRUST_DOMAIN}/desk/*",)
+    return InvokeConfig(unused, "", 0, TRUST_DOMAIN, unused, unused, unused, allowed, 8)
--- /dev/null
+++ b/cedarthread/testing/fuzzing/script.py
@@ -0,0 +1,127 @@
+"""Scripts of the call machine: each byte chooses the next step, and a step reads further bytes.
+
+The order and the weights of ``STEPS`` are part of the corpus: a changed entry changes what every file means.
+"""
+
+from __future__ import annotations
+
+import random
+from enum import Enum
+from typing import NamedTuple
+
+WORKER_COUNT, CLIENT_COUNT = 4, 3
+
+
+class Step(Enum):
+    """What happens next."""
+
+    CALL = "call"
+    ANSWER = "answer"
+    PAUSE = "pause"
+    RUN_READY = "run what is ready"
+    WORKER_FAULT = "worker fault"
+    LIST_CHANGE = "endpoint list change"
+    INVOKE_CALLER = "invoke caller"
+    BURST = "burst of calls"
+    ANSWER_ALL = "answer all"
+    INTERRUPT = "interrupt"
+    CLIENT_FAULT = "client fault"
+    BAD_ANSWER = "bad answer"
+    STALL = "stall of the process"
+    SHUTDOWN = "shutdown"
+
+
+_WEIGHTS = {
+    Step.CALL: 6,
+    Step.ANSWER: 5,
+    Step.PAUSE: 4,
+    Step.RUN_READY: 3,
+    Step.WORKER_FAULT: 3,
+    Step.LIST_CHANGE: 2,
+    Step.INVOKE_CALLER: 3,
+    Step.BURST: 1,
+    Step.ANSWER_ALL: 1,
+    Step.INTERRUPT: 1,
+    Step.CLIENT_FAULT: 1,
+    Step.BAD_ANSWER: 1,
+    Step.STALL: 1,
+    Step.SHUTDOWN: 1,
+}
+STEPS: tuple[Step, ...] = tuple(step for step, weight in _WEIGHTS.items() for _ in range(weight))
+
+# Bytes that a step reads after its own; one for a step that is not here.
+_INPUT_BYTES = {
+    Step.CALL: 6,
+    Step.ANSWER: 5,
+    Step.INVOKE_CALLER: 4,
+    Step.LIST_CHANGE: 3,
+    Step.SHUTDOWN: 0,
+}
+_BYTES_PER_BURST_CALL = 3
+
+
+class ThemeStep(NamedTuple):
+    """A step that a theme repeats, and the first bytes of its input."""
+
+    step: Step
+    prefix: bytes = b""
+
+
+_STOP_READING, _READ_MORE = 3, 4  # cases of a worker fault, see ``WorkerSteps.fault``
+
+
+def _worker_fault(worker: int, case: int) -> ThemeStep:
+    return ThemeStep(Step.WORKER_FAULT, bytes((worker, case)))
+
+
+# What a generated script is mostly about.
+THEMES: tuple[tuple[ThemeStep, ...], ...] = (
+    (
+        *(
+            _worker_fault(worker, case)
+            for worker in range(WORKER_COUNT)
+            for case in (_STOP_READING, _READ_MORE)
+        ),
+        *(ThemeStep(Step.BURST),) * 5,
+    ),
+    (
+        ThemeStep(Step.INVOKE_CALLER),
+        ThemeStep(Step.INVOKE_CALLER),
+        ThemeStep(Step.PAUSE),
+        ThemeStep(Step.ANSWER),
+        ThemeStep(Step.SHUTDOWN),
+        ThemeStep(Step.CALL),
+    ),
+    (
+        ThemeStep(Step.LIST_CHANGE),
+        ThemeStep(Step.CALL),
+        ThemeStep(Step.ANSWER),
+        ThemeStep(Step.PAUSE),
+        ThemeStep(Step.WORKER_FAULT),
+    ),
+    (
+        *(_worker_fault(worker, _STOP_READING) for worker in range(WORKER_COUNT)),
+        *(ThemeStep(Step.BURST), ThemeStep(Step.PAUSE)) * 4,
+        ThemeStep(Step.CALL),
+    ),
+)
+
+
+def burst_size(first_byte: int) -> int:
+    """Calls of a burst, from the first byte of its input."""
+    return 2 + first_byte % 12
+
+
+def generate_script(rng: random.Random) -> bytes:
+    """A script of up to some hundred bytes: all steps at random, or one theme."""
+    if rng.random() < 0.35:
+        return rng.randbytes(rng.choice((20, 60, 120)))
+    theme, script = rng.choice(THEMES), rng.randbytes(2)
+    for _ in range(rng.choice((4, 10, 20))):
+        step, prefix = rng.choice(theme)
+        rest = rng.randbytes(_INPUT_BYTES.get(step, 1))
+        if step is Step.BURST:
+            rest = rng.randbytes(1)
+            rest += rng.randbytes(_BYTES_PER_BURST_CALL * burst_size(rest[0]))
+        script += bytes((STEPS.index(step),)) + prefix + rest
+    return script
--- a/cedarthread/testing/fuzzing/stream_targets.py
+++ b/cedarthread/testing/fuzzing/stream_targets.py
@@ -33,7 +33,7 @@
 from cedarthread.protocols.worker_requests import PendingPreload
 from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fuzzing import settings as drawn_settings
-from cedarthread.testing.fuzzing.invoke_caller import read_reply
+from cedarthread.testing.fuzzing.http_reply import read_reply
 from cedarthread.testing.fuzzing.parser_targets import (
     EDGE_HEADERS,
     generate_reply,
--- a/cedarthread/testing/fuzzing/virtual_loop.py
+++ b/cedarthread/testing/fuzzing/virtual_loop.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, NamedTuple
 
 START_TIME_S = 1_000_000.0  # s: loop time at the start, as a Unix time
 
@@ -33,13 +33,13 @@
         return self._now
 
     def unix_ms(self) -> float:
-        """The same clock as the planner takes it."""
+        """The same clock in Unix ms, as the dispatcher reads it."""
         return self._now * 1000.0
 
     def call_at(  # type: ignore[override]  # any callback
         self, when: float, callback: Any, *args: Any, context: Any = None
     ) -> asyncio.TimerHandle:
-        """As the real one, but the timer may be late."""
+        """As asyncio's, but the timer may be late."""
         return super().call_at(when + self.jitter(), callback, *args, context=context)
 
     def select(self, timeout: float | None) -> list[Any]:
@@ -55,6 +55,10 @@
     def _write_to_self(self) -> None:
         pass
 
+    def skip(self, seconds: float) -> None:
+        """Let time pass in which nothing runs, as in a process that is stopped."""
+        self._now += seconds
+
     def timer_count(self) -> int:
         """Timers that are set and not cancelled."""
         scheduled: list[asyncio.TimerHandle] = getattr(self, "_scheduled")  # noqa: B009
@@ -88,11 +92,19 @@
         loop.close()
 
 
+class Write(NamedTuple):
+    """Bytes that the program handed to a transport: from which byte of the stream on, and when (Unix ms)."""
+
+    first_byte: int
+    at_ms: float
+
+
 class MemoryTransport(asyncio.Transport):
-    """The program's end of a connection. The other end takes ``room`` bytes, None for any number.
+    """The program's end of a connection. The peer accepts ``peer_window_bytes`` bytes, None for any number.
 
-    What was taken reaches ``on_bytes`` at once; what was not stays in the write buffer, as with a real socket
-    whose peer has stopped reading. ``send`` and ``hang_up`` are what the peer does."""
+    Accepted bytes reach ``on_bytes`` at once; others stay in the write buffer, as with a real socket whose
+    peer has stopped reading. ``peer_send``, ``peer_accept`` and ``peer_reset`` are what the peer does.
+    """
 
     def __init__(self, loop: VirtualLoop) -> None:
         super().__init__()
@@ -103,7 +115,7 @@
         self.on_bytes: Callable[[bytes], None] = lambda data: None
         self.on_close: Callable[[], None] = lambda: None
         self.sent_eof = False
-        self.writes: list[tuple[int, float]] = [(0, 0.0)]  # from which byte on was handed over when (Unix ms)
+        self.writes = [Write(0, 0.0)]
         self._written_bytes = 0
         self._write_buffer = bytearray()
         self._in: list[bytes] = []
@@ -134,15 +146,17 @@
         self._write_buffer.clear()
         self._end(ConnectionResetError("reset by peer"))
 
-    def peer_accept(self, room: int | None) -> None:
-        """The peer takes so many more bytes, or all from now on."""
+    def peer_accept(self, more_bytes: int | None) -> None:
+        """The peer accepts so many more bytes; None: all from now on."""
         self.peer_window_bytes = (
-            room if room is None or self.peer_window_bytes is None else self.peer_window_bytes + room
+            more_bytes
+            if more_bytes is None or self.peer_window_bytes is None
+            else self.peer_window_bytes + more_bytes
         )
         self._flush()
 
     def deliver(self, *, paused: bool = False) -> None:
-        """What the peer has sent is read; ``paused``: also where the program reads nothing now."""
+        """The program reads what the peer has sent; ``paused``: also while it has paused reading."""
         while self._in and (paused or not self._is_reading_paused) and not self._is_closing:
             data = self._in.pop(0)
             buffer = self.protocol.get_buffer(-1)
@@ -168,10 +182,10 @@
     # What protocols use.
 
     def write(self, data: Any) -> None:
-        """Write; what the peer does not take is kept."""
+        """Write; what the peer does not accept is buffered."""
         if self._is_lost or self.sent_eof:
             return
-        self.writes.append((self._written_bytes, self.loop.unix_ms()))
+        self.writes.append(Write(self._written_bytes, self.loop.unix_ms()))
         self._written_bytes += len(data)
         self._write_buffer += data
         self._flush()
@@ -202,21 +216,21 @@
         self._high_water_bytes = 64 * 1024 if high is None else high
 
     def get_write_buffer_size(self) -> int:
-        """Bytes not taken yet."""
+        """Bytes that the peer has not accepted yet."""
         return len(self._write_buffer)
 
     def pause_reading(self) -> None:
-        """Take no more for now."""
+        """Read no more for now."""
         self._is_reading_paused = True
 
     def resume_reading(self) -> None:
-        """Take again."""
+        """Read again."""
         if self._is_reading_paused and not self._is_closing:
             self._is_reading_paused = False
             self.loop.call_soon(self.deliver)
 
     def is_closing(self) -> bool:
-        """Is it closed, or about to be?"""
+        """Whether it is closed, or about to be."""
         return self._is_closing
 
     def can_write_eof(self) -> bool:
