--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -43,9 +43,9 @@
 from cedarthread.protocols.worker_connection import WorkerConnection
 from cedarthread.protocols.workers import WorkerConnections
 from cedarthread.routing.preloading import PreloadPolicy
+from cedarthread.routing.records import PendingRequest, WorkerRecord
 from cedarthread.routing.retries import RetryPolicy
 from cedarthread.routing.selection import WorkerSelector
-from cedarthread.routing.state import PendingRequest, WorkerRecord
 from cedarthread.testing.fuzzing import targets
 from cedarthread.testing.fuzzing.target import Target, verdict
 
