--- a/cedarthread/testing/fuzzing/invoke_caller.py
+++ b/cedarthread/testing/fuzzing/invoke_caller.py
@@ -133,7 +133,7 @@
         if not self.posts_by_key or self.pending_requests:  # behind another it would be read only after that
             return
         key = choices.pick(list(self.posts_by_key))
-        known = self.router.invoke.deferred_calls.find_by_key(self.identity, key)
+        known = self.router.invoke.calls.deferred_calls.find_by_key(self.identity, key)
         if known is None or isinstance(known.result, CallRejected):
             return  # it would be a new call, whose attempts could not be told from the first one's
         self._send_post(self.posts_by_key[key], key, is_deferred=bool(choices.consume_byte() & 1))
--- a/cedarthread/testing/fuzzing/router_under_test.py
+++ b/cedarthread/testing/fuzzing/router_under_test.py
@@ -170,8 +170,8 @@
                 "worker loads in the decisions",
                 sum(abs(worker.in_flight) for worker in router.workers.values()),
             ),
-            ("bytes of kept answers", abs(self.invoke.deferred_calls.reserved_bytes)),
-            ("kept answers", len(self.invoke.deferred_calls)),
+            ("bytes of kept answers", abs(self.invoke.calls.deferred_calls.reserved_bytes)),
+            ("kept answers", len(self.invoke.calls.deferred_calls)),
             ("client connections", len(connections) + len(self.platform.unproven_connections)),
         ):
             self.checker.check_remaining(now, what, remaining)
