A second stream of a hedged request no longer cancels the first one

Change: once a request streams, a further StreamStarted cancels nothing. Test first: it failed, and holds now.

--- a/cedarthread/routing/router.py
+++ b/cedarthread/routing/router.py
@@ -129,7 +129,8 @@
             self._dispatch(now, self.queued_requests[request_id])
 
     def _on_stream_started(self, now: float, event: StreamStarted) -> None:
-        if (pending := self.pending_requests.get(event.request_id)) is not None:
+        pending = self.pending_requests.get(event.request_id)
+        if pending is not None and not pending.is_streaming:  # else: its cancellation came too late
             pending.is_streaming = True
             self.retries.cancel_attempts(pending, kept_index=event.attempt_index)
         self.tracker.on_stream_started(now, event)
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -272,6 +272,19 @@
     assert not [a for a in out if not isinstance(a, SetTimer)]
 
 
+def test_a_second_stream_of_a_hedged_request_does_not_cancel_the_first() -> None:
+    """The cancellation of the second attempt may come too late; the client reads the first one."""
+    d = Drive(worker(1), worker(2), limits=dataclasses.replace(LIMITS, allows_hedging=True))
+    (home,) = sends(d.ask(class_index=5))
+    d.end(1, home)
+    (home,) = sends(d.ask(class_index=5, after=1.0))
+    (other,) = sends(d.wait(d.now + 1000.0))
+    started = d.feed(StreamStarted(2, 0, home, 1000.0))
+    assert [a.attempt_index for a in started if isinstance(a, CancelAttempt)] == [1]
+    started = d.feed(StreamStarted(2, 1, other, 900.0), after=1.0)
+    assert not [a for a in started if isinstance(a, CancelAttempt)]
+
+
 def test_what_is_not_known_any_more_is_ignored() -> None:
     d = Drive(worker(1))
     before = len(d.actions)
