--- a/cedarthread/testing/escrow_simulation.py
+++ b/cedarthread/testing/escrow_simulation.py
@@ -20,8 +20,9 @@
 from typing import Any
 
 from cedarthread.components.interface import PeersChanged
-from cedarthread.escrow import accounts as book
+from cedarthread.escrow.count_pool import CountPool
 from cedarthread.escrow.escrow import Escrow
+from cedarthread.escrow.rate_pool import LEASE_TERM_MS, RatePool
 from cedarthread.model.actions import SendToPeer
 
 CLOCK_RATE_ERROR = 0.03  # clock error in the worlds, far more than real ones have: faults show sooner
@@ -298,16 +299,16 @@
         for grants in self.routers:
             pool = next(iter(grants.pools.values()))
             asked = sorted(
-                (n, a.peer_index, a.requested, a.sent_at_ms, a.was_denied)
-                for n, a in grants.outstanding.items()
+                (n, a.peer, a.requested, a.sent_at_ms, a.was_denied)
+                for n, a in grants.requester.outstanding.items()
             )
             own: Any = None
-            if isinstance(pool, book.RatePool):
+            if isinstance(pool, RatePool):
                 sides = (pool.leases_given, pool.leases_taken)
                 own = [sorted((str(k), v.nonce, sorted(v.grants)) for k, v in s.items()) for s in sides]
-            elif isinstance(pool, book.CountPool):
-                own = (pool.balance, pool.highest_total, pool.is_lost, sorted(grants.sent_grants))
-            books.append((grants.incarnation, grants.last_nonce, pool.total, asked, own))
+            elif isinstance(pool, CountPool):
+                own = (pool.balance, pool.highest_total, pool.is_lost, sorted(grants.grantor.sent_grants))
+            books.append((grants.incarnation, grants.requester.last_nonce, pool.total, asked, own))
         world = (
             self.now,
             self.consumed,
@@ -347,32 +348,32 @@
             self.routers[event[1]] = self.start_router(event[1], False)
         elif action == "learn":
             self.totals[event[1]] = self.total - 2
-            self.routers[event[1]].pool(
-                self.pool_name, self.total - 2, spent=self.pool_name == "count", until=None
+            self.routers[event[1]].open_pool(
+                self.pool_name, self.total - 2, is_consumable=self.pool_name == "count", ends_at_ms=None
             )
             if self.total not in self.totals:
                 self.consumed_when_all_knew = self.consumed
         elif action == "use":
-            self.consumed += self.routers[event[1]].use(self.clock_ms(event[1]), self.pool_name, 1)
+            self.consumed += self.routers[event[1]].consume(self.clock_ms(event[1]), self.pool_name, 1)
         elif action == "ask":
             _, n, to = event
             escrow, now = self.routers[n], self.clock_ms(n)
-            escrow.changed(now, PeersChanged((to,), 2, {}))
+            escrow.on_notification(now, PeersChanged((to,), 2, {}))
             for pool in escrow.pools.values():
-                pool.next, pool.round, pool.seen = now, False, {}
-            escrow.asks.left = 1.0
-            escrow.want(now, self.pool_name, self.total)
-            self.add_in_flight(n, escrow.turn(now))
-            escrow.want(now, self.pool_name, 0)
+                pool.rounds.next_at_ms, pool.rounds.is_open, pool.peer_available = now, False, {}
+            escrow.requester.request_budget.tokens = 1.0
+            escrow.request(now, self.pool_name, self.total)
+            self.add_in_flight(n, escrow.on_tick(now))
+            escrow.request(now, self.pool_name, 0)
         else:
             sender, to, data = event[1]
             if action == "hear":
                 self.in_flight -= {event[1]}
-            self.add_in_flight(to, self.routers[to].hear(self.clock_ms(to), sender, data))
+            self.add_in_flight(to, self.routers[to].on_message(self.clock_ms(to), sender, data))
 
     def add_in_flight(self, sender: int, messages: Any) -> None:
         """What a router tells is on its way."""
-        self.in_flight |= {(sender, tell.peer, tell.data) for tell in messages}
+        self.in_flight |= {(sender, tell.peer_index, tell.data) for tell in messages}
 
     def is_total_exceeded(self) -> bool:
         """Is more used than there is?"""
@@ -438,7 +439,7 @@
         clock_rate_error=0.001,
     )
     demand = zipf_demand(count, int(total * load), exponent, random.Random(seed))
-    world.run(book.LEASE_TERM_MS * 1.05)
+    world.run(LEASE_TERM_MS * 1.05)
 
     def use(ms: float) -> float:
         for _ in range(int(ms / TICK_INTERVAL_MS)):
