Router log lines as events with fields; tests of each routing policy alone

Cause: log lines of the router were sentences, and the policies had no tests of their own. New tests of RetryPolicy, WorkerSelector, AdmissionPolicy and PreloadPolicy over a state made by hand.

--- a/cedarthread/routing/admission.py
+++ b/cedarthread/routing/admission.py
@@ -22,7 +22,7 @@
 QUOTA_FACTORS = 0.5, 2.0  # least and most that use over quota counts, before it is squared
 MIN_TIME_LEFT_FRACTION = 0.5  # part of its expected time under which a request's time left is not enough
 MAX_QUEUED_FRACTION = 0.5  # part of its time for which a request that was not sent waits at most
-MIN_PEERS_HEARD_FRACTION = 0.5  # part of the other routers to be heard for requests to wait for instances
+MIN_PEER_COVERAGE = 0.5  # part of the other routers whose gossip must come for requests to wait
 RETRY_AFTER_RANGE = 0.05, 0.15  # parts of the longest Retry-After that a rejected client is told
 
 
@@ -69,9 +69,7 @@
             quota_factor = min(max(quota_use, least), most) ** 2
             probability = overload * retry_factor * quota_factor * math.sqrt(mean_value / value)
         probability = min(MAX_SHED_PROBABILITY, probability)
-        state.log(
-            now, "shed", f"refusing {probability:.2f} of calls like one that could not be answered in time"
-        )
+        state.log(now, "requests_shed", probability=round(probability, 2))
         return state.rng.random() < probability
 
     def _shed_probability_by_contract(
@@ -103,7 +101,7 @@
         state, function, request = self.state, pending.function, pending.request
         if state.gossip is None or pending.attempts:
             return False
-        if state.gossip.peer_coverage(now) < MIN_PEERS_HEARD_FRACTION:
+        if state.gossip.peer_coverage(now) < MIN_PEER_COVERAGE:
             return False
         worker_id, workers = worker.endpoint.worker_id, state.workers.by_id
         is_warm = function.read_affinity(now, worker_id, state.settings.keep_alive_ms) > 0.0
@@ -148,10 +146,8 @@
         )
         other = None if request_id is None else requests.pending.get(request_id)
         if other is not None:
-            text = (
-                f"call {request_id} of class {other.request_class.name} gives way: {other.preemption_reason}"
-            )
-            state.log(now, "preempt", text)
+            fields = {"class": other.request_class.name, "reason": other.preemption_reason}
+            state.log(now, "request_preempted", request_id=request_id, **fields)
         return other
 
     def final_answer(self, now: float, pending: PendingRequest) -> RejectRequest | FailRequest:
--- a/cedarthread/routing/router_state.py
+++ b/cedarthread/routing/router_state.py
@@ -95,9 +95,9 @@
         self.requests.pending[request.request_id] = pending
         return pending
 
-    def log(self, now: float, kind: str, text: str) -> None:
-        """A log line, unless one of its kind came a short time ago."""
-        if (line := self.logs.line(now, kind, text)) is not None:
+    def log(self, now: float, event: str, **fields: object) -> None:
+        """A log line, unless one of the event came a short time ago."""
+        if (line := self.logs.line(now, event, **fields)) is not None:
             self.actions.append(line)
 
     def forget_instances(self, worker_id: int) -> None:
--- a/cedarthread/routing/zone_reachability.py
+++ b/cedarthread/routing/zone_reachability.py
@@ -54,7 +54,7 @@
         self.own_zone = own_zone
         self.in_flight: dict[AttemptId, _TrackedAttempt] = {}
         self.lost_attempts: deque[_TrackedAttempt] = deque(maxlen=MAX_LOST_ATTEMPTS)
-        self.last_heard_at_ms: dict[int, float] = {}
+        self.last_response_at_ms: dict[int, float] = {}
         self.unreachable: dict[int, _UnreachableZone] = {}
         self.mean_ratio = Ewma()  # of times of answers over the expected ones...
         self.ratio_deviation = Ewma()  # ...and how far they are off it
@@ -64,14 +64,14 @@
     ) -> None:
         """An attempt was sent; ``expected_ms``: what such a call takes."""
         self.in_flight[attempt] = _TrackedAttempt(worker_id, zone, now, max(expected_ms, MIN_EXPECTED_MS))
-        self.last_heard_at_ms.setdefault(zone, now)
+        self.last_response_at_ms.setdefault(zone, now)
         outage = self.unreachable.get(zone)
         if outage is not None and outage.trial_attempt is None and now >= outage.trial_at_ms:
             outage.trial_attempt = attempt
 
     def on_response(self, now: float, zone: int) -> bool:
         """Something came from there; true where the zone was unreachable."""
-        self.last_heard_at_ms[zone] = now
+        self.last_response_at_ms[zone] = now
         return self.unreachable.pop(zone, None) is not None
 
     def on_attempt_ended(
@@ -121,7 +121,7 @@
                 found.append(zone)
         surprises = {
             zone: self._zone_surprise(now, zone, tolerance)
-            for zone in self.last_heard_at_ms
+            for zone in self.last_response_at_ms
             if zone not in self.unreachable
         }
         other_zones = {
@@ -141,26 +141,26 @@
 
     def _zone_surprise(self, now: float, zone: int, tolerance: float) -> float:
         """How surprising it is that nothing came from a zone; 0 until that has lasted."""
-        heard_at_ms = self.last_heard_at_ms[zone]
-        if now - heard_at_ms < MIN_EXPECTED_MS * tolerance:
+        responded_at_ms = self.last_response_at_ms[zone]
+        if now - responded_at_ms < MIN_EXPECTED_MS * tolerance:
             return 0.0
         attempts = [
             one
             for one in (*self.in_flight.values(), *self.lost_attempts)
-            if one.zone == zone and one.ended_at_ms > heard_at_ms
+            if one.zone == zone and one.ended_at_ms > responded_at_ms
         ]
-        silent_since_ms = min((max(one.started_at_ms, heard_at_ms) for one in attempts), default=now)
+        silent_since_ms = min((max(one.started_at_ms, responded_at_ms) for one in attempts), default=now)
         expected_ms = sum(one.expected_ms for one in attempts) / max(1, len(attempts))
         if now - silent_since_ms < expected_ms * tolerance:
             return 0.0
-        return self._surprise(now, attempts, tolerance, heard_at_ms)
+        return self._surprise(now, attempts, tolerance, responded_at_ms)
 
     def _surprise(
         self,
         now: float,
         attempts: Iterable[_TrackedAttempt],
         tolerance: float,
-        heard_at_ms: float = -math.inf,
+        responded_at_ms: float = -math.inf,
     ) -> float:
         """The sum over workers of the silence of their attempts, in units of their expected times."""
         by_worker: dict[int, float] = {}
@@ -168,7 +168,7 @@
             if attempt.has_connect_failed:
                 surprise = CONNECT_FAILURE_SURPRISE
             else:
-                age_ms = min(now, attempt.ended_at_ms) - max(attempt.started_at_ms, heard_at_ms)
+                age_ms = min(now, attempt.ended_at_ms) - max(attempt.started_at_ms, responded_at_ms)
                 surprise = age_ms / (attempt.expected_ms * tolerance)
             by_worker[attempt.worker_id] = by_worker.get(attempt.worker_id, 0.0) + surprise
         return sum(min(surprise, MAX_WORKER_SURPRISE) for surprise in by_worker.values())
--- /dev/null
+++ b/tests/unit/test_policies.py
@@ -0,0 +1,212 @@
+"""The policies of a router, each alone over a state made by hand."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import pytest
+
+from cedarthread.model.actions import CancelAttempt, FailRequest, PreloadFunction, RejectRequest
+from cedarthread.model.endpoints import EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.events import PreloadEnded, RequestArrived
+from cedarthread.model.outcomes import Outcome
+from cedarthread.model.settings import NotLoadedBehavior
+from cedarthread.routing.admission import MAX_QUEUED_FRACTION, AdmissionPolicy
+from cedarthread.routing.attempt_tracker import AttemptTracker
+from cedarthread.routing.feedback import OutcomeFeedback
+from cedarthread.routing.preloading import PreloadPolicy
+from cedarthread.routing.records import PendingRequest
+from cedarthread.routing.request_table import QUEUE_CHECK_MS
+from cedarthread.routing.retries import HEDGE_AFTER_MULTIPLE, MIN_TIME_LEFT_MS, RetryPolicy
+from cedarthread.routing.router_state import RouterState
+from cedarthread.routing.selection import WorkerSelector
+from tests.helpers import CLASSES, LIMITS, settings, worker
+
+IDEMPOTENT, NOT_IDEMPOTENT, WITH_KEY, WITH_KEY_IN_ZONE, WITH_KEY_IN_CELL = range(5)  # of CLASSES
+HEDGING = dataclasses.replace(LIMITS, allows_hedging=True)
+
+
+class Policies:
+    """A state with three workers of two zones and three cells, and the policies over it."""
+
+    def __init__(self, **changes: Any) -> None:
+        self.state = RouterState.create(settings(**changes), 1)
+        self.feedback = OutcomeFeedback(self.state)
+        self.tracker = AttemptTracker(self.state, self.feedback)
+        self.retries = RetryPolicy(self.state, self.feedback)
+        self.selector = WorkerSelector(self.state, self.retries)
+        self.admission = AdmissionPolicy(self.state, self.selector)
+        self.preloads = PreloadPolicy(self.state, self.selector, self.admission)
+        listed = tuple(worker(n, zone=n % 2, cell=n) for n in (1, 2, 3))
+        self.state.workers.apply(0.0, EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
+
+    def request(self, class_index: int = IDEMPOTENT, now: float = 0.0, **extra: Any) -> PendingRequest:
+        deadline_ms = now + CLASSES[class_index].deadline_ms
+        return self.state.record_request(now, RequestArrived(1, 7, class_index, deadline_ms, **extra))
+
+    def attempt(self, pending: PendingRequest, worker_id: int, now: float = 0.0) -> None:
+        self.tracker.on_started(now, pending, self.state.workers.by_id[worker_id])
+
+
+@pytest.mark.parametrize(
+    ("class_index", "now", "may"),
+    [
+        (IDEMPOTENT, 2900.0, True),
+        (NOT_IDEMPOTENT, 1.0, False),
+        (WITH_KEY, 2000.0 - MIN_TIME_LEFT_MS - 1.0, True),
+        (WITH_KEY, 2000.0 - MIN_TIME_LEFT_MS, False),
+    ],
+)
+def test_rule_2_bounds_attempts_after_one_that_may_have_executed(
+    class_index: int, now: float, may: bool
+) -> None:
+    policies = Policies()
+    pending = policies.request(class_index)
+    assert policies.retries.may_attempt(now, pending), "nothing has been sent"
+    policies.attempt(pending, 1)
+    assert policies.retries.may_attempt(now, pending) is may
+    pending.attempts[0].is_in_flight = pending.attempts[0].may_have_executed = False
+    assert policies.retries.may_attempt(now, pending), "it is proved not to have executed"
+
+
+@pytest.mark.parametrize(
+    ("outcome", "cost"),
+    [
+        (Outcome.ERROR, 1.0),
+        (Outcome.OVERLOADED, 1.0),
+        (Outcome.CONNECT_FAILED, 0.0),
+        (Outcome.NOT_LOADED, 0.0),
+    ],
+)
+def test_a_retry_is_paid_for_unless_the_failure_was_cheap(outcome: Outcome, cost: float) -> None:
+    policies = Policies()
+    pending, budget = policies.request(), policies.state.retry_budget
+    before = budget.tokens
+    assert policies.retries.should_retry(0.0, pending, outcome)
+    assert budget.tokens == before - cost and pending.next_attempt_cost == cost
+    budget.tokens = 0.5
+    assert policies.retries.should_retry(0.0, pending, outcome) is (cost == 0.0)
+    assert not policies.retries.should_retry(3000.0 - MIN_TIME_LEFT_MS, pending, outcome), "too late"
+    assert not policies.retries.should_retry(0.0, pending, Outcome.NOT_SENT)
+
+
+@pytest.mark.parametrize(("limits", "hedges"), [(HEDGING, True), (LIMITS, False)])
+def test_a_slow_attempt_is_hedged_once_where_that_is_allowed(limits: Any, hedges: bool) -> None:
+    policies = Policies(limits=limits)
+    pending, state = policies.request(), policies.state
+    pending.function.instance_seen_at_ms[1] = 0.0  # warm: no cold start is waited for
+    policies.attempt(pending, 1)
+    state.workers.by_id[1].last_response_at_ms = 1.0  # it is slow, not silent
+    slow_at_ms = HEDGE_AFTER_MULTIPLE * pending.attempts[0].expected_ms
+    before = state.retry_budget.tokens
+    assert not policies.retries.should_hedge(slow_at_ms - 1.0, pending, 0)
+    assert policies.retries.should_hedge(slow_at_ms, pending, 0) is hedges
+    assert state.retry_budget.tokens == before - hedges
+    assert not policies.retries.should_hedge(slow_at_ms, pending, 0) and not state.actions
+
+
+def test_an_attempt_at_an_ejected_worker_is_cancelled_where_no_hedge_is_allowed() -> None:
+    policies = Policies()
+    pending = policies.request()
+    policies.attempt(pending, 1)
+    policies.state.workers.by_id[1].is_ejected = True
+    for _ in range(2):
+        assert not policies.retries.should_hedge(10.0, pending, 0)
+    assert policies.state.actions == [CancelAttempt(1, 0)]
+
+
+@pytest.mark.parametrize(
+    ("class_index", "eligible"),
+    [(IDEMPOTENT, [1, 2, 3]), (WITH_KEY, [1, 2, 3]), (WITH_KEY_IN_ZONE, [1, 3]), (WITH_KEY_IN_CELL, [1])],
+)
+def test_rule_2_keeps_retries_to_the_workers_that_deduplicate(class_index: int, eligible: list[int]) -> None:
+    policies = Policies()
+    pending = policies.request(class_index)
+    policies.attempt(pending, 1)
+    workers = policies.state.workers.by_id
+    assert [n for n in workers if policies.selector.is_eligible(pending, workers[n])] == eligible
+    workers[1].endpoint = dataclasses.replace(workers[1].endpoint, state=EndpointState.DRAINING)
+    assert not policies.selector.is_eligible(pending, workers[1])
+
+
+def test_an_untried_worker_comes_first_then_a_tried_one_then_an_ejected_one() -> None:
+    policies = Policies()
+    pending, workers = policies.request(), policies.state.workers.by_id
+    for worker_id in (1, 2):
+        policies.attempt(pending, worker_id)
+    chosen = policies.selector.select(1.0, pending)
+    assert chosen is workers[3]
+    for record in (workers[2], workers[3]):
+        record.is_ejected, record.ejected_until_ms = True, 100.0
+    assert policies.selector.select(1.0, pending) is workers[1]
+    workers[1].is_ejected, workers[1].ejected_until_ms = True, 100.0
+    assert policies.selector.select(1.0, pending) in workers.values()
+
+
+def test_affinity_load_and_zones_make_up_the_cost() -> None:
+    policies = Policies()
+    pending, workers, cost = policies.request(), policies.state.workers.by_id, policies.selector.cost
+    costs = [cost(0.0, pending.function, workers[n], (0, None)) for n in (1, 2)]
+    assert costs[0] == pytest.approx(costs[1] + policies.selector.cross_zone_penalty), "zone 0 is its own"
+    pending.function.affinity[2] = 1.0
+    assert cost(0.0, pending.function, workers[2], (0, None)) == pytest.approx(0.0)
+    workers[2].in_flight = 2
+    assert cost(0.0, pending.function, workers[2], (0, None)) > 0.0
+
+
+@pytest.mark.parametrize(
+    ("class_index", "executed", "answer"),
+    [
+        (IDEMPOTENT, True, RejectRequest),
+        (NOT_IDEMPOTENT, True, FailRequest),
+        (NOT_IDEMPOTENT, False, RejectRequest),
+        (WITH_KEY, True, RejectRequest),
+        (WITH_KEY_IN_ZONE, True, FailRequest),
+    ],
+)
+def test_what_may_have_executed_is_rejected_only_where_a_repeat_is_harmless(
+    class_index: int, executed: bool, answer: type
+) -> None:
+    policies = Policies()
+    pending = policies.request(class_index)
+    if executed:
+        policies.attempt(pending, 1)
+    assert type(policies.admission.final_answer(1.0, pending)) is answer
+
+
+def test_what_was_not_sent_waits_for_a_part_of_its_time_only() -> None:
+    policies = Policies()
+    pending = policies.request()
+    latest_ms = MAX_QUEUED_FRACTION * 3000.0 - QUEUE_CHECK_MS
+    assert policies.admission.may_queue(latest_ms, pending)
+    assert not policies.admission.may_queue(latest_ms + 1.0, pending)
+    policies.attempt(pending, 1)
+    assert policies.admission.may_queue(3000.0 - MIN_TIME_LEFT_MS - QUEUE_CHECK_MS, pending)
+
+
+def test_a_request_without_the_time_for_it_is_shed() -> None:
+    policies = Policies()
+    pending = policies.request()
+    policies.state.service_times.by_class[IDEMPOTENT].add(4000.0)
+    assert policies.admission.should_shed(1001.0, pending, 1.0)
+    assert not policies.admission.should_shed(999.0, pending, 1.0)
+
+
+def test_a_cold_choice_is_preloaded_once_and_after_a_failure_with_backoff() -> None:
+    policies = Policies(when_not_loaded=NotLoadedBehavior.REJECT)
+    pending, state = policies.request(), policies.state
+    chosen = state.workers.by_id[2]
+    for _ in range(2):
+        assert policies.preloads.warm_worker(0.0, pending, chosen) is None, "none is warm"
+    assert state.actions == [PreloadFunction(2, 7, 1)] and state.functions.preloads_in_flight == 1
+    assert policies.feedback.learn_preload(50.0, PreloadEnded(2, 7, Outcome.TIMEOUT, 0, 50.0))
+    assert pending.function.preload_not_before_ms > 50.0
+    assert policies.preloads.warm_worker(50.0, pending, chosen) is None and len(state.actions) == 1
+    assert policies.preloads.warm_worker(60.0, pending, chosen) is None and len(state.actions) == 2
+    assert policies.feedback.learn_preload(90.0, PreloadEnded(2, 7, Outcome.OK, 1, 30.0))
+    assert policies.preloads.warm_worker(90.0, pending, chosen) is chosen
+    assert policies.preloads.warm_worker(90.0, pending, state.workers.by_id[3]) is chosen, "meanwhile"
+    assert not policies.feedback.learn_preload(99.0, PreloadEnded(1, 7, Outcome.OK, 1, 30.0)), (
+        "none was asked"
+    )
