--- a/tests/simulation/test_slow_start_fleet.py
+++ b/tests/simulation/test_slow_start_fleet.py
@@ -68,7 +68,7 @@
     return low
 
 
-def test_workers_that_leave_widen_no_cold_workers_budget() -> None:
+def test_workers_that_leave_raise_no_cold_workers_budget() -> None:
     """Its capacity is no more for it: six left at once, and all their calls were its share."""
     d = busy()
     before = fits(d)
@@ -84,7 +84,7 @@
     assert fits(d) == pytest.approx(before, rel=0.01)
 
 
-def test_what_a_first_guess_made_of_calls_is_no_budget_for_cheaper_ones() -> None:
+def test_an_initial_estimate_of_service_times_is_no_budget_for_cheaper_calls() -> None:
     """Before its first answer a router took calls for three times their work, and kept to that sum."""
     d = Drive(*(worker(n) for n in range(1, 7)), worker(7, started=1000.0), router_count=20)
     for number in range(20):
@@ -95,7 +95,7 @@
     assert fits(d) / (guess / 3.0) == pytest.approx(unanswered, rel=0.01)
 
 
-def test_where_only_orders_load_a_warm_copy_on_a_cold_worker_takes_no_more_than_its_budget(
+def test_a_warm_instance_on_a_cold_worker_takes_no_more_than_the_slow_start_budget(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The call that was to wait for a load elsewhere went to the copy that stands, whatever came there."""
@@ -122,7 +122,7 @@
     assert fitted and all(fitted), f"{fitted.count(False)} of {len(fitted)} sends beyond the budget"
 
 
-def test_a_site_without_a_warm_up_is_served() -> None:
+def test_a_site_without_slow_start_is_served() -> None:
     rules = dataclasses.replace(settings().rules, slow_start_ms=0.0)
     d = Drive(worker(1, started=1000.0), rules=rules)
     d.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(1, EndpointState.DRAINING),)), after=100.0)
@@ -130,7 +130,7 @@
     assert sends(d.ask()) == [1]
 
 
-def test_a_peak_holds_while_its_quantity_does_and_fades_once_it_has_fallen() -> None:
+def test_a_windowed_maximum_holds_while_its_quantity_does_and_fades_once_it_has_fallen() -> None:
     peak = WindowedMaximum(1000.0)
     peak.on_change(0.0, 6.0, 0.0)
     peak.on_change(50000.0, 6.0, 0.0)
@@ -141,7 +141,7 @@
     assert peak.read(60000.0) == 1.0
 
 
-def test_what_never_left_takes_no_part_of_a_cold_workers_budget() -> None:
+def test_an_attempt_never_sent_takes_no_part_of_a_cold_workers_budget() -> None:
     drive = Drive(worker(1, started=900.0), now=1000.0, router_count=1)
     view = drive.router.workers[1]
     view.jitter = 0.0
--- a/tests/unit/test_instance_queue.py
+++ b/tests/unit/test_instance_queue.py
@@ -22,7 +22,7 @@
 NOW = WaitTimes(0.0, 50.0, 1000.0)
 
 
-def test_a_call_waits_for_a_taken_lane_but_not_for_long_nor_behind_many() -> None:
+def test_a_call_waits_for_a_busy_instance_but_not_for_long_nor_behind_many() -> None:
     queue = InstanceQueue()
     queue.on_response(4, was_cold=True)
     free, taken = {4: InstanceLoad(0, None)}, {4: InstanceLoad(1, None)}
@@ -67,7 +67,7 @@
     return one.handle(now, RequestArrived(request, 7, 0, now + 3000.0, concurrency=1.0, load_time_ms=2000.0))
 
 
-def test_one_load_serves_the_calls_that_come_while_it_lasts() -> None:
+def test_one_cold_start_serves_the_calls_that_come_while_it_lasts() -> None:
     one = heard()
     (at,) = sends(ask(one, 1, 10.0))
     assert not any(sends(ask(one, 2 + n, 20.0)) for n in range(2))
@@ -78,14 +78,14 @@
     assert sends(out) == [at, at] and len(one.router.pending_requests) == 2
 
 
-def test_who_hears_nobody_does_not_wait() -> None:
+def test_without_gossip_no_call_waits() -> None:
     one = heard(peers=False)
     assert sends(ask(one, 1, 10.0)) and sends(ask(one, 2, 20.0))
     deaf = heard()
     assert sends(ask(deaf, 1, 60_000.0)) and sends(ask(deaf, 2, 60_010.0)), "the other is silent since long"
 
 
-def test_what_waits_is_answered_when_its_copy_never_comes() -> None:
+def test_what_waits_is_answered_when_its_instance_never_comes() -> None:
     """It is told so by half of its time: never held to the end."""
     one = heard()
     (at,) = sends(ask(one, 1, 10.0))
--- a/tests/unit/test_popularity.py
+++ b/tests/unit/test_popularity.py
@@ -32,14 +32,14 @@
     assert 0.04 < told[0] < 0.35
 
 
-def test_a_router_that_has_just_started_takes_nothing_for_popular() -> None:
+def test_nothing_is_popular_to_a_router_that_has_just_started() -> None:
     seen, count = Popularity(), DecayingCounter(popularity.MIN_WINDOW_MS)
     for now in (100.0, 300.0, 500.0):
         seen.on_call(now, count, 0.005)
     assert seen.call_fraction(500.0, count) < 0.05
 
 
-def test_the_view_is_as_long_as_calls_are_rare_within_bounds() -> None:
+def test_the_window_grows_as_calls_get_rarer_within_bounds() -> None:
     seen, count = Popularity(), DecayingCounter(popularity.MIN_WINDOW_MS)
     for rate, view in (
         (1.0, popularity.MIN_WINDOW_MS),
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -58,7 +58,7 @@
     return function
 
 
-def test_a_warm_copy_keeps_its_calls() -> None:
+def test_a_warm_instance_keeps_its_calls() -> None:
     d = Drive(worker(1), worker(2), worker(3))
     background(d)
     (home,) = sends(d.ask())
@@ -68,12 +68,12 @@
         d.end(d.ids, home)
 
 
-def test_the_cold_pick_is_the_same_at_every_gateway() -> None:
+def test_the_home_worker_is_the_same_at_every_router() -> None:
     homes = {sends(Drive(worker(1), worker(2), worker(3), seed=s).ask())[0] for s in range(9)}
     assert len(homes) == 1
 
 
-def test_warmth_moves_by_own_sends_and_answers() -> None:
+def test_affinity_follows_own_attempts_and_responses() -> None:
     d = Drive(worker(1), worker(2))
     background(d)
     function = only_warm(d, {1: 1.0, 2: 0.8})
@@ -83,7 +83,7 @@
     assert function.affinity[1] == 1.0
 
 
-def test_distance_by_hand_and_spill_once_lanes_fill() -> None:
+def test_placement_cost_by_hand_and_spill_once_an_instance_is_busy() -> None:
     d = Drive(worker(1), worker(2))
     function = only_warm(d, {1: 0.75}, lanes=2.0)
     one, two = d.router.workers[1], d.router.workers[2]
@@ -107,7 +107,7 @@
     assert picks == {1, 2}
 
 
-def test_warmth_expires_at_keep_alive_unsent() -> None:
+def test_affinity_expires_after_the_keep_alive_time() -> None:
     d = Drive(worker(1), worker(2))
     (home,) = sends(d.ask())
     d.end(1, home)
@@ -118,7 +118,7 @@
 
 
 @pytest.mark.parametrize("gone", [False, True])
-def test_warmth_is_void_after_a_restart_or_when_gone(gone: bool) -> None:
+def test_affinity_ends_when_the_worker_restarts_or_is_removed(gone: bool) -> None:
     d = Drive(worker(1), worker(2))
     (home,) = sends(d.ask())
     d.end(1, home)
@@ -129,7 +129,7 @@
 
 @pytest.mark.parametrize("klass", [0, 1, 2])
 @pytest.mark.parametrize("outcome", [Outcome.OVERLOADED, Outcome.CONNECT_FAILED, Outcome.NOT_LOADED])
-def test_a_proven_not_run_answer_moves_on(klass: int, outcome: Outcome) -> None:
+def test_an_outcome_that_proves_no_execution_is_retried(klass: int, outcome: Outcome) -> None:
     d = Drive(worker(1), worker(2))
     (home,) = sends(d.ask(class_index=klass))
     assert sends(d.end(1, home, outcome)) == [3 - home]
@@ -145,20 +145,20 @@
     assert any(isinstance(a, SetTimer) for a in out)
 
 
-def test_held_with_no_worker_is_answered_in_time() -> None:
+def test_a_queued_request_without_a_worker_is_answered_in_time() -> None:
     d = Drive()
     assert sends(d.ask()) == []
     out = d.wait(4000.0)
     assert len(finals(out)) == 1 and d.router.pending_requests == {}
 
 
-def test_held_is_sent_when_a_worker_comes() -> None:
+def test_a_queued_request_is_sent_when_a_worker_comes() -> None:
     d = Drive()
     d.ask()
     assert sends(d.feed(EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 2, (worker(5),)), after=50.0)) == [5]
 
 
-def test_a_silent_worker_is_ejected_and_safe_calls_come_back() -> None:
+def test_a_silent_worker_is_ejected_and_its_idempotent_calls_are_retried() -> None:
     d = Drive(worker(1), worker(2), worker(3))
     for _ in range(6):
         (at,) = sends(d.ask())
@@ -188,7 +188,7 @@
     assert home not in sends(d.ask())
 
 
-def test_a_breaker_closes_by_a_half_open_trial() -> None:
+def test_a_half_open_trial_ends_an_ejection() -> None:
     d = Drive(worker(1), worker(2), worker(3))
     background(d)
     view = d.router.workers[1]
@@ -204,7 +204,7 @@
     assert not view.is_ejected
 
 
-def test_own_orders_under_way_are_bounded() -> None:
+def test_preloads_in_flight_are_bounded() -> None:
     d = Drive(*(worker(n) for n in range(1, 9)), when_not_loaded=NotLoadedBehavior.REJECT, router_count=2)
     for function in range(20):
         d.ask(function)
@@ -212,7 +212,7 @@
     assert sum(isinstance(a, PreloadFunction) for a in d.actions) == bound
 
 
-def test_a_busy_warm_copy_spills() -> None:
+def test_calls_spill_from_a_busy_warm_instance() -> None:
     d = Drive(*(worker(n) for n in range(1, 5)))
     background(d)
     only_warm(d, {2: 1.0})
@@ -221,7 +221,7 @@
     assert sends(d.ask()) != [2]
 
 
-def test_a_workers_long_work_is_not_slowness_where_the_hint_tells() -> None:
+def test_long_work_that_was_hinted_is_not_slowness_of_the_worker() -> None:
     d = Drive(worker(1))
     for number in range(1, 12):
         d.ask(work=10.0 * number)
@@ -229,7 +229,7 @@
     assert d.router.workers[1].read_excess_load(d.now) == pytest.approx(0.0, abs=0.5)
 
 
-def test_miss_workers_get_an_order_and_the_call_follows() -> None:
+def test_a_worker_that_rejects_what_is_not_loaded_is_preloaded_and_the_call_follows() -> None:
     d = Drive(worker(1), worker(2), when_not_loaded=NotLoadedBehavior.REJECT)
     out = d.ask()
     (order,) = [a for a in out if isinstance(a, PreloadFunction)]
@@ -239,7 +239,7 @@
     assert sends(out) == [order.worker_id, order.worker_id]
 
 
-def test_a_failed_order_is_not_repeated_at_once() -> None:
+def test_a_failed_preload_is_not_repeated_at_once() -> None:
     d = Drive(worker(1), worker(2), when_not_loaded=NotLoadedBehavior.REJECT)
     (order,) = [a for a in d.ask() if isinstance(a, PreloadFunction)]
     out = d.feed(PreloadEnded(order.worker_id, 7, Outcome.OVERLOADED, 0, 5.0), after=5.0)
@@ -247,7 +247,7 @@
     assert [a for a in d.wait(d.now + 500.0) if isinstance(a, PreloadFunction)]
 
 
-def test_orders_are_rationed() -> None:
+def test_preloads_are_rationed() -> None:
     rules = dataclasses.replace(RULES, preload_window_ms=5000.0, preload_allowance=1.0, preload_share=0.1)
     d = Drive(*(worker(n) for n in range(1, 30)), when_not_loaded=NotLoadedBehavior.REJECT, rules=rules)
     for function in range(15):
@@ -255,7 +255,7 @@
     assert sum(isinstance(a, PreloadFunction) for a in d.actions) <= 1 + 0.1 * 15
 
 
-def test_ask_membership_subscribes_and_backs_off() -> None:
+def test_polled_discovery_subscribes_and_backs_off() -> None:
     d = Drive(worker(1), discovery_mode=DiscoveryMode.POLL)
     out = d.wait(1100.0)
     assert SubscribeEndpoints(True) in out
@@ -264,7 +264,7 @@
     assert SubscribeEndpoints(True) in d.wait(d.now + 2000.0)
 
 
-def test_a_stream_is_left_alone() -> None:
+def test_a_streaming_attempt_is_neither_cancelled_nor_hedged() -> None:
     d = Drive(worker(1), worker(2))
     (home,) = sends(d.ask(class_index=5))
     d.feed(StreamStarted(1, 0, home, 50.0), after=50.0)
@@ -289,7 +289,7 @@
     assert len(d.actions) == before
 
 
-def test_attempts_are_capped() -> None:
+def test_attempts_are_limited() -> None:
     d = Drive(*(worker(n) for n in range(1, 9)), limits=dataclasses.replace(LIMITS, max_attempts=2))
     (first,) = sends(d.ask())
     (second,) = sends(d.end(1, first, Outcome.OVERLOADED))
@@ -310,7 +310,7 @@
     return [a.worker_id for a in d.actions if isinstance(a, StartAttempt) and a.request_id == request][-1]
 
 
-def test_what_cannot_be_answered_in_time_is_refused_and_time_ends_it() -> None:
+def test_what_cannot_be_answered_in_time_is_shed_until_the_overload_ends() -> None:
     """Answers' own times told of a jam when it was there: refusing swung from hardly any to nearly all."""
     d = Drive(worker(1), worker(2), worker(3))
     steady(d)
@@ -325,7 +325,7 @@
     assert not any(finals(d.ask(after=10.0)) for _ in range(5)), "no guard locks the gateway into refusing"
 
 
-def test_calls_of_more_worth_are_refused_later_and_less() -> None:
+def test_calls_of_higher_priority_weight_are_shed_later_and_less() -> None:
     """0.38 of the calls of high worth were once refused against 0.60 of the others."""
     classes = (
         dataclasses.replace(SAFE, priority_weight=3.0),
@@ -341,7 +341,7 @@
     assert first[1] < first[2] < first[0]
 
 
-def test_calls_that_wait_for_loads_are_no_jam() -> None:
+def test_calls_that_wait_for_cold_starts_are_no_overload() -> None:
     """New workers load all they are asked for: a router once refused 95% of its calls in a release."""
     d = Drive(*(worker(n) for n in range(1, 7)))
     steady(d)
@@ -349,7 +349,7 @@
     assert not any(finals(d.ask(function_id=7, after=10.0)) for _ in range(5))
 
 
-def test_few_calls_that_come_together_are_no_jam() -> None:
+def test_few_calls_that_come_together_are_no_overload() -> None:
     """One router of hundreds takes some calls a second: three at once say nothing."""
     d = Drive(worker(1), worker(2), worker(3))
     for _ in range(20):
@@ -358,7 +358,7 @@
     assert not any(finals(d.ask()) for _ in range(3))
 
 
-def test_with_too_little_time_left_nothing_begins() -> None:
+def test_with_too_little_time_left_no_attempt_starts() -> None:
     d = Drive(worker(1))
     for _ in range(5):
         d.ask()
@@ -367,7 +367,7 @@
     assert isinstance(answer, RejectRequest)
 
 
-def test_a_class_turned_away_goes_elsewhere_and_others_stay() -> None:
+def test_a_class_that_a_worker_rejects_goes_elsewhere_and_others_stay() -> None:
     """A worker that says full to one class at a rate is no sick worker."""
     d = Drive(worker(1), worker(2), worker(3))
     (home,) = sends(d.ask(class_index=1))
@@ -379,7 +379,7 @@
     assert view.rejections[(1, None)].read(d.now) < 0.01
 
 
-def test_tenants_past_their_share_are_shed_first() -> None:
+def test_tenants_over_their_quota_are_shed_first() -> None:
     tenants = (Tenant("x", 0.5, None), Tenant("y", 0.5, None))
     d = Drive(worker(1), worker(2), tenants=tenants)
     steady(d, tenant_index=0)
@@ -390,7 +390,7 @@
     assert refused[0] / 360 > refused[1] / 40
 
 
-def test_a_marked_repeat_earns_no_retry_budget() -> None:
+def test_a_client_retry_earns_no_retry_budget() -> None:
     d = Drive(worker(1), worker(2))
     d.router.state.retry_budget.tokens = 0.0
     d.ask(is_client_retry=True)
@@ -399,7 +399,7 @@
     assert d.router.state.retry_budget.tokens == pytest.approx(retry_budget.RETRY_BUDGET_PER_REQUEST)
 
 
-def test_functions_wanted_once_are_forgotten() -> None:
+def test_functions_called_once_are_forgotten() -> None:
     d = Drive(worker(1), worker(2))
     for function in range(500):
         (at,) = sends(d.ask(function, after=100.0))
@@ -424,7 +424,7 @@
     assert d.actions == []
 
 
-def test_held_calls_are_looked_at_once_a_step() -> None:
+def test_the_queue_is_checked_once_an_interval() -> None:
     """Each look once set two timers, which doubled until the day was cut off."""
     d = Drive()
     for _ in range(5):
@@ -433,7 +433,7 @@
     assert len(timers) <= 1000.0 / request_table.QUEUE_CHECK_MS + 2
 
 
-def test_a_function_that_turns_hot_at_all_gateways_at_once_is_no_herd_for_long() -> None:
+def test_a_function_that_turns_hot_at_all_routers_at_once_is_no_hotspot_for_long() -> None:
     """Every gateway once stayed on the first home, however crowded it was."""
     fleet = [Drive(*(worker(n) for n in range(1, 21)), seed=seed, router_count=40) for seed in range(40)]
     most = []
@@ -449,7 +449,7 @@
     assert most[0] == 40 and max(most[12:]) <= 10
 
 
-def test_a_gateway_that_stood_still_charges_nobody() -> None:
+def test_a_router_that_stalled_ejects_nobody() -> None:
     d = Drive(worker(1), worker(2))
     (at,) = sends(d.ask())
     d.now += 2000.0
@@ -460,7 +460,7 @@
     assert d.router.workers[at].read_excess_load(d.now) == 0.0
 
 
-def test_a_second_copy_goes_out_where_that_is_allowed() -> None:
+def test_a_hedged_request_is_sent_where_that_is_allowed() -> None:
     d = Drive(worker(1), worker(2), limits=dataclasses.replace(LIMITS, allows_hedging=True))
     (first,) = sends(d.ask())
     d.end(1, first)
@@ -468,7 +468,7 @@
     assert sends(d.wait(d.now + 1000.0)) == [3 - first]
 
 
-def test_a_worker_that_was_down_is_taken_for_cold_before_the_list_tells() -> None:
+def test_a_worker_that_was_down_starts_slowly_before_the_endpoint_list_tells() -> None:
     """Twelve workers came back untold and fell over under what 85 gateways sent (ic6be0e)."""
     d = Drive(worker(1), worker(2))
     view = d.router.workers[1]
@@ -491,7 +491,7 @@
 
 
 @pytest.mark.parametrize("gateways", [0, 1, 4, 40, 200])
-def test_warm_and_not_busy_comes_before_cold_at_any_count(gateways: int) -> None:
+def test_warm_and_not_busy_comes_before_cold_at_any_router_count(gateways: int) -> None:
     d = Drive(*(worker(n) for n in range(1, 41)), router_count=gateways)
     background(d)
     only_warm(d, {17: 1.0})
@@ -516,7 +516,7 @@
     assert 0 < len(looked) < 10
 
 
-def test_gateways_that_share_nothing_agree_on_the_homes_and_on_the_next() -> None:
+def test_routers_that_share_nothing_agree_on_the_homes_and_on_the_next() -> None:
     entries = [worker(n) for n in range(1, 31)]
     orders = set()
     for seed in range(20):
@@ -544,7 +544,7 @@
     assert len(finals(out)) == 1 and sends(out) == []
 
 
-def test_a_time_out_of_a_client_with_little_time_is_no_symptom() -> None:
+def test_a_timeout_of_a_client_with_little_time_is_no_symptom() -> None:
     d = Drive(worker(1))
     for _ in range(3):
         d.ask()
@@ -560,7 +560,7 @@
     assert dear.router.selector.homes_per_worker < free.router.selector.homes_per_worker / 2
 
 
-def test_a_worthless_class_and_answers_in_no_time_never_raise() -> None:
+def test_a_class_without_weight_and_responses_in_no_time_never_raise() -> None:
     idle = dataclasses.replace(CLASSES[0], priority_weight=0.0, latency_objective_ms=0.0)
     d = Drive(worker(1), worker(2), classes=(idle, *CLASSES[1:]))
     for outcome in (Outcome.OK, Outcome.OK, Outcome.OVERLOADED, Outcome.TIMEOUT):
@@ -576,7 +576,7 @@
     )
 
 
-def test_a_broken_connection_is_no_sign_of_a_new_start() -> None:
+def test_a_broken_connection_is_no_sign_of_a_restart() -> None:
     """Each reset once made its worker count as cold, till all were and every call was held to its end."""
     d = Drive(worker(1))
     for outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
@@ -588,7 +588,7 @@
     assert d.router.workers[1].available_capacity(d.now, RULES) < 1.0
 
 
-def test_all_that_broke_with_one_connection_is_one_symptom() -> None:
+def test_all_attempts_of_one_broken_connection_are_one_symptom() -> None:
     d = Drive(worker(1))
     at = [sends(d.ask(class_index=1))[0] for _ in range(5)]
     for number, one in enumerate(at, 1):
@@ -599,7 +599,7 @@
     )
 
 
-def test_an_error_on_a_function_never_answered_says_nothing_against_the_worker() -> None:
+def test_an_error_of_a_function_never_answered_is_no_symptom() -> None:
     d = Drive(worker(1))
     for _ in range(4):
         (at, *_) = sends(d.ask(class_index=1, function_id=99))
@@ -624,7 +624,7 @@
     assert any(finals(d.ask()) for _ in range(20)), "with all as full it is a jam"
 
 
-def test_a_request_never_sent_is_told_so_by_half_of_its_time() -> None:
+def test_a_request_never_sent_is_rejected_by_half_of_its_time() -> None:
     d = Drive(worker(1, EndpointState.DRAINING))
     d.ask(left=2000.0)
     began = d.now
@@ -632,7 +632,7 @@
     assert isinstance(end, RejectRequest)
 
 
-def test_the_count_of_calls_taken_does_not_grow_with_the_day() -> None:
+def test_the_request_times_of_the_preload_window_do_not_grow() -> None:
     rules = dataclasses.replace(RULES, preload_window_ms=5000.0)
     d = Drive(worker(1), rules=rules)
     for _ in range(100):
@@ -658,7 +658,7 @@
     assert d.router.selector.cross_zone_penalty < 1.0  # a warm worker abroad still beats a cold one here
 
 
-def test_all_silent_workers_but_some_are_set_aside() -> None:
+def test_of_silent_workers_all_but_some_are_ejected() -> None:
     """Past two in six, silent workers once went on drawing calls that nobody answered."""
     d = Drive(*(worker(n) for n in range(1, 7)))
     for number in range(1, 7):
@@ -677,7 +677,7 @@
     assert sum(v.is_ejected for v in view.values()) == 4
 
 
-def test_a_worker_set_aside_gets_its_trial_though_others_are_nearer() -> None:
+def test_an_ejected_worker_gets_its_trial_though_others_cost_less() -> None:
     """Its trouble once kept every call away when its time had come, so that it stayed out though sound."""
     d = Drive(worker(1), worker(2))
     (home,) = sends(d.ask())
@@ -714,7 +714,7 @@
     assert kept / homes > selection.MIN_CALLS_PER_HOME / 2
 
 
-def test_a_rare_answer_is_remembered_longer_than_one_of_many() -> None:
+def test_a_rare_response_is_remembered_longer_than_one_of_many() -> None:
     """Of 40 workers each router hears every few seconds: what one showed had faded by then."""
     left = {}
     for workers, every in ((2, 50.0), (12, 24.0), (40, 85.0)):
@@ -729,7 +729,7 @@
 
 
 @pytest.mark.parametrize(("gateways", "workers"), [(1, 3), (3, 12), (40, 40)])
-def test_a_worker_that_others_crowd_is_left_for_another(gateways: int, workers: int) -> None:
+def test_a_worker_that_reports_much_load_is_left_for_another(gateways: int, workers: int) -> None:
     """With many gateways a worker's load is others' calls: only reports tell of them before it is late."""
     entries = [worker(n) for n in range(1, workers + 1)]
     d = Drive(*entries, router_count=gateways, load_report_columns=("inflight", "x1"))
@@ -749,7 +749,7 @@
     ) == pytest.approx(0.0), "not known: usual"
 
 
-def test_own_calls_out_are_not_counted_twice_in_a_report() -> None:
+def test_own_calls_in_flight_are_not_counted_twice_in_a_load_report() -> None:
     d = Drive(worker(1), load_report_columns=("x1", "inflight"))
     for _ in range(4):
         d.ask()
@@ -772,7 +772,7 @@
 
 
 @pytest.mark.parametrize(("gateways", "workers", "every"), [(1, 4, 24.0), (3, 12, 24.0), (40, 40, 85.0)])
-def test_a_worker_that_errs_costs_each_router_little(gateways: int, workers: int, every: float) -> None:
+def test_a_failing_worker_costs_each_router_little(gateways: int, workers: int, every: float) -> None:
     """Each of 40 routers once lost two calls before it set it aside, and a trial every few seconds then."""
     d, lost = erring(gateways, workers, every)
     assert d.router.workers[1].is_ejected
@@ -789,7 +789,7 @@
     assert d.router.workers[first].outlier_score > outlier_detection.EJECTION_THRESHOLD
 
 
-def test_refused_connections_set_aside_as_many_as_refuse() -> None:
+def test_as_many_workers_are_ejected_as_refuse_connections() -> None:
     """At the loss of a zone the bound on workers set aside left the rest of it in use, call after call."""
     d = Drive(*(worker(n) for n in range(1, 11)))
     for number in range(300):
@@ -806,7 +806,7 @@
 
 
 @pytest.mark.parametrize(("gateways", "workers"), [(1, 4), (3, 12), (40, 40)])
-def test_workers_that_drain_take_nothing_from_the_budget_of_cold_ones(gateways: int, workers: int) -> None:
+def test_draining_workers_take_nothing_from_the_budget_of_cold_ones(gateways: int, workers: int) -> None:
     """At a release up to 24 of 64 drained, and new workers were held to the part of a fleet of 64."""
     ready = [worker(n) for n in range(1, workers)] + [worker(workers, started=1000.0)]
     leaving = [worker(n, EndpointState.DRAINING) for n in range(100, 100 + workers)]
--- a/tests/unit/test_routing_records.py
+++ b/tests/unit/test_routing_records.py
@@ -30,7 +30,7 @@
     ]
 
 
-def test_the_breaker_opens_once_lets_one_safe_trial_pass_and_closes_again() -> None:
+def test_an_ejection_lets_one_idempotent_trial_pass_and_ends() -> None:
     one = view()
     assert fail(one, 3, [one]) == [False, True, False]
     outlier_detection.eject(one, 1000.0, 1.0, random.Random(1))
@@ -49,7 +49,7 @@
     assert outlier_detection.is_available(one, 0.0, False) and not one.has_trial_in_flight
 
 
-def test_no_more_than_the_cap_are_set_aside_and_relapses_wait_longer_up_to_the_most() -> None:
+def test_ejections_are_limited_and_relapses_wait_longer_up_to_a_maximum() -> None:
     fleet = [view(n) for n in range(10)]
     assert sum(any(fail(one, 4, fleet)) for one in fleet) == 4
     spans = []
@@ -81,7 +81,7 @@
         (Outcome.OK, False, True, 1.0, None),
     ],
 )
-def test_what_a_failure_says(
+def test_the_weight_of_a_failure(
     outcome: Outcome, unreached: bool, known: bool, took: float, cap: float | None
 ) -> None:
     one, attempt = view(), Attempt(worker(1), 0.0, 10.0, (0, None), False, False, known)
@@ -93,7 +93,7 @@
     assert (one.unreachable_at_ms == 5.0) == unreached
 
 
-def test_orders_are_earned_by_calls_of_the_window_and_bounded_by_the_workers() -> None:
+def test_preloads_are_earned_by_requests_of_the_window_and_bounded_by_the_workers() -> None:
     rules = replace(RULES, preload_allowance=1, preload_share=0.5, preload_window_ms=100.0)
     ordered, took = deque([0.0]), deque[float]()
     for at in (0.0, 10.0):
--- a/tests/unit/test_settings_reload.py
+++ b/tests/unit/test_settings_reload.py
@@ -29,7 +29,7 @@
     return told
 
 
-def test_new_classes_bind_new_calls_and_open_ones_keep_their_own() -> None:
+def test_new_classes_apply_to_new_calls_and_pending_ones_keep_their_own() -> None:
     async def test() -> None:
         mute = Runner(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
@@ -94,7 +94,7 @@
         "no limits",
     ],
 )
-def test_a_bad_file_is_turned_down_whole(change: str, caplog: pytest.LogCaptureFixture) -> None:
+def test_an_invalid_settings_file_is_rejected_whole(change: str, caplog: pytest.LogCaptureFixture) -> None:
     async def test() -> None:
         async with service(Runner()) as running, client(running) as caller:
             before = running.dispatcher.settings
--- a/tests/unit/test_zone_reachability.py
+++ b/tests/unit/test_zone_reachability.py
@@ -28,7 +28,7 @@
 
 
 @pytest.mark.parametrize("workers", [1, 2, 5])
-def test_a_zone_is_cut_off_by_the_silence_of_several_workers_alone(workers: int) -> None:
+def test_a_zone_is_unreachable_by_the_silence_of_several_workers_alone(workers: int) -> None:
     reach = known()
     for number in range(5):
         reach.on_attempt_started(1000.0, (100 + number, 0), number % workers, 1, USUAL)
@@ -41,7 +41,7 @@
     )
 
 
-def test_one_answer_from_there_ends_the_doubt() -> None:
+def test_one_response_makes_a_zone_reachable() -> None:
     reach = known()
     for number in range(4):
         reach.on_attempt_started(1000.0, (100 + number, 0), number, 1, USUAL)
@@ -58,7 +58,7 @@
     assert reach.find_unreachable(1000.0 + 50 * USUAL) == [1, 2]
 
 
-def test_connections_that_do_not_come_up_tell_sooner() -> None:
+def test_failed_connections_show_an_unreachable_zone_sooner() -> None:
     reach = known()
     for number in range(2):
         reach.on_attempt_started(1000.0, (100 + number, 0), number, 1, USUAL)
@@ -66,7 +66,7 @@
     assert 2 * CONNECT_FAILURE_SURPRISE >= UNREACHABLE_SURPRISE and reach.find_unreachable(1300.0) == [1]
 
 
-def test_answers_in_no_time_do_not_make_a_short_pause_a_silence() -> None:
+def test_quick_responses_do_not_make_a_short_pause_a_silence() -> None:
     reach = ZoneReachability(0)
     for number in range(MIN_RESPONSES):
         reach.on_attempt_started(0.0, (number, 0), number, 1, 1.0)
@@ -76,7 +76,7 @@
     assert reach.find_unreachable(1090.0) == [] and reach.find_unreachable(1000.0 + 300.0) == [1]
 
 
-def test_one_safe_call_tries_a_silent_zone_and_a_silent_trial_shuts_it_for_longer() -> None:
+def test_one_idempotent_call_tries_an_unreachable_zone_and_a_lost_trial_backs_off() -> None:
     reach = known()
     for number in range(4):
         reach.on_attempt_started(1000.0, (100 + number, 0), number, 1, USUAL)
@@ -98,7 +98,7 @@
     assert reach.may_send(late, 1, False)
 
 
-def test_a_silent_zone_gives_its_safe_calls_back_and_gets_no_more() -> None:
+def test_idempotent_calls_are_recalled_from_an_unreachable_zone() -> None:
     """At 200 routers a zone that was cut off took calls all that time: no worker was called twice."""
     d = Drive(*(worker(n, zone=n % 3) for n in range(1, 31)), router_count=200)
     for function in range(60):
