--- a/cedarthread/change_freeze/placement_paths.py
+++ b/cedarthread/change_freeze/placement_paths.py
@@ -49,14 +49,14 @@
         "warm_worker",
         "PreloadFunction",
         "may_start_instance",
-        "admit(order) before the worker loads",
+        "admit(first-copy) before the worker is asked to load",
     ),
     PlacementPath(
         "routing.selection",
         "_candidates",
         "placement_order",
         "constraints",
-        "home_workers(...) over what rank and membership give, before they are used",
+        "home_workers(...) over the order by rendezvous hashing, before it is used",
     ),
     PlacementPath(
         "components.node",
--- a/cedarthread/components/fleet.py
+++ b/cedarthread/components/fleet.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 
-from cedarthread.change_freeze import window
+from cedarthread.change_freeze import window_entries
 from cedarthread.change_freeze.component import ChangeFreezeComponent
 from cedarthread.components.constraints import RoutingConstraints
 from cedarthread.components.interface import (
@@ -105,7 +105,12 @@
         self.escrow_pools = EscrowPools(self.escrow, self.store)
         self.priority = PriorityComponent(self.store, self.escrow_pools, settings, seed)
         self.change_freeze = ChangeFreezeComponent(
-            settings, told, self.store, self.escrow_pools, now, self.store.has_read_enough_peers
+            settings,
+            told,
+            self.store,
+            self.escrow_pools,
+            now=now,
+            has_read_enough_peers=self.store.has_read_enough_peers,
         )
         self.recovery = RecoveryComponent(settings, seed ^ incarnation, now)
         self.constraints = RoutingConstraints(self.priority, self.change_freeze.gate, self.recovery)
@@ -144,7 +149,7 @@
         messages: list[OutboundMessage] = []
         for kind, name, body in (
             *contract_entries.entries_from_config(fleet_config),
-            *window.entries_from_config(fleet_config),
+            *window_entries.entries_from_config(fleet_config),
         ):
             made = self.store.propose(now, kind, name, body)
             if isinstance(made, RejectedEntry):
--- a/cedarthread/lifecycle/maintenance.py
+++ b/cedarthread/lifecycle/maintenance.py
@@ -9,11 +9,11 @@
 
 from cedarthread.dispatch.dispatcher import Dispatcher
 from cedarthread.lifecycle.state import ServiceState
-from cedarthread.protocols.platform import PlatformServer
+from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.workers import WorkerConnections
 
 if TYPE_CHECKING:
-    from cedarthread.protocols.invoke import InvokeServer
+    from cedarthread.protocols.invoke_server import InvokeServer
 
 log = logging.getLogger("cedarthread")
 
--- a/cedarthread/lifecycle/state.py
+++ b/cedarthread/lifecycle/state.py
@@ -12,12 +12,12 @@
 from cedarthread.protocols.control import ControlServer
 from cedarthread.protocols.discovery import DiscoveryClient
 from cedarthread.protocols.peers import PeerTransport
-from cedarthread.protocols.platform import PlatformServer
+from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.workers import WorkerConnections
 
 if TYPE_CHECKING:
     from cedarthread.persistence.event_loop_store import EventLoopStore
-    from cedarthread.protocols.invoke import InvokeServer
+    from cedarthread.protocols.invoke_server import InvokeServer
 
 LISTEN_RETRY_S = 0.5  # between attempts to listen on an address that another process still holds
 
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -23,15 +23,15 @@
 from cedarthread.protocols.control import ControlServer
 from cedarthread.protocols.discovery import DiscoveryClient
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
-from cedarthread.protocols.platform import PlatformServer
+from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.workers import WorkerConnections
 from cedarthread.transport import descriptor_budget
-from cedarthread.transport.stream import Flusher
+from cedarthread.transport.flusher import Flusher
 
 if TYPE_CHECKING:
     from cedarthread.persistence.event_loop_store import EventLoopStore
-    from cedarthread.protocols.invoke import InvokeServer
     from cedarthread.protocols.invoke_config import InvokeConfig
+    from cedarthread.protocols.invoke_server import InvokeServer
 
 log = logging.getLogger("cedarthread")
 
@@ -142,7 +142,9 @@
         )
 
     def _create_invoke_server(self, invoke: InvokeConfig) -> InvokeServer:
-        from cedarthread.protocols.invoke import InvokeServer  # with TLS: not loaded where the API is off
+        from cedarthread.protocols.invoke_server import (
+            InvokeServer,  # with TLS: not loaded where the API is off
+        )
 
         server = InvokeServer(self.dispatcher, invoke, self.flusher)
         server.max_connections = self.descriptor_budget.invoke_connections
--- a/cedarthread/testing/cluster/injected_defects.py
+++ b/cedarthread/testing/cluster/injected_defects.py
@@ -10,7 +10,7 @@
 
 from cedarthread.model.endpoints import EndpointUpdate
 
-PLANTS = {
+DEFECTS = {
     "chance": "cedarthread.testing.cluster.injected_defects:chance",
     "eager": "cedarthread.testing.cluster.injected_defects:eager",
     "twice": "cedarthread.testing.cluster.injected_defects:twice",
@@ -26,10 +26,10 @@
 }
 
 
-def plant(name: str) -> None:
+def inject(name: str) -> None:
     """Put one in this process; no name: nothing."""
     if name:
-        module, _, function = PLANTS[name].partition(":")
+        module, _, function = DEFECTS[name].partition(":")
         getattr(import_module(module), function)()
 
 
@@ -65,15 +65,10 @@
 def each() -> None:
     """Every router may use the whole of a window's allowance."""
     from cedarthread.change_freeze import admission_gate
+    from cedarthread.change_freeze.placement_changes import PlacementChange
 
-    def permits(
-        self: admission_gate.AdmissionGate, now: float, change: admission_gate.PlacementChange
-    ) -> bool:
-        rules = [
-            r
-            for r in self.rules
-            if r.covers(change.kind, change.zone_index, change.function_id, change.tenant_index)
-        ]
+    def permits(self: admission_gate.AdmissionGate, now: float, change: PlacementChange) -> bool:
+        rules = [rule for rule in self.rules if rule.covers(change)]
         return bool(rules) and all(self.exceptions_used < rule.exception_budget for rule in rules)
 
     admission_gate.AdmissionGate._has_exception = permits  # type: ignore[method-assign]
