Preload budget is an object; keyword-only parameters where there were six

Cause: the ration of preloads was two deques handed to functions of six parameters. Change: PreloadBudget holds them; should_wait and fits_budget name their last parameters.

--- a/cedarthread/routing/admission.py
+++ b/cedarthread/routing/admission.py
@@ -116,7 +116,7 @@
             state.service_times.expected_cold_start_ms(pending),
         )
         return function.instance_queue.should_wait(
-            request.request_id, worker_id, is_warm, instances, function.concurrency, times
+            request.request_id, worker_id, is_warm, instances, concurrency=function.concurrency, times=times
         )
 
     def may_start_instance(self, now: float, pending: PendingRequest, worker: WorkerRecord) -> bool:
--- a/cedarthread/routing/instance_queue.py
+++ b/cedarthread/routing/instance_queue.py
@@ -48,6 +48,7 @@
         worker_id: int,
         is_warm: bool,
         instances_by_worker: dict[int, InstanceLoad],
+        *,
         concurrency: float,
         times: WaitTimes,
     ) -> bool:
--- a/cedarthread/routing/preloading.py
+++ b/cedarthread/routing/preloading.py
@@ -7,7 +7,6 @@
 
 from cedarthread.model.actions import PreloadFunction
 from cedarthread.model.settings import NotLoadedBehavior
-from cedarthread.routing import preload_budget
 from cedarthread.routing.admission import AdmissionPolicy
 from cedarthread.routing.records import PendingRequest, WorkerRecord
 from cedarthread.routing.router_state import RouterState
@@ -24,7 +23,7 @@
         """A request came: it earns preloads while the window of rule 5 lasts."""
         settings = self.state.settings
         if settings.rules.preload_window_ms > 0 and settings.allows_preloading:
-            preload_budget.record_request(settings.rules, self.state.request_times, now)
+            self.state.preload_budget.on_request(now, settings.rules)
 
     def warm_worker(self, now: float, pending: PendingRequest, chosen: WorkerRecord) -> WorkerRecord | None:
         """Where to send now: a cold choice is asked to load, and a warm worker serves meanwhile, if any."""
@@ -41,18 +40,13 @@
             and self.admission.may_start_instance(now, pending, chosen)
         ):
             state.functions.start_preload(function, worker_id)
-            self.state.preload_times.append(now)
+            state.preload_budget.on_preload(now)
             state.actions.append(PreloadFunction(worker_id, pending.request.function_id, 1))
         return self.selector.cheapest_warm(now, pending)
 
     def may_preload(self, now: float) -> bool:
         """Under this router's part of what the fleet may load at once, and inside the ration of rule 5."""
         state = self.state
-        return preload_budget.may_preload(
-            state.settings.rules,
-            now,
-            state.functions.preloads_in_flight,
-            len(state.workers.by_id) / state.live_router_count,
-            self.state.preload_times,
-            self.state.request_times,
-        )
+        in_flight = state.functions.preloads_in_flight
+        workers_per_router = len(state.workers.by_id) / state.live_router_count
+        return state.preload_budget.may_preload(now, state.settings.rules, in_flight, workers_per_router)
--- a/cedarthread/routing/router_state.py
+++ b/cedarthread/routing/router_state.py
@@ -8,7 +8,6 @@
 
 import math
 import random
-from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -21,6 +20,7 @@
 from cedarthread.routing.function_table import FunctionTable
 from cedarthread.routing.log_throttle import LogThrottle
 from cedarthread.routing.overload import OverloadEstimator
+from cedarthread.routing.preload_budget import PreloadBudget
 from cedarthread.routing.records import PendingRequest
 from cedarthread.routing.request_table import RequestTable
 from cedarthread.routing.retry_budget import RetryBudget
@@ -50,8 +50,7 @@
     polling: DiscoveryPolling = field(default_factory=DiscoveryPolling)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     logs: LogThrottle = field(default_factory=LogThrottle)
-    preload_times: deque[float] = field(default_factory=deque)  # of preloads, in the window of rule 5
-    request_times: deque[float] = field(default_factory=deque)  # of requests, in the same window
+    preload_budget: PreloadBudget = field(default_factory=PreloadBudget)
     gossip: LoadGossip | None = None
     constraints: RoutingConstraints | None = None  # of contracts, change freezes and restarts of the fleet
     event_at_ms: float = 0.0  # when the last event came
--- a/cedarthread/routing/selection.py
+++ b/cedarthread/routing/selection.py
@@ -211,8 +211,14 @@
         if (capacity := worker.available_capacity(now, rules)) >= 1.0:
             return True
         work_per_ms = state.traffic.worker_share(now, capacity, state.service_times, state.workers)
-        sends, jitter = worker.slow_start_sends, worker.jitter
-        return slow_start.fits_budget(rules, now, sends, jitter, work_per_ms, work_ms)
+        return slow_start.fits_budget(
+            rules,
+            now,
+            worker.slow_start_sends,
+            jitter=worker.jitter,
+            work_per_ms=work_per_ms,
+            work_ms=work_ms,
+        )
 
     # What they cost.
 
--- a/cedarthread/routing/slow_start.py
+++ b/cedarthread/routing/slow_start.py
@@ -24,6 +24,7 @@
     rules: RuleParameters,
     now: float,
     sends: deque[tuple[float, float]],
+    *,
     jitter: float,
     work_per_ms: float,
     work_ms: float,
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -116,7 +116,8 @@
 
 def _one_more_order(self: PreloadPolicy, now: float) -> bool:
     state = self.state
-    state.preload_times.append(now) if not state.preload_times else None
+    budget = state.preload_budget
+    budget.on_preload(now) if not budget.preload_times else None
     free = state.settings.rules
     with mock.patch.object(state, "settings", _with_ration(state.settings, free.preload_allowance * 4 + 4)):
         return _may_preload(self, now)
--- a/tests/unit/test_instance_queue.py
+++ b/tests/unit/test_instance_queue.py
@@ -26,19 +26,21 @@
     queue = InstanceQueue()
     queue.on_response(4, was_cold=True)
     free, taken = {4: InstanceLoad(0, None)}, {4: InstanceLoad(1, None)}
-    assert not queue.should_wait(1, 4, True, free, 1.0, NOW)
-    assert queue.should_wait(1, 4, True, taken, 1.0, NOW)
-    assert not queue.should_wait(2, 4, True, taken, 2.0, NOW), "a second lane is free"
+    assert not queue.should_wait(1, 4, True, free, concurrency=1.0, times=NOW)
+    assert queue.should_wait(1, 4, True, taken, concurrency=1.0, times=NOW)
+    assert not queue.should_wait(2, 4, True, taken, concurrency=2.0, times=NOW), "a second lane is free"
     assert (
         not queue.should_wait(
-            1, 4, True, taken, 1.0, WaitTimes(MAX_BUSY_WAIT_FRACTION * 1000.0, 50.0, 1000.0)
+            1, 4, True, taken, concurrency=1.0, times=WaitTimes(MAX_BUSY_WAIT_FRACTION * 1000.0, 50.0, 1000.0)
         )
         and not queue.waiting_requests
     )
-    places = [queue.should_wait(n, 4, True, taken, 1.0, NOW) for n in range(20)]
+    places = [queue.should_wait(n, 4, True, taken, concurrency=1.0, times=NOW) for n in range(20)]
     assert places == [True] * 5 + [False] * 15, "what is ahead would take as long as a load"
     queue.on_response(4, was_cold=True)
-    assert not queue.should_wait(30, 4, True, taken, 1.0, NOW), "two copies, one call on them"
+    assert not queue.should_wait(30, 4, True, taken, concurrency=1.0, times=NOW), (
+        "two copies, one call on them"
+    )
 
 
 def test_a_call_waits_while_its_function_loads_anywhere() -> None:
@@ -46,13 +48,18 @@
     queue = InstanceQueue()
     loading = {9: InstanceLoad(1, None)}
     assert queue.should_wait(
-        1, 4, False, loading, 1.0, WaitTimes(MAX_BUSY_WAIT_FRACTION * 1500.0, 50.0, 1000.0)
+        1, 4, False, loading, concurrency=1.0, times=WaitTimes(MAX_BUSY_WAIT_FRACTION * 1500.0, 50.0, 1000.0)
     )
     assert not queue.should_wait(
-        1, 4, False, loading, 1.0, WaitTimes(MAX_LOADING_WAIT_FRACTION * 1000.0, 50.0, 1000.0)
+        1,
+        4,
+        False,
+        loading,
+        concurrency=1.0,
+        times=WaitTimes(MAX_LOADING_WAIT_FRACTION * 1000.0, 50.0, 1000.0),
     )
-    assert not queue.should_wait(1, 4, False, {}, 1.0, NOW) and not queue.should_wait(
-        1, 4, False, {9: InstanceLoad(0, 1.0)}, 1.0, NOW
+    assert not queue.should_wait(1, 4, False, {}, concurrency=1.0, times=NOW) and not queue.should_wait(
+        1, 4, False, {9: InstanceLoad(0, 1.0)}, concurrency=1.0, times=NOW
     )
 
 
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -637,7 +637,7 @@
     d = Drive(worker(1), rules=rules)
     for _ in range(100):
         d.ask(after=1000.0)
-    assert len(d.router.state.request_times) <= 6
+    assert len(d.router.state.preload_budget.request_times) <= 6
 
 
 def test_of_two_warm_workers_the_one_nearby_is_taken_until_it_is_busy() -> None:
--- a/tests/unit/test_routing_records.py
+++ b/tests/unit/test_routing_records.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from dataclasses import replace
 
 import pytest
 
 from cedarthread.model.events import AttemptEnded
 from cedarthread.model.outcomes import Outcome, StartKind
-from cedarthread.routing import outlier_detection, preload_budget
+from cedarthread.routing import outlier_detection
+from cedarthread.routing.preload_budget import PreloadBudget
 from cedarthread.routing.records import BASE_EJECTION_MS, Attempt, FunctionRecord, WorkerRecord
 from tests.helpers import RULES, worker
 
@@ -95,14 +95,15 @@
 
 def test_preloads_are_earned_by_requests_of_the_window_and_bounded_by_the_workers() -> None:
     rules = replace(RULES, preload_allowance=1, preload_share=0.5, preload_window_ms=100.0)
-    ordered, took = deque([0.0]), deque[float]()
+    budget = PreloadBudget()
+    budget.on_preload(0.0)
     for at in (0.0, 10.0):
-        preload_budget.record_request(rules, took, at)
-    assert preload_budget.may_preload(rules, 50.0, 0, 8.0, ordered, took)
-    ordered.append(50.0)
-    assert not preload_budget.may_preload(rules, 60.0, 0, 8.0, ordered, took)
-    assert preload_budget.may_preload(rules, 151.0, 3, 8.0, ordered, took) and not took
-    assert not preload_budget.may_preload(rules, 300.0, 4, 8.0, ordered, took)
+        budget.on_request(at, rules)
+    assert budget.may_preload(50.0, rules, 0, 8.0)
+    budget.on_preload(50.0)
+    assert not budget.may_preload(60.0, rules, 0, 8.0)
+    assert budget.may_preload(151.0, rules, 3, 8.0) and not budget.request_times
+    assert not budget.may_preload(300.0, rules, 4, 8.0)
 
 
 def test_a_worker_is_forgotten_in_every_record_of_a_function() -> None:
