--- a/cedarthread/components/attempt_tracker.py
+++ b/cedarthread/components/attempt_observer.py
@@ -26,8 +26,8 @@
     tenant_index: int | None
 
 
-class AttemptTracker:
-    """Remembers function and tenant of the attempts in flight, which their end does not name."""
+class AttemptObserver:
+    """Remembers function and tenant of each attempt in flight, which its end does not name."""
 
     def __init__(self, router: Router, components: ComponentSet) -> None:
         self._router = router
@@ -60,7 +60,7 @@
         if components.fleet is not None:
             was_warm = _WAS_WARM.get(event.start_kind)
             components.fleet.on_attempt_ended(now, event, attempt.function_id, attempt.tenant_index, was_warm)
-            reported_load = self._router.reported_load(event)
+            reported_load = self._router.feedback.reported_load(event)
             if reported_load is not None:
                 components.fleet.recovery.on_load_report(*reported_load)
 
--- a/cedarthread/components/node.py
+++ b/cedarthread/components/node.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from cedarthread.components.attempt_tracker import AttemptTracker
+from cedarthread.components.attempt_observer import AttemptObserver
 from cedarthread.components.component_set import ComponentSet
 from cedarthread.components.interface import SettingsChanged
 from cedarthread.gossip.load_gossip import LoadGossip
@@ -39,7 +39,7 @@
         self.seed, self.incarnation, self.settings = seed, incarnation, settings
         self.router = Router(settings, seed)
         self.components = ComponentSet(seed, incarnation)
-        self._attempts = AttemptTracker(self.router, self.components)
+        self._attempts = AttemptObserver(self.router, self.components)
         self._is_timer_set, self._last_tick_at_ms = False, 0.0
         self.update_settings(settings)
 
@@ -107,10 +107,10 @@
         incarnation = self.seed if self.incarnation is None else self.incarnation
         fleet = FleetComponents(fleet_config, self.settings, self.seed, incarnation, now, wall_clock_ms)
         self.components.fleet = fleet
-        self.router.constraints = fleet.constraints
+        self.router.state.constraints = fleet.constraints
         self.components.update(self.settings)
         self._notify_peers_changed(now)
-        fleet.notify(now, self.router.endpoint_snapshot())
+        fleet.notify(now, self.router.state.workers.snapshot())
         self._on_tick(now)
 
     def update_settings(self, settings: RouterSettings, now: float = 0.0) -> None:
@@ -120,12 +120,12 @@
             settings = gate.admitted_settings(now, self.settings, settings)
         self.settings = settings
         self.router.update_settings(settings)
-        self.router.live_router_count = max(1, settings.router_count)
+        self.router.state.live_router_count = max(1, settings.router_count)
         self.components.update(settings)
         if self.components.load_gossip is None:
             self._is_timer_set = self._is_timer_set and bool(self.components.active)
             self._forget_peer_load()
-        self.router.gossip = self.components.load_gossip
+        self.router.state.gossip = self.components.load_gossip
         self.components.notify(now, SettingsChanged(settings))
         self._notify_peers_changed(now)
 
@@ -164,7 +164,7 @@
         membership = self.components.membership
         if membership is None:
             return []
-        self.router.live_router_count = membership.alive_count()
+        self.router.state.live_router_count = membership.alive_count()
         return self.components.notify(now, membership.peers_changed(now))
 
     def _on_membership_changes(self, now: float, membership: SwimMembership) -> list[Action]:
--- a/cedarthread/lifecycle/reload.py
+++ b/cedarthread/lifecycle/reload.py
@@ -61,7 +61,7 @@
     def _apply_config(self, loaded: Config) -> None:
         """Follow new settings and a new discovery address; the other addresses stay as they were."""
         state = self._state
-        self._parts.workers.apply_settings(self._parts.dispatcher.update_settings(loaded.settings))
+        self._parts.workers.update_settings(self._parts.dispatcher.update_settings(loaded.settings))
         state.config = replace(
             state.config,
             settings=loaded.settings,
--- a/cedarthread/lifecycle/status.py
+++ b/cedarthread/lifecycle/status.py
@@ -47,7 +47,7 @@
             "upstream_tries": sum(counts["upstream_tries"] for counts in class_figures),
             "in_progress": len(self._dispatcher.pending_calls),
             "known_runners": len(self._endpoint_list.records),
-            "skipped_runners": self._dispatcher.router.skipped_worker_count(),
+            "skipped_runners": self._dispatcher.router.state.workers.skipped_count(),
             "loads": self._state.reloads,
             "load_errors": self._state.reload_errors,
         }
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -23,10 +23,10 @@
 from cedarthread.protocols.control import ControlServer
 from cedarthread.protocols.discovery import DiscoveryClient
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
-from cedarthread.protocols.platform import PlatformServer
+from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.workers import WorkerConnections
 from cedarthread.transport import descriptor_budget
-from cedarthread.transport.stream import Flusher
+from cedarthread.transport.flusher import Flusher
 
 if TYPE_CHECKING:
     from cedarthread.persistence.event_loop_store import EventLoopStore
--- a/cedarthread/testing/cluster/injected_defects.py
+++ b/cedarthread/testing/cluster/injected_defects.py
@@ -42,16 +42,16 @@
 
 def eager() -> None:
     """All move at once at each report."""
-    from cedarthread.routing import router
+    from cedarthread.routing import estimators
 
-    router.REPORTED_LOAD_WEIGHT = 2.0
+    estimators.REPORTED_LOAD_WEIGHT = 2.0
 
 
 def twice() -> None:
     """What may have run is sent again, whatever its class."""
-    from cedarthread.routing import router
+    from cedarthread.routing import retries
 
-    router.Router._may_retry = lambda self, job: True  # type: ignore[method-assign]
+    retries.RetryPolicy.may_attempt = lambda self, now, pending: True  # type: ignore[method-assign]
 
 
 def bypassed() -> None:
@@ -118,20 +118,20 @@
 
     members = router.Router._on_endpoint_update
 
-    def keeps(self: router.Router, event: EndpointUpdate) -> None:
-        told = {entry.worker_id for entry in event.endpoints}
+    def keeps(self: router.Router, now: float, update: EndpointUpdate) -> None:
+        told = {entry.worker_id for entry in update.endpoints}
         kept = [view.endpoint for worker, view in self.workers.items() if worker not in told]
-        members(self, replace(event, endpoints=(*event.endpoints, *kept)))
+        members(self, now, replace(update, endpoints=(*update.endpoints, *kept)))
 
     router.Router._on_endpoint_update = keeps  # type: ignore[method-assign]
 
 
 def drown() -> None:
     """Who comes back asks all at once, again and again, and who is asked answers all."""
-    from cedarthread.recovery import pacing, peer_query
+    from cedarthread.recovery import pacing_limits, peer_query
     from cedarthread.statistics import TokenBucket
 
-    pacing.PacingLimits.peer_queries = 1e4  # type: ignore[misc]
+    pacing_limits.PacingLimits.peer_queries = 1e4  # type: ignore[misc]
     (
         peer_query.MAX_PENDING_QUERIES,
         peer_query.RESPONSE_TIMEOUT_MS,
@@ -153,4 +153,4 @@
     """What stood at an earlier start of a runner passes for standing."""
     from cedarthread.recovery import warm_state
 
-    warm_state.start_tag = lambda started: 0
+    warm_state.start_tag = lambda started_at_ms: 0
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -16,6 +16,7 @@
 
 from cryptography import x509
 
+from cedarthread import config, settings_parser
 from cedarthread.dispatch import deferred
 from cedarthread.dispatch.actions import ActionExecutor
 from cedarthread.dispatch.call_table import CallTable
@@ -34,13 +35,17 @@
     http,
     invoke,
     msgpack,
-    platform,
     spiffe,
-    workers,
+    worker_connection,
 )
-from cedarthread.routing.router import Router
+from cedarthread.protocols.platform_connection import PlatformConnection
+from cedarthread.protocols.worker_codec import parse_call_response
+from cedarthread.protocols.worker_connection import WorkerConnection
+from cedarthread.protocols.workers import WorkerConnections
+from cedarthread.routing.preloading import PreloadPolicy
+from cedarthread.routing.retries import RetryPolicy
+from cedarthread.routing.selection import WorkerSelector
 from cedarthread.routing.state import PendingRequest, WorkerRecord
-from cedarthread.simulator import codec
 from cedarthread.testing.fuzzing import targets
 from cedarthread.testing.fuzzing.target import Target, verdict
 
@@ -71,15 +76,15 @@
 
 # What the defective program does instead.
 
-_answer = platform.PlatformConnection._send_answer
+_answer = PlatformConnection._send_answer
 _release = CallTable.release
 _send = ActionExecutor._start_attempt
-_may_order = Router._may_preload
+_may_preload = PreloadPolicy.may_preload
 _length = http._parse_content_length
-_read_ending = workers.parse_call_response
+_read_ending = parse_call_response
 
 
-def _answer_twice(self: platform.PlatformConnection, number: int, answer: CallResult) -> None:
+def _answer_twice(self: PlatformConnection, number: int, answer: CallResult) -> None:
     _answer(self, number, answer)
     if isinstance(answer, CallFailed):
         _answer(self, number, answer)
@@ -113,30 +118,31 @@
     return data[at : at + count]
 
 
-def _any_state(self: Router, request: PendingRequest, worker: WorkerRecord) -> bool:
+def _any_state(self: WorkerSelector, request: PendingRequest, worker: WorkerRecord) -> bool:
     return True
 
 
-def _one_more_order(self: Router) -> bool:
-    self.preload_times.append(self.now_ms) if not self.preload_times else None
-    free = self.settings.rules
-    with mock.patch.object(self, "settings", _with_ration(self.settings, free.preload_allowance * 4 + 4)):
-        return _may_order(self)
+def _one_more_order(self: PreloadPolicy, now: float) -> bool:
+    state = self.state
+    state.preload_times.append(now) if not state.preload_times else None
+    free = state.settings.rules
+    with mock.patch.object(state, "settings", _with_ration(state.settings, free.preload_allowance * 4 + 4)):
+        return _may_preload(self, now)
 
 
 def _with_ration(settings: RouterSettings, free: float) -> RouterSettings:
     return replace(settings, rules=replace(settings.rules, preload_allowance=free))
 
 
-def _group_forgotten(self: Router, request: PendingRequest, worker: WorkerRecord) -> bool:
+def _group_forgotten(self: WorkerSelector, request: PendingRequest, worker: WorkerRecord) -> bool:
     return worker.endpoint.state is EndpointState.READY
 
 
-def _always(self: Router, request: PendingRequest) -> bool:
+def _always(self: RetryPolicy, now: float, request: PendingRequest) -> bool:
     return True
 
 
-def _window_forgotten(self: Router, request: PendingRequest) -> bool:
+def _window_forgotten(self: RetryPolicy, now: float, request: PendingRequest) -> bool:
     return (
         not request.possibly_executed() or request.request_class.idempotency is not Idempotency.NOT_IDEMPOTENT
     )
@@ -210,7 +216,7 @@
     return float(value)
 
 
-def _swallow(self: platform.PlatformConnection) -> None:
+def _swallow(self: PlatformConnection) -> None:
     calls, self.open_calls = self.open_calls, {}
     for call in calls.values():
         self.server.dispatcher.abandon_call(call)
@@ -221,14 +227,14 @@
     self.shutdown_deadline_ms = None
 
 
-def _kept_in_carrying(self: workers.WorkerConnections, carried: Any, ending: Any, outcome: Outcome) -> None:
+def _kept_in_carrying(self: WorkerConnections, carried: Any, ending: Any, outcome: Outcome) -> None:
     if isinstance(carried, Attempt):
         self.dispatcher.attempt_ended(carried, ending(carried))
     else:
-        self.finish_preload(carried, outcome, 0)
+        self.preloads.finish(carried, outcome)
 
 
-def _cancel_unsure(self: workers.WorkerConnections, attempt: Attempt, connection: Any, told: Any) -> None:
+def _cancel_unsure(self: WorkerConnections, attempt: Attempt, connection: Any, told: Any) -> None:
     self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
 
 
@@ -249,37 +255,33 @@
 
 
 DEFECTS = (
-    Defect("second-answer", "calls", 300, ((platform.PlatformConnection, "_send_answer", _answer_twice),)),
+    Defect("second-answer", "calls", 300, ((PlatformConnection, "_send_answer", _answer_twice),)),
     Defect("two-attempts-out", "calls", 300, ((ActionExecutor, "_start_attempt", _two_out),)),
     Defect("body-bytes-kept", "calls", 20, ((CallTable, "release", _bytes_kept),)),
     Defect("names-kept", "calls", 20, ((CallTable, "release", _no_names),)),
     Defect("timer-leak", "calls", 20, ((CallDeadlines, "_set_wakeup", _timer_breeds),)),
-    Defect("unsafe-sent-again", "calls", 300, ((Router, "_may_retry", _always),)),
-    Defect("window-forgotten", "calls", 3000, ((Router, "_may_retry", _window_forgotten),)),
-    Defect("group-forgotten", "calls", 2000, ((Router, "_is_eligible", _group_forgotten),)),
-    Defect("drain-ignored", "calls", 400, ((Router, "_is_eligible", _any_state),)),
-    Defect("order-budget-off", "calls", 1000, ((Router, "_may_preload", _one_more_order),)),
-    Defect(
-        "answers-swallowed", "calls", 400, ((platform.PlatformConnection, "fail_calls_and_close", _swallow),)
-    ),
+    Defect("unsafe-sent-again", "calls", 300, ((RetryPolicy, "may_attempt", _always),)),
+    Defect("window-forgotten", "calls", 3000, ((RetryPolicy, "may_attempt", _window_forgotten),)),
+    Defect("group-forgotten", "calls", 2000, ((WorkerSelector, "is_eligible", _group_forgotten),)),
+    Defect("drain-ignored", "calls", 400, ((WorkerSelector, "is_eligible", _any_state),)),
+    Defect("order-budget-off", "calls", 1000, ((PreloadPolicy, "may_preload", _one_more_order),)),
+    Defect("answers-swallowed", "calls", 400, ((PlatformConnection, "fail_calls_and_close", _swallow),)),
     Defect(
         "stop-forgotten",
         "calls",
         3000,
         ((CallCompletion, "expire", _nothing), (CallCompletion, "complete_overdue", _nothing)),
     ),
-    Defect("carried-kept", "calls", 1500, ((workers.WorkerConnections, "_end_request", _kept_in_carrying),)),
-    Defect(
-        "cancel-not-told", "calls", 6000, ((workers.WorkerConnections, "_finish_cancel", _cancel_unsure),)
-    ),
-    Defect("half-written-unseen", "calls", 9000, ((workers.WorkerConnection, "refresh_progress", _nothing),)),
+    Defect("carried-kept", "calls", 1500, ((WorkerConnections, "_end_request", _kept_in_carrying),)),
+    Defect("cancel-not-told", "calls", 6000, ((WorkerConnections, "_finish_cancel", _cancel_unsure),)),
+    Defect("half-written-unseen", "calls", 9000, ((WorkerConnection, "refresh_progress", _nothing),)),
     Defect("repeat-refused-at-end", "calls", 6000, ((invoke.InvokeServer, "has_executed_call", _never),)),
     # The look before bytes leave would hold back what is not withdrawn: both guards are out.
     Defect(
         "unsent-not-withdrawn",
         "calls",
         9000,
-        ((workers.WorkerConnections, "withdraw_unsent", _nothing), _dispatch("may_start_attempt", _begins)),
+        ((WorkerConnections, "withdraw_unsent", _nothing), _dispatch("may_start_attempt", _begins)),
     ),
     Defect(
         "goes-on-without-client",
@@ -299,10 +301,20 @@
     ),
     Defect("stale-news-taken", "roster", 50, ((endpoint_list.EndpointList, "apply_update", _stale_news),)),
     Defect("two-lengths-taken", "http", 400, ((http, "_parse_content_length", _lenient_length),)),
-    Defect("spoilt-answer-passed", "lines", 100, ((workers, "parse_call_response", _spoilt_passes),)),
+    Defect(
+        "spoilt-answer-passed", "lines", 100, ((worker_connection, "parse_call_response", _spoilt_passes),)
+    ),
     Defect("dots-in-ids", "spiffe", 200, ((spiffe, "parse_trust_domain", _any_segment),)),
     Defect("first-name-counts", "certificate", 200, ((spiffe, "_parse_identity", _first_uri),)),
-    Defect("figures-unchecked", "config", 400, ((codec, "bounded_number", _figure_unchecked),)),
+    Defect(
+        "figures-unchecked",
+        "config",
+        400,
+        (
+            (settings_parser, "bounded_number", _figure_unchecked),
+            (config, "bounded_number", _figure_unchecked),
+        ),
+    ),
     Defect("foreign-call-collected", "deferred", 50, ((deferred.DeferredCalls, "find", _anyones),)),
     Defect("kept-bytes-leak", "deferred", 50, ((deferred.DeferredCalls, "remove", _size_kept),)),
 )
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -74,22 +74,25 @@
 from cedarthread.persistence.sqlite_store import SqliteBackend
 from cedarthread.persistence.store import LoadResult, SyncMode
 from cedarthread.priority import codec as pressure_form
-from cedarthread.priority import contracts
+from cedarthread.priority import contract_entries
 from cedarthread.protocols import discovery as protocols_discovery
-from cedarthread.protocols import dns, http, invoke, msgpack, platform
-from cedarthread.protocols import workers as protocols_workers
+from cedarthread.protocols import dns, http, invoke, msgpack
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
 from cedarthread.protocols.invoke_config import InvokeConfig
 from cedarthread.protocols.invoke_config import parse as parse_invoke
+from cedarthread.protocols.platform_codec import encode_answer, encode_error, encode_health, parse_call
+from cedarthread.protocols.worker_codec import encode_call, encode_message, parse_call_response
 from cedarthread.recovery import codec as return_form
-from cedarthread.recovery import pacing
 from cedarthread.recovery.component import RecoveryComponent
+from cedarthread.recovery.pacing_limits import PacedAction
 from cedarthread.recovery.warm_state import AgedObservation
 from cedarthread.replication import codec as register_form
 from cedarthread.replication import entry as entries
 from cedarthread.service import Service
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import settings_from_object
 from cedarthread.simulator import host as simulator_host
+from cedarthread.simulator.decoder import Decoder, InstanceKilled, InstanceStarted
+from cedarthread.simulator.encoder import encode_action, encode_failure, encode_instance, encode_reply
 from cedarthread.testing.fakes import client as client_side
 from cedarthread.testing.fakes import discovery_server as resolver_side
 from cedarthread.testing.fakes.scripted import Runner, ask, listing, service
@@ -257,9 +260,24 @@
         "ask": register_form.SummaryRequest(
             5, tuple(n * 0x0102030405 for n in range(register_form.BUCKET_COUNT))
         ),
-        "summary": register_form.Summary(5, 6, 7, 0b110, 0, 1, ((1, 2), (2, 2**32 - 1), (33, 0))),
-        "summary in parts": register_form.Summary(5, 6, 7, 0b10, 1, 3, ((1, 2), (33, 4))),
-        "want": register_form.FetchRequest(((1, 2, register_form.ALL_FRAGMENTS), (2**32 - 1, 0, 5))),
+        "summary": register_form.Summary(
+            5,
+            6,
+            7,
+            0b110,
+            0,
+            1,
+            tuple(register_form.EntryRef(*ref) for ref in ((1, 2), (2, 2**32 - 1), (33, 0))),
+        ),
+        "summary in parts": register_form.Summary(
+            5, 6, 7, 0b10, 1, 3, tuple(register_form.EntryRef(*ref) for ref in ((1, 2), (33, 4)))
+        ),
+        "want": register_form.FetchRequest(
+            tuple(
+                register_form.FetchItem(*item)
+                for item in ((1, 2, register_form.ALL_FRAGMENTS), (2**32 - 1, 0, 5))
+            )
+        ),
         "first piece": first,
         "last piece": last,
     }
@@ -332,7 +350,7 @@
     """The entries of the operators' file, each with a version."""
     fleet: fleet_config.FleetConfig = fleet_config.parse_fleet_config(FLEET)
     bodies: list[tuple[interface.EntryKind, str, bytes]] = [
-        *contracts.entries_from_config(fleet),
+        *contract_entries.entries_from_config(fleet),
         *window.entries_from_config(fleet),
     ]
     return [
@@ -355,9 +373,9 @@
     sums: list[int] = [entries.entry_digest(entry), entries.key_hash(entry.kind, entry.name)]
     if entry.kind in (interface.EntryKind.TIERS, interface.EntryKind.CONTRACT):
         said: object = (
-            contracts.decode_tier_order(entry)
+            contract_entries.decode_tier_order(entry)
             if entry.kind is interface.EntryKind.TIERS
-            else contracts.decode_contract(entry)
+            else contract_entries.decode_contract(entry)
         )
     else:
         said = window.decode(entry.kind, entry.name, entry.body)
@@ -493,7 +511,7 @@
 
     def act(self, who: int, actions: Sequence[Action]) -> None:
         for action in actions:
-            self.records.append(codec.encode_instance(who) + codec.encode_action(action))
+            self.records.append(encode_instance(who) + encode_action(action))
             if isinstance(action, SendToPeer):
                 self.told.append(action.data)
                 others = [n for n in range(len(self.all)) if n != who]
@@ -581,19 +599,15 @@
     }
 
     def reads(raw: bytes) -> Json:
-        return plain(protocols_workers.parse_call_response(json.loads(raw), columns))
+        return plain(parse_call_response(json.loads(raw), columns))
 
     tag: str = "load-1"
     return [
-        Sample("call", protocols_workers.encode_call(call(b"body \x00\xff", None), '"check"', 1234.9)),
-        Sample(
-            "keyed call", protocols_workers.encode_call(call(b"", 'k"\u00e9'), json.dumps("rev\u00fc"), 0.2)
-        ),
-        Sample(
-            "load", protocols_workers.encode_message("LOAD", tag, {"thing": f"{FUNCTION:016x}", "pods": 2})
-        ),
-        Sample("cancel", protocols_workers.encode_message("CANCEL", "00000000000000a1")),
-        Sample("unload", protocols_workers.encode_message("UNLOAD", f"{FUNCTION:016x}")),
+        Sample("call", encode_call(call(b"body \x00\xff", None), '"check"', 1234.9)),
+        Sample("keyed call", encode_call(call(b"", 'k"\u00e9'), json.dumps("rev\u00fc"), 0.2)),
+        Sample("load", encode_message("LOAD", tag, {"thing": f"{FUNCTION:016x}", "pods": 2})),
+        Sample("cancel", encode_message("CANCEL", "00000000000000a1")),
+        Sample("unload", encode_message("UNLOAD", f"{FUNCTION:016x}")),
         *(Sample(f"answer {name}", json.dumps(one).encode(), reads) for name, one in answers.items()),
     ]
 
@@ -616,7 +630,7 @@
             raise ValueError("no whole value")
         fields, body = got.value[3]
         klass: int = {"a": 0, "c": 2}[got.value[2]]
-        call = platform.parse_call(klass, some, fields, body, 1000.0)
+        call = parse_call(klass, some, fields, body, 1000.0)
         if isinstance(call, str):
             return call
         own = (
@@ -655,13 +669,10 @@
             for name, (klass, extra) in changes.items()
         ),
         Sample("request health", client_side.health(), message),
-        *(
-            Sample(f"response {name}", platform.encode_answer(70_000, one), message)
-            for name, one in answers.items()
-        ),
-        Sample("response no", platform.encode_error(3, "BadRequest", {"reason": "x" * 40}), message),
-        Sample("response ready", platform.encode_health(3, True), message),
-        Sample("response not ready", platform.encode_health(2**32, False), message),
+        *(Sample(f"response {name}", encode_answer(70_000, one), message) for name, one in answers.items()),
+        Sample("response no", encode_error(3, "BadRequest", {"reason": "x" * 40}), message),
+        Sample("response ready", encode_health(3, True), message),
+        Sample("response not ready", encode_health(2**32, False), message),
         *(Sample(f"number {number}", msgpack.pack_uint(number), message) for number in numbers),
         Sample("text", msgpack.pack_str("\u00e9" * 30), message),
         Sample("bytes", msgpack.pack_bin(bytes(300)), message),
@@ -828,8 +839,8 @@
     (HealthCheckEnded, "probe ended"),
     (PeerMessageReceived, "peer message"),
     (PreloadEnded, "order ended"),
-    (codec.InstanceStarted, "start"),
-    (codec.InstanceKilled, "kill"),
+    (InstanceStarted, "start"),
+    (InstanceKilled, "kill"),
 )
 
 
@@ -852,7 +863,7 @@
 
 
 def _batch(raw: bytes) -> Json:
-    now, events = codec.Decoder().decode_batch(raw)
+    now, events = Decoder().decode_batch(raw)
     told: list[Json] = [plain(now)]
     for who, event in events:
         named: list[str] = [name for kind, name in _EVENTS if isinstance(event, kind)]
@@ -915,10 +926,10 @@
         "timer": SetTimer(8400.25, 77),
         "log": LogMessage("\u00e9 ok"),
     }
-    made = [Sample(name, codec.encode_action(one)) for name, one in actions.items()]
-    made.append(Sample("instance", codec.encode_instance(5)))
-    made.append(Sample("broken", codec.encode_failure("IndexError: x")))
-    made.append(Sample("reply", codec.encode_reply([codec.encode_instance(5), b"\x49"])))
+    made = [Sample(name, encode_action(one)) for name, one in actions.items()]
+    made.append(Sample("instance", encode_instance(5)))
+    made.append(Sample("broken", encode_failure("IndexError: x")))
+    made.append(Sample("reply", encode_reply([encode_instance(5), b"\x49"])))
     return made
 
 
@@ -1099,7 +1110,7 @@
     runner = Runner()
     await runner.start()
     known = ((1, (listing(runner, 1),)),)
-    settings: RouterSettings = codec.settings_from_object(STANDIN_SETTINGS)
+    settings: RouterSettings = settings_from_object(STANDIN_SETTINGS)
     told = Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, known, ("127.0.0.1", 0))
     for name, running in (
         ("alone", Service(told)),
@@ -1168,7 +1179,7 @@
     server = await asyncio.start_server(runner.serve, "127.0.0.1", 0)
     port: int = server.sockets[0].getsockname()[1]
     here = EndpointRecord("s-00000001", "127.0.0.1", port, "room-a", "std", 0, EndpointState.READY, 1.0, 0.0)
-    settings: RouterSettings = codec.settings_from_object(STANDIN_SETTINGS)
+    settings: RouterSettings = settings_from_object(STANDIN_SETTINGS)
     known = ((1, (here,)),)
     running = Service(
         Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, known, ("127.0.0.1", 0))
@@ -1354,12 +1365,12 @@
     return image
 
 
-KINDS: tuple[pacing.PacedAction, ...] = (
-    pacing.PacedAction.LOAD,
-    pacing.PacedAction.CONNECT,
-    pacing.PacedAction.RESOLVE,
-    pacing.PacedAction.ASK,
-    pacing.PacedAction.RELEASE,
+KINDS: tuple[PacedAction, ...] = (
+    PacedAction.LOAD,
+    PacedAction.CONNECT,
+    PacedAction.DISCOVERY_QUERY,
+    PacedAction.PEER_QUERY,
+    PacedAction.RELEASE,
 )
 
 
@@ -1381,7 +1392,7 @@
     """The rates that a later life takes for usual, kind by kind."""
     made = _recovery(31_000.0)
     count: int = made.restore(31_000.0, image)
-    return [count, *(plain(made.pacer.baseline(kind)) for kind in KINDS)]
+    return [count, *(plain(made.pacer.baseline.per_second(kind)) for kind in KINDS)]
 
 
 def warm_reads(image: bytes) -> Json:
@@ -1391,7 +1402,7 @@
     return [
         count,
         plain(made.warm_state.digest(2000.0)),
-        plain(made.remembered_warm_fraction),
+        plain(made.warm_fraction.remembered_baseline),
         plain(msgspec.msgpack.decode(image)),
     ]
 
--- a/tests/integration/test_cluster.py
+++ b/tests/integration/test_cluster.py
@@ -24,7 +24,7 @@
 from cedarthread.protocols import dns
 from cedarthread.protocols.discovery import SERVICE_NAME, DiscoveryClient, endpoints_from_reply
 from cedarthread.service import Service
-from cedarthread.simulator import codec
+from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.cluster import cli
 from cedarthread.testing.cluster.drills import DRILLS, drill, load_spread, mass_restart
 from cedarthread.testing.cluster.evaluation import Result, judged
@@ -40,7 +40,7 @@
 from cedarthread.testing.fakes.settings import SETTINGS
 from cedarthread.testing.fakes.worker_server import made
 from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop, play
-from cedarthread.testing.load_balance import LoadBalanceMetrics
+from cedarthread.testing.load_balance import Hotspot, LoadBalanceMetrics
 
 
 @pytest.mark.parametrize(
@@ -228,7 +228,7 @@
     seen: list[Event] = []
 
     async def run(loop: VirtualLoop) -> None:
-        planner = Dispatcher(codec.settings_from_object(SETTINGS), 3, loop.unix_ms)
+        planner = Dispatcher(settings_from_object(SETTINGS), 3, loop.unix_ms)
         planner.node.handle = lambda now, event: seen.append(event) or []  # type: ignore[func-returns-value, method-assign]
         for token, after in ((1, 50.0), (2, 20.0), (COMPONENT_TIMER_TOKEN, 30.0)):
             planner.node_timers.set(SetTimer(loop.unix_ms() + after, token))
@@ -297,7 +297,7 @@
 
     async def idle(loop: VirtualLoop) -> None:
         limits = SETTINGS["limits"] | {"peers": True}
-        told = codec.settings_from_object(SETTINGS | {"balancers": 24, "limits": limits})
+        told = settings_from_object(SETTINGS | {"balancers": 24, "limits": limits})
         service = Service(Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, told, ()))
         service.dispatcher.peer_message_received(3, b"\xc2")
         service.discovery.connection_made(SimpleNamespace(sendto=lambda data: None, close=lambda: None))  # type: ignore[arg-type]
@@ -348,8 +348,8 @@
     even = result().even
     bad = {
         "void": result(late=100.0),
-        "herd": result(even=dataclasses.replace(even, herds=((1000.0, 3, 50, 9.0),))),
-        "idle for 2500": result(even=dataclasses.replace(even, idle=2500.0)),
+        "herd": result(even=dataclasses.replace(even, hotspots=(Hotspot(1000.0, 3, 50, 9.0),))),
+        "idle for 2500": result(even=dataclasses.replace(even, longest_idle_ms=2500.0)),
         "peak-to-mean 1.70": result(even=dataclasses.replace(even, peak_to_mean=1.7)),
         "0.50 of the calls": result(answers={"served": 500, "refused": 500}),
         "two attempts": result(breaches=["attempts: two attempts out"]),
@@ -427,7 +427,7 @@
     ]
     assert 50 <= asked[0] <= 65 and told.peaks["loads"] > 3 and min(told.worths[16:20]) > 200.0
     assert told.breaches == []
-    assert told.answers["served"] > 0.9 * sum(told.answers.values()) and not told.even.herds
+    assert told.answers["served"] > 0.9 * sum(told.answers.values()) and not told.even.hotspots
     assert told.datagrams[0] > 100 and told.datagrams[1] > 10, "routers talked, and some of it was lost"
     (tmp_path / "x.json").write_text(json.dumps(told.table()))
     assert cli.main(["rig", "report", str(tmp_path)]) == 0 and "<svg" in (tmp_path / "x.svg").read_text()
--- a/tests/unit/test_components.py
+++ b/tests/unit/test_components.py
@@ -74,7 +74,9 @@
     assert [type(part).__name__ for part in decisions.components.active] == (
         ["LoadGossip", "SwimMembership"] if peers else []
     )
-    assert (decisions.router.gossip is decisions.load_gossip) and (decisions.load_gossip is not None) is peers
+    assert (decisions.router.state.gossip is decisions.load_gossip) and (
+        decisions.load_gossip is not None
+    ) is peers
     decisions, noted = hosted()
     decisions.components.notify(0.0, SettingsChanged(told))
     assert noted.seen == ["SettingsChanged"]
