--- a/cedarthread/lifecycle/state.py
+++ b/cedarthread/lifecycle/state.py
@@ -17,7 +17,7 @@
 
 if TYPE_CHECKING:
     from cedarthread.persistence.event_loop_store import EventLoopStore
-    from cedarthread.protocols.invoke import InvokeServer
+    from cedarthread.protocols.invoke_server import InvokeServer
 
 LISTEN_RETRY_S = 0.5  # between attempts to listen on an address that another process still holds
 
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -29,7 +29,7 @@
 import msgspec
 
 from cedarthread import fleet_config
-from cedarthread.change_freeze import window
+from cedarthread.change_freeze import window_entries
 from cedarthread.components import interface
 from cedarthread.components.node import RoutingNode
 from cedarthread.config import Config
@@ -76,10 +76,12 @@
 from cedarthread.priority import codec as pressure_form
 from cedarthread.priority import contract_entries
 from cedarthread.protocols import discovery as protocols_discovery
-from cedarthread.protocols import dns, http, invoke, msgpack
+from cedarthread.protocols import dns, http, msgpack
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
 from cedarthread.protocols.invoke_config import InvokeConfig
 from cedarthread.protocols.invoke_config import parse as parse_invoke
+from cedarthread.protocols.invoke_requests import parse_call_request, worker_idempotency_key
+from cedarthread.protocols.invoke_responses import render_answer
 from cedarthread.protocols.platform_codec import encode_answer, encode_error, encode_health, parse_call
 from cedarthread.protocols.worker_codec import encode_call, encode_message, parse_call_response
 from cedarthread.recovery import codec as return_form
@@ -351,7 +353,7 @@
     fleet: fleet_config.FleetConfig = fleet_config.parse_fleet_config(FLEET)
     bodies: list[tuple[interface.EntryKind, str, bytes]] = [
         *contract_entries.entries_from_config(fleet),
-        *window.entries_from_config(fleet),
+        *window_entries.entries_from_config(fleet),
     ]
     return [
         interface.Entry(
@@ -378,7 +380,7 @@
             else contract_entries.decode_contract(entry)
         )
     else:
-        said = window.decode(entry.kind, entry.name, entry.body)
+        said = window_entries.decode(entry.kind, entry.name, entry.body)
     return [plain(entry), plain(sums), plain(readable(said))]
 
 
@@ -974,7 +976,7 @@
         raise ValueError("no head")
     some: RouterSettings = some_settings()
     current: dict[str, int] = {klass.name: number for number, klass in enumerate(some.classes)}
-    wanted = invoke.parse_call_request(some, current, head, raw[head.head_bytes :])
+    wanted = parse_call_request(some, current, head, raw[head.head_bytes :])
     if isinstance(wanted, http.Response):
         return wanted.encode(keep_alive=True).decode("latin-1")
     own = (
@@ -1032,13 +1034,13 @@
     samples = [Sample(f"request {name}", raw, _wanted_reads) for name, raw in wanted.items()]
     samples += [Sample(f"head {name}", raw, _head_reads) for name, raw in heads.items()]
     for name, one in answers.items():
-        samples.append(Sample(f"answer {name}", invoke.render_answer(one).encode(keep_alive=True)))
+        samples.append(Sample(f"answer {name}", render_answer(one).encode(keep_alive=True)))
     for status in sorted(http.REASON_PHRASES):
         packed: bytes = http.problem_response(status, "why", {"Retry-After": "1"}, repeat="harmless").encode(
             keep_alive=status % 2 == 0
         )
         samples.append(Sample(f"problem {status}", packed))
-    samples.append(text("key at the worker", invoke.worker_idempotency_key("spiffe://a/b", "k1")))
+    samples.append(text("key at the worker", worker_idempotency_key("spiffe://a/b", "k1")))
     return samples
 
 
--- a/tests/integration/test_cluster.py
+++ b/tests/integration/test_cluster.py
@@ -274,7 +274,8 @@
             return dns.parse(data)
 
         monkeypatch.setattr(
-            "cedarthread.protocols.discovery.dns", SimpleNamespace(parse=parse_, Unusable=dns.UnusableReply)
+            "cedarthread.protocols.discovery.dns",
+            SimpleNamespace(parse=parse_, UnusableReply=dns.UnusableReply),
         )
         runners = (Listed("s-00000001", 4001),)
         resolver._outstanding_ids.extend((1, 2, 3, 4))
