Fleet components: the escrow's pools in their own module, records for identity, standard terms

EscrowPools decides whether a pool is new, which is no concern of the wiring. Five positional values that name the router became a record; boolean arguments are named.

--- a/cedarthread/components/fleet.py
+++ b/cedarthread/components/fleet.py
@@ -1,14 +1,17 @@
-"""The parts that the operators' file switches on, wired to each other. Loaded only where a file is named.
+"""The components that the operators' fleet file switches on, connected to each other.
 
-Where routers may not talk each has its file alone: a register of one, which is always fresh."""
+This module and what it imports are loaded only where a fleet file is named. Where the settings forbid gossip,
+a router acts on its own file alone: as a fleet of one, whose replicated store is always fresh."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
+from typing import NamedTuple
 
 from cedarthread.change_freeze import window_entries
 from cedarthread.change_freeze.component import ChangeFreezeComponent
 from cedarthread.components.constraints import RoutingConstraints
+from cedarthread.components.escrow_pools import EscrowPools
 from cedarthread.components.interface import (
     AttemptCompleted,
     Component,
@@ -30,52 +33,19 @@
 from cedarthread.replication.entry import RejectedEntry
 from cedarthread.replication.store import ReplicatedStore
 
-DISK_OPEN_GRACE_MS = (
-    2500.0  # ms that the disks of others may take to open: what they remember comes up only then
-)
-
-
-class EscrowPools:
-    """The grants as the parts use them: a count that this life saw declared was used by no earlier one."""
-
-    def __init__(self, grants: Escrow, register: ReplicatedStore) -> None:
-        self.escrow, self.store = grants, register
-        self.now = 0.0
-        self.is_new_pool: dict[str, bool] = {}  # counts by whether they were declared in this life
-
-    def open_pool(self, name: str, total: int, *, is_consumable: bool, ends_at_ms: float | None) -> None:
-        """Open or change a pool."""
-        if is_consumable and name not in self.is_new_pool:
-            self.is_new_pool[name] = self._was_declared_in_this_incarnation()
-        self.escrow.open_pool(
-            name,
-            total,
-            is_consumable=is_consumable,
-            ends_at_ms=ends_at_ms,
-            is_new=is_consumable and self.is_new_pool[name],
-        )
 
-    def _was_declared_in_this_incarnation(self) -> bool:
-        """Was a count that is heard of first now declared in this life? Who has been fresh for a while had
-        all that was in force before; shortly after a start of all, a late disk may still bring it up."""
-        since = self.store.fresh_since(self.now)
-        return since is not None and self.now - since >= self.store.staleness_bound_ms + DISK_OPEN_GRACE_MS
+class _Identity(NamedTuple):
+    """Who this router is to its peers, and on which clock."""
 
-    def available(self, now: float, name: str) -> int:
-        """How much of it this router may use now."""
-        return self.escrow.available(now, name)
-
-    def consume(self, now: float, name: str, amount: int = 1) -> bool:
-        """Use so much of a count."""
-        return self.escrow.consume(now, name, amount)
-
-    def request(self, now: float, name: str, amount: int) -> None:
-        """This router could use so much in all."""
-        self.escrow.request(now, name, amount)
+    router_index: int
+    router_count: int
+    incarnation: int
+    seed: int
+    clock_rate: float  # fraction by which a steady clock may run fast or slow
 
 
 class FleetComponents:
-    """What one router shares with the fleet."""
+    """Replicated store, escrow, priorities, change freeze and restart recovery of one router."""
 
     def __init__(
         self,
@@ -86,27 +56,34 @@
         now: float,
         wall_clock_ms: Callable[[], float],
     ) -> None:
+        """``wall_clock_ms``: reads the wall clock, Unix ms."""
+        sharing = fleet_config.sharing
         has_peers = settings.limits.allows_gossip and settings.router_count > 1
-        router_index, count = (settings.router_index, settings.router_count) if has_peers else (0, 1)
-        told, self.wall_clock_ms = fleet_config.sharing, wall_clock_ms
         self.router_count = settings.router_count if has_peers else 1
+        self.wall_clock_ms = wall_clock_ms
+        self._identity = _Identity(
+            settings.router_index if has_peers else 0,
+            self.router_count,
+            incarnation,
+            seed,
+            sharing.clock_rate,
+        )
         self.store = ReplicatedStore(
-            router_index,
-            count,
+            self._identity.router_index,
+            self._identity.router_count,
             incarnation,
             seed,
-            period_ms=told.period,
-            window_ms=told.fresh,
-            clock_rate=told.clock_rate,
+            period_ms=sharing.period,
+            window_ms=sharing.fresh,
+            clock_rate=sharing.clock_rate,
             now=now,
         )
-        self._identity = router_index, count, incarnation, seed, told.clock_rate
-        self.escrow = self._new_escrow(now, count == 1, stored=False)
+        self.escrow = self._new_escrow(now, has_memory=self.router_count == 1, is_durable=False)
         self.escrow_pools = EscrowPools(self.escrow, self.store)
         self.priority = PriorityComponent(self.store, self.escrow_pools, settings, seed)
         self.change_freeze = ChangeFreezeComponent(
             settings,
-            told,
+            sharing,
             self.store,
             self.escrow_pools,
             now=now,
@@ -115,52 +92,58 @@
         self.recovery = RecoveryComponent(settings, seed ^ incarnation, now)
         self.constraints = RoutingConstraints(self.priority, self.change_freeze.gate, self.recovery)
         self.change_freeze.gate.take_release = lambda at: int(self.recovery.try_acquire_release(at))
-        self.persister = (
-            StatePersister(self.store, self.recovery, self._on_state_recovered, now)
-            if fleet_config.disk
-            else None
-        )
-        self.rejected_entries = 0  # entries that could not be declared
+        self.persister = self._new_persister(now) if fleet_config.disk else None
+        self.rejected_entries = 0  # of the fleet file, by the replicated store
 
-    def _new_escrow(self, now: float, remembered: bool, stored: bool) -> Escrow:
-        me, count, life, seed, rate = self._identity
+    def _new_escrow(self, now: float, *, has_memory: bool, is_durable: bool) -> Escrow:
+        identity = self._identity
         return Escrow(
-            me, count, life, seed, clock_rate=rate, now=now, has_memory=remembered, is_durable=stored
+            identity.router_index,
+            identity.router_count,
+            identity.incarnation,
+            identity.seed,
+            clock_rate=identity.clock_rate,
+            now=now,
+            has_memory=has_memory,
+            is_durable=is_durable,
         )
 
-    def _on_state_recovered(self, now: float, image: bytes | None) -> None:
-        """The store has been believed, or given up: grants begin with what they remember."""
-        keeping = self.persister
-        stored = keeping is not None and not keeping.is_degraded
-        self.escrow = self._new_escrow(now, image is not None or self.router_count == 1, stored)
-        if image is not None:
-            self.escrow.restore(image)
+    def _new_persister(self, now: float) -> StatePersister:
+        return StatePersister(self.store, self.recovery, self._on_state_recovered, now)
+
+    def _on_state_recovered(self, now: float, escrow_image: bytes | None) -> None:
+        """Begin the escrow anew with its persisted image; None where none could be recovered."""
+        persister = self.persister
+        is_durable = persister is not None and not persister.is_degraded
+        has_memory = escrow_image is not None or self.router_count == 1
+        self.escrow = self._new_escrow(now, has_memory=has_memory, is_durable=is_durable)
+        if escrow_image is not None:
+            self.escrow.restore(escrow_image)
         self.escrow_pools.escrow = self.escrow
-        if keeping is not None:
-            keeping.escrow = self.escrow
+        if persister is not None:
+            persister.escrow = self.escrow
 
     @property
     def components(self) -> tuple[Component, ...]:
-        """In the order of their turns."""
+        """The components, in the order of their ticks."""
         return (self.store, self.escrow, self.priority, self.change_freeze, self.recovery)
 
     def apply_fleet_config(self, now: float, fleet_config: FleetConfig) -> list[OutboundMessage]:
-        """What the file says, at this router: what others hold already is no news."""
+        """Propose the file's entries to the replicated store; those that it holds already change nothing."""
         messages: list[OutboundMessage] = []
         for kind, name, body in (
             *contract_entries.entries_from_config(fleet_config),
             *window_entries.entries_from_config(fleet_config),
         ):
-            made = self.store.propose(now, kind, name, body)
-            if isinstance(made, RejectedEntry):
+            proposed = self.store.propose(now, kind, name, body)
+            if isinstance(proposed, RejectedEntry):
                 self.rejected_entries += 1
-                messages.append(
-                    LogMessage(f"{kind} {name!r} was not declared: {made.location}: {made.problem}")
-                )
+                reason = f"{proposed.location}: {proposed.problem}"
+                messages.append(LogMessage(f"{kind} {name!r} was not declared: {reason}"))
         return messages + list(self.on_entries_changed(now))
 
     def on_entries_changed(self, now: float) -> Sequence[OutboundMessage]:
-        """Entries that came or changed, and the wall clock, go to the parts that act on them."""
+        """Pass entries that came or changed to the components, and refresh the routing constraints."""
         entries = self.store.take_changes()
         if entries and self.persister is not None:
             self.persister.on_entries_changed(now, entries)
@@ -169,37 +152,49 @@
         return messages
 
     def before_tick(self, now: float) -> Sequence[OutboundMessage]:
-        """Before the parts' turn: the wall clock, others' too."""
-        clock, walls = self.change_freeze.wall_clock, self.store.peer_clock_samples
-        for sender, (wall, sent, heard) in walls.items():
-            clock.add_sample(heard, sender, wall, sent)
-        walls.clear()
+        """Before a tick: read the wall clock, and take the samples of the peers' clocks."""
+        clock, samples = self.change_freeze.wall_clock, self.store.peer_clock_samples
+        for sender, (unix_ms, sent_at_ms, received_at_ms) in samples.items():
+            clock.add_sample(received_at_ms, sender, unix_ms, sent_at_ms)
+        samples.clear()
         messages = self.notify(now, WallClockRead(self.wall_clock_ms()))
         self.store.unix_ms = clock.unix_ms(now)
         return messages
 
     def released_settings(self, now: float) -> RouterSettings | None:
-        """Settings that a freeze held back and that may be in force now. Loads and homes that it held back
-        are wanted again by the router's own calls, so here they are only counted off, under the pace."""
-        held = self.change_freeze.gate.deferred_settings
-        wishes = self.change_freeze.release_deferred_changes(now)
-        return held if any(wish.kind == "retune" for wish in wishes) else None
+        """Settings that a change freeze deferred and that may be in force now; None where there are none.
+
+        Deferred loads and home workers need no such release: the router's own calls want them again. Here
+        they are only removed from the deferred changes, at the pace of the recovery."""
+        deferred = self.change_freeze.gate.deferred_settings
+        released = self.change_freeze.release_deferred_changes(now)
+        return deferred if any(change.kind == "retune" for change in released) else None
 
     def notify(self, now: float, notification: Notification) -> list[OutboundMessage]:
-        """A fact for all of these parts."""
+        """Pass a notification to these components."""
         self.escrow_pools.now = now
-        return [word for part in self.components for word in part.on_notification(now, notification)]
+        return [
+            message
+            for component in self.components
+            for message in component.on_notification(now, notification)
+        ]
 
     def on_attempt_ended(
-        self, now: float, event: AttemptEnded, function: int, tenant: int | None, warm: bool | None
+        self,
+        now: float,
+        event: AttemptEnded,
+        function_id: int,
+        tenant_index: int | None,
+        was_warm: bool | None,
     ) -> None:
-        """An attempt ended."""
+        """An attempt has ended. ``was_warm``: an instance was loaded before it; None: unknown."""
         if event.outcome is Outcome.CONNECT_FAILED and event.is_unreachable:
             self.change_freeze.on_worker_down(now, event.worker_id)
-        self.notify(
-            now, AttemptCompleted(event.worker_id, function, tenant, event.latency_ms, event.outcome, warm)
+        completed = AttemptCompleted(
+            event.worker_id, function_id, tenant_index, event.latency_ms, event.outcome, was_warm
         )
+        self.notify(now, completed)
 
     def status(self, now: float) -> Mapping[str, str]:
-        """Figures of the whole."""
+        """The figures that belong to no single component."""
         return {"declared_unusable": str(self.rejected_entries), "routers": str(self.router_count)}
