--- a/cedarthread/components/constraints.py
+++ b/cedarthread/components/constraints.py
@@ -1,189 +1,141 @@
-"""What the parts that the fleet shares tell the router, in the router's own terms: asked, never acting.
+"""What the fleet components tell the router, in the router's own terms.
 
-Contracts say whose call goes first, freezes and returns what load may begin. The router chooses, repeats and
-refuses; here its records are only read. Pure; times in ms."""
+Contracts say which call goes first; change freezes and restart recovery say which instances may be started
+now. The components answer questions and never act: the router chooses, retries and rejects. Times in ms."""
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 from cedarthread.change_freeze.admission_gate import AdmissionGate
 from cedarthread.change_freeze.placement_changes import PlacementChange
+from cedarthread.components.preemption_view import preemption_candidates, preemption_claim
 from cedarthread.gossip.load_gossip import InstanceLoad
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.priority.component import PriorityComponent
-from cedarthread.priority.preemption import CallStage, PreemptionCandidate, PreemptionClaim
 from cedarthread.recovery.component import RecoveryComponent
-from cedarthread.routing.records import Attempt, PendingRequest, WorkerRecord
-
-MAX_PREEMPTION_CANDIDATES = 256  # open calls that are looked at for one to give way, the youngest
-QUEUED_EXPECTED_MS = 50.0  # ms till a call that waits in the router is looked at again
+from cedarthread.routing.records import PendingRequest, WorkerRecord
 
 
 class RoutingConstraints:
-    """The parts as one router asks them. ``holds``: a freeze or a return bounds what may be loaded now."""
+    """Priorities, change freeze and restart recovery, as one router asks them."""
 
-    def __init__(self, tiers: PriorityComponent, gate: AdmissionGate, recovery: RecoveryComponent) -> None:
-        self.priority, self.gate, self.recovery = tiers, gate, recovery
-        self.limits_loading = False
+    def __init__(self, priority: PriorityComponent, gate: AdmissionGate, recovery: RecoveryComponent) -> None:
+        self.priority, self.gate, self.recovery = priority, gate, recovery
+        self.limits_loading = False  # a freeze or the recovery limits which instances may be started now
 
     def refresh(self, now: float) -> None:
-        """At each turn, and when something changed."""
+        """Bring ``limits_loading`` up to date: at each tick, and when entries have changed."""
         self.limits_loading = self.gate.is_active or not self.recovery.in_service(now)
 
-    # Loads.
-
-    def expected_instances(self, now: float, function: int) -> dict[int, InstanceLoad]:
-        """What stood where, as store and peers tell one that comes back."""
-        return {} if self.recovery.in_service(now) else self.recovery.warm_instances(now, function)
+    def expected_instances(self, now: float, function_id: int) -> dict[int, InstanceLoad]:
+        """Instances by worker id as persisted state and peers know them, while this router recovers."""
+        return {} if self.recovery.in_service(now) else self.recovery.warm_instances(now, function_id)
 
     def may_route(
-        self, now: float, pending: PendingRequest, view: WorkerRecord, is_loaded: bool, has_alternative: bool
+        self,
+        now: float,
+        pending: PendingRequest,
+        worker: WorkerRecord,
+        is_loaded: bool,
+        has_alternative: bool,
     ) -> bool:
-        """May the call go there? ``stands``: a copy is known to; ``standing``: one elsewhere with room."""
+        """May the request go to the worker? ``is_loaded``: an instance of its function is known there;
+        ``has_alternative``: one is known at another worker that has capacity left."""
         if is_loaded:
             return True
         if has_alternative and not self.recovery.in_service(now):
             return False
-        request, entry = pending.request, view.endpoint
+        request, endpoint = pending.request, worker.endpoint
         return self.gate.can_send(
             now,
             function_id=request.function_id,
-            worker_id=entry.worker_id,
-            zone_index=entry.zone,
+            worker_id=endpoint.worker_id,
+            zone_index=endpoint.zone,
             tenant_index=request.tenant_index,
             is_placed=is_loaded,
             has_alternatives=has_alternative,
         )
 
-    def may_load(self, now: float, job: PendingRequest, view: WorkerRecord, has_alternative: bool) -> bool:
-        """The last word before a load begins: it may use up one of an allowance, or of a return's budget."""
-        request, entry = job.request, view.endpoint
+    def may_load(
+        self, now: float, pending: PendingRequest, worker: WorkerRecord, has_alternative: bool
+    ) -> bool:
+        """May the request start a first instance at the worker? Asked last, just before: a yes may consume
+        one of the freeze's exceptions and one load of the recovery's pace."""
+        request, endpoint = pending.request, worker.endpoint
         if self.gate.is_active:
-            needed = self.gate.is_emergency(request.function_id, has_alternative)
             change = PlacementChange(
-                "first-copy", entry.worker_id, request.function_id, entry.zone, request.tenant_index, needed
+                "first-copy",
+                endpoint.worker_id,
+                request.function_id,
+                endpoint.zone,
+                request.tenant_index,
+                self.gate.is_emergency(request.function_id, has_alternative),
             )
             if not self.gate.admit(now, change).is_permitted:
                 return False
-        return self.recovery.try_acquire_load(now, request.function_id, entry.worker_id)
+        return self.recovery.try_acquire_load(now, request.function_id, endpoint.worker_id)
 
     def home_workers(
-        self, now: float, function: int, order: Sequence[WorkerRecord], count: int
+        self, now: float, function_id: int, workers: Sequence[WorkerRecord], home_count: int
     ) -> tuple[Sequence[WorkerRecord], int]:
-        """The function's homes as a freeze has them."""
+        """The function's workers in placement order, and how many are its homes, as a freeze has it."""
         if not self.gate.is_active:
-            return order, count
+            return workers, home_count
         ready = {
-            view.endpoint.worker_id: view for view in order if view.endpoint.state is EndpointState.READY
+            worker.endpoint.worker_id: worker
+            for worker in workers
+            if worker.endpoint.state is EndpointState.READY
         }
-        numbers, count = self.gate.home_workers(now, function, list(ready), count)
-        return [ready[number] for number in numbers], count
+        worker_ids, home_count = self.gate.home_workers(now, function_id, list(ready), home_count)
+        return [ready[worker_id] for worker_id in worker_ids], home_count
 
     def retry_after_range(self, now: float) -> tuple[float, float]:
-        """The parts of the longest wait between which a refused client is told to keep away."""
+        """Between which fractions of the longest Retry-After that of a rejected request is drawn."""
         return self.recovery.retry_after_fractions(now)
 
-    # Contracts.
-
     def shed_probability(
-        self, now: float, job: PendingRequest, value: float, utilization: float, shed_fraction: float
+        self, now: float, pending: PendingRequest, value: float, utilization: float, shed_fraction: float
     ) -> float | None:
-        """A call came; the part of calls like it to refuse where ``late`` of all must be, None: as usual."""
-        request = job.request
+        """Give a request that arrived its priority; returns with which probability to shed requests like it
+        where ``shed_fraction`` of all must be shed, None: with ``shed_fraction`` as usual."""
+        request = pending.request
         tenant = request.caller if request.tenant_index is None else request.tenant_index
-        job.call_priority = self.priority.on_arrival(now, tenant, value, utilization, request.is_client_retry)
-        return self.priority.shed_probability(now, job.call_priority, shed_fraction, value)
+        priority = self.priority.on_arrival(now, tenant, value, utilization, request.is_client_retry)
+        pending.call_priority = priority
+        return self.priority.shed_probability(now, priority, shed_fraction, value)
 
-    def on_rejected(self, now: float, job: PendingRequest) -> None:
-        """A call was refused: its tenant's floor knows."""
-        if job.call_priority is not None:
-            self.priority.record_rejected(now, job.call_priority, job.request.is_client_retry)
+    def on_rejected(self, now: float, pending: PendingRequest) -> None:
+        """A request was rejected: it counts for the floor of its tenant."""
+        if pending.call_priority is not None:
+            self.priority.record_rejected(now, pending.call_priority, pending.request.is_client_retry)
 
     def overload_level(self, now: float) -> int:
-        """How overloaded the fleet is; 0: not, or that is not known."""
+        """How overloaded the fleet is; 0: it is not, or that is not known."""
         return self.priority.overload_level(now)
 
     def preemption_victim(
         self,
         now: float,
-        job: PendingRequest,
-        view: WorkerRecord | None,
-        expected: float,
+        pending: PendingRequest,
+        worker: WorkerRecord | None,
+        expected_ms: float,
         pending_requests: Mapping[int, PendingRequest],
         queue: Mapping[int, PendingRequest],
     ) -> int | None:
-        """The call that gives way to this one, told why; None: nobody does."""
-        if job.call_priority is None or job.attempts or view is None:
+        """The id of the request to preempt for this one, which is given the reason; None: there is none.
+
+        ``worker`` and ``expected_ms``: where this one would go, and its service time there."""
+        if pending.call_priority is None or pending.attempts or worker is None:
             return None
-        number = self.priority.choose_victim(
+        request_id = self.priority.choose_victim(
             now,
-            self._preemption_claim(now, job, view, expected),
-            self._preemption_candidates(now, pending_requests, queue, view),
+            preemption_claim(now, pending, worker, expected_ms),
+            preemption_candidates(now, pending_requests, queue, worker),
         )
-        if number is not None:
-            other = pending_requests[number]
-            other.preemption_reason = (
-                self.priority.rejection_reason(other.call_priority) if other.call_priority is not None else ""
-            )
-        return number
-
-    def _preemption_claim(
-        self, now: float, job: PendingRequest, view: WorkerRecord, expected: float
-    ) -> PreemptionClaim:
-        assert job.call_priority is not None
-        wait = expected * view.read_excess_load(now)
-        left = min(job.request.deadline_ms, job.arrived_at_ms + job.request_class.latency_objective_ms) - now
-        less = wait * (1.0 - 1.0 / max(1.0, view.in_flight + view.peers_in_flight))
-        return PreemptionClaim(job.call_priority, expected, left, wait, {view.endpoint.worker_id: less})
-
-    def _preemption_candidates(
-        self,
-        now: float,
-        opened: Mapping[int, PendingRequest],
-        held: Mapping[int, PendingRequest],
-        near: WorkerRecord,
-    ) -> Iterator[PreemptionCandidate]:
-        """Open calls that might free what the claim wants, as the choice sees them."""
-        for number in list(opened)[-MAX_PREEMPTION_CANDIDATES:]:
-            other = opened[number]
-            if other.call_priority is not None and (number in held or self._is_in_flight_at(other, near)):
-                yield _candidate_view(now, number, other, near, number in held)
-
-    @staticmethod
-    def _is_in_flight_at(other: PendingRequest, near: WorkerRecord) -> bool:
-        return any(a.is_in_flight and a.endpoint.worker_id == near.endpoint.worker_id for a in other.attempts)
-
-
-def _candidate_view(
-    now: float, number: int, other: PendingRequest, near: WorkerRecord, waits: bool
-) -> PreemptionCandidate:
-    assert other.call_priority is not None
-    out = [attempt for attempt in other.attempts if attempt.is_in_flight]
-    last: Attempt | None = out[-1] if out else None
-    stage = (
-        CallStage.QUEUED if waits and last is None else CallStage.WRITTEN
-    )  # what has left is not known here
-    if other.is_streaming:
-        stage = CallStage.STREAMING
-    ran = other.possibly_executed()
-    expected = last.expected_ms if last is not None else QUEUED_EXPECTED_MS
-    spent = now - last.started_at_ms if last is not None else 0.0
-    return PreemptionCandidate(
-        request_id=number,
-        retry_identity=number,
-        priority=other.call_priority,
-        stage=stage,
-        idempotency=other.request_class.idempotency,
-        deduplication_scope=other.request_class.deduplication_scope,
-        priority_weight=other.request_class.priority_weight,
-        arrived_at_ms=other.arrived_at_ms,
-        worker_id=near.endpoint.worker_id,
-        time_to_free_ms=max(0.0, expected - spent),
-        deduplication_left_ms=(ran[0].started_at_ms + other.request_class.deduplication_window_ms - now)
-        if ran
-        else other.request_class.deduplication_window_ms,
-        spent_work_ms=spent,
-        is_client_retry=other.request.is_client_retry,
-        attempts_in_flight=max(1, len(out)),
-    )
+        if request_id is not None:
+            victim = pending_requests[request_id]
+            victim.preemption_reason = ""
+            if victim.call_priority is not None:
+                victim.preemption_reason = self.priority.rejection_reason(victim.call_priority)
+        return request_id
--- /dev/null
+++ b/cedarthread/components/preemption_view.py
@@ -0,0 +1,92 @@
+"""The router's records as the choice of a preemption victim needs them. Pure; times in ms."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+
+from cedarthread.priority.preemption import CallStage, PreemptionCandidate, PreemptionClaim
+from cedarthread.routing.records import Attempt, PendingRequest, WorkerRecord
+
+MAX_PREEMPTION_CANDIDATES = 256  # pending requests that are considered: the youngest
+# Until a queued request is considered for a worker again: the time after which it would get its slot.
+QUEUED_EXPECTED_MS = 50.0
+
+
+def preemption_claim(
+    now: float, pending: PendingRequest, worker: WorkerRecord, expected_ms: float
+) -> PreemptionClaim:
+    """The claim of a request that would go to ``worker`` and be served there in ``expected_ms``."""
+    assert pending.call_priority is not None
+    wait_ms = expected_ms * worker.read_excess_load(now)
+    objective_ms = pending.arrived_at_ms + pending.request_class.latency_objective_ms
+    left_ms = min(pending.request.deadline_ms, objective_ms) - now
+    in_flight = worker.in_flight + worker.peers_in_flight
+    wait_with_one_less_ms = wait_ms * (1.0 - 1.0 / max(1.0, in_flight))
+    return PreemptionClaim(
+        pending.call_priority,
+        expected_ms,
+        left_ms,
+        wait_ms,
+        {worker.endpoint.worker_id: wait_with_one_less_ms},
+    )
+
+
+def preemption_candidates(
+    now: float,
+    pending_requests: Mapping[int, PendingRequest],
+    queue: Mapping[int, PendingRequest],
+    worker: WorkerRecord,
+) -> Iterator[PreemptionCandidate]:
+    """The requests whose preemption might free a slot of ``worker``: queued ones, and those it works on."""
+    for request_id in list(pending_requests)[-MAX_PREEMPTION_CANDIDATES:]:
+        pending = pending_requests[request_id]
+        is_queued = request_id in queue
+        if pending.call_priority is not None and (is_queued or _is_in_flight_at(pending, worker)):
+            yield _candidate(now, request_id, pending, worker, is_queued)
+
+
+def _is_in_flight_at(pending: PendingRequest, worker: WorkerRecord) -> bool:
+    return any(
+        attempt.is_in_flight and attempt.endpoint.worker_id == worker.endpoint.worker_id
+        for attempt in pending.attempts
+    )
+
+
+def _stage(pending: PendingRequest, is_queued: bool, last_in_flight: Attempt | None) -> CallStage:
+    """How far a request is. Whether an attempt's bytes have left is not known to the router: it counts as
+    written."""
+    if pending.is_streaming:
+        return CallStage.STREAMING
+    return CallStage.QUEUED if is_queued and last_in_flight is None else CallStage.WRITTEN
+
+
+def _candidate(
+    now: float, request_id: int, pending: PendingRequest, worker: WorkerRecord, is_queued: bool
+) -> PreemptionCandidate:
+    assert pending.call_priority is not None
+    request_class = pending.request_class
+    in_flight = [attempt for attempt in pending.attempts if attempt.is_in_flight]
+    last: Attempt | None = in_flight[-1] if in_flight else None
+    possibly_executed = pending.possibly_executed()
+    deduplication_left_ms = request_class.deduplication_window_ms
+    if possibly_executed:
+        first_at_ms = possibly_executed[0].started_at_ms
+        deduplication_left_ms = first_at_ms + request_class.deduplication_window_ms - now
+    expected_ms = last.expected_ms if last is not None else QUEUED_EXPECTED_MS
+    spent_ms = now - last.started_at_ms if last is not None else 0.0
+    return PreemptionCandidate(
+        request_id=request_id,
+        retry_identity=request_id,
+        priority=pending.call_priority,
+        stage=_stage(pending, is_queued, last),
+        idempotency=request_class.idempotency,
+        deduplication_scope=request_class.deduplication_scope,
+        priority_weight=request_class.priority_weight,
+        arrived_at_ms=pending.arrived_at_ms,
+        worker_id=worker.endpoint.worker_id,
+        time_to_free_ms=max(0.0, expected_ms - spent_ms),
+        deduplication_left_ms=deduplication_left_ms,
+        spent_work_ms=spent_ms,
+        is_client_retry=pending.request.is_client_retry,
+        attempts_in_flight=max(1, len(in_flight)),
+    )
