--- a/cedarthread/components/fleet.py
+++ b/cedarthread/components/fleet.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 
-from cedarthread.change_freeze import window
+from cedarthread.change_freeze import window_entries
 from cedarthread.change_freeze.component import ChangeFreezeComponent
 from cedarthread.components.constraints import RoutingConstraints
 from cedarthread.components.interface import (
@@ -24,7 +24,7 @@
 from cedarthread.model.outcomes import Outcome
 from cedarthread.model.settings import RouterSettings
 from cedarthread.persistence.state_persister import StatePersister
-from cedarthread.priority import contracts
+from cedarthread.priority import contract_entries
 from cedarthread.priority.component import PriorityComponent
 from cedarthread.recovery.component import RecoveryComponent
 from cedarthread.replication.entry import RejectedEntry
@@ -105,7 +105,12 @@
         self.escrow_pools = EscrowPools(self.escrow, self.store)
         self.priority = PriorityComponent(self.store, self.escrow_pools, settings, seed)
         self.change_freeze = ChangeFreezeComponent(
-            settings, told, self.store, self.escrow_pools, now, self.store.has_read_enough_peers
+            settings,
+            told,
+            self.store,
+            self.escrow_pools,
+            now=now,
+            has_read_enough_peers=self.store.has_read_enough_peers,
         )
         self.recovery = RecoveryComponent(settings, seed ^ incarnation, now)
         self.constraints = RoutingConstraints(self.priority, self.change_freeze.gate, self.recovery)
@@ -143,8 +148,8 @@
         """What the file says, at this router: what others hold already is no news."""
         messages: list[OutboundMessage] = []
         for kind, name, body in (
-            *contracts.entries_from_config(fleet_config),
-            *window.entries_from_config(fleet_config),
+            *contract_entries.entries_from_config(fleet_config),
+            *window_entries.entries_from_config(fleet_config),
         ):
             made = self.store.propose(now, kind, name, body)
             if isinstance(made, RejectedEntry):
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -28,21 +28,16 @@
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.model.outcomes import Outcome
 from cedarthread.model.settings import Idempotency, RouterSettings
-from cedarthread.protocols import (
-    discovery,
-    dns,
-    endpoint_list,
-    http,
-    invoke,
-    msgpack,
-    platform,
-    spiffe,
-    workers,
-)
+from cedarthread.protocols import discovery, dns, endpoint_list, http, msgpack, spiffe, worker_connection
+from cedarthread.protocols.invoke_calls import InvokeCalls
+from cedarthread.protocols.platform_connection import PlatformConnection
+from cedarthread.protocols.worker_codec import parse_call_response
+from cedarthread.protocols.worker_connection import WorkerConnection
+from cedarthread.protocols.workers import WorkerConnections
 from cedarthread.routing.preloading import PreloadPolicy
+from cedarthread.routing.records import PendingRequest, WorkerRecord
 from cedarthread.routing.retries import RetryPolicy
 from cedarthread.routing.selection import WorkerSelector
-from cedarthread.routing.state import PendingRequest, WorkerRecord
 from cedarthread.testing.fuzzing import targets
 from cedarthread.testing.fuzzing.target import Target, verdict
 
@@ -73,15 +68,15 @@
 
 # What the defective program does instead.
 
-_answer = platform.PlatformConnection._send_answer
+_answer = PlatformConnection._send_answer
 _release = CallTable.release
 _send = ActionExecutor._start_attempt
 _may_preload = PreloadPolicy.may_preload
 _length = http._parse_content_length
-_read_ending = workers.parse_call_response
+_read_ending = parse_call_response
 
 
-def _answer_twice(self: platform.PlatformConnection, number: int, answer: CallResult) -> None:
+def _answer_twice(self: PlatformConnection, number: int, answer: CallResult) -> None:
     _answer(self, number, answer)
     if isinstance(answer, CallFailed):
         _answer(self, number, answer)
@@ -213,7 +208,7 @@
     return float(value)
 
 
-def _swallow(self: platform.PlatformConnection) -> None:
+def _swallow(self: PlatformConnection) -> None:
     calls, self.open_calls = self.open_calls, {}
     for call in calls.values():
         self.server.dispatcher.abandon_call(call)
@@ -224,14 +219,14 @@
     self.shutdown_deadline_ms = None
 
 
-def _kept_in_carrying(self: workers.WorkerConnections, carried: Any, ending: Any, outcome: Outcome) -> None:
+def _kept_in_carrying(self: WorkerConnections, carried: Any, ending: Any, outcome: Outcome) -> None:
     if isinstance(carried, Attempt):
         self.dispatcher.attempt_ended(carried, ending(carried))
     else:
-        self.finish_preload(carried, outcome, 0)
+        self.preloads.finish(carried, outcome)
 
 
-def _cancel_unsure(self: workers.WorkerConnections, attempt: Attempt, connection: Any, told: Any) -> None:
+def _cancel_unsure(self: WorkerConnections, attempt: Attempt, connection: Any, told: Any) -> None:
     self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
 
 
@@ -252,7 +247,7 @@
 
 
 DEFECTS = (
-    Defect("second-answer", "calls", 300, ((platform.PlatformConnection, "_send_answer", _answer_twice),)),
+    Defect("second-answer", "calls", 300, ((PlatformConnection, "_send_answer", _answer_twice),)),
     Defect("two-attempts-out", "calls", 300, ((ActionExecutor, "_start_attempt", _two_out),)),
     Defect("body-bytes-kept", "calls", 20, ((CallTable, "release", _bytes_kept),)),
     Defect("names-kept", "calls", 20, ((CallTable, "release", _no_names),)),
@@ -262,27 +257,23 @@
     Defect("group-forgotten", "calls", 2000, ((WorkerSelector, "is_eligible", _group_forgotten),)),
     Defect("drain-ignored", "calls", 400, ((WorkerSelector, "is_eligible", _any_state),)),
     Defect("order-budget-off", "calls", 1000, ((PreloadPolicy, "may_preload", _one_more_order),)),
-    Defect(
-        "answers-swallowed", "calls", 400, ((platform.PlatformConnection, "fail_calls_and_close", _swallow),)
-    ),
+    Defect("answers-swallowed", "calls", 400, ((PlatformConnection, "fail_calls_and_close", _swallow),)),
     Defect(
         "stop-forgotten",
         "calls",
         3000,
         ((CallCompletion, "expire", _nothing), (CallCompletion, "complete_overdue", _nothing)),
     ),
-    Defect("carried-kept", "calls", 1500, ((workers.WorkerConnections, "_end_request", _kept_in_carrying),)),
-    Defect(
-        "cancel-not-told", "calls", 6000, ((workers.WorkerConnections, "_finish_cancel", _cancel_unsure),)
-    ),
-    Defect("half-written-unseen", "calls", 9000, ((workers.WorkerConnection, "refresh_progress", _nothing),)),
-    Defect("repeat-refused-at-end", "calls", 6000, ((invoke.InvokeServer, "has_executed_call", _never),)),
+    Defect("carried-kept", "calls", 1500, ((WorkerConnections, "_end_request", _kept_in_carrying),)),
+    Defect("cancel-not-told", "calls", 6000, ((WorkerConnections, "_finish_cancel", _cancel_unsure),)),
+    Defect("half-written-unseen", "calls", 9000, ((WorkerConnection, "refresh_progress", _nothing),)),
+    Defect("repeat-refused-at-end", "calls", 6000, ((InvokeCalls, "has_executed_call", _never),)),
     # The look before bytes leave would hold back what is not withdrawn: both guards are out.
     Defect(
         "unsent-not-withdrawn",
         "calls",
         9000,
-        ((workers.WorkerConnections, "withdraw_unsent", _nothing), _dispatch("may_start_attempt", _begins)),
+        ((WorkerConnections, "withdraw_unsent", _nothing), _dispatch("may_start_attempt", _begins)),
     ),
     Defect(
         "goes-on-without-client",
@@ -302,7 +293,9 @@
     ),
     Defect("stale-news-taken", "roster", 50, ((endpoint_list.EndpointList, "apply_update", _stale_news),)),
     Defect("two-lengths-taken", "http", 400, ((http, "_parse_content_length", _lenient_length),)),
-    Defect("spoilt-answer-passed", "lines", 100, ((workers, "parse_call_response", _spoilt_passes),)),
+    Defect(
+        "spoilt-answer-passed", "lines", 100, ((worker_connection, "parse_call_response", _spoilt_passes),)
+    ),
     Defect("dots-in-ids", "spiffe", 200, ((spiffe, "parse_trust_domain", _any_segment),)),
     Defect("first-name-counts", "certificate", 200, ((spiffe, "_parse_identity", _first_uri),)),
     Defect(
@@ -325,7 +318,7 @@
     metered = defect.target == "dns"  # a loop shows by its work
     with defect.planted():
         for number in range(1, defect.runs + 1):
-            data = target.next(rng, corpus)
+            data = target.next_input(rng, corpus)
             if (wrong := verdict(target, data, metered=metered)) is not None:
                 return number, wrong
             if rng.random() < 0.1:
@@ -335,7 +328,7 @@
 
 def prove(tell: Callable[[str], None], names: set[str] | None = None, seed: int = SEED) -> list[str]:
     """Plant each defect in turn; the names of those that were not found."""
-    missed, known = [], targets.named()
+    missed, known = [], targets.targets_by_name()
     for defect in DEFECTS:
         if names is not None and defect.name not in names:
             continue
--- a/tests/simulation/test_persistence_restarts.py
+++ b/tests/simulation/test_persistence_restarts.py
@@ -10,7 +10,7 @@
 from cedarthread.model.endpoints import EndpointUpdate, EndpointUpdateKind
 from cedarthread.persistence import recovered_image
 from cedarthread.persistence.memory_store import MemoryBackend
-from cedarthread.persistence.state_persister import PendingWrite
+from cedarthread.persistence.state_persister import RESET_WRITE, StatePersister
 from cedarthread.persistence.store import LoadResult, StoreFault
 from tests.helpers import worker
 from tests.simulation.test_fleet_components import START, Fleet, window
@@ -36,11 +36,13 @@
         self.declare(who, b"[sharing]\nperiod = 200\n" + DISK)
         told = read or self.disks[who].open()
         keeping = self.keeping(who)
-        self.after(late, lambda: keeping.loaded(self.now, told, recovered_image.decode_image(told.values)))
+        self.after(
+            late, lambda: keeping.on_store_opened(self.now, told, recovered_image.decode_image(told.values))
+        )
         life = self.routers[who]
         self.after(100.0, lambda: self.turn(who, life))
 
-    def keeping(self, who: int):  # type: ignore[no-untyped-def]
+    def keeping(self, who: int) -> StatePersister:
         sharing = self.routers[who].fleet_components
         assert sharing is not None and sharing.persister is not None
         return sharing.persister
@@ -49,15 +51,15 @@
         if self.routers[who] is not life:
             return
         keeping, disk = self.keeping(who), self.disks[who]
-        puts = keeping.turn(self.now)
-        if keeping.reset is not None and who not in self.broken:
-            disk.commit([], keeping.reset)
-            keeping.ended(self.now, PendingWrite("", b"", "reset"), None, disk.generation)
-            keeping.reset = None
+        puts = keeping.on_tick(self.now)
+        if keeping.reset_above_generation is not None and who not in self.broken:
+            disk.commit([], keeping.reset_above_generation)
+            keeping.on_write_completed(self.now, RESET_WRITE, None, disk.generation)
+            keeping.reset_above_generation = None
         for put in puts:
             trouble = StoreFault.IO_ERROR if who in self.broken else disk.commit([(put.key, put.value)])
-            keeping.ended(self.now, put, trouble, disk.generation)
-        self.words += [word.message for word in keeping.said() if isinstance(word, LogMessage)]
+            keeping.on_write_completed(self.now, put, trouble, disk.generation)
+        self.words += [word.message for word in keeping.take_log_messages() if isinstance(word, LogMessage)]
         self.after(250.0, lambda: self.turn(who, life))
 
     def seated(self) -> list[bool]:
@@ -100,7 +102,7 @@
     assert one.disks[3].generation < was
     one.start(3)
     one.run(3_000.0)
-    assert any("content dropped" in word for word in one.words)
+    assert any(word.startswith("store_content_dropped ") for word in one.words)
     one.run(10_000.0)
     assert one.disks[3].generation > was and one.seated()[3] and one.entries()[3] == 1
 
@@ -110,12 +112,12 @@
     one.broken.add(3)
     one.declare(1, window(600.0, 690.0, allowance=1) + DISK)
     one.run(8_000.0)
-    assert any("calls are served on" in word for word in one.words)
+    assert any(word.startswith("store_degraded ") for word in one.words)
     assert one.seated()[3], "it has forgotten nothing yet"
     one.broken.clear()
     one.start(3)
     one.run(3_000.0)
-    assert any("content dropped" in word for word in one.words)
+    assert any(word.startswith("store_content_dropped ") for word in one.words)
 
 
 @pytest.mark.parametrize(("whole", "late"), [(True, 0.0), (False, 0.0), (False, 2400.0)])
