Escrow fleet and fleet config tests in standard terms

Change: test names, locals, a record for the small worlds; injected defects and assertions are kept.

--- a/tests/simulation/test_escrow_fleet.py
+++ b/tests/simulation/test_escrow_fleet.py
@@ -1,13 +1,13 @@
-"""The grants among many routers, judged by what is really used, with planted defects; and the small world."""
+"""Escrow among many routers, checked by what is really used, with injected defects; and the small model."""
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, NamedTuple
 
 import pytest
 
-from cedarthread.escrow import codec as form
 from cedarthread.escrow.allotment import allotment
+from cedarthread.escrow.codec import EscrowRequest, EscrowResponse
 from cedarthread.escrow.count_pool import CountPool
 from cedarthread.escrow.escrow import Escrow
 from cedarthread.escrow.grantor import EscrowGrantor
@@ -20,34 +20,42 @@
     measure_rate_service,
     measure_stampede,
 )
-from cedarthread.testing.escrow_model import SmallEscrowModel, explore_states
+from cedarthread.testing.escrow_model import Event, SmallEscrowModel, explore_states
 from cedarthread.testing.escrow_simulation import CHECK_INTERVAL_MS, EscrowSimulation
 from tests.helpers import copier
 
 
-def day(make: type[Escrow], seed: int, *, stored: bool = False, calm: bool = False) -> EscrowSimulation:
-    loss = 0.0 if calm else 0.1
-    world = EscrowSimulation(
-        6, seed, {"rate": 600, "count": 40}, escrow_type=make, is_durable=stored, loss_rate=loss, is_calm=calm
+def simulate_day(
+    escrow_type: type[Escrow], seed: int, *, is_durable: bool = False, is_calm: bool = False
+) -> EscrowSimulation:
+    """40 s of six routers with a rate and a count, under all faults or (calm) changing demand alone."""
+    simulation = EscrowSimulation(
+        6,
+        seed,
+        {"rate": 600, "count": 40},
+        escrow_type=escrow_type,
+        is_durable=is_durable,
+        loss_rate=0.0 if is_calm else 0.1,
+        is_calm=is_calm,
     )
-    world.schedule(LEASE_TERM_MS * 1.1, world.inject_fault)
-    world.run(40_000.0)
-    return world
+    simulation.schedule(LEASE_TERM_MS * 1.1, simulation.inject_fault)
+    simulation.run(40_000.0)
+    return simulation
 
 
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.parametrize("stored", [False, True])
-def test_the_sum_never_passes_the_total_on_a_day_with_everything(seed: int, stored: bool) -> None:
-    world = day(Escrow, seed, stored=stored)
-    assert not world.violations and world.longest_datagram_bytes <= MAX_DATAGRAM_BYTES
-    assert sum(node.consumed for node in world.routers) > 20
-    assert world.transfer_checks * CHECK_INTERVAL_MS > 4000.0, "a world in which nothing moves"
+def test_use_never_exceeds_the_total_under_all_faults(seed: int, stored: bool) -> None:
+    simulation = simulate_day(Escrow, seed, is_durable=stored)
+    assert not simulation.violations and simulation.longest_datagram_bytes <= MAX_DATAGRAM_BYTES
+    assert sum(router.consumed for router in simulation.routers) > 20
+    assert simulation.transfer_checks * CHECK_INTERVAL_MS > 4000.0, "no units moved"
 
 
 class DoubleCounting(EscrowRequester):
     """A request stays outstanding after its response."""
 
-    def on_response(self, now: float, sender: int, pool: QuotaPool, response: form.EscrowResponse) -> None:
+    def on_response(self, now: float, sender: int, pool: QuotaPool, response: EscrowResponse) -> None:
         request = self.outstanding.get(response.nonce)
         super().on_response(now, sender, pool, response)
         if request is not None:
@@ -63,7 +71,7 @@
 class TermFromResponse(EscrowRequester):
     """A lease counts from when the response arrived."""
 
-    def on_response(self, now: float, sender: int, pool: QuotaPool, response: form.EscrowResponse) -> None:
+    def on_response(self, now: float, sender: int, pool: QuotaPool, response: EscrowResponse) -> None:
         if (request := self.outstanding.get(response.nonce)) is not None:
             request.sent_at_ms = now
         super().on_response(now, sender, pool, response)
@@ -76,36 +84,36 @@
 
 
 class NoMargin(Escrow):
-    """The giver takes back at its own end, with no margin for the clocks."""
+    """The giver takes a lease back at its own end, with no margin for clock drift."""
 
-    def __init__(self, *args: Any, **named: Any) -> None:
-        super().__init__(*args, **named)
+    def __init__(self, *args: Any, **settings: Any) -> None:
+        super().__init__(*args, **settings)
         self.clock_drift_factor = 1.0
 
 
 class Forgetful(Escrow):
-    """A restart without memory keeps its part."""
+    """A restart without memory keeps the allotment."""
 
-    def __init__(self, *args: Any, **named: Any) -> None:
-        super().__init__(*args, **(named | {"has_memory": True}))
+    def __init__(self, *args: Any, **settings: Any) -> None:
+        super().__init__(*args, **(settings | {"has_memory": True}))
         self.ready_at_ms = 0.0
 
 
 class AtTurns(Escrow):
-    """Ends are looked at in turns only, not at use: who stood still uses what ended."""
+    """Leases end at ticks only, not at use: a router that was paused uses what has ended."""
 
-    turned = 0.0
+    ticked_at_ms = 0.0
 
     def on_tick(self, now: float) -> Any:
-        self.turned = now
+        self.ticked_at_ms = now
         return super().on_tick(now)
 
     def available(self, now: float, name: str) -> int:
-        return super().available(self.turned, name)
+        return super().available(self.ticked_at_ms, name)
 
 
 class BeforeDisk(Escrow):
-    """Units are used before the disk has them as gone."""
+    """Units are used before they are written off on the disk."""
 
     def image_to_write(self, now: float) -> bytes | None:
         for pool in self.pools.values():
@@ -115,20 +123,20 @@
 
 
 class PerRouter(Escrow):
-    """The allowance is each router's, not the fleet's."""
+    """The total is each router's, not the fleet's."""
 
-    def open_pool(self, name: str, total: int, **named: Any) -> None:
-        super().open_pool(name, total * self.router_count, **named)
+    def open_pool(self, name: str, total: int, **settings: Any) -> None:
+        super().open_pool(name, total * self.router_count, **settings)
 
 
 class LateDeduction(EscrowGrantor):
     """Takes out the leases that it gives, to be put back at the next tick."""
 
-    def __init__(self, *args: Any, **named: Any) -> None:
-        super().__init__(*args, **named)
+    def __init__(self, *args: Any, **settings: Any) -> None:
+        super().__init__(*args, **settings)
         self.later: list[Any] = []
 
-    def on_request(self, now: float, sender: int, pool: QuotaPool, request: form.EscrowRequest) -> Any:
+    def on_request(self, now: float, sender: int, pool: QuotaPool, request: EscrowRequest) -> Any:
         if not isinstance(pool, RatePool):
             return super().on_request(now, sender, pool, request)
         messages = super().on_request(now, sender, pool, request)
@@ -137,7 +145,7 @@
 
 
 class SendsFirst(Escrow):
-    """The giver lowers its own at its next turn, after it has said so."""
+    """The giver lowers its own rate at its next tick, after it has granted."""
 
     grantor_type = LateDeduction
 
@@ -154,30 +162,40 @@
 
 
 @pytest.mark.parametrize("defect", DEFECTS)
-def test_the_judge_finds_planted_defects(defect: type[Escrow]) -> None:
-    stored, calm = (
-        defect is BeforeDisk,
-        defect is NoMargin,
-    )  # what is lost elsewhere would hide a small overlap
-    assert any(day(defect, seed, stored=stored, calm=calm).violations for seed in range(4))
-    assert not day(Escrow, 0, stored=stored, calm=calm).violations
+def test_the_simulation_finds_injected_defects(defect: type[Escrow]) -> None:
+    settings = {
+        "is_durable": defect is BeforeDisk,
+        "is_calm": defect is NoMargin,  # units lost elsewhere would hide a small overlap
+    }
+    assert any(simulate_day(defect, seed, **settings).violations for seed in range(4))
+    assert not simulate_day(Escrow, 0, **settings).violations
+
+
+class SmallWorld(NamedTuple):
+    """What the model starts from, how often each event may happen, and the least number of states."""
+
+    pool_name: str
+    router_count: int
+    total: int
+    limits: dict[str, int]
+    min_states: int
 
 
 def limits(ask: int, double: int, step: int, restart: int, learn: int) -> dict[str, int]:
     return {"ask": ask, "double": double, "step": step, "restart": restart, "learn": learn}
 
 
-WORLDS: dict[str, tuple[str, int, int, dict[str, int], int]] = {
-    "a rate, restarts": ("rate", 2, 3, limits(2, 0, 3, 1, 0), 7_000),
-    "a rate, late": ("rate", 2, 3, limits(1, 1, 6, 1, 0), 1000),
-    "a rate, doubles": ("rate", 2, 3, limits(2, 1, 3, 0, 0), 9_000),
-    "a count of three routers": ("count", 3, 4, limits(1, 1, 0, 1, 0), 5_500),
-    "a count, lowered": ("count", 2, 4, limits(2, 0, 0, 0, 2), 4_800),
+WORLDS = {
+    "a rate, restarts": SmallWorld("rate", 2, 3, limits(2, 0, 3, 1, 0), 7_000),
+    "a rate, late": SmallWorld("rate", 2, 3, limits(1, 1, 6, 1, 0), 1000),
+    "a rate, doubles": SmallWorld("rate", 2, 3, limits(2, 1, 3, 0, 0), 9_000),
+    "a count of three routers": SmallWorld("count", 3, 4, limits(1, 1, 0, 1, 0), 5_500),
+    "a count, lowered": SmallWorld("count", 2, 4, limits(2, 0, 0, 0, 2), 4_800),
 }
 
 
-class Quick(SmallEscrowModel):
-    """A small world of which copies are made sooner."""
+class QuicklyCopiedModel(SmallEscrowModel):
+    """A small model of which copies are made faster."""
 
     def __deepcopy__(self, memo: dict[int, Any]) -> Any:
         if "copy" not in self.__dict__:
@@ -185,25 +203,29 @@
         return self.copy()
 
 
+def explore(escrow_type: type[Escrow], world: SmallWorld) -> tuple[int, list[Event] | None]:
+    start = world.pool_name, world.router_count, world.total, world.limits
+    return explore_states(QuicklyCopiedModel(escrow_type, *start))
+
+
 @pytest.mark.parametrize("name", WORLDS)
-def test_no_order_of_events_in_a_small_world_passes_the_total(name: str) -> None:
-    kind, count, total, most, floor = WORLDS[name]
-    states, way = explore_states(Quick(Escrow, kind, count, total, most))
+def test_no_order_of_events_in_a_small_model_exceeds_the_total(name: str) -> None:
+    states, events = explore(Escrow, WORLDS[name])
     print(f"{name}: {states} states")
-    assert way is None and states >= floor
+    assert events is None and states >= WORLDS[name].min_states
 
 
 class OwnShare(Escrow):
-    """Of a lowered count each router gives up its own share of the difference."""
+    """Of a lowered count each router gives up its own allotment of the difference only."""
 
-    def open_pool(self, name: str, total: int, **named: Any) -> None:
+    def open_pool(self, name: str, total: int, **settings: Any) -> None:
         pool = self.pool_named(name)
         if isinstance(pool, CountPool) and total < pool.total:
             pool.balance -= min(
                 pool.balance, pool.own_allotment() - allotment(total, pool.router_count, pool.place)
             )
             pool.total = total
-        super().open_pool(name, total, **named)
+        super().open_pool(name, total, **settings)
 
 
 @pytest.mark.parametrize(
@@ -217,20 +239,19 @@
         (OwnShare, "a count, lowered"),
     ],
 )
-def test_a_small_world_finds_planted_defects(defect: type[Escrow], name: str) -> None:
-    kind, count, total, most, _ = WORLDS[name]
-    states, way = explore_states(Quick(defect, kind, count, total, most))
-    print(f"{defect.__name__}: {states} states, {way and len(way)} events")
-    assert way is not None
+def test_a_small_model_finds_injected_defects(defect: type[Escrow], name: str) -> None:
+    states, events = explore(defect, WORLDS[name])
+    print(f"{defect.__name__}: {states} states, {events and len(events)} events")
+    assert events is not None
 
 
-def test_skewed_demand_is_served_and_one_of_an_allowance_is_found() -> None:
+def test_skewed_demand_is_served_and_a_unit_of_a_small_count_is_found() -> None:
     """Floors below the table of the design page; the figures are those of a fixed seed on virtual time."""
-    parts = measure_rate_service(60, 1, 1.0, 0.1)
-    assert parts[0] < 0.6 and parts[1] > 0.8 and min(parts[2:6]) > 0.88, parts
+    fractions = measure_rate_service(60, 1, 1.0, 0.1)
+    assert fractions[0] < 0.6 and fractions[1] > 0.8 and min(fractions[2:6]) > 0.88, fractions
     assert max(measure_count_acquisition(200, seed, 3, 1, 0.1)[0] for seed in range(8)) < 2500.0
 
 
-def test_where_all_want_what_is_not_there_the_asks_fade_out() -> None:
-    told = measure_stampede(100, 1, 10)
-    assert all(mean < 6.0 and most <= 150 for mean, most in told) and told[-1][0] < 2.0, told
+def test_requests_die_down_where_all_want_units_that_are_not_there() -> None:
+    sent = measure_stampede(100, 1, 10)
+    assert all(mean < 6.0 and busiest <= 150 for mean, busiest in sent) and sent[-1][0] < 2.0, sent
--- a/tests/unit/test_fleet_config.py
+++ b/tests/unit/test_fleet_config.py
@@ -1,4 +1,4 @@
-"""The operators' file of the fleet: read whole, or turned down whole with where and what."""
+"""The operators' fleet file: accepted as a whole, or rejected with where and what is wrong."""
 
 from __future__ import annotations
 
@@ -20,13 +20,13 @@
 CONTRACT = TIERS + '[[contract]]\ntenant = "north"\ntier = "firm"\nrate = 40\n'
 
 
-def test_the_file_that_ships_is_good() -> None:
+def test_the_shipped_file_is_valid() -> None:
     fleet = load_fleet_config(Path(__file__).parents[2] / "deploy" / "fleet.toml")
     assert [tier.name for tier in fleet.tier] == ["firm", "standard", "interruptible"]
     assert fleet.disk is None and not fleet.freeze
 
 
-def test_a_whole_file() -> None:
+def test_a_complete_file_is_decoded() -> None:
     fleet = parse_fleet_config(
         (CONTRACT + "floor = 0.5\n" + WINDOW + 'frozen = ["order", "unload"]\n').encode()
     )
@@ -64,13 +64,13 @@
         ("[[freeze]\n", "line 1"),
     ],
 )
-def test_what_is_wrong_is_named(text: str, where: str) -> None:
-    with pytest.raises(FleetConfigError) as told:
+def test_an_error_names_where_and_what_is_wrong(text: str, where: str) -> None:
+    with pytest.raises(FleetConfigError) as raised:
         parse_fleet_config(text.encode())
-    assert where in str(told.value)
+    assert where in str(raised.value)
 
 
-def test_bytes_that_are_no_text_and_a_file_that_is_not_there(tmp_path: Path) -> None:
+def test_invalid_utf8_and_a_missing_file_are_errors(tmp_path: Path) -> None:
     with pytest.raises(FleetConfigError):
         parse_fleet_config(b"\xff\xfe")
     with pytest.raises(FleetConfigError, match=r"nowhere\.toml"):
