--- a/cedarthread/escrow/escrow.py
+++ b/cedarthread/escrow/escrow.py
@@ -183,10 +183,10 @@
             if pool.can_be_removed(now):
                 del self.pools[key], self.keys_by_name[pool.name]
 
-    def on_notification(self, now: float, fact: Notification) -> Sequence[OutboundMessage]:
+    def on_notification(self, now: float, notification: Notification) -> Sequence[OutboundMessage]:
         """Requests go to peers that are alive."""
-        if isinstance(fact, PeersChanged):
-            self.requester.set_alive(fact.alive_peers)
+        if isinstance(notification, PeersChanged):
+            self.requester.set_alive(notification.alive_peers)
         return ()
 
     def status(self, now: float) -> Mapping[str, str]:
--- a/cedarthread/replication/store.py
+++ b/cedarthread/replication/store.py
@@ -212,10 +212,10 @@
 
     # The component interface.
 
-    def on_notification(self, now: float, fact: Notification) -> Sequence[OutboundMessage]:
+    def on_notification(self, now: float, notification: Notification) -> Sequence[OutboundMessage]:
         """Requests go to the peers that are alive."""
-        if isinstance(fact, PeersChanged):
-            self.requests.set_alive(fact.alive_peers)
+        if isinstance(notification, PeersChanged):
+            self.requests.set_alive(notification.alive_peers)
         return []
 
     def on_tick(self, now: float) -> Sequence[OutboundMessage]:
