--- a/cedarthread/testing/escrow_model.py
+++ b/cedarthread/testing/escrow_model.py
@@ -11,6 +11,7 @@
 import copy
 from collections import deque
 from collections.abc import Iterable, Mapping
+from enum import StrEnum
 from typing import Any
 
 from cedarthread.components.interface import OutboundMessage, PeersChanged
@@ -23,13 +24,26 @@
 STEP_MS = 1300.0  # no multiple of it is the end of a lease, at the taker or at the giver
 LOWERED_BY = 2  # units by which a count's total is lowered
 
-Event = tuple[Any, ...]  # its name, then the routers or the datagram that it concerns
+
+class EventKind(StrEnum):
+    """What may happen in the model."""
+
+    REQUEST = "request"  # one router asks one peer
+    DELIVER = "deliver"
+    DUPLICATE = "duplicate"  # a datagram is delivered and stays under way
+    PASS_TIME = "pass time"
+    RESTART = "restart"  # without memory
+    LEARN_TOTAL = "learn total"  # a router learns of the lowered total
+    CONSUME = "consume"
+
+
+Event = tuple[Any, ...]  # its kind, then the routers or the datagram that it concerns
 
 
 class SmallEscrowModel:
     """One state of two or three routers with one pool, and the events that may follow.
 
-    ``limits``: how often each kind of event may still happen."""
+    ``limits``: how often each kind of event may still happen; the kinds that are not named have no limit."""
 
     def __init__(
         self,
@@ -37,7 +51,7 @@
         pool_name: str,
         router_count: int,
         total: int,
-        limits: Mapping[str, int],
+        limits: Mapping[EventKind, int],
     ) -> None:
         self.escrow_type, self.pool_name = escrow_type, pool_name
         self.router_count, self.total = router_count, total
@@ -91,20 +105,24 @@
         """What may happen next."""
         remaining, indices = self.remaining_events, range(self.router_count)
         events: list[Event] = []
-        if remaining["ask"]:
-            events += [("ask", sender, peer) for sender in indices for peer in indices if sender != peer]
+        if remaining[EventKind.REQUEST]:
+            events += [
+                (EventKind.REQUEST, sender, peer) for sender in indices for peer in indices if sender != peer
+            ]
         for datagram in sorted(self.in_flight):
-            events.append(("hear", datagram))
-            if remaining["double"] > 0:
-                events.append(("double", datagram))
-        if remaining["step"] > 0:
-            events.append(("step",))
-        if remaining["restart"]:
-            events += [("restart", index) for index in indices]
-        if remaining["learn"]:
-            events += [("learn", index) for index in indices if self.totals[index] == self.total]
+            events.append((EventKind.DELIVER, datagram))
+            if remaining[EventKind.DUPLICATE] > 0:
+                events.append((EventKind.DUPLICATE, datagram))
+        if remaining[EventKind.PASS_TIME] > 0:
+            events.append((EventKind.PASS_TIME,))
+        if remaining[EventKind.RESTART]:
+            events += [(EventKind.RESTART, index) for index in indices]
+        if remaining[EventKind.LEARN_TOTAL]:
+            events += [
+                (EventKind.LEARN_TOTAL, index) for index in indices if self.totals[index] == self.total
+            ]
         if self.is_count:
-            events += [("use", index) for index in indices if self._available(index)]
+            events += [(EventKind.CONSUME, index) for index in indices if self._available(index)]
         return events
 
     def _available(self, router_index: int) -> int:
@@ -112,23 +130,23 @@
 
     def apply(self, event: Event) -> None:
         """Let one thing happen."""
-        action, *arguments = event
-        if action in self.remaining_events:
-            self.remaining_events[action] -= 1
-        if action == "step":
+        kind, *arguments = event
+        if kind in self.remaining_events:
+            self.remaining_events[kind] -= 1
+        if kind is EventKind.PASS_TIME:
             self.now += STEP_MS
-        elif action == "restart":
+        elif kind is EventKind.RESTART:
             (index,) = arguments
             self.routers[index] = self.start_router(index, False)
-        elif action == "learn":
+        elif kind is EventKind.LEARN_TOTAL:
             self._learn_lowered_total(*arguments)
-        elif action == "use":
+        elif kind is EventKind.CONSUME:
             (index,) = arguments
             self.consumed += self.routers[index].consume(self.clock_ms(index), self.pool_name, 1)
-        elif action == "ask":
-            self._ask(*arguments)
+        elif kind is EventKind.REQUEST:
+            self._request(*arguments)
         else:
-            self._deliver(arguments[0], is_duplicate=action == "double")
+            self._deliver(arguments[0], is_duplicate=kind is EventKind.DUPLICATE)
 
     def _learn_lowered_total(self, router_index: int) -> None:
         self.totals[router_index] = self.total - LOWERED_BY
@@ -136,7 +154,7 @@
         if self.total not in self.totals:
             self.consumed_when_all_knew = self.consumed
 
-    def _ask(self, sender: int, peer: int) -> None:
+    def _request(self, sender: int, peer: int) -> None:
         """One router requests units from one peer, whatever its backoff and budget say."""
         escrow, now = self.routers[sender], self.clock_ms(sender)
         escrow.on_notification(now, PeersChanged((peer,), 2, {}))
--- a/tests/simulation/test_escrow_fleet.py
+++ b/tests/simulation/test_escrow_fleet.py
@@ -20,7 +20,7 @@
     measure_rate_service,
     measure_stampede,
 )
-from cedarthread.testing.escrow_model import Event, SmallEscrowModel, explore_states
+from cedarthread.testing.escrow_model import Event, EventKind, SmallEscrowModel, explore_states
 from cedarthread.testing.escrow_simulation import CHECK_INTERVAL_MS, EscrowSimulation
 from tests.helpers import copier
 
@@ -177,20 +177,28 @@
     pool_name: str
     router_count: int
     total: int
-    limits: dict[str, int]
+    limits: dict[EventKind, int]
     min_states: int
 
 
-def limits(ask: int, double: int, step: int, restart: int, learn: int) -> dict[str, int]:
-    return {"ask": ask, "double": double, "step": step, "restart": restart, "learn": learn}
+def limits(
+    request: int = 0, duplicate: int = 0, pass_time: int = 0, restart: int = 0, learn_total: int = 0
+) -> dict[EventKind, int]:
+    return {
+        EventKind.REQUEST: request,
+        EventKind.DUPLICATE: duplicate,
+        EventKind.PASS_TIME: pass_time,
+        EventKind.RESTART: restart,
+        EventKind.LEARN_TOTAL: learn_total,
+    }
 
 
 WORLDS = {
-    "a rate, restarts": SmallWorld("rate", 2, 3, limits(2, 0, 3, 1, 0), 7_000),
-    "a rate, late": SmallWorld("rate", 2, 3, limits(1, 1, 6, 1, 0), 1000),
-    "a rate, doubles": SmallWorld("rate", 2, 3, limits(2, 1, 3, 0, 0), 9_000),
-    "a count of three routers": SmallWorld("count", 3, 4, limits(1, 1, 0, 1, 0), 5_500),
-    "a count, lowered": SmallWorld("count", 2, 4, limits(2, 0, 0, 0, 2), 4_800),
+    "a rate, restarts": SmallWorld("rate", 2, 3, limits(request=2, pass_time=3, restart=1), 7_000),
+    "a rate, late": SmallWorld("rate", 2, 3, limits(request=1, duplicate=1, pass_time=6, restart=1), 1000),
+    "a rate, doubles": SmallWorld("rate", 2, 3, limits(request=2, duplicate=1, pass_time=3), 9_000),
+    "a count of three routers": SmallWorld("count", 3, 4, limits(request=1, duplicate=1, restart=1), 5_500),
+    "a count, lowered": SmallWorld("count", 2, 4, limits(request=2, learn_total=2), 4_800),
 }
 
 
