--- a/cedarthread/components/fleet.py
+++ b/cedarthread/components/fleet.py
@@ -109,7 +109,7 @@
         )
         self.recovery = RecoveryComponent(settings, seed ^ incarnation, now)
         self.constraints = RoutingConstraints(self.priority, self.change_freeze.gate, self.recovery)
-        self.change_freeze.gate.take_release = lambda at: int(self.recovery.try_acquire_release(at))
+        self.change_freeze.gate.take_release = lambda at: int(self.recovery.admission.try_acquire_release(at))
         self.persister = (
             StatePersister(self.store, self.recovery, self._on_state_recovered, now)
             if fleet_config.disk
--- a/cedarthread/persistence/store_thread.py
+++ b/cedarthread/persistence/store_thread.py
@@ -53,7 +53,20 @@
 class StoreThread:
     """A :class:`~cedarthread.persistence.store.Store` on a thread of its own.
 
-    All methods are for the host's thread; only ``close`` waits, within a bound."""
+    All methods are for the host's thread; only ``close`` waits, within a bound.
+
+    Args:
+        backend: what it writes to.
+        sync_mode: with "each" every key has a transaction, otherwise all that wait share one.
+        group_commit_ms: time for which writes are gathered into a transaction.
+        clock: steady milliseconds.
+        wake: called on the store's thread when ``run_callbacks`` has something to do.
+        on_opened: called on the host's thread after each opening.
+        log: takes a line.
+        seed: of the jitter between reopenings.
+        response_timeout_ms: time within which the disk must answer.
+        close_timeout_ms: time that ``close`` waits at most.
+    """
 
     def __init__(
         self,
@@ -69,20 +82,6 @@
         response_timeout_ms: float = RESPONSE_TIMEOUT_MS,
         close_timeout_ms: float = CLOSE_TIMEOUT_MS,
     ) -> None:
-        """Start the thread, which opens the backend.
-
-        Args:
-            backend: what it writes to.
-            sync_mode: with "each" every key has a transaction, otherwise all that wait share one.
-            group_commit_ms: time for which writes are gathered into a transaction.
-            clock: steady milliseconds.
-            wake: called on the store's thread when ``run_callbacks`` has something to do.
-            on_opened: called on the host's thread after each opening.
-            log: takes a line.
-            seed: of the jitter between reopenings.
-            response_timeout_ms: time within which the disk must answer.
-            close_timeout_ms: time that ``close`` waits at most.
-        """
         self.policy = ReopenPolicy(seed)
         self.generation = 0
         self._backend = backend
--- a/cedarthread/recovery/admission.py
+++ b/cedarthread/recovery/admission.py
@@ -127,3 +127,15 @@
         if was_granted:
             self.pacer.record_result(PacedAction.RELEASE, True)
         return was_granted
+
+    def on_connection_result(self, succeeded: bool) -> None:
+        """A connection that was begun is up, or has failed."""
+        self.pacer.record_result(PacedAction.CONNECT, succeeded)
+
+    def on_discovery_result(self, succeeded: bool) -> None:
+        """A discovery query was answered, or has failed."""
+        self.pacer.record_result(PacedAction.DISCOVERY_QUERY, succeeded)
+
+    def on_freeze_ended(self, now: float) -> None:
+        """A freeze ended: the changes that it deferred are released at a low rate first."""
+        self.pacer.on_freeze_ended(now)
--- a/cedarthread/recovery/component.py
+++ b/cedarthread/recovery/component.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
@@ -49,8 +48,6 @@
 """Parts of the longest Retry-After between which rejected clients are put off on any day."""
 MASS_RESTART_RETRY_AFTER_FRACTION = 0.6
 """The greater of them while most routers restart."""
-OLDER_PEER_MARGIN_MS = 5000.0
-"""Time by which a peer that did not restart with this router has been alive longer."""
 MAX_CLOCK_ERROR_MS = 500.0
 """Time by which the wall clocks of two incarnations may differ."""
 
@@ -61,6 +58,10 @@
     unix_ms: float
     read_at_ms: float
 
+    def at(self, now: float) -> float:
+        """The Unix time at a time on the steady clock."""
+        return self.unix_ms + now - self.read_at_ms
+
 
 class RecoveryComponent:
     """Restart recovery as one component of the node."""
@@ -127,7 +128,8 @@
         )
 
     def _on_response(self, now: float, sender: int, response: codec.Response) -> None:
-        self.query_client.on_response(now, sender, response, self.warm_state, self._has_older_peers(now))
+        has_older_peers = self.fleet_view.has_older_peers(now, self.restarted_at_ms)
+        self.query_client.on_response(now, sender, response, self.warm_state, has_older_peers)
         self.pacer.record_result(PacedAction.PEER_QUERY, True)
         peer_baseline = self.query_client.median_baseline()
         if peer_baseline is not None and not self.pacer.baseline.own_per_second:
@@ -212,26 +214,6 @@
         self._check_pause(now)
         return self.admission.try_acquire_connection(now, worker)
 
-    def on_connection_result(self, now: float, succeeded: bool) -> None:
-        """A connection that was begun is up, or has failed."""
-        self.pacer.record_result(PacedAction.CONNECT, succeeded)
-
-    def try_acquire_discovery_query(self, now: float) -> bool:
-        """Whether a discovery query may be sent now; a yes takes its token."""
-        return self.admission.try_acquire_discovery_query(now)
-
-    def on_discovery_result(self, now: float, succeeded: bool) -> None:
-        """A discovery query was answered, or has failed."""
-        self.pacer.record_result(PacedAction.DISCOVERY_QUERY, succeeded)
-
-    def on_freeze_ended(self, now: float) -> None:
-        """A freeze ended: the changes that it deferred are released at a low rate first."""
-        self.pacer.on_freeze_ended(now)
-
-    def try_acquire_release(self, now: float) -> bool:
-        """Whether one change that a freeze had deferred may be carried out now; a yes takes its token."""
-        return self.admission.try_acquire_release(now)
-
     def retry_after_fractions(self, now: float) -> tuple[float, float]:
         """The parts of the longest Retry-After between which a rejected client is put off."""
         least, most = RETRY_AFTER_FRACTIONS
@@ -249,7 +231,8 @@
             return None
         observations = self.warm_state.digest(now, limit=snapshot.MAX_STORED_OBSERVATIONS)
         own_rates = self.pacer.update_baseline(now)
-        return snapshot.encode(self._unix_ms(now), self.baseline_warm_fraction(), own_rates, observations)
+        unix_ms = self.wall_clock.at(now)
+        return snapshot.encode(unix_ms, self.baseline_warm_fraction(), own_rates, observations)
 
     def restore(self, now: float, raw: bytes, clock_error_ms: float = MAX_CLOCK_ERROR_MS) -> int:
         """Take the snapshot of the previous incarnation; how many of its observations are news.
@@ -264,22 +247,10 @@
         baseline.own_per_second = stored.known_baselines() | baseline.own_per_second
         if stored.baseline_warm_fraction is not None and 0.0 <= stored.baseline_warm_fraction <= 1.0:
             self.warm_fraction.remembered_baseline = stored.baseline_warm_fraction
-        downtime_ms = (
-            self._unix_ms(now) - stored.unix_ms
-        )  # NaN without a wall clock, which the next line refuses
-        if not -clock_error_ms <= downtime_ms <= self.settings.keep_alive_ms:
-            return 0
-        age_growth_ms = max(0.0, downtime_ms) + clock_error_ms
-        return sum(
-            snapshot.restore_observation(self.warm_state, now, age_growth_ms, row)
-            for row in stored.observations[: snapshot.MAX_STORED_OBSERVATIONS]
-        )
-
-    def _unix_ms(self, now: float) -> float:
-        """The wall clock; NaN while it is unknown."""
         if self.wall_clock is None:
-            return math.nan
-        return self.wall_clock.unix_ms + now - self.wall_clock.read_at_ms
+            return 0
+        unix_ms = self.wall_clock.at(now)
+        return snapshot.restore_observations(stored, self.warm_state, now, unix_ms, clock_error_ms)
 
     def baseline_warm_fraction(self) -> float | None:
         """The usual fraction of warm calls: by peers in service, else as it was before the restart."""
@@ -305,11 +276,6 @@
             now, peer_uptimes_ms, lambda: self.pacer.try_acquire(now, PacedAction.PEER_QUERY)
         )
 
-    def _has_older_peers(self, now: float) -> bool:
-        """Whether a peer was alive before this router restarted."""
-        min_uptime_ms = now - self.restarted_at_ms + OLDER_PEER_MARGIN_MS
-        return any(uptime_ms > min_uptime_ms for uptime_ms in self.fleet_view.peer_uptimes_ms(now).values())
-
     def _on_attempt_completed(self, now: float, attempt: AttemptCompleted) -> None:
         if now < self.warm_state.suspended_until_ms:
             return  # the answer may have waited in a buffer for as long as the pause was
--- a/cedarthread/recovery/fleet_view.py
+++ b/cedarthread/recovery/fleet_view.py
@@ -8,6 +8,8 @@
 
 MASS_RESTART_FRACTION = 0.5
 """Part of the peers that started lately, or are gone, from which on a restart counts as a mass restart."""
+OLDER_PEER_MARGIN_MS = 5000.0
+"""Time by which a peer that did not restart with this router has been alive longer."""
 MIN_LOAD_REPORTS = 20.0
 """Decayed number of load reports from which on they tell whether peers are at work."""
 REPORT_DECAY = 1.0 - 1.0 / (4 * MIN_LOAD_REPORTS)
@@ -42,6 +44,11 @@
             peer: alive_for_ms.get(peer, -elapsed_ms) + elapsed_ms for peer in self.latest_peers.alive_peers
         }
 
+    def has_older_peers(self, now: float, restarted_at_ms: float) -> bool:
+        """Whether a peer was alive before this router restarted."""
+        min_uptime_ms = now - restarted_at_ms + OLDER_PEER_MARGIN_MS
+        return any(uptime_ms > min_uptime_ms for uptime_ms in self.peer_uptimes_ms(now).values())
+
     def has_majority(self) -> bool:
         """Whether more than half of the configured routers, this one included, are known to be alive."""
         if self.latest_peers is None:
--- a/cedarthread/recovery/snapshot.py
+++ b/cedarthread/recovery/snapshot.py
@@ -73,6 +73,23 @@
         return None
 
 
+def restore_observations(
+    stored: StoredWarmState, warm_state: WarmState, now: float, unix_ms: float, clock_error_ms: float
+) -> int:
+    """Take the stored observations, older by the downtime; how many are news.
+
+    ``unix_ms``: the wall clock now. None is taken where that clock went back by more than ``clock_error_ms``,
+    or the downtime is over the keep-alive."""
+    downtime_ms = unix_ms - stored.unix_ms
+    if not -clock_error_ms <= downtime_ms <= warm_state.keep_alive_ms:  # refuses NaN too
+        return 0
+    age_growth_ms = max(0.0, downtime_ms) + clock_error_ms
+    return sum(
+        restore_observation(warm_state, now, age_growth_ms, row)
+        for row in stored.observations[:MAX_STORED_OBSERVATIONS]
+    )
+
+
 def restore_observation(warm_state: WarmState, now: float, age_growth_ms: float, row: ObservationRow) -> bool:
     """Take one stored observation, older by ``age_growth_ms``; whether it was news."""
     worker_id, start_tag, function_hash, age_ms, is_warm, hops = row
--- a/tests/simulation/test_recovery_fleet.py
+++ b/tests/simulation/test_recovery_fleet.py
@@ -171,7 +171,7 @@
             return False
         self.connects[w].append(self.now)
         self.linked[me].add(w)
-        one.on_connection_result(self.now, True)
+        one.admission.on_connection_result(True)
         return True
 
     def send(self, me: int, came: float, function: int, w: int) -> None:
--- a/tests/unit/test_recovery.py
+++ b/tests/unit/test_recovery.py
@@ -419,10 +419,11 @@
     many = [returned() for _ in range(3)]
     for n, one in enumerate(many):
         one.pacer.phase_offset = (n + 0.5) / 3
-        one.on_freeze_ended(41_000.0)
-    assert not any(one.try_acquire_release(41_000.0) for one in many)
+        one.admission.on_freeze_ended(41_000.0)
+    assert not any(one.admission.try_acquire_release(41_000.0) for one in many)
     ends = [
-        next(at for at in range(41_000, 99_000, 10) if one.try_acquire_release(float(at))) for one in many
+        next(at for at in range(41_000, 99_000, 10) if one.admission.try_acquire_release(float(at)))
+        for one in many
     ]
     assert len(set(ends)) == 3
 
