Recovery codec: the shared framing of datagram fields

Cause: the same walk over record groups stood in three codecs. Change: read_record_groups and join_datagram are used here too.

--- a/cedarthread/recovery/codec.py
+++ b/cedarthread/recovery/codec.py
@@ -20,8 +20,13 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from cedarthread.components.datagram_fields import (
+    MAX_DATAGRAM_BYTES,
+    MalformedDatagram,
+    join_datagram,
+    read_record_groups,
+)
 from cedarthread.components.interface import MessageType
-from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES, MalformedDatagram
 from cedarthread.recovery.warm_state import MAX_HOPS, AgedObservation
 
 AGE_UNIT_MS = 50.0
@@ -145,13 +150,10 @@
         int(min(response.uptime_ms / UPTIME_UNIT_MS, MAX_UPTIME_UNITS)),
         *rates,
     )
-    data = header + _encode_observations(response.observations)
-    if len(data) > MAX_DATAGRAM_BYTES:
-        raise ValueError(f"recovery: a datagram of {len(data)} bytes is over {MAX_DATAGRAM_BYTES}")
-    return data
+    return join_datagram([header, *_encode_observations(response.observations)])
 
 
-def _encode_observations(observations: Sequence[AgedObservation]) -> bytes:
+def _encode_observations(observations: Sequence[AgedObservation]) -> list[bytes]:
     by_worker: dict[tuple[int, int], list[AgedObservation]] = {}
     for aged in observations:
         by_worker.setdefault((aged.worker_id, aged.start_tag), []).append(aged)
@@ -162,7 +164,7 @@
             age_units = min(math.ceil(aged.age_ms / AGE_UNIT_MS), MAX_AGE_UNITS)
             flags = min(aged.hops, MAX_HOPS) << 1 | aged.is_warm
             encoded.append(_OBSERVATION.pack(aged.function_hash, age_units, flags))
-    return b"".join(encoded)
+    return encoded
 
 
 def decode(data: bytes) -> Message | MalformedDatagram:
@@ -206,22 +208,16 @@
 
 def _decode_observations(data: bytes) -> tuple[AgedObservation, ...] | MalformedDatagram:
     """What follows the header of a response."""
-    offset = _RESPONSE.size
+    groups = read_record_groups(data, _RESPONSE.size, _WORKER, _OBSERVATION)
+    if isinstance(groups, MalformedDatagram):
+        return groups
     observations: list[AgedObservation] = []
-    while offset < len(data):
-        if offset + _WORKER.size > len(data):
-            return MalformedDatagram(f"cut short at byte {offset} of {len(data)}")
-        worker_id, start_tag, count = _WORKER.unpack_from(data, offset)
-        offset += _WORKER.size
-        end = offset + count * _OBSERVATION.size
-        if end > len(data):
-            return MalformedDatagram(f"cut short at byte {offset} of {len(data)}")
-        for function_hash, age_units, flags in _OBSERVATION.iter_unpack(data[offset:end]):
+    for (worker_id, start_tag, _), records in groups:
+        for function_hash, age_units, flags in records:
             if age_units < MAX_AGE_UNITS:
                 hops = min(flags >> 1, MAX_HOPS)
                 age_ms = age_units * AGE_UNIT_MS
                 observations.append(
                     AgedObservation(worker_id, start_tag, function_hash, age_ms, bool(flags & 1), hops)
                 )
-        offset = end
     return tuple(observations)
--- a/cedarthread/recovery/component.py
+++ b/cedarthread/recovery/component.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+from cedarthread.components.datagram_fields import MalformedDatagram
 from cedarthread.components.interface import (
     AttemptCompleted,
     MessageType,
@@ -18,7 +19,6 @@
     SettingsChanged,
     WallClockRead,
 )
-from cedarthread.gossip.codec import MalformedDatagram
 from cedarthread.gossip.load_gossip import InstanceLoad
 from cedarthread.model.actions import LogMessage, SendToPeer
 from cedarthread.model.endpoints import EndpointUpdate
--- a/tests/unit/test_recovery.py
+++ b/tests/unit/test_recovery.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from cedarthread.components.datagram_fields import MalformedDatagram
 from cedarthread.components.interface import AttemptCompleted, PeersChanged, SettingsChanged, WallClockRead
-from cedarthread.gossip.codec import MalformedDatagram
 from cedarthread.model.actions import LogMessage
 from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.model.outcomes import Outcome
