Fleet simulation of recovery: names, records and checks in standard terms

Cause: one-letter names and the old house style. Change: names; attempts under way are a record of their own; the injected defects are a table of owner, name, replacement, check and violation. No bound, case or explored state is changed.

--- a/tests/simulation/test_recovery_fleet.py
+++ b/tests/simulation/test_recovery_fleet.py
@@ -1,4 +1,4 @@
-"""Many returns at once in a small world on virtual time, judged by the books of all but the routers."""
+"""Many routers that restart at once, in a small simulation on virtual time, judged by its own records."""
 
 from __future__ import annotations
 
@@ -8,12 +8,12 @@
 import itertools
 import random
 from collections import defaultdict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import pytest
 
 from cedarthread import statistics
-from cedarthread.components.interface import AttemptCompleted, PeersChanged, WallClockRead
+from cedarthread.components.interface import AttemptCompleted, OutboundMessage, PeersChanged, WallClockRead
 from cedarthread.model.actions import SendToPeer
 from cedarthread.model.endpoints import EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.model.outcomes import Outcome
@@ -25,524 +25,641 @@
 from cedarthread.recovery.warm_state import AgedObservation, Observation, Source, WarmState, start_tag
 from tests.helpers import LIMITS, copier, settings, worker
 
-KEEP, LOAD, SERVICE, AIM, GIVE_UP = 9000.0, 900.0, 40.0, 700.0, 3000.0
-SLOTS = 8  # loads that the pack store serves at full speed
-EPOCH = 1e12  # wall clock at time 0
+KEEP_ALIVE_MS = 9000.0
+LOAD_MS = 900.0
+SERVICE_MS = 40.0
+LATENCY_OBJECTIVE_MS = 700.0
+DEADLINE_MS = 3000.0
+FULL_SPEED_LOADS = 8  # that the package store serves at full speed
+WALL_CLOCK_AT_0_MS = 1e12
+WORKER_START_MS = 1000.0
+SETTLED_MS = 45_000.0  # time after which an undisturbed fleet is in service
 
 
-class World:
-    """Routers, runners with copies, one pack store, a network that loses and delays; books of all of it."""
+class SimulatedFleet:
+    """Routers, workers with instances, one package store, a network that loses and delays; records of all."""
 
     def __init__(
-        self, routers: int, runners: int, functions: int, rate: float, seed: int, talks: bool = True
-    ):
+        self,
+        routers: int,
+        workers: int,
+        functions: int,
+        calls_per_second: float,
+        seed: int,
+        allows_gossip: bool = True,
+    ) -> None:
         self.rng, self.now, self.serial = random.Random(seed), 0.0, 0
-        self.n, self.runners, self.rate = routers, list(range(runners)), rate
-        self.weights = list(itertools.accumulate((k + 1) ** -0.9 for k in range(functions)))
-        self.limits = dataclasses.replace(LIMITS, allows_gossip=talks)
-        self.agenda: list[tuple[float, int, str, tuple[object, ...]]] = []
-        self.starts = dict.fromkeys(self.runners, 1000.0)
-        self.copies: dict[int, dict[int, float]] = {w: {} for w in self.runners}  # last use
-        self.ready: dict[tuple[int, int], float] = {}  # loads under way
-        self.loads: list[float] = []
-        self.connects: dict[int, list[float]] = defaultdict(list)
-        self.told: dict[int, list[tuple[float, int]]] = defaultdict(list)
-        self.worth: dict[int, list[float]] = defaultdict(
-            list
-        )  # tenth of a second: of each call that came then
-        self.stale = 0  # calls sent as warm to a runner that lost its copies by a new start, or drains
+        self.router_count, self.worker_ids = routers, list(range(workers))
+        self.calls_per_second = calls_per_second
+        self.popularity = list(itertools.accumulate((rank + 1) ** -0.9 for rank in range(functions)))
+        self.limits = dataclasses.replace(LIMITS, allows_gossip=allows_gossip)
+        self.schedule: list[tuple[float, int, str, tuple[object, ...]]] = []
+        self.worker_starts = dict.fromkeys(self.worker_ids, WORKER_START_MS)
+        self.last_used: dict[int, dict[int, float]] = {worker_id: {} for worker_id in self.worker_ids}
+        self.load_ends: dict[tuple[int, int], float] = {}  # by worker and function
+        self.load_times: list[float] = []
+        self.connection_times: dict[int, list[float]] = defaultdict(list)  # by worker
+        self.sent_datagrams: dict[int, list[tuple[float, int]]] = defaultdict(list)  # time and kind
+        self.call_values: dict[int, list[float]] = defaultdict(list)  # by the tenth of a second of arrival
+        self.stale_decisions = 0  # calls sent as warm to a worker that restarted since, or drains
         self.draining: set[int] = set()
-        self.seen: dict[tuple[int, int], float] = {}  # when a copy was last found by anyone
-        self.disk: dict[int, bytes] = {}
+        self.last_seen_warm: dict[tuple[int, int], float] = {}  # by worker and function, by any router
+        self.snapshots: dict[int, bytes] = {}
         self.down: set[int] = set()
-        self.born = [-1e6] * routers
-        self.bounded, self.bounded_links, self.knowing = True, True, False
+        self.router_starts = [-1e6] * routers
+        self.paces_loads, self.paces_connections, self.restarts_all_knowing = True, True, False
         self.routers: list[RecoveryComponent] = []
-        for me in range(routers):
-            self.routers.append(self.fresh(me))
-            self.at(me * 7.0, "turn", me)
-            self.at(self.rng.uniform(0, 100.0), "arrive", me)
-        self.linked: list[set[int]] = [set() for _ in range(routers)]
-
-    def fresh(self, me: int) -> RecoveryComponent:
-        told = settings(router_count=self.n, router_index=me, keep_alive_ms=KEEP, limits=self.limits)
-        one = RecoveryComponent(told, self.rng.getrandbits(30), self.now)
-        one.on_notification(self.now, WallClockRead(EPOCH + self.now))
-        one.on_notification(self.now, self.listing())
-        return one
-
-    def listing(self) -> EndpointUpdate:
-        state = {w: EndpointState.DRAINING for w in self.draining}
-        entries = tuple(
-            worker(w, state.get(w, EndpointState.READY), started=self.starts[w]) for w in self.runners
+        for index in range(routers):
+            self.routers.append(self.new_router(index))
+            self.at(index * 7.0, "tick", index)
+            self.at(self.rng.uniform(0, 100.0), "arrive", index)
+        self.connected: list[set[int]] = [set() for _ in range(routers)]
+
+    def new_router(self, index: int) -> RecoveryComponent:
+        own_settings = settings(
+            router_count=self.router_count,
+            router_index=index,
+            keep_alive_ms=KEEP_ALIVE_MS,
+            limits=self.limits,
+        )
+        recovery = RecoveryComponent(own_settings, self.rng.getrandbits(30), self.now)
+        recovery.on_notification(self.now, WallClockRead(WALL_CLOCK_AT_0_MS + self.now))
+        recovery.on_notification(self.now, self.endpoint_snapshot())
+        return recovery
+
+    def endpoint_snapshot(self) -> EndpointUpdate:
+        states = {worker_id: EndpointState.DRAINING for worker_id in self.draining}
+        endpoints = tuple(
+            worker(
+                worker_id,
+                states.get(worker_id, EndpointState.READY),
+                started=self.worker_starts[worker_id],
+            )
+            for worker_id in self.worker_ids
         )
-        return EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, entries)
+        return EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, endpoints)
 
-    def at(self, when: float, name: str, *told: object) -> None:
+    def at(self, when: float, method: str, *args: object) -> None:
         self.serial += 1
-        heapq.heappush(self.agenda, (when, self.serial, name, told))
+        heapq.heappush(self.schedule, (when, self.serial, method, args))
 
-    def run(self, until: float) -> World:
-        while self.agenda[0][0] < until:
-            self.now, _, name, told = heapq.heappop(self.agenda)
-            getattr(self, name)(*told)
+    def run(self, until: float) -> SimulatedFleet:
+        while self.schedule[0][0] < until:
+            self.now, _, method, args = heapq.heappop(self.schedule)
+            getattr(self, method)(*args)
         self.now = until
         return self
 
     # Routers.
 
-    def turn(self, me: int) -> None:
-        self.at(self.now + 125.0, "turn", me)
-        if me in self.down:
+    def tick(self, index: int) -> None:
+        self.at(self.now + 125.0, "tick", index)
+        if index in self.down:
             return
-        others = tuple(n for n in range(self.n) if n != me and n not in self.down)
-        since = {n: self.now - self.born[n] for n in others}
-        one = self.routers[me]
-        one.on_notification(self.now, PeersChanged(others, self.n, since))
-        self.say(me, one.on_tick(self.now))
-        if (raw := one.snapshot(self.now)) is not None and self.rng.random() < 0.125:
-            self.disk[me] = raw
-
-    def say(self, me: int, words: object) -> None:
-        for word in words:  # type: ignore[attr-defined]
-            if isinstance(word, SendToPeer) and word.peer_index is not None:
-                self.told[me].append((self.now, word.data[1]))
+        alive = tuple(peer for peer in range(self.router_count) if peer != index and peer not in self.down)
+        alive_for_ms = {peer: self.now - self.router_starts[peer] for peer in alive}
+        recovery = self.routers[index]
+        recovery.on_notification(self.now, PeersChanged(alive, self.router_count, alive_for_ms))
+        self.transmit(index, recovery.on_tick(self.now))
+        if (raw := recovery.snapshot(self.now)) is not None and self.rng.random() < 0.125:
+            self.snapshots[index] = raw
+
+    def transmit(self, sender: int, messages: Iterable[OutboundMessage]) -> None:
+        for message in messages:
+            if isinstance(message, SendToPeer) and message.peer_index is not None:
+                self.sent_datagrams[sender].append((self.now, message.data[1]))
                 if self.rng.random() > 0.1:
-                    self.at(
-                        self.now + self.rng.uniform(1.0, 20.0), "datagram", word.peer_index, me, word.data
-                    )
-
-    def datagram(self, to: int, sender: int, data: bytes) -> None:
-        if to not in self.down:
-            self.say(to, self.routers[to].on_message(self.now, sender, data))
-
-    def die(self, me: int, back: float, store: bool, peers: bool) -> None:
-        self.down.add(me)
-        self.linked[me] = set()
-        self.at(back, "back", me, store, peers)
-
-    def back(self, me: int, store: bool, peers: bool) -> None:
-        self.down.discard(me)
-        self.born[me] = self.now
-        one = self.routers[me] = self.fresh(me)
+                    arrives_at = self.now + self.rng.uniform(1.0, 20.0)
+                    self.at(arrives_at, "datagram", message.peer_index, sender, message.data)
+
+    def datagram(self, receiver: int, sender: int, data: bytes) -> None:
+        if receiver not in self.down:
+            self.transmit(receiver, self.routers[receiver].on_message(self.now, sender, data))
+
+    def kill(self, index: int, back_at: float, store: bool, peers: bool) -> None:
+        self.down.add(index)
+        self.connected[index] = set()
+        self.at(back_at, "come_back", index, store, peers)
+
+    def come_back(self, index: int, store: bool, peers: bool) -> None:
+        self.down.discard(index)
+        self.router_starts[index] = self.now
+        recovery = self.routers[index] = self.new_router(index)
         if store:
-            one.restore(self.now, self.disk[me])
-        one.can_query_peers = one.can_query_peers and peers
-        if self.knowing:
-            one.state_machine.phase = RecoveryPhase.IN_SERVICE
-            for w, had in self.copies.items():
-                for f, used in had.items():
-                    told = AgedObservation(w, start_tag(self.starts[w]), f, self.now - used, True)
-                    one.warm_state.merge_remote(self.now, self.now, told, Source.STORE)
+            recovery.restore(self.now, self.snapshots[index])
+        recovery.can_query_peers = recovery.can_query_peers and peers
+        if self.restarts_all_knowing:
+            recovery.state_machine.phase = RecoveryPhase.IN_SERVICE
+            for worker_id, functions in self.last_used.items():
+                for function_id, used_at in functions.items():
+                    tag = start_tag(self.worker_starts[worker_id])
+                    aged = AgedObservation(worker_id, tag, function_id, self.now - used_at, True)
+                    recovery.warm_state.merge_remote(self.now, self.now, aged, Source.STORE)
 
     # Calls.
 
-    def arrive(self, me: int) -> None:
-        self.at(self.now + self.rng.expovariate(self.rate / 1000.0), "arrive", me)
-        function = self.rng.choices(range(len(self.weights)), cum_weights=self.weights)[0]
-        self.call(me, self.now, function)
-        if self.rng.random() < 0.02 and self.linked[me]:  # connections break on any day
-            self.linked[me].discard(self.rng.choice(sorted(self.linked[me])))
-
-    def call(self, me: int, came: float, function: int) -> None:
-        one, tenth = self.routers[me], int(came / 100.0)
-        if me in self.down or self.now - came > GIVE_UP:
-            self.worth[tenth].append(0.0)
+    def arrive(self, index: int) -> None:
+        self.at(self.now + self.rng.expovariate(self.calls_per_second / 1000.0), "arrive", index)
+        functions = range(len(self.popularity))
+        function_id = self.rng.choices(functions, cum_weights=self.popularity)[0]
+        self.call(index, self.now, function_id)
+        if self.rng.random() < 0.02 and self.connected[index]:  # connections break on any day
+            self.connected[index].discard(self.rng.choice(sorted(self.connected[index])))
+
+    def call(self, index: int, arrived_at: float, function_id: int) -> None:
+        recovery, tenth = self.routers[index], int(arrived_at / 100.0)
+        if index in self.down or self.now - arrived_at > DEADLINE_MS:
+            self.call_values[tenth].append(0.0)
             return
-        warm = sorted(one.warm_instances(self.now, function), key=lambda w: (w not in self.linked[me], w))
-        for w in warm:
-            if w in self.linked[me] or self.link(me, w):
-                self.stale += w in self.draining or (
-                    function not in self.copies[w] and self.starts[w] > 1000.0
+        connected = self.connected[index]
+        warm_workers = sorted(
+            recovery.warm_instances(self.now, function_id),
+            key=lambda worker_id: (worker_id not in connected, worker_id),
+        )
+        for worker_id in warm_workers:
+            if worker_id in connected or self.connect(index, worker_id):
+                has_restarted = self.worker_starts[worker_id] > WORKER_START_MS
+                self.stale_decisions += worker_id in self.draining or (
+                    function_id not in self.last_used[worker_id] and has_restarted
                 )
-                return self.send(me, came, function, w)
-        homes = 1 if function % 3 else 3  # all agree on a home; a third of the functions stand elsewhere too
-        w = (function * 7 + self.rng.randrange(homes)) % len(self.runners)
-        while w in self.draining:
-            w = (w + 1) % len(self.runners)
-        may = not warm and (w in self.linked[me] or self.link(me, w))
-        if may and (not self.bounded or one.try_acquire_load(self.now, function, w)):
-            return self.send(me, came, function, w)
-        self.at(self.now + 50.0, "call", me, came, function)
-
-    def link(self, me: int, w: int) -> bool:
-        one = self.routers[me]
-        if self.bounded_links and not one.try_acquire_connection(self.now, w):
+                return self.send(index, arrived_at, function_id, worker_id)
+        # All routers agree on a home; a third of the functions have instances elsewhere too.
+        home_count = 1 if function_id % 3 else 3
+        worker_id = (function_id * 7 + self.rng.randrange(home_count)) % len(self.worker_ids)
+        while worker_id in self.draining:
+            worker_id = (worker_id + 1) % len(self.worker_ids)
+        is_connected = not warm_workers and (worker_id in connected or self.connect(index, worker_id))
+        if is_connected and (
+            not self.paces_loads or recovery.try_acquire_load(self.now, function_id, worker_id)
+        ):
+            return self.send(index, arrived_at, function_id, worker_id)
+        self.at(self.now + 50.0, "call", index, arrived_at, function_id)
+
+    def connect(self, index: int, worker_id: int) -> bool:
+        recovery = self.routers[index]
+        if self.paces_connections and not recovery.try_acquire_connection(self.now, worker_id):
             return False
-        self.connects[w].append(self.now)
-        self.linked[me].add(w)
-        one.admission.on_connection_result(True)
+        self.connection_times[worker_id].append(self.now)
+        self.connected[index].add(worker_id)
+        recovery.admission.on_connection_result(True)
         return True
 
-    def send(self, me: int, came: float, function: int, w: int) -> None:
-        used, due = self.copies[w].get(function), self.ready.get((w, function), 0.0)
-        found = used is not None and self.now - used <= KEEP
-        if not found and due < self.now:
-            self.loads.append(self.now)
-            under = sum(1 for at in self.ready.values() if at > self.now)
-            due = self.ready[w, function] = self.now + LOAD * max(1.0, (under + 1) / SLOTS)
-        if due > self.now:
-            found = False
-        self.copies[w][function] = max(self.now, due)
-        born, start = self.born[me], self.starts[w]
-        self.at(max(self.now, due) + SERVICE, "done", me, born, came, self.now, function, w, start, found)
-
-    def done(
-        self, me: int, born: float, came: float, sent: float, f: int, w: int, start: float, found: bool
+    def send(self, index: int, arrived_at: float, function_id: int, worker_id: int) -> None:
+        used_at = self.last_used[worker_id].get(function_id)
+        load_ends_at = self.load_ends.get((worker_id, function_id), 0.0)
+        was_warm = used_at is not None and self.now - used_at <= KEEP_ALIVE_MS
+        if not was_warm and load_ends_at < self.now:
+            self.load_times.append(self.now)
+            in_flight = sum(1 for ends_at in self.load_ends.values() if ends_at > self.now)
+            load_ends_at = self.now + LOAD_MS * max(1.0, (in_flight + 1) / FULL_SPEED_LOADS)
+            self.load_ends[worker_id, function_id] = load_ends_at
+        if load_ends_at > self.now:
+            was_warm = False
+        starts_at = max(self.now, load_ends_at)
+        self.last_used[worker_id][function_id] = starts_at
+        attempt = (index, self.router_starts[index], worker_id, self.worker_starts[worker_id], function_id)
+        self.at(starts_at + SERVICE_MS, "complete", attempt, arrived_at, self.now, was_warm)
+
+    def complete(
+        self, attempt: tuple[int, float, int, float, int], arrived_at: float, sent_at: float, was_warm: bool
     ) -> None:
-        lost = me in self.down or born != self.born[me] or start != self.starts[w]
-        took = self.now - came
-        self.worth[int(came / 100.0)].append(0.0 if lost else 1.0 if took <= AIM else 0.2)
-        if not lost:
-            self.seen[w, f] = self.now
-            self.routers[me].on_notification(
-                self.now, AttemptCompleted(w, f, None, self.now - sent, Outcome.OK, found)
-            )
+        index, router_start, worker_id, worker_start, function_id = attempt
+        is_lost = (
+            index in self.down
+            or router_start != self.router_starts[index]
+            or worker_start != self.worker_starts[worker_id]
+        )
+        is_in_time = self.now - arrived_at <= LATENCY_OBJECTIVE_MS
+        value = 0.0 if is_lost else 1.0 if is_in_time else 0.2
+        self.call_values[int(arrived_at / 100.0)].append(value)
+        if not is_lost:
+            self.last_seen_warm[worker_id, function_id] = self.now
+            ended = AttemptCompleted(worker_id, function_id, None, self.now - sent_at, Outcome.OK, was_warm)
+            self.routers[index].on_notification(self.now, ended)
 
     # Faults.
 
-    def restart(self, part: float, store: bool = False, peers: bool = True) -> float:
-        """Kill a part of the routers; when the last one died."""
-        gone = self.rng.sample(range(self.n), round(part * self.n))
-        for me in gone:
-            self.at(self.now + self.rng.uniform(0.0, 300.0), "die", me, self.now + 900.0, store, peers)
+    def restart_routers(self, fraction: float, store: bool = False, peers: bool = True) -> float:
+        """Kill a part of the routers, which come back; the time when the last one is dead."""
+        killed = self.rng.sample(range(self.router_count), round(fraction * self.router_count))
+        for index in killed:
+            self.at(self.now + self.rng.uniform(0.0, 300.0), "kill", index, self.now + 900.0, store, peers)
         return self.now + 300.0
 
-    def anew(self, started: list[int], drains: set[int]) -> None:
-        """Runners lose their copies by a new start, others drain; the list says so at once."""
-        self.draining = drains
-        for w in started:
-            self.starts[w], self.copies[w] = EPOCH + self.now, {}
-        for me in range(self.n):
-            if me not in self.down:
-                self.routers[me].on_notification(self.now, self.listing())
-
-    def served(self, since: float, until: float) -> float:
-        """The mean worth of the calls that came then."""
+    def restart_workers(self, restarted: list[int], draining: set[int]) -> None:
+        """Workers lose their instances by a restart, others drain; the endpoint list says so at once."""
+        self.draining = draining
+        for worker_id in restarted:
+            self.worker_starts[worker_id] = WALL_CLOCK_AT_0_MS + self.now
+            self.last_used[worker_id] = {}
+        for index in range(self.router_count):
+            if index not in self.down:
+                self.routers[index].on_notification(self.now, self.endpoint_snapshot())
+
+    # Records.
+
+    def mean_value(self, since: float, until: float) -> float:
+        """The mean value of the calls that arrived then."""
         tenths = range(round(since / 100.0), round(until / 100.0))
-        worths = [worth for tenth in tenths for worth in self.worth[tenth]]
-        return sum(worths) / max(1, len(worths))
+        values = [value for tenth in tenths for value in self.call_values[tenth]]
+        return sum(values) / max(1, len(values))
 
-    def full(self, died: float, before: float) -> float:
-        """Ms from the last death until the worth served in windows of 1 s has stayed at 0.95 for 5 s."""
-        good = 0
+    def recovery_ms(self, died_at: float, value_before: float) -> float:
+        """Time from the last death until the value in windows of 1 s has stayed at 0.95 of before for 5 s."""
+        good_windows = 0
         for step in range(250):
-            at = died + 100.0 * step
-            good = good + 1 if self.served(at, at + 1000.0) >= 0.95 * before else 0
-            if good == 41:
-                return at - 4000.0 - died
+            start = died_at + 100.0 * step
+            is_good = self.mean_value(start, start + 1000.0) >= 0.95 * value_before
+            good_windows = good_windows + 1 if is_good else 0
+            if good_windows == 41:
+                return start - 4000.0 - died_at
         return 25_000.0
 
-
-def peak(times: list[float], since: float = 0.0) -> int:
-    """The most in any 250 ms, by the book."""
-    times = sorted(at for at in times if at >= since)
-    low = most = 0
-    for high, at in enumerate(times):
-        while at - times[low] >= 250.0:
-            low += 1
-        most = max(most, high - low + 1)
+    def too_young_observations(self) -> list[str]:
+        """Instances that a router takes for more lately seen than any router ever saw them."""
+        return [
+            f"router {index} takes {function_id} on {worker_id} for {instance.warm_age_ms:.0f} ms old"
+            for index, recovery in enumerate(self.routers)
+            for function_id in range(len(self.popularity))
+            for worker_id, instance in recovery.warm_instances(self.now, function_id).items()
+            if instance.warm_age_ms is not None
+            and self.now - instance.warm_age_ms
+            > self.last_seen_warm.get((worker_id, function_id), -1.0) + 0.001
+        ]
+
+
+def peak(times: Iterable[float], since: float = 0.0) -> int:
+    """The most events in any 250 ms."""
+    sorted_times = sorted(time for time in times if time >= since)
+    first = most = 0
+    for last, time in enumerate(sorted_times):
+        while time - sorted_times[first] >= 250.0:
+            first += 1
+        most = max(most, last - first + 1)
     return most
 
 
-T = 45_000.0
-
-
 @pytest.fixture(scope="module")
-def calm() -> World:
-    """A world that nothing disturbed for so long that all is in service."""
-    world = World(routers=16, runners=10, functions=60, rate=12.0, seed=11).run(T)
-    assert all(one.in_service(T) and not one.admission.is_paced for one in world.routers)
-    return world
+def settled() -> SimulatedFleet:
+    """A fleet that has been undisturbed for so long that all its routers are in service."""
+    fleet = SimulatedFleet(16, workers=10, functions=60, calls_per_second=12.0, seed=11).run(SETTLED_MS)
+    for recovery in fleet.routers:
+        assert recovery.in_service(SETTLED_MS) and not recovery.admission.is_paced
+    return fleet
 
 
 @pytest.fixture(scope="module")
-def usual(calm: World) -> int:
-    """The peak of loads in any 250 ms of the same world undisturbed."""
-    return peak(copy.deepcopy(calm).run(T + 20_000.0).loads, T - 20_000.0)
+def usual_peak(settled: SimulatedFleet) -> int:
+    """The peak of loads in any 250 ms of the same fleet undisturbed."""
+    fleet = copy.deepcopy(settled).run(SETTLED_MS + 20_000.0)
+    return peak(fleet.load_times, SETTLED_MS - 20_000.0)
 
 
+# What the routers that restart have: a store, peers to query.
 VARIANTS = {"nothing": (False, False), "store": (True, False), "peers": (False, True), "both": (True, True)}
+ALL_KNOWING = "all-knowing"
 
 
-def play(calm: World, part: float, variant: str, seconds: float = 20.0) -> tuple[World, float]:
-    """The world after a restart, and ms to full service."""
-    world = copy.deepcopy(calm)
-    world.knowing = variant == "knowing"
-    world.bounded = world.bounded_links = variant not in ("knowing", "unbounded")
-    before = world.served(T - 10_000.0, T)
-    died = world.restart(part, *VARIANTS.get(variant, (False, False)))
-    world.run(T + 1000.0 * seconds)
-    return world, world.full(died, before)
+def play(settled: SimulatedFleet, fraction: float, variant: str) -> tuple[SimulatedFleet, float]:
+    """The fleet 20 s after a restart of some routers, and how long they took to recover."""
+    fleet = copy.deepcopy(settled)
+    fleet.restarts_all_knowing = variant == ALL_KNOWING
+    fleet.paces_loads = fleet.paces_connections = variant != ALL_KNOWING
+    value_before = fleet.mean_value(SETTLED_MS - 10_000.0, SETTLED_MS)
+    store, peers = VARIANTS.get(variant, (False, False))
+    died_at = fleet.restart_routers(fraction, store, peers)
+    fleet.run(SETTLED_MS + 20_000.0)
+    return fleet, fleet.recovery_ms(died_at, value_before)
 
 
-@pytest.mark.parametrize("part", [0.7, 1.0])
-def test_who_remembers_is_soon_in_full_service_and_nobody_stampedes(
-    calm: World, usual: int, part: float
+@pytest.mark.parametrize("fraction", [0.7, 1.0])
+def test_routers_that_remember_recover_soon_and_none_causes_a_stampede(
+    settled: SimulatedFleet, usual_peak: int, fraction: float
 ) -> None:
-    full: dict[str, float] = {}
-    for variant in (*VARIANTS, "knowing"):
-        world, full[variant] = play(calm, part, variant)
-        if variant != "knowing":
-            assert peak(world.loads, T) <= max(3, 1.5 * usual), variant
-            most = max(peak(times, T) for times in world.connects.values())
-            assert (
-                most <= (2.0 if variant in ("nothing", "peers") else 1.5) * MIN_WORKER_CONNECTIONS_PER_WINDOW
-            ), variant
-            assert world.stale == 0 and not younger(world)
-            assert all(one.in_service(world.now) for one in world.routers)
-    assert full["both"] <= 1.5 * full["knowing"] and full["both"] <= 0.5 * full["nothing"]
-    assert full["peers"] <= (1.7 * full["knowing"] if part < 1.0 else 1.5 * full["nothing"])
-
-
-def younger(world: World) -> list[str]:
-    """Places that some router holds for more lately observed than anybody ever observed them."""
-    return [
-        f"router {me} holds {function} at {w} for {found.warm_age_ms:.0f} ms old"
-        for me, one in enumerate(world.routers)
-        for function in range(len(world.weights))
-        for w, found in one.warm_instances(world.now, function).items()
-        if found.warm_age_ms is not None
-        and world.now - found.warm_age_ms > world.seen.get((w, function), -1.0) + 0.001
-    ]
-
-
-def test_routers_that_may_not_talk_come_back_by_their_store_alone(usual: int) -> None:
-    world = World(16, 10, 60, 12.0, 11, talks=False).run(T)
-    before = world.served(T - 10_000.0, T)
-    died = world.restart(0.7, store=True)
-    world.run(T + 20_000.0)
-    assert world.full(died, before) <= 3000.0 and peak(world.loads, T) <= max(4, 1.5 * usual)
-    assert not any(world.told.values())
-
-
-# The judge, which reads the world's books, and what it must find.
-
-
-def storm() -> int:
-    """TELL datagrams that one survivor sends within a second while 100 routers ask it again and again."""
-    knows = settings(router_count=102, router_index=0)
-    one = RecoveryComponent(knows, 1, 0.0)
-    one.on_notification(
-        0.0, EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, tuple(worker(w) for w in range(30)))
-    )
-    for function in range(600):
-        one.on_notification(1.0, AttemptCompleted(function % 30, function, None, 1.0, Outcome.OK, True))
-    tells = 0
+    recovery_ms: dict[str, float] = {}
+    for variant in (*VARIANTS, ALL_KNOWING):
+        fleet, recovery_ms[variant] = play(settled, fraction, variant)
+        if variant == ALL_KNOWING:
+            continue
+        assert peak(fleet.load_times, SETTLED_MS) <= max(3, 1.5 * usual_peak), variant
+        connection_peak = max(peak(times, SETTLED_MS) for times in fleet.connection_times.values())
+        max_ratio = 2.0 if variant in ("nothing", "peers") else 1.5
+        assert connection_peak <= max_ratio * MIN_WORKER_CONNECTIONS_PER_WINDOW, variant
+        assert fleet.stale_decisions == 0 and not fleet.too_young_observations()
+        assert all(recovery.in_service(fleet.now) for recovery in fleet.routers)
+    assert recovery_ms["both"] <= 1.5 * recovery_ms[ALL_KNOWING]
+    assert recovery_ms["both"] <= 0.5 * recovery_ms["nothing"]
+    if fraction < 1.0:
+        assert recovery_ms["peers"] <= 1.7 * recovery_ms[ALL_KNOWING]
+    else:
+        assert recovery_ms["peers"] <= 1.5 * recovery_ms["nothing"]
+
+
+def test_routers_without_gossip_recover_by_their_store_alone(usual_peak: int) -> None:
+    fleet = SimulatedFleet(16, 10, 60, 12.0, 11, allows_gossip=False).run(SETTLED_MS)
+    value_before = fleet.mean_value(SETTLED_MS - 10_000.0, SETTLED_MS)
+    died_at = fleet.restart_routers(0.7, store=True)
+    fleet.run(SETTLED_MS + 20_000.0)
+    assert fleet.recovery_ms(died_at, value_before) <= 3000.0
+    assert peak(fleet.load_times, SETTLED_MS) <= max(4, 1.5 * usual_peak)
+    assert not any(fleet.sent_datagrams.values())
+
+
+# Invariant checks, which read the simulation's records, and the defects that they must find.
+
+
+def responses_in_a_query_storm() -> int:
+    """Response datagrams that one survivor sends within a second while 100 routers query it all the time."""
+    survivor = RecoveryComponent(settings(router_count=102, router_index=0), 1, 0.0)
+    endpoints = tuple(worker(worker_id) for worker_id in range(30))
+    survivor.on_notification(0.0, EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, endpoints))
+    for function_id in range(600):
+        ended = AttemptCompleted(function_id % 30, function_id, None, 1.0, Outcome.OK, True)
+        survivor.on_notification(1.0, ended)
+    response_count = 0
     for nonce in range(2000):
-        words = one.on_message(
-            1.0 + nonce / 2, 1 + nonce % 100, codec.encode(codec.Query(nonce, nonce % 4, 4))
-        )
-        tells += sum(
-            isinstance(word, SendToPeer) and word.data[1] == codec.DatagramKind.RESPONSE for word in words
+        query = codec.encode(codec.Query(nonce, nonce % 4, 4))
+        response_count += sum(
+            isinstance(message, SendToPeer) and message.data[1] == codec.DatagramKind.RESPONSE
+            for message in survivor.on_message(1.0 + nonce / 2, 1 + nonce % 100, query)
         )
-    return tells
-
-
-def of_stores(calm: World, usual: int) -> set[str]:
-    """All restart with a store, while runners start anew and one drains."""
-    world = copy.deepcopy(calm)
-    world.restart(1.0, store=True)
-    world.run(T + 500.0)
-    world.anew([0, 1, 2, 4], {3})
-    world.run(T + 4000.0)
-    wrong = {
-        "stampede at the store": peak(world.loads, T) > 4 * usual,  # 4 to 6 by seed, 22 to 31 unbounded
-        "stale decisions": world.stale > 0,
-        "made younger": bool(younger(world)),
+    return response_count
+
+
+Violations = set[str]
+Check = Callable[[SimulatedFleet, int], Violations]
+
+
+def check_restart_with_store(settled: SimulatedFleet, usual_peak: int) -> Violations:
+    """All routers restart with a store, while workers restart and one drains."""
+    fleet = copy.deepcopy(settled)
+    fleet.restart_routers(1.0, store=True)
+    fleet.run(SETTLED_MS + 500.0)
+    fleet.restart_workers([0, 1, 2, 4], {3})
+    fleet.run(SETTLED_MS + 4000.0)
+    violations = {
+        # 4 to 6 loads at once by seed, 22 to 31 without pacing
+        "stampede at the store": peak(fleet.load_times, SETTLED_MS) > 4 * usual_peak,
+        "stale decisions": fleet.stale_decisions > 0,
+        "made younger": bool(fleet.too_young_observations()),
     }
-    return {name for name, is_so in wrong.items() if is_so}
+    return {name for name, is_violated in violations.items() if is_violated}
+
+
+def check_restart_with_peers(settled: SimulatedFleet, usual_peak: int) -> Violations:
+    """Seven of ten routers restart without a store."""
+    fleet = copy.deepcopy(settled)
+    value_before = fleet.mean_value(SETTLED_MS - 10_000.0, SETTLED_MS)
+    died_at = fleet.restart_routers(0.7, store=False)
+    fleet.run(SETTLED_MS + 10_000.0)
+    violations = {
+        "made younger": bool(fleet.too_young_observations()),
+        "late": fleet.recovery_ms(died_at, value_before) > 1500.0,
+    }
+    return {name for name, is_violated in violations.items() if is_violated}
 
 
-def of_peers(calm: World, usual: int) -> set[str]:
-    """Seven of ten restart without a store."""
-    world = copy.deepcopy(calm)
-    before = world.served(T - 10_000.0, T)
-    died = world.restart(0.7, store=False)
-    world.run(T + 10_000.0)
-    wrong = {"made younger": bool(younger(world)), "late": world.full(died, before) > 1500.0}
-    return {name for name, is_so in wrong.items() if is_so}
+def check_survivors(settled: SimulatedFleet, usual_peak: int) -> Violations:
+    max_responses = peer_query.RESPONSES_PER_SECOND + peer_query.RESPONSE_BURST
+    return {"survivor overloaded"} if responses_in_a_query_storm() > max_responses else set()
 
 
-def of_survivors(calm: World, usual: int) -> set[str]:
-    return (
-        {"survivor drowns"}
-        if storm() > peer_query.RESPONSES_PER_SECOND + peer_query.RESPONSE_BURST
-        else set()
-    )
+def is_usable_without(
+    *, ready: bool = False, start: bool = False
+) -> Callable[[WarmState, float, int, int, Observation], bool]:
+    """``WarmState.is_usable`` without one of its rules."""
 
+    def is_usable(
+        warm_state: WarmState, now: float, worker_id: int, tag: int, observation: Observation
+    ) -> bool:
+        listed = warm_state.workers.get(worker_id)
+        if listed is None or not (ready or listed.is_ready) or not (start or listed.start_tag == tag):
+            return False
+        return observation.is_warm and now - observation.observed_at_ms <= warm_state.keep_alive_ms
 
-def believes(ready: bool, start: bool) -> Callable[[WarmState, float, int, int, Observation], bool]:
-    """``Knowledge.counts`` without one of its rules."""
+    return is_usable
 
-    def counts(knows: WarmState, now: float, w: int, tag: int, place: Observation) -> bool:
-        runner = knows.workers.get(w)
-        fits = runner is not None and (ready or runner.is_ready) and (start or runner.start_tag == tag)
-        return fits and place.is_warm and now - place.observed_at_ms <= knows.keep_alive_ms
 
-    return counts
+MERGE_REMOTE, RESTORE_OBSERVATION = WarmState.merge_remote, snapshot.restore_observation
 
 
-def from_telling(knows: WarmState, now: float, at: float, told: AgedObservation, source: Source) -> bool:
-    return TOLD(knows, now, now, dataclasses.replace(told, age_ms=0.0), source)
+def merge_without_age(
+    warm_state: WarmState, now: float, asked_at_ms: float, aged: AgedObservation, source: Source
+) -> bool:
+    return MERGE_REMOTE(warm_state, now, now, dataclasses.replace(aged, age_ms=0.0), source)
 
 
-def undated(known: WarmState, now: float, age_growth_ms: float, row: snapshot.ObservationRow) -> bool:
-    return STORED(known, now, 0.0, row)
+def restore_without_growth(
+    warm_state: WarmState, now: float, age_growth_ms: float, row: snapshot.ObservationRow
+) -> bool:
+    return RESTORE_OBSERVATION(warm_state, now, 0.0, row)
 
 
-TOLD, STORED = WarmState.merge_remote, snapshot.restore_observation
-Judge = Callable[[World, int], set[str]]
-DEFECTS: dict[str, tuple[object, str, object, Judge, str]] = {
-    "ramp left out": (Pacer, "try_acquire_load", lambda pace, now: 1.0, of_stores, "stampede at the store"),
-    "stale start believed": (WarmState, "is_usable", believes(False, True), of_stores, "stale decisions"),
-    "drained runner believed": (WarmState, "is_usable", believes(True, False), of_stores, "stale decisions"),
-    "age counted from the telling": (WarmState, "merge_remote", from_telling, of_peers, "made younger"),
-    "answers unbounded": (statistics.TokenBucket, "take", lambda *_: True, of_survivors, "survivor drowns"),
-    "phases ended by time alone": (
+# Owner, name and replacement of what is broken; the check that must find it, and what it must say.
+INJECTED_DEFECTS: dict[str, tuple[object, str, object, Check, str]] = {
+    "loads not paced": (
+        Pacer,
+        "try_acquire_load",
+        lambda pacer, now: 1.0,
+        check_restart_with_store,
+        "stampede at the store",
+    ),
+    "stale start believed": (
+        WarmState,
+        "is_usable",
+        is_usable_without(start=True),
+        check_restart_with_store,
+        "stale decisions",
+    ),
+    "draining worker believed": (
+        WarmState,
+        "is_usable",
+        is_usable_without(ready=True),
+        check_restart_with_store,
+        "stale decisions",
+    ),
+    "age counted from the response": (
+        WarmState,
+        "merge_remote",
+        merge_without_age,
+        check_restart_with_peers,
+        "made younger",
+    ),
+    "responses unbounded": (
+        statistics.TokenBucket,
+        "take",
+        lambda *_: True,
+        check_survivors,
+        "survivor overloaded",
+    ),
+    "phases ended by timeouts alone": (
         RecoveryStateMachine,
         "_is_goal_reached",
-        lambda phases, seen: False,
-        of_peers,
+        lambda machine, evidence: False,
+        check_restart_with_peers,
         "late",
     ),
-    "store's ages not grown": (snapshot, "restore_observation", undated, of_stores, "made younger"),
+    "stored ages not grown": (
+        snapshot,
+        "restore_observation",
+        restore_without_growth,
+        check_restart_with_store,
+        "made younger",
+    ),
 }
 
 
-@pytest.mark.parametrize("judge", [of_stores, of_peers, of_survivors])
-def test_the_judges_find_nothing_in_the_part_as_it_is(calm: World, usual: int, judge: Judge) -> None:
-    assert judge(calm, usual) == set()
+@pytest.mark.parametrize("check", [check_restart_with_store, check_restart_with_peers, check_survivors])
+def test_the_checks_find_nothing_in_the_component_as_it_is(
+    settled: SimulatedFleet, usual_peak: int, check: Check
+) -> None:
+    assert check(settled, usual_peak) == set()
 
 
-@pytest.mark.parametrize("defect", DEFECTS)
-def test_a_judge_finds_each_planted_defect(
-    calm: World, usual: int, defect: str, monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize("defect", INJECTED_DEFECTS)
+def test_a_check_finds_each_injected_defect(
+    settled: SimulatedFleet, usual_peak: int, defect: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    *change, judge, want = DEFECTS[defect]
-    monkeypatch.setattr(*change)  # type: ignore[call-overload]
-    assert want in judge(calm, usual)
+    owner, name, replacement, check, violation = INJECTED_DEFECTS[defect]
+    monkeypatch.setattr(owner, name, replacement)
+    assert violation in check(settled, usual_peak)
 
 
-# A small world explored whole: every order of turns, datagrams come or lost, restarts without memory.
-
+# Model checking of a small fleet: every order of ticks, datagrams that arrive, are lost or doubled, restarts.
 
+FUNCTION = 7
 SETTINGS = {
-    (n, me): settings(router_count=n, router_index=me, keep_alive_ms=1200.0)
-    for n in (2, 3)
-    for me in range(n)
+    (router_count, index): settings(router_count=router_count, router_index=index, keep_alive_ms=1200.0)
+    for router_count in (2, 3)
+    for index in range(router_count)
 }
 
 
-class Small:
-    """Two or three routers of which the first is old and knows one place; datagrams are under way."""
+class SmallFleet:
+    """Two or three routers of which the first is old and knows one warm instance; datagrams are in flight."""
 
-    def __init__(self, routers: int) -> None:
-        self.now, self.left, self.restarts, self.stale = 30_000.0, 3, 1, False
-        self.born = [-90_000.0] + [self.now] * (routers - 1)
-        self.way: list[tuple[int, int, bytes]] = []
-        self.routers = [self.fresh(me, routers) for me in range(routers)]
-        self.routers[0].on_notification(self.now, AttemptCompleted(1, 7, None, 1.0, Outcome.OK, True))
-        self.seen = self.now
+    def __init__(self, router_count: int) -> None:
+        self.now = 30_000.0
+        self.ticks_left, self.restarts_left = 3, 1
+        self.has_worker_restarted = False
+        self.router_starts = [-90_000.0] + [self.now] * (router_count - 1)
+        self.in_flight: list[tuple[int, int, bytes]] = []  # receiver, sender, data
+        self.routers = [self.new_router(index, router_count) for index in range(router_count)]
+        self.routers[0].on_notification(self.now, AttemptCompleted(1, FUNCTION, None, 1.0, Outcome.OK, True))
+        self.last_seen_warm = self.now
 
-    def fresh(self, me: int, routers: int) -> RecoveryComponent:
-        one = RecoveryComponent(SETTINGS[routers, me], me, self.now)
-        one.on_notification(
-            self.now, EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, (worker(1, started=5.0 + self.stale),))
-        )
-        return one
+    def new_router(self, index: int, router_count: int) -> RecoveryComponent:
+        recovery = RecoveryComponent(SETTINGS[router_count, index], index, self.now)
+        endpoints = (worker(1, started=5.0 + self.has_worker_restarted),)
+        recovery.on_notification(self.now, EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, endpoints))
+        return recovery
 
     def events(self) -> list[tuple[str, int]]:
         """What may happen next."""
-        some = [("pass", 0)] if self.left else []
-        some += [("stop", 0)] if self.left == 2 else []  # all stand still for as long as a pause takes
-        some += [(name, n) for n in range(min(2, len(self.way))) for name in ("come", "lose", "twice")]
-        some += [("restart", n) for n in range(len(self.routers)) if self.restarts]
-        return some + ([("anew", 0)] if not self.stale else [])
-
-    def do(self, name: str, n: int) -> None:
-        if name in ("pass", "stop"):
-            self.left, self.now = self.left - 1, self.now + (300.0 if name == "pass" else 2500.0)
-            for me, one in enumerate(self.routers):
-                others = tuple(k for k in range(len(self.routers)) if k != me)
-                since = {k: self.now - self.born[k] for k in others}
-                one.on_notification(self.now, PeersChanged(others, len(self.routers), since))
-                self.say(me, one.on_tick(self.now))
-        elif name in ("come", "lose", "twice"):
-            to, sender, data = self.way[n] if name == "twice" else self.way.pop(n)
-            if name != "lose":
-                self.say(to, self.routers[to].on_message(self.now, sender, data))
-        elif name == "restart":
-            self.restarts, self.born[n] = 0, self.now
-            self.routers[n] = self.fresh(n, len(self.routers))
+        events = [("tick", 0)] if self.ticks_left else []
+        events += [("pause", 0)] if self.ticks_left == 2 else []  # all processes are paused
+        for number in range(min(2, len(self.in_flight))):
+            events += [(name, number) for name in ("arrive", "lose", "duplicate")]
+        events += [("restart", index) for index in range(len(self.routers)) if self.restarts_left]
+        return events + ([] if self.has_worker_restarted else [("restart worker", 0)])
+
+    def apply(self, event: str, number: int) -> None:
+        if event in ("tick", "pause"):
+            self.ticks_left -= 1
+            self.now += 300.0 if event == "tick" else 2500.0
+            self._tick()
+        elif event in ("arrive", "lose", "duplicate"):
+            datagram = self.in_flight[number] if event == "duplicate" else self.in_flight.pop(number)
+            receiver, sender, data = datagram
+            if event != "lose":
+                self._transmit(receiver, self.routers[receiver].on_message(self.now, sender, data))
+        elif event == "restart":
+            self.restarts_left, self.router_starts[number] = 0, self.now
+            self.routers[number] = self.new_router(number, len(self.routers))
         else:
-            self.stale = True
-            for one in self.routers:
-                one.on_notification(
-                    self.now, EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(1, started=6.0),))
-                )
-
-    def say(self, me: int, words: object) -> None:
-        told = [w for w in words if isinstance(w, SendToPeer) and w.peer_index is not None]  # type: ignore[attr-defined]
-        self.way += [(word.peer_index, me, word.data) for word in told if word.peer_index is not None]
-        del self.way[2:]  # the rest is lost
+            self.has_worker_restarted = True
+            update = EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(1, started=6.0),))
+            for recovery in self.routers:
+                recovery.on_notification(self.now, update)
+
+    def _tick(self) -> None:
+        for index, recovery in enumerate(self.routers):
+            peers = tuple(peer for peer in range(len(self.routers)) if peer != index)
+            alive_for_ms = {peer: self.now - self.router_starts[peer] for peer in peers}
+            recovery.on_notification(self.now, PeersChanged(peers, len(self.routers), alive_for_ms))
+            self._transmit(index, recovery.on_tick(self.now))
+
+    def _transmit(self, sender: int, messages: Iterable[OutboundMessage]) -> None:
+        for message in messages:
+            if isinstance(message, SendToPeer) and message.peer_index is not None:
+                self.in_flight.append((message.peer_index, sender, message.data))
+        del self.in_flight[2:]  # the rest is lost
 
     def check(self) -> None:
-        """The rules, in any state."""
-        for one in self.routers:
-            for found in one.warm_instances(self.now, 7).values():
-                assert not self.stale and found.warm_age_ms is not None
-                assert self.now - found.warm_age_ms <= self.seen and found.warm_age_ms <= 1200.0
-            assert len(one.query_client.pending) <= peer_query.MAX_PENDING_QUERIES
-            machine = one.state_machine
-            asks = machine.phase is RecoveryPhase.PEER_QUERY and machine.cause is TransitionCause.EVIDENCE
-            assert not asks or 2 * (1 + len(one.fleet_view.peer_uptimes_ms(self.now))) > len(self.routers)
-            if (
-                one.state_machine.phase is RecoveryPhase.IN_SERVICE
-            ):  # no call came: by its longest times alone
-                assert self.now - one.restarted_at_ms >= one.state_machine.timeouts.warming_ms
+        """The invariants of any state."""
+        for recovery in self.routers:
+            for instance in recovery.warm_instances(self.now, FUNCTION).values():
+                assert not self.has_worker_restarted and instance.warm_age_ms is not None
+                assert self.now - instance.warm_age_ms <= self.last_seen_warm
+                assert instance.warm_age_ms <= 1200.0
+            assert len(recovery.query_client.pending) <= peer_query.MAX_PENDING_QUERIES
+            machine = recovery.state_machine
+            if machine.phase is RecoveryPhase.PEER_QUERY and machine.cause is TransitionCause.EVIDENCE:
+                alive_count = 1 + len(recovery.fleet_view.peer_uptimes_ms(self.now))
+                assert 2 * alive_count > len(self.routers)
+            if machine.phase is RecoveryPhase.IN_SERVICE:  # no call came: by timeouts alone
+                assert self.now - recovery.restarted_at_ms >= machine.timeouts.warming_ms
 
     def key(self) -> object:
-        """What tells two states apart; ages in whole tenths of a second, nonces left out."""
-        routers = tuple(
-            (
-                one.state_machine.phase,
-                round(self.now - one.state_machine.entered_at_ms),
-                round(self.now - one.restarted_at_ms),
-                tuple(
-                    (s.responses, s.is_complete, tuple(sorted(s.responders)))
-                    for s in one.query_client.segments
-                ),
-                tuple(sorted((o.peer, o.segment, o.sent_at_ms) for o in one.query_client.pending.values())),
-                tuple(
-                    (k, round(p.observed_at_ms))
-                    for at in one.warm_state.observations.values()
-                    for k, p in at.items()
-                ),
-            )
-            for one in self.routers
+        """What tells two states apart; times in whole milliseconds, without nonces."""
+        in_flight = tuple(
+            sorted((receiver, sender, data[1], len(data)) for receiver, sender, data in self.in_flight)
+        )
+        return (
+            tuple(self._router_key(recovery) for recovery in self.routers),
+            in_flight,
+            self.now,
+            self.ticks_left,
+            self.restarts_left,
+            self.has_worker_restarted,
         )
-        way = tuple(sorted((to, by, data[1], len(data)) for to, by, data in self.way))
-        return routers, way, self.now, self.left, self.restarts, self.stale
-
-
-def explore(routers: int, most: int) -> int:
-    """States reached, each checked."""
-    first = Small(routers)
-    agenda, known = deque([first]), {first.key()}
-    while agenda and len(known) < most:
-        copies = copier(agenda[0], SETTINGS.values())
-        for name, n in agenda.popleft().events():
-            world = copies()
-            world.do(name, n)
-            world.check()
-            if (key := world.key()) not in known:
+
+    def _router_key(self, recovery: RecoveryComponent) -> object:
+        client = recovery.query_client
+        return (
+            recovery.state_machine.phase,
+            round(self.now - recovery.state_machine.entered_at_ms),
+            round(self.now - recovery.restarted_at_ms),
+            tuple(
+                (segment.responses, segment.is_complete, tuple(sorted(segment.responders)))
+                for segment in client.segments
+            ),
+            tuple(sorted((query.peer, query.segment, query.sent_at_ms) for query in client.pending.values())),
+            tuple(
+                (key, round(observation.observed_at_ms))
+                for by_start in recovery.warm_state.observations.values()
+                for key, observation in by_start.items()
+            ),
+        )
+
+
+def explore(router_count: int, max_states: int) -> int:
+    """The number of states reached, each of which was checked."""
+    first = SmallFleet(router_count)
+    to_visit, known = deque([first]), {first.key()}
+    while to_visit and len(known) < max_states:
+        copy_of_state = copier(to_visit[0], SETTINGS.values())
+        for event, number in to_visit.popleft().events():
+            fleet = copy_of_state()
+            fleet.apply(event, number)
+            fleet.check()
+            if (key := fleet.key()) not in known:
                 known.add(key)
-                agenda.append(world)
+                to_visit.append(fleet)
     return len(known)
 
 
-def test_a_small_world_of_two_explored_whole_and_of_three_far_keeps_the_rules() -> None:
+def test_two_routers_explored_completely_and_three_in_part_keep_the_invariants() -> None:
     states = [explore(2, 10_000), explore(3, 1000)]
     print("states", states)
     assert 1900 <= states[0] < 10_000 and states[1] >= 1000
