--- a/cedarthread/components/fleet.py
+++ b/cedarthread/components/fleet.py
@@ -91,7 +91,7 @@
         )
         self.recovery = RecoveryComponent(settings, seed ^ incarnation, now)
         self.constraints = RoutingConstraints(self.priority, self.change_freeze.gate, self.recovery)
-        self.change_freeze.gate.take_release = lambda at: int(self.recovery.try_acquire_release(at))
+        self.change_freeze.gate.take_release = lambda at: int(self.recovery.admission.try_acquire_release(at))
         self.persister = self._new_persister(now) if fleet_config.disk else None
         self.rejected_entries = 0  # of the fleet file, by the replicated store
 
