--- a/tests/integration/test_change_freeze_drill.py
+++ b/tests/integration/test_change_freeze_drill.py
@@ -14,7 +14,7 @@
 SCENARIO = next(iter(change_freeze.quick(1, 24)))
 
 
-def test_a_window_binds_from_the_bound_after_its_declaration_to_the_bound_after_its_revocation() -> None:
+def test_a_window_binds_from_one_bound_after_declaration_to_one_after_revocation() -> None:
     wait = change_freeze.bound(SCENARIO)
     assert 4000.0 < wait < 6000.0
     assert change_freeze.binds(SCENARIO) == change_freeze.Bound(7000.0 + wait, 20_500.0 + wait, 3)
@@ -25,7 +25,7 @@
     assert change_freeze.binds(Scenario(fleet=change_freeze.SHARING)) is None
 
 
-def test_a_change_is_a_first_copy_in_one_life_of_a_runner() -> None:
+def test_a_change_is_a_first_instance_in_one_incarnation_of_a_worker() -> None:
     placed = [(12_000.0, 1, 0), (13_000.0, 1, 0), (14_000.0, 1, 3), (15_500.0, 1, 0), (17_500.0, 1, 0)]
     assert change_freeze.changes(SCENARIO, placed) == [12_000.0, 14_000.0, 17_500.0], "runner 0 died at 15 s"
     early = [(12_000.0, 1, 0), (17_200.0, 1, 0), (17_200.0, 2, 0)]
@@ -39,7 +39,7 @@
 
 
 @pytest.mark.parametrize("plant", ["", "gate bypassed"])
-def test_real_routers_place_nothing_in_a_window_but_where_the_gate_is_bypassed(plant: str) -> None:
+def test_real_routers_place_nothing_in_a_window_unless_the_gate_is_bypassed(plant: str) -> None:
     """Six of them, under the quick form's faults of the network, a hot function and a runner back empty."""
     kinds = ("loss", "double", "reorder", "hot", "die", "declare")
     faults = tuple(f for f in next(iter(change_freeze.quick(1, 6))).faults if f.kind in kinds and f.at < 20.0)
--- a/tests/simulation/test_change_freeze.py
+++ b/tests/simulation/test_change_freeze.py
@@ -45,33 +45,33 @@
 from cedarthread.model.settings import RouterSettings
 from tests.helpers import settings
 
-T0 = 1_800_000_000_000.0  # true Unix ms at virtual time 0
-BOUND, V, SPREAD, TURN = 4000.0, 3000.0, 1500.0, 250.0
-ROUTERS, WORKERS, FUNCTIONS = 6, 8, 30
-RATE, ERROR = 0.001, 500.0
-ROTATES = 5000.0  # ms after which each function is wanted elsewhere: desire to move never ends
+EPOCH_UNIX_MS = 1_800_000_000_000.0  # true Unix ms at virtual time 0
+STALENESS_BOUND_MS, FRESHNESS_WINDOW_MS, DELIVERY_SPREAD_MS, TICK_INTERVAL_MS = 4000.0, 3000.0, 1500.0, 250.0
+ROUTER_COUNT, WORKER_COUNT, FUNCTION_COUNT = 6, 8, 30
+MAX_DRIFT_RATE, CLOCK_ERROR_MS = 0.001, 500.0
+PREFERENCE_EPOCH_MS = 5000.0  # ms after which each function is wanted elsewhere: desire to move never ends
 
 
 @dataclass
-class Runner:
-    number: int
-    life: int = 0
-    gone: bool = False
-    draining: bool = False
-    stood: set[int] = field(default_factory=set)
+class SimulatedWorker:
+    worker_id: int
+    incarnation: int = 0
+    is_gone: bool = False
+    is_draining: bool = False
+    placed_functions: set[int] = field(default_factory=set)
 
-    def entry(self) -> Endpoint:
-        state = EndpointState.DRAINING if self.draining else EndpointState.READY
-        return Endpoint(self.number, self.number % 2, 0, 0, state, 1.0, float(self.life))
+    def endpoint(self) -> Endpoint:
+        state = EndpointState.DRAINING if self.is_draining else EndpointState.READY
+        return Endpoint(self.worker_id, self.worker_id % 2, 0, 0, state, 1.0, float(self.incarnation))
 
 
-class Grants:
+class FakeEscrow:
     """Parts by rank that sum up to the total; who restarts has none."""
 
-    per_router = False
+    has_total_per_router = False
 
-    def __init__(self, number: int, empty: bool) -> None:
-        self.number, self.empty = number, empty
+    def __init__(self, router_index: int, is_empty: bool) -> None:
+        self.router_index, self.is_empty = router_index, is_empty
         self.totals: dict[str, int] = {}
         self.spent: dict[str, int] = {}
 
@@ -80,10 +80,10 @@
 
     def available(self, now: float, name: str) -> int:
         total = self.totals.get(name, 0)
-        part = total // ROUTERS + (self.number < total % ROUTERS)
-        if self.empty:
-            part = 0
-        return (total if self.per_router else part) - self.spent.get(name, 0)
+        amount = total // ROUTER_COUNT + (self.router_index < total % ROUTER_COUNT)
+        if self.is_empty:
+            amount = 0
+        return (total if self.has_total_per_router else amount) - self.spent.get(name, 0)
 
     def consume(self, now: float, name: str, amount: int = 1) -> bool:
         if self.available(now, name) < amount:
@@ -95,463 +95,602 @@
         pass
 
 
-class Register:
+class FakeReplicatedState:
     """What one router holds: entries that come after a while, settled when most hold them."""
 
-    staleness_bound_ms = BOUND
+    staleness_bound_ms = STALENESS_BOUND_MS
 
-    def __init__(self, fleet: Fleet, router: Router) -> None:
+    def __init__(self, fleet: SimulatedFleet, router: SimulatedRouter) -> None:
         self.fleet, self.router = fleet, router
-        self.had: dict[EntryKind, list[tuple[float, Entry, float]]] = {kind: [] for kind in EntryKind}
+        self.deliveries: dict[EntryKind, list[tuple[float, Entry, float]]] = {kind: [] for kind in EntryKind}
 
     def entries(self, kind: EntryKind) -> tuple[ReplicatedEntry, ...]:
-        now, local = self.fleet.now, self.router.steady
+        now, to_local = self.fleet.now, self.router.steady_clock_ms
         newest: dict[str, ReplicatedEntry] = {}
-        for at, entry, most in self.had[kind]:
-            old = newest.get(entry.name)
-            if at <= now and (old is None or old.entry.version < entry.version):
-                settled = max(at, most)
+        for at, entry, majority_at in self.deliveries[kind]:
+            previous = newest.get(entry.name)
+            if at <= now and (previous is None or previous.entry.version < entry.version):
+                replicated_at = max(at, majority_at)
                 newest[entry.name] = ReplicatedEntry(
-                    entry, local(at), local(settled) if settled <= now else None
+                    entry, to_local(at), to_local(replicated_at) if replicated_at <= now else None
                 )
         return tuple(newest.values())
 
     def is_fresh(self, now: float) -> bool:
-        since, until = self.router.cut
-        late = (max(self.router.born, until) if since <= self.router.born else self.router.born) + SPREAD
-        late *= self.router.born > 0.0
-        return self.fleet.now >= late and not since + V <= self.fleet.now < until + SPREAD
+        since, until = self.router.partition
+        fresh_from = (
+            max(self.router.started_at, until) if since <= self.router.started_at else self.router.started_at
+        ) + DELIVERY_SPREAD_MS
+        fresh_from *= self.router.started_at > 0.0
+        return (
+            self.fleet.now >= fresh_from
+            and not since + FRESHNESS_WINDOW_MS <= self.fleet.now < until + DELIVERY_SPREAD_MS
+        )
 
     def fresh_since(self, now: float) -> float | None:
         return now if self.is_fresh(now) else None
 
 
-class Router:
-    def __init__(self, fleet: Fleet, number: int, born: float = 0.0) -> None:
-        self.fleet, self.number, self.born = fleet, number, born
-        self.drift = RATE * ((number % 3) - 1)
-        self.wall_error = ERROR * ((number % 3) - 1)
-        self.step = 0.0
-        self.cut = (float("inf"), 0.0)
-        self.settings = settings(router_count=ROUTERS, router_index=number, zones=("north", "south"))
-        self.register, self.grants = Register(fleet, self), fleet.grants(number, born > 0)
-        sharing = SharingConfig(clock_rate=RATE, clock_error=2 * ERROR)
-        self.part = ChangeFreezeComponent(
-            self.settings, sharing, self.register, self.grants, now=self.steady(fleet.now)
+class SimulatedRouter:
+    def __init__(self, fleet: SimulatedFleet, router_index: int, started_at: float = 0.0) -> None:
+        self.fleet, self.router_index, self.started_at = fleet, router_index, started_at
+        self.drift_rate = MAX_DRIFT_RATE * ((router_index % 3) - 1)
+        self.wall_clock_error_ms = CLOCK_ERROR_MS * ((router_index % 3) - 1)
+        self.wall_clock_step_ms = 0.0
+        self.partition = (float("inf"), 0.0)
+        self.settings = settings(
+            router_count=ROUTER_COUNT, router_index=router_index, zones=("north", "south")
+        )
+        self.replicated_state, self.escrow = (
+            FakeReplicatedState(fleet, self),
+            fleet.escrow_type(router_index, started_at > 0),
+        )
+        sharing = SharingConfig(clock_rate=MAX_DRIFT_RATE, clock_error=2 * CLOCK_ERROR_MS)
+        self.component = ChangeFreezeComponent(
+            self.settings, sharing, self.replicated_state, self.escrow, now=self.steady_clock_ms(fleet.now)
+        )
+        self.in_flight: dict[int, int] = {}
+        self.log_lines: list[str] = []
+        self.on_tick()
+        workers = tuple(runner.endpoint() for runner in fleet.workers)
+        self.component.on_notification(
+            self.local_now, EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, workers)
         )
-        self.out: dict[int, int] = {}
-        self.log: list[str] = []
-        self.turn()
-        workers = tuple(runner.entry() for runner in fleet.runners)
-        self.part.on_notification(self.local, EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, workers))
 
-    def steady(self, at: float) -> float:
-        return 7000.0 * self.number + at * (1.0 + self.drift)
+    def steady_clock_ms(self, at: float) -> float:
+        return 7000.0 * self.router_index + at * (1.0 + self.drift_rate)
 
     @property
-    def local(self) -> float:
-        return self.steady(self.fleet.now)
-
-    def turn(self) -> None:
-        now, true = self.local, T0 + self.fleet.now
-        words = [
-            *self.part.on_notification(now, WallClockRead(true + self.wall_error + self.step)),
-            *self.part.on_tick(now),
+    def local_now(self) -> float:
+        return self.steady_clock_ms(self.fleet.now)
+
+    def on_tick(self) -> None:
+        now, true_unix_ms = self.local_now, EPOCH_UNIX_MS + self.fleet.now
+        messages = [
+            *self.component.on_notification(
+                now, WallClockRead(true_unix_ms + self.wall_clock_error_ms + self.wall_clock_step_ms)
+            ),
+            *self.component.on_tick(now),
         ]
-        self.log += [word.message for word in words if isinstance(word, LogMessage)]
-        for wish in self.part.release_deferred_changes(now):
-            if wish.kind == "retune" and self.part.gate.deferred_settings is not None:
-                self.retune(self.part.gate.deferred_settings)
-            elif wish.worker_id is not None and wish.function_id is not None and wish.kind != "unload":
-                self.fleet.load(wish.worker_id, wish.function_id)
+        self.log_lines += [word.message for word in messages if isinstance(word, LogMessage)]
+        for deferred in self.component.release_deferred_changes(now):
+            if deferred.kind == "retune" and self.component.gate.deferred_settings is not None:
+                self.reload_settings(self.component.gate.deferred_settings)
+            elif (
+                deferred.worker_id is not None
+                and deferred.function_id is not None
+                and deferred.kind != "unload"
+            ):
+                self.fleet.load_function(deferred.worker_id, deferred.function_id)
         for other in self.fleet.routers:  # one question and its answer a turn, where none is cut off
-            if other is not self and not self.fleet.cut_off(self) and not self.fleet.cut_off(other):
-                told = other.part.wall_clock.unix_ms(other.local)
-                self.part.wall_clock.add_sample(now, other.number, told, now - 2.0)
-
-    def call(self, function: int, tries: int = 10) -> None:
-        now, fleet, gate = self.local, self.fleet, self.part.gate
-        ready = [r for r in fleet.runners if not r.gone]
-        order = sorted(ready, key=lambda r: fleet.liking(r.number, function, fleet.now // ROTATES))
-        ranked, homes = gate.home_workers(now, function, [r.number for r in order if not r.draining], 2)
+            if (
+                other is not self
+                and not self.fleet.is_partitioned(self)
+                and not self.fleet.is_partitioned(other)
+            ):
+                peer_unix_ms = other.component.wall_clock.unix_ms(other.local_now)
+                self.component.wall_clock.add_sample(now, other.router_index, peer_unix_ms, now - 2.0)
+
+    def on_call(self, function_id: int, attempts_left: int = 10) -> None:
+        now, fleet, gate = self.local_now, self.fleet, self.component.gate
+        present = [r for r in fleet.workers if not r.is_gone]
+        preferred = sorted(
+            present,
+            key=lambda r: fleet.preference(r.worker_id, function_id, fleet.now // PREFERENCE_EPOCH_MS),
+        )
+        ranked, home_count = gate.home_workers(
+            now, function_id, [r.worker_id for r in preferred if not r.is_draining], 2
+        )
         candidates = []
-        for runner in order:
-            stands = self.fleet.now > self.born + 500.0 and function in runner.stood
-            at = ranked.index(runner.number) if runner.number in ranked else 99
-            free = self.out.get(runner.number, 0) < 3
-            distance = float(at >= homes) * 10.0 + at
+        for runner in preferred:
+            is_placed = self.fleet.now > self.started_at + 500.0 and function_id in runner.placed_functions
+            rank = ranked.index(runner.worker_id) if runner.worker_id in ranked else 99
+            has_capacity = self.in_flight.get(runner.worker_id, 0) < 3
+            distance = float(rank >= home_count) * 10.0 + rank
             candidates.append(
                 PlacementCandidate(
-                    runner.number, not runner.draining, stands, free, distance, runner.number % 2
+                    runner.worker_id,
+                    not runner.is_draining,
+                    is_placed,
+                    has_capacity,
+                    distance,
+                    runner.worker_id % 2,
                 )
             )
-            if stands:
-                gate.placements.record(now, function, runner.number)
-        way, worker = gate.route_call(now, function, None, candidates)
-        if worker is not None and way in (RoutingVerdict.SEND, RoutingVerdict.LOAD):
+            if is_placed:
+                gate.placements.record(now, function_id, runner.worker_id)
+        verdict, worker_id = gate.route_call(now, function_id, None, candidates)
+        if worker_id is not None and verdict in (RoutingVerdict.SEND, RoutingVerdict.LOAD):
             change = PlacementChange(
-                "first-copy", worker, function, worker % 2, None, way is RoutingVerdict.LOAD
+                "first-copy", worker_id, function_id, worker_id % 2, None, verdict is RoutingVerdict.LOAD
             )
             if gate.admit(now, change).is_permitted:
-                return fleet.send(self, worker, function)
-        if tries:
-            return fleet.at(fleet.now + 100.0, lambda: self.call(function, tries - 1))
-        fleet.refused.append((fleet.now, function))
-        if any(function in r.stood and not r.draining and self.out.get(r.number, 0) < 3 for r in ready):
-            fleet.shunned.append((fleet.now, function))
-
-    def ended(self, worker: int, life: int, function: int) -> None:
-        self.out[worker] -= 1
-        runner = self.fleet.runners[worker]
-        if runner.life == life and not runner.gone:
-            self.part.on_notification(
-                self.local, AttemptCompleted(worker, function, None, 30.0, Outcome.OK, True)
+                return fleet.send(self, worker_id, function_id)
+        if attempts_left:
+            return fleet.schedule(fleet.now + 100.0, lambda: self.on_call(function_id, attempts_left - 1))
+        fleet.rejections.append((fleet.now, function_id))
+        if any(
+            function_id in r.placed_functions and not r.is_draining and self.in_flight.get(r.worker_id, 0) < 3
+            for r in present
+        ):
+            fleet.needless_rejections.append((fleet.now, function_id))
+
+    def on_attempt_ended(self, worker_id: int, incarnation: int, function_id: int) -> None:
+        self.in_flight[worker_id] -= 1
+        runner = self.fleet.workers[worker_id]
+        if runner.incarnation == incarnation and not runner.is_gone:
+            self.component.on_notification(
+                self.local_now, AttemptCompleted(worker_id, function_id, None, 30.0, Outcome.OK, True)
             )
 
-    def order(self, function: int) -> None:
+    def request_preload(self, function_id: int) -> None:
         """A wish to have the function where it does not stand; and one to unload it."""
-        wanted = [r for r in self.fleet.runners if function not in r.stood and not (r.gone or r.draining)]
+        without_instance = [
+            r
+            for r in self.fleet.workers
+            if function_id not in r.placed_functions and not (r.is_gone or r.is_draining)
+        ]
         if (
-            wanted
-            and self.part.gate.admit(
-                self.local, PlacementChange("order", wanted[0].number, function)
+            without_instance
+            and self.component.gate.admit(
+                self.local_now, PlacementChange("order", without_instance[0].worker_id, function_id)
             ).is_permitted
         ):
-            self.fleet.load(wanted[0].number, function)
-        unload = PlacementChange("unload", wanted[-1].number if wanted else 0, function)
-        self.fleet.unloads += [self.fleet.now] * self.part.gate.admit(self.local, unload).is_permitted
+            self.fleet.load_function(without_instance[0].worker_id, function_id)
+        unload = PlacementChange(
+            "unload", without_instance[-1].worker_id if without_instance else 0, function_id
+        )
+        self.fleet.unloads += [self.fleet.now] * self.component.gate.admit(
+            self.local_now, unload
+        ).is_permitted
 
-    def retune(self, new: RouterSettings) -> None:
+    def reload_settings(self, new: RouterSettings) -> None:
         """New settings that move homes: what they move is loaded at once."""
-        before, self.settings = (
+        previous, self.settings = (
             self.settings,
-            self.part.gate.admitted_settings(self.local, self.settings, new),
+            self.component.gate.admitted_settings(self.local_now, self.settings, new),
         )
-        if self.settings.prices != before.prices:
-            for function in range(5):
-                for worker in range(WORKERS):
-                    self.fleet.load(worker, function)
+        if self.settings.prices != previous.prices:
+            for function_id in range(5):
+                for worker_id in range(WORKER_COUNT):
+                    self.fleet.load_function(worker_id, function_id)
 
 
-class Fleet:
-    grants: type[Grants] = Grants
+class SimulatedFleet:
+    escrow_type: type[FakeEscrow] = FakeEscrow
 
     def __init__(self, seed: int = 1) -> None:
-        self.rng, self.now, self.serial = random.Random(seed), 0.0, 0
-        self.runners = [Runner(number) for number in range(WORKERS)]
-        self.placed: list[tuple[float, int, int]] = []  # the runners' books: when, worker, function
-        self.refused: list[tuple[float, int]] = []
-        self.shunned: list[tuple[float, int]] = []  # refused though a standing copy had room
+        self.rng, self.now, self.event_count = random.Random(seed), 0.0, 0
+        self.workers = [SimulatedWorker(number) for number in range(WORKER_COUNT)]
+        self.placements: list[tuple[float, int, int]] = []  # the runners' books: when, worker, function
+        self.rejections: list[tuple[float, int]] = []
+        self.needless_rejections: list[tuple[float, int]] = []  # refused though a standing copy had room
         self.unloads: list[float] = []
-        self.served = self.version = 0
-        self.steps: list[tuple[float, int, Callable[[], None]]] = []
-        self.routers: list[Router] = []
+        self.served_count = self.entry_count = 0
+        self.scheduled: list[tuple[float, int, Callable[[], None]]] = []
+        self.routers: list[SimulatedRouter] = []
 
-    def start(self) -> Fleet:
-        for number in range(ROUTERS):
-            self.routers.append(Router(self, number))
+    def start(self) -> SimulatedFleet:
+        for number in range(ROUTER_COUNT):
+            self.routers.append(SimulatedRouter(self, number))
         return self
 
     @staticmethod
     @functools.cache
-    def liking(worker: int, function: int, epoch: float) -> float:
-        return random.Random(f"{worker} {function} {epoch}").random()
+    def preference(worker_id: int, function_id: int, epoch: float) -> float:
+        return random.Random(f"{worker_id} {function_id} {epoch}").random()
 
-    def at(self, time: float, what: Callable[[], None]) -> None:
-        self.serial += 1
-        heapq.heappush(self.steps, (time, self.serial, what))
+    def schedule(self, at_ms: float, action: Callable[[], None]) -> None:
+        self.event_count += 1
+        heapq.heappush(self.scheduled, (at_ms, self.event_count, action))
 
-    def run(self, until: float) -> Fleet:
+    def run(self, until: float) -> SimulatedFleet:
         while self.now < until:
             self.now += 10.0
-            while self.steps and self.steps[0][0] <= self.now:
-                heapq.heappop(self.steps)[2]()
+            while self.scheduled and self.scheduled[0][0] <= self.now:
+                heapq.heappop(self.scheduled)[2]()
             for router in self.routers:
-                if (self.now + 40.0 * router.number) % TURN == 0.0:
-                    router.turn()
+                if (self.now + 40.0 * router.router_index) % TICK_INTERVAL_MS == 0.0:
+                    router.on_tick()
             if self.now % 20.0 == 0.0:
-                self.rng.choice(self.routers).call(int(self.rng.paretovariate(0.8)) % FUNCTIONS)
+                self.rng.choice(self.routers).on_call(int(self.rng.paretovariate(0.8)) % FUNCTION_COUNT)
             if self.now % 1000.0 == 0.0:
-                self.rng.choice(self.routers).order(self.rng.randrange(FUNCTIONS))
+                self.rng.choice(self.routers).request_preload(self.rng.randrange(FUNCTION_COUNT))
         return self
 
-    def cut_off(self, router: Router) -> bool:
-        return router.cut[0] <= self.now < router.cut[1]
+    def is_partitioned(self, router: SimulatedRouter) -> bool:
+        return router.partition[0] <= self.now < router.partition[1]
 
-    def declare(self, kind: EntryKind, body: WindowBody, over: int = 0) -> None:
-        self.version += 1
-        entry = Entry(kind, body.window_id, Version(self.version, 0, 1), encode(body), over)
-        times = {r.number: self.now + self.rng.uniform(0.0, SPREAD) * (r.number > 0) for r in self.routers}
+    def declare(self, kind: EntryKind, body: WindowBody, replaces_digest: int = 0) -> None:
+        self.entry_count += 1
+        entry = Entry(kind, body.window_id, Version(self.entry_count, 0, 1), encode(body), replaces_digest)
+        received_at = {
+            r.router_index: self.now + self.rng.uniform(0.0, DELIVERY_SPREAD_MS) * (r.router_index > 0)
+            for r in self.routers
+        }
         for router in self.routers:
-            if self.cut_off(router):
-                times[router.number] = router.cut[1] + self.rng.uniform(0.0, SPREAD)
-        most = sorted(times.values())[ROUTERS // 2]
+            if self.is_partitioned(router):
+                received_at[router.router_index] = router.partition[1] + self.rng.uniform(
+                    0.0, DELIVERY_SPREAD_MS
+                )
+        majority_at = sorted(received_at.values())[ROUTER_COUNT // 2]
         for router in self.routers:
-            router.register.had[kind].append((times[router.number], entry, most))
-
-    def load(self, worker: int, function: int) -> None:
-        runner = self.runners[worker]
-        if not runner.gone and function not in runner.stood:
-            runner.stood.add(function)
-            self.placed.append((self.now, worker, function))
-
-    def send(self, router: Router, worker: int, function: int) -> None:
-        self.load(worker, function)
-        self.served += 1
-        router.out[worker] = router.out.get(worker, 0) + 1
-        life = self.runners[worker].life
-        self.at(self.now + 30.0, lambda: router.ended(worker, life, function))
-
-    def die(self, worker: int, back: bool = True, drain: bool = False) -> None:
-        runner = self.runners[worker]
-        runner.draining = drain
-        if not drain:
-            runner.life, runner.gone, runner.stood = runner.life + 1, not back, set()
-        entry = runner.entry()
+            router.replicated_state.deliveries[kind].append(
+                (received_at[router.router_index], entry, majority_at)
+            )
+
+    def load_function(self, worker_id: int, function_id: int) -> None:
+        worker = self.workers[worker_id]
+        if not worker.is_gone and function_id not in worker.placed_functions:
+            worker.placed_functions.add(function_id)
+            self.placements.append((self.now, worker_id, function_id))
+
+    def send(self, router: SimulatedRouter, worker_id: int, function_id: int) -> None:
+        self.load_function(worker_id, function_id)
+        self.served_count += 1
+        router.in_flight[worker_id] = router.in_flight.get(worker_id, 0) + 1
+        incarnation = self.workers[worker_id].incarnation
+        self.schedule(self.now + 30.0, lambda: router.on_attempt_ended(worker_id, incarnation, function_id))
+
+    def stop_worker(self, worker_id: int, comes_back: bool = True, drains: bool = False) -> None:
+        worker = self.workers[worker_id]
+        worker.is_draining = drains
+        if not drains:
+            worker.incarnation, worker.is_gone, worker.placed_functions = (
+                worker.incarnation + 1,
+                not comes_back,
+                set(),
+            )
+        entry = worker.endpoint()
         for router in self.routers:
-            if runner.gone:
-                told = EndpointUpdate(
-                    EndpointUpdateKind.SNAPSHOT, 1, tuple(r.entry() for r in self.runners if not r.gone)
+            if worker.is_gone:
+                update = EndpointUpdate(
+                    EndpointUpdateKind.SNAPSHOT, 1, tuple(r.endpoint() for r in self.workers if not r.is_gone)
                 )
             else:
-                told = EndpointUpdate(EndpointUpdateKind.DELTA, 1, (entry,))
-            router.part.on_notification(router.local, told)
+                update = EndpointUpdate(EndpointUpdateKind.DELTA, 1, (entry,))
+            router.component.on_notification(router.local_now, update)
 
-    def restart(self, number: int, keeps: bool) -> None:
+    def restart_router(self, router_index: int, keeps_entries: bool) -> None:
         """``keeps``: its store gives back what it held; else it holds nothing until it is fresh."""
-        old = self.routers[number]
-        new = Router(self, number, self.now)
-        new.step, new.cut = old.step, old.cut
-        for kind, had in old.register.had.items():
-            back = max(self.now, old.cut[1]) + SPREAD
-            new.register.had[kind] = had if keeps else [(max(at, back), e, m) for at, e, m in had]
-        self.routers[number] = new
+        previous = self.routers[router_index]
+        restarted = SimulatedRouter(self, router_index, self.now)
+        restarted.wall_clock_step_ms, restarted.partition = previous.wall_clock_step_ms, previous.partition
+        for kind, deliveries in previous.replicated_state.deliveries.items():
+            delivered_from = max(self.now, previous.partition[1]) + DELIVERY_SPREAD_MS
+            restarted.replicated_state.deliveries[kind] = (
+                deliveries if keeps_entries else [(max(at, delivered_from), e, m) for at, e, m in deliveries]
+            )
+        self.routers[router_index] = restarted
 
     # The judge.
 
-    def changes(self, since: float, until: float) -> int:
-        return sum(since <= at < until for at, _, _ in self.placed)
+    def count_placements(self, from_ms: float, until_ms: float) -> int:
+        return sum(from_ms <= at < until_ms for at, _, _ in self.placements)
 
-    def peak(self, since: float, until: float, span: float = 250.0) -> int:
-        times = [at for at, _, _ in self.placed if since <= at < until]
-        return max((sum(t <= other < t + span for other in times) for t in times), default=0)
+    def peak_placements(self, from_ms: float, until_ms: float, span_ms: float = 250.0) -> int:
+        times = [at for at, _, _ in self.placements if from_ms <= at < until_ms]
+        return max((sum(t <= other < t + span_ms for other in times) for t in times), default=0)
 
 
-START, END = 20_000.0, 60_000.0
-UNTIL = 80_000.0
+WINDOW_START_MS, WINDOW_END_MS = 20_000.0, 60_000.0
+RUN_END_MS = 80_000.0
 
 
-def terms(start: float = START, end: float = END, **changes: Any) -> WindowTerms:
-    base = WindowTerms("w", int(T0 + start), int(T0 + end), (), (), (), ALL_CHANGE_KINDS, 0, "ops", "cycle")
+def window_terms(start: float = WINDOW_START_MS, end: float = WINDOW_END_MS, **changes: Any) -> WindowTerms:
+    base = WindowTerms(
+        "w",
+        int(EPOCH_UNIX_MS + start),
+        int(EPOCH_UNIX_MS + end),
+        (),
+        (),
+        (),
+        ALL_CHANGE_KINDS,
+        0,
+        "ops",
+        "cycle",
+    )
     return msgspec.structs.replace(base, **changes)
 
 
-def revoke() -> Revocation:
+def revocation() -> Revocation:
     return Revocation("w", "ops", "over")
 
 
 # Each scenario returns what the judge holds against the fleet: nothing, where all is well.
-Judged = list[str]
+Violations = list[str]
 
 
-def over(fleet: Fleet, since: float, until: float, allowance: int = 0) -> Judged:
-    made = fleet.changes(since, until)
-    return [f"{made} changes from {since} to {until}, {allowance} allowed"] * (made > allowance)
+def changes_over_budget(
+    fleet: SimulatedFleet, from_ms: float, until_ms: float, exception_budget: int = 0
+) -> Violations:
+    placement_count = fleet.count_placements(from_ms, until_ms)
+    return [f"{placement_count} changes from {from_ms} to {until_ms}, {exception_budget} allowed"] * (
+        placement_count > exception_budget
+    )
 
 
-def calm(fleet: Fleet) -> Judged:
-    fleet.declare(EntryKind.FREEZE, terms())
-    fleet.run(UNTIL)
-    bad = over(fleet, START, END) + ["unloaded"] * any(START <= at < END for at in fleet.unloads)
-    bad += ["nothing was wanted, or nothing came back"] * (fleet.changes(END, UNTIL) == 0)
-    return bad + ["refused"] * bool(fleet.refused)
+def quiet_window(fleet: SimulatedFleet) -> Violations:
+    fleet.declare(EntryKind.FREEZE, window_terms())
+    fleet.run(RUN_END_MS)
+    violations = changes_over_budget(fleet, WINDOW_START_MS, WINDOW_END_MS) + ["unloaded"] * any(
+        WINDOW_START_MS <= at < WINDOW_END_MS for at in fleet.unloads
+    )
+    violations += ["nothing was wanted, or nothing came back"] * (
+        fleet.count_placements(WINDOW_END_MS, RUN_END_MS) == 0
+    )
+    return violations + ["refused"] * bool(fleet.rejections)
 
 
-def late(fleet: Fleet) -> Judged:
-    fleet.run(15_000.0).declare(EntryKind.FREEZE, terms(15_100.0))
-    fleet.run(END)
-    said = all("too late" in "".join(router.log) for router in fleet.routers)
-    return over(fleet, 15_000.0 + BOUND, END) + ["it did not say that it is late"] * (not said)
+def declared_late(fleet: SimulatedFleet) -> Violations:
+    fleet.run(15_000.0).declare(EntryKind.FREEZE, window_terms(15_100.0))
+    fleet.run(WINDOW_END_MS)
+    is_logged = all("too late" in "".join(router.log_lines) for router in fleet.routers)
+    return changes_over_budget(fleet, 15_000.0 + STALENESS_BOUND_MS, WINDOW_END_MS) + [
+        "it did not say that it is late"
+    ] * (not is_logged)
 
 
-def deaths(fleet: Fleet) -> Judged:
-    fleet.declare(EntryKind.FREEZE, terms(exception_budget=7))
+def workers_die(fleet: SimulatedFleet) -> Violations:
+    fleet.declare(EntryKind.FREEZE, window_terms(exception_budget=7))
     fleet.run(25_000.0)
-    for worker in range(6):
-        fleet.die(worker, back=worker % 2 == 0, drain=worker == 5)
+    for worker_id in range(6):
+        fleet.stop_worker(worker_id, comes_back=worker_id % 2 == 0, drains=worker_id == 5)
         fleet.run(fleet.now + 4_000.0)
-    fleet.run(END)
-    bad = over(fleet, START, END, 7) + ["the allowance was not used"] * (fleet.changes(START, END) == 0)
-    return bad + ["a standing copy had room"] * bool(fleet.shunned)
-
-
-def revoked(fleet: Fleet) -> Judged:
-    fleet.declare(EntryKind.FREEZE, terms())
-    fleet.run(30_000.0).declare(EntryKind.REVOKE, revoke())
-    fleet.run(END - 5_000.0)
-    bad = over(fleet, START, 30_000.0 + BOUND)
-    return bad + ["it was not revoked"] * (fleet.changes(30_000.0 + BOUND + SPREAD, END - 5_000.0) == 0)
-
-
-def glass(fleet: Fleet) -> Judged:
-    fleet.declare(EntryKind.FREEZE, terms())
-    fleet.run(25_000.0).declare(EntryKind.BREAK_GLASS, BreakGlass("w", int(T0 + 45_000.0), "ops", "fire"))
-    fleet.run(END)
-    bad = over(fleet, START, 25_000.0 + BOUND) + over(fleet, 45_000.0, END)
-    return bad + ["it was not broken open"] * (fleet.changes(31_000.0, 44_000.0) == 0)
-
-
-def edits(fleet: Fleet) -> Judged:
+    fleet.run(WINDOW_END_MS)
+    violations = changes_over_budget(fleet, WINDOW_START_MS, WINDOW_END_MS, 7) + [
+        "the allowance was not used"
+    ] * (fleet.count_placements(WINDOW_START_MS, WINDOW_END_MS) == 0)
+    return violations + ["a standing copy had room"] * bool(fleet.needless_rejections)
+
+
+def window_revoked(fleet: SimulatedFleet) -> Violations:
+    fleet.declare(EntryKind.FREEZE, window_terms())
+    fleet.run(30_000.0).declare(EntryKind.REVOKE, revocation())
+    fleet.run(WINDOW_END_MS - 5_000.0)
+    violations = changes_over_budget(fleet, WINDOW_START_MS, 30_000.0 + STALENESS_BOUND_MS)
+    return violations + ["it was not revoked"] * (
+        fleet.count_placements(30_000.0 + STALENESS_BOUND_MS + DELIVERY_SPREAD_MS, WINDOW_END_MS - 5_000.0)
+        == 0
+    )
+
+
+def break_glass(fleet: SimulatedFleet) -> Violations:
+    fleet.declare(EntryKind.FREEZE, window_terms())
+    fleet.run(25_000.0).declare(
+        EntryKind.BREAK_GLASS, BreakGlass("w", int(EPOCH_UNIX_MS + 45_000.0), "ops", "fire")
+    )
+    fleet.run(WINDOW_END_MS)
+    violations = changes_over_budget(
+        fleet, WINDOW_START_MS, 25_000.0 + STALENESS_BOUND_MS
+    ) + changes_over_budget(fleet, 45_000.0, WINDOW_END_MS)
+    return violations + ["it was not broken open"] * (fleet.count_placements(31_000.0, 44_000.0) == 0)
+
+
+def window_edited(fleet: SimulatedFleet) -> Violations:
     """It is extended, and one overlaps it; then it is cut short: only that waits until all know."""
-    fleet.declare(EntryKind.FREEZE, terms(end=40_000.0))
-    fleet.declare(EntryKind.FREEZE, terms(35_000.0, 50_000.0, window_id="x", function_ids=(1, 2)))
-    fleet.run(39_900.0 - BOUND).declare(EntryKind.FREEZE, terms(), over=1)
-    fleet.run(45_000.0).declare(EntryKind.FREEZE, terms(end=46_000.0), over=2)
-    fleet.run(UNTIL)
-    freed = [p for p in fleet.placed if 45_000.0 + BOUND + SPREAD + 3000.0 <= p[0] < END]
-    early = [p for p in fleet.placed if p[0] < 50_000.0 and p[2] in (1, 2) and p[0] >= START]
-    bad = over(fleet, START, 45_000.0 + BOUND) + ["the overlap did not hold"] * bool(early)
-    return bad + ["it was not cut short"] * (not freed)
-
-
-def steps(fleet: Fleet) -> Judged:
+    fleet.declare(EntryKind.FREEZE, window_terms(end=40_000.0))
+    fleet.declare(EntryKind.FREEZE, window_terms(35_000.0, 50_000.0, window_id="x", function_ids=(1, 2)))
+    fleet.run(39_900.0 - STALENESS_BOUND_MS).declare(EntryKind.FREEZE, window_terms(), replaces_digest=1)
+    fleet.run(45_000.0).declare(EntryKind.FREEZE, window_terms(end=46_000.0), replaces_digest=2)
+    fleet.run(RUN_END_MS)
+    after_cut = [
+        p
+        for p in fleet.placements
+        if 45_000.0 + STALENESS_BOUND_MS + DELIVERY_SPREAD_MS + 3000.0 <= p[0] < WINDOW_END_MS
+    ]
+    in_overlap = [
+        p for p in fleet.placements if p[0] < 50_000.0 and p[2] in (1, 2) and p[0] >= WINDOW_START_MS
+    ]
+    violations = changes_over_budget(fleet, WINDOW_START_MS, 45_000.0 + STALENESS_BOUND_MS) + [
+        "the overlap did not hold"
+    ] * bool(in_overlap)
+    return violations + ["it was not cut short"] * (not after_cut)
+
+
+def clocks_step(fleet: SimulatedFleet) -> Violations:
     """Clocks of two step by hours, and one alone by half a second; then all at once from one bad source."""
-    fleet.declare(EntryKind.FREEZE, terms())
+    fleet.declare(EntryKind.FREEZE, window_terms())
     fleet.run(25_000.0)
-    for number, step in ((1, 7_200_000.0), (2, -7_200_000.0), (3, 80_000.0)):
-        fleet.routers[number].step = step
+    for router_index, step in ((1, 7_200_000.0), (2, -7_200_000.0), (3, 80_000.0)):
+        fleet.routers[router_index].wall_clock_step_ms = step
     fleet.run(40_000.0)
     for router in fleet.routers:
-        router.step = 36_000_000.0
-    fleet.run(UNTIL)
-    return over(fleet, START, END) + ["it did not end"] * (fleet.changes(END, UNTIL) == 0)
+        router.wall_clock_step_ms = 36_000_000.0
+    fleet.run(RUN_END_MS)
+    return changes_over_budget(fleet, WINDOW_START_MS, WINDOW_END_MS) + ["it did not end"] * (
+        fleet.count_placements(WINDOW_END_MS, RUN_END_MS) == 0
+    )
 
 
-def slow_start(fleet: Fleet) -> Judged:
+def clock_behind_from_start(fleet: SimulatedFleet) -> Violations:
     """A router whose clock is hours slow from its start: the window begins for it by the others' clocks."""
-    fleet.routers[3].step = -7_200_000.0
-    fleet.restart(3, keeps=False)
-    fleet.run(16_000.0).declare(EntryKind.FREEZE, terms(21_000.0))
-    fleet.run(END)
-    said = "behind most others" in "".join(fleet.routers[3].log)
-    return over(fleet, 21_000.0, END) + ["it did not say that its clock is off"] * (not said)
+    fleet.routers[3].wall_clock_step_ms = -7_200_000.0
+    fleet.restart_router(3, keeps_entries=False)
+    fleet.run(16_000.0).declare(EntryKind.FREEZE, window_terms(21_000.0))
+    fleet.run(WINDOW_END_MS)
+    is_logged = "behind most others" in "".join(fleet.routers[3].log_lines)
+    return changes_over_budget(fleet, 21_000.0, WINDOW_END_MS) + ["it did not say that its clock is off"] * (
+        not is_logged
+    )
 
 
-def restarts(fleet: Fleet) -> Judged:
+def routers_restart(fleet: SimulatedFleet) -> Violations:
     """Routers lose all that they knew in the window, some of them cut off as well."""
-    fleet.declare(EntryKind.FREEZE, terms(exception_budget=3))
+    fleet.declare(EntryKind.FREEZE, window_terms(exception_budget=3))
     fleet.run(28_000.0)
-    fleet.routers[4].cut = (28_000.0, 45_000.0)
-    for number in (1, 2, 4):
-        fleet.restart(number, keeps=number == 2)
-    return over(fleet.run(END), START, END, 3)
+    fleet.routers[4].partition = (28_000.0, 45_000.0)
+    for router_index in (1, 2, 4):
+        fleet.restart_router(router_index, keeps_entries=router_index == 2)
+    return changes_over_budget(fleet.run(WINDOW_END_MS), WINDOW_START_MS, WINDOW_END_MS, 3)
 
 
-def unheard(fleet: Fleet) -> Judged:
+def no_peer_heard(fleet: SimulatedFleet) -> Violations:
     """Nobody hears anybody from long before the end: it ends at its end."""
-    fleet.declare(EntryKind.FREEZE, terms(end=100_000.0))
+    fleet.declare(EntryKind.FREEZE, window_terms(end=100_000.0))
     fleet.run(25_000.0)
     for router in fleet.routers:
-        router.cut = (25_000.0, 1e9)
+        router.partition = (25_000.0, 1e9)
     fleet.run(110_000.0)
-    return over(fleet, START, 100_000.0) + ["it did not end"] * (fleet.changes(100_000.0, 110_000.0) == 0)
+    return changes_over_budget(fleet, WINDOW_START_MS, 100_000.0) + ["it did not end"] * (
+        fleet.count_placements(100_000.0, 110_000.0) == 0
+    )
 
 
-def cut_off(fleet: Fleet) -> Judged:
+def partitioned_router(fleet: SimulatedFleet) -> Violations:
     """One that is cut off cannot know of a window that is declared meanwhile: it holds still on its own."""
-    fleet.routers[2].cut = (12_000.0, 50_000.0)
-    fleet.run(16_000.0).declare(EntryKind.FREEZE, terms(21_000.0))
-    return over(fleet.run(END), 21_000.0, END)
+    fleet.routers[2].partition = (12_000.0, 50_000.0)
+    fleet.run(16_000.0).declare(EntryKind.FREEZE, window_terms(21_000.0))
+    return changes_over_budget(fleet.run(WINDOW_END_MS), 21_000.0, WINDOW_END_MS)
 
 
-def retunes(fleet: Fleet) -> Judged:
-    fleet.declare(EntryKind.FREEZE, terms())
+def settings_reloaded(fleet: SimulatedFleet) -> Violations:
+    fleet.declare(EntryKind.FREEZE, window_terms())
     fleet.run(30_000.0)
     for router in fleet.routers:
         prices = dataclasses.replace(router.settings.prices, idle_memory=0.5)
-        router.retune(dataclasses.replace(router.settings, prices=prices))
-    fleet.run(UNTIL)
-    moved = all(router.settings.prices.idle_memory == 0.5 for router in fleet.routers)
-    return over(fleet, START, END) + ["the settings never came"] * (not moved)
+        router.reload_settings(dataclasses.replace(router.settings, prices=prices))
+    fleet.run(RUN_END_MS)
+    has_moved = all(router.settings.prices.idle_memory == 0.5 for router in fleet.routers)
+    return changes_over_budget(fleet, WINDOW_START_MS, WINDOW_END_MS) + ["the settings never came"] * (
+        not has_moved
+    )
 
 
-def ends_gently(fleet: Fleet) -> Judged:
+def released_slowly(fleet: SimulatedFleet) -> Violations:
     """What was wanted meanwhile is not all done at once: no peak over that of the same fleet unfrozen."""
-    fleet.declare(EntryKind.FREEZE, terms())
-    peak = fleet.run(UNTIL).peak(END, UNTIL)
-    most = 1.5 * Fleet().start().run(END).peak(10_000.0, END)
-    return [f"{peak} changes in 250 ms, {most} at most"] * (peak > most)
+    fleet.declare(EntryKind.FREEZE, window_terms())
+    peak = fleet.run(RUN_END_MS).peak_placements(WINDOW_END_MS, RUN_END_MS)
+    max_peak = 1.5 * SimulatedFleet().start().run(WINDOW_END_MS).peak_placements(10_000.0, WINDOW_END_MS)
+    return [f"{peak} changes in 250 ms, {max_peak} at most"] * (peak > max_peak)
 
 
 SCENARIOS = (
-    calm, late, deaths, revoked, glass, edits, steps, slow_start, restarts, unheard, cut_off, retunes,
-    ends_gently,
-)  # fmt: skip
+    quiet_window,
+    declared_late,
+    workers_die,
+    window_revoked,
+    break_glass,
+    window_edited,
+    clocks_step,
+    clock_behind_from_start,
+    routers_restart,
+    no_peer_heard,
+    partitioned_router,
+    settings_reloaded,
+    released_slowly,
+)
 
 
 @pytest.mark.parametrize("scenario", SCENARIOS, ids=lambda s: s.__name__)
-def test_the_fleet_holds_still_but_for_the_allowance(scenario: Callable[[Fleet], Judged]) -> None:
-    assert scenario(Fleet().start().run(10_000.0)) == []
+def test_no_placement_changes_beyond_the_exception_budget(
+    scenario: Callable[[SimulatedFleet], Violations],
+) -> None:
+    assert scenario(SimulatedFleet().start().run(10_000.0)) == []
 
 
-class PerRouter(Grants):
-    per_router = True
+class EscrowWithTotalPerRouter(FakeEscrow):
+    has_total_per_router = True
 
 
-def ungated(gate: AdmissionGate, now: float, change: PlacementChange) -> AdmissionDecision:
-    return AdmissionDecision(AdmissionAnswer.PERMITTED) if change.kind == "order" else MAY(gate, now, change)
+def admit_all_preloads(gate: AdmissionGate, now: float, change: PlacementChange) -> AdmissionDecision:
+    return (
+        AdmissionDecision(AdmissionAnswer.PERMITTED)
+        if change.kind == "order"
+        else ORIGINAL_ADMIT(gate, now, change)
+    )
 
 
-MAY, TOLD = AdmissionGate.admit, WallClock.on_host_reading
+ORIGINAL_ADMIT, ORIGINAL_ON_HOST_READING = AdmissionGate.admit, WallClock.on_host_reading
 # Planted: a name, what it is put in place of, and the scenario whose judge must find it.
-PLANTED: tuple[tuple[str, object, str, object, Callable[[Fleet], Judged]], ...] = (
-    ("retune goes around", AdmissionGate, "admitted_settings", lambda gate, now, old, new: new, retunes),
-    ("orders go around", AdmissionGate, "admit", ungated, calm),
-    ("allowance per router", Fleet, "grants", PerRouter, deaths),
+INJECTED_DEFECTS: tuple[tuple[str, object, str, object, Callable[[SimulatedFleet], Violations]], ...] = (
+    (
+        "retune goes around",
+        AdmissionGate,
+        "admitted_settings",
+        lambda gate, now, old, new: new,
+        settings_reloaded,
+    ),
+    ("orders go around", AdmissionGate, "admit", admit_all_preloads, quiet_window),
+    ("allowance per router", SimulatedFleet, "escrow_type", EscrowWithTotalPerRouter, workers_die),
     (
         "relaxes at once: revocation",
         window._HeldVersion,
         "is_effective",
         lambda version, reading: True,
-        revoked,
+        window_revoked,
     ),
     (
         "relaxes at once: break-glass",
         window._HeldVersion,
         "is_effective",
         lambda version, reading: True,
-        glass,
+        break_glass,
+    ),
+    (
+        "relaxes at once: cut short",
+        window._HeldVersion,
+        "is_effective",
+        lambda version, reading: True,
+        window_edited,
     ),
-    ("relaxes at once: cut short", window._HeldVersion, "is_effective", lambda version, reading: True, edits),
     (
         "follows steps",
         WallClock,
         "on_host_reading",
-        lambda clock, now, unix_ms, has_window: TOLD(clock, now, unix_ms, False),
-        steps,
+        lambda clock, now, unix_ms, has_window: ORIGINAL_ON_HOST_READING(clock, now, unix_ms, False),
+        clocks_step,
+    ),
+    (
+        "trusts a clock that is off",
+        WallClock,
+        "deviation_ms",
+        lambda clock, now: 0.0,
+        clock_behind_from_start,
     ),
-    ("trusts a clock that is off", WallClock, "deviation_ms", lambda clock, now: 0.0, slow_start),
     (
         "restart forgets the window",
         ChangeFreezeComponent,
         "_update_uncertainty",
         lambda part, now: None,
-        restarts,
+        routers_restart,
     ),
-    ("cut off, it moves on", stale_hold, "STALE_HOLD_MS", 0.0, cut_off),
-    ("all wishes at once", ReleaseRateLimiter, "__call__", lambda limiter, now: 1, ends_gently),
-    ("ends only when heard", stale_hold, "STALE_HOLD_MS", math.inf, unheard),
+    ("cut off, it moves on", stale_hold, "STALE_HOLD_MS", 0.0, partitioned_router),
+    ("all wishes at once", ReleaseRateLimiter, "__call__", lambda limiter, now: 1, released_slowly),
+    ("ends only when heard", stale_hold, "STALE_HOLD_MS", math.inf, no_peer_heard),
 )
 
 
-@pytest.mark.parametrize("name,owner,what,planted,scenario", PLANTED, ids=[p[0] for p in PLANTED])
-def test_planted_defects_are_found(
+@pytest.mark.parametrize(
+    "name,owner,attribute,defect,scenario", INJECTED_DEFECTS, ids=[p[0] for p in INJECTED_DEFECTS]
+)
+def test_injected_defects_are_found(
     name: str,
     owner: object,
-    what: str,
-    planted: object,
-    scenario: Callable[[Fleet], Judged],
+    attribute: str,
+    defect: object,
+    scenario: Callable[[SimulatedFleet], Violations],
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(owner, what, planted)
-    assert scenario(Fleet().start().run(10_000.0)) != []
+    monkeypatch.setattr(owner, attribute, defect)
+    assert scenario(SimulatedFleet().start().run(10_000.0)) != []
--- a/tests/simulation/test_change_freeze_exploration.py
+++ b/tests/simulation/test_change_freeze_exploration.py
@@ -1,4 +1,4 @@
-"""The freeze part in a small world that is explored whole, and its bodies, clocks and paths one by one."""
+"""The change freeze: a small world explored exhaustively; entries, clocks, the gate and placement paths."""
 
 from __future__ import annotations
 
@@ -36,26 +36,39 @@
 from cedarthread.gossip.codec import MalformedDatagram
 from cedarthread.model.endpoints import EndpointUpdate, EndpointUpdateKind
 from tests import helpers
-from tests.simulation.test_change_freeze import T0, Grants
+from tests.simulation.test_change_freeze import EPOCH_UNIX_MS, FakeEscrow
 
-UNIT, V, B = 1000.0, 1, 2  # a step of the world, ms; the register's times in steps
-STARTS, ENDS, CUT_SHORT, LAST = 3, 7, 5, 9
-TURNS = (1, STARTS + 1)  # when the surroundings change
-LEAST_STATES = 25_000
+STEP_MS, FRESHNESS_STEPS, BOUND_STEPS = 1000.0, 1, 2  # a step of the world, ms; the register's times in steps
+START_STEP, END_STEP, SHORTENED_END_STEP, LAST_STEP = 3, 7, 5, 9
+CHANGE_STEPS = (1, START_STEP + 1)  # when the surroundings change
+MIN_STATES = 25_000
+NEVER = 99  # past the last step
+MS_PER_HOUR = 3_600_000.0
 
 
-def terms(end: float = ENDS, **changes: object) -> WindowTerms:
+def window_terms(end: float = END_STEP, **changes: object) -> WindowTerms:
     base = WindowTerms(
-        "w", int(T0 + STARTS * UNIT), int(T0 + end * UNIT), (), (), (), ALL_CHANGE_KINDS, 0, "ops", "why"
+        "w",
+        int(EPOCH_UNIX_MS + START_STEP * STEP_MS),
+        int(EPOCH_UNIX_MS + end * STEP_MS),
+        (),
+        (),
+        (),
+        ALL_CHANGE_KINDS,
+        0,
+        "ops",
+        "why",
     )
     return msgspec.structs.replace(base, **changes)
 
 
+# The entries of the small world: a window, and three that relax it, of which one follows.
+WINDOW, SHORTENED, REVOKED, LIFTED = range(4)
 BODIES: tuple[tuple[EntryKind, WindowBody], ...] = (
-    (EntryKind.FREEZE, terms()),
-    (EntryKind.FREEZE, terms(CUT_SHORT)),
+    (EntryKind.FREEZE, window_terms()),
+    (EntryKind.FREEZE, window_terms(SHORTENED_END_STEP)),
     (EntryKind.REVOKE, Revocation("w", "ops", "why")),
-    (EntryKind.BREAK_GLASS, BreakGlass("w", int(T0 + (ENDS - 1) * UNIT), "ops", "why")),
+    (EntryKind.BREAK_GLASS, BreakGlass("w", int(EPOCH_UNIX_MS + (END_STEP - 1) * STEP_MS), "ops", "why")),
 )
 ENTRIES = tuple(
     Entry(kind, "w", Version(n + 1, 0, 1), encode(body), replaces_digest=n if n == 1 else 0)
@@ -65,30 +78,32 @@
 
 
 @dataclass
-class World:
-    """One router and its surroundings: entry by entry when it was settled in truth, when it came here, and
-    when this router learnt that it is settled. The surroundings do what the register's theorem lets them."""
-
-    relaxes: int = 1  # the entry of ``BODIES`` that follows the window
-    t: int = 0
-    settled: dict[int, int] = field(default_factory=dict)
-    here: dict[int, int] = field(default_factory=dict)
-    known: dict[int, int] = field(default_factory=dict)
+class SmallWorld:
+    """One router and its surroundings, which may do all that the replicated store's theorem permits.
+
+    By entry: the step at which a majority held it, at which it came here, and at which this router learnt
+    that a majority holds it."""
+
+    relaxing_entry: int = SHORTENED  # the entry of ``BODIES`` that follows the window
+    step_index: int = 0
+    replicated_at: dict[int, int] = field(default_factory=dict)
+    received_at: dict[int, int] = field(default_factory=dict)
+    known_replicated_at: dict[int, int] = field(default_factory=dict)
     hears_majority: bool = True
-    step: float = 0.0
-    early: bool = False  # the step came before any window did, so it was followed
-    restarted: bool = False
-    staleness_bound_ms: float = B * UNIT
-    part: ChangeFreezeComponent | None = None
-    copy: Callable[[], World] | None = None
+    wall_clock_step_ms: float = 0.0
+    stepped_before_window: bool = False  # the step came before any window did, so it was followed
+    has_restarted: bool = False
+    staleness_bound_ms: float = BOUND_STEPS * STEP_MS
+    component: ChangeFreezeComponent | None = None
+    make_copy: Callable[[], SmallWorld] | None = None
 
     def entries(self, kind: EntryKind) -> tuple[ReplicatedEntry, ...]:
         newest: dict[str, ReplicatedEntry] = {}
-        for n, at in sorted(self.here.items()):
+        for n, at in sorted(self.received_at.items()):
             if BODIES[n][0] is kind:
-                body, settled = BODIES[n][1], self.known.get(n)
+                body, settled = BODIES[n][1], self.known_replicated_at.get(n)
                 newest[body.window_id] = ReplicatedEntry(
-                    ENTRIES[n], at * UNIT, None if settled is None else settled * UNIT
+                    ENTRIES[n], at * STEP_MS, None if settled is None else settled * STEP_MS
                 )
         return tuple(newest.values())
 
@@ -99,136 +114,180 @@
         return None
 
     def may_be_fresh(self) -> bool:
-        """The theorem: who is fresh holds what was settled V before, and reads of the same majority that it
-        is; an earlier version may have been replaced."""
-        lacks = [n for n, s in self.settled.items() if self.t > s + V and n not in self.here]
-        unknown = any(self.t > at + V and n not in self.known for n, at in self.here.items())
-        return not unknown and all(n == 0 and 1 in self.here for n in lacks)
+        """The theorem: a fresh router holds what a majority held ``FRESHNESS_STEPS`` before, and knows that.
+
+        An earlier version may have been replaced by a later one."""
+        missing = [
+            n
+            for n, at in self.replicated_at.items()
+            if self.step_index > at + FRESHNESS_STEPS and n not in self.received_at
+        ]
+        unknown = any(
+            self.step_index > at + FRESHNESS_STEPS and n not in self.known_replicated_at
+            for n, at in self.received_at.items()
+        )
+        return not unknown and all(n == WINDOW and SHORTENED in self.received_at for n in missing)
 
     def look(self) -> None:
-        if self.part is None:
+        """Let the component read its clock, compare it with others' and tick."""
+        now = self.step_index * STEP_MS
+        if self.component is None:
             sharing = fleet_config.SharingConfig(clock_error=0.0, clock_rate=0.0)
-            self.part = ChangeFreezeComponent(SETTINGS, sharing, self, Grants(0, True), now=self.t * UNIT)
-        self.part.on_notification(self.t * UNIT, WallClockRead(T0 + self.t * UNIT + self.step))
-        if self.hears_majority:  # it hears a majority, so it can compare clocks
-            for other in (1, 2):
-                self.part.wall_clock.add_sample(self.t * UNIT, other, T0 + self.t * UNIT, self.t * UNIT)
-        self.part.on_tick(self.t * UNIT)
-
-    def key(self) -> tuple[object, ...]:
-        assert self.part is not None
-        w = self.part.registry.windows.get("w")
+            self.component = ChangeFreezeComponent(SETTINGS, sharing, self, FakeEscrow(0, True), now=now)
+        host_unix_ms = EPOCH_UNIX_MS + now + self.wall_clock_step_ms
+        self.component.on_notification(now, WallClockRead(host_unix_ms))
+        if self.hears_majority:  # so it can compare clocks
+            for peer_index in (1, 2):
+                self.component.wall_clock.add_sample(now, peer_index, EPOCH_UNIX_MS + now, now)
+        self.component.on_tick(now)
+
+    def state_key(self) -> tuple[object, ...]:
+        assert self.component is not None
+        window = self.component.registry.windows.get("w")
         versions = (
-            tuple((e.body.end_unix_ms, self._age(e.replicated.replicated_at_ms)) for e in w.versions)
-            if w is not None
+            tuple(
+                (version.body.end_unix_ms, self._age(version.replicated.replicated_at_ms))
+                for version in window.versions
+            )
+            if window is not None
             else ()
         )
-        ages = tuple(tuple((n, min(self.t - at, B + 1)) for n, at in sorted(d.items())) for d in self._told())
+        ages = tuple(
+            tuple((n, min(self.step_index - at, BOUND_STEPS + 1)) for n, at in sorted(steps.items()))
+            for steps in (self.replicated_at, self.known_replicated_at)
+        )
         gate = (
-            self.part.gate.rules,
-            self.part.gate.is_uncertain,
-            self.part.stale_hold.last_fresh_at_ms is None,
-            w.state if w else "",
+            self.component.gate.rules,
+            self.component.gate.is_uncertain,
+            self.component.stale_hold.last_fresh_at_ms is None,
+            window.state if window else "",
         )
         clock = (
-            self.part.wall_clock.followed_offset_ms,
-            self.part.wall_clock.unfollowed_offset_ms,
-            len(self.part.wall_clock.samples) > 0,
+            self.component.wall_clock.followed_offset_ms,
+            self.component.wall_clock.unfollowed_offset_ms,
+            len(self.component.wall_clock.samples) > 0,
+        )
+        own_state = (
+            self.hears_majority,
+            self.wall_clock_step_ms,
+            self.stepped_before_window,
+            self.has_restarted,
+            versions,
+            gate,
+            clock,
         )
-        mine = self.hears_majority, self.step, self.early, self.restarted, versions, gate, clock
-        return self.t, ages, tuple(sorted(self.here)), *mine
-
-    def _told(self) -> tuple[dict[int, int], ...]:
-        return self.settled, self.known
-
-    def _age(self, settled: float | None) -> float:
-        """What is older than the bound acts: how old it is makes no difference to what follows."""
-        return -1.0 if settled is None else min(self.t * UNIT - settled, self.staleness_bound_ms)
-
-    def next(self) -> Iterator[World]:
-        for what in (self._settles, self._comes, self._learns):
-            yield from what()
-        for fresh in (True, False):
-            if fresh is not self.hears_majority and self.t in TURNS:
-                yield self._but(hears_majority=fresh)
-        if not self.step and self.t == STARTS + 1:
-            yield from (self._but(step=h * 3_600_000.0, early=not self.here) for h in (-5, 5))
-        if not self.restarted and self.t == STARTS + 1:
-            # It comes back with nothing, or with what came last: not with what that replaced.
-            for kept in ({}, {n: at for n, at in self.here.items() if n != 0 or 1 not in self.here}):
-                yield self._but(part=None, restarted=True, hears_majority=False, here=kept, known={})
-        if self.t < LAST:
-            yield self._but(t=self.t + 1)
-
-    def _but(self, **changes: object) -> World:
-        if self.copy is None:
-            self.copy = helpers.copier(self, (SETTINGS, *(body for _, body in BODIES), *ENTRIES))
-        new = self.copy()
+        return self.step_index, ages, tuple(sorted(self.received_at)), *own_state
+
+    def _age(self, replicated_at_ms: float | None) -> float:
+        """Past the bound a version is in effect: how old it is makes no difference to what follows."""
+        if replicated_at_ms is None:
+            return -1.0
+        return min(self.step_index * STEP_MS - replicated_at_ms, self.staleness_bound_ms)
+
+    def successors(self) -> Iterator[SmallWorld]:
+        for transitions in (self._replicate, self._deliver, self._learn_replicated):
+            yield from transitions()
+        if self.step_index in CHANGE_STEPS:
+            yield self._changed(hears_majority=not self.hears_majority)
+        if not self.wall_clock_step_ms and self.step_index == START_STEP + 1:
+            for hours in (-5, 5):
+                yield self._changed(
+                    wall_clock_step_ms=hours * MS_PER_HOUR, stepped_before_window=not self.received_at
+                )
+        if not self.has_restarted and self.step_index == START_STEP + 1:
+            # It restarts with no entries, or with the latest ones: not with what those replaced.
+            latest = {
+                n: at
+                for n, at in self.received_at.items()
+                if n != WINDOW or SHORTENED not in self.received_at
+            }
+            for kept_entries in ({}, latest):
+                yield self._changed(
+                    component=None,
+                    has_restarted=True,
+                    hears_majority=False,
+                    received_at=kept_entries,
+                    known_replicated_at={},
+                )
+        if self.step_index < LAST_STEP:
+            yield self._changed(step_index=self.step_index + 1)
+
+    def _changed(self, **changes: object) -> SmallWorld:
+        if self.make_copy is None:
+            self.make_copy = helpers.copier(self, (SETTINGS, *(body for _, body in BODIES), *ENTRIES))
+        world = self.make_copy()
         for name, value in changes.items():
-            setattr(new, name, value)
-        return new
-
-    def _settles(self) -> Iterator[World]:
-        for n in (0, self.relaxes) if 0 in self.settled else (0,):
-            if n not in self.settled and self.t in TURNS:
-                yield self._but(settled=self.settled | {n: self.t})
-
-    def _comes(self) -> Iterator[World]:
-        for n in self.settled:
-            if n not in self.here and not (n == 0 and 1 in self.here):
-                yield self._but(here=self.here | {n: self.t})
-
-    def _learns(self) -> Iterator[World]:
-        for n in self.here:
-            if n not in self.known:
-                yield self._but(known=self.known | {n: self.t})
-
-    def wrong(self) -> str | None:
-        """What the rules hold against this state, by the surroundings' truth alone."""
-        assert self.part is not None
-        yes = not self.part.gate.is_frozen(PlacementChange("first-copy", None, 1))
-        relaxed = min((s + B for n, s in self.settled.items() if n > 0), default=99)
-        claimed = 0 in self.settled and max(STARTS, self.settled[0] + V) < self.t < min(ENDS, relaxed)
-        if claimed and yes and self.restarted and not self.hears_majority:
-            return "a router that came back moved copies in the window, before it was fresh"
-        if claimed and yes and self.hears_majority:
-            return "a router that is fresh moved copies in the window"
-        wider = self.step and (self.restarted or self.early)  # it trusted a clock that is off by hours
-        blind = B if 1 in self.here and 0 not in self.here else 0  # what was cut short is unknown to it
-        if not yes and self.t >= ENDS + blind and self.hears_majority and not wider:
+            setattr(world, name, value)
+        return world
+
+    def _replicate(self) -> Iterator[SmallWorld]:
+        for n in (WINDOW, self.relaxing_entry) if WINDOW in self.replicated_at else (WINDOW,):
+            if n not in self.replicated_at and self.step_index in CHANGE_STEPS:
+                yield self._changed(replicated_at=self.replicated_at | {n: self.step_index})
+
+    def _deliver(self) -> Iterator[SmallWorld]:
+        for n in self.replicated_at:
+            if n not in self.received_at and not (n == WINDOW and SHORTENED in self.received_at):
+                yield self._changed(received_at=self.received_at | {n: self.step_index})
+
+    def _learn_replicated(self) -> Iterator[SmallWorld]:
+        for n in self.received_at:
+            if n not in self.known_replicated_at:
+                yield self._changed(known_replicated_at=self.known_replicated_at | {n: self.step_index})
+
+    def violation(self) -> str | None:
+        """What is wrong in this state, judged by the surroundings' truth alone; None: nothing."""
+        assert self.component is not None
+        is_open = not self.component.gate.is_frozen(PlacementChange("first-copy", None, 1))
+        relaxed_at = min(
+            (at + BOUND_STEPS for n, at in self.replicated_at.items() if n != WINDOW), default=NEVER
+        )
+        must_be_frozen = (
+            WINDOW in self.replicated_at
+            and self.step_index > max(START_STEP, self.replicated_at[WINDOW] + FRESHNESS_STEPS)
+            and self.step_index < min(END_STEP, relaxed_at)
+        )
+        if must_be_frozen and is_open and self.has_restarted and not self.hears_majority:
+            return "a restarted router changed placements in the window, before it was fresh"
+        if must_be_frozen and is_open and self.hears_majority:
+            return "a fresh router changed placements in the window"
+        trusts_wrong_clock = self.wall_clock_step_ms and (self.has_restarted or self.stepped_before_window)
+        lacks_predecessor = SHORTENED in self.received_at and WINDOW not in self.received_at
+        must_have_ended = self.step_index >= END_STEP + (BOUND_STEPS if lacks_predecessor else 0)
+        if not is_open and must_have_ended and self.hears_majority and not trusts_wrong_clock:
             return "the window did not end"
         return None
 
 
-def explored(relaxes: int) -> tuple[int, set[str]]:
-    first = World(relaxes)
+def explore(relaxing_entry: int) -> tuple[int, set[str]]:
+    first = SmallWorld(relaxing_entry)
     first.look()
-    seen, todo, wrong = {first.key()}, [first], set[str]()
-    while todo:
-        state = todo.pop()
-        if (why := state.wrong()) is not None:
-            wrong.add(why)
-        for after in state.next():
-            if after.hears_majority and not after.may_be_fresh():
-                after.hears_majority = False
-            after.look()
-            if (key := after.key()) not in seen:
+    seen, pending, violations = {first.state_key()}, [first], set[str]()
+    while pending:
+        state = pending.pop()
+        if (violation := state.violation()) is not None:
+            violations.add(violation)
+        for successor in state.successors():
+            if successor.hears_majority and not successor.may_be_fresh():
+                successor.hears_majority = False
+            successor.look()
+            if (key := successor.state_key()) not in seen:
                 seen.add(key)
-                todo.append(after)
-    return len(seen), wrong
+                pending.append(successor)
+    return len(seen), violations
 
 
-def test_a_small_world_explored_whole_keeps_the_rules() -> None:
-    states = 0
-    for relaxes in range(1, len(BODIES)):
-        count, wrong = explored(relaxes)
-        states += count
-        assert wrong == set()
-    print(f"freeze: {states} states")
-    assert states >= LEAST_STATES
+def test_exhaustive_exploration_finds_no_violation() -> None:
+    state_count = 0
+    for relaxing_entry in (SHORTENED, REVOKED, LIFTED):
+        count, violations = explore(relaxing_entry)
+        state_count += count
+        assert violations == set()
+    print(f"freeze: {state_count} states")
+    assert state_count >= MIN_STATES
 
 
-FILE = b"""
+FLEET_FILE = b"""
 [[freeze]]
 id = "w"
 start = 2027-01-15T08:00:20+01:00
@@ -245,10 +304,10 @@
 """
 
 
-def test_a_file_becomes_bodies_in_one_spelling_and_back() -> None:
+def test_fleet_file_round_trips_through_canonical_bodies() -> None:
     made = {
         kind: decode(kind, name, raw)
-        for kind, name, raw in entries_from_config(fleet_config.parse_fleet_config(FILE))
+        for kind, name, raw in entries_from_config(fleet_config.parse_fleet_config(FLEET_FILE))
     }
     taken = made[EntryKind.FREEZE]
     assert (
@@ -260,12 +319,12 @@
         made[EntryKind.REVOKE], Revocation
     )
     with pytest.raises(fleet_config.FleetConfigError, match="reason"):
-        entries_from_config(fleet_config.parse_fleet_config(FILE.replace(b"done", b"d" * 513)))
+        entries_from_config(fleet_config.parse_fleet_config(FLEET_FILE.replace(b"done", b"d" * 513)))
 
 
-BAD = (
-    {"end_unix_ms": int(T0)},
-    {"end_unix_ms": int(T0 + 13 * 3_600_000)},
+INVALID_TERMS = (
+    {"end_unix_ms": int(EPOCH_UNIX_MS)},
+    {"end_unix_ms": int(EPOCH_UNIX_MS + 13 * 3_600_000)},
     {"exception_budget": -1},
     {"zone_names": ("b", "a")},
     {"function_ids": (2**64 - 1, 0)},
@@ -276,83 +335,89 @@
 )
 
 
-@pytest.mark.parametrize("change", BAD, ids=str)
-def test_bad_windows_from_the_wire_are_values(change: dict[str, object]) -> None:
-    assert isinstance(decode(EntryKind.FREEZE, "w", encode(terms())), WindowTerms)
+@pytest.mark.parametrize("change", INVALID_TERMS, ids=str)
+def test_invalid_windows_are_returned_as_errors(change: dict[str, object]) -> None:
+    assert isinstance(decode(EntryKind.FREEZE, "w", encode(window_terms())), WindowTerms)
     assert isinstance(
-        decode(EntryKind.FREEZE, "w", encode(msgspec.structs.replace(terms(), **change))), MalformedDatagram
+        decode(EntryKind.FREEZE, "w", encode(msgspec.structs.replace(window_terms(), **change))),
+        MalformedDatagram,
     )
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
 @given(st.binary(max_size=80), st.sampled_from(list(EntryKind)))
-def test_hostile_bytes_raise_nothing(raw: bytes, kind: EntryKind) -> None:
-    good = encode(terms())
+def test_decoding_random_bytes_raises_nothing(raw: bytes, kind: EntryKind) -> None:
+    good = encode(window_terms())
     assert isinstance(decode(kind, "w", raw), MalformedDatagram)
     assert isinstance(decode(EntryKind.FREEZE, "w", good[:-1] + raw), WindowTerms | MalformedDatagram)
 
 
-def test_a_clock_that_is_off_widens_the_window_and_a_lone_liar_does_not() -> None:
+def test_a_deviating_clock_widens_windows_and_one_wrong_peer_does_not() -> None:
     clock = WallClock(5, 500.0, 0.001)
-    clock.on_host_reading(0.0, T0, True)
-    for other, ahead in ((1, 0.0), (2, 40.0), (3, 9e6)):
-        clock.add_sample(10.0, other, T0 + ahead, 0.0)
+    clock.on_host_reading(0.0, EPOCH_UNIX_MS, True)
+    for peer, offset_ms in ((1, 0.0), (2, 40.0), (3, 9e6)):
+        clock.add_sample(10.0, peer, EPOCH_UNIX_MS + offset_ms, 0.0)
     assert clock.deviation_ms(10.0) == 0.0
-    for other in (1, 2):
-        clock.add_sample(10.0, other, T0 + 9e6, 0.0)
-    least, most = clock.unix_ms_bounds(10.0)
-    assert clock.deviation_ms(10.0) > 8.9e6 and least < T0 + 10.0 and most > T0 + 9e6
-    clock.add_sample(10.0, 99, T0, 0.0)
+    for peer in (1, 2):
+        clock.add_sample(10.0, peer, EPOCH_UNIX_MS + 9e6, 0.0)
+    earliest, latest = clock.unix_ms_bounds(10.0)
+    assert (
+        clock.deviation_ms(10.0) > 8.9e6 and earliest < EPOCH_UNIX_MS + 10.0 and latest > EPOCH_UNIX_MS + 9e6
+    )
+    clock.add_sample(10.0, 99, EPOCH_UNIX_MS, 0.0)
     clock.add_sample(10.0, 1, float("nan"), 0.0)
     assert (
         clock.invalid_sample_count == 2 and clock.deviation_ms(200_000.0) == 0.0
     )  # what was heard long ago tells nothing
 
 
-def test_a_step_is_followed_once_most_others_tell_that_time() -> None:
+def test_a_clock_step_is_followed_once_most_peers_confirm_it() -> None:
     clock = WallClock(3, 500.0, 0.001)
-    clock.on_host_reading(0.0, T0, True)
-    assert "not followed" in str(clock.on_host_reading(100.0, T0 + 7.2e6, True))
+    clock.on_host_reading(0.0, EPOCH_UNIX_MS, True)
+    assert "not followed" in str(clock.on_host_reading(100.0, EPOCH_UNIX_MS + 7.2e6, True))
     assert (
-        clock.unix_ms(100.0) == T0 + 100.0 and clock.on_host_reading(200.0, T0 + 7.2e6 + 100.0, True) is None
+        clock.unix_ms(100.0) == EPOCH_UNIX_MS + 100.0
+        and clock.on_host_reading(200.0, EPOCH_UNIX_MS + 7.2e6 + 100.0, True) is None
     )
-    for other in (1, 2):
-        clock.add_sample(300.0, other, T0 + 7.2e6 + 200.0, 298.0)
+    for peer in (1, 2):
+        clock.add_sample(300.0, peer, EPOCH_UNIX_MS + 7.2e6 + 200.0, 298.0)
     assert (
-        "followed" in str(clock.on_host_reading(300.0, T0 + 7.2e6 + 200.0, True))
-        and clock.unix_ms(300.0) > T0 + 7e6
+        "followed" in str(clock.on_host_reading(300.0, EPOCH_UNIX_MS + 7.2e6 + 200.0, True))
+        and clock.unix_ms(300.0) > EPOCH_UNIX_MS + 7e6
     )
 
 
-def test_service_comes_first_and_who_drains_before_all() -> None:
-    stands, full = PlacementCandidate(1, True, True, True, 5.0), PlacementCandidate(1, True, True, False)
-    cold, drains = PlacementCandidate(2, True, False, True), PlacementCandidate(3, False, True, True)
-    assert route_call([cold, stands], True) == (RoutingVerdict.SEND, 1)
-    assert route_call([cold, full], True) == (RoutingVerdict.LOAD, 2) and route_call([cold, full], False) == (
+def test_calls_prefer_open_workers_and_skip_draining_ones() -> None:
+    placed, full = PlacementCandidate(1, True, True, True, 5.0), PlacementCandidate(1, True, True, False)
+    not_placed, draining = PlacementCandidate(2, True, False, True), PlacementCandidate(3, False, True, True)
+    assert route_call([not_placed, placed], True) == (RoutingVerdict.SEND, 1)
+    assert route_call([not_placed, full], True) == (RoutingVerdict.LOAD, 2) and route_call(
+        [not_placed, full], False
+    ) == (
         RoutingVerdict.WAIT,
         1,
     )
-    assert route_call([drains, cold], False) == (RoutingVerdict.REJECT, None)
+    assert route_call([draining, not_placed], False) == (RoutingVerdict.REJECT, None)
 
 
-def test_copies_stand_where_they_stood_and_a_new_start_has_none() -> None:
-    standing = PlacementTable()
-    standing.on_endpoint_update(
+def test_placements_survive_a_corrupted_list_but_not_a_restart() -> None:
+    placements = PlacementTable()
+    placements.on_endpoint_update(
         EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, (helpers.worker(1, started=5.0),))
     )
-    standing.record(0.0, 7, 1)
-    standing.is_frozen = True
-    standing.expire(1e9)
-    standing.on_endpoint_update(EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 2))
-    assert not standing.has_placement(7, 1) and standing.has_lost_most(7)
-    standing.on_endpoint_update(
+    placements.record(0.0, 7, 1)
+    placements.is_frozen = True
+    placements.expire(1e9)
+    placements.on_endpoint_update(EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 2))
+    assert not placements.has_placement(7, 1) and placements.has_lost_most(7)
+    placements.on_endpoint_update(
         EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 3, (helpers.worker(1, started=5.0),))
     )
-    assert standing.has_placement(7, 1)  # the list was spoilt
-    standing.on_endpoint_update(
+    assert placements.has_placement(7, 1)  # the list was spoilt
+    placements.on_endpoint_update(
         EndpointUpdate(EndpointUpdateKind.DELTA, 4, (helpers.worker(1, started=6.0),))
     )
-    assert not standing.has_placement(7, 1)
+    assert not placements.has_placement(7, 1)
 
 
 def _decision_modules() -> dict[str, str]:
@@ -365,7 +430,7 @@
     }
 
 
-def test_every_path_of_placement_is_on_the_list_and_asks_the_gate() -> None:
+def test_every_placement_path_is_listed_and_asks_the_gate() -> None:
     modules = _decision_modules()
     for module, source in modules.items():
         assert placement_paths.find_unlisted_sites(module, source) == []
@@ -380,7 +445,7 @@
         assert path.function in [site.function for site in placement_paths.find_sites_bypassing_gate(unasked)]
 
 
-def test_a_new_path_of_placement_is_found_and_must_ask_the_gate() -> None:
+def test_a_new_placement_path_is_found_and_must_ask_the_gate() -> None:
     added = "def _prefetch(self):\n    self.actions.append(PreloadFunction(1, 2, 1))\n"
     by_module = added.replace("PreloadFunction", "actions.PreloadFunction")
     for source in (added, by_module):
@@ -391,16 +456,16 @@
     assert placement_paths.find_sites_bypassing_gate(asking) == []
 
 
-def test_homes_stay_and_the_stricter_of_two_windows_holds() -> None:
-    grants = Grants(0, False)
-    gate = AdmissionGate(grants)
+def test_homes_are_kept_and_the_strictest_of_two_windows_holds() -> None:
+    escrow = FakeEscrow(0, False)
+    gate = AdmissionGate(escrow)
     gate.is_active, rule = True, FreezeRule("a", frozenset(ALL_CHANGE_KINDS), frozenset({0}), None, None, 9)
     assert gate.home_workers(0.0, 7, (1, 2, 3), 2) == ((1, 2, 3), 2)
     gate.rules = (rule, dataclasses.replace(rule, window_id="b", zone_indexes=None))
     assert gate.home_workers(1.0, 7, (3, 2, 1), 3) == ([1, 2, 3], 2)  # neither moved nor added
     assert gate.home_workers(1.0, 7, (3, 2), 2) == ([2, 3], 1)  # who is lost is not made up for
-    grants.open_pool("freeze/a", 60, is_consumable=True, ends_at_ms=None)
-    grants.open_pool("freeze/b", 6, is_consumable=True, ends_at_ms=None)
+    escrow.open_pool("freeze/a", 60, is_consumable=True, ends_at_ms=None)
+    escrow.open_pool("freeze/b", 6, is_consumable=True, ends_at_ms=None)
     first, second = (PlacementChange("first-copy", worker, 7, 0, None, True) for worker in (4, 5))
     answers = [gate.admit(2.0, change).answer for change in (first, first, second)]
     assert answers == [
--- a/tests/unit/test_priority.py
+++ b/tests/unit/test_priority.py
@@ -30,7 +30,7 @@
 from cedarthread.priority.pressure_gossip import PressureGossip
 from cedarthread.priority.usage import QuotaBucket
 
-FLEET = """
+FLEET_FILE = """
 [overload]
 onset = 1.1
 [[tier]]
@@ -45,8 +45,8 @@
 """
 
 
-def test_a_file_reads_back_from_its_entries_and_bad_bodies_are_values() -> None:
-    found = contract_entries.entries_from_config(parse_fleet_config(FLEET.encode()))
+def test_fleet_file_round_trips_through_entries_and_bad_bodies_are_errors() -> None:
+    found = contract_entries.entries_from_config(parse_fleet_config(FLEET_FILE.encode()))
     tiers, mill = (Entry(kind, name, Version(1, 0, 0), body) for kind, name, body in found)
     assert contract_entries.decode_tier_order(tiers) == contract_entries.TierOrder(
         ("firm", "standard"), 1100, 900, 3000, 20000
@@ -66,40 +66,40 @@
     )
 
 
-def test_a_datagram_reads_as_it_was_written_and_ages_only_grow() -> None:
-    told = [RouterPressure(n, n / 32.0, 1.05**n, 50.0 * n) for n in range(codec.MAX_ENTRIES)]
-    data = codec.encode(told)
-    assert codec.decode(data) == tuple(told) and len(data) <= MAX_DATAGRAM_BYTES
+def test_datagrams_round_trip_and_ages_only_grow() -> None:
+    reports = [RouterPressure(n, n / 32.0, 1.05**n, 50.0 * n) for n in range(codec.MAX_ENTRIES)]
+    data = codec.encode(reports)
+    assert codec.decode(data) == tuple(reports) and len(data) <= MAX_DATAGRAM_BYTES
     again = codec.decode(codec.encode([RouterPressure(1, 1.0, 9.0, 101.0)]))
     assert not isinstance(again, MalformedDatagram) and again[0].age_ms == 150.0
     with pytest.raises(ValueError):
-        codec.encode([*told, told[0]])
+        codec.encode([*reports, reports[0]])
 
 
-def test_in_a_large_fleet_each_hears_of_more_than_half_in_bounded_bytes() -> None:
+def test_in_a_large_fleet_reports_of_a_majority_arrive_in_bounded_bytes() -> None:
     count, rng, sent = 200, random.Random(1), 0
     fleet = [PressureGossip(me, count, me) for me in range(count)]
-    for one in fleet:
-        one.alive_peers = tuple(n for n in range(count) if n != one.router_index)
+    for gossip in fleet:
+        gossip.alive_peers = tuple(n for n in range(count) if n != gossip.router_index)
     for step in range(60):
-        for one in fleet:
-            one.record_own(step * 250.0, one.router_index % 2, 50.0)
-            for to, data in one.messages_due(step * 250.0):
+        for gossip in fleet:
+            gossip.record_own(step * 250.0, gossip.router_index % 2, 50.0)
+            for peer_index, data in gossip.messages_due(step * 250.0):
                 assert len(data) <= MAX_DATAGRAM_BYTES
                 sent += len(data)
                 if rng.random() > 0.2:
-                    fleet[to].on_message(step * 250.0 + 60.0, one.router_index, data)
+                    fleet[peer_index].on_message(step * 250.0 + 60.0, gossip.router_index, data)
     assert sent / count / 15.0 < 1024.0 and all(one.fleet_pressure(15_000.0) is not None for one in fleet)
     fleet[0].alive_peers = tuple(range(1, 100))
     assert fleet[0].fleet_pressure(15_000.0) is None, "half of the configured routers are no majority"
 
 
-def test_hostile_datagrams_are_counted_and_change_nothing() -> None:
-    rng, one = random.Random(2), PressureGossip(0, 3, 1)
+def test_invalid_datagrams_are_counted_and_change_nothing() -> None:
+    rng, gossip = random.Random(2), PressureGossip(0, 3, 1)
     for _ in range(2000):
         data = rng.randbytes(rng.randrange(300))
-        one.on_message(0.0, 1, rng.choice([data, bytes((0xC6,)) + data]))
-    one.on_message(
+        gossip.on_message(0.0, 1, rng.choice([data, bytes((0xC6,)) + data]))
+    gossip.on_message(
         0.0,
         1,
         codec.encode(
@@ -110,14 +110,16 @@
             ]
         ),
     )
-    assert one.unreadable_count + one.invalid_count == 2000 and set(one.reports) == {1}, (
+    assert gossip.unreadable_count + gossip.invalid_count == 2000 and set(gossip.reports) == {1}, (
         "own pressure is never taken from others"
     )
-    one.on_message(0.0, 1, codec.encode([RouterPressure(1, 1.0, 1.0, 0.0), RouterPressure(3, 1.0, 1.0, 0.0)]))
-    assert one.invalid_count and 3 not in one.reports
+    gossip.on_message(
+        0.0, 1, codec.encode([RouterPressure(1, 1.0, 1.0, 0.0), RouterPressure(3, 1.0, 1.0, 0.0)])
+    )
+    assert gossip.invalid_count and 3 not in gossip.reports
 
 
-def test_tokens_of_a_part_never_pass_it_by_more_than_stated() -> None:
+def test_quota_bucket_never_exceeds_its_rate_by_more_than_its_depth() -> None:
     rng, bucket, passed = random.Random(3), QuotaBucket(), 0
     area = now = 0.0
     rate = 5000
@@ -132,28 +134,28 @@
     assert passed > 1000
 
 
-def _view(number: int, **changes: object) -> PreemptionCandidate:
-    low = CallPriority(66, 66, 66, "bulk")
-    view = PreemptionCandidate(
-        number,
-        number,
-        low,
+def _candidate(request_id: int, **changes: object) -> PreemptionCandidate:
+    low_priority = CallPriority(66, 66, 66, "bulk")
+    candidate = PreemptionCandidate(
+        request_id,
+        request_id,
+        low_priority,
         CallStage.WRITTEN,
         Idempotency.IDEMPOTENT,
         DeduplicationScope.ALL,
         1.0,
-        float(number),
+        float(request_id),
         1,
         80.0,
         0.0,
         20.0,
     )
-    return replace(view, **changes)  # type: ignore[arg-type]
+    return replace(candidate, **changes)  # type: ignore[arg-type]
 
 
 CLAIM = PreemptionClaim(CallPriority(0, 0, 0, "mill", True), 100.0, 300.0, 500.0, {1: 0.0, 2: 250.0})
-BOUNDS = PreemptionLimits(True, 50.0, 2000.0, lambda view: True)
-KEYED = {"idempotency": Idempotency.WITH_KEY, "deduplication_left_ms": 2500.0}
+LIMITS = PreemptionLimits(True, 50.0, 2000.0, lambda view: True)
+WITH_KEY = {"idempotency": Idempotency.WITH_KEY, "deduplication_left_ms": 2500.0}
 
 
 @pytest.mark.parametrize(
@@ -163,9 +165,9 @@
         ({"idempotency": Idempotency.NOT_IDEMPOTENT}, False),
         ({"idempotency": Idempotency.NOT_IDEMPOTENT, "stage": CallStage.UNWRITTEN}, True),
         ({"idempotency": Idempotency.NOT_IDEMPOTENT, "stage": CallStage.QUEUED}, True),
-        (KEYED, True),
-        (KEYED | {"deduplication_left_ms": 1900.0}, False),
-        (KEYED | {"deduplication_scope": DeduplicationScope.ZONE}, False),
+        (WITH_KEY, True),
+        (WITH_KEY | {"deduplication_left_ms": 1900.0}, False),
+        (WITH_KEY | {"deduplication_scope": DeduplicationScope.ZONE}, False),
         ({"stage": CallStage.STREAMING}, False),
         ({"priority": CallPriority(0, 0, 0, "other", True)}, False),
         ({"priority": CallPriority(0, 127, 66, "edited")}, False),
@@ -179,45 +181,45 @@
         ({"stage": CallStage.QUEUED, "time_to_free_ms": 250.0}, False),
     ],
 )
-def test_only_what_may_be_given_up_and_serves_is_displaced(changes: dict[str, object], chosen: bool) -> None:
-    assert (choose_victim(CLAIM, [_view(1, **changes)], BOUNDS) is not None) is chosen
+def test_only_safe_and_useful_candidates_are_preempted(changes: dict[str, object], chosen: bool) -> None:
+    assert (choose_victim(CLAIM, [_candidate(1, **changes)], LIMITS) is not None) is chosen
 
 
-def test_of_several_the_lowest_rank_then_the_least_worth_then_the_youngest() -> None:
-    views = [
-        _view(1, priority=CallPriority(64, 64, 64)),
-        _view(2, priority_weight=2.0),
-        _view(3),
-        _view(4),
-        _view(5, arrived_at_ms=0.0),
+def test_the_lowest_priority_then_least_weight_then_youngest_is_preempted() -> None:
+    candidates = [
+        _candidate(1, priority=CallPriority(64, 64, 64)),
+        _candidate(2, priority_weight=2.0),
+        _candidate(3),
+        _candidate(4),
+        _candidate(5, arrived_at_ms=0.0),
     ]
-    gone = []
-    while (found := choose_victim(CLAIM, views, BOUNDS)) is not None:
-        gone.append(found.request_id)
-        views.remove(found)
-    assert gone == [4, 3, 5, 2, 1]
-    assert choose_victim(replace(CLAIM, expected_wait_ms=200.0), [_view(1)], BOUNDS) is None, (
+    preempted = []
+    while (victim := choose_victim(CLAIM, candidates, LIMITS)) is not None:
+        preempted.append(victim.request_id)
+        candidates.remove(victim)
+    assert preempted == [4, 3, 5, 2, 1]
+    assert choose_victim(replace(CLAIM, expected_wait_ms=200.0), [_candidate(1)], LIMITS) is None, (
         "it is served in time anyway"
     )
-    assert choose_victim(CLAIM, [_view(1)], replace(BOUNDS, is_allowed=lambda view: False)) is None
-    assert choose_victim(CLAIM, [_view(1)], replace(BOUNDS, allows_running=False)) is None
+    assert choose_victim(CLAIM, [_candidate(1)], replace(LIMITS, is_allowed=lambda view: False)) is None
+    assert choose_victim(CLAIM, [_candidate(1)], replace(LIMITS, allows_running=False)) is None
 
 
 # Small worlds, explored whole.
 
-B, HORIZON = 2.0, 4  # ticks: the bound of the small world, and its end
+BOUND_TICKS, LAST_TICK = 2.0, 4  # ticks: the bound of the small world, and its end
 
 
-class Fixed:
+class FixedState:
     """A register as the small world has it: one contract that is edited, one that is not."""
 
-    staleness_bound_ms = B
+    staleness_bound_ms = BOUND_TICKS
 
     def __init__(self, bodies: ReplicatedEntry, fresh: bool) -> None:
-        self.bodies, self.hears_majority = bodies, fresh
+        self.contract, self.hears_majority = bodies, fresh
 
     def entries(self, kind: EntryKind) -> tuple[ReplicatedEntry, ...]:
-        return (TIERS,) if kind is EntryKind.TIERS else (self.bodies, TOWN)
+        return (TIER_ORDER,) if kind is EntryKind.TIERS else (self.contract, TOWN_CONTRACT)
 
     def is_fresh(self, now: float) -> bool:
         return self.hears_majority
@@ -226,7 +228,7 @@
         return None
 
 
-def _held(
+def _replicated(
     kind: EntryKind, name: str, value: object, number: int, heard: float, settled: float | None
 ) -> ReplicatedEntry:
     return ReplicatedEntry(
@@ -234,31 +236,35 @@
     )
 
 
-TIERS = _held(
+TIER_ORDER = _replicated(
     EntryKind.TIERS, "order", contract_entries.TierOrder(("a", "b", "c"), 1100, 900, 0, 0), 0, -99.0, -99.0
 )
-TOWN = _held(EntryKind.CONTRACT, "town", contract_entries.ContractTerms("b", 0, 0), 0, -99.0, -99.0)
-Known = tuple[
+TOWN_CONTRACT = _replicated(
+    EntryKind.CONTRACT, "town", contract_entries.ContractTerms("b", 0, 0), 0, -99.0, -99.0
+)
+KnownEdits = tuple[
     tuple[int, float, float | None], ...
 ]  # of one router: edit, when heard, when known to be settled
-State = tuple[int, int, tuple[float | None, ...], tuple[Known, Known], int]
+WorldState = tuple[int, int, tuple[float | None, ...], tuple[KnownEdits, KnownEdits], int]
 
 
-def _acts(known: Known, now: float, settled: tuple[float | None, ...], first: str) -> int:
+def _preemption_sign(known: KnownEdits, now: float, settled: tuple[float | None, ...], first: str) -> int:
     """1: the mill goes before the town here; -1: after it; 0: neither."""
-    fresh = all(at is None or at + B > now or known[-1][0] >= edit for edit, at in enumerate(settled))
+    fresh = all(
+        at is None or at + BOUND_TICKS > now or known[-1][0] >= edit for edit, at in enumerate(settled)
+    )
     tiers = (first, "c" if first == "a" else "a", first)
-    board = Fixed(TOWN, fresh)
-    contracts = EffectiveContracts(board)
-    for edit, heard, told in known:
-        for settle in (None, told):
-            board.bodies = _held(
+    state = FixedState(TOWN_CONTRACT, fresh)
+    contracts = EffectiveContracts(state)
+    for edit, heard, replicated_at in known:
+        for known_replicated_at in (None, replicated_at):
+            state.contract = _replicated(
                 EntryKind.CONTRACT,
                 "mill",
                 contract_entries.ContractTerms(tiers[edit], 0, 0),
                 edit,
                 heard,
-                settle,
+                known_replicated_at,
             )
             contracts.refresh(heard if edit else -99.0)
     contracts.refresh(now)
@@ -266,97 +272,97 @@
     return mill.outranks(town) - town.outranks(mill)
 
 
-def _next(state: State) -> Iterator[State]:
+def _successors(state: WorldState) -> Iterator[WorldState]:
     now, last, settled, routers, streak = state
-    for me in (0, 1):
-        mine, other = routers[me], routers[1 - me]
+    for router in (0, 1):
+        own_edits, other_edits = routers[router], routers[1 - router]
 
-        def put(known: Known, me: int = me) -> tuple[Known, Known]:
+        def put(known: KnownEdits, me: int = router) -> tuple[KnownEdits, KnownEdits]:
             return (known, routers[1]) if me == 0 else (routers[0], known)
 
-        if last < me + 1:  # the first edit by the first, for they are alike
-            yield now, last + 1, settled, put((*mine, (last + 1, float(now), None))), streak
-        if other[-1][0] > mine[-1][0]:
-            yield now, last, settled, put((*mine, (other[-1][0], float(now), None))), streak
-        edit, heard, told = mine[-1]
-        if told is None and settled[edit] is not None:
-            yield now, last, settled, put((*mine[:-1], (edit, heard, float(now)))), streak
+        if last < router + 1:  # the first edit by the first, for they are alike
+            yield now, last + 1, settled, put((*own_edits, (last + 1, float(now), None))), streak
+        if other_edits[-1][0] > own_edits[-1][0]:
+            yield now, last, settled, put((*own_edits, (other_edits[-1][0], float(now), None))), streak
+        edit, heard, replicated_at = own_edits[-1]
+        if replicated_at is None and settled[edit] is not None:
+            yield now, last, settled, put((*own_edits[:-1], (edit, heard, float(now)))), streak
         if settled[edit] is None:  # the majority that holds it includes this one
             yield now, last, (*settled[:edit], float(now), *settled[edit + 1 :]), routers, streak
 
 
-def _explored(first: str, most: float = math.inf) -> tuple[int, int, int]:
+def _explore(first: str, max_ticks: float = math.inf) -> tuple[int, int, int]:
     """States of all runs of two routers and two edits, acts in them, ticks of the longest contradiction; it
     ends with the first that is longer than ``most``."""
-    start: Known = ((0, -99.0, -99.0),)
-    todo: list[State] = [(0, 0, (-99.0, None, None), (start, start), 0)]
-    seen, acts, longest = set(todo), 0, 0
-    memo: dict[tuple[Known, int, tuple[float | None, ...]], int] = {}
-    while todo and longest <= most:
-        state = todo.pop()
+    start: KnownEdits = ((0, -99.0, -99.0),)
+    pending: list[WorldState] = [(0, 0, (-99.0, None, None), (start, start), 0)]
+    seen, acts, longest = set(pending), 0, 0
+    memo: dict[tuple[KnownEdits, int, tuple[float | None, ...]], int] = {}
+    while pending and longest <= max_ticks:
+        state = pending.pop()
         now, last, settled, routers, streak = state
-        new = list(_next(state))
+        new = list(_successors(state))
         for known in routers:
             if (known, now, settled) not in memo:
-                memo[known, now, settled] = _acts(known, float(now), settled, first)
-        one, other = (memo[known, now, settled] for known in routers)
-        acts += one != 0
-        streak = streak + 1 if one * other < 0 else 0
+                memo[known, now, settled] = _preemption_sign(known, float(now), settled, first)
+        first_sign, second_sign = (memo[known, now, settled] for known in routers)
+        acts += first_sign != 0
+        streak = streak + 1 if first_sign * second_sign < 0 else 0
         longest = max(longest, streak)
-        if now < HORIZON:
+        if now < LAST_TICK:
             new.append((now + 1, last, settled, routers, streak))
         for following in new:
             if following not in seen:
                 seen.add(following)
-                todo.append(following)
+                pending.append(following)
     return len(seen), acts, longest
 
 
-def test_no_two_routers_contradict_each_other_for_longer_than_b() -> None:
-    states, acts, longest = _explored("a")
+def test_no_two_routers_contradict_each_other_for_longer_than_the_bound() -> None:
+    states, acts, longest = _explore("a")
     print(f"{states} states, {acts} acts, {longest} ticks")
     assert states > 10_000 and acts > 1000 and longest == 0
 
 
-def _early(self: BodyHistory[contract_entries.ContractTerms]) -> bool:
+def _is_certain_too_early(self: BodyHistory[contract_entries.ContractTerms]) -> bool:
     return self.certain_body is not None
 
 
-def test_the_small_world_finds_what_acts_too_early(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(BodyHistory, "is_certain", _early)
-    assert _explored("a", B)[2] > B
+def test_exploration_finds_an_edit_that_takes_effect_too_early(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(BodyHistory, "is_certain", _is_certain_too_early)
+    assert _explore("a", BOUND_TICKS)[2] > BOUND_TICKS
 
 
-FIGURES = OverloadParameters(1.0, 0.8, 2.0, 0)
+PARAMETERS = OverloadParameters(1.0, 0.8, 2.0, 0)
 
 
-def test_the_level_goes_one_step_after_a_whole_dwell_and_to_none_at_once() -> None:
+def test_overload_level_moves_one_step_after_a_dwell_and_resets_at_once() -> None:
     """All runs of pressures: a level changes only where each of the last three looks asked for it."""
-    looks = (None, 0.7, 0.9, 1.1, 1.3, 1.5)
+    pressures = (None, 0.7, 0.9, 1.1, 1.3, 1.5)
     seen = set[tuple[int, int, float | None, tuple[float | None, ...]]]()
-    todo: list[tuple[int, int, float | None, tuple[float | None, ...]]] = [(0, 0, None, (None,) * 3)]
-    while todo:
-        level, asks, age, before = todo.pop()
-        for look in looks:
+    pending: list[tuple[int, int, float | None, tuple[float | None, ...]]] = [(0, 0, None, (None,) * 3)]
+    while pending:
+        level, requested_step, age, last_pressures = pending.pop()
+        for pressure in pressures:
             machine = OverloadStateMachine()
             machine.level, machine.requested_step, machine.requested_since_ms = (
                 level,
-                asks,
+                requested_step,
                 None if age is None else 10.0 - age,
             )
-            after = machine.update(11.0, look, FIGURES)
-            last = [-1.0 if one is None else one for one in (*before[1:], look)]
-            if look is None:
-                assert after == 0
-            elif after > level:
-                assert after == level + 1 and min(last) >= LEVEL_MULTIPLES[level]
-            elif after < level:
-                assert after == level - 1 and max(last) < LEVEL_MULTIPLES[level - 1] * 0.8
+            next_level = machine.update(11.0, pressure, PARAMETERS)
+            last_three = [-1.0 if one is None else one for one in (*last_pressures[1:], pressure)]
+            if pressure is None:
+                assert next_level == 0
+            elif next_level > level:
+                assert next_level == level + 1 and min(last_three) >= LEVEL_MULTIPLES[level]
+            elif next_level < level:
+                assert next_level == level - 1 and max(last_three) < LEVEL_MULTIPLES[level - 1] * 0.8
             age_now = (
                 None if machine.requested_since_ms is None else min(3.0, 11.0 - machine.requested_since_ms)
             )
-            state = after, machine.requested_step, age_now, (*before[1:], look)
+            state = next_level, machine.requested_step, age_now, (*last_pressures[1:], pressure)
             if state not in seen:
                 seen.add(state)
-                todo.append(state)
+                pending.append(state)
     assert len(seen) > 300 and {level for level, *_ in seen} == {0, 1, 2, 3}
