--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -28,24 +28,16 @@
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.model.outcomes import Outcome
 from cedarthread.model.settings import Idempotency, RouterSettings
-from cedarthread.protocols import (
-    discovery,
-    dns,
-    endpoint_list,
-    http,
-    invoke,
-    msgpack,
-    spiffe,
-    worker_connection,
-)
+from cedarthread.protocols import discovery, dns, endpoint_list, http, msgpack, spiffe, worker_connection
+from cedarthread.protocols.invoke_calls import InvokeCalls
 from cedarthread.protocols.platform_connection import PlatformConnection
 from cedarthread.protocols.worker_codec import parse_call_response
 from cedarthread.protocols.worker_connection import WorkerConnection
 from cedarthread.protocols.workers import WorkerConnections
 from cedarthread.routing.preloading import PreloadPolicy
+from cedarthread.routing.records import PendingRequest, WorkerRecord
 from cedarthread.routing.retries import RetryPolicy
 from cedarthread.routing.selection import WorkerSelector
-from cedarthread.routing.state import PendingRequest, WorkerRecord
 from cedarthread.testing.fuzzing import targets
 from cedarthread.testing.fuzzing.target import Target, verdict
 
@@ -275,7 +267,7 @@
     Defect("carried-kept", "calls", 1500, ((WorkerConnections, "_end_request", _kept_in_carrying),)),
     Defect("cancel-not-told", "calls", 6000, ((WorkerConnections, "_finish_cancel", _cancel_unsure),)),
     Defect("half-written-unseen", "calls", 9000, ((WorkerConnection, "refresh_progress", _nothing),)),
-    Defect("repeat-refused-at-end", "calls", 6000, ((invoke.InvokeServer, "has_executed_call", _never),)),
+    Defect("repeat-refused-at-end", "calls", 6000, ((InvokeCalls, "has_executed_call", _never),)),
     # The look before bytes leave would hold back what is not withdrawn: both guards are out.
     Defect(
         "unsent-not-withdrawn",
@@ -326,7 +318,7 @@
     metered = defect.target == "dns"  # a loop shows by its work
     with defect.planted():
         for number in range(1, defect.runs + 1):
-            data = target.next(rng, corpus)
+            data = target.next_input(rng, corpus)
             if (wrong := verdict(target, data, metered=metered)) is not None:
                 return number, wrong
             if rng.random() < 0.1:
@@ -336,7 +328,7 @@
 
 def prove(tell: Callable[[str], None], names: set[str] | None = None, seed: int = SEED) -> list[str]:
     """Plant each defect in turn; the names of those that were not found."""
-    missed, known = [], targets.named()
+    missed, known = [], targets.targets_by_name()
     for defect in DEFECTS:
         if names is not None and defect.name not in names:
             continue
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -76,10 +76,12 @@
 from cedarthread.priority import codec as pressure_form
 from cedarthread.priority import contract_entries
 from cedarthread.protocols import discovery as protocols_discovery
-from cedarthread.protocols import dns, http, invoke, msgpack
+from cedarthread.protocols import dns, http, msgpack
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
 from cedarthread.protocols.invoke_config import InvokeConfig
 from cedarthread.protocols.invoke_config import parse as parse_invoke
+from cedarthread.protocols.invoke_requests import parse_call_request, worker_idempotency_key
+from cedarthread.protocols.invoke_responses import render_answer
 from cedarthread.protocols.platform_codec import encode_answer, encode_error, encode_health, parse_call
 from cedarthread.protocols.worker_codec import encode_call, encode_message, parse_call_response
 from cedarthread.recovery import codec as return_form
@@ -95,7 +97,7 @@
 from cedarthread.simulator.encoder import encode_action, encode_failure, encode_instance, encode_reply
 from cedarthread.testing.fakes import client as client_side
 from cedarthread.testing.fakes import discovery_server as resolver_side
-from cedarthread.testing.fakes.scripted import Runner, ask, listing, service
+from cedarthread.testing.fakes.scripted import ScriptedWorker, ask_control, endpoint_record, service
 from cedarthread.testing.fakes.settings import SETTINGS as STANDIN_SETTINGS
 from tests.helpers import settings as some_settings
 from tests.helpers import worker
@@ -668,7 +670,7 @@
             Sample(f"request {name}", client_side.pack_call(7, klass, b"in\x00", asked | extra), request)
             for name, (klass, extra) in changes.items()
         ),
-        Sample("request health", client_side.health(), message),
+        Sample("request health", client_side.pack_health_check(), message),
         *(Sample(f"response {name}", encode_answer(70_000, one), message) for name, one in answers.items()),
         Sample("response no", encode_error(3, "BadRequest", {"reason": "x" * 40}), message),
         Sample("response ready", encode_health(3, True), message),
@@ -687,8 +689,8 @@
 def discovery() -> list[Sample]:
     query: bytes = dns.encode_query(0xBEEF, protocols_discovery.SERVICE_NAME)
     listed = (
-        resolver_side.Listed("s-00000001", 9001, False, 0.0),
-        resolver_side.Listed("s-00000002", 9002, True, 1234.0),
+        resolver_side.ListedWorker("s-00000001", 9001, False, 0.0),
+        resolver_side.ListedWorker("s-00000002", 9002, True, 1234.0),
     )
 
     def reads(raw: bytes) -> Json:
@@ -697,11 +699,11 @@
             return reply.reason
         return [plain(reply), plain(protocols_discovery.endpoints_from_reply(reply))]
 
-    whole: bytes = resolver_side.reply(query, 41, listed, "room-a")
+    whole: bytes = resolver_side.encode_reply(query, 41, listed, "room-a")
     return [
         Sample("query", query),
         Sample("reply", whole, reads),
-        Sample("reply that lists nobody", resolver_side.reply(query, 42, (), "room-a"), reads),
+        Sample("reply that lists nobody", resolver_side.encode_reply(query, 42, (), "room-a"), reads),
         Sample("reply cut short", whole[:-3], reads),
         Sample("reply truncated", whole[:2] + b"\x86" + whole[3:], reads),
         Sample("reply that says no", whole[:3] + b"\x03" + whole[4:], reads),
@@ -974,7 +976,7 @@
         raise ValueError("no head")
     some: RouterSettings = some_settings()
     current: dict[str, int] = {klass.name: number for number, klass in enumerate(some.classes)}
-    wanted = invoke.parse_call_request(some, current, head, raw[head.head_bytes :])
+    wanted = parse_call_request(some, current, head, raw[head.head_bytes :])
     if isinstance(wanted, http.Response):
         return wanted.encode(keep_alive=True).decode("latin-1")
     own = (
@@ -1032,13 +1034,13 @@
     samples = [Sample(f"request {name}", raw, _wanted_reads) for name, raw in wanted.items()]
     samples += [Sample(f"head {name}", raw, _head_reads) for name, raw in heads.items()]
     for name, one in answers.items():
-        samples.append(Sample(f"answer {name}", invoke.render_answer(one).encode(keep_alive=True)))
+        samples.append(Sample(f"answer {name}", render_answer(one).encode(keep_alive=True)))
     for status in sorted(http.REASON_PHRASES):
         packed: bytes = http.problem_response(status, "why", {"Retry-After": "1"}, repeat="harmless").encode(
             keep_alive=status % 2 == 0
         )
         samples.append(Sample(f"problem {status}", packed))
-    samples.append(text("key at the worker", invoke.worker_idempotency_key("spiffe://a/b", "k1")))
+    samples.append(text("key at the worker", worker_idempotency_key("spiffe://a/b", "k1")))
     return samples
 
 
@@ -1082,7 +1084,7 @@
         ("nothing there", "GET", "/", {}),
         ("expectation", "GET", "/v1/ready", {"Expect": "other"}),
     )
-    async with service(Runner(), invoke=config(made)) as running:
+    async with service(ScriptedWorker(), invoke=config(made)) as running:
         async with Caller(running, made.caller(DESK)) as desk:
             for name, method, target, fields in asked:
                 desk.send(method, target or collected, b"body", **fields)
@@ -1107,9 +1109,9 @@
     file = folder / "fleet.toml"
     file.write_bytes(FLEET)
     (folder / "kept").mkdir()
-    runner = Runner()
+    runner = ScriptedWorker()
     await runner.start()
-    known = ((1, (listing(runner, 1),)),)
+    known = ((1, (endpoint_record(runner, 1),)),)
     settings: RouterSettings = settings_from_object(STANDIN_SETTINGS)
     told = Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, known, ("127.0.0.1", 0))
     for name, running in (
@@ -1118,7 +1120,7 @@
     ):
         await running.start()
         for line in (b"PING\n", b"OTHER\n", b"INFO\n"):
-            reply: list[str] = await ask(running, line)
+            reply: list[str] = await ask_control(running, line)
             names: str = "\n".join(one.partition("=")[0] for one in reply) + "\n"
             samples.append(Sample(f"{name}: {line.decode().strip()}", names.encode()))
         running.platform.stop_listening()
@@ -1195,7 +1197,7 @@
         ("no such class", "nosuch", b"", {}),
     )
     samples: list[Sample] = []
-    writer.write(client_side.health())
+    writer.write(client_side.pack_health_check())
     samples.append(Sample("platform health", await _message(reader)))
     for number, (name, klass, body, fields) in enumerate(asked, 1):
         writer.write(client_side.pack_call(number, klass, body, own | {"txn": f"{number:016x}"} | fields))
