--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -74,7 +74,7 @@
 from cedarthread.persistence.sqlite_store import SqliteBackend
 from cedarthread.persistence.store import LoadResult, SyncMode
 from cedarthread.priority import codec as pressure_form
-from cedarthread.priority import contracts
+from cedarthread.priority import contract_entries
 from cedarthread.protocols import discovery as protocols_discovery
 from cedarthread.protocols import dns, http, msgpack
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
@@ -262,9 +262,24 @@
         "ask": register_form.SummaryRequest(
             5, tuple(n * 0x0102030405 for n in range(register_form.BUCKET_COUNT))
         ),
-        "summary": register_form.Summary(5, 6, 7, 0b110, 0, 1, ((1, 2), (2, 2**32 - 1), (33, 0))),
-        "summary in parts": register_form.Summary(5, 6, 7, 0b10, 1, 3, ((1, 2), (33, 4))),
-        "want": register_form.FetchRequest(((1, 2, register_form.ALL_FRAGMENTS), (2**32 - 1, 0, 5))),
+        "summary": register_form.Summary(
+            5,
+            6,
+            7,
+            0b110,
+            0,
+            1,
+            tuple(register_form.EntryRef(*ref) for ref in ((1, 2), (2, 2**32 - 1), (33, 0))),
+        ),
+        "summary in parts": register_form.Summary(
+            5, 6, 7, 0b10, 1, 3, tuple(register_form.EntryRef(*ref) for ref in ((1, 2), (33, 4)))
+        ),
+        "want": register_form.FetchRequest(
+            tuple(
+                register_form.FetchItem(*item)
+                for item in ((1, 2, register_form.ALL_FRAGMENTS), (2**32 - 1, 0, 5))
+            )
+        ),
         "first piece": first,
         "last piece": last,
     }
@@ -337,7 +352,7 @@
     """The entries of the operators' file, each with a version."""
     fleet: fleet_config.FleetConfig = fleet_config.parse_fleet_config(FLEET)
     bodies: list[tuple[interface.EntryKind, str, bytes]] = [
-        *contracts.entries_from_config(fleet),
+        *contract_entries.entries_from_config(fleet),
         *window.entries_from_config(fleet),
     ]
     return [
@@ -360,9 +375,9 @@
     sums: list[int] = [entries.entry_digest(entry), entries.key_hash(entry.kind, entry.name)]
     if entry.kind in (interface.EntryKind.TIERS, interface.EntryKind.CONTRACT):
         said: object = (
-            contracts.decode_tier_order(entry)
+            contract_entries.decode_tier_order(entry)
             if entry.kind is interface.EntryKind.TIERS
-            else contracts.decode_contract(entry)
+            else contract_entries.decode_contract(entry)
         )
     else:
         said = window.decode(entry.kind, entry.name, entry.body)
