--- a/cedarthread/protocols/control.py
+++ b/cedarthread/protocols/control.py
@@ -125,10 +125,10 @@
         self._acceptor = Acceptor(
             "operators",
             create_listener(host, port, LISTEN_BACKLOG),
-            SMALL_ACCEPTS_PER_PASS,
-            self._create_connection,
-            self._on_setup_failed,
-            self.release_descriptor,
+            max_accepts_per_pass=SMALL_ACCEPTS_PER_PASS,
+            create_protocol=self._create_connection,
+            on_setup_failed=self._on_setup_failed,
+            release_descriptor=self.release_descriptor,
         )
         return self._acceptor.port
 
--- a/cedarthread/protocols/invoke_server.py
+++ b/cedarthread/protocols/invoke_server.py
@@ -89,10 +89,10 @@
         self._acceptor = Acceptor(
             "callers",
             listening_socket,
-            SMALL_ACCEPTS_PER_PASS,
-            self._create_connection,
-            self._on_setup_failed,
-            self.release_descriptor,
+            max_accepts_per_pass=SMALL_ACCEPTS_PER_PASS,
+            create_protocol=self._create_connection,
+            on_setup_failed=self._on_setup_failed,
+            release_descriptor=self.release_descriptor,
             tls_context=self.config.create_tls_context(),
         )
         return self._acceptor.port
--- a/cedarthread/protocols/platform_server.py
+++ b/cedarthread/protocols/platform_server.py
@@ -85,10 +85,10 @@
         self._acceptor = Acceptor(
             "clients",
             listening_socket,
-            self.accepts_per_pass,
-            self._create_connection,
-            self.unregister,
-            self.evict_idle,
+            max_accepts_per_pass=self.accepts_per_pass,
+            create_protocol=self._create_connection,
+            on_setup_failed=self.unregister,
+            release_descriptor=self.evict_idle,
         )
         return self._acceptor.port
 
--- a/cedarthread/settings_parser.py
+++ b/cedarthread/settings_parser.py
@@ -26,7 +26,7 @@
 )
 from cedarthread.number_checks import bounded_number, positive_or_none
 
-T = TypeVar("T")
+ParsedT = TypeVar("ParsedT")
 
 # What holds where the settings say nothing, or 0.
 DEFAULT_MAX_ATTEMPTS_PER_CONNECTION = 32
@@ -184,7 +184,7 @@
     )
 
 
-def _locate_errors(location: str, parse: Callable[[Any], T], value: Any) -> T:
+def _locate_errors(location: str, parse: Callable[[Any], ParsedT], value: Any) -> ParsedT:
     """Parse one part of the settings; an error says which part it was in."""
     try:
         return parse(value)
--- a/cedarthread/transport/acceptor.py
+++ b/cedarthread/transport/acceptor.py
@@ -62,6 +62,7 @@
         self,
         name: str,
         listening_socket: socket.socket,
+        *,
         max_accepts_per_pass: int,
         create_protocol: Callable[[], ProtocolT | None],
         on_setup_failed: Callable[[ProtocolT], None],
