--- a/cedarthread/protocols/worker_connection.py
+++ b/cedarthread/protocols/worker_connection.py
@@ -164,23 +164,25 @@
 
     def _handle_response(self, message: dict[str, Any]) -> bool:
         """Act on a response; False if it is malformed. One under an id that is not in flight is ignored."""
-        message_id = message.get("id")
-        request = self.in_flight.get(message_id) if isinstance(message_id, str) else None
         self.last_used_at = self._loop.time()
+        message_id = message.get("id")
+        if not isinstance(message_id, str):
+            return False
+        request = self.in_flight.get(message_id)
         if isinstance(request, Attempt):
             result = parse_call_response(message, self.workers.settings.load_report_columns)
             if result is None:
                 return False
-            del self.in_flight[request.call.call_id]
+            del self.in_flight[message_id]
             if result.outcome is not Outcome.OK:
                 # A duplicate of this response must not end a later attempt of the same call.
-                self._add_abandoned_id(request.call.call_id)
+                self._add_abandoned_id(message_id)
             request.progress = Progress.RESPONSE_STARTED
             self.workers.on_call_response(request, result)
         elif request is not None:
-            del self.in_flight[request.message_id]
+            del self.in_flight[message_id]
             self.workers.on_preload_response(request, message)
-        return isinstance(message_id, str)
+        return True
 
     def _add_abandoned_id(self, message_id: str) -> None:
         self.abandoned_ids.add(message_id)
