Fuzzing: one module a target; mutation, budgets and findings apart from the target class

Change: eleven target modules; bounds on work and memory are Budget records; edge values stand with the mutations.

--- a/cedarthread/testing/fuzzing/call_machine.py
+++ b/cedarthread/testing/fuzzing/call_machine.py
@@ -11,7 +11,9 @@
 from typing import Any
 
 from cedarthread.testing.fuzzing.endpoint_publisher import EndpointPublisher
+from cedarthread.testing.fuzzing.finding import Finding
 from cedarthread.testing.fuzzing.memory_peers import MemoryWorker
+from cedarthread.testing.fuzzing.resource_meter import Budget
 from cedarthread.testing.fuzzing.router_under_test import MAX_DEADLINE_MS, Mode, RouterUnderTest
 from cedarthread.testing.fuzzing.script import STEPS, WORKER_COUNT, generate_script
 from cedarthread.testing.fuzzing.script_steps import (
@@ -21,7 +23,7 @@
     WorkerSteps,
     step_actions,
 )
-from cedarthread.testing.fuzzing.target import Finding, FuzzedDataProvider, Target
+from cedarthread.testing.fuzzing.target import FuzzedDataProvider, Target
 from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop, run_virtual
 
 MAX_SCRIPT_BYTES = 400
@@ -133,8 +135,8 @@
         "cedarthread.protocols.worker_preloads",
         "cedarthread.protocols.workers",
     )
-    line_budget = (400_000, 12_000)
-    byte_budget = (4 * 2**20, 20_000)
+    line_budget = Budget(400_000, 12_000)
+    byte_budget = Budget(4 * 2**20, 20_000)
     test_runs = 150
 
     def generate(self, rng: random.Random) -> bytes:
--- /dev/null
+++ b/cedarthread/testing/fuzzing/config_targets.py
@@ -0,0 +1,175 @@
+"""The parsers of configuration files: what they accept can be served."""
+
+from __future__ import annotations
+
+import json
+import math
+import random
+from pathlib import Path
+from typing import Any
+
+from cedarthread import config
+from cedarthread.model.actions import SetTimer, StartAttempt
+from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.events import AttemptEnded, RequestArrived
+from cedarthread.model.outcomes import Outcome
+from cedarthread.model.settings import RouterSettings
+from cedarthread.protocols import invoke_config
+from cedarthread.routing.router import Router
+from cedarthread.testing.fuzzing import settings as drawn_settings
+from cedarthread.testing.fuzzing.finding import require
+from cedarthread.testing.fuzzing.mutation import (
+    DEEP_LIST,
+    EDGE_FLOATS,
+    EDGE_NUMBERS,
+    EDGE_STRINGS,
+    mutate_bytes,
+    mutate_tree,
+)
+from cedarthread.testing.fuzzing.resource_meter import Budget
+from cedarthread.testing.fuzzing.target import Target
+
+
+def exercise_settings(settings: RouterSettings) -> None:
+    """Settings that were taken must serve: one call of each class, and timers at times that are times."""
+    router = Router(settings, 1)
+    workers = tuple(Endpoint(n, 0, 0, 0, EndpointState.READY, None, None) for n in (1, 2))
+    actions = router.handle(1000.0, EndpointUpdate(EndpointUpdateKind.CACHED, 1, workers))
+    for klass, told in enumerate(settings.classes[:8]):
+        require(math.isfinite(told.deadline_ms) and told.deadline_ms > 0, f"a deadline of {told.deadline_ms}")
+        actions = actions + router.handle(1001.0, RequestArrived(klass, 7, klass, 1001.0 + told.deadline_ms))
+        for send in [a for a in actions if isinstance(a, StartAttempt) and a.request_id == klass]:
+            router.handle(1002.0, AttemptEnded(klass, 0, send.worker_id, Outcome.ERROR, 1.0, False))
+    for timer in [a for a in actions if isinstance(a, SetTimer)]:
+        require(math.isfinite(timer.at_ms), f"a timer at {timer.at_ms}")
+
+
+class JsonTarget(Target):
+    """Inputs that are one JSON text."""
+
+    def base_document(self, rng: random.Random) -> Any:
+        """The parsed text that drawing starts from."""
+        raise NotImplementedError
+
+    def generate(self, rng: random.Random) -> bytes:
+        """The usual text, with no change or a few."""
+        tree = self.base_document(rng)
+        for _ in range(rng.choice((0, 1, 1, 2))):
+            tree = mutate_tree(
+                tree, rng, [*EDGE_NUMBERS, *EDGE_STRINGS, *EDGE_FLOATS, None, True, DEEP_LIST, {}]
+            )
+        return json.dumps(tree).encode()
+
+    def mutate(self, data: bytes, rng: random.Random) -> bytes:
+        """Mostly the tree."""
+        if rng.random() < 0.1:
+            return b'{"a":' * 3000 + data if rng.random() < 0.5 else b"[" * 90_000
+        if rng.random() < 0.7:
+            try:
+                tree = json.loads(data)
+                return json.dumps(
+                    mutate_tree(tree, rng, [*EDGE_NUMBERS, *EDGE_STRINGS, *EDGE_FLOATS, None, DEEP_LIST, {}])
+                ).encode()
+            except (ValueError, RecursionError):
+                pass
+        return mutate_bytes(data, rng)
+
+
+class ConfigFileTarget(JsonTarget):
+    """The configuration that the platform writes."""
+
+    name = "config"
+    modules = ("cedarthread.config",)
+    line_budget = Budget(60_000, 400)
+    byte_budget = Budget(4 * 2**20, 400)
+
+    def base_document(self, rng: random.Random) -> Any:
+        """A whole configuration."""
+        entry = {
+            "name": "s-00000001",
+            "address": "10.0.0.1:5050",
+            "zone": "room-a",
+            "type": "std",
+            "status": "ready",
+        }
+        return {
+            "name": "n1",
+            "listen": "127.0.0.1:5050",
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 1024},
+            "dns": "127.0.0.1:5300",
+            "known": {
+                "n": 1,
+                "events": [{"n": 1, "members": {"endpoints": [entry | {"group": 1, "since_ms": 0}]}}],
+            },
+            "settings": drawn_settings.settings(preloads_on_miss=rng.random() < 0.5),
+        }
+
+    def generate(self, rng: random.Random) -> bytes:
+        """Mostly the settings changed: most figures stand there."""
+        if rng.random() < 0.4:
+            return super().generate(rng)
+        tree = self.base_document(rng)
+        settings = tree["settings"]
+        if rng.random() < 0.5:
+            place = rng.choice((*settings["classes"], settings["limits"], settings["obligations"]))
+            place[rng.choice([key for key, value in place.items() if not isinstance(value, str)])] = (
+                rng.choice(EDGE_FLOATS)
+            )
+            return json.dumps(tree).encode()
+        part = rng.choice(("classes", "limits", "obligations", "specifics", "report", "prices"))
+        settings[part] = mutate_tree(
+            settings[part], rng, [*EDGE_NUMBERS, *EDGE_STRINGS, *EDGE_FLOATS, None, True, {}]
+        )
+        return json.dumps(tree).encode()
+
+    def check(self, data: bytes) -> None:
+        """Taken or refused with its one error; what is taken can be served."""
+        try:
+            found = config.decode(data, {})
+        except config.ConfigError as error:
+            return require(bool(str(error)), "an error without words")
+        for host, port in ((found.host, found.port), found.discovery_address or ("", 1)):
+            require(isinstance(host, str) and 0 <= port < 65536, f"port {port}")
+        for _, listings in found.initial_endpoints:
+            for listing in listings:
+                require(0 <= listing.port < 65536, f"a runner at port {listing.port}")
+                require(
+                    math.isfinite(listing.started_at_ms) and math.isfinite(listing.weight),
+                    "a figure that is none",
+                )
+        exercise_settings(found.settings)
+
+
+class InvokeConfigTarget(Target):
+    """The invoke API's TOML file."""
+
+    name = "invoke-file"
+    modules = ("cedarthread.protocols.invoke_config",)
+    line_budget = Budget(60_000, 800)
+
+    def generate(self, rng: random.Random) -> bytes:
+        """The file as it is shipped, its figures and ids now and then odd."""
+        figure = rng.choice(("128", "1", "0", "-1", "inf", "nan", "1e308", "9" * 30, '"x"', "[]", "true"))
+        allow = rng.choice(
+            ('"spiffe://gaz.example/desk/*"', '"spiffe://gaz.example"', '"*"', "7", '"' + "a" * 3000 + '"')
+        )
+        listen = rng.choice(("127.0.0.1:8443", "127.0.0.1:99999", "x", ":", "[::1]:1", "h:-1"))
+        lines = [f'listen = "{listen}"', 'trust_domain = "gaz.example"', f"allow = [{allow}]"]
+        lines += ['svid = "a.pem"', 'key = "k.pem"', 'bundle = "b.pem"', f"connections = {figure}"]
+        return ("[invoke]\n" + "\n".join(lines)).encode()
+
+    def mutate(self, data: bytes, rng: random.Random) -> bytes:
+        """Bytes, or nests too deep."""
+        if rng.random() < 0.1:
+            return b"a = " + rng.choice((b"[", b"{a=", b"[{a=")) * rng.choice((50, 3000))
+        return mutate_bytes(data, rng)
+
+    def check(self, data: bytes) -> None:
+        """Taken or refused by ValueError alone."""
+        try:
+            found = invoke_config.parse(data, Path("deploy/invoke.toml"))
+        except ValueError as error:
+            return require(bool(str(error)), "an error without words")
+        require(0 <= found.port < 65536, f"port {found.port}")
+        require(0 < found.max_connections < 2**31, f"{found.max_connections} connections")
--- a/cedarthread/testing/fuzzing/deferred_target.py
+++ b/cedarthread/testing/fuzzing/deferred_target.py
@@ -7,7 +7,8 @@
 
 from cedarthread.dispatch.calls import CallFailed, CallRejected, CallResult, CallSucceeded
 from cedarthread.dispatch.deferred import DeferredCall, DeferredCalls, DeferredLimits
-from cedarthread.testing.fuzzing.parser_targets import require
+from cedarthread.testing.fuzzing.finding import require
+from cedarthread.testing.fuzzing.resource_meter import Budget
 from cedarthread.testing.fuzzing.target import FuzzedDataProvider, Target
 
 OWNERS = ("a", "b")
@@ -32,7 +33,7 @@
 
     name = "deferred"
     modules = ("cedarthread.dispatch.deferred",)
-    line_budget = (60_000, 3000)
+    line_budget = Budget(60_000, 3000)
 
     def generate(self, rng: random.Random) -> bytes:
         """A script."""
--- a/cedarthread/testing/fuzzing/http_reply.py
+++ b/cedarthread/testing/fuzzing/http_reply.py
@@ -5,7 +5,7 @@
 import re
 from typing import NamedTuple
 
-from cedarthread.testing.fuzzing.target import Finding
+from cedarthread.testing.fuzzing.finding import Finding
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.1 (\d{3}) [^\r]*\r\n")
 
--- /dev/null
+++ b/cedarthread/testing/fuzzing/http_target.py
@@ -0,0 +1,103 @@
+"""The parser of HTTP request heads, and requests of the invoke API."""
+
+from __future__ import annotations
+
+import random
+
+from cedarthread.protocols import http
+from cedarthread.testing.fuzzing.cuts import sample_cuts
+from cedarthread.testing.fuzzing.finding import require
+from cedarthread.testing.fuzzing.mutation import (
+    mutate_bytes,
+)
+from cedarthread.testing.fuzzing.resource_meter import Budget
+from cedarthread.testing.fuzzing.target import Target
+
+EDGE_HEADERS = [b"Content-Length: 1", b"content-length:1", b"Content-Length: +1", b"Content-Length: 1_0"]
+EDGE_HEADERS += [
+    b"Content-Length: \xd9\xa3",
+    b"Transfer-Encoding: chunked",
+    b"Transfer-Encoding : chunked",
+    b" folded: x",
+]
+EDGE_HEADERS += [
+    b"Connection: close",
+    b"Expect: 100-continue",
+    b"Prefer: respond-async, wait=5",
+    b"Host: b",
+    b": x",
+]
+EDGE_HEADERS += [
+    b"Idempotency-Key: k1",
+    b"Call-Lanes: nan",
+    b"Call-Lanes: 1e999",
+    b"Call-Timeout-Ms: 99999999999",
+]
+EDGE_HEADERS += [b"Content-Length: " + b"9" * 5000, b"X: " + b"y" * 9000, b"Call-Memory-Mb: -0"]
+
+
+def generate_request(rng: random.Random) -> bytes:
+    """One request of the invoke API."""
+    body = rng.randbytes(rng.choice((0, 0, 3, 300)))
+    klass = rng.choice(("check", "revise", "confirm", "none", "a%2e"))
+    target = rng.choice(
+        (f"/v1/functions/{'ab' * 8}/{klass}", "/v1/calls/abc", "/v1/ready", "/v1/functions/x/y")
+    )
+    method = rng.choice(("POST", "POST", "GET", "DELETE", "PUT"))
+    fields = [b"Host: a", b"Content-Length: %d" % (len(body) + rng.choice((0, 0, 0, 0, 1)))]
+    fields += rng.sample(EDGE_HEADERS, rng.choice((0, 0, 1, 2)))
+    rng.shuffle(fields)
+    version = rng.choice((b"HTTP/1.1", b"HTTP/1.1", b"HTTP/1.1", b"HTTP/1.0", b"HTTP/2.0"))
+    start = f"{method} {target} ".encode() + version
+    return b"\r\n".join((start, *fields, b"", b"")) + body
+
+
+class HttpHeadTarget(Target):
+    """Heads of HTTP requests."""
+
+    name = "http"
+    modules = ("cedarthread.protocols.http",)
+    line_budget = Budget(20_000, 800)
+
+    def generate(self, rng: random.Random) -> bytes:
+        """A request, its body a little longer or shorter than it says."""
+        return generate_request(rng)
+
+    def mutate(self, data: bytes, rng: random.Random) -> bytes:
+        """Lines swapped, doubled or changed; mostly the blank line stays."""
+        head, blank, body = data.partition(b"\r\n\r\n")
+        if rng.random() < 0.4 or not blank:
+            return mutate_bytes(data, rng)
+        lines = head.split(b"\r\n")
+        at = rng.randrange(len(lines))
+        match rng.randrange(4):
+            case 0:
+                lines.insert(at, lines[rng.randrange(len(lines))])
+            case 1 if len(lines) > 1:
+                del lines[at]
+            case 2:
+                lines.insert(max(1, at), rng.choice(EDGE_HEADERS))
+            case _:
+                lines[at] = mutate_bytes(lines[at], rng)
+        return b"\r\n".join(lines) + blank + body
+
+    def check(self, data: bytes) -> None:
+        """Nothing that two readers could take in two ways passes."""
+        parsed = http.parse_head(memoryview(data), 16 * 1024)
+        if not isinstance(parsed, http.RequestHead):
+            return
+        head = data[: parsed.head_bytes]
+        require(head.endswith(b"\r\n\r\n") and head.count(b"\r\n\r\n") == 1, "the head ends elsewhere")
+        bare = head.replace(b"\r\n", b"")
+        require(not any(mark in bare for mark in (b"\r", b"\n", b"\0")), "a bare line end or NUL passed")
+        names = [line.partition(b":")[0].lower() for line in head.split(b"\r\n")[1:-2]]
+        require(b"transfer-encoding" not in names, "Transfer-Encoding passed")
+        require(names.count(b"content-length") <= 1, "two lengths passed")
+        require(not any(name != name.strip() for name in names), "white space round a field's name passed")
+        require(0 <= parsed.content_length <= 16 * 1024, f"a body of {parsed.content_length} bytes passed")
+        for at in sample_cuts(random.Random(len(head)), head):
+            require(
+                not isinstance(http.parse_head(memoryview(head)[:at], 16 * 1024), http.RequestHead),
+                f"cut at {at} it is whole",
+            )
+        parsed.preferences()
--- a/cedarthread/testing/fuzzing/identity_targets.py
+++ b/cedarthread/testing/fuzzing/identity_targets.py
@@ -12,8 +12,9 @@
 from cryptography.x509.oid import NameOID
 
 from cedarthread.protocols import spiffe
-from cedarthread.testing.fuzzing.parser_targets import require
-from cedarthread.testing.fuzzing.target import Target, mutate_bytes
+from cedarthread.testing.fuzzing.finding import require
+from cedarthread.testing.fuzzing.mutation import mutate_bytes
+from cedarthread.testing.fuzzing.target import Target
 
 SIGNING_KEY = ed25519.Ed25519PrivateKey.from_private_bytes(
     b"fuzz" * 8
--- a/cedarthread/testing/fuzzing/invoke_caller.py
+++ b/cedarthread/testing/fuzzing/invoke_caller.py
@@ -6,9 +6,10 @@
 from typing import NamedTuple
 
 from cedarthread.dispatch.calls import CallRejected
+from cedarthread.testing.fuzzing.finding import Finding
 from cedarthread.testing.fuzzing.http_reply import Reply, read_reply
 from cedarthread.testing.fuzzing.router_under_test import FUNCTIONS, RouterUnderTest
-from cedarthread.testing.fuzzing.target import Finding, FuzzedDataProvider
+from cedarthread.testing.fuzzing.target import FuzzedDataProvider
 from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport
 
 RESULT_BY_STATUS = {200: "served", 503: "refused", 502: "failed", 504: "failed"}
--- /dev/null
+++ b/cedarthread/testing/fuzzing/invoke_target.py
@@ -0,0 +1,68 @@
+"""A complete connection of the invoke API."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from pathlib import Path
+from typing import Any
+
+from cedarthread.protocols.invoke import InvokeConnection, InvokeServer
+from cedarthread.protocols.invoke_config import InvokeConfig
+from cedarthread.protocols.spiffe import Identity
+from cedarthread.testing.fuzzing.finding import require
+from cedarthread.testing.fuzzing.http_reply import read_reply
+from cedarthread.testing.fuzzing.http_target import EDGE_HEADERS, generate_request
+from cedarthread.testing.fuzzing.mutation import mutate_bytes
+from cedarthread.testing.fuzzing.stream_target import StreamTarget, dispatcher_with_echo, feed
+from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop
+
+
+class InvokeTarget(StreamTarget):
+    """A whole connection of the invoke API, its identity checked."""
+
+    name = "invoke"
+    modules = ("cedarthread.protocols.invoke", "cedarthread.protocols.http")
+
+    def generate(self, rng: random.Random) -> bytes:
+        """Some requests in a row."""
+        return rng.randbytes(1) + b"".join(generate_request(rng) for _ in range(rng.choice((1, 2, 5))))
+
+    def mutate_stream(self, data: bytes, rng: random.Random) -> bytes:
+        """A field put in, a request doubled, or bytes."""
+        ends = [at for at in range(len(data)) if data.startswith(b"\r\n", at)]
+        if ends and rng.random() < 0.4:
+            at = rng.choice(ends)
+            return data[:at] + b"\r\n" + rng.choice(EDGE_HEADERS) + data[at:]
+        return mutate_bytes(data, rng)
+
+    async def serve(self, loop: VirtualLoop, data: bytes, seed: int) -> Any:
+        """The responses' statuses in order."""
+        planner, flusher, _ = dispatcher_with_echo(loop)
+        nowhere = Path("nowhere")
+        allow = ("spiffe://gaz.example/*",)
+        config = InvokeConfig(nowhere, "", 0, "gaz.example", nowhere, nowhere, nowhere, allow, 8)
+        front = InvokeServer(planner, config, flusher, loop.time)
+        connection = InvokeConnection(front)
+        connection.peer = Identity("spiffe://gaz.example/a", "gaz.example", math.inf)
+        transport, out = MemoryTransport(loop), bytearray()
+        transport.on_bytes = out.extend
+        transport.connect(connection)
+        await feed(transport, data, seed)
+        statuses, rest = [], bytes(out)
+        while (found := read_reply(rest)) is not None:
+            reply, end = found
+            require(100 <= reply.status < 600, f"status {reply.status}")
+            statuses.append(reply.status)
+            rest = rest[end:]
+        require(not rest, f"after the last response: {rest[:60]!r}")
+        require(not planner.pending_calls, "a call is open")
+        transport.peer_reset()
+        await asyncio.sleep(400)
+        front.sweep(loop.time())
+        require(
+            front.deferred_calls.reserved_bytes == 0 and len(front.deferred_calls) == 0,
+            "an answer is kept past its time",
+        )
+        return [status for status in statuses if status != 100]  # whether it is asked for depends on the cut
--- a/cedarthread/testing/fuzzing/memory_peers.py
+++ b/cedarthread/testing/fuzzing/memory_peers.py
@@ -14,7 +14,7 @@
 import msgpack
 
 from cedarthread.testing.fakes.client import answer_kind
-from cedarthread.testing.fuzzing.target import Finding
+from cedarthread.testing.fuzzing.finding import Finding
 from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop
 from cedarthread.testing.invariants import AttemptRecord, CallGuarantees, InvariantChecker
 
--- /dev/null
+++ b/cedarthread/testing/fuzzing/mutation.py
@@ -0,0 +1,102 @@
+"""Changes of inputs: of bytes without a grammar, and of parsed values at one place; values at the edges."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from typing import Any
+
+# At the edges of every width that is read anywhere.
+EDGE_NUMBERS = [
+    0,
+    1,
+    -1,
+    31,
+    32,
+    127,
+    128,
+    255,
+    256,
+    2**15,
+    2**16 - 1,
+    2**16,
+    2**31 - 1,
+    2**31,
+    2**32 - 1,
+    2**32,
+]
+EDGE_NUMBERS += [2**53, 2**63 - 1, 2**63, 2**64 - 1, 2**64, -(2**63)]
+# Some that float() takes and nobody means.
+EDGE_STRINGS = [
+    "",
+    "0",
+    "-0",
+    "-1",
+    "1e308",
+    "1e309",
+    "-1e309",
+    "nan",
+    "inf",
+    "0x10",
+    "1_0",
+    "9" * 20,
+    "9" * 5000,
+]
+EDGE_STRINGS += ["٣", " 7", "+7", "1.5", "5e-324", "\x00", "é", "%2e", ".."]
+
+NOT_A_NUMBER, INFINITY = float("nan"), float("inf")
+EDGE_FLOATS = [NOT_A_NUMBER, INFINITY, -INFINITY, 1e308, -0.0, 5e-324, 0.5]
+DEEP_LIST: Any = []
+for _ in range(40):
+    DEEP_LIST = [DEEP_LIST]
+
+
+def mutate_bytes(data: bytes, rng: random.Random) -> bytes:
+    """One change that knows no grammar."""
+    raw = bytearray(data)
+    at = rng.randrange(len(raw) + 1)
+    end = min(len(raw), at + 1 + int(rng.expovariate(0.2)))
+    match rng.randrange(7):
+        case 0:
+            del raw[at:end]
+        case 1:
+            raw[at:at] = raw[at:end] * rng.choice((1, 1, 2, 40))
+        case 2:
+            raw[at:at] = rng.randbytes(rng.randint(1, 4))
+        case 3 if at < len(raw):
+            raw[at] = rng.choice((0, 0xFF, 0x7F, 0x80, raw[at] ^ 1 << rng.randrange(8)))
+        case 4:
+            number = rng.choice(EDGE_NUMBERS) % 2**64
+            width = rng.choice((1, 2, 4, 8))
+            raw[at : at + width] = (number % 256**width).to_bytes(width, rng.choice(("big", "little")))
+        case 5:
+            raw[at:end] = rng.choice(EDGE_STRINGS).encode()[:300]
+        case _:
+            other = rng.randrange(len(raw) + 1)
+            raw[at:at] = raw[other : other + rng.randint(1, 30)]
+    return bytes(raw)
+
+
+def mutate_tree(value: Any, rng: random.Random, edges: Sequence[Any]) -> Any:
+    """A parsed value with one place in it changed; lengths and forms are made anew when it is written."""
+    if isinstance(value, dict) and value and rng.random() < 0.85:
+        key = rng.choice(list(value))
+        changed = dict(value)
+        match rng.randrange(6):
+            case 0:
+                del changed[key]
+            case 1:
+                changed[str(rng.choice(EDGE_STRINGS))[:40]] = value[key]
+            case _:
+                changed[key] = mutate_tree(value[key], rng, edges)
+        return changed
+    if isinstance(value, list) and value and rng.random() < 0.85:
+        at = rng.randrange(len(value))
+        match rng.randrange(6):
+            case 0:
+                return value[:at] + value[at + 1 :]
+            case 1:
+                return value[:at] + [value[at]] * rng.choice((2, 2, 40)) + value[at:]
+            case _:
+                return [*value[:at], mutate_tree(value[at], rng, edges), *value[at + 1 :]]
+    return rng.choice(edges)
--- /dev/null
+++ b/cedarthread/testing/fuzzing/resource_meter.py
@@ -0,0 +1,61 @@
+"""Bounds on the work and the memory that one input may take."""
+
+from __future__ import annotations
+
+import sys
+import tracemalloc
+from collections.abc import Callable
+from types import FrameType
+from typing import Any, NamedTuple
+
+from cedarthread.testing.fuzzing.finding import Finding
+
+PACKAGE = "cedarthread"
+UNMETERED = ".fuzz"  # in the names of modules whose lines do not count
+
+
+class Budget(NamedTuple):
+    """A bound on what one input may take: so much, and so much a byte of the input."""
+
+    base: int
+    per_byte: int
+
+    def limit(self, size: int) -> int:
+        """The bound for an input of ``size`` bytes."""
+        return self.base + self.per_byte * size
+
+
+class ResourceMeter:
+    """Counts the lines of this program that run, and the peak of the memory that they take.
+
+    Lines are the same on every run and machine, so that a bound on them can stand in a test.
+    """
+
+    def __init__(self, max_lines: int, max_bytes: int) -> None:
+        self.max_lines, self.max_bytes = max_lines, max_bytes
+        self.line_count = 0
+        self.peak_bytes = 0
+
+    def _trace(self, frame: FrameType, event: str, arg: Any) -> Callable[..., Any] | None:
+        module = str(frame.f_globals.get("__name__", ""))
+        return self._line if module.startswith(PACKAGE) and UNMETERED not in module else None
+
+    def _line(self, frame: FrameType, event: str, arg: Any) -> Callable[..., Any]:
+        self.line_count += event == "line"
+        if self.line_count > self.max_lines:
+            raise Finding(f"more than {self.max_lines} lines of work for one input")
+        return self._line
+
+    def measure(self, check: Callable[[bytes], None], data: bytes) -> None:
+        """Run a check under the meter; ``Finding`` where it takes more than it may."""
+        previous = sys.gettrace()
+        tracemalloc.start()
+        sys.settrace(self._trace)
+        try:
+            check(data)
+        finally:
+            sys.settrace(previous)
+            self.peak_bytes = tracemalloc.get_traced_memory()[1]
+            tracemalloc.stop()
+        if self.peak_bytes > self.max_bytes:
+            raise Finding(f"{self.peak_bytes} bytes held for one input, at most {self.max_bytes} allowed")
--- /dev/null
+++ b/cedarthread/testing/fuzzing/worker_lines_target.py
@@ -0,0 +1,149 @@
+"""The lines that a worker sends."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import random
+from typing import Any, cast
+
+from cedarthread.dispatch.calls import Attempt, AttemptResult, Call, Progress
+from cedarthread.model.endpoints import EndpointState
+from cedarthread.model.events import PreloadEnded
+from cedarthread.protocols.endpoint_list import EndpointRecord
+from cedarthread.protocols.worker_codec import parse_preload_response
+from cedarthread.protocols.worker_connection import WorkerConnection
+from cedarthread.protocols.worker_pool import WorkerConnectionPool
+from cedarthread.protocols.worker_preloads import PreloadRequests
+from cedarthread.protocols.worker_requests import PendingPreload
+from cedarthread.settings_parser import settings_from_object
+from cedarthread.testing.fuzzing import settings as drawn_settings
+from cedarthread.testing.fuzzing.finding import require
+from cedarthread.testing.fuzzing.mutation import EDGE_STRINGS
+from cedarthread.testing.fuzzing.stream_target import StreamTarget, feed
+from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop
+from cedarthread.transport.flusher import Flusher
+
+
+class _RecordingTransport:
+    """What a runner's connection tells its pool's owner, kept."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.settings = settings_from_object(drawn_settings.settings())
+        self.flusher, self.dispatcher = Flusher(), self
+        self.clock = loop.unix_ms
+        self.endings: list[tuple[str, str, bytes]] = []
+        self.bad_numbers: list[
+            str
+        ] = []  # figures that are none; raised later, for the connection catches all
+
+    def _check_number(self, what: str, value: float, most: float) -> None:
+        if not abs(value) <= most:
+            self.bad_numbers.append(f"{what} of {value}")
+
+    def may_start_attempt(self, attempt: Attempt) -> bool:
+        """Its client is there."""
+        return True
+
+    def count_attempt_written(self, attempt: Attempt) -> None:
+        """Its line is written."""
+
+    def on_call_response(self, attempt: Attempt, ending: AttemptResult) -> None:
+        """An answer."""
+        for value in ending.load_report:
+            self._check_number("a report", value or 0.0, 1e308)
+        self._check_number("a crowd", ending.reported_concurrency or 0, 2**31)
+        self.endings.append((attempt.call.call_id, ending.outcome.value, ending.body))
+
+    def on_connection_broken(self, request: Attempt | PendingPreload, *, is_unreachable: bool) -> None:
+        """The connection went."""
+        name = request.call.call_id if isinstance(request, Attempt) else request.message_id
+        self.endings.append((name, "broke", b""))
+
+    def on_preload_response(self, preload: PendingPreload, message: dict[str, Any]) -> None:
+        """An order's end."""
+        PreloadRequests(cast(Any, self)).on_response(preload, parse_preload_response(message))
+        self.endings.append((preload.message_id, "order", b""))
+
+    def preload_ended(self, event: PreloadEnded) -> None:
+        """What the planner is told of it."""
+        self._check_number("copies", event.instances, 2**31)
+
+
+class WorkerLinesTarget(StreamTarget):
+    """The lines that a runner sends, on a connection with three calls and an order open."""
+
+    name = "lines"
+    modules = (
+        "cedarthread.protocols.worker_codec",
+        "cedarthread.protocols.worker_connection",
+        "cedarthread.protocols.worker_line_queue",
+        "cedarthread.protocols.worker_pool",
+        "cedarthread.protocols.worker_preloads",
+        "cedarthread.protocols.workers",
+    )
+    message_ids = ("a1", "a2", "a3", "load-1")
+
+    def generate(self, rng: random.Random) -> bytes:
+        """Some lines: good answers, odd figures, foreign ids."""
+        lines = []
+        for _ in range(rng.choice((1, 2, 5))):
+            fields: Any = {
+                "remark": rng.choice(("hit", "spawn", 7, None)),
+                "depth": rng.choice((0, 3, *EDGE_STRINGS, 1e308)),
+            }
+            report = (
+                "inflight:7;x1:0",
+                "inflight:nan",
+                "x1:1e309;inflight:-0",
+                "x1",
+                7,
+                "inflight:" + "9" * 400,
+            )
+            fields["report"], fields["pods"] = rng.choice(report), rng.choice((1, -1, 2**64, "x", 1e308))
+            op = rng.choice(("HIT", "HIT", "NONE", "SHED", "FAULT", "LATE", "PONG", "WHAT", ["HIT"], None))
+            message = {"op": op, "id": rng.choice((*self.message_ids, "b", 1)), "fields": fields}
+            body = base64.b64encode(rng.randbytes(rng.choice((0, 5, 300)))).decode()
+            message["body"] = rng.choice((body, body, body, body + "=", body[:-1], "%%", 7, None))
+            for key in [k for k in message if rng.random() < 0.06]:
+                del message[key]
+            lines.append(json.dumps(message).encode())
+        if rng.random() < 0.15:
+            deep = b"[" * rng.choice((400, 700, 3000))
+            lines.append(rng.choice((deep, b'{"op":' + deep + b"]" * len(deep) + b',"id":"a1"}')))
+        return rng.randbytes(1) + b"\n".join(lines) + b"\n"
+
+    async def serve(self, loop: VirtualLoop, data: bytes, seed: int) -> Any:
+        """How each of the four ended: once, and with the body that its own line holds."""
+        ways = _RecordingTransport(loop)
+        listing = EndpointRecord("s-1", "h", 1, "room-a", "std", 0, EndpointState.READY, 1.0, 0.0)
+        connection = WorkerConnection(WorkerConnectionPool(cast(Any, ways), listing))
+        transport = MemoryTransport(loop)
+        transport.connect(connection)
+        for name in self.message_ids[:3]:
+            call = Call(name, 0, 7, 1e18, b"", lambda answer: None)
+            connection.send_request(b"{}\n", Attempt(call, 0, 1, 0.0, Progress.WRITTEN))
+        connection.send_request(b"{}\n", PendingPreload("load-1", 1, 7, 0.0))
+        await feed(transport, data, seed)
+        transport.peer_reset()
+        await asyncio.sleep(0)
+        require(not ways.bad_numbers, ways.bad_numbers[0] if ways.bad_numbers else "")
+        require(
+            sorted(name for name, _, _ in ways.endings) == sorted(self.message_ids), f"ended: {ways.endings}"
+        )
+        bodies = {base64.b64decode(text) for text in self._bodies(data)}
+        for name, outcome, body in ways.endings:
+            require(outcome != "ok" or body in bodies, f"{name} served with {body!r}, which no line holds")
+        return sorted(ways.endings)
+
+    def _bodies(self, data: bytes) -> list[str]:
+        found = []
+        for line in data.split(b"\n"):
+            try:
+                body = json.loads(line)["body"]
+                base64.b64decode(body, validate=True)
+            except (ValueError, TypeError, LookupError, RecursionError):
+                continue
+            found.append(body)
+        return found
--- a/tests/simulation/test_fuzzing.py
+++ b/tests/simulation/test_fuzzing.py
@@ -13,8 +13,10 @@
 from cedarthread.protocols import dns
 from cedarthread.testing.fuzzing import corpus, injected_defects, model_checking, targets
 from cedarthread.testing.fuzzing.cli import replay
-from cedarthread.testing.fuzzing.parser_targets import DnsTarget, generate_reply, pack_reply
-from cedarthread.testing.fuzzing.target import Finding, FuzzedDataProvider, Target, verdict
+from cedarthread.testing.fuzzing.dns_target import DnsTarget, generate_reply, pack_reply
+from cedarthread.testing.fuzzing.finding import Finding
+from cedarthread.testing.fuzzing.resource_meter import Budget
+from cedarthread.testing.fuzzing.target import FuzzedDataProvider, Target, verdict
 from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, StuckError, VirtualLoop, run_virtual
 from cedarthread.testing.invariants import CallGuarantees, InvariantChecker, InvariantLimits
 
@@ -191,8 +193,8 @@
 
 def test_a_verdict_tells_findings_exceptions_work_and_memory_apart() -> None:
     class Odd(Target):
-        line_budget = (100, 0)
-        byte_budget = (100_000, 0)
+        line_budget = Budget(100, 0)
+        byte_budget = Budget(100_000, 0)
 
         def check(self, data: bytes) -> None:
             if data == b"finding":
