--- a/cedarthread/testing/fuzzing/router_under_test.py
+++ b/cedarthread/testing/fuzzing/router_under_test.py
@@ -15,8 +15,9 @@
 
 from cedarthread.dispatch.dispatcher import Dispatcher
 from cedarthread.protocols.endpoint_list import EndpointList
-from cedarthread.protocols.invoke import InvokeConnection, InvokeServer
 from cedarthread.protocols.invoke_config import InvokeConfig
+from cedarthread.protocols.invoke_connection import InvokeConnection
+from cedarthread.protocols.invoke_server import InvokeServer
 from cedarthread.protocols.platform_connection import PlatformConnection
 from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.spiffe import Identity
@@ -169,8 +170,8 @@
                 "worker loads in the decisions",
                 sum(abs(worker.in_flight) for worker in router.workers.values()),
             ),
-            ("bytes of kept answers", abs(self.invoke.deferred_calls.reserved_bytes)),
-            ("kept answers", len(self.invoke.deferred_calls)),
+            ("bytes of kept answers", abs(self.invoke.calls.deferred_calls.reserved_bytes)),
+            ("kept answers", len(self.invoke.calls.deferred_calls)),
             ("client connections", len(connections) + len(self.platform.unproven_connections)),
         ):
             self.checker.check_remaining(now, what, remaining)
