Configuration and command line: named variables, defaults and exit codes; whole names

Values are read in the same order as before, so a file with several faults names the same one first.

--- a/cedarthread/cli.py
+++ b/cedarthread/cli.py
@@ -40,51 +40,62 @@
     from cedarthread.protocols.invoke_config import InvokeConfig
 
 
+EXIT_OK = 0
+EXIT_CANNOT_SERVE = 1  # an address can't be listened on, or there are too few file descriptors
+EXIT_BAD_INPUT = 2  # a file or the environment can't be used, or a tool is not installed
+
+_DEVELOPMENT_COMMANDS = ("rig", "drill")
+
+
 def main(argv: list[str] | None = None) -> int:
-    """Run one command; the exit code."""
-    told = sys.argv[1:] if argv is None else argv
-    if told[:1] == ["fuzz"]:
-        return run_fuzz(told[1:])
-    if told[:1] in (["rig"], ["drill"]):
-        from cedarthread.testing.cluster import cli as rig
-
-        return rig.main(told)
-    options = docopt(__doc__, told)
+    """Run one command; returns the exit code of the process."""
+    arguments = sys.argv[1:] if argv is None else argv
+    if arguments[:1] == ["fuzz"]:
+        return run_fuzz(arguments[1:])
+    if arguments and arguments[0] in _DEVELOPMENT_COMMANDS:
+        from cedarthread.testing.cluster import cli as cluster_cli
+
+        return cluster_cli.main(arguments)
+    options = docopt(__doc__, arguments)
     if options["version"]:
         print(cedarthread.__version__)
-        return 0
+        return EXIT_OK
     try:
         loaded_config = config.load()
     except config.ConfigError as error:
-        print(f"cedarthread: {error}", file=sys.stderr)
-        return 2
+        return _fail(error)
     if options["check-config"]:
         print(describe(loaded_config))
-        return 0
+        return EXIT_OK
     try:
-        invoke = read_invoke_config(options["--invoke"])
+        invoke_config = read_invoke_config(options["--invoke"])
     except (OSError, ValueError, KeyError, TypeError) as error:
-        print(f"cedarthread: {options['--invoke']}: {error}", file=sys.stderr)
-        return 2
-    fleet = Path(options["--fleet"]) if options["--fleet"] else None
-    if fleet is not None and (wrong := check_fleet_config(fleet)) is not None:
-        print(f"cedarthread: {wrong}", file=sys.stderr)
-        return 2
-    return serve(loaded_config, invoke, str(options["--log"]), fleet, options["--store"])
+        return _fail(f"{options['--invoke']}: {error}")
+    fleet_file = Path(options["--fleet"]) if options["--fleet"] else None
+    if fleet_file is not None and (problem := check_fleet_config(fleet_file)) is not None:
+        return _fail(problem)
+    _configure_logging(str(options["--log"]))
+    return serve(loaded_config, invoke_config, fleet_file, options["--store"])
+
+
+def _fail(problem: object, exit_code: int = EXIT_BAD_INPUT) -> int:
+    """Say on standard error what is wrong; returns the exit code."""
+    print(f"cedarthread: {problem}", file=sys.stderr)
+    return exit_code
 
 
 def run_fuzz(argv: list[str]) -> int:
-    """The tools of development, where they are installed."""
+    """Run the fuzzing tools of development, if they are installed."""
     try:
         from cedarthread.testing.fuzzing import cli
     except ImportError as error:
         print(f"cedarthread fuzz: {error}; install requirements-tools.txt", file=sys.stderr)
-        return 2
+        return EXIT_BAD_INPUT
     return cli.main(argv)
 
 
 def read_invoke_config(path: str | None) -> InvokeConfig | None:
-    """The invoke API's file, where one is named."""
+    """The configuration of the invoke API; None where no file is named."""
     if path is None:
         return None
     from cedarthread.protocols import invoke_config
@@ -93,7 +104,7 @@
 
 
 def check_fleet_config(path: Path) -> str | None:
-    """What is wrong with the fleet's file; None: nothing."""
+    """What is wrong with the fleet file; None: nothing."""
     from cedarthread import fleet_config
 
     try:
@@ -104,33 +115,42 @@
 
 
 def describe(loaded_config: config.Config) -> str:
-    """A configuration in words."""
-    classes = ", ".join(f"{c.name} ({c.idempotency.value})" for c in loaded_config.settings.classes)
-    listed = len(loaded_config.initial_endpoints[0][1]) if loaded_config.initial_endpoints else 0
+    """A configuration in one line, for ``check-config``."""
+    classes = ", ".join(
+        f"{request_class.name} ({request_class.idempotency.value})"
+        for request_class in loaded_config.settings.classes
+    )
+    endpoint_count = 0
+    if loaded_config.initial_endpoints:
+        _, first_list = loaded_config.initial_endpoints[0]
+        endpoint_count = len(first_list)
     address = f"{loaded_config.host}:{loaded_config.port}"
-    return f"{loaded_config.router_name} on {address}; classes {classes}; {listed} runners at the start"
+    return (
+        f"{loaded_config.router_name} on {address}; classes {classes}; {endpoint_count} runners at the start"
+    )
+
+
+def _configure_logging(level_name: str) -> None:
+    """Log to standard error; an unknown level means info."""
+    logging.basicConfig(
+        level=getattr(logging, level_name.upper(), logging.INFO),
+        stream=sys.stderr,
+        format="%(asctime)s.%(msecs)03d %(levelname)s %(name)s: %(message)s",
+        datefmt="%H:%M:%S",
+    )
 
 
 def serve(
     loaded_config: config.Config,
     invoke_config: InvokeConfig | None,
-    level: str,
     fleet_file: Path | None = None,
     store_folder: str | None = None,
 ) -> int:
-    """Serve until told to end."""
+    """Serve until a signal ends it; returns the exit code."""
     from cedarthread.service import Service
 
-    logging.basicConfig(
-        level=getattr(logging, level.upper(), logging.INFO),
-        stream=sys.stderr,
-        format="%(asctime)s.%(msecs)03d %(levelname)s %(name)s: %(message)s",
-        datefmt="%H:%M:%S",
-    )
-
-    signal.signal(
-        signal.SIGHUP, signal.SIG_IGN
-    )  # one that comes before the loop runs must not end the process
+    # A SIGHUP that comes before the event loop handles it must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     async def run() -> None:
         await Service(loaded_config, invoke_config, config.load, fleet_file, store_folder).run()
@@ -138,6 +158,5 @@
     try:
         asyncio.run(run())
     except (OSError, ValueError) as error:
-        print(f"cedarthread: {error}", file=sys.stderr)
-        return 1
-    return 0
+        return _fail(error, EXIT_CANNOT_SERVE)
+    return EXIT_OK
