--- a/cedarthread/dispatch/calls.py
+++ b/cedarthread/dispatch/calls.py
@@ -78,7 +78,7 @@
     on_result: Callable[[CallResult], None]  # called exactly once, unless the call is abandoned
     idempotency_key: str | None = None
     concurrency: float | None = None  # calls that one instance of the function executes at once
-    memory: float | None = None  # of one instance, MB
+    memory_mb: float | None = None  # of one instance
     is_client_retry: bool = False
     caller_identity: str | None = None  # for example a SPIFFE ID, where the server knows it
     # Processes what the client has sent or closed, so that ``is_client_closing`` and ``is_complete`` are
--- a/cedarthread/dispatch/dispatcher.py
+++ b/cedarthread/dispatch/dispatcher.py
@@ -126,7 +126,7 @@
                 call.class_index,
                 call.deadline_ms,
                 concurrency=call.concurrency,
-                memory=call.memory,
+                memory=call.memory_mb,
                 is_client_retry=call.is_client_retry,
                 caller=call.caller_identity,
             )
--- a/cedarthread/lifecycle/listeners.py
+++ b/cedarthread/lifecycle/listeners.py
@@ -70,11 +70,11 @@
                     error,
                 )
             state.peers, self._is_failure_logged = None, True
-            asyncio.get_running_loop().call_later(LISTEN_RETRY_S, self._listen_again)
+            asyncio.get_running_loop().call_later(LISTEN_RETRY_S, self._retry)
             return
         self._is_failure_logged = False
         self._dispatcher.connect_peers(peers.send)
         log.info("talking to %d routers from %s:%d", len(addresses.peer_addresses), *addresses.listen_address)
 
-    def _listen_again(self) -> None:
+    def _retry(self) -> None:
         self._state.start_task(self.listen())
--- a/cedarthread/lifecycle/shutdown.py
+++ b/cedarthread/lifecycle/shutdown.py
@@ -30,7 +30,7 @@
     parts.platform.is_ready = False
     if parts.invoke is not None:
         parts.invoke.is_ready = False
-    longest_deadline_ms = max(klass.deadline_ms for klass in state.config.settings.classes)
+    longest_deadline_ms = max(request_class.deadline_ms for request_class in state.config.settings.classes)
     longest_deadline_s = min(MAX_SHUTDOWN_DEADLINE_S, longest_deadline_ms / 1000.0)
     completion_s = max(SHUTDOWN_GRACE_S, longest_deadline_s + SHUTDOWN_COMPLETION_SLACK_S)
     dispatcher.complete_all_by(dispatcher.clock() + completion_s * 1000.0)
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -643,7 +643,7 @@
             call.body,
             call.idempotency_key,
         )
-        return plain((*own, call.concurrency, call.memory, call.is_client_retry))
+        return plain((*own, call.concurrency, call.memory_mb, call.is_client_retry))
 
     asked: dict[str, str] = {"txn": "00000000000000a1", "limit": "3000", "item": "7f3a9c21e0b4d655"}
     changes: dict[str, tuple[str, dict[str, str]]] = {
