--- a/tests/integration/test_fleet_processes.py
+++ b/tests/integration/test_fleet_processes.py
@@ -98,7 +98,7 @@
                 process.stderr.close()
 
 
-def test_a_window_declared_at_one_process_reaches_all_and_outlives_a_kill(tmp_path: Path) -> None:
+def test_a_window_declared_at_one_process_reaches_all_and_survives_a_kill(tmp_path: Path) -> None:
     fleet = Processes(tmp_path)
     try:
         for number in range(COUNT):
@@ -125,7 +125,7 @@
         fleet.end()
 
 
-def test_a_file_that_is_wrong_ends_the_start_with_where_and_what(
+def test_an_invalid_fleet_file_fails_the_start_with_location_and_problem(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
     from cedarthread.cli import main
--- a/tests/integration/test_process.py
+++ b/tests/integration/test_process.py
@@ -64,14 +64,14 @@
     assert any(re.search(pattern, line) for line in log), pattern
 
 
-def test_it_serves_and_ends_with_0_on_sigterm(tmp_path: Path) -> None:
+def test_it_serves_and_exits_with_0_on_sigterm(tmp_path: Path) -> None:
     with started(tmp_path) as (process, log):
         process.send_signal(signal.SIGTERM)
         rest = log.read()
         assert process.wait(10) == 0 and "ended with 0 calls open" in rest
 
 
-def test_sighup_moves_to_the_new_resolver_and_never_ends_the_program(tmp_path: Path) -> None:
+def test_sighup_follows_a_new_discovery_address_and_never_ends_the_process(tmp_path: Path) -> None:
     """Without the invoke API it once did nothing, and the old resolver answers no more."""
     file = tmp_path / "config.json"
     with started(tmp_path) as (process, log), socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as resolver:
@@ -171,7 +171,7 @@
         old.stderr.close()
 
 
-def test_an_upgraded_process_talks_once_the_old_one_has_left_the_peers_port(tmp_path: Path) -> None:
+def test_an_upgraded_process_joins_its_peers_once_the_old_one_has_left_the_port(tmp_path: Path) -> None:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as old:
         old.bind(("127.0.0.1", 0))
         port = old.getsockname()[1]
--- a/tests/simulation/test_fleet_components.py
+++ b/tests/simulation/test_fleet_components.py
@@ -1,4 +1,4 @@
-"""What operators declare, hosted by several routers on a virtual clock: carried to all, and acted on."""
+"""What operators declare for the fleet reaches all routers and takes effect, on a virtual clock."""
 
 from __future__ import annotations
 
@@ -131,7 +131,7 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2])
-def test_a_window_declared_at_one_router_is_in_force_at_all_and_nothing_is_placed(seed: int) -> None:
+def test_a_window_declared_at_one_router_freezes_placement_at_all(seed: int) -> None:
     fleet = Fleet(7, seed)
     fleet.run(30_000.0)  # what bounds a return is over
     for function in range(3):
@@ -157,7 +157,7 @@
     assert all(fleet.ends[number] == ["ok"] for number in late) and fleet.loads[-1][2] == 4
 
 
-def test_the_allowance_is_the_fleets_not_a_routers() -> None:
+def test_the_exception_budget_belongs_to_the_fleet_not_to_a_router() -> None:
     fleet = Fleet(7, 3)
     fleet.run(30_000.0)
     fleet.declare(0, window(60.0, 120.0, allowance=2))
@@ -169,7 +169,7 @@
     assert len(fleet.loads) == 2
 
 
-def test_settings_that_move_copies_wait_for_the_end_and_then_come_by_themselves() -> None:
+def test_settings_that_move_instances_are_deferred_until_the_window_ends() -> None:
     fleet = Fleet(3, 4)
     fleet.declare(0, window(30.0, 60.0))
     fleet.run(35_000.0)
@@ -180,7 +180,7 @@
     assert one.router.state.settings.keep_alive_ms == 99_000.0
 
 
-def test_where_routers_may_not_talk_each_acts_by_its_own_file_and_tells_nothing() -> None:
+def test_without_gossip_each_router_acts_on_its_own_file_alone() -> None:
     fleet = Fleet(2, 5, peers=False)
     fleet.declare(0, window(10.0, 60.0))
     fleet.run(15_000.0)
@@ -192,7 +192,7 @@
     ].fleet_components.store.entries(EntryKind.FREEZE)
 
 
-def test_run_loads_nothing_of_it_where_no_file_is_named() -> None:
+def test_nothing_of_it_is_imported_where_no_fleet_file_is_named() -> None:
     text = (
         "import sys, cedarthread.service, cedarthread.cli, cedarthread.simulator.host\n"
         "print([m for m in sys.modules if m.split('.')[0] in ('msgspec', 'apsw', 'structlog') or"
@@ -202,7 +202,7 @@
     assert subprocess.run([sys.executable, "-c", text], capture_output=True, text=True).stdout == "[]\n"
 
 
-def test_after_a_stall_what_has_begun_counts_before_what_comes() -> None:
+def test_after_a_stall_a_window_that_has_begun_counts_before_pending_events() -> None:
     """Who stood still over a window's beginning may not place what lay in its buffers meanwhile."""
     fleet = Fleet(3, 6)
     fleet.run(30_000.0)
@@ -214,7 +214,7 @@
     assert not fleet.loads and fleet.ends[number] == []
 
 
-def test_a_runner_that_is_down_frees_its_places() -> None:
+def test_an_unreachable_worker_loses_its_placements() -> None:
     fleet = Fleet(1, 7, peers=False)
     fleet.run(30_000.0)
     fleet.ask(0, 5)
@@ -232,7 +232,7 @@
     assert not standing.has_placement(5, at)
 
 
-def test_a_callers_contract_declared_elsewhere_ranks_its_calls_once_all_know_it() -> None:
+def test_a_contract_declared_elsewhere_sets_priorities_once_all_routers_know_it() -> None:
     caller = "spiffe://gaz.example/north"
     told = '[[tier]]\nname = "firm"\n[[tier]]\nname = "standard"\n'
     told += f'[[contract]]\ntenant = "{caller}"\ntier = "firm"\nrate = 70\n'
@@ -253,7 +253,7 @@
     assert ranks[0][0] is False and ranks[2] == (True, True) and ranks[3] == (False, False)
 
 
-def test_a_start_of_all_is_not_frozen_for_long_and_what_one_remembers_is_not_lost() -> None:
+def test_a_start_of_all_routers_is_frozen_briefly_and_one_memory_of_a_window_is_enough() -> None:
     fleet = Fleet(9, 9)
     fleet.run(1_600.0)
     sharings = [one.fleet_components for one in fleet.routers if one.fleet_components is not None]
--- a/tests/unit/test_deferred.py
+++ b/tests/unit/test_deferred.py
@@ -1,4 +1,4 @@
-"""The bounds of what is kept for collectors."""
+"""Deferred calls: what is kept for their owners, and for how long."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
     return DeferredCalls(DeferredLimits(**bounds), clock), clock
 
 
-def test_an_answer_goes_when_its_time_is_up_and_a_pending_call_does_not() -> None:
+def test_a_result_is_evicted_after_its_retention_and_a_pending_call_is_not() -> None:
     store, clock = make()
     pending = store.add("a", "k", REQUEST, 120.0)
     done = store.add("a", None, REQUEST, 120.0)
@@ -35,7 +35,7 @@
     assert store.find_by_key("a", "k") is None and len(store) == 0 and store.reserved_bytes == 0
 
 
-def test_number_and_bytes_are_bounded() -> None:
+def test_number_and_bytes_are_limited() -> None:
     store, _ = make(max_calls=2, max_bytes=100, reserve_bytes=40)
     first, second = store.add("a", None, REQUEST, 1.0), store.add("a", None, REQUEST, 1.0)
     assert first is not None and second is not None and store.add("a", None, REQUEST, 1.0) is None
@@ -47,7 +47,7 @@
     assert store.reserved_bytes == 0 and not store.has_uncollected()
 
 
-def test_a_keys_owner_is_part_of_it() -> None:
+def test_idempotency_keys_belong_to_their_owner() -> None:
     store, _ = make()
     entry = store.add("a", "k", REQUEST, 1.0)
     assert store.find_by_key("a", "k") is entry and store.find_by_key("b", "k") is None
