Platform: the open calls of a connection in a class of their own

Change: platform_calls turns messages into calls and results into responses; the connection keeps buffers, pace and closing.

--- a/cedarthread/protocols/platform_connection.py
+++ b/cedarthread/protocols/platform_connection.py
@@ -1,24 +1,17 @@
-"""One connection of a platform client: MessagePack-RPC requests in, responses out.
+"""One connection of a platform client: MessagePack-RPC messages in, responses out.
 
-Requests are answered in any order. Two bounds keep one client from harming the others: messages are processed
-a few at a time, and the bytes of responses that a slow client leaves here are counted."""
+Two bounds keep one client from harming the others: messages are processed a few at a time, and the bytes of
+responses that a slow client leaves here are counted."""
 
 from __future__ import annotations
 
 import fcntl
 import logging
 import termios
-from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-from cedarthread.dispatch.calls import Call, CallResult
 from cedarthread.protocols import msgpack
-from cedarthread.protocols.platform_codec import (
-    encode_answer,
-    encode_bad_request,
-    encode_health,
-    parse_call,
-)
+from cedarthread.protocols.platform_calls import PlatformCalls
 from cedarthread.transport.connection import BufferedConnection
 
 if TYPE_CHECKING:
@@ -27,21 +20,16 @@
 log = logging.getLogger("cedarthread.platform")
 
 MAX_MESSAGE_BYTES = 64 * 1024  # a body of 16 KiB and its fields, with room to spare
-MAX_OPEN_CALLS = 32  # of one connection; further ones are rejected
 MESSAGES_PER_PASS = 32  # of one connection, processed before others have their turn
 
 
-def _is_message_id(value: int) -> bool:
-    return 0 <= value < 2**64 and not isinstance(value, bool)
-
-
 class PlatformConnection(BufferedConnection):
     """One client's connection."""
 
     def __init__(self, server: PlatformServer) -> None:
         super().__init__(MAX_MESSAGE_BYTES, server.flusher)
         self.server = server
-        self.open_calls: dict[int, Call] = {}  # by message id
+        self.calls = PlatformCalls(self)
         self.is_half_closed = False  # the client sends no more
         self.message_started_at: float | None = None  # loop time at which an incomplete message began to come
         self.needed_bytes = 0  # without which the next message is not complete
@@ -57,22 +45,17 @@
         self.message_started_at = self.last_read_at
 
     def on_disconnected(self) -> None:
-        """Abandon the open calls: nobody is there for their results."""
+        """Unregister, and abandon the open calls."""
         if self.discard_budget is None and (truncated_bytes := len(self.buffer.peek())):
             text = "client %s ended in the middle of a message, after %d bytes of it"
             log.info(text, self._peer_name(), truncated_bytes)
         self.server.unregister(self)
         self._clear_queued_bytes()
-        self._abandon_calls()
-
-    def _abandon_calls(self) -> None:
-        calls, self.open_calls = self.open_calls, {}
-        for call in calls.values():
-            self.server.dispatcher.abandon_call(call)
+        self.calls.abandon_all()
 
     def is_idle(self) -> bool:
         """No call is open, and no input waits here or in the socket."""
-        if self.open_calls or self.has_unprocessed_messages or self.transport is None:
+        if self.calls.open or self.has_unprocessed_messages or self.transport is None:
             return False
         return self.discard_budget is not None or self.transport.is_closing() or not self.has_unread_input()
 
@@ -106,7 +89,7 @@
             if isinstance(parsed, msgpack.Malformed):
                 self.invalid_reason = parsed.reason
                 return None
-            if not self._handle_message(parsed.value):
+            if not self.calls.handle_message(parsed.value):
                 self.invalid_reason = "it makes no sense here"
                 return None
             offset, processed, self.needed_bytes = parsed.end, processed + 1, 0
@@ -137,70 +120,18 @@
         """Process all that the client has sent by now, and whether it has gone, however late it is read."""
         self._process_all_messages()
         if not self.read_available():
-            self._abandon_calls()
+            self.calls.abandon_all()
             self.abort()
         self._process_all_messages()
 
-    def _handle_message(self, message: Any) -> bool:
-        """Act on one message; False if it is invalid and names no request that could be answered."""
-        match message:
-            case [0, int(message_id), str(method), list(params)] if _is_message_id(message_id):
-                return self._handle_request(message_id, method, params)
-            case [2, "interrupt", [int(message_id)]] if _is_message_id(message_id):
-                if (call := self.open_calls.pop(message_id, None)) is not None:
-                    self.server.dispatcher.abandon_call(call)
-                return True
-            case [2, str(), list()]:
-                return True  # a notification of another kind asks for no response
-        return False
-
-    def _handle_request(self, message_id: int, method: str, params: list[Any]) -> bool:
-        if message_id in self.open_calls:
-            return False  # an error under this id would pass for the open call's response
-        # A class may bear the name of the health check: a call has a body, a health check has none.
-        if method == "check" and len(params) < 2:
-            self.write(encode_health(message_id, self.server.is_ready))
-            return True
-        dispatcher = self.server.dispatcher
-        class_index = dispatcher.current_class_index.get(method)
-        if class_index is None or len(params) != 2:
-            self.write(encode_bad_request(message_id, "no such method"))
-            return True
-        call = parse_call(class_index, dispatcher.settings, params[0], params[1], dispatcher.clock())
-        if isinstance(call, Call) and call.call_id in dispatcher.calls.pending_ids:
-            call = "a call of this txn is open"  # a worker could not tell the two apart
-        if isinstance(call, str):
-            self.write(encode_bad_request(message_id, call))
-            return True
-        self._submit(message_id, call)
-        return True
-
-    def _submit(self, message_id: int, call: Call) -> None:
-        dispatcher = self.server.dispatcher
-        call.on_result = partial(self._send_answer, message_id)
-        # The first bound protects memory from clients that read slowly, the second others from a flood.
-        if self.server.queued_bytes > self.server.max_queued_bytes or len(self.open_calls) >= MAX_OPEN_CALLS:
-            return dispatcher.reject_call(call)
-        self.open_calls[message_id] = call
-        call.refresh_client_state = self.refresh_client_state
-        dispatcher.submit(call)
-        if self.is_half_closed:
-            dispatcher.client_closing(call)
-
-    def _send_answer(self, message_id: int, result: CallResult) -> None:
-        self.open_calls.pop(message_id, None)
-        if not self.is_closed:
-            self.write(encode_answer(message_id, result))
-
     def eof_received(self) -> bool:
         """The client has closed, or only its sending side (asyncio).
 
         Attempts in flight may still be answered; calls without one are rejected at once."""
         self.is_half_closed = True
-        for call in list(self.open_calls.values()):
-            self.server.dispatcher.client_closing(call)
+        self.calls.on_client_closing()
         return self.discard_budget is None and bool(
-            self.open_calls or self.write_queue or self.has_unprocessed_messages
+            self.calls.open or self.write_queue or self.has_unprocessed_messages
         )
 
     def pause_writing(self) -> None:
@@ -235,8 +166,7 @@
 
     def fail_calls_and_close(self) -> None:
         """Fail the open calls, and close once the responses have left."""
-        for call in list(self.open_calls.values()):
-            self.server.dispatcher.fail_call(call)
+        self.calls.fail_all()
         self.lingering_close()
 
     def _peer_name(self) -> str:
@@ -254,7 +184,7 @@
         super().flush()
         if not self.write_queue:
             self._clear_queued_bytes()
-        is_done = not (self.open_calls or self.write_queue or self.has_unprocessed_messages)
+        is_done = not (self.calls.open or self.write_queue or self.has_unprocessed_messages)
         if self.is_half_closed and is_done and self.discard_budget is None and self.transport is not None:
             self.transport.close()
         elif self.server.is_draining and self.is_idle():
--- a/cedarthread/protocols/platform_server.py
+++ b/cedarthread/protocols/platform_server.py
@@ -120,7 +120,7 @@
         for connection in [*self.unproven_connections, *self.connections]:
             started_at = connection.message_started_at
             is_late = started_at is not None and now - started_at > MESSAGE_TIMEOUT_S
-            is_gone = not connection.open_calls and now - connection.last_read_at > SILENT_CLIENT_TIMEOUT_S
+            is_gone = not connection.calls.open and now - connection.last_read_at > SILENT_CLIENT_TIMEOUT_S
             is_up = connection.transport is not None and connection.discard_budget is None
             if is_up and not connection.has_unprocessed_messages and (is_late or is_gone):
                 log.info("connection closed: nothing whole came in time")
--- a/cedarthread/testing/fuzzing/call_machine.py
+++ b/cedarthread/testing/fuzzing/call_machine.py
@@ -123,6 +123,7 @@
     modules = (
         "cedarthread.dispatch",
         "cedarthread.routing.router",
+        "cedarthread.protocols.platform_calls",
         "cedarthread.protocols.platform_codec",
         "cedarthread.protocols.platform_connection",
         "cedarthread.protocols.platform_server",
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -30,6 +30,7 @@
 from cedarthread.model.settings import Idempotency, RouterSettings
 from cedarthread.protocols import discovery, dns, endpoint_list, http, msgpack, spiffe, worker_connection
 from cedarthread.protocols.invoke_calls import InvokeCalls
+from cedarthread.protocols.platform_calls import PlatformCalls
 from cedarthread.protocols.platform_connection import PlatformConnection
 from cedarthread.protocols.worker_codec import parse_call_response
 from cedarthread.protocols.worker_connection import WorkerConnection
@@ -68,7 +69,7 @@
 
 # What the defective program does instead.
 
-_answer = PlatformConnection._send_answer
+_answer = PlatformCalls._send_answer
 _release = CallTable.release
 _send = ActionExecutor._start_attempt
 _may_preload = PreloadPolicy.may_preload
@@ -76,7 +77,7 @@
 _read_ending = parse_call_response
 
 
-def _answer_twice(self: PlatformConnection, number: int, answer: CallResult) -> None:
+def _answer_twice(self: PlatformCalls, number: int, answer: CallResult) -> None:
     _answer(self, number, answer)
     if isinstance(answer, CallFailed):
         _answer(self, number, answer)
@@ -209,7 +210,7 @@
 
 
 def _swallow(self: PlatformConnection) -> None:
-    calls, self.open_calls = self.open_calls, {}
+    calls, self.calls.open = self.calls.open, {}
     for call in calls.values():
         self.server.dispatcher.abandon_call(call)
     self.lingering_close()
@@ -247,7 +248,7 @@
 
 
 DEFECTS = (
-    Defect("second-answer", "calls", 300, ((PlatformConnection, "_send_answer", _answer_twice),)),
+    Defect("second-answer", "calls", 300, ((PlatformCalls, "_send_answer", _answer_twice),)),
     Defect("two-attempts-out", "calls", 300, ((ActionExecutor, "_start_attempt", _two_out),)),
     Defect("body-bytes-kept", "calls", 20, ((CallTable, "release", _bytes_kept),)),
     Defect("names-kept", "calls", 20, ((CallTable, "release", _no_names),)),
--- a/cedarthread/testing/fuzzing/stream_targets.py
+++ b/cedarthread/testing/fuzzing/stream_targets.py
@@ -191,6 +191,7 @@
 
     name = "platform"
     modules = (
+        "cedarthread.protocols.platform_calls",
         "cedarthread.protocols.platform_codec",
         "cedarthread.protocols.platform_connection",
         "cedarthread.protocols.platform_server",
--- a/tests/integration/test_descriptor_budget.py
+++ b/tests/integration/test_descriptor_budget.py
@@ -569,7 +569,7 @@
             while not [
                 c
                 for c in platform.connections
-                if not c.open_calls and c.is_write_paused and not c.has_unprocessed_messages
+                if not c.calls.open and c.is_write_paused and not c.has_unprocessed_messages
             ]:
                 await asyncio.sleep(0)
             async with client(running) as other:
--- a/tests/integration/test_endings.py
+++ b/tests/integration/test_endings.py
@@ -101,7 +101,7 @@
         "carrying": runners._connection_by_attempt,
         "streams": [name for c in mine for name in c.in_flight],
         "lines": [line for c in mine for line in (*c.lines.queued, *c.lines.buffered)],
-        "requests": [number for c in theirs for number in c.open_calls],
+        "requests": [number for c in theirs for number in c.calls.open],
         "queued": front.queued_bytes,
         "figures of all": counts["taken"] - ends - counts["left"],
         "figures of classes": ends - sum(figures),
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -13,8 +13,8 @@
 
 from cedarthread.dispatch.calls import CallSucceeded
 from cedarthread.model.endpoints import EndpointState
+from cedarthread.protocols.platform_calls import MAX_OPEN_CALLS
 from cedarthread.protocols.platform_codec import encode_answer
-from cedarthread.protocols.platform_connection import MAX_OPEN_CALLS
 from cedarthread.testing.fakes.scripted import (
     ScriptedWorker,
     answer_with,
