--- a/tests/contracts/test_stores.py
+++ b/tests/contracts/test_stores.py
@@ -1,8 +1,8 @@
-"""The contract of a store, held by every implementation on every host; planted defects are found by it.
+"""The contract of a store, kept by every backend on every host; injected defects are found by it.
 
-The judge keeps its own book of what was put and what was told, plays power cuts from what the disk recorded,
-and never reads what a store says of itself but for its trouble. A new implementation joins by a line in
-``BACKINGS``, a new host by one in ``HOSTS``.
+The checks keep their own record of what was written and acknowledged, replay power cuts from what the disk
+recorded, and believe nothing that a store says of itself but its fault. A new backend joins by a line in
+``BACKENDS``, a new host by one in ``HOSTS``.
 """
 
 from __future__ import annotations
@@ -13,12 +13,12 @@
 import random
 import shutil
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from contextlib import nullcontext
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import pytest
 
@@ -26,512 +26,580 @@
 from cedarthread.persistence.fault_switch import InjectedFault, ManualSwitch
 from cedarthread.persistence.faulty_disk import FaultyDisk
 from cedarthread.persistence.memory_store import MemoryBackend
+from cedarthread.persistence.recovered_image import ContentVerdict
 from cedarthread.persistence.reopen_policy import GIVEN_UP_PAUSE_MS
 from cedarthread.persistence.sqlite_database import SqliteDatabase
 from cedarthread.persistence.sqlite_store import SqliteBackend
-from cedarthread.persistence.store import (
-    KeyValueWrite,
-    LoadResult,
-    StorageBackend,
-    Store,
-    StoreFault,
-)
+from cedarthread.persistence.store import KeyValueWrite, LoadResult, StorageBackend, Store, StoreFault
 from cedarthread.persistence.store_thread import RESPONSE_TIMEOUT_MS, StoreThread, _call_back
 from cedarthread.persistence.synchronous_store import SynchronousStore
 
-NAME = "state-1.db"  # of a store that never was in trouble
-LONG = 30.0  # s after which a test that waits for a thread has failed
-_names = itertools.count()
+DATABASE_NAME = "state-1.db"  # of a store that never had a fault
+TEST_TIMEOUT_S = 30.0  # after which a test that waits for a thread has failed
+_serial = itertools.count()
 
 
-class Bench:
-    """One disk, one folder on it, and the book of what was put there."""
+# Hosting a store on a thread.
 
-    def __init__(self, tmp: Path, backing: str, host: str) -> None:
-        self.tmp, self.folder = tmp, tmp / f"disk{next(_names)}"
-        self.folder.mkdir()
-        self.hand, self.vfs = ManualSwitch(), f"lying{next(_names)}"
-        self.hang, self.hung = threading.Event(), threading.Event()
-        self.disk = FaultyDisk(self.vfs, self.hand, 7, self._wait, record=True)
-        self.make, self.host = BACKINGS[backing], HOSTS[host]
-        self.kept: StorageBackend | None = None
-        self.puts: list[KeyValueWrite] = []  # all that were begun, in order
-        self.told: dict[int, StoreFault | None] = {}  # by their place there
-        self.finds: dict[tuple[tuple[str, bytes], ...], LoadResult] = {}
-        self.store = self.open()
 
-    def _wait(self, ms: float) -> None:
-        self.hung.set()
-        self.hang.wait(LONG)
+@dataclass
+class FakeHost:
+    """The clock and the callbacks of a host, and what came by them."""
 
-    def open(self) -> Store:
-        self.store = self.host(self)
-        return self.store
+    now: float = 0.0
+    lines: list[str] = field(default_factory=list)
+    openings: list[LoadResult] = field(default_factory=list)
+    wakes: queue.Queue[None] = field(default_factory=queue.Queue)
 
-    def again(self) -> LoadResult:
-        """Another life of the router."""
-        self.store.close()
-        return self.open().load()
 
-    def begin(self, key: str, value: bytes | None) -> int:
-        place = len(self.puts)
-        self.puts.append((key, value))
-        self.disk.add_mark(("begun", place))
-
-        def done(trouble: StoreFault | None) -> None:
-            assert place not in self.told, "an end is told once"
-            self.told[place] = trouble
-            if trouble is None:
-                self.disk.add_mark(("told", place))
-
-        self.store.put(key, value, done)
-        return place
-
-    def put(self, key: str, value: bytes | None) -> StoreFault | None:
-        place = self.begin(key, value)
-        until(self.store, lambda: place in self.told)
-        return self.told[place]
-
-    def book(self) -> list[object]:
-        return [step.mark for step in self.disk.operations if step.mark is not None]
-
-    def found(self, images: dict[str, bytes]) -> LoadResult:
-        """What another life finds after a power cut: by a plain file store on another folder, asked once what
-        it finds in the same bytes."""
-        if (same := tuple(sorted(images.items()))) in self.finds:
-            return self.finds[same]
-        folder = self.tmp / f"cut{next(_names)}"
-        folder.mkdir()
-        for path, content in images.items():
-            (folder / Path(path).name).write_bytes(content)
-        backing = SqliteBackend(folder)
-        loaded = self.finds[same] = backing.open()
-        backing.close()
-        shutil.rmtree(folder)
-        return loaded
+_hosts: dict[int, FakeHost] = {}
 
 
-def until(store: Store, reached: Callable[[], bool]) -> None:
-    """Pump until something has come about."""
+def host_of(store: Store) -> FakeHost:
+    return _hosts[id(store)]
+
+
+def start_thread(
+    backend: StorageBackend, thread_type: type[StoreThread] = StoreThread, **arguments: Any
+) -> StoreThread:
+    """A store thread that is hosted by a test."""
+    host = FakeHost()
+    store = thread_type(
+        backend,
+        group_commit_ms=0.0,
+        clock=lambda: host.now,
+        wake=lambda: host.wakes.put(None),
+        on_opened=host.openings.append,
+        log=host.lines.append,
+        **arguments,
+    )
+    _hosts[id(store)] = host
+    return store
+
+
+def wait_until(store: Store, is_reached: Callable[[], bool]) -> None:
+    """Run callbacks until something has come about."""
     store.run_callbacks()
-    while not reached():
-        WAKES[id(store)].get(timeout=LONG)
+    while not is_reached():
+        host_of(store).wakes.get(timeout=TEST_TIMEOUT_S)
         store.run_callbacks()
 
 
-WAKES: dict[int, queue.Queue[None]] = {}
+def wait_opened(store: StoreThread) -> StoreThread:
+    wait_until(store, lambda: bool(host_of(store).openings))
+    return store
 
 
-@dataclass
-class Clock:
-    now: float = 0.0
-    lines: list[str] = field(default_factory=list)
-    opened: list[LoadResult] = field(default_factory=list)
+# One store under test.
 
 
-CLOCKS: dict[int, Clock] = {}
+class Mark(NamedTuple):
+    """Recorded among the disk's operations: the write of this number was begun, or acknowledged."""
 
+    event: str
+    number: int
 
-def work(backing: StorageBackend, kind: type[StoreThread] = StoreThread, **more: Any) -> StoreThread:
-    """A worker that is hosted by a test."""
-    wakes, clock = queue.Queue[None](), Clock()
-    worker = kind(
-        backing,
-        group_commit_ms=0.0,
-        clock=lambda: clock.now,
-        wake=lambda: wakes.put(None),
-        on_opened=clock.opened.append,
-        log=clock.lines.append,
-        **more,
-    )
-    WAKES[id(worker)], CLOCKS[id(worker)] = wakes, clock
-    return worker
 
+BEGUN, ACKNOWLEDGED = "begun", "acknowledged"
+
+
+class StoreUnderTest:
+    """A disk, a folder on it, a store there, and the record of what was written."""
+
+    def __init__(self, tmp_path: Path, backend: str, host: str) -> None:
+        self.tmp_path = tmp_path
+        self.folder = tmp_path / f"disk{next(_serial)}"
+        self.folder.mkdir()
+        self.switch, self.vfs = ManualSwitch(), f"faulty{next(_serial)}"
+        self.sync_hangs, self.sync_may_end = threading.Event(), threading.Event()
+        self.disk = FaultyDisk(self.vfs, self.switch, 7, self._hang, record=True)
+        self.make_backend, self.make_store = BACKENDS[backend], HOSTS[host]
+        self.memory_backend = MemoryBackend()
+        self.writes: list[KeyValueWrite] = []  # all that were begun, in order
+        self.ends: dict[int, StoreFault | None] = {}  # by the number of the write
+        self._recovered: dict[tuple[tuple[str, bytes], ...], LoadResult] = {}
+        self.store = self.open()
+
+    def _hang(self, ms: float) -> None:
+        self.sync_hangs.set()
+        self.sync_may_end.wait(TEST_TIMEOUT_S)
+
+    def open(self) -> Store:
+        self.store = self.make_store(self)
+        return self.store
+
+    def restart(self) -> LoadResult:
+        """What the router's next incarnation finds."""
+        self.store.close()
+        return self.open().load()
+
+    def begin_write(self, key: str, value: bytes | None) -> int:
+        number = len(self.writes)
+        self.writes.append((key, value))
+        self.disk.add_mark(Mark(BEGUN, number))
+
+        def on_end(fault: StoreFault | None) -> None:
+            assert number not in self.ends, "a callback runs once"
+            self.ends[number] = fault
+            if fault is None:
+                self.disk.add_mark(Mark(ACKNOWLEDGED, number))
 
-def opened(worker: StoreThread) -> StoreThread:
-    until(worker, lambda: bool(CLOCKS[id(worker)].opened))
-    return worker
+        self.store.put(key, value, on_end)
+        return number
 
+    def write(self, key: str, value: bytes | None) -> StoreFault | None:
+        number = self.begin_write(key, value)
+        wait_until(self.store, lambda: number in self.ends)
+        return self.ends[number]
 
-def in_memory(bench: Bench) -> StorageBackend:
-    bench.kept = bench.kept or MemoryBackend()
-    return bench.kept
+    def marks(self) -> list[object]:
+        return [operation.mark for operation in self.disk.operations if operation.mark is not None]
 
+    def recover(self, image: dict[str, bytes]) -> LoadResult:
+        """What a restart finds in files as a power cut left them, by a plain backend on another folder.
+
+        Asked only once what it finds in the same bytes."""
+        key = tuple(sorted(image.items()))
+        if key in self._recovered:
+            return self._recovered[key]
+        folder = self.tmp_path / f"cut{next(_serial)}"
+        folder.mkdir()
+        for path, content in image.items():
+            (folder / Path(path).name).write_bytes(content)
+        backend = SqliteBackend(folder)
+        load_result = self._recovered[key] = backend.open()
+        backend.close()
+        shutil.rmtree(folder)
+        return load_result
 
-BACKINGS: dict[str, Callable[[Bench], StorageBackend]] = {
-    "memory": in_memory,
-    "file": lambda bench: SqliteBackend(bench.folder),
-    "file on a lying disk": lambda bench: SqliteBackend(bench.folder, vfs=bench.vfs),
+
+BACKENDS: dict[str, Callable[[StoreUnderTest], StorageBackend]] = {
+    "memory": lambda test: test.memory_backend,
+    "sqlite": lambda test: SqliteBackend(test.folder),
+    "sqlite on a faulty disk": lambda test: SqliteBackend(test.folder, vfs=test.vfs),
 }
-HOSTS: dict[str, Callable[[Bench], Store]] = {
-    "direct": lambda bench: SynchronousStore(bench.make(bench)),
-    "worker": lambda bench: opened(work(bench.make(bench))),
-    "worker, each": lambda bench: opened(work(bench.make(bench), sync_mode="each")),
+HOSTS: dict[str, Callable[[StoreUnderTest], Store]] = {
+    "synchronous": lambda test: SynchronousStore(test.make_backend(test)),
+    "thread": lambda test: wait_opened(start_thread(test.make_backend(test))),
+    "thread, each": lambda test: wait_opened(start_thread(test.make_backend(test), sync_mode="each")),
 }
-LYING = "file on a lying disk"
+FAULTY_DISK = "sqlite on a faulty disk"
 
 
-def allowed(puts: list[KeyValueWrite], marks: list[object]) -> dict[str, set[bytes | None]]:
-    """For each key what may stand there: what was last told durable, or what was put later."""
-    may: dict[str, set[bytes | None]] = {key: {None} for key, _ in puts}
+def allowed_values(writes: list[KeyValueWrite], marks: list[object]) -> dict[str, set[bytes | None]]:
+    """What each key may have: the value that was acknowledged last, or one that was written later."""
+    allowed: dict[str, set[bytes | None]] = {key: {None} for key, _ in writes}
     for mark in marks:
-        assert isinstance(mark, tuple)
-        key, value = puts[mark[1]]
-        may[key] = {value} if mark[0] == "told" else may[key] | {value}
-    return may
-
-
-def fits(puts: list[KeyValueWrite], marks: list[object], loaded: LoadResult) -> None:
-    may = allowed(puts, marks)
-    assert set(loaded.values) <= set(may), "a key that was never put"
-    for key, values in may.items():
-        assert loaded.values.get(key) in values, f"{key}: neither what was told durable nor what came later"
-
-
-def after_a_cut(bench: Bench, since: int = 0) -> int:
-    """Play a power cut after each operation, in several ways; how many were played."""
-    played = 0
-    for pick in (
-        power_cut.lose_unsynced,
-        power_cut.keep_unsynced,
-        *(power_cut.tear_unsynced(random.Random(seed)) for seed in range(5)),
-    ):
-        highest = 0
-        for place, (marks, images) in enumerate(power_cut.power_cut_images(bench.disk.operations, pick)):
-            if place >= since:
-                loaded = bench.found(images)
-                assert loaded.fault is None, "an honest disk, and no operator is to be woken"
-                fits(bench.puts, marks, loaded)
-                told = sum(mark[0] == "told" for mark in marks if isinstance(mark, tuple))
-                assert loaded.generation >= max(told, highest), "it only grows"
-                highest, played = (
-                    loaded.generation if pick in (power_cut.lose_unsynced, power_cut.keep_unsynced) else 0,
-                    played + 1,
-                )
-    return played
-
-
-def workload(bench: Bench, count: int, seed: int = 3) -> None:
+        assert isinstance(mark, Mark)
+        key, value = writes[mark.number]
+        allowed[key] = {value} if mark.event == ACKNOWLEDGED else allowed[key] | {value}
+    return allowed
+
+
+def check_content(writes: list[KeyValueWrite], marks: list[object], load_result: LoadResult) -> None:
+    allowed = allowed_values(writes, marks)
+    assert set(load_result.values) <= set(allowed), "a key that was never written"
+    for key, values in allowed.items():
+        assert load_result.values.get(key) in values, f"{key}: neither acknowledged nor later"
+
+
+def check_power_cuts(test: StoreUnderTest, since: int = 0) -> int:
+    """Replay a power cut after each operation from ``since`` on, by several models; how many there were."""
+    replayed = 0
+    exact_models = (power_cut.lose_unsynced, power_cut.keep_unsynced)
+    torn_models = (power_cut.tear_unsynced(random.Random(seed)) for seed in range(5))
+    for model in (*exact_models, *torn_models):
+        min_generation = 0
+        images = power_cut.power_cut_images(test.disk.operations, model)
+        for number, (marks, image) in enumerate(images):
+            if number < since:
+                continue
+            load_result = test.recover(image)
+            assert load_result.fault is None, "the disk is honest, and no operator is to be woken"
+            check_content(test.writes, marks, load_result)
+            acknowledged = sum(isinstance(mark, Mark) and mark.event == ACKNOWLEDGED for mark in marks)
+            assert load_result.generation >= max(acknowledged, min_generation), "it only grows"
+            min_generation = load_result.generation if model in exact_models else 0
+            replayed += 1
+    return replayed
+
+
+def run_workload(test: StoreUnderTest, write_count: int, seed: int = 3) -> None:
     rng = random.Random(seed)
-    for number in range(count):
+    for number in range(write_count):
         key = f"key {rng.randrange(4)}"
         value = None if rng.random() < 0.2 else b"%d " % number + rng.randbytes(rng.choice((5, 90, 5000)))
-        assert bench.put(key, value) is None
+        assert test.write(key, value) is None
 
 
-# The rules. Each is a function of a bench, so that planted defects meet the same ones.
+# The rules of the contract. Each is a function of a store, so that injected defects meet the same ones.
 
 
-def rule_lasts(bench: Bench) -> None:
-    generation = bench.store.generation
-    for life in range(3):
+def rule_acknowledged_writes_last(test: StoreUnderTest) -> None:
+    generation = test.store.generation
+    for incarnation in range(3):
         for number in range(5):
-            assert bench.put(f"key {number}", b"%d %d" % (life, number)) is None
-            assert bench.store.generation > generation
-            generation = bench.store.generation
-        assert bench.put("key 0", None) is None
-        loaded = bench.again()
-        assert loaded.fault is None and "key 0" not in loaded.values and len(loaded.values) == 4
-        assert loaded.generation == bench.store.generation > generation
-        fits(bench.puts, bench.book(), loaded)
-
-
-def rule_order(bench: Bench) -> None:
+            assert test.write(f"key {number}", b"%d %d" % (incarnation, number)) is None
+            assert test.store.generation > generation
+            generation = test.store.generation
+        assert test.write("key 0", None) is None
+        load_result = test.restart()
+        assert load_result.fault is None
+        assert "key 0" not in load_result.values and len(load_result.values) == 4
+        assert load_result.generation == test.store.generation > generation
+        check_content(test.writes, test.marks(), load_result)
+
+
+def rule_writes_of_a_key_keep_their_order(test: StoreUnderTest) -> None:
     for number in range(30):
-        bench.begin(f"key {number % 3}", b"%d" % number)
-    until(bench.store, lambda: len(bench.told) == 30)
-    assert set(bench.told.values()) == {None}
-    assert bench.again().values == {"key 0": b"27", "key 1": b"28", "key 2": b"29"}
+        test.begin_write(f"key {number % 3}", b"%d" % number)
+    wait_until(test.store, lambda: len(test.ends) == 30)
+    assert set(test.ends.values()) == {None}
+    assert test.restart().values == {"key 0": b"27", "key 1": b"28", "key 2": b"29"}
 
 
-def rule_reset(bench: Bench) -> None:
-    workload(bench, 5)
+def rule_a_reset_drops_all_and_goes_above(test: StoreUnderTest) -> None:
+    run_workload(test, 5)
     ends: list[StoreFault | None] = []
-    bench.store.reset(1000, ends.append)
-    bench.store.put("later", b"kept", ends.append)
-    until(bench.store, lambda: len(ends) == 2)
+    test.store.reset(1000, ends.append)
+    test.store.put("later", b"kept", ends.append)
+    wait_until(test.store, lambda: len(ends) == 2)
     assert ends == [None, None]
-    loaded = bench.again()
-    assert loaded.values == {"later": b"kept"} and loaded.generation > 1000
+    load_result = test.restart()
+    assert load_result.values == {"later": b"kept"} and load_result.generation > 1000
 
 
-def rule_power_cut(bench: Bench) -> None:
-    workload(bench, 9)
-    assert after_a_cut(bench) > 400
+def rule_a_power_cut_at_any_write_loses_nothing(test: StoreUnderTest) -> None:
+    run_workload(test, 9)
+    assert check_power_cuts(test) > 400
 
 
-def mended(bench: Bench) -> None:
-    """The fault is over: what a router does then."""
-    bench.hand.fault = 0
-    store = bench.store
+def end_fault(test: StoreUnderTest) -> None:
+    """The disk works again: have the store opened again."""
+    test.switch.fault = InjectedFault.NONE
+    store = test.store
     if isinstance(store, SynchronousStore):
         store.reopen()
     else:
-        clock = CLOCKS[id(store)]
-        clock.now += GIVEN_UP_PAUSE_MS
-        count = len(clock.opened)
-        until(store, lambda: len(clock.opened) > count)
-
-
-FAULTS = [
-    (InjectedFault.DISK_FULL, 0.0, StoreFault.DISK_FULL),
-    (InjectedFault.EIO_WRITE, 0.0, StoreFault.IO_ERROR),
-    (InjectedFault.READ_ONLY, 0.0, StoreFault.READ_ONLY),
-    (InjectedFault.FOLDER_MISSING, 0.0, StoreFault.IO_ERROR),
-    *((InjectedFault.EIO_SYNC, float(passed), StoreFault.IO_ERROR) for passed in range(4)),
+        host = host_of(store)
+        host.now += GIVEN_UP_PAUSE_MS
+        count = len(host.openings)
+        wait_until(store, lambda: len(host.openings) > count)
+
+
+class FaultCase(NamedTuple):
+    """A fault of the disk, its parameter, and how the store is to report it."""
+
+    injected: InjectedFault
+    parameter: float
+    reported: StoreFault
+
+
+FAULT_CASES = [
+    FaultCase(InjectedFault.DISK_FULL, 0.0, StoreFault.DISK_FULL),
+    FaultCase(InjectedFault.EIO_WRITE, 0.0, StoreFault.IO_ERROR),
+    FaultCase(InjectedFault.READ_ONLY, 0.0, StoreFault.READ_ONLY),
+    FaultCase(InjectedFault.FOLDER_MISSING, 0.0, StoreFault.IO_ERROR),
+    *(FaultCase(InjectedFault.EIO_SYNC, float(passed), StoreFault.IO_ERROR) for passed in range(4)),
 ]
 
 
-def rule_trouble(bench: Bench, fault: tuple[InjectedFault, float, StoreFault]) -> None:
-    kind, figure, trouble = fault
+def rule_after_a_fault_nothing_is_acknowledged_and_nothing_lost(
+    test: StoreUnderTest, case: FaultCase
+) -> None:
     for number in range(3):
-        assert bench.put(f"key {number}", bytes([number]) * 3000) is None
-    before = dict(allowed(bench.puts, bench.book()))
-    bench.hand.fault, bench.hand.parameter = kind, figure
-    assert bench.put("key 1", b"in trouble" * 500) is trouble
-    bench.hand.fault = 0
-    generation = bench.store.generation
-    assert bench.put("key 2", b"not believed yet") is trouble, "only an opening ends a trouble"
-    assert bench.store.fault is trouble and bench.store.generation == generation
-    since = len(bench.disk.operations)
-    mended(bench)
-    assert bench.store.fault is None
-    assert bench.put("key 0", b"after") is None
-    after_a_cut(bench, since)
-    loaded = bench.again()
-    assert loaded.fault is None and {loaded.values["key 2"]} == before["key 2"]
-    fits(bench.puts, bench.book(), loaded)
-
-
-def rule_gone(bench: Bench) -> None:
-    workload(bench, 6)
-    shutil.rmtree(bench.folder)
-    assert bench.put("key 1", b"to nowhere") in (StoreFault.FOLDER_MISSING, StoreFault.IO_ERROR)
-    if isinstance(bench.store, SynchronousStore):
-        bench.store.reopen()
-        assert bench.store.fault is StoreFault.FOLDER_MISSING
-    assert not bench.folder.exists(), "a mount that is missing is not filled in"
-    bench.folder.mkdir()
-    mended(bench)
-    assert bench.put("key 9", b"back") is None
-    fits(bench.puts, bench.book(), bench.again())
-
-
-def rule_locked(bench: Bench) -> None:
-    workload(bench, 3)
-    first = bench.store
-    second = SynchronousStore(bench.make(bench))
+        assert test.write(f"key {number}", bytes([number]) * 3000) is None
+    allowed_before = dict(allowed_values(test.writes, test.marks()))
+    test.switch.fault, test.switch.parameter = case.injected, case.parameter
+    assert test.write("key 1", b"during the fault" * 500) is case.reported
+    test.switch.fault = InjectedFault.NONE
+    generation = test.store.generation
+    assert test.write("key 2", b"not believed yet") is case.reported, "only an opening ends a fault"
+    assert test.store.fault is case.reported and test.store.generation == generation
+    since = len(test.disk.operations)
+    end_fault(test)
+    assert test.store.fault is None
+    assert test.write("key 0", b"after") is None
+    check_power_cuts(test, since)
+    load_result = test.restart()
+    assert load_result.fault is None and {load_result.values["key 2"]} == allowed_before["key 2"]
+    check_content(test.writes, test.marks(), load_result)
+
+
+def rule_a_folder_may_go_and_come_back(test: StoreUnderTest) -> None:
+    run_workload(test, 6)
+    shutil.rmtree(test.folder)
+    assert test.write("key 1", b"to nowhere") in (StoreFault.FOLDER_MISSING, StoreFault.IO_ERROR)
+    if isinstance(test.store, SynchronousStore):
+        test.store.reopen()
+        assert test.store.fault is StoreFault.FOLDER_MISSING
+    assert not test.folder.exists(), "a mount that is missing is not filled in"
+    test.folder.mkdir()
+    end_fault(test)
+    assert test.write("key 9", b"back") is None
+    check_content(test.writes, test.marks(), test.restart())
+
+
+def rule_a_second_writer_is_locked_out(test: StoreUnderTest) -> None:
+    run_workload(test, 3)
+    first = test.store
+    second = SynchronousStore(test.make_backend(test))
     assert second.fault is StoreFault.LOCKED and not second.load().values
     second.close()
-    bench.store = first
-    assert bench.put("key 1", b"still mine") is None
-
-
-def rule_flipped(bench: Bench, flips: int = 150) -> None:
-    workload(bench, 8)
-    bench.store.close()
-    path, rng, said = bench.folder / NAME, random.Random(11), 0
-    whole = path.read_bytes()
-    journal = path.with_name(f"{NAME}-journal").read_bytes()
-    for _ in range(flips):
-        content = faulty_disk.flip_bit(whole, rng.randrange(8 * len(whole)))
-        loaded = bench.found({NAME: content, f"{NAME}-journal": journal})
-        said += loaded.fault is StoreFault.CORRUPTED
-        if loaded.fault is None:
-            fits(bench.puts, bench.book(), loaded)
-        for key, value in loaded.values.items():
-            assert (key, value) in bench.puts, "never a value that was not put"
-        assert loaded.is_writable, "the rest of it can be used"
-    assert said > flips // 4
-
-
-def rule_mended(bench: Bench) -> None:
-    """Damage is told once, the rest is kept, the damaged file is put aside, and writing goes on."""
-    workload(bench, 8)
-    bench.store.close()
-    path = bench.folder / NAME
+    test.store = first
+    assert test.write("key 1", b"still mine") is None
+
+
+def rule_no_flipped_bit_passes(test: StoreUnderTest, flip_count: int = 150) -> None:
+    run_workload(test, 8)
+    test.store.close()
+    path, rng, reported = test.folder / DATABASE_NAME, random.Random(11), 0
     content = path.read_bytes()
-    last = {key: value for key, value in bench.puts if value is not None}
-    target = max((value for value in last.values() if value in content), key=len)
+    journal = path.with_name(f"{DATABASE_NAME}-journal").read_bytes()
+    for _ in range(flip_count):
+        flipped = faulty_disk.flip_bit(content, rng.randrange(8 * len(content)))
+        load_result = test.recover({DATABASE_NAME: flipped, f"{DATABASE_NAME}-journal": journal})
+        reported += load_result.fault is StoreFault.CORRUPTED
+        if load_result.fault is None:
+            check_content(test.writes, test.marks(), load_result)
+        for write in load_result.values.items():
+            assert write in test.writes, "never a value that was not written"
+        assert load_result.is_writable, "the rest of it can be used"
+    assert reported > flip_count // 4
+
+
+def rule_corrupted_content_is_reported_once_and_the_rest_kept(test: StoreUnderTest) -> None:
+    """The corrupted file is put aside, and writing goes on."""
+    run_workload(test, 8)
+    test.store.close()
+    path = test.folder / DATABASE_NAME
+    content = path.read_bytes()
+    last_values = {key: value for key, value in test.writes if value is not None}
+    target = max((value for value in last_values.values() if value in content), key=len)
     path.write_bytes(content.replace(target, faulty_disk.flip_bit(target, 8)))
-    loaded = bench.open().load()
-    assert loaded.fault is StoreFault.CORRUPTED and target not in loaded.values.values()
+    load_result = test.open().load()
+    assert load_result.fault is StoreFault.CORRUPTED and target not in load_result.values.values()
     assert path.with_name(database_folder.QUARANTINE_FILE).exists()
-    assert bench.put("new", b"value") is None
-    again = bench.again()
-    assert again.fault is None and again.values == {**loaded.values, "new": b"value"}
-    assert again.generation > loaded.generation
+    assert test.write("new", b"value") is None
+    later = test.restart()
+    assert later.fault is None and later.values == {**load_result.values, "new": b"value"}
+    assert later.generation > load_result.generation
 
 
-def rule_older(bench: Bench, kind: InjectedFault) -> None:
+def rule_stale_content_is_dropped(test: StoreUnderTest, injected: InjectedFault) -> None:
     """What peers remember shows it; then all is dropped, and the generation goes above theirs."""
-    workload(bench, 4)
-    bench.again()
-    if kind is InjectedFault.UNSYNCED:
-        bench.hand.fault = kind
-    workload(bench, 4, seed=8)
-    remembered = bench.store.generation
-    bench.store.close()
-    if kind is InjectedFault.UNSYNCED:
-        bench.disk.cached_files.clear()  # the power cut: what the page cache held is gone
-    bench.hand.fault = InjectedFault.STALE_CONTENT if kind is InjectedFault.STALE_CONTENT else 0
-    loaded = bench.open().load()
-    bench.hand.fault = 0
-    assert loaded.fault is None and loaded.values, "the disk alone can't be told from one that is right"
-    assert recovered_image.assess_content(loaded, [3, remembered]) is recovered_image.ContentVerdict.REJECTED
+    run_workload(test, 4)
+    test.restart()
+    if injected is InjectedFault.UNSYNCED:
+        test.switch.fault = injected
+    run_workload(test, 4, seed=8)
+    remembered = test.store.generation
+    test.store.close()
+    if injected is InjectedFault.UNSYNCED:
+        test.disk.cached_files.clear()  # the power cut: what was only in the page cache is gone
+    is_stale = injected is InjectedFault.STALE_CONTENT
+    test.switch.fault = injected if is_stale else InjectedFault.NONE
+    load_result = test.open().load()
+    test.switch.fault = InjectedFault.NONE
+    assert load_result.fault is None and load_result.values, "the disk alone does not show it"
+    assert recovered_image.assess_content(load_result, [3, remembered]) is ContentVerdict.REJECTED
     ends: list[StoreFault | None] = []
-    bench.store.reset(remembered, ends.append)
-    until(bench.store, lambda: bool(ends))
-    loaded = bench.again()
-    assert (
-        not loaded.values
-        and recovered_image.assess_content(loaded, [remembered]) is recovered_image.ContentVerdict.TRUSTED
-    )
+    test.store.reset(remembered, ends.append)
+    wait_until(test.store, lambda: bool(ends))
+    load_result = test.restart()
+    assert not load_result.values
+    assert recovered_image.assess_content(load_result, [remembered]) is ContentVerdict.TRUSTED
 
 
-def rule_hung(bench: Bench, kind: type[StoreThread] = StoreThread) -> None:
+def rule_a_hanging_disk_holds_nobody_up(
+    test: StoreUnderTest, thread_type: type[StoreThread] = StoreThread
+) -> None:
     """A sync that never ends: nothing is acknowledged, the host is told in time, and can close."""
-    bench.store.close()
-    worker = bench.store = opened(
-        work(SqliteBackend(bench.folder, vfs=bench.vfs), kind, close_timeout_ms=20.0)
-    )
-    clock = CLOCKS[id(worker)]
-    bench.hand.fault = InjectedFault.SLOW_SYNC
-    bench.begin("key 1", b"hangs")
-    assert bench.hung.wait(LONG)
-    worker.run_callbacks()
-    assert not bench.told, "not before the commit"
-    clock.now += RESPONSE_TIMEOUT_MS
-    worker.run_callbacks()
-    assert bench.told == {0: StoreFault.UNRESPONSIVE} and worker.fault is StoreFault.UNRESPONSIVE
-    assert bench.put("key 2", b"waits for the disk") is StoreFault.UNRESPONSIVE
-    worker.close()
-    assert worker._thread.is_alive(), "closing did not wait for the disk"
-    assert sum("no answer" in line for line in clock.lines) == 1
-    bench.hang.set()
-    worker._thread.join(LONG)
-    assert not worker._thread.is_alive()
-
-
-# The rules over all: what was acknowledged lasts; puts of a key keep their order; a reset drops all and goes
-# above; the folder goes and comes back; a second writer is locked out; damage is left out and the rest goes
-# on; a power cut at every write; after trouble nothing is acknowledged and nothing is lost; an older
-# generation is dropped; no flipped bit passes; a hung disk holds nobody up.
-
-Rule = Callable[[Bench], None]
-FILES, TWO = ("file", LYING), ("direct", "worker")
-RULES: list[tuple[Rule, Iterable[str], Iterable[str]]] = [
-    *((rule, BACKINGS, HOSTS) for rule in (rule_lasts, rule_order, rule_reset)),
-    *((rule, FILES, TWO) for rule in (rule_gone, rule_locked, rule_mended)),
-    (rule_power_cut, [LYING], TWO),
-    *((partial(rule_trouble, fault=fault), [LYING], TWO) for fault in FAULTS),
+    test.store.close()
+    backend = SqliteBackend(test.folder, vfs=test.vfs)
+    store = test.store = wait_opened(start_thread(backend, thread_type, close_timeout_ms=20.0))
+    host = host_of(store)
+    test.switch.fault = InjectedFault.SLOW_SYNC
+    test.begin_write("key 1", b"hangs")
+    assert test.sync_hangs.wait(TEST_TIMEOUT_S)
+    store.run_callbacks()
+    assert not test.ends, "not before the commit"
+    host.now += RESPONSE_TIMEOUT_MS
+    store.run_callbacks()
+    assert test.ends == {0: StoreFault.UNRESPONSIVE} and store.fault is StoreFault.UNRESPONSIVE
+    assert test.write("key 2", b"waits for the disk") is StoreFault.UNRESPONSIVE
+    store.close()
+    assert store._thread.is_alive(), "closing did not wait for the disk"
+    assert sum("no answer" in line for line in host.lines) == 1
+    test.sync_may_end.set()
+    store._thread.join(TEST_TIMEOUT_S)
+    assert not store._thread.is_alive()
+
+
+Rule = Callable[[StoreUnderTest], None]
+
+
+class ContractCase(NamedTuple):
+    """A rule, and the backends and hosts that it is to hold for."""
+
+    rule: Rule
+    backends: tuple[str, ...]
+    hosts: tuple[str, ...]
+    detail: str = ""
+
+    @property
+    def name(self) -> str:
+        function = self.rule.func if isinstance(self.rule, partial) else self.rule
+        name = function.__name__.removeprefix("rule_")
+        return f"{name}-{self.detail}" if self.detail else name
+
+
+ALL_BACKENDS, ALL_HOSTS = tuple(BACKENDS), tuple(HOSTS)
+FILE_BACKENDS, TWO_HOSTS = ("sqlite", FAULTY_DISK), ("synchronous", "thread")
+CONTRACT = [
+    ContractCase(rule_acknowledged_writes_last, ALL_BACKENDS, ALL_HOSTS),
+    ContractCase(rule_writes_of_a_key_keep_their_order, ALL_BACKENDS, ALL_HOSTS),
+    ContractCase(rule_a_reset_drops_all_and_goes_above, ALL_BACKENDS, ALL_HOSTS),
+    ContractCase(rule_a_folder_may_go_and_come_back, FILE_BACKENDS, TWO_HOSTS),
+    ContractCase(rule_a_second_writer_is_locked_out, FILE_BACKENDS, TWO_HOSTS),
+    ContractCase(rule_corrupted_content_is_reported_once_and_the_rest_kept, FILE_BACKENDS, TWO_HOSTS),
+    ContractCase(rule_a_power_cut_at_any_write_loses_nothing, (FAULTY_DISK,), TWO_HOSTS),
+    *(
+        ContractCase(
+            partial(rule_after_a_fault_nothing_is_acknowledged_and_nothing_lost, case=case),
+            (FAULTY_DISK,),
+            TWO_HOSTS,
+            f"{case.injected.name} {case.parameter:.0f}",
+        )
+        for case in FAULT_CASES
+    ),
     *(
-        (partial(rule_older, kind=kind), [LYING], TWO)
-        for kind in (InjectedFault.STALE_CONTENT, InjectedFault.UNSYNCED)
+        ContractCase(
+            partial(rule_stale_content_is_dropped, injected=injected),
+            (FAULTY_DISK,),
+            TWO_HOSTS,
+            injected.name,
+        )
+        for injected in (InjectedFault.STALE_CONTENT, InjectedFault.UNSYNCED)
     ),
-    (rule_flipped, ["file"], ["direct"]),
-    (rule_hung, [LYING], ["direct"]),
+    ContractCase(rule_no_flipped_bit_passes, ("sqlite",), ("synchronous",)),
+    ContractCase(rule_a_hanging_disk_holds_nobody_up, (FAULTY_DISK,), ("synchronous",)),
 ]
 
 
 @pytest.mark.parametrize(
-    ("rule", "backing", "host"),
-    [(rule, backing, host) for rule, backings, hosts in RULES for backing in backings for host in hosts],
-    ids=lambda one: one if isinstance(one, str) else getattr(one, "__name__", str(one)[-45:-1]),
+    ("rule", "backend", "host"),
+    [
+        pytest.param(case.rule, backend, host, id=f"{case.name}-{backend}-{host}")
+        for case in CONTRACT
+        for backend in case.backends
+        for host in case.hosts
+    ],
 )
-def test_each_rule_holds(tmp_path: Path, rule: Rule, backing: str, host: str) -> None:
-    rule(Bench(tmp_path, backing, host))
+def test_each_rule_holds(tmp_path: Path, rule: Rule, backend: str, host: str) -> None:
+    rule(StoreUnderTest(tmp_path, backend, host))
 
 
-# Planted defects: each breaks one thing, and a rule above finds it.
+# Injected defects: each breaks one thing, and a rule above finds it.
 
 
-Patch = tuple[object, str, object]
-INIT, RENEW, RUN, WRITE = (
-    SqliteBackend.__init__,
-    SqliteBackend._rewrite,
-    SqliteDatabase.execute,
-    StoreThread._commit_batch,
-)
-COMMIT = SqliteBackend.commit
-UNSUMMED: tuple[Patch, ...] = (
-    (checksums, "row_checksum", lambda *_: bytes(16)),
-    (checksums, "head_checksum", lambda *_: bytes(16)),
+class Patch(NamedTuple):
+    """What a defect replaces."""
+
+    owner: object
+    name: str
+    replacement: object
+
+
+INIT, REWRITE, COMMIT = SqliteBackend.__init__, SqliteBackend._rewrite, SqliteBackend.commit
+EXECUTE, COMMIT_BATCH = SqliteDatabase.execute, StoreThread._commit_batch
+WITHOUT_CHECKSUMS = (
+    Patch(checksums, "row_checksum", lambda *_: bytes(16)),
+    Patch(checksums, "head_checksum", lambda *_: bytes(16)),
 )
 
 
-def _unsynced(self: SqliteBackend, folder: Path, vfs: str | None = None) -> None:
+def init_without_sync(self: SqliteBackend, folder: Path, vfs: str | None = None) -> None:
     INIT(self, folder, "none", vfs)
 
 
-def _believing(self: SqliteBackend, values: Any, generation: int) -> None:
+def rewrite_unless_readable(self: SqliteBackend, values: Any, generation: int) -> None:
     if self._acknowledged is None or self._recover().fault is not None:
-        RENEW(self, values, generation)
+        REWRITE(self, values, generation)
 
 
-def _stubborn(self: SqliteBackend, puts: Any, above: int | None = None) -> None:
+def commit_after_a_fault(self: SqliteBackend, writes: Any, above_generation: int | None = None) -> None:
     if self._database is None:
         self._recover()
-    COMMIT(self, puts, above)
+    COMMIT(self, writes, above_generation)
 
 
-def _instead(old: str, new: str) -> Patch:
-    """SQL in which one word is another."""
-    return (
-        SqliteDatabase,
-        "execute",
-        lambda self, statement, bindings=(): RUN(self, statement.replace(old, new), bindings),
-    )
+def replace_in_sql(old: str, new: str) -> Patch:
+    def execute(self: SqliteDatabase, statement: str, bindings: Any = ()) -> list[tuple[Any, ...]]:
+        return EXECUTE(self, statement.replace(old, new), bindings)
 
+    return Patch(SqliteDatabase, "execute", execute)
 
-def _eager(self: StoreThread, batch: Any) -> Any:
-    dones, batch.callbacks = batch.callbacks, []
-    self._completions.append(partial(_call_back, dones, None))
-    return WRITE(self, batch)
 
+def call_back_before_commit(self: StoreThread, batch: Any) -> Any:
+    callbacks, batch.callbacks = batch.callbacks, []
+    self._completions.append(partial(_call_back, callbacks, None))
+    return COMMIT_BATCH(self, batch)
 
-PLANTED: dict[str, tuple[Rule, tuple[Patch, ...]]] = {
-    "acknowledges before the sync": (rule_power_cut, ((SqliteBackend, "__init__", _unsynced),)),
-    "after a failed sync takes what the system says of the file for what is on the disk": (
-        partial(rule_trouble, fault=(InjectedFault.EIO_SYNC, 3.0, StoreFault.IO_ERROR)),
-        ((SqliteBackend, "_rewrite", _believing),),
+
+INJECTED_DEFECTS: dict[str, tuple[Rule, tuple[Patch, ...]]] = {
+    "acknowledges before the sync": (
+        rule_a_power_cut_at_any_write_loses_nothing,
+        (Patch(SqliteBackend, "__init__", init_without_sync),),
+    ),
+    "believes what the system reads of a file after its sync failed": (
+        partial(
+            rule_after_a_fault_nothing_is_acknowledged_and_nothing_lost,
+            case=FaultCase(InjectedFault.EIO_SYNC, 3.0, StoreFault.IO_ERROR),
+        ),
+        (Patch(SqliteBackend, "_rewrite", rewrite_unless_readable),),
     ),
-    "goes on writing after a failed sync as if nothing had been": (
-        partial(rule_trouble, fault=(InjectedFault.EIO_SYNC, 2.0, StoreFault.IO_ERROR)),
-        ((SqliteBackend, "commit", _stubborn),),
+    "goes on writing after a failed sync": (
+        partial(
+            rule_after_a_fault_nothing_is_acknowledged_and_nothing_lost,
+            case=FaultCase(InjectedFault.EIO_SYNC, 2.0, StoreFault.IO_ERROR),
+        ),
+        (Patch(SqliteBackend, "commit", commit_after_a_fault),),
     ),
-    "has no sums": (rule_flipped, UNSUMMED),
-    "takes a value of which a half was written": (
-        rule_power_cut,
-        (_instead("journal_mode=PERSIST", "journal_mode=OFF"), *UNSUMMED),
+    "has no checksums": (rule_no_flipped_bit_passes, WITHOUT_CHECKSUMS),
+    "accepts a value of which a part was written": (
+        rule_a_power_cut_at_any_write_loses_nothing,
+        (replace_in_sql("journal_mode=PERSIST", "journal_mode=OFF"), *WITHOUT_CHECKSUMS),
     ),
-    "writes rows and head apart": (
-        rule_power_cut,
-        ((SqliteDatabase, "transaction", lambda _: nullcontext()),),
+    "writes rows and head in separate transactions": (
+        rule_a_power_cut_at_any_write_loses_nothing,
+        (Patch(SqliteDatabase, "transaction", lambda _: nullcontext()),),
     ),
-    "believes an older generation": (
-        partial(rule_older, kind=InjectedFault.STALE_CONTENT),
-        ((recovered_image, "assess_content", lambda *_: recovered_image.ContentVerdict.TRUSTED),),
+    "believes stale content": (
+        partial(rule_stale_content_is_dropped, injected=InjectedFault.STALE_CONTENT),
+        (Patch(recovered_image, "assess_content", lambda *_: ContentVerdict.TRUSTED),),
     ),
-    "no lock against a second writer": (
-        rule_locked,
-        (_instead("=EXCLUSIVE", "=NORMAL"), (fcntl, "flock", lambda *_: None)),
+    "has no lock against a second writer": (
+        rule_a_second_writer_is_locked_out,
+        (replace_in_sql("=EXCLUSIVE", "=NORMAL"), Patch(fcntl, "flock", lambda *_: None)),
     ),
     "does not look whether its file is still in its folder": (
-        rule_gone,
-        ((database_folder, "device_and_inode", lambda _: (0, 0)),),
+        rule_a_folder_may_go_and_come_back,
+        (Patch(database_folder, "device_and_inode", lambda _: (0, 0)),),
     ),
-    "tells the ends of a batch before it is committed": (
-        rule_hung,
-        ((StoreThread, "_commit_batch", _eager),),
+    "runs the callbacks of a batch before its commit": (
+        rule_a_hanging_disk_holds_nobody_up,
+        (Patch(StoreThread, "_commit_batch", call_back_before_commit),),
     ),
 }
 
 
-@pytest.mark.parametrize("name", PLANTED)
-def test_a_planted_defect_is_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, name: str) -> None:
-    rule, changes = PLANTED[name]
-    for change in changes:
-        monkeypatch.setattr(*change)
+@pytest.mark.parametrize("defect", INJECTED_DEFECTS)
+def test_a_rule_finds_each_injected_defect(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, defect: str
+) -> None:
+    rule, patches = INJECTED_DEFECTS[defect]
+    for patch in patches:
+        monkeypatch.setattr(patch.owner, patch.name, patch.replacement)
     with pytest.raises(AssertionError):
-        rule(Bench(tmp_path, LYING, "direct"))
+        rule(StoreUnderTest(tmp_path, FAULTY_DISK, "synchronous"))
--- a/tests/simulation/test_persistence_restarts.py
+++ b/tests/simulation/test_persistence_restarts.py
@@ -1,9 +1,10 @@
-"""Routers that restart, with disks that keep, lose or lie: what they believe, and what they act on."""
+"""Routers that restart with disks that keep, lose or return stale data: what they believe and how they act."""
 
 from __future__ import annotations
 
 import pytest
 
+from cedarthread.components.fleet import FleetComponents
 from cedarthread.components.node import RoutingNode
 from cedarthread.fleet_config import parse_fleet_config
 from cedarthread.model.actions import LogMessage
@@ -15,132 +16,143 @@
 from tests.helpers import worker
 from tests.simulation.test_fleet_components import START, Fleet, window
 
-DISK = b'[disk]\nfolder = "kept"\n'
+DISK_CONFIG = b'[disk]\nfolder = "kept"\n'
+ROUTERS = 5
 
 
-class Kept(Fleet):
-    """The fleet with a disk for each router, whose ends come at the next turn."""
+class FleetWithDisks(Fleet):
+    """The fleet with a disk for each router, whose writes end at the next tick."""
 
-    def __init__(self, count: int, seed: int) -> None:
-        super().__init__(count, seed)
-        self.disks = [MemoryBackend() for _ in range(count)]
-        self.broken: set[int] = set()
-        for who in range(count):
-            self.start(who)
+    def __init__(self, router_count: int, seed: int) -> None:
+        super().__init__(router_count, seed)
+        self.disks = [MemoryBackend() for _ in range(router_count)]
+        self.faulty: set[int] = set()  # routers whose disk fails
+        for index in range(router_count):
+            self.restart(index)
 
-    def start(self, who: int, read: LoadResult | None = None, late: float = 0.0) -> None:
-        """A new life on the disk as it is."""
+    def restart(
+        self, index: int, load_result: LoadResult | None = None, opened_after_ms: float = 0.0
+    ) -> None:
+        """A new incarnation of a router, on its disk as it is or as ``load_result`` has it."""
         self.serial += 1
-        self.routers[who] = RoutingNode(self.told[who], who, self.serial)
-        self.act(who, EndpointUpdate(EndpointUpdateKind.CACHED, 1, tuple(worker(n) for n in range(1, 7))))
-        self.declare(who, b"[sharing]\nperiod = 200\n" + DISK)
-        told = read or self.disks[who].open()
-        keeping = self.keeping(who)
-        self.after(
-            late, lambda: keeping.on_store_opened(self.now, told, recovered_image.decode_image(told.values))
-        )
-        life = self.routers[who]
-        self.after(100.0, lambda: self.turn(who, life))
-
-    def keeping(self, who: int) -> StatePersister:
-        sharing = self.routers[who].fleet_components
-        assert sharing is not None and sharing.persister is not None
-        return sharing.persister
-
-    def turn(self, who: int, life: RoutingNode) -> None:
-        if self.routers[who] is not life:
-            return
-        keeping, disk = self.keeping(who), self.disks[who]
-        puts = keeping.on_tick(self.now)
-        if keeping.reset_above_generation is not None and who not in self.broken:
-            disk.commit([], keeping.reset_above_generation)
-            keeping.on_write_completed(self.now, RESET_WRITE, None, disk.generation)
-            keeping.reset_above_generation = None
-        for put in puts:
-            trouble = StoreFault.IO_ERROR if who in self.broken else disk.commit([(put.key, put.value)])
-            keeping.on_write_completed(self.now, put, trouble, disk.generation)
-        self.words += [word.message for word in keeping.take_log_messages() if isinstance(word, LogMessage)]
-        self.after(250.0, lambda: self.turn(who, life))
-
-    def seated(self) -> list[bool]:
-        return [
-            one.fleet_components.store.is_voter for one in self.routers if one.fleet_components is not None
-        ]
-
-    def entries(self) -> list[int]:
-        return [
-            len(one.fleet_components.store.snapshot())
-            for one in self.routers
-            if one.fleet_components is not None
-        ]
-
-
-def fleet() -> Kept:
-    made = Kept(5, 1)
-    made.run(20_000.0)
-    made.declare(2, window(600.0, 700.0, allowance=1) + DISK)
-    made.run(20_000.0)
-    assert made.seated() == [True] * 5 and made.entries() == [1] * 5
-    return made
-
-
-def test_all_restart_at_once_and_their_disks_know_the_window_and_their_seats() -> None:
-    one = fleet()
-    for who in range(5):
-        one.start(who)
-    one.run(3_000.0)
-    assert one.seated() == [True] * 5 and one.entries() == [1] * 5
-
-
-def test_a_disk_that_gives_back_an_older_state_is_dropped_and_begins_above_it() -> None:
-    one = fleet()
-    old = dict(one.disks[3].open().values), 1
-    one.run(3_000.0)
-    was = one.disks[3].generation
-    one.disks[3] = MemoryBackend()
-    one.disks[3].commit(list(old[0].items()))
-    assert one.disks[3].generation < was
-    one.start(3)
-    one.run(3_000.0)
-    assert any(word.startswith("store_content_dropped ") for word in one.words)
-    one.run(10_000.0)
-    assert one.disks[3].generation > was and one.seated()[3] and one.entries()[3] == 1
-
-
-def test_a_disk_in_trouble_serves_on_and_is_known_for_old_at_the_next_start() -> None:
-    one = fleet()
-    one.broken.add(3)
-    one.declare(1, window(600.0, 690.0, allowance=1) + DISK)
-    one.run(8_000.0)
-    assert any(word.startswith("store_degraded ") for word in one.words)
-    assert one.seated()[3], "it has forgotten nothing yet"
-    one.broken.clear()
-    one.start(3)
-    one.run(3_000.0)
-    assert any(word.startswith("store_content_dropped ") for word in one.words)
-
-
-@pytest.mark.parametrize(("whole", "late"), [(True, 0.0), (False, 0.0), (False, 2400.0)])
-def test_a_count_is_remembered_by_a_whole_disk_and_lost_with_a_damaged_one(whole: bool, late: float) -> None:
-    one = fleet()
-    one.run(560_000.0)  # inside the window
-    for turn in range(6):
-        for who in range(5):
-            one.ask(who, 10 * turn + who)
-        one.run(3_000.0)
-    assert len(one.loads) == 1
-    for who in range(5):
-        read = one.disks[who].open()
-        read = read if whole else LoadResult(read.values, read.generation, StoreFault.CORRUPTED)
-        one.start(who, read, late)
-    one.run(20_000.0)
-    for turn in range(6):
-        for who in range(5):
-            one.ask(who, 500 + 10 * turn + who)
-        one.run(3_000.0)
-    assert len(one.loads) == 1, "nobody may use what was used before"
-
-
-def test_the_start_of_the_clock_is_what_windows_are_written_in() -> None:
-    made = parse_fleet_config(window(600.0, 700.0))
-    assert made.freeze[0].start.timestamp() * 1000.0 == START + 600_000.0
+        node = self.routers[index] = RoutingNode(self.told[index], index, self.serial)
+        endpoints = tuple(worker(number) for number in range(1, 7))
+        self.act(index, EndpointUpdate(EndpointUpdateKind.CACHED, 1, endpoints))
+        self.declare(index, b"[sharing]\nperiod = 200\n" + DISK_CONFIG)
+        loaded = load_result or self.disks[index].open()
+        persister, image = self.persister(index), recovered_image.decode_image(loaded.values)
+        self.after(opened_after_ms, lambda: persister.on_store_opened(self.now, loaded, image))
+        self.after(100.0, lambda: self.tick(index, node))
+
+    def components(self, index: int) -> FleetComponents:
+        components = self.routers[index].fleet_components
+        assert components is not None
+        return components
+
+    def persister(self, index: int) -> StatePersister:
+        persister = self.components(index).persister
+        assert persister is not None
+        return persister
+
+    def tick(self, index: int, node: RoutingNode) -> None:
+        if self.routers[index] is not node:
+            return  # that incarnation is over
+        persister, disk = self.persister(index), self.disks[index]
+        writes = persister.on_tick(self.now)
+        if persister.reset_above_generation is not None and index not in self.faulty:
+            disk.commit([], persister.reset_above_generation)
+            persister.on_write_completed(self.now, RESET_WRITE, None, disk.generation)
+            persister.reset_above_generation = None
+        for write in writes:
+            fault = StoreFault.IO_ERROR if index in self.faulty else disk.commit([(write.key, write.value)])
+            persister.on_write_completed(self.now, write, fault, disk.generation)
+        messages = persister.take_log_messages()
+        self.words += [message.message for message in messages if isinstance(message, LogMessage)]
+        self.after(250.0, lambda: self.tick(index, node))
+
+    def voters(self) -> list[bool]:
+        return [self.components(index).store.is_voter for index in range(len(self.routers))]
+
+    def entry_counts(self) -> list[int]:
+        return [len(self.components(index).store.snapshot()) for index in range(len(self.routers))]
+
+    def has_logged(self, event: str) -> bool:
+        return any(line.startswith(f"{event} ") for line in self.words)
+
+    def call_from_all(self, first_function: int) -> None:
+        """Six rounds of calls at each router, each of a function of its own."""
+        for round_number in range(6):
+            for index in range(ROUTERS):
+                self.ask(index, first_function + 10 * round_number + index)
+            self.run(3_000.0)
+
+
+def settled_fleet() -> FleetWithDisks:
+    """A fleet whose routers are all voters and hold one window."""
+    fleet = FleetWithDisks(ROUTERS, 1)
+    fleet.run(20_000.0)
+    fleet.declare(2, window(600.0, 700.0, allowance=1) + DISK_CONFIG)
+    fleet.run(20_000.0)
+    assert fleet.voters() == [True] * ROUTERS and fleet.entry_counts() == [1] * ROUTERS
+    return fleet
+
+
+def test_all_routers_restart_at_once_and_their_disks_remember_the_window_and_the_votes() -> None:
+    fleet = settled_fleet()
+    for index in range(ROUTERS):
+        fleet.restart(index)
+    fleet.run(3_000.0)
+    assert fleet.voters() == [True] * ROUTERS and fleet.entry_counts() == [1] * ROUTERS
+
+
+def test_stale_content_is_dropped_and_the_store_goes_on_above_its_last_generation() -> None:
+    fleet = settled_fleet()
+    stale = dict(fleet.disks[3].open().values)
+    fleet.run(3_000.0)
+    last_generation = fleet.disks[3].generation
+    fleet.disks[3] = MemoryBackend()
+    fleet.disks[3].commit(list(stale.items()))
+    assert fleet.disks[3].generation < last_generation
+    fleet.restart(3)
+    fleet.run(3_000.0)
+    assert fleet.has_logged("store_content_dropped")
+    fleet.run(10_000.0)
+    assert fleet.disks[3].generation > last_generation
+    assert fleet.voters()[3] and fleet.entry_counts()[3] == 1
+
+
+def test_a_router_serves_on_without_its_disk_whose_content_is_stale_at_the_next_start() -> None:
+    fleet = settled_fleet()
+    fleet.faulty.add(3)
+    fleet.declare(1, window(600.0, 690.0, allowance=1) + DISK_CONFIG)
+    fleet.run(8_000.0)
+    assert fleet.has_logged("store_degraded")
+    assert fleet.voters()[3], "it has forgotten nothing yet"
+    fleet.faulty.clear()
+    fleet.restart(3)
+    fleet.run(3_000.0)
+    assert fleet.has_logged("store_content_dropped")
+
+
+@pytest.mark.parametrize(("is_complete", "opened_after_ms"), [(True, 0.0), (False, 0.0), (False, 2400.0)])
+def test_what_was_used_of_an_exception_budget_is_never_used_again(
+    is_complete: bool, opened_after_ms: float
+) -> None:
+    """A complete disk remembers it; with a corrupted one the router gives up its part."""
+    fleet = settled_fleet()
+    fleet.run(560_000.0)  # inside the window
+    fleet.call_from_all(0)
+    assert len(fleet.loads) == 1
+    for index in range(ROUTERS):
+        loaded = fleet.disks[index].open()
+        if not is_complete:
+            loaded = LoadResult(loaded.values, loaded.generation, StoreFault.CORRUPTED)
+        fleet.restart(index, loaded, opened_after_ms)
+    fleet.run(20_000.0)
+    fleet.call_from_all(500)
+    assert len(fleet.loads) == 1, "nobody may use what was used before"
+
+
+def test_windows_are_written_in_time_since_the_start_of_the_clock() -> None:
+    config = parse_fleet_config(window(600.0, 700.0))
+    assert config.freeze[0].start.timestamp() * 1000.0 == START + 600_000.0
