--- a/tests/simulation/test_persistence_restarts.py
+++ b/tests/simulation/test_persistence_restarts.py
@@ -1,4 +1,4 @@
-"""Routers that restart with disks that keep, lose or return stale data: what they believe and how they act."""
+"""Routers that restart with disks that keep, lose or return stale data: what they believe, how they act."""
 
 from __future__ import annotations
 
