--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -30,8 +30,8 @@
 
 if TYPE_CHECKING:
     from cedarthread.persistence.event_loop_store import EventLoopStore
-    from cedarthread.protocols.invoke import InvokeServer
     from cedarthread.protocols.invoke_config import InvokeConfig
+    from cedarthread.protocols.invoke_server import InvokeServer
 
 log = logging.getLogger("cedarthread")
 
@@ -142,7 +142,9 @@
         )
 
     def _create_invoke_server(self, invoke: InvokeConfig) -> InvokeServer:
-        from cedarthread.protocols.invoke import InvokeServer  # with TLS: not loaded where the API is off
+        from cedarthread.protocols.invoke_server import (
+            InvokeServer,  # with TLS: not loaded where the API is off
+        )
 
         server = InvokeServer(self.dispatcher, invoke, self.flusher)
         server.max_connections = self.descriptor_budget.invoke_connections
