--- a/cedarthread/components/attempt_tracker.py
+++ b/cedarthread/components/attempt_observer.py
@@ -26,8 +26,8 @@
     tenant_index: int | None
 
 
-class AttemptTracker:
-    """Remembers function and tenant of the attempts in flight, which their end does not name."""
+class AttemptObserver:
+    """Remembers function and tenant of each attempt in flight, which its end does not name."""
 
     def __init__(self, router: Router, components: ComponentSet) -> None:
         self._router = router
--- a/cedarthread/components/node.py
+++ b/cedarthread/components/node.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from cedarthread.components.attempt_tracker import AttemptTracker
+from cedarthread.components.attempt_observer import AttemptObserver
 from cedarthread.components.component_set import ComponentSet
 from cedarthread.components.interface import SettingsChanged
 from cedarthread.gossip.load_gossip import LoadGossip
@@ -39,7 +39,7 @@
         self.seed, self.incarnation, self.settings = seed, incarnation, settings
         self.router = Router(settings, seed)
         self.components = ComponentSet(seed, incarnation)
-        self._attempts = AttemptTracker(self.router, self.components)
+        self._attempts = AttemptObserver(self.router, self.components)
         self._is_timer_set, self._last_tick_at_ms = False, 0.0
         self.update_settings(settings)
 
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -142,9 +142,8 @@
         )
 
     def _create_invoke_server(self, invoke: InvokeConfig) -> InvokeServer:
-        from cedarthread.protocols.invoke_server import (
-            InvokeServer,  # with TLS: not loaded where the API is off
-        )
+        # With TLS and certificates: not loaded where the API is off.
+        from cedarthread.protocols.invoke_server import InvokeServer
 
         server = InvokeServer(self.dispatcher, invoke, self.flusher)
         server.max_connections = self.descriptor_budget.invoke_connections
--- a/tests/unit/test_instance_queue.py
+++ b/tests/unit/test_instance_queue.py
@@ -22,23 +22,25 @@
 NOW = WaitTimes(0.0, 50.0, 1000.0)
 
 
-def test_a_call_waits_for_a_taken_lane_but_not_for_long_nor_behind_many() -> None:
+def test_a_call_waits_for_a_busy_instance_but_not_for_long_nor_behind_many() -> None:
     queue = InstanceQueue()
     queue.on_response(4, was_cold=True)
     free, taken = {4: InstanceLoad(0, None)}, {4: InstanceLoad(1, None)}
-    assert not queue.should_wait(1, 4, True, free, 1.0, NOW)
-    assert queue.should_wait(1, 4, True, taken, 1.0, NOW)
-    assert not queue.should_wait(2, 4, True, taken, 2.0, NOW), "a second lane is free"
+    assert not queue.should_wait(1, 4, True, free, concurrency=1.0, times=NOW)
+    assert queue.should_wait(1, 4, True, taken, concurrency=1.0, times=NOW)
+    assert not queue.should_wait(2, 4, True, taken, concurrency=2.0, times=NOW), "a second lane is free"
     assert (
         not queue.should_wait(
-            1, 4, True, taken, 1.0, WaitTimes(MAX_BUSY_WAIT_FRACTION * 1000.0, 50.0, 1000.0)
+            1, 4, True, taken, concurrency=1.0, times=WaitTimes(MAX_BUSY_WAIT_FRACTION * 1000.0, 50.0, 1000.0)
         )
         and not queue.waiting_requests
     )
-    places = [queue.should_wait(n, 4, True, taken, 1.0, NOW) for n in range(20)]
+    places = [queue.should_wait(n, 4, True, taken, concurrency=1.0, times=NOW) for n in range(20)]
     assert places == [True] * 5 + [False] * 15, "what is ahead would take as long as a load"
     queue.on_response(4, was_cold=True)
-    assert not queue.should_wait(30, 4, True, taken, 1.0, NOW), "two copies, one call on them"
+    assert not queue.should_wait(30, 4, True, taken, concurrency=1.0, times=NOW), (
+        "two copies, one call on them"
+    )
 
 
 def test_a_call_waits_while_its_function_loads_anywhere() -> None:
@@ -46,13 +48,18 @@
     queue = InstanceQueue()
     loading = {9: InstanceLoad(1, None)}
     assert queue.should_wait(
-        1, 4, False, loading, 1.0, WaitTimes(MAX_BUSY_WAIT_FRACTION * 1500.0, 50.0, 1000.0)
+        1, 4, False, loading, concurrency=1.0, times=WaitTimes(MAX_BUSY_WAIT_FRACTION * 1500.0, 50.0, 1000.0)
     )
     assert not queue.should_wait(
-        1, 4, False, loading, 1.0, WaitTimes(MAX_LOADING_WAIT_FRACTION * 1000.0, 50.0, 1000.0)
+        1,
+        4,
+        False,
+        loading,
+        concurrency=1.0,
+        times=WaitTimes(MAX_LOADING_WAIT_FRACTION * 1000.0, 50.0, 1000.0),
     )
-    assert not queue.should_wait(1, 4, False, {}, 1.0, NOW) and not queue.should_wait(
-        1, 4, False, {9: InstanceLoad(0, 1.0)}, 1.0, NOW
+    assert not queue.should_wait(1, 4, False, {}, concurrency=1.0, times=NOW) and not queue.should_wait(
+        1, 4, False, {9: InstanceLoad(0, 1.0)}, concurrency=1.0, times=NOW
     )
 
 
@@ -67,7 +74,7 @@
     return one.handle(now, RequestArrived(request, 7, 0, now + 3000.0, concurrency=1.0, load_time_ms=2000.0))
 
 
-def test_one_load_serves_the_calls_that_come_while_it_lasts() -> None:
+def test_one_cold_start_serves_the_calls_that_come_while_it_lasts() -> None:
     one = heard()
     (at,) = sends(ask(one, 1, 10.0))
     assert not any(sends(ask(one, 2 + n, 20.0)) for n in range(2))
@@ -78,14 +85,14 @@
     assert sends(out) == [at, at] and len(one.router.pending_requests) == 2
 
 
-def test_who_hears_nobody_does_not_wait() -> None:
+def test_without_gossip_no_call_waits() -> None:
     one = heard(peers=False)
     assert sends(ask(one, 1, 10.0)) and sends(ask(one, 2, 20.0))
     deaf = heard()
     assert sends(ask(deaf, 1, 60_000.0)) and sends(ask(deaf, 2, 60_010.0)), "the other is silent since long"
 
 
-def test_what_waits_is_answered_when_its_copy_never_comes() -> None:
+def test_what_waits_is_answered_when_its_instance_never_comes() -> None:
     """It is told so by half of its time: never held to the end."""
     one = heard()
     (at,) = sends(ask(one, 1, 10.0))
