--- a/cedarthread/components/component_set.py
+++ b/cedarthread/components/component_set.py
@@ -64,7 +64,7 @@
 
     def status(self, now: float) -> dict[str, str]:
         """The figures of all components, by name."""
-        figures = dict(self.fleet.status(now)) if self.fleet is not None else {}
+        figures = dict(self.fleet.status()) if self.fleet is not None else {}
         for component in self.active:
             figures.update(component.status(now))
         return figures
--- a/cedarthread/components/fleet.py
+++ b/cedarthread/components/fleet.py
@@ -53,6 +53,7 @@
         settings: RouterSettings,
         seed: int,
         incarnation: int,
+        *,
         now: float,
         wall_clock_ms: Callable[[], float],
     ) -> None:
@@ -195,6 +196,6 @@
         )
         self.notify(now, completed)
 
-    def status(self, now: float) -> Mapping[str, str]:
+    def status(self) -> Mapping[str, str]:
         """The figures that belong to no single component."""
         return {"declared_unusable": str(self.rejected_entries), "routers": str(self.router_count)}
--- a/cedarthread/components/node.py
+++ b/cedarthread/components/node.py
@@ -105,7 +105,9 @@
         from cedarthread.components.fleet import FleetComponents  # with its libraries: only where needed
 
         incarnation = self.seed if self.incarnation is None else self.incarnation
-        fleet = FleetComponents(fleet_config, self.settings, self.seed, incarnation, now, wall_clock_ms)
+        fleet = FleetComponents(
+            fleet_config, self.settings, self.seed, incarnation, now=now, wall_clock_ms=wall_clock_ms
+        )
         self.components.fleet = fleet
         self.router.state.constraints = fleet.constraints
         self.components.update(self.settings)
--- a/cedarthread/dispatch/completion.py
+++ b/cedarthread/dispatch/completion.py
@@ -62,13 +62,13 @@
                 attempt.index,
                 attempt.worker_id,
                 result.outcome,
-                self._context.clock() - attempt.started_at_ms,
-                call.is_complete,
-                result.start_kind,
-                result.reported_concurrency,
-                result.load_report,
-                result.is_unreachable,
-                result.is_local,
+                latency_ms=self._context.clock() - attempt.started_at_ms,
+                is_final=call.is_complete,
+                start_kind=result.start_kind,
+                reported_concurrency=result.reported_concurrency,
+                load_report=result.load_report,
+                is_unreachable=result.is_unreachable,
+                is_local=result.is_local,
             )
         )
 
--- a/cedarthread/dispatch/dispatcher.py
+++ b/cedarthread/dispatch/dispatcher.py
@@ -122,9 +122,9 @@
         self._enqueue_event(
             RequestArrived(
                 call.request_id,
-                call.function_id,
-                call.class_index,
-                call.deadline_ms,
+                function_id=call.function_id,
+                class_index=call.class_index,
+                deadline_ms=call.deadline_ms,
                 concurrency=call.concurrency,
                 memory=call.memory_mb,
                 is_client_retry=call.is_client_retry,
