--- a/cedarthread/protocols/platform_server.py
+++ b/cedarthread/protocols/platform_server.py
@@ -85,10 +85,10 @@
         self._acceptor = Acceptor(
             "clients",
             listening_socket,
-            self.accepts_per_pass,
-            self._create_connection,
-            self.unregister,
-            self.evict_idle,
+            max_accepts_per_pass=self.accepts_per_pass,
+            create_protocol=self._create_connection,
+            on_setup_failed=self.unregister,
+            release_descriptor=self.evict_idle,
         )
         return self._acceptor.port
 
@@ -120,7 +120,7 @@
         for connection in [*self.unproven_connections, *self.connections]:
             started_at = connection.message_started_at
             is_late = started_at is not None and now - started_at > MESSAGE_TIMEOUT_S
-            is_gone = not connection.open_calls and now - connection.last_read_at > SILENT_CLIENT_TIMEOUT_S
+            is_gone = not connection.calls.open and now - connection.last_read_at > SILENT_CLIENT_TIMEOUT_S
             is_up = connection.transport is not None and connection.discard_budget is None
             if is_up and not connection.has_unprocessed_messages and (is_late or is_gone):
                 log.info("connection closed: nothing whole came in time")
