--- a/tests/simulation/test_change_freeze_exploration.py
+++ b/tests/simulation/test_change_freeze_exploration.py
@@ -305,26 +305,22 @@
 
 
 def test_fleet_file_round_trips_through_canonical_bodies() -> None:
-    made = {
+    bodies = {
         kind: decode(kind, name, raw)
         for kind, name, raw in entries_from_config(fleet_config.parse_fleet_config(FLEET_FILE))
     }
-    taken = made[EntryKind.FREEZE]
-    assert (
-        isinstance(taken, WindowTerms)
-        and taken.function_ids == (1, 255)
-        and taken.frozen_kinds == ("order", "unload")
-    )
-    assert taken.end_unix_ms - taken.start_unix_ms == 3_600_000 and isinstance(
-        made[EntryKind.REVOKE], Revocation
-    )
+    terms = bodies[EntryKind.FREEZE]
+    assert isinstance(terms, WindowTerms)
+    assert terms.function_ids == (1, 255) and terms.frozen_kinds == ("order", "unload")
+    assert terms.end_unix_ms - terms.start_unix_ms == MS_PER_HOUR
+    assert isinstance(bodies[EntryKind.REVOKE], Revocation)
     with pytest.raises(fleet_config.FleetConfigError, match="reason"):
         entries_from_config(fleet_config.parse_fleet_config(FLEET_FILE.replace(b"done", b"d" * 513)))
 
 
 INVALID_TERMS = (
     {"end_unix_ms": int(EPOCH_UNIX_MS)},
-    {"end_unix_ms": int(EPOCH_UNIX_MS + 13 * 3_600_000)},
+    {"end_unix_ms": int(EPOCH_UNIX_MS + 13 * MS_PER_HOUR)},
     {"exception_budget": -1},
     {"zone_names": ("b", "a")},
     {"function_ids": (2**64 - 1, 0)},
@@ -337,19 +333,17 @@
 
 @pytest.mark.parametrize("change", INVALID_TERMS, ids=str)
 def test_invalid_windows_are_returned_as_errors(change: dict[str, object]) -> None:
+    invalid = msgspec.structs.replace(window_terms(), **change)
     assert isinstance(decode(EntryKind.FREEZE, "w", encode(window_terms())), WindowTerms)
-    assert isinstance(
-        decode(EntryKind.FREEZE, "w", encode(msgspec.structs.replace(window_terms(), **change))),
-        MalformedDatagram,
-    )
+    assert isinstance(decode(EntryKind.FREEZE, "w", encode(invalid)), MalformedDatagram)
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
 @given(st.binary(max_size=80), st.sampled_from(list(EntryKind)))
 def test_decoding_random_bytes_raises_nothing(raw: bytes, kind: EntryKind) -> None:
-    good = encode(window_terms())
+    valid = encode(window_terms())
     assert isinstance(decode(kind, "w", raw), MalformedDatagram)
-    assert isinstance(decode(EntryKind.FREEZE, "w", good[:-1] + raw), WindowTerms | MalformedDatagram)
+    assert isinstance(decode(EntryKind.FREEZE, "w", valid[:-1] + raw), WindowTerms | MalformedDatagram)
 
 
 def test_a_deviating_clock_widens_windows_and_one_wrong_peer_does_not() -> None:
@@ -361,62 +355,48 @@
     for peer in (1, 2):
         clock.add_sample(10.0, peer, EPOCH_UNIX_MS + 9e6, 0.0)
     earliest, latest = clock.unix_ms_bounds(10.0)
-    assert (
-        clock.deviation_ms(10.0) > 8.9e6 and earliest < EPOCH_UNIX_MS + 10.0 and latest > EPOCH_UNIX_MS + 9e6
-    )
+    assert clock.deviation_ms(10.0) > 8.9e6
+    assert earliest < EPOCH_UNIX_MS + 10.0 and latest > EPOCH_UNIX_MS + 9e6
     clock.add_sample(10.0, 99, EPOCH_UNIX_MS, 0.0)
     clock.add_sample(10.0, 1, float("nan"), 0.0)
-    assert (
-        clock.invalid_sample_count == 2 and clock.deviation_ms(200_000.0) == 0.0
-    )  # what was heard long ago tells nothing
+    assert clock.invalid_sample_count == 2
+    assert clock.deviation_ms(200_000.0) == 0.0  # samples have expired
 
 
 def test_a_clock_step_is_followed_once_most_peers_confirm_it() -> None:
     clock = WallClock(3, 500.0, 0.001)
     clock.on_host_reading(0.0, EPOCH_UNIX_MS, True)
-    assert "not followed" in str(clock.on_host_reading(100.0, EPOCH_UNIX_MS + 7.2e6, True))
-    assert (
-        clock.unix_ms(100.0) == EPOCH_UNIX_MS + 100.0
-        and clock.on_host_reading(200.0, EPOCH_UNIX_MS + 7.2e6 + 100.0, True) is None
-    )
+    stepped = EPOCH_UNIX_MS + 7.2e6
+    assert "not followed" in str(clock.on_host_reading(100.0, stepped, True))
+    assert clock.unix_ms(100.0) == EPOCH_UNIX_MS + 100.0
+    assert clock.on_host_reading(200.0, stepped + 100.0, True) is None
     for peer in (1, 2):
-        clock.add_sample(300.0, peer, EPOCH_UNIX_MS + 7.2e6 + 200.0, 298.0)
-    assert (
-        "followed" in str(clock.on_host_reading(300.0, EPOCH_UNIX_MS + 7.2e6 + 200.0, True))
-        and clock.unix_ms(300.0) > EPOCH_UNIX_MS + 7e6
-    )
+        clock.add_sample(300.0, peer, stepped + 200.0, 298.0)
+    assert "followed" in str(clock.on_host_reading(300.0, stepped + 200.0, True))
+    assert clock.unix_ms(300.0) > EPOCH_UNIX_MS + 7e6
 
 
 def test_calls_prefer_open_workers_and_skip_draining_ones() -> None:
     placed, full = PlacementCandidate(1, True, True, True, 5.0), PlacementCandidate(1, True, True, False)
     not_placed, draining = PlacementCandidate(2, True, False, True), PlacementCandidate(3, False, True, True)
     assert route_call([not_placed, placed], True) == (RoutingVerdict.SEND, 1)
-    assert route_call([not_placed, full], True) == (RoutingVerdict.LOAD, 2) and route_call(
-        [not_placed, full], False
-    ) == (
-        RoutingVerdict.WAIT,
-        1,
-    )
+    assert route_call([not_placed, full], True) == (RoutingVerdict.LOAD, 2)
+    assert route_call([not_placed, full], False) == (RoutingVerdict.WAIT, 1)
     assert route_call([draining, not_placed], False) == (RoutingVerdict.REJECT, None)
 
 
 def test_placements_survive_a_corrupted_list_but_not_a_restart() -> None:
     placements = PlacementTable()
-    placements.on_endpoint_update(
-        EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, (helpers.worker(1, started=5.0),))
-    )
+    worker, restarted = helpers.worker(1, started=5.0), helpers.worker(1, started=6.0)
+    placements.on_endpoint_update(EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 1, (worker,)))
     placements.record(0.0, 7, 1)
     placements.is_frozen = True
     placements.expire(1e9)
     placements.on_endpoint_update(EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 2))
     assert not placements.has_placement(7, 1) and placements.has_lost_most(7)
-    placements.on_endpoint_update(
-        EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 3, (helpers.worker(1, started=5.0),))
-    )
-    assert placements.has_placement(7, 1)  # the list was spoilt
-    placements.on_endpoint_update(
-        EndpointUpdate(EndpointUpdateKind.DELTA, 4, (helpers.worker(1, started=6.0),))
-    )
+    placements.on_endpoint_update(EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 3, (worker,)))
+    assert placements.has_placement(7, 1)  # the list before was corrupted
+    placements.on_endpoint_update(EndpointUpdate(EndpointUpdateKind.DELTA, 4, (restarted,)))
     assert not placements.has_placement(7, 1)
 
 
@@ -463,20 +443,21 @@
     assert gate.home_workers(0.0, 7, (1, 2, 3), 2) == ((1, 2, 3), 2)
     gate.rules = (rule, dataclasses.replace(rule, window_id="b", zone_indexes=None))
     assert gate.home_workers(1.0, 7, (3, 2, 1), 3) == ([1, 2, 3], 2)  # neither moved nor added
-    assert gate.home_workers(1.0, 7, (3, 2), 2) == ([2, 3], 1)  # who is lost is not made up for
+    assert gate.home_workers(1.0, 7, (3, 2), 2) == ([2, 3], 1)  # lost ones are not replaced
     escrow.open_pool("freeze/a", 60, is_consumable=True, ends_at_ms=None)
     escrow.open_pool("freeze/b", 6, is_consumable=True, ends_at_ms=None)
     first, second = (PlacementChange("first-copy", worker, 7, 0, None, True) for worker in (4, 5))
     answers = [gate.admit(2.0, change).answer for change in (first, first, second)]
     assert answers == [
         AdmissionAnswer.PERMITTED_BY_EXCEPTION,
-        AdmissionAnswer.PERMITTED,
+        AdmissionAnswer.PERMITTED,  # a placement uses up one exception, once
         AdmissionAnswer.DENIED,
-    ]  # the same place is paid for once
+    ]
     gate.rules, gate.take_release = (), lambda now: 0
     call: Any = {"function_id": 7, "worker_id": 5, "zone_index": 0, "tenant_index": None, "is_placed": False}
-    assert not gate.can_send(3.0, **call, has_alternatives=True)  # held back still
+    assert not gate.can_send(3.0, **call, has_alternatives=True)  # still deferred
     assert gate.can_send(3.0, **call, has_alternatives=False)  # but service comes first
     gate.take_release = lambda now: 1
-    assert {w.kind for w in gate.release(4.0)} == {"homes", "first-copy"} and not gate.deferred_changes
+    assert {deferred.kind for deferred in gate.release(4.0)} == {"homes", "first-copy"}
+    assert not gate.deferred_changes
     assert gate.home_workers(5.0, 7, (3, 2, 1), 3) == ((3, 2, 1), 3)
