--- a/tests/integration/test_client_gone.py
+++ b/tests/integration/test_client_gone.py
@@ -95,7 +95,7 @@
 
 @pytest.mark.parametrize("going", GOING)
 @pytest.mark.parametrize("slow", [False, True])
-def test_no_further_attempt_once_the_client_has_gone(going: str, slow: bool) -> None:
+def test_no_retry_once_the_client_has_disconnected(going: str, slow: bool) -> None:
     """The refusal of a runner is read first, what the client did stands unread; ``slow``: the router does
     not read from that client at all, as its answers wait."""
 
@@ -130,7 +130,7 @@
 
 
 @pytest.mark.parametrize("going", GOING)
-def test_a_call_whose_connection_to_a_runner_comes_up_late_does_not_leave(
+def test_a_call_of_a_gone_client_is_not_written_once_its_connection_comes_up(
     going: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def test() -> None:
@@ -165,7 +165,7 @@
 
 
 @pytest.mark.parametrize("going", GOING)
-def test_a_request_that_is_read_after_its_client_has_gone_does_not_leave(going: str) -> None:
+def test_a_request_that_is_read_after_its_client_has_gone_is_not_sent(going: str) -> None:
     """The process was late: the request and its end stand in the socket together when it first reads."""
 
     async def test() -> None:
@@ -186,7 +186,7 @@
     run(test())
 
 
-def test_half_closed_the_attempt_that_is_out_still_brings_its_answer() -> None:
+def test_after_a_half_close_the_attempt_in_flight_still_brings_its_response() -> None:
     async def test() -> None:
         mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running:
@@ -202,7 +202,7 @@
     run(test())
 
 
-def test_a_flood_that_waits_for_its_turn_is_read_before_any_of_it_leaves() -> None:
+def test_a_flood_that_waits_for_its_pass_is_read_before_any_of_it_is_sent() -> None:
     """Calls and their CANCELs in one piece: none of them runs."""
 
     async def test() -> None:
@@ -222,7 +222,7 @@
     run(test())
 
 
-def test_a_cancel_behind_a_flood_that_stands_unread_is_seen() -> None:
+def test_a_cancel_behind_an_unread_flood_is_seen() -> None:
     """More messages than a turn takes stand in the socket before it."""
 
     async def test() -> None:
@@ -252,7 +252,7 @@
 
 
 @pytest.mark.parametrize("seed", range(6))
-def test_under_load_no_attempt_is_written_after_its_client_went(
+def test_under_load_no_attempt_is_written_after_its_client_has_gone(
     seed: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Forty clients ask, go and come back in every way while runners answer, refuse and break at random.
--- a/tests/integration/test_control.py
+++ b/tests/integration/test_control.py
@@ -27,7 +27,7 @@
     return {pair[1]: int(pair[2]) for pair in pairs if pair}
 
 
-def test_ping_says_yes_once_serving_and_no_when_told_to_end() -> None:
+def test_ping_says_yes_once_serving_and_no_while_draining() -> None:
     async def test() -> None:
         async with service(ScriptedWorker()) as running:
             assert await ask_control(running, b"PING\n") == ["YES"]
@@ -40,7 +40,7 @@
     asyncio.run(test())
 
 
-def test_info_counts_as_a_ledger_of_the_client_sees() -> None:
+def test_info_counts_what_the_client_saw() -> None:
     """Each answer the client got is counted once under its class, and each attempt written whole."""
 
     def mixed(runner: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any] | None:
@@ -68,7 +68,7 @@
     asyncio.run(test())
 
 
-def test_a_call_refused_by_the_front_counts_as_dropped() -> None:
+def test_a_call_rejected_by_the_server_counts_as_dropped() -> None:
     async def test() -> None:
         async with (
             service(ScriptedWorker(lambda runner, message: None)) as running,
@@ -91,7 +91,7 @@
         (b"PIN", "line cut short"),
     ],
 )
-def test_a_bad_line_gets_no_and_its_reason(line: bytes, why: str) -> None:
+def test_an_invalid_line_gets_no_and_its_reason(line: bytes, why: str) -> None:
     async def test() -> None:
         async with service(ScriptedWorker()) as running:
             reader, writer = await asyncio.open_connection("127.0.0.1", running.control_port)
--- a/tests/integration/test_descriptor_budget.py
+++ b/tests/integration/test_descriptor_budget.py
@@ -49,7 +49,7 @@
 
 @pytest.mark.parametrize("limit", [48, 64, 96, 128, 200, 256, 512, 1024, 4096, 65536])
 @pytest.mark.parametrize("callers", [0, 128])
-def test_the_parts_never_come_to_more_than_the_smaller_limit(limit: int, callers: int) -> None:
+def test_the_budget_never_exceeds_the_smaller_limit(limit: int, callers: int) -> None:
     for configured, real in ((limit, 2**31), (2**31, limit)):
         one = descriptor_budget.compute_budget(
             configured, callers if limit >= 96 else 0, real, already_open=6
@@ -72,14 +72,14 @@
         )
 
 
-def test_what_the_process_was_started_with_is_not_given_out_twice() -> None:
+def test_descriptors_open_at_the_start_are_not_assigned_twice() -> None:
     less = descriptor_budget.compute_budget(1024, 0, 1024, already_open=106).worker_connections
     assert descriptor_budget.compute_budget(1024, 0, 1024, already_open=6).worker_connections - less == 100
     with pytest.raises(ValueError, match="40 descriptors leave none for runners"):
         descriptor_budget.compute_budget(1024, 0, 40, already_open=6)
 
 
-def test_the_real_limit_is_read_and_not_changed() -> None:
+def test_the_process_limit_is_read_and_not_changed() -> None:
     before = resource.getrlimit(resource.RLIMIT_NOFILE)
     assert (
         descriptor_budget.soft_limit() == before[0] and resource.getrlimit(resource.RLIMIT_NOFILE) == before
@@ -257,7 +257,7 @@
 
 
 @pytest.mark.parametrize(("configured", "real"), [(1024, FEW), (FEW, FEW)])
-def test_idle_clients_to_the_limit_leave_the_resolver_the_runners_and_the_operators(
+def test_idle_clients_to_the_limit_leave_descriptors_to_discovery_workers_and_operators(
     tmp_path: Path, configured: int, real: int
 ) -> None:
     """The budget went by the configured figure alone, and a burst was accepted before anybody counted it."""
@@ -311,7 +311,7 @@
     run(test)
 
 
-def test_where_the_system_has_no_descriptor_left_idle_clients_give_theirs(tmp_path: Path) -> None:
+def test_where_the_system_has_no_descriptor_left_idle_clients_are_evicted(tmp_path: Path) -> None:
     """The book may be wrong, as where the limit is lowered under it: calls and PING come before idle ones."""
 
     async def test() -> None:
@@ -341,7 +341,7 @@
     run(test)
 
 
-def test_what_the_process_inherits_is_in_its_book(tmp_path: Path) -> None:
+def test_inherited_descriptors_are_in_the_budget(tmp_path: Path) -> None:
     async def test() -> None:
         told = r"descriptors: 128, of them clients 64, callers 0, runners (\d+), kept back (\d+)"
         async with router(tmp_path, FEW) as running:
@@ -356,7 +356,7 @@
     run(test)
 
 
-def test_a_flood_at_the_operators_address_leaves_their_questions_answered() -> None:
+def test_a_flood_at_the_operators_address_leaves_their_commands_answered() -> None:
     """All wait when the loop next looks; a batch that is not up yet can't make room for the next."""
 
     async def test() -> None:
@@ -379,7 +379,7 @@
 # A start that waits for nobody.
 
 
-def test_processes_are_ready_while_the_resolver_says_nothing(tmp_path: Path) -> None:
+def test_processes_are_ready_while_discovery_is_silent(tmp_path: Path) -> None:
     """All at once, all again after a kill, one in ten: each serves before the resolver has said a word."""
 
     async def test() -> None:
@@ -418,7 +418,7 @@
     run(test)
 
 
-def test_a_resolver_that_cannot_be_asked_at_all_does_not_end_the_start(tmp_path: Path) -> None:
+def test_unreachable_discovery_does_not_fail_the_start(tmp_path: Path) -> None:
     async def test() -> None:
         later = Discovery()
         await later.server.start()
@@ -436,7 +436,7 @@
     run(test)
 
 
-def test_an_operators_address_in_use_is_taken_once_it_is_free(tmp_path: Path) -> None:
+def test_an_operators_address_in_use_is_listened_on_once_it_is_free(tmp_path: Path) -> None:
     """The old process may hold it for a while: calls are served all the same."""
 
     async def test() -> None:
@@ -459,7 +459,7 @@
 # Parts of it, in this process.
 
 
-def test_a_dial_without_a_descriptor_blames_no_runner() -> None:
+def test_a_connect_without_a_descriptor_is_no_fault_of_a_worker() -> None:
     """Two in a row opened the runner's circuit breaker."""
 
     async def test() -> None:
@@ -483,7 +483,7 @@
     run(test)
 
 
-def test_a_dial_without_a_descriptor_takes_that_of_an_idle_client() -> None:
+def test_a_connect_without_a_descriptor_evicts_an_idle_client() -> None:
     async def test() -> None:
         loop = asyncio.get_running_loop()
         runner, failed = ScriptedWorker(), 0
@@ -508,7 +508,7 @@
     run(test)
 
 
-def test_at_the_bound_an_idle_connection_to_a_runner_gives_way() -> None:
+def test_at_the_bound_an_idle_worker_connection_is_closed() -> None:
     async def test() -> None:
         runners = [ScriptedWorker(), ScriptedWorker(), ScriptedWorker()]
         async with service(*runners) as running, client(running) as caller:
@@ -523,7 +523,7 @@
     run(test)
 
 
-def test_a_dial_that_nobody_waits_for_gives_its_descriptor_back() -> None:
+def test_a_connect_that_nobody_waits_for_releases_its_descriptor() -> None:
     """It held one, uncounted, till the time for connecting was over."""
 
     async def test() -> None:
@@ -553,7 +553,7 @@
     run(test)
 
 
-def test_one_that_has_not_read_its_answers_is_not_closed_uncounted() -> None:
+def test_a_client_that_has_not_read_its_responses_is_not_closed_uncounted() -> None:
     """Its descriptor stayed till it had read them, beyond the limit: it holds its place instead."""
 
     def long(runner: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any] | None:
@@ -583,7 +583,7 @@
     run(test)
 
 
-def test_callers_that_never_make_a_handshake_hold_no_more_than_is_theirs(authority: Authority) -> None:
+def test_callers_that_never_finish_a_handshake_stay_within_their_budget(authority: Authority) -> None:
     """They were counted from the end of the handshake on, so that these took every descriptor there was."""
 
     async def test() -> None:
@@ -602,7 +602,7 @@
     run(test)
 
 
-def test_the_resolver_is_asked_once_a_socket_can_be_had() -> None:
+def test_discovery_is_polled_once_a_socket_is_available() -> None:
     """A move at which there was none was forgotten: the old address was asked for good."""
 
     async def test() -> None:
@@ -641,7 +641,7 @@
     run(test)
 
 
-def test_a_socket_to_the_resolver_that_fails_is_replaced() -> None:
+def test_a_discovery_socket_that_fails_is_replaced() -> None:
     async def test() -> None:
         there = Discovery()
         await there.server.start()
@@ -660,7 +660,7 @@
     run(test)
 
 
-def test_what_waits_to_be_accepted_at_the_end_is_taken_over_as_many_turns_as_it_needs() -> None:
+def test_the_backlog_at_shutdown_is_accepted_over_as_many_passes_as_it_needs() -> None:
     async def test() -> None:
         loop = asyncio.get_running_loop()
         async with service(ScriptedWorker()) as running:
--- a/tests/integration/test_endings.py
+++ b/tests/integration/test_endings.py
@@ -174,7 +174,7 @@
 
 
 @pytest.mark.parametrize("first", ["news", "answer"])
-def test_news_of_a_drain_and_an_answer(first: str) -> None:
+def test_a_drain_update_and_a_response(first: str) -> None:
     """What has left goes on, and its connection ends when it carries nothing."""
 
     async def test() -> None:
@@ -195,7 +195,7 @@
 
 
 @pytest.mark.parametrize("first", ["news", "connection"])
-def test_news_of_a_drain_and_a_connection_that_comes_up(first: str, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_drain_update_and_a_connection_that_comes_up(first: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """Told before: the call goes elsewhere and the dial is given up. Told after: the call has left."""
 
     async def test() -> None:
@@ -228,7 +228,7 @@
 
 @pytest.mark.parametrize("klass", ["check", "confirm"])
 @pytest.mark.parametrize("first", ["news", "answer"])
-def test_news_that_a_runner_is_gone_and_an_answer(first: str, klass: str) -> None:
+def test_an_update_that_removes_a_worker_and_a_response(first: str, klass: str) -> None:
     """Its connections end at once. A call without its answer may have run: a safe one goes elsewhere."""
 
     async def test() -> None:
@@ -254,7 +254,7 @@
     asyncio.run(test())
 
 
-def test_a_runner_that_is_gone_is_no_skipped_one() -> None:
+def test_a_removed_worker_does_not_count_as_skipped() -> None:
     """INFO: it is listed no more, also where an attempt of it ends only after the news."""
 
     async def test() -> None:
@@ -271,7 +271,7 @@
     asyncio.run(test())
 
 
-def test_news_of_a_start_and_of_a_drain_at_once_take_back_what_has_not_left() -> None:
+def test_an_update_with_a_restart_and_a_drain_withdraws_what_is_unwritten() -> None:
     """The connection was begun since the start, so it stays; what waits on it must not leave any more."""
 
     async def test() -> None:
@@ -292,7 +292,7 @@
 
 @pytest.mark.parametrize("klass", ["check", "confirm"])
 @pytest.mark.parametrize("first", ["news", "answer"])
-def test_a_runner_moves_to_another_address_under_an_open_call(first: str, klass: str) -> None:
+def test_a_worker_changes_its_address_under_an_open_call(first: str, klass: str) -> None:
     """What ran at the old address has ended with its connections; a safe call is sent to the new one."""
 
     async def test() -> None:
@@ -315,7 +315,7 @@
 
 
 @pytest.mark.parametrize("first", ["news", "interrupt", "time"])
-def test_a_call_that_is_held_ends_or_leaves_once_a_runner_comes(first: str) -> None:
+def test_a_queued_call_ends_or_is_sent_once_a_worker_appears(first: str) -> None:
     async def test() -> None:
         runner = ScriptedWorker()
         async with routed(runner) as (running, caller):
@@ -342,7 +342,7 @@
 @pytest.mark.parametrize("how", list(CLOSE))
 @pytest.mark.parametrize("klass", ["check", "confirm"])
 @pytest.mark.parametrize("place", ["before", "middle", "after"])
-def test_a_runners_connection_ends_round_its_answer(
+def test_a_workers_connection_ends_before_during_or_after_its_response(
     how: str, klass: str, place: str, caplog: pytest.LogCaptureFixture
 ) -> None:
     """Before and in the middle: it may have run. After, in the same write: it is answered."""
@@ -381,7 +381,7 @@
     return connection
 
 
-def test_a_runner_that_writes_no_more_can_answer_nothing() -> None:
+def test_a_worker_that_half_closes_can_answer_nothing() -> None:
     """Its half-close ends what is open there at once, also where it does not read what waits for it."""
 
     async def test() -> None:
@@ -402,7 +402,7 @@
 
 
 @pytest.mark.parametrize("where", ["same", "other"])
-def test_a_second_answer_is_nobodys(where: str) -> None:
+def test_a_duplicate_response_is_ignored(where: str) -> None:
     """For an ended call, on its connection or on another one: passed over, and nothing else is touched."""
 
     async def test() -> None:
@@ -433,7 +433,7 @@
 # A connection that comes up late, or never.
 
 
-def test_a_connection_comes_up_late_and_the_call_leaves_on_it(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_connection_comes_up_late_and_the_call_is_written_to_it(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         runner = ScriptedWorker()
         held = Held(monkeypatch)
@@ -475,7 +475,7 @@
     asyncio.run(test())
 
 
-def test_a_connection_that_never_comes_up_has_carried_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_connection_that_never_comes_up_has_executed_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     """The calls that wait for it go elsewhere, an unsafe one too."""
 
     async def test() -> None:
@@ -494,7 +494,7 @@
     asyncio.run(test())
 
 
-def test_without_a_descriptor_for_a_runner_the_call_is_refused_and_nobody_is_blamed(
+def test_without_a_descriptor_for_a_worker_the_call_is_rejected_and_no_worker_at_fault(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
@@ -545,7 +545,7 @@
     asyncio.run(test())
 
 
-def test_a_runners_idle_close_that_has_come_and_a_call() -> None:
+def test_a_workers_idle_close_that_was_read_and_a_call() -> None:
     async def test() -> None:
         runner = ScriptedWorker()
         async with routed(runner) as (running, caller):
@@ -557,7 +557,7 @@
     asyncio.run(test())
 
 
-def test_after_a_stall_past_the_idle_time_no_call_is_risked_on_the_old_connection() -> None:
+def test_after_a_stall_past_the_idle_timeout_no_call_is_sent_on_the_old_connection() -> None:
     """The process stood still when its look at idle connections was due: the runner's close is under way."""
 
     async def test() -> None:
@@ -576,7 +576,7 @@
 
 
 @pytest.mark.parametrize("first", ["answer", "time", "connection"])
-def test_an_order_ends_once_and_leaves_neither_slot_nor_timer(
+def test_a_preload_ends_once_and_leaves_neither_slot_nor_timer(
     first: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Its answer, its time or the end of its connection: a lost order must not hold its place for good."""
@@ -612,7 +612,7 @@
 
 @pytest.mark.parametrize("first", ["leaves", "answer"])
 @pytest.mark.parametrize("how", ["interrupt", *CLOSE])
-def test_a_client_leaves_and_an_answer_comes(how: str, first: str) -> None:
+def test_a_client_disconnects_and_a_response_comes(how: str, first: str) -> None:
     """No answer after an interrupt, and the runner is told; after the answer an interrupt is for nobody."""
 
     async def test() -> None:
@@ -649,7 +649,7 @@
     asyncio.run(test())
 
 
-def test_an_interrupt_and_an_answer_that_come_in_one_turn() -> None:
+def test_an_interrupt_and_a_response_in_one_loop_pass() -> None:
     """Whichever is read first: one end for each call, and at most one answer."""
 
     async def test() -> None:
@@ -671,7 +671,7 @@
 
 
 @pytest.mark.parametrize("first", ["time", "answer"])
-def test_time_is_up_and_an_answer_comes(first: str) -> None:
+def test_a_deadline_and_a_response(first: str) -> None:
     async def test() -> None:
         runner = ScriptedWorker(mute)
         async with routed(runner) as (running, caller):
@@ -691,7 +691,7 @@
 
 
 @pytest.mark.parametrize("first", ["reads", "time"])
-def test_what_a_client_gives_up_on_a_slow_connection_takes_others_with_it_at_last(
+def test_a_cancel_on_a_slow_connection_aborts_it_with_the_others_if_it_is_not_read_in_time(
     first: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Its runner reads nothing at the moment: the others there go on, if it takes the CANCEL in time."""
@@ -727,7 +727,7 @@
 # The end of the process.
 
 
-def test_told_to_end_every_call_is_answered_by_then_and_its_runner_told() -> None:
+def test_at_shutdown_every_call_is_answered_in_time_and_its_attempt_cancelled() -> None:
     """Of calls before and after SIGTERM, whose own time is longer, each gets its one answer in time."""
     classes = [klass | {"deadline": 300, "goal-time": 100} for klass in SETTINGS["classes"]]
 
@@ -750,7 +750,7 @@
 
 
 @pytest.mark.parametrize("first", ["close", "request"])
-def test_a_request_crosses_the_close_at_the_end(first: str) -> None:
+def test_a_request_crosses_the_close_at_shutdown(first: str) -> None:
     """Read before the close: answered in full. Read after it: not taken, so its client sends it anew."""
 
     async def test() -> None:
@@ -770,7 +770,7 @@
     asyncio.run(test())
 
 
-def test_a_connection_that_waits_to_be_accepted_at_the_end_is_taken_and_served() -> None:
+def test_a_connection_in_the_backlog_at_shutdown_is_accepted_and_served() -> None:
     """A listener that closes would reset it unheard, with the request that it may hold."""
 
     async def test() -> None:
@@ -834,7 +834,7 @@
 
 @pytest.mark.parametrize("change", [drop, effect])
 @pytest.mark.parametrize("first", ["settings", "end"])
-def test_a_class_is_dropped_or_changed_under_an_open_call(
+def test_a_class_is_removed_or_changed_under_an_open_call(
     change: Callable[[dict[str, Any]], None], first: str
 ) -> None:
     """A call taken as safe goes on as such: it may have run, and is tried elsewhere."""
--- a/tests/integration/test_endings_accounting.py
+++ b/tests/integration/test_endings_accounting.py
@@ -26,7 +26,7 @@
 )
 
 
-def test_a_call_that_the_front_turns_away_counts_as_taken() -> None:
+def test_a_call_that_the_server_rejects_counts_as_taken() -> None:
     async def test() -> None:
         async with routed(ScriptedWorker()) as (running, caller):
             running.platform.max_queued_bytes = -1
@@ -58,7 +58,7 @@
 
 
 @pytest.mark.parametrize("spoilt", [b"\xc1", pack_call(1, "confirm", b"y" * 1000)[:500]])
-def test_a_clients_bad_message_is_told_with_where_and_what(
+def test_a_clients_invalid_message_is_logged_with_where_and_what(
     spoilt: bytes, caplog: pytest.LogCaptureFixture
 ) -> None:
     caplog.set_level("INFO", "cedarthread.platform")
@@ -78,7 +78,7 @@
     assert [where[0] in r.getMessage() for r in caplog.records] == [True]
 
 
-def test_an_attempt_of_a_call_that_was_left_ends_with_its_time_where_no_cancel_is_allowed() -> None:
+def test_an_attempt_of_an_abandoned_call_ends_at_the_deadline_where_no_cancel_is_allowed() -> None:
     """Where the settings forbid to cancel, a silent runner must not keep stream and figures for good."""
 
     async def test() -> None:
@@ -93,7 +93,9 @@
     asyncio.run(test())
 
 
-def test_a_keyed_call_that_was_shed_is_not_bound_by_its_window(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_call_with_a_key_that_a_worker_shed_is_not_bound_by_its_deduplication_window(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """SHED proves that it never ran: there is nothing that its repeat could come too late for."""
     classes = [klass | {"repeat-window": 300} for klass in SETTINGS["classes"]]
 
@@ -116,7 +118,7 @@
     asyncio.run(test())
 
 
-def test_an_idle_client_that_has_not_read_its_answers_makes_no_room() -> None:
+def test_an_idle_client_that_has_not_read_its_responses_is_not_evicted() -> None:
     """Its close waits for it, uncounted: such clients could take every descriptor."""
 
     async def test() -> None:
@@ -145,7 +147,7 @@
     asyncio.run(test())
 
 
-def test_of_two_moves_of_the_resolver_the_last_counts(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_of_two_changes_of_the_discovery_address_the_last_holds(monkeypatch: pytest.MonkeyPatch) -> None:
     """SIGHUP twice; the first address is slow to look up and comes up last."""
 
     async def test() -> None:
@@ -190,7 +192,7 @@
     asyncio.run(test())
 
 
-def test_a_connection_that_comes_up_in_the_turn_that_ends_its_time_carries_its_call(
+def test_a_connection_that_comes_up_in_the_loop_pass_of_its_timeout_carries_its_call(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The time to come up ends right after the connection is there, before asyncio has told its dial so."""
@@ -212,7 +214,7 @@
     asyncio.run(test())
 
 
-def test_a_send_that_never_left_costs_no_budget(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_attempt_that_was_never_written_costs_no_retry_budget(monkeypatch: pytest.MonkeyPatch) -> None:
     """A runner is full, and the client leaves while the move waits for a connection to the other one."""
 
     async def test() -> None:
@@ -237,7 +239,7 @@
     asyncio.run(test())
 
 
-def test_clients_that_leave_while_a_connection_comes_up_speak_not_against_its_runner(
+def test_clients_that_disconnect_while_a_connection_comes_up_are_no_fault_of_its_worker(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
--- a/tests/integration/test_endings_bad_input.py
+++ b/tests/integration/test_endings_bad_input.py
@@ -71,7 +71,7 @@
 
 
 @pytest.mark.parametrize("spoils", SPOILT.values(), ids=list(SPOILT))
-def test_a_spoilt_list_changes_nothing_and_the_next_good_one_counts(spoils: Spoils) -> None:
+def test_a_malformed_list_changes_nothing_and_the_next_valid_one_is_applied(spoils: Spoils) -> None:
     async def test() -> None:
         runners = [ScriptedWorker(), ScriptedWorker()]
         async with routed(*runners) as (running, caller):
@@ -88,7 +88,7 @@
     asyncio.run(test())
 
 
-def test_a_spoilt_list_is_told_in_a_line(caplog: pytest.LogCaptureFixture) -> None:
+def test_a_malformed_list_is_one_log_line(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level("INFO", "cedarthread.resolver")
 
     async def test() -> None:
@@ -102,7 +102,7 @@
     assert [r.getMessage() for r in caplog.records] == ["reply of the resolver not used: code 5"]
 
 
-def test_a_resolver_that_dies_leaves_the_last_list_and_is_heard_again() -> None:
+def test_when_discovery_dies_the_last_list_stays_and_later_replies_are_used() -> None:
     """Queries that are refused by its machine, as where the process is down, end nothing."""
 
     async def test() -> None:
@@ -130,7 +130,7 @@
     asyncio.run(test())
 
 
-def test_that_nobody_is_left_is_believed_of_a_second_query() -> None:
+def test_an_empty_list_is_believed_once_a_second_query_confirms_it() -> None:
     """An empty list can be true: then no call may go on to where nobody is, and it has to be known soon."""
 
     async def test() -> None:
@@ -148,7 +148,7 @@
 
 
 @pytest.mark.parametrize("between", [1, 2])
-def test_two_lists_of_nobody_with_a_good_one_between_are_not_believed(between: int) -> None:
+def test_two_empty_lists_with_a_full_one_between_are_not_believed(between: int) -> None:
     """The good one is of the serial that holds, read once or known by its bytes, or a newer one."""
 
     async def test() -> None:
@@ -163,7 +163,7 @@
     asyncio.run(test())
 
 
-def test_a_list_doubled_or_late_is_taken_once_and_never_back(caplog: pytest.LogCaptureFixture) -> None:
+def test_a_duplicate_or_late_list_is_applied_once_and_never_undone(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level("INFO", "cedarthread")
 
     async def test() -> None:
@@ -205,7 +205,7 @@
 
 
 @pytest.mark.parametrize("spoilt", ANSWERS.values(), ids=list(ANSWERS))
-def test_an_answer_that_cannot_be_read_ends_its_connection_alone(
+def test_a_malformed_response_ends_its_connection_alone(
     spoilt: Callable[[str], bytes], caplog: pytest.LogCaptureFixture
 ) -> None:
     """What is open there may have run. A call at another runner is not touched; the log says which it was."""
@@ -235,7 +235,7 @@
 
 
 @pytest.mark.parametrize("number", [b"\x63", b"\x01", b"\xcf" + b"\xff" * 8])
-def test_an_interrupt_of_an_unknown_or_ended_call_is_for_nobody(number: bytes) -> None:
+def test_an_interrupt_of_an_unknown_or_completed_call_is_ignored(number: bytes) -> None:
     async def test() -> None:
         runner = ScriptedWorker()
         async with routed(runner) as (running, caller):
@@ -252,7 +252,7 @@
     asyncio.run(test())
 
 
-def test_a_client_that_ends_in_the_middle_of_a_message_takes_its_own_calls_alone() -> None:
+def test_a_client_that_ends_within_a_message_ends_its_own_calls_alone() -> None:
     async def test() -> None:
         runner = ScriptedWorker(mute)
         async with routed(runner) as (running, caller), client(running) as cut:
--- a/tests/integration/test_invoke.py
+++ b/tests/integration/test_invoke.py
@@ -154,7 +154,7 @@
     asyncio.run(test)
 
 
-def test_both_styles_go_the_whole_way(authority: Authority) -> None:
+def test_synchronous_and_deferred_calls_are_served(authority: Authority) -> None:
     async def test() -> None:
         runner = ScriptedWorker()
         async with service(runner, invoke=config(authority)) as running:
@@ -172,7 +172,9 @@
     run(test())
 
 
-def test_a_confirm_whose_collector_leaves_and_returns_runs_once(authority: Authority) -> None:
+def test_a_call_with_a_key_whose_collector_disconnects_and_returns_is_executed_once(
+    authority: Authority,
+) -> None:
     async def test() -> None:
         runner = ScriptedWorker(lambda runner, message: None)
         async with service(runner, invoke=config(authority)) as running:
@@ -218,7 +220,7 @@
     run(test())
 
 
-def test_no_further_attempt_once_a_synchronous_caller_has_gone(authority: Authority) -> None:
+def test_no_retry_once_a_synchronous_caller_has_gone(authority: Authority) -> None:
     """The runner's refusal is read first: that the caller has closed stands unread under TLS."""
 
     async def test() -> None:
@@ -257,7 +259,7 @@
     run(test())
 
 
-def test_a_synchronous_caller_that_leaves_ends_its_call(authority: Authority) -> None:
+def test_a_synchronous_caller_that_disconnects_ends_its_call(authority: Authority) -> None:
     async def test() -> None:
         runner = ScriptedWorker(lambda runner, message: None)
         async with service(runner, invoke=config(authority)) as running:
@@ -278,7 +280,9 @@
         (lambda r, m: None, 504, "unknown"),
     ],
 )
-def test_ends_are_mapped_to_problems(authority: Authority, behave: Any, expected: int, repeat: str) -> None:
+def test_results_are_mapped_to_problems(
+    authority: Authority, behave: Any, expected: int, repeat: str
+) -> None:
     async def test() -> None:
         async with (
             service(ScriptedWorker(behave), invoke=config(authority)) as running,
@@ -308,7 +312,7 @@
         ("GET", "/v1/ready", {}, 200),
     ],
 )
-def test_bad_input_is_told_and_nothing_is_sent_on(
+def test_invalid_input_gets_a_problem_and_nothing_is_forwarded(
     authority: Authority, method: str, path: str, fields: dict[str, str], expected: int
 ) -> None:
     async def test() -> None:
@@ -333,7 +337,7 @@
         ((DESK,), {"signs": True}),
     ],
 )
-def test_who_is_no_allowed_identity_gets_nothing(
+def test_an_identity_that_is_not_allowed_gets_nothing(
     authority: Authority, uris: tuple[str, ...], usage: dict[str, bool]
 ) -> None:
     async def test() -> None:
@@ -346,7 +350,7 @@
     run(test())
 
 
-def test_another_identity_neither_collects_nor_meets_the_key(authority: Authority) -> None:
+def test_another_identity_neither_collects_nor_shares_the_key(authority: Authority) -> None:
     async def test() -> None:
         runner = ScriptedWorker()
         async with service(runner, invoke=config(authority)) as running:
@@ -378,7 +382,7 @@
     run(test())
 
 
-def test_a_renewed_bundle_and_allow_list_are_taken_up(authority: Authority) -> None:
+def test_a_renewed_bundle_and_allow_list_are_loaded(authority: Authority) -> None:
     async def test() -> None:
         async with service(ScriptedWorker(), invoke=config(authority)) as running:
             assert running.invoke is not None
@@ -402,7 +406,7 @@
     run(test())
 
 
-def test_sigterm_settles_both_styles(authority: Authority) -> None:
+def test_sigterm_completes_synchronous_and_deferred_calls(authority: Authority) -> None:
     async def test() -> None:
         runner = ScriptedWorker(lambda runner, message: None)
         async with service(runner, invoke=config(authority)) as running:
@@ -426,7 +430,7 @@
     run(test())
 
 
-def test_both_styles_score_the_same(authority: Authority) -> None:
+def test_synchronous_and_deferred_calls_score_the_same(authority: Authority) -> None:
     """The same calls with the same fates at the worker: worth answered over worth asked, by style."""
     worths = {"check": 2, "revise": 5, "confirm": 5}
 
@@ -463,7 +467,7 @@
     run(test())
 
 
-def test_both_fronts_share_one_core(authority: Authority) -> None:
+def test_platform_and_invoke_share_one_dispatcher(authority: Authority) -> None:
     async def test() -> None:
         async with (
             service(ScriptedWorker(), invoke=config(authority)) as running,
@@ -490,7 +494,7 @@
     assert spiffe.parse_trust_domain("spiffe://a/" + "x" * 2048) is None
 
 
-def test_a_request_in_pieces_and_two_at_once(authority: Authority) -> None:
+def test_a_request_in_fragments_and_two_at_once(authority: Authority) -> None:
     async def test() -> None:
         async with (
             service(ScriptedWorker(), invoke=config(authority)) as running,
@@ -514,7 +518,7 @@
     run(test())
 
 
-def test_what_arrives_too_slowly_is_ended(authority: Authority) -> None:
+def test_a_request_that_arrives_too_slowly_is_ended(authority: Authority) -> None:
     async def test() -> None:
         async with service(ScriptedWorker(), invoke=config(authority)) as running:
             assert running.invoke is not None
@@ -528,7 +532,7 @@
     run(test())
 
 
-def test_an_expired_identity_is_out_on_an_open_connection(authority: Authority) -> None:
+def test_an_expired_identity_is_rejected_on_an_open_connection(authority: Authority) -> None:
     async def test() -> None:
         async with (
             service(ScriptedWorker(), invoke=config(authority)) as running,
@@ -544,7 +548,7 @@
     run(test())
 
 
-def test_a_refused_head_is_answered_whatever_follows_it(authority: Authority) -> None:
+def test_an_invalid_head_is_answered_whatever_follows_it(authority: Authority) -> None:
     """Closing with input unread resets the connection and takes the answer away."""
 
     async def test() -> None:
@@ -561,7 +565,7 @@
     run(test())
 
 
-def test_an_idle_caller_makes_room_at_the_limit(authority: Authority) -> None:
+def test_an_idle_caller_is_evicted_at_the_limit(authority: Authority) -> None:
     async def test() -> None:
         told = dataclasses.replace(config(authority), max_connections=2)
         context = authority.caller(DESK)
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -30,7 +30,7 @@
     asyncio.run(test)
 
 
-def test_a_call_reaches_a_runner_unchanged_and_its_answer_comes_back() -> None:
+def test_a_call_reaches_a_worker_unchanged_and_its_response_comes_back() -> None:
     async def test() -> None:
         runner = ScriptedWorker()
         async with service(runner) as running, client(running) as caller:
@@ -45,7 +45,7 @@
     run(test())
 
 
-def test_a_class_named_like_the_health_check_is_told_from_it() -> None:
+def test_a_class_named_like_the_health_check_is_distinguished_from_it() -> None:
     """Both use the method 'check'; only a call has a body."""
 
     async def test() -> None:
@@ -71,7 +71,7 @@
         ("revise", {}),  # a keyed class without its key
     ],
 )
-def test_bad_fields_get_an_error_and_nothing_is_sent_on(klass: str, fields: dict[str, str]) -> None:
+def test_invalid_fields_get_an_error_and_nothing_is_forwarded(klass: str, fields: dict[str, str]) -> None:
     async def test() -> None:
         runner = ScriptedWorker()
         async with service(runner) as running, client(running) as caller:
@@ -93,7 +93,7 @@
     run(test())
 
 
-def test_what_was_never_run_moves_and_what_may_have_run_does_not() -> None:
+def test_what_was_not_executed_is_retried_and_what_may_have_been_is_not() -> None:
     async def test() -> None:
         def shed_once(runner: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any]:
             return (
@@ -113,7 +113,7 @@
     run(test())
 
 
-def test_a_connection_that_breaks_under_a_written_call_proves_nothing() -> None:
+def test_a_connection_that_breaks_under_a_written_call_does_not_prove_that_it_was_not_executed() -> None:
     async def test() -> None:
         def cut(runner: ScriptedWorker, message: dict[str, Any]) -> None:
             runner.writers[-1].transport.abort()
@@ -128,7 +128,7 @@
     run(test())
 
 
-def test_a_refused_connection_proves_that_nothing_ran() -> None:
+def test_a_refused_connection_proves_that_nothing_was_executed() -> None:
     async def test() -> None:
         dead, live = ScriptedWorker(), ScriptedWorker()
         async with service(dead, live) as running, client(running) as caller:
@@ -140,7 +140,7 @@
     run(test())
 
 
-def test_the_answer_leaves_before_the_limit_and_the_attempt_is_cancelled() -> None:
+def test_the_response_is_sent_before_the_limit_and_the_attempt_cancelled() -> None:
     async def test() -> None:
         mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
@@ -153,7 +153,7 @@
     run(test())
 
 
-def test_an_interrupt_ends_a_call_without_an_answer() -> None:
+def test_an_interrupt_ends_a_call_without_a_response() -> None:
     async def test() -> None:
         mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
@@ -168,7 +168,7 @@
     run(test())
 
 
-def test_news_of_a_drain_takes_back_what_has_not_left() -> None:
+def test_a_drain_update_withdraws_what_is_unwritten() -> None:
     """A call that waits for a slow runner's socket must not leave long after the drain was told."""
 
     async def test() -> None:
@@ -190,7 +190,7 @@
     run(test())
 
 
-def test_end_answers_all_that_was_taken() -> None:
+def test_shutdown_answers_every_accepted_call() -> None:
     async def test() -> None:
         mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
@@ -207,7 +207,7 @@
     run(test())
 
 
-def test_late_news_of_a_start_spares_the_connections_begun_since() -> None:
+def test_a_late_restart_update_spares_the_connections_made_since() -> None:
     """The news that a runner has started anew comes seconds late; calls already run on the new process."""
 
     async def test() -> None:
@@ -230,7 +230,7 @@
     run(test())
 
 
-def test_answers_that_nobody_reads_are_bounded() -> None:
+def test_responses_that_nobody_reads_are_bounded() -> None:
     """Clients that ask and do not read their answers must not take the memory."""
 
     async def test() -> None:
@@ -256,7 +256,7 @@
     run(test())
 
 
-def test_at_the_limit_an_idle_connection_makes_room() -> None:
+def test_at_the_limit_an_idle_connection_is_evicted() -> None:
     """Clients that asked once and stayed must not keep new ones out."""
 
     async def test() -> None:
@@ -274,7 +274,7 @@
     run(test())
 
 
-def test_a_bad_message_ends_each_open_call_and_no_answer_is_lost() -> None:
+def test_an_invalid_message_fails_each_open_call_and_no_response_is_lost() -> None:
     async def test() -> None:
         mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
@@ -288,7 +288,7 @@
     run(test())
 
 
-def test_who_says_nothing_proper_is_closed_and_who_asked_once_is_kept() -> None:
+def test_a_client_without_a_valid_message_is_closed_and_one_with_a_request_stays() -> None:
     async def test() -> None:
         async with (
             service(ScriptedWorker()) as running,
@@ -307,7 +307,7 @@
     run(test())
 
 
-def test_one_connection_carries_so_many_open_calls_and_a_flood_waits_its_turn() -> None:
+def test_open_calls_of_one_connection_are_bounded_and_a_flood_waits_for_its_pass() -> None:
     async def test() -> None:
         mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
@@ -336,7 +336,7 @@
         {"item": ""},
     ],
 )
-def test_figures_out_of_range_get_an_error(fields: dict[str, str]) -> None:
+def test_numbers_out_of_range_get_an_error(fields: dict[str, str]) -> None:
     async def test() -> None:
         async with service(ScriptedWorker()) as running, client(running) as caller:
             assert (await caller.call(1, "check", b"x", **fields))[2][0] == "BadRequest"
@@ -354,7 +354,7 @@
         b"\x94\x00\xc3\xa5check\x91\x80",  # true is no number
     ],
 )
-def test_what_can_never_be_a_message_is_closed_unread(data: bytes) -> None:
+def test_input_that_can_never_be_a_message_closes_its_connection_unread(data: bytes) -> None:
     async def test() -> None:
         async with service(ScriptedWorker()) as running, client(running) as caller:
             caller.writer.write(data)
@@ -364,7 +364,7 @@
     run(test())
 
 
-def test_a_long_answer_comes_back_whole() -> None:
+def test_a_long_response_comes_back_complete() -> None:
     """DAYS.md: one answer in sixteen is long, up to 230,000 bytes; its base64 line is longer still."""
 
     def long(runner: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any]:
@@ -385,7 +385,7 @@
     run(test())
 
 
-def test_told_to_end_each_connection_closes_once_it_carries_nothing() -> None:
+def test_while_draining_each_connection_closes_once_it_is_idle() -> None:
     """After the grace, clients move to a successor: no new connection, and open ones close when idle."""
 
     async def test() -> None:
--- a/tests/integration/test_worker_connections.py
+++ b/tests/integration/test_worker_connections.py
@@ -106,7 +106,7 @@
         (10, (2, 2), ("reset", "connect_failed")),  # the first may have left since: no proof for it
     ],
 )
-def test_what_broke_half_written_has_never_run(
+def test_a_partly_written_attempt_is_not_executed(
     takes: int, progress: tuple[int, int], outcomes: tuple[str, str]
 ) -> None:
     async def test() -> None:
@@ -125,7 +125,7 @@
     asyncio.run(test())
 
 
-def test_what_left_in_the_end_may_have_run() -> None:
+def test_an_attempt_written_at_last_may_have_executed() -> None:
     async def test() -> None:
         bench = Bench(10)
         attempt = bench.send("a" * 16)
@@ -150,7 +150,7 @@
     asyncio.run(test())
 
 
-def test_a_given_up_attempt_is_cancelled_and_its_late_answer_is_nobodys() -> None:
+def test_an_abandoned_attempt_is_cancelled_and_its_late_response_ignored() -> None:
     """Answers are matched by attempt: the same call may be sent there again, on another connection alone."""
 
     async def test() -> None:
@@ -174,7 +174,7 @@
     asyncio.run(test())
 
 
-def test_a_runner_that_reads_nothing_is_left_by_closing() -> None:
+def test_a_worker_that_reads_nothing_is_cancelled_by_closing() -> None:
     async def test() -> None:
         bench = Bench(10)
         attempt = bench.send("a" * 16)
@@ -188,7 +188,7 @@
     asyncio.run(test())
 
 
-def test_a_line_that_is_no_answer_ends_its_connection() -> None:
+def test_a_line_that_is_no_response_ends_its_connection() -> None:
     async def test() -> None:
         for line in (b"no json\n", b"[1]\n", b"\xff\n"):
             bench = Bench(10_000)
@@ -203,7 +203,7 @@
     asyncio.run(test())
 
 
-def test_only_asked_for_and_newer_lists_count() -> None:
+def test_only_replies_to_queries_with_a_newer_serial_are_applied() -> None:
     """Replies get lost, overtake each other and come twice; one that is absent from a whole list is gone."""
 
     async def test() -> None:
@@ -229,7 +229,7 @@
     asyncio.run(test())
 
 
-def test_orders_are_sent_and_answered_under_their_tag() -> None:
+def test_preloads_are_sent_and_answered_under_their_message_id() -> None:
     async def test() -> None:
         bench = Bench(10_000)
         bench.runners.preload(1, 7, 2)
@@ -268,7 +268,7 @@
         b'{"op":"HIT","body":""}\n',
     ],
 )
-def test_a_spoilt_answer_fails_its_connection_and_each_attempt_by_how_far_it_came(line: bytes) -> None:
+def test_a_malformed_response_fails_its_connection_and_each_attempt_by_its_progress(line: bytes) -> None:
     async def test() -> None:
         bench = Bench(10_000)
         bench.send("a" * 16)
@@ -282,7 +282,7 @@
     asyncio.run(test())
 
 
-def test_second_copies_and_unknown_ids_are_passed_over() -> None:
+def test_duplicate_responses_and_unknown_ids_are_ignored() -> None:
     async def test() -> None:
         bench = Bench(10_000)
         bench.send("a" * 16)
@@ -296,7 +296,7 @@
     asyncio.run(test())
 
 
-def test_an_endless_answer_is_cut_off() -> None:
+def test_an_endless_response_is_aborted() -> None:
     async def test() -> None:
         bench = Bench(10_000)
         bench.send("a" * 16)
@@ -309,7 +309,7 @@
     asyncio.run(test())
 
 
-def test_the_resolver_moves_and_its_numbers_go_on() -> None:
+def test_discovery_changes_its_address_and_serials_go_on() -> None:
     async def test() -> None:
         loop = asyncio.get_running_loop()
         told: list[int] = []
@@ -344,7 +344,7 @@
     asyncio.run(test())
 
 
-def test_what_waits_for_a_slow_runner_past_its_time_does_not_leave() -> None:
+def test_what_is_queued_for_a_slow_worker_past_its_write_deadline_is_withdrawn() -> None:
     """An order to load after half a second, and a keyed call's repeat after its window."""
 
     async def test() -> None:
@@ -367,7 +367,7 @@
     asyncio.run(test())
 
 
-def test_after_news_of_a_drain_what_a_slow_runner_has_not_taken_goes_with_its_connection() -> None:
+def test_after_a_drain_update_what_a_slow_worker_has_not_read_ends_with_its_connection() -> None:
     async def test() -> None:
         bench = Bench(10)
         bench.send("a" * 16)
--- a/tests/unit/test_parsers.py
+++ b/tests/unit/test_parsers.py
@@ -87,7 +87,7 @@
 
 @fixed
 @given(st.lists(st.integers(1, 30_000), max_size=60))
-def test_messages_come_whole_however_they_are_cut(cuts: list[int]) -> None:
+def test_messages_are_complete_however_the_stream_is_split(cuts: list[int]) -> None:
     assert feed(b"".join(CALLS), cuts, False).got == [bytes(range(256)) * n for n in range(1, 40)]
     lines = [json.dumps({"n": "x" * n}).encode() for n in range(0, 9000, 300)]
     assert feed(b"\n".join(lines) + b"\n", cuts, True).got == lines
@@ -95,7 +95,7 @@
 
 @fixed
 @given(st.binary(max_size=300), st.integers(0, 200))
-def test_msgpack_ends_garbage_in_a_value(garbage: bytes, at: int) -> None:
+def test_msgpack_parses_garbage_to_a_value(garbage: bytes, at: int) -> None:
     whole = CALLS[0][:at] + garbage
     parsed = msgpack.parse(memoryview(whole))
     assert not isinstance(parsed, msgpack.ParsedValue) or parsed.end <= len(whole)
@@ -103,11 +103,11 @@
 
 @fixed
 @given(st.integers(0, len(CALLS[3]) - 1))
-def test_a_cut_message_is_short_and_never_bad(at: int) -> None:
+def test_a_truncated_message_is_incomplete_and_never_malformed(at: int) -> None:
     assert isinstance(msgpack.parse(memoryview(CALLS[3])[:at]), msgpack.Incomplete)
 
 
-def test_what_is_too_deep_or_too_long_is_bad() -> None:
+def test_what_is_too_deep_or_too_long_is_malformed() -> None:
     assert isinstance(msgpack.parse(memoryview(b"\x91" * 50)), msgpack.Malformed)
     assert isinstance(msgpack.parse(memoryview(b"\xdd\xff\xff\xff\xff")), msgpack.Malformed)
     assert feed(b"\xc6\x00\xff\xff\xff" + b"x" * 70_000, [], False).bad
@@ -121,7 +121,7 @@
     assert isinstance(parsed, msgpack.ParsedValue) and parsed.value == [number, raw, text]
 
 
-def test_a_reply_of_the_resolver_is_read() -> None:
+def test_a_discovery_reply_is_parsed() -> None:
     parsed = dns.parse(reply())
     assert isinstance(parsed, dns.Reply) and (parsed.query_id, parsed.serial) == (7, 9)
     told = endpoints_from_reply(parsed)
@@ -134,7 +134,7 @@
     )
 
 
-def test_a_truncated_reply_and_a_refusal_tell_nothing() -> None:
+def test_a_truncated_reply_and_an_error_are_unusable() -> None:
     """Else what they lack would pass for gone."""
     assert isinstance(dns.parse(reply(0x8600)), dns.UnusableReply)
     assert isinstance(dns.parse(reply(0x8403)), dns.UnusableReply)
@@ -147,33 +147,33 @@
 
 @fixed
 @given(st.integers(0, len(reply())), st.binary(max_size=120))
-def test_dns_ends_garbage_in_a_value(at: int, garbage: bytes) -> None:
+def test_dns_parses_garbage_to_a_value(at: int, garbage: bytes) -> None:
     parsed = dns.parse(reply()[:at] + garbage)
     assert isinstance(parsed, dns.UnusableReply) or endpoints_from_reply(parsed) is not None
 
 
 @fixed
 @given(st.integers(0, len(POST) - 4))
-def test_a_cut_http_head_is_short(at: int) -> None:
+def test_a_truncated_http_head_is_incomplete(at: int) -> None:
     parsed = http.parse_head(memoryview(POST)[:at], 16)
     assert isinstance(parsed, http.IncompleteHead if at < POST.find(b"abc") else http.RequestHead)
 
 
 @fixed
 @given(st.binary(max_size=200), st.integers(0, len(POST)))
-def test_http_ends_garbage_in_a_value(garbage: bytes, at: int) -> None:
+def test_http_parses_garbage_to_a_value(garbage: bytes, at: int) -> None:
     parsed = http.parse_head(memoryview(POST[:at] + garbage + b"\r\n\r\n"), 16)
     assert not isinstance(parsed, http.RequestHead) or parsed.head_bytes <= at + len(garbage) + 4
 
 
 @fixed
 @given(st.dictionaries(st.sampled_from(["op", "fields", "body", "id"]), st.from_type(type) | st.text()))
-def test_any_object_of_a_runner_ends_an_attempt(message: dict[str, Any]) -> None:
+def test_any_object_from_a_worker_ends_an_attempt(message: dict[str, Any]) -> None:
     ending = parse_call_response(message, ("inflight",))
     assert ending is None or ending.outcome is not None
 
 
-def test_a_served_answer_needs_a_body_that_can_be_read() -> None:
+def test_a_successful_response_needs_a_valid_body() -> None:
     """What can't be decoded must never reach the client as served."""
     for spoilt in ({"op": "HIT", "body": "%%%"}, {"op": "HIT", "body": 7}, {"op": "HIT"}, {"op": "OK"}, {}):
         assert parse_call_response(spoilt, ()) is None
@@ -184,7 +184,7 @@
     assert (good.body, good.reported_concurrency, good.load_report) == (b"A", 3, (2.0,))
 
 
-def test_the_read_buffer_reuses_its_room() -> None:
+def test_the_read_buffer_reuses_its_space() -> None:
     buffer = ReadBuffer(32 * 1024)
     for _ in range(20):
         room = len(buffer.writable_space())
--- a/tests/unit/test_simulator_codec.py
+++ b/tests/unit/test_simulator_codec.py
@@ -95,7 +95,7 @@
     assert encode_reply([]) == bytes.fromhex("04000000")
 
 
-def test_arrival_layout() -> None:
+def test_request_arrived_layout() -> None:
     event = one(arrival(9))
     assert event == RequestArrived(9, 77, 0, 2250.0, None, 2.0, 384.0, 900.0, 12.0, False, False)
     assert len(arrival(9)) == 47
@@ -109,7 +109,7 @@
     assert event.is_client_retry and not event.is_write and event.tenant_index is None
 
 
-def test_outcome_layout_with_note_crowd_and_report() -> None:
+def test_attempt_ended_layout_with_start_kind_concurrency_and_load_report() -> None:
     raw = struct.pack("<BIIdIHHBB", 5, 9, 4, 26.0, 8 * 6 + 3, 1, 200, 1, 2) + struct.pack("<2f", 0.5, -1.0)
     event = one(raw)
     assert event == AttemptEnded(9, 1, 4, Outcome.OK, 26.0, True, StartKind.PENDING, 6, (0.5, None))
@@ -176,7 +176,7 @@
     )
 
 
-def test_host_serves_a_request_and_restarts_from_nothing() -> None:
+def test_host_serves_a_request_and_restarts_without_state() -> None:
     host = SimulatorHost()
     reply = host.handle_frame(frame(at(3), start(), table(0, 4), update(0), arrival(9)))
     assert struct.pack("<BI", 72, 3) in reply and struct.pack("<BII", 71, 9, 4) in reply
@@ -197,13 +197,15 @@
         frame() + b"\x40",
     ],
 )
-def test_bad_input_is_one_line_and_a_failing_exit(raw: bytes, capsys: pytest.CaptureFixture[str]) -> None:
+def test_malformed_input_is_one_log_line_and_a_failing_exit(
+    raw: bytes, capsys: pytest.CaptureFixture[str]
+) -> None:
     assert main(io.BytesIO(raw), io.BytesIO()) != 0
     err = capsys.readouterr().err
     assert err.startswith("cedarthread: bad input: ") and err.count("\n") == 1
 
 
-def test_an_exception_in_the_module_is_reported() -> None:
+def test_an_exception_of_the_decision_code_is_reported() -> None:
     host = SimulatorHost()
     bad = struct.pack("<BIfdQHffdHH", 3, 9, 2.0, 2250.0, 77, 12, 1.0, 1.0, 1.0, 0, 0)
     reply = host.handle_frame(frame(at(3), start(), table(0, 4), update(0), bad))
