--- a/tests/integration/test_client_gone.py
+++ b/tests/integration/test_client_gone.py
@@ -263,10 +263,10 @@
         rng, gone, late = random.Random(seed), set[str](), list[str]()
         tried = Dispatcher.count_attempt_written
 
-        def wrote(planner: Dispatcher, attempt: Attempt) -> None:
+        def wrote(dispatcher: Dispatcher, attempt: Attempt) -> None:
             if attempt.call.call_id in gone:
                 late.append(attempt.call.call_id)
-            tried(planner, attempt)
+            tried(dispatcher, attempt)
 
         monkeypatch.setattr(Dispatcher, "count_attempt_written", wrote)
 
--- a/tests/integration/test_endings.py
+++ b/tests/integration/test_endings.py
@@ -1,7 +1,8 @@
 """What ends a call, a connection or the process, crossed with what may come at that instant, in both orders.
 
 The stand-ins hold or release the byte, the reply or the connection; nothing here sleeps and hopes. Each test
-ends by ``settled``: whatever was owed has been paid. The paths and debts stand in docs/design/endings.md.
+ends by ``wait_until_settled``: every obligation has been met. Paths and obligations stand in
+docs/design/endings.md.
 """
 
 from __future__ import annotations
@@ -70,24 +71,24 @@
         pytest.fail(f"never: {what}")
 
 
-def debts(running: Service) -> dict[str, Any]:
-    """What is still owed, by name; nothing where all is paid."""
-    planner, runners, front = running.dispatcher, running.workers, running.platform
-    router, counts = planner.router, planner.result_counts
-    mine = [c for pool in runners.pools.values() for c in pool.connections]
-    theirs = [*front.connections, *front.unproven_connections]
+def unmet_obligations(running: Service) -> dict[str, Any]:
+    """The obligations that are not met yet, by name; empty once all are met."""
+    dispatcher, runners, front = running.dispatcher, running.workers, running.platform
+    router, counts = dispatcher.router, dispatcher.result_counts
+    worker_connections = [c for pool in runners.pools.values() for c in pool.connections]
+    client_connections = [*front.connections, *front.unproven_connections]
     ends = counts["served"] + counts["refused"] + counts["failed"]
     figures = [
-        sum(f[n] for n in ("passed", "dropped", "bad_gateway")) for f in planner.class_figures.values()
+        sum(f[n] for n in ("passed", "dropped", "bad_gateway")) for f in dispatcher.class_figures.values()
     ]
     timers = [h for h in asyncio.get_running_loop()._scheduled if not h.cancelled()]  # type: ignore[attr-defined]
     names = [getattr(h._callback, "__qualname__", "") for h in timers]
-    owed = {
-        "calls": planner.pending_calls,
-        "over": planner.calls.completing,
-        "names": planner.calls.pending_ids,
-        "bytes": planner.calls.pending_body_bytes,
-        "inbox": planner._event_queue,
+    obligations = {
+        "calls": dispatcher.pending_calls,
+        "over": dispatcher.calls.completing,
+        "names": dispatcher.calls.pending_ids,
+        "bytes": dispatcher.calls.pending_body_bytes,
+        "inbox": dispatcher._event_queue,
         "open": router.pending_requests,
         "held": router.queued_requests,
         "late": router.orphaned_attempts,
@@ -99,29 +100,29 @@
         "loads": router.state.functions.preloads_in_flight
         or [f for f in router.functions.values() if f.preloading_workers],
         "carrying": runners._connection_by_attempt,
-        "streams": [name for c in mine for name in c.in_flight],
-        "lines": [line for c in mine for line in (*c.lines.queued, *c.lines.buffered)],
-        "requests": [number for c in theirs for number in c.calls.open],
+        "streams": [name for c in worker_connections for name in c.in_flight],
+        "lines": [line for c in worker_connections for line in (*c.lines.queued, *c.lines.buffered)],
+        "requests": [number for c in client_connections for number in c.calls.open],
         "queued": front.queued_bytes,
         "figures of all": counts["taken"] - ends - counts["left"],
         "figures of classes": ends - sum(figures),
         "timers": [n for n in names if n.startswith(TIMER_OWNERS)],
     }
-    return {name: debt for name, debt in owed.items() if debt}
+    return {name: value for name, value in obligations.items() if value}
 
 
-async def settled(running: Service) -> None:
-    """All debts are paid, now or as soon as what was given up has been told."""
+async def wait_until_settled(running: Service) -> None:
+    """Every obligation is met, now or as soon as cancelled attempts have been reported."""
     try:
         async with asyncio.timeout(2):
-            while debts(running):
+            while unmet_obligations(running):
                 await asyncio.sleep(0.001)
     except TimeoutError:
-        assert debts(running) == {}
+        assert unmet_obligations(running) == {}
 
 
-class Held:
-    """Connections to runners that come up when the test says so, and not before."""
+class DelayedConnects:
+    """Connections to workers that come up when the test says so, and not before."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.loop, self.ports = asyncio.get_running_loop(), set[int]()
@@ -136,29 +137,33 @@
         return await self._dial(make, host, port, **more)
 
 
-def pooled(running: Service) -> list[WorkerConnection]:
+def all_worker_connections(running: Service) -> list[WorkerConnection]:
     return [c for pool in running.workers.pools.values() for c in pool.connections]
 
 
-def tell(running: Service, runners: list[ScriptedWorker], *states: EndpointState, **changes: Any) -> None:
-    """News of the runners; one that is gone is not listed."""
-    told = [endpoint_record(r, n, s) for n, (r, s) in enumerate(zip(runners, states, strict=True), 1)]
-    told = [dataclasses.replace(e, **changes) for e in told if e.state is not EndpointState.REMOVED]
-    running.update_endpoints(running.endpoint_list.version + 1, told, is_complete=True)
+def list_workers(
+    running: Service, runners: list[ScriptedWorker], *states: EndpointState, **changes: Any
+) -> None:
+    """An update of the endpoint list; a removed worker is not listed."""
+    records = [endpoint_record(r, n, s) for n, (r, s) in enumerate(zip(runners, states, strict=True), 1)]
+    records = [dataclasses.replace(e, **changes) for e in records if e.state is not EndpointState.REMOVED]
+    running.update_endpoints(running.endpoint_list.version + 1, records, is_complete=True)
 
 
-def told(message: Any) -> str:
+def result_name(message: Any) -> str:
     """Served, refused or failed."""
     return {None: "served", "Backoff": "refused", "Lost": "failed"}[message[2] and message[2][0]]
 
 
 @asynccontextmanager
-async def routed(*runners: ScriptedWorker, **changes: Any) -> AsyncIterator[tuple[Service, ScriptedClient]]:
-    """A router and one client; at the end all debts must be paid."""
+async def running_router(
+    *runners: ScriptedWorker, **changes: Any
+) -> AsyncIterator[tuple[Service, ScriptedClient]]:
+    """A router and one client; at the end every obligation must be met."""
     async with AsyncExitStack() as stack:
         running = await stack.enter_async_context(service(*runners, **changes))
         yield running, await stack.enter_async_context(client(running))
-        await settled(running)
+        await wait_until_settled(running)
 
 
 async def fence(caller: ScriptedClient, number: int) -> None:
@@ -179,17 +184,19 @@
 
     async def test() -> None:
         runner = ScriptedWorker(mute)
-        async with routed(runner) as (running, caller):
+        async with running_router(runner) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x"))
             await runner.wait_until(lambda: len(runner.calls) == 1)
             if first == "news":
-                tell(running, [runner], DRAINING)
+                list_workers(running, [runner], DRAINING)
             runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
             assert await caller.read() == [1, 1, None, [b"X", {}]]
             if first == "answer":
-                tell(running, [runner], DRAINING)
+                list_workers(running, [runner], DRAINING)
             running.workers.sweep(running.discovery._loop.time())
-            await until(lambda: not pooled(running), "the connection to the draining runner is closed")
+            await until(
+                lambda: not all_worker_connections(running), "the connection to the draining runner is closed"
+            )
 
     asyncio.run(test())
 
@@ -200,8 +207,8 @@
 
     async def test() -> None:
         runners = [ScriptedWorker(), ScriptedWorker()]
-        held = Held(monkeypatch)
-        async with routed(*runners) as (running, caller):
+        held = DelayedConnects(monkeypatch)
+        async with running_router(*runners) as (running, caller):
             held.ports |= {runner.port for runner in runners}
             caller.writer.write(pack_call(1, "confirm", b"x"))
             await until(lambda: held.waiting, "a dial")
@@ -209,7 +216,7 @@
             held.ports.clear()
             states = [DRAINING if n == at else READY for n in (1, 2)]
             if first == "news":
-                tell(running, runners, *states)
+                list_workers(running, runners, *states)
                 assert not pool.connections, "a dial that nothing waits for is given up"
                 assert await caller.read() == [1, 1, None, [b"X", {}]]
                 held.waiting[0].set()
@@ -218,7 +225,7 @@
             else:
                 held.waiting[0].set()
                 await runners[at - 1].wait_until(lambda: runners[at - 1].calls != [])
-                tell(running, runners, *states)
+                list_workers(running, runners, *states)
                 assert await caller.read() == [1, 1, None, [b"X", {}]]
             ran = runners[at - 1].calls
             assert len(ran) == (first == "connection")
@@ -233,7 +240,7 @@
 
     async def test() -> None:
         runners = [ScriptedWorker(mute), ScriptedWorker(mute)]
-        async with routed(*runners) as (running, caller):
+        async with running_router(*runners) as (running, caller):
             caller.writer.write(pack_call(1, klass, b"x"))
             await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
             at = 0 if runners[0].calls else 1
@@ -241,12 +248,12 @@
             runners[1 - at].behavior = serve_uppercase
             if first == "answer":
                 runners[at].answer(runners[at].calls[0], serve_uppercase(runners[at], runners[at].calls[0]))
-                assert told(await caller.read()) == "served"
-                tell(running, runners, *states)
+                assert result_name(await caller.read()) == "served"
+                list_workers(running, runners, *states)
             else:
-                tell(running, runners, *states)
+                list_workers(running, runners, *states)
                 runners[at].answer(runners[at].calls[0], serve_uppercase(runners[at], runners[at].calls[0]))
-                assert told(await caller.read()) == ("served" if klass == "check" else "failed")
+                assert result_name(await caller.read()) == ("served" if klass == "check" else "failed")
             await fence(caller, 9)
             assert len(runners[1 - at].calls) == (first == "news" and klass == "check")
             assert running.dispatcher.result_counts["taken"] == 1
@@ -259,12 +266,12 @@
 
     async def test() -> None:
         runner = ScriptedWorker(mute)
-        async with routed(runner) as (running, caller):
+        async with running_router(runner) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x"))
             await runner.wait_until(lambda: len(runner.calls) == 1)
-            tell(running, [runner], GONE)
-            assert told(await caller.read()) == "failed"
-            await settled(running)
+            list_workers(running, [runner], GONE)
+            assert result_name(await caller.read()) == "failed"
+            await wait_until_settled(running)
             figures = running.status.lines()
             assert "router.known_runners=0" in figures and "router.skipped_runners=0" in figures
 
@@ -276,14 +283,14 @@
 
     async def test() -> None:
         runners = [ScriptedWorker(), ScriptedWorker()]
-        async with routed(*runners) as (running, caller):
-            assert told(await caller.call(1, "check", b"x")) == "served"
+        async with running_router(*runners) as (running, caller):
+            assert result_name(await caller.call(1, "check", b"x")) == "served"
             [(at, pool)] = [(n, p) for n, p in running.workers.pools.items() if p.connections]
             pool.connections[0].is_write_paused = True  # as after a write that the peer's window did not take
             caller.writer.write(pack_call(2, "confirm", b"x"))
             await until(lambda: pool.connections[0].lines.queued, "the call waits for the slow runner")
             states = [DRAINING if n == at else READY for n in (1, 2)]
-            tell(running, runners, *states, started_at_ms=pool.connections[0].created_at_ms - 1.0)
+            list_workers(running, runners, *states, started_at_ms=pool.connections[0].created_at_ms - 1.0)
             assert await caller.read() == [1, 2, None, [b"X", {}]]
             assert [c["id"] for c in runners[2 - at].calls] == [f"{2:016x}"]
 
@@ -298,16 +305,16 @@
     async def test() -> None:
         old, new = ScriptedWorker(mute), ScriptedWorker()
         await new.start()
-        async with routed(old) as (running, caller):
+        async with running_router(old) as (running, caller):
             caller.writer.write(pack_call(1, klass, b"x"))
             await old.wait_until(lambda: len(old.calls) == 1)
             if first == "answer":
                 old.answer(old.calls[0], serve_uppercase(old, old.calls[0]))
-                assert told(await caller.read()) == "served"
-            tell(running, [new], READY)
+                assert result_name(await caller.read()) == "served"
+            list_workers(running, [new], READY)
             if first == "news":
-                assert told(await caller.read()) == ("served" if klass == "check" else "failed")
-            assert told(await caller.call(2, klass, b"x")) == "served"
+                assert result_name(await caller.read()) == ("served" if klass == "check" else "failed")
+            assert result_name(await caller.call(2, klass, b"x")) == "served"
             assert [c["id"] for c in old.calls] == [f"{1:016x}"]
         new.stop()
 
@@ -318,19 +325,19 @@
 def test_a_queued_call_ends_or_is_sent_once_a_worker_appears(first: str) -> None:
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, caller):
-            tell(running, [runner], DRAINING)
+        async with running_router(runner) as (running, caller):
+            list_workers(running, [runner], DRAINING)
             caller.writer.write(pack_call(1, "confirm", b"x", limit="500" if first == "time" else LONG))
             await until(lambda: running.dispatcher.router.queued_requests, "no runner is ready: it is held")
             if first == "interrupt":
                 caller.writer.write(INTERRUPT + b"\x01")
                 await fence(caller, 9)
             elif first == "time":
-                assert told(await caller.read()) == "refused"
-            tell(running, [runner], READY)
+                assert result_name(await caller.read()) == "refused"
+            list_workers(running, [runner], READY)
             if first == "news":
                 assert await caller.read() == [1, 1, None, [b"X", {}]]
-            assert told(await caller.call(2, "confirm", b"x")) == "served"
+            assert result_name(await caller.call(2, "confirm", b"x")) == "served"
             assert len(runner.calls) == (2 if first == "news" else 1)
 
     asyncio.run(test())
@@ -355,14 +362,16 @@
 
     async def test() -> None:
         runners = [ScriptedWorker(end), ScriptedWorker(end)]
-        async with routed(*runners, limits=SETTINGS["limits"] | {"send-cap": 2}) as (running, caller):
+        async with running_router(*runners, limits=SETTINGS["limits"] | {"send-cap": 2}) as (running, caller):
             answer = await caller.call(1, klass, b"x")
             unsafe = klass == "confirm"
-            assert told(answer) == ("served" if place == "after" else "failed" if unsafe else "refused")
+            assert result_name(answer) == (
+                "served" if place == "after" else "failed" if unsafe else "refused"
+            )
             ran = len(runners[0].calls + runners[1].calls)
             assert ran == (1 if place == "after" or unsafe else 2)
             assert running.dispatcher.class_figures[klass]["upstream_tries"] == ran
-            await until(lambda: not pooled(running), "all connections have ended")
+            await until(lambda: not all_worker_connections(running), "all connections have ended")
 
     asyncio.run(test())
     cut = [r.getMessage() for r in caplog.records if "middle of an answer" in r.getMessage()]
@@ -373,8 +382,8 @@
 async def narrow(running: Service, runner: ScriptedWorker, caller: ScriptedClient) -> WorkerConnection:
     """A connection whose sockets take less than one long call while the runner does not read, as now."""
     runner.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)  # accepted ones inherit it
-    assert told(await caller.call(1, "check", b"x")) == "served"
-    [connection] = pooled(running)
+    assert result_name(await caller.call(1, "check", b"x")) == "served"
+    [connection] = all_worker_connections(running)
     assert connection.transport is not None
     connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     runner.writers[0].transport.pause_reading()  # type: ignore[attr-defined]
@@ -386,7 +395,7 @@
 
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, caller):
+        async with running_router(runner) as (running, caller):
             connection = await narrow(running, runner, caller)
             last = 9
             for number in range(2, last + 1):
@@ -394,7 +403,7 @@
             await until(lambda: len(running.dispatcher.pending_calls) == last - 1, "all are taken")
             await until(lambda: connection.is_write_paused, "the runner's window is full")
             runner.writers[0].write_eof()
-            ends = {(a := await caller.read())[1]: told(a) for _ in range(2, last + 1)}
+            ends = {(a := await caller.read())[1]: result_name(a) for _ in range(2, last + 1)}
             assert set(ends) == set(range(2, last + 1))
             assert ends[last] == "served"  # it had never run, and leaves on a new connection
 
@@ -407,7 +416,7 @@
 
     async def test() -> None:
         runners = [ScriptedWorker(mute), ScriptedWorker(mute)]
-        async with routed(*runners) as (running, caller):
+        async with running_router(*runners) as (running, caller):
             for number in (1, 2):
                 caller.writer.write(pack_call(number, "confirm", b"x", item=f"{number:016x}", limit=LONG))
             await until(lambda: len(runners[0].calls + runners[1].calls) == 2, "both are out")
@@ -436,8 +445,11 @@
 def test_a_connection_comes_up_late_and_the_call_is_written_to_it(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         runner = ScriptedWorker()
-        held = Held(monkeypatch)
-        async with routed(runner, limits=SETTINGS["limits"] | {"connect-timeout": 5000}) as (_, caller):
+        held = DelayedConnects(monkeypatch)
+        async with running_router(runner, limits=SETTINGS["limits"] | {"connect-timeout": 5000}) as (
+            _,
+            caller,
+        ):
             held.ports.add(runner.port)
             caller.writer.write(pack_call(1, "confirm", b"x"))
             await until(lambda: held.waiting, "a dial")
@@ -453,14 +465,14 @@
 
     async def test() -> None:
         runner = ScriptedWorker()
-        held = Held(monkeypatch)
+        held = DelayedConnects(monkeypatch)
         limits = SETTINGS["limits"] | {"connect-timeout": 5000}
-        async with routed(runner, limits=limits) as (running, caller), client(running) as leaver:
+        async with running_router(runner, limits=limits) as (running, caller), client(running) as leaver:
             held.ports.add(runner.port)
             leaver.writer.write(pack_call(1, "confirm", b"x", limit="400" if how == "time" else LONG))
             await until(lambda: held.waiting, "a dial")
             if how == "time":
-                assert told(await leaver.read()) == "refused"  # it has never run
+                assert result_name(await leaver.read()) == "refused"  # it has never run
             elif how == "interrupt":
                 leaver.writer.write(INTERRUPT + b"\x01")
             else:
@@ -480,9 +492,9 @@
 
     async def test() -> None:
         runners = [ScriptedWorker(), ScriptedWorker()]
-        held = Held(monkeypatch)
+        held = DelayedConnects(monkeypatch)
         limits = SETTINGS["limits"] | {"connect-timeout": 50}
-        async with routed(*runners, limits=limits) as (running, caller):
+        async with running_router(*runners, limits=limits) as (running, caller):
             held.ports |= {runner.port for runner in runners}
             caller.writer.write(pack_call(1, "confirm", b"x"))
             await until(lambda: held.waiting, "a dial")
@@ -499,7 +511,7 @@
 ) -> None:
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, caller):
+        async with running_router(runner) as (running, caller):
             loop = asyncio.get_running_loop()
             dial: Dial = loop.create_connection
 
@@ -507,9 +519,9 @@
                 raise OSError(errno.EMFILE, "too many open files")
 
             monkeypatch.setattr(loop, "create_connection", fail)
-            assert told(await caller.call(1, "confirm", b"x", limit="400")) == "refused"
+            assert result_name(await caller.call(1, "confirm", b"x", limit="400")) == "refused"
             most, running.workers.max_connections = running.workers.max_connections, 0
-            assert told(await caller.call(2, "confirm", b"x", limit="400")) == "refused"
+            assert result_name(await caller.call(2, "confirm", b"x", limit="400")) == "refused"
             running.workers.max_connections = most
             monkeypatch.setattr(loop, "create_connection", dial)
             assert running.dispatcher.router.workers[1].unreachable_at_ms < 0.0, (
@@ -527,8 +539,8 @@
 def test_our_idle_close_and_a_call(first: str) -> None:
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, caller):
-            assert told(await caller.call(1, "confirm", b"x")) == "served"
+        async with running_router(runner) as (running, caller):
+            assert result_name(await caller.call(1, "confirm", b"x")) == "served"
             late = asyncio.get_running_loop().time() + 30.0 * IDLE_CLOSE_FRACTION + 0.01
             if first == "sweep":
                 running.workers.sweep(late)
@@ -548,10 +560,10 @@
 def test_a_workers_idle_close_that_was_read_and_a_call() -> None:
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, caller):
-            assert told(await caller.call(1, "confirm", b"x")) == "served"
+        async with running_router(runner) as (running, caller):
+            assert result_name(await caller.call(1, "confirm", b"x")) == "served"
             runner.writers[0].close()
-            await until(lambda: not pooled(running), "the close is read")
+            await until(lambda: not all_worker_connections(running), "the close is read")
             assert await caller.call(2, "confirm", b"x") == [1, 2, None, [b"X", {}]]
 
     asyncio.run(test())
@@ -562,9 +574,9 @@
 
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, caller):
-            assert told(await caller.call(1, "confirm", b"x")) == "served"
-            [old] = pooled(running)
+        async with running_router(runner) as (running, caller):
+            assert result_name(await caller.call(1, "confirm", b"x")) == "served"
+            [old] = all_worker_connections(running)
             old.last_used_at -= 30.0 * IDLE_CLOSE_FRACTION + 0.01  # as after that time without a turn
             assert await caller.call(2, "confirm", b"x") == [1, 2, None, [b"X", {}]]
             assert len(runner.writers) == 2
@@ -584,7 +596,7 @@
     async def test() -> None:
         runner = ScriptedWorker(mute)
         specifics = SETTINGS["specifics"] | {"order-limit": 40 if first == "time" else 10_000}
-        async with routed(runner, specifics=specifics) as (running, caller):
+        async with running_router(runner, specifics=specifics) as (running, caller):
             ends: list[PreloadEnded] = []
             monkeypatch.setattr(running.dispatcher, "preload_ended", ends.append)
             running.workers.preload(1, 7, 1)
@@ -596,12 +608,12 @@
                 runner.writers[0].transport.abort()
             await until(lambda: ends, "the order has ended")
             if first == "time":
-                await settled(running)
+                await wait_until_settled(running)
                 runner.answer(runner.calls[0], done)  # late: for nobody
                 runner.behavior = serve_uppercase
-                assert told(await caller.call(1, "confirm", b"x")) == "served"
+                assert result_name(await caller.call(1, "confirm", b"x")) == "served"
             outcome = {"answer": Outcome.OK, "time": Outcome.TIMEOUT, "connection": Outcome.RESET}
-            await settled(running)
+            await wait_until_settled(running)
             assert [end.outcome for end in ends] == [outcome[first]]
 
     asyncio.run(test())
@@ -617,7 +629,7 @@
 
     async def test() -> None:
         runner = ScriptedWorker(mute)
-        async with routed(runner) as (running, caller), client(running) as leaver:
+        async with running_router(runner) as (running, caller), client(running) as leaver:
             leaver.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
             await runner.wait_until(lambda: len(runner.calls) == 1)
 
@@ -637,11 +649,11 @@
                 runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
             else:
                 runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
-                assert told(await leaver.read()) == "served"
+                assert result_name(await leaver.read()) == "served"
                 await leave()
             runner.behavior = serve_uppercase
             assert await caller.call(2, "confirm", b"y") == [1, 2, None, [b"Y", {}]]
-            await settled(running)
+            await wait_until_settled(running)
             ends, gone = running.dispatcher.result_counts, first == "leaves" and how != "close"
             assert (ends["served"], ends["left"]) == ((1, 1) if gone else (2, 0))
             assert runner.cancelled_ids == ([f"{1:016x}"] if gone else [])
@@ -654,7 +666,7 @@
 
     async def test() -> None:
         runner = ScriptedWorker(mute)
-        async with routed(runner) as (running, caller):
+        async with running_router(runner) as (running, caller):
             for number in range(1, 21):
                 caller.writer.write(pack_call(number, "confirm", b"x", limit=LONG))
                 await runner.wait_until(lambda: len(runner.calls) == number)  # noqa: B023
@@ -674,15 +686,15 @@
 def test_a_deadline_and_a_response(first: str) -> None:
     async def test() -> None:
         runner = ScriptedWorker(mute)
-        async with routed(runner) as (running, caller):
+        async with running_router(runner) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x", limit="500" if first == "time" else LONG))
             await runner.wait_until(lambda: len(runner.calls) == 1)
             if first == "time":
-                assert told(await caller.read()) == "failed"
+                assert result_name(await caller.read()) == "failed"
                 await runner.wait_until(lambda: runner.cancelled_ids == [f"{1:016x}"])
             runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
             if first == "answer":
-                assert told(await caller.read()) == "served"
+                assert result_name(await caller.read()) == "served"
                 running.dispatcher.deadlines.on_timer()  # its time, had it come in this very turn
             await fence(caller, 9)
             assert len(runner.cancelled_ids) == (first == "time")
@@ -698,7 +710,7 @@
 
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, caller):
+        async with running_router(runner) as (running, caller):
             connection = await narrow(running, runner, caller)
             runner.writers[0].transport.resume_reading()  # type: ignore[attr-defined]
             runner.behavior = mute
@@ -710,13 +722,13 @@
             monkeypatch.setattr(workers, "CANCEL_SETTLE_S", 10.0 if first == "reads" else 0.0)
             caller.writer.write(INTERRUPT + b"\x03")
             if first == "time":
-                assert told(await caller.read()) == "failed"  # it has not been told but by closing
+                assert result_name(await caller.read()) == "failed"  # it has not been told but by closing
                 return
             await fence(caller, 9)
             runner.writers[0].transport.resume_reading()  # type: ignore[attr-defined]
             await runner.wait_until(lambda: runner.cancelled_ids == [f"{3:016x}"])
             runner.answer(runner.calls[1], serve_uppercase(runner, runner.calls[1]))
-            assert told(await caller.read()) == "served"
+            assert result_name(await caller.read()) == "served"
             [timer] = [h for h in running.dispatcher.context.loop._scheduled if "_finish_cancel" in repr(h)]  # type: ignore
             timer._run()  # its time has come: the call counts as given up
             timer.cancel()
@@ -733,7 +745,7 @@
 
     async def test() -> None:
         runner = ScriptedWorker(mute)
-        async with routed(runner, classes=classes) as (running, caller):
+        async with running_router(runner, classes=classes) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
             await runner.wait_until(lambda: len(runner.calls) == 1)
             ending = asyncio.create_task(running.shut_down())
@@ -741,7 +753,7 @@
             caller.writer.write(pack_call(2, "confirm", b"x", limit=LONG))
             await runner.wait_until(lambda: len(runner.calls) == 2)
             answers = [await caller.read(), await caller.read()]
-            assert {(a[1], told(a)) for a in answers} == {(1, "failed"), (2, "failed")}
+            assert {(a[1], result_name(a)) for a in answers} == {(1, "failed"), (2, "failed")}
             assert await caller.read() is None
             await ending
             assert running.dispatcher.clock() < (running.dispatcher.shutdown_deadline_ms or 0.0) + 250.0
@@ -755,7 +767,7 @@
 
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, caller):
+        async with running_router(runner) as (running, caller):
             await fence(caller, 9)
             if first == "close":
                 running.platform.drain()
@@ -775,7 +787,7 @@
 
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, _):
+        async with running_router(runner) as (running, _):
             caller = socket.socket()
             caller.setblocking(False)
             with pytest.raises(BlockingIOError):  # the kernel takes it in; this process has had no turn yet
@@ -794,7 +806,7 @@
 def test_a_request_crosses_its_connections_eviction(first: str) -> None:
     async def test() -> None:
         runner = ScriptedWorker(mute)
-        async with routed(runner) as (running, caller):
+        async with running_router(runner) as (running, caller):
             running.platform.max_connections = 1
             await fence(caller, 9)
             if first == "request":
@@ -805,7 +817,7 @@
                 if first == "eviction":
                     assert await caller.read() is None
                     runner.behavior = serve_uppercase
-                    assert told(await second.call(1, "confirm", b"x")) == "served"
+                    assert result_name(await second.call(1, "confirm", b"x")) == "served"
                 else:
                     runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
                     assert await caller.read() == [1, 1, None, [b"X", {}]]
@@ -824,12 +836,12 @@
     running.reload()
 
 
-def drop(told: dict[str, Any]) -> None:
-    told["classes"] = [c for c in told["classes"] if c["name"] != "check"]
+def drop(result_name: dict[str, Any]) -> None:
+    result_name["classes"] = [c for c in result_name["classes"] if c["name"] != "check"]
 
 
-def effect(told: dict[str, Any]) -> None:
-    told["classes"][0]["effect"] = "fragile"
+def effect(result_name: dict[str, Any]) -> None:
+    result_name["classes"][0]["effect"] = "fragile"
 
 
 @pytest.mark.parametrize("change", [drop, effect])
@@ -841,7 +853,7 @@
 
     async def test() -> None:
         runners = [ScriptedWorker(mute), ScriptedWorker(mute)]
-        async with routed(*runners) as (running, caller):
+        async with running_router(*runners) as (running, caller):
             caller.writer.write(pack_call(1, "check", b"x"))
             await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
             at = 0 if runners[0].calls else 1
@@ -868,21 +880,21 @@
             return None if count[0] == 2 else answer_with("SHED")(runner, message)
 
         runners = [ScriptedWorker(shed), ScriptedWorker(shed), ScriptedWorker(shed)]
-        async with routed(*runners) as (running, caller):
+        async with running_router(*runners) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
             await until(lambda: count[0] == 2, "the second attempt is out")
             [runner] = [r for r in runners if r.calls and r.calls[0] == r.calls[-1] and not r.cancelled_ids][
                 -1:
             ]
-            out = [c for c in pooled(running) if c.in_flight]
+            out = [c for c in all_worker_connections(running) if c.in_flight]
             [at] = [n for n, p in running.workers.pools.items() if out[0] in p.connections]
             runner = runners[at - 1]
             if first == "settings":
-                take(running, lambda told: told["limits"].update({"send-cap": 1}))
+                take(running, lambda result_name: result_name["limits"].update({"send-cap": 1}))
             runner.answer(runner.calls[0], answer_with("SHED")(runner, {}) or {})
-            assert told(await caller.read()) == "refused"
+            assert result_name(await caller.read()) == "refused"
             if first == "end":
-                take(running, lambda told: told["limits"].update({"send-cap": 1}))
+                take(running, lambda result_name: result_name["limits"].update({"send-cap": 1}))
             assert count[0] == (2 if first == "settings" else SETTINGS["limits"]["send-cap"])
 
     asyncio.run(test())
--- a/tests/integration/test_endings_accounting.py
+++ b/tests/integration/test_endings_accounting.py
@@ -14,23 +14,23 @@
 from tests.integration.test_endings import (
     INTERRUPT,
     LONG,
-    Held,
+    DelayedConnects,
+    all_worker_connections,
     fence,
     mute,
-    pooled,
     reset,
-    routed,
-    settled,
-    told,
+    result_name,
+    running_router,
     until,
+    wait_until_settled,
 )
 
 
 def test_a_call_that_the_server_rejects_counts_as_taken() -> None:
     async def test() -> None:
-        async with routed(ScriptedWorker()) as (running, caller):
+        async with running_router(ScriptedWorker()) as (running, caller):
             running.platform.max_queued_bytes = -1
-            assert told(await caller.call(1, "check", b"x")) == "refused"
+            assert result_name(await caller.call(1, "check", b"x")) == "refused"
             assert (
                 running.dispatcher.result_counts["taken"] == running.dispatcher.result_counts["refused"] == 1
             )
@@ -43,11 +43,11 @@
 
     async def test() -> None:
         runner = ScriptedWorker(mute)
-        async with routed(runner) as (running, caller):
+        async with running_router(runner) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
             await runner.wait_until(lambda: len(runner.calls) == 1)
             caller.writer.write(b"\x91\x05")
-            assert told(await caller.read()) == "failed"
+            assert result_name(await caller.read()) == "failed"
             assert running.dispatcher.class_figures["confirm"]["bad_gateway"] == 1
             assert (
                 running.dispatcher.result_counts["failed"] == 1
@@ -65,7 +65,7 @@
     where: list[str] = []
 
     async def test() -> None:
-        async with routed(ScriptedWorker()) as (running, caller), client(running) as bad:
+        async with running_router(ScriptedWorker()) as (running, caller), client(running) as bad:
             where.append("{}:{}".format(*bad.writer.get_extra_info("sockname")))
             await fence(bad, 8)
             bad.writer.write(spoilt)
@@ -83,12 +83,12 @@
 
     async def test() -> None:
         runner = ScriptedWorker(mute)
-        async with routed(runner, limits=SETTINGS["limits"] | {"cancel": False}) as (running, caller):
+        async with running_router(runner, limits=SETTINGS["limits"] | {"cancel": False}) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x", limit="500"))
             await runner.wait_until(lambda: len(runner.calls) == 1)
             caller.writer.write(INTERRUPT + b"\x01")
             await fence(caller, 9)
-            await settled(running)
+            await wait_until_settled(running)
 
     asyncio.run(test())
 
@@ -102,7 +102,7 @@
     async def test() -> None:
         runners = [ScriptedWorker(mute), ScriptedWorker(mute)]
         limits = SETTINGS["limits"] | {"send-cap": 2}
-        async with routed(*runners, classes=classes, limits=limits) as (running, caller):
+        async with running_router(*runners, classes=classes, limits=limits) as (running, caller):
             caller.writer.write(pack_call(1, "revise", b"x", unique="5c0f", limit=LONG))
             await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
             at = 0 if runners[0].calls else 1
@@ -112,8 +112,8 @@
                 running.dispatcher.context, "clock", lambda: clock() + 400.0
             )  # its window is over
             runners[at].answer(runners[at].calls[0], answer_with("SHED")(runners[at], {}) or {})
-            assert told(await caller.read()) == "served"
-            assert len(pooled(running)) == 2
+            assert result_name(await caller.read()) == "served"
+            assert len(all_worker_connections(running)) == 2
 
     asyncio.run(test())
 
@@ -125,7 +125,7 @@
         def long(runner: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any]:
             return serve_uppercase(runner, message) | {"body": "QUFB" * 60_000}
 
-        async with routed(ScriptedWorker(long)) as (running, caller), client(running) as slow:
+        async with running_router(ScriptedWorker(long)) as (running, caller), client(running) as slow:
             await fence(slow, 8)
             [connection] = running.platform.connections
             slow.writer.transport.pause_reading()  # type: ignore[attr-defined]
@@ -173,7 +173,7 @@
             done.append(remote_addr[1])
             return made
 
-        async with routed(ScriptedWorker()) as (running, _):
+        async with running_router(ScriptedWorker()) as (running, _):
             monkeypatch.setattr(loop, "create_datagram_endpoint", held)
             for port in (first.port, last.port):
                 running.discovery.start_polling("127.0.0.1", port)
@@ -207,9 +207,11 @@
                 connection.connect_timeout.reschedule(when - 3600.0)
 
         monkeypatch.setattr(WorkerConnection, "on_connected", late)
-        async with routed(ScriptedWorker()) as (running, caller):
-            assert told(await caller.call(1, "confirm", b"x")) == "served"
-            assert len(pooled(running)) == 1 and not pooled(running)[0].is_closed
+        async with running_router(ScriptedWorker()) as (running, caller):
+            assert result_name(await caller.call(1, "confirm", b"x")) == "served"
+            assert (
+                len(all_worker_connections(running)) == 1 and not all_worker_connections(running)[0].is_closed
+            )
 
     asyncio.run(test())
 
@@ -219,11 +221,11 @@
 
     async def test() -> None:
         runners = [ScriptedWorker(mute), ScriptedWorker(mute)]
-        async with routed(*runners) as (running, caller):
+        async with running_router(*runners) as (running, caller):
             caller.writer.write(pack_call(1, "confirm", b"x", limit=LONG))
             await until(lambda: runners[0].calls or runners[1].calls, "the call is there")
             router, full = running.dispatcher.router, runners[0] if runners[0].calls else runners[1]
-            before, slow = router.state.retry_budget.tokens, Held(monkeypatch)
+            before, slow = router.state.retry_budget.tokens, DelayedConnects(monkeypatch)
             slow.ports.update(one.port for one in runners if one is not full)
             full.answer(full.calls[0], answer_with("SHED")(full, {}) or {})
             await until(lambda: slow.waiting, "the move waits for its connection")
@@ -244,8 +246,8 @@
 ) -> None:
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, caller):
-            slow = Held(monkeypatch)
+        async with running_router(runner) as (running, caller):
+            slow = DelayedConnects(monkeypatch)
             slow.ports.add(runner.port)
             for number in range(1, 6):
                 caller.writer.write(pack_call(number, "check", b"x", limit=LONG))
--- a/tests/integration/test_endings_bad_input.py
+++ b/tests/integration/test_endings_bad_input.py
@@ -13,7 +13,17 @@
 from cedarthread.service import Service
 from cedarthread.testing.fakes.discovery_server import FakeDiscoveryServer, ListedWorker, encode_reply
 from cedarthread.testing.fakes.scripted import ScriptedWorker, client, pack_call, serve_uppercase
-from tests.integration.test_endings import INTERRUPT, LONG, fence, mute, reset, routed, settled, told, until
+from tests.integration.test_endings import (
+    INTERRUPT,
+    LONG,
+    fence,
+    mute,
+    reset,
+    result_name,
+    running_router,
+    until,
+    wait_until_settled,
+)
 
 Spoils = Callable[[bytes], list[bytes]]  # the datagrams that come in place of a reply
 
@@ -74,15 +84,15 @@
 def test_a_malformed_list_changes_nothing_and_the_next_valid_one_is_applied(spoils: Spoils) -> None:
     async def test() -> None:
         runners = [ScriptedWorker(), ScriptedWorker()]
-        async with routed(*runners) as (running, caller):
+        async with running_router(*runners) as (running, caller):
             discovery = Discovery(running, *runners)
             await discovery.play(spoils)
             assert running.endpoint_list.version == 1 and len(running.endpoint_list.records) == 2
             assert running.discovery.last_usable_reply_at == 0.0 or spoils is nobody
-            assert told(await caller.call(1, "confirm", b"x")) == "served"
+            assert result_name(await caller.call(1, "confirm", b"x")) == "served"
             await discovery.play(whole)
             assert running.endpoint_list.version == 2 and len(running.endpoint_list.records) == 2
-            assert told(await caller.call(2, "confirm", b"x")) == "served"
+            assert result_name(await caller.call(2, "confirm", b"x")) == "served"
             discovery.close()
 
     asyncio.run(test())
@@ -93,7 +103,7 @@
 
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, _):
+        async with running_router(runner) as (running, _):
             discovery = Discovery(running, runner)
             await discovery.play(SPOILT["refused"])
             discovery.close()
@@ -107,7 +117,7 @@
 
     async def test() -> None:
         runners = [ScriptedWorker(), ScriptedWorker()]
-        async with routed(*runners) as (running, caller):
+        async with running_router(*runners) as (running, caller):
             discovery = Discovery(running, *runners)
             await discovery.play(whole)
             port = discovery.server.port
@@ -118,7 +128,7 @@
             running.discovery._transport.sendto = lambda data: (asked.append(data), sendto(data))  # type: ignore
             await until(lambda: len(asked) == 3, "it is asked on, in vain")
             assert running.endpoint_list.version == 2
-            assert told(await caller.call(1, "confirm", b"x")) == "served"
+            assert result_name(await caller.call(1, "confirm", b"x")) == "served"
             discovery.serial = 5
             again = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             again.bind(("127.0.0.1", port))
@@ -135,12 +145,12 @@
 
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, caller):
-            assert told(await caller.call(1, "confirm", b"x")) == "served"
+        async with running_router(runner) as (running, caller):
+            assert result_name(await caller.call(1, "confirm", b"x")) == "served"
             discovery = Discovery(running, runner)
             await discovery.play(nobody, nobody)
             assert running.endpoint_list.version == 9 and running.endpoint_list.records == {}
-            assert told(await caller.call(2, "confirm", b"x", limit="400")) == "refused"
+            assert result_name(await caller.call(2, "confirm", b"x", limit="400")) == "refused"
             assert len(runner.calls) == 1
             discovery.close()
 
@@ -153,7 +163,7 @@
 
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, _):
+        async with running_router(runner) as (running, _):
             discovery = Discovery(running, runner)
             discovery.serial = between
             await discovery.play(whole, nobody, whole, nobody, whole, nobody)
@@ -168,7 +178,7 @@
 
     async def test() -> None:
         runners = [ScriptedWorker(), ScriptedWorker()]
-        async with routed(*runners) as (running, _):
+        async with running_router(*runners) as (running, _):
             discovery = Discovery(running, *runners)
 
             def hold(reply: bytes) -> list[bytes]:
@@ -212,7 +222,7 @@
 
     async def test() -> None:
         runners = [ScriptedWorker(mute), ScriptedWorker(mute)]
-        async with routed(*runners) as (_, caller):
+        async with running_router(*runners) as (_, caller):
             number = 0
             while not (runners[0].calls and runners[1].calls):  # functions have homes here and there
                 number += 1
@@ -224,9 +234,9 @@
             assert lost == {int(call["id"], 16) for call in bad.calls}
             for call in good.calls:
                 good.answer(call, serve_uppercase(good, call))
-                assert told(await caller.read()) == "served"
+                assert result_name(await caller.read()) == "served"
             bad.behavior = good.behavior = serve_uppercase
-            assert told(await caller.call(90, "confirm", b"x")) == "served"
+            assert result_name(await caller.call(90, "confirm", b"x")) == "served"
 
     asyncio.run(test())
     assert [r.getMessage() for r in caplog.records if r.name == "cedarthread.runners"] == [
@@ -238,8 +248,8 @@
 def test_an_interrupt_of_an_unknown_or_completed_call_is_ignored(number: bytes) -> None:
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, caller):
-            assert told(await caller.call(1, "confirm", b"x")) == "served"
+        async with running_router(runner) as (running, caller):
+            assert result_name(await caller.call(1, "confirm", b"x")) == "served"
             runner.behavior = mute
             caller.writer.write(pack_call(2, "confirm", b"x"))
             await runner.wait_until(lambda: len(runner.calls) == 2)
@@ -255,7 +265,7 @@
 def test_a_client_that_ends_within_a_message_ends_its_own_calls_alone() -> None:
     async def test() -> None:
         runner = ScriptedWorker(mute)
-        async with routed(runner) as (running, caller), client(running) as cut:
+        async with running_router(runner) as (running, caller), client(running) as cut:
             for number, one in ((1, cut), (2, caller)):
                 one.writer.write(pack_call(number, "confirm", b"x", limit=LONG))
                 await runner.wait_until(lambda: len(runner.calls) == number)  # noqa: B023
@@ -268,7 +278,7 @@
             await runner.wait_until(lambda: runner.cancelled_ids == [f"{1:016x}"])
             runner.answer(runner.calls[1], serve_uppercase(runner, runner.calls[1]))
             assert await caller.read() == [1, 2, None, [b"X", {}]]
-            await settled(running)
+            await wait_until_settled(running)
             assert len(runner.calls) == 2
 
     asyncio.run(test())
--- a/tests/integration/test_worker_connections.py
+++ b/tests/integration/test_worker_connections.py
@@ -51,41 +51,41 @@
         self.aborted = self.closing = True
 
 
-class Ends(Dispatcher):
+class RecordingDispatcher(Dispatcher):
     """Keeps how attempts ended."""
 
     def __init__(self) -> None:
         super().__init__(settings_from_object(SETTINGS), 1)
-        self.ends: dict[str, Outcome] = {}
-        self.orders: list[PreloadEnded] = []
+        self.outcomes: dict[str, Outcome] = {}
+        self.preloads: list[PreloadEnded] = []
 
     def preload_ended(self, event: PreloadEnded) -> None:
-        self.orders.append(event)
+        self.preloads.append(event)
 
     def attempt_ended(self, attempt: Attempt, result: AttemptResult) -> None:
-        self.ends.setdefault(attempt.call.call_id, result.outcome)
+        self.outcomes.setdefault(attempt.call.call_id, result.outcome)
 
 
-class Bench:
+class Harness:
     def __init__(self, takes: int) -> None:
-        self.planner = Ends()
-        self.runners = WorkerConnections(self.planner.settings, self.planner, 10, Flusher())
-        listing = EndpointRecord(
+        self.dispatcher = RecordingDispatcher()
+        self.workers = WorkerConnections(self.dispatcher.settings, self.dispatcher, 10, Flusher())
+        endpoint = EndpointRecord(
             "s-00000001", "127.0.0.1", 1, "room-a", "std", 0, EndpointState.READY, 1.0, 0.0
         )
-        self.pool = self.runners.pools[1] = WorkerConnectionPool(self.runners, listing)
+        self.pool = self.workers.pools[1] = WorkerConnectionPool(self.workers, endpoint)
         self.connection = WorkerConnection(self.pool)
         self.pool.connections.append(self.connection)
         self.socket = Socket(takes)
         self.connection.connection_made(cast(Any, self.socket))
 
     def send(self, name: str) -> Attempt:
-        call = Call(name, 2, 7, self.planner.clock() + 1000.0, b"x" * 60, lambda answer: None)
-        attempt = Attempt(call, 0, 1, self.planner.clock())
-        self.runners.send(attempt)
+        call = Call(name, 2, 7, self.dispatcher.clock() + 1000.0, b"x" * 60, lambda answer: None)
+        attempt = Attempt(call, 0, 1, self.dispatcher.clock())
+        self.workers.send(attempt)
         return attempt
 
-    def hear(self, data: bytes) -> None:
+    def receive(self, data: bytes) -> None:
         """The runner says so."""
         room = self.connection.get_buffer(-1)
         room[: len(data)] = data
@@ -110,42 +110,42 @@
     takes: int, progress: tuple[int, int], outcomes: tuple[str, str]
 ) -> None:
     async def test() -> None:
-        bench = Bench(takes)
-        first, second = bench.send("a" * 16), bench.send("b" * 16)
-        bench.flush()
+        harness = Harness(takes)
+        first, second = harness.send("a" * 16), harness.send("b" * 16)
+        harness.flush()
         assert (first.progress, second.progress) == progress
-        third = bench.send("c" * 16) if bench.connection.is_write_paused else None
-        bench.flush()
-        bench.connection.connection_lost(ConnectionResetError())
-        assert tuple(o.value for o in list(bench.planner.ends.values())[:2]) == outcomes
+        third = harness.send("c" * 16) if harness.connection.is_write_paused else None
+        harness.flush()
+        harness.connection.connection_lost(ConnectionResetError())
+        assert tuple(o.value for o in list(harness.dispatcher.outcomes.values())[:2]) == outcomes
         if third is not None:  # it waited behind them: not a byte of it left
             assert third.progress is Progress.UNWRITTEN
-            assert bench.planner.ends["c" * 16] is Outcome.CONNECT_FAILED
+            assert harness.dispatcher.outcomes["c" * 16] is Outcome.CONNECT_FAILED
 
     asyncio.run(test())
 
 
 def test_an_attempt_written_at_last_may_have_executed() -> None:
     async def test() -> None:
-        bench = Bench(10)
-        attempt = bench.send("a" * 16)
-        bench.flush()
+        harness = Harness(10)
+        attempt = harness.send("a" * 16)
+        harness.flush()
         assert attempt.progress is Progress.PARTLY_WRITTEN
-        bench.connection.resume_writing()
-        bench.connection.connection_lost(None)
-        assert bench.planner.ends == {"a" * 16: Outcome.RESET}
+        harness.connection.resume_writing()
+        harness.connection.connection_lost(None)
+        assert harness.dispatcher.outcomes == {"a" * 16: Outcome.RESET}
 
     asyncio.run(test())
 
 
 def test_a_write_that_fails_at_once_has_sent_nothing() -> None:
     async def test() -> None:
-        bench = Bench(10_000)
-        bench.send("a" * 16)
-        bench.socket.write = lambda data: bench.socket.abort()  # type: ignore[method-assign]
-        bench.flush()
-        bench.connection.connection_lost(BrokenPipeError())
-        assert bench.planner.ends == {"a" * 16: Outcome.CONNECT_FAILED}
+        harness = Harness(10_000)
+        harness.send("a" * 16)
+        harness.socket.write = lambda data: harness.socket.abort()  # type: ignore[method-assign]
+        harness.flush()
+        harness.connection.connection_lost(BrokenPipeError())
+        assert harness.dispatcher.outcomes == {"a" * 16: Outcome.CONNECT_FAILED}
 
     asyncio.run(test())
 
@@ -154,36 +154,38 @@
     """Answers are matched by attempt: the same call may be sent there again, on another connection alone."""
 
     async def test() -> None:
-        bench = Bench(10_000)
-        attempt = bench.send("a" * 16)
-        bench.flush()
-        bench.runners.cancel(attempt)
-        bench.flush()
-        assert b'{"op":"CANCEL","id":"aaaaaaaaaaaaaaaa"}\n' in bench.socket.wrote
-        assert not bench.connection.can_accept("a" * 16) and bench.connection.can_accept("b" * 16)
+        harness = Harness(10_000)
+        attempt = harness.send("a" * 16)
+        harness.flush()
+        harness.workers.cancel(attempt)
+        harness.flush()
+        assert b'{"op":"CANCEL","id":"aaaaaaaaaaaaaaaa"}\n' in harness.socket.wrote
+        assert not harness.connection.can_accept("a" * 16) and harness.connection.can_accept("b" * 16)
         late = b'{"op":"HIT","id":"aaaaaaaaaaaaaaaa","body":""}\n'
-        room = bench.connection.get_buffer(-1)
+        room = harness.connection.get_buffer(-1)
         room[: len(late)] = late
         room.release()
-        bench.connection.buffer_updated(len(late))
-        assert bench.planner.ends == {}  # till the runner must have read the CANCEL
-        while not bench.planner.ends:
+        harness.connection.buffer_updated(len(late))
+        assert harness.dispatcher.outcomes == {}  # till the runner must have read the CANCEL
+        while not harness.dispatcher.outcomes:
             await asyncio.sleep(0)
-        assert bench.planner.ends == {"a" * 16: Outcome.CANCELLED}
+        assert harness.dispatcher.outcomes == {"a" * 16: Outcome.CANCELLED}
 
     asyncio.run(test())
 
 
 def test_a_worker_that_reads_nothing_is_cancelled_by_closing() -> None:
     async def test() -> None:
-        bench = Bench(10)
-        attempt = bench.send("a" * 16)
-        bench.flush()
-        bench.runners.cancel(attempt)
-        assert bench.planner.ends == {}  # till it has had the time to read on, and with it the CANCEL
-        while not bench.planner.ends:
+        harness = Harness(10)
+        attempt = harness.send("a" * 16)
+        harness.flush()
+        harness.workers.cancel(attempt)
+        assert (
+            harness.dispatcher.outcomes == {}
+        )  # till it has had the time to read on, and with it the CANCEL
+        while not harness.dispatcher.outcomes:
             await asyncio.sleep(0)
-        assert bench.socket.aborted and bench.planner.ends == {"a" * 16: Outcome.CANCELLED}
+        assert harness.socket.aborted and harness.dispatcher.outcomes == {"a" * 16: Outcome.CANCELLED}
 
     asyncio.run(test())
 
@@ -191,14 +193,14 @@
 def test_a_line_that_is_no_response_ends_its_connection() -> None:
     async def test() -> None:
         for line in (b"no json\n", b"[1]\n", b"\xff\n"):
-            bench = Bench(10_000)
-            assert bench.connection.on_data(memoryview(b"")) == 0
-            room = bench.connection.get_buffer(-1)
+            harness = Harness(10_000)
+            assert harness.connection.on_data(memoryview(b"")) == 0
+            room = harness.connection.get_buffer(-1)
             room[: len(line)] = line
             room.release()
-            bench.connection.buffer.advance(len(line))
-            with bench.connection.buffer.peek() as data:
-                assert bench.connection.on_data(data) is None
+            harness.connection.buffer.advance(len(line))
+            with harness.connection.buffer.peek() as data:
+                assert harness.connection.on_data(data) is None
 
     asyncio.run(test())
 
@@ -231,13 +233,13 @@
 
 def test_preloads_are_sent_and_answered_under_their_message_id() -> None:
     async def test() -> None:
-        bench = Bench(10_000)
-        bench.runners.preload(1, 7, 2)
-        bench.runners.preload(1, 8, 1)
-        bench.runners.preload(2, 9, 1)  # no such runner
-        bench.runners.unload(1, 7)
-        bench.flush()
-        lines = bench.socket.wrote.splitlines()
+        harness = Harness(10_000)
+        harness.workers.preload(1, 7, 2)
+        harness.workers.preload(1, 8, 1)
+        harness.workers.preload(2, 9, 1)  # no such runner
+        harness.workers.unload(1, 7)
+        harness.flush()
+        lines = harness.socket.wrote.splitlines()
         assert json.loads(lines[0]) == {
             "op": "LOAD",
             "id": "load-1",
@@ -245,12 +247,12 @@
         }
         assert json.loads(lines[-1]) == {"op": "UNLOAD", "id": f"{7:016x}"}
         answer = b'{"op":"HIT","id":"load-1","fields":{"pods":"2"}}\n'
-        room = bench.connection.get_buffer(-1)
+        room = harness.connection.get_buffer(-1)
         room[: len(answer)] = answer
         room.release()
-        bench.connection.buffer_updated(len(answer))
-        bench.connection.connection_lost(None)
-        assert [(e.function_id, e.outcome, e.instances) for e in bench.planner.orders] == [
+        harness.connection.buffer_updated(len(answer))
+        harness.connection.connection_lost(None)
+        assert [(e.function_id, e.outcome, e.instances) for e in harness.dispatcher.preloads] == [
             (9, Outcome.CONNECT_FAILED, 0),
             (7, Outcome.OK, 2),
             (8, Outcome.RESET, 0),
@@ -270,41 +272,41 @@
 )
 def test_a_malformed_response_fails_its_connection_and_each_attempt_by_its_progress(line: bytes) -> None:
     async def test() -> None:
-        bench = Bench(10_000)
-        bench.send("a" * 16)
-        bench.flush()
-        bench.send("b" * 16)  # not a byte of it has left
-        bench.hear(line)
-        assert bench.socket.aborted
-        bench.connection.connection_lost(None)
-        assert bench.planner.ends == {"a" * 16: Outcome.RESET, "b" * 16: Outcome.CONNECT_FAILED}
+        harness = Harness(10_000)
+        harness.send("a" * 16)
+        harness.flush()
+        harness.send("b" * 16)  # not a byte of it has left
+        harness.receive(line)
+        assert harness.socket.aborted
+        harness.connection.connection_lost(None)
+        assert harness.dispatcher.outcomes == {"a" * 16: Outcome.RESET, "b" * 16: Outcome.CONNECT_FAILED}
 
     asyncio.run(test())
 
 
 def test_duplicate_responses_and_unknown_ids_are_ignored() -> None:
     async def test() -> None:
-        bench = Bench(10_000)
-        bench.send("a" * 16)
-        bench.flush()
+        harness = Harness(10_000)
+        harness.send("a" * 16)
+        harness.flush()
         full = b'{"op":"SHED","id":"aaaaaaaaaaaaaaaa"}\n'
-        bench.hear(b'{"op":"HIT","id":"0000000000000000","body":""}\n' + full + full)
-        assert bench.planner.ends == {"a" * 16: Outcome.OVERLOADED} and not bench.socket.aborted
+        harness.receive(b'{"op":"HIT","id":"0000000000000000","body":""}\n' + full + full)
+        assert harness.dispatcher.outcomes == {"a" * 16: Outcome.OVERLOADED} and not harness.socket.aborted
         # A copy that comes late must not end a second attempt of the call.
-        assert not bench.connection.can_accept("a" * 16) and bench.connection.can_accept("b" * 16)
+        assert not harness.connection.can_accept("a" * 16) and harness.connection.can_accept("b" * 16)
 
     asyncio.run(test())
 
 
 def test_an_endless_response_is_aborted() -> None:
     async def test() -> None:
-        bench = Bench(10_000)
-        bench.send("a" * 16)
-        bench.flush()
+        harness = Harness(10_000)
+        harness.send("a" * 16)
+        harness.flush()
         for _ in range(200):
-            if not bench.socket.aborted:
-                bench.hear(b"x" * len(bench.connection.get_buffer(-1)))
-        assert bench.socket.aborted
+            if not harness.socket.aborted:
+                harness.receive(b"x" * len(harness.connection.get_buffer(-1)))
+        assert harness.socket.aborted
 
     asyncio.run(test())
 
@@ -348,34 +350,38 @@
     """An order to load after half a second, and a keyed call's repeat after its window."""
 
     async def test() -> None:
-        bench = Bench(10)
-        bench.send("a" * 16)
-        bench.flush()  # the runner reads no further: what comes now waits
-        late = bench.send("b" * 16)
-        late.write_deadline_ms = bench.planner.clock() - 1.0
-        bench.runners.preload(1, 7, 1)
+        harness = Harness(10)
+        harness.send("a" * 16)
+        harness.flush()  # the runner reads no further: what comes now waits
+        late = harness.send("b" * 16)
+        late.write_deadline_ms = harness.dispatcher.clock() - 1.0
+        harness.workers.preload(1, 7, 1)
         (order,) = [
-            line.request for line in bench.connection.lines.queued if isinstance(line.request, PendingPreload)
+            line.request
+            for line in harness.connection.lines.queued
+            if isinstance(line.request, PendingPreload)
         ]
-        bench.runners.preloads._on_unsent(order, bench.connection)
-        assert [event.outcome for event in bench.planner.orders] == [Outcome.CONNECT_FAILED]
-        wrote = bench.socket.wrote
-        bench.socket.held = 0
-        bench.connection.resume_writing()
-        assert bench.socket.wrote == wrote and bench.planner.ends["b" * 16] is Outcome.CONNECT_FAILED
+        harness.workers.preloads._on_unsent(order, harness.connection)
+        assert [event.outcome for event in harness.dispatcher.preloads] == [Outcome.CONNECT_FAILED]
+        wrote = harness.socket.wrote
+        harness.socket.held = 0
+        harness.connection.resume_writing()
+        assert (
+            harness.socket.wrote == wrote and harness.dispatcher.outcomes["b" * 16] is Outcome.CONNECT_FAILED
+        )
 
     asyncio.run(test())
 
 
 def test_after_a_drain_update_what_a_slow_worker_has_not_read_ends_with_its_connection() -> None:
     async def test() -> None:
-        bench = Bench(10)
-        bench.send("a" * 16)
-        bench.flush()
-        waiting = list(bench.connection.lines.buffered)
-        bench.pool.retire(close_now=False)
-        assert not bench.socket.aborted
-        bench.connection.abort_if_unwritten(waiting)
-        assert bench.socket.aborted
+        harness = Harness(10)
+        harness.send("a" * 16)
+        harness.flush()
+        waiting = list(harness.connection.lines.buffered)
+        harness.pool.retire(close_now=False)
+        assert not harness.socket.aborted
+        harness.connection.abort_if_unwritten(waiting)
+        assert harness.socket.aborted
 
     asyncio.run(test())
