--- a/cedarthread/testing/cluster/scenarios/change_freeze.py
+++ b/cedarthread/testing/cluster/scenarios/change_freeze.py
@@ -20,7 +20,7 @@
 from cedarthread.testing.cluster.scenario_file import parse_scenario
 
 FLEET_CONFIG = "[sharing]\nperiod = 200\nclock-error = 100\n"
-# In the quick form. What may fail in 24 s: an eighth of the calls, to a hot function that may not be placed at
+# In the quick form. What may fail in 24 s: an eighth of the calls, to a hot function that may be placed at no
 # more workers, for 15.5 s (8%); what was placed on a quarter of the workers, for 2 s (2%); the calls of four
 # routers, for 7 s (5%).
 MIN_SERVED_FRACTION = 0.85
