--- a/cedarthread/lifecycle/listeners.py
+++ b/cedarthread/lifecycle/listeners.py
@@ -68,12 +68,12 @@
             if not self._is_failure_logged:
                 log.error(format_event("peer_listen_failed", address=listen_address, error=error))
             state.peers, self._is_failure_logged = None, True
-            asyncio.get_running_loop().call_later(LISTEN_RETRY_S, self._listen_again)
+            asyncio.get_running_loop().call_later(LISTEN_RETRY_S, self._retry)
             return
         self._is_failure_logged = False
         self._dispatcher.connect_peers(peers.send)
         peer_count = len(addresses.peer_addresses)
         log.info(format_event("gossip_started", peers=peer_count, address=listen_address))
 
-    def _listen_again(self) -> None:
+    def _retry(self) -> None:
         self._state.start_task(self.listen())
