--- a/tests/simulation/test_slow_start_fleet.py
+++ b/tests/simulation/test_slow_start_fleet.py
@@ -49,85 +49,87 @@
 
 def busy(*, calls: int = 40, took: float = 100.0) -> Drive:
     """A router with some traffic that knows six warm workers and a cold one."""
-    d = Drive(*(worker(n) for n in range(1, 7)), worker(7, started=1000.0), router_count=20)
+    drive = Drive(*(worker(n) for n in range(1, 7)), worker(7, started=1000.0), router_count=20)
     for number in range(calls):
-        d.ask(number, after=20.0)
-        d.end(d.ids, sends(d.actions)[-1], after=0.0 if took == 0.0 else took)
-    return d
+        drive.ask(number, after=20.0)
+        drive.end(drive.ids, sends(drive.actions)[-1], after=0.0 if took == 0.0 else took)
+    return drive
 
 
-def fits(d: Drive) -> float:
+def fits(drive: Drive) -> float:
     """The most work, ms, that one more call to the cold worker may be of."""
-    view = d.router.workers[7]
-    view.jitter = 0.999999
-    view.slow_start_sends.clear()
+    record = drive.router.workers[7]
+    record.jitter = 0.999999
+    record.slow_start_sends.clear()
     low, high = 0.0, 20000.0
     while high - low > 0.01:
         half = (low + high) / 2
-        low, high = (half, high) if d.router.selector.fits_slow_start(d.now, view, half) else (low, half)
+        low, high = (
+            (half, high) if drive.router.selector.fits_slow_start(drive.now, record, half) else (low, half)
+        )
     return low
 
 
 def test_workers_that_leave_raise_no_cold_workers_budget() -> None:
     """Its capacity is no more for it: six left at once, and all their calls were its share."""
-    d = busy()
-    before = fits(d)
+    drive = busy()
+    before = fits(drive)
     assert before > 0.0
     leaving = tuple(worker(n, EndpointState.DRAINING) for n in range(1, 7))
-    d.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, leaving))
-    assert fits(d) == pytest.approx(before, rel=0.01)
-    d.feed(
+    drive.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, leaving))
+    assert fits(drive) == pytest.approx(before, rel=0.01)
+    drive.feed(
         EndpointUpdate(
             EndpointUpdateKind.DELTA, 3, tuple(worker(n, EndpointState.REMOVED) for n in range(1, 7))
         )
     )
-    assert fits(d) == pytest.approx(before, rel=0.01)
+    assert fits(drive) == pytest.approx(before, rel=0.01)
 
 
 def test_an_initial_estimate_of_service_times_is_no_budget_for_cheaper_calls() -> None:
     """Before its first answer a router took calls for three times their work, and kept to that sum."""
-    d = Drive(*(worker(n) for n in range(1, 7)), worker(7, started=1000.0), router_count=20)
+    drive = Drive(*(worker(n) for n in range(1, 7)), worker(7, started=1000.0), router_count=20)
     for number in range(20):
-        d.ask(number, after=1.0)
+        drive.ask(number, after=1.0)
     guess = CLASSES[0].latency_objective_ms / 4.0
-    unanswered = fits(d) / guess
-    d.router.state.service_times.by_class[0].add(guess / 3.0)
-    assert fits(d) / (guess / 3.0) == pytest.approx(unanswered, rel=0.01)
+    unanswered = fits(drive) / guess
+    drive.router.state.service_times.by_class[0].add(guess / 3.0)
+    assert fits(drive) / (guess / 3.0) == pytest.approx(unanswered, rel=0.01)
 
 
 def test_a_warm_instance_on_a_cold_worker_takes_no_more_than_the_slow_start_budget(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The call that was to wait for a load elsewhere went to the copy that stands, whatever came there."""
-    d = Drive(worker(1), when_not_loaded=NotLoadedBehavior.REJECT, router_count=1)
-    d.ask(function_id=7)
-    d.feed(PreloadEnded(1, 7, Outcome.OK, 1, 100.0), after=100.0)
-    d.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(2, started=d.now),)))
-    function, send, fitted = d.router.functions[7], d.router._start_attempt, list[bool]()
+    drive = Drive(worker(1), when_not_loaded=NotLoadedBehavior.REJECT, router_count=1)
+    drive.ask(function_id=7)
+    drive.feed(PreloadEnded(1, 7, Outcome.OK, 1, 100.0), after=100.0)
+    drive.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(2, started=drive.now),)))
+    function, send, fitted = drive.router.functions[7], drive.router._start_attempt, list[bool]()
     function.forget_worker(1)  # what stood at the warm worker has been unloaded
-    function.affinity[2], function.last_sent_at_ms[2] = 1.0, d.now
+    function.affinity[2], function.last_sent_at_ms[2] = 1.0, drive.now
 
-    def seen(now: float, job: PendingRequest, view: WorkerRecord) -> None:
-        if view.endpoint.worker_id == 2:
+    def seen(now: float, pending: PendingRequest, record: WorkerRecord) -> None:
+        if record.endpoint.worker_id == 2:
             fitted.append(
-                d.router.selector.fits_slow_start(
-                    now, view, d.router.state.service_times.class_ms(job.request.class_index)
+                drive.router.selector.fits_slow_start(
+                    now, record, drive.router.state.service_times.class_ms(pending.request.class_index)
                 )
             )
-        send(now, job, view)
+        send(now, pending, record)
 
-    monkeypatch.setattr(d.router, "_start_attempt", seen)
+    monkeypatch.setattr(drive.router, "_start_attempt", seen)
     for _ in range(60):
-        d.ask(function_id=7, after=30.0)
+        drive.ask(function_id=7, after=30.0)
     assert fitted and all(fitted), f"{fitted.count(False)} of {len(fitted)} sends beyond the budget"
 
 
 def test_a_site_without_slow_start_is_served() -> None:
     rules = dataclasses.replace(settings().rules, slow_start_ms=0.0)
-    d = Drive(worker(1, started=1000.0), rules=rules)
-    d.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(1, EndpointState.DRAINING),)), after=100.0)
-    d.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 3, (worker(1),)), after=100.0)
-    assert sends(d.ask()) == [1]
+    drive = Drive(worker(1, started=1000.0), rules=rules)
+    drive.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(1, EndpointState.DRAINING),)), after=100.0)
+    drive.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 3, (worker(1),)), after=100.0)
+    assert sends(drive.ask()) == [1]
 
 
 def test_a_windowed_maximum_holds_while_its_quantity_does_and_fades_once_it_has_fallen() -> None:
@@ -143,10 +145,10 @@
 
 def test_an_attempt_never_sent_takes_no_part_of_a_cold_workers_budget() -> None:
     drive = Drive(worker(1, started=900.0), now=1000.0, router_count=1)
-    view = drive.router.workers[1]
-    view.jitter = 0.0
-    assert sends(drive.ask()) == [1] and len(view.slow_start_sends) == 1
+    record = drive.router.workers[1]
+    record.jitter = 0.0
+    assert sends(drive.ask()) == [1] and len(record.slow_start_sends) == 1
     ended = AttemptEnded(1, 0, 1, Outcome.NOT_SENT, 0.0, True, is_unreachable=False, is_local=True)
     drive.feed(ended)
-    assert not view.slow_start_sends
+    assert not record.slow_start_sends
     assert sends(drive.ask()) == [1]  # the place is free for another
--- a/tests/unit/test_routing_records.py
+++ b/tests/unit/test_routing_records.py
@@ -15,43 +15,44 @@
 from tests.helpers import RULES, worker
 
 
-def view(number: int = 1) -> WorkerRecord:
+def record(number: int = 1) -> WorkerRecord:
     return WorkerRecord(worker(number), 0, 0.5)
 
 
 def fail(
-    one: WorkerRecord,
+    outlier: WorkerRecord,
     times: int,
     others: list[WorkerRecord],
     cap: float = outlier_detection.MAX_EJECTED_FRACTION,
 ) -> list[bool]:
     return [
-        outlier_detection.observe(one, others, 1.0, cap, outlier_detection.FAILURE_GAIN) for _ in range(times)
+        outlier_detection.observe(outlier, others, 1.0, cap, outlier_detection.FAILURE_GAIN)
+        for _ in range(times)
     ]
 
 
 def test_an_ejection_lets_one_idempotent_trial_pass_and_ends() -> None:
-    one = view()
-    assert fail(one, 3, [one]) == [False, True, False]
-    outlier_detection.eject(one, 1000.0, 1.0, random.Random(1))
-    assert 1000.0 + 0.75 * BASE_EJECTION_MS <= one.ejected_until_ms <= 1000.0 + 1.25 * BASE_EJECTION_MS
-    late = one.ejected_until_ms
-    assert not outlier_detection.is_available(one, late - 1.0, True) and not outlier_detection.is_available(
-        one, late, False
-    )
-    assert outlier_detection.is_available(one, late, True)
-    one.has_trial_in_flight = True
-    assert not outlier_detection.is_available(one, late, True)
+    outlier = record()
+    assert fail(outlier, 3, [outlier]) == [False, True, False]
+    outlier_detection.eject(outlier, 1000.0, 1.0, random.Random(1))
+    assert 1000.0 + 0.75 * BASE_EJECTION_MS <= outlier.ejected_until_ms <= 1000.0 + 1.25 * BASE_EJECTION_MS
+    late = outlier.ejected_until_ms
+    assert not outlier_detection.is_available(
+        outlier, late - 1.0, True
+    ) and not outlier_detection.is_available(outlier, late, False)
+    assert outlier_detection.is_available(outlier, late, True)
+    outlier.has_trial_in_flight = True
+    assert not outlier_detection.is_available(outlier, late, True)
     for _ in range(3):
         outlier_detection.observe(
-            one, [one], 0.0, outlier_detection.MAX_EJECTED_FRACTION, outlier_detection.FAILURE_GAIN
+            outlier, [outlier], 0.0, outlier_detection.MAX_EJECTED_FRACTION, outlier_detection.FAILURE_GAIN
         )
-    assert outlier_detection.is_available(one, 0.0, False) and not one.has_trial_in_flight
+    assert outlier_detection.is_available(outlier, 0.0, False) and not outlier.has_trial_in_flight
 
 
 def test_ejections_are_limited_and_relapses_wait_longer_up_to_a_maximum() -> None:
-    fleet = [view(n) for n in range(10)]
-    assert sum(any(fail(one, 4, fleet)) for one in fleet) == 4
+    fleet = [record(n) for n in range(10)]
+    assert sum(any(fail(outlier, 4, fleet)) for outlier in fleet) == 4
     spans = []
     for _ in range(6):
         spans.append(fleet[0].ejection_ms)
@@ -84,13 +85,13 @@
 def test_the_weight_of_a_failure(
     outcome: Outcome, unreached: bool, known: bool, took: float, cap: float | None
 ) -> None:
-    one, attempt = view(), Attempt(worker(1), 0.0, 10.0, (0, None), False, False, known)
+    outlier, attempt = record(), Attempt(worker(1), 0.0, 10.0, (0, None), False, False, known)
     note = StartKind.WARM
     event = AttemptEnded(1, 0, 1, outcome, took, True, note, 0, (), is_unreachable=unreached)
-    blamed = outlier_detection.failure_weight(one, 5.0, event, attempt, 3.0)
+    blamed = outlier_detection.failure_weight(outlier, 5.0, event, attempt, 3.0)
     assert (blamed and blamed[0]) == cap
     assert attempt.has_suspect_error == (outcome is Outcome.ERROR and not known)
-    assert (one.unreachable_at_ms == 5.0) == unreached
+    assert (outlier.unreachable_at_ms == 5.0) == unreached
 
 
 def test_preloads_are_earned_by_requests_of_the_window_and_bounded_by_the_workers() -> None:
--- a/tests/unit/test_zone_reachability.py
+++ b/tests/unit/test_zone_reachability.py
@@ -100,16 +100,16 @@
 
 def test_idempotent_calls_are_recalled_from_an_unreachable_zone() -> None:
     """At 200 routers a zone that was cut off took calls all that time: no worker was called twice."""
-    d = Drive(*(worker(n, zone=n % 3) for n in range(1, 31)), router_count=200)
+    drive = Drive(*(worker(n, zone=n % 3) for n in range(1, 31)), router_count=200)
     for function in range(60):
-        d.end(d.ids + 1, sends(d.ask(function))[0])
+        drive.end(drive.ids + 1, sends(drive.ask(function))[0])
     lost: list[int] = []
     for function in range(100, 140):
-        d.wait(d.now + 250.0)
-        for at in sends(d.ask(function, class_index=function % 2)):
-            if at % 3 == d.router.state.settings.zone:
-                d.end(d.ids, at, after=0.0)
+        drive.wait(drive.now + 250.0)
+        for at in sends(drive.ask(function, class_index=function % 2)):
+            if at % 3 == drive.router.state.settings.zone:
+                drive.end(drive.ids, at, after=0.0)
             else:
-                lost.append(d.ids)
+                lost.append(drive.ids)
     assert 0 < len(lost) < 12
-    assert any(isinstance(action, CancelAttempt) for action in d.actions)
+    assert any(isinstance(action, CancelAttempt) for action in drive.actions)
