--- a/tests/simulation/slow_start_fleet.py
+++ b/tests/simulation/slow_start_fleet.py
@@ -1,9 +1,10 @@
-"""A fleet of routers that don't talk, on one virtual clock, and runners that count what comes to them.
+"""A fleet of routers without gossip, on one virtual clock, and workers that count what comes to them.
 
-Each runner keeps its own book: what routers that know of its start have sent it within any window of rule 4,
-each call as the mean work of its class, against what the rule allows it then.
-``python -m tests.simulation.slow_start_fleet``
-prints the table of all crossings. Times are ms, rates are calls a second."""
+Each worker records what routers that know of its start have sent it within any window of rule 4, each call as
+the mean work of its class, against what the rule allows it then.
+``python -m tests.simulation.slow_start_fleet`` prints the table of all transitions. Times are ms, rates are
+calls a second.
+"""
 
 from __future__ import annotations
 
@@ -16,6 +17,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from cedarthread.model.actions import FailRequest, RejectRequest, SetTimer, StartAttempt
 from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
@@ -39,37 +41,39 @@
     idempotency=Idempotency.NOT_IDEMPOTENT,
 )
 CLASSES = (CHECK, REVISE, CONFIRM)
-PARTS = (0.43, 0.40, 0.17)  # of the calls, by class
-WORKS = (100.0, 170.0, 170.0)  # ms, mean of each class
-MEAN = sum(p * w for p, w in zip(PARTS, WORKS, strict=True))
+CLASS_FRACTIONS = (0.43, 0.40, 0.17)  # of the calls, by class
+CLASS_WORK_MS = (100.0, 170.0, 170.0)  # ms, mean of each class
+MEAN_WORK_MS = sum(p * w for p, w in zip(CLASS_FRACTIONS, CLASS_WORK_MS, strict=True))
 CORES = 3
-QUEUE = 15  # calls that wait at a runner before it turns others away
-LOADING = 1300.0
-NEW = 1000  # first number of those that start late
-START = 9000.0  # when the crossing begins
+MAX_QUEUED = 15  # calls that wait at a worker before it rejects others
+COLD_START_MS = 1300.0
+FIRST_NEW_WORKER = 1000  # first number of those that start late
+TRANSITION_AT_MS = 9000.0  # when the transition begins
 ZONES = 3
-ORDER = list(EndpointState)  # in which a worker's states follow each other
+REPLACED_FRACTION = 0.6  # of the workers, where they are replaced
+STATE_ORDER = list(EndpointState)  # in which a worker's states follow each other
 
 
 @dataclass
-class Runner:
-    """A stand-in: some cores, a bounded queue, copies that are loaded on demand, and the book."""
+class FakeWorker:
+    """Some cores, a bounded queue, instances that are loaded on demand, and the record of sends."""
 
     number: int
     zone: int
-    started: float = -math.inf
-    up: bool = True
-    free: list[float] = field(default_factory=lambda: [0.0] * CORES)  # when each core is
-    copies: dict[int, float] = field(default_factory=dict)  # when each stands loaded
-    book: deque[tuple[float, float]] = field(default_factory=deque)
-    weight: float = 0.0
-    worst: tuple[float, float, float] = (0.0, 0.0, 0.0)  # parts of the bound, and sum and budget there
-    used: float = 0.0
-    may: float = 0.0
-
-    def part(self, now: float) -> float:
-        """Of its capacity, evenly from the cold share: rule 4's least."""
-        age = now - self.started
+    started_at_ms: float = -math.inf
+    is_up: bool = True
+    core_free_at_ms: list[float] = field(default_factory=lambda: [0.0] * CORES)  # when each core is
+    instance_ready_at_ms: dict[int, float] = field(default_factory=dict)  # when each is loaded
+    window_sends: deque[tuple[float, float]] = field(default_factory=deque)
+    window_weight: float = 0.0
+    # Its parts of the upper bound, and sum and budget there.
+    fullest_window: tuple[float, float, float] = (0.0, 0.0, 0.0)
+    received_work: float = 0.0
+    allowed_work: float = 0.0
+
+    def capacity(self, now: float) -> float:
+        """The least part of its capacity that rule 4 counts: it grows evenly from the start on."""
+        age = now - self.started_at_ms
         return min(
             1.0,
             RULES.slow_start_min_capacity + (1.0 - RULES.slow_start_min_capacity) * age / RULES.slow_start_ms,
@@ -77,179 +81,220 @@
 
     def budget(self, now: float) -> float:
         """N: calls of mean work that it may get within a window that ends now."""
-        return RULES.collapse_multiple * self.part(now) * len(self.free) / MEAN * RULES.collapse_window_ms
+        return (
+            RULES.collapse_multiple
+            * self.capacity(now)
+            * len(self.core_free_at_ms)
+            / MEAN_WORK_MS
+            * RULES.collapse_window_ms
+        )
 
-    def count(self, now: float, weight: float) -> None:
+    def record_send(self, now: float, window_weight: float) -> None:
         """One more call of a router that knows of the start."""
-        while self.book and self.book[0][0] <= now - RULES.collapse_window_ms:
-            self.weight -= self.book.popleft()[1]
-        self.book.append((now, weight))
-        self.weight += weight
-        self.used += weight
-        may = self.budget(now)
-        self.worst = max(self.worst, (self.weight / bound(may), self.weight, may))
-
-    def take(self, now: float, function: int, work: float) -> tuple[float, Outcome, StartKind]:
+        while self.window_sends and self.window_sends[0][0] <= now - RULES.collapse_window_ms:
+            self.window_weight -= self.window_sends.popleft()[1]
+        self.window_sends.append((now, window_weight))
+        self.window_weight += window_weight
+        self.received_work += window_weight
+        allowed_work = self.budget(now)
+        self.fullest_window = max(
+            self.fullest_window,
+            (self.window_weight / upper_bound(allowed_work), self.window_weight, allowed_work),
+        )
+
+    def serve(self, now: float, function: int, work: float) -> tuple[float, Outcome, StartKind]:
         """When the call ends, and how."""
-        if not self.up:
+        if not self.is_up:
             return now + 5.0, Outcome.CONNECT_FAILED, StartKind.UNKNOWN
-        if min(self.free) > now + QUEUE * MEAN / CORES:
+        if min(self.core_free_at_ms) > now + MAX_QUEUED * MEAN_WORK_MS / CORES:
             return now + 1.0, Outcome.OVERLOADED, StartKind.UNKNOWN
-        note = StartKind.WARM
-        if function not in self.copies:
-            self.copies[function], note = now + LOADING, StartKind.COLD
-        elif self.copies[function] > now:
-            note = StartKind.PENDING
-        core = min(range(len(self.free)), key=self.free.__getitem__)
-        begins = max(now, self.free[core])
-        self.free[core] = begins + work / self.part(now)
-        return max(self.free[core], self.copies[function]), Outcome.OK, note
-
-
-def bound(budget: float) -> float:
+        start_kind = StartKind.WARM
+        if function not in self.instance_ready_at_ms:
+            self.instance_ready_at_ms[function], start_kind = now + COLD_START_MS, StartKind.COLD
+        elif self.instance_ready_at_ms[function] > now:
+            start_kind = StartKind.PENDING
+        core = min(range(len(self.core_free_at_ms)), key=self.core_free_at_ms.__getitem__)
+        begins = max(now, self.core_free_at_ms[core])
+        self.core_free_at_ms[core] = begins + work / self.capacity(now)
+        return max(self.core_free_at_ms[core], self.instance_ready_at_ms[function]), Outcome.OK, start_kind
+
+
+def upper_bound(budget: float) -> float:
     """What chance may make of N."""
     return budget + 2.0 * math.sqrt(budget) + 2.0
 
 
 @dataclass(frozen=True)
-class Case:
-    """One day: who is there, what is called, and what crosses it."""
+class Scenario:
+    """One day: who is there, what is called, and what its transition is."""
 
     routers: int
-    crossing: str = "join"
+    transition: str = "join"
     seed: int = 1
-    named: bool = True  # the roster names the fleet's size
-    runners: int = 12
-    cores: int = CORES  # of each runner
-    load: float = 0.6  # of the warm capacity of all runners
-    popular: float = 0.0  # part of the calls that are of one function whose home is the cold runner
-    heavy: bool = False  # that function is of the class of most work
-    shift: float = 0.0  # ms after the start from which it is called
-    burst: float = 1.0  # times the rate, for 6 s from 1 s after the start
-    repeats: int = 0  # times that clients come again after a refusal, marked
-    restart: float = 0.0  # part of the routers that start anew,
-    restart_at: float = -300.0  # ms after the runners' start
-    news: float = 1500.0  # ms within which the routers hear of a start
-    drained: float = 0.6  # part of the others that leave, where the crossing is "drain"
-    slow: float = 1.0  # times that all runners need for a call, till the start
-    lost_at: float = 0.0  # ms after the start at which all others are lost, where the crossing is "alone"
-    lasts: float = 14000.0
-
-
-class World:
-    """Plays one case."""
-
-    def __init__(self, case: Case) -> None:
-        self.case, self.dice = case, random.Random(case.seed)
-        self.s = settings(
+    is_fleet_size_known: bool = True  # routers are told the fleet's size
+    workers: int = 12
+    cores: int = CORES  # of each worker
+    load: float = 0.6  # of the warm capacity of all workers
+    hot_function_fraction: float = 0.0  # of the calls; the function's home is the cold worker
+    is_hot_function_heavy: bool = False  # that function is of the class of most work
+    hot_function_delay_ms: float = 0.0  # ms after the start from which it is called
+    burst_factor: float = 1.0  # times the rate, for 6 s from 1 s after the start
+    client_retries: int = 0  # retries of clients after a rejection, marked as such
+    restarted_routers: float = 0.0  # part of the routers that start anew,
+    restart_delay_ms: float = -300.0  # ms after the workers' start
+    propagation_ms: float = 1500.0  # ms within which the routers hear of a start
+    drained_fraction: float = 0.6  # part of the others that leave, where the transition is "drain"
+    slowdown: float = 1.0  # times that all workers need for a call, till the start
+    others_lost_at_ms: float = 0.0  # after the start, where the transition is "alone" or "drain"
+    duration_ms: float = 14000.0
+
+
+class Fleet:
+    """Plays one scenario."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self.scenario, self.rng = scenario, random.Random(scenario.seed)
+        self.settings = settings(
             classes=CLASSES,
-            router_count=case.routers if case.named else 1,
+            router_count=scenario.routers if scenario.is_fleet_size_known else 1,
             rules=RULES,
             keep_alive_ms=8700.0,
             limits=dataclasses.replace(settings().limits, allows_hedging=False, allows_gossip=False),
         )  # fmt: skip
-        self.runners = {n: Runner(n, n % ZONES, free=[0.0] * case.cores) for n in range(1, case.runners + 1)}
-        self.entries: dict[int, Endpoint] = {n: self.entry(n) for n in self.runners}
-        self.routers = [self.router(n) for n in range(case.routers)]
-        self.knows: list[dict[int, Endpoint]] = [dict(self.entries) for _ in self.routers]
-        self.weights = [self.dice.choice((0.5, 0.7, 1.0, 1.3, 4.0)) for _ in self.routers]
+        self.workers = {
+            n: FakeWorker(n, n % ZONES, core_free_at_ms=[0.0] * scenario.cores)
+            for n in range(1, scenario.workers + 1)
+        }
+        self.endpoints: dict[int, Endpoint] = {n: self.endpoint(n) for n in self.workers}
+        self.routers = [self.router(n) for n in range(scenario.routers)]
+        self.known_endpoints: list[dict[int, Endpoint]] = [dict(self.endpoints) for _ in self.routers]
+        self.weights = [self.rng.choice((0.5, 0.7, 1.0, 1.3, 4.0)) for _ in self.routers]
         self.serial = itertools.count()
-        self.agenda: list[tuple[float, int, Callable[[float], None]]] = []
+        self.event_queue: list[tuple[float, int, Callable[[float], None]]] = []
         self.number = itertools.count(1)
-        self.calls: dict[int, tuple[int, int, int, float, int]] = {}  # who, function, class, give up, repeats
-        self.asked = self.refused = self.cold_calls = 0
+        self.calls: dict[
+            int, tuple[int, int, int, float, int]
+        ] = {}  # router, function, class, deadline, client retries
+        self.first_requests = self.rejected_requests = self.cold_calls = 0
         self.function_weights = [1.0 / (k + 3.0) ** 1.3 for k in range(60)]
-        self.lives = [0] * case.routers
-        self.hot = 0
+        self.incarnations = [0] * scenario.routers
+        self.hot_function = 0
 
-    def entry(self, number: int, state: EndpointState = EndpointState.READY) -> Endpoint:
-        runner = self.runners[number]
-        started = None if runner.started == -math.inf else runner.started
-        return Endpoint(number, runner.zone, 0, 0, state, None, started)
+    def endpoint(self, number: int, state: EndpointState = EndpointState.READY) -> Endpoint:
+        worker = self.workers[number]
+        started_at_ms = None if worker.started_at_ms == -math.inf else worker.started_at_ms
+        return Endpoint(number, worker.zone, 0, 0, state, None, started_at_ms)
 
-    def router(self, number: int, life: int = 0) -> Router:
-        zone = dataclasses.replace(self.s, router_index=number, zone=number % ZONES)
-        return Router(zone, self.case.seed * 1000003 + number * 101 + life)
+    def router(self, number: int, incarnation: int = 0) -> Router:
+        zone = dataclasses.replace(self.settings, router_index=number, zone=number % ZONES)
+        return Router(zone, self.scenario.seed * 1000003 + number * 101 + incarnation)
 
-    def at(self, when: float, what: Callable[[float], None]) -> None:
-        heapq.heappush(self.agenda, (when, next(self.serial), what))
+    def schedule(self, when: float, what: Callable[[float], None]) -> None:
+        heapq.heappush(self.event_queue, (when, next(self.serial), what))
 
     # What happens.
 
-    def listed(self, number: int, state: EndpointState, now: float) -> None:
+    def publish(self, number: int, state: EndpointState, now: float) -> None:
         """The list changes; each router hears of it in its own time."""
-        entry = self.entries[number] = self.entry(number, state)
+        endpoint = self.endpoints[number] = self.endpoint(number, state)
         for who in range(len(self.routers)):
-            self.at(now + self.dice.uniform(0.0, self.case.news), lambda at, w=who: self.hear(w, entry, at))  # type: ignore[misc]
+            known_at_ms = now + self.rng.uniform(0.0, self.scenario.propagation_ms)
+            self.schedule(known_at_ms, partial(self.on_list_update, who, endpoint))
 
-    def hear(self, who: int, entry: Endpoint, now: float) -> None:
-        held = self.knows[who].get(entry.worker_id)
-        if held is not None and (held.started_at_ms or 0.0) > (entry.started_at_ms or 0.0):
+    def on_list_update(self, who: int, endpoint: Endpoint, now: float) -> None:
+        held = self.known_endpoints[who].get(endpoint.worker_id)
+        if held is not None and (held.started_at_ms or 0.0) > (endpoint.started_at_ms or 0.0):
             return
         if (
             held is not None
-            and held.started_at_ms == entry.started_at_ms
-            and ORDER.index(held.state) > ORDER.index(entry.state)
+            and held.started_at_ms == endpoint.started_at_ms
+            and STATE_ORDER.index(held.state) > STATE_ORDER.index(endpoint.state)
         ):
             return  # the later news came first
-        self.knows[who][entry.worker_id] = entry
-        self.do(who, EndpointUpdate(EndpointUpdateKind.DELTA, 2, (entry,)), now)
+        self.known_endpoints[who][endpoint.worker_id] = endpoint
+        self.feed(who, EndpointUpdate(EndpointUpdateKind.DELTA, 2, (endpoint,)), now)
 
-    def starts(self, number: int, now: float) -> None:
-        self.runners[number] = Runner(number, number % ZONES, started=now, free=[now] * self.case.cores)
-        self.listed(number, EndpointState.READY, now)
+    def start_worker(self, number: int, now: float) -> None:
+        self.workers[number] = FakeWorker(
+            number, number % ZONES, started_at_ms=now, core_free_at_ms=[now] * self.scenario.cores
+        )
+        self.publish(number, EndpointState.READY, now)
 
-    def restart(self, who: int, now: float) -> None:
-        self.lives[who] += 1
+    def restart_router(self, who: int, now: float) -> None:
+        self.incarnations[who] += 1
         for request in [n for n, call in self.calls.items() if call[0] == who]:
             del self.calls[request]
-        self.routers[who] = self.router(who, self.lives[who])
-        self.knows[who] = dict(self.entries)
-        self.do(who, EndpointUpdate(EndpointUpdateKind.CACHED, 1, tuple(self.entries.values())), now)
-
-    def cross(self) -> None:
-        """The crossing of the case, put on the agenda."""
-        case, late = self.case, START
-        if case.crossing == "join":
-            self.at(late, lambda now: self.starts(NEW, now))
-        elif case.crossing == "zone":
-            for n in [n for n in self.runners if n % ZONES == 1]:
-                self.at(late - 4000.0, lambda now, n=n: self.dies(n, now, told=True))  # type: ignore[misc]
-                self.at(late, lambda now, n=n: self.starts(n, now))  # type: ignore[misc]
-        elif case.crossing == "untold":  # they were down for a moment; the list tells only after that
-            for n in (1, 2):
-                self.at(late - 1000.0, lambda now, n=n: self.dies(n, now, told=False))  # type: ignore[misc]
-                self.at(late, lambda now, n=n: self.starts(n, now))  # type: ignore[misc]
-        elif case.crossing == "replace":
-            gone = round(0.6 * case.runners)
-            for k in range(gone):
-                when = late + 7000.0 * k / gone
-                self.at(when - 700.0, lambda now, n=k + 1: self.listed(n, EndpointState.DRAINING, now))  # type: ignore[misc]
-                self.at(when, lambda now, n=NEW + k: self.starts(n, now))  # type: ignore[misc]
-        elif case.crossing == "alone":  # all others refuse connections, and the list still has them ready
-            self.at(late, lambda now: self.starts(NEW, now))
-            for n in list(self.runners):
-                self.at(late + case.lost_at, lambda now, n=n: self.dies(n, now, told=False))  # type: ignore[misc]
-        elif case.crossing == "drain":  # part of the others leave the list before any more have come
-            self.at(late, lambda now: self.starts(NEW, now))
-            for n in list(self.runners)[: round(case.drained * case.runners)]:
-                when = late + case.lost_at
-                self.at(when, lambda now, n=n: self.listed(n, EndpointState.DRAINING, now))  # type: ignore[misc]
-        for who in range(round(case.restart * case.routers)):
-            self.at(late + case.restart_at + who * 0.5, lambda now, w=who: self.restart(w, now))  # type: ignore[misc]
-
-    def dies(self, number: int, now: float, told: bool) -> None:
-        self.runners[number].up = False
-        if told:
-            self.listed(number, EndpointState.REMOVED, now)
-
-    def home_of(self, target: int) -> int:
-        """A function whose first home is that runner, in the fleet after the crossing."""
-        gone = round(0.6 * self.case.runners)
-        there = {"join": [NEW], "drain": [NEW], "alone": [NEW], "replace": list(range(NEW, NEW + gone))}.get(
-            self.case.crossing, []
-        )
-        numbers = [*self.runners, *there]
+        self.routers[who] = self.router(who, self.incarnations[who])
+        self.known_endpoints[who] = dict(self.endpoints)
+        self.feed(who, EndpointUpdate(EndpointUpdateKind.CACHED, 1, tuple(self.endpoints.values())), now)
+
+    def schedule_transition(self) -> None:
+        """Schedule what happens to the workers and routers."""
+        scenario = self.scenario
+        transitions = {
+            "join": self._join,
+            "zone": self._zone_returns,
+            "untold": self._untold_restart,
+            "replace": self._replace_workers,
+            "alone": self._others_fail,
+            "drain": self._others_leave,
+        }
+        transitions[scenario.transition]()
+        for who in range(round(scenario.restarted_routers * scenario.routers)):
+            restart_at_ms = TRANSITION_AT_MS + scenario.restart_delay_ms + who * 0.5
+            self.schedule(restart_at_ms, partial(self.restart_router, who))
+
+    def _join(self) -> None:
+        self.schedule(TRANSITION_AT_MS, partial(self.start_worker, FIRST_NEW_WORKER))
+
+    def _zone_returns(self) -> None:
+        for number in [number for number in self.workers if number % ZONES == 1]:
+            self.schedule(TRANSITION_AT_MS - 4000.0, partial(self.stop_worker, number, is_published=True))
+            self.schedule(TRANSITION_AT_MS, partial(self.start_worker, number))
+
+    def _untold_restart(self) -> None:
+        """Workers are down for a moment; the endpoint list tells of it only after that."""
+        for number in (1, 2):
+            self.schedule(TRANSITION_AT_MS - 1000.0, partial(self.stop_worker, number, is_published=False))
+            self.schedule(TRANSITION_AT_MS, partial(self.start_worker, number))
+
+    def _replace_workers(self) -> None:
+        replaced = round(REPLACED_FRACTION * self.scenario.workers)
+        for index in range(replaced):
+            starts_at_ms = TRANSITION_AT_MS + 7000.0 * index / replaced
+            self.schedule(starts_at_ms - 700.0, partial(self.publish, index + 1, EndpointState.DRAINING))
+            self.schedule(starts_at_ms, partial(self.start_worker, FIRST_NEW_WORKER + index))
+
+    def _others_fail(self) -> None:
+        """All others refuse connections, and the endpoint list still has them ready."""
+        self._join()
+        for number in list(self.workers):
+            lost_at_ms = TRANSITION_AT_MS + self.scenario.others_lost_at_ms
+            self.schedule(lost_at_ms, partial(self.stop_worker, number, is_published=False))
+
+    def _others_leave(self) -> None:
+        """Part of the others leave the list before any more have come."""
+        self._join()
+        leaving = round(self.scenario.drained_fraction * self.scenario.workers)
+        for number in list(self.workers)[:leaving]:
+            leaves_at_ms = TRANSITION_AT_MS + self.scenario.others_lost_at_ms
+            self.schedule(leaves_at_ms, partial(self.publish, number, EndpointState.DRAINING))
+
+    def stop_worker(self, number: int, now: float, is_published: bool) -> None:
+        self.workers[number].is_up = False
+        if is_published:
+            self.publish(number, EndpointState.REMOVED, now)
+
+    def function_at_home(self, target: int) -> int:
+        """A function whose first home is that worker, in the fleet after the transition."""
+        gone = round(REPLACED_FRACTION * self.scenario.workers)
+        there = {
+            "join": [FIRST_NEW_WORKER],
+            "drain": [FIRST_NEW_WORKER],
+            "alone": [FIRST_NEW_WORKER],
+            "replace": list(range(FIRST_NEW_WORKER, FIRST_NEW_WORKER + gone)),
+        }.get(self.scenario.transition, [])
+        numbers = [*self.workers, *there]
         for function in range(5000, 9000):
             if min(numbers, key=lambda n: rendezvous_score(hash64(function), hash64(n), 1.0)) == target:
                 return function
@@ -259,147 +304,201 @@
 
     def rate(self, now: float) -> float:
         """Calls a second of the whole fleet."""
-        burst = self.case.burst if START + 1000.0 <= now < START + 7000.0 else 1.0
-        return self.case.load * self.case.runners * 1000.0 * self.case.cores / MEAN * burst
-
-    def arrive(self, now: float) -> None:
-        self.at(now + self.dice.expovariate(self.rate(now) / 1000.0), self.arrive)
-        who = self.dice.choices(range(len(self.routers)), self.weights)[0]
-        function = self.dice.choices(range(1, 61), self.function_weights)[0]
-        klass = random.Random(function).choices(range(3), PARTS)[0]
-        if self.dice.random() < self.case.popular and now >= START + self.case.shift:
-            function, klass = self.hot, 1 if self.case.heavy else 0
-        self.ask(now, who, function, klass, 0)
-
-    def ask(self, now: float, who: int, function: int, klass: int, repeats: int) -> None:
-        number, give_up = next(self.number), now + CLASSES[klass].deadline_ms
-        self.calls[number] = who, function, klass, give_up, repeats
-        if now >= START:
-            self.asked += repeats == 0
-        self.do(
+        burst_factor = (
+            self.scenario.burst_factor
+            if TRANSITION_AT_MS + 1000.0 <= now < TRANSITION_AT_MS + 7000.0
+            else 1.0
+        )
+        return (
+            self.scenario.load
+            * self.scenario.workers
+            * 1000.0
+            * self.scenario.cores
+            / MEAN_WORK_MS
+            * burst_factor
+        )
+
+    def on_arrival(self, now: float) -> None:
+        self.schedule(now + self.rng.expovariate(self.rate(now) / 1000.0), self.on_arrival)
+        who = self.rng.choices(range(len(self.routers)), self.weights)[0]
+        function = self.rng.choices(range(1, 61), self.function_weights)[0]
+        class_index = random.Random(function).choices(range(3), CLASS_FRACTIONS)[0]
+        if (
+            self.rng.random() < self.scenario.hot_function_fraction
+            and now >= TRANSITION_AT_MS + self.scenario.hot_function_delay_ms
+        ):
+            function, class_index = self.hot_function, 1 if self.scenario.is_hot_function_heavy else 0
+        self.send_request(now, who, function, class_index, 0)
+
+    def send_request(
+        self, now: float, who: int, function: int, class_index: int, client_retries: int
+    ) -> None:
+        number, deadline_ms = next(self.number), now + CLASSES[class_index].deadline_ms
+        self.calls[number] = who, function, class_index, deadline_ms, client_retries
+        if now >= TRANSITION_AT_MS:
+            self.first_requests += client_retries == 0
+        self.feed(
             who,
-            RequestArrived(number, function, klass, give_up, is_client_retry=repeats > 0, concurrency=4.0),
+            RequestArrived(
+                number,
+                function,
+                class_index,
+                deadline_ms,
+                is_client_retry=client_retries > 0,
+                concurrency=4.0,
+            ),
             now,
         )
 
-    def do(self, who: int, event: Event, now: float) -> None:
-        router, life = self.routers[who], self.lives[who]
+    def feed(self, who: int, event: Event, now: float) -> None:
+        router, incarnation = self.routers[who], self.incarnations[who]
         for action in router.handle(now, event):
             if isinstance(action, StartAttempt):
                 self.send(who, action, now)
             elif isinstance(action, (RejectRequest, FailRequest)):
-                self.end(who, action, now)
+                self.on_rejected(who, action, now)
             elif isinstance(action, SetTimer):
-                self.at(action.at_ms, lambda at, t=action.token: self.timer(who, life, t, at))  # type: ignore[misc]
+                self.schedule(action.at_ms, partial(self.on_timer, who, incarnation, action.token))
 
-    def timer(self, who: int, life: int, token: int, now: float) -> None:
-        if self.lives[who] == life:
-            self.do(who, TimerFired(token), now)
+    def on_timer(self, who: int, incarnation: int, token: int, now: float) -> None:
+        if self.incarnations[who] == incarnation:
+            self.feed(who, TimerFired(token), now)
 
-    def end(self, who: int, action: RejectRequest | FailRequest, now: float) -> None:
+    def on_rejected(self, who: int, action: RejectRequest | FailRequest, now: float) -> None:
         call = self.calls.pop(action.request_id, None)
         if call is None:
             return
-        _, function, klass, _, repeats = call
-        self.refused += now >= START and repeats == 0
-        if repeats < self.case.repeats:
-            self.at(now + 200.0, lambda at: self.ask(at, who, function, klass, repeats + 1))
+        _, function, class_index, _, client_retries = call
+        self.rejected_requests += now >= TRANSITION_AT_MS and client_retries == 0
+        if client_retries < self.scenario.client_retries:
+            self.schedule(
+                now + 200.0,
+                lambda at_ms: self.send_request(at_ms, who, function, class_index, client_retries + 1),
+            )
 
     def send(self, who: int, action: StartAttempt, now: float) -> None:
         call = self.calls[action.request_id]
-        runner, life = self.runners[action.worker_id], self.lives[who]
-        told = self.knows[who][action.worker_id].started_at_ms
-        if runner.started > 0.0 and runner.up and told == runner.started and runner.part(now) < 1.0:
-            runner.count(now, WORKS[call[2]] / MEAN)
+        worker, incarnation = self.workers[action.worker_id], self.incarnations[who]
+        known_start_ms = self.known_endpoints[who][action.worker_id].started_at_ms
+        if (
+            worker.started_at_ms > 0.0
+            and worker.is_up
+            and known_start_ms == worker.started_at_ms
+            and worker.capacity(now) < 1.0
+        ):
+            worker.record_send(now, CLASS_WORK_MS[call[2]] / MEAN_WORK_MS)
             self.cold_calls += 1
-        work = self.dice.expovariate(1.0 / WORKS[call[2]]) * (self.case.slow if now < START else 1.0)
-        at, outcome, note = runner.take(now, call[1], work)
-        if at > call[3]:
-            at, outcome = call[3], Outcome.TIMEOUT
+        work = self.rng.expovariate(1.0 / CLASS_WORK_MS[call[2]]) * (
+            self.scenario.slowdown if now < TRANSITION_AT_MS else 1.0
+        )
+        at_ms, outcome, start_kind = worker.serve(now, call[1], work)
+        if at_ms > call[3]:
+            at_ms, outcome = call[3], Outcome.TIMEOUT
         attempt = len(self.routers[who].pending_requests[action.request_id].attempts) - 1
         ends = AttemptEnded(
-            action.request_id, attempt, action.worker_id, outcome, at - now, outcome is Outcome.OK, note, 0
+            action.request_id,
+            attempt,
+            action.worker_id,
+            outcome,
+            at_ms - now,
+            outcome is Outcome.OK,
+            start_kind,
+            0,
         )
-        self.at(at, lambda now: self.ended(who, life, ends, now))
+        self.schedule(at_ms, lambda now: self.on_attempt_ended(who, incarnation, ends, now))
 
-    def ended(self, who: int, life: int, ends: AttemptEnded, now: float) -> None:
-        if self.lives[who] != life:
+    def on_attempt_ended(self, who: int, incarnation: int, ends: AttemptEnded, now: float) -> None:
+        if self.incarnations[who] != incarnation:
             return
         if ends.is_final:
             self.calls.pop(ends.request_id, None)
-        self.do(who, ends, now)
+        self.feed(who, ends, now)
 
-    def play(self) -> Result:
-        """The whole day, from full copies at the start."""
+    def run(self) -> Result:
+        """The whole day, from loaded instances at the start."""
         for who in range(len(self.routers)):
-            self.do(who, EndpointUpdate(EndpointUpdateKind.CACHED, 1, tuple(self.entries.values())), 0.0)
-        for runner in self.runners.values():
-            runner.copies = dict.fromkeys(range(1, 61), 0.0)
-        if self.case.popular:
-            self.hot = self.home_of(NEW if self.case.crossing in ("join", "replace", "alone", "drain") else 1)
-        self.cross()
-        self.at(0.0, self.arrive)
-        while self.agenda and self.agenda[0][0] < START + self.case.lasts:
-            now, _, what = heapq.heappop(self.agenda)
+            self.feed(who, EndpointUpdate(EndpointUpdateKind.CACHED, 1, tuple(self.endpoints.values())), 0.0)
+        for worker in self.workers.values():
+            worker.instance_ready_at_ms = dict.fromkeys(range(1, 61), 0.0)
+        if self.scenario.hot_function_fraction:
+            self.hot_function = self.function_at_home(
+                FIRST_NEW_WORKER if self.scenario.transition in ("join", "replace", "alone", "drain") else 1
+            )
+        self.schedule_transition()
+        self.schedule(0.0, self.on_arrival)
+        while self.event_queue and self.event_queue[0][0] < TRANSITION_AT_MS + self.scenario.duration_ms:
+            now, _, what = heapq.heappop(self.event_queue)
             what(now)
         return self.result()
 
     def result(self) -> Result:
-        cold = [r for r in self.runners.values() if r.started > 0.0]
-        ends, step = START + self.case.lasts, 100.0
-        may = 0.0
-        for runner in cold:
-            steps = int((ends - runner.started) / step)
-            may += (
-                sum(runner.budget(runner.started + k * step) for k in range(steps))
+        cold = [r for r in self.workers.values() if r.started_at_ms > 0.0]
+        ends, step = TRANSITION_AT_MS + self.scenario.duration_ms, 100.0
+        allowed_work = 0.0
+        for worker in cold:
+            steps = int((ends - worker.started_at_ms) / step)
+            allowed_work += (
+                sum(worker.budget(worker.started_at_ms + k * step) for k in range(steps))
                 * step
                 / RULES.collapse_window_ms
             )
-        worst = max((r.worst for r in cold), default=(0.0, 0.0, 0.0))
+        fullest_window = max((r.fullest_window for r in cold), default=(0.0, 0.0, 0.0))
         return Result(
-            worst[0], worst[1], worst[2], sum(r.used for r in cold) / may, self.refused / self.asked
+            fullest_window[0],
+            fullest_window[1],
+            fullest_window[2],
+            sum(r.received_work for r in cold) / allowed_work,
+            self.rejected_requests / self.first_requests,
         )
 
 
 @dataclass(frozen=True)
 class Result:
-    """Of one day: the fullest window of any cold runner, and what it cost."""
+    """Of one day: the fullest window of any cold worker, and what it cost."""
 
-    worst: float  # its sum over N + 2 x root of N + 2
+    fullest_window: float  # its sum over N + 2 x root of N + 2
     total: float  # that sum, in calls of mean work
     budget: float  # N then
-    used: float  # all that cold runners got over all their budgets
-    refused: float  # of the first tries from the start on
-
-
-SMALL = Case(0, runners=6, cores=1, lasts=6000.0)
-LOST = dataclasses.replace(SMALL, crossing="alone")
-LEAVE = dataclasses.replace(SMALL, crossing="drain")
-CASES: dict[str, Case] = {
-    "join": Case(0),
-    "join, load 1.3": Case(0, load=1.3),
-    "popular home": Case(0, popular=0.4),
-    "popular home, heavy class": Case(0, popular=0.4, heavy=True),
-    "popular from 5 s on": Case(0, popular=0.6, shift=5000.0, load=0.9),
-    "burst of 2.0, repeats": Case(0, load=0.9, burst=2.0, repeats=3, popular=0.4),
-    "zone returns": Case(0, crossing="zone", popular=0.3),
-    "six in ten replaced": Case(0, crossing="replace", popular=0.3, repeats=2),
-    "six in ten replaced, load 0.9": Case(0, crossing="replace", popular=0.3, load=0.9, repeats=2),
-    "routers restart before": Case(0, restart=0.9, popular=0.4),
-    "routers restart, heavy class, load 0.9": Case(0, restart=0.9, popular=0.4, heavy=True, load=0.9),
-    "untold start": Case(0, crossing="untold", popular=0.3),
-    "all others fail": LOST,
-    "all others fail, load 0.9": dataclasses.replace(LOST, load=0.9),
+    received_work: float  # all that cold workers got over all their budgets
+    rejected_requests: float  # of the first attempts from the start on
+
+
+SMALL_FLEET = Scenario(0, workers=6, cores=1, duration_ms=6000.0)
+OTHERS_FAIL = dataclasses.replace(SMALL_FLEET, transition="alone")
+OTHERS_LEAVE = dataclasses.replace(SMALL_FLEET, transition="drain")
+SCENARIOS: dict[str, Scenario] = {
+    "join": Scenario(0),
+    "join, load 1.3": Scenario(0, load=1.3),
+    "popular home": Scenario(0, hot_function_fraction=0.4),
+    "popular home, heavy class": Scenario(0, hot_function_fraction=0.4, is_hot_function_heavy=True),
+    "popular from 5 s on": Scenario(0, hot_function_fraction=0.6, hot_function_delay_ms=5000.0, load=0.9),
+    "burst of 2.0, repeats": Scenario(
+        0, load=0.9, burst_factor=2.0, client_retries=3, hot_function_fraction=0.4
+    ),
+    "zone returns": Scenario(0, transition="zone", hot_function_fraction=0.3),
+    "six in ten replaced": Scenario(0, transition="replace", hot_function_fraction=0.3, client_retries=2),
+    "six in ten replaced, load 0.9": Scenario(
+        0, transition="replace", hot_function_fraction=0.3, load=0.9, client_retries=2
+    ),
+    "routers restart before": Scenario(0, restarted_routers=0.9, hot_function_fraction=0.4),
+    "routers restart, heavy class, load 0.9": Scenario(
+        0, restarted_routers=0.9, hot_function_fraction=0.4, is_hot_function_heavy=True, load=0.9
+    ),
+    "untold start": Scenario(0, transition="untold", hot_function_fraction=0.3),
+    "all others fail": OTHERS_FAIL,
+    "all others fail, load 0.9": dataclasses.replace(OTHERS_FAIL, load=0.9),
     "all others fail, routers restarted": dataclasses.replace(
-        LOST, load=0.9, restart=0.9, restart_at=-1500.0, popular=0.5
+        OTHERS_FAIL, load=0.9, restarted_routers=0.9, restart_delay_ms=-1500.0, hot_function_fraction=0.5
+    ),
+    "all others fail, burst of 2.4": dataclasses.replace(OTHERS_FAIL, burst_factor=2.4),
+    "six in ten leave": dataclasses.replace(OTHERS_LEAVE, hot_function_fraction=0.4),
+    "five in six leave": dataclasses.replace(OTHERS_LEAVE, hot_function_fraction=0.4, drained_fraction=0.84),
+    "all others leave": dataclasses.replace(OTHERS_LEAVE, drained_fraction=1.0),
+    "all others leave later, load 0.9": dataclasses.replace(
+        OTHERS_LEAVE, drained_fraction=1.0, load=0.9, others_lost_at_ms=2500.0
     ),
-    "all others fail, burst of 2.4": dataclasses.replace(LOST, burst=2.4),
-    "six in ten leave": dataclasses.replace(LEAVE, popular=0.4),
-    "five in six leave": dataclasses.replace(LEAVE, popular=0.4, drained=0.84),
-    "all others leave": dataclasses.replace(LEAVE, drained=1.0),
-    "all others leave later, load 0.9": dataclasses.replace(LEAVE, drained=1.0, load=0.9, lost_at=2500.0),
     "all others leave, routers restart after": dataclasses.replace(
-        LEAVE, drained=1.0, restart=0.9, restart_at=2500.0
+        OTHERS_LEAVE, drained_fraction=1.0, restarted_routers=0.9, restart_delay_ms=2500.0
     ),
 }
 
@@ -407,29 +506,34 @@
 def main() -> None:
     """``python -m tests.simulation.slow_start_fleet [SEEDS [ROUTERS... [WORDS...]]]``.
 
-    WORDS: of the crossings' names."""
+    WORDS: of the scenarios' names."""
     seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 3
     fleets = [int(n) for n in sys.argv[2:] if n.isdigit()] or [3, 20, 30, 200]
     words = [word for word in sys.argv[2:] if not word.isdigit()] or [""]
-    print("| crossing | routers | worst of its bound | its sum | N | used of budgets | refused |")
+    print("| transition | routers | worst of its bound | its sum | N | used of budgets | rejected |")
     print("| --- | --- | --- | --- | --- | --- | --- |")
-    for name, case in CASES.items():
+    for name, scenario in SCENARIOS.items():
         if not any(word in name for word in words):
             continue
         for routers in fleets:
-            days = [
-                World(dataclasses.replace(case, routers=routers, seed=s, named=s % 2 == 0)).play()
-                for s in range(seeds)
-            ]
-            far = max(days, key=lambda day: day.worst)
-            used = sum(d.used for d in days) / seeds
-            refused = sum(d.refused for d in days) / seeds
+            days = [_run(scenario, routers, seed) for seed in range(seeds)]
+            worst = max(days, key=lambda day: day.fullest_window)
+            used = sum(day.received_work for day in days) / seeds
+            rejected = sum(day.rejected_requests for day in days) / seeds
             print(
-                f"| {name} | {routers} | {far.worst:.2f} | {far.total:.1f} | {far.budget:.1f} "
-                f"| {used:.2f} | {refused:.3f} |",
+                f"| {name} | {routers} | {worst.fullest_window:.2f} | {worst.total:.1f} | {worst.budget:.1f} "
+                f"| {used:.2f} | {rejected:.3f} |",
                 flush=True,
             )
 
 
+def _run(scenario: Scenario, routers: int, seed: int) -> Result:
+    """One day; every other seed's routers are told the fleet's size."""
+    is_known = seed % 2 == 0
+    return Fleet(
+        dataclasses.replace(scenario, routers=routers, seed=seed, is_fleet_size_known=is_known)
+    ).run()
+
+
 if __name__ == "__main__":
     main()
--- a/tests/simulation/test_slow_start_fleet.py
+++ b/tests/simulation/test_slow_start_fleet.py
@@ -13,7 +13,7 @@
 from cedarthread.routing.records import PendingRequest, WorkerRecord
 from cedarthread.statistics import WindowedMaximum
 from tests.helpers import CLASSES, Drive, sends, settings, worker
-from tests.simulation.slow_start_fleet import CASES, Case, World
+from tests.simulation.slow_start_fleet import SCENARIOS, Fleet, Scenario
 
 DAYS = [
     ("all others leave", 3, True),
@@ -30,21 +30,23 @@
     name: str, routers: int, named: bool
 ) -> None:
     """Under N, where N + 2 x root of N + 2 is let pass: what chance adds on another day has room."""
-    case = dataclasses.replace(CASES[name], routers=routers, named=named, lasts=4500.0)
-    day = World(case).play()
+    scenario = dataclasses.replace(
+        SCENARIOS[name], routers=routers, is_fleet_size_known=named, duration_ms=4500.0
+    )
+    day = Fleet(scenario).run()
     assert day.total > 0.0, "the safe way does not starve it"
-    assert day.worst <= 0.7, day
+    assert day.fullest_window <= 0.7, day
 
 
 def test_the_world_counts_each_call_as_the_mean_work_of_its_class() -> None:
-    world = World(Case(1))
-    world.starts(1, 5000.0)
-    runner = world.runners[1]
-    runner.count(5000.0, 1.3)
-    runner.count(6999.0, 0.7)
-    assert runner.weight == pytest.approx(2.0) and runner.used == pytest.approx(2.0)
-    runner.count(7000.0, 0.7)
-    assert runner.weight == pytest.approx(1.4)  # a window is open at its start
+    fleet = Fleet(Scenario(1))
+    fleet.start_worker(1, 5000.0)
+    cold = fleet.workers[1]
+    cold.record_send(5000.0, 1.3)
+    cold.record_send(6999.0, 0.7)
+    assert cold.window_weight == pytest.approx(2.0) and cold.received_work == pytest.approx(2.0)
+    cold.record_send(7000.0, 0.7)
+    assert cold.window_weight == pytest.approx(1.4)  # a window is open at its start
 
 
 def busy(*, calls: int = 40, took: float = 100.0) -> Drive:
