--- a/tests/integration/test_endings_bad_input.py
+++ b/tests/integration/test_endings_bad_input.py
@@ -13,7 +13,17 @@
 from cedarthread.service import Service
 from cedarthread.testing.fakes.discovery_server import FakeDiscoveryServer, ListedWorker, encode_reply
 from cedarthread.testing.fakes.scripted import ScriptedWorker, client, pack_call, serve_uppercase
-from tests.integration.test_endings import INTERRUPT, LONG, fence, mute, reset, routed, settled, told, until
+from tests.integration.test_endings import (
+    INTERRUPT,
+    LONG,
+    fence,
+    mute,
+    reset,
+    result_name,
+    running_router,
+    until,
+    wait_until_settled,
+)
 
 Spoils = Callable[[bytes], list[bytes]]  # the datagrams that come in place of a reply
 
@@ -71,29 +81,29 @@
 
 
 @pytest.mark.parametrize("spoils", SPOILT.values(), ids=list(SPOILT))
-def test_a_spoilt_list_changes_nothing_and_the_next_good_one_counts(spoils: Spoils) -> None:
+def test_a_malformed_list_changes_nothing_and_the_next_valid_one_is_applied(spoils: Spoils) -> None:
     async def test() -> None:
         runners = [ScriptedWorker(), ScriptedWorker()]
-        async with routed(*runners) as (running, caller):
+        async with running_router(*runners) as (running, caller):
             discovery = Discovery(running, *runners)
             await discovery.play(spoils)
             assert running.endpoint_list.version == 1 and len(running.endpoint_list.records) == 2
             assert running.discovery.last_usable_reply_at == 0.0 or spoils is nobody
-            assert told(await caller.call(1, "confirm", b"x")) == "served"
+            assert result_name(await caller.call(1, "confirm", b"x")) == "served"
             await discovery.play(whole)
             assert running.endpoint_list.version == 2 and len(running.endpoint_list.records) == 2
-            assert told(await caller.call(2, "confirm", b"x")) == "served"
+            assert result_name(await caller.call(2, "confirm", b"x")) == "served"
             discovery.close()
 
     asyncio.run(test())
 
 
-def test_a_spoilt_list_is_told_in_a_line(caplog: pytest.LogCaptureFixture) -> None:
+def test_a_malformed_list_is_one_log_line(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level("INFO", "cedarthread.resolver")
 
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, _):
+        async with running_router(runner) as (running, _):
             discovery = Discovery(running, runner)
             await discovery.play(SPOILT["refused"])
             discovery.close()
@@ -102,12 +112,12 @@
     assert [r.getMessage() for r in caplog.records] == ["reply of the resolver not used: code 5"]
 
 
-def test_a_resolver_that_dies_leaves_the_last_list_and_is_heard_again() -> None:
+def test_when_discovery_dies_the_last_list_stays_and_later_replies_are_used() -> None:
     """Queries that are refused by its machine, as where the process is down, end nothing."""
 
     async def test() -> None:
         runners = [ScriptedWorker(), ScriptedWorker()]
-        async with routed(*runners) as (running, caller):
+        async with running_router(*runners) as (running, caller):
             discovery = Discovery(running, *runners)
             await discovery.play(whole)
             port = discovery.server.port
@@ -118,7 +128,7 @@
             running.discovery._transport.sendto = lambda data: (asked.append(data), sendto(data))  # type: ignore
             await until(lambda: len(asked) == 3, "it is asked on, in vain")
             assert running.endpoint_list.version == 2
-            assert told(await caller.call(1, "confirm", b"x")) == "served"
+            assert result_name(await caller.call(1, "confirm", b"x")) == "served"
             discovery.serial = 5
             again = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             again.bind(("127.0.0.1", port))
@@ -130,17 +140,17 @@
     asyncio.run(test())
 
 
-def test_that_nobody_is_left_is_believed_of_a_second_query() -> None:
+def test_an_empty_list_is_believed_once_a_second_query_confirms_it() -> None:
     """An empty list can be true: then no call may go on to where nobody is, and it has to be known soon."""
 
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, caller):
-            assert told(await caller.call(1, "confirm", b"x")) == "served"
+        async with running_router(runner) as (running, caller):
+            assert result_name(await caller.call(1, "confirm", b"x")) == "served"
             discovery = Discovery(running, runner)
             await discovery.play(nobody, nobody)
             assert running.endpoint_list.version == 9 and running.endpoint_list.records == {}
-            assert told(await caller.call(2, "confirm", b"x", limit="400")) == "refused"
+            assert result_name(await caller.call(2, "confirm", b"x", limit="400")) == "refused"
             assert len(runner.calls) == 1
             discovery.close()
 
@@ -148,12 +158,12 @@
 
 
 @pytest.mark.parametrize("between", [1, 2])
-def test_two_lists_of_nobody_with_a_good_one_between_are_not_believed(between: int) -> None:
+def test_two_empty_lists_with_a_full_one_between_are_not_believed(between: int) -> None:
     """The good one is of the serial that holds, read once or known by its bytes, or a newer one."""
 
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, _):
+        async with running_router(runner) as (running, _):
             discovery = Discovery(running, runner)
             discovery.serial = between
             await discovery.play(whole, nobody, whole, nobody, whole, nobody)
@@ -163,12 +173,12 @@
     asyncio.run(test())
 
 
-def test_a_list_doubled_or_late_is_taken_once_and_never_back(caplog: pytest.LogCaptureFixture) -> None:
+def test_a_duplicate_or_late_list_is_applied_once_and_never_undone(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level("INFO", "cedarthread")
 
     async def test() -> None:
         runners = [ScriptedWorker(), ScriptedWorker()]
-        async with routed(*runners) as (running, _):
+        async with running_router(*runners) as (running, _):
             discovery = Discovery(running, *runners)
 
             def hold(reply: bytes) -> list[bytes]:
@@ -205,14 +215,14 @@
 
 
 @pytest.mark.parametrize("spoilt", ANSWERS.values(), ids=list(ANSWERS))
-def test_an_answer_that_cannot_be_read_ends_its_connection_alone(
+def test_a_malformed_response_ends_its_connection_alone(
     spoilt: Callable[[str], bytes], caplog: pytest.LogCaptureFixture
 ) -> None:
     """What is open there may have run. A call at another runner is not touched; the log says which it was."""
 
     async def test() -> None:
         runners = [ScriptedWorker(mute), ScriptedWorker(mute)]
-        async with routed(*runners) as (_, caller):
+        async with running_router(*runners) as (_, caller):
             number = 0
             while not (runners[0].calls and runners[1].calls):  # functions have homes here and there
                 number += 1
@@ -224,9 +234,9 @@
             assert lost == {int(call["id"], 16) for call in bad.calls}
             for call in good.calls:
                 good.answer(call, serve_uppercase(good, call))
-                assert told(await caller.read()) == "served"
+                assert result_name(await caller.read()) == "served"
             bad.behavior = good.behavior = serve_uppercase
-            assert told(await caller.call(90, "confirm", b"x")) == "served"
+            assert result_name(await caller.call(90, "confirm", b"x")) == "served"
 
     asyncio.run(test())
     assert [r.getMessage() for r in caplog.records if r.name == "cedarthread.runners"] == [
@@ -235,11 +245,11 @@
 
 
 @pytest.mark.parametrize("number", [b"\x63", b"\x01", b"\xcf" + b"\xff" * 8])
-def test_an_interrupt_of_an_unknown_or_ended_call_is_for_nobody(number: bytes) -> None:
+def test_an_interrupt_of_an_unknown_or_completed_call_is_ignored(number: bytes) -> None:
     async def test() -> None:
         runner = ScriptedWorker()
-        async with routed(runner) as (running, caller):
-            assert told(await caller.call(1, "confirm", b"x")) == "served"
+        async with running_router(runner) as (running, caller):
+            assert result_name(await caller.call(1, "confirm", b"x")) == "served"
             runner.behavior = mute
             caller.writer.write(pack_call(2, "confirm", b"x"))
             await runner.wait_until(lambda: len(runner.calls) == 2)
@@ -252,10 +262,10 @@
     asyncio.run(test())
 
 
-def test_a_client_that_ends_in_the_middle_of_a_message_takes_its_own_calls_alone() -> None:
+def test_a_client_that_ends_within_a_message_ends_its_own_calls_alone() -> None:
     async def test() -> None:
         runner = ScriptedWorker(mute)
-        async with routed(runner) as (running, caller), client(running) as cut:
+        async with running_router(runner) as (running, caller), client(running) as cut:
             for number, one in ((1, cut), (2, caller)):
                 one.writer.write(pack_call(number, "confirm", b"x", limit=LONG))
                 await runner.wait_until(lambda: len(runner.calls) == number)  # noqa: B023
@@ -268,7 +278,7 @@
             await runner.wait_until(lambda: runner.cancelled_ids == [f"{1:016x}"])
             runner.answer(runner.calls[1], serve_uppercase(runner, runner.calls[1]))
             assert await caller.read() == [1, 2, None, [b"X", {}]]
-            await settled(running)
+            await wait_until_settled(running)
             assert len(runner.calls) == 2
 
     asyncio.run(test())
