RouterDriver of the routing tests: verbs, units and whole names

Cause: Drive with ask, end, wait, left, note. Change: send_request, end_attempt, advance_to, time_left_ms, start_kind; no assertion changed.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -75,72 +75,82 @@
     return Endpoint(number, zone, 0, cell, state, 1.0, started)
 
 
-class Drive:
-    """Feeds a router and keeps what it did."""
+class RouterDriver:
+    """Feeds a router and keeps the actions that it returned."""
 
     def __init__(self, *workers: Endpoint, seed: int = 1, now: float = 1000.0, **changes: Any) -> None:
         self.router = Router(settings(**changes), seed)
         self.now = now
         self.actions: list[Action] = []
-        self.ids = 0
+        self.last_request_id = 0
         self.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, tuple(workers)))
 
-    def feed(self, event: Event, after: float = 0.0) -> list[Action]:
-        self.now += after
-        out = self.router.handle(self.now, event)
-        self.actions.extend(out)
-        return out
+    def feed(self, event: Event, after_ms: float = 0.0) -> list[Action]:
+        """Hand in an event so many ms after the last one; returns what the router wants done."""
+        self.now += after_ms
+        actions = self.router.handle(self.now, event)
+        self.actions.extend(actions)
+        return actions
 
-    def ask(
+    def send_request(
         self,
         function_id: int = 7,
         class_index: int = 0,
-        after: float = 0.0,
-        left: float | None = None,
-        **extra: Any,
+        after_ms: float = 0.0,
+        time_left_ms: float | None = None,
+        **fields: Any,
     ) -> list[Action]:
         """A request with this much time left, or the deadline of its class."""
-        self.ids += 1
-        give_up = self.now + after + (CLASSES[class_index].deadline_ms if left is None else left)
-        return self.feed(RequestArrived(self.ids, function_id, class_index, give_up, **extra), after)
-
-    def end(
+        self.last_request_id += 1
+        if time_left_ms is None:
+            time_left_ms = CLASSES[class_index].deadline_ms
+        deadline_ms = self.now + after_ms + time_left_ms
+        request = RequestArrived(self.last_request_id, function_id, class_index, deadline_ms, **fields)
+        return self.feed(request, after_ms)
+
+    def end_attempt(
         self,
-        request: int,
-        at: int,
+        request_id: int,
+        worker_id: int,
         outcome: Outcome = Outcome.OK,
-        attempt: int = 0,
-        after: float = 100.0,
-        note: StartKind = StartKind.WARM,
-        final: bool | None = None,
+        attempt_index: int = 0,
+        after_ms: float = 100.0,
+        start_kind: StartKind = StartKind.WARM,
+        is_final: bool | None = None,
     ) -> list[Action]:
-        done = outcome is Outcome.OK if final is None else final
-        return self.feed(AttemptEnded(request, attempt, at, outcome, after, done, note, 0), after)
-
-    def wait(self, upto: float) -> list[Action]:
+        """An attempt ends so many ms after the last event; that is its latency too."""
+        is_done = outcome is Outcome.OK if is_final is None else is_final
+        return self.feed(
+            AttemptEnded(request_id, attempt_index, worker_id, outcome, after_ms, is_done, start_kind, 0),
+            after_ms,
+        )
+
+    def advance_to(self, until_ms: float) -> list[Action]:
         """Fire the timers that are due until then."""
-        out: list[Action] = []
+        fired: list[Action] = []
         while True:
-            timers = [a for a in self.actions if isinstance(a, SetTimer)]
-            self.actions = [a for a in self.actions if not isinstance(a, SetTimer)]
+            timers = [action for action in self.actions if isinstance(action, SetTimer)]
+            self.actions = [action for action in self.actions if not isinstance(action, SetTimer)]
             for timer in timers:
-                if timer.at_ms > upto:
+                if timer.at_ms > until_ms:
                     self.actions.append(timer)
                     continue
                 self.now = max(self.now, timer.at_ms)
-                out.extend(self.feed(TimerFired(timer.token)))
-            if all(t.at_ms > upto for t in timers):
+                fired.extend(self.feed(TimerFired(timer.token)))
+            if all(timer.at_ms > until_ms for timer in timers):
                 break
-        self.now = max(self.now, upto)
-        return out
+        self.now = max(self.now, until_ms)
+        return fired
 
 
 def sends(actions: list[Action]) -> list[int]:
-    return [a.worker_id for a in actions if isinstance(a, StartAttempt)]
+    """The workers that attempts are started at."""
+    return [action.worker_id for action in actions if isinstance(action, StartAttempt)]
 
 
 def finals(actions: list[Action]) -> list[Action]:
-    return [a for a in actions if isinstance(a, (RejectRequest, FailRequest))]
+    """The final answers."""
+    return [action for action in actions if isinstance(action, (RejectRequest, FailRequest))]
 
 
 class _Writes(pickle.Pickler):
--- a/tests/simulation/test_slow_start_fleet.py
+++ b/tests/simulation/test_slow_start_fleet.py
@@ -12,7 +12,7 @@
 from cedarthread.model.settings import NotLoadedBehavior
 from cedarthread.routing.records import PendingRequest, WorkerRecord
 from cedarthread.statistics import WindowedMaximum
-from tests.helpers import CLASSES, Drive, sends, settings, worker
+from tests.helpers import CLASSES, RouterDriver, sends, settings, worker
 from tests.simulation.slow_start_fleet import SCENARIOS, Fleet, Scenario
 
 DAYS = [
@@ -49,16 +49,18 @@
     assert cold.window_weight == pytest.approx(1.4)  # a window is open at its start
 
 
-def busy(*, calls: int = 40, took: float = 100.0) -> Drive:
+def busy(*, calls: int = 40, took: float = 100.0) -> RouterDriver:
     """A router with some traffic that knows six warm workers and a cold one."""
-    drive = Drive(*(worker(n) for n in range(1, 7)), worker(7, started=1000.0), router_count=20)
+    drive = RouterDriver(*(worker(n) for n in range(1, 7)), worker(7, started=1000.0), router_count=20)
     for number in range(calls):
-        drive.ask(number, after=20.0)
-        drive.end(drive.ids, sends(drive.actions)[-1], after=0.0 if took == 0.0 else took)
+        drive.send_request(number, after_ms=20.0)
+        drive.end_attempt(
+            drive.last_request_id, sends(drive.actions)[-1], after_ms=0.0 if took == 0.0 else took
+        )
     return drive
 
 
-def fits(drive: Drive) -> float:
+def fits(drive: RouterDriver) -> float:
     """The most work, ms, that one more call to the cold worker may be of."""
     record = drive.router.workers[7]
     record.jitter = 0.999999
@@ -90,9 +92,9 @@
 
 def test_an_initial_estimate_of_service_times_is_no_budget_for_cheaper_calls() -> None:
     """Before its first answer a router took calls for three times their work, and kept to that sum."""
-    drive = Drive(*(worker(n) for n in range(1, 7)), worker(7, started=1000.0), router_count=20)
+    drive = RouterDriver(*(worker(n) for n in range(1, 7)), worker(7, started=1000.0), router_count=20)
     for number in range(20):
-        drive.ask(number, after=1.0)
+        drive.send_request(number, after_ms=1.0)
     guess = CLASSES[0].latency_objective_ms / 4.0
     unanswered = fits(drive) / guess
     drive.router.state.service_times.by_class[0].add(guess / 3.0)
@@ -103,9 +105,9 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The call that was to wait for a load elsewhere went to the copy that stands, whatever came there."""
-    drive = Drive(worker(1), when_not_loaded=NotLoadedBehavior.REJECT, router_count=1)
-    drive.ask(function_id=7)
-    drive.feed(PreloadEnded(1, 7, Outcome.OK, 1, 100.0), after=100.0)
+    drive = RouterDriver(worker(1), when_not_loaded=NotLoadedBehavior.REJECT, router_count=1)
+    drive.send_request(function_id=7)
+    drive.feed(PreloadEnded(1, 7, Outcome.OK, 1, 100.0), after_ms=100.0)
     drive.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(2, started=drive.now),)))
     function, send, fitted = drive.router.functions[7], drive.router._start_attempt, list[bool]()
     function.forget_worker(1)  # what stood at the warm worker has been unloaded
@@ -122,16 +124,18 @@
 
     monkeypatch.setattr(drive.router, "_start_attempt", seen)
     for _ in range(60):
-        drive.ask(function_id=7, after=30.0)
+        drive.send_request(function_id=7, after_ms=30.0)
     assert fitted and all(fitted), f"{fitted.count(False)} of {len(fitted)} sends beyond the budget"
 
 
 def test_a_site_without_slow_start_is_served() -> None:
     rules = dataclasses.replace(settings().rules, slow_start_ms=0.0)
-    drive = Drive(worker(1, started=1000.0), rules=rules)
-    drive.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(1, EndpointState.DRAINING),)), after=100.0)
-    drive.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 3, (worker(1),)), after=100.0)
-    assert sends(drive.ask()) == [1]
+    drive = RouterDriver(worker(1, started=1000.0), rules=rules)
+    drive.feed(
+        EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(1, EndpointState.DRAINING),)), after_ms=100.0
+    )
+    drive.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 3, (worker(1),)), after_ms=100.0)
+    assert sends(drive.send_request()) == [1]
 
 
 def test_a_windowed_maximum_holds_while_its_quantity_does_and_fades_once_it_has_fallen() -> None:
@@ -146,11 +150,11 @@
 
 
 def test_an_attempt_never_sent_takes_no_part_of_a_cold_workers_budget() -> None:
-    drive = Drive(worker(1, started=900.0), now=1000.0, router_count=1)
+    drive = RouterDriver(worker(1, started=900.0), now=1000.0, router_count=1)
     record = drive.router.workers[1]
     record.jitter = 0.0
-    assert sends(drive.ask()) == [1] and len(record.slow_start_sends) == 1
+    assert sends(drive.send_request()) == [1] and len(record.slow_start_sends) == 1
     ended = AttemptEnded(1, 0, 1, Outcome.NOT_SENT, 0.0, True, is_unreachable=False, is_local=True)
     drive.feed(ended)
     assert not record.slow_start_sends
-    assert sends(drive.ask()) == [1]  # the place is free for another
+    assert sends(drive.send_request()) == [1]  # the place is free for another
--- a/tests/unit/test_popularity.py
+++ b/tests/unit/test_popularity.py
@@ -9,7 +9,7 @@
 from cedarthread.routing import popularity
 from cedarthread.routing.popularity import Popularity
 from cedarthread.statistics import DecayingCounter
-from tests.helpers import Drive, worker
+from tests.helpers import RouterDriver, worker
 
 
 def parts(rate: float, shares: list[float], seconds: float, seed: int) -> list[float]:
@@ -54,12 +54,15 @@
     """Each once took what chance had sent it twice for popular: the fleet loaded what no call needed."""
     homes: list[int] = []
     for seed in range(12):
-        drive, rng = Drive(*(worker(n) for n in range(40)), seed=seed, router_count=200), random.Random(seed)
+        drive, rng = (
+            RouterDriver(*(worker(n) for n in range(40)), seed=seed, router_count=200),
+            random.Random(seed),
+        )
         for number in range(1, 120):
-            drive.wait(drive.now + rng.expovariate(0.004))
-            drive.ask(rng.randrange(100))
-            drive.end(
-                number, drive.router.pending_requests[number].attempts[0].endpoint.worker_id, after=20.0
+            drive.advance_to(drive.now + rng.expovariate(0.004))
+            drive.send_request(rng.randrange(100))
+            drive.end_attempt(
+                number, drive.router.pending_requests[number].attempts[0].endpoint.worker_id, after_ms=20.0
             )
             homes.append(
                 max(
--- a/tests/unit/test_zone_reachability.py
+++ b/tests/unit/test_zone_reachability.py
@@ -14,7 +14,7 @@
     UNREACHABLE_SURPRISE,
     ZoneReachability,
 )
-from tests.helpers import Drive, sends, worker
+from tests.helpers import RouterDriver, sends, worker
 
 USUAL = 200.0
 
@@ -100,16 +100,16 @@
 
 def test_idempotent_calls_are_recalled_from_an_unreachable_zone() -> None:
     """At 200 routers a zone that was cut off took calls all that time: no worker was called twice."""
-    drive = Drive(*(worker(n, zone=n % 3) for n in range(1, 31)), router_count=200)
+    drive = RouterDriver(*(worker(n, zone=n % 3) for n in range(1, 31)), router_count=200)
     for function in range(60):
-        drive.end(drive.ids + 1, sends(drive.ask(function))[0])
+        drive.end_attempt(drive.last_request_id + 1, sends(drive.send_request(function))[0])
     lost: list[int] = []
     for function in range(100, 140):
-        drive.wait(drive.now + 250.0)
-        for at in sends(drive.ask(function, class_index=function % 2)):
+        drive.advance_to(drive.now + 250.0)
+        for at in sends(drive.send_request(function, class_index=function % 2)):
             if at % 3 == drive.router.state.settings.zone:
-                drive.end(drive.ids, at, after=0.0)
+                drive.end_attempt(drive.last_request_id, at, after_ms=0.0)
             else:
-                lost.append(drive.ids)
+                lost.append(drive.last_request_id)
     assert 0 < len(lost) < 12
     assert any(isinstance(action, CancelAttempt) for action in drive.actions)
