--- a/cedarthread/routing/admission.py
+++ b/cedarthread/routing/admission.py
@@ -69,7 +69,8 @@
             quota_factor = min(max(quota_use, least), most) ** 2
             probability = overload * retry_factor * quota_factor * math.sqrt(mean_value / value)
         probability = min(MAX_SHED_PROBABILITY, probability)
-        state.log(now, "requests_shed", probability=round(probability, 2))
+        text = f"refusing {probability:.2f} of calls like one that could not be answered in time"
+        state.log(now, "shed", text)
         return state.rng.random() < probability
 
     def _shed_probability_by_contract(
@@ -146,8 +147,8 @@
         )
         other = None if request_id is None else requests.pending.get(request_id)
         if other is not None:
-            fields = {"class": other.request_class.name, "reason": other.preemption_reason}
-            state.log(now, "request_preempted", request_id=request_id, **fields)
+            text = f"call {request_id} of class {other.request_class.name} gives way"
+            state.log(now, "preempt", f"{text}: {other.preemption_reason}")
         return other
 
     def final_answer(self, now: float, pending: PendingRequest) -> RejectRequest | FailRequest:
--- a/cedarthread/routing/feedback.py
+++ b/cedarthread/routing/feedback.py
@@ -56,7 +56,7 @@
         workers = self.state.workers.by_id.values()
         if outlier_detection.observe(worker, workers, failure, max_ejected_fraction, gain):
             outlier_detection.eject(worker, now, self.state.traffic.call_rarity, self.state.rng)
-            self.state.log(now, "worker_ejected", worker_id=worker.endpoint.worker_id)
+            self.state.log(now, "eject", f"worker {worker.endpoint.worker_id} set aside")
 
     def observe_silence(self, now: float, attempt: Attempt) -> bool:
         """Whether nothing came from the worker since the attempt began; overdue, that is a symptom."""
--- a/cedarthread/routing/retries.py
+++ b/cedarthread/routing/retries.py
@@ -105,7 +105,7 @@
         if now == state.stalled_at_ms or not (zones := state.zones.find_unreachable(now)):
             return
         state.workers.count_ready(now)
-        state.log(now, "zones_unreachable", zones=",".join(map(str, zones)))
+        state.log(now, "cut", f"nothing comes from zones {zones}")
         for pending in state.requests.pending.values():
             last = pending.attempts[-1] if pending.attempts else None
             if (
--- a/cedarthread/routing/router_state.py
+++ b/cedarthread/routing/router_state.py
@@ -94,9 +94,9 @@
         self.requests.pending[request.request_id] = pending
         return pending
 
-    def log(self, now: float, event: str, **fields: object) -> None:
+    def log(self, now: float, event: str, text: str) -> None:
         """A log line, unless one of the event came a short time ago."""
-        if (line := self.logs.line(now, event, **fields)) is not None:
+        if (line := self.logs.line(now, event, text)) is not None:
             self.actions.append(line)
 
     def forget_instances(self, worker_id: int) -> None:
--- a/tests/unit/test_routing_tables.py
+++ b/tests/unit/test_routing_tables.py
@@ -66,9 +66,9 @@
 
 def test_a_kind_of_log_line_comes_once_in_an_interval() -> None:
     logs = LogThrottle()
-    assert logs.line(0.0, "shed", part=0.5) == LogMessage("shed part=0.5")
-    assert logs.line(LOG_INTERVAL_MS - 1.0, "shed", part=0.6) is None
-    assert logs.line(1.0, "eject") is not None and logs.line(LOG_INTERVAL_MS, "shed") is not None
+    assert logs.line(0.0, "shed", "some") == LogMessage("shed: some")
+    assert logs.line(LOG_INTERVAL_MS - 1.0, "shed", "more") is None
+    assert logs.line(1.0, "eject", "one") is not None and logs.line(LOG_INTERVAL_MS, "shed", "x") is not None
 
 
 def test_the_retry_budget_is_earned_up_to_a_bound_and_never_overdrawn() -> None:
