--- a/tests/simulation/test_persistence_restarts.py
+++ b/tests/simulation/test_persistence_restarts.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from cedarthread.components.fleet import FleetComponents
 from cedarthread.components.node import RoutingNode
 from cedarthread.fleet_config import parse_fleet_config
 from cedarthread.model.actions import LogMessage
@@ -35,20 +34,15 @@
     ) -> None:
         """A new incarnation of a router, on its disk as it is or as ``load_result`` has it."""
         self.serial += 1
-        node = self.routers[index] = RoutingNode(self.told[index], index, self.serial)
+        node = self.routers[index] = RoutingNode(self.router_settings[index], index, self.serial)
         endpoints = tuple(worker(number) for number in range(1, 7))
-        self.act(index, EndpointUpdate(EndpointUpdateKind.CACHED, 1, endpoints))
+        self.handle(index, EndpointUpdate(EndpointUpdateKind.CACHED, 1, endpoints))
         self.declare(index, b"[sharing]\nperiod = 200\n" + DISK_CONFIG)
         loaded = load_result or self.disks[index].open()
         persister, image = self.persister(index), recovered_image.decode_image(loaded.values)
         self.after(opened_after_ms, lambda: persister.on_store_opened(self.now, loaded, image))
         self.after(100.0, lambda: self.tick(index, node))
 
-    def components(self, index: int) -> FleetComponents:
-        components = self.routers[index].fleet_components
-        assert components is not None
-        return components
-
     def persister(self, index: int) -> StatePersister:
         persister = self.components(index).persister
         assert persister is not None
@@ -67,7 +61,7 @@
             fault = StoreFault.IO_ERROR if index in self.faulty else disk.commit([(write.key, write.value)])
             persister.on_write_completed(self.now, write, fault, disk.generation)
         messages = persister.take_log_messages()
-        self.words += [message.message for message in messages if isinstance(message, LogMessage)]
+        self.log_lines += [message.message for message in messages if isinstance(message, LogMessage)]
         self.after(250.0, lambda: self.tick(index, node))
 
     def voters(self) -> list[bool]:
@@ -77,13 +71,13 @@
         return [len(self.components(index).store.snapshot()) for index in range(len(self.routers))]
 
     def has_logged(self, event: str) -> bool:
-        return any(line.startswith(f"{event} ") for line in self.words)
+        return any(line.startswith(f"{event} ") for line in self.log_lines)
 
     def call_from_all(self, first_function: int) -> None:
         """Six rounds of calls at each router, each of a function of its own."""
         for round_number in range(6):
             for index in range(ROUTERS):
-                self.ask(index, first_function + 10 * round_number + index)
+                self.call(index, first_function + 10 * round_number + index)
             self.run(3_000.0)
 
 
@@ -142,7 +136,7 @@
     fleet = settled_fleet()
     fleet.run(560_000.0)  # inside the window
     fleet.call_from_all(0)
-    assert len(fleet.loads) == 1
+    assert len(fleet.cold_starts) == 1
     for index in range(ROUTERS):
         loaded = fleet.disks[index].open()
         if not is_complete:
@@ -150,7 +144,7 @@
         fleet.restart(index, loaded, opened_after_ms)
     fleet.run(20_000.0)
     fleet.call_from_all(500)
-    assert len(fleet.loads) == 1, "nobody may use what was used before"
+    assert len(fleet.cold_starts) == 1, "nobody may use what was used before"
 
 
 def test_windows_are_written_in_time_since_the_start_of_the_clock() -> None:
