--- a/tests/integration/test_fleet_processes.py
+++ b/tests/integration/test_fleet_processes.py
@@ -18,7 +18,7 @@
 
 COUNT = 3
 LIMITS = SETTINGS["limits"] | {"peers": True}
-TOLD = "[sharing]\nperiod = 100\n"
+SHARING = "[sharing]\nperiod = 100\n"
 WINDOW = """
 [[freeze]]
 id = "cycle"
@@ -30,7 +30,7 @@
 
 
 class Processes:
-    """Some routers of one fleet, by their numbers."""
+    """The routers of one fleet, by their index."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
@@ -51,7 +51,7 @@
         disk = self.folder / f"disk{number}"
         disk.mkdir(exist_ok=True)
         if not self.file(number).exists():
-            self.file(number).write_text(TOLD)
+            self.file(number).write_text(SHARING)
         config = {"name": f"n{number}", "listen": "127.0.0.1:0", "seed": "1", "known": {"n": 1, "events": []}}
         config |= {"control": f"127.0.0.1:{self.controls[number]}", "peer_listen": self.peers[number]}
         config |= {"peers": self.peers, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}}
@@ -82,13 +82,13 @@
         lines = ask_control(self.controls[number], b"INFO\n").splitlines()
         return dict(line.partition("=")[::2] for line in lines if line.startswith("fleet."))
 
-    def until(self, number: int, name: str, told: str) -> dict[str, str]:
-        """Ask till a figure reads so."""
+    def until(self, number: int, name: str, value: str) -> dict[str, str]:
+        """Poll INFO until a figure has that value."""
         for _ in range(600):
-            if (info := self.info(number)).get(name) == told:
+            if (info := self.info(number)).get(name) == value:
                 return info
             time.sleep(0.05)
-        raise AssertionError(f"{name} is {info.get(name)!r} at router {number}, not {told!r}: {info}")
+        raise AssertionError(f"{name} is {info.get(name)!r} at router {number}, not {value!r}: {info}")
 
     def end(self) -> None:
         for process in self.running.values():
@@ -106,11 +106,13 @@
         for number in range(COUNT):
             fleet.until(number, "fleet.register_seated", "yes")
         now = time.time()
-        stamps = [time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(now + s)) for s in (0, 3600)]
-        told = fleet.file(1).read_text() + WINDOW.format(start=stamps[0], end=stamps[1])
-        fleet.file(1).write_text(told.replace("id =", "idd ="))
-        fleet.running[1].send_signal(signal.SIGHUP)  # turned down whole; it serves on
-        fleet.file(1).write_text(told)
+        timestamps = [
+            time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(now + after_s)) for after_s in (0, 3600)
+        ]
+        fleet_file = fleet.file(1).read_text() + WINDOW.format(start=timestamps[0], end=timestamps[1])
+        fleet.file(1).write_text(fleet_file.replace("id =", "idd ="))
+        fleet.running[1].send_signal(signal.SIGHUP)  # an invalid file is rejected; the router serves on
+        fleet.file(1).write_text(fleet_file)
         fleet.running[1].send_signal(signal.SIGHUP)
         for number in range(COUNT):
             fleet.until(number, "fleet.freeze_window_cycle", "in force")
--- a/tests/unit/test_settings_reload.py
+++ b/tests/unit/test_settings_reload.py
@@ -20,64 +20,61 @@
     return json.dumps({"listen": "127.0.0.1:0", "settings": settings}).encode()
 
 
-def retuned() -> Any:
-    told: Any = copy.deepcopy(SETTINGS)
-    told["classes"] = [c for c in told["classes"] if c["name"] != "check"]
-    told["classes"][1]["effect"] = "retryable"  # confirm
-    told["classes"].append({"name": "audit", "goal-time": 900, "deadline": 4000, "effect": "retryable"})
-    told["limits"]["send-cap"] = 2
-    return told
+def changed_settings() -> Any:
+    changed: Any = copy.deepcopy(SETTINGS)
+    changed["classes"] = [entry for entry in changed["classes"] if entry["name"] != "check"]
+    changed["classes"][1]["effect"] = "retryable"  # confirm
+    changed["classes"].append({"name": "audit", "goal-time": 900, "deadline": 4000, "effect": "retryable"})
+    changed["limits"]["send-cap"] = 2
+    return changed
 
 
 def test_new_classes_apply_to_new_calls_and_pending_ones_keep_their_own() -> None:
     async def test() -> None:
-        mute = ScriptedWorker(lambda runner, message: None)
-        async with service(mute) as running, client(running) as caller:
+        silent_worker = ScriptedWorker(lambda worker, message: None)
+        async with service(silent_worker) as running, client(running) as caller:
             caller.writer.write(pack_call(1, "confirm", b"x"))
-            await mute.wait_until(lambda: len(mute.calls) == 1)
-            [open_call] = running.dispatcher.pending_calls.values()
-            raw = file_with(retuned())
+            await silent_worker.wait_until(lambda: len(silent_worker.calls) == 1)
+            [pending_call] = running.dispatcher.pending_calls.values()
+            raw = file_with(changed_settings())
             running.reloader.load_config = lambda: config.decode(raw, {})
             running.reload()
             classes = running.dispatcher.settings.classes
-            assert (
-                classes[open_call.class_index].idempotency is Idempotency.NOT_IDEMPOTENT
-            )  # as when it was taken
-            assert (
-                classes[running.dispatcher.current_class_index["confirm"]].idempotency
-                is Idempotency.IDEMPOTENT
-            )
-            assert set(running.dispatcher.current_class_index) == {"revise", "confirm", "audit"}
+            class_indexes = running.dispatcher.current_class_index
+            # The pending call keeps the class it was accepted under.
+            assert classes[pending_call.class_index].idempotency is Idempotency.NOT_IDEMPOTENT
+            assert classes[class_indexes["confirm"]].idempotency is Idempotency.IDEMPOTENT
+            assert set(class_indexes) == {"revise", "confirm", "audit"}
             assert running.dispatcher.settings.limits.max_attempts == 2
             assert running.dispatcher.router.state.settings is running.dispatcher.settings
-            mute.behavior = lambda runner, message: {"op": "HIT", "fields": {}, "body": ""}
+            silent_worker.behavior = lambda worker, message: {"op": "HIT", "fields": {}, "body": ""}
             assert (await caller.call(2, "audit", b"y"))[2] is None
             assert (await caller.call(3, "check", b"y"))[2] == ["BadRequest", {"why": "no such method"}]
-            mute.answer(mute.calls[0], {"op": "HIT", "fields": {}, "body": ""})
+            silent_worker.answer(silent_worker.calls[0], {"op": "HIT", "fields": {}, "body": ""})
             assert (await caller.read())[1:3] == [1, None]
-            told = figures(await ask_control(running, b"INFO\n"))
-            assert told["router.loads"] == 1 and told["router.load_errors"] == 0
-            assert told["router.handled.audit.passed"] == 1 and told["router.handled.confirm.passed"] == 1
-            assert told["router.handled.check.passed"] == 0  # a dropped class keeps what it counted
+            info = figures(await ask_control(running, b"INFO\n"))
+            assert info["router.loads"] == 1 and info["router.load_errors"] == 0
+            assert info["router.handled.audit.passed"] == 1 and info["router.handled.confirm.passed"] == 1
+            assert info["router.handled.check.passed"] == 0  # a removed class keeps its figures
 
     asyncio.run(test())
 
 
-def _spoilt(change: str) -> bytes:
-    told: Any = copy.deepcopy(SETTINGS)
+def _invalid_file(change: str) -> bytes:
+    changed: Any = copy.deepcopy(SETTINGS)
     if change == "deadline 0":
-        told["classes"][0]["deadline"] = 0
+        changed["classes"][0]["deadline"] = 0
     elif change == "deadline text":
-        told["classes"][0]["deadline"] = "soon"
+        changed["classes"][0]["deadline"] = "soon"
     elif change == "attempts 0":
-        told["limits"]["send-cap"] = 0
+        changed["limits"]["send-cap"] = 0
     elif change == "attempts negative":
-        told["limits"]["send-cap"] = -1
+        changed["limits"]["send-cap"] = -1
     elif change == "no deadline":
-        del told["classes"][2]["deadline"]
+        del changed["classes"][2]["deadline"]
     elif change == "no limits":
-        del told["limits"]
-    whole = file_with(told)
+        del changed["limits"]
+    whole = file_with(changed)
     return {"empty": b"", "cut short": whole[: len(whole) // 2]}.get(change, whole)
 
 
@@ -98,14 +95,14 @@
     async def test() -> None:
         async with service(ScriptedWorker()) as running, client(running) as caller:
             before = running.dispatcher.settings
-            raw = _spoilt(change)
+            raw = _invalid_file(change)
             running.reloader.load_config = lambda: config.decode(raw, {})
             running.reload()
             assert (
                 running.dispatcher.settings is before and running.dispatcher.current_class_index["check"] == 0
             )
-            told = figures(await ask_control(running, b"INFO\n"))
-            assert told["router.load_errors"] == 1 and told["router.loads"] == 0
+            info = figures(await ask_control(running, b"INFO\n"))
+            assert info["router.load_errors"] == 1 and info["router.loads"] == 0
             assert (await caller.call(1, "check", b"x"))[2] is None
 
     asyncio.run(test())
