--- a/cedarthread/replication/sync_session.py
+++ b/cedarthread/replication/sync_session.py
@@ -57,12 +57,15 @@
         if self.root_digest != summary.root_digest:
             # The peer's state has grown since. What it lists now includes what it held when it responded.
             self.root_digest, self.refs_by_bucket, self.part_counts = summary.root_digest, {}, {}
-        for bucket in range(BUCKET_COUNT):
-            if summary.bucket_bits >> bucket & 1:
-                if self.part_counts.setdefault(bucket, summary.part_count) != summary.part_count:
-                    self.refs_by_bucket[bucket], self.part_counts[bucket] = {}, summary.part_count
-                refs = tuple(ref for ref in summary.refs if ref.bucket == bucket)
-                self.refs_by_bucket.setdefault(bucket, {})[summary.part_index] = refs
+        listed: dict[int, list[EntryRef]] = {
+            bucket: [] for bucket in range(BUCKET_COUNT) if summary.bucket_bits >> bucket & 1
+        }
+        for ref in summary.refs:
+            listed[ref.bucket].append(ref)
+        for bucket, refs in listed.items():
+            if self.part_counts.setdefault(bucket, summary.part_count) != summary.part_count:
+                self.refs_by_bucket[bucket], self.part_counts[bucket] = {}, summary.part_count
+            self.refs_by_bucket.setdefault(bucket, {})[summary.part_index] = tuple(refs)
 
     def complete_buckets(self) -> list[tuple[int, list[EntryRef]]]:
         """Buckets of which all parts have arrived, with the refs in them."""
