Recovery and persister: no parameters that nothing reads

Cause: is_in_service, the persister's changes and the load admission took times and workers that they did not use. Change: the parameters go, callers follow.

--- a/cedarthread/components/constraints.py
+++ b/cedarthread/components/constraints.py
@@ -26,11 +26,11 @@
 
     def refresh(self, now: float) -> None:
         """Bring ``limits_loading`` up to date: at each tick, and when entries have changed."""
-        self.limits_loading = self.gate.is_active or not self.recovery.in_service(now)
+        self.limits_loading = self.gate.is_active or not self.recovery.is_in_service()
 
     def expected_instances(self, now: float, function_id: int) -> dict[int, InstanceLoad]:
         """Instances by worker id as persisted state and peers know them, while this router recovers."""
-        return {} if self.recovery.in_service(now) else self.recovery.warm_instances(now, function_id)
+        return {} if self.recovery.is_in_service() else self.recovery.warm_instances(now, function_id)
 
     def may_route(
         self,
@@ -44,7 +44,7 @@
         ``has_alternative``: one is known at another worker that has capacity left."""
         if is_loaded:
             return True
-        if has_alternative and not self.recovery.in_service(now):
+        if has_alternative and not self.recovery.is_in_service():
             return False
         request, endpoint = pending.request, worker.endpoint
         return self.gate.can_send(
@@ -74,7 +74,7 @@
             )
             if not self.gate.admit(now, change).is_permitted:
                 return False
-        return self.recovery.try_acquire_load(now, request.function_id, endpoint.worker_id)
+        return self.recovery.try_acquire_load(now, request.function_id)
 
     def home_workers(
         self, now: float, function_id: int, workers: Sequence[WorkerRecord], home_count: int
--- a/cedarthread/components/fleet.py
+++ b/cedarthread/components/fleet.py
@@ -147,7 +147,7 @@
         """Pass entries that came or changed to the components, and refresh the routing constraints."""
         entries = self.store.take_changes()
         if entries and self.persister is not None:
-            self.persister.on_entries_changed(now, entries)
+            self.persister.on_entries_changed(entries)
         messages = self.notify(now, EntriesChanged(entries)) if entries else []
         self.constraints.refresh(now)
         return messages
--- a/cedarthread/persistence/state_persister.py
+++ b/cedarthread/persistence/state_persister.py
@@ -136,7 +136,7 @@
         self.has_started = True
         self.start_escrow(now, escrow)
 
-    def on_entries_changed(self, now: float, changes: tuple[ReplicatedEntry, ...]) -> None:
+    def on_entries_changed(self, changes: tuple[ReplicatedEntry, ...]) -> None:
         """Entries of the replicated store were added or replaced."""
         for changed in changes:
             self._queue_entry(changed.entry)
--- a/cedarthread/recovery/component.py
+++ b/cedarthread/recovery/component.py
@@ -118,7 +118,7 @@
             nonce=0,
             part=0,
             part_count=1,
-            warm_fraction=self.warm_fraction.baseline(now) if self.in_service(now) else None,
+            warm_fraction=self.warm_fraction.baseline(now) if self.is_in_service() else None,
             uptime_ms=now - self.restarted_at_ms,
             baseline_rates=(
                 (own_rates[PacedAction.LOAD], own_rates[PacedAction.CONNECT])
@@ -149,15 +149,15 @@
         self.pacer.on_tick(now)
         self.pacer.is_mass_restart = self.is_mass_restart(now)
         self.warm_state.drop_expired(now)
-        if self.in_service(now):
+        if self.is_in_service():
             self.pacer.update_baseline(now)
             self.warm_fraction.remember_baseline(now)
         messages += self._query_peers(now)
         while self.state_machine.advance(now, self._evidence(now)):
-            if self.in_service(now):
+            if self.is_in_service():
                 self.pacer.enter_service(now)
             messages.append(LogMessage(phase_log_line(self, now)))
-        self.admission.on_tick(now, self.in_service(now))
+        self.admission.on_tick(now, self.is_in_service())
         return messages
 
     def on_notification(self, now: float, fact: Notification) -> Sequence[OutboundMessage]:
@@ -183,7 +183,7 @@
         """The figures for operators."""
         return recovery_status(self, now)
 
-    def in_service(self, now: float) -> bool:
+    def is_in_service(self) -> bool:
         """Whether the recovery is over."""
         return self.state_machine.phase is RecoveryPhase.IN_SERVICE
 
@@ -193,12 +193,12 @@
             return self.fleet_view.is_mass_restart(now, self.state_machine.timeouts.total_ms())
         return self.worker_reports.is_mass_restart_possible()
 
-    def warm_instances(self, now: float, function: int) -> dict[int, InstanceLoad]:
+    def warm_instances(self, now: float, function_id: int) -> dict[int, InstanceLoad]:
         """The workers where a function was warm lately, in the form of ``LoadGossip.instances``."""
         self._check_pause(now)
-        return self.warm_state.warm_instances(now, function)
+        return self.warm_state.warm_instances(now, function_id)
 
-    def try_acquire_load(self, now: float, function: int, worker: int) -> bool:
+    def try_acquire_load(self, now: float, function_id: int) -> bool:
         """Whether this router may begin one more load now; a yes takes its tokens."""
         self._check_pause(now)
         hold_ms = LOAD_HOLD_FRACTION * self.state_machine.timeouts.peer_query_ms
@@ -207,17 +207,17 @@
             and self.state_machine.phase in (RecoveryPhase.STARTING, RecoveryPhase.PEER_QUERY)
             and now - self.state_machine.entered_at_ms < hold_ms
         )
-        return self.admission.try_acquire_load(now, function, awaits_peers)
+        return self.admission.try_acquire_load(now, function_id, awaits_peers)
 
-    def try_acquire_connection(self, now: float, worker: int) -> bool:
+    def try_acquire_connection(self, now: float, worker_id: int) -> bool:
         """Whether one more connection to this worker may be begun now; a yes takes its token."""
         self._check_pause(now)
-        return self.admission.try_acquire_connection(now, worker)
+        return self.admission.try_acquire_connection(now, worker_id)
 
     def retry_after_fractions(self, now: float) -> tuple[float, float]:
         """The parts of the longest Retry-After between which a rejected client is put off."""
         least, most = RETRY_AFTER_FRACTIONS
-        if not self.in_service(now) and self.is_mass_restart(now):
+        if not self.is_in_service() and self.is_mass_restart(now):
             most = MASS_RESTART_RETRY_AFTER_FRACTION
         return (least, most)
 
@@ -289,7 +289,7 @@
             )
         self.admission.settle_load(now, attempt.function_id, attempt.was_warm is True, succeeded)
         self.pacer.record_call(attempt.worker_id)
-        if attempt.was_warm is False and self.in_service(now):
+        if attempt.was_warm is False and self.is_in_service():
             self.pacer.record_unpaced(now, PacedAction.LOAD)
         if attempt.was_warm is not None:
             self.warm_fraction.record(now, attempt.was_warm)
--- a/cedarthread/testing/cluster/injected_defects.py
+++ b/cedarthread/testing/cluster/injected_defects.py
@@ -141,7 +141,7 @@
     """A return bounds no load."""
     from cedarthread.recovery.component import RecoveryComponent
 
-    RecoveryComponent.try_acquire_load = lambda self, now, function, worker: True  # type: ignore[method-assign]
+    RecoveryComponent.try_acquire_load = lambda self, now, function_id: True  # type: ignore[method-assign]
 
 
 def believes() -> None:
--- a/tests/simulation/test_recovery_fleet.py
+++ b/tests/simulation/test_recovery_fleet.py
@@ -189,9 +189,7 @@
         while worker_id in self.draining:
             worker_id = (worker_id + 1) % len(self.worker_ids)
         is_connected = not warm_workers and (worker_id in connected or self.connect(index, worker_id))
-        if is_connected and (
-            not self.paces_loads or recovery.try_acquire_load(self.now, function_id, worker_id)
-        ):
+        if is_connected and (not self.paces_loads or recovery.try_acquire_load(self.now, function_id)):
             return self.send(index, arrived_at, function_id, worker_id)
         self.at(self.now + 50.0, "call", index, arrived_at, function_id)
 
@@ -304,7 +302,7 @@
     """A fleet that has been undisturbed for so long that all its routers are in service."""
     fleet = SimulatedFleet(16, workers=10, functions=60, calls_per_second=12.0, seed=11).run(SETTLED_MS)
     for recovery in fleet.routers:
-        assert recovery.in_service(SETTLED_MS) and not recovery.admission.is_paced
+        assert recovery.is_in_service() and not recovery.admission.is_paced
     return fleet
 
 
@@ -346,7 +344,7 @@
         max_ratio = 2.0 if variant in ("nothing", "peers") else 1.5
         assert connection_peak <= max_ratio * MIN_WORKER_CONNECTIONS_PER_WINDOW, variant
         assert fleet.stale_decisions == 0 and not fleet.too_young_observations()
-        assert all(recovery.in_service(fleet.now) for recovery in fleet.routers)
+        assert all(recovery.is_in_service() for recovery in fleet.routers)
     assert recovery_ms["both"] <= 1.5 * recovery_ms[ALL_KNOWING]
     assert recovery_ms["both"] <= 0.5 * recovery_ms["nothing"]
     if fraction < 1.0:
--- a/tests/unit/test_recovery.py
+++ b/tests/unit/test_recovery.py
@@ -288,7 +288,7 @@
         if not step % 2:
             recovery.on_tick(now + step * 100.0)
         recovery.on_notification(now + step * 100.0, completed(1, FUNCTION))
-    assert recovery.in_service(now + 40_000.0)
+    assert recovery.is_in_service()
     return recovery
 
 
@@ -297,7 +297,7 @@
     before, after = 40_900.0, 40_900.0 + 3000.0
     assert recovery.warm_instances(before, FUNCTION)
     recovery.on_notification(after, completed(1, 8))  # this answer was in a buffer all the while
-    assert not recovery.in_service(after) and not recovery.warm_instances(after, FUNCTION)
+    assert not recovery.is_in_service() and not recovery.warm_instances(after, FUNCTION)
     assert recovery.admission.is_paced
     lines = [message.message for message in recovery.on_tick(after) if isinstance(message, LogMessage)]
     assert any("stood still" in line for line in lines)
@@ -422,12 +422,12 @@
     recovery.on_notification(0.0, endpoint_update(worker(1), worker(2)))
     recovery.on_notification(0.0, PeersChanged((1, 2), 3, {1: 9e4, 2: 9e4}))
     recovery.pacer.buckets[PacedAction.LOAD].tokens = 1.0
-    assert not recovery.try_acquire_load(10.0, FUNCTION, 1)  # there is a token, but peers may know sooner
+    assert not recovery.try_acquire_load(10.0, FUNCTION)  # there is a token, but peers may know sooner
     granted_at = []
     for at in range(0, 9000, 50):
         recovery.on_tick(float(at))
         recovery.on_notification(float(at), AttemptCompleted(2, 8, None, 50.0, Outcome.OK, None))
-        if recovery.try_acquire_load(float(at), FUNCTION, 1):
+        if recovery.try_acquire_load(float(at), FUNCTION):
             granted_at.append(at)
     assert len(granted_at) in (2, 3) and granted_at[0] >= 250 and granted_at[1] - granted_at[0] >= 4000
     recovery.on_notification(9000.0, completed(1, FUNCTION, was_warm=False))
