--- a/cedarthread/recovery/component.py
+++ b/cedarthread/recovery/component.py
@@ -221,9 +221,9 @@
             most = MASS_RESTART_RETRY_AFTER_FRACTION
         return (least, most)
 
-    def on_load_report(self, held: float, own: float) -> None:
+    def on_load_report(self, reported_calls: float, own_calls: float) -> None:
         """A worker's load report: calls that it held, and how many of them were this router's."""
-        self.worker_reports.on_load_report(held, own)
+        self.worker_reports.on_load_report(reported_calls, own_calls)
 
     def snapshot(self, now: float) -> bytes | None:
         """The warm-state snapshot for the store, with ages as of now; None without a wall clock."""
