--- a/cedarthread/change_freeze/admission_gate.py
+++ b/cedarthread/change_freeze/admission_gate.py
@@ -45,9 +45,8 @@
         self.kept_homes: dict[int, tuple[int, ...]] = {}  # by function, as last seen before it was frozen
         self.deferred_settings: RouterSettings | None = None
         self.exceptions_used = self.denied_count = 0
-        self.take_release: Callable[[float], int] = lambda now: (
-            1
-        )  # over 0: one more change may be released now
+        # Over 0: one more deferred change may be released now, and this uses it up.
+        self.take_release: Callable[[float], int] = lambda now: 1
 
     # Questions.
 
--- a/cedarthread/change_freeze/placement_paths.py
+++ b/cedarthread/change_freeze/placement_paths.py
@@ -2,8 +2,8 @@
 
 A path is a function of the decisions that makes a ``PreloadFunction``, an ``UnloadFunction`` or a
 ``StartAttempt``, or that sets how many home workers there are or in which order workers become them. The
-check reads the syntax tree: it finds by name a path that is not on the list,
-and one on it that does not ask the gate.
+check reads the syntax tree: it finds by name a path that is not on the list, and one on it that does not ask
+the gate.
 """
 
 from __future__ import annotations
@@ -12,17 +12,14 @@
 from dataclasses import dataclass
 
 # Names of the product's code. A rename there must be followed here; the test of this list fails otherwise.
-PLACEMENT_CALLS = (
-    "PreloadFunction",
-    "UnloadFunction",
-    "_start_attempt",
-)  # what can bring an instance, or remove one
-PLACEMENT_ATTRIBUTES = ("placement_order",)  # attributes that say where functions are wanted
-SETTINGS_CALL = (
-    "router",
-    "update_settings",
-)  # owner and method by which settings that move homes are followed
-GATE_NAME = "gate"  # the name by which a path that is not listed must ask
+# What can bring an instance to a worker, or remove one:
+PLACEMENT_CALLS = ("PreloadFunction", "UnloadFunction", "_start_attempt")
+# Attributes that say where functions are wanted:
+PLACEMENT_ATTRIBUTES = ("placement_order",)
+# Owner and method by which settings that move home workers are followed:
+SETTINGS_CALL = ("router", "update_settings")
+# The name by which a path that is not listed must ask:
+GATE_NAME = "gate"
 
 
 @dataclass(frozen=True, slots=True)
--- a/cedarthread/change_freeze/wall_clock.py
+++ b/cedarthread/change_freeze/wall_clock.py
@@ -49,9 +49,7 @@
         self.router_count, self.max_error_ms, self.max_drift_rate = router_count, max_error_ms, max_drift_rate
         self.followed_offset_ms: float | None = None  # wall less steady clock; None: no reading came yet
         self.read_at_ms = 0.0  # of the host's last reading
-        self.unfollowed_offset_ms: float | None = (
-            None  # the host's, where it stepped and that is not followed
-        )
+        self.unfollowed_offset_ms: float | None = None  # the host's, while it has stepped unconfirmed
         self.stepped_at_ms = 0.0  # when that was first seen
         self.samples: dict[int, _OffsetSample] = {}  # by router
         self.step_count = self.invalid_sample_count = 0
@@ -116,19 +114,13 @@
         self._drop_old_samples(now)
         if not self._has_quorum():
             return NO_OFFSET
-        samples = self.samples.values()
-        lower_offsets = sorted(
-            [
-                0.0,
-                *(sample.offset_ms - own_offset_ms - self._uncertainty_ms(now, sample) for sample in samples),
-            ]
-        )
-        upper_offsets = sorted(
-            [
-                0.0,
-                *(sample.offset_ms - own_offset_ms + self._uncertainty_ms(now, sample) for sample in samples),
-            ]
-        )
+        lower_offsets, upper_offsets = [0.0], [0.0]  # the own clock's
+        for sample in self.samples.values():
+            ahead_ms, uncertainty_ms = sample.offset_ms - own_offset_ms, self._uncertainty_ms(now, sample)
+            lower_offsets.append(ahead_ms - uncertainty_ms)
+            upper_offsets.append(ahead_ms + uncertainty_ms)
+        lower_offsets.sort()
+        upper_offsets.sort()
         return OffsetBounds(
             lower_offsets[(len(lower_offsets) - 1) // 2], upper_offsets[len(upper_offsets) // 2]
         )
@@ -150,8 +142,7 @@
     def _is_step_confirmed(self, now: float, offset_ms: float) -> bool:
         """Whether most other routers follow the time that this clock stepped to.
 
-        They tell what they follow: a step that came to all at once, from one bad source, is confirmed by
-        none."""
+        They tell what they follow, so a step that one bad source gives to all at once is not confirmed."""
         agreeing = sum(
             abs(sample.offset_ms - offset_ms) <= self.max_error_ms + self._uncertainty_ms(now, sample)
             for sample in self.samples.values()
--- a/cedarthread/change_freeze/window_entries.py
+++ b/cedarthread/change_freeze/window_entries.py
@@ -73,18 +73,15 @@
 def entries_from_config(fleet: fleet_config.FleetConfig) -> list[tuple[EntryKind, str, bytes]]:
     """Kind, name and body of each entry of a file. FleetConfigError: one that no router would accept."""
     bodies: list[tuple[EntryKind, WindowBody]] = []
-    bodies += [(EntryKind.FREEZE, _window_terms(window)) for window in fleet.freeze]
-    bodies += [
-        (EntryKind.REVOKE, Revocation(revoked.freeze, revoked.author, revoked.reason))
-        for revoked in fleet.revoke
-    ]
-    bodies += [
-        (
-            EntryKind.BREAK_GLASS,
-            BreakGlass(lifted.freeze, _to_unix_ms(lifted.end), lifted.author, lifted.reason),
+    for window in fleet.freeze:
+        bodies.append((EntryKind.FREEZE, _window_terms(window)))
+    for revoked in fleet.revoke:
+        bodies.append((EntryKind.REVOKE, Revocation(revoked.freeze, revoked.author, revoked.reason)))
+    for lifted in fleet.break_glass:
+        end_unix_ms = _to_unix_ms(lifted.end)
+        bodies.append(
+            (EntryKind.BREAK_GLASS, BreakGlass(lifted.freeze, end_unix_ms, lifted.author, lifted.reason))
         )
-        for lifted in fleet.break_glass
-    ]
     for kind, body in bodies:
         if (problem := _error_in(body)) is not None:
             raise FleetConfigError(f"{kind} ({body.window_id}): {problem}")
--- a/cedarthread/priority/component.py
+++ b/cedarthread/priority/component.py
@@ -45,9 +45,7 @@
 SHEDDING_LEVEL = 1  # overload level from which load shedding is weighted by priority
 PREEMPT_QUEUED_LEVEL = 2  # from which queued calls are preempted
 PREEMPT_RUNNING_LEVEL = 3  # from which running calls are preempted too
-PREEMPTED_RETENTION_MS = (
-    120_000.0  # for which a preempted call is remembered: its client has come back by then
-)
+PREEMPTED_RETENTION_MS = 120_000.0  # for which a preempted call is remembered: its client came back by then
 MAX_REMEMBERED_PREEMPTIONS = 8192  # past which no call is preempted: it might be one that was before
 MIN_DIVISOR = 1e-9  # in place of a mean of nothing
 SEED_SALT = 0x7469_6572  # keeps these draws apart from those of other users of the router's seed
--- a/cedarthread/priority/load_pressure.py
+++ b/cedarthread/priority/load_pressure.py
@@ -8,8 +8,9 @@
 from cedarthread.statistics import DecayingCounter
 
 PRESSURE_TIME_CONSTANT_MS = 2000.0  # over which arrivals and completions decay
-OVERLOAD_UTILIZATION = 0.5  # of the wait that begins to reject, from which a router counts as overloaded:
-# calls of high weight are rejected only at a longer wait
+# Part of the wait that begins to reject, from which a router counts as overloaded: calls of high weight are
+# rejected only at a longer wait.
+OVERLOAD_UTILIZATION = 0.5
 PRIOR_CALLS = 3.0  # calls assumed on both sides of the ratio: few calls are weak evidence
 MS_PER_SECOND = 1000.0
 
