Log lines of transport and protocols: event names and key=value fields in standard terms

Cause: sentences that no program can read, in house words. Change: each line at its old place and level, by format_event; four expectations of lines and one of a line that must not come name the new ones, as strictly.

--- a/cedarthread/protocols/discovery.py
+++ b/cedarthread/protocols/discovery.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import cast
 
+from cedarthread.logs import format_event
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.protocols import dns
 from cedarthread.protocols.endpoint_list import EndpointRecord
@@ -100,7 +101,7 @@
                 return await self.connect(host, port)
             except OSError as error:
                 if not is_logged:
-                    log.error("resolver at %s:%d can't be asked yet: %s", host, port, error)
+                    log.error(format_event("discovery_unreachable", address=f"{host}:{port}", error=error))
                 is_logged = True
                 has_released = error.errno in EXHAUSTION_ERRNOS and self.release_descriptor()
             await asyncio.sleep(0.0 if has_released else POLL_INTERVAL_S)
@@ -136,7 +137,7 @@
             return
         reply = dns.parse(data)
         if isinstance(reply, dns.UnusableReply):
-            log.info("reply of the resolver not used: %s", reply.reason)
+            log.info(format_event("discovery_reply_unusable", reason=reply.reason))
         elif reply.query_id in self._outstanding_ids and reply.serial is not None:
             self.last_usable_reply_at = self._loop.time()
             self._handle_reply(reply, reply.serial, data[QUERY_ID_BYTES:])
@@ -148,12 +149,12 @@
             return
         records = endpoints_from_reply(reply)
         if isinstance(records, str):
-            log.info("reply of the resolver not used: %s", records)
+            log.info(format_event("discovery_reply_unusable", reason=records))
             return
         if not records and self._empty_reply_id in (None, reply.query_id):
             # A corrupted reply must not remove every worker: a second query has to confirm it. That takes one
             # ``POLL_INTERVAL_S``, well within the time in which sending to a draining worker must stop.
-            log.warning("reply of the resolver lists nobody under serial %d: asked once more", serial)
+            log.warning(format_event("discovery_reply_empty", serial=serial, action="confirm"))
             self._empty_reply_id = reply.query_id
             return
         self._empty_reply_id = None
@@ -162,12 +163,12 @@
 
     def error_received(self, exc: Exception) -> None:
         """Nobody listens there (asyncio): the next query tries again."""
-        log.debug("resolver not reached: %s", exc)
+        log.debug(format_event("discovery_query_refused", error=exc))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The socket is closed (asyncio); with an error, it was not closed here, and is replaced."""
         if exc is not None and self._address is not None:
-            log.warning("resolver's socket lost: %s", exc)
+            log.warning(format_event("discovery_socket_lost", error=exc))
             self._close_socket()
             self.start_polling(*self._address)
 
--- a/cedarthread/protocols/endpoint_list.py
+++ b/cedarthread/protocols/endpoint_list.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from cedarthread.logs import format_event
 from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.model.settings import RouterSettings
 from cedarthread.number_checks import positive_or_none
@@ -110,8 +111,7 @@
         for record in self.records.values():
             first = records.setdefault(worker_id_from_name(record.name), record)
             if first is not record:
-                text = "runners %s and %s share a number: the second is left out"
-                log.warning(text, first.name, record.name)
+                log.warning(format_event("worker_id_conflict", kept=first.name, ignored=record.name))
         return records
 
     def _to_endpoint(self, record: EndpointRecord) -> Endpoint:
--- a/cedarthread/protocols/invoke_connection.py
+++ b/cedarthread/protocols/invoke_connection.py
@@ -7,6 +7,7 @@
 import select
 from typing import TYPE_CHECKING
 
+from cedarthread.logs import format_event
 from cedarthread.protocols import http, spiffe
 from cedarthread.protocols.http import Response, problem_response
 from cedarthread.protocols.invoke_handler import InvokeHandler
@@ -50,7 +51,9 @@
         """The handshake is done: identify the caller."""
         assert self.transport is not None
         if not self.server.register(self):
-            log.warning("connection limit %d reached: a caller was turned away", self.server.max_connections)
+            log.warning(
+                format_event("invoke_connection_rejected", max_connections=self.server.max_connections)
+            )
             return self.abort()
         tls = self.transport.get_extra_info("ssl_object")
         certificate = tls.getpeercert(binary_form=True) if tls is not None else None
@@ -116,13 +119,13 @@
         self.keep_alive = head.keep_alive and self.server.is_ready
         if isinstance(self.peer, spiffe.Rejected) or not self.server.is_authorized(self.peer):
             reason = self.peer.reason if isinstance(self.peer, spiffe.Rejected) else "identity not let in"
-            log.warning("caller turned away: %s", reason)
+            log.warning(format_event("caller_rejected", reason=reason))
             self.keep_alive = False
             return self.respond(problem_response(403, reason))
         try:
             self.handler.handle(self.peer.spiffe_id, head, body)
         except Exception:
-            log.exception("a request made this program fail")
+            log.exception(format_event("invoke_request_failed"))
             self.abort()
 
     def respond(self, response: Response) -> None:
--- a/cedarthread/protocols/invoke_server.py
+++ b/cedarthread/protocols/invoke_server.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.logs import format_event
 from cedarthread.protocols import spiffe
 from cedarthread.protocols.invoke_calls import InvokeCalls
 from cedarthread.protocols.invoke_config import InvokeConfig
@@ -112,12 +113,12 @@
             config = self.config.reread()
             tls_context = config.create_tls_context()
         except (OSError, ValueError, KeyError, TypeError) as error:
-            log.error("identities not reloaded, the old ones serve on: %s", error)
+            log.error(format_event("identities_not_reloaded", error=error, action="keep_current"))
             return False
         self.config, self._file_times = config, config.file_times()
         if self._acceptor is not None:
             self._acceptor.tls_context = tls_context  # open connections live on
-        log.info("identities reloaded")
+        log.info(format_event("identities_reloaded"))
         return True
 
     async def reload_if_changed(self) -> None:
--- a/cedarthread/protocols/peers.py
+++ b/cedarthread/protocols/peers.py
@@ -9,6 +9,7 @@
 from typing import TypeAlias, cast
 
 from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES
+from cedarthread.logs import format_event
 
 log = logging.getLogger("cedarthread.peers")
 
@@ -74,7 +75,7 @@
 
     def error_received(self, exc: Exception) -> None:
         """Nobody listens there (asyncio): gossip repeats what was lost."""
-        log.debug("peer not reached: %s", exc)
+        log.debug(format_event("peer_unreachable", error=exc))
 
     def stop(self) -> None:
         """Neither send nor receive any more."""
--- a/cedarthread/protocols/platform_connection.py
+++ b/cedarthread/protocols/platform_connection.py
@@ -10,6 +10,7 @@
 import termios
 from typing import TYPE_CHECKING
 
+from cedarthread.logs import format_event
 from cedarthread.protocols import msgpack
 from cedarthread.protocols.platform_calls import PlatformCalls
 from cedarthread.transport.connection import BufferedConnection
@@ -40,15 +41,17 @@
     def on_connected(self) -> None:
         """Register at the server."""
         if not self.server.register(self):
-            log.warning("connection limit %d reached: a client was turned away", self.server.max_connections)
+            log.warning(
+                format_event("client_connection_rejected", max_connections=self.server.max_connections)
+            )
             return self.abort()
         self.message_started_at = self.last_read_at
 
     def on_disconnected(self) -> None:
         """Unregister, and abandon the open calls."""
         if self.discard_budget is None and (truncated_bytes := len(self.buffer.peek())):
-            text = "client %s ended in the middle of a message, after %d bytes of it"
-            log.info(text, self._peer_name(), truncated_bytes)
+            event = "client_message_truncated"
+            log.info(format_event(event, client=self._peer_name(), bytes=truncated_bytes))
         self.server.unregister(self)
         self._clear_queued_bytes()
         self.calls.abandon_all()
@@ -161,7 +164,7 @@
     def on_invalid_input(self) -> None:
         """Nothing more can be parsed here: each open call gets its one response, then it closes."""
         reason = self.invalid_reason or "too long"
-        log.info("connection closed: bad message of client %s: %s", self._peer_name(), reason)
+        log.info(format_event("client_message_invalid", client=self._peer_name(), reason=reason))
         self.fail_calls_and_close()
 
     def fail_calls_and_close(self) -> None:
--- a/cedarthread/protocols/platform_server.py
+++ b/cedarthread/protocols/platform_server.py
@@ -5,6 +5,7 @@
 import logging
 
 from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.logs import format_event
 from cedarthread.protocols.platform_connection import PlatformConnection
 from cedarthread.transport.acceptor import Acceptor, create_listener
 from cedarthread.transport.descriptor_budget import CLIENT_ACCEPTS_PER_PASS
@@ -123,7 +124,7 @@
             is_gone = not connection.calls.open and now - connection.last_read_at > SILENT_CLIENT_TIMEOUT_S
             is_up = connection.transport is not None and connection.discard_budget is None
             if is_up and not connection.has_unprocessed_messages and (is_late or is_gone):
-                log.info("connection closed: nothing whole came in time")
+                log.info(format_event("client_timed_out"))
                 connection.fail_calls_and_close()
 
     def is_drained(self) -> bool:
--- a/cedarthread/protocols/worker_connection.py
+++ b/cedarthread/protocols/worker_connection.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from cedarthread.dispatch.calls import Attempt, Progress
+from cedarthread.logs import format_event
 from cedarthread.model.outcomes import Outcome
 from cedarthread.protocols.worker_codec import (
     MAX_LINE_BYTES,
@@ -190,7 +191,7 @@
 
     def on_invalid_input(self) -> None:
         """Nothing that still comes here is of use: what is in flight ends by its progress."""
-        log.warning("runner %s sent what is no answer", self.pool.endpoint.name)
+        log.warning(format_event("worker_response_invalid", worker=self.pool.endpoint.name))
         self.abort()
 
     def eof_received(self) -> bool:
@@ -209,8 +210,8 @@
 
     def _log_truncated_response(self) -> None:
         if truncated_bytes := len(self.buffer.peek()):
-            text = "runner %s ended its connection in the middle of an answer, after %d bytes of it"
-            log.warning(text, self.pool.endpoint.name, truncated_bytes)
+            worker = self.pool.endpoint.name
+            log.warning(format_event("worker_response_truncated", worker=worker, bytes=truncated_bytes))
 
     def on_disconnected(self) -> None:
         """End every request that is in flight here."""
--- a/cedarthread/protocols/worker_pool.py
+++ b/cedarthread/protocols/worker_pool.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from cedarthread.logs import format_event
 from cedarthread.protocols.endpoint_list import EndpointRecord
 from cedarthread.protocols.worker_connection import WorkerConnection
 from cedarthread.transport.descriptor_budget import EXHAUSTION_ERRNOS
@@ -54,7 +55,8 @@
                 await self._connect(connection)
         except (OSError, TimeoutError) as error:
             if not connection.is_closed:
-                log.info("runner %s not reached: %s", self.endpoint.name, error or "no connection in time")
+                reason = error or "no connection in time"
+                log.info(format_event("worker_unreachable", worker=self.endpoint.name, error=reason))
                 connection.is_local_failure = error.errno in _LOCAL_ERRNOS
                 connection.is_unreachable = not connection.is_local_failure
                 connection.abort()
--- a/cedarthread/protocols/workers.py
+++ b/cedarthread/protocols/workers.py
@@ -19,6 +19,7 @@
     not_sent_result,
 )
 from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.logs import format_event
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.model.outcomes import Outcome
 from cedarthread.model.settings import RouterSettings
@@ -192,7 +193,7 @@
         count = sum(len(pool.connections) for pool in self.pools.values())
         if count < self.max_connections or self._close_longest_idle():
             return True
-        log.warning("bound of %d runner connections reached", self.max_connections)
+        log.warning(format_event("worker_connection_limit_reached", max_connections=self.max_connections))
         return False
 
     def release_descriptor(self) -> bool:
--- a/cedarthread/transport/acceptor.py
+++ b/cedarthread/transport/acceptor.py
@@ -14,6 +14,7 @@
 from functools import partial
 from typing import Generic, TypeVar
 
+from cedarthread.logs import format_event
 from cedarthread.transport.descriptor_budget import EXHAUSTION_ERRNOS
 
 log = logging.getLogger("cedarthread.acceptor")
@@ -117,10 +118,10 @@
             else:
                 self._start_setup(connection, protocol)
         if rejected_count:
-            log.warning("%s: connection limit reached: %d turned away", self.name, rejected_count)
+            log.warning(format_event("connection_limit_reached", peers=self.name, rejected=rejected_count))
         if backlog is BacklogState.OUT_OF_DESCRIPTORS:
-            relief = "room made" if self.release_descriptor() else "none to be had"
-            log.warning("%s: no descriptor left, %s", self.name, relief)
+            has_released = self.release_descriptor()
+            log.warning(format_event("descriptors_exhausted", peers=self.name, released=has_released))
         return backlog
 
     def _start_setup(self, connection: socket.socket, protocol: ProtocolT) -> None:
@@ -144,7 +145,7 @@
                 lambda: protocol, connection, ssl=self.tls_context, **timeouts
             )
         except Exception as error:  # whatever a peer does in the handshake ends its connection alone
-            log.debug("%s: a connection did not come up: %s", self.name, error)
+            log.debug(format_event("connection_setup_failed", peers=self.name, error=error))
             self.on_setup_failed(protocol)
         finally:
             self._setup_tasks.pop(protocol, None)
--- a/cedarthread/transport/connection.py
+++ b/cedarthread/transport/connection.py
@@ -6,6 +6,7 @@
 import logging
 from typing import cast
 
+from cedarthread.logs import format_event
 from cedarthread.transport.flusher import Flusher
 from cedarthread.transport.read_buffer import ReadBuffer
 from cedarthread.transport.socket_reader import ReadStop, SocketReader, disable_nagle
@@ -75,7 +76,7 @@
         try:
             self.on_disconnected()
         except Exception:
-            log.exception("cleaning up after a connection failed")
+            log.exception(format_event("connection_cleanup_failed"))
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where to read to (asyncio)."""
@@ -122,7 +123,7 @@
             with self.buffer.peek() as data:
                 consumed = self.on_data(data)
         except Exception:
-            log.exception("connection dropped: its input made this program fail")
+            log.exception(format_event("connection_input_failed"))
             consumed = None
         if consumed is None:
             return self.on_invalid_input()
--- a/tests/integration/test_descriptor_budget.py
+++ b/tests/integration/test_descriptor_budget.py
@@ -301,7 +301,9 @@
             await new.next()
             assert await running.control_says(b"PING\n") == ["YES"]
             assert len(running.open()) < FEW
-            assert "out of system resource" not in running.log() and "no descriptor left" not in running.log()
+            assert (
+                "out of system resource" not in running.log() and "descriptors_exhausted" not in running.log()
+            )
             close(held)
         for one in (runner, moved):
             one.stop()
@@ -424,7 +426,7 @@
         await later.server.start()
         # No socket can be connected there, and nothing leaves the machine.
         async with router(tmp_path, dns="255.255.255.255:53") as running:
-            await running.says("resolver at 255.255.255.255:53 can't be asked yet")
+            await running.says("discovery_unreachable address=255.255.255.255:53")
             file = tmp_path / "config.json"
             file.write_text(
                 json.dumps(json.loads(file.read_text()) | {"dns": f"127.0.0.1:{later.server.port}"})
--- a/tests/integration/test_endings.py
+++ b/tests/integration/test_endings.py
@@ -374,9 +374,9 @@
             await until(lambda: not all_worker_connections(running), "all connections have ended")
 
     asyncio.run(test())
-    cut = [r.getMessage() for r in caplog.records if "middle of an answer" in r.getMessage()]
+    cut = [r.getMessage() for r in caplog.records if "worker_response_truncated" in r.getMessage()]
     assert len(cut) == (0 if place != "middle" else 1 if klass == "confirm" else 2)
-    assert all(line.startswith("runner s-0000000") for line in cut), "it says where"
+    assert all(line.startswith("worker_response_truncated worker=s-0000000") for line in cut), "it says where"
 
 
 async def narrow(running: Service, runner: ScriptedWorker, caller: ScriptedClient) -> WorkerConnection:
--- a/tests/integration/test_endings_bad_input.py
+++ b/tests/integration/test_endings_bad_input.py
@@ -109,7 +109,7 @@
             discovery.close()
 
     asyncio.run(test())
-    assert [r.getMessage() for r in caplog.records] == ["reply of the resolver not used: code 5"]
+    assert [r.getMessage() for r in caplog.records] == ['discovery_reply_unusable reason="code 5"']
 
 
 def test_when_discovery_dies_the_last_list_stays_and_later_replies_are_used() -> None:
@@ -240,7 +240,7 @@
 
     asyncio.run(test())
     assert [r.getMessage() for r in caplog.records if r.name == "cedarthread.runners"] == [
-        "runner s-00000001 sent what is no answer"
+        "worker_response_invalid worker=s-00000001"
     ]
 
 
