--- a/cedarthread/protocols/discovery.py
+++ b/cedarthread/protocols/discovery.py
@@ -53,7 +53,17 @@
     state = EndpointState.READY if service.priority == 0 else EndpointState.DRAINING
     zone, kind = rest.partition(".")[0], texts.get("kind", "")
     weight = service.weight / SRV_WEIGHT_SCALE
-    return EndpointRecord(name, address, service.port, zone, kind, cell, state, weight, started_at_ms)
+    return EndpointRecord(
+        name=name,
+        host=address,
+        port=service.port,
+        zone=zone,
+        kind=kind,
+        cell=cell,
+        state=state,
+        weight=weight,
+        started_at_ms=started_at_ms,
+    )
 
 
 class DiscoveryClient(asyncio.DatagramProtocol):
--- a/cedarthread/protocols/endpoint_list.py
+++ b/cedarthread/protocols/endpoint_list.py
@@ -59,15 +59,15 @@
     if not (math.isfinite(weight) and math.isfinite(started_at_ms)):
         raise ValueError(f"weight or since_ms of {entry['name']} is no number")
     return EndpointRecord(
-        str(entry["name"]),
-        host,
-        port,
-        str(entry["zone"]),
-        str(entry["type"]),
-        int(entry.get("group", 0)),
-        _STATE_BY_NAME[entry["status"]],
-        weight,
-        started_at_ms,
+        name=str(entry["name"]),
+        host=host,
+        port=port,
+        zone=str(entry["zone"]),
+        kind=str(entry["type"]),
+        cell=int(entry.get("group", 0)),
+        state=_STATE_BY_NAME[entry["status"]],
+        weight=weight,
+        started_at_ms=started_at_ms,
     )
 
 
--- a/cedarthread/protocols/invoke_calls.py
+++ b/cedarthread/protocols/invoke_calls.py
@@ -34,18 +34,18 @@
         """The dispatcher's call for a request of this owner."""
         request_class = self.dispatcher.settings.classes[request.class_index]
         key = request.idempotency_key
-        has_worker_key = request_class.idempotency is Idempotency.WITH_KEY and key is not None
+        needs_worker_key = request_class.idempotency is Idempotency.WITH_KEY
         return Call(
-            secrets.token_hex(8),
-            request.class_index,
-            int(request.function_hex, 16),
-            call_deadline_ms(self.dispatcher.clock(), request.timeout_ms),
-            request.body,
-            on_result,
-            worker_idempotency_key(owner, key) if has_worker_key and key is not None else None,
-            request.concurrency,
-            request.memory_mb,
-            is_client_retry,
+            call_id=secrets.token_hex(8),
+            class_index=request.class_index,
+            function_id=int(request.function_hex, 16),
+            deadline_ms=call_deadline_ms(self.dispatcher.clock(), request.timeout_ms),
+            body=request.body,
+            on_result=on_result,
+            idempotency_key=worker_idempotency_key(owner, key) if needs_worker_key and key else None,
+            concurrency=request.concurrency,
+            memory_mb=request.memory_mb,
+            is_client_retry=is_client_retry,
             caller_identity=owner,
         )
 
--- a/cedarthread/protocols/invoke_config.py
+++ b/cedarthread/protocols/invoke_config.py
@@ -70,13 +70,13 @@
     if not 0 < max_connections <= MAX_CONNECTIONS:
         raise ValueError(f"connections takes 1 to 65535, not {max_connections}")
     return InvokeConfig(
-        path,
-        host if host is not None else listen_host,
-        port if port is not None else listen_port,
-        trust_domain,
-        path.parent / str(table["svid"]),
-        path.parent / str(table["key"]),
-        path.parent / str(table["bundle"]),
-        allowed_patterns,
-        max_connections,
+        path=path,
+        host=host if host is not None else listen_host,
+        port=port if port is not None else listen_port,
+        trust_domain=trust_domain,
+        svid_path=path.parent / str(table["svid"]),
+        key_path=path.parent / str(table["key"]),
+        bundle_path=path.parent / str(table["bundle"]),
+        allowed_patterns=allowed_patterns,
+        max_connections=max_connections,
     )
--- a/cedarthread/protocols/invoke_requests.py
+++ b/cedarthread/protocols/invoke_requests.py
@@ -77,7 +77,15 @@
             return problem_response(400, f"{name} takes a number")
     concurrency, memory_mb = numbers
     timeout_ms = min(float(timeout), request_class.deadline_ms)
-    return CallRequest(class_index, match[1], key, body, timeout_ms, concurrency, memory_mb)
+    return CallRequest(
+        class_index=class_index,
+        function_hex=match[1],
+        idempotency_key=key,
+        body=body,
+        timeout_ms=timeout_ms,
+        concurrency=concurrency,
+        memory_mb=memory_mb,
+    )
 
 
 def _parse_idempotency_key(head: http.RequestHead, *, is_required: bool) -> str | Response | None:
--- a/cedarthread/protocols/invoke_server.py
+++ b/cedarthread/protocols/invoke_server.py
@@ -3,7 +3,7 @@
     POST   /v1/functions/FUNCTION/CLASS   a call; with ``Prefer: respond-async`` 202 and where to collect
     GET    /v1/calls/NAME                 a deferred call's result; 202 while there is none
     DELETE /v1/calls/NAME                 cancel a deferred call, or forget its result
-    GET    /v1/ready                      200, or 503 once the process has been told to end
+    GET    /v1/ready                      200, or 503 once the process is shutting down
 
 All calls go through the dispatcher, as the platform's do: same decisions, same rules."""
 
--- a/cedarthread/protocols/platform_codec.py
+++ b/cedarthread/protocols/platform_codec.py
@@ -69,15 +69,15 @@
     except ValueError:
         return "props takes positive figures"
     return Call(
-        call_id,
-        class_index,
-        int(function_hex, 16),
-        call_deadline_ms(now_ms, float(limit)),
-        bytes(raw_body),
-        lambda result: None,
-        key,
-        properties.concurrency,
-        properties.memory_mb,
+        call_id=call_id,
+        class_index=class_index,
+        function_id=int(function_hex, 16),
+        deadline_ms=call_deadline_ms(now_ms, float(limit)),
+        body=bytes(raw_body),
+        on_result=lambda result: None,  # set once the call is submitted
+        idempotency_key=key,
+        concurrency=properties.concurrency,
+        memory_mb=properties.memory_mb,
         is_client_retry=fields.get("second") == "1",
     )
 
--- a/cedarthread/protocols/workers.py
+++ b/cedarthread/protocols/workers.py
@@ -119,7 +119,7 @@
         # Connections to a machine that has vanished stay open and silent: the next attempt makes a new one.
         is_silent = self._loop.time() - connection.last_read_at > SILENCE_S
         connection.is_retired = connection.is_retired or is_silent
-        if not self.settings.limits.can_cancel:  # the worker cannot be told: the attempt ends here alone
+        if not self.settings.limits.can_cancel:  # the worker goes on with it: the attempt ends here alone
             connection.abandon(attempt.call.call_id)
             return self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.TIMEOUT))
         cancel_line = connection.send_cancel(attempt)
--- a/cedarthread/transport/acceptor.py
+++ b/cedarthread/transport/acceptor.py
@@ -56,7 +56,7 @@
     """Accepts the connections of one listening socket.
 
     ``create_protocol`` counts one more connection in and returns its protocol, or None where there is no
-    room: that connection is closed at once. ``on_setup_failed`` is told of one that never came up.
+    room: that connection is closed at once. ``on_setup_failed`` is called with one that never came up.
     ``release_descriptor`` is called when no descriptor is left, and says whether it has freed one."""
 
     def __init__(
--- a/cedarthread/transport/read_buffer.py
+++ b/cedarthread/transport/read_buffer.py
@@ -1,4 +1,4 @@
-"""A growing receive buffer: a connection reads into it and consumes whole messages from its start."""
+"""A growing receive buffer: a connection reads into it and consumes complete messages from its start."""
 
 from __future__ import annotations
 
