--- a/tests/integration/test_client_gone.py
+++ b/tests/integration/test_client_gone.py
@@ -27,11 +27,11 @@
 
 
 def run(test: Coroutine[Any, Any, None]) -> None:
-    async def whole() -> None:
+    async def run_in_time() -> None:
         async with asyncio.timeout(30):
             await test
 
-    asyncio.run(whole())
+    asyncio.run(run_in_time())
 
 
 def cancel(number: int) -> bytes:
@@ -44,10 +44,10 @@
     def __init__(self, running: Service) -> None:
         self.sock = socket.create_connection(("127.0.0.1", running.port))
         self.name = self.sock.getsockname()
-        self.held = b""
+        self.received = b""
 
-    def call(self, number: int, klass: str = "check", body: bytes = b"x", **fields: str) -> None:
-        self.sock.sendall(pack_call(number, klass, body, **fields))
+    def call(self, number: int, class_name: str = "check", body: bytes = b"x", **fields: str) -> None:
+        self.sock.sendall(pack_call(number, class_name, body, **fields))
 
     def cancel(self, *numbers: int) -> None:
         self.sock.sendall(b"".join(map(cancel, numbers)))
@@ -66,12 +66,12 @@
         """The next answer; None at the end."""
         loop = asyncio.get_running_loop()
         self.sock.setblocking(False)
-        while not isinstance(parsed := msgpack.parse(memoryview(self.held)), msgpack.ParsedValue):
+        while not isinstance(parsed := msgpack.parse(memoryview(self.received)), msgpack.ParsedValue):
             more = await loop.sock_recv(self.sock, 65536)
             if not more:
                 return None
-            self.held += more
-        self.held = self.held[parsed.end :]
+            self.received += more
+        self.received = self.received[parsed.end :]
         return without_views(parsed.value)
 
 
@@ -100,19 +100,19 @@
     not read from that client at all, as its answers wait."""
 
     async def test() -> None:
-        held: list[tuple[ScriptedWorker, dict[str, Any]]] = []
+        held_calls: list[tuple[ScriptedWorker, dict[str, Any]]] = []
 
-        def hold(runner: ScriptedWorker, message: dict[str, Any]) -> None:
-            held.append((runner, message))
+        def hold_call(runner: ScriptedWorker, message: dict[str, Any]) -> None:
+            held_calls.append((runner, message))
 
-        first, second = ScriptedWorker(hold), ScriptedWorker(hold)
+        first, second = ScriptedWorker(hold_call), ScriptedWorker(hold_call)
         async with service(first, second) as running:
             peer = Peer(running)
             peer.call(1)
-            await until(lambda: len(held) == 1)
+            await until(lambda: len(held_calls) == 1)
             if slow:
                 at_router(running, peer).pause_writing()  # as asyncio says once the peer's window is full
-            runner, message = held[0]
+            runner, message = held_calls[0]
             runner.answer(message, {"op": "SHED", "fields": {}})
             GOING[going](peer)
             await until(lambda: not running.dispatcher.pending_calls)
@@ -149,11 +149,11 @@
             released.set()
             opened = WorkerConnection.on_connected
 
-            def gone_first(connection: WorkerConnection) -> None:
+            def disconnect_first(connection: WorkerConnection) -> None:
                 GOING[going](peer)  # the last thing before what waited there leaves
                 opened(connection)
 
-            monkeypatch.setattr(WorkerConnection, "on_connected", gone_first)
+            monkeypatch.setattr(WorkerConnection, "on_connected", disconnect_first)
             await until(lambda: not running.dispatcher.pending_calls)
             other.call(2)
             assert (await other.read())[1:3] == [2, None]
@@ -226,18 +226,18 @@
     """More messages than a turn takes stand in the socket before it."""
 
     async def test() -> None:
-        held: list[tuple[ScriptedWorker, dict[str, Any]]] = []
+        held_calls: list[tuple[ScriptedWorker, dict[str, Any]]] = []
 
-        def hold(runner: ScriptedWorker, message: dict[str, Any]) -> None:
-            held.append((runner, message))
+        def hold_call(runner: ScriptedWorker, message: dict[str, Any]) -> None:
+            held_calls.append((runner, message))
 
-        first, second = ScriptedWorker(hold), ScriptedWorker(hold)
+        first, second = ScriptedWorker(hold_call), ScriptedWorker(hold_call)
         async with service(first, second) as running:
             peer, fence = Peer(running), Peer(running)
             peer.call(1)
-            await until(lambda: len(held) == 1)
+            await until(lambda: len(held_calls) == 1)
             at_router(running, peer).pause_writing()  # its answers wait: nothing is read from it
-            runner, message = held[0]
+            runner, message = held_calls[0]
             runner.answer(message, {"op": "SHED", "fields": {}})
             peer.sock.sendall(b"\x93\x02\xa4noop\x90" * 40)
             peer.cancel(1)
@@ -260,13 +260,13 @@
     What counts is the order of acts in this one process: a client's end, and an attempt's last byte."""
 
     async def test() -> None:
-        rng, gone, late = random.Random(seed), set[str](), list[str]()
-        tried = Dispatcher.count_attempt_written
+        rng, gone_call_ids, late = random.Random(seed), set[str](), list[str]()
+        count_written = Dispatcher.count_attempt_written
 
         def wrote(dispatcher: Dispatcher, attempt: Attempt) -> None:
-            if attempt.call.call_id in gone:
+            if attempt.call.call_id in gone_call_ids:
                 late.append(attempt.call.call_id)
-            tried(dispatcher, attempt)
+            count_written(dispatcher, attempt)
 
         monkeypatch.setattr(Dispatcher, "count_attempt_written", wrote)
 
@@ -285,23 +285,23 @@
             number = 0
             for _ in range(12):
                 peers = [Peer(running) for _ in range(40)]
-                asked: dict[Peer, list[int]] = {}
+                open_numbers: dict[Peer, list[int]] = {}
                 for peer in peers:
                     for _ in range(rng.randrange(1, 5)):
                         number += 1
-                        asked.setdefault(peer, []).append(number)
+                        open_numbers.setdefault(peer, []).append(number)
                         peer.call(number, rng.choice(["check", "confirm"]), limit="400")
                 rng.shuffle(peers)
                 for peer in peers:
                     for _ in range(rng.randrange(3)):
                         await asyncio.sleep(0)
                     if rng.random() < 0.5:
-                        some = rng.sample(asked[peer], rng.randrange(len(asked[peer]) + 1))
+                        some = rng.sample(open_numbers[peer], rng.randrange(len(open_numbers[peer]) + 1))
                         peer.cancel(*some)
-                        gone.update(f"{one:016x}" for one in some)
+                        gone_call_ids.update(f"{one:016x}" for one in some)
                     else:
                         rng.choice([Peer.close, Peer.reset, Peer.half_close])(peer)
-                        gone.update(f"{one:016x}" for one in asked[peer])
+                        gone_call_ids.update(f"{one:016x}" for one in open_numbers[peer])
                 for peer in peers:
                     peer.close()
                 await until(lambda: not running.dispatcher.pending_calls)
--- a/tests/integration/test_control.py
+++ b/tests/integration/test_control.py
@@ -58,12 +58,12 @@
                 answer = await caller.call(number, "confirm", b"x")
                 kind = "passed" if answer[2] is None else {"Lost": "bad_gateway"}.get(answer[2][0], "dropped")
                 seen[kind] += 1
-            told = figures(await ask_control(running, b"INFO\n"))
-            assert {k: told[f"router.handled.confirm.{k}"] for k in seen} == seen
-            assert told["router.handled.confirm.upstream_tries"] == len(runner.calls) == 12
-            assert told["router.upstream_tries"] == 12 and told["router.in_progress"] == 0
-            assert told["router.handled.check.passed"] == 0 and told["router.known_runners"] == 1
-            assert told["router.skipped_runners"] in (0, 1) and told["router.loads"] == 0
+            info = figures(await ask_control(running, b"INFO\n"))
+            assert {name: info[f"router.handled.confirm.{name}"] for name in seen} == seen
+            assert info["router.handled.confirm.upstream_tries"] == len(runner.calls) == 12
+            assert info["router.upstream_tries"] == 12 and info["router.in_progress"] == 0
+            assert info["router.handled.check.passed"] == 0 and info["router.known_runners"] == 1
+            assert info["router.skipped_runners"] in (0, 1) and info["router.loads"] == 0
 
     asyncio.run(test())
 
@@ -77,8 +77,8 @@
             for number in range(1, 34):  # one more than a connection may hold open
                 caller.writer.write(pack_call(number, "check", b"x"))
             assert (await caller.read())[1:3] == [33, ["Backoff", {"later": "500"}]]
-            told = figures(await ask_control(running, b"INFO\n"))
-            assert told["router.handled.check.dropped"] == 1 and told["router.in_progress"] == 32
+            info = figures(await ask_control(running, b"INFO\n"))
+            assert info["router.handled.check.dropped"] == 1 and info["router.in_progress"] == 32
 
     asyncio.run(test())
 
@@ -110,17 +110,17 @@
 def test_control_answers_beside_a_flood_of_idle_and_half_written_connections() -> None:
     async def test() -> None:
         async with service(ScriptedWorker()) as running:
-            held = []
+            connections = []
             for number in range(300):
                 _, writer = await asyncio.open_connection("127.0.0.1", running.port)
                 writer.write(pack_call(number + 1, "check", b"x")[: number % 7])
-                held.append(writer)
+                connections.append(writer)
             for _ in range(2 * control.MAX_CONNECTIONS):  # idle control connections, more than may stay
                 _, writer = await asyncio.open_connection("127.0.0.1", running.control_port)
-                held.append(writer)
+                connections.append(writer)
             assert await ask_control(running, b"PING\n") == ["YES"]
             assert len(running.control.connections) <= control.MAX_CONNECTIONS
-            for writer in held:
+            for writer in connections:
                 writer.transport.abort()
 
     asyncio.run(test())
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -61,7 +61,7 @@
 
 
 @pytest.mark.parametrize(
-    ("klass", "fields"),
+    ("class_name", "fields"),
     [
         ("nosuch", {}),
         ("check", {"item": "7f3a"}),
@@ -71,11 +71,13 @@
         ("revise", {}),  # a keyed class without its key
     ],
 )
-def test_invalid_fields_get_an_error_and_nothing_is_forwarded(klass: str, fields: dict[str, str]) -> None:
+def test_invalid_fields_get_an_error_and_nothing_is_forwarded(
+    class_name: str, fields: dict[str, str]
+) -> None:
     async def test() -> None:
         runner = ScriptedWorker()
         async with service(runner) as running, client(running) as caller:
-            answer = await caller.call(1, klass, b"", **fields)
+            answer = await caller.call(1, class_name, b"", **fields)
             assert answer[:2] == [1, 1] and answer[2][0] == "BadRequest" and answer[3] is None
             assert await caller.call(2, "check", b"y") == [1, 2, None, [b"Y", {}]]
             assert len(runner.calls) == 1
@@ -145,9 +147,9 @@
         mute = ScriptedWorker(lambda runner, message: None)
         async with service(mute) as running, client(running) as caller:
             loop = asyncio.get_running_loop()
-            began = loop.time()
+            started_at = loop.time()
             answer = await caller.call(1, "confirm", b"x", limit="300")
-            assert answer[2][0] == "Lost" and loop.time() - began < 0.3
+            assert answer[2][0] == "Lost" and loop.time() - started_at < 0.3
             await mute.wait_until(lambda: mute.cancelled_ids == [f"{1:016x}"])
 
     run(test())
@@ -181,9 +183,9 @@
             caller.writer.write(pack_call(2, "confirm", b"x"))
             while not pool.connections[0].lines.queued:
                 await asyncio.sleep(0)
-            told = [endpoint_record(slow, 1), endpoint_record(other, 2)]
-            told[at - 1] = endpoint_record((slow, other)[at - 1], at, EndpointState.DRAINING)
-            running.update_endpoints(2, told, is_complete=True)
+            records = [endpoint_record(slow, 1), endpoint_record(other, 2)]
+            records[at - 1] = endpoint_record((slow, other)[at - 1], at, EndpointState.DRAINING)
+            running.update_endpoints(2, records, is_complete=True)
             assert await caller.read() == [1, 2, None, [b"X", {}]]
             assert [c["id"] for c in (slow, other)[2 - at].calls] == [f"{2:016x}"]
 
@@ -294,15 +296,15 @@
             service(ScriptedWorker()) as running,
             client(running) as silent,
             client(running) as half,
-            client(running) as asked,
+            client(running) as proven_client,
         ):
-            assert await asked.call(1, "check", b"x") == [1, 1, None, [b"X", {}]]
+            assert await proven_client.call(1, "check", b"x") == [1, 1, None, [b"X", {}]]
             half.writer.write(pack_call(1, "check", b"x")[:40])
             while not any(c.needed_bytes for c in running.platform.unproven_connections):
                 await asyncio.sleep(0)
             running.platform.sweep(asyncio.get_running_loop().time() + 3.0)
             assert await silent.read() is None and await half.read() is None
-            assert await asked.call(2, "check", b"x") == [1, 2, None, [b"X", {}]]
+            assert await proven_client.call(2, "check", b"x") == [1, 2, None, [b"X", {}]]
 
     run(test())
 
@@ -374,12 +376,12 @@
         runner = ScriptedWorker(long)
         async with service(runner) as running, client(running) as caller:
             caller.writer.write(pack_call(1, "confirm", b"x"))
-            whole = encode_answer(1, CallSucceeded(b"L" * 230_000))  # longer than a client may send
+            response = encode_answer(1, CallSucceeded(b"L" * 230_000))  # longer than a client may send
             async with asyncio.timeout(10):
-                got = await caller.reader.read(len(whole))
-                while len(got) < len(whole) and (more := await caller.reader.read(len(whole))):
+                got = await caller.reader.read(len(response))
+                while len(got) < len(response) and (more := await caller.reader.read(len(response))):
                     got += more
-            assert got == whole
+            assert got == response
             assert len(runner.writers) == 1  # the connection to the runner was kept
 
     run(test())
--- a/tests/unit/test_parsers.py
+++ b/tests/unit/test_parsers.py
@@ -24,7 +24,7 @@
 
 
 def name(text: str) -> bytes:
-    return b"".join(bytes((len(part),)) + part.encode() for part in text.split(".")) + b"\0"
+    return b"".join(bytes((len(label),)) + label.encode() for label in text.split(".")) + b"\0"
 
 
 def record(owner: bytes, kind: int, data: bytes) -> bytes:
@@ -36,12 +36,12 @@
     host = name("s-00c41f7a.east.hosts")
     service = record(b"\xc0\x0c", dns.TYPE_SRV, struct.pack(">3H", 1, 40, 5050) + host)
     soa = record(b"\xc0\x0c", dns.TYPE_SOA, b"\0\0" + struct.pack(">5I", serial, 1, 1, 1, 1))
-    told = record(host, dns.TYPE_TXT, b"\x08kind=std\x06cell=2\x0bstarted=120")
-    rest = soa + record(host, dns.TYPE_A, bytes((10, 1, 0, 9))) + told
+    txt_record = record(host, dns.TYPE_TXT, b"\x08kind=std\x06cell=2\x0bstarted=120")
+    rest = soa + record(host, dns.TYPE_A, bytes((10, 1, 0, 9))) + txt_record
     return struct.pack(">6H", 7, flags, 1, 1, 1, 2) + question + service + rest
 
 
-class Pieces(BufferedConnection):
+class MessageCollector(BufferedConnection):
     """Takes MessagePack values or lines out of a stream."""
 
     def __init__(self, lines: bool, max_buffer_bytes: int) -> None:
@@ -69,16 +69,16 @@
         return at
 
 
-def feed(raw: bytes, cuts: list[int], lines: bool) -> Pieces:
-    async def run() -> Pieces:
-        stream, at = Pieces(lines, 64 * 1024), 0
+def feed(raw: bytes, cuts: list[int], lines: bool) -> MessageCollector:
+    async def run() -> MessageCollector:
+        stream, at = MessageCollector(lines, 64 * 1024), 0
         for cut in [*cuts, len(raw)]:
             while at < len(raw) and cut > 0 and not stream.bad:
-                room = stream.get_buffer(-1)
-                size = min(cut, len(room), len(raw) - at)
-                room[:size] = raw[at : at + size]
+                space = stream.get_buffer(-1)
+                size = min(cut, len(space), len(raw) - at)
+                space[:size] = raw[at : at + size]
                 at, cut = at + size, cut - size
-                room.release()
+                space.release()
                 stream.buffer_updated(size)
         return stream
 
@@ -96,9 +96,9 @@
 @fixed
 @given(st.binary(max_size=300), st.integers(0, 200))
 def test_msgpack_parses_garbage_to_a_value(garbage: bytes, at: int) -> None:
-    whole = CALLS[0][:at] + garbage
-    parsed = msgpack.parse(memoryview(whole))
-    assert not isinstance(parsed, msgpack.ParsedValue) or parsed.end <= len(whole)
+    data = CALLS[0][:at] + garbage
+    parsed = msgpack.parse(memoryview(data))
+    assert not isinstance(parsed, msgpack.ParsedValue) or parsed.end <= len(data)
 
 
 @fixed
@@ -124,11 +124,16 @@
 def test_a_discovery_reply_is_parsed() -> None:
     parsed = dns.parse(reply())
     assert isinstance(parsed, dns.Reply) and (parsed.query_id, parsed.serial) == (7, 9)
-    told = endpoints_from_reply(parsed)
-    assert isinstance(told, list) and len(told) == 1
-    found = told[0]
-    assert (found.name, found.host, found.port, found.zone) == ("s-00c41f7a", "10.1.0.9", 5050, "east")
-    assert (found.state.value, found.weight, found.kind, found.cell, found.started_at_ms) == (
+    endpoints = endpoints_from_reply(parsed)
+    assert isinstance(endpoints, list) and len(endpoints) == 1
+    endpoint = endpoints[0]
+    assert (endpoint.name, endpoint.host, endpoint.port, endpoint.zone) == (
+        "s-00c41f7a",
+        "10.1.0.9",
+        5050,
+        "east",
+    )
+    assert (endpoint.state.value, endpoint.weight, endpoint.kind, endpoint.cell, endpoint.started_at_ms) == (
         *("draining", 4.0, "std", 2),
         120.0,
     )
@@ -187,7 +192,7 @@
 def test_the_read_buffer_reuses_its_space() -> None:
     buffer = ReadBuffer(32 * 1024)
     for _ in range(20):
-        room = len(buffer.writable_space())
-        buffer.advance(room)
-        buffer.consume(room)
+        free_bytes = len(buffer.writable_space())
+        buffer.advance(free_bytes)
+        buffer.consume(free_bytes)
     assert len(buffer.writable_space()) == 8 * 1024
--- a/tests/unit/test_simulator_codec.py
+++ b/tests/unit/test_simulator_codec.py
@@ -77,8 +77,8 @@
     return struct.pack("<BBQI", 2, scope, 1, number)
 
 
-def arrival(tid: int, give_up: float = 2250.0) -> bytes:
-    return struct.pack("<BIfdQHffdHH", 3, tid, 2.0, give_up, 77, 0, 384.0, 900.0, 12.0, 0, 1)
+def arrival(request_id: int, deadline_ms: float = 2250.0) -> bytes:
+    return struct.pack("<BIfdQHffdHH", 3, request_id, 2.0, deadline_ms, 77, 0, 384.0, 900.0, 12.0, 0, 1)
 
 
 def one(record: bytes) -> HostEvent:
