--- a/cedarthread/protocols/endpoint_list.py
+++ b/cedarthread/protocols/endpoint_list.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from cedarthread.logs import format_event
 from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.model.settings import RouterSettings
 from cedarthread.number_checks import positive_or_none
@@ -58,15 +59,15 @@
     if not (math.isfinite(weight) and math.isfinite(started_at_ms)):
         raise ValueError(f"weight or since_ms of {entry['name']} is no number")
     return EndpointRecord(
-        str(entry["name"]),
-        host,
-        port,
-        str(entry["zone"]),
-        str(entry["type"]),
-        int(entry.get("group", 0)),
-        _STATE_BY_NAME[entry["status"]],
-        weight,
-        started_at_ms,
+        name=str(entry["name"]),
+        host=host,
+        port=port,
+        zone=str(entry["zone"]),
+        kind=str(entry["type"]),
+        cell=int(entry.get("group", 0)),
+        state=_STATE_BY_NAME[entry["status"]],
+        weight=weight,
+        started_at_ms=started_at_ms,
     )
 
 
@@ -110,8 +111,7 @@
         for record in self.records.values():
             first = records.setdefault(worker_id_from_name(record.name), record)
             if first is not record:
-                text = "runners %s and %s share a number: the second is left out"
-                log.warning(text, first.name, record.name)
+                log.warning(format_event("worker_id_conflict", kept=first.name, ignored=record.name))
         return records
 
     def _to_endpoint(self, record: EndpointRecord) -> Endpoint:
