Model checking, invariants and fuzz command line: typed events, records and named constants

Cause: events were strings, paths and results bare tuples; the state digest skipped a field by its name in every class. Change: Event, EventChoice, Counterexample, PathEnd and ReplayCounts are records; models, digest and search are modules; the digest skips counts of attempts only in the two estimators, so that a worker's own count tells states apart again. Ruled out: other events, orders or rules.

--- a/cedarthread/testing/cluster/fact_reader.py
+++ b/cedarthread/testing/cluster/fact_reader.py
@@ -23,13 +23,22 @@
 from cedarthread.testing.cluster.scenario import FaultKind, Scenario, Subject, SubjectKind
 from cedarthread.testing.cluster.service_levels import ServedValue
 from cedarthread.testing.fakes.worker_server import response_body
-from cedarthread.testing.invariants import AttemptRecord, CallGuarantees, InvariantChecker, InvariantLimits
+from cedarthread.testing.invariants import (
+    AttemptRecord,
+    CallGuarantees,
+    Idempotency,
+    InvariantChecker,
+    InvariantLimits,
+)
 
 ANSWER_SLACK_MS = 250.0  # past the deadline, on a machine that hundreds of processes share
 READ_ORDER_SLACK_MS = 25.0  # by which a process may read later than another what was sent earlier
 MAX_LATENCY_US = 60_000_000
 LATENCY_DIGITS = 3  # significant figures of the latency histogram
-CLASS_GUARANTEES = {"check": CallGuarantees("retryable"), "confirm": CallGuarantees("fragile")}
+CLASS_GUARANTEES = {
+    "check": CallGuarantees(Idempotency.IDEMPOTENT),
+    "confirm": CallGuarantees(Idempotency.NOT_IDEMPOTENT),
+}
 CLASS_VALUE = {"check": 2.0, "confirm": 3.0}
 UNANSWERED_REMARKS = ("shed", "spawn_failed", "lost")  # of attempts for which no body was produced
 
--- a/cedarthread/testing/fuzzing/router_under_test.py
+++ b/cedarthread/testing/fuzzing/router_under_test.py
@@ -25,7 +25,7 @@
 from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fuzzing import settings as drawn_settings
 from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop
-from cedarthread.testing.invariants import CallGuarantees, InvariantChecker, InvariantLimits
+from cedarthread.testing.invariants import CallGuarantees, Idempotency, InvariantChecker, InvariantLimits
 from cedarthread.transport.flusher import Flusher
 
 FUNCTIONS = ("00000000000000a1", "00000000000000b2", "00000000000000c3")
@@ -50,7 +50,7 @@
     """What a request class promises, from the settings as operators write them."""
     request_class = raw_settings["classes"][class_index]
     return CallGuarantees(
-        request_class["effect"],
+        Idempotency(request_class["effect"]),
         request_class.get("group", "all"),
         float(request_class.get("repeat-window", 0)) + CLOCK_TOLERANCE_MS,
     )
--- /dev/null
+++ b/cedarthread/testing/fuzzing/small_models.py
@@ -0,0 +1,343 @@
+"""Small models of a router's surroundings: a few calls and workers, and events that happen in any order.
+
+Dispatcher and router are the real ones, on a virtual clock; workers do only what an event says.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple
+
+from cedarthread.dispatch.calls import (
+    Attempt,
+    AttemptResult,
+    Call,
+    CallRejected,
+    CallResult,
+    CallSucceeded,
+    Progress,
+    connection_lost_result,
+)
+from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.model.endpoints import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
+from cedarthread.model.events import PreloadEnded
+from cedarthread.model.outcomes import Outcome
+from cedarthread.settings_parser import settings_from_object
+from cedarthread.testing.fuzzing import settings as drawn_settings
+from cedarthread.testing.fuzzing.router_under_test import call_guarantees, invariant_limits
+from cedarthread.testing.fuzzing.state_digest import state_digest
+from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop
+from cedarthread.testing.invariants import AttemptRecord, InvariantChecker
+
+FUNCTION_ID = 7
+LOOP_ITERATIONS = 4  # that let all callbacks run which follow from an event at once
+INTERNAL_DEADLINE_SHARE = 0.9  # of a client's timeout, by which the dispatcher must answer
+WAIT_S = 0.6  # of the event WAIT
+SHUTDOWN_MS = 700.0  # from the event SHUTDOWN until all calls must have their answer
+LOAD_MS = 50.0  # that a preload took
+
+
+class Event(Enum):
+    """What may happen; the value is how counterexamples name it."""
+
+    CALL = "call"  # the next call of the model is submitted
+    SERVED = "hit"  # a worker answers an attempt, as with the next four
+    OVERLOADED = "full"
+    FAILED = "fault"
+    RESET = "reset"
+    NOT_LOADED = "miss"
+    LATE_ANSWER = "late"  # to a cancelled attempt: it must count for nothing
+    PRELOADED = "loaded"
+    PRELOAD_REJECTED = "unloaded"
+    CRASH = "death"  # of a worker
+    DRAIN = "drain"
+    READY = "ready"
+    ABANDON = "leave"  # a client goes
+    SHUTDOWN = "end"
+    WAIT = "wait"
+
+
+ATTEMPT_OUTCOMES = {
+    Event.OVERLOADED: Outcome.OVERLOADED,
+    Event.FAILED: Outcome.ERROR,
+    Event.RESET: Outcome.RESET,
+    Event.NOT_LOADED: Outcome.NOT_LOADED,
+}
+
+
+class EventChoice(NamedTuple):
+    """An event, and the place of the call, attempt or worker that it is about among those that it may be."""
+
+    event: Event
+    subject: int
+
+    def __str__(self) -> str:
+        """The choice, as counterexamples have it."""
+        return str((self.event.value, self.subject))
+
+
+@dataclass(frozen=True, slots=True)
+class SmallModel:
+    """A model, and the number of states that it has."""
+
+    name: str
+    calls: tuple[int, ...]  # by class
+    workers: int
+    events: tuple[Event, ...]  # each happens once at most; one may be listed more than once
+    expected_states: int  # another number is a finding
+    preloads_on_miss: bool = False
+    call_timeout_ms: float = 2000.0
+
+
+MODELS = (
+    SmallModel(
+        "two-calls",
+        (0, 2),
+        2,
+        (
+            *(Event.SERVED, Event.SERVED, Event.CRASH, Event.FAILED),
+            *(Event.LATE_ANSWER, Event.WAIT, Event.WAIT),
+        ),
+        4299,
+    ),
+    SmallModel(
+        "confirm",
+        (2, 2),
+        2,
+        (Event.OVERLOADED, Event.FAILED, Event.SERVED, Event.RESET, Event.LATE_ANSWER, Event.WAIT),
+        547,
+    ),
+    SmallModel("keyed", (1,), 3, (Event.FAILED, Event.CRASH, Event.SERVED, Event.WAIT, Event.DRAIN), 769),
+    SmallModel(
+        "drain", (0, 2), 2, (Event.DRAIN, Event.OVERLOADED, Event.SERVED, Event.READY, Event.WAIT), 2457
+    ),
+    SmallModel(
+        "end", (0, 1), 2, (Event.SHUTDOWN, Event.SERVED, Event.FAILED, Event.ABANDON, Event.WAIT), 904
+    ),
+    SmallModel(
+        "orders",
+        (0, 0, 0),
+        2,
+        (Event.PRELOADED, Event.PRELOAD_REJECTED, Event.NOT_LOADED, Event.WAIT, Event.CRASH),
+        954,
+        preloads_on_miss=True,
+    ),
+)
+
+
+class ScriptedTransport:
+    """A worker transport: an attempt reaches its worker at once and stays until an event ends it."""
+
+    def __init__(self, dispatcher: Dispatcher, checker: InvariantChecker, loop: VirtualLoop) -> None:
+        self.dispatcher, self.checker, self.now_ms = dispatcher, checker, loop.unix_ms
+        self.in_flight: dict[Attempt, AttemptRecord] = {}
+        self.cancelled: list[Attempt] = []
+        self.preloads: list[tuple[int, int]] = []  # worker and function, the oldest first
+        self.crashed_workers: set[int] = set()
+
+    def send(self, attempt: Attempt) -> None:
+        """Start an attempt."""
+        if attempt.worker_id in self.crashed_workers:
+            result = connection_lost_result(attempt, is_unreachable=True)
+            return self.dispatcher.attempt_ended(attempt, result)
+        attempt.progress = Progress.WRITTEN
+        self.in_flight[attempt] = self.checker.on_attempt_started(
+            self.now_ms(), attempt.call.call_id, attempt.worker_id
+        )
+
+    def refresh_progress(self, attempt: Attempt) -> None:
+        """Progress never changes here."""
+
+    def withdraw_unsent(self, attempt: Attempt) -> None:
+        """Every attempt is sent at once."""
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Cancel an attempt."""
+        if (record := self.in_flight.pop(attempt, None)) is not None:
+            self.checker.on_attempt_ended(record, True)
+            self.cancelled.append(attempt)
+        self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
+
+    def end(self, attempt: Attempt, outcome: Outcome, body: bytes = b"") -> None:
+        """A worker's answer, or the end of its connection."""
+        is_not_executed = outcome in (Outcome.OVERLOADED, Outcome.NOT_LOADED)
+        self.checker.on_attempt_ended(self.in_flight.pop(attempt), not is_not_executed)
+        self.dispatcher.attempt_ended(attempt, AttemptResult(outcome, body))
+
+    def preload(self, worker_id: int, function_id: int, instances: int) -> None:
+        """Request a preload."""
+        self.checker.on_preload(self.now_ms(), worker_id, instances)
+        self.preloads.append((worker_id, function_id))
+
+    def unload(self, worker_id: int, function_id: int) -> None:
+        """No worker here has instances."""
+
+    def close_idle_connections(self, worker_id: int) -> None:
+        """There are no connections."""
+
+
+class ModelRun:
+    """A model after some events."""
+
+    def __init__(self, model: SmallModel, loop: VirtualLoop) -> None:
+        self.model, self.loop = model, loop
+        self.raw_settings = drawn_settings.settings(preloads_on_miss=model.preloads_on_miss)
+        self.checker = InvariantChecker(invariant_limits(self.raw_settings, 0.0))
+        self.dispatcher = Dispatcher(settings_from_object(self.raw_settings), 3, clock=loop.unix_ms)
+        self.transport = ScriptedTransport(self.dispatcher, self.checker, loop)
+        self.dispatcher.connect_workers(self.transport)
+        self.remaining_events = list(model.events)
+        self.calls: list[Call] = []
+        self.list_version = 0
+        self.worker_states = {number: EndpointState.READY for number in range(1, model.workers + 1)}
+        self._publish_workers(*self.worker_states)
+
+    def _publish_workers(self, *workers: int) -> None:
+        self.list_version += 1
+        endpoints = tuple(
+            Endpoint(number, number % 2, 0, number, self.worker_states[number], None, None)
+            for number in workers
+        )
+        for number in workers:
+            state = self.worker_states[number].value
+            self.checker.on_worker_state(self.loop.unix_ms(), number, state, number % 2, number)
+        kind = EndpointUpdateKind.CACHED if self.list_version == 1 else EndpointUpdateKind.DELTA
+        self.dispatcher.endpoints_changed(EndpointUpdate(kind, self.list_version, endpoints))
+
+    def enabled_choices(self) -> list[EventChoice]:
+        """What can happen next."""
+        choices: list[EventChoice] = []
+        if len(self.calls) < len(self.model.calls):
+            choices.append(EventChoice(Event.CALL, len(self.calls)))
+        for event in dict.fromkeys(self.remaining_events):
+            choices += [EventChoice(event, subject) for subject in range(self._subject_count(event))]
+        return choices
+
+    def _subject_count(self, event: Event) -> int:
+        match event:
+            case Event.SERVED | Event.OVERLOADED | Event.FAILED | Event.RESET | Event.NOT_LOADED:
+                return len(self.transport.in_flight)
+            case Event.LATE_ANSWER:
+                return len(self.transport.cancelled)
+            case Event.PRELOADED | Event.PRELOAD_REJECTED:
+                return min(1, len(self.transport.preloads))
+            case Event.ABANDON:
+                return sum(not call.is_complete for call in self.calls)
+            case Event.CRASH | Event.DRAIN:
+                return len(self.worker_states)
+        return 1
+
+    async def apply(self, choice: EventChoice) -> None:
+        """Let an event happen, and all that follows from it at once."""
+        if choice.event is Event.CALL:
+            self._submit_call(choice.subject)
+        else:
+            self.remaining_events.remove(choice.event)
+            await self._apply_event(*choice)
+        for _ in range(LOOP_ITERATIONS):
+            await asyncio.sleep(0)
+
+    def _submit_call(self, number: int) -> None:
+        class_index, call_id, now = self.model.calls[number], f"c{number}", self.loop.unix_ms()
+        timeout_ms = self.model.call_timeout_ms
+        guarantees = call_guarantees(self.raw_settings, class_index)
+        self.checker.on_call_submitted(now, call_id, guarantees, now + timeout_ms)
+
+        def on_result(result: CallResult) -> None:
+            body = result.body if isinstance(result, CallSucceeded) else b""
+            self.checker.on_answer(self.loop.unix_ms(), call_id, _result_name(result), body)
+
+        key = call_id if self.raw_settings["classes"][class_index]["effect"] == "dedup" else None
+        deadline_ms = now + INTERNAL_DEADLINE_SHARE * timeout_ms
+        call = Call(call_id, class_index, FUNCTION_ID, deadline_ms, b"", on_result, key)
+        self.calls.append(call)
+        self.dispatcher.submit(call)
+
+    async def _apply_event(self, event: Event, subject: int) -> None:
+        transport, dispatcher = self.transport, self.dispatcher
+        match event:
+            case Event.SERVED:
+                attempt = list(transport.in_flight)[subject]
+                body = f"{attempt.call.call_id}@{attempt.worker_id}".encode()
+                self.checker.on_body_produced(attempt.call.call_id, body)
+                transport.end(attempt, Outcome.OK, body)
+            case Event.OVERLOADED | Event.FAILED | Event.RESET | Event.NOT_LOADED:
+                transport.end(list(transport.in_flight)[subject], ATTEMPT_OUTCOMES[event])
+            case Event.LATE_ANSWER:
+                result = AttemptResult(Outcome.OK, b"late")
+                dispatcher.attempt_ended(transport.cancelled[subject], result)
+            case Event.PRELOADED | Event.PRELOAD_REJECTED:
+                self._end_preload(is_loaded=event is Event.PRELOADED)
+            case Event.CRASH:
+                self._crash(list(self.worker_states)[subject])
+            case Event.DRAIN | Event.READY:
+                worker = list(self.worker_states)[subject]
+                state = EndpointState.DRAINING if event is Event.DRAIN else EndpointState.READY
+                self.worker_states[worker] = state
+                self._publish_workers(worker)
+            case Event.ABANDON:
+                call = [call for call in self.calls if not call.is_complete][subject]
+                self.checker.on_call_abandoned(self.loop.unix_ms(), call.call_id)
+                dispatcher.abandon_call(call)
+            case Event.SHUTDOWN:
+                dispatcher.complete_all_by(self.loop.unix_ms() + SHUTDOWN_MS)
+            case Event.WAIT:
+                await asyncio.sleep(WAIT_S)
+
+    def _end_preload(self, *, is_loaded: bool) -> None:
+        worker, function = self.transport.preloads.pop(0)
+        outcome = Outcome.OK if is_loaded else Outcome.OVERLOADED
+        self.dispatcher.preload_ended(PreloadEnded(worker, function, outcome, int(is_loaded), LOAD_MS))
+
+    def _crash(self, worker: int) -> None:
+        self.transport.crashed_workers.add(worker)
+        for attempt in list(self.transport.in_flight):
+            if attempt.worker_id == worker:
+                self.transport.end(attempt, Outcome.RESET)
+
+    async def run_to_end(self) -> None:
+        """Let all time pass, and check that nothing remains."""
+        await asyncio.sleep(self.model.call_timeout_ms / 1000.0 + 0.2)
+        self.checker.check_all_answered(self.loop.unix_ms())
+        for attempt in list(self.transport.in_flight):
+            self.transport.end(attempt, Outcome.RESET)
+        for worker, function in self.transport.preloads:
+            self.dispatcher.preload_ended(PreloadEnded(worker, function, Outcome.TIMEOUT, 0, 1.0))
+        await asyncio.sleep(1.0)
+        self._check_nothing_remains()
+
+    def _check_nothing_remains(self) -> None:
+        dispatcher, router, now = self.dispatcher, self.dispatcher.router, self.loop.unix_ms()
+        calls = dispatcher.calls
+        open_calls = len(dispatcher.pending_calls) + len(calls.pending_ids) + len(calls.completing)
+        requests = len(router.pending_requests) + len(router.queued_requests) + len(router.orphaned_attempts)
+        worker_loads = sum(abs(worker.in_flight) for worker in router.workers.values())
+        loads = abs(router.state.functions.preloads_in_flight) + worker_loads
+        self.checker.check_remaining(now, "open calls", open_calls)
+        self.checker.check_remaining(now, "bytes of bodies", abs(calls.pending_body_bytes))
+        self.checker.check_remaining(now, "calls open in the decisions", requests)
+        self.checker.check_remaining(now, "loads in the decisions", loads)
+
+    def digest(self) -> bytes:
+        """The state: dispatcher, router, what is in flight and what may still happen."""
+        transport, dispatcher = self.transport, self.dispatcher
+        return state_digest(
+            dispatcher.router.state,
+            dispatcher.pending_calls,
+            sorted(event.value for event in self.remaining_events),
+            sorted(transport.crashed_workers),
+            transport.preloads,
+            dispatcher.shutdown_deadline_ms,
+            self.loop.unix_ms(),
+            [call.is_complete for call in self.calls],
+            [(attempt.call.call_id, attempt.index, attempt.worker_id) for attempt in transport.in_flight],
+            [(attempt.call.call_id, attempt.index) for attempt in transport.cancelled],
+        )
+
+
+def _result_name(result: CallResult) -> str:
+    if isinstance(result, CallSucceeded):
+        return "served"
+    return "refused" if isinstance(result, CallRejected) else "failed"
--- /dev/null
+++ b/cedarthread/testing/fuzzing/state_digest.py
@@ -0,0 +1,54 @@
+"""A digest of a router's state: alike for states that behave alike."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import random
+from collections import deque
+from dataclasses import fields, is_dataclass
+from enum import Enum
+from typing import Any
+
+from cedarthread.routing.overload import OverloadEstimator
+from cedarthread.routing.zone_reachability import ZoneReachability
+
+MAX_DEPTH = 12  # of nested values, past which they are taken for equal
+DIGITS = 6  # to which floats are compared
+DIGEST_BYTES = 12
+
+# Fields that tell no two states apart: counters, logs, callbacks, references back, and settings.
+SKIPPED_FIELDS = {"token", "serial", "actions", "settings", "logs", "call", "on_result"}
+# Counts that follow from the attempts in flight.
+SKIPPED_FIELDS_BY_CLASS: dict[type, set[str]] = {
+    OverloadEstimator: {"in_flight"},
+    ZoneReachability: {"in_flight"},
+}
+
+
+def state_digest(*parts: Any) -> bytes:
+    """A digest of some values."""
+    return hashlib.blake2b(
+        repr([canonical(part) for part in parts]).encode(), digest_size=DIGEST_BYTES
+    ).digest()
+
+
+def canonical(value: Any, depth: int = 0) -> Any:
+    """A value as nested tuples, without object identities and skipped fields."""
+    if depth > MAX_DEPTH:
+        return "deep"
+    if isinstance(value, random.Random):
+        return hash(value.getstate())
+    if isinstance(value, (int, float, str, bytes, bool, type(None))):
+        return round(value, DIGITS) if isinstance(value, float) and math.isfinite(value) else value
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, dict):
+        return tuple((canonical(key, depth + 1), canonical(item, depth + 1)) for key, item in value.items())
+    if isinstance(value, (set, frozenset)):
+        return tuple(sorted(map(repr, value)))
+    if isinstance(value, (list, tuple, deque)):
+        return tuple(canonical(item, depth + 1) for item in value)
+    names = [f.name for f in fields(value)] if is_dataclass(value) else list(getattr(value, "__dict__", {}))
+    skipped = SKIPPED_FIELDS | SKIPPED_FIELDS_BY_CLASS.get(type(value), set())
+    return tuple((name, canonical(getattr(value, name), depth + 1)) for name in names if name not in skipped)
--- a/cedarthread/testing/invariants.py
+++ b/cedarthread/testing/invariants.py
@@ -1,7 +1,8 @@
-"""One book of a run: facts in, breaches of the operators' rules out.
+"""Invariant checker: facts of a run in, violations of the operators' rules out.
 
-Times are milliseconds on any one clock that never goes back. The facts are those that peers can see: a
-client what it asked and was answered, a worker what reached it whole and what it said, the news what it told.
+The facts are those that peers can see: what a client sent and got, what reached a worker and what it
+answered, and what endpoint lists said. Times are ms of any one clock that never goes back. Names of rules
+stand in reports: harness, answers, deadline, served, effects, attempts, gone, drain, orders, rest.
 """
 
 from __future__ import annotations
@@ -9,43 +10,61 @@
 import math
 from collections import deque
 from dataclasses import dataclass, field
+from enum import StrEnum
+
+ROUNDING = 1e-9  # so that a product such as 2.0 * 1.15 counts for no less than it is
+
+
+class Idempotency(StrEnum):
+    """Whether a call may be executed more than once; the values are the words of settings files."""
+
+    IDEMPOTENT = "retryable"
+    WITH_KEY = "dedup"  # within a scope and a window
+    NOT_IDEMPOTENT = "fragile"
 
 
 @dataclass(frozen=True, slots=True)
 class CallGuarantees:
-    """What one class of calls promises. ``window`` in ms, from the first attempt that may have run."""
+    """What one class of calls promises."""
+
+    idempotency: Idempotency
+    retry_scope: str = "all"  # of calls with a key: all, zone or cell
+    retry_window_ms: float = 0.0  # of calls with a key: from the first attempt that may have been executed
 
-    idempotency: str  # retryable, dedup or fragile
-    retry_scope: str = "all"  # of a dedup class: all, zone or cell
-    retry_window_ms: float = 0.0
+    @property
+    def allows_any_retry(self) -> bool:
+        """Whether a call may be executed again anywhere, so that a rejected one may have been executed."""
+        if self.idempotency is Idempotency.WITH_KEY:
+            return self.retry_scope == "all"
+        return self.idempotency is Idempotency.IDEMPOTENT
 
 
 @dataclass(frozen=True, slots=True)
 class InvariantLimits:
-    """The figures of the rules. Times in ms."""
+    """The numbers of the rules."""
 
     max_attempts: int = 4
     allows_hedging: bool = False
-    answer_slack_ms: float = 58.0  # after the deadline: the settings' figure and 50 ms for the sockets
-    drain_slack_ms: float = 550.0  # after the news, likewise
-    client_gone_slack_ms: float = 100.0  # after a client closed its connection or took its request back
-    preload_window_ms: float = 0.0  # 0: orders are not rationed
-    preload_allowance: float = 0.0
-    preload_share: float = 0.0
-    preload_tolerance: float = 1.0  # orders more
-    preload_tolerance_factor: float = 1.15  # times the ration
+    answer_slack_ms: float = 58.0  # after the deadline: the default setting, and 50 ms for the sockets
+    drain_slack_ms: float = 550.0  # after a list that says so, likewise
+    client_gone_slack_ms: float = 100.0  # after a client closed its connection or cancelled its request
+    preload_window_ms: float = 0.0  # 0: preloads are not limited
+    preload_allowance: float = 0.0  # preload requests in a window in any case
+    preload_share: float = 0.0  # and for each call that was submitted in it
+    preload_tolerance: float = 1.0  # requests beyond the limit
+    preload_tolerance_factor: float = 1.15  # times the limit
 
 
 @dataclass(frozen=True, slots=True)
 class Violation:
-    """One broken rule: which, when (ms), and what was seen."""
+    """One broken rule: which, when, and what was seen."""
 
     rule: str
     at_ms: float
     detail: str
 
     def __str__(self) -> str:
-        """The breach as a line."""
+        """The violation as a line."""
         return f"{self.rule} at {self.at_ms:.1f} ms: {self.detail}"
 
 
@@ -60,6 +79,16 @@
     is_in_flight: bool = True
     may_have_executed: bool = True
 
+    def may_have_effect(self) -> bool:
+        """Whether it is executed now, or may have been."""
+        return self.is_in_flight or self.may_have_executed
+
+    def is_outside(self, scope: str, other: AttemptRecord) -> bool:
+        """Whether another attempt is in another zone or cell, where that is the scope."""
+        if scope == "zone":
+            return self.zone != other.zone
+        return scope == "cell" and self.cell != other.cell
+
 
 @dataclass(slots=True)
 class _CallRecord:
@@ -82,7 +111,7 @@
 
 
 class InvariantChecker:
-    """All facts of a run, and the breaches among them."""
+    """All facts of a run, and the violations among them."""
 
     def __init__(self, limits: InvariantLimits) -> None:
         self.limits = limits
@@ -95,37 +124,34 @@
     def _report(self, rule: str, at_ms: float, detail: str) -> None:
         self.violations.append(Violation(rule, at_ms, detail))
 
-    # What the news told.
-
     def on_worker_state(self, at_ms: float, worker_id: int, state: str, zone: int = 0, cell: int = 0) -> None:
-        """The process was told of a worker: ready, draining or gone."""
+        """An endpoint list that reached the router has a worker as ready or draining, or has it no more
+        (``gone``)."""
         previous = self._workers.get(worker_id)
         since_ms = previous.since_ms if previous is not None and previous.state == state else at_ms
         self._workers[worker_id] = _WorkerListing(state, since_ms, zone, cell)
 
-    # What clients saw.
-
     def on_call_submitted(
         self, at_ms: float, call: str, guarantees: CallGuarantees, deadline_ms: float
     ) -> None:
-        """A client's whole request went in; its name is its own, its deadline a time."""
+        """A client sent a complete request, under a name of its own; the deadline is a time."""
         if call in self._calls:
             return self._report("harness", at_ms, f"call {call} was recorded twice")
         self._calls[call] = _CallRecord(guarantees, deadline_ms)
         self._submitted_at_ms.append(at_ms)
 
     def on_call_abandoned(self, at_ms: float, call: str) -> None:
-        """Its client does not wait any more: no answer is owed, one may still cross."""
+        """Its client waits no more: an answer need not come, and may."""
         if (record := self._calls.get(call)) is not None:
             record.is_abandoned = True
 
     def on_client_gone(self, at_ms: float, call: str) -> None:
-        """Its client has closed the connection, or its own end of it, or has taken the request back."""
+        """Its client closed the connection, or its own end of it, or cancelled the request."""
         if (record := self._calls.get(call)) is not None:
             record.client_gone_at_ms = min(record.client_gone_at_ms, at_ms)
 
-    def on_answer(self, at_ms: float, call: str, kind: str, body: bytes = b"") -> None:
-        """A final answer came out: served, refused or failed."""
+    def on_answer(self, at_ms: float, call: str, result: str, body: bytes = b"") -> None:
+        """A client got a final answer: served, refused or failed."""
         record = self._calls.get(call)
         if record is None:
             return self._report("answers", at_ms, f"an answer to {call}, which nobody asked")
@@ -135,23 +161,17 @@
             self._report("answers", at_ms, f"call {call} has {record.answer_count} final answers")
         if at_ms > record.deadline_ms + self.limits.answer_slack_ms and not record.is_abandoned:
             self._report("deadline", at_ms, f"call {call} answered {at_ms - record.deadline_ms:.0f} ms late")
-        if kind == "served" and body not in record.produced_bodies:
+        if result == "served" and body not in record.produced_bodies:
             self._report("served", at_ms, f"call {call} served with what no worker made for it")
-        if kind == "refused":
+        if result == "refused":
             self._check_rejection(at_ms, call, record)
 
     def _check_rejection(self, at_ms: float, call: str, record: _CallRecord) -> None:
-        may_have_executed = any(t.is_in_flight or t.may_have_executed for t in record.attempts)
         guarantees = record.guarantees
-        is_idempotent = guarantees.idempotency == "retryable" or (
-            guarantees.idempotency == "dedup" and guarantees.retry_scope == "all"
-        )
-        if may_have_executed and not is_idempotent:
-            self._report(
-                "effects", at_ms, f"call {call} ({guarantees.idempotency}) refused though it may have run"
-            )
-
-    # What workers saw.
+        may_have_effect = any(attempt.may_have_effect() for attempt in record.attempts)
+        if may_have_effect and not guarantees.allows_any_retry:
+            what = f"call {call} ({guarantees.idempotency}) refused though it may have run"
+            self._report("effects", at_ms, what)
 
     def on_attempt_started(
         self,
@@ -161,30 +181,23 @@
         first_byte_at_ms: float | None = None,
         handed_over_at_ms: float | None = None,
     ) -> AttemptRecord:
-        """An attempt came whole to a worker; ``began``: when its first byte left, if that was earlier;
-        ``handed``: when it was handed to a socket that took nothing more, from where none comes back."""
+        """A complete attempt came to a worker.
+
+        ``first_byte_at_ms``: when its first byte left the router, where that was earlier.
+        ``handed_over_at_ms``: when the router gave it to a socket whose peer read nothing, from where it
+        could not be taken back.
+        """
         listing = self._workers.get(worker_id)
-        attempt = AttemptRecord(
-            worker_id, at_ms, listing.zone if listing else -1, listing.cell if listing else -1
-        )
+        zone, cell = (listing.zone, listing.cell) if listing else (-1, -1)
+        attempt = AttemptRecord(worker_id, at_ms, zone, cell)
         first_byte_at_ms = at_ms if first_byte_at_ms is None else first_byte_at_ms
+        handed_over_at_ms = first_byte_at_ms if handed_over_at_ms is None else handed_over_at_ms
         self._check_drain(first_byte_at_ms, worker_id, f"attempt of {call}", listing)
         record = self._calls.get(call)
         if record is None:
             self._report("attempts", at_ms, f"an attempt of {call}, which nobody asked")
             return attempt
-        handed_over_at_ms = first_byte_at_ms if handed_over_at_ms is None else handed_over_at_ms
-        if handed_over_at_ms > record.answered_at_ms or (handed_over_at_ms == at_ms and record.answer_count):
-            self._report("attempts", at_ms, f"call {call} sent after its final answer")
-        if first_byte_at_ms > record.client_gone_at_ms + self.limits.client_gone_slack_ms:
-            late_ms = first_byte_at_ms - record.client_gone_at_ms
-            self._report(
-                "gone", at_ms, f"an attempt of {call} began {late_ms:.0f} ms after its client had gone"
-            )
-        if not self.limits.allows_hedging and any(t.is_in_flight for t in record.attempts):
-            self._report("attempts", at_ms, f"call {call} has two attempts out")
-        if len(record.attempts) >= self.limits.max_attempts:
-            self._report("attempts", at_ms, f"call {call} sent {len(record.attempts) + 1} times")
+        self._check_call_wants_attempt(at_ms, call, record, first_byte_at_ms, handed_over_at_ms)
         self._check_retry(first_byte_at_ms, call, record, attempt)
         record.attempts.append(attempt)
         return attempt
@@ -198,49 +211,51 @@
                 "drain", at_ms, f"{what} to worker {worker_id}, {late_ms:.0f} ms after it was {listing.state}"
             )
 
+    def _check_call_wants_attempt(
+        self, at_ms: float, call: str, record: _CallRecord, first_byte_at_ms: float, handed_over_at_ms: float
+    ) -> None:
+        is_same_time = handed_over_at_ms == at_ms and record.answer_count > 0
+        if handed_over_at_ms > record.answered_at_ms or is_same_time:
+            self._report("attempts", at_ms, f"call {call} sent after its final answer")
+        late_ms = first_byte_at_ms - record.client_gone_at_ms
+        if first_byte_at_ms > record.client_gone_at_ms + self.limits.client_gone_slack_ms:
+            what = f"an attempt of {call} began {late_ms:.0f} ms after its client had gone"
+            self._report("gone", at_ms, what)
+        is_in_flight = any(attempt.is_in_flight for attempt in record.attempts)
+        if is_in_flight and not self.limits.allows_hedging:
+            self._report("attempts", at_ms, f"call {call} has two attempts out")
+        if len(record.attempts) >= self.limits.max_attempts:
+            self._report("attempts", at_ms, f"call {call} sent {len(record.attempts) + 1} times")
+
     def _check_retry(self, at_ms: float, call: str, record: _CallRecord, attempt: AttemptRecord) -> None:
-        executed = [t for t in record.attempts if t.is_in_flight or t.may_have_executed]
+        executed = [earlier for earlier in record.attempts if earlier.may_have_effect()]
         guarantees = record.guarantees
-        if not executed or guarantees.idempotency == "retryable":
+        if not executed or guarantees.idempotency is Idempotency.IDEMPOTENT:
             return
-        if guarantees.idempotency == "fragile":
+        if guarantees.idempotency is Idempotency.NOT_IDEMPOTENT:
             return self._report("effects", at_ms, f"fragile call {call} sent again though it may have run")
+        age_ms = at_ms - executed[0].started_at_ms
         if at_ms > executed[0].started_at_ms + guarantees.retry_window_ms:
-            self._report(
-                "effects",
-                at_ms,
-                f"dedup call {call} sent again {at_ms - executed[0].started_at_ms:.0f} ms on",
-            )
-        for earlier in executed:
-            is_outside = (
-                earlier.zone != attempt.zone
-                if guarantees.retry_scope == "zone"
-                else earlier.cell != attempt.cell
-            )
-            if guarantees.retry_scope != "all" and is_outside:
-                self._report("effects", at_ms, f"dedup call {call} left its {guarantees.retry_scope}")
-                return
+            self._report("effects", at_ms, f"dedup call {call} sent again {age_ms:.0f} ms on")
+        if any(earlier.is_outside(guarantees.retry_scope, attempt) for earlier in executed):
+            self._report("effects", at_ms, f"dedup call {call} left its {guarantees.retry_scope}")
 
     def on_body_produced(self, call: str, body: bytes) -> None:
-        """A worker made this body for the call; it is said before the answer goes out."""
+        """A worker made this body for a call, and has not sent it yet."""
         if (record := self._calls.get(call)) is not None:
             record.produced_bodies.append(body)
 
     def on_attempt_ended(self, attempt: AttemptRecord, may_have_executed: bool) -> None:
-        """An attempt's end went out to the router, or the attempt was given up."""
+        """A worker sent an attempt's answer, or the router cancelled the attempt."""
         if attempt.is_in_flight:
             attempt.is_in_flight, attempt.may_have_executed = False, may_have_executed
 
     def on_preload(
         self, at_ms: float, worker_id: int, instances: int, first_byte_at_ms: float | None = None
     ) -> None:
-        """An order to load came whole to a worker; one for no copies only asks. ``began`` as for ``out``."""
-        self._check_drain(
-            at_ms if first_byte_at_ms is None else first_byte_at_ms,
-            worker_id,
-            "an order",
-            self._workers.get(worker_id),
-        )
+        """A complete preload request came to a worker; one for no instances only asks for their number."""
+        sent_at_ms = at_ms if first_byte_at_ms is None else first_byte_at_ms
+        self._check_drain(sent_at_ms, worker_id, "an order", self._workers.get(worker_id))
         limits = self.limits
         if instances <= 0 or limits.preload_window_ms <= 0:
             return
@@ -249,27 +264,20 @@
             while times and times[0] <= at_ms - limits.preload_window_ms:
                 times.popleft()
         allowed = limits.preload_allowance + limits.preload_share * len(self._submitted_at_ms)
-        if (
-            len(self._preloaded_at_ms)
-            > math.floor(allowed * limits.preload_tolerance_factor + 1e-9) + limits.preload_tolerance
-        ):
-            self._report(
-                "orders",
-                at_ms,
-                f"{len(self._preloaded_at_ms)} orders to load where {allowed:.1f} are allowed",
-            )
-
-    # The end.
+        tolerated = math.floor(allowed * limits.preload_tolerance_factor + ROUNDING)
+        count = len(self._preloaded_at_ms)
+        if count > tolerated + limits.preload_tolerance:
+            self._report("orders", at_ms, f"{count} orders to load where {allowed:.1f} are allowed")
 
     def check_remaining(
         self, at_ms: float, what: str, remaining: float, expected_at_most: float = 0.0
     ) -> None:
-        """What is left of something that should be back to at most so much."""
+        """At the end: what a run took must have been given back, but for what is expected."""
         if remaining > expected_at_most:
             self._report("rest", at_ms, f"{what}: {remaining:g} left, at most {expected_at_most:g} expected")
 
     def check_all_answered(self, at_ms: float) -> None:
-        """The run is over and every deadline past: each call must have its answer."""
-        for name, record in self._calls.items():
+        """At the end, with every deadline past: each call must have its answer."""
+        for call, record in self._calls.items():
             if not record.answer_count and not record.is_abandoned:
-                self._report("answers", at_ms, f"call {name} got no final answer")
+                self._report("answers", at_ms, f"call {call} got no final answer")
--- a/tests/simulation/test_fuzzing.py
+++ b/tests/simulation/test_fuzzing.py
@@ -11,14 +11,14 @@
 import pytest
 
 from cedarthread.protocols import dns
-from cedarthread.testing.fuzzing import corpus, injected_defects, model_checking, targets
-from cedarthread.testing.fuzzing.cli import replay
+from cedarthread.testing.fuzzing import corpus, injected_defects, model_checking, small_models, targets
 from cedarthread.testing.fuzzing.dns_target import DnsTarget, generate_reply, pack_reply
 from cedarthread.testing.fuzzing.finding import Finding
+from cedarthread.testing.fuzzing.replay import replay
 from cedarthread.testing.fuzzing.resource_meter import Budget
 from cedarthread.testing.fuzzing.target import FuzzedDataProvider, Target, verdict
 from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, StuckError, VirtualLoop, run_virtual
-from cedarthread.testing.invariants import CallGuarantees, InvariantChecker, InvariantLimits
+from cedarthread.testing.invariants import CallGuarantees, Idempotency, InvariantChecker, InvariantLimits
 
 CORPUS = Path(__file__).parents[2] / "corpus"
 TARGETS = targets.targets_by_name()
@@ -28,9 +28,9 @@
 @pytest.mark.parametrize("name", TARGETS)
 def test_the_corpus_and_drawn_runs_hold(name: str) -> None:
     said: list[str] = []
-    _, drawn, wrongs = replay({name: TARGETS[name]}, CORPUS, said.append, draw=True)
-    assert wrongs == 0, said
-    assert drawn == TARGETS[name].test_runs > 0
+    counts = replay({name: TARGETS[name]}, CORPUS, said.append, generates=True)
+    assert counts.findings == 0, said
+    assert counts.generated_inputs == TARGETS[name].test_runs > 0
 
 
 def test_every_target_keeps_a_corpus() -> None:
@@ -53,9 +53,9 @@
 
 
 @pytest.mark.parametrize(
-    "scene", [s for s in model_checking.MODELS if s.expected_states < 700], ids=lambda s: s.name
+    "scene", [s for s in small_models.MODELS if s.expected_states < 700], ids=lambda s: s.name
 )
-def test_a_small_world_holds_in_every_order(scene: model_checking.SmallModel) -> None:
+def test_a_small_world_holds_in_every_order(scene: small_models.SmallModel) -> None:
     assert model_checking.explore(scene).verdict() is None
 
 
@@ -70,7 +70,10 @@
 
 # The ledger: each rule is broken on purpose.
 
-FRAGILE, KEYED = CallGuarantees("fragile"), CallGuarantees("dedup", "zone", 1000.0)
+FRAGILE, KEYED = (
+    CallGuarantees(Idempotency.NOT_IDEMPOTENT),
+    CallGuarantees(Idempotency.WITH_KEY, "zone", 1000.0),
+)
 
 
 def book() -> InvariantChecker:
@@ -125,7 +128,7 @@
 
 def test_the_ledger_counts_drains_from_the_first_byte_and_orders_by_their_window() -> None:
     ledger = book()
-    ledger.on_call_submitted(0.0, "a", CallGuarantees("retryable"), 9000.0)
+    ledger.on_call_submitted(0.0, "a", CallGuarantees(Idempotency.IDEMPOTENT), 9000.0)
     ledger.on_worker_state(100.0, 1, "draining")
     ledger.on_worker_state(300.0, 1, "draining")  # told again: the time runs from the first
     ledger.on_attempt_ended(ledger.on_attempt_started(700.0, "a", 1, first_byte_at_ms=650.0), False)
