--- a/cedarthread/testing/cluster/fake_workers.py
+++ b/cedarthread/testing/cluster/fake_workers.py
@@ -24,15 +24,7 @@
         super().__init__(plan, number)
         self._loop_iteration_ms: float | None = None
         self.servers = [
-            FakeWorkerServer(
-                model,
-                self.now_ms,
-                self._deliver_for(model.number),
-                self.on_call_sent,
-                self.on_call_arrived,
-                self.on_call_ended,
-                self.on_call_cancelled,
-            )
+            FakeWorkerServer(model, self.now_ms, self._deliver_for(model.number), self)
             for model in worker_models(plan.scenario)
         ]
 
--- a/cedarthread/testing/fakes/discovery_server.py
+++ b/cedarthread/testing/fakes/discovery_server.py
@@ -1,4 +1,4 @@
-"""The resolver of runners: DNS replies (RFC 1035, RFC 2782) with the list that one router is to see."""
+"""A discovery server: DNS replies (RFC 1035, RFC 2782) with the list of workers that one router is to see."""
 
 from __future__ import annotations
 
@@ -13,10 +13,18 @@
 from cedarthread.protocols import dns
 from cedarthread.protocols.discovery import SERVICE_NAME
 
+HEADER_BYTES = 12
+AUTHORITATIVE_ANSWER = 0x8400  # the flags QR and AA
+CLASS_IN, TTL_S = 1, 1
+DRAINING_PRIORITY, WEIGHT = 10, 10  # of SRV records: a worker that serves has priority 0
+
+CurrentList = Callable[[], tuple[int, tuple["ListedWorker", ...]] | None]  # serial and workers
+Deliver = Callable[[Callable[[], bytes], Callable[[bytes], None]], None]  # makes a reply; sends it
+
 
 @dataclass(frozen=True, slots=True)
 class ListedWorker:
-    """One runner in the list."""
+    """One worker in the list."""
 
     name: str
     port: int
@@ -24,74 +32,82 @@
     started_at_ms: float = 0.0
 
 
-def _name(text: str) -> bytes:
+def _encode_name(text: str) -> bytes:
     return b"".join(bytes((len(label),)) + label.encode() for label in text.split(".")) + b"\0"
 
 
-def _record(name: bytes, kind: int, data: bytes) -> bytes:
-    return name + struct.pack(">HHIH", kind, 1, 1, len(data)) + data
+def _encode_record(name: bytes, record_type: int, data: bytes) -> bytes:
+    return name + struct.pack(">HHIH", record_type, CLASS_IN, TTL_S, len(data)) + data
 
 
-def encode_reply(query: bytes, serial: int, runners: tuple[ListedWorker, ...], zone: str) -> bytes:
-    """The whole list, under a serial, in answer to a query."""
-    count, records = _records(serial, runners, zone)
-    return query[:2] + struct.pack(">5H", 0x8400, 1, count, 0, 0) + query[12:] + records
+def encode_reply(query: bytes, serial: int, workers: tuple[ListedWorker, ...], zone: str) -> bytes:
+    """The list, under a serial, in answer to a query."""
+    count, records = _encode_records(serial, workers, zone)
+    header = query[:2] + struct.pack(">5H", AUTHORITATIVE_ANSWER, 1, count, 0, 0)
+    return header + query[HEADER_BYTES:] + records
 
 
-@lru_cache(maxsize=64)  # routers ask for the same list again and again
-def _records(serial: int, runners: tuple[ListedWorker, ...], zone: str) -> tuple[int, bytes]:
+@lru_cache(maxsize=64)  # routers ask for the same list over and over
+def _encode_records(serial: int, workers: tuple[ListedWorker, ...], zone: str) -> tuple[int, bytes]:
     records: list[bytes] = []
-    for runner in runners:
-        target = _name(f"{runner.name}.{zone}.pool.lan")
-        texts = ("cell=0", "kind=std", f"started={runner.started_at_ms:.0f}")
-        srv = struct.pack(">3H", 10 if runner.is_draining else 0, 10, runner.port)
-        records.append(_record(_name(SERVICE_NAME), dns.TYPE_SRV, srv + target))
-        records.append(_record(target, dns.TYPE_A, bytes((127, 0, 0, 1))))
-        records.append(_record(target, dns.TYPE_TXT, b"".join(bytes((len(t),)) + t.encode() for t in texts)))
-    root = _name("ns.lan")
+    for worker in workers:
+        target = _encode_name(f"{worker.name}.{zone}.pool.lan")
+        texts = ("cell=0", "kind=std", f"started={worker.started_at_ms:.0f}")
+        srv = struct.pack(">3H", DRAINING_PRIORITY if worker.is_draining else 0, WEIGHT, worker.port)
+        records.append(_encode_record(_encode_name(SERVICE_NAME), dns.TYPE_SRV, srv + target))
+        records.append(_encode_record(target, dns.TYPE_A, bytes((127, 0, 0, 1))))
+        records.append(
+            _encode_record(
+                target, dns.TYPE_TXT, b"".join(bytes((len(text),)) + text.encode() for text in texts)
+            )
+        )
+    root = _encode_name("ns.lan")
     records.append(
-        _record(_name("pool.lan"), dns.TYPE_SOA, root + root + struct.pack(">5I", serial, 1, 1, 1, 1))
+        _encode_record(
+            _encode_name("pool.lan"), dns.TYPE_SOA, root + root + struct.pack(">5I", serial, 1, 1, 1, 1)
+        )
     )
     return len(records), b"".join(records)
 
 
 class FakeDiscoveryServer(asyncio.DatagramProtocol):
-    """One router's resolver. ``tells`` gives what it is to see now; None for no reply. ``passes`` gets each
-    question, and what is to be done with the reply where that passes, which may be late, spoilt, or never."""
+    """One router's discovery server.
+
+    ``current_list`` gives what the router is to see now; None for no reply. ``deliver`` is the network: it
+    gets a function that makes the reply and one that sends it, and may send late, something else, or never.
+    """
 
     def __init__(
-        self,
-        tells: Callable[[], tuple[int, tuple[ListedWorker, ...]] | None],
-        zone: str,
-        passes: Callable[[Callable[[], bytes], Callable[[bytes], None]], None] = lambda make, give: give(
-            make()
-        ),
+        self, current_list: CurrentList, zone: str, deliver: Deliver = lambda make, send: send(make())
     ) -> None:
-        self.current_list, self.zone, self.deliver = tells, zone, passes
+        self.current_list, self.zone, self.deliver = current_list, zone, deliver
         self.port = 0
         self._transport: asyncio.DatagramTransport | None = None
 
     async def start(self, sock: socket.socket | None = None) -> None:
-        """Listen on loopback, or at a socket that is there."""
+        """Listen on loopback, or at a given socket."""
         loop, address = asyncio.get_running_loop(), None if sock is not None else ("127.0.0.1", 0)
         await loop.create_datagram_endpoint(lambda: self, local_addr=address, sock=sock)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """The socket is there."""
+        """The socket is up."""
         self._transport = cast(asyncio.DatagramTransport, transport)
         self.port = transport.get_extra_info("sockname")[1]
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """A query."""
-        told = self.current_list()
-        if told is not None and len(data) > 12:
-            self.deliver(lambda: encode_reply(data, *told, self.zone), lambda whole: self._send(whole, addr))
+        """Answer a query."""
+        current = self.current_list()
+        if current is not None and len(data) > HEADER_BYTES:
+            serial, workers = current
+            self.deliver(
+                lambda: encode_reply(data, serial, workers, self.zone), lambda reply: self._send(reply, addr)
+            )
 
     def _send(self, data: bytes, addr: tuple[str, int]) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, addr)
 
     def stop(self) -> None:
-        """Reply no more."""
+        """Stop replying."""
         if self._transport is not None:
             self._transport.close()
--- a/cedarthread/testing/fakes/scripted.py
+++ b/cedarthread/testing/fakes/scripted.py
@@ -1,4 +1,4 @@
-"""Stand-ins that do what a test says, for a router hosted in the test's own process."""
+"""Workers and clients that do what a test says, for a router hosted in the test's own process."""
 
 from __future__ import annotations
 
@@ -20,28 +20,29 @@
 from cedarthread.testing.fakes.settings import SETTINGS
 
 FUNCTION = "7f3a9c21e0b4d655"
+TIMEOUT_S = 10  # past which a test has failed
 Behavior = Callable[["ScriptedWorker", dict[str, Any]], dict[str, Any] | None]
 
 
 def serve_uppercase(_: ScriptedWorker, message: dict[str, Any]) -> dict[str, Any]:
-    """Serve: the body comes back in capitals, so that an answer can be told from its question."""
+    """Serve: the body in capitals, so that an answer can be told from its request."""
     body = base64.b64encode(base64.b64decode(message["body"]).upper()).decode()
     return {"op": "HIT", "fields": {"remark": "hit", "report": "inflight:1;x1:0"}, "body": body}
 
 
-def answer_with(word: str) -> Behavior:
-    """Answer each call with this word."""
-    return lambda runner, message: {"op": word, "fields": {}}
+def answer_with(op: str) -> Behavior:
+    """Answer each call with this operation."""
+    return lambda worker, message: {"op": op, "fields": {}}
 
 
 class ScriptedWorker:
-    """A runner that answers each call by a rule; None leaves it unanswered."""
+    """A worker that answers each call as ``behavior`` says; None leaves it unanswered."""
 
-    def __init__(self, behave: Behavior = serve_uppercase) -> None:
-        self.behavior = behave
+    def __init__(self, behavior: Behavior = serve_uppercase) -> None:
+        self.behavior = behavior
         self.calls: list[dict[str, Any]] = []
         self.cancelled_ids: list[str] = []
-        self.message_received = asyncio.Event()  # a message came
+        self.message_received = asyncio.Event()
         self.writers: list[asyncio.StreamWriter] = []
         self.port = 0
 
@@ -70,35 +71,35 @@
         line = json.dumps(answer | {"id": message["id"]}).encode() + b"\n"
         (writer or self.writers[-1]).write(line)
 
-    async def wait_until(self, met: Callable[[], bool]) -> None:
-        """Wait till messages have made it so."""
-        async with asyncio.timeout(10):
-            while not met():
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        """Wait until messages have made a condition true."""
+        async with asyncio.timeout(TIMEOUT_S):
+            while not condition():
                 self.message_received.clear()
                 await self.message_received.wait()
 
     def stop(self) -> None:
-        """Stop listening and break what is open."""
+        """Stop listening, and break all connections."""
         self.server.close()
         for writer in self.writers:
             writer.transport.abort()
 
 
 def endpoint_record(
-    runner: ScriptedWorker, number: int, state: EndpointState = EndpointState.READY
+    worker: ScriptedWorker, number: int, state: EndpointState = EndpointState.READY
 ) -> EndpointRecord:
-    """A runner as a list has it."""
-    return EndpointRecord(f"s-{number:08x}", "127.0.0.1", runner.port, "room-a", "std", 0, state, 1.0, 0.0)
+    """A worker as an endpoint list has it."""
+    return EndpointRecord(f"s-{number:08x}", "127.0.0.1", worker.port, "room-a", "std", 0, state, 1.0, 0.0)
 
 
 @asynccontextmanager
 async def service(
-    *runners: ScriptedWorker, invoke: InvokeConfig | None = None, **changes: Any
+    *workers: ScriptedWorker, invoke: InvokeConfig | None = None, **changes: Any
 ) -> AsyncIterator[Service]:
-    """A whole function router, in this process."""
-    for runner in runners:
-        await runner.start()
-    known = ((1, tuple(endpoint_record(runner, n) for n, runner in enumerate(runners, 1))),)
+    """A complete router in this process, with these workers; changes are to the settings."""
+    for worker in workers:
+        await worker.start()
+    known = ((1, tuple(endpoint_record(worker, number) for number, worker in enumerate(workers, 1))),)
     settings = settings_from_object(SETTINGS | changes)
     running = Service(
         Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, known, ("127.0.0.1", 0)), invoke
@@ -114,26 +115,26 @@
         for pool in running.workers.pools.values():
             for connection in list(pool.connections):
                 connection.abort()
-        for runner in runners:
-            runner.stop()
+        for worker in workers:
+            worker.stop()
         await asyncio.sleep(0)
 
 
 async def ask_control(running: Service, line: bytes) -> list[str]:
-    """One line to the control address; the lines of the reply."""
+    """Send one line to the control address; the lines of the reply."""
     reader, writer = await asyncio.open_connection("127.0.0.1", running.control_port)
     try:
         writer.write(line)
-        async with asyncio.timeout(10):
+        async with asyncio.timeout(TIMEOUT_S):
             return (await reader.read()).decode().splitlines()
     finally:
         writer.transport.abort()
 
 
-def pack_call(number: int, klass: str, body: bytes = b"", **fields: str) -> bytes:
-    """A call with fields that will do, but for those that are named."""
-    told = {"txn": f"{number:016x}", "limit": "3000", "item": FUNCTION} | fields
-    return client_side.pack_call(number, klass, body, told)
+def pack_call(number: int, class_name: str, body: bytes = b"", **fields: str) -> bytes:
+    """A call with usual fields, but for those that are named."""
+    every = {"txn": f"{number:016x}", "limit": "3000", "item": FUNCTION} | fields
+    return client_side.pack_call(number, class_name, body, every)
 
 
 class ScriptedClient:
@@ -145,7 +146,7 @@
 
     async def read(self) -> Any:
         """The next message, its binary values as bytes; None at the end."""
-        async with asyncio.timeout(10):
+        async with asyncio.timeout(TIMEOUT_S):
             while not isinstance(parsed := msgpack.parse(memoryview(self.buffer)), msgpack.ParsedValue):
                 more = await self.reader.read(65536)
                 if not more:
@@ -154,9 +155,9 @@
         self.buffer = self.buffer[parsed.end :]
         return client_side.without_views(parsed.value)
 
-    async def call(self, number: int, klass: str, body: bytes = b"", **fields: str) -> Any:
-        """Call and read one message."""
-        self.writer.write(pack_call(number, klass, body, **fields))
+    async def call(self, number: int, class_name: str, body: bytes = b"", **fields: str) -> Any:
+        """Send a call, and read one message."""
+        self.writer.write(pack_call(number, class_name, body, **fields))
         return await self.read()
 
 
--- a/cedarthread/testing/fakes/settings.py
+++ b/cedarthread/testing/fakes/settings.py
@@ -1,4 +1,4 @@
-"""Settings in the form that the platform gives them: what stand-ins, the rig and fuzzing start from."""
+"""Settings in the platform's form: what fakes, the cluster harness and fuzzing start from."""
 
 from __future__ import annotations
 
--- a/cedarthread/testing/fakes/worker_model.py
+++ b/cedarthread/testing/fakes/worker_model.py
@@ -1,6 +1,6 @@
-"""A runner and the pack store behind it, as a pure model: cores, lanes, copies, memory, loads, queues.
+"""A worker and the package store behind it, without input or output: cores, instances, memory, loads, queues.
 
-Driven by the clock that is handed in, so that it stands behind sockets and in a replay. Times in ms.
+It is driven by the clock that is handed in, so that it runs behind sockets and in a replay. Times are ms.
 """
 
 from __future__ import annotations
@@ -9,36 +9,43 @@
 import math
 from collections import deque
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
-MAX_IN_FLIGHT_PER_CORE = 16  # calls for each core that a runner takes in; more it turns away
+MAX_IN_FLIGHT_PER_CORE = 16  # calls for each core that a worker accepts; it rejects further ones
+KEEP_ALIVE_MS = 4000.0  # after which an unused function's instances are unloaded
+REJECTED_REMARKS = ("shed", "spawn_failed")
 
 
 @dataclass(eq=False, slots=True)
 class WorkerCall:
-    """One call at one runner, as the runner books it."""
+    """One call at one worker.
+
+    ``remark``: hit (an instance was free), spawn (one is loaded for it), pending (it waits for a load), shed
+    (rejected), spawn_failed (no instance could be loaded) or lost (the worker crashed).
+    """
 
     call_id: str
     worker: int
     function: int
     arrived_at_ms: float
-    service_ms: float  # ms of a core
-    queued_at_ms: float = math.inf  # since when it waited for a lane or a core, and not for a load
-    started_at_ms: float = math.inf  # when it had a copy, a lane and a core
+    service_ms: float  # of a core
+    queued_at_ms: float = math.inf  # since when it waited for a slot or a core, and not for a load
+    started_at_ms: float = math.inf  # when it had an instance, a slot and a core
     ended_at_ms: float = math.inf
-    remark: str = "hit"  # hit, spawn, pending or spawn_failed, or shed
+    remark: str = "hit"
 
 
 @dataclass(slots=True)
 class PackageStore:
-    """The pack store: slower the more loads draw on it, and past a number it refuses."""
+    """The store that packages are loaded from: slower the more loads run at once, up to a limit."""
 
-    load_ms: float  # ms of a load that is alone
-    full_speed_loads: int  # loads that it serves at full speed
-    max_loads: int  # loads under way past which it refuses
+    load_ms: float  # of one load alone
+    full_speed_loads: int  # loads at once at full speed
+    max_loads: int  # loads at once, past which it refuses
     loads_in_flight: int = 0
 
     def start_load(self) -> float | None:
-        """The ms that a load begun now takes; None where it is refused."""
+        """The ms that a load started now takes; None where it is refused."""
         if self.loads_in_flight >= self.max_loads:
             return None
         self.loads_in_flight += 1
@@ -47,134 +54,151 @@
 
 @dataclass(slots=True)
 class _FunctionInstances:
+    """The instances of one function. Each has a slot for every call that it can serve at once."""
+
     ready: int = 0
     loading: int = 0
-    busy_slots: int = 0  # lanes
+    busy_slots: int = 0
     last_used_at_ms: float = 0.0
-    waiting_calls: deque[WorkerCall] = field(default_factory=deque)
+    waiting_calls: deque[WorkerCall] = field(default_factory=deque)  # for a slot
+
+    def has_any(self) -> bool:
+        """Whether an instance is ready or loading."""
+        return self.ready + self.loading > 0
+
+    def is_idle(self) -> bool:
+        """Whether a ready instance serves nothing, and no call waits."""
+        return self.ready > 0 and not self.busy_slots and not self.waiting_calls
+
+
+class _Completion(NamedTuple):
+    """The end of a call's execution, or of a load (``call`` is None)."""
+
+    at_ms: float
+    serial: int  # among those of one time
+    function: int
+    call: WorkerCall | None
 
 
 class WorkerModel:
-    """One runner."""
+    """One worker."""
 
     def __init__(
-        self, number: int, cores: int, slots: int, store: PackageStore, lanes: int = 2, keep: float = 4000.0
+        self,
+        number: int,
+        cores: int,
+        max_instances: int,
+        store: PackageStore,
+        concurrency: int = 2,
+        keep_alive_ms: float = KEEP_ALIVE_MS,
     ) -> None:
-        self.number, self.cores, self.max_instances, self.store = number, cores, slots, store
-        self.concurrency, self.keep_alive_ms = lanes, keep
-        self.slowdown = 1.0
+        self.number, self.cores, self.max_instances, self.store = number, cores, max_instances, store
+        self.concurrency, self.keep_alive_ms = concurrency, keep_alive_ms
+        self.slowdown = 1.0  # times as long as usual that executions and loads take
         self.instances_by_function: dict[int, _FunctionInstances] = {}
-        # When, serial, function, visit or None for a load.
-        self.timer_queue: list[tuple[float, int, int, WorkerCall | None]] = []
-        self.core_queue: deque[WorkerCall] = deque()  # with a lane, for a core
+        self.timer_queue: list[_Completion] = []
+        self.core_queue: deque[WorkerCall] = deque()  # calls with a slot that wait for a core
         self.running_count = self.in_flight = self.timer_serial = 0
-        self.instance_count = 0  # copies, loading ones too
-        self.placements: list[tuple[float, int]] = []  # when which function's first copy began to load
+        self.instance_count = 0  # ready and loading ones
+        self.placements: list[tuple[float, int]] = []  # when the first instance of a function began to load
 
     def next_event_at_ms(self) -> float:
-        """When something ends next."""
-        return self.timer_queue[0][0] if self.timer_queue else math.inf
-
-    def on_call(self, now: float, visit: WorkerCall) -> bool:
-        """A call comes; False where it is turned away or its load refused, as its note then says."""
-        copies = self.instances_by_function.setdefault(visit.function, _FunctionInstances())
-        if copies.ready and not copies.busy_slots and now - copies.last_used_at_ms > self.keep_alive_ms:
-            self.instance_count -= copies.ready
-            copies.ready = 0
-        visit.remark = (
-            "shed"
-            if self.in_flight >= MAX_IN_FLIGHT_PER_CORE * self.cores
-            else self._admit(now, visit.function, copies)
-        )
-        if visit.remark in ("shed", "spawn_failed"):
-            visit.ended_at_ms = now
+        """When something ends next; infinity where nothing runs."""
+        return self.timer_queue[0].at_ms if self.timer_queue else math.inf
+
+    def on_call(self, now: float, call: WorkerCall) -> bool:
+        """A call arrives; False where it is rejected or no instance can be loaded, see its remark."""
+        instances = self.instances_by_function.setdefault(call.function, _FunctionInstances())
+        unused_ms = now - instances.last_used_at_ms
+        if instances.ready and not instances.busy_slots and unused_ms > self.keep_alive_ms:
+            self.instance_count -= instances.ready
+            instances.ready = 0
+        is_full = self.in_flight >= MAX_IN_FLIGHT_PER_CORE * self.cores
+        call.remark = "shed" if is_full else self._admit(now, call.function, instances)
+        if call.remark in REJECTED_REMARKS:
+            call.ended_at_ms = now
             return False
         self.in_flight += 1
-        visit.queued_at_ms = now if visit.remark == "hit" else math.inf
-        copies.waiting_calls.append(visit)
-        self._start_ready_calls(now, copies)
+        call.queued_at_ms = now if call.remark == "hit" else math.inf
+        instances.waiting_calls.append(call)
+        self._start_ready_calls(now, instances)
         return True
 
-    def _admit(self, now: float, function: int, copies: _FunctionInstances) -> str:
-        out = copies.busy_slots + len(copies.waiting_calls)
-        if out < copies.ready * self.concurrency:
+    def _admit(self, now: float, function: int, instances: _FunctionInstances) -> str:
+        """The remark of a call; a load is started where it needs one."""
+        in_flight = instances.busy_slots + len(instances.waiting_calls)
+        if in_flight < instances.ready * self.concurrency:
             return "hit"
-        if out < (copies.ready + copies.loading) * self.concurrency:
+        if in_flight < (instances.ready + instances.loading) * self.concurrency:
             return "pending"
-        took = self.store.start_load() if self._make_room(now) else None
-        if took is None:
-            return "pending" if copies.ready + copies.loading else "spawn_failed"
-        if not copies.ready + copies.loading:
+        load_ms = self.store.start_load() if self._make_room(now) else None
+        if load_ms is None:
+            return "pending" if instances.has_any() else "spawn_failed"
+        if not instances.has_any():
             self.placements.append((now, function))
-        copies.loading += 1
+        instances.loading += 1
         self.instance_count += 1
-        self._schedule(now + took * self.slowdown, function, None)
+        self._schedule(now + load_ms * self.slowdown, function, None)
         return "spawn"
 
     def _make_room(self, now: float) -> bool:
-        """Room for one more copy, made by unloading what was used least lately where need be."""
+        """Whether there is memory for one more instance; the least recently used idle one is unloaded."""
         if self.instance_count < self.max_instances:
             return True
-        idle = [
-            one
-            for one in self.instances_by_function.values()
-            if one.ready and not one.busy_slots and not one.waiting_calls
-        ]
+        idle = [instances for instances in self.instances_by_function.values() if instances.is_idle()]
         if not idle:
             return False
-        min(idle, key=lambda one: one.last_used_at_ms).ready -= 1
+        min(idle, key=lambda instances: instances.last_used_at_ms).ready -= 1
         self.instance_count -= 1
         return True
 
-    def _schedule(self, at: float, function: int, visit: WorkerCall | None) -> None:
+    def _schedule(self, at: float, function: int, call: WorkerCall | None) -> None:
         self.timer_serial += 1
-        heapq.heappush(self.timer_queue, (at, self.timer_serial, function, visit))
-
-    def _start_ready_calls(self, now: float, copies: _FunctionInstances) -> None:
-        """Give out the lanes of one function that have become free, then the cores."""
-        while copies.waiting_calls and copies.busy_slots < copies.ready * self.concurrency:
-            copies.busy_slots += 1
-            copies.last_used_at_ms = now
-            visit = copies.waiting_calls.popleft()
-            visit.queued_at_ms = min(visit.queued_at_ms, now)
-            self.core_queue.append(visit)
+        heapq.heappush(self.timer_queue, _Completion(at, self.timer_serial, function, call))
+
+    def _start_ready_calls(self, now: float, instances: _FunctionInstances) -> None:
+        """Give free slots of one function to waiting calls, then free cores to calls with a slot."""
+        while instances.waiting_calls and instances.busy_slots < instances.ready * self.concurrency:
+            instances.busy_slots += 1
+            instances.last_used_at_ms = now
+            call = instances.waiting_calls.popleft()
+            call.queued_at_ms = min(call.queued_at_ms, now)
+            self.core_queue.append(call)
         while self.core_queue and self.running_count < self.cores:
-            visit = self.core_queue.popleft()
-            visit.started_at_ms = now
+            call = self.core_queue.popleft()
+            call.started_at_ms = now
             self.running_count += 1
-            self._schedule(now + visit.service_ms * self.slowdown, visit.function, visit)
+            self._schedule(now + call.service_ms * self.slowdown, call.function, call)
 
     def advance(self, now: float) -> list[WorkerCall]:
-        """What has ended by now, in order."""
-        done: list[WorkerCall] = []
-        while self.timer_queue and self.timer_queue[0][0] <= now:
-            at, _, function, visit = heapq.heappop(self.timer_queue)
-            copies = self.instances_by_function[function]
-            if visit is None:
-                copies.loading -= 1
-                copies.ready += 1
-                copies.last_used_at_ms = at
+        """The calls that have ended by now, in order."""
+        ended: list[WorkerCall] = []
+        while self.timer_queue and self.timer_queue[0].at_ms <= now:
+            at, _, function, call = heapq.heappop(self.timer_queue)
+            instances = self.instances_by_function[function]
+            instances.last_used_at_ms = at
+            if call is None:
+                instances.loading -= 1
+                instances.ready += 1
                 self.store.loads_in_flight -= 1
             else:
-                copies.busy_slots -= 1
-                copies.last_used_at_ms = at
+                instances.busy_slots -= 1
                 self.running_count -= 1
                 self.in_flight -= 1
-                visit.ended_at_ms = at
-                done.append(visit)
-            self._start_ready_calls(at, copies)
-        return done
+                call.ended_at_ms = at
+                ended.append(call)
+            self._start_ready_calls(at, instances)
+        return ended
 
     def crash(self, now: float) -> list[WorkerCall]:
-        """It ends with all it holds, and is empty: the visits that never ended."""
-        lost = [visit for *_, visit in self.timer_queue if visit is not None]
-        lost += [
-            *self.core_queue,
-            *(visit for one in self.instances_by_function.values() for visit in one.waiting_calls),
-        ]
-        self.store.loads_in_flight -= sum(one.loading for one in self.instances_by_function.values())
-        for visit in lost:
-            visit.ended_at_ms = now
+        """Lose everything, and be empty: the calls that were lost."""
+        lost = [completion.call for completion in self.timer_queue if completion.call is not None]
+        lost += self.core_queue
+        for instances in self.instances_by_function.values():
+            lost += instances.waiting_calls
+            self.store.loads_in_flight -= instances.loading
+        for call in lost:
+            call.ended_at_ms = now
         self.instances_by_function.clear()
         self.timer_queue.clear()
         self.core_queue.clear()
--- a/cedarthread/testing/fakes/worker_server.py
+++ b/cedarthread/testing/fakes/worker_server.py
@@ -1,4 +1,4 @@
-"""The model of a runner behind a socket: JSON lines, as the platform's protocol has them."""
+"""The model of a worker behind a socket: JSON lines, as the platform's protocol has them."""
 
 from __future__ import annotations
 
@@ -7,13 +7,35 @@
 import json
 import math
 from collections.abc import Callable
-from typing import Any, cast
+from functools import partial
+from typing import Any, Protocol, cast
 
 from cedarthread.testing.fakes.worker_model import WorkerCall, WorkerModel
 
-Deliver = Callable[[str, bool, Callable[[], None]], None]  # a call's name, to the runner?, what is done then
-OnWorkerCall = Callable[[WorkerCall], None]
-OnCallId = Callable[[str, int], None]
+LISTEN_BACKLOG = 1024  # so that hundreds of routers connect at once
+
+
+class Deliver(Protocol):
+    """The network between a call's router and the worker."""
+
+    def __call__(self, call_id: str, is_to_worker: bool, callback: Callable[[], None], /) -> None:
+        """Call back when the bytes of a message arrive, in either direction."""
+
+
+class WorkerObserver(Protocol):
+    """What is told of the calls at a worker."""
+
+    def on_call_sent(self, call_id: str, worker: int) -> None:
+        """A router handed a call to the network, which may still hold it."""
+
+    def on_call_arrived(self, call: WorkerCall) -> None:
+        """The call came to the worker."""
+
+    def on_call_ended(self, call: WorkerCall) -> None:
+        """The call left the worker, or was lost there."""
+
+    def on_call_cancelled(self, call_id: str, worker: int) -> None:
+        """The router waits for the call no more."""
 
 
 class _Connection(asyncio.Protocol):
@@ -37,74 +59,66 @@
 
 
 class FakeWorkerServer:
-    """Serves one runner. ``passes`` is the network; ``handed`` tells of each call that a router let go of,
-    which the network may still hold, ``came`` and ``went`` of each visit."""
+    """Serves one worker model."""
 
     def __init__(
-        self,
-        model: WorkerModel,
-        clock: Callable[[], float],
-        passes: Deliver,
-        handed: OnCallId,
-        came: OnWorkerCall,
-        went: OnWorkerCall,
-        gave_up: OnCallId,
+        self, model: WorkerModel, clock: Callable[[], float], deliver: Deliver, observer: WorkerObserver
     ) -> None:
-        self.model, self.clock, self.deliver = model, clock, passes
-        self.on_sent, self.on_arrived, self.on_ended, self.on_cancelled = handed, came, went, gave_up
+        self.model, self.clock, self.deliver, self.observer = model, clock, deliver, observer
         self.port = 0
-        self.is_silent = False
+        self.is_silent = False  # connections stay open, and nothing is answered
         self._server: asyncio.Server | None = None
-        self._connection_by_call: dict[str, _Connection] = {}  # by call
+        self._connection_by_call: dict[str, _Connection] = {}
         self.connections: set[_Connection] = set()
-        self.accepted_at_ms: list[float] = []  # when connections came
-        self.timer_lags_ms: list[float] = []  # ms by which it looked late at what was due
+        self.accepted_at_ms: list[float] = []  # times of connections
+        self.timer_lags_ms: list[float] = []  # by which it was late for what ended
         self._timer: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
-        """Listen; at a return, where it listened before."""
+        """Listen; after a crash, at the same port."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self), "127.0.0.1", self.port, backlog=1024, reuse_port=True
+            lambda: _Connection(self), "127.0.0.1", self.port, backlog=LISTEN_BACKLOG, reuse_port=True
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
     def connection_lost(self, connection: _Connection) -> None:
-        """A router closed it: it waits for nothing there any more."""
+        """A router closed its connection, and waits for nothing there any more."""
         self.connections.discard(connection)
-        for name in [name for name, at in self._connection_by_call.items() if at is connection]:
-            self.on_cancelled(name, self.model.number)
+        cancelled = [call_id for call_id, own in self._connection_by_call.items() if own is connection]
+        for call_id in cancelled:
+            self.observer.on_call_cancelled(call_id, self.model.number)
 
     def on_line(self, connection: _Connection, line: bytes) -> None:
-        """A whole line came."""
+        """A complete line came."""
         message = json.loads(line)
+        call_id = message["id"]
         if message["op"] == "CANCEL":
-            self.on_cancelled(message["id"], self.model.number)
+            self.observer.on_call_cancelled(call_id, self.model.number)
         elif message["op"] == "CALL" and not self.is_silent:
-            self._connection_by_call[message["id"]] = connection
-            self.on_sent(message["id"], self.model.number)
-            self.deliver(message["id"], True, lambda: self._on_call(message, connection))
+            self._connection_by_call[call_id] = connection
+            self.observer.on_call_sent(call_id, self.model.number)
+            self.deliver(call_id, True, partial(self._on_call, message, connection))
 
     def _on_call(self, message: dict[str, Any], connection: _Connection) -> None:
         if connection not in self.connections:
             return
-        now, body = self.clock(), base64.b64decode(message["body"])
+        now, service_ms = self.clock(), float(base64.b64decode(message["body"]))
         self._answer_all(self.model.advance(now))
-        visit = WorkerCall(
-            message["id"], self.model.number, int(message["fields"]["thing"], 16), now, float(body)
-        )
-        self.on_arrived(visit)
-        if not self.model.on_call(now, visit):
-            self._answer_all([visit])
+        function = int(message["fields"]["thing"], 16)
+        call = WorkerCall(message["id"], self.model.number, function, now, service_ms)
+        self.observer.on_call_arrived(call)
+        if not self.model.on_call(now, call):
+            self._answer_all([call])
         self._set_timer()
 
     def _set_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if (due := self.model.next_event_at_ms()) < math.inf:
-            wait = max(0.0, due - self.clock()) / 1000.0
-            self._timer = asyncio.get_running_loop().call_later(wait, self._on_timer)
+        if (next_event_at_ms := self.model.next_event_at_ms()) < math.inf:
+            delay_s = max(0.0, next_event_at_ms - self.clock()) / 1000.0
+            self._timer = asyncio.get_running_loop().call_later(delay_s, self._on_timer)
 
     def _on_timer(self) -> None:
         self._timer = None
@@ -112,40 +126,40 @@
         self._answer_all(self.model.advance(self.clock()))
         self._set_timer()
 
-    def _answer_all(self, visits: list[WorkerCall]) -> None:
-        for visit in visits:
-            connection = self._connection_by_call.pop(visit.call_id, None)
-            self.on_ended(visit)
+    def _answer_all(self, calls: list[WorkerCall]) -> None:
+        for call in calls:
+            connection = self._connection_by_call.pop(call.call_id, None)
+            self.observer.on_call_ended(call)
             if connection is not None and not self.is_silent:
-                answer = _answer(visit, self.model.in_flight)
-                self.deliver(visit.call_id, False, lambda w=connection, a=answer: self._write(w, a))  # type: ignore[misc]
+                answer = _encode_answer(call, self.model.in_flight)
+                self.deliver(call.call_id, False, partial(self._write, connection, answer))
 
     def _write(self, connection: _Connection, answer: bytes) -> None:
         if connection in self.connections:
             connection.transport.write(answer)
 
     def crash(self) -> None:
-        """End at once: connections break, all that it held is lost."""
+        """End at once: connections break, and all calls are lost."""
         if self._server is not None:
             self._server.close()
             self._server = None
         for connection in list(self.connections):
             connection.transport.abort()
         self.connections.clear()
-        for visit in self.model.crash(self.clock()):
-            visit.remark = "lost"
-            self._connection_by_call.pop(visit.call_id, None)
-            self.on_ended(visit)
+        for call in self.model.crash(self.clock()):
+            call.remark = "lost"
+            self._connection_by_call.pop(call.call_id, None)
+            self.observer.on_call_ended(call)
         self._set_timer()
 
 
-def _answer(visit: WorkerCall, held: int) -> bytes:
-    op = {"shed": "SHED", "spawn_failed": "FAULT"}.get(visit.remark, "HIT")
-    fields = {"remark": visit.remark, "report": f"inflight:{held};x1:0"}
-    body = base64.b64encode(response_body(visit.call_id)).decode() if op == "HIT" else ""
-    return json.dumps({"op": op, "id": visit.call_id, "fields": fields, "body": body}).encode() + b"\n"
+def _encode_answer(call: WorkerCall, in_flight: int) -> bytes:
+    op = {"shed": "SHED", "spawn_failed": "FAULT"}.get(call.remark, "HIT")
+    fields = {"remark": call.remark, "report": f"inflight:{in_flight};x1:0"}
+    body = base64.b64encode(response_body(call.call_id)).decode() if op == "HIT" else ""
+    return json.dumps({"op": op, "id": call.call_id, "fields": fields, "body": body}).encode() + b"\n"
 
 
-def response_body(name: str) -> bytes:
-    """The body that a runner makes for a call."""
-    return b"made for " + name.encode()
+def response_body(call_id: str) -> bytes:
+    """The body that a worker produces for a call."""
+    return b"made for " + call_id.encode()
--- a/tests/unit/test_load_balance.py
+++ b/tests/unit/test_load_balance.py
@@ -71,7 +71,7 @@
 
 def test_the_worker_model_loads_queues_evicts_and_rejects() -> None:
     store = PackageStore(400.0, 1, 2)
-    runner = WorkerModel(0, cores=1, slots=1, store=store, lanes=2)
+    runner = WorkerModel(0, cores=1, max_instances=1, store=store, concurrency=2)
     first, second, third = (WorkerCall(str(n), 0, n // 2, 0.0, 50.0) for n in range(3))
     assert runner.on_call(0.0, first) and runner.on_call(0.0, second)
     assert not runner.on_call(0.0, third) and third.remark == "spawn_failed", (
