--- a/tests/contracts/test_paths.py
+++ b/tests/contracts/test_paths.py
@@ -21,14 +21,14 @@
 from cedarthread.testing.fakes.peer_transport import MemoryNetwork, MemoryPath, PeerPath
 
 MARK = b"all before this has been heard"
-Heard = list[tuple[int, bytes]]
+ReceivedDatagrams = list[tuple[int, bytes]]
 
 
-class World:
+class MemoryWorld:
     """In memory, over the cluster harness's network with these faults, or with none."""
 
     def __init__(self, *kinds: str) -> None:
-        self.heard: list[Heard] = [[] for _ in range(5)]
+        self.received: list[ReceivedDatagrams] = [[] for _ in range(5)]
         told = [{"kind": kind, "who": "router", "to": "router", "figure": 0.3} for kind in kinds]
         net = Network(parse_scenario({"fault": told}).faults, 7)
         router = partial(Subject, SubjectKind.ROUTER)
@@ -36,67 +36,69 @@
             3, lambda now, sender, receiver: net.datagram_delays_ms(now, router(sender), router(receiver))
         )
 
-    async def begin(self) -> None:
-        self.ends: list[PeerPath] = [MemoryPath(self.air, n, partial(self.tell, n)) for n in range(4)]
+    async def start(self) -> None:
+        self.ends: list[PeerPath] = [MemoryPath(self.air, n, partial(self.on_datagram, n)) for n in range(4)]
         self.others = [self.ends.pop()]  # the stranger first
 
-    def tell(self, number: int, sender: int, data: bytes) -> None:
-        self.heard[number].append((sender, data))
+    def on_datagram(self, number: int, sender: int, data: bytes) -> None:
+        self.received[number].append((sender, data))
 
-    async def settle(self) -> None:
+    async def deliver_all(self) -> None:
         self.air.deliver_all()
 
 
-class Udp(World):
+class UdpWorld(MemoryWorld):
     """Real datagrams on loopback, which keeps the order at one socket: a mark tells that all has come."""
 
-    async def begin(self) -> None:
+    async def start(self) -> None:
         sockets = [socket.socket(type=socket.SOCK_DGRAM) for _ in range(5)]
         for each in sockets:
             each.bind(("127.0.0.1", 0))
         at = tuple(each.getsockname() for each in sockets)
-        every = [PeerTransport(PeerAddresses(at[n], at[:4], None), partial(self.tell, n)) for n in range(5)]
+        every = [
+            PeerTransport(PeerAddresses(at[n], at[:4], None), partial(self.on_datagram, n)) for n in range(5)
+        ]
         for end, each in zip(every, sockets, strict=True):
             await asyncio.get_running_loop().create_datagram_endpoint(partial(lambda e: e, end), sock=each)
         self.ends, self.others = [*every[:3]], [every[4], every[3]]
         self.sockets, self.came = sockets, asyncio.Event()
 
-    def tell(self, number: int, sender: int, data: bytes) -> None:
-        super().tell(number, sender, data)
+    def on_datagram(self, number: int, sender: int, data: bytes) -> None:
+        super().on_datagram(number, sender, data)
         self.came.set()
 
-    async def settle(self) -> None:
+    async def deliver_all(self) -> None:
         await asyncio.sleep(0)  # a socket that was told to close does so in the loop's next turn
         alive = [n for n in range(3) if self.sockets[n].fileno() >= 0]
         for number in alive:
             self.others[1].send(MARK, number)
         async with asyncio.timeout(10):
-            while not all((3, MARK) in self.heard[number] for number in alive):
+            while not all((3, MARK) in self.received[number] for number in alive):
                 self.came.clear()
                 await self.came.wait()
         for number in alive:
-            self.heard[number].remove((3, MARK))
+            self.received[number].remove((3, MARK))
 
 
 @dataclass(frozen=True)
 class Kind:
     """A path and its properties."""
 
-    make: Callable[[], World]
+    make: Callable[[], MemoryWorld]
     times: int = 1  # that a datagram arrives at most
     ordered: bool = False
     sure: bool = True  # nothing is lost here, so that silence is a fault of the path
 
 
 PATHS = {
-    "memory": Kind(World, ordered=True),
-    "udp": Kind(Udp),
-    "faults": Kind(partial(World, "loss", "reorder"), sure=False),
-    "faults, doubled": Kind(partial(World, "loss", "double", "reorder"), times=2, sure=False),
+    "memory": Kind(MemoryWorld, ordered=True),
+    "udp": Kind(UdpWorld),
+    "faults": Kind(partial(MemoryWorld, "loss", "reorder"), sure=False),
+    "faults, doubled": Kind(partial(MemoryWorld, "loss", "double", "reorder"), times=2, sure=False),
 }
 
 
-def judge(kind: Kind, sent: Heard, heard: Heard) -> None:
+def judge(kind: Kind, sent: ReceivedDatagrams, heard: ReceivedDatagrams) -> None:
     """Rules 1 to 3, from a book of what was sent to one end; each datagram there is another."""
     counts = Counter(heard)
     assert set(counts) <= set(sent) and (not kind.sure or set(counts) == set(sent))
@@ -104,36 +106,36 @@
     assert not kind.ordered or heard == sent
 
 
-async def whole(kind: Kind, world: World) -> None:
+async def whole(kind: Kind, world: MemoryWorld) -> None:
     sent = [(n % 2, bytes((n,)) * (1 + n % 16 * 17)) for n in range(60)]  # up to 256 bytes
     for sender, data in sent:
         world.ends[sender].send(data, 2)
-    await world.settle()
-    judge(kind, sent, world.heard[2])
-    assert world.heard[:2] == [[], []] and not any(
+    await world.deliver_all()
+    judge(kind, sent, world.received[2])
+    assert world.received[:2] == [[], []] and not any(
         end.unsent_count + end.unknown_sender_count for end in world.ends
     )
 
 
-async def to_all(kind: Kind, world: World) -> None:
+async def to_all(kind: Kind, world: MemoryWorld) -> None:
     sent = [(1, bytes((n,))) for n in range(30)]
     for _, data in sent:
         world.ends[1].send(data, None)
-    await world.settle()
-    judge(kind, sent, world.heard[0])
-    judge(kind, sent, world.heard[2])
+    await world.deliver_all()
+    judge(kind, sent, world.received[0])
+    judge(kind, sent, world.received[2])
 
 
-async def unheard(kind: Kind, world: World) -> None:
+async def unheard(kind: Kind, world: MemoryWorld) -> None:
     for data, peer in ((b"x" * 257, 1), (b"x" * 257, None), (b"x", 43), (b"x", -1)) * 10:
         world.ends[0].send(data, peer)
         world.others[0].send(b"x", 1)
-    await world.settle()
-    assert world.heard[:3] == [[], [], []] and world.ends[0].unsent_count == 40
+    await world.deliver_all()
+    assert world.received[:3] == [[], [], []] and world.ends[0].unsent_count == 40
     assert (40 if kind.sure else 1) <= world.ends[1].unknown_sender_count <= 40 * kind.times
 
 
-async def stopped(kind: Kind, world: World) -> None:
+async def stopped(kind: Kind, world: MemoryWorld) -> None:
     sent = [(1, bytes((n,))) for n in range(30)]
     world.ends[1].send(b"under way", 0)
     world.ends[0].stop()
@@ -141,17 +143,19 @@
     for _, data in sent:
         for sender, to in ((0, 2), (1, 0), (1, 2)):
             world.ends[sender].send(data, to)
-        await world.settle()
-    assert world.heard[0] == [] and world.ends[1].unsent_count == 0
-    judge(kind, sent, world.heard[2])
+        await world.deliver_all()
+    assert world.received[0] == [] and world.ends[1].unsent_count == 0
+    judge(kind, sent, world.received[2])
 
 
 @pytest.mark.parametrize("rule", [whole, to_all, unheard, stopped], ids=lambda rule: rule.__name__)
 @pytest.mark.parametrize("kind", PATHS.values(), ids=list(PATHS))
-def test_the_contract_holds(kind: Kind, rule: Callable[[Kind, World], Coroutine[Any, Any, None]]) -> None:
+def test_the_contract_holds(
+    kind: Kind, rule: Callable[[Kind, MemoryWorld], Coroutine[Any, Any, None]]
+) -> None:
     async def play() -> None:
         world = kind.make()
-        await world.begin()
+        await world.start()
         try:
             await rule(kind, world)
         finally:
--- a/tests/integration/test_client_gone_process.py
+++ b/tests/integration/test_client_gone_process.py
@@ -20,7 +20,7 @@
 from cedarthread.testing.fakes.scripted import ScriptedWorker, pack_call
 from cedarthread.testing.fakes.settings import SETTINGS
 from tests.integration.test_client_gone import GOING, cancel
-from tests.integration.test_descriptor_budget import Router, router
+from tests.integration.test_descriptor_budget import RouterProcess, router
 
 LATE = 0.11  # s
 CLIENTS = 48
@@ -31,7 +31,7 @@
 class Peer:
     """A client of the process; ``number`` names its one call."""
 
-    def __init__(self, running: Router, number: int) -> None:
+    def __init__(self, running: RouterProcess, number: int) -> None:
         self.number = number
         self.sock = socket.create_connection(("127.0.0.1", running.port))
 
@@ -58,7 +58,7 @@
             peer.sock.shutdown(socket.SHUT_WR)
 
 
-async def stopped(running: Router) -> None:
+async def stopped(running: RouterProcess) -> None:
     running.process.send_signal(signal.SIGSTOP)
     stat = Path(f"/proc/{running.process.pid}/stat")
     while stat.read_text().rpartition(")")[2].split()[0] != "T":
--- a/tests/integration/test_descriptor_budget.py
+++ b/tests/integration/test_descriptor_budget.py
@@ -91,25 +91,25 @@
 # Processes, each with a limit of its own.
 
 
-class Discovery:
+class HeldDiscovery:
     """A resolver that holds its replies till it is let go."""
 
     def __init__(self, *runners: ListedWorker) -> None:
-        self.runners, self.told, self.asked = runners, False, asyncio.Event()
-        self.server = FakeDiscoveryServer(self._tells, "room-a")
+        self.runners, self.is_released, self.polled = runners, False, asyncio.Event()
+        self.server = FakeDiscoveryServer(self._listing, "room-a")
 
-    def _tells(self) -> tuple[int, tuple[ListedWorker, ...]] | None:
-        self.asked.set()
-        return (2, self.runners) if self.told else None
+    def _listing(self) -> tuple[int, tuple[ListedWorker, ...]] | None:
+        self.polled.set()
+        return (2, self.runners) if self.is_released else None
 
-    async def next(self) -> None:
+    async def wait_for_poll(self) -> None:
         """Till it is asked once more."""
-        self.asked.clear()
+        self.polled.clear()
         async with asyncio.timeout(10):
-            await self.asked.wait()
+            await self.polled.wait()
 
 
-class Router:
+class RouterProcess:
     """A process of the program, with what it logs."""
 
     def __init__(self, process: asyncio.subprocess.Process, folder: Path) -> None:
@@ -125,7 +125,7 @@
         self.lines.append("(ended)")
         self.more.set()
 
-    async def says(self, pattern: str, seconds: float = 30.0) -> re.Match[str]:
+    async def wait_for_log(self, pattern: str, seconds: float = 30.0) -> re.Match[str]:
         """A line of its log, past or to come."""
         at = 0
         async with asyncio.timeout(seconds):
@@ -138,21 +138,21 @@
                 self.more.clear()
                 await self.more.wait()
 
-    def open(self) -> set[int]:
+    def open_descriptors(self) -> set[int]:
         """Its descriptors, as the system counts them."""
         return set(map(int, os.listdir(f"/proc/{self.process.pid}/fd")))
 
-    async def holds(self, count: int) -> None:
+    async def wait_for_open_descriptors(self, count: int) -> None:
         """Till so many are open: the book and the system agree to the last one."""
         async with asyncio.timeout(10):
-            while len(self.open()) != count:
+            while len(self.open_descriptors()) != count:
                 await asyncio.sleep(0.01)
 
-    def control(self) -> int:
+    def control_port(self) -> int:
         return int(json.loads((self.folder / "config.json").read_text())["control"].rpartition(":")[2])
 
-    async def control_says(self, line: bytes) -> list[str]:
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.control())
+    async def send_command(self, line: bytes) -> list[str]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.control_port())
         writer.write(line)
         async with asyncio.timeout(10):
             told = (await reader.read()).decode().splitlines()
@@ -180,7 +180,7 @@
     (folder / "config.json").write_text(json.dumps(told))
 
 
-async def start(folder: Path, few: int | None = None, inherited: Sequence[int] = ()) -> Router:
+async def start(folder: Path, few: int | None = None, inherited: Sequence[int] = ()) -> RouterProcess:
     def lower() -> None:  # in the child alone
         if few is not None:
             resource.setrlimit(resource.RLIMIT_NOFILE, (few, resource.getrlimit(resource.RLIMIT_NOFILE)[1]))
@@ -195,23 +195,23 @@
         preexec_fn=lower,
         pass_fds=inherited,
     )
-    return Router(process, folder)
+    return RouterProcess(process, folder)
 
 
 @asynccontextmanager
 async def router(
     folder: Path, few: int | None = None, inherited: Sequence[int] = (), **changes: Any
-) -> AsyncIterator[Router]:
+) -> AsyncIterator[RouterProcess]:
     configure(folder, **changes)
     running = await start(folder, few, inherited)
     try:
-        running.port = int((await running.says(r"serving as n3 on port (\d+)"))[1])
+        running.port = int((await running.wait_for_log(r"serving as n3 on port (\d+)"))[1])
         yield running
     finally:
         await end(running)
 
 
-async def end(running: Router) -> None:
+async def end(running: RouterProcess) -> None:
     with contextlib.suppress(ProcessLookupError):
         running.process.send_signal(signal.SIGCONT)
         running.process.kill()
@@ -219,7 +219,7 @@
     await running._reading
 
 
-async def flood(running: Router, count: int, data: bytes = CHECK) -> list[socket.socket]:
+async def flood(running: RouterProcess, count: int, data: bytes = CHECK) -> list[socket.socket]:
     """So many connections that all wait when the process next looks: it stands still while they are made."""
     running.process.send_signal(signal.SIGSTOP)
     while "T" not in Path(f"/proc/{running.process.pid}/stat").read_text().rpartition(")")[2].split()[0]:
@@ -234,7 +234,7 @@
     return made
 
 
-async def settled(made: list[socket.socket]) -> None:
+async def wait_until_accepted(made: list[socket.socket]) -> None:
     """Till each of them has an answer or its end."""
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(20):
@@ -266,41 +266,47 @@
         runner, moved = ScriptedWorker(), ScriptedWorker()
         await runner.start()
         await moved.start()
-        old, new = (Discovery(ListedWorker(f"s-{n:08x}", one.port)) for n, one in ((1, runner), (2, moved)))
+        old, new = (
+            HeldDiscovery(ListedWorker(f"s-{n:08x}", one.port)) for n, one in ((1, runner), (2, moved))
+        )
         await old.server.start()
         await new.server.start()
         limits = {"cores": 1.0, "memory_mb": 192, "sockets": configured}
         dns = f"127.0.0.1:{old.server.port}"
         async with router(tmp_path, real, limits=limits, dns=dns) as running:
-            await old.next()
-            quiet = len(running.open())
+            await old.wait_for_poll()
+            quiet = len(running.open_descriptors())
             held = await flood(running, 300)
-            assert await running.control_says(b"PING\n") == ["YES"]
-            await old.next()
-            await settled(held)
-            await running.holds(quiet + FEW // 2)  # clients hold what is theirs and no more
-            assert await running.control_says(b"PING\n") == ["YES"]
+            assert await running.send_command(b"PING\n") == ["YES"]
+            await old.wait_for_poll()
+            await wait_until_accepted(held)
+            await running.wait_for_open_descriptors(
+                quiet + FEW // 2
+            )  # clients hold what is theirs and no more
+            assert await running.send_command(b"PING\n") == ["YES"]
 
             # Discovery comes back: the list is taken, and a new client's call runs over a new connection.
-            old.told = True
-            await running.says("news 2, 1 changed")
+            old.is_released = True
+            await running.wait_for_log("news 2, 1 changed")
             caller = await running.client()
             assert await caller.call(1, "confirm", b"x") == [1, 1, None, [b"X", {}]]
             assert len(runner.calls) == 1
-            await running.holds(quiet + FEW // 2 + 1)  # one of the idle has made room for the caller
-            assert await running.control_says(b"PING\n") == ["YES"]
+            await running.wait_for_open_descriptors(
+                quiet + FEW // 2 + 1
+            )  # one of the idle has made room for the caller
+            assert await running.send_command(b"PING\n") == ["YES"]
 
             # A second flood, and while all is full discovery moves.
-            old.told, new.told = False, True
+            old.is_released, new.is_released = False, True
             held += await flood(running, 300)
             file = tmp_path / "config.json"
             file.write_text(
                 json.dumps(json.loads(file.read_text()) | {"dns": f"127.0.0.1:{new.server.port}"})
             )
             running.process.send_signal(signal.SIGHUP)
-            await new.next()
-            assert await running.control_says(b"PING\n") == ["YES"]
-            assert len(running.open()) < FEW
+            await new.wait_for_poll()
+            assert await running.send_command(b"PING\n") == ["YES"]
+            assert len(running.open_descriptors()) < FEW
             assert (
                 "out of system resource" not in running.log() and "descriptors_exhausted" not in running.log()
             )
@@ -319,23 +325,23 @@
     async def test() -> None:
         runner = ScriptedWorker()
         await runner.start()
-        found = Discovery(ListedWorker("s-00000001", runner.port))
-        found.told = True
+        found = HeldDiscovery(ListedWorker("s-00000001", runner.port))
+        found.is_released = True
         await found.server.start()
         async with router(tmp_path, FEW, dns=f"127.0.0.1:{found.server.port}") as running:
-            await running.says("news 2, 1 changed")
+            await running.wait_for_log("news 2, 1 changed")
             held = await flood(running, 40)
-            await settled(held)
-            top = max(running.open()) + 1
-            assert top == len(running.open()), "numbered without a gap: not one more can be had"
+            await wait_until_accepted(held)
+            top = max(running.open_descriptors()) + 1
+            assert top == len(running.open_descriptors()), "numbered without a gap: not one more can be had"
             _, hard = resource.prlimit(running.process.pid, resource.RLIMIT_NOFILE)
             resource.prlimit(running.process.pid, resource.RLIMIT_NOFILE, (top, hard))
             caller = await running.client()
             assert await caller.call(1, "confirm", b"x") == [1, 1, None, [b"X", {}]]
-            assert await running.control_says(b"PING\n") == ["YES"]
-            told = await running.control_says(b"INFO\n")
+            assert await running.send_command(b"PING\n") == ["YES"]
+            told = await running.send_command(b"INFO\n")
             assert "router.skipped_runners=0" in told and "router.handled.confirm.upstream_tries=1" in told
-            assert len(running.open()) <= top
+            assert len(running.open_descriptors()) <= top
             close(held)
         runner.stop()
         found.server.stop()
@@ -347,11 +353,11 @@
     async def test() -> None:
         told = r"descriptors: 128, of them clients 64, callers 0, runners (\d+), kept back (\d+)"
         async with router(tmp_path, FEW) as running:
-            alone = await running.says(told)
-            assert len(running.open()) < int(alone[2])
+            alone = await running.wait_for_log(told)
+            assert len(running.open_descriptors()) < int(alone[2])
         extra = [socket.socket() for _ in range(10)]
         async with router(tmp_path, FEW, [one.fileno() for one in extra]) as running:
-            more = await running.says(told)
+            more = await running.wait_for_log(told)
             assert int(more[2]) == int(alone[2]) + 10 and int(more[1]) == int(alone[1]) - 10
         close(extra)
 
@@ -385,19 +391,19 @@
     """All at once, all again after a kill, one in ten: each serves before the resolver has said a word."""
 
     async def test() -> None:
-        silent = Discovery()
+        silent = HeldDiscovery()
         await silent.server.start()
         folders = [tmp_path / f"n{n}" for n in range(10)]
         for folder in folders:
             configure(folder, dns=f"127.0.0.1:{silent.server.port}")
-        running: dict[int, Router] = {}
+        running: dict[int, RouterProcess] = {}
 
         async def ready(number: int) -> float:
             began = time.monotonic()
             running[number] = one = await start(folders[number])
-            one.port = int((await one.says(r"serving as n3 on port (\d+)"))[1])
+            one.port = int((await one.wait_for_log(r"serving as n3 on port (\d+)"))[1])
             served = time.monotonic() - began
-            assert await one.control_says(b"PING\n") == ["YES"]
+            assert await one.send_command(b"PING\n") == ["YES"]
             caller = await one.client()
             caller.writer.write(CHECK)
             assert await caller.read() == [1, 1, None, [True, {}]]
@@ -422,17 +428,17 @@
 
 def test_unreachable_discovery_does_not_fail_the_start(tmp_path: Path) -> None:
     async def test() -> None:
-        later = Discovery()
+        later = HeldDiscovery()
         await later.server.start()
         # No socket can be connected there, and nothing leaves the machine.
         async with router(tmp_path, dns="255.255.255.255:53") as running:
-            await running.says("discovery_unreachable address=255.255.255.255:53")
+            await running.wait_for_log("discovery_unreachable address=255.255.255.255:53")
             file = tmp_path / "config.json"
             file.write_text(
                 json.dumps(json.loads(file.read_text()) | {"dns": f"127.0.0.1:{later.server.port}"})
             )
             running.process.send_signal(signal.SIGHUP)
-            await later.next()
+            await later.wait_for_poll()
         later.server.stop()
 
     run(test)
@@ -447,11 +453,11 @@
                 caller = await running.client()
                 caller.writer.write(CHECK)
                 assert await caller.read() == [1, 1, None, [True, {}]]
-                await running.says("no operators' address: 127.0.0.1:[0-9]+ can't be listened on yet")
+                await running.wait_for_log("no operators' address: 127.0.0.1:[0-9]+ can't be listened on yet")
                 old.close()
                 while True:
                     with contextlib.suppress(ConnectionRefusedError):
-                        assert await running.control_says(b"PING\n") == ["YES"]
+                        assert await running.send_command(b"PING\n") == ["YES"]
                         return
                     await asyncio.sleep(0.01)
 
@@ -595,7 +601,7 @@
             before = len(os.listdir("/proc/self/fd"))
             silent = [socket.create_connection(("127.0.0.1", running.invoke_port)) for _ in range(40)]
             async with Caller(running, authority.caller(DESK)) as desk:
-                assert (await desk.ask("POST", PATH + "check", b"a"))[2] == b"A"
+                assert (await desk.request("POST", PATH + "check", b"a"))[2] == b"A"
                 most = before + len(silent) + 4 + 2  # and the caller's own, and the runner's two ends
                 assert len(os.listdir("/proc/self/fd")) <= most + 1
                 assert len(running.invoke.connections) <= 4
@@ -625,16 +631,16 @@
             room += 1
             return True
 
-        old, new = Discovery(), Discovery()
+        old, new = HeldDiscovery(), HeldDiscovery()
         await old.server.start()
         await new.server.start()
         resolver = DiscoveryClient(lambda serial, found: None, release_descriptor=give_back)
         await resolver.connect("127.0.0.1", old.server.port)
-        await old.next()
+        await old.wait_for_poll()
         loop.create_datagram_endpoint = scarce  # type: ignore[method-assign]
         began = loop.time()
         resolver.start_polling("127.0.0.1", new.server.port)
-        await new.next()
+        await new.wait_for_poll()
         assert tries == 3 and room == 1 and loop.time() - began > 0.9 * POLL_INTERVAL_S
         resolver.stop()
         old.server.stop()
@@ -645,17 +651,17 @@
 
 def test_a_discovery_socket_that_fails_is_replaced() -> None:
     async def test() -> None:
-        there = Discovery()
+        there = HeldDiscovery()
         await there.server.start()
         resolver = DiscoveryClient(lambda serial, found: None)
         resolver.start_polling("127.0.0.1", there.server.port)
-        await there.next()
+        await there.wait_for_poll()
         assert resolver._transport is not None
         first = resolver._transport
         first._fatal_error(RuntimeError("broken"))  # type: ignore[attr-defined]
         while resolver._transport is first:
             await asyncio.sleep(0)
-        await there.next()
+        await there.wait_for_poll()
         resolver.stop()
         there.server.stop()
 
--- a/tests/integration/test_invoke.py
+++ b/tests/integration/test_invoke.py
@@ -143,7 +143,7 @@
             body = await self.reader.readexactly(int(fields.get("content-length", 0)))
         return int(head[0].split()[1]), fields, body
 
-    async def ask(
+    async def request(
         self, method: str, path: str, body: bytes = b"", **fields: str
     ) -> tuple[int, dict[str, str], bytes]:
         self.send(method, path, body, **fields)
@@ -159,14 +159,14 @@
         runner = ScriptedWorker()
         async with service(runner, invoke=config(authority)) as running:
             async with Caller(running, authority.caller(DESK)) as desk:
-                status, _, body = await desk.ask("POST", PATH + "check", b"abc", Call_Lanes="4")
+                status, _, body = await desk.request("POST", PATH + "check", b"abc", Call_Lanes="4")
                 assert (status, body) == (200, b"ABC")
-                status, fields, _ = await desk.ask("POST", PATH + "confirm", b"later", **ASYNC)
+                status, fields, _ = await desk.request("POST", PATH + "confirm", b"later", **ASYNC)
                 assert status == 202 and fields["preference-applied"] == "respond-async"
-                status, _, body = await desk.ask("GET", fields["location"], Prefer="wait=5")
+                status, _, body = await desk.request("GET", fields["location"], Prefer="wait=5")
                 assert (status, body) == (200, b"LATER")
-                assert (await desk.ask("DELETE", fields["location"]))[0] == 204
-                assert (await desk.ask("GET", fields["location"]))[0] == 404
+                assert (await desk.request("DELETE", fields["location"]))[0] == 204
+                assert (await desk.request("GET", fields["location"]))[0] == 404
             assert len(runner.calls) == 2
 
     run(test())
@@ -181,19 +181,19 @@
             context = authority.caller(PORTAL)
             told = ASYNC | {"Idempotency-Key": '"nomination-1"'}
             async with Caller(running, context) as portal:
-                status, fields, _ = await portal.ask("POST", PATH + "confirm", b"x", **told)
+                status, fields, _ = await portal.request("POST", PATH + "confirm", b"x", **told)
                 assert status == 202
                 portal.send("GET", fields["location"], Prefer="wait=20")
                 await runner.wait_until(lambda: len(runner.calls) == 1)
             runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
             async with Caller(running, context) as portal:
-                _, again, _ = await portal.ask(
+                _, again, _ = await portal.request(
                     "POST", PATH + "confirm", b"x", **told | {"Prefer": "respond-async, wait=5"}
                 )
-                status, _, body = await portal.ask("GET", fields["location"], Prefer="wait=5")
+                status, _, body = await portal.request("GET", fields["location"], Prefer="wait=5")
                 assert (status, body) == (200, b"X")
                 assert again.get("location", fields["location"]) == fields["location"]
-                assert (await portal.ask("POST", PATH + "confirm", b"other", **told))[0] == 422
+                assert (await portal.request("POST", PATH + "confirm", b"other", **told))[0] == 422
             assert len(runner.calls) == 1 and not runner.cancelled_ids
 
     run(test())
@@ -206,15 +206,15 @@
             service(runner, invoke=config(authority)) as running,
             Caller(running, authority.caller(PORTAL)) as portal,
         ):
-            _, fields, _ = await portal.ask("POST", PATH + "confirm", b"x", **ASYNC)
+            _, fields, _ = await portal.request("POST", PATH + "confirm", b"x", **ASYNC)
             await runner.wait_until(lambda: len(runner.calls) == 1)
             running.update_endpoints(
                 2, [endpoint_record(runner, 1, EndpointState.DRAINING)], is_complete=True
             )
-            refused = await portal.ask("POST", PATH + "confirm", b"y", Call_Timeout_Ms="200")
+            refused = await portal.request("POST", PATH + "confirm", b"y", Call_Timeout_Ms="200")
             assert refused[0] in (503, 504)  # nothing new goes there
             runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
-            status, _, body = await portal.ask("GET", fields["location"], Prefer="wait=5")
+            status, _, body = await portal.request("GET", fields["location"], Prefer="wait=5")
             assert (status, body) == (200, b"X") and len(runner.calls) == 1
 
     run(test())
@@ -288,7 +288,7 @@
             service(ScriptedWorker(behave), invoke=config(authority)) as running,
             Caller(running, authority.caller(DESK)) as desk,
         ):
-            status, fields, body = await desk.ask("POST", PATH + "confirm", b"x", Call_Timeout_Ms="300")
+            status, fields, body = await desk.request("POST", PATH + "confirm", b"x", Call_Timeout_Ms="300")
             assert status == expected and fields["content-type"] == "application/problem+json"
             told = json.loads(body)
             assert told["status"] == expected and told["repeat"] == repeat
@@ -319,7 +319,7 @@
         runner = ScriptedWorker()
         async with service(runner, invoke=config(authority)) as running:
             async with Caller(running, authority.caller(DESK)) as desk:
-                assert (await desk.ask(method, path, b"", **fields))[0] == expected
+                assert (await desk.request(method, path, b"", **fields))[0] == expected
             assert not runner.calls
 
     run(test())
@@ -344,7 +344,7 @@
         runner = ScriptedWorker()
         async with service(runner, invoke=config(authority)) as running:
             async with Caller(running, authority.caller(*uris, **usage)) as stranger:
-                assert (await stranger.ask("POST", PATH + "check", b"x"))[0] == 403
+                assert (await stranger.request("POST", PATH + "check", b"x"))[0] == 403
             assert not runner.calls
 
     run(test())
@@ -356,13 +356,13 @@
         async with service(runner, invoke=config(authority)) as running:
             told = ASYNC | {"Idempotency-Key": "1"}
             async with Caller(running, authority.caller(DESK)) as desk:
-                _, fields, _ = await desk.ask("POST", PATH + "revise", b"x", **told)
+                _, fields, _ = await desk.request("POST", PATH + "revise", b"x", **told)
             async with Caller(running, authority.caller(PORTAL)) as portal:
-                assert (await portal.ask("GET", fields["location"]))[0] == 404
-                assert (await portal.ask("DELETE", fields["location"]))[0] == 404
-                _, other, _ = await portal.ask("POST", PATH + "revise", b"x", **told)
+                assert (await portal.request("GET", fields["location"]))[0] == 404
+                assert (await portal.request("DELETE", fields["location"]))[0] == 404
+                _, other, _ = await portal.request("POST", PATH + "revise", b"x", **told)
                 assert other["location"] != fields["location"]
-                assert (await portal.ask("GET", other["location"], Prefer="wait=5"))[0] == 200
+                assert (await portal.request("GET", other["location"], Prefer="wait=5"))[0] == 200
             keys = {call["fields"]["replay"] for call in runner.calls}
             assert len(keys) == len(runner.calls) == 2
 
@@ -377,7 +377,7 @@
             bare.load_verify_locations(authority.folder / "bundle.pem")
             with pytest.raises((OSError, asyncio.IncompleteReadError)):
                 async with Caller(running, bare) as nobody:
-                    await nobody.ask("GET", "/v1/ready")
+                    await nobody.request("GET", "/v1/ready")
 
     run(test())
 
@@ -393,12 +393,12 @@
                 renewed = Authority(authority.folder)  # a new authority, and a new SVID of ours by it
                 renewed.svid("svid", "spiffe://gaz.example/router")
                 assert await running.invoke.reload()
-                assert (await desk.ask("GET", "/v1/ready"))[0] == 403  # on the old connection too
+                assert (await desk.request("GET", "/v1/ready"))[0] == 403  # on the old connection too
             async with Caller(running, renewed.caller("spiffe://gaz.example/office/2")) as office:
-                assert (await office.ask("GET", "/v1/ready"))[0] == 200
+                assert (await office.request("GET", "/v1/ready"))[0] == 200
             with pytest.raises((OSError, asyncio.IncompleteReadError)):
                 async with Caller(running, before) as desk:
-                    await desk.ask("GET", "/v1/ready")
+                    await desk.request("GET", "/v1/ready")
             (authority.folder / "bundle.pem").write_text("no certificate")
             assert not await running.invoke.reload()  # what can't be used changes nothing
             assert running.invoke.config.allowed_patterns[0] == "spiffe://gaz.example/office/*"
@@ -412,7 +412,7 @@
         async with service(runner, invoke=config(authority)) as running:
             context = authority.caller(DESK)
             async with Caller(running, context) as desk, Caller(running, context) as other:
-                _, fields, _ = await other.ask("POST", PATH + "confirm", b"b", **ASYNC)
+                _, fields, _ = await other.request("POST", PATH + "confirm", b"b", **ASYNC)
                 desk.send("POST", PATH + "check", b"a")
                 await runner.wait_until(lambda: len(runner.calls) == 2)
                 ending = asyncio.create_task(running.shut_down())
@@ -422,9 +422,9 @@
                     runner.answer(call, serve_uppercase(runner, call))
                 assert (await desk.read())[2] == b"A"
                 async with Caller(running, context) as late:
-                    assert (await late.ask("POST", PATH + "check", b"c", **ASYNC))[0] == 503
+                    assert (await late.request("POST", PATH + "check", b"c", **ASYNC))[0] == 503
                 async with Caller(running, context) as late:
-                    assert (await late.ask("GET", fields["location"], Prefer="wait=3"))[2] == b"B"
+                    assert (await late.request("GET", fields["location"], Prefer="wait=3"))[2] == b"B"
                 await ending
 
     run(test())
@@ -440,9 +440,9 @@
             for number in range(60):
                 klass = ("check", "revise", "confirm")[number % 3]
                 fields = {"Idempotency-Key": f"{mark}-{number}"} | (ASYNC if deferred else {})
-                status, told, _ = await desk.ask("POST", PATH + klass, b"%d" % number, **fields)
+                status, told, _ = await desk.request("POST", PATH + klass, b"%d" % number, **fields)
                 if deferred:
-                    status, _, _ = await desk.ask("GET", told["location"], Prefer="wait=5")
+                    status, _, _ = await desk.request("GET", told["location"], Prefer="wait=5")
                 asked += worths[klass]
                 served += worths[klass] * (status == 200)
         return served / asked
@@ -475,7 +475,7 @@
         ):
             async with Caller(running, authority.caller(DESK)) as desk:
                 assert (await platform.call(1, "check", b"x"))[3] == [b"X", {}]
-                assert (await desk.ask("POST", PATH + "check", b"y"))[2] == b"Y"
+                assert (await desk.request("POST", PATH + "check", b"y"))[2] == b"Y"
             assert running.dispatcher.result_counts["served"] == 2
 
     run(test())
@@ -538,12 +538,12 @@
             service(ScriptedWorker(), invoke=config(authority)) as running,
             Caller(running, authority.caller(DESK)) as desk,
         ):
-            assert (await desk.ask("GET", "/v1/ready"))[0] == 200
+            assert (await desk.request("GET", "/v1/ready"))[0] == 200
             assert running.invoke is not None
             for connection in running.invoke.connections:
                 assert isinstance(connection.peer, spiffe.Identity)
                 connection.peer = dataclasses.replace(connection.peer, expires_at_unix=1.0)
-            assert (await desk.ask("GET", "/v1/ready"))[0] == 403
+            assert (await desk.request("GET", "/v1/ready"))[0] == 403
 
     run(test())
 
@@ -575,10 +575,10 @@
             Caller(running, context) as second,
         ):
             for caller in (first, second, first):
-                assert (await caller.ask("GET", "/v1/ready"))[0] == 200
+                assert (await caller.request("GET", "/v1/ready"))[0] == 200
             async with Caller(running, context) as third:
                 for caller in (third, first):
-                    assert (await caller.ask("GET", "/v1/ready"))[0] == 200
+                    assert (await caller.request("GET", "/v1/ready"))[0] == 200
                 async with asyncio.timeout(10):
                     assert await second.reader.read() == b""
 
