--- a/cedarthread/testing/fuzzing/config_targets.py
+++ b/cedarthread/testing/fuzzing/config_targets.py
@@ -29,30 +29,35 @@
 from cedarthread.testing.fuzzing.resource_meter import Budget
 from cedarthread.testing.fuzzing.target import Target
 
+MAX_CLASSES = 8  # that are exercised
+
 
 def exercise_settings(settings: RouterSettings) -> None:
-    """Settings that were taken must serve: one call of each class, and timers at times that are times."""
+    """Settings that were accepted must serve: a request of each class, and timers at finite times."""
     router = Router(settings, 1)
-    workers = tuple(Endpoint(n, 0, 0, 0, EndpointState.READY, None, None) for n in (1, 2))
+    workers = tuple(Endpoint(number, 0, 0, 0, EndpointState.READY, None, None) for number in (1, 2))
     actions = router.handle(1000.0, EndpointUpdate(EndpointUpdateKind.CACHED, 1, workers))
-    for klass, told in enumerate(settings.classes[:8]):
-        require(math.isfinite(told.deadline_ms) and told.deadline_ms > 0, f"a deadline of {told.deadline_ms}")
-        actions = actions + router.handle(1001.0, RequestArrived(klass, 7, klass, 1001.0 + told.deadline_ms))
-        for send in [a for a in actions if isinstance(a, StartAttempt) and a.request_id == klass]:
-            router.handle(1002.0, AttemptEnded(klass, 0, send.worker_id, Outcome.ERROR, 1.0, False))
-    for timer in [a for a in actions if isinstance(a, SetTimer)]:
-        require(math.isfinite(timer.at_ms), f"a timer at {timer.at_ms}")
+    for index, request_class in enumerate(settings.classes[:MAX_CLASSES]):
+        deadline_ms = request_class.deadline_ms
+        require(math.isfinite(deadline_ms) and deadline_ms > 0, f"a deadline of {deadline_ms}")
+        actions = actions + router.handle(1001.0, RequestArrived(index, 7, index, 1001.0 + deadline_ms))
+        for action in actions:
+            if isinstance(action, StartAttempt) and action.request_id == index:
+                router.handle(1002.0, AttemptEnded(index, 0, action.worker_id, Outcome.ERROR, 1.0, False))
+    for action in actions:
+        if isinstance(action, SetTimer):
+            require(math.isfinite(action.at_ms), f"a timer at {action.at_ms}")
 
 
 class JsonTarget(Target):
-    """Inputs that are one JSON text."""
+    """Inputs that are one JSON document."""
 
     def base_document(self, rng: random.Random) -> Any:
-        """The parsed text that drawing starts from."""
+        """The parsed document that generation starts from."""
         raise NotImplementedError
 
     def generate(self, rng: random.Random) -> bytes:
-        """The usual text, with no change or a few."""
+        """The base document, with no change or a few."""
         tree = self.base_document(rng)
         for _ in range(rng.choice((0, 1, 1, 2))):
             tree = mutate_tree(
@@ -61,7 +66,7 @@
         return json.dumps(tree).encode()
 
     def mutate(self, data: bytes, rng: random.Random) -> bytes:
-        """Mostly the tree."""
+        """Mostly the parsed document."""
         if rng.random() < 0.1:
             return b'{"a":' * 3000 + data if rng.random() < 0.5 else b"[" * 90_000
         if rng.random() < 0.7:
@@ -84,7 +89,7 @@
     byte_budget = Budget(4 * 2**20, 400)
 
     def base_document(self, rng: random.Random) -> Any:
-        """A whole configuration."""
+        """A complete configuration."""
         entry = {
             "name": "s-00000001",
             "address": "10.0.0.1:5050",
@@ -106,39 +111,37 @@
         }
 
     def generate(self, rng: random.Random) -> bytes:
-        """Mostly the settings changed: most figures stand there."""
+        """Mostly changed settings: most numbers are there."""
         if rng.random() < 0.4:
             return super().generate(rng)
         tree = self.base_document(rng)
         settings = tree["settings"]
         if rng.random() < 0.5:
-            place = rng.choice((*settings["classes"], settings["limits"], settings["obligations"]))
-            place[rng.choice([key for key, value in place.items() if not isinstance(value, str)])] = (
-                rng.choice(EDGE_FLOATS)
-            )
+            table = rng.choice((*settings["classes"], settings["limits"], settings["obligations"]))
+            number = rng.choice(EDGE_FLOATS)
+            key = rng.choice([key for key, value in table.items() if not isinstance(value, str)])
+            table[key] = number
             return json.dumps(tree).encode()
-        part = rng.choice(("classes", "limits", "obligations", "specifics", "report", "prices"))
-        settings[part] = mutate_tree(
-            settings[part], rng, [*EDGE_NUMBERS, *EDGE_STRINGS, *EDGE_FLOATS, None, True, {}]
+        section = rng.choice(("classes", "limits", "obligations", "specifics", "report", "prices"))
+        settings[section] = mutate_tree(
+            settings[section], rng, [*EDGE_NUMBERS, *EDGE_STRINGS, *EDGE_FLOATS, None, True, {}]
         )
         return json.dumps(tree).encode()
 
     def check(self, data: bytes) -> None:
-        """Taken or refused with its one error; what is taken can be served."""
+        """Accepted, or rejected by ``ConfigError`` alone; what is accepted can be served."""
         try:
-            found = config.decode(data, {})
+            parsed = config.decode(data, {})
         except config.ConfigError as error:
             return require(bool(str(error)), "an error without words")
-        for host, port in ((found.host, found.port), found.discovery_address or ("", 1)):
+        for host, port in ((parsed.host, parsed.port), parsed.discovery_address or ("", 1)):
             require(isinstance(host, str) and 0 <= port < 65536, f"port {port}")
-        for _, listings in found.initial_endpoints:
-            for listing in listings:
-                require(0 <= listing.port < 65536, f"a runner at port {listing.port}")
-                require(
-                    math.isfinite(listing.started_at_ms) and math.isfinite(listing.weight),
-                    "a figure that is none",
-                )
-        exercise_settings(found.settings)
+        for _, records in parsed.initial_endpoints:
+            for record in records:
+                is_finite = math.isfinite(record.started_at_ms) and math.isfinite(record.weight)
+                require(0 <= record.port < 65536, f"a runner at port {record.port}")
+                require(is_finite, "a figure that is none")
+        exercise_settings(parsed.settings)
 
 
 class InvokeConfigTarget(Target):
@@ -149,27 +152,29 @@
     line_budget = Budget(60_000, 800)
 
     def generate(self, rng: random.Random) -> bytes:
-        """The file as it is shipped, its figures and ids now and then odd."""
-        figure = rng.choice(("128", "1", "0", "-1", "inf", "nan", "1e308", "9" * 30, '"x"', "[]", "true"))
+        """The file as it is shipped, with numbers and ids at the edges."""
+        connections = rng.choice(
+            ("128", "1", "0", "-1", "inf", "nan", "1e308", "9" * 30, '"x"', "[]", "true")
+        )
         allow = rng.choice(
             ('"spiffe://gaz.example/desk/*"', '"spiffe://gaz.example"', '"*"', "7", '"' + "a" * 3000 + '"')
         )
         listen = rng.choice(("127.0.0.1:8443", "127.0.0.1:99999", "x", ":", "[::1]:1", "h:-1"))
         lines = [f'listen = "{listen}"', 'trust_domain = "gaz.example"', f"allow = [{allow}]"]
-        lines += ['svid = "a.pem"', 'key = "k.pem"', 'bundle = "b.pem"', f"connections = {figure}"]
+        lines += ['svid = "a.pem"', 'key = "k.pem"', 'bundle = "b.pem"', f"connections = {connections}"]
         return ("[invoke]\n" + "\n".join(lines)).encode()
 
     def mutate(self, data: bytes, rng: random.Random) -> bytes:
-        """Bytes, or nests too deep."""
+        """Bytes, or tables that are nested too deep."""
         if rng.random() < 0.1:
             return b"a = " + rng.choice((b"[", b"{a=", b"[{a=")) * rng.choice((50, 3000))
         return mutate_bytes(data, rng)
 
     def check(self, data: bytes) -> None:
-        """Taken or refused by ValueError alone."""
+        """Accepted, or rejected by ``ValueError`` alone."""
         try:
-            found = invoke_config.parse(data, Path("deploy/invoke.toml"))
+            parsed = invoke_config.parse(data, Path("deploy/invoke.toml"))
         except ValueError as error:
             return require(bool(str(error)), "an error without words")
-        require(0 <= found.port < 65536, f"port {found.port}")
-        require(0 < found.max_connections < 2**31, f"{found.max_connections} connections")
+        require(0 <= parsed.port < 65536, f"port {parsed.port}")
+        require(0 < parsed.max_connections < 2**31, f"{parsed.max_connections} connections")
--- a/cedarthread/testing/fuzzing/deferred_target.py
+++ b/cedarthread/testing/fuzzing/deferred_target.py
@@ -1,4 +1,4 @@
-"""The store of deferred calls under drawn steps, against a model of what it should hold."""
+"""The store of deferred calls under generated steps, against a model of what it must hold."""
 
 from __future__ import annotations
 
@@ -15,6 +15,9 @@
 LIMITS = DeferredLimits(
     max_calls=6, max_bytes=4000, retention_s=60.0, retry_retention_s=5.0, reserve_bytes=500
 )
+MAX_ANSWER_BYTES = 2500
+OVERSHOOT_BYTES = 3000  # beyond the limit: one answer may be larger than what was reserved for it
+PAST_RETENTION_S = 1000.0
 
 
 @dataclass(slots=True)
@@ -27,9 +30,107 @@
     body_bytes: int = 0
     wake_count: int = 0
 
+    def wake(self) -> None:
+        self.wake_count += 1
+
+    def reserved_bytes(self) -> int:
+        return LIMITS.reserve_bytes if self.answered_at_s is None else self.body_bytes
+
+    def is_expired(self, now_s: float) -> bool:
+        return self.answered_at_s is not None and now_s - self.answered_at_s > self.retention_s
+
+
+class _DeferredCallsRun:
+    """The store and its model, after some steps."""
+
+    def __init__(self, choices: FuzzedDataProvider) -> None:
+        self.choices, self.now_s = choices, 0.0
+        self.calls: list[_ModelCall] = []
+        self.store = DeferredCalls(LIMITS, lambda: self.now_s)
+
+    def step(self) -> None:
+        """Do what the input chooses, then let the store and the model expire calls."""
+        choices = self.choices
+        owner = choices.pick(OWNERS)
+        match choices.consume_byte() % 6:
+            case 0 | 1:
+                self._add(owner)
+            case 2 if self.calls:
+                self._complete(choices.pick(self.calls))
+            case 3 if self.calls:
+                call = choices.pick(self.calls)
+                self.calls.remove(call)
+                self.store.remove(call.entry)
+                self.store.remove(call.entry)  # a second time counts for nothing
+            case 4:
+                self.now_s += choices.pick((0.5, 4.0, 30.0, 61.0))
+            case _:
+                self._find_by_key(owner, f"k{choices.consume_byte() % 3}")
+        self.store.evict_expired()
+        self.calls = [call for call in self.calls if not call.is_expired(self.now_s)]
+
+    def _add(self, owner: str) -> None:
+        store = self.store
+        key = self.choices.pick((None, "k0", "k1", "k2"))
+        if key is not None and store.find_by_key(owner, key) is not None:
+            return  # as the invoke server, which looks first
+        retention_s = self.choices.pick((LIMITS.retention_s, LIMITS.retry_retention_s))
+        entry = store.add(owner, key, ("0", "f", b""), retention_s)
+        has_bytes = store.reserved_bytes <= LIMITS.max_bytes
+        has_room = len(self.calls) < LIMITS.max_calls and has_bytes
+        require(entry is None or has_room, "taken past the bounds")
+        if entry is not None:
+            call = _ModelCall(entry, owner, key, retention_s)
+            self.calls.append(call)
+            entry.waiters.append(call.wake)
+
+    def _complete(self, call: _ModelCall) -> None:
+        if call.answered_at_s is not None:
+            return
+        body = b"x" * (self.choices.consume_uint16() % MAX_ANSWER_BYTES)
+        results: tuple[CallResult, ...] = (CallSucceeded(body), CallRejected(1.0), CallFailed())
+        result = self.choices.pick(results)
+        call.answered_at_s = self.now_s
+        call.body_bytes = len(body) if isinstance(result, CallSucceeded) else 0
+        self.store.complete(call.entry, result)
+        require(call.entry.result is result and not call.entry.waiters, "the answer is not there")
+
+    def _find_by_key(self, owner: str, key: str) -> None:
+        found = self.store.find_by_key(owner, key)
+        is_own = found is None or (found.owner, found.idempotency_key) == (owner, key)
+        require(is_own, "a key leads to another's call")
+        is_known = any((call.owner, call.key) == (owner, key) for call in self.calls)
+        require(found is not None or not is_known, "a key is forgotten before its call")
+
+    def check(self) -> None:
+        """The store and the model agree."""
+        store, calls = self.store, self.calls
+        reserved = sum(call.reserved_bytes() for call in calls)
+        require(store.reserved_bytes == reserved, f"{store.reserved_bytes} bytes counted, {reserved} held")
+        count = len(store)
+        require(count == len(calls) <= LIMITS.max_calls, f"{count} calls, {len(calls)} by the model")
+        is_bounded = store.reserved_bytes <= LIMITS.max_bytes + OVERSHOOT_BYTES
+        require(is_bounded, "more bytes than the bound and one answer")
+        for call in calls:
+            for owner in OWNERS:
+                is_found = store.find(owner, call.entry.call_id) is call.entry
+                require(is_found == (owner == call.owner), f"{owner} finds a call of {call.owner}")
+            require(call.wake_count <= 1, "woken twice")
+
+    def finish(self) -> None:
+        """Complete all calls, let all answers expire, and check that nothing remains."""
+        self.now_s += PAST_RETENTION_S
+        for call in self.calls:
+            if call.answered_at_s is None:
+                self.store.complete(call.entry, CallFailed())
+        self.now_s += PAST_RETENTION_S
+        self.store.evict_expired()
+        is_empty = self.store.reserved_bytes == 0 and len(self.store) == 0 and not self.store._id_by_key
+        require(is_empty, "something is left at the end")
+
 
 class DeferredCallsTarget(Target):
-    """Adds, settles, collections, removals and time, in any order."""
+    """Adds, completions, collections, removals and time, in any order."""
 
     name = "deferred"
     modules = ("cedarthread.dispatch.deferred",)
@@ -41,92 +142,9 @@
 
     def check(self, data: bytes) -> None:
         """The model and the store agree after every step."""
-        dice, now, known = FuzzedDataProvider(data), [0.0], list[_ModelCall]()
-        store = DeferredCalls(LIMITS, lambda: now[0])
-        while dice.has_more():
-            self._step(dice, store, now, known)
-            store.evict_expired()
-            known = [k for k in known if k.answered_at_s is None or now[0] - k.answered_at_s <= k.retention_s]
-            held = sum(LIMITS.reserve_bytes if k.answered_at_s is None else k.body_bytes for k in known)
-            require(store.reserved_bytes == held, f"{store.reserved_bytes} bytes counted, {held} held")
-            require(
-                len(store) == len(known) <= LIMITS.max_calls, f"{len(store)} calls, {len(known)} by the model"
-            )
-            require(
-                store.reserved_bytes <= LIMITS.max_bytes + 3000, "more bytes than the bound and one answer"
-            )
-            for one in known:
-                for owner in OWNERS:
-                    found = store.find(owner, one.entry.call_id)
-                    require(
-                        (found is one.entry) == (owner == one.owner), f"{owner} finds a call of {one.owner}"
-                    )
-                require(one.wake_count <= 1, "woken twice")
-        now[0] += 1000.0
-        for one in known:
-            if one.answered_at_s is None:
-                store.complete(one.entry, CallFailed())
-        now[0] += 1000.0
-        store.evict_expired()
-        require(
-            store.reserved_bytes == 0 and len(store) == 0 and not store._id_by_key,
-            "something is left at the end",
-        )
-
-    def _step(
-        self, dice: FuzzedDataProvider, store: DeferredCalls, now: list[float], known: list[_ModelCall]
-    ) -> None:
-        owner = dice.pick(OWNERS)
-        match dice.consume_byte() % 6:
-            case 0 | 1:
-                self._add(dice, store, owner, known)
-            case 2 if known:
-                one = dice.pick(known)
-                if one.answered_at_s is None:
-                    body = b"x" * (dice.consume_uint16() % 2500)
-                    answers: tuple[CallResult, ...] = (CallSucceeded(body), CallRejected(1.0), CallFailed())
-                    answer = dice.pick(answers)
-                    one.answered_at_s, one.body_bytes = (
-                        now[0],
-                        len(body) if isinstance(answer, CallSucceeded) else 0,
-                    )
-                    store.complete(one.entry, answer)
-                    require(one.entry.result is answer and not one.entry.waiters, "the answer is not there")
-            case 3 if known:
-                one = dice.pick(known)
-                known.remove(one)
-                store.remove(one.entry)
-                store.remove(one.entry)  # a second time counts for nothing
-            case 4:
-                now[0] += dice.pick((0.5, 4.0, 30.0, 61.0))
-            case _:
-                key = f"k{dice.consume_byte() % 3}"
-                mine = [k for k in known if k.owner == owner and k.key == key]
-                found = store.find_by_key(owner, key)
-                require(
-                    found is None or (found.owner, found.idempotency_key) == (owner, key),
-                    "a key leads to another's call",
-                )
-                require(found is not None or not mine, "a key is forgotten before its call")
-
-    def _add(
-        self, dice: FuzzedDataProvider, store: DeferredCalls, owner: str, known: list[_ModelCall]
-    ) -> None:
-        key = dice.pick((None, "k0", "k1", "k2"))
-        if key is not None and store.find_by_key(owner, key) is not None:
-            return  # the front asks first
-        keep = dice.pick((LIMITS.retention_s, LIMITS.retry_retention_s))
-        entry = store.add(owner, key, ("0", "f", b""), keep)
-        room = (
-            len(known) < LIMITS.max_calls
-            and store.reserved_bytes + LIMITS.reserve_bytes <= LIMITS.max_bytes + LIMITS.reserve_bytes
-        )
-        require(entry is None or room, "taken past the bounds")
-        if entry is not None:
-            one = _ModelCall(entry, owner, key, keep)
-            known.append(one)
-
-            def wake() -> None:
-                one.wake_count += 1
-
-            entry.waiters.append(wake)
+        choices = FuzzedDataProvider(data)
+        run = _DeferredCallsRun(choices)
+        while choices.has_more():
+            run.step()
+            run.check()
+        run.finish()
--- a/cedarthread/testing/fuzzing/discovery_target.py
+++ b/cedarthread/testing/fuzzing/discovery_target.py
@@ -5,17 +5,28 @@
 import asyncio
 import random
 import struct
-from typing import Any, cast
+from typing import Any, NamedTuple, cast
 
 from cedarthread.protocols.discovery import DiscoveryClient
 from cedarthread.protocols.endpoint_list import EndpointRecord
-from cedarthread.testing.fuzzing.dns_target import generate_reply, pack_reply
+from cedarthread.testing.fuzzing.dns_target import AUTHORITATIVE_ANSWER, generate_reply, pack_reply
 from cedarthread.testing.fuzzing.finding import require
 from cedarthread.testing.fuzzing.mutation import mutate_bytes
 from cedarthread.testing.fuzzing.resource_meter import Budget
 from cedarthread.testing.fuzzing.target import FuzzedDataProvider, Target
 from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop, run_virtual
 
+TRUNCATED = 0x0200  # the flag TC
+RECENT_QUERIES = 16  # whose replies the client may still take
+REPLIED_QUERIES = 3  # the latest, of which one is replied to
+
+
+class _Update(NamedTuple):
+    """A list that the client passed on."""
+
+    serial: int
+    records: list[EndpointRecord]
+
 
 class _RecordingDatagramTransport(asyncio.DatagramTransport):
     def __init__(self) -> None:
@@ -29,9 +40,12 @@
     def close(self) -> None:
         self.is_closed = True
 
+    def query_ids(self) -> list[int]:
+        return [struct.unpack(">H", query[:2])[0] for query in self.sent]
+
 
 class DiscoveryTarget(Target):
-    """The resolver's client, its replies lost, late, old, doubled, foreign and truncated."""
+    """The discovery client, with replies lost, late, old, repeated, foreign and truncated."""
 
     name = "resolver"
     modules = ("cedarthread.protocols.discovery",)
@@ -43,53 +57,52 @@
         return rng.randbytes(rng.choice((10, 40, 80)))
 
     def check(self, data: bytes) -> None:
-        """Numbers told only go up, and each list told is one that was sent under a number asked for."""
-        told: list[tuple[int, list[EndpointRecord]]] = []
+        """Serials only go up, and a list is passed on only from a complete reply to a recent query."""
+        updates: list[_Update] = []
 
         async def work(loop: VirtualLoop) -> None:
-            await self._play(loop, FuzzedDataProvider(data), told)
+            await self._play(loop, FuzzedDataProvider(data), updates)
 
         failures = run_virtual(work).failures
         require(not failures, failures[0] if failures else "")
-        numbers = [serial for serial, _ in told]
-        require(numbers == sorted(set(numbers)), f"told in the order {numbers}")
-
-    async def _play(
-        self, loop: VirtualLoop, dice: FuzzedDataProvider, told: list[tuple[int, list[EndpointRecord]]]
-    ) -> None:
-        resolver = DiscoveryClient(lambda serial, listed: told.append((serial, listed)))
-        resolver._random = cast(Any, random.Random(1))
+        serials = [update.serial for update in updates]
+        require(serials == sorted(set(serials)), f"told in the order {serials}")
+
+    async def _play(self, loop: VirtualLoop, choices: FuzzedDataProvider, updates: list[_Update]) -> None:
+        client = DiscoveryClient(lambda serial, records: updates.append(_Update(serial, records)))
+        client._random = cast(Any, random.Random(1))
         transport = _RecordingDatagramTransport()
-        resolver.connection_made(transport)
-        serial, old = 0, list[bytes]()
-        while dice.has_more():
-            asked = [struct.unpack(">H", query[:2])[0] for query in transport.sent]
-            rng = random.Random(dice.consume_uint16())
+        client.connection_made(transport)
+        serial, earlier = 0, list[bytes]()
+        while choices.has_more():
+            query_ids = transport.query_ids()
+            rng = random.Random(choices.consume_uint16())
             reply = generate_reply(rng, rng.randrange(4))
-            serial += dice.consume_byte() % 3
-            reply.query_id, reply.serial = rng.choice(asked[-3:]), serial
-            good = pack_reply(reply)
-            before = len(told)
-            match dice.consume_byte() % 8:
+            serial += choices.consume_byte() % 3
+            reply.query_id, reply.serial = rng.choice(query_ids[-REPLIED_QUERIES:]), serial
+            data, count = pack_reply(reply), len(updates)
+            match choices.consume_byte() % 8:
                 case 0:
-                    resolver.datagram_received(good[: dice.consume_byte()], None)
+                    client.datagram_received(data[: choices.consume_byte()], None)
                 case 1:
-                    resolver.datagram_received(pack_reply(reply, flags=0x8600), None)
-                    require(len(told) == before, "a truncated reply was taken")
+                    truncated = pack_reply(reply, flags=AUTHORITATIVE_ANSWER | TRUNCATED)
+                    client.datagram_received(truncated, None)
+                    require(len(updates) == count, "a truncated reply was taken")
                 case 2:
-                    foreign = struct.pack(">H", (reply.query_id + 1 + dice.consume_byte()) % 2**16)
-                    resolver.datagram_received(foreign + good[2:], None)
-                    recent = struct.unpack(">H", foreign)[0] in asked[-16:]
-                    require(recent or len(told) == before, "a reply to nothing that was asked was taken")
-                case 3 if old:
-                    resolver.datagram_received(dice.pick(old), None)
+                    foreign_id = (reply.query_id + 1 + choices.consume_byte()) % 2**16
+                    client.datagram_received(struct.pack(">H", foreign_id) + data[2:], None)
+                    is_recent = foreign_id in query_ids[-RECENT_QUERIES:]
+                    unchanged = len(updates) == count
+                    require(is_recent or unchanged, "a reply to nothing that was asked was taken")
+                case 3 if earlier:
+                    client.datagram_received(choices.pick(earlier), None)
                 case 4:
-                    resolver.error_received(OSError(111, "refused"))
+                    client.error_received(OSError(111, "refused"))
                 case 5:
-                    resolver.datagram_received(mutate_bytes(good, rng), None)
+                    client.datagram_received(mutate_bytes(data, rng), None)
                 case _:
-                    resolver.datagram_received(good, None)
-                    old.append(good)
-            await asyncio.sleep(dice.consume_byte() / 100)
-        resolver.stop()
+                    client.datagram_received(data, None)
+                    earlier.append(data)
+            await asyncio.sleep(choices.consume_byte() / 100)
+        client.stop()
         require(transport.is_closed and loop.timer_count() == 0, "it asks on after its end")
--- a/cedarthread/testing/fuzzing/dns_target.py
+++ b/cedarthread/testing/fuzzing/dns_target.py
@@ -1,4 +1,4 @@
-"""The parser of DNS replies, and replies as a server writes them."""
+"""The parser of DNS replies, and replies as a server writes them (RFC 1035, RFC 2782)."""
 
 from __future__ import annotations
 
@@ -9,75 +9,97 @@
 
 from cedarthread.protocols import discovery, dns
 from cedarthread.testing.fuzzing.finding import require
-from cedarthread.testing.fuzzing.mutation import (
-    EDGE_STRINGS,
-)
+from cedarthread.testing.fuzzing.mutation import EDGE_STRINGS
 from cedarthread.testing.fuzzing.resource_meter import Budget
 from cedarthread.testing.fuzzing.target import Target
 
+HEADER_BYTES = 12
+AUTHORITATIVE_ANSWER = 0x8400  # the flags QR and AA
+POINTER = 0xC000  # the two high bits of a compression pointer
+MAX_POINTER_TARGET = 0x3FFF  # the 14 others
+MAX_NAME_CHARACTERS = 253
+MAX_TEXT_BYTES = 255  # of one string of a TXT record
+CLASS_IN, TTL_S = 1, 5
+UNKNOWN_TYPE = 99
 
-def pack_reply(reply: dns.Reply, names: Sequence[str] = (), *, flags: int = 0x8400) -> bytes:
-    """A reply as a server writes it, names compressed where they stood before."""
-    out = bytearray(struct.pack(">6H", reply.query_id, flags, 0, 0, 0, 0))
-    seen: dict[str, int] = {}
 
-    def name(text: str) -> None:
+class _ReplyWriter:
+    """Writes records, with names compressed where they stood before."""
+
+    def __init__(self, query_id: int, flags: int) -> None:
+        self.data = bytearray(struct.pack(">6H", query_id, flags, 0, 0, 0, 0))
+        self._offset_by_name: dict[str, int] = {}
+
+    def name(self, text: str) -> None:
+        """Write a name."""
         while text:
-            if text in seen:
-                out.extend(struct.pack(">H", 0xC000 | seen[text]))
+            if text in self._offset_by_name:
+                self.data.extend(struct.pack(">H", POINTER | self._offset_by_name[text]))
                 return
-            if len(out) < 0x4000:
-                seen[text] = len(out)
+            if len(self.data) <= MAX_POINTER_TARGET:
+                self._offset_by_name[text] = len(self.data)
             label, _, text = text.partition(".")
-            out.extend(bytes((len(label),)) + label.encode())
-        out.append(0)
-
-    def record(owner: str, kind: int, data: bytes, target: str | None = None) -> None:
-        name(owner)
-        out.extend(struct.pack(">HHIH", kind, 1, 5, 0))
-        start = len(out)
-        out.extend(data)
+            self.data.extend(bytes((len(label),)) + label.encode())
+        self.data.append(0)
+
+    def record(self, owner: str, record_type: int, data: bytes, target: str | None = None) -> None:
+        """Write a record; its data may end in a name."""
+        self.name(owner)
+        self.data.extend(struct.pack(">HHIH", record_type, CLASS_IN, TTL_S, 0))
+        start = len(self.data)
+        self.data.extend(data)
         if target is not None:
-            name(target)
-        struct.pack_into(">H", out, start - 2, len(out) - start)
+            self.name(target)
+        struct.pack_into(">H", self.data, start - 2, len(self.data) - start)
 
+
+def pack_reply(reply: dns.Reply, names: Sequence[str] = (), *, flags: int = AUTHORITATIVE_ANSWER) -> bytes:
+    """A reply as a server writes it."""
+    writer = _ReplyWriter(reply.query_id, flags)
     for service in reply.srv_records:
-        record(
-            discovery.SERVICE_NAME,
-            dns.TYPE_SRV,
-            struct.pack(">3H", service.priority, service.weight, service.port),
-            service.target,
-        )
+        data = struct.pack(">3H", service.priority, service.weight, service.port)
+        writer.record(discovery.SERVICE_NAME, dns.TYPE_SRV, data, service.target)
     for owner, address in reply.addresses.items():
-        record(owner, dns.TYPE_A, bytes(int(part) for part in address.split(".")))
+        writer.record(owner, dns.TYPE_A, bytes(int(number) for number in address.split(".")))
     for owner, pairs in reply.texts.items():
-        texts = [f"{key}={value}".encode()[:255] for key, value in pairs.items()]
-        record(owner, dns.TYPE_TXT, b"".join(bytes((len(text),)) + text for text in texts))
-    records = len(reply.srv_records) + len(reply.addresses) + len(reply.texts)
+        texts = [f"{key}={value}".encode()[:MAX_TEXT_BYTES] for key, value in pairs.items()]
+        writer.record(owner, dns.TYPE_TXT, b"".join(bytes((len(text),)) + text for text in texts))
+    count = len(reply.srv_records) + len(reply.addresses) + len(reply.texts)
     if reply.serial is not None:
         data = b"\x01n\0\x01m\0" + struct.pack(">5I", reply.serial, 1, 1, 1, 1)
-        record("lan", dns.TYPE_SOA, data)
-    struct.pack_into(">3H", out, 6, records, int(reply.serial is not None), 0)
-    return bytes(out)
+        writer.record("lan", dns.TYPE_SOA, data)
+    struct.pack_into(">3H", writer.data, 6, count, int(reply.serial is not None), 0)
+    return bytes(writer.data)
 
 
 def generate_reply(rng: random.Random, workers: int) -> dns.Reply:
-    """A reply with so many workers, figures odd here and there."""
+    """A reply with so many workers, some of their values at the edges."""
     reply = dns.Reply(rng.randrange(2**16), rng.choice((0, 1, 7, 2**31, 2**32 - 1)))
-    for n in range(workers):
-        target = f"s-{rng.choice((n, n, 1)):08x}.room-{rng.choice('ab')}.hosts"
+    for number in range(workers):
+        target = f"s-{rng.choice((number, number, 1)):08x}.room-{rng.choice('ab')}.hosts"
         reply.srv_records.append(
             dns.SrvRecord(rng.randrange(3), rng.choice((0, 10, 65535)), rng.choice((0, 5050)), target)
         )
-        reply.addresses[target] = f"10.0.0.{n % 256}"
-        odd = rng.random() < 0.2
-        reply.texts[target] = {"kind": "std", "cell": rng.choice(EDGE_STRINGS)[:80] if odd else "2"}
+        reply.addresses[target] = f"10.0.0.{number % 256}"
+        is_edge = rng.random() < 0.2
+        reply.texts[target] = {"kind": "std", "cell": rng.choice(EDGE_STRINGS)[:80] if is_edge else "2"}
         reply.texts[target]["started"] = (
-            rng.choice(EDGE_STRINGS)[:80] if odd else str(rng.choice((0, 1764600000000)))
+            rng.choice(EDGE_STRINGS)[:80] if is_edge else str(rng.choice((0, 1764600000000)))
         )
     return reply
 
 
+def _generate_pointer_chain(rng: random.Random) -> bytes:
+    """A reply whose names lead through many compression pointers."""
+    hops = rng.choice((3, 300, 2000))
+    # The chain begins at byte 23, after a root name and a record's head.
+    chain = b"".join(struct.pack(">H", POINTER | (21 + 2 * hop if hop else 12)) for hop in range(hops))
+    last = struct.pack(">H", POINTER | 21 + 2 * hops)
+    records = (last + struct.pack(">HHIH", UNKNOWN_TYPE, 1, 1, 0)) * rng.choice((1, 400))
+    header = struct.pack(">6H", 1, AUTHORITATIVE_ANSWER, 0, 1 + len(records) // 12, 0, 0)
+    return header + b"\0" + struct.pack(">HHIH", UNKNOWN_TYPE, 1, 1, len(chain)) + chain + records
+
+
 class DnsTarget(Target):
     """DNS answers."""
 
@@ -86,35 +108,36 @@
     line_budget = Budget(20_000, 120)
 
     def generate(self, rng: random.Random) -> bytes:
-        """An answer of some workers, or one made of pointers."""
+        """An answer with some workers, or one made of pointers."""
         if rng.random() < 0.15:
-            hops = rng.choice((3, 300, 2000))
-            chain = b"".join(struct.pack(">H", 0xC000 | (21 + 2 * n if n else 12)) for n in range(hops))
-            last = struct.pack(">H", 0xC000 | 21 + 2 * hops)  # the chain begins at byte 23, after a root name
-            records = (last + struct.pack(">HHIH", 99, 1, 1, 0)) * rng.choice((1, 400))
-            head = struct.pack(">6H", 1, 0x8400, 0, 1 + len(records) // 12, 0, 0)
-            return head + b"\0" + struct.pack(">HHIH", 99, 1, 1, len(chain)) + chain + records
+            return _generate_pointer_chain(rng)
         data = bytearray(pack_reply(generate_reply(rng, rng.choice((0, 1, 3, 60)))))
-        pointers = [at for at in range(12, len(data) - 1) if data[at] >= 0xC0]
+        pointers = [at for at in range(HEADER_BYTES, len(data) - 1) if data[at] >= POINTER >> 8]
         if pointers and rng.random() < 0.2:  # one leads to itself, or to what comes after it
             at = rng.choice(pointers)
-            struct.pack_into(">H", data, at, 0xC000 | min(0x3FFF, at + rng.choice((0, 0, 2, 12))))
+            target = min(MAX_POINTER_TARGET, at + rng.choice((0, 0, 2, 12)))
+            struct.pack_into(">H", data, at, POINTER | target)
         return bytes(data)
 
     def check(self, data: bytes) -> None:
-        """What it reads it reads again the same, and every name is one that DNS allows."""
+        """What is read is read the same again when it is written, and all names are ones that DNS allows."""
         reply = dns.parse(data)
         if isinstance(reply, dns.UnusableReply):
             return
-        found = discovery.endpoints_from_reply(reply)
-        if not isinstance(found, str):
-            for listing in found:
-                require(math.isfinite(listing.started_at_ms), f"a start at {listing.started_at_ms}")
-            require(len({listing.name for listing in found}) == len(found), "a worker is listed twice")
+        self._check_endpoints(reply)
         names = [*(service.target for service in reply.srv_records), *reply.addresses, *reply.texts]
         for name in names:
-            require(len(name) <= 253, f"a name of {len(name)} characters")
-        if all(name.split(".") == [label for label in name.split(".") if label] for name in names):
-            again = dns.parse(pack_reply(reply))
-            if isinstance(again, dns.Reply) and len(pack_reply(reply)) < 0x4000:
-                require(again.srv_records == reply.srv_records, "read another list from what it had read")
+            require(len(name) <= MAX_NAME_CHARACTERS, f"a name of {len(name)} characters")
+        if all(all(name.split(".")) for name in names):
+            data = pack_reply(reply)
+            reread = dns.parse(data)
+            if isinstance(reread, dns.Reply) and len(data) <= MAX_POINTER_TARGET:
+                require(reread.srv_records == reply.srv_records, "read another list from what it had read")
+
+    def _check_endpoints(self, reply: dns.Reply) -> None:
+        records = discovery.endpoints_from_reply(reply)
+        if isinstance(records, str):
+            return
+        for record in records:
+            require(math.isfinite(record.started_at_ms), f"a start at {record.started_at_ms}")
+        require(len({record.name for record in records}) == len(records), "a worker is listed twice")
--- a/cedarthread/testing/fuzzing/endpoint_list_target.py
+++ b/cedarthread/testing/fuzzing/endpoint_list_target.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 
-from cedarthread.model.endpoints import EndpointState, EndpointUpdateKind
+from cedarthread.model.endpoints import EndpointState, EndpointUpdate, EndpointUpdateKind
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord, worker_id_from_name
 from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.fuzzing import settings as drawn_settings
@@ -12,8 +13,40 @@
 from cedarthread.testing.fuzzing.target import FuzzedDataProvider, Target
 
 
+class _Follower:
+    """A reader that applies one event after another."""
+
+    def __init__(self) -> None:
+        self.state_by_worker: dict[int, EndpointState] = {}
+
+    def apply(self, event: EndpointUpdate) -> None:
+        """Apply an event: a change, or a complete list."""
+        if event.kind is not EndpointUpdateKind.DELTA:
+            self.state_by_worker.clear()
+        for endpoint in event.endpoints:
+            self.state_by_worker[endpoint.worker_id] = endpoint.state
+            if endpoint.state is EndpointState.REMOVED:
+                del self.state_by_worker[endpoint.worker_id]
+
+
+class _Model:
+    """What the list must hold, by name."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, EndpointRecord] = {}
+
+    def apply(self, records: Iterable[EndpointRecord], *, is_complete: bool) -> None:
+        """Apply an update that counts."""
+        if is_complete:
+            self.records = {}
+        for record in records:
+            self.records.pop(record.name, None)
+            if record.state is not EndpointState.REMOVED:
+                self.records[record.name] = record
+
+
 class EndpointListTarget(Target):
-    """The roster under news late, doubled, out of order and contradictory."""
+    """The endpoint list under updates late, repeated, out of order and contradictory."""
 
     name = "roster"
     modules = ("cedarthread.protocols.endpoint_list",)
@@ -23,46 +56,37 @@
         return rng.randbytes(rng.choice((10, 40, 90)))
 
     def check(self, data: bytes) -> None:
-        """Whoever applies the events one after another holds the list that was told last."""
-        dice, roster = FuzzedDataProvider(data), EndpointList(settings_from_object(drawn_settings.settings()))
-        known: dict[int, EndpointState] = {}
-        version, truth = -1, dict[str, EndpointRecord]()
-        while dice.has_more():
-            number, whole = dice.consume_byte() % 20, bool(dice.consume_byte() & 3)
-            told = [self._listing(dice) for _ in range(dice.consume_byte() % 5)]
-            event = roster.apply_update(number, told, whole)
+        """A reader that applies the events one after another has the list that was published last."""
+        choices = FuzzedDataProvider(data)
+        endpoint_list = EndpointList(settings_from_object(drawn_settings.settings()))
+        follower, model, version = _Follower(), _Model(), -1
+        while choices.has_more():
+            number, is_complete = choices.consume_byte() % 20, bool(choices.consume_byte() & 3)
+            records = [self._record(choices) for _ in range(choices.consume_byte() % 5)]
+            event = endpoint_list.apply_update(number, records, is_complete)
             require((event is None) == (number <= version), f"news {number} after {version}")
             if event is None:
                 continue
             version = number
-            if event.kind is not EndpointUpdateKind.DELTA:
-                known.clear()
-            for worker in event.endpoints:
-                known[worker.worker_id] = worker.state
-                if worker.state is EndpointState.REMOVED:
-                    del known[worker.worker_id]
-            truth = {} if whole else truth
-            for listing in told:
-                truth.pop(listing.name, None)
-                if listing.state is not EndpointState.REMOVED:
-                    truth[listing.name] = listing
-            held = {number: entry.state for number, entry in roster.by_worker_id().items()}
-            require(known == held, f"by the events {known}, by the list {held}")
-            numbers = {worker_id_from_name(name) for name in truth}
-            require(set(held) == numbers, f"told {sorted(truth)}, held {sorted(roster.records)}")
-
-    def _listing(self, dice: FuzzedDataProvider) -> EndpointRecord:
-        name = dice.pick(("s-00000001", "s-00000002", "t-00000001", "other", "s-0000000a"))
-        state = dice.pick(tuple(EndpointState))
-        zone = dice.pick(("room-a", "room-b", "nowhere"))
-        return EndpointRecord(
-            name,
-            "10.0.0.1",
-            dice.consume_byte(),
-            zone,
-            "std",
-            dice.consume_byte() % 3,
-            state,
-            1.0,
-            float(dice.consume_byte()),
+            follower.apply(event)
+            model.apply(records, is_complete=is_complete)
+            self._check_alike(endpoint_list, follower, model)
+
+    def _check_alike(self, endpoint_list: EndpointList, follower: _Follower, model: _Model) -> None:
+        listed = {worker_id: record.state for worker_id, record in endpoint_list.by_worker_id().items()}
+        followed = follower.state_by_worker
+        require(followed == listed, f"by the events {followed}, by the list {listed}")
+        worker_ids = {worker_id_from_name(name) for name in model.records}
+        names = sorted(endpoint_list.records)
+        require(set(listed) == worker_ids, f"told {sorted(model.records)}, held {names}")
+
+    def _record(self, choices: FuzzedDataProvider) -> EndpointRecord:
+        name = choices.pick(("s-00000001", "s-00000002", "t-00000001", "other", "s-0000000a"))
+        state = choices.pick(tuple(EndpointState))
+        zone = choices.pick(("room-a", "room-b", "nowhere"))
+        port, cell, started_at_ms = (
+            choices.consume_byte(),
+            choices.consume_byte() % 3,
+            float(choices.consume_byte()),
         )
+        return EndpointRecord(name, "10.0.0.1", port, zone, "std", cell, state, 1.0, started_at_ms)
--- a/cedarthread/testing/fuzzing/http_target.py
+++ b/cedarthread/testing/fuzzing/http_target.py
@@ -13,6 +13,7 @@
 from cedarthread.testing.fuzzing.resource_meter import Budget
 from cedarthread.testing.fuzzing.target import Target
 
+MAX_BODY_BYTES = 16 * 1024
 EDGE_HEADERS = [b"Content-Length: 1", b"content-length:1", b"Content-Length: +1", b"Content-Length: 1_0"]
 EDGE_HEADERS += [
     b"Content-Length: \xd9\xa3",
@@ -39,9 +40,9 @@
 def generate_request(rng: random.Random) -> bytes:
     """One request of the invoke API."""
     body = rng.randbytes(rng.choice((0, 0, 3, 300)))
-    klass = rng.choice(("check", "revise", "confirm", "none", "a%2e"))
+    class_name = rng.choice(("check", "revise", "confirm", "none", "a%2e"))
     target = rng.choice(
-        (f"/v1/functions/{'ab' * 8}/{klass}", "/v1/calls/abc", "/v1/ready", "/v1/functions/x/y")
+        (f"/v1/functions/{'ab' * 8}/{class_name}", "/v1/calls/abc", "/v1/ready", "/v1/functions/x/y")
     )
     method = rng.choice(("POST", "POST", "GET", "DELETE", "PUT"))
     fields = [b"Host: a", b"Content-Length: %d" % (len(body) + rng.choice((0, 0, 0, 0, 1)))]
@@ -60,11 +61,11 @@
     line_budget = Budget(20_000, 800)
 
     def generate(self, rng: random.Random) -> bytes:
-        """A request, its body a little longer or shorter than it says."""
+        """A request, with a body of the length that it says or a byte less."""
         return generate_request(rng)
 
     def mutate(self, data: bytes, rng: random.Random) -> bytes:
-        """Lines swapped, doubled or changed; mostly the blank line stays."""
+        """Lines added, dropped or changed; mostly the blank line stays."""
         head, blank, body = data.partition(b"\r\n\r\n")
         if rng.random() < 0.4 or not blank:
             return mutate_bytes(data, rng)
@@ -82,8 +83,8 @@
         return b"\r\n".join(lines) + blank + body
 
     def check(self, data: bytes) -> None:
-        """Nothing that two readers could take in two ways passes."""
-        parsed = http.parse_head(memoryview(data), 16 * 1024)
+        """Nothing is accepted that two parsers could read in two ways."""
+        parsed = http.parse_head(memoryview(data), MAX_BODY_BYTES)
         if not isinstance(parsed, http.RequestHead):
             return
         head = data[: parsed.head_bytes]
@@ -94,10 +95,12 @@
         require(b"transfer-encoding" not in names, "Transfer-Encoding passed")
         require(names.count(b"content-length") <= 1, "two lengths passed")
         require(not any(name != name.strip() for name in names), "white space round a field's name passed")
-        require(0 <= parsed.content_length <= 16 * 1024, f"a body of {parsed.content_length} bytes passed")
+        require(
+            0 <= parsed.content_length <= MAX_BODY_BYTES, f"a body of {parsed.content_length} bytes passed"
+        )
         for at in sample_cuts(random.Random(len(head)), head):
             require(
-                not isinstance(http.parse_head(memoryview(head)[:at], 16 * 1024), http.RequestHead),
+                not isinstance(http.parse_head(memoryview(head)[:at], MAX_BODY_BYTES), http.RequestHead),
                 f"cut at {at} it is whole",
             )
         parsed.preferences()
--- a/cedarthread/testing/fuzzing/msgpack_target.py
+++ b/cedarthread/testing/fuzzing/msgpack_target.py
@@ -21,54 +21,61 @@
 from cedarthread.testing.fuzzing.resource_meter import Budget
 from cedarthread.testing.fuzzing.target import Target
 
+MAX_GENERATED_DEPTH = 5
+
 
 class _MapItems(list[Any]):
-    """A map as the reference reads it, keys that come twice and all."""
+    """A map as the reference library reads it: its items, also where a key comes twice."""
 
 
-def _tree(value: Any) -> Any:
-    """A value as this program's parser would give it, or what it would not take: a string that says why."""
+def _expected(value: Any) -> Any:
+    """The value that this program's parser gives; ``ValueError`` says what it must reject."""
     if isinstance(value, _MapItems):
         keys = [key for key, _ in value]
         if not all(isinstance(key, str) for key in keys) or len(set(keys)) < len(keys):
             raise ValueError("keys")
-        return {key: _tree(item) for key, item in value}
+        return {key: _expected(item) for key, item in value}
     if isinstance(value, list):
-        return [_tree(item) for item in value]
+        return [_expected(item) for item in value]
     if isinstance(value, (reference.ExtType, reference.Timestamp)):
         raise ValueError("extension")
     return value
 
 
-def _depth(value: Any) -> int:
-    items = value.values() if isinstance(value, dict) else value if isinstance(value, list) else None
-    return 0 if items is None else 1 + max(map(_depth, items), default=0)
+def _items(value: Any) -> list[Any]:
+    if isinstance(value, dict):
+        return list(value.values())
+    return value if isinstance(value, list) else []
 
 
-def _widest(value: Any) -> int:
-    if isinstance(value, (str, bytes)):
+def _depth(value: Any) -> int:
+    if not isinstance(value, (dict, list)):
         return 0
-    items = list(value.values()) if isinstance(value, dict) else value if isinstance(value, list) else []
-    return max([len(items), *map(_widest, items)])
+    return 1 + max(map(_depth, _items(value)), default=0)
 
 
-def _longest(value: Any) -> int:
+def _max_items(value: Any) -> int:
+    """The most items of a list or map in a value."""
+    return max([len(_items(value)), *map(_max_items, _items(value))])
+
+
+def _max_content_bytes(value: Any) -> int:
+    """The length of the longest string in a value, in UTF-8."""
     if isinstance(value, (str, bytes)):
         return len(value.encode() if isinstance(value, str) else value)
-    items = list(value.values()) if isinstance(value, dict) else value if isinstance(value, list) else []
-    return max(map(_longest, items), default=0)
+    return max(map(_max_content_bytes, _items(value)), default=0)
 
 
-def _plain(value: Any) -> Any:
+def _without_views(value: Any) -> Any:
     if isinstance(value, dict):
-        return {key: _plain(item) for key, item in value.items()}
+        return {key: _without_views(item) for key, item in value.items()}
     if isinstance(value, list):
-        return [_plain(item) for item in value]
+        return [_without_views(item) for item in value]
     return bytes(value) if isinstance(value, memoryview) else value
 
 
 def generate_value(rng: random.Random, depth: int) -> Any:
-    """A value of a few levels."""
+    """A value of at most so many levels."""
     kind = rng.randrange(10 if depth else 7)
     if kind == 9:
         return {
@@ -77,16 +84,16 @@
         }
     if kind >= 7:
         return [generate_value(rng, depth - 1) for _ in range(rng.choice((0, 1, 2, 15, 16, 33)))]
-    plain = (
+    scalars = (
         None,
         rng.random() < 0.5,
         rng.choice(EDGE_NUMBERS[:-2]),
         rng.choice(EDGE_FLOATS),
         rng.choice(EDGE_STRINGS),
+        rng.randbytes(rng.choice((0, 1, 255, 256, 70_000))),
+        "t" * rng.choice((31, 32, 300)),
     )
-    return (*plain, rng.randbytes(rng.choice((0, 1, 255, 256, 70_000))), "t" * rng.choice((31, 32, 300)))[
-        kind
-    ]
+    return scalars[kind]
 
 
 class MessagePackTarget(Target):
@@ -97,17 +104,17 @@
     byte_budget = Budget(2**20, 400)
 
     def generate(self, rng: random.Random) -> bytes:
-        """A value, whole or with a code that is not used."""
+        """A value, or a run of one type code."""
         if rng.random() < 0.1:
             return bytes((rng.choice((0x81, 0x91, 0xDC, 0xDE, 0xC7, 0xC1)),)) * rng.choice((5, 300, 3000))
-        value = generate_value(rng, rng.randint(0, 5))
+        value = generate_value(rng, rng.randint(0, MAX_GENERATED_DEPTH))
         try:
             return bytes(reference.packb(value, use_single_float=rng.random() < 0.3))
         except (OverflowError, UnicodeEncodeError):
             return bytes(reference.packb([value is None]))
 
     def mutate(self, data: bytes, rng: random.Random) -> bytes:
-        """Mostly the tree, so that the lengths hold."""
+        """Mostly the parsed value, so that lengths stay right."""
         if rng.random() < 0.6:
             try:
                 tree = reference.unpackb(data, raw=False, strict_map_key=False)
@@ -121,34 +128,40 @@
         return mutate_bytes(data, rng)
 
     def check(self, data: bytes) -> None:
-        """Same value as the reference; any cut of it is short, and says how much is needed."""
+        """The same value as the reference's; any prefix is incomplete, and says how much is needed."""
         parsed = msgpack.parse(memoryview(data))
-        room = max(1024, len(data))
         unpacker = reference.Unpacker(
-            raw=False, strict_map_key=False, object_pairs_hook=_MapItems, read_size=1024, max_buffer_size=room
+            raw=False,
+            strict_map_key=False,
+            object_pairs_hook=_MapItems,
+            read_size=1024,
+            max_buffer_size=max(1024, len(data)),
         )
         unpacker.feed(data)
         try:
-            truth, end = _tree(unpacker.unpack()), unpacker.tell()
+            expected, end = _expected(unpacker.unpack()), unpacker.tell()
         except (ValueError, TypeError, RecursionError, reference.OutOfData, reference.StackError):
             return require(not isinstance(parsed, msgpack.ParsedValue), "took what is no value")
         if isinstance(parsed, msgpack.ParsedValue):
-            require(_longest(truth) <= msgpack.MAX_CONTENT_BYTES, "a string past the limit is taken")
             require(
-                repr(_plain(parsed.value)) == repr(truth) and parsed.end == end, "another value than it is"
+                _max_content_bytes(expected) <= msgpack.MAX_CONTENT_BYTES, "a string past the limit is taken"
+            )
+            require(
+                repr(_without_views(parsed.value)) == repr(expected) and parsed.end == end,
+                "another value than it is",
             )
-            return self._cuts(data[:end])
+            return self._check_prefixes(data[:end])
         require(not isinstance(parsed, msgpack.Incomplete), "a whole value is said to be short")
-        long = end > msgpack.MAX_CONTENT_BYTES
-        small = _depth(truth) <= msgpack.MAX_DEPTH and _widest(truth) <= msgpack.MAX_ITEMS
-        require(not small or long, f"a value within the limits is refused: {parsed}")
+        is_too_long = end > msgpack.MAX_CONTENT_BYTES
+        is_within_limits = _depth(expected) <= msgpack.MAX_DEPTH and _max_items(expected) <= msgpack.MAX_ITEMS
+        require(not is_within_limits or is_too_long, f"a value within the limits is refused: {parsed}")
 
-    def _cuts(self, data: bytes) -> None:
+    def _check_prefixes(self, data: bytes) -> None:
         for at in sample_cuts(random.Random(len(data)), data):
-            short = msgpack.parse(memoryview(data)[:at])
-            require(isinstance(short, msgpack.Incomplete), f"cut at {at} it is not short: {short}")
-            if isinstance(short, msgpack.Incomplete):
+            prefix = msgpack.parse(memoryview(data)[:at])
+            require(isinstance(prefix, msgpack.Incomplete), f"cut at {at} it is not short: {prefix}")
+            if isinstance(prefix, msgpack.Incomplete):
                 require(
-                    at < short.needed_bytes <= len(data),
-                    f"cut at {at} it says it needs {short.needed_bytes} of {len(data)}",
+                    at < prefix.needed_bytes <= len(data),
+                    f"cut at {at} it says it needs {prefix.needed_bytes} of {len(data)}",
                 )
--- a/cedarthread/testing/fuzzing/platform_target.py
+++ b/cedarthread/testing/fuzzing/platform_target.py
@@ -20,12 +20,12 @@
 
 
 def generate_message(rng: random.Random, number: int) -> Any:
-    """One message of the platform's protocol, good or odd."""
-    klass = rng.choice(("check", "revise", "confirm", "none"))
+    """One message of the platform's protocol, valid or nearly."""
+    class_name = rng.choice(("check", "revise", "confirm", "none"))
     fields = {"txn": f"{number:016x}", "limit": "2000", "item": FUNCTION, "unique": f"u{number}"}
     if rng.random() < 0.5:
         name = rng.choice(("txn", "limit", "item", "props", "props", "second", "unique", "extra"))
-        figures = (
+        properties = (
             "memory_mb:512;lanes:2",
             "lanes:nan",
             "lanes:1e309",
@@ -33,7 +33,7 @@
             "lanes:1;lanes:2",
             "lanes:5e-324",
         )
-        fields[name] = rng.choice(figures if name == "props" else EDGE_STRINGS)[:60]
+        fields[name] = rng.choice(properties if name == "props" else EDGE_STRINGS)[:60]
         if rng.random() < 0.3:
             del fields[name]
     body: Any = rng.choice((b"", b"body", rng.randbytes(40), "text", b"z" * 17_000))
@@ -45,16 +45,16 @@
         case 2:
             return [2, "other", [1]]
         case 3:
-            return [0, number, klass, [fields]]
+            return [0, number, class_name, [fields]]
         case 4:
-            return [0, rng.choice((number, 0, -1, 2**64 - 1, True, 1.5)), klass, [fields, body]]
+            return [0, rng.choice((number, 0, -1, 2**64 - 1, True, 1.5)), class_name, [fields, body]]
         case 5:
             return generate_value(rng, 3)
-    return [0, number, klass, [fields, body]]
+    return [0, number, class_name, [fields, body]]
 
 
 class PlatformTarget(StreamTarget):
-    """A platform client's whole connection."""
+    """A platform client's complete connection."""
 
     name = "platform"
     modules = (
@@ -67,7 +67,7 @@
     )
 
     def generate(self, rng: random.Random) -> bytes:
-        """Some messages in a row, perhaps the last one cut off."""
+        """Some messages in a row, perhaps with the end cut off."""
         messages = [generate_message(rng, n + 1) for n in range(rng.choice((1, 2, 4, 10, 40)))]
         data = b"".join(self._pack(message) for message in messages)
         return rng.randbytes(1) + (data if rng.random() < 0.8 else data[: rng.randrange(len(data) + 1)])
@@ -79,74 +79,71 @@
             return b"\xc0"
 
     def mutate_stream(self, data: bytes, rng: random.Random) -> bytes:
-        """Whole messages swapped, doubled or dropped, or bytes."""
+        """Complete messages repeated, changed or dropped, or bytes."""
         if rng.random() < 0.5:
             return mutate_bytes(data, rng)
         unpacker = reference.Unpacker(raw=False, strict_map_key=False, read_size=1024, max_buffer_size=2**24)
         unpacker.feed(data)
-        marks = [0]
+        ends = [0]
         try:
             while True:
                 unpacker.skip()
-                marks.append(unpacker.tell())
+                ends.append(unpacker.tell())
         except (reference.OutOfData, ValueError):
             pass
-        parts = [data[a:b] for a, b in itertools.pairwise(marks)]
-        if not parts:
+        messages = [data[start:end] for start, end in itertools.pairwise(ends)]
+        if not messages:
             return mutate_bytes(data, rng)
-        at = rng.randrange(len(parts))
-        parts.insert(
-            rng.randrange(len(parts)), parts[at] if rng.random() < 0.7 else mutate_bytes(parts[at], rng)
-        )
+        chosen = rng.randrange(len(messages))
+        position = rng.randrange(len(messages))
+        copy = messages[chosen] if rng.random() < 0.7 else mutate_bytes(messages[chosen], rng)
+        messages.insert(position, copy)
         if rng.random() < 0.4:
-            del parts[at]
-        return b"".join(parts) + data[marks[-1] :]
+            del messages[chosen]
+        return b"".join(messages) + data[ends[-1] :]
 
     async def serve(self, loop: VirtualLoop, data: bytes, seed: int) -> Any:
-        """Per number, what was answered to it and how often; each number asked gets one answer."""
-        planner, flusher, _ = dispatcher_with_echo(loop)
-        front = PlatformServer(planner, 8, flusher, 2**20)
-        transport, out = MemoryTransport(loop), bytearray()
-        transport.on_bytes = out.extend
-        connection = PlatformConnection(front)
+        """The numbers that were answered; none more often than it was requested."""
+        dispatcher, flusher, _ = dispatcher_with_echo(loop)
+        server = PlatformServer(dispatcher, 8, flusher, 2**20)
+        transport, output = MemoryTransport(loop), bytearray()
+        transport.on_bytes = output.extend
+        connection = PlatformConnection(server)
         transport.connect(connection)
         await feed(transport, data, seed)
-        require(
-            not planner.pending_calls
-            and not planner.calls.pending_ids
-            and planner.calls.pending_body_bytes == 0,
-            "a call is left",
-        )
-        require(front.queued_bytes == 0, f"{front.queued_bytes} bytes of answers are left")
+        calls = dispatcher.calls
+        has_call = dispatcher.pending_calls or calls.pending_ids or calls.pending_body_bytes != 0
+        require(not has_call, "a call is left")
+        require(server.queued_bytes == 0, f"{server.queued_bytes} bytes of answers are left")
         require(len(connection.buffer._data) <= MAX_MESSAGE_BYTES, "the buffer grew past its limit")
         unpacker = reference.Unpacker(raw=False, strict_map_key=True, max_buffer_size=2**24)
-        unpacker.feed(bytes(out))
-        answers: dict[Any, int] = {}
+        unpacker.feed(bytes(output))
+        answer_counts: dict[Any, int] = {}
         for message in unpacker:
             require(isinstance(message, list) and len(message) == 4 and message[0] == 1, f"sent {message!r}")
-            answers[message[1]] = answers.get(message[1], 0) + 1
-        require(unpacker.tell() == len(out), "bytes after the last answer")
-        asked = self._asked(data)
-        # Whether an interrupt or a number used twice meets an open call depends on the time between them.
-        timing = b"interrupt" in data or any(count > 1 for count in asked.values())
-        for number, count in answers.items():
-            require(
-                count <= asked.get(number, 0),
-                f"{count} answers to number {number}, asked {asked.get(number, 0)}",
-            )
-        # What a broken connection answers with depends on what had been served by then; that it answers, not.
-        return None if timing else transport.is_closing() or sorted(map(repr, answers))
+            answer_counts[message[1]] = answer_counts.get(message[1], 0) + 1
+        require(unpacker.tell() == len(output), "bytes after the last answer")
+        request_counts = self._request_counts(data)
+        # Whether an interrupt or a repeated number meets a pending call depends on the time between them.
+        depends_on_time = b"interrupt" in data or any(count > 1 for count in request_counts.values())
+        for number, count in answer_counts.items():
+            requested = request_counts.get(number, 0)
+            require(count <= requested, f"{count} answers to number {number}, asked {requested}")
+        if depends_on_time:
+            return None
+        # What a broken connection had answered by then depends on time; that it breaks does not.
+        return transport.is_closing() or sorted(map(repr, answer_counts))
 
-    def _asked(self, data: bytes) -> dict[Any, int]:
+    def _request_counts(self, data: bytes) -> dict[Any, int]:
         unpacker = reference.Unpacker(
             raw=False, strict_map_key=False, object_pairs_hook=list, max_buffer_size=2**24
         )
         unpacker.feed(data)
-        asked: dict[Any, int] = {}
+        counts: dict[Any, int] = {}
         try:
             for message in unpacker:
                 if isinstance(message, list) and len(message) == 4 and isinstance(message[1], int):
-                    asked[message[1]] = asked.get(message[1], 0) + 1
+                    counts[message[1]] = counts.get(message[1], 0) + 1
         except (ValueError, reference.StackError, UnicodeDecodeError):
             pass
-        return asked
+        return counts
--- a/cedarthread/testing/fuzzing/simulator_target.py
+++ b/cedarthread/testing/fuzzing/simulator_target.py
@@ -20,6 +20,8 @@
 from cedarthread.testing.fuzzing.resource_meter import Budget
 from cedarthread.testing.fuzzing.target import Target
 
+HEADER_BYTES = 16  # length, time and number of records
+
 
 class SimulatorTarget(Target):
     """The simulator's frames, answered by the host of many instances."""
@@ -35,49 +37,54 @@
     byte_budget = Budget(4 * 2**20, 400)
 
     def generate(self, rng: random.Random) -> bytes:
-        """A start, a list of workers, and events of all kinds."""
-        info = json.dumps(drawn_settings.settings(preloads_on_miss=rng.random() < 0.3)).encode()
-        records = [b"\x0d" + struct.pack("<I", 3), b"\x01" + struct.pack("<QI", 7, len(info)) + info]
-        hosts = [struct.pack("<IBHHBfd", n, 0, 0, 0, rng.choice((0, 1, 2, 2)), 1.0, 0.0) for n in range(3)]
-        records.append(b"\x0c" + struct.pack("<II", 1, len(hosts)) + b"".join(hosts))
+        """A frame with a start, a list of workers, and events of all kinds."""
+        settings = json.dumps(drawn_settings.settings(preloads_on_miss=rng.random() < 0.3)).encode()
+        records = [b"\x0d" + struct.pack("<I", 3), b"\x01" + struct.pack("<QI", 7, len(settings)) + settings]
+        workers = [
+            struct.pack("<IBHHBfd", number, 0, 0, 0, rng.choice((0, 1, 2, 2)), 1.0, 0.0)
+            for number in range(3)
+        ]
+        records.append(b"\x0c" + struct.pack("<II", 1, len(workers)) + b"".join(workers))
         records.append(b"\x02" + struct.pack("<BQI", rng.choice((1, 2, 3, 4)), 1, 1))
         for _ in range(rng.randrange(8)):
             records.append(self._event(rng))
         return self.frame(rng.choice((0.0, 1000.0, 1e308)), len(records), b"".join(records))
 
     def _event(self, rng: random.Random) -> bytes:
-        number, figure = rng.choice((0, 1, 2, 2**32 - 1)), rng.choice((*EDGE_FLOATS, 100.0, 1e6))
-        klass, key = rng.choice((0, 1, 2, 9)), rng.choice((5, 2**40 - 1, 2**64 - 1))
-        verdict = rng.choice((200, 502, 429, 408, 521, 520, 444, 409, 204, 7))
+        number, time_ms = rng.choice((0, 1, 2, 2**32 - 1)), rng.choice((*EDGE_FLOATS, 100.0, 1e6))
+        class_index, key = rng.choice((0, 1, 2, 9)), rng.choice((5, 2**40 - 1, 2**64 - 1))
+        outcome = rng.choice((200, 502, 429, 408, 521, 520, 444, 409, 204, 7))
         small = rng.choice((0.0, 1.0, NOT_A_NUMBER, INFINITY))
         return rng.choice(
             (
                 b"\x03"
-                + struct.pack("<IfdQHffdHH", number, small, figure, key, klass, small, small, figure, 0, 3),
-                b"\x04" + struct.pack("<IHId", number, 0, number, figure),
-                b"\x05" + struct.pack("<IIdIHHB", number, 1, figure, 9, 0, verdict, 0) + b"\0",
+                + struct.pack(
+                    "<IfdQHffdHH", number, small, time_ms, key, class_index, small, small, time_ms, 0, 3
+                ),
+                b"\x04" + struct.pack("<IHId", number, 0, number, time_ms),
+                b"\x05" + struct.pack("<IIdIHHB", number, 1, time_ms, 9, 0, outcome, 0) + b"\0",
                 b"\x06" + struct.pack("<I", number),
                 b"\x07" + struct.pack("<I", number),
-                b"\x08" + struct.pack("<dIH", figure, 1, verdict) + b"\x01" + struct.pack("<f", small),
+                b"\x08" + struct.pack("<dIH", time_ms, 1, outcome) + b"\x01" + struct.pack("<f", small),
                 b"\x09" + struct.pack("<IH", 1, 2) + b"ab",
-                b"\x0b" + struct.pack("<BIQHd", 1, 1, key, verdict, figure),
+                b"\x0b" + struct.pack("<BIQHd", 1, 1, key, outcome, time_ms),
                 b"\x0a",
             )
         )
 
     def frame(self, now: float, count: int, body: bytes) -> bytes:
         """A frame with its header."""
-        return struct.pack("<IdI", 16 + len(body), now, count) + body
+        return struct.pack("<IdI", HEADER_BYTES + len(body), now, count) + body
 
     def mutate(self, data: bytes, rng: random.Random) -> bytes:
-        """The length that the frame says stays right, mostly."""
+        """Bytes; mostly the frame's own length stays right."""
         changed = mutate_bytes(data, rng)
-        if rng.random() < 0.85 and len(changed) >= 16:
+        if rng.random() < 0.85 and len(changed) >= HEADER_BYTES:
             changed = struct.pack("<I", len(changed)) + changed[4:]
         return changed
 
     def check(self, data: bytes) -> None:
-        """Answered with a whole frame, or refused by WireError."""
+        """Answered with a complete frame, or rejected by ``SimulatorProtocolError`` alone."""
         host, source = simulator_host.SimulatorHost(), io.BytesIO(data)
         try:
             while (frame := simulator_host.read_frame(source)) is not None:
--- a/cedarthread/testing/fuzzing/stream_target.py
+++ b/cedarthread/testing/fuzzing/stream_target.py
@@ -21,10 +21,10 @@
 
 
 class EchoTransport:
-    """A way to the workers that serves each call with its own body, in the next turn."""
+    """A worker transport that serves each call with its own body, in the loop's next iteration."""
 
-    def __init__(self, planner: Dispatcher, loop: VirtualLoop) -> None:
-        self.dispatcher, self.loop, self.sent_count = planner, loop, 0
+    def __init__(self, dispatcher: Dispatcher, loop: VirtualLoop) -> None:
+        self.dispatcher, self.loop, self.sent_count = dispatcher, loop, 0
 
     def send(self, attempt: Attempt) -> None:
         """Start an attempt."""
@@ -35,13 +35,13 @@
         )
 
     def refresh_progress(self, attempt: Attempt) -> None:
-        """Nothing to look at."""
+        """Progress never changes here."""
 
     def withdraw_unsent(self, attempt: Attempt) -> None:
-        """All has left."""
+        """Every attempt is sent at once."""
 
     def cancel(self, attempt: Attempt) -> None:
-        """Give an attempt up."""
+        """Cancel an attempt."""
         self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
 
     def preload(self, worker_id: int, function_id: int, instances: int) -> None:
@@ -55,31 +55,31 @@
 
 
 def dispatcher_with_echo(loop: VirtualLoop) -> tuple[Dispatcher, Flusher, EchoTransport]:
-    """A planner whose calls are all served."""
-    planner = Dispatcher(settings_from_object(drawn_settings.settings()), 1, clock=loop.unix_ms)
+    """A dispatcher whose calls are all served."""
+    dispatcher = Dispatcher(settings_from_object(drawn_settings.settings()), 1, clock=loop.unix_ms)
     flusher = Flusher()
-    planner.flush_output = flusher.flush_all
-    echo = EchoTransport(planner, loop)
-    planner.connect_workers(echo)
-    listed = tuple(Endpoint(n, 0, 0, 0, EndpointState.READY, None, None) for n in (1, 2))
-    planner.endpoints_changed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
-    return planner, flusher, echo
+    dispatcher.flush_output = flusher.flush_all
+    echo = EchoTransport(dispatcher, loop)
+    dispatcher.connect_workers(echo)
+    endpoints = tuple(Endpoint(number, 0, 0, 0, EndpointState.READY, None, None) for number in (1, 2))
+    dispatcher.endpoints_changed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, endpoints))
+    return dispatcher, flusher, echo
 
 
 def cut_into_pieces(data: bytes, seed: int) -> list[bytes]:
-    """The data in cuts that follow from the seed; seed 0 leaves it whole."""
+    """The data in pieces whose lengths follow from the seed; seed 0 leaves it in one."""
     if seed == 0:
         return [data]
-    rng, out, at = random.Random(seed), [], 0
-    while at < len(data):
+    rng, pieces, position = random.Random(seed), [], 0
+    while position < len(data):
         size = rng.choice((1, 2, 7, 40, 1000))
-        out.append(data[at : at + size])
-        at += size
-    return out
+        pieces.append(data[position : position + size])
+        position += size
+    return pieces
 
 
 async def feed(transport: MemoryTransport, data: bytes, seed: int) -> None:
-    """Send it in pieces, the loop running between them."""
+    """Send data in pieces, with the loop running between them, and let all answers come."""
     for piece in cut_into_pieces(data, seed):
         transport.peer_send(piece)
         await asyncio.sleep(0)
@@ -88,7 +88,7 @@
 
 
 class StreamTarget(Target):
-    """A connection. The input's first byte says how the rest is cut; whole or cut, the same comes out."""
+    """A connection. The input's first byte says how the rest is cut; the same comes out however it is."""
 
     line_budget = Budget(200_000, 3000)
     byte_budget = Budget(4 * 2**20, 400)
@@ -99,20 +99,20 @@
         raise NotImplementedError
 
     def check(self, data: bytes) -> None:
-        """The same whole and cut."""
-        seen: list[Any] = []
+        """The same comes out in one piece and cut."""
+        outputs: list[Any] = []
         for seed in (0, 1 + data[0] if data else 1):
 
             async def work(loop: VirtualLoop, seed: int = seed) -> None:
-                seen.append(await self.serve(loop, data[1:], seed))
+                outputs.append(await self.serve(loop, data[1:], seed))
 
             failures = run_virtual(work).failures
             if failures:
                 raise Finding(failures[0])
-        require(seen[0] == seen[1], f"whole {str(seen[0])[:150]}, cut {str(seen[1])[:150]}")
+        require(outputs[0] == outputs[1], f"whole {str(outputs[0])[:150]}, cut {str(outputs[1])[:150]}")
 
     def mutate(self, data: bytes, rng: random.Random) -> bytes:
-        """Mostly what stands in it; now and then the cut."""
+        """Mostly the stream; now and then how it is cut."""
         if not data or rng.random() < 0.1:
             return rng.randbytes(1) + data[1:]
         return data[:1] + self.mutate_stream(data[1:], rng)
--- a/cedarthread/testing/fuzzing/worker_lines_target.py
+++ b/cedarthread/testing/fuzzing/worker_lines_target.py
@@ -6,7 +6,7 @@
 import base64
 import json
 import random
-from typing import Any, cast
+from typing import Any, NamedTuple, cast
 
 from cedarthread.dispatch.calls import Attempt, AttemptResult, Call, Progress
 from cedarthread.model.endpoints import EndpointState
@@ -26,24 +26,30 @@
 from cedarthread.transport.flusher import Flusher
 
 
+class _Ending(NamedTuple):
+    """How a request ended."""
+
+    message_id: str
+    outcome: str
+    body: bytes = b""
+
+
 class _RecordingTransport:
-    """What a runner's connection tells its pool's owner, kept."""
+    """Records what a worker's connection tells the owner of its pool."""
 
     def __init__(self, loop: VirtualLoop) -> None:
         self.settings = settings_from_object(drawn_settings.settings())
         self.flusher, self.dispatcher = Flusher(), self
         self.clock = loop.unix_ms
-        self.endings: list[tuple[str, str, bytes]] = []
-        self.bad_numbers: list[
-            str
-        ] = []  # figures that are none; raised later, for the connection catches all
+        self.endings: list[_Ending] = []
+        self.bad_numbers: list[str] = []  # reported later: the connection catches every exception
 
-    def _check_number(self, what: str, value: float, most: float) -> None:
-        if not abs(value) <= most:
+    def _check_number(self, what: str, value: float, limit: float) -> None:
+        if not abs(value) <= limit:  # also where it is not a number
             self.bad_numbers.append(f"{what} of {value}")
 
     def may_start_attempt(self, attempt: Attempt) -> bool:
-        """Its client is there."""
+        """The client is still there."""
         return True
 
     def count_attempt_written(self, attempt: Attempt) -> None:
@@ -54,25 +60,25 @@
         for value in ending.load_report:
             self._check_number("a report", value or 0.0, 1e308)
         self._check_number("a crowd", ending.reported_concurrency or 0, 2**31)
-        self.endings.append((attempt.call.call_id, ending.outcome.value, ending.body))
+        self.endings.append(_Ending(attempt.call.call_id, ending.outcome.value, ending.body))
 
     def on_connection_broken(self, request: Attempt | PendingPreload, *, is_unreachable: bool) -> None:
         """The connection went."""
-        name = request.call.call_id if isinstance(request, Attempt) else request.message_id
-        self.endings.append((name, "broke", b""))
+        message_id = request.call.call_id if isinstance(request, Attempt) else request.message_id
+        self.endings.append(_Ending(message_id, "broke"))
 
     def on_preload_response(self, preload: PendingPreload, message: dict[str, Any]) -> None:
-        """An order's end."""
+        """A preload's end."""
         PreloadRequests(cast(Any, self)).on_response(preload, parse_preload_response(message))
-        self.endings.append((preload.message_id, "order", b""))
+        self.endings.append(_Ending(preload.message_id, "order"))
 
     def preload_ended(self, event: PreloadEnded) -> None:
-        """What the planner is told of it."""
+        """What the dispatcher is told of it."""
         self._check_number("copies", event.instances, 2**31)
 
 
 class WorkerLinesTarget(StreamTarget):
-    """The lines that a runner sends, on a connection with three calls and an order open."""
+    """The lines that a worker sends, on a connection with three calls and a preload pending."""
 
     name = "lines"
     modules = (
@@ -86,7 +92,7 @@
     message_ids = ("a1", "a2", "a3", "load-1")
 
     def generate(self, rng: random.Random) -> bytes:
-        """Some lines: good answers, odd figures, foreign ids."""
+        """Some lines: valid answers, numbers at the edges, foreign ids."""
         lines = []
         for _ in range(rng.choice((1, 2, 5))):
             fields: Any = {
@@ -106,7 +112,7 @@
             message = {"op": op, "id": rng.choice((*self.message_ids, "b", 1)), "fields": fields}
             body = base64.b64encode(rng.randbytes(rng.choice((0, 5, 300)))).decode()
             message["body"] = rng.choice((body, body, body, body + "=", body[:-1], "%%", 7, None))
-            for key in [k for k in message if rng.random() < 0.06]:
+            for key in [key for key in message if rng.random() < 0.06]:
                 del message[key]
             lines.append(json.dumps(message).encode())
         if rng.random() < 0.15:
@@ -115,35 +121,35 @@
         return rng.randbytes(1) + b"\n".join(lines) + b"\n"
 
     async def serve(self, loop: VirtualLoop, data: bytes, seed: int) -> Any:
-        """How each of the four ended: once, and with the body that its own line holds."""
-        ways = _RecordingTransport(loop)
-        listing = EndpointRecord("s-1", "h", 1, "room-a", "std", 0, EndpointState.READY, 1.0, 0.0)
-        connection = WorkerConnection(WorkerConnectionPool(cast(Any, ways), listing))
+        """How each of the four ended: once, and with a body that a line has."""
+        owner = _RecordingTransport(loop)
+        record = EndpointRecord("s-1", "h", 1, "room-a", "std", 0, EndpointState.READY, 1.0, 0.0)
+        connection = WorkerConnection(WorkerConnectionPool(cast(Any, owner), record))
         transport = MemoryTransport(loop)
         transport.connect(connection)
-        for name in self.message_ids[:3]:
-            call = Call(name, 0, 7, 1e18, b"", lambda answer: None)
+        for message_id in self.message_ids[:3]:
+            call = Call(message_id, 0, 7, 1e18, b"", lambda answer: None)
             connection.send_request(b"{}\n", Attempt(call, 0, 1, 0.0, Progress.WRITTEN))
         connection.send_request(b"{}\n", PendingPreload("load-1", 1, 7, 0.0))
         await feed(transport, data, seed)
         transport.peer_reset()
         await asyncio.sleep(0)
-        require(not ways.bad_numbers, ways.bad_numbers[0] if ways.bad_numbers else "")
-        require(
-            sorted(name for name, _, _ in ways.endings) == sorted(self.message_ids), f"ended: {ways.endings}"
-        )
+        require(not owner.bad_numbers, owner.bad_numbers[0] if owner.bad_numbers else "")
+        ended = sorted(ending.message_id for ending in owner.endings)
+        require(ended == sorted(self.message_ids), f"ended: {owner.endings}")
         bodies = {base64.b64decode(text) for text in self._bodies(data)}
-        for name, outcome, body in ways.endings:
-            require(outcome != "ok" or body in bodies, f"{name} served with {body!r}, which no line holds")
-        return sorted(ways.endings)
+        for message_id, outcome, body in owner.endings:
+            is_known = outcome != "ok" or body in bodies
+            require(is_known, f"{message_id} served with {body!r}, which no line holds")
+        return sorted(owner.endings)
 
     def _bodies(self, data: bytes) -> list[str]:
-        found = []
+        bodies = []
         for line in data.split(b"\n"):
             try:
                 body = json.loads(line)["body"]
                 base64.b64decode(body, validate=True)
             except (ValueError, TypeError, LookupError, RecursionError):
                 continue
-            found.append(body)
-        return found
+            bodies.append(body)
+        return bodies
