--- a/cedarthread/protocols/invoke_server.py
+++ b/cedarthread/protocols/invoke_server.py
@@ -3,7 +3,7 @@
     POST   /v1/functions/FUNCTION/CLASS   a call; with ``Prefer: respond-async`` 202 and where to collect
     GET    /v1/calls/NAME                 a deferred call's result; 202 while there is none
     DELETE /v1/calls/NAME                 cancel a deferred call, or forget its result
-    GET    /v1/ready                      200, or 503 once the process has been told to end
+    GET    /v1/ready                      200, or 503 once the process is shutting down
 
 All calls go through the dispatcher, as the platform's do: same decisions, same rules."""
 
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.logs import format_event
 from cedarthread.protocols import spiffe
 from cedarthread.protocols.invoke_calls import InvokeCalls
 from cedarthread.protocols.invoke_config import InvokeConfig
@@ -112,12 +113,12 @@
             config = self.config.reread()
             tls_context = config.create_tls_context()
         except (OSError, ValueError, KeyError, TypeError) as error:
-            log.error("identities not reloaded, the old ones serve on: %s", error)
+            log.error(format_event("identities_not_reloaded", error=error, action="keep_current"))
             return False
         self.config, self._file_times = config, config.file_times()
         if self._acceptor is not None:
             self._acceptor.tls_context = tls_context  # open connections live on
-        log.info("identities reloaded")
+        log.info(format_event("identities_reloaded"))
         return True
 
     async def reload_if_changed(self) -> None:
--- a/cedarthread/protocols/workers.py
+++ b/cedarthread/protocols/workers.py
@@ -19,6 +19,7 @@
     not_sent_result,
 )
 from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.logs import format_event
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.model.outcomes import Outcome
 from cedarthread.model.settings import RouterSettings
@@ -118,7 +119,7 @@
         # Connections to a machine that has vanished stay open and silent: the next attempt makes a new one.
         is_silent = self._loop.time() - connection.last_read_at > SILENCE_S
         connection.is_retired = connection.is_retired or is_silent
-        if not self.settings.limits.can_cancel:  # the worker cannot be told: the attempt ends here alone
+        if not self.settings.limits.can_cancel:  # the worker goes on with it: the attempt ends here alone
             connection.abandon(attempt.call.call_id)
             return self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.TIMEOUT))
         cancel_line = connection.send_cancel(attempt)
@@ -192,7 +193,7 @@
         count = sum(len(pool.connections) for pool in self.pools.values())
         if count < self.max_connections or self._close_longest_idle():
             return True
-        log.warning("bound of %d runner connections reached", self.max_connections)
+        log.warning(format_event("worker_connection_limit_reached", max_connections=self.max_connections))
         return False
 
     def release_descriptor(self) -> bool:
