--- a/cedarthread/testing/cluster/injected_defects.py
+++ b/cedarthread/testing/cluster/injected_defects.py
@@ -1,7 +1,7 @@
-"""Defects that a drill plants in the routers, to see that its judge finds them: a line of ``PLANTS`` each.
+"""Defects that a scenario injects into the routers, to see that the evaluation finds them.
 
-A defect is a function's place, as ``module:function``; it is run in a router's process before that serves.
-Nothing of the program is imported before.
+A defect is a line of ``DEFECTS``: its name in scenario files, and a function as ``module:function`` that
+patches the program. It runs in a router's process before that serves, and imports what it patches itself.
 """
 
 from __future__ import annotations
@@ -11,86 +11,88 @@
 from cedarthread.model.endpoints import EndpointUpdate
 
 DEFECTS = {
-    "chance": "cedarthread.testing.cluster.injected_defects:chance",
-    "eager": "cedarthread.testing.cluster.injected_defects:eager",
-    "twice": "cedarthread.testing.cluster.injected_defects:twice",
-    "gate bypassed": "cedarthread.testing.cluster.injected_defects:bypassed",
-    "allowance each": "cedarthread.testing.cluster.injected_defects:each",
-    "retuned around": "cedarthread.testing.cluster.injected_defects:around",
-    "revoked at once": "cedarthread.testing.cluster.injected_defects:at_once",
-    "clock followed": "cedarthread.testing.cluster.injected_defects:followed",
-    "unlisted": "cedarthread.testing.cluster.injected_defects:unlisted",
-    "drown": "cedarthread.testing.cluster.injected_defects:drown",
-    "ramp": "cedarthread.testing.cluster.injected_defects:ramp",
-    "believes": "cedarthread.testing.cluster.injected_defects:believes",
+    "chance": "cedarthread.testing.cluster.injected_defects:popularity_by_chance",
+    "eager": "cedarthread.testing.cluster.injected_defects:overreact_to_reports",
+    "twice": "cedarthread.testing.cluster.injected_defects:retry_always",
+    "gate bypassed": "cedarthread.testing.cluster.injected_defects:bypass_admission_gate",
+    "allowance each": "cedarthread.testing.cluster.injected_defects:exception_budget_per_router",
+    "retuned around": "cedarthread.testing.cluster.injected_defects:follow_settings_in_window",
+    "revoked at once": "cedarthread.testing.cluster.injected_defects:revoke_at_once",
+    "clock followed": "cedarthread.testing.cluster.injected_defects:trust_host_clock",
+    "unlisted": "cedarthread.testing.cluster.injected_defects:keep_unlisted_workers",
+    "drown": "cedarthread.testing.cluster.injected_defects:flood_peer_queries",
+    "ramp": "cedarthread.testing.cluster.injected_defects:unlimited_recovery_loads",
+    "believes": "cedarthread.testing.cluster.injected_defects:trust_earlier_incarnations",
 }
 
 
 def inject(name: str) -> None:
-    """Put one in this process; no name: nothing."""
+    """Inject one into this process; an empty name: none."""
     if name:
         module, _, function = DEFECTS[name].partition(":")
         getattr(import_module(module), function)()
 
 
-def chance() -> None:
-    """What chance sent twice passes for popular."""
+def popularity_by_chance() -> None:
+    """A function that was called twice by chance passes for popular."""
     from cedarthread.routing import popularity
 
     popularity.CALLS_IN_WINDOW, popularity.MIN_CALL_COUNT = 1.0, 1.0
 
 
-def eager() -> None:
-    """All move at once at each report."""
+def overreact_to_reports() -> None:
+    """All routers move their calls at each load report."""
     from cedarthread.routing import estimators
 
     estimators.REPORTED_LOAD_WEIGHT = 2.0
 
 
-def twice() -> None:
-    """What may have run is sent again, whatever its class."""
+def retry_always() -> None:
+    """A call that may have been executed is retried, whatever its class."""
     from cedarthread.routing import retries
 
     retries.RetryPolicy.may_attempt = lambda self, now, pending: True  # type: ignore[method-assign]
 
 
-def bypassed() -> None:
-    """What a freeze says of a load is not asked."""
+def bypass_admission_gate() -> None:
+    """A change freeze is not asked about routing and loads."""
     from cedarthread.components import constraints
 
-    constraints.RoutingConstraints.may_route = lambda *told: True  # type: ignore[method-assign]
-    constraints.RoutingConstraints.may_load = lambda *told: True  # type: ignore[method-assign]
+    constraints.RoutingConstraints.may_route = lambda *arguments: True  # type: ignore[method-assign]
+    constraints.RoutingConstraints.may_load = lambda *arguments: True  # type: ignore[method-assign]
 
 
-def each() -> None:
-    """Every router may use the whole of a window's allowance."""
+def exception_budget_per_router() -> None:
+    """Each router may use a window's complete exception budget."""
     from cedarthread.change_freeze import admission_gate
     from cedarthread.change_freeze.placement_changes import PlacementChange
 
-    def permits(self: admission_gate.AdmissionGate, now: float, change: PlacementChange) -> bool:
+    def has_own_budget(self: admission_gate.AdmissionGate, now: float, change: PlacementChange) -> bool:
         rules = [rule for rule in self.rules if rule.covers(change)]
         return bool(rules) and all(self.exceptions_used < rule.exception_budget for rule in rules)
 
-    admission_gate.AdmissionGate._has_exception = permits  # type: ignore[method-assign]
-    admission_gate.AdmissionGate._use_exception = lambda self, now, change, rules: permits(self, now, change)  # type: ignore[method-assign]
+    admission_gate.AdmissionGate._has_exception = has_own_budget  # type: ignore[method-assign]
+    admission_gate.AdmissionGate._use_exception = (  # type: ignore[method-assign]
+        lambda self, now, change, rules: has_own_budget(self, now, change)
+    )
 
 
-def around() -> None:
-    """New settings are followed whole in a window, and homes with them."""
+def follow_settings_in_window() -> None:
+    """New settings apply completely in a window, and move home workers."""
     from cedarthread.change_freeze import admission_gate
 
     admission_gate.AdmissionGate.admitted_settings = lambda self, now, old, new: new  # type: ignore[method-assign]
 
 
-def at_once() -> None:
-    """A revocation acts as soon as it is heard."""
+def revoke_at_once() -> None:
+    """A revocation is in effect as soon as it is received."""
     from cedarthread.change_freeze import window
 
     window._HeldVersion.is_effective = lambda self, reading: True  # type: ignore[method-assign]
 
 
-def followed() -> None:
-    """The host's wall clock is believed, whatever others tell."""
+def trust_host_clock() -> None:
+    """The host's wall clock is trusted, whatever other routers have."""
     from cedarthread.change_freeze import wall_clock
 
     def follow_host(self: wall_clock.WallClock, now: float, unix_ms: float, has_window: bool) -> None:
@@ -105,24 +107,24 @@
     wall_clock.WallClock.unix_ms_bounds = constant_bounds  # type: ignore[method-assign]
 
 
-def unlisted() -> None:
-    """A runner that the list has no more is sent calls as before."""
+def keep_unlisted_workers() -> None:
+    """A worker that the endpoint list has no more is sent calls as before."""
     from dataclasses import replace
 
     from cedarthread.routing import router
 
-    members = router.Router._on_endpoint_update
+    on_endpoint_update = router.Router._on_endpoint_update
 
-    def keeps(self: router.Router, now: float, update: EndpointUpdate) -> None:
-        told = {entry.worker_id for entry in update.endpoints}
-        kept = [view.endpoint for worker, view in self.workers.items() if worker not in told]
-        members(self, now, replace(update, endpoints=(*update.endpoints, *kept)))
+    def keep_all(self: router.Router, now: float, update: EndpointUpdate) -> None:
+        listed = {endpoint.worker_id for endpoint in update.endpoints}
+        unlisted = [record.endpoint for worker_id, record in self.workers.items() if worker_id not in listed]
+        on_endpoint_update(self, now, replace(update, endpoints=(*update.endpoints, *unlisted)))
 
-    router.Router._on_endpoint_update = keeps  # type: ignore[method-assign]
+    router.Router._on_endpoint_update = keep_all  # type: ignore[method-assign]
 
 
-def drown() -> None:
-    """Who comes back asks all at once, again and again, and who is asked answers all."""
+def flood_peer_queries() -> None:
+    """Returning routers query all peers at once, over and over, and peers answer all queries."""
     from cedarthread.recovery import pacing_limits, peer_query
     from cedarthread.statistics import TokenBucket
 
@@ -133,19 +135,19 @@
         peer_query.INITIAL_BACKOFF_MS,
         peer_query.INITIAL_SPREAD_MS,
     ) = 1000, 50.0, 1.0, 1.0
-    endless = type("Endless", (TokenBucket,), {"take": lambda *told: True})
+    endless = type("Endless", (TokenBucket,), {"take": lambda *arguments: True})
     peer_query.__dict__["TokenBucket"] = endless
 
 
-def ramp() -> None:
-    """A return bounds no load."""
+def unlimited_recovery_loads() -> None:
+    """Recovery limits no loads."""
     from cedarthread.recovery.component import RecoveryComponent
 
     RecoveryComponent.try_acquire_load = lambda self, now, function_id: True  # type: ignore[method-assign]
 
 
-def believes() -> None:
-    """What stood at an earlier start of a runner passes for standing."""
+def trust_earlier_incarnations() -> None:
+    """An instance from before a worker's restart passes for a present one."""
     from cedarthread.recovery import warm_state
 
     warm_state.start_tag = lambda started_at_ms: 0
