Routing: three usual cases are answered before a call into another module

Change: no outage of a zone, a worker past its slow start and a mean without values are answered at once, with the same value.

--- a/cedarthread/routing/records.py
+++ b/cedarthread/routing/records.py
@@ -81,8 +81,10 @@
 
     def available_capacity(self, now: float, rules: RuleParameters) -> float:
         """The part of its capacity that it has at least, by its told start or what looked like one."""
-        started_at_ms = max(self.endpoint.started_at_ms or -math.inf, self.unreachable_at_ms)
-        return slow_start.available_capacity(rules, now - started_at_ms)
+        age_ms = now - max(self.endpoint.started_at_ms or -math.inf, self.unreachable_at_ms)
+        if age_ms >= rules.slow_start_ms:  # the usual case, asked for each candidate of each call
+            return 1.0
+        return slow_start.available_capacity(rules, age_ms)
 
 
 @dataclass(slots=True)
--- a/cedarthread/routing/selection.py
+++ b/cedarthread/routing/selection.py
@@ -199,10 +199,10 @@
 
     def _can_reach(self, now: float, worker: WorkerRecord, is_idempotent: bool) -> bool:
         """A call into an unreachable zone is lost with its time; where all are silent, that tells nothing."""
-        state = self.state
-        return state.workers.is_every_zone_unreachable or state.zones.may_send(
-            now, worker.endpoint.zone, is_idempotent
-        )
+        zones = self.state.zones
+        if not zones.unreachable or self.state.workers.is_every_zone_unreachable:
+            return True
+        return zones.may_send(now, worker.endpoint.zone, is_idempotent)
 
     def fits_slow_start(self, now: float, worker: WorkerRecord, work_ms: float) -> bool:
         """Slow start: whether this router may send a worker that started lately one more call."""
--- a/cedarthread/statistics.py
+++ b/cedarthread/statistics.py
@@ -83,6 +83,8 @@
 
     def read(self, now: float, prior_count: float, prior: float = 0.0) -> float:
         """The mean now; with few values, near the prior, which weighs as much as ``prior_count`` values."""
+        if not self.count.value:  # no values yet: usual where workers report no load
+            return prior_count * prior / prior_count
         return (self.total.read(now) + prior_count * prior) / (self.count.read(now) + prior_count)
 
     def add(self, now: float, value: float, time_constant_ms: float) -> None:
