Tests of cluster harness and fuzzing: names in standard terms

Change: names of tests and of their variables; the same cases in the same order, expectations untouched.

--- a/tests/integration/test_cluster.py
+++ b/tests/integration/test_cluster.py
@@ -98,13 +98,13 @@
         ({"fault": [{"kind": "kill", "who": "router", "when": 5}]}, "fault 1: no such key: when"),
     ],
 )
-def test_a_bad_scenario_is_told_where_and_what(top: dict[str, Any], says: str) -> None:
-    with pytest.raises(ScenarioError) as told:
+def test_a_scenario_error_says_where_and_what(top: dict[str, Any], says: str) -> None:
+    with pytest.raises(ScenarioError) as error:
         parse_scenario(top)
-    assert says in str(told.value)
+    assert says in str(error.value)
 
 
-def test_a_scenario_file_is_read_and_a_missing_or_spoilt_one_is_named(tmp_path: Path) -> None:
+def test_a_scenario_file_is_read_and_a_missing_or_malformed_one_is_named(tmp_path: Path) -> None:
     file = tmp_path / "one.toml"
     file.write_text(
         'name = "x"\nrate = 50\n[[fault]]\nkind = "stop"\nat = 1\nuntil = 2\nwho = "router:1-2"\n'
@@ -119,8 +119,8 @@
         assert cli.main(["rig", "run", str(bad)]) == 2
 
 
-def test_the_network_does_what_the_timeline_says_and_the_same_again() -> None:
-    told = [
+def test_the_network_follows_the_timeline_and_its_seed() -> None:
+    faults = [
         {"kind": "loss", "at": 1.0, "until": 2.0, "who": "router", "to": "router", "figure": 0.5},
         {"kind": "double", "at": 2.0, "until": 3.0, "who": "router", "to": "router", "figure": 1.0},
         {"kind": "reorder", "at": 3.0, "until": 4.0, "who": "router", "to": "router"},
@@ -129,7 +129,7 @@
     ]
 
     def play() -> list[list[float]]:
-        network = Network(parse_scenario({"fault": told}).faults, 7)
+        network = Network(parse_scenario({"fault": faults}).faults, 7)
         return [network.datagram_delays_ms(10.0 * n, router(0), router(1)) for n in range(500)]
 
     seen = play()
@@ -140,18 +140,18 @@
     assert (
         len(set(late)) > 90 and max(late) <= MAX_REORDER_DELAY_MS and all(one == [] for one in seen[400:500])
     )
-    network = Network(parse_scenario({"fault": told}).faults, 7)
+    network = Network(parse_scenario({"fault": faults}).faults, 7)
     assert network.datagram_delays_ms(4500.0, router(1), router(0)) == [0.0], "it is cut one way only"
     assert network.stream_delay_ms(4500.0, worker(3), router(2)) == 500.0, "bytes come once the cut is over"
     assert network.stream_delay_ms(5000.0, router(2), worker(3)) == 0.0
 
 
-def test_a_stall_holds_all_bytes_and_who_judges_draws_no_number() -> None:
-    told = [
+def test_a_stall_delays_all_bytes_and_evaluation_draws_no_number() -> None:
+    faults = [
         {"kind": "stall", "at": 1.0, "until": 2.0, "who": "router:1", "to": "runner:2"},
         {"kind": "loss", "at": 1.0, "until": 2.0, "who": "router:3", "to": "runner", "figure": 0.5},
     ]
-    network = Network(parse_scenario({"fault": told}).faults, 7)
+    network = Network(parse_scenario({"fault": faults}).faults, 7)
     assert network.stream_delay_ms(1250.0, worker(2), router(1)) == 750.0
     assert network.datagram_delays_ms(1250.0, router(1), worker(2)) == []
     before = network.rng.getstate()
@@ -159,13 +159,13 @@
     assert not network.is_disturbed(1250.0, router(4), worker(2))
 
 
-def test_clocks_step_and_run_fast_and_disks_are_told_what_to_do(tmp_path: Path) -> None:
+def test_control_files_shift_clocks_change_their_rate_and_set_disk_faults(tmp_path: Path) -> None:
     now = [100.0]
-    told = bytearray(CLOCK_CONTROL.pack(0.0, 1.5, 90.0))
-    off = faulty_clocks(told, lambda: now[0], lambda: now[0])
-    assert (off.time(), off.monotonic()) == (105.0, 105.0)
-    told[:] = CLOCK_CONTROL.pack(-2000.0, 1.0, 90.0)
-    assert (off.time(), off.monotonic()) == (98.0, 100.0), "a step leaves the steady clock alone"
+    control = bytearray(CLOCK_CONTROL.pack(0.0, 1.5, 90.0))
+    clocks = faulty_clocks(control, lambda: now[0], lambda: now[0])
+    assert (clocks.time(), clocks.monotonic()) == (105.0, 105.0)
+    control[:] = CLOCK_CONTROL.pack(-2000.0, 1.0, 90.0)
+    assert (clocks.time(), clocks.monotonic()) == (98.0, 100.0), "a step leaves the steady clock alone"
     files = RouterFiles(parse_scenario({"routers": 1}), tmp_path, 0)
     files.set_clock(rate=2.0)
     files.set_disk_fault("slow_sync", 5000.0)
@@ -174,12 +174,12 @@
     assert (len(disk), DISK_CONTROL.unpack(disk[:16])) == (64, (8, 5000.0))
 
 
-def test_lists_follow_the_timeline_and_a_serial_never_goes_back() -> None:
-    told = [
+def test_endpoint_lists_follow_the_timeline_and_versions_never_go_back() -> None:
+    faults = [
         {"kind": "hide", "at": 2.0, "until": 4.0, "who": "runner:0", "to": "router:1"},
         {"kind": "die", "at": 1.0, "until": 3.0, "who": "runner:1"},
     ]
-    lists = EndpointListTimeline(parse_scenario({"runners": 2, "fault": told}), [4001, 4002])
+    lists = EndpointListTimeline(parse_scenario({"runners": 2, "fault": faults}), [4001, 4002])
     seen = [lists.list_at(1000.0 * at, 1) for at in (-1e6, 1.5, 2.5, 3.5, 4.5)]
     assert [serial for serial, _ in seen] == [1, 1, 2, 3, 4]
     assert [[one.port for one in listed] for _, listed in seen[1:4]] == [[4001, 4002], [4002], [4002]]
@@ -187,7 +187,7 @@
     assert len(lists.list_at(2500.0, 0)[1]) == 2, "it is hidden from one router alone"
 
 
-def test_a_spoilt_reply_is_not_what_it_was_and_raises_nothing() -> None:
+def test_a_corrupt_reply_differs_and_raises_nothing() -> None:
     whole, rng = (
         encode_reply(dns.encode_query(9, SERVICE_NAME), 5, (ListedWorker("s-00000001", 4001),), "room-a"),
         random.Random(1),
@@ -198,15 +198,15 @@
         assert isinstance(dns.parse(bad), (dns.Reply, dns.UnusableReply))
 
 
-def test_books_give_peaks_worths_and_the_time_to_full_service() -> None:
+def test_recordings_give_peaks_value_rates_and_the_time_to_full_service() -> None:
     assert peak_count([0.0, 100.0, 200.0, 249.0, 260.0, 900.0]) == 4 and peak_count([]) == 0
     served = [ServedValue(100.0 * n, 2.0) for n in range(200) if not 50 <= n < 80]
-    told = value_rates(served, 20_000.0)
-    assert (told[0], told[20], len(told)) == (20.0, 0.0, 77)
+    rates = value_rates(served, 20_000.0)
+    assert (rates[0], rates[20], len(rates)) == (20.0, 0.0, 77)
     # Served again from 8 s on: the first whole window ends at 9 s, 3.5 s after the last death.
-    assert time_to_full_service(told, 5.5, undisturbed_rate=20.0) == 3.5
-    assert time_to_full_service(told, 5.5, undisturbed_rate=22.0) is None
-    assert time_to_full_service(told[:60], 5.5, undisturbed_rate=20.0, stable_s=9.0) is None, (
+    assert time_to_full_service(rates, 5.5, undisturbed_rate=20.0) == 3.5
+    assert time_to_full_service(rates, 5.5, undisturbed_rate=22.0) is None
+    assert time_to_full_service(rates[:60], 5.5, undisturbed_rate=20.0, stable_s=9.0) is None, (
         "it must stay so"
     )
 
@@ -241,7 +241,7 @@
         ([*ASKED, RAN[0], LATE], "ms late"),
     ],
 )
-def test_the_judge_finds_each_rule_broken_in_the_books(facts: list[Fact], says: str) -> None:
+def test_the_evaluation_finds_each_rule_broken_in_the_recordings(facts: list[Fact], says: str) -> None:
     too_long = PeerDatagram(1.0, 0, 0xC1, 257)
     recordings = [Recording(facts=facts[::2]), Recording(facts=facts[1::2], peer_datagrams=[too_long])]
     violations = evaluate(parse_scenario({"routers": 2, "runners": 2}), recordings, 0.0, {}).violations
@@ -249,7 +249,7 @@
     assert says or len(violations) == 1
 
 
-def test_what_a_late_process_reads_in_one_turn_has_one_time() -> None:
+def test_all_that_is_read_in_one_loop_iteration_has_one_time() -> None:
     """Else a call cancelled on one connection looks as if it was out twice, when the machine is busy."""
 
     async def late(loop: VirtualLoop) -> None:
@@ -269,7 +269,7 @@
     run_virtual(late)
 
 
-def test_a_new_timer_ends_the_one_before_it() -> None:
+def test_a_new_timer_cancels_the_previous_one() -> None:
     """Each that is left to fire wakes the process for a token that is past."""
     seen: list[Event] = []
 
@@ -285,7 +285,7 @@
     assert seen == [TimerFired(2), TimerFired(COMPONENT_TIMER_TOKEN)]
 
 
-def test_a_drill_or_defect_joins_by_one_line() -> None:
+def test_a_scenario_set_or_defect_is_added_by_one_line() -> None:
     for name in SCENARIO_MODULES:
         one = load_scenario_set(name)
         assert all(list(make(1, 24)) for make in (one.quick, one.full)) and one.HEAD
@@ -294,89 +294,89 @@
         assert callable(getattr(import_module(module), function))
 
 
-def test_the_resolver_says_what_the_router_reads() -> None:
-    told = (
+def test_the_router_reads_what_the_fake_discovery_server_writes() -> None:
+    listed = (
         ListedWorker("s-00000001", 4001),
         ListedWorker("s-00000002", 4002, is_draining=True, started_at_ms=7.0),
     )
-    parsed = dns.parse(encode_reply(dns.encode_query(9, SERVICE_NAME), 5, told, "room-a"))
+    parsed = dns.parse(encode_reply(dns.encode_query(9, SERVICE_NAME), 5, listed, "room-a"))
     assert isinstance(parsed, dns.Reply) and (parsed.query_id, parsed.serial) == (9, 5)
-    found = endpoints_from_reply(parsed)
-    assert not isinstance(found, str)
-    assert [(one.name, one.port, one.state.value, one.started_at_ms) for one in found] == [
+    records = endpoints_from_reply(parsed)
+    assert not isinstance(records, str)
+    assert [(record.name, record.port, record.state.value, record.started_at_ms) for record in records] == [
         ("s-00000001", 4001, "ready", 0.0),
         ("s-00000002", 4002, "draining", 7.0),
     ]
 
 
-def test_a_reply_that_says_what_the_last_did_is_not_read_again(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_reply_like_the_last_one_is_not_parsed_again(monkeypatch: pytest.MonkeyPatch) -> None:
     """Five a second come, and reading a long list each time took half of an idle router's CPU."""
 
     async def play() -> None:
-        told: list[int] = []
-        resolver = DiscoveryClient(lambda serial, found: told.append(serial))
-        read_ = 0
+        serials: list[int] = []
+        client = DiscoveryClient(lambda serial, found: serials.append(serial))
+        parse_count = 0
 
-        def parse_(data: bytes) -> dns.Reply | dns.UnusableReply:
-            nonlocal read_
-            read_ += 1
+        def counting_parse(data: bytes) -> dns.Reply | dns.UnusableReply:
+            nonlocal parse_count
+            parse_count += 1
             return dns.parse(data)
 
         monkeypatch.setattr(
             "cedarthread.protocols.discovery.dns",
-            SimpleNamespace(parse=parse_, UnusableReply=dns.UnusableReply),
+            SimpleNamespace(parse=counting_parse, UnusableReply=dns.UnusableReply),
         )
         runners = (ListedWorker("s-00000001", 4001),)
-        resolver._outstanding_ids.extend((1, 2, 3, 4))
+        client._outstanding_ids.extend((1, 2, 3, 4))
         for number, serial in ((1, 5), (2, 5), (3, 5), (9, 5), (4, 6)):
-            resolver.last_usable_reply_at = 0.0
-            resolver.datagram_received(
+            client.last_usable_reply_at = 0.0
+            client.datagram_received(
                 encode_reply(dns.encode_query(number, SERVICE_NAME), serial, runners, "room-a"), None
             )
-            assert bool(resolver.last_usable_reply_at) is (number != 9), (
+            assert bool(client.last_usable_reply_at) is (number != 9), (
                 "an answer to what nobody asked counts for nothing"
             )
-        assert told == [5, 6] and read_ == 2
+        assert serials == [5, 6] and parse_count == 2
 
     asyncio.run(play())
 
 
-def test_an_idle_router_wakes_only_to_ask_its_resolver(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_idle_router_wakes_only_for_discovery_queries(monkeypatch: pytest.MonkeyPatch) -> None:
     """Each waking costs some 0.2 ms of CPU: the sweep and the look at members and talk come with a query."""
-    wakings: list[float] = []
+    wakeups: list[float] = []
 
     async def idle(loop: VirtualLoop) -> None:
         limits = SETTINGS["limits"] | {"peers": True}
-        told = settings_from_object(SETTINGS | {"balancers": 24, "limits": limits})
-        service = Service(Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, told, ()))
+        settings = settings_from_object(SETTINGS | {"balancers": 24, "limits": limits})
+        service = Service(Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, ()))
         service.dispatcher.peer_message_received(3, b"\xc2")
         service.discovery.connection_made(SimpleNamespace(sendto=lambda data: None, close=lambda: None))  # type: ignore[arg-type]
         await asyncio.sleep(0.07)
         service.maintenance.sweep()
-        select, looks = loop.select, list[float]()
-        turn = service.dispatcher.node.membership.on_tick  # type: ignore[union-attr]
+        select, ticks = loop.select, list[float]()
+        on_tick = service.dispatcher.node.membership.on_tick  # type: ignore[union-attr]
         monkeypatch.setattr(
             service.dispatcher.node.membership,
             "on_tick",
-            lambda now: (looks.append(now), turn(now))[1],  # type: ignore[func-returns-value]
+            lambda now: (ticks.append(now), on_tick(now))[1],  # type: ignore[func-returns-value]
         )
         monkeypatch.setattr(
             loop,
             "select",
-            lambda timeout: (wakings.append(timeout or 0.0), select(timeout))[1],  # type: ignore[func-returns-value]
+            lambda timeout: (wakeups.append(timeout or 0.0), select(timeout))[1],  # type: ignore[func-returns-value]
         )
         await asyncio.sleep(5.0)
-        assert len(looks) >= 20, "members and talk are looked at four times a second at least"
+        assert len(ticks) >= 20, "members and talk are looked at four times a second at least"
         assert (
             service.maintenance.sweep_timer is not None
             and service.maintenance.sweep_timer.when() > loop.time() - 0.01
         )
 
     run_virtual(idle)
-    assert 24 <= sum(timeout > 0.001 for timeout in wakings) <= 28
+    assert 24 <= sum(timeout > 0.001 for timeout in wakeups) <= 28
 
 
-def test_replays_take_the_same_arrivals_and_who_sees_all_spreads_best() -> None:
+def test_replays_take_the_same_arrivals_and_the_omniscient_policy_loads_least() -> None:
     scenario = Scenario(router_count=50, duration_s=8.0)
     arrivals = generate_arrivals(scenario)
     assert arrivals == generate_arrivals(scenario) and len({arrival.call_id for arrival in arrivals}) == len(
@@ -391,32 +391,34 @@
 
 def result(**changes: Any) -> Result:
     good = LoadBalanceMetrics(1.2, 0.2, 100.0, (), 5.0, 0, 1000)
-    told = Result("x", 1, good, {"all": good}, {"served": 1000}, [], 2.0, 1.0, 0.0, DatagramCounts(0, 0))
-    return dataclasses.replace(told, **changes)
+    usual = Result("x", 1, good, {"all": good}, {"served": 1000}, [], 2.0, 1.0, 0.0, DatagramCounts(0, 0))
+    return dataclasses.replace(usual, **changes)
 
 
-def test_the_drill_tells_what_must_not_be() -> None:
+def test_load_spread_reports_each_failing() -> None:
     assert load_spread.failings(result()) == []
-    even = result().load_balance
+    load_balance = result().load_balance
     bad = {
         "void": result(lag_ms=100.0),
-        "herd": result(load_balance=dataclasses.replace(even, hotspots=(Hotspot(1000.0, 3, 50, 9.0),))),
-        "idle for 2500": result(load_balance=dataclasses.replace(even, longest_idle_ms=2500.0)),
-        "peak-to-mean 1.70": result(load_balance=dataclasses.replace(even, peak_to_mean=1.7)),
+        "herd": result(
+            load_balance=dataclasses.replace(load_balance, hotspots=(Hotspot(1000.0, 3, 50, 9.0),))
+        ),
+        "idle for 2500": result(load_balance=dataclasses.replace(load_balance, longest_idle_ms=2500.0)),
+        "peak-to-mean 1.70": result(load_balance=dataclasses.replace(load_balance, peak_to_mean=1.7)),
         "0.50 of the calls": result(answers={"served": 500, "refused": 500}),
         "two attempts": result(violations=["attempts: two attempts out"]),
     }
-    for says, one in bad.items():
-        assert [says in failing for failing in load_spread.failings(one)] == [True]
+    for says, faulty in bad.items():
+        assert [says in failing for failing in load_spread.failings(faulty)] == [True]
 
 
-def test_the_return_is_judged_by_the_books() -> None:
+def test_mass_restart_reports_each_failing() -> None:
     """Calls every 20 ms; none are served from 5 to 7 s, and what must not be is told, each by itself."""
     fault = [
         {"kind": "kill", "at": 5.0, "until": 6.0, "who": "router"},
         {"kind": "hide", "at": 5.0, "who": "runner:1", "to": "router"},
     ]
-    played = parse_scenario({"name": "quick", "routers": 1, "runners": 2, "fault": fault})
+    scenario = parse_scenario({"name": "quick", "routers": 1, "runners": 2, "fault": fault})
     facts: list[Fact] = []
     for n in range(800):
         at, call_id = 20.0 * n, f"0000{n:x}"
@@ -428,12 +430,12 @@
     good = result(
         scenario_name="quick",
         facts=facts,
-        scenario=played,
+        scenario=scenario,
         faults=[FaultSpan(FaultKind.KILL_ROUTER, 5.0, 6.0)],
     )
-    calm = result(scenario_name=mass_restart.UNDISTURBED)
+    undisturbed = result(scenario_name=mass_restart.UNDISTURBED)
     assert mass_restart.time_to_recover_s(good) == 3.0
-    assert mass_restart.failings(good, [calm]) == []
+    assert mass_restart.failings(good, [undisturbed]) == []
     late = AttemptSent(9000.0, "0000x", 1, 8000.0)
     bad = {
         "loads in": dataclasses.replace(good, time_series={"loads": [6000.0] * 11}),
@@ -442,32 +444,32 @@
         "not reached": dataclasses.replace(good, facts=[fact for fact in facts if fact.at_ms < 10_000.0]),
         "two attempts": dataclasses.replace(good, violations=["attempts: two attempts out"]),
     }
-    for says, one in bad.items():
-        assert [says in failing for failing in mass_restart.failings(one, [calm])] == [True]
+    for says, faulty in bad.items():
+        assert [says in failing for failing in mass_restart.failings(faulty, [undisturbed])] == [True]
 
 
-def test_planted_defects_are_found() -> None:
+def test_injected_defects_are_found() -> None:
     """Chance passes for popularity; all move at each report; what may have run is sent again."""
     dies = [{"kind": "die", "at": 3.0 + n, "until": 5.0 + n, "who": f"runner:{n}"} for n in range(3)]
     small = {"routers": 12, "runners": 6, "rate": 120.0, "warm_up": 2.0, "seconds": 6.0, "fault": dies}
     (quick,) = load_spread.quick(1)
     quick = dataclasses.replace(quick, is_gossip_enabled=False)
-    planted = [dataclasses.replace(quick, injected_defect=defect) for defect in ("chance", "eager")]
-    planted.append(parse_scenario(small | {"plant": "twice"}))
+    scenarios = [dataclasses.replace(quick, injected_defect=defect) for defect in ("chance", "eager")]
+    scenarios.append(parse_scenario(small | {"plant": "twice"}))
 
     async def play() -> list[Result]:
-        return await asyncio.gather(*(cli.run_scenario(scenario) for scenario in planted))
+        return await asyncio.gather(*(cli.run_scenario(scenario) for scenario in scenarios))
 
-    chance, eager, twice = asyncio.run(play())
-    for even in (chance, eager):
-        assert any("of the calls served" in failing for failing in load_spread.failings(even))
-    assert any("effects" in failing for failing in load_spread.failings(twice))
+    chance, eager, retrying = asyncio.run(play())
+    for overreacting in (chance, eager):
+        assert any("of the calls served" in failing for failing in load_spread.failings(overreacting))
+    assert any("effects" in failing for failing in load_spread.failings(retrying))
 
 
-def test_many_processes_keep_the_rules_and_spread_load_while_parts_fail(tmp_path: Path) -> None:
+def test_many_processes_keep_the_rules_and_spread_load_under_faults(tmp_path: Path) -> None:
     """A runner dies and comes back empty, routers are killed and stopped, datagrams are lost and doubled."""
     (quick,) = load_spread.quick(3, routers=12)
-    spoil = [
+    more_faults = [
         {"kind": "stall", "at": 6.0, "until": 8.0, "who": "router:5", "to": "runner:1-2"},
         {"kind": "spoilt", "at": 5.0, "until": 9.0, "who": "resolver:6", "figure": 0.7},
         {"kind": "mute", "at": 5.0, "until": 8.0, "who": "resolver:7"},
@@ -475,7 +477,7 @@
         {"kind": "clock", "at": 6.0, "until": 8.0, "who": "router:9", "figure": 400.0},
         {"kind": "burst", "at": 7.0, "until": 8.0, "who": "router", "figure": 2.0},
     ]
-    more = parse_scenario({"routers": 12, "runners": 8, "fault": spoil}).faults
+    more = parse_scenario({"routers": 12, "runners": 8, "fault": more_faults}).faults
     scenario = dataclasses.replace(
         quick,
         calls_per_second=150.0,
@@ -484,29 +486,33 @@
         tenants="hydro 0.5",
         faults=quick.faults + more,
     )
-    told = asyncio.run(cli.run_scenario(scenario))
-    assert not told.is_void and told.answers_by_tenant["hydro"]["served"] > 300
-    asked = [
-        len([at for at in told.time_series["questions"] if begin <= at < begin + 1000.0])
+    result = asyncio.run(cli.run_scenario(scenario))
+    assert not result.is_void and result.answers_by_tenant["hydro"]["served"] > 300
+    query_counts = [
+        len([at for at in result.time_series["questions"] if begin <= at < begin + 1000.0])
         for begin in (2000.0, 5500.0)
     ]
-    assert 50 <= asked[0] <= 65 and told.peak_counts["loads"] > 3 and min(told.value_rates[16:20]) > 200.0
-    assert told.violations == []
-    assert told.answers["served"] > 0.9 * sum(told.answers.values()) and not told.load_balance.hotspots
-    assert told.datagrams[0] > 100 and told.datagrams[1] > 10, "routers talked, and some of it was lost"
-    (tmp_path / "x.json").write_text(json.dumps(told.to_json()))
+    assert (
+        50 <= query_counts[0] <= 65
+        and result.peak_counts["loads"] > 3
+        and min(result.value_rates[16:20]) > 200.0
+    )
+    assert result.violations == []
+    assert result.answers["served"] > 0.9 * sum(result.answers.values()) and not result.load_balance.hotspots
+    assert result.datagrams[0] > 100 and result.datagrams[1] > 10, "routers talked, and some of it was lost"
+    (tmp_path / "x.json").write_text(json.dumps(result.to_json()))
     assert cli.main(["rig", "report", str(tmp_path)]) == 0 and "<svg" in (tmp_path / "x.svg").read_text()
 
 
 @pytest.mark.parametrize("which", [signal.SIGINT, signal.SIGTERM])
-def test_an_interrupted_rig_leaves_no_process(tmp_path: Path, which: signal.Signals) -> None:
+def test_an_interrupted_run_leaves_no_process(tmp_path: Path, which: signal.Signals) -> None:
     command = [sys.executable, "-m", "cedarthread", "drill", "spread", "--routers", "6", "--seed", "2"]
-    rig = subprocess.Popen(
+    process = subprocess.Popen(
         command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, cwd=Path(__file__).parents[2]
     )
-    listing = Path(f"/proc/{rig.pid}/task/{rig.pid}/children")
+    listing = Path(f"/proc/{process.pid}/task/{process.pid}/children")
     while len(children := listing.read_text().split()) < 6:
-        assert rig.poll() is None
-    rig.send_signal(which)
-    rig.communicate(timeout=30)
+        assert process.poll() is None
+    process.send_signal(which)
+    process.communicate(timeout=30)
     assert [child for child in children if Path(f"/proc/{child}").exists()] == []
--- a/tests/simulation/test_fuzzing.py
+++ b/tests/simulation/test_fuzzing.py
@@ -1,4 +1,4 @@
-"""The corpus and a fixed number of drawn runs, small worlds, and some of the planted defects."""
+"""The corpus and a fixed number of generated inputs, small models, and some of the injected defects."""
 
 from __future__ import annotations
 
@@ -22,28 +22,28 @@
 
 CORPUS = Path(__file__).parents[2] / "corpus"
 TARGETS = targets.targets_by_name()
-QUICK = [d for d in injected_defects.DEFECTS if d.runs <= 400 and d.target != "dns"]
+QUICK = [defect for defect in injected_defects.DEFECTS if defect.runs <= 400 and defect.target != "dns"]
 
 
 @pytest.mark.parametrize("name", TARGETS)
-def test_the_corpus_and_drawn_runs_hold(name: str) -> None:
-    said: list[str] = []
-    counts = replay({name: TARGETS[name]}, CORPUS, said.append, generates=True)
-    assert counts.findings == 0, said
+def test_the_corpus_and_generated_inputs_show_no_finding(name: str) -> None:
+    lines: list[str] = []
+    counts = replay({name: TARGETS[name]}, CORPUS, lines.append, generates=True)
+    assert counts.findings == 0, lines
     assert counts.generated_inputs == TARGETS[name].test_runs > 0
 
 
-def test_every_target_keeps_a_corpus() -> None:
+def test_every_target_has_a_corpus() -> None:
     assert all(corpus.inputs(name, CORPUS) for name in TARGETS)
 
 
-@pytest.mark.parametrize("defect", QUICK, ids=lambda d: d.name)
-def test_a_planted_defect_is_found(defect: injected_defects.Defect) -> None:
+@pytest.mark.parametrize("defect", QUICK, ids=lambda defect: defect.name)
+def test_an_injected_defect_is_found(defect: injected_defects.Defect) -> None:
     assert injected_defects.runs_until_found(defect, TARGETS[defect.target]) is not None
 
 
-def test_findings_show_when_their_defect_is_back() -> None:
-    """Each finding of the call machine fails with the repaired defect planted again, and holds without."""
+def test_findings_show_when_their_defect_is_injected_again() -> None:
+    """Each finding of the call machine fails with the repaired defect injected again, and holds without."""
     defects = {defect.name: defect for defect in injected_defects.DEFECTS}
     kept = [(Path(name).name, data) for name, data in corpus.findings("calls", CORPUS)]
     assert kept
@@ -53,13 +53,15 @@
 
 
 @pytest.mark.parametrize(
-    "scene", [s for s in small_models.MODELS if s.expected_states < 700], ids=lambda s: s.name
+    "model",
+    [model for model in small_models.MODELS if model.expected_states < 700],
+    ids=lambda model: model.name,
 )
-def test_a_small_world_holds_in_every_order(scene: small_models.SmallModel) -> None:
-    assert model_checking.explore(scene).verdict() is None
+def test_a_small_model_holds_in_every_order(model: small_models.SmallModel) -> None:
+    assert model_checking.explore(model).verdict() is None
 
 
-def test_a_small_world_shows_a_broken_rule_and_a_state_that_is_missing() -> None:
+def test_a_small_model_shows_a_broken_rule_and_a_missing_state() -> None:
     confirm = next(model_checking.models_named("confirm"))
     unsafe = next(d for d in injected_defects.DEFECTS if d.name == "unsafe-sent-again")
     with unsafe.planted():
@@ -68,7 +70,7 @@
     assert "states" in (found.verdict() or "")
 
 
-# The ledger: each rule is broken on purpose.
+# The invariant checker: each rule is broken on purpose.
 
 FRAGILE, KEYED = (
     CallGuarantees(Idempotency.NOT_IDEMPOTENT),
@@ -76,77 +78,77 @@
 )
 
 
-def book() -> InvariantChecker:
-    ledger = InvariantChecker(
+def make_checker() -> InvariantChecker:
+    checker = InvariantChecker(
         InvariantLimits(max_attempts=2, preload_window_ms=5000.0, preload_allowance=2.0, preload_share=0.1)
     )
     for worker in (1, 2):
-        ledger.on_worker_state(0.0, worker, "ready", zone=worker)
-    return ledger
-
-
-def rules(ledger: InvariantChecker) -> list[str]:
-    return [breach.rule for breach in ledger.violations]
-
-
-def test_the_ledger_wants_one_answer_in_time_with_a_body_that_was_made() -> None:
-    ledger = book()
-    ledger.on_call_submitted(0.0, "a", FRAGILE, 1000.0)
-    ledger.on_body_produced("a", b"x")
-    ledger.on_answer(1058.0, "a", "served", b"x")
-    assert not ledger.violations
-    ledger.on_answer(1059.0, "a", "served", b"y")
-    assert rules(ledger) == ["answers", "deadline", "served"]
-    ledger.on_call_submitted(0.0, "b", FRAGILE, 1000.0)
-    ledger.check_all_answered(2000.0)
-    ledger.on_answer(0.0, "nobody", "failed")
-    assert rules(ledger)[3:] == ["answers", "answers"]
-
-
-def test_the_ledger_knows_attempts_and_effects() -> None:
-    ledger = book()
-    ledger.on_call_submitted(0.0, "a", FRAGILE, 1000.0)
-    first = ledger.on_attempt_started(1.0, "a", 1)
-    ledger.on_attempt_ended(first, False)
-    second = ledger.on_attempt_started(2.0, "a", 2)
-    assert not ledger.violations
-    ledger.on_attempt_started(3.0, "a", 1)  # the second is out: two out, too many, and it may have run
-    assert rules(ledger) == ["attempts", "attempts", "effects"]
-    ledger.on_attempt_ended(second, True)
-    ledger.on_answer(4.0, "a", "refused")
-    assert rules(ledger)[3:] == ["effects"]
-
-
-def test_the_ledger_keeps_keyed_calls_to_their_window_and_group() -> None:
+        checker.on_worker_state(0.0, worker, "ready", zone=worker)
+    return checker
+
+
+def rules(checker: InvariantChecker) -> list[str]:
+    return [breach.rule for breach in checker.violations]
+
+
+def test_each_call_gets_one_answer_in_time_with_a_body_that_was_produced() -> None:
+    checker = make_checker()
+    checker.on_call_submitted(0.0, "a", FRAGILE, 1000.0)
+    checker.on_body_produced("a", b"x")
+    checker.on_answer(1058.0, "a", "served", b"x")
+    assert not checker.violations
+    checker.on_answer(1059.0, "a", "served", b"y")
+    assert rules(checker) == ["answers", "deadline", "served"]
+    checker.on_call_submitted(0.0, "b", FRAGILE, 1000.0)
+    checker.check_all_answered(2000.0)
+    checker.on_answer(0.0, "nobody", "failed")
+    assert rules(checker)[3:] == ["answers", "answers"]
+
+
+def test_attempts_in_flight_their_number_and_their_effects_are_checked() -> None:
+    checker = make_checker()
+    checker.on_call_submitted(0.0, "a", FRAGILE, 1000.0)
+    first = checker.on_attempt_started(1.0, "a", 1)
+    checker.on_attempt_ended(first, False)
+    second = checker.on_attempt_started(2.0, "a", 2)
+    assert not checker.violations
+    checker.on_attempt_started(3.0, "a", 1)  # the second is out: two out, too many, and it may have run
+    assert rules(checker) == ["attempts", "attempts", "effects"]
+    checker.on_attempt_ended(second, True)
+    checker.on_answer(4.0, "a", "refused")
+    assert rules(checker)[3:] == ["effects"]
+
+
+def test_retries_with_a_key_are_kept_to_their_window_and_scope() -> None:
     for worker, at, broken in ((1, 900.0, []), (1, 1100.0, ["effects"]), (2, 900.0, ["effects"])):
-        ledger = book()
-        ledger.on_call_submitted(0.0, "a", KEYED, 5000.0)
-        ledger.on_attempt_ended(ledger.on_attempt_started(1.0, "a", 1), True)
-        ledger.on_attempt_started(at, "a", worker)
-        assert rules(ledger) == broken
-
-
-def test_the_ledger_counts_drains_from_the_first_byte_and_orders_by_their_window() -> None:
-    ledger = book()
-    ledger.on_call_submitted(0.0, "a", CallGuarantees(Idempotency.IDEMPOTENT), 9000.0)
-    ledger.on_worker_state(100.0, 1, "draining")
-    ledger.on_worker_state(300.0, 1, "draining")  # told again: the time runs from the first
-    ledger.on_attempt_ended(ledger.on_attempt_started(700.0, "a", 1, first_byte_at_ms=650.0), False)
-    assert not ledger.violations
-    ledger.on_attempt_started(700.0, "a", 1, first_byte_at_ms=651.0)
-    assert rules(ledger) == ["drain"]
+        checker = make_checker()
+        checker.on_call_submitted(0.0, "a", KEYED, 5000.0)
+        checker.on_attempt_ended(checker.on_attempt_started(1.0, "a", 1), True)
+        checker.on_attempt_started(at, "a", worker)
+        assert rules(checker) == broken
+
+
+def test_drains_count_from_the_first_byte_and_preloads_by_their_window() -> None:
+    checker = make_checker()
+    checker.on_call_submitted(0.0, "a", CallGuarantees(Idempotency.IDEMPOTENT), 9000.0)
+    checker.on_worker_state(100.0, 1, "draining")
+    checker.on_worker_state(300.0, 1, "draining")  # told again: the time runs from the first
+    checker.on_attempt_ended(checker.on_attempt_started(700.0, "a", 1, first_byte_at_ms=650.0), False)
+    assert not checker.violations
+    checker.on_attempt_started(700.0, "a", 1, first_byte_at_ms=651.0)
+    assert rules(checker) == ["drain"]
     for at in (1000.0, 1001.0, 1002.0, 6100.0, 6101.0):
-        ledger.on_preload(at, 2, 1)
-    assert rules(ledger) == ["drain"]
-    ledger.on_preload(6102.0, 2, 1)
-    ledger.on_preload(6103.0, 2, 1)
-    assert rules(ledger) == ["drain", "orders"]
+        checker.on_preload(at, 2, 1)
+    assert rules(checker) == ["drain"]
+    checker.on_preload(6102.0, 2, 1)
+    checker.on_preload(6103.0, 2, 1)
+    assert rules(checker) == ["drain", "orders"]
 
 
-# The rig itself.
+# The fuzzing tools themselves.
 
 
-def test_virtual_time_moves_only_when_nothing_is_left_and_stops_when_stuck() -> None:
+def test_virtual_time_moves_only_when_nothing_is_ready_and_stops_when_stuck() -> None:
     seen: list[float] = []
 
     async def work(loop: VirtualLoop) -> None:
@@ -164,7 +166,7 @@
         run_virtual(stuck)
 
 
-def test_a_memory_connection_holds_back_what_its_peer_does_not_take() -> None:
+def test_a_memory_connection_buffers_what_its_peer_does_not_accept() -> None:
     events: list[str] = []
 
     class Ends(asyncio.BufferedProtocol):
@@ -194,8 +196,8 @@
     assert events == ["pause", "resume", "lost ConnectionResetError"]
 
 
-def test_a_verdict_tells_findings_exceptions_work_and_memory_apart() -> None:
-    class Odd(Target):
+def test_a_verdict_distinguishes_findings_exceptions_work_and_memory() -> None:
+    class FaultyTarget(Target):
         line_budget = Budget(100, 0)
         byte_budget = Budget(100_000, 0)
 
@@ -209,24 +211,24 @@
             if data == b"error":
                 raise KeyError("k")
 
-    odd = Odd()
-    assert verdict(odd, b"finding", metered=True) == "seen"
-    assert verdict(odd, b"error") == "KeyError: 'k'"
-    assert "lines of work" in (verdict(odd, b"work", metered=True) or "")
-    assert "bytes held" in (verdict(odd, b"memory", metered=True) or "")
-    assert verdict(odd, b"", metered=True) is None
+    target = FaultyTarget()
+    assert verdict(target, b"finding", metered=True) == "seen"
+    assert verdict(target, b"error") == "KeyError: 'k'"
+    assert "lines of work" in (verdict(target, b"work", metered=True) or "")
+    assert "bytes held" in (verdict(target, b"memory", metered=True) or "")
+    assert verdict(target, b"", metered=True) is None
 
 
 def test_minimising_leaves_only_what_is_needed() -> None:
     assert corpus.minimise(b"..a....b...", lambda data: b"a" in data and b"b" in data) == b"ab"
 
 
-def test_dice_past_the_end_choose_the_first() -> None:
-    dice = FuzzedDataProvider(b"\x05")
-    assert dice.pick("abc") == "c" and dice.pick("abc") == "a" and not dice.has_more()
+def test_choices_past_the_end_are_the_first() -> None:
+    choices = FuzzedDataProvider(b"\x05")
+    assert choices.pick("abc") == "c" and choices.pick("abc") == "a" and not choices.has_more()
 
 
-def test_drawn_answers_of_the_resolver_are_read_as_drawn() -> None:
+def test_generated_dns_replies_are_parsed_as_generated() -> None:
     reply = generate_reply(random.Random(3), 5)
     assert dns.parse(pack_reply(reply)) == reply
     assert isinstance(verdict(DnsTarget(), pack_reply(reply)), (str, type(None)))
