A decaying mean fades by one factor: sum and count were always updated together

Change: the mean kept two counters with the same time and time constant and computed the same exponential twice.

--- a/cedarthread/routing/estimators.py
+++ b/cedarthread/routing/estimators.py
@@ -92,7 +92,7 @@
         self.calls_per_ms = 0.0
         self.load_memory_ms = MIN_LOAD_MEMORY_MS  # ms in which what a worker showed fades
         self.call_rarity = 1.0  # how many times longer that is than with calls enough, 1 and up
-        self.reported_in_flight = DecayingMean.with_time_constant(RATE_WINDOW_MS)  # of others, at any worker
+        self.reported_in_flight = DecayingMean(RATE_WINDOW_MS)  # of others, at any worker
         self.usual_reported_in_flight = 0.0
         self.by_tenant = [DecayingCounter(RATE_WINDOW_MS) for _ in settings.tenants]
         self.admitted_by_class: list[DecayingCounter] = []  # first attempts that were not shed
--- a/cedarthread/routing/records.py
+++ b/cedarthread/routing/records.py
@@ -67,11 +67,9 @@
     last_response_at_ms: float = -math.inf
     unreachable_at_ms: float = -math.inf  # when it was last found down: it may start anew untold
     connection_broken_at_ms: float = -math.inf  # what broke with one connection is one symptom
-    excess_load: DecayingMean = field(
-        default_factory=lambda: DecayingMean.with_time_constant(MIN_LOAD_MEMORY_MS)
-    )
+    excess_load: DecayingMean = field(default_factory=lambda: DecayingMean(MIN_LOAD_MEMORY_MS))
     reported_in_flight: DecayingMean = field(  # of others, by its load reports
-        default_factory=lambda: DecayingMean.with_time_constant(MIN_LOAD_MEMORY_MS)
+        default_factory=lambda: DecayingMean(MIN_LOAD_MEMORY_MS)
     )
     rejections: dict[ClassAndTenant, DecayingCounter] = field(default_factory=dict)
 
--- a/cedarthread/statistics.py
+++ b/cedarthread/statistics.py
@@ -73,25 +73,24 @@
 class DecayingMean:
     """A mean of values that fade by time, drawn to a prior by its weight."""
 
-    total: DecayingCounter
-    count: DecayingCounter
-
-    @staticmethod
-    def with_time_constant(time_constant_ms: float) -> DecayingMean:
-        """A mean whose values fade with this time constant."""
-        return DecayingMean(DecayingCounter(time_constant_ms), DecayingCounter(time_constant_ms))
+    time_constant_ms: float
+    total: float = 0.0
+    count: float = 0.0
+    updated_at_ms: float = 0.0
 
     def read(self, now: float, prior_count: float, prior: float = 0.0) -> float:
         """The mean now; with few values, near the prior, which weighs as much as ``prior_count`` values."""
-        if not self.count.value:  # no values yet: usual where workers report no load
+        if not self.count:
             return prior_count * prior / prior_count
-        return (self.total.read(now) + prior_count * prior) / (self.count.read(now) + prior_count)
+        remaining = math.exp((self.updated_at_ms - now) / self.time_constant_ms)
+        return (self.total * remaining + prior_count * prior) / (self.count * remaining + prior_count)
 
     def add(self, now: float, value: float, time_constant_ms: float) -> None:
         """One value; from now on all of them fade with this time constant."""
-        self.total.add(now, value)
-        self.count.add(now, 1.0)
-        self.total.time_constant_ms = self.count.time_constant_ms = time_constant_ms
+        remaining = math.exp((self.updated_at_ms - now) / self.time_constant_ms) if self.count else 0.0
+        self.total = self.total * remaining + value
+        self.count = self.count * remaining + 1.0
+        self.updated_at_ms, self.time_constant_ms = now, time_constant_ms
 
 
 @dataclass(slots=True)
