--- a/cedarthread/change_freeze/placement_changes.py
+++ b/cedarthread/change_freeze/placement_changes.py
@@ -7,12 +7,12 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 from cedarthread.fleet_config import FrozenAction
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementChange:
+class PlacementChange(NamedTuple):
     """A placement change that is requested. None: not known, so it may concern any of them."""
 
     kind: FrozenAction
@@ -64,11 +64,19 @@
         """Whether the change is frozen. What is not known of it is covered: it may be what is meant."""
         return (
             change.kind in self.frozen_kinds
-            and _includes(self.function_ids, change.function_id)
-            and _includes(self.zone_indexes, change.zone_index)
-            and _includes(self.tenant_indexes, change.tenant_index)
+            and (
+                self.function_ids is None
+                or change.function_id is None
+                or change.function_id in self.function_ids
+            )
+            and (
+                self.zone_indexes is None
+                or change.zone_index is None
+                or change.zone_index in self.zone_indexes
+            )
+            and (
+                self.tenant_indexes is None
+                or change.tenant_index is None
+                or change.tenant_index in self.tenant_indexes
+            )
         )
-
-
-def _includes(covered: frozenset[int] | None, index: int | None) -> bool:
-    return covered is None or index is None or index in covered
