Functions that return nothing no longer return the call of another one

Change by a script over the syntax tree: in functions annotated to return None, a returned call becomes the call and a bare return.

--- a/cedarthread/change_freeze/placement_table.py
+++ b/cedarthread/change_freeze/placement_table.py
@@ -90,7 +90,8 @@
     def _update_endpoint(self, entry: Endpoint) -> None:
         known = self.endpoints.get(entry.worker_id)
         if entry.state is EndpointState.REMOVED:
-            return self._remove_endpoint(known or entry)
+            self._remove_endpoint(known or entry)
+            return
         self.endpoints[entry.worker_id] = entry
         if known is not None and known.started_at_ms != entry.started_at_ms:
             self._remove_placements(entry.worker_id)
--- a/cedarthread/dispatch/dispatcher.py
+++ b/cedarthread/dispatch/dispatcher.py
@@ -113,7 +113,8 @@
     def submit(self, call: Call) -> None:
         """Accept a call, or reject it at once where the bounds on pending calls are reached."""
         if self.calls.is_full(self.context.settings.limits.max_pending_requests):
-            return self.reject_call(call)
+            self.reject_call(call)
+            return
         self._count_accepted(call)
         if self.shutdown_deadline_ms is not None:
             call.deadline_ms = min(call.deadline_ms, self.shutdown_deadline_ms)
--- a/cedarthread/protocols/control.py
+++ b/cedarthread/protocols/control.py
@@ -37,7 +37,8 @@
     def on_connected(self) -> None:
         """Register, and start the time limit."""
         if not self.server.register(self):
-            return self.abort()
+            self.abort()
+            return
         self._line_timer = self._loop.call_later(LINE_TIMEOUT_S, self.reply_no, "no whole line in time")
 
     def on_disconnected(self) -> None:
@@ -70,7 +71,8 @@
         command = line.decode("ascii", "replace").strip()
         handler = self.server.commands.get(command.upper())
         if handler is None:
-            return self.reply_no(f"unknown command {command[:MAX_ECHOED_CHARACTERS]!r}")
+            self.reply_no(f"unknown command {command[:MAX_ECHOED_CHARACTERS]!r}")
+            return
         is_yes, lines = handler()
         self.reply(("YES" if is_yes else "NO") + "\n" + "".join(f"{line}\n" for line in lines))
 
--- a/cedarthread/protocols/discovery.py
+++ b/cedarthread/protocols/discovery.py
@@ -108,7 +108,8 @@
         is_logged = False
         while True:
             try:
-                return await self.connect(host, port)
+                await self.connect(host, port)
+                return
             except OSError as error:
                 if not is_logged:
                     log.error(format_event("discovery_unreachable", address=f"{host}:{port}", error=error))
--- a/cedarthread/protocols/invoke_connection.py
+++ b/cedarthread/protocols/invoke_connection.py
@@ -54,7 +54,8 @@
             log.warning(
                 format_event("invoke_connection_rejected", max_connections=self.server.max_connections)
             )
-            return self.abort()
+            self.abort()
+            return
         tls = self.transport.get_extra_info("ssl_object")
         certificate = tls.getpeercert(binary_form=True) if tls is not None else None
         if certificate is not None:
@@ -121,7 +122,8 @@
             reason = self.peer.reason if isinstance(self.peer, spiffe.Rejected) else "identity not let in"
             log.warning(format_event("caller_rejected", reason=reason))
             self.keep_alive = False
-            return self.respond(problem_response(403, reason))
+            self.respond(problem_response(403, reason))
+            return
         try:
             self.handler.handle(self.peer.spiffe_id, head, body)
         except Exception:
@@ -136,7 +138,8 @@
         self.write(response.encode(keep_alive=self.keep_alive))
         if not self.keep_alive:
             self.is_busy = True  # nothing more is taken
-            return self.lingering_close() if self.has_unparsed_input else self.close()
+            self.lingering_close() if self.has_unparsed_input else self.close()
+            return
         self.transport.resume_reading()
         self._loop.call_soon(self._process_next)
 
--- a/cedarthread/protocols/invoke_handler.py
+++ b/cedarthread/protocols/invoke_handler.py
@@ -76,19 +76,23 @@
         dispatcher, calls = self.server.dispatcher, self.server.calls
         request = parse_call_request(dispatcher.settings, dispatcher.current_class_index, head, body)
         if isinstance(request, Response):
-            return self.respond(request)
+            self.respond(request)
+            return
         preferences = head.preferences()
         is_deferred = "respond-async" in preferences
         if is_deferred and not self.server.is_ready and not calls.has_executed_call(owner, request):
             response = problem_response(503, DRAINING_DETAIL, {"Retry-After": "1"}, repeat="harmless")
-            return self.respond(response)
+            self.respond(response)
+            return
         if not is_deferred and request.idempotency_key is None:
             self.call = calls.build_call(owner, request, self._on_result)
             self.call.refresh_client_state = self.refresh_client_state
-            return dispatcher.submit(self.call)
+            dispatcher.submit(self.call)
+            return
         stored = calls.find_or_start_stored(owner, request, is_deferred=is_deferred)
         if isinstance(stored, Response):
-            return self.respond(stored)
+            self.respond(stored)
+            return
         wait_s = wait_preference_s(preferences) if is_deferred else math.inf
         self._wait_for_result(stored, wait_s, is_deferred=is_deferred)
 
@@ -99,18 +103,22 @@
     def _serve_deferred_call(self, owner: str, head: http.RequestHead, call_id: str) -> None:
         deferred_call = self.server.calls.deferred_calls.find(owner, call_id)
         if deferred_call is None:
-            return self.respond(problem_response(404, "no such call of yours"))
+            self.respond(problem_response(404, "no such call of yours"))
+            return
         if head.method == "DELETE":
             self.server.calls.cancel_stored(deferred_call)
-            return self.respond(Response(204, {}))
+            self.respond(Response(204, {}))
+            return
         self._wait_for_result(deferred_call, wait_preference_s(head.preferences()), is_deferred=True)
 
     def _wait_for_result(self, deferred_call: DeferredCall, wait_s: float, *, is_deferred: bool) -> None:
         """Respond with the result, or after ``wait_s`` seconds that there is none yet."""
         if deferred_call.result is not None:
-            return self._respond_with_result(deferred_call)
+            self._respond_with_result(deferred_call)
+            return
         if wait_s <= 0:
-            return self.respond(pending_response(deferred_call))
+            self.respond(pending_response(deferred_call))
+            return
         self.deferred_call = deferred_call
         deferred_call.waiters.append(self._on_deferred_result)
         if is_deferred:
@@ -128,7 +136,8 @@
 
     def _respond_with_result(self, deferred_call: DeferredCall) -> None:
         if deferred_call.result is None:  # it was cancelled while this request waited
-            return self.respond(problem_response(404, "the call was given up"))
+            self.respond(problem_response(404, "the call was given up"))
+            return
         deferred_call.is_collected = True
         self.respond(render_answer(deferred_call.result))
 
--- a/cedarthread/protocols/platform_calls.py
+++ b/cedarthread/protocols/platform_calls.py
@@ -70,7 +70,8 @@
         call.on_result = partial(self._send_answer, message_id)
         # The first bound protects memory from clients that read slowly, the second others from a flood.
         if self.server.queued_bytes > self.server.max_queued_bytes or len(self.open) >= MAX_OPEN_CALLS:
-            return dispatcher.reject_call(call)
+            dispatcher.reject_call(call)
+            return
         self.open[message_id] = call
         call.refresh_client_state = self.connection.refresh_client_state
         dispatcher.submit(call)
--- a/cedarthread/protocols/platform_connection.py
+++ b/cedarthread/protocols/platform_connection.py
@@ -44,7 +44,8 @@
             log.warning(
                 format_event("client_connection_rejected", max_connections=self.server.max_connections)
             )
-            return self.abort()
+            self.abort()
+            return
         self.message_started_at = self.last_read_at
 
     def on_disconnected(self) -> None:
--- a/cedarthread/protocols/worker_connection.py
+++ b/cedarthread/protocols/worker_connection.py
@@ -110,7 +110,8 @@
     def on_connected(self) -> None:
         """The connection is up: what waited for it is sent."""
         if self.is_closed:  # aborted while it was being made
-            return super().abort()
+            super().abort()
+            return
         if self.connect_timeout is not None and not self.connect_timeout.expired():
             # Otherwise it could expire later in this loop pass, under a call that is about to be written.
             self.connect_timeout.reschedule(None)
--- a/cedarthread/protocols/worker_preloads.py
+++ b/cedarthread/protocols/worker_preloads.py
@@ -39,7 +39,8 @@
         preload = PendingPreload(f"load-{self._count}", worker_id, function_id, self._dispatcher.clock())
         connection = pool.acquire(preload.message_id) if pool is not None else None
         if connection is None:
-            return self.finish(preload, Outcome.CONNECT_FAILED)
+            self.finish(preload, Outcome.CONNECT_FAILED)
+            return
         connection.send_request(encode_preload(preload.message_id, function_id, instances), preload)
         preload.timers += (
             self._loop.call_later(PRELOAD_FLUSH_S, self._on_unsent, preload, connection),
--- a/cedarthread/protocols/workers.py
+++ b/cedarthread/protocols/workers.py
@@ -88,10 +88,12 @@
         """Start an attempt."""
         pool = self.pools.get(attempt.worker_id)
         if pool is None:
-            return self.dispatcher.attempt_ended(attempt, connection_lost_result(attempt))
+            self.dispatcher.attempt_ended(attempt, connection_lost_result(attempt))
+            return
         connection = pool.acquire(attempt.call.call_id)
         if connection is None:
-            return self.dispatcher.attempt_ended(attempt, not_sent_result())
+            self.dispatcher.attempt_ended(attempt, not_sent_result())
+            return
         timeout_ms = attempt.call.deadline_ms - attempt.started_at_ms
         line = encode_call(attempt.call, self.class_names_json[attempt.call.class_index], timeout_ms)
         if connection.transport is not None:
@@ -115,13 +117,15 @@
         if connection is None or attempt.progress is Progress.RESPONSE_STARTED:
             return
         if connection.withdraw(attempt):
-            return self.dispatcher.attempt_ended(attempt, connection_lost_result(attempt))
+            self.dispatcher.attempt_ended(attempt, connection_lost_result(attempt))
+            return
         # Connections to a machine that has vanished stay open and silent: the next attempt makes a new one.
         is_silent = self._loop.time() - connection.last_read_at > SILENCE_S
         connection.is_retired = connection.is_retired or is_silent
         if not self.settings.limits.can_cancel:  # the worker goes on with it: the attempt ends here alone
             connection.abandon(attempt.call.call_id)
-            return self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.TIMEOUT))
+            self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.TIMEOUT))
+            return
         cancel_line = connection.send_cancel(attempt)
         if cancel_line is not None:
             self._loop.call_later(CANCEL_SETTLE_S, self._finish_cancel, attempt, connection, cancel_line)
--- a/cedarthread/routing/router.py
+++ b/cedarthread/routing/router.py
@@ -163,7 +163,8 @@
         state = self.state
         self.queued_requests.pop(pending.request.request_id, None)
         if not (self.retries.has_attempts_left(pending) and self.retries.may_attempt(now, pending)):
-            return self._reject_or_fail(now, pending)
+            self._reject_or_fail(now, pending)
+            return
         worker = self.selector.select(now, pending)
         if worker is not None:
             worker = self.preloads.warm_worker(now, pending, worker)
@@ -174,12 +175,14 @@
             and not self.admission.should_wait_for_instance(now, pending, worker)
             and self.admission.may_start_instance(now, pending, worker)
         ):
-            return self._start_attempt(now, pending, worker)
+            self._start_attempt(now, pending, worker)
+            return
         if pending.has_attempt_in_flight():
-            return None
+            return
         if not self.admission.may_queue(now, pending):
-            return self._reject_or_fail(now, pending)
-        return state.requests.enqueue(now, pending, state.timers)
+            self._reject_or_fail(now, pending)
+            return
+        state.requests.enqueue(now, pending, state.timers)
 
     def _drain_queue(self, now: float) -> None:
         for pending in list(self.queued_requests.values()):
--- a/cedarthread/testing/fuzzing/config_targets.py
+++ b/cedarthread/testing/fuzzing/config_targets.py
@@ -133,7 +133,8 @@
         try:
             parsed = config.decode(data, {})
         except config.ConfigError as error:
-            return require(bool(str(error)), "an error without words")
+            require(bool(str(error)), "an error without words")
+            return
         for host, port in ((parsed.host, parsed.port), parsed.discovery_address or ("", 1)):
             require(isinstance(host, str) and 0 <= port < 65536, f"port {port}")
         for _, records in parsed.initial_endpoints:
@@ -175,6 +176,7 @@
         try:
             parsed = invoke_config.parse(data, Path("deploy/invoke.toml"))
         except ValueError as error:
-            return require(bool(str(error)), "an error without words")
+            require(bool(str(error)), "an error without words")
+            return
         require(0 <= parsed.port < 65536, f"port {parsed.port}")
         require(0 < parsed.max_connections < 2**31, f"{parsed.max_connections} connections")
--- a/cedarthread/testing/fuzzing/identity_targets.py
+++ b/cedarthread/testing/fuzzing/identity_targets.py
@@ -155,7 +155,8 @@
         """An identity only for a leaf with one valid SPIFFE ID, fit for signatures alone."""
         found = spiffe.parse_identity(data)
         if isinstance(found, spiffe.Rejected):
-            return require(bool(found.reason), "rejected without words")
+            require(bool(found.reason), "rejected without words")
+            return
         require(is_valid_spiffe_id(found.spiffe_id), f"{found.spiffe_id[:80]!r} is let through")
         require(found.spiffe_id.encode() in data, "an ID that the certificate does not hold")
         leaf = x509.load_der_x509_certificate(data)
--- a/cedarthread/testing/fuzzing/invoke_caller.py
+++ b/cedarthread/testing/fuzzing/invoke_caller.py
@@ -142,7 +142,8 @@
     def send_request(self, kind: RequestKind, call_key: str, text: str) -> None:
         """Send a request."""
         if not self.is_connected:  # rejected at the connection limit: nobody reads it
-            return self._abandon(call_key)
+            self._abandon(call_key)
+            return
         self.pending_requests.append(PendingRequest(kind, call_key))
         self.transport.peer_send(text.encode())
 
--- a/cedarthread/testing/fuzzing/msgpack_target.py
+++ b/cedarthread/testing/fuzzing/msgpack_target.py
@@ -141,7 +141,8 @@
         try:
             expected, end = _expected(unpacker.unpack()), unpacker.tell()
         except (ValueError, TypeError, RecursionError, reference.OutOfData, reference.StackError):
-            return require(not isinstance(parsed, msgpack.ParsedValue), "took what is no value")
+            require(not isinstance(parsed, msgpack.ParsedValue), "took what is no value")
+            return
         if isinstance(parsed, msgpack.ParsedValue):
             require(
                 _max_content_bytes(expected) <= msgpack.MAX_CONTENT_BYTES, "a string past the limit is taken"
@@ -150,7 +151,8 @@
                 repr(_without_views(parsed.value)) == repr(expected) and parsed.end == end,
                 "another value than it is",
             )
-            return self._check_prefixes(data[:end])
+            self._check_prefixes(data[:end])
+            return
         require(not isinstance(parsed, msgpack.Incomplete), "a whole value is said to be short")
         is_too_long = end > msgpack.MAX_CONTENT_BYTES
         is_within_limits = _depth(expected) <= msgpack.MAX_DEPTH and _max_items(expected) <= msgpack.MAX_ITEMS
--- a/cedarthread/testing/fuzzing/script_steps.py
+++ b/cedarthread/testing/fuzzing/script_steps.py
@@ -215,9 +215,11 @@
                 worker.restart()
                 publisher.list_worker(worker, EndpointState.READY)
             case 3:
-                return publisher.redeliver(self.choices.consume_byte() % len(publisher.published))
+                publisher.redeliver(self.choices.consume_byte() % len(publisher.published))
+                return
             case 4:
-                return publisher.fail()
+                publisher.fail()
+                return
             case _:
                 publisher.list_worker(worker, EndpointState.READY)
         if self.choices.consume_byte() & 1:
--- a/cedarthread/testing/fuzzing/small_models.py
+++ b/cedarthread/testing/fuzzing/small_models.py
@@ -141,7 +141,8 @@
         """Start an attempt."""
         if attempt.worker_id in self.crashed_workers:
             result = connection_lost_result(attempt, is_unreachable=True)
-            return self.dispatcher.attempt_ended(attempt, result)
+            self.dispatcher.attempt_ended(attempt, result)
+            return
         attempt.progress = Progress.WRITTEN
         self.in_flight[attempt] = self.checker.on_attempt_started(
             self.now_ms(), attempt.call.call_id, attempt.worker_id
--- a/cedarthread/testing/fuzzing/virtual_loop.py
+++ b/cedarthread/testing/fuzzing/virtual_loop.py
@@ -161,7 +161,8 @@
             data = self._in.pop(0)
             buffer = self.protocol.get_buffer(-1)
             if not len(buffer) and paused:
-                return self._in.insert(0, data)
+                self._in.insert(0, data)
+                return
             if not len(buffer):
                 raise AssertionError("get_buffer() returned an empty buffer")
             count = min(len(buffer), len(data))
--- a/cedarthread/testing/invariants.py
+++ b/cedarthread/testing/invariants.py
@@ -136,7 +136,8 @@
     ) -> None:
         """A client sent a complete request, under a name of its own; the deadline is a time."""
         if call in self._calls:
-            return self._report("harness", at_ms, f"call {call} was recorded twice")
+            self._report("harness", at_ms, f"call {call} was recorded twice")
+            return
         self._calls[call] = _CallRecord(guarantees, deadline_ms)
         self._submitted_at_ms.append(at_ms)
 
@@ -154,7 +155,8 @@
         """A client got a final answer: served, refused or failed."""
         record = self._calls.get(call)
         if record is None:
-            return self._report("answers", at_ms, f"an answer to {call}, which nobody asked")
+            self._report("answers", at_ms, f"an answer to {call}, which nobody asked")
+            return
         record.answer_count += 1
         record.answered_at_ms = min(record.answered_at_ms, at_ms)
         if record.answer_count > 1:
@@ -233,7 +235,8 @@
         if not executed or guarantees.idempotency is Idempotency.IDEMPOTENT:
             return
         if guarantees.idempotency is Idempotency.NOT_IDEMPOTENT:
-            return self._report("effects", at_ms, f"fragile call {call} sent again though it may have run")
+            self._report("effects", at_ms, f"fragile call {call} sent again though it may have run")
+            return
         age_ms = at_ms - executed[0].started_at_ms
         if at_ms > executed[0].started_at_ms + guarantees.retry_window_ms:
             self._report("effects", at_ms, f"dedup call {call} sent again {age_ms:.0f} ms on")
--- a/cedarthread/transport/connection.py
+++ b/cedarthread/transport/connection.py
@@ -86,7 +86,8 @@
         """Bytes were read (asyncio)."""
         self.last_read_at = self._loop.time()
         if self.discard_budget is not None:
-            return self._discard(nbytes)
+            self._discard(nbytes)
+            return
         self.buffer.advance(nbytes)
         self._process_buffer()
 
@@ -126,7 +127,8 @@
             log.exception(format_event("connection_input_failed"))
             consumed = None
         if consumed is None:
-            return self.on_invalid_input()
+            self.on_invalid_input()
+            return
         self.buffer.consume(consumed)
         if self.buffer.is_full():
             self.on_buffer_full()
--- a/tests/contracts/test_fronts.py
+++ b/tests/contracts/test_fronts.py
@@ -161,7 +161,8 @@
     def respond(self, attempt: AttemptHandle, what: str) -> None:
         runner = self.runners[attempt[1] - 1]
         if what == BROKEN:
-            return runner.writers[-1].transport.abort()
+            runner.writers[-1].transport.abort()
+            return
         runner.answer(
             attempt[2], (serve_uppercase if what == HIT else answer_with(what))(runner, attempt[2]) or {}
         )
--- a/tests/simulation/test_change_freeze.py
+++ b/tests/simulation/test_change_freeze.py
@@ -230,9 +230,11 @@
                 "first-copy", worker_id, function_id, worker_id % 2, None, verdict is RoutingVerdict.LOAD
             )
             if gate.admit(now, change).is_permitted:
-                return fleet.send(self, worker_id, function_id)
+                fleet.send(self, worker_id, function_id)
+                return
         if attempts_left:
-            return fleet.schedule(fleet.now + 100.0, lambda: self.on_call(function_id, attempts_left - 1))
+            fleet.schedule(fleet.now + 100.0, lambda: self.on_call(function_id, attempts_left - 1))
+            return
         fleet.rejections.append((fleet.now, function_id))
         if any(
             function_id in worker.placed_functions and not worker.is_draining and self._has_capacity(worker)
--- a/tests/simulation/test_priority_fleet.py
+++ b/tests/simulation/test_priority_fleet.py
@@ -215,7 +215,8 @@
         if shed_probability is None:
             shed_probability = min(0.95, own_shed_probability * math.sqrt(mean_value / value))
         if self.rng.random() < shed_probability and not self.fleet.never_sheds:
-            return self.component.record_rejected(now, call.priority, call.is_client_retry)
+            self.component.record_rejected(now, call.priority, call.is_client_retry)
+            return
         worker_id = min(self.in_flight, key=lambda w: (len(self.in_flight[w]), self.rng.random()))
         if self.fleet.uses_priorities:
             worker_id = self.preempt(now, call, worker_id)
--- a/tests/simulation/test_recovery_fleet.py
+++ b/tests/simulation/test_recovery_fleet.py
@@ -182,7 +182,8 @@
                 self.stale_decisions += worker_id in self.draining or (
                     function_id not in self.last_used[worker_id] and has_restarted
                 )
-                return self.send(index, arrived_at, function_id, worker_id)
+                self.send(index, arrived_at, function_id, worker_id)
+                return
         # All routers agree on a home; a third of the functions have instances elsewhere too.
         home_count = 1 if function_id % 3 else 3
         worker_id = (function_id * 7 + self.rng.randrange(home_count)) % len(self.worker_ids)
@@ -190,7 +191,8 @@
             worker_id = (worker_id + 1) % len(self.worker_ids)
         is_connected = not warm_workers and (worker_id in connected or self.connect(index, worker_id))
         if is_connected and (not self.paces_loads or recovery.try_acquire_load(self.now, function_id)):
-            return self.send(index, arrived_at, function_id, worker_id)
+            self.send(index, arrived_at, function_id, worker_id)
+            return
         self.at(self.now + 50.0, "call", index, arrived_at, function_id)
 
     def connect(self, index: int, worker_id: int) -> bool:
