Lint: complexity, naming, pytest, return and path rules are on; each rule left out says why

Change: C90, N, PLR, TRY, RET, PT, ASYNC, ARG, SLF, PTH and ERA in ruff, complexity at most 10; what they found in the program is mended (named constants, keyword-only parameters).

--- a/cedarthread/escrow/escrow.py
+++ b/cedarthread/escrow/escrow.py
@@ -61,7 +61,7 @@
         self.counters = dict.fromkeys(COUNTERS, 0)
         self.image = EscrowImage(has_memory=has_memory, is_durable=is_durable)
         self.requester = self.requester_type(
-            router_index, router_count, self.incarnation, self.rng, self.counters, now
+            router_index, router_count, self.incarnation, rng=self.rng, counters=self.counters, now=now
         )
         self.grantor = self.grantor_type(self.incarnation, self.rng, self.counters, now)
 
@@ -95,7 +95,12 @@
             count.initialize(total, is_lost=is_lost, persisted=self.image.take_restored(key))
             return count
         rate = RatePool(
-            name, key, self.router_index, self.router_count, self.clock_drift_factor, self.ready_at_ms
+            name,
+            key,
+            self.router_index,
+            self.router_count,
+            clock_drift_factor=self.clock_drift_factor,
+            ready_at_ms=self.ready_at_ms,
         )
         rate.total = total
         return rate
--- a/cedarthread/escrow/rate_pool.py
+++ b/cedarthread/escrow/rate_pool.py
@@ -73,6 +73,7 @@
         key: int,
         router_index: int,
         router_count: int,
+        *,
         clock_drift_factor: float,
         ready_at_ms: float,
     ) -> None:
--- a/cedarthread/escrow/requester.py
+++ b/cedarthread/escrow/requester.py
@@ -49,6 +49,7 @@
         router_index: int,
         router_count: int,
         incarnation: int,
+        *,
         rng: random.Random,
         counters: dict[str, int],
         now: float,
--- a/cedarthread/persistence/power_cut.py
+++ b/cedarthread/persistence/power_cut.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 SECTOR_BYTES = 512
+SECTOR_SURVIVAL = 0.5  # probability that a sector of a torn write is on the disk
 """Bytes that a disk writes as a whole."""
 
 
@@ -36,7 +37,7 @@
 """Which part of an operation that was not synced is on the disk after a power cut."""
 
 
-def lose_unsynced(operation: DiskOperation) -> Iterator[DiskOperation]:
+def lose_unsynced(_: DiskOperation) -> Iterator[DiskOperation]:
     """All that was not synced is lost."""
     return iter(())
 
@@ -53,7 +54,7 @@
         choice = rng.randrange(4)
         if choice == 0 and operation.data:
             for start in range(0, len(operation.data), SECTOR_BYTES):
-                if rng.random() < 0.5:
+                if rng.random() < SECTOR_SURVIVAL:
                     sector = operation.data[start : start + SECTOR_BYTES]
                     yield DiskOperation(operation.path, operation.offset + start, sector)
         elif choice != 1:
--- a/cedarthread/protocols/dns.py
+++ b/cedarthread/protocols/dns.py
@@ -9,6 +9,7 @@
 
 TYPE_A, TYPE_SOA, TYPE_TXT, TYPE_SRV = 1, 6, 16, 33
 CLASS_IN = 1
+IPV4_BYTES = 4  # the data of an A record
 MAX_NAME_BYTES = 255  # RFC 1035, section 2.3.4
 MAX_LABEL_BYTES = 63  # RFC 1035, section 2.3.4
 MAX_POINTERS = 16  # in one name: a long chain, followed from each of many records, took seconds
@@ -120,7 +121,7 @@
         priority, weight, port = _SRV_DATA.unpack_from(data, offset)
         target, _ = _parse_name(data, offset + _SRV_DATA.size)
         reply.srv_records.append(SrvRecord(priority, weight, port, target))
-    elif record_type == TYPE_A and data_bytes == 4:
+    elif record_type == TYPE_A and data_bytes == IPV4_BYTES:
         reply.addresses[name] = ".".join(str(octet) for octet in data[offset:end])
     elif record_type == TYPE_TXT:
         reply.texts[name] = _parse_texts(data[offset:end])
--- a/cedarthread/protocols/http.py
+++ b/cedarthread/protocols/http.py
@@ -5,8 +5,10 @@
 import json
 import re
 from dataclasses import dataclass
+from http import HTTPStatus
 
 MAX_HEAD_BYTES = 8 * 1024
+REQUEST_LINE_PARTS = 3  # method, target, version
 MAX_LENGTH_DIGITS = 12  # of Content-Length: a longer number is too large whatever it says
 _HEAD_END = b"\r\n\r\n"
 _TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
@@ -100,7 +102,11 @@
 
 
 def _check_request_line(request_line: list[bytes]) -> InvalidRequest | None:
-    if len(request_line) != 3 or not _TOKEN.match(request_line[0]) or not _TARGET.match(request_line[1]):
+    if (
+        len(request_line) != REQUEST_LINE_PARTS
+        or not _TOKEN.match(request_line[0])
+        or not _TARGET.match(request_line[1])
+    ):
         return InvalidRequest(400, "the request line is malformed")
     if not _VERSION.match(request_line[2]):
         return InvalidRequest(400, "the version is malformed")
@@ -146,7 +152,7 @@
         """Its bytes."""
         lines = [f"HTTP/1.1 {self.status} {REASON_PHRASES[self.status]}"]
         lines += [f"{name}: {value}" for name, value in self.headers.items()]
-        if self.status != 204:
+        if self.status != HTTPStatus.NO_CONTENT:
             lines.append(f"Content-Length: {len(self.body)}")
         if not keep_alive:
             lines.append("Connection: close")
--- a/cedarthread/protocols/msgpack.py
+++ b/cedarthread/protocols/msgpack.py
@@ -56,6 +56,7 @@
 # The first byte of a value says its type; for a small value its low bits hold the number or length too.
 _FIXMAP, _FIXARRAY, _FIXSTR = 0x80, 0x90, 0xA0
 _SMALL_VALUES_END = 0xC0
+MAX_FIXSTR_BYTES = 31  # a longer string has a length byte of its own
 _NEGATIVE_FIXINT = 0xE0
 _BIN8, _BIN16, _BIN32 = 0xC4, 0xC5, 0xC6
 _UINT8, _UINT16, _UINT32, _UINT64 = 0xCC, 0xCD, 0xCE, 0xCF
@@ -183,7 +184,7 @@
 def pack_str(text: str) -> bytes:
     """A string of at most 255 bytes."""
     raw = text.encode()
-    return (bytes((_FIXSTR | len(raw),)) if len(raw) < 32 else bytes((_STR8, len(raw)))) + raw
+    return (bytes((_FIXSTR | len(raw),)) if len(raw) <= MAX_FIXSTR_BYTES else bytes((_STR8, len(raw)))) + raw
 
 
 def pack_bin(raw: bytes) -> bytes:
--- a/cedarthread/protocols/platform_calls.py
+++ b/cedarthread/protocols/platform_calls.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from cedarthread.protocols.platform_connection import PlatformConnection
 
+CALL_PARAMETERS = 2  # fields and body
 MAX_OPEN_CALLS = 32  # of one connection; further ones are rejected
 
 
@@ -48,12 +49,12 @@
         if message_id in self.open:
             return False  # an error under this id would pass for the open call's response
         # A class may bear the name of the health check: a call has a body, a health check has none.
-        if method == "check" and len(params) < 2:
+        if method == "check" and len(params) < CALL_PARAMETERS:
             self.connection.write(encode_health(message_id, self.server.is_ready))
             return True
         dispatcher = self.server.dispatcher
         class_index = dispatcher.current_class_index.get(method)
-        if class_index is None or len(params) != 2:
+        if class_index is None or len(params) != CALL_PARAMETERS:
             self.connection.write(encode_bad_request(message_id, "no such method"))
             return True
         call = parse_call(class_index, dispatcher.settings, params[0], params[1], dispatcher.clock())
--- a/cedarthread/recovery/codec.py
+++ b/cedarthread/recovery/codec.py
@@ -29,6 +29,7 @@
 from cedarthread.components.interface import MessageType
 from cedarthread.recovery.warm_state import MAX_HOPS, AgedObservation
 
+HEADER_BYTES = 2  # type of message, kind
 AGE_UNIT_MS = 50.0
 """Ages are rounded up to it, which also covers clocks that run at slightly different rates."""
 MAX_AGE_UNITS = 65535
@@ -169,7 +170,7 @@
 
 def decode(data: bytes) -> Message | MalformedDatagram:
     """What a datagram says. Whatever it holds, no error is raised."""
-    if not 2 <= len(data) <= MAX_DATAGRAM_BYTES or data[0] != MessageType.RECOVERY:
+    if not HEADER_BYTES <= len(data) <= MAX_DATAGRAM_BYTES or data[0] != MessageType.RECOVERY:
         return MalformedDatagram(f"{len(data)} bytes")
     kind = data[1]
     if kind == DatagramKind.QUERY and len(data) == _QUERY.size:
--- a/cedarthread/recovery/fleet_view.py
+++ b/cedarthread/recovery/fleet_view.py
@@ -6,6 +6,7 @@
 
 from cedarthread.components.interface import PeersChanged
 
+MIN_FLEET_ROUTERS = 2  # a router alone has no fleet that could restart
 MASS_RESTART_FRACTION = 0.5
 """Part of the peers that started lately, or are gone, from which on a restart counts as a mass restart."""
 OLDER_PEER_MARGIN_MS = 5000.0
@@ -60,7 +61,7 @@
 
     def is_mass_restart(self, now: float, max_uptime_ms: float) -> bool:
         """Whether most peers are gone, or have been alive for less than ``max_uptime_ms``."""
-        if self.latest_peers is None or self.router_count < 2:
+        if self.latest_peers is None or self.router_count < MIN_FLEET_ROUTERS:
             return False
         peer_count = self.router_count - 1
         gone_count = peer_count - len(self.latest_peers.alive_peers)
@@ -93,7 +94,7 @@
 
     def is_mass_restart_possible(self) -> bool:
         """Whether the router had better act as if most routers restarted at once."""
-        if self.router_count < 2:
+        if self.router_count < MIN_FLEET_ROUTERS:
             return False
         peer_calls = self.reported_calls - self.own_calls
         expected_calls = ABSENT_PEERS_LOAD_FRACTION * self.own_calls * (self.router_count - 1)
--- a/cedarthread/replication/codec.py
+++ b/cedarthread/replication/codec.py
@@ -28,6 +28,7 @@
 from cedarthread.model.actions import SendToPeer
 from cedarthread.replication.entry import MAX_ENTRY_BYTES
 
+HEADER_BYTES = 2  # type of message, kind
 AGES_PER_RESPONSE = 208  # routers that one response gives ages for: what fits one datagram
 BUCKET_COUNT = 32
 BUCKET_SUM_BYTES = 6
@@ -43,7 +44,7 @@
 _ENTRY_REF = struct.Struct("<II")
 _FETCH_ITEM = struct.Struct("<IIH")
 _FRAGMENT = struct.Struct("<BBQHB")
-_FETCH_HEADER_BYTES = 2
+_FETCH_HEADER_BYTES = HEADER_BYTES
 MAX_REFS_PER_SUMMARY = (MAX_DATAGRAM_BYTES - _SUMMARY.size) // _ENTRY_REF.size
 MAX_ITEMS_PER_FETCH = (MAX_DATAGRAM_BYTES - _FETCH_HEADER_BYTES) // _FETCH_ITEM.size
 FRAGMENT_BYTES = MAX_DATAGRAM_BYTES - _FRAGMENT.size  # of an entry's data in one fragment
@@ -217,7 +218,7 @@
 def decode(data: bytes) -> Message | MalformedDatagram:
     """The message in a datagram. Never raises, whatever the bytes are."""
     if (
-        not 2 <= len(data) <= MAX_DATAGRAM_BYTES
+        not HEADER_BYTES <= len(data) <= MAX_DATAGRAM_BYTES
         or data[0] != MessageType.REPLICATION
         or data[1] not in _DECODERS
     ):
--- a/cedarthread/replication/freshness.py
+++ b/cedarthread/replication/freshness.py
@@ -35,6 +35,7 @@
         self,
         router_index: int,
         router_count: int,
+        *,
         window_ms: float,
         clock_rate: float,
         now: float,
@@ -67,7 +68,7 @@
         ages = response.ages[: max(0, self.router_count - response.first_router)]
         for router, byte in enumerate(ages, response.first_router):
             age = byte & AGE_UNKNOWN
-            if age != AGE_UNKNOWN and router != peer and router != self.router_index:
+            if age != AGE_UNKNOWN and router not in (peer, self.router_index):
                 read_at_ms = self._reported_read_time(sent_at_ms, age, response.age_step_ms)
                 held = held_by_peer if byte & HOLDS_ROOT_FLAG else []
                 self._record_read(router, read_at_ms, bool(byte & VOTER_FLAG), held)
--- a/cedarthread/replication/store.py
+++ b/cedarthread/replication/store.py
@@ -95,10 +95,14 @@
         self.incarnation = incarnation % DIGEST_MODULUS
         self.window_ms = window_ms or default_window_ms(period_ms, router_count)
         rng = random.Random(seed ^ incarnation << 64 ^ _RNG_SALT)
-        freshness = FreshnessTracker(router_index, router_count, self.window_ms, clock_rate, now)
+        freshness = FreshnessTracker(
+            router_index, router_count, window_ms=self.window_ms, clock_rate=clock_rate, now=now
+        )
         self.staleness_bound_ms = self.window_ms * freshness.clock_drift_factor + MAX_TICK_INTERVAL_MS
         self.replica = LocalReplica(router_index, self.incarnation, freshness, is_durable)
-        self.requests = self.requests_type(router_index, router_count, self.incarnation, period_ms, rng, now)
+        self.requests = self.requests_type(
+            router_index, router_count, self.incarnation, period_ms=period_ms, rng=rng, now=now
+        )
         self.sessions = SyncSessions(self.replica, rng)
         self.server = self.server_type(self.replica, router_count, rng, now)
         self.last_active_at_ms = now
--- a/cedarthread/replication/sync_requests.py
+++ b/cedarthread/replication/sync_requests.py
@@ -34,6 +34,7 @@
         router_index: int,
         router_count: int,
         incarnation: int,
+        *,
         period_ms: float,
         rng: random.Random,
         now: float,
--- a/cedarthread/simulator/encoder.py
+++ b/cedarthread/simulator/encoder.py
@@ -104,7 +104,7 @@
     return _CODE_AND_U8.pack(RecordCode.SUBSCRIBE_ENDPOINTS, action.is_enabled)
 
 
-def _fetch_endpoints(action: FetchEndpoints) -> bytes:
+def _fetch_endpoints(_: FetchEndpoints) -> bytes:
     return _CODE_ONLY.pack(RecordCode.FETCH_ENDPOINTS)
 
 
--- a/cedarthread/testing/cluster/router_entry.py
+++ b/cedarthread/testing/cluster/router_entry.py
@@ -40,7 +40,7 @@
 
 def main() -> None:
     """Install the faults that the first arguments name, then do what the program does."""
-    with open(sys.argv.pop(1), "rb") as file:
+    with Path(sys.argv.pop(1)).open("rb") as file:
         control = mmap.mmap(file.fileno(), CLOCK_CONTROL.size, access=mmap.ACCESS_READ)
     if disk := sys.argv.pop(1):
         import_module("cedarthread.persistence.faulty_disk").install(Path(disk))
--- a/cedarthread/testing/cluster/router_files.py
+++ b/cedarthread/testing/cluster/router_files.py
@@ -108,7 +108,7 @@
 
 def _write_in_place(path: Path, data: bytes) -> None:
     """Not by another file: a process maps this one."""
-    with open(path, "r+b" if path.exists() else "wb") as file:
+    with path.open("r+b" if path.exists() else "wb") as file:
         file.write(data)
 
 
--- a/cedarthread/testing/cluster/router_processes.py
+++ b/cedarthread/testing/cluster/router_processes.py
@@ -68,7 +68,7 @@
             module = "cedarthread.testing.cluster.router_entry"
             arguments = [str(files.clock), disk, scenario.injected_defect]
         options = ["--fleet", str(files.fleet_config)] if files.fleet_config.exists() else []
-        with open(files.log, "ab") as log:
+        with files.log.open("ab") as log:
             self.processes[number] = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments, "serve", "--log", "warning", *options],
                 env=self._environment | {"BALANCER_CONFIG": str(files.config)},
--- a/cedarthread/testing/fuzzing/finding.py
+++ b/cedarthread/testing/fuzzing/finding.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 
-class Finding(Exception):
+class Finding(Exception):  # noqa: N818 -- what a target found, by the name that its reports use
     """The program did on an input what it must not do."""
 
 
--- a/cedarthread/testing/fuzzing/guided.py
+++ b/cedarthread/testing/fuzzing/guided.py
@@ -11,6 +11,7 @@
 import os
 import random
 import sys
+from pathlib import Path
 
 import atheris
 
@@ -28,7 +29,7 @@
             print(f"finding: {wrong}", file=sys.stderr, flush=True)
             kept = os.environ.get("CEDARTHREAD_FINDING")
             if kept:
-                with open(kept, "wb") as file:
+                with Path(kept).open("wb") as file:
                     file.write(data)
             os._exit(77)
 
--- a/tests/unit/test_escrow.py
+++ b/tests/unit/test_escrow.py
@@ -223,7 +223,7 @@
 
 
 def test_a_newcomer_gets_an_even_share_at_the_next_renewal() -> None:
-    rate = RatePool("p", 1, 0, 4, 1.0, 0.0)
+    rate = RatePool("p", 1, 0, 4, clock_drift_factor=1.0, ready_at_ms=0.0)
     rate.total = 400
     first, newcomer = Borrower(1, 1), Borrower(2, 1)
     assert rate.lend(0.0, first, 1, 500) == rate.lendable(0.0)
