Log lines of change freeze and priority as events with fields

Cause: the lines were sentences in the old words; the rest of the tree logs logfmt events. Change: freeze_window_declared, freeze_window_state, freeze_entry_unreadable, freeze_uncertain, freeze_certain, wall_clock_stepped, wall_clock_step_undone, wall_clock_deviates, wall_clock_agrees, overload_level_changed; at the same places. Tests look for the fields instead of the words (followed=no and followed=yes are told apart now, before the second assertion held for both).

--- a/cedarthread/change_freeze/component.py
+++ b/cedarthread/change_freeze/component.py
@@ -29,6 +29,7 @@
     WallClockRead,
 )
 from cedarthread.fleet_config import SharingConfig
+from cedarthread.logs import format_event
 from cedarthread.model.actions import LogMessage
 from cedarthread.model.endpoints import EndpointUpdate
 from cedarthread.model.outcomes import Outcome
@@ -139,7 +140,11 @@
         for finding in self.registry.add(entries):
             if isinstance(finding, UnreadableEntry):
                 entry = finding.entry
-                self._log(f"{entry.kind} {entry.name!r} can't be read: {finding.reason}")
+                self._log(
+                    format_event(
+                        "freeze_entry_unreadable", kind=entry.kind, name=entry.name, reason=finding.reason
+                    )
+                )
             else:
                 self._on_window_declared(now, finding.window, finding.terms)
 
@@ -149,13 +154,16 @@
         window.was_declared_late = (
             not math.isnan(unix_ms) and terms.start_unix_ms < earliest_start and unix_ms < terms.end_unix_ms
         )
-        line = f"window {terms.window_id} by {terms.author} ({terms.reason}): "
-        line += f"{_format_time(terms.start_unix_ms)} to {_format_time(terms.end_unix_ms)}"
-        if window.was_declared_late:
-            line += (
-                f"; too late to begin then: it is in force everywhere from {_format_time(earliest_start)} on"
-            )
-        self._log(line)
+        fields = {
+            "window": terms.window_id,
+            "author": terms.author,
+            "reason": terms.reason,
+            "start": _format_time(terms.start_unix_ms),
+            "end": _format_time(terms.end_unix_ms),
+        }
+        if window.was_declared_late:  # too late to begin everywhere at its start
+            fields["in_force_everywhere_from"] = _format_time(earliest_start)
+        self._log(format_event("freeze_window_declared", **fields))
 
     def _has_relevant_window(self, unix_ms: float) -> bool:
         """Whether a step of the wall clock to this time must be confirmed before it is followed."""
@@ -170,11 +178,14 @@
         has_changed = abs(deviation_ms - reported_ms) > 2 * self.wall_clock.max_error_ms
         if (deviation_ms != 0.0) != (reported_ms != 0.0) or has_changed:
             if deviation_ms:
-                side = "behind" if deviation_ms > 0 else "ahead of"
-                distance = f"{abs(deviation_ms) / 1000.0:.1f} s {side} most others'"
-                self._log(f"the wall clock is {distance}: windows are wider by that")
+                side = "behind" if deviation_ms > 0 else "ahead"
+                seconds = f"{abs(deviation_ms) / 1000.0:.1f}"
+                effect = "windows are wider by that"
+                self._log(
+                    format_event("wall_clock_deviates", from_most_peers=side, seconds=seconds, effect=effect)
+                )
             else:
-                self._log("the wall clock agrees with others again")
+                self._log(format_event("wall_clock_agrees"))
             self.reported_deviation_ms = deviation_ms
 
     def _clock_reading(self, now: float) -> ClockReading:
@@ -187,11 +198,7 @@
         is_fresh = self.replicated_state.is_fresh(now)
         is_uncertain = self.stale_hold.is_uncertain(now, is_fresh, self.registry.holds_entries)
         if is_uncertain != self.gate.is_uncertain and now > self.stale_hold.started_at_ms:
-            self._log(
-                "not fresh: placement stays as it is"
-                if is_uncertain
-                else "no more frozen for what may be missed"
-            )
+            self._log(format_event("freeze_uncertain" if is_uncertain else "freeze_certain"))
         self.gate.is_uncertain = is_uncertain
 
     def _update_gate(self, now: float) -> None:
@@ -203,7 +210,8 @@
             previous_state = window.state
             in_force = window.update(reading)
             if window.state is not previous_state:
-                self._log(f"window {window.window_id}: {window.state.value}")
+                state = window.state.value
+                self._log(format_event("freeze_window_state", window=window.window_id, state=state))
             rules += [self._rule_for(window, terms) for terms in in_force]
             if window.state in BUDGETED_STATES:
                 remaining_ms = max(0.0, window.latest_end_unix_ms() - reading.earliest_unix_ms)
@@ -245,7 +253,7 @@
 
     def _log(self, line: str | None) -> None:
         if line is not None:
-            self.pending_messages.append(LogMessage(f"freeze: {line}"))
+            self.pending_messages.append(LogMessage(line))
 
     def _take_messages(self) -> list[OutboundMessage]:
         messages, self.pending_messages = self.pending_messages, []
--- a/cedarthread/change_freeze/wall_clock.py
+++ b/cedarthread/change_freeze/wall_clock.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from cedarthread.change_freeze.window_entries import MAX_WINDOW_MS
+from cedarthread.logs import format_event
 
 STEP_THRESHOLD_MS = 100.0  # a smaller gap is no step: the two clocks are read one after the other
 SAMPLE_LIFETIME_MS = 120_000.0  # for which a comparison is used: the other clock drifts meanwhile
@@ -70,7 +71,7 @@
         if abs(gap_ms) <= STEP_THRESHOLD_MS + allowed_drift_ms:
             self.followed_offset_ms += min(max(gap_ms, -allowed_drift_ms), allowed_drift_ms)
             is_back, self.unfollowed_offset_ms = self.unfollowed_offset_ms is not None, None
-            return "the wall clock is back where it was" if is_back else None
+            return format_event("wall_clock_step_undone") if is_back else None
         is_new_step = (
             self.unfollowed_offset_ms is None
             or abs(offset_ms - self.unfollowed_offset_ms) > STEP_THRESHOLD_MS + allowed_drift_ms
@@ -78,11 +79,11 @@
         if is_new_step:
             self.stepped_at_ms, self.step_count = now, self.step_count + 1
         self.unfollowed_offset_ms = offset_ms
-        step = f"the wall clock stepped by {gap_ms / 1000.0:+.1f} s"
+        step_s = f"{gap_ms / 1000.0:+.1f}"
         if not has_window or self._is_step_confirmed(now, offset_ms):
             self.followed_offset_ms, self.unfollowed_offset_ms = offset_ms, None
-            return f"{step}, followed"
-        return f"{step}, not followed" if is_new_step else None
+            return format_event("wall_clock_stepped", step_s=step_s, followed="yes")
+        return format_event("wall_clock_stepped", step_s=step_s, followed="no") if is_new_step else None
 
     def unix_ms(self, now: float) -> float:
         """The wall time that is followed, which other routers are told too. NaN before any reading."""
--- a/cedarthread/priority/component.py
+++ b/cedarthread/priority/component.py
@@ -22,6 +22,7 @@
     ReplicatedState,
     SettingsChanged,
 )
+from cedarthread.logs import format_event
 from cedarthread.model.actions import LogMessage, SendToPeer
 from cedarthread.model.outcomes import Outcome
 from cedarthread.model.settings import RouterSettings
@@ -263,4 +264,4 @@
         )
         if level == previous_level:
             return []
-        return [LogMessage(f"tiers: cluster overload level {level}, was {previous_level}")]
+        return [LogMessage(format_event("overload_level_changed", level=level, previous=previous_level))]
--- a/tests/simulation/test_change_freeze.py
+++ b/tests/simulation/test_change_freeze.py
@@ -445,7 +445,7 @@
 def declared_late(fleet: SimulatedFleet) -> Violations:
     fleet.run(15_000.0).declare(EntryKind.FREEZE, window_terms(15_100.0))
     fleet.run(WINDOW_END_MS)
-    is_logged = all("too late" in "".join(router.log_lines) for router in fleet.routers)
+    is_logged = all("in_force_everywhere_from=" in "".join(router.log_lines) for router in fleet.routers)
     return [
         *changes_over_budget(fleet, 15_000.0 + STALENESS_BOUND_MS, WINDOW_END_MS),
         *when(not is_logged, "it did not say that it is late"),
@@ -532,7 +532,7 @@
     fleet.restart_router(3, keeps_entries=False)
     fleet.run(16_000.0).declare(EntryKind.FREEZE, window_terms(21_000.0))
     fleet.run(WINDOW_END_MS)
-    is_logged = "behind most others" in "".join(fleet.routers[3].log_lines)
+    is_logged = "wall_clock_deviates from_most_peers=behind" in "".join(fleet.routers[3].log_lines)
     return [
         *changes_over_budget(fleet, 21_000.0, WINDOW_END_MS),
         *when(not is_logged, "it did not say that its clock is off"),
--- a/tests/simulation/test_change_freeze_exploration.py
+++ b/tests/simulation/test_change_freeze_exploration.py
@@ -367,12 +367,12 @@
     clock = WallClock(3, 500.0, 0.001)
     clock.on_host_reading(0.0, EPOCH_UNIX_MS, True)
     stepped = EPOCH_UNIX_MS + 7.2e6
-    assert "not followed" in str(clock.on_host_reading(100.0, stepped, True))
+    assert "followed=no" in str(clock.on_host_reading(100.0, stepped, True))
     assert clock.unix_ms(100.0) == EPOCH_UNIX_MS + 100.0
     assert clock.on_host_reading(200.0, stepped + 100.0, True) is None
     for peer in (1, 2):
         clock.add_sample(300.0, peer, stepped + 200.0, 298.0)
-    assert "followed" in str(clock.on_host_reading(300.0, stepped + 200.0, True))
+    assert "followed=yes" in str(clock.on_host_reading(300.0, stepped + 200.0, True))
     assert clock.unix_ms(300.0) > EPOCH_UNIX_MS + 7e6
 
 
