--- a/cedarthread/testing/fuzzing/coverage_report.py
+++ b/cedarthread/testing/fuzzing/coverage_report.py
@@ -1,6 +1,8 @@
-"""Coverage of one target by its corpus and drawn runs. A process of its own: measuring begins before imports.
+"""Coverage of one target by its corpus and generated inputs.
 
-python -m cedarthread.testing.fuzzing.coverage_report TARGET CORPUS
+It has a process of its own, for measuring begins before the program is imported.
+
+    python -m cedarthread.testing.fuzzing.coverage_report TARGET CORPUS
 """
 
 from __future__ import annotations
@@ -12,6 +14,8 @@
 
 import coverage
 
+RUNS_FACTOR = 4  # times as many generated inputs as in the tests
+
 
 def main(name: str, folder: str) -> None:
     """Print a line for each module of the target."""
@@ -21,24 +25,26 @@
     from cedarthread.testing.fuzzing.target import verdict
 
     target = targets.targets_by_name()[name]
-    kept, rng = [data for _, data in corpus.inputs(name, Path(folder))], random.Random(1)
-    for data in kept:
+    known, rng = [data for _, data in corpus.inputs(name, Path(folder))], random.Random(1)
+    for data in known:
         verdict(target, data)
-    for _ in range(4 * target.test_runs):
-        verdict(target, target.next_input(rng, kept))
+    for _ in range(RUNS_FACTOR * target.test_runs):
+        verdict(target, target.next_input(rng, known))
     measured.stop()
     for module in target.modules:
-        figures: Any = measured._analyze(sys.modules[module].__file__ or "")
-        lines, branches = figures.numbers.pc_statements, _part(figures.numbers)
-        missing = figures.missing_formatted() or "none"
+        analysis: Any = measured._analyze(sys.modules[module].__file__ or "")
+        lines, branches = analysis.numbers.pc_statements, _branch_percentage(analysis.numbers)
+        missing = analysis.missing_formatted() or "none"
         print(
             f"{name:14} {lines:6.1f}% {branches:8.1f}%  {module.removeprefix('cedarthread.')}: {missing}",
             flush=True,
         )
 
 
-def _part(numbers: Any) -> float:
-    return 100.0 * numbers.n_executed_branches / numbers.n_branches if numbers.n_branches else 100.0
+def _branch_percentage(numbers: Any) -> float:
+    if not numbers.n_branches:
+        return 100.0
+    return float(100.0 * numbers.n_executed_branches / numbers.n_branches)
 
 
 if __name__ == "__main__":
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -1,7 +1,7 @@
-"""Planted defects: each is put into the running program, and a target must find it within so many runs.
+"""Injected defects: each is patched into the running program, and a target must find it within so many runs.
 
-They stand for the mistakes that fuzzing is there for. One that is not found fails the proof; among them are
-the defects that fuzzing found and that have since been repaired.
+They stand for the mistakes that fuzzing is there for; among them are the defects that fuzzing found and that
+have since been repaired. One that is not found fails ``prove``.
 """
 
 from __future__ import annotations
@@ -55,9 +55,9 @@
     patches: tuple[tuple[Any, str, Any], ...]
 
     @contextmanager
-    def planted(self) -> Iterator[None]:
+    def injected(self) -> Iterator[None]:
         """The program with the defect in it."""
-        patches = [mock.patch.object(where, what, by) for where, what, by in self.patches]
+        patches = [mock.patch.object(owner, name, replacement) for owner, name, replacement in self.patches]
         for patch in patches:
             patch.start()
         try:
@@ -315,21 +315,21 @@
 
 
 def runs_until_found(defect: Defect, target: Target, seed: int = SEED) -> tuple[int, str] | None:
-    """With the defect planted: after how many drawn runs it shows, and as what; None within its runs."""
+    """With the defect injected: the run that finds it, and its verdict; None where none of its runs does."""
     rng, corpus = random.Random(f"{seed} {defect.name}"), list[bytes]()
-    metered = defect.target == "dns"  # a loop shows by its work
-    with defect.planted():
+    is_metered = defect.target == "dns"  # a loop shows by the lines that it runs
+    with defect.injected():
         for number in range(1, defect.runs + 1):
             data = target.next_input(rng, corpus)
-            if (wrong := verdict(target, data, metered=metered)) is not None:
-                return number, wrong
+            if (fault := verdict(target, data, metered=is_metered)) is not None:
+                return number, fault
             if rng.random() < 0.1:
                 corpus.append(data)
     return None
 
 
-def prove(tell: Callable[[str], None], names: set[str] | None = None, seed: int = SEED) -> list[str]:
-    """Plant each defect in turn; the names of those that were not found."""
+def prove(report: Callable[[str], None], names: set[str] | None = None, seed: int = SEED) -> list[str]:
+    """Inject each defect in turn; the names of those that were not found. ``report`` gets a line for each."""
     missed, known = [], targets.targets_by_name()
     for defect in DEFECTS:
         if names is not None and defect.name not in names:
@@ -337,7 +337,9 @@
         found = runs_until_found(defect, known[defect.target], seed)
         if found is None:
             missed.append(defect.name)
-            tell(f"{defect.name:24} {defect.target:12} NOT FOUND in {defect.runs} runs")
+            report(f"{defect.name:24} {defect.target:12} NOT FOUND in {defect.runs} runs")
         else:
-            tell(f"{defect.name:24} {defect.target:12} run {found[0]:5} of {defect.runs:5}  {found[1][:60]}")
+            report(
+                f"{defect.name:24} {defect.target:12} run {found[0]:5} of {defect.runs:5}  {found[1][:60]}"
+            )
     return missed
--- a/cedarthread/testing/fuzzing/mutation.py
+++ b/cedarthread/testing/fuzzing/mutation.py
@@ -51,35 +51,38 @@
     DEEP_LIST = [DEEP_LIST]
 
 
+DESCEND_SHARE = 0.85  # of changes below a list or map, rather than of it as a whole
+
+
 def mutate_bytes(data: bytes, rng: random.Random) -> bytes:
-    """One change that knows no grammar."""
+    """One change of bytes, without a grammar."""
     raw = bytearray(data)
-    at = rng.randrange(len(raw) + 1)
-    end = min(len(raw), at + 1 + int(rng.expovariate(0.2)))
+    start = rng.randrange(len(raw) + 1)
+    end = min(len(raw), start + 1 + int(rng.expovariate(0.2)))
     match rng.randrange(7):
         case 0:
-            del raw[at:end]
+            del raw[start:end]
         case 1:
-            raw[at:at] = raw[at:end] * rng.choice((1, 1, 2, 40))
+            raw[start:start] = raw[start:end] * rng.choice((1, 1, 2, 40))
         case 2:
-            raw[at:at] = rng.randbytes(rng.randint(1, 4))
-        case 3 if at < len(raw):
-            raw[at] = rng.choice((0, 0xFF, 0x7F, 0x80, raw[at] ^ 1 << rng.randrange(8)))
+            raw[start:start] = rng.randbytes(rng.randint(1, 4))
+        case 3 if start < len(raw):
+            raw[start] = rng.choice((0, 0xFF, 0x7F, 0x80, raw[start] ^ 1 << rng.randrange(8)))
         case 4:
             number = rng.choice(EDGE_NUMBERS) % 2**64
             width = rng.choice((1, 2, 4, 8))
-            raw[at : at + width] = (number % 256**width).to_bytes(width, rng.choice(("big", "little")))
+            raw[start : start + width] = (number % 256**width).to_bytes(width, rng.choice(("big", "little")))
         case 5:
-            raw[at:end] = rng.choice(EDGE_STRINGS).encode()[:300]
+            raw[start:end] = rng.choice(EDGE_STRINGS).encode()[:300]
         case _:
             other = rng.randrange(len(raw) + 1)
-            raw[at:at] = raw[other : other + rng.randint(1, 30)]
+            raw[start:start] = raw[other : other + rng.randint(1, 30)]
     return bytes(raw)
 
 
 def mutate_tree(value: Any, rng: random.Random, edges: Sequence[Any]) -> Any:
-    """A parsed value with one place in it changed; lengths and forms are made anew when it is written."""
-    if isinstance(value, dict) and value and rng.random() < 0.85:
+    """A parsed value with one place changed; lengths and types are right again once it is encoded."""
+    if isinstance(value, dict) and value and rng.random() < DESCEND_SHARE:
         key = rng.choice(list(value))
         changed = dict(value)
         match rng.randrange(6):
@@ -90,13 +93,13 @@
             case _:
                 changed[key] = mutate_tree(value[key], rng, edges)
         return changed
-    if isinstance(value, list) and value and rng.random() < 0.85:
-        at = rng.randrange(len(value))
+    if isinstance(value, list) and value and rng.random() < DESCEND_SHARE:
+        index = rng.randrange(len(value))
         match rng.randrange(6):
             case 0:
-                return value[:at] + value[at + 1 :]
+                return value[:index] + value[index + 1 :]
             case 1:
-                return value[:at] + [value[at]] * rng.choice((2, 2, 40)) + value[at:]
+                return value[:index] + [value[index]] * rng.choice((2, 2, 40)) + value[index:]
             case _:
-                return [*value[:at], mutate_tree(value[at], rng, edges), *value[at + 1 :]]
+                return [*value[:index], mutate_tree(value[index], rng, edges), *value[index + 1 :]]
     return rng.choice(edges)
--- a/cedarthread/testing/fuzzing/settings.py
+++ b/cedarthread/testing/fuzzing/settings.py
@@ -1,4 +1,4 @@
-"""Settings that fuzzing plays with, in the form that the platform gives them."""
+"""Settings for fuzzing, in the platform's form."""
 
 from __future__ import annotations
 
@@ -30,9 +30,9 @@
 
 
 def settings(*, preloads_on_miss: bool = False, supports_cancel: bool = True) -> dict[str, Any]:
-    """A copy; with ``miss`` workers answer NONE and loads are ordered, under a ration."""
-    top = copy.deepcopy(BASE)
-    top["limits"]["cancel"] = supports_cancel
+    """A copy. ``preloads_on_miss``: workers without an instance answer NONE, and the router preloads."""
+    document = copy.deepcopy(BASE)
+    document["limits"]["cancel"] = supports_cancel
     if preloads_on_miss:
-        top["specifics"] |= PRELOAD_LIMITS | {"on-miss": "miss", "may-order": True}
-    return top
+        document["specifics"] |= PRELOAD_LIMITS | {"on-miss": "miss", "may-order": True}
+    return document
--- a/cedarthread/testing/fuzzing/target.py
+++ b/cedarthread/testing/fuzzing/target.py
@@ -18,14 +18,14 @@
 
 
 class FuzzedDataProvider:
-    """Choices read from an input's bytes; past the end every choice is the first."""
+    """Choices read from an input's bytes, like libFuzzer's class of this name; past the end, all zero."""
 
     def __init__(self, data: bytes) -> None:
         self.data = data
         self.position = 0
 
     def has_more(self) -> bool:
-        """Is a byte left?"""
+        """Whether a byte is left."""
         return self.position < len(self.data)
 
     def consume_byte(self) -> int:
@@ -33,12 +33,12 @@
         self.position += 1
         return self.data[self.position - 1] if self.position <= len(self.data) else 0
 
-    def pick(self, among: Sequence[T]) -> T:
-        """One of them."""
-        return among[self.consume_byte() % len(among)]
+    def pick(self, options: Sequence[T]) -> T:
+        """One of the options."""
+        return options[self.consume_byte() % len(options)]
 
     def consume_uint16(self) -> int:
-        """Two bytes' worth."""
+        """The next two bytes, the high one first."""
         return self.consume_byte() << 8 | self.consume_byte()
 
 
@@ -49,14 +49,14 @@
     modules: tuple[str, ...] = ()  # whose coverage counts
     line_budget = Budget(20_000, 400)  # lines of the program that one input may run
     byte_budget = Budget(2**20, 200)  # bytes of memory that one input may take at its peak
-    test_runs = 400  # drawn runs in the tests
+    test_runs = 400  # generated inputs in the tests
 
     def generate(self, rng: random.Random) -> bytes:
         """An input that the grammar allows, or nearly."""
         raise NotImplementedError
 
     def check(self, data: bytes) -> None:
-        """Feed one input; whatever it raises is a finding."""
+        """Check one input; whatever this raises is a finding."""
         raise NotImplementedError
 
     def mutate(self, data: bytes, rng: random.Random) -> bytes:
@@ -64,7 +64,7 @@
         return mutate_bytes(data, rng)
 
     def next_input(self, rng: random.Random, corpus: Sequence[bytes]) -> bytes:
-        """The next input of a drawn run: a new one, or a changed one."""
+        """The next input of a plain run: a generated one, or a mutation of one or of a corpus input."""
         if not corpus or rng.random() < 0.5:
             data = self.generate(rng)
             return data if rng.random() < 0.6 else self.mutate(data, rng)
@@ -75,21 +75,21 @@
 
 
 class _LoggedFailures(logging.Handler):
-    """Keeps what the program logged as a failure of its own."""
+    """Records what the program logged with an exception."""
 
     def __init__(self) -> None:
         super().__init__(logging.ERROR)
-        self.seen: list[str] = []
+        self.messages: list[str] = []
 
     def emit(self, record: logging.LogRecord) -> None:
         if record.exc_info is not None:
-            self.seen.append(f"{record.getMessage()} {record.exc_info[1]!r}")
+            self.messages.append(f"{record.getMessage()} {record.exc_info[1]!r}")
 
 
 def verdict(target: Target, data: bytes, *, metered: bool = False) -> str | None:
     """What is wrong with the program on this input; None where it did as it must."""
     failures, logger = _LoggedFailures(), logging.getLogger(PACKAGE)
-    level, passes = logger.level, logger.propagate
+    level, propagates = logger.level, logger.propagate
     logger.addHandler(failures)
     logger.setLevel(logging.ERROR)
     logger.propagate = False
@@ -107,5 +107,5 @@
     finally:
         logger.removeHandler(failures)
         logger.setLevel(level)
-        logger.propagate = passes
-    return failures.seen[0] if failures.seen else None
+        logger.propagate = propagates
+    return failures.messages[0] if failures.messages else None
--- a/cedarthread/testing/fuzzing/virtual_loop.py
+++ b/cedarthread/testing/fuzzing/virtual_loop.py
@@ -21,7 +21,7 @@
         self._now = START_TIME_S
         self._selector = self  # BaseEventLoop asks it for events, with the time till the next timer
         self.jitter: Callable[[], float] = lambda: 0.0
-        self.failures: list[str] = []  # what the loop's exception handler was told
+        self.failures: list[str] = []  # reported to the loop's exception handler
         self.dial: Callable[[Any, str, int], MemoryTransport] | None = None
         self.set_exception_handler(self._on_failure)
 
--- a/tests/simulation/test_fuzzing.py
+++ b/tests/simulation/test_fuzzing.py
@@ -48,7 +48,7 @@
     kept = [(Path(name).name, data) for name, data in corpus.findings("calls", CORPUS)]
     assert kept
     for name, data in kept:
-        with defects[name].planted():
+        with defects[name].injected():
             assert verdict(TARGETS["calls"], data) is not None, name
 
 
@@ -64,7 +64,7 @@
 def test_a_small_model_shows_a_broken_rule_and_a_missing_state() -> None:
     confirm = next(model_checking.models_named("confirm"))
     unsafe = next(d for d in injected_defects.DEFECTS if d.name == "unsafe-sent-again")
-    with unsafe.planted():
+    with unsafe.injected():
         assert "fragile call" in (model_checking.explore(confirm).verdict() or "")
     found = model_checking.Exploration(confirm, state_count=confirm.expected_states - 1)
     assert "states" in (found.verdict() or "")
