--- a/cedarthread/routing/records.py
+++ b/cedarthread/routing/records.py
@@ -67,11 +67,9 @@
     last_response_at_ms: float = -math.inf
     unreachable_at_ms: float = -math.inf  # when it was last found down: it may start anew untold
     connection_broken_at_ms: float = -math.inf  # what broke with one connection is one symptom
-    excess_load: DecayingMean = field(
-        default_factory=lambda: DecayingMean.with_time_constant(MIN_LOAD_MEMORY_MS)
-    )
+    excess_load: DecayingMean = field(default_factory=lambda: DecayingMean(MIN_LOAD_MEMORY_MS))
     reported_in_flight: DecayingMean = field(  # of others, by its load reports
-        default_factory=lambda: DecayingMean.with_time_constant(MIN_LOAD_MEMORY_MS)
+        default_factory=lambda: DecayingMean(MIN_LOAD_MEMORY_MS)
     )
     rejections: dict[ClassAndTenant, DecayingCounter] = field(default_factory=dict)
 
@@ -81,8 +79,10 @@
 
     def available_capacity(self, now: float, rules: RuleParameters) -> float:
         """The part of its capacity that it has at least, by its told start or what looked like one."""
-        started_at_ms = max(self.endpoint.started_at_ms or -math.inf, self.unreachable_at_ms)
-        return slow_start.available_capacity(rules, now - started_at_ms)
+        age_ms = now - max(self.endpoint.started_at_ms or -math.inf, self.unreachable_at_ms)
+        if age_ms >= rules.slow_start_ms:  # the usual case, asked for each candidate of each call
+            return 1.0
+        return slow_start.available_capacity(rules, age_ms)
 
 
 @dataclass(slots=True)
