--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -67,87 +67,87 @@
                 patch.stop()
 
 
-# What the defective program does instead.
+# What the defective program does instead. The first are the functions as they are.
 
-_answer = PlatformCalls._send_answer
+_send_answer = PlatformCalls._send_answer
 _release = CallTable.release
-_send = ActionExecutor._start_attempt
+_start_attempt = ActionExecutor._start_attempt
 _may_preload = PreloadPolicy.may_preload
-_length = http._parse_content_length
-_read_ending = parse_call_response
+_parse_content_length = http._parse_content_length
+_parse_call_response = parse_call_response
 
 
-def _answer_twice(self: PlatformCalls, number: int, answer: CallResult) -> None:
-    _answer(self, number, answer)
+def _send_failure_twice(self: PlatformCalls, number: int, answer: CallResult) -> None:
+    _send_answer(self, number, answer)
     if isinstance(answer, CallFailed):
-        _answer(self, number, answer)
+        _send_answer(self, number, answer)
 
 
-def _no_names(self: CallTable, call: Call) -> None:
+def _keep_call_id(self: CallTable, call: Call) -> None:
     _release(self, call)
     self.pending_ids.add(call.call_id)
 
 
-def _bytes_kept(self: CallTable, call: Call) -> None:
+def _keep_body_bytes(self: CallTable, call: Call) -> None:
     _release(self, call)
     self.pending_body_bytes += len(call.body)
 
 
-def _two_out(self: ActionExecutor, action: StartAttempt) -> None:
-    _send(self, action)
+def _start_attempt_twice(self: ActionExecutor, action: StartAttempt) -> None:
+    _start_attempt(self, action)
     call = self._calls.pending.get(action.request_id)
     if call is not None and len(call.attempts) == 2 and not call.attempts[1].is_ended:
         self._context.workers().send(Attempt(call, 1, action.worker_id, self._context.clock()))
 
 
-def _timer_breeds(self: CallDeadlines, at: float) -> None:
+def _set_second_timer(self: CallDeadlines, at: float) -> None:
     self._wakeup_at_ms, self._wakeup_timer = at, self._context.call_at(at, self.on_timer)
     self._context.call_at(at + 1e9, self.on_timer)
 
 
-def _no_limit(data: memoryview, at: int, count: int) -> memoryview:
+def _take_slice_unlimited(data: memoryview, at: int, count: int) -> memoryview:
     if at + count > len(data):
         raise msgpack._IncompleteError(at + count)
     return data[at : at + count]
 
 
-def _any_state(self: WorkerSelector, request: PendingRequest, worker: WorkerRecord) -> bool:
+def _allow_any_state(self: WorkerSelector, request: PendingRequest, worker: WorkerRecord) -> bool:
     return True
 
 
-def _one_more_order(self: PreloadPolicy, now: float) -> bool:
+def _preload_beyond_limit(self: PreloadPolicy, now: float) -> bool:
     state = self.state
     budget = state.preload_budget
     budget.on_preload(now) if not budget.preload_times else None
-    free = state.settings.rules
-    with mock.patch.object(state, "settings", _with_ration(state.settings, free.preload_allowance * 4 + 4)):
+    allowance = 4 * state.settings.rules.preload_allowance + 4
+    with mock.patch.object(state, "settings", _with_preload_allowance(state.settings, allowance)):
         return _may_preload(self, now)
 
 
-def _with_ration(settings: RouterSettings, free: float) -> RouterSettings:
-    return replace(settings, rules=replace(settings.rules, preload_allowance=free))
+def _with_preload_allowance(settings: RouterSettings, allowance: float) -> RouterSettings:
+    return replace(settings, rules=replace(settings.rules, preload_allowance=allowance))
 
 
-def _group_forgotten(self: WorkerSelector, request: PendingRequest, worker: WorkerRecord) -> bool:
+def _ignore_retry_scope(self: WorkerSelector, request: PendingRequest, worker: WorkerRecord) -> bool:
     return worker.endpoint.state is EndpointState.READY
 
 
-def _always(self: RetryPolicy, now: float, request: PendingRequest) -> bool:
+def _retry_always(self: RetryPolicy, now: float, request: PendingRequest) -> bool:
     return True
 
 
-def _window_forgotten(self: RetryPolicy, now: float, request: PendingRequest) -> bool:
+def _ignore_retry_window(self: RetryPolicy, now: float, request: PendingRequest) -> bool:
     return (
         not request.possibly_executed() or request.request_class.idempotency is not Idempotency.NOT_IDEMPOTENT
     )
 
 
-def _lenient_length(fields: dict[str, str], most: int) -> int | http.InvalidRequest:
+def _parse_first_length(fields: dict[str, str], max_bytes: int) -> int | http.InvalidRequest:
     fields = {name: value for name, value in fields.items() if name != "transfer-encoding"}
-    return _length(fields, most)
+    return _parse_content_length(fields, max_bytes)
 
 
-def _loose_name(data: bytes, at: int) -> tuple[str, int]:
+def _parse_name_unbounded(data: bytes, at: int) -> tuple[str, int]:
     labels: list[str] = []
     end = -1
     while (size := data[at]) != 0:
@@ -160,21 +160,24 @@
     return ".".join(labels), at + 1 if end < 0 else end
 
 
-def _stale_news(
-    self: endpoint_list.EndpointList, version: int, told: list[endpoint_list.EndpointRecord], whole: bool
+def _apply_stale_update(
+    self: endpoint_list.EndpointList,
+    version: int,
+    records: list[endpoint_list.EndpointRecord],
+    is_complete: bool,
 ) -> Any:
     self.version = min(self.version, version - 1)
-    return _event(self, version, told, whole)
+    return _apply_update(self, version, records, is_complete)
 
 
-_event = endpoint_list.EndpointList.apply_update
+_apply_update = endpoint_list.EndpointList.apply_update
 
 
-def _anyones(self: deferred.DeferredCalls, owner: str, name: str) -> Any:
-    return self._calls_by_id.get(name)
+def _find_of_any_owner(self: deferred.DeferredCalls, owner: str, call_id: str) -> Any:
+    return self._calls_by_id.get(call_id)
 
 
-def _size_kept(self: deferred.DeferredCalls, entry: deferred.DeferredCall) -> None:
+def _remove_without_bytes(self: deferred.DeferredCalls, entry: deferred.DeferredCall) -> None:
     self._calls_by_id.pop(entry.call_id, None)
     if (
         entry.idempotency_key is not None
@@ -183,134 +186,154 @@
         del self._id_by_key[(entry.owner, entry.idempotency_key)]
 
 
-def _any_segment(text: str) -> str | None:
+def _parse_any_segment(text: str) -> str | None:
     domain, slash, _ = text.removeprefix("spiffe://").partition("/")
     return domain if text.startswith("spiffe://") and slash and spiffe._DOMAIN.match(domain) else None
 
 
-def _first_uri(leaf: Any) -> Any:
+def _take_first_uri(leaf: Any) -> Any:
     names = leaf.extensions.get_extension_for_class(x509.SubjectAlternativeName).value
     uri = names.get_values_for_type(x509.UniformResourceIdentifier)[0]
     return spiffe.Identity(uri, spiffe.parse_trust_domain(uri) or "", 0.0)
 
 
-def _any_reply(self: discovery.DiscoveryClient, data: bytes, addr: object) -> None:
+def _accept_any_reply(self: discovery.DiscoveryClient, data: bytes, addr: object) -> None:
     reply = dns.parse(data)
     if isinstance(reply, dns.Reply) and reply.serial is not None:
-        found = discovery.endpoints_from_reply(reply)
-        if not isinstance(found, str):
-            self.on_update(reply.serial, found)
+        records = discovery.endpoints_from_reply(reply)
+        if not isinstance(records, str):
+            self.on_update(reply.serial, records)
 
 
-def _spoilt_passes(message: dict[str, Any], columns: tuple[str, ...]) -> AttemptResult | None:
-    return _read_ending(message, columns) or AttemptResult(Outcome.OK, b"spoilt")
+def _accept_malformed(message: dict[str, Any], columns: tuple[str, ...]) -> AttemptResult | None:
+    return _parse_call_response(message, columns) or AttemptResult(Outcome.OK, b"spoilt")
 
 
-def _figure_unchecked(value: Any, least: float = 0.0) -> float:
+def _number_unchecked(value: Any, minimum: float = 0.0) -> float:
     return float(value)
 
 
-def _swallow(self: PlatformConnection) -> None:
+def _abandon_calls_and_close(self: PlatformConnection) -> None:
     calls, self.calls.open = self.calls.open, {}
     for call in calls.values():
         self.server.dispatcher.abandon_call(call)
     self.lingering_close()
 
 
-def _later_calls_forgotten(self: Dispatcher, at: float) -> None:
+def _forget_shutdown_deadline(self: Dispatcher, at: float) -> None:
     self.shutdown_deadline_ms = None
 
 
-def _kept_in_carrying(self: WorkerConnections, carried: Any, ending: Any, outcome: Outcome) -> None:
-    if isinstance(carried, Attempt):
-        self.dispatcher.attempt_ended(carried, ending(carried))
+def _end_without_removal(self: WorkerConnections, request: Any, result: Any, outcome: Outcome) -> None:
+    if isinstance(request, Attempt):
+        self.dispatcher.attempt_ended(request, result(request))
     else:
-        self.preloads.finish(carried, outcome)
+        self.preloads.finish(request, outcome)
 
 
-def _cancel_unsure(self: WorkerConnections, attempt: Attempt, connection: Any, told: Any) -> None:
+def _cancel_as_not_executed(self: WorkerConnections, attempt: Attempt, connection: Any, is_told: Any) -> None:
     self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
 
 
-def _nothing(*_: Any) -> None:
+def _do_nothing(*_: Any) -> None:
     pass
 
 
-def _never(*_: Any) -> bool:
+def _return_false(*_: Any) -> bool:
     return False
 
 
-def _begins(*_: Any) -> bool:
+def _return_true(*_: Any) -> bool:
     return True
 
 
-def _dispatch(handler: str, by: Callable[..., Any]) -> tuple[Any, str, Any]:
+def _dispatcher_patch(handler: str, by: Callable[..., Any]) -> tuple[Any, str, Any]:
     return (Dispatcher, handler, by)
 
 
 DEFECTS = (
-    Defect("second-answer", "calls", 300, ((PlatformCalls, "_send_answer", _answer_twice),)),
-    Defect("two-attempts-out", "calls", 300, ((ActionExecutor, "_start_attempt", _two_out),)),
-    Defect("body-bytes-kept", "calls", 20, ((CallTable, "release", _bytes_kept),)),
-    Defect("names-kept", "calls", 20, ((CallTable, "release", _no_names),)),
-    Defect("timer-leak", "calls", 20, ((CallDeadlines, "_set_wakeup", _timer_breeds),)),
-    Defect("unsafe-sent-again", "calls", 300, ((RetryPolicy, "may_attempt", _always),)),
-    Defect("window-forgotten", "calls", 3000, ((RetryPolicy, "may_attempt", _window_forgotten),)),
-    Defect("group-forgotten", "calls", 2000, ((WorkerSelector, "is_eligible", _group_forgotten),)),
-    Defect("drain-ignored", "calls", 400, ((WorkerSelector, "is_eligible", _any_state),)),
-    Defect("order-budget-off", "calls", 1000, ((PreloadPolicy, "may_preload", _one_more_order),)),
-    Defect("answers-swallowed", "calls", 400, ((PlatformConnection, "fail_calls_and_close", _swallow),)),
+    Defect("second-answer", "calls", 300, ((PlatformCalls, "_send_answer", _send_failure_twice),)),
+    Defect("two-attempts-out", "calls", 300, ((ActionExecutor, "_start_attempt", _start_attempt_twice),)),
+    Defect("body-bytes-kept", "calls", 20, ((CallTable, "release", _keep_body_bytes),)),
+    Defect("names-kept", "calls", 20, ((CallTable, "release", _keep_call_id),)),
+    Defect("timer-leak", "calls", 20, ((CallDeadlines, "_set_wakeup", _set_second_timer),)),
+    Defect("unsafe-sent-again", "calls", 300, ((RetryPolicy, "may_attempt", _retry_always),)),
+    Defect("window-forgotten", "calls", 3000, ((RetryPolicy, "may_attempt", _ignore_retry_window),)),
+    Defect("group-forgotten", "calls", 2000, ((WorkerSelector, "is_eligible", _ignore_retry_scope),)),
+    Defect("drain-ignored", "calls", 400, ((WorkerSelector, "is_eligible", _allow_any_state),)),
+    Defect("order-budget-off", "calls", 1000, ((PreloadPolicy, "may_preload", _preload_beyond_limit),)),
+    Defect(
+        "answers-swallowed",
+        "calls",
+        400,
+        ((PlatformConnection, "fail_calls_and_close", _abandon_calls_and_close),),
+    ),
     Defect(
         "stop-forgotten",
         "calls",
         3000,
-        ((CallCompletion, "expire", _nothing), (CallCompletion, "complete_overdue", _nothing)),
+        ((CallCompletion, "expire", _do_nothing), (CallCompletion, "complete_overdue", _do_nothing)),
     ),
-    Defect("carried-kept", "calls", 1500, ((WorkerConnections, "_end_request", _kept_in_carrying),)),
-    Defect("cancel-not-told", "calls", 6000, ((WorkerConnections, "_finish_cancel", _cancel_unsure),)),
-    Defect("half-written-unseen", "calls", 9000, ((WorkerConnection, "refresh_progress", _nothing),)),
-    Defect("repeat-refused-at-end", "calls", 6000, ((InvokeCalls, "has_executed_call", _never),)),
-    # The look before bytes leave would hold back what is not withdrawn: both guards are out.
+    Defect("carried-kept", "calls", 1500, ((WorkerConnections, "_end_request", _end_without_removal),)),
+    Defect(
+        "cancel-not-told", "calls", 6000, ((WorkerConnections, "_finish_cancel", _cancel_as_not_executed),)
+    ),
+    Defect("half-written-unseen", "calls", 9000, ((WorkerConnection, "refresh_progress", _do_nothing),)),
+    Defect("repeat-refused-at-end", "calls", 6000, ((InvokeCalls, "has_executed_call", _return_false),)),
+    # The check before bytes leave would hold back what is not withdrawn, so both guards are out.
     Defect(
         "unsent-not-withdrawn",
         "calls",
         9000,
-        ((WorkerConnections, "withdraw_unsent", _nothing), _dispatch("may_start_attempt", _begins)),
+        (
+            (WorkerConnections, "withdraw_unsent", _do_nothing),
+            _dispatcher_patch("may_start_attempt", _return_true),
+        ),
     ),
     Defect(
         "goes-on-without-client",
         "calls",
         1500,
-        (_dispatch("may_start_attempt", _begins), _dispatch("client_closing", _nothing)),
+        (
+            _dispatcher_patch("may_start_attempt", _return_true),
+            _dispatcher_patch("client_closing", _do_nothing),
+        ),
+    ),
+    Defect("length-unchecked", "msgpack", 400, ((msgpack, "_take_slice", _take_slice_unlimited),)),
+    Defect("depth-unchecked", "msgpack", 400, ((msgpack, "_check_limits", _do_nothing),)),
+    Defect(
+        "dns-loop",
+        "dns",
+        200,
+        ((dns, "_parse_name", FunctionType(_parse_name_unbounded.__code__, vars(dns))),),
     ),
-    Defect("length-unchecked", "msgpack", 400, ((msgpack, "_take_slice", _no_limit),)),
-    Defect("depth-unchecked", "msgpack", 400, ((msgpack, "_check_limits", _nothing),)),
-    Defect("dns-loop", "dns", 200, ((dns, "_parse_name", FunctionType(_loose_name.__code__, vars(dns))),)),
     Defect("dns-hops-unbounded", "dns", 400, ((dns, "MAX_POINTERS", 10**6),)),
     Defect(
         "reply-not-asked-for",
         "resolver",
         200,
-        ((discovery.DiscoveryClient, "datagram_received", _any_reply),),
+        ((discovery.DiscoveryClient, "datagram_received", _accept_any_reply),),
+    ),
+    Defect(
+        "stale-news-taken", "roster", 50, ((endpoint_list.EndpointList, "apply_update", _apply_stale_update),)
     ),
-    Defect("stale-news-taken", "roster", 50, ((endpoint_list.EndpointList, "apply_update", _stale_news),)),
-    Defect("two-lengths-taken", "http", 400, ((http, "_parse_content_length", _lenient_length),)),
+    Defect("two-lengths-taken", "http", 400, ((http, "_parse_content_length", _parse_first_length),)),
     Defect(
-        "spoilt-answer-passed", "lines", 100, ((worker_connection, "parse_call_response", _spoilt_passes),)
+        "spoilt-answer-passed", "lines", 100, ((worker_connection, "parse_call_response", _accept_malformed),)
     ),
-    Defect("dots-in-ids", "spiffe", 200, ((spiffe, "parse_trust_domain", _any_segment),)),
-    Defect("first-name-counts", "certificate", 200, ((spiffe, "_parse_identity", _first_uri),)),
+    Defect("dots-in-ids", "spiffe", 200, ((spiffe, "parse_trust_domain", _parse_any_segment),)),
+    Defect("first-name-counts", "certificate", 200, ((spiffe, "_parse_identity", _take_first_uri),)),
     Defect(
         "figures-unchecked",
         "config",
         400,
         (
-            (settings_parser, "bounded_number", _figure_unchecked),
-            (config, "bounded_number", _figure_unchecked),
+            (settings_parser, "bounded_number", _number_unchecked),
+            (config, "bounded_number", _number_unchecked),
         ),
     ),
-    Defect("foreign-call-collected", "deferred", 50, ((deferred.DeferredCalls, "find", _anyones),)),
-    Defect("kept-bytes-leak", "deferred", 50, ((deferred.DeferredCalls, "remove", _size_kept),)),
+    Defect("foreign-call-collected", "deferred", 50, ((deferred.DeferredCalls, "find", _find_of_any_owner),)),
+    Defect("kept-bytes-leak", "deferred", 50, ((deferred.DeferredCalls, "remove", _remove_without_bytes),)),
 )
 
 
--- a/tests/contracts/test_paths.py
+++ b/tests/contracts/test_paths.py
@@ -29,16 +29,16 @@
 
     def __init__(self, *kinds: str) -> None:
         self.received: list[ReceivedDatagrams] = [[] for _ in range(5)]
-        told = [{"kind": kind, "who": "router", "to": "router", "figure": 0.3} for kind in kinds]
-        net = Network(parse_scenario({"fault": told}).faults, 7)
+        faults = [{"kind": kind, "who": "router", "to": "router", "figure": 0.3} for kind in kinds]
+        network = Network(parse_scenario({"fault": faults}).faults, 7)
         router = partial(Subject, SubjectKind.ROUTER)
         self.air = MemoryNetwork(
-            3, lambda now, sender, receiver: net.datagram_delays_ms(now, router(sender), router(receiver))
+            3, lambda now, sender, receiver: network.datagram_delays_ms(now, router(sender), router(receiver))
         )
 
     async def start(self) -> None:
         self.ends: list[PeerPath] = [MemoryPath(self.air, n, partial(self.on_datagram, n)) for n in range(4)]
-        self.others = [self.ends.pop()]  # the stranger first
+        self.outsiders = [self.ends.pop()]  # the stranger first
 
     def on_datagram(self, number: int, sender: int, data: bytes) -> None:
         self.received[number].append((sender, data))
@@ -60,7 +60,7 @@
         ]
         for end, each in zip(every, sockets, strict=True):
             await asyncio.get_running_loop().create_datagram_endpoint(partial(lambda e: e, end), sock=each)
-        self.ends, self.others = [*every[:3]], [every[4], every[3]]
+        self.ends, self.outsiders = [*every[:3]], [every[4], every[3]]
         self.sockets, self.came = sockets, asyncio.Event()
 
     def on_datagram(self, number: int, sender: int, data: bytes) -> None:
@@ -68,10 +68,10 @@
         self.came.set()
 
     async def deliver_all(self) -> None:
-        await asyncio.sleep(0)  # a socket that was told to close does so in the loop's next turn
+        await asyncio.sleep(0)  # a socket closes in the loop's next iteration
         alive = [n for n in range(3) if self.sockets[n].fileno() >= 0]
         for number in alive:
-            self.others[1].send(MARK, number)
+            self.outsiders[1].send(MARK, number)
         async with asyncio.timeout(10):
             while not all((3, MARK) in self.received[number] for number in alive):
                 self.came.clear()
@@ -81,7 +81,7 @@
 
 
 @dataclass(frozen=True)
-class Kind:
+class PathKind:
     """A path and its properties."""
 
     make: Callable[[], MemoryWorld]
@@ -91,51 +91,51 @@
 
 
 PATHS = {
-    "memory": Kind(MemoryWorld, ordered=True),
-    "udp": Kind(UdpWorld),
-    "faults": Kind(partial(MemoryWorld, "loss", "reorder"), sure=False),
-    "faults, doubled": Kind(partial(MemoryWorld, "loss", "double", "reorder"), times=2, sure=False),
+    "memory": PathKind(MemoryWorld, ordered=True),
+    "udp": PathKind(UdpWorld),
+    "faults": PathKind(partial(MemoryWorld, "loss", "reorder"), sure=False),
+    "faults, doubled": PathKind(partial(MemoryWorld, "loss", "double", "reorder"), times=2, sure=False),
 }
 
 
-def judge(kind: Kind, sent: ReceivedDatagrams, heard: ReceivedDatagrams) -> None:
+def check_datagrams(kind: PathKind, sent: ReceivedDatagrams, received: ReceivedDatagrams) -> None:
     """Rules 1 to 3, from a book of what was sent to one end; each datagram there is another."""
-    counts = Counter(heard)
+    counts = Counter(received)
     assert set(counts) <= set(sent) and (not kind.sure or set(counts) == set(sent))
     assert max(counts.values()) == kind.times, "so often at most, and so often it did come"
-    assert not kind.ordered or heard == sent
+    assert not kind.ordered or received == sent
 
 
-async def whole(kind: Kind, world: MemoryWorld) -> None:
+async def whole(kind: PathKind, world: MemoryWorld) -> None:
     sent = [(n % 2, bytes((n,)) * (1 + n % 16 * 17)) for n in range(60)]  # up to 256 bytes
     for sender, data in sent:
         world.ends[sender].send(data, 2)
     await world.deliver_all()
-    judge(kind, sent, world.received[2])
+    check_datagrams(kind, sent, world.received[2])
     assert world.received[:2] == [[], []] and not any(
         end.unsent_count + end.unknown_sender_count for end in world.ends
     )
 
 
-async def to_all(kind: Kind, world: MemoryWorld) -> None:
+async def to_all(kind: PathKind, world: MemoryWorld) -> None:
     sent = [(1, bytes((n,))) for n in range(30)]
     for _, data in sent:
         world.ends[1].send(data, None)
     await world.deliver_all()
-    judge(kind, sent, world.received[0])
-    judge(kind, sent, world.received[2])
+    check_datagrams(kind, sent, world.received[0])
+    check_datagrams(kind, sent, world.received[2])
 
 
-async def unheard(kind: Kind, world: MemoryWorld) -> None:
+async def unheard(kind: PathKind, world: MemoryWorld) -> None:
     for data, peer in ((b"x" * 257, 1), (b"x" * 257, None), (b"x", 43), (b"x", -1)) * 10:
         world.ends[0].send(data, peer)
-        world.others[0].send(b"x", 1)
+        world.outsiders[0].send(b"x", 1)
     await world.deliver_all()
     assert world.received[:3] == [[], [], []] and world.ends[0].unsent_count == 40
     assert (40 if kind.sure else 1) <= world.ends[1].unknown_sender_count <= 40 * kind.times
 
 
-async def stopped(kind: Kind, world: MemoryWorld) -> None:
+async def stopped(kind: PathKind, world: MemoryWorld) -> None:
     sent = [(1, bytes((n,))) for n in range(30)]
     world.ends[1].send(b"under way", 0)
     world.ends[0].stop()
@@ -145,22 +145,22 @@
             world.ends[sender].send(data, to)
         await world.deliver_all()
     assert world.received[0] == [] and world.ends[1].unsent_count == 0
-    judge(kind, sent, world.received[2])
+    check_datagrams(kind, sent, world.received[2])
 
 
 @pytest.mark.parametrize("rule", [whole, to_all, unheard, stopped], ids=lambda rule: rule.__name__)
 @pytest.mark.parametrize("kind", PATHS.values(), ids=list(PATHS))
 def test_the_contract_holds(
-    kind: Kind, rule: Callable[[Kind, MemoryWorld], Coroutine[Any, Any, None]]
+    kind: PathKind, rule: Callable[[PathKind, MemoryWorld], Coroutine[Any, Any, None]]
 ) -> None:
-    async def play() -> None:
+    async def run() -> None:
         world = kind.make()
         await world.start()
         try:
             await rule(kind, world)
         finally:
-            for end in world.ends + world.others:
+            for end in world.ends + world.outsiders:
                 end.stop()
             await asyncio.sleep(0)
 
-    asyncio.run(play())
+    asyncio.run(run())
