--- a/cedarthread/testing/fuzzing/identity_targets.py
+++ b/cedarthread/testing/fuzzing/identity_targets.py
@@ -169,7 +169,8 @@
         """Accepted only where the leaf has one valid SPIFFE ID, and its key signs no certificates."""
         identity = spiffe.parse_identity(data)
         if isinstance(identity, spiffe.Rejected):
-            return require(bool(identity.reason), "rejected without words")
+            require(bool(identity.reason), "rejected without words")
+            return
         require(is_valid_spiffe_id(identity.spiffe_id), f"{identity.spiffe_id[:80]!r} is let through")
         require(identity.spiffe_id.encode() in data, "an ID that the certificate does not hold")
         leaf = x509.load_der_x509_certificate(data)
