--- a/cedarthread/testing/cluster/evaluation.py
+++ b/cedarthread/testing/cluster/evaluation.py
@@ -6,14 +6,20 @@
 from itertools import chain
 
 from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES
-from cedarthread.testing.cluster.arrivals import generate_arrivals
+from cedarthread.testing.cluster.arrivals import Arrival, generate_arrivals
 from cedarthread.testing.cluster.fact_reader import FactReader
 from cedarthread.testing.cluster.policy_replay import POLICIES, PolicyReplay
 from cedarthread.testing.cluster.recordings import Recording, merge_recordings
 from cedarthread.testing.cluster.result import DatagramCounts, FaultSpan, Result
 from cedarthread.testing.cluster.scenario import FaultKind, Scenario, SubjectKind
 from cedarthread.testing.cluster.service_levels import peak_count, value_rates
-from cedarthread.testing.load_balance import WorkerAvailability, measure, work_per_core_by_second
+from cedarthread.testing.invariants import InvariantChecker
+from cedarthread.testing.load_balance import (
+    LoadBalanceMetrics,
+    WorkerAvailability,
+    measure,
+    work_per_core_by_second,
+)
 
 LATENCY_PERCENTILES = (50, 90, 99, 99.9)
 LAG_PERCENTILE = 0.99
@@ -33,42 +39,27 @@
         chain.from_iterable(recording.facts for recording in recordings), key=lambda fact: fact.at_ms
     )
     reader, arrivals = FactReader(scenario), generate_arrivals(scenario)
-    for datagram in merged.peer_datagrams:
-        what = f"bytes of a datagram of router {datagram.sender}"
-        reader.checker.check_remaining(datagram.at_ms, what, datagram.length, MAX_DATAGRAM_BYTES)
+    _check_datagrams(merged, reader.checker)
     reader.read(facts)
     reader.checker.check_all_answered(end_ms)
     lags_ms = [_percentile(recording.lags_ms, LAG_PERCENTILE) for recording in recordings]
     time_series = merged.time_series()
     worker_calls = sorted(merged.worker_calls, key=lambda call: call.arrived_at_ms)
-    replayed = {
-        policy: measure(
-            PolicyReplay(scenario, policy).run(arrivals), workers, start_ms, end_ms, scenario.concurrency
-        )
-        for policy in POLICIES
-    }
-    measured_bytes = sum(datagram.length for datagram in merged.peer_datagrams if datagram.at_ms >= start_ms)
-    measured_calls = sum(arrival.at_ms >= start_ms for arrival in arrivals)
+    unexpected_ends = [f"router {number} ended with {code}" for number, code in exit_codes.items()]
     return Result(
         scenario_name=scenario.name,
         seed=scenario.seed,
         load_balance=measure(worker_calls, workers, start_ms, end_ms, scenario.concurrency),
-        replayed=replayed,
+        replayed=_replay_policies(scenario, arrivals, workers),
         answers=dict(reader.answers),
-        violations=[
-            *map(str, reader.checker.violations),
-            *(f"router {number} ended with {code}" for number, code in exit_codes.items()),
-        ],
+        violations=[*map(str, reader.checker.violations), *unexpected_ends],
         lag_ms=max(lags_ms),
-        cpu_ms_per_call=1000.0 * cpu_s / max(1, measured_calls),
-        peer_bytes_per_second=measured_bytes / scenario.router_count / scenario.duration_s,
+        cpu_ms_per_call=1000.0 * cpu_s / max(1, sum(arrival.at_ms >= start_ms for arrival in arrivals)),
+        peer_bytes_per_second=_peer_bytes(merged, start_ms) / scenario.router_count / scenario.duration_s,
         datagrams=DatagramCounts(merged.datagram_counts["passed"], merged.datagram_counts["dropped"]),
         work_per_core=work_per_core_by_second(worker_calls, workers, end_ms),
         faults=[FaultSpan(fault.kind, fault.start_s, fault.end_s) for fault in scenario.faults],
-        latency_ms={
-            f"p{percentile:g}": reader.latency_us.get_value_at_percentile(percentile) / 1000.0
-            for percentile in LATENCY_PERCENTILES
-        },
+        latency_ms=reader.latency_ms(LATENCY_PERCENTILES),
         value_rates=value_rates(reader.served, end_ms),
         lags_ms=lags_ms,
         peak_counts={
@@ -82,6 +73,29 @@
     )
 
 
+def _check_datagrams(recording: Recording, checker: InvariantChecker) -> None:
+    for datagram in recording.peer_datagrams:
+        what = f"bytes of a datagram of router {datagram.sender}"
+        checker.check_remaining(datagram.at_ms, what, datagram.length, MAX_DATAGRAM_BYTES)
+
+
+def _replay_policies(
+    scenario: Scenario, arrivals: list[Arrival], workers: Mapping[int, WorkerAvailability]
+) -> dict[str, LoadBalanceMetrics]:
+    """The load balance of each policy with the same arrivals."""
+    start_ms, end_ms = 1000.0 * scenario.warm_up_s, 1000.0 * scenario.end_s
+    return {
+        policy: measure(
+            PolicyReplay(scenario, policy).run(arrivals), workers, start_ms, end_ms, scenario.concurrency
+        )
+        for policy in POLICIES
+    }
+
+
+def _peer_bytes(recording: Recording, since_ms: float) -> int:
+    return sum(datagram.length for datagram in recording.peer_datagrams if datagram.at_ms >= since_ms)
+
+
 def _percentile(values: Sequence[float], share: float) -> float:
     return sorted(values)[int(share * (len(values) - 1))] if values else 0.0
 
--- a/cedarthread/testing/cluster/fact_reader.py
+++ b/cedarthread/testing/cluster/fact_reader.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
@@ -93,6 +93,13 @@
                     self._cancelled_at_ms[fact.call_id, fact.worker] = fact.at_ms
                     self._end_attempts(fact.call_id, fact.worker, may_have_executed=True)
 
+    def latency_ms(self, percentiles: Sequence[float]) -> dict[str, float]:
+        """The latency of served calls, by the name of the percentile."""
+        return {
+            f"p{percentile:g}": self.latency_us.get_value_at_percentile(percentile) / 1000.0
+            for percentile in percentiles
+        }
+
     def _on_answer(self, fact: CallAnswered) -> None:
         self.answers[fact.result] += 1
         self.checker.on_answer(fact.at_ms, fact.call_id, fact.result, fact.body)
--- a/cedarthread/testing/cluster/scenarios/mass_restart.py
+++ b/cedarthread/testing/cluster/scenarios/mass_restart.py
@@ -83,39 +83,58 @@
     """What routers remember, in turn; then faulty disks, and workers that lose their instances too."""
     size: ScenarioText = {"warm_up": 6.0, "seconds": 26.0, "runners": 40, "functions": 200, "rate": 600.0}
     size |= {"store_at_once": 40, "store_most": 300}
-    last, half, death = routers - 1, routers // 2, 12.0
-    kill: ScenarioText = {"kind": "kill", "at": death, "until": death + DOWNTIME_S, "who": "router"}
+    last, half, killed_at_s = routers - 1, routers // 2, 12.0
+    kill: ScenarioText = {
+        "kind": "kill",
+        "at": killed_at_s,
+        "until": killed_at_s + DOWNTIME_S,
+        "who": "router",
+    }
     most = kill | {"who": f"router:0-{int(0.7 * routers) - 1}"}
     thirds = [(n * half // 3, (n + 1) * half // 3 - 1, ("older", "flipped", "gone")[n]) for n in range(3)]
     disk_faults: list[ScenarioText] = [
-        {"kind": "disk", "at": death - 0.1, "who": f"router:{first}-{end}", "what": what}
+        {"kind": "disk", "at": killed_at_s - 0.1, "who": f"router:{first}-{end}", "what": what}
         for first, end, what in thirds
     ]
-    worker_crash: ScenarioText = {"kind": "die", "at": death, "until": death + 0.4, "who": "runner:0-9"}
+    worker_crash: ScenarioText = {
+        "kind": "die",
+        "at": killed_at_s,
+        "until": killed_at_s + 0.4,
+        "who": "runner:0-9",
+    }
     pair: ScenarioText = {"who": "router", "to": "router"}
     worse: list[ScenarioText] = [
         worker_crash,
         {"kind": "loss", "figure": 0.2} | pair,
         {"kind": "double", "figure": 0.1} | pair,
         {"kind": "reorder"} | pair,
-        {"kind": "hide", "at": death, "who": "runner:10", "to": "router"},
-        {"kind": "stall", "at": death, "until": death + 2.0, "who": f"router:0-{half}", "to": "runner:11"},
-        {"kind": "clock", "at": death - 0.5, "who": f"router:{half}-{last}", "figure": -4000.0},
+        {"kind": "hide", "at": killed_at_s, "who": "runner:10", "to": "router"},
+        {
+            "kind": "stall",
+            "at": killed_at_s,
+            "until": killed_at_s + 2.0,
+            "who": f"router:0-{half}",
+            "to": "runner:11",
+        },
+        {"kind": "clock", "at": killed_at_s - 0.5, "who": f"router:{half}-{last}", "figure": -4000.0},
     ]
     none: ScenarioText = {"seed": seed, "routers": routers} | size
     peers, both = none | _shared(has_store=False), none | _shared(has_store=True)
-    yield parse_scenario(both | {"name": UNDISTURBED})
-    yield parse_scenario(none | {"name": "70%, no file", "fault": [most]})
-    yield parse_scenario(peers | {"name": "70%, peers", "fault": [most]})
-    yield parse_scenario(both | {"name": "70%, both", "fault": [most]})
-    yield parse_scenario(none | {"name": "100%, no file", "fault": [kill]})
-    yield parse_scenario(peers | {"name": "100%, peers", "fault": [kill]})
-    yield parse_scenario(both | {"name": "100%, both", "fault": [kill]})
-    yield parse_scenario(both | {"name": "100%, store only", "talk": False, "fault": [kill]})
-    yield parse_scenario(both | {"name": "100%, half of the disks lie", "fault": [kill, *disk_faults]})
-    yield parse_scenario(none | {"name": "copies lost too, no file", "fault": [kill, worker_crash]})
-    yield parse_scenario(both | {"name": "copies lost too, both", "fault": [kill, worker_crash]})
-    yield parse_scenario(both | {"name": "all at once", "fault": [kill, *disk_faults, *worse]})
+    for name, base, faults in (
+        (UNDISTURBED, both, []),
+        ("70%, no file", none, [most]),
+        ("70%, peers", peers, [most]),
+        ("70%, both", both, [most]),
+        ("100%, no file", none, [kill]),
+        ("100%, peers", peers, [kill]),
+        ("100%, both", both, [kill]),
+        ("100%, store only", both | {"talk": False}, [kill]),
+        ("100%, half of the disks lie", both, [kill, *disk_faults]),
+        ("copies lost too, no file", none, [kill, worker_crash]),
+        ("copies lost too, both", both, [kill, worker_crash]),
+        ("all at once", both, [kill, *disk_faults, *worse]),
+    ):
+        yield parse_scenario(base | {"name": name, "fault": faults})
 
 
 class _Submission(NamedTuple):
