--- a/cedarthread/protocols/platform_connection.py
+++ b/cedarthread/protocols/platform_connection.py
@@ -43,7 +43,8 @@
         if not self.server.register(self):
             limit = self.server.max_connections
             log.warning(format_event("connection_limit_reached", listener="clients", rejected=1, limit=limit))
-            return self.abort()
+            self.abort()
+            return
         self.message_started_at = self.last_read_at
 
     def _log_truncated_message(self, truncated_bytes: int) -> None:
