Golden digest of a fleet's actions as the untouched code wrote it: log lines are read back in their old wording

Cause: since log lines are events, the digest had been written anew without their text, so it held less than before. Change: the file is the one of the untouched code again. The builder puts each line back into its old sentence, from its fields alone (tests/golden_log_lines.py); an event without a sentence, or a line that is no logfmt, raises.

--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -99,6 +99,7 @@
 from cedarthread.testing.fakes import discovery_server as resolver_side
 from cedarthread.testing.fakes.scripted import ScriptedWorker, ask_control, endpoint_record, service
 from cedarthread.testing.fakes.settings import SETTINGS as STANDIN_SETTINGS
+from tests.golden_log_lines import old_sentence
 from tests.helpers import settings as some_settings
 from tests.helpers import worker
 from tests.integration.test_invoke import DESK, Authority, Caller, config
@@ -513,9 +514,7 @@
 
     def act(self, who: int, actions: Sequence[Action]) -> None:
         for action in actions:
-            kept = (
-                LogMessage() if isinstance(action, LogMessage) else action
-            )  # that one is logged, not its wording
+            kept = LogMessage(old_sentence(action.message)) if isinstance(action, LogMessage) else action
             self.records.append(encode_instance(who) + encode_action(kept))
             if isinstance(action, SendToPeer):
                 self.told.append(action.data)
