--- a/cedarthread/change_freeze/window_entries.py
+++ b/cedarthread/change_freeze/window_entries.py
@@ -13,9 +13,9 @@
 import msgspec
 
 from cedarthread import fleet_config
+from cedarthread.components.datagram_fields import MalformedDatagram
 from cedarthread.components.interface import EntryKind
 from cedarthread.fleet_config import MAX_WINDOW_SECONDS, FleetConfigError, FrozenAction
-from cedarthread.gossip.codec import MalformedDatagram
 
 MAX_WINDOW_MS = MAX_WINDOW_SECONDS * 1000.0
 MAX_NAMES = 256  # of a kind (zones, functions, tenants) in one body
--- a/cedarthread/change_freeze/window_registry.py
+++ b/cedarthread/change_freeze/window_registry.py
@@ -7,8 +7,8 @@
 
 from cedarthread.change_freeze.window import FINAL_STATES, FreezeWindow, WindowState
 from cedarthread.change_freeze.window_entries import WindowTerms, decode
+from cedarthread.components.datagram_fields import MalformedDatagram
 from cedarthread.components.interface import Entry, EntryKind, ReplicatedEntry, ReplicatedState
-from cedarthread.gossip.codec import MalformedDatagram
 
 MAX_UNREADABLE_ENTRIES = 256  # that are remembered, so that each is logged once
 WINDOW_ENTRY_KINDS = (EntryKind.FREEZE, EntryKind.REVOKE, EntryKind.BREAK_GLASS)
--- a/cedarthread/escrow/codec.py
+++ b/cedarthread/escrow/codec.py
@@ -14,8 +14,8 @@
 import struct
 from dataclasses import dataclass
 
+from cedarthread.components.datagram_fields import MalformedDatagram
 from cedarthread.components.interface import MessageType
-from cedarthread.gossip.codec import MalformedDatagram
 
 NO_HINT = 0xFFFF  # in place of a peer's number
 MAX_AMOUNT = 2**32 - 1  # of any number of units on the wire
--- a/cedarthread/escrow/escrow.py
+++ b/cedarthread/escrow/escrow.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Mapping, Sequence
 
+from cedarthread.components.datagram_fields import MalformedDatagram
 from cedarthread.components.interface import MessageType, Notification, OutboundMessage, PeersChanged
 from cedarthread.escrow.codec import MAX_AMOUNT, EscrowResponse, decode, pool_key
 from cedarthread.escrow.count_pool import CountPool
@@ -19,7 +20,6 @@
 from cedarthread.escrow.rate_pool import LEASE_TERM_MS, RatePool
 from cedarthread.escrow.request_rounds import set_demand
 from cedarthread.escrow.requester import EscrowRequester
-from cedarthread.gossip.codec import MalformedDatagram
 
 COUNTERS = "granted", "taken", "refused", "unreadable", "strangers", "unknown", "late", "drowned", "lies"
 _RNG_SALT = 0x4752_414E  # so that components with the same seed draw differently
--- a/cedarthread/gossip/codec.py
+++ b/cedarthread/gossip/codec.py
@@ -16,12 +16,8 @@
 from dataclasses import dataclass
 
 from cedarthread.components.datagram_fields import (
-    MAX_DATAGRAM_BYTES as MAX_DATAGRAM_BYTES,  # other codecs still import these two from here
-)
-from cedarthread.components.datagram_fields import (
-    MalformedDatagram as MalformedDatagram,
-)
-from cedarthread.components.datagram_fields import (
+    MAX_DATAGRAM_BYTES,
+    MalformedDatagram,
     join_datagram,
     read_record_groups,
 )
--- a/cedarthread/priority/body_history.py
+++ b/cedarthread/priority/body_history.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field
 from typing import Generic
 
+from cedarthread.components.datagram_fields import MalformedDatagram
 from cedarthread.components.interface import Entry, EntryKind, ReplicatedEntry, ReplicatedState
-from cedarthread.gossip.codec import MalformedDatagram
 from cedarthread.priority.contract_entries import BodyT
 
 MAX_PENDING_BODIES = 8  # versions of one entry that may be in effect at once; with more it counts as unknown
--- a/cedarthread/priority/codec.py
+++ b/cedarthread/priority/codec.py
@@ -13,8 +13,8 @@
 import struct
 from dataclasses import dataclass
 
+from cedarthread.components.datagram_fields import MAX_DATAGRAM_BYTES, MalformedDatagram
 from cedarthread.components.interface import MessageType
-from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES, MalformedDatagram
 
 _ENTRY_FORMAT = struct.Struct("<HBBB")
 ENTRY_BYTES = _ENTRY_FORMAT.size
--- a/cedarthread/priority/contract_entries.py
+++ b/cedarthread/priority/contract_entries.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
+from cedarthread.components.datagram_fields import MalformedDatagram
 from cedarthread.components.interface import Entry, EntryKind
 from cedarthread.fleet_config import FleetConfig
-from cedarthread.gossip.codec import MalformedDatagram
 
 MAX_TIERS = 63  # a tier index and its over-quota offset fit in 7 bits (``call_priority``)
 TIER_ORDER_NAME = "order"  # the name of the one entry of EntryKind.TIERS
--- a/cedarthread/priority/pressure_gossip.py
+++ b/cedarthread/priority/pressure_gossip.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from cedarthread.gossip.codec import MalformedDatagram
+from cedarthread.components.datagram_fields import MalformedDatagram
 from cedarthread.priority import codec
 from cedarthread.priority.codec import RouterPressure
 
--- a/cedarthread/protocols/peers.py
+++ b/cedarthread/protocols/peers.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import TypeAlias, cast
 
-from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES
+from cedarthread.components.datagram_fields import MAX_DATAGRAM_BYTES
 from cedarthread.logs import format_event
 
 log = logging.getLogger(__name__)
--- a/cedarthread/replication/codec.py
+++ b/cedarthread/replication/codec.py
@@ -23,8 +23,8 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from cedarthread.components.datagram_fields import MAX_DATAGRAM_BYTES, MalformedDatagram
 from cedarthread.components.interface import MessageType
-from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES, MalformedDatagram
 from cedarthread.model.actions import SendToPeer
 from cedarthread.replication.entry import MAX_ENTRY_BYTES
 
--- a/cedarthread/replication/store.py
+++ b/cedarthread/replication/store.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
+from cedarthread.components.datagram_fields import MalformedDatagram
 from cedarthread.components.interface import (
     Entry,
     EntryKind,
@@ -22,7 +23,6 @@
     PeersChanged,
     ReplicatedEntry,
 )
-from cedarthread.gossip.codec import MalformedDatagram
 from cedarthread.model.actions import SendToPeer
 from cedarthread.replication.codec import (
     EntryFragment,
--- a/cedarthread/testing/cluster/evaluation.py
+++ b/cedarthread/testing/cluster/evaluation.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping, Sequence
 from itertools import chain
 
-from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES
+from cedarthread.components.datagram_fields import MAX_DATAGRAM_BYTES
 from cedarthread.testing.cluster.arrivals import Arrival, generate_arrivals
 from cedarthread.testing.cluster.fact_reader import FactReader
 from cedarthread.testing.cluster.policy_replay import POLICIES, PolicyReplay
--- a/cedarthread/testing/fakes/peer_transport.py
+++ b/cedarthread/testing/fakes/peer_transport.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES
+from cedarthread.components.datagram_fields import MAX_DATAGRAM_BYTES
 
 OnDatagram = Callable[[int, bytes], None]  # the number of the router that sent it, and its bytes
 Delays = Callable[[float, int, int], list[float]]  # now, sender, receiver: ms, one for each arrival
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -31,6 +31,7 @@
 from cedarthread import fleet_config
 from cedarthread.change_freeze import window_entries
 from cedarthread.components import interface
+from cedarthread.components.datagram_fields import MalformedDatagram
 from cedarthread.components.node import RoutingNode
 from cedarthread.config import Config
 from cedarthread.config import decode as read_config
@@ -151,7 +152,7 @@
 
 def readable(message: object) -> object:
     """What was decoded, which must not be the word for what can't be."""
-    if isinstance(message, gossip_codec.MalformedDatagram):
+    if isinstance(message, MalformedDatagram):
         raise ValueError(message.reason)
     return message
 
@@ -161,7 +162,7 @@
 
 def _gossip_again(data: bytes) -> bytes:
     news = gossip_codec.decode(data)
-    if isinstance(news, gossip_codec.MalformedDatagram):
+    if isinstance(news, MalformedDatagram):
         raise ValueError(news.reason)
     return gossip_codec.encode(news)
 
@@ -214,7 +215,7 @@
 
 def _members_again(data: bytes) -> bytes:
     message = members_form.decode(data)
-    if isinstance(message, gossip_codec.MalformedDatagram):
+    if isinstance(message, MalformedDatagram):
         raise ValueError(message.reason)
     return members_form.encode(message)
 
@@ -248,7 +249,7 @@
 
 def _register_again(data: bytes) -> bytes:
     message = register_form.decode(data)
-    if isinstance(message, gossip_codec.MalformedDatagram):
+    if isinstance(message, MalformedDatagram):
         raise ValueError(message.reason)
     return register_form.encode(message)
 
@@ -399,7 +400,7 @@
 
 def _grants_again(data: bytes) -> bytes:
     message = escrow_codec.decode(data)
-    if isinstance(message, gossip_codec.MalformedDatagram):
+    if isinstance(message, MalformedDatagram):
         raise ValueError(message.reason)
     return escrow_codec.encode(message)
 
@@ -425,7 +426,7 @@
 
 def _return_again(data: bytes) -> bytes:
     message = return_form.decode(data)
-    if isinstance(message, gossip_codec.MalformedDatagram):
+    if isinstance(message, MalformedDatagram):
         raise ValueError(message.reason)
     return return_form.encode(message)
 
@@ -452,7 +453,7 @@
 
 def _pressure_again(data: bytes) -> bytes:
     told = pressure_form.decode(data)
-    if isinstance(told, gossip_codec.MalformedDatagram):
+    if isinstance(told, MalformedDatagram):
         raise ValueError(told.reason)
     return pressure_form.encode(list(told))
 
--- a/tests/simulation/test_change_freeze_exploration.py
+++ b/tests/simulation/test_change_freeze_exploration.py
@@ -32,8 +32,8 @@
     encode,
     entries_from_config,
 )
+from cedarthread.components.datagram_fields import MalformedDatagram
 from cedarthread.components.interface import Entry, EntryKind, ReplicatedEntry, Version, WallClockRead
-from cedarthread.gossip.codec import MalformedDatagram
 from cedarthread.model.endpoints import EndpointUpdate, EndpointUpdateKind
 from tests import helpers
 from tests.simulation.test_change_freeze import EPOCH_UNIX_MS, FakeEscrow
--- a/tests/simulation/test_escrow_fleet.py
+++ b/tests/simulation/test_escrow_fleet.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cedarthread.components.datagram_fields import MAX_DATAGRAM_BYTES
 from cedarthread.escrow.allotment import allotment
 from cedarthread.escrow.codec import EscrowRequest, EscrowResponse
 from cedarthread.escrow.count_pool import CountPool
@@ -14,7 +15,6 @@
 from cedarthread.escrow.quota_pool import QuotaPool
 from cedarthread.escrow.rate_pool import LEASE_TERM_MS, Borrower, RatePool
 from cedarthread.escrow.requester import EscrowRequester
-from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES
 from cedarthread.testing.escrow_measurements import (
     measure_count_acquisition,
     measure_rate_service,
--- a/tests/simulation/test_replication_fleet.py
+++ b/tests/simulation/test_replication_fleet.py
@@ -19,8 +19,8 @@
 
 import pytest
 
+from cedarthread.components.datagram_fields import MAX_DATAGRAM_BYTES
 from cedarthread.components.interface import Entry, EntryKind, OutboundMessage, PeersChanged, Version
-from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES
 from cedarthread.model.actions import LogMessage, SendToPeer
 from cedarthread.replication import codec
 from cedarthread.replication.codec import AGE_UNKNOWN, EntryRef
--- a/tests/unit/test_priority.py
+++ b/tests/unit/test_priority.py
@@ -11,9 +11,9 @@
 import msgspec
 import pytest
 
+from cedarthread.components.datagram_fields import MAX_DATAGRAM_BYTES, MalformedDatagram
 from cedarthread.components.interface import Entry, EntryKind, ReplicatedEntry, Version
 from cedarthread.fleet_config import parse_fleet_config
-from cedarthread.gossip.codec import MAX_DATAGRAM_BYTES, MalformedDatagram
 from cedarthread.model.settings import DeduplicationScope, Idempotency
 from cedarthread.priority import codec, contract_entries
 from cedarthread.priority.body_history import BodyHistory
