--- a/cedarthread/testing/cluster/process_handle.py
+++ b/cedarthread/testing/cluster/process_handle.py
@@ -35,13 +35,15 @@
 
     async def send_command(self, command: Command, **arguments: Any) -> None:
         """Send a command, and wait until it is done."""
-        assert self.process is not None and self.process.stdin is not None
+        assert self.process is not None
+        assert self.process.stdin is not None
         async with self._command_lock:
             self.process.stdin.write(json.dumps({"do": command} | arguments).encode() + b"\n")
             await self._read_reply(command)
 
     async def _read_reply(self, command: Command) -> None:
-        assert self.process is not None and self.process.stdout is not None
+        assert self.process is not None
+        assert self.process.stdout is not None
         line = await self.process.stdout.readline()
         if not line or json.loads(line)["done"] != command:
             raise OSError(f"fake process {self.number} failed at {command}: {line!r}")
--- a/cedarthread/testing/escrow_model.py
+++ b/cedarthread/testing/escrow_model.py
@@ -174,7 +174,8 @@
 
     def _add_in_flight(self, sender: int, messages: Iterable[OutboundMessage]) -> None:
         for message in messages:
-            assert isinstance(message, SendToPeer) and message.peer_index is not None
+            assert isinstance(message, SendToPeer)
+            assert message.peer_index is not None
             self.in_flight |= {(sender, message.peer_index, message.data)}
 
     def is_total_exceeded(self) -> bool:
--- a/cedarthread/testing/escrow_simulation.py
+++ b/cedarthread/testing/escrow_simulation.py
@@ -160,7 +160,8 @@
     def send(self, sender: int, messages: Iterable[OutboundMessage]) -> None:
         """The network takes datagrams: some are lost, duplicated, late or cut off."""
         for message in messages:
-            assert isinstance(message, SendToPeer) and message.peer_index is not None
+            assert isinstance(message, SendToPeer)
+            assert message.peer_index is not None
             self.bytes_sent[sender] += len(message.data)
             self.datagrams_sent[sender] += 1
             self.longest_datagram_bytes = max(self.longest_datagram_bytes, len(message.data))
--- a/tests/contracts/test_fronts.py
+++ b/tests/contracts/test_fronts.py
@@ -257,7 +257,8 @@
         await router.first_attempt(number)
     router.disconnect(1)
     await router.until(lambda: router.cancelled != set() or router.answers_to(2) != [])
-    assert router.cancelled == {1} and router.answers_to(2) == []
+    assert router.cancelled == {1}
+    assert router.answers_to(2) == []
     router.respond(router.attempts[0], HIT)
     router.call(3, "confirm", 1200)
     await router.until(lambda: router.answers_to(3) != [])
@@ -276,7 +277,8 @@
     router.call(1, "check", 300)
     await router.until(lambda: router.answers_to(1) != [])
     ((kind, later),) = router.answers_to(1)
-    assert kind == "refused" and 0.0 < later <= SETTINGS["limits"]["max-retry-after"]
+    assert kind == "refused"
+    assert 0.0 < later <= SETTINGS["limits"]["max-retry-after"]
     assert {worker for _, worker, _ in router.attempts} == {1, 2}
 
 
@@ -286,7 +288,8 @@
     router.call(2, "confirm")
     router.respond(await router.first_attempt(2), BROKEN)
     await router.until(lambda: router.answers_to(2) != [])
-    assert router.answers_to(2) == [("failed", 0.0)] and [call for call, _, _ in router.attempts] == [1, 2]
+    assert router.answers_to(2) == [("failed", 0.0)]
+    assert [call for call, _, _ in router.attempts] == [1, 2]
 
 
 async def in_time(router: RouterHarness) -> None:
--- a/tests/contracts/test_golden.py
+++ b/tests/contracts/test_golden.py
@@ -61,7 +61,8 @@
 @pytest.mark.parametrize(("name", "sample"), EVERY)
 def test_a_sample_is_made_again_byte_for_byte(name: str, sample: str) -> None:
     told = content(name)[sample]
-    assert isinstance(told, dict) and sample in made(name)
+    assert isinstance(told, dict)
+    assert sample in made(name)
     assert made(name)[sample].data == golden.kept(told)
 
 
@@ -123,14 +124,17 @@
     assert part(told, "whole") is True
     for _ in range(2):
         values, generation, whole = golden.read_folder(folder, sync)
-        assert values == values_of(mode) and generation == part(told, "generation") and whole
+        assert values == values_of(mode)
+        assert generation == part(told, "generation")
+        assert whole
     assert golden.values_again(values) == values
     store = SqliteBackend(folder, sync)
     store.open()
     assert store.commit([("warm", b"new"), ("life", None)]) is None
     store.close()
     after, later, whole = golden.read_folder(folder, sync)
-    assert whole and later == generation + 1
+    assert whole
+    assert later == generation + 1
     assert after == {key: value for key, value in values.items() if key != "life"} | {"warm": b"new"}
 
 
@@ -157,7 +161,8 @@
     assert woken.wait(LONG)
     store.run_callbacks()
     store.close()
-    assert [dict(one.values) for one in found] == [values_of(mode)] and found[0].fault is None
+    assert [dict(one.values) for one in found] == [values_of(mode)]
+    assert found[0].fault is None
 
 
 def test_the_torn_folder_lacks_its_content_until_its_journal_is_played_back(tmp_path: Path) -> None:
@@ -166,7 +171,8 @@
     store = SqliteBackend(folder, "group")
     loaded = store.open()
     store.close()
-    assert loaded.fault is StoreFault.CORRUPTED and dict(loaded.values) != values_of("group, torn")
+    assert loaded.fault is StoreFault.CORRUPTED
+    assert dict(loaded.values) != values_of("group, torn")
 
 
 def test_a_damaged_byte_in_a_kept_folder_shows(tmp_path: Path) -> None:
@@ -177,7 +183,8 @@
     store = SqliteBackend(folder, "each")
     loaded = store.open()
     store.close()
-    assert loaded.fault is StoreFault.CORRUPTED and 0 < len(loaded.values) < len(values_of("each"))
+    assert loaded.fault is StoreFault.CORRUPTED
+    assert 0 < len(loaded.values) < len(values_of("each"))
     assert dict(loaded.values).items() <= values_of("each").items()
 
 
@@ -193,7 +200,8 @@
     file: fleet_config.FleetConfig = fleet_config.parse_fleet_config(b'[disk]\nfolder = "kept"\n')
     router.apply_fleet_config(0.0, file, lambda: golden.WALL + 2000.0)
     sharing = router.fleet_components
-    assert sharing is not None and sharing.persister is not None
+    assert sharing is not None
+    assert sharing.persister is not None
     sharing.persister.on_store_opened(10.0, loaded, recovered_image.decode_image(loaded.values))
     assert sharing.store.store_generation == part(content(golden.FOLDERS)["each"], "generation")
     own: dict[str, bytes] = dict(recovered_image.encode_entry(entry) for entry in sharing.store.snapshot())
--- a/tests/contracts/test_paths.py
+++ b/tests/contracts/test_paths.py
@@ -101,7 +101,8 @@
 def check_datagrams(kind: PathKind, sent: ReceivedDatagrams, received: ReceivedDatagrams) -> None:
     """Rules 1 to 3, from a book of what was sent to one end; each datagram there is another."""
     counts = Counter(received)
-    assert set(counts) <= set(sent) and (not kind.sure or set(counts) == set(sent))
+    assert set(counts) <= set(sent)
+    assert not kind.sure or set(counts) == set(sent)
     assert max(counts.values()) == kind.times, "so often at most, and so often it did come"
     assert not kind.ordered or received == sent
 
@@ -112,9 +113,8 @@
         world.ends[sender].send(data, 2)
     await world.deliver_all()
     check_datagrams(kind, sent, world.received[2])
-    assert world.received[:2] == [[], []] and not any(
-        end.unsent_count + end.unknown_sender_count for end in world.ends
-    )
+    assert world.received[:2] == [[], []]
+    assert not any(end.unsent_count + end.unknown_sender_count for end in world.ends)
 
 
 async def to_all(kind: PathKind, world: MemoryWorld) -> None:
@@ -131,7 +131,8 @@
         world.ends[0].send(data, peer)
         world.outsiders[0].send(b"x", 1)
     await world.deliver_all()
-    assert world.received[:3] == [[], [], []] and world.ends[0].unsent_count == 40
+    assert world.received[:3] == [[], [], []]
+    assert world.ends[0].unsent_count == 40
     assert (40 if kind.sure else 1) <= world.ends[1].unknown_sender_count <= 40 * kind.times
 
 
@@ -144,7 +145,8 @@
         for sender, to in ((0, 2), (1, 0), (1, 2)):
             world.ends[sender].send(data, to)
         await world.deliver_all()
-    assert world.received[0] == [] and world.ends[1].unsent_count == 0
+    assert world.received[0] == []
+    assert world.ends[1].unsent_count == 0
     check_datagrams(kind, sent, world.received[2])
 
 
--- a/tests/contracts/test_stores.py
+++ b/tests/contracts/test_stores.py
@@ -245,7 +245,8 @@
         assert test.write("key 0", None) is None
         load_result = test.restart()
         assert load_result.fault is None
-        assert "key 0" not in load_result.values and len(load_result.values) == 4
+        assert "key 0" not in load_result.values
+        assert len(load_result.values) == 4
         assert load_result.generation == test.store.generation > generation
         check_content(test.writes, test.marks(), load_result)
 
@@ -266,7 +267,8 @@
     wait_until(test.store, lambda: len(ends) == 2)
     assert ends == [None, None]
     load_result = test.restart()
-    assert load_result.values == {"later": b"kept"} and load_result.generation > 1000
+    assert load_result.values == {"later": b"kept"}
+    assert load_result.generation > 1000
 
 
 def rule_a_power_cut_at_any_write_loses_nothing(test: StoreUnderTest) -> None:
@@ -315,14 +317,16 @@
     test.switch.fault = InjectedFault.NONE
     generation = test.store.generation
     assert test.write("key 2", b"not believed yet") is case.reported, "only an opening ends a fault"
-    assert test.store.fault is case.reported and test.store.generation == generation
+    assert test.store.fault is case.reported
+    assert test.store.generation == generation
     since = len(test.disk.operations)
     end_fault(test)
     assert test.store.fault is None
     assert test.write("key 0", b"after") is None
     check_power_cuts(test, since)
     load_result = test.restart()
-    assert load_result.fault is None and {load_result.values["key 2"]} == allowed_before["key 2"]
+    assert load_result.fault is None
+    assert {load_result.values["key 2"]} == allowed_before["key 2"]
     check_content(test.writes, test.marks(), load_result)
 
 
@@ -344,7 +348,8 @@
     run_workload(test, 3)
     first = test.store
     second = SynchronousStore(test.make_backend(test))
-    assert second.fault is StoreFault.LOCKED and not second.load().values
+    assert second.fault is StoreFault.LOCKED
+    assert not second.load().values
     second.close()
     test.store = first
     assert test.write("key 1", b"still mine") is None
@@ -378,11 +383,13 @@
     target = max((value for value in last_values.values() if value in content), key=len)
     path.write_bytes(content.replace(target, faulty_disk.flip_bit(target, 8)))
     load_result = test.open().load()
-    assert load_result.fault is StoreFault.CORRUPTED and target not in load_result.values.values()
+    assert load_result.fault is StoreFault.CORRUPTED
+    assert target not in load_result.values.values()
     assert path.with_name(database_folder.QUARANTINE_FILE).exists()
     assert test.write("new", b"value") is None
     later = test.restart()
-    assert later.fault is None and later.values == {**load_result.values, "new": b"value"}
+    assert later.fault is None
+    assert later.values == {**load_result.values, "new": b"value"}
     assert later.generation > load_result.generation
 
 
@@ -426,7 +433,8 @@
     assert not test.ends, "not before the commit"
     host.now += RESPONSE_TIMEOUT_MS
     store.run_callbacks()
-    assert test.ends == {0: StoreFault.UNRESPONSIVE} and store.fault is StoreFault.UNRESPONSIVE
+    assert test.ends == {0: StoreFault.UNRESPONSIVE}
+    assert store.fault is StoreFault.UNRESPONSIVE
     assert test.write("key 2", b"waits for the disk") is StoreFault.UNRESPONSIVE
     store.close()
     assert store._thread.is_alive(), "closing did not wait for the disk"
--- a/tests/integration/test_change_freeze_drill.py
+++ b/tests/integration/test_change_freeze_drill.py
@@ -71,4 +71,5 @@
     result = asyncio.run(run_scenario(small))
     made, allowed = change_freeze.changes_in_window(result.scenario, result.placements)
     assert (made > allowed) == bool(plant), change_freeze.row(result)
-    assert not result.violations and result.answers["served"] > 0
+    assert not result.violations
+    assert result.answers["served"] > 0
--- a/tests/integration/test_client_gone.py
+++ b/tests/integration/test_client_gone.py
@@ -124,7 +124,8 @@
             assert [one["id"] for one in first.calls + second.calls].count(f"{1:016x}") == 1
             if going == "half-close":  # it may still read: it has its one answer, a refusal
                 at_router(running, peer).resume_writing() if slow else None
-                assert (await peer.read())[2][0] == "Backoff" and await peer.read() is None
+                assert (await peer.read())[2][0] == "Backoff"
+                assert await peer.read() is None
 
     run(test())
 
@@ -159,7 +160,8 @@
             assert (await other.read())[1:3] == [2, None]
             assert [one["id"] for one in runner.calls] == [f"{2:016x}"]
             if going == "half-close":
-                assert (await peer.read())[2][0] == "Backoff" and await peer.read() is None
+                assert (await peer.read())[2][0] == "Backoff"
+                assert await peer.read() is None
 
     run(test())
 
@@ -196,7 +198,8 @@
             peer.half_close()
             await until(lambda: at_router(running, peer).is_half_closed)
             mute.answer(mute.calls[0], serve_uppercase(mute, mute.calls[0]))
-            assert await peer.read() == [1, 1, None, [b"X", {}]] and await peer.read() is None
+            assert await peer.read() == [1, 1, None, [b"X", {}]]
+            assert await peer.read() is None
             assert mute.cancelled_ids == []
 
     run(test())
@@ -217,7 +220,8 @@
             await until(lambda: running.dispatcher.result_counts["abandoned"] == len(numbers))
             warm.call(2)
             assert (await warm.read())[1:3] == [2, None]
-            assert len(runner.calls) == 2 and not running.dispatcher.pending_calls
+            assert len(runner.calls) == 2
+            assert not running.dispatcher.pending_calls
 
     run(test())
 
@@ -306,9 +310,7 @@
                     peer.close()
                 await until(lambda: not running.dispatcher.pending_calls)
             assert late == []
-            assert (
-                running.dispatcher.result_counts["served"]
-                and sum(len(runner.calls) for runner in runners) > 100
-            )
+            assert running.dispatcher.result_counts["served"]
+            assert sum(len(runner.calls) for runner in runners) > 100
 
     run(test())
--- a/tests/integration/test_cluster.py
+++ b/tests/integration/test_cluster.py
@@ -134,12 +134,13 @@
 
     seen = play()
     assert seen == play()
-    assert all(one == [0.0] for one in seen[:100]) and 20 < seen[100:200].count([]) < 80
+    assert all(one == [0.0] for one in seen[:100])
+    assert 20 < seen[100:200].count([]) < 80
     assert all(one == [0.0, 0.0] for one in seen[200:300])
     late = [one[0] for one in seen[300:400]]
-    assert (
-        len(set(late)) > 90 and max(late) <= MAX_REORDER_DELAY_MS and all(one == [] for one in seen[400:500])
-    )
+    assert len(set(late)) > 90
+    assert max(late) <= MAX_REORDER_DELAY_MS
+    assert all(one == [] for one in seen[400:500])
     network = Network(parse_scenario({"fault": faults}).faults, 7)
     assert network.datagram_delays_ms(4500.0, router(1), router(0)) == [0.0], "it is cut one way only"
     assert network.stream_delay_ms(4500.0, worker(3), router(2)) == 500.0, "bytes come once the cut is over"
@@ -155,7 +156,8 @@
     assert network.stream_delay_ms(1250.0, worker(2), router(1)) == 750.0
     assert network.datagram_delays_ms(1250.0, router(1), worker(2)) == []
     before = network.rng.getstate()
-    assert network.is_disturbed(1250.0, router(3), worker(0)) and before == network.rng.getstate()
+    assert network.is_disturbed(1250.0, router(3), worker(0))
+    assert before == network.rng.getstate()
     assert not network.is_disturbed(1250.0, router(4), worker(2))
 
 
@@ -199,7 +201,8 @@
 
 
 def test_recordings_give_peaks_value_rates_and_the_time_to_full_service() -> None:
-    assert peak_count([0.0, 100.0, 200.0, 249.0, 260.0, 900.0]) == 4 and peak_count([]) == 0
+    assert peak_count([0.0, 100.0, 200.0, 249.0, 260.0, 900.0]) == 4
+    assert peak_count([]) == 0
     served = [ServedValue(100.0 * n, 2.0) for n in range(200) if not 50 <= n < 80]
     rates = value_rates(served, 20_000.0)
     assert (rates[0], rates[20], len(rates)) == (20.0, 0.0, 77)
@@ -245,7 +248,8 @@
     too_long = PeerDatagram(1.0, 0, 0xC1, 257)
     recordings = [Recording(facts=facts[::2]), Recording(facts=facts[1::2], peer_datagrams=[too_long])]
     violations = evaluate(parse_scenario({"routers": 2, "runners": 2}), recordings, 0.0, {}).violations
-    assert "257 left" in violations[0] and any(says in one for one in violations[1:]) == bool(says)
+    assert "257 left" in violations[0]
+    assert any(says in one for one in violations[1:]) == bool(says)
     assert says or len(violations) == 1
 
 
@@ -288,7 +292,8 @@
 def test_a_scenario_set_or_defect_is_added_by_one_line() -> None:
     for name in SCENARIO_MODULES:
         one = load_scenario_set(name)
-        assert all(list(make(1, 24)) for make in (one.quick, one.full)) and one.HEAD
+        assert all(list(make(1, 24)) for make in (one.quick, one.full))
+        assert one.HEAD
     for place in DEFECTS.values():
         module, _, function = place.partition(":")
         assert callable(getattr(import_module(module), function))
@@ -300,7 +305,8 @@
         ListedWorker("s-00000002", 4002, is_draining=True, started_at_ms=7.0),
     )
     parsed = dns.parse(encode_reply(dns.encode_query(9, SERVICE_NAME), 5, listed, "room-a"))
-    assert isinstance(parsed, dns.Reply) and (parsed.query_id, parsed.serial) == (9, 5)
+    assert isinstance(parsed, dns.Reply)
+    assert (parsed.query_id, parsed.serial) == (9, 5)
     records = endpoints_from_reply(parsed)
     assert not isinstance(records, str)
     assert [(record.name, record.port, record.state.value, record.started_at_ms) for record in records] == [
@@ -336,7 +342,8 @@
             assert bool(client.last_usable_reply_at) is (number != 9), (
                 "an answer to what nobody asked counts for nothing"
             )
-        assert serials == [5, 6] and parse_count == 2
+        assert serials == [5, 6]
+        assert parse_count == 2
 
     asyncio.run(play())
 
@@ -367,10 +374,8 @@
         )
         await asyncio.sleep(5.0)
         assert len(ticks) >= 20, "members and talk are looked at four times a second at least"
-        assert (
-            service.maintenance.sweep_timer is not None
-            and service.maintenance.sweep_timer.when() > loop.time() - 0.01
-        )
+        assert service.maintenance.sweep_timer is not None
+        assert service.maintenance.sweep_timer.when() > loop.time() - 0.01
 
     run_virtual(idle)
     assert 24 <= sum(timeout > 0.001 for timeout in wakeups) <= 28
@@ -379,9 +384,8 @@
 def test_replays_take_the_same_arrivals_and_the_omniscient_policy_loads_least() -> None:
     scenario = Scenario(router_count=50, duration_s=8.0)
     arrivals = generate_arrivals(scenario)
-    assert arrivals == generate_arrivals(scenario) and len({arrival.call_id for arrival in arrivals}) == len(
-        arrivals
-    )
+    assert arrivals == generate_arrivals(scenario)
+    assert len({arrival.call_id for arrival in arrivals}) == len(arrivals)
     loads = {
         name: [v.remark for v in PolicyReplay(scenario, name).run(arrivals)].count("spawn")
         for name in ("random", "all")
@@ -487,21 +491,22 @@
         faults=quick.faults + more,
     )
     result = asyncio.run(cli.run_scenario(scenario))
-    assert not result.is_void and result.answers_by_tenant["hydro"]["served"] > 300
+    assert not result.is_void
+    assert result.answers_by_tenant["hydro"]["served"] > 300
     query_counts = [
         len([at for at in result.time_series["questions"] if begin <= at < begin + 1000.0])
         for begin in (2000.0, 5500.0)
     ]
-    assert (
-        50 <= query_counts[0] <= 65
-        and result.peak_counts["loads"] > 3
-        and min(result.value_rates[16:20]) > 200.0
-    )
+    assert 50 <= query_counts[0] <= 65
+    assert result.peak_counts["loads"] > 3
+    assert min(result.value_rates[16:20]) > 200.0
     assert result.violations == []
-    assert result.answers["served"] > 0.9 * sum(result.answers.values()) and not result.load_balance.hotspots
+    assert result.answers["served"] > 0.9 * sum(result.answers.values())
+    assert not result.load_balance.hotspots
     assert result.datagrams[0] > 100 and result.datagrams[1] > 10, "routers talked, and some of it was lost"
     (tmp_path / "x.json").write_text(json.dumps(result.to_json()))
-    assert cli.main(["rig", "report", str(tmp_path)]) == 0 and "<svg" in (tmp_path / "x.svg").read_text()
+    assert cli.main(["rig", "report", str(tmp_path)]) == 0
+    assert "<svg" in (tmp_path / "x.svg").read_text()
 
 
 @pytest.mark.parametrize("which", [signal.SIGINT, signal.SIGTERM])
--- a/tests/integration/test_control.py
+++ b/tests/integration/test_control.py
@@ -21,7 +21,8 @@
 
 
 def figures(lines: list[str]) -> dict[str, int]:
-    assert lines[0] == "YES" and lines[-1] == "END"
+    assert lines[0] == "YES"
+    assert lines[-1] == "END"
     pairs = [re.fullmatch(r"(router\.[\w.]+)=(\d+)", line) for line in lines[1:-1]]
     assert all(pairs), lines
     return {pair[1]: int(pair[2]) for pair in pairs if pair}
@@ -61,9 +62,12 @@
             info = figures(await ask_control(running, b"INFO\n"))
             assert {name: info[f"router.handled.confirm.{name}"] for name in seen} == seen
             assert info["router.handled.confirm.upstream_tries"] == len(runner.calls) == 12
-            assert info["router.upstream_tries"] == 12 and info["router.in_progress"] == 0
-            assert info["router.handled.check.passed"] == 0 and info["router.known_runners"] == 1
-            assert info["router.skipped_runners"] in (0, 1) and info["router.loads"] == 0
+            assert info["router.upstream_tries"] == 12
+            assert info["router.in_progress"] == 0
+            assert info["router.handled.check.passed"] == 0
+            assert info["router.known_runners"] == 1
+            assert info["router.skipped_runners"] in (0, 1)
+            assert info["router.loads"] == 0
 
     asyncio.run(test())
 
@@ -78,7 +82,8 @@
                 caller.writer.write(pack_call(number, "check", b"x"))
             assert (await caller.read())[1:3] == [33, ["Backoff", {"later": "500"}]]
             info = figures(await ask_control(running, b"INFO\n"))
-            assert info["router.handled.check.dropped"] == 1 and info["router.in_progress"] == 32
+            assert info["router.handled.check.dropped"] == 1
+            assert info["router.in_progress"] == 32
 
     asyncio.run(test())
 
@@ -101,7 +106,9 @@
             async with asyncio.timeout(10):
                 reply = (await reader.read()).decode()
             writer.transport.abort()
-            assert reply.startswith(f"NO {why}") and reply.endswith("\n") and reply.count("\n") == 1
+            assert reply.startswith(f"NO {why}")
+            assert reply.endswith("\n")
+            assert reply.count("\n") == 1
             assert await ask_control(running, b"PING\n") == ["YES"]  # nothing else was touched
 
     asyncio.run(test())
--- a/tests/integration/test_descriptor_budget.py
+++ b/tests/integration/test_descriptor_budget.py
@@ -54,10 +54,9 @@
         one = descriptor_budget.compute_budget(
             configured, callers if limit >= 96 else 0, real, already_open=6
         )
+        assert one.limit == limit
         assert (
-            one.limit == limit
-            and one.client_connections + one.invoke_connections + one.worker_connections + one.reserved
-            == limit
+            one.client_connections + one.invoke_connections + one.worker_connections + one.reserved == limit
         )
         assert one.client_connections >= limit // 3, "clients may hold a third of the limit"
         assert min(one.worker_connections, one.operator_connections, one.accepts_per_pass) >= 1
@@ -81,9 +80,8 @@
 
 def test_the_process_limit_is_read_and_not_changed() -> None:
     before = resource.getrlimit(resource.RLIMIT_NOFILE)
-    assert (
-        descriptor_budget.soft_limit() == before[0] and resource.getrlimit(resource.RLIMIT_NOFILE) == before
-    )
+    assert descriptor_budget.soft_limit() == before[0]
+    assert resource.getrlimit(resource.RLIMIT_NOFILE) == before
     with socket.socket():
         assert descriptor_budget.count_open_descriptors() == len(os.listdir("/proc/self/fd")) - 1
 
@@ -307,9 +305,8 @@
             await new.wait_for_poll()
             assert await running.send_command(b"PING\n") == ["YES"]
             assert len(running.open_descriptors()) < FEW
-            assert (
-                "out of system resource" not in running.log() and "descriptors_exhausted" not in running.log()
-            )
+            assert "out of system resource" not in running.log()
+            assert "descriptors_exhausted" not in running.log()
             close(held)
         for one in (runner, moved):
             one.stop()
@@ -340,7 +337,8 @@
             assert await caller.call(1, "confirm", b"x") == [1, 1, None, [b"X", {}]]
             assert await running.send_command(b"PING\n") == ["YES"]
             told = await running.send_command(b"INFO\n")
-            assert "router.skipped_runners=0" in told and "router.handled.confirm.upstream_tries=1" in told
+            assert "router.skipped_runners=0" in told
+            assert "router.handled.confirm.upstream_tries=1" in told
             assert len(running.open_descriptors()) <= top
             close(held)
         runner.stop()
@@ -358,7 +356,8 @@
         extra = [socket.socket() for _ in range(10)]
         async with router(tmp_path, FEW, [one.fileno() for one in extra]) as running:
             more = await running.wait_for_log(told)
-            assert int(more[2]) == int(alone[2]) + 10 and int(more[1]) == int(alone[1]) - 10
+            assert int(more[2]) == int(alone[2]) + 10
+            assert int(more[1]) == int(alone[1]) - 10
         close(extra)
 
     run(test)
@@ -484,7 +483,9 @@
                 answer = await caller.call(number, "confirm", b"x")
                 assert answer[2][0] == "Backoff", "it never ran"
             [view] = running.dispatcher.router.workers.values()
-            assert view.outlier_score == 0.0 and not view.is_ejected and not runner.calls
+            assert view.outlier_score == 0.0
+            assert not view.is_ejected
+            assert not runner.calls
             loop.create_connection = dial  # type: ignore[method-assign]
             assert await caller.call(9, "confirm", b"x") == [1, 9, None, [b"X", {}]]
 
@@ -555,7 +556,8 @@
                 connection.abort()
                 for _ in range(10):
                     await asyncio.sleep(0)
-                assert not pool.connecting and set(os.listdir("/proc/self/fd")) == before
+                assert not pool.connecting
+                assert set(os.listdir("/proc/self/fd")) == before
             close(fill)
 
     run(test)
@@ -641,7 +643,9 @@
         began = loop.time()
         resolver.start_polling("127.0.0.1", new.server.port)
         await new.wait_for_poll()
-        assert tries == 3 and room == 1 and loop.time() - began > 0.9 * POLL_INTERVAL_S
+        assert tries == 3
+        assert room == 1
+        assert loop.time() - began > 0.9 * POLL_INTERVAL_S
         resolver.stop()
         old.server.stop()
         new.server.stop()
--- a/tests/integration/test_endings.py
+++ b/tests/integration/test_endings.py
@@ -273,7 +273,8 @@
             assert result_name(await caller.read()) == "failed"
             await wait_until_settled(running)
             figures = running.status.lines()
-            assert "router.known_runners=0" in figures and "router.skipped_runners=0" in figures
+            assert "router.known_runners=0" in figures
+            assert "router.skipped_runners=0" in figures
 
     asyncio.run(test())
 
@@ -501,7 +502,8 @@
             [at] = [n for n, p in running.workers.pools.items() if p.connections]
             held.ports = {runners[at - 1].port}
             assert await caller.read() == [1, 1, None, [b"X", {}]]
-            assert runners[at - 1].calls == [] and len(runners[2 - at].calls) == 1
+            assert runners[at - 1].calls == []
+            assert len(runners[2 - at].calls) == 1
 
     asyncio.run(test())
 
--- a/tests/integration/test_endings_accounting.py
+++ b/tests/integration/test_endings_accounting.py
@@ -51,10 +51,8 @@
             caller.writer.write(b"\x91\x05")
             assert result_name(await caller.read()) == "failed"
             assert running.dispatcher.class_figures["confirm"]["bad_gateway"] == 1
-            assert (
-                running.dispatcher.result_counts["failed"] == 1
-                and running.dispatcher.result_counts["abandoned"] == 0
-            )
+            assert running.dispatcher.result_counts["failed"] == 1
+            assert running.dispatcher.result_counts["abandoned"] == 0
 
     asyncio.run(test())
 
@@ -211,9 +209,8 @@
         monkeypatch.setattr(WorkerConnection, "on_connected", late)
         async with running_router(ScriptedWorker()) as (running, caller):
             assert result_name(await caller.call(1, "confirm", b"x")) == "served"
-            assert (
-                len(all_worker_connections(running)) == 1 and not all_worker_connections(running)[0].is_closed
-            )
+            assert len(all_worker_connections(running)) == 1
+            assert not all_worker_connections(running)[0].is_closed
 
     asyncio.run(test())
 
@@ -235,9 +232,8 @@
             caller.writer.write(INTERRUPT + b"\x01")
             await fence(caller, 9)
             await until(lambda: not router.orphaned_attempts, "its end")
-            assert (
-                router.state.retry_budget.tokens == before and len(runners[0].calls + runners[1].calls) == 1
-            )
+            assert router.state.retry_budget.tokens == before
+            assert len(runners[0].calls + runners[1].calls) == 1
             slow.waiting[0].set()
 
     asyncio.run(test())
@@ -260,7 +256,8 @@
                     "it has left",
                 )
             [view] = running.dispatcher.router.workers.values()
-            assert view.outlier_score == 0.0 and not view.is_ejected
+            assert view.outlier_score == 0.0
+            assert not view.is_ejected
             for one in slow.waiting:
                 one.set()
 
--- a/tests/integration/test_endings_bad_input.py
+++ b/tests/integration/test_endings_bad_input.py
@@ -87,11 +87,13 @@
         async with running_router(*runners) as (running, caller):
             discovery = Discovery(running, *runners)
             await discovery.play(spoils)
-            assert running.endpoint_list.version == 1 and len(running.endpoint_list.records) == 2
+            assert running.endpoint_list.version == 1
+            assert len(running.endpoint_list.records) == 2
             assert running.discovery.last_usable_reply_at == 0.0 or spoils is nobody
             assert result_name(await caller.call(1, "confirm", b"x")) == "served"
             await discovery.play(whole)
-            assert running.endpoint_list.version == 2 and len(running.endpoint_list.records) == 2
+            assert running.endpoint_list.version == 2
+            assert len(running.endpoint_list.records) == 2
             assert result_name(await caller.call(2, "confirm", b"x")) == "served"
             discovery.close()
 
@@ -149,7 +151,8 @@
             assert result_name(await caller.call(1, "confirm", b"x")) == "served"
             discovery = Discovery(running, runner)
             await discovery.play(nobody, nobody)
-            assert running.endpoint_list.version == 9 and running.endpoint_list.records == {}
+            assert running.endpoint_list.version == 9
+            assert running.endpoint_list.records == {}
             assert result_name(await caller.call(2, "confirm", b"x", limit="400")) == "refused"
             assert len(runner.calls) == 1
             discovery.close()
@@ -167,7 +170,8 @@
             discovery = Discovery(running, runner)
             discovery.serial = between
             await discovery.play(whole, nobody, whole, nobody, whole, nobody)
-            assert running.endpoint_list.version == between and len(running.endpoint_list.records) == 1
+            assert running.endpoint_list.version == between
+            assert len(running.endpoint_list.records) == 1
             discovery.close()
 
     asyncio.run(test())
@@ -187,9 +191,8 @@
                 return []
 
             await discovery.play(hold, lambda reply: [reply, reply, *discovery.late, reply])
-            assert running.endpoint_list.version == 3 and list(running.endpoint_list.records) == [
-                "s-00000001"
-            ]
+            assert running.endpoint_list.version == 3
+            assert list(running.endpoint_list.records) == ["s-00000001"]
             discovery.close()
 
     asyncio.run(test())
@@ -260,7 +263,8 @@
             await fence(caller, 3)
             runner.answer(runner.calls[1], serve_uppercase(runner, runner.calls[1]))
             assert await caller.read() == [1, 2, None, [b"X", {}]]
-            assert runner.cancelled_ids == [] and running.dispatcher.result_counts["abandoned"] == 0
+            assert runner.cancelled_ids == []
+            assert running.dispatcher.result_counts["abandoned"] == 0
 
     asyncio.run(test())
 
--- a/tests/integration/test_invoke.py
+++ b/tests/integration/test_invoke.py
@@ -162,7 +162,8 @@
                 status, _, body = await desk.request("POST", PATH + "check", b"abc", Call_Lanes="4")
                 assert (status, body) == (200, b"ABC")
                 status, fields, _ = await desk.request("POST", PATH + "confirm", b"later", **ASYNC)
-                assert status == 202 and fields["preference-applied"] == "respond-async"
+                assert status == 202
+                assert fields["preference-applied"] == "respond-async"
                 status, _, body = await desk.request("GET", fields["location"], Prefer="wait=5")
                 assert (status, body) == (200, b"LATER")
                 assert (await desk.request("DELETE", fields["location"]))[0] == 204
@@ -194,7 +195,8 @@
                 assert (status, body) == (200, b"X")
                 assert again.get("location", fields["location"]) == fields["location"]
                 assert (await portal.request("POST", PATH + "confirm", b"other", **told))[0] == 422
-            assert len(runner.calls) == 1 and not runner.cancelled_ids
+            assert len(runner.calls) == 1
+            assert not runner.cancelled_ids
 
     run(test())
 
@@ -215,7 +217,8 @@
             assert refused[0] in (503, 504)  # nothing new goes there
             runner.answer(runner.calls[0], serve_uppercase(runner, runner.calls[0]))
             status, _, body = await portal.request("GET", fields["location"], Prefer="wait=5")
-            assert (status, body) == (200, b"X") and len(runner.calls) == 1
+            assert (status, body) == (200, b"X")
+            assert len(runner.calls) == 1
 
     run(test())
 
@@ -289,9 +292,11 @@
             Caller(running, authority.caller(DESK)) as desk,
         ):
             status, fields, body = await desk.request("POST", PATH + "confirm", b"x", Call_Timeout_Ms="300")
-            assert status == expected and fields["content-type"] == "application/problem+json"
+            assert status == expected
+            assert fields["content-type"] == "application/problem+json"
             told = json.loads(body)
-            assert told["status"] == expected and told["repeat"] == repeat
+            assert told["status"] == expected
+            assert told["repeat"] == repeat
             assert ("retry-after" in fields) == (repeat == "harmless")
 
     run(test())
@@ -462,7 +467,8 @@
         for deferred in (False, True):
             async with service(ScriptedWorker(by_body), invoke=config(authority)) as running:
                 scores.append(await play(running, deferred, f"{deferred}"))
-        assert scores[0] == scores[1] and 0.5 < scores[0] < 1.0
+        assert scores[0] == scores[1]
+        assert 0.5 < scores[0] < 1.0
 
     run(test())
 
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -37,10 +37,13 @@
             answer = await caller.call(1, "revise", b"a\x00b", unique="5c0f", props="memory_mb:512;lanes:2")
             assert answer == [1, 1, None, [b"A\x00B", {}]]
             [call] = runner.calls
-            assert call["id"] == f"{1:016x}" and call["op"] == "CALL"
+            assert call["id"] == f"{1:016x}"
+            assert call["op"] == "CALL"
             fields = call["fields"]
-            assert fields["profile"] == "revise" and fields["thing"] == "7f3a9c21e0b4d655"
-            assert fields["replay"] == "5c0f" and 0 < fields["max"] <= 3000
+            assert fields["profile"] == "revise"
+            assert fields["thing"] == "7f3a9c21e0b4d655"
+            assert fields["replay"] == "5c0f"
+            assert 0 < fields["max"] <= 3000
 
     run(test())
 
@@ -78,7 +81,9 @@
         runner = ScriptedWorker()
         async with service(runner) as running, client(running) as caller:
             answer = await caller.call(1, class_name, b"", **fields)
-            assert answer[:2] == [1, 1] and answer[2][0] == "BadRequest" and answer[3] is None
+            assert answer[:2] == [1, 1]
+            assert answer[2][0] == "BadRequest"
+            assert answer[3] is None
             assert await caller.call(2, "check", b"y") == [1, 2, None, [b"Y", {}]]
             assert len(runner.calls) == 1
 
@@ -123,7 +128,8 @@
         first, second = ScriptedWorker(cut), ScriptedWorker(cut)
         async with service(first, second) as running, client(running) as caller:
             answer = await caller.call(1, "confirm", b"x")
-            assert answer[2][0] == "Lost" and len(first.calls + second.calls) == 1
+            assert answer[2][0] == "Lost"
+            assert len(first.calls + second.calls) == 1
             answer = await caller.call(2, "check", b"x")  # safe to repeat: it is tried elsewhere too
             assert {c["id"] for c in first.calls} & {c["id"] for c in second.calls} == {f"{2:016x}"}
 
@@ -149,7 +155,8 @@
             loop = asyncio.get_running_loop()
             started_at = loop.time()
             answer = await caller.call(1, "confirm", b"x", limit="300")
-            assert answer[2][0] == "Lost" and loop.time() - started_at < 0.3
+            assert answer[2][0] == "Lost"
+            assert loop.time() - started_at < 0.3
             await mute.wait_until(lambda: mute.cancelled_ids == [f"{1:016x}"])
 
     run(test())
@@ -303,7 +310,8 @@
             while not any(c.needed_bytes for c in running.platform.unproven_connections):
                 await asyncio.sleep(0)
             running.platform.sweep(asyncio.get_running_loop().time() + 3.0)
-            assert await silent.read() is None and await half.read() is None
+            assert await silent.read() is None
+            assert await half.read() is None
             assert await proven_client.call(2, "check", b"x") == [1, 2, None, [b"X", {}]]
 
     run(test())
@@ -400,7 +408,8 @@
             await mute.wait_until(lambda: len(mute.calls) == 2)
             ending = asyncio.create_task(running.shut_down())
             assert await idle.read() is None  # closed, with nothing open
-            assert running.platform.is_draining and running.platform._acceptor is None
+            assert running.platform.is_draining
+            assert running.platform._acceptor is None
             mute.answer(mute.calls[1], serve_uppercase(mute, mute.calls[1]))
             assert await busy.read() == [1, 2, None, [b"Y", {}]]
             assert await busy.read() is None  # closed once its last answer left
--- a/tests/integration/test_process.py
+++ b/tests/integration/test_process.py
@@ -68,7 +68,8 @@
     with started(tmp_path) as (process, log):
         process.send_signal(signal.SIGTERM)
         rest = log.read()
-        assert process.wait(10) == 0 and "shutdown_completed open_calls=0\n" in rest
+        assert process.wait(10) == 0
+        assert "shutdown_completed open_calls=0\n" in rest
 
 
 def test_sighup_follows_a_new_discovery_address_and_never_ends_the_process(tmp_path: Path) -> None:
@@ -91,7 +92,8 @@
 def test_version_and_check_config(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    assert main(["version"]) == 0 and capsys.readouterr().out.strip() == __version__
+    assert main(["version"]) == 0
+    assert capsys.readouterr().out.strip() == __version__
     for name, value in write_config(tmp_path).items():
         monkeypatch.setenv(name, value)
     assert main(["check-config"]) == 0
--- a/tests/integration/test_worker_connections.py
+++ b/tests/integration/test_worker_connections.py
@@ -163,7 +163,8 @@
         harness.workers.cancel(attempt)
         harness.flush()
         assert b'{"op":"CANCEL","id":"aaaaaaaaaaaaaaaa"}\n' in harness.socket.wrote
-        assert not harness.connection.can_accept("a" * 16) and harness.connection.can_accept("b" * 16)
+        assert not harness.connection.can_accept("a" * 16)
+        assert harness.connection.can_accept("b" * 16)
         late = b'{"op":"HIT","id":"aaaaaaaaaaaaaaaa","body":""}\n'
         room = harness.connection.get_buffer(-1)
         room[: len(late)] = late
@@ -188,7 +189,8 @@
         )  # till it has had the time to read on, and with it the CANCEL
         while not harness.dispatcher.outcomes:
             await asyncio.sleep(0)
-        assert harness.socket.aborted and harness.dispatcher.outcomes == {"a" * 16: Outcome.CANCELLED}
+        assert harness.socket.aborted
+        assert harness.dispatcher.outcomes == {"a" * 16: Outcome.CANCELLED}
 
     asyncio.run(test())
 
@@ -226,9 +228,11 @@
             "s-00000001", "127.0.0.1", 1, "room-a", "std", 0, EndpointState.READY, 1.0, 0.0
         )
         first = roster.apply_update(1, [entry], True)
-        assert first is not None and first.kind is EndpointUpdateKind.CACHED
+        assert first is not None
+        assert first.kind is EndpointUpdateKind.CACHED
         gone = roster.apply_update(2, [], True)
-        assert gone is not None and [w.state for w in gone.endpoints] == [EndpointState.REMOVED]
+        assert gone is not None
+        assert [w.state for w in gone.endpoints] == [EndpointState.REMOVED]
         assert roster.apply_update(2, [entry], True) is None
 
     asyncio.run(test())
@@ -294,9 +298,11 @@
         harness.flush()
         full = b'{"op":"SHED","id":"aaaaaaaaaaaaaaaa"}\n'
         harness.receive(b'{"op":"HIT","id":"0000000000000000","body":""}\n' + full + full)
-        assert harness.dispatcher.outcomes == {"a" * 16: Outcome.OVERLOADED} and not harness.socket.aborted
+        assert harness.dispatcher.outcomes == {"a" * 16: Outcome.OVERLOADED}
+        assert not harness.socket.aborted
         # A copy that comes late must not end a second attempt of the call.
-        assert not harness.connection.can_accept("a" * 16) and harness.connection.can_accept("b" * 16)
+        assert not harness.connection.can_accept("a" * 16)
+        assert harness.connection.can_accept("b" * 16)
 
     asyncio.run(test())
 
@@ -369,9 +375,8 @@
         wrote = harness.socket.wrote
         harness.socket.held = 0
         harness.connection.resume_writing()
-        assert (
-            harness.socket.wrote == wrote and harness.dispatcher.outcomes["b" * 16] is Outcome.CONNECT_FAILED
-        )
+        assert harness.socket.wrote == wrote
+        assert harness.dispatcher.outcomes["b" * 16] is Outcome.CONNECT_FAILED
 
     asyncio.run(test())
 
--- a/tests/simulation/test_escrow_fleet.py
+++ b/tests/simulation/test_escrow_fleet.py
@@ -47,7 +47,8 @@
 @pytest.mark.parametrize("stored", [False, True])
 def test_use_never_exceeds_the_total_under_all_faults(seed: int, stored: bool) -> None:
     simulation = simulate_day(Escrow, seed, is_durable=stored)
-    assert not simulation.violations and simulation.longest_datagram_bytes <= MAX_DATAGRAM_BYTES
+    assert not simulation.violations
+    assert simulation.longest_datagram_bytes <= MAX_DATAGRAM_BYTES
     assert sum(router.consumed for router in simulation.routers) > 20
     assert simulation.transfer_checks * CHECK_INTERVAL_MS > 4000.0, "no units moved"
 
@@ -220,7 +221,8 @@
 def test_no_order_of_events_in_a_small_model_exceeds_the_total(name: str) -> None:
     states, events = explore(Escrow, WORLDS[name])
     print(f"{name}: {states} states")
-    assert events is None and states >= WORLDS[name].min_states
+    assert events is None
+    assert states >= WORLDS[name].min_states
 
 
 class OwnShare(Escrow):
--- a/tests/simulation/test_fleet_components.py
+++ b/tests/simulation/test_fleet_components.py
@@ -259,7 +259,8 @@
     fleet.timers = [timer for timer in fleet.timers if timer[0] < fleet.now]  # all routers stall
     fleet.run(20_000.0)
     request_id = fleet.call(2, 77)
-    assert not fleet.cold_starts and fleet.results[request_id] == []
+    assert not fleet.cold_starts
+    assert fleet.results[request_id] == []
 
 
 def test_an_unreachable_worker_loses_its_placements() -> None:
@@ -296,7 +297,8 @@
             assert priority is not None
             priorities.append((priority.is_highest(), priority.is_within_quota))
     assert priorities[0][0] is False
-    assert priorities[2] == (True, True) and priorities[3] == (False, False)
+    assert priorities[2] == (True, True)
+    assert priorities[3] == (False, False)
 
 
 def test_a_start_of_all_routers_is_frozen_briefly_and_one_memory_of_a_window_is_enough() -> None:
--- a/tests/simulation/test_fuzzing.py
+++ b/tests/simulation/test_fuzzing.py
@@ -186,7 +186,8 @@
         transport.set_write_buffer_limits(high=0)
         transport.peer_window_bytes = 3
         transport.write(b"abcde")
-        assert bytes(got) == b"abc" and transport.get_write_buffer_size() == 2
+        assert bytes(got) == b"abc"
+        assert transport.get_write_buffer_size() == 2
         transport.peer_accept(None)
         assert bytes(got) == b"abcde"
         transport.peer_reset()
@@ -225,7 +226,9 @@
 
 def test_choices_past_the_end_are_the_first() -> None:
     choices = FuzzedDataProvider(b"\x05")
-    assert choices.pick("abc") == "c" and choices.pick("abc") == "a" and not choices.has_more()
+    assert choices.pick("abc") == "c"
+    assert choices.pick("abc") == "a"
+    assert not choices.has_more()
 
 
 def test_generated_dns_replies_are_parsed_as_generated() -> None:
@@ -241,9 +244,11 @@
         )
 
     done = run("replay", "spiffe")
-    assert done.returncode == 0 and done.stdout.splitlines()[-1].startswith("fuzz replay: ok")
+    assert done.returncode == 0
+    assert done.stdout.splitlines()[-1].startswith("fuzz replay: ok")
     unknown = run("replay", "nothing")
-    assert unknown.returncode == 2 and "no target 'nothing'" in unknown.stderr
+    assert unknown.returncode == 2
+    assert "no target 'nothing'" in unknown.stderr
     kept = tmp_path / "input"
     kept.write_bytes(b"spiffe://gaz.example/a")
     assert run("minimise", "spiffe", str(kept)).returncode == 1  # it shows nothing
--- a/tests/simulation/test_membership.py
+++ b/tests/simulation/test_membership.py
@@ -102,10 +102,8 @@
     fleet.stopped.add(7)
     fleet.run(25_000.0)
     assert len(fleet.seen_as(7, MemberStatus.DEAD)) == 39
-    assert (
-        all(fleet.routers[n].alive_count() == 39 for n in range(40) if n != 7)
-        and fleet.longest_datagram <= MAX_DATAGRAM_BYTES
-    )
+    assert all(fleet.routers[n].alive_count() == 39 for n in range(40) if n != 7)
+    assert fleet.longest_datagram <= MAX_DATAGRAM_BYTES
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -128,7 +126,8 @@
     fleet.resume(3)
     fleet.run(10_000.0)
     assert len(fleet.seen_as(3, MemberStatus.ALIVE)) == 29
-    assert fleet.routers[3].alive_count() == 30 and fleet.routers[3].table.incarnation > 0
+    assert fleet.routers[3].alive_count() == 30
+    assert fleet.routers[3].table.incarnation > 0
 
 
 def test_a_pause_by_itself_ends_no_suspicion() -> None:
@@ -138,7 +137,8 @@
     router.on_tick(100.0)
     before = router.table.incarnation
     router.on_tick(100_000.0)
-    assert router.member_status(2) is MemberStatus.SUSPECT and router.table.incarnation == before + 1
+    assert router.member_status(2) is MemberStatus.SUSPECT
+    assert router.table.incarnation == before + 1
     for step in range(1, 20):
         router.on_tick(100_000.0 + step * TICK_MS)
     assert router.member_status(2) is MemberStatus.DEAD
@@ -155,7 +155,8 @@
     fleet.stopped.discard(4)
     fleet.routers[4] = SwimMembership(4, 20, 99, fleet.now)
     fleet.run(10_000.0)
-    assert len(fleet.seen_as(4, MemberStatus.ALIVE)) == 19 and fleet.routers[4].table.incarnation > 5
+    assert len(fleet.seen_as(4, MemberStatus.ALIVE)) == 19
+    assert fleet.routers[4].table.incarnation > 5
     late = update_message(MemberUpdate(4, 5, MemberStatus.DEAD))
     fleet.routers[0].on_message(fleet.now, 1, late)
     assert fleet.routers[0].member_status(4) is MemberStatus.ALIVE, (
@@ -207,13 +208,15 @@
         sender = rng.randrange(-1, 7)
         with_header = bytes((codec.MESSAGE_TYPE, rng.randrange(6))) + data
         router.on_message(1.0, sender, rng.choice([data, with_header]))
-    assert router.malformed_datagrams > 500 and router.table.incarnation <= 2 * MAX_INCARNATION_STEP
+    assert router.malformed_datagrams > 500
+    assert router.table.incarnation <= 2 * MAX_INCARNATION_STEP
     router = SwimMembership(0, 5, 1)
     lies = update_message(
         MemberUpdate(2, MAX_INCARNATION_STEP + 1, MemberStatus.DEAD), MemberUpdate(9, 0, MemberStatus.DEAD)
     )
     router.on_message(1.0, 1, lies)
-    assert router.alive_count() == 5 and router.table.implausible_updates == 2
+    assert router.alive_count() == 5
+    assert router.table.implausible_updates == 2
     router.on_message(1.0, 1, update_message(MemberUpdate(0, 7, MemberStatus.DEAD)))
     assert router.table.incarnation == 8
 
@@ -221,7 +224,8 @@
 def test_a_message_decodes_as_it_was_encoded() -> None:
     updates = tuple(MemberUpdate(n, 3 * n, MemberStatus(n % 3)) for n in range(codec.MAX_UPDATES))
     message = SwimMessage(MessageKind.PING_REQUEST, 9, 7, 4, updates)
-    assert codec.decode(codec.encode(message)) == message and len(codec.encode(message)) <= MAX_DATAGRAM_BYTES
+    assert codec.decode(codec.encode(message)) == message
+    assert len(codec.encode(message)) <= MAX_DATAGRAM_BYTES
     with pytest.raises(ValueError):
         update_message(*updates, updates[0])
 
@@ -243,10 +247,8 @@
     router.on_message(400.0, 1, update_message(MemberUpdate(2, 1, MemberStatus.SUSPECT)))
     for step in range(40):
         router.on_tick(400.0 + step * PAUSE_THRESHOLD_MS / 4)
-    assert (
-        router.member_status(2) is MemberStatus.DEAD
-        and 400.0 + 10 * PAUSE_THRESHOLD_MS > SUSPICION_INTERVALS * PROBE_INTERVAL_MS
-    )
+    assert router.member_status(2) is MemberStatus.DEAD
+    assert 400.0 + 10 * PAUSE_THRESHOLD_MS > SUSPICION_INTERVALS * PROBE_INTERVAL_MS
 
 
 def test_routing_goes_by_the_routers_that_are_alive() -> None:
@@ -285,7 +287,8 @@
         if (index := request_id % count) not in stopped:
             handle(index, RequestArrived(request_id, request_id % 9, 0, now + 3000.0))
         if step == 199:
-            assert all(node.router.state.live_router_count == count for node in nodes.values()) and not log
+            assert all(node.router.state.live_router_count == count for node in nodes.values())
+            assert not log
     running = [node for index, node in nodes.items() if index not in stopped]
     assert [node.router.state.live_router_count for node in running] == [3, 3, 3]
     assert all(
--- a/tests/simulation/test_persistence_restarts.py
+++ b/tests/simulation/test_persistence_restarts.py
@@ -87,7 +87,8 @@
     fleet.run(20_000.0)
     fleet.declare(2, window(600.0, 700.0, allowance=1) + DISK_CONFIG)
     fleet.run(20_000.0)
-    assert fleet.voters() == [True] * ROUTERS and fleet.entry_counts() == [1] * ROUTERS
+    assert fleet.voters() == [True] * ROUTERS
+    assert fleet.entry_counts() == [1] * ROUTERS
     return fleet
 
 
@@ -96,7 +97,8 @@
     for index in range(ROUTERS):
         fleet.restart(index)
     fleet.run(3_000.0)
-    assert fleet.voters() == [True] * ROUTERS and fleet.entry_counts() == [1] * ROUTERS
+    assert fleet.voters() == [True] * ROUTERS
+    assert fleet.entry_counts() == [1] * ROUTERS
 
 
 def test_stale_content_is_dropped_and_the_store_goes_on_above_its_last_generation() -> None:
@@ -112,7 +114,8 @@
     assert fleet.has_logged("store_content_dropped")
     fleet.run(10_000.0)
     assert fleet.disks[3].generation > last_generation
-    assert fleet.voters()[3] and fleet.entry_counts()[3] == 1
+    assert fleet.voters()[3]
+    assert fleet.entry_counts()[3] == 1
 
 
 def test_a_router_serves_on_without_its_disk_whose_content_is_stale_at_the_next_start() -> None:
--- a/tests/simulation/test_priority_fleet.py
+++ b/tests/simulation/test_priority_fleet.py
@@ -394,7 +394,8 @@
     def on_tick(self, router: SimulatedRouter, now: float) -> None:
         for message in router.component.on_tick(now):
             if isinstance(message, SendToPeer):
-                assert len(message.data) <= 256 and message.peer_index is not None
+                assert len(message.data) <= 256
+                assert message.peer_index is not None
                 if (
                     self.rng.random() < 0.9
                     and router.router_index not in self.partitioned
--- a/tests/simulation/test_recovery_fleet.py
+++ b/tests/simulation/test_recovery_fleet.py
@@ -304,7 +304,8 @@
     """A fleet that has been undisturbed for so long that all its routers are in service."""
     fleet = SimulatedFleet(16, workers=10, functions=60, calls_per_second=12.0, seed=11).run(SETTLED_MS)
     for recovery in fleet.routers:
-        assert recovery.is_in_service() and not recovery.admission.is_paced
+        assert recovery.is_in_service()
+        assert not recovery.admission.is_paced
     return fleet
 
 
@@ -345,7 +346,8 @@
         connection_peak = max(peak(times, SETTLED_MS) for times in fleet.connection_times.values())
         max_ratio = 2.0 if variant in ("nothing", "peers") else 1.5
         assert connection_peak <= max_ratio * MIN_WORKER_CONNECTIONS_PER_WINDOW, variant
-        assert fleet.stale_decisions == 0 and not fleet.too_young_observations()
+        assert fleet.stale_decisions == 0
+        assert not fleet.too_young_observations()
         assert all(recovery.is_in_service() for recovery in fleet.routers)
     assert recovery_ms["both"] <= 1.5 * recovery_ms[ALL_KNOWING]
     assert recovery_ms["both"] <= 0.5 * recovery_ms["nothing"]
@@ -599,7 +601,8 @@
         """The invariants of any state."""
         for recovery in self.routers:
             for instance in recovery.warm_instances(self.now, FUNCTION).values():
-                assert not self.has_worker_restarted and instance.warm_age_ms is not None
+                assert not self.has_worker_restarted
+                assert instance.warm_age_ms is not None
                 assert self.now - instance.warm_age_ms <= self.last_seen_warm
                 assert instance.warm_age_ms <= 1200.0
             assert len(recovery.query_client.pending) <= peer_query.MAX_PENDING_QUERIES
@@ -662,4 +665,5 @@
 def test_two_routers_explored_completely_and_three_in_part_keep_the_invariants() -> None:
     states = [explore(2, 10_000), explore(3, 1000)]
     print("states", states)
-    assert 1900 <= states[0] < 10_000 and states[1] >= 1000
+    assert 1900 <= states[0] < 10_000
+    assert states[1] >= 1000
--- a/tests/simulation/test_replication_fleet.py
+++ b/tests/simulation/test_replication_fleet.py
@@ -224,7 +224,8 @@
 
     def _send(self, sender: int, message: SendToPeer) -> None:
         peer = message.peer_index
-        assert peer is not None and peer != sender
+        assert peer is not None
+        assert peer != sender
         self.bytes_sent += len(message.data)
         self.longest_datagram_bytes = max(self.longest_datagram_bytes, len(message.data))
         for _ in range(2 if self.rng.random() < self.duplication_rate else 1):
@@ -345,9 +346,11 @@
 def test_a_router_that_forgot_an_entry_does_not_count_as_its_holder() -> None:
     simulation = simulate_forgotten_entry()
     assert simulation.replicated_at_ms[0], "replicated by what the router held before"
-    assert not simulation.observer.violations and not simulation.is_fresh(4)
+    assert not simulation.observer.violations
+    assert not simulation.is_fresh(4)
     simulation = simulate_restart_during_sync()
-    assert simulation.replicated_at_ms[1] and not simulation.observer.violations
+    assert simulation.replicated_at_ms[1]
+    assert not simulation.observer.violations
     assert not simulation.has_converged()
 
 
@@ -359,7 +362,8 @@
         simulation.resume(paused)
     simulation.cut_links.clear()
     simulation.run(30_000.0)
-    assert simulation.has_converged() and not simulation.observer.violations
+    assert simulation.has_converged()
+    assert not simulation.observer.violations
     assert simulation.longest_datagram_bytes <= MAX_DATAGRAM_BYTES
     assert simulation.all_fresh()
     assert sum(map(len, simulation.replicated_at_ms.values())) > 3
@@ -622,7 +626,8 @@
     """Two routers completely, 4832 states; of three the nearest states."""
     states, violations = explore_states(count, ticks, restarts, 12_000)
     print(f"{count} routers, {ticks} windows, {restarts} starts without memory: {states} states")
-    assert not violations and states > floor
+    assert not violations
+    assert states > floor
 
 
 @pytest.mark.parametrize("name", ["settles by a minority", "ages from reception"])
--- a/tests/simulation/test_slow_start_fleet.py
+++ b/tests/simulation/test_slow_start_fleet.py
@@ -44,7 +44,8 @@
     cold = fleet.workers[1]
     cold.record_send(5000.0, 1.3)
     cold.record_send(6999.0, 0.7)
-    assert cold.window_weight == pytest.approx(2.0) and cold.received_work == pytest.approx(2.0)
+    assert cold.window_weight == pytest.approx(2.0)
+    assert cold.received_work == pytest.approx(2.0)
     cold.record_send(7000.0, 0.7)
     assert cold.window_weight == pytest.approx(1.4)  # a window is open at its start
 
@@ -153,7 +154,8 @@
     drive = RouterDriver(worker(1, started=900.0), now=1000.0, router_count=1)
     record = drive.router.workers[1]
     record.jitter = 0.0
-    assert sends(drive.send_request()) == [1] and len(record.slow_start_sends) == 1
+    assert sends(drive.send_request()) == [1]
+    assert len(record.slow_start_sends) == 1
     ended = AttemptEnded(1, 0, 1, Outcome.NOT_SENT, 0.0, True, is_unreachable=False, is_local=True)
     drive.feed(ended)
     assert not record.slow_start_sends
--- a/tests/unit/test_call_table.py
+++ b/tests/unit/test_call_table.py
@@ -25,7 +25,8 @@
 def test_a_table_is_full_by_number_or_by_bytes() -> None:
     calls = CallTable(max_body_bytes=5)
     calls.add(make_call(1))
-    assert not calls.is_full(2) and calls.is_full(1)
+    assert not calls.is_full(2)
+    assert calls.is_full(1)
     calls.add(make_call(2))
     assert calls.is_full(100), "6 bytes are more than 5"
 
@@ -35,13 +36,16 @@
     calls.add(call)
     call.attempts.append(Attempt(call, 0, 1, 0.0))
     calls.release(call)
-    assert call.is_complete and not calls.pending and not calls.pending_ids
+    assert call.is_complete
+    assert not calls.pending
+    assert not calls.pending_ids
     assert calls.pending_body_bytes == 0
     calls.forget_completed()
     assert calls.find(1) is call
     call.attempts[0].is_ended = True
     calls.forget_completed()
-    assert calls.find(1) is None and not calls.completing
+    assert calls.find(1) is None
+    assert not calls.completing
 
 
 def on_clock(scenario: Callable[[CallTable, CallDeadlines, list[float], list[int]], Awaitable[None]]) -> None:
@@ -116,4 +120,5 @@
     assert figures.by_result == {"accepted": 4, "served": 1, "rejected": 1, "failed": 1, "abandoned": 1}
     assert figures.by_class[call.class_name] == dict.fromkeys(CLASS_FIGURES, 1)
     others = [counts for name, counts in figures.by_class.items() if name != call.class_name]
-    assert others and all(counts == dict.fromkeys(CLASS_FIGURES, 0) for counts in others)
+    assert others
+    assert all(counts == dict.fromkeys(CLASS_FIGURES, 0) for counts in others)
--- a/tests/unit/test_components.py
+++ b/tests/unit/test_components.py
@@ -53,8 +53,10 @@
         node.handle(2.0, PeerMessageReceived(2, data))
     assert component.received == ["message 2 word"]
     # Gossip counts its own, and those of no known type.
-    assert node.load_gossip is not None and node.load_gossip.malformed_datagrams == 3
-    assert node.membership is not None and node.membership.malformed_datagrams == 1
+    assert node.load_gossip is not None
+    assert node.load_gossip.malformed_datagrams == 3
+    assert node.membership is not None
+    assert node.membership.malformed_datagrams == 1
 
 
 def test_one_timer_ticks_all_components_and_status_joins_their_figures() -> None:
@@ -75,7 +77,8 @@
     assert [type(component).__name__ for component in node.components.active] == (
         ["LoadGossip", "SwimMembership"] if allows_gossip else []
     )
-    assert (node.router.state.gossip is node.load_gossip) and (node.load_gossip is not None) is allows_gossip
+    assert node.router.state.gossip is node.load_gossip
+    assert (node.load_gossip is not None) is allows_gossip
     node, component = node_with_component()
     node.components.notify(0.0, SettingsChanged(new_settings))
     assert component.received == ["SettingsChanged"]
--- a/tests/unit/test_fleet_config.py
+++ b/tests/unit/test_fleet_config.py
@@ -23,7 +23,8 @@
 def test_the_shipped_file_is_valid() -> None:
     fleet = load_fleet_config(Path(__file__).parents[2] / "deploy" / "fleet.toml")
     assert [tier.name for tier in fleet.tier] == ["firm", "standard", "interruptible"]
-    assert fleet.disk is None and not fleet.freeze
+    assert fleet.disk is None
+    assert not fleet.freeze
 
 
 def test_a_complete_file_is_decoded() -> None:
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -71,7 +71,8 @@
         )
         update = codec.LoadUpdate(rng.getrandbits(32), rng.getrandbits(32), rng.random() < 0.5, workers)
         data = codec.encode(update)
-        assert codec.decode(data) == update and len(data) <= MAX_DATAGRAM_BYTES
+        assert codec.decode(data) == update
+        assert len(data) <= MAX_DATAGRAM_BYTES
         cut = data[: rng.randrange(len(data))]
         assert isinstance(codec.decode(cut), (codec.LoadUpdate, MalformedDatagram))
         codec.decode(rng.randbytes(rng.randrange(300)))
@@ -80,7 +81,8 @@
 @pytest.mark.parametrize("data", [b"", b"\0" * 257, b"\0" * 10, bytes((codec.MESSAGE_TYPE,)) + b"\0" * 11])
 def test_a_malformed_datagram_is_counted_and_changes_nothing(data: bytes) -> None:
     gossip = make_gossip(0)
-    assert changed_by(gossip, 0.0, 1, data) == {} and gossip.malformed_datagrams == 1
+    assert changed_by(gossip, 0.0, 1, data) == {}
+    assert gossip.malformed_datagrams == 1
     assert changed_by(gossip, 0.0, 7, b"") == {}
     assert changed_by(gossip, 0.0, 0, b"") == {}
     assert gossip.unknown_senders == 2
@@ -153,7 +155,8 @@
     assert changed_by(gossip, 0.0, 1, old) == {4: 9.0}
     assert changed_by(gossip, 1.0, 1, codec.encode(codec.LoadUpdate(2, 1, True, ()))) == {}
     assert gossip.in_flight_of_peers(1.0, 4) == 0.0, "its calls ended with its incarnation"
-    assert changed_by(gossip, 2.0, 1, old) == {} and gossip.in_flight_of_peers(2.0, 4) == 0.0
+    assert changed_by(gossip, 2.0, 1, old) == {}
+    assert gossip.in_flight_of_peers(2.0, 4) == 0.0
 
 
 def test_a_router_that_starts_requests_and_receives_the_full_state() -> None:
@@ -166,7 +169,8 @@
     (request,) = starting.collect_due_datagrams(3000.0)
     running.on_message(3005.0, 1, request.data)
     full_state = running.collect_due_datagrams(3010.0)
-    assert full_state and all(datagram.peer_index == 1 for datagram in full_state)
+    assert full_state
+    assert all(datagram.peer_index == 1 for datagram in full_state)
     for datagram in full_state:
         starting.on_message(3015.0, 0, datagram.data)
     assert all(starting.instances(3015.0, number)[number % 4].warm_age_ms for number in range(30))
@@ -266,7 +270,8 @@
                     answers[action.request_id] = answers.get(action.request_id, 0) + 1
                 elif isinstance(action, SetTimer):
                     timers.append((action.at_ms, nodes[index], action.token))
-    assert answers == dict.fromkeys(set(range(1, request_id + 1)) - lost, 1) and len(lost) < 6
+    assert answers == dict.fromkeys(set(range(1, request_id + 1)) - lost, 1)
+    assert len(lost) < 6
     was_known_warm = [
         load is not None and load.warm_age_ms is not None
         for step, load in known_at_start
@@ -317,7 +322,8 @@
     }
     kind = EndpointUpdateKind.SNAPSHOT if change == "missing" else EndpointUpdateKind.DELTA
     node.handle(90.0, EndpointUpdate(kind, 2, changed[change]))
-    assert node.load_gossip is gossip and not gossip.instances(100.0, 7)
+    assert node.load_gossip is gossip
+    assert not gossip.instances(100.0, 7)
     assert not any(instance.warm_at_ms for instance in gossip.local.instances.values())
 
 
@@ -337,7 +343,8 @@
     assert admission.mean_objective_ms == 2.0 * objective_before
     assert selector.homes_per_worker < homes_before
     assert node.load_gossip is gossip
-    assert gossip.budget.bytes_per_call == 0.5 * bytes_before and gossip.keep_alive_ms == 3000.0
+    assert gossip.budget.bytes_per_call == 0.5 * bytes_before
+    assert gossip.keep_alive_ms == 3000.0
 
 
 def test_datagrams_pass_between_sockets_and_unknown_senders_are_dropped() -> None:
@@ -365,7 +372,8 @@
         first.send(b"y" * 257, 1)
         first.send(b"z", 5)
         first.send(b"hello", 1)
-        assert await received.get() == (0, b"hello") and first.unsent_count == 2
+        assert await received.get() == (0, b"hello")
+        assert first.unsent_count == 2
         first.send(b"all", None)
         assert {await received.get(), await received.get()} == {(0, b"all")}
         assert second.unknown_sender_count == 1
--- a/tests/unit/test_instance_queue.py
+++ b/tests/unit/test_instance_queue.py
@@ -29,12 +29,10 @@
     assert not queue.should_wait(1, 4, True, free, concurrency=1.0, times=NOW)
     assert queue.should_wait(1, 4, True, taken, concurrency=1.0, times=NOW)
     assert not queue.should_wait(2, 4, True, taken, concurrency=2.0, times=NOW), "a second lane is free"
-    assert (
-        not queue.should_wait(
-            1, 4, True, taken, concurrency=1.0, times=WaitTimes(MAX_BUSY_WAIT_FRACTION * 1000.0, 50.0, 1000.0)
-        )
-        and not queue.waiting_requests
+    assert not queue.should_wait(
+        1, 4, True, taken, concurrency=1.0, times=WaitTimes(MAX_BUSY_WAIT_FRACTION * 1000.0, 50.0, 1000.0)
     )
+    assert not queue.waiting_requests
     places = [queue.should_wait(n, 4, True, taken, concurrency=1.0, times=NOW) for n in range(20)]
     assert places == [True] * 5 + [False] * 15, "what is ahead would take as long as a load"
     queue.on_response(4, was_cold=True)
@@ -58,9 +56,8 @@
         concurrency=1.0,
         times=WaitTimes(MAX_LOADING_WAIT_FRACTION * 1000.0, 50.0, 1000.0),
     )
-    assert not queue.should_wait(1, 4, False, {}, concurrency=1.0, times=NOW) and not queue.should_wait(
-        1, 4, False, {9: InstanceLoad(0, 1.0)}, concurrency=1.0, times=NOW
-    )
+    assert not queue.should_wait(1, 4, False, {}, concurrency=1.0, times=NOW)
+    assert not queue.should_wait(1, 4, False, {9: InstanceLoad(0, 1.0)}, concurrency=1.0, times=NOW)
 
 
 def heard(*, peers: bool = True) -> RoutingNode:
@@ -82,12 +79,14 @@
         None  # one that is not held any more is passed over
     )
     out = one.handle(400.0, AttemptEnded(1, 0, at, Outcome.OK, 390.0, True, StartKind.COLD, 0))
-    assert sends(out) == [at, at] and len(one.router.pending_requests) == 2
+    assert sends(out) == [at, at]
+    assert len(one.router.pending_requests) == 2
 
 
 def test_without_gossip_no_call_waits() -> None:
     one = heard(peers=False)
-    assert sends(ask(one, 1, 10.0)) and sends(ask(one, 2, 20.0))
+    assert sends(ask(one, 1, 10.0))
+    assert sends(ask(one, 2, 20.0))
     deaf = heard()
     assert sends(ask(deaf, 1, 60_000.0)) and sends(ask(deaf, 2, 60_010.0)), "the other is silent since long"
 
@@ -96,7 +95,8 @@
     """It is told so by half of its time: never held to the end."""
     one = heard()
     (at,) = sends(ask(one, 1, 10.0))
-    assert not sends(ask(one, 2, 20.0)) and 2 in one.router.queued_requests
+    assert not sends(ask(one, 2, 20.0))
+    assert 2 in one.router.queued_requests
     actions: list[Action] = []
     now = 20.0
     while now < 1600.0:
@@ -105,5 +105,9 @@
         timer = TimerFired(one.router.state.timers.token)
         actions += one.handle(now, timer)
     (end,) = finals(actions)
-    assert isinstance(end, RejectRequest) and end.request_id == 2 and end.retry_after_ms and at
-    assert not one.router.queued_requests and not one.router.functions[7].instance_queue.waiting_requests
+    assert isinstance(end, RejectRequest)
+    assert end.request_id == 2
+    assert end.retry_after_ms
+    assert at
+    assert not one.router.queued_requests
+    assert not one.router.functions[7].instance_queue.waiting_requests
--- a/tests/unit/test_load_balance.py
+++ b/tests/unit/test_load_balance.py
@@ -23,9 +23,11 @@
 
 def test_peak_to_mean_and_variation_are_of_the_work_per_core() -> None:
     metrics = measure([visit(0, 0.0, 0.0, 4000.0), visit(1, 0.0, 0.0, 4000.0)], TWO, 0.0, 4000.0, 1)
-    assert metrics.peak_to_mean == 1.0 and metrics.coefficient_of_variation == 0.0
+    assert metrics.peak_to_mean == 1.0
+    assert metrics.coefficient_of_variation == 0.0
     uneven = measure([visit(0, 0.0, 0.0, 4000.0)], TWO, 0.0, 4000.0, 1)
-    assert uneven.peak_to_mean == 2.0 and uneven.coefficient_of_variation == 1.0
+    assert uneven.peak_to_mean == 2.0
+    assert uneven.coefficient_of_variation == 1.0
     cores = {0: WorkerAvailability(3, ALWAYS), 1: WorkerAvailability(1, ALWAYS)}
     three = [visit(0, 0.0, 0.0, 4000.0), visit(0, 1.0, 1.0, 4000.0), visit(0, 2.0, 2.0, 4000.0)]
     assert measure([*three, visit(1, 0.0, 0.0, 4000.0)], cores, 0.0, 4000.0, 1).peak_to_mean < 1.01
@@ -48,8 +50,10 @@
     assert not measure(fair, workers, 0.0, 4000.0, 1).hotspots
     rush = [visit(3, 2000.0 + 10.0 * n, 2000.0, 2100.0) for n in range(60)]
     (hotspot,) = measure([*fair, *rush], workers, 0.0, 4000.0, 1).hotspots
-    assert hotspot.worker_id == 3 and 1500.0 <= hotspot.begin_ms <= 2000.0
-    assert hotspot.arrivals >= 50 and hotspot.fair_share < 20.0
+    assert hotspot.worker_id == 3
+    assert 1500.0 <= hotspot.begin_ms <= 2000.0
+    assert hotspot.arrivals >= 50
+    assert hotspot.fair_share < 20.0
     few = [visit(3, 2000.0 + n, 2000.0, 2001.0) for n in range(4)]
     assert not measure(few, workers, 0.0, 4000.0, 1).hotspots, "four calls where none else came are chance"
 
@@ -57,7 +61,8 @@
 def test_excess_loads_are_those_beyond_what_ran_at_the_same_time() -> None:
     records = [visit(n, 0.0, 400.0, 500.0, note="spawn") for n in range(2)] + [visit(0, 600.0, 600.0, 700.0)]
     metrics = measure(records, TWO, 0.0, 4000.0, 2)
-    assert metrics.excess_loads == 1 and metrics.call_count == 3
+    assert metrics.excess_loads == 1
+    assert metrics.call_count == 3
     assert metrics.loads_per_1000_calls == pytest.approx(2000 / 3)
 
 
@@ -73,7 +78,8 @@
     store = PackageStore(400.0, 1, 2)
     runner = WorkerModel(0, cores=1, max_instances=1, store=store, concurrency=2)
     first, second, third = (WorkerCall(str(n), 0, n // 2, 0.0, 50.0) for n in range(3))
-    assert runner.on_call(0.0, first) and runner.on_call(0.0, second)
+    assert runner.on_call(0.0, first)
+    assert runner.on_call(0.0, second)
     assert not runner.on_call(0.0, third) and third.remark == "spawn_failed", (
         "no room: the one copy is loading"
     )
@@ -84,8 +90,6 @@
     assert runner.on_call(1000.0, again) and again.remark == "spawn" and runner.instance_count == 1, (
         "the idle copy went"
     )
-    assert (
-        runner.crash(1100.0) == [again]
-        and store.loads_in_flight == 0
-        and runner.next_event_at_ms() == float("inf")
-    )
+    assert runner.crash(1100.0) == [again]
+    assert store.loads_in_flight == 0
+    assert runner.next_event_at_ms() == float("inf")
--- a/tests/unit/test_local_load.py
+++ b/tests/unit/test_local_load.py
@@ -13,16 +13,19 @@
     table = LocalLoadTable()
     table.record_start(4, 7)
     table.record_start(4, 8)
-    assert table.in_flight_by_worker == {4: 2} and table.workers_by_function == {7: {4}, 8: {4}}
+    assert table.in_flight_by_worker == {4: 2}
+    assert table.workers_by_function == {7: {4}, 8: {4}}
     assert table.record_end(10.0, 4, 7, True)
-    assert table.in_flight_by_worker == {4: 1} and table.workers_by_function == {8: {4}}
+    assert table.in_flight_by_worker == {4: 1}
+    assert table.workers_by_function == {8: {4}}
     assert table.instances[4, 7].warm_at_ms == 10.0
 
 
 def test_an_attempt_that_was_never_recorded_changes_nothing() -> None:
     table = LocalLoadTable()
     assert not table.record_end(10.0, 4, 7, True)
-    assert not table.instances and not table.dirty
+    assert not table.instances
+    assert not table.dirty
 
 
 def test_the_end_of_an_attempt_says_whether_an_instance_is_warm_or_leaves_it_as_it_was() -> None:
@@ -39,7 +42,8 @@
     table.record_start(4, 8)
     table.record_end(10.0, 4, 7, True)
     table.forget_warm_instances(4)
-    assert list(table.instances) == [(4, 8)] and table.instances[4, 8].in_flight == 1
+    assert list(table.instances) == [(4, 8)]
+    assert table.instances[4, 8].in_flight == 1
 
 
 def test_refresh_marks_busy_entries_and_drops_those_neither_busy_nor_warm() -> None:
--- a/tests/unit/test_log_events.py
+++ b/tests/unit/test_log_events.py
@@ -139,4 +139,5 @@
         for _, call in _calls(tree)
         if _called_name(call) == "getLogger"
     ]
-    assert len(names) >= 15 and {argument for _, argument in names} == {"__name__"}
+    assert len(names) >= 15
+    assert {argument for _, argument in names} == {"__name__"}
--- a/tests/unit/test_peer_views.py
+++ b/tests/unit/test_peer_views.py
@@ -83,7 +83,8 @@
     views.discard_instance(5, 7)
     assert len(views.instance_reports(7)) == 1
     views.discard_instance(4, 7)
-    assert views.instance_reports(7) == [] and views.in_flight(0.0, 4) == 5.0
+    assert views.instance_reports(7) == []
+    assert views.in_flight(0.0, 4) == 5.0
     views.merge(1.0, 1, report(2, 5, is_warm=True))
     views.forget_warm_instances(4)
     assert views.instance_reports(7) == []
--- a/tests/unit/test_policies.py
+++ b/tests/unit/test_policies.py
@@ -84,7 +84,8 @@
     pending, budget = policies.request(), policies.state.retry_budget
     before = budget.tokens
     assert policies.retries.should_retry(0.0, pending, outcome)
-    assert budget.tokens == before - cost and pending.next_attempt_cost == cost
+    assert budget.tokens == before - cost
+    assert pending.next_attempt_cost == cost
     budget.tokens = 0.5
     assert policies.retries.should_retry(0.0, pending, outcome) is (cost == 0.0)
     assert not policies.retries.should_retry(3000.0 - MIN_TIME_LEFT_MS, pending, outcome), "too late"
@@ -103,7 +104,8 @@
     assert not policies.retries.should_hedge(slow_at_ms - 1.0, pending, 0)
     assert policies.retries.should_hedge(slow_at_ms, pending, 0) is hedges
     assert state.retry_budget.tokens == before - hedges
-    assert not policies.retries.should_hedge(slow_at_ms, pending, 0) and not state.actions
+    assert not policies.retries.should_hedge(slow_at_ms, pending, 0)
+    assert not state.actions
 
 
 def test_an_attempt_at_an_ejected_worker_is_cancelled_where_no_hedge_is_allowed() -> None:
@@ -199,11 +201,14 @@
     chosen = state.workers.by_id[2]
     for _ in range(2):
         assert policies.preloads.warm_worker(0.0, pending, chosen) is None, "none is warm"
-    assert state.actions == [PreloadFunction(2, 7, 1)] and state.functions.preloads_in_flight == 1
+    assert state.actions == [PreloadFunction(2, 7, 1)]
+    assert state.functions.preloads_in_flight == 1
     assert policies.feedback.learn_preload(50.0, PreloadEnded(2, 7, Outcome.TIMEOUT, 0, 50.0))
     assert pending.function.preload_not_before_ms > 50.0
-    assert policies.preloads.warm_worker(50.0, pending, chosen) is None and len(state.actions) == 1
-    assert policies.preloads.warm_worker(60.0, pending, chosen) is None and len(state.actions) == 2
+    assert policies.preloads.warm_worker(50.0, pending, chosen) is None
+    assert len(state.actions) == 1
+    assert policies.preloads.warm_worker(60.0, pending, chosen) is None
+    assert len(state.actions) == 2
     assert policies.feedback.learn_preload(90.0, PreloadEnded(2, 7, Outcome.OK, 1, 30.0))
     assert policies.preloads.warm_worker(90.0, pending, chosen) is chosen
     assert policies.preloads.warm_worker(90.0, pending, state.workers.by_id[3]) is chosen, "meanwhile"
--- a/tests/unit/test_policy_size.py
+++ b/tests/unit/test_policy_size.py
@@ -20,11 +20,13 @@
 
 @pytest.mark.parametrize("path", POLICY, ids=[path.name for path in POLICY])
 def test_a_policy_file_exists_and_is_no_stub(path: Path) -> None:
-    assert path.is_file() and any(line.strip() for line in path.read_text().splitlines())
+    assert path.is_file()
+    assert any(line.strip() for line in path.read_text().splitlines())
 
 
 def test_each_policy_module_is_named_once() -> None:
-    assert len(set(POLICY)) == len(POLICY) and ROUTER in POLICY
+    assert len(set(POLICY)) == len(POLICY)
+    assert ROUTER in POLICY
     chosen = {"admission.py", "preloading.py", "retries.py", "router.py", "selection.py"}
     assert chosen <= {path.name for path in POLICY if path.parent == ROUTER.parent}
 
--- a/tests/unit/test_priority.py
+++ b/tests/unit/test_priority.py
@@ -70,9 +70,11 @@
 def test_datagrams_round_trip_and_ages_only_grow() -> None:
     reports = [RouterPressure(n, n / 32.0, 1.05**n, 50.0 * n) for n in range(codec.MAX_ENTRIES)]
     data = codec.encode(reports)
-    assert codec.decode(data) == tuple(reports) and len(data) <= MAX_DATAGRAM_BYTES
+    assert codec.decode(data) == tuple(reports)
+    assert len(data) <= MAX_DATAGRAM_BYTES
     decoded = codec.decode(codec.encode([RouterPressure(1, 1.0, 9.0, 101.0)]))
-    assert not isinstance(decoded, MalformedDatagram) and decoded[0].age_ms == 150.0
+    assert not isinstance(decoded, MalformedDatagram)
+    assert decoded[0].age_ms == 150.0
     with pytest.raises(ValueError):
         codec.encode([*reports, reports[0]])
 
@@ -108,7 +110,8 @@
     assert set(gossip.reports) == {1}, "own pressure is never taken from others"
     no_router = RouterPressure(3, 1.0, 1.0, 0.0)
     gossip.on_message(0.0, 1, codec.encode([sender, no_router]))
-    assert gossip.invalid_count and 3 not in gossip.reports
+    assert gossip.invalid_count
+    assert 3 not in gossip.reports
 
 
 def test_quota_bucket_never_exceeds_its_rate_by_more_than_its_depth() -> None:
@@ -347,7 +350,8 @@
 def test_no_two_routers_contradict_each_other_for_longer_than_the_bound() -> None:
     explored = _explore("a")
     print(explored)
-    assert explored.state_count > 10_000 and explored.act_count > 1000
+    assert explored.state_count > 10_000
+    assert explored.act_count > 1000
     assert explored.longest_contradiction_ticks == 0
 
 
@@ -379,13 +383,16 @@
             if pressure is None:
                 assert next_level == 0
             elif next_level > level:
-                assert next_level == level + 1 and min(last_three) >= LEVEL_MULTIPLES[level]
+                assert next_level == level + 1
+                assert min(last_three) >= LEVEL_MULTIPLES[level]
             elif next_level < level:
-                assert next_level == level - 1 and max(last_three) < LEVEL_MULTIPLES[level - 1] * 0.8
+                assert next_level == level - 1
+                assert max(last_three) < LEVEL_MULTIPLES[level - 1] * 0.8
             since_ms = machine.requested_since_ms
             next_age_ms = None if since_ms is None else min(3.0, 11.0 - since_ms)
             state = next_level, machine.requested_step, next_age_ms, (*last_pressures[1:], pressure)
             if state not in seen:
                 seen.add(state)
                 pending.append(state)
-    assert len(seen) > 300 and {level for level, *_ in seen} == {0, 1, 2, 3}
+    assert len(seen) > 300
+    assert {level for level, *_ in seen} == {0, 1, 2, 3}
--- a/tests/unit/test_recovery.py
+++ b/tests/unit/test_recovery.py
@@ -93,7 +93,8 @@
     assert warm_state.warm_instances(KEEP_ALIVE_MS, FUNCTION)
     assert not warm_state.warm_instances(KEEP_ALIVE_MS + 1.0, FUNCTION)
     warm_state.drop_expired(KEEP_ALIVE_MS + 1.0)
-    assert warm_state.observation_count == 0 and not warm_state.observations
+    assert warm_state.observation_count == 0
+    assert not warm_state.observations
 
 
 def test_an_attempt_sent_before_the_workers_new_start_was_listed_is_no_observation_of_it() -> None:
@@ -117,9 +118,11 @@
         for aged in rng.choices(observations, k=4) + rng.sample(observations, len(observations)):
             warm_state.merge_remote(9000.0, 9000.0, aged, Source.PEER)
         expected = expected if expected is not None else warm_state.observations
-        assert warm_state.observations == expected and warm_state.observation_count == 1
+        assert warm_state.observations == expected
+        assert warm_state.observation_count == 1
     freshest = min(observations, key=lambda aged: (aged.age_ms, aged.is_warm))
-    assert expected is not None and expected[FUNCTION][1, start].is_warm is freshest.is_warm
+    assert expected is not None
+    assert expected[FUNCTION][1, start].is_warm is freshest.is_warm
 
 
 def test_forwarding_never_makes_an_observation_younger() -> None:
@@ -169,7 +172,8 @@
             response = codec.Response(rng.getrandbits(32), number, len(parts), 0.5, 900.0, tuple(sent))
             data = codec.encode(response)
             decoded = codec.decode(data)
-            assert isinstance(decoded, codec.Response) and len(data) <= 256
+            assert isinstance(decoded, codec.Response)
+            assert len(data) <= 256
             assert len(decoded.observations) == len(sent)
             for before, after in zip(sent, decoded.observations, strict=True):
                 assert before.age_ms <= after.age_ms < before.age_ms + codec.AGE_UNIT_MS
@@ -203,7 +207,8 @@
     )
     assert responses <= peer_query.RESPONSES_PER_SECOND + peer_query.RESPONSE_BURST
     assert busy_replies <= peer_query.BUSY_REPLIES_PER_SECOND + peer_query.BUSY_REPLY_BURST
-    assert survivor.answered >= 5 and survivor.dropped > 0
+    assert survivor.answered >= 5
+    assert survivor.dropped > 0
 
 
 def test_a_busy_peer_names_another_and_is_not_asked_before_its_retry_after() -> None:
@@ -211,7 +216,8 @@
     first = client.on_tick(500.0, uptimes_ms, always)
     assert {message.peer_index for message in first} == {1, 2}  # one pending query a peer
     query, busy_peer = codec.decode(first[0].data), first[0].peer_index
-    assert isinstance(query, codec.Query) and busy_peer is not None
+    assert isinstance(query, codec.Query)
+    assert busy_peer is not None
     client.on_busy(510.0, 3, codec.Busy(query.nonce, 1000.0))
     assert client.unexpected_count == 1  # peer 3 was not asked
     client.on_busy(510.0, busy_peer, codec.Busy(query.nonce, 1000.0, 5))
@@ -236,7 +242,8 @@
             client.on_response(now, message.peer_index, response, warm_state, True)
         now += 50.0
     max_queries = peer_query.MIN_RESPONSES * peer_query.SEGMENT_COUNT + peer_query.MAX_PENDING_QUERIES
-    assert len(asked_peers) <= max_queries and client.median_warm_fraction() == 0.9
+    assert len(asked_peers) <= max_queries
+    assert client.median_warm_fraction() == 0.9
     assert sum(peer % 2 for peer in asked_peers) >= 6
 
 
@@ -276,7 +283,8 @@
     machine = RecoveryStateMachine(timeouts, 0.0)
     while machine.advance(1.0, ALL_EVIDENCE):
         pass
-    assert machine.phase is RecoveryPhase.IN_SERVICE and machine.cause is TransitionCause.EVIDENCE
+    assert machine.phase is RecoveryPhase.IN_SERVICE
+    assert machine.cause is TransitionCause.EVIDENCE
 
 
 def in_service(now: float = 1000.0, **changes: object) -> RecoveryComponent:
@@ -297,7 +305,8 @@
     before, after = 40_900.0, 40_900.0 + 3000.0
     assert recovery.warm_instances(before, FUNCTION)
     recovery.on_notification(after, completed(1, 8))  # this answer was in a buffer all the while
-    assert not recovery.is_in_service() and not recovery.warm_instances(after, FUNCTION)
+    assert not recovery.is_in_service()
+    assert not recovery.warm_instances(after, FUNCTION)
     assert recovery.admission.is_paced
     lines = [message.message for message in recovery.on_tick(after) if isinstance(message, LogMessage)]
     assert "process_pause_detected" in lines
@@ -360,8 +369,10 @@
                     granted_by_window[-1] += 1
                     pacer.record_result(action, True)
                 pacer.on_tick(window * 250.0 + at)
-    assert granted_at_once == 0 and granted_by_window[0] <= 0.5 * 40
-    assert max(granted_by_window) <= 1.25 * 40 and granted_by_window[-1] >= 0.9 * 40
+    assert granted_at_once == 0
+    assert granted_by_window[0] <= 0.5 * 40
+    assert max(granted_by_window) <= 1.25 * 40
+    assert granted_by_window[-1] >= 0.9 * 40
     for round_number in range(10):
         pacers[0].record_result(action, False)
         pacers[0].on_tick(9000.0 + 250.0 * round_number)
@@ -399,7 +410,8 @@
                 if not has_connected and pacer.try_acquire_connection(float(at), 3):
                     connected_at.append(at)
         peak = max(sum(start <= at < start + 250 for at in connected_at) for start in range(0, 5000, 50))
-        assert peak <= max_peak and len(connected_at) == 50
+        assert peak <= max_peak
+        assert len(connected_at) == 50
         assert other_workers or connected_at[-1] >= 2000
 
 
@@ -429,7 +441,9 @@
         recovery.on_notification(float(at), AttemptCompleted(2, 8, None, 50.0, Outcome.OK, None))
         if recovery.try_acquire_load(float(at), FUNCTION):
             granted_at.append(at)
-    assert len(granted_at) in (2, 3) and granted_at[0] >= 250 and granted_at[1] - granted_at[0] >= 4000
+    assert len(granted_at) in (2, 3)
+    assert granted_at[0] >= 250
+    assert granted_at[1] - granted_at[0] >= 4000
     recovery.on_notification(9000.0, completed(1, FUNCTION, was_warm=False))
     assert FUNCTION not in recovery.admission.pending_loads
     assert recovery.warm_instances(9000.0, FUNCTION)
@@ -478,7 +492,8 @@
     recovery = in_service()
     changed = settings(router_count=1, keep_alive_ms=50.0)
     recovery.on_notification(41_000.0, SettingsChanged(changed))
-    assert not recovery.warm_instances(41_000.0, FUNCTION) and not recovery.can_query_peers
+    assert not recovery.warm_instances(41_000.0, FUNCTION)
+    assert not recovery.can_query_peers
     assert set(recovery.status(41_000.0)) >= {"return_phase", "return_mass", "return_places"}
     timeouts = PhaseTimeouts.from_settings(settings(keep_alive_ms=1e6))
     assert timeouts.peer_query_ms <= state_machine.MAX_PEER_QUERY_MS
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -97,7 +97,8 @@
     )
     one.in_flight = 0
     sent = [sends(drive.send_request(concurrency=2.0))[0] for _ in range(60)]
-    assert sent[0] == 1 and 2 in sent
+    assert sent[0] == 1
+    assert 2 in sent
 
 
 def test_ties_break_by_the_seed() -> None:
@@ -151,7 +152,8 @@
     drive = RouterDriver()
     assert sends(drive.send_request()) == []
     out = drive.advance_to(4000.0)
-    assert len(finals(out)) == 1 and drive.router.pending_requests == {}
+    assert len(finals(out)) == 1
+    assert drive.router.pending_requests == {}
 
 
 def test_a_queued_request_is_sent_when_a_worker_comes() -> None:
@@ -242,10 +244,10 @@
     drive = RouterDriver(worker(1), worker(2), when_not_loaded=NotLoadedBehavior.REJECT)
     out = drive.send_request()
     (order,) = [a for a in out if isinstance(a, PreloadFunction)]
-    assert sends(out) == [] and order.instances == 1
-    assert (
-        sends(drive.send_request()) == [] and sum(isinstance(a, PreloadFunction) for a in drive.actions) == 1
-    )
+    assert sends(out) == []
+    assert order.instances == 1
+    assert sends(drive.send_request()) == []
+    assert sum(isinstance(a, PreloadFunction) for a in drive.actions) == 1
     out = drive.feed(PreloadEnded(order.worker_id, 7, Outcome.OK, 1, 300.0), after_ms=300.0)
     assert sends(out) == [order.worker_id, order.worker_id]
 
@@ -323,7 +325,9 @@
     (second,) = sends(drive.end_attempt(1, first, Outcome.OVERLOADED))
     out = drive.end_attempt(1, second, Outcome.OVERLOADED, attempt_index=1)
     (answer,) = finals(out)
-    assert isinstance(answer, RejectRequest) and answer.request_id == 1 and sends(out) == []
+    assert isinstance(answer, RejectRequest)
+    assert answer.request_id == 1
+    assert sends(out) == []
 
 
 def steady(drive: RouterDriver, calls: int = 200, classes: int = 1, **extra: int) -> None:
@@ -346,7 +350,8 @@
         finals(drive.send_request(after_ms=1.0)) for _ in range(200)
     ]  # nothing is answered late, for nothing is answered
     began = next(number for number, one in enumerate(out) if one)
-    assert 20 < began < 100 and 20 < sum(map(bool, out[began:])) < len(out) - began
+    assert 20 < began < 100
+    assert 20 < sum(map(bool, out[began:])) < len(out) - began
     assert all(isinstance(action, RejectRequest) and action.retry_after_ms for one in out for action in one)
     taken = drive.last_request_id
     for number, one in enumerate(out, taken - 199):
@@ -371,7 +376,8 @@
         for number in range(300)
     ]
     dear, plain, patient = (sum(bool(one) for klass, one in out if klass == n) for n in range(3))
-    assert dear < 0.8 * plain and dear < 0.8 * patient
+    assert dear < 0.8 * plain
+    assert dear < 0.8 * patient
     first = [next(at for at, (klass, one) in enumerate(out) if one and klass == n) for n in range(3)]
     assert first[1] < first[2] < first[0]
 
@@ -408,10 +414,8 @@
     (home,) = sends(drive.send_request(class_index=1))
     drive.end_attempt(1, home, Outcome.OVERLOADED, after_ms=200.0)
     record = drive.router.workers[home]
-    assert (
-        record.rejections[(1, None)].read(drive.now) == pytest.approx(1.0)
-        and (0, None) not in record.rejections
-    )
+    assert record.rejections[(1, None)].read(drive.now) == pytest.approx(1.0)
+    assert (0, None) not in record.rejections
     assert record.outlier_score == 0.0
     drive.now += 10 * feedback.REJECTION_MEMORY_MS
     assert record.rejections[(1, None)].read(drive.now) < 0.01
@@ -444,11 +448,9 @@
         drive.end_attempt(drive.last_request_id, at, after_ms=10.0)
         drive.advance_to(drive.now)
     assert len(drive.router.functions) <= 2 * 10000.0 / 100.0 + 1
-    assert (
-        not drive.router.pending_requests
-        and not drive.router.orphaned_attempts
-        and len(drive.router.state.timers.entries) < 100
-    )
+    assert not drive.router.pending_requests
+    assert not drive.router.orphaned_attempts
+    assert len(drive.router.state.timers.entries) < 100
 
 
 def test_no_timer_with_nothing_due() -> None:
@@ -488,7 +490,8 @@
             )
             drive.feed(done)
         most.append(max(at.count(where) for where in at))
-    assert most[0] == 40 and max(most[12:]) <= 10
+    assert most[0] == 40
+    assert max(most[12:]) <= 10
 
 
 def test_a_router_that_stalled_ejects_nobody() -> None:
@@ -583,7 +586,8 @@
 def test_a_deadline_already_past_gets_one_answer(klass: int) -> None:
     drive = RouterDriver(worker(1))
     out = drive.send_request(class_index=klass, time_left_ms=-5.0)
-    assert len(finals(out)) == 1 and sends(out) == []
+    assert len(finals(out)) == 1
+    assert sends(out) == []
 
 
 def test_a_timeout_of_a_client_with_little_time_is_no_symptom() -> None:
@@ -639,10 +643,8 @@
     at = [sends(drive.send_request(class_index=1))[0] for _ in range(5)]
     for number, one in enumerate(at, 1):
         broke(drive, number, one, Outcome.RESET, unreached=False, after_ms=0.0)
-    assert (
-        drive.router.workers[1].outlier_score == outlier_detection.FAILURE_GAIN
-        and not drive.router.workers[1].is_ejected
-    )
+    assert drive.router.workers[1].outlier_score == outlier_detection.FAILURE_GAIN
+    assert not drive.router.workers[1].is_ejected
 
 
 def test_an_error_of_a_function_never_answered_is_no_symptom() -> None:
@@ -731,10 +733,12 @@
     record = drive.router.workers[home]
     for _ in range(3):
         drive.router.feedback.observe_health(drive.now, record, 1.0)
-    assert record.is_ejected and sends(drive.send_request()) == [3 - home]
+    assert record.is_ejected
+    assert sends(drive.send_request()) == [3 - home]
     drive.end_attempt(2, 3 - home)
     trials = [sends(drive.send_request(after_ms=record.ejected_until_ms - drive.now))[0]]
-    assert trials == [home] and record.has_trial_in_flight
+    assert trials == [home]
+    assert record.has_trial_in_flight
     assert sends(drive.send_request()) == [3 - home]  # one at a time
     drive.end_attempt(3, home)
     drive.end_attempt(4, 3 - home)
@@ -881,4 +885,6 @@
         taken.append(
             [drive.router.selector.fits_slow_start(drive.now, record, float(work)) for work in range(1, 9000)]
         )
-    assert taken[0] == taken[1] and True in taken[0] and False in taken[0]
+    assert taken[0] == taken[1]
+    assert True in taken[0]
+    assert False in taken[0]
--- a/tests/unit/test_routing_records.py
+++ b/tests/unit/test_routing_records.py
@@ -37,9 +37,8 @@
     outlier_detection.eject(outlier, 1000.0, 1.0, random.Random(1))
     assert 1000.0 + 0.75 * BASE_EJECTION_MS <= outlier.ejected_until_ms <= 1000.0 + 1.25 * BASE_EJECTION_MS
     late = outlier.ejected_until_ms
-    assert not outlier_detection.is_available(
-        outlier, late - 1.0, True
-    ) and not outlier_detection.is_available(outlier, late, False)
+    assert not outlier_detection.is_available(outlier, late - 1.0, True)
+    assert not outlier_detection.is_available(outlier, late, False)
     assert outlier_detection.is_available(outlier, late, True)
     outlier.has_trial_in_flight = True
     assert not outlier_detection.is_available(outlier, late, True)
@@ -47,7 +46,8 @@
         outlier_detection.observe(
             outlier, [outlier], 0.0, outlier_detection.MAX_EJECTED_FRACTION, outlier_detection.FAILURE_GAIN
         )
-    assert outlier_detection.is_available(outlier, 0.0, False) and not outlier.has_trial_in_flight
+    assert outlier_detection.is_available(outlier, 0.0, False)
+    assert not outlier.has_trial_in_flight
 
 
 def test_ejections_are_limited_and_relapses_wait_longer_up_to_a_maximum() -> None:
@@ -103,7 +103,8 @@
     assert budget.may_preload(50.0, rules, 0, 8.0)
     budget.on_preload(50.0)
     assert not budget.may_preload(60.0, rules, 0, 8.0)
-    assert budget.may_preload(151.0, rules, 3, 8.0) and not budget.request_times
+    assert budget.may_preload(151.0, rules, 3, 8.0)
+    assert not budget.request_times
     assert not budget.may_preload(300.0, rules, 4, 8.0)
 
 
@@ -117,7 +118,6 @@
     ):
         kept.update({1: 1, 2: 1})
     function.forget_worker(1)
-    assert function.instance_queue.instances == {2: 1} and [2] == list(function.affinity) == list(
-        function.instance_seen_at_ms
-    )
+    assert function.instance_queue.instances == {2: 1}
+    assert [2] == list(function.affinity) == list(function.instance_seen_at_ms)
     assert list(function.last_sent_at_ms) == [2]
--- a/tests/unit/test_routing_tables.py
+++ b/tests/unit/test_routing_tables.py
@@ -45,11 +45,15 @@
     assert first == SetTimer(100.0, schedule.token) and schedule.rearm(0.0) is None, "it is armed already"
     schedule.schedule(50.0)
     second = schedule.rearm(0.0)
-    assert second is not None and first is not None and second.at_ms == 50.0
-    assert not schedule.on_fired(first.token) and schedule.on_fired(second.token)
+    assert second is not None
+    assert first is not None
+    assert second.at_ms == 50.0
+    assert not schedule.on_fired(first.token)
+    assert schedule.on_fired(second.token)
     assert [due.request_id for due in schedule.pop_due(99.0)] == [timers.NO_REQUEST]
     rounded = list(schedule.pop_due(100.0 - timers.ROUNDING_MS))
-    assert [(due.request_id, due.attempt_index) for due in rounded] == [(1, 2)] and not schedule.entries
+    assert [(due.request_id, due.attempt_index) for due in rounded] == [(1, 2)]
+    assert not schedule.entries
 
 
 def test_what_is_overdue_is_armed_a_little_later_and_what_comes_meanwhile_is_popped_too() -> None:
@@ -68,13 +72,16 @@
     logs = LogThrottle()
     assert logs.line(0.0, "shed", part=0.5) == LogMessage("shed part=0.5")
     assert logs.line(LOG_INTERVAL_MS - 1.0, "shed", part=0.6) is None
-    assert logs.line(1.0, "eject") is not None and logs.line(LOG_INTERVAL_MS, "shed") is not None
+    assert logs.line(1.0, "eject") is not None
+    assert logs.line(LOG_INTERVAL_MS, "shed") is not None
 
 
 def test_the_retry_budget_is_earned_up_to_a_bound_and_never_overdrawn() -> None:
     budget = RetryBudget()
     assert all(budget.spend(1.0) for _ in range(int(retry_budget.MAX_RETRY_BUDGET)))
-    assert not budget.spend(1.0) and budget.spend(0.0) and budget.tokens == 0.0
+    assert not budget.spend(1.0)
+    assert budget.spend(0.0)
+    assert budget.tokens == 0.0
     for _ in range(1000):
         budget.earn()
     assert budget.tokens == retry_budget.MAX_RETRY_BUDGET
@@ -92,10 +99,12 @@
     workers.by_id[2].in_flight = 1
     snapshot = EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 2, (worker(1),))
     assert workers.apply(1.0, snapshot) == []
-    assert workers.by_id[2].endpoint.state is EndpointState.REMOVED and workers.ready_count == 1
+    assert workers.by_id[2].endpoint.state is EndpointState.REMOVED
+    assert workers.ready_count == 1
     epoch, workers.by_id[2].in_flight = workers.placement_epoch, 0
     assert workers.apply(2.0, EndpointUpdate(EndpointUpdateKind.DELTA, 3)) == [2]
-    assert list(workers.by_id) == [1] and workers.placement_epoch == epoch + 1
+    assert list(workers.by_id) == [1]
+    assert workers.placement_epoch == epoch + 1
     assert [endpoint.worker_id for endpoint in workers.snapshot().endpoints] == [1]
 
 
@@ -103,10 +112,13 @@
     workers = table(1, 2)
     one = workers.by_id[1]
     one.outlier_score, one.is_ejected, jitter = 0.9, True, one.jitter
-    assert workers.skipped_count() == 1 and list(workers.not_ejected_ids()) == [2]
+    assert workers.skipped_count() == 1
+    assert list(workers.not_ejected_ids()) == [2]
     restarted = EndpointUpdate(EndpointUpdateKind.DELTA, 2, (worker(1, started=5.0),))
     assert workers.apply(5.0, restarted) == [1]
-    assert not one.is_ejected and one.outlier_score == 0.0 and one.jitter != jitter
+    assert not one.is_ejected
+    assert one.outlier_score == 0.0
+    assert one.jitter != jitter
     assert workers.skipped_count() == 0
 
 
@@ -116,17 +128,20 @@
     workers.apply(0.0, EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
     workers.zones.unreachable[1] = _UnreachableZone(1000.0)
     workers.count_ready(1.0)
-    assert workers.ready_count == 2 and not workers.is_every_zone_unreachable
+    assert workers.ready_count == 2
+    assert not workers.is_every_zone_unreachable
     workers.zones.unreachable[0] = workers.zones.unreachable[1]
     workers.count_ready(2.0)
-    assert workers.ready_count == 4 and workers.is_every_zone_unreachable
+    assert workers.ready_count == 4
+    assert workers.is_every_zone_unreachable
 
 
 def test_functions_are_kept_in_the_order_of_their_last_calls_until_they_expire() -> None:
     functions = FunctionTable()
     first = functions.on_call(0.0, 1, 2.0, 100.0)
     functions.on_call(10.0, 2, 1.0, 100.0)
-    assert functions.on_call(20.0, 1, 4.0, 100.0) is first and first.concurrency == 4.0
+    assert functions.on_call(20.0, 1, 4.0, 100.0) is first
+    assert first.concurrency == 4.0
     functions.start_preload(functions.by_id[2], 5)
     functions.on_call(115.0, 3, 1.0, 100.0)
     assert list(functions.by_id) == [1, 3] and functions.preloads_in_flight == 0, "with its preload"
@@ -138,7 +153,8 @@
     functions.start_preload(function, 5)
     for _ in range(2):
         functions.forget_worker(5)
-        assert functions.preloads_in_flight == 0 and not function.preloading_workers
+        assert functions.preloads_in_flight == 0
+        assert not function.preloading_workers
 
 
 def test_an_attempt_outlives_its_request_and_ends_once() -> None:
@@ -150,9 +166,11 @@
     assert requests.end_attempt(first) == (pending, None), "it has ended already"
     assert requests.end_attempt(AttemptEnded(1, 2, 4, Outcome.OK, 1.0, True)) == (pending, None)
     requests.close(pending)
-    assert not requests.pending and list(requests.orphaned) == [(1, 1)]
+    assert not requests.pending
+    assert list(requests.orphaned) == [(1, 1)]
     second = AttemptEnded(1, 1, 5, Outcome.OK, 20.0, True)
-    assert requests.end_attempt(second) == (None, pending.attempts[1]) and not requests.orphaned
+    assert requests.end_attempt(second) == (None, pending.attempts[1])
+    assert not requests.orphaned
     assert requests.end_attempt(second) == (None, None)
 
 
@@ -160,7 +178,8 @@
     requests, schedule = RequestTable(), TimerSchedule()
     for request_id in (1, 2):
         requests.enqueue(0.0, pending_request(request_id), schedule)
-    assert len(schedule.entries) == 1 and list(requests.queued) == [1, 2]
+    assert len(schedule.entries) == 1
+    assert list(requests.queued) == [1, 2]
     assert not requests.is_queue_check_due(request_table.QUEUE_CHECK_MS / 2)
     assert requests.is_queue_check_due(request_table.QUEUE_CHECK_MS)
     assert not requests.is_queue_check_due(1e12), "what waits then has it looked at again"
@@ -174,10 +193,11 @@
     polling.on_update()
     assert polling.on_failure(0.0, 1600.0, rng) <= 100.0
     assert not polling.should_subscribe(0.0, DiscoveryMode.PUSH)
-    assert (
-        polling.should_subscribe(5.0, DiscoveryMode.POLL) and not polling.is_due(4.0) and polling.is_due(5.0)
-    )
-    assert not polling.is_due(6.0) and not polling.should_subscribe(7.0, DiscoveryMode.POLL)
+    assert polling.should_subscribe(5.0, DiscoveryMode.POLL)
+    assert not polling.is_due(4.0)
+    assert polling.is_due(5.0)
+    assert not polling.is_due(6.0)
+    assert not polling.should_subscribe(7.0, DiscoveryMode.POLL)
 
 
 def test_a_service_time_is_known_by_hint_then_function_then_class_then_objective() -> None:
@@ -188,7 +208,8 @@
     times.by_class[0].add(40.0)
     assert times.expected_ms(pending) == times.expected_ms(hinted) == 40.0
     times.on_warm_response(hinted, 60.0)
-    assert times.expected_ms(hinted) == 60.0 and times.expected_ms(pending) == times.class_ms(0) == 50.0
+    assert times.expected_ms(hinted) == 60.0
+    assert times.expected_ms(pending) == times.class_ms(0) == 50.0
     times.on_warm_response(pending, 70.0)
     assert times.expected_ms(pending) == 70.0
     assert times.expected_cold_start_ms(pending) == objective_ms
@@ -200,7 +221,8 @@
     times = estimators.ServiceTimeEstimator(settings(classes=CLASSES[:1]))
     times.by_class[0].add(40.0)
     times.update_settings(settings())
-    assert times.class_ms(0) == 40.0 and len(times.by_class) == len(times.per_work) == len(CLASSES)
+    assert times.class_ms(0) == 40.0
+    assert len(times.by_class) == len(times.per_work) == len(CLASSES)
 
 
 def test_calls_are_rare_where_one_worker_gets_few_of_them() -> None:
@@ -210,7 +232,8 @@
         seldom.on_call(10.0 * number, FunctionRecord(1), 500)
     assert often.calls_per_ms == seldom.calls_per_ms == pytest.approx(0.1, rel=0.1)
     assert often.call_rarity == 1.0
-    assert seldom.load_memory_ms == estimators.MAX_LOAD_MEMORY_MS and seldom.call_rarity == 3.0
+    assert seldom.load_memory_ms == estimators.MAX_LOAD_MEMORY_MS
+    assert seldom.call_rarity == 3.0
 
 
 def test_use_over_quota_is_the_part_of_calls_over_the_quota() -> None:
@@ -242,9 +265,11 @@
         4: InstanceLoad(0, 1.0),
     }
     function.on_gossip(1000.0, told, {1, 2, 3}, 0.9)
-    assert function.affinity == {2: 0.9} and function.last_sent_at_ms[2] == 400.0
+    assert function.affinity == {2: 0.9}
+    assert function.last_sent_at_ms[2] == 400.0
     known = [function.has_instance(1000.0, worker_id, KEEP_ALIVE_MS) for worker_id in (1, 3, 9)]
-    assert known == [True, False, False] and not function.has_seen_instance(1000.0, 1, KEEP_ALIVE_MS)
+    assert known == [True, False, False]
+    assert not function.has_seen_instance(1000.0, 1, KEEP_ALIVE_MS)
 
 
 def test_placement_orders_agree_and_follow_weights_only_where_they_are_known() -> None:
--- a/tests/unit/test_settings_reload.py
+++ b/tests/unit/test_settings_reload.py
@@ -53,8 +53,10 @@
             silent_worker.answer(silent_worker.calls[0], {"op": "HIT", "fields": {}, "body": ""})
             assert (await caller.read())[1:3] == [1, None]
             info = figures(await ask_control(running, b"INFO\n"))
-            assert info["router.loads"] == 1 and info["router.load_errors"] == 0
-            assert info["router.handled.audit.passed"] == 1 and info["router.handled.confirm.passed"] == 1
+            assert info["router.loads"] == 1
+            assert info["router.load_errors"] == 0
+            assert info["router.handled.audit.passed"] == 1
+            assert info["router.handled.confirm.passed"] == 1
             assert info["router.handled.check.passed"] == 0  # a removed class keeps its figures
 
     asyncio.run(test())
@@ -98,11 +100,11 @@
             raw = _invalid_file(change)
             running.reloader.load_config = lambda: config.decode(raw, {})
             running.reload()
-            assert (
-                running.dispatcher.settings is before and running.dispatcher.current_class_index["check"] == 0
-            )
+            assert running.dispatcher.settings is before
+            assert running.dispatcher.current_class_index["check"] == 0
             info = figures(await ask_control(running, b"INFO\n"))
-            assert info["router.load_errors"] == 1 and info["router.loads"] == 0
+            assert info["router.load_errors"] == 1
+            assert info["router.loads"] == 0
             assert (await caller.call(1, "check", b"x"))[2] is None
 
     asyncio.run(test())
--- a/tests/unit/test_simulator_codec.py
+++ b/tests/unit/test_simulator_codec.py
@@ -91,7 +91,8 @@
 def test_header_and_empty_batch() -> None:
     raw = bytes.fromhex("10000000" + "00000000206ec040" + "00000000")
     now, events = Decoder().decode_batch(raw)
-    assert now == 8412.25 and list(events) == []
+    assert now == 8412.25
+    assert list(events) == []
     assert encode_reply([]) == bytes.fromhex("04000000")
 
 
@@ -106,7 +107,9 @@
     event = one(raw)
     assert isinstance(event, RequestArrived)
     assert (event.concurrency, event.memory, event.load_time_ms, event.work) == (None, None, None, None)
-    assert event.is_client_retry and not event.is_write and event.tenant_index is None
+    assert event.is_client_retry
+    assert not event.is_write
+    assert event.tenant_index is None
 
 
 def test_attempt_ended_layout_with_start_kind_concurrency_and_load_report() -> None:
@@ -169,19 +172,19 @@
 def test_settings_and_unknown_keys() -> None:
     got = parse_settings(json.dumps(INFO).encode())
     assert [c.idempotency for c in got.classes] == [Idempotency.IDEMPOTENT, Idempotency.WITH_KEY]
-    assert (
-        got.classes[1].deduplication_scope is DeduplicationScope.ZONE
-        and got.rules.collapse_window_ms == 1000.0
-        and got.limits.max_attempts == 3
-    )
+    assert got.classes[1].deduplication_scope is DeduplicationScope.ZONE
+    assert got.rules.collapse_window_ms == 1000.0
+    assert got.limits.max_attempts == 3
 
 
 def test_host_serves_a_request_and_restarts_without_state() -> None:
     host = SimulatorHost()
     reply = host.handle_frame(frame(at(3), start(), table(0, 4), update(0), arrival(9)))
-    assert struct.pack("<BI", 72, 3) in reply and struct.pack("<BII", 71, 9, 4) in reply
+    assert struct.pack("<BI", 72, 3) in reply
+    assert struct.pack("<BII", 71, 9, 4) in reply
     host.handle_frame(frame(at(3), struct.pack("<B", 10), start(), table(0), update(0)))
-    assert host.nodes[3].router.pending_requests == {} and host.nodes[3].router.workers == {}
+    assert host.nodes[3].router.pending_requests == {}
+    assert host.nodes[3].router.workers == {}
 
 
 @pytest.mark.parametrize(
@@ -202,11 +205,13 @@
 ) -> None:
     assert main(io.BytesIO(raw), io.BytesIO()) != 0
     err = capsys.readouterr().err
-    assert err.startswith("cedarthread: bad input: ") and err.count("\n") == 1
+    assert err.startswith("cedarthread: bad input: ")
+    assert err.count("\n") == 1
 
 
 def test_an_exception_of_the_decision_code_is_reported() -> None:
     host = SimulatorHost()
     bad = struct.pack("<BIfdQHffdHH", 3, 9, 2.0, 2250.0, 77, 12, 1.0, 1.0, 1.0, 0, 0)
     reply = host.handle_frame(frame(at(3), start(), table(0, 4), update(0), bad))
-    assert reply[9] == 69 and b"IndexError" in reply
+    assert reply[9] == 69
+    assert b"IndexError" in reply
--- a/tests/unit/test_swim.py
+++ b/tests/unit/test_swim.py
@@ -65,7 +65,8 @@
     table = make_table()
     table.incarnation = 5
     table.merge(1.0, MemberUpdate(0, *update))
-    assert table.incarnation == expected and table.status_of(0) is ALIVE
+    assert table.incarnation == expected
+    assert table.status_of(0) is ALIVE
 
 
 def test_an_update_that_says_nothing_new_is_not_disseminated_again() -> None:
@@ -85,7 +86,8 @@
     table.set_status(2.0, 2, SUSPECT)
     table.set_status(3.0, 2, DEAD)
     assert table.status_changes == [StatusChange(2, SUSPECT), StatusChange(2, DEAD)]
-    assert table.alive_peers() == [1, 3] and table.dead_peers() == [2]
+    assert table.alive_peers() == [1, 3]
+    assert table.dead_peers() == [2]
 
 
 def test_updates_are_sent_a_limited_number_of_times_the_least_sent_first() -> None:
@@ -108,7 +110,8 @@
         assert len(taken) <= MAX_UPDATES
         taken_updates += len(taken)
     assert taken_updates == BURST_BYTES // UPDATE_BYTES
-    assert not buffer.can_send_batch() and buffer.take((7,)) == (7,)
+    assert not buffer.can_send_batch()
+    assert buffer.take((7,)) == (7,)
     buffer.refill(100.0 * UPDATE_BYTES * MIN_BATCH_UPDATES)
     assert buffer.can_send_batch()
 
--- a/tests/unit/test_worker_line_queue.py
+++ b/tests/unit/test_worker_line_queue.py
@@ -22,15 +22,19 @@
 
 def test_a_connected_queue_holds_unwritten_attempts() -> None:
     queue, attempts, written = queue_with("a", "b")
-    assert queue.requests() == attempts and bool(queue) and written == []
+    assert queue.requests() == attempts
+    assert bool(queue)
+    assert written == []
     assert [attempt.progress for attempt in attempts] == [Progress.UNWRITTEN] * 2
 
 
 def test_a_queued_request_can_be_removed_and_one_handed_over_cannot() -> None:
     queue, (first, second), _ = queue_with("a", "b")
-    assert queue.remove(first) and queue.requests() == [second]
+    assert queue.remove(first)
+    assert queue.requests() == [second]
     queue.on_handed_over(queue.take(), 0)
-    assert not queue.remove(second) and second.progress is Progress.PARTLY_WRITTEN
+    assert not queue.remove(second)
+    assert second.progress is Progress.PARTLY_WRITTEN
 
 
 def test_a_line_counts_as_written_with_its_last_byte_and_is_reported_once() -> None:
@@ -38,13 +42,15 @@
     lines = queue.take()
     queue.on_handed_over(lines, 2 * LINE_BYTES - 1)
     assert [attempt.progress.name for attempt in attempts] == ["WRITTEN", "PARTLY_WRITTEN", "PARTLY_WRITTEN"]
-    assert queue.is_written(lines[0]) and not queue.is_written(lines[1])
+    assert queue.is_written(lines[0])
+    assert not queue.is_written(lines[1])
     queue.on_drained_to(LINE_BYTES + 1)
     assert written == attempts[:1]
     queue.on_drained_to(LINE_BYTES)
     assert written == attempts[:2]
     queue.on_all_written()
-    assert written == attempts and not queue
+    assert written == attempts
+    assert not queue
 
 
 def test_of_a_broken_connection_the_last_buffered_line_is_not_complete() -> None:
@@ -52,7 +58,8 @@
     queue.on_handed_over(queue.take(), 0)
     queue.on_disconnected()
     assert [attempt.may_have_executed() for attempt in attempts] == [True, False]
-    assert written == attempts[:1] and not queue
+    assert written == attempts[:1]
+    assert not queue
 
 
 def test_an_attempt_with_a_response_keeps_its_progress() -> None:
@@ -60,7 +67,8 @@
     queue.on_handed_over(queue.take(), 0)
     attempt.progress = Progress.RESPONSE_STARTED
     queue.on_all_written()
-    assert attempt.progress is Progress.RESPONSE_STARTED and written == []
+    assert attempt.progress is Progress.RESPONSE_STARTED
+    assert written == []
 
 
 def test_a_preload_and_a_line_without_a_request_have_no_progress() -> None:
@@ -70,4 +78,5 @@
     queue.append(OutboundLine(b"y" * LINE_BYTES))
     assert queue.requests() == [preload]
     queue.on_handed_over(queue.take(), 2 * LINE_BYTES)
-    assert written == [] and not queue
+    assert written == []
+    assert not queue
--- a/tests/unit/test_zone_reachability.py
+++ b/tests/unit/test_zone_reachability.py
@@ -36,9 +36,8 @@
     assert reach.find_unreachable(1000.0 + 50 * USUAL) == (
         [] if workers * MAX_WORKER_SURPRISE < UNREACHABLE_SURPRISE else [1]
     )
-    assert reach.may_send(9000.0, 2, False) and reach.may_send(9000.0, 1, False) == (
-        workers * MAX_WORKER_SURPRISE < UNREACHABLE_SURPRISE
-    )
+    assert reach.may_send(9000.0, 2, False)
+    assert reach.may_send(9000.0, 1, False) == (workers * MAX_WORKER_SURPRISE < UNREACHABLE_SURPRISE)
 
 
 def test_one_response_makes_a_zone_reachable() -> None:
@@ -47,7 +46,8 @@
         reach.on_attempt_started(1000.0, (100 + number, 0), number, 1, USUAL)
     assert reach.find_unreachable(1000.0 + 50 * USUAL) == [1]
     assert reach.on_attempt_ended(1000.0 + 51 * USUAL, (100, 0), True, USUAL, False)
-    assert reach.may_send(1000.0 + 51 * USUAL, 1, False) and reach.find_unreachable(1000.0 + 51 * USUAL) == []
+    assert reach.may_send(1000.0 + 51 * USUAL, 1, False)
+    assert reach.find_unreachable(1000.0 + 51 * USUAL) == []
 
 
 def test_all_zones_but_the_own_one_fall_silent_together() -> None:
@@ -63,7 +63,8 @@
     for number in range(2):
         reach.on_attempt_started(1000.0, (100 + number, 0), number, 1, USUAL)
         reach.on_attempt_ended(1250.0, (100 + number, 0), False, 250.0, True)
-    assert 2 * CONNECT_FAILURE_SURPRISE >= UNREACHABLE_SURPRISE and reach.find_unreachable(1300.0) == [1]
+    assert 2 * CONNECT_FAILURE_SURPRISE >= UNREACHABLE_SURPRISE
+    assert reach.find_unreachable(1300.0) == [1]
 
 
 def test_quick_responses_do_not_make_a_short_pause_a_silence() -> None:
@@ -73,7 +74,8 @@
         reach.on_attempt_ended(0.0, (number, 0), True, 0.0, False)
     for number in range(4):
         reach.on_attempt_started(1000.0, (100 + number, 0), number, 1, 1.0)
-    assert reach.find_unreachable(1090.0) == [] and reach.find_unreachable(1000.0 + 300.0) == [1]
+    assert reach.find_unreachable(1090.0) == []
+    assert reach.find_unreachable(1000.0 + 300.0) == [1]
 
 
 def test_one_idempotent_call_tries_an_unreachable_zone_and_a_lost_trial_backs_off() -> None:
@@ -82,18 +84,15 @@
         reach.on_attempt_started(1000.0, (100 + number, 0), number, 1, USUAL)
     now = 1000.0 + 50 * USUAL
     assert reach.find_unreachable(now) == [1]
-    assert not reach.may_send(now + BASE_TRIAL_DELAY_MS - 1.0, 1, True) and not reach.may_send(
-        now + BASE_TRIAL_DELAY_MS, 1, False
-    )
-    assert reach.may_send(now + BASE_TRIAL_DELAY_MS, 1, True) and reach.may_send(
-        now + BASE_TRIAL_DELAY_MS + MAX_TRIAL_DELAY_MS, 1, False
-    )
+    assert not reach.may_send(now + BASE_TRIAL_DELAY_MS - 1.0, 1, True)
+    assert not reach.may_send(now + BASE_TRIAL_DELAY_MS, 1, False)
+    assert reach.may_send(now + BASE_TRIAL_DELAY_MS, 1, True)
+    assert reach.may_send(now + BASE_TRIAL_DELAY_MS + MAX_TRIAL_DELAY_MS, 1, False)
     reach.on_attempt_started(now + BASE_TRIAL_DELAY_MS, (200, 0), 7, 1, USUAL)
     assert not reach.may_send(now + BASE_TRIAL_DELAY_MS, 1, True)
     late = now + BASE_TRIAL_DELAY_MS + 10 * USUAL
-    assert reach.find_unreachable(late) == [1] and not reach.may_send(
-        late + 2 * BASE_TRIAL_DELAY_MS - 1.0, 1, True
-    )
+    assert reach.find_unreachable(late) == [1]
+    assert not reach.may_send(late + 2 * BASE_TRIAL_DELAY_MS - 1.0, 1, True)
     reach.on_worker_restarted(1)
     assert reach.may_send(late, 1, False)
 
