--- a/cedarthread/change_freeze/admission_gate.py
+++ b/cedarthread/change_freeze/admission_gate.py
@@ -23,7 +23,7 @@
 from cedarthread.components.interface import QuotaEscrow
 from cedarthread.model.settings import RouterSettings
 
-MAX_KEPT_HOMES = 4096  # functions whose home workers are kept as they were before a window
+MAX_RETAINED_HOMES = 4096  # functions whose home workers are kept as they were before a window
 LOADING_KINDS = ("first-copy", "order")  # the changes that bring an instance to a worker
 
 
@@ -42,7 +42,7 @@
         self.is_uncertain = False  # this router may have missed a window, which may freeze anything
         self.placements = PlacementTable()
         self.deferred_changes = DeferredChanges()
-        self.kept_homes: dict[int, tuple[int, ...]] = {}  # by function, as last seen before it was frozen
+        self.retained_homes: dict[int, tuple[int, ...]] = {}  # by function, as last seen before it was frozen
         self.deferred_settings: RouterSettings | None = None
         self.exceptions_used = self.denied_count = 0
         # Over 0: one more deferred change may be released now, and this uses it up.
@@ -159,20 +159,20 @@
         homes = tuple(ready_workers[:home_count])
         change = PlacementChange("homes", None, function_id)
         is_free = not self.is_frozen(change) and not self.deferred_changes.includes("homes", function_id)
-        kept_homes = self.kept_homes.get(function_id)
-        if is_free or kept_homes is None:
-            if len(self.kept_homes) < MAX_KEPT_HOMES or kept_homes is not None:
-                self.kept_homes[function_id] = homes
+        retained_homes = self.retained_homes.get(function_id)
+        if is_free or retained_homes is None:
+            if len(self.retained_homes) < MAX_RETAINED_HOMES or retained_homes is not None:
+                self.retained_homes[function_id] = homes
             return ready_workers, home_count
-        if homes != kept_homes:
+        if homes != retained_homes:
             self._defer(change)
         ready = set(ready_workers)
-        kept_ready = [worker_id for worker_id in kept_homes if worker_id in ready]
-        if not kept_ready:
+        retained_ready = [worker_id for worker_id in retained_homes if worker_id in ready]
+        if not retained_ready:
             return ready_workers, min(home_count, 1)
-        known = set(kept_ready)
+        known = set(retained_ready)
         others = (worker_id for worker_id in ready_workers if worker_id not in known)
-        return [*kept_ready, *others], len(kept_ready)
+        return [*retained_ready, *others], len(retained_ready)
 
     def admitted_settings(self, now: float, old: RouterSettings, new: RouterSettings) -> RouterSettings:
         """The settings that may be in force now: the new ones, but what would move instances is deferred."""
@@ -190,7 +190,7 @@
         released = self.deferred_changes.release(now, self.is_frozen, self.take_release)
         for deferred in released:
             if deferred.kind == "homes" and deferred.function_id is not None:
-                self.kept_homes.pop(deferred.function_id, None)
+                self.retained_homes.pop(deferred.function_id, None)
         return released
 
     # Inside.
--- a/cedarthread/change_freeze/component.py
+++ b/cedarthread/change_freeze/component.py
@@ -197,7 +197,7 @@
 
     def _update_uncertainty(self, now: float) -> None:
         is_fresh = self.replicated_state.is_fresh(now)
-        is_uncertain = self.stale_hold.is_uncertain(now, is_fresh, self.registry.holds_entries)
+        is_uncertain = self.stale_hold.is_uncertain(now, is_fresh, self.registry.has_entries)
         if is_uncertain != self.gate.is_uncertain and now > self.stale_hold.started_at_ms:
             self._log(
                 format_event("change_freeze_hold_started", reason="this router may have missed a window")
@@ -229,7 +229,7 @@
         has_active_window = any(window.state in ACTIVE_STATES for window in self.registry.windows.values())
         gate.is_active = gate.is_uncertain or has_active_window or bool(gate.deferred_changes)
         if not gate.is_active:
-            gate.kept_homes.clear()
+            gate.retained_homes.clear()
 
     def _update_exception_pool(self, window: FreezeWindow, until_ms: float) -> None:
         """Open the window's pool, or change it with its total, or with its end by more than clocks err."""
--- a/cedarthread/change_freeze/window.py
+++ b/cedarthread/change_freeze/window.py
@@ -54,7 +54,7 @@
 
 
 @dataclass(slots=True)
-class _HeldVersion(Generic[_BodyT]):
+class _StoredVersion(Generic[_BodyT]):
     """One version of an entry as this router holds it."""
 
     replicated: ReplicatedEntry
@@ -74,9 +74,9 @@
     """One window as one router holds it: its versions that may be in effect, the oldest first."""
 
     window_id: str
-    versions: list[_HeldVersion[WindowTerms]] = field(default_factory=list)
-    break_glass: list[_HeldVersion[BreakGlass]] = field(default_factory=list)
-    revocation: _HeldVersion[Revocation] | None = None
+    versions: list[_StoredVersion[WindowTerms]] = field(default_factory=list)
+    break_glass: list[_StoredVersion[BreakGlass]] = field(default_factory=list)
+    revocation: _StoredVersion[Revocation] | None = None
     state: WindowState = WindowState.DECLARED
     was_declared_late: bool = False  # less than the staleness bound before its start
 
@@ -85,7 +85,7 @@
         if isinstance(body, Revocation):
             is_new = self.revocation is None
             if is_new or not self._is_older(replicated, self.revocation):
-                self.revocation = _HeldVersion(replicated, body)
+                self.revocation = _StoredVersion(replicated, body)
             return is_new
         if isinstance(body, BreakGlass):
             return self._add_version(self.break_glass, replicated, body)
@@ -93,15 +93,17 @@
         if is_new and len(self.versions) > MAX_VERSIONS:
             first, second = self.versions[:2]
             merged = strictest_union(first.body, second.body)
-            self.versions[:2] = [_HeldVersion(second.replicated, merged, first.is_predecessor_unknown)]
+            self.versions[:2] = [_StoredVersion(second.replicated, merged, first.is_predecessor_unknown)]
         return is_new
 
     @staticmethod
-    def _is_older(replicated: ReplicatedEntry, version: _HeldVersion[Revocation] | None) -> bool:
+    def _is_older(replicated: ReplicatedEntry, version: _StoredVersion[Revocation] | None) -> bool:
         return version is not None and replicated.entry.version < version.replicated.entry.version
 
     @staticmethod
-    def _add_version(versions: list[_HeldVersion[_BodyT]], replicated: ReplicatedEntry, body: _BodyT) -> bool:
+    def _add_version(
+        versions: list[_StoredVersion[_BodyT]], replicated: ReplicatedEntry, body: _BodyT
+    ) -> bool:
         for version in versions:
             if version.replicated.entry == replicated.entry:
                 version.replicated = replicated
@@ -109,7 +111,7 @@
         if versions and replicated.entry.version < versions[-1].replicated.entry.version:
             return False  # the replicated store never goes back: this is an old version that comes late
         is_predecessor_unknown = not versions and replicated.entry.replaces_digest != 0
-        versions.append(_HeldVersion(replicated, body, is_predecessor_unknown))
+        versions.append(_StoredVersion(replicated, body, is_predecessor_unknown))
         return True
 
     def update(self, reading: ClockReading) -> tuple[WindowTerms, ...]:
@@ -125,7 +127,7 @@
         return in_force if self.state is WindowState.IN_FORCE else ()
 
     def _terms_in_force(
-        self, version: _HeldVersion[WindowTerms], reading: ClockReading
+        self, version: _StoredVersion[WindowTerms], reading: ClockReading
     ) -> WindowTerms | None:
         terms = version.body
         if (
@@ -187,7 +189,7 @@
         return min((version.body.exception_budget for version in self.versions), default=0)
 
 
-def _drop_superseded(versions: list[_HeldVersion[_BodyT]], reading: ClockReading) -> None:
+def _drop_superseded(versions: list[_StoredVersion[_BodyT]], reading: ClockReading) -> None:
     """Drop all versions before the latest one that all fresh routers hold."""
     for index in range(len(versions) - 1, 0, -1):
         if versions[index].is_effective(reading):
--- a/cedarthread/change_freeze/window_registry.py
+++ b/cedarthread/change_freeze/window_registry.py
@@ -37,7 +37,7 @@
         self.unreadable: dict[Entry, str] = {}  # why
 
     @property
-    def holds_entries(self) -> bool:
+    def has_entries(self) -> bool:
         """Whether any entry about windows is held, readable or not."""
         return bool(self.windows or self.unreadable)
 
--- a/cedarthread/components/preemption_view.py
+++ b/cedarthread/components/preemption_view.py
@@ -68,10 +68,10 @@
     in_flight = [attempt for attempt in pending.attempts if attempt.is_in_flight]
     last: Attempt | None = in_flight[-1] if in_flight else None
     possibly_executed = pending.possibly_executed()
-    deduplication_left_ms = request_class.deduplication_window_ms
+    deduplication_remaining_ms = request_class.deduplication_window_ms
     if possibly_executed:
         first_at_ms = possibly_executed[0].started_at_ms
-        deduplication_left_ms = first_at_ms + request_class.deduplication_window_ms - now
+        deduplication_remaining_ms = first_at_ms + request_class.deduplication_window_ms - now
     expected_ms = last.expected_ms if last is not None else QUEUED_EXPECTED_MS
     spent_ms = now - last.started_at_ms if last is not None else 0.0
     return PreemptionCandidate(
@@ -85,8 +85,8 @@
         arrived_at_ms=pending.arrived_at_ms,
         worker_id=worker.endpoint.worker_id,
         time_to_free_ms=max(0.0, expected_ms - spent_ms),
-        deduplication_left_ms=deduplication_left_ms,
-        spent_work_ms=spent_ms,
+        deduplication_remaining_ms=deduplication_remaining_ms,
+        consumed_work_ms=spent_ms,
         is_client_retry=pending.request.is_client_retry,
         attempts_in_flight=max(1, len(in_flight)),
     )
--- a/cedarthread/escrow/escrow.py
+++ b/cedarthread/escrow/escrow.py
@@ -199,7 +199,7 @@
         rates = [pool for pool in self.pools.values() if isinstance(pool, RatePool)]
         figures = {
             "pools": len(self.pools),
-            "lent": sum(pool.amount_lent(now) for pool in rates),
+            "lent": sum(pool.amount_loaned(now) for pool in rates),
             "borrowed": sum(pool.amount_borrowed(now) for pool in rates),
             "asks-out": len(self.requester.outstanding),
             **self.counters,
--- a/cedarthread/escrow/grantor.py
+++ b/cedarthread/escrow/grantor.py
@@ -86,7 +86,7 @@
         if lent is None:
             self.counters["late"] += 1
             return None
-        return Grant(lent, max(0, pool.lendable(now) - pool.amount_lent(now)), int(LEASE_TERM_MS))
+        return Grant(lent, max(0, pool.lendable(now) - pool.amount_loaned(now)), int(LEASE_TERM_MS))
 
     def _remember(self, request_id: RequestId, data: bytes) -> None:
         self.sent_grants[request_id] = data
--- a/cedarthread/escrow/rate_pool.py
+++ b/cedarthread/escrow/rate_pool.py
@@ -88,7 +88,7 @@
         """This router's own units, lent or not."""
         return self.own_allotment() if now >= self.ready_at_ms else 0
 
-    def amount_lent(self, now: float, except_borrower: Borrower | None = None) -> int:
+    def amount_loaned(self, now: float, except_borrower: Borrower | None = None) -> int:
         """Units lent to others, leaving out one of them."""
         return sum(
             lease.amount_at(now)
@@ -111,7 +111,9 @@
         Computed at this moment, so that a router that was paused uses nothing that ended meanwhile."""
         if self.has_ended(now):
             return 0
-        return min(self.total, max(0, self.own_rate(now) - self.amount_lent(now)) + self.amount_borrowed(now))
+        return min(
+            self.total, max(0, self.own_rate(now) - self.amount_loaned(now)) + self.amount_borrowed(now)
+        )
 
     def lendable(self, now: float) -> int:
         """Units that it may lend in all: those of its own rate beyond its demand and reserve."""
@@ -140,16 +142,16 @@
         even share.
 
         So a newcomer is not shut out by those who borrowed first."""
-        lendable, lent_to_others = self.lendable(now), self.amount_lent(now, borrower)
+        lendable, loaned_to_others = self.lendable(now), self.amount_loaned(now, borrower)
         for peer, unmet in list(self.unmet_requests.items()):
             if now - unmet.requested_at_ms >= UNMET_REQUEST_MEMORY_MS or peer == borrower.peer:
                 del self.unmet_requests[peer]
-        amount = min(requested, max(0, lendable - lent_to_others))
+        amount = min(requested, max(0, lendable - loaned_to_others))
         if self.unmet_requests:
             claimants = {other.peer for other, lease in self.leases_given.items() if lease.amount_at(now)}
             share = lendable // len(claimants | set(self.unmet_requests) | {borrower.peer})
             unmet_units = sum(unmet.units for unmet in self.unmet_requests.values())
-            amount = min(amount, max(share, lendable - lent_to_others - unmet_units))
+            amount = min(amount, max(share, lendable - loaned_to_others - unmet_units))
         if amount < requested:
             self.unmet_requests[borrower.peer] = UnmetRequest(requested - amount, now)
         return amount
--- a/cedarthread/escrow/requester.py
+++ b/cedarthread/escrow/requester.py
@@ -160,7 +160,7 @@
     def _message(self, pool: QuotaPool, peer: int, nonce: int, requested: int) -> SendToPeer:
         return SendToPeer(encode(EscrowRequest(pool.key, self.incarnation, nonce, requested)), peer)
 
-    def _awaited_peers(self, now: float, pool: QuotaPool) -> set[int]:
+    def _expected_peers(self, now: float, pool: QuotaPool) -> set[int]:
         """Peers that were asked and still have time to respond."""
         return {
             request.peer
@@ -173,8 +173,8 @@
     def _renew_leases(self, now: float, pool: RatePool) -> list[SendToPeer]:
         """Ask givers to go on lending as far as it is still wanted, the greatest lease first."""
         messages: list[SendToPeer] = []
-        needed = pool.demand - max(0, pool.own_rate(now) - pool.amount_lent(now))
-        awaited = self._awaited_peers(now, pool)
+        needed = pool.demand - max(0, pool.own_rate(now) - pool.amount_loaned(now))
+        awaited = self._expected_peers(now, pool)
         leases = sorted(
             ((lease.amount_at(now), giver) for giver, lease in pool.leases_taken.items()), reverse=True
         )
@@ -192,7 +192,7 @@
         shortfall = pool.shortfall(now)
         if shortfall <= 0:
             return []
-        peers = self.planner.next_round(now, pool, self.alive_peers, self._awaited_peers(now, pool))
+        peers = self.planner.next_round(now, pool, self.alive_peers, self._expected_peers(now, pool))
         if peers is None:
             return []
         messages: list[SendToPeer] = []
--- a/cedarthread/membership/failure_detector.py
+++ b/cedarthread/membership/failure_detector.py
@@ -138,8 +138,8 @@
             ]
         self._pending = None
         member = self._table.members[probe.member_index]
-        was_never_heard = member.received_at_ms == -math.inf
-        is_excused = was_never_heard and now - self._started_at_ms < STARTUP_GRACE_MS
+        is_never_received = member.received_at_ms == -math.inf
+        is_excused = is_never_received and now - self._started_at_ms < STARTUP_GRACE_MS
         if member.status is MemberStatus.ALIVE and not is_excused:
             self._table.set_status(now, probe.member_index, MemberStatus.SUSPECT)
         return []
--- a/cedarthread/priority/component.py
+++ b/cedarthread/priority/component.py
@@ -197,7 +197,7 @@
     ) -> int | None:
         """The request id of the call that the claim preempts, which then counts as preempted; None: none."""
         level = self.overload_level(now)
-        is_in_time = claim.expected_wait_ms + claim.service_time_ms <= claim.time_left_ms
+        is_in_time = claim.expected_wait_ms + claim.service_time_ms <= claim.remaining_ms
         if level < PREEMPT_QUEUED_LEVEL or len(self.preempted_at) >= MAX_REMEMBERED_PREEMPTIONS or is_in_time:
             return None
         if not self.preemption_budget.has_token(now, self._may_preempt()):
@@ -228,7 +228,7 @@
 
     def _record_preempted(self, now: float, victim: PreemptionCandidate) -> None:
         is_running = victim.stage is CallStage.WRITTEN
-        self.preemption_budget.spend(now, victim.spent_work_ms if is_running else None)
+        self.preemption_budget.spend(now, victim.consumed_work_ms if is_running else None)
         self.preempted_at[victim.retry_identity] = now
         self.usage.record_rejected(now, victim.priority.tenant_name)
         event = PreemptionEvent.RUNNING_PREEMPTED if is_running else PreemptionEvent.QUEUED_PREEMPTED
--- a/cedarthread/priority/preemption.py
+++ b/cedarthread/priority/preemption.py
@@ -43,8 +43,8 @@
     arrived_at_ms: float
     worker_id: int | None  # where it runs; of a queued call, whose slot it gets next; None: not known
     time_to_free_ms: float  # until it frees its slot by itself; of a queued call, until it would get its slot
-    deduplication_left_ms: float = 0.0  # during which workers still drop a retry with the same key
-    spent_work_ms: float = 0.0  # that the worker has done for it
+    deduplication_remaining_ms: float = 0.0  # during which workers still drop a retry with the same key
+    consumed_work_ms: float = 0.0  # that the worker has done for it
     is_client_retry: bool = False  # its first attempt may have been preempted, here or at another router
     attempts_in_flight: int = 1  # one of several hedged attempts frees no slot alone
 
@@ -55,7 +55,7 @@
 
     priority: CallPriority
     service_time_ms: float  # from a free slot to its response
-    time_left_ms: float  # of its latency objective
+    remaining_ms: float  # of its latency objective
     expected_wait_ms: float  # until it gets a slot if no call is preempted
     wait_by_worker_ms: Mapping[int, float]  # where it may go: its wait there with one call less in flight
 
@@ -82,7 +82,7 @@
     return (
         candidate.idempotency is Idempotency.WITH_KEY
         and candidate.deduplication_scope is DeduplicationScope.ALL
-        and candidate.deduplication_left_ms > max_retry_after_ms
+        and candidate.deduplication_remaining_ms > max_retry_after_ms
     )
 
 
@@ -95,14 +95,14 @@
         wait_ms = candidate.time_to_free_ms
     else:
         wait_ms = CANCELLATION_DELAY_MS + claim.wait_by_worker_ms[worker_id]
-    return wait_ms < claim.expected_wait_ms and wait_ms + claim.service_time_ms <= claim.time_left_ms
+    return wait_ms < claim.expected_wait_ms and wait_ms + claim.service_time_ms <= claim.remaining_ms
 
 
 def choose_victim(
     claim: PreemptionClaim, candidates: Iterable[PreemptionCandidate], limits: PreemptionLimits
 ) -> PreemptionCandidate | None:
     """The call that the claim preempts: the least by ``preemption_key``; None: none may be preempted."""
-    if claim.expected_wait_ms + claim.service_time_ms <= claim.time_left_ms:
+    if claim.expected_wait_ms + claim.service_time_ms <= claim.remaining_ms:
         return None  # it is served in time as things stand
     victim: PreemptionCandidate | None = None
     victim_key: tuple[float, ...] = ()
@@ -135,6 +135,8 @@
     """Whether preempting it throws away no more work than the limits permit."""
     if candidate.stage is not CallStage.WRITTEN:
         return True
-    total_work_ms = candidate.spent_work_ms + candidate.time_to_free_ms
-    is_nearly_done = candidate.spent_work_ms > MAX_COMPLETED_SHARE * total_work_ms
-    return limits.allows_running and not is_nearly_done and candidate.spent_work_ms <= limits.waste_budget_ms
+    total_work_ms = candidate.consumed_work_ms + candidate.time_to_free_ms
+    is_nearly_done = candidate.consumed_work_ms > MAX_COMPLETED_SHARE * total_work_ms
+    return (
+        limits.allows_running and not is_nearly_done and candidate.consumed_work_ms <= limits.waste_budget_ms
+    )
--- a/cedarthread/recovery/component.py
+++ b/cedarthread/recovery/component.py
@@ -280,10 +280,10 @@
         if now < self.warm_state.suspended_until_ms:
             return  # the answer may have waited in a buffer for as long as the pause was
         succeeded = attempt.outcome is Outcome.OK
-        found_cold = attempt.outcome is Outcome.NOT_LOADED or (
+        is_cold_start = attempt.outcome is Outcome.NOT_LOADED or (
             attempt.was_warm is False and attempt.outcome is Outcome.ERROR
         )
-        if succeeded or found_cold:
+        if succeeded or is_cold_start:
             self.warm_state.record_local(
                 now, attempt.worker_id, attempt.function_id, succeeded, attempt.work_ms
             )
--- a/cedarthread/recovery/peer_query.py
+++ b/cedarthread/recovery/peer_query.py
@@ -115,7 +115,7 @@
     peer: int
     segment: int
     sent_at_ms: float
-    received_parts: set[int] = field(default_factory=set)
+    received_fragments: set[int] = field(default_factory=set)
     received_count: int = 0  # observations
     new_count: int = 0  # observations that were news
 
@@ -276,15 +276,15 @@
         ``has_older_peers``: whether there are peers that did not restart with this router; then an empty
         response says little."""
         query = self.pending.get(response.nonce)
-        if query is None or query.peer != sender or response.part in query.received_parts:
+        if query is None or query.peer != sender or response.part in query.received_fragments:
             self.unexpected_count += 1
             return
-        query.received_parts.add(response.part)
+        query.received_fragments.add(response.part)
         query.received_count += len(response.observations)
         for aged in response.observations:
             if aged.function_hash % SEGMENT_COUNT == query.segment and aged.hops < MAX_HOPS:
                 query.new_count += warm_state.merge_remote(now, query.sent_at_ms, aged, Source.PEER)
-        if len(query.received_parts) < response.part_count:
+        if len(query.received_fragments) < response.part_count:
             return
         del self.pending[response.nonce]
         if response.warm_fraction is not None:
--- a/cedarthread/recovery/warm_state.py
+++ b/cedarthread/recovery/warm_state.py
@@ -136,14 +136,14 @@
             observation = Observation(now, is_warm, Source.LOCAL, 0)
             self._merge(worker_id, listed.start_tag, fold_function_id(function_id), observation)
 
-    def merge_remote(self, now: float, asked_at_ms: float, aged: AgedObservation, source: Source) -> bool:
+    def merge_remote(self, now: float, requested_at_ms: float, aged: AgedObservation, source: Source) -> bool:
         """Take an observation that came with an age; whether it was news.
 
-        ``asked_at_ms``: a time on this clock no later than the age was read, such as when the query was sent.
+        ``requested_at_ms``: a time on this clock no later than the age was read, as of the query.
         The age is counted from there, so delays on the way make an observation older, never younger."""
         if not (math.isfinite(aged.age_ms) and aged.age_ms >= 0 and aged.hops < MAX_HOPS):
             return False
-        observed_at_ms = min(asked_at_ms, now) - aged.age_ms
+        observed_at_ms = min(requested_at_ms, now) - aged.age_ms
         if now - observed_at_ms > self.keep_alive_ms:
             return False
         observation = Observation(observed_at_ms, aged.is_warm, source, aged.hops + 1)
--- a/cedarthread/replication/store.py
+++ b/cedarthread/replication/store.py
@@ -226,7 +226,7 @@
         """Send sync requests that are due and retry sessions; called several times a second."""
         self._note_activity(now)
         messages = self.replica.take_logs()
-        if (peer := self.requests.take_turn(now)) is not None:
+        if (peer := self.requests.allow_request(now)) is not None:
             messages.append(self._request_sync(now, peer))
         if not self.replica.freshness.is_voter and not self.has_read_enough_peers():
             peers = self.requests.bootstrap_peers(self.sessions.fully_read_peers)
@@ -283,7 +283,7 @@
         self.peer_generations[sender] = max(request.store_generation, remembered)
         messages = self.server.respond(now, sender, request, remembered, self.unix_ms)
         is_covered = request.root_digest in self.replica.state.covered_roots
-        if not is_covered and self.requests.take_reverse_turn(now):
+        if not is_covered and self.requests.allow_reverse_request(now):
             messages.append(self._request_sync(now, sender))
         return messages
 
--- a/cedarthread/replication/sync_requests.py
+++ b/cedarthread/replication/sync_requests.py
@@ -55,7 +55,7 @@
             peer for peer in peers if 0 <= peer < self.router_count and peer != self.router_index
         ]
 
-    def take_turn(self, now: float) -> int | None:
+    def allow_request(self, now: float) -> int | None:
         """The peer to ask if the periodic request is due, else None; the next one is then scheduled."""
         if not self.all_peers or now < self.next_request_at_ms:
             return None
@@ -65,7 +65,7 @@
         is_any_peer = not self.alive_peers or self.request_count % REQUESTS_PER_RANDOM_PEER == 0
         return self.rng.choice(self.all_peers if is_any_peer else self.alive_peers)
 
-    def take_reverse_turn(self, now: float) -> bool:
+    def allow_reverse_request(self, now: float) -> bool:
         """Whether a peer that asked may be asked in return, which happens once a period."""
         if now < self.next_reverse_request_at_ms:
             return False
--- a/cedarthread/replication/sync_server.py
+++ b/cedarthread/replication/sync_server.py
@@ -35,7 +35,7 @@
 MAX_UNSOLICITED_FRAGMENTS = 4  # of the newest entry, sent along with a response to a peer whose root differs
 
 
-class SummaryPart(NamedTuple):
+class SummaryFragment(NamedTuple):
     """What one summary datagram lists: buckets as bits, and which part of a bucket that needs several."""
 
     bucket_bits: int
@@ -109,7 +109,7 @@
                 refs_by_bucket[ref.bucket].append(ref)
         parts = pack_summaries(refs_by_bucket, self.rng.randrange(BUCKET_COUNT))
         # Without any part the root digest alone may complete the peer's proof.
-        parts = parts or [SummaryPart(0, 0, 1, ())]
+        parts = parts or [SummaryFragment(0, 0, 1, ())]
         messages = [
             Summary(
                 nonce=request.nonce,
@@ -146,9 +146,9 @@
         return sent
 
 
-def pack_summaries(refs_by_bucket: Mapping[int, list[EntryRef]], first_bucket: int) -> list[SummaryPart]:
+def pack_summaries(refs_by_bucket: Mapping[int, list[EntryRef]], first_bucket: int) -> list[SummaryFragment]:
     """Buckets in few datagrams: small buckets together, one that exceeds a datagram in parts of its own."""
-    parts: list[SummaryPart] = []
+    parts: list[SummaryFragment] = []
     bucket_bits, gathered = 0, list[EntryRef]()
     for bucket in sorted(refs_by_bucket, key=lambda number: (number - first_bucket) % BUCKET_COUNT):
         refs = refs_by_bucket[bucket]
@@ -156,12 +156,12 @@
             offsets = range(0, len(refs), MAX_REFS_PER_SUMMARY)
             chunks = [tuple(refs[offset : offset + MAX_REFS_PER_SUMMARY]) for offset in offsets]
             parts += [
-                SummaryPart(1 << bucket, index, len(chunks), chunk) for index, chunk in enumerate(chunks)
+                SummaryFragment(1 << bucket, index, len(chunks), chunk) for index, chunk in enumerate(chunks)
             ]
             continue
         if len(gathered) + len(refs) > MAX_REFS_PER_SUMMARY:
-            parts.append(SummaryPart(bucket_bits, 0, 1, tuple(gathered)))
+            parts.append(SummaryFragment(bucket_bits, 0, 1, tuple(gathered)))
             bucket_bits, gathered = 0, []
         bucket_bits |= 1 << bucket
         gathered += refs
-    return [*parts, SummaryPart(bucket_bits, 0, 1, tuple(gathered))] if bucket_bits else parts
+    return [*parts, SummaryFragment(bucket_bits, 0, 1, tuple(gathered))] if bucket_bits else parts
--- a/cedarthread/replication/sync_session.py
+++ b/cedarthread/replication/sync_session.py
@@ -107,7 +107,7 @@
         session = SyncSession(now, peer, sent_at_ms, response, self.replica.state.bucket_sums)
         if self._confirm_if_covered(now, session):
             return []
-        if self.sessions and len(self._awaited_refs(now)) > MAX_PENDING_FETCHES:
+        if self.sessions and len(self._expected_refs(now)) > MAX_PENDING_FETCHES:
             return []  # more summaries would only take bandwidth from the entries under way
         while len(self.sessions) >= MAX_SESSIONS:
             del self.sessions[next(iter(self.sessions))]
@@ -197,7 +197,7 @@
 
         No more at a time than the peers' budgets carry: partial entries must not push each other out."""
         missing = [ref for ref in session.all_refs() if self.replica.state.known_digest(ref) is None]
-        awaited = self._awaited_refs(now)
+        awaited = self._expected_refs(now)
         missing_bits = self.fragments.missing_bits_by_digest_low()
         refs = [ref for ref in missing if ref not in awaited]
         refs = self.rng.sample(refs, len(refs))
@@ -207,8 +207,10 @@
         items = tuple(FetchItem(*ref, missing_bits.get(ref.digest_low, ALL_FRAGMENTS)) for ref in refs)
         return [encode_to(FetchRequest(items), session.peer)] if items else []
 
-    def _awaited_refs(self, now: float) -> set[EntryRef]:
+    def _expected_refs(self, now: float) -> set[EntryRef]:
         """What was asked for within the retry interval and has not arrived."""
         return {
-            ref for ref, asked_at_ms in self.pending_fetches.items() if now - asked_at_ms < RETRY_INTERVAL_MS
+            ref
+            for ref, requested_at_ms in self.pending_fetches.items()
+            if now - requested_at_ms < RETRY_INTERVAL_MS
         }
--- a/cedarthread/routing/admission.py
+++ b/cedarthread/routing/admission.py
@@ -12,7 +12,7 @@
 from cedarthread.routing.instance_queue import WaitTimes
 from cedarthread.routing.records import PendingRequest, WorkerRecord
 from cedarthread.routing.request_table import QUEUE_CHECK_MS
-from cedarthread.routing.retries import MIN_TIME_LEFT_MS
+from cedarthread.routing.retries import MIN_REMAINING_MS
 from cedarthread.routing.router_state import RouterState
 from cedarthread.routing.selection import WorkerSelector
 
@@ -20,7 +20,7 @@
 MAX_SHED_PROBABILITY = 0.95  # the rest always passes: it shows when the overload is over
 MIN_VALUE = 1e-6  # least value of a request: a class of no weight is shed first, but divides nothing by zero
 QUOTA_FACTORS = 0.5, 2.0  # least and most that use over quota counts, before it is squared
-MIN_TIME_LEFT_FRACTION = 0.5  # part of its expected time under which a request's time left is not enough
+MIN_REMAINING_FRACTION = 0.5  # part of its expected time under which a request's time left is not enough
 MAX_QUEUED_FRACTION = 0.5  # part of its time for which a request that was not sent waits at most
 MIN_PEER_COVERAGE = 0.5  # part of the other routers whose gossip must come for requests to wait
 RETRY_AFTER_RANGE = 0.05, 0.15  # parts of the longest Retry-After that a rejected client is told
@@ -44,16 +44,16 @@
     def should_shed(self, now: float, pending: PendingRequest, quota_use: float) -> bool:
         """Whether to reject a new request early, by its value for its time and its tenant's quota."""
         state, request_class = self.state, pending.request_class
-        time_left_ms = pending.request.deadline_ms - now
+        remaining_ms = pending.request.deadline_ms - now
         expected_ms = state.service_times.expected_ms(pending)
-        if time_left_ms < MIN_TIME_LEFT_FRACTION * expected_ms:
+        if remaining_ms < MIN_REMAINING_FRACTION * expected_ms:
             return True
         class_ms = state.service_times.class_ms(pending.request.class_index)
         value = max(request_class.priority_weight, MIN_VALUE) / max(class_ms, 1.0)
         state.traffic.request_value.add(value)
         mean_value = state.traffic.request_value.mean
         stretched_ms = request_class.latency_objective_work_factor * expected_ms
-        objective_ms = min(time_left_ms, request_class.latency_objective_ms + stretched_ms)
+        objective_ms = min(remaining_ms, request_class.latency_objective_ms + stretched_ms)
         # Between a class's own time and one time for all, later for those of more value: what has little time
         # is not shed first for that alone, nor is what has much of it never.
         objective_ms = math.sqrt(max(objective_ms, 1.0) * self.mean_objective_ms * value / mean_value)
@@ -91,7 +91,7 @@
         # What has not been sent by half of its time had better be told so: its client can go elsewhere.
         arrived_at_ms, deadline_ms = pending.arrived_at_ms, pending.request.deadline_ms
         if pending.possibly_executed():
-            latest_ms = deadline_ms - MIN_TIME_LEFT_MS
+            latest_ms = deadline_ms - MIN_REMAINING_MS
         else:
             latest_ms = arrived_at_ms + MAX_QUEUED_FRACTION * (deadline_ms - arrived_at_ms)
         return now + QUEUE_CHECK_MS <= latest_ms
--- a/cedarthread/routing/retries.py
+++ b/cedarthread/routing/retries.py
@@ -16,7 +16,7 @@
 
 HEDGE_AFTER_MULTIPLE = 2.5  # times its expected time after which a hedged request is sent, where allowed
 STALL_THRESHOLD_MS = 100.0  # ms that a timer may come late before the router takes itself for stalled
-MIN_TIME_LEFT_MS = 20.0  # ms before the client's deadline after which no attempt is worth its start
+MIN_REMAINING_MS = 20.0  # ms before the client's deadline after which no attempt is worth its start
 
 
 class RetryPolicy:
@@ -25,7 +25,7 @@
     def __init__(self, state: RouterState, feedback: OutcomeFeedback) -> None:
         self.state, self.feedback = state, feedback
 
-    def has_attempts_left(self, pending: PendingRequest) -> bool:
+    def has_remaining_attempts(self, pending: PendingRequest) -> bool:
         """Whether the deployment's limit permits one more attempt."""
         return len(pending.attempts) < self.state.settings.limits.max_attempts
 
@@ -36,14 +36,14 @@
         if not executed or idempotency is Idempotency.IDEMPOTENT:
             return True
         window_end_ms = executed[0].started_at_ms + pending.request_class.deduplication_window_ms
-        return idempotency is Idempotency.WITH_KEY and now < window_end_ms - MIN_TIME_LEFT_MS
+        return idempotency is Idempotency.WITH_KEY and now < window_end_ms - MIN_REMAINING_MS
 
     def should_retry(self, now: float, pending: PendingRequest, outcome: Outcome) -> bool:
         """An attempt failed and none is in flight: whether to send another, within the retry budget.
 
         Retries after what is proved harmless and cheap are free."""
         cost = 0.0 if outcome in (Outcome.CONNECT_FAILED, Outcome.NOT_LOADED) else 1.0
-        is_too_late = pending.request.deadline_ms - now <= MIN_TIME_LEFT_MS
+        is_too_late = pending.request.deadline_ms - now <= MIN_REMAINING_MS
         if is_too_late or outcome is Outcome.NOT_SENT or not self.state.retry_budget.spend(cost):
             return False
         pending.next_attempt_cost = cost
@@ -77,14 +77,14 @@
                 pending.last_cancelled_attempt = attempt_index
                 state.actions.append(CancelAttempt(request_id, attempt_index))
                 return False
-        state.timers.schedule(now + max(expected_ms, MIN_TIME_LEFT_MS), request_id, attempt_index)
+        state.timers.schedule(now + max(expected_ms, MIN_REMAINING_MS), request_id, attempt_index)
         return False
 
     def _can_follow(self, pending: PendingRequest, attempt_index: int) -> bool:
         """Whether another attempt may take the place of this one, which no other has taken before."""
         return (
             self.state.retry_budget.tokens >= 1.0
-            and self.has_attempts_left(pending)
+            and self.has_remaining_attempts(pending)
             and pending.last_cancelled_attempt < attempt_index
         )
 
@@ -130,10 +130,10 @@
             pending.last_cancelled_attempt = attempt_index
             self.state.actions.append(CancelAttempt(pending.request.request_id, attempt_index))
 
-    def cancel_attempts(self, pending: PendingRequest, kept_index: int | None = None) -> None:
+    def cancel_attempts(self, pending: PendingRequest, excluded_index: int | None = None) -> None:
         """Cancel the attempts in flight, but for one that is kept."""
         if not self.state.settings.limits.can_cancel:
             return
         for attempt_index, attempt in enumerate(pending.attempts):
-            if attempt.is_in_flight and attempt_index != kept_index:
+            if attempt.is_in_flight and attempt_index != excluded_index:
                 self.state.actions.append(CancelAttempt(pending.request.request_id, attempt_index))
--- a/cedarthread/routing/router.py
+++ b/cedarthread/routing/router.py
@@ -132,7 +132,7 @@
         pending = self.pending_requests.get(event.request_id)
         if pending is not None and not pending.is_streaming:  # else: its cancellation came too late
             pending.is_streaming = True
-            self.retries.cancel_attempts(pending, kept_index=event.attempt_index)
+            self.retries.cancel_attempts(pending, excluded_index=event.attempt_index)
         self.tracker.on_stream_started(now, event)
 
     def _on_client_disconnected(self, now: float, event: ClientDisconnected) -> None:
@@ -162,7 +162,7 @@
         """Send the request to the worker that is chosen, or queue it, or end it."""
         state = self.state
         self.queued_requests.pop(pending.request.request_id, None)
-        if not (self.retries.has_attempts_left(pending) and self.retries.may_attempt(now, pending)):
+        if not (self.retries.has_remaining_attempts(pending) and self.retries.may_attempt(now, pending)):
             self._reject_or_fail(now, pending)
             return
         worker = self.selector.select(now, pending)
--- a/cedarthread/routing/selection.py
+++ b/cedarthread/routing/selection.py
@@ -92,17 +92,17 @@
             constraints is not None and self.has_spare_instance(now, pending, is_idempotent),
         )
         self.retries.recall_from_unreachable_zones(now)
-        for may_be_tried, may_be_ejected in ((False, False), (True, False), (True, True)):
-            if (worker := self._cheapest(search, may_be_tried, may_be_ejected)) is not None:
+        for may_be_repeated, may_be_ejected in ((False, False), (True, False), (True, True)):
+            if (worker := self._cheapest(search, may_be_repeated, may_be_ejected)) is not None:
                 return worker
         return None
 
-    def _cheapest(self, search: _Search, may_be_tried: bool, may_be_ejected: bool) -> WorkerRecord | None:
+    def _cheapest(self, search: _Search, may_be_repeated: bool, may_be_ejected: bool) -> WorkerRecord | None:
         now, pending, rng = search.now, search.pending, self.state.rng
         least_cost, ties = math.inf, 0
         cheapest: WorkerRecord | None = None
         for worker, placement_penalty in self._candidates(now, pending):
-            if not self._can_take(search, worker, may_be_tried, may_be_ejected):
+            if not self._can_take(search, worker, may_be_repeated, may_be_ejected):
                 continue
             cost = self.cost(now, pending.function, worker, pending.class_and_tenant) + placement_penalty
             if worker.is_ejected and not may_be_ejected:  # half-open: by cost alone it would stay out
@@ -118,7 +118,7 @@
         return cheapest
 
     def _can_take(
-        self, search: _Search, worker: WorkerRecord, may_be_tried: bool, may_be_ejected: bool
+        self, search: _Search, worker: WorkerRecord, may_be_repeated: bool, may_be_ejected: bool
     ) -> bool:
         """Whether the worker may get the call in this pass."""
         now, pending = search.now, search.pending
@@ -131,7 +131,7 @@
                 return False
         if not self.is_eligible(pending, worker):
             return False
-        if not may_be_tried and worker.endpoint.worker_id in search.tried:
+        if not may_be_repeated and worker.endpoint.worker_id in search.tried:
             return False
         if not (may_be_ejected or is_available(worker, now, search.is_idempotent)):
             return False
@@ -180,8 +180,8 @@
         if state.gossip is not None:  # who knows where others have instances need not guess where they would
             fraction *= 1.0 - state.gossip.peer_coverage(now)
         fleet_calls_per_ms = state.traffic.calls_per_ms * state.live_router_count
-        max_kept = fleet_calls_per_ms * state.settings.keep_alive_ms / MIN_CALLS_PER_HOME
-        return 1 + int(fraction * min(self.homes_per_worker * len(state.workers.by_id), max_kept))
+        max_retained = fleet_calls_per_ms * state.settings.keep_alive_ms / MIN_CALLS_PER_HOME
+        return 1 + int(fraction * min(self.homes_per_worker * len(state.workers.by_id), max_retained))
 
     # Which of them may have the call.
 
--- a/cedarthread/testing/cluster/injected_defects.py
+++ b/cedarthread/testing/cluster/injected_defects.py
@@ -88,7 +88,7 @@
     """A revocation is in effect as soon as it is received."""
     from cedarthread.change_freeze import window
 
-    window._HeldVersion.is_effective = lambda self, reading: True  # type: ignore[method-assign]
+    window._StoredVersion.is_effective = lambda self, reading: True  # type: ignore[method-assign]
 
 
 def trust_host_clock() -> None:
--- a/cedarthread/testing/cluster/policy_replay.py
+++ b/cedarthread/testing/cluster/policy_replay.py
@@ -121,7 +121,7 @@
         """Any worker."""
         return self.rng.choice(candidates)
 
-    def choose_least_own_load(self, arrival: Arrival, candidates: list[int]) -> int:
+    def choose_lowest_own_load(self, arrival: Arrival, candidates: list[int]) -> int:
         """One of those with the fewest of the router's own calls in flight."""
         own = self.in_flight[arrival.router]
         fewest = min(own[number] for number in candidates)
@@ -153,7 +153,7 @@
 
 POLICIES: dict[str, Policy] = {  # by the names that result files have
     "random": PolicyReplay.choose_random,
-    "own": PolicyReplay.choose_least_own_load,
+    "own": PolicyReplay.choose_lowest_own_load,
     "two": PolicyReplay.choose_of_two,
     "all": PolicyReplay.choose_omniscient,
 }
--- a/cedarthread/testing/cluster/run.py
+++ b/cedarthread/testing/cluster/run.py
@@ -22,7 +22,7 @@
 
 ROUTERS_PER_PROCESS = 50  # whose clients, relays and discovery servers one process runs
 START_LEAD_S = 0.2  # from the command until traffic starts, so that all processes have it
-LAST_ANSWERS_S = 0.3  # after the last deadline
+LAST_RESPONSES_S = 0.3  # after the last deadline
 
 
 class ClusterRun:
@@ -64,7 +64,7 @@
             await asyncio.gather(
                 self._measure_warm_up_cpu(), *(self._run_fault(fault) for fault in scenario.faults)
             )
-            await self._wait_until(scenario.end_s + CALL_DEADLINE_MS / 1000.0 + LAST_ANSWERS_S)
+            await self._wait_until(scenario.end_s + CALL_DEADLINE_MS / 1000.0 + LAST_RESPONSES_S)
             cpu_s = sum(map(self.routers.cpu_seconds, numbers)) - self.cpu_at_warm_up_s
             recordings = [await process.fetch_recording() for process in self.fake_processes]
         finally:
--- a/cedarthread/testing/escrow_model.py
+++ b/cedarthread/testing/escrow_model.py
@@ -182,8 +182,8 @@
         """Whether more is used than there is."""
         if self.is_count:
             lowered = max(self.consumed_when_all_knew, self.total - LOWERED_BY)
-            is_over_lowered = self.consumed_when_all_knew >= 0 and self.consumed > lowered
-            return self.consumed > self.total or is_over_lowered
+            is_total_lowered = self.consumed_when_all_knew >= 0 and self.consumed > lowered
+            return self.consumed > self.total or is_total_lowered
         return sum(map(self._available, range(self.router_count))) > self.total
 
 
--- a/cedarthread/testing/fuzzing/endpoint_publisher.py
+++ b/cedarthread/testing/fuzzing/endpoint_publisher.py
@@ -54,13 +54,13 @@
     def _deliver(self, version: int, records: list[EndpointRecord]) -> None:
         router = self.router
         if version > router.endpoint_list.version:
-            self._tell_checker(records)
+            self._notify_checker(records)
         event = router.endpoint_list.apply_update(version, records, True)
         if event is not None:
             router.worker_connections.update_endpoints(router.endpoint_list.by_worker_id())
             router.dispatcher.endpoints_changed(event)
 
-    def _tell_checker(self, records: list[EndpointRecord]) -> None:
+    def _notify_checker(self, records: list[EndpointRecord]) -> None:
         checker, now = self.router.checker, self.router.now_ms()
         for record in records:
             zone = self.router.raw_settings["localities"].index(record.zone)
--- a/cedarthread/testing/fuzzing/memory_peers.py
+++ b/cedarthread/testing/fuzzing/memory_peers.py
@@ -18,11 +18,11 @@
 from cedarthread.testing.fuzzing.virtual_loop import MemoryTransport, VirtualLoop
 from cedarthread.testing.invariants import AttemptRecord, CallGuarantees, InvariantChecker
 
-NOT_EXECUTED_ANSWERS = ("NONE", "SHED", "LATE")
+NOT_EXECUTED_RESPONSES = ("NONE", "SHED", "LATE")
 
 
 @dataclass(eq=False, slots=True)
-class HeldRequest:
+class UnansweredRequest:
     """A call, or a preload request, that a worker has and has not answered."""
 
     message_id: str
@@ -40,7 +40,7 @@
         self.buffer = b""
         self.line_start_byte = 0  # bytes of the lines that are complete
         self.first_byte_at_ms = 0.0  # when the first byte of the line that is coming left the router
-        self.held_requests: list[HeldRequest] = []
+        self.unanswered_requests: list[UnansweredRequest] = []
         self.is_open = True
         transport.on_bytes = self.on_bytes
         transport.on_close = self.on_close
@@ -63,10 +63,10 @@
     def on_close(self) -> None:
         """The connection went, by whichever end: all that is held here is cancelled."""
         self.is_open = False
-        for held in self.held_requests:
+        for held in self.unanswered_requests:
             if held.attempt is not None:
                 self.worker.checker.on_attempt_ended(held.attempt, True)
-        self.held_requests.clear()
+        self.unanswered_requests.clear()
         self.worker.links.remove(self)
 
 
@@ -104,37 +104,43 @@
             key = base64.b64decode(message["body"]).decode()
             if message["fields"]["thing"] not in self.called_functions:
                 raise Finding(f"function {message['fields']['thing']} was never asked for")
-            if any(held.message_id == message_id for held in link.held_requests):
+            if any(held.message_id == message_id for held in link.unanswered_requests):
                 raise Finding(f"two calls named {message_id} are open on one connection")
             attempt = self.checker.on_attempt_started(
                 now, key, self.number, first_byte_at_ms, handed_over_at_ms
             )
-            link.held_requests.append(HeldRequest(message_id, key, link, attempt, message["fields"]["thing"]))
+            link.unanswered_requests.append(
+                UnansweredRequest(message_id, key, link, attempt, message["fields"]["thing"])
+            )
         elif op == "CANCEL":
-            for held in list(link.held_requests):
+            for held in list(link.unanswered_requests):
                 if held.message_id == message_id and held.attempt is not None:
-                    link.held_requests.remove(held)
+                    link.unanswered_requests.remove(held)
                     self.checker.on_attempt_ended(held.attempt, True)
         elif op == "LOAD":
             self.checker.on_preload(now, self.number, message["fields"]["pods"], first_byte_at_ms)
-            link.held_requests.append(HeldRequest(message_id, "", link, None, message["fields"]["thing"]))
+            link.unanswered_requests.append(
+                UnansweredRequest(message_id, "", link, None, message["fields"]["thing"])
+            )
         elif op not in ("UNLOAD", "PING"):
             raise Finding(f"a worker was sent {op}")
 
-    def held_requests(self) -> list[HeldRequest]:
+    def unanswered_requests(self) -> list[UnansweredRequest]:
         """All that it holds, the oldest first."""
-        return [held for link in self.links for held in link.held_requests]
+        return [held for link in self.links for held in link.unanswered_requests]
 
-    def answer(self, held: HeldRequest, op: str, fields: dict[str, Any], *, twice: bool = False) -> None:
+    def answer(
+        self, held: UnansweredRequest, op: str, fields: dict[str, Any], *, twice: bool = False
+    ) -> None:
         """Send the answer to a call or a preload request, as one line."""
         message: dict[str, Any] = {"op": op, "id": held.message_id, "fields": fields}
         if op == "HIT" and held.attempt is not None:
             body = f"{held.call_key}@{self.number}".encode()
             self.checker.on_body_produced(held.call_key, body)
             message["body"] = base64.b64encode(body).decode()
-        held.link.held_requests.remove(held)
+        held.link.unanswered_requests.remove(held)
         if held.attempt is not None:
-            self.checker.on_attempt_ended(held.attempt, op not in NOT_EXECUTED_ANSWERS)
+            self.checker.on_attempt_ended(held.attempt, op not in NOT_EXECUTED_RESPONSES)
         held.link.transport.peer_send(json.dumps(message).encode() + b"\n")
         if twice:
             held.link.transport.peer_send(json.dumps(message).encode() + b"\n")
@@ -202,7 +208,7 @@
     def encode_interrupt(self, number: int) -> bytes:
         """Record that the client waits for a call no more, and return the bytes that say so."""
         self.checker.on_call_abandoned(self.loop.unix_ms(), self.pending_calls[number])
-        self.checker.on_client_gone(self.loop.unix_ms(), self.pending_calls[number])
+        self.checker.on_client_disconnected(self.loop.unix_ms(), self.pending_calls[number])
         return bytes(msgpack.packb([2, "interrupt", [number]]))
 
     def on_bytes(self, data: bytes) -> None:
@@ -234,12 +240,12 @@
         """Close the client's end and read on: each call still gets its answer, and no attempt begins."""
         self.is_write_closed = True
         for key in self.pending_calls.values():
-            self.checker.on_client_gone(self.loop.unix_ms(), key)
+            self.checker.on_client_disconnected(self.loop.unix_ms(), key)
         self.transport.peer_send_eof()
 
     def disconnect(self) -> None:
         """Reset the connection."""
         for key in self.pending_calls.values():
             self.checker.on_call_abandoned(self.loop.unix_ms(), key)
-            self.checker.on_client_gone(self.loop.unix_ms(), key)
+            self.checker.on_client_disconnected(self.loop.unix_ms(), key)
         self.transport.peer_reset()
--- a/cedarthread/testing/fuzzing/model_checking.py
+++ b/cedarthread/testing/fuzzing/model_checking.py
@@ -16,7 +16,7 @@
 
 MAX_STATES = 100_000
 STATES_PER_REPORT = 500
-RUN_OUT_EVERY = 3  # paths of a multiple of this length are played to the end, and those that end anyway
+DRAIN_EVERY = 3  # paths of a multiple of this length are played to the end, and those that end anyway
 
 Path = tuple[EventChoice, ...]
 
@@ -86,7 +86,7 @@
             continue
         seen.add(digest)
         exploration.state_count += 1
-        if violation is None and (not choices or len(path) % RUN_OUT_EVERY == 0):
+        if violation is None and (not choices or len(path) % DRAIN_EVERY == 0):
             exploration.path_count += 1
             violation = run_path(model, path, runs_to_end=True).violation
         if violation is not None:
--- a/cedarthread/testing/fuzzing/script_steps.py
+++ b/cedarthread/testing/fuzzing/script_steps.py
@@ -9,7 +9,7 @@
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.testing.fuzzing.endpoint_publisher import EndpointPublisher
 from cedarthread.testing.fuzzing.invoke_caller import InvokeCaller
-from cedarthread.testing.fuzzing.memory_peers import HeldRequest, MemoryClient, MemoryWorker
+from cedarthread.testing.fuzzing.memory_peers import MemoryClient, MemoryWorker, UnansweredRequest
 from cedarthread.testing.fuzzing.router_under_test import FUNCTIONS, MemoryPlatformConnection, RouterUnderTest
 from cedarthread.testing.fuzzing.script import CLIENT_COUNT, Step, burst_size
 from cedarthread.testing.fuzzing.target import FuzzedDataProvider
@@ -129,7 +129,7 @@
 
     def answer(self) -> None:
         """A worker answers a request that it holds, once or twice."""
-        if (held := self._pick_held_request()) is None:
+        if (held := self._pick_unanswered_request()) is None:
             return
         op = self.choices.pick(("HIT", "HIT", "HIT", "NONE", "SHED", "FAULT", "LATE"))
         if held.attempt is None:
@@ -144,14 +144,14 @@
     def answer_all(self) -> None:
         """The workers answer all that they hold."""
         for worker in self.workers:
-            for held in worker.held_requests():
+            for held in worker.unanswered_requests():
                 fields = {"pods": 1} if held.attempt is None else {"remark": "hit"}
                 if held.link.is_open:
                     worker.answer(held, "HIT", fields)
 
     def bad_answer(self) -> None:
         """A worker sends what is no answer, or a part of one."""
-        if (held := self._pick_held_request()) is None:
+        if (held := self._pick_unanswered_request()) is None:
             return
         message_id = held.message_id.encode()
         lines = (
@@ -191,8 +191,8 @@
                 worker.refuses_connections = worker.hangs_connections = False
                 worker.resume_reading()
 
-    def _pick_held_request(self) -> HeldRequest | None:
-        every = [held for worker in self.workers for held in worker.held_requests()]
+    def _pick_unanswered_request(self) -> UnansweredRequest | None:
+        every = [held for worker in self.workers for held in worker.unanswered_requests()]
         return self.choices.pick(every) if every else None
 
 
--- a/cedarthread/testing/invariants.py
+++ b/cedarthread/testing/invariants.py
@@ -47,7 +47,9 @@
     allows_hedging: bool = False
     answer_slack_ms: float = 58.0  # after the deadline: the default setting, and 50 ms for the sockets
     drain_slack_ms: float = 550.0  # after a list that says so, likewise
-    client_gone_slack_ms: float = 100.0  # after a client closed its connection or cancelled its request
+    client_disconnected_slack_ms: float = (
+        100.0  # after a client closed its connection or cancelled its request
+    )
     preload_window_ms: float = 0.0  # 0: preloads are not limited
     preload_allowance: float = 0.0  # preload requests in a window in any case
     preload_share: float = 0.0  # and for each call that was submitted in it
@@ -98,7 +100,7 @@
     answer_count: int = 0
     answered_at_ms: float = math.inf
     is_abandoned: bool = False
-    client_gone_at_ms: float = math.inf
+    client_disconnected_at_ms: float = math.inf
     produced_bodies: list[bytes] = field(default_factory=list)
 
 
@@ -146,10 +148,10 @@
         if (record := self._calls.get(call)) is not None:
             record.is_abandoned = True
 
-    def on_client_gone(self, at_ms: float, call: str) -> None:
+    def on_client_disconnected(self, at_ms: float, call: str) -> None:
         """Its client closed the connection, or its own end of it, or cancelled the request."""
         if (record := self._calls.get(call)) is not None:
-            record.client_gone_at_ms = min(record.client_gone_at_ms, at_ms)
+            record.client_disconnected_at_ms = min(record.client_disconnected_at_ms, at_ms)
 
     def on_answer(self, at_ms: float, call: str, result: str, body: bytes = b"") -> None:
         """A client got a final answer: served, refused or failed."""
@@ -219,8 +221,8 @@
         is_same_time = handed_over_at_ms == at_ms and record.answer_count > 0
         if handed_over_at_ms > record.answered_at_ms or is_same_time:
             self._report("attempts", at_ms, f"call {call} sent after its final answer")
-        late_ms = first_byte_at_ms - record.client_gone_at_ms
-        if first_byte_at_ms > record.client_gone_at_ms + self.limits.client_gone_slack_ms:
+        late_ms = first_byte_at_ms - record.client_disconnected_at_ms
+        if first_byte_at_ms > record.client_disconnected_at_ms + self.limits.client_disconnected_slack_ms:
             what = f"an attempt of {call} began {late_ms:.0f} ms after its client had gone"
             self._report("gone", at_ms, what)
         is_in_flight = any(attempt.is_in_flight for attempt in record.attempts)
--- a/cedarthread/transport/acceptor.py
+++ b/cedarthread/transport/acceptor.py
@@ -37,7 +37,7 @@
 
     EMPTY = "empty"
     MAY_HAVE_MORE = "more"
-    OUT_OF_DESCRIPTORS = "short"
+    DESCRIPTORS_EXHAUSTED = "short"
 
 
 def create_listener(host: str, port: int, backlog: int, *, reuse_port: bool = False) -> socket.socket:
@@ -88,7 +88,7 @@
         return int(self.listening_socket.getsockname()[1])
 
     def _on_readable(self) -> None:
-        if self._accept_batch() is BacklogState.OUT_OF_DESCRIPTORS:
+        if self._accept_batch() is BacklogState.DESCRIPTORS_EXHAUSTED:
             descriptor = self.listening_socket.fileno()
             self._loop.remove_reader(descriptor)
             self._resume_timer = self._loop.call_later(
@@ -109,7 +109,7 @@
                 continue
             except OSError as error:
                 is_exhausted = error.errno in EXHAUSTION_ERRNOS
-                backlog = BacklogState.OUT_OF_DESCRIPTORS if is_exhausted else BacklogState.EMPTY
+                backlog = BacklogState.DESCRIPTORS_EXHAUSTED if is_exhausted else BacklogState.EMPTY
                 break
             protocol = self.create_protocol()
             if protocol is None:
@@ -119,7 +119,7 @@
                 self._start_setup(connection, protocol)
         if rejected_count:
             log.warning(format_event("connection_limit_reached", listener=self.name, rejected=rejected_count))
-        if backlog is BacklogState.OUT_OF_DESCRIPTORS:
+        if backlog is BacklogState.DESCRIPTORS_EXHAUSTED:
             has_released = self.release_descriptor()
             log.warning(format_event("descriptors_exhausted", listener=self.name, released=has_released))
         return backlog
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -97,14 +97,14 @@
         function_id: int = 7,
         class_index: int = 0,
         after_ms: float = 0.0,
-        time_left_ms: float | None = None,
+        remaining_ms: float | None = None,
         **fields: Any,
     ) -> list[Action]:
         """A request with this much time left, or the deadline of its class."""
         self.last_request_id += 1
-        if time_left_ms is None:
-            time_left_ms = CLASSES[class_index].deadline_ms
-        deadline_ms = self.now + after_ms + time_left_ms
+        if remaining_ms is None:
+            remaining_ms = CLASSES[class_index].deadline_ms
+        deadline_ms = self.now + after_ms + remaining_ms
         request = RequestArrived(self.last_request_id, function_id, class_index, deadline_ms, **fields)
         return self.feed(request, after_ms)
 
--- a/tests/simulation/test_priority_fleet.py
+++ b/tests/simulation/test_priority_fleet.py
@@ -262,7 +262,7 @@
             (call, CallStage.QUEUED, queued_worker_id, 30.0 * position, 0.0)
             for position, call in enumerate(self.queue)
         ]
-        for call, stage, candidate_worker_id, time_to_free_ms, spent_work_ms in itertools.chain(
+        for call, stage, candidate_worker_id, time_to_free_ms, consumed_work_ms in itertools.chain(
             queued, self.running_candidates()
         ):
             request_class = CLASSES[call.class_index]
@@ -277,8 +277,8 @@
                 arrived_at_ms=call.arrived_at_ms,
                 worker_id=candidate_worker_id,
                 time_to_free_ms=time_to_free_ms,
-                deduplication_left_ms=request_class.deduplication_window_ms,
-                spent_work_ms=spent_work_ms,
+                deduplication_remaining_ms=request_class.deduplication_window_ms,
+                consumed_work_ms=consumed_work_ms,
                 is_client_retry=call.is_client_retry,
             )
 
--- a/tests/simulation/test_recovery_fleet.py
+++ b/tests/simulation/test_recovery_fleet.py
@@ -446,7 +446,7 @@
 
 
 def merge_without_age(
-    warm_state: WarmState, now: float, asked_at_ms: float, aged: AgedObservation, source: Source
+    warm_state: WarmState, now: float, requested_at_ms: float, aged: AgedObservation, source: Source
 ) -> bool:
     return MERGE_REMOTE(warm_state, now, now, dataclasses.replace(aged, age_ms=0.0), source)
 
--- a/tests/unit/test_policies.py
+++ b/tests/unit/test_policies.py
@@ -18,7 +18,7 @@
 from cedarthread.routing.preloading import PreloadPolicy
 from cedarthread.routing.records import PendingRequest
 from cedarthread.routing.request_table import QUEUE_CHECK_MS
-from cedarthread.routing.retries import HEDGE_AFTER_MULTIPLE, MIN_TIME_LEFT_MS, RetryPolicy
+from cedarthread.routing.retries import HEDGE_AFTER_MULTIPLE, MIN_REMAINING_MS, RetryPolicy
 from cedarthread.routing.router_state import RouterState
 from cedarthread.routing.selection import WorkerSelector
 from tests.helpers import CLASSES, LIMITS, settings, worker
@@ -54,8 +54,8 @@
     [
         (IDEMPOTENT, 2900.0, True),
         (NOT_IDEMPOTENT, 1.0, False),
-        (WITH_KEY, 2000.0 - MIN_TIME_LEFT_MS - 1.0, True),
-        (WITH_KEY, 2000.0 - MIN_TIME_LEFT_MS, False),
+        (WITH_KEY, 2000.0 - MIN_REMAINING_MS - 1.0, True),
+        (WITH_KEY, 2000.0 - MIN_REMAINING_MS, False),
     ],
 )
 def test_rule_2_bounds_attempts_after_one_that_may_have_executed(
@@ -88,7 +88,7 @@
     assert pending.next_attempt_cost == cost
     budget.tokens = 0.5
     assert policies.retries.should_retry(0.0, pending, outcome) is (cost == 0.0)
-    assert not policies.retries.should_retry(3000.0 - MIN_TIME_LEFT_MS, pending, outcome), "too late"
+    assert not policies.retries.should_retry(3000.0 - MIN_REMAINING_MS, pending, outcome), "too late"
     assert not policies.retries.should_retry(0.0, pending, Outcome.NOT_SENT)
 
 
@@ -184,7 +184,7 @@
     assert policies.admission.may_queue(latest_ms, pending)
     assert not policies.admission.may_queue(latest_ms + 1.0, pending)
     policies.attempt(pending, 1)
-    assert policies.admission.may_queue(3000.0 - MIN_TIME_LEFT_MS - QUEUE_CHECK_MS, pending)
+    assert policies.admission.may_queue(3000.0 - MIN_REMAINING_MS - QUEUE_CHECK_MS, pending)
 
 
 def test_a_request_without_the_time_for_it_is_shed() -> None:
--- a/tests/unit/test_priority.py
+++ b/tests/unit/test_priority.py
@@ -142,7 +142,7 @@
         arrived_at_ms=float(request_id),
         worker_id=1,
         time_to_free_ms=80.0,
-        spent_work_ms=20.0,
+        consumed_work_ms=20.0,
     )
     return replace(candidate, **changes)  # type: ignore[arg-type]
 
@@ -150,7 +150,7 @@
 CLAIM = PreemptionClaim(
     CallPriority(0, 0, 0, "mill", True),
     service_time_ms=100.0,
-    time_left_ms=300.0,
+    remaining_ms=300.0,
     expected_wait_ms=500.0,
     wait_by_worker_ms={1: 0.0, 2: 250.0},
 )
@@ -160,7 +160,7 @@
     max_retry_after_ms=2000.0,
     is_allowed=lambda candidate: True,
 )
-WITH_KEY = {"idempotency": Idempotency.WITH_KEY, "deduplication_left_ms": 2500.0}
+WITH_KEY = {"idempotency": Idempotency.WITH_KEY, "deduplication_remaining_ms": 2500.0}
 
 
 @pytest.mark.parametrize(
@@ -171,7 +171,7 @@
         ({"idempotency": Idempotency.NOT_IDEMPOTENT, "stage": CallStage.UNWRITTEN}, True),
         ({"idempotency": Idempotency.NOT_IDEMPOTENT, "stage": CallStage.QUEUED}, True),
         (WITH_KEY, True),
-        (WITH_KEY | {"deduplication_left_ms": 1900.0}, False),
+        (WITH_KEY | {"deduplication_remaining_ms": 1900.0}, False),
         (WITH_KEY | {"deduplication_scope": DeduplicationScope.ZONE}, False),
         ({"stage": CallStage.STREAMING}, False),
         ({"priority": CallPriority(0, 0, 0, "other", True)}, False),
@@ -181,8 +181,8 @@
         ({"worker_id": None}, False),
         ({"worker_id": 2}, False),
         ({"worker_id": 3}, False),
-        ({"spent_work_ms": 90.0}, False),
-        ({"spent_work_ms": 51.0, "time_to_free_ms": 99.0}, False),
+        ({"consumed_work_ms": 90.0}, False),
+        ({"consumed_work_ms": 51.0, "time_to_free_ms": 99.0}, False),
         ({"stage": CallStage.QUEUED, "time_to_free_ms": 250.0}, False),
     ],
 )
--- a/tests/unit/test_recovery.py
+++ b/tests/unit/test_recovery.py
@@ -131,12 +131,12 @@
     warm_state, now = empty_warm_state(), observed_at_ms
     warm_state.record_local(observed_at_ms, 1, FUNCTION, True)
     for _ in range(5):
-        asked_at_ms = now = now + rng.uniform(0.0, 300.0)
+        requested_at_ms = now = now + rng.uniform(0.0, 300.0)
         (aged,) = warm_state.digest(now)
         received = codec.decode(codec.encode(codec.Response(1, 0, 1, None, 0.0, (aged,))))
         assert isinstance(received, codec.Response)
         warm_state, now = empty_warm_state(), now + rng.uniform(0.0, 300.0)
-        warm_state.merge_remote(now, asked_at_ms, received.observations[0], Source.PEER)
+        warm_state.merge_remote(now, requested_at_ms, received.observations[0], Source.PEER)
         (instance,) = warm_state.warm_instances(now, FUNCTION).values()
         true_age_ms = now - observed_at_ms
         assert instance.warm_age_ms is not None
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -404,7 +404,7 @@
     for _ in range(5):
         drive.send_request()
         drive.end_attempt(drive.last_request_id, 1)
-    (answer,) = finals(drive.send_request(time_left_ms=30.0))
+    (answer,) = finals(drive.send_request(remaining_ms=30.0))
     assert isinstance(answer, RejectRequest)
 
 
@@ -585,7 +585,7 @@
 @pytest.mark.parametrize("klass", range(6))
 def test_a_deadline_already_past_gets_one_answer(klass: int) -> None:
     drive = RouterDriver(worker(1))
-    out = drive.send_request(class_index=klass, time_left_ms=-5.0)
+    out = drive.send_request(class_index=klass, remaining_ms=-5.0)
     assert len(finals(out)) == 1
     assert sends(out) == []
 
@@ -595,7 +595,7 @@
     for _ in range(3):
         drive.send_request()
         drive.end_attempt(drive.last_request_id, 1)
-    drive.send_request(time_left_ms=150.0)
+    drive.send_request(remaining_ms=150.0)
     drive.end_attempt(drive.last_request_id, 1, Outcome.TIMEOUT, after_ms=150.0, start_kind=StartKind.UNKNOWN)
     assert drive.router.workers[1].outlier_score == 0.0
 
@@ -612,7 +612,7 @@
     for outcome in (Outcome.OK, Outcome.OK, Outcome.OVERLOADED, Outcome.TIMEOUT):
         (at,) = sends(drive.send_request())
         drive.end_attempt(drive.last_request_id, at, outcome, after_ms=0.0)
-    assert len(finals(drive.send_request(time_left_ms=-1.0))) == 1
+    assert len(finals(drive.send_request(remaining_ms=-1.0))) == 1
 
 
 def broke(
@@ -674,7 +674,7 @@
 
 def test_a_request_never_sent_is_rejected_by_half_of_its_time() -> None:
     drive = RouterDriver(worker(1, EndpointState.DRAINING))
-    drive.send_request(time_left_ms=2000.0)
+    drive.send_request(remaining_ms=2000.0)
     began = drive.now
     (end,) = finals(drive.advance_to(began + 1000.0))
     assert isinstance(end, RejectRequest)
