--- a/tests/unit/test_call_table.py
+++ b/tests/unit/test_call_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 from collections.abc import Awaitable, Callable
 
 from cedarthread.dispatch.call_table import CallTable
@@ -122,3 +123,26 @@
     others = [counts for name, counts in figures.by_class.items() if name != call.class_name]
     assert others
     assert all(counts == dict.fromkeys(CLASS_FIGURES, 0) for counts in others)
+
+
+def test_a_forgotten_call_is_freed_without_the_garbage_collector() -> None:
+    """With its body it would wait for the next collection, thousands of calls later."""
+
+    def run_call(calls: CallTable) -> None:
+        call = make_call(1)
+        calls.add(call)
+        call.attempts.append(Attempt(call, 0, 1, 0.0, is_ended=True))
+        calls.release(call)
+        calls.forget_completed()
+
+    def count_calls() -> int:
+        return sum(isinstance(one, (Call, Attempt)) for one in gc.get_objects())
+
+    gc.collect()
+    gc.disable()
+    try:
+        before = count_calls()
+        run_call(CallTable())
+        assert count_calls() == before
+    finally:
+        gc.enable()
