--- a/cedarthread/dispatch/call_table.py
+++ b/cedarthread/dispatch/call_table.py
@@ -46,6 +46,6 @@
         for call in list(self.completing.values()):
             if all(attempt.is_ended for attempt in call.attempts):
                 del self.completing[call.request_id]
-                # Call and attempts refer to each other: without this, each call with its body would wait for the
-                # garbage collector, which comes once in thousands of calls.
+                # Call and attempts refer to each other: without this, each call with its body would wait
+                # for the garbage collector, which comes once in thousands of calls.
                 call.attempts.clear()
