Closed client connections are freed at once: test, and the same for the invoke API

The test fails with a strong reference back to the connection, and holds now. The invoke API's handler kept bound methods of its connection in the same way; it lets go of them when the connection closes.

--- a/cedarthread/protocols/invoke_connection.py
+++ b/cedarthread/protocols/invoke_connection.py
@@ -64,6 +64,7 @@
         """Unregister, and abandon what has nobody to answer to."""
         self.server.connections.pop(self, None)
         self.handler.abandon()
+        self.handler.detach()
 
     def refresh_client_state(self) -> None:
         """A caller that has closed its end is gone, however far the TLS layer has read."""
--- a/cedarthread/protocols/invoke_handler.py
+++ b/cedarthread/protocols/invoke_handler.py
@@ -29,6 +29,14 @@
     from cedarthread.protocols.invoke_server import InvokeServer
 
 
+def _ignore_response(_: Response) -> None:
+    pass
+
+
+def _do_nothing() -> None:
+    pass
+
+
 class InvokeHandler:
     """The request at work on one connection; ``respond`` gets its one response."""
 
@@ -61,6 +69,11 @@
         else:
             self.respond(problem_response(404, "nothing here"))
 
+    def detach(self) -> None:
+        """The connection is closed: refer to it no more, or it would wait for the garbage collector."""
+        self.respond = _ignore_response
+        self.refresh_client_state = _do_nothing
+
     def abandon(self) -> None:
         """The connection is gone: a synchronous call has nobody to answer to; a stored one goes on."""
         self._stop_waiting()
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -5,7 +5,9 @@
 import asyncio
 import base64
 import dataclasses
+import gc
 import socket
+import weakref
 from collections.abc import Coroutine
 from typing import Any
 
@@ -16,6 +18,7 @@
 from cedarthread.protocols.platform_calls import MAX_OPEN_CALLS
 from cedarthread.protocols.platform_codec import encode_answer
 from cedarthread.testing.fakes.scripted import (
+    TIMEOUT_S,
     ScriptedWorker,
     answer_with,
     client,
@@ -430,3 +433,32 @@
             assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
     run(test())
+
+
+@pytest.mark.parametrize("calls", [0, 2])
+def test_a_closed_connection_is_freed_without_the_garbage_collector(calls: int) -> None:
+    """On a day with little traffic the collector hardly runs, and each one would keep its buffer."""
+
+    async def test() -> None:
+        async with service(ScriptedWorker()) as running:
+            async with client(running) as caller:
+                for number in range(calls):
+                    assert (await caller.call(number, "check", b"x"))[2] is None
+                caller.writer.write(b"\x94\x00\x09\xa5check\x91\x80")
+                await caller.read()
+                (connection,) = running.platform.connections
+                remaining = weakref.ref(connection)
+                del connection
+            async with asyncio.timeout(TIMEOUT_S):
+                while running.platform.connections or running.platform.unproven_connections:
+                    await asyncio.sleep(0)
+            for _ in range(3):  # what the loop still holds of the close
+                await asyncio.sleep(0)
+            assert remaining() is None
+
+    gc.collect()
+    gc.disable()
+    try:
+        run(test())
+    finally:
+        gc.enable()
