--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -220,10 +220,6 @@
     self.lingering_close()
 
 
-def _forget_shutdown_deadline(self: Dispatcher, at: float) -> None:
-    self.shutdown_deadline_ms = None
-
-
 def _end_without_removal(self: WorkerConnections, request: Any, result: Any, outcome: Outcome) -> None:
     if isinstance(request, Attempt):
         self.dispatcher.attempt_ended(request, result(request))
