Discovery: failed queries are retried within the grace; drains of cut replies count

Cause: news of a drain depended on one datagram each 0.2 s (POLL_INTERVAL_S). Ruled out for this class: the parsers (cut replies were rejected, none was taken for whole), the restart (each start numbers its events anew).

Change: QueryTracker (pure) times queries by a smoothed round trip (RFC 6298) and retries for as long as the grace of the settings, then goes on at the regular pace; two usable replies confirm the list after a failure. A reply that can't be used as a whole still demotes the workers that it has as draining, or lacks where its answer section is whole and newer. After a move both servers are polled until the new one replies.

Tests changed: the idle router's fake discovery now replies (a server that never replies is retried at first), _outstanding_ids gave way to QueryTracker.on_sent, and the fuzz target's bound on recent queries is the program's own.

--- a/cedarthread/lifecycle/reload.py
+++ b/cedarthread/lifecycle/reload.py
@@ -63,6 +63,7 @@
         """Follow new settings and a new discovery address; the other addresses stay as they were."""
         state = self._state
         self._parts.workers.update_settings(self._parts.dispatcher.update_settings(loaded.settings))
+        self._parts.discovery.queries.update_drain_grace(loaded.settings.rules.drain_grace_ms / 1000.0)
         state.config = replace(
             state.config,
             settings=loaded.settings,
--- a/cedarthread/protocols/discovery.py
+++ b/cedarthread/protocols/discovery.py
@@ -4,107 +4,98 @@
 
 import asyncio
 import logging
-import math
 import random
-from collections import deque
 from collections.abc import Callable
 from typing import cast
 
 from cedarthread.logs import format_event
-from cedarthread.model.endpoints import EndpointState
 from cedarthread.protocols import dns
 from cedarthread.protocols.endpoint_list import EndpointRecord
+from cedarthread.protocols.endpoint_records import PartialList, endpoints_from_reply, partial_list
+from cedarthread.protocols.query_tracker import DEFAULT_DRAIN_GRACE_S, MAX_POLL_INTERVAL_S, QueryTracker
 from cedarthread.transport.descriptor_budget import EXHAUSTION_ERRNOS
 
 log = logging.getLogger(__name__)
 
 SERVICE_NAME = "_back._tcp.pool.lan"
-# A lost reply or two still leaves time within the 500 ms in which sending to a draining worker must stop.
-POLL_INTERVAL_S = 0.2
-MAX_OUTSTANDING_QUERIES = 16  # the latest queries whose replies are still accepted
+CONNECT_RETRY_S = MAX_POLL_INTERVAL_S
 QUERY_ID_BYTES = 2  # at the start of a message
 QUERY_IDS = 1 << 16
-SRV_WEIGHT_SCALE = 10  # SRV weights are whole numbers: tenths of an endpoint's weight
-
-
-def endpoints_from_reply(reply: dns.Reply) -> list[EndpointRecord] | str:
-    """The endpoints that a reply lists, or what is wrong with it."""
-    records: dict[str, EndpointRecord] = {}
-    for service in reply.srv_records:
-        record = _endpoint_from_records(service, reply)
-        if isinstance(record, str):
-            return record
-        if records.setdefault(record.name, record) != record:
-            return f"{record.name} is listed twice"
-    return list(records.values())
-
-
-def _endpoint_from_records(service: dns.SrvRecord, reply: dns.Reply) -> EndpointRecord | str:
-    name, _, rest = service.target.partition(".")
-    address, texts = reply.addresses.get(service.target), reply.texts.get(service.target)
-    if address is None or texts is None:
-        return f"no address or text for {service.target}"
-    try:
-        cell, started_at_ms = int(texts.get("cell", "0")), float(texts.get("started", "0"))
-    except ValueError:
-        return f"odd text for {service.target}"
-    if not math.isfinite(started_at_ms):  # NaN differs from itself: each reply would report a restart
-        return f"odd text for {service.target}"
-    state = EndpointState.READY if service.priority == 0 else EndpointState.DRAINING
-    zone, kind = rest.partition(".")[0], texts.get("kind", "")
-    weight = service.weight / SRV_WEIGHT_SCALE
-    return EndpointRecord(
-        name=name,
-        host=address,
-        port=service.port,
-        zone=zone,
-        kind=kind,
-        cell=cell,
-        state=state,
-        weight=weight,
-        started_at_ms=started_at_ms,
-    )
-
-
-def _log_rejected_response(reason: str) -> None:
-    if log.isEnabledFor(logging.INFO):
-        log.info(format_event("discovery_response_rejected", reason=reason))
-
-
-class DiscoveryClient(asyncio.DatagramProtocol):
+
+
+class DiscoverySocket(asyncio.DatagramProtocol):
+    """The socket to one discovery server."""
+
+    def __init__(self, client: DiscoveryClient) -> None:
+        self._client = client
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The socket is open (asyncio)."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+        self._client.connection_made(self._transport)
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        """A reply, perhaps late, perhaps a duplicate (asyncio)."""
+        if self._client.datagram_received(data, addr):
+            self._client.on_usable_socket(self._transport)
+
+    def error_received(self, exc: Exception) -> None:
+        """Nobody listens there (asyncio)."""
+        self._client.error_received(exc)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The socket is closed (asyncio); with an error, it was not closed here."""
+        if exc is not None:
+            self._client.on_socket_lost(self._transport, exc)
+
+
+class DiscoveryClient:
     """Polls, and reports the serial and the endpoints of each newer usable reply.
 
     ``on_update`` gets both; ``on_poll`` is called with each query, when the process is awake anyway;
-    ``release_descriptor`` frees a descriptor where none is left, and says whether it has."""
+    ``release_descriptor`` frees a descriptor where none is left, and says whether it has;
+    ``on_partial_list`` gets what an unusable reply still tells of drains; ``on_fresh`` is called when a reply
+    shows that the list is up to date."""
 
     def __init__(
         self,
         on_update: Callable[[int, list[EndpointRecord]], None],
         on_poll: Callable[[], None] = lambda: None,
         release_descriptor: Callable[[], bool] = lambda: False,
+        *,
+        on_partial_list: Callable[[PartialList], bool] | None = None,
+        on_fresh: Callable[[], None] = lambda: None,
+        drain_grace_s: float = DEFAULT_DRAIN_GRACE_S,
     ) -> None:
         self.on_update, self.on_poll = on_update, on_poll
         self.release_descriptor = release_descriptor
+        self.on_partial_list, self.on_fresh = on_partial_list, on_fresh
         self.last_serial = -1
         self.last_usable_reply_at = 0.0  # loop time in seconds
+        self._random = random.SystemRandom()
+        self.queries = QueryTracker(lambda: self._random.random(), drain_grace_s)
         self._address: tuple[str, int] | None = None  # the one to poll
         self._connect_task: asyncio.Task[None] | None = None
-        self._outstanding_ids: deque[int] = deque(maxlen=MAX_OUTSTANDING_QUERIES)
         self._empty_reply_id: int | None = None  # the query whose reply, newer than the last list, was empty
         self._last_payload = b""  # a reply of the last serial, without its query id
+        self._has_demotions = False  # the list has changed by a partial one since the last update
         self._transport: asyncio.DatagramTransport | None = None
+        # The one before it, after a move: polled too until the new server replies.
+        self._previous_transport: asyncio.DatagramTransport | None = None
+        self._has_transport_replied = False
         self._timer: asyncio.TimerHandle | None = None
-        self._random = random.SystemRandom()
         self._loop = asyncio.get_running_loop()
 
     async def connect(self, host: str, port: int) -> None:
         """Poll at this address: serials go on, and the last list stays until a newer one comes."""
-        await self._loop.create_datagram_endpoint(lambda: self, remote_addr=(host, port))
+        await self._loop.create_datagram_endpoint(lambda: DiscoverySocket(self), remote_addr=(host, port))
 
     def start_polling(self, host: str, port: int) -> None:
-        """Poll at this address as soon as it can be reached; the one before is polled until then.
+        """Poll at this address as soon as it can be reached, and at the one before until this one replies.
 
-        So neither the start of the process nor a reload waits for discovery, or fails by it."""
+        So neither the start of the process nor a reload waits for discovery, or fails by it, and no reply
+        that is under way is lost."""
         self._cancel_connecting()
         self._address = (host, port)
         self._connect_task = self._loop.create_task(self._connect_until_up(host, port))
@@ -120,7 +111,7 @@
                     log.error(format_event("discovery_connect_failed", address=f"{host}:{port}", error=error))
                 is_logged = True
                 has_released = error.errno in EXHAUSTION_ERRNOS and self.release_descriptor()
-            await asyncio.sleep(0.0 if has_released else POLL_INTERVAL_S)
+            await asyncio.sleep(0.0 if has_released else CONNECT_RETRY_S)
 
     def _cancel_connecting(self) -> None:
         if self._connect_task is not None:
@@ -128,75 +119,137 @@
             self._connect_task = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """The socket is open (asyncio): it replaces an older one, whose replies are not accepted any more."""
-        self._close_socket()
-        self._outstanding_ids.clear()
-        self._transport = cast(asyncio.DatagramTransport, transport)
+        """A socket is open: it takes the place of an older one, which is kept until this one has replied."""
+        if self._has_transport_replied:
+            _close(self._previous_transport)
+            self._previous_transport = self._transport
+        else:  # it never replied: the one before it is worth more
+            _close(self._transport)
+        self._transport, self._has_transport_replied = cast(asyncio.DatagramTransport, transport), False
+        self.queries.restart_retries(self._loop.time())
         self._poll()
 
+    def on_usable_socket(self, transport: asyncio.DatagramTransport | None) -> None:
+        """A usable reply came from this socket."""
+        if transport is not None and transport is self._transport and not self._has_transport_replied:
+            self._has_transport_replied = True
+            _close(self._previous_transport)
+            self._previous_transport = None
+
+    def poll_now(self) -> None:
+        """Query at once, as after a stall of this process."""
+        if self._transport is not None:
+            self._poll()
+
     def _poll(self) -> None:
         assert self._transport is not None
-        self._timer = self._loop.call_later(
-            POLL_INTERVAL_S, self._poll
-        )  # first: whatever fails here, it goes on
-        query_id = self._random.randrange(QUERY_IDS)
-        self._outstanding_ids.append(query_id)
-        self._transport.sendto(dns.encode_query(query_id, SERVICE_NAME))
+        now_s, query_id = self._loop.time(), self._random.randrange(QUERY_IDS)
+        self.queries.on_sent(query_id, now_s)
+        self._schedule_poll()  # first: whatever fails here, it goes on
+        query = dns.encode_query(query_id, SERVICE_NAME)
+        self._transport.sendto(query)
+        if self._previous_transport is not None:
+            self._previous_transport.sendto(query)
         self.on_poll()
 
-    def datagram_received(self, data: bytes, addr: object) -> None:
-        """A reply, perhaps late, perhaps a duplicate (asyncio)."""
+    def _schedule_poll(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_at(self.queries.next_query_at_s(), self._poll)
+
+    def datagram_received(self, data: bytes, addr: object) -> bool:
+        """A reply, perhaps late, perhaps a duplicate; whether it shows that the list is up to date."""
+        query_id = int.from_bytes(data[:QUERY_ID_BYTES], "big")
+        if not self.queries.accepts(query_id):
+            return False
         # Most replies repeat the last one: with many workers, parsing each took half of an idle router's CPU.
-        if self._last_payload and data[QUERY_ID_BYTES:] == self._last_payload:
-            if int.from_bytes(data[:QUERY_ID_BYTES], "big") in self._outstanding_ids:
-                self.last_usable_reply_at, self._empty_reply_id = self._loop.time(), None
-            return
-        reply = dns.parse(data)
-        if isinstance(reply, dns.UnusableReply):
-            _log_rejected_response(reply.reason)
-        elif reply.query_id in self._outstanding_ids and reply.serial is not None:
-            self.last_usable_reply_at = self._loop.time()
-            self._handle_reply(reply, reply.serial, data[QUERY_ID_BYTES:])
-
-    def _handle_reply(self, reply: dns.Reply, serial: int, payload: bytes) -> None:
-        if serial <= self.last_serial:
-            self._last_payload = payload if serial == self.last_serial else self._last_payload
+        is_known = bool(self._last_payload) and data[QUERY_ID_BYTES:] == self._last_payload
+        if is_known and not self._has_demotions:
             self._empty_reply_id = None
-            return
+            self._on_usable_reply(query_id)
+            return True
+        is_usable = self._handle_reply(dns.parse(data), data[QUERY_ID_BYTES:])
+        if is_usable:
+            self._on_usable_reply(query_id)
+        elif self._transport is not None:
+            self.queries.on_unusable_reply(self._loop.time())
+            self._schedule_poll()
+        return is_usable
+
+    def _on_usable_reply(self, query_id: int) -> None:
+        self.last_usable_reply_at = now_s = self._loop.time()
+        self.queries.on_usable_reply(query_id, now_s)
+        if self._transport is not None:
+            self._schedule_poll()
+        self.on_fresh()
+
+    def _handle_reply(self, reply: dns.Reply | dns.UnusableReply, payload: bytes) -> bool:
+        """Take a reply to one of the queries; whether it shows that the list is up to date."""
+        if isinstance(reply, dns.UnusableReply):
+            self._reject(reply)
+            return False
+        if reply.serial is None:
+            self._reject(dns.UnusableReply("no serial"))
+            return False
+        if reply.serial < self.last_serial:
+            self._reject(dns.UnusableReply("an old serial"))
+            return False
+        if reply.serial == self.last_serial and not self._has_demotions:
+            self._last_payload, self._empty_reply_id = payload, None
+            return True
+        return self._take_list(reply, reply.serial, payload)
+
+    def _take_list(self, reply: dns.Reply, serial: int, payload: bytes) -> bool:
         records = endpoints_from_reply(reply)
         if isinstance(records, str):
-            _log_rejected_response(records)
-            return
+            self._reject(dns.UnusableReply(records, reply, is_answer_complete=True))
+            return False
         if not records and self._empty_reply_id in (None, reply.query_id):
-            # A corrupted reply must not remove every worker: a second query has to confirm it. That takes one
-            # ``POLL_INTERVAL_S``, well within the time in which sending to a draining worker must stop.
+            # A corrupted reply must not remove every worker: a second query, which follows soon, has to
+            # confirm it.
             log.warning(format_event("discovery_response_empty", serial=serial))
             self._empty_reply_id = reply.query_id
-            return
-        self._empty_reply_id = None
+            return False
+        self._empty_reply_id, self._has_demotions = None, False
         self.last_serial, self._last_payload = serial, payload
         self.on_update(serial, records)
+        return True
+
+    def _reject(self, reply: dns.UnusableReply) -> None:
+        if log.isEnabledFor(logging.INFO):
+            log.info(format_event("discovery_response_rejected", reason=reply.reason))
+        if reply.partial is not None and self.on_partial_list is not None:
+            partial = partial_list(
+                reply.partial, self.last_serial, is_answer_complete=reply.is_answer_complete
+            )
+            self._has_demotions |= self.on_partial_list(partial)
 
     def error_received(self, exc: Exception) -> None:
-        """Nobody listens there (asyncio): the next query tries again."""
+        """Nobody listens there: the next query tries again."""
         if log.isEnabledFor(logging.DEBUG):
             log.debug(format_event("discovery_unreachable", error=exc))
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        """The socket is closed (asyncio); with an error, it was not closed here, and is replaced."""
-        if exc is not None and self._address is not None:
-            log.warning(format_event("discovery_socket_lost", error=exc))
-            self._close_socket()
+    def on_socket_lost(self, transport: asyncio.DatagramTransport | None, exc: Exception) -> None:
+        """A socket was closed, not by this client: the one in use is replaced."""
+        log.warning(format_event("discovery_socket_lost", error=exc))
+        if transport is self._previous_transport:
+            self._previous_transport = None
+        elif transport is self._transport and self._address is not None:
+            self._transport, self._previous_transport = self._previous_transport, None
+            if self._transport is None and self._timer is not None:
+                self._timer.cancel()
             self.start_polling(*self._address)
 
     def stop(self) -> None:
         """Poll no more."""
         self._cancel_connecting()
         self._address = None
-        self._close_socket()
-
-    def _close_socket(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        if self._transport is not None:
-            self._transport.close()
+        _close(self._transport)
+        _close(self._previous_transport)
+
+
+def _close(transport: asyncio.DatagramTransport | None) -> None:
+    if transport is not None:
+        transport.close()
--- a/cedarthread/protocols/dns.py
+++ b/cedarthread/protocols/dns.py
@@ -47,9 +47,18 @@
 
 @dataclass(frozen=True, slots=True)
 class UnusableReply:
-    """A reply that tells nothing, and why."""
+    """A reply that can't be used as a whole, and why."""
 
     reason: str
+    partial: Reply | None = None  # the records before the fault, where there are any
+    is_answer_complete: bool = False  # these have the whole answer section
+
+
+@dataclass(slots=True)
+class _Progress:
+    """How far the parsing of a reply has come."""
+
+    is_answer_complete: bool = False
 
 
 class _MalformedError(Exception):
@@ -66,26 +75,36 @@
 def parse(data: bytes) -> Reply | UnusableReply:
     """The reply, if it is complete and not an error."""
     try:
-        return _parse_reply(data)
-    except (_MalformedError, struct.error, IndexError, UnicodeDecodeError) as error:
+        query_id, flags, question_count, *record_counts = _HEADER.unpack_from(data)
+    except struct.error as error:
         return UnusableReply(f"malformed: {error}")
-
-
-def _parse_reply(data: bytes) -> Reply | UnusableReply:
-    query_id, flags, question_count, *record_counts = _HEADER.unpack_from(data)
     if not flags & _FLAG_RESPONSE:
         return UnusableReply("no response")
-    if flags & _FLAG_TRUNCATED:
-        return UnusableReply("truncated")  # workers that it lacks are not removed
     if flags & _RESPONSE_CODE_MASK:
         return UnusableReply(f"code {flags & _RESPONSE_CODE_MASK}")
-    reply, offset = Reply(query_id), _HEADER.size
+    reply, progress = Reply(query_id), _Progress()
+    try:
+        _parse_sections(data, question_count, record_counts, reply, progress)
+    except (_MalformedError, struct.error, IndexError, UnicodeDecodeError) as error:
+        return UnusableReply(f"malformed: {error}", reply, progress.is_answer_complete)
+    if flags & _FLAG_TRUNCATED:
+        return UnusableReply("truncated", reply)  # workers that it lacks are not removed
+    return reply
+
+
+def _parse_sections(
+    data: bytes, question_count: int, record_counts: list[int], reply: Reply, progress: _Progress
+) -> None:
+    offset = _HEADER.size
     for _ in range(question_count):
         _, offset = _parse_name(data, offset)
         offset += _QUESTION_TAIL_BYTES
-    for _ in range(sum(record_counts)):
+    answer_count, *other_counts = record_counts
+    for _ in range(answer_count):
+        offset = _parse_record(data, offset, reply)
+    progress.is_answer_complete = True
+    for _ in range(sum(other_counts)):
         offset = _parse_record(data, offset, reply)
-    return reply
 
 
 def _parse_name(data: bytes, offset: int) -> tuple[str, int]:
--- a/cedarthread/protocols/endpoint_list.py
+++ b/cedarthread/protocols/endpoint_list.py
@@ -6,6 +6,7 @@
 import math
 import re
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -78,6 +79,7 @@
         self.settings = settings
         self.version = -1
         self.records: dict[str, EndpointRecord] = {}  # by name
+        self._has_demotions = False  # the last version has to be applied again
 
     def apply_update(
         self, version: int, records: list[EndpointRecord], is_snapshot: bool
@@ -85,10 +87,10 @@
         """Apply a reported list, of all workers or of those that changed.
 
         Returns the event for the dispatcher, None if the version is not newer."""
-        if version <= self.version:
+        if version < self.version or (version == self.version and not self._has_demotions):
             return None  # the reply was overtaken by a later one
         is_first = self.version < 0
-        self.version = version
+        self.version, self._has_demotions = version, False
         before = self.by_worker_id()
         if is_snapshot:
             names = {record.name for record in records}
@@ -105,6 +107,22 @@
         kind = EndpointUpdateKind.CACHED if is_first else EndpointUpdateKind.DELTA
         return EndpointUpdate(kind, version, tuple(self._to_endpoint(record) for record in changed))
 
+    def demote(self, is_demoted: Callable[[str], bool]) -> EndpointUpdate | None:
+        """List the ready workers of these names as draining, until the next complete list.
+
+        Returns the event for the dispatcher, None if there are none."""
+        demoted = [
+            replace(record, state=EndpointState.DRAINING)
+            for record in self.records.values()
+            if record.state is EndpointState.READY and is_demoted(record.name)
+        ]
+        if not demoted:
+            return None
+        self._has_demotions = True
+        self.records |= {record.name: record for record in demoted}
+        endpoints = tuple(self._to_endpoint(record) for record in demoted)
+        return EndpointUpdate(EndpointUpdateKind.DELTA, self.version, endpoints)
+
     def by_worker_id(self) -> dict[int, EndpointRecord]:
         """The workers by id. Of two names with one id the first listed counts."""
         records: dict[int, EndpointRecord] = {}
--- /dev/null
+++ b/cedarthread/protocols/endpoint_records.py
@@ -0,0 +1,75 @@
+"""The endpoints that a DNS reply of discovery lists."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from cedarthread.model.endpoints import EndpointState
+from cedarthread.protocols import dns
+from cedarthread.protocols.endpoint_list import EndpointRecord
+
+SRV_WEIGHT_SCALE = 10  # SRV weights are whole numbers: tenths of an endpoint's weight
+READY_PRIORITY = 0  # of an SRV record; any other one stands for a drain
+
+
+@dataclass(frozen=True, slots=True)
+class PartialList:
+    """What a reply that can't be used as a whole still tells: who must get no more calls."""
+
+    draining_names: frozenset[str]
+    listed_names: frozenset[str] | None  # all that it lists; None where some may be cut off
+
+
+def endpoints_from_reply(reply: dns.Reply) -> list[EndpointRecord] | str:
+    """The endpoints that a reply lists, or what is wrong with it."""
+    records: dict[str, EndpointRecord] = {}
+    for service in reply.srv_records:
+        record = _endpoint_from_records(service, reply)
+        if isinstance(record, str):
+            return record
+        if records.setdefault(record.name, record) != record:
+            return f"{record.name} is listed twice"
+    return list(records.values())
+
+
+def partial_list(reply: dns.Reply, last_serial: int, *, is_answer_complete: bool) -> PartialList:
+    """What the service records of a reply tell, though others are missing or wrong.
+
+    That a worker is not listed counts only where the reply is newer than the list with ``last_serial``."""
+    draining = [service for service in reply.srv_records if service.priority != READY_PRIORITY]
+    listed = frozenset(map(_name_of, reply.srv_records))
+    is_newer = reply.serial is not None and reply.serial > last_serial
+    is_complete = is_newer and is_answer_complete and bool(listed)
+    return PartialList(frozenset(map(_name_of, draining)), listed if is_complete else None)
+
+
+def _name_of(service: dns.SrvRecord) -> str:
+    return service.target.partition(".")[0]
+
+
+def _endpoint_from_records(service: dns.SrvRecord, reply: dns.Reply) -> EndpointRecord | str:
+    name, _, rest = service.target.partition(".")
+    address, texts = reply.addresses.get(service.target), reply.texts.get(service.target)
+    if address is None or texts is None:
+        return f"no address or text for {service.target}"
+    try:
+        cell, started_at_ms = int(texts.get("cell", "0")), float(texts.get("started", "0"))
+    except ValueError:
+        return f"odd text for {service.target}"
+    if not math.isfinite(started_at_ms):  # NaN differs from itself: each reply would report a restart
+        return f"odd text for {service.target}"
+    state = EndpointState.READY if service.priority == READY_PRIORITY else EndpointState.DRAINING
+    zone, kind = rest.partition(".")[0], texts.get("kind", "")
+    weight = service.weight / SRV_WEIGHT_SCALE
+    return EndpointRecord(
+        name=name,
+        host=address,
+        port=service.port,
+        zone=zone,
+        kind=kind,
+        cell=cell,
+        state=state,
+        weight=weight,
+        started_at_ms=started_at_ms,
+    )
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -21,9 +21,11 @@
 from cedarthread.lifecycle.state import ServiceParts, ServiceState
 from cedarthread.lifecycle.status import StatusReport
 from cedarthread.logs import format_event
+from cedarthread.model.endpoints import EndpointUpdate
 from cedarthread.protocols.control import ControlServer
 from cedarthread.protocols.discovery import DiscoveryClient
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
+from cedarthread.protocols.endpoint_records import PartialList
 from cedarthread.protocols.platform_server import PlatformServer
 from cedarthread.protocols.workers import WorkerConnections
 from cedarthread.transport import descriptor_budget
@@ -113,6 +115,8 @@
             lambda serial, records: self.update_endpoints(serial, records, is_complete=True),
             self.maintenance.on_discovery_poll,
             self.workers.release_descriptor,
+            on_partial_list=self.apply_partial_list,
+            drain_grace_s=config.settings.rules.drain_grace_ms / 1000.0,
         )
         self.status = StatusReport(
             self.dispatcher, self.endpoint_list, self.state, has_fleet=fleet_file is not None
@@ -172,8 +176,25 @@
         if event is not None:
             changed, listed = len(event.endpoints), len(self.endpoint_list.records)
             log.info(format_event("endpoints_updated", serial=serial, changed=changed, listed=listed))
-            self.workers.update_endpoints(self.endpoint_list.by_worker_id())
-            self.dispatcher.endpoints_changed(event)
+            self._apply_endpoint_update(event)
+
+    def apply_partial_list(self, partial: PartialList) -> bool:
+        """Send no more to workers that an otherwise unusable list has as draining, or lacks.
+
+        Returns whether there are any."""
+        listed = partial.listed_names
+        event = self.endpoint_list.demote(
+            lambda name: name in partial.draining_names or (listed is not None and name not in listed)
+        )
+        if event is None:
+            return False
+        log.info(format_event("endpoints_demoted", serial=event.version, demoted=len(event.endpoints)))
+        self._apply_endpoint_update(event)
+        return True
+
+    def _apply_endpoint_update(self, event: EndpointUpdate) -> None:
+        self.workers.update_endpoints(self.endpoint_list.by_worker_id())
+        self.dispatcher.endpoints_changed(event)
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then complete all that was accepted. SIGHUP reloads."""
--- a/cedarthread/testing/fuzzing/discovery_target.py
+++ b/cedarthread/testing/fuzzing/discovery_target.py
@@ -9,6 +9,7 @@
 
 from cedarthread.protocols.discovery import DiscoveryClient
 from cedarthread.protocols.endpoint_list import EndpointRecord
+from cedarthread.protocols.query_tracker import MAX_OUTSTANDING_QUERIES
 from cedarthread.testing.fuzzing.dns_target import AUTHORITATIVE_ANSWER, generate_reply, pack_reply
 from cedarthread.testing.fuzzing.finding import require
 from cedarthread.testing.fuzzing.mutation import mutate_bytes
@@ -17,7 +18,6 @@
 from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop, run_virtual
 
 TRUNCATED = 0x0200  # the flag TC
-RECENT_QUERIES = 16  # whose replies the client may still take
 REPLIED_QUERIES = 3  # the latest, of which one is replied to
 
 
@@ -91,7 +91,7 @@
                 case 2:
                     foreign_id = (reply.query_id + 1 + choices.consume_byte()) % 2**16
                     client.datagram_received(struct.pack(">H", foreign_id) + data[2:], None)
-                    is_recent = foreign_id in query_ids[-RECENT_QUERIES:]
+                    is_recent = foreign_id in query_ids[-MAX_OUTSTANDING_QUERIES:]
                     unchanged = len(updates) == count
                     require(is_recent or unchanged, "a reply to nothing that was asked was taken")
                 case 3 if earlier:
--- a/cedarthread/testing/fuzzing/dns_target.py
+++ b/cedarthread/testing/fuzzing/dns_target.py
@@ -7,7 +7,9 @@
 import struct
 from collections.abc import Sequence
 
-from cedarthread.protocols import discovery, dns
+from cedarthread.protocols import dns
+from cedarthread.protocols.discovery import SERVICE_NAME
+from cedarthread.protocols.endpoint_records import endpoints_from_reply
 from cedarthread.testing.fuzzing.finding import require
 from cedarthread.testing.fuzzing.mutation import EDGE_STRINGS
 from cedarthread.testing.fuzzing.resource_meter import Budget
@@ -58,7 +60,7 @@
     writer = _ReplyWriter(reply.query_id, flags)
     for service in reply.srv_records:
         data = struct.pack(">3H", service.priority, service.weight, service.port)
-        writer.record(discovery.SERVICE_NAME, dns.TYPE_SRV, data, service.target)
+        writer.record(SERVICE_NAME, dns.TYPE_SRV, data, service.target)
     for owner, address in reply.addresses.items():
         writer.record(owner, dns.TYPE_A, bytes(int(number) for number in address.split(".")))
     for owner, pairs in reply.texts.items():
@@ -135,7 +137,7 @@
                 require(reread.srv_records == reply.srv_records, "read another list from what it had read")
 
     def _check_endpoints(self, reply: dns.Reply) -> None:
-        records = discovery.endpoints_from_reply(reply)
+        records = endpoints_from_reply(reply)
         if isinstance(records, str):
             return
         for record in records:
--- a/cedarthread/testing/fuzzing/injected_defects.py
+++ b/cedarthread/testing/fuzzing/injected_defects.py
@@ -28,7 +28,16 @@
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.model.outcomes import Outcome
 from cedarthread.model.settings import Idempotency, RouterSettings
-from cedarthread.protocols import discovery, dns, endpoint_list, http, msgpack, spiffe, worker_connection
+from cedarthread.protocols import (
+    discovery,
+    dns,
+    endpoint_list,
+    endpoint_records,
+    http,
+    msgpack,
+    spiffe,
+    worker_connection,
+)
 from cedarthread.protocols.invoke_calls import InvokeCalls
 from cedarthread.protocols.platform_calls import PlatformCalls
 from cedarthread.protocols.platform_connection import PlatformConnection
@@ -200,7 +209,7 @@
 def _accept_any_reply(self: discovery.DiscoveryClient, data: bytes, addr: object) -> None:
     reply = dns.parse(data)
     if isinstance(reply, dns.Reply) and reply.serial is not None:
-        records = discovery.endpoints_from_reply(reply)
+        records = endpoint_records.endpoints_from_reply(reply)
         if not isinstance(records, str):
             self.on_update(reply.serial, records)
 
--- a/tests/golden_samples.py
+++ b/tests/golden_samples.py
@@ -79,6 +79,7 @@
 from cedarthread.protocols import discovery as protocols_discovery
 from cedarthread.protocols import dns, http, msgpack
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
+from cedarthread.protocols.endpoint_records import endpoints_from_reply
 from cedarthread.protocols.invoke_config import InvokeConfig
 from cedarthread.protocols.invoke_config import parse as parse_invoke
 from cedarthread.protocols.invoke_requests import parse_call_request, worker_idempotency_key
@@ -700,7 +701,7 @@
         reply = dns.parse(raw)
         if isinstance(reply, dns.UnusableReply):
             return reply.reason
-        return [plain(reply), plain(protocols_discovery.endpoints_from_reply(reply))]
+        return [plain(reply), plain(endpoints_from_reply(reply))]
 
     whole: bytes = resolver_side.encode_reply(query, 41, listed, "room-a")
     return [
--- a/tests/integration/test_cluster.py
+++ b/tests/integration/test_cluster.py
@@ -22,7 +22,8 @@
 from cedarthread.model.actions import SetTimer
 from cedarthread.model.events import Event, TimerFired
 from cedarthread.protocols import dns
-from cedarthread.protocols.discovery import SERVICE_NAME, DiscoveryClient, endpoints_from_reply
+from cedarthread.protocols.discovery import SERVICE_NAME, DiscoveryClient
+from cedarthread.protocols.endpoint_records import endpoints_from_reply
 from cedarthread.service import Service
 from cedarthread.settings_parser import settings_from_object
 from cedarthread.testing.cluster import cli
@@ -333,7 +334,8 @@
             SimpleNamespace(parse=counting_parse, UnusableReply=dns.UnusableReply),
         )
         runners = (ListedWorker("s-00000001", 4001),)
-        client._outstanding_ids.extend((1, 2, 3, 4))
+        for query_id in (1, 2, 3, 4):
+            client.queries.on_sent(query_id, 0.0)
         for number, serial in ((1, 5), (2, 5), (3, 5), (9, 5), (4, 6)):
             client.last_usable_reply_at = 0.0
             client.datagram_received(
@@ -357,7 +359,13 @@
         settings = settings_from_object(SETTINGS | {"balancers": 24, "limits": limits})
         service = Service(Config("n0", "127.0.0.1", 0, 7, 1024, 192 * 2**20, None, settings, ()))
         service.dispatcher.peer_message_received(3, b"\xc2")
-        service.discovery.connection_made(SimpleNamespace(sendto=lambda data: None, close=lambda: None))  # type: ignore[arg-type]
+        worker = ListedWorker("s-00000001", 4001)
+
+        def reply_to(query: bytes) -> None:
+            reply = encode_reply(query, 5, (worker,), "room-a")
+            loop.call_soon(service.discovery.datagram_received, reply, None)
+
+        service.discovery.connection_made(SimpleNamespace(sendto=reply_to, close=lambda: None))  # type: ignore[arg-type]
         await asyncio.sleep(0.07)
         service.maintenance.sweep()
         select, ticks = loop.select, list[float]()
--- a/tests/integration/test_descriptor_budget.py
+++ b/tests/integration/test_descriptor_budget.py
@@ -22,7 +22,7 @@
 import pytest
 
 from cedarthread.dispatch.calls import CallSucceeded
-from cedarthread.protocols.discovery import POLL_INTERVAL_S, DiscoveryClient
+from cedarthread.protocols.discovery import CONNECT_RETRY_S, DiscoveryClient
 from cedarthread.protocols.platform_codec import encode_answer
 from cedarthread.testing.fakes.discovery_server import FakeDiscoveryServer, ListedWorker
 from cedarthread.testing.fakes.scripted import (
@@ -645,7 +645,7 @@
         await new.wait_for_poll()
         assert tries == 3
         assert room == 1
-        assert loop.time() - began > 0.9 * POLL_INTERVAL_S
+        assert loop.time() - began > 0.9 * CONNECT_RETRY_S
         resolver.stop()
         old.server.stop()
         new.server.stop()
--- a/tests/integration/test_drain_notification.py
+++ b/tests/integration/test_drain_notification.py
@@ -221,8 +221,11 @@
     "script",
     [
         [lost] * 5,
+        [cut] * 5,
+        [lost, server_failure, cut, lost, server_failure, lost],
+        [lost, old, cut, lost, server_failure],
     ],
-    ids=["lost"],
+    ids=["lost", "cut short", "mixed", "old between"],
 )
 def test_a_drain_is_followed_though_several_replies_in_a_row_are_of_no_use(
     tmp_path: Path, script: list[Reply]
--- a/tests/integration/test_worker_connections.py
+++ b/tests/integration/test_worker_connections.py
@@ -217,7 +217,7 @@
         told: list[int] = []
         resolver = DiscoveryClient(lambda serial, found: told.append(serial))
         resolver.datagram_received(reply(serial=8), None)  # nobody asked with this number
-        resolver._outstanding_ids.append(7)
+        resolver.queries.on_sent(7, 0.0)
         for serial in (9, 8, 9, 10):
             resolver.datagram_received(reply(serial=serial), None)
         resolver.datagram_received(reply(0x8600, serial=11), None)
--- a/tests/unit/test_parsers.py
+++ b/tests/unit/test_parsers.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from cedarthread.protocols import dns, http, msgpack
-from cedarthread.protocols.discovery import endpoints_from_reply
+from cedarthread.protocols.endpoint_records import endpoints_from_reply
 from cedarthread.protocols.worker_codec import parse_call_response
 from cedarthread.testing.fakes.scripted import pack_call
 from cedarthread.transport.connection import BufferedConnection
