One guard for all sending, a run-time check beside it, and news before work after a stall

A process that was stopped sent what had waited by the endpoint list of before the stop (six calls and more in the turn it woke, the listed test); events were handled before an endpoint list of the same batch; a line behind a partly written one could not be taken back; the time limit was that of the choice; a client's time counted from the read, however late.

Change: dispatch/send_guard.py is asked of each attempt and preload just before its first byte leaves, and refuses by a typed reason; WorkerConnection hands over one line at a time, so that nothing waits where it can't be taken back; a call's line is made, with the time left, when it leaves. dispatch/send_audit.py counts violations by what was written and known (rule_violated in the log, router.rule_violations in INFO where there is one). lifecycle/freshness_gate.py notices a late timer: discovery is asked, events and requests wait for its reply, a fifth of the grace at most, and what is read then counts as here since the stall began.

--- a/cedarthread/dispatch/calls.py
+++ b/cedarthread/dispatch/calls.py
@@ -92,6 +92,7 @@
     is_complete: bool = False
     is_client_closing: bool = False  # the client has closed its writing half: no attempt starts any more
     is_expired: bool = False  # its deadline has passed, and the router knows
+    client_gone_at_ms: float = math.inf  # when it was found that the client had closed or cancelled
 
 
 @dataclass(eq=False, slots=True)
--- a/cedarthread/dispatch/dispatcher.py
+++ b/cedarthread/dispatch/dispatcher.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -28,9 +28,11 @@
 from cedarthread.dispatch.deadlines import CallDeadlines
 from cedarthread.dispatch.figures import CallFigures
 from cedarthread.dispatch.node_timers import NodeTimers
+from cedarthread.dispatch.send_audit import SendAudit
+from cedarthread.dispatch.send_guard import SendGuard
 from cedarthread.logs import format_event
 from cedarthread.model.actions import Action
-from cedarthread.model.endpoints import EndpointUpdate
+from cedarthread.model.endpoints import EndpointState, EndpointUpdate
 from cedarthread.model.events import (
     ClientDisconnected,
     Event,
@@ -75,6 +77,10 @@
             self.context, self.calls, self.figures, self.deadlines, self._enqueue_event
         )
         self._executor = ActionExecutor(self.context, self.calls, self.completion, self.node_timers)
+        self.send_guard = SendGuard()
+        self.send_audit = SendAudit()
+        self.may_proceed: Callable[[], bool] = lambda: True  # False: events wait until ``resume``
+        self.input_delay_ms: Callable[[], float] = lambda: 0.0  # for how long input may have waited unread
         self._event_queue: list[Event] = []
         self._last_request_id = 0
 
@@ -134,6 +140,10 @@
             )
         )
 
+    def arrival_ms(self) -> float:
+        """Since when input that is read now may have been here: its sender's time limit runs from then on."""
+        return self.context.clock() - self.input_delay_ms()
+
     def reject_call(self, call: Call) -> None:
         """Reject a call at once, before anything is done for it, since a bound is reached."""
         self._count_accepted(call)
@@ -153,6 +163,7 @@
 
     def abandon_call(self, call: Call) -> None:
         """The client has disconnected: no result is owed any more."""
+        call.client_gone_at_ms = min(call.client_gone_at_ms, self.context.clock())
         self.completion.abandon(call)
 
     def client_closing(self, call: Call) -> None:
@@ -163,6 +174,7 @@
         if call.is_complete or call.is_client_closing:
             return
         call.is_client_closing = True
+        call.client_gone_at_ms = self.context.clock()
         for attempt in call.attempts:
             self.context.workers().refresh_progress(attempt)
         has_left = (not a.is_ended and a.progress >= Progress.PARTLY_WRITTEN for a in call.attempts)
@@ -170,13 +182,36 @@
             self.completion.complete_locally(call, timed_out=False)
 
     def may_start_attempt(self, attempt: Attempt) -> bool:
-        """Is the client still there? Asked at the last moment before an attempt's bytes leave.
+        """May the attempt be sent? Asked at the last moment before its bytes leave; see ``SendGuard``.
 
         The client's close or CANCEL may stand unread while this process is late, or while it reads nothing
         from a client that reads slowly; without this check the attempt would begin after its client left."""
-        call = attempt.call
-        call.refresh_client_state()
-        return not (attempt.is_ended or call.is_complete or call.is_client_closing)
+        attempt.call.refresh_client_state()
+        refusal = self.send_guard.refuse_attempt(self.context.clock(), attempt, self.context.settings)
+        if refusal is not None and log.isEnabledFor(logging.DEBUG):
+            request, worker_id = attempt.call.call_id, attempt.worker_id
+            log.debug(format_event("send_refused", request=request, worker_id=worker_id, reason=refusal))
+        return refusal is None
+
+    def may_preload(self, worker_id: int) -> bool:
+        """May a preload request be sent to this worker? Asked at the last moment, likewise."""
+        return self.send_guard.refuse_worker(worker_id) is None
+
+    def on_attempt_sent(self, attempt: Attempt) -> None:
+        """The first byte of an attempt has left."""
+        self.send_audit.on_attempt_sent(self.context.clock(), attempt, self.context.settings)
+
+    def on_preload_sent(self, worker_id: int, message_id: str) -> None:
+        """The first byte of a preload request has left."""
+        grace_ms = self.context.settings.rules.drain_grace_ms
+        self.send_audit.on_preload_sent(self.context.clock(), worker_id, message_id, grace_ms)
+
+    def worker_states_changed(self, states: Mapping[int, EndpointState]) -> None:
+        """The endpoint list is now this one, by worker id: it holds for all that is sent from now on."""
+        self.send_guard.update_ready_workers(
+            worker_id for worker_id, state in states.items() if state is EndpointState.READY
+        )
+        self.send_audit.on_endpoints(self.context.clock(), states)
 
     def count_attempt_written(self, attempt: Attempt) -> None:
         """An attempt has been written whole to its worker."""
@@ -245,10 +280,20 @@
             self.context.loop.call_soon(self._process_events)
         self._event_queue.append(event)
 
+    def resume(self) -> None:
+        """Process the events that had to wait."""
+        if self._event_queue:
+            self.context.loop.call_soon(self._process_events)
+
     def _process_events(self) -> None:
         now_ms = self.context.clock()
         self.deadlines.run_if_due(now_ms)
+        if not self._event_queue or not self.may_proceed():
+            self.flush_output()
+            return
         events, self._event_queue = self._event_queue, []
+        # First the endpoint list: a worker that it drains is not chosen for a call that came with it.
+        events.sort(key=lambda event: not isinstance(event, EndpointUpdate))
         actions: list[Action] = []
         for event in events:
             try:
--- /dev/null
+++ b/cedarthread/dispatch/send_guard.py
@@ -0,0 +1,76 @@
+"""The guard of all sending: asked of each attempt and preload just before its first byte leaves.
+
+Whoever chose the worker did so earlier, perhaps by an older list, for a client that was still there. Here the
+rules are looked at once more, all of them in one place. The module does no I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import StrEnum
+
+from cedarthread.dispatch.calls import Attempt
+from cedarthread.model.settings import Idempotency, RouterSettings
+
+
+class SendRefusal(StrEnum):
+    """Why an attempt or a preload may not be sent."""
+
+    ATTEMPT_ENDED = "attempt_ended"
+    CALL_COMPLETE = "call_complete"
+    CLIENT_GONE = "client_gone"
+    DEADLINE_PASSED = "deadline_passed"
+    WORKER_NOT_READY = "worker_not_ready"
+    RETRY_WINDOW_PASSED = "retry_window_passed"
+    TOO_MANY_ATTEMPTS = "too_many_attempts"
+    ATTEMPT_IN_FLIGHT = "attempt_in_flight"
+    MAY_HAVE_EXECUTED = "may_have_executed"
+
+
+class SendGuard:
+    """Knows the workers that may be sent to, and refuses whatever a rule forbids now."""
+
+    def __init__(self) -> None:
+        self._ready_workers: frozenset[int] | None = None  # None: no list has come yet
+
+    def update_ready_workers(self, worker_ids: Iterable[int]) -> None:
+        """These workers are listed as ready; all others get nothing more."""
+        self._ready_workers = frozenset(worker_ids)
+
+    def refuse_worker(self, worker_id: int) -> SendRefusal | None:
+        """Why nothing new may be sent to a worker; None where it may."""
+        if self._ready_workers is not None and worker_id not in self._ready_workers:
+            return SendRefusal.WORKER_NOT_READY
+        return None
+
+    def refuse_attempt(self, now_ms: float, attempt: Attempt, settings: RouterSettings) -> SendRefusal | None:
+        """Why an attempt may not be sent; None where it may. The client's state has been refreshed."""
+        call = attempt.call
+        if attempt.is_ended:
+            return SendRefusal.ATTEMPT_ENDED
+        if call.is_complete:
+            return SendRefusal.CALL_COMPLETE
+        if call.is_client_closing:
+            return SendRefusal.CLIENT_GONE
+        if now_ms >= call.deadline_ms:
+            return SendRefusal.DEADLINE_PASSED
+        if now_ms > attempt.write_deadline_ms:
+            return SendRefusal.RETRY_WINDOW_PASSED
+        if attempt.index:
+            refusal = _refuse_retry(attempt, settings)
+            if refusal is not None:
+                return refusal
+        return self.refuse_worker(attempt.worker_id)
+
+
+def _refuse_retry(attempt: Attempt, settings: RouterSettings) -> SendRefusal | None:
+    """Why a further attempt of a call may not be sent; None where it may."""
+    call = attempt.call
+    if attempt.index >= settings.limits.max_attempts:
+        return SendRefusal.TOO_MANY_ATTEMPTS
+    earlier = [other for other in call.attempts if other is not attempt]
+    if any(not other.is_ended for other in earlier):
+        return SendRefusal.ATTEMPT_IN_FLIGHT
+    is_repeatable = settings.classes[call.class_index].idempotency is not Idempotency.NOT_IDEMPOTENT
+    if not is_repeatable and any(other.may_have_executed() for other in earlier):
+        return SendRefusal.MAY_HAVE_EXECUTED
+    return None
--- a/cedarthread/lifecycle/status.py
+++ b/cedarthread/lifecycle/status.py
@@ -51,6 +51,9 @@
             "loads": self._state.reloads,
             "load_errors": self._state.reload_errors,
         }
+        violations = self._dispatcher.send_audit.violations
+        if violations:  # a further line only then: the platform's page knows no such figure
+            figures["rule_violations"] = violations.total()
         return [f"router.{name}={value}" for name, value in figures.items()]
 
     def _fleet_lines(self) -> list[str]:
--- a/cedarthread/protocols/discovery.py
+++ b/cedarthread/protocols/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable
 from typing import cast
@@ -71,6 +72,8 @@
         self.on_update, self.on_poll = on_update, on_poll
         self.release_descriptor = release_descriptor
         self.on_partial_list, self.on_fresh = on_partial_list, on_fresh
+        # Set by the service: called with the time at which a regular query was due, before it is sent.
+        self.on_poll_due: Callable[[float], None] = lambda due_at_s: None
         self.last_serial = -1
         self.last_usable_reply_at = 0.0  # loop time in seconds
         self._random = random.SystemRandom()
@@ -136,11 +139,25 @@
             _close(self._previous_transport)
             self._previous_transport = None
 
+    @property
+    def is_polling(self) -> bool:
+        """Is there a server to ask?"""
+        return self._transport is not None
+
+    @property
+    def next_poll_at_s(self) -> float:
+        """When the next query is due, loop time; where that is past, this process is late."""
+        return self._timer.when() if self._timer is not None else math.inf
+
     def poll_now(self) -> None:
         """Query at once, as after a stall of this process."""
         if self._transport is not None:
             self._poll()
 
+    def _poll_on_timer(self) -> None:
+        self.on_poll_due(self.next_poll_at_s)
+        self._poll()
+
     def _poll(self) -> None:
         assert self._transport is not None
         now_s, query_id = self._loop.time(), self._random.randrange(QUERY_IDS)
@@ -155,7 +172,7 @@
     def _schedule_poll(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.call_at(self.queries.next_query_at_s(), self._poll)
+        self._timer = self._loop.call_at(self.queries.next_query_at_s(), self._poll_on_timer)
 
     def datagram_received(self, data: bytes, addr: object) -> bool:
         """A reply, perhaps late, perhaps a duplicate; whether it shows that the list is up to date."""
--- a/cedarthread/protocols/invoke_calls.py
+++ b/cedarthread/protocols/invoke_calls.py
@@ -39,7 +39,7 @@
             call_id=secrets.token_hex(8),
             class_index=request.class_index,
             function_id=int(request.function_hex, 16),
-            deadline_ms=call_deadline_ms(self.dispatcher.clock(), request.timeout_ms),
+            deadline_ms=call_deadline_ms(self.dispatcher.arrival_ms(), request.timeout_ms),
             body=request.body,
             on_result=on_result,
             idempotency_key=worker_idempotency_key(owner, key) if needs_worker_key and key else None,
--- a/cedarthread/protocols/invoke_server.py
+++ b/cedarthread/protocols/invoke_server.py
@@ -19,7 +19,7 @@
 from cedarthread.protocols.invoke_calls import InvokeCalls
 from cedarthread.protocols.invoke_config import InvokeConfig
 from cedarthread.protocols.invoke_connection import InvokeConnection
-from cedarthread.transport.acceptor import Acceptor, create_listener
+from cedarthread.transport.acceptor import Acceptor, create_listener_with_retries
 from cedarthread.transport.descriptor_budget import SMALL_ACCEPTS_PER_PASS
 from cedarthread.transport.flusher import Flusher
 
@@ -84,7 +84,7 @@
 
     async def listen(self) -> int:
         """Accept callers; returns the port."""
-        listening_socket = create_listener(
+        listening_socket = await create_listener_with_retries(
             self.config.host, self.config.port, LISTEN_BACKLOG, reuse_port=True
         )
         self._acceptor = Acceptor(
--- a/cedarthread/protocols/platform_calls.py
+++ b/cedarthread/protocols/platform_calls.py
@@ -60,7 +60,7 @@
         if class_index is None or len(params) != CALL_PARAMETERS:
             self.connection.write(encode_bad_request(message_id, "no such method"))
             return True
-        call = parse_call(class_index, dispatcher.settings, params[0], params[1], dispatcher.clock())
+        call = parse_call(class_index, dispatcher.settings, params[0], params[1], dispatcher.arrival_ms())
         if isinstance(call, Call) and call.call_id in dispatcher.calls.pending_ids:
             call = "a call of this txn is open"  # a worker could not tell the two apart
         if isinstance(call, str):
--- a/cedarthread/protocols/platform_codec.py
+++ b/cedarthread/protocols/platform_codec.py
@@ -46,7 +46,7 @@
 
 
 def parse_call(
-    class_index: int, settings: RouterSettings, fields: Any, body: Any, now_ms: float
+    class_index: int, settings: RouterSettings, fields: Any, body: Any, arrival_ms: float
 ) -> Call | str:
     """The call that a request asks for, or the reason why it is invalid, as the client is told it."""
     if not isinstance(fields, dict) or set(map(type, fields.values())) - {str}:
@@ -72,7 +72,7 @@
         call_id=call_id,
         class_index=class_index,
         function_id=int(function_hex, 16),
-        deadline_ms=call_deadline_ms(now_ms, float(limit)),
+        deadline_ms=call_deadline_ms(arrival_ms, float(limit)),
         body=bytes(raw_body),
         on_result=lambda result: None,  # set once the call is submitted
         idempotency_key=key,
--- a/cedarthread/protocols/platform_server.py
+++ b/cedarthread/protocols/platform_server.py
@@ -7,7 +7,7 @@
 from cedarthread.dispatch.dispatcher import Dispatcher
 from cedarthread.logs import format_event
 from cedarthread.protocols.platform_connection import PlatformConnection
-from cedarthread.transport.acceptor import Acceptor, create_listener
+from cedarthread.transport.acceptor import Acceptor, create_listener_with_retries
 from cedarthread.transport.descriptor_budget import CLIENT_ACCEPTS_PER_PASS
 from cedarthread.transport.flusher import Flusher
 
@@ -82,7 +82,7 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Accept clients; returns the port. Another process may listen on the same address (SO_REUSEPORT)."""
-        listening_socket = create_listener(host, port, LISTEN_BACKLOG, reuse_port=True)
+        listening_socket = await create_listener_with_retries(host, port, LISTEN_BACKLOG, reuse_port=True)
         self._acceptor = Acceptor(
             "clients",
             listening_socket,
--- a/cedarthread/protocols/worker_connection.py
+++ b/cedarthread/protocols/worker_connection.py
@@ -39,7 +39,7 @@
         self.dispatcher = self.workers.dispatcher
         super().__init__(MAX_LINE_BYTES, self.workers.flusher)
         self.pool = pool
-        self.lines = LineQueue(self.dispatcher.count_attempt_written)
+        self.lines = LineQueue(self.dispatcher.count_attempt_written, self.workers.on_first_byte)
         self.in_flight: dict[str, WorkerRequest] = {}  # by message id
         self.abandoned_ids: set[str] = set()  # their responses, if any still come, are ignored
         self.is_retired = False  # it accepts no more requests
@@ -66,6 +66,10 @@
         """It is up, no request is in flight, and nothing waits to be written."""
         return self.transport is not None and not (self.in_flight or self.lines or self.is_write_paused)
 
+    def send_attempt(self, attempt: Attempt) -> None:
+        """Queue an attempt; its line is made when it leaves."""
+        self.send_request(b"", attempt)
+
     def send_request(self, line: bytes, request: WorkerRequest) -> None:
         """Queue a request."""
         self.in_flight[message_id_of(request)] = request
@@ -133,15 +137,36 @@
             return
         if self.transport.is_closing():
             return
-        for request in self.lines.requests():
-            if isinstance(request, Attempt) and not self.dispatcher.may_start_attempt(request):
-                self.withdraw_and_end(request)
-        lines = self.lines.take()
-        data = b"".join(line.data for line in lines)
-        self.transport.write(data)
-        if self.transport.is_closing():  # the write failed at once: not a byte of it has left
-            return
-        self.lines.on_handed_over(lines, len(data) - self.transport.get_write_buffer_size())
+        is_holding = not self.workers.may_send()
+        if is_holding and self.lines.requests():
+            self.workers.hold(self)
+        self._write_lines(self.transport, is_holding=is_holding)
+
+    def _write_lines(self, transport: asyncio.Transport, *, is_holding: bool) -> None:
+        """Write line by line, up to one that the socket does not take whole.
+
+        What the transport has been given can't be taken back: a line that stood in its buffer would leave
+        whenever the worker reads on, to a worker that drains by then or for a client that has gone."""
+        while (line := self.lines.next_line(without_requests=is_holding)) is not None:
+            if line.request is not None and not self._may_leave(line.request):
+                self.withdraw_and_end(line.request)
+                continue
+            if not line.data and isinstance(line.request, Attempt):
+                line.data = self.workers.encode_attempt(line.request)
+            self.lines.take(line)
+            transport.write(line.data)
+            if transport.is_closing():  # the write failed at once: not a byte of it has left
+                return
+            unwritten_bytes = transport.get_write_buffer_size()
+            self.lines.on_handed_over(line, len(line.data) - unwritten_bytes)
+            if unwritten_bytes or self.is_write_paused:
+                return
+
+    def _may_leave(self, request: WorkerRequest) -> bool:
+        """The guard of all sending: asked when the first byte of a request is about to leave."""
+        if isinstance(request, Attempt):
+            return self.dispatcher.may_start_attempt(request)
+        return self.dispatcher.may_preload(request.worker_id)
 
     def refresh_progress(self) -> None:
         """Record what the socket has taken since: lines may be written while others behind them are not."""
--- a/cedarthread/protocols/worker_line_queue.py
+++ b/cedarthread/protocols/worker_line_queue.py
@@ -15,10 +15,16 @@
 class LineQueue:
     """Outbound lines in order: first queued, then in the transport's buffer, then written.
 
-    ``on_written`` is called once for each attempt of which the socket has taken the last byte."""
-
-    def __init__(self, on_written: Callable[[Attempt], None]) -> None:
+    ``on_written`` is called once for each attempt of which the socket has taken the last byte,
+    ``on_first_byte`` for each request that begins to leave."""
+
+    def __init__(
+        self,
+        on_written: Callable[[Attempt], None],
+        on_first_byte: Callable[[WorkerRequest], None] = lambda request: None,
+    ) -> None:
         self._on_written = on_written
+        self._on_first_byte = on_first_byte
         self.queued: list[OutboundLine] = []  # not handed to the transport yet
         self.buffered: list[OutboundLine] = []  # handed to the transport, not completely taken by the socket
 
@@ -50,20 +56,25 @@
         for line in self.queued:
             self._record(line, Progress.UNWRITTEN)
 
-    def take(self) -> list[OutboundLine]:
-        """Empty the queue, to hand its lines to the transport."""
-        lines, self.queued = self.queued, []
-        return lines
-
-    def on_handed_over(self, lines: list[OutboundLine], written_bytes: int) -> None:
-        """The transport has taken the lines, and the socket the first ``written_bytes`` bytes of them."""
-        for line in lines:
-            if written_bytes >= len(line.data):
-                self._record(line, Progress.WRITTEN)
-            else:
-                self._record(line, Progress.PARTLY_WRITTEN)
-                self.buffered.append(line)
-            written_bytes -= len(line.data)
+    def next_line(self, *, without_requests: bool = False) -> OutboundLine | None:
+        """The first queued line, or the first that carries no request; None if there is none."""
+        if not without_requests:
+            return self.queued[0] if self.queued else None
+        return next((line for line in self.queued if line.request is None), None)
+
+    def take(self, line: OutboundLine) -> None:
+        """Take a line off the queue, to hand it to the transport."""
+        self.queued.remove(line)
+
+    def on_handed_over(self, line: OutboundLine, written_bytes: int) -> None:
+        """The transport has taken a line, and the socket its first ``written_bytes`` bytes."""
+        if line.request is not None:
+            self._on_first_byte(line.request)
+        if written_bytes >= len(line.data):
+            self._record(line, Progress.WRITTEN)
+        else:
+            self._record(line, Progress.PARTLY_WRITTEN)
+            self.buffered.append(line)
 
     def on_drained_to(self, unwritten_bytes: int) -> None:
         """So many bytes are left in the transport's buffer: lines before them are written."""
--- a/cedarthread/protocols/worker_pool.py
+++ b/cedarthread/protocols/worker_pool.py
@@ -19,7 +19,9 @@
 
 log = logging.getLogger(__name__)
 
-DRAIN_FLUSH_S = 0.4  # how long after the news of a drain what was handed to the transport may still leave
+# Part of the drain grace in which a line that was handed to the transport may still leave after the news of a
+# drain. The rest is kept for the age of the news: up to a poll and some retries.
+DRAIN_FLUSH_GRACE_FRACTION = 0.4
 # A connect that failed for want of a descriptor or a port here says nothing of the worker.
 _LOCAL_ERRNOS = EXHAUSTION_ERRNOS | {errno.EADDRNOTAVAIL}
 
@@ -104,8 +106,10 @@
             elif not connection.in_flight:
                 connection.close_empty()
             elif connection.lines.buffered:
+                grace_s = self.worker_connections.settings.rules.drain_grace_ms / 1000.0
+                flush_s = DRAIN_FLUSH_GRACE_FRACTION * grace_s
                 buffered = list(connection.lines.buffered)
-                asyncio.get_running_loop().call_later(DRAIN_FLUSH_S, connection.abort_if_unwritten, buffered)
+                asyncio.get_running_loop().call_later(flush_s, connection.abort_if_unwritten, buffered)
 
     def sweep(self, now: float, idle_limit_s: float) -> None:
         """Close what has been idle for long, before the worker does and a request crosses its close."""
--- a/cedarthread/protocols/workers.py
+++ b/cedarthread/protocols/workers.py
@@ -53,6 +53,9 @@
         self.release_client_descriptor: Callable[[], bool] = lambda: False
         self.pools: dict[int, WorkerConnectionPool] = {}  # by worker id
         self.class_names_json: list[str] = []  # by class index
+        # Set by the service: False while nothing may be sent, until ``flush_held``.
+        self.may_send: Callable[[], bool] = lambda: True
+        self._held: list[WorkerConnection] = []  # connections with output that waits for ``flush_held``
         self.preloads = PreloadRequests(dispatcher)
         self.update_settings(settings)
         self._connection_by_attempt: dict[Attempt, WorkerConnection] = {}
@@ -68,6 +71,9 @@
 
         Connections to workers that are removed, have moved or have restarted are closed at once; those to
         draining workers once they are empty."""
+        self.dispatcher.worker_states_changed(
+            {worker_id: endpoint.state for worker_id, endpoint in endpoints.items()}
+        )
         for worker_id, pool in list(self.pools.items()):
             endpoint = endpoints.get(worker_id)
             if endpoint is None:
@@ -94,12 +100,33 @@
         if connection is None:
             self.dispatcher.attempt_ended(attempt, not_sent_result())
             return
-        timeout_ms = attempt.call.deadline_ms - attempt.started_at_ms
-        line = encode_call(attempt.call, self.class_names_json[attempt.call.class_index], timeout_ms)
         if connection.transport is not None:
             attempt.progress = Progress.UNWRITTEN
         self._connection_by_attempt[attempt] = connection
-        connection.send_request(line, attempt)
+        connection.send_attempt(attempt)
+
+    def encode_attempt(self, attempt: Attempt) -> bytes:
+        """The line of an attempt that leaves now: it says what time is left now."""
+        call = attempt.call
+        timeout_ms = call.deadline_ms - self.dispatcher.clock()
+        return encode_call(call, self.class_names_json[call.class_index], timeout_ms)
+
+    def on_first_byte(self, request: WorkerRequest) -> None:
+        """The first byte of a request has left."""
+        if isinstance(request, Attempt):
+            self.dispatcher.on_attempt_sent(request)
+        else:
+            self.dispatcher.on_preload_sent(request.worker_id, request.message_id)
+
+    def hold(self, connection: WorkerConnection) -> None:
+        """Flush a connection once sending goes on."""
+        self._held.append(connection)
+
+    def flush_held(self) -> None:
+        """Sending goes on: flush what was held back."""
+        held, self._held = self._held, []
+        for connection in held:
+            connection.flush()
 
     def refresh_progress(self, attempt: Attempt) -> None:
         """Bring the attempt's progress up to date."""
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -14,6 +14,7 @@
 
 from cedarthread.config import Config
 from cedarthread.dispatch.dispatcher import Dispatcher
+from cedarthread.lifecycle.freshness_gate import FreshnessGate
 from cedarthread.lifecycle.listeners import ControlListener, PeerListener
 from cedarthread.lifecycle.maintenance import Maintenance
 from cedarthread.lifecycle.reload import FleetFiles, Reloader
@@ -118,6 +119,11 @@
             on_partial_list=self.apply_partial_list,
             drain_grace_s=config.settings.rules.drain_grace_ms / 1000.0,
         )
+        self.freshness_gate = FreshnessGate(self.discovery, self.dispatcher, self.workers)
+        self.discovery.on_fresh = self.freshness_gate.on_fresh
+        self.discovery.on_poll_due = self.freshness_gate.on_poll_due
+        self.dispatcher.input_delay_ms = self.freshness_gate.input_delay_ms
+        self.dispatcher.may_proceed = self.workers.may_send = self.freshness_gate.is_open
         self.status = StatusReport(
             self.dispatcher, self.endpoint_list, self.state, has_fleet=fleet_file is not None
         )
--- a/cedarthread/testing/fuzzing/worker_lines_target.py
+++ b/cedarthread/testing/fuzzing/worker_lines_target.py
@@ -52,6 +52,17 @@
         """The client is still there."""
         return True
 
+    def may_send(self) -> bool:
+        """Nothing is held back."""
+        return True
+
+    def may_preload(self, worker_id: int) -> bool:
+        """The worker is ready."""
+        return True
+
+    def on_first_byte(self, request: Attempt | PendingPreload) -> None:
+        """Its line begins to leave."""
+
     def count_attempt_written(self, attempt: Attempt) -> None:
         """Its line is written."""
 
--- a/cedarthread/transport/acceptor.py
+++ b/cedarthread/transport/acceptor.py
@@ -20,6 +20,8 @@
 log = logging.getLogger(__name__)
 
 ACCEPT_PAUSE_S = 0.05  # without accepting, once no descriptor is left
+LISTEN_RETRY_S = 0.05  # between attempts to listen, while this machine is short of descriptors
+LISTEN_RETRY_LIMIT_S = 5.0  # after which listening fails: well within the 30 s in which it has to be ready
 MAX_DRAIN_PASSES = 256  # loop passes at the end in which connections that still wait are accepted
 TLS_HANDSHAKE_TIMEOUT_S = 5.0
 TLS_SHUTDOWN_TIMEOUT_S = 1.0
@@ -52,6 +54,27 @@
     return listening_socket
 
 
+async def create_listener_with_retries(
+    host: str, port: int, backlog: int, *, reuse_port: bool = False
+) -> socket.socket:
+    """Likewise, but where this machine is short of descriptors or memory for a moment, it is tried again.
+
+    A start that failed by this would be a crash; OSError once the shortage has lasted for
+    ``LISTEN_RETRY_LIMIT_S``."""
+    loop = asyncio.get_running_loop()
+    give_up_at_s, is_logged = loop.time() + LISTEN_RETRY_LIMIT_S, False
+    while True:
+        try:
+            return create_listener(host, port, backlog, reuse_port=reuse_port)
+        except OSError as error:
+            if error.errno not in EXHAUSTION_ERRNOS or loop.time() >= give_up_at_s:
+                raise
+            if not is_logged:
+                log.warning(format_event("listen_delayed", address=f"{host}:{port}", error=error))
+            is_logged = True
+        await asyncio.sleep(LISTEN_RETRY_S)
+
+
 class Acceptor(Generic[ProtocolT]):
     """Accepts the connections of one listening socket.
 
--- a/tests/simulation/test_fuzzing.py
+++ b/tests/simulation/test_fuzzing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 import subprocess
 import sys
@@ -42,6 +43,16 @@
     assert injected_defects.runs_until_found(defect, TARGETS[defect.target]) is not None
 
 
+@pytest.mark.parametrize("name", ["unsafe-sent-again", "drained-chosen"])
+def test_the_guard_of_sending_makes_a_wrong_decision_harmless(name: str) -> None:
+    """The defect of the decisions alone, with the guard in place, breaks no rule."""
+    (defect,) = [one for one in injected_defects.DEFECTS if one.name == name]
+    decisions = tuple(patch for patch in defect.patches if "refuse" not in patch[1])
+    assert len(decisions) < len(defect.patches)
+    guarded = dataclasses.replace(defect, patches=decisions, runs=min(defect.runs, 1500))
+    assert injected_defects.runs_until_found(guarded, TARGETS[defect.target]) is None
+
+
 def test_findings_show_when_their_defect_is_injected_again() -> None:
     """Each finding of the call machine fails with the repaired defect injected again, and holds without."""
     defects = {defect.name: defect for defect in injected_defects.DEFECTS}
