--- a/cedarthread/testing/cluster/cli.py
+++ b/cedarthread/testing/cluster/cli.py
@@ -3,17 +3,20 @@
 Usage:
   cedarthread rig run FILE [--out DIR]
   cedarthread rig report DIR
-  cedarthread drill NAME [--full] [--routers N] [--seed S] [--no-talk] [--out DIR]
+  cedarthread drill NAME [--full] [--routers N] [--seed S] [--seconds S] [--defect D] [--no-talk] [--out DIR]
 
 Commands:
   rig run       Run the scenario of FILE and print its table.
   rig report    Chart the results in DIR: load by worker over time, the faults marked, as SVG.
-  drill         Run a set of scenarios and check each; 1 where one fails. NAME: spread, freeze, return.
+  drill         Run a set of scenarios and check each; 1 where one fails, 2 where the harness was late.
+                NAME: faults, spread, freeze, return.
 
 Options:
   --full       A whole fleet, each fault by itself, instead of a short run with several at once.
   --routers N  Router processes; without it 24, or 200 with --full.
   --seed S     The seed of arrivals and faults [default: 1].
+  --seconds S  How long faults last, after the warm-up; of ``faults`` alone.
+  --defect D   The routers run with this injected defect, to see that it is found.
   --no-talk    Settings that forbid gossip between routers.
   --out DIR    Where results are written, as JSON; the table is printed in any case.
 """
@@ -21,23 +24,28 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+import inspect
 import json
 import signal
 import sys
 import tempfile
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 from docopt import docopt
 
+from cedarthread.testing.cluster.injected_defects import DEFECTS
 from cedarthread.testing.cluster.result import Result
 from cedarthread.testing.cluster.run import ClusterRun
 from cedarthread.testing.cluster.scenario import Scenario
 from cedarthread.testing.cluster.scenario_file import ScenarioError, load_scenario
 from cedarthread.testing.cluster.scenarios import ScenarioSet, load_scenario_set
 
+MakeScenarios = Callable[[int, int], Iterable[Scenario]]
+
 QUICK_ROUTERS, FULL_ROUTERS = 24, 200
 EXIT_FAILED, EXIT_USAGE, EXIT_INTERRUPTED = 1, 2, 130
 
@@ -67,20 +75,36 @@
     """Run a set of scenarios; the exit code says whether all held."""
     scenario_set, is_full = load_scenario_set(options["NAME"]), options["--full"]
     routers = int(options["--routers"] or (FULL_ROUTERS if is_full else QUICK_ROUTERS))
-    make = scenario_set.full if is_full else scenario_set.quick
+    make: MakeScenarios = scenario_set.full if is_full else scenario_set.quick
+    if options["--seconds"] is not None:
+        make = _with_seconds(make, float(options["--seconds"]))
     scenarios: Iterable[Scenario] = make(int(options["--seed"]), routers)
     if options["--no-talk"]:
         scenarios = (replace(scenario, is_gossip_enabled=False) for scenario in scenarios)
+    if options["--defect"] is not None:
+        if options["--defect"] not in DEFECTS:
+            raise ValueError(f"--defect: none of {', '.join(DEFECTS)}")
+        scenarios = (replace(scenario, injected_defect=options["--defect"]) for scenario in scenarios)
     results = run_scenarios(scenario_set, scenarios, options["--out"])
     has_failed = False
     for index, result in enumerate(results):
         for failing in scenario_set.failings(result, results[:index]):
             has_failed = True
             print(f"{result.scenario_name}: {failing}")
+    if any(result.is_void for result in results):
+        print("the harness was late: no run counts in which it was")
+        return EXIT_FAILED if has_failed else EXIT_USAGE
     print("FAILED" if has_failed else "held")
     return EXIT_FAILED if has_failed else 0
 
 
+def _with_seconds(make: MakeScenarios, seconds: float) -> MakeScenarios:
+    """The same set with runs of another length; ``ValueError`` where it has one length alone."""
+    if "seconds" not in inspect.signature(make).parameters:
+        raise ValueError("--seconds: the runs of this drill have one length")
+    return cast(MakeScenarios, functools.partial(cast(Any, make), seconds=seconds))
+
+
 def run_scenarios(scenario_set: ScenarioSet, scenarios: Iterable[Scenario], out: str | None) -> list[Result]:
     """Run scenarios one after another, with a line of the table for each as it ends."""
     print(scenario_set.HEAD, scenario_set.RULE, sep="\n", flush=True)
--- a/cedarthread/testing/cluster/endpoint_timeline.py
+++ b/cedarthread/testing/cluster/endpoint_timeline.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from cedarthread.testing.cluster.scenario import FaultKind, Scenario, SubjectKind
+from cedarthread.testing.cluster.scenario import Fault, FaultKind, Scenario, SubjectKind
 from cedarthread.testing.fakes.discovery_server import ListedWorker
 
 LISTING_DELAY_S = 0.05  # after its restart until a worker is listed with its new start
@@ -24,30 +24,51 @@
     def __init__(self, scenario: Scenario, worker_ports: Sequence[int]) -> None:
         self.scenario, self.worker_ports = scenario, worker_ports
         self.hide_faults = [fault for fault in scenario.faults if fault.kind is FaultKind.HIDE_WORKER]
+        self.drain_faults = [fault for fault in scenario.faults if fault.kind is FaultKind.DRAIN_WORKER]
         self.crash_faults = [
             fault
             for fault in scenario.faults
             if fault.kind is FaultKind.CRASH_WORKER and fault.end_s < scenario.end_s
         ]
-        self.change_times_s = [at for fault in self.hide_faults for at in (fault.start_s, fault.end_s)]
+        self.change_times_s = [
+            at for fault in (*self.hide_faults, *self.drain_faults) for at in (fault.start_s, fault.end_s)
+        ]
         self.change_times_s += [fault.end_s + LISTING_DELAY_S for fault in self.crash_faults]
-        self._cache: dict[tuple[int, frozenset[int]], tuple[ListedWorker, ...]] = {}
+        self._cache: dict[tuple[int, frozenset[int], frozenset[int]], tuple[ListedWorker, ...]] = {}
 
     def list_at(self, now_ms: float, router: int) -> VersionedList:
         """What a router is to see at a time."""
         now_s, workers = now_ms / 1000.0, range(self.scenario.worker_count)
-        version, hidden = 1 + sum(at <= now_s for at in self.change_times_s), set[int]()
-        for fault in self.hide_faults:
-            if fault.is_active(now_s) and fault.affects_peer(SubjectKind.ROUTER, router):
-                hidden |= {n for n in workers if fault.subjects.includes(SubjectKind.WORKER, n)}
-        key = version, frozenset(hidden)
+        version = 1 + sum(at <= now_s for at in self.change_times_s)
+        hidden = self._affected(self.hide_faults, now_s, router)
+        draining = self._affected(self.drain_faults, now_s, router)
+        key = version, hidden, draining
         if key not in self._cache:
-            self._cache[key] = tuple(self._listed(now_s, n) for n in workers if n not in hidden)
+            self._cache[key] = tuple(
+                self._listed(now_s, n, is_draining=n in draining) for n in workers if n not in hidden
+            )
         return VersionedList(version, self._cache[key])
 
-    def _listed(self, now_s: float, worker: int) -> ListedWorker:
+    def states_at(self, now_ms: float, router: int) -> dict[int, str]:
+        """The state of each worker in that list, by its number; one that it lacks is gone."""
+        now_s = now_ms / 1000.0
+        hidden = self._affected(self.hide_faults, now_s, router)
+        draining = self._affected(self.drain_faults, now_s, router)
+        states = dict.fromkeys(range(self.scenario.worker_count), "ready")
+        return states | dict.fromkeys(draining, "draining") | dict.fromkeys(hidden, "gone")
+
+    def _affected(self, faults: Sequence[Fault], now_s: float, router: int) -> frozenset[int]:
+        return frozenset(
+            worker
+            for fault in faults
+            if fault.is_active(now_s) and fault.affects_peer(SubjectKind.ROUTER, router)
+            for worker in range(fault.subjects.first, fault.subjects.last + 1)
+        )
+
+    def _listed(self, now_s: float, worker: int, *, is_draining: bool) -> ListedWorker:
+        started_at_ms = self._started_at_ms(now_s, worker)
         name = f"s-{worker + 1:08x}"
-        return ListedWorker(name, self.worker_ports[worker], started_at_ms=self._started_at_ms(now_s, worker))
+        return ListedWorker(name, self.worker_ports[worker], is_draining, started_at_ms)
 
     def _started_at_ms(self, now_s: float, worker: int) -> float:
         restarts = [
--- a/cedarthread/testing/cluster/evaluation.py
+++ b/cedarthread/testing/cluster/evaluation.py
@@ -8,6 +8,7 @@
 from cedarthread.components.datagram_fields import MAX_DATAGRAM_BYTES
 from cedarthread.testing.cluster.arrivals import Arrival, generate_arrivals
 from cedarthread.testing.cluster.fact_reader import FactReader
+from cedarthread.testing.cluster.facts import RouterStarted
 from cedarthread.testing.cluster.policy_replay import POLICIES, PolicyReplay
 from cedarthread.testing.cluster.recordings import Recording, merge_recordings
 from cedarthread.testing.cluster.result import DatagramCounts, FaultSpan, Result
@@ -26,17 +27,21 @@
 
 
 def evaluate(
-    scenario: Scenario, recordings: Sequence[Recording], cpu_s: float, exit_codes: Mapping[int, int]
+    scenario: Scenario,
+    recordings: Sequence[Recording],
+    cpu_s: float,
+    exit_codes: Mapping[int, int],
+    router_starts: Sequence[RouterStarted] = (),
 ) -> Result:
     """The result of a run.
 
     ``cpu_s``: that all routers used while it was measured; ``exit_codes``: those of routers that did not end
-    as they were told to.
+    as they were told to; ``router_starts``: those after the first.
     """
     merged, workers = merge_recordings(recordings), _worker_availability(scenario)
     start_ms, end_ms = 1000.0 * scenario.warm_up_s, 1000.0 * scenario.end_s
     facts = sorted(
-        chain.from_iterable(recording.facts for recording in recordings), key=lambda fact: fact.at_ms
+        chain(router_starts, *(recording.facts for recording in recordings)), key=lambda fact: fact.at_ms
     )
     reader, arrivals = FactReader(scenario), generate_arrivals(scenario)
     _check_datagrams(merged, reader.checker)
--- a/cedarthread/testing/cluster/fact_reader.py
+++ b/cedarthread/testing/cluster/fact_reader.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from typing import Any, NamedTuple
 
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 
+from cedarthread.testing.cluster.endpoint_timeline import EndpointListTimeline
 from cedarthread.testing.cluster.facts import (
     AttemptCancelled,
     AttemptEnded,
@@ -15,8 +18,11 @@
     CallAbandoned,
     CallAnswered,
     CallSubmitted,
+    ClientLeft,
     Fact,
+    ListSent,
     NoRouterAvailable,
+    RouterStarted,
     router_of,
 )
 from cedarthread.testing.cluster.network import Network
@@ -32,6 +38,24 @@
 )
 
 ANSWER_SLACK_MS = 250.0  # past the deadline, on a machine that hundreds of processes share
+HARNESS_SLACK_MS = 60.0  # by which a fake may read late what was sent in time
+# After it happened, a change counts as told, whether a reply arrived or not (PROTOCOL, figures).
+NOTICE_LIMIT_MS = 7000.0
+# The same where nothing keeps the router from asking but its own process, which may be stopped (PROTOCOL).
+PROMPT_NOTICE_MS = 1500.0
+RESUME_S = 0.3  # after a stop, in which a process asks discovery
+HAMPERING_FAULTS = (
+    FaultKind.LOSE,
+    FaultKind.DELAY,
+    FaultKind.PARTITION,
+    FaultKind.KILL_ROUTER,
+    FaultKind.RESTART_ROUTER,
+    FaultKind.TERMINATE_ROUTER,
+    FaultKind.MOVE_DISCOVERY,
+    FaultKind.SYSTEM_CALLS,
+    FaultKind.SILENCE_DISCOVERY,
+    FaultKind.CORRUPT_DISCOVERY,
+)
 READ_ORDER_SLACK_MS = 25.0  # by which a process may read later than another what was sent earlier
 MAX_LATENCY_US = 60_000_000
 LATENCY_DIGITS = 3  # significant figures of the latency histogram
@@ -43,6 +67,14 @@
 UNANSWERED_REMARKS = ("shed", "spawn_failed", "lost")  # of attempts for which no body was produced
 
 
+class _Notice(NamedTuple):
+    """When a change of a router's list counts as told, if no reply has told it."""
+
+    at_ms: float
+    router: int
+    changed_at_ms: float
+
+
 @dataclass(slots=True)
 class _WorkerAttempt:
     worker: int
@@ -59,7 +91,18 @@
             for fault in scenario.faults
             if fault.kind in (FaultKind.SILENCE_WORKER, FaultKind.SLOW_WORKER)
         ]
-        self.checker = InvariantChecker(InvariantLimits(answer_slack_ms=ANSWER_SLACK_MS))
+        usual = InvariantLimits()
+        limits = InvariantLimits(
+            answer_slack_ms=ANSWER_SLACK_MS,
+            drain_slack_ms=usual.drain_slack_ms + HARNESS_SLACK_MS,
+            client_disconnected_slack_ms=usual.client_disconnected_slack_ms + HARNESS_SLACK_MS,
+            time_limit_slack_ms=usual.time_limit_slack_ms + HARNESS_SLACK_MS,
+        )
+        self.checker = InvariantChecker(limits)
+        self.list_timeline = EndpointListTimeline(scenario, [0] * scenario.worker_count)
+        self._told_as_of_ms = [-math.inf] * scenario.router_count  # by router: the time of its latest list
+        self.scenario = scenario
+        self._pending_notices = self._notices()
         self.answers: Counter[str] = Counter()
         self.answers_by_tenant: defaultdict[str, Counter[str]] = defaultdict(Counter)
         self.served: list[ServedValue] = []
@@ -67,31 +110,99 @@
         self._attempts: defaultdict[str, list[_WorkerAttempt]] = defaultdict(list)  # by call
         self._submitted: dict[str, CallSubmitted] = {}
         self._cancelled_at_ms: dict[tuple[str, int], float] = {}  # by call and worker, the last time
-        for worker in range(scenario.worker_count):
-            self.checker.on_worker_state(0.0, worker + 1, "ready")
+        for router in range(scenario.router_count):
+            self._tell(-math.inf, 0.0, router)
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            ListSent: self._on_list_sent,
+            RouterStarted: self._on_router_started,
+            ClientLeft: self._on_client_left,
+            CallSubmitted: self._on_submitted,
+            NoRouterAvailable: self._on_no_router,
+            CallAbandoned: self._on_abandoned,
+            CallAnswered: self._on_answer,
+            AttemptSent: self._on_attempt_sent,
+            AttemptEnded: self._on_attempt_ended,
+            AttemptCancelled: self._on_cancelled,
+        }
 
     def read(self, facts: Iterable[Fact]) -> None:
         """Read all facts, in order of time."""
         for fact in facts:
-            match fact:
-                case CallSubmitted():
-                    guarantees = CLASS_GUARANTEES[fact.request_class]
-                    self.checker.on_call_submitted(fact.at_ms, fact.call_id, guarantees, fact.deadline_ms)
-                    self._submitted[fact.call_id] = fact
-                case NoRouterAvailable():
-                    self.answers["no router"] += 1
-                case CallAbandoned():
-                    self.checker.on_call_abandoned(fact.at_ms, fact.call_id)
-                    self.answers["left"] += 1
-                case CallAnswered():
-                    self._on_answer(fact)
-                case AttemptSent():
-                    self._on_attempt_sent(fact)
-                case AttemptEnded():
-                    self._on_attempt_ended(fact)
-                case AttemptCancelled():
-                    self._cancelled_at_ms[fact.call_id, fact.worker] = fact.at_ms
-                    self._end_attempts(fact.call_id, fact.worker, may_have_executed=True)
+            self._notice_changes(fact.at_ms)
+            self._handlers[type(fact)](fact)
+
+    def _on_list_sent(self, fact: ListSent) -> None:
+        self._tell(fact.at_ms, fact.at_ms, fact.router)
+
+    def _on_router_started(self, fact: RouterStarted) -> None:
+        self._tell(fact.at_ms, 0.0, fact.router)
+
+    def _on_client_left(self, fact: ClientLeft) -> None:
+        self.checker.on_client_disconnected(fact.at_ms, fact.call_id)
+
+    def _on_submitted(self, fact: CallSubmitted) -> None:
+        guarantees = CLASS_GUARANTEES[fact.request_class]
+        self.checker.on_call_submitted(fact.at_ms, fact.call_id, guarantees, fact.deadline_ms)
+        self._submitted[fact.call_id] = fact
+
+    def _on_no_router(self, fact: NoRouterAvailable) -> None:
+        self.answers["no router"] += 1
+
+    def _on_abandoned(self, fact: CallAbandoned) -> None:
+        self.checker.on_call_abandoned(fact.at_ms, fact.call_id)
+        self.answers["left"] += 1
+
+    def _on_cancelled(self, fact: AttemptCancelled) -> None:
+        self._cancelled_at_ms[fact.call_id, fact.worker] = fact.at_ms
+        self._end_attempts(fact.call_id, fact.worker, may_have_executed=True)
+
+    def _tell(self, at_ms: float, as_of_ms: float, router: int) -> None:
+        """A router is told the list of a time."""
+        self._told_as_of_ms[router] = as_of_ms
+        for worker, state in self.list_timeline.states_at(as_of_ms, router).items():
+            self.checker.on_worker_state(at_ms, worker + 1, state, router=router)
+
+    def _notice_changes(self, now_ms: float) -> None:
+        """Changes count as told some time after they happened: soon where a router could ask."""
+        while self._pending_notices and self._pending_notices[0].at_ms <= now_ms:
+            notice = self._pending_notices.pop(0)
+            if self._told_as_of_ms[notice.router] >= notice.changed_at_ms:
+                continue  # it knows of this, and perhaps of later changes
+            for worker, state in self.list_timeline.states_at(notice.changed_at_ms, notice.router).items():
+                if state != "ready":
+                    self.checker.on_worker_state(notice.at_ms, worker + 1, state, router=notice.router)
+
+    def _notices(self) -> list[_Notice]:
+        """When each change counts as told to each router at the latest, in order of time."""
+        return sorted(
+            _Notice(changed_at_ms + self._notice_limit_ms(router, changed_at_ms), router, changed_at_ms)
+            for changed_at_ms in (1000.0 * at_s for at_s in self.list_timeline.change_times_s)
+            for router in range(self.scenario.router_count)
+        )
+
+    def _notice_limit_ms(self, router: int, changed_at_ms: float) -> float:
+        """The longer limit where something stood between the router and discovery, or it was started anew."""
+        since_s, until_s = changed_at_ms / 1000.0, (changed_at_ms + PROMPT_NOTICE_MS) / 1000.0
+        resumed_s = [
+            fault.end_s + RESUME_S
+            for fault in self.scenario.faults
+            if fault.kind is FaultKind.PAUSE_ROUTER
+            and fault.subjects.includes(SubjectKind.ROUTER, router)
+            and fault.start_s < until_s
+            and fault.end_s > since_s
+        ]
+        until_s = max((until_s, *resumed_s))  # it can ask only once it goes on
+        is_hampered = any(
+            fault.start_s < until_s
+            and fault.end_s > since_s - PROMPT_NOTICE_MS / 1000.0
+            and (
+                fault.subjects.includes(SubjectKind.ROUTER, router)
+                or fault.subjects.includes(SubjectKind.DISCOVERY, router)
+            )
+            for fault in self.scenario.faults
+            if fault.kind in HAMPERING_FAULTS
+        )
+        return NOTICE_LIMIT_MS if is_hampered else PROMPT_NOTICE_MS
 
     def latency_ms(self, percentiles: Sequence[float]) -> dict[str, float]:
         """The latency of served calls, by the name of the percentile."""
@@ -120,7 +231,10 @@
             fact.at_ms,
             fact.call_id,
             fact.worker + 1,
+            first_byte_at_ms=fact.sent_at_ms,
             handed_over_at_ms=fact.sent_at_ms - READ_ORDER_SLACK_MS,
+            router=router.number,
+            time_limit_ms=fact.time_limit_ms,
         )
         self._attempts[fact.call_id].append(_WorkerAttempt(fact.worker, record))
         if self._cancelled_at_ms.get((fact.call_id, fact.worker), -1.0) >= fact.sent_at_ms:
--- a/cedarthread/testing/cluster/facts.py
+++ b/cedarthread/testing/cluster/facts.py
@@ -45,6 +45,7 @@
     call_id: str
     worker: int
     sent_at_ms: float
+    time_limit_ms: float = 0.0  # that the router passed on; 0: not recorded
 
 
 class AttemptEnded(NamedTuple):
@@ -64,8 +65,32 @@
     worker: int
 
 
+class ClientLeft(NamedTuple):
+    """A client closed the connection on which it had sent a call."""
+
+    at_ms: float
+    call_id: str
+
+
+class ListSent(NamedTuple):
+    """A discovery server sent a reply with the list of that time to a router: it counts as told."""
+
+    at_ms: float
+    router: int
+
+
+class RouterStarted(NamedTuple):
+    """A process of a router was started: it knows the list of its configuration alone."""
+
+    at_ms: float
+    router: int
+
+
 Fact = (
-    CallSubmitted
+    ClientLeft
+    | ListSent
+    | RouterStarted
+    | CallSubmitted
     | NoRouterAvailable
     | CallAbandoned
     | CallAnswered
--- a/cedarthread/testing/cluster/fake_clients.py
+++ b/cedarthread/testing/cluster/fake_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import socket
 from collections.abc import Callable
@@ -11,7 +12,14 @@
 
 from cedarthread.testing.cluster.arrivals import Arrival, generate_arrivals
 from cedarthread.testing.cluster.endpoint_timeline import EndpointListTimeline
-from cedarthread.testing.cluster.facts import CallAbandoned, CallAnswered, CallSubmitted, NoRouterAvailable
+from cedarthread.testing.cluster.facts import (
+    CallAbandoned,
+    CallAnswered,
+    CallSubmitted,
+    ClientLeft,
+    ListSent,
+    NoRouterAvailable,
+)
 from cedarthread.testing.cluster.peer_relays import PeerRelays
 from cedarthread.testing.cluster.plan import CALL_DEADLINE_MS, ClusterPlan
 from cedarthread.testing.cluster.process_base import Command, FakeProcess
@@ -23,7 +31,14 @@
 ZONE = "room-a"
 CALLS_PER_YIELD = 32  # overdue calls that are sent before the loop runs once
 ABANDON_BEFORE_RESUME_S = 0.02  # so that no answer of a resumed router counts
-DISCOVERY_FAULTS = (FaultKind.SILENCE_DISCOVERY, FaultKind.CORRUPT_DISCOVERY)
+CONNECT_TRIES, CONNECT_RETRY_S = 20, 0.1
+MOVED_SERVER_LINGERS_S = 0.3  # after a move, until the server at the old address falls silent
+CROSSING_CLOSE_MS = 60.0  # a request that was sent so late before its connection ended has crossed the close
+DISCOVERY_FAULTS = (
+    FaultKind.SILENCE_DISCOVERY,
+    FaultKind.CORRUPT_DISCOVERY,
+    FaultKind.MOVE_DISCOVERY,
+)
 
 
 class FakeClientProcess(FakeProcess):
@@ -37,6 +52,7 @@
         self.discovery_faults = [fault for fault in plan.scenario.faults if fault.kind in DISCOVERY_FAULTS]
         self.clients: dict[int, FakeClient] = {}
         self.pending_calls: dict[int, dict[int, str]] = {router: {} for router in self.routers}
+        self.submitted_at_ms: dict[str, float] = {}
         self.relays = PeerRelays(self)
 
     async def start(self) -> None:
@@ -47,6 +63,11 @@
                 partial(self._list_for, router), ZONE, partial(self.on_discovery_query, router)
             )
             await discovery_server.start(socket.socket(fileno=self.plan.discovery_servers[router].descriptor))
+            moved_server = FakeDiscoveryServer(
+                partial(self._list_for, router), ZONE, partial(self.on_moved_discovery_query, router)
+            )
+            moved_socket = socket.socket(fileno=self.plan.moved_discovery_servers[router].descriptor)
+            await moved_server.start(moved_socket)
 
     def _list_for(self, router: int) -> tuple[int, tuple[Any, ...]]:
         return self.list_timeline.list_at(self.now_ms(), router)
@@ -59,10 +80,33 @@
             )
         await super().on_command(command, arguments)
 
+    def on_moved_discovery_query(
+        self, router: int, make_reply: Callable[[], bytes], send_reply: Callable[[bytes], None]
+    ) -> None:
+        """A router asked the discovery server that serves after a move."""
+        if self._has_moved(router, margin_s=0.0):
+            self._reply(router, make_reply, send_reply)
+
     def on_discovery_query(
         self, router: int, make_reply: Callable[[], bytes], send_reply: Callable[[bytes], None]
     ) -> None:
-        """A router asked its discovery server: reply now, late, in part or not at all."""
+        """A router asked its usual discovery server, which falls silent some time after a move."""
+        if not self._has_moved(router, margin_s=MOVED_SERVER_LINGERS_S):
+            self._reply(router, make_reply, send_reply)
+
+    def _has_moved(self, router: int, margin_s: float) -> bool:
+        """Has discovery moved, so long ago at least, and not come back?"""
+        now_s = self.now_ms() / 1000.0
+        return any(
+            fault.start_s + margin_s <= now_s < fault.end_s
+            for fault in self.discovery_faults
+            if fault.kind is FaultKind.MOVE_DISCOVERY and fault.subjects.includes(SubjectKind.ROUTER, router)
+        )
+
+    def _reply(
+        self, router: int, make_reply: Callable[[], bytes], send_reply: Callable[[bytes], None]
+    ) -> None:
+        """Reply now, late, in part or not at all."""
         now = self.now_ms()
         if not self.is_recording_closed:
             self.recording.discovery_queries.append(DiscoveryQuery(now, router))
@@ -73,16 +117,25 @@
         ]
         if any(fault.kind is FaultKind.SILENCE_DISCOVERY for fault in faults):
             return
+        self.record(ListSent(now, router))
         router_subject = Subject(SubjectKind.ROUTER, router)
         discovery_subject = Subject(SubjectKind.DISCOVERY, router)
         for delay_ms in self.network.datagram_delays_ms(now, router_subject, discovery_subject):
             reply = make_reply()
-            if any(self.rng.random() < fault.amount for fault in faults):
+            spoilt = [fault for fault in faults if fault.kind is FaultKind.CORRUPT_DISCOVERY]
+            if any(self.rng.random() < fault.amount for fault in spoilt):
                 reply = corrupt(reply, self.rng)
             self.call_after(delay_ms, partial(send_reply, reply))
 
     async def connect_client(self, router: int) -> None:
-        """Connect the client of a router."""
+        """Connect the client of a router, unless that is gone again; its calls go to others then."""
+        for _ in range(CONNECT_TRIES):
+            with contextlib.suppress(OSError):
+                await self._connect_client(router)
+                return
+            await asyncio.sleep(CONNECT_RETRY_S)
+
+    async def _connect_client(self, router: int) -> None:
 
         def on_answer(number: int, result: str, body: bytes) -> None:
             delay_ms = self.network.stream_delay_ms(
@@ -90,17 +143,58 @@
             )
             self.call_after(delay_ms, lambda: self._on_answer(router, number, result, body))
 
-        client = FakeClient(on_answer, lambda: self.abandon_calls(router))
+        client = FakeClient(on_answer, lambda: self._on_connection_lost(router, client))
         await self.loop.create_connection(lambda: client, "127.0.0.1", self.plan.router_ports[router])
         client.send(pack_health_check())  # a connection has little time for its first message
         self.clients[router] = client
 
+    def _on_connection_lost(self, router: int, client: FakeClient) -> None:
+        """The connection to a router has ended.
+
+        A router that was told to end owes the answers of all but those calls that crossed its close."""
+        if self.clients.get(router) is not client:
+            return  # the client closed it, and has another one
+        if self._is_terminating(router):
+            since_ms = self.now_ms() - CROSSING_CLOSE_MS
+            recent = {
+                number: call_id
+                for number, call_id in self.pending_calls[router].items()
+                if self.submitted_at_ms[call_id] >= since_ms
+            }
+            self.pending_calls[router] = recent
+        self.abandon_calls(router)
+
+    def _is_terminating(self, router: int) -> bool:
+        now_s = self.now_ms() / 1000.0
+        return any(
+            fault.kind is FaultKind.TERMINATE_ROUTER
+            and fault.subjects.includes(SubjectKind.ROUTER, router)
+            and fault.start_s <= now_s < fault.end_s
+            for fault in self.scenario.faults
+        ) and not any(
+            fault.kind in (FaultKind.KILL_ROUTER, FaultKind.RESTART_ROUTER)
+            and fault.subjects.includes(SubjectKind.ROUTER, router)
+            and fault.start_s - 1.0 <= now_s < fault.end_s
+            for fault in self.scenario.faults
+        )
+
     def abandon_calls(self, router: int) -> None:
         """The client waits for nothing any more."""
         for call_id in self.pending_calls[router].values():
             self.record(CallAbandoned(self.now_ms(), call_id))
         self.pending_calls[router].clear()
 
+    async def _leave(self, router: int) -> None:
+        """Close the connection to a router under all its calls, and make another one."""
+        client = self.clients.pop(router, None)
+        if client is None or client.transport is None:
+            return
+        for call_id in self.pending_calls[router].values():
+            self.record(ClientLeft(self.now_ms(), call_id))
+        self.abandon_calls(router)
+        client.transport.close()
+        await self.connect_client(router)
+
     def _on_answer(self, router: int, number: int, result: str, body: bytes) -> None:
         if (call_id := self.pending_calls[router].pop(number, None)) is not None:
             self.record(CallAnswered(self.now_ms(), call_id, result, body))
@@ -135,6 +229,7 @@
             CallSubmitted(self.now_ms(), call_id, request_class, now + CALL_DEADLINE_MS, arrival.tenant)
         )
         self.pending_calls[router][number] = call_id
+        self.submitted_at_ms[call_id] = now
         delay_ms = self.network.stream_delay_ms(
             now, Subject(SubjectKind.CLIENT, router), Subject(SubjectKind.ROUTER, router)
         )
@@ -152,7 +247,11 @@
         return client is not None and client.transport is not None
 
     async def run_fault(self, fault: Fault) -> None:
-        """Abandon the calls of a router that is paused, by the time that it resumes."""
+        """Leave, or abandon the calls of a router that is paused, by the time that it resumes."""
+        if fault.kind is FaultKind.LEAVE:
+            await self.wait_until(fault.start_s)
+            subjects = range(fault.subjects.first, fault.subjects.last + 1)
+            await asyncio.gather(*(self._leave(router) for router in subjects if router in self.routers))
         if fault.kind is not FaultKind.PAUSE_ROUTER:
             return
         end_s = self.scenario.end_s
--- a/cedarthread/testing/cluster/fake_workers.py
+++ b/cedarthread/testing/cluster/fake_workers.py
@@ -14,7 +14,12 @@
 from cedarthread.testing.fakes.worker_server import Deliver, FakeWorkerServer
 
 ROUTER_TO_WORKER_MS = 2.0  # the least time from a router to a worker
-WORKER_FAULTS = (FaultKind.CRASH_WORKER, FaultKind.SLOW_WORKER, FaultKind.SILENCE_WORKER)
+WORKER_FAULTS = (
+    FaultKind.CRASH_WORKER,
+    FaultKind.SLOW_WORKER,
+    FaultKind.SILENCE_WORKER,
+    FaultKind.RESET_CONNECTIONS,
+)
 
 
 class FakeWorkerProcess(FakeProcess):
@@ -50,10 +55,11 @@
         if not self.is_recording_closed:
             self.recording.worker_calls.append(call)
 
-    def on_call_sent(self, call_id: str, worker: int) -> None:
+    def on_call_sent(self, call_id: str, worker: int, time_limit_ms: float) -> None:
         """A router handed an attempt to the network."""
         sent_at_ms = self.loop_iteration_ms()
-        self.record(AttemptSent(sent_at_ms + ROUTER_TO_WORKER_MS, call_id, worker, sent_at_ms))
+        arrival_ms = sent_at_ms + ROUTER_TO_WORKER_MS
+        self.record(AttemptSent(arrival_ms, call_id, worker, sent_at_ms, time_limit_ms))
 
     def on_call_ended(self, call: WorkerCall) -> None:
         """An attempt left its worker, or was lost there."""
@@ -86,11 +92,13 @@
         for server in servers:
             if fault.kind is FaultKind.CRASH_WORKER:
                 server.crash()
+            elif fault.kind is FaultKind.RESET_CONNECTIONS:
+                server.reset_connections()
             elif fault.kind is FaultKind.SLOW_WORKER:
                 server.model.slowdown = fault.amount
             else:
                 server.is_silent = True
-        if fault.end_s >= self.scenario.end_s:
+        if fault.end_s >= self.scenario.end_s or fault.kind is FaultKind.RESET_CONNECTIONS:
             return
         await self.wait_until(fault.end_s)
         for server in servers:
--- a/cedarthread/testing/cluster/injected_defects.py
+++ b/cedarthread/testing/cluster/injected_defects.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from importlib import import_module
+from typing import Any
 
 from cedarthread.model.endpoints import EndpointUpdate
 
@@ -22,6 +23,11 @@
     "unlisted": "cedarthread.testing.cluster.injected_defects:keep_unlisted_workers",
     "drown": "cedarthread.testing.cluster.injected_defects:flood_peer_queries",
     "ramp": "cedarthread.testing.cluster.injected_defects:unlimited_recovery_loads",
+    "drains ignored": "cedarthread.testing.cluster.injected_defects:ignore_drains",
+    "list late": "cedarthread.testing.cluster.injected_defects:poll_seldom",
+    "no hold": "cedarthread.testing.cluster.injected_defects:send_after_stall",
+    "stale limit": "cedarthread.testing.cluster.injected_defects:count_time_from_reading",
+    "gone unseen": "cedarthread.testing.cluster.injected_defects:ignore_disconnected_clients",
     "believes": "cedarthread.testing.cluster.injected_defects:trust_earlier_incarnations",
 }
 
@@ -48,9 +54,11 @@
 
 
 def retry_always() -> None:
-    """A call that may have been executed is retried, whatever its class."""
+    """A call that may have been executed is retried, whatever its class, and the guard lets it pass."""
+    from cedarthread.dispatch import send_guard
     from cedarthread.routing import retries
 
+    send_guard._refuse_retry = lambda attempt, settings: None
     retries.RetryPolicy.may_attempt = lambda self, now, pending: True  # type: ignore[method-assign]
 
 
@@ -151,3 +159,49 @@
     from cedarthread.recovery import warm_state
 
     warm_state.start_tag = lambda started_at_ms: 0
+
+
+def ignore_drains() -> None:
+    """A worker that is listed as draining passes for ready."""
+    from dataclasses import replace
+
+    from cedarthread.model.endpoints import EndpointState
+    from cedarthread.protocols import endpoint_records
+    from cedarthread.protocols.endpoint_list import EndpointRecord
+
+    parse = endpoint_records._endpoint_from_records
+
+    def parse_as_ready(*arguments: Any) -> EndpointRecord | str:
+        record = parse(*arguments)
+        return record if isinstance(record, str) else replace(record, state=EndpointState.READY)
+
+    endpoint_records._endpoint_from_records = parse_as_ready  # type: ignore[assignment]
+
+
+def poll_seldom() -> None:
+    """Discovery is asked every two seconds, and failed queries are not retried."""
+    from cedarthread.protocols.query_tracker import QueryTracker
+
+    QueryTracker.next_query_at_s = lambda self: self.last_sent_at_s + 2.0  # type: ignore[method-assign]
+
+
+def send_after_stall() -> None:
+    """After a stall, what waited is sent before discovery has been asked."""
+    from cedarthread.lifecycle.freshness_gate import FreshnessGate
+
+    FreshnessGate.is_open = lambda self: True  # type: ignore[method-assign]
+
+
+def count_time_from_reading() -> None:
+    """A client's time limit runs from when its request was read, however long that stood in the socket."""
+    from cedarthread.dispatch.dispatcher import Dispatcher
+
+    Dispatcher.arrival_ms = lambda self: self.context.clock()  # type: ignore[method-assign]
+
+
+def ignore_disconnected_clients() -> None:
+    """A call goes on though its client has closed the connection."""
+    from cedarthread.dispatch.dispatcher import Dispatcher
+
+    Dispatcher.abandon_call = lambda self, call: None  # type: ignore[method-assign]
+    Dispatcher.client_closing = lambda self, call: None  # type: ignore[method-assign]
--- a/cedarthread/testing/cluster/plan.py
+++ b/cedarthread/testing/cluster/plan.py
@@ -27,6 +27,7 @@
     worker_ports: list[int]
     peer_relays: list[InheritedSocket]
     discovery_servers: list[InheritedSocket]
+    moved_discovery_servers: list[InheritedSocket]  # where discovery is after a move
 
 
 def router_host(number: int) -> str:
--- a/cedarthread/testing/cluster/router_entry.py
+++ b/cedarthread/testing/cluster/router_entry.py
@@ -1,14 +1,15 @@
 """Entry point of a router whose clocks and disk can be faulty, and which may have an injected defect.
 
-    python -m cedarthread.testing.cluster.router_entry CLOCK DISK DEFECT ARGUMENT...
+    python -m cedarthread.testing.cluster.router_entry CLOCK DISK CALLS DEFECT ARGUMENT...
 
-CLOCK and DISK are control files as ``router_files.py`` writes them; DISK may be empty. DEFECT is a name of
-``injected_defects.py``, or empty. The arguments are those of ``python -m cedarthread``.
+CLOCK, DISK and CALLS are control files as ``router_files.py`` writes them; DISK may be empty. DEFECT is a
+name of ``injected_defects.py``, or empty. The arguments are those of ``python -m cedarthread``.
 """
 
 from __future__ import annotations
 
 import mmap
+import os
 import runpy
 import struct
 import sys
@@ -19,6 +20,7 @@
 from types import SimpleNamespace
 
 from cedarthread.dispatch import clock
+from cedarthread.testing.cluster import failing_sockets
 from cedarthread.testing.cluster.injected_defects import inject
 
 Clock = Callable[[], float]  # s
@@ -44,6 +46,7 @@
         control = mmap.mmap(file.fileno(), CLOCK_CONTROL.size, access=mmap.ACCESS_READ)
     if disk := sys.argv.pop(1):
         import_module("cedarthread.persistence.faulty_disk").install(Path(disk))
+    failing_sockets.install(Path(sys.argv.pop(1)), os.getpid())
     inject(sys.argv.pop(1))
     clock.time = faulty_clocks(control, time.time, time.monotonic)  # type: ignore[attr-defined, assignment]
     runpy.run_module("cedarthread", run_name="__main__")
--- a/cedarthread/testing/cluster/router_files.py
+++ b/cedarthread/testing/cluster/router_files.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+from cedarthread.testing.cluster.failing_sockets import SYSTEM_CALLS_CONTROL
 from cedarthread.testing.cluster.router_entry import CLOCK_CONTROL
 from cedarthread.testing.cluster.scenario import DISK_FAULTS, Scenario, SubjectKind
 from cedarthread.testing.cluster.scenario_file import fleet_config_routers, tenant_shares
@@ -55,6 +56,8 @@
         self.disk = folder / f"n{number}.disk"
         self.store = folder / f"n{number}.store"
         self.log = folder / f"n{number}.log"
+        self.system_calls = folder / f"n{number}.calls"
+        self.discovery_port = self.moved_discovery_port = 0
 
     def write(
         self,
@@ -66,6 +69,7 @@
     ) -> None:
         """All files as they are at the start."""
         scenario, number = self.scenario, self.number
+        self.discovery_port = discovery_port
         config: dict[str, Any] = {
             "name": f"n{number}",
             "listen": f"127.0.0.1:{port}",
@@ -80,6 +84,7 @@
         self.config.write_text(json.dumps(config))
         self.set_clock()
         self.set_disk_fault()
+        self.set_failing_system_calls()
         has_fleet_config = fleet_config_routers(scenario).includes(SubjectKind.ROUTER, number)
         if scenario.fleet_config and has_fleet_config:
             self.write_fleet_config(scenario.fleet_config, 0.0)
@@ -93,6 +98,15 @@
         control = DISK_CONTROL.pack(DISK_FAULTS.index(fault), amount)
         _write_in_place(self.disk, control.ljust(DISK_CONTROL_BYTES, b"\0"))
 
+    def set_failing_system_calls(self, share: float = 0.0) -> None:
+        """What share of the router's system calls on sockets fails from now on."""
+        _write_in_place(self.system_calls, SYSTEM_CALLS_CONTROL.pack(share))
+
+    def set_discovery_port(self, port: int) -> None:
+        """Where discovery is, from the next time that the configuration is loaded."""
+        config = json.loads(self.config.read_text())
+        self.config.write_text(json.dumps(config | {"dns": f"127.0.0.1:{port}"}))
+
     def write_fleet_config(self, text: str, start_unix_s: float) -> None:
         """The operators' file; where routers have stores, with a ``[disk]`` section of this router's."""
         if self.scenario.has_store:
--- a/cedarthread/testing/cluster/router_processes.py
+++ b/cedarthread/testing/cluster/router_processes.py
@@ -21,7 +21,12 @@
 STOP_TIMEOUT_S = 10  # from SIGTERM until a router is killed
 LOG_TAIL_CHARACTERS = 300  # of the log, in the error for a router that ended
 CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
-CONTROL_FILE_FAULTS = (FaultKind.SHIFT_CLOCK, FaultKind.CLOCK_RATE, FaultKind.DISK)
+CONTROL_FILE_FAULTS = (
+    FaultKind.SHIFT_CLOCK,
+    FaultKind.CLOCK_RATE,
+    FaultKind.DISK,
+    FaultKind.SYSTEM_CALLS,
+)
 
 
 class RouterProcesses:
@@ -66,7 +71,7 @@
         if number in self.routers_with_control_files or scenario.injected_defect:
             disk = str(files.disk) if scenario.has_store else ""
             module = "cedarthread.testing.cluster.router_entry"
-            arguments = [str(files.clock), disk, scenario.injected_defect]
+            arguments = [str(files.clock), disk, str(files.system_calls), scenario.injected_defect]
         options = ["--fleet", str(files.fleet_config)] if files.fleet_config.exists() else []
         with files.log.open("ab") as log:
             self.processes[number] = subprocess.Popen(
@@ -111,21 +116,34 @@
 
     def begin_fault(self, fault: Fault, number: int) -> None:
         """Begin a fault at one router."""
-        files = self.files[number]
         match fault.kind:
             case FaultKind.KILL_ROUTER:
                 self.send_signal(number, signal.SIGKILL)
             case FaultKind.RESTART_ROUTER:
                 self.send_signal(number, signal.SIGKILL)
                 self.start(number)
+            case FaultKind.TERMINATE_ROUTER:
+                self.send_signal(number, signal.SIGTERM)
             case FaultKind.PAUSE_ROUTER:
                 self.send_signal(number, signal.SIGSTOP)
+            case _:
+                self._change_files(fault, number)
+
+    def _change_files(self, fault: Fault, number: int) -> None:
+        """Begin a fault that a file tells of, with SIGHUP where the router has to be told to read it."""
+        files = self.files[number]
+        match fault.kind:
+            case FaultKind.SYSTEM_CALLS:
+                files.set_failing_system_calls(fault.amount)
             case FaultKind.SHIFT_CLOCK:
                 files.set_clock(offset_ms=fault.amount)
             case FaultKind.CLOCK_RATE:
                 files.set_clock(rate=fault.amount)
             case FaultKind.DISK:
                 files.set_disk_fault(fault.text, fault.amount)
+            case FaultKind.MOVE_DISCOVERY:
+                files.set_discovery_port(files.moved_discovery_port)
+                self.send_signal(number, signal.SIGHUP)
             case FaultKind.FLEET_CONFIG:
                 files.write_fleet_config(fault.text, self.start_unix_s)
                 self.send_signal(number, signal.SIGHUP)
@@ -136,8 +154,13 @@
     def end_fault(self, fault: Fault, number: int) -> None:
         """End a fault at one router; changed files stay as they are."""
         match fault.kind:
-            case FaultKind.KILL_ROUTER:
+            case FaultKind.KILL_ROUTER | FaultKind.TERMINATE_ROUTER:
                 self.start(number)
+            case FaultKind.MOVE_DISCOVERY:
+                self.files[number].set_discovery_port(self.files[number].discovery_port)
+                self.send_signal(number, signal.SIGHUP)
+            case FaultKind.SYSTEM_CALLS:
+                self.files[number].set_failing_system_calls()
             case FaultKind.PAUSE_ROUTER:
                 self.send_signal(number, signal.SIGCONT)
             case FaultKind.SHIFT_CLOCK | FaultKind.CLOCK_RATE:
--- a/cedarthread/testing/cluster/run.py
+++ b/cedarthread/testing/cluster/run.py
@@ -13,6 +13,7 @@
 
 from cedarthread.testing.cluster.endpoint_timeline import EndpointListTimeline
 from cedarthread.testing.cluster.evaluation import evaluate
+from cedarthread.testing.cluster.facts import RouterStarted
 from cedarthread.testing.cluster.plan import CALL_DEADLINE_MS, ClusterPlan, InheritedSocket, router_host
 from cedarthread.testing.cluster.process_base import Command
 from cedarthread.testing.cluster.process_handle import FakeProcessHandle
@@ -20,9 +21,12 @@
 from cedarthread.testing.cluster.router_processes import RouterProcesses, reserve_port
 from cedarthread.testing.cluster.scenario import FAULT_SUBJECTS, Fault, FaultKind, Scenario, SubjectKind
 
+FAILURE_WORDS = (" rule_violated ", "Traceback")  # in a router's log
 ROUTERS_PER_PROCESS = 50  # whose clients, relays and discovery servers one process runs
 START_LEAD_S = 0.2  # from the command until traffic starts, so that all processes have it
 LAST_RESPONSES_S = 0.3  # after the last deadline
+# STANDING: SIGKILL comes the longest deadline, counted as 3 s at most, and 0.7 s after SIGTERM.
+SIGKILL_AFTER_SIGTERM_S = min(3.0, CALL_DEADLINE_MS / 1000.0) + 0.7
 
 
 class ClusterRun:
@@ -33,10 +37,12 @@
         self.loop = asyncio.get_running_loop()
         self.start_time_s = self.loop.time()
         self.cpu_at_warm_up_s = 0.0
+        self.router_starts: list[RouterStarted] = []
         self.routers = RouterProcesses(scenario, folder)
         self.worker_sockets = [reserve_port() for _ in range(scenario.worker_count)]
         self.relay_sockets = [_bind_udp() for _ in range(scenario.router_count)]
         self.discovery_sockets = [_bind_udp() for _ in range(scenario.router_count)]
+        self.moved_discovery_sockets = [_bind_udp() for _ in range(scenario.router_count)]
         client_processes = 1 + (scenario.router_count - 1) // ROUTERS_PER_PROCESS
         self.plan = ClusterPlan(
             scenario,
@@ -45,8 +51,16 @@
             [_port_of(each) for each in self.worker_sockets],
             [InheritedSocket(each.fileno(), _port_of(each)) for each in self.relay_sockets],
             [InheritedSocket(each.fileno(), _port_of(each)) for each in self.discovery_sockets],
+            [InheritedSocket(each.fileno(), _port_of(each)) for each in self.moved_discovery_sockets],
         )
-        shared = [each.descriptor for each in (*self.plan.peer_relays, *self.plan.discovery_servers)]
+        shared = [
+            each.descriptor
+            for each in (
+                *self.plan.peer_relays,
+                *self.plan.discovery_servers,
+                *self.plan.moved_discovery_servers,
+            )
+        ]
         self.fake_processes = [  # the workers' first
             FakeProcessHandle(folder, number, shared if number else [])
             for number in range(1 + client_processes)
@@ -70,7 +84,18 @@
         finally:
             exit_codes = await self.end()
         unexpected = {number: code for number, code in exit_codes.items() if code not in (0, -signal.SIGKILL)}
-        return evaluate(scenario, recordings, cpu_s, unexpected)
+        result = evaluate(scenario, recordings, cpu_s, unexpected, self.router_starts)
+        result.violations += self._logged_failures()
+        return result
+
+    def _logged_failures(self) -> list[str]:
+        """What routers logged that must not be: violations that they counted themselves, and exceptions."""
+        return [
+            f"log of router {number}: {line}"
+            for number in range(self.scenario.router_count)
+            for line in self.routers.read_log(number).splitlines()
+            if any(word in line for word in FAILURE_WORDS)
+        ]
 
     async def start(self) -> None:
         """Start all processes, until routers serve and clients are connected."""
@@ -88,6 +113,7 @@
             peer_address = f"{router_host(number)}:{self.plan.peer_relays[number].port}"
             discovery_port = self.plan.discovery_servers[number].port
             self.routers.write_config(number, known_endpoints, discovery_port, peers, peer_address)
+            self.routers.files[number].moved_discovery_port = self.plan.moved_discovery_servers[number].port
             self.routers.start(number)
             if number == 0:  # it compiles the modules for all others
                 await self.routers.wait_until_ready(number)
@@ -102,7 +128,12 @@
         """End all processes; the exit codes of the routers."""
         exit_codes = self.routers.stop_all()
         await asyncio.gather(*(process.kill() for process in self.fake_processes))
-        for each in (*self.worker_sockets, *self.relay_sockets, *self.discovery_sockets):
+        for each in (
+            *self.worker_sockets,
+            *self.relay_sockets,
+            *self.discovery_sockets,
+            *self.moved_discovery_sockets,
+        ):
             each.close()
         return exit_codes
 
@@ -121,14 +152,24 @@
         for number in numbers:
             self.routers.begin_fault(fault, number)
         if fault.kind is FaultKind.RESTART_ROUTER:
+            self._record_starts(numbers)
             await self._reconnect_clients(numbers)
+        if fault.kind is FaultKind.TERMINATE_ROUTER:
+            await self._wait_until(fault.start_s + SIGKILL_AFTER_SIGTERM_S)
+            for number in numbers:
+                self.routers.send_signal(number, signal.SIGKILL)
         if fault.end_s < self.scenario.end_s:
             await self._wait_until(fault.end_s)
             for number in numbers:
                 self.routers.end_fault(fault, number)
-            if fault.kind is FaultKind.KILL_ROUTER:
+            if fault.kind in (FaultKind.KILL_ROUTER, FaultKind.TERMINATE_ROUTER):
+                self._record_starts(numbers)
                 await self._reconnect_clients(numbers)
 
+    def _record_starts(self, numbers: range) -> None:
+        at_ms = 1000.0 * (self.loop.time() - self.start_time_s)
+        self.router_starts += [RouterStarted(at_ms, number) for number in numbers]
+
     async def _reconnect_clients(self, numbers: range) -> None:
         """Connect the client of each router as soon as that serves again."""
 
--- a/cedarthread/testing/cluster/scenario.py
+++ b/cedarthread/testing/cluster/scenario.py
@@ -32,6 +32,9 @@
     # At routers.
     KILL_ROUTER = "kill"  # and start it again at the end
     PAUSE_ROUTER = "stop"
+    TERMINATE_ROUTER = "term"  # SIGTERM, SIGKILL by the page's arithmetic, and start it again at the end
+    MOVE_DISCOVERY = "move"  # to another address, by SIGHUP; the old one falls silent; back at the end
+    SYSTEM_CALLS = "syscalls"  # ``amount``: share of the system calls on sockets that fail
     RESTART_ROUTER = "restart"  # at once
     SHIFT_CLOCK = "clock"  # ``amount``: ms by which the wall clock is off
     CLOCK_RATE = "rate"  # ``amount``: times as fast as time
@@ -45,6 +48,10 @@
     SLOW_WORKER = "slow"  # ``amount``: times as slow
     SILENCE_WORKER = "silent"
     HIDE_WORKER = "hide"  # from the endpoint lists of the peers
+    DRAIN_WORKER = "drain"  # in the endpoint lists of the peers
+    RESET_CONNECTIONS = "reset"  # at once, all that stand
+    # At clients.
+    LEAVE = "leave"  # the connection is closed, and another one made
     # At discovery servers.
     SILENCE_DISCOVERY = "mute"
     CORRUPT_DISCOVERY = "spoilt"  # ``amount``: share of the replies
@@ -61,6 +68,9 @@
 FAULT_SUBJECTS = {  # of all other faults: the one kind of subject that each happens at
     FaultKind.KILL_ROUTER: SubjectKind.ROUTER,
     FaultKind.PAUSE_ROUTER: SubjectKind.ROUTER,
+    FaultKind.TERMINATE_ROUTER: SubjectKind.ROUTER,
+    FaultKind.MOVE_DISCOVERY: SubjectKind.ROUTER,
+    FaultKind.SYSTEM_CALLS: SubjectKind.ROUTER,
     FaultKind.RESTART_ROUTER: SubjectKind.ROUTER,
     FaultKind.SHIFT_CLOCK: SubjectKind.ROUTER,
     FaultKind.CLOCK_RATE: SubjectKind.ROUTER,
@@ -73,6 +83,9 @@
     FaultKind.SLOW_WORKER: SubjectKind.WORKER,
     FaultKind.SILENCE_WORKER: SubjectKind.WORKER,
     FaultKind.HIDE_WORKER: SubjectKind.WORKER,
+    FaultKind.DRAIN_WORKER: SubjectKind.WORKER,
+    FaultKind.RESET_CONNECTIONS: SubjectKind.WORKER,
+    FaultKind.LEAVE: SubjectKind.CLIENT,
     FaultKind.SILENCE_DISCOVERY: SubjectKind.DISCOVERY,
     FaultKind.CORRUPT_DISCOVERY: SubjectKind.DISCOVERY,
 }
--- a/cedarthread/testing/cluster/scenario_file.py
+++ b/cedarthread/testing/cluster/scenario_file.py
@@ -139,7 +139,7 @@
     if not all(isinstance(time, (int, float)) for time in (start_s, end_s)) or not 0 <= start_s < end_s:
         raise ScenarioError(f"{where}: at {start_s!r} and until {end_s!r} are no times in order")
     peers = parse_subjects(f"{where}: to", fault["to"], scenario) if "to" in fault else None
-    if (kind in NETWORK_FAULTS or kind is FaultKind.HIDE_WORKER) and peers is None:
+    if kind in (*NETWORK_FAULTS, FaultKind.HIDE_WORKER, FaultKind.DRAIN_WORKER) and peers is None:
         raise ScenarioError(f"{where}: {kind} needs `to`")
     subjects = parse_subjects(f"{where}: who", fault.get("who"), scenario)
     if kind in FAULT_SUBJECTS and subjects.kind != FAULT_SUBJECTS[kind]:
--- a/cedarthread/testing/cluster/scenarios/__init__.py
+++ b/cedarthread/testing/cluster/scenarios/__init__.py
@@ -10,6 +10,7 @@
 from cedarthread.testing.cluster.scenario import Scenario
 
 SCENARIO_MODULES = {  # by the name on the command line
+    "faults": "cedarthread.testing.cluster.scenarios.faults",
     "freeze": "cedarthread.testing.cluster.scenarios.change_freeze",
     "spread": "cedarthread.testing.cluster.scenarios.load_spread",
     "return": "cedarthread.testing.cluster.scenarios.mass_restart",
--- a/cedarthread/testing/cluster/scenarios/mass_restart.py
+++ b/cedarthread/testing/cluster/scenarios/mass_restart.py
@@ -219,6 +219,8 @@
     first_call_at_ms: dict[int, float] = {}  # of a router, since it was killed
     count = 0
     for fact in result.facts:
+        if not isinstance(fact, CallSubmitted | AttemptSent):
+            continue
         router = router_of(fact.call_id)
         if isinstance(fact, CallSubmitted) and any(
             1000.0 * fault.start_s <= fact.at_ms and fault.subjects.includes(SubjectKind.ROUTER, router)
--- a/cedarthread/testing/fakes/worker_server.py
+++ b/cedarthread/testing/fakes/worker_server.py
@@ -25,8 +25,8 @@
 class WorkerObserver(Protocol):
     """What is told of the calls at a worker."""
 
-    def on_call_sent(self, call_id: str, worker: int) -> None:
-        """A router handed a call to the network, which may still hold it."""
+    def on_call_sent(self, call_id: str, worker: int, time_limit_ms: float) -> None:
+        """A router handed a call to the network, which may still hold it; for how long it will wait."""
 
     def on_call_arrived(self, call: WorkerCall) -> None:
         """The call came to the worker."""
@@ -87,6 +87,7 @@
         self.connections.discard(connection)
         cancelled = [call_id for call_id, own in self._connection_by_call.items() if own is connection]
         for call_id in cancelled:
+            del self._connection_by_call[call_id]
             self.observer.on_call_cancelled(call_id, self.model.number)
 
     def on_line(self, connection: _Connection, line: bytes) -> None:
@@ -97,7 +98,8 @@
             self.observer.on_call_cancelled(call_id, self.model.number)
         elif message["op"] == "CALL" and not self.is_silent:
             self._connection_by_call[call_id] = connection
-            self.observer.on_call_sent(call_id, self.model.number)
+            time_limit_ms = float(message["fields"].get("max", 0.0))
+            self.observer.on_call_sent(call_id, self.model.number, time_limit_ms)
             self.deliver(call_id, True, partial(self._on_call, message, connection))
 
     def _on_call(self, message: dict[str, Any], connection: _Connection) -> None:
@@ -138,6 +140,12 @@
         if connection in self.connections:
             connection.transport.write(answer)
 
+    def reset_connections(self) -> None:
+        """Reset all connections: routers wait for nothing on them any more."""
+        for connection in list(self.connections):
+            connection.transport.abort()
+            self.connection_lost(connection)
+
     def crash(self) -> None:
         """End at once: connections break, and all calls are lost."""
         if self._server is not None:
--- a/cedarthread/testing/invariants.py
+++ b/cedarthread/testing/invariants.py
@@ -2,7 +2,8 @@
 
 The facts are those that peers can see: what a client sent and got, what reached a worker and what it
 answered, and what endpoint lists said. Times are ms of any one clock that never goes back. Names of rules
-stand in reports: harness, answers, deadline, served, effects, attempts, gone, drain, orders, rest.
+stand in reports: harness, answers, deadline, served, effects, attempts, gone, drain, time limit, orders and
+rest.
 """
 
 from __future__ import annotations
@@ -50,6 +51,7 @@
     client_disconnected_slack_ms: float = (
         100.0  # after a client closed its connection or cancelled its request
     )
+    time_limit_slack_ms: float = 150.0  # by which the time passed to a worker may exceed what is left
     preload_window_ms: float = 0.0  # 0: preloads are not limited
     preload_allowance: float = 0.0  # preload requests in a window in any case
     preload_share: float = 0.0  # and for each call that was submitted in it
@@ -119,19 +121,25 @@
         self.limits = limits
         self.violations: list[Violation] = []
         self._calls: dict[str, _CallRecord] = {}
-        self._workers: dict[int, _WorkerListing] = {}
+        self._workers: dict[tuple[int, int], _WorkerListing] = {}  # by router and worker
         self._submitted_at_ms: deque[float] = deque()
         self._preloaded_at_ms: deque[float] = deque()
 
     def _report(self, rule: str, at_ms: float, detail: str) -> None:
         self.violations.append(Violation(rule, at_ms, detail))
 
-    def on_worker_state(self, at_ms: float, worker_id: int, state: str, zone: int = 0, cell: int = 0) -> None:
-        """An endpoint list that reached the router has a worker as ready or draining, or has it no more
-        (``gone``)."""
-        previous = self._workers.get(worker_id)
-        since_ms = previous.since_ms if previous is not None and previous.state == state else at_ms
-        self._workers[worker_id] = _WorkerListing(state, since_ms, zone, cell)
+    def on_worker_state(
+        self, at_ms: float, worker_id: int, state: str, zone: int = 0, cell: int = 0, *, router: int = 0
+    ) -> None:
+        """An endpoint list that a router is told has a worker as ready or draining, or has it no more
+        (``gone``). A worker that is gone may not be sent to since it was drained."""
+        previous = self._workers.get((router, worker_id))
+        is_ready = state == "ready"
+        if previous is not None and (previous.state == "ready") == is_ready:
+            since_ms = previous.since_ms
+        else:
+            since_ms = at_ms
+        self._workers[router, worker_id] = _WorkerListing(state, since_ms, zone, cell)
 
     def on_call_submitted(
         self, at_ms: float, call: str, guarantees: CallGuarantees, deadline_ms: float
@@ -184,14 +192,19 @@
         worker_id: int,
         first_byte_at_ms: float | None = None,
         handed_over_at_ms: float | None = None,
+        *,
+        router: int = 0,
+        time_limit_ms: float = 0.0,
     ) -> AttemptRecord:
         """A complete attempt came to a worker.
 
         ``first_byte_at_ms``: when its first byte left the router, where that was earlier.
         ``handed_over_at_ms``: when the router gave it to a socket whose peer read nothing, from where it
         could not be taken back.
+        ``router``: who sent it. ``time_limit_ms``: for how long the router will wait, as it told the worker
+        with the first byte; 0 where that is not known.
         """
-        listing = self._workers.get(worker_id)
+        listing = self._workers.get((router, worker_id))
         zone, cell = (listing.zone, listing.cell) if listing else (-1, -1)
         attempt = AttemptRecord(worker_id, at_ms, zone, cell)
         first_byte_at_ms = at_ms if first_byte_at_ms is None else first_byte_at_ms
@@ -202,6 +215,10 @@
             self._report("attempts", at_ms, f"an attempt of {call}, which nobody asked")
             return attempt
         self._check_call_wants_attempt(at_ms, call, record, first_byte_at_ms, handed_over_at_ms)
+        excess_ms = first_byte_at_ms + time_limit_ms - record.deadline_ms
+        if time_limit_ms > 0.0 and excess_ms > self.limits.time_limit_slack_ms:
+            what = f"the worker of {call} was told {excess_ms:.0f} ms more than its client had left"
+            self._report("time limit", at_ms, what)
         self._check_retry(first_byte_at_ms, call, record, attempt)
         record.attempts.append(attempt)
         return attempt
@@ -256,11 +273,17 @@
             attempt.is_in_flight, attempt.may_have_executed = False, may_have_executed
 
     def on_preload(
-        self, at_ms: float, worker_id: int, instances: int, first_byte_at_ms: float | None = None
+        self,
+        at_ms: float,
+        worker_id: int,
+        instances: int,
+        first_byte_at_ms: float | None = None,
+        *,
+        router: int = 0,
     ) -> None:
         """A complete preload request came to a worker; one for no instances only asks for their number."""
         sent_at_ms = at_ms if first_byte_at_ms is None else first_byte_at_ms
-        self._check_drain(sent_at_ms, worker_id, "an order", self._workers.get(worker_id))
+        self._check_drain(sent_at_ms, worker_id, "an order", self._workers.get((router, worker_id)))
         limits = self.limits
         if instances <= 0 or limits.preload_window_ms <= 0:
             return
--- a/tests/integration/test_cluster.py
+++ b/tests/integration/test_cluster.py
@@ -30,14 +30,18 @@
 from cedarthread.testing.cluster.arrivals import generate_arrivals
 from cedarthread.testing.cluster.endpoint_timeline import EndpointListTimeline
 from cedarthread.testing.cluster.evaluation import evaluate
+from cedarthread.testing.cluster.fact_reader import FactReader
 from cedarthread.testing.cluster.facts import (
     AttemptCancelled,
     AttemptEnded,
     AttemptSent,
+    CallAbandoned,
     CallAnswered,
     CallSubmitted,
     Fact,
+    ListSent,
     NoRouterAvailable,
+    RouterStarted,
 )
 from cedarthread.testing.cluster.fake_clients import corrupt
 from cedarthread.testing.cluster.fake_workers import FakeWorkerProcess
@@ -53,6 +57,7 @@
 from cedarthread.testing.cluster.scenario_file import ScenarioError, load_scenario, parse_scenario
 from cedarthread.testing.cluster.scenarios import (
     SCENARIO_MODULES,
+    faults,
     load_scenario_set,
     load_spread,
     mass_restart,
@@ -258,10 +263,10 @@
     """Else a call cancelled on one connection looks as if it was out twice, when the machine is busy."""
 
     async def late(loop: VirtualLoop) -> None:
-        process = FakeWorkerProcess(ClusterPlan(parse_scenario({"runners": 2}), 1, [], [], [], []), 0)
+        process = FakeWorkerProcess(ClusterPlan(parse_scenario({"runners": 2}), 1, [], [], [], [], []), 0)
         times = iter((100.0, 900.0, 901.0))
         process.now_ms = lambda: next(times)  # type: ignore[method-assign]
-        process.on_call_sent("0001a", 1)
+        process.on_call_sent("0001a", 1, 2000.0)
         process.on_call_cancelled("0001a", 0)
         await asyncio.sleep(0.1)
         process.on_call_cancelled("0001a", 1)
@@ -529,3 +534,65 @@
     process.send_signal(which)
     process.communicate(timeout=30)
     assert [child for child in children if Path(f"/proc/{child}").exists()] == []
+
+
+def test_a_fault_draw_is_a_scenario_file_and_the_same_for_a_seed(tmp_path: Path) -> None:
+    for seed in range(30):
+        document = faults.draw(seed, 8)
+        assert document == faults.draw(seed, 8)
+        (tmp_path / "draw.toml").write_text(faults.as_toml(document))
+        assert load_scenario(tmp_path / "draw.toml") == parse_scenario(document)
+    assert faults.draw(1, 8) != faults.draw(2, 8)
+
+
+def test_a_drain_is_judged_by_the_lists_that_each_router_was_sent() -> None:
+    """Drained at 1 s for both; the first router is sent a list, the second counts as told after 1.5 s."""
+    drain = {"kind": "drain", "at": 1.0, "until": 9.0, "who": "runner:1", "to": "router"}
+    scenario = parse_scenario({"routers": 2, "runners": 2, "seconds": 8.0, "fault": [drain]})
+
+    def violations(*sent: tuple[float, int], told: tuple[Fact, ...] = (ListSent(1100.0, 0),)) -> list[str]:
+        facts = list(told)
+        for number, (at_ms, router) in enumerate(sent):
+            call_id = f"{router:04x}{number:012x}"
+            facts.append(CallSubmitted(at_ms - 10.0, call_id, "check", at_ms + 3000.0, ""))
+            facts.append(AttemptSent(at_ms + 2.0, call_id, 1, at_ms))
+            facts.append(CallAbandoned(at_ms + 3.0, call_id))
+        reader = FactReader(scenario)
+        reader.read(sorted(facts, key=lambda fact: fact.at_ms))
+        return [violation.rule for violation in reader.checker.violations]
+
+    assert violations((1600.0, 0), (3000.0, 1)) == []
+    assert violations((1800.0, 0)) == ["drain"]
+    assert violations((3200.0, 1)) == ["drain"], "told by the time that has passed"
+    restarted: tuple[Fact, ...] = (ListSent(1100.0, 0), RouterStarted(2000.0, 0))
+    assert violations((2400.0, 0), told=restarted) == [], "its configuration has the worker as ready"
+
+
+def test_a_time_limit_beyond_what_the_client_has_left_is_a_violation() -> None:
+    for limit_ms, broken in ((2900.0, []), (3300.0, ["time limit"])):
+        facts: list[Fact] = [
+            CallSubmitted(0.0, "0000a", "check", 3000.0, ""),
+            AttemptSent(12.0, "0000a", 0, 10.0, limit_ms),
+            CallAbandoned(20.0, "0000a"),
+        ]
+        reader = FactReader(parse_scenario({"routers": 1, "runners": 1}))
+        reader.read(facts)
+        assert [violation.rule for violation in reader.checker.violations] == broken
+
+
+def test_processes_keep_the_rules_under_random_faults_that_overlap() -> None:
+    """A small soak: three draws of the drill ``faults``, one after the other."""
+    for seed in (5, 7, 9):
+        (scenario,) = faults.quick(seed, 6, 6.0)
+        result = asyncio.run(cli.run_scenario(scenario))
+        assert faults.failings(result) == [], seed
+        assert sum(result.answers.values()) > 100
+
+
+def test_the_soak_finds_drains_that_are_ignored() -> None:
+    drains = [
+        {"kind": "drain", "at": 2.0 + n, "until": 6.0, "who": f"runner:{n}", "to": "router"} for n in (0, 1)
+    ]
+    small = {"routers": 4, "runners": 4, "rate": 120.0, "warm_up": 1.0, "seconds": 5.0, "fault": drains}
+    result = asyncio.run(cli.run_scenario(parse_scenario(small | {"plant": "drains ignored"})))
+    assert faults.violations_by_rule(result)["drain"] > 0
