Starts of workers are bounded by their listing, whatever this machine's clock says

Cause: a worker's start is reported by another machine's clock and compared with this process's, which is Unix time at its start: started with the wall clock an hour ahead, a router takes each cold worker for warm (slow start is off), an hour behind, each for cold.

Change: StartTimes (pure): a start that a running router first sees lies after its last fresh list less the time until a start is listed (8 s assumed), and not ahead of now by more than a second; restarts so seen show by how much the clocks differ. Assumed: the first list of a process is taken by the clocks, but for a start that would lie ahead. Not bounded: a process that starts with its clock ahead, for workers that are cold in its first list.

--- a/cedarthread/dispatch/dispatcher.py
+++ b/cedarthread/dispatch/dispatcher.py
@@ -82,6 +82,7 @@
         self.may_proceed: Callable[[], bool] = lambda: True  # False: events wait until ``resume``
         self.input_delay_ms: Callable[[], float] = lambda: 0.0  # for how long input may have waited unread
         self._event_queue: list[Event] = []
+        self._has_endpoint_update = False  # one is among the queued events
         self._last_request_id = 0
 
     @property
@@ -231,6 +232,7 @@
 
     def endpoints_changed(self, event: EndpointUpdate) -> None:
         """The endpoint list of the workers has changed."""
+        self._has_endpoint_update = True
         self._enqueue_event(event)
 
     def update_settings(self, new_settings: RouterSettings) -> RouterSettings:
@@ -292,8 +294,10 @@
             self.flush_output()
             return
         events, self._event_queue = self._event_queue, []
-        # First the endpoint list: a worker that it drains is not chosen for a call that came with it.
-        events.sort(key=lambda event: not isinstance(event, EndpointUpdate))
+        if self._has_endpoint_update:
+            # It comes first: a worker that it drains is not chosen for a call that came before it.
+            events.sort(key=lambda event: not isinstance(event, EndpointUpdate))
+            self._has_endpoint_update = False
         actions: list[Action] = []
         for event in events:
             try:
--- a/cedarthread/dispatch/send_audit.py
+++ b/cedarthread/dispatch/send_audit.py
@@ -68,6 +68,8 @@
             self._report(SendRule.AFTER_ANSWER, attempt, 0.0)
         if (late_ms := now_ms - call.client_gone_at_ms) > CLIENT_GONE_SLACK_MS:
             self._report(SendRule.CLIENT_GONE, attempt, late_ms)
+        if not attempt.index:
+            return
         earlier = [other for other in call.attempts if other is not attempt]
         if any(not other.is_ended for other in earlier):
             self._report(SendRule.TWO_ATTEMPTS, attempt, 0.0)
--- a/cedarthread/lifecycle/freshness_gate.py
+++ b/cedarthread/lifecycle/freshness_gate.py
@@ -36,9 +36,10 @@
         """May work go on? After a stall discovery is asked, and ``on_fresh`` or a timer opens it again."""
         if not self._discovery.is_polling:
             return True
-        if self._begin_if_stalled(self._discovery.next_poll_at_s):
+        now_s, due_at_s = self._loop.time(), self._discovery.next_poll_at_s
+        if now_s > due_at_s + MIN_STALL_S and self._begin_if_stalled(due_at_s):
             self._discovery.poll_now()
-        return not self._hold.is_holding(self._loop.time())
+        return not self._hold.is_holding(now_s)
 
     def on_poll_due(self, due_at_s: float) -> None:
         """Discovery is about to be asked, as was due at that time."""
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import logging
+import math
 import secrets
 import signal
 from collections.abc import Callable
@@ -28,6 +29,7 @@
 from cedarthread.protocols.endpoint_list import EndpointList, EndpointRecord
 from cedarthread.protocols.endpoint_records import PartialList
 from cedarthread.protocols.platform_server import PlatformServer
+from cedarthread.protocols.start_times import StartTimes
 from cedarthread.protocols.workers import WorkerConnections
 from cedarthread.transport import descriptor_budget
 from cedarthread.transport.flusher import Flusher
@@ -111,6 +113,7 @@
         self.workers.release_client_descriptor = self.platform.evict_idle
         self.invoke = self._create_invoke_server(invoke) if invoke is not None else None
         self.endpoint_list = EndpointList(config.settings)
+        self.start_times = StartTimes()
         self.maintenance = Maintenance(self.dispatcher, self.workers, self.platform, self.invoke, self.state)
         self.discovery = DiscoveryClient(
             lambda serial, records: self.update_endpoints(serial, records, is_complete=True),
@@ -178,12 +181,21 @@
 
     def update_endpoints(self, serial: int, records: list[EndpointRecord], *, is_complete: bool) -> None:
         """Take a newer list of workers, or changes to the list where ``is_complete`` is false."""
+        now_ms = self.dispatcher.clock()
+        records = self.start_times.correct_list(records, now_ms, self._list_fresh_as_of_ms(now_ms))
         event = self.endpoint_list.apply_update(serial, records, is_complete)
         if event is not None:
             changed, listed = len(event.endpoints), len(self.endpoint_list.records)
             log.info(format_event("endpoints_updated", serial=serial, changed=changed, listed=listed))
             self._apply_endpoint_update(event)
 
+    def _list_fresh_as_of_ms(self, now_ms: float) -> float | None:
+        """Until when the endpoint list was known to be up to date, on the dispatcher's clock; None: never."""
+        fresh_as_of_s = self.discovery.queries.fresh_as_of_s
+        if fresh_as_of_s == -math.inf:
+            return None
+        return now_ms - 1000.0 * (asyncio.get_running_loop().time() - fresh_as_of_s)
+
     def apply_partial_list(self, partial: PartialList) -> bool:
         """Send no more to workers that an otherwise unusable list has as draining, or lacks.
 
