A list counts once replies to two queries agree, and a drain at once: the root cause mended

Root cause: DiscoveryClient trusted one reply by its serial alone. Events are numbered anew at each start of a router, so an old reply of the numbering before can be ahead of the present one: it was taken, the replies of the present numbering were rejected as old, and the drain that then bore the same serial passed for known until a higher serial came. Class: a bound is kept by trusting a single datagram, lost, late, old or of another numbering.

Change: ListAcceptance (pure): a list is taken once replies to two queries agree on it, whatever its serial; a lower serial only after 2 s of nothing else; beside a server that still has the list in use (after a move) a newer one needs three. Whom any reply drains, or lacks at a serial not below the one in use, gets no more calls at once (demotion), until a complete list is confirmed. An unconfirmed list is asked for again after 30 ms.

--- a/cedarthread/protocols/discovery.py
+++ b/cedarthread/protocols/discovery.py
@@ -13,6 +13,7 @@
 from cedarthread.protocols import dns
 from cedarthread.protocols.endpoint_list import EndpointRecord
 from cedarthread.protocols.endpoint_records import PartialList, endpoints_from_reply, partial_list
+from cedarthread.protocols.list_acceptance import ListAcceptance, ListVerdict
 from cedarthread.protocols.query_tracker import DEFAULT_DRAIN_GRACE_S, MAX_POLL_INTERVAL_S, QueryTracker
 from cedarthread.transport.descriptor_budget import EXHAUSTION_ERRNOS
 
@@ -74,15 +75,14 @@
         self.on_partial_list, self.on_fresh = on_partial_list, on_fresh
         # Set by the service: called with the time at which a regular query was due, before it is sent.
         self.on_poll_due: Callable[[float], None] = lambda due_at_s: None
-        self.last_serial = -1
+        self.acceptance = ListAcceptance()
         self.last_usable_reply_at = 0.0  # loop time in seconds
         self._random = random.SystemRandom()
         self.queries = QueryTracker(lambda: self._random.random(), drain_grace_s)
         self._address: tuple[str, int] | None = None  # the one to poll
         self._connect_task: asyncio.Task[None] | None = None
-        self._empty_reply_id: int | None = None  # the query whose reply, newer than the last list, was empty
-        self._last_payload = b""  # a reply of the last serial, without its query id
-        self._has_demotions = False  # the list has changed by a partial one since the last update
+        self._last_payload = b""  # a reply with the list in use, without its query id
+        self._is_settled = False  # no other list was seen since
         self._transport: asyncio.DatagramTransport | None = None
         # The one before it, after a move: polled too until the new server replies.
         self._previous_transport: asyncio.DatagramTransport | None = None
@@ -90,6 +90,15 @@
         self._timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
 
+    @property
+    def last_serial(self) -> int:
+        """The serial of the list in use."""
+        return self.acceptance.serial
+
+    @last_serial.setter
+    def last_serial(self, serial: int) -> None:
+        self.acceptance.serial = serial
+
     async def connect(self, host: str, port: int) -> None:
         """Poll at this address: serials go on, and the last list stays until a newer one comes."""
         await self._loop.create_datagram_endpoint(lambda: DiscoverySocket(self), remote_addr=(host, port))
@@ -181,15 +190,13 @@
             return False
         # Most replies repeat the last one: with many workers, parsing each took half of an idle router's CPU.
         is_known = bool(self._last_payload) and data[QUERY_ID_BYTES:] == self._last_payload
-        if is_known and not self._has_demotions:
-            self._empty_reply_id = None
+        if is_known and self._is_settled:
             self._on_usable_reply(query_id)
             return True
-        is_usable = self._handle_reply(dns.parse(data), data[QUERY_ID_BYTES:])
+        is_usable = self._handle_reply(dns.parse(data), query_id, data[QUERY_ID_BYTES:])
         if is_usable:
             self._on_usable_reply(query_id)
         elif self._transport is not None:
-            self.queries.on_unusable_reply(self._loop.time())
             self._schedule_poll()
         return is_usable
 
@@ -200,7 +207,7 @@
             self._schedule_poll()
         self.on_fresh()
 
-    def _handle_reply(self, reply: dns.Reply | dns.UnusableReply, payload: bytes) -> bool:
+    def _handle_reply(self, reply: dns.Reply | dns.UnusableReply, query_id: int, payload: bytes) -> bool:
         """Take a reply to one of the queries; whether it shows that the list is up to date."""
         if isinstance(reply, dns.UnusableReply):
             self._reject(reply)
@@ -208,38 +215,41 @@
         if reply.serial is None:
             self._reject(dns.UnusableReply("no serial"))
             return False
-        if reply.serial < self.last_serial:
-            self._reject(dns.UnusableReply("an old serial"))
-            return False
-        if reply.serial == self.last_serial and not self._has_demotions:
-            self._last_payload, self._empty_reply_id = payload, None
-            return True
-        return self._take_list(reply, reply.serial, payload)
-
-    def _take_list(self, reply: dns.Reply, serial: int, payload: bytes) -> bool:
         records = endpoints_from_reply(reply)
         if isinstance(records, str):
             self._reject(dns.UnusableReply(records, reply, is_answer_complete=True))
             return False
-        if not records and self._empty_reply_id in (None, reply.query_id):
-            # A corrupted reply must not remove every worker: a second query, which follows soon, has to
-            # confirm it.
-            log.warning(format_event("discovery_response_empty", serial=serial))
-            self._empty_reply_id = reply.query_id
+        verdict = self.acceptance.consider(reply.serial, frozenset(records), query_id, self._loop.time())
+        if verdict is ListVerdict.UNCONFIRMED:
+            self._on_unconfirmed(reply, reply.serial)
             return False
-        self._empty_reply_id, self._has_demotions = None, False
-        self.last_serial, self._last_payload = serial, payload
-        self.on_update(serial, records)
+        self._is_settled, self._last_payload = True, payload
+        if verdict is ListVerdict.NEW:
+            self.on_update(reply.serial, records)
         return True
 
+    def _on_unconfirmed(self, reply: dns.Reply, serial: int) -> None:
+        """A list that differs from the one in use: whom it drains gets no more calls at once."""
+        self._is_settled = False
+        self.queries.on_unconfirmed_reply(self._loop.time())
+        if not reply.srv_records:  # a corrupted reply must not remove every worker
+            log.warning(format_event("discovery_response_empty", serial=serial))
+        elif log.isEnabledFor(logging.DEBUG):
+            log.debug(format_event("discovery_list_unconfirmed", serial=serial, known=self.last_serial))
+        self._demote(partial_list(reply, self.last_serial, is_answer_complete=True))
+
+    def _demote(self, partial: PartialList) -> None:
+        if self.on_partial_list is not None and self.on_partial_list(partial):
+            self.acceptance.must_confirm_again, self._is_settled = True, False
+
     def _reject(self, reply: dns.UnusableReply) -> None:
+        self.queries.on_unusable_reply(self._loop.time())
         if log.isEnabledFor(logging.INFO):
             log.info(format_event("discovery_response_rejected", reason=reply.reason))
         if reply.partial is not None and self.on_partial_list is not None:
-            partial = partial_list(
-                reply.partial, self.last_serial, is_answer_complete=reply.is_answer_complete
+            self._demote(
+                partial_list(reply.partial, self.last_serial, is_answer_complete=reply.is_answer_complete)
             )
-            self._has_demotions |= self.on_partial_list(partial)
 
     def error_received(self, exc: Exception) -> None:
         """Nobody listens there: the next query tries again."""
--- a/cedarthread/protocols/endpoint_list.py
+++ b/cedarthread/protocols/endpoint_list.py
@@ -107,6 +107,16 @@
         kind = EndpointUpdateKind.CACHED if is_first else EndpointUpdateKind.DELTA
         return EndpointUpdate(kind, version, tuple(self._to_endpoint(record) for record in changed))
 
+    def replace_all(self, version: int, records: list[EndpointRecord]) -> EndpointUpdate | None:
+        """Apply a complete list whatever version this one has: another numbering may be in force.
+
+        Returns the event for the dispatcher, None where there is nothing new in it."""
+        previous = self.version
+        if 0 <= version <= previous:
+            self.version, self._has_demotions = version, True
+        event = self.apply_update(version, records, True)
+        return event if event is not None and (event.endpoints or version != previous) else None
+
     def demote(self, is_demoted: Callable[[str], bool]) -> EndpointUpdate | None:
         """List the ready workers of these names as draining, until the next complete list.
 
--- a/cedarthread/protocols/endpoint_records.py
+++ b/cedarthread/protocols/endpoint_records.py
@@ -36,11 +36,11 @@
 def partial_list(reply: dns.Reply, last_serial: int, *, is_answer_complete: bool) -> PartialList:
     """What the service records of a reply tell, though others are missing or wrong.
 
-    That a worker is not listed counts only where the reply is newer than the list with ``last_serial``."""
+    That a worker is not listed counts only where the reply's serial is not below ``last_serial``."""
     draining = [service for service in reply.srv_records if service.priority != READY_PRIORITY]
     listed = frozenset(map(_name_of, reply.srv_records))
-    is_newer = reply.serial is not None and reply.serial > last_serial
-    is_complete = is_newer and is_answer_complete and bool(listed)
+    is_old = reply.serial is None or reply.serial < last_serial
+    is_complete = not is_old and is_answer_complete and bool(listed)
     return PartialList(frozenset(map(_name_of, draining)), listed if is_complete else None)
 
 
--- a/cedarthread/protocols/query_tracker.py
+++ b/cedarthread/protocols/query_tracker.py
@@ -104,6 +104,11 @@
         """A reply came that can't be used, or nobody listens there."""
         self._on_failed(now_s)
 
+    def on_unconfirmed_reply(self, now_s: float) -> None:
+        """A reply came that one more has to confirm."""
+        if not self._missing_confirmations:
+            self._retrying_since_s, self._missing_confirmations = now_s, 1
+
     def restart_retries(self, now_s: float) -> None:
         """Query at the pace of retries from now on, as after a move to another server."""
         self._retrying_since_s, self._missing_confirmations = now_s, CONFIRMING_REPLIES
--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -116,7 +116,7 @@
         self.start_times = StartTimes()
         self.maintenance = Maintenance(self.dispatcher, self.workers, self.platform, self.invoke, self.state)
         self.discovery = DiscoveryClient(
-            lambda serial, records: self.update_endpoints(serial, records, is_complete=True),
+            self.replace_endpoints,
             self.maintenance.on_discovery_poll,
             self.workers.release_descriptor,
             on_partial_list=self.apply_partial_list,
@@ -185,10 +185,22 @@
         records = self.start_times.correct_list(records, now_ms, self._list_fresh_as_of_ms(now_ms))
         event = self.endpoint_list.apply_update(serial, records, is_complete)
         if event is not None:
-            changed, listed = len(event.endpoints), len(self.endpoint_list.records)
-            log.info(format_event("endpoints_updated", serial=serial, changed=changed, listed=listed))
+            self._log_update(serial, event)
             self._apply_endpoint_update(event)
 
+    def replace_endpoints(self, serial: int, records: list[EndpointRecord]) -> None:
+        """Take the present list of all workers, as discovery has confirmed it."""
+        now_ms = self.dispatcher.clock()
+        records = self.start_times.correct_list(records, now_ms, self._list_fresh_as_of_ms(now_ms))
+        event = self.endpoint_list.replace_all(serial, records)
+        if event is not None:
+            self._log_update(serial, event)
+            self._apply_endpoint_update(event)
+
+    def _log_update(self, serial: int, event: EndpointUpdate) -> None:
+        changed, listed = len(event.endpoints), len(self.endpoint_list.records)
+        log.info(format_event("endpoints_updated", serial=serial, changed=changed, listed=listed))
+
     def _list_fresh_as_of_ms(self, now_ms: float) -> float | None:
         """Until when the endpoint list was known to be up to date, on the dispatcher's clock; None: never."""
         fresh_as_of_s = self.discovery.queries.fresh_as_of_s
