--- a/cedarthread/protocols/list_acceptance.py
+++ b/cedarthread/protocols/list_acceptance.py
@@ -63,12 +63,14 @@
         return ListVerdict.NEW
 
     def _contradict_candidate(self, now_s: float) -> None:
-        """The list in use came once more: of others only one with a higher serial may still be newer."""
+        """The list in use came once more: of others only one with a higher serial may still be newer.
+
+        An empty one is dropped in any case: a corrupted reply must not remove every worker."""
         candidate = self._candidate
         if candidate is None:
             return
         is_expired = now_s > candidate.first_seen_at_s + CANDIDATE_LIFETIME_S
-        if candidate.serial <= self.serial or is_expired:
+        if candidate.serial <= self.serial or is_expired or not candidate.records:
             self._candidate = None
         else:
             candidate.is_contradicted = True
--- a/tests/unit/test_list_acceptance.py
+++ b/tests/unit/test_list_acceptance.py
@@ -98,6 +98,14 @@
         )
 
 
+def test_an_empty_list_is_taken_only_from_two_queries_in_a_row() -> None:
+    replies = in_use()
+    for _ in range(5):
+        assert replies.take(9, listed()) is UNCONFIRMED
+        assert replies.take(1, BOTH) is KNOWN
+    assert [replies.take(9, listed()), replies.take(9, listed())] == [UNCONFIRMED, NEW]
+
+
 def test_a_list_that_was_changed_by_an_unconfirmed_one_is_confirmed_again() -> None:
     replies = in_use()
     replies.acceptance.must_confirm_again = True
