--- a/cedarthread/service.py
+++ b/cedarthread/service.py
@@ -181,25 +181,25 @@
 
     def update_endpoints(self, serial: int, records: list[EndpointRecord], *, is_complete: bool) -> None:
         """Take a newer list of workers, or changes to the list where ``is_complete`` is false."""
-        now_ms = self.dispatcher.clock()
-        records = self.start_times.correct_list(records, now_ms, self._list_fresh_as_of_ms(now_ms))
-        event = self.endpoint_list.apply_update(serial, records, is_complete)
-        if event is not None:
-            self._log_update(serial, event)
-            self._apply_endpoint_update(event)
+        event = self.endpoint_list.apply_update(serial, self._with_corrected_starts(records), is_complete)
+        self._on_list_changed(serial, event)
 
     def replace_endpoints(self, serial: int, records: list[EndpointRecord]) -> None:
         """Take the present list of all workers, as discovery has confirmed it."""
+        self._on_list_changed(
+            serial, self.endpoint_list.replace_all(serial, self._with_corrected_starts(records))
+        )
+
+    def _with_corrected_starts(self, records: list[EndpointRecord]) -> list[EndpointRecord]:
         now_ms = self.dispatcher.clock()
-        records = self.start_times.correct_list(records, now_ms, self._list_fresh_as_of_ms(now_ms))
-        event = self.endpoint_list.replace_all(serial, records)
-        if event is not None:
-            self._log_update(serial, event)
-            self._apply_endpoint_update(event)
+        return self.start_times.correct_list(records, now_ms, self._list_fresh_as_of_ms(now_ms))
 
-    def _log_update(self, serial: int, event: EndpointUpdate) -> None:
+    def _on_list_changed(self, serial: int, event: EndpointUpdate | None) -> None:
+        if event is None:
+            return
         changed, listed = len(event.endpoints), len(self.endpoint_list.records)
         log.info(format_event("endpoints_updated", serial=serial, changed=changed, listed=listed))
+        self._apply_endpoint_update(event)
 
     def _list_fresh_as_of_ms(self, now_ms: float) -> float | None:
         """Until when the endpoint list was known to be up to date, on the dispatcher's clock; None: never."""
