--- a/review/standins/router.py
+++ b/review/standins/router.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -19,6 +21,7 @@
 
 ROOT = Path(__file__).parents[2]
 READY_LIMIT_S = 30.0
+PORTS = (15_000, 30_000)
 
 
 def settings(**changes: Any) -> dict[str, Any]:  # noqa: ANN401
@@ -51,10 +54,12 @@
 
 
 def free_port() -> int:
-    """Return a port of loopback that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a port of loopback that nothing uses, below the ports that the system gives to connections."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 class RouterProcess:
