Review case 2: a settings file without `group` is accepted, and a revise runs in two rooms

Servers of the stand-ins remember keys by room, and can reset a connection after a run.

Cause: a missing `group` is read as `all`, also for a class of effect dedup.

--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+import time
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
@@ -13,6 +14,35 @@
     from review.standins.record import Record
 
 
+class Room:
+    """The servers of one room, which drop a repeat of a key.
+
+    Args:
+        name: The name of the room.
+        window_s: How long a key is remembered, from its first call.
+    """
+
+    def __init__(self, name: str = "room-a", window_s: float = 3.0) -> None:
+        self.name = name
+        self.window_s = window_s
+        self._seen: dict[str, tuple[float, asyncio.Future[bytes]]] = {}
+
+    def first_run(self, key: str) -> asyncio.Future[bytes] | None:
+        """Return the answer of the run that this call repeats; None: the call is the first with its key."""
+        now_s = time.monotonic()
+        seen = self._seen.get(key)
+        if seen is not None and now_s < seen[0] + self.window_s:
+            return seen[1]
+        self._seen[key] = (now_s, asyncio.get_running_loop().create_future())
+        return None
+
+    def set_answer(self, key: str, body: bytes) -> None:
+        """Keep the answer of the run with this key."""
+        answer = self._seen[key][1]
+        if not answer.done():
+            answer.set_result(body)
+
+
 class Server:
     """One server: loads a function on its first call, then runs each call for ``work_s``.
 
@@ -22,6 +52,8 @@
         work_s: The time of one call.
         load_s: The time of a load.
         answer: Returns the body of the answer from the function and the body of the call.
+        room: Its room; None: a room of its own.
+        reset_every: One run in so many ends in a reset of its connection in place of the answer; 0: none.
     """
 
     def __init__(
@@ -32,12 +64,16 @@
         work_s: float = 0.12,
         load_s: float = 0.3,
         answer: Callable[[str, bytes], bytes] = lambda function, body: b"answer to " + body,
+        room: Room | None = None,
+        reset_every: int = 0,
     ) -> None:
         self.name = name
         self.record = record
         self.work_s = work_s
         self.load_s = load_s
         self.answer = answer
+        self.room = room if room is not None else Room()
+        self.reset_every = reset_every
         self.port = 0
         self.in_flight = 0
         self.runs: list[dict[str, Any]] = []  # the calls that were begun, in order
@@ -95,9 +131,22 @@
 
     async def _run(self, message: dict[str, Any], writer: asyncio.StreamWriter) -> None:
         fields = message["fields"]
+        key = fields.get("replay")
         body = base64.b64decode(message["body"])
-        run = {"id": message["id"], "class": fields["profile"], "body": body, "key": fields.get("replay")}
+        repeated = self.room.first_run(key) if key is not None else None
+        if repeated is not None:
+            self.record.write(f"{self.name}: drops the repeat {message['id']}, key {key}")
+            self._answer(writer, message["id"], "hit", await asyncio.shield(repeated))
+            return
+        run = {
+            "id": message["id"],
+            "class": fields["profile"],
+            "body": body,
+            "key": key,
+            "is_finished": False,
+        }
         self.runs.append(run)
+        number = len(self.runs)
         self.in_flight += 1
         shown = body[:24].decode(errors="replace")
         self.record.write(f"{self.name}: runs {message['id']} class={fields['profile']} body={shown!r}")
@@ -106,9 +155,20 @@
             await asyncio.sleep(self.work_s)
         finally:
             self.in_flight -= 1
-        result = base64.b64encode(self.answer(fields["thing"], body)).decode()
-        report = {"remark": remark, "report": f"inflight:{self.in_flight};x1:0"}
-        self._write(writer, {"op": "HIT", "id": message["id"], "fields": report, "body": result})
+        run["is_finished"] = True
+        result = self.answer(fields["thing"], body)
+        if key is not None:
+            self.room.set_answer(key, result)
+        if self.reset_every and not number % self.reset_every:
+            self.record.write(f"{self.name}: has run {message['id']}, connection reset before the answer")
+            writer.transport.abort()
+            return
+        self._answer(writer, message["id"], remark, result)
+
+    def _answer(self, writer: asyncio.StreamWriter, call_id: str, remark: str, body: bytes) -> None:
+        fields = {"remark": remark, "report": f"inflight:{self.in_flight};x1:0"}
+        result = base64.b64encode(body).decode()
+        self._write(writer, {"op": "HIT", "id": call_id, "fields": fields, "body": result})
 
     async def _load(self, message: dict[str, Any], writer: asyncio.StreamWriter) -> None:
         await self._ensure_loaded(message["fields"]["thing"])
