--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -65,7 +65,7 @@
             # Segments as on an Ethernet, and a small receive buffer: with those of loopback, the kernel alone
             # would keep some megabytes of answers for a client that reads slowly.
             self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
-            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32 * 1024)
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 * 1024)
         self._socket.settimeout(0.0)  # non-blocking
         await loop.sock_connect(self._socket, ("127.0.0.1", port))
         self._reading = loop.create_task(self._read())
