--- a/review/standins/slow_client.py
+++ b/review/standins/slow_client.py
@@ -13,6 +13,7 @@
     from review.standins.record import Record
 
 PIECE_BYTES = 1460
+ANSWERS_WITHIN_S = 30.0  # after the last request: far more than reading all open answers takes
 
 
 class SlowClient(Client):
@@ -45,7 +46,10 @@
             is_long = self._random.random() < long_share
             function = long_function if is_long else f"{self._random.randrange(1, 9):016x}"
             await self._write(function, self._random.randbytes(16_000))
-        while not self.end_of_input and any(request.answer is None for request in self.requests):
+        wait_until_s = self.record.seconds() + ANSWERS_WITHIN_S
+        while not self.end_of_input and self.record.seconds() < wait_until_s:
+            if all(request.answer is not None for request in self.requests):
+                break
             await asyncio.sleep(0.05)
         self.ended_at_s = self.record.seconds()
 
