A missing settings key turns the file down: one table of keys, for start and SIGHUP

Cause: _parse_scope read a missing, null or empty `group` as `all`, the widest scope. It is not the only one: the parser had a default for 67 of 82 keys, and `has` took null, "" and 0 for missing. Ruled out: a file applied in part (it is parsed whole first), the choice of workers (it kept to the scope it was given), the resets (with the key there they broke nothing).

Every file must have the figures of each rule that applies; they have no default any more. A file that replaces the one in force must also have each key of the table that this one has; classes and tenants are compared by name. Why it works: both checks come before anything is applied, and the table, not a default in the parser, decides.

Changed tests, each as strict or stricter: - `"group": ""` and `"load-window": ""` were listed as accepted; that is the fault, so they are listed as rejected now. - {"limits": {}, "obligations": 5} lacks keys too and now says so; a complete file with the same value is added. - SETTINGS of the fakes, the README's example, simulator frames and the golden inputs state the figures that they lacked, with the values that the defaults gave. All values decoded from the golden files are as before, but for the class name "x" where there was none, and one more field of Config.

--- a/cedarthread/config.py
+++ b/cedarthread/config.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from cedarthread.config_keys import CONFIG_SECTIONS, SETTINGS_KEY
 from cedarthread.config_section import ConfigSection, ConfigValue, parse_json
 from cedarthread.errors import ConfigurationError
+from cedarthread.missing_keys import KeyInventory, check_required_keys, take_inventory
 from cedarthread.model.endpoints import EndpointState
 from cedarthread.protocols.discovery.endpoint_list import EndpointRecord, parse_address
 from cedarthread.protocols.peers import PeerAddresses
-from cedarthread.settings_parser import SETTINGS_KEY, settings_from_section
+from cedarthread.settings_parser import settings_from_section
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -55,6 +57,8 @@
     control_address: tuple[str, int] | None = None
     # Addresses of this router and its peers; None: gossip is disabled.
     peer_addresses: PeerAddresses | None = None
+    # The keys of the file, which a file that replaces it must have too.
+    key_inventory: KeyInventory = field(default_factory=KeyInventory)
 
 
 def load(environ: Mapping[str, str] = os.environ) -> Config:
@@ -92,6 +96,7 @@
 
 
 def _parse_document(document: ConfigSection, environ: Mapping[str, str]) -> Config:
+    _check_required_keys(document, environ)
     listen = _variable(environ, LISTEN_VARIABLE) or document.required("listen")
     host, port = _parse_address(listen)
     limits = document.optional_section("limits")
@@ -107,9 +112,17 @@
         initial_endpoints=_parse_initial_endpoints(document),
         control_address=_parse_control_address(document, environ),
         peer_addresses=_parse_peer_addresses(document),
+        key_inventory=take_inventory(document),
     )
 
 
+def _check_required_keys(document: ConfigSection, environ: Mapping[str, str]) -> None:
+    """Check the keys outside the settings; an environment variable may take the place of ``listen``."""
+    listen = environ.get(LISTEN_VARIABLE)
+    values = {**document.values, "listen": listen} if listen else document.values
+    check_required_keys(ConfigSection(values, document.source, document.key_path), CONFIG_SECTIONS)
+
+
 def _variable(environ: Mapping[str, str], name: str) -> ConfigValue | None:
     """Return the value of an environment variable, or None if the variable is unset or empty."""
     text = environ.get(name)
--- a/cedarthread/config_section.py
+++ b/cedarthread/config_section.py
@@ -123,6 +123,10 @@
             lambda value: bounded_number(cast("float", value), minimum),
         )
 
+    def number_or_zero(self, minimum: float) -> float:
+        """Return the value as a number that is 0, or from ``minimum`` to ``MAX_NUMBER``."""
+        return 0.0 if self.value == 0 and self.value is not False else self.number(minimum)
+
     def positive_number(self) -> float:
         """Return the value as a number above 0."""
         number = self.number()
@@ -209,8 +213,11 @@
         return str(self.values.get(key, ""))
 
     def required_string(self, key: str) -> str:
-        """Return the value of a required key as a string."""
-        return str(self.required(key).value)
+        """Return the value of a required key as a string, which must not be empty."""
+        value = self.required(key)
+        if value.value in (None, ""):
+            raise value.error("a text that is not empty")
+        return str(value.value)
 
     def strings(self, key: str) -> tuple[str, ...]:
         """Return the entries of the list of a key as strings; empty if the key is missing."""
--- a/cedarthread/lifecycle/reload.py
+++ b/cedarthread/lifecycle/reload.py
@@ -8,6 +8,7 @@
 
 from cedarthread.errors import ConfigurationError
 from cedarthread.logs import format_event
+from cedarthread.missing_keys import check_replacement
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -63,6 +64,7 @@
             return
         try:
             loaded = self.load_config()
+            check_replacement(loaded.key_inventory, self._state.config.key_inventory)
         except ConfigurationError as error:
             self._state.reload_errors += 1
             log.error(format_event("configuration_rejected", error=error))
@@ -79,6 +81,7 @@
             state.config,
             settings=loaded.settings,
             discovery_address=loaded.discovery_address or state.config.discovery_address,
+            key_inventory=loaded.key_inventory,
         )
         state.start_task(self._peer_listener.listen())
         class_names = ",".join(request_class.name for request_class in loaded.settings.classes)
--- a/cedarthread/settings_parser.py
+++ b/cedarthread/settings_parser.py
@@ -1,13 +1,16 @@
 """The parser of the router's settings, from JSON objects that the platform and the simulator provide.
 
 This module maps the operators' key names (``send-cap``, ``goal-time``, ``stop-sending-within``, ...) to the
-names of ``model.settings``; no other module uses the key names. Unknown keys are ignored.
+names of ``model.settings``. ``config_keys`` decides which keys count as missing; the parser has a default
+only for a key that may be absent. Unknown keys are ignored.
 """
 
 from __future__ import annotations
 
+from cedarthread.config_keys import SETTINGS_KEY, SETTINGS_SECTIONS
 from cedarthread.config_section import ConfigSection, ConfigValue, parse_json
 from cedarthread.errors import ConfigurationError
+from cedarthread.missing_keys import check_required_keys
 from cedarthread.model.settings import (
     DeduplicationScope,
     DiscoveryMode,
@@ -33,8 +36,6 @@
 MIN_DEADLINE_MS = 1.0
 MIN_WINDOW_MS = 1.0  # a shorter window is a mistake in the settings, because no event could be counted in it
 
-SETTINGS_KEY = "settings"  # the key of the settings in the configuration, with which each key path begins
-
 _IDEMPOTENCY_BY_EFFECT = {
     "retryable": Idempotency.IDEMPOTENT,
     "dedup": Idempotency.WITH_KEY,
@@ -66,6 +67,7 @@
     Raises:
         ConfigurationError: The settings cannot be used.
     """
+    check_required_keys(top, SETTINGS_SECTIONS)
     limits = top.required("limits").section()
     rules = top.required("obligations").section()
     prices = top.optional_section("prices")
@@ -101,24 +103,26 @@
 
 
 def _parse_request_class(section: ConfigSection) -> RequestClass:
+    idempotency = section.required("effect").value_in(_IDEMPOTENCY_BY_EFFECT)
     return RequestClass(
-        name=section.string("name"),
+        name=section.required_string("name"),
         latency_objective_ms=section.required("goal-time").number(),
         deadline_ms=section.required("deadline").number(MIN_DEADLINE_MS),
         priority_weight=section.number("value", 1),
         late_priority_weight=section.number("late-worth"),
-        idempotency=section.required("effect").value_in(_IDEMPOTENCY_BY_EFFECT),
-        deduplication_scope=_parse_scope(section),
+        idempotency=idempotency,
+        deduplication_scope=_parse_scope(section, idempotency),
         deduplication_window_ms=section.number("repeat-window"),
         is_streaming=section.flag("stream"),
         latency_objective_work_factor=section.number_unless_empty("aim-stretch"),
     )
 
 
-def _parse_scope(section: ConfigSection) -> DeduplicationScope:
-    if not section.has("group"):
-        return DeduplicationScope.ALL
-    return section.required("group").member_of(DeduplicationScope)
+def _parse_scope(section: ConfigSection, idempotency: Idempotency) -> DeduplicationScope:
+    """Return the scope, which has no default where workers deduplicate: each value permits other retries."""
+    if idempotency is Idempotency.WITH_KEY or section.has("group"):
+        return section.required("group").member_of(DeduplicationScope)
+    return DeduplicationScope.ALL
 
 
 def _parse_tenant(section: ConfigSection) -> Tenant:
@@ -149,16 +153,16 @@
 
 def _parse_rules(section: ConfigSection, specifics: ConfigSection) -> RuleParameters:
     return RuleParameters(
-        answer_slack_ms=section.number("answer-slack"),
-        drain_grace_ms=section.number("stop-sending-within"),
-        slow_start_min_capacity=section.number("cold-from", 1),
-        slow_start_ms=section.number("warm-after"),
-        collapse_multiple=section.number("overload-factor", 1),
-        collapse_window_ms=section.number("fall"),
+        answer_slack_ms=section.required("answer-slack").number(),
+        drain_grace_ms=section.required("stop-sending-within").number(),
+        slow_start_min_capacity=section.required("cold-from").number(),
+        slow_start_ms=section.required("warm-after").number(),
+        collapse_multiple=section.required("overload-factor").number(),
+        collapse_window_ms=section.required("fall").number(),
         max_poll_delay_ms=section.number("ask-every"),
         preload_allowance=specifics.number("loads-anyway"),
         preload_share=specifics.number("load-share"),
-        preload_window_ms=specifics.number_unless_empty("load-window", minimum=MIN_WINDOW_MS),
+        preload_window_ms=specifics.optional("load-window", 0).number_or_zero(MIN_WINDOW_MS),
     )
 
 
--- a/cedarthread/testing/fakes/settings.py
+++ b/cedarthread/testing/fakes/settings.py
@@ -31,7 +31,15 @@
         "max-retry-after": 500,
     },
     "localities": ["room-a"],
-    "obligations": {"answer-slack": 8, "stop-sending-within": 500},
+    # No slow start: a worker has its full capacity at once.
+    "obligations": {
+        "answer-slack": 8,
+        "stop-sending-within": 500,
+        "cold-from": 1,
+        "warm-after": 0,
+        "overload-factor": 1,
+        "fall": 0,
+    },
     "report": {"columns": ["inflight", "x1"], "how": "answers"},
     "specifics": {"keep-alive": 8700, "order-limit": 10000},
 }
--- a/tests/golden_builders/config_files.py
+++ b/tests/golden_builders/config_files.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 from cedarthread import config as platform_config
 from cedarthread import fleet_config
+from cedarthread.missing_keys import KeyInventory
 from cedarthread.protocols.discovery.endpoint_list import EndpointList
 from cedarthread.protocols.invoke import config as invoke_config
 from tests.golden_builders.platform_settings import FULL_SETTINGS, MINIMAL_SETTINGS
@@ -83,7 +85,8 @@
         to_plain(endpoint_list.apply_update(version, list(records), is_snapshot=True))
         for version, records in config.initial_endpoints
     ]
-    return [to_plain(config), updates]
+    # ``tests/unit/test_missing_keys.py`` covers the inventory, which repeats the keys of the file.
+    return [to_plain(dataclasses.replace(config, key_inventory=KeyInventory())), updates]
 
 
 def _read_fleet_file(data: bytes) -> Json:
--- a/tests/golden_builders/platform_settings.py
+++ b/tests/golden_builders/platform_settings.py
@@ -11,7 +11,8 @@
     "over-share-worth": 0.25,
     "classes": [
         {"name": "x", "goal-time": 500.0, "deadline": 2000.0, "effect": "retryable", "value": 2.0},
-        {"name": "y", "goal-time": 500, "deadline": 2000, "effect": "dedup", "group": "zone"},
+        {"name": "y", "goal-time": 500, "deadline": 2000, "effect": "dedup"}
+        | {"group": "zone", "repeat-window": 0},
         {
             "name": "w",
             "goal-time": 50,
@@ -80,11 +81,24 @@
     "kinds": ["std", "big"],
     "a-key-of-tomorrow": 1,
 }
+_IDEMPOTENT_CLASS: dict[str, object] = {
+    "name": "x",
+    "goal-time": 500.0,
+    "deadline": 2000.0,
+    "effect": "retryable",
+}
 MINIMAL_SETTINGS: dict[str, object] = {
     "balancers": 1,
-    "classes": [{"goal-time": 500.0, "deadline": 2000.0, "effect": "retryable"}],
+    "classes": [_IDEMPOTENT_CLASS],
     "limits": {"send-cap": 3, "most-held": 100},
-    "obligations": {},
+    "obligations": {
+        "answer-slack": 0,
+        "stop-sending-within": 0,
+        "cold-from": 1,
+        "warm-after": 0,
+        "overload-factor": 1,
+        "fall": 0,
+    },
 }
 
 # The settings that accept only certain texts, and these texts; the part before the dot is the section.
@@ -102,6 +116,9 @@
     """Return the minimal settings with one additional key, which is named as in ``SETTING_TEXTS``."""
     section, _, key = name.partition(".")
     if section == "classes":
-        request_class = {"goal-time": 500.0, "deadline": 2000.0, "effect": "dedup", key: value}
-        return MINIMAL_SETTINGS | {section: [request_class]}
+        deduplicated = {"effect": "dedup", "group": "all", "repeat-window": 0}
+        return MINIMAL_SETTINGS | {section: [_IDEMPOTENT_CLASS | deduplicated | {key: value}]}
+    if section == "membership-mode":
+        obligations: dict[str, object] = dict(MINIMAL_SETTINGS["obligations"])  # type: ignore[call-overload]
+        return MINIMAL_SETTINGS | {section: value, "obligations": obligations | {"ask-every": 0}}
     return MINIMAL_SETTINGS | {section: {key: value} if key else value}
--- a/tests/unit/simulator/frames.py
+++ b/tests/unit/simulator/frames.py
@@ -9,10 +9,12 @@
     "balancers": 3,
     "classes": [
         {"name": "x", "goal-time": 500.0, "deadline": 2000.0, "effect": "retryable", "value": 2.0},
-        {"name": "y", "goal-time": 500.0, "deadline": 2000.0, "effect": "dedup", "group": "zone"},
+        {"name": "y", "goal-time": 500.0, "deadline": 2000.0, "effect": "dedup"}
+        | {"group": "zone", "repeat-window": 0},
     ],
     "limits": {"send-cap": 3, "most-held": 100, "cancel": True},
-    "obligations": {"cold-from": 0.2, "warm-after": 9000.0, "fall": 1000.0, "overload-factor": 2.0},
+    "obligations": {"cold-from": 0.2, "warm-after": 9000.0, "fall": 1000.0, "overload-factor": 2.0}
+    | {"answer-slack": 0, "stop-sending-within": 0},
     "a-key-of-tomorrow": 1,
 }
 
--- a/tests/unit/test_config.py
+++ b/tests/unit/test_config.py
@@ -7,7 +7,7 @@
 import json
 import re
 import struct
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -17,81 +17,20 @@
 from cedarthread.settings_parser import parse_settings
 from cedarthread.simulator import host as simulator_host
 from cedarthread.testing.fakes.settings import SETTINGS
+from tests.unit.config_document import (
+    CLASS_PATH,
+    DOCUMENT,
+    ENDPOINT_PATH,
+    REQUIRED_PATHS,
+    document_with,
+    document_without,
+    parent_and_key,
+)
 
 if TYPE_CHECKING:
     from pathlib import Path
 
 FILE_NAME = "balancer.json"
-ENDPOINT = {
-    "name": "s-00c41f7a",
-    "address": "127.0.0.1:1",
-    "zone": "room-a",
-    "type": "std",
-    "group": 0,
-    "status": "ready",
-    "weight": 1,
-    "since_ms": 0,
-}
-CLASS = {
-    "name": "check",
-    "goal-time": 1200,
-    "deadline": 5000,
-    "value": 2,
-    "late-worth": 0.5,
-    "effect": "dedup",
-    "group": "zone",
-    "repeat-window": 3000,
-    "stream": False,
-    "aim-stretch": 2,
-}
-DOCUMENT: dict[str, Any] = {
-    "name": "n3",
-    "listen": "127.0.0.1:5050",
-    "seed": "8c1f30d27a5be964",
-    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-    "dns": "127.0.0.1:5300",
-    "control": "127.0.0.1:5400",
-    "peer_listen": "127.0.0.1:5500",
-    "peers": ["127.0.0.1:5500", "127.0.0.1:5501"],
-    "peers_all": "127.0.0.1:5502",
-    "known": {"n": 1, "events": [{"n": 1, "members": {"endpoints": [ENDPOINT]}}]},
-    "settings": SETTINGS
-    | {
-        "ordinal": 0,
-        "zone": 0,
-        "quantum": 50,
-        "classes": [CLASS],
-        "tenants": [{"name": "north", "share": 0.5, "quota-per-s": 10}],
-        "membership-mode": "push",
-        "over-share-worth": 0.5,
-        "weight-source": "nominal",
-        "prices": dict.fromkeys(("origin", "probe", "peer", "cross-zone", "waste", "late-fail"), 1),
-        "obligations": dict.fromkeys(
-            (
-                "answer-slack",
-                "stop-sending-within",
-                "cold-from",
-                "warm-after",
-                "overload-factor",
-                "fall",
-                "ask-every",
-            ),
-            1,
-        ),
-        "specifics": {
-            "on-miss": "load",
-            "may-order": True,
-            "keep-alive": 8700,
-            "order-limit": 10000,
-            "memory-mb-by-kind": [128],
-            "loads-anyway": 2,
-            "load-share": 0.2,
-            "load-window": 5000,
-            "idle-price": 1,
-        },
-    },
-}
-
 ADDRESS = "an address in the form host:port"
 AMOUNT = "a number from 0 to 1e+15"
 POSITIVE = "a number above 0"
@@ -99,31 +38,9 @@
 NUMBER = "a number"
 LIST = "a list"
 OBJECT = "an object"
-CLASS_PATH = "settings.classes[0]"
-ENDPOINT_PATH = "known.events[0].members.endpoints[0]"
-
-REQUIRED_KEYS = [
-    ("", "listen"),
-    ("", "settings"),
-    ("settings", "limits"),
-    ("settings", "obligations"),
-    ("settings", "classes"),
-    ("settings", "balancers"),
-    ("settings.limits", "send-cap"),
-    ("settings.limits", "most-held"),
-    (CLASS_PATH, "goal-time"),
-    (CLASS_PATH, "deadline"),
-    (CLASS_PATH, "effect"),
-    ("known.events[0]", "n"),
-    ("known.events[0]", "members"),
-    ("known.events[0].members", "endpoints"),
-    (ENDPOINT_PATH, "name"),
-    (ENDPOINT_PATH, "address"),
-    (ENDPOINT_PATH, "zone"),
-    (ENDPOINT_PATH, "type"),
-    (ENDPOINT_PATH, "status"),
-]
+TEXT = "a text that is not empty"
 
+TEXT_PATHS = [f"{CLASS_PATH}.name", *(f"{ENDPOINT_PATH}.{key}" for key in ("name", "zone", "type"))]
 AMOUNT_PATHS = [
     "settings.balancers",
     "settings.ordinal",
@@ -141,7 +58,7 @@
         for key in ("most-held", "max-retry-after", "streams-per-conn", "connect-timeout", "conn-idle")
     ),
     *(f"settings.obligations.{key}" for key in DOCUMENT["settings"]["obligations"]),
-    *(f"settings.prices.{key}" for key in DOCUMENT["settings"]["prices"]),
+    *(f"settings.prices.{key}" for key in ("origin", "probe", "peer", "cross-zone", "waste", "late-fail")),
     *(
         f"settings.specifics.{key}"
         for key in ("keep-alive", "order-limit", "loads-anyway", "load-share", "idle-price")
@@ -198,6 +115,9 @@
     f"{ENDPOINT_PATH}.status": 'one of "ready", "draining", "gone"',
 }
 
+# Values that are no figure of a rule, and how errors quote them.
+EMPTY_VALUES: list[tuple[object, str]] = [(None, "null"), ("", '""'), (False, "false")]
+
 # Key path, invalid value, the value as the error quotes it, and the expected value in the error.
 INVALID_VALUES: list[tuple[str, object, str, str]] = [
     *((path, "soon", '"soon"', AMOUNT) for path in AMOUNT_PATHS),
@@ -236,6 +156,9 @@
     ("peers", "127.0.0.1:1", '"127.0.0.1:1"', "a list of addresses in the form host:port"),
     ("listen", "x" * 200, f'"{"x" * 80}"...', ADDRESS),
     ("settings", 3, "3", OBJECT),
+    *((path, value, found, TEXT) for path in TEXT_PATHS for value, found in EMPTY_VALUES[:2]),
+    *((f"{CLASS_PATH}.group", value, found, CHOICES[f"{CLASS_PATH}.group"]) for value, found in EMPTY_VALUES),
+    *(("settings.specifics.load-window", value, found, AT_LEAST_ONE) for value, found in EMPTY_VALUES),
 ]
 
 # Key path and value: accepted since the first version, although the type is unusual.
@@ -247,8 +170,7 @@
     ("settings.tenants", None),
     ("settings.tenants", 0),
     ("settings.tenants[0].quota-per-s", "much"),
-    ("settings.specifics.load-window", ""),
-    (f"{CLASS_PATH}.group", ""),
+    ("settings.specifics.load-window", 0),
     (f"{CLASS_PATH}.aim-stretch", None),
     ("settings.localities", "ab"),
     ("known.events", {}),
@@ -271,29 +193,9 @@
 )
 
 
-def parent_and_key(document: Any, key_path: str) -> tuple[Any, str | int]:
-    """Return the object or list that contains the value of a key path, and the last part of the path."""
-    parts = [int(part) if part.isdecimal() else part for part in re.findall(r"[^.\[\]]+", key_path)]
-    parent = document
-    for part in parts[:-1]:
-        parent = parent[part]
-    return parent, parts[-1]
-
-
 def with_value(key_path: str, value: object) -> bytes:
     """Return the document with another value for a key path."""
-    document = copy.deepcopy(DOCUMENT)
-    parent, key = parent_and_key(document, key_path)
-    parent[key] = value
-    return json.dumps(document).encode()
-
-
-def without_key(section_path: str, key: str) -> bytes:
-    """Return the document without a key of a section."""
-    document = copy.deepcopy(DOCUMENT)
-    parent, last_part = parent_and_key(document, f"{section_path}.{key}")
-    del parent[last_part]
-    return json.dumps(document).encode()
+    return json.dumps(document_with(key_path, value)).encode()
 
 
 def rejection(raw: bytes) -> str:
@@ -305,10 +207,12 @@
     return text
 
 
-@pytest.mark.parametrize(("section_path", "key"), REQUIRED_KEYS)
-def test_the_error_for_a_missing_key_states_file_section_and_key(section_path: str, key: str) -> None:
+@pytest.mark.parametrize("key_path", sorted(REQUIRED_PATHS))
+def test_the_error_for_a_missing_key_states_file_section_and_key(key_path: str) -> None:
+    section_path, _, key = key_path.rpartition(".")
     location = ": ".join(part for part in (FILE_NAME, section_path) if part)
-    assert rejection(without_key(section_path, key)) == f'{location}: missing required key "{key}"'
+    problem = rejection(json.dumps(document_without(key_path)).encode())
+    assert problem == f'{location}: missing required key "{key}"'
 
 
 @pytest.mark.parametrize(("key_path", "value", "found", "expected"), INVALID_VALUES)
@@ -342,7 +246,7 @@
     ["name", "seed", "limits", "dns", "control", "peer_listen", "peers", "peers_all", "known"],
 )
 def test_an_optional_key_may_be_missing(key: str) -> None:
-    assert config.decode(without_key("", key), {}).port == 5050
+    assert config.decode(json.dumps(document_without(key)).encode(), {}).port == 5050
 
 
 @pytest.mark.parametrize(
@@ -429,7 +333,11 @@
         (b"{", "settings: not valid JSON: "),
         (b"[]", "settings: must be an object, found a list"),
         (b"{}", 'settings: missing required key "limits"'),
-        (b'{"limits": {}, "obligations": 5}', "settings.obligations: must be an object, found 5"),
+        (b'{"limits": {}, "obligations": 5}', 'settings: missing required key "classes"'),
+        (
+            json.dumps(SETTINGS | {"obligations": 5}).encode(),
+            "settings.obligations: must be an object, found 5",
+        ),
     ],
 )
 def test_invalid_settings_of_the_simulator_are_rejected_with_the_same_errors(
