Zones that the settings do not name are zones of their own, not one

What callers could see: with a first file without `localities`, or with a room that the settings do not name yet, a `revise` that may have run in one such room is sent again to another one and runs there a second time.

Cause: _index_of gave every unknown name the first index after the known ones, so that all rooms without a name in the settings counted as one. Found while looking for the cause of the missing `group` on related paths: a missing `localities` has the same effect, with `group` there. Kinds stay as they are: their index only selects a worker's memory.

Change: EndpointList gives each unnamed zone an index of its own, in the order of first listing; it stays for the process.

--- a/cedarthread/protocols/discovery/endpoint_list.py
+++ b/cedarthread/protocols/discovery/endpoint_list.py
@@ -66,6 +66,8 @@
         self.version = -1
         self.records: dict[str, EndpointRecord] = {}  # endpoints by worker name
         self._must_reapply = False  # a list of the same version must be applied again, as after a demotion
+        # Indexes of the zones that the settings do not name, in the order of their first listing.
+        self._unnamed_zones: dict[str, int] = {}
 
     def apply_update(
         self, version: int, records: list[EndpointRecord], *, is_snapshot: bool
@@ -146,7 +148,7 @@
     def _to_endpoint(self, record: EndpointRecord) -> Endpoint:
         return Endpoint(
             worker_id_from_name(record.name),
-            _index_of(self.settings.zones, record.zone),
+            self._zone_index(record.zone),
             _index_of(self.settings.worker_kinds, record.kind),
             record.cell,
             record.state,
@@ -154,6 +156,16 @@
             positive_or_none(record.started_at_ms),
         )
 
+    def _zone_index(self, zone: str) -> int:
+        """Return the index of a zone; each zone that the settings do not name has an index of its own.
+
+        With a common index they would count as one zone, in which a key may be sent again.
+        """
+        zones = self.settings.zones
+        if zone in zones:
+            return zones.index(zone)
+        return self._unnamed_zones.setdefault(zone, len(zones) + len(self._unnamed_zones))
+
 
 def _index_of(names: tuple[str, ...], name: str) -> int:
     """Return the index of a name; for an unknown name, the first index after the known ones."""
