A deadline or number of attempts must be a JSON number: "5000" and true are turned down

What operators saw: a file with "deadline": true was put in force with a deadline of 1 ms, one with "send-cap": true with one attempt, and figures in quotation marks were taken as numbers.

Cause: ConfigValue.number converts with float(), which takes true for 1 and "5000" for 5000.

Change: these two keys are read by json_number, which accepts neither a string nor true or false.

--- a/cedarthread/config_section.py
+++ b/cedarthread/config_section.py
@@ -119,17 +119,22 @@
     def number(self, minimum: float = 0.0) -> float:
         """Return the value as a number from ``minimum`` to ``MAX_NUMBER``."""
         return self.convert(
-            f"a number from {minimum:g} to {MAX_NUMBER:g}",
-            lambda value: bounded_number(cast("float", value), minimum),
+            _describe_range(minimum), lambda value: bounded_number(cast("float", value), minimum)
         )
 
+    def json_number(self, minimum: float = 0.0) -> float:
+        """Return the value as ``number`` does, but accept neither a string nor true or false."""
+        if isinstance(self.value, (str, bool)):
+            raise self.error(_describe_range(minimum))
+        return self.number(minimum)
+
     def number_or_zero(self, minimum: float) -> float:
         """Return the value as a number that is 0, or from ``minimum`` to ``MAX_NUMBER``."""
         return 0.0 if self.value == 0 and self.value is not False else self.number(minimum)
 
     def positive_number(self) -> float:
-        """Return the value as a number above 0."""
-        number = self.number()
+        """Return the value, which must be a JSON number, as a number above 0."""
+        number = self.json_number()
         if number <= 0.0:
             raise self.error("a number above 0")
         return number
@@ -224,6 +229,10 @@
         return tuple(str(entry.value) for entry in self.optional(key, ()).entries())
 
 
+def _describe_range(minimum: float) -> str:
+    return f"a number from {minimum:g} to {MAX_NUMBER:g}"
+
+
 def describe_choices(choices: Iterable[object]) -> str:
     """Return the list of valid choices for an error message, for example ``one of "a", "b"``."""
     return "one of " + ", ".join(describe_value(choice) for choice in choices)
--- a/cedarthread/settings_parser.py
+++ b/cedarthread/settings_parser.py
@@ -107,7 +107,7 @@
     return RequestClass(
         name=section.required_string("name"),
         latency_objective_ms=section.required("goal-time").number(),
-        deadline_ms=section.required("deadline").number(MIN_DEADLINE_MS),
+        deadline_ms=section.required("deadline").json_number(MIN_DEADLINE_MS),
         priority_weight=section.number("value", 1),
         late_priority_weight=section.number("late-worth"),
         idempotency=idempotency,
--- a/tests/unit/test_config.py
+++ b/tests/unit/test_config.py
@@ -118,6 +118,9 @@
 # Values that are no figure of a rule, and how errors quote them.
 EMPTY_VALUES: list[tuple[object, str]] = [(None, "null"), ("", '""'), (False, "false")]
 
+# Values that Python converts to a number, but that are none in JSON, and how errors quote them.
+NO_NUMBERS: list[tuple[object, str]] = [("4", '"4"'), (True, "true"), (False, "false"), (None, "null")]
+
 # Key path, invalid value, the value as the error quotes it, and the expected value in the error.
 INVALID_VALUES: list[tuple[str, object, str, str]] = [
     *((path, "soon", '"soon"', AMOUNT) for path in AMOUNT_PATHS),
@@ -144,6 +147,8 @@
     ("settings.limits.send-cap", "few", '"few"', AMOUNT),
     ("settings.limits.send-cap", -1, "-1", AMOUNT),
     ("settings.limits.send-cap", 0, "0", POSITIVE),
+    *(("settings.limits.send-cap", value, found, AMOUNT) for value, found in NO_NUMBERS),
+    *((f"{CLASS_PATH}.deadline", value, found, AT_LEAST_ONE) for value, found in NO_NUMBERS),
     ("settings.limits.most-held", float("nan"), "NaN", AMOUNT),
     ("settings.limits.most-held", 10**400, "a number of 401 digits", AMOUNT),
     ("settings.tenants[0].quota-per-s", 10**400, "a number of 401 digits", "a number up to 1e+15"),
