A settings file without any class is turned down

Cause: an empty list passed the parser, although then each key of classes[] is missing; shut_down takes the longest deadline of the classes. Looked at beside it: tenants may be empty (WIRE: "A site can have no tenants"); localities, kinds and columns without entries are read as none.

Change: the parser asks for at least one class, at start and at SIGHUP. A class may still be dropped.

--- a/cedarthread/settings_parser.py
+++ b/cedarthread/settings_parser.py
@@ -76,7 +76,7 @@
     tenants = top.optional("tenants", ()).entries() if top.has("tenants") else ()
     memory_mb_by_kind = specifics.optional("memory-mb-by-kind", ())
     return RouterSettings(
-        classes=tuple(_parse_request_class(entry.section()) for entry in top.required("classes").entries()),
+        classes=_parse_request_classes(top.required("classes")),
         tenants=tuple(_parse_tenant(entry.section()) for entry in tenants),
         limits=_parse_limits(limits),
         rules=_parse_rules(rules, specifics),
@@ -102,6 +102,14 @@
     )
 
 
+def _parse_request_classes(value: ConfigValue) -> tuple[RequestClass, ...]:
+    """Return the request classes, at least one: without any, no request could be accepted."""
+    classes = tuple(_parse_request_class(entry.section()) for entry in value.entries())
+    if not classes:
+        raise value.error("a list of at least one class")
+    return classes
+
+
 def _parse_request_class(section: ConfigSection) -> RequestClass:
     idempotency = section.required("effect").value_in(_IDEMPOTENCY_BY_EFFECT)
     return RequestClass(
--- a/tests/unit/lifecycle/test_settings_reload.py
+++ b/tests/unit/lifecycle/test_settings_reload.py
@@ -24,6 +24,7 @@
     "attempts negative": "settings.limits.send-cap: must be a number from 0 to 1e+15, found -1",
     "no deadline": 'settings.classes[2]: missing required key "deadline"',
     "no limits": 'settings: missing required key "limits"',
+    "no classes": "settings.classes: must be a list of at least one class, found a list",
 }
 
 
@@ -74,6 +75,8 @@
         del changed["classes"][2]["deadline"]
     elif change == "no limits":
         del changed["limits"]
+    elif change == "no classes":
+        changed["classes"] = []
     complete_file = file_with(changed)
     unparsable = {"empty": b"", "cut short": complete_file[: len(complete_file) // 2]}
     return unparsable.get(change, complete_file)
--- a/tests/unit/test_config.py
+++ b/tests/unit/test_config.py
@@ -161,6 +161,8 @@
     ("peers", "127.0.0.1:1", '"127.0.0.1:1"', "a list of addresses in the form host:port"),
     ("listen", "x" * 200, f'"{"x" * 80}"...', ADDRESS),
     ("settings", 3, "3", OBJECT),
+    ("settings.classes", [], "a list", "a list of at least one class"),
+    ("settings.classes", {}, "an object", "a list of at least one class"),
     *((path, value, found, TEXT) for path in TEXT_PATHS for value, found in EMPTY_VALUES[:2]),
     *((f"{CLASS_PATH}.group", value, found, CHOICES[f"{CLASS_PATH}.group"]) for value, found in EMPTY_VALUES),
     *(("settings.specifics.load-window", value, found, AT_LEAST_ONE) for value, found in EMPTY_VALUES),
