Flags of the settings must be true or false: "false" is no longer read as true

What callers could see: a file with "second-copies": "false" allowed two attempts out at once, "cancel": [] forbade to take attempts back; neither said so.

Cause: ConfigSection.flag was the truth value of whatever stood there. Same parser, same kind: a value that states no rule is read as one, here the looser one.

Change: a flag is true or false, or the file is turned down; missing or null is false, as before (config_keys.py says when a flag may be missing).

Test: 27 cases of test_config.py fail without the change.

--- a/cedarthread/config_section.py
+++ b/cedarthread/config_section.py
@@ -210,8 +210,11 @@
         return self.required(key).number(minimum) if self.has(key) else float(default)
 
     def flag(self, key: str) -> bool:
-        """Return the truth value of a key; false if the key is missing."""
-        return self.has(key)
+        """Return the value of a key, which must be true or false; false if the key is missing or null."""
+        value = self.optional(key, None)
+        if value.value is not None and not isinstance(value.value, bool):
+            raise value.error("true or false")
+        return bool(value.value)
 
     def string(self, key: str) -> str:
         """Return the value of a key as a string; empty if the key is missing."""
--- a/tests/unit/test_config.py
+++ b/tests/unit/test_config.py
@@ -121,6 +121,12 @@
 # Values that Python converts to a number, but that are none in JSON, and how errors quote them.
 NO_NUMBERS: list[tuple[object, str]] = [("4", '"4"'), (True, "true"), (False, "false"), (None, "null")]
 
+FLAG_PATHS = [
+    f"{CLASS_PATH}.stream",
+    *(f"settings.limits.{key}" for key in ("cancel", "peers", "probing", "retry-after", "second-copies")),
+    *(f"settings.specifics.{key}" for key in ("may-order", "notes-peers-in-hand", "says-warm")),
+]
+
 # Key path, invalid value, the value as the error quotes it, and the expected value in the error.
 INVALID_VALUES: list[tuple[str, object, str, str]] = [
     *((path, "soon", '"soon"', AMOUNT) for path in AMOUNT_PATHS),
@@ -161,6 +167,9 @@
     ("peers", "127.0.0.1:1", '"127.0.0.1:1"', "a list of addresses in the form host:port"),
     ("listen", "x" * 200, f'"{"x" * 80}"...', ADDRESS),
     ("settings", 3, "3", OBJECT),
+    *((path, "false", '"false"', "true or false") for path in FLAG_PATHS),
+    *((path, 1, "1", "true or false") for path in FLAG_PATHS),
+    *((path, [], "a list", "true or false") for path in FLAG_PATHS),
     ("settings.classes", [], "a list", "a list of at least one class"),
     ("settings.classes", {}, "an object", "a list of at least one class"),
     *((path, value, found, TEXT) for path in TEXT_PATHS for value, found in EMPTY_VALUES[:2]),
