A discovery reply without a worker's cell or start time is unusable, not cell 0 and warm

What callers could see: with a reply whose TXT record lost `cell`, all such workers counted as one cell, in which a key with `group` cell may be sent again; with one that lost `started`, a worker that has just started gets a warm worker's load.

Cause: _endpoint_from_records had "0" for both, as the configuration had for `group` and `since_ms` of the runners in `known`. PROTOCOL states both in every record; `kind` keeps its default, since it only selects a worker's memory.

Change: the reply is unusable ("invalid TXT record of NAME"), so that the last list stays and the query is sent again; whom the reply drains is still taken from it.

--- a/cedarthread/protocols/discovery/endpoint_records.py
+++ b/cedarthread/protocols/discovery/endpoint_records.py
@@ -62,9 +62,10 @@
     if address is None or texts is None:
         return f"no A or TXT record for {service.target}"
     try:
-        cell = int(texts.get("cell", "0"))
-        started_at_ms = float(texts.get("started", "0"))
-    except ValueError:
+        # Without a default: cell 0 would be one cell of all workers, and a start at 0 that of a warm worker.
+        cell = int(texts["cell"])
+        started_at_ms = float(texts["started"])
+    except (KeyError, ValueError):
         return f"invalid TXT record of {service.target}"
     if not math.isfinite(started_at_ms):  # NaN is unequal to itself, so each reply would report a restart
         return f"invalid TXT record of {service.target}"
