Test: each reload changes which keys the next file must have

The check of a reload is made against the last accepted file, and a rejected file changes nothing. The test fails without check_replacement in Reloader, and without the update of key_inventory after a reload (both tried).

--- a/tests/unit/lifecycle/test_settings_reload.py
+++ b/tests/unit/lifecycle/test_settings_reload.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import copy
+import functools
 from typing import Any
 
 import pytest
@@ -107,3 +108,27 @@
     else:
         expected = format_event("configuration_rejected", error=PROBLEM_BY_CHANGE[change])
         assert line.getMessage() == expected
+
+
+def test_a_file_must_have_the_keys_of_the_file_in_force_which_each_reload_changes() -> None:
+    """Guards against a reload that drops a key, compared with the last accepted file, not with the first."""
+    with_prices = SETTINGS | {"prices": {"peer": 0.01}}
+
+    async def test() -> None:
+        async with service(ScriptedWorker()) as running:
+            for settings, expected_reloads, expected_errors in (
+                (SETTINGS, 1, 0),
+                (with_prices, 2, 0),
+                (SETTINGS, 2, 1),
+                (with_prices | {"prices": {"probe": 0.01}}, 2, 2),
+                (with_prices, 3, 2),
+            ):
+                raw = file_with(settings)
+                running.reloader.load_config = functools.partial(config.decode, raw, {})
+                running.reload()
+                info = info_metrics(await ask_control(running, b"INFO\n"))
+                assert info["router.loads"] == expected_reloads
+                assert info["router.load_errors"] == expected_errors
+                assert running.dispatcher.settings.prices.health_check == 0.0
+
+    asyncio.run(test())
