--- a/tests/integration/async_router_process.py
+++ b/tests/integration/async_router_process.py
@@ -98,10 +98,13 @@
         """Return the log so far."""
         return "".join(self.lines)
 
+    def write_config(self, document: dict[str, Any]) -> None:
+        """Replace ``config.json``, which the process reads again on SIGHUP."""
+        (self.folder / "config.json").write_text(json.dumps(document))
+
     def update_config(self, **changes: Any) -> None:
         """Replace these entries of ``config.json``; the process reads the file again on SIGHUP."""
-        file = self.folder / "config.json"
-        file.write_text(json.dumps(json.loads(file.read_text()) | changes))
+        self.write_config(json.loads((self.folder / "config.json").read_text()) | changes)
 
     def reload(self) -> None:
         """Send SIGHUP."""
--- a/tests/integration/test_settings_reload_process.py
+++ b/tests/integration/test_settings_reload_process.py
@@ -1,15 +1,18 @@
-"""SIGHUP with a configuration file that lacks a key, to a router process with workers in two zones."""
+"""SIGHUP with configuration files that lack a key, to a router process."""
 
 from __future__ import annotations
 
 import asyncio
 import copy
+import re
 from typing import TYPE_CHECKING, Any
 
 from cedarthread.testing.fakes.scripted import ScriptedWorker, pack_call
 from cedarthread.testing.fakes.settings import SETTINGS
 from tests.integration.async_router_process import RouterProcess, router_process
+from tests.integration.router_process import free_port
 from tests.integration.termination_harness import reset_connection, result_name
+from tests.unit.config_document import ALL_PATHS, DOCUMENT, OPTIONAL_PATHS, document_without
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -75,3 +78,29 @@
                 worker.stop()
 
     asyncio.run(scenario())
+
+
+def test_a_process_rejects_every_file_that_lacks_a_key_and_serves_by_the_file_before(tmp_path: Path) -> None:
+    """Guards against a missing key that has a default: each key of the pages is removed in turn."""
+    ports = {
+        key: f"127.0.0.1:{free_port()}" for key in ("listen", "dns", "control", "peer_listen", "peers_all")
+    }
+    document = DOCUMENT | ports | {"peers": [ports["peer_listen"]]}
+    removed_paths = [path for path in ALL_PATHS if path not in OPTIONAL_PATHS]
+
+    async def scenario() -> None:
+        async with router_process(tmp_path, **document) as running:
+            for key_path in removed_paths:
+                section_path, _, key = key_path.rpartition(".")
+                running.write_config(document_without(key_path, document))
+                running.reload()
+                location = re.escape(f"config.json: {section_path}: " if section_path else "config.json: ")
+                await running.wait_for_log(rf'configuration_rejected .*{location}missing .*key \\"{key}\\"')
+            info = await running.send_command(b"INFO\n")
+            assert f"router.load_errors={len(removed_paths)}" in info
+            assert "router.loads=0" in info
+            running.write_config(document)
+            running.reload()
+            await running.wait_for_log("configuration_reloaded classes=revise,check")
+
+    asyncio.run(scenario())
--- a/tests/unit/config_document.py
+++ b/tests/unit/config_document.py
@@ -131,6 +131,8 @@
 }
 CLASS_PATH = "settings.classes[0]"
 ENDPOINT_PATH = "known.events[0].members.endpoints[0]"
+# The operators' pages say of these two keys that they may be absent.
+OPTIONAL_PATHS = {"settings.prices.fleet", "settings.classes[0].aim-stretch"}
 # The keys that each file must have, also the first one: without them the router cannot serve, or a rule that
 # applies has no figure.
 REQUIRED_PATHS = {
@@ -149,6 +151,22 @@
 }
 
 
+def key_paths(value: object, path: str = "") -> list[str]:
+    """Return the paths of all keys; of a list, those of its first entry."""
+    if isinstance(value, list):
+        return key_paths(value[0], f"{path}[0]") if value else []
+    if not isinstance(value, dict):
+        return []
+    paths = []
+    for key, child in value.items():
+        child_path = f"{path}.{key}" if path else key
+        paths += [child_path, *key_paths(child, child_path)]
+    return paths
+
+
+ALL_PATHS = key_paths(DOCUMENT)
+
+
 def parent_and_key(document: Any, key_path: str) -> tuple[Any, str | int]:
     """Return the object or list that contains the value of a key path, and the last part of the path."""
     parts = [int(part) if part.isdecimal() else part for part in re.findall(r"[^.\[\]]+", key_path)]
@@ -166,9 +184,9 @@
     return document
 
 
-def document_without(key_path: str) -> dict[str, Any]:
-    """Return the document without a key."""
-    document = copy.deepcopy(DOCUMENT)
+def document_without(key_path: str, base: dict[str, Any] = DOCUMENT) -> dict[str, Any]:
+    """Return a document without a key."""
+    document = copy.deepcopy(base)
     parent, key = parent_and_key(document, key_path)
     del parent[key]
     return document
--- a/tests/unit/test_missing_keys.py
+++ b/tests/unit/test_missing_keys.py
@@ -13,9 +13,11 @@
 from cedarthread.errors import ConfigurationError
 from cedarthread.missing_keys import check_replacement
 from tests.unit.config_document import (
+    ALL_PATHS,
     CLASS_PATH,
     DOCUMENT,
     ENDPOINT_PATH,
+    OPTIONAL_PATHS,
     REQUEST_CLASS,
     REQUIRED_PATHS,
     document_with,
@@ -23,25 +25,6 @@
     parent_and_key,
 )
 
-# The operators' pages say of these two keys that they may be absent.
-OPTIONAL_PATHS = {"settings.prices.fleet", "settings.classes[0].aim-stretch"}
-
-
-def key_paths(value: object, path: str = "") -> list[str]:
-    """Return the paths of all keys; of a list, those of its first entry."""
-    if isinstance(value, list):
-        return key_paths(value[0], f"{path}[0]") if value else []
-    if not isinstance(value, dict):
-        return []
-    paths = []
-    for key, child in value.items():
-        child_path = f"{path}.{key}" if path else key
-        paths += [child_path, *key_paths(child, child_path)]
-    return paths
-
-
-ALL_PATHS = key_paths(DOCUMENT)
-
 
 def load(document: dict[str, Any]) -> config.Config:
     return config.decode(json.dumps(document).encode(), {}, "config.json")
