--- a/cedarthread/config_section.py
+++ b/cedarthread/config_section.py
@@ -184,13 +184,21 @@
     def required(self, key: str) -> ConfigValue:
         """Return the value of a key.
 
+        Raises:
+            ConfigurationError: The key is missing.
+        """
+        self.check_present(key)
+        return self.optional(key, None)
+
+    def check_present(self, key: str) -> None:
+        """Check that a key is present, with any value.
+
         Raises:
             ConfigurationError: The key is missing.
         """
         if key not in self.values:
             problem = f'missing required key "{key}"'
             raise ConfigurationError(problem, source=self.source, key_path=self.key_path)
-        return self.optional(key, None)
 
     def optional(self, key: str, default: object) -> ConfigValue:
         """Return the value of a key, or the default if the key is missing."""
@@ -205,9 +213,9 @@
         """Return the number of a key, from ``minimum`` to ``MAX_NUMBER``, or the default if it is missing."""
         return self.optional(key, default).number(minimum)
 
-    def number_unless_empty(self, key: str, default: float = 0.0, minimum: float = 0.0) -> float:
+    def number_unless_empty(self, key: str, default: float = 0.0) -> float:
         """Return the number of a key, or the default if the key is missing, null, 0 or empty."""
-        return self.required(key).number(minimum) if self.has(key) else float(default)
+        return self.required(key).number() if self.has(key) else float(default)
 
     def flag(self, key: str) -> bool:
         """Return the value of a key, which must be true or false; false if the key is missing or null."""
--- a/cedarthread/missing_keys.py
+++ b/cedarthread/missing_keys.py
@@ -72,7 +72,7 @@
                 for key in condition.keys
             ]
             for key in (*known.required, *conditional):
-                section.required(key)
+                section.check_present(key)
 
 
 def take_inventory(document: ConfigSection) -> KeyInventory:
--- a/tests/integration/async_router_process.py
+++ b/tests/integration/async_router_process.py
@@ -20,6 +20,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
 
+    from cedarthread.testing.fakes.scripted import ScriptedWorker
+
 LOG_END = "(ended)"  # the last entry of ``RouterProcess.lines`` once the process has closed its log
 TIMEOUT_S = 10
 
@@ -130,6 +132,25 @@
         await self._read_task
 
 
+def listed_endpoints(workers: Sequence[ScriptedWorker], zones: Sequence[str] = ("room-a",)) -> dict[str, Any]:
+    """Return a ``known`` entry of ``config.json`` that lists the workers, in these zones in turn."""
+    endpoints = [
+        {
+            "name": f"s-{number:08x}",
+            "address": f"127.0.0.1:{worker.port}",
+            "zone": zones[(number - 1) % len(zones)],
+            "type": "std",
+            "group": 0,
+            "status": "ready",
+            "weight": 1,
+            "since_ms": 0,
+        }
+        for number, worker in enumerate(workers, 1)
+    ]
+    events = [{"n": 1, "members": {"index": 1, "snapshot": True, "endpoints": endpoints}}]
+    return {"n": 1, "events": events}
+
+
 def write_process_config(folder: Path, **changes: Any) -> None:
     """Write a ``config.json`` without workers and with a free control port, then apply ``changes``."""
     folder.mkdir(exist_ok=True)
--- a/tests/integration/test_client_disconnects_process.py
+++ b/tests/integration/test_client_disconnects_process.py
@@ -18,7 +18,7 @@
 
 from cedarthread.testing.fakes.scripted import ScriptedWorker
 from cedarthread.testing.fakes.settings import SETTINGS
-from tests.integration.async_router_process import router_process
+from tests.integration.async_router_process import listed_endpoints, router_process
 from tests.integration.client_sockets import DISCONNECTS, BlockingClient
 
 if TYPE_CHECKING:
@@ -50,25 +50,6 @@
             DISCONNECTS[self.behavior](self)
 
 
-def listed_endpoints(workers: list[ScriptedWorker]) -> dict[str, Any]:
-    """Return a ``known`` entry of ``config.json`` that lists the workers."""
-    endpoints = [
-        {
-            "name": f"s-{number:08x}",
-            "address": f"127.0.0.1:{worker.port}",
-            "zone": "room-a",
-            "type": "std",
-            "group": 0,
-            "status": "ready",
-            "weight": 1,
-            "since_ms": 0,
-        }
-        for number, worker in enumerate(workers, 1)
-    ]
-    events = [{"n": 1, "members": {"index": 1, "snapshot": True, "endpoints": endpoints}}]
-    return {"n": 1, "events": events}
-
-
 def count_attempts(workers: list[ScriptedWorker]) -> Counter[str]:
     """Return how many attempts of each call the workers have received."""
     return Counter(message["id"] for worker in workers for message in worker.calls)
--- a/tests/integration/test_settings_reload_process.py
+++ b/tests/integration/test_settings_reload_process.py
@@ -9,7 +9,7 @@
 
 from cedarthread.testing.fakes.scripted import ScriptedWorker, pack_call
 from cedarthread.testing.fakes.settings import SETTINGS
-from tests.integration.async_router_process import RouterProcess, router_process
+from tests.integration.async_router_process import RouterProcess, listed_endpoints, router_process
 from tests.integration.router_process import free_port
 from tests.integration.termination_harness import reset_connection, result_name
 from tests.unit.config_document import ALL_PATHS, DOCUMENT, OPTIONAL_PATHS, document_without
@@ -26,15 +26,6 @@
     reset_connection(worker.writers[-1])
 
 
-def endpoint_entries(workers: list[ScriptedWorker]) -> list[dict[str, Any]]:
-    """Return the entries of the initial list, with one worker in each zone."""
-    return [
-        {"name": f"s-0000000{number}", "address": f"127.0.0.1:{worker.port}", "zone": zone, "type": "std"}
-        | {"group": 0, "status": "ready", "weight": 1, "since_ms": 0}
-        for number, (worker, zone) in enumerate(zip(workers, ZONES, strict=True), 1)
-    ]
-
-
 async def send_keyed_calls(running: RouterProcess) -> list[str]:
     """Send calls with idempotency keys one after the other, and return how each ended."""
     caller = await running.client()
@@ -55,11 +46,9 @@
         workers = [ScriptedWorker(reset_under_call) for _ in ZONES]
         for worker in workers:
             await worker.start()
-        events = [{"n": 1, "members": {"endpoints": endpoint_entries(workers)}}]
+        known = listed_endpoints(workers, zones=ZONES)
         try:
-            async with router_process(
-                tmp_path, settings=settings, known={"n": 1, "events": events}
-            ) as running:
+            async with router_process(tmp_path, settings=settings, known=known) as running:
                 running.update_config(settings=without_scope)
                 running.reload()
                 reply = await running.wait_for_log(r"configuration_(reloaded|rejected).*")
