--- a/review/standins2/kit.py
+++ b/review/standins2/kit.py
@@ -440,11 +440,16 @@
                     process.send_signal(signal.SIGCONT)
                     process.kill()
             process.wait()
-        self.loop.set_exception_handler(lambda *_: None)
-        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.loop.call_soon_threadsafe(self._stop_loop)
         self._thread.join(timeout=5)
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    def _stop_loop(self) -> None:
+        self.loop.set_exception_handler(lambda *_: None)  # what the stop interrupts is of no interest
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.loop.call_later(0.1, self.loop.stop)
+
 
 class Router:
     """One process of the router."""
