--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A client that sends in pieces and reads 1 MB a second; the router stops reading it, and then calls it late."""
+"""A slow reader that sends in pieces: the router stops reading it, and then takes it for late."""
 
 from __future__ import annotations
 
@@ -63,7 +63,7 @@
 
 
 class SlowClient:
-    """A client that sends 32 requests in two pieces on one connection and reads the answers at 1 MB a second."""
+    """A client that sends 32 requests in two pieces and reads the answers at 1 MB a second."""
 
     def __init__(self, stage: kit.Stage, port: int, number: int) -> None:
         self.stage = stage
