--- a/review/9/case.py
+++ b/review/9/case.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import base64
-import datetime
 import signal
 import socket
-import ssl
 import sys
 import threading
 import time
@@ -15,12 +13,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509.oid import NameOID
 
-from standins2 import kit
+from standins2 import kit, spiffe
 
 LONG_FUNCTION = f"{0xA0:016x}"
 SHORT_FUNCTION = f"{0xA1:016x}"
@@ -32,7 +26,6 @@
 LOAD_S = 1.2  # "0.95 to 1.8 s to load on average"
 SEND_AFTER_S = 0.4  # requests on open connections come until 0.4 to 0.6 s after SIGTERM
 KILL_AFTER_S = 3.7  # the longest deadline (counted as 3 s) and 0.7 s more
-DOMAIN = "gaz.example"
 
 
 class LoadingWorker(kit.Worker):
@@ -55,64 +48,10 @@
         self.hit(connection, message, body * (LONG_ANSWER // len(body)) if is_long else body)
 
 
-class Issuer:
-    """The issuer of the trust domain."""
-
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
-        self.key = ec.generate_private_key(ec.SECP256R1())
-        self.name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, DOMAIN)])
-        self.write("bundle", f"spiffe://{DOMAIN}", None)
-
-    def write(self, name: str, spiffe_id: str, usage_ca: bool | None = False) -> None:  # noqa: FBT001, FBT002
-        """Write a certificate and its key; None for the issuer's own."""
-        is_ca = usage_ca is None
-        key = self.key if is_ca else ec.generate_private_key(ec.SECP256R1())
-        now = datetime.datetime.now(datetime.UTC)
-        usage = x509.KeyUsage(
-            digital_signature=not is_ca,
-            key_cert_sign=is_ca,
-            crl_sign=is_ca,
-            content_commitment=False,
-            key_encipherment=False,
-            data_encipherment=False,
-            key_agreement=False,
-            encipher_only=False,
-            decipher_only=False,
-        )
-        names = x509.SubjectAlternativeName([x509.UniformResourceIdentifier(spiffe_id)])
-        subject = self.name if is_ca else x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
-        certificate = (
-            x509.CertificateBuilder()
-            .subject_name(subject)
-            .issuer_name(self.name)
-            .public_key(key.public_key())
-            .serial_number(x509.random_serial_number())
-            .not_valid_before(now - datetime.timedelta(minutes=5))
-            .not_valid_after(now + datetime.timedelta(hours=1))
-            .add_extension(names, critical=False)
-            .add_extension(x509.BasicConstraints(ca=is_ca, path_length=None), critical=True)
-            .add_extension(usage, critical=True)
-            .sign(self.key, hashes.SHA256())
-        )
-        pem = serialization.Encoding.PEM
-        (self.folder / f"{name}.pem").write_bytes(certificate.public_bytes(pem))
-        raw = key.private_bytes(pem, serialization.PrivateFormat.PKCS8, serialization.NoEncryption())
-        (self.folder / f"{name}_key.pem").write_bytes(raw)
-
-    def context(self, name: str) -> ssl.SSLContext:
-        """Return the TLS settings of a caller."""
-        context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-        context.check_hostname = False  # the router has a SPIFFE ID, no host name
-        context.load_verify_locations(self.folder / "bundle.pem")
-        context.load_cert_chain(self.folder / f"{name}.pem", self.folder / f"{name}_key.pem")
-        return context
-
-
 class Caller(threading.Thread):
     """A caller with one connection to the invoke API."""
 
-    def __init__(self, stage: kit.Stage, port: int, issuer: Issuer, number: int) -> None:
+    def __init__(self, stage: kit.Stage, port: int, issuer: spiffe.Issuer, number: int) -> None:
         super().__init__(daemon=True)
         self.stage = stage
         self.number = number
@@ -173,15 +112,9 @@
 def case(stage: kit.Stage) -> int:
     """Play the case."""
     stage.start([LoadingWorker(stage, "s-00000001")])
-    issuer = Issuer(stage.folder)
-    issuer.write("svid", f"spiffe://{DOMAIN}/router")
-    issuer.write("desk", f"spiffe://{DOMAIN}/desk/1")
+    issuer = spiffe.Issuer(stage.folder)
     port = kit.free_port()
-    invoke = stage.folder / "invoke.toml"
-    invoke.write_text(
-        f'[invoke]\nlisten = "{kit.HOST}:{port}"\ntrust_domain = "{DOMAIN}"\nsvid = "svid.pem"\n'
-        f'key = "svid_key.pem"\nbundle = "bundle.pem"\nallow = ["spiffe://{DOMAIN}/desk/*"]\n'
-    )
+    invoke = issuer.invoke_file(kit.HOST, port)
     router = stage.start_router(stage.config("n1", kit.free_port()), f"serve --invoke {invoke}")
     router.wait_ready()
     callers = [Caller(stage, port, issuer, number) for number in range(CALLERS)]
