--- a/review/8/case.py
+++ b/review/8/case.py
@@ -33,24 +33,6 @@
         self.hit(connection, message, base64.b64decode(message["body"])[::-1])
 
 
-def request(
-    port: int, issuer: spiffe.Issuer, head: str, body: bytes = b""
-) -> tuple[int, dict[str, str], bytes]:
-    """Send one request on a connection of its own."""
-    with socket.create_connection((kit.HOST, port), timeout=GIVE_UP_S) as raw:
-        sock = issuer.context("desk").wrap_socket(raw)
-        lines = f"{head}\r\nHost: router\r\nConnection: close\r\nContent-Length: {len(body)}\r\n\r\n"
-        sock.sendall(lines.encode() + body)
-        data = b""
-        with contextlib.suppress(OSError):
-            while received := sock.recv(65536):
-                data += received
-    top, _, rest = data.partition(b"\r\n\r\n")
-    first, *others = top.decode().split("\r\n")
-    fields = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in others)}
-    return (int(first.split(" ")[1]) if first else 0), fields, rest
-
-
 class Portal(threading.Thread):
     """A caller that hands in a `confirm`, disconnects, and comes back for the result."""
 
@@ -66,7 +48,7 @@
     def hand_in(self) -> None:
         """Hand the call in; the router takes it with 202."""
         head = f"POST /v1/functions/{FUNCTION}/confirm HTTP/1.1\r\nPrefer: respond-async"
-        status, fields, _ = request(self.port, self.issuer, head, self.body)
+        status, fields, _ = spiffe.request(self.port, self.issuer, head, self.body)
         assert status == HTTP_ACCEPTED, f"status {status}"
         self.given_at = time.monotonic()
         self.location = fields["location"]
@@ -77,7 +59,7 @@
         while time.monotonic() < self.given_at + GIVE_UP_S:
             head = f"GET {self.location} HTTP/1.1\r\nPrefer: wait=1"
             try:
-                status, _, body = request(self.port, self.issuer, head)
+                status, _, body = spiffe.request(self.port, self.issuer, head)
             except OSError as error:
                 self.stage.record.add(f"portal {self.number}: {error}")
                 status, body = 0, b""
--- a/review/standins2/spiffe.py
+++ b/review/standins2/spiffe.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import datetime
+import socket
 import ssl
 from typing import TYPE_CHECKING
 
@@ -15,6 +17,8 @@
     from pathlib import Path
 
 DOMAIN = "gaz.example"
+HOST = "127.0.0.1"
+ANSWER_LIMIT_S = 6.0
 
 
 class Issuer:
@@ -80,3 +84,19 @@
             f'key = "svid_key.pem"\nbundle = "bundle.pem"\nallow = ["spiffe://{DOMAIN}/desk/*"]\n'
         )
         return path
+
+
+def request(port: int, issuer: Issuer, head: str, body: bytes = b"") -> tuple[int, dict[str, str], bytes]:
+    """Send one request on a connection of its own."""
+    with socket.create_connection((HOST, port), timeout=ANSWER_LIMIT_S) as raw:
+        sock = issuer.context("desk").wrap_socket(raw)
+        lines = f"{head}\r\nHost: router\r\nConnection: close\r\nContent-Length: {len(body)}\r\n\r\n"
+        sock.sendall(lines.encode() + body)
+        data = b""
+        with contextlib.suppress(OSError):
+            while received := sock.recv(65536):
+                data += received
+    top, _, rest = data.partition(b"\r\n\r\n")
+    first, *others = top.decode().split("\r\n")
+    fields = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in others)}
+    return (int(first.split(" ")[1]) if first else 0), fields, rest
