An attempt that ends while its line is partly written closes its connection first

Cause: CallCompletion.expire took the progress of the moment (partly written: not executed) for the final one, while the rest of the line was in the transport's buffer. With CANCEL allowed the connection was aborted 10 ms later; without it, never. So "never ran" was said before the bytes were stopped, in both settings. Ruled out: the retry rules (they permit what is recorded as never run); the worker (ran each whole line once). Change: WorkerTransport.abort_incomplete makes an attempt's progress final, by aborting the connection of a line that is written in part; used at the deadline, at the end of a call whose client left or half-closed, at an end without CANCEL and at a preload's timeout. Log event worker_line_aborted.

--- a/cedarthread/dispatch/calls.py
+++ b/cedarthread/dispatch/calls.py
@@ -115,7 +115,9 @@
     def may_have_executed(self) -> bool:
         """Return whether the worker may have executed the call.
 
-        An attempt that was not written completely, or that the worker rejected, cannot have been executed.
+        An attempt that the worker rejected cannot have been executed, nor one that was not written
+        completely. While the attempt is in flight, the rest may still be written: before its end is decided
+        by this method, ``WorkerTransport.abort_incomplete`` must have made its progress final.
         """
         return self.progress >= Progress.WRITTEN and not self.is_not_executed
 
@@ -161,6 +163,17 @@
     def withdraw_unsent(self, attempt: Attempt) -> None:
         """End the attempt if none of its bytes have been sent; otherwise do nothing."""
 
+    def abort_incomplete(self, attempt: Attempt, *, settle_s: float = 0.0) -> None:
+        """Ensure that an attempt of which only a part has been written never reaches its worker whole.
+
+        Afterwards ``attempt.progress`` is final. Nothing is done to an attempt that has been written
+        completely, or not at all.
+
+        Args:
+            attempt: The attempt.
+            settle_s: Time in s that the rest may still take to be written.
+        """
+
     def cancel(self, attempt: Attempt) -> None:
         """Cancel an attempt; its end is still reported through ``Dispatcher.attempt_ended``."""
 
--- a/cedarthread/dispatch/completion.py
+++ b/cedarthread/dispatch/completion.py
@@ -35,6 +35,9 @@
 
 log = logging.getLogger(__name__)
 
+# Time from the end of a call until a partly written attempt is aborted; the rest of a line that a worker is
+# reading arrives within it.
+INCOMPLETE_SETTLE_S = 0.010
 OVERDUE_GRACE_MS = 5.0  # time for the router to complete a call after its attempts ended at the deadline
 
 
@@ -118,8 +121,9 @@
     def on_client_half_closed(self, call: Call) -> None:
         """Record that the client has closed its sending side; the client may still read the result.
 
-        An attempt that has been written at least in part may still provide the result, but no further attempt
-        starts. A call without such an attempt is completed immediately.
+        An attempt that has been written may still provide the result, but no further attempt starts. One that
+        is partly written reaches its worker soon or never. A call without such an attempt is completed
+        immediately.
         """
         if call.is_complete or call.is_client_half_closed:
             return
@@ -132,6 +136,9 @@
         )
         if not has_written_attempt:
             self.complete_locally(call, timed_out=False)
+            return
+        for attempt in call.attempts:
+            self._context.workers().abort_incomplete(attempt, settle_s=INCOMPLETE_SETTLE_S)
 
     def complete_locally(self, call: Call, *, timed_out: bool) -> None:
         """Complete a call without the router: as rejected if a retry is safe, else as failed.
@@ -148,11 +155,14 @@
         self._enqueue_event(ClientDisconnected(call.request_id))
 
     def expire(self, call: Call) -> None:
-        """End the attempts of a call at its deadline, and give the router a grace period for the result."""
+        """End the attempts of a call at its deadline, and give the router a grace period for the result.
+
+        A partly written attempt counts as not executed, so first its rest is prevented from being written.
+        """
         for attempt in call.attempts:
             if not attempt.is_ended:
                 workers = self._context.workers()
-                workers.refresh_progress(attempt)
+                workers.abort_incomplete(attempt)
                 outcome = Outcome.TIMEOUT if attempt.may_have_executed() else Outcome.CONNECT_FAILED
                 self.end_attempt(attempt, AttemptResult(outcome))
                 workers.cancel(attempt)  # the transport sends CANCEL if the settings allow it
@@ -174,13 +184,17 @@
 
     def _remove_from_pending(self, call: Call) -> None:
         self._calls.mark_completed(call)
-        # Unsent attempts are withdrawn, because the call no longer needs a result. Written and partly written
-        # ones are left to the router, which cancels them if the settings allow CANCEL.
+        # Unsent attempts are withdrawn, because the call no longer needs a result. The others are left to the
+        # router, which cancels them if the settings allow CANCEL. Without CANCEL, a worker that reads on
+        # later would receive the rest of a partly written one, and start a call that has ended.
+        workers = self._context.workers()
         for attempt in call.attempts:
             if not attempt.is_ended:
-                self._context.workers().withdraw_unsent(attempt)
-        can_cancel = self._context.settings.limits.can_cancel
-        if not can_cancel and any(not attempt.is_ended for attempt in call.attempts):
+                workers.withdraw_unsent(attempt)
+        in_flight = [attempt for attempt in call.attempts if not attempt.is_ended]
+        if in_flight and not self._context.settings.limits.can_cancel:
+            for attempt in in_flight:
+                workers.abort_incomplete(attempt, settle_s=INCOMPLETE_SETTLE_S)
             self._context.call_at(call.deadline_ms, self._cancel_abandoned_attempts, call)
 
     def _cancel_abandoned_attempts(self, call: Call) -> None:
--- a/cedarthread/protocols/worker/connection.py
+++ b/cedarthread/protocols/worker/connection.py
@@ -271,6 +271,18 @@
         if not self.is_closed and any(line in self.line_queue.buffered for line in lines):
             self.abort()
 
+    def is_partly_written(self, request: WorkerRequest) -> bool:
+        """Return whether only a part of the line of a request has been written to the socket by now."""
+        self.refresh_progress()
+        return self.line_queue.is_buffered(request)
+
+    def abort_incomplete_line(self) -> None:
+        """Abort so that the worker never receives the rest of the line in the transport's buffer."""
+        worker = self.pool.endpoint.name
+        in_flight = len(self.in_flight)
+        log.info(format_event("worker_line_aborted", worker=worker, in_flight=in_flight))
+        self.abort()
+
     def close_unused(self) -> None:
         """Close a connection without requests in flight.
 
--- a/cedarthread/protocols/worker/connections.py
+++ b/cedarthread/protocols/worker/connections.py
@@ -163,6 +163,21 @@
         if (connection := self._connection_by_attempt.get(attempt)) is not None:
             connection.withdraw_and_end(attempt)
 
+    def abort_incomplete(self, attempt: Attempt, *, settle_s: float = 0.0) -> None:
+        """Abort the connection of a partly written attempt; see ``WorkerTransport.abort_incomplete``.
+
+        Bytes in the transport's buffer cannot be withdrawn in any other way. The other attempts on the
+        connection end as after any lost connection.
+        """
+        connection = self._connection_by_attempt.get(attempt)
+        if connection is None or not connection.is_partly_written(attempt):
+            return
+        if settle_s > 0.0:
+            self._loop.call_later(settle_s, self.abort_incomplete, attempt)
+            return
+        del self._connection_by_attempt[attempt]  # so that no CANCEL follows
+        connection.abort_incomplete_line()
+
     def cancel(self, attempt: Attempt) -> None:
         """Cancel an attempt.
 
@@ -177,9 +192,8 @@
         # A connection to a crashed host stays open without input: the next attempt needs a new connection.
         is_unresponsive = self._loop.time() - connection.last_read_at_s > UNRESPONSIVE_AFTER_S
         connection.is_retired = connection.is_retired or is_unresponsive
-        if not self.settings.limits.can_cancel:  # the worker continues the attempt, whose response is ignored
-            connection.abandon(attempt.call.call_id)
-            self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.TIMEOUT))
+        if not self.settings.limits.can_cancel:
+            self._end_without_cancel(attempt, connection)
             return
         cancel_line = connection.send_cancel(attempt)
         if cancel_line is not None:
@@ -187,6 +201,19 @@
         else:
             self._finish_cancel(attempt, connection, None)
 
+    def _end_without_cancel(self, attempt: Attempt, connection: WorkerConnection) -> None:
+        """End an attempt that the settings forbid to cancel.
+
+        The worker continues an attempt that it has received, and its response is ignored. It never receives
+        the rest of a partly written one.
+        """
+        if connection.is_partly_written(attempt):
+            connection.abort_incomplete_line()
+            self.dispatcher.attempt_ended(attempt, connection_lost_result(attempt))
+            return
+        connection.abandon(attempt.call.call_id)
+        self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.TIMEOUT))
+
     def _finish_cancel(
         self, attempt: Attempt, connection: WorkerConnection, cancel_line: OutboundLine | None
     ) -> None:
--- a/cedarthread/protocols/worker/line_queue.py
+++ b/cedarthread/protocols/worker/line_queue.py
@@ -54,6 +54,10 @@
                 return True
         return False
 
+    def is_buffered(self, request: WorkerRequest) -> bool:
+        """Return whether the line of a request has been passed to the transport, but not written whole."""
+        return any(line.request is request for line in self.buffered)
+
     def is_written(self, line: OutboundLine) -> bool:
         """Return whether the line has been completely written to the socket."""
         return line not in self.queued and line not in self.buffered
--- a/cedarthread/protocols/worker/preloads.py
+++ b/cedarthread/protocols/worker/preloads.py
@@ -64,10 +64,15 @@
             self.finish(preload, Outcome.CONNECT_FAILED)
 
     def _on_timeout(self, preload: PendingPreload, connection: WorkerConnection) -> None:
-        """End a preload that got no response, so that its slot in the preload budget is released."""
+        """End a preload that got no response, so that its slot in the preload budget is released.
+
+        A worker that received the rest of a partly written preload later would load over the budget.
+        """
         if not connection.withdraw(preload):
             connection.in_flight.pop(preload.message_id, None)
         self.finish(preload, Outcome.TIMEOUT)
+        if connection.is_partly_written(preload):
+            connection.abort_incomplete_line()
 
     def on_response(self, preload: PendingPreload, response: PreloadResponse) -> None:
         """End a preload with the worker's response."""
--- a/cedarthread/testing/fakes/scripted.py
+++ b/cedarthread/testing/fakes/scripted.py
@@ -59,7 +59,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.append(writer)
-        while line := await reader.readline():
+        while (line := await reader.readline()).endswith(b"\n"):  # an incomplete line ends the connection
             message = json.loads(line)
             if message["op"] == "CANCEL":
                 self.cancelled_ids.append(message["id"])
--- a/cedarthread/testing/fuzzing/scripted_transport.py
+++ b/cedarthread/testing/fuzzing/scripted_transport.py
@@ -55,6 +55,9 @@
     def withdraw_unsent(self, attempt: Attempt) -> None:
         """Do nothing because ``send`` sends every attempt immediately."""
 
+    def abort_incomplete(self, attempt: Attempt, *, settle_s: float = 0.0) -> None:
+        """Do nothing because ``send`` sends every attempt completely."""
+
     def cancel(self, attempt: Attempt) -> None:
         """Cancel an attempt."""
         if (record := self.in_flight.pop(attempt, None)) is not None:
--- a/tests/unit/dispatch/builders.py
+++ b/tests/unit/dispatch/builders.py
@@ -65,6 +65,8 @@
 
     def withdraw_unsent(self, attempt: Attempt) -> None: ...
 
+    def abort_incomplete(self, attempt: Attempt, *, settle_s: float = 0.0) -> None: ...
+
     def cancel(self, attempt: Attempt) -> None:
         self.cancelled.append(attempt)
         self.dispatcher.attempt_ended(attempt, AttemptResult(Outcome.CANCELLED))
