The time for which the router itself stops reading does not make a client's message late

Change: a pause is taken off a message's time, and no message is late during one; a client that reads none of its output for 120 s is aborted, as any silent client.

--- a/cedarthread/protocols/platform/connection.py
+++ b/cedarthread/protocols/platform/connection.py
@@ -36,6 +36,7 @@
         self.message_started_at: float | None = None  # loop time in s of an incomplete message's first byte
         self.needed_bytes = 0  # minimum length of the next message, derived from its parsed part
         self.has_unprocessed_messages = False  # complete messages are left for the next pass
+        self.reading_paused_at_s: float | None = None  # loop time in s since which input is not read
         self.queued_bytes = 0  # size of the responses that the client has not read
         self.invalid_reason = ""  # why the message that ends the connection is invalid
 
@@ -159,8 +160,22 @@
             return
         if not self.is_closing() and (self.is_write_paused or self.has_unprocessed_messages):
             self.transport.pause_reading()
+            if self.reading_paused_at_s is None:
+                self.reading_paused_at_s = self._loop.time()
         else:
             self.transport.resume_reading()
+            self._exclude_pause_from_timeouts()
+
+    def _exclude_pause_from_timeouts(self) -> None:
+        """Do not count as the client's the time for which this server has paused reading."""
+        paused_at_s = self.reading_paused_at_s
+        if paused_at_s is None:
+            return
+        self.reading_paused_at_s = None
+        now_s = self._loop.time()
+        self.last_read_at_s = now_s
+        if self.message_started_at is not None:
+            self.message_started_at += now_s - max(paused_at_s, self.message_started_at)
 
     def on_buffer_full(self) -> None:
         """Reject a message over the maximum length, unless complete messages fill the buffer."""
--- a/cedarthread/protocols/platform/server.py
+++ b/cedarthread/protocols/platform/server.py
@@ -143,12 +143,18 @@
     def sweep(self, now_s: float) -> None:
         """Close connections with an overdue message, and silent connections without open calls.
 
+        The time for which this server has paused reading does not count.
+
         Args:
             now_s: The event loop's time.
         """
         for connection in [*self.unvalidated_connections, *self.connections]:
             if connection.transport is None or connection.is_closing() or connection.has_unprocessed_messages:
                 continue
+            if connection.reading_paused_at_s is not None:
+                if connection.is_output_stalled(now_s, IDLE_CLIENT_TIMEOUT_S):
+                    connection.abort_with_unsent_output()
+                continue
             started_at = connection.message_started_at
             is_late = started_at is not None and now_s - started_at > MESSAGE_TIMEOUT_S
             is_silent = now_s - connection.last_read_at_s > IDLE_CLIENT_TIMEOUT_S
