A stored call is identified by the name of its class, so new settings do not hide its result

Cause: the fingerprint held the class index, which a reload changes for every class that differs in any value. A caller whose class was dropped got 404 before its key was looked up. Change: the fingerprint holds the class name; a POST of a class that is gone is looked up by its key first. The golden builder shows the index from the request in place of the fingerprint, and checks that both name the same class; the golden file is untouched.

--- a/cedarthread/dispatch/deferred.py
+++ b/cedarthread/dispatch/deferred.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-# Class, function and body digest of a request. A retry with the same idempotency key must have the same
-# fingerprint.
+# Name of the class, function and body digest of a request. A retry with the same idempotency key must have the
+# same fingerprint.
 RequestFingerprint = tuple[str, str, bytes]
 
 
--- a/cedarthread/protocols/invoke/calls.py
+++ b/cedarthread/protocols/invoke/calls.py
@@ -10,7 +10,7 @@
 from cedarthread.dispatch.deferred import DeferredCall, DeferredCalls, DeferredLimits
 from cedarthread.model.settings import Idempotency
 from cedarthread.protocols.http import Response, problem_response
-from cedarthread.protocols.invoke.requests import CallRequest, worker_idempotency_key
+from cedarthread.protocols.invoke.requests import CallRequest, StoredCallReference, worker_idempotency_key
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,6 +64,13 @@
         known = self.deferred_calls.find_by_key(owner, key) if key is not None else None
         return known is not None and not isinstance(known.result, CallRejected)
 
+    def find_stored_call(self, owner: str, reference: StoredCallReference | None) -> DeferredCall | None:
+        """Return the stored call to which a returning caller refers, or None if there is none."""
+        if reference is None:
+            return None
+        known = self.deferred_calls.find_by_key(owner, reference.idempotency_key)
+        return known if known is not None and known.fingerprint == reference.fingerprint else None
+
     def find_or_start_stored_call(
         self, owner: str, request: CallRequest, *, is_deferred: bool
     ) -> DeferredCall | Response:
--- a/cedarthread/protocols/invoke/handler.py
+++ b/cedarthread/protocols/invoke/handler.py
@@ -9,9 +9,11 @@
 from cedarthread.protocols.http import Response, problem_response
 from cedarthread.protocols.invoke.requests import (
     READY_PATH,
+    UNKNOWN_CLASS_STATUS,
     deferred_call_id,
     is_call_path,
     parse_call_request,
+    parse_stored_call_reference,
     wait_preference_s,
 )
 from cedarthread.protocols.invoke.responses import (
@@ -22,7 +24,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from cedarthread.dispatch.calls import Call, CallResult
     from cedarthread.dispatch.deferred import DeferredCall
@@ -97,11 +99,18 @@
         dispatcher = self.server.dispatcher
         calls = self.server.calls
         request = parse_call_request(dispatcher.settings, dispatcher.current_class_index, head, body)
-        if isinstance(request, Response):
-            self.respond(request)
-            return
         preferences = head.preferences()
         is_deferred = "respond-async" in preferences
+        if isinstance(request, Response):
+            # The class of a stored call may have been removed from the settings since the call was taken.
+            known = None
+            if request.status == UNKNOWN_CLASS_STATUS:
+                known = calls.find_stored_call(owner, parse_stored_call_reference(head, body))
+            if known is None:
+                self.respond(request)
+            else:
+                self._wait_for_stored_call(known, preferences, is_deferred=is_deferred)
+            return
         if is_deferred and not self.server.is_ready and not calls.has_executed_call(owner, request):
             response = problem_response(503, DRAINING_DETAIL, {"Retry-After": "1"}, repeat="harmless")
             self.respond(response)
@@ -115,6 +124,12 @@
         if isinstance(stored, Response):
             self.respond(stored)
             return
+        self._wait_for_stored_call(stored, preferences, is_deferred=is_deferred)
+
+    def _wait_for_stored_call(
+        self, stored: DeferredCall, preferences: Mapping[str, str], *, is_deferred: bool
+    ) -> None:
+        """Respond with the result of a stored call; a deferred request waits no longer than it prefers."""
         wait_s = wait_preference_s(preferences) if is_deferred else math.inf
         self._wait_for_result(stored, wait_s, is_deferred=is_deferred)
 
--- a/cedarthread/protocols/invoke/requests.py
+++ b/cedarthread/protocols/invoke/requests.py
@@ -5,7 +5,7 @@
 import hashlib
 import re
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from cedarthread.model.settings import Idempotency, RouterSettings
 from cedarthread.number_checks import positive_or_none
@@ -14,12 +14,14 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from cedarthread.dispatch.deferred import RequestFingerprint
     from cedarthread.protocols import http
 
 MAX_BODY_BYTES = 16 * 1024
 MAX_WAIT_S = 30.0  # longest wait that a request may prefer
 MAX_TIMEOUT_DIGITS = 9  # maximum number of digits of Call-Timeout-Ms; allows up to 11 days
 MAX_WAIT_DIGITS = 5  # maximum digits of the wait preference in s; a wait over MAX_WAIT_S counts as MAX_WAIT_S
+UNKNOWN_CLASS_STATUS = 404  # status of the response to a call of a class that the settings do not contain
 READY_PATH = "/v1/ready"
 _CALL_PATH = re.compile(r"/v1/functions/([0-9a-f]{16})/([^/]+)\Z")
 _DEFERRED_CALL_PATH = re.compile(r"/v1/calls/([A-Za-z0-9_-]+)\Z")
@@ -30,7 +32,8 @@
 class CallRequest:
     """A valid request for a call."""
 
-    class_index: int
+    class_name: str
+    class_index: int  # index into the classes of the settings in force; changes with the settings
     function_hex: str  # the function's id, 16 hex digits
     idempotency_key: str | None
     body: bytes
@@ -40,7 +43,28 @@
 
     def fingerprint(self) -> tuple[str, str, bytes]:
         """Return the values that must be the same in a retry with the same idempotency key."""
-        return str(self.class_index), self.function_hex, hashlib.sha256(self.body).digest()
+        return _fingerprint(self.class_name, self.function_hex, self.body)
+
+
+class StoredCallReference(NamedTuple):
+    """The call to which a returning caller refers, whether or not its class is still in the settings."""
+
+    idempotency_key: str
+    fingerprint: RequestFingerprint
+
+
+def _fingerprint(class_name: str, function_hex: str, body: bytes) -> RequestFingerprint:
+    """Return what identifies a call. New settings may change all else of its class."""
+    return class_name, function_hex, hashlib.sha256(body).digest()
+
+
+def parse_stored_call_reference(head: http.RequestHead, body: bytes) -> StoredCallReference | None:
+    """Return the stored call to which a POST request may refer, or None if it has no valid key."""
+    match = _CALL_PATH.match(head.target)
+    key = _parse_idempotency_key(head, is_required=False)
+    if match is None or not isinstance(key, str):
+        return None
+    return StoredCallReference(key, _fingerprint(match[2], match[1], body))
 
 
 def is_call_path(path: str) -> bool:
@@ -70,7 +94,7 @@
     """
     match = _CALL_PATH.match(head.target)
     if match is None or match[2] not in class_indexes:
-        return problem_response(404, "no such function path or class")
+        return problem_response(UNKNOWN_CLASS_STATUS, "no such function path or class")
     class_index = class_indexes[match[2]]
     request_class = settings.classes[class_index]
     key = _parse_idempotency_key(head, is_required=request_class.idempotency is Idempotency.WITH_KEY)
@@ -90,6 +114,7 @@
     concurrency, memory_mb = numbers
     timeout_ms = min(float(timeout), request_class.deadline_ms)
     return CallRequest(
+        class_name=match[2],
         class_index=class_index,
         function_hex=match[1],
         idempotency_key=key,
--- a/tests/golden_builders/invoke.py
+++ b/tests/golden_builders/invoke.py
@@ -115,4 +115,9 @@
         request.concurrency,
         request.memory_mb,
     )
-    return [to_plain(fields), to_plain(request.fingerprint())]
+    class_name, *function_and_digest = request.fingerprint()
+    if class_indexes[class_name] != request.class_index:
+        raise ValueError(f"fingerprint of class {class_name}, request of class {request.class_index}")
+    # The golden file shows the class by its index, which the fingerprint contained in place of its name.
+    fingerprint = (str(request.class_index), *function_and_digest)
+    return [to_plain(fields), to_plain(fingerprint)]
