Both processes of an upgrade find all stored calls and keys, also once the old one has gone

Cause: both processes listen on the address, and each had a store of keys and results of its own, in memory; with the old process its results were gone. Ruled out: listening (the kernel spreads connections, as meant), expiry (120 s). A key is claimed by the insert, before the call is submitted; a call of another process is served from its row; one that its process should have completed long ago has failed and may have run. Ways not taken: docs/design/shared-calls.md. The platform front has none of it. New process test on the code before: 404 after SIGTERM and after SIGKILL; now both pass.

--- a/cedarthread/dispatch/deferred.py
+++ b/cedarthread/dispatch/deferred.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-# Name of the class, function and body digest of a request. A retry with the same idempotency key must have the
-# same fingerprint.
+# Name of the class, function and body digest of a request. A retry with the same idempotency key must have
+# the same fingerprint.
 RequestFingerprint = tuple[str, str, bytes]
 
 
@@ -47,9 +47,17 @@
     size_bytes: int = 0  # bytes reserved for the result; after completion, the size of the result body
     is_collected: bool = False  # the result has been passed to the owner's connection
     retention_s: float = 0.0  # time from completion until the result is evicted
+    is_remote: bool = False  # taken by another process; not in this process's store
     # Callbacks; each is called once, on completion or cancellation.
     waiters: list[Callable[[], None]] = field(default_factory=list)
 
+    def notify_waiters(self) -> None:
+        """Call each waiter once."""
+        waiters = self.waiters
+        self.waiters = []
+        for notify in waiters:
+            notify()
+
 
 class DeferredCalls:
     """Store of all calls of the process whose results are retained.
@@ -103,6 +111,10 @@
         entry = self._calls_by_id.get(call_id)
         return entry if entry is not None and entry.owner == owner else None
 
+    def find_by_id(self, call_id: str) -> DeferredCall | None:
+        """Return the call with this id of any owner, or None if it is unknown."""
+        return self._calls_by_id.get(call_id)
+
     def find_by_key(self, owner: str, idempotency_key: str) -> DeferredCall | None:
         """Return the call of an owner with an idempotency key, or None if there is none."""
         self.evict_expired()
@@ -117,10 +129,7 @@
         if entry.call_id in self._calls_by_id:
             self.reserved_bytes += size_bytes - entry.size_bytes
             entry.size_bytes = size_bytes
-        waiters = entry.waiters
-        entry.waiters = []
-        for notify in waiters:
-            notify()
+        entry.notify_waiters()
 
     def remove(self, entry: DeferredCall) -> None:
         """Remove a call if it is still stored."""
--- a/cedarthread/protocols/invoke/handler.py
+++ b/cedarthread/protocols/invoke/handler.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 from typing import TYPE_CHECKING
 
+from cedarthread.logs import format_event
 from cedarthread.protocols.http import Response, problem_response
 from cedarthread.protocols.invoke.requests import (
     READY_PATH,
@@ -22,6 +24,7 @@
     ready_response,
     render_call_result,
 )
+from cedarthread.protocols.invoke.shared_calls import SharedCallsUnavailableError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -32,6 +35,9 @@
     from cedarthread.protocols.invoke.owners import CallServer
 
 
+log = logging.getLogger(__name__)
+
+
 def _ignore_response(_: Response) -> None:
     pass
 
@@ -65,6 +71,17 @@
 
     def handle(self, owner: str, head: http.RequestHead, body: bytes) -> None:
         """Serve a request from this owner."""
+        try:
+            self._route(owner, head, body)
+        except SharedCallsUnavailableError as error:
+            log.warning(format_event("shared_calls_failed", operation="request", error=error))
+            self.respond(
+                problem_response(
+                    503, "stored calls cannot be read now", {"Retry-After": "1"}, repeat="unknown"
+                )
+            )
+
+    def _route(self, owner: str, head: http.RequestHead, body: bytes) -> None:
         call_id = deferred_call_id(head.target)
         if head.target == READY_PATH and head.method == "GET":
             self.respond(ready_response(is_ready=self.server.is_ready))
@@ -138,7 +155,7 @@
         self.respond(render_call_result(result))
 
     def _serve_deferred_call(self, owner: str, head: http.RequestHead, call_id: str) -> None:
-        deferred_call = self.server.calls.deferred_calls.find(owner, call_id)
+        deferred_call = self.server.calls.find(owner, call_id)
         if deferred_call is None:
             self.respond(problem_response(404, "no such call of yours"))
             return
--- a/cedarthread/protocols/invoke/server.py
+++ b/cedarthread/protocols/invoke/server.py
@@ -15,9 +15,10 @@
 from typing import TYPE_CHECKING
 
 from cedarthread.logs import format_event
-from cedarthread.protocols.invoke import spiffe
+from cedarthread.protocols.invoke import shared_calls, spiffe
 from cedarthread.protocols.invoke.calls import InvokeCalls
 from cedarthread.protocols.invoke.connection import InvokeConnection
+from cedarthread.protocols.invoke.shared_calls import SharedCallsUnavailableError
 from cedarthread.transport.acceptor import Acceptor, create_listener_with_retries
 from cedarthread.transport.descriptor_budget import SECONDARY_ACCEPTS_PER_ITERATION
 
@@ -113,8 +114,21 @@
             release_descriptor=self._release_descriptor,
             tls_context=self.config.create_tls_context(),
         )
+        self._share_calls()
         return self._acceptor.port
 
+    def _share_calls(self) -> None:
+        """Share the stored calls with the other processes at this address, for example during an upgrade.
+
+        Without the shared file the calls of this process are served all the same.
+        """
+        if not self.config.port:  # any free port: no other process listens on it
+            return
+        try:
+            self.calls.share(shared_calls.default_path(self.config.host, self.config.port))
+        except SharedCallsUnavailableError as error:
+            log.error(format_event("shared_calls_unavailable", error=error))
+
     def _create_connection(self) -> InvokeConnection | None:
         """Create a connection, counted before its handshake, which already uses a descriptor."""
         connection = InvokeConnection(self)
@@ -153,10 +167,11 @@
         if self._acceptor is not None:
             self._acceptor.close()
             self._acceptor = None
+        self.calls.stop_sharing()
 
     def sweep(self, now_s: float) -> None:
         """Close idle and slow connections and evict expired results; ``now_s`` is the event loop's time."""
-        self.calls.deferred_calls.evict_expired()
+        self.calls.sweep()
         for connection in list(self.connections):
             connection.sweep(now_s)
 
--- a/tests/integration/async_router_process.py
+++ b/tests/integration/async_router_process.py
@@ -161,7 +161,10 @@
 
 
 async def start_process(
-    folder: Path, descriptor_limit: int | None = None, inherited: Sequence[int] = ()
+    folder: Path,
+    descriptor_limit: int | None = None,
+    inherited: Sequence[int] = (),
+    arguments: Sequence[str] = (),
 ) -> RouterProcess:
     """Start a router with the configuration in a folder.
 
@@ -169,6 +172,7 @@
         folder: The folder of ``config.json``.
         descriptor_limit: The process's soft limit on open descriptors; None leaves the limit unchanged.
         inherited: Descriptors that the process inherits.
+        arguments: Arguments of the command line; by default the process serves clients only.
     """
 
     def set_descriptor_limit() -> None:  # runs in the child process only
@@ -180,8 +184,10 @@
         sys.executable,
         "-m",
         "cedarthread",
+        *arguments,
         cwd=ROOT,
-        env=os.environ | {"BALANCER_CONFIG": str(folder / "config.json"), "BALANCER_NAME": "n3"},
+        env=os.environ
+        | {"BALANCER_CONFIG": str(folder / "config.json"), "BALANCER_NAME": "n3", "TMPDIR": str(folder)},
         stderr=asyncio.subprocess.PIPE,
         preexec_fn=set_descriptor_limit,
         pass_fds=inherited,
@@ -191,7 +197,11 @@
 
 @asynccontextmanager
 async def router_process(
-    folder: Path, descriptor_limit: int | None = None, inherited: Sequence[int] = (), **changes: Any
+    folder: Path,
+    descriptor_limit: int | None = None,
+    inherited: Sequence[int] = (),
+    arguments: Sequence[str] = (),
+    **changes: Any,
 ) -> AsyncIterator[RouterProcess]:
     """Run a router process until the end of the block; yield it once it serves.
 
@@ -199,10 +209,11 @@
         folder: A folder for ``config.json``.
         descriptor_limit: As for ``start_process``.
         inherited: As for ``start_process``.
+        arguments: As for ``start_process``.
         **changes: Entries that replace those of ``write_process_config``.
     """
     write_process_config(folder, **changes)
-    running = await start_process(folder, descriptor_limit, inherited)
+    running = await start_process(folder, descriptor_limit, inherited, arguments)
     try:
         await running.wait_until_serving()
         yield running
--- a/tests/integration/invoke_caller.py
+++ b/tests/integration/invoke_caller.py
@@ -137,8 +137,9 @@
 class Caller:
     """A caller's connection to the invoke API, open inside ``async with``."""
 
-    def __init__(self, running: Service, context: ssl.SSLContext) -> None:
-        self.port = running.invoke_port
+    def __init__(self, running: Service | int, context: ssl.SSLContext) -> None:
+        """Create a caller of a router in this process, or of any router at a port of loopback."""
+        self.port = running if isinstance(running, int) else running.invoke_port
         self.context = context
 
     async def __aenter__(self) -> Caller:
