A shutdown waits for requests that stand unread behind queued responses

Change: a process counts as drained when each connection is idle (no calls, no unread input, nothing unsent) or closing with nothing unsent. Also: the limit on a peer that reads nothing starts anew when writing resumes; under TLS the end of input keeps no side open (asyncio logs a warning otherwise).

--- a/cedarthread/protocols/platform/server.py
+++ b/cedarthread/protocols/platform/server.py
@@ -163,10 +163,17 @@
                 connection.fail_calls_and_close()
 
     def is_drained(self) -> bool:
-        """Return whether all queued connections were accepted and all responses are sent."""
+        """Return whether all queued connections were accepted, and no connection owes or may owe a response.
+
+        One that is open may have unread requests, because reading pauses while responses are queued.
+        """
         if self._draining_acceptor is not None and not self._draining_acceptor.is_finished():
             return False
-        return not self.unsent_bytes()
+        connections = (*self.unvalidated_connections, *self.connections)
+        return all(
+            connection.is_idle() or (connection.is_closing() and not connection.has_unsent_output())
+            for connection in connections
+        )
 
     def unsent_bytes(self) -> int:
         """Return the bytes of responses that the sockets have not accepted yet."""
--- a/cedarthread/transport/connection.py
+++ b/cedarthread/transport/connection.py
@@ -119,8 +119,13 @@
         self._process_buffer()
 
     def eof_received(self) -> bool:
-        """Handle the end of input; True keeps this side open (called by asyncio)."""
-        return self._close_mode is not None and self.has_unsent_output()
+        """Handle the end of input; True keeps this side open (called by asyncio).
+
+        TLS cannot keep one side open.
+        """
+        if self._close_mode is None or self.transport is None or not self.transport.can_write_eof():
+            return False
+        return self.has_unsent_output()
 
     def read_available(self) -> bool:
         """Read and process the input in the socket, also while reading is paused.
@@ -168,6 +173,7 @@
     def resume_writing(self) -> None:
         """Flush the queue, because the peer reads again (called by asyncio)."""
         self.is_write_paused = False
+        self._output_progress.reset()
         self.flush()
 
     def write(self, data: bytes) -> None:
--- a/cedarthread/transport/output_progress.py
+++ b/cedarthread/transport/output_progress.py
@@ -27,6 +27,10 @@
         self._last_unsent_bytes = 0
         self._progress_at_s = 0.0
 
+    def reset(self) -> None:
+        """Record that the peer has read nearly all output."""
+        self._last_unsent_bytes = 0
+
     def stalled_s(self, now_s: float, unsent: int) -> float:
         """Record the unsent bytes at a time, and return for how many s there has been no progress.
 
--- a/tests/integration/test_owed_output.py
+++ b/tests/integration/test_owed_output.py
@@ -164,6 +164,30 @@
     asyncio.run(scenario())
 
 
+# Guards against a shutdown that ends before it has read what a slow client sent in time.
+def test_a_shutdown_serves_the_requests_that_a_slow_client_sent_before_its_connection_closes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(shutdown, "SHUTDOWN_GRACE_S", 0.01)
+    monkeypatch.setattr(shutdown, "DRAIN_POLL_S", 0.0)
+
+    async def scenario() -> None:
+        async with owing_router() as (running, slow, _):
+            slow.sock.setblocking(True)
+            slow.call(CALLS + 1)  # unread, because the router has paused reading
+            ending = asyncio.create_task(running.shut_down())
+            await wait_until(lambda: running.platform.is_draining, "the shutdown drains the clients")
+            assert await read_long_responses(slow) == set(range(1, CALLS + 1))
+            await wait_until(lambda: running.dispatcher.pending_calls, "the request is read")
+            running.dispatcher.fail_call(next(iter(running.dispatcher.pending_calls.values())))
+            response = await slow.read()
+            assert (response[1], response[2][0]) == (CALLS + 1, "Lost")
+            assert await slow.read() is None
+            await ending
+
+    asyncio.run(scenario())
+
+
 # Guards against counting the time for which the router itself does not read as the client's.
 def test_a_message_that_the_router_stops_reading_is_not_late() -> None:
     fifth_call = pack_call(5, "check", b"y" * 500)
