--- /dev/null
+++ b/tests/integration/test_hostile_clients.py
@@ -0,0 +1,58 @@
+"""Floods of hostile clients at a real router process, judged by its memory and a calm client beside them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cedarthread.testing.hostile.flood import FloodSpec
+from cedarthread.testing.hostile.messages import MessageKind
+from cedarthread.testing.hostile.rig import FloodResult, RigSetup, flood_rig
+from cedarthread.testing.hostile.workers import Behavior
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+MEMORY_MB = 96
+CALM_LIMIT_MS = 1000.0
+MIN_CALM_SERVED = 0.95
+MAX_HEALTH_MEDIAN_MS = 100.0
+# Memory may differ by this much between two equal loads, because of the allocator and the garbage collector.
+NOISE_MB = 5.0
+
+
+def assert_calm_client_was_served(result: FloodResult) -> None:
+    """Assert that the client beside the flood got its answers in time."""
+    calm = result.calm
+    assert result.is_alive
+    assert calm.served_within(CALM_LIMIT_MS) >= MIN_CALM_SERVED
+    assert calm.health_percentile_ms(0.5) <= MAX_HEALTH_MEDIAN_MS
+
+
+# Guards against a record for each name that a client invents: in pre-production nodes were killed for memory.
+def test_calls_of_ever_new_functions_do_not_grow_the_memory_without_end(tmp_path: Path) -> None:
+    """Conforming clients, 32 open calls each; the workers fail every call, as in the report's counts."""
+    flood = FloodSpec(MessageKind.UNSAFE, connections=8, window=32, seconds=8.0)
+    with flood_rig(tmp_path, RigSetup(MEMORY_MB, service_ms=100.0, behavior=Behavior.FAIL)) as rig:
+        once = rig.run([flood])
+        twice = rig.run([flood])
+    assert twice.is_alive
+    assert twice.peak_mb < MEMORY_MB
+    assert twice.after_mb - once.after_mb <= NOISE_MB
+
+
+# Guards against a turn that lasts for as long as one client goes on sending.
+def test_a_flood_on_one_connection_leaves_turns_to_other_clients(tmp_path: Path) -> None:
+    with flood_rig(tmp_path, RigSetup(MEMORY_MB)) as rig:
+        result = rig.run([FloodSpec(MessageKind.CALLS)])
+    assert_calm_client_was_served(result)
+
+
+# Guards against events and texts of one turn or of one client that no limit counts.
+def test_interrupted_calls_and_long_texts_stay_within_the_memory(tmp_path: Path) -> None:
+    for kind in (MessageKind.INTERRUPTS, MessageKind.LONG_PROPERTIES):
+        folder = tmp_path / kind
+        folder.mkdir()
+        with flood_rig(folder, RigSetup(MEMORY_MB)) as rig:
+            result = rig.run([FloodSpec(kind)])
+        assert result.is_alive
+        assert result.peak_mb < MEMORY_MB, kind
