The number of function records is limited, and new names do not displace known functions

What callers saw: a node was killed for memory while conforming clients (32 open calls each) called ever new functions. Cause: FunctionTable forgot by age alone (at least 17 s), and a client decides how many names there are: about 2 KB each. A full table forgets functions called once before those called again, each least recently called first, never one with an open request or a preload in flight. All memory limits now come from limits/resource_limits.py: bodies 0.25 (0.3 before) and unread responses 0.15 (0.2 before) of what is beyond 26 MB (20 before), so that the sum of all leaves a quarter.

--- a/cedarthread/dispatch/dispatcher.py
+++ b/cedarthread/dispatch/dispatcher.py
@@ -28,6 +28,7 @@
 from cedarthread.model.endpoints import EndpointState, EndpointUpdate
 from cedarthread.model.events import Event, PeerMessageReceived, PreloadEnded, RequestArrived
 from cedarthread.node.routing_node import RoutingNode
+from cedarthread.routing.function_table import DEFAULT_MAX_FUNCTIONS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -52,6 +53,7 @@
         clock: Returns Unix time in ms; None: a clock that steps of the wall clock do not affect.
         max_pending_body_bytes: New calls are rejected while the pending bodies have this total size or more.
         incarnation: A random number that identifies this start of the process; None: derived from the seed.
+        max_functions: The limit on the router's records of functions.
         flush_output: Writes the buffered output after each batch of events.
         send_gate: While this gate is closed, events stay queued.
     """
@@ -64,11 +66,12 @@
         max_pending_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
         incarnation: int | None = None,
         *,
+        max_functions: int = DEFAULT_MAX_FUNCTIONS,
         flush_output: Callable[[], None] = lambda: None,
         send_gate: SendGate = OPEN_SEND_GATE,
     ) -> None:
         self.context = DispatchContext(settings, clock or monotonic_unix_clock_ms())
-        self.node = RoutingNode(settings, seed, incarnation)
+        self.node = RoutingNode(settings, seed, incarnation, max_functions)
         self.router = self.node.router
         self.flush_output = flush_output
         self.shutdown_deadline_ms: float | None = None  # cap on all deadlines; None: no shutdown has started
--- a/cedarthread/lifecycle/composition.py
+++ b/cedarthread/lifecycle/composition.py
@@ -21,6 +21,7 @@
 from cedarthread.lifecycle.reload import FleetFiles, Reloader
 from cedarthread.lifecycle.state import ServiceParts, ServiceState
 from cedarthread.lifecycle.status import StatusReport
+from cedarthread.limits.resource_limits import derive_limits
 from cedarthread.protocols.control import ControlServer
 from cedarthread.protocols.discovery.client import DiscoveryClient
 from cedarthread.protocols.discovery.poll_schedule import PollSchedule
@@ -39,20 +40,9 @@
     from cedarthread.protocols.invoke.server import InvokeServer
     from cedarthread.transport.descriptor_budget import DescriptorBudget
 
-BASE_MEMORY_BYTES = 20 * 2**20  # memory use of the process without any calls
-BODY_MEMORY_FRACTION = 0.3  # fraction of the memory beyond the base, for the bodies of pending calls
-OUTPUT_MEMORY_FRACTION = 0.2  # fraction of the memory beyond the base, for results that clients have not read
 INCARNATION_BITS = 64
 
 
-@dataclass(frozen=True, slots=True)
-class MemoryLimits:
-    """The limits on the memory for calls, in bytes."""
-
-    pending_bodies: int
-    queued_output: int
-
-
 @dataclass(frozen=True, slots=True)
 class ComposedService:
     """All parts that ``Service`` runs."""
@@ -158,11 +148,12 @@
     config: Config, invoke_config: InvokeConfig | None, flusher: Flusher, gate: SendGate
 ) -> _CallPath:
     """Build the parts on the path of each call: the servers, the dispatcher and the worker connections."""
-    memory = compute_memory_limits(config.memory_bytes)
+    limits = derive_limits(config.memory_bytes)
     dispatcher = Dispatcher(
         config.settings,
         config.seed,
-        max_pending_body_bytes=memory.pending_bodies,
+        max_pending_body_bytes=limits.pending_body_bytes,
+        max_functions=limits.functions,
         # Not derived from the seed, because the seed may be the same at each start of the process.
         incarnation=secrets.randbits(INCARNATION_BITS),
         flush_output=flusher.flush_all,
@@ -170,7 +161,11 @@
     )
     budget = _compute_descriptor_budget(config, invoke_config)
     platform = PlatformServer(
-        dispatcher, budget.client_connections, flusher, memory.queued_output, budget.accepts_per_iteration
+        dispatcher,
+        budget.client_connections,
+        flusher,
+        limits.queued_output_bytes,
+        budget.accepts_per_iteration,
     )
     workers = WorkerConnections(
         config.settings, dispatcher, budget.worker_connections, flusher, clients=platform, send_gate=gate
@@ -184,15 +179,6 @@
     return _CallPath(dispatcher, workers, platform, invoke, budget)
 
 
-def compute_memory_limits(memory_bytes: int) -> MemoryLimits:
-    """Return the memory limits for the configured memory of the process."""
-    available_bytes = max(memory_bytes - BASE_MEMORY_BYTES, memory_bytes // 4)
-    return MemoryLimits(
-        pending_bodies=int(BODY_MEMORY_FRACTION * available_bytes),
-        queued_output=int(OUTPUT_MEMORY_FRACTION * available_bytes),
-    )
-
-
 def _compute_descriptor_budget(config: Config, invoke_config: InvokeConfig | None) -> DescriptorBudget:
     return descriptor_budget.compute_budget(
         config.max_sockets,
--- a/cedarthread/node/routing_node.py
+++ b/cedarthread/node/routing_node.py
@@ -17,6 +17,7 @@
 from cedarthread.model.events import AttemptEnded, Event, PeerMessageReceived, RequestArrived, TimerFired
 from cedarthread.node.attempt_observer import AttemptObserver
 from cedarthread.node.component_set import ComponentSet
+from cedarthread.routing.function_table import DEFAULT_MAX_FUNCTIONS
 from cedarthread.routing.router import Router
 
 if TYPE_CHECKING:
@@ -41,13 +42,20 @@
         settings: The settings in force.
         seed: Seed of the random number generators of the router and the components.
         incarnation: A random number that identifies this start of the process; None: derived from the seed.
+        max_functions: The limit on the router's records of functions.
     """
 
-    def __init__(self, settings: RouterSettings, seed: int, incarnation: int | None = None) -> None:
+    def __init__(
+        self,
+        settings: RouterSettings,
+        seed: int,
+        incarnation: int | None = None,
+        max_functions: int = DEFAULT_MAX_FUNCTIONS,
+    ) -> None:
         self.seed = seed
         self.incarnation = incarnation
         self.settings = settings
-        self.router = Router(settings, seed)
+        self.router = Router(settings, seed, max_functions)
         self.components = ComponentSet(seed, incarnation)
         self._attempts = AttemptObserver(self.router, self.components)
         self._is_timer_set = False
--- a/cedarthread/routing/records.py
+++ b/cedarthread/routing/records.py
@@ -113,6 +113,11 @@
     preloading_workers: set[int] = field(default_factory=set)
     preload_not_before_ms: float = 0.0
     preload_backoff_ms: float = 0.0
+    open_requests: int = 0  # requests of the function without a final answer
+
+    def is_in_use(self) -> bool:
+        """Return whether a request of the function is open, or a preload of it is in flight."""
+        return bool(self.open_requests or self.preloading_workers)
 
     def remove_worker(self, worker_id: int) -> None:
         """Remove the instances at a worker that restarted or left, and the time of the last send."""
--- a/cedarthread/routing/request_table.py
+++ b/cedarthread/routing/request_table.py
@@ -24,6 +24,11 @@
         self.orphaned: dict[tuple[int, int], Attempt] = {}
         self.check_queue_at_ms = math.inf
 
+    def add(self, pending: PendingRequest) -> None:
+        """Add a new request."""
+        self.pending[pending.request.request_id] = pending
+        pending.function.open_requests += 1
+
     def enqueue(self, now_ms: float, pending: PendingRequest, timers: TimerSchedule) -> None:
         """Queue a request in the router until the next queue check."""
         if self.check_queue_at_ms == math.inf:
@@ -59,7 +64,8 @@
     def close(self, pending: PendingRequest) -> None:
         """Remove a request that has its final answer; its attempts in flight become orphaned."""
         request_id = pending.request.request_id
-        self.pending.pop(request_id, None)
+        if self.pending.pop(request_id, None) is not None:
+            pending.function.open_requests -= 1
         self.queued.pop(request_id, None)
         pending.function.instance_queue.remove(request_id)
         for attempt_index, attempt in enumerate(pending.attempts):
--- a/cedarthread/routing/router.py
+++ b/cedarthread/routing/router.py
@@ -25,6 +25,7 @@
 from cedarthread.routing.admission import AdmissionPolicy
 from cedarthread.routing.attempt_tracker import AttemptTracker
 from cedarthread.routing.feedback import OutcomeFeedback
+from cedarthread.routing.function_table import DEFAULT_MAX_FUNCTIONS
 from cedarthread.routing.preloading import PreloadPolicy
 from cedarthread.routing.retries import STALL_THRESHOLD_MS, RetryPolicy
 from cedarthread.routing.router_state import RouterState
@@ -49,10 +50,13 @@
     Args:
         settings: The settings of this router.
         seed: Seed of its random generator; the same seed and events give the same actions.
+        max_functions: The limit on the records of functions.
     """
 
-    def __init__(self, settings: RouterSettings, seed: int) -> None:
-        state = RouterState.create(settings, seed)
+    def __init__(
+        self, settings: RouterSettings, seed: int, max_functions: int = DEFAULT_MAX_FUNCTIONS
+    ) -> None:
+        state = RouterState.create(settings, seed, max_functions)
         self.state = state
         self.feedback = OutcomeFeedback(state)
         self.tracker = AttemptTracker(state, self.feedback)
--- a/cedarthread/routing/router_state.py
+++ b/cedarthread/routing/router_state.py
@@ -13,7 +13,7 @@
 
 from cedarthread.routing.discovery_polling import DiscoveryPolling
 from cedarthread.routing.estimators import ServiceTimeEstimator, TrafficEstimator
-from cedarthread.routing.function_table import FunctionTable
+from cedarthread.routing.function_table import DEFAULT_MAX_FUNCTIONS, FunctionTable
 from cedarthread.routing.log_throttle import LogThrottle
 from cedarthread.routing.overload import OverloadEstimator
 from cedarthread.routing.preload_budget import PreloadBudget
@@ -57,7 +57,9 @@
     actions: list[Action] = field(default_factory=list)  # actions of the event being handled
 
     @staticmethod
-    def create(settings: RouterSettings, seed: int) -> RouterState:
+    def create(
+        settings: RouterSettings, seed: int, max_functions: int = DEFAULT_MAX_FUNCTIONS
+    ) -> RouterState:
         """Return the state of a router that has just started."""
         rng = random.Random(seed)
         zones = ZoneReachability(settings.zone)
@@ -70,6 +72,7 @@
             overload=OverloadEstimator(),
             zones=zones,
             live_router_count=max(1, settings.router_count),
+            functions=FunctionTable(max_functions),
         )
 
     def update_settings(self, settings: RouterSettings) -> None:
@@ -90,7 +93,7 @@
         class_and_tenant = (request.class_index, request.tenant_index)
         request_class = settings.classes[request.class_index]
         pending = PendingRequest(request, request_class, function, class_and_tenant, now_ms)
-        self.requests.pending[request.request_id] = pending
+        self.requests.add(pending)
         return pending
 
     def log(self, now_ms: float, event: str, **fields: object) -> None:
--- a/tests/unit/test_import_layers.py
+++ b/tests/unit/test_import_layers.py
@@ -25,6 +25,7 @@
         "config_section",
         "missing_keys",
         "statistics",
+        "limits",
         "model",
         "settings_parser",
         "fleet_config",
