A client gets turns of bounded length, also when it is looked at before a send

What a client has closed or broken is found by poll (POLLRDHUP, POLLHUP) whatever is unread before it. If a look leaves input unread, an interrupt may be in it, so the attempt is refused (client_input_unread), and further calls of that connection are rejected until all is read. The dispatcher handles 256 events an iteration.

--- a/cedarthread/dispatch/calls.py
+++ b/cedarthread/dispatch/calls.py
@@ -28,8 +28,9 @@
     return now_ms + limit_ms - margin_ms
 
 
-def _nothing_to_refresh() -> None:
-    """Do nothing; the default for servers whose view of the client state is always current."""
+def _nothing_to_refresh() -> bool:
+    """Return True; the default for servers whose view of the client state is always current."""
+    return True
 
 
 class Progress(IntEnum):
@@ -84,8 +85,8 @@
     is_client_retry: bool = False
     caller_identity: str | None = None  # identity of the caller, for example a SPIFFE ID; None: unknown
     # Processes pending input of the client, so that ``is_client_half_closed`` and ``is_complete`` are up to
-    # date.
-    refresh_client_state: Callable[[], None] = _nothing_to_refresh
+    # date. Returns False if input is left, which may be an interrupt of the call.
+    refresh_client_state: Callable[[], bool] = _nothing_to_refresh
     # The following fields are set by the dispatcher.
     request_id: int = 0
     class_name: str = ""  # name of the class at the time of acceptance; the call is counted under this name
--- a/cedarthread/dispatch/dispatcher.py
+++ b/cedarthread/dispatch/dispatcher.py
@@ -40,6 +40,8 @@
 
 log = logging.getLogger(__name__)
 
+MAX_EVENTS_PER_BATCH = 256  # events of one iteration of the event loop
+
 
 class Dispatcher:
     """Owner of all calls and attempts of the process.
@@ -193,8 +195,10 @@
         reading from a client that reads slowly. Without this check the attempt would start after its client
         disconnected. ``SendGuard`` contains the rules.
         """
-        attempt.call.refresh_client_state()
-        refusal = self.send_guard.refuse_attempt(self.context.clock(), attempt, self.context.settings)
+        is_client_known = attempt.call.refresh_client_state()
+        refusal = self.send_guard.refuse_attempt(
+            self.context.clock(), attempt, self.context.settings, is_client_known=is_client_known
+        )
         if refusal is not None and log.isEnabledFor(logging.DEBUG):
             request = attempt.call.call_id
             worker_id = attempt.worker_id
@@ -289,6 +293,18 @@
         if self._event_queue:
             self.context.loop.call_soon(self._process_events)
 
+    def _take_events(self) -> list[Event]:
+        """Remove and return the events of one batch; the rest waits for the next iteration."""
+        if self._has_endpoint_update:
+            # Process updates first, so that calls queued before them are not routed to a drained worker.
+            self._event_queue.sort(key=lambda event: not isinstance(event, EndpointUpdate))
+            self._has_endpoint_update = False
+        events = self._event_queue[:MAX_EVENTS_PER_BATCH]
+        del self._event_queue[:MAX_EVENTS_PER_BATCH]
+        if self._event_queue:
+            self.context.loop.call_soon(self._process_events)
+        return events
+
     def _process_events(self) -> None:
         """Handle due deadlines, pass the queued events to the node, and execute the resulting actions."""
         now_ms = self.context.clock()
@@ -296,12 +312,7 @@
         if not self._event_queue or not self._send_gate.is_open():
             self.flush_output()
             return
-        events = self._event_queue
-        self._event_queue = []
-        if self._has_endpoint_update:
-            # Process updates first, so that calls queued before them are not routed to a drained worker.
-            events.sort(key=lambda event: not isinstance(event, EndpointUpdate))
-            self._has_endpoint_update = False
+        events = self._take_events()
         actions: list[Action] = []
         for event in events:
             try:
--- a/cedarthread/dispatch/send_guard.py
+++ b/cedarthread/dispatch/send_guard.py
@@ -26,6 +26,8 @@
     CALL_COMPLETE = "call_complete"
     # The client has closed its sending side; ``CallCompletion.abandon`` handles a full close.
     CLIENT_DISCONNECTED = "client_gone"
+    # The client has sent so much that an interrupt or close may be among what is unread.
+    CLIENT_INPUT_UNREAD = "client_input_unread"
     DEADLINE_PASSED = "deadline_passed"  # the deadline of the call has passed
     # The worker is in another state, such as draining, or not in the endpoint list.
     WORKER_NOT_READY = "worker_not_ready"
@@ -55,10 +57,23 @@
             return SendRefusal.WORKER_NOT_READY
         return None
 
-    def refuse_attempt(self, now_ms: float, attempt: Attempt, settings: RouterSettings) -> SendRefusal | None:
+    def refuse_attempt(
+        self,
+        now_ms: float,
+        attempt: Attempt,
+        settings: RouterSettings,
+        *,
+        is_client_known: bool = True,
+    ) -> SendRefusal | None:
         """Return the rule that forbids an attempt, or None if the attempt is permitted.
 
-        If several rules apply, the first is returned. Call ``Call.refresh_client_state`` before this method.
+        If several rules apply, the first is returned.
+
+        Args:
+            now_ms: Current time on the dispatcher's clock.
+            attempt: The attempt.
+            settings: The settings in force.
+            is_client_known: The result of ``Call.refresh_client_state``, which must be called before.
         """
         call = attempt.call
         if attempt.is_ended:
@@ -67,6 +82,8 @@
             return SendRefusal.CALL_COMPLETE
         if call.is_client_half_closed:
             return SendRefusal.CLIENT_DISCONNECTED
+        if not is_client_known:
+            return SendRefusal.CLIENT_INPUT_UNREAD
         if now_ms >= call.deadline_ms:
             return SendRefusal.DEADLINE_PASSED
         if now_ms > attempt.write_deadline_ms:
--- a/cedarthread/protocols/invoke/connection.py
+++ b/cedarthread/protocols/invoke/connection.py
@@ -68,13 +68,17 @@
         self.handler.abandon()
         self.handler.detach()
 
-    def refresh_client_state(self) -> None:
-        """Abandon the call and abort if the caller has closed the connection, whatever input is unread."""
+    def refresh_client_state(self) -> bool:
+        """Abandon the call and abort if the caller has closed the connection, whatever input is unread.
+
+        Returns True: a call of the invoke API is cancelled by nothing else.
+        """
         if self.is_closed or self.transport is None:
-            return
+            return True
         if self.transport.is_closing() or _is_disconnected(self.transport):
             self.handler.abandon_call()
             self.abort()
+        return True
 
     def is_idle(self) -> bool:
         """Return whether there is no complete or incomplete request and no unsent response."""
--- a/cedarthread/protocols/invoke/handler.py
+++ b/cedarthread/protocols/invoke/handler.py
@@ -42,8 +42,8 @@
     pass
 
 
-def _do_nothing() -> None:
-    pass
+def _nothing_to_refresh() -> bool:
+    return True
 
 
 class InvokeHandler:
@@ -59,7 +59,7 @@
         self,
         server: CallServer,
         respond: Callable[[Response], None],
-        refresh_client_state: Callable[[], None],
+        refresh_client_state: Callable[[], bool],
     ) -> None:
         self.server = server
         self.respond = respond
@@ -98,7 +98,7 @@
     def detach(self) -> None:
         """Drop the references to a closed connection, so that it is freed without garbage collection."""
         self.respond = _ignore_response
-        self.refresh_client_state = _do_nothing
+        self.refresh_client_state = _nothing_to_refresh
 
     def abandon(self) -> None:
         """Abandon the synchronous call of a closed connection; a stored call continues."""
--- a/cedarthread/protocols/platform/calls.py
+++ b/cedarthread/protocols/platform/calls.py
@@ -72,15 +72,21 @@
     def _submit(self, message_id: int, call: Call) -> None:
         dispatcher = self.server.dispatcher
         call.on_result = partial(self._send_call_result, message_id)
-        # The first limit bounds memory when clients read slowly; the second protects clients from a flood.
-        if self.server.queued_bytes > self.server.max_queued_bytes or len(self.open) >= MAX_OPEN_CALLS:
+        if self._must_reject():
             dispatcher.reject_call(call)
             return
         self.open[message_id] = call
         call.refresh_client_state = self.connection.refresh_client_state
         dispatcher.submit(call)
-        if self.connection.is_half_closed:
-            dispatcher.client_half_closed(call)
+
+    def _must_reject(self) -> bool:
+        """Return whether further calls are rejected: no attempt of them may start, or a limit is reached."""
+        connection = self.connection
+        if connection.is_half_closed or connection.is_backlogged:
+            return True
+        # The first limit bounds memory when clients read slowly; the second protects clients from a flood.
+        server = self.server
+        return server.queued_bytes > server.max_queued_bytes or len(self.open) >= MAX_OPEN_CALLS
 
     def _send_call_result(self, message_id: int, result: CallResult) -> None:
         self.open.pop(message_id, None)
--- a/cedarthread/protocols/platform/connection.py
+++ b/cedarthread/protocols/platform/connection.py
@@ -1,7 +1,7 @@
 """One connection of a platform client: receives MessagePack-RPC messages, sends responses.
 
-Two limits protect the other clients: a connection processes only a few messages per pass, and the server
-counts the bytes of responses that slow clients have not read.
+Two limits protect the other clients: a connection processes only a few messages per turn, also when it is
+looked at before a call is sent, and the server counts the bytes of responses that slow clients have not read.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from cedarthread.protocols import msgpack
 from cedarthread.protocols.platform.calls import PlatformCalls
 from cedarthread.transport.connection import BufferedConnection
+from cedarthread.transport.socket_reader import ReadStop
 
 if TYPE_CHECKING:
     from cedarthread.protocols.platform.owners import ConnectionServer
@@ -22,7 +23,6 @@
 log = logging.getLogger(__name__)
 
 MAX_MESSAGE_BYTES = 64 * 1024  # leaves ample space for the fields beside a body of 16 KiB
-MESSAGES_PER_PASS = 32  # maximum messages of one connection that are processed before other connections
 
 
 class PlatformConnection(BufferedConnection):
@@ -33,9 +33,17 @@
         self.server = server
         self.calls = PlatformCalls(self)
         self.is_half_closed = False  # the client has closed its sending side
+        self.is_input_complete = False  # all that the client sent before that has been read
+        # The client has sent more than a look at it may process. Until all has been read, it is unknown
+        # whether the client still waits for its calls: none of them is sent, and further ones are rejected.
+        self.is_backlogged = False
         self.message_started_at: float | None = None  # loop time in s of an incomplete message's first byte
         self.needed_bytes = 0  # minimum length of the next message, derived from its parsed part
-        self.has_unprocessed_messages = False  # complete messages are left for the next pass
+        self.has_unprocessed_messages = False  # complete messages are left for the next turn
+        self._turn_messages: int | None = (
+            None  # messages of the turn being processed; None: as the server says
+        )
+        self._processed_messages = 0  # by the last pass over the buffer
         self.reading_paused_at_s: float | None = None  # loop time in s since which input is not read
         self.queued_bytes = 0  # size of the responses that the client has not read
         self.invalid_reason = ""  # why the message that ends the connection is invalid
@@ -59,6 +67,7 @@
         if self.discard_budget is None and (truncated_bytes := len(self.buffer.peek())):
             self._log_truncated_message(truncated_bytes)
         self.server.unregister(self)
+        self.server.turns.discard(self)
         self._clear_queued_bytes()
         self.calls.abandon_all()
 
@@ -79,15 +88,16 @@
         return any(unread_bytes)
 
     def on_data(self, data: memoryview) -> int | None:
-        """Process up to ``MESSAGES_PER_PASS`` complete messages.
+        """Process the complete messages of one turn.
 
         Returns the bytes of the processed messages; None if a message is invalid.
         """
+        max_messages = self._turn_messages
+        if max_messages is None:
+            max_messages = self.server.turns.turn_messages()
         offset = 0
         processed = 0
-        while (
-            offset < len(data) and processed < MESSAGES_PER_PASS and len(data) - offset >= self.needed_bytes
-        ):
+        while offset < len(data) and processed < max_messages and len(data) - offset >= self.needed_bytes:
             parsed = msgpack.parse(data, offset)
             if isinstance(parsed, msgpack.Incomplete):
                 self.needed_bytes = parsed.needed_bytes
@@ -101,44 +111,95 @@
             offset = parsed.end
             processed += 1
             self.needed_bytes = 0
+        self._processed_messages = processed
         if processed:
             self.message_started_at = None
             self.server.mark_validated(self)
         if offset < len(data) and self.message_started_at is None:
             self.message_started_at = self.last_read_at_s
-        if processed == MESSAGES_PER_PASS and offset < len(data):
+        if processed == max_messages and offset < len(data):
             self.has_unprocessed_messages = True
             self._update_reading()
-            self._loop.call_soon(self._process_more_messages)
+            self.server.turns.add(self)
+        elif self.is_backlogged:
+            self.is_backlogged = self.socket_state().has_input
         return offset
 
-    def _process_more_messages(self) -> None:
+    def process_turn(self, max_messages: int) -> None:
+        """Process up to ``max_messages`` of the messages that earlier turns have left."""
+        if not self.has_unprocessed_messages:
+            return
         self.has_unprocessed_messages = False
-        if not self.is_closed and self.discard_budget is None:
-            self._process_buffer()
-            self._update_reading()
-            self.schedule_flush()
-
-    def _process_all_messages(self) -> None:
-        """Process all complete messages, because a cancellation may follow a flood of requests."""
-        while self.has_unprocessed_messages and not self.is_closed and self.discard_budget is None:
-            self._process_more_messages()
-
-    def refresh_client_state(self) -> None:
-        """Process all input in the buffer and the socket, and abandon the calls of a disconnected client."""
-        self._process_all_messages()
-        if not self.read_available():
-            self.calls.abandon_all()
-            self.abort()
-        self._process_all_messages()
+        self._processed_messages = 0
+        if self.is_closed or self.discard_budget is not None:
+            return
+        self._turn_messages = max_messages
+        self._process_buffer()
+        self._turn_messages = None
+        self._update_reading()
+        self.schedule_flush()
+
+    def refresh_client_state(self) -> bool:
+        """Process what the client has sent, within a bound, and find out whether the client has gone.
+
+        Returns whether all input was processed, so that no interrupt can be unread. That a client has closed
+        or broken its connection is found whatever input is unread before that.
+        """
+        if self.discard_budget is not None or self.transport is None:
+            return True
+        state = self.socket_state()
+        if self.is_closed or self.transport.is_closing() or state.is_broken:
+            self._drop_client()
+            return True
+        if state.is_closed_by_peer:
+            self._on_client_half_closed()
+            return True
+        if not self.is_backlogged and (state.has_input or self.has_unprocessed_messages):
+            self.is_backlogged = not self._process_available_input()
+        return not self.is_backlogged
+
+    def _drop_client(self) -> None:
+        self.calls.abandon_all()
+        self.abort()
+
+    def _process_available_input(self) -> bool:
+        """Process input as far as the bounds on looks allow; return whether nothing is left."""
+        turns = self.server.turns
+        remaining = turns.look_allowance(self)
+        while self.has_unprocessed_messages or self.socket_state().has_input:
+            if remaining <= 0 or self.server.queued_bytes > self.server.max_queued_bytes:
+                return False
+            processed = self._look_once(remaining)
+            turns.spend_look(self, processed)
+            remaining -= processed
+            if self.is_closed or self.discard_budget is not None or self.is_input_complete:
+                return True
+        return True
+
+    def _look_once(self, max_messages: int) -> int:
+        """Process messages from the buffer, or else read once; return the messages, with the read as one."""
+        if self.has_unprocessed_messages:
+            self.process_turn(max_messages)
+            return max(1, self._processed_messages)
+        self._processed_messages = 0
+        self._turn_messages = max_messages
+        stop = self.read_once()
+        self._turn_messages = None
+        if stop is ReadStop.BROKEN:
+            self._drop_client()
+        return 1 + self._processed_messages
+
+    def _on_client_half_closed(self) -> None:
+        self.is_half_closed = True
+        self.calls.on_client_half_closed()
 
     def eof_received(self) -> bool:
         """Reject calls without an attempt after the client closed its sending side (called by asyncio).
 
         Attempts in flight may still be answered. Returns whether the connection stays open for responses.
         """
-        self.is_half_closed = True
-        self.calls.on_client_half_closed()
+        self.is_input_complete = True
+        self._on_client_half_closed()
         has_open_calls = bool(self.calls.open or self.has_unprocessed_messages)
         if not has_open_calls:
             self.close()
@@ -212,7 +273,7 @@
         if not (self.is_half_closed or self.server.is_draining) or self.is_closing():
             return
         is_done = not (self.calls.open or self.write_queue or self.has_unprocessed_messages)
-        if self.is_half_closed and is_done:
+        if self.is_input_complete and is_done:
             self.close()
         elif self.server.is_draining and self.is_idle():
             self.lingering_close()
--- a/cedarthread/protocols/platform/owners.py
+++ b/cedarthread/protocols/platform/owners.py
@@ -6,6 +6,7 @@
 
 if TYPE_CHECKING:
     from cedarthread.dispatch.dispatcher import Dispatcher
+    from cedarthread.protocols.platform.turns import InputTurns
     from cedarthread.transport.flusher import Flusher
 
 ConnectionT_contra = TypeVar("ConnectionT_contra", contravariant=True)
@@ -24,6 +25,7 @@
     """The server (``PlatformServer``), as one connection uses it."""
 
     flusher: Flusher
+    turns: InputTurns
     max_connections: int
     is_draining: bool
 
@@ -42,6 +44,7 @@
 
     is_closed: bool
     is_half_closed: bool
+    is_backlogged: bool
 
     @property
     def server(self) -> CallServer:
@@ -50,5 +53,5 @@
     def write(self, data: bytes) -> None:
         """Queue a response."""
 
-    def refresh_client_state(self) -> None:
-        """Process all input that has arrived, and detect a disconnect."""
+    def refresh_client_state(self) -> bool:
+        """Process the input that has arrived, and detect a disconnect; return whether nothing is unread."""
--- a/cedarthread/protocols/platform/server.py
+++ b/cedarthread/protocols/platform/server.py
@@ -7,6 +7,7 @@
 
 from cedarthread.logs import format_event
 from cedarthread.protocols.platform.connection import PlatformConnection
+from cedarthread.protocols.platform.turns import InputTurns
 from cedarthread.transport.acceptor import Acceptor, create_listener_with_retries
 from cedarthread.transport.descriptor_budget import CLIENT_ACCEPTS_PER_ITERATION
 
@@ -53,6 +54,7 @@
         self.is_ready = True  # readiness that health checks report
         self.is_draining = False  # connections close once they are idle
         self.queued_bytes = 0
+        self.turns = InputTurns()
         # Both in order of use, least recent first. A connection is unvalidated until its first valid message.
         self.connections: dict[PlatformConnection, None] = {}
         self.unvalidated_connections: dict[PlatformConnection, None] = {}
--- a/cedarthread/testing/fuzzing/router_under_test.py
+++ b/cedarthread/testing/fuzzing/router_under_test.py
@@ -27,6 +27,7 @@
 from cedarthread.testing.fuzzing.memory_transport import MemoryTransport
 from cedarthread.testing.invariants import CallGuarantees, Idempotency, InvariantChecker, InvariantLimits
 from cedarthread.transport.flusher import Flusher
+from cedarthread.transport.socket_reader import ReadStop, SocketState
 
 if TYPE_CHECKING:
     from cedarthread.testing.fuzzing.virtual_loop import VirtualLoop
@@ -80,13 +81,17 @@
         """Return whether the transport has unread input."""
         return self.transport is not None and bool(getattr(self.transport, "_unread_input"))  # noqa: B009
 
-    def read_available(self) -> bool:
-        """Read the available input even if reading is paused; return False if the connection is broken."""
-        if not super().read_available():
-            return False
-        if self.discard_budget is None and isinstance(self.transport, MemoryTransport):
+    def socket_state(self) -> SocketState:
+        """Return the state of the transport; a broken one has told the connection so."""
+        has_eof = bool(getattr(self.transport, "_is_peer_eof"))  # noqa: B009
+        has_input = has_eof or self.has_unread_input()
+        return SocketState(has_input=has_input, is_closed_by_peer=has_eof, is_broken=False)
+
+    def read_once(self) -> ReadStop | None:
+        """Read the available input even if reading is paused."""
+        if isinstance(self.transport, MemoryTransport):
             self.transport.deliver(ignores_pause=True)
-        return True
+        return None
 
 
 class RouterUnderTest:
--- a/cedarthread/transport/connection.py
+++ b/cedarthread/transport/connection.py
@@ -15,7 +15,13 @@
 from cedarthread.logs import format_event
 from cedarthread.transport.output_progress import OutputProgress, unsent_bytes
 from cedarthread.transport.read_buffer import ReadBuffer
-from cedarthread.transport.socket_reader import ReadStop, SocketReader, disable_nagle
+from cedarthread.transport.socket_reader import (
+    QUIET_SOCKET,
+    ReadStop,
+    SocketReader,
+    SocketState,
+    disable_nagle,
+)
 
 if TYPE_CHECKING:
     from cedarthread.transport.flusher import Flusher
@@ -127,30 +133,33 @@
             return False
         return self.has_unsent_output()
 
-    def read_available(self) -> bool:
-        """Read and process the input in the socket, also while reading is paused.
+    def socket_state(self) -> SocketState:
+        """Return the state of the socket, which asyncio may not have reported yet."""
+        reader = self._reader()
+        return reader.state() if reader is not None else QUIET_SOCKET
 
-        Returns False if the connection is broken, which asyncio may not have reported yet. ``eof_received``
-        is called at the end of input, and again when asyncio detects it.
+    def read_once(self) -> ReadStop | None:
+        """Read and process input from the socket once, also while reading is paused.
+
+        ``eof_received`` is called at the end of input, and again when asyncio detects it.
+
+        Returns:
+            None if there may be more input.
         """
-        if self.discard_budget is not None or self.transport is None:
-            return True
-        if self.is_closed or self.transport.is_closing():
-            return False
-        if self._socket_reader is None:
-            transport_socket = self.transport.get_extra_info("socket")
-            if transport_socket is None:
-                return True
-            self._socket_reader = SocketReader(transport_socket)
-        if not self._socket_reader.has_input():
-            return True
-        stop = self._socket_reader.read(self._space_for_direct_read, self.buffer_updated)
+        reader = self._reader()
+        space = self.buffer.writable_space()
+        if reader is None or not len(space):
+            return ReadStop.NO_MORE_INPUT
+        stop = reader.read(space, self.buffer_updated)
         if stop is ReadStop.END_OF_INPUT:
             self.eof_received()
-        return stop is not ReadStop.BROKEN
+        return stop
 
-    def _space_for_direct_read(self) -> memoryview | None:
-        return None if self.is_closed or self.discard_budget is not None else self.buffer.writable_space()
+    def _reader(self) -> SocketReader | None:
+        if self._socket_reader is None and self.transport is not None:
+            transport_socket = self.transport.get_extra_info("socket")
+            self._socket_reader = None if transport_socket is None else SocketReader(transport_socket)
+        return self._socket_reader
 
     def _process_buffer(self) -> None:
         try:
--- a/cedarthread/transport/socket_reader.py
+++ b/cedarthread/transport/socket_reader.py
@@ -6,7 +6,7 @@
 import select
 import socket
 from enum import Enum, auto
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     import asyncio
@@ -17,7 +17,7 @@
 class ReadStop(Enum):
     """The reason why a direct read ended."""
 
-    NO_MORE_INPUT = auto()  # the socket has no more input, or the caller no more buffer space
+    NO_MORE_INPUT = auto()  # the socket has no more input
     END_OF_INPUT = auto()  # the peer has closed its sending side
     BROKEN = auto()  # the connection failed
 
@@ -34,6 +34,17 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+class SocketState(NamedTuple):
+    """What can be known of a connection without reading from it."""
+
+    has_input: bool  # data, the end of input or an error can be read
+    is_closed_by_peer: bool  # the peer has closed its sending side, also if unread data precede that
+    is_broken: bool  # the connection failed
+
+
+QUIET_SOCKET = SocketState(has_input=False, is_closed_by_peer=False, is_broken=False)
+
+
 class SocketReader:
     """Non-blocking reads from the socket of one connection, also while asyncio does not read it."""
 
@@ -42,36 +53,40 @@
         self._poller = select.poll()
         self._poller.register(transport_socket.fileno(), select.POLLIN | select.POLLRDHUP)
 
-    def has_input(self) -> bool:
-        """Return whether data, the end of input or an error can be read.
+    def state(self) -> SocketState:
+        """Return the state of the connection.
 
         This is one system call, which costs much less than a read.
         """
-        return bool(self._poller.poll(0))
+        polled = self._poller.poll(0)
+        if not polled:
+            return QUIET_SOCKET
+        events = polled[0][1]
+        is_broken = bool(events & (select.POLLERR | select.POLLHUP | select.POLLNVAL))
+        is_closed_by_peer = bool(events & select.POLLRDHUP)
+        return SocketState(has_input=True, is_closed_by_peer=is_closed_by_peer, is_broken=is_broken)
 
-    def read(self, space: Callable[[], memoryview | None], on_bytes: Callable[[int], None]) -> ReadStop:
-        """Read until the socket has no more input, or ``space`` returns None or no space.
+    def read(self, target: memoryview, on_bytes: Callable[[int], None]) -> ReadStop | None:
+        """Read once; return None if there may be more input.
 
         Args:
-            space: Returns the buffer for the next read.
-            on_bytes: Called with the number of bytes of each read.
+            target: The buffer, which has space.
+            on_bytes: Called with the number of bytes that were read, if there were any.
         """
         # asyncio's TransportSocket cannot read. A second socket object on the same descriptor can, and is
         # detached afterwards.
         original = self._transport_socket
         sock = socket.socket(original.family, original.type, fileno=original.fileno())
         try:
-            while (target := space()) is not None and len(target):
-                try:
-                    with target:
-                        count = sock.recv_into(target)
-                except (BlockingIOError, InterruptedError):
-                    return ReadStop.NO_MORE_INPUT
-                except OSError:
-                    return ReadStop.BROKEN
-                if not count:
-                    return ReadStop.END_OF_INPUT
-                on_bytes(count)
+            with target:
+                count = sock.recv_into(target)
+        except (BlockingIOError, InterruptedError):
             return ReadStop.NO_MORE_INPUT
+        except OSError:
+            return ReadStop.BROKEN
         finally:
             sock.detach()
+        if not count:
+            return ReadStop.END_OF_INPUT
+        on_bytes(count)
+        return None
--- a/tests/integration/test_hostile_clients.py
+++ b/tests/integration/test_hostile_clients.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from cedarthread.testing.hostile.flood import FloodSpec
+import pytest
+
+from cedarthread.testing.hostile.flood import FloodSpec, Style
 from cedarthread.testing.hostile.messages import MessageKind
 from cedarthread.testing.hostile.rig import FloodResult, RigSetup, flood_rig
 from cedarthread.testing.hostile.workers import Behavior
@@ -61,3 +63,32 @@
         result = rig.run([FloodSpec(MessageKind.LONG_PROPERTIES)])
     assert result.is_alive
     assert result.peak_mb < MEMORY_MB
+
+
+SECONDS = 3.0
+MANY_CONNECTIONS = 100  # under a third of the descriptors, which clients may hold
+FLOODS = {
+    "calls of many connections": FloodSpec(MessageKind.CALLS, connections=8, seconds=SECONDS),
+    "calls without reading": FloodSpec(MessageKind.NEW_NAMES, reads=False, seconds=SECONDS),
+    "interrupts of many connections": FloodSpec(MessageKind.INTERRUPTS, connections=8, seconds=SECONDS),
+    "expiring calls": FloodSpec(MessageKind.SHORT_LIMITS, connections=4, seconds=SECONDS),
+    "calls and closes": FloodSpec(MessageKind.NEW_NAMES, Style.CHURN, 4, seconds=SECONDS),
+    "calls and resets": FloodSpec(MessageKind.NEW_NAMES, Style.RESET, 4, seconds=SECONDS),
+    "bad requests": FloodSpec(MessageKind.BAD_REQUESTS, connections=8, seconds=SECONDS),
+    "bad requests without reading": FloodSpec(
+        MessageKind.BAD_REQUESTS, connections=MANY_CONNECTIONS, reads=False, seconds=SECONDS
+    ),
+    "notifications": FloodSpec(MessageKind.NOTIFICATIONS, connections=8, seconds=SECONDS),
+    "half messages": FloodSpec(style=Style.HALF, connections=MANY_CONNECTIONS, seconds=SECONDS),
+    "slow messages": FloodSpec(style=Style.SLOW, connections=MANY_CONNECTIONS, seconds=SECONDS),
+    "many fields": FloodSpec(style=Style.MANY_FIELDS, connections=MANY_CONNECTIONS, seconds=SECONDS),
+}
+
+
+# Guards against floods that starve other clients or exceed the memory limit, whatever the clients send.
+@pytest.mark.parametrize("name", FLOODS)
+def test_a_flood_leaves_the_memory_and_other_clients_alone(tmp_path: Path, name: str) -> None:
+    with flood_rig(tmp_path, RigSetup(MEMORY_MB)) as rig:
+        result = rig.run([FLOODS[name]])
+    assert_calm_client_was_served(result)
+    assert result.peak_mb < MEMORY_MB
