--- a/cedarthread/protocols/platform/connection.py
+++ b/cedarthread/protocols/platform/connection.py
@@ -94,7 +94,7 @@
         """
         max_messages = self._turn_messages
         if max_messages is None:
-            max_messages = self.server.turns.turn_messages()
+            max_messages = self.server.turns.first_turn_messages()
         offset = 0
         processed = 0
         while offset < len(data) and processed < max_messages and len(data) - offset >= self.needed_bytes:
@@ -120,7 +120,7 @@
         if processed == max_messages and offset < len(data):
             self.has_unprocessed_messages = True
             self._update_reading()
-            self.server.turns.add(self)
+            self.server.turns.add(self, is_new=self._turn_messages is None and not self.is_backlogged)
         elif self.is_backlogged:
             self.is_backlogged = self.socket_state().has_input
         return offset
--- a/cedarthread/protocols/platform/turns.py
+++ b/cedarthread/protocols/platform/turns.py
@@ -24,9 +24,9 @@
         self._is_scheduled = False
         self._loop = asyncio.get_running_loop()
 
-    def add(self, connection: TurnTaker) -> None:
-        """Let a connection wait for a turn in a later iteration."""
-        self._queue.add(connection)
+    def add(self, connection: TurnTaker, *, is_new: bool) -> None:
+        """Let a connection wait for a turn in a later iteration; see ``TurnQueue.add``."""
+        self._queue.add(connection, is_new=is_new)
         self._schedule()
 
     def _schedule(self) -> None:
@@ -38,9 +38,9 @@
         """Forget a connection that was closed."""
         self._queue.discard(connection)
 
-    def turn_messages(self) -> int:
-        """Return the number of messages that a connection may process in one turn."""
-        return self._queue.turn_messages()
+    def first_turn_messages(self) -> int:
+        """Return the number of messages that a connection may process as soon as they are read."""
+        return self._queue.first_turn_messages()
 
     def look_allowance(self, connection: TurnTaker) -> int:
         """Return the number of messages that a look at a connection may process now."""
@@ -54,13 +54,12 @@
 
     def _run(self) -> None:
         self._is_scheduled = False
-        turn_messages = self._queue.turn_messages()
         end_s = self._loop.time() + ITERATION_TIME_S
-        connections = self._queue.take()
-        for number, connection in enumerate(connections, 1):
-            connection.process_turn(turn_messages)
+        turns = self._queue.take()
+        for number, turn in enumerate(turns, 1):
+            turn.connection.process_turn(turn.max_messages)
             if self._loop.time() >= end_s:
-                self._queue.put_back(connections[number:])
+                self._queue.put_back(turns[number:])
                 break
         if len(self._queue):
             self._schedule()
