A call that may have been executed is not executed again when its id comes again

What callers saw: a client left while its call of a class that must not be repeated ran, and the same txn on another connection, or at the other process of an upgrade, ran a second time. Cause: only the ids of pending calls were known. An abandoned call is not pending, though its attempt runs or has run; and the processes of an address told each other of stored calls of the invoke API only. Change: ExecutedIds keeps the id of each ended call whose class is not idempotent and that may have been executed, until its deadline and the class's deadline are over; the txn is refused with BadRequest until then. The table is bounded by the memory; a full one refuses new calls of such classes and drops nothing. Of a call whose client has left (close, reset, interrupt, half-close) the process writes the id into a mapped file of 64 KiB in TMPDIR, which the other processes of the address read. The private folder for such files is shared with the invoke API (protocols/private_folder.py). The injected defect body-bytes-kept counts its bytes before the call is marked; it is found as before.

--- a/cedarthread/dispatch/call_table.py
+++ b/cedarthread/dispatch/call_table.py
@@ -27,7 +27,7 @@
     def __init__(self, max_body_bytes: int = DEFAULT_MAX_BODY_BYTES) -> None:
         self.pending: dict[int, Call] = {}  # pending calls by request id
         self.pending_ids: set[str] = set()  # ``Call.call_id`` of each pending call
-        self.pending_body_bytes = 0
+        self.pending_body_bytes = 0  # bodies and idempotency keys of the pending calls
         self.max_body_bytes = max_body_bytes
         # Completed calls by request id; removed when their attempts have ended.
         self.completed: dict[int, Call] = {}
--- a/cedarthread/dispatch/completion.py
+++ b/cedarthread/dispatch/completion.py
@@ -31,7 +31,9 @@
     from cedarthread.dispatch.call_table import CallTable
     from cedarthread.dispatch.context import DispatchContext
     from cedarthread.dispatch.deadlines import CallDeadlines
+    from cedarthread.dispatch.executed_ids import ExecutedIds
     from cedarthread.dispatch.figures import CallCounters
+    from cedarthread.model.settings import RequestClass
 
 log = logging.getLogger(__name__)
 
@@ -50,6 +52,7 @@
         counters: Counts each result.
         deadlines: Schedules the end of the grace period of an expired call.
         enqueue_event: Queues an event for the routing node.
+        executed_ids: Keeps the ids of calls that must not be executed again.
     """
 
     def __init__(
@@ -59,8 +62,11 @@
         counters: CallCounters,
         deadlines: CallDeadlines,
         enqueue_event: Callable[[Event], None],
+        *,
+        executed_ids: ExecutedIds,
     ) -> None:
         self._context = context
+        self._executed_ids = executed_ids
         self._calls = calls
         self._counters = counters
         self._deadlines = deadlines
@@ -107,6 +113,7 @@
         if not call.is_complete:
             self._counters.count_client_disconnected()
             self._remove_from_pending(call)
+            self._executed_ids.on_client_left(self._context.clock(), call, self._class_of(call))
             self._enqueue_event(ClientDisconnected(call.request_id))
 
     def fail(self, call: Call) -> None:
@@ -137,6 +144,7 @@
         if not has_written_attempt:
             self.complete_locally(call, timed_out=False)
             return
+        self._executed_ids.on_client_left(self._context.clock(), call, self._class_of(call))
         for attempt in call.attempts:
             self._context.workers().abort_incomplete(attempt, settle_s=INCOMPLETE_SETTLE_S)
 
@@ -146,7 +154,7 @@
         The ``ClientDisconnected`` event makes the router drop the request.
         """
         may_have_executed = any(attempt.may_have_executed() for attempt in call.attempts)
-        request_class = self._context.settings.classes[call.class_index]
+        request_class = self._class_of(call)
         if may_have_executed and request_class.idempotency is not Idempotency.IDEMPOTENT:
             self.complete(call, CallFailed(timed_out))
         else:
@@ -182,6 +190,9 @@
         except Exception:
             log.exception(format_event("result_delivery_failed"))
 
+    def _class_of(self, call: Call) -> RequestClass:
+        return self._context.settings.classes[call.class_index]
+
     def _remove_from_pending(self, call: Call) -> None:
         self._calls.mark_completed(call)
         # Unsent attempts are withdrawn, because the call no longer needs a result. The others are left to the
@@ -191,6 +202,7 @@
         for attempt in call.attempts:
             if not attempt.is_ended:
                 workers.withdraw_unsent(attempt)
+        self._executed_ids.on_call_ended(self._context.clock(), call, self._class_of(call))
         in_flight = [attempt for attempt in call.attempts if not attempt.is_ended]
         if in_flight and not self._context.settings.limits.can_cancel:
             for attempt in in_flight:
--- a/cedarthread/dispatch/dispatcher.py
+++ b/cedarthread/dispatch/dispatcher.py
@@ -18,6 +18,7 @@
 from cedarthread.dispatch.completion import CallCompletion
 from cedarthread.dispatch.context import DispatchContext
 from cedarthread.dispatch.deadlines import CallDeadlines
+from cedarthread.dispatch.executed_ids import DEFAULT_MAX_IDS, ExecutedIds
 from cedarthread.dispatch.figures import CallCounters
 from cedarthread.dispatch.node_timers import NodeTimers
 from cedarthread.dispatch.request_classes import merge_request_classes
@@ -27,6 +28,7 @@
 from cedarthread.logs import format_event
 from cedarthread.model.endpoints import EndpointState, EndpointUpdate
 from cedarthread.model.events import Event, PeerMessageReceived, PreloadEnded, RequestArrived
+from cedarthread.model.settings import Idempotency
 from cedarthread.node.routing_node import RoutingNode
 from cedarthread.routing.function_table import DEFAULT_MAX_FUNCTIONS
 
@@ -56,6 +58,7 @@
         max_pending_body_bytes: New calls are rejected while the pending bodies have this total size or more.
         incarnation: A random number that identifies this start of the process; None: derived from the seed.
         max_functions: The limit on the router's records of functions.
+        max_executed_ids: The limit on the ids of calls that must not be executed again.
         flush_output: Writes the buffered output after each batch of events.
         send_gate: While this gate is closed, events stay queued.
     """
@@ -69,6 +72,7 @@
         incarnation: int | None = None,
         *,
         max_functions: int = DEFAULT_MAX_FUNCTIONS,
+        max_executed_ids: int = DEFAULT_MAX_IDS,
         flush_output: Callable[[], None] = lambda: None,
         send_gate: SendGate = OPEN_SEND_GATE,
     ) -> None:
@@ -82,10 +86,16 @@
         }
         self.calls = CallTable(max_pending_body_bytes)
         self.counters = CallCounters(settings)
+        self.executed_ids = ExecutedIds(max_executed_ids)
         self.deadlines = CallDeadlines(self.context, self.calls, self._on_deadline)
         self.node_timers = NodeTimers(self.context, self._enqueue_event)
         self.completion = CallCompletion(
-            self.context, self.calls, self.counters, self.deadlines, self._enqueue_event
+            self.context,
+            self.calls,
+            self.counters,
+            self.deadlines,
+            self._enqueue_event,
+            executed_ids=self.executed_ids,
         )
         self._executor = ActionExecutor(self.context, self.calls, self.completion, self.node_timers)
         self.send_guard = SendGuard()
@@ -135,7 +145,7 @@
 
     def submit(self, call: Call) -> None:
         """Accept a call as pending, or reject it immediately if a limit on pending calls has been reached."""
-        if self.calls.is_full(self.context.settings.limits.max_pending_requests):
+        if self._is_full_for(call):
             self.reject_call(call)
             return
         self._count_accepted(call)
@@ -156,6 +166,22 @@
             )
         )
 
+    def _is_full_for(self, call: Call) -> bool:
+        """Return whether a limit of the process forbids a new call."""
+        settings = self.context.settings
+        if self.calls.is_full(settings.limits.max_pending_requests):
+            return True
+        is_repeatable = settings.classes[call.class_index].idempotency is Idempotency.IDEMPOTENT
+        return not is_repeatable and self.executed_ids.is_full(self.context.clock())
+
+    def refuse_call_id(self, call_id: str) -> str | None:
+        """Return why a client's call with this id cannot be accepted, or None if it can."""
+        if call_id in self.calls.pending_ids:  # a worker could not distinguish the two calls
+            return "a call of this txn is open"
+        if self.executed_ids.contains(call_id, self.context.clock()):
+            return "a call of this txn may have been executed"
+        return None
+
     def arrival_ms(self) -> float:
         """Return the time at which a client's time limit starts for input that is read now.
 
--- a/cedarthread/lifecycle/composition.py
+++ b/cedarthread/lifecycle/composition.py
@@ -154,6 +154,7 @@
         config.seed,
         max_pending_body_bytes=limits.pending_body_bytes,
         max_functions=limits.functions,
+        max_executed_ids=limits.call_ids,
         # Not derived from the seed, because the seed may be the same at each start of the process.
         incarnation=secrets.randbits(INCARNATION_BITS),
         flush_output=flusher.flush_all,
--- a/cedarthread/protocols/invoke/shared_calls.py
+++ b/cedarthread/protocols/invoke/shared_calls.py
@@ -12,9 +12,6 @@
 
 from __future__ import annotations
 
-import os
-import stat
-import tempfile
 from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -24,6 +21,7 @@
 
 from cedarthread.dispatch.calls import CallFailed, CallRejected, CallResult, CallSucceeded
 from cedarthread.errors import CedarthreadError
+from cedarthread.protocols.private_folder import address_name, private_temporary_folder
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -40,7 +38,6 @@
 # Time after the end of a call's deadline after which the process that took the call must have died.
 OWNER_GRACE_S = 1.0
 _BOOT_ID_PATH = Path("/proc/sys/kernel/random/boot_id")
-_GROUP_AND_OTHERS = stat.S_IRWXG | stat.S_IRWXO
 
 _SCHEMA = """
 CREATE TABLE IF NOT EXISTS calls(
@@ -84,17 +81,12 @@
     Raises:
         SharedCallsUnavailableError: The folder cannot be created, or others can access it.
     """
-    folder = Path(tempfile.gettempdir()) / f"cedarthread-{os.geteuid()}"
     try:
-        folder.mkdir(mode=stat.S_IRWXU, exist_ok=True)
-        status = folder.lstat()
+        folder = private_temporary_folder()
         boot_id = _BOOT_ID_PATH.read_text().strip()
     except OSError as error:
-        raise SharedCallsUnavailableError(f"{folder}: {error.strerror or error}") from None
-    is_private = status.st_uid == os.geteuid() and not status.st_mode & _GROUP_AND_OTHERS
-    if not (stat.S_ISDIR(status.st_mode) and is_private):
-        raise SharedCallsUnavailableError(f"{folder}: must be a folder that only its owner can access")
-    return folder / f"calls-v{SCHEMA_VERSION}-{host.replace(':', '_')}-{port}-{boot_id}.db"
+        raise SharedCallsUnavailableError(str(error)) from None
+    return folder / f"calls-v{SCHEMA_VERSION}-{address_name(host, port)}-{boot_id}.db"
 
 
 @contextmanager
--- a/cedarthread/protocols/platform/server.py
+++ b/cedarthread/protocols/platform/server.py
@@ -7,6 +7,7 @@
 
 from cedarthread.logs import format_event
 from cedarthread.protocols.platform.connection import PlatformConnection
+from cedarthread.protocols.platform.shared_ids import MappedIds, default_path
 from cedarthread.protocols.platform.turns import InputTurns
 from cedarthread.transport.acceptor import Acceptor, create_listener_with_retries
 from cedarthread.transport.descriptor_budget import CLIENT_ACCEPTS_PER_ITERATION
@@ -102,6 +103,8 @@
         Another process may listen on the same address (SO_REUSEPORT).
         """
         listening_socket = await create_listener_with_retries(host, port, LISTEN_BACKLOG, reuse_port=True)
+        if port:  # with any free port, no other process listens on it
+            self._share_call_ids(host, port)
         self._acceptor = Acceptor(
             "clients",
             listening_socket,
@@ -112,6 +115,13 @@
         )
         return self._acceptor.port
 
+    def _share_call_ids(self, host: str, port: int) -> None:
+        """Share the ids of abandoned calls with the other processes of the address; do without on failure."""
+        try:
+            self.dispatcher.executed_ids.shared = MappedIds(default_path(host, port))
+        except OSError as error:
+            log.error(format_event("shared_call_ids_unavailable", error=error))
+
     def _create_connection(self) -> PlatformConnection | None:
         """Create a connection, counted before it is established so that a flood cannot exceed the limit."""
         connection = PlatformConnection(self)
--- a/cedarthread/testing/fuzzing/defective_calls.py
+++ b/cedarthread/testing/fuzzing/defective_calls.py
@@ -55,8 +55,9 @@
 
 def retain_body_bytes(self: CallTable, call: Call) -> None:
     """Mark a call as complete but still count the bytes of its body as pending."""
+    body_bytes = len(call.body)
     _mark_completed(self, call)
-    self.pending_body_bytes += len(call.body)
+    self.pending_body_bytes += body_bytes
 
 
 def start_attempt_twice(self: ActionExecutor, action: StartAttempt) -> None:
