Interrupted calls whose attempts run, and idempotency keys, count against limits

Cause: an interrupt closed a call for the limit of 32 open calls although its attempt ran on, and long idempotency keys were held by no limit; the body of a completed call stayed until its attempt ended, uncounted. Change: a connection has at most 64 interrupted calls with a running attempt (twice its open calls, because without CANCEL attempts run on); further calls are rejected until some end. Keys count with the bodies. A completed call drops its body.

--- a/cedarthread/dispatch/call_table.py
+++ b/cedarthread/dispatch/call_table.py
@@ -40,7 +40,7 @@
         """Add a call as pending."""
         self.pending[call.request_id] = call
         self.pending_ids.add(call.call_id)
-        self.pending_body_bytes += len(call.body)
+        self.pending_body_bytes += _held_bytes(call)
 
     def find(self, request_id: int) -> Call | None:
         """Return the pending or completed call with this id, or None if the table does not contain it."""
@@ -49,7 +49,8 @@
     def mark_completed(self, call: Call) -> None:
         """Mark a pending call as complete; it stays in the table until ``remove_completed`` removes it."""
         call.is_complete = True
-        self.pending_body_bytes -= len(call.body)
+        self.pending_body_bytes -= _held_bytes(call)
+        call.body = b""  # no further attempt starts, and lines being written have their own copy
         self.pending_ids.discard(call.call_id)
         del self.pending[call.request_id]
         self.completed[call.request_id] = call
@@ -62,3 +63,9 @@
                 # A call and its attempts form a reference cycle. Break the cycle, because otherwise the call
                 # and its body stay in memory until the next garbage collection, thousands of calls later.
                 call.attempts.clear()
+                call.on_removed()
+
+
+def _held_bytes(call: Call) -> int:
+    """Return the size of what a client chose for a call, beside what each call needs."""
+    return len(call.body) + len(call.idempotency_key or "")
--- a/cedarthread/dispatch/calls.py
+++ b/cedarthread/dispatch/calls.py
@@ -33,6 +33,10 @@
     return True
 
 
+def _ignore_removal() -> None:
+    """Do nothing; the default for servers that do not track their completed calls."""
+
+
 class Progress(IntEnum):
     """Progress of the exchange between an attempt and its worker, in ascending order."""
 
@@ -87,6 +91,7 @@
     # Processes pending input of the client, so that ``is_client_half_closed`` and ``is_complete`` are up to
     # date. Returns False if input is left, which may be an interrupt of the call.
     refresh_client_state: Callable[[], bool] = _nothing_to_refresh
+    on_removed: Callable[[], None] = _ignore_removal  # called when the last attempt of the call has ended
     # The following fields are set by the dispatcher.
     request_id: int = 0
     class_name: str = ""  # name of the class at the time of acceptance; the call is counted under this name
--- a/cedarthread/protocols/platform/calls.py
+++ b/cedarthread/protocols/platform/calls.py
@@ -18,6 +18,9 @@
     from cedarthread.protocols.platform.owners import CallConnection
 
 CALL_PARAMETERS = 2  # number of parameters of a call: fields and body
+# Maximum number of interrupted calls per connection whose attempts still run. Without CANCEL they run on, so
+# that a client which gives up on all its open calls and sends as many again is still served.
+MAX_INTERRUPTED_CALLS = 64
 MAX_OPEN_CALLS = 32  # maximum number of open calls per connection; further calls are rejected
 
 
@@ -34,6 +37,7 @@
         self.connection: CallConnection = weakref.proxy(connection)
         self.server = connection.server
         self.open: dict[int, Call] = {}  # open calls by message id
+        self.interrupted_calls = 0  # interrupted calls that still have an attempt in flight
 
     def handle_message(self, message: object) -> bool:
         """Process one message; return False if it is invalid and has no message id for a response."""
@@ -42,7 +46,7 @@
                 return self._handle_request(message_id, method, params)
             case [2, "interrupt", [int(message_id)]] if _is_message_id(message_id):
                 if (call := self.open.pop(message_id, None)) is not None:
-                    self.server.dispatcher.abandon_call(call)
+                    self._interrupt(call)
                 return True
             case [2, str(), list()]:
                 return True  # other notifications have no response
@@ -69,6 +73,15 @@
             self._submit(message_id, call)
         return True
 
+    def _interrupt(self, call: Call) -> None:
+        """Abandon a call, which counts against the client until its last attempt has ended."""
+        self.interrupted_calls += 1
+        call.on_removed = self._on_interrupted_call_removed
+        self.server.dispatcher.abandon_call(call)
+
+    def _on_interrupted_call_removed(self) -> None:
+        self.interrupted_calls -= 1
+
     def _submit(self, message_id: int, call: Call) -> None:
         dispatcher = self.server.dispatcher
         call.on_result = partial(self._send_call_result, message_id)
@@ -86,7 +99,9 @@
             return True
         # The first limit bounds memory when clients read slowly; the second protects clients from a flood.
         server = self.server
-        return server.queued_bytes > server.max_queued_bytes or len(self.open) >= MAX_OPEN_CALLS
+        if server.queued_bytes > server.max_queued_bytes:
+            return True
+        return len(self.open) >= MAX_OPEN_CALLS or self.interrupted_calls >= MAX_INTERRUPTED_CALLS
 
     def _send_call_result(self, message_id: int, result: CallResult) -> None:
         self.open.pop(message_id, None)
