A keyed call is not repeated at a worker to which its connection broke

What callers saw: a new process came up at the address of a worker that had gone and was taken for the old one, and a keyed call ran twice. Cause: within the scope of a key (zone or cell) the same worker counted as one that knows the key, also on a new connection after the old one broke under the call; the endpoint list shows the change later than the new process listens. Change: after a call's connection broke, that worker is not eligible for its repetition (PendingRequest.may_repeat_key_at); others of the zone or cell are, as before. Classes with a fleet-wide scope, and idempotent ones, are not touched. Left: a call that is routed to the old worker for the first time may still reach the new process until the list shows it.

--- a/cedarthread/routing/attempt_tracker.py
+++ b/cedarthread/routing/attempt_tracker.py
@@ -78,6 +78,7 @@
         if not attempt.is_cold:
             state.overload.on_attempt_ended(now_ms, event.worker_id, is_success=outcome is Outcome.OK)
         attempt.may_have_executed = outcome not in NOT_EXECUTED
+        attempt.has_lost_connection = outcome is Outcome.RESET
         if event.is_local:  # no worker received the attempt
             state.retry_budget.earn(attempt.retry_cost)
         attempt_id = (event.request_id, event.attempt_index)
--- a/cedarthread/routing/records.py
+++ b/cedarthread/routing/records.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from cedarthread.model.settings import DeduplicationScope
 from cedarthread.routing import slow_start
 from cedarthread.routing.instance_queue import InstanceQueue
 from cedarthread.routing.popularity import MIN_WINDOW_MS
@@ -47,6 +48,7 @@
     is_function_known: bool  # the function has had a warm response before
     is_in_flight: bool = True
     may_have_executed: bool = True
+    has_lost_connection: bool = False  # may have executed, and its connection broke before a response
     is_overdue: bool = False  # was counted as a failure of its worker for lack of any response
     has_suspect_error: bool = False  # the attempt ended in an error that the client may have caused
     retry_cost: float = 0.0  # retry budget that the attempt has spent
@@ -194,6 +196,22 @@
         """Return the attempts that may have executed the request."""
         return [attempt for attempt in self.attempts if attempt.is_in_flight or attempt.may_have_executed]
 
+    def may_repeat_key_at(self, endpoint: Endpoint, scope: DeduplicationScope) -> bool:
+        """Return whether a worker knows the idempotency key if an attempt has been executed.
+
+        A worker to which a connection broke meanwhile may have gone. Before the endpoint list shows that,
+        another process, of another zone or cell, may be at its address.
+        """
+        for attempt in self.possibly_executed():
+            other = attempt.endpoint
+            if attempt.has_lost_connection and other.worker_id == endpoint.worker_id:
+                return False
+            if scope is DeduplicationScope.ZONE and other.zone != endpoint.zone:
+                return False
+            if scope is DeduplicationScope.CELL and other.cell != endpoint.cell:
+                return False
+        return True
+
     def has_attempt_in_flight(self) -> bool:
         """Return whether any attempt is in flight."""
         return any(attempt.is_in_flight for attempt in self.attempts)
--- a/cedarthread/routing/selection.py
+++ b/cedarthread/routing/selection.py
@@ -216,10 +216,7 @@
             return False
         if pending.request_class.idempotency is not Idempotency.WITH_KEY or scope is DeduplicationScope.ALL:
             return True
-        executed_at = [attempt.endpoint for attempt in pending.possibly_executed()]
-        if scope is DeduplicationScope.ZONE:
-            return all(other.zone == endpoint.zone for other in executed_at)
-        return all(other.cell == endpoint.cell for other in executed_at)
+        return pending.may_repeat_key_at(endpoint, scope)
 
     def _is_zone_usable(self, now_ms: float, worker: WorkerRecord, *, is_idempotent: bool) -> bool:
         """Return whether the worker's zone is reachable or due for a trial, or no zone is reachable."""
