Receive buffers and unread responses of all connections together stay within limits

Cause: each connection has a limit of 64 KiB for incomplete messages, and nothing summed them: 512 connections may hold 32 MB of a process that has 96. Responses counted as read once asyncio's transport had them; and when the limit on unread responses was reached, calls of all clients were rejected, also of those that read. Change: grown receive buffers are counted over all connections. When they are full, the connection with the oldest incomplete long message is closed (client_message_evicted). Bytes in the transport of a client that reads slowly count as unread. When unread responses are over the limit, only connections with an equal share of it or more get Backoff.

--- a/cedarthread/lifecycle/composition.py
+++ b/cedarthread/lifecycle/composition.py
@@ -167,6 +167,7 @@
         flusher,
         limits.queued_output_bytes,
         budget.accepts_per_iteration,
+        max_buffer_bytes=limits.input_buffer_bytes,
     )
     workers = WorkerConnections(
         config.settings, dispatcher, budget.worker_connections, flusher, clients=platform, send_gate=gate
--- a/cedarthread/protocols/platform/calls.py
+++ b/cedarthread/protocols/platform/calls.py
@@ -98,8 +98,7 @@
         if connection.is_half_closed or connection.is_backlogged:
             return True
         # The first limit bounds memory when clients read slowly; the second protects clients from a flood.
-        server = self.server
-        if server.queued_bytes > server.max_queued_bytes:
+        if self.server.must_read_responses(connection):
             return True
         return len(self.open) >= MAX_OPEN_CALLS or self.interrupted_calls >= MAX_INTERRUPTED_CALLS
 
--- a/cedarthread/protocols/platform/connection.py
+++ b/cedarthread/protocols/platform/connection.py
@@ -29,7 +29,7 @@
     """The connection of one client. It owns the client's open calls."""
 
     def __init__(self, server: ConnectionServer[PlatformConnection]) -> None:
-        super().__init__(MAX_MESSAGE_BYTES, server.flusher)
+        super().__init__(MAX_MESSAGE_BYTES, server.flusher, server.buffer_memory)
         self.server = server
         self.calls = PlatformCalls(self)
         self.is_half_closed = False  # the client has closed its sending side
@@ -68,9 +68,24 @@
             self._log_truncated_message(truncated_bytes)
         self.server.unregister(self)
         self.server.turns.discard(self)
-        self._clear_queued_bytes()
+        self._set_queued_bytes(0)
+        self.buffer.clear()
         self.calls.abandon_all()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for input; let it grow within the memory of all buffers (called by asyncio)."""
+        if self.discard_budget is None and (growth_bytes := self.buffer.growth_bytes()):
+            self.server.make_room_for_input(growth_bytes)
+        return super().get_buffer(sizehint)
+
+    def close_incomplete_message(self) -> None:
+        """Close without reading the rest of a long message, to make room for others."""
+        log.info(
+            format_event("client_message_evicted", client=self._peer_name(), bytes=len(self.buffer.peek()))
+        )
+        self.buffer.clear()
+        self.fail_calls_and_close()
+
     def is_idle(self) -> bool:
         """Return whether no call is open, no output is unsent and no input is unread.
 
@@ -167,7 +182,7 @@
         turns = self.server.turns
         remaining = turns.look_allowance(self)
         while self.has_unprocessed_messages or self.socket_state().has_input:
-            if remaining <= 0 or self.server.queued_bytes > self.server.max_queued_bytes:
+            if remaining <= 0 or self.server.must_read_responses(self):
                 return False
             processed = self._look_once(remaining)
             turns.spend_look(self, processed)
@@ -268,8 +283,7 @@
     def flush(self) -> None:
         """Flush the responses. Close after the last one if the client or this server will send no more."""
         super().flush()
-        if not self.write_queue:
-            self._clear_queued_bytes()
+        self._set_queued_bytes(self._count_queued_bytes())
         if not (self.is_half_closed or self.server.is_draining) or self.is_closing():
             return
         is_done = not (self.calls.open or self.write_queue or self.has_unprocessed_messages)
@@ -278,6 +292,13 @@
         elif self.server.is_draining and self.is_idle():
             self.lingering_close()
 
-    def _clear_queued_bytes(self) -> None:
-        self.server.queued_bytes -= self.queued_bytes
-        self.queued_bytes = 0
+    def _count_queued_bytes(self) -> int:
+        """Return the bytes of the queue and, if the client reads slowly, of the transport's buffer."""
+        if self.is_closed or self.transport is None:
+            return 0
+        buffered = self.transport.get_write_buffer_size() if self.is_write_paused else 0
+        return buffered + sum(map(len, self.write_queue))
+
+    def _set_queued_bytes(self, queued_bytes: int) -> None:
+        self.server.queued_bytes += queued_bytes - self.queued_bytes
+        self.queued_bytes = queued_bytes
--- a/cedarthread/protocols/platform/owners.py
+++ b/cedarthread/protocols/platform/owners.py
@@ -6,9 +6,17 @@
 
 if TYPE_CHECKING:
     from cedarthread.dispatch.dispatcher import Dispatcher
+    from cedarthread.limits.buffer_memory import BufferMemory
     from cedarthread.protocols.platform.turns import InputTurns
     from cedarthread.transport.flusher import Flusher
 
+
+class QueueOwner(Protocol):
+    """A connection with responses that its client has not read."""
+
+    queued_bytes: int
+
+
 ConnectionT_contra = TypeVar("ConnectionT_contra", contravariant=True)
 
 
@@ -18,7 +26,9 @@
     dispatcher: Dispatcher
     is_ready: bool
     queued_bytes: int
-    max_queued_bytes: int
+
+    def must_read_responses(self, connection: QueueOwner) -> bool:
+        """Return whether a client must read responses before it gets further ones."""
 
 
 class ConnectionServer(CallServer, Protocol[ConnectionT_contra]):
@@ -26,6 +36,7 @@
 
     flusher: Flusher
     turns: InputTurns
+    buffer_memory: BufferMemory
     max_connections: int
     is_draining: bool
 
@@ -35,11 +46,14 @@
     def unregister(self, connection: ConnectionT_contra) -> None:
         """Remove a connection from the registered ones."""
 
+    def make_room_for_input(self, added_bytes: int) -> None:
+        """Close connections with long incomplete messages until a buffer may grow by ``added_bytes``."""
+
     def mark_validated(self, connection: ConnectionT_contra) -> None:
         """Record that a connection has sent a valid message."""
 
 
-class CallConnection(Protocol):
+class CallConnection(QueueOwner, Protocol):
     """The connection (``PlatformConnection``), as its calls use it."""
 
     is_closed: bool
--- a/cedarthread/protocols/platform/server.py
+++ b/cedarthread/protocols/platform/server.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from cedarthread.limits.buffer_memory import BufferMemory
 from cedarthread.logs import format_event
 from cedarthread.protocols.platform.connection import PlatformConnection
 from cedarthread.protocols.platform.shared_ids import MappedIds, default_path
@@ -14,6 +15,7 @@
 
 if TYPE_CHECKING:
     from cedarthread.dispatch.dispatcher import Dispatcher
+    from cedarthread.protocols.platform.owners import QueueOwner
     from cedarthread.transport.flusher import Flusher
 
 log = logging.getLogger(__name__)
@@ -23,7 +25,9 @@
 MESSAGE_TIMEOUT_S = 2.0
 # Time without input and without an open call after which the client counts as disconnected.
 IDLE_CLIENT_TIMEOUT_S = 120.0
-DEFAULT_MAX_QUEUED_BYTES = 32 * 2**20  # the service passes a value derived from the memory limit
+# The service passes values derived from the memory limit.
+DEFAULT_MAX_QUEUED_BYTES = 32 * 2**20
+DEFAULT_MAX_BUFFER_BYTES = 16 * 2**20
 
 
 class PlatformServer:
@@ -35,8 +39,10 @@
         dispatcher: Receives the calls.
         max_connections: The maximum number of client connections.
         flusher: Flushes the output once per iteration of the event loop.
-        max_queued_bytes: Calls are rejected while more bytes than this are queued.
+        max_queued_bytes: While more bytes than this are queued, the calls of those connections are rejected
+            that have more than an equal share of it.
         accepts_per_iteration: Maximum number of connections accepted per iteration of the event loop.
+        max_buffer_bytes: The limit on the receive buffers of all connections beyond their initial size.
     """
 
     def __init__(
@@ -46,6 +52,8 @@
         flusher: Flusher,
         max_queued_bytes: int = DEFAULT_MAX_QUEUED_BYTES,
         accepts_per_iteration: int = CLIENT_ACCEPTS_PER_ITERATION,
+        *,
+        max_buffer_bytes: int = DEFAULT_MAX_BUFFER_BYTES,
     ) -> None:
         self.dispatcher = dispatcher
         self.accepts_per_iteration = accepts_per_iteration
@@ -56,6 +64,7 @@
         self.is_draining = False  # connections close once they are idle
         self.queued_bytes = 0
         self.turns = InputTurns()
+        self.buffer_memory = BufferMemory(max_buffer_bytes)
         # Both in order of use, least recent first. A connection is unvalidated until its first valid message.
         self.connections: dict[PlatformConnection, None] = {}
         self.unvalidated_connections: dict[PlatformConnection, None] = {}
@@ -74,6 +83,32 @@
         self.unvalidated_connections[connection] = None
         return True
 
+    def must_read_responses(self, connection: QueueOwner) -> bool:
+        """Return whether a client must read responses before it gets further ones."""
+        if self.queued_bytes <= self.max_queued_bytes:
+            return False
+        return connection.queued_bytes * len(self.connections) >= self.max_queued_bytes
+
+    def make_room_for_input(self, added_bytes: int) -> None:
+        """Close connections with long incomplete messages until a buffer may grow by ``added_bytes``.
+
+        The message that began first goes first, because one that is written at once is complete soon.
+        """
+        memory = self.buffer_memory
+        if memory.can_grow(added_bytes):
+            return
+        connections = (*self.unvalidated_connections, *self.connections)
+        incomplete = [
+            (connection.message_started_at, number)
+            for number, connection in enumerate(connections)
+            if connection.message_started_at is not None and connection.buffer.is_grown()
+        ]
+        for _, number in sorted(incomplete):
+            connections[number].close_incomplete_message()
+            memory.evicted_count += 1
+            if memory.can_grow(added_bytes):
+                return
+
     def evict_idle(self) -> bool:
         """Close an idle connection, unvalidated ones first; return False if there is none.
 
--- a/cedarthread/testing/hostile/workers.py
+++ b/cedarthread/testing/hostile/workers.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import json
 import sys
 from enum import StrEnum
@@ -19,10 +20,12 @@
     """How workers answer calls."""
 
     SERVE = "serve"
+    SERVE_LONG = "serve-long"  # with a long body
     FAIL = "fail"
     SILENT = "silent"
 
 
+_LONG_BODY = base64.b64encode(b"x" * 16_000).decode()
 _RESPONSE_FIELDS = {"remark": "hit", "report": "inflight:1;x1:0"}
 
 
@@ -52,8 +55,9 @@
     def _answer(self, call_id: str) -> None:
         if self._behavior is Behavior.SILENT:
             return
-        op = "HIT" if self._behavior is Behavior.SERVE else "FAULT"
-        response = {"op": op, "id": call_id, "fields": _RESPONSE_FIELDS, "body": ""}
+        op = "FAULT" if self._behavior is Behavior.FAIL else "HIT"
+        body = _LONG_BODY if self._behavior is Behavior.SERVE_LONG else ""
+        response = {"op": op, "id": call_id, "fields": _RESPONSE_FIELDS, "body": body}
         line = json.dumps(response).encode() + b"\n"
         self._loop.call_later(self._service_s, self._write, line)
 
--- a/cedarthread/transport/connection.py
+++ b/cedarthread/transport/connection.py
@@ -24,6 +24,7 @@
 )
 
 if TYPE_CHECKING:
+    from cedarthread.limits.buffer_memory import BufferMemory
     from cedarthread.transport.flusher import Flusher
 
 log = logging.getLogger(__name__)
@@ -52,12 +53,15 @@
     Args:
         max_buffer_bytes: The size limit of the read buffer.
         flusher: Writes the output of each iteration.
+        buffer_memory: Counts the bytes of the grown read buffer; None: they are not counted.
     """
 
     write_high_water_bytes = 64 * 1024  # bytes in the transport's write buffer above which writing pauses
 
-    def __init__(self, max_buffer_bytes: int, flusher: Flusher) -> None:
-        self.buffer = ReadBuffer(max_buffer_bytes)
+    def __init__(
+        self, max_buffer_bytes: int, flusher: Flusher, buffer_memory: BufferMemory | None = None
+    ) -> None:
+        self.buffer = ReadBuffer(max_buffer_bytes, buffer_memory)
         self.flusher = flusher
         self.transport: asyncio.Transport | None = None
         self.write_queue: list[bytes] = []
@@ -147,7 +151,7 @@
             None if there may be more input.
         """
         reader = self._reader()
-        space = self.buffer.writable_space()
+        space = self.get_buffer(-1)
         if reader is None or not len(space):
             return ReadStop.NO_MORE_INPUT
         stop = reader.read(space, self.buffer_updated)
