Due times of closed calls and gossip about functions are bounded

Cause, found by sweeping for tables that clients can fill: the deadlines of completed calls left the heap only at its head, so that one early deadline kept all later ones, up to a client's limit of 11 days; hedge checks of closed requests stayed until due; the router's own load table and its unsent changes were limited by age alone. Change: both heaps drop entries of closed calls when these are many; the load table has 8,192 instances and 512 unsent changes for each worker, never dropping one with a call in flight.

--- a/cedarthread/dispatch/deadlines.py
+++ b/cedarthread/dispatch/deadlines.py
@@ -18,6 +18,11 @@
     from cedarthread.dispatch.context import DispatchContext
 
 
+# The heap is pruned when it has more entries than this, beside those of the pending calls.
+MIN_PRUNED_ENTRIES = 1024
+MAX_ENTRIES_PER_CALL = 4
+
+
 class CallDeadlines:
     """Timer queue that invokes ``on_due`` for each call that is still pending at its scheduled time.
 
@@ -41,9 +46,17 @@
     def schedule(self, at_ms: float, call: Call) -> None:
         """Schedule ``on_due`` for a call at a time on the clock; a call may be scheduled several times."""
         heapq.heappush(self._timer_queue, (at_ms, call.request_id))
+        if len(self._timer_queue) > MIN_PRUNED_ENTRIES + MAX_ENTRIES_PER_CALL * len(self._calls.pending):
+            self._prune()
         if at_ms < self._wakeup_at_ms:
             self._set_wakeup(at_ms)
 
+    def _prune(self) -> None:
+        """Drop the entries of completed calls, which may be far from the head of the heap."""
+        pending = self._calls.pending
+        self._timer_queue = [entry for entry in self._timer_queue if entry[1] in pending]
+        heapq.heapify(self._timer_queue)
+
     def cap_deadlines(self, at_ms: float) -> None:
         """Cap the deadline of each pending call at a time on the clock."""
         for call in list(self._calls.pending.values()):
--- a/cedarthread/gossip/local_load.py
+++ b/cedarthread/gossip/local_load.py
@@ -8,10 +8,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import islice
 
 from cedarthread.components.datagram_fields import MAX_DATAGRAM_BYTES
 from cedarthread.gossip import codec
 
+# Clients choose the functions, so the tables are limited.
+MAX_INSTANCES = 8192
+MAX_DIRTY_PER_WORKER = 512
+MAX_EVICTION_CANDIDATES = 64
+
 InstanceKey = tuple[int, int]  # worker id and function hash; a plain tuple, because each attempt builds one
 
 
@@ -40,7 +46,10 @@
     def record_start(self, worker_id: int, function_hash: int) -> None:
         """Count an attempt that was sent to the worker."""
         self.in_flight_by_worker[worker_id] = self.in_flight_by_worker.get(worker_id, 0) + 1
-        self.instances.setdefault((worker_id, function_hash), LocalInstance()).in_flight += 1
+        key = (worker_id, function_hash)
+        if key not in self.instances:
+            self._make_room()
+        self.instances.setdefault(key, LocalInstance()).in_flight += 1
         self.workers_by_function.setdefault(function_hash, set()).add(worker_id)
         self.mark_dirty(worker_id, function_hash)
 
@@ -82,7 +91,19 @@
 
     def mark_dirty(self, worker_id: int, function_hash: int) -> None:
         """Schedule the entry to be sent with the next datagrams."""
-        self.dirty.setdefault(worker_id, {})[function_hash] = None
+        entries = self.dirty.setdefault(worker_id, {})
+        entries[function_hash] = None
+        if len(entries) > MAX_DIRTY_PER_WORKER:  # the receivers' entries expire without an update
+            del entries[next(iter(entries))]
+
+    def _make_room(self) -> None:
+        """Drop an instance without calls in flight if the table is full, an early one of the oldest."""
+        if len(self.instances) < MAX_INSTANCES:
+            return
+        for key in islice(self.instances, MAX_EVICTION_CANDIDATES):
+            if not self.instances[key].in_flight:
+                del self.instances[key]
+                return
 
     def refresh(self, now_ms: float, keep_alive_ms: float) -> None:
         """Mark entries with in-flight calls dirty; drop entries without in-flight calls and warm instance."""
--- a/cedarthread/routing/router.py
+++ b/cedarthread/routing/router.py
@@ -221,6 +221,7 @@
         self.state.actions.append(StartAttempt(request_id, worker.endpoint.worker_id))
         hedge_check_at_ms = now_ms + self.retries.hedge_check_delay_ms(attempt.expected_ms)
         self.state.timers.schedule(hedge_check_at_ms, request_id, len(pending.attempts) - 1)
+        self.state.timers.prune(self.pending_requests, len(self.pending_requests))
 
     def _reject_or_fail(self, now_ms: float, pending: PendingRequest) -> None:
         """Give the final answer of a request that gets no further attempt."""
--- a/cedarthread/routing/timers.py
+++ b/cedarthread/routing/timers.py
@@ -13,11 +13,14 @@
 from cedarthread.model.actions import SetTimer
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Container, Iterator
 
 NO_REQUEST = -1  # request id of a due time that belongs to no request
 MIN_DELAY_MS = 1.0  # minimum delay of the timer, also for an overdue entry
 ROUNDING_MS = 0.5  # the host rounds due times, so a time this close counts as due
+# The heap is pruned when it has more entries than this, beside those of the open requests.
+MIN_PRUNED_ENTRIES = 4096
+MAX_ENTRIES_PER_REQUEST = 8
 TOKENS = 2**31  # tokens wrap around below this; the timer of the node's components has a larger token
 
 
@@ -44,6 +47,20 @@
         self.serial += 1
         heapq.heappush(self.entries, DueTime(at_ms, self.serial, request_id, attempt_index))
 
+    def prune(self, open_requests: Container[int], open_count: int) -> None:
+        """Drop the due times of closed requests if they are many.
+
+        Args:
+            open_requests: The ids of the open requests.
+            open_count: The number of open requests.
+        """
+        if len(self.entries) > MIN_PRUNED_ENTRIES + MAX_ENTRIES_PER_REQUEST * open_count:
+            kept = [
+                due for due in self.entries if due.request_id == NO_REQUEST or due.request_id in open_requests
+            ]
+            heapq.heapify(kept)
+            self.entries = kept
+
     def pop_due(self, now_ms: float) -> Iterator[DueTime]:
         """Yield due entries in order, including those scheduled during the iteration."""
         while self.entries and self.entries[0].at_ms <= now_ms + ROUNDING_MS:
--- a/tests/unit/dispatch/test_deadlines.py
+++ b/tests/unit/dispatch/test_deadlines.py
@@ -7,7 +7,7 @@
 
 from cedarthread.dispatch.call_table import CallTable
 from cedarthread.dispatch.context import DispatchContext
-from cedarthread.dispatch.deadlines import CallDeadlines
+from cedarthread.dispatch.deadlines import MAX_ENTRIES_PER_CALL, MIN_PRUNED_ENTRIES, CallDeadlines
 from tests.unit.dispatch.builders import ROUTER_SETTINGS, make_call
 
 if TYPE_CHECKING:
@@ -77,3 +77,17 @@
         assert case.due == []
 
     run_on_loop(scenario)
+
+
+def test_entries_of_completed_calls_with_late_deadlines_are_dropped() -> None:
+    async def scenario(case: DeadlinesOnFakeClock) -> None:
+        first = case.add_call(0, 100.0)
+        for request_id in range(1, 3 * MIN_PRUNED_ENTRIES):
+            case.calls.mark_completed(case.add_call(request_id, 1e6 + request_id))
+            case.calls.remove_completed()
+        assert len(case.deadlines._timer_queue) <= MIN_PRUNED_ENTRIES + MAX_ENTRIES_PER_CALL + 1
+        assert first.request_id in case.calls.pending
+        case.run_at(100.0)
+        assert case.due == [0]
+
+    run_on_loop(scenario)
