Log lines that clients cause are bounded, and the log says what clients make a process hold

Cause: the report's logs could not say which resource grew, and each bad client cost a line (hundreds a second). Change: resource_usage every 10 s has connections, calls, bytes, functions and ids beside their limits, and what was evicted or refused; each event that clients cause has 20 lines at once and 5 a second, the rest is counted in log_lines_suppressed.

--- a/cedarthread/dispatch/dispatcher.py
+++ b/cedarthread/dispatch/dispatcher.py
@@ -24,7 +24,7 @@
 from cedarthread.dispatch.request_classes import merge_request_classes
 from cedarthread.dispatch.send_audit import SendAudit
 from cedarthread.dispatch.send_gate import OPEN_SEND_GATE, SendGate
-from cedarthread.dispatch.send_guard import SendGuard
+from cedarthread.dispatch.send_guard import SendGuard, SendRefusal
 from cedarthread.logs import format_event
 from cedarthread.model.endpoints import EndpointState, EndpointUpdate
 from cedarthread.model.events import Event, PeerMessageReceived, PreloadEnded, RequestArrived
@@ -100,6 +100,7 @@
         self._executor = ActionExecutor(self.context, self.calls, self.completion, self.node_timers)
         self.send_guard = SendGuard()
         self.send_audit = SendAudit()
+        self.unread_refusals = 0  # attempts refused because their client's input was not read completely
         send_gate.add_reopen_callback(self.resume)
         self._send_gate = send_gate
         self._event_queue: list[Event] = []
@@ -225,6 +226,7 @@
         refusal = self.send_guard.refuse_attempt(
             self.context.clock(), attempt, self.context.settings, is_client_known=is_client_known
         )
+        self.unread_refusals += refusal is SendRefusal.CLIENT_INPUT_UNREAD
         if refusal is not None and log.isEnabledFor(logging.DEBUG):
             request = attempt.call.call_id
             worker_id = attempt.worker_id
--- a/cedarthread/lifecycle/maintenance.py
+++ b/cedarthread/lifecycle/maintenance.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, NamedTuple
 
+from cedarthread.lifecycle.usage_report import UsageReport
 from cedarthread.logs import format_event
 
 if TYPE_CHECKING:
@@ -58,6 +59,7 @@
         self._dispatcher = dispatcher
         self._workers = workers
         self._platform = platform
+        self._usage = UsageReport(dispatcher, platform)
         self._invoke = invoke
         self._state = state
 
@@ -97,6 +99,9 @@
         """Log the calls by result and the dropped datagrams, and schedule the next report."""
         open_calls = len(self._dispatcher.pending_calls)
         log.info(format_event("call_counts", **self._dispatcher.result_counts, open=open_calls))
+        log.info(format_event("resource_usage", **self._usage.fields()))
+        if suppressed := self._platform.log_budget.take_suppressed():
+            log.warning(format_event("log_lines_suppressed", **suppressed))
         dropped = self._dropped_datagrams()
         if any(dropped):
             log.warning(format_event("peer_datagrams_dropped", **dropped._asdict()))
--- a/cedarthread/protocols/platform/connection.py
+++ b/cedarthread/protocols/platform/connection.py
@@ -52,13 +52,20 @@
         """Register with the server; abort if the connection limit is reached."""
         if not self.server.register(self):
             limit = self.server.max_connections
-            log.warning(format_event("connection_limit_reached", listener="clients", rejected=1, limit=limit))
+            if self._may_log(logging.WARNING, "connection_limit_reached"):
+                log.warning(
+                    format_event("connection_limit_reached", listener="clients", rejected=1, limit=limit)
+                )
             self.abort()
             return
         self.message_started_at = self.last_read_at_s
 
+    def _may_log(self, level: int, event: str) -> bool:
+        """Return whether an event that a client caused is logged; there is a budget of such lines."""
+        return log.isEnabledFor(level) and self.server.log_budget.allows(event, 1000.0 * self._loop.time())
+
     def _log_truncated_message(self, truncated_bytes: int) -> None:
-        if log.isEnabledFor(logging.INFO):
+        if self._may_log(logging.INFO, "client_message_truncated"):
             client = self._peer_name()
             log.info(format_event("client_message_truncated", client=client, bytes=truncated_bytes))
 
@@ -80,9 +87,10 @@
 
     def close_incomplete_message(self) -> None:
         """Close without reading the rest of a long message, to make room for others."""
-        log.info(
-            format_event("client_message_evicted", client=self._peer_name(), bytes=len(self.buffer.peek()))
-        )
+        dropped_bytes = len(self.buffer.peek())
+        if self._may_log(logging.INFO, "client_message_evicted"):
+            client = self._peer_name()
+            log.info(format_event("client_message_evicted", client=client, bytes=dropped_bytes))
         self.buffer.clear()
         self.fail_calls_and_close()
 
@@ -261,7 +269,7 @@
     def on_invalid_input(self) -> None:
         """Close after an invalid message, which fails the open calls."""
         reason = self.invalid_reason or "too long"
-        if log.isEnabledFor(logging.INFO):
+        if self._may_log(logging.INFO, "client_message_invalid"):
             log.info(format_event("client_message_invalid", client=self._peer_name(), reason=reason))
         self.fail_calls_and_close()
 
--- a/cedarthread/protocols/platform/owners.py
+++ b/cedarthread/protocols/platform/owners.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from cedarthread.dispatch.dispatcher import Dispatcher
     from cedarthread.limits.buffer_memory import BufferMemory
+    from cedarthread.limits.log_budget import LogBudget
     from cedarthread.protocols.platform.turns import InputTurns
     from cedarthread.transport.flusher import Flusher
 
@@ -37,6 +38,7 @@
     flusher: Flusher
     turns: InputTurns
     buffer_memory: BufferMemory
+    log_budget: LogBudget
     max_connections: int
     is_draining: bool
 
--- a/cedarthread/protocols/platform/server.py
+++ b/cedarthread/protocols/platform/server.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from cedarthread.limits.buffer_memory import BufferMemory
+from cedarthread.limits.log_budget import LogBudget
 from cedarthread.logs import format_event
 from cedarthread.protocols.platform.connection import PlatformConnection
 from cedarthread.protocols.platform.shared_ids import MappedIds, default_path
@@ -65,6 +66,7 @@
         self.queued_bytes = 0
         self.turns = InputTurns()
         self.buffer_memory = BufferMemory(max_buffer_bytes)
+        self.log_budget = LogBudget()
         # Both in order of use, least recent first. A connection is unvalidated until its first valid message.
         self.connections: dict[PlatformConnection, None] = {}
         self.unvalidated_connections: dict[PlatformConnection, None] = {}
@@ -206,7 +208,8 @@
             is_late = started_at is not None and now_s - started_at > MESSAGE_TIMEOUT_S
             is_silent = now_s - connection.last_read_at_s > IDLE_CLIENT_TIMEOUT_S
             if is_late or (is_silent and not connection.calls.open):
-                log.info(format_event("client_timed_out"))
+                if self.log_budget.allows("client_timed_out", 1000.0 * now_s):
+                    log.info(format_event("client_timed_out"))
                 connection.fail_calls_and_close()
 
     def is_drained(self) -> bool:
--- a/cedarthread/transport/acceptor.py
+++ b/cedarthread/transport/acceptor.py
@@ -13,6 +13,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Generic, TypeVar
 
+from cedarthread.limits.log_budget import LogBudget
 from cedarthread.logs import format_event
 from cedarthread.transport.descriptor_budget import EXHAUSTION_ERRNOS
 
@@ -124,6 +125,8 @@
         self.release_descriptor = release_descriptor
         self._setup_tasks: dict[ProtocolT, asyncio.Task[None]] = {}
         self._resume_timer: asyncio.TimerHandle | None = None
+        self._log_budget = LogBudget()
+        self._unlogged_rejections = 0
         self._loop = asyncio.get_running_loop()
         self._loop.add_reader(listening_socket.fileno(), self._on_readable)
 
@@ -165,12 +168,20 @@
             else:
                 self._start_setup(connection, protocol)
         if rejected_count:
-            log.warning(format_event("connection_limit_reached", listener=self.name, rejected=rejected_count))
+            self._log_rejected(rejected_count)
         if backlog is BacklogState.DESCRIPTORS_EXHAUSTED:
             has_released = self.release_descriptor()
             log.warning(format_event("descriptors_exhausted", listener=self.name, released=has_released))
         return backlog
 
+    def _log_rejected(self, rejected_count: int) -> None:
+        """Log the connections rejected since the last line, unless such lines were too many recently."""
+        self._unlogged_rejections += rejected_count
+        if self._log_budget.allows("connection_limit_reached", 1000.0 * self._loop.time()):
+            rejected = self._unlogged_rejections
+            log.warning(format_event("connection_limit_reached", listener=self.name, rejected=rejected))
+            self._unlogged_rejections = 0
+
     def _start_setup(self, connection: socket.socket, protocol: ProtocolT) -> None:
         connection.settimeout(0.0)  # non-blocking
         task = self._loop.create_task(self._set_up(connection, protocol))
