Clients that come and go fast do not use all connections; a soak of hostile clients finds it

What callers saw: while four clients sent 300 notifications, closed and came again, no other client got a connection. Change: at the limit, a connection whose client has closed, without open calls and unsent output, is aborted.

--- a/cedarthread/protocols/platform/connection.py
+++ b/cedarthread/protocols/platform/connection.py
@@ -103,6 +103,12 @@
             return False
         return not self.has_unsent_output() and (self.is_closing() or not self.has_unread_input())
 
+    def has_client_left(self) -> bool:
+        """Return whether the client has closed, no call of it is open and no output is unsent."""
+        if self.calls.open or self.transport is None or self.has_unsent_output():
+            return False
+        return self.socket_state().is_closed_by_peer
+
     def has_unread_input(self) -> bool:
         """Return whether the socket has unread input."""
         assert self.transport is not None
--- a/cedarthread/protocols/platform/server.py
+++ b/cedarthread/protocols/platform/server.py
@@ -76,11 +76,14 @@
         )
 
     def register(self, connection: PlatformConnection) -> bool:
-        """Register a connection, once. At the limit, evict an idle one; return False if none is idle."""
+        """Register a connection, once.
+
+        At the limit, evict an idle one, or else one whose client has left; return False if there is neither.
+        """
         if connection in self.unvalidated_connections or connection in self.connections:
             return True
         count = len(self.connections) + len(self.unvalidated_connections)
-        if count >= self.max_connections and not self.evict_idle():
+        if count >= self.max_connections and not (self.evict_idle() or self._evict_left()):
             return False
         self.unvalidated_connections[connection] = None
         return True
@@ -124,6 +127,18 @@
                 return True
         return False
 
+    def _evict_left(self) -> bool:
+        """Abort a connection whose client has left, and whose input waits for its turn.
+
+        Clients that come and go faster than their input is read would use all connections.
+        """
+        for connection in (*self.unvalidated_connections, *self.connections):
+            if connection.has_client_left():
+                self.unregister(connection)
+                connection.abort()
+                return True
+        return False
+
     def mark_validated(self, connection: PlatformConnection) -> None:
         """Make a connection the most recently used one, because it has sent a valid message."""
         self.unregister(connection)
--- a/cedarthread/testing/cluster/injected_defects.py
+++ b/cedarthread/testing/cluster/injected_defects.py
@@ -32,6 +32,9 @@
     "no hold": "cedarthread.testing.cluster.injected_defects:send_after_stall",
     "stale limit": "cedarthread.testing.cluster.injected_defects:count_time_from_reading",
     "gone unseen": "cedarthread.testing.cluster.injected_defects:ignore_disconnected_clients",
+    "functions unlimited": "cedarthread.testing.hostile.defects:unlimited_functions",
+    "turns unlimited": "cedarthread.testing.hostile.defects:unlimited_turns",
+    "ids forgotten": "cedarthread.testing.hostile.defects:forget_executed_ids",
     "believes": "cedarthread.testing.cluster.injected_defects:trust_earlier_incarnations",
 }
 
--- a/cedarthread/testing/hostile/calm_client.py
+++ b/cedarthread/testing/hostile/calm_client.py
@@ -14,7 +14,10 @@
 PERIOD_S = 0.05  # time between two requests
 CALL_LIMIT_MS = 3000
 RECEIVE_BYTES = 65536
+RECEIVE_TIMEOUT_S = 0.005
 LAST_ANSWERS_S = 1.0
+CROSSING_S = 0.05  # a request sent within this time before the router's close may be sent once more
+MIN_SENT_FRACTION = 0.7  # of the calls that fit into the time; a client with fewer was kept away
 
 
 @dataclass(slots=True)
@@ -22,13 +25,14 @@
     """What a calm client has seen; latencies are in ms, infinite for a request without an answer."""
 
     call_latencies_ms: list[float] = field(default_factory=list)
+    expected_calls: int = 0  # calls that a client which is never kept away has sent
     health_latencies_ms: list[float] = field(default_factory=list)
     served: int = 0
 
     def served_within(self, limit_ms: float) -> float:
         """Return the fraction of the calls that were served within a time."""
         in_time = sum(latency_ms <= limit_ms for latency_ms in self.call_latencies_ms)
-        return in_time / max(1, len(self.call_latencies_ms))
+        return in_time / max(1, len(self.call_latencies_ms), self.expected_calls)
 
     def health_percentile_ms(self, fraction: float) -> float:
         """Return a percentile of the latencies of the health checks."""
@@ -43,7 +47,10 @@
 
 
 class CalmClient:
-    """A client on one connection, which a thread drives until ``stop``.
+    """A client that a thread drives until ``stop``.
+
+    It comes again when the router closes its connection, as the router may while no request is open. A
+    request that crosses such a close is sent once more, and not counted the first time.
 
     Args:
         port: The router's port on loopback.
@@ -52,9 +59,10 @@
 
     def __init__(self, port: int, number: int = 0) -> None:
         self.figures = CalmFigures()
+        self._port = port
         self._number = number
-        self._sock = socket.create_connection(("127.0.0.1", port))
-        self._sock.settimeout(0.005)
+        self._started_at_s = 0.0
+        self._sock: socket.socket | None = None
         self._open: dict[int, _Request] = {}
         self._buffer = b""
         self._should_stop = threading.Event()
@@ -62,49 +70,70 @@
 
     def start(self) -> None:
         """Start to send."""
+        self._started_at_s = time.monotonic()
         self._thread.start()
 
     def stop(self) -> CalmFigures:
         """Stop, wait for the last answers, and return the figures."""
         self._should_stop.set()
         self._thread.join()
-        for request in self._open.values():
-            self._record(request, float("inf"))
-        self._sock.close()
+        self._disconnect()
+        self.figures.expected_calls = int(
+            MIN_SENT_FRACTION * (time.monotonic() - self._started_at_s) / PERIOD_S
+        )
         return self.figures
 
     def _run(self) -> None:
         number = 0
         next_at_s = time.monotonic()
-        try:
-            while not self._should_stop.is_set():
-                now_s = time.monotonic()
-                if now_s >= next_at_s:
-                    next_at_s += PERIOD_S
-                    number += 2
-                    self._send(number)
-                self._receive()
-            end_s = time.monotonic() + LAST_ANSWERS_S
-            while self._open and time.monotonic() < end_s:
-                self._receive()
-        except OSError:  # the router has gone; what is open counts as unanswered
-            return
+        while not self._should_stop.is_set():
+            if time.monotonic() >= next_at_s:
+                next_at_s += PERIOD_S
+                number += 2
+                self._send(number)
+            self._receive()
+        end_s = time.monotonic() + LAST_ANSWERS_S
+        while self._open and time.monotonic() < end_s:
+            self._receive()
 
     def _send(self, number: int) -> None:
         fields = {"txn": f"{self._number:04x}{number:012x}", "limit": str(CALL_LIMIT_MS), "item": FUNCTION}
+        health_check = b"\x94\x00" + msgpack.pack_uint(number + 1) + msgpack.pack_str("check") + b"\x91\x80"
         now_s = time.monotonic()
         self._open[number] = _Request(now_s, is_call=True)
         self._open[number + 1] = _Request(now_s, is_call=False)
-        health_check = b"\x94\x00" + msgpack.pack_uint(number + 1) + msgpack.pack_str("check") + b"\x91\x80"
-        self._sock.sendall(pack_call(number, "check", b"x", fields) + health_check)
+        try:
+            if self._sock is None:
+                self._sock = socket.create_connection(("127.0.0.1", self._port), timeout=RECEIVE_TIMEOUT_S)
+                self._buffer = b""
+            self._sock.sendall(pack_call(number, "check", b"x", fields) + health_check)
+        except OSError:
+            self._disconnect()
+
+    def _disconnect(self) -> None:
+        """Close, and count the open requests as unanswered unless they crossed the router's close."""
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+        crossing_since_s = time.monotonic() - CROSSING_S
+        for request in self._open.values():
+            if self._should_stop.is_set() or request.sent_at_s < crossing_since_s:
+                self._record(request, float("inf"))
+        self._open.clear()
 
     def _receive(self) -> None:
+        if self._sock is None:
+            time.sleep(RECEIVE_TIMEOUT_S)
+            return
         try:
             received = self._sock.recv(RECEIVE_BYTES)
         except TimeoutError:
             return
+        except OSError:
+            received = b""
         if not received:
-            raise OSError("the router closed the connection")
+            self._disconnect()
+            return
         self._buffer += received
         while isinstance(parsed := msgpack.parse(memoryview(self._buffer)), msgpack.ParsedValue):
             _, number, error, _ = parsed.value
--- a/cedarthread/testing/hostile/flood.py
+++ b/cedarthread/testing/hostile/flood.py
@@ -10,6 +10,7 @@
 
 import contextlib
 import json
+import os
 import selectors
 import socket
 import struct
@@ -24,10 +25,14 @@
     MessageKind,
     pack_long_text_call,
     pack_many_fields_head,
+    pack_unsafe_call,
 )
 
 MESSAGES_PER_WRITE = 64
 RECEIVE_BYTES = 65536
+RETURN_CALLS = 16  # calls of a returning client on each connection
+ID_PREFIX_BYTES = 4
+RETURN_AFTER_S = 0.05  # time after which it closes the connection
 CHURN_MESSAGES = 300  # messages after which a churning client closes its connection and comes again
 SLOW_WRITE_PERIOD_S = 0.05
 SLOW_WRITE_BYTES = 700
@@ -43,6 +48,7 @@
     STREAM = "stream"  # as fast as the router reads
     CHURN = "churn"  # some hundred messages as fast as possible, then a close and a new connection
     RESET = "reset"  # as ``CHURN``, with RST in place of FIN
+    RETURN = "return"  # calls, a close while they run, and the same ids again on a new connection
     HALF = "half"  # a part of a long message, and then nothing more
     SLOW = "slow"  # a long message, a few bytes at a time
     MANY_FIELDS = "many-fields"  # the head of a message with very many short fields
@@ -77,6 +83,8 @@
 
     def __init__(self, port: int, spec: FloodSpec, selector: selectors.BaseSelector) -> None:
         self.port = port
+        self._id_prefix = os.urandom(ID_PREFIX_BYTES).hex()  # of the ids of a returning client
+        self._connections = 0
         self.spec = spec
         self.selector = selector
         self.sent_messages = 0
@@ -84,6 +92,7 @@
         self.connect_not_before_s = 0.0
         self._started_at_s = time.monotonic()
         self._sock: socket.socket | None = None
+        self._connected_at_s = 0.0
         self._unsent = b""
         self._sent_on_connection = 0
         self._write_not_before_s = 0.0
@@ -91,7 +100,10 @@
         self._unparsed = b""
 
     def connect_if_due(self, now_s: float) -> None:
-        """Open a connection if there is none and the pause after the last one is over."""
+        """Open a connection if there is none and the pause is over; a returning client leaves before."""
+        is_returning = self.spec.style is Style.RETURN and self._sock is not None
+        if is_returning and now_s - self._connected_at_s > RETURN_AFTER_S:
+            self.close()
         if self._sock is not None or now_s < self.connect_not_before_s:
             return
         sock = socket.socket()
@@ -103,6 +115,8 @@
             return
         sock.settimeout(0.0)
         self._sock = sock
+        self._connected_at_s = now_s
+        self._connections += 1
         self._sent_on_connection = 0
         self._answered_on_connection = 0
         self._unparsed = b""
@@ -115,6 +129,10 @@
             return pack_long_text_call(1, "check", "props")[:20_000]
         if self.spec.style is Style.SLOW:
             return pack_long_text_call(1, "check", "props")
+        if self.spec.style is Style.RETURN:
+            visit = (self._connections - 1) // 2  # two connections in turn send the same ids
+            ids = [f"{self._id_prefix}{visit:04x}{index:04x}" for index in range(RETURN_CALLS)]
+            return b"".join(pack_unsafe_call(1 + index, call_id) for index, call_id in enumerate(ids))
         if self.spec.style is Style.MANY_FIELDS:
             return pack_many_fields_head(1, MANY_FIELDS)
         return b""
@@ -198,7 +216,12 @@
     selector = selectors.DefaultSelector()
     clients = [HostileClient(port, spec, selector) for _ in range(spec.connections)]
     end_s = time.monotonic() + spec.seconds
-    is_paced = bool(spec.rate or spec.window) or spec.style in (Style.HALF, Style.SLOW, Style.MANY_FIELDS)
+    is_paced = bool(spec.rate or spec.window) or spec.style in (
+        Style.HALF,
+        Style.SLOW,
+        Style.MANY_FIELDS,
+        Style.RETURN,
+    )
     while (now_s := time.monotonic()) < end_s:
         for client in clients:
             client.connect_if_due(now_s)
--- a/cedarthread/testing/hostile/messages.py
+++ b/cedarthread/testing/hostile/messages.py
@@ -40,8 +40,8 @@
     return os.urandom(ID_BYTES).hex()
 
 
-def _fields(function: str, limit_ms: int, **others: str) -> dict[str, str]:
-    return {"txn": _random_id(), "limit": str(limit_ms), "item": function, **others}
+def _fields(function: str, limit_ms: int, txn: str = "") -> dict[str, str]:
+    return {"txn": txn or _random_id(), "limit": str(limit_ms), "item": function}
 
 
 def pack_interrupt(number: int) -> bytes:
@@ -71,8 +71,9 @@
     return pack_call(number, "check", body, _fields(function, limit_ms))
 
 
-def _unsafe_call(number: int) -> bytes:
-    return pack_call(number, "confirm", b"x", _fields(_random_id(), UNSAFE_LIMIT_MS))
+def pack_unsafe_call(number: int, call_id: str) -> bytes:
+    """Return a call with this id of a new function and of a class that must not be repeated."""
+    return pack_call(number, "confirm", b"x", _fields(_random_id(), UNSAFE_LIMIT_MS, txn=call_id))
 
 
 def _interrupted_call(number: int) -> bytes:
@@ -87,7 +88,7 @@
     MessageKind.CALLS: lambda number: _call(number, FUNCTION, LONG_LIMIT_MS),
     MessageKind.NEW_NAMES: lambda number: _call(number, _random_id(), LONG_LIMIT_MS),
     MessageKind.SHORT_LIMITS: lambda number: _call(number, _random_id(), SHORT_LIMIT_MS),
-    MessageKind.UNSAFE: _unsafe_call,
+    MessageKind.UNSAFE: lambda number: pack_unsafe_call(number, _random_id()),
     MessageKind.INTERRUPTS: _interrupted_call,
     MessageKind.HEALTH_CHECKS: lambda number: pack_health_check(),
     MessageKind.BAD_REQUESTS: _bad_request,
--- a/cedarthread/testing/hostile/workers.py
+++ b/cedarthread/testing/hostile/workers.py
@@ -2,8 +2,8 @@
 
     python -m cedarthread.testing.hostile.workers COUNT SERVICE_MS BEHAVIOR
 
-Standard output gets one line of JSON with the ports, and at the end of standard input one more with the call
-ids received, in order of arrival.
+Standard output gets one line of JSON with the ports, and at the end of standard input one more with the ids
+of the calls received that must not be repeated, in order of arrival.
 """
 
 from __future__ import annotations
@@ -25,6 +25,7 @@
     SILENT = "silent"
 
 
+UNSAFE_CLASS = "confirm"  # the class whose calls must not be repeated
 _LONG_BODY = base64.b64encode(b"x" * 16_000).decode()
 _RESPONSE_FIELDS = {"remark": "hit", "report": "inflight:1;x1:0"}
 
@@ -49,7 +50,8 @@
         for line in lines:
             message = json.loads(line)
             if message["op"] == "CALL":
-                self._received_ids.append(message["id"])
+                if message["fields"]["profile"] == UNSAFE_CLASS:
+                    self._received_ids.append(message["id"])
                 self._answer(message["id"])
 
     def _answer(self, call_id: str) -> None:
