Callers of the invoke API cannot make the process hold unread responses or dead TLS connections

Causes: requests were served while the caller read no responses, which queued without end; each response scheduled another pass over the input, so that one turn served all of it; asyncio gives each TLS connection 256 KiB for reads and as much unread; a closed TLS connection and asyncio's protocol refer to each other, so that both stayed until a garbage collection, thousands of connections later (106 MB after 3 s of connections that are refused for invalid requests).

--- a/cedarthread/protocols/invoke/connection.py
+++ b/cedarthread/protocols/invoke/connection.py
@@ -22,6 +22,7 @@
 log = logging.getLogger(__name__)
 
 IDLE_TIMEOUT_S = 30.0  # a connection without a request for this time is closed
+MAX_TURN_REQUESTS = 8  # requests of one connection that are processed before other connections
 REQUEST_TIMEOUT_S = 10.0  # time limit from the first to the last byte of a request
 
 
@@ -46,6 +47,7 @@
         self.is_busy = False  # a request is being served, or no further request is accepted
         self.keep_alive = True
         self.has_sent_continue = False
+        self._is_next_scheduled = False
         self.has_unparsed_input = False  # input may follow an invalid request
         self.request_started_at: float | None = None  # loop time in s of an incomplete request's first byte
 
@@ -67,6 +69,10 @@
         self.server.connections.pop(self, None)
         self.handler.abandon()
         self.handler.detach()
+        self.buffer.clear()
+        # asyncio's TLS protocol refers to this object, so that both and their buffers would stay until the
+        # garbage collector runs, thousands of connections later.
+        self.transport = None
 
     def refresh_client_state(self) -> bool:
         """Abandon the call and abort if the caller has closed the connection, whatever input is unread.
@@ -86,15 +92,36 @@
 
     def on_buffer_full(self) -> None:
         """Stop reading while further requests fill the buffer; close if a single request is too long."""
-        if self.is_busy and self.transport is not None:
+        if (self.is_busy or self.is_write_paused) and self.transport is not None:
             self.transport.pause_reading()
-        elif not self.is_busy:
+        else:
             self.close()
 
+    def pause_writing(self) -> None:
+        """Serve no further request, because the caller does not read its responses (called by asyncio)."""
+        super().pause_writing()
+        if self.transport is not None and not self.is_closing():
+            self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Serve further requests, because the caller reads its responses again (called by asyncio)."""
+        super().resume_writing()
+        if self.transport is not None and not self.is_closing() and not self.is_busy:
+            self.transport.resume_reading()
+            self._schedule_next()
+
     def on_data(self, data: memoryview) -> int | None:
-        """Process the next request unless one is being served; return the count of processed bytes."""
+        """Process the next requests unless one is being served; return the count of processed bytes.
+
+        In one turn, few requests are processed, and none while the caller does not read its responses.
+        """
         offset = 0
-        while not self.is_busy and offset < len(data):
+        requests = 0
+        while not self.is_busy and not self.is_write_paused and offset < len(data):
+            if requests == MAX_TURN_REQUESTS:
+                self._schedule_next()
+                return offset
+            requests += 1
             head = http.parse_head(data[offset:], MAX_BODY_BYTES)
             if isinstance(head, http.IncompleteHead):
                 break
@@ -110,7 +137,8 @@
             body = data[offset + head.head_bytes : end]
             offset = end
             self._serve_request(head, bytes(body))
-        if offset < len(data) and not self.is_busy and self.request_started_at is None:
+        is_waiting = not self.is_busy and not self.is_write_paused
+        if offset < len(data) and is_waiting and self.request_started_at is None:
             self.request_started_at = self._loop.time()
         return offset
 
@@ -147,10 +175,18 @@
             self.is_busy = True  # no further request is accepted
             self.lingering_close() if self.has_unparsed_input else self.close()
             return
-        self.transport.resume_reading()
-        self._loop.call_soon(self._process_next)
+        if not self.is_write_paused:
+            self.transport.resume_reading()
+        self._schedule_next()
+
+    def _schedule_next(self) -> None:
+        """Process further requests in the next iteration of the event loop, once."""
+        if not self._is_next_scheduled:
+            self._is_next_scheduled = True
+            self._loop.call_soon(self._process_next)
 
     def _process_next(self) -> None:
+        self._is_next_scheduled = False
         if not self.is_closed and not self.is_busy and len(self.buffer.peek()):
             self.buffer_updated(0)
 
@@ -160,7 +196,7 @@
         Args:
             now_s: The event loop's time.
         """
-        if self.is_busy:
+        if self.is_busy or self.is_write_paused:
             return
         if self.request_started_at is not None and now_s - self.request_started_at > REQUEST_TIMEOUT_S:
             self.keep_alive = False
--- a/cedarthread/transport/acceptor.py
+++ b/cedarthread/transport/acceptor.py
@@ -16,6 +16,7 @@
 from cedarthread.limits.log_budget import LogBudget
 from cedarthread.logs import format_event
 from cedarthread.transport.descriptor_budget import EXHAUSTION_ERRNOS
+from cedarthread.transport.tls_buffers import use_small_read_buffers
 
 if TYPE_CHECKING:
     import ssl
@@ -123,6 +124,8 @@
         self.create_protocol = create_protocol
         self.on_setup_failed = on_setup_failed
         self.release_descriptor = release_descriptor
+        if tls_context is not None:
+            use_small_read_buffers()
         self._setup_tasks: dict[ProtocolT, asyncio.Task[None]] = {}
         self._resume_timer: asyncio.TimerHandle | None = None
         self._log_budget = LogBudget()
--- a/cedarthread/transport/connection.py
+++ b/cedarthread/transport/connection.py
@@ -22,6 +22,7 @@
     SocketState,
     disable_nagle,
 )
+from cedarthread.transport.tls_buffers import limit_tls_buffers
 
 if TYPE_CHECKING:
     from cedarthread.limits.buffer_memory import BufferMemory
@@ -101,6 +102,7 @@
         """Store the transport and call ``on_connected`` (called by asyncio)."""
         self.transport = cast("asyncio.Transport", transport)
         self.transport.set_write_buffer_limits(high=self.write_high_water_bytes)
+        limit_tls_buffers(self.transport)
         disable_nagle(self.transport)
         self.last_read_at_s = self._loop.time()
         self.on_connected()
--- a/tests/integration/async_router_process.py
+++ b/tests/integration/async_router_process.py
@@ -12,7 +12,7 @@
 import sys
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from cedarthread.testing.fakes.scripted import ScriptedClient
 from tests.integration.router_process import ROOT, free_port, write_config
@@ -20,8 +20,6 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
 
-    from cedarthread.testing.fakes.scripted import ScriptedWorker
-
 LOG_END = "(ended)"  # the last entry of ``RouterProcess.lines`` once the process has closed its log
 TIMEOUT_S = 10
 
@@ -132,7 +130,13 @@
         await self._read_task
 
 
-def listed_endpoints(workers: Sequence[ScriptedWorker], zones: Sequence[str] = ("room-a",)) -> dict[str, Any]:
+class ListedWorker(Protocol):
+    """A worker that listens on a port of loopback."""
+
+    port: int
+
+
+def listed_endpoints(workers: Sequence[ListedWorker], zones: Sequence[str] = ("room-a",)) -> dict[str, Any]:
     """Return a ``known`` entry of ``config.json`` that lists the workers, in these zones in turn."""
     endpoints = [
         {
--- a/tests/integration/invoke_caller.py
+++ b/tests/integration/invoke_caller.py
@@ -134,6 +134,13 @@
     body: bytes
 
 
+def invoke_arguments(authority: Authority, port: int) -> list[str]:
+    """Write the invoke API's configuration with this port; return the arguments that select it."""
+    path = authority.folder / "invoke.toml"
+    path.write_text(path.read_text().replace("127.0.0.1:0", f"127.0.0.1:{port}"))
+    return ["serve", "--invoke", str(path)]
+
+
 class Caller:
     """A caller's connection to the invoke API, open inside ``async with``."""
 
--- a/tests/integration/test_invoke_upgrade_process.py
+++ b/tests/integration/test_invoke_upgrade_process.py
@@ -19,6 +19,7 @@
     Authority,
     Caller,
     Response,
+    invoke_arguments,
 )
 from tests.integration.router_process import free_port
 
@@ -31,13 +32,6 @@
 SHORT_DEADLINE_MS = 300  # which the length of a shutdown depends on
 
 
-def invoke_arguments(authority: Authority, port: int) -> list[str]:
-    """Write the invoke API's configuration with this port; return the arguments that select it."""
-    path = authority.folder / "invoke.toml"
-    path.write_text(path.read_text().replace("127.0.0.1:0", f"127.0.0.1:{port}"))
-    return ["serve", "--invoke", str(path)]
-
-
 async def request(port: int, context: ssl.SSLContext, method: str, path: str, **fields: str) -> Response:
     """Send a request on a new connection, and return the response."""
     async with Caller(port, context) as caller:
