Only calls that must not be repeated look for their id among those that were executed

Cause: each call looked into the shared file, though calls of retryable classes are run again whatever it holds.

--- a/cedarthread/dispatch/dispatcher.py
+++ b/cedarthread/dispatch/dispatcher.py
@@ -169,17 +169,19 @@
 
     def _is_full_for(self, call: Call) -> bool:
         """Return whether a limit of the process forbids a new call."""
-        settings = self.context.settings
-        if self.calls.is_full(settings.limits.max_pending_requests):
+        if self.calls.is_full(self.context.settings.limits.max_pending_requests):
             return True
-        is_repeatable = settings.classes[call.class_index].idempotency is Idempotency.IDEMPOTENT
-        return not is_repeatable and self.executed_ids.is_full(self.context.clock())
+        return not self._is_repeatable(call) and self.executed_ids.is_full(self.context.clock())
 
-    def refuse_call_id(self, call_id: str) -> str | None:
+    def _is_repeatable(self, call: Call) -> bool:
+        request_class = self.context.settings.classes[call.class_index]
+        return request_class.idempotency is Idempotency.IDEMPOTENT
+
+    def refuse_call_id(self, call: Call) -> str | None:
         """Return why a client's call with this id cannot be accepted, or None if it can."""
-        if call_id in self.calls.pending_ids:  # a worker could not distinguish the two calls
+        if call.call_id in self.calls.pending_ids:  # a worker could not distinguish the two calls
             return "a call of this txn is open"
-        if self.executed_ids.contains(call_id, self.context.clock()):
+        if not self._is_repeatable(call) and self.executed_ids.contains(call.call_id, self.context.clock()):
             return "a call of this txn may have been executed"
         return None
 
--- a/cedarthread/protocols/platform/calls.py
+++ b/cedarthread/protocols/platform/calls.py
@@ -65,7 +65,7 @@
             self.connection.write(encode_bad_request(message_id, "no such method"))
             return True
         call = parse_call(class_index, dispatcher.settings, params[0], params[1], dispatcher.arrival_ms())
-        if isinstance(call, Call) and (reason := dispatcher.refuse_call_id(call.call_id)) is not None:
+        if isinstance(call, Call) and (reason := dispatcher.refuse_call_id(call)) is not None:
             call = reason
         if isinstance(call, str):
             self.connection.write(encode_bad_request(message_id, call))
